--- /dev/null
+++ b/src/codec/pbmap.h
@@ -0,0 +1,25 @@
+#ifndef PBMAP_H
+#define PBMAP_H
+
+/**
+ * @file pbmap.h
+ * Protobuf encoding of the core's structs, driven by their field tables.
+ */
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "result.h"
+
+/** Appends the encoded body to @a out; returns its size in bytes. */
+uint32_t pb_encode(GByteArray *out, uint32_t type, const void *body);
+
+/**
+ * Decodes a body of @a type. On RESULT_OK @a body holds a new reference for
+ * record_unref(). Returns RESULT_VERSION for an unknown type, RESULT_MALFORMED,
+ * or RESULT_OUT_OF_RANGE for a text that doesn't fit its field.
+ */
+enum result pb_decode(uint32_t type, const uint8_t *data, size_t size,
+		      void **body);
+
+#endif /* PBMAP_H */
--- /dev/null
+++ b/src/core/counter.h
@@ -0,0 +1,29 @@
+#ifndef COUNTER_H
+#define COUNTER_H
+
+/**
+ * @file counter.h
+ * Named 64-bit counters of one node, served as plain text at /metrics.
+ */
+
+#include <glib.h>
+#include <stdint.h>
+
+struct counters;
+
+struct counters *counters_new(void);
+void counters_free(struct counters *counters);
+
+/** Adds @a amount to the counter @a name, which is created on first use. */
+void counter_add(struct counters *counters, const char *name, uint64_t amount);
+
+/** Sets a gauge. */
+void counter_set(struct counters *counters, const char *name, uint64_t value);
+
+/** Returns the value of @a name, 0 if it was never touched. */
+uint64_t counter_get(const struct counters *counters, const char *name);
+
+/** Appends "masticreach_NAME VALUE" lines to @a out, sorted by name. */
+void counters_print(const struct counters *counters, GString *out);
+
+#endif /* COUNTER_H */
--- /dev/null
+++ b/src/core/host.h
@@ -0,0 +1,37 @@
+#ifndef HOST_H
+#define HOST_H
+
+/**
+ * @file host.h
+ * What a host (the daemon, a test) gives the core. The core does no I/O, reads
+ * no clock and draws no randomness itself: it calls these functions, and the
+ * host calls the node with messages, completions and the time. A host never
+ * calls the node from within one of these functions.
+ */
+
+#include <stdint.h>
+
+/** Functions every host provides; @a ctx is the host's own pointer. */
+struct host_ops {
+	/**
+	 * Sends message @a body of kind @a type (enum schema_type) to the peer.
+	 * The body is borrowed for the call. Messages to a peer without an open
+	 * connection are dropped; senders recover through timeouts.
+	 */
+	void (*send)(void *ctx, uint64_t node_id, uint32_t type,
+		     const void *body);
+	/**
+	 * Opens a connection to @a address ("ip:port"). The host answers with
+	 * node_peer_up() after the handshake, or node_dial_failed(). A second
+	 * connection to a known peer replaces the first one.
+	 */
+	void (*dial)(void *ctx, const char *address);
+	/** Closes all connections to the peer; no node_peer_down() follows. */
+	void (*close_peer)(void *ctx, uint64_t node_id);
+	/** Returns 64 random bits. */
+	uint64_t (*random_u64)(void *ctx);
+	/** Writes one finished log line without a newline. */
+	void (*log_line)(void *ctx, const char *line);
+};
+
+#endif /* HOST_H */
--- /dev/null
+++ b/src/core/msg_control.h
@@ -0,0 +1,120 @@
+#ifndef MSG_CONTROL_H
+#define MSG_CONTROL_H
+
+/**
+ * @file msg_control.h
+ * Messages between control and the agents and entries.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "command.h"
+#include "tunables.h"
+#include "platform.h"
+
+/** Announcement and heartbeat of an agent, every REPORT_INTERVAL_MS. */
+struct report {
+	uint64_t seq;
+	uint64_t
+		sent_us; /* agent's clock; leases and permits count from here */
+	struct vm_record vm;
+	uint64_t bundle_version; /* in force at the agent */
+	bool leaving; /* the agent shuts down gracefully */
+	uint32_t nr_tasks;
+	struct platform_task *tasks; /* every task that the worker holds */
+	uint32_t nr_services;
+	struct report_service *services; /* upstreams announced on this VM */
+};
+
+struct report_service {
+	char service[NAME_BYTES];
+	uint32_t slots;
+	bool leaving;
+	uint32_t service_time_us;
+};
+
+/** The leader's reply to a report. */
+struct grant {
+	uint64_t seq;
+	uint64_t sent_us; /* echoed from the report */
+	uint64_t term; /* of the leader; an agent ignores older terms */
+	uint32_t lease_ms;
+	uint32_t permit_ms; /* 0: no starts */
+	bool zone_out;
+	uint64_t bundle_version; /* newest one signed off */
+	uint32_t nr_confirmed;
+	uint64_t *confirmed; /* task ids whose leases are renewed */
+};
+
+enum task_action {
+	TASK_START = 1,
+	TASK_STOP = 2, /* at once, without a checkpoint */
+	TASK_CHECKPOINT_STOP = 3, /* checkpoint, then stop */
+	TASK_CHECKPOINT = 4, /* checkpoint and go on */
+	TASK_THROTTLE = 5,
+};
+
+struct task_order {
+	uint64_t term;
+	uint64_t vm_node; /* agent incarnation it is meant for */
+	uint32_t action; /* enum task_action */
+	uint32_t cpu_ppm; /* TASK_THROTTLE */
+	struct platform_start start; /* task_id and epoch always set */
+};
+
+struct task_event {
+	uint64_t task_id;
+	uint64_t epoch;
+	uint32_t run; /* enum task_run */
+	char checkpoint[NAME_BYTES];
+	uint32_t progress_ppm;
+	uint32_t result; /* enum result */
+};
+
+/** Asks control for changes of the view after the given version. */
+struct view_query {
+	uint64_t view_version; /* 0: everything */
+	uint64_t bundle_version;
+};
+
+struct view_agent {
+	char vm[NAME_BYTES];
+	char zone[NAME_BYTES];
+	char address[ADDRESS_BYTES];
+	uint64_t node_id;
+	bool gone;
+};
+
+/** What entries and agents know of the site: zones, agents, bundle. */
+struct view {
+	uint64_t term;
+	uint64_t view_version;
+	bool whole; /* replaces what the receiver knew */
+	uint32_t nr_zones;
+	struct zone_record *zones;
+	uint32_t nr_agents;
+	struct view_agent *agents;
+	uint32_t nr_bundles; /* 0 or 1 */
+	struct bundle *bundles; /* newest one signed off */
+};
+
+/** Claims a request that is not repeatable before its first dispatch. */
+struct claim_query {
+	uint64_t ticket; /* chosen by the entry, echoed */
+	struct claim_record claim;
+};
+
+struct claim_reply {
+	uint64_t ticket;
+	uint32_t
+		result; /* RESULT_OK: dispatch; RESULT_IN_PROGRESS: see claim */
+	struct claim_record claim; /* as it stands now */
+};
+
+struct claim_done {
+	struct claim_record claim;
+};
+
+#endif /* MSG_CONTROL_H */
--- /dev/null
+++ b/src/core/op.h
@@ -0,0 +1,138 @@
+#ifndef OP_H
+#define OP_H
+
+/**
+ * @file op.h
+ * Operators' requests to control and the replies. The HTTP front end maps them
+ * to JSON under /v1 by their schemas; the core knows no HTTP.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "command.h"
+#include "tunables.h"
+
+enum op_type {
+	OP_BUNDLE_CHECK = 200, /* struct bundle -> op_reply */
+	OP_BUNDLE_SUBMIT = 201, /* struct bundle -> op_reply */
+	OP_BUNDLE_SIGN = 202, /* struct cmd_bundle_sign -> op_reply */
+	OP_BUNDLE_STATUS = 203, /* op_query -> op_bundle_status */
+	OP_ZONE_SET = 204, /* struct cmd_zone_set -> op_reply */
+	OP_ZONE_LIST = 205, /* op_query -> op_zones */
+	OP_VM_LIST = 206, /* op_query -> op_vms */
+	OP_VM_SET = 207, /* struct cmd_vm_quarantine -> op_reply */
+	OP_JOB_SUBMIT = 208, /* struct job_record -> op_reply */
+	OP_JOB_CANCEL = 209, /* struct cmd_job_cancel -> op_reply */
+	OP_JOB_LIST = 210, /* op_query -> op_jobs */
+	OP_TASK_LIST = 211, /* op_query -> op_tasks */
+	OP_STATUS = 212, /* op_query -> op_status */
+	OP_MEMBER_ADD = 213, /* struct member -> op_reply */
+	OP_MEMBER_REMOVE = 214, /* struct member -> op_reply */
+	/* replies */
+	OP_REPLY = 230,
+	OP_BUNDLE_STATUS_REPLY = 231,
+	OP_ZONES = 232,
+	OP_VMS = 233,
+	OP_JOBS = 234,
+	OP_TASKS = 235,
+	OP_STATUS_REPLY = 236,
+};
+
+/** A list request; the page starts after the given id or name. */
+struct op_query {
+	uint64_t job_id; /* OP_TASK_LIST: 0 for all jobs */
+	uint64_t after_id; /* first page: 0 */
+	char after_name[NAME_BYTES];
+	uint32_t max_items; /* 0: the server's limit */
+};
+
+/** Result of a change. */
+struct op_reply {
+	uint32_t result; /* enum result */
+	char message[TEXT_BYTES];
+	uint64_t id; /* of the object made, 0 if none */
+	uint64_t version; /* of the object after the change */
+	char leader[ADDRESS_BYTES]; /* RESULT_NOT_LEADER: where to ask, or "" */
+};
+
+struct op_bundle_status {
+	uint64_t in_force; /* version signed off last, 0 if none */
+	char digest[DIGEST_BYTES];
+	char signed_by[NAME_BYTES];
+	uint64_t submitted; /* version waiting for sign-off, 0 if none */
+	char submitted_digest[DIGEST_BYTES];
+	uint32_t processes_in_force; /* processes that acknowledged it */
+	uint32_t processes_known;
+};
+
+struct op_zone {
+	struct zone_record zone;
+	uint32_t vms_live;
+	uint32_t tasks_running;
+};
+
+struct op_zones {
+	uint32_t nr_zones;
+	struct op_zone *zones;
+};
+
+struct op_vm {
+	struct vm_record vm;
+	uint32_t committed_cpu_millis;
+	uint32_t committed_memory_mib;
+	uint32_t committed_accelerators;
+	uint32_t tasks;
+};
+
+struct op_vms {
+	uint32_t nr_vms;
+	struct op_vm *vms;
+};
+
+struct op_job {
+	struct job_record job;
+	uint32_t pending;
+	uint32_t running;
+	uint32_t done;
+	uint32_t failed;
+	uint32_t evictions;
+};
+
+struct op_jobs {
+	uint32_t nr_jobs;
+	struct op_job *jobs;
+};
+
+struct op_tasks {
+	uint32_t nr_tasks;
+	struct task_record *tasks;
+};
+
+struct op_member {
+	uint64_t node_id;
+	char name[NAME_BYTES];
+	char address[ADDRESS_BYTES];
+	bool voter;
+	bool leader;
+	uint64_t match_index;
+};
+
+struct op_status {
+	uint64_t node_id; /* of the replica that answers */
+	bool leader;
+	char leader_address[ADDRESS_BYTES];
+	uint64_t term;
+	uint64_t commit_index;
+	uint64_t bundle_version;
+	uint32_t vms_live;
+	uint32_t vms_lost;
+	uint32_t tasks_pending;
+	uint32_t tasks_running;
+	uint32_t jobs_active;
+	uint64_t evictions;
+	uint32_t nr_members;
+	struct op_member *members;
+};
+
+#endif /* OP_H */
--- /dev/null
+++ b/src/core/platform.h
@@ -0,0 +1,111 @@
+#ifndef PLATFORM_H
+#define PLATFORM_H
+
+/**
+ * @file platform.h
+ * Calls of an agent to the worker on its VM, and announcements of upstreams to
+ * the agent. Both travel as JSON over HTTP; field names are the same.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "tunables.h"
+
+enum task_run {
+	TASK_RUN_NONE = 0,
+	TASK_RUN_RUNNING = 1,
+	TASK_RUN_STOPPED = 2, /* by order or at the end of its lease */
+	TASK_RUN_DONE = 3,
+	TASK_RUN_FAILED = 4,
+};
+
+/** POST /v1/tasks: starts a task; repeated with the same epoch it has no
+ * effect. */
+struct platform_start {
+	uint64_t task_id;
+	uint64_t epoch;
+	char job[NAME_BYTES];
+	char kind[NAME_BYTES];
+	char payload[TEXT_BYTES]; /* passed to the worker as it is */
+	uint32_t cpu_millis;
+	uint32_t memory_mib;
+	uint32_t accelerators;
+	char checkpoint[NAME_BYTES]; /* to resume from, "" for a fresh start */
+	uint32_t lease_ms; /* time left when the call is sent */
+	uint32_t start_within_ms; /* start permit; a later start is refused */
+};
+
+/** POST /v1/tasks/stop */
+struct platform_stop {
+	uint64_t task_id;
+	uint64_t epoch;
+};
+
+/** POST /v1/tasks/checkpoint: the reply carries the checkpoint's name. */
+struct platform_checkpoint {
+	uint64_t task_id;
+	uint64_t epoch;
+};
+
+/** POST /v1/tasks/throttle */
+struct platform_throttle {
+	uint64_t task_id;
+	uint64_t epoch;
+	uint32_t cpu_ppm; /* share of the task's processors it may use */
+};
+
+struct platform_lease_item {
+	uint64_t task_id;
+	uint64_t epoch;
+};
+
+/** POST /v1/leases: extends leases to lease_ms from now. */
+struct platform_lease {
+	uint32_t lease_ms;
+	uint32_t nr_tasks;
+	struct platform_lease_item *tasks;
+};
+
+/** GET /v1/tasks */
+struct platform_list {
+	bool with_finished;
+};
+
+/** One task as the worker sees it; the usage part was sampled age_ms ago. */
+struct platform_task {
+	uint64_t task_id;
+	uint64_t epoch;
+	uint32_t run; /* enum task_run */
+	uint32_t progress_ppm;
+	char checkpoint[NAME_BYTES];
+	uint32_t age_ms;
+	uint32_t cpu_used_millis;
+	uint32_t memory_used_mib;
+	uint32_t rate_ppm; /* speed compared with running alone */
+	uint32_t service_time_us; /* of a latency-critical task, else 0 */
+};
+
+struct platform_tasks {
+	uint32_t nr_tasks;
+	struct platform_task *tasks;
+};
+
+/** Reply to every call but the list. */
+struct platform_reply {
+	uint32_t result; /* enum result */
+	char checkpoint[NAME_BYTES];
+	uint32_t progress_ppm;
+};
+
+/** PUT /v1/upstreams/{id} on the agent, repeated by the upstream. */
+struct platform_announce {
+	char id[NAME_BYTES];
+	char service[NAME_BYTES];
+	char address[ADDRESS_BYTES];
+	uint32_t slots;
+	uint32_t connections;
+	bool leaving;
+};
+
+#endif /* PLATFORM_H */
--- /dev/null
+++ b/src/core/schema.h
@@ -0,0 +1,189 @@
+#ifndef SCHEMA_H
+#define SCHEMA_H
+
+/**
+ * @file schema.h
+ * Field tables of the core's plain structs. Every struct that crosses a process
+ * boundary, is stored or is shown to operators has one table; freeing, copying,
+ * the protobuf codec and the JSON codec all walk it. The fields of a table and
+ * of its protobuf message stand in the same order.
+ */
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Types of structs that can stand alone in a frame, a record or a log entry.
+ */
+enum schema_type {
+	TYPE_NONE = 0,
+	/* links, msg_link.h */
+	MSG_HELLO = 1,
+	MSG_PING = 2,
+	MSG_PONG = 3,
+	/* requests, msg_request.h */
+	MSG_REQUEST = 20,
+	MSG_RESPONSE = 21,
+	MSG_CANCEL = 22,
+	MSG_OUTCOME_QUERY = 23,
+	MSG_LOAD = 24,
+	/* control, msg_control.h */
+	MSG_REPORT = 40,
+	MSG_GRANT = 41,
+	MSG_TASK_ORDER = 42,
+	MSG_TASK_EVENT = 43,
+	MSG_VIEW_QUERY = 44,
+	MSG_VIEW = 45,
+	MSG_CLAIM_QUERY = 46,
+	MSG_CLAIM_REPLY = 47,
+	MSG_CLAIM_DONE = 48,
+	/* replicated log, msg_raft.h */
+	MSG_VOTE = 60,
+	MSG_VOTE_REPLY = 61,
+	MSG_APPEND = 62,
+	MSG_APPEND_REPLY = 63,
+	MSG_SNAPSHOT_PAGE = 64,
+	MSG_SNAPSHOT_REPLY = 65,
+	REC_HARD_STATE = 70,
+	REC_LOG_ENTRY = 71,
+	REC_SNAPSHOT_HEAD = 72,
+	/* commands of the state machine, command.h */
+	CMD_NOOP = 100,
+	CMD_MEMBERS = 101,
+	CMD_BUNDLE_SUBMIT = 102,
+	CMD_BUNDLE_SIGN = 103,
+	CMD_ZONE_SET = 104,
+	CMD_VM_SET = 105,
+	CMD_VM_LOST = 106,
+	CMD_VM_QUARANTINE = 107,
+	CMD_JOB_SUBMIT = 108,
+	CMD_JOB_CANCEL = 109,
+	CMD_TASK_PLACE = 110,
+	CMD_TASK_SET = 111,
+	CMD_CLAIM = 112,
+	CMD_CLAIM_DONE = 113,
+	CMD_EXPIRE = 114,
+	/* records of a snapshot of the state machine, command.h */
+	REC_BUNDLE = 150,
+	REC_ZONE = 151,
+	REC_VM = 152,
+	REC_JOB = 153,
+	REC_TASK = 154,
+	REC_CLAIM = 155,
+	REC_COUNTERS = 156,
+	/* operators' requests and replies, op.h: 200 to 249 */
+	OP_FIRST = 200,
+	OP_LAST = 249,
+	/* platform calls and replies, platform.h */
+	PLATFORM_START = 250,
+	PLATFORM_STOP = 251,
+	PLATFORM_CHECKPOINT = 252,
+	PLATFORM_THROTTLE = 253,
+	PLATFORM_LEASE = 254,
+	PLATFORM_LIST = 255,
+	PLATFORM_TASKS = 256,
+	PLATFORM_REPLY = 257,
+	PLATFORM_ANNOUNCE = 258,
+};
+
+enum field_kind {
+	FIELD_BOOL, /* bool */
+	FIELD_U32, /* uint32_t */
+	FIELD_U64, /* uint64_t */
+	FIELD_STRING, /* char[capacity], NUL-terminated */
+	FIELD_BYTES, /* GBytes *, owned reference, may be NULL */
+	FIELD_ONE, /* embedded struct */
+	FIELD_MANY, /* struct array on the heap, count in a uint32_t */
+	FIELD_U64S, /* uint64_t array on the heap, count in a uint32_t */
+	FIELD_RECORD, /* struct record */
+};
+
+struct schema;
+
+struct field {
+	const char *name;
+	enum field_kind kind;
+	uint32_t offset;
+	uint32_t nr_offset; /* of the count, FIELD_MANY and FIELD_U64S */
+	uint32_t capacity; /* of the array, FIELD_STRING */
+	const struct schema *schema; /* FIELD_ONE and FIELD_MANY */
+};
+
+struct schema {
+	const char *name; /* of the protobuf message */
+	uint32_t size;
+	uint32_t nr_fields;
+	const struct field *fields;
+};
+
+/** A typed struct on the heap, shared by reference count and immutable. */
+struct record {
+	uint32_t type;
+	void *body; /* from schema_alloc() */
+};
+
+struct schema_entry {
+	uint32_t type;
+	const struct schema *schema;
+};
+
+#define FIELD_SCALAR(kind, strct, member)                                 \
+	{                                                                 \
+#member, kind, offsetof(struct strct, member), 0, 0, NULL \
+	}
+#define F_BOOL(strct, member) FIELD_SCALAR(FIELD_BOOL, strct, member)
+#define F_U32(strct, member) FIELD_SCALAR(FIELD_U32, strct, member)
+#define F_U64(strct, member) FIELD_SCALAR(FIELD_U64, strct, member)
+#define F_BYTES(strct, member) FIELD_SCALAR(FIELD_BYTES, strct, member)
+#define F_RECORD(strct, member) FIELD_SCALAR(FIELD_RECORD, strct, member)
+#define F_STRING(strct, member)                                           \
+	{                                                                 \
+#member, FIELD_STRING, offsetof(struct strct, member), 0, \
+			sizeof(((struct strct *)0)->member), NULL         \
+	}
+#define F_ONE(strct, member, schema)                                      \
+	{                                                                 \
+#member, FIELD_ONE, offsetof(struct strct, member), 0, 0, \
+			&(schema)                                         \
+	}
+/* The count of array "member" is "nr_member". */
+#define F_MANY(strct, member, schema)                                     \
+	{                                                                 \
+#member, FIELD_MANY, offsetof(struct strct, member),      \
+			offsetof(struct strct, nr_##member), 0, &(schema) \
+	}
+#define F_U64S(strct, member)                                        \
+	{                                                            \
+#member, FIELD_U64S, offsetof(struct strct, member), \
+			offsetof(struct strct, nr_##member), 0, NULL \
+	}
+#define SCHEMA(var, proto_name, strct, table)                         \
+	const struct schema var = { proto_name, sizeof(struct strct), \
+				    G_N_ELEMENTS(table), table }
+
+/** Returns the schema of @a type, NULL if the type is unknown. */
+const struct schema *schema_of(uint32_t type);
+
+/** Releases what @a body owns, not @a body itself, and zeroes it. */
+void schema_clear(const struct schema *schema, void *body);
+
+/** Makes @a dst an independent copy of @a src; @a dst is overwritten. */
+void schema_copy(const struct schema *schema, void *dst, const void *src);
+
+/** Returns a zeroed, reference-counted body of @a type, never NULL. */
+void *schema_alloc(uint32_t type);
+
+/** Returns a reference-counted copy of @a body. */
+void *schema_dup(uint32_t type, const void *body);
+
+/** Returns a new reference to the same body. */
+struct record record_ref(struct record record);
+
+/** Drops one reference; a record without body is allowed. */
+void record_unref(struct record record);
+
+/** Copies @a src into a fixed text field, cutting it at @a capacity - 1. */
+void text_set(char *dst, size_t capacity, const char *src);
+#define TEXT_SET(array, src) text_set((array), sizeof(array), (src))
+
+#endif /* SCHEMA_H */
--- /dev/null
+++ b/src/daemon/loop.c
@@ -0,0 +1,253 @@
+#include "loop.h"
+
+#include <errno.h>
+#include <glib-unix.h>
+#include <signal.h>
+#include <stdio.h>
+#include <sys/random.h>
+
+#include "transport.h"
+#include "tunables.h"
+
+/* Identifiers fit a JSON number without loss. */
+#define NODE_ID_MASK ((UINT64_C(1) << 52) - 1)
+#define SHUTDOWN_POLL_MS 20
+
+struct loop {
+	GMainLoop *main;
+	struct node *node;
+	struct transport *transport;
+	GSource *timer;
+	GSource *drain;
+};
+
+static void loop_send(void *ctx, uint64_t node_id, uint32_t type,
+		      const void *body)
+{
+	struct loop *loop = ctx;
+
+	transport_send(loop->transport, node_id, type, body);
+}
+
+static void loop_dial(void *ctx, const char *address)
+{
+	struct loop *loop = ctx;
+
+	transport_dial(loop->transport, address);
+}
+
+static void loop_close_peer(void *ctx, uint64_t node_id)
+{
+	struct loop *loop = ctx;
+
+	transport_close_peer(loop->transport, node_id);
+}
+
+static uint64_t loop_host_random(void *ctx)
+{
+	return loop_random_u64();
+}
+
+static void loop_host_log(void *ctx, const char *line)
+{
+	loop_log_line(line);
+}
+
+static const struct host_ops loop_host_ops = {
+	.send = loop_send,
+	.dial = loop_dial,
+	.close_peer = loop_close_peer,
+	.random_u64 = loop_host_random,
+	.log_line = loop_host_log,
+};
+
+static void loop_peer_up(void *ctx, const struct hello *peer,
+			 const char *dialled)
+{
+	struct loop *loop = ctx;
+
+	node_peer_up(loop->node, peer, dialled, loop_now_us());
+	loop_leave(loop);
+}
+
+static void loop_peer_down(void *ctx, uint64_t node_id)
+{
+	struct loop *loop = ctx;
+
+	node_peer_down(loop->node, node_id, loop_now_us());
+	loop_leave(loop);
+}
+
+static void loop_dial_failed(void *ctx, const char *address)
+{
+	struct loop *loop = ctx;
+
+	node_dial_failed(loop->node, address, loop_now_us());
+	loop_leave(loop);
+}
+
+static void loop_message(void *ctx, uint64_t from, uint32_t type,
+			 const void *body)
+{
+	struct loop *loop = ctx;
+
+	node_message(loop->node, from, type, body, loop_now_us());
+	loop_leave(loop);
+}
+
+static const struct transport_ops loop_transport_ops = {
+	.peer_up = loop_peer_up,
+	.peer_down = loop_peer_down,
+	.dial_failed = loop_dial_failed,
+	.message = loop_message,
+};
+
+static gboolean loop_timer(gpointer data)
+{
+	struct loop *loop = data;
+
+	node_run_timers(loop->node, loop_now_us());
+	loop_leave(loop);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean loop_drain(gpointer data)
+{
+	struct loop *loop = data;
+
+	if (!node_idle(loop->node) || !transport_flushed(loop->transport))
+		return G_SOURCE_CONTINUE;
+	g_main_loop_quit(loop->main);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean loop_signal(gpointer data)
+{
+	struct loop *loop = data;
+
+	node_shutdown(loop->node, loop_now_us());
+	loop_leave(loop);
+	if (!loop->drain) {
+		loop->drain = g_timeout_source_new(SHUTDOWN_POLL_MS);
+		g_source_set_callback(loop->drain, loop_drain, loop, NULL);
+		g_source_attach(loop->drain, NULL);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+enum result loop_new(const struct loop_opts *opts, struct loop **out)
+{
+	struct loop *loop = g_new0(struct loop, 1);
+	struct transport_opts transport_opts = { 0 };
+	struct node_opts node_opts = { 0 };
+	enum result res = RESULT_OK;
+
+	node_opts.host = &loop_host_ops;
+	node_opts.host_ctx = loop;
+	node_opts.node_id = opts->node_id;
+	while (!node_opts.node_id)
+		node_opts.node_id = loop_random_u64() & NODE_ID_MASK;
+	TEXT_SET(node_opts.name, opts->name);
+	TEXT_SET(node_opts.zone, opts->zone);
+	node_opts.now_us = loop_now_us();
+	loop->main = g_main_loop_new(NULL, FALSE);
+	loop->node = node_new(&node_opts);
+	transport_opts.ops = &loop_transport_ops;
+	transport_opts.ctx = loop;
+	transport_opts.self = &loop->node->self;
+	loop->transport = transport_new(&transport_opts);
+	if (opts->listen)
+		res = transport_listen(loop->transport, opts->listen,
+				       loop->node->self.address);
+	if (res != RESULT_OK) {
+		loop_free(loop);
+		return res;
+	}
+	loop->timer = g_timeout_source_new(0);
+	g_source_set_callback(loop->timer, loop_timer, loop, NULL);
+	g_source_set_ready_time(loop->timer, -1);
+	g_source_attach(loop->timer, NULL);
+	*out = loop;
+	return RESULT_OK;
+}
+
+void loop_free(struct loop *loop)
+{
+	if (!loop)
+		return;
+	if (loop->timer) {
+		g_source_destroy(loop->timer);
+		g_source_unref(loop->timer);
+	}
+	if (loop->drain) {
+		g_source_destroy(loop->drain);
+		g_source_unref(loop->drain);
+	}
+	transport_free(loop->transport);
+	node_free(loop->node);
+	g_main_loop_unref(loop->main);
+	g_free(loop);
+}
+
+struct node *loop_node(struct loop *loop)
+{
+	return loop->node;
+}
+
+void loop_enter(struct loop *loop)
+{
+	node_set_time(loop->node, loop_now_us());
+}
+
+void loop_leave(struct loop *loop)
+{
+	uint64_t next_us = node_next_us(loop->node);
+
+	g_source_set_ready_time(loop->timer,
+				next_us == TIMER_NEVER ? -1 : (gint64)next_us);
+}
+
+void loop_run(struct loop *loop)
+{
+	GSource *term = g_unix_signal_source_new(SIGTERM);
+	GSource *interrupt = g_unix_signal_source_new(SIGINT);
+
+	g_source_set_callback(term, loop_signal, loop, NULL);
+	g_source_attach(term, NULL);
+	g_source_set_callback(interrupt, loop_signal, loop, NULL);
+	g_source_attach(interrupt, NULL);
+	node_start(loop->node, loop_now_us());
+	loop_leave(loop);
+	g_main_loop_run(loop->main);
+	g_source_destroy(term);
+	g_source_unref(term);
+	g_source_destroy(interrupt);
+	g_source_unref(interrupt);
+}
+
+uint64_t loop_now_us(void)
+{
+	return (uint64_t)g_get_monotonic_time();
+}
+
+uint64_t loop_random_u64(void)
+{
+	uint64_t value = 0;
+
+	while (getrandom(&value, sizeof(value), 0) != sizeof(value))
+		if (errno != EINTR)
+			g_error("getrandom: %s", g_strerror(errno));
+	return value;
+}
+
+void loop_log_line(const char *line)
+{
+	gint64 now_us = g_get_real_time();
+	GDateTime *now = g_date_time_new_from_unix_utc(now_us / 1000000);
+	char *text = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
+
+	fprintf(stderr, "time=%s.%06dZ %s\n", text, (int)(now_us % 1000000),
+		line);
+	g_free(text);
+	g_date_time_unref(now);
+}
--- /dev/null
+++ b/tests/test_core.c
@@ -0,0 +1,179 @@
+/**
+ * @file test_core.c
+ * Timers, field tables and codecs.
+ */
+
+#include <check.h>
+#include <stdlib.h>
+
+#include "frame.h"
+#include "json.h"
+#include "msg_raft.h"
+#include "msg_request.h"
+#include "pbmap.h"
+#include "schema.h"
+#include "schema_tables.h"
+#include "timer.h"
+
+static uint32_t fired;
+
+static void count_fire(void *data, uint64_t now_us)
+{
+	fired++;
+}
+
+/* Guards against timers lost or run early when the heap is reordered. */
+START_TEST(test_timer_order)
+{
+	struct timers *timers = timers_new();
+	struct timer timer[50] = { 0 };
+
+	fired = 0;
+	for (uint32_t i = 0; i < 50; i++) {
+		timer[i].fn = count_fire;
+		timer_set(timers, &timer[i], (i * 37) % 50 + 1);
+	}
+	for (uint32_t i = 0; i < 50; i += 2)
+		timer_cancel(timers, &timer[i]);
+	for (uint64_t now_us = 1; now_us <= 50; now_us++) {
+		timers_run(timers, now_us);
+		for (uint32_t i = 1; i < 50; i += 2)
+			ck_assert_int_eq(timer_armed(&timer[i]),
+					 timer[i].due_us > now_us);
+	}
+	ck_assert_uint_eq(fired, 25);
+	timers_free(timers);
+}
+END_TEST
+
+/* Guards against a field table and its protobuf message drifting apart. */
+START_TEST(test_every_type_round_trips)
+{
+	for (uint32_t type = 1; type < OP_FIRST; type++) {
+		GByteArray *out;
+		uint32_t got_type;
+		void *got = NULL;
+		void *body;
+		size_t used;
+
+		if (!schema_of(type))
+			continue;
+		out = g_byte_array_new();
+		body = schema_alloc(type);
+		frame_append(out, type, body);
+		ck_assert_int_eq(frame_read(out->data, out->len, &used,
+					    &got_type, &got),
+				 RESULT_OK);
+		ck_assert_uint_eq(got_type, type);
+		ck_assert_uint_eq(used, out->len);
+		record_unref((struct record){ type, body });
+		record_unref((struct record){ type, got });
+		g_byte_array_unref(out);
+	}
+}
+END_TEST
+
+/* Guards against commands lost inside the entries of an append message. */
+START_TEST(test_nested_record)
+{
+	struct request *command = schema_alloc(MSG_REQUEST);
+	struct append *append = schema_alloc(MSG_APPEND);
+	struct append *got = NULL;
+	GByteArray *out = g_byte_array_new();
+	const struct request *copy;
+
+	command->body = g_bytes_new("photo", 5);
+	TEXT_SET(command->service, "loft repair desk");
+	append->nr_entries = 1;
+	append->entries = g_new0(struct log_entry, 1);
+	append->entries[0].index = 7;
+	append->entries[0].command = (struct record){ MSG_REQUEST, command };
+	pb_encode(out, MSG_APPEND, append);
+	ck_assert_int_eq(pb_decode(MSG_APPEND, out->data, out->len,
+				   (void **)&got),
+			 RESULT_OK);
+	ck_assert_uint_eq(got->entries[0].index, 7);
+	copy = got->entries[0].command.body;
+	ck_assert_str_eq(copy->service, "loft repair desk");
+	ck_assert(g_bytes_equal(copy->body, command->body));
+	record_unref((struct record){ MSG_APPEND, append });
+	record_unref((struct record){ MSG_APPEND, got });
+	g_byte_array_unref(out);
+}
+END_TEST
+
+struct json_case {
+	const char *text;
+	enum result result;
+};
+
+/* Guards against bad input that is taken as a value. */
+START_TEST(test_json_input)
+{
+	static const struct json_case cases[] = {
+		{ "{\"task_id\": 3, \"cpu_millis\": 500}", RESULT_OK },
+		{ "{\"task_id\": -3}", RESULT_OUT_OF_RANGE },
+		{ "{\"cpu_millis\": 4294967296}", RESULT_OUT_OF_RANGE },
+		{ "{\"cpu_millis\": \"5\"}", RESULT_MALFORMED },
+		{ "{\"cpus\": 5}", RESULT_MALFORMED },
+		{ "[]", RESULT_MALFORMED },
+		{ "{", RESULT_MALFORMED },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		void *body = NULL;
+
+		ck_assert_int_eq(json_text_to_body(PLATFORM_START,
+						   cases[i].text, -1, &body,
+						   NULL),
+				 cases[i].result);
+		record_unref((struct record){ PLATFORM_START, body });
+	}
+}
+END_TEST
+
+/* Guards against decoders that read past their input or never return. */
+START_TEST(test_random_bytes)
+{
+	GRand *rand = g_rand_new_with_seed(20261204);
+	uint8_t data[64];
+
+	for (uint32_t round = 0; round < 20000; round++) {
+		size_t size = (size_t)g_rand_int_range(rand, 0, sizeof(data));
+		uint32_t type;
+		void *body = NULL;
+		size_t used;
+
+		for (size_t i = 0; i < size; i++)
+			data[i] = (uint8_t)g_rand_int(rand);
+		if (size > 5) {
+			data[0] = data[1] = data[2] = data[4] = 0;
+			data[3] = (uint8_t)(size - 4);
+			data[5] %= 157;
+		}
+		if (frame_read(data, size, &used, &type, &body) == RESULT_OK)
+			record_unref((struct record){ type, body });
+	}
+	g_rand_free(rand);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("core");
+	TCase *tcase = tcase_create("core");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tcase, test_timer_order);
+	tcase_add_test(tcase, test_every_type_round_trips);
+	tcase_add_test(tcase, test_nested_record);
+	tcase_add_test(tcase, test_json_input);
+	tcase_add_test(tcase, test_random_bytes);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
