--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -3,9 +3,6 @@
  * Timers, field tables and codecs.
  */
 
-#include <check.h>
-#include <stdlib.h>
-
 #include "frame.h"
 #include "json.h"
 #include "msg_raft.h"
@@ -13,6 +10,7 @@
 #include "pbmap.h"
 #include "schema.h"
 #include "schema_tables.h"
+#include "suite.h"
 #include "timer.h"
 
 static uint32_t fired;
@@ -158,22 +156,5 @@
 }
 END_TEST
 
-int main(void)
-{
-	Suite *suite = suite_create("core");
-	TCase *tcase = tcase_create("core");
-	SRunner *runner;
-	int failed;
-
-	tcase_add_test(tcase, test_timer_order);
-	tcase_add_test(tcase, test_every_type_round_trips);
-	tcase_add_test(tcase, test_nested_record);
-	tcase_add_test(tcase, test_json_input);
-	tcase_add_test(tcase, test_random_bytes);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
-}
+SUITE_MAIN("core", test_timer_order, test_every_type_round_trips,
+	   test_nested_record, test_json_input, test_random_bytes)
