--- /dev/null
+++ b/tests/checker.h
@@ -0,0 +1,32 @@
+#ifndef CHECKER_H
+#define CHECKER_H
+
+/**
+ * @file checker.h
+ * Reads the journals that stand-ins wrote and finds what must never happen. It
+ * knows nothing of the scheduler's own records.
+ */
+
+#include <glib.h>
+#include <stdint.h>
+
+struct checker_opts {
+	uint32_t cpu_millis; /* capacity of every VM */
+	uint32_t memory_mib;
+	uint32_t accelerators;
+	uint64_t zone_grace_ms; /* starts allowed after a zone went out */
+};
+
+/**
+ * Checks the lines of all journals together. Lines are
+ * "t=US vm=NAME zone=NAME ev=EVENT ...": start, end, checkpoint, run and ran
+ * from stand-ins; dead (of a VM), zone-out, zone-in, once (a request id that
+ * must not run twice), submitted and finished (a task) from the test.
+ * Returns a new array of new messages, one for each violation.
+ */
+GPtrArray *checker_run(const struct checker_opts *opts, GPtrArray *lines);
+
+/** Adds the lines of a file, sorted into place by checker_run(). */
+void checker_read(GPtrArray *lines, const char *path);
+
+#endif /* CHECKER_H */
