--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	@tools/run-tests $(BUILD)
 
 demo: build
-	@tests/demo.sh $(BUILD)
+	@$(BUILD)/tests/demo
 
 bench: build
 	@$(BUILD)/tests/bench
--- a/tests/faultproxy.c
+++ b/tests/faultproxy.c
@@ -276,6 +276,8 @@
 	g_io_add_watch(input, G_IO_IN | G_IO_HUP, proxy_input, &proxy);
 	g_main_loop_run(proxy.loop);
 	proxy_reset(&proxy);
+	g_io_channel_unref(input);
+	g_main_loop_unref(proxy.loop);
 	g_object_unref(service);
 	g_object_unref(address);
 	g_strfreev(parts);
--- /dev/null
+++ b/tests/test_site.c
@@ -0,0 +1,304 @@
+/**
+ * @file test_site.c
+ * Whole sites of real processes under faults. Every case ends with the checker,
+ * which reads what the stand-ins themselves recorded.
+ */
+
+#include <signal.h>
+#include <string.h>
+
+#include "suite.h"
+#include "testbed.h"
+
+static const char *program;
+
+static const char site_bundle[] =
+	"{\"version\": 1,"
+	" \"zones\": [{\"name\": \"veraval\", \"region\": \"saurashtra\"},"
+	"             {\"name\": \"porbandar\", \"region\": \"saurashtra\"},"
+	"             {\"name\": \"mangrol\", \"region\": \"saurashtra\"}],"
+	" \"teams\": [{\"name\": \"watch\"}]}";
+
+static const char job_text[] =
+	"{\"name\": \"plans\", \"team\": \"watch\", \"kind\": \"plan\","
+	" \"job_class\": 1, \"nr_wanted\": %u, \"cpu_millis\": 1000,"
+	" \"memory_mib\": 256, \"declared_run_ms\": %u,"
+	" \"payload\": \"run_ms=%u\"}";
+
+static struct testbed *site_start(uint32_t nr_entries, uint32_t nr_vms,
+				  bool proxies)
+{
+	static const char *const zones[] = { "veraval", "porbandar",
+					     "mangrol" };
+	struct testbed_opts opts = {
+		.name = "site",
+		.nr_controls = 3,
+		.cpu_millis = 4000,
+		.memory_mib = 4096,
+		.proxy_controls = proxies,
+		.proxy_agents = proxies,
+		.seed = 7,
+	};
+	struct tb_vm_opts vm = { .service = "estimate", .time_ms = 20 };
+	struct testbed *tb = testbed_new(&opts, program);
+
+	for (uint32_t i = 0; i < nr_entries; i++)
+		testbed_add_entry(tb, zones[i % 3]);
+	for (uint32_t i = 0; i < nr_vms; i++) {
+		vm.zone = zones[i % 3];
+		testbed_add_vm(tb, &vm);
+	}
+	ck_assert(testbed_bundle(tb, site_bundle, 1));
+	for (uint32_t i = 0; i < nr_entries; i++)
+		ck_assert(testbed_wait_http(testbed_entry(tb, i), "/-/readyz",
+					    10000));
+	for (uint32_t i = 0; i < nr_vms; i++) {
+		char *name = g_strdup_printf("vm-%u", i + 1);
+
+		ck_assert(
+			testbed_wait_tool(tb, name, 10000, "vm", "list", NULL));
+		g_free(name);
+	}
+	testbed_wait_ms(500);
+	return tb;
+}
+
+static void site_job(struct testbed *tb, uint32_t nr_tasks, uint32_t run_ms)
+{
+	char *text = g_strdup_printf(job_text, nr_tasks, run_ms, run_ms);
+	char *path = testbed_write(tb, "job.json", text);
+
+	ck_assert_int_eq(testbed_tool(tb, NULL, "job", "submit", path, NULL),
+			 0);
+	g_free(path);
+	g_free(text);
+}
+
+/* Waits until the journals show every task done, then checks them. */
+static void site_end(struct testbed *tb, uint32_t nr_tasks, uint32_t limit_ms)
+{
+	for (uint32_t i = 0; i < limit_ms / 200; i++) {
+		if (testbed_journal_count(tb, "ev=end", "how=done") >= nr_tasks)
+			break;
+		testbed_wait_ms(200);
+	}
+	ck_assert_uint_eq(testbed_journal_count(tb, "ev=end", "how=done"),
+			  nr_tasks);
+	ck_assert_uint_eq(testbed_check(tb, 2000), 0);
+	testbed_free(tb);
+}
+
+static struct tb_load *site_load(struct testbed *tb, bool once)
+{
+	struct tb_load_opts opts = { .service = "estimate",
+				     .per_second = 100,
+				     .deadline_ms = 2000,
+				     .once = once,
+				     .prefix = once ? "order" : "estimate" };
+
+	return tb_load_start(tb, &opts);
+}
+
+/* Guards against a leader's death that loses or doubles tasks or orders. */
+START_TEST(test_control_leader_killed)
+{
+	struct testbed *tb = site_start(2, 3, false);
+	struct tb_load *load = site_load(tb, true);
+	struct tb_load_stats stats;
+
+	site_job(tb, 12, 3000);
+	testbed_wait_ms(1000);
+	for (uint32_t i = 0; i < 3; i++) {
+		tb_proc_signal(testbed_control(tb, i), SIGKILL);
+		testbed_wait_ms(3000);
+		tb_proc_restart(testbed_control(tb, i));
+		testbed_wait_ms(3000);
+	}
+	stats = tb_load_stop(load);
+	ck_assert_uint_eq(stats.wrong, 0);
+	ck_assert_uint_gt(stats.answered, stats.sent / 2);
+	site_end(tb, 12, 60000);
+}
+END_TEST
+
+/* Guards against tasks lost with a VM, or run on while also run elsewhere. */
+START_TEST(test_vm_killed)
+{
+	struct testbed *tb = site_start(1, 3, false);
+
+	site_job(tb, 9, 5000);
+	testbed_wait_ms(3000);
+	testbed_kill_vm(tb, 0);
+	site_end(tb, 9, 60000);
+}
+END_TEST
+
+/* Guards against a restarted agent that doubles or drops running tasks. */
+START_TEST(test_agent_killed)
+{
+	struct testbed *tb = site_start(1, 3, false);
+
+	site_job(tb, 9, 6000);
+	testbed_wait_ms(2500);
+	tb_proc_signal(testbed_agent(tb, 0), SIGKILL);
+	testbed_wait_ms(1000);
+	tb_proc_restart(testbed_agent(tb, 0));
+	site_end(tb, 9, 60000);
+}
+END_TEST
+
+/* Guards against starts in a zone that is out, and work stranded there. */
+START_TEST(test_zone_out_and_back)
+{
+	struct testbed *tb = site_start(1, 3, false);
+	struct tb_load *load = site_load(tb, false);
+	struct tb_load_stats stats;
+
+	site_job(tb, 24, 3000);
+	testbed_wait_ms(2000);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "zone", "out", "porbandar",
+				      "--by", "operator", NULL),
+			 0);
+	testbed_note(tb, "zone=porbandar ev=zone-out");
+	testbed_wait_ms(6000);
+	testbed_note(tb, "zone=porbandar ev=zone-in");
+	ck_assert_int_eq(testbed_tool(tb, NULL, "zone", "in", "porbandar",
+				      "--by", "operator", NULL),
+			 0);
+	stats = tb_load_stop(load);
+	ck_assert_uint_eq(stats.wrong, 0);
+	ck_assert_uint_ge(stats.answered * 100, stats.sent * 99);
+	site_end(tb, 24, 60000);
+}
+END_TEST
+
+/* Guards against connections that go silent for good and stay in use. */
+START_TEST(test_silent_connections)
+{
+	struct testbed *tb = site_start(1, 3, true);
+	struct tb_load *load = site_load(tb, true);
+	struct tb_load_stats stats;
+
+	site_job(tb, 6, 3000);
+	testbed_wait_ms(1500);
+	for (uint32_t i = 0; i < 3; i++) {
+		tb_proc_fault(testbed_agent(tb, i), "silence");
+		tb_proc_fault(testbed_control(tb, i), "silence");
+	}
+	testbed_wait_ms(4000);
+	stats = tb_load_stop(load);
+	ck_assert_uint_eq(stats.wrong, 0);
+	ck_assert_uint_gt(stats.answered, stats.sent / 2);
+	site_end(tb, 6, 60000);
+}
+END_TEST
+
+/* Guards against a graceful shutdown that cuts off requests in progress. */
+START_TEST(test_graceful_shutdown)
+{
+	struct testbed *tb = site_start(1, 3, false);
+	struct tb_load *load = site_load(tb, false);
+	struct tb_load_stats stats;
+
+	testbed_wait_ms(1000);
+	tb_proc_signal(testbed_agent(tb, 1), SIGTERM);
+	ck_assert_int_eq(tb_proc_wait(testbed_agent(tb, 1), 40000), 0);
+	testbed_wait_ms(500);
+	stats = tb_load_stop(load);
+	ck_assert_uint_eq(stats.answered, stats.sent);
+	ck_assert_uint_eq(stats.wrong, 0);
+	testbed_free(tb);
+}
+END_TEST
+
+/* Guards against new work for an upstream that said it is leaving. */
+START_TEST(test_upstream_leaves)
+{
+	struct testbed *tb = site_start(1, 3, false);
+	struct tb_load *load = site_load(tb, false);
+	struct tb_load_stats stats;
+	uint32_t before;
+
+	testbed_wait_ms(1000);
+	tb_proc_signal(testbed_standin(tb, 2), SIGUSR1);
+	testbed_wait_ms(2000);
+	before = testbed_journal_count(tb, "ev=run", "vm=vm-3 ");
+	testbed_wait_ms(2000);
+	ck_assert_uint_eq(testbed_journal_count(tb, "ev=run", "vm=vm-3 "),
+			  before);
+	stats = tb_load_stop(load);
+	ck_assert_uint_eq(stats.answered, stats.sent);
+	testbed_free(tb);
+}
+END_TEST
+
+/* Guards against a repaired replica that does not count at the next loss. */
+START_TEST(test_disk_lost_then_second_loss)
+{
+	struct testbed *tb = site_start(1, 2, false);
+
+	tb_proc_signal(testbed_control(tb, 0), SIGKILL);
+	tb_proc_lose_disk(testbed_control(tb, 0));
+	tb_proc_restart(testbed_control(tb, 0));
+	testbed_wait_ms(8000);
+	tb_proc_signal(testbed_control(tb, 1), SIGKILL);
+	tb_proc_lose_disk(testbed_control(tb, 1));
+	testbed_wait_ms(4000);
+	ck_assert(testbed_wait_tool(tb, "\"in_force\":1", 20000, "--json",
+				    "bundle", "status", NULL));
+	site_job(tb, 4, 500);
+	site_end(tb, 4, 60000);
+}
+END_TEST
+
+/* Guards against two bundles accepted under one version, or one reverted. */
+START_TEST(test_bundle_race)
+{
+	struct testbed *tb = site_start(1, 1, false);
+	char *other = g_strdup(site_bundle);
+	char *path;
+
+	memcpy(strstr(other, "watch"), "loft_", 5);
+	path = testbed_write(tb, "other.json", other);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "bundle", "submit", path,
+				      "--by", "rival", NULL),
+			 7);
+	g_free(path);
+	path = testbed_write(tb, "same.json", site_bundle);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "bundle", "submit", path,
+				      "--by", "operator", NULL),
+			 0);
+	tb_proc_signal(testbed_entry(tb, 0), SIGKILL);
+	tb_proc_restart(testbed_entry(tb, 0));
+	for (uint32_t i = 0; i < 3; i++) {
+		tb_proc_signal(testbed_control(tb, i), SIGKILL);
+		tb_proc_restart(testbed_control(tb, i));
+	}
+	ck_assert(testbed_wait_tool(tb, "\"in_force\":1", 20000, "--json",
+				    "bundle", "status", NULL));
+	g_free(path);
+	g_free(other);
+	testbed_free(tb);
+}
+END_TEST
+
+/* test_site [CASE]: runs one case, or all of them. */
+int main(int argc, char **argv)
+{
+	const TTest *const tests[] = {
+		test_control_leader_killed, test_vm_killed,
+		test_agent_killed,	    test_zone_out_and_back,
+		test_silent_connections,    test_graceful_shutdown,
+		test_upstream_leaves,	    test_disk_lost_then_second_loss,
+		test_bundle_race,
+	};
+	size_t nr = sizeof(tests) / sizeof(tests[0]);
+
+	program = argv[0];
+	if (argc < 2)
+		return suite_run("site", tests, nr);
+	for (size_t i = 0; i < nr; i++)
+		if (!strcmp(tests[i]->name + strlen("test_"), argv[1]))
+			return suite_run("site", &tests[i], 1);
+	return EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/testbed.c
@@ -0,0 +1,920 @@
+#include "testbed.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "checker.h"
+
+#define POLL_MS 20
+#define START_LIMIT_MS 10000
+
+extern char **environ;
+
+struct tb_proc {
+	struct testbed *tb;
+	char *name;
+	GPtrArray *argv;
+	char *port_file;
+	char *data;
+	char *http;
+	pid_t pid; /* 0: not running */
+	int exit_code;
+	int stdin_fd; /* -1: none */
+	struct tb_proc *proxy;
+};
+
+struct testbed {
+	struct testbed_opts opts;
+	char *bin; /* folder of the test programs */
+	char *root; /* build folder */
+	char *dir;
+	char *control_list;
+	GPtrArray *procs; /* owns all */
+	GPtrArray *controls;
+	GPtrArray *entries;
+	GPtrArray *agents;
+	GPtrArray *standins;
+	GPtrArray *notes;
+	SoupSession *session;
+};
+
+/* ---- processes ---- */
+
+static void proc_spawn(struct tb_proc *proc)
+{
+	char *log = g_strdup_printf("%s/%s.log", proc->tb->dir, proc->name);
+	posix_spawn_file_actions_t actions;
+	int fds[2] = { -1, -1 };
+
+	posix_spawn_file_actions_init(&actions);
+	posix_spawn_file_actions_addopen(&actions, 2, log,
+					 O_WRONLY | O_CREAT | O_APPEND, 0644);
+	posix_spawn_file_actions_adddup2(&actions, 2, 1);
+	if (proc->stdin_fd != -1) {
+		g_assert(!socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0,
+				     fds));
+		posix_spawn_file_actions_adddup2(&actions, fds[0], 0);
+	}
+	if (posix_spawn(&proc->pid, g_ptr_array_index(proc->argv, 0), &actions,
+			NULL, (char **)proc->argv->pdata, environ))
+		g_error("can't start %s", proc->name);
+	if (proc->stdin_fd != -1) {
+		close(fds[0]);
+		proc->stdin_fd = fds[1];
+	}
+	posix_spawn_file_actions_destroy(&actions);
+	g_free(log);
+}
+
+static struct tb_proc *proc_new(struct testbed *tb, const char *name,
+				const char *program)
+{
+	struct tb_proc *proc = g_new0(struct tb_proc, 1);
+
+	proc->tb = tb;
+	proc->name = g_strdup(name);
+	proc->argv = g_ptr_array_new_with_free_func(g_free);
+	proc->stdin_fd = -1;
+	g_ptr_array_add(proc->argv, g_strdup(program));
+	g_ptr_array_add(tb->procs, proc);
+	return proc;
+}
+
+static void proc_arg(struct tb_proc *proc, const char *flag, const char *value)
+{
+	g_ptr_array_add(proc->argv, g_strdup(flag));
+	g_ptr_array_add(proc->argv, g_strdup(value));
+}
+
+static void proc_arg_number(struct tb_proc *proc, const char *flag,
+			    uint32_t value)
+{
+	g_ptr_array_add(proc->argv, g_strdup(flag));
+	g_ptr_array_add(proc->argv, g_strdup_printf("%u", value));
+}
+
+static void proc_start(struct tb_proc *proc)
+{
+	g_ptr_array_add(proc->argv, NULL);
+	proc_spawn(proc);
+}
+
+static void proc_reaped(struct tb_proc *proc, int status)
+{
+	proc->exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+	proc->pid = 0;
+	g_clear_pointer(&proc->http, g_free);
+	if (proc->port_file)
+		g_unlink(proc->port_file);
+}
+
+static void proc_free(void *data)
+{
+	struct tb_proc *proc = data;
+
+	if (proc->pid)
+		tb_proc_signal(proc, SIGKILL);
+	if (proc->stdin_fd >= 0)
+		close(proc->stdin_fd);
+	g_ptr_array_unref(proc->argv);
+	g_free(proc->name);
+	g_free(proc->port_file);
+	g_free(proc->data);
+	g_free(proc->http);
+	g_free(proc);
+}
+
+void tb_proc_signal(struct tb_proc *proc, int signal_nr)
+{
+	int status = 0;
+
+	if (!proc->pid)
+		return;
+	kill(proc->pid, signal_nr);
+	if (signal_nr != SIGKILL)
+		return;
+	while (waitpid(proc->pid, &status, 0) < 0 && errno == EINTR)
+		;
+	proc_reaped(proc, status);
+}
+
+void tb_proc_restart(struct tb_proc *proc)
+{
+	g_assert(!proc->pid);
+	proc_spawn(proc);
+}
+
+int tb_proc_wait(struct tb_proc *proc, uint32_t limit_ms)
+{
+	gint64 end_us = g_get_monotonic_time() + (gint64)limit_ms * 1000;
+	int status;
+
+	while (proc->pid) {
+		if (waitpid(proc->pid, &status, WNOHANG) == proc->pid) {
+			proc_reaped(proc, status);
+			break;
+		}
+		if (g_get_monotonic_time() > end_us)
+			return -1;
+		testbed_wait_ms(POLL_MS);
+	}
+	return proc->exit_code;
+}
+
+int tb_proc_pid(const struct tb_proc *proc)
+{
+	return proc->pid;
+}
+
+void tb_proc_lose_disk(struct tb_proc *proc)
+{
+	GDir *dir = g_dir_open(proc->data, 0, NULL);
+	const char *name;
+
+	g_assert(!proc->pid);
+	while (dir && (name = g_dir_read_name(dir))) {
+		char *path = g_build_filename(proc->data, name, NULL);
+
+		g_unlink(path);
+		g_free(path);
+	}
+	if (dir)
+		g_dir_close(dir);
+}
+
+const char *tb_proc_http(struct tb_proc *proc)
+{
+	char *text = NULL;
+	char **lines;
+
+	if (proc->http)
+		return proc->http;
+	if (!g_file_get_contents(proc->port_file, &text, NULL, NULL))
+		return "";
+	lines = g_strsplit(text, "\n", -1);
+	for (char **l = lines; *l; l++)
+		if (g_str_has_prefix(*l, "http="))
+			proc->http = g_strdup(*l + 5);
+	g_strfreev(lines);
+	g_free(text);
+	return proc->http ? proc->http : "";
+}
+
+void tb_proc_fault(struct tb_proc *proc, const char *command)
+{
+	char *line = g_strdup_printf("%s\n", command);
+
+	g_assert(proc->proxy);
+	g_assert(write(proc->proxy->stdin_fd, line, strlen(line)) ==
+		 (gssize)strlen(line));
+	g_free(line);
+}
+
+/* ---- the site ---- */
+
+/* Each test program has loopback addresses of its own. */
+static char *tb_reserve(void)
+{
+	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
+				       G_SOCKET_TYPE_STREAM,
+				       G_SOCKET_PROTOCOL_TCP, NULL);
+	char *ip = g_strdup_printf("127.1.%d.%d", getpid() / 250 % 250 + 1,
+				   getpid() % 250 + 1);
+	GSocketAddress *address = g_inet_socket_address_new_from_string(ip, 0);
+	GSocketAddress *bound;
+	char *text;
+
+	g_assert(g_socket_bind(socket, address, TRUE, NULL));
+	bound = g_socket_get_local_address(socket, NULL);
+	text = g_strdup_printf(
+		"%s:%u", ip,
+		g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
+	g_object_unref(bound);
+	g_object_unref(address);
+	g_object_unref(socket);
+	g_free(ip);
+	return text;
+}
+
+/* Returns the address to advertise: the proxy's, or the process's own. */
+static char *tb_proxy(struct testbed *tb, struct tb_proc *proc,
+		      const char *target, char *listen)
+{
+	char *program = g_build_filename(tb->bin, "faultproxy", NULL);
+	char *name = g_strdup_printf("proxy-%s", proc->name);
+
+	proc->proxy = proc_new(tb, name, program);
+	proc->proxy->stdin_fd = -2;
+	g_ptr_array_add(proc->proxy->argv, g_strdup(listen));
+	g_ptr_array_add(proc->proxy->argv, g_strdup(target));
+	g_ptr_array_add(proc->proxy->argv,
+			g_strdup_printf("%u", (uint32_t)tb->opts.seed));
+	proc_start(proc->proxy);
+	g_free(program);
+	g_free(name);
+	return listen;
+}
+
+static struct tb_proc *tb_daemon(struct testbed *tb, const char *role,
+				 const char *name, const char *zone)
+{
+	char *program = g_build_filename(tb->root, "src", "daemon",
+					 "masticreachd", NULL);
+	struct tb_proc *proc = proc_new(tb, name, program);
+
+	proc->port_file = g_strdup_printf("%s/%s.ports", tb->dir, name);
+	proc_arg(proc, "--role", role);
+	proc_arg(proc, "--name", name);
+	proc_arg(proc, "--zone", zone);
+	proc_arg(proc, "--http", "127.0.0.1:0");
+	proc_arg(proc, "--port-file", proc->port_file);
+	proc_arg(proc, "--control", tb->control_list);
+	g_free(program);
+	return proc;
+}
+
+static void tb_wait_port(struct tb_proc *proc)
+{
+	gint64 end_us = g_get_monotonic_time() + START_LIMIT_MS * 1000;
+
+	while (!tb_proc_http(proc)[0]) {
+		if (g_get_monotonic_time() > end_us)
+			g_error("%s did not start; see %s", proc->name,
+				proc->tb->dir);
+		testbed_wait_ms(POLL_MS);
+	}
+}
+
+static void tb_start_controls(struct testbed *tb)
+{
+	static const char *const zones[] = { "veraval", "porbandar",
+					     "mangrol" };
+	char *listen[TB_MAX_CONTROLS];
+	char *shown[TB_MAX_CONTROLS + 1] = { NULL };
+
+	for (uint32_t i = 0; i < tb->opts.nr_controls; i++) {
+		listen[i] = tb_reserve();
+		shown[i] = tb->opts.proxy_controls ? tb_reserve() :
+						     g_strdup(listen[i]);
+	}
+	tb->control_list = g_strjoinv(",", shown);
+	for (uint32_t i = 0; i < tb->opts.nr_controls; i++) {
+		char *name = g_strdup_printf("control-%u", i + 1);
+		struct tb_proc *proc =
+			tb_daemon(tb, "control", name, zones[i % 3]);
+
+		proc->data = g_strdup_printf("%s/%s.data", tb->dir, name);
+		g_mkdir(proc->data, 0755);
+		proc_arg(proc, "--listen", listen[i]);
+		proc_arg(proc, "--data", proc->data);
+		if (tb->opts.proxy_controls) {
+			tb_proxy(tb, proc, listen[i], shown[i]);
+			proc_arg(proc, "--advertise", shown[i]);
+		}
+		proc_start(proc);
+		g_ptr_array_add(tb->controls, proc);
+		g_free(name);
+	}
+	for (uint32_t i = 0; i < tb->opts.nr_controls; i++) {
+		tb_wait_port(testbed_control(tb, i));
+		g_free(listen[i]);
+		g_free(shown[i]);
+	}
+}
+
+struct testbed *testbed_new(const struct testbed_opts *opts,
+			    const char *program)
+{
+	struct testbed *tb = g_new0(struct testbed, 1);
+	char *dir = g_path_get_dirname(program);
+	char *absolute = g_canonicalize_filename(dir, NULL);
+
+	signal(SIGPIPE, SIG_IGN);
+	tb->opts = *opts;
+	tb->bin = absolute;
+	tb->root = g_path_get_dirname(absolute);
+	tb->dir = g_dir_make_tmp("masticreach-XXXXXX", NULL);
+	tb->procs = g_ptr_array_new_with_free_func(proc_free);
+	tb->controls = g_ptr_array_new();
+	tb->entries = g_ptr_array_new();
+	tb->agents = g_ptr_array_new();
+	tb->standins = g_ptr_array_new();
+	tb->notes = g_ptr_array_new_with_free_func(g_free);
+	tb->session = soup_session_new_with_options(
+		"max-conns", 1000, "max-conns-per-host", 500, NULL);
+	g_free(dir);
+	tb_start_controls(tb);
+	return tb;
+}
+
+static void tb_remove(const char *path)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		char *child = g_build_filename(path, name, NULL);
+
+		tb_remove(child);
+		g_free(child);
+	}
+	if (dir)
+		g_dir_close(dir);
+	g_remove(path);
+}
+
+void testbed_free(struct testbed *tb)
+{
+	g_ptr_array_unref(tb->procs);
+	if (g_getenv("TB_KEEP"))
+		fprintf(stderr, "kept %s\n", tb->dir);
+	else
+		tb_remove(tb->dir);
+	g_ptr_array_unref(tb->controls);
+	g_ptr_array_unref(tb->entries);
+	g_ptr_array_unref(tb->agents);
+	g_ptr_array_unref(tb->standins);
+	g_ptr_array_unref(tb->notes);
+	g_object_unref(tb->session);
+	g_free(tb->control_list);
+	g_free(tb->bin);
+	g_free(tb->root);
+	g_free(tb->dir);
+	g_free(tb);
+}
+
+struct tb_proc *testbed_add_entry(struct testbed *tb, const char *zone)
+{
+	char *name = g_strdup_printf("entry-%u", tb->entries->len + 1);
+	struct tb_proc *proc = tb_daemon(tb, "entry", name, zone);
+
+	proc_start(proc);
+	g_ptr_array_add(tb->entries, proc);
+	tb_wait_port(proc);
+	g_free(name);
+	return proc;
+}
+
+static struct tb_proc *tb_add_standin(struct testbed *tb, const char *vm,
+				      const struct tb_vm_opts *opts)
+{
+	char *program = g_build_filename(tb->bin, "standin", NULL);
+	char *name = g_strdup_printf("worker-%s", vm);
+	char *journal = g_strdup_printf("%s/%s.journal", tb->dir, vm);
+	char *agent_file = g_strdup_printf("%s/%s.ports", tb->dir, vm);
+	char *http = tb_reserve();
+	struct tb_proc *proc = proc_new(tb, name, program);
+
+	proc->port_file = g_strdup_printf("%s/%s.ports", tb->dir, name);
+	proc_arg(proc, "--vm", vm);
+	proc_arg(proc, "--zone", opts->zone);
+	proc_arg(proc, "--journal", journal);
+	proc_arg(proc, "--agent-port-file", agent_file);
+	proc_arg(proc, "--port-file", proc->port_file);
+	/* Fixed, as the agent keeps the address when the worker restarts. */
+	proc_arg(proc, "--http", http);
+	proc_arg_number(proc, "--time-ms", opts->time_ms ? opts->time_ms : 20);
+	if (opts->service)
+		proc_arg(proc, "--service", opts->service);
+	proc_start(proc);
+	tb_wait_port(proc);
+	g_free(program);
+	g_free(name);
+	g_free(journal);
+	g_free(agent_file);
+	g_free(http);
+	return proc;
+}
+
+struct tb_proc *testbed_add_vm(struct testbed *tb,
+			       const struct tb_vm_opts *opts)
+{
+	char *name = g_strdup_printf("vm-%u", tb->agents->len + 1);
+	struct tb_proc *standin = tb_add_standin(tb, name, opts);
+	struct tb_proc *proc = tb_daemon(tb, "agent", name, opts->zone);
+	char *listen = tb_reserve();
+	char *shown = tb->opts.proxy_agents ? tb_reserve() : NULL;
+
+	proc_arg(proc, "--rack", opts->rack ? opts->rack : "rack-1");
+	proc_arg(proc, "--listen", listen);
+	proc_arg(proc, "--worker", tb_proc_http(standin));
+	proc_arg_number(proc, "--cpu-millis", tb->opts.cpu_millis);
+	proc_arg_number(proc, "--memory-mib", tb->opts.memory_mib);
+	proc_arg_number(proc, "--accelerators", tb->opts.accelerators);
+	if (shown) {
+		tb_proxy(tb, proc, listen, shown);
+		proc_arg(proc, "--advertise", shown);
+	}
+	proc_start(proc);
+	g_ptr_array_add(tb->agents, proc);
+	g_ptr_array_add(tb->standins, standin);
+	tb_wait_port(proc);
+	g_free(listen);
+	g_free(shown);
+	g_free(name);
+	return proc;
+}
+
+struct tb_proc *testbed_control(struct testbed *tb, uint32_t i)
+{
+	return g_ptr_array_index(tb->controls, i);
+}
+
+struct tb_proc *testbed_entry(struct testbed *tb, uint32_t i)
+{
+	return g_ptr_array_index(tb->entries, i);
+}
+
+struct tb_proc *testbed_agent(struct testbed *tb, uint32_t i)
+{
+	return g_ptr_array_index(tb->agents, i);
+}
+
+struct tb_proc *testbed_standin(struct testbed *tb, uint32_t i)
+{
+	return g_ptr_array_index(tb->standins, i);
+}
+
+uint32_t testbed_nr_vms(const struct testbed *tb)
+{
+	return tb->agents->len;
+}
+
+void testbed_kill_vm(struct testbed *tb, uint32_t i)
+{
+	tb_proc_signal(testbed_standin(tb, i), SIGKILL);
+	testbed_note(tb, "vm=%s ev=dead", testbed_agent(tb, i)->name);
+	tb_proc_signal(testbed_agent(tb, i), SIGKILL);
+}
+
+void testbed_restart_vm(struct testbed *tb, uint32_t i)
+{
+	tb_proc_restart(testbed_standin(tb, i));
+	tb_wait_port(testbed_standin(tb, i));
+	tb_proc_restart(testbed_agent(tb, i));
+}
+
+/* ---- the tool ---- */
+
+static int tb_run_tool(struct testbed *tb, char **out, va_list args)
+{
+	GPtrArray *argv = g_ptr_array_new_with_free_func(g_free);
+	GString *https = g_string_new(NULL);
+	const char *word;
+	int status = 0;
+	char *text = NULL;
+
+	for (guint i = 0; i < tb->controls->len; i++) {
+		const char *http = tb_proc_http(testbed_control(tb, i));
+
+		if (http[0])
+			g_string_append_printf(https, "%s%s",
+					       https->len ? "," : "", http);
+	}
+	g_ptr_array_add(argv, g_build_filename(tb->root, "src", "tool",
+					       "masticreach", NULL));
+	g_ptr_array_add(argv, g_strdup("--control"));
+	g_ptr_array_add(argv, g_string_free(https, FALSE));
+	while ((word = va_arg(args, const char *)))
+		g_ptr_array_add(argv, g_strdup(word));
+	g_ptr_array_add(argv, NULL);
+	if (!g_spawn_sync(NULL, (char **)argv->pdata, NULL,
+			  out ? G_SPAWN_DEFAULT : G_SPAWN_STDOUT_TO_DEV_NULL,
+			  NULL, NULL, out ? &text : NULL, NULL, &status, NULL))
+		status = -1;
+	if (out)
+		*out = text ? text : g_strdup("");
+	g_ptr_array_unref(argv);
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+int testbed_tool(struct testbed *tb, char **out, ...)
+{
+	va_list args;
+	int res;
+
+	va_start(args, out);
+	res = tb_run_tool(tb, out, args);
+	va_end(args);
+	return res;
+}
+
+char *testbed_write(struct testbed *tb, const char *name, const char *text)
+{
+	char *path = g_build_filename(tb->dir, name, NULL);
+
+	g_assert(g_file_set_contents(path, text, -1, NULL));
+	return path;
+}
+
+bool testbed_bundle(struct testbed *tb, const char *text, uint32_t version)
+{
+	char *path = testbed_write(tb, "bundle.json", text);
+	char *number = g_strdup_printf("%u", version);
+	int res = -1;
+
+	for (int i = 0; i < 40 && res; i++) {
+		if (i)
+			testbed_wait_ms(500);
+		res = testbed_tool(tb, NULL, "bundle", "submit", path, "--by",
+				   "operator", NULL);
+	}
+	if (!res)
+		res = testbed_tool(tb, NULL, "bundle", "sign-off", number,
+				   "--by", "operator", NULL);
+	g_free(path);
+	g_free(number);
+	return !res;
+}
+
+bool testbed_wait_tool(struct testbed *tb, const char *text, uint32_t limit_ms,
+		       ...)
+{
+	gint64 end_us = g_get_monotonic_time() + (gint64)limit_ms * 1000;
+	bool found = false;
+	va_list args;
+	char *out;
+
+	for (;;) {
+		va_start(args, limit_ms);
+		tb_run_tool(tb, &out, args);
+		va_end(args);
+		found = strstr(out, text) != NULL;
+		if (found || g_get_monotonic_time() > end_us)
+			break;
+		g_free(out);
+		testbed_wait_ms(200);
+	}
+	if (!found)
+		fprintf(stderr, "waited for \"%s\", last saw:\n%s\n", text,
+			out);
+	g_free(out);
+	return found;
+}
+
+/* ---- journals ---- */
+
+void testbed_note(struct testbed *tb, const char *format, ...)
+{
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	g_ptr_array_add(tb->notes,
+			g_strdup_printf("t=%" G_GINT64_FORMAT " %s",
+					g_get_monotonic_time(), text));
+	g_free(text);
+}
+
+static GPtrArray *tb_lines(struct testbed *tb)
+{
+	GPtrArray *lines = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; i < tb->agents->len; i++) {
+		char *path = g_strdup_printf("%s/%s.journal", tb->dir,
+					     testbed_agent(tb, i)->name);
+
+		checker_read(lines, path);
+		g_free(path);
+	}
+	for (guint i = 0; i < tb->notes->len; i++)
+		g_ptr_array_add(lines,
+				g_strdup(g_ptr_array_index(tb->notes, i)));
+	return lines;
+}
+
+uint32_t testbed_check(struct testbed *tb, uint64_t zone_grace_ms)
+{
+	struct checker_opts opts = { tb->opts.cpu_millis, tb->opts.memory_mib,
+				     tb->opts.accelerators, zone_grace_ms };
+	GPtrArray *lines = tb_lines(tb);
+	GPtrArray *faults = checker_run(&opts, lines);
+	uint32_t nr = faults->len;
+
+	for (guint i = 0; i < faults->len; i++)
+		fprintf(stderr, "violation: %s\n",
+			(char *)g_ptr_array_index(faults, i));
+	g_ptr_array_unref(faults);
+	g_ptr_array_unref(lines);
+	return nr;
+}
+
+uint32_t testbed_journal_count(struct testbed *tb, const char *text,
+			       const char *also)
+{
+	GPtrArray *lines = tb_lines(tb);
+	uint32_t nr = 0;
+
+	for (guint i = 0; i < lines->len; i++) {
+		const char *line = g_ptr_array_index(lines, i);
+
+		if (strstr(line, text) && (!also || strstr(line, also)))
+			nr++;
+	}
+	g_ptr_array_unref(lines);
+	return nr;
+}
+
+/* ---- waiting and HTTP ---- */
+
+static gboolean tb_wake(gpointer data)
+{
+	*(bool *)data = true;
+	return G_SOURCE_REMOVE;
+}
+
+void testbed_wait_ms(uint32_t duration_ms)
+{
+	bool done = false;
+
+	g_timeout_add(duration_ms, tb_wake, &done);
+	while (!done)
+		g_main_context_iteration(NULL, TRUE);
+}
+
+struct tb_call {
+	bool done;
+	GBytes *body;
+};
+
+static void tb_called(GObject *session, GAsyncResult *res, gpointer data)
+{
+	struct tb_call *call = data;
+
+	call->body = soup_session_send_and_read_finish(SOUP_SESSION(session),
+						       res, NULL);
+	call->done = true;
+}
+
+guint tb_request(struct tb_proc *entry, const char *method, const char *path,
+		 const char *key, const char *body, char **answer)
+{
+	char *url = g_strdup_printf("http://%s%s", tb_proc_http(entry), path);
+	SoupMessage *msg = soup_message_new(method, url);
+	SoupMessageHeaders *headers = soup_message_get_request_headers(msg);
+	struct tb_call call = { 0 };
+	guint status = 0;
+	GBytes *bytes;
+	gsize size;
+
+	if (key)
+		soup_message_headers_append(headers, "Idempotency-Key", key);
+	if (body) {
+		bytes = g_bytes_new(body, strlen(body));
+		soup_message_set_request_body_from_bytes(msg, "text/plain",
+							 bytes);
+		g_bytes_unref(bytes);
+	}
+	soup_session_send_and_read_async(entry->tb->session, msg,
+					 G_PRIORITY_DEFAULT, NULL, tb_called,
+					 &call);
+	while (!call.done)
+		g_main_context_iteration(NULL, TRUE);
+	if (call.body) {
+		status = soup_message_get_status(msg);
+		size = g_bytes_get_size(call.body);
+		if (answer)
+			*answer = g_strndup(g_bytes_get_data(call.body, NULL),
+					    size);
+		g_bytes_unref(call.body);
+	} else if (answer) {
+		*answer = g_strdup("");
+	}
+	g_object_unref(msg);
+	g_free(url);
+	return status;
+}
+
+bool testbed_wait_http(struct tb_proc *proc, const char *path,
+		       uint32_t limit_ms)
+{
+	gint64 end_us = g_get_monotonic_time() + (gint64)limit_ms * 1000;
+
+	while (tb_request(proc, "GET", path, NULL, NULL, NULL) != 200) {
+		if (g_get_monotonic_time() > end_us)
+			return false;
+		testbed_wait_ms(50);
+	}
+	return true;
+}
+
+/* ---- load ---- */
+
+struct tb_load {
+	struct testbed *tb;
+	struct tb_load_opts opts;
+	char *prefix;
+	char *path;
+	gint64 began_us;
+	uint32_t open;
+	guint tick;
+	GArray *times_us;
+	struct tb_load_stats stats;
+};
+
+struct tb_shot {
+	struct tb_load *load;
+	SoupMessage *msg;
+	char *id;
+	gint64 sent_us;
+};
+
+static void shot_count(struct tb_shot *shot, const char *text)
+{
+	struct tb_load_stats *stats = &shot->load->stats;
+	guint status = soup_message_get_status(shot->msg);
+	uint32_t took_us = (uint32_t)(g_get_monotonic_time() - shot->sent_us);
+
+	if (status == 200) {
+		stats->answered++;
+		if (!g_str_has_suffix(text, shot->id))
+			stats->wrong++;
+		g_array_append_val(shot->load->times_us, took_us);
+	} else if (strstr(text, "\"not_run\":true")) {
+		stats->not_run++;
+	} else if (strstr(text, "\"not_run\":")) {
+		stats->unknown++;
+	} else {
+		stats->failed++;
+	}
+	if (status != 200 && shot->load->opts.once &&
+	    strstr(text, "\"not_run\":true"))
+		testbed_note(shot->load->tb, "ev=refused id=%s", shot->id);
+}
+
+static void shot_done(GObject *session, GAsyncResult *res, gpointer data)
+{
+	struct tb_shot *shot = data;
+	GBytes *body = soup_session_send_and_read_finish(SOUP_SESSION(session),
+							 res, NULL);
+	char *text;
+
+	if (body) {
+		text = g_strndup(g_bytes_get_data(body, NULL),
+				 g_bytes_get_size(body));
+		shot_count(shot, text);
+		g_free(text);
+		g_bytes_unref(body);
+	} else {
+		shot->load->stats.failed++;
+	}
+	shot->load->open--;
+	g_object_unref(shot->msg);
+	g_free(shot->id);
+	g_free(shot);
+}
+
+static void load_shoot(struct tb_load *load)
+{
+	struct testbed *tb = load->tb;
+	struct tb_proc *entry =
+		testbed_entry(tb, load->stats.sent % tb->entries->len);
+	const char *http = tb_proc_http(entry);
+	struct tb_shot *shot;
+	SoupMessageHeaders *headers;
+	char number[16];
+	GBytes *body;
+	char *url;
+
+	load->stats.sent++;
+	if (!entry->pid || !http[0]) {
+		load->stats.failed++;
+		return;
+	}
+	shot = g_new0(struct tb_shot, 1);
+	url = g_strdup_printf("http://%s%s", http, load->path);
+	shot->load = load;
+	shot->id = g_strdup_printf("%s-%u", load->prefix, load->stats.sent);
+	shot->sent_us = g_get_monotonic_time();
+	shot->msg = soup_message_new("POST", url);
+	headers = soup_message_get_request_headers(shot->msg);
+	body = g_bytes_new(shot->id, strlen(shot->id));
+	soup_message_set_request_body_from_bytes(shot->msg, "text/plain", body);
+	g_snprintf(number, sizeof(number), "%u", load->opts.deadline_ms);
+	if (load->opts.deadline_ms)
+		soup_message_headers_append(headers, "Masticreach-Deadline-Ms",
+					    number);
+	soup_message_headers_append(headers, "Masticreach-Repeatable",
+				    load->opts.once ? "no" : "yes");
+	if (load->opts.once) {
+		soup_message_headers_append(headers, "Idempotency-Key",
+					    shot->id);
+		testbed_note(tb, "ev=once id=%s", shot->id);
+	}
+	load->open++;
+	soup_session_send_and_read_async(tb->session, shot->msg,
+					 G_PRIORITY_DEFAULT, NULL, shot_done,
+					 shot);
+	g_bytes_unref(body);
+	g_free(url);
+}
+
+static gboolean load_tick(gpointer data)
+{
+	struct tb_load *load = data;
+	uint64_t due = (uint64_t)(g_get_monotonic_time() - load->began_us) *
+		       load->opts.per_second / 1000000;
+
+	while (load->stats.sent < due)
+		load_shoot(load);
+	return G_SOURCE_CONTINUE;
+}
+
+struct tb_load *tb_load_start(struct testbed *tb,
+			      const struct tb_load_opts *opts)
+{
+	struct tb_load *load = g_new0(struct tb_load, 1);
+	char *service = g_uri_escape_string(opts->service, NULL, FALSE);
+
+	load->tb = tb;
+	load->opts = *opts;
+	load->prefix = g_strdup(opts->prefix ? opts->prefix : "r");
+	load->path = g_strdup_printf("/%s/estimate", service);
+	load->began_us = g_get_monotonic_time();
+	load->times_us = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	load->tick = g_timeout_add(1, load_tick, load);
+	g_free(service);
+	return load;
+}
+
+static gint time_compare(gconstpointer a, gconstpointer b)
+{
+	uint32_t x = *(const uint32_t *)a;
+	uint32_t y = *(const uint32_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+struct tb_load_stats tb_load_stop(struct tb_load *load)
+{
+	struct tb_load_stats stats;
+	GArray *times = load->times_us;
+
+	g_source_remove(load->tick);
+	while (load->open)
+		g_main_context_iteration(NULL, TRUE);
+	stats = load->stats;
+	g_array_sort(times, time_compare);
+	if (times->len) {
+		stats.p50_us = g_array_index(times, uint32_t, times->len / 2);
+		stats.p99_us =
+			g_array_index(times, uint32_t, times->len * 99 / 100);
+		stats.max_us = g_array_index(times, uint32_t, times->len - 1);
+	}
+	g_array_unref(times);
+	g_free(load->prefix);
+	g_free(load->path);
+	g_free(load);
+	return stats;
+}
--- /dev/null
+++ b/tests/testbed.h
@@ -0,0 +1,131 @@
+#ifndef TESTBED_H
+#define TESTBED_H
+
+/**
+ * @file testbed.h
+ * Real processes of one small site on loopback, for integration tests, the demo
+ * and the bench. Waiting runs the main context, so that load keeps flowing.
+ */
+
+#include <glib.h>
+#include <libsoup/soup.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define TB_MAX_CONTROLS 5
+
+struct testbed;
+struct tb_proc;
+
+struct testbed_opts {
+	const char *name;
+	uint32_t nr_controls;
+	uint32_t cpu_millis; /* of each VM */
+	uint32_t memory_mib;
+	uint32_t accelerators;
+	bool proxy_controls; /* a fault proxy in front of each control VM */
+	bool proxy_agents; /* and of each agent */
+	uint64_t seed;
+};
+
+struct tb_vm_opts {
+	const char *zone;
+	const char *rack;
+	const char *service; /* of a permanently running upstream, or NULL */
+	uint32_t time_ms; /* of one request there */
+};
+
+/** Starts the control processes. Binaries are looked up beside the program. */
+struct testbed *testbed_new(const struct testbed_opts *opts,
+			    const char *program);
+/** Ends every process and removes the files; keeps them if TB_KEEP is set. */
+void testbed_free(struct testbed *tb);
+
+struct tb_proc *testbed_add_entry(struct testbed *tb, const char *zone);
+/** Starts a stand-in and its agent; returns the agent. */
+struct tb_proc *testbed_add_vm(struct testbed *tb,
+			       const struct tb_vm_opts *opts);
+
+struct tb_proc *testbed_control(struct testbed *tb, uint32_t i);
+struct tb_proc *testbed_entry(struct testbed *tb, uint32_t i);
+struct tb_proc *testbed_agent(struct testbed *tb, uint32_t i);
+struct tb_proc *testbed_standin(struct testbed *tb, uint32_t i);
+uint32_t testbed_nr_vms(const struct testbed *tb);
+
+/** Sends a signal; SIGKILL also waits for the end. */
+void tb_proc_signal(struct tb_proc *proc, int signal_nr);
+/** Starts an ended process again with the same settings. */
+void tb_proc_restart(struct tb_proc *proc);
+/** Waits for the process to end by itself; returns its exit code or -1. */
+int tb_proc_wait(struct tb_proc *proc, uint32_t limit_ms);
+int tb_proc_pid(const struct tb_proc *proc);
+/** Empties the data folder of a stopped control process. */
+void tb_proc_lose_disk(struct tb_proc *proc);
+/** Returns the process's HTTP address, "" before it has one. */
+const char *tb_proc_http(struct tb_proc *proc);
+/** Sends a command line to the fault proxy in front of the process. */
+void tb_proc_fault(struct tb_proc *proc, const char *command);
+
+/** Kills stand-in and agent of a VM and notes the death for the checker. */
+void testbed_kill_vm(struct testbed *tb, uint32_t i);
+void testbed_restart_vm(struct testbed *tb, uint32_t i);
+
+/** Runs the operators' tool; returns its exit code, *out its output. */
+int testbed_tool(struct testbed *tb, char **out, ...) G_GNUC_NULL_TERMINATED;
+/** Writes a bundle document and returns its path; free it. */
+char *testbed_write(struct testbed *tb, const char *name, const char *text);
+/** Submits and signs a bundle off, retrying until the site is up. */
+bool testbed_bundle(struct testbed *tb, const char *text, uint32_t version);
+
+/** Adds a line for the checker, with the time in front. */
+void testbed_note(struct testbed *tb, const char *format, ...)
+	G_GNUC_PRINTF(2, 3);
+/** Runs the checker over all journals; prints and counts the violations. */
+uint32_t testbed_check(struct testbed *tb, uint64_t zone_grace_ms);
+/** Counts journal lines that contain both texts (the second may be NULL). */
+uint32_t testbed_journal_count(struct testbed *tb, const char *text,
+			       const char *also);
+
+void testbed_wait_ms(uint32_t duration_ms);
+/** Waits until the tool's output for the words holds the text. */
+bool testbed_wait_tool(struct testbed *tb, const char *text, uint32_t limit_ms,
+		       ...) G_GNUC_NULL_TERMINATED;
+/** Waits until GET path on the process answers 200. */
+bool testbed_wait_http(struct tb_proc *proc, const char *path,
+		       uint32_t limit_ms);
+
+/* ---- load ---- */
+
+struct tb_load_opts {
+	const char *service;
+	uint32_t per_second;
+	uint32_t deadline_ms;
+	bool once; /* not repeatable, with an Idempotency-Key */
+	const char *prefix; /* of request ids */
+};
+
+struct tb_load_stats {
+	uint32_t sent;
+	uint32_t answered; /* 200 */
+	uint32_t not_run;
+	uint32_t unknown;
+	uint32_t failed; /* no answer, or one that is none of the above */
+	uint32_t wrong; /* another request's answer */
+	uint32_t p50_us;
+	uint32_t p99_us;
+	uint32_t max_us;
+};
+
+struct tb_load;
+
+/** Sends requests to the entries in turn until it is stopped. */
+struct tb_load *tb_load_start(struct testbed *tb,
+			      const struct tb_load_opts *opts);
+/** Stops sending, waits for the answers and frees the load. */
+struct tb_load_stats tb_load_stop(struct tb_load *load);
+
+/** One request; returns the HTTP status, 0 without an answer. */
+guint tb_request(struct tb_proc *entry, const char *method, const char *path,
+		 const char *key, const char *body, char **answer);
+
+#endif /* TESTBED_H */
