Add the planner with first-fit and cost-based placement

Cause: control needs decisions behind plan.h to run the whole path.

Moves, steps against interference and quarantine are still missing.

--- /dev/null
+++ b/src/core/decide.h
@@ -0,0 +1,24 @@
+#ifndef DECIDE_H
+#define DECIDE_H
+
+/**
+ * @file decide.h
+ * Steps of plan_next(): each fills in a decision or returns false.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "plan_state.h"
+
+/** Fills in PLAN_PLACE and reserves the size on the VM. */
+void decide_place(struct plan *plan, struct plan_task *task, struct vm *vm,
+		  const struct task_size *size, struct plan_decision *decision);
+/** Fills in PLAN_EVICT. */
+void decide_evict(struct plan *plan, struct plan_task *task,
+		  struct plan_decision *decision, const char *why);
+
+/** Returns true if a VM could run a task of this size were it idle. */
+bool decide_ever_fits(const struct plan *plan, const struct task_size *size);
+
+#endif /* DECIDE_H */
--- /dev/null
+++ b/src/core/learn.c
@@ -0,0 +1,117 @@
+#include "learn.h"
+
+#include <glib.h>
+
+#include "plan_state.h"
+#include "schema.h"
+
+/* Samples and tasks of a kind before its processors are learned. */
+#define CPU_MIN_SAMPLES 12
+#define CPU_MIN_TASKS 2
+/* Memory is cut only after whole runs were seen, as it may grow to the end. */
+#define MEMORY_MIN_ENDED 5
+#define MEMORY_MARGIN_PERCENT 130
+#define CPU_MARGIN_PERCENT 110
+/* A task at this share of its limit is taken to be held back by it. */
+#define AT_LIMIT_PERCENT 95
+#define CPU_MIN_MILLIS 100
+
+struct learn {
+	GHashTable *by_name; /* struct plan_kind */
+};
+
+struct learn *learn_new(void)
+{
+	struct learn *learn = g_new0(struct learn, 1);
+
+	learn->by_name =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	return learn;
+}
+
+void learn_free(struct learn *learn)
+{
+	if (!learn)
+		return;
+	g_hash_table_unref(learn->by_name);
+	g_free(learn);
+}
+
+struct plan_kind *learn_kind(struct learn *learn, const struct job_record *job)
+{
+	const char *name = *job->kind ? job->kind : job->name;
+	struct plan_kind *kind = g_hash_table_lookup(learn->by_name, name);
+
+	if (kind)
+		return kind;
+	kind = g_new0(struct plan_kind, 1);
+	TEXT_SET(kind->name, name);
+	kind->nr = g_hash_table_size(learn->by_name);
+	g_hash_table_insert(learn->by_name, kind->name, kind);
+	return kind;
+}
+
+void learn_sample(struct plan_kind *kind, const struct platform_task *sample,
+		  const struct task_size *size, bool first)
+{
+	uint64_t used = sample->cpu_used_millis;
+	uint32_t step;
+
+	if (first)
+		kind->nr_tasks++;
+	kind->nr_samples++;
+	kind->memory_peak_mib =
+		MAX(kind->memory_peak_mib, sample->memory_used_mib);
+	/* What a task at its limit would use isn't visible; probe upwards. */
+	if (used * 100 >= (uint64_t)size->cpu_millis * AT_LIMIT_PERCENT)
+		used = used * 3 / 2;
+	if (kind->nr_samples == 1)
+		kind->cpu_high_millis = (uint32_t)used;
+	/* Steps of 19 to 1 settle at the 95th percentile. */
+	step = MAX(kind->cpu_high_millis / 100, 1);
+	if (used > kind->cpu_high_millis)
+		kind->cpu_high_millis += (uint32_t)MIN(
+			step * 19ull, used - kind->cpu_high_millis);
+	else
+		kind->cpu_high_millis -=
+			(uint32_t)MIN(step, kind->cpu_high_millis - used);
+}
+
+void learn_ended(struct plan_kind *kind, uint64_t run_ms)
+{
+	kind->nr_ended++;
+	if (!kind->run_ms)
+		kind->run_ms = run_ms;
+	else
+		kind->run_ms = (kind->run_ms * 7 + run_ms) / 8;
+}
+
+void learn_failed(struct plan_kind *kind, uint32_t used_mib,
+		  const struct task_size *size)
+{
+	/* The last sample lags, so growth may have gone on behind it. */
+	if ((uint64_t)used_mib * 100 < (uint64_t)size->memory_mib * 70)
+		return;
+	kind->memory_floor_mib = MAX(kind->memory_floor_mib,
+				     size->memory_mib + size->memory_mib / 2);
+}
+
+struct task_size learn_size(const struct plan_kind *kind,
+			    const struct task_size *declared, bool service)
+{
+	struct task_size size = *declared;
+	uint64_t cpu =
+		(uint64_t)kind->cpu_high_millis * CPU_MARGIN_PERCENT / 100;
+	uint64_t memory =
+		(uint64_t)kind->memory_peak_mib * MEMORY_MARGIN_PERCENT / 100;
+
+	if (kind->nr_samples >= CPU_MIN_SAMPLES &&
+	    kind->nr_tasks >= CPU_MIN_TASKS &&
+	    (!service || cpu > size.cpu_millis))
+		size.cpu_millis = (uint32_t)MAX(cpu, CPU_MIN_MILLIS);
+	if (memory > size.memory_mib ||
+	    (!service && kind->nr_ended >= MEMORY_MIN_ENDED))
+		size.memory_mib = (uint32_t)memory;
+	size.memory_mib = MAX(size.memory_mib, kind->memory_floor_mib);
+	return size;
+}
--- /dev/null
+++ b/src/core/place.c
@@ -0,0 +1,254 @@
+#include "place.h"
+
+#include <string.h>
+
+#define PPM 1000000u
+
+/* Weights of the cost of a VM in ppm of a whole VM. A replica beside another
+ * of its service costs more than any interference or packing. */
+#define COST_SAME_ZONE 4000000u
+#define COST_SAME_RACK 2000000u
+#define COST_SAME_VM 1000000u
+/* A task that failed on a VM goes back there only if nothing else fits. */
+#define COST_FAILED_HERE 100000000ull
+
+#define ORDER_CLASS_SHIFT 62
+
+/* How many tasks of a job run on each zone, rack and VM. */
+struct spread {
+	GArray *zones; /* uint32_t by zone number */
+	GArray *racks;
+};
+
+static uint64_t class_rank(const struct plan_job *job)
+{
+	switch (job->record.job_class) {
+	case JOB_SERVICE:
+		return 0;
+	case JOB_URGENT:
+		return 1;
+	default:
+		return 2;
+	}
+}
+
+/* Services, urgent, batch; in each by priority and age together. Both move on
+ * at the same pace for all jobs, so that the order is fixed on arrival. */
+static uint64_t default_order(const struct plan_job *job)
+{
+	uint64_t lead = PLAN_MAX_PRIORITY -
+			MIN(job->record.priority, PLAN_MAX_PRIORITY);
+
+	return class_rank(job) << ORDER_CLASS_SHIFT |
+	       (job->record.submitted_ms + lead * PLAN_AGE_STEP_MS);
+}
+
+static uint64_t arrival_order(const struct plan_job *job)
+{
+	return job->arrival_nr;
+}
+
+static struct task_size declared_size(const struct plan *plan,
+				      const struct plan_group *group)
+{
+	return group->declared;
+}
+
+static uint32_t limit_raise(uint32_t learned, uint32_t declared,
+			    uint32_t largest, uint32_t quota)
+{
+	uint32_t limit = quota ? MIN(largest, quota) : largest;
+
+	return learned <= limit ? learned : MAX(declared, limit);
+}
+
+static struct task_size learned_size(const struct plan *plan,
+				     const struct plan_group *group)
+{
+	const struct task_size *declared = &group->declared;
+	const struct task_size *quota = &group->team->quota;
+	struct task_size size = learn_size(group->kind, declared,
+					   group->job_class == JOB_SERVICE);
+
+	/* A raise must not make a job that fits too large for every VM. */
+	size.cpu_millis = limit_raise(size.cpu_millis, declared->cpu_millis,
+				      plan->largest.cpu_millis,
+				      quota->cpu_millis);
+	size.memory_mib = limit_raise(size.memory_mib, declared->memory_mib,
+				      plan->largest.memory_mib,
+				      quota->memory_mib);
+	return size;
+}
+
+static uint32_t *count_at(GArray *counts, uint32_t nr)
+{
+	if (nr >= counts->len)
+		g_array_set_size(counts, nr + 1);
+	return &g_array_index(counts, uint32_t, nr);
+}
+
+static void spread_init(struct spread *spread, const struct plan_job *job)
+{
+	spread->zones = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+	spread->racks = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+	for (const GList *link = job->tasks.head; link; link = link->next) {
+		const struct plan_task *task = link->data;
+		const struct vm *vm = task->hold_vm ? task->hold_vm :
+						      task->on_vm;
+
+		if (!vm || !vm->zone)
+			continue;
+		(*count_at(spread->zones, vm->zone->nr))++;
+		(*count_at(spread->racks, vm->rack_nr))++;
+	}
+}
+
+static void spread_clear(struct spread *spread)
+{
+	g_array_free(spread->zones, TRUE);
+	g_array_free(spread->racks, TRUE);
+}
+
+static uint64_t spread_cost(const struct spread *spread, const struct vm *vm,
+			    const struct plan_job *job)
+{
+	uint64_t same_vm = 0;
+
+	for (uint32_t i = 0; i < vm->tasks->len; i++) {
+		const struct plan_task *task = g_ptr_array_index(vm->tasks, i);
+
+		same_vm += task->job == job;
+	}
+	return (uint64_t)COST_SAME_ZONE *
+		       *count_at(spread->zones, vm->zone->nr) +
+	       (uint64_t)COST_SAME_RACK *
+		       *count_at(spread->racks, vm->rack_nr) +
+	       COST_SAME_VM * same_vm;
+}
+
+static uint64_t share_ppm(uint64_t part, uint64_t whole)
+{
+	return whole ? part * PPM / whole : 0;
+}
+
+/*
+ * Room that is left with much of one resource and little of the other is of
+ * little use; batch fills the fullest VMs first, services the emptiest.
+ */
+static uint64_t packing_cost(const struct vm *vm, const struct task_size *size,
+			     bool batch)
+{
+	struct task_size spare = vm_spare(vm);
+	uint64_t cpu = share_ppm(spare.cpu_millis - size->cpu_millis,
+				 vm->record.cpu_millis);
+	uint64_t memory = share_ppm(spare.memory_mib - size->memory_mib,
+				    vm->record.memory_mib);
+	uint64_t skew = cpu > memory ? cpu - memory : memory - cpu;
+	uint64_t left = (cpu + memory) / 2;
+
+	return skew / 2 + (batch ? left : PPM - left) / 4;
+}
+
+static uint64_t vm_cost(const struct plan_task *task, const struct vm *vm,
+			const struct task_size *size,
+			const struct spread *spread)
+{
+	const struct plan_job *job = task->job;
+	bool batch = plan_is_batch(job);
+	uint64_t cost = packing_cost(vm, size, batch);
+
+	cost += vm->zone->cost_ppm / 4;
+	if (spread)
+		cost += spread_cost(spread, vm, job);
+	if (failed_on(&task->failed, vm) || failed_on(&job->failed, vm))
+		cost += COST_FAILED_HERE;
+	return cost;
+}
+
+static struct vm *default_choose(struct plan *plan,
+				 const struct plan_task *task,
+				 const struct task_size *size, char *reason,
+				 size_t reason_bytes)
+{
+	struct vm *candidates[PLAN_CANDIDATES];
+	bool service = task->job->record.job_class == JOB_SERVICE;
+	uint32_t nr_zones = plan->zone_list->len;
+	uint32_t share = MAX(PLAN_CANDIDATES / MAX(nr_zones, 1), 1);
+	uint32_t first = nr_zones ? (uint32_t)(plan_random(plan) % nr_zones) :
+				    0;
+	struct spread spread;
+	struct vm *best = NULL;
+	uint64_t best_cost = UINT64_MAX;
+	uint32_t nr = 0;
+
+	for (uint32_t i = 0; i < nr_zones && nr < PLAN_CANDIDATES; i++)
+		nr += zone_candidates(g_ptr_array_index(plan->zone_list,
+							(first + i) % nr_zones),
+				      size, plan_random(plan), candidates + nr,
+				      MIN(share, PLAN_CANDIDATES - nr));
+	if (!nr)
+		return NULL;
+	if (service)
+		spread_init(&spread, task->job);
+	for (uint32_t i = 0; i < nr; i++) {
+		uint64_t cost = vm_cost(task, candidates[i], size,
+					service ? &spread : NULL);
+
+		if (cost < best_cost) {
+			best = candidates[i];
+			best_cost = cost;
+		}
+	}
+	if (service)
+		spread_clear(&spread);
+	g_snprintf(
+		reason, reason_bytes,
+		"policy=default kind=%s candidates=%u cost_ppm=%" G_GUINT64_FORMAT,
+		task->job->kind->name, nr, best_cost);
+	return best;
+}
+
+static struct vm *first_fit_choose(struct plan *plan,
+				   const struct plan_task *task,
+				   const struct task_size *size, char *reason,
+				   size_t reason_bytes)
+{
+	for (uint32_t i = 0; i < plan->vm_list->len; i++) {
+		struct vm *vm = g_ptr_array_index(plan->vm_list, i);
+
+		if (!vm->indexed || !vm_fits(vm, size))
+			continue;
+		g_snprintf(reason, reason_bytes, "policy=first-fit kind=%s",
+			   task->job->kind->name);
+		return vm;
+	}
+	return NULL;
+}
+
+const struct place_ops place_default = {
+	.name = "default",
+	.order = default_order,
+	.size = learned_size,
+	.choose = default_choose,
+};
+
+const struct place_ops place_first_fit = {
+	.name = "first-fit",
+	.order = arrival_order,
+	.size = declared_size,
+	.choose = first_fit_choose,
+};
+
+static const struct place_ops *const policies[] = {
+	&place_default,
+	&place_first_fit,
+};
+
+const struct place_ops *place_find(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(policies); i++) {
+		if (!strcmp(policies[i]->name, name))
+			return policies[i];
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/core/place.h
@@ -0,0 +1,33 @@
+#ifndef PLACE_H
+#define PLACE_H
+
+/**
+ * @file place.h
+ * Placement policies: the order of work, the size to commit and the VM.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "plan_state.h"
+
+struct place_ops {
+	const char *name;
+	/** Returns the job's rank, the lowest goes first. */
+	uint64_t (*order)(const struct plan_job *job);
+	/** Returns the size to commit for a task of the group. */
+	struct task_size (*size)(const struct plan *plan,
+				 const struct plan_group *group);
+	/** Returns the VM for a pending task, NULL: none now. */
+	struct vm *(*choose)(struct plan *plan, const struct plan_task *task,
+			     const struct task_size *size, char *reason,
+			     size_t reason_bytes);
+};
+
+/** Returns the policy of that name, NULL if there is none. */
+const struct place_ops *place_find(const char *name);
+
+extern const struct place_ops place_default;
+extern const struct place_ops place_first_fit;
+
+#endif /* PLACE_H */
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -19,10 +19,10 @@
 struct plan;
 
 enum plan_action {
-	PLAN_PLACE = 1,	     /* commit the task to the VM, then start it */
-	PLAN_EVICT = 2,	     /* checkpoint, stop and place anew */
-	PLAN_THROTTLE = 3,   /* limit the task to cpu_ppm of its processors */
-	PLAN_FAIL_JOB = 4,   /* the job can never run or failed too often */
+	PLAN_PLACE = 1, /* commit the task to the VM, then start it */
+	PLAN_EVICT = 2, /* checkpoint, stop and place anew */
+	PLAN_THROTTLE = 3, /* limit the task to cpu_ppm of its processors */
+	PLAN_FAIL_JOB = 4, /* the job can never run or failed too often */
 	PLAN_QUARANTINE = 5, /* set or lift, by flag quarantined */
 };
 
--- a/src/core/result.h
+++ b/src/core/result.h
@@ -45,7 +45,9 @@
 	X(27, RESULT_VERSION, "version", "protocol version not supported")     \
 	X(28, RESULT_NO_BUNDLE, "no-bundle", "no bundle is in force yet")      \
 	X(29, RESULT_LEASE_EXPIRED, "lease-expired", "the lease ran out")      \
-	X(30, RESULT_TIMEOUT, "timeout", "no answer within the time limit")
+	X(30, RESULT_TIMEOUT, "timeout", "no answer within the time limit")    \
+	X(31, RESULT_JOB_FAILED, "job-failed",                                 \
+	  "the job failed on too many workers")
 
 enum result {
 #define RESULT_ENUM(number, identifier, name, summary) identifier = number,
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -43,6 +43,18 @@
 #define LEASE_MARGIN_MS 500 /* covers clock drift between VMs */
 #define PERMIT_TTL_MS 1500
 
+/* Planner. */
+#define PLAN_HISTORY_MS 20000 /* what ran on a VM, longest lag of a sample */
+/* A batch job overtakes one of a priority higher by 1 that came this much
+ * later, so that no priority starves another. */
+#define PLAN_AGE_STEP_MS 30000
+#define PLAN_MAX_PRIORITY 1000
+#define PLAN_RETRY_MS 1000 /* a group that didn't fit is tried again */
+#define PLAN_CANDIDATES 24 /* VMs compared for one placement */
+/* A job is refused for good only after this time without a new VM, as the VMs
+ * of a fresh site announce themselves one by one. */
+#define PLAN_NEVER_FITS_MS 10000
+
 /* Upstreams. */
 #define UPSTREAM_ANNOUNCE_TTL_MS 3000
 
--- /dev/null
+++ b/src/core/vm.h
@@ -0,0 +1,109 @@
+#ifndef VM_H
+#define VM_H
+
+/**
+ * @file vm.h
+ * One VM as the planner sees it: the ledger of its capacity and the tasks
+ * that count against it. Every task counts from the decision to place it until
+ * its stop is confirmed.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "command.h"
+
+struct zone;
+struct plan_task;
+
+/** An amount of each resource of a VM. */
+struct task_size {
+	uint32_t cpu_millis;
+	uint32_t memory_mib;
+	uint32_t accelerators;
+};
+
+#define VM_FAILED_JOBS 3 /* jobs failed in a row before quarantine */
+
+/** A job kind that ran on the VM in [from_us, to_us). */
+struct vm_stay {
+	uint32_t kind_nr;
+	uint64_t task_id;
+	uint64_t from_us;
+	uint64_t to_us; /* UINT64_MAX while it runs */
+};
+
+struct vm {
+	struct vm_record record;
+	bool known; /* false: only named by a task so far */
+	uint32_t nr; /* in order of arrival */
+	uint32_t rack_nr;
+	struct zone *zone;
+	struct task_size committed; /* by committed tasks */
+	struct task_size reserved; /* by decisions not yet committed */
+	struct task_size held; /* kept for tasks that will be placed here */
+	GPtrArray *holders; /* struct plan_task, in order of arrival */
+	GPtrArray *tasks; /* struct plan_task, committed or decided */
+	GArray *stays; /* struct vm_stay, what ran lately */
+
+	/* Position in the zone's index of spare capacity. */
+	bool indexed;
+	uint32_t row;
+	uint32_t column;
+	uint32_t position;
+
+	/* Failures in a row and probation. */
+	uint64_t failed_jobs[VM_FAILED_JOBS];
+	uint32_t nr_failed_jobs;
+	uint64_t quarantined_us; /* when it was quarantined, 0: it is not */
+	uint32_t quarantine_s; /* length of the last quarantine */
+	bool probation; /* one small task at a time */
+	bool deciding; /* a decision on the quarantine is outstanding */
+
+	/* Steps against interference. */
+	uint32_t step; /* enum interference_step */
+	uint64_t acted_us; /* last action, 0: none */
+	uint64_t lag_us; /* largest age of a sample seen */
+	uint64_t closed_us; /* no batch is added before this time */
+	uint32_t nr_throttled;
+};
+
+struct vm *vm_new(const char *name, uint32_t nr);
+void vm_free(struct vm *vm);
+
+/** Returns what is neither committed nor reserved, 0 where overdrawn. */
+struct task_size vm_spare(const struct vm *vm);
+struct task_size vm_capacity(const struct vm *vm);
+/** Returns what is spare and not held for certain tasks. */
+struct task_size vm_open(const struct vm *vm);
+/** Returns true if @a size fits in what is open. */
+bool vm_fits(const struct vm *vm, const struct task_size *size);
+
+/** Counts a committed record. The state machine has checked that it fits. */
+void vm_commit(struct vm *vm, const struct task_size *size);
+void vm_release(struct vm *vm, const struct task_size *size);
+/** Reserves for a decision; @a size must fit in what is spare. */
+void vm_reserve(struct vm *vm, const struct task_size *size);
+void vm_unreserve(struct vm *vm, const struct task_size *size);
+
+/** Keeps room for @a task; it need not be spare yet. */
+void vm_hold(struct vm *vm, struct plan_task *task,
+	     const struct task_size *size);
+void vm_unhold(struct plan_task *task);
+
+void vm_add_task(struct vm *vm, struct plan_task *task);
+void vm_remove_task(struct vm *vm, struct plan_task *task);
+
+/** Records that a task of a kind began or ceased to run. */
+void vm_stay_begin(struct vm *vm, uint32_t kind_nr, uint64_t task_id,
+		   uint64_t now_us);
+void vm_stay_end(struct vm *vm, uint64_t task_id, uint64_t now_us);
+
+/** Returns true if @a part is at most @a whole in every resource. */
+bool size_within(const struct task_size *part, const struct task_size *whole);
+void size_add(struct task_size *sum, const struct task_size *part);
+/** Subtracts; @a part must be contained in @a sum. */
+void size_sub(struct task_size *sum, const struct task_size *part);
+
+#endif /* VM_H */
--- /dev/null
+++ b/src/core/zone.c
@@ -0,0 +1,145 @@
+#include "zone.h"
+
+#include "schema.h"
+
+#define CPU_UNIT_MILLIS 125
+#define MEMORY_UNIT_MIB 64
+/* VMs of a boundary class may not fit; this bounds how many are looked at. */
+#define LOOKS_PER_CANDIDATE 4
+
+uint32_t zone_class(uint32_t units)
+{
+	uint32_t bits;
+
+	if (units < 4)
+		return units;
+	bits = g_bit_storage(units); /* at least 3 */
+	return MIN(4 * (bits - 2) + ((units >> (bits - 3)) & 3), 63);
+}
+
+struct zone *zone_new(const char *name, uint32_t nr)
+{
+	struct zone *zone = g_new0(struct zone, 1);
+
+	TEXT_SET(zone->name, name);
+	zone->nr = nr;
+	zone->vms = g_ptr_array_new();
+	return zone;
+}
+
+void zone_free(struct zone *zone)
+{
+	if (!zone)
+		return;
+	for (uint32_t row = 0; row < ZONE_ROWS; row++) {
+		for (uint32_t column = 0; column < ZONE_COLUMNS; column++) {
+			if (zone->cells[row][column])
+				g_ptr_array_free(zone->cells[row][column],
+						 TRUE);
+		}
+	}
+	g_ptr_array_free(zone->vms, TRUE);
+	g_free(zone);
+}
+
+static void zone_unindex(struct zone *zone, struct vm *vm)
+{
+	GPtrArray *cell = zone->cells[vm->row][vm->column];
+	struct vm *last;
+
+	g_ptr_array_remove_index_fast(cell, vm->position);
+	if (vm->position < cell->len) {
+		last = g_ptr_array_index(cell, vm->position);
+		last->position = vm->position;
+	}
+	if (!cell->len)
+		zone->used[vm->row] &= ~(1ull << vm->column);
+	if (!zone->used[vm->row])
+		zone->used_rows &= ~(1ull << vm->row);
+	vm->indexed = false;
+}
+
+static bool vm_may_start(const struct vm *vm)
+{
+	return vm->known && vm->record.state == VM_LIVE &&
+	       !vm->record.quarantined && !vm->zone->out;
+}
+
+void zone_index_vm(struct vm *vm)
+{
+	struct zone *zone = vm->zone;
+	struct task_size open;
+	uint32_t row;
+	uint32_t column;
+
+	if (!zone)
+		return;
+	open = vm_open(vm);
+	row = zone_class(open.cpu_millis / CPU_UNIT_MILLIS);
+	column = zone_class(open.memory_mib / MEMORY_UNIT_MIB);
+	if (vm->indexed && vm_may_start(vm) && row == vm->row &&
+	    column == vm->column)
+		return;
+	if (vm->indexed)
+		zone_unindex(zone, vm);
+	if (!vm_may_start(vm))
+		return;
+	if (!zone->cells[row][column])
+		zone->cells[row][column] = g_ptr_array_new();
+	vm->indexed = true;
+	vm->row = row;
+	vm->column = column;
+	vm->position = zone->cells[row][column]->len;
+	g_ptr_array_add(zone->cells[row][column], vm);
+	zone->used[row] |= 1ull << column;
+	zone->used_rows |= 1ull << row;
+}
+
+void zone_add_vm(struct zone *zone, struct vm *vm)
+{
+	if (vm->zone == zone)
+		return;
+	if (vm->zone) {
+		if (vm->indexed)
+			zone_unindex(vm->zone, vm);
+		g_ptr_array_remove(vm->zone->vms, vm);
+	}
+	vm->zone = zone;
+	g_ptr_array_add(zone->vms, vm);
+	zone_index_vm(vm);
+}
+
+uint32_t zone_candidates(const struct zone *zone, const struct task_size *size,
+			 uint64_t random, struct vm **out, uint32_t max)
+{
+	uint32_t first_row = zone_class(size->cpu_millis / CPU_UNIT_MILLIS);
+	uint32_t first_column = zone_class(size->memory_mib / MEMORY_UNIT_MIB);
+	uint64_t rows = zone->used_rows & (UINT64_MAX << first_row);
+	uint32_t looks = max * LOOKS_PER_CANDIDATE;
+	uint32_t nr = 0;
+
+	while (rows && nr < max && looks) {
+		uint32_t row = (uint32_t)__builtin_ctzll(rows);
+		uint64_t columns = zone->used[row] &
+				   (UINT64_MAX << first_column);
+
+		rows &= rows - 1;
+		while (columns && nr < max && looks) {
+			uint32_t column = (uint32_t)__builtin_ctzll(columns);
+			const GPtrArray *cell = zone->cells[row][column];
+			uint32_t start = (uint32_t)(random % cell->len);
+
+			columns &= columns - 1;
+			for (uint32_t i = 0; i < cell->len && nr < max && looks;
+			     i++) {
+				struct vm *vm = g_ptr_array_index(
+					cell, (start + i) % cell->len);
+
+				looks--;
+				if (vm_fits(vm, size))
+					out[nr++] = vm;
+			}
+		}
+	}
+	return nr;
+}
