Rename the planner's VM and zone objects to plan_vm and plan_zone

The replicated state machine keeps vm.[ch] and zone.[ch] for the committed records; the planner's ledgers have other contents and need their own names.

--- a/src/core/decide.c
+++ b/src/core/decide.c
@@ -15,9 +15,10 @@
 
 bool decide_ever_fits(const struct plan *plan, const struct task_size *size)
 {
-	for (uint32_t i = 0; i < plan->vm_list->len; i++) {
-		const struct vm *vm = g_ptr_array_index(plan->vm_list, i);
-		struct task_size capacity = vm_capacity(vm);
+	for (uint32_t i = 0; i < plan->plan_vm_list->len; i++) {
+		const struct plan_vm *vm =
+			g_ptr_array_index(plan->plan_vm_list, i);
+		struct task_size capacity = plan_vm_capacity(vm);
 
 		if (vm->known && size_within(size, &capacity))
 			return true;
@@ -32,7 +33,7 @@
 	decision->action = action;
 }
 
-void decide_place(struct plan *plan, struct plan_task *task, struct vm *vm,
+void decide_place(struct plan *plan, struct plan_task *task, struct plan_vm *vm,
 		  const struct task_size *size, struct plan_decision *decision)
 {
 	char reason[TEXT_BYTES];
@@ -85,7 +86,7 @@
 			      const struct task_size *size)
 {
 	struct plan_group *group = task->job->group;
-	uint64_t known_us = MAX(plan->vm_change_us, task->job->seen_us);
+	uint64_t known_us = MAX(plan->plan_vm_change_us, task->job->seen_us);
 	bool settled = plan->now_us >= known_us + PLAN_NEVER_FITS_MS * 1000ull;
 
 	if (settled && !decide_ever_fits(plan, size) &&
@@ -102,7 +103,7 @@
 {
 	struct plan_group *group = task->job->group;
 	struct task_size size = plan->place->size(plan, group);
-	struct vm *vm;
+	struct plan_vm *vm;
 
 	if (!team_allows(group->team, &size)) {
 		if (!team_ever_allows(group->team, &size))
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -93,8 +93,8 @@
 	spread->racks = g_array_new(FALSE, TRUE, sizeof(uint32_t));
 	for (const GList *link = job->tasks.head; link; link = link->next) {
 		const struct plan_task *task = link->data;
-		const struct vm *vm = task->hold_vm ? task->hold_vm :
-						      task->on_vm;
+		const struct plan_vm *vm = task->hold_vm ? task->hold_vm :
+							   task->on_vm;
 
 		if (!vm || !vm->zone)
 			continue;
@@ -109,7 +109,8 @@
 	g_array_free(spread->racks, TRUE);
 }
 
-static uint64_t spread_cost(const struct spread *spread, const struct vm *vm,
+static uint64_t spread_cost(const struct spread *spread,
+			    const struct plan_vm *vm,
 			    const struct plan_job *job)
 {
 	uint64_t same_vm = 0;
@@ -135,10 +136,10 @@
  * Room that is left with much of one resource and little of the other is of
  * little use; batch fills the fullest VMs first, services the emptiest.
  */
-static uint64_t packing_cost(const struct vm *vm, const struct task_size *size,
-			     bool batch)
+static uint64_t packing_cost(const struct plan_vm *vm,
+			     const struct task_size *size, bool batch)
 {
-	struct task_size spare = vm_spare(vm);
+	struct task_size spare = plan_vm_spare(vm);
 	uint64_t cpu = share_ppm(spare.cpu_millis - size->cpu_millis,
 				 vm->record.cpu_millis);
 	uint64_t memory = share_ppm(spare.memory_mib - size->memory_mib,
@@ -149,9 +150,10 @@
 	return skew / 2 + (batch ? left : PPM - left) / 4;
 }
 
-static uint64_t vm_cost(const struct plan_task *task, const struct vm *vm,
-			const struct task_size *size,
-			const struct spread *spread)
+static uint64_t plan_vm_cost(const struct plan_task *task,
+			     const struct plan_vm *vm,
+			     const struct task_size *size,
+			     const struct spread *spread)
 {
 	const struct plan_job *job = task->job;
 	bool batch = plan_is_batch(job);
@@ -165,34 +167,35 @@
 	return cost;
 }
 
-static struct vm *default_choose(struct plan *plan,
-				 const struct plan_task *task,
-				 const struct task_size *size, char *reason,
-				 size_t reason_bytes)
+static struct plan_vm *default_choose(struct plan *plan,
+				      const struct plan_task *task,
+				      const struct task_size *size,
+				      char *reason, size_t reason_bytes)
 {
-	struct vm *candidates[PLAN_CANDIDATES];
+	struct plan_vm *candidates[PLAN_CANDIDATES];
 	bool service = task->job->record.job_class == JOB_SERVICE;
-	uint32_t nr_zones = plan->zone_list->len;
+	uint32_t nr_zones = plan->plan_zone_list->len;
 	uint32_t share = MAX(PLAN_CANDIDATES / MAX(nr_zones, 1), 1);
 	uint32_t first = nr_zones ? (uint32_t)(plan_random(plan) % nr_zones) :
 				    0;
 	struct spread spread;
-	struct vm *best = NULL;
+	struct plan_vm *best = NULL;
 	uint64_t best_cost = UINT64_MAX;
 	uint32_t nr = 0;
 
 	for (uint32_t i = 0; i < nr_zones && nr < PLAN_CANDIDATES; i++)
-		nr += zone_candidates(g_ptr_array_index(plan->zone_list,
-							(first + i) % nr_zones),
-				      size, plan_random(plan), candidates + nr,
-				      MIN(share, PLAN_CANDIDATES - nr));
+		nr += plan_zone_candidates(
+			g_ptr_array_index(plan->plan_zone_list,
+					  (first + i) % nr_zones),
+			size, plan_random(plan), candidates + nr,
+			MIN(share, PLAN_CANDIDATES - nr));
 	if (!nr)
 		return NULL;
 	if (service)
 		spread_init(&spread, task->job);
 	for (uint32_t i = 0; i < nr; i++) {
-		uint64_t cost = vm_cost(task, candidates[i], size,
-					service ? &spread : NULL);
+		uint64_t cost = plan_vm_cost(task, candidates[i], size,
+					     service ? &spread : NULL);
 
 		if (cost < best_cost) {
 			best = candidates[i];
@@ -208,15 +211,15 @@
 	return best;
 }
 
-static struct vm *first_fit_choose(struct plan *plan,
-				   const struct plan_task *task,
-				   const struct task_size *size, char *reason,
-				   size_t reason_bytes)
+static struct plan_vm *first_fit_choose(struct plan *plan,
+					const struct plan_task *task,
+					const struct task_size *size,
+					char *reason, size_t reason_bytes)
 {
-	for (uint32_t i = 0; i < plan->vm_list->len; i++) {
-		struct vm *vm = g_ptr_array_index(plan->vm_list, i);
+	for (uint32_t i = 0; i < plan->plan_vm_list->len; i++) {
+		struct plan_vm *vm = g_ptr_array_index(plan->plan_vm_list, i);
 
-		if (!vm->indexed || !vm_fits(vm, size))
+		if (!vm->indexed || !plan_vm_fits(vm, size))
 			continue;
 		g_snprintf(reason, reason_bytes, "policy=first-fit kind=%s",
 			   task->job->kind->name);
--- a/src/core/place.h
+++ b/src/core/place.h
@@ -19,9 +19,10 @@
 	struct task_size (*size)(const struct plan *plan,
 				 const struct plan_group *group);
 	/** Returns the VM for a pending task, NULL: none now. */
-	struct vm *(*choose)(struct plan *plan, const struct plan_task *task,
-			     const struct task_size *size, char *reason,
-			     size_t reason_bytes);
+	struct plan_vm *(*choose)(struct plan *plan,
+				  const struct plan_task *task,
+				  const struct task_size *size, char *reason,
+				  size_t reason_bytes);
 };
 
 /** Returns the policy of that name, NULL if there is none. */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -8,14 +8,14 @@
 #include "plan_state.h"
 #include "schema.h"
 
-static void vm_destroy(void *vm)
+static void plan_vm_destroy(void *vm)
 {
-	vm_free(vm);
+	plan_vm_free(vm);
 }
 
-static void zone_destroy(void *zone)
+static void plan_zone_destroy(void *zone)
 {
-	zone_free(zone);
+	plan_zone_free(zone);
 }
 
 static void team_destroy(void *team)
@@ -40,11 +40,11 @@
 	/* xorshift must not start from 0. */
 	plan->random = opts->seed ? opts->seed : 1;
 	plan->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					  vm_destroy);
-	plan->vm_list = g_ptr_array_new();
+					  plan_vm_destroy);
+	plan->plan_vm_list = g_ptr_array_new();
 	plan->zones = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					    zone_destroy);
-	plan->zone_list = g_ptr_array_new();
+					    plan_zone_destroy);
+	plan->plan_zone_list = g_ptr_array_new();
 	plan->racks =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	plan->teams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -73,9 +73,9 @@
 	g_hash_table_unref(plan->jobs);
 	g_hash_table_unref(plan->teams);
 	g_hash_table_unref(plan->racks);
-	g_ptr_array_free(plan->zone_list, TRUE);
+	g_ptr_array_free(plan->plan_zone_list, TRUE);
 	g_hash_table_unref(plan->zones);
-	g_ptr_array_free(plan->vm_list, TRUE);
+	g_ptr_array_free(plan->plan_vm_list, TRUE);
 	g_hash_table_unref(plan->vms);
 	g_free(plan);
 }
@@ -114,7 +114,7 @@
 void plan_set_zone(struct plan *plan, const struct zone_record *record,
 		   uint64_t now_us)
 {
-	struct zone *zone = plan_zone(plan, record->name);
+	struct plan_zone *zone = plan_zone(plan, record->name);
 
 	plan->now_us = now_us;
 	if (zone->out == record->out)
@@ -123,7 +123,7 @@
 	zone->out = record->out;
 	zone->changed_us = now_us;
 	for (uint32_t i = 0; i < zone->vms->len; i++)
-		zone_index_vm(g_ptr_array_index(zone->vms, i));
+		plan_zone_index_vm(g_ptr_array_index(zone->vms, i));
 	if (!zone->out)
 		queue_unblock_all(plan);
 }
@@ -131,12 +131,12 @@
 void plan_set_vm(struct plan *plan, const struct vm_record *record,
 		 uint64_t now_us)
 {
-	struct vm *vm = plan_vm(plan, record->name);
+	struct plan_vm *vm = plan_vm(plan, record->name);
 	struct task_size *largest = &plan->largest;
 
 	plan->now_us = now_us;
 	if (!vm->known)
-		plan->vm_change_us = now_us;
+		plan->plan_vm_change_us = now_us;
 	vm->record = *record;
 	vm->known = true;
 	vm->rack_nr = plan_rack_nr(plan, record);
@@ -144,8 +144,8 @@
 	largest->memory_mib = MAX(largest->memory_mib, record->memory_mib);
 	largest->accelerators =
 		MAX(largest->accelerators, record->accelerators);
-	zone_add_vm(plan_zone(plan, record->zone), vm);
-	zone_index_vm(vm);
+	plan_zone_add_vm(plan_zone(plan, record->zone), vm);
+	plan_zone_index_vm(vm);
 	if (vm->indexed)
 		plan_room(plan, vm, NULL);
 }
@@ -209,15 +209,15 @@
 {
 	struct task_size size = { record->cpu_millis, record->memory_mib,
 				  record->accelerators };
-	struct vm *vm = NULL;
+	struct plan_vm *vm = NULL;
 
 	if (holds_vm(record->state) && *record->vm)
 		vm = plan_vm(plan, record->vm);
 	if (vm && vm == task->on_vm &&
 	    !memcmp(&size, &task->size, sizeof(size))) {
 		if (task->reserved) {
-			vm_unreserve(vm, &size);
-			vm_commit(vm, &size);
+			plan_vm_unreserve(vm, &size);
+			plan_vm_commit(vm, &size);
 			task->reserved = false;
 		}
 		return;
@@ -235,11 +235,11 @@
 		task->running_us = now_us;
 		task->throttle_ppm = 1000000;
 		if (kind)
-			vm_stay_begin(task->on_vm, kind->nr, task->task_id,
-				      now_us);
+			plan_vm_stay_begin(task->on_vm, kind->nr, task->task_id,
+					   now_us);
 	} else if (!running && task->running_us) {
 		if (task->on_vm)
-			vm_stay_end(task->on_vm, task->task_id, now_us);
+			plan_vm_stay_end(task->on_vm, task->task_id, now_us);
 	}
 }
 
@@ -302,7 +302,7 @@
 		     bool failed, uint64_t now_us)
 {
 	struct plan_task *task = plan_find_task(plan, task_id);
-	struct vm *vm = plan_vm(plan, vm_name);
+	struct plan_vm *vm = plan_vm(plan, vm_name);
 	struct plan_job *job;
 
 	plan->now_us = now_us;
@@ -351,7 +351,7 @@
 				  job->accelerators };
 	const struct team *team = g_hash_table_lookup(plan->teams, job->team);
 
-	if (plan->vm_list->len && !decide_ever_fits(plan, &size))
+	if (plan->plan_vm_list->len && !decide_ever_fits(plan, &size))
 		return RESULT_NEVER_FITS;
 	if (team && !team_ever_allows(team, &size))
 		return RESULT_QUOTA;
