Add fields that order starts, views and expiry in time

The leader can decide that a start never happened only if the order's permit counts from a report it has seen, so orders carry the time of that report. Parts of a view name the version they add to, so that a receiver notices a lost part. Jobs carry the end of their last task: expiry by the time of submission would let the key of a long job run a second time.

--- a/src/core/command.h
+++ b/src/core/command.h
@@ -115,6 +115,7 @@
 	uint32_t state; /* enum job_state */
 	uint32_t result; /* enum result, why it failed */
 	uint64_t submitted_ms; /* leader's wall clock */
+	uint64_t finished_ms; /* end of the last task, 0 while active */
 };
 
 enum task_state {
@@ -204,6 +205,8 @@
 struct cmd_job_cancel {
 	uint32_t nr_job_ids;
 	uint64_t *job_ids;
+	uint32_t result; /* RESULT_CANCELLED, or why the jobs fail */
+	uint64_t now_ms;
 };
 
 struct cmd_task_place {
@@ -226,6 +229,7 @@
 	uint32_t progress_ppm;
 	uint32_t result; /* enum result if it failed */
 	bool evicted;
+	uint64_t now_ms;
 };
 
 /** Drops finished jobs and claims older than the given times. */
--- a/src/core/msg_control.h
+++ b/src/core/msg_control.h
@@ -61,6 +61,8 @@
 	uint64_t vm_node; /* agent incarnation it is meant for */
 	uint32_t action; /* enum task_action */
 	uint32_t cpu_ppm; /* TASK_THROTTLE */
+	/** sent_us of the report from which the order's start permit counts */
+	uint64_t permit_sent_us;
 	struct platform_start start; /* task_id and epoch always set */
 };
 
@@ -92,6 +94,7 @@
 	uint64_t term;
 	uint64_t view_version;
 	bool whole; /* replaces what the receiver knew */
+	uint64_t base_version; /* version that a part adds to */
 	uint32_t nr_zones;
 	struct zone_record *zones;
 	uint32_t nr_agents;
--- a/src/core/schema_command.c
+++ b/src/core/schema_command.c
@@ -72,6 +72,7 @@
 	F_U32(job_record, accelerators), F_U32(job_record, declared_run_ms),
 	F_STRING(job_record, payload),	 F_U32(job_record, state),
 	F_U32(job_record, result),	 F_U64(job_record, submitted_ms),
+	F_U64(job_record, finished_ms),
 };
 SCHEMA(job_record_schema, "JobRecord", job_record, job_record_fields);
 
@@ -141,6 +142,8 @@
 
 static const struct field cmd_job_cancel_fields[] = {
 	F_U64S(cmd_job_cancel, job_ids),
+	F_U32(cmd_job_cancel, result),
+	F_U64(cmd_job_cancel, now_ms),
 };
 SCHEMA(cmd_job_cancel_schema, "CmdJobCancel", cmd_job_cancel,
        cmd_job_cancel_fields);
@@ -158,7 +161,7 @@
 	F_U64(cmd_task_set, task_id),	   F_U64(cmd_task_set, epoch),
 	F_U32(cmd_task_set, state),	   F_STRING(cmd_task_set, checkpoint),
 	F_U32(cmd_task_set, progress_ppm), F_U32(cmd_task_set, result),
-	F_BOOL(cmd_task_set, evicted),
+	F_BOOL(cmd_task_set, evicted),	   F_U64(cmd_task_set, now_ms),
 };
 static SCHEMA(cmd_task_set_schema, "CmdTaskSet", cmd_task_set,
 	      cmd_task_set_fields);
--- a/src/core/schema_control.c
+++ b/src/core/schema_control.c
@@ -38,6 +38,7 @@
 	F_U64(task_order, vm_node),
 	F_U32(task_order, action),
 	F_U32(task_order, cpu_ppm),
+	F_U64(task_order, permit_sent_us),
 	F_ONE(task_order, start, platform_start_schema),
 };
 static SCHEMA(task_order_schema, "TaskOrder", task_order, task_order_fields);
@@ -66,6 +67,7 @@
 	F_U64(view, term),
 	F_U64(view, view_version),
 	F_BOOL(view, whole),
+	F_U64(view, base_version),
 	F_MANY(view, zones, zone_record_schema),
 	F_MANY(view, agents, view_agent_schema),
 	F_MANY(view, bundles, bundle_schema),
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -42,6 +42,26 @@
 #define LEASE_TTL_MS 6000
 #define LEASE_MARGIN_MS 500 /* covers clock drift between VMs */
 #define PERMIT_TTL_MS 1500
+/* An order or grant lost on a link is repeated after this. */
+#define ORDER_REPEAT_MS 1000
+#define VM_CHECK_MS 250 /* how often the leader looks for lost VMs */
+/* A settled task's epoch is remembered longer than any order may be late. */
+#define TASK_TOMBSTONE_MS 10000
+
+/* Views of the site. */
+#define VIEW_QUERY_INTERVAL_MS 1000
+
+/* Records of the state machine. */
+#define CLAIM_BODY_MAX_BYTES (16u << 10)
+/* A resend after this may run again, so it exceeds any caller's retries. */
+#define CLAIM_TTL_MS (24u * 3600 * 1000)
+#define JOB_TTL_MS (24u * 3600 * 1000) /* of a finished job */
+#define EXPIRE_INTERVAL_MS 60000
+#define JOB_MAX_TASKS 10000
+#define SERVICE_MAX_REPLICAS 10000
+#define LIST_MAX_ITEMS 500
+/* Decisions carried out before the loop gets a turn. */
+#define PLAN_BATCH 64
 
 /* Upstreams. */
 #define UPSTREAM_ANNOUNCE_TTL_MS 3000
