Add the replicated state machine

Control needs one place that refuses stale and racing decisions. The state applies each command after checking it against what is committed: capacity of a VM, epoch and place of a task, versions of bundles and zones, job keys and claims. The jobs of services follow the bundle in the commit of its sign-off, so that no leader can change one without the other.

--- /dev/null
+++ b/src/core/claim.c
@@ -0,0 +1,135 @@
+#include "claim.h"
+
+#include <string.h>
+
+#include "schema.h"
+#include "schema_tables.h"
+#include "state.h"
+
+/* The service's name ends at its first newline, which no name may hold. */
+static char *claim_index(const char *service, const char *key)
+{
+	return g_strconcat(service, "\n", key, NULL);
+}
+
+static struct claim_record *claim_insert(struct state *state,
+					 const struct claim_record *record)
+{
+	struct claim_record *claim = g_new0(struct claim_record, 1);
+
+	schema_copy(&claim_record_schema, claim, record);
+	g_hash_table_replace(state->claims,
+			     claim_index(claim->service, claim->key), claim);
+	return claim;
+}
+
+static bool claim_same_run(const struct claim_record *a,
+			   const struct claim_record *b)
+{
+	return a->agent_node == b->agent_node &&
+	       a->entry_node == b->entry_node &&
+	       a->request_nr == b->request_nr && a->attempt == b->attempt;
+}
+
+struct claim_record *claim_find(const struct state *state, const char *service,
+				const char *key)
+{
+	char *index = claim_index(service, key);
+	struct claim_record *claim = g_hash_table_lookup(state->claims, index);
+
+	g_free(index);
+	return claim;
+}
+
+void claim_free(void *claim)
+{
+	schema_clear(&claim_record_schema, claim);
+	g_free(claim);
+}
+
+struct state_outcome claim_take(struct state *state, const void *body)
+{
+	const struct claim_record *record = body;
+	struct claim_record *claim =
+		claim_find(state, record->service, record->key);
+	struct state_outcome outcome = { 0 };
+
+	state_set_clock(state, record->claimed_ms);
+	if (!*record->service || !*record->key || !*record->digest ||
+	    strchr(record->service, '\n') || record->state != CLAIM_HELD) {
+		outcome.result = RESULT_MALFORMED;
+	} else if (!claim) {
+		if (record->attempt == 1)
+			claim_insert(state, record);
+		else
+			/* The claim expired: nothing proves a not-run. */
+			outcome.result = RESULT_STALE;
+	} else if (strcmp(claim->digest, record->digest)) {
+		outcome.result = RESULT_CONFLICT;
+	} else if (claim->state == CLAIM_HELD &&
+		   claim_same_run(claim, record)) {
+		outcome.result = RESULT_OK;
+	} else if (claim->state == CLAIM_HELD &&
+		   record->attempt == claim->attempt + 1) {
+		/* The proposer holds the proof that this attempt didn't run. */
+		claim->agent_node = record->agent_node;
+		claim->entry_node = record->entry_node;
+		claim->request_nr = record->request_nr;
+		claim->attempt = record->attempt;
+	} else {
+		outcome.result = RESULT_IN_PROGRESS;
+	}
+	return outcome;
+}
+
+struct state_outcome claim_complete(struct state *state, const void *body)
+{
+	const struct claim_record *record = body;
+	struct claim_record *claim =
+		claim_find(state, record->service, record->key);
+	struct state_outcome outcome = { 0 };
+
+	if (!claim) {
+		outcome.result = RESULT_UNKNOWN_OBJECT;
+		return outcome;
+	}
+	if (strcmp(claim->digest, record->digest)) {
+		outcome.result = RESULT_CONFLICT;
+		return outcome;
+	}
+	if (!claim_same_run(claim, record)) {
+		outcome.result = RESULT_STALE;
+		return outcome;
+	}
+	if (claim->state == CLAIM_COMPLETE)
+		return outcome;
+	claim->state = CLAIM_COMPLETE;
+	claim->status = record->status;
+	TEXT_SET(claim->content_type, record->content_type);
+	if (record->body_kept &&
+	    (!record->body ||
+	     g_bytes_get_size(record->body) <= CLAIM_BODY_MAX_BYTES)) {
+		claim->body = record->body ? g_bytes_ref(record->body) : NULL;
+		claim->body_kept = true;
+	}
+	return outcome;
+}
+
+void claim_expire(struct state *state, uint64_t before_ms)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, state->claims);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct claim_record *claim = value;
+
+		if (claim->claimed_ms < before_ms)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+void claim_restore(struct state *state, const struct claim_record *record)
+{
+	claim_insert(state, record);
+}
--- /dev/null
+++ b/src/core/state.c
@@ -0,0 +1,325 @@
+#include "state.h"
+
+#include <string.h>
+
+#include "schema.h"
+#include "schema_tables.h"
+
+typedef struct state_outcome (*state_apply_fn)(struct state *state,
+					       const void *body);
+
+static const struct state_command {
+	uint32_t type;
+	state_apply_fn apply;
+} state_commands[] = {
+	{ CMD_BUNDLE_SUBMIT, bundle_submit },
+	{ CMD_BUNDLE_SIGN, bundle_sign },
+	{ CMD_ZONE_SET, zone_set },
+	{ CMD_VM_SET, vm_set },
+	{ CMD_VM_LOST, vm_lost },
+	{ CMD_VM_QUARANTINE, vm_quarantine },
+	{ CMD_JOB_SUBMIT, job_submit },
+	{ CMD_JOB_CANCEL, job_cancel },
+	{ CMD_TASK_PLACE, task_place },
+	{ CMD_TASK_SET, task_set },
+	{ CMD_CLAIM, claim_take },
+	{ CMD_CLAIM_DONE, claim_complete },
+	{ CMD_EXPIRE, job_expire },
+};
+
+/* Both pointers are to the same record at the start of each object. */
+static gboolean state_add_vm(gpointer key, gpointer value, gpointer data)
+{
+	const struct vm *vm = value;
+	struct snapshot_record item;
+
+	item.record.type = REC_VM;
+	item.record.body = schema_dup(REC_VM, &vm->record);
+	g_array_append_val((GArray *)data, item);
+	return FALSE;
+}
+
+static gboolean state_add_zone(gpointer key, gpointer value, gpointer data)
+{
+	struct snapshot_record item;
+
+	item.record.type = REC_ZONE;
+	item.record.body = schema_dup(REC_ZONE, value);
+	g_array_append_val((GArray *)data, item);
+	return FALSE;
+}
+
+static gboolean state_add_job(gpointer key, gpointer value, gpointer data)
+{
+	const struct job *job = value;
+	struct snapshot_record item;
+
+	item.record.type = REC_JOB;
+	item.record.body = schema_dup(REC_JOB, &job->record);
+	g_array_append_val((GArray *)data, item);
+	return FALSE;
+}
+
+static gboolean state_add_task(gpointer key, gpointer value, gpointer data)
+{
+	const struct task *task = value;
+	struct snapshot_record item;
+
+	item.record.type = REC_TASK;
+	item.record.body = schema_dup(REC_TASK, &task->record);
+	g_array_append_val((GArray *)data, item);
+	return FALSE;
+}
+
+static gint state_compare_keys(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Replicas with the same state must write the same snapshot. */
+static void state_add_claims(const struct state *state, GArray *out)
+{
+	guint nr;
+	void **keys = g_hash_table_get_keys_as_array(state->claims, &nr);
+
+	qsort(keys, nr, sizeof(*keys), state_compare_keys);
+	for (guint i = 0; i < nr; i++) {
+		struct snapshot_record item;
+
+		item.record.type = REC_CLAIM;
+		item.record.body = schema_dup(
+			REC_CLAIM, g_hash_table_lookup(state->claims, keys[i]));
+		g_array_append_val(out, item);
+	}
+	g_free(keys);
+}
+
+static void state_add_bundle(const struct bundle *bundle, GArray *out)
+{
+	struct snapshot_record item;
+
+	if (!bundle)
+		return;
+	item.record.type = REC_BUNDLE;
+	item.record.body = schema_dup(REC_BUNDLE, bundle);
+	g_array_append_val(out, item);
+}
+
+static void state_clear(struct state *state)
+{
+	bundle_store_clear(&state->bundles);
+	g_clear_pointer(&state->claims, g_hash_table_unref);
+	g_clear_pointer(&state->job_keys, g_hash_table_unref);
+	g_clear_pointer(&state->tasks, g_tree_unref);
+	g_clear_pointer(&state->jobs, g_tree_unref);
+	g_clear_pointer(&state->vms, g_tree_unref);
+	g_clear_pointer(&state->zones, g_tree_unref);
+	memset(&state->counters, 0, sizeof(state->counters));
+}
+
+static void state_init(struct state *state)
+{
+	state->zones = g_tree_new_full(state_compare_names, NULL, NULL, g_free);
+	state->vms = g_tree_new_full(state_compare_names, NULL, NULL, vm_free);
+	state->jobs = g_tree_new_full(state_compare_ids, NULL, NULL, job_free);
+	state->tasks = g_tree_new_full(state_compare_ids, NULL, NULL, g_free);
+	state->job_keys = g_hash_table_new(g_str_hash, g_str_equal);
+	state->claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      claim_free);
+}
+
+gint state_compare_ids(gconstpointer a, gconstpointer b, gpointer data)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+gint state_compare_names(gconstpointer a, gconstpointer b, gpointer data)
+{
+	return strcmp(a, b);
+}
+
+struct state *state_new(void)
+{
+	struct state *state = g_new0(struct state, 1);
+
+	state_init(state);
+	return state;
+}
+
+void state_free(struct state *state)
+{
+	if (!state)
+		return;
+	state_clear(state);
+	g_free(state);
+}
+
+void state_watch(struct state *state, const struct state_watch_ops *ops,
+		 void *ctx)
+{
+	state->watch = ops;
+	state->watch_ctx = ctx;
+}
+
+struct state_outcome state_apply(struct state *state, struct record command)
+{
+	struct state_outcome outcome = { 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(state_commands); i++)
+		if (state_commands[i].type == command.type)
+			return state_commands[i].apply(state, command.body);
+	/* CMD_NOOP and CMD_MEMBERS concern the log alone. */
+	if (command.type != CMD_NOOP && command.type != CMD_MEMBERS)
+		outcome.result = RESULT_MALFORMED;
+	return outcome;
+}
+
+struct snapshot_record *state_snapshot(const struct state *state,
+				       uint32_t *nr_records)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct snapshot_record));
+	struct snapshot_record item;
+
+	item.record.type = REC_COUNTERS;
+	item.record.body = schema_dup(REC_COUNTERS, &state->counters);
+	g_array_append_val(out, item);
+	state_add_bundle(state->bundles.in_force, out);
+	state_add_bundle(state->bundles.submitted, out);
+	g_tree_foreach(state->zones, state_add_zone, out);
+	g_tree_foreach(state->vms, state_add_vm, out);
+	g_tree_foreach(state->jobs, state_add_job, out);
+	g_tree_foreach(state->tasks, state_add_task, out);
+	state_add_claims(state, out);
+	*nr_records = out->len;
+	return (struct snapshot_record *)(void *)g_array_free(out, FALSE);
+}
+
+void state_restore(struct state *state, const struct snapshot_record *records,
+		   uint32_t nr_records)
+{
+	state_clear(state);
+	state_init(state);
+	for (uint32_t i = 0; i < nr_records; i++) {
+		const void *body = records[i].record.body;
+
+		switch (records[i].record.type) {
+		case REC_COUNTERS:
+			state->counters = *(const struct state_counters *)body;
+			break;
+		case REC_BUNDLE:
+			bundle_restore(state, body);
+			break;
+		case REC_ZONE:
+			zone_restore(state, body);
+			break;
+		case REC_VM:
+			vm_restore(state, body);
+			break;
+		case REC_JOB:
+			job_restore(state, body);
+			break;
+		case REC_TASK:
+			task_restore(state, body);
+			break;
+		case REC_CLAIM:
+			claim_restore(state, body);
+			break;
+		default:
+			break;
+		}
+	}
+}
+
+static gboolean state_verify_vm(gpointer key, gpointer value, gpointer data)
+{
+	const struct vm *vm = value;
+	uint64_t cpu_millis = 0;
+	uint64_t memory_mib = 0;
+	uint64_t accelerators = 0;
+
+	for (GTreeNode *node = g_tree_node_first(vm->tasks); node;
+	     node = g_tree_node_next(node)) {
+		const struct task *task = g_tree_node_value(node);
+
+		g_assert(task->vm == vm && task_is_on_vm(task->record.state));
+		g_assert(!strcmp(task->record.vm, vm->record.name));
+		cpu_millis += task->record.cpu_millis;
+		memory_mib += task->record.memory_mib;
+		accelerators += task->record.accelerators;
+	}
+	g_assert(cpu_millis == vm->used_cpu_millis);
+	g_assert(memory_mib == vm->used_memory_mib);
+	g_assert(accelerators == vm->used_accelerators);
+	g_assert(cpu_millis <= vm->record.cpu_millis);
+	g_assert(memory_mib <= vm->record.memory_mib);
+	g_assert(accelerators <= vm->record.accelerators);
+	g_assert(vm->record.state != VM_LOST || !g_tree_nnodes(vm->tasks));
+	return FALSE;
+}
+
+static gboolean state_verify_task(gpointer key, gpointer value, gpointer data)
+{
+	const struct task *task = value;
+	const struct state *state = data;
+
+	g_assert(task_is_on_vm(task->record.state) == (task->vm != NULL));
+	g_assert((*task->record.vm != 0) == (task->vm != NULL));
+	g_assert(task->job == job_find(state, task->record.job_id));
+	g_assert(g_tree_lookup(task->job->tasks, &task->record.task_id) ==
+		 task);
+	if (task->vm)
+		g_assert(g_tree_lookup(task->vm->tasks,
+				       &task->record.task_id) == task);
+	return FALSE;
+}
+
+void state_verify(const struct state *state)
+{
+	g_tree_foreach(state->vms, state_verify_vm, NULL);
+	g_tree_foreach(state->tasks, state_verify_task, (void *)state);
+}
+
+void state_set_clock(struct state *state, uint64_t now_ms)
+{
+	state->counters.clock_ms = MAX(state->counters.clock_ms, now_ms);
+}
+
+void state_bundle_changed(struct state *state, const struct bundle *bundle)
+{
+	if (state->watch && state->watch->bundle)
+		state->watch->bundle(state->watch_ctx, bundle);
+}
+
+void state_zone_changed(struct state *state, const struct zone_record *zone)
+{
+	if (state->watch && state->watch->zone)
+		state->watch->zone(state->watch_ctx, zone);
+}
+
+void state_vm_changed(struct state *state, const struct vm *vm)
+{
+	if (state->watch && state->watch->vm)
+		state->watch->vm(state->watch_ctx, vm);
+}
+
+void state_job_changed(struct state *state, const struct job *job)
+{
+	if (state->watch && state->watch->job)
+		state->watch->job(state->watch_ctx, job);
+}
+
+void state_task_changed(struct state *state, const struct task *task,
+			const struct task_record *before)
+{
+	if (state->watch && state->watch->task)
+		state->watch->task(state->watch_ctx, task, before);
+}
+
+void state_job_dropped(struct state *state, uint64_t job_id)
+{
+	if (state->watch && state->watch->job_dropped)
+		state->watch->job_dropped(state->watch_ctx, job_id);
+}
--- /dev/null
+++ b/src/core/state.h
@@ -0,0 +1,96 @@
+#ifndef STATE_H
+#define STATE_H
+
+/**
+ * @file state.h
+ * The replicated state machine: what all control replicas agree on. Commands
+ * are applied in log order and give the same result on every replica. Each is
+ * checked against the committed state, so that a stale or racing decision is
+ * refused by the state itself, whoever proposed it.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bundle.h"
+#include "claim.h"
+#include "command.h"
+#include "job.h"
+#include "msg_raft.h"
+#include "result.h"
+#include "task.h"
+#include "vm.h"
+#include "zone.h"
+
+/** What a command came to. */
+struct state_outcome {
+	enum result result;
+	const char *message; /* static text or NULL: why it was refused */
+	uint64_t id; /* of the job that was made or found, else 0 */
+	uint64_t version; /* of the bundle or zone after the change, else 0 */
+};
+
+/** Told of each change after it took place; entries may be NULL. */
+struct state_watch_ops {
+	void (*bundle)(void *ctx, const struct bundle *bundle);
+	void (*zone)(void *ctx, const struct zone_record *zone);
+	void (*vm)(void *ctx, const struct vm *vm);
+	void (*job)(void *ctx, const struct job *job);
+	/** @a before is the task's record before the change. */
+	void (*task)(void *ctx, const struct task *task,
+		     const struct task_record *before);
+	void (*job_dropped)(void *ctx, uint64_t job_id);
+};
+
+struct state {
+	struct state_counters counters;
+	struct bundle_store bundles;
+	GTree *zones; /* name -> struct zone_record * */
+	GTree *vms; /* name -> struct vm * */
+	GTree *jobs; /* job_id -> struct job * */
+	GTree *tasks; /* task_id -> struct task * */
+	GHashTable *job_keys; /* key -> struct job *, borrowed */
+	GHashTable *claims; /* service and key -> struct claim_record * */
+	const struct state_watch_ops *watch;
+	void *watch_ctx;
+};
+
+struct state *state_new(void);
+void state_free(struct state *state);
+
+/** Sets who is told of changes; NULL for nobody. */
+void state_watch(struct state *state, const struct state_watch_ops *ops,
+		 void *ctx);
+
+/** Applies one committed command (CMD_*). */
+struct state_outcome state_apply(struct state *state, struct record command);
+
+/** Returns the state as an array of records, whose bodies are new. */
+struct snapshot_record *state_snapshot(const struct state *state,
+				       uint32_t *nr_records);
+
+/** Replaces the whole state; nobody is told of single changes. */
+void state_restore(struct state *state, const struct snapshot_record *records,
+		   uint32_t nr_records);
+
+/** Asserts that sums and indexes agree with the objects; for tests. */
+void state_verify(const struct state *state);
+
+/** Moves the state's clock forward; it never goes back. */
+void state_set_clock(struct state *state, uint64_t now_ms);
+
+/** Compare keys of the trees: uint64_t * or char *. */
+gint state_compare_ids(gconstpointer a, gconstpointer b, gpointer data);
+gint state_compare_names(gconstpointer a, gconstpointer b, gpointer data);
+
+/* How the parts of the state report a change to the watch. */
+void state_bundle_changed(struct state *state, const struct bundle *bundle);
+void state_zone_changed(struct state *state, const struct zone_record *zone);
+void state_vm_changed(struct state *state, const struct vm *vm);
+void state_job_changed(struct state *state, const struct job *job);
+void state_task_changed(struct state *state, const struct task *task,
+			const struct task_record *before);
+void state_job_dropped(struct state *state, uint64_t job_id);
+
+#endif /* STATE_H */
