--- /dev/null
+++ b/src/core/agent_task.c
@@ -0,0 +1,437 @@
+#include "agent_task.h"
+
+#include <string.h>
+
+#include "lease.h"
+#include "logline.h"
+#include "permit.h"
+#include "result.h"
+#include "schema.h"
+#include "worker.h"
+
+struct agent_task {
+	struct node *node;
+	struct agent_task_opts opts;
+	struct worker *worker;
+	struct timer tick;
+	uint64_t leader; /* node_id, 0 if none is known */
+	uint64_t term; /* newest one heard of */
+	uint64_t seq; /* of the last report */
+	uint64_t granted_seq; /* newest report that was answered */
+	struct lease lease; /* of the VM: bounds the lease of any task */
+	struct permit permit;
+	bool zone_out;
+	uint32_t nr_services;
+	struct report_service *services;
+};
+
+/* A walk over the runs while a report is built or a grant is taken. */
+struct agent_walk {
+	struct agent_task *tasks;
+	const struct grant *grant;
+	GArray *items;
+};
+
+static gboolean agent_task_add_reported(gpointer key, gpointer value,
+					gpointer data)
+{
+	struct agent_walk *walk = data;
+	struct agent_task *tasks = walk->tasks;
+	struct run *run = value;
+	struct platform_task item = run->seen;
+	uint64_t age_ms = (tasks->node->now_us - run->seen_us) / 1000;
+
+	if (run->settled_us)
+		return FALSE;
+	item.age_ms += (uint32_t)age_ms;
+	switch (run->phase) {
+	case PHASE_STARTING:
+		item.run = TASK_RUN_NONE;
+		break;
+	case PHASE_ENDED:
+		item.run = run->end;
+		break;
+	default:
+		/* A stop counts only once the worker confirmed it. */
+		item.run = TASK_RUN_RUNNING;
+	}
+	if (!run->reported_seq)
+		run->reported_seq = tasks->seq;
+	g_array_append_val(walk->items, item);
+	return FALSE;
+}
+
+static void agent_task_send_event(struct agent_task *tasks,
+				  const struct run *run)
+{
+	struct task_event event = { 0 };
+
+	event.task_id = run->task_id;
+	event.epoch = run->epoch;
+	event.run = run->phase == PHASE_ENDED ? run->end : TASK_RUN_RUNNING;
+	TEXT_SET(event.checkpoint, run->seen.checkpoint);
+	event.progress_ppm = run->seen.progress_ppm;
+	event.result = run->phase == PHASE_ENDED ? run->result : RESULT_OK;
+	if (tasks->leader)
+		node_send(tasks->node, tasks->leader, MSG_TASK_EVENT, &event);
+}
+
+static gboolean agent_task_repeat_event(gpointer key, gpointer value,
+					gpointer data)
+{
+	const struct run *run = value;
+
+	if (run->phase == PHASE_ENDED && !run->settled_us)
+		agent_task_send_event(data, run);
+	return FALSE;
+}
+
+static void agent_task_report(struct agent_task *tasks)
+{
+	struct report report = { 0 };
+	struct agent_walk walk = { tasks, NULL, NULL };
+	const struct bundle *bundle = site_bundle(tasks->opts.site);
+
+	/* A report without a list would tell control that tasks are gone. */
+	if (!tasks->leader || !tasks->worker->listed)
+		return;
+	/* Ends go first, so that their result codes are known. */
+	g_tree_foreach(tasks->worker->runs, agent_task_repeat_event, tasks);
+	walk.items = g_array_new(FALSE, FALSE, sizeof(struct platform_task));
+	report.seq = ++tasks->seq;
+	report.sent_us = tasks->node->now_us;
+	report.vm = tasks->opts.vm;
+	report.vm.node_id = tasks->node->self.node_id;
+	report.vm.state = tasks->node->stopping ? VM_LEAVING : VM_LIVE;
+	TEXT_SET(report.vm.address, tasks->node->self.address);
+	report.leaving = tasks->node->stopping;
+	report.bundle_version = bundle ? bundle->version : 0;
+	g_tree_foreach(tasks->worker->runs, agent_task_add_reported, &walk);
+	report.nr_tasks = walk.items->len;
+	report.tasks = (struct platform_task *)(void *)walk.items->data;
+	report.nr_services = tasks->nr_services;
+	report.services = tasks->services;
+	node_send(tasks->node, tasks->leader, MSG_REPORT, &report);
+	counter_add(tasks->node->counters, "reports_sent", 1);
+	g_array_unref(walk.items);
+}
+
+static gboolean agent_task_check_lease(gpointer key, gpointer value,
+				       gpointer data)
+{
+	struct agent_task *tasks = data;
+	struct run *run = value;
+	uint32_t left_ms = lease_left_ms(&run->lease, tasks->node->now_us);
+
+	if (run->phase != PHASE_RUNNING || left_ms > LEASE_STOP_BEFORE_MS)
+		return FALSE;
+	counter_add(tasks->node->counters, "leases_ending", 1);
+	/* The checkpoint must be taken while the worker still runs it. */
+	worker_stop(tasks->worker, run, true);
+	return FALSE;
+}
+
+static void agent_task_tick(void *data, uint64_t now_us)
+{
+	struct agent_task *tasks = data;
+
+	node_timer_ms(tasks->node, &tasks->tick, REPORT_INTERVAL_MS);
+	g_tree_foreach(tasks->worker->runs, agent_task_check_lease, tasks);
+	worker_list(tasks->worker);
+	agent_task_report(tasks);
+}
+
+static bool agent_task_confirms(const struct grant *grant, uint64_t task_id)
+{
+	for (uint32_t i = 0; i < grant->nr_confirmed; i++)
+		if (grant->confirmed[i] == task_id)
+			return true;
+	return false;
+}
+
+static void agent_task_refuse_run(struct agent_task *tasks, struct run *run)
+{
+	GString *line;
+
+	if (run->phase == PHASE_ENDED) {
+		run->settled_us = MAX(tasks->node->now_us, 1);
+		return;
+	}
+	if (run->phase == PHASE_STOPPING)
+		return;
+	line = logline_new("task-unconfirmed");
+	logline_u64(line, "task", run->task_id);
+	logline_u64(line, "epoch", run->epoch);
+	node_log(tasks->node, line);
+	counter_add(tasks->node->counters, "tasks_unconfirmed", 1);
+	worker_stop(tasks->worker, run, false);
+}
+
+static gboolean agent_task_take_confirmed(gpointer key, gpointer value,
+					  gpointer data)
+{
+	struct agent_walk *walk = data;
+	const struct grant *grant = walk->grant;
+	struct run *run = value;
+	struct platform_lease_item item = { run->task_id, run->epoch };
+
+	/* The grant tells nothing about what its report didn't show. */
+	if (!run->reported_seq || run->reported_seq > grant->seq)
+		return FALSE;
+	if (!agent_task_confirms(grant, run->task_id)) {
+		agent_task_refuse_run(walk->tasks, run);
+		return FALSE;
+	}
+	lease_renew(&run->lease, grant->sent_us, grant->lease_ms);
+	if (run->phase != PHASE_ENDED)
+		g_array_append_val(walk->items, item);
+	return FALSE;
+}
+
+static void agent_task_take_grant(struct agent_task *tasks, uint64_t from,
+				  const struct grant *grant)
+{
+	struct agent_walk walk = { tasks, grant, NULL };
+	uint64_t now_us = tasks->node->now_us;
+
+	if (grant->term < tasks->term || grant->seq <= tasks->granted_seq ||
+	    grant->seq > tasks->seq) {
+		counter_add(tasks->node->counters, "grants_refused", 1);
+		return;
+	}
+	tasks->term = grant->term;
+	tasks->granted_seq = grant->seq;
+	lease_renew(&tasks->lease, grant->sent_us, grant->lease_ms);
+	permit_set(&tasks->permit, grant->sent_us,
+		   MIN(grant->permit_ms, PERMIT_TTL_MS));
+	tasks->zone_out = grant->zone_out;
+	walk.items =
+		g_array_new(FALSE, FALSE, sizeof(struct platform_lease_item));
+	g_tree_foreach(tasks->worker->runs, agent_task_take_confirmed, &walk);
+	worker_extend(tasks->worker, lease_left_ms(&tasks->lease, now_us),
+		      (void *)walk.items->data, walk.items->len);
+	g_array_unref(walk.items);
+}
+
+static void agent_task_log_order(struct agent_task *tasks,
+				 const struct task_order *order,
+				 enum result result)
+{
+	GString *line = logline_new("order");
+
+	logline_u64(line, "task", order->start.task_id);
+	logline_u64(line, "epoch", order->start.epoch);
+	logline_u64(line, "action", order->action);
+	logline_u64(line, "term", order->term);
+	logline_str(line, "result", result_name(result));
+	node_log(tasks->node, line);
+	counter_add(tasks->node->counters,
+		    result ? "orders_refused" : "orders_taken", 1);
+}
+
+/* Returns why the start must not be called now, RESULT_OK if it may. */
+static enum result agent_task_check_start(struct agent_task *tasks,
+					  const struct task_order *order)
+{
+	const struct run *run =
+		worker_find(tasks->worker, order->start.task_id);
+
+	if (run && run->epoch > order->start.epoch)
+		return RESULT_STALE;
+	if (run && run->epoch < order->start.epoch && run->phase != PHASE_ENDED)
+		return RESULT_IN_PROGRESS;
+	if (tasks->node->stopping)
+		return RESULT_LEAVING;
+	if (agent_task_zone_is_out(tasks))
+		return RESULT_ZONE_OUT;
+	/* Without a list an earlier epoch could still be running here. */
+	if (!tasks->worker->listed ||
+	    !permit_left_ms(&tasks->permit, order->permit_sent_us,
+			    tasks->node->now_us))
+		return RESULT_NO_PERMIT;
+	if (!lease_left_ms(&tasks->lease, tasks->node->now_us))
+		return RESULT_LEASE_EXPIRED;
+	return RESULT_OK;
+}
+
+static enum result agent_task_order_start(struct agent_task *tasks,
+					  const struct task_order *order)
+{
+	struct run *run = worker_find(tasks->worker, order->start.task_id);
+	enum result result = agent_task_check_start(tasks, order);
+	struct platform_start start = order->start;
+
+	if (result == RESULT_IN_PROGRESS)
+		worker_stop(tasks->worker, run, false);
+	if (result)
+		return result;
+	/* A repeated order; an ended epoch never starts again. */
+	if (run && run->epoch == order->start.epoch)
+		return RESULT_OK;
+	start.lease_ms = lease_left_ms(&tasks->lease, tasks->node->now_us);
+	start.start_within_ms = permit_left_ms(
+		&tasks->permit, order->permit_sent_us, tasks->node->now_us);
+	worker_start(tasks->worker, &start);
+	counter_add(tasks->node->counters, "task_starts", 1);
+	return RESULT_OK;
+}
+
+static void agent_task_take_order(struct agent_task *tasks,
+				  const struct task_order *order)
+{
+	struct run *run = worker_find(tasks->worker, order->start.task_id);
+	enum result result = RESULT_OK;
+
+	if (order->term < tasks->term ||
+	    order->vm_node != tasks->node->self.node_id) {
+		result = RESULT_STALE;
+		goto out;
+	}
+	tasks->term = order->term;
+	if (order->action == TASK_START) {
+		result = agent_task_order_start(tasks, order);
+		goto out;
+	}
+	if (!run || run->epoch != order->start.epoch) {
+		result = run && run->epoch > order->start.epoch ?
+				 RESULT_STALE :
+				 RESULT_UNKNOWN_OBJECT;
+		goto out;
+	}
+	switch (order->action) {
+	case TASK_STOP:
+		worker_stop(tasks->worker, run, false);
+		break;
+	case TASK_CHECKPOINT_STOP:
+		worker_stop(tasks->worker, run, true);
+		break;
+	case TASK_CHECKPOINT:
+		worker_checkpoint(tasks->worker, run);
+		break;
+	case TASK_THROTTLE:
+		worker_throttle(tasks->worker, run, order->cpu_ppm);
+		break;
+	default:
+		result = RESULT_MALFORMED;
+	}
+out:
+	agent_task_log_order(tasks, order, result);
+}
+
+static void agent_task_listed(void *ctx)
+{
+	struct agent_task *tasks = ctx;
+
+	/* The first list opens the way for reports; don't wait for a tick. */
+	if (!tasks->seq)
+		agent_task_report(tasks);
+}
+
+static void agent_task_ended(void *ctx, struct run *run)
+{
+	agent_task_send_event(ctx, run);
+}
+
+static void agent_task_checkpointed(void *ctx, struct run *run)
+{
+	agent_task_send_event(ctx, run);
+}
+
+static const struct worker_ops agent_task_worker_ops = {
+	.listed = agent_task_listed,
+	.ended = agent_task_ended,
+	.checkpointed = agent_task_checkpointed,
+};
+
+struct agent_task *agent_task_new(struct node *node,
+				  const struct agent_task_opts *opts)
+{
+	struct agent_task *tasks = g_new0(struct agent_task, 1);
+	struct worker_opts worker_opts = {
+		.host = opts->host,
+		.host_ctx = opts->host_ctx,
+		.ops = &agent_task_worker_ops,
+		.ctx = tasks,
+	};
+
+	tasks->node = node;
+	tasks->opts = *opts;
+	tasks->worker = worker_new(node, &worker_opts);
+	tasks->tick.fn = agent_task_tick;
+	tasks->tick.data = tasks;
+	return tasks;
+}
+
+void agent_task_free(struct agent_task *tasks)
+{
+	if (!tasks)
+		return;
+	timer_cancel(tasks->node->timers, &tasks->tick);
+	worker_free(tasks->worker);
+	g_free(tasks->services);
+	g_free(tasks);
+}
+
+void agent_task_start(struct agent_task *tasks)
+{
+	agent_task_tick(tasks, tasks->node->now_us);
+}
+
+void agent_task_leader_changed(struct agent_task *tasks, uint64_t node_id)
+{
+	tasks->leader = node_id;
+	agent_task_report(tasks);
+}
+
+bool agent_task_message(struct agent_task *tasks, uint64_t from, uint32_t type,
+			const void *body)
+{
+	switch (type) {
+	case MSG_GRANT:
+		agent_task_take_grant(tasks, from, body);
+		return true;
+	case MSG_TASK_ORDER:
+		agent_task_take_order(tasks, body);
+		return true;
+	default:
+		return false;
+	}
+}
+
+void agent_task_platform_done(struct agent_task *tasks, uint64_t call_nr,
+			      uint32_t type, const void *body)
+{
+	worker_done(tasks->worker, call_nr, type, body);
+}
+
+bool agent_task_may_start(const struct agent_task *tasks)
+{
+	return permit_holds(&tasks->permit, tasks->node->now_us) &&
+	       !agent_task_zone_is_out(tasks);
+}
+
+bool agent_task_zone_is_out(const struct agent_task *tasks)
+{
+	return tasks->zone_out ||
+	       site_zone_is_out(tasks->opts.site, tasks->opts.vm.zone);
+}
+
+void agent_task_set_services(struct agent_task *tasks,
+			     const struct report_service *services,
+			     uint32_t nr_services)
+{
+	g_free(tasks->services);
+	tasks->services = g_memdup2(services, nr_services * sizeof(*services));
+	tasks->nr_services = nr_services;
+}
+
+void agent_task_shutdown(struct agent_task *tasks)
+{
+	permit_set(&tasks->permit, 0, 0);
+	agent_task_report(tasks);
+}
+
+bool agent_task_idle(const struct agent_task *tasks)
+{
+	return !tasks->worker->nr_calls;
+}
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -44,6 +44,8 @@
 #define PERMIT_TTL_MS 1500
 /* An order or grant lost on a link is repeated after this. */
 #define ORDER_REPEAT_MS 1000
+/* An agent that gets no grants stops its tasks this long before the end. */
+#define LEASE_STOP_BEFORE_MS 1500
 #define VM_CHECK_MS 250 /* how often the leader looks for lost VMs */
 /* A settled task's epoch is remembered longer than any order may be late. */
 #define TASK_TOMBSTONE_MS 10000
