--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -4304,14 +4304,26 @@
   (ProtobufCMessageInit) masticreach__task_event__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__view_query__field_descriptors[2] =
+static const ProtobufCFieldDescriptor masticreach__view_query__field_descriptors[3] =
 {
   {
-    "view_version",
+    "term",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
+    offsetof(Masticreach__ViewQuery, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
     offsetof(Masticreach__ViewQuery, view_version),
     NULL,
     NULL,
@@ -4320,7 +4332,7 @@
   },
   {
     "bundle_version",
-    2,
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
@@ -4332,13 +4344,14 @@
   },
 };
 static const unsigned masticreach__view_query__field_indices_by_name[] = {
-  1,   /* field[1] = bundle_version */
-  0,   /* field[0] = view_version */
+  2,   /* field[2] = bundle_version */
+  0,   /* field[0] = term */
+  1,   /* field[1] = view_version */
 };
 static const ProtobufCIntRange masticreach__view_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor masticreach__view_query__descriptor =
 {
@@ -4348,7 +4361,7 @@
   "Masticreach__ViewQuery",
   "masticreach",
   sizeof(Masticreach__ViewQuery),
-  2,
+  3,
   masticreach__view_query__field_descriptors,
   masticreach__view_query__field_indices_by_name,
   1,  masticreach__view_query__number_ranges,
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -354,12 +354,13 @@
 struct  Masticreach__ViewQuery
 {
   ProtobufCMessage base;
+  uint64_t term;
   uint64_t view_version;
   uint64_t bundle_version;
 };
 #define MASTICREACH__VIEW_QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__view_query__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Masticreach__ZoneRecord
--- a/src/core/claim.c
+++ b/src/core/claim.c
@@ -47,38 +47,50 @@
 	g_free(claim);
 }
 
+enum result claim_check(const struct claim_record *claim,
+			const struct claim_record *record, bool *changes)
+{
+	*changes = false;
+	if (!*record->service || !*record->key || !*record->digest ||
+	    strchr(record->service, '\n') || record->state != CLAIM_HELD)
+		return RESULT_MALFORMED;
+	if (!claim) {
+		/* After an expiry nothing proves that the first try didn't
+		 * run. */
+		*changes = record->attempt == 1;
+		return *changes ? RESULT_OK : RESULT_STALE;
+	}
+	if (strcmp(claim->digest, record->digest))
+		return RESULT_CONFLICT;
+	if (claim->state != CLAIM_HELD)
+		return RESULT_IN_PROGRESS;
+	if (claim_same_run(claim, record))
+		return RESULT_OK;
+	/* The proposer holds the proof that this attempt didn't run. */
+	*changes = record->attempt == claim->attempt + 1;
+	return *changes ? RESULT_OK : RESULT_IN_PROGRESS;
+}
+
 struct state_outcome claim_take(struct state *state, const void *body)
 {
 	const struct claim_record *record = body;
 	struct claim_record *claim =
 		claim_find(state, record->service, record->key);
 	struct state_outcome outcome = { 0 };
+	bool changes;
 
 	state_set_clock(state, record->claimed_ms);
-	if (!*record->service || !*record->key || !*record->digest ||
-	    strchr(record->service, '\n') || record->state != CLAIM_HELD) {
-		outcome.result = RESULT_MALFORMED;
-	} else if (!claim) {
-		if (record->attempt == 1)
-			claim_insert(state, record);
-		else
-			/* The claim expired: nothing proves a not-run. */
-			outcome.result = RESULT_STALE;
-	} else if (strcmp(claim->digest, record->digest)) {
-		outcome.result = RESULT_CONFLICT;
-	} else if (claim->state == CLAIM_HELD &&
-		   claim_same_run(claim, record)) {
-		outcome.result = RESULT_OK;
-	} else if (claim->state == CLAIM_HELD &&
-		   record->attempt == claim->attempt + 1) {
-		/* The proposer holds the proof that this attempt didn't run. */
-		claim->agent_node = record->agent_node;
-		claim->entry_node = record->entry_node;
-		claim->request_nr = record->request_nr;
-		claim->attempt = record->attempt;
-	} else {
-		outcome.result = RESULT_IN_PROGRESS;
+	outcome.result = claim_check(claim, record, &changes);
+	if (!changes)
+		return outcome;
+	if (!claim) {
+		claim_insert(state, record);
+		return outcome;
 	}
+	claim->agent_node = record->agent_node;
+	claim->entry_node = record->entry_node;
+	claim->request_nr = record->request_nr;
+	claim->attempt = record->attempt;
 	return outcome;
 }
 
--- a/src/core/claim.h
+++ b/src/core/claim.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "command.h"
+#include "result.h"
 
 struct state;
 struct state_outcome;
@@ -19,6 +20,13 @@
 				const char *key);
 void claim_free(void *claim);
 
+/**
+ * Compares a new claim with the present one, NULL if there is none. @a changes
+ * tells whether it would take the claim.
+ */
+enum result claim_check(const struct claim_record *claim,
+			const struct claim_record *record, bool *changes);
+
 /**
  * RESULT_OK: the request may be dispatched; RESULT_IN_PROGRESS: another claim
  * stands; RESULT_CONFLICT: the key was used for another request.
--- /dev/null
+++ b/src/core/control_op.c
@@ -0,0 +1,222 @@
+#include "control_op.h"
+
+#include <string.h>
+
+#include "control_impl.h"
+#include "control_list.h"
+
+static void control_op_send(struct control *control, uint64_t ticket,
+			    const struct op_reply *reply)
+{
+	control->opts.host->operator_respond(control->opts.host_ctx, ticket,
+					     OP_REPLY, reply);
+}
+
+void control_op_reply(struct control *control, uint64_t ticket,
+		      enum result result, const char *message)
+{
+	struct op_reply reply = { 0 };
+
+	reply.result = result;
+	TEXT_SET(reply.message, message ? message : result_summary(result));
+	if (result == RESULT_NOT_LEADER)
+		TEXT_SET(reply.leader, raft_leader_address(control->raft));
+	control_op_send(control, ticket, &reply);
+}
+
+static void control_op_committed(struct control *control,
+				 const struct control_proposal *proposal,
+				 const struct state_outcome *outcome)
+{
+	struct op_reply reply = { 0 };
+
+	reply.result = outcome->result;
+	TEXT_SET(reply.message, outcome->message ?
+					outcome->message :
+					result_summary(outcome->result));
+	reply.id = outcome->id;
+	reply.version = outcome->version;
+	control_op_send(control, proposal->ticket, &reply);
+}
+
+static void control_op_propose(struct control *control, uint64_t ticket,
+			       uint32_t type, const void *body)
+{
+	struct control_proposal proposal = { .done = control_op_committed };
+	enum result result;
+
+	proposal.ticket = ticket;
+	result = control_propose(control, type, body, &proposal);
+	if (result)
+		control_op_reply(control, ticket, result, NULL);
+}
+
+static void control_op_bundle_check(struct control *control, uint64_t ticket,
+				    const void *body)
+{
+	const struct bundle *bundle = body;
+	const char *message = NULL;
+	enum result result = bundle_check(bundle, &message);
+
+	if (!result)
+		result = bundle_compare(&control->state->bundles,
+					bundle->version, bundle->digest);
+	control_op_reply(control, ticket, result, message);
+}
+
+static void control_op_bundle_submit(struct control *control, uint64_t ticket,
+				     const void *body)
+{
+	control_op_propose(control, ticket, CMD_BUNDLE_SUBMIT, body);
+}
+
+static void control_op_bundle_sign(struct control *control, uint64_t ticket,
+				   const void *body)
+{
+	control_op_propose(control, ticket, CMD_BUNDLE_SIGN, body);
+}
+
+static void control_op_zone_set(struct control *control, uint64_t ticket,
+				const void *body)
+{
+	control_op_propose(control, ticket, CMD_ZONE_SET, body);
+}
+
+static void control_op_vm_set(struct control *control, uint64_t ticket,
+			      const void *body)
+{
+	control_op_propose(control, ticket, CMD_VM_QUARANTINE, body);
+}
+
+static void control_op_job_submit(struct control *control, uint64_t ticket,
+				  const void *body)
+{
+	struct job_record record = *(const struct job_record *)body;
+	const char *message = NULL;
+	enum result result = job_check(&record, &message);
+
+	/* A resend finds its job even if a new one would be refused. */
+	if (!result &&
+	    !(*record.key &&
+	      g_hash_table_contains(control->state->job_keys, record.key)))
+		result = plan_check_job(control->plan, &record);
+	if (result) {
+		control_op_reply(control, ticket, result, message);
+		return;
+	}
+	record.submitted_ms = control_wall_ms(control);
+	control_op_propose(control, ticket, CMD_JOB_SUBMIT, &record);
+}
+
+static void control_op_job_cancel(struct control *control, uint64_t ticket,
+				  const void *body)
+{
+	struct cmd_job_cancel cancel = *(const struct cmd_job_cancel *)body;
+
+	/* Only the leader itself declares jobs failed. */
+	cancel.result = RESULT_CANCELLED;
+	cancel.now_ms = control_wall_ms(control);
+	control_op_propose(control, ticket, CMD_JOB_CANCEL, &cancel);
+}
+
+static void control_op_propose_members(struct control *control, uint64_t ticket,
+				       GArray *members)
+{
+	struct members body = { 0 };
+
+	body.nr_members = members->len;
+	body.members = (struct member *)(void *)members->data;
+	control_op_propose(control, ticket, CMD_MEMBERS, &body);
+}
+
+static GArray *control_op_members(struct control *control, uint64_t without)
+{
+	const struct members *now = raft_members(control->raft);
+	GArray *members = g_array_new(FALSE, TRUE, sizeof(struct member));
+
+	for (uint32_t i = 0; i < now->nr_members; i++)
+		if (now->members[i].node_id != without)
+			g_array_append_val(members, now->members[i]);
+	return members;
+}
+
+static void control_op_member_add(struct control *control, uint64_t ticket,
+				  const void *body)
+{
+	struct member member = *(const struct member *)body;
+	GArray *members = control_op_members(control, member.node_id);
+
+	/* The log makes it a voter once it has caught up. */
+	member.voter = false;
+	if (!member.node_id || !*member.address) {
+		control_op_reply(control, ticket, RESULT_MALFORMED,
+				 "a member needs a node_id and an address");
+	} else if (members->len < raft_members(control->raft)->nr_members) {
+		control_op_reply(control, ticket, RESULT_OK,
+				 "it is a member already");
+	} else if (members->len >= CONTROL_MAX_MEMBERS) {
+		control_op_reply(control, ticket, RESULT_OUT_OF_RANGE,
+				 "the group has its largest size");
+	} else {
+		g_array_append_val(members, member);
+		control_op_propose_members(control, ticket, members);
+	}
+	g_array_unref(members);
+}
+
+static void control_op_member_remove(struct control *control, uint64_t ticket,
+				     const void *body)
+{
+	const struct member *member = body;
+	GArray *members = control_op_members(control, member->node_id);
+
+	if (members->len == raft_members(control->raft)->nr_members)
+		control_op_reply(control, ticket, RESULT_UNKNOWN_OBJECT, NULL);
+	else if (!members->len)
+		control_op_reply(control, ticket, RESULT_OUT_OF_RANGE,
+				 "the last member can't be removed");
+	else
+		control_op_propose_members(control, ticket, members);
+	g_array_unref(members);
+}
+
+static const struct control_op_entry {
+	uint32_t type;
+	bool anywhere; /* answered by any replica */
+	void (*handle)(struct control *control, uint64_t ticket,
+		       const void *body);
+} control_ops[] = {
+	{ OP_BUNDLE_CHECK, false, control_op_bundle_check },
+	{ OP_BUNDLE_SUBMIT, false, control_op_bundle_submit },
+	{ OP_BUNDLE_SIGN, false, control_op_bundle_sign },
+	{ OP_BUNDLE_STATUS, false, control_list_bundle },
+	{ OP_ZONE_SET, false, control_op_zone_set },
+	{ OP_ZONE_LIST, false, control_list_zones },
+	{ OP_VM_LIST, false, control_list_vms },
+	{ OP_VM_SET, false, control_op_vm_set },
+	{ OP_JOB_SUBMIT, false, control_op_job_submit },
+	{ OP_JOB_CANCEL, false, control_op_job_cancel },
+	{ OP_JOB_LIST, false, control_list_jobs },
+	{ OP_TASK_LIST, false, control_list_tasks },
+	{ OP_STATUS, true, control_list_status },
+	{ OP_MEMBER_ADD, false, control_op_member_add },
+	{ OP_MEMBER_REMOVE, false, control_op_member_remove },
+};
+
+void control_op(struct control *control, uint64_t ticket, uint32_t type,
+		const void *body)
+{
+	enum result result = control_check_leader(control);
+
+	counter_add(control->node->counters, "operator_requests", 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(control_ops); i++) {
+		if (control_ops[i].type != type)
+			continue;
+		if (result && !control_ops[i].anywhere)
+			control_op_reply(control, ticket, result, NULL);
+		else
+			control_ops[i].handle(control, ticket, body);
+		return;
+	}
+	control_op_reply(control, ticket, RESULT_MALFORMED, "no such request");
+}
--- /dev/null
+++ b/src/core/control_view.h
@@ -0,0 +1,31 @@
+#ifndef CONTROL_VIEW_H
+#define CONTROL_VIEW_H
+
+/**
+ * @file control_view.h
+ * What the leader tells entries and agents of the site.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "msg_control.h"
+#include "vm.h"
+
+struct control;
+
+void control_view_zone(struct control *control, const char *name);
+void control_view_vm(struct control *control, const struct vm *vm);
+void control_view_bundle(struct control *control);
+
+/** Answers MSG_VIEW_QUERY. */
+void control_view_query(struct control *control, uint64_t from,
+			const struct view_query *query);
+
+/** Sends the whole view to every agent and entry. */
+void control_view_announce(struct control *control);
+
+/** Timer function: sends what has changed. */
+void control_view_flush(void *data, uint64_t now_us);
+
+#endif /* CONTROL_VIEW_H */
--- a/src/core/msg_control.h
+++ b/src/core/msg_control.h
@@ -77,6 +77,7 @@
 
 /** Asks control for changes of the view after the given version. */
 struct view_query {
+	uint64_t term; /* of the leader that counted view_version */
 	uint64_t view_version; /* 0: everything */
 	uint64_t bundle_version;
 };
--- a/src/core/schema_control.c
+++ b/src/core/schema_control.c
@@ -51,6 +51,7 @@
 static SCHEMA(task_event_schema, "TaskEvent", task_event, task_event_fields);
 
 static const struct field view_query_fields[] = {
+	F_U64(view_query, term),
 	F_U64(view_query, view_version),
 	F_U64(view_query, bundle_version),
 };
--- a/src/core/site.c
+++ b/src/core/site.c
@@ -22,6 +22,7 @@
 {
 	struct view_query query = { 0 };
 
+	query.term = site->term;
 	query.view_version = site->view_version;
 	query.bundle_version = site->bundle ? site->bundle->version : 0;
 	node_send(site->node, node_id, MSG_VIEW_QUERY, &query);
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -233,6 +233,39 @@
 	}
 }
 
+static gboolean state_job_expired(gpointer key, gpointer value, gpointer data)
+{
+	const struct job *job = value;
+	uint64_t *before_ms = data;
+
+	if (!job->record.finished_ms || job->record.finished_ms >= *before_ms)
+		return FALSE;
+	*before_ms = 0;
+	return TRUE;
+}
+
+bool state_has_expired(const struct state *state,
+		       const struct cmd_expire *expire)
+{
+	uint64_t before_ms = expire->jobs_before_ms;
+	GHashTableIter iter;
+	void *value;
+
+	if (!before_ms)
+		return false;
+	g_tree_foreach(state->jobs, state_job_expired, &before_ms);
+	if (!before_ms)
+		return true;
+	g_hash_table_iter_init(&iter, state->claims);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct claim_record *claim = value;
+
+		if (claim->claimed_ms < expire->claims_before_ms)
+			return true;
+	}
+	return false;
+}
+
 static gboolean state_verify_vm(gpointer key, gpointer value, gpointer data)
 {
 	const struct vm *vm = value;
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -74,6 +74,10 @@
 void state_restore(struct state *state, const struct snapshot_record *records,
 		   uint32_t nr_records);
 
+/** Returns true if CMD_EXPIRE with these times would drop anything. */
+bool state_has_expired(const struct state *state,
+		       const struct cmd_expire *expire);
+
 /** Asserts that sums and indexes agree with the objects; for tests. */
 void state_verify(const struct state *state);
 
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -62,6 +62,7 @@
 #define JOB_MAX_TASKS 10000
 #define SERVICE_MAX_REPLICAS 10000
 #define LIST_MAX_ITEMS 500
+#define CONTROL_MAX_MEMBERS 7
 /* Decisions carried out before the loop gets a turn. */
 #define PLAN_BATCH 64
 
