Route a request from an entry to an agent and back

The interfaces of entry.h and agent.h had no implementation. An entry now picks an agent by expected completion, sends the request, retries within a budget what is repeatable or proven not run, and answers its caller once. An agent admits by deadline within slots and connections, keeps a record of each run and refuses for good by number.

struct response gains wait_us, so that an entry can tell the path's delay from queueing. struct outcome_query gains reply_nr and repeatable: an entry that asks about another entry's run gets the answer under a number of its own.

--- /dev/null
+++ b/src/core/admit.c
@@ -0,0 +1,574 @@
+#include "admit.h"
+
+#include <string.h>
+
+#include "executor.h"
+#include "logline.h"
+#include "run.h"
+#include "schema.h"
+#include "tunables.h"
+
+#define ADMIT_SMOOTHING 16 /* runs over which the service time is smoothed */
+#define ADMIT_EXPIRE_MS 1000 /* how often old records are dropped */
+
+struct admit_service {
+	struct admit *admit;
+	char name[NAME_BYTES];
+	GPtrArray *executors; /* struct executor *, owned */
+	GSequence *queue; /* struct run *, by deadline */
+	uint32_t service_time_us;
+	struct timer expiry; /* of the next announcement */
+};
+
+struct admit {
+	struct node *node;
+	const struct admit_ops *ops;
+	void *ctx;
+	GPtrArray *services; /* struct admit_service *, owned */
+	struct run_table *runs;
+	GHashTable *calls; /* uint64_t * -> struct run *, by call_nr */
+	uint64_t next_call_nr;
+	struct timer forget;
+	GArray *loads; /* struct load, filled by admit_loads() */
+	bool leaving;
+};
+
+static uint32_t service_queued(const struct admit_service *service)
+{
+	return (uint32_t)g_sequence_get_length(service->queue);
+}
+
+static uint32_t service_slots(const struct admit_service *service)
+{
+	uint32_t slots = 0;
+
+	for (uint32_t i = 0; i < service->executors->len; i++) {
+		const struct executor *executor =
+			g_ptr_array_index(service->executors, i);
+
+		if (executor_is_open(executor))
+			slots += MIN(executor->slots, executor->connections);
+	}
+	return slots;
+}
+
+static void service_fill_load(const struct admit_service *service,
+			      struct load *load)
+{
+	memset(load, 0, sizeof(*load));
+	TEXT_SET(load->service, service->name);
+	load->queued = service_queued(service);
+	load->service_time_us = service->service_time_us;
+	load->leaving = service->admit->leaving ||
+			!executors_any_open(service->executors);
+	for (uint32_t i = 0; i < service->executors->len; i++) {
+		const struct executor *executor =
+			g_ptr_array_index(service->executors, i);
+
+		load->in_flight += executor->in_flight;
+		if (!executor_is_open(executor))
+			continue;
+		load->slots += executor->slots;
+		load->connections += executor->connections;
+	}
+}
+
+static void service_learn_run(struct admit_service *service, uint32_t run_us)
+{
+	int64_t old_us = service->service_time_us;
+
+	if (!old_us)
+		old_us = run_us;
+	service->service_time_us = (uint32_t)MAX(
+		old_us + ((int64_t)run_us - old_us) / ADMIT_SMOOTHING, 1);
+}
+
+/* Sends what is known of a run to one entry. */
+static void admit_tell(const struct admit *admit, const struct run *run,
+		       const struct run_asker *asker)
+{
+	struct response response = run->response;
+
+	response.origin_node = asker->node_id;
+	response.request_nr = asker->request_nr;
+	response.run = run->state;
+	if (run->state == RUN_DONE && !run->response_kept) {
+		/* It ran, but its response has been dropped. */
+		response.run = RUN_UNKNOWN;
+		response.result = RESULT_OUTCOME_UNKNOWN;
+	}
+	if (run->service)
+		service_fill_load(run->service, &response.load);
+	node_send(admit->node, asker->node_id, MSG_RESPONSE, &response);
+}
+
+/* Answers for a number without a record. */
+static void admit_tell_missing(const struct admit *admit,
+			       const struct run_asker *asker,
+			       enum run_state state, enum result result)
+{
+	struct response response = { 0 };
+
+	response.origin_node = asker->node_id;
+	response.request_nr = asker->request_nr;
+	response.run = state;
+	response.result = result;
+	node_send(admit->node, asker->node_id, MSG_RESPONSE, &response);
+}
+
+static void admit_finish(struct admit *admit, struct run *run,
+			 enum run_state state, enum result result)
+{
+	timer_cancel(admit->node->timers, &run->timer);
+	run->state = state;
+	run->response.result = result;
+	run_table_finish(admit->runs, run, admit->node->now_us);
+	for (uint32_t i = 0; i < run->askers->len; i++)
+		admit_tell(admit, run,
+			   &g_array_index(run->askers, struct run_asker, i));
+	g_array_set_size(run->askers, 0);
+}
+
+/* Refuses a run for good: it leaves the queue and never begins. */
+static void admit_refuse(struct admit *admit, struct run *run,
+			 enum result result)
+{
+	g_assert(run->state == RUN_QUEUED && !run->executor);
+	if (run->queue_place)
+		g_sequence_remove(run->queue_place);
+	run->queue_place = NULL;
+	counter_add(admit->node->counters, "agent_refused", 1);
+	admit_finish(admit, run, RUN_NOT_RUN, result);
+}
+
+static void admit_start(struct admit *admit, struct run *run,
+			struct executor *executor)
+{
+	uint64_t now_us = admit->node->now_us;
+
+	g_assert(executor_room(executor));
+	run->state = RUN_RUNNING;
+	run->executor = executor;
+	run->started_us = now_us;
+	run->call_nr = ++admit->next_call_nr;
+	run->response.wait_us =
+		(uint32_t)MIN(now_us - run->arrived_us, UINT32_MAX);
+	executor->in_flight++;
+	g_hash_table_insert(admit->calls, &run->call_nr, run);
+	counter_add(admit->node->counters, "agent_started", 1);
+	admit->ops->upstream_call(admit->ctx, run->call_nr, executor->address,
+				  run->request);
+}
+
+/* Starts queued runs while upstreams have room. */
+static void admit_pump(struct admit *admit, struct admit_service *service)
+{
+	while (service_queued(service)) {
+		GSequenceIter *first =
+			g_sequence_get_begin_iter(service->queue);
+		struct run *run = g_sequence_get(first);
+		struct executor *executor =
+			executors_roomiest(service->executors);
+		enum result result;
+
+		if (!executor && executors_any_open(service->executors))
+			break;
+		result = executor ? admit->ops->may_start(admit->ctx,
+							  run->repeatable) :
+				    RESULT_NO_UPSTREAM;
+		if (result) {
+			admit_refuse(admit, run, result);
+			continue;
+		}
+		g_sequence_remove(first);
+		run->queue_place = NULL;
+		admit_start(admit, run, executor);
+	}
+}
+
+/* The deadline passed while queued, or the longest time to run. */
+static void admit_run_due(void *data, uint64_t now_us)
+{
+	struct run *run = data;
+	struct admit *admit = run->service->admit;
+
+	(void)now_us;
+	if (run->state == RUN_QUEUED) {
+		admit_refuse(admit, run, RESULT_DEADLINE);
+		return;
+	}
+	if (!run->repeatable && !run->overrun) {
+		/* It can't be repeated, so its work isn't thrown away yet. */
+		run->overrun = true;
+		node_timer_ms(admit->node, &run->timer, ADMIT_OVERRUN_MS);
+		return;
+	}
+	run->cancelled = RESULT_DEADLINE;
+	admit->ops->upstream_cancel(admit->ctx, run->call_nr);
+}
+
+static void admit_service_expire(struct admit_service *service)
+{
+	struct admit *admit = service->admit;
+	uint64_t next_us;
+
+	executors_expire(service->executors, admit->node->now_us);
+	next_us = executors_next_expiry_us(service->executors);
+	if (next_us != TIMER_NEVER)
+		timer_set(admit->node->timers, &service->expiry, next_us);
+	admit_pump(admit, service);
+	admit->ops->changed(admit->ctx);
+}
+
+static void admit_service_due(void *data, uint64_t now_us)
+{
+	(void)now_us;
+	admit_service_expire(data);
+}
+
+static void admit_service_free(void *data)
+{
+	struct admit_service *service = data;
+
+	timer_cancel(service->admit->node->timers, &service->expiry);
+	g_ptr_array_unref(service->executors);
+	g_sequence_free(service->queue);
+	g_free(service);
+}
+
+static struct admit_service *admit_find_service(const struct admit *admit,
+						const char *name)
+{
+	for (uint32_t i = 0; i < admit->services->len; i++) {
+		struct admit_service *service =
+			g_ptr_array_index(admit->services, i);
+
+		if (!g_strcmp0(service->name, name))
+			return service;
+	}
+	return NULL;
+}
+
+static struct admit_service *admit_add_service(struct admit *admit,
+					       const char *name)
+{
+	struct admit_service *service = admit_find_service(admit, name);
+
+	if (service)
+		return service;
+	service = g_new0(struct admit_service, 1);
+	service->admit = admit;
+	TEXT_SET(service->name, name);
+	service->executors = g_ptr_array_new_with_free_func(g_free);
+	service->queue = g_sequence_new(NULL);
+	service->expiry.fn = admit_service_due;
+	service->expiry.data = service;
+	g_ptr_array_add(admit->services, service);
+	return service;
+}
+
+static gint admit_by_deadline(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct run *x = a;
+	const struct run *y = b;
+
+	(void)data;
+	if (x->deadline_us != y->deadline_us)
+		return x->deadline_us < y->deadline_us ? -1 : 1;
+	return x->arrived_us < y->arrived_us ? -1 :
+					       x->arrived_us > y->arrived_us;
+}
+
+/*
+ * Returns true if the run can't be back in time behind those with an earlier
+ * deadline. Only a busy service is judged: its estimate is fresh.
+ */
+static bool admit_is_too_late(const struct admit_service *service,
+			      const struct run *run)
+{
+	uint32_t slots = service_slots(service);
+	uint64_t wait_us;
+
+	if (!slots || executors_roomiest(service->executors))
+		return false;
+	wait_us = (uint64_t)service->service_time_us *
+		  (uint32_t)g_sequence_iter_get_position(run->queue_place) /
+		  slots;
+	return run->arrived_us + wait_us + service->service_time_us >
+	       run->deadline_us;
+}
+
+/* Queues a run; a full queue gives up the one with the latest deadline. */
+static void admit_enqueue(struct admit *admit, struct admit_service *service,
+			  struct run *run)
+{
+	uint32_t max = service_slots(service) * ADMIT_QUEUE_PER_SLOT;
+
+	run->queue_place = g_sequence_insert_sorted(service->queue, run,
+						    admit_by_deadline, NULL);
+	if (admit_is_too_late(service, run)) {
+		admit_refuse(admit, run, RESULT_DEADLINE);
+		return;
+	}
+	if (service_queued(service) > MAX(max, 1)) {
+		GSequenceIter *last = g_sequence_iter_prev(
+			g_sequence_get_end_iter(service->queue));
+
+		admit_refuse(admit, g_sequence_get(last), RESULT_OVERLOADED);
+	}
+	admit_pump(admit, service);
+}
+
+static struct run *admit_add_run(struct admit *admit, const struct run_id *id,
+				 const struct request *request)
+{
+	const char *key = request->repeatable ? "" : request->key;
+	struct run *run = run_table_add(admit->runs, id, request->repeatable,
+					request->service, key);
+
+	run->request = schema_dup(MSG_REQUEST, request);
+	run->arrived_us = admit->node->now_us;
+	run->deadline_us = run->arrived_us + request->deadline_ms * 1000ull;
+	run->timer.fn = admit_run_due;
+	run->timer.data = run;
+	return run;
+}
+
+static enum result admit_check(const struct admit *admit,
+			       const struct admit_service *service,
+			       const struct request *request)
+{
+	if (request->target_node != admit->node->self.node_id)
+		return RESULT_STALE;
+	if (admit->leaving)
+		return RESULT_LEAVING;
+	if (!service || !executors_any_open(service->executors))
+		return RESULT_NO_UPSTREAM;
+	return admit->ops->may_start(admit->ctx, request->repeatable);
+}
+
+static void admit_forget_due(void *data, uint64_t now_us)
+{
+	struct admit *admit = data;
+
+	run_table_expire(admit->runs, now_us);
+	node_timer_ms(admit->node, &admit->forget, ADMIT_EXPIRE_MS);
+}
+
+struct admit *admit_new(struct node *node, const struct admit_ops *ops,
+			void *ctx)
+{
+	struct admit *admit = g_new0(struct admit, 1);
+
+	admit->node = node;
+	admit->ops = ops;
+	admit->ctx = ctx;
+	admit->services = g_ptr_array_new_with_free_func(admit_service_free);
+	admit->runs = run_table_new();
+	admit->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	admit->loads = g_array_new(FALSE, FALSE, sizeof(struct load));
+	admit->forget.fn = admit_forget_due;
+	admit->forget.data = admit;
+	node_timer_ms(node, &admit->forget, ADMIT_EXPIRE_MS);
+	return admit;
+}
+
+void admit_free(struct admit *admit)
+{
+	if (!admit)
+		return;
+	timer_cancel(admit->node->timers, &admit->forget);
+	g_hash_table_unref(admit->calls);
+	run_table_free(admit->runs);
+	g_ptr_array_unref(admit->services);
+	g_array_unref(admit->loads);
+	g_free(admit);
+}
+
+enum result admit_announce(struct admit *admit,
+			   const struct platform_announce *announce)
+{
+	struct admit_service *service;
+	struct executor *executor;
+
+	if (!*announce->id || !*announce->service || !*announce->address)
+		return RESULT_MALFORMED;
+	if (!announce->slots || !announce->connections)
+		return RESULT_OUT_OF_RANGE;
+	service = admit_add_service(admit, announce->service);
+	executor = executors_find(service->executors, announce->id);
+	if (!executor) {
+		executor = g_new0(struct executor, 1);
+		TEXT_SET(executor->id, announce->id);
+		g_ptr_array_add(service->executors, executor);
+	}
+	executor_announced(executor, announce, admit->node->now_us);
+	admit_service_expire(service);
+	return RESULT_OK;
+}
+
+void admit_withdraw(struct admit *admit, const char *upstream_id)
+{
+	for (uint32_t i = 0; i < admit->services->len; i++) {
+		struct admit_service *service =
+			g_ptr_array_index(admit->services, i);
+		struct executor *executor =
+			executors_find(service->executors, upstream_id);
+
+		if (!executor)
+			continue;
+		executor->gone = true;
+		admit_service_expire(service);
+	}
+}
+
+void admit_request(struct admit *admit, uint64_t from,
+		   const struct request *request)
+{
+	struct run_id id = { from, request->request_nr };
+	struct run_asker asker = { from, request->request_nr };
+	struct admit_service *service =
+		admit_find_service(admit, request->service);
+	const char *key = request->repeatable ? "" : request->key;
+	struct run *run = run_table_find(admit->runs, &id);
+	enum result result;
+
+	if (!run && run_table_may_have_forgotten(admit->runs, &id,
+						 request->repeatable)) {
+		admit_tell_missing(admit, &asker, RUN_UNKNOWN,
+				   RESULT_OUTCOME_UNKNOWN);
+		return;
+	}
+	if (!run) {
+		run = run_table_find_key(admit->runs, request->service, key);
+		/* A run proven not run leaves its key free. */
+		if (run && run->state == RUN_NOT_RUN)
+			run = NULL;
+	}
+	if (run) {
+		/* Its first arrival counts, or the refusal that came first. */
+		if (!run->finished_us)
+			run_add_asker(run, from, request->request_nr);
+		else
+			admit_tell(admit, run, &asker);
+		return;
+	}
+	result = admit_check(admit, service, request);
+	run = admit_add_run(admit, &id, request);
+	run->service = service;
+	run_add_asker(run, from, request->request_nr);
+	if (result) {
+		admit_refuse(admit, run, result);
+		return;
+	}
+	timer_set(admit->node->timers, &run->timer, run->deadline_us);
+	admit_enqueue(admit, service, run);
+}
+
+void admit_cancel(struct admit *admit, uint64_t from, uint64_t request_nr)
+{
+	struct run_id id = { from, request_nr };
+	struct run *run = run_table_find(admit->runs, &id);
+
+	if (!run || run->finished_us)
+		return;
+	if (run->state == RUN_QUEUED) {
+		admit_refuse(admit, run, RESULT_CANCELLED);
+	} else if (run->repeatable && !run->cancelled) {
+		run->cancelled = RESULT_CANCELLED;
+		admit->ops->upstream_cancel(admit->ctx, run->call_nr);
+	}
+}
+
+void admit_query(struct admit *admit, uint64_t from,
+		 const struct outcome_query *query)
+{
+	struct run_id id = { query->origin_node, query->request_nr };
+	struct run_asker asker = { from, query->reply_nr };
+	const char *key = query->repeatable ? "" : query->key;
+	struct run *run = run_table_find(admit->runs, &id);
+
+	if (!run) {
+		run = run_table_find_key(admit->runs, query->service, key);
+		if (run && run->state == RUN_NOT_RUN)
+			run = NULL;
+	}
+	if (!run && (!query->refuse ||
+		     run_table_may_have_forgotten(admit->runs, &id,
+						  query->repeatable))) {
+		admit_tell_missing(admit, &asker, RUN_UNKNOWN,
+				   RESULT_OUTCOME_UNKNOWN);
+		return;
+	}
+	if (!run) {
+		/* The record makes the number's later arrival be refused. */
+		run = run_table_add(admit->runs, &id, query->repeatable,
+				    query->service, "");
+		admit_finish(admit, run, RUN_NOT_RUN, RESULT_CANCELLED);
+	}
+	if (!run->finished_us)
+		run_add_asker(run, from, query->reply_nr);
+	admit_tell(admit, run, &asker);
+}
+
+void admit_call_done(struct admit *admit, uint64_t call_nr,
+		     const struct upstream_result *result)
+{
+	struct run *run = g_hash_table_lookup(admit->calls, &call_nr);
+	struct executor *executor;
+	struct admit_service *service;
+
+	if (!run)
+		return;
+	g_hash_table_remove(admit->calls, &call_nr);
+	executor = run->executor;
+	service = run->service;
+	g_assert(executor->in_flight > 0);
+	executor->in_flight--;
+	run->executor = NULL;
+	if (!result->connected) {
+		executor->refused = true;
+		admit_finish(admit, run, RUN_NOT_RUN, RESULT_UPSTREAM_FAILED);
+	} else if (!result->complete) {
+		admit_finish(admit, run, RUN_UNKNOWN,
+			     run->cancelled ? run->cancelled :
+					      RESULT_UPSTREAM_FAILED);
+	} else {
+		uint64_t run_us = admit->node->now_us - run->started_us;
+
+		run->response.run_us = (uint32_t)MIN(run_us, UINT32_MAX);
+		run->response.status = result->status;
+		TEXT_SET(run->response.content_type, result->content_type);
+		if (result->body)
+			run->response.body = g_bytes_ref(result->body);
+		service_learn_run(service, run->response.run_us);
+		admit_finish(admit, run, RUN_DONE, RESULT_OK);
+	}
+	executors_expire(service->executors, admit->node->now_us);
+	admit_pump(admit, service);
+	admit->ops->changed(admit->ctx);
+}
+
+void admit_leave(struct admit *admit)
+{
+	admit->leaving = true;
+	admit->ops->changed(admit->ctx);
+}
+
+bool admit_idle(const struct admit *admit)
+{
+	return run_table_nr_active(admit->runs) == 0;
+}
+
+void admit_loads(struct admit *admit, struct load_report *report)
+{
+	g_array_set_size(admit->loads, 0);
+	for (uint32_t i = 0; i < admit->services->len; i++) {
+		struct load load;
+
+		service_fill_load(g_ptr_array_index(admit->services, i), &load);
+		g_array_append_val(admit->loads, load);
+	}
+	report->nr_loads = admit->loads->len;
+	report->loads = (struct load *)(void *)admit->loads->data;
+}
--- /dev/null
+++ b/src/core/entry_attempt.c
@@ -0,0 +1,304 @@
+#include "entry_flight.h"
+
+#include "logline.h"
+#include "schema.h"
+#include "tunables.h"
+
+static uint64_t flight_left_us(const struct flight *flight)
+{
+	uint64_t now_us = flight->entry->node->now_us;
+
+	return flight->deadline_us > now_us ? flight->deadline_us - now_us : 0;
+}
+
+static bool flight_has_tried(const struct flight *flight, uint64_t agent_node)
+{
+	for (uint32_t i = 0; i < flight->tried->len; i++)
+		if (g_array_index(flight->tried, uint64_t, i) == agent_node)
+			return true;
+	return false;
+}
+
+static uint32_t entry_zone_cost_ppm(const struct entry *entry, const char *zone)
+{
+	const struct bundle *bundle = site_bundle(entry->site);
+
+	if (!bundle || !g_strcmp0(zone, entry->node->self.zone))
+		return 0;
+	for (uint32_t i = 0; i < bundle->nr_zones; i++)
+		if (!g_strcmp0(bundle->zones[i].name, zone))
+			return bundle->zones[i].cost_ppm;
+	return 0;
+}
+
+/* Returns true if the upstream may get work now, and fills @a out. */
+static bool attempt_candidate(const struct entry *entry,
+			      struct upstream *upstream, uint32_t usual_us,
+			      struct route_candidate *out)
+{
+	uint64_t now_us = entry->node->now_us;
+	const struct link *link = node_link(entry->node, upstream->agent_node);
+
+	if (!link || !link->up || link->silent)
+		return false;
+	if (!upstream_is_open(upstream, now_us) ||
+	    upstream_is_ejected(upstream, now_us) ||
+	    site_zone_is_out(entry->site, link->peer.zone))
+		return false;
+	out->upstream = upstream;
+	out->delay_us = link->delay_us + link->delay_var_us;
+	out->loss_ppm =
+		MAX(link_loss_ppm(link), upstream_stall_ppm(upstream, now_us));
+	out->cost_ppm = entry_zone_cost_ppm(entry, link->peer.zone);
+	out->service_time_us =
+		upstream_service_time(upstream, usual_us, now_us);
+	out->load = upstream_load(upstream);
+	out->full = upstream->own_open >= upstream_limit(upstream, now_us);
+	route_estimate(out);
+	return true;
+}
+
+/* Collects the upstreams with room, leaving out those tried already. */
+static void attempt_collect(const struct flight *flight, bool tried,
+			    GArray *candidates, uint32_t *nr_full)
+{
+	const GPtrArray *upstreams = flight->service->upstreams;
+	uint32_t usual_us = service_usual_time(flight->service);
+
+	if (!usual_us)
+		usual_us = ROUTE_DEFAULT_SERVICE_TIME_US;
+	for (uint32_t i = 0; i < upstreams->len; i++) {
+		struct upstream *upstream = g_ptr_array_index(upstreams, i);
+		struct route_candidate candidate = { 0 };
+
+		if (!tried && flight_has_tried(flight, upstream->agent_node))
+			continue;
+		if (!attempt_candidate(flight->entry, upstream, usual_us,
+				       &candidate))
+			continue;
+		if (candidate.full)
+			(*nr_full)++;
+		else
+			g_array_append_val(candidates, candidate);
+	}
+}
+
+/* Returns true if not even the quickest upstream can answer in time. */
+static bool attempt_is_too_late(const struct flight *flight,
+				const GArray *candidates)
+{
+	const struct route_candidate *best = NULL;
+	uint64_t now_us = flight->entry->node->now_us;
+
+	for (uint32_t i = 0; i < candidates->len; i++) {
+		const struct route_candidate *candidate =
+			&g_array_index(candidates, struct route_candidate, i);
+
+		if (!best || candidate->wait_us < best->wait_us)
+			best = candidate;
+	}
+	if (!flight_left_us(flight))
+		return true;
+	/* An old estimate is put to the test instead of being believed. */
+	return best->upstream->sampled_us + SERVICE_TIME_FRESH_MS * 1000ull >
+		       now_us &&
+	       best->wait_us > flight_left_us(flight);
+}
+
+static void attempt_log_pick(const struct flight *flight, const char *reason,
+			     const struct route_candidate *chosen,
+			     uint32_t nr_candidates, uint32_t nr_full,
+			     enum result result)
+{
+	const struct entry *entry = flight->entry;
+	GString *line = logline_new("route");
+
+	logline_u64(line, "ticket", flight->ticket);
+	logline_str(line, "service", flight->service->name);
+	logline_str(line, "reason", reason);
+	logline_str(line, "policy", entry->policy->name);
+	logline_u64(line, "candidates", nr_candidates);
+	logline_u64(line, "full", nr_full);
+	logline_u64(line, "left_us", flight_left_us(flight));
+	logline_str(line, "result", result_name(result));
+	if (chosen) {
+		logline_id(line, "agent", chosen->upstream->agent_node);
+		logline_u64(line, "delay_us", chosen->delay_us);
+		logline_u64(line, "loss_ppm", chosen->loss_ppm);
+		logline_u64(line, "cost_ppm", chosen->cost_ppm);
+		logline_u64(line, "load", chosen->load);
+		logline_u64(line, "slots", chosen->upstream->load.slots);
+		logline_u64(line, "service_us", chosen->service_time_us);
+		logline_u64(line, "expected_us", chosen->cost_us);
+	}
+	node_log(entry->node, line);
+}
+
+static struct upstream *attempt_upstream(const struct attempt *attempt)
+{
+	return service_find(attempt->flight->service, attempt->agent_node);
+}
+
+/* The agent did not come back in time. */
+static void attempt_lost_due(void *data, uint64_t now_us)
+{
+	struct attempt *attempt = data;
+	struct flight *flight = attempt->flight;
+
+	(void)now_us;
+	flight->may_have_run = true;
+	attempt_end(attempt, UPSTREAM_END_NEUTRAL, NULL);
+	flight_retry(flight, RESULT_OUTCOME_UNKNOWN);
+}
+
+enum result attempt_pick(struct flight *flight, const char *reason,
+			 struct route_candidate *chosen)
+{
+	struct entry *entry = flight->entry;
+	GArray *candidates =
+		g_array_new(FALSE, FALSE, sizeof(struct route_candidate));
+	struct route_query query = { 0 };
+	enum result result = RESULT_OK;
+	uint32_t nr_full = 0;
+
+	attempt_collect(flight, false, candidates, &nr_full);
+	if (!candidates->len && !nr_full && !flight->attempts->len)
+		attempt_collect(flight, true, candidates, &nr_full);
+	if (!candidates->len) {
+		result = nr_full ? RESULT_OVERLOADED : RESULT_NO_UPSTREAM;
+		goto out;
+	}
+	if (attempt_is_too_late(flight, candidates)) {
+		result = RESULT_DEADLINE;
+		goto out;
+	}
+	query.candidates = (struct route_candidate *)(void *)candidates->data;
+	query.nr_candidates = candidates->len;
+	query.random = node_random(entry->node);
+	query.cursor = &flight->service->cursor;
+	*chosen = query.candidates[entry->policy->pick(&query)];
+out:
+	attempt_log_pick(flight, reason, result ? NULL : chosen,
+			 candidates->len, nr_full, result);
+	g_array_unref(candidates);
+	return result;
+}
+
+void attempt_send(struct flight *flight, uint64_t agent_node)
+{
+	struct entry *entry = flight->entry;
+	struct node *node = entry->node;
+	const struct link *link = node_link(node, agent_node);
+	struct attempt *attempt = g_new0(struct attempt, 1);
+	struct upstream *upstream;
+	struct request request = *flight->request;
+	uint64_t left_us = flight_left_us(flight);
+	uint64_t back_us = link ? 2ull * link->delay_us : 0;
+
+	attempt->flight = flight;
+	attempt->request_nr = ++entry->next_request_nr;
+	attempt->agent_node = agent_node;
+	attempt->sent_us = node->now_us;
+	attempt->lost.fn = attempt_lost_due;
+	attempt->lost.data = attempt;
+	g_ptr_array_add(flight->attempts, attempt);
+	g_array_append_val(flight->tried, agent_node);
+	g_hash_table_insert(entry->attempts, &attempt->request_nr, attempt);
+	upstream = attempt_upstream(attempt);
+	if (upstream)
+		upstream_sent(upstream, node->now_us);
+	if (!flight->nr_sent++)
+		flight->first_sent_us = node->now_us;
+
+	request.request_nr = attempt->request_nr;
+	request.target_node = agent_node;
+	request.attempt = flight->nr_sent;
+	/* The agent's refusal has to be back before the deadline. */
+	left_us = left_us > back_us ? left_us - back_us : 0;
+	request.deadline_ms = (uint32_t)MAX(left_us / 1000, 1);
+	node_send(node, agent_node, MSG_REQUEST, &request);
+}
+
+void attempt_end(struct attempt *attempt, enum upstream_end end,
+		 const struct response *response)
+{
+	struct flight *flight = attempt->flight;
+	struct entry *entry = flight->entry;
+	struct upstream *upstream = attempt_upstream(attempt);
+	const struct link *link = node_link(entry->node, attempt->agent_node);
+	struct upstream_sample sample = { .end = end };
+	uint64_t now_us = entry->node->now_us;
+	uint64_t total_us = now_us - attempt->sent_us;
+
+	if (response) {
+		uint64_t used_us =
+			(uint64_t)response->run_us + response->wait_us;
+
+		sample.run_us = response->run_us;
+		if (total_us > used_us && !attempt->asked)
+			sample.path_us =
+				(uint32_t)MIN(total_us - used_us, UINT32_MAX);
+	}
+	if (link)
+		sample.path_usual_us = 2 * link->delay_us;
+	/* An upstream that was removed and came back doesn't know of it. */
+	if (upstream && upstream->own_open) {
+		upstream_ended(upstream, &sample, now_us);
+		if (service_check_health(flight->service, upstream, now_us)) {
+			GString *line = logline_new("eject");
+
+			logline_str(line, "service", flight->service->name);
+			logline_id(line, "agent", upstream->agent_node);
+			logline_u64(line, "for_us",
+				    upstream->ejected_until_us - now_us);
+			node_log(entry->node, line);
+			counter_add(entry->node->counters, "entry_ejections",
+				    1);
+		}
+	}
+	timer_cancel(entry->node->timers, &attempt->lost);
+	g_hash_table_remove(entry->attempts, &attempt->request_nr);
+	g_ptr_array_remove(flight->attempts, attempt);
+}
+
+void attempt_cancel(struct attempt *attempt)
+{
+	struct cancel cancel = { .request_nr = attempt->request_nr };
+
+	node_send(attempt->flight->entry->node, attempt->agent_node, MSG_CANCEL,
+		  &cancel);
+	attempt_end(attempt, UPSTREAM_END_NEUTRAL, NULL);
+}
+
+void attempt_ask(struct attempt *attempt)
+{
+	const struct flight *flight = attempt->flight;
+	struct node *node = flight->entry->node;
+	struct outcome_query query = { 0 };
+
+	query.origin_node = node->self.node_id;
+	query.request_nr = attempt->request_nr;
+	query.reply_nr = attempt->request_nr;
+	TEXT_SET(query.service, flight->service->name);
+	TEXT_SET(query.key, flight->request->key);
+	query.repeatable = flight->request->repeatable;
+	query.refuse = true;
+	attempt->asked = true;
+	timer_cancel(node->timers, &attempt->lost);
+	node_send(node, attempt->agent_node, MSG_OUTCOME_QUERY, &query);
+}
+
+void attempt_peer_lost(struct attempt *attempt)
+{
+	struct flight *flight = attempt->flight;
+
+	if (!flight->request->repeatable) {
+		/* The agent may only have lost its connection. */
+		node_timer_ms(flight->entry->node, &attempt->lost,
+			      PEER_RETURN_MS);
+		return;
+	}
+	flight->may_have_run = true;
+	attempt_end(attempt, UPSTREAM_END_FAILED, NULL);
+	flight_retry(flight, RESULT_OUTCOME_UNKNOWN);
+}
--- /dev/null
+++ b/src/core/entry_flight.c
@@ -0,0 +1,203 @@
+#include "entry_flight.h"
+
+#include "schema.h"
+#include "tunables.h"
+
+static uint64_t request_bytes(const struct request *request)
+{
+	return request->body ? g_bytes_get_size(request->body) : 0;
+}
+
+static void flight_deadline_due(void *data, uint64_t now_us)
+{
+	struct flight *flight = data;
+
+	(void)now_us;
+	if (flight->attempts->len)
+		flight->may_have_run = true;
+	flight_fail(flight, RESULT_DEADLINE);
+}
+
+/* Sends a second attempt while the first one is slow. */
+static void flight_hedge_due(void *data, uint64_t now_us)
+{
+	struct flight *flight = data;
+	struct route_candidate chosen;
+
+	(void)now_us;
+	if (!flight->attempts->len || !budget_spend(&flight->service->hedges))
+		return;
+	if (attempt_pick(flight, "hedge", &chosen))
+		return;
+	counter_add(flight->entry->node->counters, "entry_hedges", 1);
+	attempt_send(flight, chosen.upstream->agent_node);
+}
+
+static void flight_arm_hedge(struct flight *flight)
+{
+	struct node *node = flight->entry->node;
+	uint64_t p95_us = service_p95(flight->service);
+
+	if (flight->request->repeatable && p95_us)
+		timer_set(node->timers, &flight->hedge, node->now_us + p95_us);
+}
+
+struct flight *flight_new(struct entry *entry, struct service *service,
+			  uint64_t ticket, const struct request *request)
+{
+	struct flight *flight = g_new0(struct flight, 1);
+	const struct bundle_service *settings =
+		site_service(entry->site, request->service);
+	uint64_t deadline_ms = request->deadline_ms;
+
+	if (!deadline_ms && settings)
+		deadline_ms = settings->deadline_ms;
+	if (!deadline_ms)
+		deadline_ms = REQUEST_DEADLINE_MS;
+	deadline_ms = MIN(deadline_ms, REQUEST_DEADLINE_MAX_MS);
+	flight->entry = entry;
+	flight->service = service;
+	flight->ticket = ticket;
+	flight->request = schema_dup(MSG_REQUEST, request);
+	flight->submitted_us = entry->node->now_us;
+	flight->deadline_us = flight->submitted_us + deadline_ms * 1000;
+	flight->attempts = g_ptr_array_new_with_free_func(g_free);
+	flight->tried = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	flight->deadline.fn = flight_deadline_due;
+	flight->deadline.data = flight;
+	flight->hedge.fn = flight_hedge_due;
+	flight->hedge.data = flight;
+	timer_set(entry->node->timers, &flight->deadline, flight->deadline_us);
+	entry->bytes += request_bytes(request);
+	g_hash_table_insert(entry->flights, &flight->ticket, flight);
+	return flight;
+}
+
+void flight_free(void *data)
+{
+	struct flight *flight = data;
+	struct entry *entry = flight->entry;
+	struct timers *timers = entry->node->timers;
+
+	for (uint32_t i = 0; i < flight->attempts->len; i++) {
+		struct attempt *attempt =
+			g_ptr_array_index(flight->attempts, i);
+
+		timer_cancel(timers, &attempt->lost);
+	}
+	timer_cancel(timers, &flight->deadline);
+	timer_cancel(timers, &flight->hedge);
+	entry->bytes -= request_bytes(flight->request);
+	g_ptr_array_unref(flight->attempts);
+	g_array_unref(flight->tried);
+	record_unref((struct record){ MSG_REQUEST, flight->request });
+	g_free(flight);
+}
+
+void flight_end(struct flight *flight)
+{
+	uint64_t ticket = flight->ticket;
+
+	while (flight->attempts->len)
+		attempt_cancel(g_ptr_array_index(flight->attempts, 0));
+	g_hash_table_remove(flight->entry->flights, &ticket);
+}
+
+void flight_answer(struct flight *flight, const struct response *response)
+{
+	struct entry *entry = flight->entry;
+	uint64_t ticket = flight->ticket;
+	const char *counter = "entry_unknown";
+
+	if (response->run == RUN_DONE)
+		counter = "entry_done";
+	else if (response->run == RUN_NOT_RUN)
+		counter = "entry_not_run";
+	counter_add(entry->node->counters, counter, 1);
+	flight_end(flight);
+	entry->host->respond(entry->host_ctx, ticket, response);
+}
+
+void flight_fail(struct flight *flight, enum result result)
+{
+	struct response response = { 0 };
+
+	response.run = flight->may_have_run ? RUN_UNKNOWN : RUN_NOT_RUN;
+	response.result = result;
+	flight_answer(flight, &response);
+}
+
+void flight_dispatch(struct flight *flight, const char *reason)
+{
+	struct route_candidate chosen;
+	enum result result = attempt_pick(flight, reason, &chosen);
+
+	if (result) {
+		flight_fail(flight, result);
+		return;
+	}
+	if (!flight->nr_sent)
+		flight_arm_hedge(flight);
+	attempt_send(flight, chosen.upstream->agent_node);
+}
+
+void flight_retry(struct flight *flight, enum result result)
+{
+	struct service *service = flight->service;
+
+	if (flight->attempts->len)
+		return;
+	if ((flight->may_have_run && !flight->request->repeatable) ||
+	    flight->nr_sent >= REQUEST_ATTEMPTS_MAX ||
+	    flight->deadline_us <= flight->entry->node->now_us ||
+	    !budget_spend(&service->retries)) {
+		flight_fail(flight, result);
+		return;
+	}
+	counter_add(flight->entry->node->counters, "entry_retries", 1);
+	flight_dispatch(flight, "retry");
+}
+
+/* Maps a refusal to what it tells of the upstream's health. */
+static enum upstream_end end_of_refusal(uint32_t result)
+{
+	switch (result) {
+	case RESULT_OVERLOADED:
+	case RESULT_DEADLINE:
+		return UPSTREAM_END_BUSY;
+	case RESULT_UPSTREAM_FAILED:
+		return UPSTREAM_END_NO_CONNECTION;
+	default:
+		return UPSTREAM_END_NEUTRAL;
+	}
+}
+
+void flight_response(struct attempt *attempt, const struct response *response)
+{
+	struct flight *flight = attempt->flight;
+	uint64_t now_us = flight->entry->node->now_us;
+
+	switch (response->run) {
+	case RUN_DONE:
+		attempt_end(attempt,
+			    response->status >= 500 ? UPSTREAM_END_FAILED :
+						      UPSTREAM_END_OK,
+			    response);
+		service_learn_latency(flight->service,
+				      now_us - flight->first_sent_us);
+		flight_answer(flight, response);
+		break;
+	case RUN_NOT_RUN:
+		attempt_end(attempt, end_of_refusal(response->result), NULL);
+		flight_retry(flight, response->result);
+		break;
+	case RUN_QUEUED:
+	case RUN_RUNNING:
+		/* The response follows when the run ends. */
+		break;
+	default:
+		flight->may_have_run = true;
+		attempt_end(attempt, UPSTREAM_END_FAILED, NULL);
+		flight_retry(flight, response->result);
+	}
+}
--- a/src/core/msg_request.h
+++ b/src/core/msg_request.h
@@ -59,6 +59,7 @@
 	char content_type[KEY_BYTES];
 	GBytes *body;
 	uint32_t run_us; /* time at the upstream */
+	uint32_t wait_us; /* time in the agent's queue */
 	struct load load;
 };
 
@@ -67,15 +68,19 @@
 };
 
 /**
- * Asks what became of a request. Answered by a response: RUN_DONE with the
- * whole response, RUN_QUEUED or RUN_RUNNING, RUN_NOT_RUN, or RUN_UNKNOWN.
+ * Asks what became of a request. Answered by a response to the asking entry
+ * under its own reply_nr: RUN_DONE with the whole response, RUN_QUEUED or
+ * RUN_RUNNING (the response follows when the run ends), RUN_NOT_RUN, or
+ * RUN_UNKNOWN.
  */
 struct outcome_query {
-	uint64_t origin_node;
+	uint64_t origin_node; /* entry that sent the request */
 	uint64_t request_nr;
+	uint64_t reply_nr; /* number of the answer, unique for the asker */
 	char service[NAME_BYTES];
-	char key[KEY_BYTES]; /* if not empty, the run is looked up by key */
-	bool refuse; /* refuse the request for good if it has not begun */
+	char key[KEY_BYTES]; /* if not empty, looked up when the number isn't */
+	bool repeatable;
+	bool refuse; /* refuse the request for good if it has not arrived */
 };
 
 #endif /* MSG_REQUEST_H */
--- a/src/core/schema_request.c
+++ b/src/core/schema_request.c
@@ -27,15 +27,11 @@
 	      load_report_fields);
 
 static const struct field response_fields[] = {
-	F_U64(response, origin_node),
-	F_U64(response, request_nr),
-	F_U32(response, run),
-	F_U32(response, result),
-	F_U32(response, status),
-	F_STRING(response, content_type),
-	F_BYTES(response, body),
-	F_U32(response, run_us),
-	F_ONE(response, load, load_schema),
+	F_U64(response, origin_node), F_U64(response, request_nr),
+	F_U32(response, run),	      F_U32(response, result),
+	F_U32(response, status),      F_STRING(response, content_type),
+	F_BYTES(response, body),      F_U32(response, run_us),
+	F_U32(response, wait_us),     F_ONE(response, load, load_schema),
 };
 static SCHEMA(response_schema, "Response", response, response_fields);
 
@@ -46,7 +42,8 @@
 
 static const struct field outcome_query_fields[] = {
 	F_U64(outcome_query, origin_node), F_U64(outcome_query, request_nr),
-	F_STRING(outcome_query, service),  F_STRING(outcome_query, key),
+	F_U64(outcome_query, reply_nr),	   F_STRING(outcome_query, service),
+	F_STRING(outcome_query, key),	   F_BOOL(outcome_query, repeatable),
 	F_BOOL(outcome_query, refuse),
 };
 static SCHEMA(outcome_query_schema, "OutcomeQuery", outcome_query,
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -45,5 +45,51 @@
 
 /* Upstreams. */
 #define UPSTREAM_ANNOUNCE_TTL_MS 3000
+#define LOAD_INTERVAL_MS 500 /* of load reports without change */
+#define LOAD_MIN_INTERVAL_MS 50 /* of load reports that tell a change */
+/* An upstream without a newer report gets nothing new. Below the bound of 2 s
+ * for a leaving upstream, and above three reports. */
+#define LOAD_TTL_MS 1800
+
+/* Routing. */
+#define ROUTE_DEFAULT_SERVICE_TIME_US 10000 /* before anything is known */
+#define ROUTE_STALL_MIN_US 50000 /* extra delay that counts as a loss */
+/* Charge for a path that stalls each attempt. Ten times the usual stall of
+ * 200 ms, because stalls decide the tail and not the mean. */
+#define ROUTE_LOSS_CHARGE_US 2000000
+/* A learned service time is taken as it is for this long, then fades. */
+#define SERVICE_TIME_FRESH_MS 2000
+#define SERVICE_TIME_FADE_MS 10000
+#define SLOW_START_MS 5000
+#define SLOW_START_WARM_RUNS 100
+#define EJECT_FAILURES 5 /* in a row */
+#define EJECT_BASE_MS 2000
+#define EJECT_MAX_MS 60000
+#define EJECT_MAX_DOUBLINGS 5
+#define EJECT_CAP_DIVISOR 3 /* at most a third is ejected */
+
+/* Entry. */
+#define ENTRY_IN_FLIGHT_MAX 4096
+#define ENTRY_IN_FLIGHT_MAX_BYTES (64u << 20)
+#define REQUEST_DEADLINE_MS 10000 /* where the bundle gives none */
+#define REQUEST_DEADLINE_MAX_MS 600000
+#define REQUEST_ATTEMPTS_MAX 4
+#define RETRY_SHARE_PPM 100000
+#define RETRY_BURST 20
+#define HEDGE_SHARE_PPM 50000
+#define HEDGE_BURST 5
+/* How long a lost agent may take to come back and tell an outcome. */
+#define PEER_RETURN_MS 1000
+
+/* Admission at the agent. */
+#define ADMIT_QUEUE_PER_SLOT 8
+#define ADMIT_RESPONSE_TTL_MS 60000
+#define ADMIT_RESPONSE_MAX_BYTES (16u << 20)
+/* Repeatable requests are asked about only when a link has been replaced. */
+#define ADMIT_REPEATABLE_TTL_MS 5000
+#define ADMIT_RECORD_TTL_MS 600000
+#define ADMIT_RECORDS_MAX 16384
+/* A run that isn't repeatable may go on past its deadline, but not forever. */
+#define ADMIT_OVERRUN_MS 30000
 
 #endif /* TUNABLES_H */
