--- /dev/null
+++ b/src/daemon/http_call.c
@@ -0,0 +1,234 @@
+#include "http_call.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include "schema.h"
+
+#define CALL_READ_BYTES (64u << 10)
+#define CALL_IDLE_S 10 /* an unused connection is closed */
+#define CALL_MAX_CONNECTIONS 8192 /* of a session to all servers */
+/* Unacknowledged data and keepalive probes end a silent connection. */
+#define CALL_KEEPALIVE_S 1
+#define CALL_KEEPALIVE_PROBES 3
+#define CALL_UNACKNOWLEDGED_MS 3000
+
+struct http_call {
+	uint64_t call_nr;
+	uint64_t max_bytes;
+	http_call_done *done;
+	void *ctx;
+	SoupMessage *msg;
+	GCancellable *cancellable;
+	GSource *timeout;
+	GInputStream *stream;
+	GByteArray *body;
+	struct upstream_result result;
+};
+
+static void call_free(struct http_call *call)
+{
+	if (call->timeout) {
+		g_source_destroy(call->timeout);
+		g_source_unref(call->timeout);
+	}
+	if (call->msg)
+		g_signal_handlers_disconnect_by_data(call->msg, call);
+	g_clear_object(&call->stream);
+	g_clear_object(&call->msg);
+	g_object_unref(call->cancellable);
+	g_byte_array_unref(call->body);
+	g_free(call);
+}
+
+static void call_finish(struct http_call *call)
+{
+	call->result.body =
+		g_byte_array_free_to_bytes(g_steal_pointer(&call->body));
+	call->body = g_byte_array_new();
+	if (call->msg && call->result.complete) {
+		call->result.status = soup_message_get_status(call->msg);
+		TEXT_SET(call->result.content_type,
+			 soup_message_headers_get_one(
+				 soup_message_get_response_headers(call->msg),
+				 "Content-Type"));
+	}
+	call->done(call->ctx, call, &call->result);
+	g_bytes_unref(call->result.body);
+	call_free(call);
+}
+
+static void call_closed(GObject *stream, GAsyncResult *res, gpointer data)
+{
+	g_input_stream_close_finish(G_INPUT_STREAM(stream), res, NULL);
+	call_finish(data);
+}
+
+static void call_read(GObject *stream, GAsyncResult *res, gpointer data)
+{
+	struct http_call *call = data;
+	GBytes *bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(stream),
+							 res, NULL);
+	gsize size = bytes ? g_bytes_get_size(bytes) : 0;
+
+	if (size && call->body->len + size <= call->max_bytes) {
+		g_byte_array_append(call->body, g_bytes_get_data(bytes, NULL),
+				    (guint)size);
+		g_input_stream_read_bytes_async(call->stream, CALL_READ_BYTES,
+						G_PRIORITY_DEFAULT,
+						call->cancellable, call_read,
+						call);
+	} else {
+		call->result.complete = bytes && !size;
+		/* Closing an unread response also closes its connection. */
+		g_input_stream_close_async(call->stream, G_PRIORITY_DEFAULT,
+					   NULL, call_closed, call);
+	}
+	g_clear_pointer(&bytes, g_bytes_unref);
+}
+
+static void call_answered(GObject *session, GAsyncResult *res, gpointer data)
+{
+	struct http_call *call = data;
+
+	call->stream =
+		soup_session_send_finish(SOUP_SESSION(session), res, NULL);
+	if (!call->stream) {
+		call_finish(call);
+		return;
+	}
+	g_input_stream_read_bytes_async(call->stream, CALL_READ_BYTES,
+					G_PRIORITY_DEFAULT, call->cancellable,
+					call_read, call);
+}
+
+/* From here on the request may reach the server. */
+static void call_starting(SoupMessage *msg, gpointer data)
+{
+	struct http_call *call = data;
+
+	call->result.connected = true;
+}
+
+static void call_network_event(SoupMessage *msg, GSocketClientEvent event,
+			       GIOStream *stream, gpointer data)
+{
+	GSocket *socket;
+
+	if (event != G_SOCKET_CLIENT_CONNECTED ||
+	    !G_IS_SOCKET_CONNECTION(stream))
+		return;
+	socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream));
+	g_socket_set_keepalive(socket, TRUE);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, CALL_KEEPALIVE_S,
+			    NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL,
+			    CALL_KEEPALIVE_S, NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPCNT,
+			    CALL_KEEPALIVE_PROBES, NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+			    CALL_UNACKNOWLEDGED_MS, NULL);
+}
+
+static gboolean call_timed_out(gpointer data)
+{
+	struct http_call *call = data;
+
+	g_cancellable_cancel(call->cancellable);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean call_bad_address(gpointer data)
+{
+	call_finish(data);
+	return G_SOURCE_REMOVE;
+}
+
+static void call_set_headers(struct http_call *call,
+			     const struct http_call_opts *opts)
+{
+	SoupMessageHeaders *headers =
+		soup_message_get_request_headers(call->msg);
+	char *deadline;
+
+	if (opts->key && opts->key[0])
+		soup_message_headers_replace(headers, "Idempotency-Key",
+					     opts->key);
+	if (opts->deadline_ms) {
+		deadline = g_strdup_printf("%u", opts->deadline_ms);
+		soup_message_headers_replace(headers, "Masticreach-Deadline-Ms",
+					     deadline);
+		g_free(deadline);
+	}
+	if (opts->content_type && opts->content_type[0])
+		soup_message_headers_replace(headers, "Content-Type",
+					     opts->content_type);
+	if (opts->body)
+		soup_message_set_request_body_from_bytes(call->msg, NULL,
+							 opts->body);
+}
+
+SoupSession *http_call_session(uint32_t max_connections)
+{
+	SoupSession *session = soup_session_new_with_options(
+		"max-conns", CALL_MAX_CONNECTIONS, "max-conns-per-host",
+		max_connections, "idle-timeout", CALL_IDLE_S, "timeout", 0,
+		"proxy-resolver", NULL, NULL);
+
+	soup_session_remove_feature_by_type(session, SOUP_TYPE_AUTH_MANAGER);
+	soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
+	return session;
+}
+
+struct http_call *http_call_new(const struct http_call_opts *opts)
+{
+	struct http_call *call = g_new0(struct http_call, 1);
+	SoupMessageFlags flags = SOUP_MESSAGE_NO_REDIRECT |
+				 SOUP_MESSAGE_DO_NOT_USE_AUTH_CACHE;
+	char *text = g_strconcat("http://", opts->address, opts->path, NULL);
+	GUri *uri = g_uri_parse(text, SOUP_HTTP_URI_FLAGS, NULL);
+
+	call->call_nr = opts->call_nr;
+	call->max_bytes = opts->max_bytes;
+	call->done = opts->done;
+	call->ctx = opts->ctx;
+	call->cancellable = g_cancellable_new();
+	call->body = g_byte_array_new();
+	g_free(text);
+	if (!uri) {
+		g_idle_add(call_bad_address, call);
+		return call;
+	}
+	call->msg = soup_message_new_from_uri(opts->method, uri);
+	g_uri_unref(uri);
+	/*
+	 * libsoup sends a request with an idempotent method again if a reused
+	 * connection was closed before the response. A new connection rules
+	 * this out, as only reused ones are retried.
+	 */
+	if (opts->once)
+		flags |= SOUP_MESSAGE_NEW_CONNECTION;
+	soup_message_set_flags(call->msg, flags);
+	call_set_headers(call, opts);
+	g_signal_connect(call->msg, "starting", G_CALLBACK(call_starting),
+			 call);
+	g_signal_connect(call->msg, "network-event",
+			 G_CALLBACK(call_network_event), call);
+	call->timeout = g_timeout_source_new(opts->timeout_ms);
+	g_source_set_callback(call->timeout, call_timed_out, call, NULL);
+	g_source_attach(call->timeout, NULL);
+	soup_session_send_async(opts->session, call->msg, G_PRIORITY_DEFAULT,
+				call->cancellable, call_answered, call);
+	return call;
+}
+
+void http_call_cancel(struct http_call *call)
+{
+	g_cancellable_cancel(call->cancellable);
+}
+
+uint64_t http_call_nr(const struct http_call *call)
+{
+	return call->call_nr;
+}
--- a/src/daemon/loop.c
+++ b/src/daemon/loop.c
@@ -2,9 +2,12 @@
 
 #include <errno.h>
 #include <glib-unix.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 #include <sys/random.h>
+#include <unistd.h>
 
 #include "transport.h"
 #include "tunables.h"
@@ -12,6 +15,11 @@
 /* Identifiers fit a JSON number without loss. */
 #define NODE_ID_MASK ((UINT64_C(1) << 52) - 1)
 #define SHUTDOWN_POLL_MS 20
+/* A pipe that polls as writable takes this much without blocking. */
+#define LOG_LINE_MAX_BYTES 4096
+
+static enum log_level log_level = LOG_DECISIONS;
+static uint64_t log_dropped;
 
 struct loop {
 	GMainLoop *main;
@@ -19,6 +27,12 @@
 	struct transport *transport;
 	GSource *timer;
 	GSource *drain;
+	void (*stop)(void *ctx);
+	bool (*idle)(const void *ctx);
+	void *drain_ctx;
+	uint32_t drain_ms;
+	uint64_t drain_end_us;
+	enum result result;
 };
 
 static void loop_send(void *ctx, uint64_t node_id, uint32_t type,
@@ -114,9 +128,13 @@
 static gboolean loop_drain(gpointer data)
 {
 	struct loop *loop = data;
+	bool idle = node_idle(loop->node) &&
+		    transport_flushed(loop->transport) &&
+		    (!loop->idle || loop->idle(loop->drain_ctx));
 
-	if (!node_idle(loop->node) || !transport_flushed(loop->transport))
+	if (!idle && loop_now_us() < loop->drain_end_us)
 		return G_SOURCE_CONTINUE;
+	loop->result = idle ? RESULT_OK : RESULT_TIMEOUT;
 	g_main_loop_quit(loop->main);
 	return G_SOURCE_CONTINUE;
 }
@@ -125,13 +143,16 @@
 {
 	struct loop *loop = data;
 
+	if (loop->drain)
+		return G_SOURCE_CONTINUE;
+	loop->drain_end_us = loop_now_us() + loop->drain_ms * 1000ull;
+	if (loop->stop)
+		loop->stop(loop->drain_ctx);
 	node_shutdown(loop->node, loop_now_us());
 	loop_leave(loop);
-	if (!loop->drain) {
-		loop->drain = g_timeout_source_new(SHUTDOWN_POLL_MS);
-		g_source_set_callback(loop->drain, loop_drain, loop, NULL);
-		g_source_attach(loop->drain, NULL);
-	}
+	loop->drain = g_timeout_source_new(SHUTDOWN_POLL_MS);
+	g_source_set_callback(loop->drain, loop_drain, loop, NULL);
+	g_source_attach(loop->drain, NULL);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -150,6 +171,7 @@
 	TEXT_SET(node_opts.name, opts->name);
 	TEXT_SET(node_opts.zone, opts->zone);
 	node_opts.now_us = loop_now_us();
+	loop->drain_ms = opts->drain_ms;
 	loop->main = g_main_loop_new(NULL, FALSE);
 	loop->node = node_new(&node_opts);
 	transport_opts.ops = &loop_transport_ops;
@@ -207,7 +229,20 @@
 				next_us == TIMER_NEVER ? -1 : (gint64)next_us);
 }
 
-void loop_run(struct loop *loop)
+void loop_set_drain(struct loop *loop, void (*stop)(void *ctx),
+		    bool (*idle)(const void *ctx), void *ctx)
+{
+	loop->stop = stop;
+	loop->idle = idle;
+	loop->drain_ctx = ctx;
+}
+
+uint64_t loop_bytes_sent(const struct loop *loop)
+{
+	return transport_bytes_sent(loop->transport);
+}
+
+enum result loop_run(struct loop *loop)
 {
 	GSource *term = g_unix_signal_source_new(SIGTERM);
 	GSource *interrupt = g_unix_signal_source_new(SIGINT);
@@ -223,6 +258,7 @@
 	g_source_unref(term);
 	g_source_destroy(interrupt);
 	g_source_unref(interrupt);
+	return loop->result;
 }
 
 uint64_t loop_now_us(void)
@@ -240,14 +276,46 @@
 	return value;
 }
 
+static bool log_wants(const char *line)
+{
+	if (log_level == LOG_EVENTS)
+		return !g_str_has_prefix(line, "event=route ") &&
+		       !g_str_has_prefix(line, "event=place ");
+	return log_level != LOG_NONE;
+}
+
 void loop_log_line(const char *line)
 {
+	struct pollfd out = { .fd = STDERR_FILENO, .events = POLLOUT };
+	char text[LOG_LINE_MAX_BYTES];
 	gint64 now_us = g_get_real_time();
-	GDateTime *now = g_date_time_new_from_unix_utc(now_us / 1000000);
-	char *text = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
+	GDateTime *now;
+	char *stamp;
+	int size;
 
-	fprintf(stderr, "time=%s.%06dZ %s\n", text, (int)(now_us % 1000000),
-		line);
-	g_free(text);
+	if (!log_wants(line))
+		return;
+	now = g_date_time_new_from_unix_utc(now_us / 1000000);
+	stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
+	size = g_snprintf(text, sizeof(text), "time=%s.%06dZ %s\n", stamp,
+			  (int)(now_us % 1000000), line);
+	if (size >= (int)sizeof(text)) {
+		size = sizeof(text) - 1;
+		text[size - 1] = '\n';
+	}
+	if (poll(&out, 1, 0) != 1 || !(out.revents & POLLOUT) ||
+	    write(STDERR_FILENO, text, (size_t)size) != size)
+		log_dropped++;
+	g_free(stamp);
 	g_date_time_unref(now);
 }
+
+void loop_log_level(enum log_level level)
+{
+	log_level = level;
+}
+
+uint64_t loop_log_dropped(void)
+{
+	return log_dropped;
+}
--- a/src/daemon/loop.h
+++ b/src/daemon/loop.h
@@ -12,6 +12,7 @@
 
 #include "node.h"
 #include "result.h"
+#include "settings.h"
 
 struct loop;
 
@@ -20,6 +21,7 @@
 	const char *name;
 	const char *zone;
 	uint64_t node_id; /* 0: draw one */
+	uint32_t drain_ms; /* time limit of a graceful shutdown */
 };
 
 /** Makes a node and its host; the role is attached with loop_node(). */
@@ -32,13 +34,30 @@
 /** Rearms the timer source after the node may have set timers. */
 void loop_leave(struct loop *loop);
 
-/** Runs until a graceful shutdown, begun by SIGTERM or SIGINT, has ended. */
-void loop_run(struct loop *loop);
+/**
+ * Sets what takes part in a graceful shutdown besides the node: @a stop is
+ * called once at its start, and it ends when @a idle is true as well.
+ */
+void loop_set_drain(struct loop *loop, void (*stop)(void *ctx),
+		    bool (*idle)(const void *ctx), void *ctx);
+/**
+ * Runs until a graceful shutdown, begun by SIGTERM or SIGINT, has ended.
+ * Returns RESULT_TIMEOUT if drain_ms ran out first.
+ */
+enum result loop_run(struct loop *loop);
+/** Bytes sent on links to other processes. */
+uint64_t loop_bytes_sent(const struct loop *loop);
 
 /** Monotonic time in microseconds. */
 uint64_t loop_now_us(void);
 uint64_t loop_random_u64(void);
-/** Writes one line with the time in front to standard error. */
+/**
+ * Writes one line with the time in front to standard error. A line is dropped
+ * and counted if its reader is behind, as the loop must not wait for it.
+ */
 void loop_log_line(const char *line);
+void loop_log_level(enum log_level level);
+/** Number of lines that were dropped. */
+uint64_t loop_log_dropped(void);
 
 #endif /* LOOP_H */
--- /dev/null
+++ b/src/daemon/main.c
@@ -0,0 +1,87 @@
+/** @file main.c Starts one process of masticreach. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "role_host.h"
+
+static const struct role_host_ops *const role_hosts[] = {
+	[ROLE_ENTRY] = &host_entry_ops,
+	[ROLE_AGENT] = &host_agent_ops,
+	[ROLE_CONTROL] = &host_control_ops,
+};
+
+static enum result write_port_file(const struct settings *settings,
+				   const char *listen, const char *http)
+{
+	char *text;
+	gboolean written;
+
+	if (!settings->port_file[0])
+		return RESULT_OK;
+	text = g_strdup_printf("listen=%s\nhttp=%s\n", listen, http);
+	written = g_file_set_contents(settings->port_file, text, -1, NULL);
+	g_free(text);
+	return written ? RESULT_OK : RESULT_IO;
+}
+
+/* Runs the process; on a fault during the start @a part names the cause. */
+static enum result run(const struct settings *settings, const char **part)
+{
+	const struct role_host_ops *ops = role_hosts[settings->role];
+	struct loop_opts opts = { 0 };
+	struct loop *loop = NULL;
+	void *host = NULL;
+	enum result res;
+
+	opts.listen = settings->listen[0] ? settings->listen : NULL;
+	opts.name = settings->name;
+	opts.zone = settings->zone;
+	opts.drain_ms = settings->drain_ms;
+	*part = "--listen";
+	res = loop_new(&opts, &loop);
+	if (res != RESULT_OK)
+		goto out;
+	*part = "--http";
+	res = ops->open(loop, settings, &host);
+	if (res != RESULT_OK)
+		goto out;
+	*part = "--port-file";
+	res = write_port_file(settings, loop_node(loop)->self.address,
+			      ops->http_address(host));
+	if (res != RESULT_OK)
+		goto out;
+	loop_set_drain(loop, ops->stop, ops->idle, host);
+	*part = "drain";
+	res = loop_run(loop);
+out:
+	if (host)
+		ops->free(host);
+	loop_free(loop);
+	return res;
+}
+
+extern char **environ;
+
+int main(int argc, char **argv)
+{
+	struct settings settings;
+	const char *part = NULL;
+	char *error = NULL;
+	enum result res;
+
+	res = settings_read(&settings, argc, argv, environ, &error);
+	if (res != RESULT_OK) {
+		fprintf(stderr, "masticreachd: %s\n", error);
+		g_free(error);
+		return res;
+	}
+	loop_log_level(settings.log_level);
+	res = run(&settings, &part);
+	if (res != RESULT_OK)
+		fprintf(stderr, "masticreachd: %s: %s\n", part,
+			result_summary(res));
+	settings_clear(&settings);
+	return res;
+}
--- /dev/null
+++ b/src/daemon/role_host.c
@@ -0,0 +1,44 @@
+#include "role_host.h"
+
+#include <stdio.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+static uint64_t process_resident_bytes(void)
+{
+	FILE *file = fopen("/proc/self/statm", "re");
+	unsigned long long total = 0;
+	unsigned long long resident = 0;
+	int got;
+
+	if (!file)
+		return 0;
+	got = fscanf(file, "%llu %llu", &total, &resident);
+	fclose(file);
+	return got == 2 ? resident * (uint64_t)sysconf(_SC_PAGESIZE) : 0;
+}
+
+static uint64_t process_cpu_us(void)
+{
+	struct rusage usage = { 0 };
+
+	getrusage(RUSAGE_SELF, &usage);
+	return (uint64_t)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) *
+		       1000000 +
+	       (uint64_t)(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+}
+
+void role_host_metrics(struct loop *loop, const struct http_server *server,
+		       GString *out)
+{
+	struct counters *counters = loop_node(loop)->counters;
+
+	counter_set(counters, "process_resident_bytes",
+		    process_resident_bytes());
+	counter_set(counters, "process_cpu_us", process_cpu_us());
+	counter_set(counters, "link_bytes_sent", loop_bytes_sent(loop));
+	counter_set(counters, "http_body_bytes_sent",
+		    http_server_bytes_sent(server));
+	counter_set(counters, "log_lines_dropped", loop_log_dropped());
+	counters_print(counters, out);
+}
--- /dev/null
+++ b/src/daemon/settings.c
@@ -0,0 +1,504 @@
+#include "settings.h"
+
+#include <argp.h>
+#include <gio/gio.h>
+#include <stdbool.h>
+#include <string.h>
+
+#include "schema.h"
+
+#define VARIABLE_PREFIX "MASTICREACH_"
+#define FIRST_KEY 256 /* argp keys above all characters: no short options */
+#define DRAIN_MAX_MS 3600000
+#define CONNECTIONS_MAX 100000
+
+enum setting_index {
+	SET_ROLE,
+	SET_NAME,
+	SET_ZONE,
+	SET_RACK,
+	SET_LISTEN,
+	SET_HTTP,
+	SET_CONTROL,
+	SET_DATA,
+	SET_WORKER,
+	SET_CPU_MILLIS,
+	SET_MEMORY_MIB,
+	SET_ACCELERATORS,
+	SET_LOG_LEVEL,
+	SET_PORT_FILE,
+	SET_DRAIN_MS,
+	SET_MAX_CONNECTIONS,
+	NR_SETTINGS,
+};
+
+static const struct setting setting_table[NR_SETTINGS] = {
+	[SET_ROLE] = { "role", "ROLE", NULL, "all", "entry, agent or control" },
+	[SET_NAME] = { "name", "NAME", NULL, "all", "name of this VM" },
+	[SET_ZONE] = { "zone", "ZONE", NULL, "all",
+		       "availability zone of this VM" },
+	[SET_RACK] = { "rack", "RACK", "", "all", "rack of this VM" },
+	[SET_LISTEN] = { "listen", "IP:PORT", NULL, "agent, control",
+			 "address for other processes of the system; port 0 "
+			 "takes a free one" },
+	[SET_HTTP] = { "http", "IP:PORT", NULL, "all",
+		       "address of the HTTP server; port 0 takes a free one" },
+	[SET_CONTROL] = { "control", "IP:PORT,...", NULL, "all",
+			  "listen addresses of all control replicas" },
+	[SET_DATA] = { "data", "DIR", NULL, "control",
+		       "directory of the replicated state" },
+	[SET_WORKER] = { "worker", "IP:PORT", "", "agent",
+			 "HTTP address of the worker on this VM; without it "
+			 "the VM runs no tasks" },
+	[SET_CPU_MILLIS] = { "cpu-millis", "N", "0", "agent",
+			     "processors for tasks, in thousandths" },
+	[SET_MEMORY_MIB] = { "memory-mib", "N", "0", "agent",
+			     "memory for tasks, in MiB" },
+	[SET_ACCELERATORS] = { "accelerators", "N", "0", "agent",
+			       "accelerators for tasks" },
+	[SET_LOG_LEVEL] = { "log-level", "LEVEL", "decisions", "all",
+			    "none, events, or decisions (events and one line "
+			    "for each decision)" },
+	[SET_PORT_FILE] = { "port-file", "FILE", "", "all",
+			    "file for the bound addresses, written after the "
+			    "start" },
+	[SET_DRAIN_MS] = { "drain-ms", "MS", "30000", "all",
+			   "time limit of a graceful shutdown" },
+	[SET_MAX_CONNECTIONS] = { "max-connections", "N", "4096", "all",
+				  "HTTP connections accepted at a time" },
+};
+
+/* Variables of the operators' tool, which may be set on the same VM. */
+static const char *const tool_variables[] = {
+	"MASTICREACH_CONTROL_HTTP",
+	"MASTICREACH_TIMEOUT_MS",
+};
+
+struct setting_values {
+	char *value[NR_SETTINGS];
+	const char *source[NR_SETTINGS]; /* "--name" or the variable, interned
+					  */
+	const char *unexpected; /* first argument that is no flag */
+};
+
+const struct setting *settings_table(size_t *nr)
+{
+	*nr = NR_SETTINGS;
+	return setting_table;
+}
+
+char *setting_variable(const struct setting *setting)
+{
+	char *upper = g_ascii_strup(setting->name, -1);
+	char *name = g_strconcat(VARIABLE_PREFIX, upper, NULL);
+
+	g_strdelimit(name, "-", '_');
+	g_free(upper);
+	return name;
+}
+
+static enum result settings_fail(char **error, enum result res,
+				 const char *format, ...) G_GNUC_PRINTF(3, 4);
+
+static enum result settings_fail(char **error, enum result res,
+				 const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	*error = g_strdup_vprintf(format, args);
+	va_end(args);
+	return res;
+}
+
+static void values_set(struct setting_values *values, size_t i,
+		       const char *source, const char *value)
+{
+	g_free(values->value[i]);
+	values->value[i] = g_strdup(value);
+	values->source[i] = g_intern_string(source);
+}
+
+static error_t settings_parse_option(int key, char *arg,
+				     struct argp_state *state)
+{
+	struct setting_values *values = state->input;
+	char *source;
+
+	if (key < FIRST_KEY || key >= FIRST_KEY + NR_SETTINGS)
+		return ARGP_ERR_UNKNOWN;
+	source = g_strconcat("--", setting_table[key - FIRST_KEY].name, NULL);
+	values_set(values, (size_t)(key - FIRST_KEY), source, arg);
+	g_free(source);
+	return 0;
+}
+
+static bool setting_is_help(const char *flag)
+{
+	static const char *const flags[] = { "--help", "--usage", "--version",
+					     "-?", "-V" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(flags); i++)
+		if (!strcmp(flag, flags[i]))
+			return true;
+	return false;
+}
+
+/*
+ * argp reports an unknown flag in two lines and accepts abbreviations, which
+ * would change their meaning when a setting is added. So flags are checked
+ * first and argp sees only what it can parse.
+ */
+static enum result settings_check_flags(int argc, char **argv, char **error)
+{
+	for (int i = 1; i < argc; i++) {
+		const char *equals = strchr(argv[i], '=');
+		size_t len = equals ? (size_t)(equals - argv[i]) :
+				      strlen(argv[i]);
+		size_t found = NR_SETTINGS;
+
+		if (setting_is_help(argv[i]))
+			return RESULT_OK;
+		if (strncmp(argv[i], "--", 2))
+			return settings_fail(error, RESULT_USAGE,
+					     "unexpected argument \"%s\"",
+					     argv[i]);
+		for (size_t j = 0; j < NR_SETTINGS; j++)
+			if (strlen(setting_table[j].name) == len - 2 &&
+			    !strncmp(setting_table[j].name, argv[i] + 2,
+				     len - 2))
+				found = j;
+		if (found == NR_SETTINGS)
+			return settings_fail(error, RESULT_USAGE,
+					     "unknown setting %.*s", (int)len,
+					     argv[i]);
+		if (!equals && ++i == argc)
+			return settings_fail(error, RESULT_USAGE,
+					     "--%s needs a value",
+					     setting_table[found].name);
+	}
+	return RESULT_OK;
+}
+
+static bool settings_tool_variable(const char *name, size_t len)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(tool_variables); i++)
+		if (strlen(tool_variables[i]) == len &&
+		    !strncmp(tool_variables[i], name, len))
+			return true;
+	return false;
+}
+
+static enum result settings_read_variable(struct setting_values *values,
+					  const char *entry, char **error)
+{
+	const char *equals = strchr(entry, '=');
+	enum result res = RESULT_USAGE;
+	size_t len;
+
+	if (!g_str_has_prefix(entry, VARIABLE_PREFIX) || !equals)
+		return RESULT_OK;
+	len = (size_t)(equals - entry);
+	if (settings_tool_variable(entry, len))
+		return RESULT_OK;
+	for (size_t i = 0; i < NR_SETTINGS && res != RESULT_OK; i++) {
+		char *name = setting_variable(&setting_table[i]);
+
+		if (strlen(name) == len && !strncmp(name, entry, len)) {
+			res = RESULT_OK;
+			if (equals[1])
+				values_set(values, i, name, equals + 1);
+		}
+		g_free(name);
+	}
+	if (res != RESULT_OK)
+		return settings_fail(error, res, "unknown setting %.*s",
+				     (int)len, entry);
+	return RESULT_OK;
+}
+
+static enum result settings_parse_flags(struct setting_values *values, int argc,
+					char **argv)
+{
+	struct argp_option options[NR_SETTINGS + 1] = { 0 };
+	struct argp argp = { 0 };
+
+	for (size_t i = 0; i < NR_SETTINGS; i++) {
+		options[i].name = setting_table[i].name;
+		options[i].key = FIRST_KEY + (int)i;
+		options[i].arg = setting_table[i].arg;
+		options[i].doc = setting_table[i].help;
+	}
+	argp.options = options;
+	argp.parser = settings_parse_option;
+	argp.doc = "One process of masticreach, a scheduler for "
+		   "latency-critical services and batch jobs.\v"
+		   "Every flag can also be given as an environment variable: "
+		   "--cpu-millis is MASTICREACH_CPU_MILLIS. The flag takes "
+		   "precedence. docs/settings.md lists defaults and roles, "
+		   "docs/errors.md the exit codes.";
+	argp_program_version = "masticreachd " MASTICREACH_VERSION;
+	argp_err_exit_status = RESULT_USAGE;
+	return argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, values) ?
+		       RESULT_USAGE :
+		       RESULT_OK;
+}
+
+enum result settings_check_address(const char *text, gboolean any_port)
+{
+	GSocketConnectable *parsed = g_network_address_parse(text, 0, NULL);
+	enum result res = RESULT_MALFORMED;
+	GNetworkAddress *address;
+
+	if (!parsed)
+		return RESULT_MALFORMED;
+	address = G_NETWORK_ADDRESS(parsed);
+	if (strlen(text) >= ADDRESS_BYTES || !strrchr(text, ':') ||
+	    !g_hostname_is_ip_address(g_network_address_get_hostname(address)))
+		goto out;
+	if (!g_network_address_get_port(address) &&
+	    (!any_port || !g_str_has_suffix(text, ":0")))
+		goto out;
+	res = RESULT_OK;
+out:
+	g_object_unref(parsed);
+	return res;
+}
+
+static const char *values_source(const struct setting_values *values, size_t i)
+{
+	return values->source[i] ? values->source[i] : setting_table[i].name;
+}
+
+static enum result values_text(const struct setting_values *values, size_t i,
+			       char *to, size_t capacity, char **error)
+{
+	const char *value = values->value[i];
+
+	if (!value)
+		value = setting_table[i].fallback;
+	if (!value)
+		value = "";
+	if (strlen(value) >= capacity)
+		return settings_fail(error, RESULT_OUT_OF_RANGE,
+				     "%s is longer than %zu bytes",
+				     values_source(values, i), capacity - 1);
+	text_set(to, capacity, value);
+	return RESULT_OK;
+}
+
+static enum result values_number(const struct setting_values *values, size_t i,
+				 uint32_t max, uint32_t *to, char **error)
+{
+	const char *value = values->value[i];
+	GError *gerror = NULL;
+	enum result res;
+	guint64 number;
+
+	if (!value)
+		value = setting_table[i].fallback;
+	if (g_ascii_string_to_unsigned(value, 10, 0, max, &number, &gerror)) {
+		*to = (uint32_t)number;
+		return RESULT_OK;
+	}
+	res = g_error_matches(gerror, G_NUMBER_PARSER_ERROR,
+			      G_NUMBER_PARSER_ERROR_OUT_OF_BOUNDS) ?
+		      RESULT_OUT_OF_RANGE :
+		      RESULT_MALFORMED;
+	g_clear_error(&gerror);
+	return settings_fail(error, res, "%s: \"%s\" is no number from 0 to %u",
+			     values_source(values, i), value, max);
+}
+
+static enum result values_address(const struct setting_values *values, size_t i,
+				  gboolean any_port, char *to, char **error)
+{
+	enum result res = values_text(values, i, to, ADDRESS_BYTES, error);
+
+	if (res != RESULT_OK || !to[0])
+		return res;
+	res = settings_check_address(to, any_port);
+	if (res != RESULT_OK)
+		settings_fail(error, res, "%s: \"%s\" is no IP:PORT",
+			      values_source(values, i), to);
+	return res;
+}
+
+static enum result values_choice(const struct setting_values *values, size_t i,
+				 const char *const *choices, uint32_t *to,
+				 char **error)
+{
+	const char *value = values->value[i];
+
+	if (!value)
+		value = setting_table[i].fallback;
+	for (uint32_t j = 0; choices[j]; j++) {
+		if (!strcmp(choices[j], value)) {
+			*to = j;
+			return RESULT_OK;
+		}
+	}
+	return settings_fail(error, RESULT_MALFORMED,
+			     "%s: \"%s\" is not one of: %s",
+			     values_source(values, i), value,
+			     setting_table[i].help);
+}
+
+/* A control replica may have port 0 in its own entry, as in --listen. */
+static enum result values_control(const struct setting_values *values,
+				  struct settings *settings, char **error)
+{
+	const char *value = values->value[SET_CONTROL];
+	bool self = false;
+
+	settings->control = g_strsplit(value, ",", -1);
+	for (uint32_t i = 0; settings->control[i]; i++) {
+		const char *address = settings->control[i];
+		bool own = settings->role == ROLE_CONTROL &&
+			   !strcmp(address, settings->listen);
+
+		if (settings_check_address(address, own) != RESULT_OK)
+			return settings_fail(error, RESULT_MALFORMED,
+					     "%s: \"%s\" is no IP:PORT",
+					     values_source(values, SET_CONTROL),
+					     address);
+		for (uint32_t j = 0; j < i; j++)
+			if (!strcmp(settings->control[j], address))
+				return settings_fail(error, RESULT_USAGE,
+						     "%s names %s twice",
+						     values_source(values,
+								   SET_CONTROL),
+						     address);
+		self = self || own;
+	}
+	if (settings->role == ROLE_CONTROL && !self)
+		return settings_fail(error, RESULT_USAGE,
+				     "%s lacks this replica's own --listen %s",
+				     values_source(values, SET_CONTROL),
+				     settings->listen);
+	return RESULT_OK;
+}
+
+/* Checks that what the role needs is there, and nothing of other roles. */
+static enum result values_check_role(const struct setting_values *values,
+				     enum node_role role, char **error)
+{
+	static const char *const role_names[] = { "", "entry", "agent",
+						  "control" };
+
+	for (size_t i = 0; i < NR_SETTINGS; i++) {
+		const struct setting *setting = &setting_table[i];
+		bool taken = !strcmp(setting->roles, "all") ||
+			     strstr(setting->roles, role_names[role]);
+
+		if (taken && !setting->fallback && !values->value[i])
+			return settings_fail(error, RESULT_USAGE,
+					     "--%s is missing (role %s)",
+					     setting->name, role_names[role]);
+		if (!taken && values->value[i])
+			return settings_fail(error, RESULT_USAGE,
+					     "%s contradicts --role %s",
+					     values->source[i],
+					     role_names[role]);
+	}
+	return RESULT_OK;
+}
+
+static enum result settings_fill(struct settings *to,
+				 const struct setting_values *values,
+				 char **error)
+{
+	static const char *const roles[] = { "", "entry", "agent", "control",
+					     NULL };
+	static const char *const levels[] = { "none", "events", "decisions",
+					      NULL };
+	uint32_t choice = 0;
+	enum result res;
+
+	if (!values->value[SET_ROLE])
+		return settings_fail(error, RESULT_USAGE, "--role is missing");
+	res = values_choice(values, SET_ROLE, roles, &choice, error);
+	to->role = (enum node_role)choice;
+	if (res == RESULT_OK)
+		res = values_check_role(values, to->role, error);
+	if (res == RESULT_OK)
+		res = values_text(values, SET_NAME, to->name, NAME_BYTES,
+				  error);
+	if (res == RESULT_OK)
+		res = values_text(values, SET_ZONE, to->zone, NAME_BYTES,
+				  error);
+	if (res == RESULT_OK)
+		res = values_text(values, SET_RACK, to->rack, NAME_BYTES,
+				  error);
+	if (res == RESULT_OK)
+		res = values_address(values, SET_LISTEN, TRUE, to->listen,
+				     error);
+	if (res == RESULT_OK)
+		res = values_address(values, SET_HTTP, TRUE, to->http, error);
+	if (res == RESULT_OK)
+		res = values_control(values, to, error);
+	if (res == RESULT_OK)
+		res = values_text(values, SET_DATA, to->data, PATH_BYTES,
+				  error);
+	if (res == RESULT_OK)
+		res = values_address(values, SET_WORKER, FALSE, to->worker,
+				     error);
+	if (res == RESULT_OK)
+		res = values_number(values, SET_CPU_MILLIS, UINT32_MAX,
+				    &to->cpu_millis, error);
+	if (res == RESULT_OK)
+		res = values_number(values, SET_MEMORY_MIB, UINT32_MAX,
+				    &to->memory_mib, error);
+	if (res == RESULT_OK)
+		res = values_number(values, SET_ACCELERATORS, UINT32_MAX,
+				    &to->accelerators, error);
+	if (res == RESULT_OK)
+		res = values_choice(values, SET_LOG_LEVEL, levels, &choice,
+				    error);
+	to->log_level = (enum log_level)choice;
+	if (res == RESULT_OK)
+		res = values_text(values, SET_PORT_FILE, to->port_file,
+				  PATH_BYTES, error);
+	if (res == RESULT_OK)
+		res = values_number(values, SET_DRAIN_MS, DRAIN_MAX_MS,
+				    &to->drain_ms, error);
+	if (res == RESULT_OK)
+		res = values_number(values, SET_MAX_CONNECTIONS,
+				    CONNECTIONS_MAX, &to->max_connections,
+				    error);
+	if (res == RESULT_OK && !to->max_connections)
+		res = settings_fail(error, RESULT_OUT_OF_RANGE,
+				    "--max-connections must not be 0");
+	if (res == RESULT_OK && !to->worker[0] &&
+	    (to->cpu_millis || to->memory_mib || to->accelerators))
+		res = settings_fail(error, RESULT_USAGE,
+				    "a size for tasks needs --worker");
+	return res;
+}
+
+enum result settings_read(struct settings *settings, int argc, char **argv,
+			  char **environment, char **error)
+{
+	struct setting_values values = { 0 };
+	enum result res;
+
+	memset(settings, 0, sizeof(*settings));
+	res = settings_check_flags(argc, argv, error);
+	for (char **entry = environment; res == RESULT_OK && *entry; entry++)
+		res = settings_read_variable(&values, *entry, error);
+	if (res == RESULT_OK)
+		res = settings_parse_flags(&values, argc, argv);
+	if (res == RESULT_OK)
+		res = settings_fill(settings, &values, error);
+	if (res != RESULT_OK)
+		settings_clear(settings);
+	for (size_t i = 0; i < NR_SETTINGS; i++)
+		g_free(values.value[i]);
+	return res;
+}
+
+void settings_clear(struct settings *settings)
+{
+	g_strfreev(settings->control);
+	settings->control = NULL;
+}
--- /dev/null
+++ b/src/tool/client.c
@@ -0,0 +1,238 @@
+#include "client.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+#define ATTEMPT_MS 3000 /* a silent replica must not use up the time */
+#define PAUSE_MS 150 /* after all replicas were asked */
+
+struct client {
+	char **addresses;
+	uint32_t nr_addresses;
+	uint32_t current; /* replica that is asked next */
+	int64_t end_us;
+	SoupSession *session;
+	GMainLoop *loop;
+};
+
+/* One request and its answer. */
+struct attempt {
+	struct client *client;
+	SoupMessage *msg;
+	GCancellable *cancellable;
+	GBytes *body;
+	bool sent;
+};
+
+static void attempt_done(GObject *session, GAsyncResult *res, gpointer data)
+{
+	struct attempt *attempt = data;
+
+	attempt->body = soup_session_send_and_read_finish(SOUP_SESSION(session),
+							  res, NULL);
+	g_main_loop_quit(attempt->client->loop);
+}
+
+static void attempt_starting(SoupMessage *msg, gpointer data)
+{
+	struct attempt *attempt = data;
+
+	attempt->sent = true;
+}
+
+static gboolean attempt_timed_out(gpointer data)
+{
+	struct attempt *attempt = data;
+
+	g_cancellable_cancel(attempt->cancellable);
+	return G_SOURCE_CONTINUE;
+}
+
+static int64_t client_left_ms(const struct client *client)
+{
+	return (client->end_us - g_get_monotonic_time()) / 1000;
+}
+
+/* Sends one request to the current replica and waits for its answer. */
+static void attempt_run(struct attempt *attempt, const char *method,
+			const char *path, const char *body)
+{
+	struct client *client = attempt->client;
+	char *url = g_strdup_printf("http://%s%s",
+				    client->addresses[client->current], path);
+	int64_t left_ms = CLAMP(client_left_ms(client), 1, ATTEMPT_MS);
+	guint timer;
+	GBytes *bytes;
+
+	attempt->msg = soup_message_new(method, url);
+	g_free(url);
+	if (!attempt->msg)
+		return;
+	attempt->cancellable = g_cancellable_new();
+	if (body) {
+		bytes = g_bytes_new(body, strlen(body));
+		soup_message_set_request_body_from_bytes(
+			attempt->msg, "application/json", bytes);
+		g_bytes_unref(bytes);
+	}
+	soup_message_add_flags(attempt->msg, SOUP_MESSAGE_NEW_CONNECTION |
+						     SOUP_MESSAGE_NO_REDIRECT);
+	g_signal_connect(attempt->msg, "starting", G_CALLBACK(attempt_starting),
+			 attempt);
+	timer = g_timeout_add((guint)left_ms, attempt_timed_out, attempt);
+	soup_session_send_and_read_async(client->session, attempt->msg,
+					 G_PRIORITY_DEFAULT,
+					 attempt->cancellable, attempt_done,
+					 attempt);
+	g_main_loop_run(client->loop);
+	g_source_remove(timer);
+}
+
+static void attempt_clear(struct attempt *attempt)
+{
+	if (attempt->msg)
+		g_signal_handlers_disconnect_by_data(attempt->msg, attempt);
+	g_clear_object(&attempt->msg);
+	g_clear_object(&attempt->cancellable);
+	g_clear_pointer(&attempt->body, g_bytes_unref);
+}
+
+/* Reads the answer: an op_reply with a result, or a list or status. */
+static void attempt_read(const struct attempt *attempt,
+			 struct client_reply *reply)
+{
+	JsonParser *parser = json_parser_new();
+	guint status = soup_message_get_status(attempt->msg);
+	JsonObject *object;
+	const char *text;
+	gsize size;
+
+	text = g_bytes_get_data(attempt->body, &size);
+	reply->result = RESULT_MALFORMED;
+	if (size &&
+	    json_parser_load_from_data(parser, text, (gssize)size, NULL)) {
+		reply->root = json_parser_steal_root(parser);
+		reply->result = status == 200 ? RESULT_OK : RESULT_IO;
+	}
+	if (reply->root && JSON_NODE_HOLDS_OBJECT(reply->root)) {
+		object = json_node_get_object(reply->root);
+		/* A refusal by the HTTP server itself is a problem document. */
+		if (json_object_has_member(object, "result"))
+			reply->result = (enum result)json_object_get_int_member(
+				object, "result");
+		else if (json_object_has_member(object, "code"))
+			reply->result = (enum result)json_object_get_int_member(
+				object, "code");
+		reply->message =
+			g_strdup(json_object_get_string_member_with_default(
+				object,
+				json_object_has_member(object, "detail") ?
+					"detail" :
+					"message",
+				NULL));
+	}
+	if (reply->result != RESULT_OK &&
+	    (!reply->message || !reply->message[0])) {
+		g_free(reply->message);
+		reply->message = g_strdup(result_summary(reply->result));
+	}
+	g_object_unref(parser);
+}
+
+/* Returns true if another replica, or this one later, may do it. */
+static bool result_may_pass(enum result res)
+{
+	switch (res) {
+	case RESULT_NOT_LEADER:
+	case RESULT_NO_QUORUM:
+	case RESULT_OVERLOADED:
+	case RESULT_LEAVING:
+	case RESULT_OUTCOME_UNKNOWN:
+	case RESULT_TIMEOUT:
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void client_pause(struct client *client)
+{
+	client->current = (client->current + 1) % client->nr_addresses;
+	if (!client->current && client_left_ms(client) > PAUSE_MS)
+		g_usleep(PAUSE_MS * 1000);
+}
+
+static void client_run(struct client *client, const char *method,
+		       const char *path, const char *body, bool once,
+		       struct client_reply *reply)
+{
+	memset(reply, 0, sizeof(*reply));
+	do {
+		struct attempt attempt = { .client = client };
+
+		client_reply_clear(reply);
+		attempt_run(&attempt, method, path, body);
+		if (attempt.body) {
+			attempt_read(&attempt, reply);
+		} else {
+			reply->result = RESULT_TIMEOUT;
+			reply->message = g_strdup_printf(
+				"no answer from %s",
+				client->addresses[client->current]);
+			reply->lost = attempt.sent;
+		}
+		if (reply->result == RESULT_OUTCOME_UNKNOWN ||
+		    (attempt.body && reply->result == RESULT_TIMEOUT))
+			reply->lost = true;
+		attempt_clear(&attempt);
+		if (!result_may_pass(reply->result))
+			return;
+		client_pause(client);
+		if (once && reply->lost)
+			return;
+	} while (client_left_ms(client) > 0);
+}
+
+struct client *client_new(const struct client_opts *opts)
+{
+	struct client *client = g_new0(struct client, 1);
+
+	client->addresses = g_strdupv((char **)opts->addresses);
+	client->nr_addresses = g_strv_length(client->addresses);
+	client->end_us = g_get_monotonic_time() + opts->timeout_ms * 1000ll;
+	client->session =
+		soup_session_new_with_options("proxy-resolver", NULL, NULL);
+	client->loop = g_main_loop_new(NULL, FALSE);
+	return client;
+}
+
+void client_free(struct client *client)
+{
+	if (!client)
+		return;
+	g_main_loop_unref(client->loop);
+	g_object_unref(client->session);
+	g_strfreev(client->addresses);
+	g_free(client);
+}
+
+void client_call(struct client *client, const char *method, const char *path,
+		 const char *body, struct client_reply *reply)
+{
+	client_run(client, method, path, body, false, reply);
+}
+
+void client_call_once(struct client *client, const char *method,
+		      const char *path, const char *body,
+		      struct client_reply *reply)
+{
+	client_run(client, method, path, body, true, reply);
+}
+
+void client_reply_clear(struct client_reply *reply)
+{
+	if (reply->root)
+		json_node_unref(reply->root);
+	g_free(reply->message);
+	memset(reply, 0, sizeof(*reply));
+}
--- /dev/null
+++ b/src/tool/commands.c
@@ -0,0 +1,720 @@
+#include "command_args.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "bundle_doc.h"
+#include "client.h"
+#include "command.h"
+#include "json.h"
+#include "msg_raft.h"
+#include "op.h"
+#include "schema.h"
+#include "table.h"
+
+/* A list of control: where it is, how it is shown and paged. */
+struct list {
+	const char *object; /* of the command */
+	const char *path;
+	const char *items; /* member with the array */
+	const char *after; /* parameter of the next page */
+	const char *last; /* member of the last item that it takes */
+	struct column columns[12];
+};
+
+static const struct list lists[] = {
+	{ "zone",
+	  "/v1/zones",
+	  "zones",
+	  "after_name",
+	  "zone.name",
+	  { { "ZONE", "zone.name" },
+	    { "OUT", "zone.out" },
+	    { "VERSION", "zone.version" },
+	    { "CHANGED BY", "zone.changed_by" },
+	    { "VMS LIVE", "vms_live" },
+	    { "TASKS", "tasks_running" } } },
+	{ "vm",
+	  "/v1/vms",
+	  "vms",
+	  "after_name",
+	  "vm.name",
+	  { { "VM", "vm.name" },
+	    { "ZONE", "vm.zone" },
+	    { "RACK", "vm.rack" },
+	    { "STATE", "vm.state" },
+	    { "QUARANTINED", "vm.quarantined" },
+	    { "CPU", "vm.cpu_millis" },
+	    { "CPU COMMITTED", "committed_cpu_millis" },
+	    { "MIB", "vm.memory_mib" },
+	    { "MIB COMMITTED", "committed_memory_mib" },
+	    { "TASKS", "tasks" } } },
+	{ "job",
+	  "/v1/jobs",
+	  "jobs",
+	  "after_id",
+	  "job.job_id",
+	  { { "JOB", "job.job_id" },
+	    { "NAME", "job.name" },
+	    { "TEAM", "job.team" },
+	    { "STATE", "job.state" },
+	    { "PENDING", "pending" },
+	    { "RUNNING", "running" },
+	    { "DONE", "done" },
+	    { "FAILED", "failed" },
+	    { "EVICTIONS", "evictions" } } },
+	{ "task",
+	  "/v1/tasks",
+	  "tasks",
+	  "after_id",
+	  "task_id",
+	  { { "TASK", "task_id" },
+	    { "JOB", "job_id" },
+	    { "STATE", "state" },
+	    { "EPOCH", "epoch" },
+	    { "VM", "vm" },
+	    { "CPU", "cpu_millis" },
+	    { "MIB", "memory_mib" },
+	    { "PROGRESS PPM", "progress_ppm" },
+	    { "EVICTIONS", "nr_evictions" } } },
+};
+
+static const struct column member_columns[] = {
+	{ "NODE", "node_id" },	  { "VM", "name" },
+	{ "ADDRESS", "address" }, { "VOTER", "voter" },
+	{ "LEADER", "leader" },	  { "MATCH INDEX", "match_index" },
+	{ NULL, NULL },
+};
+
+static const struct column status_columns[] = {
+	{ "LEADER", "leader_address" },
+	{ "TERM", "term" },
+	{ "COMMIT", "commit_index" },
+	{ "BUNDLE", "bundle_version" },
+	{ "VMS LIVE", "vms_live" },
+	{ "VMS LOST", "vms_lost" },
+	{ "PENDING", "tasks_pending" },
+	{ "RUNNING", "tasks_running" },
+	{ "JOBS", "jobs_active" },
+	{ "EVICTIONS", "evictions" },
+	{ NULL, NULL },
+};
+
+static const struct column bundle_columns[] = {
+	{ "IN FORCE", "in_force" },
+	{ "SIGNED BY", "signed_by" },
+	{ "PROCESSES IN FORCE", "processes_in_force" },
+	{ "PROCESSES KNOWN", "processes_known" },
+	{ "SUBMITTED", "submitted" },
+	{ "SUBMITTED DIGEST", "submitted_digest" },
+	{ NULL, NULL },
+};
+
+static enum result command_fail(enum result res, const char *message)
+{
+	fprintf(stderr, "masticreach: %s: %s\n", result_name(res), message);
+	return res;
+}
+
+/* Control's addresses are checked by the one who dials them. */
+static enum result command_client(const struct command_args *args,
+				  struct client **client)
+{
+	struct client_opts opts = { 0 };
+	char **addresses;
+
+	if (!args->control || !args->control[0])
+		return command_fail(RESULT_USAGE,
+				    "--control or MASTICREACH_CONTROL_HTTP is "
+				    "missing");
+	addresses = g_strsplit(args->control, ",", -1);
+	opts.addresses = (const char *const *)addresses;
+	opts.timeout_ms = args->timeout_ms;
+	*client = client_new(&opts);
+	g_strfreev(addresses);
+	return RESULT_OK;
+}
+
+static void print_json(JsonNode *root)
+{
+	char *text = json_to_string(root, TRUE);
+
+	printf("%s\n", text);
+	g_free(text);
+}
+
+/* Prints an op_reply. */
+static void print_change(const struct command_args *args, JsonNode *root)
+{
+	JsonObject *object = json_node_get_object(root);
+	gint64 id = json_object_get_int_member_with_default(object, "id", 0);
+	gint64 version =
+		json_object_get_int_member_with_default(object, "version", 0);
+
+	if (args->json) {
+		print_json(root);
+		return;
+	}
+	printf("ok");
+	if (id)
+		printf(" id=%" G_GINT64_FORMAT, id);
+	if (version)
+		printf(" version=%" G_GINT64_FORMAT, version);
+	printf("\n");
+}
+
+/* Sends one change and prints its reply. */
+static enum result command_change(const struct command_args *args,
+				  const char *method, const char *path,
+				  uint32_t type, const void *body)
+{
+	struct client *client = NULL;
+	struct client_reply reply = { 0 };
+	enum result res = command_client(args, &client);
+	char *text = NULL;
+
+	if (res != RESULT_OK)
+		return res;
+	if (body)
+		text = json_text_from_body(type, body, FALSE);
+	client_call(client, method, path, text, &reply);
+	res = reply.result;
+	if (res == RESULT_OK)
+		print_change(args, reply.root);
+	else
+		command_fail(res, reply.message);
+	client_reply_clear(&reply);
+	client_free(client);
+	g_free(text);
+	return res;
+}
+
+/* Shows one object, as a table of one row. */
+static enum result command_show(const struct command_args *args,
+				const char *path, const struct column *columns,
+				const char *items)
+{
+	struct client *client = NULL;
+	struct client_reply reply = { 0 };
+	enum result res = command_client(args, &client);
+	JsonArray *rows = NULL;
+
+	if (res != RESULT_OK)
+		return res;
+	client_call(client, "GET", path, NULL, &reply);
+	res = reply.result;
+	if (res != RESULT_OK) {
+		command_fail(res, reply.message);
+		goto out;
+	}
+	if (args->json && !items) {
+		print_json(reply.root);
+		goto out;
+	}
+	if (items) {
+		rows = json_array_ref(json_object_get_array_member(
+			json_node_get_object(reply.root), items));
+	} else {
+		rows = json_array_new();
+		json_array_add_element(rows, json_node_ref(reply.root));
+	}
+	if (args->json) {
+		JsonNode *node = json_node_new(JSON_NODE_ARRAY);
+
+		json_node_set_array(node, rows);
+		print_json(node);
+		json_node_unref(node);
+	} else {
+		table_print(columns, rows);
+	}
+out:
+	if (rows)
+		json_array_unref(rows);
+	client_reply_clear(&reply);
+	client_free(client);
+	return res;
+}
+
+/* Returns a member of an object, possibly nested, NULL if it isn't there. */
+static JsonNode *object_find(JsonObject *object, const char *member)
+{
+	const char *dot = strchr(member, '.');
+	JsonNode *node;
+	char *first;
+
+	if (!dot)
+		return json_object_get_member(object, member);
+	first = g_strndup(member, (gsize)(dot - member));
+	node = json_object_get_member(object, first);
+	g_free(first);
+	if (!node || !JSON_NODE_HOLDS_OBJECT(node))
+		return NULL;
+	return object_find(json_node_get_object(node), dot + 1);
+}
+
+/* Returns the path of the page that follows the last of the items. */
+static char *list_next_path(const struct list *list, JsonArray *items,
+			    uint64_t job_id)
+{
+	guint nr = json_array_get_length(items);
+	GString *path = g_string_new(list->path);
+	char separator = '?';
+	JsonNode *last;
+
+	if (job_id) {
+		g_string_append_printf(path, "?job_id=%" G_GUINT64_FORMAT,
+				       job_id);
+		separator = '&';
+	}
+	last = nr ? object_find(json_array_get_object_element(items, nr - 1),
+				list->last) :
+		    NULL;
+	if (!last)
+		return g_string_free(path, FALSE);
+	g_string_append_printf(path, "%c%s=", separator, list->after);
+	if (json_node_get_value_type(last) == G_TYPE_STRING)
+		g_string_append_uri_escaped(path, json_node_get_string(last),
+					    NULL, FALSE);
+	else
+		g_string_append_printf(path, "%" G_GINT64_FORMAT,
+				       json_node_get_int(last));
+	return g_string_free(path, FALSE);
+}
+
+/* Reads all pages of a list into one array. */
+static enum result list_read(struct client *client, const struct list *list,
+			     uint64_t job_id, JsonArray *items)
+{
+	struct client_reply reply = { 0 };
+	enum result res;
+	JsonArray *page;
+	guint nr;
+
+	do {
+		char *path = list_next_path(list, items, job_id);
+
+		client_call(client, "GET", path, NULL, &reply);
+		g_free(path);
+		res = reply.result;
+		if (res != RESULT_OK) {
+			command_fail(res, reply.message);
+			client_reply_clear(&reply);
+			return res;
+		}
+		page = json_object_get_array_member(
+			json_node_get_object(reply.root), list->items);
+		nr = page ? json_array_get_length(page) : 0;
+		for (guint i = 0; i < nr; i++)
+			json_array_add_element(
+				items,
+				json_node_ref(json_array_get_element(page, i)));
+		client_reply_clear(&reply);
+	} while (nr);
+	return RESULT_OK;
+}
+
+static const struct list *list_find(const char *object)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++)
+		if (!strcmp(lists[i].object, object))
+			return &lists[i];
+	return NULL;
+}
+
+static enum result run_list(const struct command *command,
+			    const struct command_args *args)
+{
+	const struct list *list = list_find(command->object);
+	struct client *client = NULL;
+	enum result res = command_client(args, &client);
+	JsonArray *items;
+	JsonNode *node;
+
+	g_assert(list);
+	if (res != RESULT_OK)
+		return res;
+	items = json_array_new();
+	res = list_read(client, list, args->job_id, items);
+	if (res == RESULT_OK && args->json) {
+		node = json_node_new(JSON_NODE_ARRAY);
+		json_node_set_array(node, items);
+		print_json(node);
+		json_node_unref(node);
+	} else if (res == RESULT_OK) {
+		table_print(list->columns, items);
+	}
+	json_array_unref(items);
+	client_free(client);
+	return res;
+}
+
+static enum result read_bundle(const char *file, struct bundle **bundle)
+{
+	char *text = NULL;
+	char *error = NULL;
+	GError *gerror = NULL;
+	enum result res;
+	gsize size;
+
+	if (!g_file_get_contents(file, &text, &size, &gerror)) {
+		res = command_fail(RESULT_IO, gerror->message);
+		g_clear_error(&gerror);
+		return res;
+	}
+	res = bundle_doc_read(text, size, bundle, &error);
+	if (res != RESULT_OK)
+		command_fail(res, error);
+	g_free(error);
+	g_free(text);
+	return res;
+}
+
+/* Checks the document here and, if control's address is known, there. */
+static enum result run_bundle_check(const struct command *command,
+				    const struct command_args *args)
+{
+	struct bundle *bundle = NULL;
+	enum result res = read_bundle(args->rest[0], &bundle);
+
+	if (res != RESULT_OK)
+		return res;
+	if (args->control && args->control[0])
+		res = command_change(args, "POST", "/v1/bundle/check",
+				     OP_BUNDLE_CHECK, bundle);
+	if (res == RESULT_OK && !args->json)
+		printf("version=%" G_GUINT64_FORMAT " digest=%s\n",
+		       bundle->version, bundle->digest);
+	record_unref((struct record){ CMD_BUNDLE_SUBMIT, bundle });
+	return res;
+}
+
+static enum result need_by(const struct command_args *args)
+{
+	if (!args->by || !args->by[0])
+		return command_fail(RESULT_USAGE, "--by is missing");
+	if (strlen(args->by) >= NAME_BYTES)
+		return command_fail(RESULT_OUT_OF_RANGE, "--by is too long");
+	return RESULT_OK;
+}
+
+static enum result run_bundle_submit(const struct command *command,
+				     const struct command_args *args)
+{
+	struct bundle *bundle = NULL;
+	enum result res = need_by(args);
+
+	if (res == RESULT_OK)
+		res = read_bundle(args->rest[0], &bundle);
+	if (res != RESULT_OK)
+		return res;
+	TEXT_SET(bundle->submitted_by, args->by);
+	res = command_change(args, "POST", "/v1/bundle", OP_BUNDLE_SUBMIT,
+			     bundle);
+	if (res == RESULT_OK && !args->json)
+		printf("digest=%s\n", bundle->digest);
+	record_unref((struct record){ CMD_BUNDLE_SUBMIT, bundle });
+	return res;
+}
+
+static enum result run_bundle_sign(const struct command *command,
+				   const struct command_args *args)
+{
+	struct cmd_bundle_sign sign = { 0 };
+	enum result res = need_by(args);
+
+	if (res != RESULT_OK)
+		return res;
+	if (!args->version || !args->digest)
+		return command_fail(RESULT_USAGE,
+				    "--bundle-version and --digest are needed");
+	sign.version = args->version;
+	TEXT_SET(sign.digest, args->digest);
+	TEXT_SET(sign.signed_by, args->by);
+	return command_change(args, "POST", "/v1/bundle/sign-off",
+			      OP_BUNDLE_SIGN, &sign);
+}
+
+static enum result run_bundle_status(const struct command *command,
+				     const struct command_args *args)
+{
+	return command_show(args, "/v1/bundle", bundle_columns, NULL);
+}
+
+static enum result run_status(const struct command *command,
+			      const struct command_args *args)
+{
+	return command_show(args, "/v1/status", status_columns, NULL);
+}
+
+static enum result run_member_list(const struct command *command,
+				   const struct command_args *args)
+{
+	return command_show(args, "/v1/status", member_columns, "members");
+}
+
+static char *escaped_path(const char *prefix, const char *name)
+{
+	char *escaped = g_uri_escape_string(name, NULL, FALSE);
+	char *path = g_strconcat(prefix, escaped, NULL);
+
+	g_free(escaped);
+	return path;
+}
+
+/* Reads a zone's record; an unknown zone has version 0 and is in. */
+static enum result zone_read(struct client *client, const char *name,
+			     struct zone_record *zone)
+{
+	JsonArray *items = json_array_new();
+	enum result res = list_read(client, list_find("zone"), 0, items);
+
+	memset(zone, 0, sizeof(*zone));
+	for (guint i = 0; i < json_array_get_length(items); i++) {
+		JsonObject *object = json_object_get_object_member(
+			json_array_get_object_element(items, i), "zone");
+
+		if (strcmp(json_object_get_string_member(object, "name"), name))
+			continue;
+		zone->out = json_object_get_boolean_member(object, "out");
+		zone->version =
+			(uint64_t)json_object_get_int_member(object, "version");
+		TEXT_SET(zone->changed_by,
+			 json_object_get_string_member(object, "changed_by"));
+	}
+	json_array_unref(items);
+	return res;
+}
+
+/*
+ * Sets a zone's state over the version that was read. After a lost answer the
+ * zone is read again: the change is sent again only if it was not made.
+ */
+static enum result zone_set(struct client *client,
+			    const struct command_args *args,
+			    struct cmd_zone_set *set)
+{
+	char *path = escaped_path("/v1/zones/", set->name);
+	struct client_reply reply = { 0 };
+	struct zone_record zone;
+	enum result res;
+	char *text;
+
+	res = zone_read(client, set->name, &zone);
+	if (res != RESULT_OK)
+		goto out;
+	set->expected_version = zone.version;
+	text = json_text_from_body(OP_ZONE_SET, set, FALSE);
+	for (;;) {
+		client_call_once(client, "PUT", path, text, &reply);
+		res = reply.result;
+		if (!reply.lost)
+			break;
+		client_reply_clear(&reply);
+		res = zone_read(client, set->name, &zone);
+		if (res != RESULT_OK || zone.version != set->expected_version)
+			break;
+	}
+	g_free(text);
+	if (res == RESULT_OK && reply.root) {
+		print_change(args, reply.root);
+	} else if (res == RESULT_OK && zone.out == set->out &&
+		   zone.version == set->expected_version + 1 &&
+		   !strcmp(zone.changed_by, set->changed_by)) {
+		printf(args->json ?
+			       "{\"result\": 0, \"version\": %" G_GUINT64_FORMAT
+			       "}\n" :
+			       "ok version=%" G_GUINT64_FORMAT "\n",
+		       zone.version);
+	} else if (res == RESULT_OK) {
+		res = command_fail(RESULT_STALE,
+				   "the zone was changed by someone else");
+	} else if (reply.message) {
+		command_fail(res, reply.message);
+	}
+out:
+	client_reply_clear(&reply);
+	g_free(path);
+	return res;
+}
+
+static enum result run_zone_set(const struct command *command,
+				const struct command_args *args)
+{
+	struct cmd_zone_set set = { 0 };
+	struct client *client = NULL;
+	enum result res = need_by(args);
+
+	if (res == RESULT_OK && strlen(args->rest[0]) >= NAME_BYTES)
+		res = command_fail(RESULT_OUT_OF_RANGE,
+				   "the zone's name is too long");
+	if (res == RESULT_OK)
+		res = command_client(args, &client);
+	if (res != RESULT_OK)
+		return res;
+	TEXT_SET(set.name, args->rest[0]);
+	TEXT_SET(set.changed_by, args->by);
+	set.out = !strcmp(command->verb, "out");
+	res = zone_set(client, args, &set);
+	client_free(client);
+	return res;
+}
+
+static enum result run_vm_set(const struct command *command,
+			      const struct command_args *args)
+{
+	struct cmd_vm_quarantine set = { 0 };
+	enum result res;
+	char *path;
+
+	if (strlen(args->rest[0]) >= NAME_BYTES)
+		return command_fail(RESULT_OUT_OF_RANGE,
+				    "the VM's name is too long");
+	TEXT_SET(set.name, args->rest[0]);
+	set.quarantined = !strcmp(command->verb, "quarantine");
+	path = escaped_path("/v1/vms/", set.name);
+	res = command_change(args, "PUT", path, OP_VM_SET, &set);
+	g_free(path);
+	return res;
+}
+
+/* The job is a JSON file; the key makes a resend find the first submission. */
+static enum result run_job_submit(const struct command *command,
+				  const struct command_args *args)
+{
+	struct job_record *job = NULL;
+	char *text = NULL;
+	char *error = NULL;
+	GError *gerror = NULL;
+	enum result res = RESULT_IO;
+	char *key;
+	gsize size;
+
+	if (!g_file_get_contents(args->rest[0], &text, &size, &gerror)) {
+		res = command_fail(RESULT_IO, gerror->message);
+		g_clear_error(&gerror);
+		return res;
+	}
+	res = json_text_to_body(OP_JOB_SUBMIT, text, (gssize)size,
+				(void **)&job, &error);
+	if (res != RESULT_OK) {
+		command_fail(res, error);
+		goto out;
+	}
+	if (args->key && strlen(args->key) >= KEY_BYTES) {
+		res = command_fail(RESULT_OUT_OF_RANGE, "--key is too long");
+		goto out;
+	}
+	if (args->key) {
+		TEXT_SET(job->key, args->key);
+	} else if (!job->key[0]) {
+		key = g_uuid_string_random();
+		TEXT_SET(job->key, key);
+		g_free(key);
+	}
+	res = command_change(args, "POST", "/v1/jobs", OP_JOB_SUBMIT, job);
+	if (res != RESULT_OK)
+		fprintf(stderr, "masticreach: submit again with --key %s\n",
+			job->key);
+out:
+	record_unref((struct record){ OP_JOB_SUBMIT, job });
+	g_free(error);
+	g_free(text);
+	return res;
+}
+
+static enum result parse_id(const char *text, uint64_t *id)
+{
+	guint64 number = 0;
+
+	if (!g_ascii_string_to_unsigned(text, 10, 1, G_MAXINT64, &number, NULL))
+		return command_fail(RESULT_MALFORMED, "an id must be a number");
+	*id = number;
+	return RESULT_OK;
+}
+
+static enum result run_job_cancel(const struct command *command,
+				  const struct command_args *args)
+{
+	struct cmd_job_cancel cancel = { 0 };
+	enum result res = RESULT_OK;
+
+	cancel.nr_job_ids = args->nr_rest;
+	cancel.job_ids = g_new0(uint64_t, args->nr_rest);
+	for (uint32_t i = 0; i < args->nr_rest && res == RESULT_OK; i++)
+		res = parse_id(args->rest[i], &cancel.job_ids[i]);
+	if (res == RESULT_OK)
+		res = command_change(args, "POST", "/v1/jobs/cancel",
+				     OP_JOB_CANCEL, &cancel);
+	g_free(cancel.job_ids);
+	return res;
+}
+
+static enum result run_member_add(const struct command *command,
+				  const struct command_args *args)
+{
+	struct member member = { 0 };
+	enum result res = parse_id(args->rest[0], &member.node_id);
+
+	if (res != RESULT_OK)
+		return res;
+	if (strlen(args->rest[1]) >= ADDRESS_BYTES ||
+	    strlen(args->rest[2]) >= NAME_BYTES)
+		return command_fail(RESULT_OUT_OF_RANGE,
+				    "the address or name is too long");
+	TEXT_SET(member.address, args->rest[1]);
+	TEXT_SET(member.name, args->rest[2]);
+	return command_change(args, "POST", "/v1/members", OP_MEMBER_ADD,
+			      &member);
+}
+
+static enum result run_member_remove(const struct command *command,
+				     const struct command_args *args)
+{
+	uint64_t id = 0;
+	enum result res = parse_id(args->rest[0], &id);
+	char *path;
+
+	if (res != RESULT_OK)
+		return res;
+	path = g_strdup_printf("/v1/members/%" G_GUINT64_FORMAT, id);
+	res = command_change(args, "DELETE", path, OP_MEMBER_REMOVE, NULL);
+	g_free(path);
+	return res;
+}
+
+static const struct command commands[] = {
+	{ "bundle", "check", "FILE", "check a bundle", 1, 1, run_bundle_check },
+	{ "bundle", "submit", "FILE", "submit a bundle (--by)", 1, 1,
+	  run_bundle_submit },
+	{ "bundle", "sign-off", "", "sign off (--bundle-version --digest --by)",
+	  0, 0, run_bundle_sign },
+	{ "bundle", "status", "", "show what is in force where", 0, 0,
+	  run_bundle_status },
+	{ "zone", "list", "", "list the zones", 0, 0, run_list },
+	{ "zone", "out", "ZONE", "take a zone out (--by)", 1, 1, run_zone_set },
+	{ "zone", "in", "ZONE", "bring a zone back (--by)", 1, 1,
+	  run_zone_set },
+	{ "vm", "list", "", "list the VMs", 0, 0, run_list },
+	{ "vm", "quarantine", "VM", "place nothing more on a VM", 1, 1,
+	  run_vm_set },
+	{ "vm", "release", "VM", "end a quarantine", 1, 1, run_vm_set },
+	{ "job", "submit", "FILE", "submit a job (--key)", 1, 1,
+	  run_job_submit },
+	{ "job", "list", "", "list the jobs", 0, 0, run_list },
+	{ "job", "cancel", "ID...", "cancel jobs", 1, UINT32_MAX,
+	  run_job_cancel },
+	{ "task", "list", "", "list the tasks (--job)", 0, 0, run_list },
+	{ "member", "list", "", "list the control replicas", 0, 0,
+	  run_member_list },
+	{ "member", "add", "ID ADDRESS VM", "add a replica as a learner", 3, 3,
+	  run_member_add },
+	{ "member", "remove", "ID", "remove a replica", 1, 1,
+	  run_member_remove },
+	{ "status", NULL, "", "show the state of control", 0, 0, run_status },
+	{ NULL, NULL, NULL, NULL, 0, 0, NULL },
+};
+
+const struct command *commands_table(void)
+{
+	return commands;
+}
--- /dev/null
+++ b/src/tool/table.h
@@ -0,0 +1,16 @@
+#ifndef TABLE_H
+#define TABLE_H
+
+/** @file table.h Prints JSON objects as a table of aligned columns. */
+
+#include <json-glib/json-glib.h>
+
+struct column {
+	const char *title;
+	const char *member; /* "zone.name" names a nested member */
+};
+
+/** Prints the items; @a columns ends with a NULL title. */
+void table_print(const struct column *columns, JsonArray *items);
+
+#endif /* TABLE_H */
