--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -33,38 +33,39 @@
 };
 
 static const struct setting setting_table[NR_SETTINGS] = {
-	[SET_ROLE] = { "role", "ROLE", NULL, "all", "entry, agent or control" },
-	[SET_NAME] = { "name", "NAME", NULL, "all", "name of this VM" },
-	[SET_ZONE] = { "zone", "ZONE", NULL, "all",
+	[SET_ROLE] = { "role", "ROLE", "", "all", "all",
+		       "entry, agent or control" },
+	[SET_NAME] = { "name", "NAME", "", "all", "all", "name of this VM" },
+	[SET_ZONE] = { "zone", "ZONE", "", "all", "all",
 		       "availability zone of this VM" },
-	[SET_RACK] = { "rack", "RACK", "", "all", "rack of this VM" },
-	[SET_LISTEN] = { "listen", "IP:PORT", NULL, "agent, control",
+	[SET_RACK] = { "rack", "RACK", "", "all", "", "rack of this VM" },
+	[SET_LISTEN] = { "listen", "IP:PORT", "", "all", "agent, control",
 			 "address for other processes of the system; port 0 "
 			 "takes a free one" },
-	[SET_HTTP] = { "http", "IP:PORT", NULL, "all",
+	[SET_HTTP] = { "http", "IP:PORT", "", "all", "all",
 		       "address of the HTTP server; port 0 takes a free one" },
-	[SET_CONTROL] = { "control", "IP:PORT,...", NULL, "all",
+	[SET_CONTROL] = { "control", "IP:PORT,...", "", "all", "all",
 			  "listen addresses of all control replicas" },
-	[SET_DATA] = { "data", "DIR", NULL, "control",
+	[SET_DATA] = { "data", "DIR", "", "control", "control",
 		       "directory of the replicated state" },
-	[SET_WORKER] = { "worker", "IP:PORT", "", "agent",
+	[SET_WORKER] = { "worker", "IP:PORT", "", "agent", "",
 			 "HTTP address of the worker on this VM; without it "
 			 "the VM runs no tasks" },
-	[SET_CPU_MILLIS] = { "cpu-millis", "N", "0", "agent",
+	[SET_CPU_MILLIS] = { "cpu-millis", "N", "0", "agent", "",
 			     "processors for tasks, in thousandths" },
-	[SET_MEMORY_MIB] = { "memory-mib", "N", "0", "agent",
+	[SET_MEMORY_MIB] = { "memory-mib", "N", "0", "agent", "",
 			     "memory for tasks, in MiB" },
-	[SET_ACCELERATORS] = { "accelerators", "N", "0", "agent",
+	[SET_ACCELERATORS] = { "accelerators", "N", "0", "agent", "",
 			       "accelerators for tasks" },
-	[SET_LOG_LEVEL] = { "log-level", "LEVEL", "decisions", "all",
+	[SET_LOG_LEVEL] = { "log-level", "LEVEL", "decisions", "all", "",
 			    "none, events, or decisions (events and one line "
 			    "for each decision)" },
-	[SET_PORT_FILE] = { "port-file", "FILE", "", "all",
+	[SET_PORT_FILE] = { "port-file", "FILE", "", "all", "",
 			    "file for the bound addresses, written after the "
 			    "start" },
-	[SET_DRAIN_MS] = { "drain-ms", "MS", "30000", "all",
+	[SET_DRAIN_MS] = { "drain-ms", "MS", "30000", "all", "",
 			   "time limit of a graceful shutdown" },
-	[SET_MAX_CONNECTIONS] = { "max-connections", "N", "4096", "all",
+	[SET_MAX_CONNECTIONS] = { "max-connections", "N", "4096", "all", "",
 				  "HTTP connections accepted at a time" },
 };
 
@@ -277,8 +278,6 @@
 
 	if (!value)
 		value = setting_table[i].fallback;
-	if (!value)
-		value = "";
 	if (strlen(value) >= capacity)
 		return settings_fail(error, RESULT_OUT_OF_RANGE,
 				     "%s is longer than %zu bytes",
@@ -333,7 +332,7 @@
 	if (!value)
 		value = setting_table[i].fallback;
 	for (uint32_t j = 0; choices[j]; j++) {
-		if (!strcmp(choices[j], value)) {
+		if (value[0] && !strcmp(choices[j], value)) {
 			*to = j;
 			return RESULT_OK;
 		}
@@ -344,6 +343,28 @@
 			     setting_table[i].help);
 }
 
+/* Other processes dial this address, so it can't stand for all addresses. */
+static enum result check_listen(const struct settings *settings, char **error)
+{
+	GSocketConnectable *parsed;
+	GInetAddress *ip;
+	gboolean any;
+
+	if (!settings->listen[0])
+		return RESULT_OK;
+	parsed = g_network_address_parse(settings->listen, 0, NULL);
+	ip = g_inet_address_new_from_string(
+		g_network_address_get_hostname(G_NETWORK_ADDRESS(parsed)));
+	any = g_inet_address_get_is_any(ip);
+	g_object_unref(ip);
+	g_object_unref(parsed);
+	if (any)
+		return settings_fail(error, RESULT_OUT_OF_RANGE,
+				     "--listen %s: others can't dial it",
+				     settings->listen);
+	return RESULT_OK;
+}
+
 /* A control replica may have port 0 in its own entry, as in --listen. */
 static enum result values_control(const struct setting_values *values,
 				  struct settings *settings, char **error)
@@ -379,6 +400,11 @@
 	return RESULT_OK;
 }
 
+static bool roles_include(const char *roles, const char *role)
+{
+	return !strcmp(roles, "all") || strstr(roles, role);
+}
+
 /* Checks that what the role needs is there, and nothing of other roles. */
 static enum result values_check_role(const struct setting_values *values,
 				     enum node_role role, char **error)
@@ -388,14 +414,14 @@
 
 	for (size_t i = 0; i < NR_SETTINGS; i++) {
 		const struct setting *setting = &setting_table[i];
-		bool taken = !strcmp(setting->roles, "all") ||
-			     strstr(setting->roles, role_names[role]);
 
-		if (taken && !setting->fallback && !values->value[i])
+		if (roles_include(setting->required, role_names[role]) &&
+		    !values->value[i])
 			return settings_fail(error, RESULT_USAGE,
 					     "--%s is missing (role %s)",
 					     setting->name, role_names[role]);
-		if (!taken && values->value[i])
+		if (!roles_include(setting->roles, role_names[role]) &&
+		    values->value[i])
 			return settings_fail(error, RESULT_USAGE,
 					     "%s contradicts --role %s",
 					     values->source[i],
@@ -433,6 +459,8 @@
 	if (res == RESULT_OK)
 		res = values_address(values, SET_LISTEN, TRUE, to->listen,
 				     error);
+	if (res == RESULT_OK)
+		res = check_listen(to, error);
 	if (res == RESULT_OK)
 		res = values_address(values, SET_HTTP, TRUE, to->http, error);
 	if (res == RESULT_OK)
