--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -7,6016 +7,7589 @@
 #endif
 
 #include "masticreach.pb-c.h"
-void masticreach__record__init(Masticreach__Record *message)
+void   masticreach__record__init
+                     (Masticreach__Record         *message)
 {
-	static const Masticreach__Record init_value = MASTICREACH__RECORD__INIT;
-	*message = init_value;
+  static const Masticreach__Record init_value = MASTICREACH__RECORD__INIT;
+  *message = init_value;
 }
-size_t masticreach__record__get_packed_size(const Masticreach__Record *message)
+size_t masticreach__record__get_packed_size
+                     (const Masticreach__Record *message)
 {
-	assert(message->base.descriptor == &masticreach__record__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__record__pack(const Masticreach__Record *message,
-				 uint8_t *out)
+size_t masticreach__record__pack
+                     (const Masticreach__Record *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__record__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__record__pack_to_buffer(const Masticreach__Record *message,
-					   ProtobufCBuffer *buffer)
+size_t masticreach__record__pack_to_buffer
+                     (const Masticreach__Record *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__record__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Record *masticreach__record__unpack(ProtobufCAllocator *allocator,
-						 size_t len,
-						 const uint8_t *data)
+Masticreach__Record *
+       masticreach__record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Record *)protobuf_c_message_unpack(
-		&masticreach__record__descriptor, allocator, len, data);
+  return (Masticreach__Record *)
+     protobuf_c_message_unpack (&masticreach__record__descriptor,
+                                allocator, len, data);
 }
-void masticreach__record__free_unpacked(Masticreach__Record *message,
-					ProtobufCAllocator *allocator)
+void   masticreach__record__free_unpacked
+                     (Masticreach__Record *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__record__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__hello__init(Masticreach__Hello *message)
+void   masticreach__hello__init
+                     (Masticreach__Hello         *message)
 {
-	static const Masticreach__Hello init_value = MASTICREACH__HELLO__INIT;
-	*message = init_value;
+  static const Masticreach__Hello init_value = MASTICREACH__HELLO__INIT;
+  *message = init_value;
 }
-size_t masticreach__hello__get_packed_size(const Masticreach__Hello *message)
+size_t masticreach__hello__get_packed_size
+                     (const Masticreach__Hello *message)
 {
-	assert(message->base.descriptor == &masticreach__hello__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__hello__pack(const Masticreach__Hello *message, uint8_t *out)
+size_t masticreach__hello__pack
+                     (const Masticreach__Hello *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__hello__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__hello__pack_to_buffer(const Masticreach__Hello *message,
-					  ProtobufCBuffer *buffer)
+size_t masticreach__hello__pack_to_buffer
+                     (const Masticreach__Hello *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__hello__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Hello *masticreach__hello__unpack(ProtobufCAllocator *allocator,
-					       size_t len, const uint8_t *data)
+Masticreach__Hello *
+       masticreach__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Hello *)protobuf_c_message_unpack(
-		&masticreach__hello__descriptor, allocator, len, data);
+  return (Masticreach__Hello *)
+     protobuf_c_message_unpack (&masticreach__hello__descriptor,
+                                allocator, len, data);
 }
-void masticreach__hello__free_unpacked(Masticreach__Hello *message,
-				       ProtobufCAllocator *allocator)
+void   masticreach__hello__free_unpacked
+                     (Masticreach__Hello *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__hello__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__ping__init(Masticreach__Ping *message)
+void   masticreach__ping__init
+                     (Masticreach__Ping         *message)
 {
-	static const Masticreach__Ping init_value = MASTICREACH__PING__INIT;
-	*message = init_value;
+  static const Masticreach__Ping init_value = MASTICREACH__PING__INIT;
+  *message = init_value;
 }
-size_t masticreach__ping__get_packed_size(const Masticreach__Ping *message)
+size_t masticreach__ping__get_packed_size
+                     (const Masticreach__Ping *message)
 {
-	assert(message->base.descriptor == &masticreach__ping__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__ping__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__ping__pack(const Masticreach__Ping *message, uint8_t *out)
+size_t masticreach__ping__pack
+                     (const Masticreach__Ping *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__ping__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__ping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__ping__pack_to_buffer(const Masticreach__Ping *message,
-					 ProtobufCBuffer *buffer)
+size_t masticreach__ping__pack_to_buffer
+                     (const Masticreach__Ping *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__ping__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__ping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Ping *masticreach__ping__unpack(ProtobufCAllocator *allocator,
-					     size_t len, const uint8_t *data)
+Masticreach__Ping *
+       masticreach__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Ping *)protobuf_c_message_unpack(
-		&masticreach__ping__descriptor, allocator, len, data);
+  return (Masticreach__Ping *)
+     protobuf_c_message_unpack (&masticreach__ping__descriptor,
+                                allocator, len, data);
 }
-void masticreach__ping__free_unpacked(Masticreach__Ping *message,
-				      ProtobufCAllocator *allocator)
+void   masticreach__ping__free_unpacked
+                     (Masticreach__Ping *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__ping__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__ping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__pong__init(Masticreach__Pong *message)
+void   masticreach__pong__init
+                     (Masticreach__Pong         *message)
 {
-	static const Masticreach__Pong init_value = MASTICREACH__PONG__INIT;
-	*message = init_value;
+  static const Masticreach__Pong init_value = MASTICREACH__PONG__INIT;
+  *message = init_value;
 }
-size_t masticreach__pong__get_packed_size(const Masticreach__Pong *message)
+size_t masticreach__pong__get_packed_size
+                     (const Masticreach__Pong *message)
 {
-	assert(message->base.descriptor == &masticreach__pong__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__pong__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__pong__pack(const Masticreach__Pong *message, uint8_t *out)
+size_t masticreach__pong__pack
+                     (const Masticreach__Pong *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__pong__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__pong__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__pong__pack_to_buffer(const Masticreach__Pong *message,
-					 ProtobufCBuffer *buffer)
+size_t masticreach__pong__pack_to_buffer
+                     (const Masticreach__Pong *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__pong__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__pong__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Pong *masticreach__pong__unpack(ProtobufCAllocator *allocator,
-					     size_t len, const uint8_t *data)
+Masticreach__Pong *
+       masticreach__pong__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Pong *)protobuf_c_message_unpack(
-		&masticreach__pong__descriptor, allocator, len, data);
+  return (Masticreach__Pong *)
+     protobuf_c_message_unpack (&masticreach__pong__descriptor,
+                                allocator, len, data);
 }
-void masticreach__pong__free_unpacked(Masticreach__Pong *message,
-				      ProtobufCAllocator *allocator)
+void   masticreach__pong__free_unpacked
+                     (Masticreach__Pong *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__pong__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__pong__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__request__init(Masticreach__Request *message)
+void   masticreach__request__init
+                     (Masticreach__Request         *message)
 {
-	static const Masticreach__Request init_value =
-		MASTICREACH__REQUEST__INIT;
-	*message = init_value;
+  static const Masticreach__Request init_value = MASTICREACH__REQUEST__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__request__get_packed_size(const Masticreach__Request *message)
+size_t masticreach__request__get_packed_size
+                     (const Masticreach__Request *message)
 {
-	assert(message->base.descriptor == &masticreach__request__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__request__pack(const Masticreach__Request *message,
-				  uint8_t *out)
+size_t masticreach__request__pack
+                     (const Masticreach__Request *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__request__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__request__pack_to_buffer(const Masticreach__Request *message,
-					    ProtobufCBuffer *buffer)
+size_t masticreach__request__pack_to_buffer
+                     (const Masticreach__Request *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__request__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__Request *
-masticreach__request__unpack(ProtobufCAllocator *allocator, size_t len,
-			     const uint8_t *data)
+       masticreach__request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Request *)protobuf_c_message_unpack(
-		&masticreach__request__descriptor, allocator, len, data);
+  return (Masticreach__Request *)
+     protobuf_c_message_unpack (&masticreach__request__descriptor,
+                                allocator, len, data);
 }
-void masticreach__request__free_unpacked(Masticreach__Request *message,
-					 ProtobufCAllocator *allocator)
+void   masticreach__request__free_unpacked
+                     (Masticreach__Request *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__request__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__load__init(Masticreach__Load *message)
+void   masticreach__load__init
+                     (Masticreach__Load         *message)
 {
-	static const Masticreach__Load init_value = MASTICREACH__LOAD__INIT;
-	*message = init_value;
+  static const Masticreach__Load init_value = MASTICREACH__LOAD__INIT;
+  *message = init_value;
 }
-size_t masticreach__load__get_packed_size(const Masticreach__Load *message)
+size_t masticreach__load__get_packed_size
+                     (const Masticreach__Load *message)
 {
-	assert(message->base.descriptor == &masticreach__load__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__load__pack(const Masticreach__Load *message, uint8_t *out)
+size_t masticreach__load__pack
+                     (const Masticreach__Load *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__load__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__load__pack_to_buffer(const Masticreach__Load *message,
-					 ProtobufCBuffer *buffer)
+size_t masticreach__load__pack_to_buffer
+                     (const Masticreach__Load *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__load__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Load *masticreach__load__unpack(ProtobufCAllocator *allocator,
-					     size_t len, const uint8_t *data)
+Masticreach__Load *
+       masticreach__load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Load *)protobuf_c_message_unpack(
-		&masticreach__load__descriptor, allocator, len, data);
+  return (Masticreach__Load *)
+     protobuf_c_message_unpack (&masticreach__load__descriptor,
+                                allocator, len, data);
 }
-void masticreach__load__free_unpacked(Masticreach__Load *message,
-				      ProtobufCAllocator *allocator)
+void   masticreach__load__free_unpacked
+                     (Masticreach__Load *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__load__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__response__init(Masticreach__Response *message)
+void   masticreach__response__init
+                     (Masticreach__Response         *message)
 {
-	static const Masticreach__Response init_value =
-		MASTICREACH__RESPONSE__INIT;
-	*message = init_value;
+  static const Masticreach__Response init_value = MASTICREACH__RESPONSE__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__response__get_packed_size(const Masticreach__Response *message)
+size_t masticreach__response__get_packed_size
+                     (const Masticreach__Response *message)
 {
-	assert(message->base.descriptor == &masticreach__response__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__response__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__response__pack(const Masticreach__Response *message,
-				   uint8_t *out)
+size_t masticreach__response__pack
+                     (const Masticreach__Response *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__response__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__response__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__response__pack_to_buffer(const Masticreach__Response *message,
-				      ProtobufCBuffer *buffer)
+size_t masticreach__response__pack_to_buffer
+                     (const Masticreach__Response *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__response__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__response__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__Response *
-masticreach__response__unpack(ProtobufCAllocator *allocator, size_t len,
-			      const uint8_t *data)
+       masticreach__response__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Response *)protobuf_c_message_unpack(
-		&masticreach__response__descriptor, allocator, len, data);
+  return (Masticreach__Response *)
+     protobuf_c_message_unpack (&masticreach__response__descriptor,
+                                allocator, len, data);
 }
-void masticreach__response__free_unpacked(Masticreach__Response *message,
-					  ProtobufCAllocator *allocator)
+void   masticreach__response__free_unpacked
+                     (Masticreach__Response *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__response__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__response__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__cancel__init(Masticreach__Cancel *message)
+void   masticreach__cancel__init
+                     (Masticreach__Cancel         *message)
 {
-	static const Masticreach__Cancel init_value = MASTICREACH__CANCEL__INIT;
-	*message = init_value;
+  static const Masticreach__Cancel init_value = MASTICREACH__CANCEL__INIT;
+  *message = init_value;
 }
-size_t masticreach__cancel__get_packed_size(const Masticreach__Cancel *message)
+size_t masticreach__cancel__get_packed_size
+                     (const Masticreach__Cancel *message)
 {
-	assert(message->base.descriptor == &masticreach__cancel__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cancel__pack(const Masticreach__Cancel *message,
-				 uint8_t *out)
+size_t masticreach__cancel__pack
+                     (const Masticreach__Cancel *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__cancel__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cancel__pack_to_buffer(const Masticreach__Cancel *message,
-					   ProtobufCBuffer *buffer)
+size_t masticreach__cancel__pack_to_buffer
+                     (const Masticreach__Cancel *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__cancel__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Cancel *masticreach__cancel__unpack(ProtobufCAllocator *allocator,
-						 size_t len,
-						 const uint8_t *data)
+Masticreach__Cancel *
+       masticreach__cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Cancel *)protobuf_c_message_unpack(
-		&masticreach__cancel__descriptor, allocator, len, data);
+  return (Masticreach__Cancel *)
+     protobuf_c_message_unpack (&masticreach__cancel__descriptor,
+                                allocator, len, data);
 }
-void masticreach__cancel__free_unpacked(Masticreach__Cancel *message,
-					ProtobufCAllocator *allocator)
+void   masticreach__cancel__free_unpacked
+                     (Masticreach__Cancel *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__cancel__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__outcome_query__init(Masticreach__OutcomeQuery *message)
+void   masticreach__outcome_query__init
+                     (Masticreach__OutcomeQuery         *message)
 {
-	static const Masticreach__OutcomeQuery init_value =
-		MASTICREACH__OUTCOME_QUERY__INIT;
-	*message = init_value;
+  static const Masticreach__OutcomeQuery init_value = MASTICREACH__OUTCOME_QUERY__INIT;
+  *message = init_value;
 }
-size_t masticreach__outcome_query__get_packed_size(
-	const Masticreach__OutcomeQuery *message)
+size_t masticreach__outcome_query__get_packed_size
+                     (const Masticreach__OutcomeQuery *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__outcome_query__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__outcome_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-masticreach__outcome_query__pack(const Masticreach__OutcomeQuery *message,
-				 uint8_t *out)
+size_t masticreach__outcome_query__pack
+                     (const Masticreach__OutcomeQuery *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__outcome_query__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__outcome_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__outcome_query__pack_to_buffer(
-	const Masticreach__OutcomeQuery *message, ProtobufCBuffer *buffer)
+size_t masticreach__outcome_query__pack_to_buffer
+                     (const Masticreach__OutcomeQuery *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__outcome_query__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__outcome_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__OutcomeQuery *
-masticreach__outcome_query__unpack(ProtobufCAllocator *allocator, size_t len,
-				   const uint8_t *data)
+       masticreach__outcome_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__OutcomeQuery *)protobuf_c_message_unpack(
-		&masticreach__outcome_query__descriptor, allocator, len, data);
+  return (Masticreach__OutcomeQuery *)
+     protobuf_c_message_unpack (&masticreach__outcome_query__descriptor,
+                                allocator, len, data);
 }
-void masticreach__outcome_query__free_unpacked(
-	Masticreach__OutcomeQuery *message, ProtobufCAllocator *allocator)
+void   masticreach__outcome_query__free_unpacked
+                     (Masticreach__OutcomeQuery *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__outcome_query__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__outcome_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__load_report__init(Masticreach__LoadReport *message)
+void   masticreach__load_report__init
+                     (Masticreach__LoadReport         *message)
 {
-	static const Masticreach__LoadReport init_value =
-		MASTICREACH__LOAD_REPORT__INIT;
-	*message = init_value;
+  static const Masticreach__LoadReport init_value = MASTICREACH__LOAD_REPORT__INIT;
+  *message = init_value;
 }
-size_t masticreach__load_report__get_packed_size(
-	const Masticreach__LoadReport *message)
+size_t masticreach__load_report__get_packed_size
+                     (const Masticreach__LoadReport *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__load_report__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__load_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__load_report__pack(const Masticreach__LoadReport *message,
-				      uint8_t *out)
+size_t masticreach__load_report__pack
+                     (const Masticreach__LoadReport *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__load_report__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__load_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__load_report__pack_to_buffer(const Masticreach__LoadReport *message,
-					 ProtobufCBuffer *buffer)
+size_t masticreach__load_report__pack_to_buffer
+                     (const Masticreach__LoadReport *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__load_report__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__load_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__LoadReport *
-masticreach__load_report__unpack(ProtobufCAllocator *allocator, size_t len,
-				 const uint8_t *data)
+       masticreach__load_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__LoadReport *)protobuf_c_message_unpack(
-		&masticreach__load_report__descriptor, allocator, len, data);
+  return (Masticreach__LoadReport *)
+     protobuf_c_message_unpack (&masticreach__load_report__descriptor,
+                                allocator, len, data);
 }
-void masticreach__load_report__free_unpacked(Masticreach__LoadReport *message,
-					     ProtobufCAllocator *allocator)
+void   masticreach__load_report__free_unpacked
+                     (Masticreach__LoadReport *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__load_report__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__load_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__vm_record__init(Masticreach__VmRecord *message)
+void   masticreach__vm_record__init
+                     (Masticreach__VmRecord         *message)
 {
-	static const Masticreach__VmRecord init_value =
-		MASTICREACH__VM_RECORD__INIT;
-	*message = init_value;
+  static const Masticreach__VmRecord init_value = MASTICREACH__VM_RECORD__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__vm_record__get_packed_size(const Masticreach__VmRecord *message)
+size_t masticreach__vm_record__get_packed_size
+                     (const Masticreach__VmRecord *message)
 {
-	assert(message->base.descriptor == &masticreach__vm_record__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__vm_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__vm_record__pack(const Masticreach__VmRecord *message,
-				    uint8_t *out)
+size_t masticreach__vm_record__pack
+                     (const Masticreach__VmRecord *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__vm_record__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__vm_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__vm_record__pack_to_buffer(const Masticreach__VmRecord *message,
-				       ProtobufCBuffer *buffer)
+size_t masticreach__vm_record__pack_to_buffer
+                     (const Masticreach__VmRecord *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__vm_record__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__vm_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__VmRecord *
-masticreach__vm_record__unpack(ProtobufCAllocator *allocator, size_t len,
-			       const uint8_t *data)
+       masticreach__vm_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__VmRecord *)protobuf_c_message_unpack(
-		&masticreach__vm_record__descriptor, allocator, len, data);
+  return (Masticreach__VmRecord *)
+     protobuf_c_message_unpack (&masticreach__vm_record__descriptor,
+                                allocator, len, data);
 }
-void masticreach__vm_record__free_unpacked(Masticreach__VmRecord *message,
-					   ProtobufCAllocator *allocator)
+void   masticreach__vm_record__free_unpacked
+                     (Masticreach__VmRecord *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__vm_record__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__vm_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__platform_task__init(Masticreach__PlatformTask *message)
+void   masticreach__platform_task__init
+                     (Masticreach__PlatformTask         *message)
 {
-	static const Masticreach__PlatformTask init_value =
-		MASTICREACH__PLATFORM_TASK__INIT;
-	*message = init_value;
+  static const Masticreach__PlatformTask init_value = MASTICREACH__PLATFORM_TASK__INIT;
+  *message = init_value;
 }
-size_t masticreach__platform_task__get_packed_size(
-	const Masticreach__PlatformTask *message)
+size_t masticreach__platform_task__get_packed_size
+                     (const Masticreach__PlatformTask *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__platform_task__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__platform_task__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-masticreach__platform_task__pack(const Masticreach__PlatformTask *message,
-				 uint8_t *out)
+size_t masticreach__platform_task__pack
+                     (const Masticreach__PlatformTask *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__platform_task__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__platform_task__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__platform_task__pack_to_buffer(
-	const Masticreach__PlatformTask *message, ProtobufCBuffer *buffer)
+size_t masticreach__platform_task__pack_to_buffer
+                     (const Masticreach__PlatformTask *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__platform_task__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__platform_task__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__PlatformTask *
-masticreach__platform_task__unpack(ProtobufCAllocator *allocator, size_t len,
-				   const uint8_t *data)
+       masticreach__platform_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__PlatformTask *)protobuf_c_message_unpack(
-		&masticreach__platform_task__descriptor, allocator, len, data);
+  return (Masticreach__PlatformTask *)
+     protobuf_c_message_unpack (&masticreach__platform_task__descriptor,
+                                allocator, len, data);
 }
-void masticreach__platform_task__free_unpacked(
-	Masticreach__PlatformTask *message, ProtobufCAllocator *allocator)
+void   masticreach__platform_task__free_unpacked
+                     (Masticreach__PlatformTask *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__platform_task__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__platform_task__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__report_service__init(Masticreach__ReportService *message)
+void   masticreach__report_service__init
+                     (Masticreach__ReportService         *message)
 {
-	static const Masticreach__ReportService init_value =
-		MASTICREACH__REPORT_SERVICE__INIT;
-	*message = init_value;
+  static const Masticreach__ReportService init_value = MASTICREACH__REPORT_SERVICE__INIT;
+  *message = init_value;
 }
-size_t masticreach__report_service__get_packed_size(
-	const Masticreach__ReportService *message)
+size_t masticreach__report_service__get_packed_size
+                     (const Masticreach__ReportService *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__report_service__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__report_service__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-masticreach__report_service__pack(const Masticreach__ReportService *message,
-				  uint8_t *out)
+size_t masticreach__report_service__pack
+                     (const Masticreach__ReportService *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__report_service__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__report_service__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__report_service__pack_to_buffer(
-	const Masticreach__ReportService *message, ProtobufCBuffer *buffer)
+size_t masticreach__report_service__pack_to_buffer
+                     (const Masticreach__ReportService *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__report_service__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__report_service__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__ReportService *
-masticreach__report_service__unpack(ProtobufCAllocator *allocator, size_t len,
-				    const uint8_t *data)
+       masticreach__report_service__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__ReportService *)protobuf_c_message_unpack(
-		&masticreach__report_service__descriptor, allocator, len, data);
+  return (Masticreach__ReportService *)
+     protobuf_c_message_unpack (&masticreach__report_service__descriptor,
+                                allocator, len, data);
 }
-void masticreach__report_service__free_unpacked(
-	Masticreach__ReportService *message, ProtobufCAllocator *allocator)
+void   masticreach__report_service__free_unpacked
+                     (Masticreach__ReportService *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__report_service__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__report_service__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__report__init(Masticreach__Report *message)
+void   masticreach__report__init
+                     (Masticreach__Report         *message)
 {
-	static const Masticreach__Report init_value = MASTICREACH__REPORT__INIT;
-	*message = init_value;
+  static const Masticreach__Report init_value = MASTICREACH__REPORT__INIT;
+  *message = init_value;
 }
-size_t masticreach__report__get_packed_size(const Masticreach__Report *message)
+size_t masticreach__report__get_packed_size
+                     (const Masticreach__Report *message)
 {
-	assert(message->base.descriptor == &masticreach__report__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__report__pack(const Masticreach__Report *message,
-				 uint8_t *out)
+size_t masticreach__report__pack
+                     (const Masticreach__Report *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__report__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__report__pack_to_buffer(const Masticreach__Report *message,
-					   ProtobufCBuffer *buffer)
+size_t masticreach__report__pack_to_buffer
+                     (const Masticreach__Report *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__report__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Report *masticreach__report__unpack(ProtobufCAllocator *allocator,
-						 size_t len,
-						 const uint8_t *data)
+Masticreach__Report *
+       masticreach__report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Report *)protobuf_c_message_unpack(
-		&masticreach__report__descriptor, allocator, len, data);
+  return (Masticreach__Report *)
+     protobuf_c_message_unpack (&masticreach__report__descriptor,
+                                allocator, len, data);
 }
-void masticreach__report__free_unpacked(Masticreach__Report *message,
-					ProtobufCAllocator *allocator)
+void   masticreach__report__free_unpacked
+                     (Masticreach__Report *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__report__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__grant__init(Masticreach__Grant *message)
+void   masticreach__grant__init
+                     (Masticreach__Grant         *message)
 {
-	static const Masticreach__Grant init_value = MASTICREACH__GRANT__INIT;
-	*message = init_value;
+  static const Masticreach__Grant init_value = MASTICREACH__GRANT__INIT;
+  *message = init_value;
 }
-size_t masticreach__grant__get_packed_size(const Masticreach__Grant *message)
+size_t masticreach__grant__get_packed_size
+                     (const Masticreach__Grant *message)
 {
-	assert(message->base.descriptor == &masticreach__grant__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__grant__pack(const Masticreach__Grant *message, uint8_t *out)
+size_t masticreach__grant__pack
+                     (const Masticreach__Grant *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__grant__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__grant__pack_to_buffer(const Masticreach__Grant *message,
-					  ProtobufCBuffer *buffer)
+size_t masticreach__grant__pack_to_buffer
+                     (const Masticreach__Grant *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__grant__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Grant *masticreach__grant__unpack(ProtobufCAllocator *allocator,
-					       size_t len, const uint8_t *data)
+Masticreach__Grant *
+       masticreach__grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Grant *)protobuf_c_message_unpack(
-		&masticreach__grant__descriptor, allocator, len, data);
+  return (Masticreach__Grant *)
+     protobuf_c_message_unpack (&masticreach__grant__descriptor,
+                                allocator, len, data);
 }
-void masticreach__grant__free_unpacked(Masticreach__Grant *message,
-				       ProtobufCAllocator *allocator)
+void   masticreach__grant__free_unpacked
+                     (Masticreach__Grant *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__grant__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__platform_start__init(Masticreach__PlatformStart *message)
+void   masticreach__platform_start__init
+                     (Masticreach__PlatformStart         *message)
 {
-	static const Masticreach__PlatformStart init_value =
-		MASTICREACH__PLATFORM_START__INIT;
-	*message = init_value;
+  static const Masticreach__PlatformStart init_value = MASTICREACH__PLATFORM_START__INIT;
+  *message = init_value;
 }
-size_t masticreach__platform_start__get_packed_size(
-	const Masticreach__PlatformStart *message)
+size_t masticreach__platform_start__get_packed_size
+                     (const Masticreach__PlatformStart *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__platform_start__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__platform_start__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-masticreach__platform_start__pack(const Masticreach__PlatformStart *message,
-				  uint8_t *out)
+size_t masticreach__platform_start__pack
+                     (const Masticreach__PlatformStart *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__platform_start__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__platform_start__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__platform_start__pack_to_buffer(
-	const Masticreach__PlatformStart *message, ProtobufCBuffer *buffer)
+size_t masticreach__platform_start__pack_to_buffer
+                     (const Masticreach__PlatformStart *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__platform_start__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__platform_start__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__PlatformStart *
-masticreach__platform_start__unpack(ProtobufCAllocator *allocator, size_t len,
-				    const uint8_t *data)
+       masticreach__platform_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__PlatformStart *)protobuf_c_message_unpack(
-		&masticreach__platform_start__descriptor, allocator, len, data);
+  return (Masticreach__PlatformStart *)
+     protobuf_c_message_unpack (&masticreach__platform_start__descriptor,
+                                allocator, len, data);
 }
-void masticreach__platform_start__free_unpacked(
-	Masticreach__PlatformStart *message, ProtobufCAllocator *allocator)
+void   masticreach__platform_start__free_unpacked
+                     (Masticreach__PlatformStart *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__platform_start__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__platform_start__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__task_order__init(Masticreach__TaskOrder *message)
+void   masticreach__task_order__init
+                     (Masticreach__TaskOrder         *message)
 {
-	static const Masticreach__TaskOrder init_value =
-		MASTICREACH__TASK_ORDER__INIT;
-	*message = init_value;
+  static const Masticreach__TaskOrder init_value = MASTICREACH__TASK_ORDER__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__task_order__get_packed_size(const Masticreach__TaskOrder *message)
+size_t masticreach__task_order__get_packed_size
+                     (const Masticreach__TaskOrder *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__task_order__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__task_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__task_order__pack(const Masticreach__TaskOrder *message,
-				     uint8_t *out)
+size_t masticreach__task_order__pack
+                     (const Masticreach__TaskOrder *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__task_order__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__task_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__task_order__pack_to_buffer(const Masticreach__TaskOrder *message,
-					ProtobufCBuffer *buffer)
+size_t masticreach__task_order__pack_to_buffer
+                     (const Masticreach__TaskOrder *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__task_order__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__task_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__TaskOrder *
-masticreach__task_order__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+       masticreach__task_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__TaskOrder *)protobuf_c_message_unpack(
-		&masticreach__task_order__descriptor, allocator, len, data);
+  return (Masticreach__TaskOrder *)
+     protobuf_c_message_unpack (&masticreach__task_order__descriptor,
+                                allocator, len, data);
 }
-void masticreach__task_order__free_unpacked(Masticreach__TaskOrder *message,
-					    ProtobufCAllocator *allocator)
+void   masticreach__task_order__free_unpacked
+                     (Masticreach__TaskOrder *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__task_order__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__task_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__task_event__init(Masticreach__TaskEvent *message)
+void   masticreach__task_event__init
+                     (Masticreach__TaskEvent         *message)
 {
-	static const Masticreach__TaskEvent init_value =
-		MASTICREACH__TASK_EVENT__INIT;
-	*message = init_value;
+  static const Masticreach__TaskEvent init_value = MASTICREACH__TASK_EVENT__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__task_event__get_packed_size(const Masticreach__TaskEvent *message)
+size_t masticreach__task_event__get_packed_size
+                     (const Masticreach__TaskEvent *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__task_event__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__task_event__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__task_event__pack(const Masticreach__TaskEvent *message,
-				     uint8_t *out)
+size_t masticreach__task_event__pack
+                     (const Masticreach__TaskEvent *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__task_event__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__task_event__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__task_event__pack_to_buffer(const Masticreach__TaskEvent *message,
-					ProtobufCBuffer *buffer)
+size_t masticreach__task_event__pack_to_buffer
+                     (const Masticreach__TaskEvent *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__task_event__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__task_event__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__TaskEvent *
-masticreach__task_event__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+       masticreach__task_event__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__TaskEvent *)protobuf_c_message_unpack(
-		&masticreach__task_event__descriptor, allocator, len, data);
+  return (Masticreach__TaskEvent *)
+     protobuf_c_message_unpack (&masticreach__task_event__descriptor,
+                                allocator, len, data);
 }
-void masticreach__task_event__free_unpacked(Masticreach__TaskEvent *message,
-					    ProtobufCAllocator *allocator)
+void   masticreach__task_event__free_unpacked
+                     (Masticreach__TaskEvent *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__task_event__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__task_event__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__view_query__init(Masticreach__ViewQuery *message)
+void   masticreach__view_query__init
+                     (Masticreach__ViewQuery         *message)
 {
-	static const Masticreach__ViewQuery init_value =
-		MASTICREACH__VIEW_QUERY__INIT;
-	*message = init_value;
+  static const Masticreach__ViewQuery init_value = MASTICREACH__VIEW_QUERY__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__view_query__get_packed_size(const Masticreach__ViewQuery *message)
+size_t masticreach__view_query__get_packed_size
+                     (const Masticreach__ViewQuery *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__view_query__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__view_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__view_query__pack(const Masticreach__ViewQuery *message,
-				     uint8_t *out)
+size_t masticreach__view_query__pack
+                     (const Masticreach__ViewQuery *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__view_query__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__view_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__view_query__pack_to_buffer(const Masticreach__ViewQuery *message,
-					ProtobufCBuffer *buffer)
+size_t masticreach__view_query__pack_to_buffer
+                     (const Masticreach__ViewQuery *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__view_query__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__view_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__ViewQuery *
-masticreach__view_query__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+       masticreach__view_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__ViewQuery *)protobuf_c_message_unpack(
-		&masticreach__view_query__descriptor, allocator, len, data);
+  return (Masticreach__ViewQuery *)
+     protobuf_c_message_unpack (&masticreach__view_query__descriptor,
+                                allocator, len, data);
 }
-void masticreach__view_query__free_unpacked(Masticreach__ViewQuery *message,
-					    ProtobufCAllocator *allocator)
+void   masticreach__view_query__free_unpacked
+                     (Masticreach__ViewQuery *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__view_query__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__view_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__zone_record__init(Masticreach__ZoneRecord *message)
+void   masticreach__zone_record__init
+                     (Masticreach__ZoneRecord         *message)
 {
-	static const Masticreach__ZoneRecord init_value =
-		MASTICREACH__ZONE_RECORD__INIT;
-	*message = init_value;
+  static const Masticreach__ZoneRecord init_value = MASTICREACH__ZONE_RECORD__INIT;
+  *message = init_value;
 }
-size_t masticreach__zone_record__get_packed_size(
-	const Masticreach__ZoneRecord *message)
+size_t masticreach__zone_record__get_packed_size
+                     (const Masticreach__ZoneRecord *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__zone_record__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__zone_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__zone_record__pack(const Masticreach__ZoneRecord *message,
-				      uint8_t *out)
+size_t masticreach__zone_record__pack
+                     (const Masticreach__ZoneRecord *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__zone_record__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__zone_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__zone_record__pack_to_buffer(const Masticreach__ZoneRecord *message,
-					 ProtobufCBuffer *buffer)
+size_t masticreach__zone_record__pack_to_buffer
+                     (const Masticreach__ZoneRecord *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__zone_record__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__zone_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__ZoneRecord *
-masticreach__zone_record__unpack(ProtobufCAllocator *allocator, size_t len,
-				 const uint8_t *data)
+       masticreach__zone_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__ZoneRecord *)protobuf_c_message_unpack(
-		&masticreach__zone_record__descriptor, allocator, len, data);
+  return (Masticreach__ZoneRecord *)
+     protobuf_c_message_unpack (&masticreach__zone_record__descriptor,
+                                allocator, len, data);
 }
-void masticreach__zone_record__free_unpacked(Masticreach__ZoneRecord *message,
-					     ProtobufCAllocator *allocator)
+void   masticreach__zone_record__free_unpacked
+                     (Masticreach__ZoneRecord *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__zone_record__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__zone_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__view_agent__init(Masticreach__ViewAgent *message)
+void   masticreach__view_agent__init
+                     (Masticreach__ViewAgent         *message)
 {
-	static const Masticreach__ViewAgent init_value =
-		MASTICREACH__VIEW_AGENT__INIT;
-	*message = init_value;
+  static const Masticreach__ViewAgent init_value = MASTICREACH__VIEW_AGENT__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__view_agent__get_packed_size(const Masticreach__ViewAgent *message)
+size_t masticreach__view_agent__get_packed_size
+                     (const Masticreach__ViewAgent *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__view_agent__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__view_agent__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__view_agent__pack(const Masticreach__ViewAgent *message,
-				     uint8_t *out)
+size_t masticreach__view_agent__pack
+                     (const Masticreach__ViewAgent *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__view_agent__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__view_agent__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__view_agent__pack_to_buffer(const Masticreach__ViewAgent *message,
-					ProtobufCBuffer *buffer)
+size_t masticreach__view_agent__pack_to_buffer
+                     (const Masticreach__ViewAgent *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__view_agent__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__view_agent__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__ViewAgent *
-masticreach__view_agent__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+       masticreach__view_agent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__ViewAgent *)protobuf_c_message_unpack(
-		&masticreach__view_agent__descriptor, allocator, len, data);
+  return (Masticreach__ViewAgent *)
+     protobuf_c_message_unpack (&masticreach__view_agent__descriptor,
+                                allocator, len, data);
 }
-void masticreach__view_agent__free_unpacked(Masticreach__ViewAgent *message,
-					    ProtobufCAllocator *allocator)
+void   masticreach__view_agent__free_unpacked
+                     (Masticreach__ViewAgent *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__view_agent__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__view_agent__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__bundle_zone__init(Masticreach__BundleZone *message)
+void   masticreach__bundle_zone__init
+                     (Masticreach__BundleZone         *message)
 {
-	static const Masticreach__BundleZone init_value =
-		MASTICREACH__BUNDLE_ZONE__INIT;
-	*message = init_value;
+  static const Masticreach__BundleZone init_value = MASTICREACH__BUNDLE_ZONE__INIT;
+  *message = init_value;
 }
-size_t masticreach__bundle_zone__get_packed_size(
-	const Masticreach__BundleZone *message)
+size_t masticreach__bundle_zone__get_packed_size
+                     (const Masticreach__BundleZone *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__bundle_zone__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__bundle_zone__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__bundle_zone__pack(const Masticreach__BundleZone *message,
-				      uint8_t *out)
+size_t masticreach__bundle_zone__pack
+                     (const Masticreach__BundleZone *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__bundle_zone__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__bundle_zone__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__bundle_zone__pack_to_buffer(const Masticreach__BundleZone *message,
-					 ProtobufCBuffer *buffer)
+size_t masticreach__bundle_zone__pack_to_buffer
+                     (const Masticreach__BundleZone *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__bundle_zone__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__bundle_zone__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__BundleZone *
-masticreach__bundle_zone__unpack(ProtobufCAllocator *allocator, size_t len,
-				 const uint8_t *data)
+       masticreach__bundle_zone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__BundleZone *)protobuf_c_message_unpack(
-		&masticreach__bundle_zone__descriptor, allocator, len, data);
+  return (Masticreach__BundleZone *)
+     protobuf_c_message_unpack (&masticreach__bundle_zone__descriptor,
+                                allocator, len, data);
 }
-void masticreach__bundle_zone__free_unpacked(Masticreach__BundleZone *message,
-					     ProtobufCAllocator *allocator)
+void   masticreach__bundle_zone__free_unpacked
+                     (Masticreach__BundleZone *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__bundle_zone__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__bundle_zone__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__bundle_team__init(Masticreach__BundleTeam *message)
+void   masticreach__bundle_team__init
+                     (Masticreach__BundleTeam         *message)
 {
-	static const Masticreach__BundleTeam init_value =
-		MASTICREACH__BUNDLE_TEAM__INIT;
-	*message = init_value;
+  static const Masticreach__BundleTeam init_value = MASTICREACH__BUNDLE_TEAM__INIT;
+  *message = init_value;
 }
-size_t masticreach__bundle_team__get_packed_size(
-	const Masticreach__BundleTeam *message)
+size_t masticreach__bundle_team__get_packed_size
+                     (const Masticreach__BundleTeam *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__bundle_team__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__bundle_team__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__bundle_team__pack(const Masticreach__BundleTeam *message,
-				      uint8_t *out)
+size_t masticreach__bundle_team__pack
+                     (const Masticreach__BundleTeam *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__bundle_team__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__bundle_team__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__bundle_team__pack_to_buffer(const Masticreach__BundleTeam *message,
-					 ProtobufCBuffer *buffer)
+size_t masticreach__bundle_team__pack_to_buffer
+                     (const Masticreach__BundleTeam *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__bundle_team__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__bundle_team__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__BundleTeam *
-masticreach__bundle_team__unpack(ProtobufCAllocator *allocator, size_t len,
-				 const uint8_t *data)
+       masticreach__bundle_team__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__BundleTeam *)protobuf_c_message_unpack(
-		&masticreach__bundle_team__descriptor, allocator, len, data);
+  return (Masticreach__BundleTeam *)
+     protobuf_c_message_unpack (&masticreach__bundle_team__descriptor,
+                                allocator, len, data);
 }
-void masticreach__bundle_team__free_unpacked(Masticreach__BundleTeam *message,
-					     ProtobufCAllocator *allocator)
+void   masticreach__bundle_team__free_unpacked
+                     (Masticreach__BundleTeam *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__bundle_team__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__bundle_team__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__bundle_service__init(Masticreach__BundleService *message)
+void   masticreach__bundle_service__init
+                     (Masticreach__BundleService         *message)
 {
-	static const Masticreach__BundleService init_value =
-		MASTICREACH__BUNDLE_SERVICE__INIT;
-	*message = init_value;
+  static const Masticreach__BundleService init_value = MASTICREACH__BUNDLE_SERVICE__INIT;
+  *message = init_value;
 }
-size_t masticreach__bundle_service__get_packed_size(
-	const Masticreach__BundleService *message)
+size_t masticreach__bundle_service__get_packed_size
+                     (const Masticreach__BundleService *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__bundle_service__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__bundle_service__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-masticreach__bundle_service__pack(const Masticreach__BundleService *message,
-				  uint8_t *out)
+size_t masticreach__bundle_service__pack
+                     (const Masticreach__BundleService *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__bundle_service__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__bundle_service__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__bundle_service__pack_to_buffer(
-	const Masticreach__BundleService *message, ProtobufCBuffer *buffer)
+size_t masticreach__bundle_service__pack_to_buffer
+                     (const Masticreach__BundleService *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__bundle_service__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__bundle_service__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__BundleService *
-masticreach__bundle_service__unpack(ProtobufCAllocator *allocator, size_t len,
-				    const uint8_t *data)
+       masticreach__bundle_service__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__BundleService *)protobuf_c_message_unpack(
-		&masticreach__bundle_service__descriptor, allocator, len, data);
+  return (Masticreach__BundleService *)
+     protobuf_c_message_unpack (&masticreach__bundle_service__descriptor,
+                                allocator, len, data);
 }
-void masticreach__bundle_service__free_unpacked(
-	Masticreach__BundleService *message, ProtobufCAllocator *allocator)
+void   masticreach__bundle_service__free_unpacked
+                     (Masticreach__BundleService *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__bundle_service__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__bundle_service__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__bundle__init(Masticreach__Bundle *message)
+void   masticreach__bundle__init
+                     (Masticreach__Bundle         *message)
 {
-	static const Masticreach__Bundle init_value = MASTICREACH__BUNDLE__INIT;
-	*message = init_value;
+  static const Masticreach__Bundle init_value = MASTICREACH__BUNDLE__INIT;
+  *message = init_value;
 }
-size_t masticreach__bundle__get_packed_size(const Masticreach__Bundle *message)
+size_t masticreach__bundle__get_packed_size
+                     (const Masticreach__Bundle *message)
 {
-	assert(message->base.descriptor == &masticreach__bundle__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__bundle__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__bundle__pack(const Masticreach__Bundle *message,
-				 uint8_t *out)
+size_t masticreach__bundle__pack
+                     (const Masticreach__Bundle *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__bundle__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__bundle__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__bundle__pack_to_buffer(const Masticreach__Bundle *message,
-					   ProtobufCBuffer *buffer)
+size_t masticreach__bundle__pack_to_buffer
+                     (const Masticreach__Bundle *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__bundle__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__bundle__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Bundle *masticreach__bundle__unpack(ProtobufCAllocator *allocator,
-						 size_t len,
-						 const uint8_t *data)
+Masticreach__Bundle *
+       masticreach__bundle__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Bundle *)protobuf_c_message_unpack(
-		&masticreach__bundle__descriptor, allocator, len, data);
+  return (Masticreach__Bundle *)
+     protobuf_c_message_unpack (&masticreach__bundle__descriptor,
+                                allocator, len, data);
 }
-void masticreach__bundle__free_unpacked(Masticreach__Bundle *message,
-					ProtobufCAllocator *allocator)
+void   masticreach__bundle__free_unpacked
+                     (Masticreach__Bundle *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__bundle__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__bundle__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__view__init(Masticreach__View *message)
+void   masticreach__view__init
+                     (Masticreach__View         *message)
 {
-	static const Masticreach__View init_value = MASTICREACH__VIEW__INIT;
-	*message = init_value;
+  static const Masticreach__View init_value = MASTICREACH__VIEW__INIT;
+  *message = init_value;
 }
-size_t masticreach__view__get_packed_size(const Masticreach__View *message)
+size_t masticreach__view__get_packed_size
+                     (const Masticreach__View *message)
 {
-	assert(message->base.descriptor == &masticreach__view__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__view__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__view__pack(const Masticreach__View *message, uint8_t *out)
+size_t masticreach__view__pack
+                     (const Masticreach__View *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__view__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__view__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__view__pack_to_buffer(const Masticreach__View *message,
-					 ProtobufCBuffer *buffer)
+size_t masticreach__view__pack_to_buffer
+                     (const Masticreach__View *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__view__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__view__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__View *masticreach__view__unpack(ProtobufCAllocator *allocator,
-					     size_t len, const uint8_t *data)
+Masticreach__View *
+       masticreach__view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__View *)protobuf_c_message_unpack(
-		&masticreach__view__descriptor, allocator, len, data);
+  return (Masticreach__View *)
+     protobuf_c_message_unpack (&masticreach__view__descriptor,
+                                allocator, len, data);
 }
-void masticreach__view__free_unpacked(Masticreach__View *message,
-				      ProtobufCAllocator *allocator)
+void   masticreach__view__free_unpacked
+                     (Masticreach__View *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__view__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__view__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__claim_record__init(Masticreach__ClaimRecord *message)
+void   masticreach__claim_record__init
+                     (Masticreach__ClaimRecord         *message)
 {
-	static const Masticreach__ClaimRecord init_value =
-		MASTICREACH__CLAIM_RECORD__INIT;
-	*message = init_value;
+  static const Masticreach__ClaimRecord init_value = MASTICREACH__CLAIM_RECORD__INIT;
+  *message = init_value;
 }
-size_t masticreach__claim_record__get_packed_size(
-	const Masticreach__ClaimRecord *message)
+size_t masticreach__claim_record__get_packed_size
+                     (const Masticreach__ClaimRecord *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__claim_record__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__claim_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__claim_record__pack(const Masticreach__ClaimRecord *message,
-				       uint8_t *out)
+size_t masticreach__claim_record__pack
+                     (const Masticreach__ClaimRecord *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__claim_record__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__claim_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__claim_record__pack_to_buffer(
-	const Masticreach__ClaimRecord *message, ProtobufCBuffer *buffer)
+size_t masticreach__claim_record__pack_to_buffer
+                     (const Masticreach__ClaimRecord *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__claim_record__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__claim_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__ClaimRecord *
-masticreach__claim_record__unpack(ProtobufCAllocator *allocator, size_t len,
-				  const uint8_t *data)
+       masticreach__claim_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__ClaimRecord *)protobuf_c_message_unpack(
-		&masticreach__claim_record__descriptor, allocator, len, data);
+  return (Masticreach__ClaimRecord *)
+     protobuf_c_message_unpack (&masticreach__claim_record__descriptor,
+                                allocator, len, data);
 }
-void masticreach__claim_record__free_unpacked(Masticreach__ClaimRecord *message,
-					      ProtobufCAllocator *allocator)
+void   masticreach__claim_record__free_unpacked
+                     (Masticreach__ClaimRecord *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__claim_record__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__claim_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__claim_query__init(Masticreach__ClaimQuery *message)
+void   masticreach__claim_query__init
+                     (Masticreach__ClaimQuery         *message)
 {
-	static const Masticreach__ClaimQuery init_value =
-		MASTICREACH__CLAIM_QUERY__INIT;
-	*message = init_value;
+  static const Masticreach__ClaimQuery init_value = MASTICREACH__CLAIM_QUERY__INIT;
+  *message = init_value;
 }
-size_t masticreach__claim_query__get_packed_size(
-	const Masticreach__ClaimQuery *message)
+size_t masticreach__claim_query__get_packed_size
+                     (const Masticreach__ClaimQuery *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__claim_query__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__claim_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__claim_query__pack(const Masticreach__ClaimQuery *message,
-				      uint8_t *out)
+size_t masticreach__claim_query__pack
+                     (const Masticreach__ClaimQuery *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__claim_query__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__claim_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__claim_query__pack_to_buffer(const Masticreach__ClaimQuery *message,
-					 ProtobufCBuffer *buffer)
+size_t masticreach__claim_query__pack_to_buffer
+                     (const Masticreach__ClaimQuery *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__claim_query__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__claim_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__ClaimQuery *
-masticreach__claim_query__unpack(ProtobufCAllocator *allocator, size_t len,
-				 const uint8_t *data)
+       masticreach__claim_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__ClaimQuery *)protobuf_c_message_unpack(
-		&masticreach__claim_query__descriptor, allocator, len, data);
+  return (Masticreach__ClaimQuery *)
+     protobuf_c_message_unpack (&masticreach__claim_query__descriptor,
+                                allocator, len, data);
 }
-void masticreach__claim_query__free_unpacked(Masticreach__ClaimQuery *message,
-					     ProtobufCAllocator *allocator)
+void   masticreach__claim_query__free_unpacked
+                     (Masticreach__ClaimQuery *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__claim_query__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__claim_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__claim_reply__init(Masticreach__ClaimReply *message)
+void   masticreach__claim_reply__init
+                     (Masticreach__ClaimReply         *message)
 {
-	static const Masticreach__ClaimReply init_value =
-		MASTICREACH__CLAIM_REPLY__INIT;
-	*message = init_value;
+  static const Masticreach__ClaimReply init_value = MASTICREACH__CLAIM_REPLY__INIT;
+  *message = init_value;
 }
-size_t masticreach__claim_reply__get_packed_size(
-	const Masticreach__ClaimReply *message)
+size_t masticreach__claim_reply__get_packed_size
+                     (const Masticreach__ClaimReply *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__claim_reply__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__claim_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__claim_reply__pack(const Masticreach__ClaimReply *message,
-				      uint8_t *out)
+size_t masticreach__claim_reply__pack
+                     (const Masticreach__ClaimReply *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__claim_reply__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__claim_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__claim_reply__pack_to_buffer(const Masticreach__ClaimReply *message,
-					 ProtobufCBuffer *buffer)
+size_t masticreach__claim_reply__pack_to_buffer
+                     (const Masticreach__ClaimReply *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__claim_reply__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__claim_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__ClaimReply *
-masticreach__claim_reply__unpack(ProtobufCAllocator *allocator, size_t len,
-				 const uint8_t *data)
+       masticreach__claim_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__ClaimReply *)protobuf_c_message_unpack(
-		&masticreach__claim_reply__descriptor, allocator, len, data);
+  return (Masticreach__ClaimReply *)
+     protobuf_c_message_unpack (&masticreach__claim_reply__descriptor,
+                                allocator, len, data);
 }
-void masticreach__claim_reply__free_unpacked(Masticreach__ClaimReply *message,
-					     ProtobufCAllocator *allocator)
+void   masticreach__claim_reply__free_unpacked
+                     (Masticreach__ClaimReply *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__claim_reply__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__claim_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__claim_done__init(Masticreach__ClaimDone *message)
+void   masticreach__claim_done__init
+                     (Masticreach__ClaimDone         *message)
 {
-	static const Masticreach__ClaimDone init_value =
-		MASTICREACH__CLAIM_DONE__INIT;
-	*message = init_value;
+  static const Masticreach__ClaimDone init_value = MASTICREACH__CLAIM_DONE__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__claim_done__get_packed_size(const Masticreach__ClaimDone *message)
+size_t masticreach__claim_done__get_packed_size
+                     (const Masticreach__ClaimDone *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__claim_done__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__claim_done__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__claim_done__pack(const Masticreach__ClaimDone *message,
-				     uint8_t *out)
+size_t masticreach__claim_done__pack
+                     (const Masticreach__ClaimDone *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__claim_done__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__claim_done__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__claim_done__pack_to_buffer(const Masticreach__ClaimDone *message,
-					ProtobufCBuffer *buffer)
+size_t masticreach__claim_done__pack_to_buffer
+                     (const Masticreach__ClaimDone *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__claim_done__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__claim_done__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__ClaimDone *
-masticreach__claim_done__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+       masticreach__claim_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__ClaimDone *)protobuf_c_message_unpack(
-		&masticreach__claim_done__descriptor, allocator, len, data);
+  return (Masticreach__ClaimDone *)
+     protobuf_c_message_unpack (&masticreach__claim_done__descriptor,
+                                allocator, len, data);
 }
-void masticreach__claim_done__free_unpacked(Masticreach__ClaimDone *message,
-					    ProtobufCAllocator *allocator)
+void   masticreach__claim_done__free_unpacked
+                     (Masticreach__ClaimDone *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__claim_done__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__claim_done__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__vote__init(Masticreach__Vote *message)
+void   masticreach__vote__init
+                     (Masticreach__Vote         *message)
 {
-	static const Masticreach__Vote init_value = MASTICREACH__VOTE__INIT;
-	*message = init_value;
+  static const Masticreach__Vote init_value = MASTICREACH__VOTE__INIT;
+  *message = init_value;
 }
-size_t masticreach__vote__get_packed_size(const Masticreach__Vote *message)
+size_t masticreach__vote__get_packed_size
+                     (const Masticreach__Vote *message)
 {
-	assert(message->base.descriptor == &masticreach__vote__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__vote__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__vote__pack(const Masticreach__Vote *message, uint8_t *out)
+size_t masticreach__vote__pack
+                     (const Masticreach__Vote *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__vote__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__vote__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__vote__pack_to_buffer(const Masticreach__Vote *message,
-					 ProtobufCBuffer *buffer)
+size_t masticreach__vote__pack_to_buffer
+                     (const Masticreach__Vote *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__vote__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__vote__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Vote *masticreach__vote__unpack(ProtobufCAllocator *allocator,
-					     size_t len, const uint8_t *data)
+Masticreach__Vote *
+       masticreach__vote__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Vote *)protobuf_c_message_unpack(
-		&masticreach__vote__descriptor, allocator, len, data);
+  return (Masticreach__Vote *)
+     protobuf_c_message_unpack (&masticreach__vote__descriptor,
+                                allocator, len, data);
 }
-void masticreach__vote__free_unpacked(Masticreach__Vote *message,
-				      ProtobufCAllocator *allocator)
+void   masticreach__vote__free_unpacked
+                     (Masticreach__Vote *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__vote__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__vote__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__vote_reply__init(Masticreach__VoteReply *message)
+void   masticreach__vote_reply__init
+                     (Masticreach__VoteReply         *message)
 {
-	static const Masticreach__VoteReply init_value =
-		MASTICREACH__VOTE_REPLY__INIT;
-	*message = init_value;
+  static const Masticreach__VoteReply init_value = MASTICREACH__VOTE_REPLY__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__vote_reply__get_packed_size(const Masticreach__VoteReply *message)
+size_t masticreach__vote_reply__get_packed_size
+                     (const Masticreach__VoteReply *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__vote_reply__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__vote_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__vote_reply__pack(const Masticreach__VoteReply *message,
-				     uint8_t *out)
+size_t masticreach__vote_reply__pack
+                     (const Masticreach__VoteReply *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__vote_reply__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__vote_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__vote_reply__pack_to_buffer(const Masticreach__VoteReply *message,
-					ProtobufCBuffer *buffer)
+size_t masticreach__vote_reply__pack_to_buffer
+                     (const Masticreach__VoteReply *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__vote_reply__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__vote_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__VoteReply *
-masticreach__vote_reply__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+       masticreach__vote_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__VoteReply *)protobuf_c_message_unpack(
-		&masticreach__vote_reply__descriptor, allocator, len, data);
+  return (Masticreach__VoteReply *)
+     protobuf_c_message_unpack (&masticreach__vote_reply__descriptor,
+                                allocator, len, data);
 }
-void masticreach__vote_reply__free_unpacked(Masticreach__VoteReply *message,
-					    ProtobufCAllocator *allocator)
+void   masticreach__vote_reply__free_unpacked
+                     (Masticreach__VoteReply *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__vote_reply__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__vote_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__log_entry__init(Masticreach__LogEntry *message)
+void   masticreach__log_entry__init
+                     (Masticreach__LogEntry         *message)
 {
-	static const Masticreach__LogEntry init_value =
-		MASTICREACH__LOG_ENTRY__INIT;
-	*message = init_value;
+  static const Masticreach__LogEntry init_value = MASTICREACH__LOG_ENTRY__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__log_entry__get_packed_size(const Masticreach__LogEntry *message)
+size_t masticreach__log_entry__get_packed_size
+                     (const Masticreach__LogEntry *message)
 {
-	assert(message->base.descriptor == &masticreach__log_entry__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__log_entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__log_entry__pack(const Masticreach__LogEntry *message,
-				    uint8_t *out)
+size_t masticreach__log_entry__pack
+                     (const Masticreach__LogEntry *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__log_entry__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__log_entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__log_entry__pack_to_buffer(const Masticreach__LogEntry *message,
-				       ProtobufCBuffer *buffer)
+size_t masticreach__log_entry__pack_to_buffer
+                     (const Masticreach__LogEntry *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__log_entry__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__log_entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__LogEntry *
-masticreach__log_entry__unpack(ProtobufCAllocator *allocator, size_t len,
-			       const uint8_t *data)
+       masticreach__log_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__LogEntry *)protobuf_c_message_unpack(
-		&masticreach__log_entry__descriptor, allocator, len, data);
+  return (Masticreach__LogEntry *)
+     protobuf_c_message_unpack (&masticreach__log_entry__descriptor,
+                                allocator, len, data);
 }
-void masticreach__log_entry__free_unpacked(Masticreach__LogEntry *message,
-					   ProtobufCAllocator *allocator)
+void   masticreach__log_entry__free_unpacked
+                     (Masticreach__LogEntry *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__log_entry__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__log_entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__append__init(Masticreach__Append *message)
+void   masticreach__append__init
+                     (Masticreach__Append         *message)
 {
-	static const Masticreach__Append init_value = MASTICREACH__APPEND__INIT;
-	*message = init_value;
+  static const Masticreach__Append init_value = MASTICREACH__APPEND__INIT;
+  *message = init_value;
 }
-size_t masticreach__append__get_packed_size(const Masticreach__Append *message)
+size_t masticreach__append__get_packed_size
+                     (const Masticreach__Append *message)
 {
-	assert(message->base.descriptor == &masticreach__append__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__append__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__append__pack(const Masticreach__Append *message,
-				 uint8_t *out)
+size_t masticreach__append__pack
+                     (const Masticreach__Append *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__append__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__append__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__append__pack_to_buffer(const Masticreach__Append *message,
-					   ProtobufCBuffer *buffer)
+size_t masticreach__append__pack_to_buffer
+                     (const Masticreach__Append *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__append__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__append__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Append *masticreach__append__unpack(ProtobufCAllocator *allocator,
-						 size_t len,
-						 const uint8_t *data)
+Masticreach__Append *
+       masticreach__append__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Append *)protobuf_c_message_unpack(
-		&masticreach__append__descriptor, allocator, len, data);
+  return (Masticreach__Append *)
+     protobuf_c_message_unpack (&masticreach__append__descriptor,
+                                allocator, len, data);
 }
-void masticreach__append__free_unpacked(Masticreach__Append *message,
-					ProtobufCAllocator *allocator)
+void   masticreach__append__free_unpacked
+                     (Masticreach__Append *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__append__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__append__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__append_reply__init(Masticreach__AppendReply *message)
+void   masticreach__append_reply__init
+                     (Masticreach__AppendReply         *message)
 {
-	static const Masticreach__AppendReply init_value =
-		MASTICREACH__APPEND_REPLY__INIT;
-	*message = init_value;
+  static const Masticreach__AppendReply init_value = MASTICREACH__APPEND_REPLY__INIT;
+  *message = init_value;
 }
-size_t masticreach__append_reply__get_packed_size(
-	const Masticreach__AppendReply *message)
+size_t masticreach__append_reply__get_packed_size
+                     (const Masticreach__AppendReply *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__append_reply__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__append_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__append_reply__pack(const Masticreach__AppendReply *message,
-				       uint8_t *out)
+size_t masticreach__append_reply__pack
+                     (const Masticreach__AppendReply *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__append_reply__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__append_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__append_reply__pack_to_buffer(
-	const Masticreach__AppendReply *message, ProtobufCBuffer *buffer)
+size_t masticreach__append_reply__pack_to_buffer
+                     (const Masticreach__AppendReply *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__append_reply__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__append_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__AppendReply *
-masticreach__append_reply__unpack(ProtobufCAllocator *allocator, size_t len,
-				  const uint8_t *data)
+       masticreach__append_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__AppendReply *)protobuf_c_message_unpack(
-		&masticreach__append_reply__descriptor, allocator, len, data);
+  return (Masticreach__AppendReply *)
+     protobuf_c_message_unpack (&masticreach__append_reply__descriptor,
+                                allocator, len, data);
 }
-void masticreach__append_reply__free_unpacked(Masticreach__AppendReply *message,
-					      ProtobufCAllocator *allocator)
+void   masticreach__append_reply__free_unpacked
+                     (Masticreach__AppendReply *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__append_reply__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__append_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__snapshot_record__init(Masticreach__SnapshotRecord *message)
+void   masticreach__snapshot_record__init
+                     (Masticreach__SnapshotRecord         *message)
 {
-	static const Masticreach__SnapshotRecord init_value =
-		MASTICREACH__SNAPSHOT_RECORD__INIT;
-	*message = init_value;
+  static const Masticreach__SnapshotRecord init_value = MASTICREACH__SNAPSHOT_RECORD__INIT;
+  *message = init_value;
 }
-size_t masticreach__snapshot_record__get_packed_size(
-	const Masticreach__SnapshotRecord *message)
+size_t masticreach__snapshot_record__get_packed_size
+                     (const Masticreach__SnapshotRecord *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_record__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__snapshot_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-masticreach__snapshot_record__pack(const Masticreach__SnapshotRecord *message,
-				   uint8_t *out)
+size_t masticreach__snapshot_record__pack
+                     (const Masticreach__SnapshotRecord *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_record__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__snapshot_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__snapshot_record__pack_to_buffer(
-	const Masticreach__SnapshotRecord *message, ProtobufCBuffer *buffer)
+size_t masticreach__snapshot_record__pack_to_buffer
+                     (const Masticreach__SnapshotRecord *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_record__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__snapshot_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__SnapshotRecord *
-masticreach__snapshot_record__unpack(ProtobufCAllocator *allocator, size_t len,
-				     const uint8_t *data)
+       masticreach__snapshot_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__SnapshotRecord *)protobuf_c_message_unpack(
-		&masticreach__snapshot_record__descriptor, allocator, len,
-		data);
+  return (Masticreach__SnapshotRecord *)
+     protobuf_c_message_unpack (&masticreach__snapshot_record__descriptor,
+                                allocator, len, data);
 }
-void masticreach__snapshot_record__free_unpacked(
-	Masticreach__SnapshotRecord *message, ProtobufCAllocator *allocator)
+void   masticreach__snapshot_record__free_unpacked
+                     (Masticreach__SnapshotRecord *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_record__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__snapshot_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__snapshot_page__init(Masticreach__SnapshotPage *message)
+void   masticreach__snapshot_page__init
+                     (Masticreach__SnapshotPage         *message)
 {
-	static const Masticreach__SnapshotPage init_value =
-		MASTICREACH__SNAPSHOT_PAGE__INIT;
-	*message = init_value;
+  static const Masticreach__SnapshotPage init_value = MASTICREACH__SNAPSHOT_PAGE__INIT;
+  *message = init_value;
 }
-size_t masticreach__snapshot_page__get_packed_size(
-	const Masticreach__SnapshotPage *message)
+size_t masticreach__snapshot_page__get_packed_size
+                     (const Masticreach__SnapshotPage *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_page__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__snapshot_page__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-masticreach__snapshot_page__pack(const Masticreach__SnapshotPage *message,
-				 uint8_t *out)
+size_t masticreach__snapshot_page__pack
+                     (const Masticreach__SnapshotPage *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_page__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__snapshot_page__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__snapshot_page__pack_to_buffer(
-	const Masticreach__SnapshotPage *message, ProtobufCBuffer *buffer)
+size_t masticreach__snapshot_page__pack_to_buffer
+                     (const Masticreach__SnapshotPage *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_page__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__snapshot_page__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__SnapshotPage *
-masticreach__snapshot_page__unpack(ProtobufCAllocator *allocator, size_t len,
-				   const uint8_t *data)
+       masticreach__snapshot_page__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__SnapshotPage *)protobuf_c_message_unpack(
-		&masticreach__snapshot_page__descriptor, allocator, len, data);
+  return (Masticreach__SnapshotPage *)
+     protobuf_c_message_unpack (&masticreach__snapshot_page__descriptor,
+                                allocator, len, data);
 }
-void masticreach__snapshot_page__free_unpacked(
-	Masticreach__SnapshotPage *message, ProtobufCAllocator *allocator)
+void   masticreach__snapshot_page__free_unpacked
+                     (Masticreach__SnapshotPage *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_page__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__snapshot_page__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__snapshot_reply__init(Masticreach__SnapshotReply *message)
+void   masticreach__snapshot_reply__init
+                     (Masticreach__SnapshotReply         *message)
 {
-	static const Masticreach__SnapshotReply init_value =
-		MASTICREACH__SNAPSHOT_REPLY__INIT;
-	*message = init_value;
+  static const Masticreach__SnapshotReply init_value = MASTICREACH__SNAPSHOT_REPLY__INIT;
+  *message = init_value;
 }
-size_t masticreach__snapshot_reply__get_packed_size(
-	const Masticreach__SnapshotReply *message)
+size_t masticreach__snapshot_reply__get_packed_size
+                     (const Masticreach__SnapshotReply *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_reply__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__snapshot_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-masticreach__snapshot_reply__pack(const Masticreach__SnapshotReply *message,
-				  uint8_t *out)
+size_t masticreach__snapshot_reply__pack
+                     (const Masticreach__SnapshotReply *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_reply__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__snapshot_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__snapshot_reply__pack_to_buffer(
-	const Masticreach__SnapshotReply *message, ProtobufCBuffer *buffer)
+size_t masticreach__snapshot_reply__pack_to_buffer
+                     (const Masticreach__SnapshotReply *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_reply__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__snapshot_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__SnapshotReply *
-masticreach__snapshot_reply__unpack(ProtobufCAllocator *allocator, size_t len,
-				    const uint8_t *data)
+       masticreach__snapshot_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__SnapshotReply *)protobuf_c_message_unpack(
-		&masticreach__snapshot_reply__descriptor, allocator, len, data);
+  return (Masticreach__SnapshotReply *)
+     protobuf_c_message_unpack (&masticreach__snapshot_reply__descriptor,
+                                allocator, len, data);
 }
-void masticreach__snapshot_reply__free_unpacked(
-	Masticreach__SnapshotReply *message, ProtobufCAllocator *allocator)
+void   masticreach__snapshot_reply__free_unpacked
+                     (Masticreach__SnapshotReply *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_reply__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__snapshot_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__hard_state__init(Masticreach__HardState *message)
+void   masticreach__form__init
+                     (Masticreach__Form         *message)
 {
-	static const Masticreach__HardState init_value =
-		MASTICREACH__HARD_STATE__INIT;
-	*message = init_value;
+  static const Masticreach__Form init_value = MASTICREACH__FORM__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__hard_state__get_packed_size(const Masticreach__HardState *message)
+size_t masticreach__form__get_packed_size
+                     (const Masticreach__Form *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__hard_state__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__form__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__hard_state__pack(const Masticreach__HardState *message,
-				     uint8_t *out)
+size_t masticreach__form__pack
+                     (const Masticreach__Form *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__hard_state__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__form__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__hard_state__pack_to_buffer(const Masticreach__HardState *message,
-					ProtobufCBuffer *buffer)
+size_t masticreach__form__pack_to_buffer
+                     (const Masticreach__Form *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__hard_state__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__form__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__Form *
+       masticreach__form__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__Form *)
+     protobuf_c_message_unpack (&masticreach__form__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__form__free_unpacked
+                     (Masticreach__Form *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__form__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__transfer__init
+                     (Masticreach__Transfer         *message)
+{
+  static const Masticreach__Transfer init_value = MASTICREACH__TRANSFER__INIT;
+  *message = init_value;
+}
+size_t masticreach__transfer__get_packed_size
+                     (const Masticreach__Transfer *message)
+{
+  assert(message->base.descriptor == &masticreach__transfer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__transfer__pack
+                     (const Masticreach__Transfer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__transfer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__transfer__pack_to_buffer
+                     (const Masticreach__Transfer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__transfer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__Transfer *
+       masticreach__transfer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__Transfer *)
+     protobuf_c_message_unpack (&masticreach__transfer__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__transfer__free_unpacked
+                     (Masticreach__Transfer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__transfer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__hard_state__init
+                     (Masticreach__HardState         *message)
+{
+  static const Masticreach__HardState init_value = MASTICREACH__HARD_STATE__INIT;
+  *message = init_value;
+}
+size_t masticreach__hard_state__get_packed_size
+                     (const Masticreach__HardState *message)
+{
+  assert(message->base.descriptor == &masticreach__hard_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__hard_state__pack
+                     (const Masticreach__HardState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__hard_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__hard_state__pack_to_buffer
+                     (const Masticreach__HardState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__hard_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__HardState *
-masticreach__hard_state__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+       masticreach__hard_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__HardState *)protobuf_c_message_unpack(
-		&masticreach__hard_state__descriptor, allocator, len, data);
+  return (Masticreach__HardState *)
+     protobuf_c_message_unpack (&masticreach__hard_state__descriptor,
+                                allocator, len, data);
 }
-void masticreach__hard_state__free_unpacked(Masticreach__HardState *message,
-					    ProtobufCAllocator *allocator)
+void   masticreach__hard_state__free_unpacked
+                     (Masticreach__HardState *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__hard_state__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__hard_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__snapshot_head__init(Masticreach__SnapshotHead *message)
+void   masticreach__snapshot_head__init
+                     (Masticreach__SnapshotHead         *message)
 {
-	static const Masticreach__SnapshotHead init_value =
-		MASTICREACH__SNAPSHOT_HEAD__INIT;
-	*message = init_value;
+  static const Masticreach__SnapshotHead init_value = MASTICREACH__SNAPSHOT_HEAD__INIT;
+  *message = init_value;
 }
-size_t masticreach__snapshot_head__get_packed_size(
-	const Masticreach__SnapshotHead *message)
+size_t masticreach__snapshot_head__get_packed_size
+                     (const Masticreach__SnapshotHead *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_head__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__snapshot_head__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-masticreach__snapshot_head__pack(const Masticreach__SnapshotHead *message,
-				 uint8_t *out)
+size_t masticreach__snapshot_head__pack
+                     (const Masticreach__SnapshotHead *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_head__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__snapshot_head__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__snapshot_head__pack_to_buffer(
-	const Masticreach__SnapshotHead *message, ProtobufCBuffer *buffer)
+size_t masticreach__snapshot_head__pack_to_buffer
+                     (const Masticreach__SnapshotHead *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_head__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__snapshot_head__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__SnapshotHead *
-masticreach__snapshot_head__unpack(ProtobufCAllocator *allocator, size_t len,
-				   const uint8_t *data)
+       masticreach__snapshot_head__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__SnapshotHead *)protobuf_c_message_unpack(
-		&masticreach__snapshot_head__descriptor, allocator, len, data);
+  return (Masticreach__SnapshotHead *)
+     protobuf_c_message_unpack (&masticreach__snapshot_head__descriptor,
+                                allocator, len, data);
 }
-void masticreach__snapshot_head__free_unpacked(
-	Masticreach__SnapshotHead *message, ProtobufCAllocator *allocator)
+void   masticreach__snapshot_head__free_unpacked
+                     (Masticreach__SnapshotHead *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__snapshot_head__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__snapshot_head__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__cmd_noop__init(Masticreach__CmdNoop *message)
+void   masticreach__cmd_noop__init
+                     (Masticreach__CmdNoop         *message)
 {
-	static const Masticreach__CmdNoop init_value =
-		MASTICREACH__CMD_NOOP__INIT;
-	*message = init_value;
+  static const Masticreach__CmdNoop init_value = MASTICREACH__CMD_NOOP__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__cmd_noop__get_packed_size(const Masticreach__CmdNoop *message)
+size_t masticreach__cmd_noop__get_packed_size
+                     (const Masticreach__CmdNoop *message)
 {
-	assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_noop__pack(const Masticreach__CmdNoop *message,
-				   uint8_t *out)
+size_t masticreach__cmd_noop__pack
+                     (const Masticreach__CmdNoop *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__cmd_noop__pack_to_buffer(const Masticreach__CmdNoop *message,
-				      ProtobufCBuffer *buffer)
+size_t masticreach__cmd_noop__pack_to_buffer
+                     (const Masticreach__CmdNoop *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__CmdNoop *
-masticreach__cmd_noop__unpack(ProtobufCAllocator *allocator, size_t len,
-			      const uint8_t *data)
+       masticreach__cmd_noop__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__CmdNoop *)protobuf_c_message_unpack(
-		&masticreach__cmd_noop__descriptor, allocator, len, data);
+  return (Masticreach__CmdNoop *)
+     protobuf_c_message_unpack (&masticreach__cmd_noop__descriptor,
+                                allocator, len, data);
 }
-void masticreach__cmd_noop__free_unpacked(Masticreach__CmdNoop *message,
-					  ProtobufCAllocator *allocator)
+void   masticreach__cmd_noop__free_unpacked
+                     (Masticreach__CmdNoop *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__member__init(Masticreach__Member *message)
+void   masticreach__member__init
+                     (Masticreach__Member         *message)
 {
-	static const Masticreach__Member init_value = MASTICREACH__MEMBER__INIT;
-	*message = init_value;
+  static const Masticreach__Member init_value = MASTICREACH__MEMBER__INIT;
+  *message = init_value;
 }
-size_t masticreach__member__get_packed_size(const Masticreach__Member *message)
+size_t masticreach__member__get_packed_size
+                     (const Masticreach__Member *message)
 {
-	assert(message->base.descriptor == &masticreach__member__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__member__pack(const Masticreach__Member *message,
-				 uint8_t *out)
+size_t masticreach__member__pack
+                     (const Masticreach__Member *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__member__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__member__pack_to_buffer(const Masticreach__Member *message,
-					   ProtobufCBuffer *buffer)
+size_t masticreach__member__pack_to_buffer
+                     (const Masticreach__Member *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__member__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Member *masticreach__member__unpack(ProtobufCAllocator *allocator,
-						 size_t len,
-						 const uint8_t *data)
+Masticreach__Member *
+       masticreach__member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Member *)protobuf_c_message_unpack(
-		&masticreach__member__descriptor, allocator, len, data);
+  return (Masticreach__Member *)
+     protobuf_c_message_unpack (&masticreach__member__descriptor,
+                                allocator, len, data);
 }
-void masticreach__member__free_unpacked(Masticreach__Member *message,
-					ProtobufCAllocator *allocator)
+void   masticreach__member__free_unpacked
+                     (Masticreach__Member *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__member__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__members__init(Masticreach__Members *message)
+void   masticreach__members__init
+                     (Masticreach__Members         *message)
 {
-	static const Masticreach__Members init_value =
-		MASTICREACH__MEMBERS__INIT;
-	*message = init_value;
+  static const Masticreach__Members init_value = MASTICREACH__MEMBERS__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__members__get_packed_size(const Masticreach__Members *message)
+size_t masticreach__members__get_packed_size
+                     (const Masticreach__Members *message)
 {
-	assert(message->base.descriptor == &masticreach__members__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__members__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__members__pack(const Masticreach__Members *message,
-				  uint8_t *out)
+size_t masticreach__members__pack
+                     (const Masticreach__Members *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &masticreach__members__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__members__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__members__pack_to_buffer(const Masticreach__Members *message,
-					    ProtobufCBuffer *buffer)
+size_t masticreach__members__pack_to_buffer
+                     (const Masticreach__Members *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &masticreach__members__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__members__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__Members *
-masticreach__members__unpack(ProtobufCAllocator *allocator, size_t len,
-			     const uint8_t *data)
+       masticreach__members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__Members *)protobuf_c_message_unpack(
-		&masticreach__members__descriptor, allocator, len, data);
+  return (Masticreach__Members *)
+     protobuf_c_message_unpack (&masticreach__members__descriptor,
+                                allocator, len, data);
 }
-void masticreach__members__free_unpacked(Masticreach__Members *message,
-					 ProtobufCAllocator *allocator)
+void   masticreach__members__free_unpacked
+                     (Masticreach__Members *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &masticreach__members__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__members__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__cmd_bundle_sign__init(Masticreach__CmdBundleSign *message)
+void   masticreach__cmd_bundle_sign__init
+                     (Masticreach__CmdBundleSign         *message)
 {
-	static const Masticreach__CmdBundleSign init_value =
-		MASTICREACH__CMD_BUNDLE_SIGN__INIT;
-	*message = init_value;
+  static const Masticreach__CmdBundleSign init_value = MASTICREACH__CMD_BUNDLE_SIGN__INIT;
+  *message = init_value;
 }
-size_t masticreach__cmd_bundle_sign__get_packed_size(
-	const Masticreach__CmdBundleSign *message)
+size_t masticreach__cmd_bundle_sign__get_packed_size
+                     (const Masticreach__CmdBundleSign *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_bundle_sign__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__cmd_bundle_sign__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-masticreach__cmd_bundle_sign__pack(const Masticreach__CmdBundleSign *message,
-				   uint8_t *out)
+size_t masticreach__cmd_bundle_sign__pack
+                     (const Masticreach__CmdBundleSign *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_bundle_sign__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__cmd_bundle_sign__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_bundle_sign__pack_to_buffer(
-	const Masticreach__CmdBundleSign *message, ProtobufCBuffer *buffer)
+size_t masticreach__cmd_bundle_sign__pack_to_buffer
+                     (const Masticreach__CmdBundleSign *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_bundle_sign__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__cmd_bundle_sign__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__CmdBundleSign *
-masticreach__cmd_bundle_sign__unpack(ProtobufCAllocator *allocator, size_t len,
-				     const uint8_t *data)
+       masticreach__cmd_bundle_sign__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__CmdBundleSign *)protobuf_c_message_unpack(
-		&masticreach__cmd_bundle_sign__descriptor, allocator, len,
-		data);
+  return (Masticreach__CmdBundleSign *)
+     protobuf_c_message_unpack (&masticreach__cmd_bundle_sign__descriptor,
+                                allocator, len, data);
 }
-void masticreach__cmd_bundle_sign__free_unpacked(
-	Masticreach__CmdBundleSign *message, ProtobufCAllocator *allocator)
+void   masticreach__cmd_bundle_sign__free_unpacked
+                     (Masticreach__CmdBundleSign *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_bundle_sign__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_bundle_sign__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__cmd_zone_set__init(Masticreach__CmdZoneSet *message)
+void   masticreach__cmd_zone_set__init
+                     (Masticreach__CmdZoneSet         *message)
 {
-	static const Masticreach__CmdZoneSet init_value =
-		MASTICREACH__CMD_ZONE_SET__INIT;
-	*message = init_value;
+  static const Masticreach__CmdZoneSet init_value = MASTICREACH__CMD_ZONE_SET__INIT;
+  *message = init_value;
 }
-size_t masticreach__cmd_zone_set__get_packed_size(
-	const Masticreach__CmdZoneSet *message)
+size_t masticreach__cmd_zone_set__get_packed_size
+                     (const Masticreach__CmdZoneSet *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_zone_set__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__cmd_zone_set__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_zone_set__pack(const Masticreach__CmdZoneSet *message,
-				       uint8_t *out)
+size_t masticreach__cmd_zone_set__pack
+                     (const Masticreach__CmdZoneSet *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_zone_set__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__cmd_zone_set__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_zone_set__pack_to_buffer(
-	const Masticreach__CmdZoneSet *message, ProtobufCBuffer *buffer)
+size_t masticreach__cmd_zone_set__pack_to_buffer
+                     (const Masticreach__CmdZoneSet *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_zone_set__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__cmd_zone_set__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__CmdZoneSet *
-masticreach__cmd_zone_set__unpack(ProtobufCAllocator *allocator, size_t len,
-				  const uint8_t *data)
+       masticreach__cmd_zone_set__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__CmdZoneSet *)protobuf_c_message_unpack(
-		&masticreach__cmd_zone_set__descriptor, allocator, len, data);
+  return (Masticreach__CmdZoneSet *)
+     protobuf_c_message_unpack (&masticreach__cmd_zone_set__descriptor,
+                                allocator, len, data);
 }
-void masticreach__cmd_zone_set__free_unpacked(Masticreach__CmdZoneSet *message,
-					      ProtobufCAllocator *allocator)
+void   masticreach__cmd_zone_set__free_unpacked
+                     (Masticreach__CmdZoneSet *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_zone_set__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_zone_set__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__cmd_vm_lost__init(Masticreach__CmdVmLost *message)
+void   masticreach__cmd_vm_lost__init
+                     (Masticreach__CmdVmLost         *message)
 {
-	static const Masticreach__CmdVmLost init_value =
-		MASTICREACH__CMD_VM_LOST__INIT;
-	*message = init_value;
+  static const Masticreach__CmdVmLost init_value = MASTICREACH__CMD_VM_LOST__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__cmd_vm_lost__get_packed_size(const Masticreach__CmdVmLost *message)
+size_t masticreach__cmd_vm_lost__get_packed_size
+                     (const Masticreach__CmdVmLost *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_vm_lost__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__cmd_vm_lost__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_vm_lost__pack(const Masticreach__CmdVmLost *message,
-				      uint8_t *out)
+size_t masticreach__cmd_vm_lost__pack
+                     (const Masticreach__CmdVmLost *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_vm_lost__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__cmd_vm_lost__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__cmd_vm_lost__pack_to_buffer(const Masticreach__CmdVmLost *message,
-					 ProtobufCBuffer *buffer)
+size_t masticreach__cmd_vm_lost__pack_to_buffer
+                     (const Masticreach__CmdVmLost *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_vm_lost__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__cmd_vm_lost__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__CmdVmLost *
-masticreach__cmd_vm_lost__unpack(ProtobufCAllocator *allocator, size_t len,
-				 const uint8_t *data)
+       masticreach__cmd_vm_lost__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__CmdVmLost *)protobuf_c_message_unpack(
-		&masticreach__cmd_vm_lost__descriptor, allocator, len, data);
+  return (Masticreach__CmdVmLost *)
+     protobuf_c_message_unpack (&masticreach__cmd_vm_lost__descriptor,
+                                allocator, len, data);
 }
-void masticreach__cmd_vm_lost__free_unpacked(Masticreach__CmdVmLost *message,
-					     ProtobufCAllocator *allocator)
+void   masticreach__cmd_vm_lost__free_unpacked
+                     (Masticreach__CmdVmLost *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_vm_lost__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_vm_lost__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__cmd_vm_quarantine__init(Masticreach__CmdVmQuarantine *message)
+void   masticreach__cmd_vm_quarantine__init
+                     (Masticreach__CmdVmQuarantine         *message)
 {
-	static const Masticreach__CmdVmQuarantine init_value =
-		MASTICREACH__CMD_VM_QUARANTINE__INIT;
-	*message = init_value;
+  static const Masticreach__CmdVmQuarantine init_value = MASTICREACH__CMD_VM_QUARANTINE__INIT;
+  *message = init_value;
 }
-size_t masticreach__cmd_vm_quarantine__get_packed_size(
-	const Masticreach__CmdVmQuarantine *message)
+size_t masticreach__cmd_vm_quarantine__get_packed_size
+                     (const Masticreach__CmdVmQuarantine *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_vm_quarantine__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__cmd_vm_quarantine__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_vm_quarantine__pack(
-	const Masticreach__CmdVmQuarantine *message, uint8_t *out)
+size_t masticreach__cmd_vm_quarantine__pack
+                     (const Masticreach__CmdVmQuarantine *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_vm_quarantine__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__cmd_vm_quarantine__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_vm_quarantine__pack_to_buffer(
-	const Masticreach__CmdVmQuarantine *message, ProtobufCBuffer *buffer)
+size_t masticreach__cmd_vm_quarantine__pack_to_buffer
+                     (const Masticreach__CmdVmQuarantine *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_vm_quarantine__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__cmd_vm_quarantine__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__CmdVmQuarantine *
-masticreach__cmd_vm_quarantine__unpack(ProtobufCAllocator *allocator,
-				       size_t len, const uint8_t *data)
+       masticreach__cmd_vm_quarantine__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__CmdVmQuarantine *)protobuf_c_message_unpack(
-		&masticreach__cmd_vm_quarantine__descriptor, allocator, len,
-		data);
+  return (Masticreach__CmdVmQuarantine *)
+     protobuf_c_message_unpack (&masticreach__cmd_vm_quarantine__descriptor,
+                                allocator, len, data);
 }
-void masticreach__cmd_vm_quarantine__free_unpacked(
-	Masticreach__CmdVmQuarantine *message, ProtobufCAllocator *allocator)
+void   masticreach__cmd_vm_quarantine__free_unpacked
+                     (Masticreach__CmdVmQuarantine *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_vm_quarantine__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_vm_quarantine__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__job_record__init(Masticreach__JobRecord *message)
+void   masticreach__job_record__init
+                     (Masticreach__JobRecord         *message)
 {
-	static const Masticreach__JobRecord init_value =
-		MASTICREACH__JOB_RECORD__INIT;
-	*message = init_value;
+  static const Masticreach__JobRecord init_value = MASTICREACH__JOB_RECORD__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__job_record__get_packed_size(const Masticreach__JobRecord *message)
+size_t masticreach__job_record__get_packed_size
+                     (const Masticreach__JobRecord *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__job_record__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__job_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__job_record__pack(const Masticreach__JobRecord *message,
-				     uint8_t *out)
+size_t masticreach__job_record__pack
+                     (const Masticreach__JobRecord *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__job_record__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__job_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__job_record__pack_to_buffer(const Masticreach__JobRecord *message,
-					ProtobufCBuffer *buffer)
+size_t masticreach__job_record__pack_to_buffer
+                     (const Masticreach__JobRecord *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__job_record__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__job_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__JobRecord *
-masticreach__job_record__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+       masticreach__job_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__JobRecord *)protobuf_c_message_unpack(
-		&masticreach__job_record__descriptor, allocator, len, data);
+  return (Masticreach__JobRecord *)
+     protobuf_c_message_unpack (&masticreach__job_record__descriptor,
+                                allocator, len, data);
 }
-void masticreach__job_record__free_unpacked(Masticreach__JobRecord *message,
-					    ProtobufCAllocator *allocator)
+void   masticreach__job_record__free_unpacked
+                     (Masticreach__JobRecord *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__job_record__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__job_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__cmd_job_cancel__init(Masticreach__CmdJobCancel *message)
+void   masticreach__cmd_job_cancel__init
+                     (Masticreach__CmdJobCancel         *message)
 {
-	static const Masticreach__CmdJobCancel init_value =
-		MASTICREACH__CMD_JOB_CANCEL__INIT;
-	*message = init_value;
+  static const Masticreach__CmdJobCancel init_value = MASTICREACH__CMD_JOB_CANCEL__INIT;
+  *message = init_value;
 }
-size_t masticreach__cmd_job_cancel__get_packed_size(
-	const Masticreach__CmdJobCancel *message)
+size_t masticreach__cmd_job_cancel__get_packed_size
+                     (const Masticreach__CmdJobCancel *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_job_cancel__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__cmd_job_cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-masticreach__cmd_job_cancel__pack(const Masticreach__CmdJobCancel *message,
-				  uint8_t *out)
+size_t masticreach__cmd_job_cancel__pack
+                     (const Masticreach__CmdJobCancel *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_job_cancel__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__cmd_job_cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_job_cancel__pack_to_buffer(
-	const Masticreach__CmdJobCancel *message, ProtobufCBuffer *buffer)
+size_t masticreach__cmd_job_cancel__pack_to_buffer
+                     (const Masticreach__CmdJobCancel *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_job_cancel__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__cmd_job_cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__CmdJobCancel *
-masticreach__cmd_job_cancel__unpack(ProtobufCAllocator *allocator, size_t len,
-				    const uint8_t *data)
+       masticreach__cmd_job_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__CmdJobCancel *)protobuf_c_message_unpack(
-		&masticreach__cmd_job_cancel__descriptor, allocator, len, data);
+  return (Masticreach__CmdJobCancel *)
+     protobuf_c_message_unpack (&masticreach__cmd_job_cancel__descriptor,
+                                allocator, len, data);
 }
-void masticreach__cmd_job_cancel__free_unpacked(
-	Masticreach__CmdJobCancel *message, ProtobufCAllocator *allocator)
+void   masticreach__cmd_job_cancel__free_unpacked
+                     (Masticreach__CmdJobCancel *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_job_cancel__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_job_cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__cmd_task_place__init(Masticreach__CmdTaskPlace *message)
+void   masticreach__cmd_task_place__init
+                     (Masticreach__CmdTaskPlace         *message)
 {
-	static const Masticreach__CmdTaskPlace init_value =
-		MASTICREACH__CMD_TASK_PLACE__INIT;
-	*message = init_value;
+  static const Masticreach__CmdTaskPlace init_value = MASTICREACH__CMD_TASK_PLACE__INIT;
+  *message = init_value;
 }
-size_t masticreach__cmd_task_place__get_packed_size(
-	const Masticreach__CmdTaskPlace *message)
+size_t masticreach__cmd_task_place__get_packed_size
+                     (const Masticreach__CmdTaskPlace *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_task_place__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__cmd_task_place__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-masticreach__cmd_task_place__pack(const Masticreach__CmdTaskPlace *message,
-				  uint8_t *out)
+size_t masticreach__cmd_task_place__pack
+                     (const Masticreach__CmdTaskPlace *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_task_place__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__cmd_task_place__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_task_place__pack_to_buffer(
-	const Masticreach__CmdTaskPlace *message, ProtobufCBuffer *buffer)
+size_t masticreach__cmd_task_place__pack_to_buffer
+                     (const Masticreach__CmdTaskPlace *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_task_place__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__cmd_task_place__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__CmdTaskPlace *
-masticreach__cmd_task_place__unpack(ProtobufCAllocator *allocator, size_t len,
-				    const uint8_t *data)
+       masticreach__cmd_task_place__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__CmdTaskPlace *)protobuf_c_message_unpack(
-		&masticreach__cmd_task_place__descriptor, allocator, len, data);
+  return (Masticreach__CmdTaskPlace *)
+     protobuf_c_message_unpack (&masticreach__cmd_task_place__descriptor,
+                                allocator, len, data);
 }
-void masticreach__cmd_task_place__free_unpacked(
-	Masticreach__CmdTaskPlace *message, ProtobufCAllocator *allocator)
+void   masticreach__cmd_task_place__free_unpacked
+                     (Masticreach__CmdTaskPlace *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_task_place__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_task_place__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__cmd_task_set__init(Masticreach__CmdTaskSet *message)
+void   masticreach__cmd_task_set__init
+                     (Masticreach__CmdTaskSet         *message)
 {
-	static const Masticreach__CmdTaskSet init_value =
-		MASTICREACH__CMD_TASK_SET__INIT;
-	*message = init_value;
+  static const Masticreach__CmdTaskSet init_value = MASTICREACH__CMD_TASK_SET__INIT;
+  *message = init_value;
 }
-size_t masticreach__cmd_task_set__get_packed_size(
-	const Masticreach__CmdTaskSet *message)
+size_t masticreach__cmd_task_set__get_packed_size
+                     (const Masticreach__CmdTaskSet *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_task_set__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__cmd_task_set__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_task_set__pack(const Masticreach__CmdTaskSet *message,
-				       uint8_t *out)
+size_t masticreach__cmd_task_set__pack
+                     (const Masticreach__CmdTaskSet *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_task_set__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__cmd_task_set__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_task_set__pack_to_buffer(
-	const Masticreach__CmdTaskSet *message, ProtobufCBuffer *buffer)
+size_t masticreach__cmd_task_set__pack_to_buffer
+                     (const Masticreach__CmdTaskSet *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_task_set__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__cmd_task_set__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__CmdTaskSet *
-masticreach__cmd_task_set__unpack(ProtobufCAllocator *allocator, size_t len,
-				  const uint8_t *data)
+       masticreach__cmd_task_set__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__CmdTaskSet *)protobuf_c_message_unpack(
-		&masticreach__cmd_task_set__descriptor, allocator, len, data);
+  return (Masticreach__CmdTaskSet *)
+     protobuf_c_message_unpack (&masticreach__cmd_task_set__descriptor,
+                                allocator, len, data);
 }
-void masticreach__cmd_task_set__free_unpacked(Masticreach__CmdTaskSet *message,
-					      ProtobufCAllocator *allocator)
+void   masticreach__cmd_task_set__free_unpacked
+                     (Masticreach__CmdTaskSet *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_task_set__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_task_set__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__cmd_expire__init(Masticreach__CmdExpire *message)
+void   masticreach__cmd_expire__init
+                     (Masticreach__CmdExpire         *message)
 {
-	static const Masticreach__CmdExpire init_value =
-		MASTICREACH__CMD_EXPIRE__INIT;
-	*message = init_value;
+  static const Masticreach__CmdExpire init_value = MASTICREACH__CMD_EXPIRE__INIT;
+  *message = init_value;
 }
-size_t
-masticreach__cmd_expire__get_packed_size(const Masticreach__CmdExpire *message)
+size_t masticreach__cmd_expire__get_packed_size
+                     (const Masticreach__CmdExpire *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_expire__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__cmd_expire__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_expire__pack(const Masticreach__CmdExpire *message,
-				     uint8_t *out)
+size_t masticreach__cmd_expire__pack
+                     (const Masticreach__CmdExpire *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_expire__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__cmd_expire__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__cmd_expire__pack_to_buffer(const Masticreach__CmdExpire *message,
-					ProtobufCBuffer *buffer)
+size_t masticreach__cmd_expire__pack_to_buffer
+                     (const Masticreach__CmdExpire *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_expire__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__cmd_expire__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__CmdExpire *
-masticreach__cmd_expire__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+       masticreach__cmd_expire__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__CmdExpire *)protobuf_c_message_unpack(
-		&masticreach__cmd_expire__descriptor, allocator, len, data);
+  return (Masticreach__CmdExpire *)
+     protobuf_c_message_unpack (&masticreach__cmd_expire__descriptor,
+                                allocator, len, data);
 }
-void masticreach__cmd_expire__free_unpacked(Masticreach__CmdExpire *message,
-					    ProtobufCAllocator *allocator)
+void   masticreach__cmd_expire__free_unpacked
+                     (Masticreach__CmdExpire *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__cmd_expire__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_expire__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__task_record__init(Masticreach__TaskRecord *message)
+void   masticreach__task_record__init
+                     (Masticreach__TaskRecord         *message)
 {
-	static const Masticreach__TaskRecord init_value =
-		MASTICREACH__TASK_RECORD__INIT;
-	*message = init_value;
+  static const Masticreach__TaskRecord init_value = MASTICREACH__TASK_RECORD__INIT;
+  *message = init_value;
 }
-size_t masticreach__task_record__get_packed_size(
-	const Masticreach__TaskRecord *message)
+size_t masticreach__task_record__get_packed_size
+                     (const Masticreach__TaskRecord *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__task_record__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__task_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__task_record__pack(const Masticreach__TaskRecord *message,
-				      uint8_t *out)
+size_t masticreach__task_record__pack
+                     (const Masticreach__TaskRecord *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__task_record__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__task_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-masticreach__task_record__pack_to_buffer(const Masticreach__TaskRecord *message,
-					 ProtobufCBuffer *buffer)
+size_t masticreach__task_record__pack_to_buffer
+                     (const Masticreach__TaskRecord *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__task_record__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__task_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__TaskRecord *
-masticreach__task_record__unpack(ProtobufCAllocator *allocator, size_t len,
-				 const uint8_t *data)
+       masticreach__task_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Masticreach__TaskRecord *)protobuf_c_message_unpack(
-		&masticreach__task_record__descriptor, allocator, len, data);
+  return (Masticreach__TaskRecord *)
+     protobuf_c_message_unpack (&masticreach__task_record__descriptor,
+                                allocator, len, data);
 }
-void masticreach__task_record__free_unpacked(Masticreach__TaskRecord *message,
-					     ProtobufCAllocator *allocator)
+void   masticreach__task_record__free_unpacked
+                     (Masticreach__TaskRecord *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__task_record__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__task_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void masticreach__state_counters__init(Masticreach__StateCounters *message)
+void   masticreach__state_counters__init
+                     (Masticreach__StateCounters         *message)
 {
-	static const Masticreach__StateCounters init_value =
-		MASTICREACH__STATE_COUNTERS__INIT;
-	*message = init_value;
+  static const Masticreach__StateCounters init_value = MASTICREACH__STATE_COUNTERS__INIT;
+  *message = init_value;
 }
-size_t masticreach__state_counters__get_packed_size(
-	const Masticreach__StateCounters *message)
+size_t masticreach__state_counters__get_packed_size
+                     (const Masticreach__StateCounters *message)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__state_counters__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &masticreach__state_counters__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-masticreach__state_counters__pack(const Masticreach__StateCounters *message,
-				  uint8_t *out)
+size_t masticreach__state_counters__pack
+                     (const Masticreach__StateCounters *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__state_counters__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &masticreach__state_counters__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__state_counters__pack_to_buffer(
-	const Masticreach__StateCounters *message, ProtobufCBuffer *buffer)
+size_t masticreach__state_counters__pack_to_buffer
+                     (const Masticreach__StateCounters *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor ==
-	       &masticreach__state_counters__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &masticreach__state_counters__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Masticreach__StateCounters *
-masticreach__state_counters__unpack(ProtobufCAllocator *allocator, size_t len,
-				    const uint8_t *data)
-{
-	return (Masticreach__StateCounters *)protobuf_c_message_unpack(
-		&masticreach__state_counters__descriptor, allocator, len, data);
-}
-void masticreach__state_counters__free_unpacked(
-	Masticreach__StateCounters *message, ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor ==
-	       &masticreach__state_counters__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
-}
-static const ProtobufCFieldDescriptor
-	masticreach__record__field_descriptors[2] = {
-		{
-			"type", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Record, type), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"body", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__Record, body), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+       masticreach__state_counters__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__StateCounters *)
+     protobuf_c_message_unpack (&masticreach__state_counters__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__state_counters__free_unpacked
+                     (Masticreach__StateCounters *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__state_counters__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor masticreach__record__field_descriptors[2] =
+{
+  {
+    "type",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Record, type),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Record, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__record__field_indices_by_name[] = {
-	1, /* field[1] = body */
-	0, /* field[0] = type */
-};
-static const ProtobufCIntRange masticreach__record__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 2 }
-};
-const ProtobufCMessageDescriptor masticreach__record__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Record",
-	"Record",
-	"Masticreach__Record",
-	"masticreach",
-	sizeof(Masticreach__Record),
-	2,
-	masticreach__record__field_descriptors,
-	masticreach__record__field_indices_by_name,
-	1,
-	masticreach__record__number_ranges,
-	(ProtobufCMessageInit)masticreach__record__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__hello__field_descriptors[6] = {
-		{
-			"protocol_version", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Hello, protocol_version), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"node_id", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Hello, node_id), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"role", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Hello, role), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"name", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Hello, name), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"zone", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Hello, zone), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"address", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Hello, address), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  1,   /* field[1] = body */
+  0,   /* field[0] = type */
+};
+static const ProtobufCIntRange masticreach__record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Record",
+  "Record",
+  "Masticreach__Record",
+  "masticreach",
+  sizeof(Masticreach__Record),
+  2,
+  masticreach__record__field_descriptors,
+  masticreach__record__field_indices_by_name,
+  1,  masticreach__record__number_ranges,
+  (ProtobufCMessageInit) masticreach__record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__hello__field_descriptors[6] =
+{
+  {
+    "protocol_version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Hello, protocol_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Hello, node_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "role",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Hello, role),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Hello, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Hello, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Hello, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__hello__field_indices_by_name[] = {
-	5, /* field[5] = address */
-	3, /* field[3] = name */
-	1, /* field[1] = node_id */
-	0, /* field[0] = protocol_version */
-	2, /* field[2] = role */
-	4, /* field[4] = zone */
-};
-static const ProtobufCIntRange masticreach__hello__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 6 }
-};
-const ProtobufCMessageDescriptor masticreach__hello__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Hello",
-	"Hello",
-	"Masticreach__Hello",
-	"masticreach",
-	sizeof(Masticreach__Hello),
-	6,
-	masticreach__hello__field_descriptors,
-	masticreach__hello__field_indices_by_name,
-	1,
-	masticreach__hello__number_ranges,
-	(ProtobufCMessageInit)masticreach__hello__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__ping__field_descriptors[2] = {
-		{
-			"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__Ping, seq), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"sent_us", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Ping, sent_us), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  5,   /* field[5] = address */
+  3,   /* field[3] = name */
+  1,   /* field[1] = node_id */
+  0,   /* field[0] = protocol_version */
+  2,   /* field[2] = role */
+  4,   /* field[4] = zone */
+};
+static const ProtobufCIntRange masticreach__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor masticreach__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Hello",
+  "Hello",
+  "Masticreach__Hello",
+  "masticreach",
+  sizeof(Masticreach__Hello),
+  6,
+  masticreach__hello__field_descriptors,
+  masticreach__hello__field_indices_by_name,
+  1,  masticreach__hello__number_ranges,
+  (ProtobufCMessageInit) masticreach__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__ping__field_descriptors[2] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Ping, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Ping, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__ping__field_indices_by_name[] = {
-	1, /* field[1] = sent_us */
-	0, /* field[0] = seq */
-};
-static const ProtobufCIntRange masticreach__ping__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 2 }
-};
-const ProtobufCMessageDescriptor masticreach__ping__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Ping",
-	"Ping",
-	"Masticreach__Ping",
-	"masticreach",
-	sizeof(Masticreach__Ping),
-	2,
-	masticreach__ping__field_descriptors,
-	masticreach__ping__field_indices_by_name,
-	1,
-	masticreach__ping__number_ranges,
-	(ProtobufCMessageInit)masticreach__ping__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__pong__field_descriptors[2] = {
-		{
-			"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__Pong, seq), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"sent_us", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Pong, sent_us), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  1,   /* field[1] = sent_us */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange masticreach__ping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Ping",
+  "Ping",
+  "Masticreach__Ping",
+  "masticreach",
+  sizeof(Masticreach__Ping),
+  2,
+  masticreach__ping__field_descriptors,
+  masticreach__ping__field_indices_by_name,
+  1,  masticreach__ping__number_ranges,
+  (ProtobufCMessageInit) masticreach__ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__pong__field_descriptors[2] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Pong, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Pong, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__pong__field_indices_by_name[] = {
-	1, /* field[1] = sent_us */
-	0, /* field[0] = seq */
-};
-static const ProtobufCIntRange masticreach__pong__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 2 }
-};
-const ProtobufCMessageDescriptor masticreach__pong__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Pong",
-	"Pong",
-	"Masticreach__Pong",
-	"masticreach",
-	sizeof(Masticreach__Pong),
-	2,
-	masticreach__pong__field_descriptors,
-	masticreach__pong__field_indices_by_name,
-	1,
-	masticreach__pong__number_ranges,
-	(ProtobufCMessageInit)masticreach__pong__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__request__field_descriptors[11] = {
-		{
-			"request_nr", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Request, request_nr), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"target_node", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Request, target_node), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"service", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Request, service), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"method", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Request, method), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"path", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Request, path), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"content_type", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Request, content_type), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"body", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
