-			0, /* quantifier_offset */
-			offsetof(Masticreach__Request, body), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"deadline_ms", 8, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Request, deadline_ms), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"repeatable", 9, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-			offsetof(Masticreach__Request, repeatable), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"key", 10, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Request, key), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"attempt", 11, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Request, attempt), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  1,   /* field[1] = sent_us */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange masticreach__pong__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__pong__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Pong",
+  "Pong",
+  "Masticreach__Pong",
+  "masticreach",
+  sizeof(Masticreach__Pong),
+  2,
+  masticreach__pong__field_descriptors,
+  masticreach__pong__field_indices_by_name,
+  1,  masticreach__pong__number_ranges,
+  (ProtobufCMessageInit) masticreach__pong__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__request__field_descriptors[11] =
+{
+  {
+    "request_nr",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, request_nr),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_node",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, target_node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "method",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, method),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeatable",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, repeatable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__request__field_indices_by_name[] = {
-	10, /* field[10] = attempt */
-	6, /* field[6] = body */
-	5, /* field[5] = content_type */
-	7, /* field[7] = deadline_ms */
-	9, /* field[9] = key */
-	3, /* field[3] = method */
-	4, /* field[4] = path */
-	8, /* field[8] = repeatable */
-	0, /* field[0] = request_nr */
-	2, /* field[2] = service */
-	1, /* field[1] = target_node */
-};
-static const ProtobufCIntRange masticreach__request__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 11 }
-};
-const ProtobufCMessageDescriptor masticreach__request__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Request",
-	"Request",
-	"Masticreach__Request",
-	"masticreach",
-	sizeof(Masticreach__Request),
-	11,
-	masticreach__request__field_descriptors,
-	masticreach__request__field_indices_by_name,
-	1,
-	masticreach__request__number_ranges,
-	(ProtobufCMessageInit)masticreach__request__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__load__field_descriptors[7] = {
-		{
-			"service", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Load, service), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"slots", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Load, slots), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"connections", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Load, connections), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"in_flight", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Load, in_flight), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"queued", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Load, queued), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"service_time_us", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Load, service_time_us), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"leaving", 7, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-			offsetof(Masticreach__Load, leaving), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  10,   /* field[10] = attempt */
+  6,   /* field[6] = body */
+  5,   /* field[5] = content_type */
+  7,   /* field[7] = deadline_ms */
+  9,   /* field[9] = key */
+  3,   /* field[3] = method */
+  4,   /* field[4] = path */
+  8,   /* field[8] = repeatable */
+  0,   /* field[0] = request_nr */
+  2,   /* field[2] = service */
+  1,   /* field[1] = target_node */
+};
+static const ProtobufCIntRange masticreach__request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor masticreach__request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Request",
+  "Request",
+  "Masticreach__Request",
+  "masticreach",
+  sizeof(Masticreach__Request),
+  11,
+  masticreach__request__field_descriptors,
+  masticreach__request__field_indices_by_name,
+  1,  masticreach__request__number_ranges,
+  (ProtobufCMessageInit) masticreach__request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__load__field_descriptors[7] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "connections",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, connections),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_time_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, service_time_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__load__field_indices_by_name[] = {
-	2, /* field[2] = connections */
-	3, /* field[3] = in_flight */
-	6, /* field[6] = leaving */
-	4, /* field[4] = queued */
-	0, /* field[0] = service */
-	5, /* field[5] = service_time_us */
-	1, /* field[1] = slots */
-};
-static const ProtobufCIntRange masticreach__load__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 7 }
-};
-const ProtobufCMessageDescriptor masticreach__load__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Load",
-	"Load",
-	"Masticreach__Load",
-	"masticreach",
-	sizeof(Masticreach__Load),
-	7,
-	masticreach__load__field_descriptors,
-	masticreach__load__field_indices_by_name,
-	1,
-	masticreach__load__number_ranges,
-	(ProtobufCMessageInit)masticreach__load__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__response__field_descriptors[9] = {
-		{
-			"origin_node", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Response, origin_node), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"request_nr", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Response, request_nr), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"run", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__Response, run), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"result", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Response, result), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"status", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Response, status), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"content_type", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Response, content_type), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"body", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__Response, body), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"run_us", 8, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Response, run_us), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"load", 9, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-			offsetof(Masticreach__Response, load),
-			&masticreach__load__descriptor, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  2,   /* field[2] = connections */
+  3,   /* field[3] = in_flight */
+  6,   /* field[6] = leaving */
+  4,   /* field[4] = queued */
+  0,   /* field[0] = service */
+  5,   /* field[5] = service_time_us */
+  1,   /* field[1] = slots */
+};
+static const ProtobufCIntRange masticreach__load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor masticreach__load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Load",
+  "Load",
+  "Masticreach__Load",
+  "masticreach",
+  sizeof(Masticreach__Load),
+  7,
+  masticreach__load__field_descriptors,
+  masticreach__load__field_indices_by_name,
+  1,  masticreach__load__number_ranges,
+  (ProtobufCMessageInit) masticreach__load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__response__field_descriptors[9] =
+{
+  {
+    "origin_node",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, origin_node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_nr",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, request_nr),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, run_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, load),
+    &masticreach__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__response__field_indices_by_name[] = {
-	6, /* field[6] = body */
-	5, /* field[5] = content_type */
-	8, /* field[8] = load */
-	0, /* field[0] = origin_node */
-	1, /* field[1] = request_nr */
-	3, /* field[3] = result */
-	2, /* field[2] = run */
-	7, /* field[7] = run_us */
-	4, /* field[4] = status */
-};
-static const ProtobufCIntRange masticreach__response__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 9 }
-};
-const ProtobufCMessageDescriptor masticreach__response__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Response",
-	"Response",
-	"Masticreach__Response",
-	"masticreach",
-	sizeof(Masticreach__Response),
-	9,
-	masticreach__response__field_descriptors,
-	masticreach__response__field_indices_by_name,
-	1,
-	masticreach__response__number_ranges,
-	(ProtobufCMessageInit)masticreach__response__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__cancel__field_descriptors[1] = {
-		{
-			"request_nr", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Cancel, request_nr), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  6,   /* field[6] = body */
+  5,   /* field[5] = content_type */
+  8,   /* field[8] = load */
+  0,   /* field[0] = origin_node */
+  1,   /* field[1] = request_nr */
+  3,   /* field[3] = result */
+  2,   /* field[2] = run */
+  7,   /* field[7] = run_us */
+  4,   /* field[4] = status */
+};
+static const ProtobufCIntRange masticreach__response__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor masticreach__response__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Response",
+  "Response",
+  "Masticreach__Response",
+  "masticreach",
+  sizeof(Masticreach__Response),
+  9,
+  masticreach__response__field_descriptors,
+  masticreach__response__field_indices_by_name,
+  1,  masticreach__response__number_ranges,
+  (ProtobufCMessageInit) masticreach__response__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cancel__field_descriptors[1] =
+{
+  {
+    "request_nr",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Cancel, request_nr),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__cancel__field_indices_by_name[] = {
-	0, /* field[0] = request_nr */
-};
-static const ProtobufCIntRange masticreach__cancel__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 1 }
-};
-const ProtobufCMessageDescriptor masticreach__cancel__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Cancel",
-	"Cancel",
-	"Masticreach__Cancel",
-	"masticreach",
-	sizeof(Masticreach__Cancel),
-	1,
-	masticreach__cancel__field_descriptors,
-	masticreach__cancel__field_indices_by_name,
-	1,
-	masticreach__cancel__number_ranges,
-	(ProtobufCMessageInit)masticreach__cancel__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__outcome_query__field_descriptors[5] = {
-		{
-			"origin_node", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__OutcomeQuery, origin_node), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"request_nr", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__OutcomeQuery, request_nr), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"service", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__OutcomeQuery, service), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"key", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__OutcomeQuery, key), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"refuse", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-			offsetof(Masticreach__OutcomeQuery, refuse), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  0,   /* field[0] = request_nr */
+};
+static const ProtobufCIntRange masticreach__cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Cancel",
+  "Cancel",
+  "Masticreach__Cancel",
+  "masticreach",
+  sizeof(Masticreach__Cancel),
+  1,
+  masticreach__cancel__field_descriptors,
+  masticreach__cancel__field_indices_by_name,
+  1,  masticreach__cancel__number_ranges,
+  (ProtobufCMessageInit) masticreach__cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__outcome_query__field_descriptors[5] =
+{
+  {
+    "origin_node",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, origin_node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_nr",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, request_nr),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refuse",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, refuse),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__outcome_query__field_indices_by_name[] = {
-	3, /* field[3] = key */
-	0, /* field[0] = origin_node */
-	4, /* field[4] = refuse */
-	1, /* field[1] = request_nr */
-	2, /* field[2] = service */
-};
-static const ProtobufCIntRange
-	masticreach__outcome_query__number_ranges[1 + 1] = { { 1, 0 },
-							     { 0, 5 } };
-const ProtobufCMessageDescriptor masticreach__outcome_query__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.OutcomeQuery",
-	"OutcomeQuery",
-	"Masticreach__OutcomeQuery",
-	"masticreach",
-	sizeof(Masticreach__OutcomeQuery),
-	5,
-	masticreach__outcome_query__field_descriptors,
-	masticreach__outcome_query__field_indices_by_name,
-	1,
-	masticreach__outcome_query__number_ranges,
-	(ProtobufCMessageInit)masticreach__outcome_query__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__load_report__field_descriptors[2] = {
-		{
-			"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__LoadReport, seq), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"loads", 2, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_MESSAGE,
-			offsetof(Masticreach__LoadReport, n_loads),
-			offsetof(Masticreach__LoadReport, loads),
-			&masticreach__load__descriptor, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  3,   /* field[3] = key */
+  0,   /* field[0] = origin_node */
+  4,   /* field[4] = refuse */
+  1,   /* field[1] = request_nr */
+  2,   /* field[2] = service */
+};
+static const ProtobufCIntRange masticreach__outcome_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor masticreach__outcome_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.OutcomeQuery",
+  "OutcomeQuery",
+  "Masticreach__OutcomeQuery",
+  "masticreach",
+  sizeof(Masticreach__OutcomeQuery),
+  5,
+  masticreach__outcome_query__field_descriptors,
+  masticreach__outcome_query__field_indices_by_name,
+  1,  masticreach__outcome_query__number_ranges,
+  (ProtobufCMessageInit) masticreach__outcome_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__load_report__field_descriptors[2] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__LoadReport, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__LoadReport, n_loads),
+    offsetof(Masticreach__LoadReport, loads),
+    &masticreach__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__load_report__field_indices_by_name[] = {
-	1, /* field[1] = loads */
-	0, /* field[0] = seq */
-};
-static const ProtobufCIntRange
-	masticreach__load_report__number_ranges[1 + 1] = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor masticreach__load_report__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.LoadReport",
-	"LoadReport",
-	"Masticreach__LoadReport",
-	"masticreach",
-	sizeof(Masticreach__LoadReport),
-	2,
-	masticreach__load_report__field_descriptors,
-	masticreach__load_report__field_indices_by_name,
-	1,
-	masticreach__load_report__number_ranges,
-	(ProtobufCMessageInit)masticreach__load_report__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__vm_record__field_descriptors[10] = {
-		{
-			"name", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__VmRecord, name), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"zone", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__VmRecord, zone), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"rack", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__VmRecord, rack), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"address", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__VmRecord, address), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"node_id", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__VmRecord, node_id), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"state", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__VmRecord, state), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"cpu_millis", 7, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__VmRecord, cpu_millis), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"memory_mib", 8, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__VmRecord, memory_mib), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"accelerators", 9, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__VmRecord, accelerators), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"quarantined", 10, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-			offsetof(Masticreach__VmRecord, quarantined), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  1,   /* field[1] = loads */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange masticreach__load_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__load_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.LoadReport",
+  "LoadReport",
+  "Masticreach__LoadReport",
+  "masticreach",
+  sizeof(Masticreach__LoadReport),
+  2,
+  masticreach__load_report__field_descriptors,
+  masticreach__load_report__field_indices_by_name,
+  1,  masticreach__load_report__number_ranges,
+  (ProtobufCMessageInit) masticreach__load_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__vm_record__field_descriptors[10] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rack",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node_id",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, node_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_millis",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantined",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, quarantined),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__vm_record__field_indices_by_name[] = {
-	8, /* field[8] = accelerators */
-	3, /* field[3] = address */
-	6, /* field[6] = cpu_millis */
-	7, /* field[7] = memory_mib */
-	0, /* field[0] = name */
-	4, /* field[4] = node_id */
-	9, /* field[9] = quarantined */
-	2, /* field[2] = rack */
-	5, /* field[5] = state */
-	1, /* field[1] = zone */
-};
-static const ProtobufCIntRange masticreach__vm_record__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 10 }
-};
-const ProtobufCMessageDescriptor masticreach__vm_record__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.VmRecord",
-	"VmRecord",
-	"Masticreach__VmRecord",
-	"masticreach",
-	sizeof(Masticreach__VmRecord),
-	10,
-	masticreach__vm_record__field_descriptors,
-	masticreach__vm_record__field_indices_by_name,
-	1,
-	masticreach__vm_record__number_ranges,
-	(ProtobufCMessageInit)masticreach__vm_record__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__platform_task__field_descriptors[10] = {
-		{
-			"task_id", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformTask, task_id), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"epoch", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformTask, epoch), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"run", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformTask, run), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"progress_ppm", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformTask, progress_ppm), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"checkpoint", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformTask, checkpoint), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"age_ms", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformTask, age_ms), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"cpu_used_millis", 7, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformTask, cpu_used_millis),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"memory_used_mib", 8, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformTask, memory_used_mib),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"rate_ppm", 9, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformTask, rate_ppm), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"service_time_us", 10, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformTask, service_time_us),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  8,   /* field[8] = accelerators */
+  3,   /* field[3] = address */
+  6,   /* field[6] = cpu_millis */
+  7,   /* field[7] = memory_mib */
+  0,   /* field[0] = name */
+  4,   /* field[4] = node_id */
+  9,   /* field[9] = quarantined */
+  2,   /* field[2] = rack */
+  5,   /* field[5] = state */
+  1,   /* field[1] = zone */
+};
+static const ProtobufCIntRange masticreach__vm_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor masticreach__vm_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.VmRecord",
+  "VmRecord",
+  "Masticreach__VmRecord",
+  "masticreach",
+  sizeof(Masticreach__VmRecord),
+  10,
+  masticreach__vm_record__field_descriptors,
+  masticreach__vm_record__field_indices_by_name,
+  1,  masticreach__vm_record__number_ranges,
+  (ProtobufCMessageInit) masticreach__vm_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__platform_task__field_descriptors[10] =
+{
+  {
+    "task_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, task_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "progress_ppm",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, progress_ppm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_used_millis",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, cpu_used_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_used_mib",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, memory_used_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate_ppm",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, rate_ppm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_time_us",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, service_time_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__platform_task__field_indices_by_name[] = {
-	5, /* field[5] = age_ms */
-	4, /* field[4] = checkpoint */
-	6, /* field[6] = cpu_used_millis */
-	1, /* field[1] = epoch */
-	7, /* field[7] = memory_used_mib */
-	3, /* field[3] = progress_ppm */
-	8, /* field[8] = rate_ppm */
-	2, /* field[2] = run */
-	9, /* field[9] = service_time_us */
-	0, /* field[0] = task_id */
-};
-static const ProtobufCIntRange
-	masticreach__platform_task__number_ranges[1 + 1] = { { 1, 0 },
-							     { 0, 10 } };
-const ProtobufCMessageDescriptor masticreach__platform_task__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.PlatformTask",
-	"PlatformTask",
-	"Masticreach__PlatformTask",
-	"masticreach",
-	sizeof(Masticreach__PlatformTask),
-	10,
-	masticreach__platform_task__field_descriptors,
-	masticreach__platform_task__field_indices_by_name,
-	1,
-	masticreach__platform_task__number_ranges,
-	(ProtobufCMessageInit)masticreach__platform_task__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__report_service__field_descriptors[4] = {
-		{
-			"service", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__ReportService, service), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"slots", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__ReportService, slots), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"leaving", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-			offsetof(Masticreach__ReportService, leaving), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"service_time_us", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__ReportService, service_time_us),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  5,   /* field[5] = age_ms */
+  4,   /* field[4] = checkpoint */
+  6,   /* field[6] = cpu_used_millis */
+  1,   /* field[1] = epoch */
+  7,   /* field[7] = memory_used_mib */
+  3,   /* field[3] = progress_ppm */
+  8,   /* field[8] = rate_ppm */
+  2,   /* field[2] = run */
+  9,   /* field[9] = service_time_us */
+  0,   /* field[0] = task_id */
+};
+static const ProtobufCIntRange masticreach__platform_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor masticreach__platform_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.PlatformTask",
+  "PlatformTask",
+  "Masticreach__PlatformTask",
+  "masticreach",
+  sizeof(Masticreach__PlatformTask),
+  10,
+  masticreach__platform_task__field_descriptors,
+  masticreach__platform_task__field_indices_by_name,
+  1,  masticreach__platform_task__number_ranges,
+  (ProtobufCMessageInit) masticreach__platform_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__report_service__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ReportService, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ReportService, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ReportService, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_time_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ReportService, service_time_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__report_service__field_indices_by_name[] = {
-	2, /* field[2] = leaving */
-	0, /* field[0] = service */
-	3, /* field[3] = service_time_us */
-	1, /* field[1] = slots */
-};
-static const ProtobufCIntRange
-	masticreach__report_service__number_ranges[1 + 1] = { { 1, 0 },
-							      { 0, 4 } };
-const ProtobufCMessageDescriptor masticreach__report_service__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.ReportService",
-	"ReportService",
-	"Masticreach__ReportService",
-	"masticreach",
-	sizeof(Masticreach__ReportService),
-	4,
-	masticreach__report_service__field_descriptors,
-	masticreach__report_service__field_indices_by_name,
-	1,
-	masticreach__report_service__number_ranges,
-	(ProtobufCMessageInit)masticreach__report_service__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__report__field_descriptors[7] = {
-		{
-			"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__Report, seq), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"sent_us", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Report, sent_us), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"vm", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__Report, vm),
-			&masticreach__vm_record__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"bundle_version", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Report, bundle_version), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"leaving", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-			offsetof(Masticreach__Report, leaving), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"tasks", 6, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_MESSAGE,
-			offsetof(Masticreach__Report, n_tasks),
-			offsetof(Masticreach__Report, tasks),
-			&masticreach__platform_task__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"services", 7, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_MESSAGE,
-			offsetof(Masticreach__Report, n_services),
-			offsetof(Masticreach__Report, services),
-			&masticreach__report_service__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  2,   /* field[2] = leaving */
+  0,   /* field[0] = service */
+  3,   /* field[3] = service_time_us */
+  1,   /* field[1] = slots */
+};
+static const ProtobufCIntRange masticreach__report_service__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticreach__report_service__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.ReportService",
+  "ReportService",
+  "Masticreach__ReportService",
+  "masticreach",
+  sizeof(Masticreach__ReportService),
+  4,
+  masticreach__report_service__field_descriptors,
+  masticreach__report_service__field_indices_by_name,
+  1,  masticreach__report_service__number_ranges,
+  (ProtobufCMessageInit) masticreach__report_service__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__report__field_descriptors[7] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Report, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Report, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Report, vm),
+    &masticreach__vm_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bundle_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Report, bundle_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Report, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Report, n_tasks),
+    offsetof(Masticreach__Report, tasks),
+    &masticreach__platform_task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Report, n_services),
+    offsetof(Masticreach__Report, services),
+    &masticreach__report_service__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__report__field_indices_by_name[] = {
-	3, /* field[3] = bundle_version */
-	4, /* field[4] = leaving */
-	1, /* field[1] = sent_us */
-	0, /* field[0] = seq */
-	6, /* field[6] = services */
-	5, /* field[5] = tasks */
-	2, /* field[2] = vm */
-};
-static const ProtobufCIntRange masticreach__report__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 7 }
-};
-const ProtobufCMessageDescriptor masticreach__report__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Report",
-	"Report",
-	"Masticreach__Report",
-	"masticreach",
-	sizeof(Masticreach__Report),
-	7,
-	masticreach__report__field_descriptors,
-	masticreach__report__field_indices_by_name,
-	1,
-	masticreach__report__number_ranges,
-	(ProtobufCMessageInit)masticreach__report__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__grant__field_descriptors[8] = {
-		{
-			"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__Grant, seq), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"sent_us", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Grant, sent_us), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"term", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Grant, term), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"lease_ms", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Grant, lease_ms), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"permit_ms", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__Grant, permit_ms), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"zone_out", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-			offsetof(Masticreach__Grant, zone_out), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"bundle_version", 7, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Grant, bundle_version), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"confirmed", 8, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_UINT64,
-			offsetof(Masticreach__Grant, n_confirmed),
-			offsetof(Masticreach__Grant, confirmed), NULL, NULL,
-			0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  3,   /* field[3] = bundle_version */
+  4,   /* field[4] = leaving */
+  1,   /* field[1] = sent_us */
+  0,   /* field[0] = seq */
+  6,   /* field[6] = services */
+  5,   /* field[5] = tasks */
+  2,   /* field[2] = vm */
+};
+static const ProtobufCIntRange masticreach__report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor masticreach__report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Report",
+  "Report",
+  "Masticreach__Report",
+  "masticreach",
+  sizeof(Masticreach__Report),
+  7,
+  masticreach__report__field_descriptors,
+  masticreach__report__field_indices_by_name,
+  1,  masticreach__report__number_ranges,
+  (ProtobufCMessageInit) masticreach__report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__grant__field_descriptors[8] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, permit_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone_out",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, zone_out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bundle_version",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, bundle_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirmed",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Masticreach__Grant, n_confirmed),
+    offsetof(Masticreach__Grant, confirmed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__grant__field_indices_by_name[] = {
-	6, /* field[6] = bundle_version */
-	7, /* field[7] = confirmed */
-	3, /* field[3] = lease_ms */
-	4, /* field[4] = permit_ms */
-	1, /* field[1] = sent_us */
-	0, /* field[0] = seq */
-	2, /* field[2] = term */
-	5, /* field[5] = zone_out */
-};
-static const ProtobufCIntRange masticreach__grant__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 8 }
-};
-const ProtobufCMessageDescriptor masticreach__grant__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Grant",
-	"Grant",
-	"Masticreach__Grant",
-	"masticreach",
-	sizeof(Masticreach__Grant),
-	8,
-	masticreach__grant__field_descriptors,
-	masticreach__grant__field_indices_by_name,
-	1,
-	masticreach__grant__number_ranges,
-	(ProtobufCMessageInit)masticreach__grant__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__platform_start__field_descriptors[11] = {
-		{
-			"task_id", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformStart, task_id), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"epoch", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformStart, epoch), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"job", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformStart, job), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"kind", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformStart, kind), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"payload", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformStart, payload), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"cpu_millis", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformStart, cpu_millis), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"memory_mib", 7, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformStart, memory_mib), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"accelerators", 8, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformStart, accelerators),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"checkpoint", 9, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformStart, checkpoint), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"lease_ms", 10, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformStart, lease_ms), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"start_within_ms", 11, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__PlatformStart, start_within_ms),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  6,   /* field[6] = bundle_version */
+  7,   /* field[7] = confirmed */
+  3,   /* field[3] = lease_ms */
+  4,   /* field[4] = permit_ms */
+  1,   /* field[1] = sent_us */
+  0,   /* field[0] = seq */
+  2,   /* field[2] = term */
+  5,   /* field[5] = zone_out */
+};
+static const ProtobufCIntRange masticreach__grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor masticreach__grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Grant",
+  "Grant",
+  "Masticreach__Grant",
+  "masticreach",
+  sizeof(Masticreach__Grant),
+  8,
+  masticreach__grant__field_descriptors,
+  masticreach__grant__field_indices_by_name,
+  1,  masticreach__grant__number_ranges,
+  (ProtobufCMessageInit) masticreach__grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__platform_start__field_descriptors[11] =
+{
+  {
+    "task_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, task_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, payload),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_millis",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start_within_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, start_within_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__platform_start__field_indices_by_name[] = {
-	7, /* field[7] = accelerators */
-	8, /* field[8] = checkpoint */
-	5, /* field[5] = cpu_millis */
-	1, /* field[1] = epoch */
-	2, /* field[2] = job */
-	3, /* field[3] = kind */
-	9, /* field[9] = lease_ms */
-	6, /* field[6] = memory_mib */
-	4, /* field[4] = payload */
-	10, /* field[10] = start_within_ms */
-	0, /* field[0] = task_id */
-};
-static const ProtobufCIntRange
-	masticreach__platform_start__number_ranges[1 + 1] = { { 1, 0 },
-							      { 0, 11 } };
-const ProtobufCMessageDescriptor masticreach__platform_start__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.PlatformStart",
-	"PlatformStart",
-	"Masticreach__PlatformStart",
-	"masticreach",
-	sizeof(Masticreach__PlatformStart),
-	11,
-	masticreach__platform_start__field_descriptors,
-	masticreach__platform_start__field_indices_by_name,
-	1,
-	masticreach__platform_start__number_ranges,
-	(ProtobufCMessageInit)masticreach__platform_start__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__task_order__field_descriptors[5] = {
-		{
-			"term", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskOrder, term), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"vm_node", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskOrder, vm_node), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"action", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskOrder, action), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"cpu_ppm", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskOrder, cpu_ppm), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"start", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskOrder, start),
-			&masticreach__platform_start__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  7,   /* field[7] = accelerators */
+  8,   /* field[8] = checkpoint */
+  5,   /* field[5] = cpu_millis */
+  1,   /* field[1] = epoch */
+  2,   /* field[2] = job */
+  3,   /* field[3] = kind */
+  9,   /* field[9] = lease_ms */
+  6,   /* field[6] = memory_mib */
+  4,   /* field[4] = payload */
+  10,   /* field[10] = start_within_ms */
+  0,   /* field[0] = task_id */
+};
+static const ProtobufCIntRange masticreach__platform_start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor masticreach__platform_start__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.PlatformStart",
+  "PlatformStart",
+  "Masticreach__PlatformStart",
+  "masticreach",
+  sizeof(Masticreach__PlatformStart),
+  11,
+  masticreach__platform_start__field_descriptors,
+  masticreach__platform_start__field_indices_by_name,
+  1,  masticreach__platform_start__number_ranges,
+  (ProtobufCMessageInit) masticreach__platform_start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__task_order__field_descriptors[5] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskOrder, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm_node",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskOrder, vm_node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "action",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskOrder, action),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_ppm",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskOrder, cpu_ppm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskOrder, start),
+    &masticreach__platform_start__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__task_order__field_indices_by_name[] = {
-	2, /* field[2] = action */
-	3, /* field[3] = cpu_ppm */
-	4, /* field[4] = start */
-	0, /* field[0] = term */
-	1, /* field[1] = vm_node */
-};
-static const ProtobufCIntRange masticreach__task_order__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 5 }
-};
-const ProtobufCMessageDescriptor masticreach__task_order__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.TaskOrder",
-	"TaskOrder",
-	"Masticreach__TaskOrder",
-	"masticreach",
-	sizeof(Masticreach__TaskOrder),
-	5,
-	masticreach__task_order__field_descriptors,
-	masticreach__task_order__field_indices_by_name,
-	1,
-	masticreach__task_order__number_ranges,
-	(ProtobufCMessageInit)masticreach__task_order__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__task_event__field_descriptors[6] = {
-		{
-			"task_id", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskEvent, task_id), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"epoch", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskEvent, epoch), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"run", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__TaskEvent, run), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"checkpoint", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskEvent, checkpoint), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"progress_ppm", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskEvent, progress_ppm), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"result", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskEvent, result), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  2,   /* field[2] = action */
+  3,   /* field[3] = cpu_ppm */
+  4,   /* field[4] = start */
+  0,   /* field[0] = term */
+  1,   /* field[1] = vm_node */
+};
+static const ProtobufCIntRange masticreach__task_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor masticreach__task_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.TaskOrder",
+  "TaskOrder",
+  "Masticreach__TaskOrder",
+  "masticreach",
+  sizeof(Masticreach__TaskOrder),
+  5,
+  masticreach__task_order__field_descriptors,
+  masticreach__task_order__field_indices_by_name,
+  1,  masticreach__task_order__number_ranges,
+  (ProtobufCMessageInit) masticreach__task_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__task_event__field_descriptors[6] =
+{
+  {
+    "task_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskEvent, task_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskEvent, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskEvent, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskEvent, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "progress_ppm",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskEvent, progress_ppm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskEvent, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__task_event__field_indices_by_name[] = {
-	3, /* field[3] = checkpoint */
-	1, /* field[1] = epoch */
-	4, /* field[4] = progress_ppm */
-	5, /* field[5] = result */
-	2, /* field[2] = run */
-	0, /* field[0] = task_id */
-};
-static const ProtobufCIntRange masticreach__task_event__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 6 }
-};
-const ProtobufCMessageDescriptor masticreach__task_event__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.TaskEvent",
-	"TaskEvent",
-	"Masticreach__TaskEvent",
-	"masticreach",
-	sizeof(Masticreach__TaskEvent),
-	6,
-	masticreach__task_event__field_descriptors,
-	masticreach__task_event__field_indices_by_name,
-	1,
-	masticreach__task_event__number_ranges,
-	(ProtobufCMessageInit)masticreach__task_event__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__view_query__field_descriptors[2] = {
-		{
-			"view_version", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__ViewQuery, view_version), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"bundle_version", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__ViewQuery, bundle_version), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  3,   /* field[3] = checkpoint */
+  1,   /* field[1] = epoch */
+  4,   /* field[4] = progress_ppm */
+  5,   /* field[5] = result */
+  2,   /* field[2] = run */
+  0,   /* field[0] = task_id */
+};
+static const ProtobufCIntRange masticreach__task_event__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor masticreach__task_event__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.TaskEvent",
+  "TaskEvent",
+  "Masticreach__TaskEvent",
+  "masticreach",
+  sizeof(Masticreach__TaskEvent),
+  6,
+  masticreach__task_event__field_descriptors,
+  masticreach__task_event__field_indices_by_name,
+  1,  masticreach__task_event__number_ranges,
+  (ProtobufCMessageInit) masticreach__task_event__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__view_query__field_descriptors[2] =
+{
+  {
+    "view_version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ViewQuery, view_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bundle_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ViewQuery, bundle_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__view_query__field_indices_by_name[] = {
-	1, /* field[1] = bundle_version */
-	0, /* field[0] = view_version */
-};
-static const ProtobufCIntRange masticreach__view_query__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 2 }
-};
-const ProtobufCMessageDescriptor masticreach__view_query__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.ViewQuery",
-	"ViewQuery",
-	"Masticreach__ViewQuery",
-	"masticreach",
-	sizeof(Masticreach__ViewQuery),
-	2,
-	masticreach__view_query__field_descriptors,
-	masticreach__view_query__field_indices_by_name,
-	1,
-	masticreach__view_query__number_ranges,
-	(ProtobufCMessageInit)masticreach__view_query__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__zone_record__field_descriptors[4] = {
-		{
-			"name", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__ZoneRecord, name), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"out", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__ZoneRecord, out), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"version", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__ZoneRecord, version), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"changed_by", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__ZoneRecord, changed_by), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  1,   /* field[1] = bundle_version */
+  0,   /* field[0] = view_version */
+};
+static const ProtobufCIntRange masticreach__view_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__view_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.ViewQuery",
+  "ViewQuery",
+  "Masticreach__ViewQuery",
+  "masticreach",
+  sizeof(Masticreach__ViewQuery),
+  2,
+  masticreach__view_query__field_descriptors,
+  masticreach__view_query__field_indices_by_name,
+  1,  masticreach__view_query__number_ranges,
+  (ProtobufCMessageInit) masticreach__view_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__zone_record__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ZoneRecord, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "out",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ZoneRecord, out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ZoneRecord, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changed_by",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ZoneRecord, changed_by),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__zone_record__field_indices_by_name[] = {
-	3, /* field[3] = changed_by */
-	0, /* field[0] = name */
-	1, /* field[1] = out */
-	2, /* field[2] = version */
-};
-static const ProtobufCIntRange
-	masticreach__zone_record__number_ranges[1 + 1] = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor masticreach__zone_record__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.ZoneRecord",
-	"ZoneRecord",
-	"Masticreach__ZoneRecord",
-	"masticreach",
-	sizeof(Masticreach__ZoneRecord),
-	4,
-	masticreach__zone_record__field_descriptors,
-	masticreach__zone_record__field_indices_by_name,
-	1,
-	masticreach__zone_record__number_ranges,
-	(ProtobufCMessageInit)masticreach__zone_record__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__view_agent__field_descriptors[5] = {
-		{
-			"vm", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__ViewAgent, vm), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"zone", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__ViewAgent, zone), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"address", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__ViewAgent, address), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"node_id", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__ViewAgent, node_id), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"gone", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__ViewAgent, gone), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  3,   /* field[3] = changed_by */
+  0,   /* field[0] = name */
+  1,   /* field[1] = out */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange masticreach__zone_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticreach__zone_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.ZoneRecord",
+  "ZoneRecord",
+  "Masticreach__ZoneRecord",
+  "masticreach",
+  sizeof(Masticreach__ZoneRecord),
+  4,
+  masticreach__zone_record__field_descriptors,
+  masticreach__zone_record__field_indices_by_name,
+  1,  masticreach__zone_record__number_ranges,
+  (ProtobufCMessageInit) masticreach__zone_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__view_agent__field_descriptors[5] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ViewAgent, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ViewAgent, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ViewAgent, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node_id",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ViewAgent, node_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ViewAgent, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__view_agent__field_indices_by_name[] = {
-	2, /* field[2] = address */
-	4, /* field[4] = gone */
-	3, /* field[3] = node_id */
-	0, /* field[0] = vm */
-	1, /* field[1] = zone */
-};
-static const ProtobufCIntRange masticreach__view_agent__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 5 }
-};
-const ProtobufCMessageDescriptor masticreach__view_agent__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.ViewAgent",
-	"ViewAgent",
-	"Masticreach__ViewAgent",
-	"masticreach",
-	sizeof(Masticreach__ViewAgent),
-	5,
-	masticreach__view_agent__field_descriptors,
-	masticreach__view_agent__field_indices_by_name,
-	1,
-	masticreach__view_agent__number_ranges,
-	(ProtobufCMessageInit)masticreach__view_agent__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__bundle_zone__field_descriptors[3] = {
-		{
-			"name", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleZone, name), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"region", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleZone, region), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"cost_ppm", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleZone, cost_ppm), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  2,   /* field[2] = address */
+  4,   /* field[4] = gone */
+  3,   /* field[3] = node_id */
+  0,   /* field[0] = vm */
+  1,   /* field[1] = zone */
+};
+static const ProtobufCIntRange masticreach__view_agent__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor masticreach__view_agent__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.ViewAgent",
+  "ViewAgent",
+  "Masticreach__ViewAgent",
+  "masticreach",
+  sizeof(Masticreach__ViewAgent),
+  5,
+  masticreach__view_agent__field_descriptors,
+  masticreach__view_agent__field_indices_by_name,
+  1,  masticreach__view_agent__number_ranges,
+  (ProtobufCMessageInit) masticreach__view_agent__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__bundle_zone__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleZone, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleZone, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost_ppm",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleZone, cost_ppm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__bundle_zone__field_indices_by_name[] = {
-	2, /* field[2] = cost_ppm */
-	0, /* field[0] = name */
-	1, /* field[1] = region */
-};
-static const ProtobufCIntRange
-	masticreach__bundle_zone__number_ranges[1 + 1] = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor masticreach__bundle_zone__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.BundleZone",
-	"BundleZone",
-	"Masticreach__BundleZone",
-	"masticreach",
-	sizeof(Masticreach__BundleZone),
-	3,
-	masticreach__bundle_zone__field_descriptors,
-	masticreach__bundle_zone__field_indices_by_name,
-	1,
-	masticreach__bundle_zone__number_ranges,
-	(ProtobufCMessageInit)masticreach__bundle_zone__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__bundle_team__field_descriptors[4] = {
-		{
-			"name", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleTeam, name), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"quota_cpu_millis", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleTeam, quota_cpu_millis),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"quota_memory_mib", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleTeam, quota_memory_mib),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"quota_accelerators", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleTeam, quota_accelerators),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  2,   /* field[2] = cost_ppm */
+  0,   /* field[0] = name */
+  1,   /* field[1] = region */
+};
+static const ProtobufCIntRange masticreach__bundle_zone__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor masticreach__bundle_zone__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.BundleZone",
+  "BundleZone",
+  "Masticreach__BundleZone",
+  "masticreach",
+  sizeof(Masticreach__BundleZone),
+  3,
+  masticreach__bundle_zone__field_descriptors,
+  masticreach__bundle_zone__field_indices_by_name,
+  1,  masticreach__bundle_zone__number_ranges,
+  (ProtobufCMessageInit) masticreach__bundle_zone__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__bundle_team__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleTeam, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_cpu_millis",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleTeam, quota_cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_memory_mib",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleTeam, quota_memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_accelerators",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleTeam, quota_accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__bundle_team__field_indices_by_name[] = {
-	0, /* field[0] = name */
-	3, /* field[3] = quota_accelerators */
-	1, /* field[1] = quota_cpu_millis */
-	2, /* field[2] = quota_memory_mib */
-};
-static const ProtobufCIntRange
-	masticreach__bundle_team__number_ranges[1 + 1] = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor masticreach__bundle_team__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.BundleTeam",
-	"BundleTeam",
-	"Masticreach__BundleTeam",
-	"masticreach",
-	sizeof(Masticreach__BundleTeam),
-	4,
-	masticreach__bundle_team__field_descriptors,
-	masticreach__bundle_team__field_indices_by_name,
-	1,
-	masticreach__bundle_team__number_ranges,
-	(ProtobufCMessageInit)masticreach__bundle_team__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__bundle_service__field_descriptors[9] = {
-		{
-			"name", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleService, name), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"team", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleService, team), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"replicas", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleService, replicas), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"cpu_millis", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleService, cpu_millis), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"memory_mib", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleService, memory_mib), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"accelerators", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleService, accelerators),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"deadline_ms", 7, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleService, deadline_ms), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"target_p99_us", 8, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleService, target_p99_us),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"payload", 9, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__BundleService, payload), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  0,   /* field[0] = name */
+  3,   /* field[3] = quota_accelerators */
+  1,   /* field[1] = quota_cpu_millis */
+  2,   /* field[2] = quota_memory_mib */
+};
+static const ProtobufCIntRange masticreach__bundle_team__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticreach__bundle_team__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.BundleTeam",
+  "BundleTeam",
+  "Masticreach__BundleTeam",
+  "masticreach",
+  sizeof(Masticreach__BundleTeam),
+  4,
+  masticreach__bundle_team__field_descriptors,
+  masticreach__bundle_team__field_indices_by_name,
+  1,  masticreach__bundle_team__number_ranges,
+  (ProtobufCMessageInit) masticreach__bundle_team__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__bundle_service__field_descriptors[9] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleService, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleService, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replicas",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleService, replicas),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_millis",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleService, cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleService, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleService, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleService, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_p99_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleService, target_p99_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleService, payload),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__bundle_service__field_indices_by_name[] = {
-	5, /* field[5] = accelerators */
-	3, /* field[3] = cpu_millis */
-	6, /* field[6] = deadline_ms */
-	4, /* field[4] = memory_mib */
-	0, /* field[0] = name */
-	8, /* field[8] = payload */
-	2, /* field[2] = replicas */
-	7, /* field[7] = target_p99_us */
-	1, /* field[1] = team */
-};
-static const ProtobufCIntRange
-	masticreach__bundle_service__number_ranges[1 + 1] = { { 1, 0 },
-							      { 0, 9 } };
-const ProtobufCMessageDescriptor masticreach__bundle_service__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.BundleService",
-	"BundleService",
-	"Masticreach__BundleService",
-	"masticreach",
-	sizeof(Masticreach__BundleService),
-	9,
-	masticreach__bundle_service__field_descriptors,
-	masticreach__bundle_service__field_indices_by_name,
-	1,
-	masticreach__bundle_service__number_ranges,
-	(ProtobufCMessageInit)masticreach__bundle_service__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__bundle__field_descriptors[10] = {
-		{
-			"version", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Bundle, version), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"digest", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Bundle, digest), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"submitted_by", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Bundle, submitted_by), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"signed_by", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Bundle, signed_by), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"route_policy", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Bundle, route_policy), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"place_policy", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Bundle, place_policy), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"evict_policy", 7, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Bundle, evict_policy), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"zones", 8, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_MESSAGE,
-			offsetof(Masticreach__Bundle, n_zones),
-			offsetof(Masticreach__Bundle, zones),
-			&masticreach__bundle_zone__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"teams", 9, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_MESSAGE,
-			offsetof(Masticreach__Bundle, n_teams),
-			offsetof(Masticreach__Bundle, teams),
-			&masticreach__bundle_team__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"services", 10, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_MESSAGE,
-			offsetof(Masticreach__Bundle, n_services),
-			offsetof(Masticreach__Bundle, services),
-			&masticreach__bundle_service__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  5,   /* field[5] = accelerators */
+  3,   /* field[3] = cpu_millis */
+  6,   /* field[6] = deadline_ms */
+  4,   /* field[4] = memory_mib */
+  0,   /* field[0] = name */
+  8,   /* field[8] = payload */
+  2,   /* field[2] = replicas */
+  7,   /* field[7] = target_p99_us */
+  1,   /* field[1] = team */
+};
+static const ProtobufCIntRange masticreach__bundle_service__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor masticreach__bundle_service__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.BundleService",
+  "BundleService",
+  "Masticreach__BundleService",
+  "masticreach",
+  sizeof(Masticreach__BundleService),
+  9,
+  masticreach__bundle_service__field_descriptors,
+  masticreach__bundle_service__field_indices_by_name,
+  1,  masticreach__bundle_service__number_ranges,
+  (ProtobufCMessageInit) masticreach__bundle_service__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__bundle__field_descriptors[10] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Bundle, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Bundle, digest),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submitted_by",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Bundle, submitted_by),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "signed_by",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Bundle, signed_by),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route_policy",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Bundle, route_policy),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "place_policy",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Bundle, place_policy),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evict_policy",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Bundle, evict_policy),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zones",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Bundle, n_zones),
+    offsetof(Masticreach__Bundle, zones),
+    &masticreach__bundle_zone__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "teams",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Bundle, n_teams),
+    offsetof(Masticreach__Bundle, teams),
+    &masticreach__bundle_team__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Bundle, n_services),
+    offsetof(Masticreach__Bundle, services),
+    &masticreach__bundle_service__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__bundle__field_indices_by_name[] = {
-	1, /* field[1] = digest */
-	6, /* field[6] = evict_policy */
-	5, /* field[5] = place_policy */
-	4, /* field[4] = route_policy */
-	9, /* field[9] = services */
-	3, /* field[3] = signed_by */
-	2, /* field[2] = submitted_by */
-	8, /* field[8] = teams */
-	0, /* field[0] = version */
-	7, /* field[7] = zones */
-};
-static const ProtobufCIntRange masticreach__bundle__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 10 }
-};
-const ProtobufCMessageDescriptor masticreach__bundle__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Bundle",
-	"Bundle",
-	"Masticreach__Bundle",
-	"masticreach",
-	sizeof(Masticreach__Bundle),
-	10,
-	masticreach__bundle__field_descriptors,
-	masticreach__bundle__field_indices_by_name,
-	1,
-	masticreach__bundle__number_ranges,
-	(ProtobufCMessageInit)masticreach__bundle__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__view__field_descriptors[6] = {
-		{
-			"term", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__View, term), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"view_version", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__View, view_version), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"whole", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__View, whole), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"zones", 4, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_MESSAGE,
-			offsetof(Masticreach__View, n_zones),
-			offsetof(Masticreach__View, zones),
-			&masticreach__zone_record__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"agents", 5, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_MESSAGE,
-			offsetof(Masticreach__View, n_agents),
-			offsetof(Masticreach__View, agents),
-			&masticreach__view_agent__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"bundles", 6, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_MESSAGE,
-			offsetof(Masticreach__View, n_bundles),
-			offsetof(Masticreach__View, bundles),
-			&masticreach__bundle__descriptor, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  1,   /* field[1] = digest */
+  6,   /* field[6] = evict_policy */
+  5,   /* field[5] = place_policy */
+  4,   /* field[4] = route_policy */
+  9,   /* field[9] = services */
+  3,   /* field[3] = signed_by */
+  2,   /* field[2] = submitted_by */
+  8,   /* field[8] = teams */
+  0,   /* field[0] = version */
+  7,   /* field[7] = zones */
+};
+static const ProtobufCIntRange masticreach__bundle__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor masticreach__bundle__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Bundle",
+  "Bundle",
+  "Masticreach__Bundle",
+  "masticreach",
+  sizeof(Masticreach__Bundle),
+  10,
+  masticreach__bundle__field_descriptors,
+  masticreach__bundle__field_indices_by_name,
+  1,  masticreach__bundle__number_ranges,
+  (ProtobufCMessageInit) masticreach__bundle__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__view__field_descriptors[6] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__View, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__View, view_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__View, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zones",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__View, n_zones),
+    offsetof(Masticreach__View, zones),
+    &masticreach__zone_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "agents",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__View, n_agents),
+    offsetof(Masticreach__View, agents),
+    &masticreach__view_agent__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bundles",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__View, n_bundles),
+    offsetof(Masticreach__View, bundles),
+    &masticreach__bundle__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__view__field_indices_by_name[] = {
-	4, /* field[4] = agents */
-	5, /* field[5] = bundles */
-	0, /* field[0] = term */
-	1, /* field[1] = view_version */
-	2, /* field[2] = whole */
-	3, /* field[3] = zones */
-};
-static const ProtobufCIntRange masticreach__view__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 6 }
-};
-const ProtobufCMessageDescriptor masticreach__view__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.View",
-	"View",
-	"Masticreach__View",
-	"masticreach",
-	sizeof(Masticreach__View),
-	6,
-	masticreach__view__field_descriptors,
-	masticreach__view__field_indices_by_name,
-	1,
-	masticreach__view__number_ranges,
-	(ProtobufCMessageInit)masticreach__view__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__claim_record__field_descriptors[13] = {
-		{
-			"service", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimRecord, service), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"key", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimRecord, key), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"digest", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimRecord, digest), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"agent_node", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimRecord, agent_node), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"entry_node", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimRecord, entry_node), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"request_nr", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimRecord, request_nr), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"attempt", 7, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimRecord, attempt), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"state", 8, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimRecord, state), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"status", 9, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimRecord, status), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"content_type", 10, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimRecord, content_type), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"body", 11, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimRecord, body), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"body_kept", 12, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimRecord, body_kept), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"claimed_ms", 13, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimRecord, claimed_ms), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  4,   /* field[4] = agents */
+  5,   /* field[5] = bundles */
+  0,   /* field[0] = term */
+  1,   /* field[1] = view_version */
+  2,   /* field[2] = whole */
+  3,   /* field[3] = zones */
+};
+static const ProtobufCIntRange masticreach__view__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor masticreach__view__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.View",
+  "View",
+  "Masticreach__View",
+  "masticreach",
+  sizeof(Masticreach__View),
+  6,
+  masticreach__view__field_descriptors,
+  masticreach__view__field_indices_by_name,
+  1,  masticreach__view__number_ranges,
+  (ProtobufCMessageInit) masticreach__view__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__claim_record__field_descriptors[13] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimRecord, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimRecord, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimRecord, digest),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "agent_node",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimRecord, agent_node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entry_node",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimRecord, entry_node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_nr",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimRecord, request_nr),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimRecord, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimRecord, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimRecord, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimRecord, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimRecord, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body_kept",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimRecord, body_kept),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claimed_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimRecord, claimed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__claim_record__field_indices_by_name[] = {
-	3, /* field[3] = agent_node */
-	6, /* field[6] = attempt */
-	10, /* field[10] = body */
-	11, /* field[11] = body_kept */
-	12, /* field[12] = claimed_ms */
-	9, /* field[9] = content_type */
-	2, /* field[2] = digest */
-	4, /* field[4] = entry_node */
-	1, /* field[1] = key */
-	5, /* field[5] = request_nr */
-	0, /* field[0] = service */
-	7, /* field[7] = state */
-	8, /* field[8] = status */
-};
-static const ProtobufCIntRange
-	masticreach__claim_record__number_ranges[1 + 1] = { { 1, 0 },
-							    { 0, 13 } };
-const ProtobufCMessageDescriptor masticreach__claim_record__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.ClaimRecord",
-	"ClaimRecord",
-	"Masticreach__ClaimRecord",
-	"masticreach",
-	sizeof(Masticreach__ClaimRecord),
-	13,
-	masticreach__claim_record__field_descriptors,
-	masticreach__claim_record__field_indices_by_name,
-	1,
-	masticreach__claim_record__number_ranges,
-	(ProtobufCMessageInit)masticreach__claim_record__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__claim_query__field_descriptors[2] = {
-		{
-			"ticket", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimQuery, ticket), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"claim", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimQuery, claim),
-			&masticreach__claim_record__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  3,   /* field[3] = agent_node */
+  6,   /* field[6] = attempt */
+  10,   /* field[10] = body */
+  11,   /* field[11] = body_kept */
+  12,   /* field[12] = claimed_ms */
+  9,   /* field[9] = content_type */
+  2,   /* field[2] = digest */
+  4,   /* field[4] = entry_node */
+  1,   /* field[1] = key */
+  5,   /* field[5] = request_nr */
+  0,   /* field[0] = service */
+  7,   /* field[7] = state */
+  8,   /* field[8] = status */
+};
+static const ProtobufCIntRange masticreach__claim_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor masticreach__claim_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.ClaimRecord",
+  "ClaimRecord",
+  "Masticreach__ClaimRecord",
+  "masticreach",
+  sizeof(Masticreach__ClaimRecord),
+  13,
+  masticreach__claim_record__field_descriptors,
+  masticreach__claim_record__field_indices_by_name,
+  1,  masticreach__claim_record__number_ranges,
+  (ProtobufCMessageInit) masticreach__claim_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__claim_query__field_descriptors[2] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimQuery, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimQuery, claim),
+    &masticreach__claim_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__claim_query__field_indices_by_name[] = {
-	1, /* field[1] = claim */
-	0, /* field[0] = ticket */
-};
-static const ProtobufCIntRange
-	masticreach__claim_query__number_ranges[1 + 1] = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor masticreach__claim_query__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.ClaimQuery",
-	"ClaimQuery",
-	"Masticreach__ClaimQuery",
-	"masticreach",
-	sizeof(Masticreach__ClaimQuery),
-	2,
-	masticreach__claim_query__field_descriptors,
-	masticreach__claim_query__field_indices_by_name,
-	1,
-	masticreach__claim_query__number_ranges,
-	(ProtobufCMessageInit)masticreach__claim_query__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__claim_reply__field_descriptors[3] = {
-		{
-			"ticket", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimReply, ticket), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"result", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimReply, result), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"claim", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimReply, claim),
-			&masticreach__claim_record__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  1,   /* field[1] = claim */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange masticreach__claim_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__claim_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.ClaimQuery",
+  "ClaimQuery",
+  "Masticreach__ClaimQuery",
+  "masticreach",
+  sizeof(Masticreach__ClaimQuery),
+  2,
+  masticreach__claim_query__field_descriptors,
+  masticreach__claim_query__field_indices_by_name,
+  1,  masticreach__claim_query__number_ranges,
+  (ProtobufCMessageInit) masticreach__claim_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__claim_reply__field_descriptors[3] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimReply, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimReply, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimReply, claim),
+    &masticreach__claim_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__claim_reply__field_indices_by_name[] = {
-	2, /* field[2] = claim */
-	1, /* field[1] = result */
-	0, /* field[0] = ticket */
-};
-static const ProtobufCIntRange
-	masticreach__claim_reply__number_ranges[1 + 1] = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor masticreach__claim_reply__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.ClaimReply",
-	"ClaimReply",
-	"Masticreach__ClaimReply",
-	"masticreach",
-	sizeof(Masticreach__ClaimReply),
-	3,
-	masticreach__claim_reply__field_descriptors,
-	masticreach__claim_reply__field_indices_by_name,
-	1,
-	masticreach__claim_reply__number_ranges,
-	(ProtobufCMessageInit)masticreach__claim_reply__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__claim_done__field_descriptors[1] = {
-		{
-			"claim", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-			offsetof(Masticreach__ClaimDone, claim),
-			&masticreach__claim_record__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  2,   /* field[2] = claim */
+  1,   /* field[1] = result */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange masticreach__claim_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor masticreach__claim_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.ClaimReply",
+  "ClaimReply",
+  "Masticreach__ClaimReply",
+  "masticreach",
+  sizeof(Masticreach__ClaimReply),
+  3,
+  masticreach__claim_reply__field_descriptors,
+  masticreach__claim_reply__field_indices_by_name,
+  1,  masticreach__claim_reply__number_ranges,
+  (ProtobufCMessageInit) masticreach__claim_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__claim_done__field_descriptors[1] =
+{
+  {
+    "claim",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ClaimDone, claim),
+    &masticreach__claim_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__claim_done__field_indices_by_name[] = {
-	0, /* field[0] = claim */
-};
-static const ProtobufCIntRange masticreach__claim_done__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 1 }
-};
-const ProtobufCMessageDescriptor masticreach__claim_done__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.ClaimDone",
-	"ClaimDone",
-	"Masticreach__ClaimDone",
-	"masticreach",
-	sizeof(Masticreach__ClaimDone),
-	1,
-	masticreach__claim_done__field_descriptors,
-	masticreach__claim_done__field_indices_by_name,
-	1,
-	masticreach__claim_done__number_ranges,
-	(ProtobufCMessageInit)masticreach__claim_done__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__vote__field_descriptors[4] = {
-		{
-			"term", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Vote, term), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"last_index", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Vote, last_index), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"last_term", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Vote, last_term), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"pre", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__Vote, pre), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  0,   /* field[0] = claim */
+};
+static const ProtobufCIntRange masticreach__claim_done__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__claim_done__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.ClaimDone",
+  "ClaimDone",
+  "Masticreach__ClaimDone",
+  "masticreach",
+  sizeof(Masticreach__ClaimDone),
+  1,
+  masticreach__claim_done__field_descriptors,
+  masticreach__claim_done__field_indices_by_name,
+  1,  masticreach__claim_done__number_ranges,
+  (ProtobufCMessageInit) masticreach__claim_done__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__vote__field_descriptors[5] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Vote, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Vote, last_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Vote, last_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pre",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Vote, pre),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "transfer",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Vote, transfer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__vote__field_indices_by_name[] = {
-	1, /* field[1] = last_index */
-	2, /* field[2] = last_term */
-	3, /* field[3] = pre */
-	0, /* field[0] = term */
-};
-static const ProtobufCIntRange masticreach__vote__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 4 }
-};
-const ProtobufCMessageDescriptor masticreach__vote__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Vote",
-	"Vote",
-	"Masticreach__Vote",
-	"masticreach",
-	sizeof(Masticreach__Vote),
-	4,
-	masticreach__vote__field_descriptors,
-	masticreach__vote__field_indices_by_name,
-	1,
-	masticreach__vote__number_ranges,
-	(ProtobufCMessageInit)masticreach__vote__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__vote_reply__field_descriptors[3] = {
-		{
-			"term", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__VoteReply, term), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"pre", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__VoteReply, pre), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"granted", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-			offsetof(Masticreach__VoteReply, granted), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  1,   /* field[1] = last_index */
+  2,   /* field[2] = last_term */
+  3,   /* field[3] = pre */
+  0,   /* field[0] = term */
+  4,   /* field[4] = transfer */
+};
+static const ProtobufCIntRange masticreach__vote__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor masticreach__vote__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Vote",
+  "Vote",
+  "Masticreach__Vote",
+  "masticreach",
+  sizeof(Masticreach__Vote),
+  5,
+  masticreach__vote__field_descriptors,
+  masticreach__vote__field_indices_by_name,
+  1,  masticreach__vote__number_ranges,
+  (ProtobufCMessageInit) masticreach__vote__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__vote_reply__field_descriptors[3] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VoteReply, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pre",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VoteReply, pre),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VoteReply, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__vote_reply__field_indices_by_name[] = {
-	2, /* field[2] = granted */
-	1, /* field[1] = pre */
-	0, /* field[0] = term */
-};
-static const ProtobufCIntRange masticreach__vote_reply__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 3 }
-};
-const ProtobufCMessageDescriptor masticreach__vote_reply__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.VoteReply",
-	"VoteReply",
-	"Masticreach__VoteReply",
-	"masticreach",
-	sizeof(Masticreach__VoteReply),
-	3,
-	masticreach__vote_reply__field_descriptors,
-	masticreach__vote_reply__field_indices_by_name,
-	1,
-	masticreach__vote_reply__number_ranges,
-	(ProtobufCMessageInit)masticreach__vote_reply__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__log_entry__field_descriptors[3] = {
-		{
-			"index", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__LogEntry, index), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"term", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__LogEntry, term), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"command", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-			offsetof(Masticreach__LogEntry, command),
-			&masticreach__record__descriptor, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  2,   /* field[2] = granted */
+  1,   /* field[1] = pre */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange masticreach__vote_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor masticreach__vote_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.VoteReply",
+  "VoteReply",
+  "Masticreach__VoteReply",
+  "masticreach",
+  sizeof(Masticreach__VoteReply),
+  3,
+  masticreach__vote_reply__field_descriptors,
+  masticreach__vote_reply__field_indices_by_name,
+  1,  masticreach__vote_reply__number_ranges,
+  (ProtobufCMessageInit) masticreach__vote_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__log_entry__field_descriptors[3] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__LogEntry, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__LogEntry, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "command",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__LogEntry, command),
+    &masticreach__record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__log_entry__field_indices_by_name[] = {
-	2, /* field[2] = command */
-	0, /* field[0] = index */
-	1, /* field[1] = term */
-};
-static const ProtobufCIntRange masticreach__log_entry__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 3 }
-};
-const ProtobufCMessageDescriptor masticreach__log_entry__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.LogEntry",
-	"LogEntry",
-	"Masticreach__LogEntry",
-	"masticreach",
-	sizeof(Masticreach__LogEntry),
-	3,
-	masticreach__log_entry__field_descriptors,
-	masticreach__log_entry__field_indices_by_name,
-	1,
-	masticreach__log_entry__number_ranges,
-	(ProtobufCMessageInit)masticreach__log_entry__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__append__field_descriptors[6] = {
-		{
-			"term", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Append, term), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"prev_index", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Append, prev_index), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"prev_term", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Append, prev_term), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"commit_index", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Append, commit_index), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"sent_us", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Append, sent_us), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"entries", 6, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_MESSAGE,
-			offsetof(Masticreach__Append, n_entries),
-			offsetof(Masticreach__Append, entries),
-			&masticreach__log_entry__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  2,   /* field[2] = command */
+  0,   /* field[0] = index */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange masticreach__log_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor masticreach__log_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.LogEntry",
+  "LogEntry",
+  "Masticreach__LogEntry",
+  "masticreach",
+  sizeof(Masticreach__LogEntry),
+  3,
+  masticreach__log_entry__field_descriptors,
+  masticreach__log_entry__field_indices_by_name,
+  1,  masticreach__log_entry__number_ranges,
+  (ProtobufCMessageInit) masticreach__log_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__append__field_descriptors[6] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Append, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prev_index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Append, prev_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prev_term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Append, prev_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit_index",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Append, commit_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Append, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Append, n_entries),
+    offsetof(Masticreach__Append, entries),
+    &masticreach__log_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__append__field_indices_by_name[] = {
-	3, /* field[3] = commit_index */
-	5, /* field[5] = entries */
-	1, /* field[1] = prev_index */
-	2, /* field[2] = prev_term */
-	4, /* field[4] = sent_us */
-	0, /* field[0] = term */
-};
-static const ProtobufCIntRange masticreach__append__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 6 }
-};
-const ProtobufCMessageDescriptor masticreach__append__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Append",
-	"Append",
-	"Masticreach__Append",
-	"masticreach",
-	sizeof(Masticreach__Append),
-	6,
-	masticreach__append__field_descriptors,
-	masticreach__append__field_indices_by_name,
-	1,
-	masticreach__append__number_ranges,
-	(ProtobufCMessageInit)masticreach__append__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__append_reply__field_descriptors[4] = {
-		{
-			"term", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__AppendReply, term), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"success", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-			offsetof(Masticreach__AppendReply, success), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"match_index", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__AppendReply, match_index), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"sent_us", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__AppendReply, sent_us), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  3,   /* field[3] = commit_index */
+  5,   /* field[5] = entries */
+  1,   /* field[1] = prev_index */
+  2,   /* field[2] = prev_term */
+  4,   /* field[4] = sent_us */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange masticreach__append__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor masticreach__append__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Append",
+  "Append",
+  "Masticreach__Append",
+  "masticreach",
+  sizeof(Masticreach__Append),
+  6,
+  masticreach__append__field_descriptors,
+  masticreach__append__field_indices_by_name,
+  1,  masticreach__append__number_ranges,
+  (ProtobufCMessageInit) masticreach__append__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__append_reply__field_descriptors[4] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__AppendReply, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "success",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__AppendReply, success),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "match_index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__AppendReply, match_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__AppendReply, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__append_reply__field_indices_by_name[] = {
-	2, /* field[2] = match_index */
-	3, /* field[3] = sent_us */
-	1, /* field[1] = success */
-	0, /* field[0] = term */
-};
-static const ProtobufCIntRange
-	masticreach__append_reply__number_ranges[1 + 1] = { { 1, 0 },
-							    { 0, 4 } };
-const ProtobufCMessageDescriptor masticreach__append_reply__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.AppendReply",
-	"AppendReply",
-	"Masticreach__AppendReply",
-	"masticreach",
-	sizeof(Masticreach__AppendReply),
-	4,
-	masticreach__append_reply__field_descriptors,
-	masticreach__append_reply__field_indices_by_name,
-	1,
-	masticreach__append_reply__number_ranges,
-	(ProtobufCMessageInit)masticreach__append_reply__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__snapshot_record__field_descriptors[1] = {
-		{
-			"record", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotRecord, record),
-			&masticreach__record__descriptor, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  2,   /* field[2] = match_index */
+  3,   /* field[3] = sent_us */
+  1,   /* field[1] = success */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange masticreach__append_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticreach__append_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.AppendReply",
+  "AppendReply",
+  "Masticreach__AppendReply",
+  "masticreach",
+  sizeof(Masticreach__AppendReply),
+  4,
+  masticreach__append_reply__field_descriptors,
+  masticreach__append_reply__field_indices_by_name,
+  1,  masticreach__append_reply__number_ranges,
+  (ProtobufCMessageInit) masticreach__append_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__snapshot_record__field_descriptors[1] =
+{
+  {
+    "record",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotRecord, record),
+    &masticreach__record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__snapshot_record__field_indices_by_name[] = {
-	0, /* field[0] = record */
-};
-static const ProtobufCIntRange
-	masticreach__snapshot_record__number_ranges[1 + 1] = { { 1, 0 },
-							       { 0, 1 } };
-const ProtobufCMessageDescriptor masticreach__snapshot_record__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.SnapshotRecord",
-	"SnapshotRecord",
-	"Masticreach__SnapshotRecord",
-	"masticreach",
-	sizeof(Masticreach__SnapshotRecord),
-	1,
-	masticreach__snapshot_record__field_descriptors,
-	masticreach__snapshot_record__field_indices_by_name,
-	1,
-	masticreach__snapshot_record__number_ranges,
-	(ProtobufCMessageInit)masticreach__snapshot_record__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__snapshot_page__field_descriptors[7] = {
-		{
-			"term", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotPage, term), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"last_index", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotPage, last_index), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"last_term", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotPage, last_term), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"page", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotPage, page), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"last", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotPage, last), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"sent_us", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotPage, sent_us), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"records", 7, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_MESSAGE,
-			offsetof(Masticreach__SnapshotPage, n_records),
-			offsetof(Masticreach__SnapshotPage, records),
-			&masticreach__snapshot_record__descriptor, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  0,   /* field[0] = record */
+};
+static const ProtobufCIntRange masticreach__snapshot_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__snapshot_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.SnapshotRecord",
+  "SnapshotRecord",
+  "Masticreach__SnapshotRecord",
+  "masticreach",
+  sizeof(Masticreach__SnapshotRecord),
+  1,
+  masticreach__snapshot_record__field_descriptors,
+  masticreach__snapshot_record__field_indices_by_name,
+  1,  masticreach__snapshot_record__number_ranges,
+  (ProtobufCMessageInit) masticreach__snapshot_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__snapshot_page__field_descriptors[7] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotPage, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotPage, last_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotPage, last_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "page",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotPage, page),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotPage, last),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotPage, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__SnapshotPage, n_records),
+    offsetof(Masticreach__SnapshotPage, records),
+    &masticreach__snapshot_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__snapshot_page__field_indices_by_name[] = {
-	4, /* field[4] = last */
-	1, /* field[1] = last_index */
-	2, /* field[2] = last_term */
-	3, /* field[3] = page */
-	6, /* field[6] = records */
-	5, /* field[5] = sent_us */
-	0, /* field[0] = term */
-};
-static const ProtobufCIntRange
-	masticreach__snapshot_page__number_ranges[1 + 1] = { { 1, 0 },
-							     { 0, 7 } };
-const ProtobufCMessageDescriptor masticreach__snapshot_page__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.SnapshotPage",
-	"SnapshotPage",
-	"Masticreach__SnapshotPage",
-	"masticreach",
-	sizeof(Masticreach__SnapshotPage),
-	7,
-	masticreach__snapshot_page__field_descriptors,
-	masticreach__snapshot_page__field_indices_by_name,
-	1,
-	masticreach__snapshot_page__number_ranges,
-	(ProtobufCMessageInit)masticreach__snapshot_page__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__snapshot_reply__field_descriptors[5] = {
-		{
-			"term", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotReply, term), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"last_index", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotReply, last_index), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"page", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotReply, page), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"accepted", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotReply, accepted), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"sent_us", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotReply, sent_us), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  4,   /* field[4] = last */
+  1,   /* field[1] = last_index */
+  2,   /* field[2] = last_term */
+  3,   /* field[3] = page */
+  6,   /* field[6] = records */
+  5,   /* field[5] = sent_us */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange masticreach__snapshot_page__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor masticreach__snapshot_page__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.SnapshotPage",
+  "SnapshotPage",
+  "Masticreach__SnapshotPage",
+  "masticreach",
+  sizeof(Masticreach__SnapshotPage),
+  7,
+  masticreach__snapshot_page__field_descriptors,
+  masticreach__snapshot_page__field_indices_by_name,
+  1,  masticreach__snapshot_page__number_ranges,
+  (ProtobufCMessageInit) masticreach__snapshot_page__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__snapshot_reply__field_descriptors[5] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotReply, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotReply, last_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "page",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotReply, page),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accepted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotReply, accepted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotReply, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__snapshot_reply__field_indices_by_name[] = {
-	3, /* field[3] = accepted */
-	1, /* field[1] = last_index */
-	2, /* field[2] = page */
-	4, /* field[4] = sent_us */
-	0, /* field[0] = term */
-};
-static const ProtobufCIntRange
-	masticreach__snapshot_reply__number_ranges[1 + 1] = { { 1, 0 },
-							      { 0, 5 } };
-const ProtobufCMessageDescriptor masticreach__snapshot_reply__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.SnapshotReply",
-	"SnapshotReply",
-	"Masticreach__SnapshotReply",
-	"masticreach",
-	sizeof(Masticreach__SnapshotReply),
-	5,
-	masticreach__snapshot_reply__field_descriptors,
-	masticreach__snapshot_reply__field_indices_by_name,
-	1,
-	masticreach__snapshot_reply__number_ranges,
-	(ProtobufCMessageInit)masticreach__snapshot_reply__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__hard_state__field_descriptors[3] = {
-		{
-			"node_id", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__HardState, node_id), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"term", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__HardState, term), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"voted_for", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__HardState, voted_for), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  3,   /* field[3] = accepted */
+  1,   /* field[1] = last_index */
+  2,   /* field[2] = page */
+  4,   /* field[4] = sent_us */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange masticreach__snapshot_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor masticreach__snapshot_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.SnapshotReply",
+  "SnapshotReply",
+  "Masticreach__SnapshotReply",
+  "masticreach",
+  sizeof(Masticreach__SnapshotReply),
+  5,
+  masticreach__snapshot_reply__field_descriptors,
+  masticreach__snapshot_reply__field_indices_by_name,
+  1,  masticreach__snapshot_reply__number_ranges,
+  (ProtobufCMessageInit) masticreach__snapshot_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__form__field_descriptors[4] =
+{
+  {
+    "fresh",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Form, fresh),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vote_for",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Form, vote_for),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Form, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Form, echo_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__form__field_indices_by_name[] = {
+  3,   /* field[3] = echo_us */
+  0,   /* field[0] = fresh */
+  2,   /* field[2] = sent_us */
+  1,   /* field[1] = vote_for */
+};
+static const ProtobufCIntRange masticreach__form__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticreach__form__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Form",
+  "Form",
+  "Masticreach__Form",
+  "masticreach",
+  sizeof(Masticreach__Form),
+  4,
+  masticreach__form__field_descriptors,
+  masticreach__form__field_indices_by_name,
+  1,  masticreach__form__number_ranges,
+  (ProtobufCMessageInit) masticreach__form__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__transfer__field_descriptors[1] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Transfer, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__transfer__field_indices_by_name[] = {
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange masticreach__transfer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__transfer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Transfer",
+  "Transfer",
+  "Masticreach__Transfer",
+  "masticreach",
+  sizeof(Masticreach__Transfer),
+  1,
+  masticreach__transfer__field_descriptors,
+  masticreach__transfer__field_indices_by_name,
+  1,  masticreach__transfer__number_ranges,
+  (ProtobufCMessageInit) masticreach__transfer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__hard_state__field_descriptors[3] =
+{
+  {
+    "node_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__HardState, node_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__HardState, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "voted_for",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__HardState, voted_for),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__hard_state__field_indices_by_name[] = {
-	0, /* field[0] = node_id */
-	1, /* field[1] = term */
-	2, /* field[2] = voted_for */
-};
-static const ProtobufCIntRange masticreach__hard_state__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 3 }
-};
-const ProtobufCMessageDescriptor masticreach__hard_state__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.HardState",
-	"HardState",
-	"Masticreach__HardState",
-	"masticreach",
-	sizeof(Masticreach__HardState),
-	3,
-	masticreach__hard_state__field_descriptors,
-	masticreach__hard_state__field_indices_by_name,
-	1,
-	masticreach__hard_state__number_ranges,
-	(ProtobufCMessageInit)masticreach__hard_state__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__snapshot_head__field_descriptors[3] = {
-		{
-			"last_index", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotHead, last_index), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"last_term", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotHead, last_term), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"nr_records", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__SnapshotHead, nr_records), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  0,   /* field[0] = node_id */
+  1,   /* field[1] = term */
+  2,   /* field[2] = voted_for */
+};
+static const ProtobufCIntRange masticreach__hard_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor masticreach__hard_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.HardState",
+  "HardState",
+  "Masticreach__HardState",
+  "masticreach",
+  sizeof(Masticreach__HardState),
+  3,
+  masticreach__hard_state__field_descriptors,
+  masticreach__hard_state__field_indices_by_name,
+  1,  masticreach__hard_state__number_ranges,
+  (ProtobufCMessageInit) masticreach__hard_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__snapshot_head__field_descriptors[3] =
+{
+  {
+    "last_index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotHead, last_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotHead, last_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nr_records",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__SnapshotHead, nr_records),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__snapshot_head__field_indices_by_name[] = {
-	0, /* field[0] = last_index */
-	1, /* field[1] = last_term */
-	2, /* field[2] = nr_records */
-};
-static const ProtobufCIntRange
-	masticreach__snapshot_head__number_ranges[1 + 1] = { { 1, 0 },
-							     { 0, 3 } };
-const ProtobufCMessageDescriptor masticreach__snapshot_head__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.SnapshotHead",
-	"SnapshotHead",
-	"Masticreach__SnapshotHead",
-	"masticreach",
-	sizeof(Masticreach__SnapshotHead),
-	3,
-	masticreach__snapshot_head__field_descriptors,
-	masticreach__snapshot_head__field_indices_by_name,
-	1,
-	masticreach__snapshot_head__number_ranges,
-	(ProtobufCMessageInit)masticreach__snapshot_head__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__cmd_noop__field_descriptors[1] = {
-		{
-			"leader", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdNoop, leader), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  0,   /* field[0] = last_index */
+  1,   /* field[1] = last_term */
+  2,   /* field[2] = nr_records */
+};
+static const ProtobufCIntRange masticreach__snapshot_head__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor masticreach__snapshot_head__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.SnapshotHead",
+  "SnapshotHead",
+  "Masticreach__SnapshotHead",
+  "masticreach",
+  sizeof(Masticreach__SnapshotHead),
+  3,
+  masticreach__snapshot_head__field_descriptors,
+  masticreach__snapshot_head__field_indices_by_name,
+  1,  masticreach__snapshot_head__number_ranges,
+  (ProtobufCMessageInit) masticreach__snapshot_head__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_noop__field_descriptors[1] =
+{
+  {
+    "leader",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdNoop, leader),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__cmd_noop__field_indices_by_name[] = {
-	0, /* field[0] = leader */
-};
-static const ProtobufCIntRange masticreach__cmd_noop__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 1 }
-};
-const ProtobufCMessageDescriptor masticreach__cmd_noop__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.CmdNoop",
-	"CmdNoop",
-	"Masticreach__CmdNoop",
-	"masticreach",
-	sizeof(Masticreach__CmdNoop),
-	1,
-	masticreach__cmd_noop__field_descriptors,
-	masticreach__cmd_noop__field_indices_by_name,
-	1,
-	masticreach__cmd_noop__number_ranges,
-	(ProtobufCMessageInit)masticreach__cmd_noop__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__member__field_descriptors[4] = {
-		{
-			"node_id", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__Member, node_id), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"name", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Member, name), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"address", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__Member, address), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"voter", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__Member, voter), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  0,   /* field[0] = leader */
+};
+static const ProtobufCIntRange masticreach__cmd_noop__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_noop__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdNoop",
+  "CmdNoop",
+  "Masticreach__CmdNoop",
+  "masticreach",
+  sizeof(Masticreach__CmdNoop),
+  1,
+  masticreach__cmd_noop__field_descriptors,
+  masticreach__cmd_noop__field_indices_by_name,
+  1,  masticreach__cmd_noop__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_noop__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__member__field_descriptors[4] =
+{
+  {
+    "node_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Member, node_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Member, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Member, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "voter",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Member, voter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__member__field_indices_by_name[] = {
-	2, /* field[2] = address */
-	1, /* field[1] = name */
-	0, /* field[0] = node_id */
-	3, /* field[3] = voter */
-};
-static const ProtobufCIntRange masticreach__member__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 4 }
-};
-const ProtobufCMessageDescriptor masticreach__member__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Member",
-	"Member",
-	"Masticreach__Member",
-	"masticreach",
-	sizeof(Masticreach__Member),
-	4,
-	masticreach__member__field_descriptors,
-	masticreach__member__field_indices_by_name,
-	1,
-	masticreach__member__number_ranges,
-	(ProtobufCMessageInit)masticreach__member__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__members__field_descriptors[1] = {
-		{
-			"members", 1, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_MESSAGE,
-			offsetof(Masticreach__Members, n_members),
-			offsetof(Masticreach__Members, members),
-			&masticreach__member__descriptor, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  2,   /* field[2] = address */
+  1,   /* field[1] = name */
+  0,   /* field[0] = node_id */
+  3,   /* field[3] = voter */
+};
+static const ProtobufCIntRange masticreach__member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticreach__member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Member",
+  "Member",
+  "Masticreach__Member",
+  "masticreach",
+  sizeof(Masticreach__Member),
+  4,
+  masticreach__member__field_descriptors,
+  masticreach__member__field_indices_by_name,
+  1,  masticreach__member__number_ranges,
+  (ProtobufCMessageInit) masticreach__member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__members__field_descriptors[1] =
+{
+  {
+    "members",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Members, n_members),
+    offsetof(Masticreach__Members, members),
+    &masticreach__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__members__field_indices_by_name[] = {
-	0, /* field[0] = members */
-};
-static const ProtobufCIntRange masticreach__members__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 1 }
-};
-const ProtobufCMessageDescriptor masticreach__members__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.Members",
-	"Members",
-	"Masticreach__Members",
-	"masticreach",
-	sizeof(Masticreach__Members),
-	1,
-	masticreach__members__field_descriptors,
-	masticreach__members__field_indices_by_name,
-	1,
-	masticreach__members__number_ranges,
-	(ProtobufCMessageInit)masticreach__members__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__cmd_bundle_sign__field_descriptors[3] = {
-		{
-			"version", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdBundleSign, version), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"digest", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdBundleSign, digest), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"signed_by", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdBundleSign, signed_by), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  0,   /* field[0] = members */
+};
+static const ProtobufCIntRange masticreach__members__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__members__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Members",
+  "Members",
+  "Masticreach__Members",
+  "masticreach",
+  sizeof(Masticreach__Members),
+  1,
+  masticreach__members__field_descriptors,
+  masticreach__members__field_indices_by_name,
+  1,  masticreach__members__number_ranges,
+  (ProtobufCMessageInit) masticreach__members__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_bundle_sign__field_descriptors[3] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdBundleSign, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdBundleSign, digest),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "signed_by",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdBundleSign, signed_by),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__cmd_bundle_sign__field_indices_by_name[] = {
-	1, /* field[1] = digest */
-	2, /* field[2] = signed_by */
-	0, /* field[0] = version */
-};
-static const ProtobufCIntRange
-	masticreach__cmd_bundle_sign__number_ranges[1 + 1] = { { 1, 0 },
-							       { 0, 3 } };
-const ProtobufCMessageDescriptor masticreach__cmd_bundle_sign__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.CmdBundleSign",
-	"CmdBundleSign",
-	"Masticreach__CmdBundleSign",
-	"masticreach",
-	sizeof(Masticreach__CmdBundleSign),
-	3,
-	masticreach__cmd_bundle_sign__field_descriptors,
-	masticreach__cmd_bundle_sign__field_indices_by_name,
-	1,
-	masticreach__cmd_bundle_sign__number_ranges,
-	(ProtobufCMessageInit)masticreach__cmd_bundle_sign__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__cmd_zone_set__field_descriptors[4] = {
-		{
-			"name", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdZoneSet, name), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"out", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__CmdZoneSet, out), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"expected_version", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdZoneSet, expected_version),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"changed_by", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdZoneSet, changed_by), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  1,   /* field[1] = digest */
+  2,   /* field[2] = signed_by */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange masticreach__cmd_bundle_sign__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_bundle_sign__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdBundleSign",
+  "CmdBundleSign",
+  "Masticreach__CmdBundleSign",
+  "masticreach",
+  sizeof(Masticreach__CmdBundleSign),
+  3,
+  masticreach__cmd_bundle_sign__field_descriptors,
+  masticreach__cmd_bundle_sign__field_indices_by_name,
+  1,  masticreach__cmd_bundle_sign__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_bundle_sign__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_zone_set__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdZoneSet, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "out",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdZoneSet, out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "expected_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdZoneSet, expected_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changed_by",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdZoneSet, changed_by),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__cmd_zone_set__field_indices_by_name[] = {
-	3, /* field[3] = changed_by */
-	2, /* field[2] = expected_version */
-	0, /* field[0] = name */
-	1, /* field[1] = out */
-};
-static const ProtobufCIntRange
-	masticreach__cmd_zone_set__number_ranges[1 + 1] = { { 1, 0 },
-							    { 0, 4 } };
-const ProtobufCMessageDescriptor masticreach__cmd_zone_set__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.CmdZoneSet",
-	"CmdZoneSet",
-	"Masticreach__CmdZoneSet",
-	"masticreach",
-	sizeof(Masticreach__CmdZoneSet),
-	4,
-	masticreach__cmd_zone_set__field_descriptors,
-	masticreach__cmd_zone_set__field_indices_by_name,
-	1,
-	masticreach__cmd_zone_set__number_ranges,
-	(ProtobufCMessageInit)masticreach__cmd_zone_set__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__cmd_vm_lost__field_descriptors[2] = {
-		{
-			"name", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdVmLost, name), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"node_id", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdVmLost, node_id), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  3,   /* field[3] = changed_by */
+  2,   /* field[2] = expected_version */
+  0,   /* field[0] = name */
+  1,   /* field[1] = out */
+};
+static const ProtobufCIntRange masticreach__cmd_zone_set__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_zone_set__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdZoneSet",
+  "CmdZoneSet",
+  "Masticreach__CmdZoneSet",
+  "masticreach",
+  sizeof(Masticreach__CmdZoneSet),
+  4,
+  masticreach__cmd_zone_set__field_descriptors,
+  masticreach__cmd_zone_set__field_indices_by_name,
+  1,  masticreach__cmd_zone_set__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_zone_set__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_vm_lost__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdVmLost, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdVmLost, node_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__cmd_vm_lost__field_indices_by_name[] = {
-	0, /* field[0] = name */
-	1, /* field[1] = node_id */
-};
-static const ProtobufCIntRange
-	masticreach__cmd_vm_lost__number_ranges[1 + 1] = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor masticreach__cmd_vm_lost__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.CmdVmLost",
-	"CmdVmLost",
-	"Masticreach__CmdVmLost",
-	"masticreach",
-	sizeof(Masticreach__CmdVmLost),
-	2,
-	masticreach__cmd_vm_lost__field_descriptors,
-	masticreach__cmd_vm_lost__field_indices_by_name,
-	1,
-	masticreach__cmd_vm_lost__number_ranges,
-	(ProtobufCMessageInit)masticreach__cmd_vm_lost__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__cmd_vm_quarantine__field_descriptors[2] = {
-		{
-			"name", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdVmQuarantine, name), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"quarantined", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdVmQuarantine, quarantined),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
-static const unsigned
-	masticreach__cmd_vm_quarantine__field_indices_by_name[] = {
-		0, /* field[0] = name */
-		1, /* field[1] = quarantined */
-	};
-static const ProtobufCIntRange
-	masticreach__cmd_vm_quarantine__number_ranges[1 + 1] = { { 1, 0 },
-								 { 0, 2 } };
-const ProtobufCMessageDescriptor masticreach__cmd_vm_quarantine__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.CmdVmQuarantine",
-	"CmdVmQuarantine",
-	"Masticreach__CmdVmQuarantine",
-	"masticreach",
-	sizeof(Masticreach__CmdVmQuarantine),
-	2,
-	masticreach__cmd_vm_quarantine__field_descriptors,
-	masticreach__cmd_vm_quarantine__field_indices_by_name,
-	1,
-	masticreach__cmd_vm_quarantine__number_ranges,
-	(ProtobufCMessageInit)masticreach__cmd_vm_quarantine__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__job_record__field_descriptors[16] = {
-		{
-			"job_id", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, job_id), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"key", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, key), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"name", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, name), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"team", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, team), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"kind", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, kind), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"job_class", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, job_class), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"priority", 7, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, priority), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"nr_wanted", 8, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, nr_wanted), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"cpu_millis", 9, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, cpu_millis), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"memory_mib", 10, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, memory_mib), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"accelerators", 11, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, accelerators), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"declared_run_ms", 12, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, declared_run_ms), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"payload", 13, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, payload), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"state", 14, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, state), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"result", 15, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, result), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"submitted_ms", 16, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__JobRecord, submitted_ms), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  0,   /* field[0] = name */
+  1,   /* field[1] = node_id */
+};
+static const ProtobufCIntRange masticreach__cmd_vm_lost__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_vm_lost__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdVmLost",
+  "CmdVmLost",
+  "Masticreach__CmdVmLost",
+  "masticreach",
+  sizeof(Masticreach__CmdVmLost),
+  2,
+  masticreach__cmd_vm_lost__field_descriptors,
+  masticreach__cmd_vm_lost__field_indices_by_name,
+  1,  masticreach__cmd_vm_lost__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_vm_lost__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_vm_quarantine__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdVmQuarantine, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantined",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdVmQuarantine, quarantined),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__cmd_vm_quarantine__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = quarantined */
+};
+static const ProtobufCIntRange masticreach__cmd_vm_quarantine__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_vm_quarantine__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdVmQuarantine",
+  "CmdVmQuarantine",
+  "Masticreach__CmdVmQuarantine",
+  "masticreach",
+  sizeof(Masticreach__CmdVmQuarantine),
+  2,
+  masticreach__cmd_vm_quarantine__field_descriptors,
+  masticreach__cmd_vm_quarantine__field_indices_by_name,
+  1,  masticreach__cmd_vm_quarantine__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_vm_quarantine__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__job_record__field_descriptors[16] =
+{
+  {
+    "job_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, job_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_class",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, job_class),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
