+    "nr_wanted",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, nr_wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_millis",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "declared_run_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, declared_run_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, payload),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submitted_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, submitted_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__job_record__field_indices_by_name[] = {
-	10, /* field[10] = accelerators */
-	8, /* field[8] = cpu_millis */
-	11, /* field[11] = declared_run_ms */
-	5, /* field[5] = job_class */
-	0, /* field[0] = job_id */
-	1, /* field[1] = key */
-	4, /* field[4] = kind */
-	9, /* field[9] = memory_mib */
-	2, /* field[2] = name */
-	7, /* field[7] = nr_wanted */
-	12, /* field[12] = payload */
-	6, /* field[6] = priority */
-	14, /* field[14] = result */
-	13, /* field[13] = state */
-	15, /* field[15] = submitted_ms */
-	3, /* field[3] = team */
-};
-static const ProtobufCIntRange masticreach__job_record__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 16 }
-};
-const ProtobufCMessageDescriptor masticreach__job_record__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.JobRecord",
-	"JobRecord",
-	"Masticreach__JobRecord",
-	"masticreach",
-	sizeof(Masticreach__JobRecord),
-	16,
-	masticreach__job_record__field_descriptors,
-	masticreach__job_record__field_indices_by_name,
-	1,
-	masticreach__job_record__number_ranges,
-	(ProtobufCMessageInit)masticreach__job_record__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__cmd_job_cancel__field_descriptors[1] = {
-		{
-			"job_ids", 1, PROTOBUF_C_LABEL_REPEATED,
-			PROTOBUF_C_TYPE_UINT64,
-			offsetof(Masticreach__CmdJobCancel, n_job_ids),
-			offsetof(Masticreach__CmdJobCancel, job_ids), NULL,
-			NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  10,   /* field[10] = accelerators */
+  8,   /* field[8] = cpu_millis */
+  11,   /* field[11] = declared_run_ms */
+  5,   /* field[5] = job_class */
+  0,   /* field[0] = job_id */
+  1,   /* field[1] = key */
+  4,   /* field[4] = kind */
+  9,   /* field[9] = memory_mib */
+  2,   /* field[2] = name */
+  7,   /* field[7] = nr_wanted */
+  12,   /* field[12] = payload */
+  6,   /* field[6] = priority */
+  14,   /* field[14] = result */
+  13,   /* field[13] = state */
+  15,   /* field[15] = submitted_ms */
+  3,   /* field[3] = team */
+};
+static const ProtobufCIntRange masticreach__job_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
+};
+const ProtobufCMessageDescriptor masticreach__job_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.JobRecord",
+  "JobRecord",
+  "Masticreach__JobRecord",
+  "masticreach",
+  sizeof(Masticreach__JobRecord),
+  16,
+  masticreach__job_record__field_descriptors,
+  masticreach__job_record__field_indices_by_name,
+  1,  masticreach__job_record__number_ranges,
+  (ProtobufCMessageInit) masticreach__job_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_job_cancel__field_descriptors[1] =
+{
+  {
+    "job_ids",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Masticreach__CmdJobCancel, n_job_ids),
+    offsetof(Masticreach__CmdJobCancel, job_ids),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__cmd_job_cancel__field_indices_by_name[] = {
-	0, /* field[0] = job_ids */
-};
-static const ProtobufCIntRange
-	masticreach__cmd_job_cancel__number_ranges[1 + 1] = { { 1, 0 },
-							      { 0, 1 } };
-const ProtobufCMessageDescriptor masticreach__cmd_job_cancel__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.CmdJobCancel",
-	"CmdJobCancel",
-	"Masticreach__CmdJobCancel",
-	"masticreach",
-	sizeof(Masticreach__CmdJobCancel),
-	1,
-	masticreach__cmd_job_cancel__field_descriptors,
-	masticreach__cmd_job_cancel__field_indices_by_name,
-	1,
-	masticreach__cmd_job_cancel__number_ranges,
-	(ProtobufCMessageInit)masticreach__cmd_job_cancel__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__cmd_task_place__field_descriptors[8] = {
-		{
-			"task_id", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskPlace, task_id), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"epoch", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskPlace, epoch), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"vm", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskPlace, vm), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"vm_node", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskPlace, vm_node), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"cpu_millis", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskPlace, cpu_millis), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"memory_mib", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskPlace, memory_mib), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"accelerators", 7, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskPlace, accelerators), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"now_ms", 8, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskPlace, now_ms), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  0,   /* field[0] = job_ids */
+};
+static const ProtobufCIntRange masticreach__cmd_job_cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_job_cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdJobCancel",
+  "CmdJobCancel",
+  "Masticreach__CmdJobCancel",
+  "masticreach",
+  sizeof(Masticreach__CmdJobCancel),
+  1,
+  masticreach__cmd_job_cancel__field_descriptors,
+  masticreach__cmd_job_cancel__field_indices_by_name,
+  1,  masticreach__cmd_job_cancel__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_job_cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_task_place__field_descriptors[8] =
+{
+  {
+    "task_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskPlace, task_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskPlace, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskPlace, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm_node",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskPlace, vm_node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_millis",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskPlace, cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskPlace, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskPlace, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "now_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskPlace, now_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__cmd_task_place__field_indices_by_name[] = {
-	6, /* field[6] = accelerators */
-	4, /* field[4] = cpu_millis */
-	1, /* field[1] = epoch */
-	5, /* field[5] = memory_mib */
-	7, /* field[7] = now_ms */
-	0, /* field[0] = task_id */
-	2, /* field[2] = vm */
-	3, /* field[3] = vm_node */
-};
-static const ProtobufCIntRange
-	masticreach__cmd_task_place__number_ranges[1 + 1] = { { 1, 0 },
-							      { 0, 8 } };
-const ProtobufCMessageDescriptor masticreach__cmd_task_place__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.CmdTaskPlace",
-	"CmdTaskPlace",
-	"Masticreach__CmdTaskPlace",
-	"masticreach",
-	sizeof(Masticreach__CmdTaskPlace),
-	8,
-	masticreach__cmd_task_place__field_descriptors,
-	masticreach__cmd_task_place__field_indices_by_name,
-	1,
-	masticreach__cmd_task_place__number_ranges,
-	(ProtobufCMessageInit)masticreach__cmd_task_place__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__cmd_task_set__field_descriptors[7] = {
-		{
-			"task_id", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskSet, task_id), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"epoch", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskSet, epoch), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"state", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskSet, state), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"checkpoint", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskSet, checkpoint), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"progress_ppm", 5, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskSet, progress_ppm), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"result", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskSet, result), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"evicted", 7, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdTaskSet, evicted), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  6,   /* field[6] = accelerators */
+  4,   /* field[4] = cpu_millis */
+  1,   /* field[1] = epoch */
+  5,   /* field[5] = memory_mib */
+  7,   /* field[7] = now_ms */
+  0,   /* field[0] = task_id */
+  2,   /* field[2] = vm */
+  3,   /* field[3] = vm_node */
+};
+static const ProtobufCIntRange masticreach__cmd_task_place__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_task_place__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdTaskPlace",
+  "CmdTaskPlace",
+  "Masticreach__CmdTaskPlace",
+  "masticreach",
+  sizeof(Masticreach__CmdTaskPlace),
+  8,
+  masticreach__cmd_task_place__field_descriptors,
+  masticreach__cmd_task_place__field_indices_by_name,
+  1,  masticreach__cmd_task_place__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_task_place__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_task_set__field_descriptors[7] =
+{
+  {
+    "task_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskSet, task_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskSet, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskSet, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskSet, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "progress_ppm",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskSet, progress_ppm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskSet, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evicted",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskSet, evicted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__cmd_task_set__field_indices_by_name[] = {
-	3, /* field[3] = checkpoint */
-	1, /* field[1] = epoch */
-	6, /* field[6] = evicted */
-	4, /* field[4] = progress_ppm */
-	5, /* field[5] = result */
-	2, /* field[2] = state */
-	0, /* field[0] = task_id */
-};
-static const ProtobufCIntRange
-	masticreach__cmd_task_set__number_ranges[1 + 1] = { { 1, 0 },
-							    { 0, 7 } };
-const ProtobufCMessageDescriptor masticreach__cmd_task_set__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.CmdTaskSet",
-	"CmdTaskSet",
-	"Masticreach__CmdTaskSet",
-	"masticreach",
-	sizeof(Masticreach__CmdTaskSet),
-	7,
-	masticreach__cmd_task_set__field_descriptors,
-	masticreach__cmd_task_set__field_indices_by_name,
-	1,
-	masticreach__cmd_task_set__number_ranges,
-	(ProtobufCMessageInit)masticreach__cmd_task_set__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__cmd_expire__field_descriptors[2] = {
-		{
-			"claims_before_ms", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdExpire, claims_before_ms),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"jobs_before_ms", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__CmdExpire, jobs_before_ms), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  3,   /* field[3] = checkpoint */
+  1,   /* field[1] = epoch */
+  6,   /* field[6] = evicted */
+  4,   /* field[4] = progress_ppm */
+  5,   /* field[5] = result */
+  2,   /* field[2] = state */
+  0,   /* field[0] = task_id */
+};
+static const ProtobufCIntRange masticreach__cmd_task_set__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_task_set__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdTaskSet",
+  "CmdTaskSet",
+  "Masticreach__CmdTaskSet",
+  "masticreach",
+  sizeof(Masticreach__CmdTaskSet),
+  7,
+  masticreach__cmd_task_set__field_descriptors,
+  masticreach__cmd_task_set__field_indices_by_name,
+  1,  masticreach__cmd_task_set__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_task_set__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_expire__field_descriptors[2] =
+{
+  {
+    "claims_before_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdExpire, claims_before_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "jobs_before_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdExpire, jobs_before_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__cmd_expire__field_indices_by_name[] = {
-	0, /* field[0] = claims_before_ms */
-	1, /* field[1] = jobs_before_ms */
-};
-static const ProtobufCIntRange masticreach__cmd_expire__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 2 }
-};
-const ProtobufCMessageDescriptor masticreach__cmd_expire__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.CmdExpire",
-	"CmdExpire",
-	"Masticreach__CmdExpire",
-	"masticreach",
-	sizeof(Masticreach__CmdExpire),
-	2,
-	masticreach__cmd_expire__field_descriptors,
-	masticreach__cmd_expire__field_indices_by_name,
-	1,
-	masticreach__cmd_expire__number_ranges,
-	(ProtobufCMessageInit)masticreach__cmd_expire__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__task_record__field_descriptors[13] = {
-		{
-			"task_id", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskRecord, task_id), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"job_id", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskRecord, job_id), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"state", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskRecord, state), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"epoch", 4, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskRecord, epoch), NULL, NULL,
-			0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"vm", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-			0, /* quantifier_offset */
-			offsetof(Masticreach__TaskRecord, vm), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"cpu_millis", 6, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskRecord, cpu_millis), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"memory_mib", 7, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskRecord, memory_mib), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"accelerators", 8, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskRecord, accelerators), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"checkpoint", 9, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskRecord, checkpoint), NULL,
-			&protobuf_c_empty_string, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"progress_ppm", 10, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskRecord, progress_ppm), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"nr_failures", 11, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskRecord, nr_failures), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"nr_evictions", 12, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskRecord, nr_evictions), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"started_ms", 13, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__TaskRecord, started_ms), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  0,   /* field[0] = claims_before_ms */
+  1,   /* field[1] = jobs_before_ms */
+};
+static const ProtobufCIntRange masticreach__cmd_expire__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_expire__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdExpire",
+  "CmdExpire",
+  "Masticreach__CmdExpire",
+  "masticreach",
+  sizeof(Masticreach__CmdExpire),
+  2,
+  masticreach__cmd_expire__field_descriptors,
+  masticreach__cmd_expire__field_indices_by_name,
+  1,  masticreach__cmd_expire__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_expire__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__task_record__field_descriptors[13] =
+{
+  {
+    "task_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskRecord, task_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskRecord, job_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskRecord, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskRecord, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskRecord, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_millis",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskRecord, cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskRecord, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskRecord, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskRecord, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "progress_ppm",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskRecord, progress_ppm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nr_failures",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskRecord, nr_failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nr_evictions",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskRecord, nr_evictions),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskRecord, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__task_record__field_indices_by_name[] = {
-	7, /* field[7] = accelerators */
-	8, /* field[8] = checkpoint */
-	5, /* field[5] = cpu_millis */
-	3, /* field[3] = epoch */
-	1, /* field[1] = job_id */
-	6, /* field[6] = memory_mib */
-	11, /* field[11] = nr_evictions */
-	10, /* field[10] = nr_failures */
-	9, /* field[9] = progress_ppm */
-	12, /* field[12] = started_ms */
-	2, /* field[2] = state */
-	0, /* field[0] = task_id */
-	4, /* field[4] = vm */
-};
-static const ProtobufCIntRange
-	masticreach__task_record__number_ranges[1 + 1] = { { 1, 0 },
-							   { 0, 13 } };
-const ProtobufCMessageDescriptor masticreach__task_record__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.TaskRecord",
-	"TaskRecord",
-	"Masticreach__TaskRecord",
-	"masticreach",
-	sizeof(Masticreach__TaskRecord),
-	13,
-	masticreach__task_record__field_descriptors,
-	masticreach__task_record__field_indices_by_name,
-	1,
-	masticreach__task_record__number_ranges,
-	(ProtobufCMessageInit)masticreach__task_record__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-	masticreach__state_counters__field_descriptors[3] = {
-		{
-			"next_job_id", 1, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__StateCounters, next_job_id), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"next_task_id", 2, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__StateCounters, next_task_id),
-			NULL, NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-		{
-			"clock_ms", 3, PROTOBUF_C_LABEL_NONE,
-			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-			offsetof(Masticreach__StateCounters, clock_ms), NULL,
-			NULL, 0, /* flags */
-			0, NULL, NULL /* reserved1,reserved2, etc */
-		},
-	};
+  7,   /* field[7] = accelerators */
+  8,   /* field[8] = checkpoint */
+  5,   /* field[5] = cpu_millis */
+  3,   /* field[3] = epoch */
+  1,   /* field[1] = job_id */
+  6,   /* field[6] = memory_mib */
+  11,   /* field[11] = nr_evictions */
+  10,   /* field[10] = nr_failures */
+  9,   /* field[9] = progress_ppm */
+  12,   /* field[12] = started_ms */
+  2,   /* field[2] = state */
+  0,   /* field[0] = task_id */
+  4,   /* field[4] = vm */
+};
+static const ProtobufCIntRange masticreach__task_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor masticreach__task_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.TaskRecord",
+  "TaskRecord",
+  "Masticreach__TaskRecord",
+  "masticreach",
+  sizeof(Masticreach__TaskRecord),
+  13,
+  masticreach__task_record__field_descriptors,
+  masticreach__task_record__field_indices_by_name,
+  1,  masticreach__task_record__number_ranges,
+  (ProtobufCMessageInit) masticreach__task_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__state_counters__field_descriptors[3] =
+{
+  {
+    "next_job_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__StateCounters, next_job_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next_task_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__StateCounters, next_task_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__StateCounters, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned masticreach__state_counters__field_indices_by_name[] = {
-	2, /* field[2] = clock_ms */
-	0, /* field[0] = next_job_id */
-	1, /* field[1] = next_task_id */
-};
-static const ProtobufCIntRange
-	masticreach__state_counters__number_ranges[1 + 1] = { { 1, 0 },
-							      { 0, 3 } };
-const ProtobufCMessageDescriptor masticreach__state_counters__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"masticreach.StateCounters",
-	"StateCounters",
-	"Masticreach__StateCounters",
-	"masticreach",
-	sizeof(Masticreach__StateCounters),
-	3,
-	masticreach__state_counters__field_descriptors,
-	masticreach__state_counters__field_indices_by_name,
-	1,
-	masticreach__state_counters__number_ranges,
-	(ProtobufCMessageInit)masticreach__state_counters__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+  2,   /* field[2] = clock_ms */
+  0,   /* field[0] = next_job_id */
+  1,   /* field[1] = next_task_id */
+};
+static const ProtobufCIntRange masticreach__state_counters__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor masticreach__state_counters__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.StateCounters",
+  "StateCounters",
+  "Masticreach__StateCounters",
+  "masticreach",
+  sizeof(Masticreach__StateCounters),
+  3,
+  masticreach__state_counters__field_descriptors,
+  masticreach__state_counters__field_indices_by_name,
+  1,  masticreach__state_counters__number_ranges,
+  (ProtobufCMessageInit) masticreach__state_counters__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/core/msg_raft.h
+++ b/src/core/msg_raft.h
@@ -17,6 +17,7 @@
 	uint64_t last_index;
 	uint64_t last_term;
 	bool pre; /* asks without binding anyone */
+	bool transfer; /* the leader gave up; voters need not wait for it */
 };
 
 struct vote_reply {
@@ -73,6 +74,23 @@
 	uint64_t sent_us;
 };
 
+/**
+ * Sent by replicas without state to every other one. A group is formed by the
+ * replica that all addresses of the list vote for at one time; replicas with
+ * state answer with fresh = false.
+ */
+struct form {
+	bool fresh;
+	uint64_t vote_for; /* 0: none */
+	uint64_t sent_us; /* sender's clock */
+	uint64_t echo_us; /* sent_us of the receiver's last message */
+};
+
+/** The leader has given up; the receiver may start an election at once. */
+struct transfer {
+	uint64_t term;
+};
+
 /** Term and vote, on disk before any vote is given. */
 struct hard_state {
 	uint64_t node_id;
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -41,7 +41,9 @@
 
 /** The state machine above the log. */
 struct raft_machine_ops {
-	/** Applies a committed command; @a tag is that of raft_propose(), or 0.
+	/**
+	 * Applies a committed command; @a tag is that of raft_propose(), or 0.
+	 * CMD_NOOP and CMD_MEMBERS pass here too.
 	 */
 	void (*apply)(void *ctx, const struct log_entry *entry, uint64_t tag);
 	/** Returns a new array of snapshot_record, freed by raft. */
@@ -49,7 +51,10 @@
 	/** Replaces the whole state. */
 	void (*restore)(void *ctx, const struct snapshot_record *records,
 			uint32_t nr_records);
-	/** Leadership was won (the log is applied up to this term) or lost. */
+	/**
+	 * Leadership was won (the log is applied up to this term, and enough
+	 * of the listed replicas are voters) or lost.
+	 */
 	void (*leader_changed)(void *ctx, bool leader);
 	/** The proposal was not committed by this leader; it may still be. */
 	void (*dropped)(void *ctx, uint64_t tag);
@@ -63,6 +68,8 @@
 	const struct store_image *image;
 	/** Addresses of all control replicas, this one included. */
 	const char *const *control_addresses;
+	uint32_t snapshot_entries; /* 0: RAFT_SNAPSHOT_ENTRIES */
+	uint32_t page_bytes; /* 0: RAFT_PAGE_MAX_BYTES */
 };
 
 struct raft *raft_new(struct node *node, const struct raft_opts *opts);
@@ -70,14 +77,15 @@
 void raft_start(struct raft *raft);
 void raft_peer_up(struct raft *raft, const struct link *link);
 void raft_peer_down(struct raft *raft, const struct link *link);
-/** Takes MSG_VOTE to MSG_SNAPSHOT_REPLY; returns false for other types. */
+/** Takes MSG_VOTE to MSG_TRANSFER; returns false for other types. */
 bool raft_message(struct raft *raft, uint64_t from, uint32_t type,
 		  const void *body);
 void raft_synced(struct raft *raft, uint64_t sync_nr, enum result result);
 
 /**
  * Proposes a command on the leader; the record is referenced. Returns
- * RESULT_OK, RESULT_NOT_LEADER, RESULT_NO_QUORUM or RESULT_OVERLOADED. After
+ * RESULT_OK, RESULT_NOT_LEADER, RESULT_NO_QUORUM, RESULT_OVERLOADED, or
+ * RESULT_TOO_LARGE for a command beyond RAFT_PROPOSALS_MAX_BYTES. After
  * RESULT_OK exactly one of apply (with this tag) or dropped follows.
  */
 enum result raft_propose(struct raft *raft, struct record command,
@@ -94,6 +102,11 @@
 /** The configuration in force; borrowed until the next call. */
 const struct members *raft_members(const struct raft *raft);
 uint64_t raft_match_index(const struct raft *raft, uint64_t node_id);
+/**
+ * RESULT_OK, or why the store failed. The replica takes no further part then;
+ * it recovers by a restart of the process.
+ */
+enum result raft_store_result(const struct raft *raft);
 /** Begins to hand leadership to a caught-up voter, for a graceful stop. */
 void raft_step_down(struct raft *raft);
 
--- /dev/null
+++ b/src/core/raft_form.c
@@ -0,0 +1,256 @@
+#include "raft_impl.h"
+
+#include <string.h>
+
+#include "logline.h"
+
+/* ---- formation of a group by fresh replicas ---- */
+
+/* Returns the connected control replica at the address, NULL if none. */
+static const struct link *raft_link_at(const struct raft *raft,
+				       const char *address, uint64_t node_id)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, raft->node->links);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct link *link = value;
+
+		if (link->up && !link_is_silent(link) &&
+		    link->peer.role == ROLE_CONTROL &&
+		    (!node_id || link->peer.node_id == node_id) &&
+		    !strcmp(link->peer.address, address))
+			return link;
+	}
+	return NULL;
+}
+
+static bool raft_is_self(const struct raft *raft, const char *address)
+{
+	return !strcmp(raft->node->self.address, address);
+}
+
+/* The replica at the address answered lately and is fresh. */
+static bool raft_form_alive(const struct raft *raft, uint32_t i)
+{
+	const struct raft_form_peer *peer = &raft->form_peers[i];
+
+	return peer->node_id && peer->fresh &&
+	       raft->node->now_us - peer->heard_us <
+		       RAFT_FORM_VOTE_MS * US_PER_MS &&
+	       raft_link_at(raft, raft->addresses[i], peer->node_id);
+}
+
+static bool raft_form_all_alive(const struct raft *raft)
+{
+	for (uint32_t i = 0; i < raft->nr_addresses; i++)
+		if (!raft_is_self(raft, raft->addresses[i]) &&
+		    !raft_form_alive(raft, i))
+			return false;
+	return true;
+}
+
+static bool raft_form_knows(const struct raft *raft, uint64_t node_id)
+{
+	if (node_id == raft_self(raft))
+		return true;
+	for (uint32_t i = 0; i < raft->nr_addresses; i++)
+		if (raft->form_peers[i].node_id == node_id)
+			return true;
+	return false;
+}
+
+/* Joins the votes of others if there are any, else takes the lowest node_id. */
+static uint64_t raft_form_choose(const struct raft *raft)
+{
+	uint64_t lowest = raft_self(raft);
+	uint64_t voted = 0;
+
+	for (uint32_t i = 0; i < raft->nr_addresses; i++) {
+		const struct raft_form_peer *peer = &raft->form_peers[i];
+
+		if (raft_is_self(raft, raft->addresses[i]))
+			continue;
+		lowest = MIN(lowest, peer->node_id);
+		if (peer->vote_for && raft_form_knows(raft, peer->vote_for) &&
+		    (!voted || peer->vote_for < voted))
+			voted = peer->vote_for;
+	}
+	return voted ? voted : lowest;
+}
+
+/* A vote stands until the group can't be formed, with a pause behind it. */
+static void raft_form_vote(struct raft *raft)
+{
+	uint64_t now_us = raft->node->now_us;
+	bool expired = now_us - raft->form_vote_us >=
+		       RAFT_FORM_GIVE_UP_MS * US_PER_MS;
+
+	if (raft->form_vote &&
+	    (expired || !raft_form_knows(raft, raft->form_vote))) {
+		raft->form_vote = 0;
+		raft->form_pause_us = now_us + RAFT_FORM_PAUSE_MS * US_PER_MS;
+	}
+	if (raft->form_vote || now_us < raft->form_pause_us ||
+	    !raft_form_all_alive(raft))
+		return;
+	raft->form_vote = raft_form_choose(raft);
+	raft->form_vote_us = now_us;
+}
+
+static bool raft_form_elected(const struct raft *raft)
+{
+	if (raft->form_vote != raft_self(raft) || !raft_form_all_alive(raft))
+		return false;
+	for (uint32_t i = 0; i < raft->nr_addresses; i++) {
+		const struct raft_form_peer *peer = &raft->form_peers[i];
+
+		if (raft_is_self(raft, raft->addresses[i]))
+			continue;
+		if (peer->vote_for != raft_self(raft) ||
+		    raft->node->now_us - peer->echo_us >=
+			    RAFT_FORM_VOTE_MS * US_PER_MS)
+			return false;
+	}
+	return true;
+}
+
+static void raft_form_group(struct raft *raft)
+{
+	struct record members =
+		members_add(raft_config(raft), &raft->node->self, true);
+
+	raft_write_hard_state(raft, 1, raft_self(raft));
+	raft_add(raft, members);
+	record_unref(members);
+	raft_log_event(raft, "raft-formed");
+	raft_campaign(raft, false, false);
+}
+
+void raft_form_due(void *data, uint64_t now_us)
+{
+	struct raft *raft = data;
+
+	if (!raft_is_fresh(raft))
+		return;
+	raft_form_vote(raft);
+	if (raft_form_elected(raft)) {
+		raft_form_group(raft);
+		return;
+	}
+	node_timer_ms(raft->node, &raft->form_timer, RAFT_FORM_INTERVAL_MS);
+	for (uint32_t i = 0; i < raft->nr_addresses; i++) {
+		const struct raft_form_peer *peer = &raft->form_peers[i];
+		const struct link *link;
+		struct form form = {
+			.fresh = true,
+			.vote_for = raft->form_vote,
+			.sent_us = now_us,
+		};
+
+		if (raft_is_self(raft, raft->addresses[i]))
+			continue;
+		link = raft_link_at(raft, raft->addresses[i], 0);
+		if (!link)
+			continue;
+		if (peer->node_id == link->peer.node_id)
+			form.echo_us = peer->sent_us;
+		node_send(raft->node, link->peer.node_id, MSG_FORM, &form);
+	}
+}
+
+void raft_form_start(struct raft *raft)
+{
+	uint64_t pause_ms = raft->nr_addresses > 1 ? RAFT_FORM_PAUSE_MS : 0;
+
+	if (!raft_is_fresh(raft))
+		return;
+	/* A vote given before a restart may still count somewhere. */
+	raft->form_pause_us = raft->node->now_us + pause_ms * US_PER_MS;
+	node_timer_ms(raft->node, &raft->form_timer, 0);
+}
+
+void raft_on_form(struct raft *raft, uint64_t from, const struct form *form)
+{
+	const struct link *link = node_link(raft->node, from);
+	struct form answer = { .fresh = false };
+
+	if (!raft_is_fresh(raft)) {
+		if (form->fresh)
+			node_send(raft->node, from, MSG_FORM, &answer);
+		return;
+	}
+	for (uint32_t i = 0; link && i < raft->nr_addresses; i++) {
+		if (strcmp(raft->addresses[i], link->peer.address) != 0)
+			continue;
+		raft->form_peers[i] = (struct raft_form_peer){
+			.node_id = from,
+			.fresh = form->fresh,
+			.vote_for = form->vote_for,
+			.echo_us = form->echo_us,
+			.sent_us = form->sent_us,
+			.heard_us = raft->node->now_us,
+		};
+	}
+}
+
+/* ---- changes of the members by the leader ---- */
+
+static void raft_change(struct raft *raft, struct record members)
+{
+	raft_add(raft, members);
+	record_unref(members);
+}
+
+static bool raft_caught_up(struct raft *raft, uint64_t node_id)
+{
+	const struct raft_peer *peer = raft_peer(raft, node_id);
+
+	return peer && !peer->snapshot &&
+	       peer->match_index + RAFT_CAUGHT_UP_ENTRIES >=
+		       raft_log_last_index(&raft->log) &&
+	       raft->node->now_us - peer->acked_us <
+		       RAFT_LEADER_LEASE_MS * US_PER_MS;
+}
+
+/* Looks after one address of the list; returns true if it made a change. */
+static bool raft_member_check(struct raft *raft, const char *address)
+{
+	const struct members *members = raft_config(raft);
+	const struct member *member = members_at(members, address);
+	const struct link *link;
+
+	if (member && raft_link_at(raft, address, member->node_id)) {
+		if (member->voter || !raft_caught_up(raft, member->node_id))
+			return false;
+		raft_change(raft, members_promote(members, member->node_id));
+		return true;
+	}
+	link = raft_link_at(raft, address, 0);
+	if (!link)
+		return false;
+	if (!member) {
+		raft_change(raft, members_add(members, &link->peer, false));
+		return true;
+	}
+	/*
+	 * A smaller configuration could commit with entries on one disk only,
+	 * so the voters must stay a majority of the list.
+	 */
+	if (member->voter &&
+	    members_nr_voters(members) - 1 <= raft->nr_addresses / 2)
+		return false;
+	raft_change(raft, members_replace(members, &link->peer));
+	return true;
+}
+
+void raft_member_tick(struct raft *raft)
+{
+	if (raft_configs_last(&raft->configs)->index > raft->commit_index)
+		return; /* one change at a time */
+	for (uint32_t i = 0; i < raft->nr_addresses; i++)
+		if (!raft_is_self(raft, raft->addresses[i]) &&
+		    raft_member_check(raft, raft->addresses[i]))
+			return;
+}
--- /dev/null
+++ b/src/core/raft_member.h
@@ -0,0 +1,62 @@
+#ifndef RAFT_MEMBER_H
+#define RAFT_MEMBER_H
+
+/**
+ * @file raft_member.h
+ * Configurations of the control group. A configuration is a CMD_MEMBERS record
+ * and never changes; a change makes a new one that differs in one voter.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "link.h"
+#include "msg_raft.h"
+
+/** One configuration and the log entry that holds it. */
+struct raft_config {
+	uint64_t index; /* 0: none yet */
+	struct record members; /* CMD_MEMBERS */
+};
+
+/** The configurations in the log, the last one is in force. */
+struct raft_configs {
+	GArray *list; /* of struct raft_config, never empty */
+};
+
+void raft_configs_init(struct raft_configs *configs);
+void raft_configs_clear(struct raft_configs *configs);
+/** Takes a reference to @a members. */
+void raft_configs_push(struct raft_configs *configs, uint64_t index,
+		       struct record members);
+/** Forgets configurations at or above @a index. */
+void raft_configs_truncate(struct raft_configs *configs, uint64_t index);
+/** Forgets configurations that were replaced up to @a index. */
+void raft_configs_compact(struct raft_configs *configs, uint64_t index);
+/** Starts over from a snapshot's configuration. */
+void raft_configs_reset(struct raft_configs *configs, uint64_t index,
+			struct record members);
+const struct raft_config *raft_configs_last(const struct raft_configs *configs);
+/** Returns the configuration in force at @a index. */
+const struct raft_config *raft_configs_at(const struct raft_configs *configs,
+					  uint64_t index);
+
+const struct member *members_find(const struct members *members,
+				  uint64_t node_id);
+const struct member *members_at(const struct members *members,
+				const char *address);
+bool members_is_voter(const struct members *members, uint64_t node_id);
+uint32_t members_nr_voters(const struct members *members);
+/** Returns the number of voters that decide. */
+uint32_t members_quorum(const struct members *members);
+/** Returns a configuration with the peer as learner, or as first voter. */
+struct record members_add(const struct members *members,
+			  const struct hello *peer, bool voter);
+/** Returns a configuration with the peer in place of the one at its address. */
+struct record members_replace(const struct members *members,
+			      const struct hello *peer);
+/** Returns a configuration in which the learner is a voter. */
+struct record members_promote(const struct members *members, uint64_t node_id);
+
+#endif /* RAFT_MEMBER_H */
--- a/src/core/schema_raft.c
+++ b/src/core/schema_raft.c
@@ -2,10 +2,8 @@
 #include "schema_tables.h"
 
 static const struct field vote_fields[] = {
-	F_U64(vote, term),
-	F_U64(vote, last_index),
-	F_U64(vote, last_term),
-	F_BOOL(vote, pre),
+	F_U64(vote, term), F_U64(vote, last_index), F_U64(vote, last_term),
+	F_BOOL(vote, pre), F_BOOL(vote, transfer),
 };
 static SCHEMA(vote_schema, "Vote", vote, vote_fields);
 
@@ -65,6 +63,19 @@
 static SCHEMA(snapshot_reply_schema, "SnapshotReply", snapshot_reply,
 	      snapshot_reply_fields);
 
+static const struct field form_fields[] = {
+	F_BOOL(form, fresh),
+	F_U64(form, vote_for),
+	F_U64(form, sent_us),
+	F_U64(form, echo_us),
+};
+static SCHEMA(form_schema, "Form", form, form_fields);
+
+static const struct field transfer_fields[] = {
+	F_U64(transfer, term),
+};
+static SCHEMA(transfer_schema, "Transfer", transfer, transfer_fields);
+
 static const struct field hard_state_fields[] = {
 	F_U64(hard_state, node_id),
 	F_U64(hard_state, term),
@@ -100,6 +111,8 @@
 	{ MSG_APPEND_REPLY, &append_reply_schema },
 	{ MSG_SNAPSHOT_PAGE, &snapshot_page_schema },
 	{ MSG_SNAPSHOT_REPLY, &snapshot_reply_schema },
+	{ MSG_FORM, &form_schema },
+	{ MSG_TRANSFER, &transfer_schema },
 	{ REC_HARD_STATE, &hard_state_schema },
 	{ REC_LOG_ENTRY, &log_entry_schema },
 	{ REC_SNAPSHOT_HEAD, &snapshot_head_schema },
--- /dev/null
+++ b/tests/test_raft.c
@@ -0,0 +1,294 @@
+/**
+ * @file test_raft.c
+ * The replicated log under virtual time, with seeded faults.
+ */
+
+#include <stdlib.h>
+
+#include "raft_world.h"
+#include "suite.h"
+
+/* A group of three or five that works. */
+static struct world *world_formed(uint64_t seed, uint32_t nr_replicas)
+{
+	struct world_opts opts = {
+		.seed = seed,
+		.nr_replicas = nr_replicas,
+		.snapshot_entries = 200,
+		.page_bytes = 2000,
+	};
+	struct world *world = world_new(&opts);
+
+	ck_assert(world_settle(world, 20000));
+	return world;
+}
+
+static void propose_some(struct world *world, uint32_t nr)
+{
+	for (uint32_t i = 0; i < nr; i++) {
+		struct replica *leader = world_leader(world);
+
+		if (leader)
+			world_propose(leader);
+		world_run_ms(world, 1);
+	}
+}
+
+static struct replica *some_follower(struct world *world)
+{
+	struct replica *leader = world_leader(world);
+
+	return leader == &world->replicas[0] ? &world->replicas[1] :
+					       &world->replicas[0];
+}
+
+/* Guards against a replica alone that waits for others. */
+START_TEST(test_single_replica)
+{
+	struct world_opts opts = { .seed = 1, .nr_replicas = 1 };
+	struct world *world = world_new(&opts);
+
+	ck_assert(world_elect(world, 100));
+	propose_some(world, 10);
+	ck_assert(world_settle(world, 100));
+	ck_assert_uint_eq(world->acknowledged, 10);
+	world_crash(&world->replicas[0]);
+	world_boot(&world->replicas[0]);
+	ck_assert(world_settle(world, 3000));
+	world_check_values(world);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against two groups, or none, from fresh replicas. */
+START_TEST(test_formation)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		struct world *world = world_formed(seed, 3 + 2 * (seed & 1));
+
+		ck_assert_uint_eq(vhost_log_count(world->vhost, "raft-formed"),
+				  1);
+		propose_some(world, 20);
+		ck_assert(world_settle(world, 1000));
+		ck_assert_uint_eq(world->acknowledged, 20);
+		world_check_values(world);
+		world_free(world);
+	}
+}
+END_TEST
+
+/* Guards against a group formed while an address doesn't answer. */
+START_TEST(test_no_formation_with_an_address_missing)
+{
+	struct world_opts opts = { .seed = 3, .nr_replicas = 3 };
+	struct world *world = world_new(&opts);
+
+	vhost_kill(world->replicas[2].machine);
+	world_run_ms(world, 30000);
+	ck_assert_uint_eq(vhost_log_count(world->vhost, "raft-formed"), 0);
+	world_boot(&world->replicas[2]);
+	ck_assert(world_settle(world, 20000));
+	world_free(world);
+}
+END_TEST
+
+/* Guards against one sync for each proposal. */
+START_TEST(test_group_commit)
+{
+	struct world *world = world_formed(5, 3);
+	struct replica *leader = world_leader(world);
+	uint32_t syncs = world->syncs;
+
+	for (uint32_t i = 0; i < 1000; i++)
+		ck_assert_int_eq(world_propose(leader), RESULT_OK);
+	ck_assert(world_settle(world, 1000));
+	ck_assert_uint_eq(world->acknowledged, 1000);
+	/* Snapshots and pipelined appends add some. */
+	ck_assert_uint_le(world->syncs - syncs, 60);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against an unbounded queue of proposals. */
+START_TEST(test_proposals_are_bounded)
+{
+	struct world *world = world_formed(6, 3);
+	struct replica *leader = world_leader(world);
+	uint32_t nr = 0;
+
+	while (world_propose(leader) == RESULT_OK)
+		nr++;
+	ck_assert_uint_eq(nr, RAFT_PROPOSALS_MAX);
+	ck_assert_int_eq(world_propose(leader), RESULT_OVERLOADED);
+	ck_assert(world_settle(world, 5000));
+	ck_assert_uint_eq(world->acknowledged, nr);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a leader that accepts or grants without a quorum. */
+START_TEST(test_leader_without_quorum)
+{
+	struct world *world = world_formed(7, 3);
+	struct replica *leader = world_leader(world);
+
+	world_isolate(leader, true);
+	ck_assert(raft_may_grant(leader->raft));
+	world_run_ms(world, RAFT_LEADER_LEASE_MS + 5);
+	ck_assert(!raft_may_grant(leader->raft));
+	ck_assert_int_eq(world_propose(leader), RESULT_NO_QUORUM);
+	world_run_ms(world, RAFT_ELECTION_MAX_MS);
+	ck_assert(!raft_is_leader(leader->raft));
+	ck_assert_int_eq(world_propose(leader), RESULT_NOT_LEADER);
+	ck_assert(world_elect(world, 2000));
+	propose_some(world, 10);
+	world_isolate(leader, false);
+	ck_assert(world_settle(world, 10000));
+	world_check_values(world);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against followers that a returning replica calls to an election. */
+START_TEST(test_returning_replica_keeps_the_leader)
+{
+	struct world *world = world_formed(8, 3);
+	struct replica *leader = world_leader(world);
+	struct replica *follower = some_follower(world);
+	uint64_t term = raft_term(leader->raft);
+
+	world_isolate(follower, true);
+	world_run_ms(world, 30000);
+	world_isolate(follower, false);
+	world_run_ms(world, 10000);
+	ck_assert_ptr_eq(world_leader(world), leader);
+	ck_assert_uint_eq(raft_term(leader->raft), term);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a leader that is heard but hears nobody, for good. */
+START_TEST(test_one_way_partition)
+{
+	struct world *world = world_formed(9, 3);
+	struct replica *leader = world_leader(world);
+
+	for (uint32_t i = 0; i < 3; i++)
+		if (&world->replicas[i] != leader)
+			vhost_path(world->replicas[i].machine, leader->machine)
+				->cut = true;
+	world_run_ms(world, 5000);
+	ck_assert(world_leader(world) && world_leader(world) != leader);
+	propose_some(world, 10);
+	world_run_ms(world, 20);
+	ck_assert_uint_eq(world->acknowledged, 10);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a graceful stop that costs an election timeout. */
+START_TEST(test_step_down)
+{
+	struct world *world = world_formed(10, 3);
+	struct replica *leader = world_leader(world);
+
+	node_set_time(leader->node, vhost_now_us(world->vhost));
+	raft_step_down(leader->raft);
+	ck_assert(!raft_may_grant(leader->raft));
+	ck_assert(world_elect(world, 50));
+	ck_assert_ptr_ne(world_leader(world), leader);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a replica that acknowledges or leads without its store. */
+START_TEST(test_store_failure)
+{
+	struct world *world = world_formed(11, 3);
+	struct replica *leader = world_leader(world);
+
+	leader->sync_result = RESULT_DISK_FULL;
+	world_propose(leader);
+	world_run_ms(world, 20);
+	ck_assert_int_eq(raft_store_result(leader->raft), RESULT_DISK_FULL);
+	ck_assert(!raft_is_leader(leader->raft));
+	ck_assert(world_elect(world, 3000));
+	ck_assert_ptr_ne(world_leader(world), leader);
+	propose_some(world, 10);
+	world_run_ms(world, 20);
+	ck_assert_uint_ge(world->acknowledged, 10);
+	world_crash(leader);
+	world_boot(leader);
+	ck_assert(world_settle(world, 5000));
+	world_check_values(world);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a follower behind the log's start that never catches up. */
+START_TEST(test_snapshot_transfer)
+{
+	struct world *world = world_formed(12, 3);
+	struct replica *follower = some_follower(world);
+
+	world_isolate(follower, true);
+	propose_some(world, 1000);
+	world_isolate(follower, false);
+	ck_assert(world_settle(world, 10000));
+	ck_assert_uint_gt(
+		vhost_log_count(world->vhost, "raft-snapshot-installed"), 0);
+	world_check_values(world);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a restart that needs the entries behind a snapshot. */
+START_TEST(test_restart_from_snapshot)
+{
+	struct world *world = world_formed(13, 3);
+
+	propose_some(world, 500);
+	for (uint32_t i = 0; i < 3; i++)
+		world_crash(&world->replicas[i]);
+	for (uint32_t i = 0; i < 3; i++)
+		world_boot(&world->replicas[i]);
+	ck_assert(world_settle(world, 10000));
+	propose_some(world, 10);
+	ck_assert(world_settle(world, 1000));
+	world_check_values(world);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a lost disk that needs an operator, also twice in a row. */
+START_TEST(test_lost_disks)
+{
+	for (uint64_t seed = 1; seed <= 10; seed++) {
+		struct world *world = world_formed(seed, 3);
+		uint64_t old_id;
+
+		propose_some(world, 300);
+		for (uint32_t i = 0; i < 3; i++) {
+			struct replica *replica = &world->replicas[i];
+
+			old_id = replica->node->self.node_id;
+			world_lose_disk(replica);
+			world_run_ms(world, world_random(world, 3000));
+			world_boot(replica);
+			ck_assert(world_settle(world, 20000));
+			ck_assert_uint_ne(replica->node->self.node_id, old_id);
+			propose_some(world, 20);
+		}
+		ck_assert(world_settle(world, 5000));
+		world_check_values(world);
+		world_free(world);
+	}
+}
+END_TEST
+
+SUITE_MAIN("raft", test_single_replica, test_formation,
+	   test_no_formation_with_an_address_missing, test_group_commit,
+	   test_proposals_are_bounded, test_leader_without_quorum,
+	   test_returning_replica_keeps_the_leader, test_one_way_partition,
+	   test_step_down, test_store_failure, test_snapshot_transfer,
+	   test_restart_from_snapshot, test_lost_disks)
