--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -53,6 +53,8 @@
 typedef struct Masticreach__SnapshotRecord Masticreach__SnapshotRecord;
 typedef struct Masticreach__SnapshotPage Masticreach__SnapshotPage;
 typedef struct Masticreach__SnapshotReply Masticreach__SnapshotReply;
+typedef struct Masticreach__Form Masticreach__Form;
+typedef struct Masticreach__Transfer Masticreach__Transfer;
 typedef struct Masticreach__HardState Masticreach__HardState;
 typedef struct Masticreach__SnapshotHead Masticreach__SnapshotHead;
 typedef struct Masticreach__CmdNoop Masticreach__CmdNoop;
@@ -539,10 +541,11 @@
   uint64_t last_index;
   uint64_t last_term;
   protobuf_c_boolean pre;
+  protobuf_c_boolean transfer;
 };
 #define MASTICREACH__VOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__vote__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Masticreach__VoteReply
@@ -639,6 +642,29 @@
     , 0, 0, 0, 0, 0 }
 
 
+struct  Masticreach__Form
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean fresh;
+  uint64_t vote_for;
+  uint64_t sent_us;
+  uint64_t echo_us;
+};
+#define MASTICREACH__FORM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__form__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Masticreach__Transfer
+{
+  ProtobufCMessage base;
+  uint64_t term;
+};
+#define MASTICREACH__TRANSFER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__transfer__descriptor) \
+    , 0 }
+
+
 struct  Masticreach__HardState
 {
   ProtobufCMessage base;
@@ -1584,6 +1610,44 @@
 void   masticreach__snapshot_reply__free_unpacked
                      (Masticreach__SnapshotReply *message,
                       ProtobufCAllocator *allocator);
+/* Masticreach__Form methods */
+void   masticreach__form__init
+                     (Masticreach__Form         *message);
+size_t masticreach__form__get_packed_size
+                     (const Masticreach__Form   *message);
+size_t masticreach__form__pack
+                     (const Masticreach__Form   *message,
+                      uint8_t             *out);
+size_t masticreach__form__pack_to_buffer
+                     (const Masticreach__Form   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__Form *
+       masticreach__form__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__form__free_unpacked
+                     (Masticreach__Form *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__Transfer methods */
+void   masticreach__transfer__init
+                     (Masticreach__Transfer         *message);
+size_t masticreach__transfer__get_packed_size
+                     (const Masticreach__Transfer   *message);
+size_t masticreach__transfer__pack
+                     (const Masticreach__Transfer   *message,
+                      uint8_t             *out);
+size_t masticreach__transfer__pack_to_buffer
+                     (const Masticreach__Transfer   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__Transfer *
+       masticreach__transfer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__transfer__free_unpacked
+                     (Masticreach__Transfer *message,
+                      ProtobufCAllocator *allocator);
 /* Masticreach__HardState methods */
 void   masticreach__hard_state__init
                      (Masticreach__HardState         *message);
@@ -2004,6 +2068,12 @@
 typedef void (*Masticreach__SnapshotReply_Closure)
                  (const Masticreach__SnapshotReply *message,
                   void *closure_data);
+typedef void (*Masticreach__Form_Closure)
+                 (const Masticreach__Form *message,
+                  void *closure_data);
+typedef void (*Masticreach__Transfer_Closure)
+                 (const Masticreach__Transfer *message,
+                  void *closure_data);
 typedef void (*Masticreach__HardState_Closure)
                  (const Masticreach__HardState *message,
                   void *closure_data);
@@ -2096,6 +2166,8 @@
 extern const ProtobufCMessageDescriptor masticreach__snapshot_record__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__snapshot_page__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__snapshot_reply__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__form__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__transfer__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__hard_state__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__snapshot_head__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__cmd_noop__descriptor;
