--- a/src/daemon/loop.c
+++ b/src/daemon/loop.c
@@ -185,6 +185,8 @@
 		loop_free(loop);
 		return res;
 	}
+	if (opts->advertise)
+		TEXT_SET(loop->node->self.address, opts->advertise);
 	loop->timer = g_timeout_source_new(0);
 	g_source_set_callback(loop->timer, loop_timer, loop, NULL);
 	g_source_set_ready_time(loop->timer, -1);
--- a/src/daemon/loop.h
+++ b/src/daemon/loop.h
@@ -18,6 +18,7 @@
 
 struct loop_opts {
 	const char *listen; /* "ip:port", NULL for a node that only dials */
+	const char *advertise; /* what others dial, NULL: the bound address */
 	const char *name;
 	const char *zone;
 	uint64_t node_id; /* 0: draw one */
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -36,6 +36,7 @@
 	enum result res;
 
 	opts.listen = settings->listen[0] ? settings->listen : NULL;
+	opts.advertise = settings->advertise[0] ? settings->advertise : NULL;
 	opts.name = settings->name;
 	opts.zone = settings->zone;
 	opts.drain_ms = settings->drain_ms;
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -18,6 +18,7 @@
 	SET_ZONE,
 	SET_RACK,
 	SET_LISTEN,
+	SET_ADVERTISE,
 	SET_HTTP,
 	SET_CONTROL,
 	SET_DATA,
@@ -42,6 +43,8 @@
 	[SET_LISTEN] = { "listen", "IP:PORT", "", "all", "agent, control",
 			 "address for other processes of the system; port 0 "
 			 "takes a free one" },
+	[SET_ADVERTISE] = { "advertise", "IP:PORT", "", "agent, control", "",
+			    "address that others dial, if it is not --listen" },
 	[SET_HTTP] = { "http", "IP:PORT", "", "all", "all",
 		       "address of the HTTP server; port 0 takes a free one" },
 	[SET_CONTROL] = { "control", "IP:PORT,...", "", "all", "all",
@@ -370,13 +373,15 @@
 				  struct settings *settings, char **error)
 {
 	const char *value = values->value[SET_CONTROL];
+	const char *shown = settings->advertise[0] ? settings->advertise :
+						     settings->listen;
 	bool self = false;
 
 	settings->control = g_strsplit(value, ",", -1);
 	for (uint32_t i = 0; settings->control[i]; i++) {
 		const char *address = settings->control[i];
 		bool own = settings->role == ROLE_CONTROL &&
-			   !strcmp(address, settings->listen);
+			   !strcmp(address, shown);
 
 		if (settings_check_address(address, own) != RESULT_OK)
 			return settings_fail(error, RESULT_MALFORMED,
@@ -394,9 +399,8 @@
 	}
 	if (settings->role == ROLE_CONTROL && !self)
 		return settings_fail(error, RESULT_USAGE,
-				     "%s lacks this replica's own --listen %s",
-				     values_source(values, SET_CONTROL),
-				     settings->listen);
+				     "%s lacks this replica's own address %s",
+				     values_source(values, SET_CONTROL), shown);
 	return RESULT_OK;
 }
 
@@ -461,6 +465,9 @@
 				     error);
 	if (res == RESULT_OK)
 		res = check_listen(to, error);
+	if (res == RESULT_OK)
+		res = values_address(values, SET_ADVERTISE, FALSE,
+				     to->advertise, error);
 	if (res == RESULT_OK)
 		res = values_address(values, SET_HTTP, TRUE, to->http, error);
 	if (res == RESULT_OK)
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -27,6 +27,7 @@
 	char zone[NAME_BYTES];
 	char rack[NAME_BYTES];
 	char listen[ADDRESS_BYTES]; /* "" for an entry that only dials */
+	char advertise[ADDRESS_BYTES]; /* "": others dial listen */
 	char http[ADDRESS_BYTES];
 	char **control; /* NULL-terminated, owned */
 	char data[PATH_BYTES];
