--- a/src/core/raft_impl.h
+++ b/src/core/raft_impl.h
@@ -30,7 +30,8 @@
 	struct snapshot_record *records;
 };
 
-/** Another member as this replica sees it; only a leader uses more than voted. */
+/** Another member as this replica sees it; only a leader uses more than voted.
+ */
 struct raft_peer {
 	uint64_t node_id;
 	bool voted;
