--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -3067,7 +3067,7 @@
   (ProtobufCMessageInit) masticreach__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__response__field_descriptors[9] =
+static const ProtobufCFieldDescriptor masticreach__response__field_descriptors[10] =
 {
   {
     "origin_node",
@@ -3166,9 +3166,21 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load",
+    "wait_us",
     9,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    10,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
     offsetof(Masticreach__Response, load),
@@ -3181,18 +3193,19 @@
 static const unsigned masticreach__response__field_indices_by_name[] = {
   6,   /* field[6] = body */
   5,   /* field[5] = content_type */
-  8,   /* field[8] = load */
+  9,   /* field[9] = load */
   0,   /* field[0] = origin_node */
   1,   /* field[1] = request_nr */
   3,   /* field[3] = result */
   2,   /* field[2] = run */
   7,   /* field[7] = run_us */
   4,   /* field[4] = status */
+  8,   /* field[8] = wait_us */
 };
 static const ProtobufCIntRange masticreach__response__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor masticreach__response__descriptor =
 {
@@ -3202,7 +3215,7 @@
   "Masticreach__Response",
   "masticreach",
   sizeof(Masticreach__Response),
-  9,
+  10,
   masticreach__response__field_descriptors,
   masticreach__response__field_indices_by_name,
   1,  masticreach__response__number_ranges,
@@ -3247,7 +3260,7 @@
   (ProtobufCMessageInit) masticreach__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__outcome_query__field_descriptors[5] =
+static const ProtobufCFieldDescriptor masticreach__outcome_query__field_descriptors[7] =
 {
   {
     "origin_node",
@@ -3274,9 +3287,21 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "service",
+    "reply_nr",
     3,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, reply_nr),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
     offsetof(Masticreach__OutcomeQuery, service),
@@ -3287,7 +3312,7 @@
   },
   {
     "key",
-    4,
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
@@ -3297,9 +3322,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "repeatable",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, repeatable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "refuse",
-    5,
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
@@ -3311,16 +3348,18 @@
   },
 };
 static const unsigned masticreach__outcome_query__field_indices_by_name[] = {
-  3,   /* field[3] = key */
+  4,   /* field[4] = key */
   0,   /* field[0] = origin_node */
-  4,   /* field[4] = refuse */
+  6,   /* field[6] = refuse */
+  5,   /* field[5] = repeatable */
+  2,   /* field[2] = reply_nr */
   1,   /* field[1] = request_nr */
-  2,   /* field[2] = service */
+  3,   /* field[3] = service */
 };
 static const ProtobufCIntRange masticreach__outcome_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor masticreach__outcome_query__descriptor =
 {
@@ -3330,7 +3369,7 @@
   "Masticreach__OutcomeQuery",
   "masticreach",
   sizeof(Masticreach__OutcomeQuery),
-  5,
+  7,
   masticreach__outcome_query__field_descriptors,
   masticreach__outcome_query__field_indices_by_name,
   1,  masticreach__outcome_query__number_ranges,
@@ -4188,7 +4227,7 @@
   (ProtobufCMessageInit) masticreach__platform_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__task_order__field_descriptors[5] =
+static const ProtobufCFieldDescriptor masticreach__task_order__field_descriptors[6] =
 {
   {
     "term",
@@ -4239,9 +4278,21 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "start",
+    "permit_sent_us",
     5,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskOrder, permit_sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start",
+    6,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
     offsetof(Masticreach__TaskOrder, start),
@@ -4254,14 +4305,15 @@
 static const unsigned masticreach__task_order__field_indices_by_name[] = {
   2,   /* field[2] = action */
   3,   /* field[3] = cpu_ppm */
-  4,   /* field[4] = start */
+  4,   /* field[4] = permit_sent_us */
+  5,   /* field[5] = start */
   0,   /* field[0] = term */
   1,   /* field[1] = vm_node */
 };
 static const ProtobufCIntRange masticreach__task_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor masticreach__task_order__descriptor =
 {
@@ -4271,7 +4323,7 @@
   "Masticreach__TaskOrder",
   "masticreach",
   sizeof(Masticreach__TaskOrder),
-  5,
+  6,
   masticreach__task_order__field_descriptors,
   masticreach__task_order__field_indices_by_name,
   1,  masticreach__task_order__number_ranges,
@@ -4381,14 +4433,26 @@
   (ProtobufCMessageInit) masticreach__task_event__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__view_query__field_descriptors[2] =
+static const ProtobufCFieldDescriptor masticreach__view_query__field_descriptors[3] =
 {
   {
-    "view_version",
+    "term",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
+    offsetof(Masticreach__ViewQuery, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
     offsetof(Masticreach__ViewQuery, view_version),
     NULL,
     NULL,
@@ -4397,7 +4461,7 @@
   },
   {
     "bundle_version",
-    2,
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
@@ -4409,13 +4473,14 @@
   },
 };
 static const unsigned masticreach__view_query__field_indices_by_name[] = {
-  1,   /* field[1] = bundle_version */
-  0,   /* field[0] = view_version */
+  2,   /* field[2] = bundle_version */
+  0,   /* field[0] = term */
+  1,   /* field[1] = view_version */
 };
 static const ProtobufCIntRange masticreach__view_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor masticreach__view_query__descriptor =
 {
@@ -4425,7 +4490,7 @@
   "Masticreach__ViewQuery",
   "masticreach",
   sizeof(Masticreach__ViewQuery),
-  2,
+  3,
   masticreach__view_query__field_descriptors,
   masticreach__view_query__field_indices_by_name,
   1,  masticreach__view_query__number_ranges,
@@ -5037,7 +5102,7 @@
   (ProtobufCMessageInit) masticreach__bundle__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__view__field_descriptors[6] =
+static const ProtobufCFieldDescriptor masticreach__view__field_descriptors[7] =
 {
   {
     "term",
@@ -5076,8 +5141,20 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "zones",
+    "base_version",
     4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__View, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zones",
+    5,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Masticreach__View, n_zones),
@@ -5089,7 +5166,7 @@
   },
   {
     "agents",
-    5,
+    6,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Masticreach__View, n_agents),
@@ -5101,7 +5178,7 @@
   },
   {
     "bundles",
-    6,
+    7,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Masticreach__View, n_bundles),
@@ -5113,17 +5190,18 @@
   },
 };
 static const unsigned masticreach__view__field_indices_by_name[] = {
-  4,   /* field[4] = agents */
-  5,   /* field[5] = bundles */
+  5,   /* field[5] = agents */
+  3,   /* field[3] = base_version */
+  6,   /* field[6] = bundles */
   0,   /* field[0] = term */
   1,   /* field[1] = view_version */
   2,   /* field[2] = whole */
-  3,   /* field[3] = zones */
+  4,   /* field[4] = zones */
 };
 static const ProtobufCIntRange masticreach__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor masticreach__view__descriptor =
 {
@@ -5133,7 +5211,7 @@
   "Masticreach__View",
   "masticreach",
   sizeof(Masticreach__View),
-  6,
+  7,
   masticreach__view__field_descriptors,
   masticreach__view__field_indices_by_name,
   1,  masticreach__view__number_ranges,
@@ -6768,7 +6846,7 @@
   (ProtobufCMessageInit) masticreach__cmd_vm_quarantine__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__job_record__field_descriptors[16] =
+static const ProtobufCFieldDescriptor masticreach__job_record__field_descriptors[17] =
 {
   {
     "job_id",
@@ -6962,11 +7040,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "finished_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__JobRecord, finished_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__job_record__field_indices_by_name[] = {
   10,   /* field[10] = accelerators */
   8,   /* field[8] = cpu_millis */
   11,   /* field[11] = declared_run_ms */
+  16,   /* field[16] = finished_ms */
   5,   /* field[5] = job_class */
   0,   /* field[0] = job_id */
   1,   /* field[1] = key */
@@ -6984,7 +7075,7 @@
 static const ProtobufCIntRange masticreach__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor masticreach__job_record__descriptor =
 {
@@ -6994,14 +7085,14 @@
   "Masticreach__JobRecord",
   "masticreach",
   sizeof(Masticreach__JobRecord),
-  16,
+  17,
   masticreach__job_record__field_descriptors,
   masticreach__job_record__field_indices_by_name,
   1,  masticreach__job_record__number_ranges,
   (ProtobufCMessageInit) masticreach__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__cmd_job_cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor masticreach__cmd_job_cancel__field_descriptors[3] =
 {
   {
     "job_ids",
@@ -7015,14 +7106,40 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdJobCancel, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "now_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdJobCancel, now_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__cmd_job_cancel__field_indices_by_name[] = {
   0,   /* field[0] = job_ids */
+  2,   /* field[2] = now_ms */
+  1,   /* field[1] = result */
 };
 static const ProtobufCIntRange masticreach__cmd_job_cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor masticreach__cmd_job_cancel__descriptor =
 {
@@ -7032,7 +7149,7 @@
   "Masticreach__CmdJobCancel",
   "masticreach",
   sizeof(Masticreach__CmdJobCancel),
-  1,
+  3,
   masticreach__cmd_job_cancel__field_descriptors,
   masticreach__cmd_job_cancel__field_indices_by_name,
   1,  masticreach__cmd_job_cancel__number_ranges,
@@ -7168,7 +7285,7 @@
   (ProtobufCMessageInit) masticreach__cmd_task_place__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__cmd_task_set__field_descriptors[7] =
+static const ProtobufCFieldDescriptor masticreach__cmd_task_set__field_descriptors[8] =
 {
   {
     "task_id",
@@ -7254,11 +7371,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "now_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdTaskSet, now_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__cmd_task_set__field_indices_by_name[] = {
   3,   /* field[3] = checkpoint */
   1,   /* field[1] = epoch */
   6,   /* field[6] = evicted */
+  7,   /* field[7] = now_ms */
   4,   /* field[4] = progress_ppm */
   5,   /* field[5] = result */
   2,   /* field[2] = state */
@@ -7267,7 +7397,7 @@
 static const ProtobufCIntRange masticreach__cmd_task_set__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor masticreach__cmd_task_set__descriptor =
 {
@@ -7277,7 +7407,7 @@
   "Masticreach__CmdTaskSet",
   "masticreach",
   sizeof(Masticreach__CmdTaskSet),
-  7,
+  8,
   masticreach__cmd_task_set__field_descriptors,
   masticreach__cmd_task_set__field_indices_by_name,
   1,  masticreach__cmd_task_set__number_ranges,
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -173,11 +173,12 @@
   char *content_type;
   ProtobufCBinaryData body;
   uint32_t run_us;
+  uint32_t wait_us;
   Masticreach__Load *load;
 };
 #define MASTICREACH__RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__response__descriptor) \
-    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, NULL }
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, NULL }
 
 
 struct  Masticreach__Cancel
@@ -195,13 +196,15 @@
   ProtobufCMessage base;
   uint64_t origin_node;
   uint64_t request_nr;
+  uint64_t reply_nr;
   char *service;
   char *key;
+  protobuf_c_boolean repeatable;
   protobuf_c_boolean refuse;
 };
 #define MASTICREACH__OUTCOME_QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__outcome_query__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Masticreach__LoadReport
@@ -330,11 +333,12 @@
   uint64_t vm_node;
   uint32_t action;
   uint32_t cpu_ppm;
+  uint64_t permit_sent_us;
   Masticreach__PlatformStart *start;
 };
 #define MASTICREACH__TASK_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__task_order__descriptor) \
-    , 0, 0, 0, 0, NULL }
+    , 0, 0, 0, 0, 0, NULL }
 
 
 struct  Masticreach__TaskEvent
@@ -355,12 +359,13 @@
 struct  Masticreach__ViewQuery
 {
   ProtobufCMessage base;
+  uint64_t term;
   uint64_t view_version;
   uint64_t bundle_version;
 };
 #define MASTICREACH__VIEW_QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__view_query__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Masticreach__ZoneRecord
@@ -461,6 +466,7 @@
   uint64_t term;
   uint64_t view_version;
   protobuf_c_boolean whole;
+  uint64_t base_version;
   size_t n_zones;
   Masticreach__ZoneRecord **zones;
   size_t n_agents;
@@ -470,7 +476,7 @@
 };
 #define MASTICREACH__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__view__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Masticreach__ClaimRecord
@@ -783,10 +789,11 @@
   uint32_t state;
   uint32_t result;
   uint64_t submitted_ms;
+  uint64_t finished_ms;
 };
 #define MASTICREACH__JOB_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__job_record__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Masticreach__CmdJobCancel
@@ -794,10 +801,12 @@
   ProtobufCMessage base;
   size_t n_job_ids;
   uint64_t *job_ids;
+  uint32_t result;
+  uint64_t now_ms;
 };
 #define MASTICREACH__CMD_JOB_CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__cmd_job_cancel__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0, 0 }
 
 
 struct  Masticreach__CmdTaskPlace
@@ -827,10 +836,11 @@
   uint32_t progress_ppm;
   uint32_t result;
   protobuf_c_boolean evicted;
+  uint64_t now_ms;
 };
 #define MASTICREACH__CMD_TASK_SET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__cmd_task_set__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Masticreach__CmdExpire
