--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -556,10 +556,29 @@
 	return path;
 }
 
+/* Returns the digest of the bundle that waits for sign-off, "" if none does. */
+static char *tb_submitted_digest(struct testbed *tb)
+{
+	static const char name[] = "submitted_digest";
+	char *digest = NULL;
+	char **parts;
+	char *out;
+
+	testbed_tool(tb, &out, "--json", "bundle", "status", NULL);
+	parts = g_strsplit(out, "\"", -1);
+	for (char **p = parts; *p && !digest; p++)
+		if (!strcmp(*p, name) && p[1] && p[2])
+			digest = g_strdup(p[2]);
+	g_strfreev(parts);
+	g_free(out);
+	return digest ? digest : g_strdup("");
+}
+
 bool testbed_bundle(struct testbed *tb, const char *text, uint32_t version)
 {
 	char *path = testbed_write(tb, "bundle.json", text);
 	char *number = g_strdup_printf("%u", version);
+	char *digest = NULL;
 	int res = -1;
 
 	for (int i = 0; i < 40 && res; i++) {
@@ -568,11 +587,15 @@
 		res = testbed_tool(tb, NULL, "bundle", "submit", path, "--by",
 				   "operator", NULL);
 	}
-	if (!res)
-		res = testbed_tool(tb, NULL, "bundle", "sign-off", number,
-				   "--by", "operator", NULL);
+	if (!res) {
+		digest = tb_submitted_digest(tb);
+		res = testbed_tool(tb, NULL, "bundle", "sign-off",
+				   "--bundle-version", number, "--digest",
+				   digest, "--by", "operator", NULL);
+	}
 	g_free(path);
 	g_free(number);
+	g_free(digest);
 	return !res;
 }
 
