--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -4,7 +4,7 @@
 
 #include "executor.h"
 #include "logline.h"
-#include "run.h"
+#include "outcome.h"
 #include "schema.h"
 #include "tunables.h"
 
@@ -15,7 +15,7 @@
 	struct admit *admit;
 	char name[NAME_BYTES];
 	GPtrArray *executors; /* struct executor *, owned */
-	GSequence *queue; /* struct run *, by deadline */
+	GSequence *queue; /* struct outcome *, by deadline */
 	uint32_t service_time_us;
 	struct timer expiry; /* of the next announcement */
 };
@@ -25,8 +25,8 @@
 	const struct admit_ops *ops;
 	void *ctx;
 	GPtrArray *services; /* struct admit_service *, owned */
-	struct run_table *runs;
-	GHashTable *calls; /* uint64_t * -> struct run *, by call_nr */
+	struct outcome_table *runs;
+	GHashTable *calls; /* uint64_t * -> struct outcome *, by call_nr */
 	uint64_t next_call_nr;
 	struct timer forget;
 	GArray *loads; /* struct load, filled by admit_loads() */
@@ -84,27 +84,27 @@
 }
 
 /* Sends what is known of a run to one entry. */
-static void admit_tell(const struct admit *admit, const struct run *run,
-		       const struct run_asker *asker)
+static void admit_tell(const struct admit *admit, const struct outcome *outcome,
+		       const struct outcome_asker *asker)
 {
-	struct response response = run->response;
+	struct response response = outcome->response;
 
 	response.origin_node = asker->node_id;
 	response.request_nr = asker->request_nr;
-	response.run = run->state;
-	if (run->state == RUN_DONE && !run->response_kept) {
+	response.run = outcome->state;
+	if (outcome->state == RUN_DONE && !outcome->response_kept) {
 		/* It ran, but its response has been dropped. */
 		response.run = RUN_UNKNOWN;
 		response.result = RESULT_OUTCOME_UNKNOWN;
 	}
-	if (run->service)
-		service_fill_load(run->service, &response.load);
+	if (outcome->service)
+		service_fill_load(outcome->service, &response.load);
 	node_send(admit->node, asker->node_id, MSG_RESPONSE, &response);
 }
 
 /* Answers for a number without a record. */
 static void admit_tell_missing(const struct admit *admit,
-			       const struct run_asker *asker,
+			       const struct outcome_asker *asker,
 			       enum run_state state, enum result result)
 {
 	struct response response = { 0 };
@@ -116,48 +116,48 @@
 	node_send(admit->node, asker->node_id, MSG_RESPONSE, &response);
 }
 
-static void admit_finish(struct admit *admit, struct run *run,
+static void admit_finish(struct admit *admit, struct outcome *outcome,
 			 enum run_state state, enum result result)
 {
-	timer_cancel(admit->node->timers, &run->timer);
-	run->state = state;
-	run->response.result = result;
-	run_table_finish(admit->runs, run, admit->node->now_us);
-	for (uint32_t i = 0; i < run->askers->len; i++)
-		admit_tell(admit, run,
-			   &g_array_index(run->askers, struct run_asker, i));
-	g_array_set_size(run->askers, 0);
+	timer_cancel(admit->node->timers, &outcome->timer);
+	outcome->state = state;
+	outcome->response.result = result;
+	outcome_table_finish(admit->runs, outcome, admit->node->now_us);
+	for (uint32_t i = 0; i < outcome->askers->len; i++)
+		admit_tell(admit, outcome,
+			   &g_array_index(outcome->askers, struct outcome_asker, i));
+	g_array_set_size(outcome->askers, 0);
 }
 
 /* Refuses a run for good: it leaves the queue and never begins. */
-static void admit_refuse(struct admit *admit, struct run *run,
+static void admit_refuse(struct admit *admit, struct outcome *outcome,
 			 enum result result)
 {
-	g_assert(run->state == RUN_QUEUED && !run->executor);
-	if (run->queue_place)
-		g_sequence_remove(run->queue_place);
-	run->queue_place = NULL;
+	g_assert(outcome->state == RUN_QUEUED && !outcome->executor);
+	if (outcome->queue_place)
+		g_sequence_remove(outcome->queue_place);
+	outcome->queue_place = NULL;
 	counter_add(admit->node->counters, "agent_refused", 1);
-	admit_finish(admit, run, RUN_NOT_RUN, result);
+	admit_finish(admit, outcome, RUN_NOT_RUN, result);
 }
 
-static void admit_start(struct admit *admit, struct run *run,
+static void admit_start(struct admit *admit, struct outcome *outcome,
 			struct executor *executor)
 {
 	uint64_t now_us = admit->node->now_us;
 
 	g_assert(executor_room(executor));
-	run->state = RUN_RUNNING;
-	run->executor = executor;
-	run->started_us = now_us;
-	run->call_nr = ++admit->next_call_nr;
-	run->response.wait_us =
-		(uint32_t)MIN(now_us - run->arrived_us, UINT32_MAX);
+	outcome->state = RUN_RUNNING;
+	outcome->executor = executor;
+	outcome->started_us = now_us;
+	outcome->call_nr = ++admit->next_call_nr;
+	outcome->response.wait_us =
+		(uint32_t)MIN(now_us - outcome->arrived_us, UINT32_MAX);
 	executor->in_flight++;
-	g_hash_table_insert(admit->calls, &run->call_nr, run);
+	g_hash_table_insert(admit->calls, &outcome->call_nr, outcome);
 	counter_add(admit->node->counters, "agent_started", 1);
-	admit->ops->upstream_call(admit->ctx, run->call_nr, executor->address,
-				  run->request);
+	admit->ops->upstream_call(admit->ctx, outcome->call_nr, executor->address,
+				  outcome->request);
 }
 
 /* Starts queued runs while upstreams have room. */
@@ -166,7 +166,7 @@
 	while (service_queued(service)) {
 		GSequenceIter *first =
 			g_sequence_get_begin_iter(service->queue);
-		struct run *run = g_sequence_get(first);
+		struct outcome *outcome = g_sequence_get(first);
 		struct executor *executor =
 			executors_roomiest(service->executors);
 		enum result result;
@@ -174,37 +174,37 @@
 		if (!executor && executors_any_open(service->executors))
 			break;
 		result = executor ? admit->ops->may_start(admit->ctx,
-							  run->repeatable) :
+							  outcome->repeatable) :
 				    RESULT_NO_UPSTREAM;
 		if (result) {
-			admit_refuse(admit, run, result);
+			admit_refuse(admit, outcome, result);
 			continue;
 		}
 		g_sequence_remove(first);
-		run->queue_place = NULL;
-		admit_start(admit, run, executor);
+		outcome->queue_place = NULL;
+		admit_start(admit, outcome, executor);
 	}
 }
 
 /* The deadline passed while queued, or the longest time to run. */
 static void admit_run_due(void *data, uint64_t now_us)
 {
-	struct run *run = data;
-	struct admit *admit = run->service->admit;
+	struct outcome *outcome = data;
+	struct admit *admit = outcome->service->admit;
 
 	(void)now_us;
-	if (run->state == RUN_QUEUED) {
-		admit_refuse(admit, run, RESULT_DEADLINE);
+	if (outcome->state == RUN_QUEUED) {
+		admit_refuse(admit, outcome, RESULT_DEADLINE);
 		return;
 	}
-	if (!run->repeatable && !run->overrun) {
+	if (!outcome->repeatable && !outcome->overrun) {
 		/* It can't be repeated, so its work isn't thrown away yet. */
-		run->overrun = true;
-		node_timer_ms(admit->node, &run->timer, ADMIT_OVERRUN_MS);
+		outcome->overrun = true;
+		node_timer_ms(admit->node, &outcome->timer, ADMIT_OVERRUN_MS);
 		return;
 	}
-	run->cancelled = RESULT_DEADLINE;
-	admit->ops->upstream_cancel(admit->ctx, run->call_nr);
+	outcome->cancelled = RESULT_DEADLINE;
+	admit->ops->upstream_cancel(admit->ctx, outcome->call_nr);
 }
 
 static void admit_service_expire(struct admit_service *service)
@@ -269,8 +269,8 @@
 
 static gint admit_by_deadline(gconstpointer a, gconstpointer b, gpointer data)
 {
-	const struct run *x = a;
-	const struct run *y = b;
+	const struct outcome *x = a;
+	const struct outcome *y = b;
 
 	(void)data;
 	if (x->deadline_us != y->deadline_us)
@@ -284,7 +284,7 @@
  * deadline. Only a busy service is judged: its estimate is fresh.
  */
 static bool admit_is_too_late(const struct admit_service *service,
-			      const struct run *run)
+			      const struct outcome *outcome)
 {
 	uint32_t slots = service_slots(service);
 	uint64_t wait_us;
@@ -292,22 +292,22 @@
 	if (!slots || executors_roomiest(service->executors))
 		return false;
 	wait_us = (uint64_t)service->service_time_us *
-		  (uint32_t)g_sequence_iter_get_position(run->queue_place) /
+		  (uint32_t)g_sequence_iter_get_position(outcome->queue_place) /
 		  slots;
-	return run->arrived_us + wait_us + service->service_time_us >
-	       run->deadline_us;
+	return outcome->arrived_us + wait_us + service->service_time_us >
+	       outcome->deadline_us;
 }
 
-/* Queues a run; a full queue gives up the one with the latest deadline. */
+/* Queues a outcome; a full queue gives up the one with the latest deadline. */
 static void admit_enqueue(struct admit *admit, struct admit_service *service,
-			  struct run *run)
+			  struct outcome *outcome)
 {
 	uint32_t max = service_slots(service) * ADMIT_QUEUE_PER_SLOT;
 
-	run->queue_place = g_sequence_insert_sorted(service->queue, run,
+	outcome->queue_place = g_sequence_insert_sorted(service->queue, outcome,
 						    admit_by_deadline, NULL);
-	if (admit_is_too_late(service, run)) {
-		admit_refuse(admit, run, RESULT_DEADLINE);
+	if (admit_is_too_late(service, outcome)) {
+		admit_refuse(admit, outcome, RESULT_DEADLINE);
 		return;
 	}
 	if (service_queued(service) > MAX(max, 1)) {
@@ -319,19 +319,19 @@
 	admit_pump(admit, service);
 }
 
-static struct run *admit_add_run(struct admit *admit, const struct run_id *id,
+static struct outcome *admit_add_run(struct admit *admit, const struct outcome_id *id,
 				 const struct request *request)
 {
 	const char *key = request->repeatable ? "" : request->key;
-	struct run *run = run_table_add(admit->runs, id, request->repeatable,
+	struct outcome *outcome = outcome_table_add(admit->runs, id, request->repeatable,
 					request->service, key);
 
-	run->request = schema_dup(MSG_REQUEST, request);
-	run->arrived_us = admit->node->now_us;
-	run->deadline_us = run->arrived_us + request->deadline_ms * 1000ull;
-	run->timer.fn = admit_run_due;
-	run->timer.data = run;
-	return run;
+	outcome->request = schema_dup(MSG_REQUEST, request);
+	outcome->arrived_us = admit->node->now_us;
+	outcome->deadline_us = outcome->arrived_us + request->deadline_ms * 1000ull;
+	outcome->timer.fn = admit_run_due;
+	outcome->timer.data = outcome;
+	return outcome;
 }
 
 static enum result admit_check(const struct admit *admit,
@@ -351,7 +351,7 @@
 {
 	struct admit *admit = data;
 
-	run_table_expire(admit->runs, now_us);
+	outcome_table_expire(admit->runs, now_us);
 	node_timer_ms(admit->node, &admit->forget, ADMIT_EXPIRE_MS);
 }
 
@@ -364,7 +364,7 @@
 	admit->ops = ops;
 	admit->ctx = ctx;
 	admit->services = g_ptr_array_new_with_free_func(admit_service_free);
-	admit->runs = run_table_new();
+	admit->runs = outcome_table_new();
 	admit->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 	admit->loads = g_array_new(FALSE, FALSE, sizeof(struct load));
 	admit->forget.fn = admit_forget_due;
@@ -379,7 +379,7 @@
 		return;
 	timer_cancel(admit->node->timers, &admit->forget);
 	g_hash_table_unref(admit->calls);
-	run_table_free(admit->runs);
+	outcome_table_free(admit->runs);
 	g_ptr_array_unref(admit->services);
 	g_array_unref(admit->loads);
 	g_free(admit);
@@ -425,124 +425,124 @@
 void admit_request(struct admit *admit, uint64_t from,
 		   const struct request *request)
 {
-	struct run_id id = { from, request->request_nr };
-	struct run_asker asker = { from, request->request_nr };
+	struct outcome_id id = { from, request->request_nr };
+	struct outcome_asker asker = { from, request->request_nr };
 	struct admit_service *service =
 		admit_find_service(admit, request->service);
 	const char *key = request->repeatable ? "" : request->key;
-	struct run *run = run_table_find(admit->runs, &id);
+	struct outcome *outcome = outcome_table_find(admit->runs, &id);
 	enum result result;
 
-	if (!run && run_table_may_have_forgotten(admit->runs, &id,
+	if (!outcome && outcome_table_may_have_forgotten(admit->runs, &id,
 						 request->repeatable)) {
 		admit_tell_missing(admit, &asker, RUN_UNKNOWN,
 				   RESULT_OUTCOME_UNKNOWN);
 		return;
 	}
-	if (!run) {
-		run = run_table_find_key(admit->runs, request->service, key);
+	if (!outcome) {
+		outcome = outcome_table_find_key(admit->runs, request->service, key);
 		/* A run proven not run leaves its key free. */
-		if (run && run->state == RUN_NOT_RUN)
-			run = NULL;
+		if (outcome && outcome->state == RUN_NOT_RUN)
+			outcome = NULL;
 	}
-	if (run) {
+	if (outcome) {
 		/* Its first arrival counts, or the refusal that came first. */
-		if (!run->finished_us)
-			run_add_asker(run, from, request->request_nr);
+		if (!outcome->finished_us)
+			outcome_add_asker(outcome, from, request->request_nr);
 		else
-			admit_tell(admit, run, &asker);
+			admit_tell(admit, outcome, &asker);
 		return;
 	}
 	result = admit_check(admit, service, request);
-	run = admit_add_run(admit, &id, request);
-	run->service = service;
-	run_add_asker(run, from, request->request_nr);
+	outcome = admit_add_run(admit, &id, request);
+	outcome->service = service;
+	outcome_add_asker(outcome, from, request->request_nr);
 	if (result) {
-		admit_refuse(admit, run, result);
+		admit_refuse(admit, outcome, result);
 		return;
 	}
-	timer_set(admit->node->timers, &run->timer, run->deadline_us);
-	admit_enqueue(admit, service, run);
+	timer_set(admit->node->timers, &outcome->timer, outcome->deadline_us);
+	admit_enqueue(admit, service, outcome);
 }
 
 void admit_cancel(struct admit *admit, uint64_t from, uint64_t request_nr)
 {
-	struct run_id id = { from, request_nr };
-	struct run *run = run_table_find(admit->runs, &id);
+	struct outcome_id id = { from, request_nr };
+	struct outcome *outcome = outcome_table_find(admit->runs, &id);
 
-	if (!run || run->finished_us)
+	if (!outcome || outcome->finished_us)
 		return;
-	if (run->state == RUN_QUEUED) {
-		admit_refuse(admit, run, RESULT_CANCELLED);
-	} else if (run->repeatable && !run->cancelled) {
-		run->cancelled = RESULT_CANCELLED;
-		admit->ops->upstream_cancel(admit->ctx, run->call_nr);
+	if (outcome->state == RUN_QUEUED) {
+		admit_refuse(admit, outcome, RESULT_CANCELLED);
+	} else if (outcome->repeatable && !outcome->cancelled) {
+		outcome->cancelled = RESULT_CANCELLED;
+		admit->ops->upstream_cancel(admit->ctx, outcome->call_nr);
 	}
 }
 
 void admit_query(struct admit *admit, uint64_t from,
 		 const struct outcome_query *query)
 {
-	struct run_id id = { query->origin_node, query->request_nr };
-	struct run_asker asker = { from, query->reply_nr };
+	struct outcome_id id = { query->origin_node, query->request_nr };
+	struct outcome_asker asker = { from, query->reply_nr };
 	const char *key = query->repeatable ? "" : query->key;
-	struct run *run = run_table_find(admit->runs, &id);
+	struct outcome *outcome = outcome_table_find(admit->runs, &id);
 
-	if (!run) {
-		run = run_table_find_key(admit->runs, query->service, key);
-		if (run && run->state == RUN_NOT_RUN)
-			run = NULL;
+	if (!outcome) {
+		outcome = outcome_table_find_key(admit->runs, query->service, key);
+		if (outcome && outcome->state == RUN_NOT_RUN)
+			outcome = NULL;
 	}
-	if (!run && (!query->refuse ||
-		     run_table_may_have_forgotten(admit->runs, &id,
+	if (!outcome && (!query->refuse ||
+		     outcome_table_may_have_forgotten(admit->runs, &id,
 						  query->repeatable))) {
 		admit_tell_missing(admit, &asker, RUN_UNKNOWN,
 				   RESULT_OUTCOME_UNKNOWN);
 		return;
 	}
-	if (!run) {
+	if (!outcome) {
 		/* The record makes the number's later arrival be refused. */
-		run = run_table_add(admit->runs, &id, query->repeatable,
+		outcome = outcome_table_add(admit->runs, &id, query->repeatable,
 				    query->service, "");
-		admit_finish(admit, run, RUN_NOT_RUN, RESULT_CANCELLED);
+		admit_finish(admit, outcome, RUN_NOT_RUN, RESULT_CANCELLED);
 	}
-	if (!run->finished_us)
-		run_add_asker(run, from, query->reply_nr);
-	admit_tell(admit, run, &asker);
+	if (!outcome->finished_us)
+		outcome_add_asker(outcome, from, query->reply_nr);
+	admit_tell(admit, outcome, &asker);
 }
 
 void admit_call_done(struct admit *admit, uint64_t call_nr,
 		     const struct upstream_result *result)
 {
-	struct run *run = g_hash_table_lookup(admit->calls, &call_nr);
+	struct outcome *outcome = g_hash_table_lookup(admit->calls, &call_nr);
 	struct executor *executor;
 	struct admit_service *service;
 
-	if (!run)
+	if (!outcome)
 		return;
 	g_hash_table_remove(admit->calls, &call_nr);
-	executor = run->executor;
-	service = run->service;
+	executor = outcome->executor;
+	service = outcome->service;
 	g_assert(executor->in_flight > 0);
 	executor->in_flight--;
-	run->executor = NULL;
+	outcome->executor = NULL;
 	if (!result->connected) {
 		executor->refused = true;
-		admit_finish(admit, run, RUN_NOT_RUN, RESULT_UPSTREAM_FAILED);
+		admit_finish(admit, outcome, RUN_NOT_RUN, RESULT_UPSTREAM_FAILED);
 	} else if (!result->complete) {
-		admit_finish(admit, run, RUN_UNKNOWN,
-			     run->cancelled ? run->cancelled :
+		admit_finish(admit, outcome, RUN_UNKNOWN,
+			     outcome->cancelled ? outcome->cancelled :
 					      RESULT_UPSTREAM_FAILED);
 	} else {
-		uint64_t run_us = admit->node->now_us - run->started_us;
+		uint64_t run_us = admit->node->now_us - outcome->started_us;
 
-		run->response.run_us = (uint32_t)MIN(run_us, UINT32_MAX);
-		run->response.status = result->status;
-		TEXT_SET(run->response.content_type, result->content_type);
+		outcome->response.run_us = (uint32_t)MIN(run_us, UINT32_MAX);
+		outcome->response.status = result->status;
+		TEXT_SET(outcome->response.content_type, result->content_type);
 		if (result->body)
-			run->response.body = g_bytes_ref(result->body);
-		service_learn_run(service, run->response.run_us);
-		admit_finish(admit, run, RUN_DONE, RESULT_OK);
+			outcome->response.body = g_bytes_ref(result->body);
+		service_learn_run(service, outcome->response.run_us);
+		admit_finish(admit, outcome, RUN_DONE, RESULT_OK);
 	}
 	executors_expire(service->executors, admit->node->now_us);
 	admit_pump(admit, service);
@@ -557,7 +557,7 @@
 
 bool admit_idle(const struct admit *admit)
 {
-	return run_table_nr_active(admit->runs) == 0;
+	return outcome_table_nr_active(admit->runs) == 0;
 }
 
 void admit_loads(struct admit *admit, struct load_report *report)
--- a/src/core/run.h
+++ b/src/core/outcome.h
@@ -1,9 +1,9 @@
-#ifndef RUN_H
-#define RUN_H
+#ifndef OUTCOME_H
+#define OUTCOME_H
 
 /**
- * @file run.h
- * What became of each request at one agent. A record outlives its run, so that
+ * @file outcome.h
+ * What became of each request at one agent. A record outlives its outcome, so that
  * an entry can ask for the outcome and a request never runs a second time.
  */
 
@@ -19,23 +19,23 @@
 struct executor;
 
 /** An entry that waits for the outcome, and the number it expects. */
-struct run_asker {
+struct outcome_asker {
 	uint64_t node_id;
 	uint64_t request_nr;
 };
 
-struct run_id {
+struct outcome_id {
 	uint64_t origin_node;
 	uint64_t request_nr;
 };
 
 /** One request that arrived here, or that was refused before it could. */
-struct run {
-	struct run_id id;
+struct outcome {
+	struct outcome_id id;
 	bool repeatable;
 	char *key; /* service and Idempotency-Key, NULL without one */
 	enum run_state state;
-	GArray *askers; /* struct run_asker */
+	GArray *askers; /* struct outcome_asker */
 	struct response response; /* once finished */
 	bool response_kept;
 	uint64_t finished_us; /* 0 while queued or running */
@@ -56,39 +56,39 @@
 	struct timer timer;
 };
 
-struct run_table;
+struct outcome_table;
 
-struct run_table *run_table_new(void);
-void run_table_free(struct run_table *table);
+struct outcome_table *outcome_table_new(void);
+void outcome_table_free(struct outcome_table *table);
 
-/** Adds a queued run; its number must be new. @a key may be "". */
-struct run *run_table_add(struct run_table *table, const struct run_id *id,
+/** Adds a queued outcome; its number must be new. @a key may be "". */
+struct outcome *outcome_table_add(struct outcome_table *table, const struct outcome_id *id,
 			  bool repeatable, const char *service,
 			  const char *key);
-struct run *run_table_find(const struct run_table *table,
-			   const struct run_id *id);
+struct outcome *outcome_table_find(const struct outcome_table *table,
+			   const struct outcome_id *id);
 /** Returns the last run that was added under the key, NULL if none. */
-struct run *run_table_find_key(const struct run_table *table,
+struct outcome *outcome_table_find_key(const struct outcome_table *table,
 			       const char *service, const char *key);
 
 /**
  * Returns true if a record of that number may have been dropped, so that
  * finding none doesn't prove that the request never arrived.
  */
-bool run_table_may_have_forgotten(const struct run_table *table,
-				  const struct run_id *id, bool repeatable);
+bool outcome_table_may_have_forgotten(const struct outcome_table *table,
+				  const struct outcome_id *id, bool repeatable);
 
 /** Counts the run as finished; its state and response are final. */
-void run_table_finish(struct run_table *table, struct run *run,
+void outcome_table_finish(struct outcome_table *table, struct outcome *outcome,
 		      uint64_t now_us);
 
 /** Drops old responses and records. */
-void run_table_expire(struct run_table *table, uint64_t now_us);
+void outcome_table_expire(struct outcome_table *table, uint64_t now_us);
 
 /** Returns the number of runs that are queued or running. */
-uint32_t run_table_nr_active(const struct run_table *table);
+uint32_t outcome_table_nr_active(const struct outcome_table *table);
 
 /** Adds an asker unless it is there already. */
-void run_add_asker(struct run *run, uint64_t node_id, uint64_t request_nr);
+void outcome_add_asker(struct outcome *outcome, uint64_t node_id, uint64_t request_nr);
 
-#endif /* RUN_H */
+#endif /* OUTCOME_H */
--- a/tests/bed.c
+++ b/tests/reqbed.c
@@ -1,4 +1,4 @@
-#include "bed.h"
+#include "reqbed.h"
 
 #include <string.h>
 
--- a/tests/bed.h
+++ b/tests/reqbed.h
@@ -1,8 +1,8 @@
-#ifndef BED_H
-#define BED_H
+#ifndef REQBED_H
+#define REQBED_H
 
 /**
- * @file bed.h
+ * @file reqbed.h
  * Entries, agents and simulated upstreams in one process under virtual time,
  * with a stand-in for control that keeps claims. It counts what ran, so that a
  * test can compare it with what callers were told.
@@ -103,4 +103,4 @@
 /** Returns the sum of a counter over all running entries. */
 uint64_t bed_entry_counter(const struct bed *bed, const char *name);
 
-#endif /* BED_H */
+#endif /* REQBED_H */
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -5,7 +5,7 @@
 
 #include <stdio.h>
 
-#include "bed.h"
+#include "reqbed.h"
 #include "suite.h"
 
 /* Checks that a caller got the whole response to its own request, once. */
