Claim requests that must run once, and test answers against runs

A resend of a request that isn't repeatable could run a second time. The entry now commits a claim before it dispatches, asks the claim's agent when it finds one, moves the claim after a proven "not run", and records the response when it comes. A caller who gives up leaves the claim's outcome to be recorded.

An agent whose zone is out refused everything and so looked idle and attracted requests; it now reports itself as leaving. One without a permit gets only repeatable requests for half a second.

--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -55,12 +55,16 @@
 static void service_fill_load(const struct admit_service *service,
 			      struct load *load)
 {
+	const struct admit *admit = service->admit;
+
 	memset(load, 0, sizeof(*load));
 	TEXT_SET(load->service, service->name);
 	load->queued = service_queued(service);
 	load->service_time_us = service->service_time_us;
-	load->leaving = service->admit->leaving ||
-			!executors_any_open(service->executors);
+	/* An agent that refuses all requests would else attract them. */
+	load->leaving = admit->leaving ||
+			!executors_any_open(service->executors) ||
+			admit->ops->may_start(admit->ctx, true);
 	for (uint32_t i = 0; i < service->executors->len; i++) {
 		const struct executor *executor =
 			g_ptr_array_index(service->executors, i);
@@ -125,7 +129,8 @@
 	outcome_table_finish(admit->runs, outcome, admit->node->now_us);
 	for (uint32_t i = 0; i < outcome->askers->len; i++)
 		admit_tell(admit, outcome,
-			   &g_array_index(outcome->askers, struct outcome_asker, i));
+			   &g_array_index(outcome->askers, struct outcome_asker,
+					  i));
 	g_array_set_size(outcome->askers, 0);
 }
 
@@ -156,8 +161,8 @@
 	executor->in_flight++;
 	g_hash_table_insert(admit->calls, &outcome->call_nr, outcome);
 	counter_add(admit->node->counters, "agent_started", 1);
-	admit->ops->upstream_call(admit->ctx, outcome->call_nr, executor->address,
-				  outcome->request);
+	admit->ops->upstream_call(admit->ctx, outcome->call_nr,
+				  executor->address, outcome->request);
 }
 
 /* Starts queued runs while upstreams have room. */
@@ -304,8 +309,8 @@
 {
 	uint32_t max = service_slots(service) * ADMIT_QUEUE_PER_SLOT;
 
-	outcome->queue_place = g_sequence_insert_sorted(service->queue, outcome,
-						    admit_by_deadline, NULL);
+	outcome->queue_place = g_sequence_insert_sorted(
+		service->queue, outcome, admit_by_deadline, NULL);
 	if (admit_is_too_late(service, outcome)) {
 		admit_refuse(admit, outcome, RESULT_DEADLINE);
 		return;
@@ -319,16 +324,18 @@
 	admit_pump(admit, service);
 }
 
-static struct outcome *admit_add_run(struct admit *admit, const struct outcome_id *id,
-				 const struct request *request)
+static struct outcome *admit_add_run(struct admit *admit,
+				     const struct outcome_id *id,
+				     const struct request *request)
 {
 	const char *key = request->repeatable ? "" : request->key;
-	struct outcome *outcome = outcome_table_add(admit->runs, id, request->repeatable,
-					request->service, key);
+	struct outcome *outcome = outcome_table_add(
+		admit->runs, id, request->repeatable, request->service, key);
 
 	outcome->request = schema_dup(MSG_REQUEST, request);
 	outcome->arrived_us = admit->node->now_us;
-	outcome->deadline_us = outcome->arrived_us + request->deadline_ms * 1000ull;
+	outcome->deadline_us =
+		outcome->arrived_us + request->deadline_ms * 1000ull;
 	outcome->timer.fn = admit_run_due;
 	outcome->timer.data = outcome;
 	return outcome;
@@ -434,13 +441,14 @@
 	enum result result;
 
 	if (!outcome && outcome_table_may_have_forgotten(admit->runs, &id,
-						 request->repeatable)) {
+							 request->repeatable)) {
 		admit_tell_missing(admit, &asker, RUN_UNKNOWN,
 				   RESULT_OUTCOME_UNKNOWN);
 		return;
 	}
 	if (!outcome) {
-		outcome = outcome_table_find_key(admit->runs, request->service, key);
+		outcome = outcome_table_find_key(admit->runs, request->service,
+						 key);
 		/* A run proven not run leaves its key free. */
 		if (outcome && outcome->state == RUN_NOT_RUN)
 			outcome = NULL;
@@ -489,13 +497,14 @@
 	struct outcome *outcome = outcome_table_find(admit->runs, &id);
 
 	if (!outcome) {
-		outcome = outcome_table_find_key(admit->runs, query->service, key);
+		outcome = outcome_table_find_key(admit->runs, query->service,
+						 key);
 		if (outcome && outcome->state == RUN_NOT_RUN)
 			outcome = NULL;
 	}
 	if (!outcome && (!query->refuse ||
-		     outcome_table_may_have_forgotten(admit->runs, &id,
-						  query->repeatable))) {
+			 outcome_table_may_have_forgotten(admit->runs, &id,
+							  query->repeatable))) {
 		admit_tell_missing(admit, &asker, RUN_UNKNOWN,
 				   RESULT_OUTCOME_UNKNOWN);
 		return;
@@ -503,7 +512,7 @@
 	if (!outcome) {
 		/* The record makes the number's later arrival be refused. */
 		outcome = outcome_table_add(admit->runs, &id, query->repeatable,
-				    query->service, "");
+					    query->service, "");
 		admit_finish(admit, outcome, RUN_NOT_RUN, RESULT_CANCELLED);
 	}
 	if (!outcome->finished_us)
@@ -528,11 +537,12 @@
 	outcome->executor = NULL;
 	if (!result->connected) {
 		executor->refused = true;
-		admit_finish(admit, outcome, RUN_NOT_RUN, RESULT_UPSTREAM_FAILED);
+		admit_finish(admit, outcome, RUN_NOT_RUN,
+			     RESULT_UPSTREAM_FAILED);
 	} else if (!result->complete) {
 		admit_finish(admit, outcome, RUN_UNKNOWN,
 			     outcome->cancelled ? outcome->cancelled :
-					      RESULT_UPSTREAM_FAILED);
+						  RESULT_UPSTREAM_FAILED);
 	} else {
 		uint64_t run_us = admit->node->now_us - outcome->started_us;
 
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -51,7 +51,9 @@
 		return RESULT_NO_BUNDLE;
 	if (bytes > BODY_MAX_BYTES)
 		return RESULT_TOO_LARGE;
-	if (g_hash_table_size(entry->flights) >= ENTRY_IN_FLIGHT_MAX ||
+	if (g_hash_table_size(entry->flights) +
+			    g_hash_table_size(entry->lingering) >=
+		    ENTRY_IN_FLIGHT_MAX ||
 	    entry->bytes + bytes > ENTRY_IN_FLIGHT_MAX_BYTES)
 		return RESULT_OVERLOADED;
 	if (!entry_find_service(entry, request->service))
@@ -86,6 +88,16 @@
 	flight_response(attempt, response);
 }
 
+static void entry_take_claim(struct entry *entry,
+			     const struct claim_reply *reply)
+{
+	struct flight *flight =
+		g_hash_table_lookup(entry->claims, &reply->ticket);
+
+	if (flight)
+		flight_claim_reply(flight, reply);
+}
+
 /* Calls fn for every open attempt at the agent; fn may end attempts. */
 static void entry_each_attempt(struct entry *entry, uint64_t agent_node,
 			       void (*fn)(struct attempt *attempt))
@@ -151,9 +163,24 @@
 	entry->policy = route_find(bundle->route_policy);
 }
 
+/* What was asked of the old leader may be lost; the new one knows. */
+static void entry_leader_changed(void *ctx, uint64_t node_id)
+{
+	struct entry *entry = ctx;
+	GHashTableIter iter;
+	void *value;
+
+	if (!node_id)
+		return;
+	g_hash_table_iter_init(&iter, entry->claims);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		flight_claim_repeat(value);
+}
+
 static const struct site_ops entry_site_ops = {
 	.bundle_changed = entry_bundle_changed,
 	.agent_changed = entry_agent_changed,
+	.leader_changed = entry_leader_changed,
 };
 
 static void entry_start(void *role)
@@ -202,6 +229,9 @@
 	case MSG_RESPONSE:
 		entry_take_response(entry, from, body);
 		break;
+	case MSG_CLAIM_REPLY:
+		entry_take_claim(entry, body);
+		break;
 	case MSG_LOAD:
 		for (uint32_t i = 0; i < report->nr_loads; i++)
 			entry_take_load(entry, from, &report->loads[i]);
@@ -215,7 +245,8 @@
 {
 	const struct entry *entry = role;
 
-	return g_hash_table_size(entry->flights) == 0;
+	return g_hash_table_size(entry->flights) == 0 &&
+	       g_hash_table_size(entry->lingering) == 0;
 }
 
 static void entry_free(void *role)
@@ -223,7 +254,9 @@
 	struct entry *entry = role;
 
 	g_hash_table_unref(entry->flights);
+	g_hash_table_unref(entry->lingering);
 	g_hash_table_unref(entry->attempts);
+	g_hash_table_unref(entry->claims);
 	g_hash_table_unref(entry->agents);
 	g_ptr_array_unref(entry->services);
 	site_free(entry->site);
@@ -259,7 +292,9 @@
 					      g_free, g_free);
 	entry->flights = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, flight_free);
+	entry->lingering = g_hash_table_new_full(NULL, NULL, flight_free, NULL);
 	entry->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
+	entry->claims = g_hash_table_new(g_int64_hash, g_int64_equal);
 	entry->site = site_new(node, &site_opts);
 	node_set_role(node, &entry_role_ops, entry);
 	return entry;
@@ -289,10 +324,8 @@
 {
 	struct flight *flight = g_hash_table_lookup(entry->flights, &ticket);
 
-	if (!flight)
-		return;
-	flight_end(flight);
-	counter_add(entry->node->counters, "entry_abandoned", 1);
+	if (flight)
+		flight_abandon(flight);
 }
 
 bool entry_ready(const struct entry *entry)
--- a/src/core/entry_attempt.c
+++ b/src/core/entry_attempt.c
@@ -32,10 +32,11 @@
 }
 
 /* Returns true if the upstream may get work now, and fills @a out. */
-static bool attempt_candidate(const struct entry *entry,
+static bool attempt_candidate(const struct flight *flight,
 			      struct upstream *upstream, uint32_t usual_us,
 			      struct route_candidate *out)
 {
+	const struct entry *entry = flight->entry;
 	uint64_t now_us = entry->node->now_us;
 	const struct link *link = node_link(entry->node, upstream->agent_node);
 
@@ -45,6 +46,9 @@
 	    upstream_is_ejected(upstream, now_us) ||
 	    site_zone_is_out(entry->site, link->peer.zone))
 		return false;
+	if (!flight->request->repeatable &&
+	    now_us < upstream->no_permit_until_us)
+		return false;
 	out->upstream = upstream;
 	out->delay_us = link->delay_us + link->delay_var_us;
 	out->loss_ppm =
@@ -73,8 +77,7 @@
 
 		if (!tried && flight_has_tried(flight, upstream->agent_node))
 			continue;
-		if (!attempt_candidate(flight->entry, upstream, usual_us,
-				       &candidate))
+		if (!attempt_candidate(flight, upstream, usual_us, &candidate))
 			continue;
 		if (candidate.full)
 			(*nr_full)++;
@@ -151,6 +154,39 @@
 	flight_retry(flight, RESULT_OUTCOME_UNKNOWN);
 }
 
+static struct attempt *attempt_new(struct flight *flight, uint64_t agent_node,
+				   uint64_t request_nr)
+{
+	struct attempt *attempt = g_new0(struct attempt, 1);
+	struct node *node = flight->entry->node;
+
+	attempt->flight = flight;
+	attempt->request_nr = request_nr;
+	attempt->agent_node = agent_node;
+	attempt->sent_us = node->now_us;
+	attempt->origin_node = node->self.node_id;
+	attempt->origin_nr = request_nr;
+	attempt->lost.fn = attempt_lost_due;
+	attempt->lost.data = attempt;
+	g_ptr_array_add(flight->attempts, attempt);
+	g_hash_table_insert(flight->entry->attempts, &attempt->request_nr,
+			    attempt);
+	return attempt;
+}
+
+static bool attempt_agent_is_up(const struct flight *flight,
+				uint64_t agent_node)
+{
+	const struct link *link = node_link(flight->entry->node, agent_node);
+
+	return link && link->up;
+}
+
+uint64_t entry_next_nr(struct entry *entry)
+{
+	return ++entry->next_request_nr;
+}
+
 enum result attempt_pick(struct flight *flight, const char *reason,
 			 struct route_candidate *chosen)
 {
@@ -184,33 +220,33 @@
 	return result;
 }
 
-void attempt_send(struct flight *flight, uint64_t agent_node)
+bool attempt_may_send(const struct flight *flight, uint64_t agent_node)
 {
-	struct entry *entry = flight->entry;
-	struct node *node = entry->node;
+	struct upstream *upstream = service_find(flight->service, agent_node);
+	struct route_candidate candidate = { 0 };
+
+	return upstream && attempt_candidate(flight, upstream, 0, &candidate);
+}
+
+void attempt_send(struct flight *flight, uint64_t agent_node,
+		  uint64_t request_nr)
+{
+	struct node *node = flight->entry->node;
 	const struct link *link = node_link(node, agent_node);
-	struct attempt *attempt = g_new0(struct attempt, 1);
-	struct upstream *upstream;
+	struct attempt *attempt = attempt_new(flight, agent_node, request_nr);
+	struct upstream *upstream = attempt_upstream(attempt);
 	struct request request = *flight->request;
 	uint64_t left_us = flight_left_us(flight);
 	uint64_t back_us = link ? 2ull * link->delay_us : 0;
 
-	attempt->flight = flight;
-	attempt->request_nr = ++entry->next_request_nr;
-	attempt->agent_node = agent_node;
-	attempt->sent_us = node->now_us;
-	attempt->lost.fn = attempt_lost_due;
-	attempt->lost.data = attempt;
-	g_ptr_array_add(flight->attempts, attempt);
 	g_array_append_val(flight->tried, agent_node);
-	g_hash_table_insert(entry->attempts, &attempt->request_nr, attempt);
-	upstream = attempt_upstream(attempt);
-	if (upstream)
+	if (upstream) {
 		upstream_sent(upstream, node->now_us);
+		attempt->counted = true;
+	}
 	if (!flight->nr_sent++)
 		flight->first_sent_us = node->now_us;
-
-	request.request_nr = attempt->request_nr;
+	request.request_nr = request_nr;
 	request.target_node = agent_node;
 	request.attempt = flight->nr_sent;
 	/* The agent's refusal has to be back before the deadline. */
@@ -219,6 +255,20 @@
 	node_send(node, agent_node, MSG_REQUEST, &request);
 }
 
+void attempt_query(struct flight *flight, const struct claim_record *claim)
+{
+	struct attempt *attempt = attempt_new(flight, claim->agent_node,
+					      entry_next_nr(flight->entry));
+
+	attempt->origin_node = claim->entry_node;
+	attempt->origin_nr = claim->request_nr;
+	attempt->asked = true;
+	if (attempt_agent_is_up(flight, claim->agent_node))
+		attempt_ask(attempt);
+	else
+		attempt_peer_lost(attempt);
+}
+
 void attempt_end(struct attempt *attempt, enum upstream_end end,
 		 const struct response *response)
 {
@@ -241,8 +291,7 @@
 	}
 	if (link)
 		sample.path_usual_us = 2 * link->delay_us;
-	/* An upstream that was removed and came back doesn't know of it. */
-	if (upstream && upstream->own_open) {
+	if (upstream && attempt->counted) {
 		upstream_ended(upstream, &sample, now_us);
 		if (service_check_health(flight->service, upstream, now_us)) {
 			GString *line = logline_new("eject");
@@ -261,13 +310,14 @@
 	g_ptr_array_remove(flight->attempts, attempt);
 }
 
-void attempt_cancel(struct attempt *attempt)
+void attempt_send_cancel(const struct attempt *attempt)
 {
 	struct cancel cancel = { .request_nr = attempt->request_nr };
 
-	node_send(attempt->flight->entry->node, attempt->agent_node, MSG_CANCEL,
-		  &cancel);
-	attempt_end(attempt, UPSTREAM_END_NEUTRAL, NULL);
+	/* What another entry sent is not this caller's to cancel. */
+	if (attempt->origin_nr == attempt->request_nr)
+		node_send(attempt->flight->entry->node, attempt->agent_node,
+			  MSG_CANCEL, &cancel);
 }
 
 void attempt_ask(struct attempt *attempt)
@@ -276,8 +326,8 @@
 	struct node *node = flight->entry->node;
 	struct outcome_query query = { 0 };
 
-	query.origin_node = node->self.node_id;
-	query.request_nr = attempt->request_nr;
+	query.origin_node = attempt->origin_node;
+	query.request_nr = attempt->origin_nr;
 	query.reply_nr = attempt->request_nr;
 	TEXT_SET(query.service, flight->service->name);
 	TEXT_SET(query.key, flight->request->key);
@@ -293,7 +343,11 @@
 	struct flight *flight = attempt->flight;
 
 	if (!flight->request->repeatable) {
-		/* The agent may only have lost its connection. */
+		/*
+		 * The agent may only have lost its connection. Its upstream is
+		 * removed with the link, and the count of attempts with it.
+		 */
+		attempt->counted = false;
 		node_timer_ms(flight->entry->node, &attempt->lost,
 			      PEER_RETURN_MS);
 		return;
--- a/src/core/entry_flight.c
+++ b/src/core/entry_flight.c
@@ -15,7 +15,46 @@
 	(void)now_us;
 	if (flight->attempts->len)
 		flight->may_have_run = true;
-	flight_fail(flight, RESULT_DEADLINE);
+	flight_fail(flight, flight->claim.step == CLAIM_STEP_ASKED ?
+				    RESULT_NO_QUORUM :
+				    RESULT_DEADLINE);
+}
+
+/* Ends an answered flight, or one that nobody waits for. */
+static void flight_end(struct flight *flight)
+{
+	struct entry *entry = flight->entry;
+	uint64_t ticket = flight->ticket;
+
+	while (flight->attempts->len) {
+		struct attempt *attempt =
+			g_ptr_array_index(flight->attempts, 0);
+
+		attempt_send_cancel(attempt);
+		attempt_end(attempt, UPSTREAM_END_NEUTRAL, NULL);
+	}
+	if (flight->answered)
+		g_hash_table_remove(entry->lingering, flight);
+	else
+		g_hash_table_remove(entry->flights, &ticket);
+}
+
+/*
+ * Keeps a flight without its caller, so that the response of a claimed request
+ * is recorded for a resend. Returns false if there is nothing to wait for.
+ */
+static bool flight_linger(struct flight *flight)
+{
+	struct entry *entry = flight->entry;
+
+	if (flight->answered || !flight_needs_claim(flight) ||
+	    !flight->attempts->len)
+		return false;
+	flight->answered = true;
+	g_hash_table_steal(entry->flights, &flight->ticket);
+	g_hash_table_add(entry->lingering, flight);
+	node_timer_ms(entry->node, &flight->deadline, FLIGHT_LINGER_MS);
+	return true;
 }
 
 /* Sends a second attempt while the first one is slow. */
@@ -30,7 +69,8 @@
 	if (attempt_pick(flight, "hedge", &chosen))
 		return;
 	counter_add(flight->entry->node->counters, "entry_hedges", 1);
-	attempt_send(flight, chosen.upstream->agent_node);
+	attempt_send(flight, chosen.upstream->agent_node,
+		     entry_next_nr(flight->entry));
 }
 
 static void flight_arm_hedge(struct flight *flight)
@@ -87,6 +127,7 @@
 	}
 	timer_cancel(timers, &flight->deadline);
 	timer_cancel(timers, &flight->hedge);
+	flight_claim_clear(flight);
 	entry->bytes -= request_bytes(flight->request);
 	g_ptr_array_unref(flight->attempts);
 	g_array_unref(flight->tried);
@@ -94,27 +135,23 @@
 	g_free(flight);
 }
 
-void flight_end(struct flight *flight)
-{
-	uint64_t ticket = flight->ticket;
-
-	while (flight->attempts->len)
-		attempt_cancel(g_ptr_array_index(flight->attempts, 0));
-	g_hash_table_remove(flight->entry->flights, &ticket);
-}
-
 void flight_answer(struct flight *flight, const struct response *response)
 {
 	struct entry *entry = flight->entry;
 	uint64_t ticket = flight->ticket;
+	bool answered = flight->answered;
 	const char *counter = "entry_unknown";
 
+	/* A run that may still end leaves its response to be recorded. */
+	if (response->run != RUN_UNKNOWN || !flight_linger(flight))
+		flight_end(flight);
+	if (answered)
+		return;
 	if (response->run == RUN_DONE)
 		counter = "entry_done";
 	else if (response->run == RUN_NOT_RUN)
 		counter = "entry_not_run";
 	counter_add(entry->node->counters, counter, 1);
-	flight_end(flight);
 	entry->host->respond(entry->host_ctx, ticket, response);
 }
 
@@ -127,6 +164,17 @@
 	flight_answer(flight, &response);
 }
 
+void flight_abandon(struct flight *flight)
+{
+	counter_add(flight->entry->node->counters, "entry_abandoned", 1);
+	if (!flight_linger(flight)) {
+		flight_end(flight);
+		return;
+	}
+	for (uint32_t i = 0; i < flight->attempts->len; i++)
+		attempt_send_cancel(g_ptr_array_index(flight->attempts, i));
+}
+
 void flight_dispatch(struct flight *flight, const char *reason)
 {
 	struct route_candidate chosen;
@@ -136,9 +184,14 @@
 		flight_fail(flight, result);
 		return;
 	}
+	if (flight_needs_claim(flight)) {
+		flight_claim_ask(flight, chosen.upstream->agent_node);
+		return;
+	}
 	if (!flight->nr_sent)
 		flight_arm_hedge(flight);
-	attempt_send(flight, chosen.upstream->agent_node);
+	attempt_send(flight, chosen.upstream->agent_node,
+		     entry_next_nr(flight->entry));
 }
 
 void flight_retry(struct flight *flight, enum result result)
@@ -147,10 +200,11 @@
 
 	if (flight->attempts->len)
 		return;
-	if ((flight->may_have_run && !flight->request->repeatable) ||
+	if (flight->answered ||
+	    (flight->may_have_run && !flight->request->repeatable) ||
 	    flight->nr_sent >= REQUEST_ATTEMPTS_MAX ||
 	    flight->deadline_us <= flight->entry->node->now_us ||
-	    !budget_spend(&service->retries)) {
+	    (flight->nr_sent && !budget_spend(&service->retries))) {
 		flight_fail(flight, result);
 		return;
 	}
@@ -167,6 +221,8 @@
 		return UPSTREAM_END_BUSY;
 	case RESULT_UPSTREAM_FAILED:
 		return UPSTREAM_END_NO_CONNECTION;
+	case RESULT_NO_PERMIT:
+		return UPSTREAM_END_NO_PERMIT;
 	default:
 		return UPSTREAM_END_NEUTRAL;
 	}
@@ -179,6 +235,8 @@
 
 	switch (response->run) {
 	case RUN_DONE:
+		if (flight_needs_claim(flight))
+			flight_claim_done(flight, response);
 		attempt_end(attempt,
 			    response->status >= 500 ? UPSTREAM_END_FAILED :
 						      UPSTREAM_END_OK,
@@ -189,6 +247,8 @@
 		break;
 	case RUN_NOT_RUN:
 		attempt_end(attempt, end_of_refusal(response->result), NULL);
+		if (flight_needs_claim(flight))
+			flight->may_have_run = false;
 		flight_retry(flight, response->result);
 		break;
 	case RUN_QUEUED:
--- a/src/core/entry_flight.h
+++ b/src/core/entry_flight.h
@@ -22,11 +22,27 @@
 	GPtrArray *services; /* struct service *, owned */
 	GHashTable *agents; /* uint64_t * -> char *, addresses dialled */
 	GHashTable *flights; /* uint64_t * -> struct flight *, by ticket */
+	GHashTable *lingering; /* struct flight *, answered but not over */
 	GHashTable *attempts; /* uint64_t * -> struct attempt *, by number */
+	GHashTable *claims; /* uint64_t * -> struct flight *, by number */
 	uint64_t next_request_nr;
 	uint64_t bytes; /* of the bodies in flight */
 };
 
+enum claim_step {
+	CLAIM_STEP_NONE, /* no claim is needed, or not yet */
+	CLAIM_STEP_ASKED, /* control hasn't replied */
+	CLAIM_STEP_KNOWN, /* the record says who runs the request */
+};
+
+/** The claim of a request that isn't repeatable but has a key. */
+struct flight_claim {
+	enum claim_step step;
+	uint32_t nr_asked; /* claims asked for, without repeats */
+	struct claim_record record; /* asked for, or as control has it */
+	struct timer repeat; /* asks again: the reply may have been lost */
+};
+
 /** One caller's request until it is answered. */
 struct flight {
 	struct entry *entry;
@@ -42,6 +58,8 @@
 	GArray *tried; /* uint64_t, node_ids of agents it was sent to */
 	uint32_t nr_sent;
 	bool may_have_run; /* an attempt ended without proof */
+	bool answered; /* only waits for an outcome to record */
+	struct flight_claim claim;
 };
 
 /** One dispatch of a request to an agent. */
@@ -50,6 +68,9 @@
 	uint64_t request_nr;
 	uint64_t agent_node;
 	uint64_t sent_us;
+	uint64_t origin_node; /* whose request it is: this entry's, or */
+	uint64_t origin_nr; /* that of the claim's holder, only asked about */
+	bool counted; /* among the upstream's open attempts */
 	bool asked; /* its outcome was queried, so its times tell nothing */
 	struct timer lost; /* runs while the agent is away */
 };
@@ -60,15 +81,16 @@
 			  uint64_t ticket, const struct request *request);
 /** Frees the flight without a word to its agents. */
 void flight_free(void *flight);
-/** Cancels the open attempts and frees the flight, unanswered. */
-void flight_end(struct flight *flight);
 
-/** Answers the caller and frees the flight. */
+/** Answers the caller, cancels what is still open and frees the flight. */
 void flight_answer(struct flight *flight, const struct response *response);
 
 /** Answers without a response; "not run" only if no attempt may have run. */
 void flight_fail(struct flight *flight, enum result result);
 
+/** The caller doesn't wait any more. */
+void flight_abandon(struct flight *flight);
+
 /** Sends the flight to an upstream, or fails it if there is none. */
 void flight_dispatch(struct flight *flight, const char *reason);
 
@@ -83,6 +105,9 @@
 
 /* ---- entry_attempt.c ---- */
 
+/** Returns the number of the next request of this entry. */
+uint64_t entry_next_nr(struct entry *entry);
+
 /**
  * Picks an upstream for the flight. Returns RESULT_OK and fills @a chosen, or
  * the reason why none can take it. Writes the line of the decision.
@@ -90,15 +115,22 @@
 enum result attempt_pick(struct flight *flight, const char *reason,
 			 struct route_candidate *chosen);
 
-/** Sends the flight's request to an agent. */
-void attempt_send(struct flight *flight, uint64_t agent_node);
+/** Returns true if the agent may get new work of the flight's service. */
+bool attempt_may_send(const struct flight *flight, uint64_t agent_node);
+
+/** Sends the flight's request to an agent under a new number. */
+void attempt_send(struct flight *flight, uint64_t agent_node,
+		  uint64_t request_nr);
+
+/** Asks an agent what became of another dispatch of the same request. */
+void attempt_query(struct flight *flight, const struct claim_record *claim);
 
 /** Closes an attempt and tells the upstream's health how it ended. */
 void attempt_end(struct attempt *attempt, enum upstream_end end,
 		 const struct response *response);
 
-/** Gives up on an attempt; its agent drops it where that is allowed. */
-void attempt_cancel(struct attempt *attempt);
+/** Asks the agent to drop an attempt; its answer is still awaited. */
+void attempt_send_cancel(const struct attempt *attempt);
 
 /** Asks the agent what became of the attempt. */
 void attempt_ask(struct attempt *attempt);
@@ -106,4 +138,24 @@
 /** The agent's connection was lost; an answer may come after it is back. */
 void attempt_peer_lost(struct attempt *attempt);
 
+/* ---- entry_claim.c ---- */
+
+/** Returns true if the request may be dispatched only under a claim. */
+bool flight_needs_claim(const struct flight *flight);
+
+/** Asks control for the claim with @a agent_node as the chosen agent. */
+void flight_claim_ask(struct flight *flight, uint64_t agent_node);
+
+/** Takes control's reply. */
+void flight_claim_reply(struct flight *flight, const struct claim_reply *reply);
+
+/** Asks again, after the leader changed or a reply was lost. */
+void flight_claim_repeat(struct flight *flight);
+
+/** Records the response with control. */
+void flight_claim_done(struct flight *flight, const struct response *response);
+
+/** Forgets a reply that may still come. */
+void flight_claim_clear(struct flight *flight);
+
 #endif /* ENTRY_FLIGHT_H */
--- a/src/core/outcome.c
+++ b/src/core/outcome.c
@@ -57,10 +57,13 @@
 static uint64_t outcome_response_bytes(const struct outcome *outcome)
 {
 	return sizeof(outcome->response) +
-	       (outcome->response.body ? g_bytes_get_size(outcome->response.body) : 0);
+	       (outcome->response.body ?
+			g_bytes_get_size(outcome->response.body) :
+			0);
 }
 
-static void outcome_drop_response(struct outcome_table *table, struct outcome *outcome)
+static void outcome_drop_response(struct outcome_table *table,
+				  struct outcome *outcome)
 {
 	g_assert(outcome->response_kept);
 	table->kept_bytes -= outcome_response_bytes(outcome);
@@ -70,10 +73,10 @@
 }
 
 static GQueue *outcome_finished_queue(struct outcome_table *table,
-				  const struct outcome *outcome)
+				      const struct outcome *outcome)
 {
 	return outcome->repeatable ? &table->finished_repeatable :
-				 &table->finished_once;
+				     &table->finished_once;
 }
 
 /* Drops the record; from now on the number's outcome isn't known here. */
@@ -92,17 +95,20 @@
 		horizon->repeatable_nr =
 			MAX(horizon->repeatable_nr, outcome->id.request_nr);
 	else
-		horizon->once_nr = MAX(horizon->once_nr, outcome->id.request_nr);
+		horizon->once_nr =
+			MAX(horizon->once_nr, outcome->id.request_nr);
 	if (outcome->response_kept)
 		outcome_drop_response(table, outcome);
-	if (outcome->key && g_hash_table_lookup(table->by_key, outcome->key) == outcome)
+	if (outcome->key &&
+	    g_hash_table_lookup(table->by_key, outcome->key) == outcome)
 		g_hash_table_remove(table->by_key, outcome->key);
-	g_queue_delete_link(outcome_finished_queue(table, outcome), outcome->finished_at);
+	g_queue_delete_link(outcome_finished_queue(table, outcome),
+			    outcome->finished_at);
 	g_hash_table_remove(table->by_id, &outcome->id);
 }
 
 static void outcome_forget_old(struct outcome_table *table, GQueue *queue,
-			   uint64_t ttl_ms, uint64_t now_us)
+			       uint64_t ttl_ms, uint64_t now_us)
 {
 	const struct outcome *outcome;
 
@@ -116,8 +122,8 @@
 {
 	struct outcome_table *table = g_new0(struct outcome_table, 1);
 
-	table->by_id = g_hash_table_new_full(outcome_id_hash, outcome_id_equal, NULL,
-					     outcome_free);
+	table->by_id = g_hash_table_new_full(outcome_id_hash, outcome_id_equal,
+					     NULL, outcome_free);
 	table->by_key = g_hash_table_new(g_str_hash, g_str_equal);
 	table->horizons = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						NULL, g_free);
@@ -137,8 +143,9 @@
 	g_free(table);
 }
 
-struct outcome *outcome_table_add(struct outcome_table *table, const struct outcome_id *id,
-			  bool repeatable, const char *service, const char *key)
+struct outcome *outcome_table_add(struct outcome_table *table,
+				  const struct outcome_id *id, bool repeatable,
+				  const char *service, const char *key)
 {
 	struct outcome *outcome = g_new0(struct outcome, 1);
 
@@ -147,7 +154,8 @@
 	outcome->repeatable = repeatable;
 	outcome->key = outcome_key(service, key);
 	outcome->state = RUN_QUEUED;
-	outcome->askers = g_array_new(FALSE, FALSE, sizeof(struct outcome_asker));
+	outcome->askers =
+		g_array_new(FALSE, FALSE, sizeof(struct outcome_asker));
 	g_hash_table_insert(table->by_id, &outcome->id, outcome);
 	if (outcome->key)
 		g_hash_table_replace(table->by_key, outcome->key, outcome);
@@ -156,13 +164,13 @@
 }
 
 struct outcome *outcome_table_find(const struct outcome_table *table,
-			   const struct outcome_id *id)
+				   const struct outcome_id *id)
 {
 	return g_hash_table_lookup(table->by_id, id);
 }
 
 struct outcome *outcome_table_find_key(const struct outcome_table *table,
-			       const char *service, const char *key)
+				       const char *service, const char *key)
 {
 	char *text = outcome_key(service, key);
 	struct outcome *outcome = NULL;
@@ -174,7 +182,8 @@
 }
 
 bool outcome_table_may_have_forgotten(const struct outcome_table *table,
-				  const struct outcome_id *id, bool repeatable)
+				      const struct outcome_id *id,
+				      bool repeatable)
 {
 	const struct outcome_horizon *horizon =
 		g_hash_table_lookup(table->horizons, &id->origin_node);
@@ -185,7 +194,8 @@
 	       (repeatable ? horizon->repeatable_nr : horizon->once_nr);
 }
 
-void outcome_table_finish(struct outcome_table *table, struct outcome *outcome, uint64_t now_us)
+void outcome_table_finish(struct outcome_table *table, struct outcome *outcome,
+			  uint64_t now_us)
 {
 	GQueue *queue = outcome_finished_queue(table, outcome);
 
@@ -210,13 +220,14 @@
 	const struct outcome *outcome;
 
 	while ((outcome = g_queue_peek_head(&table->kept)) &&
-	       (outcome->finished_us + ADMIT_RESPONSE_TTL_MS * 1000ull <= now_us ||
+	       (outcome->finished_us + ADMIT_RESPONSE_TTL_MS * 1000ull <=
+			now_us ||
 		table->kept_bytes > ADMIT_RESPONSE_MAX_BYTES))
 		outcome_drop_response(table, g_queue_peek_head(&table->kept));
 	outcome_forget_old(table, &table->finished_repeatable,
-		       ADMIT_REPEATABLE_TTL_MS, now_us);
+			   ADMIT_REPEATABLE_TTL_MS, now_us);
 	outcome_forget_old(table, &table->finished_once, ADMIT_RECORD_TTL_MS,
-		       now_us);
+			   now_us);
 }
 
 uint32_t outcome_table_nr_active(const struct outcome_table *table)
@@ -224,13 +235,14 @@
 	return table->nr_active;
 }
 
-void outcome_add_asker(struct outcome *outcome, uint64_t node_id, uint64_t request_nr)
+void outcome_add_asker(struct outcome *outcome, uint64_t node_id,
+		       uint64_t request_nr)
 {
 	struct outcome_asker asker = { node_id, request_nr };
 
 	for (uint32_t i = 0; i < outcome->askers->len; i++) {
-		const struct outcome_asker *known =
-			&g_array_index(outcome->askers, struct outcome_asker, i);
+		const struct outcome_asker *known = &g_array_index(
+			outcome->askers, struct outcome_asker, i);
 
 		if (known->node_id == node_id &&
 		    known->request_nr == request_nr)
--- a/src/core/outcome.h
+++ b/src/core/outcome.h
@@ -3,8 +3,8 @@
 
 /**
  * @file outcome.h
- * What became of each request at one agent. A record outlives its outcome, so that
- * an entry can ask for the outcome and a request never runs a second time.
+ * What became of each request at one agent. A record outlives its outcome, so
+ * that an entry can ask for the outcome and a request never runs a second time.
  */
 
 #include <glib.h>
@@ -62,25 +62,26 @@
 void outcome_table_free(struct outcome_table *table);
 
 /** Adds a queued outcome; its number must be new. @a key may be "". */
-struct outcome *outcome_table_add(struct outcome_table *table, const struct outcome_id *id,
-			  bool repeatable, const char *service,
-			  const char *key);
+struct outcome *outcome_table_add(struct outcome_table *table,
+				  const struct outcome_id *id, bool repeatable,
+				  const char *service, const char *key);
 struct outcome *outcome_table_find(const struct outcome_table *table,
-			   const struct outcome_id *id);
+				   const struct outcome_id *id);
 /** Returns the last run that was added under the key, NULL if none. */
 struct outcome *outcome_table_find_key(const struct outcome_table *table,
-			       const char *service, const char *key);
+				       const char *service, const char *key);
 
 /**
  * Returns true if a record of that number may have been dropped, so that
  * finding none doesn't prove that the request never arrived.
  */
 bool outcome_table_may_have_forgotten(const struct outcome_table *table,
-				  const struct outcome_id *id, bool repeatable);
+				      const struct outcome_id *id,
+				      bool repeatable);
 
 /** Counts the run as finished; its state and response are final. */
 void outcome_table_finish(struct outcome_table *table, struct outcome *outcome,
-		      uint64_t now_us);
+			  uint64_t now_us);
 
 /** Drops old responses and records. */
 void outcome_table_expire(struct outcome_table *table, uint64_t now_us);
@@ -89,6 +90,7 @@
 uint32_t outcome_table_nr_active(const struct outcome_table *table);
 
 /** Adds an asker unless it is there already. */
-void outcome_add_asker(struct outcome *outcome, uint64_t node_id, uint64_t request_nr);
+void outcome_add_asker(struct outcome *outcome, uint64_t node_id,
+		       uint64_t request_nr);
 
 #endif /* OUTCOME_H */
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -95,6 +95,8 @@
 /* A learned service time is taken as it is for this long, then fades. */
 #define SERVICE_TIME_FRESH_MS 2000
 #define SERVICE_TIME_FADE_MS 10000
+/* Grants come every REPORT_INTERVAL_MS; asking more often finds no permit. */
+#define NO_PERMIT_PAUSE_MS 500
 #define SLOW_START_MS 5000
 #define SLOW_START_WARM_RUNS 100
 #define EJECT_FAILURES 5 /* in a row */
@@ -113,6 +115,9 @@
 #define RETRY_BURST 20
 #define HEDGE_SHARE_PPM 50000
 #define HEDGE_BURST 5
+/* How long an answered request's outcome is awaited, to record its response. */
+#define FLIGHT_LINGER_MS 30000
+#define CLAIM_REPEAT_MS 500 /* a claim query without a reply is sent again */
 /* How long a lost agent may take to come back and tell an outcome. */
 #define PEER_RETURN_MS 1000
 
--- a/src/core/upstream.c
+++ b/src/core/upstream.c
@@ -96,6 +96,10 @@
 	case UPSTREAM_END_NO_CONNECTION:
 		upstream->nr_failed = EJECT_FAILURES;
 		break;
+	case UPSTREAM_END_NO_PERMIT:
+		upstream->no_permit_until_us =
+			now_us + NO_PERMIT_PAUSE_MS * 1000ull;
+		break;
 	case UPSTREAM_END_BUSY:
 	case UPSTREAM_END_NEUTRAL:
 		break;
--- a/src/core/upstream.h
+++ b/src/core/upstream.h
@@ -19,6 +19,7 @@
 	UPSTREAM_END_FAILED, /* it ran and failed, or nothing came back */
 	UPSTREAM_END_NO_CONNECTION, /* the upstream refused the connection */
 	UPSTREAM_END_BUSY, /* the agent's queue or limit was full */
+	UPSTREAM_END_NO_PERMIT, /* only repeatable requests are taken */
 	UPSTREAM_END_NEUTRAL, /* says nothing of the upstream's health */
 };
 
@@ -39,6 +40,7 @@
 	uint32_t nr_failed; /* in a row */
 	uint32_t nr_ejected; /* ejections without a good spell in between */
 	uint64_t ejected_until_us;
+	uint64_t no_permit_until_us; /* gets repeatable requests only */
 	uint64_t slow_start_us; /* when slow start began, 0 if it is over */
 };
 
--- a/tests/reqbed.c
+++ b/tests/reqbed.c
@@ -117,6 +117,7 @@
 	struct bed_agent *agent = data;
 	struct platform_announce announce = { 0 };
 
+	/* The timer of an earlier incarnation died with it. */
 	vhost_after(agent->machine, BED_ANNOUNCE_MS * 1000, bed_announce,
 		    agent);
 	if (agent->silent)
@@ -272,6 +273,7 @@
 	if (bed->control)
 		opts.control_addresses = bed_control_addresses;
 	entry->entry = entry_new(node, &opts);
+	entry->nr_boots++;
 	fake_site_bundle(node, bed->opts.route_policy);
 	vhost_start(entry->machine);
 	for (uint32_t k = 0; k < bed->opts.nr_agents; k++) {
@@ -287,6 +289,8 @@
 
 struct bed *bed_new(const struct bed_opts *opts)
 {
+	static const char *const zones[] = { "veraval", "porbandar",
+					     "mangrol" };
 	struct bed *bed = g_new0(struct bed, 1);
 
 	bed->opts = *opts;
@@ -315,7 +319,7 @@
 		agent->slow_ppm = 1000000;
 		g_snprintf(agent->address, sizeof(agent->address),
 			   "10.0.1.%u:1", i + 1);
-		TEXT_SET(agent->zone, i % 2 ? "porbandar" : "veraval");
+		TEXT_SET(agent->zone, zones[i % G_N_ELEMENTS(zones)]);
 		agent->machine = vhost_add(bed->vhost, "agent", agent->zone,
 					   agent->address);
 		bed_boot_agent(bed, i);
--- a/tests/reqbed.h
+++ b/tests/reqbed.h
@@ -49,6 +49,7 @@
 	struct bed *bed;
 	struct vmachine *machine;
 	struct entry *entry;
+	uint32_t nr_boots;
 };
 
 struct bed_answer {
