--- a/tests/reqbed.c
+++ b/tests/reqbed.c
@@ -75,6 +75,7 @@
 	call->mode = agent->mode;
 	TEXT_SET(call->path, request->path);
 	g_ptr_array_add(bed->calls, call);
+	g_hash_table_replace(agent->calls, &call->call_nr, call);
 	agent->nr_calls++;
 	if (call->mode != BED_REFUSE) {
 		uintptr_t nr =
@@ -94,17 +95,14 @@
 {
 	struct bed_agent *agent = ctx;
 	uint64_t node_id = vhost_node(agent->machine)->self.node_id;
+	struct bed_call *call;
 
-	for (uint32_t i = 0; i < agent->bed->calls->len; i++) {
-		struct bed_call *call = g_ptr_array_index(agent->bed->calls, i);
-
-		if (call->call_nr != call_nr || call->done ||
-		    call->agent != agent || call->agent_node != node_id)
-			continue;
-		call->cancelled = true;
-		agent->nr_cancelled++;
-		vhost_after(agent->machine, 1, bed_call_done, call);
-	}
+	call = g_hash_table_lookup(agent->calls, &call_nr);
+	if (!call || call->done || call->agent_node != node_id)
+		return;
+	call->cancelled = true;
+	agent->nr_cancelled++;
+	vhost_after(agent->machine, 1, bed_call_done, call);
 }
 
 static const struct agent_host_ops bed_agent_ops = {
@@ -314,6 +312,7 @@
 		struct bed_agent *agent = &bed->agents[i];
 
 		agent->bed = bed;
+		agent->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 		agent->slots = 8;
 		agent->connections = 64;
 		agent->slow_ppm = 1000000;
@@ -337,6 +336,8 @@
 void bed_free(struct bed *bed)
 {
 	vhost_free(bed->vhost);
+	for (uint32_t i = 0; i < bed->opts.nr_agents; i++)
+		g_hash_table_unref(bed->agents[i].calls);
 	g_hash_table_unref(bed->claims);
 	g_hash_table_unref(bed->runs);
 	g_ptr_array_unref(bed->answers);
--- a/tests/reqbed.h
+++ b/tests/reqbed.h
@@ -43,6 +43,7 @@
 	uint32_t max_in_flight;
 	uint32_t nr_calls;
 	uint32_t nr_cancelled;
+	GHashTable *calls; /* uint64_t * -> its latest call of that number */
 };
 
 struct bed_entry {
--- a/tests/vhost.c
+++ b/tests/vhost.c
@@ -626,15 +626,20 @@
 	return true;
 }
 
-void vhost_run_ms(struct vhost *vhost, uint64_t duration_ms)
+void vhost_run_us(struct vhost *vhost, uint64_t duration_us)
 {
-	uint64_t end_us = vhost->now_us + duration_ms * 1000;
+	uint64_t end_us = vhost->now_us + duration_us;
 
 	while (vhost_step(vhost, end_us))
 		;
 	vhost->now_us = end_us;
 }
 
+void vhost_run_ms(struct vhost *vhost, uint64_t duration_ms)
+{
+	vhost_run_us(vhost, duration_ms * 1000);
+}
+
 bool vhost_run_until(struct vhost *vhost, bool (*done)(void *data), void *data,
 		     uint64_t limit_ms)
 {
--- a/tests/vhost.h
+++ b/tests/vhost.h
@@ -68,6 +68,7 @@
 void vhost_after(struct vmachine *machine, uint64_t delay_us,
 		 void (*fn)(void *data), void *data);
 
+void vhost_run_us(struct vhost *vhost, uint64_t duration_us);
 void vhost_run_ms(struct vhost *vhost, uint64_t duration_ms);
 /** Runs until done() is true; returns false after @a limit_ms. */
 bool vhost_run_until(struct vhost *vhost, bool (*done)(void *data), void *data,
