Check member changes and finish proposals before a graceful stop

Operators propose CMD_MEMBERS too, and nothing refused a change of two voters at once, after which two quorums need not share a replica. raft_propose() now checks such commands. A graceful stop dropped the proposals under way, whose callers then got "outcome unknown"; the leader now waits up to 500 ms for their commit before it hands over, and a stopping replica doesn't lead again, also when it is alone.

--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -301,6 +301,32 @@
 		       RAFT_LEADER_LEASE_MS * US_PER_MS;
 }
 
+/* Hands leadership over once nothing waits for its commit, or too long. */
+static void raft_resign(struct raft *raft)
+{
+	struct transfer transfer = { raft->hard.term };
+	const struct raft_peer *best = NULL;
+	bool expired = raft->node->now_us - raft->resigned_us >=
+		       RAFT_RESIGN_MS * US_PER_MS;
+
+	if (!raft->resigned || raft->role != RAFT_LEADER ||
+	    (raft->nr_proposals && !expired))
+		return;
+	for (uint32_t i = 0; i < raft->nr_peers; i++) {
+		const struct raft_peer *peer = &raft->peers[i];
+		const struct link *link = node_link(raft->node, peer->node_id);
+
+		if (link && link->up &&
+		    members_is_voter(raft_config(raft), peer->node_id) &&
+		    (!best || peer->match_index > best->match_index))
+			best = peer;
+	}
+	/* The lease ends here, so voters need not wait for it. */
+	if (best)
+		node_send(raft->node, best->node_id, MSG_TRANSFER, &transfer);
+	raft_follow(raft, raft->hard.term, 0);
+}
+
 static void raft_heartbeat(void *data, uint64_t now_us)
 {
 	struct raft *raft = data;
@@ -311,6 +337,9 @@
 		raft_follow(raft, raft->hard.term, 0);
 		return;
 	}
+	raft_resign(raft);
+	if (raft->role != RAFT_LEADER)
+		return;
 	node_timer_ms(raft->node, &raft->heartbeat_timer, RAFT_HEARTBEAT_MS);
 	if (raft->applied_index >= raft->noop_index && raft_has_lease(raft))
 		raft_member_tick(raft);
@@ -359,6 +388,7 @@
 		record_unref(entry.command);
 	}
 	raft_announce(raft);
+	raft_resign(raft);
 	raft_snapshot_maybe(raft);
 }
 
@@ -517,12 +547,18 @@
 enum result raft_propose(struct raft *raft, struct record command, uint64_t tag)
 {
 	uint64_t size = record_size(command);
+	enum result res;
 	uint32_t slot;
 
-	if (raft->role != RAFT_LEADER)
+	if (raft->role != RAFT_LEADER || raft->resigned)
 		return RESULT_NOT_LEADER;
 	if (!raft->announced || !raft_has_lease(raft))
 		return RESULT_NO_QUORUM;
+	if (command.type == CMD_MEMBERS) {
+		res = raft_check_change(raft, command.body);
+		if (res != RESULT_OK)
+			return res;
+	}
 	if (size > RAFT_PROPOSALS_MAX_BYTES)
 		return RESULT_TOO_LARGE;
 	if (raft->nr_proposals == RAFT_PROPOSALS_MAX ||
@@ -592,24 +628,7 @@
 
 void raft_step_down(struct raft *raft)
 {
-	struct transfer transfer = { raft->hard.term };
-	const struct raft_peer *best = NULL;
-
-	if (raft->role != RAFT_LEADER)
-		return;
-	for (uint32_t i = 0; i < raft->nr_peers; i++) {
-		const struct raft_peer *peer = &raft->peers[i];
-
-		const struct link *link = node_link(raft->node, peer->node_id);
-
-		if (link && link->up &&
-		    members_is_voter(raft_config(raft), peer->node_id) &&
-		    (!best || peer->match_index > best->match_index))
-			best = peer;
-	}
-	if (!best)
-		return;
-	/* The lease ends here, so voters need not wait for it. */
-	raft_follow(raft, raft->hard.term, 0);
-	node_send(raft->node, best->node_id, MSG_TRANSFER, &transfer);
+	raft->resigned = true;
+	raft->resigned_us = raft->node->now_us;
+	raft_resign(raft);
 }
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -85,7 +85,10 @@
 /**
  * Proposes a command on the leader; the record is referenced. Returns
  * RESULT_OK, RESULT_NOT_LEADER, RESULT_NO_QUORUM, RESULT_OVERLOADED, or
- * RESULT_TOO_LARGE for a command beyond RAFT_PROPOSALS_MAX_BYTES. After
+ * RESULT_TOO_LARGE for a command beyond RAFT_PROPOSALS_MAX_BYTES; for
+ * CMD_MEMBERS also RESULT_IN_PROGRESS while another change is not committed, or
+ * RESULT_OUT_OF_RANGE if it changes more than one voter, removes the leader, or
+ * leaves fewer voters than a majority of the control addresses. After
  * RESULT_OK exactly one of apply (with this tag) or dropped follows.
  */
 enum result raft_propose(struct raft *raft, struct record command,
@@ -107,7 +110,11 @@
  * it recovers by a restart of the process.
  */
 enum result raft_store_result(const struct raft *raft);
-/** Begins to hand leadership to a caught-up voter, for a graceful stop. */
+/**
+ * For a graceful stop: takes no more proposals, waits up to RAFT_RESIGN_MS for
+ * those under way, then hands leadership to the voter that has caught up most.
+ * This replica does not lead again.
+ */
 void raft_step_down(struct raft *raft);
 
 #endif /* RAFT_H */
--- a/src/core/raft_form.c
+++ b/src/core/raft_form.c
@@ -197,6 +197,49 @@
 
 /* ---- changes of the members by the leader ---- */
 
+/* A change of one voter keeps a member in common between any two quorums. */
+static uint32_t members_voters_lost(const struct members *from,
+				    const struct members *to)
+{
+	uint32_t nr = 0;
+
+	for (uint32_t i = 0; i < from->nr_members; i++)
+		nr += from->members[i].voter &&
+		      !members_is_voter(to, from->members[i].node_id);
+	return nr;
+}
+
+static bool members_distinct(const struct members *members)
+{
+	for (uint32_t i = 0; i < members->nr_members; i++) {
+		const struct member *member = &members->members[i];
+
+		if (!member->node_id ||
+		    members_find(members, member->node_id) != member ||
+		    members_at(members, member->address) != member)
+			return false;
+	}
+	return true;
+}
+
+enum result raft_check_change(const struct raft *raft,
+			      const struct members *members)
+{
+	const struct members *now = raft_config(raft);
+
+	if (raft_configs_last(&raft->configs)->index > raft->commit_index)
+		return RESULT_IN_PROGRESS;
+	if (members->nr_members > RAFT_MEMBERS_MAX ||
+	    !members_distinct(members) ||
+	    !members_is_voter(members, raft_self(raft)) ||
+	    members_nr_voters(members) <= raft->nr_addresses / 2 ||
+	    members_voters_lost(now, members) +
+			    members_voters_lost(members, now) >
+		    1)
+		return RESULT_OUT_OF_RANGE;
+	return RESULT_OK;
+}
+
 static void raft_change(struct raft *raft, struct record members)
 {
 	raft_add(raft, members);
--- a/src/core/raft_impl.h
+++ b/src/core/raft_impl.h
@@ -126,9 +126,11 @@
 	bool votes_due; /* candidacy waits for the sync */
 	bool transfer; /* this candidacy follows a leader that gave up */
 	bool announced; /* leader_changed(true) was called */
+	bool resigned; /* leads no more, for a graceful stop */
 	struct timer heartbeat_timer;
 	uint64_t leader_since_us;
 	uint64_t noop_index;
+	uint64_t resigned_us;
 	uint32_t proposals_head;
 	uint32_t nr_proposals;
 	uint64_t proposals_size;
@@ -217,6 +219,13 @@
 void raft_form_start(struct raft *raft);
 void raft_form_due(void *data, uint64_t now_us);
 void raft_on_form(struct raft *raft, uint64_t from, const struct form *form);
+/**
+ * Checks a change that operators ask for: RESULT_IN_PROGRESS while another one
+ * is not committed, RESULT_OUT_OF_RANGE if it changes more than one voter,
+ * removes the leader, or leaves too few voters or too many members.
+ */
+enum result raft_check_change(const struct raft *raft,
+			      const struct members *members);
 /** Proposes the next change of the members, if one is due. */
 void raft_member_tick(struct raft *raft);
 
--- a/src/core/raft_vote.c
+++ b/src/core/raft_vote.c
@@ -102,7 +102,7 @@
 	struct raft *raft = data;
 
 	raft_arm_election(raft);
-	if (raft->role == RAFT_LEADER ||
+	if (raft->role == RAFT_LEADER || raft->resigned ||
 	    !members_is_voter(raft_config(raft), raft_self(raft)))
 		return;
 	raft_campaign(raft, true, false);
@@ -181,6 +181,7 @@
 void raft_on_transfer(struct raft *raft, const struct transfer *transfer)
 {
 	if (transfer->term != raft->hard.term || raft->role != RAFT_FOLLOWER ||
+	    raft->resigned ||
 	    !members_is_voter(raft_config(raft), raft_self(raft)))
 		return;
 	raft_campaign(raft, false, true);
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -37,6 +37,8 @@
 /* Shorter than the shortest election, so an old leader stops granting first. */
 #define RAFT_LEADER_LEASE_MS 500
 #define RAFT_MEMBERS_MAX 7
+/* A leader that stops gives its proposals this long to commit. */
+#define RAFT_RESIGN_MS 500
 /* One append message; several may be under way to a follower. */
 #define RAFT_APPEND_MAX_BYTES (256u << 10)
 #define RAFT_APPEND_MAX_ENTRIES 512
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -4,6 +4,7 @@
  */
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "raft_world.h"
 #include "suite.h"
@@ -20,6 +21,8 @@
 	struct world *world = world_new(&opts);
 
 	ck_assert(world_settle(world, 20000));
+	/* The last change of the members may still be under way. */
+	world_run_ms(world, 10);
 	return world;
 }
 
@@ -201,6 +204,66 @@
 }
 END_TEST
 
+/* Guards against a graceful stop that drops proposals under way. */
+START_TEST(test_step_down_finishes_proposals)
+{
+	struct world *world = world_formed(14, 3);
+	struct replica *leader = world_leader(world);
+
+	for (uint32_t i = 0; i < 100; i++)
+		ck_assert_int_eq(world_propose(leader), RESULT_OK);
+	raft_step_down(leader->raft);
+	ck_assert_int_eq(world_propose(leader), RESULT_NOT_LEADER);
+	world_run_ms(world, 50);
+	ck_assert_uint_eq(world->acknowledged, 100);
+	ck_assert_ptr_nonnull(world_leader(world));
+	ck_assert_ptr_ne(world_leader(world), leader);
+	world_free(world);
+}
+END_TEST
+
+static enum result propose_members(struct replica *leader,
+				   const struct members *members)
+{
+	struct record command = { CMD_MEMBERS,
+				  schema_dup(CMD_MEMBERS, members) };
+	enum result res = raft_propose(leader->raft, command, 0);
+
+	record_unref(command);
+	return res;
+}
+
+/* Guards against changes after which two quorums share no replica. */
+START_TEST(test_bad_member_changes)
+{
+	struct world *world = world_formed(15, 5);
+	struct replica *leader = world_leader(world);
+	const struct members *now = raft_members(leader->raft);
+	struct member list[5];
+	struct members members = { 5, list };
+	uint32_t self = 0;
+
+	memcpy(list, now->members, sizeof(list));
+	while (list[self].node_id != leader->node->self.node_id)
+		self++;
+	list[self].voter = false; /* the leader itself */
+	ck_assert_int_eq(propose_members(leader, &members),
+			 RESULT_OUT_OF_RANGE);
+	list[self].voter = true;
+	list[(self + 1) % 5].voter = false;
+	list[(self + 2) % 5].voter = false; /* two at once */
+	ck_assert_int_eq(propose_members(leader, &members),
+			 RESULT_OUT_OF_RANGE);
+	list[(self + 2) % 5].voter = true;
+	ck_assert_int_eq(propose_members(leader, &members), RESULT_OK);
+	/* One change at a time. */
+	ck_assert_int_eq(propose_members(leader, &members), RESULT_IN_PROGRESS);
+	/* A learner that has caught up becomes a voter again. */
+	ck_assert(world_settle(world, 2000));
+	world_free(world);
+}
+END_TEST
+
 /* Guards against a replica that acknowledges or leads without its store. */
 START_TEST(test_store_failure)
 {
@@ -290,5 +353,6 @@
 	   test_no_formation_with_an_address_missing, test_group_commit,
 	   test_proposals_are_bounded, test_leader_without_quorum,
 	   test_returning_replica_keeps_the_leader, test_one_way_partition,
-	   test_step_down, test_store_failure, test_snapshot_transfer,
+	   test_step_down, test_step_down_finishes_proposals,
+	   test_bad_member_changes, test_store_failure, test_snapshot_transfer,
 	   test_restart_from_snapshot, test_lost_disks)
