--- a/src/core/control.c
+++ b/src/core/control.c
@@ -174,7 +174,7 @@
 	control_view_zone(control, zone->name);
 }
 
-static void control_vm_changed(void *ctx, const struct vm *vm)
+static void control_vm_changed(void *ctx, const struct state_vm *vm)
 {
 	struct control *control = ctx;
 
@@ -185,7 +185,7 @@
 	control_view_vm(control, vm);
 }
 
-static void control_job_changed(void *ctx, const struct job *job)
+static void control_job_changed(void *ctx, const struct state_job *job)
 {
 	struct control *control = ctx;
 
@@ -195,7 +195,7 @@
 	control_plan_soon(control);
 }
 
-static void control_task_changed(void *ctx, const struct task *task,
+static void control_task_changed(void *ctx, const struct state_task *task,
 				 const struct task_record *before)
 {
 	struct control *control = ctx;
--- a/src/core/control_list.c
+++ b/src/core/control_list.c
@@ -30,7 +30,7 @@
 {
 	for (GTreeNode *node = g_tree_node_first(control->state->vms); node;
 	     node = g_tree_node_next(node)) {
-		const struct vm *vm = g_tree_node_value(node);
+		const struct state_vm *vm = g_tree_node_value(node);
 
 		if (strcmp(vm->record.zone, item->zone.name))
 			continue;
@@ -73,7 +73,7 @@
 	for (GTreeNode *node =
 		     control_list_after_name(control->state->vms, query);
 	     node && items->len < limit; node = g_tree_node_next(node)) {
-		const struct vm *vm = g_tree_node_value(node);
+		const struct state_vm *vm = g_tree_node_value(node);
 		struct op_vm item = { 0 };
 
 		item.vm = vm->record;
@@ -89,7 +89,8 @@
 	g_array_unref(items);
 }
 
-static void control_list_fill_job(struct op_job *item, const struct job *job)
+static void control_list_fill_job(struct op_job *item,
+				  const struct state_job *job)
 {
 	item->job = job->record;
 	item->pending = job->nr_in_state[TASK_PENDING];
@@ -134,7 +135,8 @@
 	const struct op_query *query = body;
 	uint32_t limit = control_list_limit(query);
 	GArray *items = g_array_new(FALSE, TRUE, sizeof(struct task_record));
-	const struct job *job = job_find(control->state, query->job_id);
+	const struct state_job *job =
+		state_job_find(control->state, query->job_id);
 	struct op_tasks tasks = { 0 };
 	GTree *tree = query->job_id ? (job ? job->tasks : NULL) :
 				      control->state->tasks;
@@ -142,7 +144,7 @@
 	for (GTreeNode *node =
 		     tree ? g_tree_upper_bound(tree, &query->after_id) : NULL;
 	     node && items->len < limit; node = g_tree_node_next(node)) {
-		const struct task *task = g_tree_node_value(node);
+		const struct state_task *task = g_tree_node_value(node);
 
 		g_array_append_val(items, task->record);
 	}
@@ -188,7 +190,7 @@
 
 	for (GTreeNode *node = g_tree_node_first(state->vms); node;
 	     node = g_tree_node_next(node)) {
-		const struct vm *vm = g_tree_node_value(node);
+		const struct state_vm *vm = g_tree_node_value(node);
 
 		status->vms_live += vm->record.state == VM_LIVE;
 		status->vms_lost += vm->record.state == VM_LOST;
@@ -196,7 +198,7 @@
 	}
 	for (GTreeNode *node = g_tree_node_first(state->jobs); node;
 	     node = g_tree_node_next(node)) {
-		const struct job *job = g_tree_node_value(node);
+		const struct state_job *job = g_tree_node_value(node);
 
 		status->jobs_active += job->record.state == JOB_ACTIVE;
 		status->tasks_pending += job->nr_in_state[TASK_PENDING];
--- a/src/core/control_op.c
+++ b/src/core/control_op.c
@@ -56,11 +56,11 @@
 {
 	const struct bundle *bundle = body;
 	const char *message = NULL;
-	enum result result = bundle_check(bundle, &message);
+	enum result result = state_bundle_check(bundle, &message);
 
 	if (!result)
-		result = bundle_compare(&control->state->bundles,
-					bundle->version, bundle->digest);
+		result = state_bundle_compare(&control->state->bundles,
+					      bundle->version, bundle->digest);
 	control_op_reply(control, ticket, result, message);
 }
 
@@ -93,7 +93,7 @@
 {
 	struct job_record record = *(const struct job_record *)body;
 	const char *message = NULL;
-	enum result result = job_check(&record, &message);
+	enum result result = state_job_check(&record, &message);
 
 	/* A resend finds its job even if a new one would be refused. */
 	if (!result &&
--- a/src/core/control_plan.c
+++ b/src/core/control_plan.c
@@ -78,8 +78,9 @@
 static enum result control_plan_place(struct control *control,
 				      const struct plan_decision *decision)
 {
-	const struct task *task = task_find(control->state, decision->task_id);
-	const struct vm *vm = vm_find(control->state, decision->vm);
+	const struct state_task *task =
+		state_task_find(control->state, decision->task_id);
+	const struct state_vm *vm = state_vm_find(control->state, decision->vm);
 	struct cmd_task_place place = { 0 };
 
 	if (!task || !vm)
@@ -98,7 +99,8 @@
 static enum result control_plan_evict(struct control *control,
 				      const struct plan_decision *decision)
 {
-	const struct task *task = task_find(control->state, decision->task_id);
+	const struct state_task *task =
+		state_task_find(control->state, decision->task_id);
 	struct cmd_task_set set = { .state = TASK_STOPPING, .evicted = true };
 
 	if (!task || !task->vm)
@@ -112,7 +114,8 @@
 static enum result control_plan_throttle(struct control *control,
 					 const struct plan_decision *decision)
 {
-	const struct task *task = task_find(control->state, decision->task_id);
+	const struct state_task *task =
+		state_task_find(control->state, decision->task_id);
 	struct state_outcome outcome = { 0 };
 
 	if (!task || !control_vm_throttle(control, task, decision->cpu_ppm))
@@ -209,7 +212,7 @@
 static gboolean control_plan_add_vm(gpointer key, gpointer value, gpointer data)
 {
 	struct control *control = data;
-	const struct vm *vm = value;
+	const struct state_vm *vm = value;
 
 	plan_set_vm(control->plan, &vm->record, control->node->now_us);
 	return FALSE;
@@ -219,7 +222,7 @@
 				     gpointer data)
 {
 	struct control *control = data;
-	const struct job *job = value;
+	const struct state_job *job = value;
 
 	plan_set_job(control->plan, &job->record, control->node->now_us);
 	return FALSE;
@@ -229,7 +232,7 @@
 				      gpointer data)
 {
 	struct control *control = data;
-	const struct task *task = value;
+	const struct state_task *task = value;
 
 	plan_set_task(control->plan, &task->record, control->node->now_us);
 	return FALSE;
@@ -280,13 +283,13 @@
 	control_plan_soon(control);
 }
 
-void control_plan_task(struct control *control, const struct task *task,
+void control_plan_task(struct control *control, const struct state_task *task,
 		       const struct task_record *before)
 {
 	uint64_t now_us = control->node->now_us;
 	bool failed = task->record.nr_failures > before->nr_failures;
 
-	if (task_is_on_vm(before->state) &&
+	if (state_task_is_on_vm(before->state) &&
 	    (failed || task->record.state == TASK_DONE))
 		plan_task_ended(control->plan, task->record.task_id, before->vm,
 				failed, now_us);
--- a/src/core/control_plan.h
+++ b/src/core/control_plan.h
@@ -11,8 +11,8 @@
 #include "command.h"
 
 struct control;
-struct job;
-struct task;
+struct state_job;
+struct state_task;
 
 /** Fills a new planner from the state. */
 void control_plan_fill(struct control *control);
@@ -25,7 +25,7 @@
 void control_plan_run(void *data, uint64_t now_us);
 
 void control_plan_bundle(struct control *control, const struct bundle *bundle);
-void control_plan_task(struct control *control, const struct task *task,
+void control_plan_task(struct control *control, const struct state_task *task,
 		       const struct task_record *before);
 
 #endif /* CONTROL_PLAN_H */
--- a/src/core/control_view.c
+++ b/src/core/control_view.c
@@ -63,7 +63,7 @@
 }
 
 static void control_view_add_agent(struct control_view_build *build,
-				   const struct vm *vm, uint64_t node_id,
+				   const struct state_vm *vm, uint64_t node_id,
 				   bool gone)
 {
 	struct view_agent agent = { 0 };
@@ -76,7 +76,8 @@
 	g_array_append_val(build->agents, agent);
 }
 
-static void control_view_show(struct control *control, const struct vm *vm)
+static void control_view_show(struct control *control,
+			      const struct state_vm *vm)
 {
 	g_hash_table_replace(control->view_shown, g_strdup(vm->record.name),
 			     g_memdup2(&vm->record.node_id,
@@ -86,7 +87,7 @@
 static gboolean control_view_add_vm(gpointer key, gpointer value, gpointer data)
 {
 	struct control_view_build *build = data;
-	const struct vm *vm = value;
+	const struct state_vm *vm = value;
 
 	if (vm->record.state == VM_LOST)
 		return FALSE;
@@ -124,7 +125,7 @@
 				    const char *name)
 {
 	struct control *control = build->control;
-	const struct vm *vm = vm_find(control->state, name);
+	const struct state_vm *vm = state_vm_find(control->state, name);
 	const uint64_t *shown = g_hash_table_lookup(control->view_shown, name);
 
 	if (shown &&
@@ -147,7 +148,7 @@
 	control_view_soon(control);
 }
 
-void control_view_vm(struct control *control, const struct vm *vm)
+void control_view_vm(struct control *control, const struct state_vm *vm)
 {
 	g_hash_table_add(control->view_vms, g_strdup(vm->record.name));
 	control_view_soon(control);
@@ -175,8 +176,8 @@
 	build.view.view_version = ++control->view_version;
 	g_hash_table_iter_init(&iter, control->view_zones);
 	while (g_hash_table_iter_next(&iter, &key, NULL))
-		control_view_add_zone(NULL, zone_find(control->state, key),
-				      &build);
+		control_view_add_zone(
+			NULL, state_zone_find(control->state, key), &build);
 	g_hash_table_iter_init(&iter, control->view_vms);
 	while (g_hash_table_iter_next(&iter, &key, NULL))
 		control_view_add_change(&build, key);
--- a/src/core/control_view.h
+++ b/src/core/control_view.h
@@ -10,12 +10,12 @@
 #include <stdint.h>
 
 #include "msg_control.h"
-#include "vm.h"
+#include "state_vm.h"
 
 struct control;
 
 void control_view_zone(struct control *control, const char *name);
-void control_view_vm(struct control *control, const struct vm *vm);
+void control_view_vm(struct control *control, const struct state_vm *vm);
 void control_view_bundle(struct control *control);
 
 /** Answers MSG_VIEW_QUERY. */
--- a/src/core/control_vm.c
+++ b/src/core/control_vm.c
@@ -25,7 +25,7 @@
 }
 
 static struct control_task *control_vm_soft_task(struct control *control,
-						 const struct task *task)
+						 const struct state_task *task)
 {
 	struct control_task *soft =
 		g_hash_table_lookup(control->tasks, &task->record.task_id);
@@ -46,7 +46,7 @@
 static void control_vm_send_order(struct control *control,
 				  struct task_order *order, const char *vm_name)
 {
-	const struct vm *vm = vm_find(control->state, vm_name);
+	const struct state_vm *vm = state_vm_find(control->state, vm_name);
 
 	order->term = raft_term(control->raft);
 	order->vm_node = vm->record.node_id;
@@ -55,7 +55,7 @@
 }
 
 static void control_vm_order_start(struct control *control,
-				   const struct task *task)
+				   const struct state_task *task)
 {
 	struct control_task *soft = control_vm_soft_task(control, task);
 	const struct control_vm *vm =
@@ -66,7 +66,7 @@
 	/* The order's permit counts from a report of this incarnation. */
 	if (vm->node_id != task->vm->record.node_id || !vm->report_seq ||
 	    soft->nr_starts >= CONTROL_MAX_STARTS ||
-	    !zone_is_in(control->state, task->vm->record.zone))
+	    !state_zone_is_in(control->state, task->vm->record.zone))
 		return;
 	soft->nr_starts++;
 	soft->ordered_us = control->node->now_us;
@@ -85,10 +85,10 @@
 }
 
 static void control_vm_order_stop(struct control *control,
-				  const struct task *task)
+				  const struct state_task *task)
 {
 	struct control_task *soft = control_vm_soft_task(control, task);
-	const struct job *job = task->job;
+	const struct state_job *job = task->job;
 	struct task_order order = { .action = TASK_CHECKPOINT_STOP };
 
 	/* Nobody resumes what was cancelled. */
@@ -113,7 +113,7 @@
 }
 
 static void control_vm_propose_task(struct control *control,
-				    const struct task *task,
+				    const struct state_task *task,
 				    struct cmd_task_set *set)
 {
 	struct control_proposal proposal = { .done = control_vm_task_set_done };
@@ -132,7 +132,7 @@
 
 /* What the committed task becomes when its run is seen in the given state. */
 static void control_vm_follow_run(struct control *control,
-				  const struct task *task,
+				  const struct state_task *task,
 				  const struct task_event *event)
 {
 	struct cmd_task_set set = { 0 };
@@ -165,11 +165,12 @@
 	control_vm_propose_task(control, task, &set);
 }
 
-static struct task *control_vm_confirmed_task(const struct control *control,
-					      const struct vm *vm,
-					      uint64_t task_id, uint64_t epoch)
+static struct state_task *
+control_vm_confirmed_task(const struct control *control,
+			  const struct state_vm *vm, uint64_t task_id,
+			  uint64_t epoch)
 {
-	struct task *task = task_find(control->state, task_id);
+	struct state_task *task = state_task_find(control->state, task_id);
 
 	if (!task || task->vm != vm || task->record.epoch != epoch)
 		return NULL;
@@ -177,7 +178,8 @@
 }
 
 /* A run that the state doesn't know must not go on. */
-static void control_vm_refuse_run(struct control *control, const struct vm *vm,
+static void control_vm_refuse_run(struct control *control,
+				  const struct state_vm *vm,
 				  const struct platform_task *seen)
 {
 	struct task_order order = { .action = TASK_STOP };
@@ -191,7 +193,7 @@
 }
 
 static bool control_vm_order_due(struct control *control,
-				 const struct task *task)
+				 const struct state_task *task)
 {
 	const struct control_task *soft = control_vm_soft_task(control, task);
 
@@ -200,13 +202,14 @@
 }
 
 /* Appends the ids of confirmed tasks and fills @a seen with all of them. */
-static void control_vm_take_runs(struct control *control, const struct vm *vm,
+static void control_vm_take_runs(struct control *control,
+				 const struct state_vm *vm,
 				 const struct report *report, GArray *confirmed,
 				 GHashTable *seen)
 {
 	for (uint32_t i = 0; i < report->nr_tasks; i++) {
 		const struct platform_task *run = &report->tasks[i];
-		struct task *task = control_vm_confirmed_task(
+		struct state_task *task = control_vm_confirmed_task(
 			control, vm, run->task_id, run->epoch);
 		struct task_event event = { 0 };
 
@@ -233,7 +236,7 @@
 	return FALSE;
 }
 
-static GPtrArray *control_vm_tasks(const struct vm *vm)
+static GPtrArray *control_vm_tasks(const struct state_vm *vm)
 {
 	GPtrArray *tasks = g_ptr_array_new();
 
@@ -246,7 +249,7 @@
  * still be under way; once it can't be any more, the task waits anew.
  */
 static void control_vm_not_reported(struct control *control,
-				    const struct task *task,
+				    const struct state_task *task,
 				    const struct report *report)
 {
 	const struct control_task *soft = control_vm_soft_task(control, task);
@@ -270,12 +273,12 @@
 }
 
 static void control_vm_send_grant(struct control *control, uint64_t from,
-				  const struct vm *vm,
+				  const struct state_vm *vm,
 				  const struct report *report,
 				  const GArray *confirmed)
 {
 	const struct bundle *bundle = control->state->bundles.in_force;
-	bool in = zone_is_in(control->state, vm->record.zone);
+	bool in = state_zone_is_in(control->state, vm->record.zone);
 	struct grant grant = { 0 };
 
 	grant.seq = report->seq;
@@ -317,7 +320,7 @@
 /* Records what a report says of the VM, if that has changed. */
 static void control_vm_register(struct control *control,
 				const struct report *report,
-				const struct vm *vm)
+				const struct state_vm *vm)
 {
 	struct control_vm *soft = control_vm_soft(control, report->vm.name);
 	struct control_proposal proposal = { .done = control_vm_set_done };
@@ -328,7 +331,7 @@
 	record.quarantined = false;
 	if (soft->setting || (vm && control_vm_same(&vm->record, &record)))
 		return;
-	check = vm_check_set(control->state, &record);
+	check = state_vm_check_set(control->state, &record);
 	if (check.result) {
 		/* Without grants its tasks stop, then it can be recorded. */
 		counter_add(control->node->counters, "vms_refused", 1);
@@ -340,7 +343,8 @@
 }
 
 /* Starts the bookkeeping of an incarnation that this leader hears first. */
-static void control_vm_hear_first(struct control *control, const struct vm *vm,
+static void control_vm_hear_first(struct control *control,
+				  const struct state_vm *vm,
 				  struct control_vm *soft,
 				  const struct report *report)
 {
@@ -362,7 +366,7 @@
 
 /* Two processes under one VM's name: the first one stays while it reports. */
 static bool control_vm_is_duplicate(const struct control *control,
-				    const struct vm *vm,
+				    const struct state_vm *vm,
 				    const struct control_vm *soft,
 				    const struct report *report)
 {
@@ -377,7 +381,8 @@
 void control_vm_report(struct control *control, uint64_t from,
 		       const struct report *report)
 {
-	const struct vm *vm = vm_find(control->state, report->vm.name);
+	const struct state_vm *vm =
+		state_vm_find(control->state, report->vm.name);
 	struct control_peer *peer = g_hash_table_lookup(control->peers, &from);
 	struct control_vm *soft;
 	GPtrArray *tasks;
@@ -429,7 +434,8 @@
 void control_vm_event(struct control *control, uint64_t from,
 		      const struct task_event *event)
 {
-	struct task *task = task_find(control->state, event->task_id);
+	struct state_task *task =
+		state_task_find(control->state, event->task_id);
 
 	if (control_check_leader(control))
 		return;
@@ -459,7 +465,7 @@
 	node_timer_ms(control->node, &control->vm_timer, VM_CHECK_MS);
 	for (GTreeNode *node = g_tree_node_first(control->state->vms); node;
 	     node = g_tree_node_next(node)) {
-		const struct vm *vm = g_tree_node_value(node);
+		const struct state_vm *vm = g_tree_node_value(node);
 		struct control_proposal proposal = { 0 };
 		struct cmd_vm_lost lost = { 0 };
 		struct control_vm *soft;
@@ -485,7 +491,7 @@
 	}
 }
 
-void control_vm_order(struct control *control, const struct task *task)
+void control_vm_order(struct control *control, const struct state_task *task)
 {
 	if (control_check_leader(control))
 		return;
@@ -495,7 +501,7 @@
 		control_vm_order_stop(control, task);
 }
 
-bool control_vm_throttle(struct control *control, const struct task *task,
+bool control_vm_throttle(struct control *control, const struct state_task *task,
 			 uint32_t cpu_ppm)
 {
 	struct task_order order = { .action = TASK_THROTTLE };
--- a/src/core/control_vm.h
+++ b/src/core/control_vm.h
@@ -10,7 +10,7 @@
 #include <stdint.h>
 
 #include "msg_control.h"
-#include "task.h"
+#include "state_task.h"
 
 struct control;
 
@@ -25,10 +25,10 @@
 void control_vm_check(void *data, uint64_t now_us);
 
 /** Sends the order that the task's committed state asks for. */
-void control_vm_order(struct control *control, const struct task *task);
+void control_vm_order(struct control *control, const struct state_task *task);
 
 /** Sends an order to throttle; returns false if it can't be sent now. */
-bool control_vm_throttle(struct control *control, const struct task *task,
+bool control_vm_throttle(struct control *control, const struct state_task *task,
 			 uint32_t cpu_ppm);
 
 /** The task left its VM: forgets what the leader noted of it. */
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -12,25 +12,25 @@
 	uint32_t type;
 	state_apply_fn apply;
 } state_commands[] = {
-	{ CMD_BUNDLE_SUBMIT, bundle_submit },
-	{ CMD_BUNDLE_SIGN, bundle_sign },
-	{ CMD_ZONE_SET, zone_set },
-	{ CMD_VM_SET, vm_set },
-	{ CMD_VM_LOST, vm_lost },
-	{ CMD_VM_QUARANTINE, vm_quarantine },
-	{ CMD_JOB_SUBMIT, job_submit },
-	{ CMD_JOB_CANCEL, job_cancel },
-	{ CMD_TASK_PLACE, task_place },
-	{ CMD_TASK_SET, task_set },
+	{ CMD_BUNDLE_SUBMIT, state_bundle_submit },
+	{ CMD_BUNDLE_SIGN, state_bundle_sign },
+	{ CMD_ZONE_SET, state_zone_set },
+	{ CMD_VM_SET, state_vm_set },
+	{ CMD_VM_LOST, state_vm_lost },
+	{ CMD_VM_QUARANTINE, state_vm_quarantine },
+	{ CMD_JOB_SUBMIT, state_job_submit },
+	{ CMD_JOB_CANCEL, state_job_cancel },
+	{ CMD_TASK_PLACE, state_task_place },
+	{ CMD_TASK_SET, state_task_set },
 	{ CMD_CLAIM, claim_take },
 	{ CMD_CLAIM_DONE, claim_complete },
-	{ CMD_EXPIRE, job_expire },
+	{ CMD_EXPIRE, state_job_expire },
 };
 
 /* Both pointers are to the same record at the start of each object. */
 static gboolean state_add_vm(gpointer key, gpointer value, gpointer data)
 {
-	const struct vm *vm = value;
+	const struct state_vm *vm = value;
 	struct snapshot_record item;
 
 	item.record.type = REC_VM;
@@ -51,7 +51,7 @@
 
 static gboolean state_add_job(gpointer key, gpointer value, gpointer data)
 {
-	const struct job *job = value;
+	const struct state_job *job = value;
 	struct snapshot_record item;
 
 	item.record.type = REC_JOB;
@@ -62,7 +62,7 @@
 
 static gboolean state_add_task(gpointer key, gpointer value, gpointer data)
 {
-	const struct task *task = value;
+	const struct state_task *task = value;
 	struct snapshot_record item;
 
 	item.record.type = REC_TASK;
@@ -107,7 +107,7 @@
 
 static void state_clear(struct state *state)
 {
-	bundle_store_clear(&state->bundles);
+	state_bundles_clear(&state->bundles);
 	g_clear_pointer(&state->claims, g_hash_table_unref);
 	g_clear_pointer(&state->job_keys, g_hash_table_unref);
 	g_clear_pointer(&state->tasks, g_tree_unref);
@@ -120,8 +120,10 @@
 static void state_init(struct state *state)
 {
 	state->zones = g_tree_new_full(state_compare_names, NULL, NULL, g_free);
-	state->vms = g_tree_new_full(state_compare_names, NULL, NULL, vm_free);
-	state->jobs = g_tree_new_full(state_compare_ids, NULL, NULL, job_free);
+	state->vms =
+		g_tree_new_full(state_compare_names, NULL, NULL, state_vm_free);
+	state->jobs =
+		g_tree_new_full(state_compare_ids, NULL, NULL, state_job_free);
 	state->tasks = g_tree_new_full(state_compare_ids, NULL, NULL, g_free);
 	state->job_keys = g_hash_table_new(g_str_hash, g_str_equal);
 	state->claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -210,19 +212,19 @@
 			state->counters = *(const struct state_counters *)body;
 			break;
 		case REC_BUNDLE:
-			bundle_restore(state, body);
+			state_bundle_restore(state, body);
 			break;
 		case REC_ZONE:
-			zone_restore(state, body);
+			state_zone_restore(state, body);
 			break;
 		case REC_VM:
-			vm_restore(state, body);
+			state_vm_restore(state, body);
 			break;
 		case REC_JOB:
-			job_restore(state, body);
+			state_job_restore(state, body);
 			break;
 		case REC_TASK:
-			task_restore(state, body);
+			state_task_restore(state, body);
 			break;
 		case REC_CLAIM:
 			claim_restore(state, body);
@@ -235,7 +237,7 @@
 
 static gboolean state_job_expired(gpointer key, gpointer value, gpointer data)
 {
-	const struct job *job = value;
+	const struct state_job *job = value;
 	uint64_t *before_ms = data;
 
 	if (!job->record.finished_ms || job->record.finished_ms >= *before_ms)
@@ -268,16 +270,17 @@
 
 static gboolean state_verify_vm(gpointer key, gpointer value, gpointer data)
 {
-	const struct vm *vm = value;
+	const struct state_vm *vm = value;
 	uint64_t cpu_millis = 0;
 	uint64_t memory_mib = 0;
 	uint64_t accelerators = 0;
 
 	for (GTreeNode *node = g_tree_node_first(vm->tasks); node;
 	     node = g_tree_node_next(node)) {
-		const struct task *task = g_tree_node_value(node);
+		const struct state_task *task = g_tree_node_value(node);
 
-		g_assert(task->vm == vm && task_is_on_vm(task->record.state));
+		g_assert(task->vm == vm &&
+			 state_task_is_on_vm(task->record.state));
 		g_assert(!strcmp(task->record.vm, vm->record.name));
 		cpu_millis += task->record.cpu_millis;
 		memory_mib += task->record.memory_mib;
@@ -295,12 +298,12 @@
 
 static gboolean state_verify_task(gpointer key, gpointer value, gpointer data)
 {
-	const struct task *task = value;
+	const struct state_task *task = value;
 	const struct state *state = data;
 
-	g_assert(task_is_on_vm(task->record.state) == (task->vm != NULL));
+	g_assert(state_task_is_on_vm(task->record.state) == (task->vm != NULL));
 	g_assert((*task->record.vm != 0) == (task->vm != NULL));
-	g_assert(task->job == job_find(state, task->record.job_id));
+	g_assert(task->job == state_job_find(state, task->record.job_id));
 	g_assert(g_tree_lookup(task->job->tasks, &task->record.task_id) ==
 		 task);
 	if (task->vm)
@@ -332,19 +335,19 @@
 		state->watch->zone(state->watch_ctx, zone);
 }
 
-void state_vm_changed(struct state *state, const struct vm *vm)
+void state_vm_changed(struct state *state, const struct state_vm *vm)
 {
 	if (state->watch && state->watch->vm)
 		state->watch->vm(state->watch_ctx, vm);
 }
 
-void state_job_changed(struct state *state, const struct job *job)
+void state_job_changed(struct state *state, const struct state_job *job)
 {
 	if (state->watch && state->watch->job)
 		state->watch->job(state->watch_ctx, job);
 }
 
-void state_task_changed(struct state *state, const struct task *task,
+void state_task_changed(struct state *state, const struct state_task *task,
 			const struct task_record *before)
 {
 	if (state->watch && state->watch->task)
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -13,15 +13,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "bundle.h"
+#include "state_bundle.h"
 #include "claim.h"
 #include "command.h"
-#include "job.h"
+#include "state_job.h"
 #include "msg_raft.h"
 #include "result.h"
-#include "task.h"
-#include "vm.h"
-#include "zone.h"
+#include "state_task.h"
+#include "state_vm.h"
+#include "state_zone.h"
 
 /** What a command came to. */
 struct state_outcome {
@@ -35,22 +35,22 @@
 struct state_watch_ops {
 	void (*bundle)(void *ctx, const struct bundle *bundle);
 	void (*zone)(void *ctx, const struct zone_record *zone);
-	void (*vm)(void *ctx, const struct vm *vm);
-	void (*job)(void *ctx, const struct job *job);
+	void (*vm)(void *ctx, const struct state_vm *vm);
+	void (*job)(void *ctx, const struct state_job *job);
 	/** @a before is the task's record before the change. */
-	void (*task)(void *ctx, const struct task *task,
+	void (*task)(void *ctx, const struct state_task *task,
 		     const struct task_record *before);
 	void (*job_dropped)(void *ctx, uint64_t job_id);
 };
 
 struct state {
 	struct state_counters counters;
-	struct bundle_store bundles;
+	struct state_bundles bundles;
 	GTree *zones; /* name -> struct zone_record * */
-	GTree *vms; /* name -> struct vm * */
-	GTree *jobs; /* job_id -> struct job * */
-	GTree *tasks; /* task_id -> struct task * */
-	GHashTable *job_keys; /* key -> struct job *, borrowed */
+	GTree *vms; /* name -> struct state_vm * */
+	GTree *jobs; /* job_id -> struct state_job * */
+	GTree *tasks; /* task_id -> struct state_task * */
+	GHashTable *job_keys; /* key -> struct state_job *, borrowed */
 	GHashTable *claims; /* service and key -> struct claim_record * */
 	const struct state_watch_ops *watch;
 	void *watch_ctx;
@@ -91,9 +91,9 @@
 /* How the parts of the state report a change to the watch. */
 void state_bundle_changed(struct state *state, const struct bundle *bundle);
 void state_zone_changed(struct state *state, const struct zone_record *zone);
-void state_vm_changed(struct state *state, const struct vm *vm);
-void state_job_changed(struct state *state, const struct job *job);
-void state_task_changed(struct state *state, const struct task *task,
+void state_vm_changed(struct state *state, const struct state_vm *vm);
+void state_job_changed(struct state *state, const struct state_job *job);
+void state_task_changed(struct state *state, const struct state_task *task,
 			const struct task_record *before);
 void state_job_dropped(struct state *state, uint64_t job_id);
 
--- a/src/core/bundle.c
+++ b/src/core/state_bundle.c
@@ -1,4 +1,4 @@
-#include "bundle.h"
+#include "state_bundle.h"
 
 #include <string.h>
 
@@ -6,7 +6,7 @@
 #include "schema_tables.h"
 #include "state.h"
 
-static void bundle_free(struct bundle *bundle)
+static void state_bundle_free(struct bundle *bundle)
 {
 	if (!bundle)
 		return;
@@ -14,7 +14,7 @@
 	g_free(bundle);
 }
 
-static struct bundle *bundle_dup(const struct bundle *bundle)
+static struct bundle *state_bundle_dup(const struct bundle *bundle)
 {
 	struct bundle *copy = g_new0(struct bundle, 1);
 
@@ -23,7 +23,7 @@
 }
 
 /* Takes arrays of structs that begin with their name. */
-static bool bundle_names_ok(const void *items, uint32_t nr, size_t size)
+static bool state_bundle_names_ok(const void *items, uint32_t nr, size_t size)
 {
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 	bool ok = true;
@@ -37,7 +37,7 @@
 	return ok;
 }
 
-static bool bundle_has_team(const struct bundle *bundle, const char *name)
+static bool state_bundle_has_team(const struct bundle *bundle, const char *name)
 {
 	for (uint32_t i = 0; i < bundle->nr_teams; i++)
 		if (!strcmp(bundle->teams[i].name, name))
@@ -45,11 +45,12 @@
 	return false;
 }
 
-static enum result bundle_check_service(const struct bundle *bundle,
-					const struct bundle_service *service,
-					const char **message)
+static enum result
+state_bundle_check_service(const struct bundle *bundle,
+			   const struct bundle_service *service,
+			   const char **message)
 {
-	if (*service->team && !bundle_has_team(bundle, service->team)) {
+	if (*service->team && !state_bundle_has_team(bundle, service->team)) {
 		*message = "a service names an unknown team";
 		return RESULT_UNKNOWN_OBJECT;
 	}
@@ -65,14 +66,15 @@
 	return RESULT_OK;
 }
 
-void bundle_store_clear(struct bundle_store *store)
+void state_bundles_clear(struct state_bundles *store)
 {
-	bundle_free(store->in_force);
-	bundle_free(store->submitted);
+	state_bundle_free(store->in_force);
+	state_bundle_free(store->submitted);
 	memset(store, 0, sizeof(*store));
 }
 
-enum result bundle_check(const struct bundle *bundle, const char **message)
+enum result state_bundle_check(const struct bundle *bundle,
+			       const char **message)
 {
 	enum result result = RESULT_OK;
 
@@ -85,23 +87,23 @@
 		*message = "the digest is missing";
 		return RESULT_MALFORMED;
 	}
-	if (!bundle_names_ok(bundle->zones, bundle->nr_zones,
-			     sizeof(*bundle->zones)) ||
-	    !bundle_names_ok(bundle->teams, bundle->nr_teams,
-			     sizeof(*bundle->teams)) ||
-	    !bundle_names_ok(bundle->services, bundle->nr_services,
-			     sizeof(*bundle->services))) {
+	if (!state_bundle_names_ok(bundle->zones, bundle->nr_zones,
+				   sizeof(*bundle->zones)) ||
+	    !state_bundle_names_ok(bundle->teams, bundle->nr_teams,
+				   sizeof(*bundle->teams)) ||
+	    !state_bundle_names_ok(bundle->services, bundle->nr_services,
+				   sizeof(*bundle->services))) {
 		*message = "a name is empty or used twice";
 		return RESULT_MALFORMED;
 	}
 	for (uint32_t i = 0; i < bundle->nr_services && !result; i++)
-		result = bundle_check_service(bundle, &bundle->services[i],
-					      message);
+		result = state_bundle_check_service(
+			bundle, &bundle->services[i], message);
 	return result;
 }
 
-enum result bundle_compare(const struct bundle_store *store, uint64_t version,
-			   const char *digest)
+enum result state_bundle_compare(const struct state_bundles *store,
+				 uint64_t version, const char *digest)
 {
 	const struct bundle *newest = store->submitted;
 
@@ -116,24 +118,24 @@
 	return strcmp(newest->digest, digest) ? RESULT_CONFLICT : RESULT_OK;
 }
 
-struct state_outcome bundle_submit(struct state *state, const void *body)
+struct state_outcome state_bundle_submit(struct state *state, const void *body)
 {
-	struct bundle_store *store = &state->bundles;
+	struct state_bundles *store = &state->bundles;
 	const struct bundle *bundle = body;
 	struct state_outcome outcome = { 0 };
 	bool known;
 
-	outcome.result = bundle_check(bundle, &outcome.message);
+	outcome.result = state_bundle_check(bundle, &outcome.message);
 	if (!outcome.result)
-		outcome.result =
-			bundle_compare(store, bundle->version, bundle->digest);
+		outcome.result = state_bundle_compare(store, bundle->version,
+						      bundle->digest);
 	known = (store->in_force &&
 		 store->in_force->version == bundle->version) ||
 		(store->submitted &&
 		 store->submitted->version == bundle->version);
 	if (!outcome.result && !known) {
-		bundle_free(store->submitted);
-		store->submitted = bundle_dup(bundle);
+		state_bundle_free(store->submitted);
+		store->submitted = state_bundle_dup(bundle);
 		/* Only a sign-off may fill this in. */
 		TEXT_SET(store->submitted->signed_by, "");
 	}
@@ -143,9 +145,9 @@
 	return outcome;
 }
 
-struct state_outcome bundle_sign(struct state *state, const void *body)
+struct state_outcome state_bundle_sign(struct state *state, const void *body)
 {
-	struct bundle_store *store = &state->bundles;
+	struct state_bundles *store = &state->bundles;
 	const struct cmd_bundle_sign *sign = body;
 	struct state_outcome outcome = { 0 };
 	const struct bundle *in_force = store->in_force;
@@ -177,22 +179,22 @@
 		outcome.message = "the sign-off names nobody";
 		return outcome;
 	}
-	bundle_free(store->in_force);
+	state_bundle_free(store->in_force);
 	store->in_force = store->submitted;
 	store->submitted = NULL;
 	TEXT_SET(store->in_force->signed_by, sign->signed_by);
 	outcome.version = store->in_force->version;
-	zone_follow_bundle(state, store->in_force);
+	state_zone_follow_bundle(state, store->in_force);
 	state_bundle_changed(state, store->in_force);
-	job_follow_bundle(state, store->in_force);
+	state_job_follow_bundle(state, store->in_force);
 	return outcome;
 }
 
-void bundle_restore(struct state *state, const struct bundle *bundle)
+void state_bundle_restore(struct state *state, const struct bundle *bundle)
 {
 	struct bundle **slot = *bundle->signed_by ? &state->bundles.in_force :
 						    &state->bundles.submitted;
 
-	bundle_free(*slot);
-	*slot = bundle_dup(bundle);
+	state_bundle_free(*slot);
+	*slot = state_bundle_dup(bundle);
 }
--- a/src/core/job.c
+++ b/src/core/state_job.c
@@ -1,14 +1,14 @@
-#include "job.h"
+#include "state_job.h"
 
 #include <string.h>
 
 #include "schema.h"
 #include "state.h"
 
-static struct job *job_insert(struct state *state,
-			      const struct job_record *record)
+static struct state_job *state_job_insert(struct state *state,
+					  const struct job_record *record)
 {
-	struct job *job = g_new0(struct job, 1);
+	struct state_job *job = g_new0(struct state_job, 1);
 
 	job->record = *record;
 	job->tasks = g_tree_new_full(state_compare_ids, NULL, NULL, NULL);
@@ -18,22 +18,23 @@
 	return job;
 }
 
-static gboolean job_append(gpointer key, gpointer value, gpointer data)
+static gboolean state_job_append(gpointer key, gpointer value, gpointer data)
 {
 	g_ptr_array_add(data, value);
 	return FALSE;
 }
 
-static GPtrArray *job_tasks(const struct job *job)
+static GPtrArray *state_job_tasks(const struct state_job *job)
 {
 	GPtrArray *tasks = g_ptr_array_new();
 
-	g_tree_foreach(job->tasks, job_append, tasks);
+	g_tree_foreach(job->tasks, state_job_append, tasks);
 	return tasks;
 }
 
 /* Returns true if a resend under the same key asks for the same job. */
-static bool job_same(const struct job_record *a, const struct job_record *b)
+static bool state_job_same(const struct job_record *a,
+			   const struct job_record *b)
 {
 	return !strcmp(a->name, b->name) && !strcmp(a->team, b->team) &&
 	       !strcmp(a->kind, b->kind) && !strcmp(a->payload, b->payload) &&
@@ -44,38 +45,38 @@
 	       a->declared_run_ms == b->declared_run_ms;
 }
 
-static struct job *job_create(struct state *state,
-			      const struct job_record *record)
+static struct state_job *state_job_create(struct state *state,
+					  const struct job_record *record)
 {
-	struct job *job = job_insert(state, record);
+	struct state_job *job = state_job_insert(state, record);
 
 	state_job_changed(state, job);
 	for (uint32_t i = 0; i < job->record.nr_wanted; i++)
-		task_add(state, job);
+		state_task_add(state, job);
 	return job;
 }
 
-static void job_end(struct state *state, struct job *job, uint32_t job_state,
-		    uint32_t result)
+static void state_job_end(struct state *state, struct state_job *job,
+			  uint32_t job_state, uint32_t result)
 {
-	GPtrArray *tasks = job_tasks(job);
+	GPtrArray *tasks = state_job_tasks(job);
 
 	job->record.state = job_state;
 	job->record.result = result;
 	state_job_changed(state, job);
 	for (uint32_t i = 0; i < tasks->len; i++)
-		task_cancel(state, g_ptr_array_index(tasks, i));
+		state_task_cancel(state, g_ptr_array_index(tasks, i));
 	g_ptr_array_unref(tasks);
-	job_settle(state, job);
+	state_job_settle(state, job);
 }
 
-static void job_drop(struct state *state, struct job *job)
+static void state_job_drop(struct state *state, struct state_job *job)
 {
-	GPtrArray *tasks = job_tasks(job);
+	GPtrArray *tasks = state_job_tasks(job);
 	uint64_t job_id = job->record.job_id;
 
 	for (uint32_t i = 0; i < tasks->len; i++)
-		task_drop(state, g_ptr_array_index(tasks, i));
+		state_task_drop(state, g_ptr_array_index(tasks, i));
 	g_ptr_array_unref(tasks);
 	if (g_hash_table_lookup(state->job_keys, job->record.key) == job)
 		g_hash_table_remove(state->job_keys, job->record.key);
@@ -83,26 +84,27 @@
 	state_job_dropped(state, job_id);
 }
 
-struct job *job_find(const struct state *state, uint64_t job_id)
+struct state_job *state_job_find(const struct state *state, uint64_t job_id)
 {
 	return g_tree_lookup(state->jobs, &job_id);
 }
 
-void job_free(void *data)
+void state_job_free(void *data)
 {
-	struct job *job = data;
+	struct state_job *job = data;
 
 	g_tree_unref(job->tasks);
 	g_free(job);
 }
 
-uint32_t job_live_tasks(const struct job *job)
+uint32_t state_job_live_tasks(const struct state_job *job)
 {
 	return job->nr_in_state[TASK_PENDING] + job->nr_in_state[TASK_PLACED] +
 	       job->nr_in_state[TASK_RUNNING] + job->nr_in_state[TASK_STOPPING];
 }
 
-enum result job_check(const struct job_record *record, const char **message)
+enum result state_job_check(const struct job_record *record,
+			    const char **message)
 {
 	if (!*record->name) {
 		*message = "the job's name is missing";
@@ -127,22 +129,22 @@
 	return RESULT_OK;
 }
 
-struct state_outcome job_submit(struct state *state, const void *body)
+struct state_outcome state_job_submit(struct state *state, const void *body)
 {
 	const struct job_record *submitted = body;
 	struct state_outcome outcome = { 0 };
 	struct job_record record = *submitted;
-	struct job *job = NULL;
+	struct state_job *job = NULL;
 
 	state_set_clock(state, submitted->submitted_ms);
-	outcome.result = job_check(submitted, &outcome.message);
+	outcome.result = state_job_check(submitted, &outcome.message);
 	if (outcome.result)
 		return outcome;
 	if (*record.key)
 		job = g_hash_table_lookup(state->job_keys, record.key);
 	if (job) {
 		outcome.id = job->record.job_id;
-		if (!job_same(&job->record, &record)) {
+		if (!state_job_same(&job->record, &record)) {
 			outcome.result = RESULT_CONFLICT;
 			outcome.message = "the key belongs to another job";
 		}
@@ -153,11 +155,11 @@
 	record.result = RESULT_OK;
 	record.finished_ms = 0;
 	outcome.id = record.job_id;
-	job_create(state, &record);
+	state_job_create(state, &record);
 	return outcome;
 }
 
-struct state_outcome job_cancel(struct state *state, const void *body)
+struct state_outcome state_job_cancel(struct state *state, const void *body)
 {
 	const struct cmd_job_cancel *cancel = body;
 	struct state_outcome outcome = { 0 };
@@ -166,14 +168,16 @@
 
 	state_set_clock(state, cancel->now_ms);
 	for (uint32_t i = 0; i < cancel->nr_job_ids; i++) {
-		struct job *job = job_find(state, cancel->job_ids[i]);
+		struct state_job *job =
+			state_job_find(state, cancel->job_ids[i]);
 
 		/* Only a bundle ends the jobs of its services. */
 		if (!job || job->record.job_class == JOB_SERVICE)
 			continue;
 		nr_found++;
 		if (job->record.state == JOB_ACTIVE)
-			job_end(state, job, failed ? JOB_FAILED : JOB_CANCELLED,
+			state_job_end(
+				state, job, failed ? JOB_FAILED : JOB_CANCELLED,
 				failed ? cancel->result : RESULT_CANCELLED);
 	}
 	if (!nr_found && cancel->nr_job_ids)
@@ -181,11 +185,12 @@
 	return outcome;
 }
 
-static gboolean job_append_expired(gpointer key, gpointer value, gpointer data)
+static gboolean state_job_append_expired(gpointer key, gpointer value,
+					 gpointer data)
 {
 	GPtrArray *jobs = data;
-	struct job *job = value;
-	/* The first item carries the time, see job_expire(). */
+	struct state_job *job = value;
+	/* The first item carries the time, see state_job_expire(). */
 	const uint64_t *before_ms = g_ptr_array_index(jobs, 0);
 
 	if (job->record.finished_ms && job->record.finished_ms < *before_ms)
@@ -193,26 +198,26 @@
 	return FALSE;
 }
 
-struct state_outcome job_expire(struct state *state, const void *body)
+struct state_outcome state_job_expire(struct state *state, const void *body)
 {
 	const struct cmd_expire *expire = body;
 	struct state_outcome outcome = { 0 };
 	GPtrArray *jobs = g_ptr_array_new();
 
 	g_ptr_array_add(jobs, (void *)&expire->jobs_before_ms);
-	g_tree_foreach(state->jobs, job_append_expired, jobs);
+	g_tree_foreach(state->jobs, state_job_append_expired, jobs);
 	for (uint32_t i = 1; i < jobs->len; i++)
-		job_drop(state, g_ptr_array_index(jobs, i));
+		state_job_drop(state, g_ptr_array_index(jobs, i));
 	g_ptr_array_unref(jobs);
 	claim_expire(state, expire->claims_before_ms);
 	return outcome;
 }
 
-static void job_shrink(struct state *state, struct job *job)
+static void state_job_shrink(struct state *state, struct state_job *job)
 {
-	GPtrArray *tasks = job_tasks(job);
-	uint32_t surplus = job_live_tasks(job);
-	struct task *task;
+	GPtrArray *tasks = state_job_tasks(job);
+	uint32_t surplus = state_job_live_tasks(job);
+	struct state_task *task;
 
 	surplus -= MIN(surplus, job->record.nr_wanted);
 	/* Waiting replicas go first, then the newest. */
@@ -221,7 +226,7 @@
 		if (task->record.state != TASK_PENDING)
 			continue;
 		surplus--;
-		task_cancel(state, task);
+		state_task_cancel(state, task);
 		g_ptr_array_index(tasks, i) = NULL;
 	}
 	surplus -= MIN(surplus, job->nr_in_state[TASK_STOPPING]);
@@ -231,17 +236,17 @@
 			      task->record.state != TASK_RUNNING))
 			continue;
 		surplus--;
-		task_cancel(state, task);
+		state_task_cancel(state, task);
 	}
 	g_ptr_array_unref(tasks);
 }
 
-static void job_follow_service(struct state *state,
-			       const struct bundle_service *service)
+static void state_job_follow_service(struct state *state,
+				     const struct bundle_service *service)
 {
 	struct job_record record = { 0 };
 	char key[KEY_BYTES];
-	struct job *job;
+	struct state_job *job;
 
 	g_snprintf(key, sizeof(key), "%s%s", JOB_SERVICE_KEY, service->name);
 	job = g_hash_table_lookup(state->job_keys, key);
@@ -265,17 +270,18 @@
 			return;
 		record.job_id = ++state->counters.next_job_id;
 		record.submitted_ms = state->counters.clock_ms;
-		job_create(state, &record);
+		state_job_create(state, &record);
 		return;
 	}
 	job->record = record;
 	state_job_changed(state, job);
-	while (job_live_tasks(job) < job->record.nr_wanted)
-		task_add(state, job);
-	job_shrink(state, job);
+	while (state_job_live_tasks(job) < job->record.nr_wanted)
+		state_task_add(state, job);
+	state_job_shrink(state, job);
 }
 
-static bool job_in_bundle(const struct job *job, const struct bundle *bundle)
+static bool state_job_in_bundle(const struct state_job *job,
+				const struct bundle *bundle)
 {
 	for (uint32_t i = 0; i < bundle->nr_services; i++)
 		if (!strcmp(bundle->services[i].name, job->record.name))
@@ -283,27 +289,28 @@
 	return false;
 }
 
-void job_follow_bundle(struct state *state, const struct bundle *bundle)
+void state_job_follow_bundle(struct state *state, const struct bundle *bundle)
 {
 	GPtrArray *jobs = g_ptr_array_new();
 
-	g_tree_foreach(state->jobs, job_append, jobs);
+	g_tree_foreach(state->jobs, state_job_append, jobs);
 	for (uint32_t i = 0; i < jobs->len; i++) {
-		struct job *job = g_ptr_array_index(jobs, i);
+		struct state_job *job = g_ptr_array_index(jobs, i);
 
 		if (job->record.job_class == JOB_SERVICE &&
 		    job->record.state == JOB_ACTIVE &&
-		    !job_in_bundle(job, bundle))
-			job_end(state, job, JOB_CANCELLED, RESULT_CANCELLED);
+		    !state_job_in_bundle(job, bundle))
+			state_job_end(state, job, JOB_CANCELLED,
+				      RESULT_CANCELLED);
 	}
 	g_ptr_array_unref(jobs);
 	for (uint32_t i = 0; i < bundle->nr_services; i++)
-		job_follow_service(state, &bundle->services[i]);
+		state_job_follow_service(state, &bundle->services[i]);
 }
 
-void job_settle(struct state *state, struct job *job)
+void state_job_settle(struct state *state, struct state_job *job)
 {
-	if (job_live_tasks(job) || job->record.finished_ms)
+	if (state_job_live_tasks(job) || job->record.finished_ms)
 		return;
 	if (job->record.state == JOB_ACTIVE) {
 		if (job->record.job_class == JOB_SERVICE)
@@ -315,7 +322,7 @@
 	state_job_changed(state, job);
 }
 
-void job_restore(struct state *state, const struct job_record *record)
+void state_job_restore(struct state *state, const struct job_record *record)
 {
-	job_insert(state, record);
+	state_job_insert(state, record);
 }
--- a/src/core/task.c
+++ b/src/core/state_task.c
@@ -1,22 +1,23 @@
-#include "task.h"
+#include "state_task.h"
 
 #include <string.h>
 
 #include "schema.h"
 #include "state.h"
 
-static void task_change_state(struct task *task, uint32_t task_state)
+static void state_task_change_state(struct state_task *task,
+				    uint32_t task_state)
 {
 	task->job->nr_in_state[task->record.state]--;
 	task->record.state = task_state;
 	task->job->nr_in_state[task_state]++;
 }
 
-static void task_release(struct task *task)
+static void state_task_release(struct state_task *task)
 {
 	if (!task->vm)
 		return;
-	vm_release(task->vm, task);
+	state_vm_release(task->vm, task);
 	TEXT_SET(task->record.vm, "");
 	task->record.cpu_millis = 0;
 	task->record.memory_mib = 0;
@@ -24,15 +25,15 @@
 }
 
 /* The state of a task that runs nowhere any more. */
-static uint32_t task_state_off_vm(const struct task *task)
+static uint32_t state_task_state_off_vm(const struct state_task *task)
 {
-	const struct job *job = task->job;
+	const struct state_job *job = task->job;
 
 	switch (job->record.state) {
 	case JOB_ACTIVE:
 		/* A service that was shrunk has tasks left over. */
 		return job->record.job_class == JOB_SERVICE &&
-				       job_live_tasks(job) >
+				       state_job_live_tasks(job) >
 					       job->record.nr_wanted ?
 			       TASK_CANCELLED :
 			       TASK_PENDING;
@@ -43,27 +44,28 @@
 	}
 }
 
-static void task_finish_change(struct state *state, struct task *task,
-			       const struct task_record *before)
+static void state_task_finish_change(struct state *state,
+				     struct state_task *task,
+				     const struct task_record *before)
 {
-	struct job *job = task->job;
+	struct state_job *job = task->job;
 
 	state_task_changed(state, task, before);
-	if (task_has_ended(task->record.state) &&
+	if (state_task_has_ended(task->record.state) &&
 	    job->record.state == JOB_ACTIVE &&
 	    job->record.job_class == JOB_SERVICE) {
 		/* The job of a service never ends; its old tasks must not pile
 		 * up. */
-		task_drop(state, task);
+		state_task_drop(state, task);
 		return;
 	}
-	job_settle(state, job);
+	state_job_settle(state, job);
 }
 
 /* Returns true if a task may go from one state to another by CMD_TASK_SET. */
-static bool task_may_become(uint32_t from, uint32_t to)
+static bool state_task_may_become(uint32_t from, uint32_t to)
 {
-	if (!task_is_on_vm(from))
+	if (!state_task_is_on_vm(from))
 		return false;
 	switch (to) {
 	case TASK_PENDING:
@@ -77,8 +79,8 @@
 	}
 }
 
-static void task_take_progress(struct task *task,
-			       const struct cmd_task_set *set)
+static void state_task_take_progress(struct state_task *task,
+				     const struct cmd_task_set *set)
 {
 	if (*set->checkpoint) {
 		TEXT_SET(task->record.checkpoint, set->checkpoint);
@@ -92,26 +94,26 @@
 	}
 }
 
-struct task *task_find(const struct state *state, uint64_t task_id)
+struct state_task *state_task_find(const struct state *state, uint64_t task_id)
 {
 	return g_tree_lookup(state->tasks, &task_id);
 }
 
-bool task_is_on_vm(uint32_t task_state)
+bool state_task_is_on_vm(uint32_t task_state)
 {
 	return task_state == TASK_PLACED || task_state == TASK_RUNNING ||
 	       task_state == TASK_STOPPING;
 }
 
-bool task_has_ended(uint32_t task_state)
+bool state_task_has_ended(uint32_t task_state)
 {
 	return task_state == TASK_DONE || task_state == TASK_FAILED ||
 	       task_state == TASK_CANCELLED;
 }
 
-void task_add(struct state *state, struct job *job)
+void state_task_add(struct state *state, struct state_job *job)
 {
-	struct task *task = g_new0(struct task, 1);
+	struct state_task *task = g_new0(struct state_task, 1);
 	struct task_record before = { 0 };
 
 	task->job = job;
@@ -124,11 +126,11 @@
 	state_task_changed(state, task, &before);
 }
 
-struct state_outcome task_place(struct state *state, const void *body)
+struct state_outcome state_task_place(struct state *state, const void *body)
 {
 	const struct cmd_task_place *place = body;
-	struct task *task = task_find(state, place->task_id);
-	struct vm *vm = vm_find(state, place->vm);
+	struct state_task *task = state_task_find(state, place->task_id);
+	struct state_vm *vm = state_vm_find(state, place->vm);
 	struct state_outcome outcome = { 0 };
 	struct task_record before;
 
@@ -149,12 +151,12 @@
 		outcome.message = "the VM's incarnation isn't live";
 		return outcome;
 	}
-	if (!zone_is_in(state, vm->record.zone)) {
+	if (!state_zone_is_in(state, vm->record.zone)) {
 		outcome.result = RESULT_ZONE_OUT;
 		return outcome;
 	}
-	if (!vm_can_hold(vm, place->cpu_millis, place->memory_mib,
-			 place->accelerators)) {
+	if (!state_vm_can_hold(vm, place->cpu_millis, place->memory_mib,
+			       place->accelerators)) {
 		outcome.result = RESULT_NO_CAPACITY;
 		return outcome;
 	}
@@ -165,16 +167,16 @@
 	task->record.memory_mib = place->memory_mib;
 	task->record.accelerators = place->accelerators;
 	task->record.started_ms = place->now_ms;
-	vm_take(vm, task);
-	task_change_state(task, TASK_PLACED);
+	state_vm_take(vm, task);
+	state_task_change_state(task, TASK_PLACED);
 	state_task_changed(state, task, &before);
 	return outcome;
 }
 
-struct state_outcome task_set(struct state *state, const void *body)
+struct state_outcome state_task_set(struct state *state, const void *body)
 {
 	const struct cmd_task_set *set = body;
-	struct task *task = task_find(state, set->task_id);
+	struct state_task *task = state_task_find(state, set->task_id);
 	struct state_outcome outcome = { 0 };
 	struct task_record before;
 	uint32_t to = set->state;
@@ -189,61 +191,61 @@
 		outcome.message = "the task has another epoch";
 		return outcome;
 	}
-	if (!task_may_become(task->record.state, to)) {
+	if (!state_task_may_become(task->record.state, to)) {
 		/* A repeated event finds the task where it put it. */
 		outcome.result = task->record.state == to ? RESULT_OK :
 							    RESULT_STALE;
 		return outcome;
 	}
 	before = task->record;
-	task_take_progress(task, set);
+	state_task_take_progress(task, set);
 	if (to == TASK_DONE && task->job->record.job_class != JOB_SERVICE) {
 		task->record.progress_ppm = 1000000;
-		task_release(task);
-		task_change_state(task, TASK_DONE);
-		task_finish_change(state, task, &before);
+		state_task_release(task);
+		state_task_change_state(task, TASK_DONE);
+		state_task_finish_change(state, task, &before);
 	} else if (to == TASK_PENDING || to == TASK_DONE) {
 		/* A replica that ends is started again. */
-		task_release(task);
-		task_change_state(task, task_state_off_vm(task));
-		task_finish_change(state, task, &before);
+		state_task_release(task);
+		state_task_change_state(task, state_task_state_off_vm(task));
+		state_task_finish_change(state, task, &before);
 	} else {
-		task_change_state(task, to);
+		state_task_change_state(task, to);
 		state_task_changed(state, task, &before);
 	}
 	return outcome;
 }
 
-void task_unplace(struct state *state, struct task *task)
+void state_task_unplace(struct state *state, struct state_task *task)
 {
 	struct task_record before = task->record;
 
-	task_release(task);
-	task_change_state(task, task_state_off_vm(task));
-	task_finish_change(state, task, &before);
+	state_task_release(task);
+	state_task_change_state(task, state_task_state_off_vm(task));
+	state_task_finish_change(state, task, &before);
 }
 
-void task_cancel(struct state *state, struct task *task)
+void state_task_cancel(struct state *state, struct state_task *task)
 {
 	struct task_record before = task->record;
 
-	if (task_has_ended(task->record.state) ||
+	if (state_task_has_ended(task->record.state) ||
 	    task->record.state == TASK_STOPPING)
 		return;
 	if (task->vm) {
-		task_change_state(task, TASK_STOPPING);
+		state_task_change_state(task, TASK_STOPPING);
 		state_task_changed(state, task, &before);
 		return;
 	}
-	task_change_state(task, task->job->record.state == JOB_FAILED ?
-					TASK_FAILED :
-					TASK_CANCELLED);
-	task_finish_change(state, task, &before);
+	state_task_change_state(task, task->job->record.state == JOB_FAILED ?
+					      TASK_FAILED :
+					      TASK_CANCELLED);
+	state_task_finish_change(state, task, &before);
 }
 
-void task_drop(struct state *state, struct task *task)
+void state_task_drop(struct state *state, struct state_task *task)
 {
-	struct job *job = task->job;
+	struct state_job *job = task->job;
 
 	g_assert(!task->vm);
 	job->nr_in_state[task->record.state]--;
@@ -252,20 +254,20 @@
 	g_tree_remove(state->tasks, &task->record.task_id);
 }
 
-void task_restore(struct state *state, const struct task_record *record)
+void state_task_restore(struct state *state, const struct task_record *record)
 {
-	struct task *task = g_new0(struct task, 1);
-	struct vm *vm = vm_find(state, record->vm);
+	struct state_task *task = g_new0(struct state_task, 1);
+	struct state_vm *vm = state_vm_find(state, record->vm);
 
 	task->record = *record;
-	task->job = job_find(state, record->job_id);
+	task->job = state_job_find(state, record->job_id);
 	g_assert(task->job);
 	task->job->nr_in_state[record->state]++;
 	task->job->nr_evictions += record->nr_evictions;
 	g_tree_insert(state->tasks, &task->record.task_id, task);
 	g_tree_insert(task->job->tasks, &task->record.task_id, task);
-	if (task_is_on_vm(record->state)) {
+	if (state_task_is_on_vm(record->state)) {
 		g_assert(vm);
-		vm_take(vm, task);
+		state_vm_take(vm, task);
 	}
 }
--- a/src/core/zone.c
+++ b/src/core/state_zone.c
@@ -1,12 +1,12 @@
-#include "zone.h"
+#include "state_zone.h"
 
 #include <string.h>
 
 #include "schema.h"
 #include "state.h"
 
-static struct zone_record *zone_insert(struct state *state,
-				       const struct zone_record *record)
+static struct zone_record *state_zone_insert(struct state *state,
+					     const struct zone_record *record)
 {
 	struct zone_record *zone = g_memdup2(record, sizeof(*record));
 
@@ -14,7 +14,7 @@
 	return zone;
 }
 
-static bool zone_in_bundle(const struct bundle *bundle, const char *name)
+static bool state_zone_in_bundle(const struct bundle *bundle, const char *name)
 {
 	for (uint32_t i = 0; i < bundle->nr_zones; i++)
 		if (!strcmp(bundle->zones[i].name, name))
@@ -23,8 +23,8 @@
 }
 
 /* The result if the expected version isn't the present one. */
-static enum result zone_version_result(const struct zone_record *zone,
-				       const struct cmd_zone_set *set)
+static enum result state_zone_version_result(const struct zone_record *zone,
+					     const struct cmd_zone_set *set)
 {
 	if (set->expected_version > zone->version)
 		return RESULT_OUT_OF_RANGE;
@@ -36,22 +36,22 @@
 	return RESULT_CONFLICT;
 }
 
-struct zone_record *zone_find(const struct state *state, const char *name)
+struct zone_record *state_zone_find(const struct state *state, const char *name)
 {
 	return g_tree_lookup(state->zones, name);
 }
 
-bool zone_is_in(const struct state *state, const char *name)
+bool state_zone_is_in(const struct state *state, const char *name)
 {
-	const struct zone_record *zone = zone_find(state, name);
+	const struct zone_record *zone = state_zone_find(state, name);
 
 	return zone && !zone->out;
 }
 
-struct state_outcome zone_set(struct state *state, const void *body)
+struct state_outcome state_zone_set(struct state *state, const void *body)
 {
 	const struct cmd_zone_set *set = body;
-	struct zone_record *zone = zone_find(state, set->name);
+	struct zone_record *zone = state_zone_find(state, set->name);
 	struct state_outcome outcome = { 0 };
 
 	if (!zone) {
@@ -60,12 +60,12 @@
 		return outcome;
 	}
 	if (set->expected_version != zone->version) {
-		outcome.result = zone_version_result(zone, set);
+		outcome.result = state_zone_version_result(zone, set);
 		outcome.version = zone->version;
 		return outcome;
 	}
 	if (!set->out && state->bundles.in_force &&
-	    !zone_in_bundle(state->bundles.in_force, set->name)) {
+	    !state_zone_in_bundle(state->bundles.in_force, set->name)) {
 		outcome.result = RESULT_UNKNOWN_OBJECT;
 		outcome.message = "the bundle in force has no such zone";
 		outcome.version = zone->version;
@@ -79,13 +79,14 @@
 	return outcome;
 }
 
-static gboolean zone_drop_if_absent(gpointer key, gpointer value, gpointer data)
+static gboolean state_zone_drop_if_absent(gpointer key, gpointer value,
+					  gpointer data)
 {
 	struct zone_record *zone = value;
 	struct state *state = data;
 	const struct bundle *bundle = state->bundles.in_force;
 
-	if (zone->out || zone_in_bundle(bundle, zone->name))
+	if (zone->out || state_zone_in_bundle(bundle, zone->name))
 		return FALSE;
 	zone->out = true;
 	zone->version++;
@@ -94,21 +95,21 @@
 	return FALSE;
 }
 
-void zone_follow_bundle(struct state *state, const struct bundle *bundle)
+void state_zone_follow_bundle(struct state *state, const struct bundle *bundle)
 {
 	for (uint32_t i = 0; i < bundle->nr_zones; i++) {
 		struct zone_record record = { .version = 1 };
 
-		if (zone_find(state, bundle->zones[i].name))
+		if (state_zone_find(state, bundle->zones[i].name))
 			continue;
 		TEXT_SET(record.name, bundle->zones[i].name);
 		TEXT_SET(record.changed_by, bundle->signed_by);
-		state_zone_changed(state, zone_insert(state, &record));
+		state_zone_changed(state, state_zone_insert(state, &record));
 	}
-	g_tree_foreach(state->zones, zone_drop_if_absent, state);
+	g_tree_foreach(state->zones, state_zone_drop_if_absent, state);
 }
 
-void zone_restore(struct state *state, const struct zone_record *record)
+void state_zone_restore(struct state *state, const struct zone_record *record)
 {
-	zone_insert(state, record);
+	state_zone_insert(state, record);
 }
