--- a/src/core/state.c
+++ b/src/core/state.c
@@ -312,8 +312,27 @@
 	return FALSE;
 }
 
+static gboolean state_verify_job(gpointer key, gpointer value, gpointer data)
+{
+	const struct state_job *job = value;
+	uint32_t nr_in_state[TASK_CANCELLED + 1] = { 0 };
+
+	for (GTreeNode *node = g_tree_node_first(job->tasks); node;
+	     node = g_tree_node_next(node)) {
+		const struct state_task *task = g_tree_node_value(node);
+
+		g_assert(task->job == job);
+		nr_in_state[task->record.state]++;
+	}
+	g_assert(!memcmp(nr_in_state, job->nr_in_state, sizeof(nr_in_state)));
+	g_assert(!job->record.finished_ms || !state_job_live_tasks(job));
+	g_assert(job->record.state != JOB_FINISHED || job->record.finished_ms);
+	return FALSE;
+}
+
 void state_verify(const struct state *state)
 {
+	g_tree_foreach(state->jobs, state_verify_job, NULL);
 	g_tree_foreach(state->vms, state_verify_vm, NULL);
 	g_tree_foreach(state->tasks, state_verify_task, (void *)state);
 }
