--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -2977,7 +2977,7 @@
   (ProtobufCMessageInit) masticreach__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__response__field_descriptors[9] =
+static const ProtobufCFieldDescriptor masticreach__response__field_descriptors[10] =
 {
   {
     "origin_node",
@@ -3076,9 +3076,21 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load",
+    "wait_us",
     9,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    10,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
     offsetof(Masticreach__Response, load),
@@ -3091,18 +3103,19 @@
 static const unsigned masticreach__response__field_indices_by_name[] = {
   6,   /* field[6] = body */
   5,   /* field[5] = content_type */
-  8,   /* field[8] = load */
+  9,   /* field[9] = load */
   0,   /* field[0] = origin_node */
   1,   /* field[1] = request_nr */
   3,   /* field[3] = result */
   2,   /* field[2] = run */
   7,   /* field[7] = run_us */
   4,   /* field[4] = status */
+  8,   /* field[8] = wait_us */
 };
 static const ProtobufCIntRange masticreach__response__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor masticreach__response__descriptor =
 {
@@ -3112,7 +3125,7 @@
   "Masticreach__Response",
   "masticreach",
   sizeof(Masticreach__Response),
-  9,
+  10,
   masticreach__response__field_descriptors,
   masticreach__response__field_indices_by_name,
   1,  masticreach__response__number_ranges,
@@ -3157,7 +3170,7 @@
   (ProtobufCMessageInit) masticreach__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__outcome_query__field_descriptors[5] =
+static const ProtobufCFieldDescriptor masticreach__outcome_query__field_descriptors[7] =
 {
   {
     "origin_node",
@@ -3184,9 +3197,21 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "service",
+    "reply_nr",
     3,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, reply_nr),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
     offsetof(Masticreach__OutcomeQuery, service),
@@ -3197,7 +3222,7 @@
   },
   {
     "key",
-    4,
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
@@ -3207,9 +3232,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "repeatable",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, repeatable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "refuse",
-    5,
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
@@ -3221,16 +3258,18 @@
   },
 };
 static const unsigned masticreach__outcome_query__field_indices_by_name[] = {
-  3,   /* field[3] = key */
+  4,   /* field[4] = key */
   0,   /* field[0] = origin_node */
-  4,   /* field[4] = refuse */
+  6,   /* field[6] = refuse */
+  5,   /* field[5] = repeatable */
+  2,   /* field[2] = reply_nr */
   1,   /* field[1] = request_nr */
-  2,   /* field[2] = service */
+  3,   /* field[3] = service */
 };
 static const ProtobufCIntRange masticreach__outcome_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor masticreach__outcome_query__descriptor =
 {
@@ -3240,7 +3279,7 @@
   "Masticreach__OutcomeQuery",
   "masticreach",
   sizeof(Masticreach__OutcomeQuery),
-  5,
+  7,
   masticreach__outcome_query__field_descriptors,
   masticreach__outcome_query__field_indices_by_name,
   1,  masticreach__outcome_query__number_ranges,
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -171,11 +171,12 @@
   char *content_type;
   ProtobufCBinaryData body;
   uint32_t run_us;
+  uint32_t wait_us;
   Masticreach__Load *load;
 };
 #define MASTICREACH__RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__response__descriptor) \
-    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, NULL }
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, NULL }
 
 
 struct  Masticreach__Cancel
@@ -193,13 +194,15 @@
   ProtobufCMessage base;
   uint64_t origin_node;
   uint64_t request_nr;
+  uint64_t reply_nr;
   char *service;
   char *key;
+  protobuf_c_boolean repeatable;
   protobuf_c_boolean refuse;
 };
 #define MASTICREACH__OUTCOME_QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__outcome_query__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Masticreach__LoadReport
