--- a/src/core/agent_task.c
+++ b/src/core/agent_task.c
@@ -37,7 +37,7 @@
 {
 	struct agent_walk *walk = data;
 	struct agent_task *tasks = walk->tasks;
-	struct run *run = value;
+	struct worker_run *run = value;
 	struct platform_task item = run->seen;
 	uint64_t age_ms = (tasks->node->now_us - run->seen_us) / 1000;
 
@@ -62,7 +62,7 @@
 }
 
 static void agent_task_send_event(struct agent_task *tasks,
-				  const struct run *run)
+				  const struct worker_run *run)
 {
 	struct task_event event = { 0 };
 
@@ -79,7 +79,7 @@
 static gboolean agent_task_repeat_event(gpointer key, gpointer value,
 					gpointer data)
 {
-	const struct run *run = value;
+	const struct worker_run *run = value;
 
 	if (run->phase == PHASE_ENDED && !run->settled_us)
 		agent_task_send_event(data, run);
@@ -120,7 +120,7 @@
 				       gpointer data)
 {
 	struct agent_task *tasks = data;
-	struct run *run = value;
+	struct worker_run *run = value;
 	uint32_t left_ms = lease_left_ms(&run->lease, tasks->node->now_us);
 
 	if (run->phase != PHASE_RUNNING || left_ms > LEASE_STOP_BEFORE_MS)
@@ -149,7 +149,8 @@
 	return false;
 }
 
-static void agent_task_refuse_run(struct agent_task *tasks, struct run *run)
+static void agent_task_refuse_run(struct agent_task *tasks,
+				  struct worker_run *run)
 {
 	GString *line;
 
@@ -172,7 +173,7 @@
 {
 	struct agent_walk *walk = data;
 	const struct grant *grant = walk->grant;
-	struct run *run = value;
+	struct worker_run *run = value;
 	struct platform_lease_item item = { run->task_id, run->epoch };
 
 	/* The grant tells nothing about what its report didn't show. */
@@ -233,7 +234,7 @@
 static enum result agent_task_check_start(struct agent_task *tasks,
 					  const struct task_order *order)
 {
-	const struct run *run =
+	const struct worker_run *run =
 		worker_find(tasks->worker, order->start.task_id);
 
 	if (run && run->epoch > order->start.epoch)
@@ -257,7 +258,8 @@
 static enum result agent_task_order_start(struct agent_task *tasks,
 					  const struct task_order *order)
 {
-	struct run *run = worker_find(tasks->worker, order->start.task_id);
+	struct worker_run *run =
+		worker_find(tasks->worker, order->start.task_id);
 	enum result result = agent_task_check_start(tasks, order);
 	struct platform_start start = order->start;
 
@@ -279,7 +281,8 @@
 static void agent_task_take_order(struct agent_task *tasks,
 				  const struct task_order *order)
 {
-	struct run *run = worker_find(tasks->worker, order->start.task_id);
+	struct worker_run *run =
+		worker_find(tasks->worker, order->start.task_id);
 	enum result result = RESULT_OK;
 
 	if (order->term < tasks->term ||
@@ -327,12 +330,12 @@
 		agent_task_report(tasks);
 }
 
-static void agent_task_ended(void *ctx, struct run *run)
+static void agent_task_ended(void *ctx, struct worker_run *run)
 {
 	agent_task_send_event(ctx, run);
 }
 
-static void agent_task_checkpointed(void *ctx, struct run *run)
+static void agent_task_checkpointed(void *ctx, struct worker_run *run)
 {
 	agent_task_send_event(ctx, run);
 }
--- a/src/core/worker.c
+++ b/src/core/worker.c
@@ -34,10 +34,10 @@
 	return call_nr;
 }
 
-static struct run *worker_add_run(struct worker *worker, uint64_t task_id,
-				  uint64_t epoch)
+static struct worker_run *worker_add_run(struct worker *worker,
+					 uint64_t task_id, uint64_t epoch)
 {
-	struct run *run = g_new0(struct run, 1);
+	struct worker_run *run = g_new0(struct worker_run, 1);
 
 	run->task_id = task_id;
 	run->epoch = epoch;
@@ -48,7 +48,7 @@
 	return run;
 }
 
-static void worker_set_phase(struct worker *worker, struct run *run,
+static void worker_set_phase(struct worker *worker, struct worker_run *run,
 			     enum run_phase phase)
 {
 	run->phase = phase;
@@ -57,8 +57,8 @@
 	run->settled_call = worker->call_nr;
 }
 
-static void worker_end(struct worker *worker, struct run *run, uint32_t end,
-		       uint32_t result)
+static void worker_end(struct worker *worker, struct worker_run *run,
+		       uint32_t end, uint32_t result)
 {
 	GString *line = logline_new("task-end");
 
@@ -77,7 +77,7 @@
 	worker->opts.ops->ended(worker->opts.ctx, run);
 }
 
-static void worker_call_stop(struct worker *worker, struct run *run)
+static void worker_call_stop(struct worker *worker, struct worker_run *run)
 {
 	struct platform_stop stop = { run->task_id, run->epoch };
 
@@ -86,7 +86,8 @@
 	worker_call(worker, PLATFORM_STOP, run->task_id, run->epoch, &stop);
 }
 
-static void worker_call_checkpoint(struct worker *worker, struct run *run)
+static void worker_call_checkpoint(struct worker *worker,
+				   struct worker_run *run)
 {
 	struct platform_checkpoint checkpoint = { run->task_id, run->epoch };
 
@@ -98,7 +99,7 @@
 }
 
 /* Goes on with a run that the worker was seen to hold. */
-static void worker_still_runs(struct worker *worker, struct run *run)
+static void worker_still_runs(struct worker *worker, struct worker_run *run)
 {
 	if (run->calling)
 		return;
@@ -124,7 +125,7 @@
 }
 
 /* A list that is new enough doesn't show the run. */
-static void worker_not_listed(struct worker *worker, struct run *run,
+static void worker_not_listed(struct worker *worker, struct worker_run *run,
 			      const struct worker_call *call)
 {
 	uint64_t tombstone_us = TASK_TOMBSTONE_MS * 1000ull;
@@ -148,7 +149,7 @@
 	}
 }
 
-static void worker_see(struct worker *worker, struct run *run,
+static void worker_see(struct worker *worker, struct worker_run *run,
 		       const struct platform_task *seen)
 {
 	run->seen = *seen;
@@ -167,7 +168,8 @@
 static void worker_adopt(struct worker *worker,
 			 const struct platform_task *seen)
 {
-	struct run *run = worker_add_run(worker, seen->task_id, seen->epoch);
+	struct worker_run *run =
+		worker_add_run(worker, seen->task_id, seen->epoch);
 
 	counter_add(worker->node->counters, "tasks_adopted", 1);
 	worker_set_phase(worker, run, PHASE_RUNNING);
@@ -179,7 +181,7 @@
 static void worker_take_listed(struct worker *worker, uint64_t call_nr,
 			       const struct platform_task *seen)
 {
-	struct run *run = worker_find(worker, seen->task_id);
+	struct worker_run *run = worker_find(worker, seen->task_id);
 	struct platform_stop stop = { seen->task_id, seen->epoch };
 
 	if (!run || run->epoch < seen->epoch) {
@@ -212,7 +214,7 @@
 	}
 	g_tree_foreach(worker->runs, worker_append_run, runs);
 	for (uint32_t i = 0; i < runs->len; i++) {
-		struct run *run = g_ptr_array_index(runs, i);
+		struct worker_run *run = g_ptr_array_index(runs, i);
 
 		if (!g_hash_table_contains(listed, &run->task_id) &&
 		    call_nr > run->settled_call)
@@ -224,7 +226,7 @@
 	worker->opts.ops->listed(worker->opts.ctx);
 }
 
-static void worker_take_progress(struct run *run,
+static void worker_take_progress(struct worker_run *run,
 				 const struct platform_reply *reply)
 {
 	if (!*reply->checkpoint)
@@ -233,7 +235,7 @@
 	run->seen.progress_ppm = reply->progress_ppm;
 }
 
-static void worker_start_done(struct worker *worker, struct run *run,
+static void worker_start_done(struct worker *worker, struct worker_run *run,
 			      const struct platform_reply *reply)
 {
 	bool late;
@@ -252,7 +254,8 @@
 		   reply->result);
 }
 
-static void worker_checkpoint_done(struct worker *worker, struct run *run,
+static void worker_checkpoint_done(struct worker *worker,
+				   struct worker_run *run,
 				   const struct platform_reply *reply)
 {
 	if (reply && reply->result == RESULT_OK)
@@ -266,7 +269,7 @@
 	}
 }
 
-static void worker_run_done(struct worker *worker, struct run *run,
+static void worker_run_done(struct worker *worker, struct worker_run *run,
 			    const struct worker_call *call,
 			    const struct platform_reply *reply)
 {
@@ -316,7 +319,7 @@
 	g_free(worker);
 }
 
-struct run *worker_find(const struct worker *worker, uint64_t task_id)
+struct worker_run *worker_find(const struct worker *worker, uint64_t task_id)
 {
 	return g_tree_lookup(worker->runs, &task_id);
 }
@@ -337,7 +340,8 @@
 void worker_start(struct worker *worker, const struct platform_start *start)
 {
 	uint64_t now_us = worker->node->now_us;
-	struct run *run = worker_add_run(worker, start->task_id, start->epoch);
+	struct worker_run *run =
+		worker_add_run(worker, start->task_id, start->epoch);
 
 	TEXT_SET(run->seen.checkpoint, start->checkpoint);
 	lease_renew(&run->lease, now_us, start->lease_ms);
@@ -348,7 +352,7 @@
 		    start);
 }
 
-void worker_stop(struct worker *worker, struct run *run, bool checkpoint)
+void worker_stop(struct worker *worker, struct worker_run *run, bool checkpoint)
 {
 	switch (run->phase) {
 	case PHASE_STARTING:
@@ -369,7 +373,7 @@
 	}
 }
 
-void worker_checkpoint(struct worker *worker, const struct run *run)
+void worker_checkpoint(struct worker *worker, const struct worker_run *run)
 {
 	struct platform_checkpoint checkpoint = { run->task_id, run->epoch };
 
@@ -378,7 +382,7 @@
 			    run->epoch, &checkpoint);
 }
 
-void worker_throttle(struct worker *worker, const struct run *run,
+void worker_throttle(struct worker *worker, const struct worker_run *run,
 		     uint32_t cpu_ppm)
 {
 	struct platform_throttle throttle = { run->task_id, run->epoch,
@@ -407,7 +411,7 @@
 	const struct platform_reply *reply = type == PLATFORM_REPLY ? body :
 								      NULL;
 	struct worker_call *call;
-	struct run *run;
+	struct worker_run *run;
 	gpointer key = NULL;
 
 	if (!g_hash_table_steal_extended(worker->calls, &call_nr, &key,
--- a/src/core/worker.h
+++ b/src/core/worker.h
@@ -23,7 +23,7 @@
 };
 
 /** One epoch of a task on this VM. */
-struct run {
+struct worker_run {
 	uint64_t task_id;
 	uint64_t epoch;
 	enum run_phase phase;
@@ -45,9 +45,9 @@
 	/** A list was taken; runs may have changed. */
 	void (*listed)(void *ctx);
 	/** The run ended; see end, result and seen. */
-	void (*ended)(void *ctx, struct run *run);
+	void (*ended)(void *ctx, struct worker_run *run);
 	/** A running task made a checkpoint, named in seen. */
-	void (*checkpointed)(void *ctx, struct run *run);
+	void (*checkpointed)(void *ctx, struct worker_run *run);
 };
 
 struct worker_opts {
@@ -60,7 +60,7 @@
 struct worker {
 	struct node *node;
 	struct worker_opts opts;
-	GTree *runs; /* task_id -> struct run * */
+	GTree *runs; /* task_id -> struct worker_run * */
 	GHashTable *calls; /* call_nr -> struct worker_call * */
 	uint64_t call_nr;
 	uint32_t nr_calls; /* under way, but for lists */
@@ -72,7 +72,7 @@
 struct worker *worker_new(struct node *node, const struct worker_opts *opts);
 void worker_free(struct worker *worker);
 
-struct run *worker_find(const struct worker *worker, uint64_t task_id);
+struct worker_run *worker_find(const struct worker *worker, uint64_t task_id);
 
 /** Asks for the worker's tasks; again if a list is under way. */
 void worker_list(struct worker *worker);
@@ -81,10 +81,11 @@
 void worker_start(struct worker *worker, const struct platform_start *start);
 
 /** Stops a run, after a checkpoint if asked for. */
-void worker_stop(struct worker *worker, struct run *run, bool checkpoint);
+void worker_stop(struct worker *worker, struct worker_run *run,
+		 bool checkpoint);
 
-void worker_checkpoint(struct worker *worker, const struct run *run);
-void worker_throttle(struct worker *worker, const struct run *run,
+void worker_checkpoint(struct worker *worker, const struct worker_run *run);
+void worker_throttle(struct worker *worker, const struct worker_run *run,
 		     uint32_t cpu_ppm);
 
 /** Passes leases on to the worker. */
