--- a/tests/control_world.c
+++ b/tests/control_world.c
@@ -698,6 +698,21 @@
 	return world_change(world, OP_ZONE_SET, &set);
 }
 
+void world_evict(struct world *world, uint64_t task_id)
+{
+	struct control *control = world_leader(world);
+	struct cmd_task_set set = { .task_id = task_id, .evicted = true };
+	const struct state_task *task =
+		state_task_find(control->state, task_id);
+
+	ck_assert_ptr_nonnull(task);
+	set.state = TASK_STOPPING;
+	set.epoch = task->record.epoch;
+	node_set_time(control->node, vhost_now_us(world->vhost));
+	ck_assert_int_eq(control_propose(control, CMD_TASK_SET, &set, NULL),
+			 RESULT_OK);
+}
+
 /* ---- waiting ---- */
 
 struct world_wait {
--- a/tests/control_world.h
+++ b/tests/control_world.h
@@ -105,6 +105,9 @@
 		      uint32_t run_ms);
 enum result world_set_zone(struct world *world, const char *zone, bool out);
 
+/** Commits the eviction of a task, as the planner's decision does. */
+void world_evict(struct world *world, uint64_t task_id);
+
 /** Waits until all tasks of the job are done. */
 bool world_wait_job(struct world *world, uint64_t job_id, uint64_t limit_ms);
 /** Waits until so many tasks run at workers. */
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -9,6 +9,7 @@
 
 #include "control_world.h"
 #include "schema.h"
+#include "site.h"
 #include "suite.h"
 
 /* Guards against a path from submission to the last end that is broken. */
@@ -24,4 +25,590 @@
 }
 END_TEST
 
-SUITE_MAIN("control", test_job_runs)
+/* Guards against tasks of a lost VM that are started again too early. */
+START_TEST(test_vm_lost)
+{
+	struct world *world = world_new(2, 3, 3);
+	uint64_t job_id = world_submit(world, "job1", 6, 20000);
+
+	ck_assert(world_wait_running(world, 6, 5000));
+	world_lose_vm(&world->vms[0]);
+	vhost_run_ms(world->vhost, LEASE_TTL_MS - 500);
+	ck_assert_uint_eq(world_running(world), 4);
+	ck_assert(world_wait_running(world, 6, 3000));
+	ck_assert(world_wait_job(world, job_id, 40000));
+	world_free(world);
+}
+END_TEST
+
+/* Guards against tasks that run on at a VM nobody can reach. */
+START_TEST(test_vm_cut_off)
+{
+	struct world *world = world_new(3, 3, 3);
+	uint64_t job_id = world_submit(world, "job1", 6, 30000);
+
+	ck_assert(world_wait_running(world, 6, 5000));
+	world_cut_vm(&world->vms[1], true);
+	vhost_run_ms(world->vhost, LEASE_TTL_MS + LEASE_MARGIN_MS + 2000);
+	/* The world asserts that no task runs twice. */
+	ck_assert_uint_eq(world_running(world), 6);
+	vhost_run_ms(world->vhost, 20000);
+	world_cut_vm(&world->vms[1], false);
+	ck_assert(world_wait_job(world, job_id, 60000));
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a restarted agent that stops or doubles running tasks. */
+START_TEST(test_agent_restart)
+{
+	struct world *world = world_new(4, 3, 3);
+	uint64_t job_id = world_submit(world, "job1", 6, 20000);
+
+	ck_assert(world_wait_running(world, 6, 5000));
+	for (uint32_t i = 0; i < 3; i++) {
+		world_kill_agent(&world->vms[0]);
+		vhost_run_ms(world->vhost, 1500);
+		world_boot_agent(&world->vms[0]);
+		vhost_run_ms(world->vhost, 1500);
+	}
+	ck_assert(world_wait_job(world, job_id, 40000));
+	ck_assert_uint_eq(world->nr_starts, 6);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against tasks lost with an agent that dies while it starts them. */
+START_TEST(test_agent_dies_during_start)
+{
+	struct world *world = world_new(5, 1, 1);
+	uint64_t job_id;
+
+	vhost_run_ms(world->vhost, 2000);
+	world->vms[0].start_delay_us = 300000;
+	job_id = world_submit(world, "job1", 3, 5000);
+	vhost_run_ms(world->vhost, 100);
+	world_kill_agent(&world->vms[0]);
+	vhost_run_ms(world->vhost, 100);
+	world_boot_agent(&world->vms[0]);
+	ck_assert(world_wait_job(world, job_id, 30000));
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a start under way that is taken for one that failed. */
+START_TEST(test_slow_start)
+{
+	struct world *world = world_new(6, 1, 3);
+	uint64_t job_id;
+
+	vhost_run_ms(world->vhost, 2000);
+	for (uint32_t i = 0; i < 3; i++)
+		world->vms[i].start_delay_us = 1000000;
+	job_id = world_submit(world, "job1", 6, 5000);
+	ck_assert(world_wait_job(world, job_id, 40000));
+	ck_assert_uint_eq(world->nr_starts, 6);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against guesses about calls whose reply is lost. */
+START_TEST(test_lost_replies)
+{
+	struct world *world = world_new(7, 1, 3);
+	uint64_t job_id;
+
+	for (uint32_t i = 0; i < 3; i++)
+		world->vms[i].lose_reply_ppm = 500000;
+	job_id = world_submit(world, "job1", 9, 5000);
+	ck_assert(world_wait_job(world, job_id, 60000));
+	ck_assert_uint_eq(world->nr_starts, 9);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against tasks disturbed by a change of the leader. */
+START_TEST(test_leader_dies)
+{
+	struct world *world = world_new(8, 3, 3);
+	uint64_t job_id = world_submit(world, "job1", 6, 20000);
+	struct world_control *leader;
+
+	ck_assert(world_wait_running(world, 6, 5000));
+	leader = world_leader_host(world);
+	world_kill_control(leader);
+	vhost_run_ms(world->vhost, 10000);
+	ck_assert_uint_eq(world_running(world), 6);
+	world_boot_control(leader);
+	ck_assert(world_wait_job(world, job_id, 40000));
+	ck_assert_uint_eq(world->nr_starts, 6);
+	ck_assert_uint_eq(vhost_log_count(world->vhost, "event=vm-silent"), 0);
+	world_free(world);
+}
+END_TEST
+
+/*
+ * Guards against a new leader that declares a VM lost although it can't know
+ * the last lease which its predecessor granted.
+ */
+START_TEST(test_leader_dies_with_vm)
+{
+	struct world *world = world_new(9, 3, 3);
+	uint64_t job_id = world_submit(world, "job1", 6, 20000);
+
+	ck_assert(world_wait_running(world, 6, 5000));
+	world_cut_vm(&world->vms[2], true);
+	vhost_run_ms(world->vhost, 5000);
+	world_kill_control(world_leader_host(world));
+	vhost_run_ms(world->vhost, 5000);
+	ck_assert_uint_eq(vhost_log_count(world->vhost, "event=vm-silent"), 0);
+	ck_assert(world_wait_job(world, job_id, 60000));
+	world_free(world);
+}
+END_TEST
+
+/* Guards against grants of a leader that has lost its quorum. */
+START_TEST(test_leader_cut_off)
+{
+	struct world *world = world_new(10, 3, 3);
+	uint64_t job_id = world_submit(world, "job1", 6, 40000);
+	struct world_control *leader;
+
+	ck_assert(world_wait_running(world, 6, 5000));
+	leader = world_leader_host(world);
+	for (uint32_t i = 0; i < 3; i++)
+		if (&world->controls[i] != leader)
+			vhost_cut(leader->machine, world->controls[i].machine,
+				  true);
+	vhost_run_ms(world->vhost, RAFT_LEADER_LEASE_MS + 100);
+	ck_assert_int_ne(control_check_leader(leader->control), RESULT_OK);
+	vhost_run_ms(world->vhost, 10000);
+	ck_assert_uint_eq(world_running(world), 6);
+	for (uint32_t i = 0; i < 3; i++)
+		vhost_cut(leader->machine, world->controls[i].machine, false);
+	ck_assert(world_wait_job(world, job_id, 60000));
+	ck_assert_uint_eq(world->nr_starts, 6);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against tasks that outlive their leases while there is no quorum. */
+START_TEST(test_quorum_lost)
+{
+	struct world *world = world_new(11, 3, 3);
+	uint64_t job_id = world_submit(world, "job1", 6, 20000);
+
+	ck_assert(world_wait_running(world, 6, 5000));
+	world_kill_control(&world->controls[0]);
+	world_kill_control(&world->controls[1]);
+	vhost_run_ms(world->vhost, LEASE_TTL_MS + 500);
+	ck_assert_uint_eq(world_running(world), 0);
+	vhost_run_ms(world->vhost, 30000);
+	world_boot_control(&world->controls[0]);
+	world_boot_control(&world->controls[1]);
+	ck_assert(world_wait_job(world, job_id, 60000));
+	/* Each task went on from a checkpoint taken before its lease ended. */
+	ck_assert_uint_eq(world->next_checkpoint, 6);
+	ck_assert_ptr_null(
+		strstr(strstr(world->calls->str, "checkpoint"), " ;"));
+	world_free(world);
+}
+END_TEST
+
+/* Guards against starts in a zone after operators have taken it out. */
+START_TEST(test_zone_out)
+{
+	struct world *world = world_new(12, 3, 6);
+	uint64_t out_us;
+
+	world->watched_zone = "veraval";
+	vhost_run_ms(world->vhost, 2000);
+	for (uint32_t i = 0; i < 6; i++)
+		world->vms[i].start_delay_us = 1200000;
+	world_submit(world, "job1", 12, 60000);
+	/* Starts are under way, with permits granted just before. */
+	vhost_run_ms(world->vhost, 300);
+	ck_assert_int_eq(world_set_zone(world, "veraval", true), RESULT_OK);
+	out_us = vhost_now_us(world->vhost);
+	vhost_run_ms(world->vhost, 20000);
+	ck_assert_uint_gt(world->last_start_us, out_us);
+	ck_assert_uint_le(world->last_start_us, out_us + 2000000);
+	ck_assert_uint_eq(world_running(world), 12);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against starts by an agent that can't hear of its zone's state. */
+START_TEST(test_zone_out_and_agent_cut_off)
+{
+	struct world *world = world_new(23, 3, 6);
+	uint64_t out_us;
+
+	world->watched_zone = "veraval";
+	vhost_run_ms(world->vhost, 2000);
+	world_submit(world, "job1", 12, 60000);
+	world_cut_vm(&world->vms[0], true);
+	ck_assert_int_eq(world_set_zone(world, "veraval", true), RESULT_OK);
+	out_us = vhost_now_us(world->vhost);
+	vhost_run_ms(world->vhost, 9000);
+	ck_assert_uint_le(world->last_start_us, out_us + 2000000);
+	world_cut_vm(&world->vms[0], false);
+	vhost_run_ms(world->vhost, 9000);
+	ck_assert_uint_le(world->last_start_us, out_us + 2000000);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a move that stops a task before its checkpoint is taken. */
+START_TEST(test_eviction_order)
+{
+	struct world *world = world_new(13, 1, 2);
+	uint64_t job_id = world_submit(world, "job1", 1, 30000);
+
+	ck_assert(world_wait_running(world, 1, 5000));
+	vhost_run_ms(world->vhost, 5000);
+	world_evict(world, 1);
+	vhost_run_ms(world->vhost, 3000);
+	ck_assert_ptr_nonnull(world_place(world, 1));
+	ck_assert_str_eq(world->calls->str,
+			 "start 1 ;checkpoint 1;stop 1;start 1 cp1;");
+	ck_assert(world_wait_job(world, job_id, 28000));
+	world_free(world);
+}
+END_TEST
+
+/* Guards against evicted work that is lost or doubled by lost replies. */
+START_TEST(test_eviction_with_lost_replies)
+{
+	struct world *world = world_new(14, 1, 3);
+	uint64_t job_id = world_submit(world, "job1", 4, 30000);
+
+	ck_assert(world_wait_running(world, 4, 5000));
+	for (uint32_t i = 0; i < 3; i++)
+		world->vms[i].lose_reply_ppm = 400000;
+	for (uint32_t i = 0; i < 12; i++) {
+		vhost_run_ms(world->vhost, 2000);
+		if (world_place(world, 1 + i % 4))
+			world_evict(world, 1 + i % 4);
+	}
+	ck_assert(world_wait_job(world, job_id, 90000));
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a task that finishes between its checkpoint and its stop. */
+START_TEST(test_eviction_of_finished_task)
+{
+	for (uint32_t i = 0; i < 20; i++) {
+		struct world *world = world_new(100 + i, 1, 2);
+		uint64_t job_id = world_submit(world, "job1", 1, 3000);
+
+		ck_assert(world_wait_running(world, 1, 5000));
+		world->vms[0].call_delay_us = 100000;
+		world->vms[1].call_delay_us = 100000;
+		/* The end falls before, between and after both calls. */
+		vhost_run_ms(world->vhost, 2650 + i * 20);
+		world_evict(world, 1);
+		ck_assert(world_wait_job(world, job_id, 20000));
+		world_free(world);
+	}
+}
+END_TEST
+
+/* Guards against cancelled tasks that run on. */
+START_TEST(test_cancel)
+{
+	struct world *world = world_new(15, 1, 3);
+	uint64_t job_ids[2];
+	struct cmd_job_cancel cancel = { .nr_job_ids = 2, .job_ids = job_ids };
+	const struct state_vm *vm;
+
+	job_ids[0] = world_submit(world, "job1", 4, 60000);
+	job_ids[1] = world_submit(world, "job2", 4, 60000);
+	ck_assert(world_wait_running(world, 8, 5000));
+	ck_assert_int_eq(world_change(world, OP_JOB_CANCEL, &cancel),
+			 RESULT_OK);
+	ck_assert(world_wait_running(world, 0, 2000));
+	vhost_run_ms(world->vhost, 2000);
+	vm = state_vm_find(world_leader(world)->state, "vm0");
+	ck_assert_uint_eq(vm->used_cpu_millis, 0);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a task that is tried on failing workers without end. */
+START_TEST(test_failing_job)
+{
+	struct world *world = world_new(16, 1, 4);
+	struct op_query query = { 0 };
+	const struct op_jobs *jobs;
+
+	for (uint32_t i = 0; i < 4; i++)
+		world->vms[i].fail_starts = true;
+	query.job_id = world_submit(world, "job1", 1, 5000);
+	vhost_run_ms(world->vhost, 60000);
+	jobs = world_op(world, OP_JOB_LIST, &query);
+	ck_assert_uint_eq(jobs->nr_jobs, 1);
+	ck_assert_uint_eq(jobs->jobs[0].job.state, JOB_FAILED);
+	ck_assert_uint_eq(world->nr_starts, 3);
+	world_free(world);
+}
+END_TEST
+
+static bool all_in_force(void *data)
+{
+	struct world *world = data;
+	struct op_query query = { 0 };
+	const struct op_bundle_status *status =
+		world_op(world, OP_BUNDLE_STATUS, &query);
+
+	return status->processes_known == world->nr_vms &&
+	       status->processes_in_force == world->nr_vms;
+}
+
+/* Guards against a bundle that isn't in force everywhere within seconds. */
+START_TEST(test_bundle_in_force)
+{
+	struct world *world = world_new(17, 3, 6);
+
+	vhost_run_ms(world->vhost, 2000);
+	/* The first bundle's push to one agent is lost. */
+	vhost_path(world_leader_host(world)->machine, world->vms[3].machine)
+		->drop_ppm = 1000000;
+	world_sign_bundle(world, 2, 3);
+	vhost_run_ms(world->vhost, 100);
+	vhost_path(world_leader_host(world)->machine, world->vms[3].machine)
+		->drop_ppm = 0;
+	ck_assert(vhost_run_until(world->vhost, all_in_force, world, 4000));
+	/* Its service's replicas run, too. */
+	ck_assert(world_wait_running(world, 3, 5000));
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a restarted replica that serves an older bundle. */
+START_TEST(test_bundle_survives_restarts)
+{
+	struct world *world = world_new(18, 3, 1);
+	const struct op_bundle_status *status;
+	struct op_query query = { 0 };
+
+	/* Until all three replicas are voters, one loss may stop the group. */
+	vhost_run_ms(world->vhost, 2000);
+	for (uint64_t version = 2; version < 6; version++) {
+		struct world_control *leader = world_leader_host(world);
+
+		world_sign_bundle(world, version, 0);
+		world_kill_control(leader);
+		status = world_op(world, OP_BUNDLE_STATUS, &query);
+		ck_assert_uint_eq(status->in_force, version);
+		world_boot_control(leader);
+		vhost_run_ms(world->vhost, 2000);
+	}
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a replica that answers although it doesn't lead. */
+START_TEST(test_not_leader)
+{
+	struct world *world = world_new(19, 3, 1);
+	struct world_control *leader = world_leader_host(world);
+	struct op_query query = { 0 };
+	const struct op_reply *reply;
+
+	vhost_run_ms(world->vhost, 2000);
+	for (uint32_t i = 0; i < 3; i++) {
+		struct world_control *host = &world->controls[i];
+
+		if (host == leader)
+			continue;
+		world->ticket++;
+		control_operate(host->control, world->ticket, OP_JOB_LIST,
+				&query);
+		reply = world->reply;
+		ck_assert_uint_eq(world->reply_type, OP_REPLY);
+		ck_assert_int_eq(reply->result, RESULT_NOT_LEADER);
+		ck_assert_str_eq(reply->leader,
+				 world->addresses[leader - world->controls]);
+		control_operate(host->control, world->ticket, OP_STATUS,
+				&query);
+		ck_assert_uint_eq(world->reply_type, OP_STATUS_REPLY);
+	}
+	world_free(world);
+}
+END_TEST
+
+/* What an entry keeps of control's answers. */
+struct probe {
+	struct node *node;
+	struct site *site;
+	uint32_t replies;
+	struct claim_reply reply;
+};
+
+static void probe_start(void *role)
+{
+	site_start(((struct probe *)role)->site);
+}
+
+static void probe_peer_up(void *role, const struct link *link)
+{
+	site_peer_up(((struct probe *)role)->site, link);
+}
+
+static void probe_peer_down(void *role, const struct link *link)
+{
+	site_peer_down(((struct probe *)role)->site, link);
+}
+
+static void probe_message(void *role, uint64_t from, uint32_t type,
+			  const void *body)
+{
+	struct probe *probe = role;
+
+	if (type == MSG_CLAIM_REPLY) {
+		probe->reply = *(const struct claim_reply *)body;
+		probe->reply.claim.body = NULL;
+		probe->replies++;
+	} else {
+		site_message(probe->site, from, type, body);
+	}
+}
+
+static void probe_free(void *role)
+{
+	site_free(((struct probe *)role)->site);
+}
+
+static const struct role_ops probe_role = {
+	.role = ROLE_ENTRY,
+	.start = probe_start,
+	.peer_up = probe_peer_up,
+	.peer_down = probe_peer_down,
+	.message = probe_message,
+	.free = probe_free,
+};
+
+static const struct site_ops probe_site_ops = { 0 };
+
+static void probe_boot(struct world *world, struct probe *probe,
+		       const char *name)
+{
+	struct vmachine *machine = vhost_add(world->vhost, name, "veraval", "");
+	struct site_opts opts = {
+		.ops = &probe_site_ops,
+		.control_addresses = world->addresses,
+	};
+
+	probe->node = vhost_boot(machine, 0);
+	probe->site = site_new(probe->node, &opts);
+	node_set_role(probe->node, &probe_role, probe);
+	vhost_start(machine);
+	vhost_run_ms(world->vhost, 2000);
+}
+
+static void probe_claim(struct probe *probe, uint64_t agent_node,
+			uint32_t attempt, const char *digest)
+{
+	struct claim_query query = { .ticket = 5 };
+
+	TEXT_SET(query.claim.service, "desk");
+	TEXT_SET(query.claim.key, "leaf-9");
+	TEXT_SET(query.claim.digest, digest);
+	query.claim.agent_node = agent_node;
+	query.claim.entry_node = probe->node->self.node_id;
+	query.claim.request_nr = 1;
+	query.claim.attempt = attempt;
+	node_send(probe->node, site_leader(probe->site), MSG_CLAIM_QUERY,
+		  &query);
+}
+
+/* Guards against two entries that both dispatch the same request. */
+START_TEST(test_claim_race)
+{
+	struct world *world = world_new(20, 3, 1);
+	struct probe probes[2] = { 0 };
+	uint32_t winners = 0;
+
+	probe_boot(world, &probes[0], "entry0");
+	probe_boot(world, &probes[1], "entry1");
+	probe_claim(&probes[0], 100, 1, "aa");
+	probe_claim(&probes[1], 200, 1, "aa");
+	vhost_run_ms(world->vhost, 500);
+	for (uint32_t i = 0; i < 2; i++) {
+		ck_assert_uint_eq(probes[i].replies, 1);
+		ck_assert_uint_eq(probes[i].reply.ticket, 5);
+		if (probes[i].reply.result == RESULT_OK)
+			winners++;
+		else
+			ck_assert_int_eq(probes[i].reply.result,
+					 RESULT_IN_PROGRESS);
+	}
+	ck_assert_uint_eq(winners, 1);
+	ck_assert_uint_eq(probes[0].reply.claim.agent_node,
+			  probes[1].reply.claim.agent_node);
+	probe_claim(&probes[0], 100, 1, "bb");
+	vhost_run_ms(world->vhost, 500);
+	ck_assert_int_eq(probes[0].reply.result, RESULT_CONFLICT);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a claim that is forgotten with the leader. */
+START_TEST(test_claim_survives_leader)
+{
+	struct world *world = world_new(21, 3, 1);
+	struct probe probe = { 0 };
+
+	probe_boot(world, &probe, "entry0");
+	probe_claim(&probe, 100, 1, "aa");
+	vhost_run_ms(world->vhost, 500);
+	ck_assert_int_eq(probe.reply.result, RESULT_OK);
+	world_kill_control(world_leader_host(world));
+	vhost_run_ms(world->vhost, 5000);
+	probe_claim(&probe, 200, 1, "aa");
+	vhost_run_ms(world->vhost, 500);
+	ck_assert_uint_eq(probe.replies, 2);
+	ck_assert_int_eq(probe.reply.result, RESULT_IN_PROGRESS);
+	ck_assert_uint_eq(probe.reply.claim.agent_node, 100);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against entries that don't learn of agents, new ones and lost ones. */
+START_TEST(test_view_of_agents)
+{
+	struct world *world = world_new(22, 3, 3);
+	struct probe probe = { 0 };
+	uint64_t old_id;
+
+	probe_boot(world, &probe, "entry0");
+	old_id = vhost_node(world->vms[0].machine)->self.node_id;
+	ck_assert_ptr_nonnull(site_agent(probe.site, old_id));
+	world_kill_agent(&world->vms[0]);
+	world_boot_agent(&world->vms[0]);
+	vhost_run_ms(world->vhost, 2000);
+	ck_assert_ptr_null(site_agent(probe.site, old_id));
+	ck_assert_ptr_nonnull(site_agent(
+		probe.site, vhost_node(world->vms[0].machine)->self.node_id));
+	old_id = vhost_node(world->vms[0].machine)->self.node_id;
+	world_lose_vm(&world->vms[0]);
+	vhost_run_ms(world->vhost, 8000);
+	ck_assert_ptr_null(site_agent(probe.site, old_id));
+	ck_assert_int_eq(world_set_zone(world, "mangrol", true), RESULT_OK);
+	vhost_run_ms(world->vhost, 100);
+	ck_assert(site_zone_is_out(probe.site, "mangrol"));
+	world_free(world);
+}
+END_TEST
+
+SUITE_MAIN("control", test_job_runs, test_vm_lost, test_vm_cut_off,
+	   test_agent_restart, test_agent_dies_during_start, test_slow_start,
+	   test_lost_replies, test_leader_dies, test_leader_dies_with_vm,
+	   test_leader_cut_off, test_quorum_lost, test_zone_out,
+	   test_zone_out_and_agent_cut_off, test_eviction_order,
+	   test_eviction_with_lost_replies, test_eviction_of_finished_task,
+	   test_cancel, test_failing_job, test_bundle_in_force,
+	   test_bundle_survives_restarts, test_not_leader, test_claim_race,
+	   test_claim_survives_leader, test_view_of_agents)
