--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -5,11 +5,13 @@
 #include "control.h"
 #include "json.h"
 #include "role_host.h"
+#include "store.h"
 
 struct host_control {
 	struct loop *loop;
 	struct control *control;
 	struct http_server *http;
+	struct store *store;
 };
 
 /** One operation; a path that ends in '/' takes one more segment. */
@@ -275,9 +277,40 @@
 	if (!host)
 		return;
 	http_server_free(host->http);
+	store_close(host->store);
 	g_free(host);
 }
 
+static void host_control_synced(void *ctx, uint64_t sync_nr, enum result res)
+{
+	struct host_control *host = ctx;
+
+	loop_enter(host->loop);
+	control_synced(host->control, sync_nr, res);
+	loop_leave(host->loop);
+}
+
+/* A replica keeps its identity as long as it keeps its disk. */
+static enum result host_control_open_store(struct host_control *host,
+					   const struct settings *settings)
+{
+	struct node *node = loop_node(host->loop);
+	struct store_opts opts = { 0 };
+	const struct store_image *image;
+	enum result res;
+
+	opts.path = settings->data;
+	opts.synced = host_control_synced;
+	opts.ctx = host;
+	res = store_open(&opts, &host->store);
+	if (res != RESULT_OK)
+		return res;
+	image = store_image(host->store);
+	if (image->hard_state.node_id)
+		node_set_id(node, image->hard_state.node_id);
+	return RESULT_OK;
+}
+
 /* With --listen on port 0 the replica's own entry gets the bound port. */
 static void host_control_bind_self(const struct settings *settings,
 				   const char *bound)
@@ -306,14 +339,20 @@
 	http_opts.ops = &host_control_http_ops;
 	http_opts.ctx = host;
 	res = http_server_new(&http_opts, &host->http);
+	if (res == RESULT_OK)
+		res = host_control_open_store(host, settings);
 	if (res != RESULT_OK) {
 		host_control_free(host);
 		return res;
 	}
+	opts.store = &store_file_ops;
+	opts.store_ctx = host->store;
+	opts.image = store_image(host->store);
 	opts.host = &host_control_host_ops;
 	opts.host_ctx = host;
 	opts.control_addresses = (const char *const *)settings->control;
 	host->control = control_new(loop_node(loop), &opts);
+	store_drop_image(host->store);
 	*out = host;
 	return RESULT_OK;
 }
