--- a/src/core/claim.c
+++ b/src/core/claim.c
@@ -12,15 +12,13 @@
 	return g_strconcat(service, "\n", key, NULL);
 }
 
-static struct claim_record *claim_insert(struct state *state,
-					 const struct claim_record *record)
+static void claim_insert(struct state *state, const struct claim_record *record)
 {
 	struct claim_record *claim = g_new0(struct claim_record, 1);
 
 	schema_copy(&claim_record_schema, claim, record);
 	g_hash_table_replace(state->claims,
 			     claim_index(claim->service, claim->key), claim);
-	return claim;
 }
 
 static bool claim_same_run(const struct claim_record *a,
@@ -60,7 +58,7 @@
 		*changes = record->attempt == 1;
 		return *changes ? RESULT_OK : RESULT_STALE;
 	}
-	if (strcmp(claim->digest, record->digest))
+	if (strcmp(claim->digest, record->digest) != 0)
 		return RESULT_CONFLICT;
 	if (claim->state != CLAIM_HELD)
 		return RESULT_IN_PROGRESS;
@@ -105,7 +103,7 @@
 		outcome.result = RESULT_UNKNOWN_OBJECT;
 		return outcome;
 	}
-	if (strcmp(claim->digest, record->digest)) {
+	if (strcmp(claim->digest, record->digest) != 0) {
 		outcome.result = RESULT_CONFLICT;
 		return outcome;
 	}
--- a/src/core/control_list.c
+++ b/src/core/control_list.c
@@ -32,7 +32,7 @@
 	     node = g_tree_node_next(node)) {
 		const struct state_vm *vm = g_tree_node_value(node);
 
-		if (strcmp(vm->record.zone, item->zone.name))
+		if (strcmp(vm->record.zone, item->zone.name) != 0)
 			continue;
 		item->vms_live += vm->record.state == VM_LIVE;
 		item->tasks_running += (uint32_t)g_tree_nnodes(vm->tasks);
--- a/src/core/control_plan.c
+++ b/src/core/control_plan.c
@@ -276,8 +276,8 @@
 
 void control_plan_bundle(struct control *control, const struct bundle *bundle)
 {
-	if (strcmp(bundle->place_policy, control->place_policy) ||
-	    strcmp(bundle->evict_policy, control->evict_policy))
+	if (strcmp(bundle->place_policy, control->place_policy) != 0 ||
+	    strcmp(bundle->evict_policy, control->evict_policy) != 0)
 		control->plan_stale = true;
 	plan_set_bundle(control->plan, bundle);
 	control_plan_soon(control);
--- a/src/core/control_vm.c
+++ b/src/core/control_vm.c
@@ -375,7 +375,7 @@
 	       soft->node_id == vm->record.node_id && soft->report_seq &&
 	       node_link(control->node, vm->record.node_id) &&
 	       control->node->now_us <
-		       soft->reported_us + 2 * REPORT_INTERVAL_MS * 1000ull;
+		       soft->reported_us + REPORT_INTERVAL_MS * 2000ull;
 }
 
 void control_vm_report(struct control *control, uint64_t from,
--- a/src/core/site.c
+++ b/src/core/site.c
@@ -111,6 +111,13 @@
 		site->opts.ops->agent_changed(site->opts.ctx, &gone);
 }
 
+static bool site_same_agent(const struct view_agent *a,
+			    const struct view_agent *b)
+{
+	return a->node_id == b->node_id && !strcmp(a->vm, b->vm) &&
+	       !strcmp(a->zone, b->zone) && !strcmp(a->address, b->address);
+}
+
 static void site_take_agent(struct site *site, const struct view_agent *agent)
 {
 	struct view_agent *known =
@@ -120,7 +127,7 @@
 		site_drop_agent(site, agent->node_id);
 		return;
 	}
-	if (known && !memcmp(known, agent, sizeof(*agent)))
+	if (known && site_same_agent(known, agent))
 		return;
 	known = g_memdup2(agent, sizeof(*agent));
 	g_hash_table_replace(site->agents, &known->node_id, known);
--- a/src/core/state_bundle.c
+++ b/src/core/state_bundle.c
@@ -169,7 +169,7 @@
 				RESULT_UNKNOWN_OBJECT;
 		return outcome;
 	}
-	if (strcmp(store->submitted->digest, sign->digest)) {
+	if (strcmp(store->submitted->digest, sign->digest) != 0) {
 		outcome.result = RESULT_CONFLICT;
 		outcome.message = "the digest isn't that of the submission";
 		return outcome;
--- a/src/core/state_vm.c
+++ b/src/core/state_vm.c
@@ -90,7 +90,7 @@
 			  record->accelerators < vm->used_accelerators)) {
 		outcome.result = RESULT_NO_CAPACITY;
 		outcome.message = "the VM is smaller than its commitments";
-	} else if (vm && strcmp(vm->record.zone, record->zone) &&
+	} else if (vm && strcmp(vm->record.zone, record->zone) != 0 &&
 		   g_tree_nnodes(vm->tasks)) {
 		outcome.result = RESULT_CONFLICT;
 		outcome.message = "the VM changes its zone while it has tasks";
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -81,8 +81,8 @@
 /* Records of the state machine. */
 #define CLAIM_BODY_MAX_BYTES (16u << 10)
 /* A resend after this may run again, so it exceeds any caller's retries. */
-#define CLAIM_TTL_MS (24u * 3600 * 1000)
-#define JOB_TTL_MS (24u * 3600 * 1000) /* of a finished job */
+#define CLAIM_TTL_MS 86400000u
+#define JOB_TTL_MS 86400000u /* of a finished job */
 #define EXPIRE_INTERVAL_MS 60000
 #define JOB_MAX_TASKS 10000
 #define SERVICE_MAX_REPLICAS 10000
--- a/tests/control_world.c
+++ b/tests/control_world.c
@@ -538,6 +538,8 @@
 						 "10.0.0.3:7000" };
 	struct world *world = g_new0(struct world, 1);
 
+	ck_assert_uint_le(nr_controls, WORLD_MAX_CONTROLS);
+	ck_assert_uint_le(nr_vms, WORLD_MAX_VMS);
 	world->vhost = vhost_new(seed);
 	vhost_set_verbose(world->vhost, getenv("VERBOSE") != NULL);
 	world->nr_controls = nr_controls;
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -234,18 +234,18 @@
 START_TEST(test_zone_versions)
 {
 	static const struct {
-		bool out;
 		uint64_t version;
 		const char *who;
+		bool out;
 		enum result result;
 	} rows[] = {
-		{ true, 1, "asha", RESULT_OK },
-		{ true, 1, "asha", RESULT_OK }, /* a resend */
-		{ false, 1, "ravi", RESULT_CONFLICT },
-		{ true, 1, "ravi", RESULT_CONFLICT },
-		{ false, 2, "ravi", RESULT_OK },
-		{ true, 1, "asha", RESULT_STALE }, /* a late resend */
-		{ true, 9, "asha", RESULT_OUT_OF_RANGE },
+		{ 1, "asha", true, RESULT_OK },
+		{ 1, "asha", true, RESULT_OK }, /* a resend */
+		{ 1, "ravi", false, RESULT_CONFLICT },
+		{ 1, "ravi", true, RESULT_CONFLICT },
+		{ 2, "ravi", false, RESULT_OK },
+		{ 1, "asha", true, RESULT_STALE }, /* a late resend */
+		{ 9, "asha", true, RESULT_OUT_OF_RANGE },
 	};
 
 	set_up();
@@ -350,26 +350,26 @@
 START_TEST(test_bundle_versions)
 {
 	static const struct {
-		bool sign;
 		uint64_t version;
 		const char *digest;
+		bool sign;
 		enum result result;
 	} rows[] = {
-		{ false, 1, DIGEST_A, RESULT_OK }, /* a resend */
-		{ false, 1, DIGEST_B, RESULT_CONFLICT },
-		{ false, 3, DIGEST_A, RESULT_OK },
-		{ false, 3, DIGEST_A, RESULT_OK },
-		{ false, 3, DIGEST_B, RESULT_CONFLICT },
-		{ false, 2, DIGEST_A, RESULT_STALE },
-		{ true, 2, DIGEST_A, RESULT_STALE },
-		{ true, 4, DIGEST_A, RESULT_UNKNOWN_OBJECT },
-		{ true, 3, DIGEST_B, RESULT_CONFLICT },
-		{ true, 3, DIGEST_A, RESULT_OK },
-		{ true, 3, DIGEST_A, RESULT_OK },
-		{ true, 3, DIGEST_B, RESULT_CONFLICT },
-		{ true, 1, DIGEST_A, RESULT_STALE },
-		{ false, 2, DIGEST_A, RESULT_STALE },
-		{ false, 0, DIGEST_A, RESULT_OUT_OF_RANGE },
+		{ 1, DIGEST_A, false, RESULT_OK }, /* a resend */
+		{ 1, DIGEST_B, false, RESULT_CONFLICT },
+		{ 3, DIGEST_A, false, RESULT_OK },
+		{ 3, DIGEST_A, false, RESULT_OK },
+		{ 3, DIGEST_B, false, RESULT_CONFLICT },
+		{ 2, DIGEST_A, false, RESULT_STALE },
+		{ 2, DIGEST_A, true, RESULT_STALE },
+		{ 4, DIGEST_A, true, RESULT_UNKNOWN_OBJECT },
+		{ 3, DIGEST_B, true, RESULT_CONFLICT },
+		{ 3, DIGEST_A, true, RESULT_OK },
+		{ 3, DIGEST_A, true, RESULT_OK },
+		{ 3, DIGEST_B, true, RESULT_CONFLICT },
+		{ 1, DIGEST_A, true, RESULT_STALE },
+		{ 2, DIGEST_A, false, RESULT_STALE },
+		{ 0, DIGEST_A, false, RESULT_OUT_OF_RANGE },
 	};
 
 	set_up();
