Own the callers' connections instead of leaving them to libsoup

Cause: libsoup 3.2 never closes a kept connection whose caller closes it while no request is under way: 200 curl calls left 200 descriptors and about 400 KiB behind. It also can't bound connections, and it closes every connection after one request when it has no listener of its own. Change: http_conn.[ch] owns each connection with a state and a time limit, hands it to libsoup for one request at a time and takes it back after the response. Callers that leave are noticed in every state. Pipelined requests end the connection after the first response.

--- a/src/daemon/http.c
+++ b/src/daemon/http.c
@@ -1,27 +1,16 @@
 #include "http.h"
 
-#include <errno.h>
 #include <json-glib/json-glib.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 
+#include "http_conn.h"
 #include "schema.h"
 
-#define HTTP_IDLE_S 60 /* a connection without traffic is closed */
-#define HTTP_KEEPALIVE_S 5 /* probes find callers that vanished */
-#define HTTP_KEEPALIVE_PROBES 3
 /* A caller that goes on sending after its body was refused is cut off. */
 #define HTTP_DISCARD_MAX_BYTES (4u * BODY_MAX_BYTES)
+#define HTTP_CALLER_GONE 499 /* never seen by a caller */
 #define RETRY_AFTER_S "1"
 #define RESERVED_PREFIX "/-/"
-#define CONN_KEY "masticreach-http-conn"
-
-/* Lives as long as the remote address object that libsoup holds. */
-struct http_conn {
-	GSocket *socket;
-};
 
 struct http_server {
 	struct http_server_opts opts;
@@ -32,7 +21,7 @@
 	GHashTable *by_ticket; /* uint64_t * -> struct http_request * */
 	uint64_t next_ticket;
 	uint64_t bytes_sent;
-	GHashTable *streams; /* open connections, not referenced */
+	GHashTable *conns; /* set of struct http_conn *, owned */
 	bool stopping;
 };
 
@@ -82,45 +71,17 @@
 	return SOUP_STATUS_INTERNAL_SERVER_ERROR;
 }
 
-static void http_conn_free(void *data)
-{
-	struct http_conn *conn = data;
-
-	g_object_unref(conn->socket);
-	g_free(conn);
-}
-
-static void http_unwatch(struct http_request *request)
-{
-	if (request->watch) {
-		g_source_destroy(request->watch);
-		g_source_unref(request->watch);
-	}
-	request->watch = NULL;
-}
-
 static void http_request_free(void *data)
 {
 	struct http_request *request = data;
 
-	http_unwatch(request);
 	g_clear_pointer(&request->body, g_bytes_unref);
+	g_object_unref(request->msg);
 	g_free(request);
 }
 
-static GSocket *http_socket(const struct http_request *request)
-{
-	GSocketAddress *remote =
-		soup_server_message_get_remote_address(request->msg);
-	struct http_conn *conn =
-		remote ? g_object_get_data(G_OBJECT(remote), CONN_KEY) : NULL;
-
-	return conn ? conn->socket : NULL;
-}
-
 static void http_forget(struct http_request *request)
 {
-	http_unwatch(request);
 	if (!request->open)
 		return;
 	request->open = false;
@@ -140,47 +101,61 @@
 		server->opts.ops->gone(server->opts.ctx, ticket);
 }
 
-/*
- * libsoup doesn't read while a request is paused, so the end of the caller's
- * stream is looked for here. Bytes of a pipelined request end the watch.
- */
-static gboolean http_peek(GSocket *socket, GIOCondition condition,
-			  gpointer data)
+static void http_request_end(struct http_request *request)
 {
-	struct http_request *request = data;
 	SoupServerMessage *msg = request->msg;
-	char byte;
-	ssize_t got = recv(g_socket_get_fd(socket), &byte, 1,
-			   MSG_PEEK | MSG_DONTWAIT);
-
-	if (got < 0 && (errno == EAGAIN || errno == EINTR))
-		return G_SOURCE_CONTINUE;
-	http_unwatch(request);
-	if (got > 0)
-		return G_SOURCE_REMOVE;
-	g_object_ref(msg);
+
 	http_gone(request);
-	/* Lets libsoup find the closed connection and clean up. */
-	soup_server_message_set_status(msg, 499, "Caller Gone");
-	shutdown(g_socket_get_fd(socket), SHUT_RDWR);
-	soup_server_message_unpause(msg);
-	g_object_unref(msg);
-	return G_SOURCE_REMOVE;
+	if (request->conn)
+		request->conn->request = NULL;
+	g_signal_handlers_disconnect_by_data(msg, request);
+	g_hash_table_remove(request->server->by_msg, msg);
 }
 
-static void http_watch(struct http_request *request)
+/* Closes a connection; the listener goes on if it was at its limit. */
+static void http_conn_close(void *ctx, struct http_conn *conn)
 {
-	GSocket *socket = http_socket(request);
+	struct http_server *server = ctx;
+	struct http_request *request = conn->request;
 
-	if (!socket)
-		return;
-	request->watch = g_socket_create_source(
-		socket, G_IO_IN | G_IO_HUP | G_IO_ERR, NULL);
-	g_source_set_callback(request->watch, G_SOURCE_FUNC(http_peek), request,
-			      NULL);
-	g_source_attach(request->watch, NULL);
+	/* libsoup doesn't report the end of a request that arrived in part. */
+	if (request)
+		http_request_end(request);
+	g_hash_table_remove(server->conns, conn);
+	http_conn_free(conn);
+	if (!server->stopping && !g_socket_service_is_active(server->service))
+		g_socket_service_start(server->service);
+}
+
+static void http_conn_arrived(void *ctx, struct http_conn *conn)
+{
+	struct http_server *server = ctx;
+
+	http_conn_set(conn, CONN_READING);
+	if (!soup_server_accept_iostream(server->soup,
+					 G_IO_STREAM(conn->stream), conn->local,
+					 conn->remote, NULL))
+		http_conn_close(server, conn);
+}
+
+/* Lets libsoup find the broken connection and report the request's end. */
+static void http_conn_gone(void *ctx, struct http_conn *conn)
+{
+	struct http_request *request = conn->request;
+	SoupServerMessage *msg = g_object_ref(request->msg);
+
+	http_gone(request);
+	soup_server_message_set_status(msg, HTTP_CALLER_GONE, "Caller Gone");
+	soup_server_message_unpause(msg);
+	g_object_unref(msg);
 }
 
+static const struct http_conn_ops http_conn_ops = {
+	.arrived = http_conn_arrived,
+	.gone = http_conn_gone,
+	.close = http_conn_close,
+};
+
 static void http_serve_reserved(struct http_server *server,
 				struct http_request *request)
 {
@@ -216,15 +191,20 @@
 	GUri *uri = soup_server_message_get_uri(msg);
 
 	g_assert(request);
+	if (!request->conn)
+		return;
+	http_conn_set(request->conn, CONN_HANDLING);
 	request->method = soup_server_message_get_method(msg);
 	request->path = g_uri_get_path(uri);
 	request->query = g_uri_get_query(uri);
-	request->body = soup_message_body_flatten(
-		soup_server_message_get_request_body(msg));
+	request->body =
+		request->too_large ?
+			g_bytes_new(NULL, 0) :
+			soup_message_body_flatten(
+				soup_server_message_get_request_body(msg));
 	request->open = true;
 	g_hash_table_insert(server->by_ticket, &request->ticket, request);
 	soup_server_message_pause(msg);
-	http_watch(request);
 	if (request->too_large)
 		http_respond_problem(request, RESULT_TOO_LARGE, RUN_NOT_RUN,
 				     "the body is too large");
@@ -260,13 +240,12 @@
 static void http_got_chunk(SoupServerMessage *msg, GBytes *chunk, gpointer data)
 {
 	struct http_request *request = data;
-	GSocket *socket = http_socket(request);
 
 	request->body_bytes += g_bytes_get_size(chunk);
 	if (request->body_bytes > BODY_MAX_BYTES && !request->too_large)
 		http_refuse_body(request);
-	if (request->body_bytes > HTTP_DISCARD_MAX_BYTES && socket)
-		shutdown(g_socket_get_fd(socket), SHUT_RDWR);
+	if (request->body_bytes > HTTP_DISCARD_MAX_BYTES && request->conn)
+		http_conn_set(request->conn, CONN_BROKEN);
 }
 
 static void http_wrote_data(SoupServerMessage *msg, guint size, gpointer data)
@@ -276,55 +255,78 @@
 	request->server->bytes_sent += size;
 }
 
+/* Returns true if the connection may carry another request. */
+static bool http_may_go_on(const struct http_request *request)
+{
+	return request->conn && !request->server->stopping &&
+	       !request->conn->pipelined &&
+	       soup_server_message_get_http_version(request->msg) ==
+		       SOUP_HTTP_1_1 &&
+	       !soup_message_headers_header_contains(
+		       soup_server_message_get_request_headers(request->msg),
+		       "Connection", "close");
+}
+
+/* The response has left: takes the connection back from libsoup. */
+static void http_wrote_body(SoupServerMessage *msg, gpointer data)
+{
+	struct http_request *request = data;
+	struct http_conn *conn = request->conn;
+	GInputStream *input;
+	GIOStream *stream;
+
+	if (!http_may_go_on(request))
+		return; /* libsoup closes it and reports the end */
+	http_request_end(request);
+	stream = soup_server_message_steal_connection(msg);
+	input = g_io_stream_get_input_stream(stream);
+	/* Bytes that libsoup has read ahead would be lost to the next request.
+	 */
+	if (G_IS_POLLABLE_INPUT_STREAM(input) &&
+	    g_pollable_input_stream_is_readable(
+		    G_POLLABLE_INPUT_STREAM(input)) &&
+	    !g_socket_condition_check(conn->socket, G_IO_IN))
+		http_conn_close(conn->ctx, conn);
+	else
+		http_conn_set(conn, CONN_IDLE);
+	g_object_unref(stream);
+}
+
 static void http_started(SoupServer *soup, SoupServerMessage *msg,
 			 gpointer data)
 {
 	struct http_server *server = data;
 	struct http_request *request = g_new0(struct http_request, 1);
+	GSocketAddress *remote = soup_server_message_get_remote_address(msg);
 
 	request->server = server;
-	request->msg = msg;
+	request->msg = g_object_ref(msg);
 	request->ticket = ++server->next_ticket;
+	request->conn = http_conn_of(remote);
+	if (request->conn)
+		request->conn->request = request;
 	g_hash_table_insert(server->by_msg, msg, request);
 	g_signal_connect(msg, "got-headers", G_CALLBACK(http_got_headers),
 			 request);
 	g_signal_connect(msg, "got-chunk", G_CALLBACK(http_got_chunk), request);
 	g_signal_connect(msg, "wrote-body-data", G_CALLBACK(http_wrote_data),
 			 request);
+	g_signal_connect(msg, "wrote-body", G_CALLBACK(http_wrote_body),
+			 request);
 }
 
 static void http_ended(SoupServer *soup, SoupServerMessage *msg, gpointer data)
 {
 	struct http_server *server = data;
 	struct http_request *request = g_hash_table_lookup(server->by_msg, msg);
+	struct http_conn *conn;
 
 	if (!request)
 		return;
-	http_gone(request);
-	g_signal_handlers_disconnect_by_data(msg, request);
-	g_hash_table_remove(server->by_msg, msg);
-}
-
-static void http_conn_ended(gpointer data, GObject *stream)
-{
-	struct http_server *server = data;
-
-	g_hash_table_remove(server->streams, stream);
-	if (!server->stopping && !g_socket_service_is_active(server->service))
-		g_socket_service_start(server->service);
-}
-
-static void http_tune_socket(GSocket *socket)
-{
-	g_socket_set_keepalive(socket, TRUE);
-	g_socket_set_timeout(socket, HTTP_IDLE_S);
-	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, HTTP_KEEPALIVE_S,
-			    NULL);
-	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL,
-			    HTTP_KEEPALIVE_S, NULL);
-	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPCNT,
-			    HTTP_KEEPALIVE_PROBES, NULL);
+	conn = request->conn;
+	http_request_end(request);
+	if (conn)
+		http_conn_close(server, conn);
 }
 
 /* Connections above the limit wait in the kernel's queue. */
@@ -333,28 +335,13 @@
 			      gpointer data)
 {
 	struct http_server *server = data;
-	GSocketAddress *local =
-		g_socket_connection_get_local_address(stream, NULL);
-	GSocketAddress *remote =
-		g_socket_connection_get_remote_address(stream, NULL);
-	struct http_conn *conn;
+	struct http_conn *conn = http_conn_new(stream, &http_conn_ops, server);
 
-	if (!local || !remote)
-		goto out;
-	conn = g_new0(struct http_conn, 1);
-	conn->socket = g_object_ref(g_socket_connection_get_socket(stream));
-	http_tune_socket(conn->socket);
-	g_object_set_data_full(G_OBJECT(remote), CONN_KEY, conn,
-			       http_conn_free);
-	g_hash_table_add(server->streams, stream);
-	g_object_weak_ref(G_OBJECT(stream), http_conn_ended, server);
-	if (g_hash_table_size(server->streams) >= server->opts.max_connections)
+	if (!conn)
+		return TRUE;
+	g_hash_table_add(server->conns, conn);
+	if (g_hash_table_size(server->conns) >= server->opts.max_connections)
 		g_socket_service_stop(service);
-	soup_server_accept_iostream(server->soup, G_IO_STREAM(stream), local,
-				    remote, NULL);
-out:
-	g_clear_object(&local);
-	g_clear_object(&remote);
 	return TRUE;
 }
 
@@ -402,7 +389,7 @@
 	server->by_msg =
 		g_hash_table_new_full(NULL, NULL, NULL, http_request_free);
 	server->by_ticket = g_hash_table_new(g_int64_hash, g_int64_equal);
-	server->streams = g_hash_table_new(NULL, NULL);
+	server->conns = g_hash_table_new(NULL, NULL);
 	server->soup = soup_server_new("server-header", "masticreach", NULL);
 	soup_server_add_handler(server->soup, NULL, http_handle, server, NULL);
 	g_signal_connect(server->soup, "request-started",
@@ -423,19 +410,23 @@
 	return RESULT_OK;
 }
 
-void http_server_free(struct http_server *server)
+static void http_close_all(struct http_server *server)
 {
-	GHashTableIter iter;
-	void *stream;
+	GList *conns = g_hash_table_get_keys(server->conns);
+
+	for (GList *item = conns; item; item = item->next)
+		http_conn_close(server, item->data);
+	g_list_free(conns);
+}
 
+void http_server_free(struct http_server *server)
+{
 	if (!server)
 		return;
 	http_server_stop(server);
-	g_hash_table_iter_init(&iter, server->streams);
-	while (g_hash_table_iter_next(&iter, &stream, NULL))
-		g_object_weak_unref(stream, http_conn_ended, server);
-	g_hash_table_unref(server->streams);
 	g_signal_handlers_disconnect_by_data(server->soup, server);
+	http_close_all(server);
+	g_hash_table_unref(server->conns);
 	soup_server_disconnect(server->soup);
 	g_hash_table_unref(server->by_ticket);
 	g_hash_table_unref(server->by_msg);
@@ -451,16 +442,31 @@
 
 void http_server_stop(struct http_server *server)
 {
+	GHashTableIter iter;
+	void *key;
+
 	if (server->stopping)
 		return;
 	server->stopping = true;
 	g_socket_service_stop(server->service);
 	g_socket_listener_close(G_SOCKET_LISTENER(server->service));
+	g_hash_table_iter_init(&iter, server->conns);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct http_conn *conn = key;
+
+		if (conn->state == CONN_IDLE)
+			http_conn_set(conn, CONN_LINGERING);
+	}
 }
 
 bool http_server_idle(const struct http_server *server)
 {
-	return !g_hash_table_size(server->by_msg);
+	return !g_hash_table_size(server->conns);
+}
+
+uint32_t http_server_connections(const struct http_server *server)
+{
+	return g_hash_table_size(server->conns);
 }
 
 uint64_t http_server_bytes_sent(const struct http_server *server)
@@ -497,8 +503,10 @@
 	g_assert(request->open);
 	http_forget(request);
 	soup_server_message_set_status(msg, status, NULL);
-	if (request->server->stopping)
+	if (!http_may_go_on(request))
 		http_set_header(request, "Connection", "close");
+	if (request->conn)
+		http_conn_set(request->conn, CONN_WRITING);
 	if (content_type && content_type[0])
 		http_set_header(request, "Content-Type", content_type);
 	if (size)
--- a/src/daemon/http.h
+++ b/src/daemon/http.h
@@ -16,17 +16,18 @@
 #include "tunables.h"
 
 struct http_server;
+struct http_conn;
 
 /** One request; valid until it is answered. */
 struct http_request {
 	struct http_server *server;
+	struct http_conn *conn; /* NULL once it is closed */
 	uint64_t ticket; /* unique within the server, not 0 */
 	SoupServerMessage *msg;
 	const char *method;
 	const char *path; /* percent-encoded */
 	const char *query; /* percent-encoded, NULL if there is none */
 	GBytes *body;
-	GSource *watch; /* for the caller closing its connection */
 	uint64_t body_bytes;
 	bool too_large;
 	bool open; /* handed to the role and not answered yet */
@@ -57,8 +58,10 @@
 const char *http_server_address(const struct http_server *server);
 /** Stops accepting connections; new requests are refused as not run. */
 void http_server_stop(struct http_server *server);
-/** Returns true if no request is being read, handled or answered. */
+/** After http_server_stop(): returns true once all connections are closed. */
 bool http_server_idle(const struct http_server *server);
+uint32_t http_server_connections(const struct http_server *server);
+/** Bytes of response bodies. */
 uint64_t http_server_bytes_sent(const struct http_server *server);
 
 /** Returns the unanswered request of @a ticket, NULL if it has gone. */
--- a/src/daemon/role_host.c
+++ b/src/daemon/role_host.c
@@ -39,6 +39,8 @@
 	counter_set(counters, "link_bytes_sent", loop_bytes_sent(loop));
 	counter_set(counters, "http_body_bytes_sent",
 		    http_server_bytes_sent(server));
+	counter_set(counters, "http_connections",
+		    http_server_connections(server));
 	counter_set(counters, "log_lines_dropped", loop_log_dropped());
 	counters_print(counters, out);
 }
