--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -36,14 +36,120 @@
 #define RAFT_ELECTION_MAX_MS 1200
 /* Shorter than the shortest election, so an old leader stops granting first. */
 #define RAFT_LEADER_LEASE_MS 500
+#define RAFT_MEMBERS_MAX 7
+/* One append message; several may be under way to a follower. */
+#define RAFT_APPEND_MAX_BYTES (256u << 10)
+#define RAFT_APPEND_MAX_ENTRIES 512
+#define RAFT_IN_FLIGHT_MAX 8
+/* Proposals that wait for their commit; more are refused. */
+#define RAFT_PROPOSALS_MAX 4096
+#define RAFT_PROPOSALS_MAX_BYTES (12u << 20) /* below FRAME_MAX_BYTES */
+#define RAFT_SNAPSHOT_ENTRIES 4096
+/*
+ * One in so many of these entries stays in memory behind a snapshot, so that
+ * followers that lag a little don't need the snapshot.
+ */
+#define RAFT_LOG_KEEP_SHARE 4
+#define RAFT_PAGE_MAX_BYTES (256u << 10)
+#define RAFT_PAGE_RESEND_MS 500
+/* A learner this close to the leader's log becomes a voter. */
+#define RAFT_CAUGHT_UP_ENTRIES 64
+#define RAFT_FORM_INTERVAL_MS 200
+/* Votes for a new group count this long after they were asked for. */
+#define RAFT_FORM_VOTE_MS 1000
+/* Longer than a vote counts, so no replica supports two groups at a time. */
+#define RAFT_FORM_PAUSE_MS 1500
+/* A vote for a replica that doesn't form a group is withdrawn after this. */
+#define RAFT_FORM_GIVE_UP_MS 5000
 
 /* Leases and permits. */
 #define REPORT_INTERVAL_MS 500
 #define LEASE_TTL_MS 6000
 #define LEASE_MARGIN_MS 500 /* covers clock drift between VMs */
 #define PERMIT_TTL_MS 1500
+/* An order or grant lost on a link is repeated after this. */
+#define ORDER_REPEAT_MS 1000
+/* An agent that gets no grants stops its tasks this long before the end. */
+#define LEASE_STOP_BEFORE_MS 1500
+#define VM_CHECK_MS 250 /* how often the leader looks for lost VMs */
+/* A settled task's epoch is remembered longer than any order may be late. */
+#define TASK_TOMBSTONE_MS 10000
+
+/* Views of the site. */
+#define VIEW_QUERY_INTERVAL_MS 1000
+
+/* Records of the state machine. */
+#define CLAIM_BODY_MAX_BYTES (16u << 10)
+/* A resend after this may run again, so it exceeds any caller's retries. */
+#define CLAIM_TTL_MS (24u * 3600 * 1000)
+#define JOB_TTL_MS (24u * 3600 * 1000) /* of a finished job */
+#define EXPIRE_INTERVAL_MS 60000
+#define JOB_MAX_TASKS 10000
+#define SERVICE_MAX_REPLICAS 10000
+#define LIST_MAX_ITEMS 500
+#define CONTROL_MAX_MEMBERS 7
+/* Decisions carried out before the loop gets a turn. */
+#define PLAN_BATCH 64
+
+/* Planner. */
+#define PLAN_HISTORY_MS 20000 /* what ran on a VM, longest lag of a sample */
+/* A batch job overtakes one of a priority higher by 1 that came this much
+ * later, so that no priority starves another. */
+#define PLAN_AGE_STEP_MS 30000
+#define PLAN_MAX_PRIORITY 1000
+#define PLAN_RETRY_MS 1000 /* a group that didn't fit is tried again */
+#define PLAN_CANDIDATES 24 /* VMs compared for one placement */
+/* A job is refused for good only after this time without a new VM, as the VMs
+ * of a fresh site announce themselves one by one. */
+#define PLAN_NEVER_FITS_MS 10000
 
 /* Upstreams. */
 #define UPSTREAM_ANNOUNCE_TTL_MS 3000
+#define LOAD_INTERVAL_MS 500 /* of load reports without change */
+#define LOAD_MIN_INTERVAL_MS 50 /* of load reports that tell a change */
+/* An upstream without a newer report gets nothing new. Below the bound of 2 s
+ * for a leaving upstream, and above three reports. */
+#define LOAD_TTL_MS 1800
+
+/* Routing. */
+#define ROUTE_DEFAULT_SERVICE_TIME_US 10000 /* before anything is known */
+#define ROUTE_STALL_MIN_US 50000 /* extra delay that counts as a loss */
+/* Charge for a path that stalls each attempt. Ten times the usual stall of
+ * 200 ms, because stalls decide the tail and not the mean. */
+#define ROUTE_LOSS_CHARGE_US 2000000
+/* A learned service time is taken as it is for this long, then fades. */
+#define SERVICE_TIME_FRESH_MS 2000
+#define SERVICE_TIME_FADE_MS 10000
+#define SLOW_START_MS 5000
+#define SLOW_START_WARM_RUNS 100
+#define EJECT_FAILURES 5 /* in a row */
+#define EJECT_BASE_MS 2000
+#define EJECT_MAX_MS 60000
+#define EJECT_MAX_DOUBLINGS 5
+#define EJECT_CAP_DIVISOR 3 /* at most a third is ejected */
+
+/* Entry. */
+#define ENTRY_IN_FLIGHT_MAX 4096
+#define ENTRY_IN_FLIGHT_MAX_BYTES (64u << 20)
+#define REQUEST_DEADLINE_MS 10000 /* where the bundle gives none */
+#define REQUEST_DEADLINE_MAX_MS 600000
+#define REQUEST_ATTEMPTS_MAX 4
+#define RETRY_SHARE_PPM 100000
+#define RETRY_BURST 20
+#define HEDGE_SHARE_PPM 50000
+#define HEDGE_BURST 5
+/* How long a lost agent may take to come back and tell an outcome. */
+#define PEER_RETURN_MS 1000
+
+/* Admission at the agent. */
+#define ADMIT_QUEUE_PER_SLOT 8
+#define ADMIT_RESPONSE_TTL_MS 60000
+#define ADMIT_RESPONSE_MAX_BYTES (16u << 20)
+/* Repeatable requests are asked about only when a link has been replaced. */
+#define ADMIT_REPEATABLE_TTL_MS 5000
+#define ADMIT_RECORD_TTL_MS 600000
+#define ADMIT_RECORDS_MAX 16384
+/* A run that isn't repeatable may go on past its deadline, but not forever. */
+#define ADMIT_OVERRUN_MS 30000
 
 #endif /* TUNABLES_H */
