Don't take a cancelled call for a refused connection

A hedge's loser cancelled while its call was connecting marked the whole executor as refused until its next announcement, so that every upstream of a service could be closed for up to 500 ms. Seen in the site case upstream_leaves as candidates=0 in the decision log; ruled out expiry and the announcements.

--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -536,9 +536,12 @@
 	executor->in_flight--;
 	outcome->executor = NULL;
 	if (!result->connected) {
-		executor->refused = true;
+		/* A call given up while connecting says nothing of the peer. */
+		if (!outcome->cancelled)
+			executor->refused = true;
 		admit_finish(admit, outcome, RUN_NOT_RUN,
-			     RESULT_UPSTREAM_FAILED);
+			     outcome->cancelled ? outcome->cancelled :
+						  RESULT_UPSTREAM_FAILED);
 	} else if (!result->complete) {
 		admit_finish(admit, outcome, RUN_UNKNOWN,
 			     outcome->cancelled ? outcome->cancelled :
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -102,10 +102,11 @@
 
 static void site_print(const struct tb_load_stats *stats)
 {
-	printf("sent=%u answered=%u not_run=%u unknown=%u failed=%u wrong=%u "
-	       "p50_us=%u p99_us=%u\n",
-	       stats->sent, stats->answered, stats->not_run, stats->unknown,
-	       stats->failed, stats->wrong, stats->p50_us, stats->p99_us);
+	fprintf(stderr,
+		"sent=%u answered=%u not_run=%u unknown=%u failed=%u wrong=%u "
+		"p50_us=%u p99_us=%u\n",
+		stats->sent, stats->answered, stats->not_run, stats->unknown,
+		stats->failed, stats->wrong, stats->p50_us, stats->p99_us);
 }
 
 /* Guards against a leader's death that loses or doubles tasks or orders. */
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -331,6 +331,15 @@
 	}
 }
 
+/* A failed check ends the program through exit(). */
+static struct testbed *tb_open;
+
+static void tb_exit(void)
+{
+	if (tb_open)
+		testbed_free(tb_open);
+}
+
 struct testbed *testbed_new(const struct testbed_opts *opts,
 			    const char *program)
 {
@@ -339,6 +348,8 @@
 	char *absolute = g_canonicalize_filename(dir, NULL);
 
 	signal(SIGPIPE, SIG_IGN);
+	tb_open = tb;
+	atexit(tb_exit);
 	tb->opts = *opts;
 	tb->bin = absolute;
 	tb->root = g_path_get_dirname(absolute);
@@ -374,6 +385,7 @@
 
 void testbed_free(struct testbed *tb)
 {
+	tb_open = NULL;
 	g_ptr_array_unref(tb->procs);
 	if (g_getenv("TB_KEEP"))
 		fprintf(stderr, "kept %s\n", tb->dir);
@@ -811,6 +823,8 @@
 	} else {
 		stats->failed++;
 	}
+	if (status != 200 && g_getenv("TB_VERBOSE"))
+		fprintf(stderr, "%s: %u %s\n", shot->id, status, text);
 	if (status != 200 && shot->load->opts.once &&
 	    strstr(text, "\"not_run\":true"))
 		testbed_note(shot->load->tb, "ev=refused id=%s", shot->id);
