--- a/tests/vhost.c
+++ b/tests/vhost.c
@@ -291,6 +291,16 @@
 		     machine->vhost->now_us);
 }
 
+/* The process was gone before it could accept. */
+static void vhost_refuse(struct vevent *event)
+{
+	struct vconn *conn = event->conn;
+
+	if (conn->life[0] == conn->end[0]->life)
+		machine_dial_failed(conn->end[0], conn->dialled,
+				    path_of(event->to, conn->end[0])->delay_us);
+}
+
 static void vhost_accept(struct vevent *event)
 {
 	struct vconn *conn = event->conn;
@@ -367,8 +377,11 @@
 {
 	struct vmachine *machine = event->to;
 
-	if (event->life != machine->life || !machine->node)
+	if (event->life != machine->life || !machine->node) {
+		if (event->kind == EVENT_ACCEPT)
+			vhost_refuse(event);
 		return;
+	}
 	switch (event->kind) {
 	case EVENT_MESSAGE:
 		vhost_message(event);
@@ -493,6 +506,7 @@
 {
 	GHashTableIter iter;
 	void *value;
+	struct vevent *event;
 
 	if (!machine->node)
 		return;
@@ -500,7 +514,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		conn_hang_up(value, ((struct vconn *)value)->end[1] == machine);
 	g_hash_table_remove_all(machine->conns);
-	g_queue_clear_full(&machine->waiting, vevent_free);
+	while ((event = g_queue_pop_head(&machine->waiting))) {
+		if (event->kind == EVENT_ACCEPT)
+			vhost_refuse(event);
+		vevent_free(event);
+	}
 	machine->life++;
 	machine->paused = false;
 	node_free(machine->node);
