--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -83,8 +83,8 @@
 /* Records of the state machine. */
 #define CLAIM_BODY_MAX_BYTES (16u << 10)
 /* A resend after this may run again, so it exceeds any caller's retries. */
-#define CLAIM_TTL_MS (24u * 3600 * 1000)
-#define JOB_TTL_MS (24u * 3600 * 1000) /* of a finished job */
+#define CLAIM_TTL_MS 86400000u
+#define JOB_TTL_MS 86400000u /* of a finished job */
 #define EXPIRE_INTERVAL_MS 60000
 #define JOB_MAX_TASKS 10000
 #define SERVICE_MAX_REPLICAS 10000
@@ -122,6 +122,8 @@
 /* A learned service time is taken as it is for this long, then fades. */
 #define SERVICE_TIME_FRESH_MS 2000
 #define SERVICE_TIME_FADE_MS 10000
+/* Grants come every REPORT_INTERVAL_MS; asking more often finds no permit. */
+#define NO_PERMIT_PAUSE_MS 500
 #define SLOW_START_MS 5000
 #define SLOW_START_WARM_RUNS 100
 #define EJECT_FAILURES 5 /* in a row */
@@ -140,6 +142,9 @@
 #define RETRY_BURST 20
 #define HEDGE_SHARE_PPM 50000
 #define HEDGE_BURST 5
+/* How long an answered request's outcome is awaited, to record its response. */
+#define FLIGHT_LINGER_MS 30000
+#define CLAIM_REPEAT_MS 500 /* a claim query without a reply is sent again */
 /* How long a lost agent may take to come back and tell an outcome. */
 #define PEER_RETURN_MS 1000
 
