--- a/src/core/raft_impl.h
+++ b/src/core/raft_impl.h
@@ -4,7 +4,8 @@
 /**
  * @file raft_impl.h
  * Shared by the files of the replicated log; nobody else includes it.
- * raft.c: state, storage, commit. raft_vote.c: elections. raft_append.c:
+ * raft.c: state, storage, commit. raft_role.c: following and
+ * leading. raft_vote.c: elections. raft_append.c:
  * replication. raft_snapshot.c: snapshots. raft_form.c: formation of the group
  * and changes of its members.
  */
@@ -163,16 +164,24 @@
 bool raft_hard_synced(const struct raft *raft);
 /** Stops taking part after a failure of the store. */
 void raft_fail(struct raft *raft, enum result result);
-void raft_follow(struct raft *raft, uint64_t term, uint64_t leader_id);
-void raft_lead(struct raft *raft);
 /** Raises the commit index and applies what it covers. */
 void raft_commit(struct raft *raft, uint64_t index);
+
+/* ---- raft_role.c ---- */
+
 /** Rebuilds the table of peers after a change of the configuration. */
 void raft_reload_peers(struct raft *raft);
+void raft_follow(struct raft *raft, uint64_t term, uint64_t leader_id);
+void raft_lead(struct raft *raft);
 /** Returns when a quorum had answered the leader, by the sending time. */
 uint64_t raft_quorum_us(const struct raft *raft);
 /** True once enough addresses of the list are voters to accept commands. */
 bool raft_formed(const struct raft *raft);
+/** True while a quorum answered the leader within RAFT_LEADER_LEASE_MS. */
+bool raft_has_lease(const struct raft *raft);
+void raft_heartbeat(void *data, uint64_t now_us);
+/** Hands leadership over once nothing waits for its commit, or too long. */
+void raft_resign(struct raft *raft);
 
 /* ---- raft_vote.c ---- */
 
--- a/tests/bench_commit.c
+++ b/tests/bench_commit.c
@@ -394,7 +394,7 @@
 					     NULL, loop_now_us());
 	/* All three are voters before the measurement. */
 	while (!(leader = bench_leader(bench)) ||
-	       raft_commit_index(leader->raft) < NR_REPLICAS * 2) {
+	       raft_commit_index(leader->raft) < 2 * (uint64_t)NR_REPLICAS) {
 		bench_turn(bench);
 		g_usleep(100);
 	}
