Give a returned VM until its next report

A VM that came back from VM_LOST still had the time of its last report before the loss, so the leader declared it lost again within 250 ms, without end.

--- a/src/core/control_vm.c
+++ b/src/core/control_vm.c
@@ -302,8 +302,12 @@
 	struct control_vm *soft =
 		g_hash_table_lookup(control->vms, proposal->vm);
 
-	if (soft)
-		soft->setting = false;
+	if (!soft)
+		return;
+	soft->setting = false;
+	/* A VM that comes back has until its next report. */
+	if (!outcome->result)
+		soft->heard_us = control->node->now_us;
 }
 
 static bool control_vm_same(const struct vm_record *a,
