Take late ends of lost VMs and split tasks from VMs in control

A VM that was cut off may finish a task before its lease ends and tell it only after it was declared lost.

--- a/src/core/control.c
+++ b/src/core/control.c
@@ -204,9 +204,9 @@
 		return;
 	control_plan_task(control, task, before);
 	if (task->vm)
-		control_vm_order(control, task);
+		control_task_order(control, task);
 	else
-		control_vm_forget_task(control, task->record.task_id);
+		control_task_forget(control, task->record.task_id);
 }
 
 static void control_job_dropped(void *ctx, uint64_t job_id)
@@ -295,7 +295,7 @@
 		control_vm_report(control, from, body);
 		break;
 	case MSG_TASK_EVENT:
-		control_vm_event(control, from, body);
+		control_task_event(control, from, body);
 		break;
 	case MSG_VIEW_QUERY:
 		control_view_query(control, from, body);
--- a/src/core/control_impl.h
+++ b/src/core/control_impl.h
@@ -11,6 +11,7 @@
 #include "control_claim.h"
 #include "control_op.h"
 #include "control_plan.h"
+#include "control_task.h"
 #include "control_view.h"
 #include "control_vm.h"
 #include "logline.h"
--- a/src/core/control_plan.c
+++ b/src/core/control_plan.c
@@ -118,7 +118,7 @@
 		state_task_find(control->state, decision->task_id);
 	struct state_outcome outcome = { 0 };
 
-	if (!task || !control_vm_throttle(control, task, decision->cpu_ppm))
+	if (!task || !control_task_throttle(control, task, decision->cpu_ppm))
 		return RESULT_STALE;
 	/* Nothing is committed: a throttle that is lost does no harm. */
 	control_plan_log(control, decision, &outcome);
--- a/src/core/state_task.c
+++ b/src/core/state_task.c
@@ -62,6 +62,20 @@
 	state_job_settle(state, job);
 }
 
+/*
+ * A task that waits anew after its VM was lost: what that VM tells late of the
+ * latest epoch still counts, as no other run has begun.
+ */
+static bool state_task_may_end_late(const struct state_task *task,
+				    const struct cmd_task_set *set)
+{
+	if (task->record.state != TASK_PENDING || !task->record.epoch)
+		return false;
+	return set->state == TASK_DONE ||
+	       (set->state == TASK_PENDING && *set->checkpoint &&
+		set->progress_ppm > task->record.progress_ppm);
+}
+
 /* Returns true if a task may go from one state to another by CMD_TASK_SET. */
 static bool state_task_may_become(uint32_t from, uint32_t to)
 {
@@ -191,7 +205,8 @@
 		outcome.message = "the task has another epoch";
 		return outcome;
 	}
-	if (!state_task_may_become(task->record.state, to)) {
+	if (!state_task_may_become(task->record.state, to) &&
+	    !state_task_may_end_late(task, set)) {
 		/* A repeated event finds the task where it put it. */
 		outcome.result = task->record.state == to ? RESULT_OK :
 							    RESULT_STALE;
