--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -37,6 +37,8 @@
 /* Shorter than the shortest election, so an old leader stops granting first. */
 #define RAFT_LEADER_LEASE_MS 500
 #define RAFT_MEMBERS_MAX 7
+/* A leader that stops gives its proposals this long to commit. */
+#define RAFT_RESIGN_MS 500
 /* One append message; several may be under way to a follower. */
 #define RAFT_APPEND_MAX_BYTES (256u << 10)
 #define RAFT_APPEND_MAX_ENTRIES 512
@@ -120,6 +122,8 @@
 /* A learned service time is taken as it is for this long, then fades. */
 #define SERVICE_TIME_FRESH_MS 2000
 #define SERVICE_TIME_FADE_MS 10000
+/* Grants come every REPORT_INTERVAL_MS; asking more often finds no permit. */
+#define NO_PERMIT_PAUSE_MS 500
 #define SLOW_START_MS 5000
 #define SLOW_START_WARM_RUNS 100
 #define EJECT_FAILURES 5 /* in a row */
@@ -138,6 +142,9 @@
 #define RETRY_BURST 20
 #define HEDGE_SHARE_PPM 50000
 #define HEDGE_BURST 5
+/* How long an answered request's outcome is awaited, to record its response. */
+#define FLIGHT_LINGER_MS 30000
+#define CLAIM_REPEAT_MS 500 /* a claim query without a reply is sent again */
 /* How long a lost agent may take to come back and tell an outcome. */
 #define PEER_RETURN_MS 1000
 
--- a/tests/bed.c
+++ b/tests/reqbed.c
@@ -1,4 +1,4 @@
-#include "bed.h"
+#include "reqbed.h"
 
 #include <string.h>
 
@@ -75,6 +75,7 @@
 	call->mode = agent->mode;
 	TEXT_SET(call->path, request->path);
 	g_ptr_array_add(bed->calls, call);
+	g_hash_table_replace(agent->calls, &call->call_nr, call);
 	agent->nr_calls++;
 	if (call->mode != BED_REFUSE) {
 		uintptr_t nr =
@@ -94,17 +95,14 @@
 {
 	struct bed_agent *agent = ctx;
 	uint64_t node_id = vhost_node(agent->machine)->self.node_id;
+	struct bed_call *call;
 
-	for (uint32_t i = 0; i < agent->bed->calls->len; i++) {
-		struct bed_call *call = g_ptr_array_index(agent->bed->calls, i);
-
-		if (call->call_nr != call_nr || call->done ||
-		    call->agent != agent || call->agent_node != node_id)
-			continue;
-		call->cancelled = true;
-		agent->nr_cancelled++;
-		vhost_after(agent->machine, 1, bed_call_done, call);
-	}
+	call = g_hash_table_lookup(agent->calls, &call_nr);
+	if (!call || call->done || call->agent_node != node_id)
+		return;
+	call->cancelled = true;
+	agent->nr_cancelled++;
+	vhost_after(agent->machine, 1, bed_call_done, call);
 }
 
 static const struct agent_host_ops bed_agent_ops = {
@@ -117,6 +115,7 @@
 	struct bed_agent *agent = data;
 	struct platform_announce announce = { 0 };
 
+	/* The timer of an earlier incarnation died with it. */
 	vhost_after(agent->machine, BED_ANNOUNCE_MS * 1000, bed_announce,
 		    agent);
 	if (agent->silent)
@@ -272,6 +271,7 @@
 	if (bed->control)
 		opts.control_addresses = bed_control_addresses;
 	entry->entry = entry_new(node, &opts);
+	entry->nr_boots++;
 	fake_site_bundle(node, bed->opts.route_policy);
 	vhost_start(entry->machine);
 	for (uint32_t k = 0; k < bed->opts.nr_agents; k++) {
@@ -287,6 +287,8 @@
 
 struct bed *bed_new(const struct bed_opts *opts)
 {
+	static const char *const zones[] = { "veraval", "porbandar",
+					     "mangrol" };
 	struct bed *bed = g_new0(struct bed, 1);
 
 	bed->opts = *opts;
@@ -310,12 +312,13 @@
 		struct bed_agent *agent = &bed->agents[i];
 
 		agent->bed = bed;
+		agent->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 		agent->slots = 8;
 		agent->connections = 64;
 		agent->slow_ppm = 1000000;
 		g_snprintf(agent->address, sizeof(agent->address),
 			   "10.0.1.%u:1", i + 1);
-		TEXT_SET(agent->zone, i % 2 ? "porbandar" : "veraval");
+		TEXT_SET(agent->zone, zones[i % G_N_ELEMENTS(zones)]);
 		agent->machine = vhost_add(bed->vhost, "agent", agent->zone,
 					   agent->address);
 		bed_boot_agent(bed, i);
@@ -333,6 +336,8 @@
 void bed_free(struct bed *bed)
 {
 	vhost_free(bed->vhost);
+	for (uint32_t i = 0; i < bed->opts.nr_agents; i++)
+		g_hash_table_unref(bed->agents[i].calls);
 	g_hash_table_unref(bed->claims);
 	g_hash_table_unref(bed->runs);
 	g_ptr_array_unref(bed->answers);
