Let no earlier epoch hide a start whose outcome is unknown

When a start's reply was lost and the worker still listed the task's earlier epoch as stopped, the agent took the task as listed and waited for ever. Only an entry of the same epoch counts now.

--- a/src/core/worker.c
+++ b/src/core/worker.c
@@ -178,7 +178,8 @@
 	worker_see(worker, run, seen);
 }
 
-static void worker_take_listed(struct worker *worker, uint64_t call_nr,
+/* Returns false if the list shows an earlier epoch than this agent started. */
+static bool worker_take_listed(struct worker *worker, uint64_t call_nr,
 			       const struct platform_task *seen)
 {
 	struct worker_run *run = worker_find(worker, seen->task_id);
@@ -190,9 +191,11 @@
 		if (seen->run == TASK_RUN_RUNNING)
 			worker_call(worker, PLATFORM_STOP, seen->task_id,
 				    seen->epoch, &stop);
+		return false;
 	} else if (call_nr > run->settled_call) {
 		worker_see(worker, run, seen);
 	}
+	return true;
 }
 
 static gboolean worker_append_run(gpointer key, gpointer value, gpointer data)
@@ -209,8 +212,8 @@
 	GPtrArray *runs = g_ptr_array_new();
 
 	for (uint32_t i = 0; i < tasks->nr_tasks; i++) {
-		g_hash_table_add(listed, &tasks->tasks[i].task_id);
-		worker_take_listed(worker, call_nr, &tasks->tasks[i]);
+		if (worker_take_listed(worker, call_nr, &tasks->tasks[i]))
+			g_hash_table_add(listed, &tasks->tasks[i].task_id);
 	}
 	g_tree_foreach(worker->runs, worker_append_run, runs);
 	for (uint32_t i = 0; i < runs->len; i++) {
--- a/tests/control_world.c
+++ b/tests/control_world.c
@@ -392,6 +392,7 @@
 	struct world_vm *vm;
 	uint64_t call_nr;
 	uint64_t sent_us;
+	uint32_t agent_life;
 	struct record call;
 	uint32_t reply_type;
 	void *reply;
@@ -413,6 +414,18 @@
 	call_free(call);
 }
 
+static void call_send_back(struct world_call *call)
+{
+	struct world_vm *vm = call->vm;
+
+	/* A restarted agent knows nothing of its predecessor's calls. */
+	if (!vm->agent || vm->agent_life != call->agent_life) {
+		call_free(call);
+		return;
+	}
+	vhost_after(vm->machine, vm->call_delay_us, call_return, call);
+}
+
 static void call_arrive(void *data)
 {
 	struct world_call *call = data;
@@ -421,6 +434,10 @@
 	bool list = call->call.type == PLATFORM_LIST;
 
 	worker_settle(vm);
+	if (call->call.type == PLATFORM_START && vm->lose_starts) {
+		call_send_back(call);
+		return;
+	}
 	call->reply_type = list ? PLATFORM_TASKS : PLATFORM_REPLY;
 	call->reply = schema_alloc(call->reply_type);
 	switch (call->call.type) {
@@ -447,11 +464,7 @@
 		call->reply_type = TYPE_NONE;
 		call->reply = NULL;
 	}
-	if (!vm->agent) {
-		call_free(call);
-		return;
-	}
-	vhost_after(vm->machine, vm->call_delay_us, call_return, call);
+	call_send_back(call);
 }
 
 static void vm_platform_call(void *ctx, uint64_t call_nr, uint32_t type,
@@ -463,6 +476,7 @@
 
 	call->vm = vm;
 	call->call_nr = call_nr;
+	call->agent_life = vm->agent_life;
 	call->sent_us = worker_now_us(vm);
 	call->call = (struct record){ type, schema_dup(type, body) };
 	if (type == PLATFORM_START)
@@ -481,6 +495,7 @@
 	struct agent_opts opts = { .host = &agent_host, .host_ctx = vm };
 	struct node *node = vhost_boot(vm->machine, 0);
 
+	vm->agent_life++;
 	opts.control_addresses = vm->world->addresses;
 	TEXT_SET(opts.vm.name, vm->name);
 	TEXT_SET(opts.vm.zone, vm->zone);
--- a/tests/control_world.h
+++ b/tests/control_world.h
@@ -56,10 +56,12 @@
 	struct vmachine *machine; /* of the agent */
 	struct vmachine *worker; /* the worker's own process */
 	struct agent *agent; /* NULL while dead */
+	uint32_t agent_life; /* rises with each start of the agent */
 	GHashTable *runs; /* task_id -> struct world_run * */
 	uint64_t call_delay_us;
 	uint64_t start_delay_us; /* added to a start call */
 	uint32_t lose_reply_ppm; /* calls whose outcome stays unknown */
+	bool lose_starts; /* no start arrives, its outcome is unknown */
 	bool fail_starts; /* fails every task right after its start */
 	bool dead; /* the whole VM */
 	uint32_t nr_lost; /* calls of world_lose_vm() */
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -161,6 +161,23 @@
 }
 END_TEST
 
+/* Guards against an unknown start that an earlier epoch's entry hides. */
+START_TEST(test_lost_start_after_earlier_epoch)
+{
+	struct world *world = world_new(26, 1, 1);
+	uint64_t job_id = world_submit(world, "job1", 1, 10000);
+
+	ck_assert(world_wait_running(world, 1, 5000));
+	world->vms[0].lose_starts = true;
+	world_evict(world, 1);
+	/* The worker still lists the run of the first epoch as stopped. */
+	vhost_run_ms(world->vhost, 5000);
+	world->vms[0].lose_starts = false;
+	ck_assert(world_wait_job(world, job_id, 20000));
+	world_free(world);
+}
+END_TEST
+
 /* Guards against tasks disturbed by a change of the leader. */
 START_TEST(test_leader_dies)
 {
@@ -759,10 +776,10 @@
 SUITE_MAIN("control", test_job_runs, test_vm_lost, test_vm_returns,
 	   test_vm_cut_off, test_late_end, test_agent_restart,
 	   test_agent_dies_during_start, test_slow_start, test_lost_replies,
-	   test_leader_dies, test_leader_dies_with_vm, test_leader_cut_off,
-	   test_quorum_lost, test_zone_out, test_zone_out_and_agent_cut_off,
-	   test_eviction_order, test_eviction_with_lost_replies,
-	   test_eviction_of_finished_task, test_cancel, test_failing_job,
-	   test_bundle_in_force, test_bundle_survives_restarts, test_not_leader,
-	   test_claim_race, test_claim_survives_leader, test_view_of_agents,
-	   test_random_faults)
+	   test_lost_start_after_earlier_epoch, test_leader_dies,
+	   test_leader_dies_with_vm, test_leader_cut_off, test_quorum_lost,
+	   test_zone_out, test_zone_out_and_agent_cut_off, test_eviction_order,
+	   test_eviction_with_lost_replies, test_eviction_of_finished_task,
+	   test_cancel, test_failing_job, test_bundle_in_force,
+	   test_bundle_survives_restarts, test_not_leader, test_claim_race,
+	   test_claim_survives_leader, test_view_of_agents, test_random_faults)
