Test the agent's tasks and the site's view between scripted ends

These 19 tests stand between a scripted leader and a scripted worker, so each check is the only one that can refuse.

--- /dev/null
+++ b/tests/test_agent_task.c
@@ -0,0 +1,690 @@
+/**
+ * @file test_agent_task.c
+ * The agent's part in running tasks, between a scripted leader and a scripted
+ * worker; and the view of the site that it keeps.
+ */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent.h"
+#include "msg_control.h"
+#include "schema.h"
+#include "site.h"
+#include "suite.h"
+#include "vhost.h"
+
+#define LEADER_ID 77
+#define TERM 5
+
+static struct vhost *vhost;
+static struct vmachine *leader;
+static struct vmachine *machine;
+static struct agent *agent;
+static struct site *site; /* of a third node, for tests of the view */
+
+/* What the leader received last. */
+static struct report report;
+static uint32_t nr_reports;
+static struct platform_task reported; /* its first task */
+static struct task_event event;
+static uint32_t nr_events;
+
+/* Calls to the worker that wait for their answer. */
+struct call {
+	uint64_t call_nr;
+	uint32_t type;
+	void *body;
+};
+
+static GArray *calls; /* struct call */
+static uint32_t nr_calls[PLATFORM_ANNOUNCE + 1]; /* by type, ever */
+static struct platform_start last_start;
+static struct platform_lease last_lease;
+static bool answer_first_list = true;
+static bool answer_lists; /* with what the worker holds */
+static struct platform_task held;
+static uint32_t nr_held;
+
+static void leader_message(void *role, uint64_t from, uint32_t type,
+			   const void *body)
+{
+	if (type == MSG_REPORT) {
+		report = *(const struct report *)body;
+		memset(&reported, 0, sizeof(reported));
+		if (report.nr_tasks)
+			reported = report.tasks[0];
+		nr_reports++;
+	} else if (type == MSG_TASK_EVENT) {
+		event = *(const struct task_event *)body;
+		nr_events++;
+	}
+}
+
+static const struct role_ops leader_role = {
+	.role = ROLE_CONTROL,
+	.message = leader_message,
+};
+
+static void answer(size_t i, uint32_t type, const void *body)
+{
+	struct call call = g_array_index(calls, struct call, i);
+
+	g_array_remove_index(calls, (guint)i);
+	node_set_time(vhost_node(machine), vhost_now_us(vhost));
+	agent_platform_done(agent, call.call_nr, type, body);
+	record_unref((struct record){ call.type, call.body });
+}
+
+/* Answers the oldest waiting call of the type; fails if there is none. */
+static void answer_type(uint32_t call_type, uint32_t type, const void *body)
+{
+	for (guint i = 0; i < calls->len; i++) {
+		if (g_array_index(calls, struct call, i).type != call_type)
+			continue;
+		answer(i, type, body);
+		return;
+	}
+	ck_abort_msg("no call of type %u waits", call_type);
+}
+
+static void reply_result(uint32_t call_type, enum result result)
+{
+	struct platform_reply reply = { .result = result };
+
+	answer_type(call_type, PLATFORM_REPLY, &reply);
+}
+
+static void answer_list(void *data)
+{
+	struct platform_tasks tasks = { nr_held, &held };
+
+	for (guint i = calls->len; i-- > 0;)
+		if (g_array_index(calls, struct call, i).type == PLATFORM_LIST)
+			answer(i, PLATFORM_TASKS, &tasks);
+}
+
+static void record_call(void *ctx, uint64_t call_nr, uint32_t type,
+			const void *body)
+{
+	struct call call = { call_nr, type, schema_dup(type, body) };
+
+	nr_calls[type]++;
+	g_array_append_val(calls, call);
+	if (type == PLATFORM_START)
+		last_start = *(const struct platform_start *)body;
+	if (type == PLATFORM_LEASE)
+		last_lease = *(const struct platform_lease *)body;
+	if (type == PLATFORM_LIST && answer_lists)
+		vhost_after(machine, 1000, answer_list, NULL);
+}
+
+static const struct agent_host_ops agent_host = {
+	.platform_call = record_call,
+};
+
+static void tell(uint32_t type, const void *body)
+{
+	node_send(vhost_node(leader), vhost_node(machine)->self.node_id, type,
+		  body);
+	vhost_run_ms(vhost, 2);
+}
+
+static void tell_view(uint64_t term, uint64_t zone_version, bool out,
+		      uint64_t bundle_version)
+{
+	struct zone_record zone = { .name = "veraval" };
+	struct bundle bundle = { .version = bundle_version };
+	struct view view = { .term = term, .view_version = 1, .whole = true };
+
+	zone.version = zone_version;
+	zone.out = out;
+	view.nr_zones = 1;
+	view.zones = &zone;
+	view.nr_bundles = 1;
+	view.bundles = &bundle;
+	tell(MSG_VIEW, &view);
+}
+
+/* Grants the newest report. */
+static struct grant make_grant(void)
+{
+	struct grant grant = { .term = TERM };
+
+	grant.seq = report.seq;
+	grant.sent_us = report.sent_us;
+	grant.lease_ms = LEASE_TTL_MS;
+	grant.permit_ms = PERMIT_TTL_MS;
+	return grant;
+}
+
+static void tell_grant(uint64_t confirmed)
+{
+	struct grant grant = make_grant();
+
+	grant.nr_confirmed = confirmed ? 1 : 0;
+	grant.confirmed = &confirmed;
+	tell(MSG_GRANT, &grant);
+}
+
+static struct task_order make_order(uint32_t action, uint64_t epoch)
+{
+	struct task_order order = { .term = TERM, .action = action };
+
+	order.vm_node = vhost_node(machine)->self.node_id;
+	order.permit_sent_us = report.sent_us;
+	order.start.task_id = 1;
+	order.start.epoch = epoch;
+	return order;
+}
+
+static void tell_order(uint32_t action, uint64_t epoch)
+{
+	struct task_order order = make_order(action, epoch);
+
+	tell(MSG_TASK_ORDER, &order);
+}
+
+static void set_up(void)
+{
+	static const char *const addresses[] = { "10.0.0.1:7000", NULL };
+	struct agent_opts opts = { .host = &agent_host };
+
+	calls = g_array_new(FALSE, TRUE, sizeof(struct call));
+	memset(nr_calls, 0, sizeof(nr_calls));
+	nr_reports = nr_events = nr_held = 0;
+	answer_lists = answer_first_list;
+	vhost = vhost_new(1);
+	leader = vhost_add(vhost, "control0", "veraval", addresses[0]);
+	node_set_role(vhost_boot(leader, LEADER_ID), &leader_role, NULL);
+	vhost_start(leader);
+	machine = vhost_add(vhost, "vm0", "veraval", "10.0.0.2:7000");
+	opts.control_addresses = addresses;
+	TEXT_SET(opts.vm.name, "vm0");
+	TEXT_SET(opts.vm.zone, "veraval");
+	agent = agent_new(vhost_boot(machine, 0), &opts);
+	vhost_start(machine);
+	vhost_run_ms(vhost, 100);
+	tell_view(TERM, 1, false, 1);
+	ck_assert_uint_eq(nr_reports, answer_first_list);
+}
+
+static void tear_down(void)
+{
+	vhost_free(vhost);
+	for (guint i = 0; i < calls->len; i++)
+		record_unref((struct record){
+			g_array_index(calls, struct call, i).type,
+			g_array_index(calls, struct call, i).body });
+	g_array_unref(calls);
+}
+
+/* A running task of epoch 1, shown by the newest report. */
+static void set_up_running(void)
+{
+	set_up();
+	tell_grant(0);
+	tell_order(TASK_START, 1);
+	reply_result(PLATFORM_START, RESULT_OK);
+	held.task_id = 1;
+	held.epoch = 1;
+	held.run = TASK_RUN_RUNNING;
+	nr_held = 1;
+	vhost_run_ms(vhost, 1000);
+	tell_grant(1);
+}
+
+/* Guards against a report that hides the tasks of a restarted agent's VM. */
+START_TEST(test_no_report_before_list)
+{
+	struct platform_tasks tasks = { 1, &held };
+
+	answer_first_list = false;
+	set_up();
+	vhost_run_ms(vhost, 3000);
+	ck_assert_uint_eq(nr_reports, 0);
+	/* An unknown outcome is no list either. */
+	answer_type(PLATFORM_LIST, TYPE_NONE, NULL);
+	vhost_run_ms(vhost, 100);
+	ck_assert_uint_eq(nr_reports, 0);
+	held.task_id = 1;
+	held.epoch = 1;
+	held.run = TASK_RUN_RUNNING;
+	answer_type(PLATFORM_LIST, PLATFORM_TASKS, &tasks);
+	vhost_run_ms(vhost, 100);
+	ck_assert_uint_eq(nr_reports, 1);
+	ck_assert_uint_eq(report.nr_tasks, 1);
+	ck_assert_uint_eq(reported.run, TASK_RUN_RUNNING);
+	tear_down();
+	answer_first_list = true;
+}
+END_TEST
+
+/* Guards against starts that no valid permit covers. */
+START_TEST(test_start_needs_permit)
+{
+	struct grant grant;
+	struct task_order order;
+
+	set_up();
+	tell_order(TASK_START, 1); /* no grant yet */
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 0);
+	grant = make_grant();
+	grant.permit_ms = 0;
+	tell(MSG_GRANT, &grant);
+	tell_order(TASK_START, 1);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 0);
+	vhost_run_ms(vhost, 500);
+	tell_grant(0);
+	vhost_run_ms(vhost, PERMIT_TTL_MS);
+	order = make_order(TASK_START, 1);
+	tell(MSG_TASK_ORDER, &order); /* the agent's permit has ended */
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 0);
+	tell_grant(0);
+	order.permit_sent_us = report.sent_us - PERMIT_TTL_MS * 1000;
+	tell(MSG_TASK_ORDER, &order); /* the order's permit has ended */
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 0);
+	tell_order(TASK_START, 1);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 1);
+	tear_down();
+}
+END_TEST
+
+/* Guards against leases and permits that count from the grant's arrival. */
+START_TEST(test_times_count_from_report)
+{
+	struct grant grant;
+
+	set_up();
+	vhost_run_ms(vhost, 500);
+	grant = make_grant();
+	vhost_run_ms(vhost, 400);
+	tell(MSG_GRANT, &grant);
+	tell_order(TASK_START, 1);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 1);
+	ck_assert_uint_le(last_start.lease_ms, LEASE_TTL_MS - 400);
+	ck_assert_uint_ge(last_start.lease_ms, LEASE_TTL_MS - 1000);
+	ck_assert_uint_le(last_start.start_within_ms, PERMIT_TTL_MS - 400);
+	tear_down();
+}
+END_TEST
+
+/* Guards against a task started when the VM's lease is used up. */
+START_TEST(test_start_needs_lease)
+{
+	struct grant grant;
+
+	set_up();
+	grant = make_grant();
+	grant.lease_ms = 0;
+	tell(MSG_GRANT, &grant);
+	tell_order(TASK_START, 1);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 0);
+	tear_down();
+}
+END_TEST
+
+/* Guards against starts after the agent has learned that its zone is out. */
+START_TEST(test_start_in_zone_out)
+{
+	set_up();
+	tell_grant(0);
+	tell_view(TERM, 2, true, 1);
+	tell_order(TASK_START, 1);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 0);
+	/* An older view doesn't bring the zone back. */
+	tell_view(TERM, 1, false, 1);
+	tell_order(TASK_START, 1);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 0);
+	tell_view(TERM, 3, false, 1);
+	tell_order(TASK_START, 1);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 1);
+	tear_down();
+}
+END_TEST
+
+/* Guards against orders of a deposed leader or for an earlier incarnation. */
+START_TEST(test_stale_orders)
+{
+	struct task_order order;
+
+	set_up();
+	tell_grant(0);
+	order = make_order(TASK_START, 1);
+	order.term = TERM - 1;
+	tell(MSG_TASK_ORDER, &order);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 0);
+	order.term = TERM;
+	order.vm_node++;
+	tell(MSG_TASK_ORDER, &order);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 0);
+	tear_down();
+}
+END_TEST
+
+/* Guards against leases renewed by a deposed leader. */
+START_TEST(test_stale_grants)
+{
+	struct grant grant;
+	uint64_t confirmed = 1;
+
+	set_up_running();
+	ck_assert_uint_eq(nr_calls[PLATFORM_LEASE], 1);
+	ck_assert_uint_eq(last_lease.nr_tasks, 1);
+	vhost_run_ms(vhost, 600);
+	grant = make_grant();
+	grant.term = TERM - 1;
+	grant.nr_confirmed = 1;
+	grant.confirmed = &confirmed;
+	tell(MSG_GRANT, &grant);
+	ck_assert_uint_eq(nr_calls[PLATFORM_LEASE], 1);
+	/* The same report can't be granted twice. */
+	grant.term = TERM;
+	tell(MSG_GRANT, &grant);
+	tell(MSG_GRANT, &grant);
+	ck_assert_uint_eq(nr_calls[PLATFORM_LEASE], 2);
+	tear_down();
+}
+END_TEST
+
+/* Guards against tasks that go on although control has them elsewhere. */
+START_TEST(test_unconfirmed_is_stopped)
+{
+	set_up_running();
+	vhost_run_ms(vhost, 600);
+	ck_assert_uint_eq(nr_calls[PLATFORM_STOP], 0);
+	tell_grant(0);
+	ck_assert_uint_eq(nr_calls[PLATFORM_STOP], 1);
+	ck_assert_uint_eq(nr_calls[PLATFORM_CHECKPOINT], 0);
+	tear_down();
+}
+END_TEST
+
+/* Guards against a new task stopped by the grant of an earlier report. */
+START_TEST(test_grant_of_earlier_report)
+{
+	struct grant grant;
+
+	set_up();
+	tell_grant(0);
+	vhost_run_ms(vhost, 500);
+	grant = make_grant();
+	tell_order(TASK_START, 1);
+	reply_result(PLATFORM_START, RESULT_OK);
+	tell(MSG_GRANT, &grant);
+	ck_assert_uint_eq(nr_calls[PLATFORM_STOP], 0);
+	tear_down();
+}
+END_TEST
+
+/* Guards against an epoch that starts again after its end was told. */
+START_TEST(test_ended_epoch_stays_ended)
+{
+	set_up();
+	tell_grant(0);
+	tell_order(TASK_START, 1);
+	reply_result(PLATFORM_START, RESULT_NO_CAPACITY);
+	vhost_run_ms(vhost, 2);
+	ck_assert_uint_eq(nr_events, 1);
+	ck_assert_uint_eq(event.run, TASK_RUN_FAILED);
+	ck_assert_uint_eq(event.result, RESULT_NO_CAPACITY);
+	tell_order(TASK_START, 1);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 1);
+	tell_order(TASK_START, 2);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 2);
+	/* A late order of the first epoch is refused. */
+	tell_order(TASK_START, 1);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 2);
+	tear_down();
+}
+END_TEST
+
+/* Guards against two epochs of a task on one VM. */
+START_TEST(test_newer_epoch_waits_for_stop)
+{
+	set_up_running();
+	tell_order(TASK_START, 2);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 1);
+	ck_assert_uint_eq(nr_calls[PLATFORM_STOP], 1);
+	held.run = TASK_RUN_STOPPED;
+	reply_result(PLATFORM_STOP, RESULT_OK);
+	vhost_run_ms(vhost, 600);
+	tell_grant(0);
+	tell_order(TASK_START, 2);
+	ck_assert_uint_eq(nr_calls[PLATFORM_START], 2);
+	tear_down();
+}
+END_TEST
+
+/* Guards against a start under way that control takes for a missing task. */
+START_TEST(test_start_under_way_is_reported)
+{
+	set_up();
+	tell_grant(0);
+	tell_order(TASK_START, 1);
+	vhost_run_ms(vhost, 500);
+	ck_assert_uint_eq(report.nr_tasks, 1);
+	ck_assert_uint_eq(reported.run, TASK_RUN_NONE);
+	ck_assert_uint_eq(reported.epoch, 1);
+	tear_down();
+}
+END_TEST
+
+/* Guards against a guess about a start whose reply is lost. */
+START_TEST(test_unknown_start)
+{
+	set_up();
+	tell_grant(0);
+	tell_order(TASK_START, 1);
+	answer_type(PLATFORM_START, TYPE_NONE, NULL);
+	/* Lists without it prove nothing while the worker may start it. */
+	vhost_run_ms(vhost, 1000);
+	ck_assert_uint_eq(nr_events, 0);
+	ck_assert_uint_eq(reported.run, TASK_RUN_NONE);
+	vhost_run_ms(vhost, 1500);
+	ck_assert_uint_gt(nr_events, 0);
+	ck_assert_uint_eq(event.run, TASK_RUN_STOPPED);
+	ck_assert_uint_eq(event.result, RESULT_NO_PERMIT);
+	tear_down();
+}
+END_TEST
+
+/* Guards against an unknown start that the worker did carry out. */
+START_TEST(test_unknown_start_that_ran)
+{
+	set_up();
+	tell_grant(0);
+	tell_order(TASK_START, 1);
+	answer_type(PLATFORM_START, TYPE_NONE, NULL);
+	held.task_id = 1;
+	held.epoch = 1;
+	held.run = TASK_RUN_RUNNING;
+	nr_held = 1;
+	vhost_run_ms(vhost, 1200);
+	ck_assert_uint_eq(nr_events, 0);
+	ck_assert_uint_eq(reported.run, TASK_RUN_RUNNING);
+	tear_down();
+}
+END_TEST
+
+/* Guards against a move whose event leaves before the stop is confirmed. */
+START_TEST(test_checkpoint_stop)
+{
+	struct platform_reply reply = { .progress_ppm = 500000 };
+
+	set_up_running();
+	tell_order(TASK_CHECKPOINT_STOP, 1);
+	ck_assert_uint_eq(nr_calls[PLATFORM_CHECKPOINT], 1);
+	ck_assert_uint_eq(nr_calls[PLATFORM_STOP], 0);
+	TEXT_SET(reply.checkpoint, "cp1");
+	TEXT_SET(held.checkpoint, "cp1");
+	held.progress_ppm = 500000;
+	answer_type(PLATFORM_CHECKPOINT, PLATFORM_REPLY, &reply);
+	ck_assert_uint_eq(nr_calls[PLATFORM_STOP], 1);
+	answer_lists = false;
+	vhost_run_ms(vhost, 100);
+	reply_result(PLATFORM_STOP, RESULT_OK);
+	vhost_run_ms(vhost, 100);
+	ck_assert_uint_eq(nr_events, 0);
+	held.run = TASK_RUN_STOPPED;
+	node_set_time(vhost_node(machine), vhost_now_us(vhost));
+	answer_list(NULL);
+	answer_list(NULL);
+	vhost_run_ms(vhost, 100);
+	ck_assert_uint_eq(nr_events, 1);
+	ck_assert_uint_eq(event.run, TASK_RUN_STOPPED);
+	ck_assert_str_eq(event.checkpoint, "cp1");
+	ck_assert_uint_eq(event.progress_ppm, 500000);
+	tear_down();
+}
+END_TEST
+
+/* Guards against an end that is told once and lost. */
+START_TEST(test_events_repeat)
+{
+	set_up_running();
+	held.run = TASK_RUN_DONE;
+	vhost_run_ms(vhost, 3000);
+	ck_assert_uint_ge(nr_events, 4);
+	ck_assert_uint_eq(event.run, TASK_RUN_DONE);
+	ck_assert_uint_eq(reported.run, TASK_RUN_DONE);
+	/* As long as control counts the task, the end isn't known there. */
+	tell_grant(1);
+	nr_events = 0;
+	vhost_run_ms(vhost, 1000);
+	ck_assert_uint_gt(nr_events, 0);
+	tell_grant(0);
+	nr_events = 0;
+	vhost_run_ms(vhost, 2000);
+	ck_assert_uint_eq(nr_events, 0);
+	ck_assert_uint_eq(report.nr_tasks, 0);
+	tear_down();
+}
+END_TEST
+
+/* Guards against progress lost because nobody could grant a lease. */
+START_TEST(test_lease_ends)
+{
+	set_up_running();
+	vhost_run_ms(vhost, LEASE_TTL_MS - LEASE_STOP_BEFORE_MS - 1000);
+	ck_assert_uint_eq(nr_calls[PLATFORM_CHECKPOINT], 0);
+	vhost_run_ms(vhost, 1500);
+	ck_assert_uint_eq(nr_calls[PLATFORM_CHECKPOINT], 1);
+	reply_result(PLATFORM_CHECKPOINT, RESULT_OK);
+	ck_assert_uint_eq(nr_calls[PLATFORM_STOP], 1);
+	tear_down();
+}
+END_TEST
+
+/* ---- the view ---- */
+
+static void view_start(void *role)
+{
+	site_start(site);
+}
+
+static void view_message(void *role, uint64_t from, uint32_t type,
+			 const void *body)
+{
+	site_message(site, from, type, body);
+}
+
+static void view_free(void *role)
+{
+	site_free(site);
+}
+
+static const struct role_ops view_role = {
+	.role = ROLE_ENTRY,
+	.start = view_start,
+	.message = view_message,
+	.free = view_free,
+};
+
+static const struct site_ops view_site_ops = { 0 };
+
+static void set_up_view(void)
+{
+	static const char *const addresses[] = { "10.0.0.1:7000", NULL };
+	struct site_opts opts = { .ops = &view_site_ops };
+	struct node *node;
+
+	set_up();
+	opts.control_addresses = addresses;
+	/* Messages to "machine" go to this node from now on. */
+	machine = vhost_add(vhost, "entry0", "veraval", "");
+	node = vhost_boot(machine, 0);
+	site = site_new(node, &opts);
+	node_set_role(node, &view_role, NULL);
+	vhost_start(machine);
+	vhost_run_ms(vhost, 100);
+	tell_view(TERM, 5, true, 5);
+}
+
+/* Guards against a bundle, a zone or a leader that reverts. */
+START_TEST(test_view_never_reverts)
+{
+	static const struct {
+		uint64_t term;
+		uint64_t zone_version;
+		uint64_t bundle_version;
+		bool out; /* after the view */
+		uint64_t bundle; /* in force after the view */
+	} rows[] = {
+		{ TERM, 4, 5, true, 5 },      { TERM, 5, 4, true, 5 },
+		{ TERM - 1, 9, 9, true, 5 },  { TERM, 6, 6, false, 6 },
+		{ TERM + 1, 5, 5, false, 6 },
+	};
+
+	set_up_view();
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		tell_view(rows[i].term, rows[i].zone_version, false,
+			  rows[i].bundle_version);
+		ck_assert_int_eq(site_zone_is_out(site, "veraval"),
+				 rows[i].out);
+		ck_assert_uint_eq(site_bundle(site)->version, rows[i].bundle);
+		ck_assert_uint_eq(site_leader(site), LEADER_ID);
+	}
+	tear_down();
+}
+END_TEST
+
+static void tell_agent(uint64_t version, uint64_t base, uint64_t node_id,
+		       bool gone)
+{
+	struct view_agent item = { .vm = "vm0", .node_id = node_id };
+	struct view view = { .term = TERM, .view_version = version };
+
+	item.gone = gone;
+	view.base_version = base;
+	view.nr_agents = 1;
+	view.agents = &item;
+	tell(MSG_VIEW, &view);
+}
+
+/* Guards against parts of the view that are taken though one is missing. */
+START_TEST(test_view_parts)
+{
+	set_up_view();
+	tell_agent(2, 1, 1, false);
+	ck_assert_ptr_nonnull(site_agent(site, 1));
+	tell_agent(4, 3, 2, false); /* the part before it was lost */
+	ck_assert_ptr_null(site_agent(site, 2));
+	tell_agent(3, 2, 1, true);
+	ck_assert_ptr_null(site_agent(site, 1));
+	tell_agent(4, 3, 2, false);
+	ck_assert_ptr_nonnull(site_agent(site, 2));
+	tear_down();
+}
+END_TEST
+
+SUITE_MAIN("agent_task", test_no_report_before_list, test_start_needs_permit,
+	   test_times_count_from_report, test_start_needs_lease,
+	   test_start_in_zone_out, test_stale_orders, test_stale_grants,
+	   test_unconfirmed_is_stopped, test_grant_of_earlier_report,
+	   test_ended_epoch_stays_ended, test_newer_epoch_waits_for_stop,
+	   test_start_under_way_is_reported, test_unknown_start,
+	   test_unknown_start_that_ran, test_checkpoint_stop,
+	   test_events_repeat, test_lease_ends, test_view_never_reverts,
+	   test_view_parts)
