--- a/src/core/decide.c
+++ b/src/core/decide.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #include "evict.h"
+#include "interference.h"
+#include "move.h"
 #include "place.h"
 #include "schema.h"
 
@@ -67,8 +69,11 @@
 
 static bool next_failed_job(struct plan *plan, struct plan_decision *decision)
 {
-	struct plan_job *job = g_queue_pop_head(&plan->failing_jobs);
+	struct plan_job *job;
 
+	if (plan->now_us < plan->undone_us + UNDO_RETRY_US)
+		return false;
+	job = g_queue_pop_head(&plan->failing_jobs);
 	if (!job)
 		return false;
 	decision_init(decision, PLAN_FAIL_JOB);
@@ -80,12 +85,15 @@
 	return true;
 }
 
-/* The task doesn't fit now; decides what becomes of its group. */
+/* The task doesn't fit now; decides what becomes of it and its group. */
 static void task_does_not_fit(struct plan *plan, struct plan_task *task,
 			      const struct task_size *size)
 {
 	struct plan_group *group = task->job->group;
 	uint64_t known_us = MAX(plan->vm_change_us, task->job->seen_us);
+	uint64_t waited_us = group->blocked_since_us ?
+				     plan->now_us - group->blocked_since_us :
+				     0;
 	bool settled = plan->now_us >= known_us + PLAN_NEVER_FITS_MS * 1000ull;
 
 	if (settled && !decide_ever_fits(plan, size) &&
@@ -93,8 +101,44 @@
 		plan_fail_job(plan, task->job, RESULT_NEVER_FITS);
 		return;
 	}
+	if (!plan_is_batch(task->job)) {
+		if (evict_make_room(plan, task, size))
+			return;
+	} else if (waited_us >= PLAN_BATCH_HOLD_AFTER_MS * 1000ull &&
+		   plan->nr_batch_holds <= plan->vm_list->len / 64 &&
+		   evict_wait_for_room(plan, task, size)) {
+		return;
+	}
 	queue_block(plan, group, size, false,
-		    plan->now_us + PLAN_RETRY_MS * 1000ull);
+		    plan->now_us + (plan_is_batch(task->job) ?
+					    PLAN_RETRY_MS :
+					    PLAN_URGENT_RETRY_MS) *
+					   1000ull);
+}
+
+/* Remembers what room urgent work needs, so that some is kept. */
+static void note_urgent(struct plan *plan, const struct task_size *size)
+{
+	bool stale = plan->now_us >= plan->urgent_us + PLAN_SLACK_MS * 1000ull;
+
+	if (stale)
+		plan->urgent = *size;
+	plan->urgent.cpu_millis =
+		MAX(plan->urgent.cpu_millis, size->cpu_millis);
+	plan->urgent.memory_mib =
+		MAX(plan->urgent.memory_mib, size->memory_mib);
+	plan->urgent_us = plan->now_us;
+}
+
+/* Spaces the starts of batch in a zone that came back. */
+static void note_start(const struct plan *plan, struct vm *vm, bool batch)
+{
+	struct zone *zone = vm->zone;
+	uint32_t per_s = MAX(PLAN_RETURN_STARTS_PER_S, zone->vms->len);
+
+	if (batch)
+		zone->start_us =
+			MAX(zone->start_us, plan->now_us) + 1000000 / per_s;
 }
 
 static bool try_task(struct plan *plan, struct plan_task *task,
@@ -111,6 +155,8 @@
 			queue_block(plan, group, &size, true, UINT64_MAX);
 		return false;
 	}
+	if (task->job->record.job_class == JOB_URGENT)
+		note_urgent(plan, &size);
 	vm = plan->place->choose(plan, task, &size, decision->reason,
 				 sizeof(decision->reason));
 	if (!vm) {
@@ -118,6 +164,7 @@
 		return false;
 	}
 	group->blocked_since_us = 0;
+	note_start(plan, vm, plan_is_batch(task->job));
 	decide_place(plan, task, vm, &size, decision);
 	return true;
 }
@@ -135,15 +182,118 @@
 	return false;
 }
 
+static bool next_quarantine(struct plan *plan, struct plan_decision *decision)
+{
+	const char *why = "failed-jobs";
+	struct vm *vm;
+	bool set;
+
+	if (plan->now_us < plan->undone_us + UNDO_RETRY_US)
+		return false;
+	vm = g_queue_pop_head(&plan->suspect_vms);
+	set = vm != NULL;
+	if (!vm) {
+		vm = g_queue_peek_head(&plan->quarantined_vms);
+		if (!vm || vm->suspect || plan->now_us < vm->probation_us)
+			return false;
+		why = "probation";
+		vm->suspect = true; /* the decision is outstanding */
+	}
+	decision_init(decision, PLAN_QUARANTINE);
+	TEXT_SET(decision->vm, vm->record.name);
+	decision->quarantined = set;
+	g_snprintf(decision->reason, sizeof(decision->reason),
+		   "why=%s failed_jobs=%u", why, vm->nr_failed_jobs);
+	return true;
+}
+
+/* Evictions that make room for a task which waits for it. */
+static bool next_eviction(struct plan *plan, struct plan_decision *decision)
+{
+	while (plan->evicting.head) {
+		struct plan_task *task = plan->evicting.head->data;
+
+		plan_list_task(task, NULL);
+		if (!evict_allowed(plan, task) ||
+		    task->outstanding == PLAN_PLACE)
+			continue;
+		decide_evict(plan, task, decision, "room");
+		return true;
+	}
+	return false;
+}
+
+/* Tasks whose held place is free. */
+static bool next_ready(struct plan *plan, struct plan_decision *decision)
+{
+	while (plan->ready.head) {
+		struct plan_task *task = plan->ready.head->data;
+		struct vm *vm = task->hold_vm;
+		struct task_size size = task->hold_size;
+		bool fits = plan_hold_is_free(task);
+
+		plan_list_task(task, NULL);
+		plan_unhold(plan, task);
+		if (task->job->record.state != JOB_ACTIVE || task->job->failing)
+			continue;
+		if (!fits || !team_allows(task->job->team, &size)) {
+			queue_add_task(plan, task);
+			continue;
+		}
+		g_snprintf(decision->reason, sizeof(decision->reason),
+			   "policy=%s held=1", plan->place->name);
+		decide_place(plan, task, vm, &size, decision);
+		return true;
+	}
+	return false;
+}
+
+/* Places held in vain go back; the list is in order of time but for its
+ * classes, so a bounded look from the head is enough. */
+static void expire_holds(struct plan *plan)
+{
+	uint32_t looks = MIN(plan->waiting.length, TRIES_PER_CALL);
+
+	while (looks--) {
+		struct plan_task *task = plan->waiting.head->data;
+
+		if (task->hold_until_us > plan->now_us) {
+			plan_list_task(task, &plan->waiting);
+			continue;
+		}
+		plan_list_task(task, NULL);
+		plan_unhold(plan, task);
+		queue_add_task(plan, task);
+	}
+}
+
+static bool queue_has_batch_only(struct plan *plan)
+{
+	const struct plan_task *task = queue_first(plan);
+
+	return !task || plan_is_batch(task->job);
+}
+
 bool plan_next(struct plan *plan, uint64_t now_us,
 	       struct plan_decision *decision)
 {
 	plan->now_us = now_us;
-	if (next_failed_job(plan, decision) || next_from_queue(plan, decision))
+	if (next_failed_job(plan, decision) ||
+	    next_quarantine(plan, decision) || next_ready(plan, decision) ||
+	    next_eviction(plan, decision))
+		return true;
+	if (queue_has_batch_only(plan) && move_next_drained(plan, decision))
 		return true;
-	/* A job may have been found to fail only just now. */
-	if (next_failed_job(plan, decision))
+	if (next_from_queue(plan, decision) ||
+	    move_next_drained(plan, decision) ||
+	    move_next_rebalanced(plan, decision) ||
+	    interference_next(plan, decision))
 		return true;
+	/* The search itself may have listed something. */
+	if (next_failed_job(plan, decision) || next_ready(plan, decision) ||
+	    next_eviction(plan, decision))
+		return true;
+	expire_holds(plan);
 	plan->next_us = MIN(queue_next_us(plan), now_us + TICK_US);
 	return false;
 }
@@ -163,22 +313,57 @@
 		    plan->now_us + UNDO_RETRY_US);
 }
 
+static void undo_vm(struct plan *plan, const struct plan_decision *decision)
+{
+	struct vm *vm = plan_vm(plan, decision->vm);
+
+	if (!vm->suspect)
+		return;
+	if (decision->quarantined)
+		g_queue_push_tail(&plan->suspect_vms, vm);
+	else
+		vm->suspect = false;
+}
+
+static void undo_job(struct plan *plan, uint64_t job_id)
+{
+	struct plan_job *job = g_hash_table_lookup(plan->jobs, &job_id);
+
+	/* What made it fail still holds, so it is decided again. */
+	if (job && job->failing)
+		g_queue_push_tail(&plan->failing_jobs, job);
+}
+
+static void undo_throttle(struct plan *plan, struct plan_task *task)
+{
+	if (!task->on_vm || !task->running_us)
+		return;
+	vm_stay_end(task->on_vm, task->task_id, plan->now_us);
+	vm_stay_begin(task->on_vm, task->job->kind->nr, task->task_id, 1000000,
+		      plan->now_us);
+	task->throttle_ppm = 1000000;
+}
+
 void plan_undo(struct plan *plan, const struct plan_decision *decision)
 {
 	struct plan_task *task = plan_find_task(plan, decision->task_id);
-	struct plan_job *job;
 
-	if (decision->action == PLAN_FAIL_JOB) {
-		job = g_hash_table_lookup(plan->jobs, &decision->job_id);
-		if (job) {
-			job->failing = false;
-			queue_add_job(plan, job);
-		}
-		return;
-	}
+	plan->undone_us = plan->now_us;
+	if (decision->action == PLAN_QUARANTINE)
+		undo_vm(plan, decision);
+	else if (decision->action == PLAN_FAIL_JOB)
+		undo_job(plan, decision->job_id);
+	else if (task && decision->action == PLAN_THROTTLE)
+		undo_throttle(plan, task);
 	if (!task || task->outstanding != decision->action)
 		return;
 	task->outstanding = 0;
-	if (decision->action == PLAN_PLACE)
+	if (decision->action == PLAN_PLACE) {
 		undo_place(plan, task);
+	} else {
+		task->evicted_us = 0;
+		move_ended(task);
+		plan_unhold(plan, task);
+		move_drain_task(plan, task);
+	}
 }
--- a/src/core/evict.h
+++ b/src/core/evict.h
@@ -11,6 +11,9 @@
 
 #include "plan_state.h"
 
+/* Evictions of one minute may come at once. */
+#define EVICT_FULL_CREDIT_US 60000000ull
+
 struct evict_ops {
 	const char *name;
 	/** Returns what evicting the task costs; the lowest goes first. */
@@ -19,6 +22,27 @@
 	bool stepwise;
 };
 
+/** Returns true if the task may be evicted to help others. */
+bool evict_allowed(const struct plan *plan, const struct plan_task *task);
+
+/** Takes one eviction out of the allowance of a minute, false: it is used up.
+ */
+bool evict_take_credit(struct plan *plan);
+
+/**
+ * Finds the VM where room for a task costs least, holds a place there and
+ * lists the batch tasks that have to go. Returns false if there is none.
+ */
+bool evict_make_room(struct plan *plan, struct plan_task *task,
+		     const struct task_size *size);
+
+/**
+ * Holds a place for a batch task on the VM whose tasks leave soonest. Evicts
+ * nothing.
+ */
+bool evict_wait_for_room(struct plan *plan, struct plan_task *task,
+			 const struct task_size *size);
+
 /** Returns the policy of that name, NULL if there is none. */
 const struct evict_ops *evict_find(const char *name);
 
--- /dev/null
+++ b/src/core/interference.c
@@ -0,0 +1,422 @@
+#include "interference.h"
+
+#include <string.h>
+
+#include "decide.h"
+#include "evict.h"
+#include "schema.h"
+
+#define PPM 1000000ll
+/* Kinds beyond this number are taken to be harmless; 8 MiB for the table. */
+#define MAX_KINDS 1024
+#define MAX_PAIR_PPM 4000000ll
+#define MAX_NEIGHBOURS 32
+/* Each sample corrects the estimates by 1 / 8 of the error. */
+#define LEARN_SHIFT 3
+/* Slower than this the sample says more of a stalled worker than of a
+ * neighbour. */
+#define MIN_RATE_PPM 20000u
+#define AT_LIMIT_PERCENT 95
+/* Samples in a row above the limit before a step. */
+#define SLOW_SAMPLES 2
+/* Steps are taken back after this many times the wait between two. */
+#define RELAX_WAITS 4
+#define THROTTLE_PPM 400000u
+/* Tasks of a service count more than batch tasks beside them. */
+#define SERVICE_WEIGHT 8
+
+struct interference {
+	uint32_t nr_kinds; /* rows and columns allocated */
+	int32_t *pairs; /* ppm, victim * nr_kinds + by */
+};
+
+struct neighbours {
+	uint32_t nr;
+	uint32_t kinds[MAX_NEIGHBOURS];
+	int64_t shares[MAX_NEIGHBOURS]; /* sum of their shares in ppm */
+};
+
+struct interference *interference_new(void)
+{
+	return g_new0(struct interference, 1);
+}
+
+void interference_free(struct interference *interference)
+{
+	if (!interference)
+		return;
+	g_free(interference->pairs);
+	g_free(interference);
+}
+
+static void table_grow(struct interference *interference, uint32_t kind_nr)
+{
+	uint32_t old = interference->nr_kinds;
+	uint32_t nr = MAX(old, 16);
+	int32_t *pairs;
+
+	if (kind_nr < old || kind_nr >= MAX_KINDS)
+		return;
+	while (nr <= kind_nr)
+		nr *= 2;
+	pairs = g_new0(int32_t, (size_t)nr * nr);
+	for (uint32_t i = 0; i < old; i++)
+		memcpy(pairs + (size_t)i * nr,
+		       interference->pairs + (size_t)i * old,
+		       old * sizeof(*pairs));
+	g_free(interference->pairs);
+	interference->pairs = pairs;
+	interference->nr_kinds = nr;
+}
+
+static int32_t *pair_at(const struct interference *interference,
+			uint32_t victim, uint32_t by)
+{
+	uint32_t nr = interference->nr_kinds;
+
+	if (victim >= nr || by >= nr)
+		return NULL;
+	return &interference->pairs[(size_t)victim * nr + by];
+}
+
+uint32_t interference_pair(const struct interference *interference,
+			   const struct plan_kind *victim,
+			   const struct plan_kind *by)
+{
+	const int32_t *pair = pair_at(interference, victim->nr, by->nr);
+
+	return pair ? (uint32_t)*pair : 0;
+}
+
+static void neighbours_add(struct neighbours *neighbours, uint32_t kind_nr,
+			   uint32_t share_ppm)
+{
+	uint32_t i = 0;
+
+	while (i < neighbours->nr && neighbours->kinds[i] != kind_nr)
+		i++;
+	if (i == MAX_NEIGHBOURS)
+		return;
+	if (i == neighbours->nr) {
+		neighbours->nr++;
+		neighbours->kinds[i] = kind_nr;
+		neighbours->shares[i] = 0;
+	}
+	neighbours->shares[i] += share_ppm;
+}
+
+/* Who ran beside the task when the sample was taken. */
+static void neighbours_at(struct neighbours *neighbours, const struct vm *vm,
+			  uint64_t task_id, uint64_t sample_us)
+{
+	neighbours->nr = 0;
+	for (uint32_t i = 0; i < vm->stays->len; i++) {
+		const struct vm_stay *stay =
+			&g_array_index(vm->stays, struct vm_stay, i);
+
+		if (stay->task_id != task_id && stay->from_us <= sample_us &&
+		    sample_us < stay->to_us)
+			neighbours_add(neighbours, stay->kind_nr,
+				       stay->share_ppm);
+	}
+}
+
+/* Normalized least mean squares: the error of the predicted sum is spread over
+ * the neighbours in proportion to their shares. */
+static void learn_pairs(struct interference *interference, uint32_t victim,
+			const struct neighbours *neighbours,
+			int64_t slowdown_ppm)
+{
+	int64_t predicted = 0;
+	int64_t power = 0; /* in thousandths */
+	int64_t error;
+
+	for (uint32_t i = 0; i < neighbours->nr; i++) {
+		const int32_t *pair =
+			pair_at(interference, victim, neighbours->kinds[i]);
+		int64_t share = neighbours->shares[i] / 1000;
+
+		predicted += pair ? *pair * share / 1000 : 0;
+		power += share * share / 1000;
+	}
+	if (!power)
+		return;
+	error = (slowdown_ppm - predicted) / (1 << LEARN_SHIFT);
+	for (uint32_t i = 0; i < neighbours->nr; i++) {
+		int32_t *pair =
+			pair_at(interference, victim, neighbours->kinds[i]);
+		int64_t share = neighbours->shares[i] / 1000;
+
+		if (pair)
+			*pair = (int32_t)CLAMP(*pair + error * share / power, 0,
+					       MAX_PAIR_PPM);
+	}
+}
+
+static bool held_back(const struct plan_task *task,
+		      const struct platform_task *sample)
+{
+	uint64_t limit =
+		(uint64_t)task->size.cpu_millis * task->throttle_ppm / PPM;
+
+	return task->throttle_ppm < PPM ||
+	       sample->cpu_used_millis * 100ull >= limit * AT_LIMIT_PERCENT;
+}
+
+static void note_slowness(struct plan *plan, struct vm *vm,
+			  struct plan_task *task, int64_t slowdown_ppm,
+			  uint64_t sample_us)
+{
+	if (slowdown_ppm < PLAN_SLOWDOWN_LIMIT_PPM) {
+		task->nr_slow = 0;
+		return;
+	}
+	/* A sample from before the last step says nothing of its effect. */
+	if (sample_us <= vm->acted_us)
+		return;
+	task->nr_slow++;
+	if (task->nr_slow < SLOW_SAMPLES || vm->slow)
+		return;
+	vm->slow = true;
+	g_queue_push_tail(&plan->slow_vms, vm);
+}
+
+void interference_sample(struct plan *plan, struct vm *vm,
+			 struct plan_task *task,
+			 const struct platform_task *sample, uint64_t sample_us)
+{
+	struct plan_kind *kind = task->job->kind;
+	uint32_t rate_ppm = MAX(sample->rate_ppm, MIN_RATE_PPM);
+	int64_t slowdown_ppm = MAX(PPM * PPM / rate_ppm - PPM, 0);
+	struct neighbours neighbours;
+
+	/* The guard holds the task back, not its neighbours. */
+	if (held_back(task, sample))
+		return;
+	neighbours_at(&neighbours, vm, task->task_id, sample_us);
+	table_grow(plan->interference, kind->nr);
+	for (uint32_t i = 0; i < neighbours.nr; i++)
+		table_grow(plan->interference, neighbours.kinds[i]);
+	learn_pairs(plan->interference, kind->nr, &neighbours, slowdown_ppm);
+	if (task->job->record.job_class == JOB_SERVICE)
+		note_slowness(plan, vm, task, slowdown_ppm, sample_us);
+}
+
+/* Predicted slowdown of a task on its VM. */
+static uint64_t predicted(const struct plan *plan, const struct plan_task *task,
+			  const struct vm *vm)
+{
+	uint64_t sum = 0;
+
+	for (uint32_t i = 0; i < vm->tasks->len; i++) {
+		const struct plan_task *by = g_ptr_array_index(vm->tasks, i);
+
+		if (by != task && by->job->kind)
+			sum += (uint64_t)interference_pair(plan->interference,
+							   task->job->kind,
+							   by->job->kind) *
+			       by->throttle_ppm / PPM;
+	}
+	return sum;
+}
+
+uint64_t interference_cost(const struct plan *plan,
+			   const struct plan_task *task, const struct vm *vm,
+			   uint64_t *worst)
+{
+	const struct interference *pairs = plan->interference;
+	const struct plan_kind *kind = task->job->kind;
+	bool batch = plan_is_batch(task->job);
+	uint64_t own = predicted(plan, task, vm);
+	uint64_t cost = batch ? own : own * SERVICE_WEIGHT;
+
+	*worst = batch ? 0 : own;
+	for (uint32_t i = 0; i < vm->tasks->len; i++) {
+		const struct plan_task *other = g_ptr_array_index(vm->tasks, i);
+		uint64_t added;
+
+		if (!other->job->kind)
+			continue;
+		added = interference_pair(pairs, other->job->kind, kind);
+		if (plan_is_batch(other->job)) {
+			cost += added;
+			continue;
+		}
+		cost += added * SERVICE_WEIGHT;
+		if (added)
+			*worst =
+				MAX(*worst, added + predicted(plan, other, vm));
+	}
+	return cost;
+}
+
+/* The service on the VM that is slow. */
+static struct plan_task *slow_service(const struct vm *vm)
+{
+	for (uint32_t i = 0; i < vm->tasks->len; i++) {
+		struct plan_task *task = g_ptr_array_index(vm->tasks, i);
+
+		if (task->nr_slow >= SLOW_SAMPLES)
+			return task;
+	}
+	return NULL;
+}
+
+/* The batch task that slows the service most, or the policy's choice. */
+static struct plan_task *worst_batch(const struct plan *plan,
+				     const struct vm *vm,
+				     const struct plan_task *service,
+				     bool unthrottled)
+{
+	struct plan_task *worst = NULL;
+	uint64_t worst_score = 0;
+
+	for (uint32_t i = 0; i < vm->tasks->len; i++) {
+		struct plan_task *task = g_ptr_array_index(vm->tasks, i);
+		uint64_t score;
+
+		if (!evict_allowed(plan, task) || task->outstanding ||
+		    task->state != TASK_RUNNING ||
+		    (unthrottled && task->throttle_ppm < PPM))
+			continue;
+		score = interference_pair(plan->interference,
+					  service->job->kind, task->job->kind);
+		if (!plan->evict->stepwise)
+			score = UINT64_MAX / 2 -
+				MIN(plan->evict->cost(task, plan->now_us),
+				    UINT64_MAX / 4);
+		if (score > worst_score) {
+			worst = task;
+			worst_score = score;
+		}
+	}
+	return worst;
+}
+
+static bool throttle(struct plan *plan, struct plan_task *task, uint32_t ppm,
+		     struct plan_decision *decision)
+{
+	struct vm *vm = task->on_vm;
+
+	memset(decision, 0, sizeof(*decision));
+	decision->action = PLAN_THROTTLE;
+	decision->task_id = task->task_id;
+	decision->job_id = task->job->record.job_id;
+	decision->cpu_ppm = ppm;
+	TEXT_SET(decision->vm, vm->record.name);
+	g_snprintf(decision->reason, sizeof(decision->reason),
+		   "why=interference kind=%s", task->job->kind->name);
+	vm_stay_end(vm, task->task_id, plan->now_us);
+	vm_stay_begin(vm, task->job->kind->nr, task->task_id, ppm,
+		      plan->now_us);
+	task->throttle_ppm = ppm;
+	return true;
+}
+
+/* Takes the next step on the VM; returns true if it is a decision. */
+static bool take_step(struct plan *plan, struct vm *vm,
+		      const struct plan_task *service,
+		      struct plan_decision *decision)
+{
+	struct plan_task *task;
+
+	vm->acted_us = plan->now_us;
+	vm->closed_us = plan->now_us + PLAN_CLOSED_MS * 1000ull;
+	if (plan->evict->stepwise && vm->step < STEP_CLOSE) {
+		vm->step = STEP_CLOSE;
+		return false;
+	}
+	if (plan->evict->stepwise) {
+		task = worst_batch(plan, vm, service, true);
+		if (task) {
+			vm->step = STEP_THROTTLE;
+			return throttle(plan, task, THROTTLE_PPM, decision);
+		}
+	}
+	task = worst_batch(plan, vm, service, false);
+	if (!task || !evict_take_credit(plan))
+		return false;
+	vm->step = vm->step < STEP_MOVE ? STEP_MOVE : STEP_EVICT;
+	decide_evict(plan, task, decision,
+		     vm->step == STEP_MOVE ? "interference-move" :
+					     "interference-evict");
+	return true;
+}
+
+/* The largest slowdown predicted for a service if @a task ran unthrottled. */
+static uint64_t slowdown_unthrottled(const struct plan *plan,
+				     const struct plan_task *task)
+{
+	const struct vm *vm = task->on_vm;
+	uint64_t worst = 0;
+
+	for (uint32_t i = 0; i < vm->tasks->len; i++) {
+		const struct plan_task *other = g_ptr_array_index(vm->tasks, i);
+		uint64_t added;
+
+		if (other->job->record.job_class != JOB_SERVICE)
+			continue;
+		added = interference_pair(plan->interference, other->job->kind,
+					  task->job->kind);
+		worst = MAX(worst,
+			    predicted(plan, other, vm) +
+				    added * (PPM - task->throttle_ppm) / PPM);
+	}
+	return worst;
+}
+
+/* Takes one step back; what is predicted to do harm again stays throttled. */
+static bool step_back(struct plan *plan, struct vm *vm,
+		      struct plan_decision *decision)
+{
+	bool throttled = false;
+
+	vm->acted_us = plan->now_us;
+	for (uint32_t i = 0; i < vm->tasks->len; i++) {
+		struct plan_task *task = g_ptr_array_index(vm->tasks, i);
+
+		if (task->throttle_ppm >= PPM || task->state != TASK_RUNNING ||
+		    task->outstanding)
+			continue;
+		throttled = true;
+		if (slowdown_unthrottled(plan, task) < PLAN_SLOWDOWN_LIMIT_PPM)
+			return throttle(plan, task, PPM, decision);
+	}
+	vm->step = throttled ? STEP_THROTTLE : STEP_NONE;
+	return false;
+}
+
+void interference_relax(struct plan *plan, struct vm *vm)
+{
+	uint64_t wait_us = vm->lag_us + REPORT_INTERVAL_MS * 1000ull;
+
+	if (vm->step == STEP_NONE || vm->slow ||
+	    plan->now_us < vm->acted_us + RELAX_WAITS * wait_us)
+		return;
+	vm->slow = true;
+	g_queue_push_tail(&plan->slow_vms, vm);
+}
+
+bool interference_next(struct plan *plan, struct plan_decision *decision)
+{
+	uint32_t looks = plan->slow_vms.length;
+
+	while (looks--) {
+		struct vm *vm = g_queue_pop_head(&plan->slow_vms);
+		const struct plan_task *service = slow_service(vm);
+		uint64_t wait_us = vm->lag_us + REPORT_INTERVAL_MS * 1000ull;
+
+		vm->slow = false;
+		if (!service && vm->step != STEP_NONE &&
+		    plan->now_us >= vm->acted_us + RELAX_WAITS * wait_us &&
+		    step_back(plan, vm, decision))
+			return true;
+		if (!service)
+			continue;
+		if (vm->acted_us && plan->now_us < vm->acted_us + wait_us)
+			continue; /* the next slow sample lists it again */
+		if (take_step(plan, vm, service, decision))
+			return true;
+	}
+	return false;
+}
--- a/src/core/learn.c
+++ b/src/core/learn.c
@@ -14,6 +14,7 @@
 #define CPU_MARGIN_PERCENT 110
 /* A task at this share of its limit is taken to be held back by it. */
 #define AT_LIMIT_PERCENT 95
+#define NEAR_LIMIT_PERCENT 70 /* of memory, when a task fails */
 #define CPU_MIN_MILLIS 100
 
 struct learn {
@@ -52,7 +53,8 @@
 }
 
 void learn_sample(struct plan_kind *kind, const struct platform_task *sample,
-		  const struct task_size *size, bool first)
+		  const struct task_size *size, uint32_t throttle_ppm,
+		  bool first)
 {
 	uint64_t used = sample->cpu_used_millis;
 	uint32_t step;
@@ -62,6 +64,8 @@
 	kind->nr_samples++;
 	kind->memory_peak_mib =
 		MAX(kind->memory_peak_mib, sample->memory_used_mib);
+	if (throttle_ppm < 1000000)
+		return;
 	/* What a task at its limit would use isn't visible; probe upwards. */
 	if (used * 100 >= (uint64_t)size->cpu_millis * AT_LIMIT_PERCENT)
 		used = used * 3 / 2;
@@ -86,14 +90,16 @@
 		kind->run_ms = (kind->run_ms * 7 + run_ms) / 8;
 }
 
-void learn_failed(struct plan_kind *kind, uint32_t used_mib,
+bool learn_failed(struct plan_kind *kind, uint32_t used_mib,
 		  const struct task_size *size)
 {
 	/* The last sample lags, so growth may have gone on behind it. */
-	if ((uint64_t)used_mib * 100 < (uint64_t)size->memory_mib * 70)
-		return;
+	if ((uint64_t)used_mib * 100 <
+	    (uint64_t)size->memory_mib * NEAR_LIMIT_PERCENT)
+		return false;
 	kind->memory_floor_mib = MAX(kind->memory_floor_mib,
 				     size->memory_mib + size->memory_mib / 2);
+	return true;
 }
 
 struct task_size learn_size(const struct plan_kind *kind,
--- a/src/core/learn.h
+++ b/src/core/learn.h
@@ -36,11 +36,15 @@
 
 /** Takes one usage sample of a task whose commitment is @a size. */
 void learn_sample(struct plan_kind *kind, const struct platform_task *sample,
-		  const struct task_size *size, bool first);
+		  const struct task_size *size, uint32_t throttle_ppm,
+		  bool first);
 /** A task ended well after @a run_ms. */
 void learn_ended(struct plan_kind *kind, uint64_t run_ms);
-/** A task failed; @a used_mib is its last known memory, @a size its limit. */
-void learn_failed(struct plan_kind *kind, uint32_t used_mib,
+/**
+ * A task failed; @a used_mib is its last known memory, @a size its limit.
+ * Returns true if it probably ran out of memory.
+ */
+bool learn_failed(struct plan_kind *kind, uint32_t used_mib,
 		  const struct task_size *size);
 
 /** Returns the size to commit for a task declared as @a declared. */
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "interference.h"
+
 #define PPM 1000000u
 
 /* Weights of the cost of a VM in ppm of a whole VM. A replica beside another
@@ -12,6 +14,8 @@
 /* A task that failed on a VM goes back there only if nothing else fits. */
 #define COST_FAILED_HERE 100000000ull
 
+#define COST_NOISY 10000000u
+
 #define ORDER_CLASS_SHIFT 62
 
 /* How many tasks of a job run on each zone, rack and VM. */
@@ -126,6 +130,32 @@
 	       COST_SAME_VM * same_vm;
 }
 
+/* A quarter of a VM, for a worker on probation. */
+static bool is_small(const struct task_size *size, const struct vm *vm)
+{
+	return size->cpu_millis <= vm->record.cpu_millis / 4 &&
+	       size->memory_mib <= vm->record.memory_mib / 4;
+}
+
+/* Returns true if the VM's zone takes another start of batch already. */
+static bool zone_is_open(const struct zone *zone, uint64_t now_us)
+{
+	return !zone->returned || now_us >= zone->start_us ||
+	       now_us >= zone->changed_us + PLAN_RETURN_MS * 1000ull;
+}
+
+bool place_allowed(const struct plan_task *task, const struct vm *vm,
+		   const struct task_size *size, uint64_t now_us)
+{
+	bool batch = plan_is_batch(task->job);
+
+	if (!vm->indexed || !vm_fits(vm, size))
+		return false;
+	if (vm->probation && (!batch || vm->tasks->len || !is_small(size, vm)))
+		return false;
+	return !batch || zone_is_open(vm->zone, now_us);
+}
+
 static uint64_t share_ppm(uint64_t part, uint64_t whole)
 {
 	return whole ? part * PPM / whole : 0;
@@ -149,15 +179,50 @@
 	return skew / 2 + (batch ? left : PPM - left) / 4;
 }
 
-static uint64_t vm_cost(const struct plan_task *task, const struct vm *vm,
-			const struct task_size *size,
+/* Room for one more urgent task is kept on a few VMs. */
+static bool takes_slack(const struct plan *plan, const struct vm *vm,
+			const struct task_size *size)
+{
+	struct task_size open = vm_open(vm);
+	uint32_t wanted = 1 + plan->vm_list->len / 64;
+	uint32_t others = 0;
+
+	if (!plan->urgent_us ||
+	    plan->now_us >= plan->urgent_us + PLAN_SLACK_MS * 1000ull ||
+	    !size_within(&plan->urgent, &open))
+		return false;
+	size_sub(&open, size);
+	if (size_within(&plan->urgent, &open))
+		return false;
+	for (uint32_t i = 0; i < plan->zone_list->len && others <= wanted; i++)
+		others += zone_count(g_ptr_array_index(plan->zone_list, i),
+				     &plan->urgent, wanted + 1);
+	return others <= wanted;
+}
+
+/* Returns the cost of the VM for the task, UINT64_MAX: not there. */
+static uint64_t vm_cost(const struct plan *plan, const struct plan_task *task,
+			const struct vm *vm, const struct task_size *size,
 			const struct spread *spread)
 {
 	const struct plan_job *job = task->job;
 	bool batch = plan_is_batch(job);
-	uint64_t cost = packing_cost(vm, size, batch);
-
-	cost += vm->zone->cost_ppm / 4;
+	uint64_t waited_us = plan->now_us - task->pending_us;
+	uint64_t worst;
+	uint64_t cost;
+
+	if (!place_allowed(task, vm, size, plan->now_us))
+		return UINT64_MAX;
+	cost = interference_cost(plan, task, vm, &worst);
+	if (batch &&
+	    (worst > PLAN_SLOWDOWN_LIMIT_PPM || plan->now_us < vm->closed_us)) {
+		if (waited_us < PLAN_NOISY_WAIT_MS * 1000ull)
+			return UINT64_MAX;
+		cost += COST_NOISY;
+	}
+	if (batch && takes_slack(plan, vm, size))
+		return UINT64_MAX;
+	cost += packing_cost(vm, size, batch) + vm->zone->cost_ppm / 4;
 	if (spread)
 		cost += spread_cost(spread, vm, job);
 	if (failed_on(&task->failed, vm) || failed_on(&job->failed, vm))
@@ -191,7 +256,7 @@
 	if (service)
 		spread_init(&spread, task->job);
 	for (uint32_t i = 0; i < nr; i++) {
-		uint64_t cost = vm_cost(task, candidates[i], size,
+		uint64_t cost = vm_cost(plan, task, candidates[i], size,
 					service ? &spread : NULL);
 
 		if (cost < best_cost) {
@@ -216,7 +281,7 @@
 	for (uint32_t i = 0; i < plan->vm_list->len; i++) {
 		struct vm *vm = g_ptr_array_index(plan->vm_list, i);
 
-		if (!vm->indexed || !vm_fits(vm, size))
+		if (!place_allowed(task, vm, size, plan->now_us))
 			continue;
 		g_snprintf(reason, reason_bytes, "policy=first-fit kind=%s",
 			   task->job->kind->name);
--- a/src/core/place.h
+++ b/src/core/place.h
@@ -24,6 +24,10 @@
 			     size_t reason_bytes);
 };
 
+/** Returns true if the filters let the task start on the VM. */
+bool place_allowed(const struct plan_task *task, const struct vm *vm,
+		   const struct task_size *size, uint64_t now_us);
+
 /** Returns the policy of that name, NULL if there is none. */
 const struct place_ops *place_find(const char *name);
 
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -4,6 +4,8 @@
 
 #include "decide.h"
 #include "evict.h"
+#include "interference.h"
+#include "move.h"
 #include "place.h"
 #include "plan_state.h"
 #include "schema.h"
@@ -55,6 +57,8 @@
 					    g_free);
 	plan->services = g_ptr_array_new();
 	plan->learn = learn_new();
+	plan->interference = interference_new();
+	plan->evict_credit_us = EVICT_FULL_CREDIT_US;
 	plan->queue = queue_new();
 	return plan;
 }
@@ -66,8 +70,10 @@
 	g_queue_clear(&plan->failing_jobs);
 	g_queue_clear(&plan->suspect_vms);
 	g_queue_clear(&plan->quarantined_vms);
+	g_queue_clear(&plan->slow_vms);
 	queue_free(plan->queue);
 	learn_free(plan->learn);
+	interference_free(plan->interference);
 	g_ptr_array_free(plan->services, TRUE);
 	g_hash_table_unref(plan->tasks);
 	g_hash_table_unref(plan->jobs);
@@ -122,10 +128,36 @@
 	zone->returned = zone->out;
 	zone->out = record->out;
 	zone->changed_us = now_us;
-	for (uint32_t i = 0; i < zone->vms->len; i++)
-		zone_index_vm(g_ptr_array_index(zone->vms, i));
-	if (!zone->out)
-		queue_unblock_all(plan);
+	for (uint32_t i = 0; i < zone->vms->len; i++) {
+		struct vm *vm = g_ptr_array_index(zone->vms, i);
+
+		zone_index_vm(vm);
+		if (!zone->out)
+			continue;
+		plan_unhold_all(plan, vm);
+		move_drain_vm(plan, vm);
+	}
+	if (zone->out)
+		return;
+	move_capacity_back(plan);
+	queue_unblock_all(plan);
+}
+
+/* Keeps count of a quarantine that was set or lifted. */
+static void vm_quarantine_set(struct plan *plan, struct vm *vm)
+{
+	vm->suspect = false;
+	vm->nr_failed_jobs = 0;
+	g_queue_remove(&plan->suspect_vms, vm);
+	if (!vm->record.quarantined) {
+		g_queue_remove(&plan->quarantined_vms, vm);
+		vm->probation = PLAN_PROBATION_TASKS;
+		return;
+	}
+	vm->quarantine_s = CLAMP(vm->quarantine_s * 2, PLAN_QUARANTINE_MIN_S,
+				 PLAN_QUARANTINE_MAX_S);
+	vm->probation_us = plan->now_us + vm->quarantine_s * 1000000ull;
+	g_queue_push_tail(&plan->quarantined_vms, vm);
 }
 
 void plan_set_vm(struct plan *plan, const struct vm_record *record,
@@ -133,12 +165,16 @@
 {
 	struct vm *vm = plan_vm(plan, record->name);
 	struct task_size *largest = &plan->largest;
+	bool was_quarantined = vm->record.quarantined;
+	bool was_indexed = vm->indexed;
 
 	plan->now_us = now_us;
 	if (!vm->known)
 		plan->vm_change_us = now_us;
 	vm->record = *record;
 	vm->known = true;
+	if (record->quarantined != was_quarantined)
+		vm_quarantine_set(plan, vm);
 	vm->rack_nr = plan_rack_nr(plan, record);
 	largest->cpu_millis = MAX(largest->cpu_millis, record->cpu_millis);
 	largest->memory_mib = MAX(largest->memory_mib, record->memory_mib);
@@ -146,8 +182,15 @@
 		MAX(largest->accelerators, record->accelerators);
 	zone_add_vm(plan_zone(plan, record->zone), vm);
 	zone_index_vm(vm);
-	if (vm->indexed)
+	if (vm->indexed) {
 		plan_room(plan, vm, NULL);
+		if (!was_indexed)
+			move_capacity_back(plan);
+		return;
+	}
+	plan_unhold_all(plan, vm);
+	if (record->state == VM_LEAVING)
+		move_drain_vm(plan, vm);
 }
 
 static bool same_group(const struct job_record *a, const struct job_record *b)
@@ -236,13 +279,35 @@
 		task->throttle_ppm = 1000000;
 		if (kind)
 			vm_stay_begin(task->on_vm, kind->nr, task->task_id,
-				      now_us);
+				      1000000, now_us);
 	} else if (!running && task->running_us) {
 		if (task->on_vm)
 			vm_stay_end(task->on_vm, task->task_id, now_us);
 	}
 }
 
+/* Lists the task where it waits for a place, or takes it off. */
+static void set_waiting(struct plan *plan, struct plan_task *task)
+{
+	if (task->state == TASK_PENDING && task->hold_vm) {
+		plan_list_task(task, &plan->waiting);
+		plan_room(plan, task->hold_vm, NULL);
+		return;
+	}
+	if (task->state == TASK_PENDING) {
+		plan_list_task(task, NULL);
+		queue_add_task(plan, task);
+		return;
+	}
+	queue_remove_task(plan, task);
+	if (holds_vm(task->state) && task->list != &plan->waiting &&
+	    task->list != &plan->ready)
+		return;
+	/* It ended, or it was placed otherwise than decided. */
+	plan_list_task(task, NULL);
+	plan_unhold(plan, task);
+}
+
 void plan_set_task(struct plan *plan, const struct task_record *record,
 		   uint64_t now_us)
 {
@@ -258,6 +323,8 @@
 	if (record->state == TASK_PENDING && task->state != TASK_PENDING) {
 		task->pending_us = now_us;
 		task->running_us = 0;
+		task->move_since_us = 0;
+		task->nr_slow = 0;
 	}
 	task->state = record->state;
 	task->progress_ppm = record->progress_ppm;
@@ -267,10 +334,11 @@
 	set_place(plan, task, record);
 	if (running && task->on_vm)
 		set_running(task, true, now_us);
-	if (record->state == TASK_PENDING)
-		queue_add_task(plan, task);
-	else
-		queue_remove_task(plan, task);
+	if (record->state != TASK_PENDING && record->state != TASK_PLACED &&
+	    record->state != TASK_STOPPING)
+		move_ended(task);
+	set_waiting(plan, task);
+	move_drain_task(plan, task);
 }
 
 static void drop_task(struct plan *plan, struct plan_task *task)
@@ -278,6 +346,7 @@
 	queue_remove_task(plan, task);
 	plan_list_task(task, NULL);
 	set_running(task, false, plan->now_us);
+	move_ended(task);
 	plan_unhold(plan, task);
 	plan_unaccount(plan, task);
 	g_queue_unlink(&task->job->tasks, &task->job_link);
@@ -298,12 +367,42 @@
 	g_hash_table_remove(plan->jobs, &job_id);
 }
 
+/* Counts a failure against the worker, unless the job is the likely cause. */
+static void vm_failed_job(struct plan *plan, struct vm *vm,
+			  const struct plan_job *job)
+{
+	bool repeated = false;
+
+	for (uint32_t i = 0; i < vm->nr_failed_jobs; i++)
+		repeated |= vm->failed_jobs[i] == job->record.job_id;
+	if (!repeated && vm->nr_failed_jobs < VM_FAILED_JOBS)
+		vm->failed_jobs[vm->nr_failed_jobs++] = job->record.job_id;
+	if (vm->suspect || vm->record.quarantined ||
+	    (vm->nr_failed_jobs < VM_FAILED_JOBS && !vm->probation))
+		return;
+	/* Many bad workers at once point to bad jobs instead. */
+	if (plan->quarantined_vms.length + plan->suspect_vms.length >=
+	    MAX(plan->vm_list->len / 4, 1))
+		return;
+	vm->suspect = true;
+	g_queue_push_tail(&plan->suspect_vms, vm);
+}
+
+static void vm_ran_job(struct vm *vm)
+{
+	vm->nr_failed_jobs = 0;
+	if (vm->probation && !--vm->probation)
+		vm->quarantine_s = 0;
+}
+
 void plan_task_ended(struct plan *plan, uint64_t task_id, const char *vm_name,
 		     bool failed, uint64_t now_us)
 {
 	struct plan_task *task = plan_find_task(plan, task_id);
 	struct vm *vm = plan_vm(plan, vm_name);
 	struct plan_job *job;
+	bool elsewhere;
+	bool at_limit;
 
 	plan->now_us = now_us;
 	if (!task || !task->job->known)
@@ -315,11 +414,14 @@
 				    (now_us - task->running_us) / 1000);
 		job->failed.nr = 0;
 		job->nr_failures = 0;
-		vm->nr_failed_jobs = 0;
+		vm_ran_job(vm);
 		return;
 	}
 	job->nr_failures++;
-	learn_failed(job->kind, task->memory_used_mib, &task->size);
+	elsewhere = job->failed.nr > failed_on(&job->failed, vm);
+	at_limit = learn_failed(job->kind, task->memory_used_mib, &task->size);
+	if (!elsewhere && !at_limit)
+		vm_failed_job(plan, vm, job);
 	if (failed_add(&task->failed, vm) >= JOB_MAX_FAILED_VMS ||
 	    failed_add(&job->failed, vm) >= JOB_MAX_FAILED_VMS)
 		plan_fail_job(plan, job, RESULT_JOB_FAILED);
@@ -328,20 +430,29 @@
 void plan_usage(struct plan *plan, const char *vm_name, uint32_t nr_tasks,
 		const struct platform_task *samples, uint64_t now_us)
 {
+	struct vm *vm = plan_vm(plan, vm_name);
+
 	plan->now_us = now_us;
+	vm->lag_us -= vm->lag_us / 16; /* forgets a lag that was longer */
 	for (uint32_t i = 0; i < nr_tasks; i++) {
 		const struct platform_task *sample = &samples[i];
 		struct plan_task *task = plan_find_task(plan, sample->task_id);
 		uint64_t sample_us = now_us - sample->age_ms * 1000ull;
 
-		if (!task || !task->job->known || !task->running_us ||
+		vm->lag_us = MAX(vm->lag_us, sample->age_ms * 1000ull);
+		/* Samples of an earlier run or of the start tell nothing. */
+		if (!task || !task->job->known || task->on_vm != vm ||
+		    !task->running_us || sample_us <= task->running_us ||
 		    sample_us <= task->sample_us)
 			continue;
 		learn_sample(task->job->kind, sample, &task->size,
-			     !task->sample_us);
+			     task->throttle_ppm, !task->sample_us);
+		interference_sample(plan, vm, task, sample, sample_us);
 		task->sample_us = sample_us;
 		task->memory_used_mib = sample->memory_used_mib;
+		task->progress_ppm = sample->progress_ppm;
 	}
+	interference_relax(plan, vm);
 }
 
 enum result plan_check_job(const struct plan *plan,
--- a/src/core/plan_state.c
+++ b/src/core/plan_state.c
@@ -138,6 +138,20 @@
 	plan_room(plan, vm, team);
 }
 
+void plan_hold(struct plan *plan, struct plan_task *task, struct vm *vm,
+	       const struct task_size *size, uint64_t until_us)
+{
+	vm_hold(vm, task, size);
+	task->hold_until_us = until_us;
+	task->batch_hold = plan_is_batch(task->job);
+	plan->nr_batch_holds += task->batch_hold;
+	if (task->state != TASK_PENDING)
+		return;
+	queue_remove_task(plan, task);
+	plan_list_task(task, &plan->waiting);
+	plan_room(plan, vm, NULL);
+}
+
 void plan_unhold(struct plan *plan, struct plan_task *task)
 {
 	struct vm *vm = task->hold_vm;
@@ -145,9 +159,34 @@
 	if (!vm)
 		return;
 	vm_unhold(task);
+	plan->nr_batch_holds -= task->batch_hold;
+	task->batch_hold = false;
 	plan_room(plan, vm, NULL);
 }
 
+void plan_unhold_all(struct plan *plan, struct vm *vm)
+{
+	while (vm->holders->len) {
+		struct plan_task *task = g_ptr_array_index(vm->holders, 0);
+
+		plan_unhold(plan, task);
+		if (task->state != TASK_PENDING)
+			continue;
+		plan_list_task(task, NULL);
+		queue_add_task(plan, task);
+	}
+}
+
+bool plan_hold_is_free(const struct plan_task *task)
+{
+	struct task_size spare;
+
+	if (!task->hold_vm)
+		return false;
+	spare = vm_spare(task->hold_vm);
+	return size_within(&task->hold_size, &spare);
+}
+
 void plan_room(struct plan *plan, struct vm *vm, const struct team *team)
 {
 	struct task_size spare = vm_spare(vm);
@@ -189,6 +228,30 @@
 	       job->record.job_class != JOB_URGENT;
 }
 
+bool plan_is_leaving(const struct plan *plan, const struct plan_task *task)
+{
+	return task->state == TASK_STOPPING ||
+	       task->outstanding == PLAN_EVICT || task->list == &plan->evicting;
+}
+
+uint64_t plan_remaining_us(const struct plan *plan,
+			   const struct plan_task *task)
+{
+	uint64_t run_us = task->running_us ? plan->now_us - task->running_us :
+					     0;
+	uint64_t whole_us;
+
+	if (!task->job->known)
+		return 0;
+	if (task->progress_ppm > 100000 && run_us)
+		return run_us / task->progress_ppm *
+		       (1000000 - MIN(task->progress_ppm, 1000000));
+	whole_us = task->job->kind->run_ms ?
+			   task->job->kind->run_ms * 1000 :
+			   task->job->record.declared_run_ms * 1000ull;
+	return whole_us > run_us ? whole_us - run_us : whole_us / 4;
+}
+
 bool failed_on(const struct failed_vms *failed, const struct vm *vm)
 {
 	for (uint32_t i = 0; i < failed->nr; i++) {
--- a/src/core/plan_state.h
+++ b/src/core/plan_state.h
@@ -69,14 +69,15 @@
 	struct vm *hold_vm; /* VM that keeps room for the task */
 	struct task_size hold_size;
 	uint64_t hold_until_us;
+	uint64_t move_since_us; /* drained since, 0: not */
 
 	uint64_t pending_us; /* waits since */
 	uint64_t running_us; /* runs since, 0: it doesn't */
 	uint64_t evicted_us; /* last decision to evict it, 0: none */
 	uint64_t sample_us; /* time of the newest usage sample */
 	uint32_t memory_used_mib; /* in that sample */
-	uint32_t slowdown_ppm; /* smoothed, latency-critical tasks */
 	uint32_t nr_slow; /* samples above the limit in a row */
+	bool batch_hold; /* counted in plan.nr_batch_holds */
 	uint32_t throttle_ppm; /* 1000000: not throttled */
 	struct failed_vms failed;
 
@@ -94,6 +95,7 @@
 	uint64_t random;
 	uint64_t now_us; /* of the last call */
 	uint64_t next_us;
+	uint64_t undone_us; /* last refusal of a decision */
 	uint64_t arrival_nr;
 
 	GHashTable *vms; /* by name */
@@ -110,11 +112,13 @@
 
 	GQueue failing_jobs; /* struct plan_job, PLAN_FAIL_JOB is due */
 	GQueue suspect_vms; /* struct vm, to quarantine */
-	GQueue quarantined_vms; /* struct vm, probation is due later */
+	GQueue quarantined_vms; /* struct vm, probation comes later */
+	GQueue slow_vms; /* struct vm, a service on it is slow */
 
 	GQueue evicting; /* tasks to be evicted, in order */
 	GQueue ready; /* pending tasks whose held place is free */
 	GQueue waiting; /* pending tasks whose held place isn't free yet */
+	uint32_t nr_batch_holds; /* batch tasks among the holders */
 	GQueue drain_services; /* tasks on VMs that take no work any more */
 	GQueue drain_batch;
 	uint64_t drained_us; /* when the drain lists were last filled */
@@ -122,11 +126,10 @@
 	uint32_t next_service; /* cursor of the rebalancing */
 	uint64_t rebalance_us; /* next time to look at the spread */
 	uint64_t rebalance_until_us;
-	uint32_t next_vm; /* cursor of the steps against interference */
 	uint64_t vm_change_us; /* last time a VM became known */
 	struct task_size largest; /* of any VM, in each resource */
 	struct task_size urgent; /* largest need of an urgent job lately */
-	uint64_t urgent_us;
+	uint64_t urgent_us; /* when it was needed last, 0: never */
 	uint64_t evict_credit_us; /* token bucket of evictions */
 	uint64_t evict_refill_us;
 };
@@ -151,11 +154,20 @@
 		  const struct task_size *size, bool reserved);
 /** Takes the task off its VM and tells the queue what became free. */
 void plan_unaccount(struct plan *plan, struct plan_task *task);
+/** Holds a place for the task until @a until_us; a pending one waits for it.
+ */
+void plan_hold(struct plan *plan, struct plan_task *task, struct vm *vm,
+	       const struct task_size *size, uint64_t until_us);
 /** Gives up the place held for the task. */
 void plan_unhold(struct plan *plan, struct plan_task *task);
 /** Room may have appeared on @a vm: for its holders, then for the queue. */
 void plan_room(struct plan *plan, struct vm *vm, const struct team *team);
 
+/** The VM takes no work any more: its holders look for another place. */
+void plan_unhold_all(struct plan *plan, struct vm *vm);
+/** Returns true if the place held for the task is free. */
+bool plan_hold_is_free(const struct plan_task *task);
+
 /** Moves the task to @a list, NULL: to none. */
 void plan_list_task(struct plan_task *task, GQueue *list);
 
@@ -163,6 +175,11 @@
 void plan_fail_job(struct plan *plan, struct plan_job *job, enum result result);
 
 bool plan_is_batch(const struct plan_job *job);
+/** Returns true if the task is on its way off its VM. */
+bool plan_is_leaving(const struct plan *plan, const struct plan_task *task);
+/** Returns the time a batch task still runs, as far as it is known. */
+uint64_t plan_remaining_us(const struct plan *plan,
+			   const struct plan_task *task);
 bool failed_on(const struct failed_vms *failed, const struct vm *vm);
 /** Adds a VM; returns how many that aren't quarantined are listed. */
 uint32_t failed_add(struct failed_vms *failed, struct vm *vm);
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -50,11 +50,43 @@
 #define PLAN_AGE_STEP_MS 30000
 #define PLAN_MAX_PRIORITY 1000
 #define PLAN_RETRY_MS 1000 /* a group that didn't fit is tried again */
+#define PLAN_URGENT_RETRY_MS 100 /* the same for services and urgent work */
 #define PLAN_CANDIDATES 24 /* VMs compared for one placement */
 /* A job is refused for good only after this time without a new VM, as the VMs
  * of a fresh site announce themselves one by one. */
 #define PLAN_NEVER_FITS_MS 10000
 
+#define PLAN_HOLD_MS 5000 /* a place held for a service or urgent task */
+/* A batch group that found no room for this long gets a VM kept free. */
+#define PLAN_BATCH_HOLD_AFTER_MS 10000
+#define PLAN_BATCH_HOLD_MS 120000
+/* Evictions: never the same task again within the first time; at most this
+ * many a minute, plus one for each VM. */
+#define PLAN_EVICT_AGAIN_MS 60000
+#define PLAN_EVICTIONS_PER_MINUTE 30
+/* Zone out: batch follows the services after this time at the latest, and a
+ * service that finds no other place is stopped after the second time. */
+#define PLAN_DRAIN_BATCH_MS 2000
+#define PLAN_DRAIN_FORCE_MS 30000
+/* Zone back: time between two moves, and how long the spread is watched. */
+#define PLAN_REBALANCE_MS 500
+#define PLAN_REBALANCE_FOR_MS 120000
+/* Starts of batch in a zone that came back, a second, for the first time. */
+#define PLAN_RETURN_STARTS_PER_S 20
+#define PLAN_RETURN_MS 10000
+/* Quarantine doubles from the first to the second time. */
+#define PLAN_QUARANTINE_MIN_S 60
+#define PLAN_QUARANTINE_MAX_S 960
+#define PLAN_PROBATION_TASKS 3
+/* Slowdown of a service that the planner acts against. */
+#define PLAN_SLOWDOWN_LIMIT_PPM 150000
+#define PLAN_CLOSED_MS 30000 /* a VM with a slow service takes no batch */
+/* Batch that would slow a service beyond the limit waits this long for a better
+ * VM. */
+#define PLAN_NOISY_WAIT_MS 60000
+/* Room for one urgent task is kept while one came within this time. */
+#define PLAN_SLACK_MS 600000
+
 /* Upstreams. */
 #define UPSTREAM_ANNOUNCE_TTL_MS 3000
 
--- a/src/core/vm.c
+++ b/src/core/vm.c
@@ -168,9 +168,10 @@
 }
 
 void vm_stay_begin(struct vm *vm, uint32_t kind_nr, uint64_t task_id,
-		   uint64_t now_us)
+		   uint32_t share_ppm, uint64_t now_us)
 {
-	struct vm_stay stay = { kind_nr, task_id, now_us, UINT64_MAX };
+	struct vm_stay stay = { kind_nr, task_id, share_ppm, now_us,
+				UINT64_MAX };
 	uint32_t i = 0;
 
 	while (i < vm->stays->len) {
--- a/src/core/vm.h
+++ b/src/core/vm.h
@@ -30,6 +30,7 @@
 struct vm_stay {
 	uint32_t kind_nr;
 	uint64_t task_id;
+	uint32_t share_ppm; /* of its processors that it may use */
 	uint64_t from_us;
 	uint64_t to_us; /* UINT64_MAX while it runs */
 };
@@ -56,17 +57,17 @@
 	/* Failures in a row and probation. */
 	uint64_t failed_jobs[VM_FAILED_JOBS];
 	uint32_t nr_failed_jobs;
-	uint64_t quarantined_us; /* when it was quarantined, 0: it is not */
-	uint32_t quarantine_s; /* length of the last quarantine */
-	bool probation; /* one small task at a time */
-	bool deciding; /* a decision on the quarantine is outstanding */
+	uint64_t probation_us; /* when a quarantine is to be lifted */
+	uint32_t quarantine_s; /* length of the last one, 0: none lately */
+	uint32_t probation; /* tasks still to succeed, one at a time */
+	bool suspect; /* in plan.suspect_vms, or the decision is outstanding */
 
 	/* Steps against interference. */
 	uint32_t step; /* enum interference_step */
-	uint64_t acted_us; /* last action, 0: none */
-	uint64_t lag_us; /* largest age of a sample seen */
+	bool slow; /* in plan.slow_vms */
+	uint64_t acted_us; /* last step, 0: none */
+	uint64_t lag_us; /* age of the samples, the largest of late */
 	uint64_t closed_us; /* no batch is added before this time */
-	uint32_t nr_throttled;
 };
 
 struct vm *vm_new(const char *name, uint32_t nr);
@@ -97,7 +98,7 @@
 
 /** Records that a task of a kind began or ceased to run. */
 void vm_stay_begin(struct vm *vm, uint32_t kind_nr, uint64_t task_id,
-		   uint64_t now_us);
+		   uint32_t share_ppm, uint64_t now_us);
 void vm_stay_end(struct vm *vm, uint64_t task_id, uint64_t now_us);
 
 /** Returns true if @a part is at most @a whole in every resource. */
--- a/src/core/zone.c
+++ b/src/core/zone.c
@@ -143,3 +143,24 @@
 	}
 	return nr;
 }
+
+uint32_t zone_count(const struct zone *zone, const struct task_size *size,
+		    uint32_t max)
+{
+	uint32_t row = zone_class(size->cpu_millis / CPU_UNIT_MILLIS) + 1;
+	uint32_t column = zone_class(size->memory_mib / MEMORY_UNIT_MIB) + 1;
+	uint64_t rows;
+	uint32_t nr = 0;
+
+	if (row >= ZONE_ROWS || column >= ZONE_COLUMNS)
+		return 0;
+	rows = zone->used_rows & (UINT64_MAX << row);
+	for (; rows && nr < max; rows &= rows - 1) {
+		uint32_t at = (uint32_t)__builtin_ctzll(rows);
+		uint64_t columns = zone->used[at] & (UINT64_MAX << column);
+
+		for (; columns && nr < max; columns &= columns - 1)
+			nr += zone->cells[at][__builtin_ctzll(columns)]->len;
+	}
+	return nr;
+}
--- a/src/core/zone.h
+++ b/src/core/zone.h
@@ -47,6 +47,10 @@
 uint32_t zone_candidates(const struct zone *zone, const struct task_size *size,
 			 uint64_t random, struct vm **out, uint32_t max);
 
+/** Returns how many VMs surely fit @a size, stopping at @a max. */
+uint32_t zone_count(const struct zone *zone, const struct task_size *size,
+		    uint32_t max);
+
 /** Returns the class of @a units, rising with it. */
 uint32_t zone_class(uint32_t units);
 
