Keep replicas of a rack together and leave VMs to noisy batch

Cause: replicas stood on every VM, so every noisy task had a service beside it; it was refused, then throttled, and its commitment lay idle.

Change: replicas spread over zones and racks first and share VMs inside a rack, at most a quarter of a service on one VM; quiet batch prefers VMs with services; batch is placed up to a lower slowdown than the one acted against; a group that found no better place for a minute may start one task beside a service; a closed VM still takes kinds known to be harmless.

--- a/src/core/decide.c
+++ b/src/core/decide.c
@@ -164,6 +164,7 @@
 		return false;
 	}
 	group->blocked_since_us = 0;
+	group->started_us = plan->now_us;
 	note_start(plan, vm, plan_is_batch(task->job));
 	decide_place(plan, task, vm, &size, decision);
 	return true;
--- a/src/core/interference.c
+++ b/src/core/interference.c
@@ -255,6 +255,22 @@
 	return cost;
 }
 
+uint64_t interference_harm(const struct plan *plan,
+			   const struct plan_task *task, const struct vm *vm)
+{
+	uint64_t worst = 0;
+
+	for (uint32_t i = 0; i < vm->nr_kinds; i++) {
+		const struct vm_kind *kind = &vm->kinds[i];
+
+		if (kind->nr_services)
+			worst = MAX(worst,
+				    pair_ppm(plan->interference, kind->kind_nr,
+					     task->job->kind->nr));
+	}
+	return worst;
+}
+
 /* The service on the VM that is slow. */
 static struct plan_task *slow_service(const struct vm *vm)
 {
--- a/src/core/interference.h
+++ b/src/core/interference.h
@@ -45,6 +45,10 @@
 			   const struct plan_task *task, const struct vm *vm,
 			   uint64_t *worst);
 
+/** Returns the slowdown of the services on the VM by the task alone. */
+uint64_t interference_harm(const struct plan *plan,
+			   const struct plan_task *task, const struct vm *vm);
+
 /** All samples of the VM were taken: lists it when steps may be taken back. */
 void interference_relax(struct plan *plan, struct vm *vm);
 
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -6,13 +6,20 @@
 
 #define PPM 1000000u
 
-/* Weights of the cost of a VM in ppm of a whole VM. A replica beside another
- * of its service costs more than any interference or packing. */
-#define COST_SAME_ZONE 4000000u
-#define COST_SAME_RACK 2000000u
-#define COST_SAME_VM 1000000u
+/* Weights of the cost of a VM in ppm of a whole VM. The spread of a service
+ * costs more than any interference or packing. */
+#define COST_SAME_ZONE 40000000u
+#define COST_SAME_RACK 20000000u
+#define COST_SAME_VM 10000000u
+/* Up to this part of a service may share a VM: replicas spread over racks, and
+ * inside a rack they stay together, so that VMs without services are left for
+ * noisy batch. */
+#define SAME_VM_DIVISOR 4
+#define COST_FIRST_SERVICE 5000000u
+/* Quiet batch leaves the VMs without services to noisy batch. */
+#define COST_NO_SERVICE 200000u
 /* A task that failed on a VM goes back there only if nothing else fits. */
-#define COST_FAILED_HERE 100000000ull
+#define COST_FAILED_HERE 1000000000ull
 
 #define COST_NOISY 10000000u
 
@@ -117,17 +124,21 @@
 			    const struct plan_job *job)
 {
 	uint64_t same_vm = 0;
+	uint64_t cost = 0;
 
 	for (uint32_t i = 0; i < vm->tasks->len; i++) {
 		const struct plan_task *task = g_ptr_array_index(vm->tasks, i);
 
 		same_vm += task->job == job;
 	}
-	return (uint64_t)COST_SAME_ZONE *
+	if (!vm->nr_services)
+		cost += COST_FIRST_SERVICE;
+	if (same_vm >= MAX(job->tasks.length / SAME_VM_DIVISOR, 1))
+		cost += COST_SAME_VM * same_vm;
+	return cost +
+	       (uint64_t)COST_SAME_ZONE *
 		       *count_at(spread->zones, vm->zone->nr) +
-	       (uint64_t)COST_SAME_RACK *
-		       *count_at(spread->racks, vm->rack_nr) +
-	       COST_SAME_VM * same_vm;
+	       (uint64_t)COST_SAME_RACK * *count_at(spread->racks, vm->rack_nr);
 }
 
 /* A quarter of a VM, for a worker on probation. */
@@ -200,6 +211,24 @@
 	return others <= wanted;
 }
 
+/* Returns true if the task would slow a service on the VM too much. */
+static bool is_noisy(const struct plan *plan, const struct plan_task *task,
+		     const struct vm *vm, uint64_t worst)
+{
+	if (worst > PLAN_SLOWDOWN_PLACE_PPM)
+		return true;
+	return plan->now_us < vm->closed_us &&
+	       interference_harm(plan, task, vm) > PLAN_HARMLESS_PPM;
+}
+
+/* Noisy work that nothing else takes starts beside services now and then. */
+static bool waited_long(const struct plan *plan, const struct plan_task *task)
+{
+	uint64_t since_us = MAX(task->pending_us, task->job->group->started_us);
+
+	return plan->now_us >= since_us + PLAN_NOISY_WAIT_MS * 1000ull;
+}
+
 /* Returns the cost of the VM for the task, UINT64_MAX: not there. */
 static uint64_t vm_cost(const struct plan *plan, const struct plan_task *task,
 			const struct vm *vm, const struct task_size *size,
@@ -207,19 +236,19 @@
 {
 	const struct plan_job *job = task->job;
 	bool batch = plan_is_batch(job);
-	uint64_t waited_us = plan->now_us - task->pending_us;
 	uint64_t worst;
 	uint64_t cost;
 
 	if (!place_allowed(task, vm, size, plan->now_us))
 		return UINT64_MAX;
 	cost = interference_cost(plan, task, vm, &worst);
-	if (batch &&
-	    (worst > PLAN_SLOWDOWN_LIMIT_PPM || plan->now_us < vm->closed_us)) {
-		if (waited_us < PLAN_NOISY_WAIT_MS * 1000ull)
+	if (batch && is_noisy(plan, task, vm, worst)) {
+		if (!waited_long(plan, task))
 			return UINT64_MAX;
 		cost += COST_NOISY;
 	}
+	if (batch && !vm->nr_services)
+		cost += COST_NO_SERVICE;
 	if (batch && takes_slack(plan, vm, size))
 		return UINT64_MAX;
 	cost += packing_cost(vm, size, batch) + vm->zone->cost_ppm / 4;
--- a/src/core/queue.h
+++ b/src/core/queue.h
@@ -34,6 +34,7 @@
 	bool blocked_by_quota;
 	struct task_size blocked_size; /* what it waits for */
 	uint64_t blocked_until_us; /* tried again at the latest */
+	uint64_t started_us; /* last start of one of its tasks */
 	uint64_t blocked_since_us; /* first failure in a row, 0: none */
 };
 
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -78,8 +78,12 @@
 #define PLAN_QUARANTINE_MIN_S 60
 #define PLAN_QUARANTINE_MAX_S 960
 #define PLAN_PROBATION_TASKS 3
-/* Slowdown of a service that the planner acts against. */
-#define PLAN_SLOWDOWN_LIMIT_PPM 150000
+/* Predicted slowdown of a service up to which batch is placed beside it, and
+ * measured slowdown that the planner acts against; the gap keeps it from acting
+ * on what it placed itself. */
+#define PLAN_SLOWDOWN_PLACE_PPM 250000
+#define PLAN_SLOWDOWN_LIMIT_PPM 350000
+#define PLAN_HARMLESS_PPM 10000 /* a slowdown that is not worth a step */
 #define PLAN_CLOSED_MS 30000 /* a VM with a slow service takes no batch */
 /* Batch that would slow a service beyond the limit waits this long for a better
  * VM. */
