Hold no place for noisy batch beside services

Cause: a group that a slow-down kept waiting was taken for one that found no room, so a VM was held for it regardless of the services there; two or three noisy tasks then ran beside a replica. Learned sizes rose with every task at its limit even when the kind was known to need more.

Change: holds for batch pass the policy's noise check; noisy tasks that stay throttled are moved where they do no harm; samples at the limit only raise a size that isn't known to be larger.

--- a/src/core/evict.c
+++ b/src/core/evict.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "place.h"
+
 /* What a checkpoint, a stop and a new start cost in run time. */
 #define EVICT_OVERHEAD_US 2000000ull
 /* Bounds of the search for room on short capacity. */
@@ -193,6 +195,9 @@
 		if (!vm->indexed || vm->probation ||
 		    !size_within(size, &capacity))
 			continue;
+		if (plan_is_batch(task->job) && plan->place->harms &&
+		    plan->place->harms(plan, task, vm))
+			continue;
 		looks--;
 		if (!room_on(plan, &room, size, cost))
 			continue;
--- a/src/core/interference.c
+++ b/src/core/interference.c
@@ -4,6 +4,7 @@
 
 #include "decide.h"
 #include "evict.h"
+#include "place.h"
 #include "schema.h"
 
 #define PPM 1000000ll
@@ -334,6 +335,25 @@
 	return true;
 }
 
+/* Moves a batch task to a VM where it does no harm, if there is one. */
+static bool move_batch(struct plan *plan, struct plan_task *task,
+		       struct plan_decision *decision)
+{
+	struct task_size size = plan->place->size(plan, task->job->group);
+	char reason[TEXT_BYTES];
+	struct vm *vm;
+
+	if (!evict_allowed(plan, task) || task->hold_vm || task->list ||
+	    task->job->kind->no_checkpoint)
+		return false;
+	vm = plan->place->choose(plan, task, &size, reason, sizeof(reason));
+	if (!vm || vm == task->on_vm || !evict_take_credit(plan))
+		return false;
+	plan_hold(plan, task, vm, &size, UINT64_MAX);
+	decide_evict(plan, task, decision, "interference-move");
+	return true;
+}
+
 /* Takes the next step on the VM; returns true if it is a decision. */
 static bool take_step(struct plan *plan, struct vm *vm,
 		      const struct plan_task *service,
@@ -355,12 +375,17 @@
 		}
 	}
 	task = worst_batch(plan, vm, service, false);
-	if (!task || !evict_take_credit(plan))
+	if (!task)
 		return false;
-	vm->step = vm->step < STEP_MOVE ? STEP_MOVE : STEP_EVICT;
-	decide_evict(plan, task, decision,
-		     vm->step == STEP_MOVE ? "interference-move" :
-					     "interference-evict");
+	if (plan->evict->stepwise && vm->step < STEP_MOVE) {
+		vm->step = STEP_MOVE;
+		if (move_batch(plan, task, decision))
+			return true;
+	}
+	if (!evict_take_credit(plan))
+		return false;
+	vm->step = STEP_EVICT;
+	decide_evict(plan, task, decision, "interference-evict");
 	return true;
 }
 
@@ -402,6 +427,8 @@
 		throttled = true;
 		if (slowdown_unthrottled(plan, task) < PLAN_SLOWDOWN_LIMIT_PPM)
 			return throttle(plan, task, PPM, decision);
+		if (move_batch(plan, task, decision))
+			return true;
 	}
 	vm->step = throttled ? STEP_THROTTLE : STEP_NONE;
 	return false;
--- a/src/core/learn.c
+++ b/src/core/learn.c
@@ -15,6 +15,7 @@
 /* A task at this share of its limit is taken to be held back by it. */
 #define AT_LIMIT_PERCENT 95
 #define NEAR_LIMIT_PERCENT 70 /* of memory, when a task fails */
+#define PROBE_PERCENT 130
 #define CPU_MIN_MILLIS 100
 
 struct learn {
@@ -66,9 +67,13 @@
 		MAX(kind->memory_peak_mib, sample->memory_used_mib);
 	if (throttle_ppm < 1000000)
 		return;
-	/* What a task at its limit would use isn't visible; probe upwards. */
-	if (used * 100 >= (uint64_t)size->cpu_millis * AT_LIMIT_PERCENT)
-		used = used * 3 / 2;
+	/* A task at its limit may need more. If the kind is known to need more
+	 * the sample tells nothing, otherwise it is a reason to try more. */
+	if (used * 100 >= (uint64_t)size->cpu_millis * AT_LIMIT_PERCENT) {
+		if (kind->cpu_high_millis > used)
+			return;
+		used = used * PROBE_PERCENT / 100;
+	}
 	if (kind->nr_samples == 1)
 		kind->cpu_high_millis = (uint32_t)used;
 	/* Steps of 19 to 1 settle at the 95th percentile. */
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -221,6 +221,15 @@
 	       interference_harm(plan, task, vm) > PLAN_HARMLESS_PPM;
 }
 
+static bool too_noisy(const struct plan *plan, const struct plan_task *task,
+		      const struct vm *vm)
+{
+	uint64_t worst;
+
+	interference_cost(plan, task, vm, &worst);
+	return is_noisy(plan, task, vm, worst);
+}
+
 /* Noisy work that nothing else takes starts beside services now and then. */
 static bool waited_long(const struct plan *plan, const struct plan_task *task)
 {
@@ -243,7 +252,7 @@
 		return UINT64_MAX;
 	cost = interference_cost(plan, task, vm, &worst);
 	if (batch && is_noisy(plan, task, vm, worst)) {
-		if (!waited_long(plan, task))
+		if (worst > PLAN_SLOWDOWN_LIMIT_PPM || !waited_long(plan, task))
 			return UINT64_MAX;
 		cost += COST_NOISY;
 	}
@@ -324,6 +333,7 @@
 	.order = default_order,
 	.size = learned_size,
 	.choose = default_choose,
+	.harms = too_noisy,
 };
 
 const struct place_ops place_first_fit = {
--- a/src/core/place.h
+++ b/src/core/place.h
@@ -22,6 +22,10 @@
 	struct vm *(*choose)(struct plan *plan, const struct plan_task *task,
 			     const struct task_size *size, char *reason,
 			     size_t reason_bytes);
+	/** Returns true if the batch task would slow a service on the VM too
+	 * much; NULL: the policy doesn't care. */
+	bool (*harms)(const struct plan *plan, const struct plan_task *task,
+		      const struct vm *vm);
 };
 
 /** Returns true if the filters let the task start on the VM. */
