Commit 5 % above the learned use of processors

Cause: 10 % above the 95th percentile of use left 7 % of the processors idle. The limit at which a task counts as held back has to follow, or tasks with learned sizes no longer tell anything of their neighbours.

--- a/src/core/interference.c
+++ b/src/core/interference.c
@@ -17,7 +17,7 @@
 /* Slower than this the sample says more of a stalled worker than of a
  * neighbour. */
 #define MIN_RATE_PPM 20000u
-#define AT_LIMIT_PERCENT 95
+#define AT_LIMIT_PERCENT 98
 /* Samples in a row above the limit before a step. */
 #define SLOW_SAMPLES 2
 /* Steps are taken back after this many times the wait between two. */
--- a/src/core/learn.c
+++ b/src/core/learn.c
@@ -11,9 +11,9 @@
 /* Memory is cut only after whole runs were seen, as it may grow to the end. */
 #define MEMORY_MIN_ENDED 5
 #define MEMORY_MARGIN_PERCENT 130
-#define CPU_MARGIN_PERCENT 110
+#define CPU_MARGIN_PERCENT 105
 /* A task at this share of its limit is taken to be held back by it. */
-#define AT_LIMIT_PERCENT 95
+#define AT_LIMIT_PERCENT 98
 #define NEAR_LIMIT_PERCENT 70 /* of memory, when a task fails */
 #define PROBE_PERCENT 130
 #define CPU_MIN_MILLIS 100
--- a/tests/bench_plan.c
+++ b/tests/bench_plan.c
@@ -22,7 +22,6 @@
 #define MAX_LAG_REPORTS 16
 #define SERVICE_KIND 0
 #define NR_KINDS 13
-#define SEED 20261204
 #define START_TICKS 2 /* from the decision until the task runs */
 #define STOP_TICKS 5 /* checkpoint and stop */
 
@@ -41,6 +40,8 @@
 };
 
 /* Mixed and badly declared: too much, too little, noisy, large, failing. */
+static uint32_t seed = 20261204; /* the first argument sets another */
+
 static const struct kind kinds[NR_KINDS] = {
 	{ "service", 8000, 16384, 5000, 12000, 0, 0, 0, false, false },
 	{ "net-scan", 8000, 8192, 2000, 3072, 40, 4000, 10, false, false },
@@ -527,7 +528,7 @@
  * noisy jobs, and an urgent job now and then. */
 static void make_arrivals(struct model *model)
 {
-	GRand *rand = g_rand_new_with_seed(SEED);
+	GRand *rand = g_rand_new_with_seed(seed);
 	uint64_t capacity = (uint64_t)model->profile->nr_vms *
 			    model->profile->cpu_millis * (RUN_US / PPM);
 	uint64_t offered = 0;
@@ -600,7 +601,7 @@
 static void model_start(struct model *model, const struct profile *profile,
 			const char *place, const char *evict)
 {
-	struct plan_opts opts = { place, evict, SEED };
+	struct plan_opts opts = { place, evict, seed };
 
 	memset(model, 0, sizeof(*model));
 	model->profile = profile;
@@ -860,8 +861,8 @@
 /* Time of one decision with 10 tasks on each VM. */
 static uint64_t time_decisions(uint32_t nr_vms)
 {
-	struct plan_opts opts = { NULL, NULL, SEED };
-	struct load load = { plan_new(&opts), g_rand_new_with_seed(SEED),
+	struct plan_opts opts = { NULL, NULL, seed };
+	struct load load = { plan_new(&opts), g_rand_new_with_seed(seed),
 			     1000 * PPM, 0, g_ptr_array_new() };
 	GArray *times = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	struct plan_decision decision;
@@ -913,11 +914,14 @@
 	return median;
 }
 
-int main(void)
+int main(int argc, char **argv)
 {
 	static const uint32_t sizes[] = { 60, 200, 620 };
 	uint64_t median_ns = 0;
 
+	if (argc > 1)
+		seed = (uint32_t)strtoul(argv[1], NULL, 10);
+	printf("seed=%u\n", seed);
 	for (size_t i = 0; i < G_N_ELEMENTS(profiles); i++)
 		compare(&profiles[i]);
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
