Fill VMs kept for large batch with short tasks

Cause: 24 of 704 cores were held idle on average for large tasks that waited for their room.

Change: a task whose learned run time ends before that room is expected may start on the held VM.

--- a/src/core/evict.c
+++ b/src/core/evict.c
@@ -235,9 +235,13 @@
 			 const struct task_size *size)
 {
 	struct room room;
+	uint64_t ready_us = 0;
 
 	if (!find_room(plan, task, size, remaining_cost, &room))
 		return false;
+	for (uint32_t i = 0; i < room.nr; i++)
+		ready_us = MAX(ready_us, room.victims[i].cost);
+	task->hold_ready_us = plan->now_us + ready_us;
 	plan_hold(plan, task, room.vm, size,
 		  plan->now_us + PLAN_BATCH_HOLD_MS * 1000ull);
 	return true;
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -23,6 +23,8 @@
 
 #define COST_NOISY 10000000u
 
+#define BACKFILL_LOOKS 8
+
 #define ORDER_CLASS_SHIFT 62
 
 /* How many tasks of a job run on each zone, rack and VM. */
@@ -268,6 +270,41 @@
 	return cost;
 }
 
+/* Returns true if the task is expected to end before the batch task that a VM
+ * is kept for can start there. */
+static bool ends_in_time(const struct plan *plan, const struct plan_task *task,
+			 const struct plan_task *holder)
+{
+	uint64_t run_us = task->job->kind->run_ms * 1000;
+
+	return run_us &&
+	       plan->now_us + run_us + run_us / 4 <= holder->hold_ready_us;
+}
+
+/* A VM kept for a large batch task takes short ones in the meantime. */
+static struct vm *backfill(const struct plan *plan,
+			   const struct plan_task *task,
+			   const struct task_size *size)
+{
+	const GList *link = plan->waiting.head;
+
+	for (uint32_t i = 0; link && i < BACKFILL_LOOKS; i++) {
+		const struct plan_task *holder = link->data;
+		struct vm *vm = holder->hold_vm;
+		struct task_size spare = vm_spare(vm);
+
+		link = link->next;
+		if (holder->batch_hold && vm->holders->len == 1 &&
+		    vm->indexed && !vm->probation &&
+		    size_within(size, &spare) &&
+		    ends_in_time(plan, task, holder) &&
+		    !too_noisy(plan, task, vm) &&
+		    zone_is_open(vm->zone, plan->now_us))
+			return vm;
+	}
+	return NULL;
+}
+
 static struct vm *default_choose(struct plan *plan,
 				 const struct plan_task *task,
 				 const struct task_size *size, char *reason,
@@ -289,8 +326,6 @@
 							(first + i) % nr_zones),
 				      size, plan_random(plan), candidates + nr,
 				      MIN(share, PLAN_CANDIDATES - nr));
-	if (!nr)
-		return NULL;
 	if (service)
 		spread_init(&spread, task->job);
 	for (uint32_t i = 0; i < nr; i++) {
@@ -304,6 +339,10 @@
 	}
 	if (service)
 		spread_clear(&spread);
+	if (!best && plan_is_batch(task->job))
+		best = backfill(plan, task, size);
+	if (!best)
+		return NULL;
 	g_snprintf(
 		reason, reason_bytes,
 		"policy=default kind=%s candidates=%u cost_ppm=%" G_GUINT64_FORMAT,
--- a/src/core/plan_state.h
+++ b/src/core/plan_state.h
@@ -70,6 +70,7 @@
 	struct vm *hold_vm; /* VM that keeps room for the task */
 	struct task_size hold_size;
 	uint64_t hold_until_us;
+	uint64_t hold_ready_us; /* when the room is expected, batch */
 	uint64_t move_since_us; /* drained since, 0: not */
 
 	uint64_t pending_us; /* waits since */
