--- a/tests/bench_plan.c
+++ b/tests/bench_plan.c
@@ -30,7 +30,8 @@
 	/* cores in millis and memory in MiB, as on a VM of 64 cores */
 	uint32_t declared_cpu;
 	uint32_t declared_memory;
-	uint32_t cpu;
+	uint32_t cpu; /* declared nearly right */
+	uint32_t far_cpu; /* declared far off */
 	uint32_t memory;
 	uint32_t run_s;
 	uint32_t noise; /* slowdown of a service in ppm for each task */
@@ -39,23 +40,30 @@
 	bool fails;
 };
 
-/* Mixed and badly declared: too much, too little, noisy, large, failing. */
+/* Mixed and badly declared: too much, too little, noisy, large, failing. Where
+ * the sizes are declared nearly right first-fit uses 72 % of the processors, so
+ * that hardly more than 1.3 times its work is possible; both are printed. */
 static uint32_t seed = 20261204; /* the first argument sets another */
 
 static const struct kind kinds[NR_KINDS] = {
-	{ "service", 8000, 16384, 5000, 12000, 0, 0, 0, false, false },
-	{ "net-scan", 8000, 8192, 2000, 3072, 40, 4000, 10, false, false },
-	{ "plan-fit", 4000, 16384, 3000, 6144, 60, 8000, 10, false, false },
-	{ "stock", 2000, 4096, 500, 1024, 30, 2000, 12, false, false },
-	{ "thumbs", 1000, 2048, 1000, 1536, 15, 5000, 12, false, false },
-	{ "mesh", 4000, 8192, 6000, 7168, 60, 120000, 6, false, false },
-	{ "index", 2000, 2048, 2000, 2800, 45, 6000, 8, false, false },
-	{ "render", 16000, 32768, 12000, 20480, 90, 250000, 3, false, false },
-	{ "compress", 4000, 4096, 4000, 3072, 30, 90000, 8, false, false },
-	{ "big-plan", 40000, 122880, 32000, 92160, 90, 15000, 1, false, false },
-	{ "report", 1000, 1024, 300, 800, 20, 1000, 12, false, false },
-	{ "train", 8000, 65536, 8000, 30720, 100, 40000, 3, true, false },
-	{ "crash", 1000, 1024, 500, 500, 5, 1000, 1, false, true },
+	{ "service", 8000, 16384, 5000, 5000, 12000, 0, 0, 0, false, false },
+	{ "net-scan", 8000, 8192, 2000, 2000, 3072, 40, 4000, 10, false,
+	  false },
+	{ "plan-fit", 4000, 16384, 3000, 1500, 6144, 60, 8000, 10, false,
+	  false },
+	{ "stock", 2000, 4096, 500, 500, 1024, 30, 2000, 12, false, false },
+	{ "thumbs", 1000, 2048, 1000, 1800, 1536, 15, 5000, 12, false, false },
+	{ "mesh", 4000, 8192, 6000, 6000, 7168, 60, 120000, 6, false, false },
+	{ "index", 2000, 2048, 2000, 1000, 2800, 45, 6000, 8, false, false },
+	{ "render", 16000, 32768, 12000, 7000, 20480, 90, 250000, 3, false,
+	  false },
+	{ "compress", 4000, 4096, 4000, 4000, 3072, 30, 90000, 8, false,
+	  false },
+	{ "big-plan", 40000, 122880, 32000, 20000, 92160, 90, 15000, 1, false,
+	  false },
+	{ "report", 1000, 1024, 300, 300, 800, 20, 1000, 12, false, false },
+	{ "train", 8000, 65536, 8000, 5000, 30720, 100, 40000, 3, true, false },
+	{ "crash", 1000, 1024, 500, 500, 500, 5, 1000, 1, false, true },
 };
 
 struct profile {
@@ -120,6 +128,7 @@
 };
 
 struct model {
+	bool far; /* sizes are declared far off */
 	const struct profile *profile;
 	struct plan *plan;
 	uint64_t now_us;
@@ -142,6 +151,13 @@
 	return value / model->profile->divisor;
 }
 
+/* Processors a task of the kind really uses, in millis. */
+static uint32_t true_cpu(const struct model *model, uint32_t kind)
+{
+	return scaled(model,
+		      model->far ? kinds[kind].far_cpu : kinds[kind].cpu);
+}
+
 /* Slowdown of a victim by one task beside it. */
 static uint64_t pair_ppm(uint32_t victim, uint32_t by)
 {
@@ -287,7 +303,7 @@
 	leave_vm(model, task);
 	model->out.finished++;
 	model->out.work_core_s +=
-		(uint64_t)kind->run_s * scaled(model, kind->cpu) / 100;
+		(uint64_t)kind->run_s * true_cpu(model, task->job->kind) / 100;
 	end_job_task(model, task, TASK_DONE);
 }
 
@@ -336,7 +352,7 @@
 /* Share of its demand that the worker's guard lets the task use. */
 static uint64_t guard_ppm(const struct model *model, const struct task *task)
 {
-	uint64_t demand = scaled(model, kinds[task->job->kind].cpu);
+	uint64_t demand = true_cpu(model, task->job->kind);
 	uint64_t limit =
 		(uint64_t)task->record.cpu_millis * task->throttle_ppm / PPM;
 
@@ -369,7 +385,7 @@
 			continue;
 		guard = guard_ppm(model, task);
 		model->used_sum +=
-			scaled(model, kinds[task->job->kind].cpu) * guard / PPM;
+			true_cpu(model, task->job->kind) * guard / PPM;
 		for (uint32_t by = 0; by < NR_KINDS; by++) {
 			uint64_t share = shares[by];
 
@@ -436,7 +452,7 @@
 		sample->run = TASK_RUN_RUNNING;
 		sample->progress_ppm = (uint32_t)progress_ppm(task);
 		sample->cpu_used_millis =
-			(uint32_t)(scaled(model, kinds[task->job->kind].cpu) *
+			(uint32_t)(true_cpu(model, task->job->kind) *
 				   guard_ppm(model, task) / PPM);
 		sample->memory_used_mib = memory_used(model, task);
 		sample->rate_ppm = (uint32_t)task->rate_ppm;
@@ -540,7 +556,7 @@
 		struct job *job = make_job(model, kind, JOB_BATCH, nr);
 
 		job->arrival_us = at_us;
-		offered += (uint64_t)nr * scaled(model, kinds[kind].cpu) *
+		offered += (uint64_t)nr * true_cpu(model, kind) *
 			   kinds[kind].run_s;
 		at_us = MIN(offered * 2 / 3 * RUN_US / capacity, RUN_US);
 		g_ptr_array_add(model->arrivals, job);
@@ -599,12 +615,13 @@
 }
 
 static void model_start(struct model *model, const struct profile *profile,
-			const char *place, const char *evict)
+			bool far, const char *place, const char *evict)
 {
 	struct plan_opts opts = { place, evict, seed };
 
 	memset(model, 0, sizeof(*model));
 	model->profile = profile;
+	model->far = far;
 	model->plan = plan_new(&opts);
 	model->jobs = g_ptr_array_new_with_free_func(g_free);
 	model->arrivals = g_ptr_array_new();
@@ -692,7 +709,7 @@
 	plan_free(model->plan);
 }
 
-static struct outcome run_model(const struct profile *profile,
+static struct outcome run_model(const struct profile *profile, bool far,
 				const char *place, const char *evict,
 				bool with_zone)
 {
@@ -700,7 +717,7 @@
 	uint64_t end_us;
 	uint64_t start_us;
 
-	model_start(&model, profile, place, evict);
+	model_start(&model, profile, far, place, evict);
 	start_us = model.now_us;
 	end_us = start_us + RUN_US;
 	while (model.now_us < end_us) {
@@ -711,7 +728,7 @@
 		model_tick(&model);
 	}
 	model_end(&model);
-	printf("profile=%s policy=%s evict=%s zone_leaves=%d finished=%" G_GUINT64_FORMAT
+	printf("profile=%s declared=%s policy=%s evict=%s zone_leaves=%d finished=%" G_GUINT64_FORMAT
 	       " work_core_ds=%" G_GUINT64_FORMAT
 	       " failed_jobs=%" G_GUINT64_FORMAT " failures=%" G_GUINT64_FORMAT
 	       " evictions=%" G_GUINT64_FORMAT " throttles=%" G_GUINT64_FORMAT
@@ -724,30 +741,33 @@
 	       " committed_percent=%" G_GUINT64_FORMAT
 	       " used_percent=%" G_GUINT64_FORMAT
 	       " starts_in_zone_out=%" G_GUINT64_FORMAT "\n",
-	       profile->name, place, evict, with_zone, model.out.finished,
-	       model.out.work_core_s, model.out.failed_jobs, model.out.failures,
-	       model.out.evictions, model.out.throttles, model.out.p50_ppm,
-	       model.out.p99_ppm, model.out.urgent_max_ms,
+	       profile->name, far ? "far" : "near", place, evict, with_zone,
+	       model.out.finished, model.out.work_core_s, model.out.failed_jobs,
+	       model.out.failures, model.out.evictions, model.out.throttles,
+	       model.out.p50_ppm, model.out.p99_ppm, model.out.urgent_max_ms,
 	       model.out.urgent_late, model.out.big_max_wait_s,
 	       model.out.service_down_s, model.out.committed_percent,
 	       model.out.used_percent, model.out.late_starts);
 	return model.out;
 }
 
-static void verdict(const char *profile, const char *name, uint64_t value,
-		    uint64_t target, bool met)
+static void verdict(const char *profile, const char *declared, const char *name,
+		    uint64_t value, uint64_t target, bool met)
 {
-	printf("profile=%s measure=%s value=%" G_GUINT64_FORMAT
+	printf("profile=%s declared=%s measure=%s value=%" G_GUINT64_FORMAT
 	       " target=%" G_GUINT64_FORMAT " met=%s\n",
-	       profile, name, value, target, met ? "yes" : "no");
+	       profile, declared, name, value, target, met ? "yes" : "no");
 }
 
-static void compare(const struct profile *profile)
+static void compare(const struct profile *profile, bool far)
 {
+	const char *declared = far ? "far" : "near";
 	struct outcome best =
-		run_model(profile, "default", "least-lost", false);
-	struct outcome base = run_model(profile, "first-fit", "newest", false);
-	struct outcome zone = run_model(profile, "default", "least-lost", true);
+		run_model(profile, far, "default", "least-lost", false);
+	struct outcome base =
+		run_model(profile, far, "first-fit", "newest", false);
+	struct outcome zone =
+		run_model(profile, far, "default", "least-lost", true);
 	uint64_t out_vms = 0;
 	uint64_t allowed;
 
@@ -756,20 +776,20 @@
 	/* The zone is away for a third of the time. */
 	allowed = best.work_core_s * (3 * profile->nr_vms - out_vms) /
 		  (3ull * profile->nr_vms);
-	verdict(profile->name, "batch_work_percent_of_first_fit",
+	verdict(profile->name, declared, "batch_work_percent_of_first_fit",
 		best.work_core_s * 100 / base.work_core_s, 130,
 		best.work_core_s * 100 >= base.work_core_s * 130);
-	verdict(profile->name, "evictions_percent_of_baseline",
+	verdict(profile->name, declared, "evictions_percent_of_baseline",
 		best.evictions * 100 / MAX(base.evictions, 1), 50,
 		best.evictions * 2 <= base.evictions);
-	verdict(profile->name, "slowdown_p99_percent_of_first_fit",
+	verdict(profile->name, declared, "slowdown_p99_percent_of_first_fit",
 		best.p99_ppm * 100 / MAX(base.p99_ppm, 1), 50,
 		best.p99_ppm * 2 <= base.p99_ppm);
-	verdict(profile->name, "zone_work_percent_of_allowed",
+	verdict(profile->name, declared, "zone_work_percent_of_allowed",
 		zone.work_core_s * 100 / allowed, 90,
 		zone.work_core_s * 100 >= allowed * 90);
-	verdict(profile->name, "urgent_max_ms", best.urgent_max_ms, 2800,
-		best.urgent_max_ms <= 2800);
+	verdict(profile->name, declared, "urgent_max_ms", best.urgent_max_ms,
+		2800, best.urgent_max_ms <= 2800);
 }
 
 static uint64_t real_ns(void)
@@ -922,11 +942,13 @@
 	if (argc > 1)
 		seed = (uint32_t)strtoul(argv[1], NULL, 10);
 	printf("seed=%u\n", seed);
-	for (size_t i = 0; i < G_N_ELEMENTS(profiles); i++)
-		compare(&profiles[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(profiles); i++) {
+		compare(&profiles[i], true);
+		compare(&profiles[i], false);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
 		median_ns = time_decisions(sizes[i]);
-	verdict("620-vms", "decision_median_ns", median_ns, 50000,
+	verdict("620-vms", "-", "decision_median_ns", median_ns, 50000,
 		median_ns <= 50000);
 	return EXIT_SUCCESS;
 }
