Expect some harm of pairs that were never seen

Change: an unknown pair counts as 50000 ppm, so at most five unknown tasks start beside a service before samples arrive.

--- a/src/core/interference.c
+++ b/src/core/interference.c
@@ -11,6 +11,8 @@
 /* Kinds beyond this number are taken to be harmless; 8 MiB for the table. */
 #define MAX_KINDS 1024
 #define MAX_PAIR_PPM 4000000ll
+/* A pair that was never seen is neither harmless nor shut out. */
+#define PRIOR_PPM 50000
 #define MAX_NEIGHBOURS 32
 /* Each sample corrects the estimates by 1 / 8 of the error. */
 #define LEARN_SHIFT 3
@@ -60,7 +62,9 @@
 		return;
 	while (nr <= kind_nr)
 		nr *= 2;
-	pairs = g_new0(int32_t, (size_t)nr * nr);
+	pairs = g_new(int32_t, (size_t)nr * nr);
+	for (size_t i = 0; i < (size_t)nr * nr; i++)
+		pairs[i] = PRIOR_PPM;
 	for (uint32_t i = 0; i < old; i++)
 		memcpy(pairs + (size_t)i * nr,
 		       interference->pairs + (size_t)i * old,
@@ -86,7 +90,7 @@
 {
 	const int32_t *pair = pair_at(interference, victim->nr, by->nr);
 
-	return pair ? (uint32_t)*pair : 0;
+	return pair ? (uint32_t)*pair : PRIOR_PPM;
 }
 
 static void neighbours_add(struct neighbours *neighbours, uint32_t kind_nr,
@@ -208,7 +212,7 @@
 {
 	const int32_t *pair = pair_at(interference, victim, by);
 
-	return pair ? (uint64_t)*pair : 0;
+	return pair ? (uint64_t)*pair : PRIOR_PPM;
 }
 
 /* Predicted slowdown of a task of a kind by all on the VM but @a own_ppm of its
