Keep room evictions apart from those against interference

Cause: both shared one allowance, so a noisy hour could keep urgent work from its 2.8 s; an allowance that ran out halfway evicted tasks for nothing. A job that failed on a site with fewer than 3 workers was tried for ever. VMs of a zone that was out before they became known were not emptied.

Change: two allowances, taken as a whole; 10 failures in a row fail a job as well; VMs that join a zone that is out are emptied; a job is refused for good only after a VM is known.

--- a/src/core/decide.c
+++ b/src/core/decide.c
@@ -73,9 +73,11 @@
 
 	if (plan->now_us < plan->undone_us + UNDO_RETRY_US)
 		return false;
-	job = g_queue_pop_head(&plan->failing_jobs);
-	if (!job)
-		return false;
+	do {
+		job = g_queue_pop_head(&plan->failing_jobs);
+		if (!job)
+			return false;
+	} while (job->record.state != JOB_ACTIVE);
 	decision_init(decision, PLAN_FAIL_JOB);
 	decision->job_id = job->record.job_id;
 	decision->result = job->fail_result;
@@ -90,11 +92,12 @@
 			      const struct task_size *size)
 {
 	struct plan_group *group = task->job->group;
-	uint64_t known_us = MAX(plan->vm_change_us, task->job->seen_us);
+	uint64_t known_us = plan->vm_change_us;
 	uint64_t waited_us = group->blocked_since_us ?
 				     plan->now_us - group->blocked_since_us :
 				     0;
-	bool settled = plan->now_us >= known_us + PLAN_NEVER_FITS_MS * 1000ull;
+	bool settled = known_us &&
+		       plan->now_us >= known_us + PLAN_NEVER_FITS_MS * 1000ull;
 
 	if (settled && !decide_ever_fits(plan, size) &&
 	    !decide_ever_fits(plan, &group->declared)) {
@@ -216,8 +219,10 @@
 
 		plan_list_task(task, NULL);
 		if (!evict_allowed(plan, task) ||
-		    task->outstanding == PLAN_PLACE)
+		    task->outstanding == PLAN_PLACE) {
+			move_drain_task(plan, task);
 			continue;
+		}
 		decide_evict(plan, task, decision, "room");
 		return true;
 	}
--- a/src/core/evict.c
+++ b/src/core/evict.c
@@ -7,6 +7,7 @@
 
 /* What a checkpoint, a stop and a new start cost in run time. */
 #define EVICT_OVERHEAD_US 2000000ull
+#define MINUTE_US 60000000ull
 /* Bounds of the search for room on short capacity. */
 #define ROOM_VMS 16
 #define ROOM_VICTIMS 32
@@ -49,18 +50,30 @@
 	       (!task->evicted_us || plan->now_us >= again_us);
 }
 
-bool evict_take_credit(struct plan *plan)
+void evict_init(struct plan *plan)
 {
-	uint64_t per_minute = PLAN_EVICTIONS_PER_MINUTE + plan->vm_list->len;
-	uint64_t price_us = EVICT_FULL_CREDIT_US / per_minute;
-	uint64_t idle_us = plan->now_us - plan->evict_refill_us;
-
-	plan->evict_refill_us = plan->now_us;
-	plan->evict_credit_us =
-		MIN(plan->evict_credit_us + idle_us, EVICT_FULL_CREDIT_US);
-	if (plan->evict_credit_us < price_us)
+	plan->calm.per_minute = PLAN_EVICTIONS_PER_MINUTE;
+	plan->calm.per_minute_vm = 1;
+	plan->calm.credit_us = MINUTE_US;
+	plan->room.per_minute = PLAN_ROOM_EVICTIONS_PER_MINUTE;
+	plan->room.per_minute_vm = 10;
+	plan->room.credit_us = MINUTE_US;
+}
+
+bool evict_take(struct plan *plan, struct evict_allowance *allowance,
+		uint32_t nr)
+{
+	uint64_t per_minute =
+		allowance->per_minute +
+		(uint64_t)allowance->per_minute_vm * plan->vm_list->len;
+	uint64_t price_us = MINUTE_US / per_minute * nr;
+	uint64_t idle_us = plan->now_us - allowance->refilled_us;
+
+	allowance->refilled_us = plan->now_us;
+	allowance->credit_us = MIN(allowance->credit_us + idle_us, MINUTE_US);
+	if (allowance->credit_us < price_us)
 		return false;
-	plan->evict_credit_us -= price_us;
+	allowance->credit_us -= price_us;
 	return true;
 }
 
@@ -221,11 +234,10 @@
 
 	if (!find_room(plan, task, size, eviction_cost, &room))
 		return false;
-	for (uint32_t i = 0; i < room.nr; i++) {
-		if (!evict_take_credit(plan))
-			return false;
+	if (!evict_take(plan, &plan->room, room.nr))
+		return false;
+	for (uint32_t i = 0; i < room.nr; i++)
 		plan_list_task(room.victims[i].task, &plan->evicting);
-	}
 	plan_hold(plan, task, room.vm, size,
 		  plan->now_us + PLAN_HOLD_MS * 1000ull);
 	return true;
--- a/src/core/evict.h
+++ b/src/core/evict.h
@@ -11,9 +11,6 @@
 
 #include "plan_state.h"
 
-/* Evictions of one minute may come at once. */
-#define EVICT_FULL_CREDIT_US 60000000ull
-
 struct evict_ops {
 	const char *name;
 	/** Returns what evicting the task costs; the lowest goes first. */
@@ -25,9 +22,12 @@
 /** Returns true if the task may be evicted to help others. */
 bool evict_allowed(const struct plan *plan, const struct plan_task *task);
 
-/** Takes one eviction out of the allowance of a minute, false: it is used up.
- */
-bool evict_take_credit(struct plan *plan);
+/** Fills the allowances; evictions of one minute may come at once. */
+void evict_init(struct plan *plan);
+
+/** Takes evictions out of the allowance of a minute, false: it is used up. */
+bool evict_take(struct plan *plan, struct evict_allowance *allowance,
+		uint32_t nr);
 
 /**
  * Finds the VM where room for a task costs least, holds a place there and
--- a/src/core/interference.c
+++ b/src/core/interference.c
@@ -351,7 +351,7 @@
 	    task->job->kind->no_checkpoint)
 		return false;
 	vm = plan->place->choose(plan, task, &size, reason, sizeof(reason));
-	if (!vm || vm == task->on_vm || !evict_take_credit(plan))
+	if (!vm || vm == task->on_vm || !evict_take(plan, &plan->calm, 1))
 		return false;
 	plan_hold(plan, task, vm, &size, UINT64_MAX);
 	decide_evict(plan, task, decision, "interference-move");
@@ -386,7 +386,7 @@
 		if (move_batch(plan, task, decision))
 			return true;
 	}
-	if (!evict_take_credit(plan))
+	if (!evict_take(plan, &plan->calm, 1))
 		return false;
 	vm->step = STEP_EVICT;
 	decide_evict(plan, task, decision, "interference-evict");
--- a/src/core/move.c
+++ b/src/core/move.c
@@ -21,6 +21,8 @@
 {
 	if (!must_leave(task) || task->list || task->state == TASK_STOPPING)
 		return;
+	if (!plan->drain_services.length && !plan->drain_batch.length)
+		plan->drained_us = plan->now_us;
 	if (!task->move_since_us)
 		task->move_since_us = plan->now_us;
 	plan_list_task(task, plan_is_batch(task->job) ? &plan->drain_batch :
@@ -29,7 +31,6 @@
 
 void move_drain_vm(struct plan *plan, struct vm *vm)
 {
-	plan->drained_us = plan->now_us;
 	for (uint32_t i = 0; i < vm->tasks->len; i++)
 		move_drain_task(plan, g_ptr_array_index(vm->tasks, i));
 }
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -58,7 +58,7 @@
 	plan->services = g_ptr_array_new();
 	plan->learn = learn_new();
 	plan->interference = interference_new();
-	plan->evict_credit_us = EVICT_FULL_CREDIT_US;
+	evict_init(plan);
 	plan->queue = queue_new();
 	return plan;
 }
@@ -189,7 +189,7 @@
 		return;
 	}
 	plan_unhold_all(plan, vm);
-	if (record->state == VM_LEAVING)
+	if (record->state == VM_LEAVING || vm->zone->out)
 		move_drain_vm(plan, vm);
 }
 
@@ -249,7 +249,6 @@
 		count_tasks(job);
 	}
 	if (first) {
-		job->seen_us = now_us;
 		if (record->job_class == JOB_SERVICE)
 			g_ptr_array_add(plan->services, job);
 	}
@@ -439,8 +438,10 @@
 	at_limit = learn_failed(job->kind, task->memory_used_mib, &task->size);
 	if (!elsewhere && !at_limit)
 		vm_failed_job(plan, vm, job);
-	if (failed_add(&task->failed, vm) >= JOB_MAX_FAILED_VMS ||
-	    failed_add(&job->failed, vm) >= JOB_MAX_FAILED_VMS)
+	failed_add(&task->failed, vm);
+	if (failed_add(&job->failed, vm) >= JOB_MAX_FAILED_VMS ||
+	    task->failed.nr >= JOB_MAX_FAILED_VMS ||
+	    job->nr_failures >= JOB_MAX_FAILURES)
 		plan_fail_job(plan, job, RESULT_JOB_FAILED);
 }
 
@@ -479,7 +480,7 @@
 				  job->accelerators };
 	const struct team *team = g_hash_table_lookup(plan->teams, job->team);
 
-	if (plan->vm_list->len && !decide_ever_fits(plan, &size))
+	if (plan->largest.cpu_millis && !decide_ever_fits(plan, &size))
 		return RESULT_NEVER_FITS;
 	if (team && !team_ever_allows(team, &size))
 		return RESULT_QUOTA;
--- a/src/core/plan_state.h
+++ b/src/core/plan_state.h
@@ -25,6 +25,8 @@
 
 /* Different workers on which a failing task or job is tried. */
 #define JOB_MAX_FAILED_VMS 3
+/* Failures in a row, on whatever workers, as a small site may have only two. */
+#define JOB_MAX_FAILURES 10
 
 struct failed_vms {
 	struct vm *vms[JOB_MAX_FAILED_VMS];
@@ -35,7 +37,6 @@
 	struct job_record record;
 	bool known; /* false: only named by a task so far */
 	uint64_t arrival_nr;
-	uint64_t seen_us; /* when the planner learned of it */
 	struct team *team;
 	struct plan_kind *kind;
 	struct plan_group *group;
@@ -89,6 +90,14 @@
 	GQueue *list; /* that list, NULL: none */
 };
 
+/** Token bucket of evictions: so many for a site and so many for each VM. */
+struct evict_allowance {
+	uint32_t per_minute;
+	uint32_t per_minute_vm;
+	uint64_t credit_us;
+	uint64_t refilled_us;
+};
+
 struct plan {
 	const struct place_ops *place;
 	const struct evict_ops *evict;
@@ -132,8 +141,8 @@
 	struct task_size largest; /* of any VM, in each resource */
 	struct task_size urgent; /* largest need of an urgent job lately */
 	uint64_t urgent_us; /* when it was needed last, 0: never */
-	uint64_t evict_credit_us; /* token bucket of evictions */
-	uint64_t evict_refill_us;
+	struct evict_allowance calm; /* evictions against interference */
+	struct evict_allowance room; /* for services and urgent work */
 };
 
 /** Returns the next pseudo-random number. */
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -60,10 +60,12 @@
 /* A batch group that found no room for this long gets a VM kept free. */
 #define PLAN_BATCH_HOLD_AFTER_MS 10000
 #define PLAN_BATCH_HOLD_MS 120000
-/* Evictions: never the same task again within the first time; at most this
- * many a minute, plus one for each VM. */
+/* Evictions: never the same task again within the first time. At most this many
+ * a minute against interference, plus one for each VM, and this many to make
+ * room for services and urgent work, plus ten for each VM. */
 #define PLAN_EVICT_AGAIN_MS 60000
 #define PLAN_EVICTIONS_PER_MINUTE 30
+#define PLAN_ROOM_EVICTIONS_PER_MINUTE 300
 /* Zone out: batch follows the services after this time at the latest, and a
  * service that finds no other place is stopped after the second time. */
 #define PLAN_DRAIN_BATCH_MS 2000
