Keep the room of an urgent task whose proposal was refused

Batch took the room of a refused urgent placement; on a site of one VM the room kept for urgent work shut batch out for ten minutes; holds ran out one call late.

--- a/src/core/decide.c
+++ b/src/core/decide.c
@@ -232,6 +232,8 @@
 /* Tasks whose held place is free. */
 static bool next_ready(struct plan *plan, struct plan_decision *decision)
 {
+	if (plan->now_us < plan->undone_us + UNDO_RETRY_US)
+		return false;
 	while (plan->ready.head) {
 		struct plan_task *task = plan->ready.head->data;
 		struct vm *vm = task->hold_vm;
@@ -254,8 +256,7 @@
 	return false;
 }
 
-/* Places held in vain go back; the list is in order of time but for its
- * classes, so a bounded look from the head is enough. */
+/* Places held in vain go back. Each call looks at a few holders in turn. */
 static void expire_holds(struct plan *plan)
 {
 	uint32_t looks = MIN(plan->waiting.length, TRIES_PER_CALL);
@@ -284,6 +285,7 @@
 	       struct plan_decision *decision)
 {
 	plan->now_us = now_us;
+	expire_holds(plan);
 	if (next_failed_job(plan, decision) ||
 	    next_quarantine(plan, decision) || next_ready(plan, decision) ||
 	    next_eviction(plan, decision))
@@ -300,7 +302,6 @@
 	if (next_failed_job(plan, decision) || next_ready(plan, decision) ||
 	    next_eviction(plan, decision))
 		return true;
-	expire_holds(plan);
 	plan->next_us = MIN(queue_next_us(plan), now_us + TICK_US);
 	return false;
 }
@@ -312,11 +313,20 @@
 
 static void undo_place(struct plan *plan, struct plan_task *task)
 {
+	struct vm *vm = task->on_vm;
+	struct task_size size = task->size;
+
 	plan_unaccount(plan, task);
 	if (task->state != TASK_PENDING)
 		return;
+	/* Batch must not take the room before it is tried again. */
+	if (!plan_is_batch(task->job) && vm->indexed) {
+		plan_hold(plan, task, vm, &size,
+			  plan->now_us + PLAN_HOLD_MS * 1000ull);
+		return;
+	}
 	queue_add_task(plan, task);
-	queue_block(plan, task->job->group, &task->size, false,
+	queue_block(plan, task->job->group, &size, false,
 		    plan->now_us + UNDO_RETRY_US);
 }
 
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -24,6 +24,9 @@
 #define COST_NOISY 10000000u
 
 #define BACKFILL_LOOKS 8
+/* Room for urgent work is kept on one VM of this many; a small site can't spare
+ * any. */
+#define SLACK_DIVISOR 8
 
 #define ORDER_CLASS_SHIFT 62
 
@@ -197,20 +200,21 @@
 			const struct task_size *size)
 {
 	struct task_size open = vm_open(vm);
-	uint32_t wanted = 1 + plan->vm_list->len / 64;
+	uint32_t nr_vms = plan->vm_list->len;
+	uint32_t wanted = MIN(nr_vms / SLACK_DIVISOR, 1 + nr_vms / 64);
 	uint32_t others = 0;
 
-	if (!plan->urgent_us ||
+	if (!wanted || !plan->urgent_us ||
 	    plan->now_us >= plan->urgent_us + PLAN_SLACK_MS * 1000ull ||
 	    !size_within(&plan->urgent, &open))
 		return false;
 	size_sub(&open, size);
 	if (size_within(&plan->urgent, &open))
 		return false;
-	for (uint32_t i = 0; i < plan->zone_list->len && others <= wanted; i++)
+	for (uint32_t i = 0; i < plan->zone_list->len && others < wanted; i++)
 		others += zone_count(g_ptr_array_index(plan->zone_list, i),
-				     &plan->urgent, wanted + 1);
-	return others <= wanted;
+				     &plan->urgent, wanted);
+	return others < wanted;
 }
 
 /* Returns true if the task would slow a service on the VM too much. */
