--- a/src/core/evict.c
+++ b/src/core/evict.c
@@ -65,7 +65,7 @@
 {
 	uint64_t per_minute =
 		allowance->per_minute +
-		(uint64_t)allowance->per_minute_vm * plan->vm_list->len;
+		(uint64_t)allowance->per_minute_vm * plan->plan_vm_list->len;
 	uint64_t price_us = MINUTE_US / per_minute * nr;
 	uint64_t idle_us = plan->now_us - allowance->refilled_us;
 
@@ -79,11 +79,11 @@
 
 /* What a VM would still lack for a task once those that leave are gone. */
 static struct task_size room_lacking(const struct plan *plan,
-				     const struct vm *vm,
+				     const struct plan_vm *vm,
 				     const struct task_size *size)
 {
 	struct task_size lacking = *size;
-	struct task_size soon = vm_spare(vm);
+	struct task_size soon = plan_vm_spare(vm);
 
 	size_add(&lacking, &vm->held);
 	for (uint32_t i = 0; i < vm->tasks->len; i++) {
@@ -105,7 +105,7 @@
 
 /* A set of tasks whose end makes room on a VM. */
 struct room {
-	struct vm *vm;
+	struct plan_vm *vm;
 	struct victim victims[ROOM_VICTIMS];
 	uint32_t nr;
 	uint64_t cost;
@@ -193,16 +193,16 @@
 		      const struct task_size *size, room_cost_fn cost,
 		      struct room *best)
 {
-	uint32_t nr_vms = plan->vm_list->len;
+	uint32_t nr_vms = plan->plan_vm_list->len;
 	uint32_t first = nr_vms ? (uint32_t)(plan_random(plan) % nr_vms) : 0;
 	uint32_t looks = ROOM_VMS;
 
 	best->vm = NULL;
 	best->cost = UINT64_MAX;
 	for (uint32_t i = 0; i < nr_vms && looks; i++) {
-		struct vm *vm =
-			g_ptr_array_index(plan->vm_list, (first + i) % nr_vms);
-		struct task_size capacity = vm_capacity(vm);
+		struct plan_vm *vm = g_ptr_array_index(plan->plan_vm_list,
+						       (first + i) % nr_vms);
+		struct task_size capacity = plan_vm_capacity(vm);
 		struct room room = { .vm = vm };
 
 		if (!vm->indexed || vm->probation ||
--- a/src/core/move.c
+++ b/src/core/move.c
@@ -11,7 +11,7 @@
 
 static bool must_leave(const struct plan_task *task)
 {
-	const struct vm *vm = task->on_vm;
+	const struct plan_vm *vm = task->on_vm;
 
 	return vm && vm->known && vm->zone &&
 	       (vm->zone->out || vm->record.state == VM_LEAVING);
@@ -29,7 +29,7 @@
 							&plan->drain_services);
 }
 
-void move_drain_vm(struct plan *plan, struct vm *vm)
+void move_drain_vm(struct plan *plan, struct plan_vm *vm)
 {
 	for (uint32_t i = 0; i < vm->tasks->len; i++)
 		move_drain_task(plan, g_ptr_array_index(vm->tasks, i));
@@ -65,7 +65,7 @@
 {
 	struct task_size size;
 	char reason[TEXT_BYTES];
-	struct vm *vm;
+	struct plan_vm *vm;
 
 	if (task->hold_vm)
 		return plan_hold_is_free(task);
@@ -144,7 +144,7 @@
 {
 	for (const GList *link = job->tasks.head; link; link = link->next) {
 		const struct plan_task *task = link->data;
-		const struct vm *vm = task->hold_vm ? task->hold_vm :
+		const struct plan_vm *vm = task->hold_vm ? task->hold_vm :
 						      task->on_vm;
 
 		if (vm && vm->zone && vm->zone->nr < nr_zones)
@@ -153,14 +153,14 @@
 }
 
 static struct plan_task *replica_in(const struct plan_job *job,
-				    uint32_t zone_nr)
+				    uint32_t plan_zone_nr)
 {
 	for (GList *link = job->tasks.head; link; link = link->next) {
 		struct plan_task *task = link->data;
 
 		if (task->state == TASK_RUNNING && !task->outstanding &&
 		    !task->list && !task->hold_vm && task->on_vm &&
-		    task->on_vm->zone && task->on_vm->zone->nr == zone_nr)
+		    task->on_vm->zone && task->on_vm->zone->nr == plan_zone_nr)
 			return task;
 	}
 	return NULL;
@@ -169,7 +169,7 @@
 static bool rebalance_service(struct plan *plan, struct plan_job *job,
 			      struct plan_decision *decision)
 {
-	uint32_t nr_zones = plan->zone_list->len;
+	uint32_t nr_zones = plan->plan_zone_list->len;
 	g_autofree uint32_t *counts = g_new0(uint32_t, nr_zones);
 	uint32_t fullest = 0;
 	struct plan_task *task;
