--- a/src/core/plan_state.h
+++ b/src/core/plan_state.h
@@ -25,6 +25,8 @@
 
 /* Different workers on which a failing task or job is tried. */
 #define JOB_MAX_FAILED_VMS 3
+/* Failures in a row, on whatever workers, as a small site may have only two. */
+#define JOB_MAX_FAILURES 10
 
 struct failed_vms {
 	struct plan_vm *vms[JOB_MAX_FAILED_VMS];
@@ -35,7 +37,6 @@
 	struct job_record record;
 	bool known; /* false: only named by a task so far */
 	uint64_t arrival_nr;
-	uint64_t seen_us; /* when the planner learned of it */
 	struct team *team;
 	struct plan_kind *kind;
 	struct plan_group *group;
@@ -63,20 +64,23 @@
 	struct task_size size; /* committed or reserved on on_vm */
 	struct plan_vm *on_vm;
 	uint32_t plan_vm_slot; /* in on_vm->tasks */
+	bool counted; /* in on_vm->kinds */
 	bool reserved; /* size is reserved, not committed */
 	struct team *charged; /* team that size counts against */
 
 	struct plan_vm *hold_vm; /* VM that keeps room for the task */
 	struct task_size hold_size;
 	uint64_t hold_until_us;
+	uint64_t hold_ready_us; /* when the room is expected, batch */
+	uint64_t move_since_us; /* drained since, 0: not */
 
 	uint64_t pending_us; /* waits since */
 	uint64_t running_us; /* runs since, 0: it doesn't */
 	uint64_t evicted_us; /* last decision to evict it, 0: none */
 	uint64_t sample_us; /* time of the newest usage sample */
 	uint32_t memory_used_mib; /* in that sample */
-	uint32_t slowdown_ppm; /* smoothed, latency-critical tasks */
 	uint32_t nr_slow; /* samples above the limit in a row */
+	bool batch_hold; /* counted in plan.nr_batch_holds */
 	uint32_t throttle_ppm; /* 1000000: not throttled */
 	struct failed_vms failed;
 
@@ -86,6 +90,14 @@
 	GQueue *list; /* that list, NULL: none */
 };
 
+/** Token bucket of evictions: so many for a site and so many for each VM. */
+struct evict_allowance {
+	uint32_t per_minute;
+	uint32_t per_minute_vm;
+	uint64_t credit_us;
+	uint64_t refilled_us;
+};
+
 struct plan {
 	const struct place_ops *place;
 	const struct evict_ops *evict;
@@ -94,6 +106,7 @@
 	uint64_t random;
 	uint64_t now_us; /* of the last call */
 	uint64_t next_us;
+	uint64_t undone_us; /* last refusal of a decision */
 	uint64_t arrival_nr;
 
 	GHashTable *vms; /* by name */
@@ -110,11 +123,13 @@
 
 	GQueue failing_jobs; /* struct plan_job, PLAN_FAIL_JOB is due */
 	GQueue suspect_vms; /* struct plan_vm, to quarantine */
-	GQueue quarantined_vms; /* struct plan_vm, probation is due later */
+	GQueue quarantined_vms; /* struct plan_vm, probation comes later */
+	GQueue slow_vms; /* struct plan_vm, a service on it is slow */
 
 	GQueue evicting; /* tasks to be evicted, in order */
 	GQueue ready; /* pending tasks whose held place is free */
 	GQueue waiting; /* pending tasks whose held place isn't free yet */
+	uint32_t nr_batch_holds; /* batch tasks among the holders */
 	GQueue drain_services; /* tasks on VMs that take no work any more */
 	GQueue drain_batch;
 	uint64_t drained_us; /* when the drain lists were last filled */
@@ -122,13 +137,12 @@
 	uint32_t next_service; /* cursor of the rebalancing */
 	uint64_t rebalance_us; /* next time to look at the spread */
 	uint64_t rebalance_until_us;
-	uint32_t next_vm; /* cursor of the steps against interference */
 	uint64_t plan_vm_change_us; /* last time a VM became known */
 	struct task_size largest; /* of any VM, in each resource */
 	struct task_size urgent; /* largest need of an urgent job lately */
-	uint64_t urgent_us;
-	uint64_t evict_credit_us; /* token bucket of evictions */
-	uint64_t evict_refill_us;
+	uint64_t urgent_us; /* when it was needed last, 0: never */
+	struct evict_allowance calm; /* evictions against interference */
+	struct evict_allowance room; /* for services and urgent work */
 };
 
 /** Returns the next pseudo-random number. */
@@ -151,11 +165,20 @@
 		  const struct task_size *size, bool reserved);
 /** Takes the task off its VM and tells the queue what became free. */
 void plan_unaccount(struct plan *plan, struct plan_task *task);
+/** Holds a place for the task until @a until_us; a pending one waits for it.
+ */
+void plan_hold(struct plan *plan, struct plan_task *task, struct plan_vm *vm,
+	       const struct task_size *size, uint64_t until_us);
 /** Gives up the place held for the task. */
 void plan_unhold(struct plan *plan, struct plan_task *task);
 /** Room may have appeared on @a vm: for its holders, then for the queue. */
 void plan_room(struct plan *plan, struct plan_vm *vm, const struct team *team);
 
+/** The VM takes no work any more: its holders look for another place. */
+void plan_unhold_all(struct plan *plan, struct plan_vm *vm);
+/** Returns true if the place held for the task is free. */
+bool plan_hold_is_free(const struct plan_task *task);
+
 /** Moves the task to @a list, NULL: to none. */
 void plan_list_task(struct plan_task *task, GQueue *list);
 
@@ -163,6 +186,11 @@
 void plan_fail_job(struct plan *plan, struct plan_job *job, enum result result);
 
 bool plan_is_batch(const struct plan_job *job);
+/** Returns true if the task is on its way off its VM. */
+bool plan_is_leaving(const struct plan *plan, const struct plan_task *task);
+/** Returns the time a batch task still runs, as far as it is known. */
+uint64_t plan_remaining_us(const struct plan *plan,
+			   const struct plan_task *task);
 bool failed_on(const struct failed_vms *failed, const struct plan_vm *vm);
 /** Adds a VM; returns how many that aren't quarantined are listed. */
 uint32_t failed_add(struct failed_vms *failed, struct plan_vm *vm);
--- a/src/core/plan_zone.h
+++ b/src/core/plan_zone.h
@@ -48,6 +48,10 @@
 			      const struct task_size *size, uint64_t random,
 			      struct plan_vm **out, uint32_t max);
 
+/** Returns how many VMs surely fit @a size, stopping at @a max. */
+uint32_t plan_zone_count(const struct plan_zone *zone,
+			 const struct task_size *size, uint32_t max);
+
 /** Returns the class of @a units, rising with it. */
 uint32_t plan_zone_class(uint32_t units);
 
