Stop the loop from spinning after a timer of the node

Cause: the node's timer was a GLib timeout source of interval 0. GLib sets the ready time of such a source anew after its callback, so the loop ran without a pause until another event rearmed it. Change: a source of its own that leaves its ready time alone.

--- a/src/daemon/loop.c
+++ b/src/daemon/loop.c
@@ -116,6 +116,20 @@
 	.message = loop_message,
 };
 
+/*
+ * The node's timers. A GLib timeout source doesn't serve: it sets its ready
+ * time anew after the callback, so one with interval 0 would run for ever.
+ */
+static gboolean loop_timer_dispatch(GSource *source, GSourceFunc callback,
+				    gpointer data)
+{
+	return callback(data);
+}
+
+static GSourceFuncs loop_timer_funcs = {
+	.dispatch = loop_timer_dispatch,
+};
+
 static gboolean loop_timer(gpointer data)
 {
 	struct loop *loop = data;
@@ -187,7 +201,7 @@
 	}
 	if (opts->advertise)
 		TEXT_SET(loop->node->self.address, opts->advertise);
-	loop->timer = g_timeout_source_new(0);
+	loop->timer = g_source_new(&loop_timer_funcs, sizeof(GSource));
 	g_source_set_callback(loop->timer, loop_timer, loop, NULL);
 	g_source_set_ready_time(loop->timer, -1);
 	g_source_attach(loop->timer, NULL);
