--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	@$(BUILD)/tests/demo
 
 bench: build
-	@$(BUILD)/tests/bench
+	@tools/run-bench $(BUILD)
 
 check: build
 	@tools/run-checks $(BUILD)
--- a/tests/bench_plan.c
+++ b/tests/bench_plan.c
@@ -728,7 +728,7 @@
 		model_tick(&model);
 	}
 	model_end(&model);
-	printf("profile=%s declared=%s policy=%s evict=%s plan_zone_leaves=%d finished=%" G_GUINT64_FORMAT
+	printf("profile=%s declared=%s policy=%s evict=%s zone_leaves=%d finished=%" G_GUINT64_FORMAT
 	       " work_core_ds=%" G_GUINT64_FORMAT
 	       " failed_jobs=%" G_GUINT64_FORMAT " failures=%" G_GUINT64_FORMAT
 	       " evictions=%" G_GUINT64_FORMAT " throttles=%" G_GUINT64_FORMAT
@@ -785,7 +785,7 @@
 	verdict(profile->name, declared, "slowdown_p99_percent_of_first_fit",
 		best.p99_ppm * 100 / MAX(base.p99_ppm, 1), 50,
 		best.p99_ppm * 2 <= base.p99_ppm);
-	verdict(profile->name, declared, "plan_zone_work_percent_of_allowed",
+	verdict(profile->name, declared, "zone_work_percent_of_allowed",
 		zone.work_core_s * 100 / allowed, 90,
 		zone.work_core_s * 100 >= allowed * 90);
 	verdict(profile->name, declared, "urgent_max_ms", best.urgent_max_ms,
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -191,6 +191,34 @@
 		g_dir_close(dir);
 }
 
+uint64_t tb_proc_metric(struct tb_proc *proc, const char *name)
+{
+	char *line = g_strdup_printf("masticreach_%s ", name);
+	char *text = NULL;
+	uint64_t value = 0;
+	char *at;
+
+	tb_request(proc, "GET", "/-/metrics", NULL, NULL, &text);
+	at = strstr(text, line);
+	if (at)
+		value = strtoull(at + strlen(line), NULL, 10);
+	g_free(text);
+	g_free(line);
+	return value;
+}
+
+struct tb_usage tb_proc_usage(struct tb_proc *proc)
+{
+	struct tb_usage usage = {
+		.cpu_us = tb_proc_metric(proc, "process_cpu_us"),
+		.resident_kib =
+			tb_proc_metric(proc, "process_resident_bytes") / 1024,
+		.link_bytes = tb_proc_metric(proc, "link_bytes_sent"),
+	};
+
+	return usage;
+}
+
 const char *tb_proc_http(struct tb_proc *proc)
 {
 	char *text = NULL;
@@ -451,17 +479,20 @@
 			       const struct tb_vm_opts *opts)
 {
 	char *name = g_strdup_printf("vm-%u", tb->agents->len + 1);
-	struct tb_proc *standin = tb_add_standin(tb, name, opts);
 	struct tb_proc *proc = tb_daemon(tb, "agent", name, opts->zone);
+	struct tb_proc *standin = NULL;
 	char *listen = tb_reserve();
 	char *shown = tb->opts.proxy_agents ? tb_reserve() : NULL;
 
 	proc_arg(proc, "--rack", opts->rack ? opts->rack : "rack-1");
 	proc_arg(proc, "--listen", listen);
-	proc_arg(proc, "--worker", tb_proc_http(standin));
 	proc_arg_number(proc, "--cpu-millis", tb->opts.cpu_millis);
 	proc_arg_number(proc, "--memory-mib", tb->opts.memory_mib);
 	proc_arg_number(proc, "--accelerators", tb->opts.accelerators);
+	if (!opts->agent_only) {
+		standin = tb_add_standin(tb, name, opts);
+		proc_arg(proc, "--worker", tb_proc_http(standin));
+	}
 	if (shown) {
 		tb_proxy(tb, proc, listen, shown);
 		proc_arg(proc, "--advertise", shown);
@@ -469,7 +500,8 @@
 	proc_start(proc);
 	g_ptr_array_add(tb->agents, proc);
 	g_ptr_array_add(tb->standins, standin);
-	tb_wait_port(proc);
+	if (standin)
+		tb_wait_port(proc);
 	g_free(listen);
 	g_free(shown);
 	g_free(name);
@@ -925,6 +957,63 @@
 	return load;
 }
 
+struct tb_closed {
+	struct testbed *tb;
+	char *url;
+	GArray *times_us;
+	struct tb_load_stats stats;
+	uint32_t open;
+	uint32_t left;
+	gint64 end_us;
+};
+
+struct tb_turn {
+	struct tb_closed *closed;
+	SoupMessage *msg;
+	gint64 sent_us;
+};
+
+static void closed_send(struct tb_closed *closed);
+
+static void closed_answered(GObject *session, GAsyncResult *res, gpointer data)
+{
+	struct tb_turn *turn = data;
+	struct tb_closed *closed = turn->closed;
+	uint32_t took_us = (uint32_t)(g_get_monotonic_time() - turn->sent_us);
+	GBytes *body = soup_session_send_and_read_finish(SOUP_SESSION(session),
+							 res, NULL);
+
+	if (body && soup_message_get_status(turn->msg) == 200) {
+		closed->stats.answered++;
+		g_array_append_val(closed->times_us, took_us);
+	} else {
+		closed->stats.failed++;
+	}
+	g_clear_pointer(&body, g_bytes_unref);
+	g_object_unref(turn->msg);
+	g_free(turn);
+	closed->open--;
+	closed_send(closed);
+}
+
+static void closed_send(struct tb_closed *closed)
+{
+	struct tb_turn *turn;
+
+	if (!closed->left || g_get_monotonic_time() >= closed->end_us)
+		return;
+	closed->left--;
+	closed->open++;
+	closed->stats.sent++;
+	turn = g_new0(struct tb_turn, 1);
+	turn->closed = closed;
+	turn->msg = soup_message_new("GET", closed->url);
+	turn->sent_us = g_get_monotonic_time();
+	soup_session_send_and_read_async(closed->tb->session, turn->msg,
+					 G_PRIORITY_DEFAULT, NULL,
+					 closed_answered, turn);
+}
+
 static gint time_compare(gconstpointer a, gconstpointer b)
 {
 	uint32_t x = *(const uint32_t *)a;
@@ -933,23 +1022,50 @@
 	return x < y ? -1 : x > y;
 }
 
+static void stats_times(struct tb_load_stats *stats, GArray *times)
+{
+	g_array_sort(times, time_compare);
+	if (!times->len)
+		return;
+	stats->p50_us = g_array_index(times, uint32_t, times->len / 2);
+	stats->p99_us = g_array_index(times, uint32_t, times->len * 99 / 100);
+	stats->max_us = g_array_index(times, uint32_t, times->len - 1);
+}
+
+struct tb_load_stats tb_load_closed(struct testbed *tb, const char *http,
+				    const char *path, uint32_t nr_open,
+				    uint32_t nr_requests, uint32_t duration_ms)
+{
+	struct tb_closed closed = {
+		.tb = tb,
+		.url = g_strdup_printf("http://%s%s", http, path),
+		.times_us = g_array_new(FALSE, FALSE, sizeof(uint32_t)),
+		.left = nr_requests ? nr_requests : UINT32_MAX,
+		.end_us = duration_ms ? g_get_monotonic_time() +
+						(gint64)duration_ms * 1000 :
+					G_MAXINT64,
+	};
+
+	for (uint32_t i = 0; i < nr_open; i++)
+		closed_send(&closed);
+	while (closed.open)
+		g_main_context_iteration(NULL, TRUE);
+	stats_times(&closed.stats, closed.times_us);
+	g_array_unref(closed.times_us);
+	g_free(closed.url);
+	return closed.stats;
+}
+
 struct tb_load_stats tb_load_stop(struct tb_load *load)
 {
 	struct tb_load_stats stats;
-	GArray *times = load->times_us;
 
 	g_source_remove(load->tick);
 	while (load->open)
 		g_main_context_iteration(NULL, TRUE);
 	stats = load->stats;
-	g_array_sort(times, time_compare);
-	if (times->len) {
-		stats.p50_us = g_array_index(times, uint32_t, times->len / 2);
-		stats.p99_us =
-			g_array_index(times, uint32_t, times->len * 99 / 100);
-		stats.max_us = g_array_index(times, uint32_t, times->len - 1);
-	}
-	g_array_unref(times);
+	stats_times(&stats, load->times_us);
+	g_array_unref(load->times_us);
 	g_free(load->prefix);
 	g_free(load->path);
 	g_free(load);
--- a/tests/testbed.h
+++ b/tests/testbed.h
@@ -33,6 +33,7 @@
 	const char *rack;
 	const char *service; /* of a permanently running upstream, or NULL */
 	uint32_t time_ms; /* of one request there */
+	bool agent_only; /* no stand-in; the start is not waited for */
 };
 
 /** Starts the control processes. Binaries are looked up beside the program. */
@@ -61,6 +62,16 @@
 int tb_proc_pid(const struct tb_proc *proc);
 /** Empties the data folder of a stopped control process. */
 void tb_proc_lose_disk(struct tb_proc *proc);
+/** What a process has used so far. */
+struct tb_usage {
+	uint64_t cpu_us;
+	uint64_t resident_kib;
+	uint64_t link_bytes; /* sent to other processes of the system */
+};
+
+struct tb_usage tb_proc_usage(struct tb_proc *proc);
+/** Returns a counter of /-/metrics, 0 if it is not there. */
+uint64_t tb_proc_metric(struct tb_proc *proc, const char *name);
 /** Returns the process's HTTP address, "" before it has one. */
 const char *tb_proc_http(struct tb_proc *proc);
 /** Sends a command line to the fault proxy in front of the process. */
@@ -124,6 +135,14 @@
 /** Stops sending, waits for the answers and frees the load. */
 struct tb_load_stats tb_load_stop(struct tb_load *load);
 
+/**
+ * Sends requests in turn, @a nr_open at a time, to "ip:port" for a while or
+ * until @a nr_requests are answered; 0 means no bound.
+ */
+struct tb_load_stats tb_load_closed(struct testbed *tb, const char *http,
+				    const char *path, uint32_t nr_open,
+				    uint32_t nr_requests, uint32_t duration_ms);
+
 /** One request; returns the HTTP status, 0 without an answer. */
 guint tb_request(struct tb_proc *entry, const char *method, const char *path,
 		 const char *key, const char *body, char **answer);
