Test refusals, shutdown, deadlines, overload and health one by one

The faults under load don't show which mechanism holds. Each now has a table of its own: refusals, leaving upstreams, graceful shutdown, lost connections, dead agents, gone callers, deadlines, overload, ejection with its cap, retry budget and hedging.

--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -292,13 +292,13 @@
 			      const struct outcome *outcome)
 {
 	uint32_t slots = service_slots(service);
+	uint32_t position;
 	uint64_t wait_us;
 
 	if (!slots || executors_roomiest(service->executors))
 		return false;
-	wait_us = (uint64_t)service->service_time_us *
-		  (uint32_t)g_sequence_iter_get_position(outcome->queue_place) /
-		  slots;
+	position = (uint32_t)g_sequence_iter_get_position(outcome->queue_place);
+	wait_us = (uint64_t)service->service_time_us * (position + 1) / slots;
 	return outcome->arrived_us + wait_us + service->service_time_us >
 	       outcome->deadline_us;
 }
--- a/src/core/entry_attempt.c
+++ b/src/core/entry_attempt.c
@@ -100,7 +100,7 @@
 		if (!best || candidate->wait_us < best->wait_us)
 			best = candidate;
 	}
-	if (!flight_left_us(flight))
+	if (!best || !flight_left_us(flight))
 		return true;
 	/* An old estimate is put to the test instead of being believed. */
 	return best->upstream->sampled_us + SERVICE_TIME_FRESH_MS * 1000ull >
--- a/src/core/entry_flight.c
+++ b/src/core/entry_flight.c
@@ -181,7 +181,8 @@
 	enum result result = attempt_pick(flight, reason, &chosen);
 
 	if (result) {
-		flight_fail(flight, result);
+		/* The first cause says more than that no other is left. */
+		flight_fail(flight, flight->last ? flight->last : result);
 		return;
 	}
 	if (flight_needs_claim(flight)) {
@@ -198,6 +199,7 @@
 {
 	struct service *service = flight->service;
 
+	flight->last = result;
 	if (flight->attempts->len)
 		return;
 	if (flight->answered ||
--- a/src/core/entry_flight.h
+++ b/src/core/entry_flight.h
@@ -57,6 +57,7 @@
 	GPtrArray *attempts; /* struct attempt *, owned, open ones only */
 	GArray *tried; /* uint64_t, node_ids of agents it was sent to */
 	uint32_t nr_sent;
+	enum result last; /* why the latest attempt ended, RESULT_OK if none */
 	bool may_have_run; /* an attempt ended without proof */
 	bool answered; /* only waits for an outcome to record */
 	struct flight_claim claim;
--- a/tests/bench_route.c
+++ b/tests/bench_route.c
@@ -19,9 +19,9 @@
 #define LOSS_PPM 20000 /* share of messages that stall, each way */
 #define STALL_US 200000
 #define LOAD_PPM 600000 /* of all slots at the usual service time */
-#define DEADLINE_MS 10000
-#define WARM_UP_MS 5000
-#define MEASURED_MS 15000
+#define DEADLINE_MS 10000u
+#define WARM_UP_MS 5000u
+#define MEASURED_MS 15000ull
 
 struct variant {
 	const char *policy;
@@ -102,6 +102,7 @@
 {
 	struct outcome_counts counts = { 0 };
 	GArray *times = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	uint64_t nr_below;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
 		struct bed_opts opts = {
@@ -123,16 +124,17 @@
 			submit_one(bed, rand, variant->repeatable);
 		first = bed->answers->len;
 		while (vhost_now_us(bed->vhost) <
-		       start_us + (WARM_UP_MS + MEASURED_MS) * 1000ull)
+		       start_us + (WARM_UP_MS + MEASURED_MS) * 1000)
 			submit_one(bed, rand, variant->repeatable);
-		vhost_run_ms(bed->vhost, 2 * DEADLINE_MS);
+		vhost_run_ms(bed->vhost, 2ull * DEADLINE_MS);
 		measure(bed, first, bed->answers->len, times, &counts);
 		bed_free(bed);
 		g_rand_free(rand);
 	}
 	g_array_sort(times, compare_u64);
+	nr_below = times->len / 100 * 99;
 	counts.p50_us = g_array_index(times, uint64_t, times->len / 2);
-	counts.p99_us = g_array_index(times, uint64_t, times->len / 100 * 99);
+	counts.p99_us = g_array_index(times, uint64_t, nr_below);
 	counts.max_us = g_array_index(times, uint64_t, times->len - 1);
 	g_array_unref(times);
 	return counts;
--- a/tests/reqbed.c
+++ b/tests/reqbed.c
@@ -5,7 +5,7 @@
 #include "msg_control.h"
 #include "schema.h"
 
-#define BED_ANNOUNCE_MS 1000
+#define BED_ANNOUNCE_US 1000000u
 
 struct bed_call {
 	struct bed_agent *agent;
@@ -33,9 +33,6 @@
 	call->done = true;
 	if (call->mode != BED_REFUSE)
 		agent->in_flight--;
-	if (!agent->agent ||
-	    vhost_node(agent->machine)->self.node_id != call->agent_node)
-		return;
 	body = g_strconcat("response to ", call->path, NULL);
 	result.connected = call->mode != BED_REFUSE;
 	result.complete = !call->cancelled &&
@@ -116,8 +113,7 @@
 	struct platform_announce announce = { 0 };
 
 	/* The timer of an earlier incarnation died with it. */
-	vhost_after(agent->machine, BED_ANNOUNCE_MS * 1000, bed_announce,
-		    agent);
+	vhost_after(agent->machine, BED_ANNOUNCE_US, bed_announce, agent);
 	if (agent->silent)
 		return;
 	TEXT_SET(announce.id, "executor");
@@ -181,7 +177,7 @@
 		claim->state = CLAIM_HELD;
 		g_hash_table_replace(bed->claims, g_strdup(key), claim);
 		reply.result = RESULT_OK;
-	} else if (strcmp(claim->digest, query->claim.digest)) {
+	} else if (strcmp(claim->digest, query->claim.digest) != 0) {
 		reply.result = RESULT_CONFLICT;
 	} else {
 		reply.result = RESULT_IN_PROGRESS;
@@ -254,6 +250,8 @@
 	opts.host = &bed_agent_ops;
 	opts.host_ctx = agent;
 	agent->agent = agent_new(node, &opts);
+	/* Calls under way at the upstream ended with the old connection. */
+	agent->in_flight = 0;
 	fake_site_bundle(node, bed->opts.route_policy);
 	vhost_start(agent->machine);
 	bed_announce(agent);
@@ -329,7 +327,7 @@
 			vhost_add(bed->vhost, "entry", "veraval", "");
 		bed_boot_entry(bed, i);
 	}
-	vhost_run_ms(bed->vhost, 1000);
+	vhost_run_ms(bed->vhost, BED_WARM_UP_MS);
 	return bed;
 }
 
@@ -378,6 +376,42 @@
 	return g_ptr_array_index(bed->answers, ticket);
 }
 
+bool bed_is_done(const struct bed *bed, uint64_t ticket, const char *path)
+{
+	const struct bed_answer *answer = bed_answer(bed, ticket);
+	char *text = g_strconcat("response to ", path, NULL);
+	bool done = answer->nr == 1 && answer->run == RUN_DONE &&
+		    answer->status == 200 && !g_strcmp0(answer->body, text);
+
+	g_free(text);
+	return done;
+}
+
+bool bed_is_refused(const struct bed *bed, uint64_t ticket, enum result result)
+{
+	const struct bed_answer *answer = bed_answer(bed, ticket);
+
+	return answer->nr == 1 && answer->run == RUN_NOT_RUN &&
+	       answer->result == result;
+}
+
+bool bed_is_idle(const struct bed *bed)
+{
+	for (uint32_t i = 0; i < bed->opts.nr_entries; i++) {
+		const struct node *node = vhost_node(bed->entries[i].machine);
+
+		if (node && !node_idle(node))
+			return false;
+	}
+	for (uint32_t i = 0; i < bed->opts.nr_agents; i++) {
+		const struct node *node = vhost_node(bed->agents[i].machine);
+
+		if (node && (!node_idle(node) || bed->agents[i].in_flight))
+			return false;
+	}
+	return true;
+}
+
 uint32_t bed_runs(const struct bed *bed, const char *path)
 {
 	return (uint32_t)(uintptr_t)g_hash_table_lookup(bed->runs, path);
--- a/tests/reqbed.h
+++ b/tests/reqbed.h
@@ -15,6 +15,7 @@
 #include "vhost.h"
 
 #define BED_MAX 16
+#define BED_WARM_UP_MS 1000 /* until all links are up */
 #define BED_SERVICE "loft repair desk"
 
 /** What an upstream does with a call. */
@@ -100,6 +101,12 @@
 uint64_t bed_submit(struct bed *bed, uint32_t entry,
 		    const struct request *request);
 const struct bed_answer *bed_answer(const struct bed *bed, uint64_t ticket);
+/** Returns true if the caller got the whole response to its path, once. */
+bool bed_is_done(const struct bed *bed, uint64_t ticket, const char *path);
+/** Returns true if the caller was told once that the work did not run. */
+bool bed_is_refused(const struct bed *bed, uint64_t ticket, enum result result);
+/** Returns true if no entry, agent or upstream has anything under way. */
+bool bed_is_idle(const struct bed *bed);
 /** Returns how often the work of that path was begun at any upstream. */
 uint32_t bed_runs(const struct bed *bed, const char *path);
 /** Returns the sum of a counter over all running entries. */
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -25,18 +25,6 @@
 	GArray *items; /* struct load_item */
 };
 
-static void check_done(const struct bed *bed, uint64_t ticket, const char *path)
-{
-	const struct bed_answer *answer = bed_answer(bed, ticket);
-	char text[PATH_BYTES];
-
-	g_snprintf(text, sizeof(text), "response to %s", path);
-	ck_assert_uint_eq(answer->nr, 1);
-	ck_assert_uint_eq(answer->run, RUN_DONE);
-	ck_assert_uint_eq(answer->status, 200);
-	ck_assert_str_eq(answer->body, text);
-}
-
 /* A third each: repeatable, once without a key, once with a key. */
 static void load_submit(struct mixed_load *load)
 {
@@ -81,7 +69,9 @@
 		ck_assert_msg(answer->nr == 1, "%s answered %u times",
 			      item->path, answer->nr);
 		if (answer->run == RUN_DONE)
-			check_done(load->bed, item->ticket, item->path);
+			ck_assert_msg(bed_is_done(load->bed, item->ticket,
+						  item->path),
+				      "%s got another response", item->path);
 		else
 			ck_assert(answer->result != RESULT_OK);
 		ck_assert_msg(answer->run != RUN_NOT_RUN || !nr_runs,
@@ -111,18 +101,6 @@
 	return nr;
 }
 
-static void check_idle(const struct bed *bed)
-{
-	for (uint32_t i = 0; i < bed->opts.nr_entries; i++)
-		if (vhost_node(bed->entries[i].machine))
-			ck_assert(
-				node_idle(vhost_node(bed->entries[i].machine)));
-	for (uint32_t i = 0; i < bed->opts.nr_agents; i++)
-		if (vhost_node(bed->agents[i].machine))
-			ck_assert(
-				node_idle(vhost_node(bed->agents[i].machine)));
-}
-
 /* ---- failures under load ---- */
 
 static void fault_none(struct bed *bed)
@@ -328,7 +306,7 @@
 	load_run_ms(&load, 400);
 	vhost_run_ms(load.bed->vhost, 60000);
 	load_check_truth(&load);
-	check_idle(load.bed);
+	ck_assert(bed_is_idle(load.bed));
 	for (uint32_t i = 0; i < opts.nr_agents; i++)
 		ck_assert_uint_le(load.bed->agents[i].max_in_flight, 8);
 	nr_done = load_count(&load, true, RUN_DONE) +
@@ -344,6 +322,485 @@
 }
 END_TEST
 
+/* ---- single requests ---- */
+
+static struct bed *small_bed(uint64_t seed, uint32_t nr_agents)
+{
+	struct bed_opts opts = {
+		.seed = seed,
+		.nr_agents = nr_agents,
+		.nr_entries = 2,
+		.service_us = 50000,
+		.control = true,
+	};
+
+	return bed_new(&opts);
+}
+
+static uint64_t submit(struct bed *bed, uint32_t entry, const char *path,
+		       bool repeatable, uint32_t deadline_ms)
+{
+	struct request request = bed_request(path, repeatable, "", deadline_ms);
+
+	return bed_submit(bed, entry, &request);
+}
+
+/* The upstream that runs the only request of the bed, or NULL. */
+static struct bed_agent *busy_agent(struct bed *bed)
+{
+	for (uint32_t i = 0; i < bed->opts.nr_agents; i++)
+		if (bed->agents[i].in_flight)
+			return &bed->agents[i];
+	return NULL;
+}
+
+struct refusal_case {
+	const char *name;
+	void (*fault)(struct bed *bed);
+	uint32_t deadline_ms;
+	bool repeatable;
+	enum result result; /* RESULT_OK: it is served */
+};
+
+static void fault_no_permits(struct bed *bed)
+{
+	for (uint32_t i = 0; i < bed->opts.nr_agents; i++)
+		fake_task_permit(vhost_node(bed->agents[i].machine), false);
+}
+
+static void fault_all_zones_out(struct bed *bed)
+{
+	for (uint32_t i = 0; i < bed->opts.nr_agents; i++)
+		fake_task_zone_out(vhost_node(bed->agents[i].machine), true);
+}
+
+static void fault_all_leave(struct bed *bed)
+{
+	for (uint32_t i = 0; i < bed->opts.nr_agents; i++)
+		bed->agents[i].leaving = true;
+	vhost_run_ms(bed->vhost, 2000);
+}
+
+static void fault_all_refuse(struct bed *bed)
+{
+	for (uint32_t i = 0; i < bed->opts.nr_agents; i++)
+		bed->agents[i].mode = BED_REFUSE;
+}
+
+static void fault_entry_leaves(struct bed *bed)
+{
+	vhost_shutdown(bed->entries[0].machine);
+}
+
+static void fault_new_entry(struct bed *bed)
+{
+	vhost_kill(bed->entries[0].machine);
+	bed_boot_entry(bed, 0);
+}
+
+static const struct refusal_case refusal_cases[] = {
+	{ "none", fault_none, 1000, false, RESULT_OK },
+	{ "no permit, once", fault_no_permits, 1000, false, RESULT_NO_PERMIT },
+	{ "no permit, repeatable", fault_no_permits, 1000, true, RESULT_OK },
+	{ "zone out, once", fault_all_zones_out, 1000, false, RESULT_ZONE_OUT },
+	{ "zone out, repeatable", fault_all_zones_out, 1000, true,
+	  RESULT_ZONE_OUT },
+	{ "all upstreams leave", fault_all_leave, 1000, true,
+	  RESULT_NO_UPSTREAM },
+	{ "no connection", fault_all_refuse, 1000, false,
+	  RESULT_UPSTREAM_FAILED },
+	{ "entry shuts down", fault_entry_leaves, 1000, true, RESULT_LEAVING },
+	{ "entry just started", fault_new_entry, 1000, true,
+	  RESULT_NO_UPSTREAM },
+};
+
+/* Guards against a refused request that runs, now or later. */
+START_TEST(test_refusals)
+{
+	const struct refusal_case *refusal = &refusal_cases[_i];
+	struct bed *bed = small_bed(100 + (uint64_t)_i, 2);
+	uint64_t ticket;
+
+	refusal->fault(bed);
+	ticket = submit(bed, 0, "/boat", refusal->repeatable,
+			refusal->deadline_ms);
+	vhost_run_ms(bed->vhost, 30000);
+	if (refusal->result == RESULT_OK) {
+		ck_assert(bed_is_done(bed, ticket, "/boat"));
+		ck_assert_uint_eq(bed_runs(bed, "/boat"), 1);
+	} else {
+		const struct bed_answer *answer = bed_answer(bed, ticket);
+
+		ck_assert_msg(bed_is_refused(bed, ticket, refusal->result),
+			      "%s: answered %u times, run %u, %s",
+			      refusal->name, answer->nr, answer->run,
+			      result_name(answer->result));
+		ck_assert_uint_eq(bed_runs(bed, "/boat"), 0);
+	}
+	bed_free(bed);
+}
+END_TEST
+
+struct leave_case {
+	const char *name;
+	void (*fault)(struct bed *bed);
+	uint32_t detect_ms; /* before the two seconds of the bound begin */
+};
+
+static const struct leave_case leave_cases[] = {
+	{ "upstream says so", fault_leave, 1000 /* next announcement */ },
+	{ "announcements stop", fault_fall_silent, UPSTREAM_ANNOUNCE_TTL_MS },
+	{ "agent shuts down", fault_shutdown_agent, 0 },
+	{ "zone goes out", fault_zone_out, 0 },
+	{ "agent is cut off", fault_cut, 0 },
+};
+
+/* Guards against new work for an upstream 2 s after it began to leave. */
+START_TEST(test_leaving_upstream_gets_nothing_new)
+{
+	const struct leave_case *leave = &leave_cases[_i];
+	struct bed_opts opts = {
+		.seed = 200 + (uint64_t)_i,
+		.nr_agents = 3,
+		.nr_entries = 2,
+		.service_us = 10000,
+		.control = true,
+	};
+	struct mixed_load load = { 0 };
+	uint32_t nr_calls;
+
+	load.bed = bed_new(&opts);
+	load.items = g_array_new(FALSE, FALSE, sizeof(struct load_item));
+	load_run_ms(&load, 500);
+	ck_assert_uint_gt(load.bed->agents[0].nr_calls, 0);
+	leave->fault(load.bed);
+	if (leave->fault == fault_cut)
+		vhost_cut(load.bed->entries[1].machine,
+			  load.bed->agents[0].machine, true);
+	load_run_ms(&load, leave->detect_ms + 2000);
+	nr_calls = load.bed->agents[0].nr_calls;
+	load_run_ms(&load, 3000);
+	ck_assert_uint_eq(load.bed->agents[0].nr_calls, nr_calls);
+	vhost_run_ms(load.bed->vhost, 10000);
+	load_check_truth(&load);
+	g_array_unref(load.items);
+	bed_free(load.bed);
+}
+END_TEST
+
+/* Guards against a shutdown that interrupts what is in progress. */
+START_TEST(test_graceful_shutdown)
+{
+	struct bed *bed = small_bed(300, 1);
+	bool agent_side = _i == 0;
+	struct vmachine *leaving = agent_side ? bed->agents[0].machine :
+						bed->entries[0].machine;
+	char path[32];
+
+	/* More than the slots, so that some are queued at the agent. */
+	for (uint32_t i = 0; i < 16; i++) {
+		g_snprintf(path, sizeof(path), "/boat/%u", i);
+		submit(bed, i % 2, path, i % 3 == 0, 5000);
+	}
+	vhost_run_ms(bed->vhost, 10);
+	ck_assert_uint_eq(bed->agents[0].in_flight, 8);
+	vhost_shutdown(leaving);
+	ck_assert(!node_idle(vhost_node(leaving)));
+	submit(bed, 0, "/late", true, 1000);
+	vhost_run_ms(bed->vhost, 500);
+	ck_assert(node_idle(vhost_node(leaving)));
+	for (uint32_t i = 0; i < 16; i++) {
+		g_snprintf(path, sizeof(path), "/boat/%u", i);
+		ck_assert_msg(bed_is_done(bed, i, path), "%s", path);
+	}
+	ck_assert_uint_eq(bed_answer(bed, 16)->run, RUN_NOT_RUN);
+	ck_assert_uint_eq(bed_runs(bed, "/late"), 0);
+	ck_assert_uint_eq(bed->agents[0].nr_cancelled, 0);
+	bed_free(bed);
+}
+END_TEST
+
+/* Guards against a lost connection that loses or repeats what it carried. */
+START_TEST(test_replaced_link)
+{
+	struct bed *bed = small_bed(400 + (uint64_t)_i, 1);
+	struct vmachine *entry = bed->entries[0].machine;
+	struct vmachine *agent = bed->agents[0].machine;
+	/* Lost on the way there, while it runs, and on the way back. */
+	static const uint32_t lost_at_ms[] = { 0, 10, 51 };
+	uint64_t ticket = submit(bed, 0, "/boat", false, 5000);
+
+	vhost_run_ms(bed->vhost, lost_at_ms[_i]);
+	vhost_silence(entry, agent);
+	vhost_run_ms(bed->vhost, 4000);
+	ck_assert_uint_ge(vhost_log_count(bed->vhost, "link-replaced"), 1);
+	ck_assert(bed_is_done(bed, ticket, "/boat"));
+	ck_assert_uint_eq(bed_runs(bed, "/boat"), 1);
+	bed_free(bed);
+}
+END_TEST
+
+/* Guards against a dead agent's request that is run again or said not run. */
+START_TEST(test_agent_dies_with_request)
+{
+	struct bed *bed = small_bed(500 + (uint64_t)_i, 2);
+	bool repeatable = _i % 2;
+	bool reboot = _i / 2;
+	uint64_t ticket = submit(bed, 0, "/boat", repeatable, 5000);
+	struct bed_agent *busy;
+
+	vhost_run_ms(bed->vhost, 10);
+	busy = busy_agent(bed);
+	ck_assert_ptr_nonnull(busy);
+	vhost_kill(busy->machine);
+	busy->agent = NULL;
+	if (reboot)
+		bed_boot_agent(bed, (uint32_t)(busy - bed->agents));
+	vhost_run_ms(bed->vhost, 10000);
+	if (repeatable) {
+		ck_assert(bed_is_done(bed, ticket, "/boat"));
+		ck_assert_uint_eq(bed_runs(bed, "/boat"), 2);
+	} else {
+		ck_assert_uint_eq(bed_answer(bed, ticket)->nr, 1);
+		ck_assert_uint_eq(bed_answer(bed, ticket)->run, RUN_UNKNOWN);
+		ck_assert_uint_eq(bed_runs(bed, "/boat"), 1);
+	}
+	bed_free(bed);
+}
+END_TEST
+
+/* Guards against work and memory left behind by a caller who has gone. */
+START_TEST(test_abandoned_request)
+{
+	struct bed *bed = small_bed(600 + (uint64_t)_i, 1);
+	bool repeatable = _i == 0;
+	uint64_t ticket;
+
+	for (uint32_t i = 0; i < 8; i++)
+		submit(bed, 1, "/other", true, 5000);
+	vhost_run_ms(bed->vhost, 10);
+	ticket = submit(bed, 0, "/queued", repeatable, 5000);
+	vhost_run_ms(bed->vhost, 10);
+	entry_abandon(bed->entries[0].entry, ticket);
+	vhost_run_ms(bed->vhost, 50);
+	ticket = submit(bed, 0, "/boat", repeatable, 5000);
+	vhost_run_ms(bed->vhost, 10);
+	entry_abandon(bed->entries[0].entry, ticket);
+	/* Neither a repeated nor an unknown ticket may do harm. */
+	entry_abandon(bed->entries[0].entry, ticket);
+	vhost_run_ms(bed->vhost, 10);
+	ck_assert_uint_eq(bed->agents[0].nr_cancelled, repeatable);
+	vhost_run_ms(bed->vhost, 1000);
+	ck_assert_uint_eq(bed_answer(bed, ticket)->nr, 0);
+	ck_assert_uint_eq(bed_runs(bed, "/queued"), 0);
+	ck_assert_uint_eq(bed_runs(bed, "/boat"), 1);
+	ck_assert(bed_is_idle(bed));
+	bed_free(bed);
+}
+END_TEST
+
+struct deadline_case {
+	const char *name;
+	uint32_t nr_ahead;
+	uint32_t deadline_ms;
+	bool repeatable;
+	enum run_state run;
+	uint32_t nr_runs;
+	uint32_t nr_cancelled;
+};
+
+static const struct deadline_case deadline_cases[] = {
+	{ "enough time", 0, 1000, true, RUN_DONE, 1, 0 },
+	{ "too little time from the start", 0, 20, true, RUN_NOT_RUN, 0, 0 },
+	{ "too little time in the queue", 1, 80, true, RUN_NOT_RUN, 0, 0 },
+};
+
+/* Guards against late work for a caller who has been told "not run". */
+START_TEST(test_deadlines)
+{
+	const struct deadline_case *deadline = &deadline_cases[_i];
+	struct bed *bed = small_bed(700 + (uint64_t)_i, 1);
+	const struct bed_answer *answer;
+	uint64_t ticket;
+
+	/* Teaches both sides the service time. */
+	submit(bed, 0, "/first", true, 1000);
+	vhost_run_ms(bed->vhost, 200);
+	bed->agents[0].slots = 1;
+	vhost_run_ms(bed->vhost, 1500);
+	/* The other entry's requests come first. */
+	for (uint32_t i = 0; i < deadline->nr_ahead; i++)
+		submit(bed, 1, "/ahead", true, 1000);
+	vhost_run_ms(bed->vhost, 2);
+	ticket = submit(bed, 0, "/boat", deadline->repeatable,
+			deadline->deadline_ms);
+	vhost_run_ms(bed->vhost, 5000);
+	answer = bed_answer(bed, ticket);
+	ck_assert_uint_eq(answer->nr, 1);
+	ck_assert_msg(answer->run == deadline->run, "%s: run %u, %s",
+		      deadline->name, answer->run, result_name(answer->result));
+	ck_assert_uint_le(answer->answered_us - answer->submitted_us,
+			  deadline->deadline_ms * 1000ull);
+	ck_assert_uint_eq(bed_runs(bed, "/boat"), deadline->nr_runs);
+	ck_assert(bed_is_idle(bed));
+	bed_free(bed);
+}
+END_TEST
+
+/* Guards against a run that outlives its caller's deadline without bound. */
+START_TEST(test_overrun)
+{
+	struct bed *bed = small_bed(750, 1);
+	bool repeatable = _i == 0;
+	uint64_t ticket;
+
+	bed->agents[0].slow_ppm = 2000000000;
+	ticket = submit(bed, 0, "/boat", repeatable, 500);
+	vhost_run_ms(bed->vhost, 600);
+	ck_assert_uint_eq(bed_answer(bed, ticket)->nr, 1);
+	ck_assert_uint_eq(bed_answer(bed, ticket)->run, RUN_UNKNOWN);
+	ck_assert_uint_eq(bed->agents[0].nr_cancelled, repeatable);
+	vhost_run_ms(bed->vhost, ADMIT_OVERRUN_MS + 1000);
+	ck_assert_uint_eq(bed->agents[0].nr_cancelled, 1);
+	ck_assert_uint_eq(bed_answer(bed, ticket)->nr, 1);
+	ck_assert(bed_is_idle(bed));
+	bed_free(bed);
+}
+END_TEST
+
+/* Guards against overload that passes the limits of upstream or entry. */
+START_TEST(test_overload)
+{
+	struct bed *bed = small_bed(800, 2);
+	uint32_t nr_refused = 0;
+	uint32_t nr_done = 0;
+
+	/* One upstream is bound by its connections and not by its slots. */
+	bed->agents[1].connections = 3;
+	vhost_run_ms(bed->vhost, 1500);
+	for (uint32_t i = 0; i < 2000; i++) {
+		submit(bed, i % 2, "/boat", i % 4 != 0, 1000);
+		vhost_run_ms(bed->vhost, 1);
+	}
+	vhost_run_ms(bed->vhost, 5000);
+	for (uint32_t i = 0; i < 2000; i++) {
+		const struct bed_answer *answer = bed_answer(bed, i);
+
+		ck_assert_uint_eq(answer->nr, 1);
+		nr_done += answer->run == RUN_DONE;
+		nr_refused += answer->run == RUN_NOT_RUN;
+	}
+	ck_assert_uint_eq(nr_done + nr_refused, 2000);
+	/* 11 slots at 50 ms carry 220 requests per second. */
+	ck_assert_uint_ge(nr_done, 400);
+	ck_assert_uint_le(bed->agents[0].max_in_flight, 8);
+	ck_assert_uint_le(bed->agents[1].max_in_flight, 3);
+	ck_assert_uint_eq(bed_runs(bed, "/boat"), nr_done);
+	bed_free(bed);
+}
+END_TEST
+
+/* Guards against an upstream that fails everything and still gets its share. */
+START_TEST(test_ejection)
+{
+	/* How many of six upstreams fail, and how many may be ejected. */
+	static const uint32_t nr_bad[] = { 1, 2, 6 };
+	static const uint32_t nr_ejected[] = { 1, 2, 2 };
+	struct bed_opts opts = {
+		.seed = 900 + (uint64_t)_i,
+		.nr_agents = 6,
+		.nr_entries = 1,
+		.service_us = 10000,
+	};
+	struct bed *bed = bed_new(&opts);
+	uint32_t nr_bad_calls = 0;
+
+	for (uint32_t i = 0; i < nr_bad[_i]; i++)
+		bed->agents[i].mode = BED_FAIL;
+	for (uint32_t i = 0; i < 1000; i++) {
+		submit(bed, 0, "/boat", false, 1000);
+		vhost_run_ms(bed->vhost, 1);
+	}
+	ck_assert_uint_eq(bed_entry_counter(bed, "entry_ejections"),
+			  nr_ejected[_i]);
+	for (uint32_t i = 0; i < nr_ejected[_i]; i++)
+		nr_bad_calls += bed->agents[i].nr_calls;
+	if (nr_bad[_i] < 6)
+		ck_assert_uint_le(nr_bad_calls, 20 * nr_bad[_i]);
+	/* Back after the ejection, slowly, and in use again. */
+	for (uint32_t i = 0; i < 6; i++)
+		bed->agents[i].mode = BED_SERVE;
+	vhost_run_ms(bed->vhost, EJECT_BASE_MS + SLOW_START_MS);
+	nr_bad_calls = bed->agents[0].nr_calls;
+	for (uint32_t i = 0; i < 1000; i++) {
+		submit(bed, 0, "/boat", false, 1000);
+		vhost_run_ms(bed->vhost, 1);
+	}
+	ck_assert_uint_ge(bed->agents[0].nr_calls - nr_bad_calls, 50);
+	bed_free(bed);
+}
+END_TEST
+
+/* Guards against retries that multiply the load on a failing service. */
+START_TEST(test_retry_budget)
+{
+	struct bed *bed = small_bed(1000, 2);
+	uint32_t nr_calls;
+
+	bed->agents[0].mode = BED_BREAK;
+	bed->agents[1].mode = BED_BREAK;
+	for (uint32_t i = 0; i < 1000; i++) {
+		submit(bed, 0, "/boat", true, 1000);
+		vhost_run_ms(bed->vhost, 10);
+	}
+	vhost_run_ms(bed->vhost, 2000);
+	nr_calls = bed->agents[0].nr_calls + bed->agents[1].nr_calls;
+	ck_assert_uint_gt(nr_calls, 1000);
+	ck_assert_uint_le(nr_calls, 1000 + 100 + RETRY_BURST);
+	bed_free(bed);
+}
+END_TEST
+
+/* Guards against slow single runs that decide the tail, and against hedges of
+ * what must not run twice or beyond their budget. */
+START_TEST(test_hedging)
+{
+	bool repeatable = _i == 0;
+	struct bed *bed = small_bed(1100, 3);
+	uint32_t nr_slow = 0;
+
+	for (uint32_t i = 0; i < 1000; i++) {
+		/* Every fiftieth run takes a second, once p95 is known. */
+		for (uint32_t k = 0; k < 3; k++)
+			bed->agents[k].slow_ppm =
+				i % 50 == 24 && i >= 100 ? 20000000 : 1000000;
+		submit(bed, 0, "/boat", repeatable, 5000);
+		vhost_run_ms(bed->vhost, 5);
+	}
+	vhost_run_ms(bed->vhost, 5000);
+	for (uint32_t i = 0; i < 1000; i++) {
+		const struct bed_answer *answer = bed_answer(bed, i);
+
+		ck_assert(bed_is_done(bed, i, "/boat"));
+		if (answer->answered_us - answer->submitted_us > 500000)
+			nr_slow++;
+	}
+	ck_assert_uint_le(bed_entry_counter(bed, "entry_hedges"),
+			  1000 / 20 + HEDGE_BURST);
+	if (repeatable) {
+		ck_assert_uint_eq(nr_slow, 0);
+		ck_assert_uint_ge(bed_entry_counter(bed, "entry_hedges"), 18);
+		ck_assert(bed_is_idle(bed));
+	} else {
+		ck_assert_uint_eq(nr_slow, 18);
+		ck_assert_uint_eq(bed_runs(bed, "/boat"), 1000);
+	}
+	bed_free(bed);
+}
+END_TEST
+
+#define LOOP(test, nr) tcase_add_loop_test(tcase, test, 0, nr)
+
 int main(void)
 {
 	Suite *suite = suite_create("request");
@@ -352,8 +809,19 @@
 	int failed;
 
 	tcase_set_timeout(tcase, 100);
-	tcase_add_loop_test(tcase, test_answers_tell_the_truth, 0,
-			    G_N_ELEMENTS(fault_cases));
+	LOOP(test_answers_tell_the_truth, G_N_ELEMENTS(fault_cases));
+	LOOP(test_refusals, G_N_ELEMENTS(refusal_cases));
+	LOOP(test_leaving_upstream_gets_nothing_new, G_N_ELEMENTS(leave_cases));
+	LOOP(test_graceful_shutdown, 2);
+	LOOP(test_replaced_link, 3);
+	LOOP(test_agent_dies_with_request, 4);
+	LOOP(test_abandoned_request, 2);
+	LOOP(test_deadlines, G_N_ELEMENTS(deadline_cases));
+	LOOP(test_overrun, 2);
+	tcase_add_test(tcase, test_overload);
+	LOOP(test_ejection, 3);
+	tcase_add_test(tcase, test_retry_budget);
+	LOOP(test_hedging, 2);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
