Test resends of claimed requests through other entries

Ten racing resends of one request refused each other at the agents until some were told "not run", although the work ran for another resend. A query about another entry's request now waits 250 ms for it to arrive before the agent refuses it for good, and a flight that met another dispatch of its request ends as unknown instead of "not run".

--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -505,8 +505,10 @@
 	if (!outcome && (!query->refuse ||
 			 outcome_table_may_have_forgotten(admit->runs, &id,
 							  query->repeatable))) {
+		/* The code tells whether it can still arrive. */
 		admit_tell_missing(admit, &asker, RUN_UNKNOWN,
-				   RESULT_OUTCOME_UNKNOWN);
+				   query->refuse ? RESULT_OUTCOME_UNKNOWN :
+						   RESULT_UNKNOWN_OBJECT);
 		return;
 	}
 	if (!outcome) {
--- a/src/core/entry_attempt.c
+++ b/src/core/entry_attempt.c
@@ -154,6 +154,16 @@
 	flight_retry(flight, RESULT_OUTCOME_UNKNOWN);
 }
 
+/* The other dispatch had its time; now it is refused if it isn't there. */
+static void attempt_arrival_due(void *data, uint64_t now_us)
+{
+	struct attempt *attempt = data;
+
+	(void)now_us;
+	attempt->patient = false;
+	attempt_ask(attempt);
+}
+
 static struct attempt *attempt_new(struct flight *flight, uint64_t agent_node,
 				   uint64_t request_nr)
 {
@@ -168,6 +178,8 @@
 	attempt->origin_nr = request_nr;
 	attempt->lost.fn = attempt_lost_due;
 	attempt->lost.data = attempt;
+	attempt->arrival.fn = attempt_arrival_due;
+	attempt->arrival.data = attempt;
 	g_ptr_array_add(flight->attempts, attempt);
 	g_hash_table_insert(flight->entry->attempts, &attempt->request_nr,
 			    attempt);
@@ -263,6 +275,7 @@
 	attempt->origin_node = claim->entry_node;
 	attempt->origin_nr = claim->request_nr;
 	attempt->asked = true;
+	attempt->patient = true;
 	if (attempt_agent_is_up(flight, claim->agent_node))
 		attempt_ask(attempt);
 	else
@@ -306,6 +319,7 @@
 		}
 	}
 	timer_cancel(entry->node->timers, &attempt->lost);
+	timer_cancel(entry->node->timers, &attempt->arrival);
 	g_hash_table_remove(entry->attempts, &attempt->request_nr);
 	g_ptr_array_remove(flight->attempts, attempt);
 }
@@ -332,12 +346,18 @@
 	TEXT_SET(query.service, flight->service->name);
 	TEXT_SET(query.key, flight->request->key);
 	query.repeatable = flight->request->repeatable;
-	query.refuse = true;
+	query.refuse = !attempt->patient;
 	attempt->asked = true;
 	timer_cancel(node->timers, &attempt->lost);
 	node_send(node, attempt->agent_node, MSG_OUTCOME_QUERY, &query);
 }
 
+void attempt_not_arrived(struct attempt *attempt)
+{
+	node_timer_ms(attempt->flight->entry->node, &attempt->arrival,
+		      CLAIM_ARRIVAL_MS);
+}
+
 void attempt_peer_lost(struct attempt *attempt)
 {
 	struct flight *flight = attempt->flight;
@@ -348,6 +368,7 @@
 		 * removed with the link, and the count of attempts with it.
 		 */
 		attempt->counted = false;
+		timer_cancel(flight->entry->node->timers, &attempt->arrival);
 		node_timer_ms(flight->entry->node, &attempt->lost,
 			      PEER_RETURN_MS);
 		return;
--- a/src/core/entry_claim.c
+++ b/src/core/entry_claim.c
@@ -81,6 +81,7 @@
 
 	counter_add(flight->entry->node->counters, "entry_claims_found", 1);
 	flight->may_have_run = true;
+	flight->claim.shared = true;
 	if (claim->state == CLAIM_COMPLETE && claim->body_kept) {
 		response.run = RUN_DONE;
 		response.result = RESULT_OK;
--- a/src/core/entry_flight.c
+++ b/src/core/entry_flight.c
@@ -124,6 +124,7 @@
 			g_ptr_array_index(flight->attempts, i);
 
 		timer_cancel(timers, &attempt->lost);
+		timer_cancel(timers, &attempt->arrival);
 	}
 	timer_cancel(timers, &flight->deadline);
 	timer_cancel(timers, &flight->hedge);
@@ -159,7 +160,9 @@
 {
 	struct response response = { 0 };
 
-	response.run = flight->may_have_run ? RUN_UNKNOWN : RUN_NOT_RUN;
+	response.run = flight->may_have_run || flight->claim.shared ?
+			       RUN_UNKNOWN :
+			       RUN_NOT_RUN;
 	response.result = result;
 	flight_answer(flight, &response);
 }
@@ -249,8 +252,12 @@
 		break;
 	case RUN_NOT_RUN:
 		attempt_end(attempt, end_of_refusal(response->result), NULL);
-		if (flight_needs_claim(flight))
+		if (flight_needs_claim(flight)) {
 			flight->may_have_run = false;
+			/* Refused by an entry whose caller sent it as well. */
+			if (response->result == RESULT_CANCELLED)
+				flight->claim.shared = true;
+		}
 		flight_retry(flight, response->result);
 		break;
 	case RUN_QUEUED:
@@ -258,6 +265,11 @@
 		/* The response follows when the run ends. */
 		break;
 	default:
+		if (attempt->patient &&
+		    response->result == RESULT_UNKNOWN_OBJECT) {
+			attempt_not_arrived(attempt);
+			break;
+		}
 		flight->may_have_run = true;
 		attempt_end(attempt, UPSTREAM_END_FAILED, NULL);
 		flight_retry(flight, response->result);
--- a/src/core/entry_flight.h
+++ b/src/core/entry_flight.h
@@ -39,6 +39,7 @@
 struct flight_claim {
 	enum claim_step step;
 	uint32_t nr_asked; /* claims asked for, without repeats */
+	bool shared; /* another dispatch of the same request is about */
 	struct claim_record record; /* asked for, or as control has it */
 	struct timer repeat; /* asks again: the reply may have been lost */
 };
@@ -73,7 +74,9 @@
 	uint64_t origin_nr; /* that of the claim's holder, only asked about */
 	bool counted; /* among the upstream's open attempts */
 	bool asked; /* its outcome was queried, so its times tell nothing */
+	bool patient; /* a request that has not arrived isn't refused yet */
 	struct timer lost; /* runs while the agent is away */
+	struct timer arrival; /* runs while another's request may arrive */
 };
 
 /* ---- entry_flight.c ---- */
@@ -136,6 +139,9 @@
 /** Asks the agent what became of the attempt. */
 void attempt_ask(struct attempt *attempt);
 
+/** The agent has no record of a request that it was asked about patiently. */
+void attempt_not_arrived(struct attempt *attempt);
+
 /** The agent's connection was lost; an answer may come after it is back. */
 void attempt_peer_lost(struct attempt *attempt);
 
--- a/src/core/msg_request.h
+++ b/src/core/msg_request.h
@@ -71,7 +71,7 @@
  * Asks what became of a request. Answered by a response to the asking entry
  * under its own reply_nr: RUN_DONE with the whole response, RUN_QUEUED or
  * RUN_RUNNING (the response follows when the run ends), RUN_NOT_RUN, or
- * RUN_UNKNOWN.
+ * RUN_UNKNOWN, with RESULT_UNKNOWN_OBJECT if it may still arrive.
  */
 struct outcome_query {
 	uint64_t origin_node; /* entry that sent the request */
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -118,6 +118,9 @@
 /* How long an answered request's outcome is awaited, to record its response. */
 #define FLIGHT_LINGER_MS 30000
 #define CLAIM_REPEAT_MS 500 /* a claim query without a reply is sent again */
+/* How long another entry's request may take to arrive before it is refused for
+ * good: above one stall of a path that lost a packet. */
+#define CLAIM_ARRIVAL_MS 250
 /* How long a lost agent may take to come back and tell an outcome. */
 #define PEER_RETURN_MS 1000
 
--- /dev/null
+++ b/tests/test_claim.c
@@ -0,0 +1,312 @@
+/**
+ * @file test_claim.c
+ * Requests that must run once and carry a key: resends through any entry find
+ * the first run, whatever fails in between.
+ */
+
+#include <stdio.h>
+
+#include "reqbed.h"
+#include "suite.h"
+#include "tunables.h"
+
+#define PATH "/plan"
+#define RUN_MS 50
+
+/* One request and its resend through the other entry. */
+struct resend {
+	struct bed *bed;
+	struct request request;
+	uint64_t first;
+	uint64_t second;
+};
+
+struct resend_case {
+	const char *name;
+	/* When the fault strikes, after the first send; RUN_MS is the run. */
+	uint32_t fault_at_ms;
+	void (*fault)(struct resend *resend);
+	uint32_t resend_at_ms; /* after the fault */
+	enum run_state run; /* what the resend is told */
+	uint32_t nr_runs;
+};
+
+static struct bed_agent *busy_agent(struct bed *bed)
+{
+	for (uint32_t i = 0; i < bed->opts.nr_agents; i++)
+		if (bed->agents[i].in_flight)
+			return &bed->agents[i];
+	return NULL;
+}
+
+static void fault_none(struct resend *resend)
+{
+}
+
+static void fault_entry_dies(struct resend *resend)
+{
+	vhost_kill(resend->bed->entries[0].machine);
+}
+
+static void fault_agent_dies(struct resend *resend)
+{
+	struct bed_agent *agent = busy_agent(resend->bed);
+
+	ck_assert_ptr_nonnull(agent);
+	vhost_kill(agent->machine);
+	agent->agent = NULL;
+}
+
+static void fault_agent_restarts(struct resend *resend)
+{
+	struct bed_agent *agent = busy_agent(resend->bed);
+
+	fault_agent_dies(resend);
+	bed_boot_agent(resend->bed, (uint32_t)(agent - resend->bed->agents));
+}
+
+static void fault_all_agents_die(struct resend *resend)
+{
+	for (uint32_t i = 1; i < resend->bed->opts.nr_agents; i++) {
+		vhost_kill(resend->bed->agents[i].machine);
+		resend->bed->agents[i].agent = NULL;
+	}
+	vhost_kill(resend->bed->agents[0].machine);
+	bed_boot_agent(resend->bed, 0);
+	vhost_run_ms(resend->bed->vhost, 3000);
+}
+
+static void fault_silence(struct resend *resend)
+{
+	for (uint32_t i = 0; i < resend->bed->opts.nr_agents; i++)
+		vhost_silence(resend->bed->entries[0].machine,
+			      resend->bed->agents[i].machine);
+}
+
+static void fault_caller_leaves(struct resend *resend)
+{
+	entry_abandon(resend->bed->entries[0].entry, resend->first);
+}
+
+static void fault_control_mute(struct resend *resend)
+{
+	resend->bed->control_mute = true;
+}
+
+/* The claim is committed, but its entry dies before it dispatches. */
+static void fault_dies_with_claim(struct resend *resend)
+{
+	resend->bed->control_mute = false;
+	fault_entry_dies(resend);
+}
+
+static void fault_other_work(struct resend *resend)
+{
+	TEXT_SET(resend->request.path, "/other");
+}
+
+static const struct resend_case resend_cases[] = {
+	{ "resent at once", 0, fault_none, 0, RUN_DONE, 1 },
+	{ "resent while it runs", 20, fault_none, 0, RUN_DONE, 1 },
+	{ "resent after the response", 200, fault_none, 0, RUN_DONE, 1 },
+	{ "resent an hour later", 200, fault_none, 3600000, RUN_DONE, 1 },
+	{ "entry dies while it runs", 20, fault_entry_dies, 0, RUN_DONE, 1 },
+	{ "entry dies, resent after the run", 20, fault_entry_dies, 1000,
+	  RUN_DONE, 1 },
+	{ "entry dies after the response", 200, fault_entry_dies, 0, RUN_DONE,
+	  1 },
+	{ "agent dies while it runs", 20, fault_agent_dies, 0, RUN_UNKNOWN, 1 },
+	{ "agent restarts while it runs", 20, fault_agent_restarts, 1000,
+	  RUN_UNKNOWN, 1 },
+	{ "agents die after the response", 200, fault_all_agents_die, 0,
+	  RUN_DONE, 1 },
+	{ "connections go silent", 20, fault_silence, 0, RUN_DONE, 1 },
+	{ "caller leaves while it runs", 20, fault_caller_leaves, 100, RUN_DONE,
+	  1 },
+	{ "key comes back with other work", 20, fault_other_work, 0,
+	  RUN_NOT_RUN, 1 },
+};
+
+static void resend_start(struct resend *resend, uint64_t seed)
+{
+	struct bed_opts opts = {
+		.seed = seed,
+		.nr_agents = 3,
+		.nr_entries = 2,
+		.service_us = RUN_MS * 1000,
+		.control = true,
+	};
+
+	resend->bed = bed_new(&opts);
+	resend->request = bed_request(PATH, false, "order-7", 5000);
+}
+
+static void check_resend(const struct resend *resend, const char *name,
+			 enum run_state run)
+{
+	const struct bed_answer *answer =
+		bed_answer(resend->bed, resend->second);
+
+	ck_assert_msg(answer->nr == 1, "%s: answered %u times", name,
+		      answer->nr);
+	ck_assert_msg(answer->run == run, "%s: run %u, %s", name, answer->run,
+		      result_name(answer->result));
+	if (run == RUN_DONE)
+		ck_assert(bed_is_done(resend->bed, resend->second, PATH));
+	ck_assert(bed_is_idle(resend->bed));
+}
+
+/* Guards against a second run, or a lost response, of a resent request. */
+START_TEST(test_resend)
+{
+	const struct resend_case *resent = &resend_cases[_i];
+	struct resend resend = { 0 };
+	const struct bed_answer *first;
+
+	resend_start(&resend, 30 + (uint64_t)_i);
+	resend.first = bed_submit(resend.bed, 0, &resend.request);
+	vhost_run_ms(resend.bed->vhost, resent->fault_at_ms);
+	resent->fault(&resend);
+	vhost_run_ms(resend.bed->vhost, resent->resend_at_ms);
+	resend.second = bed_submit(resend.bed, 1, &resend.request);
+	vhost_run_ms(resend.bed->vhost, 60000);
+	check_resend(&resend, resent->name, resent->run);
+	ck_assert_uint_eq(bed_runs(resend.bed, PATH), resent->nr_runs);
+	ck_assert_uint_eq(bed_runs(resend.bed, "/other"), 0);
+	first = bed_answer(resend.bed, resend.first);
+	ck_assert_uint_le(first->nr, 1);
+	ck_assert(!first->nr || first->run != RUN_NOT_RUN);
+	bed_free(resend.bed);
+}
+END_TEST
+
+/* Guards against a claim without a dispatch that blocks its key for good. */
+START_TEST(test_claim_without_dispatch)
+{
+	struct resend resend = { 0 };
+
+	resend_start(&resend, 60);
+	fault_control_mute(&resend);
+	resend.first = bed_submit(resend.bed, 0, &resend.request);
+	vhost_run_ms(resend.bed->vhost, 100);
+	ck_assert_uint_eq(g_hash_table_size(resend.bed->claims), 1);
+	fault_dies_with_claim(&resend);
+	resend.second = bed_submit(resend.bed, 1, &resend.request);
+	vhost_run_ms(resend.bed->vhost, 5000);
+	check_resend(&resend, "claim without dispatch", RUN_DONE);
+	ck_assert_uint_eq(bed_runs(resend.bed, PATH), 1);
+	bed_free(resend.bed);
+}
+END_TEST
+
+/* Guards against a claim that stays with an agent that refused to run it. */
+START_TEST(test_claim_moves_after_refusal)
+{
+	struct resend resend = { 0 };
+
+	resend_start(&resend, 61);
+	/* All but one refuse; which one is asked first is up to the policy. */
+	resend.bed->agents[0].mode = BED_REFUSE;
+	fake_task_permit(vhost_node(resend.bed->agents[1].machine), false);
+	resend.second = bed_submit(resend.bed, 0, &resend.request);
+	vhost_run_ms(resend.bed->vhost, 5000);
+	check_resend(&resend, "moved claim", RUN_DONE);
+	ck_assert_uint_eq(bed_runs(resend.bed, PATH), 1);
+	ck_assert_uint_eq(resend.bed->agents[2].nr_calls, 1);
+	bed_free(resend.bed);
+}
+END_TEST
+
+/* Guards against a dispatch without a committed claim. */
+START_TEST(test_no_claim_without_control)
+{
+	struct resend resend = { 0 };
+	const struct bed_answer *answer;
+
+	resend_start(&resend, 62);
+	vhost_kill(resend.bed->control);
+	vhost_run_ms(resend.bed->vhost, 100);
+	resend.second = bed_submit(resend.bed, 0, &resend.request);
+	vhost_run_ms(resend.bed->vhost, 10000);
+	answer = bed_answer(resend.bed, resend.second);
+	check_resend(&resend, "no control", RUN_NOT_RUN);
+	ck_assert_uint_eq(answer->result, RESULT_NO_QUORUM);
+	ck_assert_uint_eq(bed_runs(resend.bed, PATH), 0);
+	bed_free(resend.bed);
+}
+END_TEST
+
+/* Guards against a query that dies with the old leader. */
+START_TEST(test_leader_change)
+{
+	struct resend resend = { 0 };
+	uint64_t node_id;
+
+	resend_start(&resend, 63);
+	node_id = vhost_node(resend.bed->control)->self.node_id;
+	fault_control_mute(&resend);
+	resend.second = bed_submit(resend.bed, 0, &resend.request);
+	vhost_run_ms(resend.bed->vhost, 100);
+	/* The claim is committed already, under this very request. */
+	resend.bed->control_mute = false;
+	fake_site_leader(vhost_node(resend.bed->entries[0].machine), 0);
+	fake_site_leader(vhost_node(resend.bed->entries[0].machine), node_id);
+	vhost_run_ms(resend.bed->vhost, 100);
+	check_resend(&resend, "leader change", RUN_DONE);
+	ck_assert_uint_eq(bed_runs(resend.bed, PATH), 1);
+	ck_assert_uint_eq(g_hash_table_size(resend.bed->claims), 1);
+	bed_free(resend.bed);
+}
+END_TEST
+
+/* Guards against two runs when many resends race each other. */
+START_TEST(test_racing_resends)
+{
+	struct resend resend = { 0 };
+	uint32_t nr_done = 0;
+
+	resend_start(&resend, 64 + (uint64_t)_i);
+	/* Doubled, late and unordered messages between all of them. */
+	vhost_default_path(resend.bed->vhost)->jitter_us = 20000;
+	vhost_default_path(resend.bed->vhost)->duplicate_ppm = 100000;
+	vhost_default_path(resend.bed->vhost)->unordered = true;
+	for (uint32_t i = 0; i < 10; i++) {
+		bed_submit(resend.bed, i % 2, &resend.request);
+		vhost_run_ms(resend.bed->vhost, (uint64_t)_i % 20);
+	}
+	vhost_run_ms(resend.bed->vhost, 60000);
+	for (uint32_t i = 0; i < 10; i++) {
+		const struct bed_answer *answer = bed_answer(resend.bed, i);
+
+		ck_assert_uint_eq(answer->nr, 1);
+		if (answer->run == RUN_DONE)
+			nr_done += bed_is_done(resend.bed, i, PATH);
+	}
+	ck_assert_uint_eq(bed_runs(resend.bed, PATH), 1);
+	ck_assert_uint_eq(nr_done, 10);
+	ck_assert(bed_is_idle(resend.bed));
+	bed_free(resend.bed);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("claim");
+	TCase *tcase = tcase_create("claim");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tcase, 100);
+	tcase_add_loop_test(tcase, test_resend, 0, G_N_ELEMENTS(resend_cases));
+	tcase_add_test(tcase, test_claim_without_dispatch);
+	tcase_add_test(tcase, test_claim_moves_after_refusal);
+	tcase_add_test(tcase, test_no_claim_without_control);
+	tcase_add_test(tcase, test_leader_change);
+	tcase_add_loop_test(tcase, test_racing_resends, 0, 60);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
