--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -1717,6 +1717,96 @@
   assert(message->base.descriptor == &masticreach__snapshot_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   masticreach__form__init
+                     (Masticreach__Form         *message)
+{
+  static const Masticreach__Form init_value = MASTICREACH__FORM__INIT;
+  *message = init_value;
+}
+size_t masticreach__form__get_packed_size
+                     (const Masticreach__Form *message)
+{
+  assert(message->base.descriptor == &masticreach__form__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__form__pack
+                     (const Masticreach__Form *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__form__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__form__pack_to_buffer
+                     (const Masticreach__Form *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__form__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__Form *
+       masticreach__form__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__Form *)
+     protobuf_c_message_unpack (&masticreach__form__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__form__free_unpacked
+                     (Masticreach__Form *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__form__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__transfer__init
+                     (Masticreach__Transfer         *message)
+{
+  static const Masticreach__Transfer init_value = MASTICREACH__TRANSFER__INIT;
+  *message = init_value;
+}
+size_t masticreach__transfer__get_packed_size
+                     (const Masticreach__Transfer *message)
+{
+  assert(message->base.descriptor == &masticreach__transfer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__transfer__pack
+                     (const Masticreach__Transfer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__transfer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__transfer__pack_to_buffer
+                     (const Masticreach__Transfer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__transfer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__Transfer *
+       masticreach__transfer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__Transfer *)
+     protobuf_c_message_unpack (&masticreach__transfer__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__transfer__free_unpacked
+                     (Masticreach__Transfer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__transfer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   masticreach__hard_state__init
                      (Masticreach__HardState         *message)
 {
@@ -5475,7 +5565,7 @@
   (ProtobufCMessageInit) masticreach__claim_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__vote__field_descriptors[4] =
+static const ProtobufCFieldDescriptor masticreach__vote__field_descriptors[5] =
 {
   {
     "term",
@@ -5525,17 +5615,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "transfer",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Vote, transfer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__vote__field_indices_by_name[] = {
   1,   /* field[1] = last_index */
   2,   /* field[2] = last_term */
   3,   /* field[3] = pre */
   0,   /* field[0] = term */
+  4,   /* field[4] = transfer */
 };
 static const ProtobufCIntRange masticreach__vote__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor masticreach__vote__descriptor =
 {
@@ -5545,7 +5648,7 @@
   "Masticreach__Vote",
   "masticreach",
   sizeof(Masticreach__Vote),
-  4,
+  5,
   masticreach__vote__field_descriptors,
   masticreach__vote__field_indices_by_name,
   1,  masticreach__vote__number_ranges,
@@ -6104,6 +6207,121 @@
   (ProtobufCMessageInit) masticreach__snapshot_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor masticreach__form__field_descriptors[4] =
+{
+  {
+    "fresh",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Form, fresh),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vote_for",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Form, vote_for),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Form, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Form, echo_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__form__field_indices_by_name[] = {
+  3,   /* field[3] = echo_us */
+  0,   /* field[0] = fresh */
+  2,   /* field[2] = sent_us */
+  1,   /* field[1] = vote_for */
+};
+static const ProtobufCIntRange masticreach__form__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticreach__form__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Form",
+  "Form",
+  "Masticreach__Form",
+  "masticreach",
+  sizeof(Masticreach__Form),
+  4,
+  masticreach__form__field_descriptors,
+  masticreach__form__field_indices_by_name,
+  1,  masticreach__form__number_ranges,
+  (ProtobufCMessageInit) masticreach__form__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__transfer__field_descriptors[1] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Transfer, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__transfer__field_indices_by_name[] = {
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange masticreach__transfer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__transfer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Transfer",
+  "Transfer",
+  "Masticreach__Transfer",
+  "masticreach",
+  sizeof(Masticreach__Transfer),
+  1,
+  masticreach__transfer__field_descriptors,
+  masticreach__transfer__field_indices_by_name,
+  1,  masticreach__transfer__number_ranges,
+  (ProtobufCMessageInit) masticreach__transfer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor masticreach__hard_state__field_descriptors[3] =
 {
   {
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -157,6 +157,12 @@
 	return node;
 }
 
+void node_set_id(struct node *node, uint64_t node_id)
+{
+	g_assert(!node->ops && node_id);
+	node->self.node_id = node_id;
+}
+
 void node_free(struct node *node)
 {
 	if (!node)
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -5,6 +5,7 @@
  */
 
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "suite.h"
@@ -99,6 +100,14 @@
 	return tb_load_start(tb, &opts);
 }
 
+static void site_print(const struct tb_load_stats *stats)
+{
+	printf("sent=%u answered=%u not_run=%u unknown=%u failed=%u wrong=%u "
+	       "p50_us=%u p99_us=%u\n",
+	       stats->sent, stats->answered, stats->not_run, stats->unknown,
+	       stats->failed, stats->wrong, stats->p50_us, stats->p99_us);
+}
+
 /* Guards against a leader's death that loses or doubles tasks or orders. */
 START_TEST(test_control_leader_killed)
 {
@@ -115,6 +124,7 @@
 		testbed_wait_ms(3000);
 	}
 	stats = tb_load_stop(load);
+	site_print(&stats);
 	ck_assert_uint_eq(stats.wrong, 0);
 	ck_assert_uint_gt(stats.answered, stats.sent / 2);
 	site_end(tb, 12, 60000);
@@ -166,6 +176,7 @@
 				      "--by", "operator", NULL),
 			 0);
 	stats = tb_load_stop(load);
+	site_print(&stats);
 	ck_assert_uint_eq(stats.wrong, 0);
 	ck_assert_uint_ge(stats.answered * 100, stats.sent * 99);
 	site_end(tb, 24, 60000);
@@ -187,6 +198,7 @@
 	}
 	testbed_wait_ms(4000);
 	stats = tb_load_stop(load);
+	site_print(&stats);
 	ck_assert_uint_eq(stats.wrong, 0);
 	ck_assert_uint_gt(stats.answered, stats.sent / 2);
 	site_end(tb, 6, 60000);
@@ -205,6 +217,7 @@
 	ck_assert_int_eq(tb_proc_wait(testbed_agent(tb, 1), 40000), 0);
 	testbed_wait_ms(500);
 	stats = tb_load_stop(load);
+	site_print(&stats);
 	ck_assert_uint_eq(stats.answered, stats.sent);
 	ck_assert_uint_eq(stats.wrong, 0);
 	testbed_free(tb);
@@ -227,6 +240,7 @@
 	ck_assert_uint_eq(testbed_journal_count(tb, "ev=run", "vm=vm-3 "),
 			  before);
 	stats = tb_load_stop(load);
+	site_print(&stats);
 	ck_assert_uint_eq(stats.answered, stats.sent);
 	testbed_free(tb);
 }
@@ -244,7 +258,7 @@
 	tb_proc_signal(testbed_control(tb, 1), SIGKILL);
 	tb_proc_lose_disk(testbed_control(tb, 1));
 	testbed_wait_ms(4000);
-	ck_assert(testbed_wait_tool(tb, "\"in_force\":1", 20000, "--json",
+	ck_assert(testbed_wait_tool(tb, "\"in_force\" : 1", 20000, "--json",
 				    "bundle", "status", NULL));
 	site_job(tb, 4, 500);
 	site_end(tb, 4, 60000);
@@ -274,7 +288,7 @@
 		tb_proc_signal(testbed_control(tb, i), SIGKILL);
 		tb_proc_restart(testbed_control(tb, i));
 	}
-	ck_assert(testbed_wait_tool(tb, "\"in_force\":1", 20000, "--json",
+	ck_assert(testbed_wait_tool(tb, "\"in_force\" : 1", 20000, "--json",
 				    "bundle", "status", NULL));
 	g_free(path);
 	g_free(other);
