Test the agent's admission and what entries learn; keep completions

A completion told to a leader that fails was lost, so a resend after the agent's death found an unknown outcome. The entry keeps completions for 10 s and tells them again to a new leader.

--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -385,6 +385,7 @@
 	if (!admit)
 		return;
 	timer_cancel(admit->node->timers, &admit->forget);
+	outcome_table_stop_timers(admit->runs, admit->node->timers);
 	g_hash_table_unref(admit->calls);
 	outcome_table_free(admit->runs);
 	g_ptr_array_unref(admit->services);
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -175,6 +175,7 @@
 	g_hash_table_iter_init(&iter, entry->claims);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		flight_claim_repeat(value);
+	entry_claims_retell(entry);
 }
 
 static const struct site_ops entry_site_ops = {
@@ -257,6 +258,7 @@
 	g_hash_table_unref(entry->lingering);
 	g_hash_table_unref(entry->attempts);
 	g_hash_table_unref(entry->claims);
+	entry_claims_free(entry);
 	g_hash_table_unref(entry->agents);
 	g_ptr_array_unref(entry->services);
 	site_free(entry->site);
--- a/src/core/entry_claim.c
+++ b/src/core/entry_claim.c
@@ -5,6 +5,41 @@
 #include "schema.h"
 #include "tunables.h"
 
+/* A completion that control has not acknowledged: it has no reply. */
+struct claim_note {
+	uint64_t told_us;
+	struct claim_done *done; /* owned */
+};
+
+static void claim_note_free(void *data)
+{
+	struct claim_note *note = data;
+
+	record_unref((struct record){ MSG_CLAIM_DONE, note->done });
+	g_free(note);
+}
+
+/* Drops notes that are old enough to be committed, or too many. */
+static void claim_notes_trim(struct entry *entry)
+{
+	const struct claim_note *note;
+	uint64_t keep_us = CLAIM_DONE_KEEP_MS * 1000ull;
+
+	while ((note = g_queue_peek_head(&entry->done)) &&
+	       (note->told_us + keep_us <= entry->node->now_us ||
+		entry->done.length > CLAIM_DONE_KEEP_MAX))
+		claim_note_free(g_queue_pop_head(&entry->done));
+}
+
+static void claim_note_send(const struct entry *entry,
+			    const struct claim_note *note)
+{
+	uint64_t leader = site_leader(entry->site);
+
+	if (leader)
+		node_send(entry->node, leader, MSG_CLAIM_DONE, note->done);
+}
+
 /* Identifies the work: a key that comes back with other work is a conflict. */
 static void claim_digest(const struct request *request, char *digest,
 			 size_t digest_size)
@@ -163,9 +198,9 @@
 
 void flight_claim_done(struct flight *flight, const struct response *response)
 {
-	const struct entry *entry = flight->entry;
+	struct entry *entry = flight->entry;
+	struct claim_note *note = g_new0(struct claim_note, 1);
 	struct claim_done done = { .claim = flight->claim.record };
-	uint64_t leader = site_leader(entry->site);
 	gsize size = response->body ? g_bytes_get_size(response->body) : 0;
 
 	done.claim.state = CLAIM_COMPLETE;
@@ -173,8 +208,23 @@
 	TEXT_SET(done.claim.content_type, response->content_type);
 	done.claim.body_kept = size <= CLAIM_BODY_MAX_BYTES;
 	done.claim.body = done.claim.body_kept ? response->body : NULL;
-	if (leader)
-		node_send(entry->node, leader, MSG_CLAIM_DONE, &done);
+	note->told_us = entry->node->now_us;
+	note->done = schema_dup(MSG_CLAIM_DONE, &done);
+	g_queue_push_tail(&entry->done, note);
+	claim_notes_trim(entry);
+	claim_note_send(entry, note);
+}
+
+void entry_claims_retell(struct entry *entry)
+{
+	claim_notes_trim(entry);
+	for (const GList *item = entry->done.head; item; item = item->next)
+		claim_note_send(entry, item->data);
+}
+
+void entry_claims_free(struct entry *entry)
+{
+	g_queue_clear_full(&entry->done, claim_note_free);
 }
 
 void flight_claim_clear(struct flight *flight)
--- a/src/core/entry_flight.h
+++ b/src/core/entry_flight.h
@@ -25,6 +25,7 @@
 	GHashTable *lingering; /* struct flight *, answered but not over */
 	GHashTable *attempts; /* uint64_t * -> struct attempt *, by number */
 	GHashTable *claims; /* uint64_t * -> struct flight *, by number */
+	GQueue done; /* struct claim_note *, completions told lately */
 	uint64_t next_request_nr;
 	uint64_t bytes; /* of the bodies in flight */
 };
@@ -162,6 +163,10 @@
 /** Records the response with control. */
 void flight_claim_done(struct flight *flight, const struct response *response);
 
+/** Tells a new leader of completions that the old one may have lost. */
+void entry_claims_retell(struct entry *entry);
+void entry_claims_free(struct entry *entry);
+
 /** Forgets a reply that may still come. */
 void flight_claim_clear(struct flight *flight);
 
--- a/src/core/outcome.c
+++ b/src/core/outcome.c
@@ -230,6 +230,20 @@
 			   now_us);
 }
 
+void outcome_table_stop_timers(struct outcome_table *table,
+			       struct timers *timers)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, table->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct outcome *outcome = value;
+
+		timer_cancel(timers, &outcome->timer);
+	}
+}
+
 uint32_t outcome_table_nr_active(const struct outcome_table *table)
 {
 	return table->nr_active;
--- a/src/core/outcome.h
+++ b/src/core/outcome.h
@@ -86,6 +86,10 @@
 /** Drops old responses and records. */
 void outcome_table_expire(struct outcome_table *table, uint64_t now_us);
 
+/** Disarms the timers of all runs, before the table is freed. */
+void outcome_table_stop_timers(struct outcome_table *table,
+			       struct timers *timers);
+
 /** Returns the number of runs that are queued or running. */
 uint32_t outcome_table_nr_active(const struct outcome_table *table);
 
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -145,6 +145,9 @@
 /* How long an answered request's outcome is awaited, to record its response. */
 #define FLIGHT_LINGER_MS 30000
 #define CLAIM_REPEAT_MS 500 /* a claim query without a reply is sent again */
+/* Completions are told again to a new leader; an election takes 1.5 s. */
+#define CLAIM_DONE_KEEP_MS 10000
+#define CLAIM_DONE_KEEP_MAX 256
 /* How long another entry's request may take to arrive before it is refused for
  * good: above one stall of a path that lost a packet. */
 #define CLAIM_ARRIVAL_MS 250
--- a/tests/reqbed.c
+++ b/tests/reqbed.c
@@ -205,6 +205,10 @@
 static void bed_control_message(void *role, uint64_t from, uint32_t type,
 				const void *body)
 {
+	const struct bed *bed = role;
+
+	if (bed->control_deaf)
+		return;
 	if (type == MSG_CLAIM_QUERY)
 		bed_claim_query(role, from, body);
 	if (type == MSG_CLAIM_DONE)
--- a/tests/reqbed.h
+++ b/tests/reqbed.h
@@ -80,6 +80,7 @@
 	struct bed_agent agents[BED_MAX];
 	struct bed_entry entries[BED_MAX];
 	struct vmachine *control;
+	bool control_deaf; /* takes no message */
 	bool control_mute; /* takes queries, commits, but sends no reply */
 	GHashTable *claims; /* char * -> struct claim_record * */
 	GHashTable *runs; /* char * (path) -> number of runs */
--- /dev/null
+++ b/tests/test_admit.c
@@ -0,0 +1,330 @@
+/**
+ * @file test_admit.c
+ * One agent that gets messages from a bare peer: what it admits, in which
+ * order, and what it answers to numbers and keys it has seen or not.
+ */
+
+#include "reqbed.h"
+#include "schema.h"
+#include "suite.h"
+#include "tunables.h"
+
+#define RUN_MS 50
+#define PROBE_ANSWERS 256
+
+/* A peer in the role of an entry; it keeps the last answer to each number. */
+struct probe {
+	struct bed *bed;
+	struct vmachine *machine;
+	uint64_t agent_node;
+	uint32_t nr_answers[PROBE_ANSWERS];
+	uint32_t run[PROBE_ANSWERS];
+	uint32_t result[PROBE_ANSWERS];
+	uint64_t answered_us[PROBE_ANSWERS];
+};
+
+static void probe_message(void *role, uint64_t from, uint32_t type,
+			  const void *body)
+{
+	struct probe *probe = role;
+	const struct response *response = body;
+	uint64_t nr;
+
+	if (type != MSG_RESPONSE)
+		return;
+	nr = response->request_nr;
+	ck_assert_uint_lt(nr, PROBE_ANSWERS);
+	ck_assert_uint_eq(response->origin_node,
+			  vhost_node(probe->machine)->self.node_id);
+	probe->nr_answers[nr]++;
+	probe->run[nr] = response->run;
+	probe->result[nr] = response->result;
+	probe->answered_us[nr] = vhost_now_us(probe->bed->vhost);
+}
+
+static const struct role_ops probe_ops = {
+	.role = ROLE_ENTRY,
+	.message = probe_message,
+};
+
+static struct bed_agent *probe_agent(const struct probe *probe)
+{
+	return &probe->bed->agents[0];
+}
+
+static void probe_start(struct probe *probe, uint32_t slots)
+{
+	struct bed_opts opts = {
+		.seed = 40,
+		.nr_agents = 1,
+		.service_us = RUN_MS * 1000,
+	};
+
+	probe->bed = bed_new(&opts);
+	probe_agent(probe)->slots = slots;
+	probe->machine = vhost_add(probe->bed->vhost, "probe", "veraval", "");
+	node_set_role(vhost_boot(probe->machine, 0), &probe_ops, probe);
+	vhost_start(probe->machine);
+	node_dial(vhost_node(probe->machine), probe_agent(probe)->address);
+	vhost_run_ms(probe->bed->vhost, 1500);
+	probe->agent_node =
+		vhost_node(probe_agent(probe)->machine)->self.node_id;
+}
+
+static void probe_run_ms(const struct probe *probe, uint64_t duration_ms)
+{
+	vhost_run_ms(probe->bed->vhost, duration_ms);
+}
+
+static void probe_send(const struct probe *probe, uint32_t type,
+		       const void *body)
+{
+	node_send(vhost_node(probe->machine), probe->agent_node, type, body);
+}
+
+static void probe_request(const struct probe *probe, uint64_t nr,
+			  bool repeatable, const char *key,
+			  uint32_t deadline_ms)
+{
+	char path[32];
+	struct request request;
+
+	g_snprintf(path, sizeof(path), "/nr/%u", (uint32_t)nr);
+	request = bed_request(path, repeatable, key, deadline_ms);
+	request.request_nr = nr;
+	request.target_node = probe->agent_node;
+	probe_send(probe, MSG_REQUEST, &request);
+}
+
+static void probe_query(const struct probe *probe, uint64_t nr,
+			uint64_t reply_nr, bool refuse)
+{
+	struct outcome_query query = { 0 };
+
+	query.origin_node = vhost_node(probe->machine)->self.node_id;
+	query.request_nr = nr;
+	query.reply_nr = reply_nr;
+	query.refuse = refuse;
+	TEXT_SET(query.service, BED_SERVICE);
+	probe_send(probe, MSG_OUTCOME_QUERY, &query);
+}
+
+static void check_answer(const struct probe *probe, uint64_t nr,
+			 enum run_state run, enum result result)
+{
+	ck_assert_uint_ge(probe->nr_answers[nr], 1);
+	ck_assert_msg(probe->run[nr] == run && probe->result[nr] == result,
+		      "number %u: run %u, %s", (uint32_t)nr, probe->run[nr],
+		      result_name(probe->result[nr]));
+}
+
+/* Guards against a number refused for good that runs when it arrives late. */
+START_TEST(test_refused_before_arrival)
+{
+	struct probe probe = { 0 };
+
+	probe_start(&probe, 8);
+	probe_query(&probe, 1, 101, false);
+	probe_query(&probe, 2, 102, true);
+	probe_run_ms(&probe, 10);
+	check_answer(&probe, 101, RUN_UNKNOWN, RESULT_UNKNOWN_OBJECT);
+	check_answer(&probe, 102, RUN_NOT_RUN, RESULT_CANCELLED);
+	probe_request(&probe, 1, false, "", 1000);
+	probe_request(&probe, 2, false, "", 1000);
+	probe_run_ms(&probe, 1000);
+	check_answer(&probe, 1, RUN_DONE, RESULT_OK);
+	check_answer(&probe, 2, RUN_NOT_RUN, RESULT_CANCELLED);
+	ck_assert_uint_eq(bed_runs(probe.bed, "/nr/1"), 1);
+	ck_assert_uint_eq(bed_runs(probe.bed, "/nr/2"), 0);
+	bed_free(probe.bed);
+}
+END_TEST
+
+/* Guards against a doubled request, or a second number under one key, that
+ * runs twice. */
+START_TEST(test_doubled_requests)
+{
+	struct probe probe = { 0 };
+
+	probe_start(&probe, 8);
+	probe_request(&probe, 1, false, "", 1000);
+	probe_request(&probe, 1, false, "", 1000);
+	probe_request(&probe, 2, false, "key", 1000);
+	probe_request(&probe, 3, false, "key", 1000);
+	probe_run_ms(&probe, 200);
+	probe_request(&probe, 1, false, "", 1000);
+	probe_request(&probe, 4, false, "key", 1000);
+	/* Another service's work or a repeatable one has its own key. */
+	probe_request(&probe, 5, true, "key", 1000);
+	probe_run_ms(&probe, 200);
+	for (uint64_t nr = 1; nr <= 5; nr++)
+		check_answer(&probe, nr, RUN_DONE, RESULT_OK);
+	ck_assert_uint_eq(probe_agent(&probe)->nr_calls, 3);
+	bed_free(probe.bed);
+}
+END_TEST
+
+/* Guards against an answer "not run" after the record was dropped. */
+START_TEST(test_query_after_record)
+{
+	struct probe probe = { 0 };
+
+	probe_start(&probe, 8);
+	probe_request(&probe, 5, false, "", 1000);
+	probe_run_ms(&probe, 200);
+	probe_query(&probe, 5, 101, true);
+	probe_run_ms(&probe, 10);
+	check_answer(&probe, 101, RUN_DONE, RESULT_OK);
+	probe_run_ms(&probe, ADMIT_RESPONSE_TTL_MS + 2000);
+	probe_query(&probe, 5, 102, true);
+	probe_run_ms(&probe, 10);
+	check_answer(&probe, 102, RUN_UNKNOWN, RESULT_OUTCOME_UNKNOWN);
+	probe_run_ms(&probe, ADMIT_RECORD_TTL_MS);
+	probe_query(&probe, 5, 103, true);
+	probe_query(&probe, 6, 104, true);
+	probe_request(&probe, 5, false, "", 1000);
+	probe_run_ms(&probe, 1000);
+	check_answer(&probe, 103, RUN_UNKNOWN, RESULT_OUTCOME_UNKNOWN);
+	check_answer(&probe, 104, RUN_NOT_RUN, RESULT_CANCELLED);
+	check_answer(&probe, 5, RUN_UNKNOWN, RESULT_OUTCOME_UNKNOWN);
+	ck_assert_uint_eq(bed_runs(probe.bed, "/nr/5"), 1);
+	bed_free(probe.bed);
+}
+END_TEST
+
+/* Guards against requests for an earlier incarnation that run in this one. */
+START_TEST(test_other_incarnation)
+{
+	struct probe probe = { 0 };
+	struct request request;
+
+	probe_start(&probe, 8);
+	request = bed_request("/nr/1", false, "", 1000);
+	request.request_nr = 1;
+	request.target_node = probe.agent_node + 1;
+	probe_send(&probe, MSG_REQUEST, &request);
+	probe_run_ms(&probe, 500);
+	check_answer(&probe, 1, RUN_NOT_RUN, RESULT_STALE);
+	ck_assert_uint_eq(bed_runs(probe.bed, "/nr/1"), 0);
+	bed_free(probe.bed);
+}
+END_TEST
+
+/* Guards against a queue that ignores deadlines or grows without bound. */
+START_TEST(test_queue)
+{
+	struct probe probe = { 0 };
+	uint32_t nr_queue = ADMIT_QUEUE_PER_SLOT;
+
+	probe_start(&probe, 1);
+	probe_request(&probe, 1, true, "", 20000);
+	/* Later numbers have earlier deadlines. */
+	for (uint64_t nr = 2; nr < 2 + nr_queue; nr++)
+		probe_request(&probe, nr, true, "", 20000 - (uint32_t)nr * 10);
+	/* One too many, with the earliest and with the latest deadline. */
+	probe_request(&probe, 50, true, "", 10000);
+	probe_request(&probe, 51, true, "", 30000);
+	probe_run_ms(&probe, 20);
+	check_answer(&probe, 2, RUN_NOT_RUN, RESULT_OVERLOADED);
+	check_answer(&probe, 51, RUN_NOT_RUN, RESULT_OVERLOADED);
+	probe_run_ms(&probe, 2000);
+	check_answer(&probe, 1, RUN_DONE, RESULT_OK);
+	check_answer(&probe, 50, RUN_DONE, RESULT_OK);
+	for (uint64_t nr = 3; nr < 1 + nr_queue; nr++) {
+		check_answer(&probe, nr, RUN_DONE, RESULT_OK);
+		ck_assert_uint_gt(probe.answered_us[nr],
+				  probe.answered_us[nr + 1]);
+	}
+	ck_assert_uint_gt(probe.answered_us[1 + nr_queue],
+			  probe.answered_us[50]);
+	ck_assert_uint_eq(probe_agent(&probe)->max_in_flight, 1);
+	bed_free(probe.bed);
+}
+END_TEST
+
+/* Guards against a queued request that runs after its cancellation. */
+START_TEST(test_cancel)
+{
+	struct probe probe = { 0 };
+	struct cancel cancel = { 0 };
+
+	probe_start(&probe, 1);
+	probe_request(&probe, 1, false, "", 1000);
+	probe_request(&probe, 2, false, "", 1000);
+	probe_run_ms(&probe, 10);
+	for (cancel.request_nr = 1; cancel.request_nr <= 3; cancel.request_nr++)
+		probe_send(&probe, MSG_CANCEL, &cancel);
+	probe_run_ms(&probe, 1000);
+	check_answer(&probe, 1, RUN_DONE, RESULT_OK);
+	check_answer(&probe, 2, RUN_NOT_RUN, RESULT_CANCELLED);
+	ck_assert_uint_eq(bed_runs(probe.bed, "/nr/2"), 0);
+	bed_free(probe.bed);
+}
+END_TEST
+
+/* Guards against new work while leaving, and against work cut short by it. */
+START_TEST(test_leave)
+{
+	struct probe probe = { 0 };
+
+	probe_start(&probe, 1);
+	probe_request(&probe, 1, false, "", 1000);
+	probe_request(&probe, 2, false, "", 1000);
+	probe_run_ms(&probe, 10);
+	vhost_shutdown(probe_agent(&probe)->machine);
+	probe_request(&probe, 3, false, "", 1000);
+	probe_run_ms(&probe, 1000);
+	check_answer(&probe, 1, RUN_DONE, RESULT_OK);
+	check_answer(&probe, 2, RUN_DONE, RESULT_OK);
+	check_answer(&probe, 3, RUN_NOT_RUN, RESULT_LEAVING);
+	ck_assert(node_idle(vhost_node(probe_agent(&probe)->machine)));
+	bed_free(probe.bed);
+}
+END_TEST
+
+/* Guards against an upstream that refused a connection and is called again. */
+START_TEST(test_refused_connection)
+{
+	struct probe probe = { 0 };
+
+	probe_start(&probe, 8);
+	probe_agent(&probe)->mode = BED_REFUSE;
+	probe_request(&probe, 1, false, "", 1000);
+	probe_run_ms(&probe, 10);
+	probe_request(&probe, 2, false, "", 1000);
+	probe_run_ms(&probe, 10);
+	check_answer(&probe, 1, RUN_NOT_RUN, RESULT_UPSTREAM_FAILED);
+	check_answer(&probe, 2, RUN_NOT_RUN, RESULT_NO_UPSTREAM);
+	/* Until it announces itself again. */
+	probe_agent(&probe)->mode = BED_SERVE;
+	probe_run_ms(&probe, 1000);
+	probe_request(&probe, 3, false, "", 1000);
+	probe_run_ms(&probe, 200);
+	check_answer(&probe, 3, RUN_DONE, RESULT_OK);
+	bed_free(probe.bed);
+}
+END_TEST
+
+/* Guards against a broken response that is passed off as "not run". */
+START_TEST(test_broken_response)
+{
+	struct probe probe = { 0 };
+
+	probe_start(&probe, 8);
+	probe_agent(&probe)->mode = BED_BREAK;
+	probe_request(&probe, 1, false, "key", 1000);
+	probe_run_ms(&probe, 200);
+	check_answer(&probe, 1, RUN_UNKNOWN, RESULT_UPSTREAM_FAILED);
+	/* Its key never runs again. */
+	probe_request(&probe, 2, false, "key", 1000);
+	probe_run_ms(&probe, 200);
+	check_answer(&probe, 2, RUN_UNKNOWN, RESULT_UPSTREAM_FAILED);
+	ck_assert_uint_eq(probe_agent(&probe)->nr_calls, 1);
+	bed_free(probe.bed);
+}
+END_TEST
+
+SUITE_MAIN("admit", test_refused_before_arrival, test_doubled_requests,
+	   test_query_after_record, test_other_incarnation, test_queue,
+	   test_cancel, test_leave, test_refused_connection,
+	   test_broken_response)
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -259,6 +259,78 @@
 }
 END_TEST
 
+/* Guards against a response that dies with the old leader and its agent. */
+START_TEST(test_completion_lost_by_leader)
+{
+	struct resend resend = { 0 };
+	uint64_t node_id;
+
+	resend_start(&resend, 66);
+	node_id = vhost_node(resend.bed->control)->self.node_id;
+	resend.first = bed_submit(resend.bed, 0, &resend.request);
+	vhost_run_ms(resend.bed->vhost, 20);
+	resend.bed->control_deaf = true;
+	vhost_run_ms(resend.bed->vhost, 1000);
+	ck_assert(bed_is_done(resend.bed, resend.first, PATH));
+	resend.bed->control_deaf = false;
+	fake_site_leader(vhost_node(resend.bed->entries[0].machine), 0);
+	fake_site_leader(vhost_node(resend.bed->entries[0].machine), node_id);
+	fault_all_agents_die(&resend);
+	resend.second = bed_submit(resend.bed, 1, &resend.request);
+	vhost_run_ms(resend.bed->vhost, 5000);
+	check_resend(&resend, "completion lost", RUN_DONE);
+	ck_assert_uint_eq(bed_runs(resend.bed, PATH), 1);
+	bed_free(resend.bed);
+}
+END_TEST
+
+/* Guards against a response that nobody records since its caller has gone. */
+START_TEST(test_completion_after_caller_left)
+{
+	struct resend resend = { 0 };
+
+	resend_start(&resend, 67);
+	resend.first = bed_submit(resend.bed, 0, &resend.request);
+	vhost_run_ms(resend.bed->vhost, 20);
+	fault_caller_leaves(&resend);
+	vhost_run_ms(resend.bed->vhost, 200);
+	fault_all_agents_die(&resend);
+	resend.second = bed_submit(resend.bed, 1, &resend.request);
+	vhost_run_ms(resend.bed->vhost, 5000);
+	check_resend(&resend, "caller left", RUN_DONE);
+	ck_assert_uint_eq(bed_answer(resend.bed, resend.first)->nr, 0);
+	ck_assert_uint_eq(bed_runs(resend.bed, PATH), 1);
+	bed_free(resend.bed);
+}
+END_TEST
+
+/* Guards against "not run" for work that a resend has run meanwhile. */
+START_TEST(test_slow_entry_loses_its_claim)
+{
+	struct resend resend = { 0 };
+
+	resend_start(&resend, 68);
+	resend.request.deadline_ms = 1500;
+	for (uint32_t i = 0; i < resend.bed->opts.nr_agents; i++)
+		vhost_path(resend.bed->entries[0].machine,
+			   resend.bed->agents[i].machine)
+			->delay_us = 600000;
+	resend.first = bed_submit(resend.bed, 0, &resend.request);
+	vhost_run_ms(resend.bed->vhost, 5);
+	resend.second = bed_submit(resend.bed, 1, &resend.request);
+	vhost_run_ms(resend.bed->vhost, 500);
+	/* From here on the first entry can't learn of the second claim. */
+	resend.bed->control_deaf = true;
+	vhost_run_ms(resend.bed->vhost, 5000);
+	check_resend(&resend, "moved claim", RUN_DONE);
+	ck_assert_uint_eq(bed_runs(resend.bed, PATH), 1);
+	ck_assert_uint_eq(bed_answer(resend.bed, resend.first)->nr, 1);
+	ck_assert_uint_eq(bed_answer(resend.bed, resend.first)->run,
+			  RUN_UNKNOWN);
+	bed_free(resend.bed);
+}
+END_TEST
+
 /* Guards against two runs when many resends race each other. */
 START_TEST(test_racing_resends)
 {
@@ -302,6 +374,9 @@
 	tcase_add_test(tcase, test_claim_moves_after_refusal);
 	tcase_add_test(tcase, test_no_claim_without_control);
 	tcase_add_test(tcase, test_leader_change);
+	tcase_add_test(tcase, test_completion_lost_by_leader);
+	tcase_add_test(tcase, test_completion_after_caller_left);
+	tcase_add_test(tcase, test_slow_entry_loses_its_claim);
 	tcase_add_loop_test(tcase, test_racing_resends, 0, 60);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -374,6 +374,15 @@
 		fake_task_zone_out(vhost_node(bed->agents[i].machine), true);
 }
 
+/* Known to the entry alone: the agents would still take requests. */
+static void fault_zones_out_at_entry(struct bed *bed)
+{
+	bed->agents[1].leaving = true;
+	vhost_run_ms(bed->vhost, 2000);
+	fake_site_zone(vhost_node(bed->entries[0].machine), bed->agents[0].zone,
+		       true);
+}
+
 static void fault_all_leave(struct bed *bed)
 {
 	for (uint32_t i = 0; i < bed->opts.nr_agents; i++)
@@ -405,6 +414,8 @@
 	{ "zone out, once", fault_all_zones_out, 1000, false, RESULT_ZONE_OUT },
 	{ "zone out, repeatable", fault_all_zones_out, 1000, true,
 	  RESULT_ZONE_OUT },
+	{ "zone out at the entry", fault_zones_out_at_entry, 1000, true,
+	  RESULT_NO_UPSTREAM },
 	{ "all upstreams leave", fault_all_leave, 1000, true,
 	  RESULT_NO_UPSTREAM },
 	{ "no connection", fault_all_refuse, 1000, false,
@@ -540,6 +551,25 @@
 }
 END_TEST
 
+/* Guards against a reset connection that loses what runs behind it. */
+START_TEST(test_reset_connection)
+{
+	struct bed *bed = small_bed(450, 1);
+	struct node *agent = vhost_node(bed->agents[0].machine);
+	uint64_t ticket = submit(bed, 0, "/boat", false, 5000);
+
+	vhost_run_ms(bed->vhost, 10);
+	agent->host->close_peer(
+		agent->host_ctx,
+		vhost_node(bed->entries[0].machine)->self.node_id);
+	vhost_run_ms(bed->vhost, 4000);
+	ck_assert_uint_ge(vhost_log_count(bed->vhost, "link-down"), 1);
+	ck_assert(bed_is_done(bed, ticket, "/boat"));
+	ck_assert_uint_eq(bed_runs(bed, "/boat"), 1);
+	bed_free(bed);
+}
+END_TEST
+
 /* Guards against a dead agent's request that is run again or said not run. */
 START_TEST(test_agent_dies_with_request)
 {
@@ -799,6 +829,26 @@
 }
 END_TEST
 
+/* Guards against hedges that double the load when all upstreams slow down. */
+START_TEST(test_hedge_budget)
+{
+	struct bed *bed = small_bed(1150, 3);
+
+	for (uint32_t i = 0; i < 1000; i++) {
+		if (i == 500)
+			for (uint32_t k = 0; k < 3; k++)
+				bed->agents[k].slow_ppm = 3000000;
+		submit(bed, 0, "/boat", true, 5000);
+		vhost_run_ms(bed->vhost, 20);
+	}
+	vhost_run_ms(bed->vhost, 5000);
+	ck_assert_uint_ge(bed_entry_counter(bed, "entry_hedges"), 5);
+	ck_assert_uint_le(bed_runs(bed, "/boat"),
+			  1000 + 1000 / 20 + HEDGE_BURST);
+	bed_free(bed);
+}
+END_TEST
+
 #define LOOP(test, nr) tcase_add_loop_test(tcase, test, 0, nr)
 
 int main(void)
@@ -814,6 +864,7 @@
 	LOOP(test_leaving_upstream_gets_nothing_new, G_N_ELEMENTS(leave_cases));
 	LOOP(test_graceful_shutdown, 2);
 	LOOP(test_replaced_link, 3);
+	tcase_add_test(tcase, test_reset_connection);
 	LOOP(test_agent_dies_with_request, 4);
 	LOOP(test_abandoned_request, 2);
 	LOOP(test_deadlines, G_N_ELEMENTS(deadline_cases));
@@ -822,6 +873,7 @@
 	LOOP(test_ejection, 3);
 	tcase_add_test(tcase, test_retry_budget);
 	LOOP(test_hedging, 2);
+	tcase_add_test(tcase, test_hedge_budget);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
