--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -292,13 +292,13 @@
 			      const struct outcome *outcome)
 {
 	uint32_t slots = service_slots(service);
+	uint32_t position;
 	uint64_t wait_us;
 
 	if (!slots || executors_roomiest(service->executors))
 		return false;
-	wait_us = (uint64_t)service->service_time_us *
-		  (uint32_t)g_sequence_iter_get_position(outcome->queue_place) /
-		  slots;
+	position = (uint32_t)g_sequence_iter_get_position(outcome->queue_place);
+	wait_us = (uint64_t)service->service_time_us * (position + 1) / slots;
 	return outcome->arrived_us + wait_us + service->service_time_us >
 	       outcome->deadline_us;
 }
@@ -385,6 +385,7 @@
 	if (!admit)
 		return;
 	timer_cancel(admit->node->timers, &admit->forget);
+	outcome_table_stop_timers(admit->runs, admit->node->timers);
 	g_hash_table_unref(admit->calls);
 	outcome_table_free(admit->runs);
 	g_ptr_array_unref(admit->services);
@@ -505,8 +506,10 @@
 	if (!outcome && (!query->refuse ||
 			 outcome_table_may_have_forgotten(admit->runs, &id,
 							  query->repeatable))) {
+		/* The code tells whether it can still arrive. */
 		admit_tell_missing(admit, &asker, RUN_UNKNOWN,
-				   RESULT_OUTCOME_UNKNOWN);
+				   query->refuse ? RESULT_OUTCOME_UNKNOWN :
+						   RESULT_UNKNOWN_OBJECT);
 		return;
 	}
 	if (!outcome) {
--- a/src/core/entry_flight.h
+++ b/src/core/entry_flight.h
@@ -25,6 +25,7 @@
 	GHashTable *lingering; /* struct flight *, answered but not over */
 	GHashTable *attempts; /* uint64_t * -> struct attempt *, by number */
 	GHashTable *claims; /* uint64_t * -> struct flight *, by number */
+	GQueue done; /* struct claim_note *, completions told lately */
 	uint64_t next_request_nr;
 	uint64_t bytes; /* of the bodies in flight */
 };
@@ -39,6 +40,7 @@
 struct flight_claim {
 	enum claim_step step;
 	uint32_t nr_asked; /* claims asked for, without repeats */
+	bool shared; /* another dispatch of the same request is about */
 	struct claim_record record; /* asked for, or as control has it */
 	struct timer repeat; /* asks again: the reply may have been lost */
 };
@@ -57,6 +59,7 @@
 	GPtrArray *attempts; /* struct attempt *, owned, open ones only */
 	GArray *tried; /* uint64_t, node_ids of agents it was sent to */
 	uint32_t nr_sent;
+	enum result last; /* why the latest attempt ended, RESULT_OK if none */
 	bool may_have_run; /* an attempt ended without proof */
 	bool answered; /* only waits for an outcome to record */
 	struct flight_claim claim;
@@ -72,7 +75,9 @@
 	uint64_t origin_nr; /* that of the claim's holder, only asked about */
 	bool counted; /* among the upstream's open attempts */
 	bool asked; /* its outcome was queried, so its times tell nothing */
+	bool patient; /* a request that has not arrived isn't refused yet */
 	struct timer lost; /* runs while the agent is away */
+	struct timer arrival; /* runs while another's request may arrive */
 };
 
 /* ---- entry_flight.c ---- */
@@ -135,6 +140,9 @@
 /** Asks the agent what became of the attempt. */
 void attempt_ask(struct attempt *attempt);
 
+/** The agent has no record of a request that it was asked about patiently. */
+void attempt_not_arrived(struct attempt *attempt);
+
 /** The agent's connection was lost; an answer may come after it is back. */
 void attempt_peer_lost(struct attempt *attempt);
 
@@ -155,6 +163,10 @@
 /** Records the response with control. */
 void flight_claim_done(struct flight *flight, const struct response *response);
 
+/** Tells a new leader of completions that the old one may have lost. */
+void entry_claims_retell(struct entry *entry);
+void entry_claims_free(struct entry *entry);
+
 /** Forgets a reply that may still come. */
 void flight_claim_clear(struct flight *flight);
 
