--- a/src/core/place.h
+++ b/src/core/place.h
@@ -23,8 +23,16 @@
 				  const struct plan_task *task,
 				  const struct task_size *size, char *reason,
 				  size_t reason_bytes);
+	/** Returns true if the batch task would slow a service on the VM too
+	 * much; NULL: the policy doesn't care. */
+	bool (*harms)(const struct plan *plan, const struct plan_task *task,
+		      const struct plan_vm *vm);
 };
 
+/** Returns true if the filters let the task start on the VM. */
+bool place_allowed(const struct plan_task *task, const struct plan_vm *vm,
+		   const struct task_size *size, uint64_t now_us);
+
 /** Returns the policy of that name, NULL if there is none. */
 const struct place_ops *place_find(const char *name);
 
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -4,6 +4,8 @@
 
 #include "decide.h"
 #include "evict.h"
+#include "interference.h"
+#include "move.h"
 #include "place.h"
 #include "plan_state.h"
 #include "schema.h"
@@ -55,6 +57,8 @@
 					    g_free);
 	plan->services = g_ptr_array_new();
 	plan->learn = learn_new();
+	plan->interference = interference_new();
+	evict_init(plan);
 	plan->queue = queue_new();
 	return plan;
 }
@@ -66,8 +70,10 @@
 	g_queue_clear(&plan->failing_jobs);
 	g_queue_clear(&plan->suspect_vms);
 	g_queue_clear(&plan->quarantined_vms);
+	g_queue_clear(&plan->slow_vms);
 	queue_free(plan->queue);
 	learn_free(plan->learn);
+	interference_free(plan->interference);
 	g_ptr_array_free(plan->services, TRUE);
 	g_hash_table_unref(plan->tasks);
 	g_hash_table_unref(plan->jobs);
@@ -122,10 +128,36 @@
 	zone->returned = zone->out;
 	zone->out = record->out;
 	zone->changed_us = now_us;
-	for (uint32_t i = 0; i < zone->vms->len; i++)
-		plan_zone_index_vm(g_ptr_array_index(zone->vms, i));
-	if (!zone->out)
-		queue_unblock_all(plan);
+	for (uint32_t i = 0; i < zone->vms->len; i++) {
+		struct plan_vm *vm = g_ptr_array_index(zone->vms, i);
+
+		plan_zone_index_vm(vm);
+		if (!zone->out)
+			continue;
+		plan_unhold_all(plan, vm);
+		move_drain_vm(plan, vm);
+	}
+	if (zone->out)
+		return;
+	move_capacity_back(plan);
+	queue_unblock_all(plan);
+}
+
+/* Keeps count of a quarantine that was set or lifted. */
+static void plan_vm_quarantine_set(struct plan *plan, struct plan_vm *vm)
+{
+	vm->suspect = false;
+	vm->nr_failed_jobs = 0;
+	g_queue_remove(&plan->suspect_vms, vm);
+	if (!vm->record.quarantined) {
+		g_queue_remove(&plan->quarantined_vms, vm);
+		vm->probation = PLAN_PROBATION_TASKS;
+		return;
+	}
+	vm->quarantine_s = CLAMP(vm->quarantine_s * 2, PLAN_QUARANTINE_MIN_S,
+				 PLAN_QUARANTINE_MAX_S);
+	vm->probation_us = plan->now_us + vm->quarantine_s * 1000000ull;
+	g_queue_push_tail(&plan->quarantined_vms, vm);
 }
 
 void plan_set_vm(struct plan *plan, const struct vm_record *record,
@@ -133,12 +165,16 @@
 {
 	struct plan_vm *vm = plan_vm(plan, record->name);
 	struct task_size *largest = &plan->largest;
+	bool was_quarantined = vm->record.quarantined;
+	bool was_indexed = vm->indexed;
 
 	plan->now_us = now_us;
 	if (!vm->known)
 		plan->plan_vm_change_us = now_us;
 	vm->record = *record;
 	vm->known = true;
+	if (record->quarantined != was_quarantined)
+		plan_vm_quarantine_set(plan, vm);
 	vm->rack_nr = plan_rack_nr(plan, record);
 	largest->cpu_millis = MAX(largest->cpu_millis, record->cpu_millis);
 	largest->memory_mib = MAX(largest->memory_mib, record->memory_mib);
@@ -146,8 +182,15 @@
 		MAX(largest->accelerators, record->accelerators);
 	plan_zone_add_vm(plan_zone(plan, record->zone), vm);
 	plan_zone_index_vm(vm);
-	if (vm->indexed)
+	if (vm->indexed) {
 		plan_room(plan, vm, NULL);
+		if (!was_indexed)
+			move_capacity_back(plan);
+		return;
+	}
+	plan_unhold_all(plan, vm);
+	if (record->state == VM_LEAVING || vm->zone->out)
+		move_drain_vm(plan, vm);
 }
 
 static bool same_group(const struct job_record *a, const struct job_record *b)
@@ -159,14 +202,30 @@
 	       !strcmp(a->name, b->name);
 }
 
-/* Charges the job's tasks, which were known before the job, to its team. */
-static void charge_tasks(struct plan_job *job)
+/* A job becomes known after its tasks, or its team or kind changes: the tasks
+ * that count on VMs are counted anew under the right names. */
+static void uncount_tasks(struct plan_job *job)
 {
 	for (GList *link = job->tasks.head; link; link = link->next) {
 		struct plan_task *task = link->data;
 
-		if (!task->on_vm || task->charged)
+		if (!task->on_vm)
 			continue;
+		plan_vm_uncount_task(task->on_vm, task);
+		if (task->charged)
+			team_return(task->charged, &task->size);
+		task->charged = NULL;
+	}
+}
+
+static void count_tasks(struct plan_job *job)
+{
+	for (GList *link = job->tasks.head; link; link = link->next) {
+		struct plan_task *task = link->data;
+
+		if (!task->on_vm)
+			continue;
+		plan_vm_count_task(task->on_vm, task);
 		task->charged = job->team;
 		team_use(job->team, &task->size);
 	}
@@ -181,15 +240,15 @@
 	plan->now_us = now_us;
 	if (first || !same_group(&job->record, record)) {
 		queue_remove_job(plan, job);
+		uncount_tasks(job);
 		job->team = plan_team(plan, record->team);
 		job->kind = learn_kind(plan->learn, record);
 		job->known = true;
 		job->record = *record;
 		job->group = queue_group(plan, job);
+		count_tasks(job);
 	}
 	if (first) {
-		job->seen_us = now_us;
-		charge_tasks(job);
 		if (record->job_class == JOB_SERVICE)
 			g_ptr_array_add(plan->services, job);
 	}
@@ -233,16 +292,38 @@
 
 	if (running && !task->running_us) {
 		task->running_us = now_us;
-		task->throttle_ppm = 1000000;
+		plan_vm_throttle_task(task->on_vm, task, 1000000);
 		if (kind)
 			plan_vm_stay_begin(task->on_vm, kind->nr, task->task_id,
-					   now_us);
+					   1000000, now_us);
 	} else if (!running && task->running_us) {
 		if (task->on_vm)
 			plan_vm_stay_end(task->on_vm, task->task_id, now_us);
 	}
 }
 
+/* Lists the task where it waits for a place, or takes it off. */
+static void set_waiting(struct plan *plan, struct plan_task *task)
+{
+	if (task->state == TASK_PENDING && task->hold_vm) {
+		plan_list_task(task, &plan->waiting);
+		plan_room(plan, task->hold_vm, NULL);
+		return;
+	}
+	if (task->state == TASK_PENDING) {
+		plan_list_task(task, NULL);
+		queue_add_task(plan, task);
+		return;
+	}
+	queue_remove_task(plan, task);
+	if (holds_vm(task->state) && task->list != &plan->waiting &&
+	    task->list != &plan->ready)
+		return;
+	/* It ended, or it was placed otherwise than decided. */
+	plan_list_task(task, NULL);
+	plan_unhold(plan, task);
+}
+
 void plan_set_task(struct plan *plan, const struct task_record *record,
 		   uint64_t now_us)
 {
@@ -258,6 +339,8 @@
 	if (record->state == TASK_PENDING && task->state != TASK_PENDING) {
 		task->pending_us = now_us;
 		task->running_us = 0;
+		task->move_since_us = 0;
+		task->nr_slow = 0;
 	}
 	task->state = record->state;
 	task->progress_ppm = record->progress_ppm;
@@ -267,10 +350,11 @@
 	set_place(plan, task, record);
 	if (running && task->on_vm)
 		set_running(task, true, now_us);
-	if (record->state == TASK_PENDING)
-		queue_add_task(plan, task);
-	else
-		queue_remove_task(plan, task);
+	if (record->state != TASK_PENDING && record->state != TASK_PLACED &&
+	    record->state != TASK_STOPPING)
+		move_ended(task);
+	set_waiting(plan, task);
+	move_drain_task(plan, task);
 }
 
 static void drop_task(struct plan *plan, struct plan_task *task)
@@ -278,6 +362,7 @@
 	queue_remove_task(plan, task);
 	plan_list_task(task, NULL);
 	set_running(task, false, plan->now_us);
+	move_ended(task);
 	plan_unhold(plan, task);
 	plan_unaccount(plan, task);
 	g_queue_unlink(&task->job->tasks, &task->job_link);
@@ -298,12 +383,42 @@
 	g_hash_table_remove(plan->jobs, &job_id);
 }
 
+/* Counts a failure against the worker, unless the job is the likely cause. */
+static void plan_vm_failed_job(struct plan *plan, struct plan_vm *vm,
+			       const struct plan_job *job)
+{
+	bool repeated = false;
+
+	for (uint32_t i = 0; i < vm->nr_failed_jobs; i++)
+		repeated |= vm->failed_jobs[i] == job->record.job_id;
+	if (!repeated && vm->nr_failed_jobs < VM_FAILED_JOBS)
+		vm->failed_jobs[vm->nr_failed_jobs++] = job->record.job_id;
+	if (vm->suspect || vm->record.quarantined ||
+	    (vm->nr_failed_jobs < VM_FAILED_JOBS && !vm->probation))
+		return;
+	/* Many bad workers at once point to bad jobs instead. */
+	if (plan->quarantined_vms.length + plan->suspect_vms.length >=
+	    MAX(plan->plan_vm_list->len / 4, 1))
+		return;
+	vm->suspect = true;
+	g_queue_push_tail(&plan->suspect_vms, vm);
+}
+
+static void plan_vm_ran_job(struct plan_vm *vm)
+{
+	vm->nr_failed_jobs = 0;
+	if (vm->probation && !--vm->probation)
+		vm->quarantine_s = 0;
+}
+
 void plan_task_ended(struct plan *plan, uint64_t task_id, const char *vm_name,
 		     bool failed, uint64_t now_us)
 {
 	struct plan_task *task = plan_find_task(plan, task_id);
 	struct plan_vm *vm = plan_vm(plan, vm_name);
 	struct plan_job *job;
+	bool elsewhere;
+	bool at_limit;
 
 	plan->now_us = now_us;
 	if (!task || !task->job->known)
@@ -315,33 +430,47 @@
 				    (now_us - task->running_us) / 1000);
 		job->failed.nr = 0;
 		job->nr_failures = 0;
-		vm->nr_failed_jobs = 0;
+		plan_vm_ran_job(vm);
 		return;
 	}
 	job->nr_failures++;
-	learn_failed(job->kind, task->memory_used_mib, &task->size);
-	if (failed_add(&task->failed, vm) >= JOB_MAX_FAILED_VMS ||
-	    failed_add(&job->failed, vm) >= JOB_MAX_FAILED_VMS)
+	elsewhere = job->failed.nr > failed_on(&job->failed, vm);
+	at_limit = learn_failed(job->kind, task->memory_used_mib, &task->size);
+	if (!elsewhere && !at_limit)
+		plan_vm_failed_job(plan, vm, job);
+	failed_add(&task->failed, vm);
+	if (failed_add(&job->failed, vm) >= JOB_MAX_FAILED_VMS ||
+	    task->failed.nr >= JOB_MAX_FAILED_VMS ||
+	    job->nr_failures >= JOB_MAX_FAILURES)
 		plan_fail_job(plan, job, RESULT_JOB_FAILED);
 }
 
 void plan_usage(struct plan *plan, const char *vm_name, uint32_t nr_tasks,
 		const struct platform_task *samples, uint64_t now_us)
 {
+	struct plan_vm *vm = plan_vm(plan, vm_name);
+
 	plan->now_us = now_us;
+	vm->lag_us -= vm->lag_us / 16; /* forgets a lag that was longer */
 	for (uint32_t i = 0; i < nr_tasks; i++) {
 		const struct platform_task *sample = &samples[i];
 		struct plan_task *task = plan_find_task(plan, sample->task_id);
 		uint64_t sample_us = now_us - sample->age_ms * 1000ull;
 
-		if (!task || !task->job->known || !task->running_us ||
+		vm->lag_us = MAX(vm->lag_us, sample->age_ms * 1000ull);
+		/* Samples of an earlier run or of the start tell nothing. */
+		if (!task || !task->job->known || task->on_vm != vm ||
+		    !task->running_us || sample_us <= task->running_us ||
 		    sample_us <= task->sample_us)
 			continue;
 		learn_sample(task->job->kind, sample, &task->size,
-			     !task->sample_us);
+			     task->throttle_ppm, !task->sample_us);
+		interference_sample(plan, vm, task, sample, sample_us);
 		task->sample_us = sample_us;
 		task->memory_used_mib = sample->memory_used_mib;
+		task->progress_ppm = sample->progress_ppm;
 	}
+	interference_relax(plan, vm);
 }
 
 enum result plan_check_job(const struct plan *plan,
@@ -351,7 +480,7 @@
 				  job->accelerators };
 	const struct team *team = g_hash_table_lookup(plan->teams, job->team);
 
-	if (plan->plan_vm_list->len && !decide_ever_fits(plan, &size))
+	if (plan->largest.cpu_millis && !decide_ever_fits(plan, &size))
 		return RESULT_NEVER_FITS;
 	if (team && !team_ever_allows(team, &size))
 		return RESULT_QUOTA;
