--- a/src/core/move.c
+++ b/src/core/move.c
@@ -170,12 +170,14 @@
 			      struct plan_decision *decision)
 {
 	uint32_t nr_zones = plan->zone_list->len;
-	g_autofree uint32_t *counts = g_new0(uint32_t, nr_zones);
+	uint32_t *counts;
 	uint32_t fullest = 0;
 	struct plan_task *task;
+	bool helps = false;
 
 	if (job->nr_moving || !job->known || job->pending.length)
 		return false;
+	counts = g_new0(uint32_t, nr_zones);
 	count_zones(job, counts, nr_zones);
 	for (uint32_t i = 1; i < nr_zones; i++) {
 		if (counts[i] > counts[fullest])
@@ -183,14 +185,16 @@
 	}
 	task = replica_in(job, fullest);
 	if (!task || !hold_place(plan, task, false))
-		return false;
+		goto out;
 	/* A move that only swaps which zone has one more doesn't help. */
-	if (counts[task->hold_vm->zone->nr] + 2 > counts[fullest]) {
+	helps = counts[task->hold_vm->zone->nr] + 2 <= counts[fullest];
+	if (helps)
+		move_begin(plan, task, decision, "spread");
+	else
 		plan_unhold(plan, task);
-		return false;
-	}
-	move_begin(plan, task, decision, "spread");
-	return true;
+out:
+	g_free(counts);
+	return helps;
 }
 
 bool move_next_rebalanced(struct plan *plan, struct plan_decision *decision)
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -8,124 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "plan.h"
+#include "plan_fixture.h"
 #include "schema.h"
 
-#define SECOND_US 1000000ull
-
-static struct plan *plan;
-static uint64_t now_us;
-static struct plan_decision decision;
-
-static void set_up_policies(const char *place, const char *evict)
-{
-	struct plan_opts opts = { place, evict, 7 };
-
-	plan = plan_new(&opts);
-	now_us = 100 * SECOND_US;
-}
-
-static void set_up(void)
-{
-	set_up_policies(NULL, NULL);
-}
-
-static void tear_down(void)
-{
-	plan_free(plan);
-	plan = NULL;
-}
-
-static void add_vm(const char *name, const char *zone, const char *rack,
-		   uint32_t cpu_millis, uint32_t memory_mib)
-{
-	struct vm_record vm = { .state = VM_LIVE };
-
-	TEXT_SET(vm.name, name);
-	TEXT_SET(vm.zone, zone);
-	TEXT_SET(vm.rack, rack);
-	vm.cpu_millis = cpu_millis;
-	vm.memory_mib = memory_mib;
-	plan_set_vm(plan, &vm, now_us);
-}
-
-static void set_zone(const char *name, bool out)
-{
-	struct zone_record zone = { .out = out, .version = 1 };
-
-	TEXT_SET(zone.name, name);
-	plan_set_zone(plan, &zone, now_us);
-}
-
-static struct job_record make_job(uint64_t job_id, uint32_t job_class,
-				  uint32_t cpu_millis, uint32_t memory_mib)
-{
-	struct job_record job = { .job_id = job_id, .job_class = job_class };
-
-	g_snprintf(job.kind, sizeof(job.kind), "kind-%u", job_class);
-	TEXT_SET(job.team, "lofts");
-	job.state = JOB_ACTIVE;
-	job.nr_wanted = 1;
-	job.cpu_millis = cpu_millis;
-	job.memory_mib = memory_mib;
-	job.submitted_ms = 1000000 + job_id;
-	return job;
-}
-
-static struct task_record make_task(uint64_t task_id, uint64_t job_id,
-				    uint32_t state)
-{
-	struct task_record task = { .task_id = task_id, .job_id = job_id };
-
-	task.state = state;
-	task.epoch = 1;
-	return task;
-}
-
-/* Adds a job with nr_tasks pending tasks numbered job_id * 1000 + i. */
-static void add_job(struct job_record job, uint32_t nr_tasks)
-{
-	job.nr_wanted = nr_tasks;
-	plan_set_job(plan, &job, now_us);
-	for (uint32_t i = 0; i < nr_tasks; i++) {
-		struct task_record task = make_task(job.job_id * 1000 + i,
-						    job.job_id, TASK_PENDING);
-
-		plan_set_task(plan, &task, now_us);
-	}
-}
-
-static void set_task_on(uint64_t task_id, uint64_t job_id, uint32_t state,
-			const char *vm, uint32_t cpu_millis,
-			uint32_t memory_mib)
-{
-	struct task_record task = make_task(task_id, job_id, state);
-
-	TEXT_SET(task.vm, vm);
-	task.cpu_millis = cpu_millis;
-	task.memory_mib = memory_mib;
-	plan_set_task(plan, &task, now_us);
-}
-
-/* Commits the last decision, PLAN_PLACE, as running. */
-static void run_decided(void)
-{
-	set_task_on(decision.task_id, decision.job_id, TASK_RUNNING,
-		    decision.vm, decision.cpu_millis, decision.memory_mib);
-}
-
-static bool next(void)
-{
-	return plan_next(plan, now_us, &decision);
-}
-
-static void expect_place(uint64_t task_id)
-{
-	ck_assert(next());
-	ck_assert_int_eq(decision.action, PLAN_PLACE);
-	ck_assert_uint_eq(decision.task_id, task_id);
-}
-
 /* Guards against a VM committed beyond its capacity, under either policy. */
 START_TEST(test_capacity_holds)
 {
@@ -356,26 +241,6 @@
 }
 END_TEST
 
-/* Fills VM "a" of 8 cores with 8 running batch tasks of job 1. */
-static void fill_with_batch(void)
-{
-	add_vm("a", "z1", "r1", 8000, 8192);
-	add_job(make_job(1, JOB_BATCH, 1000, 100), 8);
-	for (uint32_t i = 0; i < 8; i++) {
-		ck_assert(next());
-		run_decided();
-	}
-}
-
-static void confirm_stop(void)
-{
-	struct task_record task =
-		make_task(decision.task_id, decision.job_id, TASK_PENDING);
-
-	task.nr_evictions = 1;
-	plan_set_task(plan, &task, now_us);
-}
-
 /* Guards against urgent work and services that wait behind batch. */
 START_TEST(test_room_for_urgent_and_services)
 {
