Ask the planner only when something may be due

Cause: plan_next_us() returned at most 100 ms, so an idle leader would look ten times a second. Starts in a zone that came back were one a second for each group instead of 20, as a group that was refused waits a second. Giving a held place back could empty the list that was being walked (found by the random run).

Change: the next time comes from what waits, UINT64_MAX if nothing does; the starts of one second may come at once; the walk checks the list.

--- a/src/core/decide.c
+++ b/src/core/decide.c
@@ -10,7 +10,7 @@
 
 /* Groups tried in one call, which bounds the time of a call in vain. */
 #define TRIES_PER_CALL 8
-/* The planner looks after lists and steps at least this often. */
+/* Lists that something waits in are looked after this often. */
 #define TICK_US 100000ull
 /* A task whose proposal was refused is tried again after this time. */
 #define UNDO_RETRY_US 100000ull
@@ -133,15 +133,16 @@
 	plan->urgent_us = plan->now_us;
 }
 
-/* Spaces the starts of batch in a zone that came back. */
+/* Counts the starts of batch in a zone that came back; up to those of one
+ * second may come at once. */
 static void note_start(const struct plan *plan, struct vm *vm, bool batch)
 {
 	struct zone *zone = vm->zone;
 	uint32_t per_s = MAX(PLAN_RETURN_STARTS_PER_S, zone->vms->len);
 
 	if (batch)
-		zone->start_us =
-			MAX(zone->start_us, plan->now_us) + 1000000 / per_s;
+		zone->start_us = MAX(zone->start_us, plan->now_us - 1000000) +
+				 1000000 / per_s;
 }
 
 static bool try_task(struct plan *plan, struct plan_task *task,
@@ -261,7 +262,8 @@
 {
 	uint32_t looks = MIN(plan->waiting.length, TRIES_PER_CALL);
 
-	while (looks--) {
+	/* Giving one place back may free that of another. */
+	while (looks-- && plan->waiting.head) {
 		struct plan_task *task = plan->waiting.head->data;
 
 		if (task->hold_until_us > plan->now_us) {
@@ -281,6 +283,24 @@
 	return !task || plan_is_batch(task->job);
 }
 
+/* When to look again if nothing is told meanwhile. */
+static uint64_t next_look_us(const struct plan *plan)
+{
+	const struct vm *vm = plan->quarantined_vms.head ?
+				      plan->quarantined_vms.head->data :
+				      NULL;
+	uint64_t next_us = MIN(queue_next_us(plan), move_next_us(plan));
+
+	if (plan->waiting.length || plan->ready.length ||
+	    plan->evicting.length || plan->failing_jobs.length ||
+	    plan->suspect_vms.length || plan->slow_vms.length)
+		next_us = MIN(next_us, plan->now_us + TICK_US);
+	if (vm && !vm->suspect)
+		next_us = MIN(next_us,
+			      MAX(vm->probation_us, plan->now_us + TICK_US));
+	return next_us;
+}
+
 bool plan_next(struct plan *plan, uint64_t now_us,
 	       struct plan_decision *decision)
 {
@@ -302,7 +322,7 @@
 	if (next_failed_job(plan, decision) || next_ready(plan, decision) ||
 	    next_eviction(plan, decision))
 		return true;
-	plan->next_us = MIN(queue_next_us(plan), now_us + TICK_US);
+	plan->next_us = next_look_us(plan);
 	return false;
 }
 
--- a/src/core/move.c
+++ b/src/core/move.c
@@ -100,7 +100,7 @@
 {
 	uint32_t looks = MIN(plan->drain_services.length, MOVE_LOOKS);
 
-	while (looks--) {
+	while (looks-- && plan->drain_services.head) {
 		struct plan_task *task = plan->drain_services.head->data;
 
 		if (!must_leave(task) || task->outstanding ||
@@ -210,3 +210,12 @@
 	job = g_ptr_array_index(plan->services, plan->next_service);
 	return rebalance_service(plan, job, decision);
 }
+
+uint64_t move_next_us(const struct plan *plan)
+{
+	if (plan->drain_services.length || plan->drain_batch.length)
+		return plan->now_us + MOVE_RETRY_US;
+	if (plan->services->len && plan->now_us < plan->rebalance_until_us)
+		return MAX(plan->rebalance_us, plan->now_us + MOVE_RETRY_US);
+	return UINT64_MAX;
+}
--- a/src/core/move.h
+++ b/src/core/move.h
@@ -24,6 +24,9 @@
 /** Next replica to move for the spread of its service. */
 bool move_next_rebalanced(struct plan *plan, struct plan_decision *decision);
 
+/** Returns when the next move may be due, UINT64_MAX: none is. */
+uint64_t move_next_us(const struct plan *plan);
+
 /** A replica that was moved runs again, or ended. */
 void move_ended(struct plan_task *task);
 
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -156,7 +156,7 @@
 /* Returns true if the VM's zone takes another start of batch already. */
 static bool zone_is_open(const struct zone *zone, uint64_t now_us)
 {
-	return !zone->returned || now_us >= zone->start_us ||
+	return !zone->returned || now_us > zone->start_us ||
 	       now_us >= zone->changed_us + PLAN_RETURN_MS * 1000ull;
 }
 
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -81,7 +81,8 @@
 /** The decision was not carried out: the proposal was refused or dropped. */
 void plan_undo(struct plan *plan, const struct plan_decision *decision);
 
-/** Returns when plan_next() is to be asked again without a change. */
+/** Returns when plan_next() is to be asked again without a change,
+ * UINT64_MAX: not before one. */
 uint64_t plan_next_us(const struct plan *plan);
 
 /** Returns RESULT_OK, RESULT_NEVER_FITS or RESULT_QUOTA for a new job. */
