--- a/src/core/decide.c
+++ b/src/core/decide.c
@@ -18,8 +18,8 @@
 bool decide_ever_fits(const struct plan *plan, const struct task_size *size)
 {
 	for (uint32_t i = 0; i < plan->vm_list->len; i++) {
-		const struct vm *vm = g_ptr_array_index(plan->vm_list, i);
-		struct task_size capacity = vm_capacity(vm);
+		const struct plan_vm *vm = g_ptr_array_index(plan->vm_list, i);
+		struct task_size capacity = plan_vm_capacity(vm);
 
 		if (vm->known && size_within(size, &capacity))
 			return true;
@@ -34,7 +34,7 @@
 	decision->action = action;
 }
 
-void decide_place(struct plan *plan, struct plan_task *task, struct vm *vm,
+void decide_place(struct plan *plan, struct plan_task *task, struct plan_vm *vm,
 		  const struct task_size *size, struct plan_decision *decision)
 {
 	char reason[TEXT_BYTES];
@@ -135,9 +135,9 @@
 
 /* Counts the starts of batch in a zone that came back; up to those of one
  * second may come at once. */
-static void note_start(const struct plan *plan, struct vm *vm, bool batch)
+static void note_start(const struct plan *plan, struct plan_vm *vm, bool batch)
 {
-	struct zone *zone = vm->zone;
+	struct plan_zone *zone = vm->zone;
 	uint32_t per_s = MAX(PLAN_RETURN_STARTS_PER_S, zone->vms->len);
 
 	if (batch)
@@ -150,7 +150,7 @@
 {
 	struct plan_group *group = task->job->group;
 	struct task_size size = plan->place->size(plan, group);
-	struct vm *vm;
+	struct plan_vm *vm;
 
 	if (!team_allows(group->team, &size)) {
 		if (!team_ever_allows(group->team, &size))
@@ -190,7 +190,7 @@
 static bool next_quarantine(struct plan *plan, struct plan_decision *decision)
 {
 	const char *why = "failed-jobs";
-	struct vm *vm;
+	struct plan_vm *vm;
 	bool set;
 
 	if (plan->now_us < plan->undone_us + UNDO_RETRY_US)
@@ -237,7 +237,7 @@
 		return false;
 	while (plan->ready.head) {
 		struct plan_task *task = plan->ready.head->data;
-		struct vm *vm = task->hold_vm;
+		struct plan_vm *vm = task->hold_vm;
 		struct task_size size = task->hold_size;
 		bool fits = plan_hold_is_free(task);
 
@@ -286,9 +286,9 @@
 /* When to look again if nothing is told meanwhile. */
 static uint64_t next_look_us(const struct plan *plan)
 {
-	const struct vm *vm = plan->quarantined_vms.head ?
-				      plan->quarantined_vms.head->data :
-				      NULL;
+	const struct plan_vm *vm = plan->quarantined_vms.head ?
+					   plan->quarantined_vms.head->data :
+					   NULL;
 	uint64_t next_us = MIN(queue_next_us(plan), move_next_us(plan));
 
 	if (plan->waiting.length || plan->ready.length ||
@@ -333,7 +333,7 @@
 
 static void undo_place(struct plan *plan, struct plan_task *task)
 {
-	struct vm *vm = task->on_vm;
+	struct plan_vm *vm = task->on_vm;
 	struct task_size size = task->size;
 
 	plan_unaccount(plan, task);
@@ -352,7 +352,7 @@
 
 static void undo_vm(struct plan *plan, const struct plan_decision *decision)
 {
-	struct vm *vm = plan_vm(plan, decision->vm);
+	struct plan_vm *vm = plan_vm(plan, decision->vm);
 
 	if (!vm->suspect)
 		return;
@@ -375,10 +375,10 @@
 {
 	if (!task->on_vm || !task->running_us)
 		return;
-	vm_stay_end(task->on_vm, task->task_id, plan->now_us);
-	vm_stay_begin(task->on_vm, task->job->kind->nr, task->task_id, 1000000,
-		      plan->now_us);
-	vm_throttle_task(task->on_vm, task, 1000000);
+	plan_vm_stay_end(task->on_vm, task->task_id, plan->now_us);
+	plan_vm_stay_begin(task->on_vm, task->job->kind->nr, task->task_id,
+			   1000000, plan->now_us);
+	plan_vm_throttle_task(task->on_vm, task, 1000000);
 }
 
 void plan_undo(struct plan *plan, const struct plan_decision *decision)
--- a/src/core/decide.h
+++ b/src/core/decide.h
@@ -12,7 +12,7 @@
 #include "plan_state.h"
 
 /** Fills in PLAN_PLACE and reserves the size on the VM. */
-void decide_place(struct plan *plan, struct plan_task *task, struct vm *vm,
+void decide_place(struct plan *plan, struct plan_task *task, struct plan_vm *vm,
 		  const struct task_size *size, struct plan_decision *decision);
 /** Fills in PLAN_EVICT. */
 void decide_evict(struct plan *plan, struct plan_task *task,
--- a/src/core/evict.c
+++ b/src/core/evict.c
@@ -79,11 +79,11 @@
 
 /* What a VM would still lack for a task once those that leave are gone. */
 static struct task_size room_lacking(const struct plan *plan,
-				     const struct vm *vm,
+				     const struct plan_vm *vm,
 				     const struct task_size *size)
 {
 	struct task_size lacking = *size;
-	struct task_size soon = vm_spare(vm);
+	struct task_size soon = plan_vm_spare(vm);
 
 	size_add(&lacking, &vm->held);
 	for (uint32_t i = 0; i < vm->tasks->len; i++) {
@@ -105,7 +105,7 @@
 
 /* A set of tasks whose end makes room on a VM. */
 struct room {
-	struct vm *vm;
+	struct plan_vm *vm;
 	struct victim victims[ROOM_VICTIMS];
 	uint32_t nr;
 	uint64_t cost;
@@ -200,9 +200,9 @@
 	best->vm = NULL;
 	best->cost = UINT64_MAX;
 	for (uint32_t i = 0; i < nr_vms && looks; i++) {
-		struct vm *vm =
+		struct plan_vm *vm =
 			g_ptr_array_index(plan->vm_list, (first + i) % nr_vms);
-		struct task_size capacity = vm_capacity(vm);
+		struct task_size capacity = plan_vm_capacity(vm);
 		struct room room = { .vm = vm };
 
 		if (!vm->indexed || vm->probation ||
--- a/src/core/interference.c
+++ b/src/core/interference.c
@@ -111,13 +111,14 @@
 }
 
 /* Who ran beside the task when the sample was taken. */
-static void neighbours_at(struct neighbours *neighbours, const struct vm *vm,
-			  uint64_t task_id, uint64_t sample_us)
+static void neighbours_at(struct neighbours *neighbours,
+			  const struct plan_vm *vm, uint64_t task_id,
+			  uint64_t sample_us)
 {
 	neighbours->nr = 0;
 	for (uint32_t i = 0; i < vm->stays->len; i++) {
-		const struct vm_stay *stay =
-			&g_array_index(vm->stays, struct vm_stay, i);
+		const struct plan_vm_stay *stay =
+			&g_array_index(vm->stays, struct plan_vm_stay, i);
 
 		if (stay->task_id != task_id && stay->from_us <= sample_us &&
 		    sample_us < stay->to_us)
@@ -168,7 +169,7 @@
 	       sample->cpu_used_millis * 100ull >= limit * AT_LIMIT_PERCENT;
 }
 
-static void note_slowness(struct plan *plan, struct vm *vm,
+static void note_slowness(struct plan *plan, struct plan_vm *vm,
 			  struct plan_task *task, int64_t slowdown_ppm,
 			  uint64_t sample_us)
 {
@@ -186,7 +187,7 @@
 	g_queue_push_tail(&plan->slow_vms, vm);
 }
 
-void interference_sample(struct plan *plan, struct vm *vm,
+void interference_sample(struct plan *plan, struct plan_vm *vm,
 			 struct plan_task *task,
 			 const struct platform_task *sample, uint64_t sample_us)
 {
@@ -218,13 +219,13 @@
 /* Predicted slowdown of a task of a kind by all on the VM but @a own_ppm of its
  * own kind. */
 static uint64_t predicted(const struct interference *interference,
-			  uint32_t kind_nr, const struct vm *vm,
+			  uint32_t kind_nr, const struct plan_vm *vm,
 			  uint32_t own_ppm)
 {
 	uint64_t sum = 0;
 
 	for (uint32_t i = 0; i < vm->nr_kinds; i++) {
-		const struct vm_kind *by = &vm->kinds[i];
+		const struct plan_vm_kind *by = &vm->kinds[i];
 		uint64_t share_ppm = by->share_ppm;
 
 		if (by->kind_nr == kind_nr)
@@ -236,8 +237,8 @@
 }
 
 uint64_t interference_cost(const struct plan *plan,
-			   const struct plan_task *task, const struct vm *vm,
-			   uint64_t *worst)
+			   const struct plan_task *task,
+			   const struct plan_vm *vm, uint64_t *worst)
 {
 	const struct interference *pairs = plan->interference;
 	uint32_t kind_nr = task->job->kind->nr;
@@ -247,7 +248,7 @@
 
 	*worst = batch ? 0 : own;
 	for (uint32_t i = 0; i < vm->nr_kinds; i++) {
-		const struct vm_kind *kind = &vm->kinds[i];
+		const struct plan_vm_kind *kind = &vm->kinds[i];
 		uint64_t added = pair_ppm(pairs, kind->kind_nr, kind_nr);
 
 		cost += added *
@@ -261,12 +262,13 @@
 }
 
 uint64_t interference_harm(const struct plan *plan,
-			   const struct plan_task *task, const struct vm *vm)
+			   const struct plan_task *task,
+			   const struct plan_vm *vm)
 {
 	uint64_t worst = 0;
 
 	for (uint32_t i = 0; i < vm->nr_kinds; i++) {
-		const struct vm_kind *kind = &vm->kinds[i];
+		const struct plan_vm_kind *kind = &vm->kinds[i];
 
 		if (kind->nr_services)
 			worst = MAX(worst,
@@ -277,7 +279,7 @@
 }
 
 /* The service on the VM that is slow. */
-static struct plan_task *slow_service(const struct vm *vm)
+static struct plan_task *slow_service(const struct plan_vm *vm)
 {
 	for (uint32_t i = 0; i < vm->tasks->len; i++) {
 		struct plan_task *task = g_ptr_array_index(vm->tasks, i);
@@ -290,7 +292,7 @@
 
 /* The batch task that slows the service most, or the policy's choice. */
 static struct plan_task *worst_batch(const struct plan *plan,
-				     const struct vm *vm,
+				     const struct plan_vm *vm,
 				     const struct plan_task *service,
 				     bool unthrottled)
 {
@@ -322,7 +324,7 @@
 static bool throttle(struct plan *plan, struct plan_task *task, uint32_t ppm,
 		     struct plan_decision *decision)
 {
-	struct vm *vm = task->on_vm;
+	struct plan_vm *vm = task->on_vm;
 
 	memset(decision, 0, sizeof(*decision));
 	decision->action = PLAN_THROTTLE;
@@ -332,10 +334,10 @@
 	TEXT_SET(decision->vm, vm->record.name);
 	g_snprintf(decision->reason, sizeof(decision->reason),
 		   "why=interference kind=%s", task->job->kind->name);
-	vm_stay_end(vm, task->task_id, plan->now_us);
-	vm_stay_begin(vm, task->job->kind->nr, task->task_id, ppm,
-		      plan->now_us);
-	vm_throttle_task(vm, task, ppm);
+	plan_vm_stay_end(vm, task->task_id, plan->now_us);
+	plan_vm_stay_begin(vm, task->job->kind->nr, task->task_id, ppm,
+			   plan->now_us);
+	plan_vm_throttle_task(vm, task, ppm);
 	return true;
 }
 
@@ -345,7 +347,7 @@
 {
 	struct task_size size = plan->place->size(plan, task->job->group);
 	char reason[TEXT_BYTES];
-	struct vm *vm;
+	struct plan_vm *vm;
 
 	if (!evict_allowed(plan, task) || task->hold_vm || task->list ||
 	    task->job->kind->no_checkpoint)
@@ -359,7 +361,7 @@
 }
 
 /* Takes the next step on the VM; returns true if it is a decision. */
-static bool take_step(struct plan *plan, struct vm *vm,
+static bool take_step(struct plan *plan, struct plan_vm *vm,
 		      const struct plan_task *service,
 		      struct plan_decision *decision)
 {
@@ -398,11 +400,11 @@
 				     const struct plan_task *task)
 {
 	const struct interference *pairs = plan->interference;
-	const struct vm *vm = task->on_vm;
+	const struct plan_vm *vm = task->on_vm;
 	uint64_t worst = 0;
 
 	for (uint32_t i = 0; i < vm->nr_kinds; i++) {
-		const struct vm_kind *kind = &vm->kinds[i];
+		const struct plan_vm_kind *kind = &vm->kinds[i];
 		uint64_t added =
 			pair_ppm(pairs, kind->kind_nr, task->job->kind->nr) *
 			(PPM - task->throttle_ppm) / PPM;
@@ -416,7 +418,7 @@
 }
 
 /* Takes one step back; what is predicted to do harm again stays throttled. */
-static bool step_back(struct plan *plan, struct vm *vm,
+static bool step_back(struct plan *plan, struct plan_vm *vm,
 		      struct plan_decision *decision)
 {
 	bool throttled = false;
@@ -438,7 +440,7 @@
 	return false;
 }
 
-void interference_relax(struct plan *plan, struct vm *vm)
+void interference_relax(struct plan *plan, struct plan_vm *vm)
 {
 	uint64_t wait_us = vm->lag_us + REPORT_INTERVAL_MS * 1000ull;
 
@@ -454,7 +456,7 @@
 	uint32_t looks = plan->slow_vms.length;
 
 	while (looks--) {
-		struct vm *vm = g_queue_pop_head(&plan->slow_vms);
+		struct plan_vm *vm = g_queue_pop_head(&plan->slow_vms);
 		const struct plan_task *service = slow_service(vm);
 		uint64_t wait_us = vm->lag_us + REPORT_INTERVAL_MS * 1000ull;
 
--- a/src/core/interference.h
+++ b/src/core/interference.h
@@ -31,7 +31,7 @@
 			   const struct plan_kind *by);
 
 /** Takes a sample: credits its slowdown to what ran on the VM by then. */
-void interference_sample(struct plan *plan, struct vm *vm,
+void interference_sample(struct plan *plan, struct plan_vm *vm,
 			 struct plan_task *task,
 			 const struct platform_task *sample,
 			 uint64_t sample_us);
@@ -42,15 +42,16 @@
  * slowdown of a service there with the new task.
  */
 uint64_t interference_cost(const struct plan *plan,
-			   const struct plan_task *task, const struct vm *vm,
-			   uint64_t *worst);
+			   const struct plan_task *task,
+			   const struct plan_vm *vm, uint64_t *worst);
 
 /** Returns the slowdown of the services on the VM by the task alone. */
 uint64_t interference_harm(const struct plan *plan,
-			   const struct plan_task *task, const struct vm *vm);
+			   const struct plan_task *task,
+			   const struct plan_vm *vm);
 
 /** All samples of the VM were taken: lists it when steps may be taken back. */
-void interference_relax(struct plan *plan, struct vm *vm);
+void interference_relax(struct plan *plan, struct plan_vm *vm);
 
 /** Next step against interference on a VM with a slow service. */
 bool interference_next(struct plan *plan, struct plan_decision *decision);
--- a/src/core/learn.h
+++ b/src/core/learn.h
@@ -11,7 +11,7 @@
 
 #include "command.h"
 #include "platform.h"
-#include "vm.h"
+#include "plan_vm.h"
 
 struct learn;
 
--- a/src/core/move.c
+++ b/src/core/move.c
@@ -11,7 +11,7 @@
 
 static bool must_leave(const struct plan_task *task)
 {
-	const struct vm *vm = task->on_vm;
+	const struct plan_vm *vm = task->on_vm;
 
 	return vm && vm->known && vm->zone &&
 	       (vm->zone->out || vm->record.state == VM_LEAVING);
@@ -29,7 +29,7 @@
 							&plan->drain_services);
 }
 
-void move_drain_vm(struct plan *plan, struct vm *vm)
+void move_drain_vm(struct plan *plan, struct plan_vm *vm)
 {
 	for (uint32_t i = 0; i < vm->tasks->len; i++)
 		move_drain_task(plan, g_ptr_array_index(vm->tasks, i));
@@ -65,7 +65,7 @@
 {
 	struct task_size size;
 	char reason[TEXT_BYTES];
-	struct vm *vm;
+	struct plan_vm *vm;
 
 	if (task->hold_vm)
 		return plan_hold_is_free(task);
@@ -144,8 +144,8 @@
 {
 	for (const GList *link = job->tasks.head; link; link = link->next) {
 		const struct plan_task *task = link->data;
-		const struct vm *vm = task->hold_vm ? task->hold_vm :
-						      task->on_vm;
+		const struct plan_vm *vm = task->hold_vm ? task->hold_vm :
+							   task->on_vm;
 
 		if (vm && vm->zone && vm->zone->nr < nr_zones)
 			counts[vm->zone->nr]++;
--- a/src/core/move.h
+++ b/src/core/move.h
@@ -13,7 +13,7 @@
 #include "plan_state.h"
 
 /** Lists the tasks of a VM that is to be emptied. */
-void move_drain_vm(struct plan *plan, struct vm *vm);
+void move_drain_vm(struct plan *plan, struct plan_vm *vm);
 /** Lists the task again if its VM is to be emptied. */
 void move_drain_task(struct plan *plan, struct plan_task *task);
 /** A zone or VM came back: watches the spread of the services for a while. */
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -109,8 +109,8 @@
 	spread->racks = g_array_new(FALSE, TRUE, sizeof(uint32_t));
 	for (const GList *link = job->tasks.head; link; link = link->next) {
 		const struct plan_task *task = link->data;
-		const struct vm *vm = task->hold_vm ? task->hold_vm :
-						      task->on_vm;
+		const struct plan_vm *vm = task->hold_vm ? task->hold_vm :
+							   task->on_vm;
 
 		if (!vm || !vm->zone)
 			continue;
@@ -125,7 +125,8 @@
 	g_array_free(spread->racks, TRUE);
 }
 
-static uint64_t spread_cost(const struct spread *spread, const struct vm *vm,
+static uint64_t spread_cost(const struct spread *spread,
+			    const struct plan_vm *vm,
 			    const struct plan_job *job)
 {
 	uint64_t same_vm = 0;
@@ -147,25 +148,25 @@
 }
 
 /* A quarter of a VM, for a worker on probation. */
-static bool is_small(const struct task_size *size, const struct vm *vm)
+static bool is_small(const struct task_size *size, const struct plan_vm *vm)
 {
 	return size->cpu_millis <= vm->record.cpu_millis / 4 &&
 	       size->memory_mib <= vm->record.memory_mib / 4;
 }
 
 /* Returns true if the VM's zone takes another start of batch already. */
-static bool zone_is_open(const struct zone *zone, uint64_t now_us)
+static bool zone_is_open(const struct plan_zone *zone, uint64_t now_us)
 {
 	return !zone->returned || now_us > zone->start_us ||
 	       now_us >= zone->changed_us + PLAN_RETURN_MS * 1000ull;
 }
 
-bool place_allowed(const struct plan_task *task, const struct vm *vm,
+bool place_allowed(const struct plan_task *task, const struct plan_vm *vm,
 		   const struct task_size *size, uint64_t now_us)
 {
 	bool batch = plan_is_batch(task->job);
 
-	if (!vm->indexed || !vm_fits(vm, size))
+	if (!vm->indexed || !plan_vm_fits(vm, size))
 		return false;
 	if (vm->probation && (!batch || vm->tasks->len || !is_small(size, vm)))
 		return false;
@@ -181,10 +182,10 @@
  * Room that is left with much of one resource and little of the other is of
  * little use; batch fills the fullest VMs first, services the emptiest.
  */
-static uint64_t packing_cost(const struct vm *vm, const struct task_size *size,
-			     bool batch)
+static uint64_t packing_cost(const struct plan_vm *vm,
+			     const struct task_size *size, bool batch)
 {
-	struct task_size spare = vm_spare(vm);
+	struct task_size spare = plan_vm_spare(vm);
 	uint64_t cpu = share_ppm(spare.cpu_millis - size->cpu_millis,
 				 vm->record.cpu_millis);
 	uint64_t memory = share_ppm(spare.memory_mib - size->memory_mib,
@@ -196,10 +197,10 @@
 }
 
 /* Room for one more urgent task is kept on a few VMs. */
-static bool takes_slack(const struct plan *plan, const struct vm *vm,
+static bool takes_slack(const struct plan *plan, const struct plan_vm *vm,
 			const struct task_size *size)
 {
-	struct task_size open = vm_open(vm);
+	struct task_size open = plan_vm_open(vm);
 	uint32_t nr_vms = plan->vm_list->len;
 	uint32_t wanted = MIN(nr_vms / SLACK_DIVISOR, 1 + nr_vms / 64);
 	uint32_t others = 0;
@@ -212,14 +213,14 @@
 	if (size_within(&plan->urgent, &open))
 		return false;
 	for (uint32_t i = 0; i < plan->zone_list->len && others < wanted; i++)
-		others += zone_count(g_ptr_array_index(plan->zone_list, i),
-				     &plan->urgent, wanted);
+		others += plan_zone_count(g_ptr_array_index(plan->zone_list, i),
+					  &plan->urgent, wanted);
 	return others < wanted;
 }
 
 /* Returns true if the task would slow a service on the VM too much. */
 static bool is_noisy(const struct plan *plan, const struct plan_task *task,
-		     const struct vm *vm, uint64_t worst)
+		     const struct plan_vm *vm, uint64_t worst)
 {
 	if (worst > PLAN_SLOWDOWN_PLACE_PPM)
 		return true;
@@ -228,7 +229,7 @@
 }
 
 static bool too_noisy(const struct plan *plan, const struct plan_task *task,
-		      const struct vm *vm)
+		      const struct plan_vm *vm)
 {
 	uint64_t worst;
 
@@ -246,7 +247,7 @@
 
 /* Returns the cost of the VM for the task, UINT64_MAX: not there. */
 static uint64_t vm_cost(const struct plan *plan, const struct plan_task *task,
-			const struct vm *vm, const struct task_size *size,
+			const struct plan_vm *vm, const struct task_size *size,
 			const struct spread *spread)
 {
 	const struct plan_job *job = task->job;
@@ -286,16 +287,16 @@
 }
 
 /* A VM kept for a large batch task takes short ones in the meantime. */
-static struct vm *backfill(const struct plan *plan,
-			   const struct plan_task *task,
-			   const struct task_size *size)
+static struct plan_vm *backfill(const struct plan *plan,
+				const struct plan_task *task,
+				const struct task_size *size)
 {
 	const GList *link = plan->waiting.head;
 
 	for (uint32_t i = 0; link && i < BACKFILL_LOOKS; i++) {
 		const struct plan_task *holder = link->data;
-		struct vm *vm = holder->hold_vm;
-		struct task_size spare = vm_spare(vm);
+		struct plan_vm *vm = holder->hold_vm;
+		struct task_size spare = plan_vm_spare(vm);
 
 		link = link->next;
 		if (holder->batch_hold && vm->holders->len == 1 &&
@@ -309,27 +310,28 @@
 	return NULL;
 }
 
-static struct vm *default_choose(struct plan *plan,
-				 const struct plan_task *task,
-				 const struct task_size *size, char *reason,
-				 size_t reason_bytes)
+static struct plan_vm *default_choose(struct plan *plan,
+				      const struct plan_task *task,
+				      const struct task_size *size,
+				      char *reason, size_t reason_bytes)
 {
-	struct vm *candidates[PLAN_CANDIDATES];
+	struct plan_vm *candidates[PLAN_CANDIDATES];
 	bool service = task->job->record.job_class == JOB_SERVICE;
 	uint32_t nr_zones = plan->zone_list->len;
 	uint32_t share = MAX(PLAN_CANDIDATES / MAX(nr_zones, 1), 1);
 	uint32_t first = nr_zones ? (uint32_t)(plan_random(plan) % nr_zones) :
 				    0;
 	struct spread spread;
-	struct vm *best = NULL;
+	struct plan_vm *best = NULL;
 	uint64_t best_cost = UINT64_MAX;
 	uint32_t nr = 0;
 
 	for (uint32_t i = 0; i < nr_zones && nr < PLAN_CANDIDATES; i++)
-		nr += zone_candidates(g_ptr_array_index(plan->zone_list,
-							(first + i) % nr_zones),
-				      size, plan_random(plan), candidates + nr,
-				      MIN(share, PLAN_CANDIDATES - nr));
+		nr += plan_zone_candidates(
+			g_ptr_array_index(plan->zone_list,
+					  (first + i) % nr_zones),
+			size, plan_random(plan), candidates + nr,
+			MIN(share, PLAN_CANDIDATES - nr));
 	if (service)
 		spread_init(&spread, task->job);
 	for (uint32_t i = 0; i < nr; i++) {
@@ -354,13 +356,13 @@
 	return best;
 }
 
-static struct vm *first_fit_choose(struct plan *plan,
-				   const struct plan_task *task,
-				   const struct task_size *size, char *reason,
-				   size_t reason_bytes)
+static struct plan_vm *first_fit_choose(struct plan *plan,
+					const struct plan_task *task,
+					const struct task_size *size,
+					char *reason, size_t reason_bytes)
 {
 	for (uint32_t i = 0; i < plan->vm_list->len; i++) {
-		struct vm *vm = g_ptr_array_index(plan->vm_list, i);
+		struct plan_vm *vm = g_ptr_array_index(plan->vm_list, i);
 
 		if (!place_allowed(task, vm, size, plan->now_us))
 			continue;
--- a/src/core/place.h
+++ b/src/core/place.h
@@ -19,17 +19,18 @@
 	struct task_size (*size)(const struct plan *plan,
 				 const struct plan_group *group);
 	/** Returns the VM for a pending task, NULL: none now. */
-	struct vm *(*choose)(struct plan *plan, const struct plan_task *task,
-			     const struct task_size *size, char *reason,
-			     size_t reason_bytes);
+	struct plan_vm *(*choose)(struct plan *plan,
+				  const struct plan_task *task,
+				  const struct task_size *size, char *reason,
+				  size_t reason_bytes);
 	/** Returns true if the batch task would slow a service on the VM too
 	 * much; NULL: the policy doesn't care. */
 	bool (*harms)(const struct plan *plan, const struct plan_task *task,
-		      const struct vm *vm);
+		      const struct plan_vm *vm);
 };
 
 /** Returns true if the filters let the task start on the VM. */
-bool place_allowed(const struct plan_task *task, const struct vm *vm,
+bool place_allowed(const struct plan_task *task, const struct plan_vm *vm,
 		   const struct task_size *size, uint64_t now_us);
 
 /** Returns the policy of that name, NULL if there is none. */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -12,12 +12,12 @@
 
 static void vm_destroy(void *vm)
 {
-	vm_free(vm);
+	plan_vm_free(vm);
 }
 
 static void zone_destroy(void *zone)
 {
-	zone_free(zone);
+	plan_zone_free(zone);
 }
 
 static void team_destroy(void *team)
@@ -120,7 +120,7 @@
 void plan_set_zone(struct plan *plan, const struct zone_record *record,
 		   uint64_t now_us)
 {
-	struct zone *zone = plan_zone(plan, record->name);
+	struct plan_zone *zone = plan_zone(plan, record->name);
 
 	plan->now_us = now_us;
 	if (zone->out == record->out)
@@ -129,9 +129,9 @@
 	zone->out = record->out;
 	zone->changed_us = now_us;
 	for (uint32_t i = 0; i < zone->vms->len; i++) {
-		struct vm *vm = g_ptr_array_index(zone->vms, i);
+		struct plan_vm *vm = g_ptr_array_index(zone->vms, i);
 
-		zone_index_vm(vm);
+		plan_zone_index_vm(vm);
 		if (!zone->out)
 			continue;
 		plan_unhold_all(plan, vm);
@@ -144,7 +144,7 @@
 }
 
 /* Keeps count of a quarantine that was set or lifted. */
-static void vm_quarantine_set(struct plan *plan, struct vm *vm)
+static void vm_quarantine_set(struct plan *plan, struct plan_vm *vm)
 {
 	vm->suspect = false;
 	vm->nr_failed_jobs = 0;
@@ -163,7 +163,7 @@
 void plan_set_vm(struct plan *plan, const struct vm_record *record,
 		 uint64_t now_us)
 {
-	struct vm *vm = plan_vm(plan, record->name);
+	struct plan_vm *vm = plan_vm(plan, record->name);
 	struct task_size *largest = &plan->largest;
 	bool was_quarantined = vm->record.quarantined;
 	bool was_indexed = vm->indexed;
@@ -180,8 +180,8 @@
 	largest->memory_mib = MAX(largest->memory_mib, record->memory_mib);
 	largest->accelerators =
 		MAX(largest->accelerators, record->accelerators);
-	zone_add_vm(plan_zone(plan, record->zone), vm);
-	zone_index_vm(vm);
+	plan_zone_add_vm(plan_zone(plan, record->zone), vm);
+	plan_zone_index_vm(vm);
 	if (vm->indexed) {
 		plan_room(plan, vm, NULL);
 		if (!was_indexed)
@@ -211,7 +211,7 @@
 
 		if (!task->on_vm)
 			continue;
-		vm_uncount_task(task->on_vm, task);
+		plan_vm_uncount_task(task->on_vm, task);
 		if (task->charged)
 			team_return(task->charged, &task->size);
 		task->charged = NULL;
@@ -225,7 +225,7 @@
 
 		if (!task->on_vm)
 			continue;
-		vm_count_task(task->on_vm, task);
+		plan_vm_count_task(task->on_vm, task);
 		task->charged = job->team;
 		team_use(job->team, &task->size);
 	}
@@ -268,15 +268,15 @@
 {
 	struct task_size size = { record->cpu_millis, record->memory_mib,
 				  record->accelerators };
-	struct vm *vm = NULL;
+	struct plan_vm *vm = NULL;
 
 	if (holds_vm(record->state) && *record->vm)
 		vm = plan_vm(plan, record->vm);
 	if (vm && vm == task->on_vm &&
 	    !memcmp(&size, &task->size, sizeof(size))) {
 		if (task->reserved) {
-			vm_unreserve(vm, &size);
-			vm_commit(vm, &size);
+			plan_vm_unreserve(vm, &size);
+			plan_vm_commit(vm, &size);
 			task->reserved = false;
 		}
 		return;
@@ -292,13 +292,13 @@
 
 	if (running && !task->running_us) {
 		task->running_us = now_us;
-		vm_throttle_task(task->on_vm, task, 1000000);
+		plan_vm_throttle_task(task->on_vm, task, 1000000);
 		if (kind)
-			vm_stay_begin(task->on_vm, kind->nr, task->task_id,
-				      1000000, now_us);
+			plan_vm_stay_begin(task->on_vm, kind->nr, task->task_id,
+					   1000000, now_us);
 	} else if (!running && task->running_us) {
 		if (task->on_vm)
-			vm_stay_end(task->on_vm, task->task_id, now_us);
+			plan_vm_stay_end(task->on_vm, task->task_id, now_us);
 	}
 }
 
@@ -384,7 +384,7 @@
 }
 
 /* Counts a failure against the worker, unless the job is the likely cause. */
-static void vm_failed_job(struct plan *plan, struct vm *vm,
+static void vm_failed_job(struct plan *plan, struct plan_vm *vm,
 			  const struct plan_job *job)
 {
 	bool repeated = false;
@@ -404,7 +404,7 @@
 	g_queue_push_tail(&plan->suspect_vms, vm);
 }
 
-static void vm_ran_job(struct vm *vm)
+static void vm_ran_job(struct plan_vm *vm)
 {
 	vm->nr_failed_jobs = 0;
 	if (vm->probation && !--vm->probation)
@@ -415,7 +415,7 @@
 		     bool failed, uint64_t now_us)
 {
 	struct plan_task *task = plan_find_task(plan, task_id);
-	struct vm *vm = plan_vm(plan, vm_name);
+	struct plan_vm *vm = plan_vm(plan, vm_name);
 	struct plan_job *job;
 	bool elsewhere;
 	bool at_limit;
@@ -448,7 +448,7 @@
 void plan_usage(struct plan *plan, const char *vm_name, uint32_t nr_tasks,
 		const struct platform_task *samples, uint64_t now_us)
 {
-	struct vm *vm = plan_vm(plan, vm_name);
+	struct plan_vm *vm = plan_vm(plan, vm_name);
 
 	plan->now_us = now_us;
 	vm->lag_us -= vm->lag_us / 16; /* forgets a lag that was longer */
--- a/src/core/plan_state.c
+++ b/src/core/plan_state.c
@@ -11,25 +11,25 @@
 	return plan->random;
 }
 
-struct vm *plan_vm(struct plan *plan, const char *name)
+struct plan_vm *plan_vm(struct plan *plan, const char *name)
 {
-	struct vm *vm = g_hash_table_lookup(plan->vms, name);
+	struct plan_vm *vm = g_hash_table_lookup(plan->vms, name);
 
 	if (vm)
 		return vm;
-	vm = vm_new(name, plan->vm_list->len);
+	vm = plan_vm_new(name, plan->vm_list->len);
 	g_hash_table_insert(plan->vms, vm->record.name, vm);
 	g_ptr_array_add(plan->vm_list, vm);
 	return vm;
 }
 
-struct zone *plan_zone(struct plan *plan, const char *name)
+struct plan_zone *plan_zone(struct plan *plan, const char *name)
 {
-	struct zone *zone = g_hash_table_lookup(plan->zones, name);
+	struct plan_zone *zone = g_hash_table_lookup(plan->zones, name);
 
 	if (zone)
 		return zone;
-	zone = zone_new(name, plan->zone_list->len);
+	zone = plan_zone_new(name, plan->zone_list->len);
 	g_hash_table_insert(plan->zones, zone->name, zone);
 	g_ptr_array_add(plan->zone_list, zone);
 	return zone;
@@ -104,16 +104,16 @@
 	return task;
 }
 
-void plan_account(struct plan_task *task, struct vm *vm,
+void plan_account(struct plan_task *task, struct plan_vm *vm,
 		  const struct task_size *size, bool reserved)
 {
 	task->size = *size;
 	task->reserved = reserved;
 	if (reserved)
-		vm_reserve(vm, size);
+		plan_vm_reserve(vm, size);
 	else
-		vm_commit(vm, size);
-	vm_add_task(vm, task);
+		plan_vm_commit(vm, size);
+	plan_vm_add_task(vm, task);
 	task->charged = task->job->team;
 	if (task->charged)
 		team_use(task->charged, size);
@@ -121,16 +121,16 @@
 
 void plan_unaccount(struct plan *plan, struct plan_task *task)
 {
-	struct vm *vm = task->on_vm;
+	struct plan_vm *vm = task->on_vm;
 	struct team *team = task->charged;
 
 	if (!vm)
 		return;
-	vm_remove_task(vm, task);
+	plan_vm_remove_task(vm, task);
 	if (task->reserved)
-		vm_unreserve(vm, &task->size);
+		plan_vm_unreserve(vm, &task->size);
 	else
-		vm_release(vm, &task->size);
+		plan_vm_release(vm, &task->size);
 	if (team)
 		team_return(team, &task->size);
 	task->charged = NULL;
@@ -138,10 +138,10 @@
 	plan_room(plan, vm, team);
 }
 
-void plan_hold(struct plan *plan, struct plan_task *task, struct vm *vm,
+void plan_hold(struct plan *plan, struct plan_task *task, struct plan_vm *vm,
 	       const struct task_size *size, uint64_t until_us)
 {
-	vm_hold(vm, task, size);
+	plan_vm_hold(vm, task, size);
 	task->hold_until_us = until_us;
 	task->batch_hold = plan_is_batch(task->job);
 	plan->nr_batch_holds += task->batch_hold;
@@ -154,17 +154,17 @@
 
 void plan_unhold(struct plan *plan, struct plan_task *task)
 {
-	struct vm *vm = task->hold_vm;
+	struct plan_vm *vm = task->hold_vm;
 
 	if (!vm)
 		return;
-	vm_unhold(task);
+	plan_vm_unhold(task);
 	plan->nr_batch_holds -= task->batch_hold;
 	task->batch_hold = false;
 	plan_room(plan, vm, NULL);
 }
 
-void plan_unhold_all(struct plan *plan, struct vm *vm)
+void plan_unhold_all(struct plan *plan, struct plan_vm *vm)
 {
 	while (vm->holders->len) {
 		struct plan_task *task = g_ptr_array_index(vm->holders, 0);
@@ -183,13 +183,13 @@
 
 	if (!task->hold_vm)
 		return false;
-	spare = vm_spare(task->hold_vm);
+	spare = plan_vm_spare(task->hold_vm);
 	return size_within(&task->hold_size, &spare);
 }
 
-void plan_room(struct plan *plan, struct vm *vm, const struct team *team)
+void plan_room(struct plan *plan, struct plan_vm *vm, const struct team *team)
 {
-	struct task_size spare = vm_spare(vm);
+	struct task_size spare = plan_vm_spare(vm);
 
 	for (uint32_t i = 0; i < vm->holders->len; i++) {
 		struct plan_task *task = g_ptr_array_index(vm->holders, i);
@@ -252,7 +252,7 @@
 	return whole_us > run_us ? whole_us - run_us : whole_us / 4;
 }
 
-bool failed_on(const struct failed_vms *failed, const struct vm *vm)
+bool failed_on(const struct failed_vms *failed, const struct plan_vm *vm)
 {
 	for (uint32_t i = 0; i < failed->nr; i++) {
 		if (failed->vms[i] == vm)
@@ -261,7 +261,7 @@
 	return false;
 }
 
-uint32_t failed_add(struct failed_vms *failed, struct vm *vm)
+uint32_t failed_add(struct failed_vms *failed, struct plan_vm *vm)
 {
 	uint32_t nr = 0;
 
--- a/src/core/plan_state.h
+++ b/src/core/plan_state.h
@@ -16,8 +16,8 @@
 #include "queue.h"
 #include "team.h"
 #include "tunables.h"
-#include "vm.h"
-#include "zone.h"
+#include "plan_vm.h"
+#include "plan_zone.h"
 
 struct place_ops;
 struct evict_ops;
@@ -29,7 +29,7 @@
 #define JOB_MAX_FAILURES 10
 
 struct failed_vms {
-	struct vm *vms[JOB_MAX_FAILED_VMS];
+	struct plan_vm *vms[JOB_MAX_FAILED_VMS];
 	uint32_t nr;
 };
 
@@ -62,13 +62,13 @@
 	bool moving; /* counted in plan_job.nr_moving */
 	enum plan_action outstanding; /* decision not yet seen, 0: none */
 	struct task_size size; /* committed or reserved on on_vm */
-	struct vm *on_vm;
+	struct plan_vm *on_vm;
 	uint32_t vm_slot; /* in on_vm->tasks */
 	bool counted; /* in on_vm->kinds */
 	bool reserved; /* size is reserved, not committed */
 	struct team *charged; /* team that size counts against */
 
-	struct vm *hold_vm; /* VM that keeps room for the task */
+	struct plan_vm *hold_vm; /* VM that keeps room for the task */
 	struct task_size hold_size;
 	uint64_t hold_until_us;
 	uint64_t hold_ready_us; /* when the room is expected, batch */
@@ -122,9 +122,9 @@
 	struct queue *queue;
 
 	GQueue failing_jobs; /* struct plan_job, PLAN_FAIL_JOB is due */
-	GQueue suspect_vms; /* struct vm, to quarantine */
-	GQueue quarantined_vms; /* struct vm, probation comes later */
-	GQueue slow_vms; /* struct vm, a service on it is slow */
+	GQueue suspect_vms; /* struct plan_vm, to quarantine */
+	GQueue quarantined_vms; /* struct plan_vm, probation comes later */
+	GQueue slow_vms; /* struct plan_vm, a service on it is slow */
 
 	GQueue evicting; /* tasks to be evicted, in order */
 	GQueue ready; /* pending tasks whose held place is free */
@@ -149,8 +149,8 @@
 uint64_t plan_random(struct plan *plan);
 
 /* Objects by name or id, made when they are first named. */
-struct vm *plan_vm(struct plan *plan, const char *name);
-struct zone *plan_zone(struct plan *plan, const char *name);
+struct plan_vm *plan_vm(struct plan *plan, const char *name);
+struct plan_zone *plan_zone(struct plan *plan, const char *name);
 struct team *plan_team(struct plan *plan, const char *name);
 uint32_t plan_rack_nr(struct plan *plan, const struct vm_record *record);
 struct plan_job *plan_job(struct plan *plan, uint64_t job_id);
@@ -161,21 +161,21 @@
 void plan_job_free(void *job);
 
 /** Counts the task against a VM and its team, reserved or committed. */
-void plan_account(struct plan_task *task, struct vm *vm,
+void plan_account(struct plan_task *task, struct plan_vm *vm,
 		  const struct task_size *size, bool reserved);
 /** Takes the task off its VM and tells the queue what became free. */
 void plan_unaccount(struct plan *plan, struct plan_task *task);
 /** Holds a place for the task until @a until_us; a pending one waits for it.
  */
-void plan_hold(struct plan *plan, struct plan_task *task, struct vm *vm,
+void plan_hold(struct plan *plan, struct plan_task *task, struct plan_vm *vm,
 	       const struct task_size *size, uint64_t until_us);
 /** Gives up the place held for the task. */
 void plan_unhold(struct plan *plan, struct plan_task *task);
 /** Room may have appeared on @a vm: for its holders, then for the queue. */
-void plan_room(struct plan *plan, struct vm *vm, const struct team *team);
+void plan_room(struct plan *plan, struct plan_vm *vm, const struct team *team);
 
 /** The VM takes no work any more: its holders look for another place. */
-void plan_unhold_all(struct plan *plan, struct vm *vm);
+void plan_unhold_all(struct plan *plan, struct plan_vm *vm);
 /** Returns true if the place held for the task is free. */
 bool plan_hold_is_free(const struct plan_task *task);
 
@@ -191,8 +191,8 @@
 /** Returns the time a batch task still runs, as far as it is known. */
 uint64_t plan_remaining_us(const struct plan *plan,
 			   const struct plan_task *task);
-bool failed_on(const struct failed_vms *failed, const struct vm *vm);
+bool failed_on(const struct failed_vms *failed, const struct plan_vm *vm);
 /** Adds a VM; returns how many that aren't quarantined are listed. */
-uint32_t failed_add(struct failed_vms *failed, struct vm *vm);
+uint32_t failed_add(struct failed_vms *failed, struct plan_vm *vm);
 
 #endif /* PLAN_STATE_H */
--- a/src/core/vm.c
+++ b/src/core/plan_vm.c
@@ -1,4 +1,4 @@
-#include "vm.h"
+#include "plan_vm.h"
 
 #include "plan_state.h"
 #include "schema.h"
@@ -34,19 +34,19 @@
 	return used >= capacity ? 0 : capacity - (uint32_t)used;
 }
 
-struct vm *vm_new(const char *name, uint32_t nr)
+struct plan_vm *plan_vm_new(const char *name, uint32_t nr)
 {
-	struct vm *vm = g_new0(struct vm, 1);
+	struct plan_vm *vm = g_new0(struct plan_vm, 1);
 
 	TEXT_SET(vm->record.name, name);
 	vm->nr = nr;
 	vm->tasks = g_ptr_array_new();
 	vm->holders = g_ptr_array_new();
-	vm->stays = g_array_new(FALSE, FALSE, sizeof(struct vm_stay));
+	vm->stays = g_array_new(FALSE, FALSE, sizeof(struct plan_vm_stay));
 	return vm;
 }
 
-void vm_free(struct vm *vm)
+void plan_vm_free(struct plan_vm *vm)
 {
 	if (!vm)
 		return;
@@ -56,13 +56,13 @@
 	g_free(vm);
 }
 
-struct task_size vm_capacity(const struct vm *vm)
+struct task_size plan_vm_capacity(const struct plan_vm *vm)
 {
 	return (struct task_size){ vm->record.cpu_millis, vm->record.memory_mib,
 				   vm->record.accelerators };
 }
 
-struct task_size vm_spare(const struct vm *vm)
+struct task_size plan_vm_spare(const struct plan_vm *vm)
 {
 	struct task_size spare;
 
@@ -78,9 +78,9 @@
 	return spare;
 }
 
-struct task_size vm_open(const struct vm *vm)
+struct task_size plan_vm_open(const struct plan_vm *vm)
 {
-	struct task_size open = vm_spare(vm);
+	struct task_size open = plan_vm_spare(vm);
 
 	open.cpu_millis = spare_of(open.cpu_millis, vm->held.cpu_millis, 0);
 	open.memory_mib = spare_of(open.memory_mib, vm->held.memory_mib, 0);
@@ -89,64 +89,64 @@
 	return open;
 }
 
-bool vm_fits(const struct vm *vm, const struct task_size *size)
+bool plan_vm_fits(const struct plan_vm *vm, const struct task_size *size)
 {
-	struct task_size open = vm_open(vm);
+	struct task_size open = plan_vm_open(vm);
 
 	return size_within(size, &open);
 }
 
-void vm_commit(struct vm *vm, const struct task_size *size)
+void plan_vm_commit(struct plan_vm *vm, const struct task_size *size)
 {
 	size_add(&vm->committed, size);
-	zone_index_vm(vm);
+	plan_zone_index_vm(vm);
 }
 
-void vm_release(struct vm *vm, const struct task_size *size)
+void plan_vm_release(struct plan_vm *vm, const struct task_size *size)
 {
 	size_sub(&vm->committed, size);
-	zone_index_vm(vm);
+	plan_zone_index_vm(vm);
 }
 
-void vm_reserve(struct vm *vm, const struct task_size *size)
+void plan_vm_reserve(struct plan_vm *vm, const struct task_size *size)
 {
-	struct task_size spare = vm_spare(vm);
+	struct task_size spare = plan_vm_spare(vm);
 
 	g_assert(size_within(size, &spare));
 	size_add(&vm->reserved, size);
-	zone_index_vm(vm);
+	plan_zone_index_vm(vm);
 }
 
-void vm_unreserve(struct vm *vm, const struct task_size *size)
+void plan_vm_unreserve(struct plan_vm *vm, const struct task_size *size)
 {
 	size_sub(&vm->reserved, size);
-	zone_index_vm(vm);
+	plan_zone_index_vm(vm);
 }
 
-void vm_hold(struct vm *vm, struct plan_task *task,
-	     const struct task_size *size)
+void plan_vm_hold(struct plan_vm *vm, struct plan_task *task,
+		  const struct task_size *size)
 {
 	g_assert(!task->hold_vm);
 	task->hold_vm = vm;
 	task->hold_size = *size;
 	g_ptr_array_add(vm->holders, task);
 	size_add(&vm->held, size);
-	zone_index_vm(vm);
+	plan_zone_index_vm(vm);
 }
 
-void vm_unhold(struct plan_task *task)
+void plan_vm_unhold(struct plan_task *task)
 {
-	struct vm *vm = task->hold_vm;
+	struct plan_vm *vm = task->hold_vm;
 
 	if (!vm)
 		return;
 	task->hold_vm = NULL;
 	g_ptr_array_remove(vm->holders, task);
 	size_sub(&vm->held, &task->hold_size);
-	zone_index_vm(vm);
+	plan_zone_index_vm(vm);
 }
 
-struct vm_kind *vm_find_kind(struct vm *vm, uint32_t kind_nr)
+struct plan_vm_kind *plan_vm_find_kind(struct plan_vm *vm, uint32_t kind_nr)
 {
 	for (uint32_t i = 0; i < vm->nr_kinds; i++) {
 		if (vm->kinds[i].kind_nr == kind_nr)
@@ -156,37 +156,37 @@
 }
 
 /* Keeps vm->kinds in step; a task whose job isn't known yet has no kind. */
-static void count_kind(struct vm *vm, struct plan_task *task)
+static void count_kind(struct plan_vm *vm, struct plan_task *task)
 {
 	const struct plan_job *job = task->job;
-	struct vm_kind *kind;
+	struct plan_vm_kind *kind;
 
 	task->counted = job->known;
 	if (!job->known)
 		return;
 	vm->nr_services += job->record.job_class == JOB_SERVICE;
-	kind = vm_find_kind(vm, job->kind->nr);
+	kind = plan_vm_find_kind(vm, job->kind->nr);
 	if (!kind && vm->nr_kinds == VM_MAX_KINDS)
 		return;
 	if (!kind) {
 		kind = &vm->kinds[vm->nr_kinds++];
-		*kind = (struct vm_kind){ .kind_nr = job->kind->nr };
+		*kind = (struct plan_vm_kind){ .kind_nr = job->kind->nr };
 	}
 	kind->nr_tasks++;
 	kind->nr_services += job->record.job_class == JOB_SERVICE;
 	kind->share_ppm += task->throttle_ppm;
 }
 
-static void uncount_kind(struct vm *vm, struct plan_task *task)
+static void uncount_kind(struct plan_vm *vm, struct plan_task *task)
 {
 	const struct plan_job *job = task->job;
-	struct vm_kind *kind;
+	struct plan_vm_kind *kind;
 
 	if (!task->counted)
 		return;
 	task->counted = false;
 	vm->nr_services -= job->record.job_class == JOB_SERVICE;
-	kind = vm_find_kind(vm, job->kind->nr);
+	kind = plan_vm_find_kind(vm, job->kind->nr);
 	if (!kind)
 		return;
 	kind->nr_services -=
@@ -196,7 +196,7 @@
 		*kind = vm->kinds[--vm->nr_kinds];
 }
 
-void vm_add_task(struct vm *vm, struct plan_task *task)
+void plan_vm_add_task(struct plan_vm *vm, struct plan_task *task)
 {
 	g_assert(!task->on_vm);
 	task->on_vm = vm;
@@ -205,7 +205,7 @@
 	count_kind(vm, task);
 }
 
-void vm_remove_task(struct vm *vm, struct plan_task *task)
+void plan_vm_remove_task(struct plan_vm *vm, struct plan_task *task)
 {
 	struct plan_task *last;
 
@@ -219,33 +219,34 @@
 	task->on_vm = NULL;
 }
 
-void vm_throttle_task(struct vm *vm, struct plan_task *task, uint32_t share_ppm)
+void plan_vm_throttle_task(struct plan_vm *vm, struct plan_task *task,
+			   uint32_t share_ppm)
 {
 	uncount_kind(vm, task);
 	task->throttle_ppm = share_ppm;
 	count_kind(vm, task);
 }
 
-void vm_count_task(struct vm *vm, struct plan_task *task)
+void plan_vm_count_task(struct plan_vm *vm, struct plan_task *task)
 {
 	count_kind(vm, task);
 }
 
-void vm_uncount_task(struct vm *vm, struct plan_task *task)
+void plan_vm_uncount_task(struct plan_vm *vm, struct plan_task *task)
 {
 	uncount_kind(vm, task);
 }
 
-void vm_stay_begin(struct vm *vm, uint32_t kind_nr, uint64_t task_id,
-		   uint32_t share_ppm, uint64_t now_us)
+void plan_vm_stay_begin(struct plan_vm *vm, uint32_t kind_nr, uint64_t task_id,
+			uint32_t share_ppm, uint64_t now_us)
 {
-	struct vm_stay stay = { kind_nr, task_id, share_ppm, now_us,
-				UINT64_MAX };
+	struct plan_vm_stay stay = { kind_nr, task_id, share_ppm, now_us,
+				     UINT64_MAX };
 	uint32_t i = 0;
 
 	while (i < vm->stays->len) {
-		struct vm_stay *old =
-			&g_array_index(vm->stays, struct vm_stay, i);
+		struct plan_vm_stay *old =
+			&g_array_index(vm->stays, struct plan_vm_stay, i);
 
 		if (old->to_us != UINT64_MAX &&
 		    old->to_us + PLAN_HISTORY_MS * 1000ull < now_us)
@@ -256,11 +257,11 @@
 	g_array_append_val(vm->stays, stay);
 }
 
-void vm_stay_end(struct vm *vm, uint64_t task_id, uint64_t now_us)
+void plan_vm_stay_end(struct plan_vm *vm, uint64_t task_id, uint64_t now_us)
 {
 	for (uint32_t i = 0; i < vm->stays->len; i++) {
-		struct vm_stay *stay =
-			&g_array_index(vm->stays, struct vm_stay, i);
+		struct plan_vm_stay *stay =
+			&g_array_index(vm->stays, struct plan_vm_stay, i);
 
 		if (stay->task_id == task_id && stay->to_us == UINT64_MAX)
 			stay->to_us = now_us;
--- a/src/core/vm.h
+++ b/src/core/plan_vm.h
@@ -1,8 +1,8 @@
-#ifndef VM_H
-#define VM_H
+#ifndef PLAN_VM_H
+#define PLAN_VM_H
 
 /**
- * @file vm.h
+ * @file plan_vm.h
  * One VM as the planner sees it: the ledger of its capacity and the tasks
  * that count against it. Every task counts from the decision to place it until
  * its stop is confirmed.
@@ -14,7 +14,7 @@
 
 #include "command.h"
 
-struct zone;
+struct plan_zone;
 struct plan_task;
 
 /** An amount of each resource of a VM. */
@@ -27,7 +27,7 @@
 #define VM_FAILED_JOBS 3 /* jobs failed in a row before quarantine */
 
 /** A job kind that ran on the VM in [from_us, to_us). */
-struct vm_stay {
+struct plan_vm_stay {
 	uint32_t kind_nr;
 	uint64_t task_id;
 	uint32_t share_ppm; /* of its processors that it may use */
@@ -38,19 +38,19 @@
 #define VM_MAX_KINDS 16 /* of tasks on one VM; more are ignored */
 
 /** What the tasks of one kind on a VM weigh, kept together in memory. */
-struct vm_kind {
+struct plan_vm_kind {
 	uint32_t kind_nr;
 	uint32_t nr_tasks;
 	uint32_t nr_services; /* of these, replicas of services */
 	uint32_t share_ppm; /* sum of the shares they may use */
 };
 
-struct vm {
+struct plan_vm {
 	struct vm_record record;
 	bool known; /* false: only named by a task so far */
 	uint32_t nr; /* in order of arrival */
 	uint32_t rack_nr;
-	struct zone *zone;
+	struct plan_zone *zone;
 	struct task_size committed; /* by committed tasks */
 	struct task_size reserved; /* by decisions not yet committed */
 	struct task_size held; /* kept for tasks that will be placed here */
@@ -58,8 +58,8 @@
 	GPtrArray *tasks; /* struct plan_task, committed or decided */
 	uint32_t nr_kinds;
 	uint32_t nr_services; /* replicas of services */
-	struct vm_kind kinds[VM_MAX_KINDS];
-	GArray *stays; /* struct vm_stay, what ran lately */
+	struct plan_vm_kind kinds[VM_MAX_KINDS];
+	GArray *stays; /* struct plan_vm_stay, what ran lately */
 
 	/* Position in the zone's index of spare capacity. */
 	bool indexed;
@@ -83,46 +83,46 @@
 	uint64_t closed_us; /* no batch is added before this time */
 };
 
-struct vm *vm_new(const char *name, uint32_t nr);
-void vm_free(struct vm *vm);
+struct plan_vm *plan_vm_new(const char *name, uint32_t nr);
+void plan_vm_free(struct plan_vm *vm);
 
 /** Returns what is neither committed nor reserved, 0 where overdrawn. */
-struct task_size vm_spare(const struct vm *vm);
-struct task_size vm_capacity(const struct vm *vm);
+struct task_size plan_vm_spare(const struct plan_vm *vm);
+struct task_size plan_vm_capacity(const struct plan_vm *vm);
 /** Returns what is spare and not held for certain tasks. */
-struct task_size vm_open(const struct vm *vm);
+struct task_size plan_vm_open(const struct plan_vm *vm);
 /** Returns true if @a size fits in what is open. */
-bool vm_fits(const struct vm *vm, const struct task_size *size);
+bool plan_vm_fits(const struct plan_vm *vm, const struct task_size *size);
 
 /** Counts a committed record. The state machine has checked that it fits. */
-void vm_commit(struct vm *vm, const struct task_size *size);
-void vm_release(struct vm *vm, const struct task_size *size);
+void plan_vm_commit(struct plan_vm *vm, const struct task_size *size);
+void plan_vm_release(struct plan_vm *vm, const struct task_size *size);
 /** Reserves for a decision; @a size must fit in what is spare. */
-void vm_reserve(struct vm *vm, const struct task_size *size);
-void vm_unreserve(struct vm *vm, const struct task_size *size);
+void plan_vm_reserve(struct plan_vm *vm, const struct task_size *size);
+void plan_vm_unreserve(struct plan_vm *vm, const struct task_size *size);
 
 /** Keeps room for @a task; it need not be spare yet. */
-void vm_hold(struct vm *vm, struct plan_task *task,
-	     const struct task_size *size);
-void vm_unhold(struct plan_task *task);
+void plan_vm_hold(struct plan_vm *vm, struct plan_task *task,
+		  const struct task_size *size);
+void plan_vm_unhold(struct plan_task *task);
 
-void vm_add_task(struct vm *vm, struct plan_task *task);
-void vm_remove_task(struct vm *vm, struct plan_task *task);
+void plan_vm_add_task(struct plan_vm *vm, struct plan_task *task);
+void plan_vm_remove_task(struct plan_vm *vm, struct plan_task *task);
 
 /** Limits the task to a share of its processors; 1000000: no limit. */
-void vm_throttle_task(struct vm *vm, struct plan_task *task,
-		      uint32_t share_ppm);
+void plan_vm_throttle_task(struct plan_vm *vm, struct plan_task *task,
+			   uint32_t share_ppm);
 /** Counts the task under the kind of its job, or no longer. */
-void vm_count_task(struct vm *vm, struct plan_task *task);
-void vm_uncount_task(struct vm *vm, struct plan_task *task);
+void plan_vm_count_task(struct plan_vm *vm, struct plan_task *task);
+void plan_vm_uncount_task(struct plan_vm *vm, struct plan_task *task);
 
 /** Returns the entry of a kind among the VM's tasks, NULL if there is none. */
-struct vm_kind *vm_find_kind(struct vm *vm, uint32_t kind_nr);
+struct plan_vm_kind *plan_vm_find_kind(struct plan_vm *vm, uint32_t kind_nr);
 
 /** Records that a task of a kind began or ceased to run. */
-void vm_stay_begin(struct vm *vm, uint32_t kind_nr, uint64_t task_id,
-		   uint32_t share_ppm, uint64_t now_us);
-void vm_stay_end(struct vm *vm, uint64_t task_id, uint64_t now_us);
+void plan_vm_stay_begin(struct plan_vm *vm, uint32_t kind_nr, uint64_t task_id,
+			uint32_t share_ppm, uint64_t now_us);
+void plan_vm_stay_end(struct plan_vm *vm, uint64_t task_id, uint64_t now_us);
 
 /** Returns true if @a part is at most @a whole in every resource. */
 bool size_within(const struct task_size *part, const struct task_size *whole);
@@ -130,4 +130,4 @@
 /** Subtracts; @a part must be contained in @a sum. */
 void size_sub(struct task_size *sum, const struct task_size *part);
 
-#endif /* VM_H */
+#endif /* PLAN_VM_H */
--- a/src/core/zone.c
+++ b/src/core/plan_zone.c
@@ -1,4 +1,4 @@
-#include "zone.h"
+#include "plan_zone.h"
 
 #include "schema.h"
 
@@ -7,7 +7,7 @@
 /* VMs of a boundary class may not fit; this bounds how many are looked at. */
 #define LOOKS_PER_CANDIDATE 4
 
-uint32_t zone_class(uint32_t units)
+uint32_t plan_zone_class(uint32_t units)
 {
 	uint32_t bits;
 
@@ -17,9 +17,9 @@
 	return MIN(4 * (bits - 2) + ((units >> (bits - 3)) & 3), 63);
 }
 
-struct zone *zone_new(const char *name, uint32_t nr)
+struct plan_zone *plan_zone_new(const char *name, uint32_t nr)
 {
-	struct zone *zone = g_new0(struct zone, 1);
+	struct plan_zone *zone = g_new0(struct plan_zone, 1);
 
 	TEXT_SET(zone->name, name);
 	zone->nr = nr;
@@ -27,7 +27,7 @@
 	return zone;
 }
 
-void zone_free(struct zone *zone)
+void plan_zone_free(struct plan_zone *zone)
 {
 	if (!zone)
 		return;
@@ -42,10 +42,10 @@
 	g_free(zone);
 }
 
-static void zone_unindex(struct zone *zone, struct vm *vm)
+static void zone_unindex(struct plan_zone *zone, struct plan_vm *vm)
 {
 	GPtrArray *cell = zone->cells[vm->row][vm->column];
-	struct vm *last;
+	struct plan_vm *last;
 
 	g_ptr_array_remove_index_fast(cell, vm->position);
 	if (vm->position < cell->len) {
@@ -59,24 +59,24 @@
 	vm->indexed = false;
 }
 
-static bool vm_may_start(const struct vm *vm)
+static bool vm_may_start(const struct plan_vm *vm)
 {
 	return vm->known && vm->record.state == VM_LIVE &&
 	       !vm->record.quarantined && !vm->zone->out;
 }
 
-void zone_index_vm(struct vm *vm)
+void plan_zone_index_vm(struct plan_vm *vm)
 {
-	struct zone *zone = vm->zone;
+	struct plan_zone *zone = vm->zone;
 	struct task_size open;
 	uint32_t row;
 	uint32_t column;
 
 	if (!zone)
 		return;
-	open = vm_open(vm);
-	row = zone_class(open.cpu_millis / CPU_UNIT_MILLIS);
-	column = zone_class(open.memory_mib / MEMORY_UNIT_MIB);
+	open = plan_vm_open(vm);
+	row = plan_zone_class(open.cpu_millis / CPU_UNIT_MILLIS);
+	column = plan_zone_class(open.memory_mib / MEMORY_UNIT_MIB);
 	if (vm->indexed && vm_may_start(vm) && row == vm->row &&
 	    column == vm->column)
 		return;
@@ -95,7 +95,7 @@
 	zone->used_rows |= 1ull << row;
 }
 
-void zone_add_vm(struct zone *zone, struct vm *vm)
+void plan_zone_add_vm(struct plan_zone *zone, struct plan_vm *vm)
 {
 	if (vm->zone == zone)
 		return;
@@ -106,14 +106,17 @@
 	}
 	vm->zone = zone;
 	g_ptr_array_add(zone->vms, vm);
-	zone_index_vm(vm);
+	plan_zone_index_vm(vm);
 }
 
-uint32_t zone_candidates(const struct zone *zone, const struct task_size *size,
-			 uint64_t random, struct vm **out, uint32_t max)
+uint32_t plan_zone_candidates(const struct plan_zone *zone,
+			      const struct task_size *size, uint64_t random,
+			      struct plan_vm **out, uint32_t max)
 {
-	uint32_t first_row = zone_class(size->cpu_millis / CPU_UNIT_MILLIS);
-	uint32_t first_column = zone_class(size->memory_mib / MEMORY_UNIT_MIB);
+	uint32_t first_row =
+		plan_zone_class(size->cpu_millis / CPU_UNIT_MILLIS);
+	uint32_t first_column =
+		plan_zone_class(size->memory_mib / MEMORY_UNIT_MIB);
 	uint64_t rows = zone->used_rows & (UINT64_MAX << first_row);
 	uint32_t looks = max * LOOKS_PER_CANDIDATE;
 	uint32_t nr = 0;
@@ -132,11 +135,11 @@
 			columns &= columns - 1;
 			for (uint32_t i = 0; i < cell->len && nr < max && looks;
 			     i++) {
-				struct vm *vm = g_ptr_array_index(
+				struct plan_vm *vm = g_ptr_array_index(
 					cell, (start + i) % cell->len);
 
 				looks--;
-				if (vm_fits(vm, size))
+				if (plan_vm_fits(vm, size))
 					out[nr++] = vm;
 			}
 		}
@@ -144,11 +147,12 @@
 	return nr;
 }
 
-uint32_t zone_count(const struct zone *zone, const struct task_size *size,
-		    uint32_t max)
+uint32_t plan_zone_count(const struct plan_zone *zone,
+			 const struct task_size *size, uint32_t max)
 {
-	uint32_t row = zone_class(size->cpu_millis / CPU_UNIT_MILLIS) + 1;
-	uint32_t column = zone_class(size->memory_mib / MEMORY_UNIT_MIB) + 1;
+	uint32_t row = plan_zone_class(size->cpu_millis / CPU_UNIT_MILLIS) + 1;
+	uint32_t column =
+		plan_zone_class(size->memory_mib / MEMORY_UNIT_MIB) + 1;
 	uint64_t rows;
 	uint32_t nr = 0;
 
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -186,7 +186,8 @@
 		group->blocked_since_us = plan->now_us;
 }
 
-void queue_room(struct plan *plan, const struct vm *vm, const struct team *team)
+void queue_room(struct plan *plan, const struct plan_vm *vm,
+		const struct team *team)
 {
 	const GPtrArray *active = plan->queue->active;
 
@@ -198,7 +199,8 @@
 		if (group->blocked_by_quota)
 			group->blocked = group->team != team;
 		else if (vm && vm->indexed)
-			group->blocked = !vm_fits(vm, &group->blocked_size);
+			group->blocked =
+				!plan_vm_fits(vm, &group->blocked_size);
 	}
 }
 
--- a/src/core/queue.h
+++ b/src/core/queue.h
@@ -13,7 +13,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "vm.h"
+#include "plan_vm.h"
 
 struct plan;
 struct plan_job;
@@ -60,7 +60,7 @@
 		 uint64_t until_us);
 
 /** Room appeared on @a vm and in @a team's quota (both may be NULL). */
-void queue_room(struct plan *plan, const struct vm *vm,
+void queue_room(struct plan *plan, const struct plan_vm *vm,
 		const struct team *team);
 /** Much may have changed: nothing is set aside any more. */
 void queue_unblock_all(struct plan *plan);
--- a/src/core/team.h
+++ b/src/core/team.h
@@ -10,7 +10,7 @@
 #include <stdint.h>
 
 #include "command.h"
-#include "vm.h"
+#include "plan_vm.h"
 
 struct team {
 	char name[NAME_BYTES];
--- a/tests/test_plan_policy.c
+++ b/tests/test_plan_policy.c
@@ -28,7 +28,7 @@
 		run_decided();
 }
 
-static const struct vm *vm_of(uint64_t task_id)
+static const struct plan_vm *vm_of(uint64_t task_id)
 {
 	const struct plan_task *task = plan_find_task(plan, task_id);
 
@@ -560,8 +560,8 @@
 	for (uint32_t i = 0; i < RANDOM_TASKS; i++)
 		plan_drop_job(plan, 1 + i / 4);
 	for (uint32_t i = 0; i < plan->vm_list->len; i++) {
-		const struct vm *vm = g_ptr_array_index(plan->vm_list, i);
-		struct task_size spare = vm_open(vm);
+		const struct plan_vm *vm = g_ptr_array_index(plan->vm_list, i);
+		struct task_size spare = plan_vm_open(vm);
 
 		ck_assert_uint_eq(vm->tasks->len, 0);
 		ck_assert_uint_eq(vm->nr_kinds, 0);
