--- a/src/core/interference.c
+++ b/src/core/interference.c
@@ -111,8 +111,9 @@
 }
 
 /* Who ran beside the task when the sample was taken. */
-static void neighbours_at(struct neighbours *neighbours, const struct plan_vm *vm,
-			  uint64_t task_id, uint64_t sample_us)
+static void neighbours_at(struct neighbours *neighbours,
+			  const struct plan_vm *vm, uint64_t task_id,
+			  uint64_t sample_us)
 {
 	neighbours->nr = 0;
 	for (uint32_t i = 0; i < vm->stays->len; i++) {
@@ -236,8 +237,8 @@
 }
 
 uint64_t interference_cost(const struct plan *plan,
-			   const struct plan_task *task, const struct plan_vm *vm,
-			   uint64_t *worst)
+			   const struct plan_task *task,
+			   const struct plan_vm *vm, uint64_t *worst)
 {
 	const struct interference *pairs = plan->interference;
 	uint32_t kind_nr = task->job->kind->nr;
@@ -261,7 +262,8 @@
 }
 
 uint64_t interference_harm(const struct plan *plan,
-			   const struct plan_task *task, const struct plan_vm *vm)
+			   const struct plan_task *task,
+			   const struct plan_vm *vm)
 {
 	uint64_t worst = 0;
 
@@ -334,7 +336,7 @@
 		   "why=interference kind=%s", task->job->kind->name);
 	plan_vm_stay_end(vm, task->task_id, plan->now_us);
 	plan_vm_stay_begin(vm, task->job->kind->nr, task->task_id, ppm,
-		      plan->now_us);
+			   plan->now_us);
 	plan_vm_throttle_task(vm, task, ppm);
 	return true;
 }
--- a/src/core/interference.h
+++ b/src/core/interference.h
@@ -42,12 +42,13 @@
  * slowdown of a service there with the new task.
  */
 uint64_t interference_cost(const struct plan *plan,
-			   const struct plan_task *task, const struct plan_vm *vm,
-			   uint64_t *worst);
+			   const struct plan_task *task,
+			   const struct plan_vm *vm, uint64_t *worst);
 
 /** Returns the slowdown of the services on the VM by the task alone. */
 uint64_t interference_harm(const struct plan *plan,
-			   const struct plan_task *task, const struct plan_vm *vm);
+			   const struct plan_task *task,
+			   const struct plan_vm *vm);
 
 /** All samples of the VM were taken: lists it when steps may be taken back. */
 void interference_relax(struct plan *plan, struct plan_vm *vm);
--- a/src/core/plan_zone.c
+++ b/src/core/plan_zone.c
@@ -42,7 +42,7 @@
 	g_free(zone);
 }
 
-static void plan_zone_unindex(struct plan_zone *zone, struct plan_vm *vm)
+static void zone_unindex(struct plan_zone *zone, struct plan_vm *vm)
 {
 	GPtrArray *cell = zone->cells[vm->row][vm->column];
 	struct plan_vm *last;
@@ -59,7 +59,7 @@
 	vm->indexed = false;
 }
 
-static bool plan_vm_may_start(const struct plan_vm *vm)
+static bool vm_may_start(const struct plan_vm *vm)
 {
 	return vm->known && vm->record.state == VM_LIVE &&
 	       !vm->record.quarantined && !vm->zone->out;
@@ -77,12 +77,12 @@
 	open = plan_vm_open(vm);
 	row = plan_zone_class(open.cpu_millis / CPU_UNIT_MILLIS);
 	column = plan_zone_class(open.memory_mib / MEMORY_UNIT_MIB);
-	if (vm->indexed && plan_vm_may_start(vm) && row == vm->row &&
+	if (vm->indexed && vm_may_start(vm) && row == vm->row &&
 	    column == vm->column)
 		return;
 	if (vm->indexed)
-		plan_zone_unindex(zone, vm);
-	if (!plan_vm_may_start(vm))
+		zone_unindex(zone, vm);
+	if (!vm_may_start(vm))
 		return;
 	if (!zone->cells[row][column])
 		zone->cells[row][column] = g_ptr_array_new();
@@ -101,7 +101,7 @@
 		return;
 	if (vm->zone) {
 		if (vm->indexed)
-			plan_zone_unindex(vm->zone, vm);
+			zone_unindex(vm->zone, vm);
 		g_ptr_array_remove(vm->zone->vms, vm);
 	}
 	vm->zone = zone;
