Bound the load generator's idle connections

libsoup probes each idle connection before a request; a burst left some hundreds of them, and the generator spent its time in recvfrom.

--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -389,7 +389,7 @@
 	tb->standins = g_ptr_array_new();
 	tb->notes = g_ptr_array_new_with_free_func(g_free);
 	tb->session = soup_session_new_with_options(
-		"max-conns", 1000, "max-conns-per-host", 500, NULL);
+		"max-conns", 1000, "max-conns-per-host", 64, NULL);
 	g_free(dir);
 	tb_start_controls(tb);
 	return tb;
