Test that a burst waits for its turn, and let bench set the slots

The test fails here: the entry refuses as overloaded what exceeds its upstreams' concurrency limits although every deadline could be met.

--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -193,7 +193,7 @@
 #define PEER_RETURN_MS 1000
 
 /* Admission at the agent. */
-#define ADMIT_QUEUE_PER_SLOT 8
+#define ADMIT_QUEUE_PER_SLOT 16
 #define ADMIT_RESPONSE_TTL_MS 60000
 #define ADMIT_RESPONSE_MAX_BYTES (16u << 20)
 /* Repeatable requests are asked about only when a link has been replaced. */
--- a/tests/bench_site.c
+++ b/tests/bench_site.c
@@ -79,6 +79,7 @@
 	const char *entry;
 
 	vm.time_ms = 1;
+	vm.slots = RATE_OPEN; /* the path is measured, not the slots */
 	testbed_add_vm(tb, &vm);
 	direct = tb_proc_http(testbed_standin(tb, 0));
 	entry = tb_proc_http(testbed_entry(tb, 0));
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -730,6 +730,24 @@
 }
 END_TEST
 
+/* Guards against a burst that is refused although every deadline can be met. */
+START_TEST(test_burst_waits_for_its_turn)
+{
+	struct bed *bed = small_bed(801, 2);
+
+	vhost_run_ms(bed->vhost, 1500);
+	for (uint32_t i = 0; i < 200; i++)
+		submit(bed, 0, "/boat", true, 4000);
+	vhost_run_ms(bed->vhost, 5000);
+	for (uint32_t i = 0; i < 200; i++)
+		ck_assert_uint_eq(bed_answer(bed, i)->run, RUN_DONE);
+	/* 16 slots at 50 ms: 200 requests take 13 turns. */
+	ck_assert_uint_le(bed->agents[0].max_in_flight, 8);
+	ck_assert_uint_le(bed->agents[1].max_in_flight, 8);
+	bed_free(bed);
+}
+END_TEST
+
 /* Guards against an upstream that fails everything and still gets its share. */
 START_TEST(test_ejection)
 {
@@ -870,6 +888,7 @@
 	LOOP(test_deadlines, G_N_ELEMENTS(deadline_cases));
 	LOOP(test_overrun, 2);
 	tcase_add_test(tcase, test_overload);
+	tcase_add_test(tcase, test_burst_waits_for_its_turn);
 	LOOP(test_ejection, 3);
 	tcase_add_test(tcase, test_retry_budget);
 	LOOP(test_hedging, 2);
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -463,6 +463,7 @@
 	/* Fixed, as the agent keeps the address when the worker restarts. */
 	proc_arg(proc, "--http", http);
 	proc_arg_number(proc, "--time-ms", opts->time_ms ? opts->time_ms : 20);
+	proc_arg_number(proc, "--slots", opts->slots ? opts->slots : 8);
 	if (opts->service)
 		proc_arg(proc, "--service", opts->service);
 	proc_start(proc);
--- a/tests/testbed.h
+++ b/tests/testbed.h
@@ -33,6 +33,7 @@
 	const char *rack;
 	const char *service; /* of a permanently running upstream, or NULL */
 	uint32_t time_ms; /* of one request there */
+	uint32_t slots; /* 0: 8 */
 	bool agent_only; /* no stand-in; the start is not waited for */
 };
 
