Let bursts wait in the entry for room at an upstream

An entry shed a request at once when every upstream was at its limit, so a burst was refused although it could be served in time. They now wait in the entry, by deadline, at most 8 for each slot, and only while they can be served in time.

The learned limit fell by a sixteenth with each slow run, down to one. It now moves by one slot for each limit's worth of runs and keeps a quarter of the slots.

--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -71,6 +71,7 @@
 
 	upstream_report(upstream, load, link ? 2 * link->delay_us : 0,
 			entry->node->now_us);
+	entry_room_changed(entry);
 }
 
 static void entry_take_response(struct entry *entry, uint64_t from,
@@ -211,6 +212,7 @@
 	entry_each_attempt(entry, node_id, attempt_peer_lost);
 	for (uint32_t i = 0; i < entry->services->len; i++)
 		service_remove(g_ptr_array_index(entry->services, i), node_id);
+	entry_room_changed(entry);
 }
 
 static void entry_link_replaced(void *role, const struct link *link)
@@ -254,6 +256,7 @@
 {
 	struct entry *entry = role;
 
+	timer_cancel(entry->node->timers, &entry->pump);
 	g_hash_table_unref(entry->flights);
 	g_hash_table_unref(entry->lingering);
 	g_hash_table_unref(entry->attempts);
@@ -297,6 +300,8 @@
 	entry->lingering = g_hash_table_new_full(NULL, NULL, flight_free, NULL);
 	entry->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
 	entry->claims = g_hash_table_new(g_int64_hash, g_int64_equal);
+	entry->pump.fn = entry_pump;
+	entry->pump.data = entry;
 	entry->site = site_new(node, &site_opts);
 	node_set_role(node, &entry_role_ops, entry);
 	return entry;
--- a/src/core/entry_attempt.c
+++ b/src/core/entry_attempt.c
@@ -64,7 +64,7 @@
 
 /* Collects the upstreams with room, leaving out those tried already. */
 static void attempt_collect(const struct flight *flight, bool tried,
-			    GArray *candidates, uint32_t *nr_full)
+			    GArray *candidates, struct attempt_room *room)
 {
 	const GPtrArray *upstreams = flight->service->upstreams;
 	uint32_t usual_us = service_usual_time(flight->service);
@@ -79,13 +79,26 @@
 			continue;
 		if (!attempt_candidate(flight, upstream, usual_us, &candidate))
 			continue;
-		if (candidate.full)
-			(*nr_full)++;
-		else
+		if (!candidate.full) {
+			room->nr_free++;
 			g_array_append_val(candidates, candidate);
+			continue;
+		}
+		room->nr_full++;
+		room->full_slots +=
+			upstream_limit(upstream, flight->entry->node->now_us);
 	}
 }
 
+/* Falls back to those tried already when there are no others. */
+static void attempt_collect_any(const struct flight *flight, GArray *candidates,
+				struct attempt_room *room)
+{
+	attempt_collect(flight, false, candidates, room);
+	if (!room->nr_free && !room->nr_full && !flight->attempts->len)
+		attempt_collect(flight, true, candidates, room);
+}
+
 /* Returns true if not even the quickest upstream can answer in time. */
 static bool attempt_is_too_late(const struct flight *flight,
 				const GArray *candidates)
@@ -207,13 +220,11 @@
 		g_array_new(FALSE, FALSE, sizeof(struct route_candidate));
 	struct route_query query = { 0 };
 	enum result result = RESULT_OK;
-	uint32_t nr_full = 0;
+	struct attempt_room room = { 0 };
 
-	attempt_collect(flight, false, candidates, &nr_full);
-	if (!candidates->len && !nr_full && !flight->attempts->len)
-		attempt_collect(flight, true, candidates, &nr_full);
+	attempt_collect_any(flight, candidates, &room);
 	if (!candidates->len) {
-		result = nr_full ? RESULT_OVERLOADED : RESULT_NO_UPSTREAM;
+		result = room.nr_full ? RESULT_OVERLOADED : RESULT_NO_UPSTREAM;
 		goto out;
 	}
 	if (attempt_is_too_late(flight, candidates)) {
@@ -227,11 +238,22 @@
 	*chosen = query.candidates[entry->policy->pick(&query)];
 out:
 	attempt_log_pick(flight, reason, result ? NULL : chosen,
-			 candidates->len, nr_full, result);
+			 candidates->len, room.nr_full, result);
 	g_array_unref(candidates);
 	return result;
 }
 
+struct attempt_room attempt_room(const struct flight *flight)
+{
+	GArray *candidates =
+		g_array_new(FALSE, FALSE, sizeof(struct route_candidate));
+	struct attempt_room room = { 0 };
+
+	attempt_collect_any(flight, candidates, &room);
+	g_array_unref(candidates);
+	return room;
+}
+
 bool attempt_may_send(const struct flight *flight, uint64_t agent_node)
 {
 	struct upstream *upstream = service_find(flight->service, agent_node);
@@ -320,6 +342,7 @@
 	}
 	timer_cancel(entry->node->timers, &attempt->lost);
 	timer_cancel(entry->node->timers, &attempt->arrival);
+	entry_room_changed(entry);
 	g_hash_table_remove(entry->attempts, &attempt->request_nr);
 	g_ptr_array_remove(flight->attempts, attempt);
 }
--- a/src/core/entry_flight.c
+++ b/src/core/entry_flight.c
@@ -129,6 +129,7 @@
 	timer_cancel(timers, &flight->deadline);
 	timer_cancel(timers, &flight->hedge);
 	flight_claim_clear(flight);
+	flight_wait_end(flight);
 	entry->bytes -= request_bytes(flight->request);
 	g_ptr_array_unref(flight->attempts);
 	g_array_unref(flight->tried);
@@ -183,6 +184,8 @@
 	struct route_candidate chosen;
 	enum result result = attempt_pick(flight, reason, &chosen);
 
+	if (result == RESULT_OVERLOADED && flight_wait(flight))
+		return;
 	if (result) {
 		/* The first cause says more than that no other is left. */
 		flight_fail(flight, flight->last ? flight->last : result);
--- a/src/core/entry_flight.h
+++ b/src/core/entry_flight.h
@@ -25,6 +25,8 @@
 	GHashTable *lingering; /* struct flight *, answered but not over */
 	GHashTable *attempts; /* uint64_t * -> struct attempt *, by number */
 	GHashTable *claims; /* uint64_t * -> struct flight *, by number */
+	uint32_t nr_waiting; /* flights that wait for room */
+	struct timer pump; /* sends waiting flights once there is room */
 	GQueue done; /* struct claim_note *, completions told lately */
 	uint64_t next_request_nr;
 	uint64_t bytes; /* of the bodies in flight */
@@ -57,6 +59,7 @@
 	struct timer deadline;
 	struct timer hedge;
 	GPtrArray *attempts; /* struct attempt *, owned, open ones only */
+	GSequenceIter *waits_at; /* place in service.waiting, or NULL */
 	GArray *tried; /* uint64_t, node_ids of agents it was sent to */
 	uint32_t nr_sent;
 	enum result last; /* why the latest attempt ended, RESULT_OK if none */
@@ -120,6 +123,16 @@
 enum result attempt_pick(struct flight *flight, const char *reason,
 			 struct route_candidate *chosen);
 
+/** What the upstreams of a flight's service could take now. */
+struct attempt_room {
+	uint32_t nr_free; /* upstreams below their limits */
+	uint32_t nr_full; /* upstreams at their limits */
+	uint32_t full_slots; /* sum of the limits of the full ones */
+};
+
+/** Looks for room without a decision. */
+struct attempt_room attempt_room(const struct flight *flight);
+
 /** Returns true if the agent may get new work of the flight's service. */
 bool attempt_may_send(const struct flight *flight, uint64_t agent_node);
 
@@ -146,6 +159,23 @@
 /** The agent's connection was lost; an answer may come after it is back. */
 void attempt_peer_lost(struct attempt *attempt);
 
+/* ---- entry_wait.c ---- */
+
+/**
+ * Lets the flight wait for room, in order of deadlines. Returns false if there
+ * is no upstream to wait for, or if its turn would come too late.
+ */
+bool flight_wait(struct flight *flight);
+
+/** Takes the flight out of the queue if it is there. */
+void flight_wait_end(struct flight *flight);
+
+/** Something changed that may let waiting flights go. */
+void entry_room_changed(struct entry *entry);
+
+/** Timer function: sends the waiting flights that have room now. */
+void entry_pump(void *entry, uint64_t now_us);
+
 /* ---- entry_claim.c ---- */
 
 /** Returns true if the request may be dispatched only under a claim. */
--- a/src/core/service.c
+++ b/src/core/service.c
@@ -45,6 +45,7 @@
 
 	TEXT_SET(service->name, name);
 	service->upstreams = g_ptr_array_new_with_free_func(upstream_free);
+	service->waiting = g_sequence_new(NULL);
 	budget_init(&service->retries, RETRY_SHARE_PPM, RETRY_BURST);
 	budget_init(&service->hedges, HEDGE_SHARE_PPM, HEDGE_BURST);
 	return service;
@@ -57,6 +58,7 @@
 	if (!service)
 		return;
 	g_ptr_array_unref(service->upstreams);
+	g_sequence_free(service->waiting);
 	g_free(service);
 }
 
--- a/src/core/service.h
+++ b/src/core/service.h
@@ -19,6 +19,7 @@
 struct service {
 	char name[NAME_BYTES];
 	GPtrArray *upstreams; /* struct upstream *, owned */
+	GSequence *waiting; /* struct flight *, not owned, by deadline */
 	struct budget retries;
 	struct budget hedges;
 	uint32_t cursor; /* of the round robin policy */
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -164,6 +164,9 @@
 #define NO_PERMIT_PAUSE_MS 500
 #define SLOW_START_MS 5000
 #define SLOW_START_WARM_RUNS 100
+/* The learned limit keeps a quarter of the slots: runs that are slow for
+ * another cause than load aren't cured by fewer requests. */
+#define LIMIT_FLOOR_DIVISOR 4
 #define EJECT_FAILURES 5 /* in a row */
 #define EJECT_BASE_MS 2000
 #define EJECT_MAX_MS 60000
@@ -173,6 +176,8 @@
 /* Entry. */
 #define ENTRY_IN_FLIGHT_MAX 4096
 #define ENTRY_IN_FLIGHT_MAX_BYTES (64u << 20)
+/* Requests that wait in the entry for room at an upstream, for each slot. */
+#define ENTRY_QUEUE_PER_SLOT 8
 #define REQUEST_DEADLINE_MS 10000 /* where the bundle gives none */
 #define REQUEST_DEADLINE_MAX_MS 600000
 #define REQUEST_ATTEMPTS_MAX 4
--- a/src/core/upstream.c
+++ b/src/core/upstream.c
@@ -64,7 +64,7 @@
 				     UPSTREAM_STALL_SAMPLES);
 }
 
-/* Additive increase while runs take their usual time, else decrease. */
+/* One slot more or less for each limit's worth of runs, as in AIMD. */
 static void upstream_adapt_limit(struct upstream *upstream,
 				 enum upstream_end end)
 {
@@ -72,11 +72,16 @@
 	bool slow = upstream->nr_runs >= UPSTREAM_RECENT_RUNS &&
 		    upstream->recent_us / 2 > upstream->usual_us;
 
-	if (end == UPSTREAM_END_BUSY || slow)
+	uint32_t max = upstream_max(upstream) * MILLI;
+	uint32_t step = MILLI * MILLI / MAX(limit, MILLI);
+
+	if (end == UPSTREAM_END_BUSY)
 		limit -= limit / UPSTREAM_RECENT_RUNS;
+	else if (end == UPSTREAM_END_OK && slow)
+		limit -= MIN(limit, step);
 	else if (end == UPSTREAM_END_OK)
-		limit += MILLI * MILLI / MAX(limit, MILLI);
-	limit = MIN(limit, upstream_max(upstream) * MILLI);
+		limit += step;
+	limit = CLAMP(limit, max / LIMIT_FLOOR_DIVISOR, max);
 	upstream->limit_milli = MAX(limit, MILLI);
 }
 
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -730,6 +730,45 @@
 }
 END_TEST
 
+/* Guards against a burst that is shed although it could be served in time,
+ * and against a queue without bound or order. */
+START_TEST(test_burst)
+{
+	struct bed *bed = small_bed(850, 1);
+	uint32_t nr_served = 8 + 8 * ENTRY_QUEUE_PER_SLOT;
+	char path[32];
+
+	/* Teaches the service time. */
+	submit(bed, 0, "/boat/0", true, 1000);
+	vhost_run_ms(bed->vhost, 200);
+	for (uint32_t i = 1; i <= 100; i++) {
+		g_snprintf(path, sizeof(path), "/boat/%u", i);
+		/* The last two that fit have the earliest deadline. */
+		submit(bed, 0, path, i % 2, i > 70 ? 2000 : 3000);
+	}
+	entry_abandon(bed->entries[0].entry, 20);
+	vhost_run_ms(bed->vhost, 60);
+	ck_assert_uint_eq(bed->agents[0].in_flight, 8);
+	ck_assert_uint_eq(bed_runs(bed, "/boat/71"), 1);
+	ck_assert_uint_eq(bed_runs(bed, "/boat/72"), 1);
+	ck_assert_uint_eq(bed_runs(bed, "/boat/14"), 1);
+	ck_assert_uint_eq(bed_runs(bed, "/boat/15"), 0);
+	vhost_run_ms(bed->vhost, 5000);
+	for (uint32_t i = 1; i <= 100; i++) {
+		g_snprintf(path, sizeof(path), "/boat/%u", i);
+		if (i == 20)
+			ck_assert_uint_eq(bed_runs(bed, path), 0);
+		else if (i <= nr_served)
+			ck_assert_msg(bed_is_done(bed, i, path), "%s", path);
+		else
+			ck_assert(bed_is_refused(bed, i, RESULT_OVERLOADED));
+	}
+	ck_assert_uint_le(bed->agents[0].max_in_flight, 8);
+	ck_assert(bed_is_idle(bed));
+	bed_free(bed);
+}
+END_TEST
+
 /* Guards against an upstream that fails everything and still gets its share. */
 START_TEST(test_ejection)
 {
@@ -875,6 +914,7 @@
 	LOOP(test_deadlines, G_N_ELEMENTS(deadline_cases));
 	LOOP(test_overrun, 2);
 	tcase_add_test(tcase, test_overload);
+	tcase_add_test(tcase, test_burst);
 	LOOP(test_ejection, 3);
 	tcase_add_test(tcase, test_retry_budget);
 	LOOP(test_hedging, 2);
