Free what is on its way when a test site ends

make asan found a use of freed machines in vhost_free(), as killing one tells its peers, and calls to a worker that were dropped with their process. The suites agent_task, control, grants, state, node and raft are clean now.

--- a/tests/control_world.c
+++ b/tests/control_world.c
@@ -6,6 +6,14 @@
 
 #include "schema.h"
 
+/* What is on its way when a process dies is lost, but must be freed. */
+static void in_flight_free(void *key, void *value, void *data)
+{
+	void (*free_one)(void *) = value;
+
+	free_one(key);
+}
+
 static const char *const world_zones[] = { "veraval", "porbandar", "mangrol" };
 
 /* ---- disk of a replica: every write is durable at once ---- */
@@ -61,6 +69,7 @@
 	struct disk_sync *sync = data;
 
 	control_synced(sync->host->control, sync->sync_nr, RESULT_OK);
+	g_hash_table_remove(sync->host->world->in_flight, sync);
 	g_free(sync);
 }
 
@@ -71,6 +80,7 @@
 
 	sync->host = host;
 	sync->sync_nr = sync_nr;
+	g_hash_table_insert(host->world->in_flight, sync, g_free);
 	vhost_after(host->machine, 1000, disk_synced, sync);
 }
 
@@ -398,8 +408,10 @@
 	void *reply;
 };
 
-static void call_free(struct world_call *call)
+static void call_free(void *data)
 {
+	struct world_call *call = data;
+
 	record_unref(call->call);
 	record_unref((struct record){ call->reply_type, call->reply });
 	g_free(call);
@@ -411,6 +423,7 @@
 
 	agent_platform_done(call->vm->agent, call->call_nr, call->reply_type,
 			    call->reply);
+	g_hash_table_remove(call->vm->world->in_flight, call);
 	call_free(call);
 }
 
@@ -420,6 +433,7 @@
 
 	/* A restarted agent knows nothing of its predecessor's calls. */
 	if (!vm->agent || vm->agent_life != call->agent_life) {
+		g_hash_table_remove(call->vm->world->in_flight, call);
 		call_free(call);
 		return;
 	}
@@ -474,6 +488,7 @@
 	struct world_call *call = g_new0(struct world_call, 1);
 	uint64_t delay_us = vm->call_delay_us;
 
+	g_hash_table_insert(vm->world->in_flight, call, call_free);
 	call->vm = vm;
 	call->call_nr = call_nr;
 	call->agent_life = vm->agent_life;
@@ -601,6 +616,7 @@
 	world->nr_controls = nr_controls;
 	world->nr_vms = nr_vms;
 	world->calls = g_string_new(NULL);
+	world->in_flight = g_hash_table_new(NULL, NULL);
 	world->completed = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 NULL, g_free);
 	world->work =
@@ -625,6 +641,8 @@
 	for (uint32_t i = 0; i < world->nr_vms; i++)
 		g_hash_table_unref(world->vms[i].runs);
 	record_unref((struct record){ world->reply_type, world->reply });
+	g_hash_table_foreach(world->in_flight, in_flight_free, NULL);
+	g_hash_table_unref(world->in_flight);
 	g_hash_table_unref(world->completed);
 	g_hash_table_unref(world->work);
 	g_string_free(world->calls, TRUE);
--- a/tests/vhost.c
+++ b/tests/vhost.c
@@ -422,11 +422,13 @@
 
 void vhost_free(struct vhost *vhost)
 {
+	/* A kill tells the other end, so all machines must still exist. */
+	for (guint i = 0; i < vhost->machines->len; i++)
+		vhost_kill(g_ptr_array_index(vhost->machines, i));
 	for (guint i = 0; i < vhost->machines->len; i++) {
 		struct vmachine *machine =
 			g_ptr_array_index(vhost->machines, i);
 
-		vhost_kill(machine);
 		g_hash_table_unref(machine->conns);
 		g_hash_table_unref(machine->paths);
 		g_queue_clear_full(&machine->waiting, vevent_free);
