--- a/src/core/move.c
+++ b/src/core/move.c
@@ -100,7 +100,7 @@
 {
 	uint32_t looks = MIN(plan->drain_services.length, MOVE_LOOKS);
 
-	while (looks--) {
+	while (looks-- && plan->drain_services.head) {
 		struct plan_task *task = plan->drain_services.head->data;
 
 		if (!must_leave(task) || task->outstanding ||
@@ -145,7 +145,7 @@
 	for (const GList *link = job->tasks.head; link; link = link->next) {
 		const struct plan_task *task = link->data;
 		const struct plan_vm *vm = task->hold_vm ? task->hold_vm :
-						      task->on_vm;
+							   task->on_vm;
 
 		if (vm && vm->zone && vm->zone->nr < nr_zones)
 			counts[vm->zone->nr]++;
@@ -153,14 +153,14 @@
 }
 
 static struct plan_task *replica_in(const struct plan_job *job,
-				    uint32_t plan_zone_nr)
+				    uint32_t zone_nr)
 {
 	for (GList *link = job->tasks.head; link; link = link->next) {
 		struct plan_task *task = link->data;
 
 		if (task->state == TASK_RUNNING && !task->outstanding &&
 		    !task->list && !task->hold_vm && task->on_vm &&
-		    task->on_vm->zone && task->on_vm->zone->nr == plan_zone_nr)
+		    task->on_vm->zone && task->on_vm->zone->nr == zone_nr)
 			return task;
 	}
 	return NULL;
@@ -169,13 +169,15 @@
 static bool rebalance_service(struct plan *plan, struct plan_job *job,
 			      struct plan_decision *decision)
 {
-	uint32_t nr_zones = plan->plan_zone_list->len;
-	g_autofree uint32_t *counts = g_new0(uint32_t, nr_zones);
+	uint32_t nr_zones = plan->zone_list->len;
+	uint32_t *counts;
 	uint32_t fullest = 0;
 	struct plan_task *task;
+	bool helps = false;
 
 	if (job->nr_moving || !job->known || job->pending.length)
 		return false;
+	counts = g_new0(uint32_t, nr_zones);
 	count_zones(job, counts, nr_zones);
 	for (uint32_t i = 1; i < nr_zones; i++) {
 		if (counts[i] > counts[fullest])
@@ -183,14 +185,16 @@
 	}
 	task = replica_in(job, fullest);
 	if (!task || !hold_place(plan, task, false))
-		return false;
+		goto out;
 	/* A move that only swaps which zone has one more doesn't help. */
-	if (counts[task->hold_vm->zone->nr] + 2 > counts[fullest]) {
+	helps = counts[task->hold_vm->zone->nr] + 2 <= counts[fullest];
+	if (helps)
+		move_begin(plan, task, decision, "spread");
+	else
 		plan_unhold(plan, task);
-		return false;
-	}
-	move_begin(plan, task, decision, "spread");
-	return true;
+out:
+	g_free(counts);
+	return helps;
 }
 
 bool move_next_rebalanced(struct plan *plan, struct plan_decision *decision)
@@ -206,3 +210,12 @@
 	job = g_ptr_array_index(plan->services, plan->next_service);
 	return rebalance_service(plan, job, decision);
 }
+
+uint64_t move_next_us(const struct plan *plan)
+{
+	if (plan->drain_services.length || plan->drain_batch.length)
+		return plan->now_us + MOVE_RETRY_US;
+	if (plan->services->len && plan->now_us < plan->rebalance_until_us)
+		return MAX(plan->rebalance_us, plan->now_us + MOVE_RETRY_US);
+	return UINT64_MAX;
+}
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -155,9 +155,9 @@
 }
 
 /* Returns true if the VM's zone takes another start of batch already. */
-static bool plan_zone_is_open(const struct plan_zone *zone, uint64_t now_us)
+static bool zone_is_open(const struct plan_zone *zone, uint64_t now_us)
 {
-	return !zone->returned || now_us >= zone->start_us ||
+	return !zone->returned || now_us > zone->start_us ||
 	       now_us >= zone->changed_us + PLAN_RETURN_MS * 1000ull;
 }
 
@@ -170,7 +170,7 @@
 		return false;
 	if (vm->probation && (!batch || vm->tasks->len || !is_small(size, vm)))
 		return false;
-	return !batch || plan_zone_is_open(vm->zone, now_us);
+	return !batch || zone_is_open(vm->zone, now_us);
 }
 
 static uint64_t share_ppm(uint64_t part, uint64_t whole)
@@ -201,7 +201,7 @@
 			const struct task_size *size)
 {
 	struct task_size open = plan_vm_open(vm);
-	uint32_t nr_vms = plan->plan_vm_list->len;
+	uint32_t nr_vms = plan->vm_list->len;
 	uint32_t wanted = MIN(nr_vms / SLACK_DIVISOR, 1 + nr_vms / 64);
 	uint32_t others = 0;
 
@@ -212,11 +212,9 @@
 	size_sub(&open, size);
 	if (size_within(&plan->urgent, &open))
 		return false;
-	for (uint32_t i = 0; i < plan->plan_zone_list->len && others < wanted;
-	     i++)
-		others += plan_zone_count(
-			g_ptr_array_index(plan->plan_zone_list, i),
-			&plan->urgent, wanted);
+	for (uint32_t i = 0; i < plan->zone_list->len && others < wanted; i++)
+		others += plan_zone_count(g_ptr_array_index(plan->zone_list, i),
+					  &plan->urgent, wanted);
 	return others < wanted;
 }
 
@@ -248,11 +246,9 @@
 }
 
 /* Returns the cost of the VM for the task, UINT64_MAX: not there. */
-static uint64_t plan_vm_cost(const struct plan *plan,
-			     const struct plan_task *task,
-			     const struct plan_vm *vm,
-			     const struct task_size *size,
-			     const struct spread *spread)
+static uint64_t vm_cost(const struct plan *plan, const struct plan_task *task,
+			const struct plan_vm *vm, const struct task_size *size,
+			const struct spread *spread)
 {
 	const struct plan_job *job = task->job;
 	bool batch = plan_is_batch(job);
@@ -308,7 +304,7 @@
 		    size_within(size, &spare) &&
 		    ends_in_time(plan, task, holder) &&
 		    !too_noisy(plan, task, vm) &&
-		    plan_zone_is_open(vm->zone, plan->now_us))
+		    zone_is_open(vm->zone, plan->now_us))
 			return vm;
 	}
 	return NULL;
@@ -321,7 +317,7 @@
 {
 	struct plan_vm *candidates[PLAN_CANDIDATES];
 	bool service = task->job->record.job_class == JOB_SERVICE;
-	uint32_t nr_zones = plan->plan_zone_list->len;
+	uint32_t nr_zones = plan->zone_list->len;
 	uint32_t share = MAX(PLAN_CANDIDATES / MAX(nr_zones, 1), 1);
 	uint32_t first = nr_zones ? (uint32_t)(plan_random(plan) % nr_zones) :
 				    0;
@@ -332,15 +328,15 @@
 
 	for (uint32_t i = 0; i < nr_zones && nr < PLAN_CANDIDATES; i++)
 		nr += plan_zone_candidates(
-			g_ptr_array_index(plan->plan_zone_list,
+			g_ptr_array_index(plan->zone_list,
 					  (first + i) % nr_zones),
 			size, plan_random(plan), candidates + nr,
 			MIN(share, PLAN_CANDIDATES - nr));
 	if (service)
 		spread_init(&spread, task->job);
 	for (uint32_t i = 0; i < nr; i++) {
-		uint64_t cost = plan_vm_cost(plan, task, candidates[i], size,
-					     service ? &spread : NULL);
+		uint64_t cost = vm_cost(plan, task, candidates[i], size,
+					service ? &spread : NULL);
 
 		if (cost < best_cost) {
 			best = candidates[i];
@@ -365,8 +361,8 @@
 					const struct task_size *size,
 					char *reason, size_t reason_bytes)
 {
-	for (uint32_t i = 0; i < plan->plan_vm_list->len; i++) {
-		struct plan_vm *vm = g_ptr_array_index(plan->plan_vm_list, i);
+	for (uint32_t i = 0; i < plan->vm_list->len; i++) {
+		struct plan_vm *vm = g_ptr_array_index(plan->vm_list, i);
 
 		if (!place_allowed(task, vm, size, plan->now_us))
 			continue;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -10,12 +10,12 @@
 #include "plan_state.h"
 #include "schema.h"
 
-static void plan_vm_destroy(void *vm)
+static void vm_destroy(void *vm)
 {
 	plan_vm_free(vm);
 }
 
-static void plan_zone_destroy(void *zone)
+static void zone_destroy(void *zone)
 {
 	plan_zone_free(zone);
 }
@@ -42,11 +42,11 @@
 	/* xorshift must not start from 0. */
 	plan->random = opts->seed ? opts->seed : 1;
 	plan->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					  plan_vm_destroy);
-	plan->plan_vm_list = g_ptr_array_new();
+					  vm_destroy);
+	plan->vm_list = g_ptr_array_new();
 	plan->zones = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					    plan_zone_destroy);
-	plan->plan_zone_list = g_ptr_array_new();
+					    zone_destroy);
+	plan->zone_list = g_ptr_array_new();
 	plan->racks =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	plan->teams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -79,9 +79,9 @@
 	g_hash_table_unref(plan->jobs);
 	g_hash_table_unref(plan->teams);
 	g_hash_table_unref(plan->racks);
-	g_ptr_array_free(plan->plan_zone_list, TRUE);
+	g_ptr_array_free(plan->zone_list, TRUE);
 	g_hash_table_unref(plan->zones);
-	g_ptr_array_free(plan->plan_vm_list, TRUE);
+	g_ptr_array_free(plan->vm_list, TRUE);
 	g_hash_table_unref(plan->vms);
 	g_free(plan);
 }
@@ -144,7 +144,7 @@
 }
 
 /* Keeps count of a quarantine that was set or lifted. */
-static void plan_vm_quarantine_set(struct plan *plan, struct plan_vm *vm)
+static void vm_quarantine_set(struct plan *plan, struct plan_vm *vm)
 {
 	vm->suspect = false;
 	vm->nr_failed_jobs = 0;
@@ -170,11 +170,11 @@
 
 	plan->now_us = now_us;
 	if (!vm->known)
-		plan->plan_vm_change_us = now_us;
+		plan->vm_change_us = now_us;
 	vm->record = *record;
 	vm->known = true;
 	if (record->quarantined != was_quarantined)
-		plan_vm_quarantine_set(plan, vm);
+		vm_quarantine_set(plan, vm);
 	vm->rack_nr = plan_rack_nr(plan, record);
 	largest->cpu_millis = MAX(largest->cpu_millis, record->cpu_millis);
 	largest->memory_mib = MAX(largest->memory_mib, record->memory_mib);
@@ -384,8 +384,8 @@
 }
 
 /* Counts a failure against the worker, unless the job is the likely cause. */
-static void plan_vm_failed_job(struct plan *plan, struct plan_vm *vm,
-			       const struct plan_job *job)
+static void vm_failed_job(struct plan *plan, struct plan_vm *vm,
+			  const struct plan_job *job)
 {
 	bool repeated = false;
 
@@ -398,13 +398,13 @@
 		return;
 	/* Many bad workers at once point to bad jobs instead. */
 	if (plan->quarantined_vms.length + plan->suspect_vms.length >=
-	    MAX(plan->plan_vm_list->len / 4, 1))
+	    MAX(plan->vm_list->len / 4, 1))
 		return;
 	vm->suspect = true;
 	g_queue_push_tail(&plan->suspect_vms, vm);
 }
 
-static void plan_vm_ran_job(struct plan_vm *vm)
+static void vm_ran_job(struct plan_vm *vm)
 {
 	vm->nr_failed_jobs = 0;
 	if (vm->probation && !--vm->probation)
@@ -430,14 +430,14 @@
 				    (now_us - task->running_us) / 1000);
 		job->failed.nr = 0;
 		job->nr_failures = 0;
-		plan_vm_ran_job(vm);
+		vm_ran_job(vm);
 		return;
 	}
 	job->nr_failures++;
 	elsewhere = job->failed.nr > failed_on(&job->failed, vm);
 	at_limit = learn_failed(job->kind, task->memory_used_mib, &task->size);
 	if (!elsewhere && !at_limit)
-		plan_vm_failed_job(plan, vm, job);
+		vm_failed_job(plan, vm, job);
 	failed_add(&task->failed, vm);
 	if (failed_add(&job->failed, vm) >= JOB_MAX_FAILED_VMS ||
 	    task->failed.nr >= JOB_MAX_FAILED_VMS ||
--- a/src/core/plan_state.c
+++ b/src/core/plan_state.c
@@ -17,9 +17,9 @@
 
 	if (vm)
 		return vm;
-	vm = plan_vm_new(name, plan->plan_vm_list->len);
+	vm = plan_vm_new(name, plan->vm_list->len);
 	g_hash_table_insert(plan->vms, vm->record.name, vm);
-	g_ptr_array_add(plan->plan_vm_list, vm);
+	g_ptr_array_add(plan->vm_list, vm);
 	return vm;
 }
 
@@ -29,9 +29,9 @@
 
 	if (zone)
 		return zone;
-	zone = plan_zone_new(name, plan->plan_zone_list->len);
+	zone = plan_zone_new(name, plan->zone_list->len);
 	g_hash_table_insert(plan->zones, zone->name, zone);
-	g_ptr_array_add(plan->plan_zone_list, zone);
+	g_ptr_array_add(plan->zone_list, zone);
 	return zone;
 }
 
--- a/src/core/plan_state.h
+++ b/src/core/plan_state.h
@@ -63,7 +63,7 @@
 	enum plan_action outstanding; /* decision not yet seen, 0: none */
 	struct task_size size; /* committed or reserved on on_vm */
 	struct plan_vm *on_vm;
-	uint32_t plan_vm_slot; /* in on_vm->tasks */
+	uint32_t vm_slot; /* in on_vm->tasks */
 	bool counted; /* in on_vm->kinds */
 	bool reserved; /* size is reserved, not committed */
 	struct team *charged; /* team that size counts against */
@@ -110,9 +110,9 @@
 	uint64_t arrival_nr;
 
 	GHashTable *vms; /* by name */
-	GPtrArray *plan_vm_list; /* in order of arrival */
+	GPtrArray *vm_list; /* in order of arrival */
 	GHashTable *zones; /* by name */
-	GPtrArray *plan_zone_list;
+	GPtrArray *zone_list;
 	GHashTable *racks; /* "zone/rack" -> number + 1 */
 	GHashTable *teams; /* by name */
 	GHashTable *jobs; /* by id */
@@ -137,7 +137,7 @@
 	uint32_t next_service; /* cursor of the rebalancing */
 	uint64_t rebalance_us; /* next time to look at the spread */
 	uint64_t rebalance_until_us;
-	uint64_t plan_vm_change_us; /* last time a VM became known */
+	uint64_t vm_change_us; /* last time a VM became known */
 	struct task_size largest; /* of any VM, in each resource */
 	struct task_size urgent; /* largest need of an urgent job lately */
 	uint64_t urgent_us; /* when it was needed last, 0: never */
--- a/src/core/plan_vm.c
+++ b/src/core/plan_vm.c
@@ -200,7 +200,7 @@
 {
 	g_assert(!task->on_vm);
 	task->on_vm = vm;
-	task->plan_vm_slot = vm->tasks->len;
+	task->vm_slot = vm->tasks->len;
 	g_ptr_array_add(vm->tasks, task);
 	count_kind(vm, task);
 }
@@ -211,10 +211,10 @@
 
 	g_assert(task->on_vm == vm);
 	uncount_kind(vm, task);
-	g_ptr_array_remove_index_fast(vm->tasks, task->plan_vm_slot);
-	if (task->plan_vm_slot < vm->tasks->len) {
-		last = g_ptr_array_index(vm->tasks, task->plan_vm_slot);
-		last->plan_vm_slot = task->plan_vm_slot;
+	g_ptr_array_remove_index_fast(vm->tasks, task->vm_slot);
+	if (task->vm_slot < vm->tasks->len) {
+		last = g_ptr_array_index(vm->tasks, task->vm_slot);
+		last->vm_slot = task->vm_slot;
 	}
 	task->on_vm = NULL;
 }
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -266,6 +266,39 @@
 }
 END_TEST
 
+static bool no_run_in_zone(void *data)
+{
+	struct world *world = data;
+
+	for (uint64_t task_id = 1; task_id <= 12; task_id++) {
+		const struct world_vm *vm = world_place(world, task_id);
+
+		if (vm && !strcmp(vm->zone, world->watched_zone))
+			return false;
+	}
+	return true;
+}
+
+/* Guards against tasks that stay in a zone that is out, or start over. */
+START_TEST(test_tasks_leave_zone)
+{
+	struct world *world = world_new(27, 3, 6);
+	uint64_t job_id = world_submit(world, "job1", 12, 30000);
+
+	world->watched_zone = "veraval";
+	ck_assert(world_wait_running(world, 12, 5000));
+	vhost_run_ms(world->vhost, 5000);
+	ck_assert(!no_run_in_zone(world));
+	ck_assert_int_eq(world_set_zone(world, "veraval", true), RESULT_OK);
+	ck_assert(vhost_run_until(world->vhost, no_run_in_zone, world, 15000));
+	ck_assert(world_wait_running(world, 12, 15000));
+	/* 30 s of work, 5 s done, moved with a checkpoint. */
+	ck_assert(world_wait_job(world, job_id, 45000));
+	ck_assert_uint_gt(world->next_checkpoint, 0);
+	world_free(world);
+}
+END_TEST
+
 /* Guards against starts in a zone after operators have taken it out. */
 START_TEST(test_zone_out)
 {
@@ -778,7 +811,8 @@
 	   test_agent_dies_during_start, test_slow_start, test_lost_replies,
 	   test_lost_start_after_earlier_epoch, test_leader_dies,
 	   test_leader_dies_with_vm, test_leader_cut_off, test_quorum_lost,
-	   test_zone_out, test_zone_out_and_agent_cut_off, test_eviction_order,
+	   test_zone_out, test_tasks_leave_zone,
+	   test_zone_out_and_agent_cut_off, test_eviction_order,
 	   test_eviction_with_lost_replies, test_eviction_of_finished_task,
 	   test_cancel, test_failing_job, test_bundle_in_force,
 	   test_bundle_survives_restarts, test_not_leader, test_claim_race,
--- a/tests/vhost.c
+++ b/tests/vhost.c
@@ -422,7 +422,7 @@
 
 void vhost_free(struct vhost *vhost)
 {
-	/* A kill tells the other end, so all machines must still exist. */
+	/* All die before the first is freed: each tells its peers. */
 	for (guint i = 0; i < vhost->machines->len; i++)
 		vhost_kill(g_ptr_array_index(vhost->machines, i));
 	for (guint i = 0; i < vhost->machines->len; i++) {
