Refuse unknown policies and teams, wait for tasks at a shutdown

A bundle with a misspelt policy was accepted and ran under the default one; a job of an unknown team escaped every quota. Both are refused now, with a line in the log. An agent that shuts down is idle only once control knows the end of each of its tasks; before, it left at once and its tasks waited 6.5 s for the VM's loss.

--- a/src/core/agent_task.c
+++ b/src/core/agent_task.c
@@ -434,7 +434,23 @@
 	agent_task_report(tasks);
 }
 
+static gboolean agent_task_is_unsettled(gpointer key, gpointer value,
+					gpointer data)
+{
+	const struct worker_run *run = value;
+
+	if (run->settled_us)
+		return FALSE;
+	*(bool *)data = true;
+	return TRUE;
+}
+
 bool agent_task_idle(const struct agent_task *tasks)
 {
-	return !tasks->worker->nr_calls;
+	bool unsettled = false;
+
+	if (tasks->node->stopping)
+		g_tree_foreach(tasks->worker->runs, agent_task_is_unsettled,
+			       &unsettled);
+	return !tasks->worker->nr_calls && !unsettled;
 }
--- a/src/core/agent_task.h
+++ b/src/core/agent_task.h
@@ -43,7 +43,10 @@
 			     uint32_t nr_services);
 /** Reports as leaving from now on; tasks are moved away by control. */
 void agent_task_shutdown(struct agent_task *tasks);
-/** Returns true when no call to the worker is under way. */
+/**
+ * Returns true when no call to the worker is under way and, while the agent
+ * shuts down, no task is left here whose end control doesn't know.
+ */
 bool agent_task_idle(const struct agent_task *tasks);
 
 #endif /* AGENT_TASK_H */
--- a/src/core/control_op.c
+++ b/src/core/control_op.c
@@ -4,6 +4,9 @@
 
 #include "control_impl.h"
 #include "control_list.h"
+#include "evict.h"
+#include "place.h"
+#include "route.h"
 
 static void control_op_send(struct control *control, uint64_t ticket,
 			    const struct op_reply *reply)
@@ -16,7 +19,17 @@
 		      enum result result, const char *message)
 {
 	struct op_reply reply = { 0 };
+	GString *line;
 
+	if (result && result != RESULT_NOT_LEADER) {
+		line = logline_new("refused");
+		logline_u64(line, "ticket", ticket);
+		logline_str(line, "result", result_name(result));
+		if (message)
+			logline_str(line, "reason", message);
+		node_log(control->node, line);
+		counter_add(control->node->counters, "operations_refused", 1);
+	}
 	reply.result = result;
 	TEXT_SET(reply.message, message ? message : result_summary(result));
 	if (result == RESULT_NOT_LEADER)
@@ -51,12 +64,34 @@
 		control_op_reply(control, ticket, result, NULL);
 }
 
+/*
+ * The state machine takes any policy's name, as replicas of two releases may
+ * know different ones; the leader refuses a bundle it can't carry out.
+ */
+static enum result control_op_check_bundle(const struct bundle *bundle,
+					   const char **message)
+{
+	enum result result = state_bundle_check(bundle, message);
+
+	if (result)
+		return result;
+	if (*bundle->route_policy && !route_find(bundle->route_policy))
+		*message = "no such routing policy";
+	else if (*bundle->place_policy && !place_find(bundle->place_policy))
+		*message = "no such placement policy";
+	else if (*bundle->evict_policy && !evict_find(bundle->evict_policy))
+		*message = "no such eviction policy";
+	else
+		return RESULT_OK;
+	return RESULT_UNKNOWN_OBJECT;
+}
+
 static void control_op_bundle_check(struct control *control, uint64_t ticket,
 				    const void *body)
 {
 	const struct bundle *bundle = body;
 	const char *message = NULL;
-	enum result result = state_bundle_check(bundle, &message);
+	enum result result = control_op_check_bundle(bundle, &message);
 
 	if (!result)
 		result = state_bundle_compare(&control->state->bundles,
@@ -67,7 +102,13 @@
 static void control_op_bundle_submit(struct control *control, uint64_t ticket,
 				     const void *body)
 {
-	control_op_propose(control, ticket, CMD_BUNDLE_SUBMIT, body);
+	const char *message = NULL;
+	enum result result = control_op_check_bundle(body, &message);
+
+	if (result)
+		control_op_reply(control, ticket, result, message);
+	else
+		control_op_propose(control, ticket, CMD_BUNDLE_SUBMIT, body);
 }
 
 static void control_op_bundle_sign(struct control *control, uint64_t ticket,
--- a/src/core/state_bundle.c
+++ b/src/core/state_bundle.c
@@ -37,7 +37,7 @@
 	return ok;
 }
 
-static bool state_bundle_has_team(const struct bundle *bundle, const char *name)
+bool state_bundle_has_team(const struct bundle *bundle, const char *name)
 {
 	for (uint32_t i = 0; i < bundle->nr_teams; i++)
 		if (!strcmp(bundle->teams[i].name, name))
--- a/src/core/state_bundle.h
+++ b/src/core/state_bundle.h
@@ -32,6 +32,8 @@
 enum result state_bundle_compare(const struct state_bundles *store,
 				 uint64_t version, const char *digest);
 
+bool state_bundle_has_team(const struct bundle *bundle, const char *name);
+
 struct state_outcome state_bundle_submit(struct state *state, const void *body);
 struct state_outcome state_bundle_sign(struct state *state, const void *body);
 
--- a/src/core/state_job.c
+++ b/src/core/state_job.c
@@ -150,6 +150,14 @@
 		}
 		return outcome;
 	}
+	/* Without a team of the bundle no quota would hold for it. */
+	if (*record.team &&
+	    (!state->bundles.in_force ||
+	     !state_bundle_has_team(state->bundles.in_force, record.team))) {
+		outcome.result = RESULT_UNKNOWN_OBJECT;
+		outcome.message = "no such team in the bundle in force";
+		return outcome;
+	}
 	record.job_id = ++state->counters.next_job_id;
 	record.state = JOB_ACTIVE;
 	record.result = RESULT_OK;
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -450,6 +450,53 @@
 	       status->processes_in_force == world->nr_vms;
 }
 
+static bool machine_is_idle(void *data)
+{
+	return node_idle(vhost_node(data));
+}
+
+/* Guards against a graceful shutdown that leaves tasks behind. */
+START_TEST(test_agent_leaves)
+{
+	struct world *world = world_new(28, 3, 3);
+	uint64_t job_id = world_submit(world, "job1", 6, 30000);
+	struct world_vm *vm = &world->vms[0];
+
+	ck_assert(world_wait_running(world, 6, 5000));
+	vhost_run_ms(world->vhost, 3000);
+	ck_assert_uint_gt(g_hash_table_size(vm->runs), 0);
+	vhost_shutdown(vm->machine);
+	ck_assert(vhost_run_until(world->vhost, machine_is_idle, vm->machine,
+				  15000));
+	world_kill_agent(vm);
+	/* Nothing runs here any more, though every lease still holds. */
+	ck_assert(world_wait_running(world, 6, 5000));
+	for (uint64_t task_id = 1; task_id <= 6; task_id++)
+		ck_assert_ptr_ne(world_place(world, task_id), vm);
+	ck_assert(world_wait_job(world, job_id, 40000));
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a bundle whose policies nobody knows. */
+START_TEST(test_unknown_policy)
+{
+	struct world *world = world_new(29, 1, 0);
+	struct bundle bundle = { .version = 2, .digest = "bb" };
+
+	TEXT_SET(bundle.place_policy, "no-such-policy");
+	ck_assert_int_eq(world_change(world, OP_BUNDLE_CHECK, &bundle),
+			 RESULT_UNKNOWN_OBJECT);
+	ck_assert_int_eq(world_change(world, OP_BUNDLE_SUBMIT, &bundle),
+			 RESULT_UNKNOWN_OBJECT);
+	ck_assert_uint_ge(vhost_log_count(world->vhost, "event=refused"), 2);
+	TEXT_SET(bundle.place_policy, "first-fit");
+	ck_assert_int_eq(world_change(world, OP_BUNDLE_SUBMIT, &bundle),
+			 RESULT_OK);
+	world_free(world);
+}
+END_TEST
+
 /* Guards against a bundle that isn't in force everywhere within seconds. */
 START_TEST(test_bundle_in_force)
 {
@@ -814,6 +861,7 @@
 	   test_zone_out, test_tasks_leave_zone,
 	   test_zone_out_and_agent_cut_off, test_eviction_order,
 	   test_eviction_with_lost_replies, test_eviction_of_finished_task,
-	   test_cancel, test_failing_job, test_bundle_in_force,
+	   test_cancel, test_failing_job, test_agent_leaves,
+	   test_unknown_policy, test_bundle_in_force,
 	   test_bundle_survives_restarts, test_not_leader, test_claim_race,
 	   test_claim_survives_leader, test_view_of_agents, test_random_faults)
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -495,6 +495,22 @@
 }
 END_TEST
 
+/* Guards against a job that no team's quota holds for. */
+START_TEST(test_job_team)
+{
+	struct job_record job = { .name = "plan", .team = "nobody" };
+
+	set_up();
+	job.job_class = JOB_BATCH;
+	job.nr_wanted = 1;
+	job.cpu_millis = 1000;
+	job.memory_mib = 100;
+	ck_assert_int_eq(apply(CMD_JOB_SUBMIT, &job).result,
+			 RESULT_UNKNOWN_OBJECT);
+	tear_down();
+}
+END_TEST
+
 /* Guards against cancelled tasks that run on, or whose room is given away. */
 START_TEST(test_cancel_in_bulk)
 {
@@ -838,6 +854,6 @@
 	   test_checkpoint_is_kept, test_vm_lost, test_vm_checks,
 	   test_bundle_versions, test_bundle_needs_signature,
 	   test_service_follows_bundle, test_service_shrinks_while_running,
-	   test_job_keys, test_cancel_in_bulk, test_job_finishes,
+	   test_job_keys, test_job_team, test_cancel_in_bulk, test_job_finishes,
 	   test_expire_jobs, test_claims, test_claim_responses,
 	   test_claim_large_body, test_random_commands)
