--- a/tests/test_agent_task.c
+++ b/tests/test_agent_task.c
@@ -282,7 +282,7 @@
 	tell(MSG_TASK_ORDER, &order); /* the agent's permit has ended */
 	ck_assert_uint_eq(nr_calls[PLATFORM_START], 0);
 	tell_grant(0);
-	order.permit_sent_us = report.sent_us - PERMIT_TTL_MS * 1000;
+	order.permit_sent_us = report.sent_us - PERMIT_TTL_MS * 1000ull;
 	tell(MSG_TASK_ORDER, &order); /* the order's permit has ended */
 	ck_assert_uint_eq(nr_calls[PLATFORM_START], 0);
 	tell_order(TASK_START, 1);
