Send views only to those they concern

With 620 VMs that register at once, each commit sent a view to all 620 agents, although agents have no use for the list of agents. Parts that only concern agents go to entries alone now, and changes of VMs within 20 ms go together; each peer's parts name the last version sent to that peer.

--- a/src/core/control_impl.h
+++ b/src/core/control_impl.h
@@ -66,6 +66,7 @@
 	uint64_t node_id;
 	uint32_t role; /* enum node_role */
 	uint64_t bundle_version; /* in force there, as last heard */
+	uint64_t view_version; /* of the last view sent there, 0: none */
 };
 
 struct control {
--- a/src/core/control_view.c
+++ b/src/core/control_view.c
@@ -23,7 +23,6 @@
 	build->agents = g_array_new(FALSE, TRUE, sizeof(struct view_agent));
 	build->view.term = raft_term(control->raft);
 	build->view.view_version = control->view_version;
-	build->view.base_version = control->view_version;
 }
 
 static void control_view_add_bundle(struct control_view_build *build)
@@ -32,17 +31,20 @@
 	build->view.nr_bundles = build->view.bundles ? 1 : 0;
 }
 
-static void control_view_send(struct control_view_build *build, uint64_t to,
-			      uint32_t role)
+static void control_view_send(struct control_view_build *build,
+			      struct control_peer *peer)
 {
 	struct view *view = &build->view;
 
+	view->base_version = peer->view_version;
+	peer->view_version = view->view_version;
+
 	view->zones = (struct zone_record *)(void *)build->zones->data;
 	view->nr_zones = build->zones->len;
 	view->agents = (struct view_agent *)(void *)build->agents->data;
 	/* Agents have no use for the list of agents. */
-	view->nr_agents = role == ROLE_ENTRY ? build->agents->len : 0;
-	node_send(build->control->node, to, MSG_VIEW, view);
+	view->nr_agents = peer->role == ROLE_ENTRY ? build->agents->len : 0;
+	node_send(build->control->node, peer->node_id, MSG_VIEW, view);
 	counter_add(build->control->node->counters, "views_sent", 1);
 }
 
@@ -114,9 +116,11 @@
 
 	g_hash_table_iter_init(&iter, control->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct control_peer *peer = value;
+		struct control_peer *peer = value;
 
-		control_view_send(build, peer->node_id, peer->role);
+		if (build->view.whole || peer->role == ROLE_ENTRY ||
+		    build->zones->len || build->view.nr_bundles)
+			control_view_send(build, peer);
 	}
 }
 
@@ -151,7 +155,9 @@
 void control_view_vm(struct control *control, const struct state_vm *vm)
 {
 	g_hash_table_add(control->view_vms, g_strdup(vm->record.name));
-	control_view_soon(control);
+	if (!timer_armed(&control->view_timer))
+		node_timer_ms(control->node, &control->view_timer,
+			      VIEW_BATCH_MS);
 }
 
 void control_view_bundle(struct control *control)
@@ -205,13 +211,16 @@
 	/* Changes not sent yet would be missing in the peer's version. */
 	if (timer_armed(&control->view_timer))
 		control_view_flush(control, control->node->now_us);
-	if (query->term == raft_term(control->raft) &&
-	    query->view_version == control->view_version &&
-	    (!bundle || query->bundle_version >= bundle->version))
+	if (query->term == raft_term(control->raft) && peer->view_version &&
+	    query->view_version == peer->view_version &&
+	    (!bundle || query->bundle_version >= bundle->version)) {
+		/* Nothing that concerns this peer has changed since. */
 		control_view_begin(control, &build);
-	else
+		build.view.view_version = peer->view_version;
+	} else {
 		control_view_build_whole(control, &build);
-	control_view_send(&build, from, peer->role);
+	}
+	control_view_send(&build, peer);
 	control_view_end(&build);
 }
 
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -79,6 +79,8 @@
 
 /* Views of the site. */
 #define VIEW_QUERY_INTERVAL_MS 1000
+/* Changes of VMs are sent together; at a start, all VMs come at once. */
+#define VIEW_BATCH_MS 20
 
 /* Records of the state machine. */
 #define CLAIM_BODY_MAX_BYTES (16u << 10)
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -853,6 +853,31 @@
 }
 END_TEST
 
+/* Guards against a flood of views when many VMs change. */
+START_TEST(test_agents_get_no_agents)
+{
+	struct world *world = world_new(30, 1, 8);
+	struct counters *counters = world_leader(world)->node->counters;
+	uint64_t views;
+
+	vhost_run_ms(world->vhost, 3000);
+	views = counter_get(counters, "views_sent");
+	for (uint32_t i = 0; i < 4; i++) {
+		world_kill_agent(&world->vms[i]);
+		world_boot_agent(&world->vms[i]);
+	}
+	vhost_run_ms(world->vhost, 900);
+	/* The four new ones ask once or twice, the others once a second. */
+	ck_assert_uint_le(counter_get(counters, "views_sent") - views, 16);
+	for (uint32_t i = 0; i < 8; i++)
+		ck_assert_uint_eq(
+			counter_get(vhost_node(world->vms[i].machine)->counters,
+				    "views_incomplete"),
+			0);
+	world_free(world);
+}
+END_TEST
+
 SUITE_MAIN("control", test_job_runs, test_vm_lost, test_vm_returns,
 	   test_vm_cut_off, test_late_end, test_agent_restart,
 	   test_agent_dies_during_start, test_slow_start, test_lost_replies,
@@ -864,4 +889,5 @@
 	   test_cancel, test_failing_job, test_agent_leaves,
 	   test_unknown_policy, test_bundle_in_force,
 	   test_bundle_survives_restarts, test_not_leader, test_claim_race,
-	   test_claim_survives_leader, test_view_of_agents, test_random_faults)
+	   test_claim_survives_leader, test_view_of_agents,
+	   test_agents_get_no_agents, test_random_faults)
