--- /dev/null
+++ b/src/core/admit.c
@@ -0,0 +1,587 @@
+#include "admit.h"
+
+#include <string.h>
+
+#include "executor.h"
+#include "logline.h"
+#include "outcome.h"
+#include "schema.h"
+#include "tunables.h"
+
+#define ADMIT_SMOOTHING 16 /* runs over which the service time is smoothed */
+#define ADMIT_EXPIRE_MS 1000 /* how often old records are dropped */
+
+struct admit_service {
+	struct admit *admit;
+	char name[NAME_BYTES];
+	GPtrArray *executors; /* struct executor *, owned */
+	GSequence *queue; /* struct outcome *, by deadline */
+	uint32_t service_time_us;
+	struct timer expiry; /* of the next announcement */
+};
+
+struct admit {
+	struct node *node;
+	const struct admit_ops *ops;
+	void *ctx;
+	GPtrArray *services; /* struct admit_service *, owned */
+	struct outcome_table *runs;
+	GHashTable *calls; /* uint64_t * -> struct outcome *, by call_nr */
+	uint64_t next_call_nr;
+	struct timer forget;
+	GArray *loads; /* struct load, filled by admit_loads() */
+	bool leaving;
+};
+
+static uint32_t service_queued(const struct admit_service *service)
+{
+	return (uint32_t)g_sequence_get_length(service->queue);
+}
+
+static uint32_t service_slots(const struct admit_service *service)
+{
+	uint32_t slots = 0;
+
+	for (uint32_t i = 0; i < service->executors->len; i++) {
+		const struct executor *executor =
+			g_ptr_array_index(service->executors, i);
+
+		if (executor_is_open(executor))
+			slots += MIN(executor->slots, executor->connections);
+	}
+	return slots;
+}
+
+static void service_fill_load(const struct admit_service *service,
+			      struct load *load)
+{
+	const struct admit *admit = service->admit;
+
+	memset(load, 0, sizeof(*load));
+	TEXT_SET(load->service, service->name);
+	load->queued = service_queued(service);
+	load->service_time_us = service->service_time_us;
+	/* An agent that refuses all requests would else attract them. */
+	load->leaving = admit->leaving ||
+			!executors_any_open(service->executors) ||
+			admit->ops->may_start(admit->ctx, true);
+	for (uint32_t i = 0; i < service->executors->len; i++) {
+		const struct executor *executor =
+			g_ptr_array_index(service->executors, i);
+
+		load->in_flight += executor->in_flight;
+		if (!executor_is_open(executor))
+			continue;
+		load->slots += executor->slots;
+		load->connections += executor->connections;
+	}
+}
+
+static void service_learn_run(struct admit_service *service, uint32_t run_us)
+{
+	int64_t old_us = service->service_time_us;
+
+	if (!old_us)
+		old_us = run_us;
+	service->service_time_us = (uint32_t)MAX(
+		old_us + ((int64_t)run_us - old_us) / ADMIT_SMOOTHING, 1);
+}
+
+/* Sends what is known of a run to one entry. */
+static void admit_tell(const struct admit *admit, const struct outcome *outcome,
+		       const struct outcome_asker *asker)
+{
+	struct response response = outcome->response;
+
+	response.origin_node = asker->node_id;
+	response.request_nr = asker->request_nr;
+	response.run = outcome->state;
+	if (outcome->state == RUN_DONE && !outcome->response_kept) {
+		/* It ran, but its response has been dropped. */
+		response.run = RUN_UNKNOWN;
+		response.result = RESULT_OUTCOME_UNKNOWN;
+	}
+	if (outcome->service)
+		service_fill_load(outcome->service, &response.load);
+	node_send(admit->node, asker->node_id, MSG_RESPONSE, &response);
+}
+
+/* Answers for a number without a record. */
+static void admit_tell_missing(const struct admit *admit,
+			       const struct outcome_asker *asker,
+			       enum run_state state, enum result result)
+{
+	struct response response = { 0 };
+
+	response.origin_node = asker->node_id;
+	response.request_nr = asker->request_nr;
+	response.run = state;
+	response.result = result;
+	node_send(admit->node, asker->node_id, MSG_RESPONSE, &response);
+}
+
+static void admit_finish(struct admit *admit, struct outcome *outcome,
+			 enum run_state state, enum result result)
+{
+	timer_cancel(admit->node->timers, &outcome->timer);
+	outcome->state = state;
+	outcome->response.result = result;
+	outcome_table_finish(admit->runs, outcome, admit->node->now_us);
+	for (uint32_t i = 0; i < outcome->askers->len; i++)
+		admit_tell(admit, outcome,
+			   &g_array_index(outcome->askers, struct outcome_asker,
+					  i));
+	g_array_set_size(outcome->askers, 0);
+}
+
+/* Refuses a run for good: it leaves the queue and never begins. */
+static void admit_refuse(struct admit *admit, struct outcome *outcome,
+			 enum result result)
+{
+	g_assert(outcome->state == RUN_QUEUED && !outcome->executor);
+	if (outcome->queue_place)
+		g_sequence_remove(outcome->queue_place);
+	outcome->queue_place = NULL;
+	counter_add(admit->node->counters, "agent_refused", 1);
+	admit_finish(admit, outcome, RUN_NOT_RUN, result);
+}
+
+static void admit_start(struct admit *admit, struct outcome *outcome,
+			struct executor *executor)
+{
+	uint64_t now_us = admit->node->now_us;
+
+	g_assert(executor_room(executor));
+	outcome->state = RUN_RUNNING;
+	outcome->executor = executor;
+	outcome->started_us = now_us;
+	outcome->call_nr = ++admit->next_call_nr;
+	outcome->response.wait_us =
+		(uint32_t)MIN(now_us - outcome->arrived_us, UINT32_MAX);
+	executor->in_flight++;
+	g_hash_table_insert(admit->calls, &outcome->call_nr, outcome);
+	counter_add(admit->node->counters, "agent_started", 1);
+	admit->ops->upstream_call(admit->ctx, outcome->call_nr,
+				  executor->address, outcome->request);
+}
+
+/* Starts queued runs while upstreams have room. */
+static void admit_pump(struct admit *admit, struct admit_service *service)
+{
+	while (service_queued(service)) {
+		GSequenceIter *first =
+			g_sequence_get_begin_iter(service->queue);
+		struct outcome *outcome = g_sequence_get(first);
+		struct executor *executor =
+			executors_roomiest(service->executors);
+		enum result result;
+
+		if (!executor && executors_any_open(service->executors))
+			break;
+		result = executor ? admit->ops->may_start(admit->ctx,
+							  outcome->repeatable) :
+				    RESULT_NO_UPSTREAM;
+		if (result) {
+			admit_refuse(admit, outcome, result);
+			continue;
+		}
+		g_sequence_remove(first);
+		outcome->queue_place = NULL;
+		admit_start(admit, outcome, executor);
+	}
+}
+
+/* The deadline passed while queued, or the longest time to run. */
+static void admit_run_due(void *data, uint64_t now_us)
+{
+	struct outcome *outcome = data;
+	struct admit *admit = outcome->service->admit;
+
+	(void)now_us;
+	if (outcome->state == RUN_QUEUED) {
+		admit_refuse(admit, outcome, RESULT_DEADLINE);
+		return;
+	}
+	if (!outcome->repeatable && !outcome->overrun) {
+		/* It can't be repeated, so its work isn't thrown away yet. */
+		outcome->overrun = true;
+		node_timer_ms(admit->node, &outcome->timer, ADMIT_OVERRUN_MS);
+		return;
+	}
+	outcome->cancelled = RESULT_DEADLINE;
+	admit->ops->upstream_cancel(admit->ctx, outcome->call_nr);
+}
+
+static void admit_service_expire(struct admit_service *service)
+{
+	struct admit *admit = service->admit;
+	uint64_t next_us;
+
+	executors_expire(service->executors, admit->node->now_us);
+	next_us = executors_next_expiry_us(service->executors);
+	if (next_us != TIMER_NEVER)
+		timer_set(admit->node->timers, &service->expiry, next_us);
+	admit_pump(admit, service);
+	admit->ops->changed(admit->ctx);
+}
+
+static void admit_service_due(void *data, uint64_t now_us)
+{
+	(void)now_us;
+	admit_service_expire(data);
+}
+
+static void admit_service_free(void *data)
+{
+	struct admit_service *service = data;
+
+	timer_cancel(service->admit->node->timers, &service->expiry);
+	g_ptr_array_unref(service->executors);
+	g_sequence_free(service->queue);
+	g_free(service);
+}
+
+static struct admit_service *admit_find_service(const struct admit *admit,
+						const char *name)
+{
+	for (uint32_t i = 0; i < admit->services->len; i++) {
+		struct admit_service *service =
+			g_ptr_array_index(admit->services, i);
+
+		if (!g_strcmp0(service->name, name))
+			return service;
+	}
+	return NULL;
+}
+
+static struct admit_service *admit_add_service(struct admit *admit,
+					       const char *name)
+{
+	struct admit_service *service = admit_find_service(admit, name);
+
+	if (service)
+		return service;
+	service = g_new0(struct admit_service, 1);
+	service->admit = admit;
+	TEXT_SET(service->name, name);
+	service->executors = g_ptr_array_new_with_free_func(g_free);
+	service->queue = g_sequence_new(NULL);
+	service->expiry.fn = admit_service_due;
+	service->expiry.data = service;
+	g_ptr_array_add(admit->services, service);
+	return service;
+}
+
+static gint admit_by_deadline(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct outcome *x = a;
+	const struct outcome *y = b;
+
+	(void)data;
+	if (x->deadline_us != y->deadline_us)
+		return x->deadline_us < y->deadline_us ? -1 : 1;
+	return x->arrived_us < y->arrived_us ? -1 :
+					       x->arrived_us > y->arrived_us;
+}
+
+/*
+ * Returns true if the run can't be back in time behind those with an earlier
+ * deadline. Only a busy service is judged: its estimate is fresh.
+ */
+static bool admit_is_too_late(const struct admit_service *service,
+			      const struct outcome *outcome)
+{
+	uint32_t slots = service_slots(service);
+	uint64_t wait_us;
+
+	if (!slots || executors_roomiest(service->executors))
+		return false;
+	wait_us = (uint64_t)service->service_time_us *
+		  (uint32_t)g_sequence_iter_get_position(outcome->queue_place) /
+		  slots;
+	return outcome->arrived_us + wait_us + service->service_time_us >
+	       outcome->deadline_us;
+}
+
+/* Queues a outcome; a full queue gives up the one with the latest deadline. */
+static void admit_enqueue(struct admit *admit, struct admit_service *service,
+			  struct outcome *outcome)
+{
+	uint32_t max = service_slots(service) * ADMIT_QUEUE_PER_SLOT;
+
+	outcome->queue_place = g_sequence_insert_sorted(
+		service->queue, outcome, admit_by_deadline, NULL);
+	if (admit_is_too_late(service, outcome)) {
+		admit_refuse(admit, outcome, RESULT_DEADLINE);
+		return;
+	}
+	if (service_queued(service) > MAX(max, 1)) {
+		GSequenceIter *last = g_sequence_iter_prev(
+			g_sequence_get_end_iter(service->queue));
+
+		admit_refuse(admit, g_sequence_get(last), RESULT_OVERLOADED);
+	}
+	admit_pump(admit, service);
+}
+
+static struct outcome *admit_add_run(struct admit *admit,
+				     const struct outcome_id *id,
+				     const struct request *request)
+{
+	const char *key = request->repeatable ? "" : request->key;
+	struct outcome *outcome = outcome_table_add(
+		admit->runs, id, request->repeatable, request->service, key);
+
+	outcome->request = schema_dup(MSG_REQUEST, request);
+	outcome->arrived_us = admit->node->now_us;
+	outcome->deadline_us =
+		outcome->arrived_us + request->deadline_ms * 1000ull;
+	outcome->timer.fn = admit_run_due;
+	outcome->timer.data = outcome;
+	return outcome;
+}
+
+static enum result admit_check(const struct admit *admit,
+			       const struct admit_service *service,
+			       const struct request *request)
+{
+	if (request->target_node != admit->node->self.node_id)
+		return RESULT_STALE;
+	if (admit->leaving)
+		return RESULT_LEAVING;
+	if (!service || !executors_any_open(service->executors))
+		return RESULT_NO_UPSTREAM;
+	return admit->ops->may_start(admit->ctx, request->repeatable);
+}
+
+static void admit_forget_due(void *data, uint64_t now_us)
+{
+	struct admit *admit = data;
+
+	outcome_table_expire(admit->runs, now_us);
+	node_timer_ms(admit->node, &admit->forget, ADMIT_EXPIRE_MS);
+}
+
+struct admit *admit_new(struct node *node, const struct admit_ops *ops,
+			void *ctx)
+{
+	struct admit *admit = g_new0(struct admit, 1);
+
+	admit->node = node;
+	admit->ops = ops;
+	admit->ctx = ctx;
+	admit->services = g_ptr_array_new_with_free_func(admit_service_free);
+	admit->runs = outcome_table_new();
+	admit->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	admit->loads = g_array_new(FALSE, FALSE, sizeof(struct load));
+	admit->forget.fn = admit_forget_due;
+	admit->forget.data = admit;
+	node_timer_ms(node, &admit->forget, ADMIT_EXPIRE_MS);
+	return admit;
+}
+
+void admit_free(struct admit *admit)
+{
+	if (!admit)
+		return;
+	timer_cancel(admit->node->timers, &admit->forget);
+	g_hash_table_unref(admit->calls);
+	outcome_table_free(admit->runs);
+	g_ptr_array_unref(admit->services);
+	g_array_unref(admit->loads);
+	g_free(admit);
+}
+
+enum result admit_announce(struct admit *admit,
+			   const struct platform_announce *announce)
+{
+	struct admit_service *service;
+	struct executor *executor;
+
+	if (!*announce->id || !*announce->service || !*announce->address)
+		return RESULT_MALFORMED;
+	if (!announce->slots || !announce->connections)
+		return RESULT_OUT_OF_RANGE;
+	service = admit_add_service(admit, announce->service);
+	executor = executors_find(service->executors, announce->id);
+	if (!executor) {
+		executor = g_new0(struct executor, 1);
+		TEXT_SET(executor->id, announce->id);
+		g_ptr_array_add(service->executors, executor);
+	}
+	executor_announced(executor, announce, admit->node->now_us);
+	admit_service_expire(service);
+	return RESULT_OK;
+}
+
+void admit_withdraw(struct admit *admit, const char *upstream_id)
+{
+	for (uint32_t i = 0; i < admit->services->len; i++) {
+		struct admit_service *service =
+			g_ptr_array_index(admit->services, i);
+		struct executor *executor =
+			executors_find(service->executors, upstream_id);
+
+		if (!executor)
+			continue;
+		executor->gone = true;
+		admit_service_expire(service);
+	}
+}
+
+void admit_request(struct admit *admit, uint64_t from,
+		   const struct request *request)
+{
+	struct outcome_id id = { from, request->request_nr };
+	struct outcome_asker asker = { from, request->request_nr };
+	struct admit_service *service =
+		admit_find_service(admit, request->service);
+	const char *key = request->repeatable ? "" : request->key;
+	struct outcome *outcome = outcome_table_find(admit->runs, &id);
+	enum result result;
+
+	if (!outcome && outcome_table_may_have_forgotten(admit->runs, &id,
+							 request->repeatable)) {
+		admit_tell_missing(admit, &asker, RUN_UNKNOWN,
+				   RESULT_OUTCOME_UNKNOWN);
+		return;
+	}
+	if (!outcome) {
+		outcome = outcome_table_find_key(admit->runs, request->service,
+						 key);
+		/* A run proven not run leaves its key free. */
+		if (outcome && outcome->state == RUN_NOT_RUN)
+			outcome = NULL;
+	}
+	if (outcome) {
+		/* Its first arrival counts, or the refusal that came first. */
+		if (!outcome->finished_us)
+			outcome_add_asker(outcome, from, request->request_nr);
+		else
+			admit_tell(admit, outcome, &asker);
+		return;
+	}
+	result = admit_check(admit, service, request);
+	outcome = admit_add_run(admit, &id, request);
+	outcome->service = service;
+	outcome_add_asker(outcome, from, request->request_nr);
+	if (result) {
+		admit_refuse(admit, outcome, result);
+		return;
+	}
+	timer_set(admit->node->timers, &outcome->timer, outcome->deadline_us);
+	admit_enqueue(admit, service, outcome);
+}
+
+void admit_cancel(struct admit *admit, uint64_t from, uint64_t request_nr)
+{
+	struct outcome_id id = { from, request_nr };
+	struct outcome *outcome = outcome_table_find(admit->runs, &id);
+
+	if (!outcome || outcome->finished_us)
+		return;
+	if (outcome->state == RUN_QUEUED) {
+		admit_refuse(admit, outcome, RESULT_CANCELLED);
+	} else if (outcome->repeatable && !outcome->cancelled) {
+		outcome->cancelled = RESULT_CANCELLED;
+		admit->ops->upstream_cancel(admit->ctx, outcome->call_nr);
+	}
+}
+
+void admit_query(struct admit *admit, uint64_t from,
+		 const struct outcome_query *query)
+{
+	struct outcome_id id = { query->origin_node, query->request_nr };
+	struct outcome_asker asker = { from, query->reply_nr };
+	const char *key = query->repeatable ? "" : query->key;
+	struct outcome *outcome = outcome_table_find(admit->runs, &id);
+
+	if (!outcome) {
+		outcome = outcome_table_find_key(admit->runs, query->service,
+						 key);
+		if (outcome && outcome->state == RUN_NOT_RUN)
+			outcome = NULL;
+	}
+	if (!outcome && (!query->refuse ||
+			 outcome_table_may_have_forgotten(admit->runs, &id,
+							  query->repeatable))) {
+		admit_tell_missing(admit, &asker, RUN_UNKNOWN,
+				   RESULT_OUTCOME_UNKNOWN);
+		return;
+	}
+	if (!outcome) {
+		/* The record makes the number's later arrival be refused. */
+		outcome = outcome_table_add(admit->runs, &id, query->repeatable,
+					    query->service, "");
+		admit_finish(admit, outcome, RUN_NOT_RUN, RESULT_CANCELLED);
+	}
+	if (!outcome->finished_us)
+		outcome_add_asker(outcome, from, query->reply_nr);
+	admit_tell(admit, outcome, &asker);
+}
+
+void admit_call_done(struct admit *admit, uint64_t call_nr,
+		     const struct upstream_result *result)
+{
+	struct outcome *outcome = g_hash_table_lookup(admit->calls, &call_nr);
+	struct executor *executor;
+	struct admit_service *service;
+
+	if (!outcome)
+		return;
+	g_hash_table_remove(admit->calls, &call_nr);
+	executor = outcome->executor;
+	service = outcome->service;
+	g_assert(executor->in_flight > 0);
+	executor->in_flight--;
+	outcome->executor = NULL;
+	if (!result->connected) {
+		/* A call given up while connecting says nothing of the peer. */
+		if (!outcome->cancelled)
+			executor->refused = true;
+		admit_finish(admit, outcome, RUN_NOT_RUN,
+			     outcome->cancelled ? outcome->cancelled :
+						  RESULT_UPSTREAM_FAILED);
+	} else if (!result->complete) {
+		admit_finish(admit, outcome, RUN_UNKNOWN,
+			     outcome->cancelled ? outcome->cancelled :
+						  RESULT_UPSTREAM_FAILED);
+	} else {
+		uint64_t run_us = admit->node->now_us - outcome->started_us;
+
+		outcome->response.run_us = (uint32_t)MIN(run_us, UINT32_MAX);
+		outcome->response.status = result->status;
+		TEXT_SET(outcome->response.content_type, result->content_type);
+		if (result->body)
+			outcome->response.body = g_bytes_ref(result->body);
+		service_learn_run(service, outcome->response.run_us);
+		admit_finish(admit, outcome, RUN_DONE, RESULT_OK);
+	}
+	executors_expire(service->executors, admit->node->now_us);
+	admit_pump(admit, service);
+	admit->ops->changed(admit->ctx);
+}
+
+void admit_leave(struct admit *admit)
+{
+	admit->leaving = true;
+	admit->ops->changed(admit->ctx);
+}
+
+bool admit_idle(const struct admit *admit)
+{
+	return outcome_table_nr_active(admit->runs) == 0;
+}
+
+void admit_loads(struct admit *admit, struct load_report *report)
+{
+	g_array_set_size(admit->loads, 0);
+	for (uint32_t i = 0; i < admit->services->len; i++) {
+		struct load load;
+
+		service_fill_load(g_ptr_array_index(admit->services, i), &load);
+		g_array_append_val(admit->loads, load);
+	}
+	report->nr_loads = admit->loads->len;
+	report->loads = (struct load *)(void *)admit->loads->data;
+}
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -68,6 +68,9 @@
 /** Returns a new node without a role. */
 struct node *node_new(const struct node_opts *opts);
 
+/** Takes over an identity kept on disk; only before a role is attached. */
+void node_set_id(struct node *node, uint64_t node_id);
+
 /** Frees the node and, through role_ops.free, its role. */
 void node_free(struct node *node);
 
