Learn interference with a variance for each pair

Cause: the error of a sample went to the neighbours by number alone, so one noisy task beside 20 quiet ones was hardly blamed and the wrong ones were throttled (one VM stayed at 45 % slowdown for 90 s).

Change: each pair has a variance; the error goes to what is little known.

--- a/src/core/interference.c
+++ b/src/core/interference.c
@@ -14,8 +14,11 @@
 /* A pair that was never seen is neither harmless nor shut out. */
 #define PRIOR_PPM 50000
 #define MAX_NEIGHBOURS 32
-/* Each sample corrects the estimates by 1 / 8 of the error. */
-#define LEARN_SHIFT 3
+/* Variance of a sample, growth of a pair's variance with each sample, as load
+ * changes, and its least value; in ppm of the variance of an unknown pair. */
+#define SAMPLE_DOUBT_PPM 40000
+#define DOUBT_GROWTH_PPM 50
+#define MIN_DOUBT_PPM 500
 /* Slower than this the sample says more of a stalled worker than of a
  * neighbour. */
 #define MIN_RATE_PPM 20000u
@@ -28,6 +31,12 @@
 /* Tasks of a service count more than batch tasks beside them. */
 #define SERVICE_WEIGHT 8
 
+/* What one task of a kind costs a task of another. */
+struct pair {
+	int32_t ppm;
+	uint32_t doubt_ppm; /* variance of ppm; 1000000: never seen */
+};
+
 struct neighbours {
 	uint32_t nr;
 	uint32_t kinds[MAX_NEIGHBOURS];
@@ -36,7 +45,7 @@
 
 struct interference {
 	uint32_t nr_kinds; /* rows and columns allocated */
-	int32_t *pairs; /* ppm, victim * nr_kinds + by */
+	struct pair *pairs; /* victim * nr_kinds + by */
 	struct neighbours last; /* of the VM and time below */
 	const struct plan_vm *last_vm;
 	uint64_t last_sample_us;
@@ -60,15 +69,15 @@
 {
 	uint32_t old = interference->nr_kinds;
 	uint32_t nr = MAX(old, 16);
-	int32_t *pairs;
+	struct pair *pairs;
 
 	if (kind_nr < old || kind_nr >= MAX_KINDS)
 		return;
 	while (nr <= kind_nr)
 		nr *= 2;
-	pairs = g_new(int32_t, (size_t)nr * nr);
+	pairs = g_new(struct pair, (size_t)nr * nr);
 	for (size_t i = 0; i < (size_t)nr * nr; i++)
-		pairs[i] = PRIOR_PPM;
+		pairs[i] = (struct pair){ PRIOR_PPM, PPM };
 	for (uint32_t i = 0; i < old; i++)
 		memcpy(pairs + (size_t)i * nr,
 		       interference->pairs + (size_t)i * old,
@@ -78,8 +87,8 @@
 	interference->nr_kinds = nr;
 }
 
-static int32_t *pair_at(const struct interference *interference,
-			uint32_t victim, uint32_t by)
+static struct pair *pair_at(const struct interference *interference,
+			    uint32_t victim, uint32_t by)
 {
 	uint32_t nr = interference->nr_kinds;
 
@@ -92,9 +101,9 @@
 			   const struct plan_kind *victim,
 			   const struct plan_kind *by)
 {
-	const int32_t *pair = pair_at(interference, victim->nr, by->nr);
+	const struct pair *pair = pair_at(interference, victim->nr, by->nr);
 
-	return pair ? (uint32_t)*pair : PRIOR_PPM;
+	return pair ? (uint32_t)pair->ppm : PRIOR_PPM;
 }
 
 static void neighbours_add(struct neighbours *neighbours, uint32_t kind_nr,
@@ -153,35 +162,51 @@
 	}
 }
 
-/* Normalized least mean squares: the error of the predicted sum is spread over
- * the neighbours in proportion to their shares. */
+/* Share of the variance of one sample that a pair explains, in ppm of the
+ * variance of a pair that was never seen. */
+static uint64_t pair_power(const struct pair *pair, int64_t share_ppm)
+{
+	uint64_t share = (uint64_t)share_ppm / 1000; /* in thousandths */
+
+	return pair->doubt_ppm * share / 1000 * share / 1000;
+}
+
+/*
+ * A Kalman filter without the correlations: the error of the predicted sum goes
+ * to the pairs in proportion to their shares and to how little is known of
+ * them, so a rare kind isn't hidden by many tasks of a well-known one.
+ */
 static void learn_pairs(struct interference *interference, uint32_t victim,
 			const struct neighbours *neighbours,
 			int64_t slowdown_ppm)
 {
-	int64_t predicted = 0;
-	int64_t power = 0; /* in thousandths */
-	int64_t error;
+	struct pair *pairs[MAX_NEIGHBOURS];
+	uint64_t power = SAMPLE_DOUBT_PPM;
+	int64_t error = slowdown_ppm;
 
 	for (uint32_t i = 0; i < neighbours->nr; i++) {
-		const int32_t *pair =
-			pair_at(interference, victim, neighbours->kinds[i]);
-		int64_t share = neighbours->shares[i] / 1000;
-
-		predicted += pair ? *pair * share / 1000 : 0;
-		power += share * share / 1000;
+		pairs[i] = pair_at(interference, victim, neighbours->kinds[i]);
+		if (!pairs[i])
+			continue;
+		error -= pairs[i]->ppm * (neighbours->shares[i] / 1000) / 1000;
+		power += pair_power(pairs[i], neighbours->shares[i]);
 	}
-	if (!power)
-		return;
-	error = (slowdown_ppm - predicted) / (1 << LEARN_SHIFT);
 	for (uint32_t i = 0; i < neighbours->nr; i++) {
-		int32_t *pair =
-			pair_at(interference, victim, neighbours->kinds[i]);
+		struct pair *pair = pairs[i];
 		int64_t share = neighbours->shares[i] / 1000;
+		uint64_t explained;
 
-		if (pair)
-			*pair = (int32_t)CLAMP(*pair + error * share / power, 0,
-					       MAX_PAIR_PPM);
+		if (!pair)
+			continue;
+		explained = pair_power(pair, neighbours->shares[i]);
+		pair->ppm = (int32_t)CLAMP(pair->ppm + error * pair->doubt_ppm /
+							       1000 * share /
+							       (int64_t)power,
+					   0, MAX_PAIR_PPM);
+		pair->doubt_ppm -=
+			(uint32_t)(pair->doubt_ppm * explained / power);
+		pair->doubt_ppm = CLAMP(pair->doubt_ppm + DOUBT_GROWTH_PPM,
+					MIN_DOUBT_PPM, PPM);
 	}
 }
 
@@ -236,9 +261,9 @@
 static uint64_t pair_ppm(const struct interference *interference,
 			 uint32_t victim, uint32_t by)
 {
-	const int32_t *pair = pair_at(interference, victim, by);
+	const struct pair *pair = pair_at(interference, victim, by);
 
-	return pair ? (uint64_t)*pair : PRIOR_PPM;
+	return pair ? (uint64_t)pair->ppm : PRIOR_PPM;
 }
 
 /* Predicted slowdown of a task of a kind by all on the VM but @a own_ppm of its
