Choose the VM kept for large batch by the last task to end

Cause: the sum of the remaining times was compared, which prefers VMs with few tasks over those that are free soonest; replicas' rule against a shared VM also applied to batch.

Change: the largest remaining time counts for waiting, the sum for evictions.

--- a/src/core/evict.c
+++ b/src/core/evict.c
@@ -10,7 +10,7 @@
 #define MINUTE_US 60000000ull
 /* Bounds of the search for room on short capacity. */
 #define ROOM_VMS 16
-#define ROOM_VICTIMS 32
+#define ROOM_VICTIMS 64
 /* Evicting more is better than two replicas of a service on one VM. */
 #define ROOM_SAME_JOB (1ull << 40)
 
@@ -111,8 +111,12 @@
 	uint64_t cost;
 };
 
-typedef uint64_t (*room_cost_fn)(const struct plan *plan,
-				 const struct plan_task *task);
+/* How the search for room judges: what a task costs, UINT64_MAX: it stays, and
+ * whether the costs add up or the largest counts. */
+struct room_rule {
+	uint64_t (*cost)(const struct plan *plan, const struct plan_task *task);
+	bool adds_up;
+};
 
 static gint compare_victims(const void *a, const void *b)
 {
@@ -138,7 +142,7 @@
 
 /* Picks the cheapest tasks until enough is free; false if it never is. */
 static bool room_on(const struct plan *plan, struct room *room,
-		    const struct task_size *size, room_cost_fn cost)
+		    const struct task_size *size, const struct room_rule *rule)
 {
 	const struct task_size none = { 0 };
 	struct task_size lacking = room_lacking(plan, room->vm, size);
@@ -147,7 +151,7 @@
 	for (uint32_t i = 0; i < room->vm->tasks->len && nr < ROOM_VICTIMS;
 	     i++) {
 		struct plan_task *task = g_ptr_array_index(room->vm->tasks, i);
-		uint64_t task_cost = cost(plan, task);
+		uint64_t task_cost = rule->cost(plan, task);
 
 		if (task_cost == UINT64_MAX || !helps(&task->size, &lacking))
 			continue;
@@ -161,7 +165,8 @@
 		const struct victim *victim = &room->victims[room->nr++];
 
 		lack_less(&lacking, &victim->task->size);
-		room->cost += victim->cost;
+		room->cost = rule->adds_up ? room->cost + victim->cost :
+					     MAX(room->cost, victim->cost);
 	}
 	return size_within(&lacking, &none);
 }
@@ -185,17 +190,22 @@
 	return run_us;
 }
 
+static const struct room_rule evict_rule = { eviction_cost, true };
+/* Tasks end side by side, so the wait is that for the last one. */
+static const struct room_rule wait_rule = { remaining_cost, false };
+
 /*
  * Compares a bounded number of VMs, from a random one on. Replicas of a service
  * avoid VMs that hold one already.
  */
 static bool find_room(struct plan *plan, const struct plan_task *task,
-		      const struct task_size *size, room_cost_fn cost,
-		      struct room *best)
+		      const struct task_size *size,
+		      const struct room_rule *rule, struct room *best)
 {
 	uint32_t nr_vms = plan->vm_list->len;
 	uint32_t first = nr_vms ? (uint32_t)(plan_random(plan) % nr_vms) : 0;
 	uint32_t looks = ROOM_VMS;
+	bool service = task->job->record.job_class == JOB_SERVICE;
 
 	best->vm = NULL;
 	best->cost = UINT64_MAX;
@@ -212,13 +222,13 @@
 		    plan->place->harms(plan, task, vm))
 			continue;
 		looks--;
-		if (!room_on(plan, &room, size, cost))
+		if (!room_on(plan, &room, size, rule))
 			continue;
 		for (uint32_t j = 0; j < vm->tasks->len; j++) {
 			const struct plan_task *other =
 				g_ptr_array_index(vm->tasks, j);
 
-			if (other->job == task->job)
+			if (service && other->job == task->job)
 				room.cost += ROOM_SAME_JOB;
 		}
 		if (room.cost < best->cost)
@@ -232,7 +242,7 @@
 {
 	struct room room;
 
-	if (!find_room(plan, task, size, eviction_cost, &room))
+	if (!find_room(plan, task, size, &evict_rule, &room))
 		return false;
 	if (!evict_take(plan, &plan->room, room.nr))
 		return false;
@@ -247,13 +257,10 @@
 			 const struct task_size *size)
 {
 	struct room room;
-	uint64_t ready_us = 0;
 
-	if (!find_room(plan, task, size, remaining_cost, &room))
+	if (!find_room(plan, task, size, &wait_rule, &room))
 		return false;
-	for (uint32_t i = 0; i < room.nr; i++)
-		ready_us = MAX(ready_us, room.victims[i].cost);
-	task->hold_ready_us = plan->now_us + ready_us;
+	task->hold_ready_us = plan->now_us + room.cost;
 	plan_hold(plan, task, room.vm, size,
 		  plan->now_us + PLAN_BATCH_HOLD_MS * 1000ull);
 	return true;
