Bound the planner's memory and learn only from whole runs

Cause: a group and a kind were kept for every job name there ever was; a run first seen half way, or resumed from a checkpoint, taught a run time that was too short; that a kind's checkpoints fail was never learned, so its work was lost again and again.

Change: groups are freed with their last job, 1024 kinds are learned and the rest share one that isn't; run times come from whole runs; a task that comes back without a checkpoint marks its kind. Quarantine has a file of its own.

--- a/src/core/decide.c
+++ b/src/core/decide.c
@@ -6,14 +6,13 @@
 #include "interference.h"
 #include "move.h"
 #include "place.h"
+#include "quarantine.h"
 #include "schema.h"
 
 /* Groups tried in one call, which bounds the time of a call in vain. */
 #define TRIES_PER_CALL 8
 /* Lists that something waits in are looked after this often. */
 #define TICK_US 100000ull
-/* A task whose proposal was refused is tried again after this time. */
-#define UNDO_RETRY_US 100000ull
 
 bool decide_ever_fits(const struct plan *plan, const struct task_size *size)
 {
@@ -27,8 +26,7 @@
 	return false;
 }
 
-static void decision_init(struct plan_decision *decision,
-			  enum plan_action action)
+void decide_init(struct plan_decision *decision, enum plan_action action)
 {
 	memset(decision, 0, sizeof(*decision));
 	decision->action = action;
@@ -40,7 +38,7 @@
 	char reason[TEXT_BYTES];
 
 	TEXT_SET(reason, decision->reason);
-	decision_init(decision, PLAN_PLACE);
+	decide_init(decision, PLAN_PLACE);
 	TEXT_SET(decision->reason, reason);
 	decision->task_id = task->task_id;
 	decision->job_id = task->job->record.job_id;
@@ -56,7 +54,7 @@
 void decide_evict(struct plan *plan, struct plan_task *task,
 		  struct plan_decision *decision, const char *why)
 {
-	decision_init(decision, PLAN_EVICT);
+	decide_init(decision, PLAN_EVICT);
 	decision->task_id = task->task_id;
 	decision->job_id = task->job->record.job_id;
 	TEXT_SET(decision->vm, task->on_vm->record.name);
@@ -78,7 +76,7 @@
 		if (!job)
 			return false;
 	} while (job->record.state != JOB_ACTIVE);
-	decision_init(decision, PLAN_FAIL_JOB);
+	decide_init(decision, PLAN_FAIL_JOB);
 	decision->job_id = job->record.job_id;
 	decision->result = job->fail_result;
 	g_snprintf(decision->reason, sizeof(decision->reason),
@@ -187,47 +185,6 @@
 	return false;
 }
 
-/* The quarantined VM whose time is up first, NULL if none waits for it. */
-static struct plan_vm *first_quarantined(const struct plan *plan)
-{
-	struct plan_vm *first = NULL;
-
-	for (const GList *link = plan->quarantined_vms.head; link;
-	     link = link->next) {
-		struct plan_vm *vm = link->data;
-
-		if (!vm->suspect &&
-		    (!first || vm->probation_us < first->probation_us))
-			first = vm;
-	}
-	return first;
-}
-
-static bool next_quarantine(struct plan *plan, struct plan_decision *decision)
-{
-	const char *why = "failed-jobs";
-	struct plan_vm *vm;
-	bool set;
-
-	if (plan->now_us < plan->undone_us + UNDO_RETRY_US)
-		return false;
-	vm = g_queue_pop_head(&plan->suspect_vms);
-	set = vm != NULL;
-	if (!vm) {
-		vm = first_quarantined(plan);
-		if (!vm || plan->now_us < vm->probation_us)
-			return false;
-		why = "probation";
-		vm->suspect = true; /* the decision is outstanding */
-	}
-	decision_init(decision, PLAN_QUARANTINE);
-	TEXT_SET(decision->vm, vm->record.name);
-	decision->quarantined = set;
-	g_snprintf(decision->reason, sizeof(decision->reason),
-		   "why=%s failed_jobs=%u", why, vm->nr_failed_jobs);
-	return true;
-}
-
 /* Evictions that make room for a task which waits for it. */
 static bool next_eviction(struct plan *plan, struct plan_decision *decision)
 {
@@ -302,7 +259,7 @@
 /* When to look again if nothing is told meanwhile. */
 static uint64_t next_look_us(const struct plan *plan)
 {
-	const struct plan_vm *vm = first_quarantined(plan);
+	const struct plan_vm *vm = quarantine_first(plan);
 	uint64_t next_us = MIN(queue_next_us(plan), move_next_us(plan));
 
 	if (plan->waiting.length || plan->ready.length ||
@@ -321,7 +278,7 @@
 	plan->now_us = now_us;
 	expire_holds(plan);
 	if (next_failed_job(plan, decision) ||
-	    next_quarantine(plan, decision) || next_ready(plan, decision) ||
+	    quarantine_next(plan, decision) || next_ready(plan, decision) ||
 	    next_eviction(plan, decision))
 		return true;
 	if ((plan->drain_services.length || plan->drain_batch.length) &&
@@ -364,18 +321,6 @@
 		    plan->now_us + UNDO_RETRY_US);
 }
 
-static void undo_vm(struct plan *plan, const struct plan_decision *decision)
-{
-	struct plan_vm *vm = plan_vm(plan, decision->vm);
-
-	if (!vm->suspect)
-		return;
-	if (decision->quarantined)
-		g_queue_push_tail(&plan->suspect_vms, vm);
-	else
-		vm->suspect = false;
-}
-
 static void undo_job(struct plan *plan, uint64_t job_id)
 {
 	struct plan_job *job = g_hash_table_lookup(plan->jobs, &job_id);
@@ -401,7 +346,7 @@
 
 	plan->undone_us = plan->now_us;
 	if (decision->action == PLAN_QUARANTINE)
-		undo_vm(plan, decision);
+		quarantine_undo(plan, decision);
 	else if (decision->action == PLAN_FAIL_JOB)
 		undo_job(plan, decision->job_id);
 	else if (task && decision->action == PLAN_THROTTLE)
--- a/src/core/decide.h
+++ b/src/core/decide.h
@@ -11,6 +11,11 @@
 
 #include "plan_state.h"
 
+/* A decision that was refused is made again after this time. */
+#define UNDO_RETRY_US 100000ull
+
+/** Clears the decision and sets its action. */
+void decide_init(struct plan_decision *decision, enum plan_action action);
 /** Fills in PLAN_PLACE and reserves the size on the VM. */
 void decide_place(struct plan *plan, struct plan_task *task, struct plan_vm *vm,
 		  const struct task_size *size, struct plan_decision *decision);
--- a/src/core/interference.c
+++ b/src/core/interference.c
@@ -8,8 +8,6 @@
 #include "schema.h"
 
 #define PPM 1000000ll
-/* Kinds beyond this number are taken to be harmless; 8 MiB for the table. */
-#define MAX_KINDS 1024
 #define MAX_PAIR_PPM 4000000ll
 /* A pair that was never seen is neither harmless nor shut out. */
 #define PRIOR_PPM 50000
@@ -71,7 +69,7 @@
 	uint32_t nr = MAX(old, 16);
 	struct pair *pairs;
 
-	if (kind_nr < old || kind_nr >= MAX_KINDS)
+	if (kind_nr < old || kind_nr >= PLAN_MAX_KINDS)
 		return;
 	while (nr <= kind_nr)
 		nr *= 2;
--- a/src/core/learn.c
+++ b/src/core/learn.c
@@ -20,12 +20,15 @@
 
 struct learn {
 	GHashTable *by_name; /* struct plan_kind */
+	struct plan_kind others; /* beyond the limit, nothing is learned */
 };
 
 struct learn *learn_new(void)
 {
 	struct learn *learn = g_new0(struct learn, 1);
 
+	TEXT_SET(learn->others.name, "others");
+	learn->others.nr = PLAN_MAX_KINDS;
 	learn->by_name =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	return learn;
@@ -46,6 +49,8 @@
 
 	if (kind)
 		return kind;
+	if (g_hash_table_size(learn->by_name) >= PLAN_MAX_KINDS)
+		return &learn->others;
 	kind = g_new0(struct plan_kind, 1);
 	TEXT_SET(kind->name, name);
 	kind->nr = g_hash_table_size(learn->by_name);
@@ -60,6 +65,8 @@
 	uint64_t used = sample->cpu_used_millis;
 	uint32_t step;
 
+	if (kind->nr == PLAN_MAX_KINDS)
+		return;
 	if (first)
 		kind->nr_tasks++;
 	kind->nr_samples++;
@@ -88,6 +95,8 @@
 
 void learn_ended(struct plan_kind *kind, uint64_t run_ms)
 {
+	if (kind->nr == PLAN_MAX_KINDS)
+		return;
 	kind->nr_ended++;
 	if (!kind->run_ms)
 		kind->run_ms = run_ms;
@@ -102,6 +111,8 @@
 	if ((uint64_t)used_mib * 100 <
 	    (uint64_t)size->memory_mib * NEAR_LIMIT_PERCENT)
 		return false;
+	if (kind->nr == PLAN_MAX_KINDS)
+		return true;
 	kind->memory_floor_mib = MAX(kind->memory_floor_mib,
 				     size->memory_mib + size->memory_mib / 2);
 	return true;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -8,6 +8,7 @@
 #include "move.h"
 #include "place.h"
 #include "plan_state.h"
+#include "quarantine.h"
 #include "schema.h"
 
 static void vm_destroy(void *vm)
@@ -143,33 +144,6 @@
 	queue_unblock_all(plan);
 }
 
-/*
- * Follows a quarantine that was set or lifted. One that operators set while
- * this planner was at work is theirs to lift; one found at the start may be an
- * earlier leader's, so it ends in probation after the longest time.
- */
-static void vm_quarantine_set(struct plan *plan, struct plan_vm *vm, bool found)
-{
-	bool own = vm->suspect;
-
-	vm->suspect = false;
-	vm->nr_failed_jobs = 0;
-	g_queue_remove(&plan->suspect_vms, vm);
-	g_queue_remove(&plan->quarantined_vms, vm);
-	if (!vm->record.quarantined) {
-		vm->probation = own ? PLAN_PROBATION_TASKS : 0;
-		return;
-	}
-	if (!own && !found)
-		return;
-	vm->quarantine_s = CLAMP(vm->quarantine_s * 2, PLAN_QUARANTINE_MIN_S,
-				 PLAN_QUARANTINE_MAX_S);
-	if (found)
-		vm->quarantine_s = PLAN_QUARANTINE_MAX_S;
-	vm->probation_us = plan->now_us + vm->quarantine_s * 1000000ull;
-	g_queue_push_tail(&plan->quarantined_vms, vm);
-}
-
 void plan_set_vm(struct plan *plan, const struct vm_record *record,
 		 uint64_t now_us)
 {
@@ -185,7 +159,7 @@
 	vm->record = *record;
 	vm->known = true;
 	if (record->quarantined != was_quarantined)
-		vm_quarantine_set(plan, vm, !was_known);
+		quarantine_changed(plan, vm, !was_known);
 	vm->rack_nr = plan_rack_nr(plan, record);
 	largest->cpu_millis = MAX(largest->cpu_millis, record->cpu_millis);
 	largest->memory_mib = MAX(largest->memory_mib, record->memory_mib);
@@ -256,6 +230,7 @@
 		job->kind = learn_kind(plan->learn, record);
 		job->known = true;
 		job->record = *record;
+		queue_group_unref(plan, job->group);
 		job->group = queue_group(plan, job);
 		count_tasks(job);
 	}
@@ -335,6 +310,22 @@
 	plan_unhold(plan, task);
 }
 
+/* What the change tells of the kind: whether its checkpoints keep the work, and
+ * whether the run that begins is a whole one. */
+static void learn_from_change(struct plan_task *task,
+			      const struct task_record *record)
+{
+	bool evicted = task->state == TASK_STOPPING &&
+		       record->state == TASK_PENDING &&
+		       record->nr_evictions > task->nr_evictions;
+
+	if (evicted && task->job->known &&
+	    task->progress_ppm >= PLAN_CHECKPOINT_PPM)
+		task->job->kind->no_checkpoint = !*record->checkpoint;
+	if (task->state == TASK_PENDING && record->state != TASK_PENDING)
+		task->whole_run = !*record->checkpoint;
+}
+
 void plan_set_task(struct plan *plan, const struct task_record *record,
 		   uint64_t now_us)
 {
@@ -344,6 +335,7 @@
 		       record->state == TASK_STOPPING;
 
 	plan->now_us = now_us;
+	learn_from_change(task, record);
 	task->outstanding = 0;
 	if (!running)
 		set_running(task, false, now_us);
@@ -389,39 +381,12 @@
 	while (job->tasks.head)
 		drop_task(plan, job->tasks.head->data);
 	queue_remove_job(plan, job);
+	queue_group_unref(plan, job->group);
 	g_queue_remove(&plan->failing_jobs, job);
 	g_ptr_array_remove(plan->services, job);
 	g_hash_table_remove(plan->jobs, &job_id);
 }
 
-/* Counts a failure against the worker, unless the job is the likely cause. */
-static void vm_failed_job(struct plan *plan, struct plan_vm *vm,
-			  const struct plan_job *job)
-{
-	bool repeated = false;
-
-	for (uint32_t i = 0; i < vm->nr_failed_jobs; i++)
-		repeated |= vm->failed_jobs[i] == job->record.job_id;
-	if (!repeated && vm->nr_failed_jobs < VM_FAILED_JOBS)
-		vm->failed_jobs[vm->nr_failed_jobs++] = job->record.job_id;
-	if (vm->suspect || vm->record.quarantined ||
-	    (vm->nr_failed_jobs < VM_FAILED_JOBS && !vm->probation))
-		return;
-	/* Many bad workers at once point to bad jobs instead. */
-	if (plan->quarantined_vms.length + plan->suspect_vms.length >=
-	    MAX(plan->vm_list->len / 4, 1))
-		return;
-	vm->suspect = true;
-	g_queue_push_tail(&plan->suspect_vms, vm);
-}
-
-static void vm_ran_job(struct plan_vm *vm)
-{
-	vm->nr_failed_jobs = 0;
-	if (vm->probation && !--vm->probation)
-		vm->quarantine_s = 0;
-}
-
 void plan_task_ended(struct plan *plan, uint64_t task_id, const char *vm_name,
 		     bool failed, uint64_t now_us)
 {
@@ -436,19 +401,19 @@
 		return;
 	job = task->job;
 	if (!failed) {
-		if (task->running_us)
+		if (task->running_us && task->whole_run)
 			learn_ended(job->kind,
 				    (now_us - task->running_us) / 1000);
 		job->failed.nr = 0;
 		job->nr_failures = 0;
-		vm_ran_job(vm);
+		quarantine_succeeded(vm);
 		return;
 	}
 	job->nr_failures++;
 	elsewhere = job->failed.nr > failed_on(&job->failed, vm);
 	at_limit = learn_failed(job->kind, task->memory_used_mib, &task->size);
 	if (!elsewhere && !at_limit)
-		vm_failed_job(plan, vm, job);
+		quarantine_failed(plan, vm, job);
 	failed_add(&task->failed, vm);
 	if (failed_add(&job->failed, vm) >= JOB_MAX_FAILED_VMS ||
 	    task->failed.nr >= JOB_MAX_FAILED_VMS ||
--- a/src/core/plan_state.h
+++ b/src/core/plan_state.h
@@ -59,6 +59,7 @@
 	uint32_t nr_evictions;
 	bool has_checkpoint;
 	bool pending; /* in the job's queue of pending tasks */
+	bool whole_run; /* seen from its start, without a checkpoint */
 	bool moving; /* counted in plan_job.nr_moving */
 	enum plan_action outstanding; /* decision not yet seen, 0: none */
 	struct task_size size; /* committed or reserved on on_vm */
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -48,10 +48,12 @@
 	group = g_hash_table_lookup(plan->queue->groups, key);
 	if (group) {
 		g_free(key);
+		group->nr_jobs++;
 		return group;
 	}
 	group = g_new0(struct plan_group, 1);
 	group->key = key;
+	group->nr_jobs = 1;
 	group->team = job->team;
 	group->kind = job->kind;
 	group->job_class = record->job_class;
@@ -63,6 +65,19 @@
 	return group;
 }
 
+void queue_group_unref(struct plan *plan, struct plan_group *group)
+{
+	if (!group || --group->nr_jobs)
+		return;
+	g_assert(!group->slot);
+	g_hash_table_remove(plan->queue->groups, group->key);
+}
+
+uint32_t queue_nr_groups(const struct plan *plan)
+{
+	return g_hash_table_size(plan->queue->groups);
+}
+
 static gint compare_jobs(gconstpointer a, gconstpointer b, gpointer data)
 {
 	const struct plan *plan = data;
--- a/src/core/queue.h
+++ b/src/core/queue.h
@@ -23,6 +23,7 @@
 
 struct plan_group {
 	char *key;
+	uint32_t nr_jobs; /* that hold a reference */
 	struct team *team;
 	struct plan_kind *kind;
 	uint32_t job_class; /* enum job_class */
@@ -41,8 +42,12 @@
 struct queue *queue_new(void);
 void queue_free(struct queue *queue);
 
-/** Returns the group of a job, made when needed. */
+/** Returns a new reference to the group of a job, made when needed. */
 struct plan_group *queue_group(struct plan *plan, const struct plan_job *job);
+/** Drops a reference; the group of no job is freed. NULL is allowed. */
+void queue_group_unref(struct plan *plan, struct plan_group *group);
+/** Returns how many groups there are, for tests. */
+uint32_t queue_nr_groups(const struct plan *plan);
 
 void queue_add_task(struct plan *plan, struct plan_task *task);
 void queue_remove_task(struct plan *plan, struct plan_task *task);
--- a/tests/test_plan_policy.c
+++ b/tests/test_plan_policy.c
@@ -264,6 +264,58 @@
 }
 END_TEST
 
+/* Guards against memory that grows with every job there ever was. */
+START_TEST(test_memory_is_bounded)
+{
+	struct job_record job = make_job(1, JOB_BATCH, 1000, 100);
+	uint32_t last_nr = 0;
+
+	for (uint64_t id = 1; id <= 5000; id++) {
+		job = make_job(id, JOB_BATCH, 1000, 100);
+		g_snprintf(job.kind, sizeof(job.kind), "kind-%u", (uint32_t)id);
+		add_job(job, 1);
+		last_nr = learn_kind(plan->learn, &job)->nr;
+		plan_drop_job(plan, id);
+	}
+	ck_assert_uint_eq(last_nr, PLAN_MAX_KINDS);
+	ck_assert_uint_eq(queue_nr_groups(plan), 0);
+	ck_assert_uint_eq(g_hash_table_size(plan->tasks), 0);
+	ck_assert_uint_eq(g_hash_table_size(plan->jobs), 0);
+}
+END_TEST
+
+/* Guards against work lost again and again by kinds whose checkpoints fail, and
+ * against run times learned from parts of runs. */
+START_TEST(test_runs_and_checkpoints_are_learned)
+{
+	struct task_record task = make_task(1000, 1, TASK_PENDING);
+	const struct plan_kind *kind;
+
+	add_vm("a", "z1", "r1", 8000, 8192);
+	add_job(make_job(1, JOB_BATCH, 1000, 100), 3);
+	kind = plan_find_task(plan, 1000)->job->kind;
+	set_task_on(1000, 1, TASK_PLACED, "a", 1000, 100);
+	set_task_on(1000, 1, TASK_RUNNING, "a", 1000, 100);
+	/* First seen while it runs already. */
+	set_task_on(1005, 1, TASK_RUNNING, "a", 1000, 100);
+	now_us += 10 * SECOND_US;
+	plan_task_ended(plan, 1005, "a", false, now_us);
+	ck_assert_uint_eq(kind->run_ms, 0);
+	sample("a", 1000, 500, 50, 1000000, 100);
+	plan_find_task(plan, 1000)->progress_ppm = 500000;
+	set_task_on(1000, 1, TASK_STOPPING, "a", 1000, 100);
+	plan_find_task(plan, 1000)->progress_ppm = 500000;
+	task.nr_evictions = 1;
+	plan_set_task(plan, &task, now_us);
+	ck_assert(kind->no_checkpoint);
+	set_task_on(1002, 1, TASK_PLACED, "a", 1000, 100);
+	set_task_on(1002, 1, TASK_RUNNING, "a", 1000, 100);
+	now_us += 20 * SECOND_US;
+	plan_task_ended(plan, 1002, "a", false, now_us);
+	ck_assert_uint_eq(kind->run_ms, 20000);
+}
+END_TEST
+
 /* A VM with one replica (task 1000) and a noisy (2000) and a quiet batch task
  * (3000), each of a kind of its own. */
 static void set_up_slow_service(const char *evict)
@@ -590,6 +642,8 @@
 	tcase_add_checked_fixture(learning, set_up, tear_down);
 	tcase_add_loop_test(learning, test_learned_sizes, 0, 4);
 	tcase_add_test(learning, test_memory_failure_raises_the_limit);
+	tcase_add_test(learning, test_memory_is_bounded);
+	tcase_add_test(learning, test_runs_and_checkpoints_are_learned);
 	tcase_add_checked_fixture(others, NULL, tear_down);
 	tcase_add_test(others, test_samples_are_credited_to_their_time);
 	tcase_add_loop_test(others, test_steps_against_interference, 0, 2);
