--- a/src/core/place.c
+++ b/src/core/place.c
@@ -24,8 +24,8 @@
 #define COST_NOISY 10000000u
 
 #define BACKFILL_LOOKS 8
-/* Room for urgent work is kept on one VM of this many at most; a small site can't spare
- * any. */
+/* Room for urgent work is kept on one VM of this many at most; a small site
+ * can't spare any. */
 #define SLACK_DIVISOR 4
 
 #define ORDER_CLASS_SHIFT 62
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -100,7 +100,8 @@
 #define PLAN_KNOWN_SAMPLE_MS 2000
 /* Progress from which on a checkpoint of an evicted task is to be expected. */
 #define PLAN_CHECKPOINT_PPM 50000
-/* Kinds that are learned; the names are the users' and may be without number. */
+/* Kinds that are learned; the names are the users' and may be without number.
+ */
 #define PLAN_MAX_KINDS 1024
 /* A batch job overtakes one of a priority higher by 1 that came this much
  * later, so that no priority starves another. */
