--- a/src/core/place.c
+++ b/src/core/place.c
@@ -2,15 +2,31 @@
 
 #include <string.h>
 
+#include "interference.h"
+
 #define PPM 1000000u
 
-/* Weights of the cost of a VM in ppm of a whole VM. A replica beside another
- * of its service costs more than any interference or packing. */
-#define COST_SAME_ZONE 4000000u
-#define COST_SAME_RACK 2000000u
-#define COST_SAME_VM 1000000u
+/* Weights of the cost of a VM in ppm of a whole VM. The spread of a service
+ * costs more than any interference or packing. */
+#define COST_SAME_ZONE 40000000u
+#define COST_SAME_RACK 20000000u
+#define COST_SAME_VM 10000000u
+/* Up to this part of a service may share a VM: replicas spread over racks, and
+ * inside a rack they stay together, so that VMs without services are left for
+ * noisy batch. */
+#define SAME_VM_DIVISOR 4
+#define COST_FIRST_SERVICE 5000000u
+/* Quiet batch leaves the VMs without services to noisy batch. */
+#define COST_NO_SERVICE 200000u
 /* A task that failed on a VM goes back there only if nothing else fits. */
-#define COST_FAILED_HERE 100000000ull
+#define COST_FAILED_HERE 1000000000ull
+
+#define COST_NOISY 10000000u
+
+#define BACKFILL_LOOKS 8
+/* Room for urgent work is kept on one VM of this many; a small site can't spare
+ * any. */
+#define SLACK_DIVISOR 8
 
 #define ORDER_CLASS_SHIFT 62
 
@@ -114,17 +130,47 @@
 			    const struct plan_job *job)
 {
 	uint64_t same_vm = 0;
+	uint64_t cost = 0;
 
 	for (uint32_t i = 0; i < vm->tasks->len; i++) {
 		const struct plan_task *task = g_ptr_array_index(vm->tasks, i);
 
 		same_vm += task->job == job;
 	}
-	return (uint64_t)COST_SAME_ZONE *
+	if (!vm->nr_services)
+		cost += COST_FIRST_SERVICE;
+	if (same_vm >= MAX(job->tasks.length / SAME_VM_DIVISOR, 1))
+		cost += COST_SAME_VM * same_vm;
+	return cost +
+	       (uint64_t)COST_SAME_ZONE *
 		       *count_at(spread->zones, vm->zone->nr) +
-	       (uint64_t)COST_SAME_RACK *
-		       *count_at(spread->racks, vm->rack_nr) +
-	       COST_SAME_VM * same_vm;
+	       (uint64_t)COST_SAME_RACK * *count_at(spread->racks, vm->rack_nr);
+}
+
+/* A quarter of a VM, for a worker on probation. */
+static bool is_small(const struct task_size *size, const struct plan_vm *vm)
+{
+	return size->cpu_millis <= vm->record.cpu_millis / 4 &&
+	       size->memory_mib <= vm->record.memory_mib / 4;
+}
+
+/* Returns true if the VM's zone takes another start of batch already. */
+static bool zone_is_open(const struct plan_zone *zone, uint64_t now_us)
+{
+	return !zone->returned || now_us > zone->start_us ||
+	       now_us >= zone->changed_us + PLAN_RETURN_MS * 1000ull;
+}
+
+bool place_allowed(const struct plan_task *task, const struct plan_vm *vm,
+		   const struct task_size *size, uint64_t now_us)
+{
+	bool batch = plan_is_batch(task->job);
+
+	if (!vm->indexed || !plan_vm_fits(vm, size))
+		return false;
+	if (vm->probation && (!batch || vm->tasks->len || !is_small(size, vm)))
+		return false;
+	return !batch || zone_is_open(vm->zone, now_us);
 }
 
 static uint64_t share_ppm(uint64_t part, uint64_t whole)
@@ -150,16 +196,78 @@
 	return skew / 2 + (batch ? left : PPM - left) / 4;
 }
 
-static uint64_t plan_vm_cost(const struct plan_task *task,
-			     const struct plan_vm *vm,
-			     const struct task_size *size,
-			     const struct spread *spread)
+/* Room for one more urgent task is kept on a few VMs. */
+static bool takes_slack(const struct plan *plan, const struct plan_vm *vm,
+			const struct task_size *size)
+{
+	struct task_size open = plan_vm_open(vm);
+	uint32_t nr_vms = plan->vm_list->len;
+	uint32_t wanted = MIN(nr_vms / SLACK_DIVISOR, 1 + nr_vms / 64);
+	uint32_t others = 0;
+
+	if (!wanted || !plan->urgent_us ||
+	    plan->now_us >= plan->urgent_us + PLAN_SLACK_MS * 1000ull ||
+	    !size_within(&plan->urgent, &open))
+		return false;
+	size_sub(&open, size);
+	if (size_within(&plan->urgent, &open))
+		return false;
+	for (uint32_t i = 0; i < plan->zone_list->len && others < wanted; i++)
+		others += plan_zone_count(g_ptr_array_index(plan->zone_list, i),
+					  &plan->urgent, wanted);
+	return others < wanted;
+}
+
+/* Returns true if the task would slow a service on the VM too much. */
+static bool is_noisy(const struct plan *plan, const struct plan_task *task,
+		     const struct plan_vm *vm, uint64_t worst)
+{
+	if (worst > PLAN_SLOWDOWN_PLACE_PPM)
+		return true;
+	return plan->now_us < vm->closed_us &&
+	       interference_harm(plan, task, vm) > PLAN_HARMLESS_PPM;
+}
+
+static bool too_noisy(const struct plan *plan, const struct plan_task *task,
+		      const struct plan_vm *vm)
+{
+	uint64_t worst;
+
+	interference_cost(plan, task, vm, &worst);
+	return is_noisy(plan, task, vm, worst);
+}
+
+/* Noisy work that nothing else takes starts beside services now and then. */
+static bool waited_long(const struct plan *plan, const struct plan_task *task)
+{
+	uint64_t since_us = MAX(task->pending_us, task->job->group->started_us);
+
+	return plan->now_us >= since_us + PLAN_NOISY_WAIT_MS * 1000ull;
+}
+
+/* Returns the cost of the VM for the task, UINT64_MAX: not there. */
+static uint64_t vm_cost(const struct plan *plan, const struct plan_task *task,
+			const struct plan_vm *vm, const struct task_size *size,
+			const struct spread *spread)
 {
 	const struct plan_job *job = task->job;
 	bool batch = plan_is_batch(job);
-	uint64_t cost = packing_cost(vm, size, batch);
-
-	cost += vm->zone->cost_ppm / 4;
+	uint64_t worst;
+	uint64_t cost;
+
+	if (!place_allowed(task, vm, size, plan->now_us))
+		return UINT64_MAX;
+	cost = interference_cost(plan, task, vm, &worst);
+	if (batch && is_noisy(plan, task, vm, worst)) {
+		if (worst > PLAN_SLOWDOWN_LIMIT_PPM || !waited_long(plan, task))
+			return UINT64_MAX;
+		cost += COST_NOISY;
+	}
+	if (batch && !vm->nr_services)
+		cost += COST_NO_SERVICE;
+	if (batch && takes_slack(plan, vm, size))
+		return UINT64_MAX;
+	cost += packing_cost(vm, size, batch) + vm->zone->cost_ppm / 4;
 	if (spread)
 		cost += spread_cost(spread, vm, job);
 	if (failed_on(&task->failed, vm) || failed_on(&job->failed, vm))
@@ -167,6 +275,41 @@
 	return cost;
 }
 
+/* Returns true if the task is expected to end before the batch task that a VM
+ * is kept for can start there. */
+static bool ends_in_time(const struct plan *plan, const struct plan_task *task,
+			 const struct plan_task *holder)
+{
+	uint64_t run_us = task->job->kind->run_ms * 1000;
+
+	return run_us &&
+	       plan->now_us + run_us + run_us / 4 <= holder->hold_ready_us;
+}
+
+/* A VM kept for a large batch task takes short ones in the meantime. */
+static struct plan_vm *backfill(const struct plan *plan,
+				const struct plan_task *task,
+				const struct task_size *size)
+{
+	const GList *link = plan->waiting.head;
+
+	for (uint32_t i = 0; link && i < BACKFILL_LOOKS; i++) {
+		const struct plan_task *holder = link->data;
+		struct plan_vm *vm = holder->hold_vm;
+		struct task_size spare = plan_vm_spare(vm);
+
+		link = link->next;
+		if (holder->batch_hold && vm->holders->len == 1 &&
+		    vm->indexed && !vm->probation &&
+		    size_within(size, &spare) &&
+		    ends_in_time(plan, task, holder) &&
+		    !too_noisy(plan, task, vm) &&
+		    zone_is_open(vm->zone, plan->now_us))
+			return vm;
+	}
+	return NULL;
+}
+
 static struct plan_vm *default_choose(struct plan *plan,
 				      const struct plan_task *task,
 				      const struct task_size *size,
@@ -174,7 +317,7 @@
 {
 	struct plan_vm *candidates[PLAN_CANDIDATES];
 	bool service = task->job->record.job_class == JOB_SERVICE;
-	uint32_t nr_zones = plan->plan_zone_list->len;
+	uint32_t nr_zones = plan->zone_list->len;
 	uint32_t share = MAX(PLAN_CANDIDATES / MAX(nr_zones, 1), 1);
 	uint32_t first = nr_zones ? (uint32_t)(plan_random(plan) % nr_zones) :
 				    0;
@@ -185,17 +328,15 @@
 
 	for (uint32_t i = 0; i < nr_zones && nr < PLAN_CANDIDATES; i++)
 		nr += plan_zone_candidates(
-			g_ptr_array_index(plan->plan_zone_list,
+			g_ptr_array_index(plan->zone_list,
 					  (first + i) % nr_zones),
 			size, plan_random(plan), candidates + nr,
 			MIN(share, PLAN_CANDIDATES - nr));
-	if (!nr)
-		return NULL;
 	if (service)
 		spread_init(&spread, task->job);
 	for (uint32_t i = 0; i < nr; i++) {
-		uint64_t cost = plan_vm_cost(task, candidates[i], size,
-					     service ? &spread : NULL);
+		uint64_t cost = vm_cost(plan, task, candidates[i], size,
+					service ? &spread : NULL);
 
 		if (cost < best_cost) {
 			best = candidates[i];
@@ -204,6 +345,10 @@
 	}
 	if (service)
 		spread_clear(&spread);
+	if (!best && plan_is_batch(task->job))
+		best = backfill(plan, task, size);
+	if (!best)
+		return NULL;
 	g_snprintf(
 		reason, reason_bytes,
 		"policy=default kind=%s candidates=%u cost_ppm=%" G_GUINT64_FORMAT,
@@ -216,10 +361,10 @@
 					const struct task_size *size,
 					char *reason, size_t reason_bytes)
 {
-	for (uint32_t i = 0; i < plan->plan_vm_list->len; i++) {
-		struct plan_vm *vm = g_ptr_array_index(plan->plan_vm_list, i);
+	for (uint32_t i = 0; i < plan->vm_list->len; i++) {
+		struct plan_vm *vm = g_ptr_array_index(plan->vm_list, i);
 
-		if (!vm->indexed || !plan_vm_fits(vm, size))
+		if (!place_allowed(task, vm, size, plan->now_us))
 			continue;
 		g_snprintf(reason, reason_bytes, "policy=first-fit kind=%s",
 			   task->job->kind->name);
@@ -233,6 +378,7 @@
 	.order = default_order,
 	.size = learned_size,
 	.choose = default_choose,
+	.harms = too_noisy,
 };
 
 const struct place_ops place_first_fit = {
--- a/src/core/plan_vm.h
+++ b/src/core/plan_vm.h
@@ -30,10 +30,21 @@
 struct plan_vm_stay {
 	uint32_t kind_nr;
 	uint64_t task_id;
+	uint32_t share_ppm; /* of its processors that it may use */
 	uint64_t from_us;
 	uint64_t to_us; /* UINT64_MAX while it runs */
 };
 
+#define VM_MAX_KINDS 16 /* of tasks on one VM; more are ignored */
+
+/** What the tasks of one kind on a VM weigh, kept together in memory. */
+struct plan_vm_kind {
+	uint32_t kind_nr;
+	uint32_t nr_tasks;
+	uint32_t nr_services; /* of these, replicas of services */
+	uint32_t share_ppm; /* sum of the shares they may use */
+};
+
 struct plan_vm {
 	struct vm_record record;
 	bool known; /* false: only named by a task so far */
@@ -45,6 +56,9 @@
 	struct task_size held; /* kept for tasks that will be placed here */
 	GPtrArray *holders; /* struct plan_task, in order of arrival */
 	GPtrArray *tasks; /* struct plan_task, committed or decided */
+	uint32_t nr_kinds;
+	uint32_t nr_services; /* replicas of services */
+	struct plan_vm_kind kinds[VM_MAX_KINDS];
 	GArray *stays; /* struct plan_vm_stay, what ran lately */
 
 	/* Position in the zone's index of spare capacity. */
@@ -56,17 +70,17 @@
 	/* Failures in a row and probation. */
 	uint64_t failed_jobs[VM_FAILED_JOBS];
 	uint32_t nr_failed_jobs;
-	uint64_t quarantined_us; /* when it was quarantined, 0: it is not */
-	uint32_t quarantine_s; /* length of the last quarantine */
-	bool probation; /* one small task at a time */
-	bool deciding; /* a decision on the quarantine is outstanding */
+	uint64_t probation_us; /* when a quarantine is to be lifted */
+	uint32_t quarantine_s; /* length of the last one, 0: none lately */
+	uint32_t probation; /* tasks still to succeed, one at a time */
+	bool suspect; /* in plan.suspect_vms, or the decision is outstanding */
 
 	/* Steps against interference. */
 	uint32_t step; /* enum interference_step */
-	uint64_t acted_us; /* last action, 0: none */
-	uint64_t lag_us; /* largest age of a sample seen */
+	bool slow; /* in plan.slow_vms */
+	uint64_t acted_us; /* last step, 0: none */
+	uint64_t lag_us; /* age of the samples, the largest of late */
 	uint64_t closed_us; /* no batch is added before this time */
-	uint32_t nr_throttled;
 };
 
 struct plan_vm *plan_vm_new(const char *name, uint32_t nr);
@@ -95,9 +109,19 @@
 void plan_vm_add_task(struct plan_vm *vm, struct plan_task *task);
 void plan_vm_remove_task(struct plan_vm *vm, struct plan_task *task);
 
+/** Limits the task to a share of its processors; 1000000: no limit. */
+void plan_vm_throttle_task(struct plan_vm *vm, struct plan_task *task,
+			   uint32_t share_ppm);
+/** Counts the task under the kind of its job, or no longer. */
+void plan_vm_count_task(struct plan_vm *vm, struct plan_task *task);
+void plan_vm_uncount_task(struct plan_vm *vm, struct plan_task *task);
+
+/** Returns the entry of a kind among the VM's tasks, NULL if there is none. */
+struct plan_vm_kind *plan_vm_find_kind(struct plan_vm *vm, uint32_t kind_nr);
+
 /** Records that a task of a kind began or ceased to run. */
 void plan_vm_stay_begin(struct plan_vm *vm, uint32_t kind_nr, uint64_t task_id,
-			uint64_t now_us);
+			uint32_t share_ppm, uint64_t now_us);
 void plan_vm_stay_end(struct plan_vm *vm, uint64_t task_id, uint64_t now_us);
 
 /** Returns true if @a part is at most @a whole in every resource. */
--- a/src/core/plan_zone.c
+++ b/src/core/plan_zone.c
@@ -42,7 +42,7 @@
 	g_free(zone);
 }
 
-static void plan_zone_unindex(struct plan_zone *zone, struct plan_vm *vm)
+static void zone_unindex(struct plan_zone *zone, struct plan_vm *vm)
 {
 	GPtrArray *cell = zone->cells[vm->row][vm->column];
 	struct plan_vm *last;
@@ -59,7 +59,7 @@
 	vm->indexed = false;
 }
 
-static bool plan_vm_may_start(const struct plan_vm *vm)
+static bool vm_may_start(const struct plan_vm *vm)
 {
 	return vm->known && vm->record.state == VM_LIVE &&
 	       !vm->record.quarantined && !vm->zone->out;
@@ -77,12 +77,12 @@
 	open = plan_vm_open(vm);
 	row = plan_zone_class(open.cpu_millis / CPU_UNIT_MILLIS);
 	column = plan_zone_class(open.memory_mib / MEMORY_UNIT_MIB);
-	if (vm->indexed && plan_vm_may_start(vm) && row == vm->row &&
+	if (vm->indexed && vm_may_start(vm) && row == vm->row &&
 	    column == vm->column)
 		return;
 	if (vm->indexed)
-		plan_zone_unindex(zone, vm);
-	if (!plan_vm_may_start(vm))
+		zone_unindex(zone, vm);
+	if (!vm_may_start(vm))
 		return;
 	if (!zone->cells[row][column])
 		zone->cells[row][column] = g_ptr_array_new();
@@ -101,7 +101,7 @@
 		return;
 	if (vm->zone) {
 		if (vm->indexed)
-			plan_zone_unindex(vm->zone, vm);
+			zone_unindex(vm->zone, vm);
 		g_ptr_array_remove(vm->zone->vms, vm);
 	}
 	vm->zone = zone;
@@ -146,3 +146,25 @@
 	}
 	return nr;
 }
+
+uint32_t plan_zone_count(const struct plan_zone *zone,
+			 const struct task_size *size, uint32_t max)
+{
+	uint32_t row = plan_zone_class(size->cpu_millis / CPU_UNIT_MILLIS) + 1;
+	uint32_t column =
+		plan_zone_class(size->memory_mib / MEMORY_UNIT_MIB) + 1;
+	uint64_t rows;
+	uint32_t nr = 0;
+
+	if (row >= ZONE_ROWS || column >= ZONE_COLUMNS)
+		return 0;
+	rows = zone->used_rows & (UINT64_MAX << row);
+	for (; rows && nr < max; rows &= rows - 1) {
+		uint32_t at = (uint32_t)__builtin_ctzll(rows);
+		uint64_t columns = zone->used[at] & (UINT64_MAX << column);
+
+		for (; columns && nr < max; columns &= columns - 1)
+			nr += zone->cells[at][__builtin_ctzll(columns)]->len;
+	}
+	return nr;
+}
--- a/src/core/raft_impl.h
+++ b/src/core/raft_impl.h
@@ -4,7 +4,8 @@
 /**
  * @file raft_impl.h
  * Shared by the files of the replicated log; nobody else includes it.
- * raft.c: state, storage, commit. raft_vote.c: elections. raft_append.c:
+ * raft.c: state, storage, commit. raft_role.c: following and
+ * leading. raft_vote.c: elections. raft_append.c:
  * replication. raft_snapshot.c: snapshots. raft_form.c: formation of the group
  * and changes of its members.
  */
@@ -126,9 +127,11 @@
 	bool votes_due; /* candidacy waits for the sync */
 	bool transfer; /* this candidacy follows a leader that gave up */
 	bool announced; /* leader_changed(true) was called */
+	bool resigned; /* leads no more, for a graceful stop */
 	struct timer heartbeat_timer;
 	uint64_t leader_since_us;
 	uint64_t noop_index;
+	uint64_t resigned_us;
 	uint32_t proposals_head;
 	uint32_t nr_proposals;
 	uint64_t proposals_size;
@@ -161,16 +164,24 @@
 bool raft_hard_synced(const struct raft *raft);
 /** Stops taking part after a failure of the store. */
 void raft_fail(struct raft *raft, enum result result);
-void raft_follow(struct raft *raft, uint64_t term, uint64_t leader_id);
-void raft_lead(struct raft *raft);
 /** Raises the commit index and applies what it covers. */
 void raft_commit(struct raft *raft, uint64_t index);
+
+/* ---- raft_role.c ---- */
+
 /** Rebuilds the table of peers after a change of the configuration. */
 void raft_reload_peers(struct raft *raft);
+void raft_follow(struct raft *raft, uint64_t term, uint64_t leader_id);
+void raft_lead(struct raft *raft);
 /** Returns when a quorum had answered the leader, by the sending time. */
 uint64_t raft_quorum_us(const struct raft *raft);
 /** True once enough addresses of the list are voters to accept commands. */
 bool raft_formed(const struct raft *raft);
+/** True while a quorum answered the leader within RAFT_LEADER_LEASE_MS. */
+bool raft_has_lease(const struct raft *raft);
+void raft_heartbeat(void *data, uint64_t now_us);
+/** Hands leadership over once nothing waits for its commit, or too long. */
+void raft_resign(struct raft *raft);
 
 /* ---- raft_vote.c ---- */
 
@@ -217,6 +228,13 @@
 void raft_form_start(struct raft *raft);
 void raft_form_due(void *data, uint64_t now_us);
 void raft_on_form(struct raft *raft, uint64_t from, const struct form *form);
+/**
+ * Checks a change that operators ask for: RESULT_IN_PROGRESS while another one
+ * is not committed, RESULT_OUT_OF_RANGE if it changes more than one voter,
+ * removes the leader, or leaves too few voters or too many members.
+ */
+enum result raft_check_change(const struct raft *raft,
+			      const struct members *members);
 /** Proposes the next change of the members, if one is due. */
 void raft_member_tick(struct raft *raft);
 
--- a/src/daemon/http_call.c
+++ b/src/daemon/http_call.c
@@ -2,11 +2,13 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include "schema.h"
 
 #define CALL_READ_BYTES (64u << 10)
 #define CALL_IDLE_S 10 /* an unused connection is closed */
+#define CALL_SOCKETS_KEY "masticreach-sockets"
 #define CALL_MAX_CONNECTIONS 8192 /* of a session to all servers */
 /* Unacknowledged data and keepalive probes end a silent connection. */
 #define CALL_KEEPALIVE_S 1
@@ -28,6 +30,7 @@
 	bool given_up; /* by the owner or the time limit */
 	bool new_connection; /* the message has opened one */
 	bool closed_early; /* a reused connection failed */
+	GSocket *socket; /* of a connection that the message has opened */
 	SoupMessage *msg;
 	GCancellable *cancellable; /* of the message */
 	GSource *timeout;
@@ -41,6 +44,7 @@
 	if (call->msg)
 		g_signal_handlers_disconnect_by_data(call->msg, call);
 	g_clear_object(&call->msg);
+	g_clear_object(&call->socket);
 }
 
 static void call_free(struct http_call *call)
@@ -78,6 +82,64 @@
 	call_free(call);
 }
 
+static gboolean socket_is_closed(gpointer key, gpointer value, gpointer data)
+{
+	return g_socket_is_closed(value);
+}
+
+/* Notes the socket of a new connection for the calls that reuse it. */
+static void call_note_socket(struct http_call *call)
+{
+	GHashTable *sockets =
+		g_object_get_data(G_OBJECT(call->session), CALL_SOCKETS_KEY);
+	uint64_t id = soup_message_get_connection_id(call->msg);
+
+	g_hash_table_foreach_remove(sockets, socket_is_closed, NULL);
+	g_hash_table_replace(sockets, g_memdup2(&id, sizeof(id)),
+			     g_object_ref(call->socket));
+}
+
+/* Returns true if the server has not closed the connection. */
+static bool call_is_connected(const struct http_call *call)
+{
+	GHashTable *sockets =
+		g_object_get_data(G_OBJECT(call->session), CALL_SOCKETS_KEY);
+	uint64_t id = soup_message_get_connection_id(call->msg);
+	GSocket *socket = g_hash_table_lookup(sockets, &id);
+	char byte;
+
+	return socket && !g_socket_is_closed(socket) &&
+	       recv(g_socket_get_fd(socket), &byte, 1,
+		    MSG_PEEK | MSG_DONTWAIT) < 0;
+}
+
+/*
+ * Returns true if the body that was read to its end is whole. libsoup 3.2 takes
+ * a body in chunks for whole when the connection ends before the last chunk, so
+ * a connection that is still open has to show it. The end of a body without a
+ * length can't be told from a crash.
+ */
+static bool call_is_whole(const struct http_call *call)
+{
+	SoupMessageHeaders *headers =
+		soup_message_get_response_headers(call->msg);
+	guint status = soup_message_get_status(call->msg);
+
+	if (!g_strcmp0(call->method, "HEAD") ||
+	    status == SOUP_STATUS_NO_CONTENT ||
+	    status == SOUP_STATUS_NOT_MODIFIED)
+		return true;
+	switch (soup_message_headers_get_encoding(headers)) {
+	case SOUP_ENCODING_CONTENT_LENGTH:
+		return soup_message_headers_get_content_length(headers) ==
+		       (goffset)call->body->len;
+	case SOUP_ENCODING_CHUNKED:
+		return call_is_connected(call);
+	default:
+		return false;
+	}
+}
+
 static void call_closed(GObject *stream, GAsyncResult *res, gpointer data)
 {
 	g_input_stream_close_finish(G_INPUT_STREAM(stream), res, NULL);
@@ -99,7 +161,7 @@
 						call->cancellable, call_read,
 						call);
 	} else {
-		call->result.complete = bytes && !size;
+		call->result.complete = bytes && !size && call_is_whole(call);
 		/* Closing an unread response also closes its connection. */
 		g_input_stream_close_async(call->stream, G_PRIORITY_DEFAULT,
 					   NULL, call_closed, call);
@@ -138,6 +200,8 @@
 	struct http_call *call = data;
 
 	call->result.connected = true;
+	if (call->socket)
+		call_note_socket(call);
 }
 
 /*
@@ -173,10 +237,12 @@
 	struct http_call *call = data;
 
 	call->new_connection = true;
-	if (event == G_SOCKET_CLIENT_CONNECTED &&
-	    G_IS_SOCKET_CONNECTION(stream))
-		call_tune_socket(g_socket_connection_get_socket(
-			G_SOCKET_CONNECTION(stream)));
+	if (event != G_SOCKET_CLIENT_CONNECTED ||
+	    !G_IS_SOCKET_CONNECTION(stream))
+		return;
+	g_set_object(&call->socket, g_socket_connection_get_socket(
+					    G_SOCKET_CONNECTION(stream)));
+	call_tune_socket(call->socket);
 }
 
 static gboolean call_timed_out(gpointer data)
@@ -228,8 +294,12 @@
 	call->cancellable = g_cancellable_new();
 	call->new_connection = false;
 	call->msg = soup_message_new_from_uri(call->method, call->uri);
+	/* Without the second flag libsoup never reuses a connection for POST.
+	 */
 	if (call->once || call->retried)
 		flags |= SOUP_MESSAGE_NEW_CONNECTION;
+	else
+		flags |= SOUP_MESSAGE_IDEMPOTENT;
 	soup_message_set_flags(call->msg, flags);
 	soup_message_headers_foreach(
 		call->headers, call_copy_header,
@@ -256,6 +326,11 @@
 
 	soup_session_remove_feature_by_type(session, SOUP_TYPE_AUTH_MANAGER);
 	soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
+	g_object_set_data_full(G_OBJECT(session), CALL_SOCKETS_KEY,
+			       g_hash_table_new_full(g_int64_hash,
+						     g_int64_equal, g_free,
+						     g_object_unref),
+			       (GDestroyNotify)g_hash_table_unref);
 	return session;
 }
 
@@ -268,7 +343,14 @@
 	call->max_bytes = opts->max_bytes;
 	call->done = opts->done;
 	call->ctx = opts->ctx;
-	call->session = g_object_ref(opts->session);
+	/*
+	 * A connection that is used once would stay open and count against the
+	 * session's limit, so it gets a session that ends with it. A header
+	 * "Connection: close" doesn't serve: with it, libsoup takes a response
+	 * that was cut off for a whole one.
+	 */
+	call->session = opts->once ? http_call_session(1) :
+				     g_object_ref(opts->session);
 	call->uri = g_uri_parse(text, SOUP_HTTP_URI_FLAGS, NULL);
 	call->method = g_strdup(opts->method);
 	if (opts->body && g_bytes_get_size(opts->body))
--- a/tests/bed.c
+++ b/tests/reqbed.c
@@ -1,11 +1,11 @@
-#include "bed.h"
+#include "reqbed.h"
 
 #include <string.h>
 
 #include "msg_control.h"
 #include "schema.h"
 
-#define BED_ANNOUNCE_MS 1000
+#define BED_ANNOUNCE_US 1000000u
 
 struct bed_call {
 	struct bed_agent *agent;
@@ -33,9 +33,6 @@
 	call->done = true;
 	if (call->mode != BED_REFUSE)
 		agent->in_flight--;
-	if (!agent->agent ||
-	    vhost_node(agent->machine)->self.node_id != call->agent_node)
-		return;
 	body = g_strconcat("response to ", call->path, NULL);
 	result.connected = call->mode != BED_REFUSE;
 	result.complete = !call->cancelled &&
@@ -75,6 +72,7 @@
 	call->mode = agent->mode;
 	TEXT_SET(call->path, request->path);
 	g_ptr_array_add(bed->calls, call);
+	g_hash_table_replace(agent->calls, &call->call_nr, call);
 	agent->nr_calls++;
 	if (call->mode != BED_REFUSE) {
 		uintptr_t nr =
@@ -94,17 +92,14 @@
 {
 	struct bed_agent *agent = ctx;
 	uint64_t node_id = vhost_node(agent->machine)->self.node_id;
+	struct bed_call *call;
 
-	for (uint32_t i = 0; i < agent->bed->calls->len; i++) {
-		struct bed_call *call = g_ptr_array_index(agent->bed->calls, i);
-
-		if (call->call_nr != call_nr || call->done ||
-		    call->agent != agent || call->agent_node != node_id)
-			continue;
-		call->cancelled = true;
-		agent->nr_cancelled++;
-		vhost_after(agent->machine, 1, bed_call_done, call);
-	}
+	call = g_hash_table_lookup(agent->calls, &call_nr);
+	if (!call || call->done || call->agent_node != node_id)
+		return;
+	call->cancelled = true;
+	agent->nr_cancelled++;
+	vhost_after(agent->machine, 1, bed_call_done, call);
 }
 
 static const struct agent_host_ops bed_agent_ops = {
@@ -117,8 +112,8 @@
 	struct bed_agent *agent = data;
 	struct platform_announce announce = { 0 };
 
-	vhost_after(agent->machine, BED_ANNOUNCE_MS * 1000, bed_announce,
-		    agent);
+	/* The timer of an earlier incarnation died with it. */
+	vhost_after(agent->machine, BED_ANNOUNCE_US, bed_announce, agent);
 	if (agent->silent)
 		return;
 	TEXT_SET(announce.id, "executor");
@@ -182,7 +177,7 @@
 		claim->state = CLAIM_HELD;
 		g_hash_table_replace(bed->claims, g_strdup(key), claim);
 		reply.result = RESULT_OK;
-	} else if (strcmp(claim->digest, query->claim.digest)) {
+	} else if (strcmp(claim->digest, query->claim.digest) != 0) {
 		reply.result = RESULT_CONFLICT;
 	} else {
 		reply.result = RESULT_IN_PROGRESS;
@@ -210,6 +205,10 @@
 static void bed_control_message(void *role, uint64_t from, uint32_t type,
 				const void *body)
 {
+	const struct bed *bed = role;
+
+	if (bed->control_deaf)
+		return;
 	if (type == MSG_CLAIM_QUERY)
 		bed_claim_query(role, from, body);
 	if (type == MSG_CLAIM_DONE)
@@ -255,6 +254,8 @@
 	opts.host = &bed_agent_ops;
 	opts.host_ctx = agent;
 	agent->agent = agent_new(node, &opts);
+	/* Calls under way at the upstream ended with the old connection. */
+	agent->in_flight = 0;
 	fake_site_bundle(node, bed->opts.route_policy);
 	vhost_start(agent->machine);
 	bed_announce(agent);
@@ -272,6 +273,7 @@
 	if (bed->control)
 		opts.control_addresses = bed_control_addresses;
 	entry->entry = entry_new(node, &opts);
+	entry->nr_boots++;
 	fake_site_bundle(node, bed->opts.route_policy);
 	vhost_start(entry->machine);
 	for (uint32_t k = 0; k < bed->opts.nr_agents; k++) {
@@ -287,6 +289,8 @@
 
 struct bed *bed_new(const struct bed_opts *opts)
 {
+	static const char *const zones[] = { "veraval", "porbandar",
+					     "mangrol" };
 	struct bed *bed = g_new0(struct bed, 1);
 
 	bed->opts = *opts;
@@ -310,12 +314,13 @@
 		struct bed_agent *agent = &bed->agents[i];
 
 		agent->bed = bed;
+		agent->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 		agent->slots = 8;
 		agent->connections = 64;
 		agent->slow_ppm = 1000000;
 		g_snprintf(agent->address, sizeof(agent->address),
 			   "10.0.1.%u:1", i + 1);
-		TEXT_SET(agent->zone, i % 2 ? "porbandar" : "veraval");
+		TEXT_SET(agent->zone, zones[i % G_N_ELEMENTS(zones)]);
 		agent->machine = vhost_add(bed->vhost, "agent", agent->zone,
 					   agent->address);
 		bed_boot_agent(bed, i);
@@ -326,13 +331,15 @@
 			vhost_add(bed->vhost, "entry", "veraval", "");
 		bed_boot_entry(bed, i);
 	}
-	vhost_run_ms(bed->vhost, 1000);
+	vhost_run_ms(bed->vhost, BED_WARM_UP_MS);
 	return bed;
 }
 
 void bed_free(struct bed *bed)
 {
 	vhost_free(bed->vhost);
+	for (uint32_t i = 0; i < bed->opts.nr_agents; i++)
+		g_hash_table_unref(bed->agents[i].calls);
 	g_hash_table_unref(bed->claims);
 	g_hash_table_unref(bed->runs);
 	g_ptr_array_unref(bed->answers);
@@ -373,6 +380,42 @@
 	return g_ptr_array_index(bed->answers, ticket);
 }
 
+bool bed_is_done(const struct bed *bed, uint64_t ticket, const char *path)
+{
+	const struct bed_answer *answer = bed_answer(bed, ticket);
+	char *text = g_strconcat("response to ", path, NULL);
+	bool done = answer->nr == 1 && answer->run == RUN_DONE &&
+		    answer->status == 200 && !g_strcmp0(answer->body, text);
+
+	g_free(text);
+	return done;
+}
+
+bool bed_is_refused(const struct bed *bed, uint64_t ticket, enum result result)
+{
+	const struct bed_answer *answer = bed_answer(bed, ticket);
+
+	return answer->nr == 1 && answer->run == RUN_NOT_RUN &&
+	       answer->result == result;
+}
+
+bool bed_is_idle(const struct bed *bed)
+{
+	for (uint32_t i = 0; i < bed->opts.nr_entries; i++) {
+		const struct node *node = vhost_node(bed->entries[i].machine);
+
+		if (node && !node_idle(node))
+			return false;
+	}
+	for (uint32_t i = 0; i < bed->opts.nr_agents; i++) {
+		const struct node *node = vhost_node(bed->agents[i].machine);
+
+		if (node && (!node_idle(node) || bed->agents[i].in_flight))
+			return false;
+	}
+	return true;
+}
+
 uint32_t bed_runs(const struct bed *bed, const char *path)
 {
 	return (uint32_t)(uintptr_t)g_hash_table_lookup(bed->runs, path);
