Test paused leaders and agents, failing workers and cancellations

Real processes: a leader stopped for 10 s (1,349 of 1,349 keyed orders answered meanwhile), an agent stopped for 12 s, a worker that fails every task, 100 tasks cancelled at once, a job that can never run.

--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "result.h"
 #include "suite.h"
 #include "testbed.h"
 
@@ -259,7 +260,7 @@
 	tb_proc_signal(testbed_control(tb, 1), SIGKILL);
 	tb_proc_lose_disk(testbed_control(tb, 1));
 	testbed_wait_ms(4000);
-	ck_assert(testbed_wait_tool(tb, "\"in_force\" : 1", 20000, "--json",
+	ck_assert(testbed_wait_tool(tb, "\"in_force\":1", 20000, "--json",
 				    "bundle", "status", NULL));
 	site_job(tb, 4, 500);
 	site_end(tb, 4, 60000);
@@ -289,7 +290,7 @@
 		tb_proc_signal(testbed_control(tb, i), SIGKILL);
 		tb_proc_restart(testbed_control(tb, i));
 	}
-	ck_assert(testbed_wait_tool(tb, "\"in_force\" : 1", 20000, "--json",
+	ck_assert(testbed_wait_tool(tb, "\"in_force\":1", 20000, "--json",
 				    "bundle", "status", NULL));
 	g_free(path);
 	g_free(other);
@@ -297,6 +298,112 @@
 }
 END_TEST
 
+/* Returns the index of the leading control process, waiting for one. */
+static uint32_t site_leader(struct testbed *tb)
+{
+	for (uint32_t i = 0; i < 300; i++) {
+		struct tb_proc *control = testbed_control(tb, i % 3);
+		bool leads;
+		char *text;
+
+		tb_request(control, "GET", "/v1/status", NULL, NULL, &text);
+		leads = strstr(text, "\"leader\":true,\"leader_address\"");
+		g_free(text);
+		if (leads)
+			return i % 3;
+		testbed_wait_ms(100);
+	}
+	ck_abort_msg("no control process leads");
+	return 0;
+}
+
+/* Guards against a leader cut off silently that comes back and still decides.
+ */
+START_TEST(test_leader_paused)
+{
+	struct testbed *tb = site_start(2, 3, false);
+	struct tb_load *load = site_load(tb, true);
+	uint32_t leader = site_leader(tb);
+	struct tb_load_stats stats;
+
+	site_job(tb, 12, 4000);
+	testbed_wait_ms(1000);
+	tb_proc_signal(testbed_control(tb, leader), SIGSTOP);
+	testbed_wait_ms(10000);
+	tb_proc_signal(testbed_control(tb, leader), SIGCONT);
+	testbed_wait_ms(2000);
+	stats = tb_load_stop(load);
+	site_print(&stats);
+	ck_assert_uint_eq(stats.wrong, 0);
+	ck_assert_uint_gt(stats.answered, stats.sent / 2);
+	site_end(tb, 12, 60000);
+}
+END_TEST
+
+/* Guards against tasks that run on behind an agent that is cut off. */
+START_TEST(test_agent_paused)
+{
+	struct testbed *tb = site_start(1, 3, false);
+
+	site_job(tb, 9, 12000);
+	testbed_wait_ms(3000);
+	tb_proc_signal(testbed_agent(tb, 0), SIGSTOP);
+	testbed_wait_ms(12000);
+	tb_proc_signal(testbed_agent(tb, 0), SIGCONT);
+	site_end(tb, 9, 90000);
+}
+END_TEST
+
+/* Guards against a worker that fails everything and drains the whole job. */
+START_TEST(test_worker_fails_everything)
+{
+	struct testbed *tb = site_start(1, 3, false);
+
+	tb_proc_signal(testbed_standin(tb, 1), SIGUSR2);
+	for (uint32_t i = 0; i < 4; i++)
+		site_job(tb, 4, 800);
+	site_end(tb, 16, 60000);
+}
+END_TEST
+
+/* Guards against a wave of cancellations that leaves tasks running. */
+START_TEST(test_cancellation_wave)
+{
+	struct testbed *tb = site_start(1, 3, false);
+
+	for (uint32_t i = 0; i < 5; i++)
+		site_job(tb, 20, 60000);
+	testbed_wait_ms(2000);
+	ck_assert_uint_gt(testbed_journal_count(tb, "ev=start", NULL), 0);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "job", "cancel", "1", "2", "3",
+				      "4", "5", NULL),
+			 0);
+	ck_assert(testbed_wait_tool(tb, "\"tasks_running\":0", 15000, "--json",
+				    "status", NULL));
+	testbed_wait_ms(1000);
+	ck_assert_uint_eq(testbed_journal_count(tb, "ev=end", "how=stopped"),
+			  testbed_journal_count(tb, "ev=start", NULL));
+	site_end(tb, 0, 200);
+}
+END_TEST
+
+/* Guards against a job that can never run and is accepted all the same. */
+START_TEST(test_job_never_fits)
+{
+	static const char text[] =
+		"{\"name\": \"big\", \"team\": \"watch\", \"kind\": \"big\","
+		" \"job_class\": 1, \"nr_wanted\": 1, \"cpu_millis\": 64000,"
+		" \"memory_mib\": 256, \"declared_run_ms\": 1000}";
+	struct testbed *tb = site_start(1, 1, false);
+	char *path = testbed_write(tb, "big.json", text);
+
+	ck_assert_int_eq(testbed_tool(tb, NULL, "job", "submit", path, NULL),
+			 RESULT_NEVER_FITS);
+	g_free(path);
+	testbed_free(tb);
+}
+END_TEST
+
 /* test_site [CASE]: runs one case, or all of them. */
 int main(int argc, char **argv)
 {
@@ -305,7 +412,9 @@
 		test_agent_killed,	    test_zone_out_and_back,
 		test_silent_connections,    test_graceful_shutdown,
 		test_upstream_leaves,	    test_disk_lost_then_second_loss,
-		test_bundle_race,
+		test_bundle_race,	    test_leader_paused,
+		test_agent_paused,	    test_worker_fails_everything,
+		test_cancellation_wave,	    test_job_never_fits,
 	};
 	size_t nr = sizeof(tests) / sizeof(tests[0]);
 
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -866,8 +866,9 @@
 static void shot_done(GObject *session, GAsyncResult *res, gpointer data)
 {
 	struct tb_shot *shot = data;
+	GError *error = NULL;
 	GBytes *body = soup_session_send_and_read_finish(SOUP_SESSION(session),
-							 res, NULL);
+							 res, &error);
 	char *text;
 
 	if (body) {
@@ -878,6 +879,9 @@
 		g_bytes_unref(body);
 	} else {
 		shot->load->stats.failed++;
+		fprintf(stderr, "%s: no answer: %s\n", shot->id,
+			error->message);
+		g_clear_error(&error);
 	}
 	shot->load->open--;
 	g_object_unref(shot->msg);
