--- a/tests/bench_site.c
+++ b/tests/bench_site.c
@@ -148,10 +148,13 @@
 	testbed_free(tb);
 }
 
+/* bench_site [requests|idle]: both parts, or one. */
 int main(int argc, char **argv)
 {
 	setvbuf(stdout, NULL, _IOLBF, 0);
-	bench_requests(argv[0]);
-	bench_idle(argv[0]);
+	if (argc < 2 || !strcmp(argv[1], "requests"))
+		bench_requests(argv[0]);
+	if (argc < 2 || !strcmp(argv[1], "idle"))
+		bench_idle(argv[0]);
 	return EXIT_SUCCESS;
 }
