--- a/tests/bench_route.c
+++ b/tests/bench_route.c
@@ -132,7 +132,7 @@
 		g_rand_free(rand);
 	}
 	g_array_sort(times, compare_u64);
-	nr_below = times->len / 100 * 99;
+	nr_below = (uint64_t)times->len * 99 / 100;
 	counts.p50_us = g_array_index(times, uint64_t, times->len / 2);
 	counts.p99_us = g_array_index(times, uint64_t, nr_below);
 	counts.max_us = g_array_index(times, uint64_t, times->len - 1);
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -25,8 +25,8 @@
 	const char *name;
 	/* When the fault strikes, after the first send; RUN_MS is the run. */
 	uint32_t fault_at_ms;
-	void (*fault)(struct resend *resend);
 	uint32_t resend_at_ms; /* after the fault */
+	void (*fault)(struct resend *resend);
 	enum run_state run; /* what the resend is told */
 	uint32_t nr_runs;
 };
@@ -106,24 +106,24 @@
 }
 
 static const struct resend_case resend_cases[] = {
-	{ "resent at once", 0, fault_none, 0, RUN_DONE, 1 },
-	{ "resent while it runs", 20, fault_none, 0, RUN_DONE, 1 },
-	{ "resent after the response", 200, fault_none, 0, RUN_DONE, 1 },
-	{ "resent an hour later", 200, fault_none, 3600000, RUN_DONE, 1 },
-	{ "entry dies while it runs", 20, fault_entry_dies, 0, RUN_DONE, 1 },
-	{ "entry dies, resent after the run", 20, fault_entry_dies, 1000,
+	{ "resent at once", 0, 0, fault_none, RUN_DONE, 1 },
+	{ "resent while it runs", 20, 0, fault_none, RUN_DONE, 1 },
+	{ "resent after the response", 200, 0, fault_none, RUN_DONE, 1 },
+	{ "resent an hour later", 200, 3600000, fault_none, RUN_DONE, 1 },
+	{ "entry dies while it runs", 20, 0, fault_entry_dies, RUN_DONE, 1 },
+	{ "entry dies, resent after the run", 20, 1000, fault_entry_dies,
 	  RUN_DONE, 1 },
-	{ "entry dies after the response", 200, fault_entry_dies, 0, RUN_DONE,
+	{ "entry dies after the response", 200, 0, fault_entry_dies, RUN_DONE,
 	  1 },
-	{ "agent dies while it runs", 20, fault_agent_dies, 0, RUN_UNKNOWN, 1 },
-	{ "agent restarts while it runs", 20, fault_agent_restarts, 1000,
+	{ "agent dies while it runs", 20, 0, fault_agent_dies, RUN_UNKNOWN, 1 },
+	{ "agent restarts while it runs", 20, 1000, fault_agent_restarts,
 	  RUN_UNKNOWN, 1 },
-	{ "agents die after the response", 200, fault_all_agents_die, 0,
+	{ "agents die after the response", 200, 0, fault_all_agents_die,
 	  RUN_DONE, 1 },
-	{ "connections go silent", 20, fault_silence, 0, RUN_DONE, 1 },
-	{ "caller leaves while it runs", 20, fault_caller_leaves, 100, RUN_DONE,
+	{ "connections go silent", 20, 0, fault_silence, RUN_DONE, 1 },
+	{ "caller leaves while it runs", 20, 100, fault_caller_leaves, RUN_DONE,
 	  1 },
-	{ "key comes back with other work", 20, fault_other_work, 0,
+	{ "key comes back with other work", 20, 0, fault_other_work,
 	  RUN_NOT_RUN, 1 },
 };
 
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -795,7 +795,7 @@
 	for (uint32_t i = 0; i < nr_ejected[_i]; i++)
 		nr_bad_calls += bed->agents[i].nr_calls;
 	if (nr_bad[_i] < 6)
-		ck_assert_uint_le(nr_bad_calls, 20 * nr_bad[_i]);
+		ck_assert_uint_le(nr_bad_calls, 20ull * nr_bad[_i]);
 	/* Back after the ejection, slowly, and in use again. */
 	for (uint32_t i = 0; i < 6; i++)
 		bed->agents[i].mode = BED_SERVE;
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -107,7 +107,7 @@
 
 	for (uint32_t i = 0; i < 6; i++) {
 		candidates[i].upstream = upstream;
-		candidates[i].cost_us = 1000 * (6 - i);
+		candidates[i].cost_us = 1000ull * (6 - i);
 	}
 	for (uint32_t i = 0; i < 9000; i++) {
 		query.random = (uint64_t)g_rand_int(rand) << 32 |
@@ -259,7 +259,8 @@
 	ck_assert_uint_eq(upstream_limit(upstream, now_us), 8);
 	/* A second ejection lasts longer. */
 	upstream_eject(upstream, now_us);
-	ck_assert(upstream_is_ejected(upstream, now_us + EJECT_BASE_MS * 1500));
+	ck_assert(upstream_is_ejected(upstream,
+				      now_us + EJECT_BASE_MS * 1500ull));
 	upstream_free(upstream);
 }
 END_TEST
@@ -347,9 +348,9 @@
 	for (id.request_nr = 1; id.request_nr <= 40; id.request_nr++)
 		nr_kept += outcome_table_find(table, &id)->response_kept;
 	ck_assert_uint_eq(nr_kept, (ADMIT_RESPONSE_MAX_BYTES >> 20) - 1);
-	for (; id.request_nr <= 2 * ADMIT_RECORDS_MAX; id.request_nr++)
+	for (; id.request_nr <= 2ull * ADMIT_RECORDS_MAX; id.request_nr++)
 		finished(table, &id, true, SECOND_US, 1);
-	for (id.request_nr = 1; id.request_nr <= 2 * ADMIT_RECORDS_MAX;
+	for (id.request_nr = 1; id.request_nr <= 2ull * ADMIT_RECORDS_MAX;
 	     id.request_nr++)
 		nr_found += outcome_table_find(table, &id) != NULL;
 	ck_assert_uint_eq(nr_found, ADMIT_RECORDS_MAX);
