Split the agent's service queue from its admission

What concerns one service, its announced upstreams, queue and load, is now in admit_service.[ch]; admit.c keeps the requests' life.

--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -1,25 +1,13 @@
 #include "admit.h"
 
-#include <string.h>
-
-#include "executor.h"
+#include "admit_service.h"
 #include "logline.h"
 #include "outcome.h"
 #include "schema.h"
 #include "tunables.h"
 
-#define ADMIT_SMOOTHING 16 /* runs over which the service time is smoothed */
 #define ADMIT_EXPIRE_MS 1000 /* how often old records are dropped */
 
-struct admit_service {
-	struct admit *admit;
-	char name[NAME_BYTES];
-	GPtrArray *executors; /* struct executor *, owned */
-	GSequence *queue; /* struct outcome *, by deadline */
-	uint32_t service_time_us;
-	struct timer expiry; /* of the next announcement */
-};
-
 struct admit {
 	struct node *node;
 	const struct admit_ops *ops;
@@ -33,58 +21,11 @@
 	bool leaving;
 };
 
-static uint32_t service_queued(const struct admit_service *service)
-{
-	return (uint32_t)g_sequence_get_length(service->queue);
-}
-
-static uint32_t service_slots(const struct admit_service *service)
-{
-	uint32_t slots = 0;
-
-	for (uint32_t i = 0; i < service->executors->len; i++) {
-		const struct executor *executor =
-			g_ptr_array_index(service->executors, i);
-
-		if (executor_is_open(executor))
-			slots += MIN(executor->slots, executor->connections);
-	}
-	return slots;
-}
-
-static void service_fill_load(const struct admit_service *service,
-			      struct load *load)
-{
-	const struct admit *admit = service->admit;
-
-	memset(load, 0, sizeof(*load));
-	TEXT_SET(load->service, service->name);
-	load->queued = service_queued(service);
-	load->service_time_us = service->service_time_us;
-	/* An agent that refuses all requests would else attract them. */
-	load->leaving = admit->leaving ||
-			!executors_any_open(service->executors) ||
-			admit->ops->may_start(admit->ctx, true);
-	for (uint32_t i = 0; i < service->executors->len; i++) {
-		const struct executor *executor =
-			g_ptr_array_index(service->executors, i);
-
-		load->in_flight += executor->in_flight;
-		if (!executor_is_open(executor))
-			continue;
-		load->slots += executor->slots;
-		load->connections += executor->connections;
-	}
-}
-
-static void service_learn_run(struct admit_service *service, uint32_t run_us)
+/* An agent that refuses all requests would else attract them by its low load.
+ */
+static bool admit_is_closed(const struct admit *admit)
 {
-	int64_t old_us = service->service_time_us;
-
-	if (!old_us)
-		old_us = run_us;
-	service->service_time_us = (uint32_t)MAX(
-		old_us + ((int64_t)run_us - old_us) / ADMIT_SMOOTHING, 1);
+	return admit->leaving || admit->ops->may_start(admit->ctx, true);
 }
 
 /* Sends what is known of a run to one entry. */
@@ -102,7 +43,8 @@
 		response.result = RESULT_OUTCOME_UNKNOWN;
 	}
 	if (outcome->service)
-		service_fill_load(outcome->service, &response.load);
+		admit_service_load(outcome->service, admit_is_closed(admit),
+				   &response.load);
 	node_send(admit->node, asker->node_id, MSG_RESPONSE, &response);
 }
 
@@ -168,24 +110,23 @@
 /* Starts queued runs while upstreams have room. */
 static void admit_pump(struct admit *admit, struct admit_service *service)
 {
-	while (service_queued(service)) {
-		GSequenceIter *first =
-			g_sequence_get_begin_iter(service->queue);
-		struct outcome *outcome = g_sequence_get(first);
+	struct outcome *outcome;
+
+	while ((outcome = admit_service_first(service))) {
 		struct executor *executor =
 			executors_roomiest(service->executors);
-		enum result result;
+		enum result result = RESULT_NO_UPSTREAM;
 
 		if (!executor && executors_any_open(service->executors))
 			break;
-		result = executor ? admit->ops->may_start(admit->ctx,
-							  outcome->repeatable) :
-				    RESULT_NO_UPSTREAM;
+		if (executor)
+			result = admit->ops->may_start(admit->ctx,
+						       outcome->repeatable);
 		if (result) {
 			admit_refuse(admit, outcome, result);
 			continue;
 		}
-		g_sequence_remove(first);
+		g_sequence_remove(outcome->queue_place);
 		outcome->queue_place = NULL;
 		admit_start(admit, outcome, executor);
 	}
@@ -203,7 +144,8 @@
 		return;
 	}
 	if (!outcome->repeatable && !outcome->overrun) {
-		/* It can't be repeated, so its work isn't thrown away yet. */
+		/* It can't be repeated, so its work isn't thrown away
+		 * yet. */
 		outcome->overrun = true;
 		node_timer_ms(admit->node, &outcome->timer, ADMIT_OVERRUN_MS);
 		return;
@@ -231,16 +173,6 @@
 	admit_service_expire(data);
 }
 
-static void admit_service_free(void *data)
-{
-	struct admit_service *service = data;
-
-	timer_cancel(service->admit->node->timers, &service->expiry);
-	g_ptr_array_unref(service->executors);
-	g_sequence_free(service->queue);
-	g_free(service);
-}
-
 static struct admit_service *admit_find_service(const struct admit *admit,
 						const char *name)
 {
@@ -261,66 +193,28 @@
 
 	if (service)
 		return service;
-	service = g_new0(struct admit_service, 1);
-	service->admit = admit;
-	TEXT_SET(service->name, name);
-	service->executors = g_ptr_array_new_with_free_func(g_free);
-	service->queue = g_sequence_new(NULL);
+	service = admit_service_new(admit, name);
 	service->expiry.fn = admit_service_due;
 	service->expiry.data = service;
 	g_ptr_array_add(admit->services, service);
 	return service;
 }
 
-static gint admit_by_deadline(gconstpointer a, gconstpointer b, gpointer data)
-{
-	const struct outcome *x = a;
-	const struct outcome *y = b;
-
-	(void)data;
-	if (x->deadline_us != y->deadline_us)
-		return x->deadline_us < y->deadline_us ? -1 : 1;
-	return x->arrived_us < y->arrived_us ? -1 :
-					       x->arrived_us > y->arrived_us;
-}
-
-/*
- * Returns true if the run can't be back in time behind those with an earlier
- * deadline. Only a busy service is judged: its estimate is fresh.
+/* Queues a run; a full queue gives up the one with the latest deadline.
  */
-static bool admit_is_too_late(const struct admit_service *service,
-			      const struct outcome *outcome)
-{
-	uint32_t slots = service_slots(service);
-	uint32_t position;
-	uint64_t wait_us;
-
-	if (!slots || executors_roomiest(service->executors))
-		return false;
-	position = (uint32_t)g_sequence_iter_get_position(outcome->queue_place);
-	wait_us = (uint64_t)service->service_time_us * (position + 1) / slots;
-	return outcome->arrived_us + wait_us + service->service_time_us >
-	       outcome->deadline_us;
-}
-
-/* Queues a outcome; a full queue gives up the one with the latest deadline. */
 static void admit_enqueue(struct admit *admit, struct admit_service *service,
 			  struct outcome *outcome)
 {
-	uint32_t max = service_slots(service) * ADMIT_QUEUE_PER_SLOT;
+	uint32_t max = admit_service_slots(service) * ADMIT_QUEUE_PER_SLOT;
 
-	outcome->queue_place = g_sequence_insert_sorted(
-		service->queue, outcome, admit_by_deadline, NULL);
-	if (admit_is_too_late(service, outcome)) {
+	admit_service_push(service, outcome);
+	if (admit_service_is_too_late(service, outcome)) {
 		admit_refuse(admit, outcome, RESULT_DEADLINE);
 		return;
 	}
-	if (service_queued(service) > MAX(max, 1)) {
-		GSequenceIter *last = g_sequence_iter_prev(
-			g_sequence_get_end_iter(service->queue));
-
-		admit_refuse(admit, g_sequence_get(last), RESULT_OVERLOADED);
-	}
+	if (admit_service_queued(service) > MAX(max, 1))
+		admit_refuse(admit, admit_service_last(service),
+			     RESULT_OVERLOADED);
 	admit_pump(admit, service);
 }
 
@@ -388,6 +282,12 @@
 	outcome_table_stop_timers(admit->runs, admit->node->timers);
 	g_hash_table_unref(admit->calls);
 	outcome_table_free(admit->runs);
+	for (uint32_t i = 0; i < admit->services->len; i++) {
+		struct admit_service *service =
+			g_ptr_array_index(admit->services, i);
+
+		timer_cancel(admit->node->timers, &service->expiry);
+	}
 	g_ptr_array_unref(admit->services);
 	g_array_unref(admit->loads);
 	g_free(admit);
@@ -455,7 +355,8 @@
 			outcome = NULL;
 	}
 	if (outcome) {
-		/* Its first arrival counts, or the refusal that came first. */
+		/* Its first arrival counts, or the refusal that came
+		 * first. */
 		if (!outcome->finished_us)
 			outcome_add_asker(outcome, from, request->request_nr);
 		else
@@ -513,7 +414,8 @@
 		return;
 	}
 	if (!outcome) {
-		/* The record makes the number's later arrival be refused. */
+		/* The record makes the number's later arrival be
+		 * refused. */
 		outcome = outcome_table_add(admit->runs, &id, query->repeatable,
 					    query->service, "");
 		admit_finish(admit, outcome, RUN_NOT_RUN, RESULT_CANCELLED);
@@ -539,7 +441,8 @@
 	executor->in_flight--;
 	outcome->executor = NULL;
 	if (!result->connected) {
-		/* A call given up while connecting says nothing of the peer. */
+		/* A call given up while connecting says nothing of the
+		 * peer. */
 		if (!outcome->cancelled)
 			executor->refused = true;
 		admit_finish(admit, outcome, RUN_NOT_RUN,
@@ -557,7 +460,7 @@
 		TEXT_SET(outcome->response.content_type, result->content_type);
 		if (result->body)
 			outcome->response.body = g_bytes_ref(result->body);
-		service_learn_run(service, outcome->response.run_us);
+		admit_service_learn_run(service, outcome->response.run_us);
 		admit_finish(admit, outcome, RUN_DONE, RESULT_OK);
 	}
 	executors_expire(service->executors, admit->node->now_us);
@@ -582,7 +485,8 @@
 	for (uint32_t i = 0; i < admit->services->len; i++) {
 		struct load load;
 
-		service_fill_load(g_ptr_array_index(admit->services, i), &load);
+		admit_service_load(g_ptr_array_index(admit->services, i),
+				   admit_is_closed(admit), &load);
 		g_array_append_val(admit->loads, load);
 	}
 	report->nr_loads = admit->loads->len;
--- /dev/null
+++ b/src/core/admit_service.c
@@ -0,0 +1,128 @@
+#include "admit_service.h"
+
+#include <string.h>
+
+#include "schema.h"
+#include "tunables.h"
+
+#define ADMIT_SMOOTHING 16 /* runs over which the service time is smoothed */
+
+static gint admit_by_deadline(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct outcome *x = a;
+	const struct outcome *y = b;
+
+	(void)data;
+	if (x->deadline_us != y->deadline_us)
+		return x->deadline_us < y->deadline_us ? -1 : 1;
+	return x->arrived_us < y->arrived_us ? -1 :
+					       x->arrived_us > y->arrived_us;
+}
+
+struct admit_service *admit_service_new(struct admit *admit, const char *name)
+{
+	struct admit_service *service = g_new0(struct admit_service, 1);
+
+	service->admit = admit;
+	TEXT_SET(service->name, name);
+	service->executors = g_ptr_array_new_with_free_func(g_free);
+	service->queue = g_sequence_new(NULL);
+	return service;
+}
+
+void admit_service_free(void *data)
+{
+	struct admit_service *service = data;
+
+	if (!service)
+		return;
+	g_assert(!timer_armed(&service->expiry));
+	g_ptr_array_unref(service->executors);
+	g_sequence_free(service->queue);
+	g_free(service);
+}
+
+uint32_t admit_service_queued(const struct admit_service *service)
+{
+	return (uint32_t)g_sequence_get_length(service->queue);
+}
+
+uint32_t admit_service_slots(const struct admit_service *service)
+{
+	uint32_t slots = 0;
+
+	for (uint32_t i = 0; i < service->executors->len; i++) {
+		const struct executor *executor =
+			g_ptr_array_index(service->executors, i);
+
+		if (executor_is_open(executor))
+			slots += MIN(executor->slots, executor->connections);
+	}
+	return slots;
+}
+
+void admit_service_load(const struct admit_service *service, bool closed,
+			struct load *load)
+{
+	memset(load, 0, sizeof(*load));
+	TEXT_SET(load->service, service->name);
+	load->queued = admit_service_queued(service);
+	load->service_time_us = service->service_time_us;
+	load->leaving = closed || !executors_any_open(service->executors);
+	for (uint32_t i = 0; i < service->executors->len; i++) {
+		const struct executor *executor =
+			g_ptr_array_index(service->executors, i);
+
+		load->in_flight += executor->in_flight;
+		if (!executor_is_open(executor))
+			continue;
+		load->slots += executor->slots;
+		load->connections += executor->connections;
+	}
+}
+
+void admit_service_learn_run(struct admit_service *service, uint32_t run_us)
+{
+	int64_t old_us = service->service_time_us;
+
+	if (!old_us)
+		old_us = run_us;
+	service->service_time_us = (uint32_t)MAX(
+		old_us + ((int64_t)run_us - old_us) / ADMIT_SMOOTHING, 1);
+}
+
+void admit_service_push(struct admit_service *service, struct outcome *outcome)
+{
+	outcome->queue_place = g_sequence_insert_sorted(
+		service->queue, outcome, admit_by_deadline, NULL);
+}
+
+bool admit_service_is_too_late(const struct admit_service *service,
+			       const struct outcome *outcome)
+{
+	uint32_t slots = admit_service_slots(service);
+	uint32_t position;
+	uint64_t wait_us;
+
+	if (!slots || executors_roomiest(service->executors))
+		return false;
+	position = (uint32_t)g_sequence_iter_get_position(outcome->queue_place);
+	wait_us = (uint64_t)service->service_time_us * (position + 1) / slots;
+	return outcome->arrived_us + wait_us + service->service_time_us >
+	       outcome->deadline_us;
+}
+
+struct outcome *admit_service_first(const struct admit_service *service)
+{
+	if (!admit_service_queued(service))
+		return NULL;
+	return g_sequence_get(g_sequence_get_begin_iter(service->queue));
+}
+
+struct outcome *admit_service_last(const struct admit_service *service)
+{
+	if (!admit_service_queued(service))
+		return NULL;
+	return g_sequence_get(
+		g_sequence_iter_prev(g_sequence_get_end_iter(service->queue)));
+}
