--- a/src/core/agent.c
+++ b/src/core/agent.c
@@ -115,7 +115,15 @@
 	agent_task_leader_changed(agent->tasks, node_id);
 }
 
+/* The first bundle opens the agent for requests. */
+static void agent_bundle_changed(void *ctx, const struct bundle *bundle)
+{
+	(void)bundle;
+	agent_load_changed(ctx);
+}
+
 static const struct site_ops agent_site_ops = {
+	.bundle_changed = agent_bundle_changed,
 	.leader_changed = agent_leader_changed,
 };
 
--- a/src/core/entry_flight.c
+++ b/src/core/entry_flight.c
@@ -64,7 +64,8 @@
 	struct route_candidate chosen;
 
 	(void)now_us;
-	if (!flight->attempts->len || !budget_spend(&flight->service->hedges))
+	if (!flight->attempts->len || !attempt_room(flight).nr_free ||
+	    !budget_spend(&flight->service->hedges))
 		return;
 	if (attempt_pick(flight, "hedge", &chosen))
 		return;
