--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -79,6 +79,8 @@
 
 /* Views of the site. */
 #define VIEW_QUERY_INTERVAL_MS 1000
+/* Changes of VMs are sent together; at a start, all VMs come at once. */
+#define VIEW_BATCH_MS 20
 
 /* Records of the state machine. */
 #define CLAIM_BODY_MAX_BYTES (16u << 10)
@@ -95,6 +97,13 @@
 
 /* Planner. */
 #define PLAN_HISTORY_MS 20000 /* what ran on a VM, longest lag of a sample */
+/* From so many samples of a kind on, batch tasks are looked at this seldom. */
+#define PLAN_KNOWN_SAMPLES 500
+#define PLAN_KNOWN_SAMPLE_MS 2000
+/* Progress from which on a checkpoint of an evicted task is to be expected. */
+#define PLAN_CHECKPOINT_PPM 50000
+/* Kinds that are learned; their names are chosen by the users. */
+#define PLAN_MAX_KINDS 1024
 /* A batch job overtakes one of a priority higher by 1 that came this much
  * later, so that no priority starves another. */
 #define PLAN_AGE_STEP_MS 30000
@@ -133,8 +142,8 @@
 /* Predicted slowdown of a service up to which batch is placed beside it, and
  * measured slowdown that the planner acts against; the gap keeps it from acting
  * on what it placed itself. */
-#define PLAN_SLOWDOWN_PLACE_PPM 250000
-#define PLAN_SLOWDOWN_LIMIT_PPM 350000
+#define PLAN_SLOWDOWN_PLACE_PPM 220000
+#define PLAN_SLOWDOWN_LIMIT_PPM 320000
 #define PLAN_HARMLESS_PPM 10000 /* a slowdown that is not worth a step */
 #define PLAN_CLOSED_MS 30000 /* a VM with a slow service takes no batch */
 /* Batch that would slow a service beyond the limit waits this long for a better
@@ -198,7 +207,7 @@
 #define PEER_RETURN_MS 1000
 
 /* Admission at the agent. */
-#define ADMIT_QUEUE_PER_SLOT 8
+#define ADMIT_QUEUE_PER_SLOT 16
 #define ADMIT_RESPONSE_TTL_MS 60000
 #define ADMIT_RESPONSE_MAX_BYTES (16u << 20)
 /* Repeatable requests are asked about only when a link has been replaced. */
