--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -866,8 +866,9 @@
 static void shot_done(GObject *session, GAsyncResult *res, gpointer data)
 {
 	struct tb_shot *shot = data;
+	GError *error = NULL;
 	GBytes *body = soup_session_send_and_read_finish(SOUP_SESSION(session),
-							 res, NULL);
+							 res, &error);
 	char *text;
 
 	if (body) {
@@ -878,6 +879,9 @@
 		g_bytes_unref(body);
 	} else {
 		shot->load->stats.failed++;
+		fprintf(stderr, "%s: no answer: %s\n", shot->id,
+			error->message);
+		g_clear_error(&error);
 	}
 	shot->load->open--;
 	g_object_unref(shot->msg);
@@ -909,6 +913,9 @@
 	shot->sent_us = g_get_monotonic_time();
 	shot->msg = soup_message_new("POST", url);
 	headers = soup_message_get_request_headers(shot->msg);
+	/* libsoup never reuses a connection for POST; left open, each would
+	 * count against the session's limit. */
+	soup_message_headers_append(headers, "Connection", "close");
 	body = g_bytes_new(shot->id, strlen(shot->id));
 	soup_message_set_request_body_from_bytes(shot->msg, "text/plain", body);
 	g_snprintf(number, sizeof(number), "%u", load->opts.deadline_ms);
