--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -91,6 +91,7 @@
 {
 	raft_log_append(&raft->log, entry);
 	raft->store->append(raft->store_ctx, entry);
+	raft->log_bytes += record_size(entry->command);
 	if (entry->command.type == CMD_MEMBERS) {
 		raft_configs_push(&raft->configs, entry->index, entry->command);
 		raft_reload_peers(raft);
@@ -233,6 +234,7 @@
 		const struct log_entry *entry = &image->entries[i];
 
 		raft_log_append(&raft->log, entry);
+		raft->log_bytes += record_size(entry->command);
 		if (entry->command.type == CMD_MEMBERS)
 			raft_configs_push(&raft->configs, entry->index,
 					  entry->command);
@@ -324,9 +326,10 @@
 
 	if (!peer)
 		return;
-	/* What was under way is lost. */
+	/* What was under way is lost; a probe finds where to go on. */
 	peer->nr_in_flight = 0;
-	peer->next_index = peer->match_index + 1;
+	if (peer->match_index)
+		peer->next_index = peer->match_index + 1;
 	peer->probing = true;
 }
 
--- a/src/core/raft_impl.h
+++ b/src/core/raft_impl.h
@@ -98,6 +98,7 @@
 	struct raft_log log;
 	struct raft_configs configs;
 	struct raft_snapshot *snapshot; /* latest, NULL: none */
+	uint64_t log_bytes; /* written since the latest snapshot */
 	uint64_t commit_index;
 	uint64_t applied_index;
 	uint64_t leader_id;
--- a/src/core/raft_snapshot.c
+++ b/src/core/raft_snapshot.c
@@ -41,21 +41,38 @@
 {
 	raft_snapshot_unref(raft->snapshot);
 	raft->snapshot = snapshot;
+	raft->log_bytes = 0;
 	raft->store->write_snapshot(raft->store_ctx, &snapshot->head,
 				    snapshot->records);
 	raft_touch(raft);
 }
 
+/* Returns the new base of the log in memory behind a snapshot. */
+static uint64_t raft_keep_behind(const struct raft *raft, uint64_t index)
+{
+	uint64_t floor = raft->snapshot_entries / RAFT_LOG_KEEP_SHARE;
+	uint64_t bytes = 0;
+
+	floor = MAX(raft->log.base_index, index - MIN(index, floor));
+	while (index > floor) {
+		bytes += record_size(raft_log_at(&raft->log, index)->command);
+		if (bytes > RAFT_SNAPSHOT_BYTES / RAFT_LOG_KEEP_SHARE)
+			break;
+		index--;
+	}
+	return index;
+}
+
 void raft_snapshot_maybe(struct raft *raft)
 {
 	uint64_t index = raft->applied_index;
 	uint64_t covered = raft->snapshot ? raft->snapshot->head.last_index : 0;
 	struct raft_snapshot *snapshot;
 	struct snapshot_record *records;
-	uint64_t keep = raft->snapshot_entries / RAFT_LOG_KEEP_SHARE;
 	uint32_t nr = 0;
 
-	if (index - covered < raft->snapshot_entries)
+	if (index == covered || (index - covered < raft->snapshot_entries &&
+				 raft->log_bytes < RAFT_SNAPSHOT_BYTES))
 		return;
 	records = raft->machine->snapshot(raft->machine_ctx, &nr);
 	snapshot = g_new0(struct raft_snapshot, 1);
@@ -70,8 +87,7 @@
 		snapshot->records[i + 1] = records[i];
 	g_free(records);
 	raft_snapshot_store(raft, snapshot);
-	if (index - raft->log.base_index > keep)
-		raft_log_compact(&raft->log, index - keep);
+	raft_log_compact(&raft->log, raft_keep_behind(raft, index));
 	raft_configs_compact(&raft->configs, raft->log.base_index);
 	counter_add(raft->node->counters, "raft_snapshots", 1);
 	raft_log_event(raft, "raft-snapshot");
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -47,9 +47,11 @@
 #define RAFT_PROPOSALS_MAX 4096
 #define RAFT_PROPOSALS_MAX_BYTES (12u << 20) /* below FRAME_MAX_BYTES */
 #define RAFT_SNAPSHOT_ENTRIES 4096
+/* Large entries reach this first; the process has 64 MB in all. */
+#define RAFT_SNAPSHOT_BYTES (8u << 20)
 /*
- * One in so many of these entries stays in memory behind a snapshot, so that
- * followers that lag a little don't need the snapshot.
+ * One in so many of these entries and bytes stays in memory behind a snapshot,
+ * so that followers that lag a little don't need the snapshot.
  */
 #define RAFT_LOG_KEEP_SHARE 4
 #define RAFT_PAGE_MAX_BYTES (256u << 10)
--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 
+#include "command.h"
 #include "raft.h"
 #include "suite.h"
 
@@ -22,6 +23,7 @@
 	GArray *sent; /* of struct sent */
 	uint64_t sync_nr; /* latest asked for */
 	uint64_t applied;
+	uint32_t nr_snapshots;
 	uint64_t now_us;
 	struct store_image image;
 	GArray *entries; /* of struct log_entry */
@@ -89,6 +91,7 @@
 static void lone_write_snapshot(void *ctx, const struct snapshot_head *head,
 				const struct snapshot_record *records)
 {
+	((struct lone *)ctx)->nr_snapshots++;
 }
 
 static void lone_sync(void *ctx, uint64_t sync_nr)
@@ -109,6 +112,12 @@
 	((struct lone *)ctx)->applied = entry->index;
 }
 
+static struct snapshot_record *lone_snapshot(void *ctx, uint32_t *nr)
+{
+	*nr = 0;
+	return NULL;
+}
+
 static void lone_leader_changed(void *ctx, bool leader)
 {
 }
@@ -119,6 +128,7 @@
 
 static const struct raft_machine_ops lone_machine = {
 	.apply = lone_apply,
+	.snapshot = lone_snapshot,
 	.leader_changed = lone_leader_changed,
 	.dropped = lone_dropped,
 };
@@ -732,6 +742,35 @@
 }
 END_TEST
 
+/* Guards against a log of large entries that outgrows the memory. */
+START_TEST(test_large_entries_bring_a_snapshot)
+{
+	const uint32_t entry_bytes = 1u << 20;
+	struct lone lone;
+
+	lone_new(&lone, false);
+	for (uint64_t index = 3; index < 30; index++) {
+		struct claim_record *claim = schema_alloc(CMD_CLAIM);
+		struct log_entry entry = { index, 2, { CMD_CLAIM, claim } };
+		struct append append = { .term = 2,
+					 .prev_index = index - 1,
+					 .prev_term = index == 3 ? 1 : 2,
+					 .commit_index = index,
+					 .nr_entries = 1,
+					 .entries = &entry };
+
+		claim->body =
+			g_bytes_new_take(g_malloc0(entry_bytes), entry_bytes);
+		lone_deliver(&lone, 2, MSG_APPEND, &append);
+		record_unref(entry.command);
+	}
+	ck_assert_uint_eq(raft_commit_index(lone.raft), 29);
+	ck_assert_uint_eq(lone.nr_snapshots,
+			  27 * entry_bytes / RAFT_SNAPSHOT_BYTES);
+	lone_free(&lone);
+}
+END_TEST
+
 SUITE_MAIN("raft_rules", test_vote_is_synced_first,
 	   test_candidacy_is_synced_first, test_no_vote_while_a_leader_is_heard,
 	   test_no_vote_for_a_shorter_log, test_fresh_replica_does_not_vote,
@@ -743,4 +782,4 @@
 	   test_lease_counts_from_sending, test_formation_needs_every_vote_anew,
 	   test_voters_stay_a_majority_of_the_list,
 	   test_learner_catches_up_first, test_one_change_at_a_time,
-	   test_pages_are_in_order)
+	   test_pages_are_in_order, test_large_entries_bring_a_snapshot)
