--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -8,6 +8,7 @@
 #include "move.h"
 #include "place.h"
 #include "plan_state.h"
+#include "quarantine.h"
 #include "schema.h"
 
 static void vm_destroy(void *vm)
@@ -143,23 +144,6 @@
 	queue_unblock_all(plan);
 }
 
-/* Keeps count of a quarantine that was set or lifted. */
-static void vm_quarantine_set(struct plan *plan, struct plan_vm *vm)
-{
-	vm->suspect = false;
-	vm->nr_failed_jobs = 0;
-	g_queue_remove(&plan->suspect_vms, vm);
-	if (!vm->record.quarantined) {
-		g_queue_remove(&plan->quarantined_vms, vm);
-		vm->probation = PLAN_PROBATION_TASKS;
-		return;
-	}
-	vm->quarantine_s = CLAMP(vm->quarantine_s * 2, PLAN_QUARANTINE_MIN_S,
-				 PLAN_QUARANTINE_MAX_S);
-	vm->probation_us = plan->now_us + vm->quarantine_s * 1000000ull;
-	g_queue_push_tail(&plan->quarantined_vms, vm);
-}
-
 void plan_set_vm(struct plan *plan, const struct vm_record *record,
 		 uint64_t now_us)
 {
@@ -167,6 +151,7 @@
 	struct task_size *largest = &plan->largest;
 	bool was_quarantined = vm->record.quarantined;
 	bool was_indexed = vm->indexed;
+	bool was_known = vm->known;
 
 	plan->now_us = now_us;
 	if (!vm->known)
@@ -174,7 +159,7 @@
 	vm->record = *record;
 	vm->known = true;
 	if (record->quarantined != was_quarantined)
-		vm_quarantine_set(plan, vm);
+		quarantine_changed(plan, vm, !was_known);
 	vm->rack_nr = plan_rack_nr(plan, record);
 	largest->cpu_millis = MAX(largest->cpu_millis, record->cpu_millis);
 	largest->memory_mib = MAX(largest->memory_mib, record->memory_mib);
@@ -245,6 +230,7 @@
 		job->kind = learn_kind(plan->learn, record);
 		job->known = true;
 		job->record = *record;
+		queue_group_unref(plan, job->group);
 		job->group = queue_group(plan, job);
 		count_tasks(job);
 	}
@@ -324,6 +310,22 @@
 	plan_unhold(plan, task);
 }
 
+/* What the change tells of the kind: whether its checkpoints keep the work, and
+ * whether the run that begins is a whole one. */
+static void learn_from_change(struct plan_task *task,
+			      const struct task_record *record)
+{
+	bool evicted = task->state == TASK_STOPPING &&
+		       record->state == TASK_PENDING &&
+		       record->nr_evictions > task->nr_evictions;
+
+	if (evicted && task->job->known &&
+	    task->progress_ppm >= PLAN_CHECKPOINT_PPM)
+		task->job->kind->no_checkpoint = !*record->checkpoint;
+	if (task->state == TASK_PENDING && record->state != TASK_PENDING)
+		task->whole_run = !*record->checkpoint;
+}
+
 void plan_set_task(struct plan *plan, const struct task_record *record,
 		   uint64_t now_us)
 {
@@ -333,6 +335,7 @@
 		       record->state == TASK_STOPPING;
 
 	plan->now_us = now_us;
+	learn_from_change(task, record);
 	task->outstanding = 0;
 	if (!running)
 		set_running(task, false, now_us);
@@ -378,39 +381,12 @@
 	while (job->tasks.head)
 		drop_task(plan, job->tasks.head->data);
 	queue_remove_job(plan, job);
+	queue_group_unref(plan, job->group);
 	g_queue_remove(&plan->failing_jobs, job);
 	g_ptr_array_remove(plan->services, job);
 	g_hash_table_remove(plan->jobs, &job_id);
 }
 
-/* Counts a failure against the worker, unless the job is the likely cause. */
-static void vm_failed_job(struct plan *plan, struct plan_vm *vm,
-			  const struct plan_job *job)
-{
-	bool repeated = false;
-
-	for (uint32_t i = 0; i < vm->nr_failed_jobs; i++)
-		repeated |= vm->failed_jobs[i] == job->record.job_id;
-	if (!repeated && vm->nr_failed_jobs < VM_FAILED_JOBS)
-		vm->failed_jobs[vm->nr_failed_jobs++] = job->record.job_id;
-	if (vm->suspect || vm->record.quarantined ||
-	    (vm->nr_failed_jobs < VM_FAILED_JOBS && !vm->probation))
-		return;
-	/* Many bad workers at once point to bad jobs instead. */
-	if (plan->quarantined_vms.length + plan->suspect_vms.length >=
-	    MAX(plan->vm_list->len / 4, 1))
-		return;
-	vm->suspect = true;
-	g_queue_push_tail(&plan->suspect_vms, vm);
-}
-
-static void vm_ran_job(struct plan_vm *vm)
-{
-	vm->nr_failed_jobs = 0;
-	if (vm->probation && !--vm->probation)
-		vm->quarantine_s = 0;
-}
-
 void plan_task_ended(struct plan *plan, uint64_t task_id, const char *vm_name,
 		     bool failed, uint64_t now_us)
 {
@@ -425,19 +401,19 @@
 		return;
 	job = task->job;
 	if (!failed) {
-		if (task->running_us)
+		if (task->running_us && task->whole_run)
 			learn_ended(job->kind,
 				    (now_us - task->running_us) / 1000);
 		job->failed.nr = 0;
 		job->nr_failures = 0;
-		vm_ran_job(vm);
+		quarantine_succeeded(vm);
 		return;
 	}
 	job->nr_failures++;
 	elsewhere = job->failed.nr > failed_on(&job->failed, vm);
 	at_limit = learn_failed(job->kind, task->memory_used_mib, &task->size);
 	if (!elsewhere && !at_limit)
-		vm_failed_job(plan, vm, job);
+		quarantine_failed(plan, vm, job);
 	failed_add(&task->failed, vm);
 	if (failed_add(&job->failed, vm) >= JOB_MAX_FAILED_VMS ||
 	    task->failed.nr >= JOB_MAX_FAILED_VMS ||
@@ -445,6 +421,22 @@
 		plan_fail_job(plan, job, RESULT_JOB_FAILED);
 }
 
+/* Samples of an earlier run or of the start tell nothing, and those of batch
+ * whose kind is well known tell little. */
+static bool sample_counts(const struct plan_task *task,
+			  const struct plan_vm *vm, uint64_t sample_us)
+{
+	uint64_t seen_us = MAX(task->sample_us, task->running_us);
+
+	if (!task->job->known || task->on_vm != vm || !task->running_us)
+		return false;
+	if (plan_is_batch(task->job) &&
+	    task->job->kind->nr_samples >= PLAN_KNOWN_SAMPLES &&
+	    sample_us < task->sample_us + PLAN_KNOWN_SAMPLE_MS * 1000ull)
+		return false;
+	return sample_us > seen_us;
+}
+
 void plan_usage(struct plan *plan, const char *vm_name, uint32_t nr_tasks,
 		const struct platform_task *samples, uint64_t now_us)
 {
@@ -458,10 +450,7 @@
 		uint64_t sample_us = now_us - sample->age_ms * 1000ull;
 
 		vm->lag_us = MAX(vm->lag_us, sample->age_ms * 1000ull);
-		/* Samples of an earlier run or of the start tell nothing. */
-		if (!task || !task->job->known || task->on_vm != vm ||
-		    !task->running_us || sample_us <= task->running_us ||
-		    sample_us <= task->sample_us)
+		if (!task || !sample_counts(task, vm, sample_us))
 			continue;
 		learn_sample(task->job->kind, sample, &task->size,
 			     task->throttle_ppm, !task->sample_us);
