--- a/tests/control_world.c
+++ b/tests/control_world.c
@@ -120,7 +120,8 @@
 {
 	struct world_control *host = ctx;
 
-	return 1000000 + vhost_now_us(host->world->vhost) / 1000;
+	return 1000000 + host->world->wall_skew_ms +
+	       vhost_now_us(host->world->vhost) / 1000;
 }
 
 static const struct control_host_ops control_host = {
--- a/tests/control_world.h
+++ b/tests/control_world.h
@@ -81,6 +81,7 @@
 	const char *watched_zone;
 	uint32_t nr_starts;
 	uint32_t next_checkpoint;
+	uint64_t wall_skew_ms; /* added to the replicas' wall clocks */
 	GHashTable *in_flight; /* set of struct world_call * and disk_sync * */
 	/* answer to the last operator's request */
 	uint64_t ticket;
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -853,6 +853,135 @@
 }
 END_TEST
 
+/* Guards against list pages that skip or repeat objects. */
+START_TEST(test_list_pages)
+{
+	struct world *world = world_new(31, 1, 5);
+	struct op_query query = { .max_items = 2 };
+	const struct op_tasks *tasks;
+	const struct op_vms *vms;
+	const struct op_zones *zones;
+	uint64_t job_id;
+	uint32_t nr = 0;
+
+	vhost_run_ms(world->vhost, 2000);
+	world_submit(world, "job1", 3, 60000);
+	job_id = world_submit(world, "job2", 5, 60000);
+	do {
+		vms = world_op(world, OP_VM_LIST, &query);
+		nr += vms->nr_vms;
+		if (vms->nr_vms)
+			TEXT_SET(query.after_name,
+				 vms->vms[vms->nr_vms - 1].vm.name);
+	} while (vms->nr_vms);
+	ck_assert_uint_eq(nr, 5);
+	query.job_id = job_id;
+	nr = 0;
+	do {
+		tasks = world_op(world, OP_TASK_LIST, &query);
+		for (uint32_t i = 0; i < tasks->nr_tasks; i++) {
+			ck_assert_uint_eq(tasks->tasks[i].job_id, job_id);
+			ck_assert_uint_gt(tasks->tasks[i].task_id,
+					  query.after_id);
+			query.after_id = tasks->tasks[i].task_id;
+		}
+		nr += tasks->nr_tasks;
+	} while (tasks->nr_tasks);
+	ck_assert_uint_eq(nr, 5);
+	memset(&query, 0, sizeof(query));
+	zones = world_op(world, OP_ZONE_LIST, &query);
+	ck_assert_uint_eq(zones->nr_zones, 3);
+	nr = 0;
+	for (uint32_t i = 0; i < 3; i++)
+		nr += zones->zones[i].vms_live;
+	ck_assert_uint_eq(nr, 5);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against members that can't be taken out or put back by hand. */
+START_TEST(test_members)
+{
+	struct world *world = world_new(32, 3, 1);
+	struct world_control *host = NULL;
+	struct op_query query = { 0 };
+	struct member member = { 0 };
+	const struct op_status *status;
+
+	vhost_run_ms(world->vhost, 2000);
+	for (uint32_t i = 0; i < 3; i++)
+		if (&world->controls[i] != world_leader_host(world))
+			host = &world->controls[i];
+	member.node_id = host->node_id;
+	member.voter = true;
+	TEXT_SET(member.address, world->addresses[host - world->controls]);
+	ck_assert_int_eq(world_change(world, OP_MEMBER_ADD, &member),
+			 RESULT_OK);
+	member.node_id = 12345;
+	ck_assert_int_eq(world_change(world, OP_MEMBER_REMOVE, &member),
+			 RESULT_UNKNOWN_OBJECT);
+	member.node_id = host->node_id;
+	world_kill_control(host);
+	ck_assert_int_eq(world_change(world, OP_MEMBER_REMOVE, &member),
+			 RESULT_OK);
+	vhost_run_ms(world->vhost, 1000);
+	status = world_op(world, OP_STATUS, &query);
+	ck_assert_uint_eq(status->nr_members, 2);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a response that is lost with the agent that has it. */
+START_TEST(test_claim_response)
+{
+	struct world *world = world_new(33, 3, 1);
+	struct claim_done done = { 0 };
+	struct probe probe = { 0 };
+	const struct claim_record *claim;
+
+	probe_boot(world, &probe, "entry0");
+	probe_claim(&probe, 100, 1, "aa");
+	vhost_run_ms(world->vhost, 500);
+	ck_assert_int_eq(probe.reply.result, RESULT_OK);
+	done.claim = probe.reply.claim;
+	done.claim.state = CLAIM_COMPLETE;
+	done.claim.status = 201;
+	done.claim.body = g_bytes_new_static("ordered", 7);
+	done.claim.body_kept = true;
+	node_send(probe.node, site_leader(probe.site), MSG_CLAIM_DONE, &done);
+	g_bytes_unref(done.claim.body);
+	vhost_run_ms(world->vhost, 500);
+	probe_claim(&probe, 200, 2, "aa");
+	vhost_run_ms(world->vhost, 500);
+	ck_assert_int_eq(probe.reply.result, RESULT_IN_PROGRESS);
+	ck_assert_uint_eq(probe.reply.claim.state, CLAIM_COMPLETE);
+	ck_assert_uint_eq(probe.reply.claim.status, 201);
+	claim = claim_find(world_leader(world)->state, "desk", "leaf-9");
+	ck_assert_uint_eq(g_bytes_get_size(claim->body), 7);
+	world_free(world);
+}
+END_TEST
+
+/* Guards against records that pile up for a month, or go too early. */
+START_TEST(test_expiry)
+{
+	struct world *world = world_new(34, 1, 1);
+	uint64_t job_id = world_submit(world, "job1", 1, 1000);
+	const struct state *state = world_leader(world)->state;
+
+	ck_assert(world_wait_job(world, job_id, 10000));
+	world->wall_skew_ms = JOB_TTL_MS - 120000;
+	vhost_run_ms(world->vhost, EXPIRE_INTERVAL_MS + 1000);
+	ck_assert_ptr_nonnull(state_job_find(state, job_id));
+	/* A resend still finds the first job. */
+	ck_assert_uint_eq(world_submit(world, "job1", 1, 1000), job_id);
+	world->wall_skew_ms = JOB_TTL_MS;
+	vhost_run_ms(world->vhost, EXPIRE_INTERVAL_MS + 1000);
+	ck_assert_ptr_null(state_job_find(state, job_id));
+	world_free(world);
+}
+END_TEST
+
 /* Guards against a flood of views when many VMs change. */
 START_TEST(test_agents_get_no_agents)
 {
@@ -889,5 +1018,6 @@
 	   test_cancel, test_failing_job, test_agent_leaves,
 	   test_unknown_policy, test_bundle_in_force,
 	   test_bundle_survives_restarts, test_not_leader, test_claim_race,
-	   test_claim_survives_leader, test_view_of_agents,
+	   test_claim_survives_leader, test_view_of_agents, test_list_pages,
+	   test_members, test_claim_response, test_expiry,
 	   test_agents_get_no_agents, test_random_faults)
