--- /dev/null
+++ b/tests/test_contract.c
@@ -0,0 +1,378 @@
+/**
+ * @file test_contract.c
+ * Runs the examples of docs/interfaces.md, in order, against real processes,
+ * and checks exit codes of the daemon and the tool.
+ */
+
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "suite.h"
+#include "testbed.h"
+
+#define READY_MS 30000 /* bounds a wait; the processes need about a second */
+
+static const char *program;
+
+/* One example: a fenced block of the page. */
+struct example {
+	char *target;
+	guint status;
+	char *method;
+	char *path;
+	char **headers; /* "Name: value" */
+	char *body;
+	GPtrArray *expected;
+};
+
+struct answer {
+	guint status; /* 0: no answer */
+	char *text; /* headers and body */
+};
+
+static void example_free(void *data)
+{
+	struct example *example = data;
+
+	g_free(example->target);
+	g_free(example->method);
+	g_free(example->path);
+	g_strfreev(example->headers);
+	g_free(example->body);
+	g_ptr_array_unref(example->expected);
+	g_free(example);
+}
+
+/* Fills method, path, headers and body from the lines of a block. */
+static void example_parse(struct example *example, char **lines, guint nr)
+{
+	GPtrArray *headers = g_ptr_array_new();
+	GString *body = g_string_new(NULL);
+	char **words = g_strsplit(lines[0], " ", 2);
+
+	example->method = g_strdup(words[0]);
+	example->path = g_strdup(words[1]);
+	for (guint i = 1; i < nr; i++) {
+		if (g_str_has_prefix(lines[i], "< "))
+			g_ptr_array_add(example->expected,
+					g_strdup(lines[i] + 2));
+		else if (!body->len && g_ascii_isupper(lines[i][0]) &&
+			 strstr(lines[i], ": "))
+			g_ptr_array_add(headers, g_strdup(lines[i]));
+		else if (lines[i][0])
+			g_string_append_printf(body, "%s\n", lines[i]);
+	}
+	g_ptr_array_add(headers, NULL);
+	example->headers = (char **)g_ptr_array_free(headers, FALSE);
+	example->body = g_string_free(body, FALSE);
+	g_strfreev(words);
+}
+
+static GPtrArray *examples_read(void)
+{
+	GPtrArray *examples = g_ptr_array_new_with_free_func(example_free);
+	char *page = g_build_filename(DOCS_DIR, "interfaces.md", NULL);
+	char *text = NULL;
+	char **lines;
+
+	ck_assert(g_file_get_contents(page, &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", -1);
+	for (guint i = 0; lines[i]; i++) {
+		struct example *example;
+		char **words;
+		guint end = i + 1;
+
+		if (!g_str_has_prefix(lines[i], "```http "))
+			continue;
+		while (strcmp(lines[end], "```"))
+			end++;
+		words = g_strsplit(lines[i], " ", -1);
+		example = g_new0(struct example, 1);
+		example->target = g_strdup(words[1]);
+		example->status = (guint)atoi(words[2]);
+		example->expected = g_ptr_array_new_with_free_func(g_free);
+		example_parse(example, lines + i + 1, end - i - 1);
+		g_ptr_array_add(examples, example);
+		g_strfreev(words);
+		i = end;
+	}
+	g_strfreev(lines);
+	g_free(text);
+	g_free(page);
+	return examples;
+}
+
+static void header_append(const char *name, const char *value, gpointer data)
+{
+	g_string_append_printf(data, "%s: %s\n", name, value);
+}
+
+static struct answer example_send(const struct example *example,
+				  const char *address, const char *upstream)
+{
+	SoupSession *session = soup_session_new();
+	char *url = g_strdup_printf("http://%s%s", address, example->path);
+	SoupMessage *msg = soup_message_new(example->method, url);
+	GString *body = g_string_new(example->body);
+	GString *text = g_string_new(NULL);
+	struct answer answer = { 0 };
+	GBytes *bytes;
+	GBytes *got;
+
+	g_string_replace(body, "{upstream}", upstream, 0);
+	for (char **h = example->headers; *h; h++) {
+		char **parts = g_strsplit(*h, ": ", 2);
+
+		soup_message_headers_append(
+			soup_message_get_request_headers(msg), parts[0],
+			parts[1]);
+		g_strfreev(parts);
+	}
+	bytes = g_string_free_to_bytes(body);
+	if (g_bytes_get_size(bytes))
+		soup_message_set_request_body_from_bytes(
+			msg, "application/json", bytes);
+	got = soup_session_send_and_read(session, msg, NULL, NULL);
+	if (got) {
+		answer.status = soup_message_get_status(msg);
+		soup_message_headers_foreach(
+			soup_message_get_response_headers(msg), header_append,
+			text);
+		g_string_append_len(text, g_bytes_get_data(got, NULL),
+				    (gssize)g_bytes_get_size(got));
+		g_bytes_unref(got);
+	}
+	answer.text = g_string_free(text, FALSE);
+	g_bytes_unref(bytes);
+	g_object_unref(msg);
+	g_object_unref(session);
+	g_free(url);
+	return answer;
+}
+
+/* Returns true if the answer says that asking again is safe. */
+static bool answer_not_run(const struct answer *answer)
+{
+	return answer->status == 503 &&
+	       strstr(answer->text, "\"not_run\":true");
+}
+
+static void example_check(const struct example *example,
+			  const struct answer *answer)
+{
+	ck_assert_msg(answer->status == example->status,
+		      "%s %s: status %u, not %u: %s", example->method,
+		      example->path, answer->status, example->status,
+		      answer->text);
+	for (guint i = 0; i < example->expected->len; i++) {
+		const char *part = g_ptr_array_index(example->expected, i);
+
+		ck_assert_msg(strstr(answer->text, part) != NULL,
+			      "%s %s: no %s in %s", example->method,
+			      example->path, part, answer->text);
+	}
+}
+
+/*
+ * Runs one example. A refusal that says "not run" may be asked again, as the
+ * processes learn of each other in their own time.
+ */
+static void example_run(const struct example *example, const char *address,
+			const char *upstream, const struct example *announce,
+			const char *agent)
+{
+	gint64 end_us = g_get_monotonic_time() + READY_MS * 1000;
+	struct answer answer;
+
+	for (;;) {
+		if (announce) {
+			answer = example_send(announce, agent, upstream);
+			g_free(answer.text);
+		}
+		answer = example_send(example, address, upstream);
+		if (example->status == 503 || !answer_not_run(&answer) ||
+		    g_get_monotonic_time() > end_us)
+			break;
+		g_free(answer.text);
+		testbed_wait_ms(50);
+	}
+	example_check(example, &answer);
+	g_free(answer.text);
+}
+
+static struct testbed *site_open(void)
+{
+	struct testbed_opts opts = {
+		.name = "contract",
+		.nr_controls = 1,
+		.cpu_millis = 8000,
+		.memory_mib = 8192,
+		.seed = 3,
+	};
+	struct tb_vm_opts vm = { .zone = "veraval", .time_ms = 1 };
+	struct testbed *tb = testbed_new(&opts, program);
+
+	testbed_add_entry(tb, "veraval");
+	testbed_add_vm(tb, &vm);
+	ck_assert(testbed_wait_tool(tb, "\"leader\" : true", READY_MS, "--json",
+				    "status", NULL));
+	return tb;
+}
+
+/* Guards against pages that promise what the processes don't do. */
+START_TEST(test_examples)
+{
+	struct testbed *tb = site_open();
+	GPtrArray *examples = examples_read();
+	const struct example *announce = NULL;
+	const char *agent = tb_proc_http(testbed_agent(tb, 0));
+	const char *upstream = tb_proc_http(testbed_standin(tb, 0));
+	const char *entry = tb_proc_http(testbed_entry(tb, 0));
+
+	ck_assert_uint_gt(examples->len, 25);
+	for (guint i = 0; i < examples->len; i++) {
+		const struct example *example = g_ptr_array_index(examples, i);
+		const char *address = NULL;
+
+		if (!strcmp(example->target, "control"))
+			address = tb_proc_http(testbed_control(tb, 0));
+		else if (!strcmp(example->target, "agent"))
+			address = agent;
+		else if (!strcmp(example->target, "entry"))
+			address = entry;
+		else if (!strcmp(example->target, "worker"))
+			address = upstream;
+		ck_assert_msg(address != NULL, "target %s", example->target);
+		/* VMs join once a bundle is in force. */
+		if (g_str_has_prefix(example->path, "/v1/zones"))
+			ck_assert(testbed_wait_tool(tb, "vm-1", READY_MS, "vm",
+						    "list", NULL));
+		if (!strcmp(example->method, "PUT") &&
+		    g_str_has_suffix(example->path, "/desk-1"))
+			announce = example;
+		if (!strcmp(example->target, "entry"))
+			ck_assert(testbed_wait_http(testbed_entry(tb, 0),
+						    "/-/readyz", READY_MS));
+		example_run(example, address, upstream, announce, agent);
+	}
+	g_ptr_array_unref(examples);
+	testbed_free(tb);
+}
+END_TEST
+
+/* Guards against a second run of a request that is sent again. */
+START_TEST(test_resend_with_key)
+{
+	struct testbed *tb = site_open();
+	GPtrArray *examples = examples_read();
+	const char *agent = tb_proc_http(testbed_agent(tb, 0));
+	const char *upstream = tb_proc_http(testbed_standin(tb, 0));
+	const struct example *announce = NULL;
+
+	for (guint i = 0; i < examples->len; i++) {
+		const struct example *example = g_ptr_array_index(examples, i);
+
+		if (g_str_has_suffix(example->path, "/desk-1"))
+			announce = example;
+		if (g_str_has_prefix(example->path, "/v1/bundle") &&
+		    example->status == 200)
+			example_run(example,
+				    tb_proc_http(testbed_control(tb, 0)),
+				    upstream, NULL, NULL);
+		if (strcmp(example->method, "POST") ||
+		    strcmp(example->target, "entry"))
+			continue;
+		ck_assert(testbed_wait_http(testbed_entry(tb, 0), "/-/readyz",
+					    READY_MS));
+		for (int times = 0; times < 3; times++)
+			example_run(example, tb_proc_http(testbed_entry(tb, 0)),
+				    upstream, announce, agent);
+	}
+	ck_assert_uint_eq(testbed_journal_count(tb, "ev=run", NULL), 1);
+	g_ptr_array_unref(examples);
+	testbed_free(tb);
+}
+END_TEST
+
+/* Guards against exit codes that a script can't act on. */
+START_TEST(test_tool_exit_codes)
+{
+	struct testbed *tb = site_open();
+	char *bad = testbed_write(tb, "bad.json",
+				  "{\"version\": 1, \"zones\": []}");
+	char *torn = testbed_write(tb, "torn.json", "{\"version\": ");
+	char *out = NULL;
+
+	ck_assert(testbed_bundle(tb,
+				 "{\"version\": 1,"
+				 " \"zones\": [{\"name\": \"veraval\"}]}",
+				 1));
+	ck_assert(testbed_wait_tool(tb, "vm-1", READY_MS, "vm", "list", NULL));
+	ck_assert_int_eq(testbed_tool(tb, NULL, "status", NULL), 0);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "zone", "sideways", NULL), 2);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "bundle", "check", torn, NULL),
+			 3);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "bundle", "check", bad, NULL),
+			 4);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "bundle", "submit", bad, NULL),
+			 2);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "bundle", "sign-off",
+				      "--bundle-version", "9", "--digest", "00",
+				      "--by", "asha", NULL),
+			 6);
+	ck_assert_int_eq(testbed_tool(tb, &out, "--json", "vm", "list", NULL),
+			 0);
+	ck_assert(strstr(out, "\"vm-1\"") != NULL);
+	g_free(out);
+	tb_proc_signal(testbed_control(tb, 0), SIGKILL);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "--control", "127.0.0.1:1",
+				      "--timeout-ms", "300", "status", NULL),
+			 30);
+	g_free(bad);
+	g_free(torn);
+	testbed_free(tb);
+}
+END_TEST
+
+/* Guards against a process that doesn't end, or uses time while it waits. */
+START_TEST(test_processes_wait_and_end)
+{
+	struct testbed *tb = site_open();
+	struct tb_proc *procs[3] = { testbed_entry(tb, 0), testbed_agent(tb, 0),
+				     testbed_control(tb, 0) };
+
+	testbed_wait_ms(2000);
+	for (size_t i = 0; i < G_N_ELEMENTS(procs); i++) {
+		char *text = NULL;
+		const char *cpu;
+
+		ck_assert_uint_eq(tb_request(procs[i], "GET", "/-/metrics",
+					     NULL, NULL, &text),
+				  200);
+		cpu = strstr(text, "masticreach_process_cpu_us ");
+		ck_assert_ptr_nonnull(cpu);
+		/* A process that spins uses all of these 2 s. */
+		ck_assert_uint_lt(strtoul(strchr(cpu, ' '), NULL, 10), 1000000);
+		g_free(text);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(procs); i++) {
+		tb_proc_signal(procs[i], SIGTERM);
+		ck_assert_int_eq(tb_proc_wait(procs[i], READY_MS), 0);
+	}
+	testbed_free(tb);
+}
+END_TEST
+
+int main(int argc, char **argv)
+{
+	const TTest *const tests[] = {
+		test_examples,
+		test_resend_with_key,
+		test_tool_exit_codes,
+		test_processes_wait_and_end,
+	};
+
+	program = argv[0];
+	return suite_run("contract", tests, G_N_ELEMENTS(tests));
+}
