--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -266,6 +266,39 @@
 }
 END_TEST
 
+static bool no_run_in_zone(void *data)
+{
+	struct world *world = data;
+
+	for (uint64_t task_id = 1; task_id <= 12; task_id++) {
+		const struct world_vm *vm = world_place(world, task_id);
+
+		if (vm && !strcmp(vm->zone, world->watched_zone))
+			return false;
+	}
+	return true;
+}
+
+/* Guards against tasks that stay in a zone that is out, or start over. */
+START_TEST(test_tasks_leave_zone)
+{
+	struct world *world = world_new(27, 3, 6);
+	uint64_t job_id = world_submit(world, "job1", 12, 30000);
+
+	world->watched_zone = "veraval";
+	ck_assert(world_wait_running(world, 12, 5000));
+	vhost_run_ms(world->vhost, 5000);
+	ck_assert(!no_run_in_zone(world));
+	ck_assert_int_eq(world_set_zone(world, "veraval", true), RESULT_OK);
+	ck_assert(vhost_run_until(world->vhost, no_run_in_zone, world, 15000));
+	ck_assert(world_wait_running(world, 12, 15000));
+	/* 30 s of work, 5 s done, moved with a checkpoint. */
+	ck_assert(world_wait_job(world, job_id, 45000));
+	ck_assert_uint_gt(world->next_checkpoint, 0);
+	world_free(world);
+}
+END_TEST
+
 /* Guards against starts in a zone after operators have taken it out. */
 START_TEST(test_zone_out)
 {
@@ -417,6 +450,53 @@
 	       status->processes_in_force == world->nr_vms;
 }
 
+static bool machine_is_idle(void *data)
+{
+	return node_idle(vhost_node(data));
+}
+
+/* Guards against a graceful shutdown that leaves tasks behind. */
+START_TEST(test_agent_leaves)
+{
+	struct world *world = world_new(28, 3, 3);
+	uint64_t job_id = world_submit(world, "job1", 6, 30000);
+	struct world_vm *vm = &world->vms[0];
+
+	ck_assert(world_wait_running(world, 6, 5000));
+	vhost_run_ms(world->vhost, 3000);
+	ck_assert_uint_gt(g_hash_table_size(vm->runs), 0);
+	vhost_shutdown(vm->machine);
+	ck_assert(vhost_run_until(world->vhost, machine_is_idle, vm->machine,
+				  15000));
+	world_kill_agent(vm);
+	/* Nothing runs here any more, though every lease still holds. */
+	ck_assert(world_wait_running(world, 6, 5000));
+	for (uint64_t task_id = 1; task_id <= 6; task_id++)
+		ck_assert_ptr_ne(world_place(world, task_id), vm);
+	ck_assert(world_wait_job(world, job_id, 40000));
+	world_free(world);
+}
+END_TEST
+
+/* Guards against a bundle whose policies nobody knows. */
+START_TEST(test_unknown_policy)
+{
+	struct world *world = world_new(29, 1, 0);
+	struct bundle bundle = { .version = 2, .digest = "bb" };
+
+	TEXT_SET(bundle.place_policy, "no-such-policy");
+	ck_assert_int_eq(world_change(world, OP_BUNDLE_CHECK, &bundle),
+			 RESULT_UNKNOWN_OBJECT);
+	ck_assert_int_eq(world_change(world, OP_BUNDLE_SUBMIT, &bundle),
+			 RESULT_UNKNOWN_OBJECT);
+	ck_assert_uint_ge(vhost_log_count(world->vhost, "event=refused"), 2);
+	TEXT_SET(bundle.place_policy, "first-fit");
+	ck_assert_int_eq(world_change(world, OP_BUNDLE_SUBMIT, &bundle),
+			 RESULT_OK);
+	world_free(world);
+}
+END_TEST
+
 /* Guards against a bundle that isn't in force everywhere within seconds. */
 START_TEST(test_bundle_in_force)
 {
@@ -773,13 +853,41 @@
 }
 END_TEST
 
+/* Guards against a flood of views when many VMs change. */
+START_TEST(test_agents_get_no_agents)
+{
+	struct world *world = world_new(30, 1, 8);
+	struct counters *counters = world_leader(world)->node->counters;
+	uint64_t views;
+
+	vhost_run_ms(world->vhost, 3000);
+	views = counter_get(counters, "views_sent");
+	for (uint32_t i = 0; i < 4; i++) {
+		world_kill_agent(&world->vms[i]);
+		world_boot_agent(&world->vms[i]);
+	}
+	vhost_run_ms(world->vhost, 900);
+	/* The four new ones ask once or twice, the others once a second. */
+	ck_assert_uint_le(counter_get(counters, "views_sent") - views, 16);
+	for (uint32_t i = 0; i < 8; i++)
+		ck_assert_uint_eq(
+			counter_get(vhost_node(world->vms[i].machine)->counters,
+				    "views_incomplete"),
+			0);
+	world_free(world);
+}
+END_TEST
+
 SUITE_MAIN("control", test_job_runs, test_vm_lost, test_vm_returns,
 	   test_vm_cut_off, test_late_end, test_agent_restart,
 	   test_agent_dies_during_start, test_slow_start, test_lost_replies,
 	   test_lost_start_after_earlier_epoch, test_leader_dies,
 	   test_leader_dies_with_vm, test_leader_cut_off, test_quorum_lost,
-	   test_zone_out, test_zone_out_and_agent_cut_off, test_eviction_order,
+	   test_zone_out, test_tasks_leave_zone,
+	   test_zone_out_and_agent_cut_off, test_eviction_order,
 	   test_eviction_with_lost_replies, test_eviction_of_finished_task,
-	   test_cancel, test_failing_job, test_bundle_in_force,
+	   test_cancel, test_failing_job, test_agent_leaves,
+	   test_unknown_policy, test_bundle_in_force,
 	   test_bundle_survives_restarts, test_not_leader, test_claim_race,
-	   test_claim_survives_leader, test_view_of_agents, test_random_faults)
+	   test_claim_survives_leader, test_view_of_agents,
+	   test_agents_get_no_agents, test_random_faults)
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -463,6 +463,7 @@
 	/* Fixed, as the agent keeps the address when the worker restarts. */
 	proc_arg(proc, "--http", http);
 	proc_arg_number(proc, "--time-ms", opts->time_ms ? opts->time_ms : 20);
+	proc_arg_number(proc, "--slots", opts->slots ? opts->slots : 8);
 	if (opts->service)
 		proc_arg(proc, "--service", opts->service);
 	proc_start(proc);
@@ -865,8 +866,9 @@
 static void shot_done(GObject *session, GAsyncResult *res, gpointer data)
 {
 	struct tb_shot *shot = data;
+	GError *error = NULL;
 	GBytes *body = soup_session_send_and_read_finish(SOUP_SESSION(session),
-							 res, NULL);
+							 res, &error);
 	char *text;
 
 	if (body) {
@@ -877,6 +879,9 @@
 		g_bytes_unref(body);
 	} else {
 		shot->load->stats.failed++;
+		fprintf(stderr, "%s: no answer: %s\n", shot->id,
+			error->message);
+		g_clear_error(&error);
 	}
 	shot->load->open--;
 	g_object_unref(shot->msg);
