--- a/src/codec/bundle_doc.c
+++ b/src/codec/bundle_doc.c
@@ -138,7 +138,7 @@
 				&bundle->services[j];
 			uint64_t replicas = service->replicas;
 
-			if (strcmp(service->team, team->name))
+			if (strcmp(service->team, team->name) != 0)
 				continue;
 			cpu += replicas * service->cpu_millis;
 			memory += replicas * service->memory_mib;
@@ -224,7 +224,7 @@
 	if (res != RESULT_OK)
 		return res;
 	bundle_doc_digest(bundle, digest);
-	if (strcmp(digest, bundle->digest))
+	if (strcmp(digest, bundle->digest) != 0)
 		return bundle_fail(error, RESULT_CORRUPT,
 				   "the digest of the bundle is %s, not \"%s\"",
 				   digest, bundle->digest);
--- a/src/daemon/host_agent.c
+++ b/src/daemon/host_agent.c
@@ -29,19 +29,19 @@
 
 /* How a platform call travels. */
 struct worker_call {
-	uint32_t type;
 	const char *method;
 	const char *path;
+	uint32_t type;
 	uint32_t reply;
 };
 
 static const struct worker_call worker_calls[] = {
-	{ PLATFORM_START, "POST", "/v1/tasks", PLATFORM_REPLY },
-	{ PLATFORM_STOP, "POST", "/v1/tasks/stop", PLATFORM_REPLY },
-	{ PLATFORM_CHECKPOINT, "POST", "/v1/tasks/checkpoint", PLATFORM_REPLY },
-	{ PLATFORM_THROTTLE, "POST", "/v1/tasks/throttle", PLATFORM_REPLY },
-	{ PLATFORM_LEASE, "POST", "/v1/leases", PLATFORM_REPLY },
-	{ PLATFORM_LIST, "GET", "/v1/tasks", PLATFORM_TASKS },
+	{ "POST", "/v1/tasks", PLATFORM_START, PLATFORM_REPLY },
+	{ "POST", "/v1/tasks/stop", PLATFORM_STOP, PLATFORM_REPLY },
+	{ "POST", "/v1/tasks/checkpoint", PLATFORM_CHECKPOINT, PLATFORM_REPLY },
+	{ "POST", "/v1/tasks/throttle", PLATFORM_THROTTLE, PLATFORM_REPLY },
+	{ "POST", "/v1/leases", PLATFORM_LEASE, PLATFORM_REPLY },
+	{ "GET", "/v1/tasks", PLATFORM_LIST, PLATFORM_TASKS },
 };
 
 static void host_agent_upstream_done(void *ctx, struct http_call *call,
@@ -223,7 +223,7 @@
 	if (res != RESULT_OK)
 		goto out;
 	res = RESULT_CONFLICT;
-	if (announce->id[0] && strcmp(announce->id, id)) {
+	if (announce->id[0] && strcmp(announce->id, id) != 0) {
 		error = g_strdup("member \"id\" differs from the path");
 		goto out;
 	}
--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -90,7 +90,7 @@
 
 	if (!route->segment)
 		return strcmp(route->path, path) ? NULL : "";
-	if (strncmp(route->path, path, len) || !path[len] ||
+	if (!g_str_has_prefix(path, route->path) || !path[len] ||
 	    strchr(path + len, '/'))
 		return NULL;
 	return path + len;
@@ -316,7 +316,7 @@
 				   const char *bound)
 {
 	for (uint32_t i = 0; settings->control[i]; i++) {
-		if (strcmp(settings->control[i], settings->listen))
+		if (strcmp(settings->control[i], settings->listen) != 0)
 			continue;
 		g_free(settings->control[i]);
 		settings->control[i] = g_strdup(bound);
--- a/src/daemon/http.c
+++ b/src/daemon/http.c
@@ -7,7 +7,7 @@
 #include "schema.h"
 
 /* A caller that goes on sending after its body was refused is cut off. */
-#define HTTP_DISCARD_MAX_BYTES (4u * BODY_MAX_BYTES)
+#define HTTP_DISCARD_MAX_BYTES (UINT64_C(4) * BODY_MAX_BYTES)
 #define HTTP_CALLER_GONE 499 /* never seen by a caller */
 #define RETRY_AFTER_S "1"
 #define RESERVED_PREFIX "/-/"
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -163,7 +163,7 @@
 
 		if (setting_is_help(argv[i]))
 			return RESULT_OK;
-		if (strncmp(argv[i], "--", 2))
+		if (!g_str_has_prefix(argv[i], "--"))
 			return settings_fail(error, RESULT_USAGE,
 					     "unexpected argument \"%s\"",
 					     argv[i]);
--- a/src/tool/client.c
+++ b/src/tool/client.c
@@ -168,7 +168,7 @@
 {
 	client->current = (client->current + 1) % client->nr_addresses;
 	if (!client->current && client_left_ms(client) > PAUSE_MS)
-		g_usleep(PAUSE_MS * 1000);
+		g_usleep(PAUSE_MS * 1000ul);
 }
 
 static void client_run(struct client *client, const char *method,
--- a/src/tool/commands.c
+++ b/src/tool/commands.c
@@ -484,7 +484,8 @@
 		JsonObject *object = json_object_get_object_member(
 			json_array_get_object_element(items, i), "zone");
 
-		if (strcmp(json_object_get_string_member(object, "name"), name))
+		if (g_strcmp0(json_object_get_string_member(object, "name"),
+			      name) != 0)
 			continue;
 		zone->out = json_object_get_boolean_member(object, "out");
 		zone->version =
--- a/src/tool/masticreach.c
+++ b/src/tool/masticreach.c
@@ -110,8 +110,9 @@
 	for (const struct command *c = commands_table(); c->object; c++) {
 		uint32_t words = c->verb ? 2 : 1;
 
-		if (args->nr_rest < words || strcmp(args->rest[0], c->object) ||
-		    (c->verb && strcmp(args->rest[1], c->verb)))
+		if (args->nr_rest < words ||
+		    strcmp(args->rest[0], c->object) != 0 ||
+		    (c->verb && strcmp(args->rest[1], c->verb) != 0))
 			continue;
 		args->rest += words;
 		args->nr_rest -= words;
--- a/tests/test_contract.c
+++ b/tests/test_contract.c
@@ -85,7 +85,7 @@
 
 		if (!g_str_has_prefix(lines[i], "```http "))
 			continue;
-		while (strcmp(lines[end], "```"))
+		while (strcmp(lines[end], "```") != 0)
 			end++;
 		words = g_strsplit(lines[i], " ", -1);
 		example = g_new0(struct example, 1);
@@ -182,7 +182,7 @@
 			const char *upstream, const struct example *announce,
 			const char *agent)
 {
-	gint64 end_us = g_get_monotonic_time() + READY_MS * 1000;
+	gint64 end_us = g_get_monotonic_time() + READY_MS * 1000ll;
 	struct answer answer;
 
 	for (;;) {
@@ -280,8 +280,8 @@
 			example_run(example,
 				    tb_proc_http(testbed_control(tb, 0)),
 				    upstream, NULL, NULL);
-		if (strcmp(example->method, "POST") ||
-		    strcmp(example->target, "entry"))
+		if (strcmp(example->method, "POST") != 0 ||
+		    strcmp(example->target, "entry") != 0)
 			continue;
 		ck_assert(testbed_wait_http(testbed_entry(tb, 0), "/-/readyz",
 					    READY_MS));
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -576,7 +576,7 @@
 		peer_send(fd, last[i % G_N_ELEMENTS(last)]);
 		close(fd);
 	}
-	ck_assert_uint_eq(site.nr_requests, 2 * 10 * G_N_ELEMENTS(last));
+	ck_assert_uint_eq(site.nr_requests, 20 * G_N_ELEMENTS(last));
 	for (int i = 0; i < 3000 && http_server_connections(site.http); i++)
 		if (!g_main_context_iteration(NULL, FALSE))
 			g_usleep(1000);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -21,6 +21,9 @@
 		"--listen=10.0.0.1:7100", "--data=/tmp/c1",                    \
 		"--control=10.0.0.1:7100,10.0.0.2:7100"
 
+#define LONG_NAME \
+	"--name=0123456789012345678901234567890123456789012345678901234567890123"
+
 struct settings_case {
 	const char *flags[MAX_WORDS];
 	const char *variables[MAX_WORDS];
@@ -137,12 +140,7 @@
 	  { NULL },
 	  RESULT_MALFORMED,
 	  "--log-level" },
-	{ { ENTRY, "--name="
-		   "0123456789012345678901234567890123456789"
-		   "012345678901234567890123" },
-	  { NULL },
-	  RESULT_OUT_OF_RANGE,
-	  "--name" },
+	{ { ENTRY, LONG_NAME }, { NULL }, RESULT_OUT_OF_RANGE, "--name" },
 };
 
 static enum result read_words(const char *const *flags,
