--- a/tests/demo.c
+++ b/tests/demo.c
@@ -12,7 +12,7 @@
 #include "testbed.h"
 
 #define DEMO_LOAD_MS 6000
-#define DEMO_TASKS 24
+#define DEMO_TASKS 24u
 
 static const char demo_bundle[] =
 	"{\"version\": 1,"
