--- a/src/tool/commands.c
+++ b/src/tool/commands.c
@@ -148,7 +148,7 @@
 
 static void print_json(JsonNode *root)
 {
-	char *text = json_to_string(root, TRUE);
+	char *text = json_to_string(root, FALSE);
 
 	printf("%s\n", text);
 	g_free(text);
--- a/tests/test_contract.c
+++ b/tests/test_contract.c
@@ -215,7 +215,7 @@
 
 	testbed_add_entry(tb, "veraval");
 	testbed_add_vm(tb, &vm);
-	ck_assert(testbed_wait_tool(tb, "\"leader\" : true", READY_MS, "--json",
+	ck_assert(testbed_wait_tool(tb, "\"leader\":true", READY_MS, "--json",
 				    "status", NULL));
 	return tb;
 }
