Poll all links through one epoll source and ping from one side only

Cause: GLib's loop walks every source at each turn, each frame attached and removed a source (an eventfd write each), and both ends of a link pinged. One source now holds an epoll descriptor, frames leave once a turn, timers are asked for in prepare(), and only the dialling side pings, every 330 ms.

Read buffers are shared, so a connection costs about 4 KiB.

--- a/src/core/node.c
+++ b/src/core/node.c
@@ -80,12 +80,8 @@
 	node_log(node, line);
 }
 
-/*
- * The dialling side opens a new connection beside the silent one. Returns true
- * if the link is to be given up.
- */
-static bool node_link_silent(struct node *node, struct link *link,
-			     uint64_t now_us)
+/* The dialling side opens a new connection beside the silent one. */
+static void node_link_silent(struct node *node, struct link *link)
 {
 	struct node_dial *dial = node_find_dial(node, link->peer.node_id);
 
@@ -96,8 +92,26 @@
 	}
 	if (dial && !timer_armed(&dial->retry))
 		node_dial_now(dial);
-	/* The accepting side can't dial; it gives a vanished peer up. */
-	return !dial && now_us - link->heard_us > LINK_DEAD_MS * 1000ull;
+}
+
+/* Only the dialling side pings, as only it can open a new connection. */
+static void node_ping_link(struct node *node, struct link *link)
+{
+	struct ping ping;
+
+	if (!link->dialled || link->ping_due_us > node->now_us)
+		return;
+	link_next_ping(link, &ping, node->now_us);
+	node_send(node, link->peer.node_id, MSG_PING, &ping);
+	if (link_is_silent(link))
+		node_link_silent(node, link);
+}
+
+/* The accepting side hears a ping at each interval, or the peer is gone. */
+static bool node_link_is_dead(const struct link *link, uint64_t now_us)
+{
+	return !link->dialled &&
+	       now_us - link->heard_us > LINK_DEAD_MS * 1000ull;
 }
 
 static void node_ping_links(void *data, uint64_t now_us)
@@ -105,7 +119,6 @@
 	struct node *node = data;
 	GHashTableIter iter;
 	void *value;
-	struct ping ping;
 	uint64_t dead = 0;
 	bool any = false;
 
@@ -116,12 +129,8 @@
 		if (!link->up)
 			continue;
 		any = true;
-		if (link->ping_due_us > now_us)
-			continue;
-		link_next_ping(link, &ping, now_us);
-		node_send(node, link->peer.node_id, MSG_PING, &ping);
-		if (link_is_silent(link) &&
-		    node_link_silent(node, link, now_us))
+		node_ping_link(node, link);
+		if (node_link_is_dead(link, now_us))
 			dead = link->peer.node_id;
 	}
 	if (dead) {
--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -23,8 +23,9 @@
 #define BUNDLE_MAX_BYTES (1u << 20)
 
 /* Links between our processes. */
-#define LINK_PING_INTERVAL_MS 250
-#define LINK_SILENT_PINGS 3 /* unanswered pings before a link is silent */
+/* Two unanswered pings and the next one due: silence is found within 1 s. */
+#define LINK_PING_INTERVAL_MS 330
+#define LINK_SILENT_PINGS 2
 #define LINK_DEAD_MS 10000 /* an accepted link is given up after this */
 #define LINK_DIAL_TIMEOUT_MS 2000
 #define LINK_REDIAL_MIN_MS 100
--- a/src/daemon/host_agent.c
+++ b/src/daemon/host_agent.c
@@ -55,7 +55,6 @@
 		return;
 	loop_enter(host->loop);
 	agent_upstream_done(host->agent, call_nr, result);
-	loop_leave(host->loop);
 }
 
 static uint32_t upstream_timeout_ms(const struct request *request)
@@ -120,7 +119,6 @@
 		type = TYPE_NONE;
 	loop_enter(host->loop);
 	agent_platform_done(host->agent, http_call_nr(call), type, body);
-	loop_leave(host->loop);
 	record_unref((struct record){ type, body });
 }
 
@@ -143,7 +141,6 @@
 	agent_platform_done(host->agent, call->call_nr,
 			    list ? PLATFORM_TASKS : PLATFORM_REPLY,
 			    list ? (void *)&tasks : (void *)&reply);
-	loop_leave(host->loop);
 	return G_SOURCE_REMOVE;
 }
 
@@ -235,7 +232,6 @@
 	}
 	loop_enter(host->loop);
 	res = agent_announce(host->agent, announce);
-	loop_leave(host->loop);
 out:
 	if (res == RESULT_OK)
 		http_respond(request, SOUP_STATUS_NO_CONTENT, NULL, NULL);
@@ -251,7 +247,6 @@
 {
 	loop_enter(host->loop);
 	agent_withdraw(host->agent, id);
-	loop_leave(host->loop);
 	http_respond(request, SOUP_STATUS_NO_CONTENT, NULL, NULL);
 }
 
--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -227,7 +227,6 @@
 		loop_enter(host->loop);
 		control_operate(host->control, request->ticket, route->type,
 				body);
-		loop_leave(host->loop);
 	} else {
 		host_control_refuse(request, res, error);
 	}
@@ -287,7 +286,6 @@
 
 	loop_enter(host->loop);
 	control_synced(host->control, sync_nr, res);
-	loop_leave(host->loop);
 }
 
 /* A replica keeps its identity as long as it keeps its disk. */
--- a/src/daemon/host_entry.c
+++ b/src/daemon/host_entry.c
@@ -161,7 +161,6 @@
 		request->body = g_bytes_ref(from->body);
 		loop_enter(host->loop);
 		entry_submit(host->entry, from->ticket, request);
-		loop_leave(host->loop);
 	} else {
 		detail = g_strdup_printf("%s: %s", part, result_summary(res));
 		http_respond_problem(from, res, RUN_NOT_RUN, detail);
@@ -176,7 +175,6 @@
 
 	loop_enter(host->loop);
 	entry_abandon(host->entry, ticket);
-	loop_leave(host->loop);
 }
 
 static bool host_entry_ready(void *ctx)
--- a/src/daemon/loop.c
+++ b/src/daemon/loop.c
@@ -84,7 +84,6 @@
 	struct loop *loop = ctx;
 
 	node_peer_up(loop->node, peer, dialled, loop_now_us());
-	loop_leave(loop);
 }
 
 static void loop_peer_down(void *ctx, uint64_t node_id)
@@ -92,7 +91,6 @@
 	struct loop *loop = ctx;
 
 	node_peer_down(loop->node, node_id, loop_now_us());
-	loop_leave(loop);
 }
 
 static void loop_dial_failed(void *ctx, const char *address)
@@ -100,7 +98,6 @@
 	struct loop *loop = ctx;
 
 	node_dial_failed(loop->node, address, loop_now_us());
-	loop_leave(loop);
 }
 
 static void loop_message(void *ctx, uint64_t from, uint32_t type,
@@ -109,7 +106,6 @@
 	struct loop *loop = ctx;
 
 	node_message(loop->node, from, type, body, loop_now_us());
-	loop_leave(loop);
 }
 
 static const struct transport_ops loop_transport_ops = {
@@ -123,25 +119,49 @@
  * The node's timers. A GLib timeout source doesn't serve: it sets its ready
  * time anew after the callback, so one with interval 0 would run for ever.
  */
-static gboolean loop_timer_dispatch(GSource *source, GSourceFunc callback,
-				    gpointer data)
+/* Asks the node at each turn, so that nobody has to tell of new timers. */
+struct loop_timer {
+	GSource source;
+	struct loop *loop;
+};
+
+static gboolean loop_timer_prepare(GSource *source, gint *timeout_ms)
 {
-	return callback(data);
+	const struct loop *loop = ((struct loop_timer *)source)->loop;
+	uint64_t next_us = node_next_us(loop->node);
+	uint64_t now_us = loop_now_us();
+
+	*timeout_ms = -1;
+	if (next_us <= now_us)
+		return TRUE;
+	if (next_us != TIMER_NEVER)
+		*timeout_ms = (gint)MIN((next_us - now_us + 999) / 1000,
+					(uint64_t)G_MAXINT);
+	return FALSE;
 }
 
-static GSourceFuncs loop_timer_funcs = {
-	.dispatch = loop_timer_dispatch,
-};
+static gboolean loop_timer_check(GSource *source)
+{
+	const struct loop *loop = ((struct loop_timer *)source)->loop;
 
-static gboolean loop_timer(gpointer data)
+	return node_next_us(loop->node) <= loop_now_us();
+}
+
+static gboolean loop_timer_dispatch(GSource *source, GSourceFunc callback,
+				    gpointer data)
 {
-	struct loop *loop = data;
+	struct loop *loop = ((struct loop_timer *)source)->loop;
 
 	node_run_timers(loop->node, loop_now_us());
-	loop_leave(loop);
 	return G_SOURCE_CONTINUE;
 }
 
+static GSourceFuncs loop_timer_funcs = {
+	.prepare = loop_timer_prepare,
+	.check = loop_timer_check,
+	.dispatch = loop_timer_dispatch,
+};
+
 static gboolean loop_drain(gpointer data)
 {
 	struct loop *loop = data;
@@ -166,7 +186,6 @@
 	if (loop->stop)
 		loop->stop(loop->drain_ctx);
 	node_shutdown(loop->node, loop_now_us());
-	loop_leave(loop);
 	loop->drain = g_timeout_source_new(SHUTDOWN_POLL_MS);
 	g_source_set_callback(loop->drain, loop_drain, loop, NULL);
 	g_source_attach(loop->drain, NULL);
@@ -204,9 +223,9 @@
 	}
 	if (opts->advertise)
 		TEXT_SET(loop->node->self.address, opts->advertise);
-	loop->timer = g_source_new(&loop_timer_funcs, sizeof(GSource));
-	g_source_set_callback(loop->timer, loop_timer, loop, NULL);
-	g_source_set_ready_time(loop->timer, -1);
+	loop->timer =
+		g_source_new(&loop_timer_funcs, sizeof(struct loop_timer));
+	((struct loop_timer *)loop->timer)->loop = loop;
 	g_source_attach(loop->timer, NULL);
 	*out = loop;
 	return RESULT_OK;
@@ -253,16 +272,6 @@
 	node_set_time(loop->node, loop_now_us());
 }
 
-void loop_leave(struct loop *loop)
-{
-	uint64_t next_us = node_next_us(loop->node);
-
-	if (!loop->timer)
-		return;
-	g_source_set_ready_time(loop->timer,
-				next_us == TIMER_NEVER ? -1 : (gint64)next_us);
-}
-
 void loop_set_drain(struct loop *loop, void (*stop)(void *ctx),
 		    bool (*idle)(const void *ctx), void *ctx)
 {
@@ -286,7 +295,6 @@
 	g_source_set_callback(interrupt, loop_signal, loop, NULL);
 	g_source_attach(interrupt, NULL);
 	node_start(loop->node, loop_now_us());
-	loop_leave(loop);
 	g_main_loop_run(loop->main);
 	g_source_destroy(term);
 	g_source_unref(term);
--- a/src/daemon/loop.h
+++ b/src/daemon/loop.h
@@ -34,8 +34,6 @@
 
 /** Sets the node's time; to be called before a role's own entry points. */
 void loop_enter(struct loop *loop);
-/** Rearms the timer source after the node may have set timers. */
-void loop_leave(struct loop *loop);
 
 /**
  * Sets what takes part in a graceful shutdown besides the node: @a stop is
--- a/src/daemon/transport.c
+++ b/src/daemon/transport.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "frame.h"
+#include "poller.h"
 #include "schema.h"
 #include "tunables.h"
 
@@ -18,8 +19,6 @@
 	struct transport *transport;
 	GSocketConnection *stream; /* NULL while dialling */
 	GSocket *socket;
-	GSource *read_source;
-	GSource *write_source;
 	GSource *handshake_timeout;
 	GCancellable *cancellable;
 	GByteArray *in;
@@ -27,6 +26,8 @@
 	guint out_sent;
 	struct hello peer; /* node_id 0 before the handshake */
 	char dialled[ADDRESS_BYTES];
+	bool dirty; /* in transport->dirty */
+	bool blocked; /* the kernel takes no more for now */
 	bool closed;
 };
 
@@ -35,8 +36,11 @@
 	GSocketService *service;
 	GHashTable *by_peer; /* uint64_t * -> struct conn *, not owned */
 	GPtrArray *conns; /* owns every conn */
+	GPtrArray *dirty; /* conns with frames to send, not owned */
+	struct poller *poller;
 	GSource *reaper;
 	uint64_t bytes_sent;
+	uint8_t buffer[CONN_READ_BYTES]; /* of the socket being read */
 };
 
 static void source_clear(GSource **source)
@@ -52,8 +56,6 @@
 {
 	struct conn *conn = data;
 
-	source_clear(&conn->read_source);
-	source_clear(&conn->write_source);
 	source_clear(&conn->handshake_timeout);
 	g_clear_object(&conn->stream);
 	g_clear_object(&conn->cancellable);
@@ -84,9 +86,12 @@
 	if (conn->closed)
 		return;
 	conn->closed = true;
-	source_clear(&conn->read_source);
-	source_clear(&conn->write_source);
 	source_clear(&conn->handshake_timeout);
+	if (conn->dirty)
+		g_ptr_array_remove_fast(transport->dirty, conn);
+	conn->dirty = false;
+	if (conn->stream)
+		poller_remove(transport->poller, g_socket_get_fd(conn->socket));
 	if (conn->stream)
 		g_io_stream_close(G_IO_STREAM(conn->stream), NULL, NULL);
 	else if (conn->cancellable)
@@ -119,13 +124,24 @@
 	}
 }
 
-static gboolean conn_flush(GSocket *socket, GIOCondition condition,
-			   gpointer data)
+static void conn_set_blocked(struct conn *conn, bool blocked)
+{
+	if (conn->blocked == blocked)
+		return;
+	conn->blocked = blocked;
+	poller_set_writable(conn->transport->poller,
+			    g_socket_get_fd(conn->socket), conn, blocked);
+}
+
+static void conn_flush(void *data)
 {
 	struct conn *conn = data;
 	GError *error = NULL;
+	bool blocked;
 	gssize sent;
 
+	if (conn->closed)
+		return;
 	while (conn->out_sent < conn->out->len) {
 		sent = g_socket_send(conn->socket,
 				     (char *)conn->out->data + conn->out_sent,
@@ -136,35 +152,45 @@
 		conn->out_sent += (guint)sent;
 		conn->transport->bytes_sent += (uint64_t)sent;
 	}
-	if (error &&
-	    g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
-		g_clear_error(&error);
-		g_byte_array_remove_range(conn->out, 0, conn->out_sent);
-		conn->out_sent = 0;
-		return G_SOURCE_CONTINUE;
-	}
-	if (error) {
-		g_clear_error(&error);
-		conn_fail(conn);
-		return G_SOURCE_REMOVE;
-	}
-	g_byte_array_set_size(conn->out, 0);
+	g_byte_array_remove_range(conn->out, 0, conn->out_sent);
 	conn->out_sent = 0;
-	source_clear(&conn->write_source);
-	return G_SOURCE_REMOVE;
+	blocked = error &&
+		  g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+	if (error && !blocked)
+		conn_fail(conn);
+	else
+		conn_set_blocked(conn, blocked);
+	g_clear_error(&error);
 }
 
 /* Frames queued in one turn of the loop leave in one write. */
 static void conn_queue(struct conn *conn, uint32_t type, const void *body)
 {
 	frame_append(conn->out, type, body);
-	if (conn->write_source)
+	if (conn->dirty || conn->blocked)
 		return;
-	conn->write_source =
-		g_socket_create_source(conn->socket, G_IO_OUT, NULL);
-	g_source_set_callback(conn->write_source, G_SOURCE_FUNC(conn_flush),
-			      conn, NULL);
-	g_source_attach(conn->write_source, NULL);
+	conn->dirty = true;
+	g_ptr_array_add(conn->transport->dirty, conn);
+}
+
+static gboolean transport_pending(void *ctx)
+{
+	struct transport *transport = ctx;
+
+	return transport->dirty->len > 0;
+}
+
+static void transport_flush(void *ctx)
+{
+	struct transport *transport = ctx;
+
+	while (transport->dirty->len) {
+		struct conn *conn = g_ptr_array_remove_index_fast(
+			transport->dirty, transport->dirty->len - 1);
+
+		conn->dirty = false;
+		conn_flush(conn);
+	}
 }
 
 /* Puts a connection in use; an older one to the same peer is closed. */
@@ -231,32 +257,34 @@
 		g_byte_array_remove_range(conn->in, 0, (guint)pos);
 }
 
-static gboolean conn_readable(GSocket *socket, GIOCondition condition,
-			      gpointer data)
+static void conn_readable(void *data)
 {
 	struct conn *conn = data;
-	guint old = conn->in->len;
+	struct transport *transport = conn->transport;
 	GError *error = NULL;
 	gssize got;
 
-	g_byte_array_set_size(conn->in, old + CONN_READ_BYTES);
-	got = g_socket_receive(conn->socket, (char *)conn->in->data + old,
+	if (conn->closed)
+		return;
+	got = g_socket_receive(conn->socket, (char *)transport->buffer,
 			       CONN_READ_BYTES, NULL, &error);
-	g_byte_array_set_size(conn->in, old + (guint)MAX(got, 0));
 	if (got > 0) {
+		g_byte_array_append(conn->in, transport->buffer, (guint)got);
 		conn_parse(conn);
-		return conn->closed ? G_SOURCE_REMOVE : G_SOURCE_CONTINUE;
-	}
-	if (error &&
-	    g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
-		g_clear_error(&error);
-		return G_SOURCE_CONTINUE;
+	} else if (!error || !g_error_matches(error, G_IO_ERROR,
+					      G_IO_ERROR_WOULD_BLOCK)) {
+		conn_fail(conn);
 	}
 	g_clear_error(&error);
-	conn_fail(conn);
-	return G_SOURCE_REMOVE;
 }
 
+static const struct poller_ops transport_poller_ops = {
+	.readable = conn_readable,
+	.writable = conn_flush,
+	.pending = transport_pending,
+	.flush = transport_flush,
+};
+
 static gboolean conn_handshake_late(gpointer data)
 {
 	conn_fail(data);
@@ -285,10 +313,8 @@
 	conn->socket = g_socket_connection_get_socket(stream);
 	g_socket_set_blocking(conn->socket, FALSE);
 	g_socket_set_option(conn->socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-	conn->read_source = g_socket_create_source(conn->socket, G_IO_IN, NULL);
-	g_source_set_callback(conn->read_source, G_SOURCE_FUNC(conn_readable),
-			      conn, NULL);
-	g_source_attach(conn->read_source, NULL);
+	poller_add(conn->transport->poller, g_socket_get_fd(conn->socket),
+		   conn);
 	conn_queue(conn, MSG_HELLO, conn->transport->opts.self);
 }
 
@@ -330,6 +356,8 @@
 	transport->by_peer = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						   g_free, NULL);
 	transport->conns = g_ptr_array_new_with_free_func(conn_free);
+	transport->dirty = g_ptr_array_new();
+	transport->poller = poller_new(&transport_poller_ops, transport);
 	return transport;
 }
 
@@ -351,6 +379,8 @@
 			g_main_context_iteration(NULL, TRUE);
 	}
 	source_clear(&transport->reaper);
+	poller_free(transport->poller);
+	g_ptr_array_unref(transport->dirty);
 	g_ptr_array_unref(transport->conns);
 	g_hash_table_unref(transport->by_peer);
 	g_free(transport);
--- a/tests/bench_site.c
+++ b/tests/bench_site.c
@@ -117,10 +117,13 @@
 	struct tb_usage before[4];
 	static const char *const roles[] = { "leader", "follower", "entry",
 					     "agent" };
-	struct tb_vm_opts vm = { .zone = "veraval", .agent_only = true };
+	struct tb_vm_opts vm = { .zone = "veraval" };
 
-	while (testbed_nr_vms(tb) < nr_agents)
+	/* The agent that is measured has a worker, as in real use. */
+	while (testbed_nr_vms(tb) < nr_agents) {
+		vm.agent_only = testbed_nr_vms(tb) > 0;
 		testbed_add_vm(tb, &vm);
+	}
 	testbed_wait_ms(8000);
 	procs[0] = procs[1] = NULL;
 	for (uint32_t i = 0; i < 3; i++)
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -487,10 +487,10 @@
 
 	proc_arg(proc, "--rack", opts->rack ? opts->rack : "rack-1");
 	proc_arg(proc, "--listen", listen);
-	proc_arg_number(proc, "--cpu-millis", tb->opts.cpu_millis);
-	proc_arg_number(proc, "--memory-mib", tb->opts.memory_mib);
-	proc_arg_number(proc, "--accelerators", tb->opts.accelerators);
 	if (!opts->agent_only) {
+		proc_arg_number(proc, "--cpu-millis", tb->opts.cpu_millis);
+		proc_arg_number(proc, "--memory-mib", tb->opts.memory_mib);
+		proc_arg_number(proc, "--accelerators", tb->opts.accelerators);
 		standin = tb_add_standin(tb, name, opts);
 		proc_arg(proc, "--worker", tb_proc_http(standin));
 	}
@@ -770,12 +770,15 @@
 {
 	char *url = g_strdup_printf("http://%s%s", tb_proc_http(entry), path);
 	SoupMessage *msg = soup_message_new(method, url);
-	SoupMessageHeaders *headers = soup_message_get_request_headers(msg);
+	SoupMessageHeaders *headers;
 	struct tb_call call = { 0 };
 	guint status = 0;
 	GBytes *bytes;
 	gsize size;
 
+	if (!msg)
+		g_error("%s has no HTTP address", entry->name);
+	headers = soup_message_get_request_headers(msg);
 	if (key)
 		soup_message_headers_append(headers, "Idempotency-Key", key);
 	if (body) {
