Don't learn from samples without memory; end a replica that can't write

A worker that has not measured a task reports 0, and the planner then committed 0 MiB to the next ones: the VM would have been overloaded in fact while its ledger was in order. Such samples no longer count.

A control replica whose store failed took no part until somebody restarted it; now its process ends with the result code, for its supervisor to start.

--- a/src/core/learn.c
+++ b/src/core/learn.c
@@ -67,6 +67,9 @@
 
 	if (kind->nr == PLAN_MAX_KINDS)
 		return;
+	/* No running task uses no memory: it has not been measured yet. */
+	if (!sample->memory_used_mib)
+		return;
 	if (first)
 		kind->nr_tasks++;
 	kind->nr_samples++;
@@ -131,8 +134,8 @@
 	    kind->nr_tasks >= CPU_MIN_TASKS &&
 	    (!service || cpu > size.cpu_millis))
 		size.cpu_millis = (uint32_t)MAX(cpu, CPU_MIN_MILLIS);
-	if (memory > size.memory_mib ||
-	    (!service && kind->nr_ended >= MEMORY_MIN_ENDED))
+	if (memory > size.memory_mib || (!service && kind->memory_peak_mib &&
+					 kind->nr_ended >= MEMORY_MIN_ENDED))
 		size.memory_mib = (uint32_t)memory;
 	size.memory_mib = MAX(size.memory_mib, kind->memory_floor_mib);
 	return size;
--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -286,6 +286,10 @@
 
 	loop_enter(host->loop);
 	control_synced(host->control, sync_nr, res);
+	/* A replica that can't write takes no part until it opens its disk
+	 * anew. */
+	if (res != RESULT_OK)
+		loop_end(host->loop, res);
 }
 
 /* A replica keeps its identity as long as it keeps its disk. */
--- a/src/daemon/loop.c
+++ b/src/daemon/loop.c
@@ -280,6 +280,12 @@
 	loop->drain_ctx = ctx;
 }
 
+void loop_end(struct loop *loop, enum result result)
+{
+	loop->result = result;
+	g_main_loop_quit(loop->main);
+}
+
 uint64_t loop_bytes_sent(const struct loop *loop)
 {
 	return transport_bytes_sent(loop->transport);
--- a/src/daemon/loop.h
+++ b/src/daemon/loop.h
@@ -46,6 +46,9 @@
  * Returns RESULT_TIMEOUT if drain_ms ran out first.
  */
 enum result loop_run(struct loop *loop);
+/** Ends loop_run() with @a result, after a fault that only a restart repairs.
+ */
+void loop_end(struct loop *loop, enum result result);
 /** Bytes sent on links to other processes. */
 uint64_t loop_bytes_sent(const struct loop *loop);
 
--- a/tests/test_plan_policy.c
+++ b/tests/test_plan_policy.c
@@ -217,6 +217,7 @@
 		{ 200, 300, 6, 200, 300, 300, 500 }, /* with a margin */
 		{ 999, 990, 6, 1200, 1500, 1100, 1400 }, /* at its limit */
 		{ 800, 900, 0, 800, 900, 1000, 1400 },
+		{ 200, 0, 6, 1000, 1000, 1000, 1000 }, /* not measured */
 	};
 	const struct size_case *sizes = &cases[_i];
 
@@ -640,7 +641,7 @@
 	tcase_add_test(zones, test_zone_out_without_capacity);
 	tcase_add_test(zones, test_zone_back_is_gradual);
 	tcase_add_checked_fixture(learning, set_up, tear_down);
-	tcase_add_loop_test(learning, test_learned_sizes, 0, 4);
+	tcase_add_loop_test(learning, test_learned_sizes, 0, 5);
 	tcase_add_test(learning, test_memory_failure_raises_the_limit);
 	tcase_add_test(learning, test_memory_is_bounded);
 	tcase_add_test(learning, test_runs_and_checkpoints_are_learned);
