--- a/src/core/tunables.h
+++ b/src/core/tunables.h
@@ -38,7 +38,7 @@
 #define LINK_REDIAL_MAX_MS 2000
 
 /* Replicated log. */
-#define RAFT_HEARTBEAT_MS 100
+#define RAFT_HEARTBEAT_MS 150
 #define RAFT_ELECTION_MIN_MS 600
 #define RAFT_ELECTION_MAX_MS 1200
 /* Shorter than the shortest election, so an old leader stops granting first. */
