--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -1087,6 +1087,96 @@
   assert(message->base.descriptor == &masticreach__bundle_service__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   masticreach__bundle_queue__init
+                     (Masticreach__BundleQueue         *message)
+{
+  static const Masticreach__BundleQueue init_value = MASTICREACH__BUNDLE_QUEUE__INIT;
+  *message = init_value;
+}
+size_t masticreach__bundle_queue__get_packed_size
+                     (const Masticreach__BundleQueue *message)
+{
+  assert(message->base.descriptor == &masticreach__bundle_queue__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__bundle_queue__pack
+                     (const Masticreach__BundleQueue *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__bundle_queue__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__bundle_queue__pack_to_buffer
+                     (const Masticreach__BundleQueue *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__bundle_queue__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__BundleQueue *
+       masticreach__bundle_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__BundleQueue *)
+     protobuf_c_message_unpack (&masticreach__bundle_queue__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__bundle_queue__free_unpacked
+                     (Masticreach__BundleQueue *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__bundle_queue__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__bundle_pool__init
+                     (Masticreach__BundlePool         *message)
+{
+  static const Masticreach__BundlePool init_value = MASTICREACH__BUNDLE_POOL__INIT;
+  *message = init_value;
+}
+size_t masticreach__bundle_pool__get_packed_size
+                     (const Masticreach__BundlePool *message)
+{
+  assert(message->base.descriptor == &masticreach__bundle_pool__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__bundle_pool__pack
+                     (const Masticreach__BundlePool *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__bundle_pool__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__bundle_pool__pack_to_buffer
+                     (const Masticreach__BundlePool *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__bundle_pool__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__BundlePool *
+       masticreach__bundle_pool__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__BundlePool *)
+     protobuf_c_message_unpack (&masticreach__bundle_pool__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__bundle_pool__free_unpacked
+                     (Masticreach__BundlePool *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__bundle_pool__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   masticreach__bundle__init
                      (Masticreach__Bundle         *message)
 {
@@ -1357,4212 +1447,6881 @@
   assert(message->base.descriptor == &masticreach__claim_done__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__vote__init
-                     (Masticreach__Vote         *message)
+void   masticreach__flow_step__init
+                     (Masticreach__FlowStep         *message)
 {
-  static const Masticreach__Vote init_value = MASTICREACH__VOTE__INIT;
+  static const Masticreach__FlowStep init_value = MASTICREACH__FLOW_STEP__INIT;
   *message = init_value;
 }
-size_t masticreach__vote__get_packed_size
-                     (const Masticreach__Vote *message)
+size_t masticreach__flow_step__get_packed_size
+                     (const Masticreach__FlowStep *message)
 {
-  assert(message->base.descriptor == &masticreach__vote__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_step__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__vote__pack
-                     (const Masticreach__Vote *message,
+size_t masticreach__flow_step__pack
+                     (const Masticreach__FlowStep *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__vote__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_step__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__vote__pack_to_buffer
-                     (const Masticreach__Vote *message,
+size_t masticreach__flow_step__pack_to_buffer
+                     (const Masticreach__FlowStep *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__vote__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_step__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Vote *
-       masticreach__vote__unpack
+Masticreach__FlowStep *
+       masticreach__flow_step__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__Vote *)
-     protobuf_c_message_unpack (&masticreach__vote__descriptor,
+  return (Masticreach__FlowStep *)
+     protobuf_c_message_unpack (&masticreach__flow_step__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__vote__free_unpacked
-                     (Masticreach__Vote *message,
+void   masticreach__flow_step__free_unpacked
+                     (Masticreach__FlowStep *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__vote__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_step__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__vote_reply__init
-                     (Masticreach__VoteReply         *message)
+void   masticreach__flow_task__init
+                     (Masticreach__FlowTask         *message)
 {
-  static const Masticreach__VoteReply init_value = MASTICREACH__VOTE_REPLY__INIT;
+  static const Masticreach__FlowTask init_value = MASTICREACH__FLOW_TASK__INIT;
   *message = init_value;
 }
-size_t masticreach__vote_reply__get_packed_size
-                     (const Masticreach__VoteReply *message)
+size_t masticreach__flow_task__get_packed_size
+                     (const Masticreach__FlowTask *message)
 {
-  assert(message->base.descriptor == &masticreach__vote_reply__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_task__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__vote_reply__pack
-                     (const Masticreach__VoteReply *message,
+size_t masticreach__flow_task__pack
+                     (const Masticreach__FlowTask *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__vote_reply__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_task__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__vote_reply__pack_to_buffer
-                     (const Masticreach__VoteReply *message,
+size_t masticreach__flow_task__pack_to_buffer
+                     (const Masticreach__FlowTask *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__vote_reply__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_task__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__VoteReply *
-       masticreach__vote_reply__unpack
+Masticreach__FlowTask *
+       masticreach__flow_task__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__VoteReply *)
-     protobuf_c_message_unpack (&masticreach__vote_reply__descriptor,
+  return (Masticreach__FlowTask *)
+     protobuf_c_message_unpack (&masticreach__flow_task__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__vote_reply__free_unpacked
-                     (Masticreach__VoteReply *message,
+void   masticreach__flow_task__free_unpacked
+                     (Masticreach__FlowTask *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__vote_reply__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_task__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__log_entry__init
-                     (Masticreach__LogEntry         *message)
+void   masticreach__flow_record__init
+                     (Masticreach__FlowRecord         *message)
 {
-  static const Masticreach__LogEntry init_value = MASTICREACH__LOG_ENTRY__INIT;
+  static const Masticreach__FlowRecord init_value = MASTICREACH__FLOW_RECORD__INIT;
   *message = init_value;
 }
-size_t masticreach__log_entry__get_packed_size
-                     (const Masticreach__LogEntry *message)
+size_t masticreach__flow_record__get_packed_size
+                     (const Masticreach__FlowRecord *message)
 {
-  assert(message->base.descriptor == &masticreach__log_entry__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_record__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__log_entry__pack
-                     (const Masticreach__LogEntry *message,
+size_t masticreach__flow_record__pack
+                     (const Masticreach__FlowRecord *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__log_entry__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_record__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__log_entry__pack_to_buffer
-                     (const Masticreach__LogEntry *message,
+size_t masticreach__flow_record__pack_to_buffer
+                     (const Masticreach__FlowRecord *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__log_entry__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_record__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__LogEntry *
-       masticreach__log_entry__unpack
+Masticreach__FlowRecord *
+       masticreach__flow_record__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__LogEntry *)
-     protobuf_c_message_unpack (&masticreach__log_entry__descriptor,
+  return (Masticreach__FlowRecord *)
+     protobuf_c_message_unpack (&masticreach__flow_record__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__log_entry__free_unpacked
-                     (Masticreach__LogEntry *message,
+void   masticreach__flow_record__free_unpacked
+                     (Masticreach__FlowRecord *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__log_entry__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__append__init
-                     (Masticreach__Append         *message)
+void   masticreach__flow_call__init
+                     (Masticreach__FlowCall         *message)
 {
-  static const Masticreach__Append init_value = MASTICREACH__APPEND__INIT;
+  static const Masticreach__FlowCall init_value = MASTICREACH__FLOW_CALL__INIT;
   *message = init_value;
 }
-size_t masticreach__append__get_packed_size
-                     (const Masticreach__Append *message)
+size_t masticreach__flow_call__get_packed_size
+                     (const Masticreach__FlowCall *message)
 {
-  assert(message->base.descriptor == &masticreach__append__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_call__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__append__pack
-                     (const Masticreach__Append *message,
+size_t masticreach__flow_call__pack
+                     (const Masticreach__FlowCall *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__append__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_call__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__append__pack_to_buffer
-                     (const Masticreach__Append *message,
+size_t masticreach__flow_call__pack_to_buffer
+                     (const Masticreach__FlowCall *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__append__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_call__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Append *
-       masticreach__append__unpack
+Masticreach__FlowCall *
+       masticreach__flow_call__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__Append *)
-     protobuf_c_message_unpack (&masticreach__append__descriptor,
+  return (Masticreach__FlowCall *)
+     protobuf_c_message_unpack (&masticreach__flow_call__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__append__free_unpacked
-                     (Masticreach__Append *message,
+void   masticreach__flow_call__free_unpacked
+                     (Masticreach__FlowCall *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__append__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_call__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__append_reply__init
-                     (Masticreach__AppendReply         *message)
+void   masticreach__flow_reply__init
+                     (Masticreach__FlowReply         *message)
 {
-  static const Masticreach__AppendReply init_value = MASTICREACH__APPEND_REPLY__INIT;
+  static const Masticreach__FlowReply init_value = MASTICREACH__FLOW_REPLY__INIT;
   *message = init_value;
 }
-size_t masticreach__append_reply__get_packed_size
-                     (const Masticreach__AppendReply *message)
+size_t masticreach__flow_reply__get_packed_size
+                     (const Masticreach__FlowReply *message)
 {
-  assert(message->base.descriptor == &masticreach__append_reply__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_reply__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__append_reply__pack
-                     (const Masticreach__AppendReply *message,
+size_t masticreach__flow_reply__pack
+                     (const Masticreach__FlowReply *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__append_reply__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_reply__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__append_reply__pack_to_buffer
-                     (const Masticreach__AppendReply *message,
+size_t masticreach__flow_reply__pack_to_buffer
+                     (const Masticreach__FlowReply *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__append_reply__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_reply__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__AppendReply *
-       masticreach__append_reply__unpack
+Masticreach__FlowReply *
+       masticreach__flow_reply__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__AppendReply *)
-     protobuf_c_message_unpack (&masticreach__append_reply__descriptor,
+  return (Masticreach__FlowReply *)
+     protobuf_c_message_unpack (&masticreach__flow_reply__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__append_reply__free_unpacked
-                     (Masticreach__AppendReply *message,
+void   masticreach__flow_reply__free_unpacked
+                     (Masticreach__FlowReply *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__append_reply__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__snapshot_record__init
-                     (Masticreach__SnapshotRecord         *message)
+void   masticreach__worker_life__init
+                     (Masticreach__WorkerLife         *message)
 {
-  static const Masticreach__SnapshotRecord init_value = MASTICREACH__SNAPSHOT_RECORD__INIT;
+  static const Masticreach__WorkerLife init_value = MASTICREACH__WORKER_LIFE__INIT;
   *message = init_value;
 }
-size_t masticreach__snapshot_record__get_packed_size
-                     (const Masticreach__SnapshotRecord *message)
+size_t masticreach__worker_life__get_packed_size
+                     (const Masticreach__WorkerLife *message)
 {
-  assert(message->base.descriptor == &masticreach__snapshot_record__descriptor);
+  assert(message->base.descriptor == &masticreach__worker_life__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__snapshot_record__pack
-                     (const Masticreach__SnapshotRecord *message,
+size_t masticreach__worker_life__pack
+                     (const Masticreach__WorkerLife *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__snapshot_record__descriptor);
+  assert(message->base.descriptor == &masticreach__worker_life__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__snapshot_record__pack_to_buffer
-                     (const Masticreach__SnapshotRecord *message,
+size_t masticreach__worker_life__pack_to_buffer
+                     (const Masticreach__WorkerLife *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__snapshot_record__descriptor);
+  assert(message->base.descriptor == &masticreach__worker_life__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__SnapshotRecord *
-       masticreach__snapshot_record__unpack
+Masticreach__WorkerLife *
+       masticreach__worker_life__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__SnapshotRecord *)
-     protobuf_c_message_unpack (&masticreach__snapshot_record__descriptor,
+  return (Masticreach__WorkerLife *)
+     protobuf_c_message_unpack (&masticreach__worker_life__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__snapshot_record__free_unpacked
-                     (Masticreach__SnapshotRecord *message,
+void   masticreach__worker_life__free_unpacked
+                     (Masticreach__WorkerLife *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__snapshot_record__descriptor);
+  assert(message->base.descriptor == &masticreach__worker_life__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__snapshot_page__init
-                     (Masticreach__SnapshotPage         *message)
+void   masticreach__flow_run__init
+                     (Masticreach__FlowRun         *message)
 {
-  static const Masticreach__SnapshotPage init_value = MASTICREACH__SNAPSHOT_PAGE__INIT;
+  static const Masticreach__FlowRun init_value = MASTICREACH__FLOW_RUN__INIT;
   *message = init_value;
 }
-size_t masticreach__snapshot_page__get_packed_size
-                     (const Masticreach__SnapshotPage *message)
+size_t masticreach__flow_run__get_packed_size
+                     (const Masticreach__FlowRun *message)
 {
-  assert(message->base.descriptor == &masticreach__snapshot_page__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_run__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__snapshot_page__pack
-                     (const Masticreach__SnapshotPage *message,
+size_t masticreach__flow_run__pack
+                     (const Masticreach__FlowRun *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__snapshot_page__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_run__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__snapshot_page__pack_to_buffer
-                     (const Masticreach__SnapshotPage *message,
+size_t masticreach__flow_run__pack_to_buffer
+                     (const Masticreach__FlowRun *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__snapshot_page__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_run__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__SnapshotPage *
-       masticreach__snapshot_page__unpack
+Masticreach__FlowRun *
+       masticreach__flow_run__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__SnapshotPage *)
-     protobuf_c_message_unpack (&masticreach__snapshot_page__descriptor,
+  return (Masticreach__FlowRun *)
+     protobuf_c_message_unpack (&masticreach__flow_run__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__snapshot_page__free_unpacked
-                     (Masticreach__SnapshotPage *message,
+void   masticreach__flow_run__free_unpacked
+                     (Masticreach__FlowRun *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__snapshot_page__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_run__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__snapshot_reply__init
-                     (Masticreach__SnapshotReply         *message)
+void   masticreach__flow_run_end__init
+                     (Masticreach__FlowRunEnd         *message)
 {
-  static const Masticreach__SnapshotReply init_value = MASTICREACH__SNAPSHOT_REPLY__INIT;
+  static const Masticreach__FlowRunEnd init_value = MASTICREACH__FLOW_RUN_END__INIT;
   *message = init_value;
 }
-size_t masticreach__snapshot_reply__get_packed_size
-                     (const Masticreach__SnapshotReply *message)
+size_t masticreach__flow_run_end__get_packed_size
+                     (const Masticreach__FlowRunEnd *message)
 {
-  assert(message->base.descriptor == &masticreach__snapshot_reply__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_run_end__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__snapshot_reply__pack
-                     (const Masticreach__SnapshotReply *message,
+size_t masticreach__flow_run_end__pack
+                     (const Masticreach__FlowRunEnd *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__snapshot_reply__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_run_end__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__snapshot_reply__pack_to_buffer
-                     (const Masticreach__SnapshotReply *message,
+size_t masticreach__flow_run_end__pack_to_buffer
+                     (const Masticreach__FlowRunEnd *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__snapshot_reply__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_run_end__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__SnapshotReply *
-       masticreach__snapshot_reply__unpack
+Masticreach__FlowRunEnd *
+       masticreach__flow_run_end__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__SnapshotReply *)
-     protobuf_c_message_unpack (&masticreach__snapshot_reply__descriptor,
+  return (Masticreach__FlowRunEnd *)
+     protobuf_c_message_unpack (&masticreach__flow_run_end__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__snapshot_reply__free_unpacked
-                     (Masticreach__SnapshotReply *message,
+void   masticreach__flow_run_end__free_unpacked
+                     (Masticreach__FlowRunEnd *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__snapshot_reply__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_run_end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__form__init
-                     (Masticreach__Form         *message)
+void   masticreach__flow_report__init
+                     (Masticreach__FlowReport         *message)
 {
-  static const Masticreach__Form init_value = MASTICREACH__FORM__INIT;
+  static const Masticreach__FlowReport init_value = MASTICREACH__FLOW_REPORT__INIT;
   *message = init_value;
 }
-size_t masticreach__form__get_packed_size
-                     (const Masticreach__Form *message)
+size_t masticreach__flow_report__get_packed_size
+                     (const Masticreach__FlowReport *message)
 {
-  assert(message->base.descriptor == &masticreach__form__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_report__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__form__pack
-                     (const Masticreach__Form *message,
+size_t masticreach__flow_report__pack
+                     (const Masticreach__FlowReport *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__form__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_report__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__form__pack_to_buffer
-                     (const Masticreach__Form *message,
+size_t masticreach__flow_report__pack_to_buffer
+                     (const Masticreach__FlowReport *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__form__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_report__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Form *
-       masticreach__form__unpack
+Masticreach__FlowReport *
+       masticreach__flow_report__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__Form *)
-     protobuf_c_message_unpack (&masticreach__form__descriptor,
+  return (Masticreach__FlowReport *)
+     protobuf_c_message_unpack (&masticreach__flow_report__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__form__free_unpacked
-                     (Masticreach__Form *message,
+void   masticreach__flow_report__free_unpacked
+                     (Masticreach__FlowReport *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__form__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__transfer__init
-                     (Masticreach__Transfer         *message)
+void   masticreach__flow_grant__init
+                     (Masticreach__FlowGrant         *message)
 {
-  static const Masticreach__Transfer init_value = MASTICREACH__TRANSFER__INIT;
+  static const Masticreach__FlowGrant init_value = MASTICREACH__FLOW_GRANT__INIT;
   *message = init_value;
 }
-size_t masticreach__transfer__get_packed_size
-                     (const Masticreach__Transfer *message)
+size_t masticreach__flow_grant__get_packed_size
+                     (const Masticreach__FlowGrant *message)
 {
-  assert(message->base.descriptor == &masticreach__transfer__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_grant__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__transfer__pack
-                     (const Masticreach__Transfer *message,
+size_t masticreach__flow_grant__pack
+                     (const Masticreach__FlowGrant *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__transfer__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_grant__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__transfer__pack_to_buffer
-                     (const Masticreach__Transfer *message,
+size_t masticreach__flow_grant__pack_to_buffer
+                     (const Masticreach__FlowGrant *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__transfer__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_grant__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Transfer *
-       masticreach__transfer__unpack
+Masticreach__FlowGrant *
+       masticreach__flow_grant__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__Transfer *)
-     protobuf_c_message_unpack (&masticreach__transfer__descriptor,
+  return (Masticreach__FlowGrant *)
+     protobuf_c_message_unpack (&masticreach__flow_grant__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__transfer__free_unpacked
-                     (Masticreach__Transfer *message,
+void   masticreach__flow_grant__free_unpacked
+                     (Masticreach__FlowGrant *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__transfer__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__hard_state__init
-                     (Masticreach__HardState         *message)
+void   masticreach__flow_order__init
+                     (Masticreach__FlowOrder         *message)
 {
-  static const Masticreach__HardState init_value = MASTICREACH__HARD_STATE__INIT;
+  static const Masticreach__FlowOrder init_value = MASTICREACH__FLOW_ORDER__INIT;
   *message = init_value;
 }
-size_t masticreach__hard_state__get_packed_size
-                     (const Masticreach__HardState *message)
+size_t masticreach__flow_order__get_packed_size
+                     (const Masticreach__FlowOrder *message)
 {
-  assert(message->base.descriptor == &masticreach__hard_state__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_order__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__hard_state__pack
-                     (const Masticreach__HardState *message,
+size_t masticreach__flow_order__pack
+                     (const Masticreach__FlowOrder *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__hard_state__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_order__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__hard_state__pack_to_buffer
-                     (const Masticreach__HardState *message,
+size_t masticreach__flow_order__pack_to_buffer
+                     (const Masticreach__FlowOrder *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__hard_state__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_order__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__HardState *
-       masticreach__hard_state__unpack
+Masticreach__FlowOrder *
+       masticreach__flow_order__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__HardState *)
-     protobuf_c_message_unpack (&masticreach__hard_state__descriptor,
+  return (Masticreach__FlowOrder *)
+     protobuf_c_message_unpack (&masticreach__flow_order__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__hard_state__free_unpacked
-                     (Masticreach__HardState *message,
+void   masticreach__flow_order__free_unpacked
+                     (Masticreach__FlowOrder *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__hard_state__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__snapshot_head__init
-                     (Masticreach__SnapshotHead         *message)
+void   masticreach__flow_orders__init
+                     (Masticreach__FlowOrders         *message)
 {
-  static const Masticreach__SnapshotHead init_value = MASTICREACH__SNAPSHOT_HEAD__INIT;
+  static const Masticreach__FlowOrders init_value = MASTICREACH__FLOW_ORDERS__INIT;
   *message = init_value;
 }
-size_t masticreach__snapshot_head__get_packed_size
-                     (const Masticreach__SnapshotHead *message)
+size_t masticreach__flow_orders__get_packed_size
+                     (const Masticreach__FlowOrders *message)
 {
-  assert(message->base.descriptor == &masticreach__snapshot_head__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_orders__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__snapshot_head__pack
-                     (const Masticreach__SnapshotHead *message,
+size_t masticreach__flow_orders__pack
+                     (const Masticreach__FlowOrders *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__snapshot_head__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_orders__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__snapshot_head__pack_to_buffer
-                     (const Masticreach__SnapshotHead *message,
+size_t masticreach__flow_orders__pack_to_buffer
+                     (const Masticreach__FlowOrders *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__snapshot_head__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_orders__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__SnapshotHead *
-       masticreach__snapshot_head__unpack
+Masticreach__FlowOrders *
+       masticreach__flow_orders__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__SnapshotHead *)
-     protobuf_c_message_unpack (&masticreach__snapshot_head__descriptor,
+  return (Masticreach__FlowOrders *)
+     protobuf_c_message_unpack (&masticreach__flow_orders__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__snapshot_head__free_unpacked
-                     (Masticreach__SnapshotHead *message,
+void   masticreach__flow_orders__free_unpacked
+                     (Masticreach__FlowOrders *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__snapshot_head__descriptor);
+  assert(message->base.descriptor == &masticreach__flow_orders__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__cmd_noop__init
-                     (Masticreach__CmdNoop         *message)
+void   masticreach__vote__init
+                     (Masticreach__Vote         *message)
 {
-  static const Masticreach__CmdNoop init_value = MASTICREACH__CMD_NOOP__INIT;
+  static const Masticreach__Vote init_value = MASTICREACH__VOTE__INIT;
   *message = init_value;
 }
-size_t masticreach__cmd_noop__get_packed_size
-                     (const Masticreach__CmdNoop *message)
+size_t masticreach__vote__get_packed_size
+                     (const Masticreach__Vote *message)
 {
-  assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
+  assert(message->base.descriptor == &masticreach__vote__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_noop__pack
-                     (const Masticreach__CmdNoop *message,
+size_t masticreach__vote__pack
+                     (const Masticreach__Vote *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
+  assert(message->base.descriptor == &masticreach__vote__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_noop__pack_to_buffer
-                     (const Masticreach__CmdNoop *message,
+size_t masticreach__vote__pack_to_buffer
+                     (const Masticreach__Vote *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
+  assert(message->base.descriptor == &masticreach__vote__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__CmdNoop *
-       masticreach__cmd_noop__unpack
+Masticreach__Vote *
+       masticreach__vote__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__CmdNoop *)
-     protobuf_c_message_unpack (&masticreach__cmd_noop__descriptor,
+  return (Masticreach__Vote *)
+     protobuf_c_message_unpack (&masticreach__vote__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__cmd_noop__free_unpacked
-                     (Masticreach__CmdNoop *message,
+void   masticreach__vote__free_unpacked
+                     (Masticreach__Vote *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
+  assert(message->base.descriptor == &masticreach__vote__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__member__init
-                     (Masticreach__Member         *message)
+void   masticreach__vote_reply__init
+                     (Masticreach__VoteReply         *message)
 {
-  static const Masticreach__Member init_value = MASTICREACH__MEMBER__INIT;
+  static const Masticreach__VoteReply init_value = MASTICREACH__VOTE_REPLY__INIT;
   *message = init_value;
 }
-size_t masticreach__member__get_packed_size
-                     (const Masticreach__Member *message)
+size_t masticreach__vote_reply__get_packed_size
+                     (const Masticreach__VoteReply *message)
 {
-  assert(message->base.descriptor == &masticreach__member__descriptor);
+  assert(message->base.descriptor == &masticreach__vote_reply__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__member__pack
-                     (const Masticreach__Member *message,
+size_t masticreach__vote_reply__pack
+                     (const Masticreach__VoteReply *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__member__descriptor);
+  assert(message->base.descriptor == &masticreach__vote_reply__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__member__pack_to_buffer
-                     (const Masticreach__Member *message,
+size_t masticreach__vote_reply__pack_to_buffer
+                     (const Masticreach__VoteReply *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__member__descriptor);
+  assert(message->base.descriptor == &masticreach__vote_reply__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Member *
-       masticreach__member__unpack
+Masticreach__VoteReply *
+       masticreach__vote_reply__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__Member *)
-     protobuf_c_message_unpack (&masticreach__member__descriptor,
+  return (Masticreach__VoteReply *)
+     protobuf_c_message_unpack (&masticreach__vote_reply__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__member__free_unpacked
-                     (Masticreach__Member *message,
+void   masticreach__vote_reply__free_unpacked
+                     (Masticreach__VoteReply *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__member__descriptor);
+  assert(message->base.descriptor == &masticreach__vote_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__members__init
-                     (Masticreach__Members         *message)
+void   masticreach__log_entry__init
+                     (Masticreach__LogEntry         *message)
 {
-  static const Masticreach__Members init_value = MASTICREACH__MEMBERS__INIT;
+  static const Masticreach__LogEntry init_value = MASTICREACH__LOG_ENTRY__INIT;
   *message = init_value;
 }
-size_t masticreach__members__get_packed_size
-                     (const Masticreach__Members *message)
+size_t masticreach__log_entry__get_packed_size
+                     (const Masticreach__LogEntry *message)
 {
-  assert(message->base.descriptor == &masticreach__members__descriptor);
+  assert(message->base.descriptor == &masticreach__log_entry__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__members__pack
-                     (const Masticreach__Members *message,
+size_t masticreach__log_entry__pack
+                     (const Masticreach__LogEntry *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__members__descriptor);
+  assert(message->base.descriptor == &masticreach__log_entry__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__members__pack_to_buffer
-                     (const Masticreach__Members *message,
+size_t masticreach__log_entry__pack_to_buffer
+                     (const Masticreach__LogEntry *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__members__descriptor);
+  assert(message->base.descriptor == &masticreach__log_entry__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__Members *
-       masticreach__members__unpack
+Masticreach__LogEntry *
+       masticreach__log_entry__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__Members *)
-     protobuf_c_message_unpack (&masticreach__members__descriptor,
+  return (Masticreach__LogEntry *)
+     protobuf_c_message_unpack (&masticreach__log_entry__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__members__free_unpacked
-                     (Masticreach__Members *message,
+void   masticreach__log_entry__free_unpacked
+                     (Masticreach__LogEntry *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__members__descriptor);
+  assert(message->base.descriptor == &masticreach__log_entry__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__cmd_bundle_sign__init
-                     (Masticreach__CmdBundleSign         *message)
+void   masticreach__append__init
+                     (Masticreach__Append         *message)
 {
-  static const Masticreach__CmdBundleSign init_value = MASTICREACH__CMD_BUNDLE_SIGN__INIT;
+  static const Masticreach__Append init_value = MASTICREACH__APPEND__INIT;
   *message = init_value;
 }
-size_t masticreach__cmd_bundle_sign__get_packed_size
-                     (const Masticreach__CmdBundleSign *message)
+size_t masticreach__append__get_packed_size
+                     (const Masticreach__Append *message)
 {
-  assert(message->base.descriptor == &masticreach__cmd_bundle_sign__descriptor);
+  assert(message->base.descriptor == &masticreach__append__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_bundle_sign__pack
-                     (const Masticreach__CmdBundleSign *message,
+size_t masticreach__append__pack
+                     (const Masticreach__Append *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__cmd_bundle_sign__descriptor);
+  assert(message->base.descriptor == &masticreach__append__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_bundle_sign__pack_to_buffer
-                     (const Masticreach__CmdBundleSign *message,
+size_t masticreach__append__pack_to_buffer
+                     (const Masticreach__Append *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__cmd_bundle_sign__descriptor);
+  assert(message->base.descriptor == &masticreach__append__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__CmdBundleSign *
-       masticreach__cmd_bundle_sign__unpack
+Masticreach__Append *
+       masticreach__append__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__CmdBundleSign *)
-     protobuf_c_message_unpack (&masticreach__cmd_bundle_sign__descriptor,
+  return (Masticreach__Append *)
+     protobuf_c_message_unpack (&masticreach__append__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__cmd_bundle_sign__free_unpacked
-                     (Masticreach__CmdBundleSign *message,
+void   masticreach__append__free_unpacked
+                     (Masticreach__Append *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__cmd_bundle_sign__descriptor);
+  assert(message->base.descriptor == &masticreach__append__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__cmd_zone_set__init
-                     (Masticreach__CmdZoneSet         *message)
+void   masticreach__append_reply__init
+                     (Masticreach__AppendReply         *message)
 {
-  static const Masticreach__CmdZoneSet init_value = MASTICREACH__CMD_ZONE_SET__INIT;
+  static const Masticreach__AppendReply init_value = MASTICREACH__APPEND_REPLY__INIT;
   *message = init_value;
 }
-size_t masticreach__cmd_zone_set__get_packed_size
-                     (const Masticreach__CmdZoneSet *message)
+size_t masticreach__append_reply__get_packed_size
+                     (const Masticreach__AppendReply *message)
 {
-  assert(message->base.descriptor == &masticreach__cmd_zone_set__descriptor);
+  assert(message->base.descriptor == &masticreach__append_reply__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_zone_set__pack
-                     (const Masticreach__CmdZoneSet *message,
+size_t masticreach__append_reply__pack
+                     (const Masticreach__AppendReply *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__cmd_zone_set__descriptor);
+  assert(message->base.descriptor == &masticreach__append_reply__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_zone_set__pack_to_buffer
-                     (const Masticreach__CmdZoneSet *message,
+size_t masticreach__append_reply__pack_to_buffer
+                     (const Masticreach__AppendReply *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__cmd_zone_set__descriptor);
+  assert(message->base.descriptor == &masticreach__append_reply__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__CmdZoneSet *
-       masticreach__cmd_zone_set__unpack
+Masticreach__AppendReply *
+       masticreach__append_reply__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__CmdZoneSet *)
-     protobuf_c_message_unpack (&masticreach__cmd_zone_set__descriptor,
+  return (Masticreach__AppendReply *)
+     protobuf_c_message_unpack (&masticreach__append_reply__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__cmd_zone_set__free_unpacked
-                     (Masticreach__CmdZoneSet *message,
+void   masticreach__append_reply__free_unpacked
+                     (Masticreach__AppendReply *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__cmd_zone_set__descriptor);
+  assert(message->base.descriptor == &masticreach__append_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__cmd_vm_lost__init
-                     (Masticreach__CmdVmLost         *message)
+void   masticreach__snapshot_record__init
+                     (Masticreach__SnapshotRecord         *message)
 {
-  static const Masticreach__CmdVmLost init_value = MASTICREACH__CMD_VM_LOST__INIT;
+  static const Masticreach__SnapshotRecord init_value = MASTICREACH__SNAPSHOT_RECORD__INIT;
   *message = init_value;
 }
-size_t masticreach__cmd_vm_lost__get_packed_size
-                     (const Masticreach__CmdVmLost *message)
+size_t masticreach__snapshot_record__get_packed_size
+                     (const Masticreach__SnapshotRecord *message)
 {
-  assert(message->base.descriptor == &masticreach__cmd_vm_lost__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_record__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_vm_lost__pack
-                     (const Masticreach__CmdVmLost *message,
+size_t masticreach__snapshot_record__pack
+                     (const Masticreach__SnapshotRecord *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__cmd_vm_lost__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_record__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_vm_lost__pack_to_buffer
-                     (const Masticreach__CmdVmLost *message,
+size_t masticreach__snapshot_record__pack_to_buffer
+                     (const Masticreach__SnapshotRecord *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__cmd_vm_lost__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_record__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__CmdVmLost *
-       masticreach__cmd_vm_lost__unpack
+Masticreach__SnapshotRecord *
+       masticreach__snapshot_record__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__CmdVmLost *)
-     protobuf_c_message_unpack (&masticreach__cmd_vm_lost__descriptor,
+  return (Masticreach__SnapshotRecord *)
+     protobuf_c_message_unpack (&masticreach__snapshot_record__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__cmd_vm_lost__free_unpacked
-                     (Masticreach__CmdVmLost *message,
+void   masticreach__snapshot_record__free_unpacked
+                     (Masticreach__SnapshotRecord *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__cmd_vm_lost__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__cmd_vm_quarantine__init
-                     (Masticreach__CmdVmQuarantine         *message)
+void   masticreach__snapshot_page__init
+                     (Masticreach__SnapshotPage         *message)
 {
-  static const Masticreach__CmdVmQuarantine init_value = MASTICREACH__CMD_VM_QUARANTINE__INIT;
+  static const Masticreach__SnapshotPage init_value = MASTICREACH__SNAPSHOT_PAGE__INIT;
   *message = init_value;
 }
-size_t masticreach__cmd_vm_quarantine__get_packed_size
-                     (const Masticreach__CmdVmQuarantine *message)
+size_t masticreach__snapshot_page__get_packed_size
+                     (const Masticreach__SnapshotPage *message)
 {
-  assert(message->base.descriptor == &masticreach__cmd_vm_quarantine__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_page__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_vm_quarantine__pack
-                     (const Masticreach__CmdVmQuarantine *message,
+size_t masticreach__snapshot_page__pack
+                     (const Masticreach__SnapshotPage *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__cmd_vm_quarantine__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_page__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_vm_quarantine__pack_to_buffer
-                     (const Masticreach__CmdVmQuarantine *message,
+size_t masticreach__snapshot_page__pack_to_buffer
+                     (const Masticreach__SnapshotPage *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__cmd_vm_quarantine__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_page__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__CmdVmQuarantine *
-       masticreach__cmd_vm_quarantine__unpack
+Masticreach__SnapshotPage *
+       masticreach__snapshot_page__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__CmdVmQuarantine *)
-     protobuf_c_message_unpack (&masticreach__cmd_vm_quarantine__descriptor,
+  return (Masticreach__SnapshotPage *)
+     protobuf_c_message_unpack (&masticreach__snapshot_page__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__cmd_vm_quarantine__free_unpacked
-                     (Masticreach__CmdVmQuarantine *message,
+void   masticreach__snapshot_page__free_unpacked
+                     (Masticreach__SnapshotPage *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__cmd_vm_quarantine__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_page__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__job_record__init
-                     (Masticreach__JobRecord         *message)
+void   masticreach__snapshot_reply__init
+                     (Masticreach__SnapshotReply         *message)
 {
-  static const Masticreach__JobRecord init_value = MASTICREACH__JOB_RECORD__INIT;
+  static const Masticreach__SnapshotReply init_value = MASTICREACH__SNAPSHOT_REPLY__INIT;
   *message = init_value;
 }
-size_t masticreach__job_record__get_packed_size
-                     (const Masticreach__JobRecord *message)
+size_t masticreach__snapshot_reply__get_packed_size
+                     (const Masticreach__SnapshotReply *message)
 {
-  assert(message->base.descriptor == &masticreach__job_record__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_reply__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__job_record__pack
-                     (const Masticreach__JobRecord *message,
+size_t masticreach__snapshot_reply__pack
+                     (const Masticreach__SnapshotReply *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__job_record__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_reply__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__job_record__pack_to_buffer
-                     (const Masticreach__JobRecord *message,
+size_t masticreach__snapshot_reply__pack_to_buffer
+                     (const Masticreach__SnapshotReply *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__job_record__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_reply__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__JobRecord *
-       masticreach__job_record__unpack
+Masticreach__SnapshotReply *
+       masticreach__snapshot_reply__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__JobRecord *)
-     protobuf_c_message_unpack (&masticreach__job_record__descriptor,
+  return (Masticreach__SnapshotReply *)
+     protobuf_c_message_unpack (&masticreach__snapshot_reply__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__job_record__free_unpacked
-                     (Masticreach__JobRecord *message,
+void   masticreach__snapshot_reply__free_unpacked
+                     (Masticreach__SnapshotReply *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__job_record__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__cmd_job_cancel__init
-                     (Masticreach__CmdJobCancel         *message)
+void   masticreach__form__init
+                     (Masticreach__Form         *message)
 {
-  static const Masticreach__CmdJobCancel init_value = MASTICREACH__CMD_JOB_CANCEL__INIT;
+  static const Masticreach__Form init_value = MASTICREACH__FORM__INIT;
   *message = init_value;
 }
-size_t masticreach__cmd_job_cancel__get_packed_size
-                     (const Masticreach__CmdJobCancel *message)
+size_t masticreach__form__get_packed_size
+                     (const Masticreach__Form *message)
 {
-  assert(message->base.descriptor == &masticreach__cmd_job_cancel__descriptor);
+  assert(message->base.descriptor == &masticreach__form__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_job_cancel__pack
-                     (const Masticreach__CmdJobCancel *message,
+size_t masticreach__form__pack
+                     (const Masticreach__Form *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__cmd_job_cancel__descriptor);
+  assert(message->base.descriptor == &masticreach__form__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_job_cancel__pack_to_buffer
-                     (const Masticreach__CmdJobCancel *message,
+size_t masticreach__form__pack_to_buffer
+                     (const Masticreach__Form *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__cmd_job_cancel__descriptor);
+  assert(message->base.descriptor == &masticreach__form__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__CmdJobCancel *
-       masticreach__cmd_job_cancel__unpack
+Masticreach__Form *
+       masticreach__form__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__CmdJobCancel *)
-     protobuf_c_message_unpack (&masticreach__cmd_job_cancel__descriptor,
+  return (Masticreach__Form *)
+     protobuf_c_message_unpack (&masticreach__form__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__cmd_job_cancel__free_unpacked
-                     (Masticreach__CmdJobCancel *message,
+void   masticreach__form__free_unpacked
+                     (Masticreach__Form *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__cmd_job_cancel__descriptor);
+  assert(message->base.descriptor == &masticreach__form__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__cmd_task_place__init
-                     (Masticreach__CmdTaskPlace         *message)
+void   masticreach__transfer__init
+                     (Masticreach__Transfer         *message)
 {
-  static const Masticreach__CmdTaskPlace init_value = MASTICREACH__CMD_TASK_PLACE__INIT;
+  static const Masticreach__Transfer init_value = MASTICREACH__TRANSFER__INIT;
   *message = init_value;
 }
-size_t masticreach__cmd_task_place__get_packed_size
-                     (const Masticreach__CmdTaskPlace *message)
+size_t masticreach__transfer__get_packed_size
+                     (const Masticreach__Transfer *message)
 {
-  assert(message->base.descriptor == &masticreach__cmd_task_place__descriptor);
+  assert(message->base.descriptor == &masticreach__transfer__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_task_place__pack
-                     (const Masticreach__CmdTaskPlace *message,
+size_t masticreach__transfer__pack
+                     (const Masticreach__Transfer *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__cmd_task_place__descriptor);
+  assert(message->base.descriptor == &masticreach__transfer__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_task_place__pack_to_buffer
-                     (const Masticreach__CmdTaskPlace *message,
+size_t masticreach__transfer__pack_to_buffer
+                     (const Masticreach__Transfer *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__cmd_task_place__descriptor);
+  assert(message->base.descriptor == &masticreach__transfer__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__CmdTaskPlace *
-       masticreach__cmd_task_place__unpack
+Masticreach__Transfer *
+       masticreach__transfer__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__CmdTaskPlace *)
-     protobuf_c_message_unpack (&masticreach__cmd_task_place__descriptor,
+  return (Masticreach__Transfer *)
+     protobuf_c_message_unpack (&masticreach__transfer__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__cmd_task_place__free_unpacked
-                     (Masticreach__CmdTaskPlace *message,
+void   masticreach__transfer__free_unpacked
+                     (Masticreach__Transfer *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__cmd_task_place__descriptor);
+  assert(message->base.descriptor == &masticreach__transfer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__cmd_task_set__init
-                     (Masticreach__CmdTaskSet         *message)
+void   masticreach__hard_state__init
+                     (Masticreach__HardState         *message)
 {
-  static const Masticreach__CmdTaskSet init_value = MASTICREACH__CMD_TASK_SET__INIT;
+  static const Masticreach__HardState init_value = MASTICREACH__HARD_STATE__INIT;
   *message = init_value;
 }
-size_t masticreach__cmd_task_set__get_packed_size
-                     (const Masticreach__CmdTaskSet *message)
+size_t masticreach__hard_state__get_packed_size
+                     (const Masticreach__HardState *message)
 {
-  assert(message->base.descriptor == &masticreach__cmd_task_set__descriptor);
+  assert(message->base.descriptor == &masticreach__hard_state__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_task_set__pack
-                     (const Masticreach__CmdTaskSet *message,
+size_t masticreach__hard_state__pack
+                     (const Masticreach__HardState *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__cmd_task_set__descriptor);
+  assert(message->base.descriptor == &masticreach__hard_state__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_task_set__pack_to_buffer
-                     (const Masticreach__CmdTaskSet *message,
+size_t masticreach__hard_state__pack_to_buffer
+                     (const Masticreach__HardState *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__cmd_task_set__descriptor);
+  assert(message->base.descriptor == &masticreach__hard_state__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__CmdTaskSet *
-       masticreach__cmd_task_set__unpack
+Masticreach__HardState *
+       masticreach__hard_state__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__CmdTaskSet *)
-     protobuf_c_message_unpack (&masticreach__cmd_task_set__descriptor,
+  return (Masticreach__HardState *)
+     protobuf_c_message_unpack (&masticreach__hard_state__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__cmd_task_set__free_unpacked
-                     (Masticreach__CmdTaskSet *message,
+void   masticreach__hard_state__free_unpacked
+                     (Masticreach__HardState *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__cmd_task_set__descriptor);
+  assert(message->base.descriptor == &masticreach__hard_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__cmd_expire__init
-                     (Masticreach__CmdExpire         *message)
+void   masticreach__snapshot_head__init
+                     (Masticreach__SnapshotHead         *message)
 {
-  static const Masticreach__CmdExpire init_value = MASTICREACH__CMD_EXPIRE__INIT;
+  static const Masticreach__SnapshotHead init_value = MASTICREACH__SNAPSHOT_HEAD__INIT;
   *message = init_value;
 }
-size_t masticreach__cmd_expire__get_packed_size
-                     (const Masticreach__CmdExpire *message)
+size_t masticreach__snapshot_head__get_packed_size
+                     (const Masticreach__SnapshotHead *message)
 {
-  assert(message->base.descriptor == &masticreach__cmd_expire__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_head__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__cmd_expire__pack
-                     (const Masticreach__CmdExpire *message,
+size_t masticreach__snapshot_head__pack
+                     (const Masticreach__SnapshotHead *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__cmd_expire__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_head__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__cmd_expire__pack_to_buffer
-                     (const Masticreach__CmdExpire *message,
+size_t masticreach__snapshot_head__pack_to_buffer
+                     (const Masticreach__SnapshotHead *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__cmd_expire__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_head__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__CmdExpire *
-       masticreach__cmd_expire__unpack
+Masticreach__SnapshotHead *
+       masticreach__snapshot_head__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__CmdExpire *)
-     protobuf_c_message_unpack (&masticreach__cmd_expire__descriptor,
+  return (Masticreach__SnapshotHead *)
+     protobuf_c_message_unpack (&masticreach__snapshot_head__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__cmd_expire__free_unpacked
-                     (Masticreach__CmdExpire *message,
+void   masticreach__snapshot_head__free_unpacked
+                     (Masticreach__SnapshotHead *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__cmd_expire__descriptor);
+  assert(message->base.descriptor == &masticreach__snapshot_head__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__task_record__init
-                     (Masticreach__TaskRecord         *message)
+void   masticreach__cmd_noop__init
+                     (Masticreach__CmdNoop         *message)
 {
-  static const Masticreach__TaskRecord init_value = MASTICREACH__TASK_RECORD__INIT;
+  static const Masticreach__CmdNoop init_value = MASTICREACH__CMD_NOOP__INIT;
   *message = init_value;
 }
-size_t masticreach__task_record__get_packed_size
-                     (const Masticreach__TaskRecord *message)
+size_t masticreach__cmd_noop__get_packed_size
+                     (const Masticreach__CmdNoop *message)
 {
-  assert(message->base.descriptor == &masticreach__task_record__descriptor);
+  assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__task_record__pack
-                     (const Masticreach__TaskRecord *message,
+size_t masticreach__cmd_noop__pack
+                     (const Masticreach__CmdNoop *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__task_record__descriptor);
+  assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__task_record__pack_to_buffer
-                     (const Masticreach__TaskRecord *message,
+size_t masticreach__cmd_noop__pack_to_buffer
+                     (const Masticreach__CmdNoop *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__task_record__descriptor);
+  assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__TaskRecord *
-       masticreach__task_record__unpack
+Masticreach__CmdNoop *
+       masticreach__cmd_noop__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__TaskRecord *)
-     protobuf_c_message_unpack (&masticreach__task_record__descriptor,
+  return (Masticreach__CmdNoop *)
+     protobuf_c_message_unpack (&masticreach__cmd_noop__descriptor,
                                 allocator, len, data);
 }
-void   masticreach__task_record__free_unpacked
-                     (Masticreach__TaskRecord *message,
+void   masticreach__cmd_noop__free_unpacked
+                     (Masticreach__CmdNoop *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &masticreach__task_record__descriptor);
+  assert(message->base.descriptor == &masticreach__cmd_noop__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   masticreach__state_counters__init
-                     (Masticreach__StateCounters         *message)
+void   masticreach__member__init
+                     (Masticreach__Member         *message)
 {
-  static const Masticreach__StateCounters init_value = MASTICREACH__STATE_COUNTERS__INIT;
+  static const Masticreach__Member init_value = MASTICREACH__MEMBER__INIT;
   *message = init_value;
 }
-size_t masticreach__state_counters__get_packed_size
-                     (const Masticreach__StateCounters *message)
+size_t masticreach__member__get_packed_size
+                     (const Masticreach__Member *message)
 {
-  assert(message->base.descriptor == &masticreach__state_counters__descriptor);
+  assert(message->base.descriptor == &masticreach__member__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t masticreach__state_counters__pack
-                     (const Masticreach__StateCounters *message,
+size_t masticreach__member__pack
+                     (const Masticreach__Member *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &masticreach__state_counters__descriptor);
+  assert(message->base.descriptor == &masticreach__member__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t masticreach__state_counters__pack_to_buffer
-                     (const Masticreach__StateCounters *message,
+size_t masticreach__member__pack_to_buffer
+                     (const Masticreach__Member *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &masticreach__state_counters__descriptor);
+  assert(message->base.descriptor == &masticreach__member__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Masticreach__StateCounters *
-       masticreach__state_counters__unpack
+Masticreach__Member *
+       masticreach__member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__Member *)
+     protobuf_c_message_unpack (&masticreach__member__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__member__free_unpacked
+                     (Masticreach__Member *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__members__init
+                     (Masticreach__Members         *message)
+{
+  static const Masticreach__Members init_value = MASTICREACH__MEMBERS__INIT;
+  *message = init_value;
+}
+size_t masticreach__members__get_packed_size
+                     (const Masticreach__Members *message)
+{
+  assert(message->base.descriptor == &masticreach__members__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__members__pack
+                     (const Masticreach__Members *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__members__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__members__pack_to_buffer
+                     (const Masticreach__Members *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__members__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__Members *
+       masticreach__members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__Members *)
+     protobuf_c_message_unpack (&masticreach__members__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__members__free_unpacked
+                     (Masticreach__Members *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__members__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_bundle_sign__init
+                     (Masticreach__CmdBundleSign         *message)
+{
+  static const Masticreach__CmdBundleSign init_value = MASTICREACH__CMD_BUNDLE_SIGN__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_bundle_sign__get_packed_size
+                     (const Masticreach__CmdBundleSign *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_bundle_sign__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_bundle_sign__pack
+                     (const Masticreach__CmdBundleSign *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_bundle_sign__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_bundle_sign__pack_to_buffer
+                     (const Masticreach__CmdBundleSign *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_bundle_sign__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdBundleSign *
+       masticreach__cmd_bundle_sign__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdBundleSign *)
+     protobuf_c_message_unpack (&masticreach__cmd_bundle_sign__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_bundle_sign__free_unpacked
+                     (Masticreach__CmdBundleSign *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_bundle_sign__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_zone_set__init
+                     (Masticreach__CmdZoneSet         *message)
+{
+  static const Masticreach__CmdZoneSet init_value = MASTICREACH__CMD_ZONE_SET__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_zone_set__get_packed_size
+                     (const Masticreach__CmdZoneSet *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_zone_set__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_zone_set__pack
+                     (const Masticreach__CmdZoneSet *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_zone_set__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_zone_set__pack_to_buffer
+                     (const Masticreach__CmdZoneSet *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_zone_set__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdZoneSet *
+       masticreach__cmd_zone_set__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdZoneSet *)
+     protobuf_c_message_unpack (&masticreach__cmd_zone_set__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_zone_set__free_unpacked
+                     (Masticreach__CmdZoneSet *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_zone_set__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_vm_lost__init
+                     (Masticreach__CmdVmLost         *message)
+{
+  static const Masticreach__CmdVmLost init_value = MASTICREACH__CMD_VM_LOST__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_vm_lost__get_packed_size
+                     (const Masticreach__CmdVmLost *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_vm_lost__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_vm_lost__pack
+                     (const Masticreach__CmdVmLost *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_vm_lost__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_vm_lost__pack_to_buffer
+                     (const Masticreach__CmdVmLost *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_vm_lost__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdVmLost *
+       masticreach__cmd_vm_lost__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Masticreach__StateCounters *)
-     protobuf_c_message_unpack (&masticreach__state_counters__descriptor,
-                                allocator, len, data);
-}
-void   masticreach__state_counters__free_unpacked
-                     (Masticreach__StateCounters *message,
-                      ProtobufCAllocator *allocator)
+  return (Masticreach__CmdVmLost *)
+     protobuf_c_message_unpack (&masticreach__cmd_vm_lost__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_vm_lost__free_unpacked
+                     (Masticreach__CmdVmLost *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_vm_lost__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_vm_quarantine__init
+                     (Masticreach__CmdVmQuarantine         *message)
+{
+  static const Masticreach__CmdVmQuarantine init_value = MASTICREACH__CMD_VM_QUARANTINE__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_vm_quarantine__get_packed_size
+                     (const Masticreach__CmdVmQuarantine *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_vm_quarantine__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_vm_quarantine__pack
+                     (const Masticreach__CmdVmQuarantine *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_vm_quarantine__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_vm_quarantine__pack_to_buffer
+                     (const Masticreach__CmdVmQuarantine *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_vm_quarantine__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdVmQuarantine *
+       masticreach__cmd_vm_quarantine__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdVmQuarantine *)
+     protobuf_c_message_unpack (&masticreach__cmd_vm_quarantine__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_vm_quarantine__free_unpacked
+                     (Masticreach__CmdVmQuarantine *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_vm_quarantine__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__job_record__init
+                     (Masticreach__JobRecord         *message)
+{
+  static const Masticreach__JobRecord init_value = MASTICREACH__JOB_RECORD__INIT;
+  *message = init_value;
+}
+size_t masticreach__job_record__get_packed_size
+                     (const Masticreach__JobRecord *message)
+{
+  assert(message->base.descriptor == &masticreach__job_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__job_record__pack
+                     (const Masticreach__JobRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__job_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__job_record__pack_to_buffer
+                     (const Masticreach__JobRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__job_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__JobRecord *
+       masticreach__job_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__JobRecord *)
+     protobuf_c_message_unpack (&masticreach__job_record__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__job_record__free_unpacked
+                     (Masticreach__JobRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__job_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_job_cancel__init
+                     (Masticreach__CmdJobCancel         *message)
+{
+  static const Masticreach__CmdJobCancel init_value = MASTICREACH__CMD_JOB_CANCEL__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_job_cancel__get_packed_size
+                     (const Masticreach__CmdJobCancel *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_job_cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_job_cancel__pack
+                     (const Masticreach__CmdJobCancel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_job_cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_job_cancel__pack_to_buffer
+                     (const Masticreach__CmdJobCancel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_job_cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdJobCancel *
+       masticreach__cmd_job_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdJobCancel *)
+     protobuf_c_message_unpack (&masticreach__cmd_job_cancel__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_job_cancel__free_unpacked
+                     (Masticreach__CmdJobCancel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_job_cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_task_place__init
+                     (Masticreach__CmdTaskPlace         *message)
+{
+  static const Masticreach__CmdTaskPlace init_value = MASTICREACH__CMD_TASK_PLACE__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_task_place__get_packed_size
+                     (const Masticreach__CmdTaskPlace *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_task_place__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_task_place__pack
+                     (const Masticreach__CmdTaskPlace *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_task_place__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_task_place__pack_to_buffer
+                     (const Masticreach__CmdTaskPlace *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_task_place__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdTaskPlace *
+       masticreach__cmd_task_place__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdTaskPlace *)
+     protobuf_c_message_unpack (&masticreach__cmd_task_place__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_task_place__free_unpacked
+                     (Masticreach__CmdTaskPlace *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_task_place__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_task_set__init
+                     (Masticreach__CmdTaskSet         *message)
+{
+  static const Masticreach__CmdTaskSet init_value = MASTICREACH__CMD_TASK_SET__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_task_set__get_packed_size
+                     (const Masticreach__CmdTaskSet *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_task_set__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_task_set__pack
+                     (const Masticreach__CmdTaskSet *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_task_set__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_task_set__pack_to_buffer
+                     (const Masticreach__CmdTaskSet *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_task_set__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdTaskSet *
+       masticreach__cmd_task_set__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdTaskSet *)
+     protobuf_c_message_unpack (&masticreach__cmd_task_set__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_task_set__free_unpacked
+                     (Masticreach__CmdTaskSet *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_task_set__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_expire__init
+                     (Masticreach__CmdExpire         *message)
+{
+  static const Masticreach__CmdExpire init_value = MASTICREACH__CMD_EXPIRE__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_expire__get_packed_size
+                     (const Masticreach__CmdExpire *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_expire__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_expire__pack
+                     (const Masticreach__CmdExpire *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_expire__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_expire__pack_to_buffer
+                     (const Masticreach__CmdExpire *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_expire__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdExpire *
+       masticreach__cmd_expire__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdExpire *)
+     protobuf_c_message_unpack (&masticreach__cmd_expire__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_expire__free_unpacked
+                     (Masticreach__CmdExpire *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_expire__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_flow_cancel__init
+                     (Masticreach__CmdFlowCancel         *message)
+{
+  static const Masticreach__CmdFlowCancel init_value = MASTICREACH__CMD_FLOW_CANCEL__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_flow_cancel__get_packed_size
+                     (const Masticreach__CmdFlowCancel *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_flow_cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_flow_cancel__pack
+                     (const Masticreach__CmdFlowCancel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_flow_cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_flow_cancel__pack_to_buffer
+                     (const Masticreach__CmdFlowCancel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_flow_cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdFlowCancel *
+       masticreach__cmd_flow_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdFlowCancel *)
+     protobuf_c_message_unpack (&masticreach__cmd_flow_cancel__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_flow_cancel__free_unpacked
+                     (Masticreach__CmdFlowCancel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_flow_cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__flow_change__init
+                     (Masticreach__FlowChange         *message)
+{
+  static const Masticreach__FlowChange init_value = MASTICREACH__FLOW_CHANGE__INIT;
+  *message = init_value;
+}
+size_t masticreach__flow_change__get_packed_size
+                     (const Masticreach__FlowChange *message)
+{
+  assert(message->base.descriptor == &masticreach__flow_change__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__flow_change__pack
+                     (const Masticreach__FlowChange *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__flow_change__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__flow_change__pack_to_buffer
+                     (const Masticreach__FlowChange *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__flow_change__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__FlowChange *
+       masticreach__flow_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__FlowChange *)
+     protobuf_c_message_unpack (&masticreach__flow_change__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__flow_change__free_unpacked
+                     (Masticreach__FlowChange *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__flow_change__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_flow_change__init
+                     (Masticreach__CmdFlowChange         *message)
+{
+  static const Masticreach__CmdFlowChange init_value = MASTICREACH__CMD_FLOW_CHANGE__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_flow_change__get_packed_size
+                     (const Masticreach__CmdFlowChange *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_flow_change__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_flow_change__pack
+                     (const Masticreach__CmdFlowChange *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_flow_change__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_flow_change__pack_to_buffer
+                     (const Masticreach__CmdFlowChange *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_flow_change__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdFlowChange *
+       masticreach__cmd_flow_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdFlowChange *)
+     protobuf_c_message_unpack (&masticreach__cmd_flow_change__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_flow_change__free_unpacked
+                     (Masticreach__CmdFlowChange *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_flow_change__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_flow_expire__init
+                     (Masticreach__CmdFlowExpire         *message)
+{
+  static const Masticreach__CmdFlowExpire init_value = MASTICREACH__CMD_FLOW_EXPIRE__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_flow_expire__get_packed_size
+                     (const Masticreach__CmdFlowExpire *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_flow_expire__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_flow_expire__pack
+                     (const Masticreach__CmdFlowExpire *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_flow_expire__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_flow_expire__pack_to_buffer
+                     (const Masticreach__CmdFlowExpire *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_flow_expire__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdFlowExpire *
+       masticreach__cmd_flow_expire__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdFlowExpire *)
+     protobuf_c_message_unpack (&masticreach__cmd_flow_expire__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_flow_expire__free_unpacked
+                     (Masticreach__CmdFlowExpire *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_flow_expire__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__task_record__init
+                     (Masticreach__TaskRecord         *message)
+{
+  static const Masticreach__TaskRecord init_value = MASTICREACH__TASK_RECORD__INIT;
+  *message = init_value;
+}
+size_t masticreach__task_record__get_packed_size
+                     (const Masticreach__TaskRecord *message)
+{
+  assert(message->base.descriptor == &masticreach__task_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__task_record__pack
+                     (const Masticreach__TaskRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__task_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__task_record__pack_to_buffer
+                     (const Masticreach__TaskRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__task_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__TaskRecord *
+       masticreach__task_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__TaskRecord *)
+     protobuf_c_message_unpack (&masticreach__task_record__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__task_record__free_unpacked
+                     (Masticreach__TaskRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__task_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__state_counters__init
+                     (Masticreach__StateCounters         *message)
+{
+  static const Masticreach__StateCounters init_value = MASTICREACH__STATE_COUNTERS__INIT;
+  *message = init_value;
+}
+size_t masticreach__state_counters__get_packed_size
+                     (const Masticreach__StateCounters *message)
+{
+  assert(message->base.descriptor == &masticreach__state_counters__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__state_counters__pack
+                     (const Masticreach__StateCounters *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__state_counters__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__state_counters__pack_to_buffer
+                     (const Masticreach__StateCounters *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__state_counters__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__StateCounters *
+       masticreach__state_counters__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__StateCounters *)
+     protobuf_c_message_unpack (&masticreach__state_counters__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__state_counters__free_unpacked
+                     (Masticreach__StateCounters *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__state_counters__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor masticreach__record__field_descriptors[2] =
+{
+  {
+    "type",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Record, type),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Record, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__record__field_indices_by_name[] = {
+  1,   /* field[1] = body */
+  0,   /* field[0] = type */
+};
+static const ProtobufCIntRange masticreach__record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Record",
+  "Record",
+  "Masticreach__Record",
+  "masticreach",
+  sizeof(Masticreach__Record),
+  2,
+  masticreach__record__field_descriptors,
+  masticreach__record__field_indices_by_name,
+  1,  masticreach__record__number_ranges,
+  (ProtobufCMessageInit) masticreach__record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__hello__field_descriptors[6] =
+{
+  {
+    "protocol_version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Hello, protocol_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Hello, node_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "role",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Hello, role),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Hello, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Hello, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Hello, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__hello__field_indices_by_name[] = {
+  5,   /* field[5] = address */
+  3,   /* field[3] = name */
+  1,   /* field[1] = node_id */
+  0,   /* field[0] = protocol_version */
+  2,   /* field[2] = role */
+  4,   /* field[4] = zone */
+};
+static const ProtobufCIntRange masticreach__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor masticreach__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Hello",
+  "Hello",
+  "Masticreach__Hello",
+  "masticreach",
+  sizeof(Masticreach__Hello),
+  6,
+  masticreach__hello__field_descriptors,
+  masticreach__hello__field_indices_by_name,
+  1,  masticreach__hello__number_ranges,
+  (ProtobufCMessageInit) masticreach__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__ping__field_descriptors[2] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Ping, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Ping, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__ping__field_indices_by_name[] = {
+  1,   /* field[1] = sent_us */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange masticreach__ping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Ping",
+  "Ping",
+  "Masticreach__Ping",
+  "masticreach",
+  sizeof(Masticreach__Ping),
+  2,
+  masticreach__ping__field_descriptors,
+  masticreach__ping__field_indices_by_name,
+  1,  masticreach__ping__number_ranges,
+  (ProtobufCMessageInit) masticreach__ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__pong__field_descriptors[2] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Pong, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Pong, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__pong__field_indices_by_name[] = {
+  1,   /* field[1] = sent_us */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange masticreach__pong__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__pong__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Pong",
+  "Pong",
+  "Masticreach__Pong",
+  "masticreach",
+  sizeof(Masticreach__Pong),
+  2,
+  masticreach__pong__field_descriptors,
+  masticreach__pong__field_indices_by_name,
+  1,  masticreach__pong__number_ranges,
+  (ProtobufCMessageInit) masticreach__pong__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__request__field_descriptors[11] =
+{
+  {
+    "request_nr",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, request_nr),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_node",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, target_node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "method",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, method),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeatable",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, repeatable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Request, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__request__field_indices_by_name[] = {
+  10,   /* field[10] = attempt */
+  6,   /* field[6] = body */
+  5,   /* field[5] = content_type */
+  7,   /* field[7] = deadline_ms */
+  9,   /* field[9] = key */
+  3,   /* field[3] = method */
+  4,   /* field[4] = path */
+  8,   /* field[8] = repeatable */
+  0,   /* field[0] = request_nr */
+  2,   /* field[2] = service */
+  1,   /* field[1] = target_node */
+};
+static const ProtobufCIntRange masticreach__request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor masticreach__request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Request",
+  "Request",
+  "Masticreach__Request",
+  "masticreach",
+  sizeof(Masticreach__Request),
+  11,
+  masticreach__request__field_descriptors,
+  masticreach__request__field_indices_by_name,
+  1,  masticreach__request__number_ranges,
+  (ProtobufCMessageInit) masticreach__request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__load__field_descriptors[7] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "connections",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, connections),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_time_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, service_time_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Load, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__load__field_indices_by_name[] = {
+  2,   /* field[2] = connections */
+  3,   /* field[3] = in_flight */
+  6,   /* field[6] = leaving */
+  4,   /* field[4] = queued */
+  0,   /* field[0] = service */
+  5,   /* field[5] = service_time_us */
+  1,   /* field[1] = slots */
+};
+static const ProtobufCIntRange masticreach__load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor masticreach__load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Load",
+  "Load",
+  "Masticreach__Load",
+  "masticreach",
+  sizeof(Masticreach__Load),
+  7,
+  masticreach__load__field_descriptors,
+  masticreach__load__field_indices_by_name,
+  1,  masticreach__load__number_ranges,
+  (ProtobufCMessageInit) masticreach__load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__response__field_descriptors[10] =
+{
+  {
+    "origin_node",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, origin_node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_nr",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, request_nr),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, run_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Response, load),
+    &masticreach__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__response__field_indices_by_name[] = {
+  6,   /* field[6] = body */
+  5,   /* field[5] = content_type */
+  9,   /* field[9] = load */
+  0,   /* field[0] = origin_node */
+  1,   /* field[1] = request_nr */
+  3,   /* field[3] = result */
+  2,   /* field[2] = run */
+  7,   /* field[7] = run_us */
+  4,   /* field[4] = status */
+  8,   /* field[8] = wait_us */
+};
+static const ProtobufCIntRange masticreach__response__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor masticreach__response__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Response",
+  "Response",
+  "Masticreach__Response",
+  "masticreach",
+  sizeof(Masticreach__Response),
+  10,
+  masticreach__response__field_descriptors,
+  masticreach__response__field_indices_by_name,
+  1,  masticreach__response__number_ranges,
+  (ProtobufCMessageInit) masticreach__response__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cancel__field_descriptors[1] =
+{
+  {
+    "request_nr",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Cancel, request_nr),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__cancel__field_indices_by_name[] = {
+  0,   /* field[0] = request_nr */
+};
+static const ProtobufCIntRange masticreach__cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Cancel",
+  "Cancel",
+  "Masticreach__Cancel",
+  "masticreach",
+  sizeof(Masticreach__Cancel),
+  1,
+  masticreach__cancel__field_descriptors,
+  masticreach__cancel__field_indices_by_name,
+  1,  masticreach__cancel__number_ranges,
+  (ProtobufCMessageInit) masticreach__cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__outcome_query__field_descriptors[7] =
+{
+  {
+    "origin_node",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, origin_node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_nr",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, request_nr),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply_nr",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, reply_nr),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeatable",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, repeatable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refuse",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__OutcomeQuery, refuse),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__outcome_query__field_indices_by_name[] = {
+  4,   /* field[4] = key */
+  0,   /* field[0] = origin_node */
+  6,   /* field[6] = refuse */
+  5,   /* field[5] = repeatable */
+  2,   /* field[2] = reply_nr */
+  1,   /* field[1] = request_nr */
+  3,   /* field[3] = service */
+};
+static const ProtobufCIntRange masticreach__outcome_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor masticreach__outcome_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.OutcomeQuery",
+  "OutcomeQuery",
+  "Masticreach__OutcomeQuery",
+  "masticreach",
+  sizeof(Masticreach__OutcomeQuery),
+  7,
+  masticreach__outcome_query__field_descriptors,
+  masticreach__outcome_query__field_indices_by_name,
+  1,  masticreach__outcome_query__number_ranges,
+  (ProtobufCMessageInit) masticreach__outcome_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__load_report__field_descriptors[2] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__LoadReport, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__LoadReport, n_loads),
+    offsetof(Masticreach__LoadReport, loads),
+    &masticreach__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__load_report__field_indices_by_name[] = {
+  1,   /* field[1] = loads */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange masticreach__load_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__load_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.LoadReport",
+  "LoadReport",
+  "Masticreach__LoadReport",
+  "masticreach",
+  sizeof(Masticreach__LoadReport),
+  2,
+  masticreach__load_report__field_descriptors,
+  masticreach__load_report__field_indices_by_name,
+  1,  masticreach__load_report__number_ranges,
+  (ProtobufCMessageInit) masticreach__load_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__vm_record__field_descriptors[10] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rack",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node_id",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, node_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_millis",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantined",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__VmRecord, quarantined),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__vm_record__field_indices_by_name[] = {
+  8,   /* field[8] = accelerators */
+  3,   /* field[3] = address */
+  6,   /* field[6] = cpu_millis */
+  7,   /* field[7] = memory_mib */
+  0,   /* field[0] = name */
+  4,   /* field[4] = node_id */
+  9,   /* field[9] = quarantined */
+  2,   /* field[2] = rack */
+  5,   /* field[5] = state */
+  1,   /* field[1] = zone */
+};
+static const ProtobufCIntRange masticreach__vm_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor masticreach__vm_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.VmRecord",
+  "VmRecord",
+  "Masticreach__VmRecord",
+  "masticreach",
+  sizeof(Masticreach__VmRecord),
+  10,
+  masticreach__vm_record__field_descriptors,
+  masticreach__vm_record__field_indices_by_name,
+  1,  masticreach__vm_record__number_ranges,
+  (ProtobufCMessageInit) masticreach__vm_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__platform_task__field_descriptors[10] =
+{
+  {
+    "task_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, task_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "progress_ppm",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, progress_ppm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_used_millis",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, cpu_used_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_used_mib",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, memory_used_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate_ppm",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, rate_ppm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_time_us",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformTask, service_time_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__platform_task__field_indices_by_name[] = {
+  5,   /* field[5] = age_ms */
+  4,   /* field[4] = checkpoint */
+  6,   /* field[6] = cpu_used_millis */
+  1,   /* field[1] = epoch */
+  7,   /* field[7] = memory_used_mib */
+  3,   /* field[3] = progress_ppm */
+  8,   /* field[8] = rate_ppm */
+  2,   /* field[2] = run */
+  9,   /* field[9] = service_time_us */
+  0,   /* field[0] = task_id */
+};
+static const ProtobufCIntRange masticreach__platform_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor masticreach__platform_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.PlatformTask",
+  "PlatformTask",
+  "Masticreach__PlatformTask",
+  "masticreach",
+  sizeof(Masticreach__PlatformTask),
+  10,
+  masticreach__platform_task__field_descriptors,
+  masticreach__platform_task__field_indices_by_name,
+  1,  masticreach__platform_task__number_ranges,
+  (ProtobufCMessageInit) masticreach__platform_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__report_service__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ReportService, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ReportService, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ReportService, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_time_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ReportService, service_time_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__report_service__field_indices_by_name[] = {
+  2,   /* field[2] = leaving */
+  0,   /* field[0] = service */
+  3,   /* field[3] = service_time_us */
+  1,   /* field[1] = slots */
+};
+static const ProtobufCIntRange masticreach__report_service__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticreach__report_service__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.ReportService",
+  "ReportService",
+  "Masticreach__ReportService",
+  "masticreach",
+  sizeof(Masticreach__ReportService),
+  4,
+  masticreach__report_service__field_descriptors,
+  masticreach__report_service__field_indices_by_name,
+  1,  masticreach__report_service__number_ranges,
+  (ProtobufCMessageInit) masticreach__report_service__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__report__field_descriptors[7] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Report, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Report, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Report, vm),
+    &masticreach__vm_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bundle_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Report, bundle_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Report, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Report, n_tasks),
+    offsetof(Masticreach__Report, tasks),
+    &masticreach__platform_task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Report, n_services),
+    offsetof(Masticreach__Report, services),
+    &masticreach__report_service__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__report__field_indices_by_name[] = {
+  3,   /* field[3] = bundle_version */
+  4,   /* field[4] = leaving */
+  1,   /* field[1] = sent_us */
+  0,   /* field[0] = seq */
+  6,   /* field[6] = services */
+  5,   /* field[5] = tasks */
+  2,   /* field[2] = vm */
+};
+static const ProtobufCIntRange masticreach__report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor masticreach__report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Report",
+  "Report",
+  "Masticreach__Report",
+  "masticreach",
+  sizeof(Masticreach__Report),
+  7,
+  masticreach__report__field_descriptors,
+  masticreach__report__field_indices_by_name,
+  1,  masticreach__report__number_ranges,
+  (ProtobufCMessageInit) masticreach__report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__grant__field_descriptors[8] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, permit_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone_out",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, zone_out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bundle_version",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Grant, bundle_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirmed",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Masticreach__Grant, n_confirmed),
+    offsetof(Masticreach__Grant, confirmed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__grant__field_indices_by_name[] = {
+  6,   /* field[6] = bundle_version */
+  7,   /* field[7] = confirmed */
+  3,   /* field[3] = lease_ms */
+  4,   /* field[4] = permit_ms */
+  1,   /* field[1] = sent_us */
+  0,   /* field[0] = seq */
+  2,   /* field[2] = term */
+  5,   /* field[5] = zone_out */
+};
+static const ProtobufCIntRange masticreach__grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor masticreach__grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Grant",
+  "Grant",
+  "Masticreach__Grant",
+  "masticreach",
+  sizeof(Masticreach__Grant),
+  8,
+  masticreach__grant__field_descriptors,
+  masticreach__grant__field_indices_by_name,
+  1,  masticreach__grant__number_ranges,
+  (ProtobufCMessageInit) masticreach__grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__platform_start__field_descriptors[11] =
+{
+  {
+    "task_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, task_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, payload),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_millis",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start_within_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, start_within_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__platform_start__field_indices_by_name[] = {
+  7,   /* field[7] = accelerators */
+  8,   /* field[8] = checkpoint */
+  5,   /* field[5] = cpu_millis */
+  1,   /* field[1] = epoch */
+  2,   /* field[2] = job */
+  3,   /* field[3] = kind */
+  9,   /* field[9] = lease_ms */
+  6,   /* field[6] = memory_mib */
+  4,   /* field[4] = payload */
+  10,   /* field[10] = start_within_ms */
+  0,   /* field[0] = task_id */
+};
+static const ProtobufCIntRange masticreach__platform_start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor masticreach__platform_start__descriptor =
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &masticreach__state_counters__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-static const ProtobufCFieldDescriptor masticreach__record__field_descriptors[2] =
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.PlatformStart",
+  "PlatformStart",
+  "Masticreach__PlatformStart",
+  "masticreach",
+  sizeof(Masticreach__PlatformStart),
+  11,
+  masticreach__platform_start__field_descriptors,
+  masticreach__platform_start__field_indices_by_name,
+  1,  masticreach__platform_start__number_ranges,
+  (ProtobufCMessageInit) masticreach__platform_start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__task_order__field_descriptors[6] =
 {
   {
-    "type",
+    "term",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Record, type),
+    offsetof(Masticreach__TaskOrder, term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
+    "vm_node",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Record, body),
+    offsetof(Masticreach__TaskOrder, vm_node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "action",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskOrder, action),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_ppm",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskOrder, cpu_ppm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_sent_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskOrder, permit_sent_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__TaskOrder, start),
+    &masticreach__platform_start__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned masticreach__record__field_indices_by_name[] = {
-  1,   /* field[1] = body */
-  0,   /* field[0] = type */
+static const unsigned masticreach__task_order__field_indices_by_name[] = {
+  2,   /* field[2] = action */
+  3,   /* field[3] = cpu_ppm */
+  4,   /* field[4] = permit_sent_us */
+  5,   /* field[5] = start */
+  0,   /* field[0] = term */
+  1,   /* field[1] = vm_node */
 };
-static const ProtobufCIntRange masticreach__record__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__task_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor masticreach__record__descriptor =
+const ProtobufCMessageDescriptor masticreach__task_order__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.Record",
-  "Record",
-  "Masticreach__Record",
+  "masticreach.TaskOrder",
+  "TaskOrder",
+  "Masticreach__TaskOrder",
   "masticreach",
-  sizeof(Masticreach__Record),
-  2,
-  masticreach__record__field_descriptors,
-  masticreach__record__field_indices_by_name,
-  1,  masticreach__record__number_ranges,
-  (ProtobufCMessageInit) masticreach__record__init,
+  sizeof(Masticreach__TaskOrder),
+  6,
+  masticreach__task_order__field_descriptors,
+  masticreach__task_order__field_indices_by_name,
+  1,  masticreach__task_order__number_ranges,
+  (ProtobufCMessageInit) masticreach__task_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__hello__field_descriptors[6] =
+static const ProtobufCFieldDescriptor masticreach__task_event__field_descriptors[6] =
 {
   {
-    "protocol_version",
+    "task_id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Hello, protocol_version),
+    offsetof(Masticreach__TaskEvent, task_id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "node_id",
+    "epoch",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Hello, node_id),
+    offsetof(Masticreach__TaskEvent, epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "role",
+    "run",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Hello, role),
+    offsetof(Masticreach__TaskEvent, run),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "name",
+    "checkpoint",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Hello, name),
+    offsetof(Masticreach__TaskEvent, checkpoint),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "zone",
+    "progress_ppm",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Hello, zone),
+    offsetof(Masticreach__TaskEvent, progress_ppm),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
+    "result",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Hello, address),
+    offsetof(Masticreach__TaskEvent, result),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__hello__field_indices_by_name[] = {
-  5,   /* field[5] = address */
-  3,   /* field[3] = name */
-  1,   /* field[1] = node_id */
-  0,   /* field[0] = protocol_version */
-  2,   /* field[2] = role */
-  4,   /* field[4] = zone */
+static const unsigned masticreach__task_event__field_indices_by_name[] = {
+  3,   /* field[3] = checkpoint */
+  1,   /* field[1] = epoch */
+  4,   /* field[4] = progress_ppm */
+  5,   /* field[5] = result */
+  2,   /* field[2] = run */
+  0,   /* field[0] = task_id */
 };
-static const ProtobufCIntRange masticreach__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__task_event__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 6 }
 };
-const ProtobufCMessageDescriptor masticreach__hello__descriptor =
+const ProtobufCMessageDescriptor masticreach__task_event__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.Hello",
-  "Hello",
-  "Masticreach__Hello",
+  "masticreach.TaskEvent",
+  "TaskEvent",
+  "Masticreach__TaskEvent",
   "masticreach",
-  sizeof(Masticreach__Hello),
+  sizeof(Masticreach__TaskEvent),
   6,
-  masticreach__hello__field_descriptors,
-  masticreach__hello__field_indices_by_name,
-  1,  masticreach__hello__number_ranges,
-  (ProtobufCMessageInit) masticreach__hello__init,
+  masticreach__task_event__field_descriptors,
+  masticreach__task_event__field_indices_by_name,
+  1,  masticreach__task_event__number_ranges,
+  (ProtobufCMessageInit) masticreach__task_event__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__ping__field_descriptors[2] =
+static const ProtobufCFieldDescriptor masticreach__view_query__field_descriptors[3] =
 {
   {
-    "seq",
-    1,
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ViewQuery, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view_version",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Ping, seq),
+    offsetof(Masticreach__ViewQuery, view_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sent_us",
-    2,
+    "bundle_version",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Ping, sent_us),
+    offsetof(Masticreach__ViewQuery, bundle_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__ping__field_indices_by_name[] = {
-  1,   /* field[1] = sent_us */
-  0,   /* field[0] = seq */
+static const unsigned masticreach__view_query__field_indices_by_name[] = {
+  2,   /* field[2] = bundle_version */
+  0,   /* field[0] = term */
+  1,   /* field[1] = view_version */
 };
-static const ProtobufCIntRange masticreach__ping__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__view_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor masticreach__ping__descriptor =
+const ProtobufCMessageDescriptor masticreach__view_query__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.Ping",
-  "Ping",
-  "Masticreach__Ping",
+  "masticreach.ViewQuery",
+  "ViewQuery",
+  "Masticreach__ViewQuery",
   "masticreach",
-  sizeof(Masticreach__Ping),
-  2,
-  masticreach__ping__field_descriptors,
-  masticreach__ping__field_indices_by_name,
-  1,  masticreach__ping__number_ranges,
-  (ProtobufCMessageInit) masticreach__ping__init,
+  sizeof(Masticreach__ViewQuery),
+  3,
+  masticreach__view_query__field_descriptors,
+  masticreach__view_query__field_indices_by_name,
+  1,  masticreach__view_query__number_ranges,
+  (ProtobufCMessageInit) masticreach__view_query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__pong__field_descriptors[2] =
+static const ProtobufCFieldDescriptor masticreach__zone_record__field_descriptors[4] =
 {
   {
-    "seq",
+    "name",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Pong, seq),
-    NULL,
+    offsetof(Masticreach__ZoneRecord, name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sent_us",
+    "out",
     2,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ZoneRecord, out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Pong, sent_us),
+    offsetof(Masticreach__ZoneRecord, version),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changed_by",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ZoneRecord, changed_by),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__pong__field_indices_by_name[] = {
-  1,   /* field[1] = sent_us */
-  0,   /* field[0] = seq */
+static const unsigned masticreach__zone_record__field_indices_by_name[] = {
+  3,   /* field[3] = changed_by */
+  0,   /* field[0] = name */
+  1,   /* field[1] = out */
+  2,   /* field[2] = version */
 };
-static const ProtobufCIntRange masticreach__pong__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__zone_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor masticreach__pong__descriptor =
+const ProtobufCMessageDescriptor masticreach__zone_record__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.Pong",
-  "Pong",
-  "Masticreach__Pong",
+  "masticreach.ZoneRecord",
+  "ZoneRecord",
+  "Masticreach__ZoneRecord",
   "masticreach",
-  sizeof(Masticreach__Pong),
-  2,
-  masticreach__pong__field_descriptors,
-  masticreach__pong__field_indices_by_name,
-  1,  masticreach__pong__number_ranges,
-  (ProtobufCMessageInit) masticreach__pong__init,
+  sizeof(Masticreach__ZoneRecord),
+  4,
+  masticreach__zone_record__field_descriptors,
+  masticreach__zone_record__field_indices_by_name,
+  1,  masticreach__zone_record__number_ranges,
+  (ProtobufCMessageInit) masticreach__zone_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__request__field_descriptors[11] =
+static const ProtobufCFieldDescriptor masticreach__view_agent__field_descriptors[5] =
 {
   {
-    "request_nr",
+    "vm",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Request, request_nr),
-    NULL,
+    offsetof(Masticreach__ViewAgent, vm),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "target_node",
+    "zone",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Request, target_node),
-    NULL,
+    offsetof(Masticreach__ViewAgent, zone),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "service",
+    "address",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Request, service),
+    offsetof(Masticreach__ViewAgent, address),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "method",
+    "node_id",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Request, method),
+    offsetof(Masticreach__ViewAgent, node_id),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "path",
+    "gone",
     5,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ViewAgent, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__view_agent__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  4,   /* field[4] = gone */
+  3,   /* field[3] = node_id */
+  0,   /* field[0] = vm */
+  1,   /* field[1] = zone */
+};
+static const ProtobufCIntRange masticreach__view_agent__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor masticreach__view_agent__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.ViewAgent",
+  "ViewAgent",
+  "Masticreach__ViewAgent",
+  "masticreach",
+  sizeof(Masticreach__ViewAgent),
+  5,
+  masticreach__view_agent__field_descriptors,
+  masticreach__view_agent__field_indices_by_name,
+  1,  masticreach__view_agent__number_ranges,
+  (ProtobufCMessageInit) masticreach__view_agent__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__bundle_zone__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Request, path),
+    offsetof(Masticreach__BundleZone, name),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "content_type",
-    6,
+    "region",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Request, content_type),
+    offsetof(Masticreach__BundleZone, region),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    7,
+    "cost_ppm",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Request, body),
+    offsetof(Masticreach__BundleZone, cost_ppm),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned masticreach__bundle_zone__field_indices_by_name[] = {
+  2,   /* field[2] = cost_ppm */
+  0,   /* field[0] = name */
+  1,   /* field[1] = region */
+};
+static const ProtobufCIntRange masticreach__bundle_zone__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor masticreach__bundle_zone__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.BundleZone",
+  "BundleZone",
+  "Masticreach__BundleZone",
+  "masticreach",
+  sizeof(Masticreach__BundleZone),
+  3,
+  masticreach__bundle_zone__field_descriptors,
+  masticreach__bundle_zone__field_indices_by_name,
+  1,  masticreach__bundle_zone__number_ranges,
+  (ProtobufCMessageInit) masticreach__bundle_zone__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__bundle_team__field_descriptors[4] =
+{
   {
-    "deadline_ms",
-    8,
+    "name",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Request, deadline_ms),
-    NULL,
+    offsetof(Masticreach__BundleTeam, name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "repeatable",
-    9,
+    "quota_cpu_millis",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Request, repeatable),
+    offsetof(Masticreach__BundleTeam, quota_cpu_millis),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "key",
-    10,
+  {
+    "quota_memory_mib",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Request, key),
+    offsetof(Masticreach__BundleTeam, quota_memory_mib),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
-    11,
+    "quota_accelerators",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Request, attempt),
+    offsetof(Masticreach__BundleTeam, quota_accelerators),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__request__field_indices_by_name[] = {
-  10,   /* field[10] = attempt */
-  6,   /* field[6] = body */
-  5,   /* field[5] = content_type */
-  7,   /* field[7] = deadline_ms */
-  9,   /* field[9] = key */
-  3,   /* field[3] = method */
-  4,   /* field[4] = path */
-  8,   /* field[8] = repeatable */
-  0,   /* field[0] = request_nr */
-  2,   /* field[2] = service */
-  1,   /* field[1] = target_node */
+static const unsigned masticreach__bundle_team__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  3,   /* field[3] = quota_accelerators */
+  1,   /* field[1] = quota_cpu_millis */
+  2,   /* field[2] = quota_memory_mib */
 };
-static const ProtobufCIntRange masticreach__request__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__bundle_team__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor masticreach__request__descriptor =
+const ProtobufCMessageDescriptor masticreach__bundle_team__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.Request",
-  "Request",
-  "Masticreach__Request",
+  "masticreach.BundleTeam",
+  "BundleTeam",
+  "Masticreach__BundleTeam",
   "masticreach",
-  sizeof(Masticreach__Request),
-  11,
-  masticreach__request__field_descriptors,
-  masticreach__request__field_indices_by_name,
-  1,  masticreach__request__number_ranges,
-  (ProtobufCMessageInit) masticreach__request__init,
+  sizeof(Masticreach__BundleTeam),
+  4,
+  masticreach__bundle_team__field_descriptors,
+  masticreach__bundle_team__field_indices_by_name,
+  1,  masticreach__bundle_team__number_ranges,
+  (ProtobufCMessageInit) masticreach__bundle_team__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__load__field_descriptors[7] =
+static const ProtobufCFieldDescriptor masticreach__bundle_service__field_descriptors[9] =
 {
   {
-    "service",
+    "name",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Load, service),
+    offsetof(Masticreach__BundleService, name),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slots",
+    "team",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Load, slots),
-    NULL,
+    offsetof(Masticreach__BundleService, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "connections",
+    "replicas",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Load, connections),
+    offsetof(Masticreach__BundleService, replicas),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "in_flight",
+    "cpu_millis",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Load, in_flight),
+    offsetof(Masticreach__BundleService, cpu_millis),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "queued",
+    "memory_mib",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Load, queued),
+    offsetof(Masticreach__BundleService, memory_mib),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "service_time_us",
+    "accelerators",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Load, service_time_us),
+    offsetof(Masticreach__BundleService, accelerators),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "deadline_ms",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Load, leaving),
+    offsetof(Masticreach__BundleService, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_p99_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleService, target_p99_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "payload",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundleService, payload),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned masticreach__load__field_indices_by_name[] = {
-  2,   /* field[2] = connections */
-  3,   /* field[3] = in_flight */
-  6,   /* field[6] = leaving */
-  4,   /* field[4] = queued */
-  0,   /* field[0] = service */
-  5,   /* field[5] = service_time_us */
-  1,   /* field[1] = slots */
+static const unsigned masticreach__bundle_service__field_indices_by_name[] = {
+  5,   /* field[5] = accelerators */
+  3,   /* field[3] = cpu_millis */
+  6,   /* field[6] = deadline_ms */
+  4,   /* field[4] = memory_mib */
+  0,   /* field[0] = name */
+  8,   /* field[8] = payload */
+  2,   /* field[2] = replicas */
+  7,   /* field[7] = target_p99_us */
+  1,   /* field[1] = team */
 };
-static const ProtobufCIntRange masticreach__load__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__bundle_service__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
-const ProtobufCMessageDescriptor masticreach__load__descriptor =
+const ProtobufCMessageDescriptor masticreach__bundle_service__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.Load",
-  "Load",
-  "Masticreach__Load",
+  "masticreach.BundleService",
+  "BundleService",
+  "Masticreach__BundleService",
   "masticreach",
-  sizeof(Masticreach__Load),
-  7,
-  masticreach__load__field_descriptors,
-  masticreach__load__field_indices_by_name,
-  1,  masticreach__load__number_ranges,
-  (ProtobufCMessageInit) masticreach__load__init,
+  sizeof(Masticreach__BundleService),
+  9,
+  masticreach__bundle_service__field_descriptors,
+  masticreach__bundle_service__field_indices_by_name,
+  1,  masticreach__bundle_service__number_ranges,
+  (ProtobufCMessageInit) masticreach__bundle_service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__response__field_descriptors[10] =
+static const ProtobufCFieldDescriptor masticreach__bundle_queue__field_descriptors[10] =
 {
   {
-    "origin_node",
+    "name",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Response, origin_node),
-    NULL,
+    offsetof(Masticreach__BundleQueue, name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request_nr",
+    "host",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Response, request_nr),
-    NULL,
+    offsetof(Masticreach__BundleQueue, host),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "run",
+    "prefix",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Response, run),
-    NULL,
+    offsetof(Masticreach__BundleQueue, prefix),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "result",
+    "service",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Response, result),
-    NULL,
+    offsetof(Masticreach__BundleQueue, service),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
+    "priority",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Response, status),
+    offsetof(Masticreach__BundleQueue, priority),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "content_type",
+    "attempts",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Response, content_type),
+    offsetof(Masticreach__BundleQueue, attempts),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
+    "slack_permille",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Response, body),
+    offsetof(Masticreach__BundleQueue, slack_permille),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "run_us",
+    "slo_ms",
     8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Response, run_us),
+    offsetof(Masticreach__BundleQueue, slo_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wait_us",
+    "timeout_ms",
     9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Response, wait_us),
+    offsetof(Masticreach__BundleQueue, timeout_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load",
+    "advised",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Response, load),
-    &masticreach__load__descriptor,
+    offsetof(Masticreach__BundleQueue, advised),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__response__field_indices_by_name[] = {
-  6,   /* field[6] = body */
-  5,   /* field[5] = content_type */
-  9,   /* field[9] = load */
-  0,   /* field[0] = origin_node */
-  1,   /* field[1] = request_nr */
-  3,   /* field[3] = result */
-  2,   /* field[2] = run */
-  7,   /* field[7] = run_us */
-  4,   /* field[4] = status */
-  8,   /* field[8] = wait_us */
+static const unsigned masticreach__bundle_queue__field_indices_by_name[] = {
+  9,   /* field[9] = advised */
+  5,   /* field[5] = attempts */
+  1,   /* field[1] = host */
+  0,   /* field[0] = name */
+  2,   /* field[2] = prefix */
+  4,   /* field[4] = priority */
+  3,   /* field[3] = service */
+  6,   /* field[6] = slack_permille */
+  7,   /* field[7] = slo_ms */
+  8,   /* field[8] = timeout_ms */
 };
-static const ProtobufCIntRange masticreach__response__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__bundle_queue__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 10 }
 };
-const ProtobufCMessageDescriptor masticreach__response__descriptor =
+const ProtobufCMessageDescriptor masticreach__bundle_queue__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.Response",
-  "Response",
-  "Masticreach__Response",
+  "masticreach.BundleQueue",
+  "BundleQueue",
+  "Masticreach__BundleQueue",
   "masticreach",
-  sizeof(Masticreach__Response),
+  sizeof(Masticreach__BundleQueue),
   10,
-  masticreach__response__field_descriptors,
-  masticreach__response__field_indices_by_name,
-  1,  masticreach__response__number_ranges,
-  (ProtobufCMessageInit) masticreach__response__init,
+  masticreach__bundle_queue__field_descriptors,
+  masticreach__bundle_queue__field_indices_by_name,
+  1,  masticreach__bundle_queue__number_ranges,
+  (ProtobufCMessageInit) masticreach__bundle_queue__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor masticreach__bundle_pool__field_descriptors[3] =
 {
   {
-    "request_nr",
+    "name",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundlePool, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "enforces_capacity",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__BundlePool, enforces_capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "standby",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Cancel, request_nr),
+    offsetof(Masticreach__BundlePool, standby),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__cancel__field_indices_by_name[] = {
-  0,   /* field[0] = request_nr */
+static const unsigned masticreach__bundle_pool__field_indices_by_name[] = {
+  1,   /* field[1] = enforces_capacity */
+  0,   /* field[0] = name */
+  2,   /* field[2] = standby */
 };
-static const ProtobufCIntRange masticreach__cancel__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__bundle_pool__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor masticreach__cancel__descriptor =
+const ProtobufCMessageDescriptor masticreach__bundle_pool__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.Cancel",
-  "Cancel",
-  "Masticreach__Cancel",
+  "masticreach.BundlePool",
+  "BundlePool",
+  "Masticreach__BundlePool",
   "masticreach",
-  sizeof(Masticreach__Cancel),
-  1,
-  masticreach__cancel__field_descriptors,
-  masticreach__cancel__field_indices_by_name,
-  1,  masticreach__cancel__number_ranges,
-  (ProtobufCMessageInit) masticreach__cancel__init,
+  sizeof(Masticreach__BundlePool),
+  3,
+  masticreach__bundle_pool__field_descriptors,
+  masticreach__bundle_pool__field_indices_by_name,
+  1,  masticreach__bundle_pool__number_ranges,
+  (ProtobufCMessageInit) masticreach__bundle_pool__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__outcome_query__field_descriptors[7] =
+static const ProtobufCFieldDescriptor masticreach__bundle__field_descriptors[13] =
 {
   {
-    "origin_node",
+    "version",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__OutcomeQuery, origin_node),
+    offsetof(Masticreach__Bundle, version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request_nr",
+    "digest",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__OutcomeQuery, request_nr),
-    NULL,
+    offsetof(Masticreach__Bundle, digest),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reply_nr",
+    "submitted_by",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__OutcomeQuery, reply_nr),
-    NULL,
+    offsetof(Masticreach__Bundle, submitted_by),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "service",
+    "signed_by",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__OutcomeQuery, service),
+    offsetof(Masticreach__Bundle, signed_by),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "route_policy",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__OutcomeQuery, key),
+    offsetof(Masticreach__Bundle, route_policy),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "repeatable",
+    "place_policy",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__OutcomeQuery, repeatable),
-    NULL,
+    offsetof(Masticreach__Bundle, place_policy),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "refuse",
+    "evict_policy",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__OutcomeQuery, refuse),
+    offsetof(Masticreach__Bundle, evict_policy),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zones",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Bundle, n_zones),
+    offsetof(Masticreach__Bundle, zones),
+    &masticreach__bundle_zone__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "teams",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Bundle, n_teams),
+    offsetof(Masticreach__Bundle, teams),
+    &masticreach__bundle_team__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Bundle, n_services),
+    offsetof(Masticreach__Bundle, services),
+    &masticreach__bundle_service__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queues",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Bundle, n_queues),
+    offsetof(Masticreach__Bundle, queues),
+    &masticreach__bundle_queue__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pools",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Bundle, n_pools),
+    offsetof(Masticreach__Bundle, pools),
+    &masticreach__bundle_pool__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "document",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Bundle, document),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__outcome_query__field_indices_by_name[] = {
-  4,   /* field[4] = key */
-  0,   /* field[0] = origin_node */
-  6,   /* field[6] = refuse */
-  5,   /* field[5] = repeatable */
-  2,   /* field[2] = reply_nr */
-  1,   /* field[1] = request_nr */
-  3,   /* field[3] = service */
+static const unsigned masticreach__bundle__field_indices_by_name[] = {
+  1,   /* field[1] = digest */
+  12,   /* field[12] = document */
+  6,   /* field[6] = evict_policy */
+  5,   /* field[5] = place_policy */
+  11,   /* field[11] = pools */
+  10,   /* field[10] = queues */
+  4,   /* field[4] = route_policy */
+  9,   /* field[9] = services */
+  3,   /* field[3] = signed_by */
+  2,   /* field[2] = submitted_by */
+  8,   /* field[8] = teams */
+  0,   /* field[0] = version */
+  7,   /* field[7] = zones */
 };
-static const ProtobufCIntRange masticreach__outcome_query__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__bundle__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 13 }
 };
-const ProtobufCMessageDescriptor masticreach__outcome_query__descriptor =
+const ProtobufCMessageDescriptor masticreach__bundle__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.OutcomeQuery",
-  "OutcomeQuery",
-  "Masticreach__OutcomeQuery",
+  "masticreach.Bundle",
+  "Bundle",
+  "Masticreach__Bundle",
   "masticreach",
-  sizeof(Masticreach__OutcomeQuery),
-  7,
-  masticreach__outcome_query__field_descriptors,
-  masticreach__outcome_query__field_indices_by_name,
-  1,  masticreach__outcome_query__number_ranges,
-  (ProtobufCMessageInit) masticreach__outcome_query__init,
+  sizeof(Masticreach__Bundle),
+  13,
+  masticreach__bundle__field_descriptors,
+  masticreach__bundle__field_indices_by_name,
+  1,  masticreach__bundle__number_ranges,
+  (ProtobufCMessageInit) masticreach__bundle__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__load_report__field_descriptors[2] =
+static const ProtobufCFieldDescriptor masticreach__view__field_descriptors[7] =
 {
   {
-    "seq",
+    "term",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__LoadReport, seq),
+    offsetof(Masticreach__View, term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "loads",
+    "view_version",
     2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__View, view_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__View, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__View, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zones",
+    5,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Masticreach__LoadReport, n_loads),
-    offsetof(Masticreach__LoadReport, loads),
-    &masticreach__load__descriptor,
+    offsetof(Masticreach__View, n_zones),
+    offsetof(Masticreach__View, zones),
+    &masticreach__zone_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "agents",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__View, n_agents),
+    offsetof(Masticreach__View, agents),
+    &masticreach__view_agent__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bundles",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__View, n_bundles),
+    offsetof(Masticreach__View, bundles),
+    &masticreach__bundle__descriptor,
     NULL,
