     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__load_report__field_indices_by_name[] = {
-  1,   /* field[1] = loads */
-  0,   /* field[0] = seq */
+static const unsigned masticreach__view__field_indices_by_name[] = {
+  5,   /* field[5] = agents */
+  3,   /* field[3] = base_version */
+  6,   /* field[6] = bundles */
+  0,   /* field[0] = term */
+  1,   /* field[1] = view_version */
+  2,   /* field[2] = whole */
+  4,   /* field[4] = zones */
 };
-static const ProtobufCIntRange masticreach__load_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor masticreach__load_report__descriptor =
+const ProtobufCMessageDescriptor masticreach__view__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.LoadReport",
-  "LoadReport",
-  "Masticreach__LoadReport",
+  "masticreach.View",
+  "View",
+  "Masticreach__View",
   "masticreach",
-  sizeof(Masticreach__LoadReport),
-  2,
-  masticreach__load_report__field_descriptors,
-  masticreach__load_report__field_indices_by_name,
-  1,  masticreach__load_report__number_ranges,
-  (ProtobufCMessageInit) masticreach__load_report__init,
+  sizeof(Masticreach__View),
+  7,
+  masticreach__view__field_descriptors,
+  masticreach__view__field_indices_by_name,
+  1,  masticreach__view__number_ranges,
+  (ProtobufCMessageInit) masticreach__view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__vm_record__field_descriptors[10] =
+static const ProtobufCFieldDescriptor masticreach__claim_record__field_descriptors[13] =
 {
   {
-    "name",
+    "service",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__VmRecord, name),
+    offsetof(Masticreach__ClaimRecord, service),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "zone",
+    "key",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__VmRecord, zone),
+    offsetof(Masticreach__ClaimRecord, key),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rack",
+    "digest",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__VmRecord, rack),
+    offsetof(Masticreach__ClaimRecord, digest),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
+    "agent_node",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__VmRecord, address),
+    offsetof(Masticreach__ClaimRecord, agent_node),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "node_id",
+    "entry_node",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__VmRecord, node_id),
+    offsetof(Masticreach__ClaimRecord, entry_node),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
+    "request_nr",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__VmRecord, state),
+    offsetof(Masticreach__ClaimRecord, request_nr),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cpu_millis",
+    "attempt",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__VmRecord, cpu_millis),
+    offsetof(Masticreach__ClaimRecord, attempt),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_mib",
+    "state",
     8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__VmRecord, memory_mib),
+    offsetof(Masticreach__ClaimRecord, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accelerators",
+    "status",
     9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__VmRecord, accelerators),
+    offsetof(Masticreach__ClaimRecord, status),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "quarantined",
+    "content_type",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Masticreach__VmRecord, quarantined),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned masticreach__vm_record__field_indices_by_name[] = {
-  8,   /* field[8] = accelerators */
-  3,   /* field[3] = address */
-  6,   /* field[6] = cpu_millis */
-  7,   /* field[7] = memory_mib */
-  0,   /* field[0] = name */
-  4,   /* field[4] = node_id */
-  9,   /* field[9] = quarantined */
-  2,   /* field[2] = rack */
-  5,   /* field[5] = state */
-  1,   /* field[1] = zone */
-};
-static const ProtobufCIntRange masticreach__vm_record__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 10 }
-};
-const ProtobufCMessageDescriptor masticreach__vm_record__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.VmRecord",
-  "VmRecord",
-  "Masticreach__VmRecord",
-  "masticreach",
-  sizeof(Masticreach__VmRecord),
-  10,
-  masticreach__vm_record__field_descriptors,
-  masticreach__vm_record__field_indices_by_name,
-  1,  masticreach__vm_record__number_ranges,
-  (ProtobufCMessageInit) masticreach__vm_record__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor masticreach__platform_task__field_descriptors[10] =
-{
-  {
-    "task_id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformTask, task_id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "epoch",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformTask, epoch),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "run",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformTask, run),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "progress_ppm",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformTask, progress_ppm),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "checkpoint",
-    5,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformTask, checkpoint),
+    offsetof(Masticreach__ClaimRecord, content_type),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "age_ms",
-    6,
+    "body",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformTask, age_ms),
+    offsetof(Masticreach__ClaimRecord, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cpu_used_millis",
-    7,
+    "body_kept",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformTask, cpu_used_millis),
+    offsetof(Masticreach__ClaimRecord, body_kept),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_used_mib",
-    8,
+    "claimed_ms",
+    13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformTask, memory_used_mib),
+    offsetof(Masticreach__ClaimRecord, claimed_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned masticreach__claim_record__field_indices_by_name[] = {
+  3,   /* field[3] = agent_node */
+  6,   /* field[6] = attempt */
+  10,   /* field[10] = body */
+  11,   /* field[11] = body_kept */
+  12,   /* field[12] = claimed_ms */
+  9,   /* field[9] = content_type */
+  2,   /* field[2] = digest */
+  4,   /* field[4] = entry_node */
+  1,   /* field[1] = key */
+  5,   /* field[5] = request_nr */
+  0,   /* field[0] = service */
+  7,   /* field[7] = state */
+  8,   /* field[8] = status */
+};
+static const ProtobufCIntRange masticreach__claim_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor masticreach__claim_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.ClaimRecord",
+  "ClaimRecord",
+  "Masticreach__ClaimRecord",
+  "masticreach",
+  sizeof(Masticreach__ClaimRecord),
+  13,
+  masticreach__claim_record__field_descriptors,
+  masticreach__claim_record__field_indices_by_name,
+  1,  masticreach__claim_record__number_ranges,
+  (ProtobufCMessageInit) masticreach__claim_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__claim_query__field_descriptors[2] =
+{
   {
-    "rate_ppm",
-    9,
+    "ticket",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformTask, rate_ppm),
+    offsetof(Masticreach__ClaimQuery, ticket),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "service_time_us",
-    10,
+    "claim",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformTask, service_time_us),
-    NULL,
+    offsetof(Masticreach__ClaimQuery, claim),
+    &masticreach__claim_record__descriptor,
     NULL,
     0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned masticreach__platform_task__field_indices_by_name[] = {
-  5,   /* field[5] = age_ms */
-  4,   /* field[4] = checkpoint */
-  6,   /* field[6] = cpu_used_millis */
-  1,   /* field[1] = epoch */
-  7,   /* field[7] = memory_used_mib */
-  3,   /* field[3] = progress_ppm */
-  8,   /* field[8] = rate_ppm */
-  2,   /* field[2] = run */
-  9,   /* field[9] = service_time_us */
-  0,   /* field[0] = task_id */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCIntRange masticreach__platform_task__number_ranges[1 + 1] =
+static const unsigned masticreach__claim_query__field_indices_by_name[] = {
+  1,   /* field[1] = claim */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange masticreach__claim_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor masticreach__platform_task__descriptor =
+const ProtobufCMessageDescriptor masticreach__claim_query__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.PlatformTask",
-  "PlatformTask",
-  "Masticreach__PlatformTask",
+  "masticreach.ClaimQuery",
+  "ClaimQuery",
+  "Masticreach__ClaimQuery",
   "masticreach",
-  sizeof(Masticreach__PlatformTask),
-  10,
-  masticreach__platform_task__field_descriptors,
-  masticreach__platform_task__field_indices_by_name,
-  1,  masticreach__platform_task__number_ranges,
-  (ProtobufCMessageInit) masticreach__platform_task__init,
+  sizeof(Masticreach__ClaimQuery),
+  2,
+  masticreach__claim_query__field_descriptors,
+  masticreach__claim_query__field_indices_by_name,
+  1,  masticreach__claim_query__number_ranges,
+  (ProtobufCMessageInit) masticreach__claim_query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__report_service__field_descriptors[4] =
+static const ProtobufCFieldDescriptor masticreach__claim_reply__field_descriptors[3] =
 {
   {
-    "service",
+    "ticket",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ReportService, service),
+    offsetof(Masticreach__ClaimReply, ticket),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slots",
+    "result",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ReportService, slots),
+    offsetof(Masticreach__ClaimReply, result),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "claim",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ReportService, leaving),
-    NULL,
+    offsetof(Masticreach__ClaimReply, claim),
+    &masticreach__claim_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned masticreach__claim_reply__field_indices_by_name[] = {
+  2,   /* field[2] = claim */
+  1,   /* field[1] = result */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange masticreach__claim_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor masticreach__claim_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.ClaimReply",
+  "ClaimReply",
+  "Masticreach__ClaimReply",
+  "masticreach",
+  sizeof(Masticreach__ClaimReply),
+  3,
+  masticreach__claim_reply__field_descriptors,
+  masticreach__claim_reply__field_indices_by_name,
+  1,  masticreach__claim_reply__number_ranges,
+  (ProtobufCMessageInit) masticreach__claim_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__claim_done__field_descriptors[1] =
+{
   {
-    "service_time_us",
-    4,
+    "claim",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ReportService, service_time_us),
-    NULL,
+    offsetof(Masticreach__ClaimDone, claim),
+    &masticreach__claim_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__report_service__field_indices_by_name[] = {
-  2,   /* field[2] = leaving */
-  0,   /* field[0] = service */
-  3,   /* field[3] = service_time_us */
-  1,   /* field[1] = slots */
+static const unsigned masticreach__claim_done__field_indices_by_name[] = {
+  0,   /* field[0] = claim */
 };
-static const ProtobufCIntRange masticreach__report_service__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__claim_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor masticreach__report_service__descriptor =
+const ProtobufCMessageDescriptor masticreach__claim_done__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.ReportService",
-  "ReportService",
-  "Masticreach__ReportService",
+  "masticreach.ClaimDone",
+  "ClaimDone",
+  "Masticreach__ClaimDone",
   "masticreach",
-  sizeof(Masticreach__ReportService),
-  4,
-  masticreach__report_service__field_descriptors,
-  masticreach__report_service__field_indices_by_name,
-  1,  masticreach__report_service__number_ranges,
-  (ProtobufCMessageInit) masticreach__report_service__init,
+  sizeof(Masticreach__ClaimDone),
+  1,
+  masticreach__claim_done__field_descriptors,
+  masticreach__claim_done__field_indices_by_name,
+  1,  masticreach__claim_done__number_ranges,
+  (ProtobufCMessageInit) masticreach__claim_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor masticreach__flow_step__field_descriptors[18] =
 {
   {
-    "seq",
+    "count",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Report, seq),
+    offsetof(Masticreach__FlowStep, count),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sent_us",
+    "cpu_millis",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Report, sent_us),
+    offsetof(Masticreach__FlowStep, cpu_millis),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "vm",
+    "memory_mib",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Report, vm),
-    &masticreach__vm_record__descriptor,
+    offsetof(Masticreach__FlowStep, memory_mib),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "bundle_version",
+    "accelerators",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Report, bundle_version),
+    offsetof(Masticreach__FlowStep, accelerators),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "estimate_ms",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Report, leaving),
+    offsetof(Masticreach__FlowStep, estimate_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tasks",
+    "after",
     6,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Masticreach__Report, n_tasks),
-    offsetof(Masticreach__Report, tasks),
-    &masticreach__platform_task__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Masticreach__FlowStep, n_after),
+    offsetof(Masticreach__FlowStep, after),
     NULL,
-    0,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "services",
+    "checkpoints",
     7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Masticreach__Report, n_services),
-    offsetof(Masticreach__Report, services),
-    &masticreach__report_service__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowStep, checkpoints),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned masticreach__report__field_indices_by_name[] = {
-  3,   /* field[3] = bundle_version */
-  4,   /* field[4] = leaving */
-  1,   /* field[1] = sent_us */
-  0,   /* field[0] = seq */
-  6,   /* field[6] = services */
-  5,   /* field[5] = tasks */
-  2,   /* field[2] = vm */
-};
-static const ProtobufCIntRange masticreach__report__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor masticreach__report__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.Report",
-  "Report",
-  "Masticreach__Report",
-  "masticreach",
-  sizeof(Masticreach__Report),
-  7,
-  masticreach__report__field_descriptors,
-  masticreach__report__field_indices_by_name,
-  1,  masticreach__report__number_ranges,
-  (ProtobufCMessageInit) masticreach__report__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor masticreach__grant__field_descriptors[8] =
-{
   {
-    "seq",
-    1,
+    "gang",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Grant, seq),
+    offsetof(Masticreach__FlowStep, gang),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sent_us",
-    2,
+    "same_rack",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Grant, sent_us),
+    offsetof(Masticreach__FlowStep, same_rack),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
-    3,
+    "copies",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Grant, term),
+    offsetof(Masticreach__FlowStep, copies),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lease_ms",
-    4,
+    "lasting",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Grant, lease_ms),
+    offsetof(Masticreach__FlowStep, lasting),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permit_ms",
-    5,
+    "filler",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Grant, permit_ms),
+    offsetof(Masticreach__FlowStep, filler),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "image",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowStep, image),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "label",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowStep, label),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_rack",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowStep, data_rack),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "zone_out",
-    6,
+    "max_per_vm",
+    16,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Grant, zone_out),
+    offsetof(Masticreach__FlowStep, max_per_vm),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "bundle_version",
-    7,
+    "target_ms",
+    17,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Grant, bundle_version),
+    offsetof(Masticreach__FlowStep, target_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "confirmed",
-    8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Masticreach__Grant, n_confirmed),
-    offsetof(Masticreach__Grant, confirmed),
+    "max_unavailable",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowStep, max_unavailable),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__grant__field_indices_by_name[] = {
-  6,   /* field[6] = bundle_version */
-  7,   /* field[7] = confirmed */
-  3,   /* field[3] = lease_ms */
-  4,   /* field[4] = permit_ms */
-  1,   /* field[1] = sent_us */
-  0,   /* field[0] = seq */
-  2,   /* field[2] = term */
-  5,   /* field[5] = zone_out */
+static const unsigned masticreach__flow_step__field_indices_by_name[] = {
+  3,   /* field[3] = accelerators */
+  5,   /* field[5] = after */
+  6,   /* field[6] = checkpoints */
+  9,   /* field[9] = copies */
+  0,   /* field[0] = count */
+  1,   /* field[1] = cpu_millis */
+  14,   /* field[14] = data_rack */
+  4,   /* field[4] = estimate_ms */
+  11,   /* field[11] = filler */
+  7,   /* field[7] = gang */
+  12,   /* field[12] = image */
+  13,   /* field[13] = label */
+  10,   /* field[10] = lasting */
+  15,   /* field[15] = max_per_vm */
+  17,   /* field[17] = max_unavailable */
+  2,   /* field[2] = memory_mib */
+  8,   /* field[8] = same_rack */
+  16,   /* field[16] = target_ms */
 };
-static const ProtobufCIntRange masticreach__grant__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__flow_step__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 18 }
 };
-const ProtobufCMessageDescriptor masticreach__grant__descriptor =
+const ProtobufCMessageDescriptor masticreach__flow_step__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.Grant",
-  "Grant",
-  "Masticreach__Grant",
+  "masticreach.FlowStep",
+  "FlowStep",
+  "Masticreach__FlowStep",
   "masticreach",
-  sizeof(Masticreach__Grant),
-  8,
-  masticreach__grant__field_descriptors,
-  masticreach__grant__field_indices_by_name,
-  1,  masticreach__grant__number_ranges,
-  (ProtobufCMessageInit) masticreach__grant__init,
+  sizeof(Masticreach__FlowStep),
+  18,
+  masticreach__flow_step__field_descriptors,
+  masticreach__flow_step__field_indices_by_name,
+  1,  masticreach__flow_step__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__platform_start__field_descriptors[11] =
+static const ProtobufCFieldDescriptor masticreach__flow_task__field_descriptors[7] =
 {
   {
-    "task_id",
+    "state",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformStart, task_id),
+    offsetof(Masticreach__FlowTask, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "run",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformStart, epoch),
+    offsetof(Masticreach__FlowTask, run),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "job",
+    "nr_failures",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformStart, job),
+    offsetof(Masticreach__FlowTask, nr_failures),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kind",
+    "vm",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformStart, kind),
+    offsetof(Masticreach__FlowTask, vm),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "payload",
+    "worker",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformStart, payload),
+    offsetof(Masticreach__FlowTask, worker),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cpu_millis",
+    "born_ms",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformStart, cpu_millis),
+    offsetof(Masticreach__FlowTask, born_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_mib",
+    "checkpoint",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformStart, memory_mib),
-    NULL,
+    offsetof(Masticreach__FlowTask, checkpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned masticreach__flow_task__field_indices_by_name[] = {
+  5,   /* field[5] = born_ms */
+  6,   /* field[6] = checkpoint */
+  2,   /* field[2] = nr_failures */
+  1,   /* field[1] = run */
+  0,   /* field[0] = state */
+  3,   /* field[3] = vm */
+  4,   /* field[4] = worker */
+};
+static const ProtobufCIntRange masticreach__flow_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor masticreach__flow_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.FlowTask",
+  "FlowTask",
+  "Masticreach__FlowTask",
+  "masticreach",
+  sizeof(Masticreach__FlowTask),
+  7,
+  masticreach__flow_task__field_descriptors,
+  masticreach__flow_task__field_indices_by_name,
+  1,  masticreach__flow_task__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__flow_record__field_descriptors[17] =
+{
   {
-    "accelerators",
-    8,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformStart, accelerators),
-    NULL,
+    offsetof(Masticreach__FlowRecord, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "checkpoint",
-    9,
+    "host",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformStart, checkpoint),
+    offsetof(Masticreach__FlowRecord, host),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lease_ms",
-    10,
+    "prefix",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformStart, lease_ms),
-    NULL,
+    offsetof(Masticreach__FlowRecord, prefix),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "start_within_ms",
-    11,
+    "service",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__PlatformStart, start_within_ms),
-    NULL,
+    offsetof(Masticreach__FlowRecord, service),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned masticreach__platform_start__field_indices_by_name[] = {
-  7,   /* field[7] = accelerators */
-  8,   /* field[8] = checkpoint */
-  5,   /* field[5] = cpu_millis */
-  1,   /* field[1] = epoch */
-  2,   /* field[2] = job */
-  3,   /* field[3] = kind */
-  9,   /* field[9] = lease_ms */
-  6,   /* field[6] = memory_mib */
-  4,   /* field[4] = payload */
-  10,   /* field[10] = start_within_ms */
-  0,   /* field[0] = task_id */
-};
-static const ProtobufCIntRange masticreach__platform_start__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 11 }
-};
-const ProtobufCMessageDescriptor masticreach__platform_start__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.PlatformStart",
-  "PlatformStart",
-  "Masticreach__PlatformStart",
-  "masticreach",
-  sizeof(Masticreach__PlatformStart),
-  11,
-  masticreach__platform_start__field_descriptors,
-  masticreach__platform_start__field_indices_by_name,
-  1,  masticreach__platform_start__number_ranges,
-  (ProtobufCMessageInit) masticreach__platform_start__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor masticreach__task_order__field_descriptors[6] =
-{
   {
-    "term",
-    1,
+    "priority",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__TaskOrder, term),
+    offsetof(Masticreach__FlowRecord, priority),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "vm_node",
-    2,
+    "attempts",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__TaskOrder, vm_node),
+    offsetof(Masticreach__FlowRecord, attempts),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "action",
-    3,
+    "slack_permille",
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__TaskOrder, action),
+    offsetof(Masticreach__FlowRecord, slack_permille),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cpu_ppm",
-    4,
+    "slo_ms",
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__TaskOrder, cpu_ppm),
+    offsetof(Masticreach__FlowRecord, slo_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permit_sent_us",
-    5,
+    "spec",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__TaskOrder, permit_sent_us),
+    offsetof(Masticreach__FlowRecord, spec),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "start",
-    6,
-    PROTOBUF_C_LABEL_NONE,
+    "steps",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__FlowRecord, n_steps),
+    offsetof(Masticreach__FlowRecord, steps),
+    &masticreach__flow_step__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeats",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__TaskOrder, start),
-    &masticreach__platform_start__descriptor,
+    offsetof(Masticreach__FlowRecord, repeats),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned masticreach__task_order__field_indices_by_name[] = {
-  2,   /* field[2] = action */
-  3,   /* field[3] = cpu_ppm */
-  4,   /* field[4] = permit_sent_us */
-  5,   /* field[5] = start */
-  0,   /* field[0] = term */
-  1,   /* field[1] = vm_node */
-};
-static const ProtobufCIntRange masticreach__task_order__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
-};
-const ProtobufCMessageDescriptor masticreach__task_order__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.TaskOrder",
-  "TaskOrder",
-  "Masticreach__TaskOrder",
-  "masticreach",
-  sizeof(Masticreach__TaskOrder),
-  6,
-  masticreach__task_order__field_descriptors,
-  masticreach__task_order__field_indices_by_name,
-  1,  masticreach__task_order__number_ranges,
-  (ProtobufCMessageInit) masticreach__task_order__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor masticreach__task_event__field_descriptors[6] =
-{
   {
-    "task_id",
-    1,
+    "first_ms",
+    12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__TaskEvent, task_id),
+    offsetof(Masticreach__FlowRecord, first_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
-    2,
+    "interval_ms",
+    13,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__TaskEvent, epoch),
+    offsetof(Masticreach__FlowRecord, interval_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "run",
-    3,
+    "submitted_ms",
+    14,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__TaskEvent, run),
+    offsetof(Masticreach__FlowRecord, submitted_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "checkpoint",
-    4,
+    "finished_ms",
+    15,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__TaskEvent, checkpoint),
+    offsetof(Masticreach__FlowRecord, finished_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "progress_ppm",
-    5,
+    "state",
+    16,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__TaskEvent, progress_ppm),
+    offsetof(Masticreach__FlowRecord, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "result",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Masticreach__TaskEvent, result),
-    NULL,
+    "tasks",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__FlowRecord, n_tasks),
+    offsetof(Masticreach__FlowRecord, tasks),
+    &masticreach__flow_task__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__task_event__field_indices_by_name[] = {
-  3,   /* field[3] = checkpoint */
-  1,   /* field[1] = epoch */
-  4,   /* field[4] = progress_ppm */
-  5,   /* field[5] = result */
-  2,   /* field[2] = run */
-  0,   /* field[0] = task_id */
+static const unsigned masticreach__flow_record__field_indices_by_name[] = {
+  5,   /* field[5] = attempts */
+  14,   /* field[14] = finished_ms */
+  11,   /* field[11] = first_ms */
+  1,   /* field[1] = host */
+  0,   /* field[0] = id */
+  12,   /* field[12] = interval_ms */
+  2,   /* field[2] = prefix */
+  4,   /* field[4] = priority */
+  10,   /* field[10] = repeats */
+  3,   /* field[3] = service */
+  6,   /* field[6] = slack_permille */
+  7,   /* field[7] = slo_ms */
+  8,   /* field[8] = spec */
+  15,   /* field[15] = state */
+  9,   /* field[9] = steps */
+  13,   /* field[13] = submitted_ms */
+  16,   /* field[16] = tasks */
 };
-static const ProtobufCIntRange masticreach__task_event__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__flow_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 17 }
 };
-const ProtobufCMessageDescriptor masticreach__task_event__descriptor =
+const ProtobufCMessageDescriptor masticreach__flow_record__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.TaskEvent",
-  "TaskEvent",
-  "Masticreach__TaskEvent",
+  "masticreach.FlowRecord",
+  "FlowRecord",
+  "Masticreach__FlowRecord",
   "masticreach",
-  sizeof(Masticreach__TaskEvent),
-  6,
-  masticreach__task_event__field_descriptors,
-  masticreach__task_event__field_indices_by_name,
-  1,  masticreach__task_event__number_ranges,
-  (ProtobufCMessageInit) masticreach__task_event__init,
+  sizeof(Masticreach__FlowRecord),
+  17,
+  masticreach__flow_record__field_descriptors,
+  masticreach__flow_record__field_indices_by_name,
+  1,  masticreach__flow_record__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__view_query__field_descriptors[3] =
+static const ProtobufCFieldDescriptor masticreach__flow_call__field_descriptors[5] =
 {
   {
-    "term",
+    "ticket",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ViewQuery, term),
+    offsetof(Masticreach__FlowCall, ticket),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "view_version",
+    "kind",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ViewQuery, view_version),
+    offsetof(Masticreach__FlowCall, kind),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "bundle_version",
+    "host",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ViewQuery, bundle_version),
+    offsetof(Masticreach__FlowCall, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowCall, path),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "flows",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__FlowCall, n_flows),
+    offsetof(Masticreach__FlowCall, flows),
+    &masticreach__flow_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__view_query__field_indices_by_name[] = {
-  2,   /* field[2] = bundle_version */
-  0,   /* field[0] = term */
-  1,   /* field[1] = view_version */
+static const unsigned masticreach__flow_call__field_indices_by_name[] = {
+  4,   /* field[4] = flows */
+  2,   /* field[2] = host */
+  1,   /* field[1] = kind */
+  3,   /* field[3] = path */
+  0,   /* field[0] = ticket */
 };
-static const ProtobufCIntRange masticreach__view_query__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__flow_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor masticreach__view_query__descriptor =
+const ProtobufCMessageDescriptor masticreach__flow_call__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.ViewQuery",
-  "ViewQuery",
-  "Masticreach__ViewQuery",
+  "masticreach.FlowCall",
+  "FlowCall",
+  "Masticreach__FlowCall",
   "masticreach",
-  sizeof(Masticreach__ViewQuery),
-  3,
-  masticreach__view_query__field_descriptors,
-  masticreach__view_query__field_indices_by_name,
-  1,  masticreach__view_query__number_ranges,
-  (ProtobufCMessageInit) masticreach__view_query__init,
+  sizeof(Masticreach__FlowCall),
+  5,
+  masticreach__flow_call__field_descriptors,
+  masticreach__flow_call__field_indices_by_name,
+  1,  masticreach__flow_call__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__zone_record__field_descriptors[4] =
+static const ProtobufCFieldDescriptor masticreach__flow_reply__field_descriptors[4] =
 {
   {
-    "name",
+    "ticket",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ZoneRecord, name),
+    offsetof(Masticreach__FlowReply, ticket),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "out",
+    "result",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ZoneRecord, out),
+    offsetof(Masticreach__FlowReply, result),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "version",
+    "state",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ZoneRecord, version),
+    offsetof(Masticreach__FlowReply, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "changed_by",
+    "nr_pending",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ZoneRecord, changed_by),
+    offsetof(Masticreach__FlowReply, nr_pending),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__zone_record__field_indices_by_name[] = {
-  3,   /* field[3] = changed_by */
-  0,   /* field[0] = name */
-  1,   /* field[1] = out */
-  2,   /* field[2] = version */
+static const unsigned masticreach__flow_reply__field_indices_by_name[] = {
+  3,   /* field[3] = nr_pending */
+  1,   /* field[1] = result */
+  2,   /* field[2] = state */
+  0,   /* field[0] = ticket */
 };
-static const ProtobufCIntRange masticreach__zone_record__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__flow_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 4 }
 };
-const ProtobufCMessageDescriptor masticreach__zone_record__descriptor =
+const ProtobufCMessageDescriptor masticreach__flow_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.ZoneRecord",
-  "ZoneRecord",
-  "Masticreach__ZoneRecord",
+  "masticreach.FlowReply",
+  "FlowReply",
+  "Masticreach__FlowReply",
   "masticreach",
-  sizeof(Masticreach__ZoneRecord),
+  sizeof(Masticreach__FlowReply),
   4,
-  masticreach__zone_record__field_descriptors,
-  masticreach__zone_record__field_indices_by_name,
-  1,  masticreach__zone_record__number_ranges,
-  (ProtobufCMessageInit) masticreach__zone_record__init,
+  masticreach__flow_reply__field_descriptors,
+  masticreach__flow_reply__field_indices_by_name,
+  1,  masticreach__flow_reply__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__view_agent__field_descriptors[5] =
+static const ProtobufCFieldDescriptor masticreach__worker_life__field_descriptors[13] =
 {
   {
-    "vm",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ViewAgent, vm),
+    offsetof(Masticreach__WorkerLife, id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "zone",
+    "born_ms",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ViewAgent, zone),
+    offsetof(Masticreach__WorkerLife, born_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
+    "service",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ViewAgent, address),
+    offsetof(Masticreach__WorkerLife, service),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "node_id",
+    "machine",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ViewAgent, node_id),
-    NULL,
+    offsetof(Masticreach__WorkerLife, machine),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "gone",
+    "cpu_millis",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ViewAgent, gone),
+    offsetof(Masticreach__WorkerLife, cpu_millis),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned masticreach__view_agent__field_indices_by_name[] = {
-  2,   /* field[2] = address */
-  4,   /* field[4] = gone */
-  3,   /* field[3] = node_id */
-  0,   /* field[0] = vm */
-  1,   /* field[1] = zone */
-};
-static const ProtobufCIntRange masticreach__view_agent__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor masticreach__view_agent__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.ViewAgent",
-  "ViewAgent",
-  "Masticreach__ViewAgent",
-  "masticreach",
-  sizeof(Masticreach__ViewAgent),
-  5,
-  masticreach__view_agent__field_descriptors,
-  masticreach__view_agent__field_indices_by_name,
-  1,  masticreach__view_agent__number_ranges,
-  (ProtobufCMessageInit) masticreach__view_agent__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor masticreach__bundle_zone__field_descriptors[3] =
-{
   {
-    "name",
-    1,
+    "memory_mib",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleZone, name),
+    offsetof(Masticreach__WorkerLife, memory_mib),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "region",
-    2,
+    "accelerators",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleZone, region),
+    offsetof(Masticreach__WorkerLife, accelerators),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cost_ppm",
-    3,
+    "kind",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleZone, cost_ppm),
-    NULL,
+    offsetof(Masticreach__WorkerLife, kind),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned masticreach__bundle_zone__field_indices_by_name[] = {
-  2,   /* field[2] = cost_ppm */
-  0,   /* field[0] = name */
-  1,   /* field[1] = region */
-};
-static const ProtobufCIntRange masticreach__bundle_zone__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor masticreach__bundle_zone__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.BundleZone",
-  "BundleZone",
-  "Masticreach__BundleZone",
-  "masticreach",
-  sizeof(Masticreach__BundleZone),
-  3,
-  masticreach__bundle_zone__field_descriptors,
-  masticreach__bundle_zone__field_indices_by_name,
-  1,  masticreach__bundle_zone__number_ranges,
-  (ProtobufCMessageInit) masticreach__bundle_zone__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor masticreach__bundle_team__field_descriptors[4] =
-{
   {
-    "name",
-    1,
+    "rack",
+    9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleTeam, name),
+    offsetof(Masticreach__WorkerLife, rack),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "quota_cpu_millis",
-    2,
+    "draining",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__WorkerLife, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleTeam, quota_cpu_millis),
+    offsetof(Masticreach__WorkerLife, ended),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "quota_memory_mib",
-    3,
+    "remaining_ms",
+    12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleTeam, quota_memory_mib),
+    offsetof(Masticreach__WorkerLife, remaining_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "quota_accelerators",
-    4,
+    "warmup_ms",
+    13,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleTeam, quota_accelerators),
+    offsetof(Masticreach__WorkerLife, warmup_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__bundle_team__field_indices_by_name[] = {
-  0,   /* field[0] = name */
-  3,   /* field[3] = quota_accelerators */
-  1,   /* field[1] = quota_cpu_millis */
-  2,   /* field[2] = quota_memory_mib */
+static const unsigned masticreach__worker_life__field_indices_by_name[] = {
+  6,   /* field[6] = accelerators */
+  1,   /* field[1] = born_ms */
+  4,   /* field[4] = cpu_millis */
+  9,   /* field[9] = draining */
+  10,   /* field[10] = ended */
+  0,   /* field[0] = id */
+  7,   /* field[7] = kind */
+  3,   /* field[3] = machine */
+  5,   /* field[5] = memory_mib */
+  8,   /* field[8] = rack */
+  11,   /* field[11] = remaining_ms */
+  2,   /* field[2] = service */
+  12,   /* field[12] = warmup_ms */
 };
-static const ProtobufCIntRange masticreach__bundle_team__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__worker_life__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 13 }
 };
-const ProtobufCMessageDescriptor masticreach__bundle_team__descriptor =
+const ProtobufCMessageDescriptor masticreach__worker_life__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.BundleTeam",
-  "BundleTeam",
-  "Masticreach__BundleTeam",
+  "masticreach.WorkerLife",
+  "WorkerLife",
+  "Masticreach__WorkerLife",
   "masticreach",
-  sizeof(Masticreach__BundleTeam),
-  4,
-  masticreach__bundle_team__field_descriptors,
-  masticreach__bundle_team__field_indices_by_name,
-  1,  masticreach__bundle_team__number_ranges,
-  (ProtobufCMessageInit) masticreach__bundle_team__init,
+  sizeof(Masticreach__WorkerLife),
+  13,
+  masticreach__worker_life__field_descriptors,
+  masticreach__worker_life__field_indices_by_name,
+  1,  masticreach__worker_life__number_ranges,
+  (ProtobufCMessageInit) masticreach__worker_life__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__bundle_service__field_descriptors[9] =
+static const ProtobufCFieldDescriptor masticreach__flow_run__field_descriptors[8] =
 {
   {
-    "name",
+    "task",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleService, name),
+    offsetof(Masticreach__FlowRun, task),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
+    "run",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleService, team),
+    offsetof(Masticreach__FlowRun, run),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "replicas",
+    "unconfirmed",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleService, replicas),
+    offsetof(Masticreach__FlowRun, unconfirmed),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cpu_millis",
+    "unordered",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleService, cpu_millis),
+    offsetof(Masticreach__FlowRun, unordered),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_mib",
+    "checkpoint",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleService, memory_mib),
-    NULL,
+    offsetof(Masticreach__FlowRun, checkpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accelerators",
+    "percent",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleService, accelerators),
+    offsetof(Masticreach__FlowRun, percent),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "deadline_ms",
+    "figure",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleService, deadline_ms),
+    offsetof(Masticreach__FlowRun, figure),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "target_p99_us",
+    "pace",
     8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleService, target_p99_us),
+    offsetof(Masticreach__FlowRun, pace),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "payload",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleService, payload),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
-static const unsigned masticreach__bundle_service__field_indices_by_name[] = {
-  5,   /* field[5] = accelerators */
-  3,   /* field[3] = cpu_millis */
-  6,   /* field[6] = deadline_ms */
-  4,   /* field[4] = memory_mib */
-  0,   /* field[0] = name */
-  8,   /* field[8] = payload */
-  2,   /* field[2] = replicas */
-  7,   /* field[7] = target_p99_us */
-  1,   /* field[1] = team */
+static const unsigned masticreach__flow_run__field_indices_by_name[] = {
+  4,   /* field[4] = checkpoint */
+  6,   /* field[6] = figure */
+  7,   /* field[7] = pace */
+  5,   /* field[5] = percent */
+  1,   /* field[1] = run */
+  0,   /* field[0] = task */
+  2,   /* field[2] = unconfirmed */
+  3,   /* field[3] = unordered */
 };
-static const ProtobufCIntRange masticreach__bundle_service__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__flow_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 8 }
 };
-const ProtobufCMessageDescriptor masticreach__bundle_service__descriptor =
+const ProtobufCMessageDescriptor masticreach__flow_run__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.BundleService",
-  "BundleService",
-  "Masticreach__BundleService",
+  "masticreach.FlowRun",
+  "FlowRun",
+  "Masticreach__FlowRun",
   "masticreach",
-  sizeof(Masticreach__BundleService),
-  9,
-  masticreach__bundle_service__field_descriptors,
-  masticreach__bundle_service__field_indices_by_name,
-  1,  masticreach__bundle_service__number_ranges,
-  (ProtobufCMessageInit) masticreach__bundle_service__init,
+  sizeof(Masticreach__FlowRun),
+  8,
+  masticreach__flow_run__field_descriptors,
+  masticreach__flow_run__field_indices_by_name,
+  1,  masticreach__flow_run__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__bundle__field_descriptors[10] =
+static const ProtobufCFieldDescriptor masticreach__flow_run_end__field_descriptors[6] =
 {
   {
-    "version",
+    "nr",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Bundle, version),
+    offsetof(Masticreach__FlowRunEnd, nr),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "digest",
+    "task",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Bundle, digest),
+    offsetof(Masticreach__FlowRunEnd, task),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "submitted_by",
+    "run",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Bundle, submitted_by),
+    offsetof(Masticreach__FlowRunEnd, run),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "signed_by",
+    "end",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Bundle, signed_by),
+    offsetof(Masticreach__FlowRunEnd, end),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "route_policy",
+    "result",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Bundle, route_policy),
+    offsetof(Masticreach__FlowRunEnd, result),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "place_policy",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Masticreach__Bundle, place_policy),
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "evict_policy",
-    7,
+    "checkpoint",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__Bundle, evict_policy),
+    offsetof(Masticreach__FlowRunEnd, checkpoint),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "zones",
-    8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Masticreach__Bundle, n_zones),
-    offsetof(Masticreach__Bundle, zones),
-    &masticreach__bundle_zone__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "teams",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Masticreach__Bundle, n_teams),
-    offsetof(Masticreach__Bundle, teams),
-    &masticreach__bundle_team__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "services",
-    10,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Masticreach__Bundle, n_services),
-    offsetof(Masticreach__Bundle, services),
-    &masticreach__bundle_service__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
-static const unsigned masticreach__bundle__field_indices_by_name[] = {
-  1,   /* field[1] = digest */
-  6,   /* field[6] = evict_policy */
-  5,   /* field[5] = place_policy */
-  4,   /* field[4] = route_policy */
-  9,   /* field[9] = services */
-  3,   /* field[3] = signed_by */
-  2,   /* field[2] = submitted_by */
-  8,   /* field[8] = teams */
-  0,   /* field[0] = version */
-  7,   /* field[7] = zones */
+static const unsigned masticreach__flow_run_end__field_indices_by_name[] = {
+  5,   /* field[5] = checkpoint */
+  3,   /* field[3] = end */
+  0,   /* field[0] = nr */
+  4,   /* field[4] = result */
+  2,   /* field[2] = run */
+  1,   /* field[1] = task */
 };
-static const ProtobufCIntRange masticreach__bundle__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__flow_run_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor masticreach__bundle__descriptor =
+const ProtobufCMessageDescriptor masticreach__flow_run_end__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.Bundle",
-  "Bundle",
-  "Masticreach__Bundle",
+  "masticreach.FlowRunEnd",
+  "FlowRunEnd",
+  "Masticreach__FlowRunEnd",
   "masticreach",
-  sizeof(Masticreach__Bundle),
-  10,
-  masticreach__bundle__field_descriptors,
-  masticreach__bundle__field_indices_by_name,
-  1,  masticreach__bundle__number_ranges,
-  (ProtobufCMessageInit) masticreach__bundle__init,
+  sizeof(Masticreach__FlowRunEnd),
+  6,
+  masticreach__flow_run_end__field_descriptors,
+  masticreach__flow_run_end__field_indices_by_name,
+  1,  masticreach__flow_run_end__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__view__field_descriptors[7] =
+static const ProtobufCFieldDescriptor masticreach__flow_report__field_descriptors[10] =
 {
   {
-    "term",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__View, term),
+    offsetof(Masticreach__FlowReport, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "view_version",
+    "sent_us",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__View, view_version),
+    offsetof(Masticreach__FlowReport, sent_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "whole",
+    "vm",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__View, whole),
-    NULL,
+    offsetof(Masticreach__FlowReport, vm),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "base_version",
+    "zone",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__View, base_version),
-    NULL,
+    offsetof(Masticreach__FlowReport, zone),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "zones",
+    "worker",
     5,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Masticreach__View, n_zones),
-    offsetof(Masticreach__View, zones),
-    &masticreach__zone_record__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowReport, worker),
+    &masticreach__worker_life__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reachable",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowReport, reachable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "looked",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowReport, looked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "late_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowReport, late_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "agents",
-    6,
+    "runs",
+    9,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Masticreach__View, n_agents),
-    offsetof(Masticreach__View, agents),
-    &masticreach__view_agent__descriptor,
+    offsetof(Masticreach__FlowReport, n_runs),
+    offsetof(Masticreach__FlowReport, runs),
+    &masticreach__flow_run__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "bundles",
-    7,
+    "ends",
+    10,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Masticreach__View, n_bundles),
-    offsetof(Masticreach__View, bundles),
-    &masticreach__bundle__descriptor,
+    offsetof(Masticreach__FlowReport, n_ends),
+    offsetof(Masticreach__FlowReport, ends),
+    &masticreach__flow_run_end__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__view__field_indices_by_name[] = {
-  5,   /* field[5] = agents */
-  3,   /* field[3] = base_version */
-  6,   /* field[6] = bundles */
-  0,   /* field[0] = term */
-  1,   /* field[1] = view_version */
-  2,   /* field[2] = whole */
-  4,   /* field[4] = zones */
+static const unsigned masticreach__flow_report__field_indices_by_name[] = {
+  9,   /* field[9] = ends */
+  7,   /* field[7] = late_ms */
+  6,   /* field[6] = looked */
+  5,   /* field[5] = reachable */
+  8,   /* field[8] = runs */
+  1,   /* field[1] = sent_us */
+  0,   /* field[0] = seq */
+  2,   /* field[2] = vm */
+  4,   /* field[4] = worker */
+  3,   /* field[3] = zone */
 };
-static const ProtobufCIntRange masticreach__view__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__flow_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
-const ProtobufCMessageDescriptor masticreach__view__descriptor =
+const ProtobufCMessageDescriptor masticreach__flow_report__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.View",
-  "View",
-  "Masticreach__View",
+  "masticreach.FlowReport",
+  "FlowReport",
+  "Masticreach__FlowReport",
   "masticreach",
-  sizeof(Masticreach__View),
-  7,
-  masticreach__view__field_descriptors,
-  masticreach__view__field_indices_by_name,
-  1,  masticreach__view__number_ranges,
-  (ProtobufCMessageInit) masticreach__view__init,
+  sizeof(Masticreach__FlowReport),
+  10,
+  masticreach__flow_report__field_descriptors,
+  masticreach__flow_report__field_indices_by_name,
+  1,  masticreach__flow_report__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__claim_record__field_descriptors[13] =
+static const ProtobufCFieldDescriptor masticreach__flow_grant__field_descriptors[7] =
 {
   {
-    "service",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimRecord, service),
+    offsetof(Masticreach__FlowGrant, seq),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "sent_us",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimRecord, key),
+    offsetof(Masticreach__FlowGrant, sent_us),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "digest",
+    "term",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimRecord, digest),
+    offsetof(Masticreach__FlowGrant, term),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "agent_node",
+    "lease_ms",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimRecord, agent_node),
+    offsetof(Masticreach__FlowGrant, lease_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entry_node",
+    "worker",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimRecord, entry_node),
-    NULL,
+    offsetof(Masticreach__FlowGrant, worker),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request_nr",
+    "born_ms",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimRecord, request_nr),
+    offsetof(Masticreach__FlowGrant, born_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "settled_nr",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimRecord, attempt),
+    offsetof(Masticreach__FlowGrant, settled_nr),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned masticreach__flow_grant__field_indices_by_name[] = {
+  5,   /* field[5] = born_ms */
+  3,   /* field[3] = lease_ms */
+  1,   /* field[1] = sent_us */
+  0,   /* field[0] = seq */
+  6,   /* field[6] = settled_nr */
+  2,   /* field[2] = term */
+  4,   /* field[4] = worker */
+};
+static const ProtobufCIntRange masticreach__flow_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor masticreach__flow_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.FlowGrant",
+  "FlowGrant",
+  "Masticreach__FlowGrant",
+  "masticreach",
+  sizeof(Masticreach__FlowGrant),
+  7,
+  masticreach__flow_grant__field_descriptors,
+  masticreach__flow_grant__field_indices_by_name,
+  1,  masticreach__flow_grant__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__flow_order__field_descriptors[8] =
+{
   {
-    "state",
-    8,
+    "action",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimRecord, state),
+    offsetof(Masticreach__FlowOrder, action),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
-    9,
+    "task",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimRecord, status),
-    NULL,
+    offsetof(Masticreach__FlowOrder, task),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "content_type",
-    10,
+    "run",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimRecord, content_type),
+    offsetof(Masticreach__FlowOrder, run),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    11,
+    "spec",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimRecord, body),
+    offsetof(Masticreach__FlowOrder, spec),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body_kept",
-    12,
+    "checkpoint",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimRecord, body_kept),
-    NULL,
+    offsetof(Masticreach__FlowOrder, checkpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claimed_ms",
-    13,
+    "filler",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimRecord, claimed_ms),
+    offsetof(Masticreach__FlowOrder, filler),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned masticreach__claim_record__field_indices_by_name[] = {
-  3,   /* field[3] = agent_node */
-  6,   /* field[6] = attempt */
-  10,   /* field[10] = body */
-  11,   /* field[11] = body_kept */
-  12,   /* field[12] = claimed_ms */
-  9,   /* field[9] = content_type */
-  2,   /* field[2] = digest */
-  4,   /* field[4] = entry_node */
-  1,   /* field[1] = key */
-  5,   /* field[5] = request_nr */
-  0,   /* field[0] = service */
-  7,   /* field[7] = state */
-  8,   /* field[8] = status */
-};
-static const ProtobufCIntRange masticreach__claim_record__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 13 }
-};
-const ProtobufCMessageDescriptor masticreach__claim_record__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.ClaimRecord",
-  "ClaimRecord",
-  "Masticreach__ClaimRecord",
-  "masticreach",
-  sizeof(Masticreach__ClaimRecord),
-  13,
-  masticreach__claim_record__field_descriptors,
-  masticreach__claim_record__field_indices_by_name,
-  1,  masticreach__claim_record__number_ranges,
-  (ProtobufCMessageInit) masticreach__claim_record__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor masticreach__claim_query__field_descriptors[2] =
-{
   {
-    "ticket",
-    1,
+    "target_ms",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimQuery, ticket),
+    offsetof(Masticreach__FlowOrder, target_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claim",
-    2,
+    "ticket",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimQuery, claim),
-    &masticreach__claim_record__descriptor,
+    offsetof(Masticreach__FlowOrder, ticket),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__claim_query__field_indices_by_name[] = {
-  1,   /* field[1] = claim */
-  0,   /* field[0] = ticket */
+static const unsigned masticreach__flow_order__field_indices_by_name[] = {
+  0,   /* field[0] = action */
+  4,   /* field[4] = checkpoint */
+  5,   /* field[5] = filler */
+  2,   /* field[2] = run */
+  3,   /* field[3] = spec */
+  6,   /* field[6] = target_ms */
+  1,   /* field[1] = task */
+  7,   /* field[7] = ticket */
 };
-static const ProtobufCIntRange masticreach__claim_query__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__flow_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 8 }
 };
-const ProtobufCMessageDescriptor masticreach__claim_query__descriptor =
+const ProtobufCMessageDescriptor masticreach__flow_order__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.ClaimQuery",
-  "ClaimQuery",
-  "Masticreach__ClaimQuery",
+  "masticreach.FlowOrder",
+  "FlowOrder",
+  "Masticreach__FlowOrder",
   "masticreach",
-  sizeof(Masticreach__ClaimQuery),
-  2,
-  masticreach__claim_query__field_descriptors,
-  masticreach__claim_query__field_indices_by_name,
-  1,  masticreach__claim_query__number_ranges,
-  (ProtobufCMessageInit) masticreach__claim_query__init,
+  sizeof(Masticreach__FlowOrder),
+  8,
+  masticreach__flow_order__field_descriptors,
+  masticreach__flow_order__field_indices_by_name,
+  1,  masticreach__flow_order__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__claim_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor masticreach__flow_orders__field_descriptors[4] =
 {
   {
-    "ticket",
+    "term",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimReply, ticket),
+    offsetof(Masticreach__FlowOrders, term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "result",
+    "worker",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimReply, result),
-    NULL,
+    offsetof(Masticreach__FlowOrders, worker),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claim",
+    "born_ms",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimReply, claim),
-    &masticreach__claim_record__descriptor,
+    offsetof(Masticreach__FlowOrders, born_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned masticreach__claim_reply__field_indices_by_name[] = {
-  2,   /* field[2] = claim */
-  1,   /* field[1] = result */
-  0,   /* field[0] = ticket */
-};
-static const ProtobufCIntRange masticreach__claim_reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor masticreach__claim_reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.ClaimReply",
-  "ClaimReply",
-  "Masticreach__ClaimReply",
-  "masticreach",
-  sizeof(Masticreach__ClaimReply),
-  3,
-  masticreach__claim_reply__field_descriptors,
-  masticreach__claim_reply__field_indices_by_name,
-  1,  masticreach__claim_reply__number_ranges,
-  (ProtobufCMessageInit) masticreach__claim_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor masticreach__claim_done__field_descriptors[1] =
-{
   {
-    "claim",
-    1,
-    PROTOBUF_C_LABEL_NONE,
+    "orders",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Masticreach__ClaimDone, claim),
-    &masticreach__claim_record__descriptor,
+    offsetof(Masticreach__FlowOrders, n_orders),
+    offsetof(Masticreach__FlowOrders, orders),
+    &masticreach__flow_order__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned masticreach__claim_done__field_indices_by_name[] = {
-  0,   /* field[0] = claim */
+static const unsigned masticreach__flow_orders__field_indices_by_name[] = {
+  2,   /* field[2] = born_ms */
+  3,   /* field[3] = orders */
+  0,   /* field[0] = term */
+  1,   /* field[1] = worker */
 };
-static const ProtobufCIntRange masticreach__claim_done__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticreach__flow_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor masticreach__claim_done__descriptor =
+const ProtobufCMessageDescriptor masticreach__flow_orders__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "masticreach.ClaimDone",
-  "ClaimDone",
-  "Masticreach__ClaimDone",
+  "masticreach.FlowOrders",
+  "FlowOrders",
+  "Masticreach__FlowOrders",
   "masticreach",
-  sizeof(Masticreach__ClaimDone),
-  1,
-  masticreach__claim_done__field_descriptors,
-  masticreach__claim_done__field_indices_by_name,
-  1,  masticreach__claim_done__number_ranges,
-  (ProtobufCMessageInit) masticreach__claim_done__init,
+  sizeof(Masticreach__FlowOrders),
+  4,
+  masticreach__flow_orders__field_descriptors,
+  masticreach__flow_orders__field_indices_by_name,
+  1,  masticreach__flow_orders__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_orders__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor masticreach__vote__field_descriptors[5] =
@@ -6667,7 +9426,7 @@
   (ProtobufCMessageInit) masticreach__cmd_bundle_sign__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__cmd_zone_set__field_descriptors[4] =
+static const ProtobufCFieldDescriptor masticreach__cmd_zone_set__field_descriptors[5] =
 {
   {
     "name",
@@ -6717,8 +9476,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "any_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdZoneSet, any_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__cmd_zone_set__field_indices_by_name[] = {
+  4,   /* field[4] = any_version */
   3,   /* field[3] = changed_by */
   2,   /* field[2] = expected_version */
   0,   /* field[0] = name */
@@ -6727,7 +9499,7 @@
 static const ProtobufCIntRange masticreach__cmd_zone_set__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor masticreach__cmd_zone_set__descriptor =
 {
@@ -6737,7 +9509,7 @@
   "Masticreach__CmdZoneSet",
   "masticreach",
   sizeof(Masticreach__CmdZoneSet),
-  4,
+  5,
   masticreach__cmd_zone_set__field_descriptors,
   masticreach__cmd_zone_set__field_indices_by_name,
   1,  masticreach__cmd_zone_set__number_ranges,
@@ -7465,6 +10237,314 @@
   (ProtobufCMessageInit) masticreach__cmd_expire__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor masticreach__cmd_flow_cancel__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdFlowCancel, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdFlowCancel, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdFlowCancel, prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "now_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdFlowCancel, now_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__cmd_flow_cancel__field_indices_by_name[] = {
+  1,   /* field[1] = host */
+  0,   /* field[0] = id */
+  3,   /* field[3] = now_ms */
+  2,   /* field[2] = prefix */
+};
+static const ProtobufCIntRange masticreach__cmd_flow_cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_flow_cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdFlowCancel",
+  "CmdFlowCancel",
+  "Masticreach__CmdFlowCancel",
+  "masticreach",
+  sizeof(Masticreach__CmdFlowCancel),
+  4,
+  masticreach__cmd_flow_cancel__field_descriptors,
+  masticreach__cmd_flow_cancel__field_indices_by_name,
+  1,  masticreach__cmd_flow_cancel__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_flow_cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__flow_change__field_descriptors[9] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowChange, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowChange, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowChange, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowChange, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowChange, end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowChange, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowChange, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowChange, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowChange, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__flow_change__field_indices_by_name[] = {
+  7,   /* field[7] = born_ms */
+  8,   /* field[8] = checkpoint */
+  4,   /* field[4] = end */
+  0,   /* field[0] = id */
+  2,   /* field[2] = kind */
+  3,   /* field[3] = run */
+  1,   /* field[1] = task */
+  5,   /* field[5] = vm */
+  6,   /* field[6] = worker */
+};
+static const ProtobufCIntRange masticreach__flow_change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor masticreach__flow_change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.FlowChange",
+  "FlowChange",
+  "Masticreach__FlowChange",
+  "masticreach",
+  sizeof(Masticreach__FlowChange),
+  9,
+  masticreach__flow_change__field_descriptors,
+  masticreach__flow_change__field_indices_by_name,
+  1,  masticreach__flow_change__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_flow_change__field_descriptors[2] =
+{
+  {
+    "now_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdFlowChange, now_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changes",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__CmdFlowChange, n_changes),
+    offsetof(Masticreach__CmdFlowChange, changes),
+    &masticreach__flow_change__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__cmd_flow_change__field_indices_by_name[] = {
+  1,   /* field[1] = changes */
+  0,   /* field[0] = now_ms */
+};
+static const ProtobufCIntRange masticreach__cmd_flow_change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_flow_change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdFlowChange",
+  "CmdFlowChange",
+  "Masticreach__CmdFlowChange",
+  "masticreach",
+  sizeof(Masticreach__CmdFlowChange),
+  2,
+  masticreach__cmd_flow_change__field_descriptors,
+  masticreach__cmd_flow_change__field_indices_by_name,
+  1,  masticreach__cmd_flow_change__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_flow_change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_flow_expire__field_descriptors[1] =
+{
+  {
+    "before_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdFlowExpire, before_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__cmd_flow_expire__field_indices_by_name[] = {
+  0,   /* field[0] = before_ms */
+};
+static const ProtobufCIntRange masticreach__cmd_flow_expire__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_flow_expire__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdFlowExpire",
+  "CmdFlowExpire",
+  "Masticreach__CmdFlowExpire",
+  "masticreach",
+  sizeof(Masticreach__CmdFlowExpire),
+  1,
+  masticreach__cmd_flow_expire__field_descriptors,
+  masticreach__cmd_flow_expire__field_indices_by_name,
+  1,  masticreach__cmd_flow_expire__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_flow_expire__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor masticreach__task_record__field_descriptors[13] =
 {
   {
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -39,12 +39,26 @@
 typedef struct Masticreach__BundleZone Masticreach__BundleZone;
 typedef struct Masticreach__BundleTeam Masticreach__BundleTeam;
 typedef struct Masticreach__BundleService Masticreach__BundleService;
+typedef struct Masticreach__BundleQueue Masticreach__BundleQueue;
+typedef struct Masticreach__BundlePool Masticreach__BundlePool;
 typedef struct Masticreach__Bundle Masticreach__Bundle;
 typedef struct Masticreach__View Masticreach__View;
 typedef struct Masticreach__ClaimRecord Masticreach__ClaimRecord;
 typedef struct Masticreach__ClaimQuery Masticreach__ClaimQuery;
 typedef struct Masticreach__ClaimReply Masticreach__ClaimReply;
 typedef struct Masticreach__ClaimDone Masticreach__ClaimDone;
+typedef struct Masticreach__FlowStep Masticreach__FlowStep;
+typedef struct Masticreach__FlowTask Masticreach__FlowTask;
+typedef struct Masticreach__FlowRecord Masticreach__FlowRecord;
+typedef struct Masticreach__FlowCall Masticreach__FlowCall;
+typedef struct Masticreach__FlowReply Masticreach__FlowReply;
+typedef struct Masticreach__WorkerLife Masticreach__WorkerLife;
+typedef struct Masticreach__FlowRun Masticreach__FlowRun;
+typedef struct Masticreach__FlowRunEnd Masticreach__FlowRunEnd;
+typedef struct Masticreach__FlowReport Masticreach__FlowReport;
+typedef struct Masticreach__FlowGrant Masticreach__FlowGrant;
+typedef struct Masticreach__FlowOrder Masticreach__FlowOrder;
+typedef struct Masticreach__FlowOrders Masticreach__FlowOrders;
 typedef struct Masticreach__Vote Masticreach__Vote;
 typedef struct Masticreach__VoteReply Masticreach__VoteReply;
 typedef struct Masticreach__LogEntry Masticreach__LogEntry;
@@ -69,6 +83,10 @@
 typedef struct Masticreach__CmdTaskPlace Masticreach__CmdTaskPlace;
 typedef struct Masticreach__CmdTaskSet Masticreach__CmdTaskSet;
 typedef struct Masticreach__CmdExpire Masticreach__CmdExpire;
+typedef struct Masticreach__CmdFlowCancel Masticreach__CmdFlowCancel;
+typedef struct Masticreach__FlowChange Masticreach__FlowChange;
+typedef struct Masticreach__CmdFlowChange Masticreach__CmdFlowChange;
+typedef struct Masticreach__CmdFlowExpire Masticreach__CmdFlowExpire;
 typedef struct Masticreach__TaskRecord Masticreach__TaskRecord;
 typedef struct Masticreach__StateCounters Masticreach__StateCounters;
 
@@ -438,6 +456,37 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
+struct  Masticreach__BundleQueue
+{
+  ProtobufCMessage base;
+  char *name;
+  char *host;
+  char *prefix;
+  char *service;
+  uint32_t priority;
+  uint32_t attempts;
+  uint32_t slack_permille;
+  uint32_t slo_ms;
+  uint32_t timeout_ms;
+  protobuf_c_boolean advised;
+};
+#define MASTICREACH__BUNDLE_QUEUE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__bundle_queue__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Masticreach__BundlePool
+{
+  ProtobufCMessage base;
+  char *name;
+  protobuf_c_boolean enforces_capacity;
+  protobuf_c_boolean standby;
+};
+#define MASTICREACH__BUNDLE_POOL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__bundle_pool__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Masticreach__Bundle
 {
   ProtobufCMessage base;
@@ -454,10 +503,15 @@
   Masticreach__BundleTeam **teams;
   size_t n_services;
   Masticreach__BundleService **services;
+  size_t n_queues;
+  Masticreach__BundleQueue **queues;
+  size_t n_pools;
+  Masticreach__BundlePool **pools;
+  ProtobufCBinaryData document;
 };
 #define MASTICREACH__BUNDLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__bundle__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, {0,NULL} }
 
 
 struct  Masticreach__View
@@ -534,6 +588,228 @@
     , NULL }
 
 
+struct  Masticreach__FlowStep
+{
+  ProtobufCMessage base;
+  uint32_t count;
+  uint32_t cpu_millis;
+  uint32_t memory_mib;
+  uint32_t accelerators;
+  uint32_t estimate_ms;
+  size_t n_after;
+  uint64_t *after;
+  protobuf_c_boolean checkpoints;
+  protobuf_c_boolean gang;
+  protobuf_c_boolean same_rack;
+  protobuf_c_boolean copies;
+  protobuf_c_boolean lasting;
+  protobuf_c_boolean filler;
+  char *image;
+  char *label;
+  char *data_rack;
+  uint32_t max_per_vm;
+  uint32_t target_ms;
+  uint32_t max_unavailable;
+};
+#define MASTICREACH__FLOW_STEP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_step__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Masticreach__FlowTask
+{
+  ProtobufCMessage base;
+  uint32_t state;
+  uint32_t run;
+  uint32_t nr_failures;
+  char *vm;
+  char *worker;
+  uint64_t born_ms;
+  char *checkpoint;
+};
+#define MASTICREACH__FLOW_TASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_task__descriptor) \
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Masticreach__FlowRecord
+{
+  ProtobufCMessage base;
+  char *id;
+  char *host;
+  char *prefix;
+  char *service;
+  uint32_t priority;
+  uint32_t attempts;
+  uint32_t slack_permille;
+  uint32_t slo_ms;
+  ProtobufCBinaryData spec;
+  size_t n_steps;
+  Masticreach__FlowStep **steps;
+  uint32_t repeats;
+  uint64_t first_ms;
+  uint64_t interval_ms;
+  uint64_t submitted_ms;
+  uint64_t finished_ms;
+  uint32_t state;
+  size_t n_tasks;
+  Masticreach__FlowTask **tasks;
+};
+#define MASTICREACH__FLOW_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_record__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Masticreach__FlowCall
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  uint32_t kind;
+  char *host;
+  char *path;
+  size_t n_flows;
+  Masticreach__FlowRecord **flows;
+};
+#define MASTICREACH__FLOW_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_call__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL }
+
+
+struct  Masticreach__FlowReply
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  uint32_t result;
+  uint32_t state;
+  uint64_t nr_pending;
+};
+#define MASTICREACH__FLOW_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_reply__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Masticreach__WorkerLife
+{
+  ProtobufCMessage base;
+  char *id;
+  uint64_t born_ms;
+  char *service;
+  char *machine;
+  uint32_t cpu_millis;
+  uint32_t memory_mib;
+  uint32_t accelerators;
+  char *kind;
+  char *rack;
+  protobuf_c_boolean draining;
+  protobuf_c_boolean ended;
+  uint32_t remaining_ms;
+  uint32_t warmup_ms;
+};
+#define MASTICREACH__WORKER_LIFE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__worker_life__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+struct  Masticreach__FlowRun
+{
+  ProtobufCMessage base;
+  char *task;
+  uint32_t run;
+  protobuf_c_boolean unconfirmed;
+  protobuf_c_boolean unordered;
+  char *checkpoint;
+  uint32_t percent;
+  uint32_t figure;
+  uint32_t pace;
+};
+#define MASTICREACH__FLOW_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_run__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Masticreach__FlowRunEnd
+{
+  ProtobufCMessage base;
+  uint64_t nr;
+  char *task;
+  uint32_t run;
+  uint32_t end;
+  uint32_t result;
+  char *checkpoint;
+};
+#define MASTICREACH__FLOW_RUN_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_run_end__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Masticreach__FlowReport
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  uint64_t sent_us;
+  char *vm;
+  char *zone;
+  Masticreach__WorkerLife *worker;
+  protobuf_c_boolean reachable;
+  protobuf_c_boolean looked;
+  uint32_t late_ms;
+  size_t n_runs;
+  Masticreach__FlowRun **runs;
+  size_t n_ends;
+  Masticreach__FlowRunEnd **ends;
+};
+#define MASTICREACH__FLOW_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_report__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Masticreach__FlowGrant
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  uint64_t sent_us;
+  uint64_t term;
+  uint32_t lease_ms;
+  char *worker;
+  uint64_t born_ms;
+  uint64_t settled_nr;
+};
+#define MASTICREACH__FLOW_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_grant__descriptor) \
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Masticreach__FlowOrder
+{
+  ProtobufCMessage base;
+  uint32_t action;
+  char *task;
+  uint32_t run;
+  ProtobufCBinaryData spec;
+  char *checkpoint;
+  protobuf_c_boolean filler;
+  uint32_t target_ms;
+  char *ticket;
+};
+#define MASTICREACH__FLOW_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_order__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Masticreach__FlowOrders
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  char *worker;
+  uint64_t born_ms;
+  size_t n_orders;
+  Masticreach__FlowOrder **orders;
+};
+#define MASTICREACH__FLOW_ORDERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_orders__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
 struct  Masticreach__Vote
 {
   ProtobufCMessage base;
@@ -742,10 +1018,11 @@
   protobuf_c_boolean out;
   uint64_t expected_version;
   char *changed_by;
+  protobuf_c_boolean any_version;
 };
 #define MASTICREACH__CMD_ZONE_SET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__cmd_zone_set__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Masticreach__CmdVmLost
@@ -854,6 +1131,59 @@
     , 0, 0 }
 
 
+struct  Masticreach__CmdFlowCancel
+{
+  ProtobufCMessage base;
+  char *id;
+  char *host;
+  char *prefix;
+  uint64_t now_ms;
+};
+#define MASTICREACH__CMD_FLOW_CANCEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__cmd_flow_cancel__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Masticreach__FlowChange
+{
+  ProtobufCMessage base;
+  char *id;
+  uint32_t task;
+  uint32_t kind;
+  uint32_t run;
+  uint32_t end;
+  char *vm;
+  char *worker;
+  uint64_t born_ms;
+  char *checkpoint;
+};
+#define MASTICREACH__FLOW_CHANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_change__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Masticreach__CmdFlowChange
+{
+  ProtobufCMessage base;
+  uint64_t now_ms;
+  size_t n_changes;
+  Masticreach__FlowChange **changes;
+};
+#define MASTICREACH__CMD_FLOW_CHANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__cmd_flow_change__descriptor) \
+    , 0, 0,NULL }
+
+
+struct  Masticreach__CmdFlowExpire
+{
+  ProtobufCMessage base;
+  uint64_t before_ms;
+};
+#define MASTICREACH__CMD_FLOW_EXPIRE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__cmd_flow_expire__descriptor) \
+    , 0 }
+
+
 struct  Masticreach__TaskRecord
 {
   ProtobufCMessage base;
@@ -1344,6 +1674,44 @@
 void   masticreach__bundle_service__free_unpacked
                      (Masticreach__BundleService *message,
                       ProtobufCAllocator *allocator);
+/* Masticreach__BundleQueue methods */
+void   masticreach__bundle_queue__init
+                     (Masticreach__BundleQueue         *message);
+size_t masticreach__bundle_queue__get_packed_size
+                     (const Masticreach__BundleQueue   *message);
+size_t masticreach__bundle_queue__pack
+                     (const Masticreach__BundleQueue   *message,
+                      uint8_t             *out);
+size_t masticreach__bundle_queue__pack_to_buffer
+                     (const Masticreach__BundleQueue   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__BundleQueue *
+       masticreach__bundle_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__bundle_queue__free_unpacked
+                     (Masticreach__BundleQueue *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__BundlePool methods */
+void   masticreach__bundle_pool__init
+                     (Masticreach__BundlePool         *message);
+size_t masticreach__bundle_pool__get_packed_size
+                     (const Masticreach__BundlePool   *message);
+size_t masticreach__bundle_pool__pack
+                     (const Masticreach__BundlePool   *message,
+                      uint8_t             *out);
+size_t masticreach__bundle_pool__pack_to_buffer
+                     (const Masticreach__BundlePool   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__BundlePool *
+       masticreach__bundle_pool__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__bundle_pool__free_unpacked
+                     (Masticreach__BundlePool *message,
+                      ProtobufCAllocator *allocator);
 /* Masticreach__Bundle methods */
 void   masticreach__bundle__init
                      (Masticreach__Bundle         *message);
@@ -1458,6 +1826,234 @@
 void   masticreach__claim_done__free_unpacked
                      (Masticreach__ClaimDone *message,
                       ProtobufCAllocator *allocator);
+/* Masticreach__FlowStep methods */
+void   masticreach__flow_step__init
+                     (Masticreach__FlowStep         *message);
+size_t masticreach__flow_step__get_packed_size
+                     (const Masticreach__FlowStep   *message);
+size_t masticreach__flow_step__pack
+                     (const Masticreach__FlowStep   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_step__pack_to_buffer
+                     (const Masticreach__FlowStep   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowStep *
+       masticreach__flow_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_step__free_unpacked
+                     (Masticreach__FlowStep *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__FlowTask methods */
+void   masticreach__flow_task__init
+                     (Masticreach__FlowTask         *message);
+size_t masticreach__flow_task__get_packed_size
+                     (const Masticreach__FlowTask   *message);
+size_t masticreach__flow_task__pack
+                     (const Masticreach__FlowTask   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_task__pack_to_buffer
+                     (const Masticreach__FlowTask   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowTask *
+       masticreach__flow_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_task__free_unpacked
+                     (Masticreach__FlowTask *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__FlowRecord methods */
+void   masticreach__flow_record__init
+                     (Masticreach__FlowRecord         *message);
+size_t masticreach__flow_record__get_packed_size
+                     (const Masticreach__FlowRecord   *message);
+size_t masticreach__flow_record__pack
+                     (const Masticreach__FlowRecord   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_record__pack_to_buffer
+                     (const Masticreach__FlowRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowRecord *
+       masticreach__flow_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_record__free_unpacked
+                     (Masticreach__FlowRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__FlowCall methods */
+void   masticreach__flow_call__init
+                     (Masticreach__FlowCall         *message);
+size_t masticreach__flow_call__get_packed_size
+                     (const Masticreach__FlowCall   *message);
+size_t masticreach__flow_call__pack
+                     (const Masticreach__FlowCall   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_call__pack_to_buffer
+                     (const Masticreach__FlowCall   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowCall *
+       masticreach__flow_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_call__free_unpacked
+                     (Masticreach__FlowCall *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__FlowReply methods */
+void   masticreach__flow_reply__init
+                     (Masticreach__FlowReply         *message);
+size_t masticreach__flow_reply__get_packed_size
+                     (const Masticreach__FlowReply   *message);
+size_t masticreach__flow_reply__pack
+                     (const Masticreach__FlowReply   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_reply__pack_to_buffer
+                     (const Masticreach__FlowReply   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowReply *
+       masticreach__flow_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_reply__free_unpacked
+                     (Masticreach__FlowReply *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__WorkerLife methods */
+void   masticreach__worker_life__init
+                     (Masticreach__WorkerLife         *message);
+size_t masticreach__worker_life__get_packed_size
+                     (const Masticreach__WorkerLife   *message);
+size_t masticreach__worker_life__pack
+                     (const Masticreach__WorkerLife   *message,
+                      uint8_t             *out);
+size_t masticreach__worker_life__pack_to_buffer
+                     (const Masticreach__WorkerLife   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__WorkerLife *
+       masticreach__worker_life__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__worker_life__free_unpacked
+                     (Masticreach__WorkerLife *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__FlowRun methods */
+void   masticreach__flow_run__init
+                     (Masticreach__FlowRun         *message);
+size_t masticreach__flow_run__get_packed_size
+                     (const Masticreach__FlowRun   *message);
+size_t masticreach__flow_run__pack
+                     (const Masticreach__FlowRun   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_run__pack_to_buffer
+                     (const Masticreach__FlowRun   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowRun *
+       masticreach__flow_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_run__free_unpacked
+                     (Masticreach__FlowRun *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__FlowRunEnd methods */
+void   masticreach__flow_run_end__init
+                     (Masticreach__FlowRunEnd         *message);
+size_t masticreach__flow_run_end__get_packed_size
+                     (const Masticreach__FlowRunEnd   *message);
+size_t masticreach__flow_run_end__pack
+                     (const Masticreach__FlowRunEnd   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_run_end__pack_to_buffer
+                     (const Masticreach__FlowRunEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowRunEnd *
+       masticreach__flow_run_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_run_end__free_unpacked
+                     (Masticreach__FlowRunEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__FlowReport methods */
+void   masticreach__flow_report__init
+                     (Masticreach__FlowReport         *message);
+size_t masticreach__flow_report__get_packed_size
+                     (const Masticreach__FlowReport   *message);
+size_t masticreach__flow_report__pack
+                     (const Masticreach__FlowReport   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_report__pack_to_buffer
+                     (const Masticreach__FlowReport   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowReport *
+       masticreach__flow_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_report__free_unpacked
+                     (Masticreach__FlowReport *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__FlowGrant methods */
+void   masticreach__flow_grant__init
+                     (Masticreach__FlowGrant         *message);
+size_t masticreach__flow_grant__get_packed_size
+                     (const Masticreach__FlowGrant   *message);
+size_t masticreach__flow_grant__pack
+                     (const Masticreach__FlowGrant   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_grant__pack_to_buffer
+                     (const Masticreach__FlowGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowGrant *
+       masticreach__flow_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_grant__free_unpacked
+                     (Masticreach__FlowGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__FlowOrder methods */
+void   masticreach__flow_order__init
+                     (Masticreach__FlowOrder         *message);
+size_t masticreach__flow_order__get_packed_size
+                     (const Masticreach__FlowOrder   *message);
+size_t masticreach__flow_order__pack
+                     (const Masticreach__FlowOrder   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_order__pack_to_buffer
+                     (const Masticreach__FlowOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowOrder *
+       masticreach__flow_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_order__free_unpacked
+                     (Masticreach__FlowOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__FlowOrders methods */
+void   masticreach__flow_orders__init
+                     (Masticreach__FlowOrders         *message);
+size_t masticreach__flow_orders__get_packed_size
+                     (const Masticreach__FlowOrders   *message);
+size_t masticreach__flow_orders__pack
+                     (const Masticreach__FlowOrders   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_orders__pack_to_buffer
+                     (const Masticreach__FlowOrders   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowOrders *
+       masticreach__flow_orders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_orders__free_unpacked
+                     (Masticreach__FlowOrders *message,
+                      ProtobufCAllocator *allocator);
 /* Masticreach__Vote methods */
 void   masticreach__vote__init
                      (Masticreach__Vote         *message);
@@ -1914,6 +2510,82 @@
 void   masticreach__cmd_expire__free_unpacked
                      (Masticreach__CmdExpire *message,
                       ProtobufCAllocator *allocator);
+/* Masticreach__CmdFlowCancel methods */
+void   masticreach__cmd_flow_cancel__init
+                     (Masticreach__CmdFlowCancel         *message);
+size_t masticreach__cmd_flow_cancel__get_packed_size
+                     (const Masticreach__CmdFlowCancel   *message);
+size_t masticreach__cmd_flow_cancel__pack
+                     (const Masticreach__CmdFlowCancel   *message,
+                      uint8_t             *out);
+size_t masticreach__cmd_flow_cancel__pack_to_buffer
+                     (const Masticreach__CmdFlowCancel   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__CmdFlowCancel *
+       masticreach__cmd_flow_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__cmd_flow_cancel__free_unpacked
+                     (Masticreach__CmdFlowCancel *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__FlowChange methods */
+void   masticreach__flow_change__init
+                     (Masticreach__FlowChange         *message);
+size_t masticreach__flow_change__get_packed_size
+                     (const Masticreach__FlowChange   *message);
+size_t masticreach__flow_change__pack
+                     (const Masticreach__FlowChange   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_change__pack_to_buffer
+                     (const Masticreach__FlowChange   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowChange *
+       masticreach__flow_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_change__free_unpacked
+                     (Masticreach__FlowChange *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__CmdFlowChange methods */
+void   masticreach__cmd_flow_change__init
+                     (Masticreach__CmdFlowChange         *message);
+size_t masticreach__cmd_flow_change__get_packed_size
+                     (const Masticreach__CmdFlowChange   *message);
+size_t masticreach__cmd_flow_change__pack
+                     (const Masticreach__CmdFlowChange   *message,
+                      uint8_t             *out);
+size_t masticreach__cmd_flow_change__pack_to_buffer
+                     (const Masticreach__CmdFlowChange   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__CmdFlowChange *
+       masticreach__cmd_flow_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__cmd_flow_change__free_unpacked
+                     (Masticreach__CmdFlowChange *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__CmdFlowExpire methods */
+void   masticreach__cmd_flow_expire__init
+                     (Masticreach__CmdFlowExpire         *message);
+size_t masticreach__cmd_flow_expire__get_packed_size
+                     (const Masticreach__CmdFlowExpire   *message);
+size_t masticreach__cmd_flow_expire__pack
+                     (const Masticreach__CmdFlowExpire   *message,
+                      uint8_t             *out);
+size_t masticreach__cmd_flow_expire__pack_to_buffer
+                     (const Masticreach__CmdFlowExpire   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__CmdFlowExpire *
+       masticreach__cmd_flow_expire__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__cmd_flow_expire__free_unpacked
+                     (Masticreach__CmdFlowExpire *message,
+                      ProtobufCAllocator *allocator);
 /* Masticreach__TaskRecord methods */
 void   masticreach__task_record__init
                      (Masticreach__TaskRecord         *message);
@@ -2026,6 +2698,12 @@
 typedef void (*Masticreach__BundleService_Closure)
                  (const Masticreach__BundleService *message,
                   void *closure_data);
+typedef void (*Masticreach__BundleQueue_Closure)
+                 (const Masticreach__BundleQueue *message,
+                  void *closure_data);
+typedef void (*Masticreach__BundlePool_Closure)
+                 (const Masticreach__BundlePool *message,
+                  void *closure_data);
 typedef void (*Masticreach__Bundle_Closure)
                  (const Masticreach__Bundle *message,
                   void *closure_data);
@@ -2044,6 +2722,42 @@
 typedef void (*Masticreach__ClaimDone_Closure)
                  (const Masticreach__ClaimDone *message,
                   void *closure_data);
+typedef void (*Masticreach__FlowStep_Closure)
+                 (const Masticreach__FlowStep *message,
+                  void *closure_data);
+typedef void (*Masticreach__FlowTask_Closure)
+                 (const Masticreach__FlowTask *message,
+                  void *closure_data);
+typedef void (*Masticreach__FlowRecord_Closure)
+                 (const Masticreach__FlowRecord *message,
+                  void *closure_data);
+typedef void (*Masticreach__FlowCall_Closure)
+                 (const Masticreach__FlowCall *message,
+                  void *closure_data);
+typedef void (*Masticreach__FlowReply_Closure)
+                 (const Masticreach__FlowReply *message,
+                  void *closure_data);
+typedef void (*Masticreach__WorkerLife_Closure)
+                 (const Masticreach__WorkerLife *message,
+                  void *closure_data);
+typedef void (*Masticreach__FlowRun_Closure)
+                 (const Masticreach__FlowRun *message,
+                  void *closure_data);
+typedef void (*Masticreach__FlowRunEnd_Closure)
+                 (const Masticreach__FlowRunEnd *message,
+                  void *closure_data);
+typedef void (*Masticreach__FlowReport_Closure)
+                 (const Masticreach__FlowReport *message,
+                  void *closure_data);
+typedef void (*Masticreach__FlowGrant_Closure)
+                 (const Masticreach__FlowGrant *message,
+                  void *closure_data);
+typedef void (*Masticreach__FlowOrder_Closure)
+                 (const Masticreach__FlowOrder *message,
+                  void *closure_data);
+typedef void (*Masticreach__FlowOrders_Closure)
+                 (const Masticreach__FlowOrders *message,
+                  void *closure_data);
 typedef void (*Masticreach__Vote_Closure)
                  (const Masticreach__Vote *message,
                   void *closure_data);
@@ -2116,6 +2830,18 @@
 typedef void (*Masticreach__CmdExpire_Closure)
                  (const Masticreach__CmdExpire *message,
                   void *closure_data);
+typedef void (*Masticreach__CmdFlowCancel_Closure)
+                 (const Masticreach__CmdFlowCancel *message,
+                  void *closure_data);
+typedef void (*Masticreach__FlowChange_Closure)
+                 (const Masticreach__FlowChange *message,
+                  void *closure_data);
+typedef void (*Masticreach__CmdFlowChange_Closure)
+                 (const Masticreach__CmdFlowChange *message,
+                  void *closure_data);
+typedef void (*Masticreach__CmdFlowExpire_Closure)
+                 (const Masticreach__CmdFlowExpire *message,
+                  void *closure_data);
 typedef void (*Masticreach__TaskRecord_Closure)
                  (const Masticreach__TaskRecord *message,
                   void *closure_data);
@@ -2152,12 +2878,26 @@
 extern const ProtobufCMessageDescriptor masticreach__bundle_zone__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__bundle_team__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__bundle_service__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__bundle_queue__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__bundle_pool__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__bundle__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__view__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__claim_record__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__claim_query__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__claim_reply__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__claim_done__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_step__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_task__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_record__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_call__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_reply__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__worker_life__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_run__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_run_end__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_report__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_grant__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_order__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_orders__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__vote__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__vote_reply__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__log_entry__descriptor;
@@ -2182,6 +2922,10 @@
 extern const ProtobufCMessageDescriptor masticreach__cmd_task_place__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__cmd_task_set__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__cmd_expire__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__cmd_flow_cancel__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_change__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__cmd_flow_change__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__cmd_flow_expire__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__task_record__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__state_counters__descriptor;
 
--- /dev/null
+++ b/src/core/agent/runner.h
@@ -0,0 +1,51 @@
+#ifndef RUNNER_H
+#define RUNNER_H
+
+/**
+ * @file runner.h
+ * The agent's part in workflows: knows the present life of the worker on its
+ * VM, renews the worker's one lease from what the leader grants, carries out
+ * the leader's orders and reports runs and their ends. It keeps nothing over a
+ * restart; the worker's list tells what runs.
+ */
+
+#include "flow.h"
+#include "node.h"
+#include "result.h"
+
+struct runner;
+
+/** What a host provides besides host_ops. */
+struct runner_host_ops {
+	/**
+	 * Calls the worker; @a call is borrowed. The host answers once with
+	 * runner_call_done(), never from within this call.
+	 */
+	void (*call)(void *ctx, uint64_t call_nr, const struct exec_call *call);
+};
+
+struct runner_opts {
+	const struct runner_host_ops *host;
+	void *host_ctx;
+	const char *const *control_addresses; /* NULL-terminated, borrowed */
+};
+
+struct runner *runner_new(struct node *node, const struct runner_opts *opts);
+
+/**
+ * A worker described itself. @a seq orders the calls of one life. Returns
+ * RESULT_OK, or RESULT_STALE for a call that was overtaken by a later one or
+ * by a later life; it changes nothing.
+ */
+enum result runner_heartbeat(struct runner *runner,
+			     const struct worker_life *life,
+			     const char *address, uint64_t seq);
+
+/** The worker with this identity ends. */
+void runner_deregister(struct runner *runner, const char *id);
+
+/** Answers a call; @a reply is borrowed. */
+void runner_call_done(struct runner *runner, uint64_t call_nr,
+		      const struct exec_reply *reply);
+
+#endif /* RUNNER_H */
--- /dev/null
+++ b/src/core/agent/runner_impl.h
@@ -0,0 +1,100 @@
+#ifndef RUNNER_IMPL_H
+#define RUNNER_IMPL_H
+
+/** @file runner_impl.h What the files of the runner share. */
+
+#include "logline.h"
+#include "runner.h"
+#include "site.h"
+
+enum runner_phase {
+	RUNNER_NEW = 1, /* ordered, not called yet */
+	RUNNER_STARTING = 2, /* the start is called */
+	RUNNER_UNSURE = 3, /* the start has no answer */
+	RUNNER_ON = 4, /* the worker has it */
+};
+
+/** A run on the worker, or one that it may still get. */
+struct runner_run {
+	char task[NAME_BYTES];
+	uint32_t run;
+	enum runner_phase phase;
+	bool ordered; /* the leader's order is known */
+	bool stop; /* to be stopped */
+	bool stop_calling;
+	uint64_t since_us; /* of the phase */
+	uint64_t stop_due_us; /* of the next call to stop */
+	uint64_t stopped_us; /* the worker took the stop, 0: not yet */
+	GBytes *spec;
+	char checkpoint[NAME_BYTES];
+	char ticket[NAME_BYTES];
+	bool filler;
+	uint32_t target_ms;
+	struct flow_run seen; /* as listed last */
+	uint32_t pace; /* percent in force at the worker */
+	bool pacing; /* a call to pace is under way */
+};
+
+struct runner_call {
+	uint64_t call_nr;
+	enum exec_call_kind kind;
+	uint64_t sent_us;
+	uint64_t life; /* runner.life_nr when it was sent */
+	bool extends; /* carries a deadline */
+	char task[NAME_BYTES];
+	uint32_t run;
+	uint32_t percent;
+};
+
+/** A start of an earlier life that may still be carried out. */
+struct runner_unsure {
+	char task[NAME_BYTES];
+	uint32_t run;
+	uint64_t until_us;
+};
+
+struct runner {
+	struct node *node;
+	struct runner_opts opts;
+	struct site *site;
+	struct worker_life worker; /* id "": none */
+	char address[ADDRESS_BYTES];
+	uint64_t worker_seq;
+	uint64_t worker_heard_us; /* last heartbeat */
+	uint64_t life_nr; /* counts the lives seen here */
+	uint64_t term; /* highest leader term heard; the fence of calls */
+	uint64_t lease_until_us;
+	uint64_t clock_ms; /* worker's clock when it was heard, 0: unknown */
+	uint64_t clock_us; /* our clock then */
+	uint64_t unanswered_us; /* last call without answer that extends */
+	bool reachable;
+	bool looked; /* the worker's runs were listed in this life */
+	uint64_t settled_nr;
+	GHashTable *runs; /* task -> struct runner_run * */
+	GArray *ends; /* struct flow_run_end, listed and not settled */
+	GArray *own_ends; /* struct flow_run_end of runs that never started */
+	GArray *unsure; /* struct runner_unsure */
+	GHashTable *calls; /* call_nr -> struct runner_call * */
+	uint64_t call_nr;
+	bool holding;
+	uint64_t report_seq;
+	uint32_t pace_limit; /* percent for fillers */
+	struct timer report_timer;
+	struct timer hold_timer;
+	struct timer run_timer; /* retries of stops */
+};
+
+/** Reports within RUNNER_REPORT_SOON_MS. */
+void runner_report_soon(struct runner *runner);
+
+/** Calls the worker. */
+void runner_call(struct runner *runner, struct exec_call *call);
+
+/** Adapts the fillers' pace to the figures listed last. */
+void runner_pace(struct runner *runner);
+void runner_pace_done(struct runner *runner, const struct runner_call *call,
+		      const struct exec_reply *reply);
+/** Returns true if figures decide about the pace of a run here. */
+bool runner_pace_matters(const struct runner *runner);
+
+#endif /* RUNNER_IMPL_H */
--- a/src/core/base/command.h
+++ b/src/core/base/command.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "flow.h"
 #include "tunables.h"
 
 /* ---- objects ---- */
@@ -56,6 +57,11 @@
 	struct bundle_team *teams;
 	uint32_t nr_services;
 	struct bundle_service *services;
+	uint32_t nr_queues;
+	struct bundle_queue *queues;
+	uint32_t nr_pools;
+	struct bundle_pool *pools;
+	GBytes *document; /* as submitted, if it has a form of its own */
 };
 
 /** Availability of a zone; its version is independent of the bundle's. */
@@ -190,6 +196,7 @@
 	bool out;
 	uint64_t expected_version;
 	char changed_by[NAME_BYTES];
+	bool any_version; /* whatever the present version is */
 };
 
 struct cmd_vm_lost {
--- /dev/null
+++ b/src/core/base/flow.c
@@ -0,0 +1,20 @@
+#include "flow.h"
+
+const char *flow_end_name(uint32_t end)
+{
+	static const char *const names[] = {
+		"none",	  "done",   "failed", "stopped", "lapsed",
+		"broken", "alone",  "lost",   "refused",
+	};
+
+	return end < G_N_ELEMENTS(names) ? names[end] : "unknown";
+}
+
+const char *flow_state_name(uint32_t state)
+{
+	static const char *const names[] = {
+		"none", "queued", "running", "completed", "failed", "cancelled",
+	};
+
+	return state < G_N_ELEMENTS(names) ? names[state] : "unknown";
+}
--- a/src/core/base/op.h
+++ b/src/core/base/op.h
@@ -29,6 +29,9 @@
 	OP_STATUS = 212, /* op_query -> op_status */
 	OP_MEMBER_ADD = 213, /* struct member -> op_reply */
 	OP_MEMBER_REMOVE = 214, /* struct member -> op_reply */
+	OP_BUNDLE_PUT = 215, /* struct bundle -> op_reply: in force at once */
+	OP_BUNDLE_SHOW = 216, /* op_query -> struct bundle in force */
+	OP_ZONE_PUT = 217, /* struct cmd_zone_set, any version -> op_reply */
 	/* replies */
 	OP_REPLY = 230,
 	OP_BUNDLE_STATUS_REPLY = 231,
@@ -37,6 +40,7 @@
 	OP_JOBS = 234,
 	OP_TASKS = 235,
 	OP_STATUS_REPLY = 236,
+	OP_BUNDLE = 237, /* struct bundle */
 };
 
 /** A list request; the page starts after the given id or name. */
--- a/src/core/base/result.h
+++ b/src/core/base/result.h
@@ -47,7 +47,10 @@
 	X(29, RESULT_LEASE_EXPIRED, "lease-expired", "the lease ran out")      \
 	X(30, RESULT_TIMEOUT, "timeout", "no answer within the time limit")    \
 	X(31, RESULT_JOB_FAILED, "job-failed",                                 \
-	  "the job failed on too many workers")
+	  "the job failed on too many workers")                                \
+	X(32, RESULT_UNKNOWN_QUEUE, "unknown-queue", "no such queue")          \
+	X(33, RESULT_OTHER_LIFE, "other-life",                                 \
+	  "another life of the worker answered")
 
 enum result {
 #define RESULT_ENUM(number, identifier, name, summary) identifier = number,
--- a/src/core/base/schema.c
+++ b/src/core/base/schema.c
@@ -7,7 +7,7 @@
 
 static const struct schema_entry *const schema_groups[] = {
 	schema_link,	schema_request, schema_control,	 schema_raft,
-	schema_command, schema_op,	schema_platform,
+	schema_command, schema_op,	schema_platform, schema_flow,
 };
 
 /* Stands in front of every body, aligned for any field. */
--- a/src/core/base/schema.h
+++ b/src/core/base/schema.h
@@ -37,6 +37,12 @@
 	MSG_CLAIM_QUERY = 46,
 	MSG_CLAIM_REPLY = 47,
 	MSG_CLAIM_DONE = 48,
+	/* workflows, flow.h */
+	MSG_FLOW_CALL = 49,
+	MSG_FLOW_REPLY = 50,
+	MSG_FLOW_REPORT = 51,
+	MSG_FLOW_GRANT = 52,
+	MSG_FLOW_ORDERS = 53,
 	/* replicated log, msg_raft.h */
 	MSG_VOTE = 60,
 	MSG_VOTE_REPLY = 61,
@@ -65,6 +71,11 @@
 	CMD_CLAIM = 112,
 	CMD_CLAIM_DONE = 113,
 	CMD_EXPIRE = 114,
+	CMD_BUNDLE_PUT = 115,
+	CMD_FLOW_SUBMIT = 116,
+	CMD_FLOW_CANCEL = 117,
+	CMD_FLOW_CHANGE = 118,
+	CMD_FLOW_EXPIRE = 119,
 	/* records of a snapshot of the state machine, command.h */
 	REC_BUNDLE = 150,
 	REC_ZONE = 151,
@@ -73,6 +84,7 @@
 	REC_TASK = 154,
 	REC_CLAIM = 155,
 	REC_COUNTERS = 156,
+	REC_FLOW = 157,
 	/* operators' requests and replies, op.h: 200 to 249 */
 	OP_FIRST = 200,
 	OP_LAST = 249,
--- a/src/core/base/schema_command.c
+++ b/src/core/base/schema_command.c
@@ -43,6 +43,9 @@
 	F_MANY(bundle, zones, bundle_zone_schema),
 	F_MANY(bundle, teams, bundle_team_schema),
 	F_MANY(bundle, services, bundle_service_schema),
+	F_MANY(bundle, queues, bundle_queue_schema),
+	F_MANY(bundle, pools, bundle_pool_schema),
+	F_BYTES(bundle, document),
 };
 SCHEMA(bundle_schema, "Bundle", bundle, bundle_fields);
 
@@ -124,6 +127,7 @@
 	F_BOOL(cmd_zone_set, out),
 	F_U64(cmd_zone_set, expected_version),
 	F_STRING(cmd_zone_set, changed_by),
+	F_BOOL(cmd_zone_set, any_version),
 };
 SCHEMA(cmd_zone_set_schema, "CmdZoneSet", cmd_zone_set, cmd_zone_set_fields);
 
--- a/src/core/base/schema_op.c
+++ b/src/core/base/schema_op.c
@@ -115,6 +115,9 @@
 	{ OP_STATUS, &op_query_schema },
 	{ OP_MEMBER_ADD, &member_schema },
 	{ OP_MEMBER_REMOVE, &member_schema },
+	{ OP_BUNDLE_PUT, &bundle_schema },
+	{ OP_BUNDLE_SHOW, &op_query_schema },
+	{ OP_ZONE_PUT, &cmd_zone_set_schema },
 	{ OP_REPLY, &op_reply_schema },
 	{ OP_BUNDLE_STATUS_REPLY, &op_bundle_status_schema },
 	{ OP_ZONES, &op_zones_schema },
@@ -122,5 +125,6 @@
 	{ OP_JOBS, &op_jobs_schema },
 	{ OP_TASKS, &op_tasks_schema },
 	{ OP_STATUS_REPLY, &op_status_schema },
+	{ OP_BUNDLE, &bundle_schema },
 	{ TYPE_NONE, NULL },
 };
--- a/src/core/base/schema_tables.h
+++ b/src/core/base/schema_tables.h
@@ -12,14 +12,18 @@
 extern const struct schema_entry schema_command[];
 extern const struct schema_entry schema_op[];
 extern const struct schema_entry schema_platform[];
+extern const struct schema_entry schema_flow[];
 
 /* Schemas that other schemas embed. */
+extern const struct schema bundle_pool_schema;
+extern const struct schema bundle_queue_schema;
 extern const struct schema bundle_schema;
 extern const struct schema claim_record_schema;
 extern const struct schema cmd_bundle_sign_schema;
 extern const struct schema cmd_job_cancel_schema;
 extern const struct schema cmd_vm_quarantine_schema;
 extern const struct schema cmd_zone_set_schema;
+extern const struct schema flow_record_schema;
 extern const struct schema job_record_schema;
 extern const struct schema member_schema;
 extern const struct schema platform_start_schema;
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -104,6 +104,75 @@
 /* Decisions carried out before the loop gets a turn. */
 #define PLAN_BATCH 64
 
+/* Workflows. */
+#define FLOW_MAX_STEPS 256
+#define FLOW_MAX_TASKS 20000 /* of all occurrences; bounds a record's size */
+#define FLOW_SPEC_MAX_BYTES 4000
+/*
+ * An ended workflow is remembered this long, so that a late resend of its
+ * submission finds it. Above any client's series of retries.
+ */
+#define FLOW_TTL_MS 600000u
+
+/*
+ * A worker's one lease. Long enough for a failover of control (about 1.5 s) and
+ * a restart of an agent, short enough that the tasks of a worker that is gone
+ * run elsewhere within 6 s.
+ */
+#define FLOW_LEASE_MAX_MS 5000
+/* Between processes; covers what a clock gains over a lease. */
+#define FLOW_LEASE_MARGIN_MS 300
+/* The platform's workers may measure a lease on a clock that is 2 % slow. */
+#define WORKER_CLOCK_SLOW_PERMILLE 20
+/* A call without an answer may be carried out this much later (platform). */
+#define LATE_CALL_MS 12000
+/* A start needs this much lease, or it would lapse before the next renewal. */
+#define RUNNER_START_LEASE_MS 1000
+#define RUNNER_REPORT_INTERVAL_MS 1000 /* five renewals within a lease */
+#define RUNNER_REPORT_SOON_MS 3 /* collects what ends together */
+/* A look at the worker waits this long for an end; 2,000 at most (platform). */
+#define HOLD_WAIT_MS 1000
+#define HOLD_WAIT_PACE_MS 500 /* the figures are means of half a second */
+#define HOLD_RETRY_MS 300 /* after a look without an answer */
+#define HOLD_ENDS_MS 100 /* while ends wait for the log */
+#define STOP_REPEAT_MS 500 /* of a stop without an answer */
+/* A VM whose agent didn't report for this long gets nothing new. */
+#define FLOW_REPORT_STALE_MS 2500
+/* An order that no report shows is sent again after this. */
+#define FLOW_ORDER_REPEAT_MS 1500
+#define FLOW_ORDER_RETRY_MS 50 /* while the leader may not grant */
+#define FLOW_PLACE_DELAY_MS 2 /* collects what becomes ready together */
+/* A worker is shunned when failures are this share of its last ends. */
+#define FLOW_FAIL_WEIGHT 4
+#define FLOW_SHUN_PERMILLE 550
+#define FLOW_SHUN_MIN_MS 2000
+#define FLOW_SHUN_MAX_MS 16000
+/*
+ * A run that makes no progress for this long, and ran several times as long as
+ * estimated, is stopped and placed elsewhere.
+ */
+#define FLOW_STALL_MS 2500
+#define FLOW_STALL_FACTOR 2
+/* Share of their processors that lasting tasks use, for placing fillers. */
+#define FLOW_LASTING_USE_PERCENT 60
+/* Work left undone for a moment, so that a draining worker's checkpoint of it
+ * is the last one. */
+#define FLOW_DRAIN_LEFT_MS 1500
+/* Costs of a VM, in thousandths of its processors. */
+#define FLOW_COST_PACE 10 /* a percent that its fillers are held back */
+#define FLOW_COST_REMOTE 500 /* the data is on another rack */
+#define FLOW_COST_FAILED 2000 /* the task failed there */
+#define FLOW_COST_COLD 300 /* its worker has just started */
+/* A workflow that no VM can hold is failed after this, as VMs come and go. */
+#define FLOW_NEVER_FITS_MS 8000
+
+/* Pace of fillers, by the worst tail latency in percent of its target. */
+#define PACE_CUT_PERCENT 90 /* from here on: to a third */
+#define PACE_EASE_PERCENT 75 /* from here on: a step down */
+#define PACE_RAISE_PERCENT 60 /* up to here: a step up */
+#define PACE_STEP_PERCENT 15
+#define PACE_LOW_PERCENT 10 /* below this a cut goes to 0 */
+
 /* Planner. */
 #define PLAN_HISTORY_MS 20000 /* what ran on a VM, longest lag of a sample */
 /* From so many samples of a kind on, batch tasks are looked at this seldom. */
@@ -215,6 +284,16 @@
 /* How long a lost agent may take to come back and tell an outcome. */
 #define PEER_RETURN_MS 1000
 
+/* Submissions of workflows at the entry. */
+/*
+ * A call waits this long for a leader: above a failover's usual 0.8 s, below
+ * half of the 3 s that clients give.
+ */
+#define INTAKE_LEADER_WAIT_MS 1200
+#define INTAKE_REPEAT_MS 400 /* of a call without a reply; calls repeat */
+#define INTAKE_TIMEOUT_MS 2500 /* where the caller gives no limit */
+#define INTAKE_CALLS_MAX 2048
+
 /* Admission at the agent. */
 #define ADMIT_QUEUE_PER_SLOT 16
 #define ADMIT_RESPONSE_TTL_MS 60000
--- a/src/core/control/control.c
+++ b/src/core/control/control.c
@@ -93,6 +93,7 @@
 	control->leader_since_us = control->node->now_us;
 	control->view_version = 1;
 	control_plan_fill(control);
+	control->flows = control_flow_new(control);
 	control_view_announce(control);
 	node_timer_ms(control->node, &control->vm_timer, VM_CHECK_MS);
 	node_timer_ms(control->node, &control->expire_timer,
@@ -108,6 +109,7 @@
 	timer_cancel(timers, &control->expire_timer);
 	timer_cancel(timers, &control->view_timer);
 	control_plan_drop(control);
+	g_clear_pointer(&control->flows, control_flow_free);
 	g_hash_table_remove_all(control->vms);
 	g_hash_table_remove_all(control->tasks);
 	g_hash_table_remove_all(control->view_zones);
@@ -171,6 +173,7 @@
 		return;
 	plan_set_zone(control->plan, zone, control->node->now_us);
 	control_plan_soon(control);
+	control_flow_zone_changed(control->flows);
 	control_view_zone(control, zone->name);
 }
 
@@ -217,6 +220,23 @@
 		plan_drop_job(control->plan, job_id);
 }
 
+static void control_flow_seen(void *ctx, const struct state_flow *flow)
+{
+	struct control *control = ctx;
+
+	if (control->leader)
+		control_flow_changed(control->flows, flow);
+}
+
+static void control_flow_task_seen(void *ctx, struct state_flow *flow,
+				   uint32_t task, enum flow_end end)
+{
+	struct control *control = ctx;
+
+	if (control->leader)
+		control_flow_task_changed(control->flows, flow, task, end);
+}
+
 static const struct state_watch_ops control_watch = {
 	.bundle = control_bundle_changed,
 	.zone = control_zone_changed,
@@ -224,12 +244,15 @@
 	.job = control_job_changed,
 	.task = control_task_changed,
 	.job_dropped = control_job_dropped,
+	.flow = control_flow_seen,
+	.flow_task = control_flow_task_seen,
 };
 
 static void control_expire(void *data, uint64_t now_us)
 {
 	struct control *control = data;
 	uint64_t now_ms = control_wall_ms(control);
+	struct cmd_flow_expire flows = { 0 };
 	struct cmd_expire expire = { 0 };
 
 	node_timer_ms(control->node, &control->expire_timer,
@@ -238,6 +261,9 @@
 	expire.jobs_before_ms = now_ms - MIN(now_ms, JOB_TTL_MS);
 	if (state_has_expired(control->state, &expire))
 		control_propose(control, CMD_EXPIRE, &expire, NULL);
+	flows.before_ms = now_ms - MIN(now_ms, FLOW_TTL_MS);
+	if (state_flow_has_expired(control->state, flows.before_ms))
+		control_propose(control, CMD_FLOW_EXPIRE, &flows, NULL);
 }
 
 /* ---- the role ---- */
@@ -300,6 +326,13 @@
 	case MSG_VIEW_QUERY:
 		control_view_query(control, from, body);
 		break;
+	case MSG_FLOW_CALL:
+		control_flow_call(control, from, body);
+		break;
+	case MSG_FLOW_REPORT:
+		if (control->leader)
+			control_flow_report(control->flows, from, body);
+		break;
 	case MSG_CLAIM_QUERY:
 		control_claim_query(control, from, body);
 		break;
--- a/src/core/control/control.h
+++ b/src/core/control/control.h
@@ -29,6 +29,8 @@
 	void *store_ctx;
 	const struct store_image *image;
 	const char *const *control_addresses; /* NULL-terminated, borrowed */
+	uint32_t worker_lease_ms; /* longest that workers take, 0: unlimited */
+	bool bootstrap; /* a new group may be formed */
 };
 
 struct control *control_new(struct node *node, const struct control_opts *opts);
--- /dev/null
+++ b/src/core/control/control_flow.c
@@ -0,0 +1,394 @@
+#include "control_flow.h"
+
+#include <string.h>
+
+#include "control_flow_impl.h"
+
+static void flow_vm_free(void *data)
+{
+	struct flow_vm *vm = data;
+
+	g_hash_table_unref(vm->runs);
+	g_array_unref(vm->ends);
+	g_free(vm);
+}
+
+struct flow_vm *control_flow_vm(struct control_flow *flows, const char *name)
+{
+	struct flow_vm *vm = g_hash_table_lookup(flows->vms, name);
+
+	if (vm)
+		return vm;
+	vm = g_new0(struct flow_vm, 1);
+	TEXT_SET(vm->name, name);
+	vm->runs = g_hash_table_new(NULL, NULL);
+	vm->ends = g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
+	vm->pace = 100;
+	/* Grants of an earlier leader end after this. */
+	vm->lapse_us = flows->control->leader_since_us +
+		       flows->lease_ms * 1000ull;
+	g_hash_table_insert(flows->vms, vm->name, vm);
+	return vm;
+}
+
+struct flow_soft *control_flow_soft(const struct control_flow *flows,
+				    const struct state_flow *flow,
+				    uint32_t task)
+{
+	char name[NAME_BYTES];
+
+	state_flow_task_name(flow, task, name);
+	return g_hash_table_lookup(flows->runs, name);
+}
+
+static void flow_vm_count(struct flow_vm *vm, const struct flow_step *step,
+			  bool take)
+{
+	uint32_t *cpu = step->filler ? &vm->filler_cpu_millis : &vm->cpu_millis;
+	uint32_t cpu_millis = step->cpu_millis;
+	uint32_t lasting = step->lasting && !step->filler ? cpu_millis : 0;
+
+	*cpu = take ? *cpu + cpu_millis : *cpu - cpu_millis;
+	vm->lasting_cpu_millis = take ? vm->lasting_cpu_millis + lasting :
+					vm->lasting_cpu_millis - lasting;
+	vm->memory_mib = take ? vm->memory_mib + step->memory_mib :
+				vm->memory_mib - step->memory_mib;
+	vm->accelerators = take ? vm->accelerators + step->accelerators :
+				  vm->accelerators - step->accelerators;
+}
+
+struct flow_soft *control_flow_take(struct control_flow *flows,
+				    struct state_flow *flow, uint32_t task,
+				    uint32_t run, struct flow_vm *vm)
+{
+	struct flow_soft *soft = g_new0(struct flow_soft, 1);
+
+	state_flow_task_name(flow, task, soft->name);
+	soft->flow = flow;
+	soft->task = task;
+	soft->run = run;
+	soft->step = &flow->record.steps[state_flow_step(flow, task)];
+	soft->vm = vm;
+	soft->progress_us = flows->control->node->now_us;
+	flow_vm_count(vm, soft->step, true);
+	g_hash_table_add(vm->runs, soft);
+	g_hash_table_replace(flows->runs, soft->name, soft);
+	return soft;
+}
+
+void control_flow_release(struct control_flow *flows, struct flow_soft *soft)
+{
+	flow_vm_count(soft->vm, soft->step, false);
+	g_hash_table_remove(soft->vm->runs, soft);
+	g_hash_table_remove(flows->runs, soft->name);
+}
+
+/* ---- proposals ---- */
+
+/* A change that was not committed is forgotten; reports bring ends again. */
+static void flow_change_dropped(struct control_flow *flows,
+				const struct flow_change *change)
+{
+	struct state_flow *flow =
+		state_flow_find(flows->control->state, change->id);
+	struct flow_soft *soft;
+
+	if (!flow || !flow->tasks_each)
+		return;
+	soft = control_flow_soft(flows, flow, change->task);
+	if (!soft || soft->run != change->run)
+		return;
+	soft->ending = false;
+	if (!soft->committed)
+		control_flow_release(flows, soft);
+}
+
+/* A placement that the state refused leaves its room taken otherwise. */
+static void flow_change_check(struct control_flow *flows,
+			      const struct flow_change *change)
+{
+	struct state_flow *flow =
+		state_flow_find(flows->control->state, change->id);
+	struct flow_soft *soft;
+
+	if (!flow || !flow->tasks_each || change->kind != FLOW_CHANGE_PLACE)
+		return;
+	soft = control_flow_soft(flows, flow, change->task);
+	if (soft && soft->run == change->run && !soft->committed)
+		control_flow_release(flows, soft);
+}
+
+static void flow_changes_done(struct control *control,
+			      const struct control_proposal *proposal,
+			      const struct state_outcome *outcome)
+{
+	const struct cmd_flow_change *cmd = proposal->command.body;
+	struct control_flow *flows = control->flows;
+	GHashTableIter iter;
+	void *value;
+
+	if (!flows)
+		return;
+	for (uint32_t i = 0; i < cmd->nr_changes; i++)
+		if (outcome->result)
+			flow_change_dropped(flows, &cmd->changes[i]);
+		else
+			flow_change_check(flows, &cmd->changes[i]);
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct flow_vm *vm = value;
+
+		vm->losing = vm->losing && g_hash_table_size(vm->runs);
+		if (vm->grant_due)
+			control_flow_grant(flows, vm);
+	}
+	control_flow_send_orders(flows, control->node->now_us);
+	control_flow_place_soon(flows);
+}
+
+static void flow_propose_changes(void *data, uint64_t now_us)
+{
+	struct control_flow *flows = data;
+	struct control *control = flows->control;
+	struct control_proposal proposal = { .done = flow_changes_done };
+	struct cmd_flow_change cmd = { 0 };
+	GArray *changes = flows->changes;
+	enum result result;
+
+	if (!changes->len)
+		return;
+	flows->changes = g_array_new(FALSE, FALSE, sizeof(struct flow_change));
+	cmd.now_ms = control_wall_ms(control);
+	cmd.nr_changes = changes->len;
+	cmd.changes = (struct flow_change *)(void *)changes->data;
+	counter_add(control->node->counters, "flow_changes", changes->len);
+	result = control_propose(control, CMD_FLOW_CHANGE, &cmd, &proposal);
+	if (result)
+		for (uint32_t i = 0; i < cmd.nr_changes; i++)
+			flow_change_dropped(flows, &cmd.changes[i]);
+	g_array_unref(changes);
+}
+
+void control_flow_propose(struct control_flow *flows,
+			  const struct flow_change *change)
+{
+	g_array_append_vals(flows->changes, change, 1);
+	if (!timer_armed(&flows->change_timer))
+		node_timer_ms(flows->control->node, &flows->change_timer, 0);
+}
+
+void control_flow_end(struct control_flow *flows, struct flow_soft *soft,
+		      enum flow_end end, const char *checkpoint)
+{
+	struct flow_change change = { .kind = FLOW_CHANGE_END };
+
+	if (soft->ending || !soft->committed)
+		return;
+	soft->ending = true;
+	TEXT_SET(change.id, soft->flow->record.id);
+	change.task = soft->task;
+	change.run = soft->run;
+	change.end = end;
+	TEXT_SET(change.checkpoint,
+		 checkpoint[0] ? checkpoint : soft->checkpoint);
+	control_flow_propose(flows, &change);
+}
+
+/* ---- committed changes ---- */
+
+/* Learns from ends how far a worker can be relied on. */
+static void flow_vm_learn(struct control_flow *flows, struct flow_vm *vm,
+			  const struct flow_soft *soft, enum flow_end end)
+{
+	uint64_t now_us = flows->control->node->now_us;
+	GString *line;
+
+	if (end != FLOW_END_DONE && end != FLOW_END_FAILED)
+		return;
+	vm->fail_permille -= vm->fail_permille / FLOW_FAIL_WEIGHT;
+	if (end == FLOW_END_DONE) {
+		vm->shun_ms = 0;
+		return;
+	}
+	vm->fail_permille += 1000 / FLOW_FAIL_WEIGHT;
+	if (vm->fail_permille < FLOW_SHUN_PERMILLE || vm->shun_until_us > now_us)
+		return;
+	vm->shun_ms = CLAMP(vm->shun_ms * 2, FLOW_SHUN_MIN_MS,
+			    FLOW_SHUN_MAX_MS);
+	vm->shun_until_us = now_us + vm->shun_ms * 1000ull;
+	/* One more failure afterwards is enough to shun it again. */
+	vm->fail_permille = FLOW_SHUN_PERMILLE - 1000 / FLOW_FAIL_WEIGHT;
+	line = logline_new("worker-shunned");
+	logline_str(line, "vm", vm->name);
+	logline_str(line, "worker", vm->worker.id);
+	logline_str(line, "task", soft->name);
+	logline_u64(line, "for_ms", vm->shun_ms);
+	node_log(flows->control->node, line);
+}
+
+static void flow_log_end(struct control_flow *flows,
+			 const struct flow_soft *soft, enum flow_end end)
+{
+	GString *line = logline_new("task-ended");
+
+	logline_str(line, "task", soft->name);
+	logline_u64(line, "run", soft->run);
+	logline_str(line, "vm", soft->vm->name);
+	logline_str(line, "end", flow_end_name(end));
+	logline_u64(line, "failures",
+		    soft->flow->record.nr_tasks ?
+			    soft->flow->record.tasks[soft->task].nr_failures :
+			    0);
+	logline_u64(line, "ran_ms",
+		    soft->on ? (flows->control->node->now_us - soft->on_us) /
+				       1000 :
+			       0);
+	node_log(flows->control->node, line);
+}
+
+void control_flow_task_changed(struct control_flow *flows,
+			       struct state_flow *flow, uint32_t task,
+			       enum flow_end end)
+{
+	const struct flow_task *record = &flow->record.tasks[task];
+	struct flow_soft *soft = control_flow_soft(flows, flow, task);
+	struct flow_vm *vm;
+
+	if (end == FLOW_END_NONE) {
+		vm = control_flow_vm(flows, record->vm);
+		if (!soft)
+			soft = control_flow_take(flows, flow, task,
+						 record->run, vm);
+		soft->committed = true;
+		control_flow_order_start(flows, soft);
+		return;
+	}
+	if (!soft)
+		return;
+	counter_add(flows->control->node->counters, "task_ends", 1);
+	flow_log_end(flows, soft, end);
+	flow_vm_learn(flows, soft->vm, soft, end);
+	soft->vm->grant_due = true;
+	control_flow_release(flows, soft);
+	control_flow_place_soon(flows);
+}
+
+/* Stops what still runs of a workflow that has ended. */
+static void flow_stop_all(struct control_flow *flows,
+			  const struct state_flow *flow, const char *why)
+{
+	for (uint32_t i = 0; i < flow->record.nr_tasks; i++) {
+		struct flow_soft *soft;
+
+		if (flow->record.tasks[i].state != FLOW_TASK_PLACED)
+			continue;
+		soft = control_flow_soft(flows, flow, i);
+		if (soft)
+			control_flow_order_stop(flows, soft, why);
+	}
+}
+
+void control_flow_changed(struct control_flow *flows,
+			  const struct state_flow *flow)
+{
+	GString *line = logline_new("workflow");
+
+	logline_str(line, "id", flow->record.id);
+	logline_str(line, "state", flow_state_name(flow->record.state));
+	logline_u64(line, "tasks", flow->record.nr_tasks);
+	logline_u64(line, "done", flow->nr_done);
+	logline_u64(line, "priority", flow->record.priority);
+	node_log(flows->control->node, line);
+	if (state_flow_is_active(flow)) {
+		control_flow_rank(flows, (struct state_flow *)flow);
+		control_flow_place_soon(flows);
+		return;
+	}
+	control_flow_unrank(flows, flow);
+	flow_stop_all(flows, flow, flow_state_name(flow->record.state));
+}
+
+void control_flow_zone_changed(struct control_flow *flows)
+{
+	control_flow_place_soon(flows);
+}
+
+/* ---- the leader's term ---- */
+
+static void flow_take_over(struct control_flow *flows, struct state_flow *flow)
+{
+	bool active = state_flow_is_active(flow);
+
+	if (active)
+		control_flow_rank(flows, flow);
+	for (uint32_t i = 0; i < flow->record.nr_tasks; i++) {
+		const struct flow_task *task = &flow->record.tasks[i];
+		struct flow_soft *soft;
+
+		if (task->state != FLOW_TASK_PLACED)
+			continue;
+		soft = control_flow_take(flows, flow, i, task->run,
+					 control_flow_vm(flows, task->vm));
+		soft->committed = true;
+	}
+}
+
+static void flow_orders_free(void *data)
+{
+	GArray *orders = data;
+
+	for (guint i = 0; i < orders->len; i++) {
+		struct flow_order *order =
+			&g_array_index(orders, struct flow_order, i);
+
+		g_clear_pointer(&order->spec, g_bytes_unref);
+	}
+	g_array_unref(orders);
+}
+
+struct control_flow *control_flow_new(struct control *control)
+{
+	struct control_flow *flows = g_new0(struct control_flow, 1);
+
+	flows->control = control;
+	flows->lease_ms = FLOW_LEASE_MAX_MS;
+	if (control->opts.worker_lease_ms)
+		flows->lease_ms = MIN(flows->lease_ms,
+				      control->opts.worker_lease_ms * 9 / 10);
+	flows->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   flow_vm_free);
+	flows->runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	flows->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      flow_orders_free);
+	flows->ranks = g_array_new(FALSE, FALSE, sizeof(struct flow_rank));
+	flows->changes = g_array_new(FALSE, FALSE, sizeof(struct flow_change));
+	flows->change_timer = (struct timer){ flow_propose_changes, flows };
+	flows->place_timer = (struct timer){ control_flow_place, flows };
+	flows->order_timer = (struct timer){ control_flow_send_orders, flows };
+	flows->check_timer = (struct timer){ control_flow_check, flows };
+	for (GTreeNode *node = g_tree_node_first(control->state->flows); node;
+	     node = g_tree_node_next(node))
+		flow_take_over(flows, g_tree_node_value(node));
+	node_timer_ms(control->node, &flows->check_timer, VM_CHECK_MS);
+	return flows;
+}
+
+void control_flow_free(struct control_flow *flows)
+{
+	struct timers *timers;
+
+	if (!flows)
+		return;
+	timers = flows->control->node->timers;
+	timer_cancel(timers, &flows->change_timer);
+	timer_cancel(timers, &flows->place_timer);
+	timer_cancel(timers, &flows->order_timer);
+	timer_cancel(timers, &flows->check_timer);
+	g_hash_table_unref(flows->orders);
+	g_hash_table_unref(flows->runs);
+	g_hash_table_unref(flows->vms);
+	g_array_unref(flows->ranks);
+	g_array_unref(flows->changes);
+	g_free(flows);
+}
--- /dev/null
+++ b/src/core/control/control_flow_impl.h
@@ -0,0 +1,123 @@
+#ifndef CONTROL_FLOW_IMPL_H
+#define CONTROL_FLOW_IMPL_H
+
+/** @file control_flow_impl.h What the files of control_flow share. */
+
+#include "control_flow.h"
+#include "control_impl.h"
+#include "timer.h"
+
+/** A VM whose worker runs tasks of workflows. */
+struct flow_vm {
+	char name[NAME_BYTES];
+	char zone[NAME_BYTES];
+	uint64_t node_id; /* incarnation of its agent */
+	struct worker_life worker;
+	bool reported; /* to this leader */
+	bool reachable;
+	bool looked; /* its agent has listed the worker's runs */
+	uint64_t reported_us;
+	uint64_t report_seq;
+	uint64_t report_sent_us; /* agent's clock */
+	/** No grant of any leader extends the worker's lease beyond this. */
+	uint64_t lapse_us;
+	bool losing; /* its tasks are being taken back: no grants */
+	GArray *ends; /* struct flow_run_end of the last report */
+	uint64_t settled_nr;
+	bool grant_due;
+	GHashTable *runs; /* set of struct flow_soft * */
+	/* room taken by runs that are placed or proposed */
+	uint32_t cpu_millis;
+	uint32_t lasting_cpu_millis; /* part of it */
+	uint32_t filler_cpu_millis;
+	uint32_t memory_mib;
+	uint32_t accelerators;
+	uint32_t pace; /* percent at which its fillers may work */
+	uint32_t fail_permille; /* share of failed ends, newest weigh most */
+	uint64_t shun_until_us; /* nothing is placed before */
+	uint32_t shun_ms; /* length of the last such time */
+};
+
+/** The run of a task that is placed, or about to be. */
+struct flow_soft {
+	char name[NAME_BYTES]; /* of the task */
+	struct state_flow *flow;
+	uint32_t task;
+	uint32_t run;
+	const struct flow_step *step;
+	struct flow_vm *vm;
+	bool committed;
+	bool ending; /* its end is proposed */
+	bool stopping; /* its stop was ordered */
+	bool on; /* the worker has it */
+	bool held; /* the worker may have it from an unanswered start */
+	uint64_t ordered_us; /* time of the last order, 0: none */
+	uint64_t ordered_node; /* incarnation that got it */
+	uint64_t on_us;
+	uint32_t percent;
+	uint64_t progress_us; /* when percent changed last */
+	char checkpoint[NAME_BYTES];
+	uint32_t figure;
+};
+
+/** A workflow that has not ended, in the order of work. */
+struct flow_rank {
+	struct state_flow *flow;
+	uint64_t due_ms; /* wall clock, of its objective */
+};
+
+struct control_flow {
+	struct control *control;
+	uint32_t lease_ms; /* of workers, in each grant */
+	GHashTable *vms; /* name -> struct flow_vm * */
+	GHashTable *runs; /* task name -> struct flow_soft * */
+	GArray *ranks; /* struct flow_rank, by priority and due_ms */
+	GArray *changes; /* struct flow_change to be proposed */
+	GHashTable *orders; /* vm name -> GArray of struct flow_order */
+	struct timer change_timer;
+	struct timer place_timer;
+	struct timer order_timer;
+	struct timer check_timer;
+};
+
+/* control_flow.c */
+struct flow_vm *control_flow_vm(struct control_flow *flows, const char *name);
+struct flow_soft *control_flow_soft(const struct control_flow *flows,
+				    const struct state_flow *flow,
+				    uint32_t task);
+/** Takes room on the VM for a run. */
+struct flow_soft *control_flow_take(struct control_flow *flows,
+				    struct state_flow *flow, uint32_t task,
+				    uint32_t run, struct flow_vm *vm);
+void control_flow_release(struct control_flow *flows, struct flow_soft *soft);
+/** Adds a change to the next proposal of this turn. */
+void control_flow_propose(struct control_flow *flows,
+			  const struct flow_change *change);
+/** Proposes the end of a run, unless that is under way. */
+void control_flow_end(struct control_flow *flows, struct flow_soft *soft,
+		      enum flow_end end, const char *checkpoint);
+
+/* control_flow_vm.c */
+void control_flow_grant(struct control_flow *flows, struct flow_vm *vm);
+void control_flow_check(void *data, uint64_t now_us);
+
+/* control_flow_order.c */
+/** Returns true if the run belongs to the present life of its worker. */
+bool control_flow_is_life(const struct flow_soft *soft);
+void control_flow_order_start(struct control_flow *flows,
+			      struct flow_soft *soft);
+void control_flow_order_stop(struct control_flow *flows,
+			     struct flow_soft *soft, const char *why);
+/** Stops a run that the committed state doesn't have. */
+void control_flow_order_kill(struct control_flow *flows, struct flow_vm *vm,
+			     const struct flow_run *run);
+void control_flow_send_orders(void *data, uint64_t now_us);
+
+/* control_flow_place.c */
+void control_flow_place_soon(struct control_flow *flows);
+void control_flow_place(void *data, uint64_t now_us);
+void control_flow_rank(struct control_flow *flows, struct state_flow *flow);
+void control_flow_unrank(struct control_flow *flows,
+			 const struct state_flow *flow);
+
+#endif /* CONTROL_FLOW_IMPL_H */
--- /dev/null
+++ b/src/core/control/control_flow_place.c
@@ -0,0 +1,388 @@
+#include "control_flow_impl.h"
+
+#include <string.h>
+
+/*
+ * Placement: workflows by priority, then by the time at which their objective
+ * ends; each waiting task goes to the VM with the lowest cost that has room.
+ */
+
+/* ---- order of work ---- */
+
+/* Longest chain of estimates through the steps. */
+static uint64_t flow_chain_ms(const struct state_flow *flow)
+{
+	const struct flow_record *record = &flow->record;
+	uint64_t *chain_ms = g_new0(uint64_t, record->nr_steps);
+	uint64_t longest_ms = 0;
+
+	for (uint32_t i = 0; i < record->nr_steps; i++) {
+		const struct flow_step *step = &record->steps[i];
+
+		for (uint32_t j = 0; j < step->nr_after; j++)
+			chain_ms[i] = MAX(chain_ms[i],
+					  chain_ms[step->after[j]]);
+		chain_ms[i] += step->lasting ? 0 : step->estimate_ms;
+		longest_ms = MAX(longest_ms, chain_ms[i]);
+	}
+	g_free(chain_ms);
+	return longest_ms;
+}
+
+static gint flow_rank_compare(gconstpointer a, gconstpointer b)
+{
+	const struct flow_rank *x = a;
+	const struct flow_rank *y = b;
+	uint32_t priority_x = x->flow->record.priority;
+	uint32_t priority_y = y->flow->record.priority;
+
+	if (priority_x != priority_y)
+		return priority_x < priority_y ? -1 : 1;
+	if (x->due_ms != y->due_ms)
+		return x->due_ms < y->due_ms ? -1 : 1;
+	return strcmp(x->flow->record.id, y->flow->record.id);
+}
+
+void control_flow_rank(struct control_flow *flows, struct state_flow *flow)
+{
+	const struct flow_record *record = &flow->record;
+	struct flow_rank rank = { .flow = flow };
+
+	rank.due_ms = MAX(record->submitted_ms, record->first_ms) +
+		      record->slo_ms +
+		      flow_chain_ms(flow) * record->slack_permille / 1000;
+	g_array_append_val(flows->ranks, rank);
+	g_array_sort(flows->ranks, flow_rank_compare);
+}
+
+void control_flow_unrank(struct control_flow *flows,
+			 const struct state_flow *flow)
+{
+	for (guint i = 0; i < flows->ranks->len; i++) {
+		if (g_array_index(flows->ranks, struct flow_rank, i).flow !=
+		    flow)
+			continue;
+		g_array_remove_index(flows->ranks, i);
+		return;
+	}
+}
+
+/* ---- choice of a VM ---- */
+
+/* What a stage asks of its VMs. */
+struct flow_need {
+	struct control_flow *flows;
+	struct state_flow *flow;
+	uint32_t stage;
+	const struct flow_step *step;
+	const struct flow_vm *avoid; /* where the task failed last */
+};
+
+static bool flow_vm_has_label(const struct flow_vm *vm, const char *label)
+{
+	return !strcmp(vm->worker.kind, label) ||
+	       !strcmp(vm->worker.rack, label);
+}
+
+/* Returns true if the VM may take work of the service at all. */
+static bool flow_vm_open(const struct control_flow *flows,
+			 const struct flow_vm *vm, const char *service)
+{
+	uint64_t now_us = flows->control->node->now_us;
+
+	return vm->reported && vm->reachable && vm->looked &&
+	       !vm->worker.draining && !vm->worker.ended && !vm->losing &&
+	       !strcmp(vm->worker.service, service) &&
+	       now_us - vm->reported_us < FLOW_REPORT_STALE_MS * 1000ull &&
+	       now_us >= vm->shun_until_us &&
+	       state_zone_is_in(flows->control->state, vm->zone);
+}
+
+static uint32_t flow_vm_stage_runs(const struct flow_vm *vm,
+				   const struct flow_need *need)
+{
+	uint32_t nr = 0;
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, vm->runs);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct flow_soft *soft = key;
+
+		nr += soft->flow == need->flow && soft->step == need->step &&
+		      state_flow_occurrence(soft->flow, soft->task) ==
+			      need->stage / need->flow->record.nr_steps;
+	}
+	return nr;
+}
+
+/* Processors that fillers may count on, in thousandths. */
+static uint32_t flow_vm_unused_cpu(const struct flow_vm *vm)
+{
+	uint32_t used = vm->cpu_millis - vm->lasting_cpu_millis +
+			vm->lasting_cpu_millis * FLOW_LASTING_USE_PERCENT / 100;
+
+	return vm->worker.cpu_millis > used ? vm->worker.cpu_millis - used : 0;
+}
+
+static bool flow_vm_fits(const struct flow_vm *vm, const struct flow_need *need)
+{
+	const struct flow_step *step = need->step;
+
+	if (step->label[0] && !flow_vm_has_label(vm, step->label))
+		return false;
+	if (vm->memory_mib + step->memory_mib > vm->worker.memory_mib ||
+	    vm->accelerators + step->accelerators > vm->worker.accelerators)
+		return false;
+	if (step->filler) {
+		/* A lone filler may be larger than what is left unused. */
+		if (vm->filler_cpu_millis &&
+		    vm->filler_cpu_millis + step->cpu_millis >
+			    flow_vm_unused_cpu(vm))
+			return false;
+	} else if (vm->cpu_millis + step->cpu_millis >
+		   vm->worker.cpu_millis) {
+		return false;
+	}
+	return !step->max_per_vm ||
+	       flow_vm_stage_runs(vm, need) < step->max_per_vm;
+}
+
+/* Lower is better; thousandths of the VM's processors. */
+static uint64_t flow_vm_cost(const struct flow_vm *vm,
+			     const struct flow_need *need)
+{
+	const struct flow_step *step = need->step;
+	uint64_t capacity = MAX(vm->worker.cpu_millis, 1);
+	uint64_t cost = (vm->cpu_millis + vm->filler_cpu_millis +
+			 (uint64_t)step->cpu_millis) *
+			1000 / capacity;
+
+	if (step->filler)
+		cost += (100 - MIN(vm->pace, 100)) * FLOW_COST_PACE;
+	if (step->data_rack[0] && strcmp(vm->worker.rack, step->data_rack) != 0)
+		cost += FLOW_COST_REMOTE;
+	if (vm == need->avoid)
+		cost += FLOW_COST_FAILED;
+	if (vm->worker.warmup_ms)
+		cost += FLOW_COST_COLD;
+	return cost + vm->fail_permille;
+}
+
+static struct flow_vm *flow_choose(const struct flow_need *need,
+				   const char *rack)
+{
+	struct control_flow *flows = need->flows;
+	const char *service = need->flow->record.service;
+	struct flow_vm *best = NULL;
+	uint64_t best_cost = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct flow_vm *vm = value;
+		uint64_t cost;
+
+		if (!flow_vm_open(flows, vm, service) ||
+		    !flow_vm_fits(vm, need) ||
+		    (rack && strcmp(rack, vm->worker.rack) != 0))
+			continue;
+		cost = flow_vm_cost(vm, need);
+		if (best && cost >= best_cost)
+			continue;
+		best = vm;
+		best_cost = cost;
+	}
+	return best;
+}
+
+/* ---- placing ---- */
+
+static void flow_log_place(const struct flow_need *need,
+			   const struct flow_soft *soft)
+{
+	const struct flow_vm *vm = soft->vm;
+	GString *line = logline_new("place");
+
+	logline_str(line, "task", soft->name);
+	logline_u64(line, "run", soft->run);
+	logline_str(line, "vm", vm->name);
+	logline_str(line, "worker", vm->worker.id);
+	logline_u64(line, "cpu_millis", need->step->cpu_millis);
+	logline_u64(line, "vm_cpu_millis", vm->cpu_millis);
+	logline_u64(line, "vm_filler_millis", vm->filler_cpu_millis);
+	logline_u64(line, "vm_memory_mib", vm->memory_mib);
+	logline_u64(line, "reported_ms_ago",
+		    (need->flows->control->node->now_us - vm->reported_us) /
+			    1000);
+	node_log(need->flows->control->node, line);
+}
+
+static struct flow_soft *flow_place_on(const struct flow_need *need,
+				       uint32_t task, uint32_t run,
+				       struct flow_vm *vm)
+{
+	struct flow_change change = { .kind = FLOW_CHANGE_PLACE };
+	struct flow_soft *soft = control_flow_take(need->flows, need->flow,
+						   task, run, vm);
+
+	TEXT_SET(change.id, need->flow->record.id);
+	change.task = task;
+	change.run = run;
+	TEXT_SET(change.vm, vm->name);
+	TEXT_SET(change.worker, vm->worker.id);
+	change.born_ms = vm->worker.born_ms;
+	flow_log_place(need, soft);
+	counter_add(need->flows->control->node->counters, "tasks_placed", 1);
+	control_flow_propose(need->flows, &change);
+	return soft;
+}
+
+static bool flow_task_waits(const struct flow_need *need, uint32_t task)
+{
+	return need->flow->record.tasks[task].state == FLOW_TASK_WAITING &&
+	       !control_flow_soft(need->flows, need->flow, task);
+}
+
+/* Returns true if all tasks of the stage wait, as a gang must. */
+static bool flow_gang_waits(const struct flow_need *need, uint32_t first)
+{
+	for (uint32_t i = 0; i < need->step->count; i++)
+		if (!flow_task_waits(need, first + i))
+			return false;
+	return true;
+}
+
+static bool flow_gang_on_rack(const struct flow_need *need, uint32_t first,
+			      const char *rack)
+{
+	uint32_t run = need->flow->stages[need->stage].last_run + 1;
+	GPtrArray *taken = g_ptr_array_new();
+	bool all = true;
+
+	/* Room is taken one by one, so that members count for each other. */
+	for (uint32_t i = 0; i < need->step->count && all; i++) {
+		struct flow_vm *vm = flow_choose(need, rack);
+
+		all = vm != NULL;
+		if (all)
+			g_ptr_array_add(taken,
+					control_flow_take(need->flows,
+							  need->flow, first + i,
+							  run, vm));
+	}
+	for (guint i = 0; i < taken->len; i++) {
+		struct flow_soft *soft = taken->pdata[i];
+		struct flow_vm *vm = soft->vm;
+
+		control_flow_release(need->flows, soft);
+		if (all)
+			flow_place_on(need, first + i, run, vm);
+	}
+	g_ptr_array_unref(taken);
+	return all;
+}
+
+/* Places a gang on one rack if it must be or can be, else anywhere. */
+static bool flow_place_gang(const struct flow_need *need, uint32_t first)
+{
+	GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	bool placed = false;
+	void *key;
+	void *value;
+
+	g_hash_table_iter_init(&iter, need->flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_hash_table_add(racks, ((struct flow_vm *)value)->worker.rack);
+	g_hash_table_iter_init(&iter, racks);
+	while (need->step->same_rack && !placed &&
+	       g_hash_table_iter_next(&iter, &key, NULL))
+		placed = flow_gang_on_rack(need, first, key);
+	if (!placed)
+		placed = flow_gang_on_rack(need, first, NULL);
+	g_hash_table_unref(racks);
+	return placed;
+}
+
+/* Places what waits of one stage; returns false if something finds no room. */
+static bool flow_place_stage(struct flow_need *need)
+{
+	uint32_t first = state_flow_first(need->flow, need->stage);
+
+	if (need->step->gang)
+		return !flow_gang_waits(need, first) ||
+		       flow_place_gang(need, first);
+	for (uint32_t i = first; i < first + need->step->count; i++) {
+		const struct flow_task *task = &need->flow->record.tasks[i];
+		struct flow_vm *vm;
+
+		if (!flow_task_waits(need, i))
+			continue;
+		need->avoid = task->nr_failures ?
+				      g_hash_table_lookup(need->flows->vms,
+							  task->vm) :
+				      NULL;
+		vm = flow_choose(need, NULL);
+		if (!vm)
+			return false;
+		flow_place_on(need, i, task->run + 1, vm);
+	}
+	return true;
+}
+
+/* Returns true if the occurrence of the stage is due. */
+static bool flow_stage_due(const struct control_flow *flows,
+			   const struct state_flow *flow, uint32_t stage)
+{
+	const struct flow_record *record = &flow->record;
+	const struct control_opts *opts = &flows->control->opts;
+	uint64_t due_ms = record->first_ms +
+			  stage / record->nr_steps * record->interval_ms;
+
+	/* The only use of the time of day, which may jump. */
+	return !record->repeats || opts->host->wall_ms(opts->host_ctx) >= due_ms;
+}
+
+static void flow_place_all(struct control_flow *flows, struct state_flow *flow)
+{
+	for (uint32_t i = 0; i < flow->nr_stages; i++) {
+		const struct state_flow_stage *stage = &flow->stages[i];
+		struct flow_need need = { .flows = flows, .flow = flow };
+
+		need.stage = i;
+		need.step = state_flow_step_of(flow, i);
+		if (stage->nr_placed + stage->nr_done == need.step->count ||
+		    !state_flow_stage_ready(flow, i))
+			continue;
+		if (!flow_stage_due(flows, flow, i))
+			break; /* later occurrences come later */
+		flow_place_stage(&need);
+	}
+}
+
+void control_flow_place(void *data, uint64_t now_us)
+{
+	struct control_flow *flows = data;
+	struct control *control = flows->control;
+
+	if (!raft_may_grant(control->raft)) {
+		control_flow_place_soon(flows);
+		return;
+	}
+	for (guint i = 0; i < flows->ranks->len; i++) {
+		struct state_flow *flow =
+			g_array_index(flows->ranks, struct flow_rank, i).flow;
+
+		if (flow->nr_placed + flow->nr_done < flow->record.nr_tasks)
+			flow_place_all(flows, flow);
+	}
+}
+
+void control_flow_place_soon(struct control_flow *flows)
+{
+	if (!timer_armed(&flows->place_timer))
+		node_timer_ms(flows->control->node, &flows->place_timer,
+			      FLOW_PLACE_DELAY_MS);
+}
--- /dev/null
+++ b/src/core/control/control_flow_vm.c
@@ -0,0 +1,354 @@
+#include "control_flow_impl.h"
+
+#include <string.h>
+
+/* Largest number of an end up to which all listed ones are in the log. */
+static uint64_t flow_settled(struct control_flow *flows,
+			     const struct flow_vm *vm)
+{
+	uint64_t open = UINT64_MAX;
+	uint64_t last = vm->settled_nr;
+
+	for (guint i = 0; i < vm->ends->len; i++) {
+		const struct flow_run_end *end =
+			&g_array_index(vm->ends, struct flow_run_end, i);
+		const struct flow_task *task;
+		struct state_flow *flow;
+		uint32_t nr;
+
+		last = MAX(last, end->nr);
+		if (!end->nr || !state_flow_task_find(flows->control->state,
+						      end->task, &flow, &nr))
+			continue;
+		task = &flow->record.tasks[nr];
+		if (task->state == FLOW_TASK_PLACED && task->run == end->run &&
+		    !strcmp(task->vm, vm->name))
+			open = MIN(open, end->nr);
+	}
+	return open == UINT64_MAX ? last : MAX(vm->settled_nr, open - 1);
+}
+
+void control_flow_grant(struct control_flow *flows, struct flow_vm *vm)
+{
+	struct control *control = flows->control;
+	struct flow_grant grant = { 0 };
+
+	vm->grant_due = false;
+	if (!vm->reported || !raft_may_grant(control->raft))
+		return;
+	vm->settled_nr = flow_settled(flows, vm);
+	grant.seq = vm->report_seq;
+	grant.sent_us = vm->report_sent_us;
+	grant.term = raft_term(control->raft);
+	TEXT_SET(grant.worker, vm->worker.id);
+	grant.born_ms = vm->worker.born_ms;
+	grant.settled_nr = vm->settled_nr;
+	/* Without a lease the grant still tells the term, for the first look. */
+	if (!vm->losing && vm->reachable && vm->looked && !vm->worker.ended) {
+		grant.lease_ms = flows->lease_ms;
+		vm->lapse_us = MAX(vm->lapse_us,
+				   vm->reported_us +
+					   flows->lease_ms * 1000ull);
+	}
+	counter_add(control->node->counters, "flow_grants", 1);
+	node_send(control->node, vm->node_id, MSG_FLOW_GRANT, &grant);
+}
+
+/* Takes the runs that a report lists; returns the set of those it knows. */
+static GHashTable *flow_take_runs(struct control_flow *flows,
+				  struct flow_vm *vm,
+				  const struct flow_report *report)
+{
+	GHashTable *listed = g_hash_table_new(NULL, NULL);
+	uint64_t now_us = flows->control->node->now_us;
+
+	vm->pace = 100;
+	for (uint32_t i = 0; i < report->nr_runs; i++) {
+		const struct flow_run *run = &report->runs[i];
+		struct flow_soft *soft =
+			g_hash_table_lookup(flows->runs, run->task);
+
+		if (!soft || !soft->committed || soft->run != run->run ||
+		    soft->vm != vm) {
+			if (!run->unconfirmed)
+				control_flow_order_kill(flows, vm, run);
+			continue;
+		}
+		g_hash_table_add(listed, soft);
+		soft->held = run->unconfirmed;
+		if (run->unconfirmed)
+			continue;
+		if (!soft->on) {
+			soft->on = true;
+			soft->on_us = now_us;
+			soft->progress_us = now_us;
+		}
+		if (soft->percent != run->percent)
+			soft->progress_us = now_us;
+		soft->percent = run->percent;
+		soft->figure = run->figure;
+		if (run->checkpoint[0])
+			TEXT_SET(soft->checkpoint, run->checkpoint);
+		if (soft->step->filler)
+			vm->pace = MIN(vm->pace, run->pace);
+		if (run->unordered && !soft->stopping)
+			control_flow_order_start(flows, soft);
+	}
+	return listed;
+}
+
+static void flow_take_ends(struct control_flow *flows, struct flow_vm *vm,
+			   const struct flow_report *report)
+{
+	g_array_set_size(vm->ends, 0);
+	for (uint32_t i = 0; i < report->nr_ends; i++) {
+		const struct flow_run_end *end = &report->ends[i];
+		struct flow_soft *soft =
+			g_hash_table_lookup(flows->runs, end->task);
+
+		if (end->nr)
+			g_array_append_vals(vm->ends, end, 1);
+		if (soft && soft->run == end->run && soft->vm == vm)
+			control_flow_end(flows, soft, end->end,
+					 end->checkpoint);
+	}
+}
+
+/* Returns true if a run should go on where it is. */
+static bool flow_should_run(const struct control_flow *flows,
+			    const struct flow_soft *soft)
+{
+	return state_flow_is_active(soft->flow) &&
+	       soft->flow->record.tasks[soft->task].state == FLOW_TASK_PLACED;
+}
+
+/* A committed run that the agent doesn't know: the order was lost. */
+static void flow_not_listed(struct control_flow *flows, struct flow_soft *soft)
+{
+	uint64_t now_us = flows->control->node->now_us;
+	struct flow_vm *vm = soft->vm;
+
+	if (soft->ordered_node == vm->node_id &&
+	    now_us - soft->ordered_us < FLOW_ORDER_REPEAT_MS * 1000ull)
+		return;
+	if (soft->stopping || !flow_should_run(flows, soft) ||
+	    vm->worker.draining ||
+	    !state_zone_is_in(flows->control->state, vm->zone))
+		control_flow_order_stop(flows, soft, "not listed");
+	else
+		control_flow_order_start(flows, soft);
+}
+
+/* Compares what is committed to the VM with what its agent knows. */
+static void flow_reconcile(struct control_flow *flows, struct flow_vm *vm,
+			   GHashTable *listed)
+{
+	GList *runs = g_hash_table_get_keys(vm->runs);
+	uint64_t now_us = flows->control->node->now_us;
+
+	for (GList *item = runs; item; item = item->next) {
+		struct flow_soft *soft = item->data;
+		bool known = g_hash_table_contains(listed, soft);
+
+		if (!soft->committed || soft->ending)
+			continue;
+		if (!control_flow_is_life(soft) || vm->worker.ended) {
+			/* Whatever ran in an earlier life has ended with it. */
+			if (!known)
+				control_flow_end(flows, soft, FLOW_END_LOST,
+						 "");
+			continue;
+		}
+		if (!known && vm->looked)
+			flow_not_listed(flows, soft);
+		else if (known && soft->stopping &&
+			 now_us - soft->ordered_us >
+				 FLOW_ORDER_REPEAT_MS * 1000ull)
+			control_flow_order_stop(flows, soft, "repeated");
+		else if (known && !soft->stopping &&
+			 !flow_should_run(flows, soft))
+			control_flow_order_stop(
+				flows, soft,
+				flow_state_name(soft->flow->record.state));
+	}
+	g_list_free(runs);
+}
+
+static void flow_log_life(struct control_flow *flows, const struct flow_vm *vm,
+			  const char *why)
+{
+	GString *line = logline_new("worker");
+
+	logline_str(line, "vm", vm->name);
+	logline_str(line, "zone", vm->zone);
+	logline_str(line, "worker", vm->worker.id);
+	logline_u64(line, "born_ms", vm->worker.born_ms);
+	logline_str(line, "service", vm->worker.service);
+	logline_u64(line, "cpu_millis", vm->worker.cpu_millis);
+	logline_u64(line, "memory_mib", vm->worker.memory_mib);
+	logline_u64(line, "runs", g_hash_table_size(vm->runs));
+	logline_str(line, "change", why);
+	node_log(flows->control->node, line);
+}
+
+/* Takes the description of the worker; logs what has changed. */
+static void flow_take_life(struct control_flow *flows, struct flow_vm *vm,
+			   const struct flow_report *report)
+{
+	const struct worker_life *worker = &report->worker;
+	bool same = !strcmp(vm->worker.id, worker->id) &&
+		    vm->worker.born_ms == worker->born_ms;
+	bool draining = worker->draining && !vm->worker.draining;
+	bool ended = worker->ended && !vm->worker.ended;
+
+	/* An agent that has just started has not heard of its worker yet. */
+	if (!worker->id[0])
+		return;
+	vm->worker = *worker;
+	if (!same) {
+		vm->settled_nr = 0;
+		vm->fail_permille = 0;
+		vm->shun_until_us = 0;
+		vm->shun_ms = 0;
+		g_hash_table_remove(flows->orders, vm->name);
+	}
+	if (!same || draining || ended)
+		flow_log_life(flows, vm,
+			      ended    ? "ended" :
+			      draining ? "draining" :
+					 "new life");
+	control_flow_place_soon(flows);
+}
+
+/* Moves work off a worker that leaves. */
+static void flow_drain(struct control_flow *flows, struct flow_vm *vm)
+{
+	GList *runs = g_hash_table_get_keys(vm->runs);
+
+	for (GList *item = runs; item; item = item->next) {
+		struct flow_soft *soft = item->data;
+
+		if (!soft->on || soft->stopping || soft->ending)
+			continue;
+		if (soft->step->lasting ||
+		    (soft->step->checkpoints &&
+		     vm->worker.remaining_ms < FLOW_DRAIN_LEFT_MS))
+			control_flow_order_stop(flows, soft, "draining");
+	}
+	g_list_free(runs);
+}
+
+/* Stops runs that stand still on a worker that otherwise answers. */
+static void flow_stalled(struct control_flow *flows, struct flow_vm *vm)
+{
+	uint64_t now_us = flows->control->node->now_us;
+	GList *runs = g_hash_table_get_keys(vm->runs);
+
+	for (GList *item = runs; item; item = item->next) {
+		struct flow_soft *soft = item->data;
+		uint64_t ran_us = now_us - soft->on_us;
+
+		if (!soft->on || soft->stopping || soft->ending ||
+		    soft->step->lasting ||
+		    (soft->step->filler && vm->pace < 100) ||
+		    now_us - soft->progress_us < FLOW_STALL_MS * 1000ull ||
+		    ran_us < (uint64_t)soft->step->estimate_ms *
+				     FLOW_STALL_FACTOR * 1000)
+			continue;
+		counter_add(flows->control->node->counters, "runs_stalled", 1);
+		control_flow_order_stop(flows, soft, "stalled");
+	}
+	g_list_free(runs);
+}
+
+void control_flow_report(struct control_flow *flows, uint64_t from,
+			 const struct flow_report *report)
+{
+	struct control *control = flows->control;
+	struct flow_vm *vm;
+	GHashTable *listed;
+
+	if (!raft_may_grant(control->raft))
+		return;
+	vm = control_flow_vm(flows, report->vm);
+	if (vm->node_id == from && report->seq <= vm->report_seq)
+		return;
+	vm->node_id = from;
+	vm->report_seq = report->seq;
+	vm->report_sent_us = report->sent_us;
+	vm->reported_us = control->node->now_us;
+	vm->reported = true;
+	vm->reachable = report->reachable;
+	vm->looked = report->looked && report->worker.id[0];
+	TEXT_SET(vm->zone, report->zone);
+	if (report->late_ms)
+		vm->lapse_us = MAX(vm->lapse_us,
+				   vm->reported_us + report->late_ms * 1000ull);
+	counter_add(control->node->counters, "flow_reports", 1);
+	flow_take_life(flows, vm, report);
+	listed = flow_take_runs(flows, vm, report);
+	flow_take_ends(flows, vm, report);
+	if (report->worker.id[0])
+		flow_reconcile(flows, vm, listed);
+	g_hash_table_unref(listed);
+	if (vm->worker.draining)
+		flow_drain(flows, vm);
+	flow_stalled(flows, vm);
+	control_flow_grant(flows, vm);
+}
+
+/* Takes back the tasks of a VM whose worker's lease has surely lapsed. */
+static void flow_vm_lost(struct control_flow *flows, struct flow_vm *vm)
+{
+	GList *runs = g_hash_table_get_keys(vm->runs);
+	GString *line = logline_new("vm-lost");
+
+	logline_str(line, "vm", vm->name);
+	logline_str(line, "worker", vm->worker.id);
+	logline_u64(line, "runs", g_hash_table_size(vm->runs));
+	logline_u64(line, "reported_ms_ago",
+		    (flows->control->node->now_us - vm->reported_us) / 1000);
+	logline_str(line, "reachable", vm->reachable ? "yes" : "no");
+	node_log(flows->control->node, line);
+	counter_add(flows->control->node->counters, "vms_lost", 1);
+	vm->losing = true;
+	for (GList *item = runs; item; item = item->next)
+		control_flow_end(flows, item->data, FLOW_END_LOST, "");
+	g_list_free(runs);
+}
+
+static bool flow_vm_has_open(const struct flow_vm *vm)
+{
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, vm->runs);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct flow_soft *soft = key;
+
+		if (soft->committed && !soft->ending)
+			return true;
+	}
+	return false;
+}
+
+void control_flow_check(void *data, uint64_t now_us)
+{
+	struct control_flow *flows = data;
+	struct control *control = flows->control;
+	GHashTableIter iter;
+	void *value;
+
+	node_timer_ms(control->node, &flows->check_timer, VM_CHECK_MS);
+	if (!raft_may_grant(control->raft))
+		return;
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct flow_vm *vm = value;
+
+		if (now_us > vm->lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull &&
+		    flow_vm_has_open(vm))
+			flow_vm_lost(flows, vm);
+	}
+	control_flow_place_soon(flows);
+}
--- a/src/core/control/control_impl.h
+++ b/src/core/control/control_impl.h
@@ -9,6 +9,7 @@
 
 #include "control.h"
 #include "control_claim.h"
+#include "control_flow.h"
 #include "control_op.h"
 #include "control_plan.h"
 #include "control_task.h"
@@ -80,6 +81,7 @@
 	GHashTable *proposals; /* tag -> struct control_proposal * */
 	GHashTable *peers; /* node_id -> struct control_peer * */
 	/* soft state of the leader */
+	struct control_flow *flows; /* NULL unless leader */
 	struct plan *plan; /* NULL unless leader */
 	uint32_t plan_generation;
 	bool plan_stale; /* fill a new one: the policies changed */
--- a/src/core/control/control_op.c
+++ b/src/core/control/control_op.c
@@ -117,6 +117,42 @@
 	control_op_propose(control, ticket, CMD_BUNDLE_SIGN, body);
 }
 
+static void control_op_bundle_put(struct control *control, uint64_t ticket,
+				  const void *body)
+{
+	const struct bundle *in_force = control->state->bundles.in_force;
+	const struct bundle *bundle = body;
+	const char *message = NULL;
+	enum result result = control_op_check_bundle(bundle, &message);
+
+	if (result || (in_force && bundle->version <= in_force->version))
+		control_op_reply(control, ticket, result, message);
+	else
+		control_op_propose(control, ticket, CMD_BUNDLE_PUT, body);
+}
+
+static void control_op_bundle_show(struct control *control, uint64_t ticket,
+				   const void *body)
+{
+	const struct bundle *in_force = control->state->bundles.in_force;
+
+	if (in_force)
+		control->opts.host->operator_respond(control->opts.host_ctx,
+						     ticket, OP_BUNDLE,
+						     in_force);
+	else
+		control_op_reply(control, ticket, RESULT_NO_BUNDLE, NULL);
+}
+
+static void control_op_zone_put(struct control *control, uint64_t ticket,
+				const void *body)
+{
+	struct cmd_zone_set set = *(const struct cmd_zone_set *)body;
+
+	set.any_version = true;
+	control_op_propose(control, ticket, CMD_ZONE_SET, &set);
+}
+
 static void control_op_zone_set(struct control *control, uint64_t ticket,
 				const void *body)
 {
@@ -240,6 +276,9 @@
 	{ OP_JOB_LIST, false, control_list_jobs },
 	{ OP_TASK_LIST, false, control_list_tasks },
 	{ OP_STATUS, true, control_list_status },
+	{ OP_BUNDLE_PUT, false, control_op_bundle_put },
+	{ OP_BUNDLE_SHOW, false, control_op_bundle_show },
+	{ OP_ZONE_PUT, false, control_op_zone_put },
 	{ OP_MEMBER_ADD, false, control_op_member_add },
 	{ OP_MEMBER_REMOVE, false, control_op_member_remove },
 };
--- a/src/core/control/control_view.c
+++ b/src/core/control/control_view.c
@@ -12,6 +12,7 @@
 	struct view view;
 	GArray *zones;
 	GArray *agents;
+	struct bundle bundle; /* what the processes need of it; borrows */
 };
 
 static void control_view_begin(struct control *control,
@@ -27,8 +28,18 @@
 
 static void control_view_add_bundle(struct control_view_build *build)
 {
-	build->view.bundles = build->control->state->bundles.in_force;
-	build->view.nr_bundles = build->view.bundles ? 1 : 0;
+	const struct bundle *in_force =
+		build->control->state->bundles.in_force;
+
+	if (!in_force)
+		return;
+	/* Only the leader resolves queues, and there may be thousands. */
+	build->bundle = *in_force;
+	build->bundle.nr_queues = 0;
+	build->bundle.nr_pools = 0;
+	build->bundle.document = NULL;
+	build->view.bundles = &build->bundle;
+	build->view.nr_bundles = 1;
 }
 
 static void control_view_send(struct control_view_build *build,
