--- /dev/null
+++ b/src/core/entry/intake.c
@@ -0,0 +1,287 @@
+#include "intake.h"
+
+#include <string.h>
+
+#include "logline.h"
+#include "site.h"
+
+/* One caller's request. */
+struct intake_call {
+	struct intake *intake;
+	uint64_t ticket; /* of the caller; also that of the message */
+	struct record message; /* MSG_FLOW_CALL */
+	uint64_t began_us;
+	uint64_t deadline_us;
+	uint64_t leader; /* asked last, 0: none yet */
+	uint32_t nr_sent;
+	bool abandoned;
+	struct timer timer; /* repeat or give up */
+};
+
+struct intake {
+	struct node *node;
+	struct intake_opts opts;
+	struct site *site;
+	GHashTable *calls; /* ticket -> struct intake_call * */
+	bool stopping;
+};
+
+static const char *intake_kind_name(uint32_t kind)
+{
+	static const char *const names[] = { "none", "submit", "state",
+					     "cancel" };
+
+	return kind < G_N_ELEMENTS(names) ? names[kind] : "unknown";
+}
+
+static void intake_call_free(void *data)
+{
+	struct intake_call *call = data;
+
+	timer_cancel(call->intake->node->timers, &call->timer);
+	record_unref(call->message);
+	g_free(call);
+}
+
+static void intake_log(const struct intake_call *call,
+		       const struct flow_reply *reply)
+{
+	const struct flow_call *message = call->message.body;
+	uint64_t took_us = call->intake->node->now_us - call->began_us;
+	GString *line = logline_new("call");
+
+	logline_str(line, "kind", intake_kind_name(message->kind));
+	logline_str(line, "host", message->host);
+	logline_str(line, "path", message->path);
+	logline_id(line, "leader", call->leader);
+	logline_u64(line, "sent", call->nr_sent);
+	logline_u64(line, "took_ms", took_us / 1000);
+	logline_str(line, "result", result_name(reply->result));
+	if (reply->state)
+		logline_str(line, "state", flow_state_name(reply->state));
+	node_log(call->intake->node, line);
+}
+
+static void intake_finish(struct intake_call *call,
+			  const struct flow_reply *reply)
+{
+	struct intake *intake = call->intake;
+	struct node *node = intake->node;
+
+	counter_add(node->counters,
+		    reply->result ? "calls_refused" : "calls_answered", 1);
+	intake_log(call, reply);
+	if (!call->abandoned)
+		intake->opts.host->respond(intake->opts.host_ctx, call->ticket,
+					   reply);
+	g_hash_table_remove(intake->calls, &call->ticket);
+}
+
+static void intake_give_up(struct intake_call *call)
+{
+	struct flow_reply reply = { .ticket = call->ticket };
+
+	reply.result = call->nr_sent ? RESULT_OUTCOME_UNKNOWN :
+				       RESULT_NO_QUORUM;
+	intake_finish(call, &reply);
+}
+
+static void intake_send(struct intake_call *call)
+{
+	struct intake *intake = call->intake;
+	uint64_t leader = site_leader(intake->site);
+
+	if (!leader)
+		return;
+	call->leader = leader;
+	call->nr_sent++;
+	node_send(intake->node, leader, MSG_FLOW_CALL, call->message.body);
+}
+
+/* Until a call is sent, it waits less long: a refusal is of use to callers. */
+static uint64_t intake_limit_us(const struct intake_call *call)
+{
+	uint64_t wait_us = call->began_us + INTAKE_LEADER_WAIT_MS * 1000ull;
+
+	return call->nr_sent ? call->deadline_us :
+			       MIN(call->deadline_us, wait_us);
+}
+
+static void intake_due(void *data, uint64_t now_us)
+{
+	struct intake_call *call = data;
+	struct node *node = call->intake->node;
+	uint64_t next_us = now_us + INTAKE_REPEAT_MS * 1000ull;
+
+	if (now_us >= intake_limit_us(call)) {
+		intake_give_up(call);
+		return;
+	}
+	intake_send(call);
+	timer_set(node->timers, &call->timer,
+		  MIN(next_us, intake_limit_us(call)));
+}
+
+void intake_call(struct intake *intake, const struct flow_call *message,
+		 uint32_t timeout_ms)
+{
+	uint64_t now_us = intake->node->now_us;
+	struct flow_reply reply = { .ticket = message->ticket };
+	struct intake_call *call;
+
+	if (g_hash_table_size(intake->calls) >= INTAKE_CALLS_MAX) {
+		counter_add(intake->node->counters, "calls_refused", 1);
+		reply.result = RESULT_OVERLOADED;
+		intake->opts.host->respond(intake->opts.host_ctx,
+					   message->ticket, &reply);
+		return;
+	}
+	call = g_new0(struct intake_call, 1);
+	call->intake = intake;
+	call->ticket = message->ticket;
+	call->message.type = MSG_FLOW_CALL;
+	call->message.body = schema_dup(MSG_FLOW_CALL, message);
+	call->began_us = now_us;
+	call->deadline_us =
+		now_us +
+		(timeout_ms ? timeout_ms - timeout_ms / 10 : INTAKE_TIMEOUT_MS) *
+			1000ull;
+	call->timer = (struct timer){ intake_due, call };
+	g_hash_table_insert(intake->calls, &call->ticket, call);
+	intake_due(call, now_us);
+}
+
+void intake_abandon(struct intake *intake, uint64_t ticket)
+{
+	struct intake_call *call = g_hash_table_lookup(intake->calls, &ticket);
+
+	if (call)
+		call->abandoned = true;
+}
+
+bool intake_ready(const struct intake *intake)
+{
+	return !intake->stopping && site_leader(intake->site) &&
+	       site_bundle(intake->site);
+}
+
+/* ---- the role ---- */
+
+static void intake_start(void *role)
+{
+	struct intake *intake = role;
+
+	site_start(intake->site);
+}
+
+static void intake_peer_up(void *role, const struct link *link)
+{
+	struct intake *intake = role;
+
+	site_peer_up(intake->site, link);
+}
+
+static void intake_peer_down(void *role, const struct link *link)
+{
+	struct intake *intake = role;
+
+	site_peer_down(intake->site, link);
+}
+
+static void intake_on_reply(struct intake *intake,
+			    const struct flow_reply *reply)
+{
+	struct intake_call *call =
+		g_hash_table_lookup(intake->calls, &reply->ticket);
+
+	if (!call)
+		return;
+	/* A replica that doesn't lead has done nothing: another is asked. */
+	if (reply->result == RESULT_NOT_LEADER ||
+	    reply->result == RESULT_NO_QUORUM)
+		return;
+	intake_finish(call, reply);
+}
+
+static void intake_message(void *role, uint64_t from, uint32_t type,
+			   const void *body)
+{
+	struct intake *intake = role;
+
+	if (site_message(intake->site, from, type, body))
+		return;
+	if (type == MSG_FLOW_REPLY)
+		intake_on_reply(intake, body);
+	else
+		counter_add(intake->node->counters, "messages_unknown", 1);
+}
+
+static void intake_shutdown(void *role)
+{
+	struct intake *intake = role;
+
+	intake->stopping = true;
+}
+
+static bool intake_idle(const void *role)
+{
+	const struct intake *intake = role;
+
+	return !g_hash_table_size(intake->calls);
+}
+
+static void intake_free(void *role)
+{
+	struct intake *intake = role;
+
+	g_hash_table_unref(intake->calls);
+	site_free(intake->site);
+	g_free(intake);
+}
+
+static const struct role_ops intake_role = {
+	.role = ROLE_ENTRY,
+	.start = intake_start,
+	.peer_up = intake_peer_up,
+	.peer_down = intake_peer_down,
+	.message = intake_message,
+	.shutdown = intake_shutdown,
+	.idle = intake_idle,
+	.free = intake_free,
+};
+
+/* Calls that wait for an answer or a leader go to the new one at once. */
+static void intake_leader_changed(void *ctx, uint64_t node_id)
+{
+	struct intake *intake = ctx;
+	GHashTableIter iter;
+	void *value;
+
+	if (!node_id)
+		return;
+	g_hash_table_iter_init(&iter, intake->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		intake_send(value);
+}
+
+static const struct site_ops intake_site_ops = {
+	.leader_changed = intake_leader_changed,
+};
+
+struct intake *intake_new(struct node *node, const struct intake_opts *opts)
+{
+	struct intake *intake = g_new0(struct intake, 1);
+	struct site_opts site_opts = {
+		.ops = &intake_site_ops,
+		.ctx = intake,
+		.control_addresses = opts->control_addresses,
+	};
+
+	intake->node = node;
+	intake->opts = *opts;
+	intake->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					      intake_call_free);
+	intake->site = site_new(node, &site_opts);
+	node_set_role(node, &intake_role, intake);
+	return intake;
+}
--- /dev/null
+++ b/src/core/entry/intake.h
@@ -0,0 +1,46 @@
+#ifndef INTAKE_H
+#define INTAKE_H
+
+/**
+ * @file intake.h
+ * The entry's part in workflows: passes clients' calls on to the control leader
+ * and answers them. It keeps nothing but the calls in progress. All calls are
+ * idempotent, so one without a reply is repeated, also to the next leader.
+ */
+
+#include "flow.h"
+#include "node.h"
+#include "result.h"
+
+struct intake;
+
+struct intake_host_ops {
+	/** Answers the caller behind @a ticket; @a reply is borrowed. */
+	void (*respond)(void *ctx, uint64_t ticket,
+			const struct flow_reply *reply);
+};
+
+struct intake_opts {
+	const struct intake_host_ops *host;
+	void *host_ctx;
+	const char *const *control_addresses; /* NULL-terminated, borrowed */
+};
+
+struct intake *intake_new(struct node *node, const struct intake_opts *opts);
+
+/**
+ * Takes a caller's request; call->ticket identifies it, the rest is copied.
+ * @a timeout_ms is how long the caller waits, 0 if it didn't say. The answer is
+ * RESULT_NO_QUORUM if no leader was asked, and RESULT_OUTCOME_UNKNOWN if one
+ * was and didn't reply.
+ */
+void intake_call(struct intake *intake, const struct flow_call *call,
+		 uint32_t timeout_ms);
+
+/** The caller behind the ticket has gone: no answer is wanted. */
+void intake_abandon(struct intake *intake, uint64_t ticket);
+
+/** Returns true while a leader with a bundle in force is known. */
+bool intake_ready(const struct intake *intake);
+
+#endif /* INTAKE_H */
--- a/src/core/state/state.c
+++ b/src/core/state/state.c
@@ -25,6 +25,11 @@
 	{ CMD_CLAIM, claim_take },
 	{ CMD_CLAIM_DONE, claim_complete },
 	{ CMD_EXPIRE, state_job_expire },
+	{ CMD_BUNDLE_PUT, state_bundle_put },
+	{ CMD_FLOW_SUBMIT, state_flow_submit },
+	{ CMD_FLOW_CANCEL, state_flow_cancel },
+	{ CMD_FLOW_CHANGE, state_flow_change },
+	{ CMD_FLOW_EXPIRE, state_flow_expire },
 };
 
 /* Both pointers are to the same record at the start of each object. */
@@ -71,6 +76,17 @@
 	return FALSE;
 }
 
+static gboolean state_add_flow(gpointer key, gpointer value, gpointer data)
+{
+	const struct state_flow *flow = value;
+	struct snapshot_record item;
+
+	item.record.type = REC_FLOW;
+	item.record.body = schema_dup(REC_FLOW, &flow->record);
+	g_array_append_val((GArray *)data, item);
+	return FALSE;
+}
+
 static gint state_compare_keys(gconstpointer a, gconstpointer b)
 {
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
@@ -109,6 +125,7 @@
 {
 	state_bundles_clear(&state->bundles);
 	g_clear_pointer(&state->claims, g_hash_table_unref);
+	g_clear_pointer(&state->flows, g_tree_unref);
 	g_clear_pointer(&state->job_keys, g_hash_table_unref);
 	g_clear_pointer(&state->tasks, g_tree_unref);
 	g_clear_pointer(&state->jobs, g_tree_unref);
@@ -125,6 +142,8 @@
 	state->jobs =
 		g_tree_new_full(state_compare_ids, NULL, NULL, state_job_free);
 	state->tasks = g_tree_new_full(state_compare_ids, NULL, NULL, g_free);
+	state->flows = g_tree_new_full(state_compare_names, NULL, NULL,
+				       state_flow_free);
 	state->job_keys = g_hash_table_new(g_str_hash, g_str_equal);
 	state->claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      claim_free);
@@ -194,6 +213,7 @@
 	g_tree_foreach(state->vms, state_add_vm, out);
 	g_tree_foreach(state->jobs, state_add_job, out);
 	g_tree_foreach(state->tasks, state_add_task, out);
+	g_tree_foreach(state->flows, state_add_flow, out);
 	state_add_claims(state, out);
 	*nr_records = out->len;
 	return (struct snapshot_record *)(void *)g_array_free(out, FALSE);
@@ -226,6 +246,9 @@
 		case REC_TASK:
 			state_task_restore(state, body);
 			break;
+		case REC_FLOW:
+			state_flow_restore(state, body);
+			break;
 		case REC_CLAIM:
 			claim_restore(state, body);
 			break;
@@ -330,8 +353,15 @@
 	return FALSE;
 }
 
+static gboolean state_verify_flow(gpointer key, gpointer value, gpointer data)
+{
+	state_flow_verify(value);
+	return FALSE;
+}
+
 void state_verify(const struct state *state)
 {
+	g_tree_foreach(state->flows, state_verify_flow, NULL);
 	g_tree_foreach(state->jobs, state_verify_job, NULL);
 	g_tree_foreach(state->vms, state_verify_vm, NULL);
 	g_tree_foreach(state->tasks, state_verify_task, (void *)state);
@@ -378,3 +408,16 @@
 	if (state->watch && state->watch->job_dropped)
 		state->watch->job_dropped(state->watch_ctx, job_id);
 }
+
+void state_flow_changed(struct state *state, const struct state_flow *flow)
+{
+	if (state->watch && state->watch->flow)
+		state->watch->flow(state->watch_ctx, flow);
+}
+
+void state_flow_task_changed(struct state *state, struct state_flow *flow,
+			     uint32_t task, enum flow_end end)
+{
+	if (state->watch && state->watch->flow_task)
+		state->watch->flow_task(state->watch_ctx, flow, task, end);
+}
--- a/src/core/state/state.h
+++ b/src/core/state/state.h
@@ -16,6 +16,7 @@
 #include "state_bundle.h"
 #include "claim.h"
 #include "command.h"
+#include "state_flow.h"
 #include "state_job.h"
 #include "msg_raft.h"
 #include "result.h"
@@ -41,6 +42,11 @@
 	void (*task)(void *ctx, const struct state_task *task,
 		     const struct task_record *before);
 	void (*job_dropped)(void *ctx, uint64_t job_id);
+	/** A workflow was accepted or ended. */
+	void (*flow)(void *ctx, const struct state_flow *flow);
+	/** A task was placed (FLOW_END_NONE), or its run ended. */
+	void (*flow_task)(void *ctx, struct state_flow *flow, uint32_t task,
+			  enum flow_end end);
 };
 
 struct state {
@@ -51,6 +57,7 @@
 	GTree *jobs; /* job_id -> struct state_job * */
 	GTree *tasks; /* task_id -> struct state_task * */
 	GHashTable *job_keys; /* key -> struct state_job *, borrowed */
+	GTree *flows; /* id -> struct state_flow * */
 	GHashTable *claims; /* service and key -> struct claim_record * */
 	const struct state_watch_ops *watch;
 	void *watch_ctx;
@@ -96,5 +103,8 @@
 void state_task_changed(struct state *state, const struct state_task *task,
 			const struct task_record *before);
 void state_job_dropped(struct state *state, uint64_t job_id);
+void state_flow_changed(struct state *state, const struct state_flow *flow);
+void state_flow_task_changed(struct state *state, struct state_flow *flow,
+			     uint32_t task, enum flow_end end);
 
 #endif /* STATE_H */
--- a/src/core/state/state_bundle.c
+++ b/src/core/state/state_bundle.c
@@ -66,6 +66,46 @@
 	return RESULT_OK;
 }
 
+static bool state_bundle_has_pool(const struct bundle *bundle, const char *name)
+{
+	for (uint32_t i = 0; i < bundle->nr_pools; i++)
+		if (!strcmp(bundle->pools[i].name, name))
+			return true;
+	return false;
+}
+
+static enum result state_bundle_check_queues(const struct bundle *bundle,
+					     const char **message)
+{
+	GHashTable *seen = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, NULL);
+	enum result result = RESULT_OK;
+
+	if (!state_bundle_names_ok(bundle->pools, bundle->nr_pools,
+				   sizeof(*bundle->pools))) {
+		*message = "a pool's name is empty or used twice";
+		result = RESULT_MALFORMED;
+	}
+	for (uint32_t i = 0; i < bundle->nr_queues && !result; i++) {
+		const struct bundle_queue *queue = &bundle->queues[i];
+
+		if (!state_bundle_has_pool(bundle, queue->service)) {
+			*message = "a queue names an unknown service";
+			result = RESULT_UNKNOWN_OBJECT;
+		} else if (!queue->timeout_ms) {
+			*message = "a queue's time limit is 0";
+			result = RESULT_OUT_OF_RANGE;
+		} else if (!g_hash_table_add(seen,
+					     g_strconcat(queue->host, "\n",
+							 queue->prefix, NULL))) {
+			*message = "two queues have the same host and prefix";
+			result = RESULT_MALFORMED;
+		}
+	}
+	g_hash_table_unref(seen);
+	return result;
+}
+
 void state_bundles_clear(struct state_bundles *store)
 {
 	state_bundle_free(store->in_force);
@@ -99,6 +139,8 @@
 	for (uint32_t i = 0; i < bundle->nr_services && !result; i++)
 		result = state_bundle_check_service(
 			bundle, &bundle->services[i], message);
+	if (!result)
+		result = state_bundle_check_queues(bundle, message);
 	return result;
 }
 
@@ -145,6 +187,16 @@
 	return outcome;
 }
 
+/* The rest of the state follows the bundle in force. */
+static void state_bundle_enforce(struct state *state)
+{
+	const struct bundle *bundle = state->bundles.in_force;
+
+	state_zone_follow_bundle(state, bundle);
+	state_bundle_changed(state, bundle);
+	state_job_follow_bundle(state, bundle);
+}
+
 struct state_outcome state_bundle_sign(struct state *state, const void *body)
 {
 	struct state_bundles *store = &state->bundles;
@@ -184,9 +236,28 @@
 	store->submitted = NULL;
 	TEXT_SET(store->in_force->signed_by, sign->signed_by);
 	outcome.version = store->in_force->version;
-	state_zone_follow_bundle(state, store->in_force);
-	state_bundle_changed(state, store->in_force);
-	state_job_follow_bundle(state, store->in_force);
+	state_bundle_enforce(state);
+	return outcome;
+}
+
+struct state_outcome state_bundle_put(struct state *state, const void *body)
+{
+	struct state_bundles *store = &state->bundles;
+	const struct bundle *bundle = body;
+	struct state_outcome outcome = { 0 };
+
+	outcome.result = state_bundle_check(bundle, &outcome.message);
+	if (!outcome.result && !*bundle->signed_by) {
+		outcome.result = RESULT_MALFORMED;
+		outcome.message = "the sign-off names nobody";
+	}
+	if (!outcome.result &&
+	    (!store->in_force || bundle->version > store->in_force->version)) {
+		state_bundle_free(store->in_force);
+		store->in_force = state_bundle_dup(bundle);
+		state_bundle_enforce(state);
+	}
+	outcome.version = store->in_force ? store->in_force->version : 0;
 	return outcome;
 }
 
--- a/src/core/state/state_bundle.h
+++ b/src/core/state/state_bundle.h
@@ -36,6 +36,11 @@
 
 struct state_outcome state_bundle_submit(struct state *state, const void *body);
 struct state_outcome state_bundle_sign(struct state *state, const void *body);
+/**
+ * Submits and signs off in one operation. The highest version is in force; a
+ * version that isn't higher changes nothing and is RESULT_OK as well.
+ */
+struct state_outcome state_bundle_put(struct state *state, const void *body);
 
 /** Takes a record of a snapshot. */
 void state_bundle_restore(struct state *state, const struct bundle *bundle);
--- a/src/core/state/state_zone.c
+++ b/src/core/state/state_zone.c
@@ -59,7 +59,11 @@
 		outcome.message = "no such zone in the bundle in force";
 		return outcome;
 	}
-	if (set->expected_version != zone->version) {
+	if (set->any_version && set->out == zone->out) {
+		outcome.version = zone->version;
+		return outcome;
+	}
+	if (!set->any_version && set->expected_version != zone->version) {
 		outcome.result = state_zone_version_result(zone, set);
 		outcome.version = zone->version;
 		return outcome;
--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -4,7 +4,7 @@
 #include "bundle_doc.h"
 #include "control.h"
 #include "json.h"
-#include "role_host.h"
+#include "host_control.h"
 #include "store.h"
 
 struct host_control {
@@ -12,6 +12,8 @@
 	struct control *control;
 	struct http_server *http;
 	struct store *store;
+	const struct control_front_ops *front; /* NULL: own protocol only */
+	void *front_ctx;
 };
 
 /** One operation; a path that ends in '/' takes one more segment. */
@@ -66,6 +68,9 @@
 
 	if (!request)
 		return;
+	if (host->front &&
+	    host->front->respond(host->front_ctx, request, type, body))
+		return;
 	if (type == OP_REPLY)
 		status = http_status_of((enum result)reply->result);
 	text = json_text_from_body(type, body, FALSE);
@@ -212,6 +217,13 @@
 	return bundle_doc_check_digest(body, error);
 }
 
+void host_control_ask(struct host_control *host, uint64_t ticket, uint32_t type,
+		      const void *body)
+{
+	loop_enter(host->loop);
+	control_operate(host->control, ticket, type, body);
+}
+
 static void host_control_operate(struct host_control *host,
 				 const struct route *route, const char *segment,
 				 struct http_request *request)
@@ -224,9 +236,7 @@
 		res = route_check(route, g_bytes_get_size(request->body), body,
 				  &error);
 	if (res == RESULT_OK) {
-		loop_enter(host->loop);
-		control_operate(host->control, request->ticket, route->type,
-				body);
+		host_control_ask(host, request->ticket, route->type, body);
 	} else {
 		host_control_refuse(request, res, error);
 	}
@@ -238,6 +248,9 @@
 {
 	struct host_control *host = ctx;
 
+	if (host->front && host->front->request(host->front_ctx, request))
+		return;
+
 	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
 		const char *segment = route_match(&routes[i], request->path);
 
@@ -251,6 +264,14 @@
 			    "no such method and path");
 }
 
+static void host_control_gone(void *ctx, uint64_t ticket)
+{
+	struct host_control *host = ctx;
+
+	if (host->front)
+		host->front->gone(host->front_ctx, ticket);
+}
+
 static bool host_control_ready(void *ctx)
 {
 	return true;
@@ -265,6 +286,7 @@
 
 static const struct http_server_ops host_control_http_ops = {
 	.request = host_control_request,
+	.gone = host_control_gone,
 	.ready = host_control_ready,
 	.metrics = host_control_metrics,
 };
@@ -358,12 +380,21 @@
 	opts.host = &host_control_host_ops;
 	opts.host_ctx = host;
 	opts.control_addresses = (const char *const *)settings->control;
+	opts.worker_lease_ms = settings->worker_lease_ms;
+	opts.bootstrap = settings->bootstrap;
 	host->control = control_new(loop_node(loop), &opts);
 	store_drop_image(host->store);
 	*out = host;
 	return RESULT_OK;
 }
 
+void host_control_set_front(struct host_control *host,
+			    const struct control_front_ops *ops, void *ctx)
+{
+	host->front = ops;
+	host->front_ctx = ctx;
+}
+
 static const char *host_control_http_address(const void *data)
 {
 	const struct host_control *host = data;
--- a/src/daemon/http.c
+++ b/src/daemon/http.c
@@ -63,6 +63,7 @@
 	{ RESULT_NO_BUNDLE, 503 },
 	{ RESULT_LEASE_EXPIRED, 409 },
 	{ RESULT_TIMEOUT, 504 },
+	{ RESULT_UNKNOWN_QUEUE, 404 },
 };
 
 uint32_t http_status_of(enum result res)
--- a/src/daemon/http_call.c
+++ b/src/daemon/http_call.c
@@ -275,6 +275,9 @@
 	if (opts->content_type && opts->content_type[0])
 		soup_message_headers_replace(headers, "Content-Type",
 					     opts->content_type);
+	for (size_t i = 0; opts->headers && opts->headers[i]; i += 2)
+		soup_message_headers_replace(headers, opts->headers[i],
+					     opts->headers[i + 1]);
 	return headers;
 }
 
--- a/src/daemon/loop.c
+++ b/src/daemon/loop.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/random.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "transport.h"
@@ -309,9 +310,17 @@
 	return loop->result;
 }
 
+/*
+ * Not the monotonic clock, which stands still while a VM is suspended: leases
+ * would seem to hold after they ended elsewhere.
+ */
 uint64_t loop_now_us(void)
 {
-	return (uint64_t)g_get_monotonic_time();
+	struct timespec now = { 0 };
+
+	if (clock_gettime(CLOCK_BOOTTIME, &now))
+		g_error("clock_gettime: %s", g_strerror(errno));
+	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
 }
 
 uint64_t loop_random_u64(void)
@@ -334,7 +343,7 @@
 
 void loop_log_line(const char *line)
 {
-	struct pollfd out = { .fd = STDERR_FILENO, .events = POLLOUT };
+	struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
 	char text[LOG_LINE_MAX_BYTES];
 	gint64 now_us = g_get_real_time();
 	GDateTime *now;
@@ -352,7 +361,7 @@
 		text[size - 1] = '\n';
 	}
 	if (poll(&out, 1, 0) != 1 || !(out.revents & POLLOUT) ||
-	    write(STDERR_FILENO, text, (size_t)size) != size)
+	    write(STDOUT_FILENO, text, (size_t)size) != size)
 		log_dropped++;
 	g_free(stamp);
 	g_date_time_unref(now);
--- a/src/daemon/loop.h
+++ b/src/daemon/loop.h
@@ -4,7 +4,7 @@
 /**
  * @file loop.h
  * The daemon's host of a node: one GMainLoop, one timer source, a transport
- * and the log on standard error.
+ * and the log on standard output.
  */
 
 #include <glib.h>
@@ -52,11 +52,11 @@
 /** Bytes sent on links to other processes. */
 uint64_t loop_bytes_sent(const struct loop *loop);
 
-/** Monotonic time in microseconds. */
+/** Monotonic time in microseconds that goes on while the VM is suspended. */
 uint64_t loop_now_us(void);
 uint64_t loop_random_u64(void);
 /**
- * Writes one line with the time in front to standard error. A line is dropped
+ * Writes one line with the time in front to standard output. A line is dropped
  * and counted if its reader is behind, as the loop must not wait for it.
  */
 void loop_log_line(const char *line);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <unistd.h>
 
+#include "platform_hosts.h"
 #include "role_host.h"
 
 static const struct role_host_ops *const role_hosts[] = {
@@ -29,7 +30,10 @@
 /* Runs the process; on a fault during the start @a part names the cause. */
 static enum result run(const struct settings *settings, const char **part)
 {
-	const struct role_host_ops *ops = role_hosts[settings->role];
+	const struct role_host_ops *ops =
+		settings->front_end == FRONT_END_PLATFORM ?
+			platform_host_ops(settings->role) :
+			role_hosts[settings->role];
 	struct loop_opts opts = { 0 };
 	struct loop *loop = NULL;
 	void *host = NULL;
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -11,6 +11,8 @@
 #define FIRST_KEY 256 /* argp keys above all characters: no short options */
 #define DRAIN_MAX_MS 3600000
 #define CONNECTIONS_MAX 100000
+#define GRACE_MAX_S 3600
+#define NODE_FILE_GROUP "masticreach"
 
 enum setting_index {
 	SET_ROLE,
@@ -30,6 +32,14 @@
 	SET_PORT_FILE,
 	SET_DRAIN_MS,
 	SET_MAX_CONNECTIONS,
+	SET_NODE_FILE,
+	SET_FRONT_END,
+	SET_CONTROL_PORT,
+	SET_READY,
+	SET_ZONES,
+	SET_BOOTSTRAP,
+	SET_WORKER_LEASE_MS,
+	SET_GRACE_S,
 	NR_SETTINGS,
 };
 
@@ -70,6 +80,28 @@
 			   "time limit of a graceful shutdown" },
 	[SET_MAX_CONNECTIONS] = { "max-connections", "N", "4096", "all", "",
 				  "HTTP connections accepted at a time" },
+	[SET_NODE_FILE] = { "node-file", "FILE", "", "all", "",
+			    "file with settings, one NAME=VALUE a line under "
+			    "[masticreach]" },
+	[SET_FRONT_END] = { "front-end", "KIND", "own", "all", "",
+			    "own or platform: whose protocols callers, workers "
+			    "and operators speak" },
+	[SET_CONTROL_PORT] = { "control-port", "PORT", "0", "all", "",
+			       "takes the place of the ports in --control" },
+	[SET_READY] = { "ready", "IP:PORT", "", "entry", "",
+			"address of a second HTTP server that only tells "
+			"whether the entry is ready" },
+	[SET_ZONES] = { "zones", "ZONE,...", "", "all", "",
+			"availability zones, where the bundle doesn't list "
+			"them" },
+	[SET_BOOTSTRAP] = { "bootstrap", "BOOL", "true", "all", "",
+			    "true or false: whether fresh replicas may form a "
+			    "new group" },
+	[SET_WORKER_LEASE_MS] = { "worker-lease-ms", "MS", "5000", "all", "",
+				  "longest lease that workers take" },
+	[SET_GRACE_S] = { "grace-s", "S", "0", "all", "",
+			  "time until the process is killed after SIGTERM; "
+			  "bounds --drain-ms" },
 };
 
 /* Variables of the operators' tool, which may be set on the same VM. */
@@ -368,6 +400,20 @@
 	return RESULT_OK;
 }
 
+/* Replaces the port of each control address. */
+static void control_set_port(struct settings *settings)
+{
+	for (uint32_t i = 0; settings->control[i]; i++) {
+		char *colon = strrchr(settings->control[i], ':');
+		char *address = g_strdup_printf(
+			"%.*s:%u", (int)(colon - settings->control[i]),
+			settings->control[i], settings->control_port);
+
+		g_free(settings->control[i]);
+		settings->control[i] = address;
+	}
+}
+
 /* A control replica may have port 0 in its own entry, as in --listen. */
 static enum result values_control(const struct setting_values *values,
 				  struct settings *settings, char **error)
@@ -397,6 +443,10 @@
 						     address);
 		self = self || own;
 	}
+	if (settings->control_port) {
+		control_set_port(settings);
+		return RESULT_OK;
+	}
 	if (settings->role == ROLE_CONTROL && !self)
 		return settings_fail(error, RESULT_USAGE,
 				     "%s lacks this replica's own address %s",
@@ -442,7 +492,10 @@
 					     NULL };
 	static const char *const levels[] = { "none", "events", "decisions",
 					      NULL };
+	static const char *const front_ends[] = { "own", "platform", NULL };
+	static const char *const bools[] = { "false", "true", NULL };
 	uint32_t choice = 0;
+	uint32_t number = 0;
 	enum result res;
 
 	if (!values->value[SET_ROLE])
@@ -470,8 +523,33 @@
 				     to->advertise, error);
 	if (res == RESULT_OK)
 		res = values_address(values, SET_HTTP, TRUE, to->http, error);
+	if (res == RESULT_OK)
+		res = values_number(values, SET_CONTROL_PORT, UINT16_MAX,
+				    &number, error);
+	to->control_port = (uint16_t)number;
 	if (res == RESULT_OK)
 		res = values_control(values, to, error);
+	if (res == RESULT_OK)
+		res = values_choice(values, SET_FRONT_END, front_ends, &choice,
+				    error);
+	to->front_end = (enum front_end)choice;
+	if (res == RESULT_OK)
+		res = values_address(values, SET_READY, FALSE, to->ready,
+				     error);
+	if (res == RESULT_OK)
+		res = values_choice(values, SET_BOOTSTRAP, bools, &choice,
+				    error);
+	to->bootstrap = choice == 1;
+	if (res == RESULT_OK)
+		res = values_number(values, SET_WORKER_LEASE_MS, UINT32_MAX,
+				    &to->worker_lease_ms, error);
+	to->zones = g_strsplit(values->value[SET_ZONES] ?
+				       values->value[SET_ZONES] :
+				       "",
+			       ",", -1);
+	if (res == RESULT_OK)
+		res = values_text(values, SET_NODE_FILE, to->node_file,
+				  PATH_BYTES, error);
 	if (res == RESULT_OK)
 		res = values_text(values, SET_DATA, to->data, PATH_BYTES,
 				  error);
@@ -497,6 +575,12 @@
 	if (res == RESULT_OK)
 		res = values_number(values, SET_DRAIN_MS, DRAIN_MAX_MS,
 				    &to->drain_ms, error);
+	if (res == RESULT_OK)
+		res = values_number(values, SET_GRACE_S, GRACE_MAX_S, &number,
+				    error);
+	/* The rest is left for the process's own end. */
+	if (res == RESULT_OK && number)
+		to->drain_ms = MIN(to->drain_ms, number * 1000 * 4 / 5);
 	if (res == RESULT_OK)
 		res = values_number(values, SET_MAX_CONNECTIONS,
 				    CONNECTIONS_MAX, &to->max_connections,
@@ -511,6 +595,61 @@
 	return res;
 }
 
+/* Sets what the node file has and neither a flag nor a variable gave. */
+static enum result settings_take_file(struct setting_values *values,
+				      GKeyFile *file, const char *path,
+				      char **error)
+{
+	char **keys = g_key_file_get_keys(file, NODE_FILE_GROUP, NULL, NULL);
+	enum result res = RESULT_OK;
+
+	if (!keys)
+		return settings_fail(error, RESULT_MALFORMED,
+				     "%s has no group [" NODE_FILE_GROUP "]",
+				     path);
+	for (char **key = keys; *key && res == RESULT_OK; key++) {
+		size_t i = 0;
+		char *value;
+
+		while (i < NR_SETTINGS &&
+		       strcmp(setting_table[i].name, *key) != 0)
+			i++;
+		if (i == NR_SETTINGS || i == SET_NODE_FILE) {
+			res = settings_fail(error, RESULT_USAGE,
+					    "%s: unknown setting %s", path,
+					    *key);
+			break;
+		}
+		value = g_key_file_get_value(file, NODE_FILE_GROUP, *key, NULL);
+		if (!values->value[i] && value && value[0])
+			values_set(values, i, *key, value);
+		g_free(value);
+	}
+	g_strfreev(keys);
+	return res;
+}
+
+static enum result settings_read_file(struct setting_values *values,
+				      char **error)
+{
+	const char *path = values->value[SET_NODE_FILE];
+	enum result res = RESULT_OK;
+	GError *gerror = NULL;
+	GKeyFile *file;
+
+	if (!path)
+		return RESULT_OK;
+	file = g_key_file_new();
+	if (g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &gerror))
+		res = settings_take_file(values, file, path, error);
+	else
+		res = settings_fail(error, RESULT_MALFORMED, "%s: %s", path,
+				    gerror->message);
+	g_clear_error(&gerror);
+	g_key_file_free(file);
+	return res;
+}
+
 enum result settings_read(struct settings *settings, int argc, char **argv,
 			  char **environment, char **error)
 {
@@ -523,6 +662,8 @@
 		res = settings_read_variable(&values, *entry, error);
 	if (res == RESULT_OK)
 		res = settings_parse_flags(&values, argc, argv);
+	if (res == RESULT_OK)
+		res = settings_read_file(&values, error);
 	if (res == RESULT_OK)
 		res = settings_fill(settings, &values, error);
 	if (res != RESULT_OK)
@@ -532,8 +673,24 @@
 	return res;
 }
 
+enum result settings_reload(int argc, char **argv, char **environment,
+			    char ***control, char **error)
+{
+	struct settings settings;
+	enum result res =
+		settings_read(&settings, argc, argv, environment, error);
+
+	if (res != RESULT_OK)
+		return res;
+	*control = g_steal_pointer(&settings.control);
+	settings_clear(&settings);
+	return RESULT_OK;
+}
+
 void settings_clear(struct settings *settings)
 {
 	g_strfreev(settings->control);
 	settings->control = NULL;
+	g_strfreev(settings->zones);
+	settings->zones = NULL;
 }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -4,10 +4,12 @@
 /**
  * @file settings.h
  * Settings of masticreachd. Each one is a flag and an environment variable
- * (MASTICREACH_ and the flag's name in capitals); the flag takes precedence.
+ * (MASTICREACH_ and the flag's name in capitals), and may stand in the node
+ * file; flags take precedence over variables, and these over the file.
  */
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -21,8 +23,16 @@
 	LOG_DECISIONS = 2, /* also one line for each decision */
 };
 
+/** Whose protocols a process speaks towards callers, workers and operators. */
+enum front_end {
+	FRONT_END_OWN = 0,
+	FRONT_END_PLATFORM = 1,
+};
+
 struct settings {
 	enum node_role role;
+	enum front_end front_end;
+	char node_file[PATH_BYTES]; /* "": none */
 	char name[NAME_BYTES];
 	char zone[NAME_BYTES];
 	char rack[NAME_BYTES];
@@ -30,6 +40,11 @@
 	char advertise[ADDRESS_BYTES]; /* "": others dial listen */
 	char http[ADDRESS_BYTES];
 	char **control; /* NULL-terminated, owned */
+	uint16_t control_port; /* 0: the ports in control */
+	char ready[ADDRESS_BYTES]; /* of a server for readiness only, or "" */
+	char **zones; /* NULL-terminated, owned; may be empty */
+	bool bootstrap; /* a new group may be formed */
+	uint32_t worker_lease_ms; /* longest lease that workers take */
 	char data[PATH_BYTES];
 	char worker[ADDRESS_BYTES]; /* "": no tasks on this VM */
 	uint32_t cpu_millis;
@@ -66,6 +81,15 @@
 enum result settings_read(struct settings *settings, int argc, char **argv,
 			  char **environment, char **error);
 
+/**
+ * Reads the node file of settings that are in force again, over the flags and
+ * variables of the start. Takes only what may change while the process runs:
+ * the control addresses. Returns RESULT_OK and sets @a control to a new array,
+ * or an error as settings_read().
+ */
+enum result settings_reload(int argc, char **argv, char **environment,
+			    char ***control, char **error);
+
 /** Releases what the settings own. */
 void settings_clear(struct settings *settings);
 
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -295,8 +295,7 @@
 static struct tb_proc *tb_daemon(struct testbed *tb, const char *role,
 				 const char *name, const char *zone)
 {
-	char *program = g_build_filename(tb->root, "src", "daemon",
-					 "masticreachd", NULL);
+	char *program = g_build_filename(tb->root, "masticreachd", NULL);
 	struct tb_proc *proc = proc_new(tb, name, program);
 
 	proc->port_file = g_strdup_printf("%s/%s.ports", tb->dir, name);
