Let replicas outside the list join and reload settings on SIGHUP

Now SIGHUP and a changed node file are read again; orders to an agent without a worker are left to be repeated. Control groups may be open: replicas that the list doesn't name join, those that are gone are removed, and entries and agents learn the members.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -1987,6 +1987,96 @@
   assert(message->base.descriptor == &masticreach__flow_orders__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   masticreach__peer_address__init
+                     (Masticreach__PeerAddress         *message)
+{
+  static const Masticreach__PeerAddress init_value = MASTICREACH__PEER_ADDRESS__INIT;
+  *message = init_value;
+}
+size_t masticreach__peer_address__get_packed_size
+                     (const Masticreach__PeerAddress *message)
+{
+  assert(message->base.descriptor == &masticreach__peer_address__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__peer_address__pack
+                     (const Masticreach__PeerAddress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__peer_address__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__peer_address__pack_to_buffer
+                     (const Masticreach__PeerAddress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__peer_address__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__PeerAddress *
+       masticreach__peer_address__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__PeerAddress *)
+     protobuf_c_message_unpack (&masticreach__peer_address__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__peer_address__free_unpacked
+                     (Masticreach__PeerAddress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__peer_address__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__peers__init
+                     (Masticreach__Peers         *message)
+{
+  static const Masticreach__Peers init_value = MASTICREACH__PEERS__INIT;
+  *message = init_value;
+}
+size_t masticreach__peers__get_packed_size
+                     (const Masticreach__Peers *message)
+{
+  assert(message->base.descriptor == &masticreach__peers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__peers__pack
+                     (const Masticreach__Peers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__peers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__peers__pack_to_buffer
+                     (const Masticreach__Peers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__peers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__Peers *
+       masticreach__peers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__Peers *)
+     protobuf_c_message_unpack (&masticreach__peers__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__peers__free_unpacked
+                     (Masticreach__Peers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__peers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   masticreach__vote__init
                      (Masticreach__Vote         *message)
 {
@@ -8324,6 +8414,82 @@
   (ProtobufCMessageInit) masticreach__flow_orders__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor masticreach__peer_address__field_descriptors[1] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PeerAddress, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__peer_address__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+};
+static const ProtobufCIntRange masticreach__peer_address__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__peer_address__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.PeerAddress",
+  "PeerAddress",
+  "Masticreach__PeerAddress",
+  "masticreach",
+  sizeof(Masticreach__PeerAddress),
+  1,
+  masticreach__peer_address__field_descriptors,
+  masticreach__peer_address__field_indices_by_name,
+  1,  masticreach__peer_address__number_ranges,
+  (ProtobufCMessageInit) masticreach__peer_address__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__peers__field_descriptors[1] =
+{
+  {
+    "addresses",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__Peers, n_addresses),
+    offsetof(Masticreach__Peers, addresses),
+    &masticreach__peer_address__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__peers__field_indices_by_name[] = {
+  0,   /* field[0] = addresses */
+};
+static const ProtobufCIntRange masticreach__peers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__peers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Peers",
+  "Peers",
+  "Masticreach__Peers",
+  "masticreach",
+  sizeof(Masticreach__Peers),
+  1,
+  masticreach__peers__field_descriptors,
+  masticreach__peers__field_indices_by_name,
+  1,  masticreach__peers__number_ranges,
+  (ProtobufCMessageInit) masticreach__peers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor masticreach__vote__field_descriptors[5] =
 {
   {
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -59,6 +59,8 @@
 typedef struct Masticreach__FlowGrant Masticreach__FlowGrant;
 typedef struct Masticreach__FlowOrder Masticreach__FlowOrder;
 typedef struct Masticreach__FlowOrders Masticreach__FlowOrders;
+typedef struct Masticreach__PeerAddress Masticreach__PeerAddress;
+typedef struct Masticreach__Peers Masticreach__Peers;
 typedef struct Masticreach__Vote Masticreach__Vote;
 typedef struct Masticreach__VoteReply Masticreach__VoteReply;
 typedef struct Masticreach__LogEntry Masticreach__LogEntry;
@@ -810,6 +812,27 @@
     , 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
+struct  Masticreach__PeerAddress
+{
+  ProtobufCMessage base;
+  char *address;
+};
+#define MASTICREACH__PEER_ADDRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__peer_address__descriptor) \
+    , (char *)protobuf_c_empty_string }
+
+
+struct  Masticreach__Peers
+{
+  ProtobufCMessage base;
+  size_t n_addresses;
+  Masticreach__PeerAddress **addresses;
+};
+#define MASTICREACH__PEERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__peers__descriptor) \
+    , 0,NULL }
+
+
 struct  Masticreach__Vote
 {
   ProtobufCMessage base;
@@ -2054,6 +2077,44 @@
 void   masticreach__flow_orders__free_unpacked
                      (Masticreach__FlowOrders *message,
                       ProtobufCAllocator *allocator);
+/* Masticreach__PeerAddress methods */
+void   masticreach__peer_address__init
+                     (Masticreach__PeerAddress         *message);
+size_t masticreach__peer_address__get_packed_size
+                     (const Masticreach__PeerAddress   *message);
+size_t masticreach__peer_address__pack
+                     (const Masticreach__PeerAddress   *message,
+                      uint8_t             *out);
+size_t masticreach__peer_address__pack_to_buffer
+                     (const Masticreach__PeerAddress   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__PeerAddress *
+       masticreach__peer_address__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__peer_address__free_unpacked
+                     (Masticreach__PeerAddress *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__Peers methods */
+void   masticreach__peers__init
+                     (Masticreach__Peers         *message);
+size_t masticreach__peers__get_packed_size
+                     (const Masticreach__Peers   *message);
+size_t masticreach__peers__pack
+                     (const Masticreach__Peers   *message,
+                      uint8_t             *out);
+size_t masticreach__peers__pack_to_buffer
+                     (const Masticreach__Peers   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__Peers *
+       masticreach__peers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__peers__free_unpacked
+                     (Masticreach__Peers *message,
+                      ProtobufCAllocator *allocator);
 /* Masticreach__Vote methods */
 void   masticreach__vote__init
                      (Masticreach__Vote         *message);
@@ -2758,6 +2819,12 @@
 typedef void (*Masticreach__FlowOrders_Closure)
                  (const Masticreach__FlowOrders *message,
                   void *closure_data);
+typedef void (*Masticreach__PeerAddress_Closure)
+                 (const Masticreach__PeerAddress *message,
+                  void *closure_data);
+typedef void (*Masticreach__Peers_Closure)
+                 (const Masticreach__Peers *message,
+                  void *closure_data);
 typedef void (*Masticreach__Vote_Closure)
                  (const Masticreach__Vote *message,
                   void *closure_data);
@@ -2898,6 +2965,8 @@
 extern const ProtobufCMessageDescriptor masticreach__flow_grant__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__flow_order__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__flow_orders__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__peer_address__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__peers__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__vote__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__vote_reply__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__log_entry__descriptor;
--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -677,6 +677,8 @@
 		runner->lease_until_us =
 			MAX(runner->lease_until_us,
 			    grant->sent_us + grant->lease_ms * 1000ull);
+	if (!runner->looked)
+		runner_hold(runner); /* the term is known now */
 	if (grant->settled_nr <= runner->settled_nr)
 		return;
 	runner->settled_nr = grant->settled_nr;
@@ -735,7 +737,9 @@
 {
 	bool life;
 
-	if (!runner_take_term(runner, orders->term))
+	/* Before its worker's first heartbeat, this agent can't tell lives
+	 * apart; the leader repeats its orders. */
+	if (!runner_take_term(runner, orders->term) || !runner->worker.id[0])
 		return;
 	life = runner_has_worker(runner) &&
 	       runner_is_life(runner, orders->worker, orders->born_ms);
@@ -870,3 +874,8 @@
 	node_set_role(node, &runner_role, runner);
 	return runner;
 }
+
+void runner_add_controls(struct runner *runner, const char *const *addresses)
+{
+	site_add_controls(runner->site, addresses);
+}
--- a/src/core/agent/runner.h
+++ b/src/core/agent/runner.h
@@ -48,4 +48,7 @@
 void runner_call_done(struct runner *runner, uint64_t call_nr,
 		      const struct exec_reply *reply);
 
+/** Dials these control addresses (NULL-terminated) as well. */
+void runner_add_controls(struct runner *runner, const char *const *addresses);
+
 #endif /* RUNNER_H */
--- a/src/core/base/msg_control.h
+++ b/src/core/base/msg_control.h
@@ -104,6 +104,16 @@
 	struct bundle *bundles; /* newest one signed off */
 };
 
+struct peer_address {
+	char address[ADDRESS_BYTES];
+};
+
+/** Where control replicas listen, as their group knows it. */
+struct peers {
+	uint32_t nr_addresses;
+	struct peer_address *addresses;
+};
+
 /** Claims a request that is not repeatable before its first dispatch. */
 struct claim_query {
 	uint64_t ticket; /* chosen by the entry, echoed */
--- a/src/core/base/schema.h
+++ b/src/core/base/schema.h
@@ -43,6 +43,7 @@
 	MSG_FLOW_REPORT = 51,
 	MSG_FLOW_GRANT = 52,
 	MSG_FLOW_ORDERS = 53,
+	MSG_PEERS = 54,
 	/* replicated log, msg_raft.h */
 	MSG_VOTE = 60,
 	MSG_VOTE_REPLY = 61,
--- a/src/core/base/schema_control.c
+++ b/src/core/base/schema_control.c
@@ -95,6 +95,17 @@
 };
 static SCHEMA(claim_done_schema, "ClaimDone", claim_done, claim_done_fields);
 
+static const struct field peer_address_fields[] = {
+	F_STRING(peer_address, address),
+};
+static SCHEMA(peer_address_schema, "PeerAddress", peer_address,
+	      peer_address_fields);
+
+static const struct field peers_fields[] = {
+	F_MANY(peers, addresses, peer_address_schema),
+};
+static SCHEMA(peers_schema, "Peers", peers, peers_fields);
+
 const struct schema_entry schema_control[] = {
 	{ MSG_REPORT, &report_schema },
 	{ MSG_GRANT, &grant_schema },
@@ -105,5 +116,6 @@
 	{ MSG_CLAIM_QUERY, &claim_query_schema },
 	{ MSG_CLAIM_REPLY, &claim_reply_schema },
 	{ MSG_CLAIM_DONE, &claim_done_schema },
+	{ MSG_PEERS, &peers_schema },
 	{ TYPE_NONE, NULL },
 };
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -73,6 +73,13 @@
 /* A vote for a replica that doesn't form a group is withdrawn after this. */
 #define RAFT_FORM_GIVE_UP_MS 5000
 
+#define RAFT_DIAL_INTERVAL_MS 1000 /* looks for members to dial */
+/*
+ * A member of an open group without a connection for this long may be removed;
+ * above the longest outage that machines come back from on the platform (10 s).
+ */
+#define RAFT_MEMBER_GONE_MS 12000
+
 /* Leases and permits. */
 #define REPORT_INTERVAL_MS 500
 #define LEASE_TTL_MS 6000
@@ -87,6 +94,8 @@
 #define TASK_TOMBSTONE_MS 10000
 
 /* Views of the site. */
+/* Control addresses that a process dials; a group has 7 members at most. */
+#define SITE_CONTROLS_MAX 32
 #define VIEW_QUERY_INTERVAL_MS 1000
 /* Changes of VMs are sent together; at a start, all VMs come at once. */
 #define VIEW_BATCH_MS 20
--- a/src/core/control/control.c
+++ b/src/core/control/control.c
@@ -414,6 +414,9 @@
 		.machine_ctx = control,
 		.image = opts->image,
 		.control_addresses = opts->control_addresses,
+		.open = opts->open,
+		.losses = opts->losses,
+		.no_formation = opts->no_formation,
 	};
 
 	control->node = node;
@@ -446,6 +449,12 @@
 	control_op(control, ticket, type, body);
 }
 
+void control_set_addresses(struct control *control,
+			   const char *const *addresses)
+{
+	raft_set_addresses(control->raft, addresses);
+}
+
 void control_synced(struct control *control, uint64_t sync_nr,
 		    enum result result)
 {
--- a/src/core/control/control.h
+++ b/src/core/control/control.h
@@ -30,7 +30,9 @@
 	const struct store_image *image;
 	const char *const *control_addresses; /* NULL-terminated, borrowed */
 	uint32_t worker_lease_ms; /* longest that workers take, 0: unlimited */
-	bool bootstrap; /* a new group may be formed */
+	bool no_formation; /* a fresh replica waits to be added to a group */
+	bool open; /* replicas outside the list may join */
+	uint32_t losses; /* replicas that may be lost at a time, 0: by the list */
 };
 
 struct control *control_new(struct node *node, const struct control_opts *opts);
@@ -39,6 +41,10 @@
 void control_operate(struct control *control, uint64_t ticket, uint32_t type,
 		     const void *body);
 
+/** Replaces the list of control addresses of an open group. */
+void control_set_addresses(struct control *control,
+			   const char *const *addresses);
+
 /** A sync of the store ended. */
 void control_synced(struct control *control, uint64_t sync_nr,
 		    enum result result);
--- a/src/core/control/control_impl.h
+++ b/src/core/control/control_impl.h
@@ -68,6 +68,7 @@
 	uint32_t role; /* enum node_role */
 	uint64_t bundle_version; /* in force there, as last heard */
 	uint64_t view_version; /* of the last view sent there, 0: none */
+	uint64_t members_sum; /* of the members told last, to see a change */
 };
 
 struct control {
--- a/src/core/control/control_view.c
+++ b/src/core/control/control_view.c
@@ -207,6 +207,33 @@
 	control->view_bundle = false;
 }
 
+/* Tells a peer where the replicas are, if it hasn't been told since. */
+static void control_view_peers(struct control *control,
+			       struct control_peer *peer)
+{
+	const struct members *members = raft_members(control->raft);
+	GArray *addresses;
+	struct peers body = { 0 };
+	uint64_t sum = 0;
+
+	for (uint32_t i = 0; i < members->nr_members; i++)
+		sum += members->members[i].node_id;
+	if (!control->opts.open || sum == peer->members_sum)
+		return;
+	peer->members_sum = sum;
+	addresses = g_array_new(FALSE, TRUE, sizeof(struct peer_address));
+	for (uint32_t i = 0; i < members->nr_members; i++) {
+		struct peer_address item = { 0 };
+
+		TEXT_SET(item.address, members->members[i].address);
+		g_array_append_val(addresses, item);
+	}
+	body.nr_addresses = addresses->len;
+	body.addresses = (struct peer_address *)(void *)addresses->data;
+	node_send(control->node, peer->node_id, MSG_PEERS, &body);
+	g_array_unref(addresses);
+}
+
 void control_view_query(struct control *control, uint64_t from,
 			const struct view_query *query)
 {
@@ -217,6 +244,7 @@
 	if (!peer)
 		return;
 	peer->bundle_version = query->bundle_version;
+	control_view_peers(control, peer);
 	if (control_check_leader(control))
 		return;
 	/* Changes not sent yet would be missing in the peer's version. */
--- a/src/core/entry/intake.c
+++ b/src/core/entry/intake.c
@@ -285,3 +285,8 @@
 	node_set_role(node, &intake_role, intake);
 	return intake;
 }
+
+void intake_add_controls(struct intake *intake, const char *const *addresses)
+{
+	site_add_controls(intake->site, addresses);
+}
--- a/src/core/entry/intake.h
+++ b/src/core/entry/intake.h
@@ -43,4 +43,7 @@
 /** Returns true while a leader with a bundle in force is known. */
 bool intake_ready(const struct intake *intake);
 
+/** Dials these control addresses (NULL-terminated) as well. */
+void intake_add_controls(struct intake *intake, const char *const *addresses);
+
 #endif /* INTAKE_H */
--- a/src/core/link/site.c
+++ b/src/core/link/site.c
@@ -189,6 +189,28 @@
 	site_set_leader(site, from);
 }
 
+/*
+ * Addresses that are no longer named stay dialled as long as there are few, as
+ * a replica that is cut off may know an old list.
+ */
+static void site_dial(struct site *site, const char *address)
+{
+	if (g_hash_table_size(site->node->dials) < SITE_CONTROLS_MAX)
+		node_dial(site->node, address);
+}
+
+static void site_take_peers(struct site *site, const struct peers *peers)
+{
+	for (uint32_t i = 0; i < peers->nr_addresses; i++)
+		site_dial(site, peers->addresses[i].address);
+}
+
+void site_add_controls(struct site *site, const char *const *addresses)
+{
+	for (uint32_t i = 0; addresses[i]; i++)
+		site_dial(site, addresses[i]);
+}
+
 struct site *site_new(struct node *node, const struct site_opts *opts)
 {
 	struct site *site = g_new0(struct site, 1);
@@ -219,8 +241,7 @@
 
 void site_start(struct site *site)
 {
-	for (uint32_t i = 0; site->opts.control_addresses[i]; i++)
-		node_dial(site->node, site->opts.control_addresses[i]);
+	site_add_controls(site, site->opts.control_addresses);
 	site_query_all(site, site->node->now_us);
 }
 
@@ -239,9 +260,12 @@
 bool site_message(struct site *site, uint64_t from, uint32_t type,
 		  const void *body)
 {
-	if (type != MSG_VIEW)
+	if (type == MSG_VIEW)
+		site_take_view(site, from, body);
+	else if (type == MSG_PEERS)
+		site_take_peers(site, body);
+	else
 		return false;
-	site_take_view(site, from, body);
 	return true;
 }
 
--- a/src/core/link/site.h
+++ b/src/core/link/site.h
@@ -35,7 +35,9 @@
 void site_start(struct site *site);
 void site_peer_up(struct site *site, const struct link *link);
 void site_peer_down(struct site *site, const struct link *link);
-/** Takes MSG_VIEW; returns false for other types. */
+/** Dials these control addresses as well. */
+void site_add_controls(struct site *site, const char *const *addresses);
+/** Takes MSG_VIEW and MSG_PEERS; returns false for other types. */
 bool site_message(struct site *site, uint64_t from, uint32_t type,
 		  const void *body);
 
--- a/src/core/raft/raft.c
+++ b/src/core/raft/raft.c
@@ -256,6 +256,11 @@
 	raft->machine_ctx = opts->machine_ctx;
 	raft->addresses = g_strdupv((char **)opts->control_addresses);
 	raft->nr_addresses = g_strv_length(raft->addresses);
+	raft->open = opts->open;
+	raft->no_formation = opts->no_formation;
+	raft->losses = opts->losses;
+	raft->dialled =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	raft->snapshot_entries = opts->snapshot_entries ?
 					 opts->snapshot_entries :
 					 RAFT_SNAPSHOT_ENTRIES;
@@ -269,6 +274,7 @@
 	raft->flush_timer = (struct timer){ raft_flush, raft };
 	raft->heartbeat_timer = (struct timer){ raft_heartbeat, raft };
 	raft->form_timer = (struct timer){ raft_form_due, raft };
+	raft->dial_timer = (struct timer){ raft_dial_due, raft };
 	/* A host gives the node the identity that its disk holds. */
 	g_assert(!opts->image->hard_state.node_id ||
 		 opts->image->hard_state.node_id == raft_self(raft));
@@ -284,6 +290,7 @@
 	timer_cancel(raft->node->timers, &raft->flush_timer);
 	timer_cancel(raft->node->timers, &raft->heartbeat_timer);
 	timer_cancel(raft->node->timers, &raft->form_timer);
+	timer_cancel(raft->node->timers, &raft->dial_timer);
 	for (uint32_t i = 0; i < raft->nr_peers; i++)
 		raft_snapshot_unref(raft->peers[i].snapshot);
 	raft_snapshot_unref(raft->snapshot);
@@ -291,23 +298,20 @@
 	raft_configs_clear(&raft->configs);
 	raft_log_clear(&raft->log);
 	g_array_unref(raft->syncs);
+	g_hash_table_unref(raft->dialled);
 	g_strfreev(raft->addresses);
 	g_free(raft);
 }
 
 void raft_start(struct raft *raft)
 {
-	const char *self = raft->node->self.address;
-
 	/* Before its restart, this replica may have acknowledged a leader. */
 	raft->heard_us = raft->node->now_us;
 	if (raft->snapshot)
 		raft_snapshot_restore(raft);
 	if (!raft->hard.node_id)
 		raft_write_hard_state(raft, 0, 0);
-	for (uint32_t i = 0; i < raft->nr_addresses; i++)
-		if (strcmp(self, raft->addresses[i]) < 0)
-			node_dial(raft->node, raft->addresses[i]);
+	raft_dial_due(raft, raft->node->now_us);
 	raft_arm_election(raft);
 	raft_form_start(raft);
 }
--- a/src/core/raft/raft.h
+++ b/src/core/raft/raft.h
@@ -68,6 +68,15 @@
 	const struct store_image *image;
 	/** Addresses of all control replicas, this one included. */
 	const char *const *control_addresses;
+	/**
+	 * Replicas outside the list may join, and a voter that is gone is
+	 * removed once another took its place. The list then says where to
+	 * begin.
+	 */
+	bool open;
+	/** Replicas that may be lost at a time; 0: less than half of the list. */
+	uint32_t losses;
+	bool no_formation; /* a fresh replica waits to be added to a group */
 	uint32_t snapshot_entries; /* 0: RAFT_SNAPSHOT_ENTRIES */
 	uint32_t page_bytes; /* 0: RAFT_PAGE_MAX_BYTES */
 };
@@ -75,6 +84,8 @@
 struct raft *raft_new(struct node *node, const struct raft_opts *opts);
 void raft_free(struct raft *raft);
 void raft_start(struct raft *raft);
+/** Replaces the list of control addresses of an open group. */
+void raft_set_addresses(struct raft *raft, const char *const *addresses);
 void raft_peer_up(struct raft *raft, const struct link *link);
 void raft_peer_down(struct raft *raft, const struct link *link);
 /** Takes MSG_VOTE to MSG_TRANSFER; returns false for other types. */
--- /dev/null
+++ b/src/core/raft/raft_dial.c
@@ -0,0 +1,96 @@
+#include "raft_impl.h"
+
+#include <string.h>
+
+bool raft_lists(const struct raft *raft, const char *address)
+{
+	for (uint32_t i = 0; i < raft->nr_addresses; i++)
+		if (!strcmp(raft->addresses[i], address))
+			return true;
+	return false;
+}
+
+uint32_t raft_min_voters(const struct raft *raft)
+{
+	return raft->losses ? raft->losses + 1 : raft->nr_addresses / 2 + 1;
+}
+
+static bool raft_is_linked(const struct raft *raft, const char *address)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, raft->node->links);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct link *link = value;
+
+		if (link->up && !strcmp(link->peer.address, address))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * One connection for each pair: of two listed replicas the one with the lower
+ * address dials. Nobody knows of a replica that isn't listed, so it dials.
+ */
+static bool raft_dials(const struct raft *raft, const char *address)
+{
+	const char *self = raft->node->self.address;
+
+	if (!strcmp(self, address))
+		return false;
+	if (raft_lists(raft, self))
+		return strcmp(self, address) < 0;
+	return raft_lists(raft, address) || strcmp(self, address) < 0;
+}
+
+static void raft_dial(struct raft *raft, const char *address)
+{
+	if (!raft_dials(raft, address) ||
+	    g_hash_table_contains(raft->dialled, address))
+		return;
+	/* Lists differ for a while, so the other side may have dialled. */
+	if (!raft_lists(raft, address) && raft_is_linked(raft, address))
+		return;
+	g_hash_table_add(raft->dialled, g_strdup(address));
+	node_dial(raft->node, address);
+}
+
+static gboolean raft_undial_absent(gpointer key, gpointer value, gpointer data)
+{
+	struct raft *raft = data;
+
+	if (raft_lists(raft, key) || members_at(raft_config(raft), key))
+		return FALSE;
+	node_undial(raft->node, key);
+	return TRUE;
+}
+
+void raft_dial_due(void *data, uint64_t now_us)
+{
+	struct raft *raft = data;
+	const struct members *members = raft_config(raft);
+
+	for (uint32_t i = 0; i < raft->nr_addresses; i++)
+		raft_dial(raft, raft->addresses[i]);
+	if (!raft->open)
+		return;
+	for (uint32_t i = 0; i < members->nr_members; i++)
+		raft_dial(raft, members->members[i].address);
+	g_hash_table_foreach_remove(raft->dialled, raft_undial_absent, raft);
+	node_timer_ms(raft->node, &raft->dial_timer, RAFT_DIAL_INTERVAL_MS);
+}
+
+void raft_set_addresses(struct raft *raft, const char *const *addresses)
+{
+	uint32_t nr = g_strv_length((char **)addresses);
+
+	if (!raft->open || !nr || nr > RAFT_MEMBERS_MAX)
+		return;
+	g_strfreev(raft->addresses);
+	raft->addresses = g_strdupv((char **)addresses);
+	raft->nr_addresses = nr;
+	memset(raft->form_peers, 0, sizeof(raft->form_peers));
+	raft_dial_due(raft, raft->node->now_us);
+}
--- a/src/core/raft/raft_form.c
+++ b/src/core/raft/raft_form.c
@@ -93,6 +93,7 @@
 		raft->form_pause_us = now_us + RAFT_FORM_PAUSE_MS * US_PER_MS;
 	}
 	if (raft->form_vote || now_us < raft->form_pause_us ||
+	    !raft_lists(raft, raft->node->self.address) ||
 	    !raft_form_all_alive(raft))
 		return;
 	raft->form_vote = raft_form_choose(raft);
@@ -132,7 +133,7 @@
 {
 	struct raft *raft = data;
 
-	if (!raft_is_fresh(raft))
+	if (!raft_is_fresh(raft) || raft->no_formation)
 		return;
 	raft_form_vote(raft);
 	if (raft_form_elected(raft)) {
@@ -164,7 +165,7 @@
 {
 	uint64_t pause_ms = raft->nr_addresses > 1 ? RAFT_FORM_PAUSE_MS : 0;
 
-	if (!raft_is_fresh(raft))
+	if (!raft_is_fresh(raft) || raft->no_formation)
 		return;
 	/* A vote given before a restart may still count somewhere. */
 	raft->form_pause_us = raft->node->now_us + pause_ms * US_PER_MS;
@@ -232,7 +233,7 @@
 	if (members->nr_members > RAFT_MEMBERS_MAX ||
 	    !members_distinct(members) ||
 	    !members_is_voter(members, raft_self(raft)) ||
-	    members_nr_voters(members) <= raft->nr_addresses / 2 ||
+	    members_nr_voters(members) < raft_min_voters(raft) ||
 	    members_voters_lost(now, members) +
 			    members_voters_lost(members, now) >
 		    1)
@@ -273,6 +274,8 @@
 	link = raft_link_at(raft, address, 0);
 	if (!link)
 		return false;
+	if (!member && members->nr_members == RAFT_MEMBERS_MAX)
+		return false;
 	if (!member) {
 		raft_change(raft, members_add(members, &link->peer, false));
 		return true;
@@ -282,12 +285,55 @@
 	 * so the voters must stay a majority of the list.
 	 */
 	if (member->voter &&
-	    members_nr_voters(members) - 1 <= raft->nr_addresses / 2)
+	    members_nr_voters(members) - 1 < raft_min_voters(raft))
 		return false;
 	raft_change(raft, members_replace(members, &link->peer));
 	return true;
 }
 
+/* Adds replicas that connect and that the list doesn't have. */
+static bool raft_member_newcomers(struct raft *raft)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, raft->node->links);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct link *link = value;
+
+		if (link->peer.role == ROLE_CONTROL && link->up &&
+		    link->peer.address[0] &&
+		    !raft_lists(raft, link->peer.address) &&
+		    raft_member_check(raft, link->peer.address))
+			return true;
+	}
+	return false;
+}
+
+/* Removes a member that is gone while others do in its place. */
+static bool raft_member_gone(struct raft *raft)
+{
+	const struct members *members = raft_config(raft);
+	uint64_t now_us = raft->node->now_us;
+
+	for (uint32_t i = 0; i < raft->nr_peers; i++) {
+		struct raft_peer *peer = &raft->peers[i];
+		const struct link *link = node_link(raft->node, peer->node_id);
+		bool voter = members_is_voter(members, peer->node_id);
+
+		if ((link && link->up && !link_is_silent(link)) ||
+		    !peer->seen_us)
+			peer->seen_us = now_us;
+		if (now_us - peer->seen_us < RAFT_MEMBER_GONE_MS * US_PER_MS ||
+		    (voter &&
+		     members_nr_voters(members) <= raft->losses * 2 + 1))
+			continue;
+		raft_change(raft, members_remove(members, peer->node_id));
+		return true;
+	}
+	return false;
+}
+
 void raft_member_tick(struct raft *raft)
 {
 	if (raft_configs_last(&raft->configs)->index > raft->commit_index)
@@ -296,4 +342,7 @@
 		if (!raft_is_self(raft, raft->addresses[i]) &&
 		    raft_member_check(raft, raft->addresses[i]))
 			return;
+	if (!raft->open || raft_member_newcomers(raft))
+		return;
+	raft_member_gone(raft);
 }
--- a/src/core/raft/raft_impl.h
+++ b/src/core/raft/raft_impl.h
@@ -41,6 +41,7 @@
 	uint64_t next_index;
 	uint64_t match_index;
 	uint64_t acked_us; /* latest sent_us that came back in this term */
+	uint64_t seen_us; /* the leader had a connection to it */
 	uint64_t reset_us; /* rejections of earlier appends are stale */
 	uint64_t in_flight[RAFT_IN_FLIGHT_MAX]; /* last index of each append */
 	struct raft_snapshot *snapshot; /* NULL: not in transfer */
@@ -90,6 +91,11 @@
 	void *machine_ctx;
 	char **addresses;
 	uint32_t nr_addresses;
+	bool open;
+	bool no_formation;
+	uint32_t losses;
+	GHashTable *dialled; /* set of addresses */
+	struct timer dial_timer;
 	uint32_t snapshot_entries;
 	uint32_t page_bytes;
 
@@ -146,6 +152,14 @@
 	uint64_t form_pause_us; /* no vote before */
 };
 
+/* ---- raft_dial.c ---- */
+
+/** Keeps up this replica's connections to the others. */
+void raft_dial_due(void *data, uint64_t now_us);
+/** Voters without which the group takes no commands. */
+uint32_t raft_min_voters(const struct raft *raft);
+bool raft_lists(const struct raft *raft, const char *address);
+
 /* ---- raft.c ---- */
 
 uint64_t raft_self(const struct raft *raft);
--- a/src/core/raft/raft_member.c
+++ b/src/core/raft/raft_member.c
@@ -156,6 +156,19 @@
 	return record;
 }
 
+struct record members_remove(const struct members *members, uint64_t node_id)
+{
+	struct record record = members_new(members);
+	struct members *next = record.body;
+	uint32_t nr = 0;
+
+	for (uint32_t i = 0; i < next->nr_members; i++)
+		if (next->members[i].node_id != node_id)
+			next->members[nr++] = next->members[i];
+	next->nr_members = nr;
+	return record;
+}
+
 struct record members_promote(const struct members *members, uint64_t node_id)
 {
 	struct record record = members_new(members);
--- a/src/core/raft/raft_role.c
+++ b/src/core/raft/raft_role.c
@@ -123,7 +123,7 @@
 
 bool raft_formed(const struct raft *raft)
 {
-	return members_nr_voters(raft_config(raft)) > raft->nr_addresses / 2;
+	return members_nr_voters(raft_config(raft)) >= raft_min_voters(raft);
 }
 
 bool raft_has_lease(const struct raft *raft)
--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -381,7 +381,9 @@
 	opts.host_ctx = host;
 	opts.control_addresses = (const char *const *)settings->control;
 	opts.worker_lease_ms = settings->worker_lease_ms;
-	opts.bootstrap = settings->bootstrap;
+	opts.no_formation = !settings->bootstrap;
+	opts.open = settings->front_end == FRONT_END_PLATFORM;
+	opts.losses = settings->replica_losses;
 	host->control = control_new(loop_node(loop), &opts);
 	store_drop_image(host->store);
 	*out = host;
@@ -409,6 +411,14 @@
 	http_server_stop(host->http);
 }
 
+static void host_control_set_controls(void *data, const char *const *addresses)
+{
+	struct host_control *host = data;
+
+	loop_enter(host->loop);
+	control_set_addresses(host->control, addresses);
+}
+
 static bool host_control_idle(const void *data)
 {
 	const struct host_control *host = data;
@@ -420,6 +430,7 @@
 	.open = host_control_open,
 	.http_address = host_control_http_address,
 	.stop = host_control_stop,
+	.set_controls = host_control_set_controls,
 	.idle = host_control_idle,
 	.free = host_control_free,
 };
--- a/src/daemon/loop.c
+++ b/src/daemon/loop.c
@@ -16,6 +16,7 @@
 /* Identifiers fit a JSON number without loss. */
 #define NODE_ID_MASK ((UINT64_C(1) << 52) - 1)
 #define SHUTDOWN_POLL_MS 20
+#define LOOP_RELOAD_MS 2000 /* looks at the file of settings */
 /* A pipe that polls as writable takes this much without blocking. */
 #define LOG_LINE_MAX_BYTES 4096
 
@@ -31,6 +32,8 @@
 	void (*stop)(void *ctx);
 	bool (*idle)(const void *ctx);
 	void *drain_ctx;
+	void (*reload)(void *ctx, bool signal);
+	void *reload_ctx;
 	uint32_t drain_ms;
 	uint64_t drain_end_us;
 	enum result result;
@@ -193,6 +196,37 @@
 	return G_SOURCE_CONTINUE;
 }
 
+static gboolean loop_hangup(gpointer data)
+{
+	struct loop *loop = data;
+
+	if (loop->reload)
+		loop->reload(loop->reload_ctx, true);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean loop_reload_due(gpointer data)
+{
+	struct loop *loop = data;
+
+	if (loop->reload)
+		loop->reload(loop->reload_ctx, false);
+	return G_SOURCE_CONTINUE;
+}
+
+static GSource *loop_attach(struct loop *loop, GSource *source, GSourceFunc fn)
+{
+	g_source_set_callback(source, fn, loop, NULL);
+	g_source_attach(source, NULL);
+	return source;
+}
+
+static void loop_detach(GSource *source)
+{
+	g_source_destroy(source);
+	g_source_unref(source);
+}
+
 enum result loop_new(const struct loop_opts *opts, struct loop **out)
 {
 	struct loop *loop = g_new0(struct loop, 1);
@@ -281,6 +315,13 @@
 	loop->drain_ctx = ctx;
 }
 
+void loop_set_reload(struct loop *loop, void (*reload)(void *ctx, bool signal),
+		     void *ctx)
+{
+	loop->reload = reload;
+	loop->reload_ctx = ctx;
+}
+
 void loop_end(struct loop *loop, enum result result)
 {
 	loop->result = result;
@@ -294,19 +335,21 @@
 
 enum result loop_run(struct loop *loop)
 {
-	GSource *term = g_unix_signal_source_new(SIGTERM);
-	GSource *interrupt = g_unix_signal_source_new(SIGINT);
+	GSource *sources[] = {
+		loop_attach(loop, g_unix_signal_source_new(SIGTERM),
+			    loop_signal),
+		loop_attach(loop, g_unix_signal_source_new(SIGINT),
+			    loop_signal),
+		loop_attach(loop, g_unix_signal_source_new(SIGHUP),
+			    loop_hangup),
+		loop_attach(loop, g_timeout_source_new(LOOP_RELOAD_MS),
+			    loop_reload_due),
+	};
 
-	g_source_set_callback(term, loop_signal, loop, NULL);
-	g_source_attach(term, NULL);
-	g_source_set_callback(interrupt, loop_signal, loop, NULL);
-	g_source_attach(interrupt, NULL);
 	node_start(loop->node, loop_now_us());
 	g_main_loop_run(loop->main);
-	g_source_destroy(term);
-	g_source_unref(term);
-	g_source_destroy(interrupt);
-	g_source_unref(interrupt);
+	for (size_t i = 0; i < G_N_ELEMENTS(sources); i++)
+		loop_detach(sources[i]);
 	return loop->result;
 }
 
--- a/src/daemon/loop.h
+++ b/src/daemon/loop.h
@@ -41,6 +41,12 @@
  */
 void loop_set_drain(struct loop *loop, void (*stop)(void *ctx),
 		    bool (*idle)(const void *ctx), void *ctx);
+/**
+ * Sets what SIGHUP calls; it is also called every LOOP_RELOAD_MS, as a file of
+ * settings may change without a signal.
+ */
+void loop_set_reload(struct loop *loop, void (*reload)(void *ctx, bool signal),
+		     void *ctx);
 /**
  * Runs until a graceful shutdown, begun by SIGTERM or SIGINT, has ended.
  * Returns RESULT_TIMEOUT if drain_ms ran out first.
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -2,9 +2,11 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "platform_hosts.h"
+#include "logline.h"
 #include "role_host.h"
 
 static const struct role_host_ops *const role_hosts[] = {
@@ -27,9 +29,67 @@
 	return written ? RESULT_OK : RESULT_IO;
 }
 
+extern char **environ;
+
+/** What a reload of the settings needs. */
+struct reload {
+	const struct role_host_ops *ops;
+	void *host;
+	struct loop *loop;
+	const char *path; /* of the node file */
+	struct timespec changed; /* when it was changed last */
+	int argc;
+	char **argv;
+};
+
+static void log_reload(const struct reload *reload, bool signal,
+		       const char *outcome)
+{
+	GString *line = logline_new("reload");
+
+	logline_str(line, "cause", signal ? "signal" : "file");
+	logline_str(line, "outcome", outcome);
+	loop_enter(reload->loop);
+	node_log(loop_node(reload->loop), line);
+}
+
+/* Takes the control addresses of a node file that has changed. */
+static void run_reload(void *ctx, bool signal)
+{
+	struct reload *reload = ctx;
+	struct stat now = { 0 };
+	char **control = NULL;
+	char *error = NULL;
+	char *shown;
+
+	/* A file that is being replaced is looked at again later. */
+	if (!reload->path[0] || stat(reload->path, &now))
+		return;
+	if (!signal && now.st_mtim.tv_sec == reload->changed.tv_sec &&
+	    now.st_mtim.tv_nsec == reload->changed.tv_nsec)
+		return;
+	reload->changed = now.st_mtim;
+	if (settings_reload(reload->argc, reload->argv, environ, &control,
+			    &error) != RESULT_OK) {
+		log_reload(reload, signal, error);
+		g_free(error);
+		return;
+	}
+	shown = g_strjoinv(",", control);
+	log_reload(reload, signal, shown);
+	if (reload->ops->set_controls)
+		reload->ops->set_controls(reload->host,
+					  (const char *const *)control);
+	g_free(shown);
+	g_strfreev(control);
+}
+
 /* Runs the process; on a fault during the start @a part names the cause. */
-static enum result run(const struct settings *settings, const char **part)
+static enum result run(const struct settings *settings, int argc, char **argv,
+		       const char **part)
 {
+	struct reload reload = { .argc = argc, .argv = argv };
+	struct stat file = { 0 };
 	const struct role_host_ops *ops =
 		settings->front_end == FRONT_END_PLATFORM ?
 			platform_host_ops(settings->role) :
@@ -57,6 +117,13 @@
 	if (res != RESULT_OK)
 		goto out;
 	loop_set_drain(loop, ops->stop, ops->idle, host);
+	reload.ops = ops;
+	reload.host = host;
+	reload.loop = loop;
+	reload.path = settings->node_file;
+	if (reload.path[0] && !stat(reload.path, &file))
+		reload.changed = file.st_mtim;
+	loop_set_reload(loop, run_reload, &reload);
 	*part = "drain";
 	res = loop_run(loop);
 out:
@@ -67,8 +134,6 @@
 	return res;
 }
 
-extern char **environ;
-
 int main(int argc, char **argv)
 {
 	struct settings settings;
@@ -83,7 +148,7 @@
 		return res;
 	}
 	loop_log_level(settings.log_level);
-	res = run(&settings, &part);
+	res = run(&settings, argc, argv, &part);
 	if (res != RESULT_OK)
 		fprintf(stderr, "masticreachd: %s: %s\n", part,
 			result_summary(res));
--- a/src/daemon/role_host.h
+++ b/src/daemon/role_host.h
@@ -24,6 +24,8 @@
 	const char *(*http_address)(const void *host);
 	/** Begins a graceful shutdown: listeners stop accepting. */
 	void (*stop)(void *host);
+	/** Takes new control addresses, NULL-terminated; NULL if it can't. */
+	void (*set_controls)(void *host, const char *const *addresses);
 	/** Returns true if no request and no call is under way. */
 	bool (*idle)(const void *host);
 	/** Frees the host; the node and its role are still there. */
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -12,6 +12,7 @@
 #define DRAIN_MAX_MS 3600000
 #define CONNECTIONS_MAX 100000
 #define GRACE_MAX_S 3600
+#define LOSSES_MAX ((CONTROL_MAX_MEMBERS - 1) / 2)
 #define NODE_FILE_GROUP "masticreach"
 
 enum setting_index {
@@ -40,6 +41,7 @@
 	SET_BOOTSTRAP,
 	SET_WORKER_LEASE_MS,
 	SET_GRACE_S,
+	SET_REPLICA_LOSSES,
 	NR_SETTINGS,
 };
 
@@ -102,6 +104,9 @@
 	[SET_GRACE_S] = { "grace-s", "S", "0", "all", "",
 			  "time until the process is killed after SIGTERM; "
 			  "bounds --drain-ms" },
+	[SET_REPLICA_LOSSES] = { "replica-losses", "N", "0", "all", "",
+				 "control replicas that may be lost at a time; "
+				 "0: fewer than half of --control" },
 };
 
 /* Variables of the operators' tool, which may be set on the same VM. */
@@ -575,6 +580,9 @@
 	if (res == RESULT_OK)
 		res = values_number(values, SET_DRAIN_MS, DRAIN_MAX_MS,
 				    &to->drain_ms, error);
+	if (res == RESULT_OK)
+		res = values_number(values, SET_REPLICA_LOSSES, LOSSES_MAX,
+				    &to->replica_losses, error);
 	if (res == RESULT_OK)
 		res = values_number(values, SET_GRACE_S, GRACE_MAX_S, &number,
 				    error);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -45,6 +45,7 @@
 	char **zones; /* NULL-terminated, owned; may be empty */
 	bool bootstrap; /* a new group may be formed */
 	uint32_t worker_lease_ms; /* longest lease that workers take */
+	uint32_t replica_losses; /* control replicas, 0: by the list */
 	char data[PATH_BYTES];
 	char worker[ADDRESS_BYTES]; /* "": no tasks on this VM */
 	uint32_t cpu_millis;
--- /dev/null
+++ b/target/meson-private/sanitycheckc.c
@@ -0,0 +1,1 @@
+int main(void) { int class=0; return class; }
