Refuse a run for good once it was refused

The agent now remembers refused runs, and the leader drops reports of an agent's earlier incarnations.

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -73,6 +73,40 @@
 	node_log(runner->node, line);
 }
 
+static gboolean runner_refusal_is_old(gpointer key, gpointer value,
+				      gpointer data)
+{
+	const struct runner_refusal *refusal = value;
+	const struct runner *runner = data;
+
+	return runner->node->now_us - refusal->at_us >
+	       RUNNER_REFUSAL_KEEP_MS * 1000ull;
+}
+
+/* An order may come twice; the second must not start what was refused. */
+static void runner_keep_refusal(struct runner *runner, const char *task,
+				uint32_t run)
+{
+	struct runner_refusal *refusal = g_new0(struct runner_refusal, 1);
+
+	if (g_hash_table_size(runner->refusals) >= RUNNER_REFUSALS_MAX)
+		g_hash_table_foreach_remove(runner->refusals,
+					    runner_refusal_is_old, runner);
+	TEXT_SET(refusal->task, task);
+	refusal->run = run;
+	refusal->at_us = runner->node->now_us;
+	g_hash_table_replace(runner->refusals, refusal->task, refusal);
+}
+
+static bool runner_has_refused(const struct runner *runner, const char *task,
+			       uint32_t run)
+{
+	const struct runner_refusal *refusal =
+		g_hash_table_lookup(runner->refusals, task);
+
+	return refusal && run <= refusal->run;
+}
+
 /* The run never started and never will: the leader may place it anew. */
 static void runner_refuse(struct runner *runner, const char *task, uint32_t run,
 			  enum result result)
@@ -84,6 +118,7 @@
 	end.end = FLOW_END_REFUSED;
 	end.result = result;
 	g_array_append_val(runner->own_ends, end);
+	runner_keep_refusal(runner, task, run);
 	counter_add(runner->node->counters, "runs_refused", 1);
 	runner_log_run(runner, "run-refused", task, run, "not started", result);
 	runner_report_soon(runner);
@@ -695,6 +730,10 @@
 	struct runner_run *run = g_hash_table_lookup(runner->runs, order->task);
 	bool known = run != NULL;
 
+	if (!run && runner_has_refused(runner, order->task, order->run)) {
+		runner_refuse(runner, order->task, order->run, RESULT_STALE);
+		return;
+	}
 	if (run && run->run != order->run) {
 		runner_refuse(runner, order->task, order->run,
 			      RESULT_IN_PROGRESS);
@@ -822,6 +861,7 @@
 	g_array_unref(runner->ends);
 	g_array_unref(runner->own_ends);
 	g_array_unref(runner->unsure);
+	g_hash_table_unref(runner->refusals);
 	g_free(runner);
 }
 
@@ -866,6 +906,8 @@
 	runner->ends = g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
 	runner->own_ends =
 		g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
+	runner->refusals =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	runner->unsure = g_array_new(FALSE, FALSE, sizeof(struct runner_unsure));
 	runner->report_timer = (struct timer){ runner_report, runner };
 	runner->hold_timer = (struct timer){ runner_hold_due, runner };
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -53,6 +53,13 @@
 	uint64_t until_us;
 };
 
+/** The highest run of a task that was said not to start. */
+struct runner_refusal {
+	char task[NAME_BYTES];
+	uint32_t run;
+	uint64_t at_us;
+};
+
 struct runner {
 	struct node *node;
 	struct runner_opts opts;
@@ -73,12 +80,14 @@
 	GHashTable *runs; /* task -> struct runner_run * */
 	GArray *ends; /* struct flow_run_end, listed and not settled */
 	GArray *own_ends; /* struct flow_run_end of runs that never started */
+	GHashTable *refusals; /* task -> struct runner_refusal * */
 	GArray *unsure; /* struct runner_unsure */
 	GHashTable *calls; /* call_nr -> struct runner_call * */
 	uint64_t call_nr;
 	bool holding;
 	uint64_t report_seq;
 	uint32_t pace_limit; /* percent for fillers */
+	uint64_t pace_due_us; /* the limit stays until then */
 	struct timer report_timer;
 	struct timer hold_timer;
 	struct timer run_timer; /* retries of stops */
--- a/src/core/agent/runner_pace.c
+++ b/src/core/agent/runner_pace.c
@@ -53,6 +53,17 @@
 	runner_call(runner, &call);
 }
 
+static uint32_t pace_next(uint32_t pace, uint32_t pressure)
+{
+	if (pressure >= PACE_OVER_PERCENT)
+		return pace * PACE_OVER_KEEP / 100;
+	if (pressure >= PACE_NEAR_PERCENT)
+		return pace * PACE_NEAR_KEEP / 100;
+	if (pressure < PACE_CLEAR_PERCENT)
+		return MIN(pace + pace / 3 + PACE_STEP_PERCENT, 100);
+	return pace;
+}
+
 void runner_pace(struct runner *runner)
 {
 	uint32_t pressure = runner_pressure(runner);
@@ -61,14 +72,13 @@
 	GString *line;
 	void *value;
 
-	if (pressure >= PACE_CUT_PERCENT)
-		runner->pace_limit = before > PACE_LOW_PERCENT ? before / 3 : 0;
-	else if (pressure >= PACE_EASE_PERCENT)
-		runner->pace_limit = before > PACE_STEP_PERCENT ?
-					     before - PACE_STEP_PERCENT :
-					     before;
-	else if (pressure <= PACE_RAISE_PERCENT)
-		runner->pace_limit = MIN(before + PACE_STEP_PERCENT, 100);
+	/* Figures are means of the last while: an effect shows after it. */
+	if (runner->node->now_us >= runner->pace_due_us) {
+		runner->pace_limit = pace_next(before, pressure);
+		if (runner->pace_limit != before)
+			runner->pace_due_us =
+				runner->node->now_us + PACE_EFFECT_MS * 1000ull;
+	}
 	g_hash_table_iter_init(&iter, runner->runs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct runner_run *run = value;
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -144,6 +144,9 @@
 #define HOLD_WAIT_PACE_MS 500 /* the figures are means of half a second */
 #define HOLD_RETRY_MS 300 /* after a look without an answer */
 #define HOLD_ENDS_MS 100 /* while ends wait for the log */
+/* Orders come twice within a failover or a cut; cuts of 10 s are usual. */
+#define RUNNER_REFUSAL_KEEP_MS 60000
+#define RUNNER_REFUSALS_MAX 4096
 #define STOP_REPEAT_MS 500 /* of a stop without an answer */
 /* A VM whose agent didn't report for this long gets nothing new. */
 #define FLOW_REPORT_STALE_MS 2500
@@ -154,6 +157,7 @@
 /* A worker is shunned when failures are this share of its last ends. */
 #define FLOW_FAIL_WEIGHT 4
 #define FLOW_SHUN_PERMILLE 550
+#define FLOW_REFUSED_MS 150 /* pause after a worker refused a start */
 #define FLOW_SHUN_MIN_MS 2000
 #define FLOW_SHUN_MAX_MS 16000
 /*
@@ -175,12 +179,18 @@
 /* A workflow that no VM can hold is failed after this, as VMs come and go. */
 #define FLOW_NEVER_FITS_MS 8000
 
-/* Pace of fillers, by the worst tail latency in percent of its target. */
-#define PACE_CUT_PERCENT 90 /* from here on: to a third */
-#define PACE_EASE_PERCENT 75 /* from here on: a step down */
-#define PACE_RAISE_PERCENT 60 /* up to here: a step up */
-#define PACE_STEP_PERCENT 15
-#define PACE_LOW_PERCENT 10 /* below this a cut goes to 0 */
+/*
+ * Pace of fillers, by the worst tail latency in percent of its target. Below
+ * the target fillers cost the serving tasks nothing, above it they do.
+ */
+#define PACE_OVER_PERCENT 100
+#define PACE_OVER_KEEP 35 /* percent of the pace that is left then */
+#define PACE_NEAR_PERCENT 86
+#define PACE_NEAR_KEEP 75
+#define PACE_CLEAR_PERCENT 76
+#define PACE_STEP_PERCENT 6
+/* Figures are means of half a second, and a pace acts 100 ms later. */
+#define PACE_EFFECT_MS 600
 
 /* Planner. */
 #define PLAN_HISTORY_MS 20000 /* what ran on a VM, longest lag of a sample */
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -203,6 +203,9 @@
 	uint64_t now_us = flows->control->node->now_us;
 	GString *line;
 
+	if (end == FLOW_END_REFUSED)
+		vm->shun_until_us = MAX(vm->shun_until_us,
+					now_us + FLOW_REFUSED_MS * 1000ull);
 	if (end != FLOW_END_DONE && end != FLOW_END_FAILED)
 		return;
 	vm->fail_permille -= vm->fail_permille / FLOW_FAIL_WEIGHT;
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -7,11 +7,15 @@
 #include "control_impl.h"
 #include "timer.h"
 
+#define FLOW_EARLIER_IDS 4 /* late reports come from the last few */
+
 /** A VM whose worker runs tasks of workflows. */
 struct flow_vm {
 	char name[NAME_BYTES];
 	char zone[NAME_BYTES];
 	uint64_t node_id; /* incarnation of its agent */
+	uint64_t earlier_ids[FLOW_EARLIER_IDS]; /* incarnations before */
+	uint32_t nr_earlier;
 	struct worker_life worker;
 	bool reported; /* to this leader */
 	bool reachable;
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -261,6 +261,15 @@
 	g_list_free(runs);
 }
 
+/* A report that was held up in the network since before a restart is void. */
+static bool flow_is_earlier(const struct flow_vm *vm, uint64_t node_id)
+{
+	for (uint32_t i = 0; i < FLOW_EARLIER_IDS; i++)
+		if (vm->earlier_ids[i] == node_id)
+			return true;
+	return false;
+}
+
 void control_flow_report(struct control_flow *flows, uint64_t from,
 			 const struct flow_report *report)
 {
@@ -271,8 +280,12 @@
 	if (!raft_may_grant(control->raft))
 		return;
 	vm = control_flow_vm(flows, report->vm);
-	if (vm->node_id == from && report->seq <= vm->report_seq)
+	if (vm->node_id == from ? report->seq <= vm->report_seq :
+				  flow_is_earlier(vm, from))
 		return;
+	if (vm->node_id && vm->node_id != from)
+		vm->earlier_ids[vm->nr_earlier++ % FLOW_EARLIER_IDS] =
+			vm->node_id;
 	vm->node_id = from;
 	vm->report_seq = report->seq;
 	vm->report_sent_us = report->sent_us;
