Learn which fillers press which serving tasks, and place by it

Cause: half of the filler images raise the tail of half of the serving images many times over (bef129 beside b09e32: 784 ms at a target of 125), others not at all; one VM-wide pace and placement by load alone held all of them back. The leader now learns a weight for each pair of images from the figures, places fillers where the expected pressure is low and serving tasks of one image together; the agent slows the worst fillers first.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -8208,7 +8208,7 @@
   (ProtobufCMessageInit) masticreach__flow_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_order__field_descriptors[8] =
+static const ProtobufCFieldDescriptor masticreach__flow_order__field_descriptors[9] =
 {
   {
     "action",
@@ -8283,11 +8283,23 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "target_ms",
+    "press_permille",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowOrder, press_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
     offsetof(Masticreach__FlowOrder, target_ms),
     NULL,
     NULL,
@@ -8296,7 +8308,7 @@
   },
   {
     "ticket",
-    8,
+    9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
@@ -8311,16 +8323,17 @@
   0,   /* field[0] = action */
   4,   /* field[4] = checkpoint */
   5,   /* field[5] = filler */
+  6,   /* field[6] = press_permille */
   2,   /* field[2] = run */
   3,   /* field[3] = spec */
-  6,   /* field[6] = target_ms */
+  7,   /* field[7] = target_ms */
   1,   /* field[1] = task */
-  7,   /* field[7] = ticket */
+  8,   /* field[8] = ticket */
 };
 static const ProtobufCIntRange masticreach__flow_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_order__descriptor =
 {
@@ -8330,7 +8343,7 @@
   "Masticreach__FlowOrder",
   "masticreach",
   sizeof(Masticreach__FlowOrder),
-  8,
+  9,
   masticreach__flow_order__field_descriptors,
   masticreach__flow_order__field_indices_by_name,
   1,  masticreach__flow_order__number_ranges,
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -790,12 +790,13 @@
   ProtobufCBinaryData spec;
   char *checkpoint;
   protobuf_c_boolean filler;
+  uint32_t press_permille;
   uint32_t target_ms;
   char *ticket;
 };
 #define MASTICREACH__FLOW_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_order__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Masticreach__FlowOrders
--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -744,6 +744,7 @@
 	run->ordered = true;
 	run->filler = order->filler;
 	run->target_ms = order->target_ms;
+	run->press_permille = order->press_permille;
 	if (known)
 		return;
 	run->spec = order->spec ? g_bytes_ref(order->spec) : NULL;
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -29,6 +29,7 @@
 	char checkpoint[NAME_BYTES];
 	char ticket[NAME_BYTES];
 	bool filler;
+	uint32_t press_permille; /* see flow_order */
 	uint32_t target_ms;
 	struct flow_run seen; /* as listed last */
 	uint32_t pace; /* percent in force at the worker */
--- a/src/core/agent/runner_pace.c
+++ b/src/core/agent/runner_pace.c
@@ -41,13 +41,39 @@
 	return serving && filler;
 }
 
-static void runner_set_pace(struct runner *runner, struct runner_run *run)
+/* The limit holds for the worst filler; others may do as much harm as it. */
+static uint32_t runner_pace_of(const struct runner *runner,
+			       const struct runner_run *run, uint32_t worst)
+{
+	uint64_t press = MAX(run->press_permille, 1);
+
+	return (uint32_t)MIN((uint64_t)runner->pace_limit * worst / press, 100);
+}
+
+static uint32_t runner_worst_press(const struct runner *runner)
+{
+	uint32_t worst = 1;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, runner->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct runner_run *run = value;
+
+		if (run->filler)
+			worst = MAX(worst, run->press_permille);
+	}
+	return worst;
+}
+
+static void runner_set_pace(struct runner *runner, struct runner_run *run,
+			    uint32_t percent)
 {
 	struct exec_call call = { .kind = EXEC_PACE };
 
 	call.task = run->task;
 	call.run = run->run;
-	call.percent = runner->pace_limit;
+	call.percent = percent;
 	run->pacing = true;
 	counter_add(runner->node->counters, "pace_calls", 1);
 	runner_call(runner, &call);
@@ -68,6 +94,7 @@
 {
 	uint32_t pressure = runner_pressure(runner);
 	uint32_t before = runner->pace_limit;
+	uint32_t worst = runner_worst_press(runner);
 	GHashTableIter iter;
 	GString *line;
 	void *value;
@@ -82,10 +109,11 @@
 	g_hash_table_iter_init(&iter, runner->runs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct runner_run *run = value;
+		uint32_t percent = runner_pace_of(runner, run, worst);
 
 		if (run->filler && run->phase == RUNNER_ON && !run->pacing &&
-		    !run->stop && run->pace != runner->pace_limit)
-			runner_set_pace(runner, run);
+		    !run->stop && run->pace != percent)
+			runner_set_pace(runner, run, percent);
 	}
 	if (before == runner->pace_limit)
 		return;
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -270,6 +270,7 @@
 	GBytes *spec;
 	char checkpoint[NAME_BYTES];
 	bool filler;
+	uint32_t press_permille; /* that a filler adds to the worst neighbour */
 	uint32_t target_ms;
 	char ticket[NAME_BYTES]; /* permit of the advice service, "" if none */
 };
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -172,6 +172,7 @@
 	F_U32(flow_order, action),	F_STRING(flow_order, task),
 	F_U32(flow_order, run),		F_BYTES(flow_order, spec),
 	F_STRING(flow_order, checkpoint), F_BOOL(flow_order, filler),
+	F_U32(flow_order, press_permille),
 	F_U32(flow_order, target_ms),	F_STRING(flow_order, ticket),
 };
 static SCHEMA(flow_order_schema, "FlowOrder", flow_order, flow_order_fields);
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -172,7 +172,12 @@
  * is the last one. */
 #define FLOW_DRAIN_LEFT_MS 1500
 /* Costs of a VM, in thousandths of its processors. */
-#define FLOW_COST_PACE 10 /* a percent that its fillers are held back */
+/*
+ * Another serving image: fillers find fewer VMs without a sensitive neighbour.
+ * Above the whole spread of load.
+ */
+#define FLOW_COST_IMAGE 1200
+#define FLOW_PRESSURE_PERMILLE 700 /* expected, of the target */
 #define FLOW_COST_REMOTE 500 /* the data is on another rack */
 #define FLOW_COST_FAILED 2000 /* the task failed there */
 #define FLOW_COST_COLD 300 /* its worker has just started */
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -69,6 +69,7 @@
 	soft->run = run;
 	soft->step = &flow->record.steps[state_flow_step(flow, task)];
 	soft->vm = vm;
+	soft->pace = 100;
 	soft->progress_us = flows->control->node->now_us;
 	flow_vm_count(vm, soft->step, true);
 	g_hash_table_add(vm->runs, soft);
@@ -364,6 +365,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	flows->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      flow_orders_free);
+	flows->pressure = pressure_new();
 	flows->ranks = g_array_new(FALSE, FALSE, sizeof(struct flow_rank));
 	flows->changes = g_array_new(FALSE, FALSE, sizeof(struct flow_change));
 	flows->change_timer = (struct timer){ flow_propose_changes, flows };
@@ -392,6 +394,7 @@
 	g_hash_table_unref(flows->runs);
 	g_hash_table_unref(flows->vms);
 	g_array_unref(flows->ranks);
+	pressure_free(flows->pressure);
 	g_array_unref(flows->changes);
 	g_free(flows);
 }
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -5,6 +5,7 @@
 
 #include "control_flow.h"
 #include "control_impl.h"
+#include "pressure.h"
 #include "timer.h"
 
 #define FLOW_EARLIER_IDS 4 /* late reports come from the last few */
@@ -36,7 +37,9 @@
 	uint32_t filler_cpu_millis;
 	uint32_t memory_mib;
 	uint32_t accelerators;
-	uint32_t pace; /* percent at which its fillers may work */
+	uint32_t pace; /* lowest of its fillers, in percent */
+	uint64_t fillers_mark; /* which fillers work, and at which pace */
+	uint64_t fillers_us; /* since when */
 	uint32_t fail_permille; /* share of failed ends, newest weigh most */
 	uint64_t shun_until_us; /* nothing is placed before */
 	uint32_t shun_ms; /* length of the last such time */
@@ -59,6 +62,7 @@
 	uint64_t ordered_node; /* incarnation that got it */
 	uint64_t on_us;
 	uint32_t percent;
+	uint32_t pace; /* percent at which it may work */
 	uint64_t progress_us; /* when percent changed last */
 	char checkpoint[NAME_BYTES];
 	uint32_t figure;
@@ -75,6 +79,7 @@
 	uint32_t lease_ms; /* of workers, in each grant */
 	GHashTable *vms; /* name -> struct flow_vm * */
 	GHashTable *runs; /* task name -> struct flow_soft * */
+	struct pressure *pressure;
 	GArray *ranks; /* struct flow_rank, by priority and due_ms */
 	GArray *changes; /* struct flow_change to be proposed */
 	GHashTable *orders; /* vm name -> GArray of struct flow_order */
@@ -117,6 +122,21 @@
 			     const struct flow_run *run);
 void control_flow_send_orders(void *data, uint64_t now_us);
 
+/* control_flow_pressure.c */
+/** Learns from the figures that a report brought. */
+void control_flow_learn(struct control_flow *flows, struct flow_vm *vm);
+/** Pressure that a filler at full pace adds to the worst serving task. */
+uint32_t control_flow_press(const struct control_flow *flows,
+			    const struct flow_vm *vm,
+			    const struct flow_step *step);
+/** Pressure on the worst serving task if a filler came to the VM, permille. */
+uint32_t control_flow_pressure(const struct control_flow *flows,
+			       const struct flow_vm *vm,
+			       const struct flow_step *step);
+/** Serving images on the VM besides the step's own. */
+uint32_t control_flow_other_images(const struct flow_vm *vm,
+				   const struct flow_step *step);
+
 /* control_flow_place.c */
 void control_flow_place_soon(struct control_flow *flows);
 void control_flow_place(void *data, uint64_t now_us);
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -43,6 +43,9 @@
 	TEXT_SET(order.checkpoint, record->tasks[soft->task].checkpoint);
 	order.filler = soft->step->filler;
 	order.target_ms = soft->step->target_ms;
+	if (soft->step->filler)
+		order.press_permille =
+			control_flow_press(flows, soft->vm, soft->step);
 	counter_add(flows->control->node->counters, "start_orders", 1);
 	flow_order_add(flows, soft->vm, &order);
 }
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -148,6 +148,14 @@
 	       flow_vm_stage_runs(vm, need) < step->max_per_vm;
 }
 
+/* What fillers do to serving tasks costs little until they come near. */
+static uint64_t flow_cost_pressure(uint64_t permille)
+{
+	return permille / 4 + (permille > FLOW_PRESSURE_PERMILLE ?
+				       (permille - FLOW_PRESSURE_PERMILLE) * 4 :
+				       0);
+}
+
 /* Lower is better; thousandths of the VM's processors. */
 static uint64_t flow_vm_cost(const struct flow_vm *vm,
 			     const struct flow_need *need)
@@ -159,7 +167,11 @@
 			1000 / capacity;
 
 	if (step->filler)
-		cost += (100 - MIN(vm->pace, 100)) * FLOW_COST_PACE;
+		cost += flow_cost_pressure(
+			control_flow_pressure(need->flows, vm, step));
+	else if (step->target_ms)
+		cost += (uint64_t)control_flow_other_images(vm, step) *
+			FLOW_COST_IMAGE;
 	if (step->data_rack[0] && strcmp(vm->worker.rack, step->data_rack) != 0)
 		cost += FLOW_COST_REMOTE;
 	if (vm == need->avoid)
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -87,6 +87,7 @@
 			soft->progress_us = now_us;
 		soft->percent = run->percent;
 		soft->figure = run->figure;
+		soft->pace = run->pace;
 		if (run->checkpoint[0])
 			TEXT_SET(soft->checkpoint, run->checkpoint);
 		if (soft->step->filler)
@@ -307,6 +308,7 @@
 	if (vm->worker.draining)
 		flow_drain(flows, vm);
 	flow_stalled(flows, vm);
+	control_flow_learn(flows, vm);
 	control_flow_grant(flows, vm);
 }
 
