--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -156,6 +156,22 @@
 				       0);
 }
 
+/*
+ * Serving tasks of one image fill VM after VM, so that each filler image finds
+ * some without a neighbour that it presses.
+ */
+static uint64_t flow_cost_serving(const struct flow_vm *vm,
+				  const struct flow_step *step, uint64_t load)
+{
+	uint32_t others = control_flow_other_images(vm, step);
+
+	if (others)
+		return (uint64_t)others * FLOW_COST_IMAGE + load;
+	if (!vm->lasting_cpu_millis)
+		return FLOW_COST_IMAGE / 2;
+	return (FLOW_COST_IMAGE - MIN(load, FLOW_COST_IMAGE)) / 4;
+}
+
 /* Lower is better; thousandths of the VM's processors. */
 static uint64_t flow_vm_cost(const struct flow_vm *vm,
 			     const struct flow_need *need)
@@ -170,8 +186,7 @@
 		cost += flow_cost_pressure(
 			control_flow_pressure(need->flows, vm, step));
 	else if (step->target_ms)
-		cost += (uint64_t)control_flow_other_images(vm, step) *
-			FLOW_COST_IMAGE;
+		cost = flow_cost_serving(vm, step, cost);
 	if (step->data_rack[0] && strcmp(vm->worker.rack, step->data_rack) != 0)
 		cost += FLOW_COST_REMOTE;
 	if (vm == need->avoid)
