--- a/src/codec/bundle_doc.c
+++ b/src/codec/bundle_doc.c
@@ -200,16 +200,33 @@
 	return res;
 }
 
+/* Members that earlier releases didn't have. */
+static const char *const late_members[] = { "queues", "pools", "document" };
+
+static bool bundle_has_late_members(const struct bundle *bundle)
+{
+	return bundle->nr_queues || bundle->nr_pools ||
+	       (bundle->document && g_bytes_get_size(bundle->document));
+}
+
 void bundle_doc_digest(const struct bundle *bundle, char digest[DIGEST_BYTES])
 {
 	struct bundle content = *bundle; /* borrows the arrays */
+	JsonNode *node;
 	char *hex;
 	char *text;
 
 	content.digest[0] = '\0';
 	content.submitted_by[0] = '\0';
 	content.signed_by[0] = '\0';
-	text = json_text_from_body(CMD_BUNDLE_SUBMIT, &content, FALSE);
+	node = json_from_body(CMD_BUNDLE_SUBMIT, &content);
+	/* Documents without them keep the digest that they had. */
+	for (size_t i = 0; i < G_N_ELEMENTS(late_members); i++)
+		if (!bundle_has_late_members(bundle))
+			json_object_remove_member(json_node_get_object(node),
+						  late_members[i]);
+	text = json_to_string(node, FALSE);
+	json_node_unref(node);
 	hex = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text, -1);
 	text_set(digest, DIGEST_BYTES, hex);
 	g_free(hex);
--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -280,8 +280,7 @@
 		again = true;
 	}
 	if (again)
-		node_timer_ms(runner->node, &runner->run_timer,
-			      STOP_REPEAT_MS);
+		node_timer_ms(runner->node, &runner->run_timer, STOP_REPEAT_MS);
 }
 
 /* ---- lives of the worker ---- */
@@ -320,8 +319,7 @@
 		    run->phase != RUNNER_UNSURE)
 			continue;
 		TEXT_SET(unsure.task, run->task);
-		unsure.until_us =
-			runner->node->now_us + LATE_CALL_MS * 1000ull;
+		unsure.until_us = runner->node->now_us + LATE_CALL_MS * 1000ull;
 		g_array_append_val(runner->unsure, unsure);
 	}
 }
@@ -400,7 +398,7 @@
 	switch (reply->verdict) {
 	case EXEC_DONE:
 		runner_set_phase(runner, run, RUNNER_ON);
-		runner_log_run(runner, "run-started", run->task, run->run,
+		runner_log_run(runner, "task-started", run->task, run->run,
 			       "started", RESULT_OK);
 		if (run->stop)
 			runner_stop(runner, run);
@@ -410,11 +408,11 @@
 	case EXEC_NOT_SENT:
 	case EXEC_REFUSED:
 	case EXEC_OTHER_LIFE:
-		runner_drop(runner, run,
-			    reply->verdict == EXEC_REFUSED ? reply->result :
-			    reply->verdict == EXEC_NOT_SENT ?
-							     RESULT_NO_UPSTREAM :
-							     RESULT_OTHER_LIFE);
+		runner_drop(
+			runner, run,
+			reply->verdict == EXEC_REFUSED	? reply->result :
+			reply->verdict == EXEC_NOT_SENT ? RESULT_NO_UPSTREAM :
+							  RESULT_OTHER_LIFE);
 		break;
 	default:
 		/* It may come later; a stop makes sure that it doesn't. */
@@ -576,8 +574,7 @@
 void runner_call_done(struct runner *runner, uint64_t call_nr,
 		      const struct exec_reply *reply)
 {
-	struct runner_call *call =
-		g_hash_table_lookup(runner->calls, &call_nr);
+	struct runner_call *call = g_hash_table_lookup(runner->calls, &call_nr);
 
 	if (!call)
 		return;
@@ -629,8 +626,8 @@
 static void runner_add_unsure(struct runner *runner, GArray *runs)
 {
 	for (guint i = runner->unsure->len; i-- > 0;) {
-		const struct runner_unsure *unsure = &g_array_index(
-			runner->unsure, struct runner_unsure, i);
+		const struct runner_unsure *unsure =
+			&g_array_index(runner->unsure, struct runner_unsure, i);
 		struct flow_run item = { 0 };
 
 		if (unsure->until_us <= runner->node->now_us) {
@@ -767,7 +764,7 @@
 	}
 	run->ordered = true;
 	if (!run->stop)
-		runner_log_run(runner, "run-stop", run->task, run->run,
+		runner_log_run(runner, "task-stopping", run->task, run->run,
 			       "ordered", RESULT_OK);
 	runner_stop(runner, run);
 }
@@ -909,7 +906,8 @@
 		g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
 	runner->refusals =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	runner->unsure = g_array_new(FALSE, FALSE, sizeof(struct runner_unsure));
+	runner->unsure =
+		g_array_new(FALSE, FALSE, sizeof(struct runner_unsure));
 	runner->report_timer = (struct timer){ runner_report, runner };
 	runner->hold_timer = (struct timer){ runner_hold_due, runner };
 	runner->run_timer = (struct timer){ runner_run_due, runner };
--- a/src/core/agent/runner_pace.c
+++ b/src/core/agent/runner_pace.c
@@ -105,9 +105,9 @@
 		runner->over_since_us = runner->node->now_us;
 	/* Figures are means of the last while: an effect shows after it. */
 	if (runner->node->now_us >= runner->pace_due_us) {
-		runner->pace_limit = pace_next(
-			before, pressure,
-			runner->node->now_us - runner->over_since_us);
+		runner->pace_limit =
+			pace_next(before, pressure,
+				  runner->node->now_us - runner->over_since_us);
 		if (runner->pace_limit != before)
 			runner->pace_due_us =
 				runner->node->now_us + PACE_EFFECT_MS * 1000ull;
--- a/src/core/base/flow.c
+++ b/src/core/base/flow.c
@@ -3,8 +3,8 @@
 const char *flow_end_name(uint32_t end)
 {
 	static const char *const names[] = {
-		"none",	  "done",   "failed", "stopped", "lapsed",
-		"broken", "alone",  "lost",   "refused",
+		"none",	  "done",  "failed", "stopped", "lapsed",
+		"broken", "alone", "lost",   "refused",
 	};
 
 	return end < G_N_ELEMENTS(names) ? names[end] : "unknown";
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -3,31 +3,22 @@
 #include "schema_tables.h"
 
 static const struct field flow_step_fields[] = {
-	F_U32(flow_step, count),
-	F_U32(flow_step, cpu_millis),
-	F_U32(flow_step, memory_mib),
-	F_U32(flow_step, accelerators),
-	F_U32(flow_step, estimate_ms),
-	F_U64S(flow_step, after),
-	F_BOOL(flow_step, checkpoints),
-	F_BOOL(flow_step, gang),
-	F_BOOL(flow_step, same_rack),
-	F_BOOL(flow_step, copies),
-	F_BOOL(flow_step, lasting),
-	F_BOOL(flow_step, filler),
-	F_STRING(flow_step, image),
-	F_STRING(flow_step, label),
-	F_STRING(flow_step, data_rack),
-	F_U32(flow_step, max_per_vm),
-	F_U32(flow_step, target_ms),
-	F_U32(flow_step, max_unavailable),
+	F_U32(flow_step, count),	F_U32(flow_step, cpu_millis),
+	F_U32(flow_step, memory_mib),	F_U32(flow_step, accelerators),
+	F_U32(flow_step, estimate_ms),	F_U64S(flow_step, after),
+	F_BOOL(flow_step, checkpoints), F_BOOL(flow_step, gang),
+	F_BOOL(flow_step, same_rack),	F_BOOL(flow_step, copies),
+	F_BOOL(flow_step, lasting),	F_BOOL(flow_step, filler),
+	F_STRING(flow_step, image),	F_STRING(flow_step, label),
+	F_STRING(flow_step, data_rack), F_U32(flow_step, max_per_vm),
+	F_U32(flow_step, target_ms),	F_U32(flow_step, max_unavailable),
 };
 static SCHEMA(flow_step_schema, "FlowStep", flow_step, flow_step_fields);
 
 static const struct field flow_task_fields[] = {
-	F_U32(flow_task, state),       F_U32(flow_task, run),
-	F_U32(flow_task, nr_failures), F_STRING(flow_task, vm),
-	F_STRING(flow_task, worker),   F_U64(flow_task, born_ms),
+	F_U32(flow_task, state),	 F_U32(flow_task, run),
+	F_U32(flow_task, nr_failures),	 F_STRING(flow_task, vm),
+	F_STRING(flow_task, worker),	 F_U64(flow_task, born_ms),
 	F_STRING(flow_task, checkpoint),
 };
 static SCHEMA(flow_task_schema, "FlowTask", flow_task, flow_task_fields);
@@ -54,11 +45,11 @@
 SCHEMA(flow_record_schema, "FlowRecord", flow_record, flow_record_fields);
 
 static const struct field bundle_queue_fields[] = {
-	F_STRING(bundle_queue, name),	F_STRING(bundle_queue, host),
-	F_STRING(bundle_queue, prefix), F_STRING(bundle_queue, service),
-	F_U32(bundle_queue, priority),	F_U32(bundle_queue, attempts),
+	F_STRING(bundle_queue, name),	     F_STRING(bundle_queue, host),
+	F_STRING(bundle_queue, prefix),	     F_STRING(bundle_queue, service),
+	F_U32(bundle_queue, priority),	     F_U32(bundle_queue, attempts),
 	F_U32(bundle_queue, slack_permille), F_U32(bundle_queue, slo_ms),
-	F_U32(bundle_queue, timeout_ms), F_BOOL(bundle_queue, advised),
+	F_U32(bundle_queue, timeout_ms),     F_BOOL(bundle_queue, advised),
 };
 SCHEMA(bundle_queue_schema, "BundleQueue", bundle_queue, bundle_queue_fields);
 
@@ -70,10 +61,10 @@
 SCHEMA(bundle_pool_schema, "BundlePool", bundle_pool, bundle_pool_fields);
 
 static const struct field flow_change_fields[] = {
-	F_STRING(flow_change, id),     F_U32(flow_change, task),
-	F_U32(flow_change, kind),      F_U32(flow_change, run),
-	F_U32(flow_change, end),       F_STRING(flow_change, vm),
-	F_STRING(flow_change, worker), F_U64(flow_change, born_ms),
+	F_STRING(flow_change, id),	   F_U32(flow_change, task),
+	F_U32(flow_change, kind),	   F_U32(flow_change, run),
+	F_U32(flow_change, end),	   F_STRING(flow_change, vm),
+	F_STRING(flow_change, worker),	   F_U64(flow_change, born_ms),
 	F_STRING(flow_change, checkpoint),
 };
 static SCHEMA(flow_change_schema, "FlowChange", flow_change,
@@ -102,8 +93,10 @@
 	      cmd_flow_expire_fields);
 
 static const struct field flow_call_fields[] = {
-	F_U64(flow_call, ticket),   F_U32(flow_call, kind),
-	F_STRING(flow_call, host),  F_STRING(flow_call, path),
+	F_U64(flow_call, ticket),
+	F_U32(flow_call, kind),
+	F_STRING(flow_call, host),
+	F_STRING(flow_call, path),
 	F_MANY(flow_call, flows, flow_record_schema),
 };
 static SCHEMA(flow_call_schema, "FlowCall", flow_call, flow_call_fields);
@@ -117,13 +110,13 @@
 static SCHEMA(flow_reply_schema, "FlowReply", flow_reply, flow_reply_fields);
 
 static const struct field worker_life_fields[] = {
-	F_STRING(worker_life, id),	 F_U64(worker_life, born_ms),
-	F_STRING(worker_life, service),	 F_STRING(worker_life, machine),
-	F_U32(worker_life, cpu_millis),	 F_U32(worker_life, memory_mib),
+	F_STRING(worker_life, id),	  F_U64(worker_life, born_ms),
+	F_STRING(worker_life, service),	  F_STRING(worker_life, machine),
+	F_U32(worker_life, cpu_millis),	  F_U32(worker_life, memory_mib),
 	F_U32(worker_life, accelerators), F_STRING(worker_life, kind),
-	F_STRING(worker_life, rack),	 F_BOOL(worker_life, draining),
-	F_BOOL(worker_life, ended),
-	F_U32(worker_life, remaining_ms), F_U32(worker_life, warmup_ms),
+	F_STRING(worker_life, rack),	  F_BOOL(worker_life, draining),
+	F_BOOL(worker_life, ended),	  F_U32(worker_life, remaining_ms),
+	F_U32(worker_life, warmup_ms),
 };
 static SCHEMA(worker_life_schema, "WorkerLife", worker_life,
 	      worker_life_fields);
@@ -131,9 +124,8 @@
 static const struct field flow_run_fields[] = {
 	F_STRING(flow_run, task),	F_U32(flow_run, run),
 	F_BOOL(flow_run, unconfirmed),	F_BOOL(flow_run, unordered),
-	F_STRING(flow_run, checkpoint),
-	F_U32(flow_run, percent),	F_U32(flow_run, figure),
-	F_U32(flow_run, pace),
+	F_STRING(flow_run, checkpoint), F_U32(flow_run, percent),
+	F_U32(flow_run, figure),	F_U32(flow_run, pace),
 };
 static SCHEMA(flow_run_schema, "FlowRun", flow_run, flow_run_fields);
 
@@ -161,19 +153,23 @@
 	      flow_report_fields);
 
 static const struct field flow_grant_fields[] = {
-	F_U64(flow_grant, seq),	      F_U64(flow_grant, sent_us),
-	F_U64(flow_grant, term),      F_U32(flow_grant, lease_ms),
-	F_STRING(flow_grant, worker), F_U64(flow_grant, born_ms),
+	F_U64(flow_grant, seq),	       F_U64(flow_grant, sent_us),
+	F_U64(flow_grant, term),       F_U32(flow_grant, lease_ms),
+	F_STRING(flow_grant, worker),  F_U64(flow_grant, born_ms),
 	F_U64(flow_grant, settled_nr),
 };
 static SCHEMA(flow_grant_schema, "FlowGrant", flow_grant, flow_grant_fields);
 
 static const struct field flow_order_fields[] = {
-	F_U32(flow_order, action),	F_STRING(flow_order, task),
-	F_U32(flow_order, run),		F_BYTES(flow_order, spec),
-	F_STRING(flow_order, checkpoint), F_BOOL(flow_order, filler),
+	F_U32(flow_order, action),
+	F_STRING(flow_order, task),
+	F_U32(flow_order, run),
+	F_BYTES(flow_order, spec),
+	F_STRING(flow_order, checkpoint),
+	F_BOOL(flow_order, filler),
 	F_U32(flow_order, press_permille),
-	F_U32(flow_order, target_ms),	F_STRING(flow_order, ticket),
+	F_U32(flow_order, target_ms),
+	F_STRING(flow_order, ticket),
 };
 static SCHEMA(flow_order_schema, "FlowOrder", flow_order, flow_order_fields);
 
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -181,8 +181,6 @@
 #define FLOW_COST_REMOTE 500 /* the data is on another rack */
 #define FLOW_COST_FAILED 2000 /* the task failed there */
 #define FLOW_COST_COLD 300 /* its worker has just started */
-/* A workflow that no VM can hold is failed after this, as VMs come and go. */
-#define FLOW_NEVER_FITS_MS 8000
 
 /*
  * Pace of fillers, by the worst tail latency in percent of its target. Below
@@ -194,7 +192,8 @@
 #define PACE_NEAR_KEEP 75
 #define PACE_CLEAR_PERCENT 76
 #define PACE_STEP_PERCENT 6
-/* Over the target for this long, fillers stop; 4 s break the platform's rule. */
+/* Over the target for this long, fillers stop; 4 s break the platform's rule.
+ */
 #define PACE_OVER_MAX_MS 1500
 /* Figures are means of half a second, and a pace acts 100 ms later. */
 #define PACE_EFFECT_MS 600
--- a/src/core/control/control.h
+++ b/src/core/control/control.h
@@ -32,7 +32,8 @@
 	uint32_t worker_lease_ms; /* longest that workers take, 0: unlimited */
 	bool no_formation; /* a fresh replica waits to be added to a group */
 	bool open; /* replicas outside the list may join */
-	uint32_t losses; /* replicas that may be lost at a time, 0: by the list */
+	uint32_t losses; /* replicas that may be lost at a time, 0: by the list
+			  */
 };
 
 struct control *control_new(struct node *node, const struct control_opts *opts);
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -25,8 +25,8 @@
 	vm->ends = g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
 	vm->pace = 100;
 	/* Grants of an earlier leader end after this. */
-	vm->lapse_us = flows->control->leader_since_us +
-		       flows->lease_ms * 1000ull;
+	vm->lapse_us =
+		flows->control->leader_since_us + flows->lease_ms * 1000ull;
 	g_hash_table_insert(flows->vms, vm->name, vm);
 	return vm;
 }
@@ -215,10 +215,11 @@
 		return;
 	}
 	vm->fail_permille += 1000 / FLOW_FAIL_WEIGHT;
-	if (vm->fail_permille < FLOW_SHUN_PERMILLE || vm->shun_until_us > now_us)
+	if (vm->fail_permille < FLOW_SHUN_PERMILLE ||
+	    vm->shun_until_us > now_us)
 		return;
-	vm->shun_ms = CLAMP(vm->shun_ms * 2, FLOW_SHUN_MIN_MS,
-			    FLOW_SHUN_MAX_MS);
+	vm->shun_ms =
+		CLAMP(vm->shun_ms * 2, FLOW_SHUN_MIN_MS, FLOW_SHUN_MAX_MS);
 	vm->shun_until_us = now_us + vm->shun_ms * 1000ull;
 	/* One more failure afterwards is enough to shun it again. */
 	vm->fail_permille = FLOW_SHUN_PERMILLE - 1000 / FLOW_FAIL_WEIGHT;
@@ -261,8 +262,8 @@
 	if (end == FLOW_END_NONE) {
 		vm = control_flow_vm(flows, record->vm);
 		if (!soft)
-			soft = control_flow_take(flows, flow, task,
-						 record->run, vm);
+			soft = control_flow_take(flows, flow, task, record->run,
+						 vm);
 		soft->committed = true;
 		control_flow_order_start(flows, soft);
 		return;
--- a/src/core/control/control_flow_call.c
+++ b/src/core/control/control_flow_call.c
@@ -19,9 +19,8 @@
 	node_send(control->node, to, MSG_FLOW_REPLY, &reply);
 }
 
-static const struct bundle_queue *flow_queue_of(const struct bundle *bundle,
-						const char *host,
-						const char *path)
+static const struct bundle_queue *
+flow_queue_of(const struct bundle *bundle, const char *host, const char *path)
 {
 	const struct bundle_queue *best = NULL;
 
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -115,8 +115,8 @@
 bool control_flow_is_life(const struct flow_soft *soft);
 void control_flow_order_start(struct control_flow *flows,
 			      struct flow_soft *soft);
-void control_flow_order_stop(struct control_flow *flows,
-			     struct flow_soft *soft, const char *why);
+void control_flow_order_stop(struct control_flow *flows, struct flow_soft *soft,
+			     const char *why);
 /** Stops a run that the committed state doesn't have. */
 void control_flow_order_kill(struct control_flow *flows, struct flow_vm *vm,
 			     const struct flow_run *run);
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -20,8 +20,8 @@
 		const struct flow_step *step = &record->steps[i];
 
 		for (uint32_t j = 0; j < step->nr_after; j++)
-			chain_ms[i] = MAX(chain_ms[i],
-					  chain_ms[step->after[j]]);
+			chain_ms[i] =
+				MAX(chain_ms[i], chain_ms[step->after[j]]);
 		chain_ms[i] += step->lasting ? 0 : step->estimate_ms;
 		longest_ms = MAX(longest_ms, chain_ms[i]);
 	}
@@ -140,8 +140,7 @@
 		    vm->filler_cpu_millis + step->cpu_millis >
 			    flow_vm_unused_cpu(vm))
 			return false;
-	} else if (vm->cpu_millis + step->cpu_millis >
-		   vm->worker.cpu_millis) {
+	} else if (vm->cpu_millis + step->cpu_millis > vm->worker.cpu_millis) {
 		return false;
 	}
 	return !step->max_per_vm ||
@@ -251,8 +250,8 @@
 				       struct flow_vm *vm)
 {
 	struct flow_change change = { .kind = FLOW_CHANGE_PLACE };
-	struct flow_soft *soft = control_flow_take(need->flows, need->flow,
-						   task, run, vm);
+	struct flow_soft *soft =
+		control_flow_take(need->flows, need->flow, task, run, vm);
 
 	TEXT_SET(change.id, need->flow->record.id);
 	change.task = task;
@@ -294,10 +293,9 @@
 
 		all = vm != NULL;
 		if (all)
-			g_ptr_array_add(taken,
-					control_flow_take(need->flows,
-							  need->flow, first + i,
-							  run, vm));
+			g_ptr_array_add(taken, control_flow_take(
+						       need->flows, need->flow,
+						       first + i, run, vm));
 	}
 	for (guint i = 0; i < taken->len; i++) {
 		struct flow_soft *soft = taken->pdata[i];
@@ -369,7 +367,8 @@
 			  stage / record->nr_steps * record->interval_ms;
 
 	/* The only use of the time of day, which may jump. */
-	return !record->repeats || opts->host->wall_ms(opts->host_ctx) >= due_ms;
+	return !record->repeats ||
+	       opts->host->wall_ms(opts->host_ctx) >= due_ms;
 }
 
 static void flow_place_all(struct control_flow *flows, struct state_flow *flow)
--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -124,10 +124,9 @@
 		const struct flow_soft *soft = key;
 
 		if (soft_serves(soft))
-			worst = MAX(worst,
-				    pressure_predict(flows->pressure,
-						     soft->step->image,
-						     &filler));
+			worst = MAX(worst, pressure_predict(flows->pressure,
+							    soft->step->image,
+							    &filler));
 	}
 	return worst;
 }
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -43,12 +43,12 @@
 	TEXT_SET(grant.worker, vm->worker.id);
 	grant.born_ms = vm->worker.born_ms;
 	grant.settled_nr = vm->settled_nr;
-	/* Without a lease the grant still tells the term, for the first look. */
+	/* Without a lease the grant still tells the term, for the first look.
+	 */
 	if (!vm->losing && vm->reachable && vm->looked && !vm->worker.ended) {
 		grant.lease_ms = flows->lease_ms;
 		vm->lapse_us = MAX(vm->lapse_us,
-				   vm->reported_us +
-					   flows->lease_ms * 1000ull);
+				   vm->reported_us + flows->lease_ms * 1000ull);
 	}
 	counter_add(control->node->counters, "flow_grants", 1);
 	node_send(control->node, vm->node_id, MSG_FLOW_GRANT, &grant);
--- a/src/core/control/control_op.c
+++ b/src/core/control/control_op.c
@@ -137,9 +137,8 @@
 	const struct bundle *in_force = control->state->bundles.in_force;
 
 	if (in_force)
-		control->opts.host->operator_respond(control->opts.host_ctx,
-						     ticket, OP_BUNDLE,
-						     in_force);
+		control->opts.host->operator_respond(
+			control->opts.host_ctx, ticket, OP_BUNDLE, in_force);
 	else
 		control_op_reply(control, ticket, RESULT_NO_BUNDLE, NULL);
 }
--- a/src/core/control/control_view.c
+++ b/src/core/control/control_view.c
@@ -28,8 +28,7 @@
 
 static void control_view_add_bundle(struct control_view_build *build)
 {
-	const struct bundle *in_force =
-		build->control->state->bundles.in_force;
+	const struct bundle *in_force = build->control->state->bundles.in_force;
 
 	if (!in_force)
 		return;
--- a/src/core/entry/intake.c
+++ b/src/core/entry/intake.c
@@ -142,10 +142,10 @@
 	call->message.type = MSG_FLOW_CALL;
 	call->message.body = schema_dup(MSG_FLOW_CALL, message);
 	call->began_us = now_us;
-	call->deadline_us =
-		now_us +
-		(timeout_ms ? timeout_ms - timeout_ms / 10 : INTAKE_TIMEOUT_MS) *
-			1000ull;
+	call->deadline_us = now_us + (timeout_ms ?
+					      timeout_ms - timeout_ms / 10 :
+					      INTAKE_TIMEOUT_MS) *
+					     1000ull;
 	call->timer = (struct timer){ intake_due, call };
 	g_hash_table_insert(intake->calls, &call->ticket, call);
 	intake_due(call, now_us);
--- a/src/core/plan/pressure.c
+++ b/src/core/plan/pressure.c
@@ -21,10 +21,10 @@
 {
 	struct pressure *pressure = g_new0(struct pressure, 1);
 
-	pressure->weights = g_hash_table_new_full(g_str_hash, g_str_equal,
-						  g_free, g_free);
-	pressure->bases = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-						g_free);
+	pressure->weights =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pressure->bases =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return pressure;
 }
 
@@ -77,17 +77,17 @@
 
 /* Spreads the error over the fillers by their squared share of the cores. */
 static void learn(struct pressure *pressure, const char *serving,
-		  int64_t error_permille,
-		  const struct pressure_filler *fillers, uint32_t nr_fillers)
+		  int64_t error_permille, const struct pressure_filler *fillers,
+		  uint32_t nr_fillers)
 {
 	int64_t power = 0;
 
 	for (uint32_t i = 0; i < nr_fillers; i++)
 		power += (int64_t)fillers[i].cpu_millis * fillers[i].cpu_millis;
 	for (uint32_t i = 0; i < nr_fillers && power; i++) {
-		int64_t *weight = number_at(
-			pressure->weights,
-			pair_key(serving, fillers[i].image), PRIOR_PPM);
+		int64_t *weight = number_at(pressure->weights,
+					    pair_key(serving, fillers[i].image),
+					    PRIOR_PPM);
 		int64_t step = error_permille * fillers[i].cpu_millis *
 			       1000000 / power * LEARN_PERCENT / 100;
 
--- a/src/core/raft/raft.h
+++ b/src/core/raft/raft.h
@@ -74,7 +74,8 @@
 	 * begin.
 	 */
 	bool open;
-	/** Replicas that may be lost at a time; 0: less than half of the list. */
+	/** Replicas that may be lost at a time; 0: less than half of the list.
+	 */
 	uint32_t losses;
 	bool no_formation; /* a fresh replica waits to be added to a group */
 	uint32_t snapshot_entries; /* 0: RAFT_SNAPSHOT_ENTRIES */
--- a/src/core/state/state_bundle.c
+++ b/src/core/state/state_bundle.c
@@ -77,8 +77,8 @@
 static enum result state_bundle_check_queues(const struct bundle *bundle,
 					     const char **message)
 {
-	GHashTable *seen = g_hash_table_new_full(g_str_hash, g_str_equal,
-						 g_free, NULL);
+	GHashTable *seen =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	enum result result = RESULT_OK;
 
 	if (!state_bundle_names_ok(bundle->pools, bundle->nr_pools,
@@ -95,9 +95,9 @@
 		} else if (!queue->timeout_ms) {
 			*message = "a queue's time limit is 0";
 			result = RESULT_OUT_OF_RANGE;
-		} else if (!g_hash_table_add(seen,
-					     g_strconcat(queue->host, "\n",
-							 queue->prefix, NULL))) {
+		} else if (!g_hash_table_add(
+				   seen, g_strconcat(queue->host, "\n",
+						     queue->prefix, NULL))) {
 			*message = "two queues have the same host and prefix";
 			result = RESULT_MALFORMED;
 		}
--- a/src/core/state/state_flow.c
+++ b/src/core/state/state_flow.c
@@ -169,8 +169,7 @@
 		result = check_step(record, i, message);
 		nr_tasks += record->steps[i].count;
 	}
-	if (!result &&
-	    nr_tasks * MAX(record->repeats, 1) > FLOW_MAX_TASKS) {
+	if (!result && nr_tasks * MAX(record->repeats, 1) > FLOW_MAX_TASKS) {
 		*message = "a workflow has too many tasks";
 		result = RESULT_OUT_OF_RANGE;
 	}
@@ -305,13 +304,14 @@
 	state_flow_task_changed(state, flow, change->task, FLOW_END_NONE);
 }
 
-static void task_done(struct state *state, struct state_flow *flow,
-		      uint32_t nr, uint64_t now_ms)
+static void task_done(struct state *state, struct state_flow *flow, uint32_t nr,
+		      uint64_t now_ms)
 {
 	flow->record.tasks[nr].state = FLOW_TASK_DONE;
 	flow->stages[state_flow_stage_of(flow, nr)].nr_done++;
 	flow->nr_done++;
-	if (state_flow_is_active(flow) && flow->nr_done == flow->record.nr_tasks)
+	if (state_flow_is_active(flow) &&
+	    flow->nr_done == flow->record.nr_tasks)
 		state_flow_end(state, flow, FLOW_COMPLETED, now_ms);
 }
 
--- a/src/daemon/http_call.h
+++ b/src/daemon/http_call.h
@@ -26,7 +26,8 @@
 	const char *content_type; /* "" or NULL: none */
 	GBytes *body; /* may be NULL */
 	const char *key; /* Idempotency-Key; "" or NULL: none */
-	/** More headers: names and values by turns, NULL-terminated; or NULL. */
+	/** More headers: names and values by turns, NULL-terminated; or NULL.
+	 */
 	const char *const *headers;
 	uint32_t deadline_ms; /* told to the server; 0: not told */
 	uint32_t timeout_ms; /* the call is given up after this */
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -489,29 +489,13 @@
 	return RESULT_OK;
 }
 
-static enum result settings_fill(struct settings *to,
+static enum result fill_identity(struct settings *to,
 				 const struct setting_values *values,
 				 char **error)
 {
-	static const char *const roles[] = { "", "entry", "agent", "control",
-					     NULL };
-	static const char *const levels[] = { "none", "events", "decisions",
-					      NULL };
-	static const char *const front_ends[] = { "own", "platform", NULL };
-	static const char *const bools[] = { "false", "true", NULL };
-	uint32_t choice = 0;
-	uint32_t number = 0;
-	enum result res;
+	enum result res =
+		values_text(values, SET_NAME, to->name, NAME_BYTES, error);
 
-	if (!values->value[SET_ROLE])
-		return settings_fail(error, RESULT_USAGE, "--role is missing");
-	res = values_choice(values, SET_ROLE, roles, &choice, error);
-	to->role = (enum node_role)choice;
-	if (res == RESULT_OK)
-		res = values_check_role(values, to->role, error);
-	if (res == RESULT_OK)
-		res = values_text(values, SET_NAME, to->name, NAME_BYTES,
-				  error);
 	if (res == RESULT_OK)
 		res = values_text(values, SET_ZONE, to->zone, NAME_BYTES,
 				  error);
@@ -519,8 +503,28 @@
 		res = values_text(values, SET_RACK, to->rack, NAME_BYTES,
 				  error);
 	if (res == RESULT_OK)
-		res = values_address(values, SET_LISTEN, TRUE, to->listen,
-				     error);
+		res = values_text(values, SET_DATA, to->data, PATH_BYTES,
+				  error);
+	if (res == RESULT_OK)
+		res = values_text(values, SET_PORT_FILE, to->port_file,
+				  PATH_BYTES, error);
+	if (res == RESULT_OK)
+		res = values_text(values, SET_NODE_FILE, to->node_file,
+				  PATH_BYTES, error);
+	to->zones = g_strsplit(
+		values->value[SET_ZONES] ? values->value[SET_ZONES] : "", ",",
+		-1);
+	return res;
+}
+
+static enum result fill_addresses(struct settings *to,
+				  const struct setting_values *values,
+				  char **error)
+{
+	uint32_t port = 0;
+	enum result res =
+		values_address(values, SET_LISTEN, TRUE, to->listen, error);
+
 	if (res == RESULT_OK)
 		res = check_listen(to, error);
 	if (res == RESULT_OK)
@@ -528,71 +532,74 @@
 				     to->advertise, error);
 	if (res == RESULT_OK)
 		res = values_address(values, SET_HTTP, TRUE, to->http, error);
-	if (res == RESULT_OK)
-		res = values_number(values, SET_CONTROL_PORT, UINT16_MAX,
-				    &number, error);
-	to->control_port = (uint16_t)number;
-	if (res == RESULT_OK)
-		res = values_control(values, to, error);
-	if (res == RESULT_OK)
-		res = values_choice(values, SET_FRONT_END, front_ends, &choice,
-				    error);
-	to->front_end = (enum front_end)choice;
 	if (res == RESULT_OK)
 		res = values_address(values, SET_READY, FALSE, to->ready,
 				     error);
-	if (res == RESULT_OK)
-		res = values_choice(values, SET_BOOTSTRAP, bools, &choice,
-				    error);
-	to->bootstrap = choice == 1;
-	if (res == RESULT_OK)
-		res = values_number(values, SET_WORKER_LEASE_MS, UINT32_MAX,
-				    &to->worker_lease_ms, error);
-	to->zones = g_strsplit(values->value[SET_ZONES] ?
-				       values->value[SET_ZONES] :
-				       "",
-			       ",", -1);
-	if (res == RESULT_OK)
-		res = values_text(values, SET_NODE_FILE, to->node_file,
-				  PATH_BYTES, error);
-	if (res == RESULT_OK)
-		res = values_text(values, SET_DATA, to->data, PATH_BYTES,
-				  error);
 	if (res == RESULT_OK)
 		res = values_address(values, SET_WORKER, FALSE, to->worker,
 				     error);
 	if (res == RESULT_OK)
-		res = values_number(values, SET_CPU_MILLIS, UINT32_MAX,
-				    &to->cpu_millis, error);
-	if (res == RESULT_OK)
-		res = values_number(values, SET_MEMORY_MIB, UINT32_MAX,
-				    &to->memory_mib, error);
-	if (res == RESULT_OK)
-		res = values_number(values, SET_ACCELERATORS, UINT32_MAX,
-				    &to->accelerators, error);
-	if (res == RESULT_OK)
-		res = values_choice(values, SET_LOG_LEVEL, levels, &choice,
+		res = values_number(values, SET_CONTROL_PORT, UINT16_MAX, &port,
 				    error);
-	to->log_level = (enum log_level)choice;
+	to->control_port = (uint16_t)port;
 	if (res == RESULT_OK)
-		res = values_text(values, SET_PORT_FILE, to->port_file,
-				  PATH_BYTES, error);
-	if (res == RESULT_OK)
-		res = values_number(values, SET_DRAIN_MS, DRAIN_MAX_MS,
-				    &to->drain_ms, error);
+		res = values_control(values, to, error);
+	return res;
+}
+
+static enum result fill_choices(struct settings *to,
+				const struct setting_values *values,
+				char **error)
+{
+	static const char *const levels[] = { "none", "events", "decisions",
+					      NULL };
+	static const char *const front_ends[] = { "own", "platform", NULL };
+	static const char *const bools[] = { "false", "true", NULL };
+	uint32_t level = 0;
+	uint32_t front_end = 0;
+	uint32_t bootstrap = 0;
+	enum result res =
+		values_choice(values, SET_LOG_LEVEL, levels, &level, error);
+
 	if (res == RESULT_OK)
-		res = values_number(values, SET_REPLICA_LOSSES, LOSSES_MAX,
-				    &to->replica_losses, error);
+		res = values_choice(values, SET_FRONT_END, front_ends,
+				    &front_end, error);
 	if (res == RESULT_OK)
-		res = values_number(values, SET_GRACE_S, GRACE_MAX_S, &number,
+		res = values_choice(values, SET_BOOTSTRAP, bools, &bootstrap,
 				    error);
+	to->log_level = (enum log_level)level;
+	to->front_end = (enum front_end)front_end;
+	to->bootstrap = bootstrap == 1;
+	return res;
+}
+
+static enum result fill_numbers(struct settings *to,
+				const struct setting_values *values,
+				char **error)
+{
+	const struct {
+		enum setting_index index;
+		uint32_t max;
+		uint32_t *to;
+	} numbers[] = {
+		{ SET_CPU_MILLIS, UINT32_MAX, &to->cpu_millis },
+		{ SET_MEMORY_MIB, UINT32_MAX, &to->memory_mib },
+		{ SET_ACCELERATORS, UINT32_MAX, &to->accelerators },
+		{ SET_DRAIN_MS, DRAIN_MAX_MS, &to->drain_ms },
+		{ SET_WORKER_LEASE_MS, UINT32_MAX, &to->worker_lease_ms },
+		{ SET_REPLICA_LOSSES, LOSSES_MAX, &to->replica_losses },
+		{ SET_MAX_CONNECTIONS, CONNECTIONS_MAX, &to->max_connections },
+	};
+	uint32_t grace_s = 0;
+	enum result res = values_number(values, SET_GRACE_S, GRACE_MAX_S,
+					&grace_s, error);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(numbers) && res == RESULT_OK; i++)
+		res = values_number(values, numbers[i].index, numbers[i].max,
+				    numbers[i].to, error);
 	/* The rest is left for the process's own end. */
-	if (res == RESULT_OK && number)
-		to->drain_ms = MIN(to->drain_ms, number * 1000 * 4 / 5);
-	if (res == RESULT_OK)
-		res = values_number(values, SET_MAX_CONNECTIONS,
-				    CONNECTIONS_MAX, &to->max_connections,
-				    error);
+	if (grace_s)
+		to->drain_ms = MIN(to->drain_ms, grace_s * 1000 * 4 / 5);
 	if (res == RESULT_OK && !to->max_connections)
 		res = settings_fail(error, RESULT_OUT_OF_RANGE,
 				    "--max-connections must not be 0");
@@ -603,6 +610,32 @@
 	return res;
 }
 
+static enum result settings_fill(struct settings *to,
+				 const struct setting_values *values,
+				 char **error)
+{
+	static const char *const roles[] = { "", "entry", "agent", "control",
+					     NULL };
+	uint32_t role = 0;
+	enum result res;
+
+	if (!values->value[SET_ROLE])
+		return settings_fail(error, RESULT_USAGE, "--role is missing");
+	res = values_choice(values, SET_ROLE, roles, &role, error);
+	to->role = (enum node_role)role;
+	if (res == RESULT_OK)
+		res = values_check_role(values, to->role, error);
+	if (res == RESULT_OK)
+		res = fill_identity(to, values, error);
+	if (res == RESULT_OK)
+		res = fill_addresses(to, values, error);
+	if (res == RESULT_OK)
+		res = fill_choices(to, values, error);
+	if (res == RESULT_OK)
+		res = fill_numbers(to, values, error);
+	return res;
+}
+
 /* Sets what the node file has and neither a flag nor a variable gave. */
 static enum result settings_take_file(struct setting_values *values,
 				      GKeyFile *file, const char *path,
