--- /dev/null
+++ b/tests/flow_world.c
@@ -0,0 +1,527 @@
+#include "flow_world.h"
+
+#include <check.h>
+#include <string.h>
+
+#define CALL_DELAY_US 1000
+#define CALL_TIMEOUT_US 600000
+#define BEAT_MS 1000
+#define TICK_US 10000
+#define VM_CPU_MILLIS 8000
+#define VM_MEMORY_MIB 16000
+#define LATE_MIN_US 2000000
+#define LATE_MAX_US 12000000
+
+/* A call on its way to the worker. */
+struct fw_call {
+	struct fw_vm *vm;
+	uint64_t due_us;
+	uint64_t answer_us; /* 0: none */
+	uint64_t give_up_us;
+	bool carried_out;
+	bool lost; /* no answer; carried out late */
+	uint64_t call_nr;
+	const struct runner *runner; /* that made the call */
+	uint64_t born_ms; /* life it is meant for */
+	enum exec_call_kind kind;
+	char task[NAME_BYTES];
+	uint32_t run;
+	uint64_t fence;
+	uint64_t deadline_ms;
+	uint64_t settled_nr;
+	uint32_t wait_ms;
+};
+
+static uint64_t now_us(const struct flow_world *fw)
+{
+	return vhost_now_us(fw->base->vhost);
+}
+
+static uint64_t clock_ms(const struct fw_vm *vm)
+{
+	return now_us(vm->world) / 1000 - vm->worker.born_ms + 1;
+}
+
+static const struct fw_run *worker_find(const struct fw_worker *worker,
+					const char *task, guint *at)
+{
+	for (guint i = 0; i < worker->runs->len; i++) {
+		struct fw_run *run =
+			&g_array_index(worker->runs, struct fw_run, i);
+
+		if (strcmp(run->task, task) != 0)
+			continue;
+		if (at)
+			*at = i;
+		return run;
+	}
+	return NULL;
+}
+
+static void worker_bar(struct fw_worker *worker, const char *task, uint32_t run)
+{
+	uint32_t known =
+		GPOINTER_TO_UINT(g_hash_table_lookup(worker->barred, task));
+
+	g_hash_table_insert(worker->barred, g_strdup(task),
+			    GUINT_TO_POINTER(MAX(run, known)));
+}
+
+static void worker_end(struct fw_vm *vm, guint i, enum flow_end how)
+{
+	struct fw_worker *worker = &vm->worker;
+	struct fw_run *run = &g_array_index(worker->runs, struct fw_run, i);
+	struct flow_run_end end = { .nr = ++worker->next_end };
+
+	TEXT_SET(end.task, run->task);
+	end.run = run->run;
+	end.end = how;
+	worker_bar(worker, run->task, run->run);
+	if (how == FLOW_END_DONE) {
+		g_hash_table_add(vm->world->done, g_strdup(run->task));
+		g_hash_table_add(vm->world->ended, g_strdup(run->task));
+	}
+	g_array_append_val(worker->ends, end);
+	g_array_remove_index(worker->runs, i);
+}
+
+static void check_start(struct fw_vm *vm, const char *task)
+{
+	struct flow_world *fw = vm->world;
+
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		ck_assert_msg(!worker_find(&fw->vms[i].worker, task, NULL),
+			      "%s runs at %s already", task, fw->vms[i].name);
+	ck_assert_msg(!g_hash_table_contains(fw->done, task), "%s is done",
+		      task);
+	fw->nr_starts++;
+	if (fw->watched_zone && !strcmp(vm->zone, fw->watched_zone))
+		fw->last_start_us = now_us(fw);
+}
+
+static void worker_start(struct fw_call *call, struct exec_reply *reply)
+{
+	struct fw_vm *vm = call->vm;
+	struct fw_worker *worker = &vm->worker;
+	const struct fw_run *known = worker_find(worker, call->task, NULL);
+	struct fw_run run = { .run = call->run,
+			      .started_us = now_us(vm->world) };
+
+	if (known && known->run == call->run)
+		return;
+	reply->verdict = EXEC_REFUSED;
+	reply->result = RESULT_CONFLICT;
+	if (known || call->run <= GPOINTER_TO_UINT(g_hash_table_lookup(
+					  worker->barred, call->task)))
+		return;
+	reply->result = RESULT_LEASE_EXPIRED;
+	if (call->deadline_ms <= clock_ms(vm))
+		return;
+	reply->verdict = EXEC_DONE;
+	check_start(vm, call->task);
+	TEXT_SET(run.task, call->task);
+	g_array_append_val(worker->runs, run);
+}
+
+static void worker_list(struct fw_call *call, struct exec_reply *reply)
+{
+	struct fw_worker *worker = &call->vm->worker;
+
+	while (worker->ends->len &&
+	       g_array_index(worker->ends, struct flow_run_end, 0).nr <=
+		       call->settled_nr)
+		g_array_remove_index(worker->ends, 0);
+	reply->nr_runs = worker->runs->len;
+	reply->runs = g_new0(struct flow_run, MAX(worker->runs->len, 1));
+	for (guint i = 0; i < worker->runs->len; i++) {
+		const struct fw_run *run =
+			&g_array_index(worker->runs, struct fw_run, i);
+
+		TEXT_SET(reply->runs[i].task, run->task);
+		reply->runs[i].run = run->run;
+		reply->runs[i].percent = 100;
+	}
+	reply->nr_ends = worker->ends->len;
+	reply->ends =
+		g_memdup2(worker->ends->data,
+			  worker->ends->len * sizeof(struct flow_run_end));
+}
+
+static void worker_carry_out(struct fw_call *call, struct exec_reply *reply)
+{
+	struct fw_vm *vm = call->vm;
+	struct fw_worker *worker = &vm->worker;
+	guint at = 0;
+
+	call->carried_out = true;
+	reply->verdict = EXEC_DONE;
+	if (worker->born_ms != call->born_ms) {
+		reply->verdict = EXEC_OTHER_LIFE;
+		return;
+	}
+	reply->clock_ms = clock_ms(vm);
+	if (call->fence < worker->fence) {
+		reply->verdict = EXEC_REFUSED;
+		reply->result = RESULT_STALE;
+		return;
+	}
+	worker->fence = call->fence;
+	if (call->deadline_ms)
+		worker->lease_ms = MAX(worker->lease_ms, call->deadline_ms);
+	if (call->kind == EXEC_START)
+		worker_start(call, reply);
+	else if (call->kind == EXEC_HOLD)
+		worker_list(call, reply);
+	if (call->kind != EXEC_STOP)
+		return;
+	worker_bar(worker, call->task, call->run);
+	if (worker_find(worker, call->task, &at))
+		worker_end(vm, at, FLOW_END_STOPPED);
+}
+
+static bool call_is_due(const struct fw_call *call)
+{
+	uint64_t now = now_us(call->vm->world);
+
+	if (call->kind == EXEC_HOLD && !call->lost &&
+	    call->vm->worker.ends->len)
+		return now >= call->due_us;
+	return now >= call->due_us + call->wait_ms * 1000ull;
+}
+
+/* Returns true once nothing more comes of the call. */
+static bool call_step(struct fw_call *call)
+{
+	struct fw_vm *vm = call->vm;
+	struct exec_reply reply = { 0 };
+	bool mine = vm->runner == call->runner;
+	bool answer = false;
+
+	if (!call->carried_out && vm->worker.up && call_is_due(call)) {
+		worker_carry_out(call, &reply);
+		answer = !call->lost;
+	}
+	if (!answer && now_us(vm->world) >= call->give_up_us &&
+	    call->give_up_us) {
+		answer = true;
+		reply.verdict = EXEC_NO_ANSWER;
+		call->give_up_us = 0;
+		if (!call->lost)
+			call->carried_out = true;
+	}
+	if (answer && mine) {
+		node_set_time(vhost_node(vm->machine), now_us(vm->world));
+		runner_call_done(vm->runner, call->call_nr, &reply);
+	}
+	if (answer)
+		call->give_up_us = 0;
+	g_free(reply.runs);
+	g_free(reply.ends);
+	return call->carried_out && !call->give_up_us;
+}
+
+static void world_call(void *ctx, uint64_t call_nr,
+		       const struct exec_call *from)
+{
+	struct fw_vm *vm = ctx;
+	struct flow_world *fw = vm->world;
+	struct fw_call *call = g_new0(struct fw_call, 1);
+
+	call->vm = vm;
+	call->call_nr = call_nr;
+	call->runner = vm->runner;
+	call->born_ms = vm->worker.born_ms;
+	call->kind = from->kind;
+	TEXT_SET(call->task, from->task ? from->task : "");
+	call->run = from->run;
+	call->fence = from->fence;
+	call->deadline_ms = from->deadline_ms;
+	call->settled_nr = from->settled_nr;
+	call->wait_ms = from->wait_ms;
+	call->due_us = now_us(fw) + CALL_DELAY_US;
+	call->give_up_us = now_us(fw) + from->wait_ms * 1000 + CALL_TIMEOUT_US;
+	call->lost = vhost_random(fw->base->vhost) % 1000000 < vm->lose_ppm;
+	if (call->lost) {
+		call->wait_ms = 0;
+		call->due_us +=
+			LATE_MIN_US + vhost_random(fw->base->vhost) %
+					      (LATE_MAX_US - LATE_MIN_US);
+	}
+	g_ptr_array_add(fw->pending, call);
+}
+
+static const struct runner_host_ops fw_runner_ops = { .call = world_call };
+
+static void vm_beat(struct fw_vm *vm)
+{
+	struct worker_life life = { 0 };
+
+	if (!vm->runner || !vm->worker.up)
+		return;
+	TEXT_SET(life.id, vm->name);
+	life.born_ms = vm->worker.born_ms;
+	TEXT_SET(life.service, "svc");
+	TEXT_SET(life.kind, "a");
+	TEXT_SET(life.rack, vm->zone);
+	life.cpu_millis = VM_CPU_MILLIS;
+	life.memory_mib = VM_MEMORY_MIB;
+	life.draining = vm->draining;
+	life.remaining_ms = 5000;
+	node_set_time(vhost_node(vm->machine), now_us(vm->world));
+	runner_heartbeat(vm->runner, &life, "10.0.0.1:1", ++vm->worker.seq);
+}
+
+/* The platform: an end that isn't settled before the lease lapses is void. */
+static void vm_void_ends(struct fw_vm *vm)
+{
+	for (guint i = 0; i < vm->worker.ends->len; i++)
+		g_hash_table_remove(vm->world->done,
+				    g_array_index(vm->worker.ends,
+						  struct flow_run_end, i)
+					    .task);
+}
+
+/* Ends runs whose time is over and all whose lease has lapsed. */
+static void vm_tick(struct fw_vm *vm)
+{
+	struct flow_world *fw = vm->world;
+	struct fw_worker *worker = &vm->worker;
+	bool lapsed = worker->up && clock_ms(vm) > worker->lease_ms;
+	uint32_t cpu_millis = 0;
+
+	if (lapsed)
+		vm_void_ends(vm);
+	for (guint i = worker->runs->len; i-- > 0;) {
+		const struct fw_run *run =
+			&g_array_index(worker->runs, struct fw_run, i);
+		uint64_t ran_us = now_us(fw) - run->started_us;
+
+		cpu_millis += 1000;
+		if (lapsed)
+			worker_end(vm, i, FLOW_END_LAPSED);
+		else if (vm->fail_runs)
+			worker_end(vm, i, FLOW_END_FAILED);
+		else if (fw->run_ms && ran_us >= fw->run_ms * 1000ull)
+			worker_end(vm, i, FLOW_END_DONE);
+	}
+	ck_assert_uint_le(cpu_millis, VM_CPU_MILLIS);
+}
+
+static void fw_tick(struct flow_world *fw)
+{
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+		vm_tick(&fw->vms[i]);
+		if (now_us(fw) / 1000 % BEAT_MS < TICK_US / 1000)
+			vm_beat(&fw->vms[i]);
+	}
+	for (guint i = fw->pending->len; i-- > 0;)
+		if (call_step(fw->pending->pdata[i]))
+			g_ptr_array_remove_index(fw->pending, i);
+}
+
+void flow_world_run_ms(struct flow_world *fw, uint64_t ms)
+{
+	for (uint64_t spent_us = 0; spent_us < ms * 1000; spent_us += TICK_US) {
+		vhost_run_us(fw->base->vhost, TICK_US);
+		fw_tick(fw);
+	}
+}
+
+void fw_boot_agent(struct fw_vm *vm)
+{
+	struct runner_opts opts = {
+		.host = &fw_runner_ops,
+		.host_ctx = vm,
+		.control_addresses = vm->world->base->addresses,
+	};
+
+	vm->runner = runner_new(vhost_boot(vm->machine, 0), &opts);
+	vhost_start(vm->machine);
+}
+
+void fw_kill_agent(struct fw_vm *vm)
+{
+	vhost_kill(vm->machine);
+	vm->runner = NULL;
+}
+
+void fw_crash_worker(struct fw_vm *vm)
+{
+	vm->worker.up = false;
+	g_array_set_size(vm->worker.runs, 0);
+	g_array_set_size(vm->worker.ends, 0);
+	g_hash_table_remove_all(vm->worker.barred);
+}
+
+void fw_boot_worker(struct fw_vm *vm)
+{
+	struct fw_worker *worker = &vm->worker;
+
+	worker->up = true;
+	worker->born_ms = now_us(vm->world) / 1000 + 1;
+	worker->seq = 0;
+	worker->fence = 0;
+	worker->lease_ms = 0;
+	worker->next_end = 0;
+}
+
+void fw_cut(struct fw_vm *vm, bool cut)
+{
+	for (uint32_t i = 0; i < vm->world->base->nr_controls; i++)
+		vhost_cut(vm->machine, vm->world->base->controls[i].machine,
+			  cut);
+}
+
+uint32_t fw_running(const struct flow_world *fw)
+{
+	uint32_t nr = 0;
+
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		nr += fw->vms[i].worker.runs->len;
+	return nr;
+}
+
+/* ---- calls ---- */
+
+static void world_respond(void *ctx, uint64_t ticket,
+			  const struct flow_reply *reply)
+{
+	struct flow_world *fw = ctx;
+
+	if (ticket != fw->ticket)
+		return;
+	fw->reply = *reply;
+	fw->answered = true;
+}
+
+static const struct intake_host_ops fw_intake_ops = {
+	.respond = world_respond,
+};
+
+struct flow_reply flow_world_call(struct flow_world *fw, uint32_t kind,
+				  const char *path, struct flow_record *record)
+{
+	struct flow_call call = { .kind = kind };
+
+	call.ticket = ++fw->ticket;
+	TEXT_SET(call.host, "shop");
+	TEXT_SET(call.path, path);
+	call.nr_flows = record ? 1 : 0;
+	call.flows = record;
+	fw->answered = false;
+	node_set_time(vhost_node(fw->entry), now_us(fw));
+	intake_call(fw->intake, &call, 3000);
+	for (uint32_t i = 0; i < 400 && !fw->answered; i++)
+		flow_world_run_ms(fw, TICK_US / 1000);
+	ck_assert(fw->answered);
+	return fw->reply;
+}
+
+enum result flow_world_submit(struct flow_world *fw, const char *id,
+			      const struct flow_step *steps, uint32_t nr_steps)
+{
+	struct flow_record record = { 0 };
+	char path[PATH_BYTES];
+	enum result result;
+
+	g_snprintf(path, sizeof(path), "/q/%s", id);
+	record.spec = g_bytes_new("x", 1);
+	record.nr_steps = nr_steps;
+	record.steps = (struct flow_step *)steps;
+	result = flow_world_call(fw, FLOW_CALL_SUBMIT, path, &record).result;
+	g_bytes_unref(record.spec);
+	return result;
+}
+
+bool flow_world_wait(struct flow_world *fw, const char *id,
+		     enum flow_state state, uint64_t limit_ms)
+{
+	uint64_t until_us = now_us(fw) + limit_ms * 1000;
+	char path[PATH_BYTES];
+
+	g_snprintf(path, sizeof(path), "/q/%s", id);
+	while (now_us(fw) < until_us) {
+		struct flow_reply reply =
+			flow_world_call(fw, FLOW_CALL_STATE, path, NULL);
+
+		if (!reply.result && reply.state == state)
+			return true;
+		flow_world_run_ms(fw, 50);
+	}
+	return false;
+}
+
+/* ---- the world ---- */
+
+static void world_put_bundle(struct flow_world *fw)
+{
+	struct bundle_zone zones[] = { { "veraval", "", 0 },
+				       { "porbandar", "", 0 } };
+	struct bundle_queue queues[] = { { "q", "shop", "/q/", "svc", 0, 2,
+					   2000, 1000, 3000, false } };
+	struct bundle_pool pools[] = { { "svc", true, false } };
+	struct bundle bundle = { .version = 100 };
+
+	TEXT_SET(bundle.digest, "d");
+	TEXT_SET(bundle.signed_by, "test");
+	bundle.nr_zones = 2;
+	bundle.zones = zones;
+	bundle.nr_queues = 1;
+	bundle.queues = queues;
+	bundle.nr_pools = 1;
+	bundle.pools = pools;
+	ck_assert_int_eq(world_change(fw->base, OP_BUNDLE_PUT, &bundle),
+			 RESULT_OK);
+}
+
+struct flow_world *flow_world_new(uint64_t seed)
+{
+	struct flow_world *fw = g_new0(struct flow_world, 1);
+	struct intake_opts opts = { .host = &fw_intake_ops, .host_ctx = fw };
+
+	fw->base = world_new(seed, 3, 0);
+	fw->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fw->ended =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fw->pending = g_ptr_array_new_with_free_func(g_free);
+	fw->run_ms = 500;
+	opts.control_addresses = fw->base->addresses;
+	fw->entry = vhost_add(fw->base->vhost, "entry", "veraval", "");
+	fw->intake = intake_new(vhost_boot(fw->entry, 0), &opts);
+	vhost_start(fw->entry);
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+		struct fw_vm *vm = &fw->vms[i];
+
+		vm->world = fw;
+		vm->zone = i % 2 ? "porbandar" : "veraval";
+		g_snprintf(vm->name, sizeof(vm->name), "side%u", i);
+		vm->machine =
+			vhost_add(fw->base->vhost, vm->name, vm->zone, "");
+		vm->worker.runs =
+			g_array_new(FALSE, FALSE, sizeof(struct fw_run));
+		vm->worker.ends =
+			g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
+		vm->worker.barred = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, NULL);
+		fw_boot_worker(vm);
+		fw_boot_agent(vm);
+	}
+	flow_world_run_ms(fw, 5000);
+	world_put_bundle(fw);
+	flow_world_run_ms(fw, 3000);
+	return fw;
+}
+
+void flow_world_free(struct flow_world *fw)
+{
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+		g_array_unref(fw->vms[i].worker.runs);
+		g_array_unref(fw->vms[i].worker.ends);
+		g_hash_table_unref(fw->vms[i].worker.barred);
+	}
+	g_ptr_array_unref(fw->pending);
+	g_hash_table_unref(fw->done);
+	g_hash_table_unref(fw->ended);
+	world_free(fw->base);
+	g_free(fw);
+}
--- /dev/null
+++ b/tests/flow_world.h
@@ -0,0 +1,91 @@
+#ifndef FLOW_WORLD_H
+#define FLOW_WORLD_H
+
+/**
+ * @file flow_world.h
+ * Workflows under virtual time: control replicas, one entry, and VMs with an
+ * agent and a worker. The worker keeps the platform's rules: one lease on its
+ * own clock, fences, run numbers, ends that are listed until they are settled.
+ * The world asserts at every start that the task runs nowhere else, that it is
+ * not done, and that the VM has room.
+ */
+
+#include "control_world.h"
+#include "intake.h"
+#include "runner.h"
+
+#define FLOW_WORLD_VMS 4
+
+struct flow_world;
+
+struct fw_run {
+	char task[NAME_BYTES];
+	uint32_t run;
+	uint64_t started_us;
+};
+
+struct fw_worker {
+	bool up;
+	uint64_t born_ms;
+	uint64_t seq;
+	uint64_t fence;
+	uint64_t lease_ms; /* worker's clock */
+	uint64_t next_end;
+	GArray *runs; /* struct fw_run */
+	GArray *ends; /* struct flow_run_end */
+	GHashTable *barred; /* task -> highest run that may not start */
+};
+
+struct fw_vm {
+	struct flow_world *world;
+	char name[NAME_BYTES];
+	const char *zone;
+	struct vmachine *machine;
+	struct runner *runner; /* NULL while the agent is dead */
+	struct fw_worker worker;
+	uint32_t lose_ppm; /* calls without answer, carried out late */
+	bool fail_runs; /* every run fails at once */
+	bool draining;
+};
+
+struct flow_world {
+	struct world *base;
+	struct vmachine *entry;
+	struct intake *intake;
+	struct fw_vm vms[FLOW_WORLD_VMS];
+	GHashTable *done; /* tasks that must not start again, a set of names */
+	GHashTable *ended; /* tasks that ever ended done, a set of names */
+	GPtrArray *pending; /* struct fw_call * under way */
+	uint32_t nr_starts;
+	uint64_t last_start_us; /* in the zone below */
+	const char *watched_zone;
+	uint32_t run_ms; /* of every run */
+	uint64_t ticket;
+	struct flow_reply reply;
+	bool answered;
+};
+
+struct flow_world *flow_world_new(uint64_t seed);
+void flow_world_free(struct flow_world *fw);
+void flow_world_run_ms(struct flow_world *fw, uint64_t ms);
+
+/** Makes a call and waits for the answer, which is returned. */
+struct flow_reply flow_world_call(struct flow_world *fw, uint32_t kind,
+				  const char *path, struct flow_record *record);
+/** Submits @a id with steps that follow each other. */
+enum result flow_world_submit(struct flow_world *fw, const char *id,
+			      const struct flow_step *steps, uint32_t nr_steps);
+/** Waits until the workflow is in the state. */
+bool flow_world_wait(struct flow_world *fw, const char *id,
+		     enum flow_state state, uint64_t limit_ms);
+
+void fw_kill_agent(struct fw_vm *vm);
+void fw_boot_agent(struct fw_vm *vm);
+/** The worker ends with all it runs; another life may come. */
+void fw_crash_worker(struct fw_vm *vm);
+void fw_boot_worker(struct fw_vm *vm);
+void fw_cut(struct fw_vm *vm, bool cut);
+/** Number of runs at all workers. */
+uint32_t fw_running(const struct flow_world *fw);
+
+#endif /* FLOW_WORLD_H */
--- /dev/null
+++ b/tests/test_flow.c
@@ -0,0 +1,312 @@
+/**
+ * @file test_flow.c
+ * Workflows from the submission to the last end, under failures.
+ */
+
+#include <string.h>
+
+#include "flow_world.h"
+#include "suite.h"
+
+static struct flow_step step_of(uint32_t count)
+{
+	struct flow_step step = { 0 };
+
+	step.count = count;
+	step.cpu_millis = 1000;
+	step.memory_mib = 500;
+	step.estimate_ms = 500;
+	return step;
+}
+
+/* Guards against a step that starts before the one it waits for is done. */
+START_TEST(test_steps_in_order)
+{
+	struct flow_world *fw = flow_world_new(1);
+	struct flow_step steps[] = { step_of(5), step_of(3) };
+	uint64_t first = 0;
+
+	steps[1].nr_after = 1;
+	steps[1].after = &first;
+	ck_assert_int_eq(flow_world_submit(fw, "aa", steps, 2), RESULT_OK);
+	flow_world_run_ms(fw, 300);
+	ck_assert_uint_eq(fw->nr_starts, 5);
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 5000));
+	ck_assert_uint_eq(fw->nr_starts, 8);
+	ck_assert_uint_eq(g_hash_table_size(fw->ended), 8);
+	flow_world_free(fw);
+}
+END_TEST
+
+/* Guards against a resent submission that runs a second time. */
+START_TEST(test_resend_is_one)
+{
+	struct flow_world *fw = flow_world_new(2);
+	struct flow_step step = step_of(4);
+
+	for (uint32_t i = 0; i < 3; i++)
+		ck_assert_int_eq(flow_world_submit(fw, "aa", &step, 1),
+				 RESULT_OK);
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 5000));
+	ck_assert_int_eq(flow_world_submit(fw, "aa", &step, 1), RESULT_OK);
+	flow_world_run_ms(fw, 2000);
+	ck_assert_uint_eq(fw->nr_starts, 4);
+	flow_world_free(fw);
+}
+END_TEST
+
+/* Guards against a submission that overtook its own cancellation. */
+START_TEST(test_cancel_before_submission)
+{
+	struct flow_world *fw = flow_world_new(3);
+	struct flow_step step = step_of(4);
+
+	ck_assert_int_eq(
+		flow_world_call(fw, FLOW_CALL_CANCEL, "/q/aa", NULL).result,
+		RESULT_UNKNOWN_OBJECT);
+	flow_world_submit(fw, "aa", &step, 1);
+	flow_world_run_ms(fw, 2000);
+	ck_assert_uint_eq(fw->nr_starts, 0);
+	flow_world_free(fw);
+}
+END_TEST
+
+/* Guards against tasks that go on after the cancellation was acknowledged. */
+START_TEST(test_cancel_stops_runs)
+{
+	struct flow_world *fw = flow_world_new(4);
+	struct flow_step step = step_of(6);
+
+	fw->run_ms = 60000;
+	flow_world_submit(fw, "aa", &step, 1);
+	flow_world_run_ms(fw, 500);
+	ck_assert_uint_eq(fw_running(fw), 6);
+	ck_assert_int_eq(
+		flow_world_call(fw, FLOW_CALL_CANCEL, "/q/aa", NULL).result,
+		RESULT_OK);
+	flow_world_run_ms(fw, 1000);
+	ck_assert_uint_eq(fw_running(fw), 0);
+	flow_world_free(fw);
+}
+END_TEST
+
+/* Guards against a queue, a workflow or a path that nobody made. */
+START_TEST(test_unknown_names)
+{
+	struct flow_world *fw = flow_world_new(5);
+
+	ck_assert_int_eq(
+		flow_world_call(fw, FLOW_CALL_STATE, "/none/aa", NULL).result,
+		RESULT_UNKNOWN_QUEUE);
+	ck_assert_int_eq(
+		flow_world_call(fw, FLOW_CALL_STATE, "/q/aa", NULL).result,
+		RESULT_UNKNOWN_OBJECT);
+	ck_assert_int_eq(
+		flow_world_call(fw, FLOW_CALL_SUBMIT, "/q/a.b", NULL).result,
+		RESULT_MALFORMED);
+	ck_assert_int_eq(
+		flow_world_call(fw, FLOW_CALL_STATE, "/q/", NULL).result,
+		RESULT_OK);
+	flow_world_free(fw);
+}
+END_TEST
+
+/* Guards against work that is lost or doubled with the leader. */
+START_TEST(test_leader_killed)
+{
+	struct flow_world *fw = flow_world_new(6);
+	struct flow_step steps[] = { step_of(8), step_of(8) };
+	uint64_t first = 0;
+	struct world_control *leader;
+
+	steps[1].nr_after = 1;
+	steps[1].after = &first;
+	flow_world_submit(fw, "aa", steps, 2);
+	flow_world_run_ms(fw, 450);
+	leader = world_leader_host(fw->base);
+	world_kill_control(leader);
+	flow_world_run_ms(fw, 1000);
+	world_boot_control(leader);
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 20000));
+	ck_assert_uint_eq(g_hash_table_size(fw->ended), 16);
+	flow_world_free(fw);
+}
+END_TEST
+
+/*
+ * Guards against an agent that takes orders before it knows its worker: it
+ * refused them, and the leader took running tasks for never started (Dorado,
+ * trouble-3).
+ */
+START_TEST(test_agent_restarted)
+{
+	for (uint64_t seed = 10; seed < 16; seed++) {
+		struct flow_world *fw = flow_world_new(seed);
+		struct flow_step step = step_of(16);
+
+		fw->run_ms = 3000;
+		flow_world_submit(fw, "aa", &step, 1);
+		flow_world_run_ms(fw, 300);
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+			fw_kill_agent(&fw->vms[i]);
+			flow_world_run_ms(fw, 30 * seed);
+			fw_boot_agent(&fw->vms[i]);
+		}
+		ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 20000));
+		ck_assert_uint_eq(fw->nr_starts, 16);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
+/* Guards against a task that runs elsewhere before its lease has lapsed. */
+START_TEST(test_vm_cut_off)
+{
+	struct flow_world *fw = flow_world_new(7);
+	struct flow_step step = step_of(8);
+
+	fw->run_ms = 4000;
+	flow_world_submit(fw, "aa", &step, 1);
+	flow_world_run_ms(fw, 300);
+	fw_cut(&fw->vms[0], true);
+	flow_world_run_ms(fw, 12000);
+	fw_cut(&fw->vms[0], false);
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 20000));
+	flow_world_free(fw);
+}
+END_TEST
+
+/*
+ * Guards against an order that is held up by a cut, is refused without a lease,
+ * and comes a second time (Dorado, scale-1).
+ */
+START_TEST(test_short_cuts)
+{
+	for (uint64_t seed = 20; seed < 30; seed++) {
+		struct flow_world *fw = flow_world_new(seed);
+		struct flow_step step = step_of(24);
+
+		fw->run_ms = 1500;
+		flow_world_submit(fw, "aa", &step, 1);
+		for (uint32_t i = 0; i < 8; i++) {
+			struct fw_vm *vm = &fw->vms[i % FLOW_WORLD_VMS];
+
+			fw_cut(vm, true);
+			flow_world_run_ms(fw, 700 + 97 * seed);
+			fw_cut(vm, false);
+			flow_world_run_ms(fw, 150);
+		}
+		ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 40000));
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
+/* Guards against a start without answer that is carried out later. */
+START_TEST(test_late_calls)
+{
+	for (uint64_t seed = 40; seed < 50; seed++) {
+		struct flow_world *fw = flow_world_new(seed);
+		struct flow_step step = step_of(24);
+
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+			fw->vms[i].lose_ppm = 250000;
+		flow_world_submit(fw, "aa", &step, 1);
+		ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 90000));
+		ck_assert_uint_eq(g_hash_table_size(fw->ended), 24);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
+/* Guards against tasks that wait for a worker that has crashed. */
+START_TEST(test_worker_crashes)
+{
+	struct flow_world *fw = flow_world_new(8);
+	struct flow_step step = step_of(8);
+
+	step.lasting = true;
+	fw->run_ms = 0;
+	flow_world_submit(fw, "aa", &step, 1);
+	flow_world_run_ms(fw, 500);
+	ck_assert_uint_eq(fw_running(fw), 8);
+	fw_crash_worker(&fw->vms[1]);
+	flow_world_run_ms(fw, 500);
+	fw_boot_worker(&fw->vms[1]);
+	flow_world_run_ms(fw, 3000);
+	ck_assert_uint_eq(fw_running(fw), 8);
+	/* One that is gone for good: its lease has to lapse first. */
+	fw_crash_worker(&fw->vms[2]);
+	flow_world_run_ms(fw, 7000);
+	ck_assert_uint_eq(fw_running(fw), 8);
+	flow_world_free(fw);
+}
+END_TEST
+
+/* Guards against starts in a zone that operators took out. */
+START_TEST(test_zone_out)
+{
+	struct flow_world *fw = flow_world_new(9);
+	struct cmd_zone_set set = { .out = true };
+	struct flow_step step = step_of(12);
+	uint64_t out_us;
+
+	TEXT_SET(set.name, "veraval");
+	TEXT_SET(set.changed_by, "test");
+	fw->watched_zone = "veraval";
+	ck_assert_int_eq(world_change(fw->base, OP_ZONE_PUT, &set), RESULT_OK);
+	out_us = vhost_now_us(fw->base->vhost);
+	flow_world_submit(fw, "aa", &step, 1);
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 9000));
+	ck_assert_uint_le(fw->last_start_us, out_us);
+	/* The same again is acknowledged, and the zone comes back. */
+	ck_assert_int_eq(world_change(fw->base, OP_ZONE_PUT, &set), RESULT_OK);
+	set.out = false;
+	ck_assert_int_eq(world_change(fw->base, OP_ZONE_PUT, &set), RESULT_OK);
+	flow_world_submit(fw, "bb", &step, 1);
+	ck_assert(flow_world_wait(fw, "bb", FLOW_COMPLETED, 9000));
+	ck_assert_uint_gt(fw->last_start_us, out_us);
+	flow_world_free(fw);
+}
+END_TEST
+
+/* Guards against new work on a worker that leaves. */
+START_TEST(test_draining)
+{
+	struct flow_world *fw = flow_world_new(11);
+	struct flow_step step = step_of(6);
+	uint64_t starts;
+
+	fw->vms[0].draining = true;
+	fw->vms[2].draining = true;
+	flow_world_run_ms(fw, 1500);
+	fw->watched_zone = "veraval"; /* both of its VMs leave */
+	starts = fw->last_start_us;
+	flow_world_submit(fw, "aa", &step, 1);
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 9000));
+	ck_assert_uint_eq(fw->last_start_us, starts);
+	flow_world_free(fw);
+}
+END_TEST
+
+/* Guards against runs beyond the attempts that the queue allows. */
+START_TEST(test_attempts)
+{
+	struct flow_world *fw = flow_world_new(12);
+	struct flow_step step = step_of(1);
+
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		fw->vms[i].fail_runs = true;
+	flow_world_submit(fw, "aa", &step, 1);
+	ck_assert(flow_world_wait(fw, "aa", FLOW_FAILED, 9000));
+	flow_world_run_ms(fw, 2000);
+	ck_assert_uint_eq(fw->nr_starts, 2);
+	flow_world_free(fw);
+}
+END_TEST
+
+SUITE_MAIN("flow", test_steps_in_order, test_resend_is_one,
+	   test_cancel_before_submission, test_cancel_stops_runs,
+	   test_unknown_names, test_leader_killed, test_agent_restarted,
+	   test_vm_cut_off, test_short_cuts, test_late_calls,
+	   test_worker_crashes, test_zone_out, test_draining, test_attempts)
--- /dev/null
+++ b/tests/test_runner.c
@@ -0,0 +1,399 @@
+/**
+ * @file test_runner.c
+ * The agent's part in workflows, call by call: the test plays the leader and
+ * the worker.
+ */
+
+#include <string.h>
+
+#include "msg_control.h"
+#include "runner.h"
+#include "suite.h"
+
+#define LEADER 7
+#define TASK "aa.0.0.0"
+
+/* What the runner did last. */
+struct bench {
+	struct node *node;
+	struct runner *runner;
+	uint64_t now_us;
+	GArray *calls; /* struct bench_call not answered yet */
+	struct flow_report report; /* the last one */
+	GArray *refused; /* run numbers that reports said not to start */
+	uint32_t nr_starts;
+	uint32_t nr_stops;
+};
+
+struct bench_call {
+	uint64_t nr;
+	enum exec_call_kind kind;
+	uint32_t run;
+	uint64_t deadline_ms;
+	uint64_t fence;
+	uint64_t settled_nr;
+	uint32_t percent;
+};
+
+static void bench_send(void *ctx, uint64_t node_id, uint32_t type,
+		       const void *body)
+{
+	struct bench *bench = ctx;
+	const struct flow_report *report = body;
+
+	if (type != MSG_FLOW_REPORT)
+		return;
+	bench->report = *report;
+	for (uint32_t i = 0; i < report->nr_ends; i++)
+		if (report->ends[i].end == FLOW_END_REFUSED)
+			g_array_append_val(bench->refused, report->ends[i].run);
+}
+
+static void bench_dial(void *ctx, const char *address)
+{
+}
+
+static void bench_close(void *ctx, uint64_t node_id)
+{
+}
+
+static uint64_t bench_random(void *ctx)
+{
+	return 5;
+}
+
+static void bench_log(void *ctx, const char *line)
+{
+}
+
+static const struct host_ops bench_host = {
+	.send = bench_send,
+	.dial = bench_dial,
+	.close_peer = bench_close,
+	.random_u64 = bench_random,
+	.log_line = bench_log,
+};
+
+static void bench_exec(void *ctx, uint64_t call_nr,
+		       const struct exec_call *from)
+{
+	struct bench *bench = ctx;
+	struct bench_call call = { .nr = call_nr, .kind = from->kind };
+
+	call.run = from->run;
+	call.deadline_ms = from->deadline_ms;
+	call.fence = from->fence;
+	call.settled_nr = from->settled_nr;
+	call.percent = from->percent;
+	bench->nr_starts += from->kind == EXEC_START;
+	bench->nr_stops += from->kind == EXEC_STOP;
+	g_array_append_val(bench->calls, call);
+}
+
+static const struct runner_host_ops bench_runner_ops = { .call = bench_exec };
+
+static void bench_run_ms(struct bench *bench, uint64_t ms)
+{
+	for (uint64_t i = 0; i < ms; i++) {
+		bench->now_us += 1000;
+		node_run_timers(bench->node, bench->now_us);
+	}
+}
+
+static void bench_message(struct bench *bench, uint32_t type, const void *body)
+{
+	node_message(bench->node, LEADER, type, body, bench->now_us);
+}
+
+static struct bench *bench_new(void)
+{
+	static const char *const addresses[] = { "10.0.0.1:1", NULL };
+	struct bench *bench = g_new0(struct bench, 1);
+	struct node_opts node_opts = { .host = &bench_host,
+				       .host_ctx = bench,
+				       .node_id = 3,
+				       .name = "side1",
+				       .zone = "z" };
+	struct runner_opts opts = { .host = &bench_runner_ops,
+				    .host_ctx = bench,
+				    .control_addresses = addresses };
+	struct hello leader = { .node_id = LEADER, .role = ROLE_CONTROL };
+	struct view view = { .term = 4, .whole = true };
+
+	bench->now_us = 1000000;
+	bench->calls = g_array_new(FALSE, FALSE, sizeof(struct bench_call));
+	bench->refused = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	bench->node = node_new(&node_opts);
+	bench->runner = runner_new(bench->node, &opts);
+	node_start(bench->node, bench->now_us);
+	node_peer_up(bench->node, &leader, addresses[0], bench->now_us);
+	bench_message(bench, MSG_VIEW, &view);
+	return bench;
+}
+
+static void bench_free(struct bench *bench)
+{
+	node_free(bench->node);
+	g_array_unref(bench->calls);
+	g_array_unref(bench->refused);
+	g_free(bench);
+}
+
+static enum result bench_beat(struct bench *bench, uint64_t born_ms,
+			      uint64_t seq, bool draining)
+{
+	struct worker_life life = { .id = "w", .born_ms = born_ms };
+
+	life.draining = draining;
+	node_set_time(bench->node, bench->now_us);
+	return runner_heartbeat(bench->runner, &life, "10.0.0.9:1", seq);
+}
+
+/* Answers the oldest call of a kind; false if there is none. */
+static bool bench_answer(struct bench *bench, enum exec_call_kind kind,
+			 const struct exec_reply *reply,
+			 struct bench_call *taken)
+{
+	for (guint i = 0; i < bench->calls->len; i++) {
+		struct bench_call call =
+			g_array_index(bench->calls, struct bench_call, i);
+
+		if (call.kind != kind)
+			continue;
+		g_array_remove_index(bench->calls, i);
+		if (taken)
+			*taken = call;
+		node_set_time(bench->node, bench->now_us);
+		runner_call_done(bench->runner, call.nr, reply);
+		return true;
+	}
+	return false;
+}
+
+static void bench_grant(struct bench *bench, uint64_t settled_nr)
+{
+	struct flow_grant grant = { .term = 4, .lease_ms = 5000 };
+
+	grant.sent_us = bench->now_us;
+	TEXT_SET(grant.worker, "w");
+	grant.born_ms = 1;
+	grant.settled_nr = settled_nr;
+	bench_message(bench, MSG_FLOW_GRANT, &grant);
+}
+
+static void bench_order(struct bench *bench, uint32_t action, uint32_t run,
+			bool filler, uint32_t target_ms)
+{
+	struct flow_order order = { .action = action, .run = run };
+	struct flow_orders orders = { .term = 4, .born_ms = 1, .nr_orders = 1 };
+
+	TEXT_SET(order.task, target_ms ? "ss.0.0.0" : TASK);
+	order.filler = filler;
+	order.target_ms = target_ms;
+	TEXT_SET(orders.worker, "w");
+	orders.orders = &order;
+	bench_message(bench, MSG_FLOW_ORDERS, &orders);
+}
+
+/* A worker that has been looked at, with or without a lease. */
+static struct bench *bench_ready(bool lease)
+{
+	struct exec_reply list = { .verdict = EXEC_DONE, .clock_ms = 100000 };
+	struct bench *bench = bench_new();
+
+	bench_beat(bench, 1, 1, false);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	if (lease)
+		bench_grant(bench, 0);
+	return bench;
+}
+
+static const struct exec_reply done = { .verdict = EXEC_DONE,
+					.clock_ms = 100000 };
+static const struct exec_reply silence = { .verdict = EXEC_NO_ANSWER };
+
+/* Guards against a duplicate order that starts what was refused before. */
+START_TEST(test_refusal_is_kept)
+{
+	struct bench *bench = bench_ready(false);
+
+	bench_order(bench, FLOW_START, 1, false, 0);
+	ck_assert_uint_eq(bench->nr_starts, 0);
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	bench_grant(bench, 0);
+	bench_order(bench, FLOW_START, 1, false, 0);
+	ck_assert_uint_eq(bench->nr_starts, 0);
+	/* The next run may start. */
+	bench_order(bench, FLOW_START, 2, false, 0);
+	ck_assert_uint_eq(bench->nr_starts, 1);
+	bench_free(bench);
+}
+END_TEST
+
+/* Guards against an agent that refuses orders before it knows its worker. */
+START_TEST(test_orders_before_heartbeat)
+{
+	struct bench *bench = bench_new();
+
+	bench_order(bench, FLOW_STOP, 1, false, 0);
+	bench_order(bench, FLOW_START, 1, false, 0);
+	bench_run_ms(bench, 1100);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	bench_free(bench);
+}
+END_TEST
+
+/* Guards against "never started" before the worker has forbidden the run. */
+START_TEST(test_unanswered_start)
+{
+	struct bench *bench = bench_ready(true);
+
+	bench_order(bench, FLOW_START, 1, false, 0);
+	ck_assert(bench_answer(bench, EXEC_START, &silence, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->nr_stops, 1);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	ck_assert(bench_answer(bench, EXEC_STOP, &silence, NULL));
+	bench_run_ms(bench, 600);
+	ck_assert_uint_eq(bench->nr_stops, 2);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	ck_assert(bench_answer(bench, EXEC_STOP, &done, NULL));
+	bench_run_ms(bench, 20);
+	/* The look under way was sent before the stop: it proves nothing. */
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	bench_free(bench);
+}
+END_TEST
+
+/* Guards against a lease on a slow clock that outlives the grant. */
+START_TEST(test_deadline_on_slow_clock)
+{
+	struct bench *bench = bench_ready(true);
+	struct bench_call call = { 0 };
+
+	bench_order(bench, FLOW_START, 1, false, 0);
+	ck_assert(bench_answer(bench, EXEC_START, &done, &call));
+	ck_assert_uint_eq(call.fence, 4);
+	/* 5,000 ms of lease from the clock 100,000, which may be 2 % slow. */
+	ck_assert_uint_le(call.deadline_ms, 100000 + 4900);
+	ck_assert_uint_ge(call.deadline_ms, 100000 + 4000);
+	/* Without another grant, the lease isn't extended. */
+	bench_run_ms(bench, 4500);
+	bench_order(bench, FLOW_START, 2, false, 0);
+	bench_free(bench);
+}
+END_TEST
+
+/* Guards against reports of an earlier life or an overtaken one. */
+START_TEST(test_stale_heartbeats)
+{
+	struct bench *bench = bench_ready(true);
+
+	ck_assert_int_eq(bench_beat(bench, 1, 1, false), RESULT_STALE);
+	ck_assert_int_eq(bench_beat(bench, 0, 9, false), RESULT_STALE);
+	ck_assert_int_eq(bench_beat(bench, 1, 2, true), RESULT_OK);
+	/* A worker that leaves doesn't come back in this life. */
+	ck_assert_int_eq(bench_beat(bench, 1, 3, false), RESULT_OK);
+	bench_order(bench, FLOW_START, 1, false, 0);
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->nr_starts, 0);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	ck_assert(bench->report.worker.draining);
+	bench_free(bench);
+}
+END_TEST
+
+/* Guards against ends that the worker forgets before the log has them. */
+START_TEST(test_ends_wait_for_the_log)
+{
+	struct flow_run_end end = { .nr = 5, .run = 1, .end = FLOW_END_DONE };
+	struct exec_reply list = done;
+	struct bench *bench = bench_ready(true);
+	struct bench_call call = { 0 };
+
+	TEXT_SET(end.task, TASK);
+	list.nr_ends = 1;
+	list.ends = &end;
+	bench_run_ms(bench, 20);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, &call));
+	ck_assert_uint_eq(call.settled_nr, 0);
+	bench_run_ms(bench, 200);
+	ck_assert_uint_eq(bench->report.nr_ends, 1);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, &call));
+	ck_assert_uint_eq(call.settled_nr, 0);
+	bench_run_ms(bench, 20);
+	bench_grant(bench, 5);
+	bench_run_ms(bench, 200);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, &call));
+	bench_run_ms(bench, 200);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, &call));
+	ck_assert_uint_eq(call.settled_nr, 5);
+	bench_free(bench);
+}
+END_TEST
+
+static void bench_figures(struct bench *bench, uint32_t tail_ms)
+{
+	struct flow_run runs[2] = { { .run = 1 }, { .run = 1 } };
+	struct exec_reply list = done;
+
+	TEXT_SET(runs[0].task, "ss.0.0.0");
+	runs[0].figure = tail_ms;
+	TEXT_SET(runs[1].task, TASK);
+	list.nr_runs = 2;
+	list.runs = runs;
+	bench_run_ms(bench, 500);
+	bench_grant(bench, 0);
+	bench_answer(bench, EXEC_HOLD, &list, NULL);
+}
+
+static uint32_t bench_pace(struct bench *bench)
+{
+	struct bench_call call = { 0 };
+	uint32_t percent = UINT32_MAX;
+
+	while (bench_answer(bench, EXEC_PACE, &done, &call))
+		percent = call.percent;
+	return percent;
+}
+
+/* Guards against fillers that work on while a neighbour is over its target. */
+START_TEST(test_pace)
+{
+	struct bench *bench = bench_ready(true);
+	uint32_t percent = 100;
+
+	bench_order(bench, FLOW_START, 1, false, 100);
+	bench_answer(bench, EXEC_START, &done, NULL);
+	bench_order(bench, FLOW_START, 1, true, 0);
+	bench_answer(bench, EXEC_START, &done, NULL);
+	/* 2 s over the target: nothing may be left of the pace. */
+	for (uint32_t i = 0; i < 5; i++) {
+		uint32_t next;
+
+		bench_figures(bench, 150);
+		next = bench_pace(bench);
+		percent = next == UINT32_MAX ? percent : next;
+	}
+	ck_assert_uint_eq(percent, 0);
+	for (uint32_t i = 0; i < 40; i++) {
+		uint32_t next;
+
+		bench_figures(bench, 40);
+		next = bench_pace(bench);
+		percent = next == UINT32_MAX ? percent : next;
+	}
+	ck_assert_uint_eq(percent, 100);
+	bench_free(bench);
+}
+END_TEST
+
+SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
+	   test_unanswered_start, test_deadline_on_slow_clock,
+	   test_stale_heartbeats, test_ends_wait_for_the_log, test_pace)
