--- /dev/null
+++ b/tests/test_flow_state.c
@@ -0,0 +1,255 @@
+/**
+ * @file test_flow_state.c
+ * Workflows in the replicated state, command by command.
+ */
+
+#include <string.h>
+
+#include "pressure.h"
+#include "schema.h"
+#include "state.h"
+#include "suite.h"
+
+static struct state *state_with(const char *id, uint32_t nr_steps,
+				const struct flow_step *steps,
+				uint32_t attempts)
+{
+	struct state *state = state_new();
+	struct flow_record record = { .attempts = attempts };
+
+	TEXT_SET(record.id, id);
+	record.state = FLOW_QUEUED;
+	record.nr_steps = nr_steps;
+	record.steps = (struct flow_step *)steps;
+	ck_assert_int_eq(state_flow_submit(state, &record).result, RESULT_OK);
+	return state;
+}
+
+static void change(struct state *state, const char *id, uint32_t kind,
+		   uint32_t task, uint32_t run, enum flow_end end)
+{
+	struct flow_change item = { .kind = kind, .task = task, .run = run };
+	struct cmd_flow_change cmd = { .now_ms = 5, .nr_changes = 1 };
+
+	TEXT_SET(item.id, id);
+	TEXT_SET(item.vm, "vm");
+	item.end = end;
+	cmd.changes = &item;
+	state_flow_change(state, &cmd);
+	state_verify(state);
+}
+
+static void place(struct state *state, uint32_t task, uint32_t run)
+{
+	change(state, "a", FLOW_CHANGE_PLACE, task, run, FLOW_END_NONE);
+}
+
+static void end(struct state *state, uint32_t task, uint32_t run,
+		enum flow_end how)
+{
+	change(state, "a", FLOW_CHANGE_END, task, run, how);
+}
+
+static uint32_t task_state(struct state *state, uint32_t task)
+{
+	return state_flow_find(state, "a")->record.tasks[task].state;
+}
+
+/* Guards against a placement that the state should have refused. */
+START_TEST(test_place_rules)
+{
+	uint64_t first = 0;
+	struct flow_step steps[] = {
+		{ .count = 1 }, { .count = 1, .nr_after = 1, .after = &first }
+	};
+	struct state *state = state_with("a", 2, steps, 1);
+
+	place(state, 1, 1);
+	ck_assert_uint_eq(task_state(state, 1), FLOW_TASK_WAITING);
+	place(state, 0, 1);
+	ck_assert_uint_eq(task_state(state, 0), FLOW_TASK_PLACED);
+	place(state, 0, 2);
+	ck_assert_uint_eq(state_flow_find(state, "a")->record.tasks[0].run, 1);
+	end(state, 0, 1, FLOW_END_LOST);
+	place(state, 0, 1);
+	ck_assert_uint_eq(task_state(state, 0), FLOW_TASK_WAITING);
+	place(state, 0, 2);
+	end(state, 0, 1, FLOW_END_DONE);
+	ck_assert_uint_eq(task_state(state, 0), FLOW_TASK_PLACED);
+	end(state, 0, 2, FLOW_END_DONE);
+	place(state, 1, 1);
+	end(state, 1, 1, FLOW_END_DONE);
+	ck_assert_uint_eq(state_flow_find(state, "a")->record.state,
+			  FLOW_COMPLETED);
+	state_free(state);
+}
+END_TEST
+
+/* Guards against a workflow that fails too late or too early. */
+START_TEST(test_attempts)
+{
+	struct flow_step step = { .count = 2 };
+	struct state *state = state_with("a", 1, &step, 2);
+
+	place(state, 0, 1);
+	place(state, 1, 1);
+	end(state, 0, 1, FLOW_END_FAILED);
+	end(state, 1, 1, FLOW_END_LAPSED);
+	place(state, 0, 2);
+	place(state, 1, 2);
+	end(state, 1, 2, FLOW_END_FAILED);
+	ck_assert(state_flow_is_active(state_flow_find(state, "a")));
+	end(state, 0, 2, FLOW_END_FAILED);
+	ck_assert_uint_eq(state_flow_find(state, "a")->record.state,
+			  FLOW_FAILED);
+	state_free(state);
+}
+END_TEST
+
+/* Guards against a gang whose members end one by one. */
+START_TEST(test_gang)
+{
+	struct flow_step step = { .count = 3, .gang = true };
+	struct state *state = state_with("a", 1, &step, 2);
+
+	for (uint32_t i = 0; i < 3; i++)
+		place(state, i, 1);
+	end(state, 1, 1, FLOW_END_BROKEN);
+	end(state, 0, 1, FLOW_END_DONE);
+	end(state, 2, 1, FLOW_END_DONE);
+	ck_assert_uint_eq(state_flow_find(state, "a")->record.state,
+			  FLOW_COMPLETED);
+	state_free(state);
+}
+END_TEST
+
+/* Guards against a lasting task that stays down after its end. */
+START_TEST(test_lasting)
+{
+	struct flow_step step = { .count = 1, .lasting = true };
+	struct state *state = state_with("a", 1, &step, 1);
+
+	for (uint32_t run = 1; run < 5; run++) {
+		place(state, 0, run);
+		end(state, 0, run, run % 2 ? FLOW_END_FAILED : FLOW_END_DONE);
+		ck_assert_uint_eq(task_state(state, 0), FLOW_TASK_WAITING);
+	}
+	ck_assert(state_flow_is_active(state_flow_find(state, "a")));
+	state_free(state);
+}
+END_TEST
+
+/* Guards against a submission that comes after its cancellation. */
+START_TEST(test_cancel)
+{
+	struct flow_step step = { .count = 2 };
+	struct state *state = state_with("a", 1, &step, 1);
+	struct cmd_flow_cancel cancel = { .now_ms = 5 };
+	struct cmd_flow_expire expire = { .before_ms = 6 };
+	struct flow_record late = { .state = FLOW_QUEUED, .nr_steps = 1 };
+
+	place(state, 0, 1);
+	TEXT_SET(cancel.id, "a");
+	ck_assert_int_eq(state_flow_cancel(state, &cancel).result, RESULT_OK);
+	place(state, 1, 1);
+	ck_assert_uint_eq(task_state(state, 1), FLOW_TASK_WAITING);
+	/* What still runs is remembered until its end. */
+	ck_assert(!state_flow_has_expired(state, 6));
+	end(state, 0, 1, FLOW_END_STOPPED);
+	ck_assert(state_flow_has_expired(state, 6));
+	state_flow_expire(state, &expire);
+	ck_assert_ptr_null(state_flow_find(state, "a"));
+	TEXT_SET(cancel.id, "b");
+	ck_assert_int_eq(state_flow_cancel(state, &cancel).result,
+			 RESULT_UNKNOWN_OBJECT);
+	TEXT_SET(late.id, "b");
+	late.steps = &step;
+	state_flow_submit(state, &late);
+	ck_assert(!state_flow_is_active(state_flow_find(state, "b")));
+	state_free(state);
+}
+END_TEST
+
+/* Guards against a state that a restart changes. */
+START_TEST(test_snapshot)
+{
+	struct flow_step steps[] = { { .count = 2 }, { .count = 3 } };
+	struct state *state = state_with("a", 2, steps, 2);
+	struct state *copy = state_new();
+	struct snapshot_record *records;
+	uint32_t nr = 0;
+
+	place(state, 0, 1);
+	place(state, 3, 1);
+	end(state, 3, 1, FLOW_END_DONE);
+	records = state_snapshot(state, &nr);
+	state_restore(copy, records, nr);
+	state_verify(copy);
+	ck_assert_uint_eq(state_flow_find(copy, "a")->nr_placed, 1);
+	ck_assert_uint_eq(state_flow_find(copy, "a")->nr_done, 1);
+	end(copy, 0, 1, FLOW_END_DONE);
+	ck_assert_uint_eq(state_flow_find(copy, "a")->nr_done, 2);
+	for (uint32_t i = 0; i < nr; i++)
+		record_unref(records[i].record);
+	g_free(records);
+	state_free(state);
+	state_free(copy);
+}
+END_TEST
+
+/* Guards against bundles that go back, and against bad queues. */
+START_TEST(test_bundle_put)
+{
+	struct state *state = state_new();
+	struct bundle_queue queues[2] = { { .timeout_ms = 1 },
+					  { .timeout_ms = 1 } };
+	struct bundle_pool pool = { .name = "s" };
+	struct bundle bundle = { .version = 5, .digest = "x" };
+
+	TEXT_SET(bundle.signed_by, "op");
+	TEXT_SET(queues[0].service, "s");
+	TEXT_SET(queues[1].service, "s");
+	TEXT_SET(queues[1].prefix, "/b/");
+	bundle.nr_queues = 2;
+	bundle.queues = queues;
+	bundle.nr_pools = 1;
+	bundle.pools = &pool;
+	ck_assert_int_eq(state_bundle_put(state, &bundle).result, RESULT_OK);
+	bundle.version = 4;
+	ck_assert_int_eq(state_bundle_put(state, &bundle).result, RESULT_OK);
+	ck_assert_uint_eq(state->bundles.in_force->version, 5);
+	bundle.version = 6;
+	queues[1].prefix[0] = '\0';
+	ck_assert_int_ne(state_bundle_put(state, &bundle).result, RESULT_OK);
+	TEXT_SET(queues[1].prefix, "/b/");
+	queues[1].timeout_ms = 0;
+	ck_assert_int_ne(state_bundle_put(state, &bundle).result, RESULT_OK);
+	queues[1].timeout_ms = 1;
+	TEXT_SET(queues[1].service, "none");
+	ck_assert_int_ne(state_bundle_put(state, &bundle).result, RESULT_OK);
+	ck_assert_uint_eq(state->bundles.in_force->version, 5);
+	state_free(state);
+}
+END_TEST
+
+/* Guards against a learner that blames the wrong filler. */
+START_TEST(test_pressure)
+{
+	struct pressure *pressure = pressure_new();
+	struct pressure_filler heavy = { "heavy", 4000 };
+	struct pressure_filler light = { "light", 4000 };
+
+	for (int i = 0; i < 40; i++) {
+		pressure_sample(pressure, "s", 300, NULL, 0);
+		pressure_sample(pressure, "s", 1500, &heavy, 1);
+		pressure_sample(pressure, "s", 310, &light, 1);
+	}
+	ck_assert_uint_gt(pressure_predict(pressure, "s", &heavy), 800);
+	ck_assert_uint_lt(pressure_predict(pressure, "s", &light), 100);
+	pressure_free(pressure);
+}
+END_TEST
+
+SUITE_MAIN("flow_state", test_place_rules, test_attempts, test_gang,
+	   test_lasting, test_cancel, test_snapshot, test_bundle_put,
+	   test_pressure)
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,277 @@
+/**
+ * @file test_platform.c
+ * The platform's messages: what is taken, what is refused, and bytes that mean
+ * nothing.
+ */
+
+#include <string.h>
+
+#include "config_doc.h"
+#include "executor_doc.h"
+#include "op.h"
+#include "schema.h"
+#include "submission_doc.h"
+#include "suite.h"
+
+#define RANDOM_ROUNDS 3000
+
+struct text_case {
+	const char *text;
+	enum result result;
+};
+
+#define STEP "{\"count\":2,\"cpu\":500,\"memMb\":256}"
+
+static const struct text_case submissions[] = {
+	{ "{\"spec\":\"x\",\"steps\":[" STEP "]}", RESULT_OK },
+	{ "{\"steps\":[" STEP "," STEP "],\"more\":1}", RESULT_OK },
+	{ "", RESULT_MALFORMED },
+	{ "[]", RESULT_MALFORMED },
+	{ "{\"steps\":[" STEP "]", RESULT_MALFORMED },
+	{ "{\"spec\":\"x\"}", RESULT_MALFORMED },
+	{ "{\"steps\":[]}", RESULT_MALFORMED },
+	{ "{\"steps\":[7]}", RESULT_MALFORMED },
+	{ "{\"steps\":[{}]}", RESULT_MALFORMED },
+	{ "{\"steps\":[{\"count\":-1}]}", RESULT_MALFORMED },
+	{ "{\"steps\":[{\"count\":1.5}]}", RESULT_MALFORMED },
+	{ "{\"steps\":[{\"count\":\"2\"}]}", RESULT_MALFORMED },
+	{ "{\"steps\":[{\"count\":1,\"cpu\":99999999999}]}", RESULT_MALFORMED },
+	{ "{\"steps\":[{\"count\":1,\"after\":[-1]}]}", RESULT_MALFORMED },
+	{ "{\"steps\":[{\"count\":1,\"gang\":1}]}", RESULT_MALFORMED },
+	{ "{\"spec\":7,\"steps\":[" STEP "]}", RESULT_MALFORMED },
+};
+
+/* Guards against bad submissions that are taken, or good ones refused. */
+START_TEST(test_submissions)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(submissions); i++) {
+		const struct text_case *c = &submissions[i];
+		struct flow_record record;
+		const char *fault = NULL;
+
+		ck_assert_msg(submission_read(c->text, strlen(c->text), &record,
+					      &fault) == c->result,
+			      "%s", c->text);
+		ck_assert_msg((fault != NULL) == (c->result != RESULT_OK), "%s",
+			      c->text);
+		submission_clear(&record);
+	}
+}
+END_TEST
+
+/* Guards against fields that end up in the wrong place. */
+START_TEST(test_submission_fields)
+{
+	static const char text[] =
+		"{\"spec\":\"s\",\"repeats\":3,\"firstMs\":5,\"intervalMs\":7,"
+		"\"steps\":[{\"count\":1},{\"count\":4,\"cpu\":500,"
+		"\"memMb\":256,\"gpu\":1,\"estimateMs\":900,\"after\":[0],"
+		"\"savesProgress\":true,\"gang\":true,\"sameRack\":true,"
+		"\"speculative\":true,\"longRunning\":true,\"fills\":true,"
+		"\"image\":\"im\",\"requiredLabel\":\"l\","
+		"\"dataRack\":\"r1\",\"maxPerServer\":2,\"targetMs\":125,"
+		"\"maxUnavailable\":3}]}";
+	struct flow_record record;
+	const struct flow_step *step;
+	const char *fault;
+
+	ck_assert_int_eq(submission_read(text, strlen(text), &record, &fault),
+			 RESULT_OK);
+	ck_assert_uint_eq(record.nr_steps, 2);
+	ck_assert_uint_eq(record.repeats, 3);
+	ck_assert_uint_eq(record.first_ms, 5);
+	ck_assert_uint_eq(record.interval_ms, 7);
+	ck_assert_uint_eq(g_bytes_get_size(record.spec), 1);
+	step = &record.steps[1];
+	ck_assert_uint_eq(step->count, 4);
+	ck_assert_uint_eq(step->cpu_millis, 500);
+	ck_assert_uint_eq(step->memory_mib, 256);
+	ck_assert_uint_eq(step->accelerators, 1);
+	ck_assert_uint_eq(step->estimate_ms, 900);
+	ck_assert_uint_eq(step->nr_after, 1);
+	ck_assert(step->checkpoints && step->gang && step->same_rack);
+	ck_assert(step->copies && step->lasting && step->filler);
+	ck_assert_str_eq(step->image, "im");
+	ck_assert_str_eq(step->label, "l");
+	ck_assert_str_eq(step->data_rack, "r1");
+	ck_assert_uint_eq(step->max_per_vm, 2);
+	ck_assert_uint_eq(step->target_ms, 125);
+	ck_assert_uint_eq(step->max_unavailable, 3);
+	submission_clear(&record);
+}
+END_TEST
+
+#define ROUTE                                                    \
+	"{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/p/\"," \
+	"\"service\":\"s\",\"timeoutMs\":3000,\"sloMs\":250,"    \
+	"\"priority\":2,\"attempts\":4,\"slackFactor\":1.5}"
+#define SERVICE "{\"name\":\"s\",\"enforcesCapacity\":true}"
+
+static const struct text_case configs[] = {
+	{ "{\"version\":7,\"routes\":[" ROUTE "],\"services\":[" SERVICE "]}",
+	  RESULT_OK },
+	{ "{\"version\":7,\"routes\":[" ROUTE "],\"services\":[" SERVICE "]",
+	  RESULT_MALFORMED },
+	{ "{\"routes\":[],\"services\":[]}", RESULT_MALFORMED },
+	{ "{\"version\":-1,\"routes\":[],\"services\":[]}", RESULT_MALFORMED },
+	{ "{\"version\":\"7\",\"routes\":[],\"services\":[]}",
+	  RESULT_MALFORMED },
+	{ "{\"version\":7,\"services\":[]}", RESULT_MALFORMED },
+	{ "{\"version\":7,\"routes\":{},\"services\":[]}", RESULT_MALFORMED },
+	{ "{\"version\":7,\"routes\":[{\"host\":\"h\"}],\"services\":[]}",
+	  RESULT_MALFORMED },
+};
+
+/* Guards against an invalid configuration that is taken. */
+START_TEST(test_configs)
+{
+	static const char *const zones[] = { "z1", "z2", NULL };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(configs); i++) {
+		const struct text_case *c = &configs[i];
+		GBytes *text = g_bytes_new_static(c->text, strlen(c->text));
+		struct bundle *bundle = NULL;
+		const char *fault = NULL;
+
+		ck_assert_msg(config_read(text, zones, "op", &bundle, &fault) ==
+				      c->result,
+			      "%s", c->text);
+		if (bundle) {
+			ck_assert_uint_eq(bundle->version, 7);
+			ck_assert_uint_eq(bundle->nr_zones, 2);
+			ck_assert_uint_eq(bundle->queues[0].slack_permille,
+					  1500);
+			ck_assert_uint_eq(bundle->queues[0].slo_ms, 250);
+			ck_assert(bundle->pools[0].enforces_capacity);
+			ck_assert(g_bytes_equal(bundle->document, text));
+			record_unref((struct record){ OP_BUNDLE_PUT, bundle });
+		}
+		g_bytes_unref(text);
+	}
+}
+END_TEST
+
+#define BEAT                                                              \
+	"\"service\":\"s\",\"addr\":\"10.0.0.9:80\",\"state\":\"ready\"," \
+	"\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":1},"         \
+	"\"labels\":[\"a\",\"r1-3\"]"
+
+static const struct text_case beats[] = {
+	{ "{" BEAT ",\"seq\":4,\"born\":9}", RESULT_OK },
+	{ "{" BEAT ",\"seq\":4}", RESULT_MALFORMED },
+	{ "{" BEAT ",\"born\":9}", RESULT_MALFORMED },
+	{ "{" BEAT ",\"seq\":\"4\",\"born\":9}", RESULT_MALFORMED },
+	{ "{\"seq\":4,\"born\":9}", RESULT_MALFORMED },
+	{ "nonsense", RESULT_MALFORMED },
+};
+
+/* Guards against a status report of another writer that names a worker. */
+START_TEST(test_beats)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(beats); i++) {
+		const struct text_case *c = &beats[i];
+		struct executor_beat beat;
+		const char *fault = NULL;
+
+		ck_assert_msg(executor_beat_read(c->text, strlen(c->text),
+						 &beat, &fault) == c->result,
+			      "%s", c->text);
+		if (c->result != RESULT_OK)
+			continue;
+		ck_assert_uint_eq(beat.seq, 4);
+		ck_assert_uint_eq(beat.life.born_ms, 9);
+		ck_assert_uint_eq(beat.life.cpu_millis, 16000);
+		ck_assert_str_eq(beat.life.kind, "a");
+		ck_assert_str_eq(beat.life.rack, "r1-3");
+	}
+}
+END_TEST
+
+/* Guards against an answer that is taken for more than it says. */
+START_TEST(test_replies)
+{
+	static const char list[] =
+		"{\"serverTimeMs\":50,\"born\":9,"
+		"\"running\":[[\"a.0.0.1\",2,\"c\",41,7]],"
+		"\"endedRuns\":[[58,\"a.0.0.9\",1,\"done\",\"\"]]}";
+	static const char bad[] =
+		"{\"serverTimeMs\":50,\"running\":[[\"a\",\"2\"]]}";
+	static const char fence[] =
+		"{\"serverTimeMs\":50,\"reason\":\"fence\"}";
+	struct exec_reply reply;
+
+	executor_reply_read(EXEC_HOLD, 200, list, strlen(list), &reply);
+	ck_assert_int_eq(reply.verdict, EXEC_DONE);
+	ck_assert_uint_eq(reply.clock_ms, 50);
+	ck_assert_uint_eq(reply.nr_runs, 1);
+	ck_assert_uint_eq(reply.runs[0].run, 2);
+	ck_assert_uint_eq(reply.runs[0].percent, 41);
+	ck_assert_uint_eq(reply.runs[0].figure, 7);
+	ck_assert_uint_eq(reply.nr_ends, 1);
+	ck_assert_uint_eq(reply.ends[0].nr, 58);
+	ck_assert_uint_eq(reply.ends[0].end, FLOW_END_DONE);
+	executor_reply_clear(&reply);
+	executor_reply_read(EXEC_HOLD, 200, bad, strlen(bad), &reply);
+	ck_assert_int_eq(reply.verdict, EXEC_NO_ANSWER);
+	executor_reply_clear(&reply);
+	executor_reply_read(EXEC_START, 409, fence, strlen(fence), &reply);
+	ck_assert_int_eq(reply.verdict, EXEC_REFUSED);
+	ck_assert_uint_eq(reply.result, RESULT_STALE);
+	executor_reply_clear(&reply);
+	executor_reply_read(EXEC_START, 500, "", 0, &reply);
+	ck_assert_int_eq(reply.verdict, EXEC_NO_ANSWER);
+	executor_reply_clear(&reply);
+	executor_reply_read(EXEC_START, 421, "", 0, &reply);
+	ck_assert_int_eq(reply.verdict, EXEC_OTHER_LIFE);
+	executor_reply_clear(&reply);
+}
+END_TEST
+
+/* Changes some bytes of a good text; the seed makes rounds repeatable. */
+static char *mangle(const char *text, GRand *rand)
+{
+	char *copy = g_strdup(text);
+	size_t size = strlen(copy);
+
+	for (int i = g_rand_int_range(rand, 1, 6); i > 0 && size; i--)
+		copy[g_rand_int_range(rand, 0, (gint32)size)] =
+			(char)g_rand_int_range(rand, 0, 256);
+	return copy;
+}
+
+/* Guards against bytes that crash a decoder; run under the sanitizers. */
+START_TEST(test_random_bytes)
+{
+	GRand *rand = g_rand_new_with_seed(20261204);
+
+	for (int i = 0; i < RANDOM_ROUNDS; i++) {
+		char *one = mangle(submissions[0].text, rand);
+		char *two = mangle(configs[0].text, rand);
+		char *three = mangle(beats[0].text, rand);
+		GBytes *bytes = g_bytes_new_static(two, strlen(two));
+		const char *const zones[] = { NULL };
+		struct flow_record record;
+		struct executor_beat beat;
+		struct exec_reply reply;
+		struct bundle *bundle = NULL;
+		const char *fault;
+
+		submission_read(one, strlen(one), &record, &fault);
+		submission_clear(&record);
+		config_read(bytes, zones, "op", &bundle, &fault);
+		record_unref((struct record){ OP_BUNDLE_PUT, bundle });
+		executor_beat_read(three, strlen(three), &beat, &fault);
+		executor_reply_read(EXEC_HOLD, 200, three, strlen(three),
+				    &reply);
+		executor_reply_clear(&reply);
+		g_bytes_unref(bytes);
+		g_free(one);
+		g_free(two);
+		g_free(three);
+	}
+	g_rand_free(rand);
+}
+END_TEST
+
+SUITE_MAIN("platform", test_submissions, test_submission_fields, test_configs,
+	   test_beats, test_replies, test_random_bytes)
