Ask the adviser which workers may run the steps of advised queues

Steps of such queues wait for their turn at the adviser, which takes one call at a time; its tickets are kept as long as they are valid and go with each start. A refused ticket is forgotten.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -5958,12 +5958,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "advised",
+    "ticket_ms",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Masticreach__BundleQueue, advised),
+    offsetof(Masticreach__BundleQueue, ticket_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -5971,7 +5971,6 @@
   },
 };
 static const unsigned masticreach__bundle_queue__field_indices_by_name[] = {
-  9,   /* field[9] = advised */
   5,   /* field[5] = attempts */
   1,   /* field[1] = host */
   0,   /* field[0] = name */
@@ -5980,6 +5979,7 @@
   3,   /* field[3] = service */
   6,   /* field[6] = slack_permille */
   7,   /* field[7] = slo_ms */
+  9,   /* field[9] = ticket_ms */
   8,   /* field[8] = timeout_ms */
 };
 static const ProtobufCIntRange masticreach__bundle_queue__number_ranges[1 + 1] =
@@ -7098,7 +7098,7 @@
   (ProtobufCMessageInit) masticreach__flow_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_record__field_descriptors[17] =
+static const ProtobufCFieldDescriptor masticreach__flow_record__field_descriptors[18] =
 {
   {
     "id",
@@ -7197,9 +7197,21 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "spec",
+    "ticket_ms",
     9,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowRecord, ticket_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    10,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Masticreach__FlowRecord, spec),
@@ -7210,7 +7222,7 @@
   },
   {
     "steps",
-    10,
+    11,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Masticreach__FlowRecord, n_steps),
@@ -7222,7 +7234,7 @@
   },
   {
     "repeats",
-    11,
+    12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -7234,7 +7246,7 @@
   },
   {
     "first_ms",
-    12,
+    13,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
@@ -7246,7 +7258,7 @@
   },
   {
     "interval_ms",
-    13,
+    14,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
@@ -7258,7 +7270,7 @@
   },
   {
     "submitted_ms",
-    14,
+    15,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
@@ -7270,7 +7282,7 @@
   },
   {
     "finished_ms",
-    15,
+    16,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
@@ -7282,7 +7294,7 @@
   },
   {
     "state",
-    16,
+    17,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -7294,7 +7306,7 @@
   },
   {
     "tasks",
-    17,
+    18,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Masticreach__FlowRecord, n_tasks),
@@ -7307,27 +7319,28 @@
 };
 static const unsigned masticreach__flow_record__field_indices_by_name[] = {
   5,   /* field[5] = attempts */
-  14,   /* field[14] = finished_ms */
-  11,   /* field[11] = first_ms */
+  15,   /* field[15] = finished_ms */
+  12,   /* field[12] = first_ms */
   1,   /* field[1] = host */
   0,   /* field[0] = id */
-  12,   /* field[12] = interval_ms */
+  13,   /* field[13] = interval_ms */
   2,   /* field[2] = prefix */
   4,   /* field[4] = priority */
-  10,   /* field[10] = repeats */
+  11,   /* field[11] = repeats */
   3,   /* field[3] = service */
   6,   /* field[6] = slack_permille */
   7,   /* field[7] = slo_ms */
-  8,   /* field[8] = spec */
-  15,   /* field[15] = state */
-  9,   /* field[9] = steps */
-  13,   /* field[13] = submitted_ms */
-  16,   /* field[16] = tasks */
+  9,   /* field[9] = spec */
+  16,   /* field[16] = state */
+  10,   /* field[10] = steps */
+  14,   /* field[14] = submitted_ms */
+  17,   /* field[17] = tasks */
+  8,   /* field[8] = ticket_ms */
 };
 static const ProtobufCIntRange masticreach__flow_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_record__descriptor =
 {
@@ -7337,7 +7350,7 @@
   "Masticreach__FlowRecord",
   "masticreach",
   sizeof(Masticreach__FlowRecord),
-  17,
+  18,
   masticreach__flow_record__field_descriptors,
   masticreach__flow_record__field_indices_by_name,
   1,  masticreach__flow_record__number_ranges,
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -470,7 +470,7 @@
   uint32_t slack_permille;
   uint32_t slo_ms;
   uint32_t timeout_ms;
-  protobuf_c_boolean advised;
+  uint32_t ticket_ms;
 };
 #define MASTICREACH__BUNDLE_QUEUE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__bundle_queue__descriptor) \
@@ -645,6 +645,7 @@
   uint32_t attempts;
   uint32_t slack_permille;
   uint32_t slo_ms;
+  uint32_t ticket_ms;
   ProtobufCBinaryData spec;
   size_t n_steps;
   Masticreach__FlowStep **steps;
@@ -659,7 +660,7 @@
 };
 #define MASTICREACH__FLOW_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Masticreach__FlowCall
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -73,6 +73,7 @@
 	uint32_t attempts; /* runs of a task that may fail */
 	uint32_t slack_permille; /* of the chain of work, for the objective */
 	uint32_t slo_ms; /* added to it */
+	uint32_t ticket_ms; /* validity of tickets to start, 0: none needed */
 	GBytes *spec; /* passed to the workers as it is */
 	uint32_t nr_steps;
 	struct flow_step *steps;
@@ -97,7 +98,8 @@
 	uint32_t slack_permille;
 	uint32_t slo_ms;
 	uint32_t timeout_ms;
-	bool advised; /* an outside service says which workers may run it */
+	uint32_t
+		ticket_ms; /* an adviser gives tickets valid so long, 0: none */
 };
 
 /** A service's pool of workers. */
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -32,6 +32,7 @@
 	F_U32(flow_record, attempts),
 	F_U32(flow_record, slack_permille),
 	F_U32(flow_record, slo_ms),
+	F_U32(flow_record, ticket_ms),
 	F_BYTES(flow_record, spec),
 	F_MANY(flow_record, steps, flow_step_schema),
 	F_U32(flow_record, repeats),
@@ -49,7 +50,7 @@
 	F_STRING(bundle_queue, prefix),	     F_STRING(bundle_queue, service),
 	F_U32(bundle_queue, priority),	     F_U32(bundle_queue, attempts),
 	F_U32(bundle_queue, slack_permille), F_U32(bundle_queue, slo_ms),
-	F_U32(bundle_queue, timeout_ms),     F_BOOL(bundle_queue, advised),
+	F_U32(bundle_queue, timeout_ms),     F_U32(bundle_queue, ticket_ms),
 };
 SCHEMA(bundle_queue_schema, "BundleQueue", bundle_queue, bundle_queue_fields);
 
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -171,6 +171,15 @@
 /* Work left undone for a moment, so that a draining worker's checkpoint of it
  * is the last one. */
 #define FLOW_DRAIN_LEFT_MS 1500
+/*
+ * The adviser takes one call at a time and some time for each worker named;
+ * the platform's own estimate of a step counts 30.
+ */
+#define ADVICE_WORKERS 30
+#define ADVICE_RETRY_MS 200 /* after a call that failed */
+/* A ticket is used up to this long before its end: a commit and a start. */
+#define ADVICE_MARGIN_MS 300
+
 /* Costs of a VM, in thousandths of its processors. */
 /*
  * Another serving image: fillers find fewer VMs without a sensitive neighbour.
--- a/src/core/control/control.c
+++ b/src/core/control/control.c
@@ -455,6 +455,15 @@
 	raft_set_addresses(control->raft, addresses);
 }
 
+void control_advised(struct control *control, uint64_t call_nr,
+		     enum result result, const struct advice *advice,
+		     uint32_t nr_advice)
+{
+	if (control->flows)
+		control_flow_advised(control->flows, call_nr, result, advice,
+				     nr_advice);
+}
+
 void control_synced(struct control *control, uint64_t sync_nr,
 		    enum result result)
 {
--- a/src/core/control/control.h
+++ b/src/core/control/control.h
@@ -18,10 +18,23 @@
 	/** Answers the operator behind @a ticket; the body is borrowed. */
 	void (*operator_respond)(void *ctx, uint64_t ticket, uint32_t type,
 				 const void *body);
+	/**
+	 * Asks the adviser which of the workers may run a step, named
+	 * "FLOW.OCCURRENCE.STEP". The host answers once with
+	 * control_advised(), never from within. NULL: there is no adviser.
+	 */
+	void (*advise)(void *ctx, uint64_t call_nr, const char *step,
+		       const char *const *workers, uint32_t nr_workers);
 	/** Wall clock in milliseconds, for records that operators read. */
 	uint64_t (*wall_ms)(void *ctx);
 };
 
+/** A worker that may run a step, and the ticket that a start carries. */
+struct advice {
+	char worker[NAME_BYTES];
+	char ticket[NAME_BYTES];
+};
+
 struct control_opts {
 	const struct control_host_ops *host;
 	void *host_ctx;
@@ -46,6 +59,14 @@
 void control_set_addresses(struct control *control,
 			   const char *const *addresses);
 
+/**
+ * Answers control_host_ops.advise(): the workers that may run the step. On an
+ * error the step is asked about again.
+ */
+void control_advised(struct control *control, uint64_t call_nr,
+		     enum result result, const struct advice *advice,
+		     uint32_t nr_advice);
+
 /** A sync of the store ended. */
 void control_synced(struct control *control, uint64_t sync_nr,
 		    enum result result);
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -273,6 +273,8 @@
 	counter_add(flows->control->node->counters, "task_ends", 1);
 	flow_log_end(flows, soft, end);
 	flow_vm_learn(flows, soft->vm, soft, end);
+	if (end == FLOW_END_REFUSED)
+		flow_advice_forget(flows, soft);
 	soft->vm->grant_due = true;
 	control_flow_release(flows, soft);
 	control_flow_place_soon(flows);
@@ -367,6 +369,7 @@
 	flows->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      flow_orders_free);
 	flows->pressure = pressure_new();
+	flows->advice = flow_advice_new();
 	flows->ranks = g_array_new(FALSE, FALSE, sizeof(struct flow_rank));
 	flows->changes = g_array_new(FALSE, FALSE, sizeof(struct flow_change));
 	flows->change_timer = (struct timer){ flow_propose_changes, flows };
@@ -396,6 +399,7 @@
 	g_hash_table_unref(flows->vms);
 	g_array_unref(flows->ranks);
 	pressure_free(flows->pressure);
+	flow_advice_free(flows->advice);
 	g_array_unref(flows->changes);
 	g_free(flows);
 }
--- a/src/core/control/control_flow.h
+++ b/src/core/control/control_flow.h
@@ -26,6 +26,11 @@
 void control_flow_report(struct control_flow *flows, uint64_t from,
 			 const struct flow_report *report);
 
+/** Takes the adviser's answer; see control_advised(). */
+void control_flow_advised(struct control_flow *flows, uint64_t call_nr,
+			  enum result result, const struct advice *advice,
+			  uint32_t nr_advice);
+
 /* Committed changes. */
 void control_flow_changed(struct control_flow *flows,
 			  const struct state_flow *flow);
--- /dev/null
+++ b/src/core/control/control_flow_advice.c
@@ -0,0 +1,271 @@
+#include "control_flow_impl.h"
+
+#include <string.h>
+
+/*
+ * Queues whose steps only some workers may run. The adviser is slow and takes
+ * one call at a time, so steps wait here for their turn; its answers are kept
+ * as long as the tickets in them are valid.
+ */
+
+/** What the adviser said of one worker for one step. */
+struct advice_row {
+	uint64_t born_ms; /* life of the worker that the ticket is for */
+	uint64_t until_us;
+	char ticket[NAME_BYTES]; /* "": it may not run the step */
+};
+
+struct flow_advice {
+	GHashTable *rows; /* "STEP WORKER" -> struct advice_row * */
+	GQueue wanted; /* names of steps, char * */
+	char *asking; /* name of the step that is asked about, or NULL */
+	GPtrArray *asked; /* names of the workers in that call */
+	uint32_t ticket_ms;
+	uint64_t asked_us;
+	uint64_t call_nr;
+	uint64_t retry_us; /* no call before */
+};
+
+struct flow_advice *flow_advice_new(void)
+{
+	struct flow_advice *advice = g_new0(struct flow_advice, 1);
+
+	advice->rows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	advice->asked = g_ptr_array_new_with_free_func(g_free);
+	g_queue_init(&advice->wanted);
+	return advice;
+}
+
+void flow_advice_free(struct flow_advice *advice)
+{
+	if (!advice)
+		return;
+	g_hash_table_unref(advice->rows);
+	g_queue_clear_full(&advice->wanted, g_free);
+	g_ptr_array_unref(advice->asked);
+	g_free(advice->asking);
+	g_free(advice);
+}
+
+static char *stage_name(const struct state_flow *flow, uint32_t stage)
+{
+	return g_strdup_printf("%s.%u.%u", flow->record.id,
+			       stage / flow->record.nr_steps,
+			       stage % flow->record.nr_steps);
+}
+
+static const struct advice_row *advice_find(const struct flow_advice *advice,
+					    const char *step,
+					    const char *worker)
+{
+	char *key = g_strconcat(step, " ", worker, NULL);
+	const struct advice_row *row = g_hash_table_lookup(advice->rows, key);
+
+	g_free(key);
+	return row;
+}
+
+/* Returns what is known of the VM's present worker, NULL if nothing is. */
+static const struct advice_row *advice_of(const struct control_flow *flows,
+					  const char *step,
+					  const struct flow_vm *vm)
+{
+	const struct advice_row *row =
+		advice_find(flows->advice, step, vm->worker.id);
+
+	return row && row->born_ms == vm->worker.born_ms &&
+			       row->until_us > flows->control->node->now_us ?
+		       row :
+		       NULL;
+}
+
+const char *flow_advice_ticket(const struct control_flow *flows,
+			       const struct state_flow *flow, uint32_t stage,
+			       const struct flow_vm *vm)
+{
+	char *step = stage_name(flow, stage);
+	const struct advice_row *row = advice_of(flows, step, vm);
+
+	g_free(step);
+	return row && row->ticket[0] ? row->ticket : NULL;
+}
+
+/* Names the workers that the adviser hasn't been asked about lately. */
+static void advice_candidates(struct control_flow *flows, const char *step,
+			      const char *service)
+{
+	struct flow_advice *advice = flows->advice;
+	GHashTableIter iter;
+	void *value;
+
+	g_ptr_array_set_size(advice->asked, 0);
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (advice->asked->len < ADVICE_WORKERS &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct flow_vm *vm = value;
+
+		if (vm->reported && vm->worker.id[0] && !vm->worker.ended &&
+		    !vm->worker.draining &&
+		    !strcmp(vm->worker.service, service) &&
+		    !advice_of(flows, step, vm))
+			g_ptr_array_add(advice->asked, g_strdup(vm->worker.id));
+	}
+}
+
+/* Returns the flow of a step that still waits for work, NULL otherwise. */
+static const struct state_flow *advice_flow(const struct control_flow *flows,
+					    const char *step)
+{
+	char id[NAME_BYTES];
+	const struct state_flow *flow;
+
+	text_set(id, MIN(strcspn(step, ".") + 1, sizeof(id)), step);
+	flow = state_flow_find(flows->control->state, id);
+	return flow && state_flow_is_active(flow) ? flow : NULL;
+}
+
+static void advice_call(struct control_flow *flows)
+{
+	struct flow_advice *advice = flows->advice;
+	struct control *control = flows->control;
+
+	while (!advice->asking && !g_queue_is_empty(&advice->wanted)) {
+		char *step = g_queue_pop_head(&advice->wanted);
+		const struct state_flow *flow = advice_flow(flows, step);
+
+		if (flow)
+			advice_candidates(flows, step, flow->record.service);
+		if (!flow || !advice->asked->len) {
+			g_free(step);
+			continue;
+		}
+		advice->asking = step;
+		advice->ticket_ms = flow->record.ticket_ms;
+		advice->asked_us = control->node->now_us;
+		counter_add(control->node->counters, "advice_calls", 1);
+		control->opts.host->advise(
+			control->opts.host_ctx, ++advice->call_nr, step,
+			(const char *const *)advice->asked->pdata,
+			advice->asked->len);
+	}
+}
+
+void flow_advice_want(struct control_flow *flows, const struct state_flow *flow,
+		      uint32_t stage)
+{
+	struct flow_advice *advice = flows->advice;
+	char *step = stage_name(flow, stage);
+
+	if (flows->control->node->now_us < advice->retry_us ||
+	    !g_strcmp0(advice->asking, step) ||
+	    g_queue_find_custom(&advice->wanted, step, (GCompareFunc)strcmp))
+		g_free(step);
+	else
+		g_queue_push_tail(&advice->wanted, step);
+	if (flows->control->opts.host->advise)
+		advice_call(flows);
+}
+
+static const struct flow_vm *advice_vm(const struct control_flow *flows,
+				       const char *worker)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct flow_vm *vm = value;
+
+		if (!strcmp(vm->worker.id, worker))
+			return vm;
+	}
+	return NULL;
+}
+
+static const char *advice_ticket_in(const struct advice *rows, uint32_t nr,
+				    const char *worker)
+{
+	for (uint32_t i = 0; i < nr; i++)
+		if (!strcmp(rows[i].worker, worker))
+			return rows[i].ticket;
+	return "";
+}
+
+static void advice_log(struct control_flow *flows, enum result result,
+		       uint32_t nr_good)
+{
+	const struct flow_advice *advice = flows->advice;
+	uint64_t took_us = flows->control->node->now_us - advice->asked_us;
+	GString *line = logline_new("advice");
+
+	logline_str(line, "step", advice->asking);
+	logline_u64(line, "workers", advice->asked->len);
+	logline_u64(line, "good", nr_good);
+	logline_u64(line, "took_ms", took_us / 1000);
+	logline_str(line, "result", result_name(result));
+	node_log(flows->control->node, line);
+}
+
+/* Rows whose time is over go, so that the table stays bounded. */
+static gboolean advice_is_old(gpointer key, gpointer value, gpointer data)
+{
+	const struct advice_row *row = value;
+	const struct control_flow *flows = data;
+
+	return row->until_us <= flows->control->node->now_us;
+}
+
+void control_flow_advised(struct control_flow *flows, uint64_t call_nr,
+			  enum result result, const struct advice *rows,
+			  uint32_t nr_rows)
+{
+	struct flow_advice *advice = flows->advice;
+	/* Tickets count from before the call: the service began in it. */
+	uint64_t until_us = advice->asked_us + advice->ticket_ms * 1000ull;
+
+	if (!advice->asking || call_nr != advice->call_nr)
+		return;
+	advice_log(flows, result, nr_rows);
+	g_hash_table_foreach_remove(advice->rows, advice_is_old, flows);
+	for (guint i = 0; i < advice->asked->len && !result; i++) {
+		const char *worker = advice->asked->pdata[i];
+		const struct flow_vm *vm = advice_vm(flows, worker);
+		struct advice_row *row;
+
+		if (!vm)
+			continue;
+		row = g_new0(struct advice_row, 1);
+		row->born_ms = vm->worker.born_ms;
+		row->until_us =
+			until_us - MIN(until_us, ADVICE_MARGIN_MS * 1000ull);
+		TEXT_SET(row->ticket, advice_ticket_in(rows, nr_rows, worker));
+		g_hash_table_replace(
+			advice->rows,
+			g_strconcat(advice->asking, " ", worker, NULL), row);
+	}
+	if (result)
+		advice->retry_us = flows->control->node->now_us +
+				   ADVICE_RETRY_MS * 1000ull;
+	g_clear_pointer(&advice->asking, g_free);
+	control_flow_place_soon(flows);
+	advice_call(flows);
+}
+
+void flow_advice_forget(struct control_flow *flows,
+			const struct flow_soft *soft)
+{
+	char *step;
+	char *key;
+
+	if (!soft->ticket[0])
+		return;
+	step = stage_name(soft->flow,
+			  state_flow_occurrence(soft->flow, soft->task) *
+					  soft->flow->record.nr_steps +
+				  state_flow_step(soft->flow, soft->task));
+	key = g_strconcat(step, " ", soft->vm->worker.id, NULL);
+	g_hash_table_remove(flows->advice->rows, key);
+	g_free(key);
+	g_free(step);
+}
--- a/src/core/control/control_flow_call.c
+++ b/src/core/control/control_flow_call.c
@@ -75,9 +75,9 @@
 				NULL);
 		return;
 	}
-	/* The service that advises on workers is not asked yet. */
-	if (queue->advised) {
-		flow_call_reply(control, from, call->ticket, RESULT_OVERLOADED,
+	/* Without an adviser nobody may start its tasks. */
+	if (queue->ticket_ms && !control->opts.host->advise) {
+		flow_call_reply(control, from, call->ticket, RESULT_NO_PERMIT,
 				NULL);
 		return;
 	}
@@ -90,6 +90,7 @@
 	record.attempts = MAX(queue->attempts, 1);
 	record.slack_permille = queue->slack_permille;
 	record.slo_ms = queue->slo_ms;
+	record.ticket_ms = queue->ticket_ms;
 	record.submitted_ms = control_wall_ms(control);
 	record.finished_ms = 0;
 	record.state = FLOW_QUEUED;
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -66,6 +66,7 @@
 	uint64_t progress_us; /* when percent changed last */
 	char checkpoint[NAME_BYTES];
 	uint32_t figure;
+	char ticket[NAME_BYTES]; /* that its start carries, "": none */
 };
 
 /** A workflow that has not ended, in the order of work. */
@@ -80,6 +81,7 @@
 	GHashTable *vms; /* name -> struct flow_vm * */
 	GHashTable *runs; /* task name -> struct flow_soft * */
 	struct pressure *pressure;
+	struct flow_advice *advice;
 	GArray *ranks; /* struct flow_rank, by priority and due_ms */
 	GArray *changes; /* struct flow_change to be proposed */
 	GHashTable *orders; /* vm name -> GArray of struct flow_order */
@@ -122,6 +124,23 @@
 			     const struct flow_run *run);
 void control_flow_send_orders(void *data, uint64_t now_us);
 
+/* control_flow_advice.c */
+struct flow_advice *flow_advice_new(void);
+void flow_advice_free(struct flow_advice *advice);
+/**
+ * Returns the ticket with which the VM's worker may run tasks of the stage,
+ * NULL if it has none now; flow_advice_want() then asks.
+ */
+const char *flow_advice_ticket(const struct control_flow *flows,
+			       const struct state_flow *flow, uint32_t stage,
+			       const struct flow_vm *vm);
+/** Asks about the VMs for the stage, as soon as the adviser is free. */
+void flow_advice_want(struct control_flow *flows, const struct state_flow *flow,
+		      uint32_t stage);
+/** A ticket was refused. */
+void flow_advice_forget(struct control_flow *flows,
+			const struct flow_soft *soft);
+
 /* control_flow_pressure.c */
 /** Learns from the figures that a report brought. */
 void control_flow_learn(struct control_flow *flows, struct flow_vm *vm);
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -42,6 +42,7 @@
 	order.spec = record->spec ? g_bytes_ref(record->spec) : NULL;
 	TEXT_SET(order.checkpoint, record->tasks[soft->task].checkpoint);
 	order.filler = soft->step->filler;
+	TEXT_SET(order.ticket, soft->ticket);
 	order.target_ms = soft->step->target_ms;
 	if (soft->step->filler)
 		order.press_permille =
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -131,6 +131,9 @@
 
 	if (step->label[0] && !flow_vm_has_label(vm, step->label))
 		return false;
+	if (need->flow->record.ticket_ms &&
+	    !flow_advice_ticket(need->flows, need->flow, need->stage, vm))
+		return false;
 	if (vm->memory_mib + step->memory_mib > vm->worker.memory_mib ||
 	    vm->accelerators + step->accelerators > vm->worker.accelerators)
 		return false;
@@ -253,6 +256,10 @@
 	struct flow_soft *soft =
 		control_flow_take(need->flows, need->flow, task, run, vm);
 
+	if (need->flow->record.ticket_ms)
+		TEXT_SET(soft->ticket,
+			 flow_advice_ticket(need->flows, need->flow,
+					    need->stage, vm));
 	TEXT_SET(change.id, need->flow->record.id);
 	change.task = task;
 	change.run = run;
@@ -384,7 +391,8 @@
 			continue;
 		if (!flow_stage_due(flows, flow, i))
 			break; /* later occurrences come later */
-		flow_place_stage(&need);
+		if (!flow_place_stage(&need) && flow->record.ticket_ms)
+			flow_advice_want(flows, flow, i);
 	}
 }
 
--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -83,11 +83,27 @@
 	return (uint64_t)(g_get_real_time() / 1000);
 }
 
+static void host_control_advise(void *ctx, uint64_t call_nr, const char *step,
+				const char *const *workers, uint32_t nr_workers)
+{
+	struct host_control *host = ctx;
+
+	host->front->advise(host->front_ctx, call_nr, step, workers,
+			    nr_workers);
+}
+
 static const struct control_host_ops host_control_host_ops = {
 	.operator_respond = host_control_respond,
 	.wall_ms = host_control_wall_ms,
 };
 
+/* With an adviser behind the front end. */
+static const struct control_host_ops host_control_advised_ops = {
+	.operator_respond = host_control_respond,
+	.wall_ms = host_control_wall_ms,
+	.advise = host_control_advise,
+};
+
 /* Returns the part of the path after a route's path, NULL if it differs. */
 static const char *route_match(const struct route *route, const char *path)
 {
@@ -377,7 +393,8 @@
 	opts.store = &store_file_ops;
 	opts.store_ctx = host->store;
 	opts.image = store_image(host->store);
-	opts.host = &host_control_host_ops;
+	opts.host = settings->adviser[0] ? &host_control_advised_ops :
+					   &host_control_host_ops;
 	opts.host_ctx = host;
 	opts.control_addresses = (const char *const *)settings->control;
 	opts.worker_lease_ms = settings->worker_lease_ms;
@@ -390,6 +407,14 @@
 	return RESULT_OK;
 }
 
+void host_control_advised(struct host_control *host, uint64_t call_nr,
+			  enum result result, const struct advice *advice,
+			  uint32_t nr_advice)
+{
+	loop_enter(host->loop);
+	control_advised(host->control, call_nr, result, advice, nr_advice);
+}
+
 void host_control_set_front(struct host_control *host,
 			    const struct control_front_ops *ops, void *ctx)
 {
--- a/src/daemon/host_control.h
+++ b/src/daemon/host_control.h
@@ -7,6 +7,7 @@
  * front of its own one on the same address.
  */
 
+#include "control.h"
 #include "op.h"
 #include "role_host.h"
 
@@ -19,10 +20,18 @@
 	/** Answers a request that it took; false if it took it not. */
 	bool (*respond)(void *ctx, struct http_request *request, uint32_t type,
 			const void *body);
+	/** As control_host_ops.advise(); NULL if there is no adviser. */
+	void (*advise)(void *ctx, uint64_t call_nr, const char *step,
+		       const char *const *workers, uint32_t nr_workers);
 	/** The caller of a request has gone. */
 	void (*gone)(void *ctx, uint64_t ticket);
 };
 
+/** Passes the adviser's answer on; see control_advised(). */
+void host_control_advised(struct host_control *host, uint64_t call_nr,
+			  enum result result, const struct advice *advice,
+			  uint32_t nr_advice);
+
 /** @a host is what host_control_ops.open() returned. */
 void host_control_set_front(struct host_control *host,
 			    const struct control_front_ops *ops, void *ctx);
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -42,6 +42,7 @@
 	SET_WORKER_LEASE_MS,
 	SET_GRACE_S,
 	SET_REPLICA_LOSSES,
+	SET_ADVISER,
 	NR_SETTINGS,
 };
 
@@ -107,6 +108,9 @@
 	[SET_REPLICA_LOSSES] = { "replica-losses", "N", "0", "all", "",
 				 "control replicas that may be lost at a time; "
 				 "0: fewer than half of --control" },
+	[SET_ADVISER] = { "adviser", "IP:PORT", "", "all", "",
+			  "service that says which workers may run the steps "
+			  "of some queues" },
 };
 
 /* Variables of the operators' tool, which may be set on the same VM. */
@@ -535,6 +539,9 @@
 	if (res == RESULT_OK)
 		res = values_address(values, SET_READY, FALSE, to->ready,
 				     error);
+	if (res == RESULT_OK)
+		res = values_address(values, SET_ADVISER, FALSE, to->adviser,
+				     error);
 	if (res == RESULT_OK)
 		res = values_address(values, SET_WORKER, FALSE, to->worker,
 				     error);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -42,6 +42,7 @@
 	char **control; /* NULL-terminated, owned */
 	uint16_t control_port; /* 0: the ports in control */
 	char ready[ADDRESS_BYTES]; /* of a server for readiness only, or "" */
+	char adviser[ADDRESS_BYTES]; /* "": there is none */
 	char **zones; /* NULL-terminated, owned; may be empty */
 	bool bootstrap; /* a new group may be formed */
 	uint32_t worker_lease_ms; /* longest lease that workers take */
--- a/tests/control_world.c
+++ b/tests/control_world.c
@@ -129,11 +129,29 @@
 	.wall_ms = host_wall_ms,
 };
 
+static void host_advise(void *ctx, uint64_t call_nr, const char *step,
+			const char *const *workers, uint32_t nr_workers)
+{
+	struct world_control *host = ctx;
+
+	host->world->advice_nr = call_nr;
+	host->world->advice_from = host->control;
+	host->world->nr_advice++;
+	TEXT_SET(host->world->advice_step, step);
+}
+
+static const struct control_host_ops control_advised_host = {
+	.operator_respond = host_respond,
+	.wall_ms = host_wall_ms,
+	.advise = host_advise,
+};
+
 void world_boot_control(struct world_control *host)
 {
 	struct store_image image = { .hard_state = host->hard };
 	struct control_opts opts = {
-		.host = &control_host,
+		.host = host->world->advised ? &control_advised_host :
+					       &control_host,
 		.host_ctx = host,
 		.store = &disk_ops,
 		.store_ctx = host,
--- a/tests/control_world.h
+++ b/tests/control_world.h
@@ -83,6 +83,12 @@
 	uint32_t next_checkpoint;
 	uint64_t wall_skew_ms; /* added to the replicas' wall clocks */
 	GHashTable *in_flight; /* set of struct world_call * and disk_sync * */
+	/* the adviser: takes calls while advised is set before the start */
+	bool advised;
+	uint64_t advice_nr; /* call under way, 0: none */
+	struct control *advice_from;
+	char advice_step[NAME_BYTES];
+	uint32_t nr_advice; /* calls so far */
 	/* answer to the last operator's request */
 	uint64_t ticket;
 	uint32_t reply_type;
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -9,6 +9,8 @@
 #define TICK_US 10000
 #define VM_CPU_MILLIS 8000
 #define VM_MEMORY_MIB 16000
+#define BUNDLE_VERSION 100 /* above what control_world signs off */
+#define TICKET_MS 3000
 #define LATE_MIN_US 2000000
 #define LATE_MAX_US 12000000
 
@@ -30,6 +32,7 @@
 	uint64_t deadline_ms;
 	uint64_t settled_nr;
 	uint32_t wait_ms;
+	char ticket[NAME_BYTES];
 };
 
 static uint64_t now_us(const struct flow_world *fw)
@@ -117,6 +120,10 @@
 	reply->result = RESULT_LEASE_EXPIRED;
 	if (call->deadline_ms <= clock_ms(vm))
 		return;
+	reply->result = RESULT_NO_PERMIT;
+	if (vm->world->permit && (strcmp(vm->name, vm->world->good) != 0 ||
+				  strcmp(call->ticket, vm->world->permit) != 0))
+		return;
 	reply->verdict = EXEC_DONE;
 	check_start(vm, call->task);
 	TEXT_SET(run.task, call->task);
@@ -238,6 +245,7 @@
 	call->deadline_ms = from->deadline_ms;
 	call->settled_nr = from->settled_nr;
 	call->wait_ms = from->wait_ms;
+	TEXT_SET(call->ticket, from->ticket ? from->ticket : "");
 	call->due_us = now_us(fw) + CALL_DELAY_US;
 	call->give_up_us = now_us(fw) + from->wait_ms * 1000 + CALL_TIMEOUT_US;
 	call->lost = vhost_random(fw->base->vhost) % 1000000 < vm->lose_ppm;
@@ -307,8 +315,31 @@
 	ck_assert_uint_le(cpu_millis, VM_CPU_MILLIS);
 }
 
+/* Answers the adviser's call. */
+static void world_answer_advice(struct flow_world *fw)
+{
+	struct world *base = fw->base;
+	struct advice advice = { 0 };
+	uint64_t call_nr = base->advice_nr;
+
+	if (!call_nr || !fw->permit)
+		return;
+	base->advice_nr = 0;
+	TEXT_SET(advice.worker, fw->good);
+	TEXT_SET(advice.ticket, fw->permit);
+	for (uint32_t i = 0; i < base->nr_controls; i++) {
+		struct world_control *host = &base->controls[i];
+
+		if (!host->control || host->control != base->advice_from)
+			continue;
+		node_set_time(vhost_node(host->machine), now_us(fw));
+		control_advised(host->control, call_nr, RESULT_OK, &advice, 1);
+	}
+}
+
 static void fw_tick(struct flow_world *fw)
 {
+	world_answer_advice(fw);
 	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
 		vm_tick(&fw->vms[i]);
 		if (now_us(fw) / 1000 % BEAT_MS < TICK_US / 1000)
@@ -453,14 +484,15 @@
 
 /* ---- the world ---- */
 
-static void world_put_bundle(struct flow_world *fw)
+static void world_put_bundle(struct flow_world *fw, uint64_t version,
+			     uint32_t ticket_ms)
 {
 	struct bundle_zone zones[] = { { "veraval", "", 0 },
 				       { "porbandar", "", 0 } };
 	struct bundle_queue queues[] = { { "q", "shop", "/q/", "svc", 0, 2,
-					   2000, 1000, 3000, false } };
+					   2000, 1000, 3000, ticket_ms } };
 	struct bundle_pool pools[] = { { "svc", true, false } };
-	struct bundle bundle = { .version = 100 };
+	struct bundle bundle = { .version = version };
 
 	TEXT_SET(bundle.digest, "d");
 	TEXT_SET(bundle.signed_by, "test");
@@ -507,11 +539,26 @@
 		fw_boot_agent(vm);
 	}
 	flow_world_run_ms(fw, 5000);
-	world_put_bundle(fw);
+	world_put_bundle(fw, BUNDLE_VERSION, 0);
 	flow_world_run_ms(fw, 3000);
 	return fw;
 }
 
+void flow_world_advise(struct flow_world *fw, const char *good)
+{
+	/* Replicas take the adviser when they start. */
+	fw->base->advised = true;
+	for (uint32_t i = 0; i < fw->base->nr_controls; i++) {
+		world_kill_control(&fw->base->controls[i]);
+		world_boot_control(&fw->base->controls[i]);
+	}
+	flow_world_run_ms(fw, 3000);
+	fw->good = good;
+	fw->permit = "ticket-1";
+	world_put_bundle(fw, BUNDLE_VERSION + 1, TICKET_MS);
+	flow_world_run_ms(fw, 1000);
+}
+
 void flow_world_free(struct flow_world *fw)
 {
 	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -59,6 +59,9 @@
 	uint32_t nr_starts;
 	uint64_t last_start_us; /* in the zone below */
 	const char *watched_zone;
+	const char
+		*permit; /* ticket of the only worker that may start, or NULL */
+	const char *good; /* its name */
 	uint32_t run_ms; /* of every run */
 	uint64_t ticket;
 	struct flow_reply reply;
@@ -66,6 +69,8 @@
 };
 
 struct flow_world *flow_world_new(uint64_t seed);
+/** The queue's tasks need a ticket, which only one worker has. */
+void flow_world_advise(struct flow_world *fw, const char *good);
 void flow_world_free(struct flow_world *fw);
 void flow_world_run_ms(struct flow_world *fw, uint64_t ms);
 
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -305,8 +305,32 @@
 }
 END_TEST
 
+/* Guards against starts without the ticket that the queue asks for. */
+START_TEST(test_advice)
+{
+	struct flow_world *fw = flow_world_new(13);
+	struct flow_step step = step_of(4);
+
+	flow_world_advise(fw, "side2");
+	ck_assert_int_eq(flow_world_submit(fw, "aa", &step, 1), RESULT_OK);
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 9000));
+	ck_assert_uint_eq(fw->nr_starts, 4);
+	/* One call about all workers, then the answer is kept. */
+	ck_assert_uint_eq(fw->base->nr_advice, 1);
+	/* A ticket that is over is asked for again. */
+	fw->run_ms = 4000;
+	step = step_of(16);
+	flow_world_submit(fw, "bb", &step, 1);
+	ck_assert(flow_world_wait(fw, "bb", FLOW_COMPLETED, 30000));
+	ck_assert_uint_ge(fw->base->nr_advice, 3);
+	ck_assert_uint_eq(fw->nr_starts, 20);
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("flow", test_steps_in_order, test_resend_is_one,
 	   test_cancel_before_submission, test_cancel_stops_runs,
 	   test_unknown_names, test_leader_killed, test_agent_restarted,
 	   test_vm_cut_off, test_short_cuts, test_late_calls,
-	   test_worker_crashes, test_zone_out, test_draining, test_attempts)
+	   test_worker_crashes, test_zone_out, test_draining, test_attempts,
+	   test_advice)
