Place work that comes too late for its user behind the rest

Cause: earliest-due order puts the most overdue workflows first, though after three times their objective they are worth nothing; in overload they held up those that could still be on time.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -168,6 +168,9 @@
 #define FLOW_STALL_FACTOR 2
 /* Share of their processors that lasting tasks use, for placing fillers. */
 #define FLOW_LASTING_USE_PERCENT 60
+/* After this many times its objective, a workflow is worth nothing (platform).
+ */
+#define FLOW_LATE_FACTOR 3
 /* Work left undone for a moment, so that a draining worker's checkpoint of it
  * is the last one. */
 #define FLOW_DRAIN_LEFT_MS 1500
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -72,7 +72,8 @@
 /** A workflow that has not ended, in the order of work. */
 struct flow_rank {
 	struct state_flow *flow;
-	uint64_t due_ms; /* wall clock, of its objective */
+	uint64_t due_us; /* end of its objective */
+	uint64_t worthless_us; /* nobody waits for it any more */
 };
 
 struct control_flow {
@@ -82,7 +83,7 @@
 	GHashTable *runs; /* task name -> struct flow_soft * */
 	struct pressure *pressure;
 	struct flow_advice *advice;
-	GArray *ranks; /* struct flow_rank, by priority and due_ms */
+	GArray *ranks; /* struct flow_rank, by priority and due_us */
 	GArray *changes; /* struct flow_change to be proposed */
 	GHashTable *orders; /* vm name -> GArray of struct flow_order */
 	struct timer change_timer;
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -38,19 +38,32 @@
 
 	if (priority_x != priority_y)
 		return priority_x < priority_y ? -1 : 1;
-	if (x->due_ms != y->due_ms)
-		return x->due_ms < y->due_ms ? -1 : 1;
+	if (x->due_us != y->due_us)
+		return x->due_us < y->due_us ? -1 : 1;
 	return strcmp(x->flow->record.id, y->flow->record.id);
 }
 
 void control_flow_rank(struct control_flow *flows, struct state_flow *flow)
 {
 	const struct flow_record *record = &flow->record;
+	struct control *control = flows->control;
+	uint64_t start_ms = MAX(record->submitted_ms, record->first_ms);
+	uint64_t now_ms = control_wall_ms(control);
+	uint64_t objective_us =
+		(record->slo_ms +
+		 flow_chain_ms(flow) * record->slack_permille / 1000) *
+		1000;
 	struct flow_rank rank = { .flow = flow };
 
-	rank.due_ms = MAX(record->submitted_ms, record->first_ms) +
-		      record->slo_ms +
-		      flow_chain_ms(flow) * record->slack_permille / 1000;
+	/* From here on the time of day, which may jump, isn't looked at. */
+	rank.due_us = control->node->now_us + objective_us;
+	if (start_ms > now_ms)
+		rank.due_us += (start_ms - now_ms) * 1000;
+	else
+		rank.due_us -= MIN((now_ms - start_ms) * 1000, rank.due_us);
+	rank.worthless_us = rank.due_us + objective_us * (FLOW_LATE_FACTOR - 1);
+	if (!objective_us)
+		rank.worthless_us = UINT64_MAX;
 	g_array_append_val(flows->ranks, rank);
 	g_array_sort(flows->ranks, flow_rank_compare);
 }
@@ -396,6 +409,24 @@
 	}
 }
 
+static void flow_place_ranks(struct control_flow *flows, bool worthless)
+{
+	uint64_t now_us = flows->control->node->now_us;
+
+	for (guint i = 0; i < flows->ranks->len; i++) {
+		const struct flow_rank *rank =
+			&g_array_index(flows->ranks, struct flow_rank, i);
+		struct state_flow *flow = rank->flow;
+
+		/* Lasting work is never too late. */
+		if (worthless != (now_us > rank->worthless_us &&
+				  !flow->record.steps[0].lasting))
+			continue;
+		if (flow->nr_placed + flow->nr_done < flow->record.nr_tasks)
+			flow_place_all(flows, flow);
+	}
+}
+
 void control_flow_place(void *data, uint64_t now_us)
 {
 	struct control_flow *flows = data;
@@ -405,13 +436,9 @@
 		control_flow_place_soon(flows);
 		return;
 	}
-	for (guint i = 0; i < flows->ranks->len; i++) {
-		struct state_flow *flow =
-			g_array_index(flows->ranks, struct flow_rank, i).flow;
-
-		if (flow->nr_placed + flow->nr_done < flow->record.nr_tasks)
-			flow_place_all(flows, flow);
-	}
+	/* What comes too late for its user goes behind what doesn't. */
+	flow_place_ranks(flows, false);
+	flow_place_ranks(flows, true);
 }
 
 void control_flow_place_soon(struct control_flow *flows)
