--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -156,6 +156,11 @@
 		    vm->filler_cpu_millis + step->cpu_millis >
 			    flow_vm_unused_cpu(vm))
 			return false;
+		/* One may try, as the forecast may be wrong. */
+		if (vm->filler_cpu_millis &&
+		    control_flow_pressure(need->flows, vm, step) >
+			    FLOW_PRESSURE_MAX_PERMILLE)
+			return false;
 	} else if (vm->cpu_millis + step->cpu_millis > vm->worker.cpu_millis) {
 		return false;
 	}
