--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -190,7 +190,7 @@
  */
 #define FLOW_COST_IMAGE 1200
 #define FLOW_PRESSURE_PERMILLE 700 /* expected, of the target */
-#define FLOW_PRESSURE_MAX_PERMILLE 1000 /* no further filler comes */
+#define FLOW_PRESSURE_MAX_PERMILLE 850 /* no further filler comes */
 #define FLOW_COST_REMOTE 500 /* the data is on another rack */
 #define FLOW_COST_FAILED 2000 /* the task failed there */
 #define FLOW_COST_COLD 300 /* its worker has just started */
