Keep learned pressure over a failover

The leader saves weights that moved by a quarter every 3 s as one command; the next one starts from them.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -3337,6 +3337,96 @@
   assert(message->base.descriptor == &masticreach__cmd_flow_expire__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   masticreach__pressure_pair__init
+                     (Masticreach__PressurePair         *message)
+{
+  static const Masticreach__PressurePair init_value = MASTICREACH__PRESSURE_PAIR__INIT;
+  *message = init_value;
+}
+size_t masticreach__pressure_pair__get_packed_size
+                     (const Masticreach__PressurePair *message)
+{
+  assert(message->base.descriptor == &masticreach__pressure_pair__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__pressure_pair__pack
+                     (const Masticreach__PressurePair *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__pressure_pair__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__pressure_pair__pack_to_buffer
+                     (const Masticreach__PressurePair *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__pressure_pair__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__PressurePair *
+       masticreach__pressure_pair__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__PressurePair *)
+     protobuf_c_message_unpack (&masticreach__pressure_pair__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__pressure_pair__free_unpacked
+                     (Masticreach__PressurePair *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__pressure_pair__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_pressure__init
+                     (Masticreach__CmdPressure         *message)
+{
+  static const Masticreach__CmdPressure init_value = MASTICREACH__CMD_PRESSURE__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_pressure__get_packed_size
+                     (const Masticreach__CmdPressure *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_pressure__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_pressure__pack
+                     (const Masticreach__CmdPressure *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_pressure__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_pressure__pack_to_buffer
+                     (const Masticreach__CmdPressure *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_pressure__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdPressure *
+       masticreach__cmd_pressure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdPressure *)
+     protobuf_c_message_unpack (&masticreach__cmd_pressure__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_pressure__free_unpacked
+                     (Masticreach__CmdPressure *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_pressure__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   masticreach__task_record__init
                      (Masticreach__TaskRecord         *message)
 {
@@ -10737,6 +10827,108 @@
   (ProtobufCMessageInit) masticreach__cmd_flow_expire__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor masticreach__pressure_pair__field_descriptors[3] =
+{
+  {
+    "serving",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PressurePair, serving),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "filler",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PressurePair, filler),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight_ppm",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PressurePair, weight_ppm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__pressure_pair__field_indices_by_name[] = {
+  1,   /* field[1] = filler */
+  0,   /* field[0] = serving */
+  2,   /* field[2] = weight_ppm */
+};
+static const ProtobufCIntRange masticreach__pressure_pair__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor masticreach__pressure_pair__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.PressurePair",
+  "PressurePair",
+  "Masticreach__PressurePair",
+  "masticreach",
+  sizeof(Masticreach__PressurePair),
+  3,
+  masticreach__pressure_pair__field_descriptors,
+  masticreach__pressure_pair__field_indices_by_name,
+  1,  masticreach__pressure_pair__number_ranges,
+  (ProtobufCMessageInit) masticreach__pressure_pair__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_pressure__field_descriptors[1] =
+{
+  {
+    "pairs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__CmdPressure, n_pairs),
+    offsetof(Masticreach__CmdPressure, pairs),
+    &masticreach__pressure_pair__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__cmd_pressure__field_indices_by_name[] = {
+  0,   /* field[0] = pairs */
+};
+static const ProtobufCIntRange masticreach__cmd_pressure__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_pressure__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdPressure",
+  "CmdPressure",
+  "Masticreach__CmdPressure",
+  "masticreach",
+  sizeof(Masticreach__CmdPressure),
+  1,
+  masticreach__cmd_pressure__field_descriptors,
+  masticreach__cmd_pressure__field_indices_by_name,
+  1,  masticreach__cmd_pressure__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_pressure__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor masticreach__task_record__field_descriptors[13] =
 {
   {
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -89,6 +89,8 @@
 typedef struct Masticreach__FlowChange Masticreach__FlowChange;
 typedef struct Masticreach__CmdFlowChange Masticreach__CmdFlowChange;
 typedef struct Masticreach__CmdFlowExpire Masticreach__CmdFlowExpire;
+typedef struct Masticreach__PressurePair Masticreach__PressurePair;
+typedef struct Masticreach__CmdPressure Masticreach__CmdPressure;
 typedef struct Masticreach__TaskRecord Masticreach__TaskRecord;
 typedef struct Masticreach__StateCounters Masticreach__StateCounters;
 
@@ -1209,6 +1211,29 @@
     , 0 }
 
 
+struct  Masticreach__PressurePair
+{
+  ProtobufCMessage base;
+  char *serving;
+  char *filler;
+  uint32_t weight_ppm;
+};
+#define MASTICREACH__PRESSURE_PAIR__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__pressure_pair__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Masticreach__CmdPressure
+{
+  ProtobufCMessage base;
+  size_t n_pairs;
+  Masticreach__PressurePair **pairs;
+};
+#define MASTICREACH__CMD_PRESSURE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__cmd_pressure__descriptor) \
+    , 0,NULL }
+
+
 struct  Masticreach__TaskRecord
 {
   ProtobufCMessage base;
@@ -2649,6 +2674,44 @@
 void   masticreach__cmd_flow_expire__free_unpacked
                      (Masticreach__CmdFlowExpire *message,
                       ProtobufCAllocator *allocator);
+/* Masticreach__PressurePair methods */
+void   masticreach__pressure_pair__init
+                     (Masticreach__PressurePair         *message);
+size_t masticreach__pressure_pair__get_packed_size
+                     (const Masticreach__PressurePair   *message);
+size_t masticreach__pressure_pair__pack
+                     (const Masticreach__PressurePair   *message,
+                      uint8_t             *out);
+size_t masticreach__pressure_pair__pack_to_buffer
+                     (const Masticreach__PressurePair   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__PressurePair *
+       masticreach__pressure_pair__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__pressure_pair__free_unpacked
+                     (Masticreach__PressurePair *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__CmdPressure methods */
+void   masticreach__cmd_pressure__init
+                     (Masticreach__CmdPressure         *message);
+size_t masticreach__cmd_pressure__get_packed_size
+                     (const Masticreach__CmdPressure   *message);
+size_t masticreach__cmd_pressure__pack
+                     (const Masticreach__CmdPressure   *message,
+                      uint8_t             *out);
+size_t masticreach__cmd_pressure__pack_to_buffer
+                     (const Masticreach__CmdPressure   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__CmdPressure *
+       masticreach__cmd_pressure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__cmd_pressure__free_unpacked
+                     (Masticreach__CmdPressure *message,
+                      ProtobufCAllocator *allocator);
 /* Masticreach__TaskRecord methods */
 void   masticreach__task_record__init
                      (Masticreach__TaskRecord         *message);
@@ -2911,6 +2974,12 @@
 typedef void (*Masticreach__CmdFlowExpire_Closure)
                  (const Masticreach__CmdFlowExpire *message,
                   void *closure_data);
+typedef void (*Masticreach__PressurePair_Closure)
+                 (const Masticreach__PressurePair *message,
+                  void *closure_data);
+typedef void (*Masticreach__CmdPressure_Closure)
+                 (const Masticreach__CmdPressure *message,
+                  void *closure_data);
 typedef void (*Masticreach__TaskRecord_Closure)
                  (const Masticreach__TaskRecord *message,
                   void *closure_data);
@@ -2997,6 +3066,8 @@
 extern const ProtobufCMessageDescriptor masticreach__flow_change__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__cmd_flow_change__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__cmd_flow_expire__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__pressure_pair__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__cmd_pressure__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__task_record__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__state_counters__descriptor;
 
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -161,6 +161,20 @@
 	uint64_t before_ms;
 };
 
+/** What a filler's image adds to the tail of a serving image; see pressure.h.
+ */
+struct pressure_pair {
+	char serving[NAME_BYTES];
+	char filler[NAME_BYTES];
+	uint32_t weight_ppm; /* of the target, for each core at work */
+};
+
+/** Replaces the weights of these pairs, for the next leader. */
+struct cmd_pressure {
+	uint32_t nr_pairs;
+	struct pressure_pair *pairs;
+};
+
 /* ---- messages between entries and control ---- */
 
 enum flow_call_kind {
--- a/src/core/base/schema.h
+++ b/src/core/base/schema.h
@@ -77,6 +77,7 @@
 	CMD_FLOW_CANCEL = 117,
 	CMD_FLOW_CHANGE = 118,
 	CMD_FLOW_EXPIRE = 119,
+	CMD_PRESSURE = 120,
 	/* records of a snapshot of the state machine, command.h */
 	REC_BUNDLE = 150,
 	REC_ZONE = 151,
@@ -86,6 +87,7 @@
 	REC_CLAIM = 155,
 	REC_COUNTERS = 156,
 	REC_FLOW = 157,
+	REC_PRESSURE = 158,
 	/* operators' requests and replies, op.h: 200 to 249 */
 	OP_FIRST = 200,
 	OP_LAST = 249,
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -93,6 +93,20 @@
 static SCHEMA(cmd_flow_expire_schema, "CmdFlowExpire", cmd_flow_expire,
 	      cmd_flow_expire_fields);
 
+static const struct field pressure_pair_fields[] = {
+	F_STRING(pressure_pair, serving),
+	F_STRING(pressure_pair, filler),
+	F_U32(pressure_pair, weight_ppm),
+};
+static SCHEMA(pressure_pair_schema, "PressurePair", pressure_pair,
+	      pressure_pair_fields);
+
+static const struct field cmd_pressure_fields[] = {
+	F_MANY(cmd_pressure, pairs, pressure_pair_schema),
+};
+static SCHEMA(cmd_pressure_schema, "CmdPressure", cmd_pressure,
+	      cmd_pressure_fields);
+
 static const struct field flow_call_fields[] = {
 	F_U64(flow_call, ticket),
 	F_U32(flow_call, kind),
@@ -194,6 +208,8 @@
 	{ CMD_FLOW_CHANGE, &cmd_flow_change_schema },
 	{ CMD_FLOW_EXPIRE, &cmd_flow_expire_schema },
 	{ CMD_BUNDLE_PUT, &bundle_schema },
+	{ CMD_PRESSURE, &cmd_pressure_schema },
 	{ REC_FLOW, &flow_record_schema },
+	{ REC_PRESSURE, &pressure_pair_schema },
 	{ TYPE_NONE, NULL },
 };
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -117,6 +117,11 @@
 #define FLOW_MAX_STEPS 256
 #define FLOW_MAX_TASKS 20000 /* of all occurrences; bounds a record's size */
 #define FLOW_SPEC_MAX_BYTES 4000
+/* Learned pairs of images in the state: 64 images of either kind. */
+#define FLOW_MAX_PRESSURES 4096
+/* Learned weights go to the log this often, if they moved by a quarter. */
+#define FLOW_PRESSURE_SAVE_MS 3000
+#define FLOW_PRESSURE_SAVE_MAX 64 /* in one entry */
 /*
  * An ended workflow is remembered this long, so that a late resend of its
  * submission finds it. Above any client's series of retries.
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -376,6 +376,7 @@
 	flows->place_timer = (struct timer){ control_flow_place, flows };
 	flows->order_timer = (struct timer){ control_flow_send_orders, flows };
 	flows->check_timer = (struct timer){ control_flow_check, flows };
+	control_flow_recall(flows);
 	for (GTreeNode *node = g_tree_node_first(control->state->flows); node;
 	     node = g_tree_node_next(node))
 		flow_take_over(flows, g_tree_node_value(node));
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -69,11 +69,19 @@
 	char ticket[NAME_BYTES]; /* that its start carries, "": none */
 };
 
+/** When a workflow may end at best. */
+enum flow_outlook {
+	FLOW_ON_TIME = 0,
+	FLOW_LATE = 1,
+	FLOW_WORTHLESS = 2,
+};
+
 /** A workflow that has not ended, in the order of work. */
 struct flow_rank {
 	struct state_flow *flow;
 	uint64_t due_us; /* end of its objective */
 	uint64_t worthless_us; /* nobody waits for it any more */
+	enum flow_outlook outlook; /* at the last look */
 };
 
 struct control_flow {
@@ -83,13 +91,14 @@
 	GHashTable *runs; /* task name -> struct flow_soft * */
 	struct pressure *pressure;
 	struct flow_advice *advice;
-	GArray *ranks; /* struct flow_rank, by priority and due_us */
+	GArray *ranks; /* struct flow_rank, by priority, outlook and due_us */
 	GArray *changes; /* struct flow_change to be proposed */
 	GHashTable *orders; /* vm name -> GArray of struct flow_order */
 	struct timer change_timer;
 	struct timer place_timer;
 	struct timer order_timer;
 	struct timer check_timer;
+	uint64_t pressure_us; /* learned weights were saved last */
 };
 
 /* control_flow.c */
@@ -143,6 +152,10 @@
 			const struct flow_soft *soft);
 
 /* control_flow_pressure.c */
+/** Takes over what earlier leaders have learned. */
+void control_flow_recall(struct control_flow *flows);
+/** Saves what was learned, now and then. */
+void control_flow_save(struct control_flow *flows);
 /** Learns from the figures that a report brought. */
 void control_flow_learn(struct control_flow *flows, struct flow_vm *vm);
 /** Pressure that a filler at full pace adds to the worst serving task. */
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -3,13 +3,14 @@
 #include <string.h>
 
 /*
- * Placement: workflows by priority, then by the time at which their objective
- * ends; each waiting task goes to the VM with the lowest cost that has room.
+ * Placement: workflows by priority, then those that can still be on time, then
+ * by the time at which their objective ends; each waiting task goes to the VM
+ * with the lowest cost that has room.
  */
 
 /* ---- order of work ---- */
 
-/* Longest chain of estimates through the steps. */
+/* Longest chain of estimates through the steps that aren't done. */
 static uint64_t flow_chain_ms(const struct state_flow *flow)
 {
 	const struct flow_record *record = &flow->record;
@@ -18,17 +19,34 @@
 
 	for (uint32_t i = 0; i < record->nr_steps; i++) {
 		const struct flow_step *step = &record->steps[i];
+		/* Occurrences overlap; the first one stands for all. */
+		bool done = flow->stages[i].nr_done == step->count;
 
 		for (uint32_t j = 0; j < step->nr_after; j++)
 			chain_ms[i] =
 				MAX(chain_ms[i], chain_ms[step->after[j]]);
-		chain_ms[i] += step->lasting ? 0 : step->estimate_ms;
+		chain_ms[i] += step->lasting || done ? 0 : step->estimate_ms;
 		longest_ms = MAX(longest_ms, chain_ms[i]);
 	}
 	g_free(chain_ms);
 	return longest_ms;
 }
 
+/* Sets what the rank's place depends on besides its times. */
+static void flow_rank_update(struct flow_rank *rank, uint64_t now_us)
+{
+	uint64_t end_us = now_us + flow_chain_ms(rank->flow) * 1000;
+
+	/* Lasting work is never too late. */
+	if (rank->flow->record.steps[0].lasting) {
+		rank->outlook = FLOW_ON_TIME;
+		return;
+	}
+	rank->outlook = end_us <= rank->due_us	     ? FLOW_ON_TIME :
+			end_us <= rank->worthless_us ? FLOW_LATE :
+						       FLOW_WORTHLESS;
+}
+
 static gint flow_rank_compare(gconstpointer a, gconstpointer b)
 {
 	const struct flow_rank *x = a;
@@ -38,6 +56,8 @@
 
 	if (priority_x != priority_y)
 		return priority_x < priority_y ? -1 : 1;
+	if (x->outlook != y->outlook)
+		return x->outlook < y->outlook ? -1 : 1;
 	if (x->due_us != y->due_us)
 		return x->due_us < y->due_us ? -1 : 1;
 	return strcmp(x->flow->record.id, y->flow->record.id);
@@ -65,7 +85,6 @@
 	if (!objective_us)
 		rank.worthless_us = UINT64_MAX;
 	g_array_append_val(flows->ranks, rank);
-	g_array_sort(flows->ranks, flow_rank_compare);
 }
 
 void control_flow_unrank(struct control_flow *flows,
@@ -414,24 +433,6 @@
 	}
 }
 
-static void flow_place_ranks(struct control_flow *flows, bool worthless)
-{
-	uint64_t now_us = flows->control->node->now_us;
-
-	for (guint i = 0; i < flows->ranks->len; i++) {
-		const struct flow_rank *rank =
-			&g_array_index(flows->ranks, struct flow_rank, i);
-		struct state_flow *flow = rank->flow;
-
-		/* Lasting work is never too late. */
-		if (worthless != (now_us > rank->worthless_us &&
-				  !flow->record.steps[0].lasting))
-			continue;
-		if (flow->nr_placed + flow->nr_done < flow->record.nr_tasks)
-			flow_place_all(flows, flow);
-	}
-}
-
 void control_flow_place(void *data, uint64_t now_us)
 {
 	struct control_flow *flows = data;
@@ -441,9 +442,18 @@
 		control_flow_place_soon(flows);
 		return;
 	}
-	/* What comes too late for its user goes behind what doesn't. */
-	flow_place_ranks(flows, false);
-	flow_place_ranks(flows, true);
+	for (guint i = 0; i < flows->ranks->len; i++)
+		flow_rank_update(&g_array_index(flows->ranks, struct flow_rank,
+						i),
+				 now_us);
+	g_array_sort(flows->ranks, flow_rank_compare);
+	for (guint i = 0; i < flows->ranks->len; i++) {
+		struct state_flow *flow =
+			g_array_index(flows->ranks, struct flow_rank, i).flow;
+
+		if (flow->nr_placed + flow->nr_done < flow->record.nr_tasks)
+			flow_place_all(flows, flow);
+	}
 }
 
 void control_flow_place_soon(struct control_flow *flows)
--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -56,6 +56,37 @@
 	return nr;
 }
 
+static gboolean recall_pair(gpointer key, gpointer value, gpointer data)
+{
+	pressure_restore(data, value);
+	return FALSE;
+}
+
+void control_flow_recall(struct control_flow *flows)
+{
+	g_tree_foreach(flows->control->state->pressures, recall_pair,
+		       flows->pressure);
+}
+
+void control_flow_save(struct control_flow *flows)
+{
+	uint64_t now_us = flows->control->node->now_us;
+	struct cmd_pressure cmd = { 0 };
+	GArray *pairs;
+
+	if (now_us - flows->pressure_us < FLOW_PRESSURE_SAVE_MS * 1000ull)
+		return;
+	flows->pressure_us = now_us;
+	pairs = g_array_new(FALSE, FALSE, sizeof(struct pressure_pair));
+	pressure_moved(flows->pressure, pairs, FLOW_PRESSURE_SAVE_MAX);
+	cmd.nr_pairs = pairs->len;
+	cmd.pairs = (struct pressure_pair *)(void *)pairs->data;
+	/* One that isn't committed is lost until the weight moves again. */
+	if (pairs->len)
+		control_propose(flows->control, CMD_PRESSURE, &cmd, NULL);
+	g_array_unref(pairs);
+}
+
 void control_flow_learn(struct control_flow *flows, struct flow_vm *vm)
 {
 	uint64_t now_us = flows->control->node->now_us;
--- a/src/core/plan/pressure.c
+++ b/src/core/plan/pressure.c
@@ -1,6 +1,9 @@
 #include "pressure.h"
 
-#include <glib.h>
+#include <stdbool.h>
+#include <string.h>
+
+#include "schema.h"
 
 /* Weights are ppm of the target for each core. */
 #define PRIOR_PPM 25000 /* a pair that was never seen: some disturbance */
@@ -14,6 +17,7 @@
 
 struct pressure {
 	GHashTable *weights; /* "serving\nfiller" -> int64_t * ppm */
+	GHashTable *given; /* the same, as told by pressure_moved() */
 	GHashTable *bases; /* serving -> int64_t * permille */
 };
 
@@ -23,6 +27,8 @@
 
 	pressure->weights =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pressure->given =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pressure->bases =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return pressure;
@@ -33,6 +39,7 @@
 	if (!pressure)
 		return;
 	g_hash_table_unref(pressure->weights);
+	g_hash_table_unref(pressure->given);
 	g_hash_table_unref(pressure->bases);
 	g_free(pressure);
 }
@@ -114,3 +121,58 @@
 		expected += pressure_predict(pressure, serving, &fillers[i]);
 	learn(pressure, serving, seen - expected, fillers, nr_fillers);
 }
+
+void pressure_restore(struct pressure *pressure,
+		      const struct pressure_pair *pair)
+{
+	int64_t *weight = number_at(pressure->weights,
+				    pair_key(pair->serving, pair->filler), 0);
+	int64_t *given = number_at(pressure->given,
+				   pair_key(pair->serving, pair->filler), 0);
+
+	if (weight)
+		*weight = MIN(pair->weight_ppm, WEIGHT_MAX_PPM);
+	if (given)
+		*given = pair->weight_ppm;
+}
+
+static bool has_moved(int64_t weight, int64_t given)
+{
+	int64_t by = weight > given ? weight - given : given - weight;
+
+	return by > PRIOR_PPM / 2 && by > given / 4;
+}
+
+static void pair_set(struct pressure_pair *pair, const char *key,
+		     int64_t weight)
+{
+	const char *split = strchr(key, '\n');
+
+	memset(pair, 0, sizeof(*pair));
+	text_set(pair->serving,
+		 MIN((size_t)(split - key) + 1, sizeof(pair->serving)), key);
+	TEXT_SET(pair->filler, split + 1);
+	pair->weight_ppm = (uint32_t)weight;
+}
+
+void pressure_moved(struct pressure *pressure, GArray *pairs, uint32_t max)
+{
+	GHashTableIter iter;
+	void *key;
+	void *value;
+
+	g_hash_table_iter_init(&iter, pressure->weights);
+	while (pairs->len < max &&
+	       g_hash_table_iter_next(&iter, &key, &value)) {
+		int64_t weight = *(int64_t *)value;
+		int64_t *given =
+			number_at(pressure->given, g_strdup(key), PRIOR_PPM);
+		struct pressure_pair pair;
+
+		if (!given || !has_moved(weight, *given))
+			continue;
+		*given = weight;
+		pair_set(&pair, key, weight);
+		g_array_append_val(pairs, pair);
+	}
+}
--- a/src/core/plan/pressure.h
+++ b/src/core/plan/pressure.h
@@ -9,8 +9,11 @@
  * works.
  */
 
+#include <glib.h>
 #include <stdint.h>
 
+#include "flow.h"
+
 struct pressure;
 
 /** A filler at work while a figure was taken. */
@@ -31,4 +34,11 @@
 uint32_t pressure_predict(const struct pressure *pressure, const char *serving,
 			  const struct pressure_filler *filler);
 
+/** Sets a weight that was learned before. */
+void pressure_restore(struct pressure *pressure,
+		      const struct pressure_pair *pair);
+
+/** Appends pairs whose weight has moved much since they were given last. */
+void pressure_moved(struct pressure *pressure, GArray *pairs, uint32_t max);
+
 #endif /* PRESSURE_H */
--- a/src/core/state/state.c
+++ b/src/core/state/state.c
@@ -30,6 +30,7 @@
 	{ CMD_FLOW_CANCEL, state_flow_cancel },
 	{ CMD_FLOW_CHANGE, state_flow_change },
 	{ CMD_FLOW_EXPIRE, state_flow_expire },
+	{ CMD_PRESSURE, state_pressure_set },
 };
 
 /* Both pointers are to the same record at the start of each object. */
@@ -87,6 +88,16 @@
 	return FALSE;
 }
 
+static gboolean state_add_pressure(gpointer key, gpointer value, gpointer data)
+{
+	struct snapshot_record item;
+
+	item.record.type = REC_PRESSURE;
+	item.record.body = schema_dup(REC_PRESSURE, value);
+	g_array_append_val((GArray *)data, item);
+	return FALSE;
+}
+
 static gint state_compare_keys(gconstpointer a, gconstpointer b)
 {
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
@@ -126,6 +137,7 @@
 	state_bundles_clear(&state->bundles);
 	g_clear_pointer(&state->claims, g_hash_table_unref);
 	g_clear_pointer(&state->flows, g_tree_unref);
+	g_clear_pointer(&state->pressures, g_tree_unref);
 	g_clear_pointer(&state->job_keys, g_hash_table_unref);
 	g_clear_pointer(&state->tasks, g_tree_unref);
 	g_clear_pointer(&state->jobs, g_tree_unref);
@@ -144,6 +156,8 @@
 	state->tasks = g_tree_new_full(state_compare_ids, NULL, NULL, g_free);
 	state->flows = g_tree_new_full(state_compare_names, NULL, NULL,
 				       state_flow_free);
+	state->pressures =
+		g_tree_new_full(state_compare_names, NULL, g_free, g_free);
 	state->job_keys = g_hash_table_new(g_str_hash, g_str_equal);
 	state->claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      claim_free);
@@ -214,6 +228,7 @@
 	g_tree_foreach(state->jobs, state_add_job, out);
 	g_tree_foreach(state->tasks, state_add_task, out);
 	g_tree_foreach(state->flows, state_add_flow, out);
+	g_tree_foreach(state->pressures, state_add_pressure, out);
 	state_add_claims(state, out);
 	*nr_records = out->len;
 	return (struct snapshot_record *)(void *)g_array_free(out, FALSE);
@@ -249,6 +264,9 @@
 		case REC_FLOW:
 			state_flow_restore(state, body);
 			break;
+		case REC_PRESSURE:
+			state_pressure_restore(state, body);
+			break;
 		case REC_CLAIM:
 			claim_restore(state, body);
 			break;
--- a/src/core/state/state.h
+++ b/src/core/state/state.h
@@ -58,6 +58,7 @@
 	GTree *tasks; /* task_id -> struct state_task * */
 	GHashTable *job_keys; /* key -> struct state_job *, borrowed */
 	GTree *flows; /* id -> struct state_flow * */
+	GTree *pressures; /* "SERVING\nFILLER" -> struct pressure_pair * */
 	GHashTable *claims; /* service and key -> struct claim_record * */
 	const struct state_watch_ops *watch;
 	void *watch_ctx;
--- a/src/core/state/state_flow.c
+++ b/src/core/state/state_flow.c
@@ -444,6 +444,29 @@
 	state_flow_insert(state, record);
 }
 
+void state_pressure_restore(struct state *state,
+			    const struct pressure_pair *pair)
+{
+	char *key = g_strconcat(pair->serving, "\n", pair->filler, NULL);
+
+	if (g_tree_lookup(state->pressures, key) ||
+	    g_tree_nnodes(state->pressures) < FLOW_MAX_PRESSURES)
+		g_tree_replace(state->pressures, key,
+			       g_memdup2(pair, sizeof(*pair)));
+	else
+		g_free(key);
+}
+
+struct state_outcome state_pressure_set(struct state *state, const void *body)
+{
+	const struct cmd_pressure *cmd = body;
+	struct state_outcome outcome = { 0 };
+
+	for (uint32_t i = 0; i < cmd->nr_pairs; i++)
+		state_pressure_restore(state, &cmd->pairs[i]);
+	return outcome;
+}
+
 void state_flow_verify(const struct state_flow *flow)
 {
 	struct state_flow *fresh = state_flow_new(&flow->record);
--- a/src/core/state/state_flow.h
+++ b/src/core/state/state_flow.h
@@ -74,6 +74,12 @@
 
 void state_flow_restore(struct state *state, const struct flow_record *record);
 
+/** Keeps learned weights; beyond FLOW_MAX_PRESSURES pairs, new ones are lost.
+ */
+struct state_outcome state_pressure_set(struct state *state, const void *body);
+void state_pressure_restore(struct state *state,
+			    const struct pressure_pair *pair);
+
 /** Asserts that the sums agree with the tasks; for tests. */
 void state_flow_verify(const struct state_flow *flow);
 
--- a/tests/test_flow_state.c
+++ b/tests/test_flow_state.c
@@ -232,6 +232,39 @@
 }
 END_TEST
 
+/* Guards against a leader that begins without what the last one learned. */
+START_TEST(test_pressure_is_kept)
+{
+	struct pressure *pressure = pressure_new();
+	struct pressure *next = pressure_new();
+	struct pressure_filler heavy = { "heavy", 4000 };
+	GArray *pairs = g_array_new(FALSE, FALSE, sizeof(struct pressure_pair));
+	struct state *state = state_new();
+	struct cmd_pressure cmd = { 0 };
+
+	for (int i = 0; i < 40; i++)
+		pressure_sample(pressure, "s", 1500, &heavy, 1);
+	pressure_moved(pressure, pairs, 10);
+	ck_assert_uint_eq(pairs->len, 1);
+	cmd.nr_pairs = pairs->len;
+	cmd.pairs = (struct pressure_pair *)(void *)pairs->data;
+	state_pressure_set(state, &cmd);
+	ck_assert_uint_eq(g_tree_nnodes(state->pressures), 1);
+	pressure_restore(next, &cmd.pairs[0]);
+	ck_assert_uint_eq(pressure_predict(next, "s", &heavy),
+			  pressure_predict(pressure, "s", &heavy));
+	/* Nothing moves: nothing is saved again. */
+	g_array_set_size(pairs, 0);
+	pressure_moved(pressure, pairs, 10);
+	pressure_moved(next, pairs, 10);
+	ck_assert_uint_eq(pairs->len, 0);
+	g_array_unref(pairs);
+	state_free(state);
+	pressure_free(pressure);
+	pressure_free(next);
+}
+END_TEST
+
 /* Guards against a learner that blames the wrong filler. */
 START_TEST(test_pressure)
 {
@@ -252,4 +285,4 @@
 
 SUITE_MAIN("flow_state", test_place_rules, test_attempts, test_gang,
 	   test_lasting, test_cancel, test_snapshot, test_bundle_put,
-	   test_pressure)
+	   test_pressure, test_pressure_is_kept)
