Bound the log by event and write lines at start and stop

Each kind of event has 500 lines a second and the process 256 KiB; a line a second tells what was left out. Lines go to standard output, as on-call engineers read them there. test_log: 20,000 lines of one event leave 500 and the other events alone.

--- a/src/daemon/loop.c
+++ b/src/daemon/loop.c
@@ -2,14 +2,12 @@
 
 #include <errno.h>
 #include <glib-unix.h>
-#include <poll.h>
 #include <signal.h>
-#include <stdio.h>
 #include <string.h>
 #include <sys/random.h>
 #include <time.h>
-#include <unistd.h>
 
+#include "log.h"
 #include "transport.h"
 #include "tunables.h"
 
@@ -17,11 +15,6 @@
 #define NODE_ID_MASK ((UINT64_C(1) << 52) - 1)
 #define SHUTDOWN_POLL_MS 20
 #define LOOP_RELOAD_MS 2000 /* looks at the file of settings */
-/* A pipe that polls as writable takes this much without blocking. */
-#define LOG_LINE_MAX_BYTES 4096
-
-static enum log_level log_level = LOG_DECISIONS;
-static uint64_t log_dropped;
 
 struct loop {
 	GMainLoop *main;
@@ -71,7 +64,7 @@
 
 static void loop_host_log(void *ctx, const char *line)
 {
-	loop_log_line(line);
+	log_line(line);
 }
 
 static const struct host_ops loop_host_ops = {
@@ -375,47 +368,3 @@
 			g_error("getrandom: %s", g_strerror(errno));
 	return value;
 }
-
-static bool log_wants(const char *line)
-{
-	if (log_level == LOG_EVENTS)
-		return !g_str_has_prefix(line, "event=route ") &&
-		       !g_str_has_prefix(line, "event=place ");
-	return log_level != LOG_NONE;
-}
-
-void loop_log_line(const char *line)
-{
-	struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
-	char text[LOG_LINE_MAX_BYTES];
-	gint64 now_us = g_get_real_time();
-	GDateTime *now;
-	char *stamp;
-	int size;
-
-	if (!log_wants(line))
-		return;
-	now = g_date_time_new_from_unix_utc(now_us / 1000000);
-	stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
-	size = g_snprintf(text, sizeof(text), "time=%s.%06dZ %s\n", stamp,
-			  (int)(now_us % 1000000), line);
-	if (size >= (int)sizeof(text)) {
-		size = sizeof(text) - 1;
-		text[size - 1] = '\n';
-	}
-	if (poll(&out, 1, 0) != 1 || !(out.revents & POLLOUT) ||
-	    write(STDOUT_FILENO, text, (size_t)size) != size)
-		log_dropped++;
-	g_free(stamp);
-	g_date_time_unref(now);
-}
-
-void loop_log_level(enum log_level level)
-{
-	log_level = level;
-}
-
-uint64_t loop_log_dropped(void)
-{
-	return log_dropped;
-}
--- a/src/daemon/loop.h
+++ b/src/daemon/loop.h
@@ -4,7 +4,7 @@
 /**
  * @file loop.h
  * The daemon's host of a node: one GMainLoop, one timer source, a transport
- * and the log on standard output.
+ * and the log.
  */
 
 #include <glib.h>
@@ -61,13 +61,4 @@
 /** Monotonic time in microseconds that goes on while the VM is suspended. */
 uint64_t loop_now_us(void);
 uint64_t loop_random_u64(void);
-/**
- * Writes one line with the time in front to standard output. A line is dropped
- * and counted if its reader is behind, as the loop must not wait for it.
- */
-void loop_log_line(const char *line);
-void loop_log_level(enum log_level level);
-/** Number of lines that were dropped. */
-uint64_t loop_log_dropped(void);
-
 #endif /* LOOP_H */
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "platform_hosts.h"
+#include "log.h"
 #include "logline.h"
 #include "role_host.h"
 
@@ -31,6 +32,39 @@
 
 extern char **environ;
 
+static void log_start(struct loop *loop, const struct settings *settings,
+		      const char *http)
+{
+	static const char *const roles[] = { "", "entry", "agent", "control" };
+	GString *line = logline_new("start");
+	char *control = g_strjoinv(",", settings->control);
+
+	logline_str(line, "version", MASTICREACH_VERSION);
+	logline_str(line, "role", roles[settings->role]);
+	logline_str(line, "name", settings->name);
+	logline_str(line, "zone", settings->zone);
+	logline_str(line, "front_end",
+		    settings->front_end == FRONT_END_PLATFORM ? "platform" :
+								"own");
+	logline_str(line, "http", http);
+	logline_str(line, "control", control);
+	logline_u64(line, "worker_lease_ms", settings->worker_lease_ms);
+	logline_u64(line, "replica_losses", settings->replica_losses);
+	logline_u64(line, "bootstrap", settings->bootstrap);
+	logline_u64(line, "drain_ms", settings->drain_ms);
+	logline_u64(line, "max_connections", settings->max_connections);
+	node_log(loop_node(loop), line);
+	g_free(control);
+}
+
+static void log_stop(struct loop *loop, enum result res)
+{
+	GString *line = logline_new("stop");
+
+	logline_str(line, "result", result_name(res));
+	node_log(loop_node(loop), line);
+}
+
 /** What a reload of the settings needs. */
 struct reload {
 	const struct role_host_ops *ops;
@@ -125,7 +159,9 @@
 		reload.changed = file.st_mtim;
 	loop_set_reload(loop, run_reload, &reload);
 	*part = "drain";
+	log_start(loop, settings, ops->http_address(host));
 	res = loop_run(loop);
+	log_stop(loop, res);
 out:
 	loop_close(loop);
 	if (host)
@@ -147,7 +183,7 @@
 		g_free(error);
 		return res;
 	}
-	loop_log_level(settings.log_level);
+	log_level(settings.log_level);
 	res = run(&settings, argc, argv, &part);
 	if (res != RESULT_OK)
 		fprintf(stderr, "masticreachd: %s: %s\n", part,
--- a/src/daemon/role_host.c
+++ b/src/daemon/role_host.c
@@ -1,5 +1,7 @@
 #include "role_host.h"
 
+#include "log.h"
+
 #include <stdio.h>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -41,6 +43,6 @@
 		    http_server_bytes_sent(server));
 	counter_set(counters, "http_connections",
 		    http_server_connections(server));
-	counter_set(counters, "log_lines_dropped", loop_log_dropped());
+	counter_set(counters, "log_lines_dropped", log_dropped());
 	counters_print(counters, out);
 }
--- /dev/null
+++ b/tests/test_log.c
@@ -0,0 +1,96 @@
+/**
+ * @file test_log.c
+ * The log's budget.
+ */
+
+#include <string.h>
+
+#include "log.h"
+#include "suite.h"
+
+struct sink {
+	uint32_t lines;
+	uint64_t bytes;
+	bool full;
+	char last[256];
+};
+
+static uint64_t test_now_us = 5000000;
+
+static uint64_t test_clock(void)
+{
+	return test_now_us;
+}
+
+static bool sink_write(void *ctx, const char *text, size_t size)
+{
+	struct sink *sink = ctx;
+
+	if (sink->full)
+		return false;
+	sink->lines++;
+	sink->bytes += size;
+	g_strlcpy(sink->last, text, sizeof(sink->last));
+	return true;
+}
+
+static struct sink *sink_new(void)
+{
+	static struct sink sink;
+	struct log_opts opts = { sink_write, &sink, test_clock };
+
+	memset(&sink, 0, sizeof(sink));
+	log_setup(&opts);
+	return &sink;
+}
+
+/* Guards against an error storm that fills the log's reader. */
+START_TEST(test_storm)
+{
+	struct sink *sink = sink_new();
+
+	for (int i = 0; i < 20000; i++)
+		log_line("event=storm n=1");
+	ck_assert_uint_eq(sink->lines, LOG_EVENT_LINES_PER_S);
+	/* Other events still get through. */
+	log_line("event=rare n=1");
+	ck_assert_uint_eq(sink->lines, LOG_EVENT_LINES_PER_S + 1);
+	test_now_us += 1000000;
+	log_line("event=rare n=2");
+	ck_assert_uint_eq(sink->lines, LOG_EVENT_LINES_PER_S + 3);
+	log_line("event=storm n=2");
+	ck_assert_uint_eq(sink->lines, LOG_EVENT_LINES_PER_S + 4);
+}
+END_TEST
+
+/* Guards against many kinds of events that together fill it. */
+START_TEST(test_bytes)
+{
+	struct sink *sink = sink_new();
+	char line[600];
+
+	for (int i = 0; i < 100000; i++) {
+		g_snprintf(line, sizeof(line), "event=kind%d %0500d", i % 20,
+			   i);
+		log_line(line);
+	}
+	ck_assert_uint_le(sink->bytes, LOG_BYTES_PER_S + sizeof(line) + 64);
+}
+END_TEST
+
+/* Guards against a reader that is behind and stops the process. */
+START_TEST(test_full_pipe)
+{
+	struct sink *sink = sink_new();
+	uint64_t before = log_dropped();
+
+	sink->full = true;
+	log_line("event=a");
+	ck_assert_uint_eq(log_dropped(), before + 1);
+	sink->full = false;
+	log_line("event=a");
+	ck_assert(strstr(sink->last, "event=a\n") != NULL);
+}
+END_TEST
+
+SUITE_MAIN("log", test_storm, test_bytes, test_full_pipe)
