Look again after a lost call; let no workflow starve for others' targets

Calls now end in the core after 3 s, with a line call-stuck. With less than 60 % of the processors taken, a workflow of which nothing runs for 1.2 s gets a task. Each has a test that fails without it.

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -609,6 +609,35 @@
 	g_free(call);
 }
 
+/* A host that loses a call must not keep the worker from being looked at. */
+static void runner_expire_calls(struct runner *runner)
+{
+	static const struct exec_reply none = { .verdict = EXEC_NO_ANSWER };
+	GArray *stuck = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, runner->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct runner_call *call = value;
+
+		if (runner->node->now_us - call->sent_us >
+		    RUNNER_CALL_MAX_MS * 1000ull)
+			g_array_append_val(stuck, call->call_nr);
+	}
+	for (guint i = 0; i < stuck->len; i++) {
+		uint64_t call_nr = g_array_index(stuck, uint64_t, i);
+		GString *line = logline_new("call-stuck");
+
+		logline_u64(line, "call", call_nr);
+		logline_str(line, "worker", runner->worker.id);
+		node_log(runner->node, line);
+		counter_add(runner->node->counters, "calls_stuck", 1);
+		runner_call_done(runner, call_nr, &none);
+	}
+	g_array_unref(stuck);
+}
+
 /* ---- the leader ---- */
 
 static void runner_add_run(GArray *runs, const struct runner_run *run)
@@ -651,6 +680,7 @@
 	GHashTableIter iter;
 	void *value;
 
+	runner_expire_calls(runner);
 	node_timer_ms(runner->node, &runner->report_timer,
 		      RUNNER_REPORT_INTERVAL_MS);
 	if (!leader)
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -142,6 +142,8 @@
 #define LATE_CALL_MS 12000
 /* A start needs this much lease, or it would lapse before the next renewal. */
 #define RUNNER_START_LEASE_MS 1000
+/* Above the longest wait of a call and its time limit; a lease lasts longer. */
+#define RUNNER_CALL_MAX_MS 3000
 #define RUNNER_REPORT_INTERVAL_MS 1000 /* five renewals within a lease */
 #define RUNNER_REPORT_SOON_MS 3 /* collects what ends together */
 /* A look at the worker waits this long for an end; 2,000 at most (platform). */
@@ -173,6 +175,12 @@
 #define FLOW_STALL_FACTOR 2
 /* Share of their processors that lasting tasks use, for placing fillers. */
 #define FLOW_LASTING_USE_PERCENT 60
+/*
+ * A workflow of which nothing runs gets a task after this while less than this
+ * share of the processors is taken; the platform's rule: 3 s and a half.
+ */
+#define FLOW_IDLE_MAX_MS 1200
+#define FLOW_ROOM_PERCENT 60
 /* After this many times its objective, a workflow is worth nothing (platform).
  */
 #define FLOW_LATE_FACTOR 3
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -82,6 +82,7 @@
 	uint64_t due_us; /* end of its objective */
 	uint64_t worthless_us; /* nobody waits for it any more */
 	enum flow_outlook outlook; /* at the last look */
+	uint64_t idle_us; /* nothing of it runs since then, 0: something does */
 };
 
 struct control_flow {
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -108,6 +108,7 @@
 	uint32_t stage;
 	const struct flow_step *step;
 	const struct flow_vm *avoid; /* where the task failed last */
+	bool starved; /* nothing of the workflow runs, and there is room */
 };
 
 static bool flow_vm_has_label(const struct flow_vm *vm, const char *label)
@@ -169,7 +170,7 @@
 	if (vm->memory_mib + step->memory_mib > vm->worker.memory_mib ||
 	    vm->accelerators + step->accelerators > vm->worker.accelerators)
 		return false;
-	if (step->filler) {
+	if (step->filler && !need->starved) {
 		/* A lone filler may be larger than what is left unused. */
 		if (vm->filler_cpu_millis &&
 		    vm->filler_cpu_millis + step->cpu_millis >
@@ -397,6 +398,7 @@
 		if (!vm)
 			return false;
 		flow_place_on(need, i, task->run + 1, vm);
+		need->starved = false; /* one task is enough */
 	}
 	return true;
 }
@@ -415,11 +417,52 @@
 	       opts->host->wall_ms(opts->host_ctx) >= due_ms;
 }
 
-static void flow_place_all(struct control_flow *flows, struct state_flow *flow)
+/*
+ * Fillers wait for a place where they press nobody, but not for ever: with most
+ * of the room free, each workflow gets a task to work.
+ */
+static bool flow_is_starved(const struct control_flow *flows,
+			    struct flow_rank *rank, bool room)
+{
+	uint64_t now_us = flows->control->node->now_us;
+
+	if (rank->flow->nr_placed) {
+		rank->idle_us = 0;
+		return false;
+	}
+	if (!rank->idle_us)
+		rank->idle_us = now_us;
+	return room && now_us - rank->idle_us > FLOW_IDLE_MAX_MS * 1000ull;
+}
+
+/* Returns true if little of the processors that count is taken. */
+static bool flow_has_room(const struct control_flow *flows)
+{
+	uint64_t capacity = 0;
+	uint64_t taken = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct flow_vm *vm = value;
+
+		if (!vm->reported || vm->worker.ended)
+			continue;
+		capacity += vm->worker.cpu_millis;
+		taken += vm->cpu_millis;
+	}
+	return taken * 100 < capacity * FLOW_ROOM_PERCENT;
+}
+
+static void flow_place_all(struct control_flow *flows, struct state_flow *flow,
+			   bool starved)
 {
 	for (uint32_t i = 0; i < flow->nr_stages; i++) {
 		const struct state_flow_stage *stage = &flow->stages[i];
-		struct flow_need need = { .flows = flows, .flow = flow };
+		struct flow_need need = { .flows = flows,
+					  .flow = flow,
+					  .starved = starved };
 
 		need.stage = i;
 		need.step = state_flow_step_of(flow, i);
@@ -437,6 +480,7 @@
 {
 	struct control_flow *flows = data;
 	struct control *control = flows->control;
+	bool room = flow_has_room(flows);
 
 	if (!raft_may_grant(control->raft)) {
 		control_flow_place_soon(flows);
@@ -448,11 +492,13 @@
 				 now_us);
 	g_array_sort(flows->ranks, flow_rank_compare);
 	for (guint i = 0; i < flows->ranks->len; i++) {
-		struct state_flow *flow =
-			g_array_index(flows->ranks, struct flow_rank, i).flow;
+		struct flow_rank *rank =
+			&g_array_index(flows->ranks, struct flow_rank, i);
+		struct state_flow *flow = rank->flow;
 
 		if (flow->nr_placed + flow->nr_done < flow->record.nr_tasks)
-			flow_place_all(flows, flow);
+			flow_place_all(flows, flow,
+				       flow_is_starved(flows, rank, room));
 	}
 }
 
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -63,6 +63,7 @@
 		*permit; /* ticket of the only worker that may start, or NULL */
 	const char *good; /* its name */
 	uint32_t run_ms; /* of every run */
+	uint32_t tail_ms; /* figure of every run */
 	uint64_t ticket;
 	struct flow_reply reply;
 	bool answered;
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -305,6 +305,40 @@
 }
 END_TEST
 
+/*
+ * Guards against fillers that wait for ever because serving tasks are close to
+ * their targets everywhere (Jaldhara, hunt-5ea3-27).
+ */
+START_TEST(test_fillers_are_not_starved)
+{
+	struct flow_world *fw = flow_world_new(14);
+	struct flow_step serving = step_of(4);
+	struct flow_step filler = step_of(3);
+
+	serving.lasting = true;
+	serving.target_ms = 100;
+	serving.max_per_vm = 1;
+	TEXT_SET(serving.image, "s");
+	filler.filler = true;
+	TEXT_SET(filler.image, "f");
+	fw->run_ms = 0;
+	fw->tail_ms = 99;
+	flow_world_submit(fw, "aa", &serving, 1);
+	flow_world_run_ms(fw, 2000);
+	ck_assert_uint_eq(fw_running(fw), 4);
+	for (uint32_t i = 0; i < 6; i++) {
+		char id[NAME_BYTES];
+
+		g_snprintf(id, sizeof(id), "f%u", i);
+		flow_world_submit(fw, id, &filler, 1);
+	}
+	/* After 3 s each of them has a task at work. */
+	flow_world_run_ms(fw, 3000);
+	ck_assert_uint_ge(fw_running(fw), 4 + 6);
+	flow_world_free(fw);
+}
+END_TEST
+
 /* Guards against starts without the ticket that the queue asks for. */
 START_TEST(test_advice)
 {
@@ -333,4 +367,4 @@
 	   test_unknown_names, test_leader_killed, test_agent_restarted,
 	   test_vm_cut_off, test_short_cuts, test_late_calls,
 	   test_worker_crashes, test_zone_out, test_draining, test_attempts,
-	   test_advice)
+	   test_fillers_are_not_starved, test_advice)
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -290,6 +290,31 @@
 }
 END_TEST
 
+/*
+ * Guards against a call that the host never answers: the agent looked no more,
+ * and its worker's lease lapsed (Dorado, hunt-b2b8-35).
+ */
+START_TEST(test_call_without_end)
+{
+	struct bench *bench = bench_ready(true);
+	guint holds = 0;
+
+	bench_run_ms(bench, 20);
+	for (guint i = 0; i < bench->calls->len; i++)
+		holds += g_array_index(bench->calls, struct bench_call, i)
+				 .kind == EXEC_HOLD;
+	ck_assert_uint_eq(holds, 1);
+	bench_run_ms(bench, 4500);
+	ck_assert(!bench->report.reachable);
+	/* It looks again, and the worker answers. */
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert(bench->report.reachable);
+	bench_free(bench);
+}
+END_TEST
+
 /* Guards against reports of an earlier life or an overtaken one. */
 START_TEST(test_stale_heartbeats)
 {
@@ -396,4 +421,5 @@
 
 SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
 	   test_unanswered_start, test_deadline_on_slow_clock,
-	   test_stale_heartbeats, test_ends_wait_for_the_log, test_pace)
+	   test_call_without_end, test_stale_heartbeats,
+	   test_ends_wait_for_the_log, test_pace)
