--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -248,7 +248,8 @@
 	call->wait_ms = from->wait_ms;
 	TEXT_SET(call->ticket, from->ticket ? from->ticket : "");
 	call->due_us = now_us(fw) + CALL_DELAY_US;
-	call->give_up_us = now_us(fw) + from->wait_ms * 1000 + CALL_TIMEOUT_US;
+	call->give_up_us =
+		now_us(fw) + from->wait_ms * 1000ull + CALL_TIMEOUT_US;
 	call->lost = vhost_random(fw->base->vhost) % 1000000 < vm->lose_ppm;
 	if (call->lost) {
 		call->wait_ms = 0;
