--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -141,30 +141,10 @@
 	return permille;
 }
 
-uint32_t control_flow_press(const struct control_flow *flows,
-			    const struct flow_vm *vm,
-			    const struct flow_step *step)
-{
-	struct pressure_filler filler = { step->image, step->cpu_millis };
-	uint32_t worst = 0;
-	GHashTableIter iter;
-	void *key;
-
-	g_hash_table_iter_init(&iter, vm->runs);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const struct flow_soft *soft = key;
-
-		if (soft_serves(soft))
-			worst = MAX(worst, pressure_predict(flows->pressure,
-							    soft->step->image,
-							    &filler));
-	}
-	return worst;
-}
-
-uint32_t control_flow_pressure(const struct control_flow *flows,
+/* Worst pressure on a serving task, by the filler alone or in all. */
+static uint32_t worst_permille(const struct control_flow *flows,
 			       const struct flow_vm *vm,
-			       const struct flow_step *step)
+			       const struct flow_step *step, bool in_all)
 {
 	struct pressure_filler filler = { step->image, step->cpu_millis };
 	uint32_t worst = 0;
@@ -178,15 +158,31 @@
 
 		if (!soft_serves(soft))
 			continue;
-		permille = soft->figure * 1000 / soft->step->target_ms +
-			   pending_permille(flows, vm, soft->step->image) +
-			   pressure_predict(flows->pressure, soft->step->image,
+		permille = pressure_predict(flows->pressure, soft->step->image,
 					    &filler);
+		if (in_all)
+			permille +=
+				soft->figure * 1000 / soft->step->target_ms +
+				pending_permille(flows, vm, soft->step->image);
 		worst = MAX(worst, permille);
 	}
 	return worst;
 }
 
+uint32_t control_flow_press(const struct control_flow *flows,
+			    const struct flow_vm *vm,
+			    const struct flow_step *step)
+{
+	return worst_permille(flows, vm, step, false);
+}
+
+uint32_t control_flow_pressure(const struct control_flow *flows,
+			       const struct flow_vm *vm,
+			       const struct flow_step *step)
+{
+	return worst_permille(flows, vm, step, true);
+}
+
 uint32_t control_flow_other_images(const struct flow_vm *vm,
 				   const struct flow_step *step)
 {
--- a/src/core/state/state.c
+++ b/src/core/state/state.c
@@ -33,68 +33,56 @@
 	{ CMD_PRESSURE, state_pressure_set },
 };
 
-/* Both pointers are to the same record at the start of each object. */
+static void state_add_record(uint32_t type, const void *body, GArray *out)
+{
+	struct snapshot_record item;
+
+	item.record.type = type;
+	item.record.body = schema_dup(type, body);
+	g_array_append_val(out, item);
+}
+
 static gboolean state_add_vm(gpointer key, gpointer value, gpointer data)
 {
 	const struct state_vm *vm = value;
-	struct snapshot_record item;
 
-	item.record.type = REC_VM;
-	item.record.body = schema_dup(REC_VM, &vm->record);
-	g_array_append_val((GArray *)data, item);
+	state_add_record(REC_VM, &vm->record, data);
 	return FALSE;
 }
 
 static gboolean state_add_zone(gpointer key, gpointer value, gpointer data)
 {
-	struct snapshot_record item;
-
-	item.record.type = REC_ZONE;
-	item.record.body = schema_dup(REC_ZONE, value);
-	g_array_append_val((GArray *)data, item);
+	state_add_record(REC_ZONE, value, data);
 	return FALSE;
 }
 
 static gboolean state_add_job(gpointer key, gpointer value, gpointer data)
 {
 	const struct state_job *job = value;
-	struct snapshot_record item;
 
-	item.record.type = REC_JOB;
-	item.record.body = schema_dup(REC_JOB, &job->record);
-	g_array_append_val((GArray *)data, item);
+	state_add_record(REC_JOB, &job->record, data);
 	return FALSE;
 }
 
 static gboolean state_add_task(gpointer key, gpointer value, gpointer data)
 {
 	const struct state_task *task = value;
-	struct snapshot_record item;
 
-	item.record.type = REC_TASK;
-	item.record.body = schema_dup(REC_TASK, &task->record);
-	g_array_append_val((GArray *)data, item);
+	state_add_record(REC_TASK, &task->record, data);
 	return FALSE;
 }
 
 static gboolean state_add_flow(gpointer key, gpointer value, gpointer data)
 {
 	const struct state_flow *flow = value;
-	struct snapshot_record item;
 
-	item.record.type = REC_FLOW;
-	item.record.body = schema_dup(REC_FLOW, &flow->record);
-	g_array_append_val((GArray *)data, item);
+	state_add_record(REC_FLOW, &flow->record, data);
 	return FALSE;
 }
 
 static gboolean state_add_pressure(gpointer key, gpointer value, gpointer data)
 {
-	struct snapshot_record item;
-
-	item.record.type = REC_PRESSURE;
-	item.record.body = schema_dup(REC_PRESSURE, value);
-	g_array_append_val((GArray *)data, item);
+	state_add_record(REC_PRESSURE, value, data);
 	return FALSE;
 }
 
@@ -110,26 +98,17 @@
 	void **keys = g_hash_table_get_keys_as_array(state->claims, &nr);
 
 	qsort(keys, nr, sizeof(*keys), state_compare_keys);
-	for (guint i = 0; i < nr; i++) {
-		struct snapshot_record item;
-
-		item.record.type = REC_CLAIM;
-		item.record.body = schema_dup(
-			REC_CLAIM, g_hash_table_lookup(state->claims, keys[i]));
-		g_array_append_val(out, item);
-	}
+	for (guint i = 0; i < nr; i++)
+		state_add_record(REC_CLAIM,
+				 g_hash_table_lookup(state->claims, keys[i]),
+				 out);
 	g_free(keys);
 }
 
 static void state_add_bundle(const struct bundle *bundle, GArray *out)
 {
-	struct snapshot_record item;
-
-	if (!bundle)
-		return;
-	item.record.type = REC_BUNDLE;
-	item.record.body = schema_dup(REC_BUNDLE, bundle);
-	g_array_append_val(out, item);
+	if (bundle)
+		state_add_record(REC_BUNDLE, bundle, out);
 }
 
 static void state_clear(struct state *state)
@@ -216,11 +195,8 @@
 				       uint32_t *nr_records)
 {
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct snapshot_record));
-	struct snapshot_record item;
 
-	item.record.type = REC_COUNTERS;
-	item.record.body = schema_dup(REC_COUNTERS, &state->counters);
-	g_array_append_val(out, item);
+	state_add_record(REC_COUNTERS, &state->counters, out);
 	state_add_bundle(state->bundles.in_force, out);
 	state_add_bundle(state->bundles.submitted, out);
 	g_tree_foreach(state->zones, state_add_zone, out);
