Hold waiting workflows against the VMs that have changed

Cause: each report, commit and end leads to a pass over all waiting workflows, and each of them weighed all VMs.

A VM now notes the number of the change that may have made room on it. A workflow that found no room is held against the VMs with a later change, and against all after 250 ms, as shunned workers, zones and gangs depend on time or on several VMs.

Ruled out: fewer passes (a longer FLOW_PLACE_DELAY_MS) would delay quick tasks on sites where nothing waits.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -161,6 +161,9 @@
 #define FLOW_ORDER_REPEAT_MS 1500
 #define FLOW_ORDER_RETRY_MS 50 /* while the leader may not grant */
 #define FLOW_PLACE_DELAY_MS 2 /* collects what becomes ready together */
+/* A workflow that found no room is held against all VMs again after this; in
+ * between, against those that have changed. */
+#define FLOW_WEIGH_ALL_MS 250
 /* A worker is shunned when failures are this share of its last ends. */
 #define FLOW_FAIL_WEIGHT 4
 #define FLOW_SHUN_PERMILLE 550
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -57,6 +57,12 @@
 				  vm->accelerators - step->accelerators;
 }
 
+void control_flow_vm_changed(struct control_flow *flows, struct flow_vm *vm)
+{
+	vm->gains_stale = true;
+	vm->changed_nr = ++flows->change_nr;
+}
+
 struct flow_soft *control_flow_take(struct control_flow *flows,
 				    struct state_flow *flow, uint32_t task,
 				    uint32_t run, struct flow_vm *vm)
@@ -82,7 +88,7 @@
 void control_flow_release(struct control_flow *flows, struct flow_soft *soft)
 {
 	flow_vm_count(soft->vm, soft->step, false);
-	soft->vm->gains_stale = true;
+	control_flow_vm_changed(flows, soft->vm);
 	g_hash_table_remove(soft->vm->runs, soft);
 	g_hash_table_remove(flows->runs, soft->name);
 }
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -24,6 +24,8 @@
 	bool losing; /* its tasks are being taken back: no grants */
 	bool grant_due;
 	bool gains_stale; /* runs or weights have changed since */
+	uint64_t changed_nr; /* control_flow.change_nr when room may have grown
+			      */
 	uint64_t reported_us;
 	uint64_t report_seq;
 	uint64_t report_sent_us; /* agent's clock */
@@ -87,6 +89,11 @@
 	uint64_t worthless_us; /* nobody waits for it any more */
 	enum flow_outlook outlook; /* at the last look */
 	uint64_t idle_us; /* nothing of it runs since then, 0: something does */
+	/* control_flow.change_nr when no VM had room for it, 0: not known */
+	uint64_t refused_nr;
+	uint64_t weighed_us; /* all VMs were weighed */
+	uint32_t nr_placed; /* of its tasks, when no VM had room */
+	uint32_t nr_done;
 };
 
 struct control_flow {
@@ -97,6 +104,7 @@
 	struct pressure *pressure;
 	struct flow_advice *advice;
 	GArray *ranks; /* struct flow_rank, by priority, outlook and due_us */
+	uint64_t change_nr; /* counts changes that may make room on a VM */
 	GArray *changes; /* struct flow_change to be proposed */
 	GHashTable *held; /* task name -> struct flow_vm * that it left */
 	GHashTable *orders; /* vm name -> GArray of struct flow_order */
@@ -118,6 +126,8 @@
 				    struct state_flow *flow, uint32_t task,
 				    uint32_t run, struct flow_vm *vm);
 void control_flow_release(struct control_flow *flows, struct flow_soft *soft);
+/** Notes that the VM may have room for what found none there before. */
+void control_flow_vm_changed(struct control_flow *flows, struct flow_vm *vm);
 /** Adds a change to the next proposal of this turn. */
 void control_flow_propose(struct control_flow *flows,
 			  const struct flow_change *change);
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -70,6 +70,8 @@
 		logline_str(line, "reason", why);
 		node_log(flows->control->node, line);
 	}
+	if (!soft->stopping)
+		control_flow_vm_changed(flows, soft->vm);
 	soft->stopping = true;
 	soft->ordered_us = flows->control->node->now_us;
 	soft->ordered_node = soft->vm->node_id;
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -110,6 +110,7 @@
 	const struct flow_vm *avoid; /* where the task failed last */
 	const struct flow_vm *except; /* not to be chosen */
 	bool starved; /* nothing of the workflow runs, and there is room */
+	uint64_t refused_nr; /* only VMs that have changed since; 0: all */
 };
 
 static bool flow_vm_has_label(const struct flow_vm *vm, const char *label)
@@ -244,6 +245,8 @@
 		struct flow_vm *vm = value;
 		uint64_t cost;
 
+		if (vm->changed_nr <= need->refused_nr && need->refused_nr)
+			continue;
 		nr_weighed++;
 		if (vm == need->except || !flow_vm_open(flows, vm, service) ||
 		    !flow_vm_fits(vm, need) ||
@@ -474,14 +477,18 @@
 	return taken * 100 < capacity * FLOW_ROOM_PERCENT;
 }
 
-static void flow_place_all(struct control_flow *flows, struct state_flow *flow,
-			   bool starved)
+/* Returns false if something of the workflow finds no room. */
+static bool flow_place_all(struct control_flow *flows, struct state_flow *flow,
+			   bool starved, uint64_t refused_nr)
 {
+	bool all = true;
+
 	for (uint32_t i = 0; i < flow->nr_stages; i++) {
 		const struct state_flow_stage *stage = &flow->stages[i];
 		struct flow_need need = { .flows = flows,
 					  .flow = flow,
-					  .starved = starved };
+					  .starved = starved,
+					  .refused_nr = refused_nr };
 
 		need.stage = i;
 		need.step = state_flow_step_of(flow, i);
@@ -490,9 +497,54 @@
 			continue;
 		if (!flow_stage_due(flows, flow, i))
 			break; /* later occurrences come later */
-		if (!flow_place_stage(&need) && flow->record.ticket_ms)
+		if (flow_place_stage(&need))
+			continue;
+		all = false;
+		if (flow->record.ticket_ms)
 			flow_advice_want(flows, flow, i);
 	}
+	return all;
+}
+
+/*
+ * Returns the number of the change up to which no VM has room for the workflow,
+ * 0 if all have to be weighed. Some conditions change with time alone and a
+ * gang needs several VMs at once, so all are weighed again after a while.
+ * Tickets come without a change of a VM.
+ */
+static uint64_t flow_rank_refused(const struct control_flow *flows,
+				  const struct flow_rank *rank, bool starved)
+{
+	const struct state_flow *flow = rank->flow;
+	uint64_t now_us = flows->control->node->now_us;
+	/* Other tasks wait than those that found no room. */
+	bool other = flow->nr_done != rank->nr_done ||
+		     flow->nr_placed < rank->nr_placed;
+
+	if (starved || other || flow->record.ticket_ms ||
+	    now_us - rank->weighed_us >= FLOW_WEIGH_ALL_MS * 1000ull)
+		return 0;
+	return rank->refused_nr;
+}
+
+static void flow_rank_place(struct control_flow *flows, struct flow_rank *rank,
+			    bool room)
+{
+	struct state_flow *flow = rank->flow;
+	bool starved = flow_is_starved(flows, rank, room);
+	uint64_t refused_nr = flow_rank_refused(flows, rank, starved);
+	/* What changes from here on is looked at next time. */
+	uint64_t change_nr = flows->change_nr;
+
+	if (flow_place_all(flows, flow, starved, refused_nr)) {
+		rank->refused_nr = 0;
+		return;
+	}
+	if (!refused_nr)
+		rank->weighed_us = flows->control->node->now_us;
+	rank->refused_nr = MAX(change_nr, 1);
+	rank->nr_placed = flow->nr_placed;
+	rank->nr_done = flow->nr_done;
 }
 
 void control_flow_place(void *data, uint64_t now_us)
@@ -513,11 +565,10 @@
 	for (guint i = 0; i < flows->ranks->len; i++) {
 		struct flow_rank *rank =
 			&g_array_index(flows->ranks, struct flow_rank, i);
-		struct state_flow *flow = rank->flow;
+		const struct state_flow *flow = rank->flow;
 
 		if (flow->nr_placed + flow->nr_done < flow->record.nr_tasks)
-			flow_place_all(flows, flow,
-				       flow_is_starved(flows, rank, room));
+			flow_rank_place(flows, rank, room);
 	}
 }
 
--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -73,7 +73,7 @@
 	GHashTableIter iter;
 	void *key;
 
-	vm->gains_stale = true;
+	control_flow_vm_changed(flows, vm);
 	g_hash_table_iter_init(&iter, vm->runs);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		struct flow_soft *soft = key;
--- a/tests/bench_flow.c
+++ b/tests/bench_flow.c
@@ -33,8 +33,10 @@
 	fw->lasting = "s";
 	fw->overcommitted = true;
 	for (uint32_t i = 0; i < NR_SERVING; i++) {
-		struct flow_step step = { .count = 8, .cpu_millis = 800,
-					  .memory_mib = 400, .lasting = true,
+		struct flow_step step = { .count = 8,
+					  .cpu_millis = 800,
+					  .memory_mib = 400,
+					  .lasting = true,
 					  .target_ms = 100 };
 
 		g_snprintf(step.image, sizeof(step.image), "s%u", i % 4);
@@ -44,10 +46,10 @@
 	flow_world_run_ms(fw, 2000);
 	printf("serving: %u running\n", fw_running(fw));
 	for (uint32_t i = 0; i < NR_BACKLOG; i++) {
-		struct flow_step step = {
-			.count = 20, .memory_mib = 300, .filler = true,
-			.estimate_ms = 2700
-		};
+		struct flow_step step = { .count = 20,
+					  .memory_mib = 300,
+					  .filler = true,
+					  .estimate_ms = 2700 };
 
 		step.cpu_millis = (uint32_t)g_rand_int_range(random, 300, 1500);
 		g_snprintf(step.image, sizeof(step.image), "f%u", i % 8);
