Work out what a filler gains on a VM once for like fillers

Cause: 80 % of the leader's time went into control_flow_gain(). It kept one result for each size of filler, of which every workflow has its own, and forgot them with each change of the VM; each result sorted and weighed all fillers against all serving tasks twice and took square roots of variances on the way.

What is found on a VM is now kept until it changes: serving tasks by image (of an image's tasks the one with the least room decides), fillers, and the work they do. Fillers of one image share a result if their shares of the VM lie within the same 25 permille; a VM whose processors are in use needs no result. The root of a variance is kept with the weight.

--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -10,7 +10,7 @@
 
 	g_hash_table_unref(vm->runs);
 	g_array_unref(vm->ends);
-	g_clear_pointer(&vm->gains, g_array_unref);
+	control_flow_room_free(vm->room);
 	g_free(vm);
 }
 
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -23,7 +23,7 @@
 	bool looked; /* its agent has listed the worker's runs */
 	bool losing; /* its tasks are being taken back: no grants */
 	bool grant_due;
-	bool gains_stale; /* runs or weights have changed since */
+	bool gains_stale; /* runs or weights have changed since room */
 	uint64_t changed_nr; /* control_flow.change_nr when room may have grown
 			      */
 	uint64_t reported_us;
@@ -42,7 +42,7 @@
 	uint32_t accelerators;
 	uint64_t pairs_mark; /* of the weights that its agent was told */
 	uint64_t pairs_us; /* when */
-	GArray *gains; /* see control_flow_gain(); NULL: none yet */
+	struct flow_room *room; /* see control_flow_gain(); NULL: none yet */
 	uint64_t moved_us; /* a filler was moved here last */
 	uint32_t fail_permille; /* share of failed ends, newest weigh most */
 	uint64_t shun_until_us; /* nothing is placed before */
@@ -187,6 +187,7 @@
  */
 uint32_t control_flow_gain(struct control_flow *flows, struct flow_vm *vm,
 			   const struct flow_step *step);
+void control_flow_room_free(struct flow_room *room);
 /** Returns the number of serving images on the VM besides this one. */
 uint32_t control_flow_other_images(const struct flow_vm *vm, uint32_t image);
 
--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -10,10 +10,25 @@
 
 #define MAX_IMAGES_SEEN 32 /* on one VM; more are left out */
 
-/* What a filler would add to the work done on a VM, as worked out last. */
+/* Shares of a VM are told apart in steps of this, upwards. */
+#define GAIN_STEP_PERMILLE 25
+
+/*
+ * What fillers find on a VM, worked out when placement asks first after a
+ * change.
+ */
+struct flow_room {
+	GArray *servings; /* struct pace_serving, one for each image */
+	GArray *fillers; /* struct pace_filler, and a free place */
+	uint64_t work_permille; /* share of the processors that fillers use */
+	uint64_t unused_permille; /* share that they may use */
+	GArray *gains; /* struct flow_gain */
+};
+
+/* What one more filler would add to the work done on the VM. */
 struct flow_gain {
 	uint32_t image;
-	uint32_t cpu_millis;
+	uint32_t share_permille; /* in steps of GAIN_STEP_PERMILLE */
 	uint32_t gain_permille;
 };
 
@@ -197,112 +212,133 @@
 
 /* ---- what placement is told ---- */
 
-static GArray *vm_servings(const struct control_flow *flows,
-			   const struct flow_vm *vm)
+/* Of an image's tasks the one with the least room decides. */
+static void room_add_serving(GArray *servings, uint32_t image,
+			     uint32_t room_permille)
 {
-	GArray *servings =
-		g_array_new(FALSE, FALSE, sizeof(struct pace_serving));
-	GHashTableIter iter;
-	void *key;
+	struct pace_serving serving = { image, room_permille };
 
-	g_hash_table_iter_init(&iter, vm->runs);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const struct flow_soft *soft = key;
-		struct pace_serving serving = { .image = soft->image };
+	for (guint i = 0; i < servings->len; i++) {
+		struct pace_serving *known =
+			&g_array_index(servings, struct pace_serving, i);
 
-		if (!control_flow_serves(soft))
+		if (known->image != image)
 			continue;
-		serving.room_permille = pace_room(
-			pressure_load(flows->pressure, soft->flow->record.id));
-		g_array_append_val(servings, serving);
+		known->room_permille = MIN(known->room_permille, room_permille);
+		return;
 	}
-	return servings;
+	g_array_append_val(servings, serving);
+}
+
+/* Share of the VM's processors at which the first @a nr fillers can work. */
+static uint64_t room_work(const struct control_flow *flows,
+			  const struct flow_room *room, guint nr)
+{
+	struct pace_filler *fillers =
+		(struct pace_filler *)(void *)room->fillers->data;
+	struct pace_serving servings[MAX_IMAGES_SEEN];
+	uint32_t nr_servings = MIN(room->servings->len, MAX_IMAGES_SEEN);
+	uint64_t work = 0;
+
+	memcpy(servings, room->servings->data, nr_servings * sizeof(*servings));
+	pace_share(flows->pressure, servings, nr_servings, fillers, nr);
+	for (guint i = 0; i < nr; i++)
+		work += (uint64_t)fillers[i].share_permille *
+			fillers[i].pace_permille / 1000;
+	return MIN(work, room->unused_permille);
 }
 
-static GArray *vm_fillers(const struct flow_vm *vm)
+static struct flow_room *room_new(const struct control_flow *flows,
+				  const struct flow_vm *vm)
 {
-	GArray *fillers = g_array_new(FALSE, FALSE, sizeof(struct pace_filler));
+	struct flow_room *room = g_new0(struct flow_room, 1);
 	GHashTableIter iter;
 	void *key;
 
+	room->servings = g_array_new(FALSE, FALSE, sizeof(struct pace_serving));
+	room->fillers = g_array_new(FALSE, FALSE, sizeof(struct pace_filler));
+	room->gains = g_array_new(FALSE, FALSE, sizeof(struct flow_gain));
 	g_hash_table_iter_init(&iter, vm->runs);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		const struct flow_soft *soft = key;
 		struct pace_filler filler = { .image = soft->image };
 
+		if (control_flow_serves(soft))
+			room_add_serving(room->servings, soft->image,
+					 pace_room(pressure_load(
+						 flows->pressure,
+						 soft->flow->record.id)));
 		if (!soft->step->filler || soft->stopping)
 			continue;
 		filler.share_permille = vm_share(vm, soft->step->cpu_millis);
-		g_array_append_val(fillers, filler);
+		g_array_append_val(room->fillers, filler);
 	}
-	return fillers;
+	room->unused_permille = vm_share(vm, control_flow_unused_cpu(vm));
+	room->work_permille = room_work(flows, room, room->fillers->len);
+	g_array_set_size(room->fillers, room->fillers->len + 1);
+	return room;
 }
 
-/* Share of the VM's processors at which its fillers can work. */
-static uint64_t vm_filler_work(const struct control_flow *flows,
-			       const struct flow_vm *vm, const GArray *servings,
-			       GArray *fillers)
+void control_flow_room_free(struct flow_room *room)
 {
-	GArray *rooms = g_array_copy((GArray *)servings);
-	uint64_t work = 0;
-
-	pace_share(flows->pressure, (struct pace_serving *)(void *)rooms->data,
-		   rooms->len, (struct pace_filler *)(void *)fillers->data,
-		   fillers->len);
-	for (guint i = 0; i < fillers->len; i++) {
-		const struct pace_filler *filler =
-			&g_array_index(fillers, struct pace_filler, i);
-
-		work += (uint64_t)filler->share_permille *
-			filler->pace_permille / 1000;
-	}
-	g_array_unref(rooms);
-	return MIN(work, vm_share(vm, control_flow_unused_cpu(vm)));
+	if (!room)
+		return;
+	g_array_unref(room->servings);
+	g_array_unref(room->fillers);
+	g_array_unref(room->gains);
+	g_free(room);
 }
 
-static uint32_t vm_gain(const struct control_flow *flows,
-			const struct flow_vm *vm, uint32_t image,
-			uint32_t cpu_millis)
+static uint32_t room_gain(const struct control_flow *flows,
+			  struct flow_room *room, const struct flow_gain *gain)
 {
-	struct pace_filler filler = { .image = image };
-	GArray *servings = vm_servings(flows, vm);
-	GArray *fillers = vm_fillers(vm);
-	uint64_t before = vm_filler_work(flows, vm, servings, fillers);
-	uint64_t after;
-
-	filler.share_permille = MAX(vm_share(vm, cpu_millis), 1);
-	g_array_append_val(fillers, filler);
-	after = vm_filler_work(flows, vm, servings, fillers);
-	g_array_unref(servings);
-	g_array_unref(fillers);
-	return after > before ? (uint32_t)((after - before) * 1000 /
-					   filler.share_permille) :
-				0;
+	guint last = room->fillers->len - 1;
+	uint64_t work;
+
+	g_array_index(room->fillers, struct pace_filler, last) =
+		(struct pace_filler){ .image = gain->image,
+				      .share_permille = gain->share_permille };
+	work = room_work(flows, room, last + 1);
+	return work > room->work_permille ?
+		       (uint32_t)((work - room->work_permille) * 1000 /
+				  gain->share_permille) :
+		       0;
 }
 
 uint32_t control_flow_gain(struct control_flow *flows, struct flow_vm *vm,
 			   const struct flow_step *step)
 {
-	struct flow_gain gain = {
-		.image = pressure_image(flows->pressure, step->image),
-		.cpu_millis = step->cpu_millis,
-	};
+	uint32_t share_permille = vm_share(vm, step->cpu_millis);
+	struct flow_gain gain = { 0 };
+	struct flow_room *room;
+	uint64_t most;
 
-	if (!vm->gains)
-		vm->gains = g_array_new(FALSE, FALSE, sizeof(gain));
 	if (vm->gains_stale)
-		g_array_set_size(vm->gains, 0);
+		g_clear_pointer(&vm->room, control_flow_room_free);
 	vm->gains_stale = false;
-	for (guint i = 0; i < vm->gains->len; i++) {
+	if (!vm->room)
+		vm->room = room_new(flows, vm);
+	room = vm->room;
+	gain.image = pressure_image(flows->pressure, step->image);
+	gain.share_permille = MAX(share_permille + GAIN_STEP_PERMILLE - 1,
+				  GAIN_STEP_PERMILLE) /
+			      GAIN_STEP_PERMILLE * GAIN_STEP_PERMILLE;
+	/* A VM whose processors are in use needs no closer look. */
+	most = (room->unused_permille - room->work_permille) * 1000 /
+	       gain.share_permille;
+	if (most < FLOW_FILLER_GAIN_PERMILLE)
+		return (uint32_t)most;
+	for (guint i = 0; i < room->gains->len; i++) {
 		const struct flow_gain *known =
-			&g_array_index(vm->gains, struct flow_gain, i);
+			&g_array_index(room->gains, struct flow_gain, i);
 
 		if (known->image == gain.image &&
-		    known->cpu_millis == gain.cpu_millis)
+		    known->share_permille == gain.share_permille)
 			return known->gain_permille;
 	}
-	gain.gain_permille = vm_gain(flows, vm, gain.image, gain.cpu_millis);
-	g_array_append_val(vm->gains, gain);
+	counter_add(flows->control->node->counters, "gains_computed", 1);
+	gain.gain_permille = room_gain(flows, room, &gain);
+	g_array_append_val(room->gains, gain);
 	return gain.gain_permille;
 }
 
--- a/src/core/plan/pressure.c
+++ b/src/core/plan/pressure.c
@@ -13,7 +13,8 @@
 
 #define PRIOR_PERMILLE 600 /* a pair that was never seen: some disturbance */
 #define WEIGHT_MAX_PERMILLE 8000
-#define PRIOR_VARIANCE 1000000 /* of a pair never seen: 1,000 either way */
+#define PRIOR_DOUBT 1000 /* either way, of a pair that was never seen */
+#define PRIOR_VARIANCE (PRIOR_DOUBT * PRIOR_DOUBT)
 #define DOUBT_SHARE 4 /* one in so many of the deviation is added */
 #define DRIFT_VARIANCE 500 /* a sample; weights change over the day */
 #define NOISE_VARIANCE 10000 /* figures vary by 40, loads by 100 a second */
@@ -39,6 +40,7 @@
 struct weight {
 	int64_t permille;
 	int64_t variance;
+	uint32_t doubt_permille; /* square root of the variance */
 	int64_t given_permille; /* as told by pressure_moved() */
 };
 
@@ -134,6 +136,26 @@
 	return weight ? (uint32_t)weight->permille : 0;
 }
 
+/* Integer square root, by Newton's method. */
+static int64_t deviation(int64_t variance)
+{
+	int64_t root = variance;
+	int64_t next = (variance + 1) / 2;
+
+	while (next < root) {
+		root = next;
+		next = (root + variance / root) / 2;
+	}
+	return root;
+}
+
+/* Placement asks for the root far more often than the variance changes. */
+static void weight_set_variance(struct weight *weight, int64_t variance)
+{
+	weight->variance = variance;
+	weight->doubt_permille = (uint32_t)deviation(variance);
+}
+
 /* Returns the pair's weight, made if it is new; NULL at the limit. */
 static struct weight *weight_get(struct pressure *pressure, uint32_t serving,
 				 uint32_t filler)
@@ -147,7 +169,7 @@
 	weight = g_new0(struct weight, 1);
 	weight->permille = PRIOR_PERMILLE;
 	weight->given_permille = PRIOR_PERMILLE;
-	weight->variance = PRIOR_VARIANCE;
+	weight_set_variance(weight, PRIOR_VARIANCE);
 	g_hash_table_insert(pressure->weights, g_memdup2(&key, sizeof(key)),
 			    weight);
 	filler_add(pressure, filler);
@@ -162,27 +184,15 @@
 	return weight ? weight->permille : PRIOR_PERMILLE;
 }
 
-/* Integer square root, by Newton's method. */
-static int64_t deviation(int64_t variance)
-{
-	int64_t root = variance;
-	int64_t next = (variance + 1) / 2;
-
-	while (next < root) {
-		root = next;
-		next = (root + variance / root) / 2;
-	}
-	return root;
-}
-
 uint32_t pressure_weight(const struct pressure *pressure, uint32_t serving,
 			 uint32_t filler)
 {
 	const struct weight *weight = weight_find(pressure, serving, filler);
+
 	int64_t permille = weight ? weight->permille : PRIOR_PERMILLE;
-	int64_t variance = weight ? weight->variance : PRIOR_VARIANCE;
 
-	permille += deviation(variance) / DOUBT_SHARE;
+	permille +=
+		(weight ? weight->doubt_permille : PRIOR_DOUBT) / DOUBT_SHARE;
 	return permille < HARMLESS_PERMILLE ? 0 : (uint32_t)permille;
 }
 
@@ -256,9 +266,11 @@
 		weight->permille += covariance * error / total;
 		weight->permille =
 			CLAMP(weight->permille, 0, WEIGHT_MAX_PERMILLE);
-		weight->variance -= covariance * covariance / total;
-		weight->variance = CLAMP(weight->variance + DRIFT_VARIANCE,
-					 DRIFT_VARIANCE, PRIOR_VARIANCE);
+		weight_set_variance(
+			weight, CLAMP(weight->variance -
+					      covariance * covariance / total +
+					      DRIFT_VARIANCE,
+				      DRIFT_VARIANCE, PRIOR_VARIANCE));
 	}
 }
 
@@ -333,9 +345,9 @@
 		return;
 	weight->permille = MIN(pair->weight_permille, WEIGHT_MAX_PERMILLE);
 	weight->given_permille = weight->permille;
-	weight->variance =
-		CLAMP((int64_t)pair->doubt_permille * pair->doubt_permille,
-		      DRIFT_VARIANCE, PRIOR_VARIANCE);
+	weight_set_variance(weight, CLAMP((int64_t)pair->doubt_permille *
+						  pair->doubt_permille,
+					  DRIFT_VARIANCE, PRIOR_VARIANCE));
 }
 
 void pressure_pair(const struct pressure *pressure, uint32_t serving,
@@ -349,8 +361,7 @@
 	pair->weight_permille =
 		(uint32_t)weight_permille(pressure, serving, filler);
 	weight = weight_find(pressure, serving, filler);
-	pair->doubt_permille =
-		(uint32_t)deviation(weight ? weight->variance : PRIOR_VARIANCE);
+	pair->doubt_permille = weight ? weight->doubt_permille : PRIOR_DOUBT;
 }
 
 static bool has_moved(const struct weight *weight)
