Take reports while the leader's own lease is in doubt

Cause: a leader whose quorum answers later than RAFT_LEADER_LEASE_MS dropped every report. Its agents went on, so no link was silent, but no grant and no end reached the log. When the leader's lease held again, the first check took the VMs' runs back as lost, though the agents had listed ends as done and had reported them.

Reports are taken now whether the lease holds or not: they propose ends, which only the log makes good. Grants wait until the lease holds. A VM whose agent reports and lists its worker's runs isn't taken back when the worker's lease has lapsed: the lists say which runs lapsed and which were done before.

--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -34,8 +34,8 @@
 	struct flow_grant grant = { 0 };
 	GArray *pairs;
 
-	vm->grant_due = false;
-	if (!vm->reported || !raft_may_grant(control->raft))
+	vm->grant_due = vm->reported && !raft_may_grant(control->raft);
+	if (!vm->reported || vm->grant_due)
 		return;
 	vm->settled_nr = flow_settled(flows, vm);
 	grant.seq = vm->report_seq;
@@ -276,8 +276,6 @@
 	struct flow_vm *vm;
 	GHashTable *listed;
 
-	if (!raft_may_grant(control->raft))
-		return;
 	vm = control_flow_vm(flows, report->vm);
 	if (vm->node_id == from ? report->seq <= vm->report_seq :
 				  flow_is_earlier(vm, from))
@@ -331,6 +329,13 @@
 	g_list_free(runs);
 }
 
+/* Returns true if reports show what has become of the worker's runs. */
+static bool flow_vm_is_heard(const struct flow_vm *vm, uint64_t now_us)
+{
+	return vm->reported && vm->reachable && vm->looked &&
+	       now_us - vm->reported_us < FLOW_REPORT_STALE_MS * 1000ull;
+}
+
 static bool flow_vm_has_open(const struct flow_vm *vm)
 {
 	GHashTableIter iter;
@@ -360,8 +365,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct flow_vm *vm = value;
 
+		if (vm->grant_due)
+			control_flow_grant(flows, vm);
+		/* Runs may have ended as done before the lease lapsed. */
 		if (now_us > vm->lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull &&
-		    flow_vm_has_open(vm))
+		    !flow_vm_is_heard(vm, now_us) && flow_vm_has_open(vm))
 			flow_vm_lost(flows, vm);
 	}
 	control_flow_save(flows);
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -203,6 +203,46 @@
 }
 END_TEST
 
+/* Sets how long a message takes between the replicas. */
+static void set_control_delay(struct flow_world *fw, uint32_t delay_us)
+{
+	struct world *base = fw->base;
+
+	for (uint32_t i = 0; i < base->nr_controls; i++)
+		for (uint32_t j = 0; j < base->nr_controls; j++)
+			if (i != j)
+				vhost_path(base->controls[i].machine,
+					   base->controls[j].machine)
+					->delay_us = delay_us;
+}
+
+/*
+ * Guards against a leader that takes no reports while its quorum answers later
+ * than its own lease lasts: it took back runs whose ends, listed as done, had
+ * been reported to it (Jaldhara grown, trouble-3).
+ */
+START_TEST(test_leader_without_lease)
+{
+	for (uint32_t run_ms = 1000; run_ms <= 4500; run_ms += 500) {
+		struct flow_world *fw = flow_world_new(60 + run_ms);
+		struct flow_step step = step_of(8);
+
+		fw->run_ms = run_ms;
+		step.estimate_ms = run_ms;
+		flow_world_submit(fw, "aa", &step, 1);
+		flow_world_run_ms(fw, 300);
+		ck_assert_uint_eq(fw_running(fw), 8);
+		/* A round trip of 600 ms; elections need 600 ms of silence. */
+		set_control_delay(fw, 300000);
+		flow_world_run_ms(fw, 7000);
+		set_control_delay(fw, 500);
+		ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 20000));
+		ck_assert_uint_eq(fw->nr_starts, 8);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 /* Guards against a start without answer that is carried out later. */
 START_TEST(test_late_calls)
 {
@@ -503,7 +543,7 @@
 SUITE_MAIN("flow", test_steps_in_order, test_resend_is_one,
 	   test_cancel_before_submission, test_cancel_stops_runs,
 	   test_unknown_names, test_leader_killed, test_agent_restarted,
-	   test_vm_cut_off, test_short_cuts, test_late_calls,
-	   test_worker_crashes, test_zone_out, test_draining, test_attempts,
-	   test_fillers_are_not_starved, test_advice, test_held_filler_moves,
-	   test_serving_tasks_are_grouped)
+	   test_vm_cut_off, test_short_cuts, test_leader_without_lease,
+	   test_late_calls, test_worker_crashes, test_zone_out, test_draining,
+	   test_attempts, test_fillers_are_not_starved, test_advice,
+	   test_held_filler_moves, test_serving_tasks_are_grouped)
