Let the worker's lists settle a run that it refuses as old

Callers may see a task run again after it ended as done. A worker answers a start with 409 "old" if it has had that run or a later one: the run may have ended as done there. The agent reported it as "never started", the leader placed the task again, and the end that was listed a moment later was settled without effect. It needs an order that is repeated, as after an agent's restart or a failover.

The run is now kept as one that the worker has stopped: a look that is asked for after the refusal either lists its end, which is reported as it is, or shows that nothing of it is left to settle.

Evidence: test_old_run_is_settled_by_lists fails before (one refusal) and passes after.

--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -186,6 +186,19 @@
 
 /* ---- replies ---- */
 
+/*
+ * The worker has had this run or a later one, so the run may have ended as
+ * done. The lists tell; they are asked for from here on.
+ */
+static void runner_start_barred(struct runner *runner, struct runner_run *run)
+{
+	runner_set_phase(runner, run, RUNNER_UNSURE);
+	run->stopped_us = runner->node->now_us;
+	runner_log_run(runner, "run-barred", run->task, run->run,
+		       "the worker had it", RESULT_CONFLICT);
+	runner_hold(runner);
+}
+
 static void runner_start_done(struct runner *runner,
 			      const struct runner_call *call,
 			      const struct exec_reply *reply)
@@ -206,14 +219,17 @@
 		else if (run->filler)
 			runner_pace(runner);
 		break;
-	case EXEC_NOT_SENT:
 	case EXEC_REFUSED:
+		if (reply->result == RESULT_CONFLICT)
+			runner_start_barred(runner, run);
+		else
+			runner_drop(runner, run, reply->result);
+		break;
+	case EXEC_NOT_SENT:
+		runner_drop(runner, run, RESULT_NO_UPSTREAM);
+		break;
 	case EXEC_OTHER_LIFE:
-		runner_drop(
-			runner, run,
-			reply->verdict == EXEC_REFUSED	? reply->result :
-			reply->verdict == EXEC_NOT_SENT ? RESULT_NO_UPSTREAM :
-							  RESULT_OTHER_LIFE);
+		runner_drop(runner, run, RESULT_OTHER_LIFE);
 		break;
 	default:
 		/* It may come later; a stop makes sure that it doesn't. */
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -363,6 +363,44 @@
 }
 END_TEST
 
+/*
+ * Guards against "never started" for a run that the worker refuses as old: it
+ * may have ended as done there, so its end decides.
+ */
+START_TEST(test_old_run_is_settled_by_lists)
+{
+	static const struct exec_reply old = { .verdict = EXEC_REFUSED,
+					       .result = RESULT_CONFLICT };
+	struct flow_run_end end = { .nr = 5, .run = 1, .end = FLOW_END_DONE };
+	struct exec_reply list = done;
+	struct bench *bench = bench_ready(true);
+
+	TEXT_SET(end.task, TASK);
+	list.nr_ends = 1;
+	list.ends = &end;
+	bench_run_ms(bench, 20);
+	bench_order(bench, FLOW_START, 1, false, 0);
+	ck_assert(bench_answer(bench, EXEC_START, &old, NULL));
+	/* A look that was asked for before says nothing. */
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	ck_assert_uint_eq(bench->report.nr_ends, 1);
+	/* A run that is on neither list was stopped before it came. */
+	bench_order(bench, FLOW_START, 2, false, 0);
+	ck_assert(bench_answer(bench, EXEC_START, &old, NULL));
+	bench_run_ms(bench, 200);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	ck_assert_uint_eq(bench->nr_stops, 0);
+	bench_free(bench);
+}
+END_TEST
+
 static void bench_list(struct bench *bench, uint32_t tail_ms)
 {
 	struct flow_run runs[2] = { { .run = 1 }, { .run = 1 } };
@@ -475,4 +513,5 @@
 SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
 	   test_unanswered_start, test_deadline_on_slow_clock,
 	   test_call_without_end, test_stale_heartbeats,
-	   test_ends_wait_for_the_log, test_pace, test_start_waits_for_room)
+	   test_ends_wait_for_the_log, test_old_run_is_settled_by_lists,
+	   test_pace, test_start_waits_for_room)
