Draw no conclusion from a full list of ends

Callers may see a task run again after it ended as done. A worker lists at most 500 ends at a time. With more of them unsettled, a run that has ended is on neither list, and the agent reported it as never started.

Runs that the lists lack are left alone while the list of ends is full. Ends are settled in the order of their numbers, so the list moves on. The model worker of test_flow lists 500 ends as well.

Evidence: test_full_list_of_ends fails before (one refusal) and passes after.

--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -373,7 +373,9 @@
 		listed = g_hash_table_new(NULL, NULL);
 		runner_take_runs(runner, listed, reply);
 		fresh = runner_take_ends(runner, reply);
-		runner_sweep(runner, listed, call);
+		/* A full list of ends proves nothing about what it lacks. */
+		if (reply->nr_ends < WORKER_LIST_ENDS)
+			runner_sweep(runner, listed, call);
 		g_hash_table_unref(listed);
 		fresh = fresh || !runner->looked;
 		runner->looked = true;
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -140,6 +140,7 @@
 #define WORKER_CLOCK_SLOW_PERMILLE 20
 /* A call without an answer may be carried out this much later (platform). */
 #define LATE_CALL_MS 12000
+#define WORKER_LIST_ENDS 500 /* a worker lists this many at most (platform) */
 /* A start needs this much lease, or it would lapse before the next renewal. */
 #define RUNNER_START_LEASE_MS 1000
 /* Above the longest wait of a call and its time limit; a lease lasts longer. */
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -11,6 +11,7 @@
 #define VM_MEMORY_MIB 16000
 #define BUNDLE_VERSION 100 /* above what control_world signs off */
 #define TICKET_MS 3000
+#define LIST_ENDS 500 /* at a time */
 #define LATE_MIN_US 2000000
 #define LATE_MAX_US 12000000
 
@@ -151,10 +152,9 @@
 						call->vm->tail_ms :
 						call->vm->world->tail_ms;
 	}
-	reply->nr_ends = worker->ends->len;
-	reply->ends =
-		g_memdup2(worker->ends->data,
-			  worker->ends->len * sizeof(struct flow_run_end));
+	reply->nr_ends = MIN(worker->ends->len, LIST_ENDS);
+	reply->ends = g_memdup2(worker->ends->data,
+				reply->nr_ends * sizeof(struct flow_run_end));
 }
 
 static void worker_carry_out(struct fw_call *call, struct exec_reply *reply)
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -401,6 +401,42 @@
 }
 END_TEST
 
+/*
+ * Guards against "never started" for a run whose end doesn't fit the list: a
+ * worker lists 500 ends at a time.
+ */
+START_TEST(test_full_list_of_ends)
+{
+	struct flow_run_end *ends = g_new0(struct flow_run_end, 500);
+	struct exec_reply list = done;
+	struct bench *bench = bench_ready(true);
+
+	for (uint32_t i = 0; i < 500; i++) {
+		ends[i].nr = i + 1;
+		ends[i].run = 1;
+		ends[i].end = FLOW_END_DONE;
+		g_snprintf(ends[i].task, NAME_BYTES, "bb.0.0.%u", i);
+	}
+	list.nr_ends = 500;
+	list.ends = ends;
+	bench_run_ms(bench, 20);
+	bench_order(bench, FLOW_START, 1, false, 0);
+	ck_assert(bench_answer(bench, EXEC_START, &done, NULL));
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	bench_run_ms(bench, 200);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	list.nr_ends = 499;
+	bench_run_ms(bench, 200);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	bench_free(bench);
+	g_free(ends);
+}
+END_TEST
+
 static void bench_list(struct bench *bench, uint32_t tail_ms)
 {
 	struct flow_run runs[2] = { { .run = 1 }, { .run = 1 } };
@@ -514,4 +550,4 @@
 	   test_unanswered_start, test_deadline_on_slow_clock,
 	   test_call_without_end, test_stale_heartbeats,
 	   test_ends_wait_for_the_log, test_old_run_is_settled_by_lists,
-	   test_pace, test_start_waits_for_room)
+	   test_full_list_of_ends, test_pace, test_start_waits_for_room)
