Tell lives of a worker apart in reports, orders and lists

Callers may see a task run twice at the same time. An agent that has just restarted may hear a heartbeat of an earlier life of its worker that a partition held up. The leader took that life for the present one and declared all runs of the present life lost while they ran. The agent refused orders for the life that it didn't know yet as "never started", and took lists that another life under the same identity had made for lists of its own.

Lives are told apart by the time of their start, in one direction: - the leader ignores a report of an earlier life than the one it knows, or than the one that a run was placed on, until the lease of the later one has surely lapsed (the worker's clock may have jumped back); - an agent ignores orders for a later life than its own, which the leader repeats, and still refuses those for an earlier one; - a reply that names another life counts as one of another life.

The model worker of test_flow takes late calls of an earlier life under the same identity, as the platform does, and its replies name its life.

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -183,9 +183,10 @@
 {
 	bool life;
 
-	/* Before its worker's first heartbeat, this agent can't tell lives
-	 * apart; the leader repeats its orders. */
-	if (!runner_take_term(runner, orders->term) || !runner->worker.id[0])
+	/* Of a life that is still to announce itself here, this agent knows
+	 * nothing; the leader repeats its orders. */
+	if (!runner_take_term(runner, orders->term) || !runner->worker.id[0] ||
+	    orders->born_ms > runner->worker.born_ms)
 		return;
 	life = runner_has_worker(runner) &&
 	       runner_is_life(runner, orders->worker, orders->born_ms);
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -390,9 +390,17 @@
 	runner_hold_next(runner, fresh, answered);
 }
 
+/* Returns true if the reply says that another life under this id made it. */
+static bool runner_is_other_life(const struct runner *runner,
+				 const struct exec_reply *reply)
+{
+	return reply->born_ms && reply->born_ms != runner->worker.born_ms;
+}
+
 void runner_call_done(struct runner *runner, uint64_t call_nr,
 		      const struct exec_reply *reply)
 {
+	static const struct exec_reply other = { .verdict = EXEC_OTHER_LIFE };
 	struct runner_call *call = g_hash_table_lookup(runner->calls, &call_nr);
 
 	if (!call)
@@ -400,6 +408,8 @@
 	g_hash_table_steal(runner->calls, &call_nr);
 	if (call->life != runner->life_nr)
 		goto out; /* it concerned an earlier life */
+	if (runner_is_other_life(runner, reply))
+		reply = &other;
 	if (reply->clock_ms) {
 		runner->clock_ms = reply->clock_ms;
 		runner->clock_us = runner->node->now_us;
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -140,6 +140,18 @@
 		control_flow_order_start(flows, soft);
 }
 
+/* Returns true if the run's life is later than the one that is reported. */
+static bool flow_life_is_later(const struct control_flow *flows,
+			       const struct flow_soft *soft)
+{
+	const struct flow_task *task = &soft->flow->record.tasks[soft->task];
+	const struct flow_vm *vm = soft->vm;
+
+	return task->born_ms > vm->worker.born_ms &&
+	       flows->control->node->now_us <=
+		       vm->lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
+}
+
 /* Compares what is committed to the VM with what its agent knows. */
 static void flow_reconcile(struct control_flow *flows, struct flow_vm *vm,
 			   GHashTable *listed)
@@ -155,7 +167,7 @@
 			continue;
 		if (!control_flow_is_life(soft) || vm->worker.ended) {
 			/* Whatever ran in an earlier life has ended with it. */
-			if (!known)
+			if (!known && !flow_life_is_later(flows, soft))
 				control_flow_end(flows, soft, FLOW_END_LOST,
 						 "");
 			continue;
@@ -269,6 +281,23 @@
 	return false;
 }
 
+/*
+ * Returns true if the report names a life before the known one. An agent that
+ * has just started may hear a heartbeat that was held up. The clock by which
+ * lives are told apart may have jumped back, so this holds no longer than the
+ * known life's lease.
+ */
+static bool flow_is_earlier_life(const struct control_flow *flows,
+				 const struct flow_vm *vm,
+				 const struct worker_life *worker)
+{
+	uint64_t now_us = flows->control->node->now_us;
+
+	return worker->id[0] && vm->worker.id[0] &&
+	       worker->born_ms < vm->worker.born_ms &&
+	       now_us <= vm->lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
+}
+
 void control_flow_report(struct control_flow *flows, uint64_t from,
 			 const struct flow_report *report)
 {
@@ -280,6 +309,10 @@
 	if (vm->node_id == from ? report->seq <= vm->report_seq :
 				  flow_is_earlier(vm, from))
 		return;
+	if (flow_is_earlier_life(flows, vm, &report->worker)) {
+		counter_add(control->node->counters, "reports_earlier_life", 1);
+		return;
+	}
 	if (vm->node_id && vm->node_id != from)
 		vm->earlier_ids[vm->nr_earlier++ % FLOW_EARLIER_IDS] =
 			vm->node_id;
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -25,7 +25,6 @@
 	bool lost; /* no answer; carried out late */
 	uint64_t call_nr;
 	const struct runner *runner; /* that made the call */
-	uint64_t born_ms; /* life it is meant for */
 	enum exec_call_kind kind;
 	char task[NAME_BYTES];
 	uint32_t run;
@@ -165,10 +164,8 @@
 
 	call->carried_out = true;
 	reply->verdict = EXEC_DONE;
-	if (worker->born_ms != call->born_ms) {
-		reply->verdict = EXEC_OTHER_LIFE;
-		return;
-	}
+	/* Lives share their identity, so a late call finds the present one. */
+	reply->born_ms = worker->born_ms;
 	reply->clock_ms = clock_ms(vm);
 	if (call->fence < worker->fence) {
 		reply->verdict = EXEC_REFUSED;
@@ -240,7 +237,6 @@
 	call->vm = vm;
 	call->call_nr = call_nr;
 	call->runner = vm->runner;
-	call->born_ms = vm->worker.born_ms;
 	call->kind = from->kind;
 	TEXT_SET(call->task, from->task ? from->task : "");
 	call->run = from->run;
@@ -264,14 +260,12 @@
 
 static const struct runner_host_ops fw_runner_ops = { .call = world_call };
 
-static void vm_beat(struct fw_vm *vm)
+void fw_beat(struct fw_vm *vm, uint64_t born_ms, uint64_t seq)
 {
 	struct worker_life life = { 0 };
 
-	if (!vm->runner || !vm->worker.up)
-		return;
 	TEXT_SET(life.id, vm->name);
-	life.born_ms = vm->worker.born_ms;
+	life.born_ms = born_ms;
 	TEXT_SET(life.service, "svc");
 	TEXT_SET(life.kind, "a");
 	TEXT_SET(life.rack, vm->zone);
@@ -280,7 +274,13 @@
 	life.draining = vm->draining;
 	life.remaining_ms = 5000;
 	node_set_time(vhost_node(vm->machine), now_us(vm->world));
-	runner_heartbeat(vm->runner, &life, "10.0.0.1:1", ++vm->worker.seq);
+	runner_heartbeat(vm->runner, &life, "10.0.0.1:1", seq);
+}
+
+static void vm_beat(struct fw_vm *vm)
+{
+	if (vm->runner && vm->worker.up)
+		fw_beat(vm, vm->worker.born_ms, ++vm->worker.seq);
 }
 
 /* The platform: an end that isn't settled before the lease lapses is void. */
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -91,6 +91,8 @@
 /** The worker ends with all it runs; another life may come. */
 void fw_crash_worker(struct fw_vm *vm);
 void fw_boot_worker(struct fw_vm *vm);
+/** A heartbeat of this life arrives at the agent, which must run. */
+void fw_beat(struct fw_vm *vm, uint64_t born_ms, uint64_t seq);
 void fw_cut(struct fw_vm *vm, bool cut);
 /** Number of runs at all workers. */
 uint32_t fw_running(const struct flow_world *fw);
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -284,6 +284,44 @@
 }
 END_TEST
 
+/*
+ * Guards against a restarted agent that hears a late heartbeat of an earlier
+ * life: the leader took the runs of the present life for lost.
+ */
+START_TEST(test_heartbeat_of_earlier_life)
+{
+	struct flow_world *fw = flow_world_new(9);
+	struct flow_step step = step_of(8);
+	uint64_t born_ms = fw->vms[1].worker.born_ms;
+
+	fw_crash_worker(&fw->vms[1]);
+	fw_boot_worker(&fw->vms[1]);
+	flow_world_run_ms(fw, 2000);
+	fw->run_ms = 4000;
+	step.estimate_ms = 4000;
+	flow_world_submit(fw, "aa", &step, 1);
+	flow_world_run_ms(fw, 500);
+	ck_assert_uint_eq(fw_running(fw), 8);
+	for (uint32_t i = 0; i < 2; i++) {
+		fw_kill_agent(&fw->vms[1]);
+		fw_boot_agent(&fw->vms[1]);
+		fw_beat(&fw->vms[1], born_ms, 9);
+		/* The second time, a new leader hears it first. */
+		if (i) {
+			struct world_control *leader =
+				world_leader_host(fw->base);
+
+			world_kill_control(leader);
+			world_boot_control(leader);
+		}
+		flow_world_run_ms(fw, 900);
+	}
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 20000));
+	ck_assert_uint_eq(fw->nr_starts, 8);
+	flow_world_free(fw);
+}
+END_TEST
+
 /* Guards against starts in a zone that operators took out. */
 START_TEST(test_zone_out)
 {
@@ -544,6 +582,7 @@
 	   test_cancel_before_submission, test_cancel_stops_runs,
 	   test_unknown_names, test_leader_killed, test_agent_restarted,
 	   test_vm_cut_off, test_short_cuts, test_leader_without_lease,
-	   test_late_calls, test_worker_crashes, test_zone_out, test_draining,
-	   test_attempts, test_fillers_are_not_starved, test_advice,
-	   test_held_filler_moves, test_serving_tasks_are_grouped)
+	   test_late_calls, test_worker_crashes, test_heartbeat_of_earlier_life,
+	   test_zone_out, test_draining, test_attempts,
+	   test_fillers_are_not_starved, test_advice, test_held_filler_moves,
+	   test_serving_tasks_are_grouped)
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -437,6 +437,59 @@
 }
 END_TEST
 
+/*
+ * Guards against "never started" for orders of a life that has not announced
+ * itself to an agent that hears a late heartbeat of an earlier one.
+ */
+START_TEST(test_orders_of_later_life)
+{
+	struct flow_order order = { .action = FLOW_START, .run = 1 };
+	struct flow_orders orders = { .term = 4, .born_ms = 2, .nr_orders = 1 };
+	struct bench *bench = bench_ready(true);
+
+	TEXT_SET(order.task, TASK);
+	TEXT_SET(orders.worker, "w");
+	orders.orders = &order;
+	bench_message(bench, MSG_FLOW_ORDERS, &orders);
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->nr_starts, 0);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	/* Those of an earlier life will never start. */
+	orders.born_ms = 0;
+	bench_message(bench, MSG_FLOW_ORDERS, &orders);
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	bench_free(bench);
+}
+END_TEST
+
+/*
+ * Guards against lists of another life under the same identity, which lack the
+ * runs of the present one.
+ */
+START_TEST(test_lists_of_other_life)
+{
+	struct exec_reply list = done;
+	struct bench *bench = bench_ready(true);
+
+	bench_run_ms(bench, 20);
+	bench_order(bench, FLOW_START, 1, false, 0);
+	ck_assert(bench_answer(bench, EXEC_START, &done, NULL));
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	bench_run_ms(bench, 200);
+	list.born_ms = 2;
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	list.born_ms = 1;
+	bench_run_ms(bench, 500);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	bench_free(bench);
+}
+END_TEST
+
 static void bench_list(struct bench *bench, uint32_t tail_ms)
 {
 	struct flow_run runs[2] = { { .run = 1 }, { .run = 1 } };
@@ -550,4 +603,5 @@
 	   test_unanswered_start, test_deadline_on_slow_clock,
 	   test_call_without_end, test_stale_heartbeats,
 	   test_ends_wait_for_the_log, test_old_run_is_settled_by_lists,
-	   test_full_list_of_ends, test_pace, test_start_waits_for_room)
+	   test_full_list_of_ends, test_orders_of_later_life,
+	   test_lists_of_other_life, test_pace, test_start_waits_for_room)
