Report ends that a worker's former life has listed

Callers may see a task run again after it ended as done. When a worker's life ended, its agent forgot the ends that the life had listed. If the leader had not taken them by then, as when a report was lost with its connection, it took the runs for lost with their life.

The agent sends these ends with its next report, without their numbers.

Evidence: test_ends_outlive_the_life fails before (no end in the report) and passes after. A report that is lost right then still takes the ends with it.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -87,7 +87,7 @@
 	uint64_t settled_nr;
 	GHashTable *runs; /* task -> struct runner_run * */
 	GArray *ends; /* struct flow_run_end, listed and not settled */
-	GArray *own_ends; /* struct flow_run_end of runs that never started */
+	GArray *own_ends; /* struct flow_run_end that no list has, sent once */
 	GHashTable *refusals; /* task -> struct runner_refusal * */
 	GArray *unsure; /* struct runner_unsure */
 	GHashTable *calls; /* call_nr -> struct runner_call * */
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -124,8 +124,21 @@
 	}
 }
 
+/* Ends that a life has listed count after it, too. */
+static void runner_keep_ends(struct runner *runner)
+{
+	for (guint i = 0; i < runner->ends->len; i++) {
+		struct flow_run_end end =
+			g_array_index(runner->ends, struct flow_run_end, i);
+
+		end.nr = 0; /* numbers start anew with each life */
+		g_array_append_val(runner->own_ends, end);
+	}
+}
+
 static void runner_forget_life(struct runner *runner)
 {
+	runner_keep_ends(runner);
 	runner->life_nr++;
 	runner->clock_ms = 0;
 	runner->unanswered_us = 0;
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -238,7 +238,7 @@
 
 /** The end of a run; nr counts within one life of the worker. */
 struct flow_run_end {
-	uint64_t nr; /* 0: the agent knows that the run never started */
+	uint64_t nr; /* 0: the run never started, or its life is over */
 	char task[NAME_BYTES];
 	uint32_t run;
 	uint32_t end; /* enum flow_end */
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -490,6 +490,29 @@
 }
 END_TEST
 
+/*
+ * Guards against an end that is forgotten with the life that listed it, before
+ * the leader has heard of it.
+ */
+START_TEST(test_ends_outlive_the_life)
+{
+	struct flow_run_end end = { .nr = 5, .run = 1, .end = FLOW_END_DONE };
+	struct exec_reply list = done;
+	struct bench *bench = bench_ready(true);
+
+	TEXT_SET(end.task, TASK);
+	list.nr_ends = 1;
+	list.ends = &end;
+	bench_run_ms(bench, 20);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	ck_assert_int_eq(bench_beat(bench, 2, 1, false), RESULT_OK);
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->report.worker.born_ms, 2);
+	ck_assert_uint_eq(bench->report.nr_ends, 1);
+	bench_free(bench);
+}
+END_TEST
+
 static void bench_list(struct bench *bench, uint32_t tail_ms)
 {
 	struct flow_run runs[2] = { { .run = 1 }, { .run = 1 } };
@@ -604,4 +627,5 @@
 	   test_call_without_end, test_stale_heartbeats,
 	   test_ends_wait_for_the_log, test_old_run_is_settled_by_lists,
 	   test_full_list_of_ends, test_orders_of_later_life,
-	   test_lists_of_other_life, test_pace, test_start_waits_for_room)
+	   test_lists_of_other_life, test_ends_outlive_the_life, test_pace,
+	   test_start_waits_for_room)
