Ignore a deregistration of an earlier life

Callers may see a task run twice at the same time. A worker may start again under the identity it had. A deregistration of its earlier life that was held up ended the present life for the agent, and the leader took its runs for lost while they ran.

The agent compares the start that the deregistration names, if it names one.

Evidence: by reading; test_late_deregistration and test_deregistration cover the new argument.

--- a/src/core/agent/runner.h
+++ b/src/core/agent/runner.h
@@ -41,8 +41,8 @@
 			     const struct worker_life *life,
 			     const char *address, uint64_t seq);
 
-/** The worker with this identity ends. */
-void runner_deregister(struct runner *runner, const char *id);
+/** The life of the worker ends; @a born_ms is 0 if it isn't told. */
+void runner_deregister(struct runner *runner, const char *id, uint64_t born_ms);
 
 /** Answers a call; @a reply is borrowed. */
 void runner_call_done(struct runner *runner, uint64_t call_nr,
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -187,9 +187,10 @@
 	return RESULT_OK;
 }
 
-void runner_deregister(struct runner *runner, const char *id)
+void runner_deregister(struct runner *runner, const char *id, uint64_t born_ms)
 {
-	if (!runner_has_worker(runner) || strcmp(runner->worker.id, id) != 0)
+	if (!runner_has_worker(runner) || strcmp(runner->worker.id, id) != 0 ||
+	    (born_ms && born_ms != runner->worker.born_ms))
 		return;
 	runner_log_worker(runner, "worker-deregistered");
 	runner_forget_life(runner);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -273,5 +273,27 @@
 }
 END_TEST
 
-SUITE_MAIN("platform", test_submissions, test_submission_fields, test_configs,
-	   test_beats, test_replies, test_random_bytes)
+/* Guards against a deregistration that is taken for one of another life. */
+START_TEST(test_deregistration)
+{
+	static const struct {
+		const char *text;
+		uint64_t born_ms;
+	} cases[] = {
+		{ "", 0 },
+		{ "{}", 0 },
+		{ "[7]", 0 },
+		{ "{\"born\":\"x\"}", 0 },
+		{ "{\"born\":1775350000123,\"seq\":9}", 1775350000123 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		ck_assert_uint_eq(executor_born_read(cases[i].text,
+						     strlen(cases[i].text)),
+				  cases[i].born_ms);
+}
+END_TEST
+
+SUITE_MAIN("platform", test_deregistration, test_submissions,
+	   test_submission_fields, test_configs, test_beats, test_replies,
+	   test_random_bytes)
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -513,6 +513,24 @@
 }
 END_TEST
 
+/* Guards against a late deregistration of an earlier life that ends the present
+ * one.
+ */
+START_TEST(test_late_deregistration)
+{
+	struct bench *bench = bench_ready(true);
+
+	bench_beat(bench, 2, 1, false);
+	runner_deregister(bench->runner, "w", 1);
+	bench_run_ms(bench, 20);
+	ck_assert(!bench->report.worker.ended);
+	runner_deregister(bench->runner, "w", 2);
+	bench_run_ms(bench, 20);
+	ck_assert(bench->report.worker.ended);
+	bench_free(bench);
+}
+END_TEST
+
 static void bench_list(struct bench *bench, uint32_t tail_ms)
 {
 	struct flow_run runs[2] = { { .run = 1 }, { .run = 1 } };
@@ -627,5 +645,5 @@
 	   test_call_without_end, test_stale_heartbeats,
 	   test_ends_wait_for_the_log, test_old_run_is_settled_by_lists,
 	   test_full_list_of_ends, test_orders_of_later_life,
-	   test_lists_of_other_life, test_ends_outlive_the_life, test_pace,
-	   test_start_waits_for_room)
+	   test_lists_of_other_life, test_ends_outlive_the_life,
+	   test_late_deregistration, test_pace, test_start_waits_for_room)
