--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -124,8 +124,21 @@
 	}
 }
 
+/* Ends that a life has listed count after it, too. */
+static void runner_keep_ends(struct runner *runner)
+{
+	for (guint i = 0; i < runner->ends->len; i++) {
+		struct flow_run_end end =
+			g_array_index(runner->ends, struct flow_run_end, i);
+
+		end.nr = 0; /* numbers start anew with each life */
+		g_array_append_val(runner->own_ends, end);
+	}
+}
+
 static void runner_forget_life(struct runner *runner)
 {
+	runner_keep_ends(runner);
 	runner->life_nr++;
 	runner->clock_ms = 0;
 	runner->unanswered_us = 0;
@@ -174,9 +187,10 @@
 	return RESULT_OK;
 }
 
-void runner_deregister(struct runner *runner, const char *id)
+void runner_deregister(struct runner *runner, const char *id, uint64_t born_ms)
 {
-	if (!runner_has_worker(runner) || strcmp(runner->worker.id, id) != 0)
+	if (!runner_has_worker(runner) || strcmp(runner->worker.id, id) != 0 ||
+	    (born_ms && born_ms != runner->worker.born_ms))
 		return;
 	runner_log_worker(runner, "worker-deregistered");
 	runner_forget_life(runner);
@@ -186,6 +200,19 @@
 
 /* ---- replies ---- */
 
+/*
+ * The worker has had this run or a later one, so the run may have ended as
+ * done. The lists tell; they are asked for from here on.
+ */
+static void runner_start_barred(struct runner *runner, struct runner_run *run)
+{
+	runner_set_phase(runner, run, RUNNER_UNSURE);
+	run->stopped_us = runner->node->now_us;
+	runner_log_run(runner, "run-barred", run->task, run->run,
+		       "the worker had it", RESULT_CONFLICT);
+	runner_hold(runner);
+}
+
 static void runner_start_done(struct runner *runner,
 			      const struct runner_call *call,
 			      const struct exec_reply *reply)
@@ -206,14 +233,17 @@
 		else if (run->filler)
 			runner_pace(runner);
 		break;
-	case EXEC_NOT_SENT:
 	case EXEC_REFUSED:
+		if (reply->result == RESULT_CONFLICT)
+			runner_start_barred(runner, run);
+		else
+			runner_drop(runner, run, reply->result);
+		break;
+	case EXEC_NOT_SENT:
+		runner_drop(runner, run, RESULT_NO_UPSTREAM);
+		break;
 	case EXEC_OTHER_LIFE:
-		runner_drop(
-			runner, run,
-			reply->verdict == EXEC_REFUSED	? reply->result :
-			reply->verdict == EXEC_NOT_SENT ? RESULT_NO_UPSTREAM :
-							  RESULT_OTHER_LIFE);
+		runner_drop(runner, run, RESULT_OTHER_LIFE);
 		break;
 	default:
 		/* It may come later; a stop makes sure that it doesn't. */
@@ -357,7 +387,9 @@
 		listed = g_hash_table_new(NULL, NULL);
 		runner_take_runs(runner, listed, reply);
 		fresh = runner_take_ends(runner, reply);
-		runner_sweep(runner, listed, call);
+		/* A full list of ends proves nothing about what it lacks. */
+		if (reply->nr_ends < WORKER_LIST_ENDS)
+			runner_sweep(runner, listed, call);
 		g_hash_table_unref(listed);
 		fresh = fresh || !runner->looked;
 		runner->looked = true;
@@ -372,9 +404,17 @@
 	runner_hold_next(runner, fresh, answered);
 }
 
+/* Returns true if the reply says that another life under this id made it. */
+static bool runner_is_other_life(const struct runner *runner,
+				 const struct exec_reply *reply)
+{
+	return reply->born_ms && reply->born_ms != runner->worker.born_ms;
+}
+
 void runner_call_done(struct runner *runner, uint64_t call_nr,
 		      const struct exec_reply *reply)
 {
+	static const struct exec_reply other = { .verdict = EXEC_OTHER_LIFE };
 	struct runner_call *call = g_hash_table_lookup(runner->calls, &call_nr);
 
 	if (!call)
@@ -382,6 +422,8 @@
 	g_hash_table_steal(runner->calls, &call_nr);
 	if (call->life != runner->life_nr)
 		goto out; /* it concerned an earlier life */
+	if (runner_is_other_life(runner, reply))
+		reply = &other;
 	if (reply->clock_ms) {
 		runner->clock_ms = reply->clock_ms;
 		runner->clock_us = runner->node->now_us;
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -34,8 +34,8 @@
 	struct flow_grant grant = { 0 };
 	GArray *pairs;
 
-	vm->grant_due = false;
-	if (!vm->reported || !raft_may_grant(control->raft))
+	vm->grant_due = vm->reported && !raft_may_grant(control->raft);
+	if (!vm->reported || vm->grant_due)
 		return;
 	vm->settled_nr = flow_settled(flows, vm);
 	grant.seq = vm->report_seq;
@@ -140,6 +140,18 @@
 		control_flow_order_start(flows, soft);
 }
 
+/* Returns true if the run's life is later than the one that is reported. */
+static bool flow_life_is_later(const struct control_flow *flows,
+			       const struct flow_soft *soft)
+{
+	const struct flow_task *task = &soft->flow->record.tasks[soft->task];
+	const struct flow_vm *vm = soft->vm;
+
+	return task->born_ms > vm->worker.born_ms &&
+	       flows->control->node->now_us <=
+		       vm->lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
+}
+
 /* Compares what is committed to the VM with what its agent knows. */
 static void flow_reconcile(struct control_flow *flows, struct flow_vm *vm,
 			   GHashTable *listed)
@@ -155,7 +167,7 @@
 			continue;
 		if (!control_flow_is_life(soft) || vm->worker.ended) {
 			/* Whatever ran in an earlier life has ended with it. */
-			if (!known)
+			if (!known && !flow_life_is_later(flows, soft))
 				control_flow_end(flows, soft, FLOW_END_LOST,
 						 "");
 			continue;
@@ -269,6 +281,23 @@
 	return false;
 }
 
+/*
+ * Returns true if the report names a life before the known one. An agent that
+ * has just started may hear a heartbeat that was held up. The clock by which
+ * lives are told apart may have jumped back, so this holds no longer than the
+ * known life's lease.
+ */
+static bool flow_is_earlier_life(const struct control_flow *flows,
+				 const struct flow_vm *vm,
+				 const struct worker_life *worker)
+{
+	uint64_t now_us = flows->control->node->now_us;
+
+	return worker->id[0] && vm->worker.id[0] &&
+	       worker->born_ms < vm->worker.born_ms &&
+	       now_us <= vm->lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
+}
+
 void control_flow_report(struct control_flow *flows, uint64_t from,
 			 const struct flow_report *report)
 {
@@ -276,12 +305,14 @@
 	struct flow_vm *vm;
 	GHashTable *listed;
 
-	if (!raft_may_grant(control->raft))
-		return;
 	vm = control_flow_vm(flows, report->vm);
 	if (vm->node_id == from ? report->seq <= vm->report_seq :
 				  flow_is_earlier(vm, from))
 		return;
+	if (flow_is_earlier_life(flows, vm, &report->worker)) {
+		counter_add(control->node->counters, "reports_earlier_life", 1);
+		return;
+	}
 	if (vm->node_id && vm->node_id != from)
 		vm->earlier_ids[vm->nr_earlier++ % FLOW_EARLIER_IDS] =
 			vm->node_id;
@@ -331,6 +362,13 @@
 	g_list_free(runs);
 }
 
+/* Returns true if reports show what has become of the worker's runs. */
+static bool flow_vm_is_heard(const struct flow_vm *vm, uint64_t now_us)
+{
+	return vm->reported && vm->reachable && vm->looked &&
+	       now_us - vm->reported_us < FLOW_REPORT_STALE_MS * 1000ull;
+}
+
 static bool flow_vm_has_open(const struct flow_vm *vm)
 {
 	GHashTableIter iter;
@@ -360,8 +398,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct flow_vm *vm = value;
 
+		if (vm->grant_due)
+			control_flow_grant(flows, vm);
+		/* Runs may have ended as done before the lease lapsed. */
 		if (now_us > vm->lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull &&
-		    flow_vm_has_open(vm))
+		    !flow_vm_is_heard(vm, now_us) && flow_vm_has_open(vm))
 			flow_vm_lost(flows, vm);
 	}
 	control_flow_save(flows);
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -363,6 +363,174 @@
 }
 END_TEST
 
+/*
+ * Guards against "never started" for a run that the worker refuses as old: it
+ * may have ended as done there, so its end decides.
+ */
+START_TEST(test_old_run_is_settled_by_lists)
+{
+	static const struct exec_reply old = { .verdict = EXEC_REFUSED,
+					       .result = RESULT_CONFLICT };
+	struct flow_run_end end = { .nr = 5, .run = 1, .end = FLOW_END_DONE };
+	struct exec_reply list = done;
+	struct bench *bench = bench_ready(true);
+
+	TEXT_SET(end.task, TASK);
+	list.nr_ends = 1;
+	list.ends = &end;
+	bench_run_ms(bench, 20);
+	bench_order(bench, FLOW_START, 1, false, 0);
+	ck_assert(bench_answer(bench, EXEC_START, &old, NULL));
+	/* A look that was asked for before says nothing. */
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	ck_assert_uint_eq(bench->report.nr_ends, 1);
+	/* A run that is on neither list was stopped before it came. */
+	bench_order(bench, FLOW_START, 2, false, 0);
+	ck_assert(bench_answer(bench, EXEC_START, &old, NULL));
+	bench_run_ms(bench, 200);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	ck_assert_uint_eq(bench->nr_stops, 0);
+	bench_free(bench);
+}
+END_TEST
+
+/*
+ * Guards against "never started" for a run whose end doesn't fit the list: a
+ * worker lists 500 ends at a time.
+ */
+START_TEST(test_full_list_of_ends)
+{
+	struct flow_run_end *ends = g_new0(struct flow_run_end, 500);
+	struct exec_reply list = done;
+	struct bench *bench = bench_ready(true);
+
+	for (uint32_t i = 0; i < 500; i++) {
+		ends[i].nr = i + 1;
+		ends[i].run = 1;
+		ends[i].end = FLOW_END_DONE;
+		g_snprintf(ends[i].task, NAME_BYTES, "bb.0.0.%u", i);
+	}
+	list.nr_ends = 500;
+	list.ends = ends;
+	bench_run_ms(bench, 20);
+	bench_order(bench, FLOW_START, 1, false, 0);
+	ck_assert(bench_answer(bench, EXEC_START, &done, NULL));
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	bench_run_ms(bench, 200);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	list.nr_ends = 499;
+	bench_run_ms(bench, 200);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	bench_free(bench);
+	g_free(ends);
+}
+END_TEST
+
+/*
+ * Guards against "never started" for orders of a life that has not announced
+ * itself to an agent that hears a late heartbeat of an earlier one.
+ */
+START_TEST(test_orders_of_later_life)
+{
+	struct flow_order order = { .action = FLOW_START, .run = 1 };
+	struct flow_orders orders = { .term = 4, .born_ms = 2, .nr_orders = 1 };
+	struct bench *bench = bench_ready(true);
+
+	TEXT_SET(order.task, TASK);
+	TEXT_SET(orders.worker, "w");
+	orders.orders = &order;
+	bench_message(bench, MSG_FLOW_ORDERS, &orders);
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->nr_starts, 0);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	/* Those of an earlier life will never start. */
+	orders.born_ms = 0;
+	bench_message(bench, MSG_FLOW_ORDERS, &orders);
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	bench_free(bench);
+}
+END_TEST
+
+/*
+ * Guards against lists of another life under the same identity, which lack the
+ * runs of the present one.
+ */
+START_TEST(test_lists_of_other_life)
+{
+	struct exec_reply list = done;
+	struct bench *bench = bench_ready(true);
+
+	bench_run_ms(bench, 20);
+	bench_order(bench, FLOW_START, 1, false, 0);
+	ck_assert(bench_answer(bench, EXEC_START, &done, NULL));
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	bench_run_ms(bench, 200);
+	list.born_ms = 2;
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	list.born_ms = 1;
+	bench_run_ms(bench, 500);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	bench_free(bench);
+}
+END_TEST
+
+/*
+ * Guards against an end that is forgotten with the life that listed it, before
+ * the leader has heard of it.
+ */
+START_TEST(test_ends_outlive_the_life)
+{
+	struct flow_run_end end = { .nr = 5, .run = 1, .end = FLOW_END_DONE };
+	struct exec_reply list = done;
+	struct bench *bench = bench_ready(true);
+
+	TEXT_SET(end.task, TASK);
+	list.nr_ends = 1;
+	list.ends = &end;
+	bench_run_ms(bench, 20);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	ck_assert_int_eq(bench_beat(bench, 2, 1, false), RESULT_OK);
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->report.worker.born_ms, 2);
+	ck_assert_uint_eq(bench->report.nr_ends, 1);
+	bench_free(bench);
+}
+END_TEST
+
+/* Guards against a late deregistration of an earlier life that ends the present
+ * one.
+ */
+START_TEST(test_late_deregistration)
+{
+	struct bench *bench = bench_ready(true);
+
+	bench_beat(bench, 2, 1, false);
+	runner_deregister(bench->runner, "w", 1);
+	bench_run_ms(bench, 20);
+	ck_assert(!bench->report.worker.ended);
+	runner_deregister(bench->runner, "w", 2);
+	bench_run_ms(bench, 20);
+	ck_assert(bench->report.worker.ended);
+	bench_free(bench);
+}
+END_TEST
+
 static void bench_list(struct bench *bench, uint32_t tail_ms)
 {
 	struct flow_run runs[2] = { { .run = 1 }, { .run = 1 } };
@@ -475,4 +643,7 @@
 SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
 	   test_unanswered_start, test_deadline_on_slow_clock,
 	   test_call_without_end, test_stale_heartbeats,
-	   test_ends_wait_for_the_log, test_pace, test_start_waits_for_room)
+	   test_ends_wait_for_the_log, test_old_run_is_settled_by_lists,
+	   test_full_list_of_ends, test_orders_of_later_life,
+	   test_lists_of_other_life, test_ends_outlive_the_life,
+	   test_late_deregistration, test_pace, test_start_waits_for_room)
