Remove a replaced voter before the next loss

Callers saw a manifest without an acknowledgement after 4 s of calm, and no submission served for up to 20 s, when a machine of the control group was gone for good, its successor had joined, and another machine was lost later.

A successor is promoted once it has caught up, so the group has four voters of which one is gone. Its quorum is three: all that are left. The gone voter was removed after 12 s only, counted from the election of the leader, and a leader without a quorum can't remove anybody.

A voter beyond those that the losses call for is now removed after 2 s without a connection if that lowers the quorum and enough of the others hold the log and answer. A voter that nobody has replaced keeps its seat.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -79,6 +79,11 @@
  * above the longest outage that machines come back from on the platform (10 s).
  */
 #define RAFT_MEMBER_GONE_MS 12000
+/*
+ * The same for a voter that a new one has replaced, so that the group survives
+ * another loss 4 s after the new one has started (platform).
+ */
+#define RAFT_VOTER_GONE_MS 2000
 
 /* Leases and permits. */
 #define REPORT_INTERVAL_MS 500
--- a/src/core/raft/raft_form.c
+++ b/src/core/raft/raft_form.c
@@ -310,6 +310,37 @@
 	return false;
 }
 
+/* Returns how many voters apart from one hold the log and answer. */
+static uint32_t raft_voters_besides(struct raft *raft, uint64_t node_id)
+{
+	uint32_t nr = 1; /* itself */
+
+	for (uint32_t i = 0; i < raft->nr_peers; i++) {
+		uint64_t other_id = raft->peers[i].node_id;
+
+		nr += other_id != node_id &&
+		      members_is_voter(raft_config(raft), other_id) &&
+		      raft_caught_up(raft, other_id);
+	}
+	return nr;
+}
+
+/*
+ * An absent voter beyond those that the losses call for only adds to the
+ * quorum: four voters with one absent don't survive another loss, three do.
+ */
+static uint64_t raft_gone_ms(struct raft *raft, uint64_t node_id)
+{
+	uint32_t nr_voters = members_nr_voters(raft_config(raft));
+
+	return members_is_voter(raft_config(raft), node_id) &&
+			       nr_voters % 2 == 0 &&
+			       raft_voters_besides(raft, node_id) >
+				       raft->losses * 2 ?
+		       RAFT_VOTER_GONE_MS :
+		       RAFT_MEMBER_GONE_MS;
+}
+
 /* Removes a member that is gone while others do in its place. */
 static bool raft_member_gone(struct raft *raft)
 {
@@ -324,7 +355,8 @@
 		if ((link && link->up && !link_is_silent(link)) ||
 		    !peer->seen_us)
 			peer->seen_us = now_us;
-		if (now_us - peer->seen_us < RAFT_MEMBER_GONE_MS * US_PER_MS ||
+		if (now_us - peer->seen_us <
+			    raft_gone_ms(raft, peer->node_id) * US_PER_MS ||
 		    (voter &&
 		     members_nr_voters(members) <= raft->losses * 2 + 1))
 			continue;
--- a/tests/raft_lone.c
+++ b/tests/raft_lone.c
@@ -179,7 +179,7 @@
 	raft_synced(lone->raft, lone->sync_nr, RESULT_OK);
 }
 
-void lone_new(struct lone *lone, bool fresh)
+static void lone_boot(struct lone *lone, bool fresh, uint32_t losses)
 {
 	struct node_opts node_opts = { .host = &lone_host,
 				       .host_ctx = lone,
@@ -190,7 +190,9 @@
 				  .machine = &lone_machine,
 				  .machine_ctx = lone,
 				  .image = &lone->image,
-				  .control_addresses = lone_addresses };
+				  .control_addresses = lone_addresses,
+				  .open = losses > 0,
+				  .losses = losses };
 
 	memset(lone, 0, sizeof(*lone));
 	lone->now_us = START_US;
@@ -220,6 +222,16 @@
 	lone_synced(lone);
 }
 
+void lone_new(struct lone *lone, bool fresh)
+{
+	lone_boot(lone, fresh, 0);
+}
+
+void lone_new_open(struct lone *lone, uint32_t losses)
+{
+	lone_boot(lone, false, losses);
+}
+
 void lone_free(struct lone *lone)
 {
 	raft_free(lone->raft);
--- a/tests/raft_lone.h
+++ b/tests/raft_lone.h
@@ -42,6 +42,8 @@
 void lone_synced(struct lone *lone);
 /** Makes a replica in term 2 with entries 1 and 2 of term 1, or a fresh one. */
 void lone_new(struct lone *lone, bool fresh);
+/** As lone_new() with entries, in an open group. */
+void lone_new_open(struct lone *lone, uint32_t losses);
 void lone_free(struct lone *lone);
 /** Forgets what was sent so far. */
 void lone_forget(struct lone *lone);
--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -368,6 +368,83 @@
 }
 END_TEST
 
+/* Lets time pass while the given peers acknowledge all entries. */
+static void lone_run_with(struct lone *lone, const uint64_t *peers,
+			  uint32_t nr_peers, uint64_t ms)
+{
+	uint64_t end_us = lone->now_us + ms * 1000;
+
+	while (lone->now_us < end_us) {
+		lone_wait_ms(lone, RAFT_HEARTBEAT_MS);
+		lone_synced(lone);
+		for (uint32_t i = 0; i < nr_peers; i++) {
+			lone_acknowledge(lone, peers[i],
+					 raft_match_index(lone->raft, 1),
+					 lone->now_us);
+		}
+	}
+}
+
+/* Adds a replica at an address that the list doesn't name. */
+static void lone_add_peer(struct lone *lone, uint64_t node_id)
+{
+	struct hello peer = { .node_id = node_id, .role = ROLE_CONTROL };
+
+	TEXT_SET(peer.address, "10.0.0.4:1");
+	node_peer_up(lone->node, &peer, NULL, lone->now_us);
+}
+
+static bool lone_votes(const struct lone *lone, uint64_t node_id)
+{
+	const struct members *members = raft_members(lone->raft);
+
+	for (uint32_t i = 0; i < members->nr_members; i++)
+		if (members->members[i].node_id == node_id)
+			return members->members[i].voter;
+	return false;
+}
+
+/*
+ * Guards against a group of three that needs all of them, as it still counts
+ * the voter that a new one has replaced.
+ */
+START_TEST(test_replaced_voter_leaves)
+{
+	const uint64_t peers[] = { 2, 4 };
+	struct lone lone;
+
+	lone_new_open(&lone, 1);
+	lone_lead(&lone);
+	lone_synced(&lone);
+	lone_acknowledge(&lone, 2, 3, lone.now_us);
+	node_peer_down(lone.node, 3, lone.now_us);
+	lone_run_with(&lone, peers, 1, 1000);
+	lone_add_peer(&lone, 4);
+	lone_run_with(&lone, peers, 2, 3500);
+	ck_assert(lone_votes(&lone, 4));
+	ck_assert(!lone_votes(&lone, 3));
+	ck_assert_uint_eq(raft_members(lone.raft)->nr_members, 3);
+	lone_free(&lone);
+}
+END_TEST
+
+/* Guards against a voter that loses its seat with nobody to take it. */
+START_TEST(test_lone_absent_voter_stays)
+{
+	const uint64_t peers[] = { 2 };
+	struct lone lone;
+
+	lone_new_open(&lone, 1);
+	lone_lead(&lone);
+	lone_synced(&lone);
+	lone_acknowledge(&lone, 2, 3, lone.now_us);
+	node_peer_down(lone.node, 3, lone.now_us);
+	lone_run_with(&lone, peers, 1, UINT64_C(2) * RAFT_MEMBER_GONE_MS);
+	ck_assert(lone_votes(&lone, 3));
+	lone_free(&lone);
+}
+END_TEST
+
 static bool lone_page(struct lone *lone, uint32_t page, bool last)
 {
 	struct snapshot_record record = { lone_members() };
@@ -444,4 +521,5 @@
 	   test_lease_counts_from_sending, test_formation_needs_every_vote_anew,
 	   test_voters_stay_a_majority_of_the_list,
 	   test_learner_catches_up_first, test_one_change_at_a_time,
+	   test_replaced_voter_leaves, test_lone_absent_voter_stays,
 	   test_pages_are_in_order, test_large_entries_bring_a_snapshot)
