Give the seats of replicas without a word to others

Callers saw a manifest without an acknowledgement after 4 s of calm when a replaced replica of the control group had lost its power.

Only the dialling side pings, so a connection that the gone replica had opened counted as alive at the leader until it was given up after 10 s. For as long, a replaced voter kept its seat, and a replica with a new disk at the same address didn't get its seat back.

The leader now takes a connection for lost when nothing has come on it for 1.1 s: the other side pings every 330 ms, and followers answer heartbeats.

test_replaced_silent_voter_leaves and test_wiped_voter_rejoins_at_once failed before.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -74,6 +74,8 @@
 #define RAFT_FORM_GIVE_UP_MS 5000
 
 #define RAFT_DIAL_INTERVAL_MS 1000 /* looks for members to dial */
+/* A connection on which nothing comes for three pings and a little is lost. */
+#define RAFT_LINK_QUIET_MS 1100
 /*
  * A member of an open group without a connection for this long may be removed;
  * above the longest outage that machines come back from on the platform (10 s).
--- a/src/core/raft/raft_form.c
+++ b/src/core/raft/raft_form.c
@@ -6,6 +6,14 @@
 
 /* ---- formation of a group by fresh replicas ---- */
 
+/* Only the dialling side's pings show a silent connection; they reach both. */
+static bool raft_link_lives(const struct raft *raft, const struct link *link)
+{
+	return link->up && !link_is_silent(link) &&
+	       raft->node->now_us - link->heard_us <
+		       RAFT_LINK_QUIET_MS * US_PER_MS;
+}
+
 /* Returns the connected control replica at the address, NULL if none. */
 static const struct link *raft_link_at(const struct raft *raft,
 				       const char *address, uint64_t node_id)
@@ -17,7 +25,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct link *link = value;
 
-		if (link->up && !link_is_silent(link) &&
+		if (raft_link_lives(raft, link) &&
 		    link->peer.role == ROLE_CONTROL &&
 		    (!node_id || link->peer.node_id == node_id) &&
 		    !strcmp(link->peer.address, address))
@@ -352,8 +360,7 @@
 		const struct link *link = node_link(raft->node, peer->node_id);
 		bool voter = members_is_voter(members, peer->node_id);
 
-		if ((link && link->up && !link_is_silent(link)) ||
-		    !peer->seen_us)
+		if ((link && raft_link_lives(raft, link)) || !peer->seen_us)
 			peer->seen_us = now_us;
 		if (now_us - peer->seen_us <
 			    raft_gone_ms(raft, peer->node_id) * US_PER_MS ||
--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -404,13 +404,25 @@
 	return false;
 }
 
+/* Replica 4 comes 1 s after 3 has gone; 4 s later another may be lost. */
+static void lone_replaced(struct lone *lone)
+{
+	const uint64_t peers[] = { 2, 4 };
+
+	lone_run_with(lone, peers, 1, 1000);
+	lone_add_peer(lone, 4);
+	lone_run_with(lone, peers, 2, 3500);
+	ck_assert(lone_votes(lone, 4));
+	ck_assert(!lone_votes(lone, 3));
+	ck_assert_uint_eq(raft_members(lone->raft)->nr_members, 3);
+}
+
 /*
  * Guards against a group of three that needs all of them, as it still counts
  * the voter that a new one has replaced.
  */
 START_TEST(test_replaced_voter_leaves)
 {
-	const uint64_t peers[] = { 2, 4 };
 	struct lone lone;
 
 	lone_new_open(&lone, 1);
@@ -418,11 +430,47 @@
 	lone_synced(&lone);
 	lone_acknowledge(&lone, 2, 3, lone.now_us);
 	node_peer_down(lone.node, 3, lone.now_us);
-	lone_run_with(&lone, peers, 1, 1000);
-	lone_add_peer(&lone, 4);
-	lone_run_with(&lone, peers, 2, 3500);
+	lone_replaced(&lone);
+	lone_free(&lone);
+}
+END_TEST
+
+/*
+ * Guards against the same where the old voter has lost its power: nothing
+ * closes the connection that it had opened.
+ */
+START_TEST(test_replaced_silent_voter_leaves)
+{
+	struct lone lone;
+
+	lone_new_open(&lone, 1);
+	lone_lead(&lone);
+	lone_synced(&lone);
+	lone_acknowledge(&lone, 2, 3, lone.now_us);
+	lone_replaced(&lone);
+	lone_free(&lone);
+}
+END_TEST
+
+/*
+ * Guards against a voter that lost power and disk and waits for its seat until
+ * its old connection, which nothing closes, is given up.
+ */
+START_TEST(test_wiped_voter_rejoins_at_once)
+{
+	struct hello peer = { .node_id = 4, .role = ROLE_CONTROL };
+	const uint64_t peers[] = { 2, 4 };
+	struct lone lone;
+
+	lone_new_open(&lone, 1);
+	lone_lead(&lone);
+	lone_synced(&lone);
+	lone_acknowledge(&lone, 2, 3, lone.now_us);
+	lone_run_with(&lone, peers, 1, 2000);
+	TEXT_SET(peer.address, lone_addresses[2]);
+	node_peer_up(lone.node, &peer, NULL, lone.now_us);
+	lone_run_with(&lone, peers, 2, 1000);
 	ck_assert(lone_votes(&lone, 4));
-	ck_assert(!lone_votes(&lone, 3));
 	ck_assert_uint_eq(raft_members(lone.raft)->nr_members, 3);
 	lone_free(&lone);
 }
@@ -521,5 +569,6 @@
 	   test_lease_counts_from_sending, test_formation_needs_every_vote_anew,
 	   test_voters_stay_a_majority_of_the_list,
 	   test_learner_catches_up_first, test_one_change_at_a_time,
-	   test_replaced_voter_leaves, test_lone_absent_voter_stays,
+	   test_replaced_voter_leaves, test_replaced_silent_voter_leaves,
+	   test_wiped_voter_rejoins_at_once, test_lone_absent_voter_stays,
 	   test_pages_are_in_order, test_large_entries_bring_a_snapshot)
