Tell a replica that is no member where its leader is

Operators saw a control group of five that didn't take a wiped replica back, and so had one loss less to give: nothing showed it until a quorum was missing.

Only the leader adds members, and only those that it has a connection to. A wiped or new replica dials the listed addresses, three at most on the platform. If the leader isn't among them and leaves the dialling to the lower address, neither of the two dials.

Members now name all members each second to control replicas that are connected and not in the configuration. Such a replica dials them until it hears a leader.

test_wiped_replica_finds_leader failed before: five replicas, three of them listed, the leader not among these; not settled after 4 s.

--- a/src/core/raft/raft.c
+++ b/src/core/raft/raft.c
@@ -261,6 +261,8 @@
 	raft->losses = opts->losses;
 	raft->dialled =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	raft->told =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	raft->snapshot_entries = opts->snapshot_entries ?
 					 opts->snapshot_entries :
 					 RAFT_SNAPSHOT_ENTRIES;
@@ -299,6 +301,7 @@
 	raft_log_clear(&raft->log);
 	g_array_unref(raft->syncs);
 	g_hash_table_unref(raft->dialled);
+	g_hash_table_unref(raft->told);
 	g_strfreev(raft->addresses);
 	g_free(raft);
 }
@@ -342,6 +345,10 @@
 {
 	bool failed = raft->store_result != RESULT_OK;
 
+	if (type == MSG_PEERS) {
+		raft_on_peers(raft, body);
+		return true;
+	}
 	if (type < MSG_VOTE || type > MSG_TRANSFER)
 		return false;
 	if (failed)
--- a/src/core/raft/raft_dial.c
+++ b/src/core/raft/raft_dial.c
@@ -61,12 +61,61 @@
 {
 	struct raft *raft = data;
 
-	if (raft_lists(raft, key) || members_at(raft_config(raft), key))
+	if (raft_lists(raft, key) || members_at(raft_config(raft), key) ||
+	    g_hash_table_contains(raft->told, key))
 		return FALSE;
 	node_undial(raft->node, key);
 	return TRUE;
 }
 
+static void raft_tell(struct raft *raft, uint64_t node_id)
+{
+	const struct members *members = raft_config(raft);
+	struct peer_address addresses[RAFT_MEMBERS_MAX] = { 0 };
+	struct peers body = { members->nr_members, addresses };
+
+	for (uint32_t i = 0; i < members->nr_members; i++)
+		TEXT_SET(addresses[i].address, members->members[i].address);
+	node_send(raft->node, node_id, MSG_PEERS, &body);
+}
+
+/*
+ * Only the leader adds members. A replica that isn't one yet may know followers
+ * only, and they tell it where to look.
+ */
+static void raft_tell_strangers(struct raft *raft)
+{
+	GHashTableIter iter;
+	void *value;
+
+	if (!raft->leader_id)
+		return;
+	g_hash_table_iter_init(&iter, raft->node->links);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct link *link = value;
+
+		if (link->up && link->peer.role == ROLE_CONTROL &&
+		    !members_find(raft_config(raft), link->peer.node_id))
+			raft_tell(raft, link->peer.node_id);
+	}
+}
+
+void raft_on_peers(struct raft *raft, const struct peers *peers)
+{
+	if (!raft->open || raft->leader_id)
+		return;
+	g_hash_table_remove_all(raft->told);
+	for (uint32_t i = 0; i < peers->nr_addresses; i++) {
+		const char *address = peers->addresses[i].address;
+
+		g_hash_table_add(raft->told, g_strdup(address));
+		if (strcmp(raft->node->self.address, address) != 0 &&
+		    !raft_is_linked(raft, address) &&
+		    g_hash_table_add(raft->dialled, g_strdup(address)))
+			node_dial(raft->node, address);
+	}
+}
+
 void raft_dial_due(void *data, uint64_t now_us)
 {
 	struct raft *raft = data;
@@ -78,6 +127,9 @@
 		return;
 	for (uint32_t i = 0; i < members->nr_members; i++)
 		raft_dial(raft, members->members[i].address);
+	raft_tell_strangers(raft);
+	if (raft->leader_id)
+		g_hash_table_remove_all(raft->told);
 	g_hash_table_foreach_remove(raft->dialled, raft_undial_absent, raft);
 	node_timer_ms(raft->node, &raft->dial_timer, RAFT_DIAL_INTERVAL_MS);
 }
--- a/src/core/raft/raft_impl.h
+++ b/src/core/raft/raft_impl.h
@@ -10,6 +10,7 @@
  * and changes of its members.
  */
 
+#include "msg_control.h"
 #include "raft.h"
 #include "raft_log.h"
 #include "raft_member.h"
@@ -95,6 +96,7 @@
 	bool no_formation;
 	uint32_t losses;
 	GHashTable *dialled; /* set of addresses */
+	GHashTable *told; /* set of addresses that a member named */
 	struct timer dial_timer;
 	uint32_t snapshot_entries;
 	uint32_t page_bytes;
@@ -156,6 +158,7 @@
 
 /** Keeps up this replica's connections to the others. */
 void raft_dial_due(void *data, uint64_t now_us);
+void raft_on_peers(struct raft *raft, const struct peers *peers);
 /** Voters without which the group takes no commands. */
 uint32_t raft_min_voters(const struct raft *raft);
 bool raft_lists(const struct raft *raft, const char *address);
--- a/tests/raft_world.c
+++ b/tests/raft_world.c
@@ -177,7 +177,9 @@
 		.machine = &machine_ops,
 		.machine_ctx = replica,
 		.image = &image,
-		.control_addresses = world->addresses,
+		.control_addresses = world->listed,
+		.open = world->opts.nr_listed > 0,
+		.losses = world->opts.losses,
 		.snapshot_entries = world->opts.snapshot_entries,
 		.page_bytes = world->opts.page_bytes,
 	};
@@ -230,6 +232,9 @@
 		replica->values = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 		g_free(name);
 	}
+	for (uint32_t i = 0;
+	     i < (opts->nr_listed ? opts->nr_listed : opts->nr_replicas); i++)
+		world->listed[i] = world->addresses[i];
 	for (uint32_t i = 0; i < world->nr_replicas; i++)
 		world_boot(&world->replicas[i]);
 	return world;
--- a/tests/raft_world.h
+++ b/tests/raft_world.h
@@ -33,6 +33,8 @@
 struct world_opts {
 	uint64_t seed;
 	uint32_t nr_replicas;
+	uint32_t nr_listed; /* of an open group; 0: all, and it isn't open */
+	uint32_t losses;
 	uint32_t snapshot_entries;
 	uint32_t page_bytes;
 };
@@ -42,7 +44,8 @@
 	struct vhost *vhost;
 	uint32_t nr_replicas;
 	struct replica replicas[WORLD_MAX_REPLICAS];
-	const char *addresses[WORLD_MAX_REPLICAS + 1];
+	const char *addresses[WORLD_MAX_REPLICAS];
+	const char *listed[WORLD_MAX_REPLICAS + 1];
 	GArray *committed; /* struct world_entry, by index - 1 */
 	GHashTable *leaders; /* term -> node_id */
 	GArray *proposals; /* enum world_proposal, by tag - 1 */
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -349,10 +349,43 @@
 }
 END_TEST
 
+/*
+ * Guards against a replica that stays out of its group as neither side dials:
+ * the leader isn't among the listed ones and leaves it to the lower address.
+ */
+START_TEST(test_wiped_replica_finds_leader)
+{
+	struct world_opts opts = {
+		.seed = 7, .nr_replicas = 5, .nr_listed = 3, .losses = 2
+	};
+	struct world *world = world_new(&opts);
+	struct replica *wiped = &world->replicas[3];
+
+	ck_assert(world_settle(world, 20000));
+	for (uint32_t i = 0;
+	     i < 50 && world_leader(world) != &world->replicas[4]; i++) {
+		struct replica *leader = world_leader(world);
+
+		world_crash(leader);
+		ck_assert(world_elect(world, 5000));
+		world_boot(leader);
+		ck_assert(world_settle(world, 5000));
+	}
+	ck_assert_ptr_eq(world_leader(world), &world->replicas[4]);
+	world_lose_disk(wiped);
+	world_run_ms(world, 1000);
+	world_boot(wiped);
+	ck_assert(world_settle(world, 4000));
+	ck_assert_ptr_eq(world_leader(world), &world->replicas[4]);
+	world_free(world);
+}
+END_TEST
+
 SUITE_MAIN("raft", test_single_replica, test_formation,
 	   test_no_formation_with_an_address_missing, test_group_commit,
 	   test_proposals_are_bounded, test_leader_without_quorum,
 	   test_returning_replica_keeps_the_leader, test_one_way_partition,
 	   test_step_down, test_step_down_finishes_proposals,
 	   test_bad_member_changes, test_store_failure, test_snapshot_transfer,
-	   test_restart_from_snapshot, test_lost_disks)
+	   test_restart_from_snapshot, test_lost_disks,
+	   test_wiped_replica_finds_leader)
