--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -74,11 +74,18 @@
 #define RAFT_FORM_GIVE_UP_MS 5000
 
 #define RAFT_DIAL_INTERVAL_MS 1000 /* looks for members to dial */
+/* A connection on which nothing comes for three pings and a little is lost. */
+#define RAFT_LINK_QUIET_MS 1100
 /*
  * A member of an open group without a connection for this long may be removed;
  * above the longest outage that machines come back from on the platform (10 s).
  */
 #define RAFT_MEMBER_GONE_MS 12000
+/*
+ * The same for a voter that a new one has replaced, so that the group survives
+ * another loss 4 s after the new one has started (platform).
+ */
+#define RAFT_VOTER_GONE_MS 2000
 
 /* Leases and permits. */
 #define REPORT_INTERVAL_MS 500
--- a/src/core/raft/raft_form.c
+++ b/src/core/raft/raft_form.c
@@ -6,6 +6,14 @@
 
 /* ---- formation of a group by fresh replicas ---- */
 
+/* Only the dialling side's pings show a silent connection; they reach both. */
+static bool raft_link_lives(const struct raft *raft, const struct link *link)
+{
+	return link->up && !link_is_silent(link) &&
+	       raft->node->now_us - link->heard_us <
+		       RAFT_LINK_QUIET_MS * US_PER_MS;
+}
+
 /* Returns the connected control replica at the address, NULL if none. */
 static const struct link *raft_link_at(const struct raft *raft,
 				       const char *address, uint64_t node_id)
@@ -17,7 +25,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct link *link = value;
 
-		if (link->up && !link_is_silent(link) &&
+		if (raft_link_lives(raft, link) &&
 		    link->peer.role == ROLE_CONTROL &&
 		    (!node_id || link->peer.node_id == node_id) &&
 		    !strcmp(link->peer.address, address))
@@ -310,6 +318,37 @@
 	return false;
 }
 
+/* Returns how many voters apart from one hold the log and answer. */
+static uint32_t raft_voters_besides(struct raft *raft, uint64_t node_id)
+{
+	uint32_t nr = 1; /* itself */
+
+	for (uint32_t i = 0; i < raft->nr_peers; i++) {
+		uint64_t other_id = raft->peers[i].node_id;
+
+		nr += other_id != node_id &&
+		      members_is_voter(raft_config(raft), other_id) &&
+		      raft_caught_up(raft, other_id);
+	}
+	return nr;
+}
+
+/*
+ * An absent voter beyond those that the losses call for only adds to the
+ * quorum: four voters with one absent don't survive another loss, three do.
+ */
+static uint64_t raft_gone_ms(struct raft *raft, uint64_t node_id)
+{
+	uint32_t nr_voters = members_nr_voters(raft_config(raft));
+
+	return members_is_voter(raft_config(raft), node_id) &&
+			       nr_voters % 2 == 0 &&
+			       raft_voters_besides(raft, node_id) >
+				       raft->losses * 2 ?
+		       RAFT_VOTER_GONE_MS :
+		       RAFT_MEMBER_GONE_MS;
+}
+
 /* Removes a member that is gone while others do in its place. */
 static bool raft_member_gone(struct raft *raft)
 {
@@ -321,10 +360,10 @@
 		const struct link *link = node_link(raft->node, peer->node_id);
 		bool voter = members_is_voter(members, peer->node_id);
 
-		if ((link && link->up && !link_is_silent(link)) ||
-		    !peer->seen_us)
+		if ((link && raft_link_lives(raft, link)) || !peer->seen_us)
 			peer->seen_us = now_us;
-		if (now_us - peer->seen_us < RAFT_MEMBER_GONE_MS * US_PER_MS ||
+		if (now_us - peer->seen_us <
+			    raft_gone_ms(raft, peer->node_id) * US_PER_MS ||
 		    (voter &&
 		     members_nr_voters(members) <= raft->losses * 2 + 1))
 			continue;
