Look again at once after a lost call to the worker

Cause: a look at the worker (hold) without an answer made it unreachable at once, so that the leader gave it no lease and placed nothing there; the next look came 300 ms later. Until the look was given up, 850 to 1,600 ms after it was sent, the agent saw no end and set no pace.

Change: the first look after a lost one goes out after 10 ms and doesn't wait for an end; further ones come each 300 ms as before. A lost look still stops grants: with looks that tolerate one lost call, a worker that is gone kept its tasks for more than the 7 s that test_worker_crashes allows, so this form was dropped.

Test: test_one_look_without_answer failed before (the next look came after 300 ms); test_looks_without_answers bounds the calls to a worker that is gone.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -83,6 +83,7 @@
 	uint64_t clock_us; /* our clock then */
 	uint64_t unanswered_us; /* last call without answer that extends */
 	bool reachable;
+	uint32_t lost_looks; /* without an answer, since the last one */
 	bool looked; /* the worker's runs were listed in this life */
 	uint64_t settled_nr;
 	GHashTable *runs; /* task -> struct runner_run * */
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -71,8 +71,8 @@
 	if (runner->reachable || !runner->looked)
 		call.deadline_ms = runner_deadline_ms(runner);
 	call.settled_nr = runner->settled_nr;
-	/* The first look is wanted at once. */
-	if (runner->looked)
+	/* The first look is wanted at once, and one after a lost look. */
+	if (runner->looked && !runner->lost_looks)
 		call.wait_ms = runner_pace_matters(runner) ? HOLD_WAIT_PACE_MS :
 							     HOLD_WAIT_MS;
 	runner_call(runner, &call);
@@ -131,6 +131,7 @@
 	runner->unanswered_us = 0;
 	runner->looked = false;
 	runner->reachable = false;
+	runner->lost_looks = 0;
 	runner->settled_nr = 0;
 	runner->holding = false;
 	g_hash_table_remove_all(runner->runs);
@@ -331,9 +332,11 @@
 {
 	uint32_t wait_ms = 0;
 
-	/* Ends that are listed again and again answer the hold at once. */
+	/* Single calls are lost on the way to workers that are well. */
 	if (!answered)
-		wait_ms = HOLD_RETRY_MS;
+		wait_ms = runner->lost_looks == 1 ? HOLD_AGAIN_MS :
+						    HOLD_RETRY_MS;
+	/* Ends that are listed again and again answer the hold at once. */
 	else if (runner->ends->len)
 		wait_ms = HOLD_ENDS_MS;
 	node_timer_ms(runner->node, &runner->hold_timer, wait_ms);
@@ -351,6 +354,10 @@
 	bool fresh = false;
 
 	runner->holding = false;
+	if (reply->verdict == EXEC_NO_ANSWER)
+		runner->lost_looks++;
+	else
+		runner->lost_looks = 0;
 	/* A refusal by the fence is an answer, too. */
 	runner->reachable = answered || reply->verdict == EXEC_REFUSED;
 	if (answered) {
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -149,7 +149,8 @@
 /* A look at the worker waits this long for an end; 2,000 at most (platform). */
 #define HOLD_WAIT_MS 1000
 #define HOLD_WAIT_PACE_MS 250 /* figures change that often */
-#define HOLD_RETRY_MS 300 /* after a look without an answer */
+#define HOLD_AGAIN_MS 10 /* after the first look without an answer */
+#define HOLD_RETRY_MS 300 /* after the next ones */
 #define HOLD_ENDS_MS 100 /* while ends wait for the log */
 /* Orders come twice within a failover or a cut; cuts of 10 s are usual. */
 #define RUNNER_REFUSAL_KEEP_MS 60000
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -32,6 +32,7 @@
 	uint64_t deadline_ms;
 	uint64_t fence;
 	uint64_t settled_nr;
+	uint32_t wait_ms;
 	uint32_t percent;
 };
 
@@ -84,6 +85,7 @@
 	call.deadline_ms = from->deadline_ms;
 	call.fence = from->fence;
 	call.settled_nr = from->settled_nr;
+	call.wait_ms = from->wait_ms;
 	call.percent = from->percent;
 	bench->nr_starts += from->kind == EXEC_START;
 	bench->nr_stops += from->kind == EXEC_STOP;
@@ -315,6 +317,49 @@
 }
 END_TEST
 
+/*
+ * Guards against a VM without grants and new tasks for 300 ms after each lost
+ * call (Dorado, scale-1).
+ */
+START_TEST(test_one_look_without_answer)
+{
+	struct bench *bench = bench_ready(true);
+	struct bench_call call = { 0 };
+
+	bench_run_ms(bench, 1600);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &silence, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert(!bench->report.reachable);
+	/* The next look doesn't wait for an end, and extends nothing. */
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, &call));
+	ck_assert_uint_eq(call.wait_ms, 0);
+	ck_assert_uint_eq(call.deadline_ms, 0);
+	bench_run_ms(bench, 20);
+	ck_assert(bench->report.reachable);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, &call));
+	ck_assert_uint_gt(call.wait_ms, 0);
+	bench_free(bench);
+}
+END_TEST
+
+/* Guards against a stream of calls to a worker that is gone. */
+START_TEST(test_looks_without_answers)
+{
+	struct bench *bench = bench_ready(true);
+
+	bench_run_ms(bench, 1600);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &silence, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &silence, NULL));
+	bench_run_ms(bench, 200);
+	ck_assert(!bench_answer(bench, EXEC_HOLD, &silence, NULL));
+	bench_run_ms(bench, 200);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &silence, NULL));
+	ck_assert(!bench->report.reachable);
+	bench_free(bench);
+}
+END_TEST
+
 /* Guards against reports of an earlier life or an overtaken one. */
 START_TEST(test_stale_heartbeats)
 {
@@ -474,5 +519,6 @@
 
 SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
 	   test_unanswered_start, test_deadline_on_slow_clock,
-	   test_call_without_end, test_stale_heartbeats,
+	   test_call_without_end, test_one_look_without_answer,
+	   test_looks_without_answers, test_stale_heartbeats,
 	   test_ends_wait_for_the_log, test_pace, test_start_waits_for_room)
