Place nothing on VMs whose agent is silent

Cause: the leader placed tasks on a VM until its last report was 2.5 s old. They wait there until the worker's lease has lapsed, 5.3 s after the last grant.

Change: a VM takes nothing new once its agent's link was silent for 800 ms. Agents ping each 330 ms, so two pings are missing then; leases and the time after which a VM is lost stay as they are.

Test: test_nothing_placed_on_silent_vm failed before (the tasks waited for the lease).

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -158,6 +158,11 @@
 #define STOP_REPEAT_MS 500 /* of a stop without an answer */
 /* A VM whose agent didn't report for this long gets nothing new. */
 #define FLOW_REPORT_STALE_MS 2500
+/*
+ * A VM whose agent was silent for this long gets nothing new; agents ping each
+ * LINK_PING_INTERVAL_MS. What was placed waits there until the lease lapses.
+ */
+#define FLOW_SILENT_MS 800
 /* An order that no report shows is sent again after this. */
 #define FLOW_ORDER_REPEAT_MS 1500
 #define FLOW_ORDER_RETRY_MS 50 /* while the leader may not grant */
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -118,6 +118,17 @@
 	       !strcmp(vm->worker.rack, label);
 }
 
+/* Agents ping their links, so a silent one is cut off or gone. */
+static bool flow_vm_silent(const struct control_flow *flows,
+			   const struct flow_vm *vm)
+{
+	const struct node *node = flows->control->node;
+	const struct link *link = node_link(node, vm->node_id);
+
+	return !link || !link->up ||
+	       node->now_us - link->heard_us > FLOW_SILENT_MS * 1000ull;
+}
+
 /* Returns true if the VM may take work of the service at all. */
 static bool flow_vm_open(const struct control_flow *flows,
 			 const struct flow_vm *vm, const char *service)
@@ -128,7 +139,7 @@
 	       !vm->worker.draining && !vm->worker.ended && !vm->losing &&
 	       !strcmp(vm->worker.service, service) &&
 	       now_us - vm->reported_us < FLOW_REPORT_STALE_MS * 1000ull &&
-	       now_us >= vm->shun_until_us &&
+	       now_us >= vm->shun_until_us && !flow_vm_silent(flows, vm) &&
 	       state_zone_is_in(flows->control->state, vm->zone);
 }
 
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -177,6 +177,25 @@
 }
 END_TEST
 
+/* Guards against tasks placed on a VM that was just cut off: they wait there
+ * until its lease has lapsed (Dorado, scale-1). */
+START_TEST(test_nothing_placed_on_silent_vm)
+{
+	struct flow_world *fw = flow_world_new(11);
+	struct flow_step step = step_of(8);
+
+	fw->run_ms = 200;
+	fw_cut(&fw->vms[0], true);
+	flow_world_run_ms(fw, 1000);
+	flow_world_submit(fw, "aa", &step, 1);
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 1500));
+	fw_cut(&fw->vms[0], false);
+	flow_world_submit(fw, "bb", &step, 1);
+	ck_assert(flow_world_wait(fw, "bb", FLOW_COMPLETED, 3000));
+	flow_world_free(fw);
+}
+END_TEST
+
 /*
  * Guards against an order that is held up by a cut, is refused without a lease,
  * and comes a second time (Dorado, scale-1).
@@ -503,7 +522,7 @@
 SUITE_MAIN("flow", test_steps_in_order, test_resend_is_one,
 	   test_cancel_before_submission, test_cancel_stops_runs,
 	   test_unknown_names, test_leader_killed, test_agent_restarted,
-	   test_vm_cut_off, test_short_cuts, test_late_calls,
-	   test_worker_crashes, test_zone_out, test_draining, test_attempts,
-	   test_fillers_are_not_starved, test_advice, test_held_filler_moves,
-	   test_serving_tasks_are_grouped)
+	   test_vm_cut_off, test_nothing_placed_on_silent_vm, test_short_cuts,
+	   test_late_calls, test_worker_crashes, test_zone_out, test_draining,
+	   test_attempts, test_fillers_are_not_starved, test_advice,
+	   test_held_filler_moves, test_serving_tasks_are_grouped)
