--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -157,7 +157,8 @@
 /* A look at the worker waits this long for an end; 2,000 at most (platform). */
 #define HOLD_WAIT_MS 1000
 #define HOLD_WAIT_PACE_MS 250 /* figures change that often */
-#define HOLD_RETRY_MS 300 /* after a look without an answer */
+#define HOLD_AGAIN_MS 10 /* after the first look without an answer */
+#define HOLD_RETRY_MS 300 /* after the next ones */
 #define HOLD_ENDS_MS 100 /* while ends wait for the log */
 /* Orders come twice within a failover or a cut; cuts of 10 s are usual. */
 #define RUNNER_REFUSAL_KEEP_MS 60000
@@ -165,6 +166,11 @@
 #define STOP_REPEAT_MS 500 /* of a stop without an answer */
 /* A VM whose agent didn't report for this long gets nothing new. */
 #define FLOW_REPORT_STALE_MS 2500
+/*
+ * A VM whose agent was silent for this long gets nothing new; agents ping each
+ * LINK_PING_INTERVAL_MS. What was placed waits there until the lease lapses.
+ */
+#define FLOW_SILENT_MS 800
 /* An order that no report shows is sent again after this. */
 #define FLOW_ORDER_REPEAT_MS 1500
 #define FLOW_ORDER_RETRY_MS 50 /* while the leader may not grant */
