Trace each worker's answers, lease and settled ends in the log

The logs of the incident couldn't tell a call that was lost from one that the worker refused, nor when a worker's lease was last renewed: one missing answer to a look showed as worker-unreachable and nothing else.

An agent now writes call-unanswered for each call to the worker without an answer, worker-refused with the worker's reason, lease-unrenewed, lease-lapsed and lease-renewed around each time without a renewal, run-absent for a run that the worker lists neither as running nor as ended, and ends-settled when the cursor moves. The worker's own lines tell how many looks had no answer and since when. Counters by kind of call and outcome, with labels.

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -57,6 +57,7 @@
 	void *value;
 
 	runner_expire_calls(runner);
+	runner_trace_lease(runner);
 	node_timer_ms(runner->node, &runner->report_timer,
 		      RUNNER_REPORT_INTERVAL_MS);
 	if (!leader)
@@ -121,6 +122,7 @@
 		runner_hold(runner); /* the term is known now */
 	if (grant->settled_nr <= runner->settled_nr)
 		return;
+	runner_log_settled(runner, grant->settled_nr);
 	runner->settled_nr = grant->settled_nr;
 	for (guint i = runner->ends->len; i-- > 0;)
 		if (g_array_index(runner->ends, struct flow_run_end, i).nr <=
@@ -307,6 +309,7 @@
 
 	runner->node = node;
 	runner->opts = *opts;
+	runner_trace_life(runner);
 	runner->pressure = pressure_new();
 	runner->runs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     runner_run_free);
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -49,6 +49,7 @@
 	uint64_t sent_us;
 	uint64_t life; /* runner.life_nr when it was sent */
 	bool extends; /* carries a deadline */
+	uint64_t lease_until_us; /* that the deadline stands for */
 	char task[NAME_BYTES];
 	uint32_t run;
 	uint32_t percent;
@@ -68,6 +69,18 @@
 	uint64_t at_us;
 };
 
+/** What was seen of the worker's answers and of its lease; for the log. */
+struct runner_trace {
+	uint32_t looks_unanswered; /* in a row, up to the last answer */
+	bool silent; /* the last look had no answer */
+	uint64_t answered_us; /* last answer to a look */
+	uint64_t silent_ms; /* from an answer to the last missing one */
+	uint64_t renewed_us; /* the worker took a deadline last */
+	uint64_t sent_until_us; /* no call extends the lease beyond this */
+	bool unrenewed; /* told since renewed_us */
+	bool lapsed; /* told since renewed_us */
+};
+
 struct runner {
 	struct node *node;
 	struct runner_opts opts;
@@ -96,6 +109,7 @@
 	uint64_t report_seq;
 	struct pressure *pressure; /* as learned by the leader */
 	uint64_t over_since_us; /* a serving task is over its target */
+	struct runner_trace trace;
 	struct timer report_timer;
 	struct timer hold_timer;
 	struct timer run_timer; /* retries of stops */
@@ -150,6 +164,23 @@
 /** Calls the worker. */
 void runner_call(struct runner *runner, struct exec_call *call);
 
+/* runner_log.c */
+const char *exec_call_name(enum exec_call_kind kind);
+/** Begins the trace of a new life of the worker. */
+void runner_trace_life(struct runner *runner);
+void runner_trace_call(struct runner *runner, struct runner_call *call);
+/** Counts a reply; logs one that is missing and a refusal. */
+void runner_trace_reply(struct runner *runner, const struct runner_call *call,
+			const struct exec_reply *reply);
+/** Adds what the last looks at the worker brought. */
+void runner_log_looks(const struct runner *runner, GString *line);
+/** Logs when the worker's lease isn't renewed, and when it has lapsed. */
+void runner_trace_lease(struct runner *runner);
+/** Ends up to @a to_nr are in the log of the leader. */
+void runner_log_settled(struct runner *runner, uint64_t to_nr);
+/** The worker lists neither the run nor its end. */
+void runner_log_absent(struct runner *runner, const struct runner_run *run);
+
 /* runner_pace.c */
 /**
  * Starts a new run, at once or as soon as the other fillers are slow enough: a
--- /dev/null
+++ b/src/core/agent/runner_log.c
@@ -0,0 +1,288 @@
+#include "runner_impl.h"
+
+#include <string.h>
+
+/* Log lines and counters about the calls to the worker and its lease. */
+
+static const char *const call_names[] = {
+	[EXEC_START] = "start",
+	[EXEC_STOP] = "stop",
+	[EXEC_HOLD] = "look",
+	[EXEC_PACE] = "pace",
+};
+
+static const char *const call_counters[] = {
+	[EXEC_START] = "worker_starts",
+	[EXEC_STOP] = "worker_stops",
+	[EXEC_HOLD] = "worker_looks",
+	[EXEC_PACE] = "worker_paces",
+};
+
+static const char *const verdict_names[] = {
+	[EXEC_NO_ANSWER] = "no-answer",
+	[EXEC_NOT_SENT] = "not-sent",
+	[EXEC_DONE] = "done",
+	[EXEC_REFUSED] = "refused",
+	[EXEC_OTHER_LIFE] = "other-life",
+};
+
+/* What a worker means by the result of a refusal. */
+static const struct refusal_reason {
+	enum result result;
+	const char *reason;
+} refusal_reasons[] = {
+	{ RESULT_STALE, "a newer term has called" },
+	{ RESULT_CONFLICT, "the run is not newer than one that ended there" },
+	{ RESULT_LEASE_EXPIRED, "the call's deadline has passed" },
+	{ RESULT_NO_CAPACITY, "no room" },
+	{ RESULT_NO_PERMIT, "the ticket is not valid" },
+	{ RESULT_MALFORMED, "the call is malformed" },
+	{ RESULT_OVERLOADED, "the worker is not healthy" },
+};
+
+const char *exec_call_name(enum exec_call_kind kind)
+{
+	return call_names[kind];
+}
+
+static const char *refusal_reason(uint32_t result)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(refusal_reasons); i++)
+		if (refusal_reasons[i].result == result)
+			return refusal_reasons[i].reason;
+	return "unknown";
+}
+
+static uint64_t ms_since(const struct runner *runner, uint64_t since_us)
+{
+	return (runner->node->now_us - since_us) / 1000;
+}
+
+static uint64_t ms_until(const struct runner *runner, uint64_t until_us)
+{
+	return until_us > runner->node->now_us ?
+		       (until_us - runner->node->now_us) / 1000 :
+		       0;
+}
+
+void runner_trace_life(struct runner *runner)
+{
+	memset(&runner->trace, 0, sizeof(runner->trace));
+	runner->trace.answered_us = runner->node->now_us;
+	runner->trace.renewed_us = runner->node->now_us;
+}
+
+void runner_trace_call(struct runner *runner, struct runner_call *call)
+{
+	struct runner_trace *trace = &runner->trace;
+
+	if (!call->extends)
+		return;
+	call->lease_until_us = runner->lease_until_us;
+	trace->sent_until_us = MAX(trace->sent_until_us, call->lease_until_us);
+}
+
+/* ---- replies ---- */
+
+static void runner_log_reply(struct runner *runner, const char *event,
+			     const struct runner_call *call,
+			     const struct exec_reply *reply)
+{
+	GString *line = logline_new(event);
+
+	logline_str(line, "kind", call_names[call->kind]);
+	if (call->task[0]) {
+		logline_str(line, "task", call->task);
+		logline_u64(line, "run", call->run);
+	}
+	logline_str(line, "worker", runner->worker.id);
+	logline_u64(line, "life", call->life);
+	logline_u64(line, "term", runner->term);
+	logline_str(line, "outcome", verdict_names[reply->verdict]);
+	if (reply->verdict == EXEC_REFUSED) {
+		logline_str(line, "result", result_name(reply->result));
+		logline_str(line, "reason", refusal_reason(reply->result));
+	}
+	logline_u64(line, "call", call->call_nr);
+	logline_u64(line, "took_ms", ms_since(runner, call->sent_us));
+	logline_u64(line, "lease_left_ms", runner_lease_left_ms(runner));
+	node_log(runner->node, line);
+}
+
+/* Returns true if the worker has taken the deadline of the call. */
+static bool reply_takes_deadline(const struct exec_reply *reply)
+{
+	return reply->verdict == EXEC_DONE ||
+	       (reply->verdict == EXEC_REFUSED &&
+		(reply->result == RESULT_CONFLICT ||
+		 reply->result == RESULT_NO_CAPACITY));
+}
+
+static void runner_trace_renewed(struct runner *runner)
+{
+	struct runner_trace *trace = &runner->trace;
+	uint64_t away_ms = ms_since(runner, trace->renewed_us);
+	GString *line;
+
+	counter_observe(runner->node->counters, "lease_renewal_ms", away_ms);
+	trace->renewed_us = runner->node->now_us;
+	if (trace->unrenewed) {
+		line = logline_new("lease-renewed");
+		logline_str(line, "worker", runner->worker.id);
+		logline_u64(line, "away_ms", away_ms);
+		logline_str(line, "lapsed", trace->lapsed ? "yes" : "no");
+		logline_u64(line, "runs", g_hash_table_size(runner->runs));
+		node_log(runner->node, line);
+	}
+	trace->unrenewed = false;
+	trace->lapsed = false;
+}
+
+static void runner_trace_look(struct runner *runner,
+			      const struct exec_reply *reply)
+{
+	struct runner_trace *trace = &runner->trace;
+	bool answered = reply->verdict == EXEC_DONE ||
+			reply->verdict == EXEC_REFUSED;
+
+	/* After an answer the count stays, for the line that tells of it. */
+	if (!trace->silent)
+		trace->looks_unanswered = 0;
+	trace->silent_ms = ms_since(runner, trace->answered_us);
+	trace->silent = !answered;
+	if (answered)
+		trace->answered_us = runner->node->now_us;
+	else
+		trace->looks_unanswered++;
+}
+
+void runner_trace_reply(struct runner *runner, const struct runner_call *call,
+			const struct exec_reply *reply)
+{
+	struct counters *counters = runner->node->counters;
+
+	if (call->life != runner->life_nr) {
+		counter_count(counters, call_counters[call->kind], "outcome",
+			      "earlier-life");
+		return;
+	}
+	counter_count(counters, call_counters[call->kind], "outcome",
+		      verdict_names[reply->verdict]);
+	if (call->kind == EXEC_HOLD)
+		runner_trace_look(runner, reply);
+	if (reply->verdict == EXEC_REFUSED) {
+		counter_count(counters, "worker_refusals", "result",
+			      result_name(reply->result));
+		runner_log_reply(runner, "worker-refused", call, reply);
+	} else if (reply->verdict != EXEC_DONE) {
+		runner_log_reply(runner, "call-unanswered", call, reply);
+	}
+	if (call->extends && reply_takes_deadline(reply))
+		runner_trace_renewed(runner);
+}
+
+void runner_log_looks(const struct runner *runner, GString *line)
+{
+	const struct runner_trace *trace = &runner->trace;
+
+	logline_u64(line, "looks_unanswered", trace->looks_unanswered);
+	logline_u64(line, "silent_ms", trace->silent_ms);
+	logline_u64(line, "lease_left_ms", runner_lease_left_ms(runner));
+}
+
+/* ---- the lease ---- */
+
+static const char *unrenewed_cause(const struct runner *runner)
+{
+	return !runner_has_worker(runner)    ? "no worker" :
+	       !runner->reachable	     ? "worker unreachable" :
+	       !runner->looked		     ? "not looked yet" :
+	       !runner->clock_ms	     ? "worker's clock unknown" :
+	       !site_leader(runner->site)    ? "no leader" :
+	       !runner_lease_left_ms(runner) ? "no grant" :
+	       runner->holding		     ? "look under way" :
+					       "look waits";
+}
+
+static void runner_log_lease(struct runner *runner, const char *event)
+{
+	const struct runner_trace *trace = &runner->trace;
+	GString *line = logline_new(event);
+	GHashTableIter iter;
+	void *task = "";
+
+	g_hash_table_iter_init(&iter, runner->runs);
+	g_hash_table_iter_next(&iter, &task, NULL);
+	logline_str(line, "worker", runner->worker.id);
+	logline_str(line, "cause", unrenewed_cause(runner));
+	logline_u64(line, "unrenewed_ms", ms_since(runner, trace->renewed_us));
+	logline_u64(line, "granted_ms", runner_lease_left_ms(runner));
+	logline_u64(line, "sent_ms", ms_until(runner, trace->sent_until_us));
+	logline_u64(line, "looks_unanswered", trace->looks_unanswered);
+	logline_u64(line, "runs", g_hash_table_size(runner->runs));
+	logline_str(line, "task", task);
+	logline_id(line, "leader", site_leader(runner->site));
+	logline_u64(line, "term", runner->term);
+	node_log(runner->node, line);
+}
+
+void runner_trace_lease(struct runner *runner)
+{
+	struct counters *counters = runner->node->counters;
+	struct runner_trace *trace = &runner->trace;
+
+	counter_set(counters, "lease_left_ms", runner_lease_left_ms(runner));
+	counter_set(counters, "runs", g_hash_table_size(runner->runs));
+	counter_set(counters, "ends_unsettled", runner->ends->len);
+	counter_set(counters, "worker_calls_open",
+		    g_hash_table_size(runner->calls));
+	if (!g_hash_table_size(runner->runs))
+		return;
+	if (!trace->unrenewed &&
+	    ms_since(runner, trace->renewed_us) >= RUNNER_UNRENEWED_MS) {
+		trace->unrenewed = true;
+		counter_add(counters, "leases_unrenewed", 1);
+		runner_log_lease(runner, "lease-unrenewed");
+	}
+	if (trace->unrenewed && !trace->lapsed && trace->sent_until_us &&
+	    trace->sent_until_us <= runner->node->now_us) {
+		trace->lapsed = true;
+		counter_add(counters, "leases_lapsed", 1);
+		runner_log_lease(runner, "lease-lapsed");
+	}
+}
+
+/* ---- runs and ends ---- */
+
+void runner_log_settled(struct runner *runner, uint64_t to_nr)
+{
+	GString *line = logline_new("ends-settled");
+
+	logline_str(line, "worker", runner->worker.id);
+	logline_u64(line, "from", runner->settled_nr);
+	logline_u64(line, "to", to_nr);
+	logline_u64(line, "listed", runner->ends->len);
+	node_log(runner->node, line);
+}
+
+void runner_log_absent(struct runner *runner, const struct runner_run *run)
+{
+	static const char *const phases[] = {
+		[RUNNER_NEW] = "new",
+		[RUNNER_STARTING] = "starting",
+		[RUNNER_UNSURE] = "unsure",
+		[RUNNER_ON] = "on",
+	};
+	GString *line = logline_new("run-absent");
+
+	counter_count(runner->node->counters, "runs_absent", "phase",
+		      phases[run->phase]);
+	logline_str(line, "task", run->task);
+	logline_u64(line, "run", run->run);
+	logline_str(line, "phase", phases[run->phase]);
+	logline_u64(line, "phase_ms", ms_since(runner, run->since_us));
+	logline_str(line, "stopped", run->stopped_us ? "yes" : "no");
+	logline_u64(line, "ends_listed", runner->ends->len);
+	logline_u64(line, "settled", runner->settled_nr);
+	node_log(runner->node, line);
+}
--- a/src/core/agent/runner_run.c
+++ b/src/core/agent/runner_run.c
@@ -103,6 +103,8 @@
 	g_array_append_val(runner->own_ends, end);
 	runner_keep_refusal(runner, task, run);
 	counter_add(runner->node->counters, "runs_refused", 1);
+	counter_count(runner->node->counters, "run_refusals", "result",
+		      result_name(result));
 	runner_log_run(runner, "run-refused", task, run, "not started", result);
 	runner_report_soon(runner);
 }
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -55,6 +55,7 @@
 	kept->run = call->run;
 	kept->percent = call->percent;
 	TEXT_SET(kept->task, call->task ? call->task : "");
+	runner_trace_call(runner, kept);
 	g_hash_table_insert(runner->calls, &kept->call_nr, kept);
 	runner->opts.host->call(runner->opts.host_ctx, kept->call_nr, call);
 }
@@ -98,6 +99,7 @@
 	logline_str(line, "rack", worker->rack);
 	logline_str(line, "state", worker->draining ? "draining" : "ready");
 	logline_u64(line, "runs", g_hash_table_size(runner->runs));
+	runner_log_looks(runner, line);
 	node_log(runner->node, line);
 }
 
@@ -127,6 +129,7 @@
 static void runner_forget_life(struct runner *runner)
 {
 	runner->life_nr++;
+	runner_trace_life(runner);
 	runner->clock_ms = 0;
 	runner->unanswered_us = 0;
 	runner->looked = false;
@@ -322,8 +325,10 @@
 					      run->since_us <= call->sent_us)
 			g_ptr_array_add(absent, run);
 	}
-	for (guint i = 0; i < absent->len; i++)
+	for (guint i = 0; i < absent->len; i++) {
+		runner_log_absent(runner, absent->pdata[i]);
 		runner_drop(runner, absent->pdata[i], RESULT_TIMEOUT);
+	}
 	g_ptr_array_unref(absent);
 }
 
@@ -380,6 +385,7 @@
 	if (!call)
 		return;
 	g_hash_table_steal(runner->calls, &call_nr);
+	runner_trace_reply(runner, call, reply);
 	if (call->life != runner->life_nr)
 		goto out; /* it concerned an earlier life */
 	if (reply->clock_ms) {
--- a/src/core/base/counter.c
+++ b/src/core/base/counter.c
@@ -4,6 +4,8 @@
 static const uint32_t bounds_ms[] = { 5,   10,	 25,   50,   100,   250,
 				      500, 1000, 2500, 5000, 10000, 30000 };
 
+#define COUNTER_NAME_BYTES 96 /* with its label */
+
 #define NR_BOUNDS G_N_ELEMENTS(bounds_ms)
 
 struct histogram {
@@ -90,6 +92,16 @@
 	*counter_slot(counters, name) += amount;
 }
 
+void counter_count(struct counters *counters, const char *name, const char *key,
+		   const char *value)
+{
+	char labelled[COUNTER_NAME_BYTES];
+
+	g_snprintf(labelled, sizeof(labelled), "%s{%s=\"%s\"}", name, key,
+		   value);
+	counter_add(counters, labelled, 1);
+}
+
 void counter_set(struct counters *counters, const char *name, uint64_t value)
 {
 	*counter_slot(counters, name) = value;
--- a/src/core/base/counter.h
+++ b/src/core/base/counter.h
@@ -18,6 +18,14 @@
 /** Adds @a amount to the counter @a name, which is created on first use. */
 void counter_add(struct counters *counters, const char *name, uint64_t amount);
 
+/**
+ * Adds 1 to the counter @a name with the label @a key="@a value". Values come
+ * from tables of the program, never from callers, so that their number is
+ * bounded; a name is used with or without labels, not both.
+ */
+void counter_count(struct counters *counters, const char *name, const char *key,
+		   const char *value);
+
 /** Sets a gauge. */
 void counter_set(struct counters *counters, const char *name, uint64_t value);
 
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -145,6 +145,8 @@
 /* Above the longest wait of a call and its time limit; a lease lasts longer. */
 #define RUNNER_CALL_MAX_MS 3000
 #define RUNNER_REPORT_INTERVAL_MS 1000 /* five renewals within a lease */
+/* A lease is renewed each second; without two of these it gets a log line. */
+#define RUNNER_UNRENEWED_MS 2500
 #define RUNNER_REPORT_SOON_MS 3 /* collects what ends together */
 /* A look at the worker waits this long for an end; 2,000 at most (platform). */
 #define HOLD_WAIT_MS 1000
@@ -160,6 +162,9 @@
 /* An order that no report shows is sent again after this. */
 #define FLOW_ORDER_REPEAT_MS 1500
 #define FLOW_ORDER_RETRY_MS 50 /* while the leader may not grant */
+/* Work that has found no place for so long gets a log line, then another each
+ * time the wait has doubled. */
+#define FLOW_WAIT_TELL_MS 2000
 #define FLOW_PLACE_DELAY_MS 2 /* collects what becomes ready together */
 /* A worker is shunned when failures are this share of its last ends. */
 #define FLOW_FAIL_WEIGHT 4
