Log why work waits, and ends that come for replaced runs

A workflow that waited for a place left no line, so that lack of room, of a ticket and of reachable workers looked alike.

done-ignored tells of an end done whose run had been replaced, which must never happen. vm-lost has the times of the lapse and of the last grant, and the first tasks. Gauges of workflows, tasks, workers and room.

--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -287,7 +287,8 @@
 	}
 	if (!soft)
 		return;
-	counter_add(flows->control->node->counters, "task_ends", 1);
+	counter_count(flows->control->node->counters, "task_ends", "end",
+		      flow_end_name(end));
 	flow_log_end(flows, soft, end);
 	flow_vm_learn(flows, soft->vm, soft, end);
 	if (end == FLOW_END_REFUSED)
@@ -333,6 +334,7 @@
 	if (flow->record.state == FLOW_COMPLETED)
 		flow_observe(flows, flow, "flow_completed_ms");
 	control_flow_unrank(flows, flow);
+	g_hash_table_remove(flows->waits, flow->record.id);
 	pressure_forget(flows->pressure, flow->record.id);
 	flow_stop_all(flows, flow, flow_state_name(flow->record.state));
 }
@@ -392,6 +394,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	flows->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      flow_orders_free);
+	flows->waits =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	flows->pressure = pressure_new();
 	flows->advice = flow_advice_new();
 	flows->ranks = g_array_new(FALSE, FALSE, sizeof(struct flow_rank));
@@ -421,6 +425,7 @@
 	timer_cancel(timers, &flows->check_timer);
 	g_hash_table_unref(flows->held);
 	g_hash_table_unref(flows->orders);
+	g_hash_table_unref(flows->waits);
 	g_hash_table_unref(flows->runs);
 	g_hash_table_unref(flows->vms);
 	g_array_unref(flows->ranks);
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -31,6 +31,8 @@
 	uint64_t lapse_us;
 	GArray *ends; /* struct flow_run_end of the last report */
 	uint64_t settled_nr;
+	uint64_t granted_us; /* last grant of a lease, 0: none */
+	uint64_t ignored_nr; /* ends up to it were checked; for the log */
 	GHashTable *runs; /* set of struct flow_soft * */
 	/* room taken by runs that are placed or proposed */
 	uint32_t cpu_millis;
@@ -89,6 +91,24 @@
 	uint64_t idle_us; /* nothing of it runs since then, 0: something does */
 };
 
+/** A workflow's first stage that finds no place; for the log. */
+struct flow_wait {
+	uint32_t stage;
+	uint64_t since_us;
+	uint64_t tell_us; /* when to log it next */
+};
+
+/** What a stage asks of its VMs. */
+struct flow_need {
+	struct control_flow *flows;
+	struct state_flow *flow;
+	uint32_t stage;
+	const struct flow_step *step;
+	const struct flow_vm *avoid; /* where the task failed last */
+	const struct flow_vm *except; /* not to be chosen */
+	bool starved; /* nothing of the workflow runs, and there is room */
+};
+
 struct control_flow {
 	struct control *control;
 	uint32_t lease_ms; /* of workers, in each grant */
@@ -100,6 +120,7 @@
 	GArray *changes; /* struct flow_change to be proposed */
 	GHashTable *held; /* task name -> struct flow_vm * that it left */
 	GHashTable *orders; /* vm name -> GArray of struct flow_order */
+	GHashTable *waits; /* workflow's id -> struct flow_wait * */
 	struct timer change_timer;
 	struct timer place_timer;
 	struct timer order_timer;
@@ -195,7 +216,24 @@
 /** Moves a serving task to VMs with neighbours like it, if that opens much. */
 void control_flow_group(struct control_flow *flows);
 
+/* control_flow_log.c */
+/** Logs ends `done` of runs that were replaced, once each. */
+void control_flow_check_ends(struct control_flow *flows, struct flow_vm *vm,
+			     const struct flow_report *report);
+void control_flow_log_lost(struct control_flow *flows,
+			   const struct flow_vm *vm);
+/** Notes that tasks of a stage find no place; logs it after a while. */
+void control_flow_note_wait(const struct flow_need *need);
+/** Notes that nothing of a stage waits for a place. */
+void control_flow_note_placed(const struct flow_need *need);
+void control_flow_set_gauges(struct control_flow *flows);
+
 /* control_flow_place.c */
+/** Returns true if the VM may take work of the service at all. */
+bool control_flow_vm_open(const struct control_flow *flows,
+			  const struct flow_vm *vm, const char *service);
+/** Returns true if the VM has what a task of the stage asks for. */
+bool control_flow_vm_fits(struct flow_vm *vm, const struct flow_need *need);
 /** Returns the other VM that the run's task would go to, NULL if none. */
 struct flow_vm *control_flow_other_vm(struct control_flow *flows,
 				      const struct flow_soft *soft);
--- /dev/null
+++ b/src/core/control/control_flow_log.c
@@ -0,0 +1,343 @@
+#include <string.h>
+
+#include "control_flow_impl.h"
+
+/* Log lines and gauges about workflows, and why their tasks wait. */
+
+#define LOST_TASKS_SHOWN 3
+
+/* Why a VM takes no task of a stage. */
+enum wait_reason {
+	WAIT_FITS, /* alone it would; the other members of a gang wouldn't */
+	WAIT_NO_ROOM,
+	WAIT_NO_GAIN,
+	WAIT_ADVICE,
+	WAIT_LABEL,
+	WAIT_PER_VM,
+	WAIT_ZONE_OUT,
+	WAIT_SHUNNED,
+	WAIT_UNREACHABLE,
+	WAIT_SILENT,
+	WAIT_LEAVING,
+	WAIT_LOST,
+	NR_WAIT_REASONS,
+};
+
+static const char *const wait_names[] = {
+	[WAIT_FITS] = "gang",
+	[WAIT_NO_ROOM] = "no_room",
+	[WAIT_NO_GAIN] = "no_gain",
+	[WAIT_ADVICE] = "no_ticket",
+	[WAIT_LABEL] = "label",
+	[WAIT_PER_VM] = "vm_limit",
+	[WAIT_ZONE_OUT] = "zone_out",
+	[WAIT_SHUNNED] = "shunned",
+	[WAIT_UNREACHABLE] = "unreachable",
+	[WAIT_SILENT] = "silent",
+	[WAIT_LEAVING] = "leaving",
+	[WAIT_LOST] = "lost",
+};
+
+static uint64_t ms_since(const struct control_flow *flows, uint64_t since_us)
+{
+	return (flows->control->node->now_us - since_us) / 1000;
+}
+
+/* ---- why tasks wait ---- */
+
+static enum wait_reason closed_reason(const struct control_flow *flows,
+				      const struct flow_vm *vm)
+{
+	if (!state_zone_is_in(flows->control->state, vm->zone))
+		return WAIT_ZONE_OUT;
+	if (vm->worker.draining || vm->worker.ended)
+		return WAIT_LEAVING;
+	if (vm->losing)
+		return WAIT_LOST;
+	if (!vm->reachable || !vm->looked)
+		return WAIT_UNREACHABLE;
+	if (flows->control->node->now_us < vm->shun_until_us)
+		return WAIT_SHUNNED;
+	return WAIT_SILENT;
+}
+
+static bool vm_is_full(const struct flow_vm *vm, const struct flow_step *step)
+{
+	return vm->memory_mib + step->memory_mib > vm->worker.memory_mib ||
+	       vm->accelerators + step->accelerators >
+		       vm->worker.accelerators ||
+	       (!step->filler &&
+		vm->cpu_millis + step->cpu_millis > vm->worker.cpu_millis);
+}
+
+static enum wait_reason unfit_reason(const struct flow_vm *vm,
+				     const struct flow_need *need)
+{
+	const struct flow_step *step = need->step;
+
+	if (step->label[0] && strcmp(vm->worker.kind, step->label) != 0 &&
+	    strcmp(vm->worker.rack, step->label) != 0)
+		return WAIT_LABEL;
+	if (need->flow->record.ticket_ms &&
+	    !flow_advice_ticket(need->flows, need->flow, need->stage, vm))
+		return WAIT_ADVICE;
+	if (vm_is_full(vm, step))
+		return WAIT_NO_ROOM;
+	return step->filler ? WAIT_NO_GAIN : WAIT_PER_VM;
+}
+
+/* Counts the service's VMs by reason; returns their number. */
+static uint32_t count_reasons(const struct flow_need *need,
+			      uint32_t counts[NR_WAIT_REASONS])
+{
+	const char *service = need->flow->record.service;
+	uint32_t nr_vms = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, need->flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct flow_vm *vm = value;
+		enum wait_reason reason = WAIT_FITS;
+
+		if (strcmp(vm->worker.service, service) != 0)
+			continue;
+		if (!control_flow_vm_open(need->flows, vm, service))
+			reason = closed_reason(need->flows, vm);
+		else if (!control_flow_vm_fits(vm, need))
+			reason = unfit_reason(vm, need);
+		counts[reason]++;
+		nr_vms++;
+	}
+	return nr_vms;
+}
+
+static void log_wait(const struct flow_need *need, const struct flow_wait *wait)
+{
+	struct control_flow *flows = need->flows;
+	const struct state_flow *flow = need->flow;
+	const struct state_flow_stage *stage = &flow->stages[need->stage];
+	uint32_t counts[NR_WAIT_REASONS] = { 0 };
+	uint32_t nr_vms = count_reasons(need, counts);
+	uint32_t most = 0;
+	GString *line = logline_new("waiting");
+	const char *reason;
+
+	for (uint32_t i = 1; i < NR_WAIT_REASONS; i++)
+		if (counts[i] > counts[most])
+			most = i;
+	reason = nr_vms ? wait_names[most] : "no_worker";
+	counter_count(flows->control->node->counters, "waits", "reason",
+		      reason);
+	logline_str(line, "id", flow->record.id);
+	logline_u64(line, "occurrence", need->stage / flow->record.nr_steps);
+	logline_u64(line, "step", need->stage % flow->record.nr_steps);
+	logline_u64(line, "tasks",
+		    need->step->count - stage->nr_placed - stage->nr_done);
+	logline_u64(line, "priority", flow->record.priority);
+	logline_u64(line, "cpu_millis", need->step->cpu_millis);
+	logline_u64(line, "waited_ms", ms_since(flows, wait->since_us));
+	logline_str(line, "reason", reason);
+	logline_u64(line, "vms", nr_vms);
+	for (uint32_t i = 0; i < NR_WAIT_REASONS; i++)
+		if (counts[i])
+			logline_u64(line, wait_names[i], counts[i]);
+	node_log(flows->control->node, line);
+}
+
+void control_flow_note_wait(const struct flow_need *need)
+{
+	struct control_flow *flows = need->flows;
+	const char *id = need->flow->record.id;
+	struct flow_wait *wait = g_hash_table_lookup(flows->waits, id);
+	uint64_t now_us = flows->control->node->now_us;
+
+	if (!wait) {
+		wait = g_new0(struct flow_wait, 1);
+		wait->stage = need->stage;
+		wait->since_us = now_us;
+		wait->tell_us = now_us + FLOW_WAIT_TELL_MS * 1000ull;
+		g_hash_table_insert(flows->waits, g_strdup(id), wait);
+	}
+	if (wait->stage != need->stage || now_us < wait->tell_us)
+		return;
+	log_wait(need, wait);
+	wait->tell_us = now_us + (now_us - wait->since_us);
+}
+
+void control_flow_note_placed(const struct flow_need *need)
+{
+	const char *id = need->flow->record.id;
+	const struct flow_wait *wait =
+		g_hash_table_lookup(need->flows->waits, id);
+
+	if (wait && wait->stage == need->stage)
+		g_hash_table_remove(need->flows->waits, id);
+}
+
+/* ---- ends and lost VMs ---- */
+
+static void log_ignored(struct control_flow *flows, const struct flow_vm *vm,
+			const struct flow_run_end *end,
+			const struct flow_task *task)
+{
+	static const char *const states[] = {
+		[FLOW_TASK_WAITING] = "waiting",
+		[FLOW_TASK_PLACED] = "placed",
+		[FLOW_TASK_DONE] = "done",
+	};
+	GString *line = logline_new("done-ignored");
+
+	counter_add(flows->control->node->counters, "done_ignored", 1);
+	logline_str(line, "task", end->task);
+	logline_u64(line, "run", end->run);
+	logline_str(line, "vm", vm->name);
+	logline_str(line, "worker", vm->worker.id);
+	logline_u64(line, "end", end->nr);
+	logline_str(line, "state", states[task->state]);
+	logline_u64(line, "last_run", task->run);
+	logline_str(line, "last_vm", task->vm);
+	node_log(flows->control->node, line);
+}
+
+/* Returns true if the end is the one that the task's record has or awaits. */
+static bool end_counts(const struct state_flow *flow, uint32_t nr,
+		       const struct flow_run_end *end, const char *vm)
+{
+	const struct flow_task *task = &flow->record.tasks[nr];
+
+	if (task->state == FLOW_TASK_WAITING || task->run != end->run)
+		return false;
+	return task->state == FLOW_TASK_DONE || !strcmp(task->vm, vm);
+}
+
+/* Returns true if more than one end of a task may be done. */
+static bool step_may_repeat(const struct flow_step *step)
+{
+	return step->lasting || step->gang || step->copies;
+}
+
+void control_flow_check_ends(struct control_flow *flows, struct flow_vm *vm,
+			     const struct flow_report *report)
+{
+	uint64_t checked_nr = vm->ignored_nr;
+
+	for (uint32_t i = 0; i < report->nr_ends; i++) {
+		const struct flow_run_end *end = &report->ends[i];
+		struct state_flow *flow;
+		uint32_t nr;
+
+		if (end->nr <= vm->ignored_nr)
+			continue;
+		checked_nr = MAX(checked_nr, end->nr);
+		if (end->end != FLOW_END_DONE ||
+		    !state_flow_task_find(flows->control->state, end->task,
+					  &flow, &nr) ||
+		    !state_flow_is_active(flow) ||
+		    step_may_repeat(
+			    &flow->record.steps[state_flow_step(flow, nr)]) ||
+		    end_counts(flow, nr, end, vm->name))
+			continue;
+		log_ignored(flows, vm, end, &flow->record.tasks[nr]);
+	}
+	vm->ignored_nr = checked_nr;
+}
+
+void control_flow_log_lost(struct control_flow *flows, const struct flow_vm *vm)
+{
+	GString *line = logline_new("vm-lost");
+	GString *tasks = g_string_new(NULL);
+	uint32_t shown = 0;
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, vm->runs);
+	while (shown < LOST_TASKS_SHOWN &&
+	       g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct flow_soft *soft = key;
+
+		g_string_append_printf(tasks, "%s%s/%u", shown ? "," : "",
+				       soft->name, soft->run);
+		shown++;
+	}
+	logline_str(line, "vm", vm->name);
+	logline_str(line, "worker", vm->worker.id);
+	logline_u64(line, "runs", g_hash_table_size(vm->runs));
+	logline_str(line, "tasks", tasks->str);
+	logline_u64(line, "lapsed_ms_ago", ms_since(flows, vm->lapse_us));
+	/* Without a grant of this leader, its term's begin counts. */
+	logline_str(line, "granted", vm->granted_us ? "yes" : "no");
+	logline_u64(line, "granted_ms_ago",
+		    ms_since(flows, vm->granted_us ?
+					    vm->granted_us :
+					    flows->control->leader_since_us));
+	logline_str(line, "reported", vm->reported ? "yes" : "no");
+	logline_u64(line, "reported_ms_ago",
+		    ms_since(flows, vm->reported ?
+					    vm->reported_us :
+					    flows->control->leader_since_us));
+	logline_str(line, "reachable", vm->reachable ? "yes" : "no");
+	logline_str(line, "looked", vm->looked ? "yes" : "no");
+	node_log(flows->control->node, line);
+	g_string_free(tasks, TRUE);
+}
+
+/* ---- gauges ---- */
+
+static void set_work_gauges(const struct control_flow *flows)
+{
+	struct counters *counters = flows->control->node->counters;
+	uint64_t nr_queued = 0;
+	uint64_t nr_placed = 0;
+	uint64_t nr_waiting = 0;
+
+	for (guint i = 0; i < flows->ranks->len; i++) {
+		const struct state_flow *flow =
+			g_array_index(flows->ranks, struct flow_rank, i).flow;
+
+		nr_queued += !flow->begun;
+		nr_placed += flow->nr_placed;
+		nr_waiting +=
+			flow->record.nr_tasks - flow->nr_placed - flow->nr_done;
+	}
+	counter_set(counters, "workflows_active", flows->ranks->len);
+	counter_set(counters, "workflows_queued", nr_queued);
+	counter_set(counters, "tasks_running", nr_placed);
+	counter_set(counters, "tasks_waiting", nr_waiting);
+	counter_set(counters, "workflows_without_place",
+		    g_hash_table_size(flows->waits));
+}
+
+void control_flow_set_gauges(struct control_flow *flows)
+{
+	struct counters *counters = flows->control->node->counters;
+	uint64_t now_us = flows->control->node->now_us;
+	uint64_t nr_usable = 0;
+	uint64_t nr_leased = 0;
+	uint64_t cpu_millis = 0;
+	uint64_t taken_millis = 0;
+	uint64_t filler_millis = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct flow_vm *vm = value;
+
+		nr_leased += vm->lapse_us > now_us;
+		nr_usable +=
+			control_flow_vm_open(flows, vm, vm->worker.service);
+		if (!vm->reported || vm->worker.ended)
+			continue;
+		cpu_millis += vm->worker.cpu_millis;
+		taken_millis += vm->cpu_millis;
+		filler_millis += vm->filler_cpu_millis;
+	}
+	counter_set(counters, "workers", g_hash_table_size(flows->vms));
+	counter_set(counters, "workers_usable", nr_usable);
+	counter_set(counters, "workers_leased", nr_leased);
+	counter_set(counters, "cpu_millis", cpu_millis);
+	counter_set(counters, "cpu_taken_millis", taken_millis);
+	counter_set(counters, "cpu_filler_millis", filler_millis);
+	set_work_gauges(flows);
+}
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -101,26 +101,14 @@
 
 /* ---- choice of a VM ---- */
 
-/* What a stage asks of its VMs. */
-struct flow_need {
-	struct control_flow *flows;
-	struct state_flow *flow;
-	uint32_t stage;
-	const struct flow_step *step;
-	const struct flow_vm *avoid; /* where the task failed last */
-	const struct flow_vm *except; /* not to be chosen */
-	bool starved; /* nothing of the workflow runs, and there is room */
-};
-
 static bool flow_vm_has_label(const struct flow_vm *vm, const char *label)
 {
 	return !strcmp(vm->worker.kind, label) ||
 	       !strcmp(vm->worker.rack, label);
 }
 
-/* Returns true if the VM may take work of the service at all. */
-static bool flow_vm_open(const struct control_flow *flows,
-			 const struct flow_vm *vm, const char *service)
+bool control_flow_vm_open(const struct control_flow *flows,
+			  const struct flow_vm *vm, const char *service)
 {
 	uint64_t now_us = flows->control->node->now_us;
 
@@ -158,7 +146,7 @@
 	return vm->worker.cpu_millis > used ? vm->worker.cpu_millis - used : 0;
 }
 
-static bool flow_vm_fits(struct flow_vm *vm, const struct flow_need *need)
+bool control_flow_vm_fits(struct flow_vm *vm, const struct flow_need *need)
 {
 	const struct flow_step *step = need->step;
 
@@ -243,8 +231,9 @@
 		struct flow_vm *vm = value;
 		uint64_t cost;
 
-		if (vm == need->except || !flow_vm_open(flows, vm, service) ||
-		    !flow_vm_fits(vm, need) ||
+		if (vm == need->except ||
+		    !control_flow_vm_open(flows, vm, service) ||
+		    !control_flow_vm_fits(vm, need) ||
 		    (rack && strcmp(rack, vm->worker.rack) != 0))
 			continue;
 		cost = flow_vm_cost(vm, need);
@@ -487,7 +476,12 @@
 			continue;
 		if (!flow_stage_due(flows, flow, i))
 			break; /* later occurrences come later */
-		if (!flow_place_stage(&need) && flow->record.ticket_ms)
+		if (flow_place_stage(&need)) {
+			control_flow_note_placed(&need);
+			continue;
+		}
+		control_flow_note_wait(&need);
+		if (flow->record.ticket_ms)
 			flow_advice_want(flows, flow, i);
 	}
 }
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -48,6 +48,7 @@
 	 */
 	if (!vm->losing && vm->reachable && vm->looked && !vm->worker.ended) {
 		grant.lease_ms = flows->lease_ms;
+		vm->granted_us = control->node->now_us;
 		vm->lapse_us = MAX(vm->lapse_us,
 				   vm->reported_us + flows->lease_ms * 1000ull);
 	}
@@ -207,6 +208,7 @@
 	vm->worker = *worker;
 	if (!same) {
 		vm->settled_nr = 0;
+		vm->ignored_nr = 0;
 		vm->fail_permille = 0;
 		vm->shun_until_us = 0;
 		vm->shun_ms = 0;
@@ -299,6 +301,7 @@
 	counter_add(control->node->counters, "flow_reports", 1);
 	flow_take_life(flows, vm, report);
 	listed = flow_take_runs(flows, vm, report);
+	control_flow_check_ends(flows, vm, report);
 	flow_take_ends(flows, vm, report);
 	if (report->worker.id[0])
 		flow_reconcile(flows, vm, listed);
@@ -315,15 +318,8 @@
 static void flow_vm_lost(struct control_flow *flows, struct flow_vm *vm)
 {
 	GList *runs = g_hash_table_get_keys(vm->runs);
-	GString *line = logline_new("vm-lost");
 
-	logline_str(line, "vm", vm->name);
-	logline_str(line, "worker", vm->worker.id);
-	logline_u64(line, "runs", g_hash_table_size(vm->runs));
-	logline_u64(line, "reported_ms_ago",
-		    (flows->control->node->now_us - vm->reported_us) / 1000);
-	logline_str(line, "reachable", vm->reachable ? "yes" : "no");
-	node_log(flows->control->node, line);
+	control_flow_log_lost(flows, vm);
 	counter_add(flows->control->node->counters, "vms_lost", 1);
 	vm->losing = true;
 	for (GList *item = runs; item; item = item->next)
@@ -364,6 +360,7 @@
 		    flow_vm_has_open(vm))
 			flow_vm_lost(flows, vm);
 	}
+	control_flow_set_gauges(flows);
 	control_flow_save(flows);
 	control_flow_group(flows);
 	control_flow_place_soon(flows);
