Trace operators' calls from their arrival to their answer

A configuration without an acknowledgement left at most one line, without its version or the time taken.

--- a/src/core/control/control_op.c
+++ b/src/core/control/control_op.c
@@ -37,12 +37,32 @@
 	control_op_send(control, ticket, &reply);
 }
 
+static void control_op_log(struct control *control, const char *event,
+			   const struct control_proposal *proposal,
+			   const struct state_outcome *outcome)
+{
+	const struct schema *schema = schema_of(proposal->type);
+	uint64_t waited_us = control->node->now_us - proposal->proposed_us;
+	GString *line = logline_new(event);
+
+	logline_u64(line, "ticket", proposal->ticket);
+	logline_str(line, "command", schema ? schema->name : "unknown");
+	logline_u64(line, "term", raft_term(control->raft));
+	if (outcome) {
+		logline_str(line, "result", result_name(outcome->result));
+		logline_u64(line, "version", outcome->version);
+		logline_u64(line, "commit_ms", waited_us / 1000);
+	}
+	node_log(control->node, line);
+}
+
 static void control_op_committed(struct control *control,
 				 const struct control_proposal *proposal,
 				 const struct state_outcome *outcome)
 {
 	struct op_reply reply = { 0 };
 
+	control_op_log(control, "operation-committed", proposal, outcome);
 	reply.result = outcome->result;
 	TEXT_SET(reply.message, outcome->message ?
 					outcome->message :
@@ -59,6 +79,9 @@
 	enum result result;
 
 	proposal.ticket = ticket;
+	proposal.type = type;
+	proposal.proposed_us = control->node->now_us;
+	control_op_log(control, "operation-proposed", &proposal, NULL);
 	result = control_propose(control, type, body, &proposal);
 	if (result)
 		control_op_reply(control, ticket, result, NULL);
