Log requests that were read and not answered

A connection that ended with a request read, or within its response, left no line. The HTTP server counts and logs both, with the cause and whether the process was shutting down; listener-closed, stopping and drain-ended tell what was open at a shutdown.

--- a/src/daemon/http.c
+++ b/src/daemon/http.c
@@ -4,6 +4,9 @@
 #include <string.h>
 
 #include "http_conn.h"
+#include "log.h"
+#include "logline.h"
+#include "loop.h"
 #include "schema.h"
 
 /* A caller that goes on sending after its body was refused is cut off. */
@@ -22,7 +25,9 @@
 	uint64_t next_ticket;
 	uint64_t bytes_sent;
 	GHashTable *conns; /* set of struct http_conn *, owned */
+	struct http_stats stats;
 	bool stopping;
+	bool freeing;
 };
 
 struct http_status_entry {
@@ -91,14 +96,35 @@
 	g_hash_table_remove(request->server->by_ticket, &request->ticket);
 }
 
+static void http_log_end(const struct http_request *request, const char *event,
+			 const char *cause)
+{
+	uint64_t now_us = loop_now_us();
+	GString *line = logline_new(event);
+
+	logline_str(line, "method", request->method);
+	logline_str(line, "path", request->path);
+	logline_u64(line, "ticket", request->ticket);
+	logline_str(line, "cause", cause);
+	logline_u64(line, "read_ms_ago", (now_us - request->read_us) / 1000);
+	if (request->answered_us)
+		logline_u64(line, "answered_ms_ago",
+			    (now_us - request->answered_us) / 1000);
+	logline_str(line, "stopping", request->server->stopping ? "yes" : "no");
+	log_line(line->str);
+	g_string_free(line, TRUE);
+}
+
 /* Ends an unanswered request whose caller has gone. */
-static void http_gone(struct http_request *request)
+static void http_gone(struct http_request *request, const char *cause)
 {
 	struct http_server *server = request->server;
 	uint64_t ticket = request->ticket;
 
 	if (!request->open)
 		return;
+	server->stats.unanswered++;
+	http_log_end(request, "request-unanswered", cause);
 	http_forget(request);
 	if (server->opts.ops->gone)
 		server->opts.ops->gone(server->opts.ctx, ticket);
@@ -108,7 +134,12 @@
 {
 	SoupServerMessage *msg = request->msg;
 
-	http_gone(request);
+	http_gone(request, request->server->freeing ? "process ends" :
+						      "connection ended");
+	if (request->answered_us && !request->written) {
+		request->server->stats.cut++;
+		http_log_end(request, "response-cut", "connection ended");
+	}
 	if (request->conn)
 		request->conn->request = NULL;
 	g_signal_handlers_disconnect_by_data(msg, request);
@@ -147,7 +178,7 @@
 	struct http_request *request = conn->request;
 	SoupServerMessage *msg = g_object_ref(request->msg);
 
-	http_gone(request);
+	http_gone(request, "caller closed");
 	soup_server_message_set_status(msg, HTTP_CALLER_GONE, "Caller Gone");
 	soup_server_message_unpause(msg);
 	g_object_unref(msg);
@@ -206,6 +237,8 @@
 			soup_message_body_flatten(
 				soup_server_message_get_request_body(msg));
 	request->open = true;
+	request->read_us = loop_now_us();
+	server->stats.requests++;
 	g_hash_table_insert(server->by_ticket, &request->ticket, request);
 	soup_server_message_pause(msg);
 	if (request->too_large)
@@ -278,6 +311,7 @@
 	GInputStream *input;
 	GIOStream *stream;
 
+	request->written = true;
 	if (!http_may_go_on(request))
 		return; /* libsoup closes it and reports the end */
 	http_request_end(request);
@@ -429,6 +463,7 @@
 	if (!server)
 		return;
 	http_server_stop(server);
+	server->freeing = true;
 	g_signal_handlers_disconnect_by_data(server->soup, server);
 	http_close_all(server);
 	g_hash_table_unref(server->conns);
@@ -448,11 +483,19 @@
 void http_server_stop(struct http_server *server)
 {
 	GHashTableIter iter;
+	GString *line;
 	void *key;
 
 	if (server->stopping)
 		return;
 	server->stopping = true;
+	line = logline_new("listener-closed");
+	logline_str(line, "address", server->address);
+	logline_u64(line, "connections", g_hash_table_size(server->conns));
+	logline_u64(line, "requests_open",
+		    g_hash_table_size(server->by_ticket));
+	log_line(line->str);
+	g_string_free(line, TRUE);
 	g_socket_service_stop(server->service);
 	g_socket_listener_close(G_SOCKET_LISTENER(server->service));
 	g_hash_table_iter_init(&iter, server->conns);
@@ -464,6 +507,14 @@
 	}
 }
 
+struct http_stats http_server_stats(const struct http_server *server)
+{
+	struct http_stats stats = server->stats;
+
+	stats.open = g_hash_table_size(server->by_ticket);
+	return stats;
+}
+
 bool http_server_idle(const struct http_server *server)
 {
 	return !g_hash_table_size(server->conns);
@@ -507,6 +558,7 @@
 
 	g_assert(request->open);
 	http_forget(request);
+	request->answered_us = loop_now_us();
 	soup_server_message_set_status(msg, status, NULL);
 	if (!http_may_go_on(request))
 		http_set_header(request, "Connection", "close");
--- a/src/daemon/http.h
+++ b/src/daemon/http.h
@@ -31,6 +31,17 @@
 	uint64_t body_bytes;
 	bool too_large;
 	bool open; /* handed to the role and not answered yet */
+	uint64_t read_us; /* when it was whole */
+	uint64_t answered_us; /* 0: not yet */
+	bool written; /* the response has left */
+};
+
+/** Counts since the server's start, but for open. */
+struct http_stats {
+	uint64_t requests; /* read whole */
+	uint64_t unanswered; /* their connection ended before the answer */
+	uint64_t cut; /* their connection ended within the answer */
+	uint64_t open; /* not answered yet */
 };
 
 struct http_server_ops {
@@ -60,6 +71,7 @@
 void http_server_stop(struct http_server *server);
 /** After http_server_stop(): returns true once all connections are closed. */
 bool http_server_idle(const struct http_server *server);
+struct http_stats http_server_stats(const struct http_server *server);
 uint32_t http_server_connections(const struct http_server *server);
 /** Bytes of response bodies. */
 uint64_t http_server_bytes_sent(const struct http_server *server);
--- a/src/daemon/loop.c
+++ b/src/daemon/loop.c
@@ -8,6 +8,7 @@
 #include <time.h>
 
 #include "log.h"
+#include "logline.h"
 #include "transport.h"
 #include "tunables.h"
 
@@ -159,6 +160,22 @@
 	.dispatch = loop_timer_dispatch,
 };
 
+/* Tells what a shutdown still waited for when its time was up. */
+static void loop_log_undrained(struct loop *loop)
+{
+	GString *line = logline_new("drain-ended");
+
+	logline_u64(line, "drain_ms", loop->drain_ms);
+	logline_str(line, "role", node_idle(loop->node) ? "idle" : "busy");
+	logline_str(line, "links",
+		    transport_flushed(loop->transport) ? "idle" : "busy");
+	logline_str(line, "http",
+		    !loop->idle || loop->idle(loop->drain_ctx) ? "idle" :
+								 "busy");
+	log_line(line->str);
+	g_string_free(line, TRUE);
+}
+
 static gboolean loop_drain(gpointer data)
 {
 	struct loop *loop = data;
@@ -168,6 +185,8 @@
 
 	if (!idle && loop_now_us() < loop->drain_end_us)
 		return G_SOURCE_CONTINUE;
+	if (!idle)
+		loop_log_undrained(loop);
 	loop->result = idle ? RESULT_OK : RESULT_TIMEOUT;
 	g_main_loop_quit(loop->main);
 	return G_SOURCE_CONTINUE;
@@ -176,9 +195,14 @@
 static gboolean loop_signal(gpointer data)
 {
 	struct loop *loop = data;
+	GString *line;
 
 	if (loop->drain)
 		return G_SOURCE_CONTINUE;
+	line = logline_new("stopping");
+	logline_u64(line, "drain_ms", loop->drain_ms);
+	log_line(line->str);
+	g_string_free(line, TRUE);
 	loop->drain_end_us = loop_now_us() + loop->drain_ms * 1000ull;
 	if (loop->stop)
 		loop->stop(loop->drain_ctx);
--- a/src/daemon/role_host.c
+++ b/src/daemon/role_host.c
@@ -34,6 +34,7 @@
 		       GString *out)
 {
 	struct counters *counters = loop_node(loop)->counters;
+	struct http_stats stats = http_server_stats(server);
 
 	counter_set(counters, "process_resident_bytes",
 		    process_resident_bytes());
@@ -43,6 +44,10 @@
 		    http_server_bytes_sent(server));
 	counter_set(counters, "http_connections",
 		    http_server_connections(server));
+	counter_set(counters, "http_requests", stats.requests);
+	counter_set(counters, "http_requests_open", stats.open);
+	counter_set(counters, "http_requests_unanswered", stats.unanswered);
+	counter_set(counters, "http_responses_cut", stats.cut);
 	counter_set(counters, "log_lines_dropped", log_dropped());
 	counters_print(counters, out);
 }
