Log lost and regained leaders and slow syncs with their times

How long a process was without a leader had to be worked out from two lines of different events. leader-lost and leader (entry, agent), raft-leader-silent and raft-leader-heard (control) now say it, and store-slow tells of a sync of more than 500 ms. Histograms leader_away_ms and sync_ms.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -39,6 +39,7 @@
 
 /* Replicated log. */
 #define RAFT_HEARTBEAT_MS 150
+#define RAFT_SLOW_SYNC_MS 500 /* a log line; heartbeats go on meanwhile */
 #define RAFT_ELECTION_MIN_MS 600
 #define RAFT_ELECTION_MAX_MS 1200
 /* Shorter than the shortest election, so an old leader stops granting first. */
--- a/src/core/link/site.c
+++ b/src/core/link/site.c
@@ -11,6 +11,7 @@
 	struct site_opts opts;
 	struct timer query_timer;
 	uint64_t leader; /* node_id, 0 if none is known */
+	uint64_t changed_us; /* when the leader was found or lost */
 	uint64_t term; /* of the newest view */
 	uint64_t view_version; /* within the term */
 	struct bundle *bundle; /* NULL before the first one */
@@ -49,15 +50,25 @@
 
 static void site_set_leader(struct site *site, uint64_t node_id)
 {
+	uint64_t since_ms = (site->node->now_us - site->changed_us) / 1000;
+	bool lost = !node_id;
+	bool found = !site->leader;
 	GString *line;
 
 	if (site->leader == node_id)
 		return;
-	site->leader = node_id;
-	line = logline_new("leader");
-	logline_id(line, "leader", node_id);
+	line = logline_new(lost ? "leader-lost" : "leader");
+	logline_id(line, "leader", lost ? site->leader : node_id);
 	logline_u64(line, "term", site->term);
+	logline_u64(line, found ? "away_ms" : "known_ms", since_ms);
 	node_log(site->node, line);
+	if (lost)
+		counter_add(site->node->counters, "leaders_lost", 1);
+	else if (found)
+		counter_observe(site->node->counters, "leader_away_ms",
+				since_ms);
+	site->leader = node_id;
+	site->changed_us = site->node->now_us;
 	if (site->opts.ops->leader_changed)
 		site->opts.ops->leader_changed(site->opts.ctx, node_id);
 }
@@ -217,6 +228,7 @@
 
 	site->node = node;
 	site->opts = *opts;
+	site->changed_us = node->now_us;
 	site->query_timer.fn = site_query_all;
 	site->query_timer.data = site;
 	site->zones =
--- a/src/core/raft/raft.c
+++ b/src/core/raft/raft.c
@@ -41,6 +41,33 @@
 	node_log(raft->node, line);
 }
 
+static void raft_log_away(struct raft *raft, const char *event, const char *key)
+{
+	GString *line = logline_new(event);
+
+	logline_u64(line, "term", raft->hard.term);
+	logline_id(line, "leader", raft->leader_id);
+	logline_u64(line, key, (raft->node->now_us - raft->known_us) / 1000);
+	node_log(raft->node, line);
+}
+
+void raft_log_heard(struct raft *raft)
+{
+	if (raft->leaderless)
+		raft_log_away(raft, "raft-leader-heard", "away_ms");
+	raft->leaderless = false;
+	raft->known_us = raft->node->now_us;
+	counter_set(raft->node->counters, "raft_leaderless", 0);
+}
+
+void raft_log_silent(struct raft *raft)
+{
+	if (!raft->leaderless)
+		raft_log_away(raft, "raft-leader-silent", "silent_ms");
+	raft->leaderless = true;
+	counter_set(raft->node->counters, "raft_leaderless", 1);
+}
+
 /* ---- storage ---- */
 
 bool raft_hard_synced(const struct raft *raft)
@@ -72,6 +99,7 @@
 		return;
 	raft->dirty = false;
 	sync.nr = ++raft->sync_nr;
+	sync.began_us = raft->node->now_us;
 	g_array_append_val(raft->syncs, sync);
 	counter_add(raft->node->counters, "raft_syncs", 1);
 	raft->store->sync(raft->store_ctx, sync.nr);
@@ -142,6 +170,21 @@
 	timer_cancel(raft->node->timers, &raft->form_timer);
 }
 
+static void raft_note_sync(struct raft *raft, const struct raft_sync *sync)
+{
+	uint64_t took_ms = (raft->node->now_us - sync->began_us) / 1000;
+	GString *line;
+
+	counter_observe(raft->node->counters, "sync_ms", took_ms);
+	if (took_ms < RAFT_SLOW_SYNC_MS)
+		return;
+	line = logline_new("store-slow");
+	logline_u64(line, "took_ms", took_ms);
+	logline_u64(line, "last", sync->last_index);
+	node_log(raft->node, line);
+	counter_add(raft->node->counters, "slow_syncs", 1);
+}
+
 void raft_synced(struct raft *raft, uint64_t sync_nr, enum result result)
 {
 	uint32_t nr = 0;
@@ -160,6 +203,7 @@
 			break;
 		raft->synced_index = sync->last_index;
 		raft->synced_hard_nr = sync->hard_nr;
+		raft_note_sync(raft, sync);
 		nr++;
 	}
 	if (!nr)
@@ -307,6 +351,7 @@
 {
 	/* Before its restart, this replica may have acknowledged a leader. */
 	raft->heard_us = raft->node->now_us;
+	raft->known_us = raft->node->now_us;
 	if (raft->snapshot)
 		raft_snapshot_restore(raft);
 	if (!raft->hard.node_id)
--- a/src/core/raft/raft_append.c
+++ b/src/core/raft/raft_append.c
@@ -217,6 +217,7 @@
 	if (append->term > raft->hard.term || raft->role != RAFT_FOLLOWER ||
 	    raft->leader_id != from)
 		raft_follow(raft, append->term, from);
+	raft_log_heard(raft);
 	raft->heard_us = raft->node->now_us;
 	raft_arm_election(raft);
 	raft->echo_us = append->sent_us;
--- a/src/core/raft/raft_impl.h
+++ b/src/core/raft/raft_impl.h
@@ -56,6 +56,7 @@
 	uint64_t nr;
 	uint64_t last_index;
 	uint64_t hard_nr;
+	uint64_t began_us;
 };
 
 struct raft_proposal {
@@ -109,6 +110,8 @@
 	uint64_t applied_index;
 	uint64_t leader_id;
 	uint64_t heard_us; /* from a leader, or start */
+	uint64_t known_us; /* a leader was known; for the log */
+	bool leaderless; /* the log was told so */
 	struct timer election_timer;
 
 	/* storage */
@@ -168,6 +171,10 @@
 bool raft_is_fresh(const struct raft *raft);
 struct raft_peer *raft_peer(struct raft *raft, uint64_t node_id);
 void raft_log_event(struct raft *raft, const char *event);
+/** A leader was heard, or this replica leads. */
+void raft_log_heard(struct raft *raft);
+/** No leader is heard any more; logged once. */
+void raft_log_silent(struct raft *raft);
 void raft_write_hard_state(struct raft *raft, uint64_t term,
 			   uint64_t voted_for);
 void raft_write_entry(struct raft *raft, const struct log_entry *entry);
--- a/src/core/raft/raft_role.c
+++ b/src/core/raft/raft_role.c
@@ -66,6 +66,7 @@
 	if (old != RAFT_LEADER)
 		return;
 	raft_log_event(raft, "raft-leader-lost");
+	raft->known_us = raft->node->now_us;
 	timer_cancel(raft->node->timers, &raft->heartbeat_timer);
 	raft->verified_index = raft->commit_index;
 	raft_arm_election(raft);
@@ -81,6 +82,7 @@
 	struct record noop = { CMD_NOOP, schema_alloc(CMD_NOOP) };
 	uint64_t next_index = raft_log_last_index(&raft->log) + 1;
 
+	raft_log_heard(raft);
 	raft->role = RAFT_LEADER;
 	raft->leader_id = raft_self(raft);
 	raft->leader_since_us = raft->node->now_us;
@@ -165,6 +167,7 @@
 
 	if (now_us - heard_us >= RAFT_ELECTION_MAX_MS * US_PER_MS) {
 		raft_log_event(raft, "raft-no-quorum");
+		counter_add(raft->node->counters, "quorums_lost", 1);
 		raft_follow(raft, raft->hard.term, 0);
 		return;
 	}
--- a/src/core/raft/raft_snapshot.c
+++ b/src/core/raft/raft_snapshot.c
@@ -277,6 +277,7 @@
 		if (page->term > raft->hard.term ||
 		    raft->role != RAFT_FOLLOWER || raft->leader_id != from)
 			raft_follow(raft, page->term, from);
+		raft_log_heard(raft);
 		raft->heard_us = raft->node->now_us;
 		raft_arm_election(raft);
 		reply.accepted = raft_take_page(raft, from, page);
--- a/src/core/raft/raft_vote.c
+++ b/src/core/raft/raft_vote.c
@@ -105,6 +105,7 @@
 	if (raft->role == RAFT_LEADER || raft->resigned ||
 	    !members_is_voter(raft_config(raft), raft_self(raft)))
 		return;
+	raft_log_silent(raft);
 	raft_campaign(raft, true, false);
 }
 
