--- a/src/core/base/counter.c
+++ b/src/core/base/counter.c
@@ -1,5 +1,8 @@
 #include "counter.h"
 
+#include <stdbool.h>
+#include <string.h>
+
 /* Upper bounds of the buckets; the last one holds the rest. */
 static const uint32_t bounds_ms[] = { 5,   10,	 25,   50,   100,   250,
 				      500, 1000, 2500, 5000, 10000, 30000 };
@@ -13,8 +16,13 @@
 	uint64_t sum_ms;
 };
 
+struct counter {
+	uint64_t value;
+	bool gauge;
+};
+
 struct counters {
-	GTree *by_name; /* char * -> uint64_t * */
+	GTree *by_name; /* char * -> struct counter * */
 	GTree *histograms; /* char * -> struct histogram * */
 };
 
@@ -24,23 +32,40 @@
 	return g_strcmp0(a, b);
 }
 
-static uint64_t *counter_slot(struct counters *counters, const char *name)
+static struct counter *counter_slot(struct counters *counters, const char *name)
 {
-	uint64_t *value = g_tree_lookup(counters->by_name, name);
+	struct counter *counter = g_tree_lookup(counters->by_name, name);
 
-	if (!value) {
-		value = g_new0(uint64_t, 1);
-		g_tree_insert(counters->by_name, g_strdup(name), value);
+	if (!counter) {
+		counter = g_new0(struct counter, 1);
+		g_tree_insert(counters->by_name, g_strdup(name), counter);
 	}
-	return value;
+	return counter;
 }
 
+/* What is printed, and the name without its label of the line before. */
+struct counter_page {
+	GString *out;
+	char name[COUNTER_NAME_BYTES];
+};
+
 static gboolean counter_print(gpointer key, gpointer value, gpointer data)
 {
-	const uint64_t *number = value;
-
-	g_string_append_printf(data, "masticreach_%s %" G_GUINT64_FORMAT "\n",
-			       (const char *)key, *number);
+	const struct counter *counter = value;
+	struct counter_page *page = data;
+	const char *name = key;
+	size_t size = MIN(strcspn(name, "{"), sizeof(page->name) - 1);
+
+	if (strncmp(page->name, name, size) != 0 || page->name[size]) {
+		memcpy(page->name, name, size);
+		page->name[size] = 0;
+		g_string_append_printf(page->out, "# TYPE masticreach_%s %s\n",
+				       page->name,
+				       counter->gauge ? "gauge" : "counter");
+	}
+	g_string_append_printf(page->out,
+			       "masticreach_%s %" G_GUINT64_FORMAT "\n", name,
+			       counter->value);
 	return FALSE;
 }
 
@@ -50,6 +75,7 @@
 	const char *name = key;
 	uint64_t nr = 0;
 
+	g_string_append_printf(data, "# TYPE masticreach_%s histogram\n", name);
 	for (size_t i = 0; i < NR_BOUNDS; i++) {
 		nr += histogram->nr[i];
 		g_string_append_printf(data,
@@ -89,7 +115,7 @@
 
 void counter_add(struct counters *counters, const char *name, uint64_t amount)
 {
-	*counter_slot(counters, name) += amount;
+	counter_slot(counters, name)->value += amount;
 }
 
 void counter_count(struct counters *counters, const char *name, const char *key,
@@ -104,14 +130,17 @@
 
 void counter_set(struct counters *counters, const char *name, uint64_t value)
 {
-	*counter_slot(counters, name) = value;
+	struct counter *counter = counter_slot(counters, name);
+
+	counter->value = value;
+	counter->gauge = true;
 }
 
 uint64_t counter_get(const struct counters *counters, const char *name)
 {
-	const uint64_t *value = g_tree_lookup(counters->by_name, name);
+	const struct counter *counter = g_tree_lookup(counters->by_name, name);
 
-	return value ? *value : 0;
+	return counter ? counter->value : 0;
 }
 
 void counter_observe(struct counters *counters, const char *name,
@@ -132,6 +161,8 @@
 
 void counters_print(const struct counters *counters, GString *out)
 {
-	g_tree_foreach(counters->by_name, counter_print, out);
+	struct counter_page page = { .out = out };
+
+	g_tree_foreach(counters->by_name, counter_print, &page);
 	g_tree_foreach(counters->histograms, histogram_print, out);
 }
--- a/src/core/base/counter.h
+++ b/src/core/base/counter.h
@@ -40,7 +40,10 @@
 void counter_observe(struct counters *counters, const char *name,
 		     uint64_t duration_ms);
 
-/** Appends "masticreach_NAME VALUE" lines to @a out, sorted by name. */
+/**
+ * Appends "masticreach_NAME VALUE" lines to @a out, sorted by name, each name
+ * after its "# TYPE" line.
+ */
 void counters_print(const struct counters *counters, GString *out);
 
 #endif /* COUNTER_H */
