--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -57,7 +57,7 @@
 	void *value;
 
 	runner_expire_calls(runner);
-	runner_trace_lease(runner);
+	runner_trace_report(runner);
 	node_timer_ms(runner->node, &runner->report_timer,
 		      RUNNER_REPORT_INTERVAL_MS);
 	if (!leader)
@@ -122,7 +122,6 @@
 		runner_hold(runner); /* the term is known now */
 	if (grant->settled_nr <= runner->settled_nr)
 		return;
-	runner_log_settled(runner, grant->settled_nr);
 	runner->settled_nr = grant->settled_nr;
 	for (guint i = runner->ends->len; i-- > 0;)
 		if (g_array_index(runner->ends, struct flow_run_end, i).nr <=
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -75,10 +75,13 @@
 	bool silent; /* the last look had no answer */
 	uint64_t answered_us; /* last answer to a look */
 	uint64_t silent_ms; /* from an answer to the last missing one */
-	uint64_t renewed_us; /* the worker took a deadline last */
+	uint64_t renewed_us; /* the worker took a later deadline */
+	uint64_t taken_until_us; /* lease that the worker took last */
 	uint64_t sent_until_us; /* no call extends the lease beyond this */
 	bool unrenewed; /* told since renewed_us */
 	bool lapsed; /* told since renewed_us */
+	uint64_t settled_nr; /* told at told_us */
+	uint64_t told_us;
 };
 
 struct runner {
@@ -174,10 +177,11 @@
 			const struct exec_reply *reply);
 /** Adds what the last looks at the worker brought. */
 void runner_log_looks(const struct runner *runner, GString *line);
-/** Logs when the worker's lease isn't renewed, and when it has lapsed. */
-void runner_trace_lease(struct runner *runner);
-/** Ends up to @a to_nr are in the log of the leader. */
-void runner_log_settled(struct runner *runner, uint64_t to_nr);
+/**
+ * Sets the gauges; logs which ends were settled, when the worker's lease isn't
+ * renewed, and when it has lapsed.
+ */
+void runner_trace_report(struct runner *runner);
 /** The worker lists neither the run nor its end. */
 void runner_log_absent(struct runner *runner, const struct runner_run *run);
 
--- a/src/core/agent/runner_log.c
+++ b/src/core/agent/runner_log.c
@@ -118,12 +118,16 @@
 		 reply->result == RESULT_NO_CAPACITY));
 }
 
-static void runner_trace_renewed(struct runner *runner)
+static void runner_trace_renewed(struct runner *runner,
+				 const struct runner_call *call)
 {
 	struct runner_trace *trace = &runner->trace;
 	uint64_t away_ms = ms_since(runner, trace->renewed_us);
 	GString *line;
 
+	if (call->lease_until_us <= trace->taken_until_us)
+		return;
+	trace->taken_until_us = call->lease_until_us;
 	counter_observe(runner->node->counters, "lease_renewal_ms", away_ms);
 	trace->renewed_us = runner->node->now_us;
 	if (trace->unrenewed) {
@@ -178,7 +182,7 @@
 		runner_log_reply(runner, "call-unanswered", call, reply);
 	}
 	if (call->extends && reply_takes_deadline(reply))
-		runner_trace_renewed(runner);
+		runner_trace_renewed(runner, call);
 }
 
 void runner_log_looks(const struct runner *runner, GString *line)
@@ -226,16 +230,11 @@
 	node_log(runner->node, line);
 }
 
-void runner_trace_lease(struct runner *runner)
+static void runner_trace_lease(struct runner *runner)
 {
 	struct counters *counters = runner->node->counters;
 	struct runner_trace *trace = &runner->trace;
 
-	counter_set(counters, "lease_left_ms", runner_lease_left_ms(runner));
-	counter_set(counters, "runs", g_hash_table_size(runner->runs));
-	counter_set(counters, "ends_unsettled", runner->ends->len);
-	counter_set(counters, "worker_calls_open",
-		    g_hash_table_size(runner->calls));
 	if (!g_hash_table_size(runner->runs))
 		return;
 	if (!trace->unrenewed &&
@@ -254,15 +253,20 @@
 
 /* ---- runs and ends ---- */
 
-void runner_log_settled(struct runner *runner, uint64_t to_nr)
+static void runner_trace_settled(struct runner *runner)
 {
-	GString *line = logline_new("ends-settled");
+	GString *line;
 
+	if (runner->settled_nr == runner->trace.settled_nr)
+		return;
+	line = logline_new("ends-settled");
 	logline_str(line, "worker", runner->worker.id);
-	logline_u64(line, "from", runner->settled_nr);
-	logline_u64(line, "to", to_nr);
+	logline_u64(line, "from", runner->trace.settled_nr);
+	logline_u64(line, "to", runner->settled_nr);
 	logline_u64(line, "listed", runner->ends->len);
+	logline_u64(line, "term", runner->term);
 	node_log(runner->node, line);
+	runner->trace.settled_nr = runner->settled_nr;
 }
 
 void runner_log_absent(struct runner *runner, const struct runner_run *run)
@@ -286,3 +290,20 @@
 	logline_u64(line, "settled", runner->settled_nr);
 	node_log(runner->node, line);
 }
+
+void runner_trace_report(struct runner *runner)
+{
+	struct counters *counters = runner->node->counters;
+
+	counter_set(counters, "lease_left_ms", runner_lease_left_ms(runner));
+	counter_set(counters, "runs", g_hash_table_size(runner->runs));
+	counter_set(counters, "ends_unsettled", runner->ends->len);
+	counter_set(counters, "worker_calls_open",
+		    g_hash_table_size(runner->calls));
+	if (ms_since(runner, runner->trace.told_us) >=
+	    RUNNER_REPORT_INTERVAL_MS) {
+		runner->trace.told_us = runner->node->now_us;
+		runner_trace_settled(runner);
+	}
+	runner_trace_lease(runner);
+}
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -32,6 +32,7 @@
 	GArray *ends; /* struct flow_run_end of the last report */
 	uint64_t settled_nr;
 	uint64_t granted_us; /* last grant of a lease, 0: none */
+	uint64_t lost_us; /* its lease had lapsed in this life, 0: never */
 	uint64_t ignored_nr; /* ends up to it were checked; for the log */
 	GHashTable *runs; /* set of struct flow_soft * */
 	/* room taken by runs that are placed or proposed */
--- a/src/core/control/control_flow_log.c
+++ b/src/core/control/control_flow_log.c
@@ -188,12 +188,17 @@
 	};
 	GString *line = logline_new("done-ignored");
 
-	counter_add(flows->control->node->counters, "done_ignored", 1);
+	/* Work of a worker whose lease has lapsed may be repeated. */
+	counter_count(flows->control->node->counters, "done_ignored", "lapsed",
+		      vm->lost_us ? "yes" : "no");
 	logline_str(line, "task", end->task);
 	logline_u64(line, "run", end->run);
 	logline_str(line, "vm", vm->name);
 	logline_str(line, "worker", vm->worker.id);
 	logline_u64(line, "end", end->nr);
+	logline_str(line, "lapsed", vm->lost_us ? "yes" : "no");
+	if (vm->lost_us)
+		logline_u64(line, "lost_ms_ago", ms_since(flows, vm->lost_us));
 	logline_str(line, "state", states[task->state]);
 	logline_u64(line, "last_run", task->run);
 	logline_str(line, "last_vm", task->vm);
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -205,6 +205,9 @@
 	/* An agent that has just started has not heard of its worker yet. */
 	if (!worker->id[0])
 		return;
+	/* This leader may have taken back the runs before the first report. */
+	if (!same && vm->worker.id[0])
+		vm->lost_us = 0;
 	vm->worker = *worker;
 	if (!same) {
 		vm->settled_nr = 0;
@@ -322,6 +325,7 @@
 	control_flow_log_lost(flows, vm);
 	counter_add(flows->control->node->counters, "vms_lost", 1);
 	vm->losing = true;
+	vm->lost_us = flows->control->node->now_us;
 	for (GList *item = runs; item; item = item->next)
 		control_flow_end(flows, item->data, FLOW_END_LOST, "");
 	g_list_free(runs);
