--- a/src/daemon/host_agent.c
+++ b/src/daemon/host_agent.c
@@ -401,6 +401,7 @@
 	.open = host_agent_open,
 	.http_address = host_agent_http_address,
 	.stop = host_agent_stop,
+	.metrics = host_agent_metrics,
 	.idle = host_agent_idle,
 	.free = host_agent_free,
 };
--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -456,6 +456,7 @@
 	.http_address = host_control_http_address,
 	.stop = host_control_stop,
 	.set_controls = host_control_set_controls,
+	.metrics = host_control_metrics,
 	.idle = host_control_idle,
 	.free = host_control_free,
 };
--- a/src/daemon/host_entry.c
+++ b/src/daemon/host_entry.c
@@ -261,6 +261,7 @@
 	.open = host_entry_open,
 	.http_address = host_entry_http_address,
 	.stop = host_entry_stop,
+	.metrics = host_entry_metrics,
 	.idle = host_entry_idle,
 	.free = host_entry_free,
 };
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -118,6 +118,28 @@
 	g_strfreev(control);
 }
 
+/* The work goes on without the server: nobody depends on it. */
+static struct metrics_server *open_metrics(struct loop *loop,
+					   const struct settings *settings,
+					   const struct role_host_ops *ops,
+					   void *host)
+{
+	struct metrics_server *metrics = NULL;
+	enum result res = RESULT_OK;
+	GString *line;
+
+	if (settings->metrics[0])
+		res = metrics_server_new(ops, host, settings->metrics,
+					 &metrics);
+	if (res == RESULT_OK)
+		return metrics;
+	line = logline_new("metrics-failed");
+	logline_str(line, "address", settings->metrics);
+	logline_str(line, "result", result_name(res));
+	node_log(loop_node(loop), line);
+	return NULL;
+}
+
 /* Runs the process; on a fault during the start @a part names the cause. */
 static enum result run(const struct settings *settings, int argc, char **argv,
 		       const char **part)
@@ -129,6 +151,7 @@
 			platform_host_ops(settings->role) :
 			role_hosts[settings->role];
 	struct loop_opts opts = { 0 };
+	struct metrics_server *metrics = NULL;
 	struct loop *loop = NULL;
 	void *host = NULL;
 	enum result res;
@@ -160,10 +183,12 @@
 	loop_set_reload(loop, run_reload, &reload);
 	*part = "drain";
 	log_start(loop, settings, ops->http_address(host));
+	metrics = open_metrics(loop, settings, ops, host);
 	res = loop_run(loop);
 	log_stop(loop, res);
 out:
 	loop_close(loop);
+	metrics_server_free(metrics);
 	if (host)
 		ops->free(host);
 	loop_free(loop);
--- a/src/daemon/role_host.c
+++ b/src/daemon/role_host.c
@@ -6,6 +6,8 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#define METRICS_CONNECTIONS 8 /* one collector and a few operators */
+
 static uint64_t process_resident_bytes(void)
 {
 	FILE *file = fopen("/proc/self/statm", "re");
@@ -51,3 +53,62 @@
 	counter_set(counters, "log_lines_dropped", log_dropped());
 	counters_print(counters, out);
 }
+
+struct metrics_server {
+	const struct role_host_ops *ops;
+	void *host;
+	struct http_server *http;
+};
+
+static void metrics_request(void *ctx, struct http_request *request)
+{
+	http_respond_problem(request, RESULT_UNKNOWN_OBJECT, RUN_NOT_RUN,
+			     "only the counters are served here");
+}
+
+static bool metrics_ready(void *ctx)
+{
+	return true;
+}
+
+static void metrics_append(void *ctx, GString *out)
+{
+	struct metrics_server *server = ctx;
+
+	server->ops->metrics(server->host, out);
+}
+
+static const struct http_server_ops metrics_ops = {
+	.request = metrics_request,
+	.ready = metrics_ready,
+	.metrics = metrics_append,
+};
+
+enum result metrics_server_new(const struct role_host_ops *ops, void *host,
+			       const char *address, struct metrics_server **out)
+{
+	struct metrics_server *server = g_new0(struct metrics_server, 1);
+	struct http_server_opts opts = { .address = address };
+	enum result res;
+
+	server->ops = ops;
+	server->host = host;
+	opts.max_connections = METRICS_CONNECTIONS;
+	opts.ops = &metrics_ops;
+	opts.ctx = server;
+	res = http_server_new(&opts, &server->http);
+	if (res != RESULT_OK) {
+		metrics_server_free(server);
+		return res;
+	}
+	*out = server;
+	return RESULT_OK;
+}
+
+void metrics_server_free(struct metrics_server *server)
+{
+	if (!server)
+		return;
+	http_server_free(server->http);
+	g_free(server);
+}
--- a/src/daemon/role_host.h
+++ b/src/daemon/role_host.h
@@ -26,6 +26,8 @@
 	void (*stop)(void *host);
 	/** Takes new control addresses, NULL-terminated; NULL if it can't. */
 	void (*set_controls)(void *host, const char *const *addresses);
+	/** Appends the counters. */
+	void (*metrics)(void *host, GString *out);
 	/** Returns true if no request and no call is under way. */
 	bool (*idle)(const void *host);
 	/** Frees the host; the node and its role are still there. */
@@ -40,4 +42,12 @@
 void role_host_metrics(struct loop *loop, const struct http_server *server,
 		       GString *out);
 
+struct metrics_server;
+
+/** Serves the host's counters on an address of their own. */
+enum result metrics_server_new(const struct role_host_ops *ops, void *host,
+			       const char *address,
+			       struct metrics_server **out);
+void metrics_server_free(struct metrics_server *server);
+
 #endif /* ROLE_HOST_H */
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -43,6 +43,7 @@
 	SET_GRACE_S,
 	SET_REPLICA_LOSSES,
 	SET_ADVISER,
+	SET_METRICS,
 	NR_SETTINGS,
 };
 
@@ -111,6 +112,9 @@
 	[SET_ADVISER] = { "adviser", "IP:PORT", "", "all", "",
 			  "service that says which workers may run the steps "
 			  "of some queues" },
+	[SET_METRICS] = { "metrics", "IP:PORT", "", "all", "",
+			  "address of a second HTTP server that only serves "
+			  "the counters" },
 };
 
 /* Variables of the operators' tool, which may be set on the same VM. */
@@ -542,6 +546,9 @@
 	if (res == RESULT_OK)
 		res = values_address(values, SET_ADVISER, FALSE, to->adviser,
 				     error);
+	if (res == RESULT_OK)
+		res = values_address(values, SET_METRICS, TRUE, to->metrics,
+				     error);
 	if (res == RESULT_OK)
 		res = values_address(values, SET_WORKER, FALSE, to->worker,
 				     error);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -41,6 +41,7 @@
 	char http[ADDRESS_BYTES];
 	char **control; /* NULL-terminated, owned */
 	uint16_t control_port; /* 0: the ports in control */
+	char metrics[ADDRESS_BYTES]; /* of a server for counters only, or "" */
 	char ready[ADDRESS_BYTES]; /* of a server for readiness only, or "" */
 	char adviser[ADDRESS_BYTES]; /* "": there is none */
 	char **zones; /* NULL-terminated, owned; may be empty */
