Count results by cause; list all metrics and log events in the docs

A process keeps at most 512 names. docs/metrics.md and docs/log-events.md list every name, and test_docs compares both with the sources.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -168,7 +168,6 @@
 void runner_call(struct runner *runner, struct exec_call *call);
 
 /* runner_log.c */
-const char *exec_call_name(enum exec_call_kind kind);
 /** Begins the trace of a new life of the worker. */
 void runner_trace_life(struct runner *runner);
 void runner_trace_call(struct runner *runner, struct runner_call *call);
--- a/src/core/agent/runner_log.c
+++ b/src/core/agent/runner_log.c
@@ -11,13 +11,6 @@
 	[EXEC_PACE] = "pace",
 };
 
-static const char *const call_counters[] = {
-	[EXEC_START] = "worker_starts",
-	[EXEC_STOP] = "worker_stops",
-	[EXEC_HOLD] = "worker_looks",
-	[EXEC_PACE] = "worker_paces",
-};
-
 static const char *const verdict_names[] = {
 	[EXEC_NO_ANSWER] = "no-answer",
 	[EXEC_NOT_SENT] = "not-sent",
@@ -40,11 +33,6 @@
 	{ RESULT_OVERLOADED, "the worker is not healthy" },
 };
 
-const char *exec_call_name(enum exec_call_kind kind)
-{
-	return call_names[kind];
-}
-
 static const char *refusal_reason(uint32_t result)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(refusal_reasons); i++)
@@ -166,12 +154,13 @@
 	struct counters *counters = runner->node->counters;
 
 	if (call->life != runner->life_nr) {
-		counter_count(counters, call_counters[call->kind], "outcome",
-			      "earlier-life");
+		counter_count2(counters, "worker_calls", "kind",
+			       call_names[call->kind], "outcome",
+			       "earlier-life");
 		return;
 	}
-	counter_count(counters, call_counters[call->kind], "outcome",
-		      verdict_names[reply->verdict]);
+	counter_count2(counters, "worker_calls", "kind", call_names[call->kind],
+		       "outcome", verdict_names[reply->verdict]);
 	if (call->kind == EXEC_HOLD)
 		runner_trace_look(runner, reply);
 	if (reply->verdict == EXEC_REFUSED) {
--- a/src/core/base/counter.c
+++ b/src/core/base/counter.c
@@ -8,6 +8,7 @@
 				      500, 1000, 2500, 5000, 10000, 30000 };
 
 #define COUNTER_NAME_BYTES 96 /* with its label */
+#define COUNTERS_MAX 512 /* a process has under 150 */
 
 #define NR_BOUNDS G_N_ELEMENTS(bounds_ms)
 
@@ -24,6 +25,7 @@
 struct counters {
 	GTree *by_name; /* char * -> struct counter * */
 	GTree *histograms; /* char * -> struct histogram * */
+	uint64_t nr_omitted; /* changes of names beyond COUNTERS_MAX */
 };
 
 static gint counter_compare(gconstpointer a, gconstpointer b, gpointer data)
@@ -32,14 +34,19 @@
 	return g_strcmp0(a, b);
 }
 
+/* Returns NULL if there are too many names. */
 static struct counter *counter_slot(struct counters *counters, const char *name)
 {
 	struct counter *counter = g_tree_lookup(counters->by_name, name);
 
-	if (!counter) {
-		counter = g_new0(struct counter, 1);
-		g_tree_insert(counters->by_name, g_strdup(name), counter);
+	if (counter)
+		return counter;
+	if ((uint32_t)g_tree_nnodes(counters->by_name) >= COUNTERS_MAX) {
+		counters->nr_omitted++;
+		return NULL;
 	}
+	counter = g_new0(struct counter, 1);
+	g_tree_insert(counters->by_name, g_strdup(name), counter);
 	return counter;
 }
 
@@ -115,7 +122,10 @@
 
 void counter_add(struct counters *counters, const char *name, uint64_t amount)
 {
-	counter_slot(counters, name)->value += amount;
+	struct counter *counter = counter_slot(counters, name);
+
+	if (counter)
+		counter->value += amount;
 }
 
 void counter_count(struct counters *counters, const char *name, const char *key,
@@ -128,14 +138,36 @@
 	counter_add(counters, labelled, 1);
 }
 
+void counter_count2(struct counters *counters, const char *name,
+		    const char *key, const char *value, const char *key2,
+		    const char *value2)
+{
+	char labelled[COUNTER_NAME_BYTES];
+
+	g_snprintf(labelled, sizeof(labelled), "%s{%s=\"%s\",%s=\"%s\"}", name,
+		   key, value, key2, value2);
+	counter_add(counters, labelled, 1);
+}
+
 void counter_set(struct counters *counters, const char *name, uint64_t value)
 {
 	struct counter *counter = counter_slot(counters, name);
 
+	if (!counter)
+		return;
 	counter->value = value;
 	counter->gauge = true;
 }
 
+void counter_set_total(struct counters *counters, const char *name,
+		       uint64_t value)
+{
+	struct counter *counter = counter_slot(counters, name);
+
+	if (counter)
+		counter->value = value;
+}
+
 uint64_t counter_get(const struct counters *counters, const char *name)
 {
 	const struct counter *counter = g_tree_lookup(counters->by_name, name);
@@ -164,5 +196,11 @@
 	struct counter_page page = { .out = out };
 
 	g_tree_foreach(counters->by_name, counter_print, &page);
+	if (counters->nr_omitted)
+		g_string_append_printf(out,
+				       "# TYPE masticreach_counters_omitted "
+				       "counter\nmasticreach_counters_omitted "
+				       "%" G_GUINT64_FORMAT "\n",
+				       counters->nr_omitted);
 	g_tree_foreach(counters->histograms, histogram_print, out);
 }
--- a/src/core/base/counter.h
+++ b/src/core/base/counter.h
@@ -26,9 +26,18 @@
 void counter_count(struct counters *counters, const char *name, const char *key,
 		   const char *value);
 
+/** As counter_count(), with a second label. */
+void counter_count2(struct counters *counters, const char *name,
+		    const char *key, const char *value, const char *key2,
+		    const char *value2);
+
 /** Sets a gauge. */
 void counter_set(struct counters *counters, const char *name, uint64_t value);
 
+/** Sets a counter that is counted elsewhere. */
+void counter_set_total(struct counters *counters, const char *name,
+		       uint64_t value);
+
 /** Returns the value of @a name, 0 if it was never touched. */
 uint64_t counter_get(const struct counters *counters, const char *name);
 
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -231,6 +231,7 @@
 	logline_str(line, "worker", vm->worker.id);
 	logline_str(line, "task", soft->name);
 	logline_u64(line, "for_ms", vm->shun_ms);
+	counter_add(flows->control->node->counters, "workers_shunned", 1);
 	node_log(flows->control->node, line);
 }
 
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -69,6 +69,8 @@
 		logline_u64(line, "percent", soft->percent);
 		logline_str(line, "reason", why);
 		node_log(flows->control->node, line);
+		counter_count(flows->control->node->counters, "task_stops",
+			      "reason", why);
 	}
 	soft->stopping = true;
 	soft->ordered_us = flows->control->node->now_us;
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -84,6 +84,11 @@
 			continue;
 		if (!soft->on) {
 			soft->on = true;
+			if (soft->ordered_us)
+				counter_observe(flows->control->node->counters,
+						"order_ms",
+						(now_us - soft->ordered_us) /
+							1000);
 			soft->on_us = now_us;
 			soft->progress_us = now_us;
 		}
--- a/src/core/entry/intake.c
+++ b/src/core/entry/intake.c
@@ -66,13 +66,20 @@
 static void intake_finish(struct intake_call *call,
 			  const struct flow_reply *reply)
 {
+	const struct flow_call *message = call->message.body;
 	struct intake *intake = call->intake;
 	struct node *node = intake->node;
+	uint64_t took_ms = (node->now_us - call->began_us) / 1000;
 
 	counter_add(node->counters,
 		    reply->result ? "calls_refused" : "calls_answered", 1);
-	counter_observe(node->counters, "call_ms",
-			(node->now_us - call->began_us) / 1000);
+	counter_count(node->counters, "call_results", "result",
+		      result_name(reply->result));
+	counter_observe(node->counters, "call_ms", took_ms);
+	if (message->kind == FLOW_CALL_SUBMIT)
+		counter_observe(node->counters, "submit_ms", took_ms);
+	counter_set(node->counters, "calls_open",
+		    g_hash_table_size(intake->calls) - 1);
 	intake_log(call, reply);
 	if (!call->abandoned)
 		intake->opts.host->respond(intake->opts.host_ctx, call->ticket,
@@ -137,6 +144,8 @@
 
 	if (g_hash_table_size(intake->calls) >= INTAKE_CALLS_MAX) {
 		counter_add(intake->node->counters, "calls_refused", 1);
+		counter_count(intake->node->counters, "call_results", "result",
+			      result_name(RESULT_OVERLOADED));
 		reply.result = RESULT_OVERLOADED;
 		intake->opts.host->respond(intake->opts.host_ctx,
 					   message->ticket, &reply);
@@ -154,6 +163,10 @@
 			INTAKE_HOLD_PERCENT * 10;
 	call->timer = (struct timer){ intake_due, call };
 	g_hash_table_insert(intake->calls, &call->ticket, call);
+	counter_count(intake->node->counters, "calls", "kind",
+		      intake_kind_name(message->kind));
+	counter_set(intake->node->counters, "calls_open",
+		    g_hash_table_size(intake->calls));
 	intake_due(call, now_us);
 }
 
--- a/src/daemon/log.c
+++ b/src/daemon/log.c
@@ -34,6 +34,8 @@
 	enum log_level level;
 	struct log_opts opts;
 	uint64_t dropped;
+	uint64_t lines_total;
+	uint64_t bytes_total;
 	uint64_t window_us; /* begin of the present second */
 	uint64_t bytes; /* in it */
 	uint32_t nr_events;
@@ -56,6 +58,16 @@
 	logger.level = level;
 }
 
+uint64_t log_lines(void)
+{
+	return logger.lines_total;
+}
+
+uint64_t log_bytes(void)
+{
+	return logger.bytes_total;
+}
+
 uint64_t log_dropped(void)
 {
 	return logger.dropped;
@@ -102,6 +114,8 @@
 		text[size - 1] = '\n';
 	}
 	logger.bytes += (uint64_t)size;
+	logger.bytes_total += (uint64_t)size;
+	logger.lines_total++;
 	if (!logger.opts.write(logger.opts.ctx, text, (size_t)size))
 		logger.dropped++;
 	g_free(stamp);
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -32,6 +32,9 @@
  * tells how many were. A line that the reader has no room for is dropped.
  */
 void log_line(const char *line);
+/** Number of lines and of bytes that were written, or tried to. */
+uint64_t log_lines(void);
+uint64_t log_bytes(void);
 /** Number of lines that were dropped or left out. */
 uint64_t log_dropped(void);
 
--- a/src/daemon/role_host.c
+++ b/src/daemon/role_host.c
@@ -40,17 +40,20 @@
 
 	counter_set(counters, "process_resident_bytes",
 		    process_resident_bytes());
-	counter_set(counters, "process_cpu_us", process_cpu_us());
-	counter_set(counters, "link_bytes_sent", loop_bytes_sent(loop));
-	counter_set(counters, "http_body_bytes_sent",
-		    http_server_bytes_sent(server));
+	counter_set_total(counters, "process_cpu_us", process_cpu_us());
+	counter_set_total(counters, "link_bytes_sent", loop_bytes_sent(loop));
+	counter_set_total(counters, "http_body_bytes_sent",
+			  http_server_bytes_sent(server));
 	counter_set(counters, "http_connections",
 		    http_server_connections(server));
-	counter_set(counters, "http_requests", stats.requests);
+	counter_set_total(counters, "http_requests", stats.requests);
 	counter_set(counters, "http_requests_open", stats.open);
-	counter_set(counters, "http_requests_unanswered", stats.unanswered);
-	counter_set(counters, "http_responses_cut", stats.cut);
-	counter_set(counters, "log_lines_dropped", log_dropped());
+	counter_set_total(counters, "http_requests_unanswered",
+			  stats.unanswered);
+	counter_set_total(counters, "http_responses_cut", stats.cut);
+	counter_set_total(counters, "log_lines", log_lines());
+	counter_set_total(counters, "log_bytes", log_bytes());
+	counter_set_total(counters, "log_lines_dropped", log_dropped());
 	counters_print(counters, out);
 }
 
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -117,5 +117,142 @@
 }
 END_TEST
 
+/* Functions whose first text is the name of an event. */
+#define EVENT_CALL                                                             \
+	"\\b(?:logline_new|runner_log_run|runner_log_worker|runner_log_reply|" \
+	"runner_log_lease|raft_log_event|raft_log_away|node_log_link|"         \
+	"http_log_end|control_op_log)\\([^\"();]*\"([a-z][a-z-]*)\""           \
+	"(?:\\s*:\\s*\"([a-z-]+)\")?"
+#define METRIC_CALL                                                         \
+	"(?:counter_(?:add|set|set_total|count2?|observe)|flow_observe)\\(" \
+	"[^\";]*\"([a-z0-9_]+)\""
+
+/* Adds the text of the product's sources below @a folder. */
+static void read_sources(const char *folder, GString *text)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	ck_assert_msg(dir != NULL, "%s", folder);
+	while ((name = g_dir_read_name(dir))) {
+		char *path = g_build_filename(folder, name, NULL);
+		char *file = NULL;
+
+		if (g_file_test(path, G_FILE_TEST_IS_DIR)) {
+			read_sources(path, text);
+		} else if (g_str_has_suffix(name, ".c") &&
+			   !g_str_has_suffix(name, ".pb-c.c")) {
+			ck_assert(g_file_get_contents(path, &file, NULL, NULL));
+			g_string_append(text, file);
+		}
+		g_free(file);
+		g_free(path);
+	}
+	g_dir_close(dir);
+}
+
+static GString *read_product(void)
+{
+	GString *text = g_string_new(NULL);
+
+	read_sources(DOCS_DIR "/../src", text);
+	read_sources(DOCS_DIR "/../platform", text);
+	return text;
+}
+
+/* Checks that each name in the sources has its place in the page's table. */
+static uint32_t check_names(const char *page, const char *sources,
+			    const char *pattern)
+{
+	GRegex *regex = g_regex_new(pattern, G_REGEX_OPTIMIZE, 0, NULL);
+	GMatchInfo *match = NULL;
+	uint32_t nr = 0;
+
+	g_assert(regex);
+	g_regex_match(regex, sources, 0, &match);
+	for (; g_match_info_matches(match); g_match_info_next(match, NULL)) {
+		for (gint i = 1; i < g_match_info_get_match_count(match); i++) {
+			char *name = g_match_info_fetch(match, i);
+			char *cell = g_strdup_printf("`%s`", name);
+
+			ck_assert_msg(strstr(page, cell) != NULL, "missing: %s",
+				      name);
+			nr++;
+			g_free(cell);
+			g_free(name);
+		}
+	}
+	g_match_info_free(match);
+	g_regex_unref(regex);
+	return nr;
+}
+
+/* Checks that each name in a table's first column stands in the sources. */
+static void check_rows(const char *page, const char *sources)
+{
+	const char *end = strstr(page, "\n\nReasons of");
+	char *table = end ? g_strndup(page, (gsize)(end - page)) :
+			    g_strdup(page);
+	char **lines = g_strsplit(table, "\n", -1);
+
+	for (char **line = lines; *line; line++) {
+		char **names;
+		char *cell;
+
+		if (!g_str_has_prefix(*line, "| `"))
+			continue;
+		cell = g_strndup(*line + 2, (gsize)(strstr(*line + 2, " | ") -
+						    (*line + 2)));
+		names = g_strsplit(cell, ", ", -1);
+		for (char **name = names; *name; name++) {
+			char *bare = g_strndup(*name + 1, strlen(*name) - 2);
+			char *quoted = g_strdup_printf("\"%s\"", bare);
+			char *within = g_strdup_printf("event=%s ", bare);
+			char *printed =
+				g_strdup_printf("masticreach_%s ", bare);
+
+			ck_assert_msg(strstr(sources, quoted) ||
+					      strstr(sources, within) ||
+					      strstr(sources, printed),
+				      "not in the sources: %s", bare);
+			g_free(printed);
+			g_free(within);
+			g_free(quoted);
+			g_free(bare);
+		}
+		g_strfreev(names);
+		g_free(cell);
+	}
+	g_strfreev(lines);
+	g_free(table);
+}
+
+/* Guards against metrics that on-call engineers can't look up. */
+START_TEST(test_metrics_page)
+{
+	char *page = read_page("metrics.md");
+	GString *sources = read_product();
+
+	ck_assert_uint_gt(check_names(page, sources->str, METRIC_CALL), 100);
+	check_rows(page, sources->str);
+	g_string_free(sources, TRUE);
+	g_free(page);
+}
+END_TEST
+
+/* Guards against log lines that on-call engineers can't look up. */
+START_TEST(test_log_events_page)
+{
+	char *page = read_page("log-events.md");
+	GString *sources = read_product();
+
+	ck_assert_uint_gt(check_names(page, sources->str, EVENT_CALL), 60);
+	check_rows(page, sources->str);
+	g_string_free(sources, TRUE);
+	g_free(page);
+}
+END_TEST
+
 SUITE_MAIN("docs", test_errors_page, test_settings_page,
-	   test_every_code_has_a_status)
+	   test_every_code_has_a_status, test_metrics_page,
+	   test_log_events_page)
