--- a/src/core/agent/runner_log.c
+++ b/src/core/agent/runner_log.c
@@ -214,6 +214,7 @@
 	logline_u64(line, "looks_unanswered", trace->looks_unanswered);
 	logline_u64(line, "runs", g_hash_table_size(runner->runs));
 	logline_str(line, "task", task);
+	logline_u64(line, "ends", runner->ends->len);
 	logline_id(line, "leader", site_leader(runner->site));
 	logline_u64(line, "term", runner->term);
 	node_log(runner->node, line);
@@ -224,7 +225,7 @@
 	struct counters *counters = runner->node->counters;
 	struct runner_trace *trace = &runner->trace;
 
-	if (!g_hash_table_size(runner->runs))
+	if (!g_hash_table_size(runner->runs) && !runner->ends->len)
 		return;
 	if (!trace->unrenewed &&
 	    ms_since(runner, trace->renewed_us) >= RUNNER_UNRENEWED_MS) {
--- a/src/daemon/log.c
+++ b/src/daemon/log.c
@@ -17,7 +17,7 @@
 	uint32_t omitted;
 };
 
-static bool log_write(void *ctx, const char *text, size_t size)
+bool log_write(void *ctx, const char *text, size_t size)
 {
 	struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
 
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -15,7 +15,7 @@
 #define LOG_EVENT_LINES_PER_S 500
 #define LOG_BYTES_PER_S (256u << 10)
 
-/** Replaces the function that writes a finished line; for tests. */
+/** Writes a finished line; false if there is no room for it now. */
 typedef bool log_write_fn(void *ctx, const char *text, size_t size);
 
 struct log_opts {
@@ -24,6 +24,9 @@
 	uint64_t (*now_us)(void); /* monotonic */
 };
 
+/** Writes to standard output if that takes it at once. */
+bool log_write(void *ctx, const char *text, size_t size);
+
 void log_setup(const struct log_opts *opts);
 void log_level(enum log_level level);
 /**
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -181,6 +181,59 @@
 }
 END_TEST
 
+/* Guards against names without a type, or with more than one. */
+START_TEST(test_exposition)
+{
+	static const char *const expected =
+		"# TYPE masticreach_a counter\n"
+		"masticreach_a 2\n"
+		"# TYPE masticreach_a_x gauge\n"
+		"masticreach_a_x 7\n"
+		"# TYPE masticreach_b counter\n"
+		"masticreach_b{how=\"x\"} 1\n"
+		"masticreach_b{how=\"y\"} 2\n"
+		"# TYPE masticreach_c counter\n"
+		"masticreach_c{how=\"x\",why=\"z\"} 1\n"
+		"# TYPE masticreach_d counter\n"
+		"masticreach_d 9\n";
+	struct counters *counters = counters_new();
+	GString *out = g_string_new(NULL);
+
+	counter_add(counters, "a", 2);
+	counter_set(counters, "a_x", 7);
+	counter_count(counters, "b", "how", "y");
+	counter_count(counters, "b", "how", "x");
+	counter_count(counters, "b", "how", "y");
+	counter_count2(counters, "c", "how", "x", "why", "z");
+	counter_set_total(counters, "d", 9);
+	counters_print(counters, out);
+	ck_assert_str_eq(out->str, expected);
+	g_string_free(out, TRUE);
+	counters_free(counters);
+}
+END_TEST
+
+/* Guards against counters that fill the memory, or are left out without a sign
+ * of it. */
+START_TEST(test_counters_are_bounded)
+{
+	struct counters *counters = counters_new();
+	GString *out = g_string_new(NULL);
+	char name[32];
+
+	for (uint32_t i = 0; i < 2000; i++) {
+		g_snprintf(name, sizeof(name), "n%u", i);
+		counter_add(counters, name, 1);
+	}
+	counter_add(counters, "n0", 1);
+	ck_assert_uint_eq(counter_get(counters, "n0"), 2);
+	counters_print(counters, out);
+	ck_assert(strstr(out->str, "masticreach_counters_omitted 1488\n"));
+	g_string_free(out, TRUE);
+	counters_free(counters);
+}
+END_TEST
+
 SUITE_MAIN("core", test_timer_order, test_every_type_round_trips,
 	   test_nested_record, test_json_input, test_random_bytes,
-	   test_histogram)
+	   test_histogram, test_exposition, test_counters_are_bounded)
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -4,6 +4,7 @@
  */
 
 #include <string.h>
+#include <unistd.h>
 
 #include "log.h"
 #include "suite.h"
@@ -93,4 +94,33 @@
 }
 END_TEST
 
-SUITE_MAIN("log", test_storm, test_bytes, test_full_pipe)
+/*
+ * Guards against a real pipe whose reader stands still: requests would wait for
+ * the log. Lines go through the product's own writer.
+ */
+START_TEST(test_stopped_reader)
+{
+	struct log_opts opts = { log_write, NULL, test_clock };
+	uint64_t before = log_dropped();
+	uint64_t bytes = log_bytes();
+	int saved = dup(STDOUT_FILENO);
+	int ends[2];
+
+	ck_assert_int_eq(pipe(ends), 0);
+	ck_assert_int_ge(dup2(ends[1], STDOUT_FILENO), 0);
+	log_setup(&opts);
+	/* More than a pipe holds, within the budget of each second. */
+	for (int i = 0; i < 20000; i++) {
+		test_now_us += 10000;
+		log_line("event=stopped-reader text=0123456789012345678901234");
+	}
+	ck_assert_int_ge(dup2(saved, STDOUT_FILENO), 0);
+	close(saved);
+	close(ends[0]);
+	close(ends[1]);
+	ck_assert_uint_gt(log_dropped(), before + 10000);
+	ck_assert_uint_gt(log_bytes(), bytes);
+}
+END_TEST
+
+SUITE_MAIN("log", test_storm, test_bytes, test_full_pipe, test_stopped_reader)
--- a/tests/vhost.c
+++ b/tests/vhost.c
@@ -680,3 +680,12 @@
 			nr++;
 	return nr;
 }
+
+bool vhost_log_has(const struct vhost *vhost, const char *pattern)
+{
+	for (guint i = 0; i < vhost->log->len; i++)
+		if (g_pattern_match_simple(pattern,
+					   g_ptr_array_index(vhost->log, i)))
+			return true;
+	return false;
+}
--- a/tests/vhost.h
+++ b/tests/vhost.h
@@ -77,4 +77,7 @@
 /** Number of log lines so far whose text contains @a text. */
 uint32_t vhost_log_count(const struct vhost *vhost, const char *text);
 
+/** Returns true if a log line so far matches @a pattern, with '*' and '?'. */
+bool vhost_log_has(const struct vhost *vhost, const char *pattern);
+
 #endif /* VHOST_H */
