Name a silent leader as the cause of a lease without renewal

The line has the age of the last grant. The HTTP server's counts of unanswered requests have a test.

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -112,6 +112,7 @@
 	if (!runner_take_term(runner, grant->term) ||
 	    !runner_is_life(runner, grant->worker, grant->born_ms))
 		return;
+	runner->trace.granted_us = runner->node->now_us;
 	if (grant->lease_ms)
 		runner->lease_until_us =
 			MAX(runner->lease_until_us,
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -74,6 +74,7 @@
 	uint32_t looks_unanswered; /* in a row, up to the last answer */
 	bool silent; /* the last look had no answer */
 	uint64_t answered_us; /* last answer to a look */
+	uint64_t granted_us; /* last grant of the leader */
 	uint64_t silent_ms; /* from an answer to the last missing one */
 	uint64_t renewed_us; /* the worker took a later deadline */
 	uint64_t taken_until_us; /* lease that the worker took last */
--- a/src/core/agent/runner_log.c
+++ b/src/core/agent/runner_log.c
@@ -58,6 +58,7 @@
 	memset(&runner->trace, 0, sizeof(runner->trace));
 	runner->trace.answered_us = runner->node->now_us;
 	runner->trace.renewed_us = runner->node->now_us;
+	runner->trace.granted_us = runner->node->now_us;
 }
 
 void runner_trace_call(struct runner *runner, struct runner_call *call)
@@ -187,14 +188,19 @@
 
 static const char *unrenewed_cause(const struct runner *runner)
 {
-	return !runner_has_worker(runner)    ? "no worker" :
-	       !runner->reachable	     ? "worker unreachable" :
-	       !runner->looked		     ? "not looked yet" :
-	       !runner->clock_ms	     ? "worker's clock unknown" :
-	       !site_leader(runner->site)    ? "no leader" :
-	       !runner_lease_left_ms(runner) ? "no grant" :
-	       runner->holding		     ? "look under way" :
-					       "look waits";
+	if (!runner_has_worker(runner))
+		return "no worker";
+	if (!runner->reachable)
+		return "worker unreachable";
+	if (!runner->looked)
+		return "not looked yet";
+	if (!site_leader(runner->site))
+		return "no leader";
+	if (ms_since(runner, runner->trace.granted_us) >= RUNNER_UNRENEWED_MS)
+		return "leader silent";
+	if (!runner_lease_left_ms(runner))
+		return "no grant of a lease";
+	return runner->holding ? "look under way" : "look waits";
 }
 
 static void runner_log_lease(struct runner *runner, const char *event)
@@ -209,8 +215,10 @@
 	logline_str(line, "worker", runner->worker.id);
 	logline_str(line, "cause", unrenewed_cause(runner));
 	logline_u64(line, "unrenewed_ms", ms_since(runner, trace->renewed_us));
-	logline_u64(line, "granted_ms", runner_lease_left_ms(runner));
-	logline_u64(line, "sent_ms", ms_until(runner, trace->sent_until_us));
+	logline_u64(line, "heard_ms_ago", ms_since(runner, trace->granted_us));
+	logline_u64(line, "granted_left_ms", runner_lease_left_ms(runner));
+	logline_u64(line, "sent_left_ms",
+		    ms_until(runner, trace->sent_until_us));
 	logline_u64(line, "looks_unanswered", trace->looks_unanswered);
 	logline_u64(line, "runs", g_hash_table_size(runner->runs));
 	logline_str(line, "task", task);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -588,6 +588,9 @@
 	wait_for(&site.gone);
 	ck_assert_uint_eq(site.gone_ticket, site.last_ticket);
 	ck_assert_ptr_null(http_find(site.http, site.last_ticket));
+	ck_assert_uint_eq(http_server_stats(site.http).requests, 1);
+	ck_assert_uint_eq(http_server_stats(site.http).unanswered, 1);
+	ck_assert_uint_eq(http_server_stats(site.http).open, 0);
 	for (int i = 0; i < 1000 && !http_server_idle(site.http); i++)
 		if (!g_main_context_iteration(NULL, FALSE))
 			g_usleep(1000);
@@ -793,6 +796,8 @@
 	for (int i = 0; i < 1000 && !http_server_idle(site.http); i++)
 		if (!g_main_context_iteration(NULL, FALSE))
 			g_usleep(1000);
+	ck_assert_uint_eq(http_server_stats(site.http).unanswered, 0);
+	ck_assert_uint_eq(http_server_stats(site.http).cut, 0);
 	ck_assert(http_server_idle(site.http));
 	close(fd);
 	close(kept);
--- a/tests/test_logs.c
+++ b/tests/test_logs.c
@@ -214,7 +214,8 @@
 	    "event=lease-renewed *away_ms=* lapsed=yes *" } },
 	{ "an agent is cut off",
 	  cut_agent,
-	  { "event=lease-unrenewed worker=side0 *", "event=vm-lost vm=side0 *",
+	  { "event=lease-unrenewed worker=side0 cause=\"leader silent\" *",
+	    "event=vm-lost vm=side0 *",
 	    "event=done-ignored task=aa.0.0.* run=1 vm=side0 *lapsed=yes "
 	    "*last_run=*" } },
 	{ "a worker refuses a start",
