--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -57,6 +57,7 @@
 	void *value;
 
 	runner_expire_calls(runner);
+	runner_trace_report(runner);
 	node_timer_ms(runner->node, &runner->report_timer,
 		      RUNNER_REPORT_INTERVAL_MS);
 	if (!leader)
@@ -111,6 +112,7 @@
 	if (!runner_take_term(runner, grant->term) ||
 	    !runner_is_life(runner, grant->worker, grant->born_ms))
 		return;
+	runner->trace.granted_us = runner->node->now_us;
 	if (grant->lease_ms)
 		runner->lease_until_us =
 			MAX(runner->lease_until_us,
@@ -308,6 +310,7 @@
 
 	runner->node = node;
 	runner->opts = *opts;
+	runner_trace_life(runner);
 	runner->pressure = pressure_new();
 	runner->runs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     runner_run_free);
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -39,6 +39,7 @@
 
 /* Replicated log. */
 #define RAFT_HEARTBEAT_MS 150
+#define RAFT_SLOW_SYNC_MS 500 /* a log line; heartbeats go on meanwhile */
 #define RAFT_ELECTION_MIN_MS 600
 #define RAFT_ELECTION_MAX_MS 1200
 /* Shorter than the shortest election, so an old leader stops granting first. */
@@ -153,6 +154,8 @@
 /* Above the longest wait of a call and its time limit; a lease lasts longer. */
 #define RUNNER_CALL_MAX_MS 3000
 #define RUNNER_REPORT_INTERVAL_MS 1000 /* five renewals within a lease */
+/* A lease is renewed each second; without two of these it gets a log line. */
+#define RUNNER_UNRENEWED_MS 2500
 #define RUNNER_REPORT_SOON_MS 3 /* collects what ends together */
 /* A look at the worker waits this long for an end; 2,000 at most (platform). */
 #define HOLD_WAIT_MS 1000
@@ -174,6 +177,9 @@
 /* An order that no report shows is sent again after this. */
 #define FLOW_ORDER_REPEAT_MS 1500
 #define FLOW_ORDER_RETRY_MS 50 /* while the leader may not grant */
+/* Work that has found no place for so long gets a log line, then another each
+ * time the wait has doubled. */
+#define FLOW_WAIT_TELL_MS 2000
 #define FLOW_PLACE_DELAY_MS 2 /* collects what becomes ready together */
 /* A workflow that found no room is held against all VMs again after this; in
  * between, against those that have changed. */
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -237,6 +237,7 @@
 	logline_str(line, "worker", vm->worker.id);
 	logline_str(line, "task", soft->name);
 	logline_u64(line, "for_ms", vm->shun_ms);
+	counter_add(flows->control->node->counters, "workers_shunned", 1);
 	node_log(flows->control->node, line);
 }
 
@@ -293,7 +294,8 @@
 	}
 	if (!soft)
 		return;
-	counter_add(flows->control->node->counters, "task_ends", 1);
+	counter_count(flows->control->node->counters, "task_ends", "end",
+		      flow_end_name(end));
 	flow_log_end(flows, soft, end);
 	flow_vm_learn(flows, soft->vm, soft, end);
 	if (end == FLOW_END_REFUSED)
@@ -339,6 +341,7 @@
 	if (flow->record.state == FLOW_COMPLETED)
 		flow_observe(flows, flow, "flow_completed_ms");
 	control_flow_unrank(flows, flow);
+	g_hash_table_remove(flows->waits, flow->record.id);
 	pressure_forget(flows->pressure, flow->record.id);
 	flow_stop_all(flows, flow, flow_state_name(flow->record.state));
 }
@@ -398,6 +401,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	flows->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      flow_orders_free);
+	flows->waits =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	flows->pressure = pressure_new();
 	flows->advice = flow_advice_new();
 	flows->ranks = g_array_new(FALSE, FALSE, sizeof(struct flow_rank));
@@ -427,6 +432,7 @@
 	timer_cancel(timers, &flows->check_timer);
 	g_hash_table_unref(flows->held);
 	g_hash_table_unref(flows->orders);
+	g_hash_table_unref(flows->waits);
 	g_hash_table_unref(flows->runs);
 	g_hash_table_unref(flows->vms);
 	g_array_unref(flows->ranks);
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -101,18 +101,6 @@
 
 /* ---- choice of a VM ---- */
 
-/* What a stage asks of its VMs. */
-struct flow_need {
-	struct control_flow *flows;
-	struct state_flow *flow;
-	uint32_t stage;
-	const struct flow_step *step;
-	const struct flow_vm *avoid; /* where the task failed last */
-	const struct flow_vm *except; /* not to be chosen */
-	bool starved; /* nothing of the workflow runs, and there is room */
-	uint64_t refused_nr; /* only VMs that have changed since; 0: all */
-};
-
 static bool flow_vm_has_label(const struct flow_vm *vm, const char *label)
 {
 	return !strcmp(vm->worker.kind, label) ||
@@ -130,9 +118,8 @@
 	       node->now_us - link->heard_us > FLOW_SILENT_MS * 1000ull;
 }
 
-/* Returns true if the VM may take work of the service at all. */
-static bool flow_vm_open(const struct control_flow *flows,
-			 const struct flow_vm *vm, const char *service)
+bool control_flow_vm_open(const struct control_flow *flows,
+			  const struct flow_vm *vm, const char *service)
 {
 	uint64_t now_us = flows->control->node->now_us;
 
@@ -170,7 +157,7 @@
 	return vm->worker.cpu_millis > used ? vm->worker.cpu_millis - used : 0;
 }
 
-static bool flow_vm_fits(struct flow_vm *vm, const struct flow_need *need)
+bool control_flow_vm_fits(struct flow_vm *vm, const struct flow_need *need)
 {
 	const struct flow_step *step = need->step;
 
@@ -259,8 +246,9 @@
 		if (vm->changed_nr <= need->refused_nr && need->refused_nr)
 			continue;
 		nr_weighed++;
-		if (vm == need->except || !flow_vm_open(flows, vm, service) ||
-		    !flow_vm_fits(vm, need) ||
+		if (vm == need->except ||
+		    !control_flow_vm_open(flows, vm, service) ||
+		    !control_flow_vm_fits(vm, need) ||
 		    (rack && strcmp(rack, vm->worker.rack) != 0))
 			continue;
 		cost = flow_vm_cost(vm, need);
@@ -508,9 +496,12 @@
 			continue;
 		if (!flow_stage_due(flows, flow, i))
 			break; /* later occurrences come later */
-		if (flow_place_stage(&need))
+		if (flow_place_stage(&need)) {
+			control_flow_note_placed(&need);
 			continue;
+		}
 		all = false;
+		control_flow_note_wait(&need);
 		if (flow->record.ticket_ms)
 			flow_advice_want(flows, flow, i);
 	}
