--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -12,6 +12,9 @@
 #define BUNDLE_VERSION 100 /* above what control_world signs off */
 #define TICKET_MS 3000
 #define LIST_ENDS 500 /* at a time */
+#define LOAD_RUN_MS 2700
+#define LOAD_TAIL_MS 60 /* against a target of 100 */
+#define LOAD_SERVING_IMAGES 4
 #define LATE_MIN_US 2000000
 #define LATE_MAX_US 12000000
 
@@ -471,6 +474,42 @@
 	return result;
 }
 
+void flow_world_load(struct flow_world *fw, uint32_t nr_serving,
+		     uint32_t nr_fillers, uint32_t cpu_step_millis)
+{
+	char id[NAME_BYTES];
+
+	fw->run_ms = LOAD_RUN_MS;
+	fw->tail_ms = LOAD_TAIL_MS;
+	fw->lasting = "s";
+	fw->overcommitted = true;
+	for (uint32_t i = 0; i < nr_serving; i++) {
+		struct flow_step step = { .count = 8,
+					  .cpu_millis = 800,
+					  .memory_mib = 400,
+					  .lasting = true,
+					  .target_ms = 100 };
+
+		g_snprintf(step.image, sizeof(step.image), "s%u",
+			   i % LOAD_SERVING_IMAGES);
+		g_snprintf(id, sizeof(id), "s%u", i);
+		flow_world_submit(fw, id, &step, 1);
+	}
+	flow_world_run_ms(fw, 2000);
+	for (uint32_t i = 0; i < nr_fillers; i++) {
+		struct flow_step step = { .count = 20,
+					  .memory_mib = 300,
+					  .filler = true,
+					  .estimate_ms = LOAD_RUN_MS };
+
+		step.cpu_millis = 300 + i * cpu_step_millis;
+		g_snprintf(step.image, sizeof(step.image), "f%u",
+			   i % FLOW_WORLD_FILLER_IMAGES);
+		g_snprintf(id, sizeof(id), "f%u", i);
+		flow_world_submit(fw, id, &step, 1);
+	}
+}
+
 bool flow_world_wait(struct flow_world *fw, const char *id,
 		     enum flow_state state, uint64_t limit_ms)
 {
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -18,6 +18,7 @@
 #ifndef FLOW_WORLD_VMS
 #define FLOW_WORLD_VMS 4
 #endif
+#define FLOW_WORLD_FILLER_IMAGES 8 /* of flow_world_load() */
 
 struct flow_world;
 
@@ -87,6 +88,13 @@
 /** Submits @a id with steps that follow each other. */
 enum result flow_world_submit(struct flow_world *fw, const char *id,
 			      const struct flow_step *steps, uint32_t nr_steps);
+/**
+ * Submits workflows of 8 serving tasks each, then fillers of which most find no
+ * room; each filler workflow asks for @a cpu_step_millis more than the one
+ * before.
+ */
+void flow_world_load(struct flow_world *fw, uint32_t nr_serving,
+		     uint32_t nr_fillers, uint32_t cpu_step_millis);
 /** Waits until the workflow is in the state. */
 bool flow_world_wait(struct flow_world *fw, const char *id,
 		     enum flow_state state, uint64_t limit_ms);
