Read metrics in tests after their type lines

Since a name stands first in its # TYPE line, so that the testbed read 0 for each metric and the check for processes that spin couldn't fail.

--- a/tests/test_contract.c
+++ b/tests/test_contract.c
@@ -350,7 +350,7 @@
 		ck_assert_uint_eq(tb_request(procs[i], "GET", "/-/metrics",
 					     NULL, NULL, &text),
 				  200);
-		cpu = strstr(text, "masticreach_process_cpu_us ");
+		cpu = strstr(text, "\nmasticreach_process_cpu_us ");
 		ck_assert_ptr_nonnull(cpu);
 		/* A process that spins uses all of these 2 s. */
 		ck_assert_uint_lt(strtoul(strchr(cpu, ' '), NULL, 10), 1000000);
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -193,7 +193,7 @@
 
 uint64_t tb_proc_metric(struct tb_proc *proc, const char *name)
 {
-	char *line = g_strdup_printf("masticreach_%s ", name);
+	char *line = g_strdup_printf("\nmasticreach_%s ", name);
 	char *text = NULL;
 	uint64_t value = 0;
 	char *at;
