Show workflows to operators: job show, why, workflow list

What a workflow waits for, where its tasks run and how its last runs ended was only in the log. Tested in the virtual world and with real processes (platform calm).

--- a/src/core/base/op.h
+++ b/src/core/base/op.h
@@ -32,6 +32,7 @@
 	OP_BUNDLE_PUT = 215, /* struct bundle -> op_reply: in force at once */
 	OP_BUNDLE_SHOW = 216, /* op_query -> struct bundle in force */
 	OP_ZONE_PUT = 217, /* struct cmd_zone_set, any version -> op_reply */
+	OP_FLOW_LIST = 218, /* op_query -> op_flows */
 	/* replies */
 	OP_REPLY = 230,
 	OP_BUNDLE_STATUS_REPLY = 231,
@@ -41,11 +42,13 @@
 	OP_TASKS = 235,
 	OP_STATUS_REPLY = 236,
 	OP_BUNDLE = 237, /* struct bundle */
+	OP_FLOWS = 238,
 };
 
 /** A list request; the page starts after the given id or name. */
 struct op_query {
 	uint64_t job_id; /* OP_TASK_LIST: 0 for all jobs */
+	char flow_id[NAME_BYTES]; /* OP_FLOW_LIST: "" for all, in short */
 	uint64_t after_id; /* first page: 0 */
 	char after_name[NAME_BYTES];
 	uint32_t max_items; /* 0: the server's limit */
@@ -113,6 +116,63 @@
 	struct task_record *tasks;
 };
 
+/** One step of one occurrence of a workflow. */
+struct op_flow_step {
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t tasks;
+	uint32_t placed;
+	uint32_t done;
+	uint32_t failures;
+	char state[NAME_BYTES]; /* done, placed, before, not-due, waiting */
+	char reason[NAME_BYTES]; /* waiting: as in the log line, or "" */
+	uint64_t waited_ms; /* waiting without a place, 0 if not known */
+};
+
+/** A task that is placed. */
+struct op_flow_run {
+	char task[NAME_BYTES];
+	uint32_t run;
+	char vm[NAME_BYTES];
+	char state[NAME_BYTES]; /* ordered, running, stopping, ending */
+	uint32_t percent; /* of its work */
+	uint32_t pace; /* percent that it may work at */
+	uint64_t ran_ms;
+};
+
+/** An end that this leader has committed lately. */
+struct op_flow_end {
+	char task[NAME_BYTES];
+	uint32_t run;
+	char vm[NAME_BYTES];
+	char end[NAME_BYTES];
+	uint64_t ended_ms_ago;
+};
+
+struct op_flow {
+	char id[NAME_BYTES];
+	char queue[NAME_BYTES]; /* prefix of its paths */
+	char service[NAME_BYTES];
+	char state[NAME_BYTES];
+	uint32_t priority;
+	uint32_t tasks;
+	uint32_t placed;
+	uint32_t done;
+	uint64_t submitted_ms; /* wall clock */
+	uint64_t finished_ms; /* 0 while active */
+	uint32_t nr_steps; /* these only for a single workflow */
+	struct op_flow_step *steps;
+	uint32_t nr_runs;
+	struct op_flow_run *runs;
+	uint32_t nr_ends;
+	struct op_flow_end *ends;
+};
+
+struct op_flows {
+	uint32_t nr_flows;
+	struct op_flow *flows;
+};
+
 struct op_member {
 	uint64_t node_id;
 	char name[NAME_BYTES];
--- a/src/core/base/schema_op.c
+++ b/src/core/base/schema_op.c
@@ -3,9 +3,8 @@
 #include "schema_tables.h"
 
 static const struct field op_query_fields[] = {
-	F_U64(op_query, job_id),
-	F_U64(op_query, after_id),
-	F_STRING(op_query, after_name),
+	F_U64(op_query, job_id),    F_STRING(op_query, flow_id),
+	F_U64(op_query, after_id),  F_STRING(op_query, after_name),
 	F_U32(op_query, max_items),
 };
 static SCHEMA(op_query_schema, "OpQuery", op_query, op_query_fields);
@@ -75,6 +74,53 @@
 };
 static SCHEMA(op_tasks_schema, "OpTasks", op_tasks, op_tasks_fields);
 
+static const struct field op_flow_step_fields[] = {
+	F_U32(op_flow_step, occurrence), F_U32(op_flow_step, step),
+	F_U32(op_flow_step, tasks),	 F_U32(op_flow_step, placed),
+	F_U32(op_flow_step, done),	 F_U32(op_flow_step, failures),
+	F_STRING(op_flow_step, state),	 F_STRING(op_flow_step, reason),
+	F_U64(op_flow_step, waited_ms),
+};
+static SCHEMA(op_flow_step_schema, "OpFlowStep", op_flow_step,
+	      op_flow_step_fields);
+
+static const struct field op_flow_run_fields[] = {
+	F_STRING(op_flow_run, task), F_U32(op_flow_run, run),
+	F_STRING(op_flow_run, vm),   F_STRING(op_flow_run, state),
+	F_U32(op_flow_run, percent), F_U32(op_flow_run, pace),
+	F_U64(op_flow_run, ran_ms),
+};
+static SCHEMA(op_flow_run_schema, "OpFlowRun", op_flow_run, op_flow_run_fields);
+
+static const struct field op_flow_end_fields[] = {
+	F_STRING(op_flow_end, task),	  F_U32(op_flow_end, run),
+	F_STRING(op_flow_end, vm),	  F_STRING(op_flow_end, end),
+	F_U64(op_flow_end, ended_ms_ago),
+};
+static SCHEMA(op_flow_end_schema, "OpFlowEnd", op_flow_end, op_flow_end_fields);
+
+static const struct field op_flow_fields[] = {
+	F_STRING(op_flow, id),
+	F_STRING(op_flow, queue),
+	F_STRING(op_flow, service),
+	F_STRING(op_flow, state),
+	F_U32(op_flow, priority),
+	F_U32(op_flow, tasks),
+	F_U32(op_flow, placed),
+	F_U32(op_flow, done),
+	F_U64(op_flow, submitted_ms),
+	F_U64(op_flow, finished_ms),
+	F_MANY(op_flow, steps, op_flow_step_schema),
+	F_MANY(op_flow, runs, op_flow_run_schema),
+	F_MANY(op_flow, ends, op_flow_end_schema),
+};
+static SCHEMA(op_flow_schema, "OpFlow", op_flow, op_flow_fields);
+
+static const struct field op_flows_fields[] = {
+	F_MANY(op_flows, flows, op_flow_schema),
+};
+static SCHEMA(op_flows_schema, "OpFlows", op_flows, op_flows_fields);
+
 static const struct field op_member_fields[] = {
 	F_U64(op_member, node_id),    F_STRING(op_member, name),
 	F_STRING(op_member, address), F_BOOL(op_member, voter),
@@ -118,6 +164,7 @@
 	{ OP_BUNDLE_PUT, &bundle_schema },
 	{ OP_BUNDLE_SHOW, &op_query_schema },
 	{ OP_ZONE_PUT, &cmd_zone_set_schema },
+	{ OP_FLOW_LIST, &op_query_schema },
 	{ OP_REPLY, &op_reply_schema },
 	{ OP_BUNDLE_STATUS_REPLY, &op_bundle_status_schema },
 	{ OP_ZONES, &op_zones_schema },
@@ -126,5 +173,6 @@
 	{ OP_TASKS, &op_tasks_schema },
 	{ OP_STATUS_REPLY, &op_status_schema },
 	{ OP_BUNDLE, &bundle_schema },
+	{ OP_FLOWS, &op_flows_schema },
 	{ TYPE_NONE, NULL },
 };
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -166,6 +166,7 @@
 /* Work that has found no place for so long gets a log line, then another each
  * time the wait has doubled. */
 #define FLOW_WAIT_TELL_MS 2000
+#define FLOW_PAST_ENDS 512 /* kept for operators; 2 s of a busy leader */
 #define FLOW_PLACE_DELAY_MS 2 /* collects what becomes ready together */
 /* A worker is shunned when failures are this share of its last ends. */
 #define FLOW_FAIL_WEIGHT 4
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -291,6 +291,7 @@
 	counter_count(flows->control->node->counters, "task_ends", "end",
 		      flow_end_name(end));
 	flow_log_end(flows, soft, end);
+	control_flow_keep_end(flows, soft, end);
 	flow_vm_learn(flows, soft->vm, soft, end);
 	if (end == FLOW_END_REFUSED)
 		flow_advice_forget(flows, soft);
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -99,6 +99,15 @@
 	uint64_t tell_us; /* when to log it next */
 };
 
+/** An end that was committed; for operators. */
+struct flow_past_end {
+	char task[NAME_BYTES];
+	char vm[NAME_BYTES];
+	uint32_t run;
+	enum flow_end end;
+	uint64_t at_us;
+};
+
 /** What a stage asks of its VMs. */
 struct flow_need {
 	struct control_flow *flows;
@@ -122,6 +131,8 @@
 	GHashTable *held; /* task name -> struct flow_vm * that it left */
 	GHashTable *orders; /* vm name -> GArray of struct flow_order */
 	GHashTable *waits; /* workflow's id -> struct flow_wait * */
+	struct flow_past_end past[FLOW_PAST_ENDS]; /* a ring */
+	uint64_t nr_past;
 	struct timer change_timer;
 	struct timer place_timer;
 	struct timer order_timer;
@@ -227,9 +238,17 @@
 void control_flow_note_wait(const struct flow_need *need);
 /** Notes that nothing of a stage waits for a place. */
 void control_flow_note_placed(const struct flow_need *need);
+/** Returns why no VM takes a task of the stage. */
+const char *control_flow_wait_reason(const struct flow_need *need);
+/** Keeps an end for operators' questions. */
+void control_flow_keep_end(struct control_flow *flows,
+			   const struct flow_soft *soft, enum flow_end end);
 void control_flow_set_gauges(struct control_flow *flows);
 
 /* control_flow_place.c */
+/** Returns true if the occurrence of the stage is due. */
+bool control_flow_stage_due(const struct control_flow *flows,
+			    const struct state_flow *flow, uint32_t stage);
 /** Returns true if the VM may take work of the service at all. */
 bool control_flow_vm_open(const struct control_flow *flows,
 			  const struct flow_vm *vm, const char *service);
--- a/src/core/control/control_flow_log.c
+++ b/src/core/control/control_flow_log.c
@@ -112,6 +112,26 @@
 	return nr_vms;
 }
 
+/* Returns the commonest reason. */
+static const char *wait_reason(const uint32_t counts[NR_WAIT_REASONS],
+			       uint32_t nr_vms)
+{
+	uint32_t most = 0;
+
+	for (uint32_t i = 1; i < NR_WAIT_REASONS; i++)
+		if (counts[i] > counts[most])
+			most = i;
+	return nr_vms ? wait_names[most] : "no_worker";
+}
+
+const char *control_flow_wait_reason(const struct flow_need *need)
+{
+	uint32_t counts[NR_WAIT_REASONS] = { 0 };
+	uint32_t nr_vms = count_reasons(need, counts);
+
+	return wait_reason(counts, nr_vms);
+}
+
 static void log_wait(const struct flow_need *need, const struct flow_wait *wait)
 {
 	struct control_flow *flows = need->flows;
@@ -119,14 +139,9 @@
 	const struct state_flow_stage *stage = &flow->stages[need->stage];
 	uint32_t counts[NR_WAIT_REASONS] = { 0 };
 	uint32_t nr_vms = count_reasons(need, counts);
-	uint32_t most = 0;
+	const char *reason = wait_reason(counts, nr_vms);
 	GString *line = logline_new("waiting");
-	const char *reason;
 
-	for (uint32_t i = 1; i < NR_WAIT_REASONS; i++)
-		if (counts[i] > counts[most])
-			most = i;
-	reason = nr_vms ? wait_names[most] : "no_worker";
 	counter_count(flows->control->node->counters, "waits", "reason",
 		      reason);
 	logline_str(line, "id", flow->record.id);
@@ -287,6 +302,19 @@
 	g_string_free(tasks, TRUE);
 }
 
+void control_flow_keep_end(struct control_flow *flows,
+			   const struct flow_soft *soft, enum flow_end end)
+{
+	struct flow_past_end *past =
+		&flows->past[flows->nr_past++ % FLOW_PAST_ENDS];
+
+	TEXT_SET(past->task, soft->name);
+	TEXT_SET(past->vm, soft->vm->name);
+	past->run = soft->run;
+	past->end = end;
+	past->at_us = flows->control->node->now_us;
+}
+
 /* ---- gauges ---- */
 
 static void set_work_gauges(const struct control_flow *flows)
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -408,9 +408,8 @@
 	return true;
 }
 
-/* Returns true if the occurrence of the stage is due. */
-static bool flow_stage_due(const struct control_flow *flows,
-			   const struct state_flow *flow, uint32_t stage)
+bool control_flow_stage_due(const struct control_flow *flows,
+			    const struct state_flow *flow, uint32_t stage)
 {
 	const struct flow_record *record = &flow->record;
 	const struct control_opts *opts = &flows->control->opts;
@@ -474,7 +473,7 @@
 		if (stage->nr_placed + stage->nr_done == need.step->count ||
 		    !state_flow_stage_ready(flow, i))
 			continue;
-		if (!flow_stage_due(flows, flow, i))
+		if (!control_flow_stage_due(flows, flow, i))
 			break; /* later occurrences come later */
 		if (flow_place_stage(&need)) {
 			control_flow_note_placed(&need);
--- a/src/core/control/control_op.c
+++ b/src/core/control/control_op.c
@@ -297,6 +297,7 @@
 	{ OP_JOB_CANCEL, false, control_op_job_cancel },
 	{ OP_JOB_LIST, false, control_list_jobs },
 	{ OP_TASK_LIST, false, control_list_tasks },
+	{ OP_FLOW_LIST, false, control_list_flows },
 	{ OP_STATUS, true, control_list_status },
 	{ OP_BUNDLE_PUT, false, control_op_bundle_put },
 	{ OP_BUNDLE_SHOW, false, control_op_bundle_show },
--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -38,6 +38,8 @@
 	{ "POST", "/v1/jobs", OP_JOB_SUBMIT, NULL },
 	{ "POST", "/v1/jobs/cancel", OP_JOB_CANCEL, NULL },
 	{ "GET", "/v1/tasks", OP_TASK_LIST, NULL },
+	{ "GET", "/v1/workflows", OP_FLOW_LIST, NULL },
+	{ "GET", "/v1/workflows/", OP_FLOW_LIST, "flow_id" },
 	{ "POST", "/v1/members", OP_MEMBER_ADD, NULL },
 	{ "DELETE", "/v1/members/", OP_MEMBER_REMOVE, "node_id" },
 };
--- a/src/tool/commands.c
+++ b/src/tool/commands.c
@@ -74,6 +74,19 @@
 	    { "DONE", "done", NULL },
 	    { "FAILED", "failed", NULL },
 	    { "EVICTIONS", "evictions", NULL } } },
+	{ "workflow",
+	  "/v1/workflows",
+	  "flows",
+	  "after_name",
+	  "id",
+	  { { "WORKFLOW", "id", NULL },
+	    { "QUEUE", "queue", NULL },
+	    { "SERVICE", "service", NULL },
+	    { "STATE", "state", NULL },
+	    { "PRIORITY", "priority", NULL },
+	    { "TASKS", "tasks", NULL },
+	    { "PLACED", "placed", NULL },
+	    { "DONE", "done", NULL } } },
 	{ "task",
 	  "/v1/tasks",
 	  "tasks",
@@ -121,6 +134,35 @@
 	{ NULL, NULL, NULL },
 };
 
+static const struct column flow_step_columns[] = {
+	{ "OCCURRENCE", "occurrence", NULL },
+	{ "STEP", "step", NULL },
+	{ "TASKS", "tasks", NULL },
+	{ "PLACED", "placed", NULL },
+	{ "DONE", "done", NULL },
+	{ "FAILURES", "failures", NULL },
+	{ "STATE", "state", NULL },
+	{ "REASON", "reason", NULL },
+	{ "WAITED MS", "waited_ms", NULL },
+	{ NULL, NULL, NULL },
+};
+
+static const struct column flow_run_columns[] = {
+	{ "TASK", "task", NULL },     { "RUN", "run", NULL },
+	{ "VM", "vm", NULL },	      { "STATE", "state", NULL },
+	{ "RAN MS", "ran_ms", NULL }, { "PERCENT", "percent", NULL },
+	{ "PACE", "pace", NULL },     { NULL, NULL, NULL },
+};
+
+static const struct column flow_end_columns[] = {
+	{ "TASK", "task", NULL },
+	{ "RUN", "run", NULL },
+	{ "VM", "vm", NULL },
+	{ "END", "end", NULL },
+	{ "MS AGO", "ended_ms_ago", NULL },
+	{ NULL, NULL, NULL },
+};
+
 static enum result command_fail(enum result res, const char *message)
 {
 	fprintf(stderr, "masticreach: %s: %s\n", result_name(res), message);
@@ -634,6 +676,60 @@
 	return res;
 }
 
+/* Prints a member's items, without a heading if there are none. */
+static void print_part(JsonObject *flow, const char *member,
+		       const struct column *columns)
+{
+	JsonArray *items = json_object_get_array_member(flow, member);
+
+	if (!items || !json_array_get_length(items))
+		return;
+	printf("\n");
+	table_print(columns, items);
+}
+
+static void print_flow(JsonArray *flows, bool runs)
+{
+	JsonObject *flow = json_array_get_object_element(flows, 0);
+
+	table_print(list_find("workflow")->columns, flows);
+	print_part(flow, "steps", flow_step_columns);
+	if (runs)
+		print_part(flow, "runs", flow_run_columns);
+	print_part(flow, "ends", flow_end_columns);
+}
+
+/* Shows a workflow: its steps and why they wait, its runs, its last ends. */
+static enum result run_flow_show(const struct command *command,
+				 const struct command_args *args)
+{
+	char *path = escaped_path("/v1/workflows/", args->rest[0]);
+	struct client *client = NULL;
+	struct client_reply reply = { 0 };
+	enum result res = command_client(args, &client);
+	JsonArray *flows;
+
+	if (res != RESULT_OK)
+		goto out;
+	client_call(client, "GET", path, NULL, &reply);
+	res = reply.result;
+	if (res != RESULT_OK) {
+		command_fail(res, reply.message);
+		goto out;
+	}
+	flows = json_object_get_array_member(json_node_get_object(reply.root),
+					     "flows");
+	if (args->json)
+		print_json(reply.root);
+	else if (flows && json_array_get_length(flows))
+		print_flow(flows, !strcmp(command->object, "job"));
+out:
+	client_reply_clear(&reply);
+	client_free(client);
+	g_free(path);
+	return res;
+}
+
 static enum result parse_id(const char *text, uint64_t *id)
 {
 	guint64 number = 0;
@@ -713,6 +809,11 @@
 	{ "job", "submit", "FILE", "submit a job (--key)", 1, 1,
 	  run_job_submit },
 	{ "job", "list", "", "list the jobs", 0, 0, run_list },
+	{ "job", "show", "ID", "show a workflow: steps, runs, last ends", 1, 1,
+	  run_flow_show },
+	{ "why", NULL, "ID", "show why a workflow waits, and its last ends", 1,
+	  1, run_flow_show },
+	{ "workflow", "list", "", "list the workflows", 0, 0, run_list },
 	{ "job", "cancel", "ID...", "cancel jobs", 1, UINT32_MAX,
 	  run_job_cancel },
 	{ "task", "list", "", "list the tasks (--job)", 0, 0, run_list },
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -500,7 +500,39 @@
 }
 END_TEST
 
-SUITE_MAIN("flow", test_steps_in_order, test_resend_is_one,
+/* Guards against an operator who can't see why a workflow waits. */
+START_TEST(test_operators_view)
+{
+	struct flow_world *fw = flow_world_new(90);
+	struct op_query query = { 0 };
+	struct flow_step steps[] = { step_of(2), step_of(1) };
+	const struct op_flows *reply;
+	const struct op_flow *flow;
+	uint64_t first = 0;
+
+	steps[0].cpu_millis = 9000; /* more than a VM has */
+	steps[1].nr_after = 1;
+	steps[1].after = &first;
+	flow_world_submit(fw, "aa", steps, 2);
+	flow_world_run_ms(fw, 1500);
+	TEXT_SET(query.flow_id, "aa");
+	reply = world_op(fw->base, OP_FLOW_LIST, &query);
+	ck_assert_uint_eq(fw->base->reply_type, OP_FLOWS);
+	ck_assert_uint_eq(reply->nr_flows, 1);
+	flow = reply->flows;
+	ck_assert_uint_eq(flow->nr_steps, 2);
+	ck_assert_str_eq(flow->steps[0].state, "waiting");
+	ck_assert_str_eq(flow->steps[0].reason, "no_room");
+	ck_assert_uint_ge(flow->steps[0].waited_ms, 1000);
+	ck_assert_str_eq(flow->steps[1].state, "before");
+	TEXT_SET(query.flow_id, "bb");
+	ck_assert_int_eq(world_change(fw->base, OP_FLOW_LIST, &query),
+			 RESULT_UNKNOWN_OBJECT);
+	flow_world_free(fw);
+}
+END_TEST
+
+SUITE_MAIN("flow", test_operators_view, test_steps_in_order, test_resend_is_one,
 	   test_cancel_before_submission, test_cancel_stops_runs,
 	   test_unknown_names, test_leader_killed, test_agent_restarted,
 	   test_vm_cut_off, test_short_cuts, test_late_calls,
--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "platform_bed.h"
+#include "result.h"
 #include "suite.h"
 
 static const char *program;
@@ -42,6 +43,31 @@
 	g_free(wanted);
 }
 
+/* The operators' tool tells what became of both workflows. */
+static void check_tool(struct testbed *tb)
+{
+	static const char *const done = "0000000000000001";
+	static const char *const running = "0000000000000002";
+	char *text = NULL;
+
+	ck_assert_int_eq(testbed_tool(tb, &text, "workflow", "list", NULL), 0);
+	ck_assert_ptr_nonnull(strstr(text, done));
+	ck_assert_ptr_nonnull(strstr(text, running));
+	g_clear_pointer(&text, g_free);
+	ck_assert_int_eq(testbed_tool(tb, &text, "job", "show", running, NULL),
+			 0);
+	ck_assert_ptr_nonnull(strstr(text, "0000000000000002.0.0.3"));
+	ck_assert_ptr_nonnull(strstr(text, "before"));
+	g_clear_pointer(&text, g_free);
+	ck_assert_int_eq(testbed_tool(tb, &text, "why", done, "--json", NULL),
+			 0);
+	ck_assert_ptr_nonnull(strstr(text, "\"state\":\"completed\""));
+	ck_assert_ptr_nonnull(strstr(text, "\"end\":\"done\""));
+	g_clear_pointer(&text, g_free);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "why", "none", NULL),
+			 RESULT_UNKNOWN_OBJECT);
+}
+
 /* Guards against any break of the path on a day without trouble. */
 START_TEST(test_calm)
 {
@@ -60,6 +86,7 @@
 			  404);
 	platform_bed_submit(tb, 2, 0);
 	platform_bed_wait(tb, 2, "running", 5000);
+	check_tool(tb);
 	ck_assert_uint_eq(tb_request(entry, "DELETE", "/q/0000000000000002",
 				     NULL, NULL, NULL),
 			  200);
