Keep a worker's ends until the log has them, also over a new life

Callers may see a task run again after it ended as done. The numbers of ends start anew with each life, and a worker may start again under its identity. A cursor that was meant for the earlier life made the later one forget its first ends: from a late call, or from a look that reached it before its heartbeat reached the agent. The agent then dropped ends that it had listed, and took runs that were on neither list for never started.

The agent keeps what it has seen listed until the leader settles it. After a call without an answer it names no cursor until a reply shows which life is there.

Evidence: test_ends_are_kept and test_cursor_after_silence fail before and pass after. An end that a late call removes before any look has listed it is still taken for never started.

--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -70,7 +70,10 @@
 	/* A worker that doesn't answer must let its lease lapse. */
 	if (runner->reachable || !runner->looked)
 		call.deadline_ms = runner_deadline_ms(runner);
-	call.settled_nr = runner->settled_nr;
+	/* After a call without an answer, another life may be there: its ends
+	 * have the same numbers. */
+	if (runner->reachable)
+		call.settled_nr = runner->settled_nr;
 	/* The first look is wanted at once. */
 	if (runner->looked)
 		call.wait_ms = runner_pace_matters(runner) ? HOLD_WAIT_PACE_MS :
@@ -306,11 +309,14 @@
 	return false;
 }
 
-/* Takes the ends that the worker lists; returns true if any is new. */
+/*
+ * Takes the ends that the worker lists; returns true if any is new. Those that
+ * were listed before stay until they are settled: a late call of an earlier
+ * life may have made the worker forget them.
+ */
 static bool runner_take_ends(struct runner *runner,
 			     const struct exec_reply *reply)
 {
-	GArray *ends = g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
 	bool fresh = false;
 
 	for (uint32_t i = 0; i < reply->nr_ends; i++) {
@@ -318,17 +324,14 @@
 
 		if (runner_find(runner, end->task, end->run))
 			g_hash_table_remove(runner->runs, end->task);
-		if (end->nr <= runner->settled_nr)
+		if (end->nr <= runner->settled_nr ||
+		    runner_knows_end(runner, end->nr))
 			continue;
-		if (!runner_knows_end(runner, end->nr)) {
-			fresh = true;
-			runner_log_run(runner, "run-ended", end->task, end->run,
-				       flow_end_name(end->end), RESULT_OK);
-		}
-		g_array_append_val(ends, *end);
+		fresh = true;
+		runner_log_run(runner, "run-ended", end->task, end->run,
+			       flow_end_name(end->end), RESULT_OK);
+		g_array_append_val(runner->ends, *end);
 	}
-	g_array_unref(runner->ends);
-	runner->ends = ends;
 	return fresh;
 }
 
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -531,6 +531,57 @@
 }
 END_TEST
 
+/*
+ * Guards against an end that the worker forgets on a late call's word before
+ * the leader has settled it.
+ */
+START_TEST(test_ends_are_kept)
+{
+	struct flow_run_end end = { .nr = 5, .run = 1, .end = FLOW_END_DONE };
+	struct exec_reply list = done;
+	struct bench *bench = bench_ready(true);
+
+	TEXT_SET(end.task, TASK);
+	list.nr_ends = 1;
+	list.ends = &end;
+	bench_run_ms(bench, 20);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+	bench_run_ms(bench, 200);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	bench_run_ms(bench, 1000);
+	ck_assert_uint_eq(bench->report.nr_ends, 1);
+	bench_grant(bench, 5);
+	bench_run_ms(bench, 1000);
+	ck_assert_uint_eq(bench->report.nr_ends, 0);
+	bench_free(bench);
+}
+END_TEST
+
+/*
+ * Guards against ends of a new life that are settled by the numbers of the one
+ * before: a call without an answer may be the first sign of another life.
+ */
+START_TEST(test_cursor_after_silence)
+{
+	struct bench *bench = bench_ready(true);
+	struct bench_call call = { 0 };
+
+	bench_run_ms(bench, 20);
+	bench_grant(bench, 5);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &silence, &call));
+	ck_assert_uint_eq(call.settled_nr, 5);
+	bench_run_ms(bench, 400);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, &call));
+	ck_assert_uint_eq(call.settled_nr, 0);
+	bench_run_ms(bench, 20);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, &call));
+	ck_assert_uint_eq(call.settled_nr, 5);
+	bench_free(bench);
+}
+END_TEST
+
 static void bench_list(struct bench *bench, uint32_t tail_ms)
 {
 	struct flow_run runs[2] = { { .run = 1 }, { .run = 1 } };
@@ -646,4 +697,5 @@
 	   test_ends_wait_for_the_log, test_old_run_is_settled_by_lists,
 	   test_full_list_of_ends, test_orders_of_later_life,
 	   test_lists_of_other_life, test_ends_outlive_the_life,
-	   test_late_deregistration, test_pace, test_start_waits_for_room)
+	   test_late_deregistration, test_ends_are_kept,
+	   test_cursor_after_silence, test_pace, test_start_waits_for_room)
