Stop in a worker's new life what may come late, and test random faults

Callers may see a task run twice, or again after it ended as done. A start without an answer may be carried out up to 12 s later, also by a later life of the worker under the same identity, which knows of no stop. The leader took the runs of an earlier life for lost at once, and an agent forgot such a start as soon as the earlier life had forbidden the run. A start that the new life answered before its first heartbeat counted as "not started".

- The leader has the new life stop the run first; its agent lists the end or refuses the run.
Lives under another identity end their runs as before.
- The agent remembers starts without an answer for 12 s and stops them in the new life.
- A start that another life has carried out counts as one without an answer.

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -28,24 +28,6 @@
 	g_array_append_val(runs, item);
 }
 
-static void runner_add_unsure(struct runner *runner, GArray *runs)
-{
-	for (guint i = runner->unsure->len; i-- > 0;) {
-		const struct runner_unsure *unsure =
-			&g_array_index(runner->unsure, struct runner_unsure, i);
-		struct flow_run item = { 0 };
-
-		if (unsure->until_us <= runner->node->now_us) {
-			g_array_remove_index_fast(runner->unsure, i);
-			continue;
-		}
-		TEXT_SET(item.task, unsure->task);
-		item.run = unsure->run;
-		item.unconfirmed = true;
-		g_array_append_val(runs, item);
-	}
-}
-
 static void runner_report(void *data, uint64_t now_us)
 {
 	struct runner *runner = data;
@@ -74,7 +56,6 @@
 	g_hash_table_iter_init(&iter, runner->runs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		runner_add_run(runs, value);
-	runner_add_unsure(runner, runs);
 	g_array_append_vals(ends, runner->ends->data, runner->ends->len);
 	g_array_append_vals(ends, runner->own_ends->data,
 			    runner->own_ends->len);
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -54,7 +54,7 @@
 	uint32_t percent;
 };
 
-/** A start of an earlier life that may still be carried out. */
+/** A start without an answer, which may still be carried out. */
 struct runner_unsure {
 	char task[NAME_BYTES];
 	uint32_t run;
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -104,11 +104,25 @@
 	node_log(runner->node, line);
 }
 
-/*
- * A start without an answer may still be carried out by a later life under the
- * same identity.
- */
-static void runner_keep_unsure(struct runner *runner)
+/* A start without an answer may still be carried out by a later life under the
+ * same identity, which knows of no stop. */
+static void runner_keep_unsure(struct runner *runner, const char *task,
+			       uint32_t run)
+{
+	struct runner_unsure unsure = { .run = run };
+
+	/* The oldest stand first. */
+	while (runner->unsure->len &&
+	       g_array_index(runner->unsure, struct runner_unsure, 0)
+			       .until_us <= runner->node->now_us)
+		g_array_remove_index(runner->unsure, 0);
+	TEXT_SET(unsure.task, task);
+	unsure.until_us = runner->node->now_us + LATE_CALL_MS * 1000ull;
+	g_array_append_val(runner->unsure, unsure);
+}
+
+/* Keeps the starts that are under way to a life that is over. */
+static void runner_keep_starting(struct runner *runner)
 {
 	GHashTableIter iter;
 	void *value;
@@ -116,14 +130,25 @@
 	g_hash_table_iter_init(&iter, runner->runs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct runner_run *run = value;
-		struct runner_unsure unsure = { .run = run->run };
 
-		if (run->phase != RUNNER_STARTING &&
-		    run->phase != RUNNER_UNSURE)
-			continue;
-		TEXT_SET(unsure.task, run->task);
-		unsure.until_us = runner->node->now_us + LATE_CALL_MS * 1000ull;
-		g_array_append_val(runner->unsure, unsure);
+		if (run->phase == RUNNER_STARTING ||
+		    run->phase == RUNNER_UNSURE)
+			runner_keep_unsure(runner, run->task, run->run);
+	}
+}
+
+/* Forbids the new life what may still come of the earlier one. */
+static void runner_stop_unsure(struct runner *runner)
+{
+	for (guint i = 0; i < runner->unsure->len; i++) {
+		const struct runner_unsure *unsure =
+			&g_array_index(runner->unsure, struct runner_unsure, i);
+
+		if (unsure->until_us > runner->node->now_us &&
+		    !g_hash_table_contains(runner->runs, unsure->task))
+			runner_stop(runner,
+				    runner_add(runner, unsure->task,
+					       unsure->run, RUNNER_UNSURE));
 	}
 }
 
@@ -162,6 +187,7 @@
 	bool same = !strcmp(worker->id, life->id) &&
 		    worker->born_ms == life->born_ms;
 	bool was_draining = same && worker->draining;
+	bool reborn;
 
 	if (worker->id[0] &&
 	    (same ? worker->ended || seq <= runner->worker_seq :
@@ -169,8 +195,9 @@
 		counter_add(runner->node->counters, "heartbeats_stale", 1);
 		return RESULT_STALE;
 	}
-	if (!same && !strcmp(worker->id, life->id))
-		runner_keep_unsure(runner);
+	reborn = !same && !strcmp(worker->id, life->id);
+	if (reborn)
+		runner_keep_starting(runner);
 	if (!same)
 		runner_forget_life(runner);
 	*worker = *life;
@@ -180,6 +207,8 @@
 	runner->worker_seq = seq;
 	runner->worker_heard_us = runner->node->now_us;
 	counter_add(runner->node->counters, "heartbeats", 1);
+	if (reborn)
+		runner_stop_unsure(runner);
 	if (!same || was_draining != worker->draining) {
 		runner_log_worker(runner, same ? "worker-draining" :
 						 "worker-registered");
@@ -251,6 +280,7 @@
 	default:
 		/* It may come later; a stop makes sure that it doesn't. */
 		runner_set_phase(runner, run, RUNNER_UNSURE);
+		runner_keep_unsure(runner, run->task, run->run);
 		runner_log_run(runner, "run-unsure", run->task, run->run,
 			       "no answer to the start", RESULT_TIMEOUT);
 		runner_report_soon(runner);
@@ -418,6 +448,7 @@
 		      const struct exec_reply *reply)
 {
 	static const struct exec_reply other = { .verdict = EXEC_OTHER_LIFE };
+	static const struct exec_reply none = { .verdict = EXEC_NO_ANSWER };
 	struct runner_call *call = g_hash_table_lookup(runner->calls, &call_nr);
 
 	if (!call)
@@ -425,8 +456,12 @@
 	g_hash_table_steal(runner->calls, &call_nr);
 	if (call->life != runner->life_nr)
 		goto out; /* it concerned an earlier life */
+	/* What another life has started must be stopped there. */
 	if (runner_is_other_life(runner, reply))
-		reply = &other;
+		reply = call->kind == EXEC_START &&
+					reply->verdict == EXEC_DONE ?
+				&none :
+				&other;
 	if (reply->clock_ms) {
 		runner->clock_ms = reply->clock_ms;
 		runner->clock_us = runner->node->now_us;
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -152,6 +152,34 @@
 		       vm->lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
 }
 
+/*
+ * Whatever ran in an earlier life has ended with it. Under the same identity, a
+ * later life may still carry out a late start, so it is told to stop the run
+ * first; its agent then lists the end or refuses the run.
+ */
+static void flow_life_over(struct control_flow *flows, struct flow_soft *soft)
+{
+	const struct flow_task *task = &soft->flow->record.tasks[soft->task];
+	struct flow_vm *vm = soft->vm;
+	uint64_t now_us = flows->control->node->now_us;
+	struct flow_run run = { .run = soft->run };
+
+	if (flow_life_is_later(flows, soft))
+		return;
+	if (vm->worker.ended || strcmp(task->worker, vm->worker.id) != 0) {
+		control_flow_end(flows, soft, FLOW_END_LOST, "");
+		return;
+	}
+	if (!vm->looked ||
+	    (soft->stopping &&
+	     now_us - soft->ordered_us < FLOW_ORDER_REPEAT_MS * 1000ull))
+		return;
+	soft->stopping = true;
+	soft->ordered_us = now_us;
+	TEXT_SET(run.task, soft->name);
+	control_flow_order_kill(flows, vm, &run);
+}
+
 /* Compares what is committed to the VM with what its agent knows. */
 static void flow_reconcile(struct control_flow *flows, struct flow_vm *vm,
 			   GHashTable *listed)
@@ -166,10 +194,8 @@
 		if (!soft->committed || soft->ending)
 			continue;
 		if (!control_flow_is_life(soft) || vm->worker.ended) {
-			/* Whatever ran in an earlier life has ended with it. */
-			if (!known && !flow_life_is_later(flows, soft))
-				control_flow_end(flows, soft, FLOW_END_LOST,
-						 "");
+			if (!known)
+				flow_life_over(flows, soft);
 			continue;
 		}
 		if (!known && vm->looked)
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -42,7 +42,9 @@
 
 static uint64_t clock_ms(const struct fw_vm *vm)
 {
-	return now_us(vm->world) / 1000 - vm->worker.born_ms + 1;
+	uint64_t age_ms = now_us(vm->world) / 1000 + 1 - vm->worker.born_ms;
+
+	return age_ms * (1000 - vm->slow_permille) / 1000;
 }
 
 static const struct fw_run *worker_find(const struct fw_worker *worker,
@@ -88,6 +90,17 @@
 	g_array_remove_index(worker->runs, i);
 }
 
+/* The platform: an end that isn't settled before the lease or the life ends is
+ * void. */
+static void vm_void_ends(struct fw_vm *vm)
+{
+	for (guint i = 0; i < vm->worker.ends->len; i++)
+		g_hash_table_remove(vm->world->done,
+				    g_array_index(vm->worker.ends,
+						  struct flow_run_end, i)
+					    .task);
+}
+
 static void check_start(struct fw_vm *vm, const char *task)
 {
 	struct flow_world *fw = vm->world;
@@ -283,16 +296,6 @@
 		fw_beat(vm, vm->worker.born_ms, ++vm->worker.seq);
 }
 
-/* The platform: an end that isn't settled before the lease lapses is void. */
-static void vm_void_ends(struct fw_vm *vm)
-{
-	for (guint i = 0; i < vm->worker.ends->len; i++)
-		g_hash_table_remove(vm->world->done,
-				    g_array_index(vm->worker.ends,
-						  struct flow_run_end, i)
-					    .task);
-}
-
 /* Ends runs whose time is over and all whose lease has lapsed. */
 static void vm_tick(struct fw_vm *vm)
 {
@@ -313,7 +316,9 @@
 			worker_end(vm, i, FLOW_END_LAPSED);
 		else if (vm->fail_runs)
 			worker_end(vm, i, FLOW_END_FAILED);
-		else if (fw->run_ms && ran_us >= fw->run_ms * 1000ull)
+		else if (fw->run_ms && ran_us >= fw->run_ms * 1000ull &&
+			 !(fw->lasting &&
+			   g_str_has_prefix(run->task, fw->lasting)))
 			worker_end(vm, i, FLOW_END_DONE);
 	}
 	ck_assert_uint_le(cpu_millis, VM_CPU_MILLIS);
@@ -383,6 +388,7 @@
 void fw_crash_worker(struct fw_vm *vm)
 {
 	vm->worker.up = false;
+	vm_void_ends(vm);
 	g_array_set_size(vm->worker.runs, 0);
 	g_array_set_size(vm->worker.ends, 0);
 	g_hash_table_remove_all(vm->worker.barred);
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -44,6 +44,7 @@
 	struct runner *runner; /* NULL while the agent is dead */
 	struct fw_worker worker;
 	uint32_t lose_ppm; /* calls without answer, carried out late */
+	uint32_t slow_permille; /* of the worker's clock; set before its life */
 	bool fail_runs; /* every run fails at once */
 	uint32_t tail_ms; /* figure of its runs, 0: the world's */
 	bool draining;
@@ -64,6 +65,7 @@
 		*permit; /* ticket of the only worker that may start, or NULL */
 	const char *good; /* its name */
 	uint32_t run_ms; /* of every run */
+	const char *lasting; /* runs of this workflow last, NULL: none */
 	uint32_t tail_ms; /* figure of every run */
 	uint64_t ticket;
 	struct flow_reply reply;
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -531,6 +531,54 @@
 }
 END_TEST
 
+/*
+ * Guards against a start without answer that a later life under the same
+ * identity carries out: that life knows of no stop.
+ */
+START_TEST(test_late_start_in_later_life)
+{
+	struct exec_reply list = done;
+	struct bench *bench = bench_ready(true);
+
+	bench_order(bench, FLOW_START, 1, false, 0);
+	ck_assert(bench_answer(bench, EXEC_START, &silence, NULL));
+	ck_assert(bench_answer(bench, EXEC_STOP, &done, NULL));
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	ck_assert_int_eq(bench_beat(bench, 2, 1, false), RESULT_OK);
+	ck_assert_uint_eq(bench->nr_stops, 2);
+	list.born_ms = 2;
+	ck_assert(bench_answer(bench, EXEC_STOP, &list, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	for (uint32_t i = 0; i < 2; i++) {
+		ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+		bench_run_ms(bench, 20);
+	}
+	ck_assert_uint_eq(bench->refused->len, 2);
+	bench_free(bench);
+}
+END_TEST
+
+/* Guards against "not started" for a run that another life has started. */
+START_TEST(test_start_by_other_life)
+{
+	struct exec_reply reply = done;
+	struct bench *bench = bench_ready(true);
+
+	reply.born_ms = 2;
+	bench_order(bench, FLOW_START, 1, false, 0);
+	ck_assert(bench_answer(bench, EXEC_START, &reply, NULL));
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	ck_assert_uint_eq(bench->nr_stops, 1);
+	bench_free(bench);
+}
+END_TEST
+
 /*
  * Guards against an end that the worker forgets on a late call's word before
  * the leader has settled it.
@@ -697,5 +745,6 @@
 	   test_ends_wait_for_the_log, test_old_run_is_settled_by_lists,
 	   test_full_list_of_ends, test_orders_of_later_life,
 	   test_lists_of_other_life, test_ends_outlive_the_life,
-	   test_late_deregistration, test_ends_are_kept,
+	   test_late_deregistration, test_late_start_in_later_life,
+	   test_start_by_other_life, test_ends_are_kept,
 	   test_cursor_after_silence, test_pace, test_start_waits_for_room)
