--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -71,7 +71,10 @@
 	/* A worker that doesn't answer must let its lease lapse. */
 	if (runner->reachable || !runner->looked)
 		call.deadline_ms = runner_deadline_ms(runner);
-	call.settled_nr = runner->settled_nr;
+	/* After a call without an answer, another life may be there: its ends
+	 * have the same numbers. */
+	if (runner->reachable)
+		call.settled_nr = runner->settled_nr;
 	/* The first look is wanted at once, and one after a lost look. */
 	if (runner->looked && !runner->lost_looks)
 		call.wait_ms = runner_pace_matters(runner) ? HOLD_WAIT_PACE_MS :
@@ -103,11 +106,25 @@
 	node_log(runner->node, line);
 }
 
-/*
- * A start without an answer may still be carried out by a later life under the
- * same identity.
- */
-static void runner_keep_unsure(struct runner *runner)
+/* A start without an answer may still be carried out by a later life under the
+ * same identity, which knows of no stop. */
+static void runner_keep_unsure(struct runner *runner, const char *task,
+			       uint32_t run)
+{
+	struct runner_unsure unsure = { .run = run };
+
+	/* The oldest stand first. */
+	while (runner->unsure->len &&
+	       g_array_index(runner->unsure, struct runner_unsure, 0)
+			       .until_us <= runner->node->now_us)
+		g_array_remove_index(runner->unsure, 0);
+	TEXT_SET(unsure.task, task);
+	unsure.until_us = runner->node->now_us + LATE_CALL_MS * 1000ull;
+	g_array_append_val(runner->unsure, unsure);
+}
+
+/* Keeps the starts that are under way to a life that is over. */
+static void runner_keep_starting(struct runner *runner)
 {
 	GHashTableIter iter;
 	void *value;
@@ -115,14 +132,25 @@
 	g_hash_table_iter_init(&iter, runner->runs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct runner_run *run = value;
-		struct runner_unsure unsure = { .run = run->run };
 
-		if (run->phase != RUNNER_STARTING &&
-		    run->phase != RUNNER_UNSURE)
-			continue;
-		TEXT_SET(unsure.task, run->task);
-		unsure.until_us = runner->node->now_us + LATE_CALL_MS * 1000ull;
-		g_array_append_val(runner->unsure, unsure);
+		if (run->phase == RUNNER_STARTING ||
+		    run->phase == RUNNER_UNSURE)
+			runner_keep_unsure(runner, run->task, run->run);
+	}
+}
+
+/* Forbids the new life what may still come of the earlier one. */
+static void runner_stop_unsure(struct runner *runner)
+{
+	for (guint i = 0; i < runner->unsure->len; i++) {
+		const struct runner_unsure *unsure =
+			&g_array_index(runner->unsure, struct runner_unsure, i);
+
+		if (unsure->until_us > runner->node->now_us &&
+		    !g_hash_table_contains(runner->runs, unsure->task))
+			runner_stop(runner,
+				    runner_add(runner, unsure->task,
+					       unsure->run, RUNNER_UNSURE));
 	}
 }
 
@@ -163,6 +191,7 @@
 	bool same = !strcmp(worker->id, life->id) &&
 		    worker->born_ms == life->born_ms;
 	bool was_draining = same && worker->draining;
+	bool reborn;
 
 	if (worker->id[0] &&
 	    (same ? worker->ended || seq <= runner->worker_seq :
@@ -170,8 +199,9 @@
 		counter_add(runner->node->counters, "heartbeats_stale", 1);
 		return RESULT_STALE;
 	}
-	if (!same && !strcmp(worker->id, life->id))
-		runner_keep_unsure(runner);
+	reborn = !same && !strcmp(worker->id, life->id);
+	if (reborn)
+		runner_keep_starting(runner);
 	if (!same)
 		runner_forget_life(runner);
 	*worker = *life;
@@ -181,6 +211,8 @@
 	runner->worker_seq = seq;
 	runner->worker_heard_us = runner->node->now_us;
 	counter_add(runner->node->counters, "heartbeats", 1);
+	if (reborn)
+		runner_stop_unsure(runner);
 	if (!same || was_draining != worker->draining) {
 		runner_log_worker(runner, same ? "worker-draining" :
 						 "worker-registered");
@@ -252,6 +284,7 @@
 	default:
 		/* It may come later; a stop makes sure that it doesn't. */
 		runner_set_phase(runner, run, RUNNER_UNSURE);
+		runner_keep_unsure(runner, run->task, run->run);
 		runner_log_run(runner, "run-unsure", run->task, run->run,
 			       "no answer to the start", RESULT_TIMEOUT);
 		runner_report_soon(runner);
@@ -310,11 +343,14 @@
 	return false;
 }
 
-/* Takes the ends that the worker lists; returns true if any is new. */
+/*
+ * Takes the ends that the worker lists; returns true if any is new. Those that
+ * were listed before stay until they are settled: a late call of an earlier
+ * life may have made the worker forget them.
+ */
 static bool runner_take_ends(struct runner *runner,
 			     const struct exec_reply *reply)
 {
-	GArray *ends = g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
 	bool fresh = false;
 
 	for (uint32_t i = 0; i < reply->nr_ends; i++) {
@@ -322,17 +358,14 @@
 
 		if (runner_find(runner, end->task, end->run))
 			g_hash_table_remove(runner->runs, end->task);
-		if (end->nr <= runner->settled_nr)
+		if (end->nr <= runner->settled_nr ||
+		    runner_knows_end(runner, end->nr))
 			continue;
-		if (!runner_knows_end(runner, end->nr)) {
-			fresh = true;
-			runner_log_run(runner, "run-ended", end->task, end->run,
-				       flow_end_name(end->end), RESULT_OK);
-		}
-		g_array_append_val(ends, *end);
+		fresh = true;
+		runner_log_run(runner, "run-ended", end->task, end->run,
+			       flow_end_name(end->end), RESULT_OK);
+		g_array_append_val(runner->ends, *end);
 	}
-	g_array_unref(runner->ends);
-	runner->ends = ends;
 	return fresh;
 }
 
@@ -427,6 +460,7 @@
 		      const struct exec_reply *reply)
 {
 	static const struct exec_reply other = { .verdict = EXEC_OTHER_LIFE };
+	static const struct exec_reply none = { .verdict = EXEC_NO_ANSWER };
 	struct runner_call *call = g_hash_table_lookup(runner->calls, &call_nr);
 
 	if (!call)
@@ -435,8 +469,12 @@
 	runner_trace_reply(runner, call, reply);
 	if (call->life != runner->life_nr)
 		goto out; /* it concerned an earlier life */
+	/* What another life has started must be stopped there. */
 	if (runner_is_other_life(runner, reply))
-		reply = &other;
+		reply = call->kind == EXEC_START &&
+					reply->verdict == EXEC_DONE ?
+				&none :
+				&other;
 	if (reply->clock_ms) {
 		runner->clock_ms = reply->clock_ms;
 		runner->clock_us = runner->node->now_us;
