--- a/tests/executor_standin.c
+++ b/tests/executor_standin.c
@@ -5,22 +5,31 @@
  * numbers, ends that are listed until they are settled. What it did goes to a
  * journal.
  *
- * A task's spec is its run time in milliseconds; 0 runs until it is stopped.
- * SIGHUP ends this life and begins another one under the same identity.
+ * A task's spec is "MS [HOW [CPU]]": its run time in milliseconds, where 0 runs
+ * until it is stopped; "done", "fail" or "once" for a first run that fails; and
+ * its share of the capacity in thousandths of a core.
+ * SIGHUP ends this life, with its connections, and begins another one under the
+ * same identity at the same address.
  */
 
 #include <glib-unix.h>
 #include <inttypes.h>
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
+#include <signal.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define BEAT_MS 300
 #define TICK_MS 10
-#define LATE_MS 2000 /* an unanswered order is carried out after this */
+/* An unanswered order is carried out after this, if it is. */
+#define LATE_MIN_MS 2000
+#define LATE_MAX_MS 12000
+#define ENDS_A_REPLY 500 /* the protocol's page of ends */
+#define CAPACITY_MILLIS 8000
 #define HOLD_MAX_MS 10000
 
 struct standin {
@@ -30,7 +39,9 @@
 	FILE *journal;
 	char *name;
 	char *agent;
-	char *address;
+	char *address; /* given to a further life, else any */
+	char *zone;
+	char **argv;
 	gint late_percent; /* of the orders: no answer, carried out late */
 	gint malformed_percent; /* of the reports */
 	GRand *random;
@@ -50,6 +61,8 @@
 	char *task;
 	uint64_t nr;
 	uint64_t run_ms; /* 0: lasts */
+	bool fails;
+	uint32_t cpu_millis;
 	gint64 began_us;
 };
 
@@ -69,7 +82,6 @@
 /* An order that gets no answer. */
 struct late {
 	struct standin *standin;
-	uint64_t born_ms;
 	char *path;
 	GBytes *body;
 };
@@ -105,7 +117,8 @@
 	return (uint64_t)(g_get_monotonic_time() - standin->born_us) / 1000 + 1;
 }
 
-static void begin_life(struct standin *standin)
+/* What runs ends with this life. */
+static void end_life(struct standin *standin)
 {
 	GHashTableIter iter;
 	void *value;
@@ -114,15 +127,6 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		note(standin, "end", ((struct run *)value)->task,
 		     ((struct run *)value)->nr);
-	g_hash_table_remove_all(standin->runs);
-	g_hash_table_remove_all(standin->barred);
-	g_ptr_array_set_size(standin->ends, 0);
-	standin->born_ms = (uint64_t)g_get_real_time() / 1000;
-	standin->born_us = g_get_monotonic_time();
-	standin->seq = 0;
-	standin->fence = 0;
-	standin->lease_ms = 0;
-	standin->next_end = 0;
 }
 
 static void bar(struct standin *standin, const char *task, uint64_t run)
@@ -134,6 +138,11 @@
 			    GSIZE_TO_POINTER(MAX(run, known)));
 }
 
+static const char *end_event(const char *how)
+{
+	return !strcmp(how, "done") || !strcmp(how, "failed") ? how : "end";
+}
+
 static void run_ended(struct standin *standin, struct run *run, const char *how)
 {
 	struct end *end = g_new0(struct end, 1);
@@ -143,7 +152,7 @@
 	end->run = run->nr;
 	end->how = how;
 	g_ptr_array_add(standin->ends, end);
-	note(standin, strcmp(how, "done") ? "end" : "done", run->task, run->nr);
+	note(standin, end_event(how), run->task, run->nr);
 	bar(standin, run->task, run->nr);
 	g_hash_table_remove(standin->runs, end->task);
 }
@@ -191,7 +200,7 @@
 	}
 	g_string_append(text, "],\"endedRuns\":[");
 	gap = "";
-	for (guint i = 0; i < standin->ends->len; i++) {
+	for (guint i = 0; i < MIN(standin->ends->len, ENDS_A_REPLY); i++) {
 		const struct end *end = standin->ends->pdata[i];
 
 		g_string_append_printf(
@@ -205,7 +214,40 @@
 
 /* ---- orders ---- */
 
-static const char *start_run(struct standin *standin, JsonObject *call)
+static uint32_t cpu_in_use(const struct standin *standin)
+{
+	GHashTableIter iter;
+	uint32_t millis = 0;
+	void *value;
+
+	g_hash_table_iter_init(&iter, standin->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		millis += ((struct run *)value)->cpu_millis;
+	return millis;
+}
+
+static struct run *run_new(const char *task, uint64_t nr, const char *spec)
+{
+	struct run *run = g_new0(struct run, 1);
+	char **words = g_strsplit(spec, " ", -1);
+	guint nr_words = g_strv_length(words);
+
+	run->task = g_strdup(task);
+	run->nr = nr;
+	run->run_ms = g_ascii_strtoull(spec, NULL, 10);
+	if (nr_words > 1)
+		run->fails = !strcmp(words[1], "fail") ||
+			     (!strcmp(words[1], "once") && nr == 1);
+	if (nr_words > 2)
+		run->cpu_millis =
+			(uint32_t)g_ascii_strtoull(words[2], NULL, 10);
+	run->began_us = g_get_monotonic_time();
+	g_strfreev(words);
+	return run;
+}
+
+static const char *start_run(struct standin *standin, JsonObject *call,
+			     bool late)
 {
 	const char *task = json_object_get_string_member(call, "task");
 	uint64_t nr = (uint64_t)json_object_get_int_member(call, "run");
@@ -220,13 +262,13 @@
 		return "old";
 	if (standin->lease_ms <= clock_ms(standin))
 		return "late";
-	run = g_new0(struct run, 1);
-	run->task = g_strdup(task);
-	run->nr = nr;
-	run->run_ms = g_ascii_strtoull(spec, NULL, 10);
-	run->began_us = g_get_monotonic_time();
+	run = run_new(task, nr, spec);
+	if (cpu_in_use(standin) + run->cpu_millis > CAPACITY_MILLIS) {
+		run_free(run);
+		return "room";
+	}
 	g_hash_table_replace(standin->runs, run->task, run);
-	note(standin, "start", task, nr);
+	note(standin, late ? "late-start" : "start", task, nr);
 	return NULL;
 }
 
@@ -250,13 +292,15 @@
 			break;
 		if (!end->lapsed && !strcmp(end->how, "done"))
 			note(standin, "settled", end->task, end->run);
+		if (!end->lapsed && !strcmp(end->how, "failed"))
+			note(standin, "settled-failed", end->task, end->run);
 		g_ptr_array_remove_index(standin->ends, 0);
 	}
 }
 
 /* Carries an order out; returns the reason of a refusal. */
 static const char *carry_out(struct standin *standin, const char *path,
-			     JsonObject *call)
+			     JsonObject *call, bool late)
 {
 	uint64_t fence = (uint64_t)json_object_get_int_member_with_default(
 		call, "fence", 0);
@@ -269,7 +313,7 @@
 	lease_ms = MIN(lease_ms, clock_ms(standin) + HOLD_MAX_MS);
 	standin->lease_ms = MAX(standin->lease_ms, lease_ms);
 	if (!strcmp(path, "/run-start"))
-		return start_run(standin, call);
+		return start_run(standin, call, late);
 	if (!strcmp(path, "/run-stop"))
 		stop_run(standin, call);
 	if (!strcmp(path, "/hold"))
@@ -286,10 +330,10 @@
 	const char *text = g_bytes_get_data(late->body, &size);
 	JsonParser *parser = json_parser_new();
 
-	if (late->standin->born_ms == late->born_ms &&
-	    json_parser_load_from_data(parser, text, (gssize)size, NULL))
+	if (json_parser_load_from_data(parser, text, (gssize)size, NULL))
 		carry_out(late->standin, late->path,
-			  json_node_get_object(json_parser_get_root(parser)));
+			  json_node_get_object(json_parser_get_root(parser)),
+			  true);
 	g_object_unref(parser);
 	g_bytes_unref(late->body);
 	g_free(late->path);
@@ -297,19 +341,29 @@
 	return G_SOURCE_REMOVE;
 }
 
-/* The caller waits for an answer that never comes. */
+/*
+ * The caller waits for an answer that never comes: the order is carried out at
+ * once, late or not at all.
+ */
 static void leave_unanswered(struct standin *standin, SoupServerMessage *msg,
-			     const char *path)
+			     const char *path, JsonObject *call)
 {
-	struct late *late = g_new0(struct late, 1);
+	gint fate = g_rand_int_range(standin->random, 0, 4);
+	struct late *late;
 
+	soup_server_message_pause(msg);
+	if (fate == 0)
+		carry_out(standin, path, call, false);
+	if (fate <= 1)
+		return;
+	late = g_new0(struct late, 1);
 	late->standin = standin;
-	late->born_ms = standin->born_ms;
 	late->path = g_strdup(path);
 	late->body = soup_message_body_flatten(
 		soup_server_message_get_request_body(msg));
-	g_timeout_add(LATE_MS, carry_out_late, late);
-	soup_server_message_pause(msg);
+	g_timeout_add((guint)g_rand_int_range(standin->random, LATE_MIN_MS,
+					      LATE_MAX_MS),
+		      carry_out_late, late);
 }
 
 static void hold_answer(struct standin *standin, SoupServerMessage *msg)
@@ -349,12 +403,12 @@
 		answer(msg, 400, g_strdup("{}"));
 		goto out;
 	}
+	call = json_node_get_object(json_parser_get_root(parser));
 	if (g_rand_int_range(standin->random, 0, 100) < standin->late_percent) {
-		leave_unanswered(standin, msg, path);
+		leave_unanswered(standin, msg, path, call);
 		goto out;
 	}
-	call = json_node_get_object(json_parser_get_root(parser));
-	reason = carry_out(standin, path, call);
+	reason = carry_out(standin, path, call, false);
 	if (!reason && !strcmp(path, "/hold"))
 		hold_wait(standin, msg, call);
 	else
@@ -381,7 +435,7 @@
 			run_ended(standin, run, "lapsed");
 		else if (run->run_ms &&
 			 now_us - run->began_us >= (gint64)run->run_ms * 1000)
-			run_ended(standin, run, "done");
+			run_ended(standin, run, run->fails ? "failed" : "done");
 	}
 	g_list_free(runs);
 	for (guint i = standin->holds->len; i-- > 0;) {
@@ -433,32 +487,56 @@
 	send_beat(standin,
 		  g_strdup_printf(
 			  "{\"service\":\"svc\",\"addr\":\"%s\","
-			  "\"zone\":\"veraval\",\"version\":\"v1\",\"slots\":8,"
+			  "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":8,"
 			  "\"state\":\"ready\",\"warmupLeftMs\":0,\"capacity\":"
 			  "{\"cpu\":8000,\"memMb\":16000,\"gpu\":0},"
 			  "\"labels\":[\"a\",\"r1\"],\"machine\":\"m-%s\","
 			  "\"serverTimeMs\":%" PRIu64 ",\"born\":%" PRIu64
 			  ",\"seq\":%" PRIu64 "}",
-			  standin->address, standin->name, clock_ms(standin),
-			  standin->born_ms, ++standin->seq));
+			  standin->address, standin->zone, standin->name,
+			  clock_ms(standin), standin->born_ms, ++standin->seq));
 	return G_SOURCE_CONTINUE;
 }
 
+static gboolean on_first_beat(gpointer data)
+{
+	g_timeout_add(BEAT_MS, on_beat, data);
+	on_beat(data);
+	return G_SOURCE_REMOVE;
+}
+
+/* Sockets are closed on exec, so callers see their connections end. */
 static gboolean on_reborn(gpointer data)
 {
-	begin_life(data);
-	return G_SOURCE_CONTINUE;
+	struct standin *standin = data;
+	char *address = g_strdup_printf("--address=%s", standin->address);
+	GPtrArray *argv = g_ptr_array_new();
+
+	end_life(standin);
+	for (char **arg = standin->argv; *arg; arg++)
+		if (!g_str_has_prefix(*arg, "--address="))
+			g_ptr_array_add(argv, *arg);
+	g_ptr_array_add(argv, address);
+	g_ptr_array_add(argv, NULL);
+	/* Until the handler is there again, the next one is left out. */
+	signal(SIGHUP, SIG_IGN);
+	execv("/proc/self/exe", (char **)argv->pdata);
+	g_error("can't begin another life");
+	return G_SOURCE_REMOVE;
 }
 
 static bool serve(struct standin *standin, const char *port_file)
 {
+	const char *colon = standin->address ? strchr(standin->address, ':') :
+					       NULL;
+	guint port = colon ? (guint)g_ascii_strtoull(colon + 1, NULL, 10) : 0;
 	GSList *uris;
 	char *text;
 	bool written;
 
 	standin->server = soup_server_new(NULL, NULL);
 	soup_server_add_handler(standin->server, NULL, on_call, standin, NULL);
-	if (!soup_server_listen_local(standin->server, 0,
+	if (!soup_server_listen_local(standin->server, port,
 				      SOUP_SERVER_LISTEN_IPV4_ONLY, NULL))
 		return false;
 	uris = soup_server_get_uris(standin->server);
@@ -480,6 +558,8 @@
 		{ "name", 0, 0, G_OPTION_ARG_STRING, &standin.name },
 		{ "agent", 0, 0, G_OPTION_ARG_STRING, &standin.agent },
 		{ "journal", 0, 0, G_OPTION_ARG_STRING, &journal },
+		{ "zone", 0, 0, G_OPTION_ARG_STRING, &standin.zone },
+		{ "address", 0, 0, G_OPTION_ARG_STRING, &standin.address },
 		{ "port-file", 0, 0, G_OPTION_ARG_STRING, &port_file },
 		{ "late-percent", 0, 0, G_OPTION_ARG_INT,
 		  &standin.late_percent },
@@ -489,11 +569,15 @@
 	};
 	GOptionContext *context = g_option_context_new(NULL);
 
+	standin.argv = g_strdupv(argv);
 	g_option_context_add_main_entries(context, entries, NULL);
 	if (!g_option_context_parse(context, &argc, &argv, NULL) ||
-	    !standin.name || !standin.agent || !journal || !port_file)
+	    !standin.name || !standin.agent || !standin.zone || !journal ||
+	    !port_file)
 		return 2;
-	standin.journal = fopen(journal, "a");
+	standin.journal = fopen(journal, "ae");
+	standin.born_ms = (uint64_t)g_get_real_time() / 1000;
+	standin.born_us = g_get_monotonic_time();
 	standin.random = g_rand_new_with_seed(g_str_hash(standin.name));
 	standin.session = soup_session_new();
 	standin.runs =
@@ -502,14 +586,14 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	standin.ends = g_ptr_array_new_with_free_func(end_free);
 	standin.holds = g_ptr_array_new();
-	begin_life(&standin);
 	if (!standin.journal || !serve(&standin, port_file))
 		return 1;
 	standin.loop = g_main_loop_new(NULL, FALSE);
 	g_unix_signal_add(SIGHUP, on_reborn, &standin);
 	g_timeout_add(TICK_MS, on_tick, &standin);
-	g_timeout_add(BEAT_MS, on_beat, &standin);
-	on_beat(&standin);
+	/* A further life takes calls before its first report. */
+	g_timeout_add((guint)g_random_int_range(1, BEAT_MS), on_first_beat,
+		      &standin);
 	g_main_loop_run(standin.loop);
 	return 0;
 }
--- a/tests/platform_bed.c
+++ b/tests/platform_bed.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "suite.h"
+#include "task_journal.h"
 
 static const char config[] =
 	"{\"version\":%u,\"routes\":[{\"name\":\"q\",\"host\":\"127.0.0.1\","
@@ -40,12 +41,15 @@
 				    .nr_controls = NR_CONTROLS,
 				    .proxy_controls = opts->proxies,
 				    .platform = true,
+				    .grace_s = opts->grace_s,
 				    .seed = opts->seed };
+	struct tb_executor_opts executor = { .late_percent = opts->late_percent,
+					     .malformed_percent = 10 };
 	struct testbed *tb = testbed_new(&bed, opts->program);
 
 	testbed_add_entry(tb, "veraval");
 	for (uint32_t i = 0; i < NR_WORKERS; i++)
-		testbed_add_executor(tb, opts->late_percent, 10);
+		testbed_add_executor(tb, &executor);
 	platform_bed_config(tb, 1);
 	return tb;
 }
@@ -105,58 +109,17 @@
 	g_free(path);
 }
 
-/* ---- what the workers wrote down ---- */
-
-struct task_log {
-	uint32_t nr_running;
-	bool done;
-	bool settled; /* a done end was taken note of */
-};
-
-static gint line_compare(gconstpointer a, gconstpointer b)
+static void bed_fault(void *ctx, const char *what,
+		      const struct task_event *event)
 {
-	const char *x = *(const char *const *)a;
-	const char *y = *(const char *const *)b;
-	uint64_t t = g_ascii_strtoull(x + strlen("t="), NULL, 10);
-	uint64_t u = g_ascii_strtoull(y + strlen("t="), NULL, 10);
-
-	return t < u ? -1 : t > u;
+	ck_abort_msg("%s: %s", what, event->line);
 }
 
 uint32_t platform_bed_check(struct testbed *tb)
 {
-	GHashTable *tasks =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	GPtrArray *lines = testbed_lines(tb);
-	uint32_t nr_done = 0;
-
-	g_ptr_array_sort(lines, line_compare);
-	for (guint i = 0; i < lines->len; i++) {
-		const char *line = lines->pdata[i];
-		char **words = g_strsplit(line, " ", -1);
-		const char *event = words[2] + strlen("event=");
-		struct task_log *task = g_hash_table_lookup(tasks, words[3]);
-
-		if (!task) {
-			task = g_new0(struct task_log, 1);
-			g_hash_table_insert(tasks, g_strdup(words[3]), task);
-		}
-		if (!strcmp(event, "start")) {
-			ck_assert_msg(!task->nr_running, "twice: %s", line);
-			ck_assert_msg(!task->settled, "again: %s", line);
-			task->nr_running++;
-		} else if (!strcmp(event, "settled")) {
-			task->settled = true;
-		} else {
-			task->nr_running--;
-		}
-		if (!strcmp(event, "done")) {
-			nr_done += !task->done;
-			task->done = true;
-		}
-		g_strfreev(words);
-	}
-	g_ptr_array_unref(lines);
-	g_hash_table_unref(tasks);
+	struct task_journal *journal = task_journal_new(testbed_lines(tb));
+	uint32_t nr_done = task_journal_check(journal, bed_fault, NULL);
+
+	task_journal_free(journal);
 	return nr_done;
 }
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -1,182 +1,283 @@
 /**
  * @file soak.c
- * Randomized soak of the real programs on the platform's protocol. For some
- * seconds it kills, pauses and restarts processes and disturbs connections
- * while clients submit; then all is mended, and every accepted submission has
- * to complete. The workers' journals must show no task twice.
+ * Randomized soak of the real programs on the platform's protocol, see soak.h.
  *
- * soak [SEED [SEEDS]]: runs that many seeds from the first on.
+ * soak [SEED [SEEDS [SHAPE]]]: runs that many seeds from the first on, on a
+ * site of the shape "short", "small" or "large". A failed seed keeps its files.
  */
 
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "platform_bed.h"
+#include "soak.h"
 #include "suite.h"
 
-#define FAULTS_MS 10000
-#define FAULT_GAP_MS 700
-#define SUBMIT_GAP_MS 250
-#define RUN_MS 400
-#define SETTLE_MS 40000 /* leases, late orders and elections are over then */
-#define LATE_PERCENT 4
-#define NR_AFTERWARDS 3 /* submissions once all is mended */
+#define CALM_LOAD_MS 8000 /* more than contactMs and ackMs together */
+#define START_LIMIT_MS 20000
+#define IDLE_LIMIT_MS 30000
+#define POLL_MS 200
+#define SEED_LIMIT_S 300
+#define SHOWN_MAX 40 /* violations; all are counted */
 
-static const char *program;
-
-/* A process that is stopped, or ended and to be started again. */
-struct victim {
-	struct tb_proc *proc;
-	bool paused;
-	int64_t until_ms; /* 0: it runs */
+struct named_shape {
+	const char *name;
+	struct soak_shape shape;
 };
 
-struct soak {
-	struct testbed *tb;
-	GRand *random;
-	struct victim victims[NR_CONTROLS + NR_WORKERS + 1];
-	uint32_t nr_victims;
-	uint32_t nr_submitted;
-	GArray *accepted; /* uint32_t */
+static const struct named_shape shapes[] = {
+	{ "short", { 3, 3, 4, 6, 12000, 4 } },
+	{ "small", { 3, 3, 6, 8, 20000, 4 } },
+	{ "large", { 5, 4, 40, 24, 30000, 4 } },
 };
 
-static int64_t now_ms(void)
+static const char *program;
+static const struct soak_shape *shape = &shapes[1].shape;
+static uint64_t first_seed = 1;
+static int64_t began_ms;
+
+int64_t soak_now_ms(void)
 {
 	return g_get_monotonic_time() / 1000;
 }
 
-static void victims_return(struct soak *soak, bool all)
+bool soak_chance(GRand *random, uint32_t percent)
 {
-	for (uint32_t i = 0; i < soak->nr_victims; i++) {
-		struct victim *victim = &soak->victims[i];
+	return (uint32_t)g_rand_int_range(random, 0, 100) < percent;
+}
 
-		if (!victim->until_ms || (!all && now_ms() < victim->until_ms))
-			continue;
-		victim->until_ms = 0;
-		if (victim->paused)
-			tb_proc_signal(victim->proc, SIGCONT);
-		else
-			tb_proc_restart(victim->proc);
-	}
+static void print_line(const char *kind, const char *format, va_list args)
+{
+	int64_t ms = soak_now_ms() - began_ms;
+	char *text = g_strdup_vprintf(format, args);
+
+	printf("%3" G_GINT64_FORMAT ".%03" G_GINT64_FORMAT " %s%s\n", ms / 1000,
+	       ms % 1000, kind, text);
+	fflush(stdout);
+	g_free(text);
 }
 
-static void hit_process(struct soak *soak, bool pause)
+void soak_violation(struct soak *soak, const char *format, ...)
 {
-	struct victim *victim = &soak->victims[g_rand_int_range(
-		soak->random, 0, (gint)soak->nr_victims)];
+	va_list args;
 
-	if (victim->until_ms)
+	if (++soak->nr_violations > SHOWN_MAX)
 		return;
-	victim->paused = pause;
-	victim->until_ms = now_ms() + g_rand_int_range(soak->random, 100, 3000);
-	tb_proc_signal(victim->proc, pause ? SIGSTOP : SIGKILL);
+	va_start(args, format);
+	print_line("VIOLATION ", format, args);
+	va_end(args);
 }
 
-static void hit_link(struct soak *soak)
+/* A rule that holds only while the core is stable and nothing stalls. */
+struct timed {
+	char *text;
+	int64_t from_us;
+	int64_t to_us;
+};
+
+void soak_timed_violation(struct soak *soak, int64_t from_us,
+			  const char *format, ...)
 {
-	static const char *const commands[] = {
-		"delay 60", "silence",	"reset",	   "cut in",
-		"cut out",  "cut both", "stall 50000 300",
-	};
-	/* Every link of the site ends at a control VM. */
-	struct tb_proc *proc = testbed_control(
-		soak->tb,
-		(uint32_t)g_rand_int_range(soak->random, 0, NR_CONTROLS));
+	struct timed timed = { .from_us = from_us,
+			       .to_us = g_get_monotonic_time() };
+	va_list args;
 
-	tb_proc_fault(proc, commands[g_rand_int_range(soak->random, 0,
-						      G_N_ELEMENTS(commands))]);
+	va_start(args, format);
+	timed.text = g_strdup_vprintf(format, args);
+	va_end(args);
+	g_array_append_val(soak->timed, timed);
 }
 
-static void mend_links(struct soak *soak)
+static void judge_timed(struct soak *soak)
 {
-	for (uint32_t i = 0; i < NR_CONTROLS; i++)
-		tb_proc_fault(testbed_control(soak->tb, i), "heal");
+	for (guint i = 0; i < soak->timed->len; i++) {
+		struct timed *timed =
+			&g_array_index(soak->timed, struct timed, i);
+
+		if (soak_spans_meet(soak->core_harm, timed->from_us,
+				    timed->to_us))
+			soak_note("not judged, the core or the machine was "
+				  "held up: %s",
+				  timed->text);
+		else
+			soak_violation(soak, "%s", timed->text);
+		g_free(timed->text);
+	}
 }
 
-static void hit(struct soak *soak)
+void soak_note(const char *format, ...)
 {
-	gint nr = g_rand_int_range(soak->random, 0, 10);
+	va_list args;
 
-	if (nr < 4)
-		hit_process(soak, false);
-	else if (nr < 6)
-		hit_process(soak, true);
-	else if (nr < 9)
-		hit_link(soak);
-	else
-		mend_links(soak);
+	va_start(args, format);
+	print_line("", format, args);
+	va_end(args);
 }
 
-static void submit_one(struct soak *soak)
+/*
+ * Waits until the condition holds; a limit that passes is a violation. The time
+ * for which the machine held processes up doesn't count.
+ */
+static void wait_for(struct soak *soak, const char *what, uint32_t limit_ms,
+		     bool (*holds)(struct soak *soak))
 {
-	uint32_t nr = ++soak->nr_submitted;
+	int64_t begin_ms = soak_now_ms();
 
-	/* A paused entry would hold the soak itself up. */
-	if (soak->victims[soak->nr_victims - 1].until_ms)
-		return;
-	if (platform_bed_try(soak->tb, nr, RUN_MS) == 200)
-		g_array_append_val(soak->accepted, nr);
+	while (!holds(soak)) {
+		if (soak_now_ms() > begin_ms + limit_ms &&
+		    soak_now_ms() >
+			    begin_ms + limit_ms +
+				    soak_bed_stalled_ms(soak, begin_ms)) {
+			soak_violation(soak, "RECOVER: after %u ms: %s",
+				       limit_ms, what);
+			return;
+		}
+		testbed_wait_ms(POLL_MS);
+	}
 }
 
-static void add_victims(struct soak *soak)
+static bool is_configured(struct soak *soak)
 {
-	for (uint32_t i = 0; i < NR_CONTROLS; i++)
-		soak->victims[soak->nr_victims++].proc =
-			testbed_control(soak->tb, i);
-	for (uint32_t i = 0; i < NR_WORKERS; i++)
-		soak->victims[soak->nr_victims++].proc =
-			testbed_agent(soak->tb, i);
-	soak->victims[soak->nr_victims++].proc = testbed_entry(soak->tb, 0);
+	return soak->stats.nr_acknowledged > 0;
 }
 
-static void run_seed(uint64_t seed)
+static bool is_running(struct soak *soak)
 {
-	struct platform_bed_opts opts = { .program = program,
-					  .late_percent = LATE_PERCENT,
-					  .proxies = true,
-					  .seed = seed };
-	struct soak soak = { .tb = platform_bed_new(&opts) };
-	int64_t end_ms = now_ms() + FAULTS_MS;
-	int64_t hit_ms = 0;
-	uint32_t nr_done;
-
-	soak.random = g_rand_new_with_seed((guint32)seed);
-	soak.accepted = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	add_victims(&soak);
-	while (now_ms() < end_ms) {
-		if (now_ms() >= hit_ms) {
-			hit(&soak);
-			hit_ms = now_ms() + FAULT_GAP_MS;
-		}
-		victims_return(&soak, false);
-		submit_one(&soak);
-		testbed_wait_ms(SUBMIT_GAP_MS);
+	return !soak_faults_open(soak);
+}
+
+static bool is_idle(struct soak *soak)
+{
+	return soak_clients_idle(soak) && soak_operators_idle(soak);
+}
+
+/* Tasks that last run all until they are cancelled. */
+static bool lasting_run(struct soak *soak)
+{
+	GPtrArray *flows = soak_flows(soak);
+
+	for (guint i = 0; i < flows->len; i++) {
+		const struct soak_flow *flow = flows->pdata[i];
+
+		if (flow->kind->run_ms || flow->state != SOAK_ACCEPTED ||
+		    flow->cancel_sent_ms)
+			continue;
+		if (soak_journal_running(soak, flow->id) !=
+		    flow->kind->nr_tasks)
+			return false;
 	}
-	victims_return(&soak, true);
-	mend_links(&soak);
-	/* Service is back, however little was accepted meanwhile. */
-	for (uint32_t i = 0; i < NR_AFTERWARDS; i++) {
-		uint32_t nr = ++soak.nr_submitted;
-
-		platform_bed_submit(soak.tb, nr, RUN_MS);
-		g_array_append_val(soak.accepted, nr);
+	return true;
+}
+
+static bool lasting_cancelled(struct soak *soak)
+{
+	GPtrArray *flows = soak_flows(soak);
+
+	for (guint i = 0; i < flows->len; i++) {
+		const struct soak_flow *flow = flows->pdata[i];
+
+		if (!flow->kind->run_ms && flow->state != SOAK_REJECTED &&
+		    !flow->cancelled_us && !flow->shown)
+			return false;
 	}
-	for (guint i = 0; i < soak.accepted->len; i++)
-		platform_bed_wait(soak.tb,
-				  g_array_index(soak.accepted, uint32_t, i),
-				  "completed", SETTLE_MS);
-	nr_done = platform_bed_check(soak.tb);
-	printf("seed %" G_GUINT64_FORMAT ": %u accepted of %u, %u tasks\n",
-	       seed, soak.accepted->len, soak.nr_submitted, nr_done);
-	ck_assert_uint_ge(nr_done, soak.accepted->len * UINT64_C(8));
-	g_array_unref(soak.accepted);
-	g_rand_free(soak.random);
-	testbed_free(soak.tb);
+	return true;
 }
 
-static uint64_t first_seed = 1;
+static bool is_finished(struct soak *soak)
+{
+	return !soak_clients_poll(soak);
+}
+
+static bool nothing_runs(struct soak *soak)
+{
+	return !soak_journal_running(soak, NULL);
+}
+
+static void name_unfinished(struct soak *soak)
+{
+	GPtrArray *flows = soak_flows(soak);
+
+	for (guint i = 0; i < flows->len; i++) {
+		const struct soak_flow *flow = flows->pdata[i];
+
+		if (flow->state == SOAK_ACCEPTED && !flow->shown)
+			soak_note("unfinished: %s (%s), %u tasks run", flow->id,
+				  flow->kind->name,
+				  soak_journal_running(soak, flow->id));
+	}
+}
+
+/* What was accepted completes, what lasts runs, what was cancelled is gone. */
+static void settle(struct soak *soak)
+{
+	soak_clients_stop(soak);
+	soak_operators_stop(soak);
+	wait_for(soak, "calls or orders are still open", IDLE_LIMIT_MS,
+		 is_idle);
+	wait_for(soak, "lasting tasks don't run", SOAK_FINISH_MS, lasting_run);
+	soak_clients_cancel_lasting(soak);
+	wait_for(soak, "lasting submissions aren't cancelled", IDLE_LIMIT_MS,
+		 lasting_cancelled);
+	wait_for(soak, "accepted submissions aren't finished", SOAK_FINISH_MS,
+		 is_finished);
+	name_unfinished(soak);
+	wait_for(soak, "tasks of finished submissions run", SOAK_FINISH_MS,
+		 nothing_runs);
+}
+
+static void print_stats(const struct soak *soak)
+{
+	const struct soak_stats *stats = &soak->stats;
+
+	soak_note("seed %" G_GUINT64_FORMAT ": %u faults, %u calls, "
+		  "%u submitted, %u accepted, %u rejected, %u refused in calm, "
+		  "%u unread, %u excused; %u orders, %u acknowledged, "
+		  "%u read back; the machine stalled for %u ms; "
+		  "%u violations",
+		  soak->seed, stats->nr_faults, stats->nr_calls,
+		  stats->nr_submitted, stats->nr_accepted, stats->nr_rejected,
+		  stats->nr_calm_refusals, stats->nr_unread, stats->nr_excused,
+		  stats->nr_orders, stats->nr_acknowledged, stats->nr_read_back,
+		  stats->stalled_ms, soak->nr_violations);
+}
+
+static void run_seed(uint64_t seed)
+{
+	struct soak soak = {
+		.shape = shape,
+		.seed = seed,
+		.timed = g_array_new(FALSE, FALSE, sizeof(struct timed)),
+	};
+
+	began_ms = soak_now_ms();
+	soak_bed_start(&soak, program);
+	soak_operators_start(&soak);
+	wait_for(&soak, "no configuration is acknowledged", START_LIMIT_MS,
+		 is_configured);
+	soak_clients_start(&soak);
+	soak_faults_start(&soak);
+	testbed_wait_ms(shape->faults_ms);
+	soak_note("the faults end");
+	soak_faults_end(&soak);
+	wait_for(&soak, "processes don't run", IDLE_LIMIT_MS, is_running);
+	testbed_wait_ms(CALM_LOAD_MS);
+	settle(&soak);
+	soak_bed_add_stalls(&soak);
+	judge_timed(&soak);
+	soak_operators_final(&soak);
+	soak_journal_check(&soak);
+	print_stats(&soak);
+	if (soak.nr_violations)
+		g_setenv("TB_KEEP", "1", TRUE);
+	soak_clients_free(&soak);
+	soak_operators_free(&soak);
+	soak_faults_free(&soak);
+	soak_bed_free(&soak);
+	g_array_unref(soak.timed);
+	ck_assert_msg(!soak.nr_violations,
+		      "seed %" G_GUINT64_FORMAT " broke %u rules", seed,
+		      soak.nr_violations);
+}
 
 START_TEST(test_seed)
 {
@@ -195,7 +296,10 @@
 	program = argv[0];
 	if (argc > 1)
 		first_seed = g_ascii_strtoull(argv[1], NULL, 10);
-	tcase_set_timeout(seeds, 150);
+	for (size_t i = 0; argc > 3 && i < G_N_ELEMENTS(shapes); i++)
+		if (!strcmp(shapes[i].name, argv[3]))
+			shape = &shapes[i].shape;
+	tcase_set_timeout(seeds, SEED_LIMIT_S);
 	tcase_add_loop_test(seeds, test_seed, 0, nr_seeds);
 	suite_add_tcase(suite, seeds);
 	runner = srunner_create(suite);
--- /dev/null
+++ b/tests/soak_bed.c
@@ -0,0 +1,201 @@
+/**
+ * @file soak_bed.c
+ * The soak's site: real processes, what befell each of them and when.
+ */
+
+#include <signal.h>
+
+#include "soak.h"
+
+static const char *const zones[] = { "veraval", "porbandar", "mangrol" };
+
+static struct soak_vm *vm_add(struct soak *soak, enum soak_role role,
+			      struct tb_proc *proc)
+{
+	struct soak_vm *vm = g_new0(struct soak_vm, 1);
+
+	vm->proc = proc;
+	vm->role = role;
+	vm->nr_lives = 1;
+	vm->harm = g_array_new(FALSE, FALSE, sizeof(struct soak_span));
+	vm->touched = g_array_new(FALSE, FALSE, sizeof(struct soak_span));
+	g_ptr_array_add(soak->vms, vm);
+	return vm;
+}
+
+static void vm_free(void *data)
+{
+	struct soak_vm *vm = data;
+
+	g_array_unref(vm->harm);
+	g_array_unref(vm->touched);
+	g_free(vm);
+}
+
+void soak_bed_start(struct soak *soak, const char *program)
+{
+	const struct soak_shape *shape = soak->shape;
+	struct testbed_opts opts = { .name = "soak",
+				     .nr_controls = shape->nr_controls,
+				     .proxy_controls = true,
+				     .platform = true,
+				     .grace_s = SOAK_GRACE_S,
+				     .seed = soak->seed };
+	struct tb_executor_opts executor = {
+		.late_percent = shape->late_percent,
+		.malformed_percent = 10,
+	};
+
+	/* A file's limit shows as an error of the write in the children. */
+	signal(SIGXFSZ, SIG_IGN);
+	soak->vms = g_ptr_array_new_with_free_func(vm_free);
+	soak->core_harm = g_array_new(FALSE, FALSE, sizeof(struct soak_span));
+	soak->tb = testbed_new(&opts, program);
+	testbed_add_probe(soak->tb);
+	for (uint32_t i = 0; i < shape->nr_controls; i++)
+		vm_add(soak, SOAK_CONTROL, testbed_control(soak->tb, i));
+	for (uint32_t i = 0; i < shape->nr_entries; i++)
+		vm_add(soak, SOAK_ENTRY,
+		       testbed_add_entry(soak->tb,
+					 zones[i % G_N_ELEMENTS(zones)]));
+	for (uint32_t i = 0; i < shape->nr_workers; i++) {
+		struct soak_vm *vm;
+
+		executor.zone = zones[i % G_N_ELEMENTS(zones)];
+		vm = vm_add(soak, SOAK_AGENT,
+			    testbed_add_executor(soak->tb, &executor));
+		vm->zone = executor.zone;
+	}
+	for (uint32_t i = 0; i < shape->nr_workers; i++)
+		vm_add(soak, SOAK_WORKER, testbed_standin(soak->tb, i));
+}
+
+void soak_bed_free(struct soak *soak)
+{
+	testbed_free(soak->tb);
+	g_ptr_array_unref(soak->vms);
+	g_array_unref(soak->core_harm);
+}
+
+struct soak_vm *soak_vm_of(const struct soak *soak, enum soak_role role,
+			   uint32_t i)
+{
+	for (guint v = 0; v < soak->vms->len; v++) {
+		struct soak_vm *vm = soak->vms->pdata[v];
+
+		if (vm->role == role && i-- == 0)
+			return vm;
+	}
+	return NULL;
+}
+
+uint32_t soak_nr_of(const struct soak *soak, enum soak_role role)
+{
+	uint32_t nr = 0;
+
+	for (guint v = 0; v < soak->vms->len; v++)
+		nr += ((struct soak_vm *)soak->vms->pdata[v])->role == role;
+	return nr;
+}
+
+void soak_span_begin(GArray *spans)
+{
+	struct soak_span span = { g_get_monotonic_time(), G_MAXINT64 };
+
+	g_array_append_val(spans, span);
+}
+
+void soak_span_end(GArray *spans)
+{
+	for (guint i = 0; i < spans->len; i++) {
+		struct soak_span *span =
+			&g_array_index(spans, struct soak_span, i);
+
+		if (span->end_us == G_MAXINT64)
+			span->end_us = g_get_monotonic_time();
+	}
+}
+
+bool soak_spans_meet(const GArray *spans, int64_t from_us, int64_t to_us)
+{
+	for (guint i = 0; i < spans->len; i++) {
+		const struct soak_span *span =
+			&g_array_index(spans, struct soak_span, i);
+
+		if (span->begin_us <= to_us && span->end_us >= from_us)
+			return true;
+	}
+	return false;
+}
+
+/* Returns what the probe found so far, struct soak_span. */
+static GArray *read_stalls(const struct soak *soak)
+{
+	GArray *spans = g_array_new(FALSE, FALSE, sizeof(struct soak_span));
+	char *path = testbed_path(soak->tb, "probe.journal");
+	char *text = NULL;
+	char **lines;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		g_error("the probe wrote nothing");
+	lines = g_strsplit(text, "\n", -1);
+	for (char **l = lines; *l && **l; l++) {
+		struct soak_span span;
+		char *end;
+
+		span.begin_us = g_ascii_strtoll(*l, &end, 10);
+		span.end_us = g_ascii_strtoll(end, NULL, 10);
+		g_array_append_val(spans, span);
+	}
+	g_strfreev(lines);
+	g_free(text);
+	g_free(path);
+	return spans;
+}
+
+uint32_t soak_bed_stalled_ms(const struct soak *soak, int64_t since_ms)
+{
+	GArray *spans = read_stalls(soak);
+	int64_t sum_us = 0;
+
+	for (guint i = 0; i < spans->len; i++) {
+		const struct soak_span *span =
+			&g_array_index(spans, struct soak_span, i);
+
+		if (span->end_us > since_ms * 1000)
+			sum_us += span->end_us -
+				  MAX(span->begin_us, since_ms * 1000);
+	}
+	g_array_unref(spans);
+	return (uint32_t)(sum_us / 1000);
+}
+
+void soak_bed_add_stalls(struct soak *soak)
+{
+	GArray *spans = read_stalls(soak);
+
+	g_array_append_vals(soak->core_harm, spans->data, spans->len);
+	soak->stats.stalled_ms = soak_bed_stalled_ms(soak, 0);
+	g_array_unref(spans);
+}
+
+int64_t soak_core_calm_ms(const struct soak *soak)
+{
+	int64_t end_us = 0;
+
+	for (guint i = 0; i < soak->core_harm->len; i++) {
+		const struct soak_span *span =
+			&g_array_index(soak->core_harm, struct soak_span, i);
+
+		end_us = MAX(end_us, span->end_us);
+	}
+	return end_us == G_MAXINT64 ? 0 :
+				      (g_get_monotonic_time() - end_us) / 1000;
+}
+
+bool soak_core_stable(const struct soak *soak, int64_t from_us, int64_t to_us)
+{
+	return !soak_spans_meet(soak->core_harm,
+				from_us - SOAK_CONTACT_MS * INT64_C(1000),
+				to_us);
+}
--- /dev/null
+++ b/tests/soak_clients.c
@@ -0,0 +1,728 @@
+/**
+ * @file soak_clients.c
+ * Clients on connections that they keep open until the process is gone. Each
+ * request that was sent in whole has to be answered, and the answers about a
+ * submission have to agree with each other.
+ */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "soak.h"
+#include "soak_conn.h"
+
+/* An answer that comes later than the client's patience and this is missing;
+ * a busy machine takes a while. */
+#define ANSWER_SLACK_MS 2500
+#define NR_ATTEMPTS 4 /* of a submission, as the sites' clients make */
+#define GAP_MIN_MS 5
+#define GAP_MAX_MS 120
+#define RETRY_MAX_MS 600
+#define ROTATION_MS 2000 /* from SIGTERM on, until no connection comes */
+#define CALM_SHORT_MS 5000 /* a refusal after that long of calm is counted */
+
+static const struct soak_flow_kind kinds[] = {
+	{ "quick", 2, 6, 500, 300, "done", false, 0, 40 },
+	{ "wide", 2, 8, 1000, 700, "done", false, 0, 16 },
+	{ "once", 1, 4, 500, 300, "once", false, 0, 10 },
+	{ "failing", 1, 3, 300, 200, "fail", false, 0, 6 },
+	{ "lasting", 1, 4, 300, 0, "done", false, 200, 3 },
+	{ "filler", 1, 4, 500, 500, "done", true, 0, 8 },
+	/* More ends on a worker than one reply lists. */
+	{ "many", 1, 2400, 2, 1500, "done", false, 0, 1 },
+};
+
+/* How long a client waits; the sites' clients do for 3 s. */
+static const uint32_t patiences_ms[] = { 3000, 3000, 3000, 1000, 10000 };
+
+enum mode { MODE_LOAD, MODE_STOP, MODE_CANCEL, MODE_POLL };
+
+struct client;
+
+/* What a client calls for. */
+struct client_call {
+	const char *method;
+	uint32_t weight;
+	/* Returns the path, or NULL if there is nothing to call for. */
+	char *(*begin)(struct client *client);
+	void (*answered)(struct client *client,
+			 const struct soak_answer *answer);
+};
+
+struct client {
+	struct soak *soak;
+	struct soak_clients *all;
+	GRand *random;
+	struct soak_conn *conn;
+	struct soak_vm *entry;
+	const struct client_call *call; /* NULL: none in progress */
+	struct soak_flow *flow; /* that the call is about */
+	struct soak_flow *retry; /* a submission to send again */
+	uint32_t nr_unclear; /* attempts of it without a clear answer */
+	uint32_t nr_rejected;
+	bool is_calm; /* all attempts were made in calm */
+	int64_t began_us; /* of the calm before the first attempt */
+	uint32_t route; /* probed */
+	guint timer;
+};
+
+struct soak_clients {
+	struct soak *soak;
+	GPtrArray *flows; /* struct soak_flow */
+	GHashTable *by_id;
+	struct client *clients;
+	uint32_t nr_clients;
+	enum mode mode;
+	guint next; /* flow to poll or cancel */
+	GRand *ids;
+};
+
+static void client_next(struct client *client, uint32_t wait_ms);
+
+/* ---- what a submission looks like ---- */
+
+static char *flow_text(const struct soak_flow *flow)
+{
+	const struct soak_flow_kind *kind = flow->kind;
+	GString *text = g_string_new(NULL);
+
+	g_string_printf(text, "{\"spec\":\"%u %s %u\",\"steps\":[",
+			kind->run_ms, kind->how,
+			kind->fills ? 0 : kind->cpu_millis);
+	for (uint32_t i = 0; i < kind->nr_steps; i++) {
+		g_string_append_printf(
+			text,
+			"%s{\"count\":%u,\"cpu\":%u,\"memMb\":10,"
+			"\"estimateMs\":%u",
+			i ? "," : "", kind->nr_tasks, kind->cpu_millis,
+			kind->run_ms ? kind->run_ms : 1000);
+		if (i)
+			g_string_append_printf(text, ",\"after\":[%u]", i - 1);
+		if (!kind->run_ms)
+			g_string_append_printf(text,
+					       ",\"longRunning\":true,"
+					       "\"image\":\"%s\","
+					       "\"targetMs\":%u",
+					       kind->name, kind->target_ms);
+		if (kind->fills)
+			g_string_append_printf(
+				text, ",\"fills\":true,\"image\":\"%s\"",
+				kind->name);
+		g_string_append_c(text, '}');
+	}
+	g_string_append(text, "]}");
+	return g_string_free(text, FALSE);
+}
+
+static char *flow_path(const struct soak_flow *flow)
+{
+	return g_strdup_printf("/q/%s", flow->id);
+}
+
+static const struct soak_flow_kind *draw_flow_kind(GRand *random)
+{
+	uint32_t sum = 0;
+	uint32_t at;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
+		sum += kinds[i].weight;
+	at = (uint32_t)g_rand_int_range(random, 0, (gint)sum);
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		if (at < kinds[i].weight)
+			return &kinds[i];
+		at -= kinds[i].weight;
+	}
+	return &kinds[0];
+}
+
+static struct soak_flow *flow_new(struct client *client)
+{
+	struct soak_clients *all = client->all;
+	struct soak_flow *flow = g_new0(struct soak_flow, 1);
+
+	g_snprintf(flow->id, sizeof(flow->id), "%08x%08x", all->flows->len + 1,
+		   g_rand_int(all->ids));
+	flow->kind = draw_flow_kind(client->random);
+	g_ptr_array_add(all->flows, flow);
+	g_hash_table_insert(all->by_id, flow->id, flow);
+	all->soak->stats.nr_submitted++;
+	return flow;
+}
+
+static bool flow_is_final(const struct soak_flow *flow)
+{
+	return flow->shown != NULL;
+}
+
+/* Draws one that was accepted, NULL if none is found. */
+static struct soak_flow *draw_accepted(struct client *client)
+{
+	GPtrArray *flows = client->all->flows;
+
+	for (uint32_t i = 0; i < 10 && flows->len; i++) {
+		/* Recent ones more often. */
+		gint low = soak_chance(client->random, 70) ?
+				   MAX(0, (gint)flows->len - 30) :
+				   0;
+		struct soak_flow *flow = flows->pdata[g_rand_int_range(
+			client->random, low, (gint)flows->len)];
+
+		if (flow->state == SOAK_ACCEPTED)
+			return flow;
+	}
+	return NULL;
+}
+
+/* ---- calls ---- */
+
+/* Nothing that could excuse a refusal was going on. */
+static bool client_is_calm(const struct client *client)
+{
+	int64_t now_us = g_get_monotonic_time();
+
+	return soak_core_calm_ms(client->soak) >= CALM_SHORT_MS &&
+	       !soak_spans_meet(client->entry->touched,
+				now_us - CALM_SHORT_MS * INT64_C(1000), now_us);
+}
+
+static char *submit_begin(struct client *client)
+{
+	if (!client->retry) {
+		client->retry = flow_new(client);
+		client->nr_unclear = client->nr_rejected = 0;
+		client->is_calm = true;
+		client->began_us =
+			g_get_monotonic_time() - CALM_SHORT_MS * INT64_C(1000);
+	}
+	client->flow = client->retry;
+	return flow_path(client->flow);
+}
+
+static void submit_refused(struct client *client,
+			   const struct soak_answer *answer)
+{
+	client->nr_rejected++;
+	if (!client_is_calm(client)) {
+		client->is_calm = false;
+		return;
+	}
+	client->soak->stats.nr_calm_refusals++;
+	soak_note("%s refused %s with %u in calm: %s",
+		  tb_proc_name(client->entry->proc), client->flow->id,
+		  answer->status, answer->text);
+}
+
+static void submit_answered(struct client *client,
+			    const struct soak_answer *answer)
+{
+	struct soak_flow *flow = client->flow;
+	bool done = false;
+
+	if (answer->outcome == CONN_NOT_SENT)
+		return; /* not an attempt; tried again */
+	flow->nr_attempts++;
+	if (answer->outcome != CONN_ANSWERED) {
+		client->nr_unclear++;
+	} else if (answer->status == 200) {
+		flow->state = SOAK_ACCEPTED;
+		flow->accepted_ms = answer->ended_ms;
+		client->soak->stats.nr_accepted++;
+		done = true;
+	} else if (answer->status == 429 || answer->status == 503) {
+		submit_refused(client, answer);
+	} else {
+		client->nr_unclear++;
+		if (answer->status != 502 && answer->status != 504)
+			soak_violation(client->soak,
+				       "ROUTE: submission %s was answered %u",
+				       flow->id, answer->status);
+	}
+	if (!done && flow->nr_attempts < NR_ATTEMPTS)
+		return;
+	if (!done && !client->nr_unclear) {
+		flow->state = SOAK_REJECTED;
+		client->soak->stats.nr_rejected++;
+		if (client->is_calm)
+			soak_timed_violation(
+				client->soak, client->began_us,
+				"SHORT: %s is refused %u times in calm",
+				flow->id, client->nr_rejected);
+	}
+	client->retry = NULL;
+}
+
+/* The same request arrives once more, seconds after its answer. */
+static char *again_begin(struct client *client)
+{
+	client->flow = draw_accepted(client);
+	return client->flow ? flow_path(client->flow) : NULL;
+}
+
+static void again_answered(struct client *client,
+			   const struct soak_answer *answer)
+{
+	if (answer->outcome == CONN_ANSWERED && answer->status >= 400 &&
+	    answer->status < 500 && answer->status != 429)
+		soak_violation(client->soak,
+			       "LOST: accepted %s was answered %u when sent "
+			       "again",
+			       client->flow->id, answer->status);
+}
+
+static char *state_begin(struct client *client)
+{
+	client->flow = draw_accepted(client);
+	return client->flow ? flow_path(client->flow) : NULL;
+}
+
+static const char *state_of(const char *text)
+{
+	static const char *const states[] = { "queued", "running", "completed",
+					      "failed", "cancelled" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(states); i++)
+		if (strstr(text, states[i]))
+			return states[i];
+	return NULL;
+}
+
+static bool state_is_allowed(const struct soak_flow *flow, const char *state)
+{
+	if (!strcmp(state, "cancelled"))
+		return flow->cancel_sent_ms;
+	if (!strcmp(state, "failed"))
+		return !strcmp(flow->kind->how, "fail");
+	if (!strcmp(state, "completed"))
+		return flow->kind->run_ms && strcmp(flow->kind->how, "fail");
+	return true;
+}
+
+static void flow_shown(struct soak *soak, struct soak_flow *flow,
+		       const char *state, const struct soak_answer *answer)
+{
+	bool final = strcmp(state, "queued") && strcmp(state, "running");
+	int64_t sent_us = answer->sent_ms * 1000;
+
+	if (!state_is_allowed(flow, state))
+		soak_violation(soak, "LOST: %s (%s) is shown as %s", flow->id,
+			       flow->kind->name, state);
+	if (flow->shown && sent_us > flow->shown_us &&
+	    strcmp(flow->shown, state))
+		soak_violation(soak, "MIXED: %s was %s and is shown as %s",
+			       flow->id, flow->shown, state);
+	if (flow->cancelled_us && sent_us > flow->cancelled_us && !final)
+		soak_violation(soak,
+			       "UNASKED: %s was cancelled and is shown as %s",
+			       flow->id, state);
+	if (final && !flow->shown) {
+		flow->shown = state;
+		flow->shown_us = g_get_monotonic_time();
+	}
+}
+
+static void state_answered(struct client *client,
+			   const struct soak_answer *answer)
+{
+	struct soak_flow *flow = client->flow;
+	const char *state;
+
+	if (answer->outcome != CONN_ANSWERED)
+		return;
+	if (answer->status == 410 || answer->status == 404)
+		soak_violation(client->soak,
+			       "LOST: accepted %s was answered %u by %s",
+			       flow->id, answer->status,
+			       tb_proc_name(client->entry->proc));
+	if (answer->status != 200)
+		return;
+	state = state_of(answer->text);
+	if (state)
+		flow_shown(client->soak, flow, state, answer);
+	else
+		soak_violation(client->soak, "MIXED: %s has no state: %s",
+			       flow->id, answer->text);
+}
+
+static char *cancel_begin(struct client *client)
+{
+	struct soak_flow *flow = NULL;
+
+	for (uint32_t i = 0; i < 6 && !flow; i++) {
+		flow = draw_accepted(client);
+		/* Lasting ones mostly, as the others are owed. */
+		if (flow && flow->kind->run_ms &&
+		    !soak_chance(client->random, 20))
+			flow = NULL;
+	}
+	client->flow = flow;
+	if (!flow || flow_is_final(flow))
+		return NULL;
+	if (!flow->cancel_sent_ms)
+		flow->cancel_sent_ms = soak_now_ms();
+	return flow_path(flow);
+}
+
+static void cancel_answered(struct client *client,
+			    const struct soak_answer *answer)
+{
+	struct soak_flow *flow = client->flow;
+
+	if (answer->outcome != CONN_ANSWERED)
+		return;
+	if (answer->status == 200 && !flow->cancelled_us)
+		flow->cancelled_us = g_get_monotonic_time();
+	if (answer->status == 410 && flow->state == SOAK_ACCEPTED)
+		soak_violation(client->soak,
+			       "LOST: cancelling accepted %s was answered 410",
+			       flow->id);
+	/* One whose submission got no clear answer may not be there. */
+	if (answer->status == 410 && flow->state != SOAK_ACCEPTED)
+		flow->shown = "unknown";
+}
+
+static char *pending_begin(struct client *client)
+{
+	return g_strdup("/q/");
+}
+
+static void pending_answered(struct client *client,
+			     const struct soak_answer *answer)
+{
+	if (answer->outcome == CONN_ANSWERED && answer->status != 200 &&
+	    answer->status != 503 && answer->status != 504)
+		soak_violation(client->soak, "CONFIG: /q/ was answered %u",
+			       answer->status);
+}
+
+static char *route_begin(struct client *client)
+{
+	client->route =
+		(uint32_t)g_rand_int_range(client->random, 0, SOAK_NR_ROUTES);
+	return g_strdup_printf("/t%u/", client->route);
+}
+
+static void route_answered(struct client *client,
+			   const struct soak_answer *answer)
+{
+	int expected;
+
+	if (answer->outcome != CONN_ANSWERED ||
+	    (answer->status != 200 && answer->status != 404))
+		return;
+	expected = soak_route_expected(client->soak, client->route,
+				       answer->sent_ms, answer->ended_ms);
+	if ((answer->status == 404 && expected == 1) ||
+	    (answer->status == 200 && expected == 0))
+		soak_violation(client->soak,
+			       "CONFIG: route %u was answered %u by %s",
+			       client->route, answer->status,
+			       tb_proc_name(client->entry->proc));
+}
+
+static const struct client_call submit_call = { "POST", 0, submit_begin,
+						submit_answered };
+
+static const struct client_call calls[] = {
+	{ "POST", 7, submit_begin, submit_answered },
+	{ "POST", 4, again_begin, again_answered },
+	{ "GET", 60, state_begin, state_answered },
+	{ "DELETE", 2, cancel_begin, cancel_answered },
+	{ "GET", 10, pending_begin, pending_answered },
+	{ "GET", 17, route_begin, route_answered },
+};
+
+/* ---- after the faults ---- */
+
+/* Returns the next submission that matters in this mode. */
+static char *sweep_begin(struct client *client, bool cancel)
+{
+	struct soak_clients *all = client->all;
+
+	for (guint i = 0; i < all->flows->len; i++) {
+		guint at = all->next++ % all->flows->len;
+		struct soak_flow *flow = all->flows->pdata[at];
+		bool lasts = !flow->kind->run_ms;
+
+		if (flow_is_final(flow) || flow->state == SOAK_REJECTED)
+			continue;
+		if (cancel ? (!lasts || flow->cancelled_us) :
+			     flow->state != SOAK_ACCEPTED)
+			continue;
+		client->flow = flow;
+		if (cancel && !flow->cancel_sent_ms)
+			flow->cancel_sent_ms = soak_now_ms();
+		return flow_path(flow);
+	}
+	return NULL;
+}
+
+static char *sweep_cancel_begin(struct client *client)
+{
+	return sweep_begin(client, true);
+}
+
+static char *sweep_state_begin(struct client *client)
+{
+	return sweep_begin(client, false);
+}
+
+static const struct client_call sweep_calls[] = {
+	[MODE_CANCEL] = { "DELETE", 0, sweep_cancel_begin, cancel_answered },
+	[MODE_POLL] = { "GET", 0, sweep_state_begin, state_answered },
+};
+
+/* ---- connections ---- */
+
+static bool entry_in_rotation(const struct soak_vm *vm)
+{
+	return vm->state == VM_RUNS || vm->state == VM_PAUSED ||
+	       (vm->state == VM_LEAVING &&
+		soak_now_ms() < vm->leaving_ms + ROTATION_MS);
+}
+
+static struct soak_vm *draw_entry(struct client *client)
+{
+	uint32_t nr = soak_nr_of(client->soak, SOAK_ENTRY);
+	uint32_t first =
+		(uint32_t)g_rand_int_range(client->random, 0, (gint)nr);
+
+	for (uint32_t i = 0; i < nr; i++) {
+		struct soak_vm *vm =
+			soak_vm_of(client->soak, SOAK_ENTRY, (first + i) % nr);
+
+		if (entry_in_rotation(vm) && tb_proc_http(vm->proc)[0])
+			return vm;
+	}
+	return NULL;
+}
+
+static void client_hang_up(struct client *client)
+{
+	g_clear_pointer(&client->conn, soak_conn_free);
+}
+
+/* Who is to blame for a request without an answer. */
+static void client_unanswered(struct client *client, const char *path,
+			      const struct soak_answer *answer)
+{
+	static const char *const what[] = {
+		[CONN_ENDED] = "the connection ended without an answer",
+		[CONN_RESET] = "the connection was reset",
+	};
+	struct soak *soak = client->soak;
+	const struct soak_vm *vm = client->entry;
+	int64_t from_us = answer->sent_ms * 1000;
+	int64_t to_us = g_get_monotonic_time();
+
+	if (soak_spans_meet(vm->harm, from_us, to_us)) {
+		soak->stats.nr_excused++;
+		return;
+	}
+	if (answer->outcome == CONN_SILENT) {
+		soak_timed_violation(
+			soak, from_us - SOAK_CONTACT_MS * INT64_C(1000),
+			"LOST: %s %s at %s: no answer in %" G_GINT64_FORMAT
+			" ms",
+			client->call->method, path, tb_proc_name(vm->proc),
+			answer->ended_ms - answer->sent_ms);
+		return;
+	}
+	/* A process that leaves need not read what comes as it closes. */
+	if (answer->outcome == CONN_RESET &&
+	    soak_spans_meet(vm->touched, from_us, to_us)) {
+		soak->stats.nr_unread++;
+		return;
+	}
+	soak_violation(soak,
+		       "LOST: %s %s at %s: %s, sent %" G_GINT64_FORMAT
+		       " ms ago, %" G_GINT64_FORMAT " ms after a SIGTERM",
+		       client->call->method, path, tb_proc_name(vm->proc),
+		       what[answer->outcome],
+		       answer->ended_ms - answer->sent_ms,
+		       vm->leaving_ms ? answer->sent_ms - vm->leaving_ms : -1);
+}
+
+static void client_done(void *ctx, const struct soak_answer *answer)
+{
+	struct client *client = ctx;
+	const struct client_call *call = client->call;
+	bool retries;
+
+	client->soak->stats.nr_calls++;
+	if (answer->outcome != CONN_ANSWERED) {
+		if (answer->outcome != CONN_NOT_SENT)
+			client_unanswered(client,
+					  client->flow ? client->flow->id : "",
+					  answer);
+		client_hang_up(client);
+	}
+	call->answered(client, answer);
+	client->call = NULL;
+	client->flow = NULL;
+	retries = client->retry && call->begin == submit_begin;
+	/* A retry mostly reaches another entry. */
+	if (retries && client->conn && soak_chance(client->random, 50))
+		client_hang_up(client);
+	client_next(client, (uint32_t)g_rand_int_range(
+				    client->random, GAP_MIN_MS,
+				    retries ? RETRY_MAX_MS : GAP_MAX_MS));
+}
+
+static const struct client_call *draw_call(struct client *client)
+{
+	uint32_t at;
+
+	if (client->all->mode >= MODE_CANCEL)
+		return &sweep_calls[client->all->mode];
+	if (client->retry && soak_chance(client->random, 50))
+		return &submit_call;
+	at = (uint32_t)g_rand_int_range(client->random, 0, 100);
+	for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+		if (at < calls[i].weight)
+			return &calls[i];
+		at -= calls[i].weight;
+	}
+	return &submit_call;
+}
+
+static bool client_connect(struct client *client)
+{
+	if (client->conn && !soak_conn_usable(client->conn))
+		client_hang_up(client);
+	if (client->conn)
+		return true;
+	client->entry = draw_entry(client);
+	if (!client->entry)
+		return false;
+	client->conn = soak_conn_new(tb_proc_http(client->entry->proc));
+	return true;
+}
+
+static gboolean client_step(gpointer data)
+{
+	struct client *client = data;
+	uint32_t patience_ms = patiences_ms[g_rand_int_range(
+		client->random, 0, G_N_ELEMENTS(patiences_ms))];
+	char *text = NULL;
+	char *path;
+
+	client->timer = 0;
+	if (client->all->mode == MODE_STOP && !client->retry) {
+		client_next(client, GAP_MAX_MS);
+		return G_SOURCE_REMOVE;
+	}
+	if (!client_connect(client)) {
+		client_next(client, RETRY_MAX_MS);
+		return G_SOURCE_REMOVE;
+	}
+	client->call = client->all->mode == MODE_STOP ? &submit_call :
+							draw_call(client);
+	path = client->call->begin(client);
+	if (!path) {
+		client->call = NULL;
+		client_next(client, GAP_MAX_MS);
+		return G_SOURCE_REMOVE;
+	}
+	if (!strcmp(client->call->method, "POST"))
+		text = flow_text(client->flow);
+	soak_conn_send(client->conn, client->call->method, path, text,
+		       patience_ms, patience_ms + ANSWER_SLACK_MS, client_done,
+		       client);
+	g_free(text);
+	g_free(path);
+	return G_SOURCE_REMOVE;
+}
+
+static void client_next(struct client *client, uint32_t wait_ms)
+{
+	client->timer = g_timeout_add(wait_ms, client_step, client);
+}
+
+/* ---- all of them ---- */
+
+void soak_clients_start(struct soak *soak)
+{
+	struct soak_clients *all = g_new0(struct soak_clients, 1);
+
+	all->soak = soak;
+	all->flows = g_ptr_array_new_with_free_func(g_free);
+	all->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	all->nr_clients = soak->shape->nr_clients;
+	all->clients = g_new0(struct client, all->nr_clients);
+	all->ids = g_rand_new_with_seed((guint32)soak->seed + 7919);
+	soak->clients = all;
+	for (uint32_t i = 0; i < all->nr_clients; i++) {
+		struct client *client = &all->clients[i];
+
+		client->soak = soak;
+		client->all = all;
+		client->random = g_rand_new_with_seed(
+			(guint32)soak->seed * 1009 + i + 1);
+		client_next(client, GAP_MAX_MS);
+	}
+}
+
+void soak_clients_stop(struct soak *soak)
+{
+	soak->clients->mode = MODE_STOP;
+}
+
+bool soak_clients_idle(const struct soak *soak)
+{
+	const struct soak_clients *all = soak->clients;
+
+	for (uint32_t i = 0; i < all->nr_clients; i++)
+		if (all->clients[i].call || all->clients[i].retry)
+			return false;
+	return true;
+}
+
+void soak_clients_cancel_lasting(struct soak *soak)
+{
+	soak->clients->mode = MODE_CANCEL;
+}
+
+uint32_t soak_clients_poll(struct soak *soak)
+{
+	struct soak_clients *all = soak->clients;
+	uint32_t nr = 0;
+
+	all->mode = MODE_POLL;
+	for (guint i = 0; i < all->flows->len; i++) {
+		const struct soak_flow *flow = all->flows->pdata[i];
+
+		if (flow->state == SOAK_ACCEPTED && !flow_is_final(flow) &&
+		    (flow->kind->run_ms || flow->cancelled_us))
+			nr++;
+	}
+	return nr;
+}
+
+struct soak_flow *soak_flow_find(const struct soak *soak, const char *id)
+{
+	return g_hash_table_lookup(soak->clients->by_id, id);
+}
+
+GPtrArray *soak_flows(const struct soak *soak)
+{
+	return soak->clients->flows;
+}
+
+void soak_clients_free(struct soak *soak)
+{
+	struct soak_clients *all = soak->clients;
+
+	for (uint32_t i = 0; i < all->nr_clients; i++) {
+		struct client *client = &all->clients[i];
+
+		if (client->timer)
+			g_source_remove(client->timer);
+		soak_conn_free(client->conn);
+		g_rand_free(client->random);
+	}
+	g_free(all->clients);
+	g_hash_table_unref(all->by_id);
+	g_ptr_array_unref(all->flows);
+	g_rand_free(all->ids);
+	g_free(all);
+}
--- /dev/null
+++ b/tests/soak_journal.c
@@ -0,0 +1,276 @@
+/**
+ * @file soak_journal.c
+ * What the workers' journals have to show, given what clients and operators
+ * were told.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "soak.h"
+#include "task_journal.h"
+
+/* A task as the journals show it up to an event. */
+struct task_view {
+	bool done;
+	GArray *failures; /* struct failure, by time */
+	uint32_t nr_before_start; /* failures before the last start */
+};
+
+/* A run that ended failed; one that is never settled doesn't count. */
+struct failure {
+	uint64_t run;
+	bool settled;
+};
+
+/* A submission as the journals show it. */
+struct flow_view {
+	uint32_t *nr_done; /* by step */
+	uint32_t nr_done_shown; /* before its final state was shown */
+	uint32_t nr_running;
+};
+
+struct view {
+	struct soak *soak;
+	GHashTable *tasks; /* name -> struct task_view */
+	GHashTable *flows; /* struct soak_flow -> struct flow_view */
+};
+
+static void flow_view_free(void *data)
+{
+	struct flow_view *view = data;
+
+	g_free(view->nr_done);
+	g_free(view);
+}
+
+static void task_view_free(void *data)
+{
+	struct task_view *view = data;
+
+	g_array_unref(view->failures);
+	g_free(view);
+}
+
+static struct task_view *task_view(struct view *view, const char *task)
+{
+	struct task_view *seen = g_hash_table_lookup(view->tasks, task);
+
+	if (!seen) {
+		seen = g_new0(struct task_view, 1);
+		seen->failures =
+			g_array_new(FALSE, FALSE, sizeof(struct failure));
+		g_hash_table_insert(view->tasks, g_strdup(task), seen);
+	}
+	return seen;
+}
+
+static struct flow_view *flow_view(struct view *view, struct soak_flow *flow)
+{
+	struct flow_view *seen = g_hash_table_lookup(view->flows, flow);
+
+	if (!seen) {
+		seen = g_new0(struct flow_view, 1);
+		seen->nr_done = g_new0(uint32_t, flow->kind->nr_steps);
+		g_hash_table_insert(view->flows, flow, seen);
+	}
+	return seen;
+}
+
+static void broken(void *ctx, const char *what, const struct task_event *event)
+{
+	soak_violation(ctx, "%s: %s", what, event->line);
+}
+
+static struct soak_vm *agent_of(const struct soak *soak, const char *worker)
+{
+	return soak_vm_of(soak, SOAK_AGENT,
+			  (uint32_t)atoi(worker + strlen("i-")) - 1);
+}
+
+/* The platform's "in touch": no fault of the agent or the core before. */
+static bool in_touch(const struct soak *soak, const struct task_event *event)
+{
+	const struct soak_vm *agent = agent_of(soak, event->worker);
+	int64_t from_us = event->t_us - SOAK_CONTACT_MS * INT64_C(1000);
+
+	return soak_core_stable(soak, event->t_us, event->t_us) &&
+	       !soak_spans_meet(agent->touched, from_us, event->t_us);
+}
+
+/* A start after as many failures as there are attempts, all of them settled,
+ * then or later. */
+static void check_budget(struct soak *soak, const struct task_view *task,
+			 const struct task_event *event)
+{
+	uint32_t nr_settled = 0;
+
+	for (uint32_t i = 0; i < task->nr_before_start; i++)
+		nr_settled += g_array_index(task->failures, struct failure, i)
+				      .settled;
+	if (nr_settled >= SOAK_ATTEMPTS)
+		broken(soak, "BUDGET: a start after all attempts failed",
+		       event);
+}
+
+static void failure_settled(struct task_view *task, uint64_t run)
+{
+	for (guint i = 0; i < task->failures->len; i++) {
+		struct failure *failure =
+			&g_array_index(task->failures, struct failure, i);
+
+		if (failure->run == run)
+			failure->settled = true;
+	}
+}
+
+static void check_start(struct view *view, struct soak_flow *flow,
+			uint32_t step, const struct task_event *event)
+{
+	struct soak *soak = view->soak;
+	const struct flow_view *seen = flow_view(view, flow);
+	struct task_view *task = task_view(view, event->task);
+
+	if (flow->state == SOAK_REJECTED)
+		broken(soak, "REFUSED: a task of a refused submission starts",
+		       event);
+	if (step && seen->nr_done[step - 1] < flow->kind->nr_tasks)
+		broken(soak, "ORDER: a step starts before the one it follows",
+		       event);
+	task->nr_before_start = task->failures->len;
+	check_budget(soak, task, event);
+	if (event->late || !in_touch(soak, event))
+		return;
+	if (flow->cancelled_us &&
+	    event->t_us > flow->cancelled_us + SOAK_CANCEL_MS * INT64_C(1000))
+		broken(soak, "UNASKED: a start after a cancellation", event);
+	if (soak_zone_is_out(soak, agent_of(soak, event->worker)->zone,
+			     event->t_us))
+		broken(soak, "EVAC: a start in a zone that is out", event);
+}
+
+static void check_event(struct view *view, struct soak_flow *flow,
+			uint32_t step, const struct task_event *event)
+{
+	struct flow_view *seen = flow_view(view, flow);
+	struct task_view *task = task_view(view, event->task);
+	struct failure failure = { .run = event->run };
+
+	switch (event->kind) {
+	case TASK_START:
+		check_start(view, flow, step, event);
+		seen->nr_running++;
+		break;
+	case TASK_DONE:
+		seen->nr_running--;
+		if (task->done)
+			break;
+		task->done = true;
+		seen->nr_done[step]++;
+		if (event->t_us <= flow->shown_us)
+			seen->nr_done_shown++;
+		break;
+	case TASK_FAILED:
+		g_array_append_val(task->failures, failure);
+		seen->nr_running--;
+		break;
+	case TASK_ENDED:
+		seen->nr_running--;
+		break;
+	case TASK_SETTLED:
+		break;
+	case TASK_SETTLED_FAILED:
+		failure_settled(task, event->run);
+		check_budget(view->soak, task, event);
+		break;
+	}
+}
+
+static void check_flows(struct view *view)
+{
+	GPtrArray *flows = soak_flows(view->soak);
+
+	for (guint i = 0; i < flows->len; i++) {
+		struct soak_flow *flow = flows->pdata[i];
+		const struct flow_view *seen = flow_view(view, flow);
+		uint32_t nr_tasks = flow->kind->nr_steps * flow->kind->nr_tasks;
+
+		if (!g_strcmp0(flow->shown, "completed") &&
+		    seen->nr_done_shown < nr_tasks)
+			soak_violation(view->soak,
+				       "MIXED: %s (%s) was shown as completed "
+				       "with %u of %u tasks done",
+				       flow->id, flow->kind->name,
+				       seen->nr_done_shown, nr_tasks);
+		if (seen->nr_running)
+			soak_violation(view->soak,
+				       "UNASKED: %u tasks of %s (%s) run at "
+				       "the end",
+				       seen->nr_running, flow->id,
+				       flow->kind->name);
+	}
+}
+
+/* Splits "ID.K.STEP.INDEX"; returns the submission. */
+static struct soak_flow *flow_of(struct soak *soak, const char *task,
+				 uint32_t *step)
+{
+	char **parts = g_strsplit(task, ".", -1);
+	struct soak_flow *flow = NULL;
+
+	if (g_strv_length(parts) == 4) {
+		flow = soak_flow_find(soak, parts[0]);
+		*step = (uint32_t)g_ascii_strtoull(parts[2], NULL, 10);
+	}
+	g_strfreev(parts);
+	return flow && *step < flow->kind->nr_steps ? flow : NULL;
+}
+
+void soak_journal_check(struct soak *soak)
+{
+	struct task_journal *journal =
+		task_journal_new(testbed_lines(soak->tb));
+	struct view view = { .soak = soak };
+
+	view.tasks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   task_view_free);
+	view.flows = g_hash_table_new_full(NULL, NULL, NULL, flow_view_free);
+	task_journal_check(journal, broken, soak);
+	for (guint i = 0; i < journal->events->len; i++) {
+		const struct task_event *event =
+			&g_array_index(journal->events, struct task_event, i);
+		uint32_t step = 0;
+		struct soak_flow *flow = flow_of(soak, event->task, &step);
+
+		if (flow)
+			check_event(&view, flow, step, event);
+		else
+			broken(soak, "UNASKED: nobody submitted the task",
+			       event);
+	}
+	check_flows(&view);
+	g_hash_table_unref(view.tasks);
+	g_hash_table_unref(view.flows);
+	task_journal_free(journal);
+}
+
+uint32_t soak_journal_running(struct soak *soak, const char *id)
+{
+	struct task_journal *journal =
+		task_journal_new(testbed_lines(soak->tb));
+	uint32_t nr = 0;
+
+	for (guint i = 0; i < journal->events->len; i++) {
+		const struct task_event *event =
+			&g_array_index(journal->events, struct task_event, i);
+
+		if (id && !g_str_has_prefix(event->task, id))
+			continue;
+		if (event->kind == TASK_START)
+			nr++;
+		else if (event->kind < TASK_SETTLED)
+			nr--;
+	}
+	task_journal_free(journal);
+	return nr;
+}
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -1,3 +1,5 @@
+#define _GNU_SOURCE /* prlimit() */
+
 #include "testbed.h"
 
 #include <errno.h>
@@ -8,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -25,6 +28,7 @@
 	GPtrArray *argv;
 	char *port_file;
 	char *data;
+	char *node_file;
 	char *http;
 	pid_t pid; /* 0: not running */
 	int exit_code;
@@ -129,6 +133,7 @@
 	g_free(proc->name);
 	g_free(proc->port_file);
 	g_free(proc->data);
+	g_free(proc->node_file);
 	g_free(proc->http);
 	g_free(proc);
 }
@@ -147,12 +152,71 @@
 	proc_reaped(proc, status);
 }
 
+/* A replica that comes back may not form a group of its own. */
+static void proc_forbid_bootstrap(struct tb_proc *proc)
+{
+	for (guint i = 0; i + 2 < proc->argv->len; i++) {
+		char **value = (char **)&proc->argv->pdata[i + 1];
+
+		if (strcmp(proc->argv->pdata[i], "--bootstrap"))
+			continue;
+		g_free(*value);
+		*value = g_strdup("false");
+	}
+}
+
 void tb_proc_restart(struct tb_proc *proc)
 {
 	g_assert(!proc->pid);
+	proc_forbid_bootstrap(proc);
 	proc_spawn(proc);
 }
 
+bool tb_proc_ended(struct tb_proc *proc, int *exit_code)
+{
+	int status;
+
+	if (proc->pid && waitpid(proc->pid, &status, WNOHANG) == proc->pid)
+		proc_reaped(proc, status);
+	*exit_code = proc->exit_code;
+	return !proc->pid;
+}
+
+const char *tb_proc_name(const struct tb_proc *proc)
+{
+	return proc->name;
+}
+
+void tb_proc_limit_files(struct tb_proc *proc, uint64_t bytes)
+{
+	struct rlimit limit;
+
+	if (prlimit(proc->pid, RLIMIT_FSIZE, NULL, &limit))
+		return;
+	limit.rlim_cur = bytes ? bytes : limit.rlim_max;
+	prlimit(proc->pid, RLIMIT_FSIZE, &limit, NULL);
+}
+
+static void node_file_write(const struct tb_proc *proc, uint32_t first)
+{
+	char **addresses = g_strsplit(proc->tb->control_list, ",", -1);
+	guint nr = g_strv_length(addresses);
+	GString *text = g_string_new("[masticreach]\ncontrol=");
+
+	for (guint i = 0; i < nr; i++)
+		g_string_append_printf(text, "%s%s", i ? "," : "",
+				       addresses[(first + i) % nr]);
+	g_string_append_c(text, '\n');
+	g_assert(g_file_set_contents(proc->node_file, text->str, -1, NULL));
+	g_string_free(text, TRUE);
+	g_strfreev(addresses);
+}
+
+void tb_proc_rotate_controls(struct tb_proc *proc, uint32_t first)
+{
+	node_file_write(proc, first);
+}
+
 int tb_proc_wait(struct tb_proc *proc, uint32_t limit_ms)
 {
 	gint64 end_us = g_get_monotonic_time() + (gint64)limit_ms * 1000;
@@ -249,14 +313,19 @@
 
 /* ---- the site ---- */
 
-/* Each test program has loopback addresses of its own. */
-static char *tb_reserve(void)
+/* Each test program has loopback addresses of its own, one for each host. */
+static char *tb_host_ip(uint32_t host)
+{
+	return g_strdup_printf("127.%u.%d.%d", host + 1,
+			       getpid() / 250 % 250 + 1, getpid() % 250 + 1);
+}
+
+static char *tb_reserve_on(uint32_t host)
 {
 	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
 				       G_SOCKET_TYPE_STREAM,
 				       G_SOCKET_PROTOCOL_TCP, NULL);
-	char *ip = g_strdup_printf("127.1.%d.%d", getpid() / 250 % 250 + 1,
-				   getpid() % 250 + 1);
+	char *ip = tb_host_ip(host);
 	GSocketAddress *address = g_inet_socket_address_new_from_string(ip, 0);
 	GSocketAddress *bound;
 	char *text;
@@ -273,6 +342,11 @@
 	return text;
 }
 
+static char *tb_reserve(void)
+{
+	return tb_reserve_on(0);
+}
+
 /* Returns the address to advertise: the proxy's, or the process's own. */
 static char *tb_proxy(struct testbed *tb, struct tb_proc *proc,
 		      const char *target, char *listen)
@@ -306,7 +380,15 @@
 	proc_arg(proc, "--zone", zone);
 	proc_arg(proc, "--http", http ? http : "127.0.0.1:0");
 	proc_arg(proc, "--port-file", proc->port_file);
-	proc_arg(proc, "--control", tb->control_list);
+	if (tb->opts.platform) {
+		proc->node_file = g_strdup_printf("%s/%s.conf", tb->dir, name);
+		node_file_write(proc, 0);
+		proc_arg(proc, "--node-file", proc->node_file);
+	} else {
+		proc_arg(proc, "--control", tb->control_list);
+	}
+	if (tb->opts.platform && tb->opts.grace_s)
+		proc_arg_number(proc, "--grace-s", tb->opts.grace_s);
 	if (tb->opts.platform) {
 		proc_arg(proc, "--front-end", "platform");
 		proc_arg(proc, "--zones", "veraval,porbandar,mangrol");
@@ -327,24 +409,45 @@
 	}
 }
 
+/*
+ * The platform's machines have the same ports, each on an address of its own;
+ * redirects to the leader rely on that.
+ */
+static char *tb_http_of_host(uint32_t host, const char *first)
+{
+	char *ip = tb_host_ip(host + 1);
+	char *text = first ? g_strdup_printf("%s%s", ip, strrchr(first, ':')) :
+			     tb_reserve_on(host + 1);
+
+	g_free(ip);
+	return text;
+}
+
 static void tb_start_controls(struct testbed *tb)
 {
 	static const char *const zones[] = { "veraval", "porbandar",
 					     "mangrol" };
 	char *listen[TB_MAX_CONTROLS] = { NULL };
 	char *shown[TB_MAX_CONTROLS + 1] = { NULL };
+	char *https[TB_MAX_CONTROLS] = { NULL };
 
 	for (uint32_t i = 0; i < tb->opts.nr_controls; i++) {
-		listen[i] = tb_reserve();
-		shown[i] = tb->opts.proxy_controls ? tb_reserve() :
+		uint32_t host = tb->opts.platform ? i + 1 : 0;
+
+		listen[i] = tb_reserve_on(host);
+		shown[i] = tb->opts.proxy_controls ? tb_reserve_on(host) :
 						     g_strdup(listen[i]);
+		if (tb->opts.platform)
+			https[i] = tb_http_of_host(i, https[0]);
 	}
 	tb->control_list = g_strjoinv(",", shown);
 	for (uint32_t i = 0; i < tb->opts.nr_controls; i++) {
 		char *name = g_strdup_printf("control-%u", i + 1);
 		struct tb_proc *proc =
-			tb_daemon(tb, "control", name, zones[i % 3], NULL);
+			tb_daemon(tb, "control", name, zones[i % 3], https[i]);
 
+		if (tb->opts.platform)
+			proc_arg(proc, "--bootstrap", "true");
 		proc->data = g_strdup_printf("%s/%s.data", tb->dir, name);
 		g_mkdir(proc->data, 0755);
 		proc_arg(proc, "--listen", listen[i]);
@@ -361,6 +464,7 @@
 		tb_wait_port(testbed_control(tb, i));
 		g_free(listen[i]);
 		g_free(shown[i]);
+		g_free(https[i]);
 	}
 }
 
@@ -440,11 +544,13 @@
 struct tb_proc *testbed_add_entry(struct testbed *tb, const char *zone)
 {
 	char *name = g_strdup_printf("entry-%u", tb->entries->len + 1);
-	struct tb_proc *proc = tb_daemon(tb, "entry", name, zone, NULL);
+	char *http = tb->opts.platform ? tb_reserve() : NULL;
+	struct tb_proc *proc = tb_daemon(tb, "entry", name, zone, http);
 
 	proc_start(proc);
 	g_ptr_array_add(tb->entries, proc);
 	tb_wait_port(proc);
+	g_free(http);
 	g_free(name);
 	return proc;
 }
@@ -514,9 +620,10 @@
 	return proc;
 }
 
-struct tb_proc *testbed_add_executor(struct testbed *tb, uint32_t late_percent,
-				     uint32_t malformed_percent)
+struct tb_proc *testbed_add_executor(struct testbed *tb,
+				     const struct tb_executor_opts *opts)
 {
+	const char *zone = opts->zone ? opts->zone : "veraval";
 	char *name = g_strdup_printf("vm-%u", tb->agents->len + 1);
 	char *worker = g_strdup_printf("i-%u", tb->agents->len + 1);
 	char *program = g_build_filename(tb->bin, "executor_standin", NULL);
@@ -524,7 +631,7 @@
 	char *listen = tb_reserve();
 	/* Fixed, as the worker keeps the address when the agent restarts. */
 	char *http = tb_reserve();
-	struct tb_proc *agent = tb_daemon(tb, "agent", name, "veraval", http);
+	struct tb_proc *agent = tb_daemon(tb, "agent", name, zone, http);
 	struct tb_proc *standin = proc_new(tb, worker, program);
 
 	proc_arg(agent, "--listen", listen);
@@ -535,8 +642,10 @@
 	proc_arg(standin, "--agent", tb_proc_http(agent));
 	proc_arg(standin, "--journal", journal);
 	proc_arg(standin, "--port-file", standin->port_file);
-	proc_arg_number(standin, "--late-percent", late_percent);
-	proc_arg_number(standin, "--malformed-percent", malformed_percent);
+	proc_arg(standin, "--zone", zone);
+	proc_arg_number(standin, "--late-percent", opts->late_percent);
+	proc_arg_number(standin, "--malformed-percent",
+			opts->malformed_percent);
 	proc_start(standin);
 	tb_wait_port(standin);
 	g_ptr_array_add(tb->agents, agent);
@@ -550,6 +659,23 @@
 	return agent;
 }
 
+char *testbed_path(struct testbed *tb, const char *name)
+{
+	return g_build_filename(tb->dir, name, NULL);
+}
+
+struct tb_proc *testbed_add_probe(struct testbed *tb)
+{
+	char *program = g_build_filename(tb->bin, "soak_probe", NULL);
+	struct tb_proc *proc = proc_new(tb, "probe", program);
+
+	g_ptr_array_add(proc->argv, testbed_path(tb, "probe.data"));
+	g_ptr_array_add(proc->argv, testbed_path(tb, "probe.journal"));
+	proc_start(proc);
+	g_free(program);
+	return proc;
+}
+
 struct tb_proc *testbed_control(struct testbed *tb, uint32_t i)
 {
 	return g_ptr_array_index(tb->controls, i);
@@ -820,6 +946,9 @@
 	if (!msg)
 		g_error("%s has no HTTP address", entry->name);
 	headers = soup_message_get_request_headers(msg);
+	/* The queues of the platform's beds have this host. */
+	if (entry->tb->opts.platform)
+		soup_message_headers_replace(headers, "Host", "127.0.0.1");
 	if (key)
 		soup_message_headers_append(headers, "Idempotency-Key", key);
 	if (body) {
--- a/tests/testbed.h
+++ b/tests/testbed.h
@@ -26,6 +26,7 @@
 	bool proxy_controls; /* a fault proxy in front of each control VM */
 	bool proxy_agents; /* and of each agent */
 	bool platform; /* the processes speak the platform's protocol */
+	uint32_t grace_s; /* given to the processes, 0: not */
 	uint64_t seed;
 };
 
@@ -49,12 +50,20 @@
 struct tb_proc *testbed_add_vm(struct testbed *tb,
 			       const struct tb_vm_opts *opts);
 
-/**
- * Starts an agent and, beside it, the stand-in of the platform's worker with
- * these shares of unanswered orders and of malformed reports.
- */
-struct tb_proc *testbed_add_executor(struct testbed *tb, uint32_t late_percent,
-				     uint32_t malformed_percent);
+struct tb_executor_opts {
+	const char *zone; /* NULL: veraval */
+	uint32_t late_percent; /* of the orders: no answer, or carried out late
+				*/
+	uint32_t malformed_percent; /* of the reports */
+};
+
+/** Starts an agent and, beside it, the stand-in of the platform's worker. */
+struct tb_proc *testbed_add_executor(struct testbed *tb,
+				     const struct tb_executor_opts *opts);
+/** Starts soak_probe, which writes to "probe.journal". */
+struct tb_proc *testbed_add_probe(struct testbed *tb);
+/** Returns the path of a file in the testbed's folder; free it. */
+char *testbed_path(struct testbed *tb, const char *name);
 /** Returns the lines of all journals by time; free with g_ptr_array_unref(). */
 GPtrArray *testbed_lines(struct testbed *tb);
 
@@ -70,7 +79,17 @@
 void tb_proc_restart(struct tb_proc *proc);
 /** Waits for the process to end by itself; returns its exit code or -1. */
 int tb_proc_wait(struct tb_proc *proc, uint32_t limit_ms);
+/** Returns true, and the exit code or -1, once the process has ended. */
+bool tb_proc_ended(struct tb_proc *proc, int *exit_code);
 int tb_proc_pid(const struct tb_proc *proc);
+const char *tb_proc_name(const struct tb_proc *proc);
+/** Bounds the files that the running process can write; 0: no bound. */
+void tb_proc_limit_files(struct tb_proc *proc, uint64_t bytes);
+/**
+ * Rewrites the node file of a process of the platform: it names the control VMs
+ * in another order, from the one with this index on.
+ */
+void tb_proc_rotate_controls(struct tb_proc *proc, uint32_t first);
 /** Empties the data folder of a stopped control process. */
 void tb_proc_lose_disk(struct tb_proc *proc);
 /** What a process has used so far. */
