Answer every call before an entry's shutdown runs out

An entry takes requests for 2.5 s after a SIGTERM, and a call waits for the leader for up to 45 % of the client's time. With a client that waits 10 s and a core that doesn't reply, that is longer than the shutdown's limit (4.8 s of 6 s grace), and the process ended with the call open.

Calls that are open then are answered as after their own time: 503 if no leader had them, else 504.

platform-entry_leaves failed before (the connection ended) and passes.

--- a/src/core/entry/intake.c
+++ b/src/core/entry/intake.c
@@ -24,6 +24,7 @@
 	struct intake_opts opts;
 	struct site *site;
 	GHashTable *calls; /* ticket -> struct intake_call * */
+	uint64_t stop_us; /* no call waits longer, TIMER_NEVER: no limit */
 	bool stopping;
 };
 
@@ -108,9 +109,9 @@
 static uint64_t intake_limit_us(const struct intake_call *call)
 {
 	uint64_t wait_us = call->began_us + INTAKE_LEADER_WAIT_MS * 1000ull;
+	uint64_t limit_us = MIN(call->deadline_us, call->intake->stop_us);
 
-	return call->nr_open ? call->deadline_us :
-			       MIN(call->deadline_us, wait_us);
+	return call->nr_open ? limit_us : MIN(limit_us, wait_us);
 }
 
 static void intake_due(void *data, uint64_t now_us)
@@ -165,6 +166,23 @@
 		call->abandoned = true;
 }
 
+void intake_stop_within(struct intake *intake, uint32_t limit_ms)
+{
+	struct node *node = intake->node;
+	GHashTableIter iter;
+	void *value;
+
+	intake->stop_us = node->now_us + limit_ms * 1000ull;
+	g_hash_table_iter_init(&iter, intake->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct intake_call *call = value;
+		uint64_t due_us = node->now_us + INTAKE_REPEAT_MS * 1000ull;
+
+		timer_set(node->timers, &call->timer,
+			  MIN(due_us, intake_limit_us(call)));
+	}
+}
+
 bool intake_ready(const struct intake *intake)
 {
 	return !intake->stopping && site_leader(intake->site) &&
@@ -290,6 +308,7 @@
 
 	intake->node = node;
 	intake->opts = *opts;
+	intake->stop_us = TIMER_NEVER;
 	intake->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					      intake_call_free);
 	intake->site = site_new(node, &site_opts);
--- a/src/core/entry/intake.h
+++ b/src/core/entry/intake.h
@@ -43,6 +43,9 @@
 /** Returns true while a leader with a bundle in force is known. */
 bool intake_ready(const struct intake *intake);
 
+/** Answers each call within this time, also those that come until then. */
+void intake_stop_within(struct intake *intake, uint32_t limit_ms);
+
 /** Dials these control addresses (NULL-terminated) as well. */
 void intake_add_controls(struct intake *intake, const char *const *addresses);
 
--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "platform_bed.h"
+#include "soak_conn.h"
 #include "suite.h"
 
 static const char *program;
@@ -174,12 +175,49 @@
 }
 END_TEST
 
+static void take_answer(void *ctx, const struct soak_answer *answer)
+{
+	*(struct soak_answer *)ctx = *answer;
+}
+
+/*
+ * Guards against a request that was read and gets no answer: the entry ends
+ * after a SIGTERM while no leader replies and the client would wait longer.
+ */
+START_TEST(test_entry_leaves)
+{
+	struct platform_bed_opts opts = { .program = program,
+					  .grace_s = 6,
+					  .seed = 1 };
+	struct testbed *tb = platform_bed_new(&opts);
+	struct tb_proc *entry = testbed_entry(tb, 0);
+	struct soak_conn *conn = soak_conn_new(tb_proc_http(entry));
+	struct soak_answer answer = { .outcome = CONN_NOT_SENT };
+
+	platform_bed_submit(tb, 1, 200);
+	for (uint32_t i = 0; i < NR_CONTROLS; i++)
+		tb_proc_signal(testbed_control(tb, i), SIGSTOP);
+	tb_proc_signal(entry, SIGTERM);
+	testbed_wait_ms(1500);
+	soak_conn_send(conn, "GET", "/q/0000000000000001", NULL, 20000, 10000,
+		       take_answer, &answer);
+	for (uint32_t ms = 0; ms < 10000 && !answer.ended_ms; ms += 100)
+		testbed_wait_ms(100);
+	ck_assert_int_eq(answer.outcome, CONN_ANSWERED);
+	ck_assert_uint_eq(answer.status, 504);
+	ck_assert_int_eq(tb_proc_wait(entry, 6000), 0);
+	soak_conn_free(conn);
+	testbed_free(tb);
+}
+END_TEST
+
 /* test_platform_site [CASE]: runs one case, or all of them. */
 int main(int argc, char **argv)
 {
 	const TTest *const tests[] = {
-		test_calm,	  test_leader_killed, test_agents_restarted,
-		test_late_orders, test_worker_reborn, test_power_lost,
+		test_calm,	   test_leader_killed, test_agents_restarted,
+		test_late_orders,  test_worker_reborn, test_power_lost,
+		test_entry_leaves,
 	};
 	size_t nr = sizeof(tests) / sizeof(tests[0]);
 
