--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -69,7 +69,6 @@
 		*permit; /* ticket of the only worker that may start, or NULL */
 	const char *good; /* its name */
 	uint32_t run_ms; /* of every run */
-	const char *lasting; /* runs of this workflow last, NULL: none */
 	uint32_t tail_ms; /* figure of every run */
 	const char *lasting; /* prefix of tasks that don't end, or NULL */
 	bool overcommitted; /* fillers come on top of the processors */
