--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -341,6 +341,47 @@
 }
 END_TEST
 
+/*
+ * Guards against tasks that wait for ever for a life that is gone: a VM has
+ * restarted with its clock set back, so that its worker's present life looks
+ * earlier than the one that its tasks were placed on.
+ */
+START_TEST(test_life_with_an_earlier_clock)
+{
+	for (uint32_t new_leader = 0; new_leader < 2; new_leader++) {
+		struct flow_world *fw = flow_world_new(70 + new_leader);
+		struct fw_vm *vm = &fw->vms[1];
+		struct flow_step step = step_of(8);
+		uint64_t born_ms = vm->worker.born_ms;
+
+		fw_crash_worker(vm);
+		fw_boot_worker(vm);
+		flow_world_run_ms(fw, 2000);
+		fw->run_ms = 4000;
+		step.estimate_ms = 4000;
+		flow_world_submit(fw, "aa", &step, 1);
+		flow_world_run_ms(fw, 500);
+		ck_assert_uint_eq(fw_running(fw), 8);
+		fw_crash_worker(vm);
+		fw_kill_agent(vm);
+		if (new_leader) {
+			struct world_control *leader =
+				world_leader_host(fw->base);
+
+			world_kill_control(leader);
+			world_boot_control(leader);
+		}
+		fw_boot_worker(vm);
+		vm->worker.born_ms = born_ms;
+		fw_boot_agent(vm);
+		ck_assert_msg(flow_world_wait(fw, "aa", FLOW_COMPLETED, 40000),
+			      "not completed after 40 s%s",
+			      new_leader ? ", with a new leader" : "");
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 /* Guards against starts in a zone that operators took out. */
 START_TEST(test_zone_out)
 {
@@ -602,6 +643,7 @@
 	   test_unknown_names, test_leader_killed, test_agent_restarted,
 	   test_vm_cut_off, test_nothing_placed_on_silent_vm, test_short_cuts,
 	   test_leader_without_lease, test_late_calls, test_worker_crashes,
-	   test_heartbeat_of_earlier_life, test_zone_out, test_draining,
+	   test_heartbeat_of_earlier_life, test_life_with_an_earlier_clock,
+	   test_zone_out, test_draining,
 	   test_attempts, test_fillers_are_not_starved, test_advice,
 	   test_held_filler_moves, test_serving_tasks_are_grouped)
