--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -644,6 +644,6 @@
 	   test_vm_cut_off, test_nothing_placed_on_silent_vm, test_short_cuts,
 	   test_leader_without_lease, test_late_calls, test_worker_crashes,
 	   test_heartbeat_of_earlier_life, test_life_with_an_earlier_clock,
-	   test_zone_out, test_draining,
-	   test_attempts, test_fillers_are_not_starved, test_advice,
-	   test_held_filler_moves, test_serving_tasks_are_grouped)
+	   test_zone_out, test_draining, test_attempts,
+	   test_fillers_are_not_starved, test_advice, test_held_filler_moves,
+	   test_serving_tasks_are_grouped)
--- a/tests/test_flow_load.c
+++ b/tests/test_flow_load.c
@@ -16,6 +16,7 @@
 /* Full looks at all VMs that a waiting workflow may cost in a second. */
 #define FULL_LOOKS_PER_S 4
 #define NR_FILLER_IMAGES 8
+#define NR_CHAIN 60 /* steps that follow each other */
 
 static void submit_serving(struct flow_world *fw)
 {
@@ -124,5 +125,93 @@
 }
 END_TEST
 
+/* Runs the world; checks how many VMs the leader weighed meanwhile. */
+static void check_weighed(struct flow_world *fw, uint32_t nr_waiting)
+{
+	struct counters *counters = world_leader(fw->base)->node->counters;
+	uint64_t weighed = counter_get(counters, "vms_weighed");
+	uint64_t placed = counter_get(counters, "tasks_placed");
+	uint64_t reports = counter_get(counters, "flow_reports");
+	uint64_t bound;
+
+	flow_world_run_ms(fw, MEASURED_MS);
+	weighed = counter_get(counters, "vms_weighed") - weighed;
+	placed = counter_get(counters, "tasks_placed") - placed;
+	reports = counter_get(counters, "flow_reports") - reports;
+	ck_assert_uint_gt(placed, 100);
+	bound = placed * FLOW_WORLD_VMS + reports * nr_waiting +
+		(uint64_t)FULL_LOOKS_PER_S * MEASURED_MS / 1000 * nr_waiting *
+			FLOW_WORLD_VMS;
+	ck_assert_msg(weighed <= bound,
+		      "%" G_GUINT64_FORMAT " VMs weighed for %" G_GUINT64_FORMAT
+		      " placements and %" G_GUINT64_FORMAT
+		      " reports, bound %" G_GUINT64_FORMAT,
+		      weighed, placed, reports, bound);
+}
+
+/*
+ * Guards against a gang that finds no room and, with the room that it takes and
+ * gives back, has all that waits weighed against its VMs at each pass.
+ */
+START_TEST(test_waiting_gang_changes_no_vm)
+{
+	struct flow_world *fw = flow_world_new(23);
+	struct flow_step gang = { .count = FLOW_WORLD_VMS + 1,
+				  .cpu_millis = 5000,
+				  .memory_mib = 100,
+				  .gang = true,
+				  .estimate_ms = RUN_MS };
+
+	fw->run_ms = RUN_MS;
+	fw->overcommitted = true;
+	submit_backlog(fw);
+	flow_world_submit(fw, "gang", &gang, 1);
+	flow_world_run_ms(fw, 1000);
+	check_weighed(fw, NR_BACKLOG + 1);
+	flow_world_free(fw);
+}
+END_TEST
+
+/*
+ * Guards against workflows that no VM can take and that are held against all of
+ * them at each pass, because most of the processors are free.
+ */
+START_TEST(test_impossible_work_costs_little)
+{
+	struct flow_world *fw = flow_world_new(24);
+	struct flow_step step = { .count = 1,
+				  .cpu_millis = 100,
+				  .memory_mib = 100,
+				  .estimate_ms = RUN_MS };
+	struct flow_step chain[NR_CHAIN] = { 0 };
+	uint64_t before[NR_CHAIN];
+
+	fw->run_ms = 200;
+	fw->overcommitted = true;
+	TEXT_SET(step.label, "none");
+	for (uint32_t i = 0; i < NR_BACKLOG; i++) {
+		char id[NAME_BYTES];
+
+		g_snprintf(id, sizeof(id), "n%u", i);
+		flow_world_submit(fw, id, &step, 1);
+	}
+	flow_world_run_ms(fw, 1500);
+	/* Other work keeps the leader placing. */
+	for (uint32_t i = 0; i < NR_CHAIN; i++) {
+		before[i] = i - 1;
+		chain[i].count = 24;
+		chain[i].cpu_millis = 400;
+		chain[i].memory_mib = 100;
+		chain[i].estimate_ms = 200;
+		chain[i].nr_after = i ? 1 : 0;
+		chain[i].after = &before[i];
+	}
+	flow_world_submit(fw, "chain", chain, NR_CHAIN);
+	check_weighed(fw, NR_BACKLOG);
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("flow_load", test_backlog_costs_what_changed,
-	   test_like_fillers_share_a_gain)
+	   test_like_fillers_share_a_gain, test_waiting_gang_changes_no_vm,
+	   test_impossible_work_costs_little)
