--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -476,6 +476,33 @@
 }
 END_TEST
 
+/*
+ * Guards against entries that are acknowledged on fewer disks than may be lost:
+ * five voters of whom two were replaced leave three, and a quorum of these is
+ * two.
+ */
+START_TEST(test_commit_outlives_the_losses)
+{
+	struct record noop;
+	struct lone lone;
+
+	lone_new_open(&lone, 2);
+	lone_lead(&lone);
+	lone_synced(&lone);
+	lone_acknowledge(&lone, 2, 3, lone.now_us);
+	lone_acknowledge(&lone, 3, 3, lone.now_us);
+	noop = lone_noop();
+	if (raft_propose(lone.raft, noop, 1) == RESULT_OK) {
+		lone_wait_ms(&lone, 1);
+		lone_synced(&lone);
+		lone_acknowledge(&lone, 2, 4, lone.now_us);
+		ck_assert_uint_lt(raft_commit_index(lone.raft), 4);
+	}
+	record_unref(noop);
+	lone_free(&lone);
+}
+END_TEST
+
 /* Guards against a voter that loses its seat with nobody to take it. */
 START_TEST(test_lone_absent_voter_stays)
 {
@@ -569,6 +596,7 @@
 	   test_lease_counts_from_sending, test_formation_needs_every_vote_anew,
 	   test_voters_stay_a_majority_of_the_list,
 	   test_learner_catches_up_first, test_one_change_at_a_time,
-	   test_replaced_voter_leaves, test_replaced_silent_voter_leaves,
-	   test_wiped_voter_rejoins_at_once, test_lone_absent_voter_stays,
-	   test_pages_are_in_order, test_large_entries_bring_a_snapshot)
+	   test_commit_outlives_the_losses, test_replaced_voter_leaves,
+	   test_replaced_silent_voter_leaves, test_wiped_voter_rejoins_at_once,
+	   test_lone_absent_voter_stays, test_pages_are_in_order,
+	   test_large_entries_bring_a_snapshot)
