--- a/tests/test_flow_load.c
+++ b/tests/test_flow_load.c
@@ -212,6 +212,45 @@
 }
 END_TEST
 
+/*
+ * Guards against a look for moves of serving tasks that weighs all VMs for each
+ * task at once, in one turn of the leader.
+ */
+START_TEST(test_looks_for_moves_cost_little)
+{
+	struct flow_world *fw = loaded_world(25);
+	struct counters *counters;
+	uint64_t weighed;
+	uint64_t bound = (uint64_t)FULL_LOOKS_PER_S * MEASURED_MS / 1000 *
+			 NR_SERVING * FLOW_WORLD_VMS;
+
+	/* Figures that rise with the fillers' work teach weights. */
+	for (uint32_t i = 0; i < 30; i++) {
+		fw->tail_ms = i % 2 ? 95 : 60;
+		flow_world_run_ms(fw, 500);
+	}
+	fw->tail_ms = 60;
+	for (uint32_t i = 0; i < NR_BACKLOG; i++) {
+		struct flow_record none = { 0 };
+		char path[PATH_BYTES];
+
+		g_snprintf(path, sizeof(path), "/q/f%u", i);
+		flow_world_call(fw, FLOW_CALL_CANCEL, path, &none);
+	}
+	flow_world_run_ms(fw, 3000);
+	/* Nothing waits: only moves are looked for. */
+	counters = world_leader(fw->base)->node->counters;
+	weighed = counter_get(counters, "vms_weighed");
+	flow_world_run_ms(fw, MEASURED_MS);
+	weighed = counter_get(counters, "vms_weighed") - weighed;
+	ck_assert_msg(weighed <= bound,
+		      "%" G_GUINT64_FORMAT
+		      " VMs weighed, bound %" G_GUINT64_FORMAT,
+		      weighed, bound);
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("flow_load", test_backlog_costs_what_changed,
 	   test_like_fillers_share_a_gain, test_waiting_gang_changes_no_vm,
-	   test_impossible_work_costs_little)
+	   test_impossible_work_costs_little, test_looks_for_moves_cost_little)
