--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -492,7 +492,7 @@
 	fw->overcommitted = true;
 	for (uint32_t i = 0; i < nr_serving; i++) {
 		struct flow_step step = { .count = 8,
-					  .cpu_millis = 800,
+					  .cpu_millis = 1000,
 					  .memory_mib = 400,
 					  .lasting = true,
 					  .target_ms = 100 };
--- a/tests/test_flow_load.c
+++ b/tests/test_flow_load.c
@@ -10,8 +10,10 @@
 #define NR_SERVING 12
 #define NR_BACKLOG 80
 #define MEASURED_MS 5000
+#define RUN_MS 2700
 /* Full looks at all VMs that a waiting workflow may cost in a second. */
 #define FULL_LOOKS_PER_S 4
+#define NR_CHAIN 60 /* steps that follow each other */
 
 /*
  * Guards against a leader whose work grows with the product of waiting
@@ -77,5 +79,131 @@
 }
 END_TEST
 
+/* Runs the world; checks how many VMs the leader weighed meanwhile. */
+static void check_weighed(struct flow_world *fw, uint32_t nr_waiting)
+{
+	struct counters *counters = world_leader(fw->base)->node->counters;
+	uint64_t weighed = counter_get(counters, "vms_weighed");
+	uint64_t placed = counter_get(counters, "tasks_placed");
+	uint64_t reports = counter_get(counters, "flow_reports");
+	uint64_t bound;
+
+	flow_world_run_ms(fw, MEASURED_MS);
+	weighed = counter_get(counters, "vms_weighed") - weighed;
+	placed = counter_get(counters, "tasks_placed") - placed;
+	reports = counter_get(counters, "flow_reports") - reports;
+	ck_assert_uint_gt(placed, 100);
+	bound = placed * FLOW_WORLD_VMS + reports * nr_waiting +
+		(uint64_t)FULL_LOOKS_PER_S * MEASURED_MS / 1000 * nr_waiting *
+			FLOW_WORLD_VMS;
+	ck_assert_msg(weighed <= bound,
+		      "%" G_GUINT64_FORMAT " VMs weighed for %" G_GUINT64_FORMAT
+		      " placements and %" G_GUINT64_FORMAT
+		      " reports, bound %" G_GUINT64_FORMAT,
+		      weighed, placed, reports, bound);
+}
+
+/*
+ * Guards against a gang that finds no room and, with the room that it takes and
+ * gives back, has all that waits weighed against its VMs at each pass.
+ */
+START_TEST(test_waiting_gang_changes_no_vm)
+{
+	struct flow_world *fw = flow_world_new(23);
+	struct flow_step gang = { .count = FLOW_WORLD_VMS + 1,
+				  .cpu_millis = 5000,
+				  .memory_mib = 100,
+				  .gang = true,
+				  .estimate_ms = RUN_MS };
+
+	flow_world_load(fw, 0, NR_BACKLOG, 1);
+	flow_world_submit(fw, "gang", &gang, 1);
+	flow_world_run_ms(fw, 1000);
+	check_weighed(fw, NR_BACKLOG + 1);
+	flow_world_free(fw);
+}
+END_TEST
+
+/*
+ * Guards against workflows that no VM can take and that are held against all of
+ * them at each pass, because most of the processors are free.
+ */
+START_TEST(test_impossible_work_costs_little)
+{
+	struct flow_world *fw = flow_world_new(24);
+	struct flow_step step = { .count = 1,
+				  .cpu_millis = 100,
+				  .memory_mib = 100,
+				  .estimate_ms = RUN_MS };
+	struct flow_step chain[NR_CHAIN] = { 0 };
+	uint64_t before[NR_CHAIN];
+
+	fw->run_ms = 200;
+	fw->overcommitted = true;
+	TEXT_SET(step.label, "none");
+	for (uint32_t i = 0; i < NR_BACKLOG; i++) {
+		char id[NAME_BYTES];
+
+		g_snprintf(id, sizeof(id), "n%u", i);
+		flow_world_submit(fw, id, &step, 1);
+	}
+	flow_world_run_ms(fw, 1500);
+	/* Other work keeps the leader placing. */
+	for (uint32_t i = 0; i < NR_CHAIN; i++) {
+		before[i] = i - 1;
+		chain[i].count = 24;
+		chain[i].cpu_millis = 400;
+		chain[i].memory_mib = 100;
+		chain[i].estimate_ms = 200;
+		chain[i].nr_after = i ? 1 : 0;
+		chain[i].after = &before[i];
+	}
+	flow_world_submit(fw, "chain", chain, NR_CHAIN);
+	check_weighed(fw, NR_BACKLOG);
+	flow_world_free(fw);
+}
+END_TEST
+
+/*
+ * Guards against a look for moves of serving tasks that weighs all VMs for each
+ * task at once, in one turn of the leader.
+ */
+START_TEST(test_looks_for_moves_cost_little)
+{
+	struct flow_world *fw = flow_world_new(25);
+	struct counters *counters;
+	uint64_t weighed;
+	uint64_t bound = (uint64_t)FULL_LOOKS_PER_S * MEASURED_MS / 1000 *
+			 NR_SERVING * FLOW_WORLD_VMS;
+
+	flow_world_load(fw, NR_SERVING, NR_BACKLOG, 1);
+	/* Figures that rise with the fillers' work teach weights. */
+	for (uint32_t i = 0; i < 30; i++) {
+		fw->tail_ms = i % 2 ? 95 : 60;
+		flow_world_run_ms(fw, 500);
+	}
+	fw->tail_ms = 60;
+	for (uint32_t i = 0; i < NR_BACKLOG; i++) {
+		struct flow_record none = { 0 };
+		char path[PATH_BYTES];
+
+		g_snprintf(path, sizeof(path), "/q/f%u", i);
+		flow_world_call(fw, FLOW_CALL_CANCEL, path, &none);
+	}
+	flow_world_run_ms(fw, 3000);
+	/* Nothing waits: only moves are looked for. */
+	counters = world_leader(fw->base)->node->counters;
+	weighed = counter_get(counters, "vms_weighed");
+	flow_world_run_ms(fw, MEASURED_MS);
+	weighed = counter_get(counters, "vms_weighed") - weighed;
+	ck_assert_msg(weighed <= bound,
+		      "%" G_GUINT64_FORMAT
+		      " VMs weighed, bound %" G_GUINT64_FORMAT,
+		      weighed, bound);
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("flow_load", test_backlog_costs_what_changed,
-	   test_like_fillers_share_a_gain)
+	   test_like_fillers_share_a_gain, test_waiting_gang_changes_no_vm,
+	   test_impossible_work_costs_little, test_looks_for_moves_cost_little)
