Mark no VM as changed by a gang that finds no room

Cause: an attempt to place a gang takes room for its members one by one and gives it back, which marked those VMs as changed; at each pass all that waits was held against them, and the gang itself saw new changes.

The count of changes begins at 1, so that the first change isn't taken for one that was seen.

--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -85,14 +85,20 @@
 	return soft;
 }
 
-void control_flow_release(struct control_flow *flows, struct flow_soft *soft)
+void control_flow_untake(struct control_flow *flows, struct flow_soft *soft)
 {
 	flow_vm_count(soft->vm, soft->step, false);
-	control_flow_vm_changed(flows, soft->vm);
+	soft->vm->gains_stale = true;
 	g_hash_table_remove(soft->vm->runs, soft);
 	g_hash_table_remove(flows->runs, soft->name);
 }
 
+void control_flow_release(struct control_flow *flows, struct flow_soft *soft)
+{
+	control_flow_vm_changed(flows, soft->vm);
+	control_flow_untake(flows, soft);
+}
+
 /* ---- proposals ---- */
 
 /* A change that was not committed is forgotten; reports bring ends again. */
@@ -404,6 +410,7 @@
 					      flow_orders_free);
 	flows->waits =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	flows->change_nr = 1; /* 0 stands for "not known" */
 	flows->pressure = pressure_new();
 	flows->advice = flow_advice_new();
 	flows->ranks = g_array_new(FALSE, FALSE, sizeof(struct flow_rank));
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -161,6 +161,8 @@
 				    struct state_flow *flow, uint32_t task,
 				    uint32_t run, struct flow_vm *vm);
 void control_flow_release(struct control_flow *flows, struct flow_soft *soft);
+/** Gives back room that was taken in the same turn; nothing has changed. */
+void control_flow_untake(struct control_flow *flows, struct flow_soft *soft);
 /** Notes that the VM may have room for what found none there before. */
 void control_flow_vm_changed(struct control_flow *flows, struct flow_vm *vm);
 /** Adds a change to the next proposal of this turn. */
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -357,7 +357,7 @@
 		struct flow_soft *soft = taken->pdata[i];
 		struct flow_vm *vm = soft->vm;
 
-		control_flow_release(need->flows, soft);
+		control_flow_untake(need->flows, soft);
 		if (all)
 			flow_place_on(need, first + i, run, vm);
 	}
@@ -543,7 +543,7 @@
 	}
 	if (!refused_nr)
 		rank->weighed_us = flows->control->node->now_us;
-	rank->refused_nr = MAX(change_nr, 1);
+	rank->refused_nr = change_nr;
 	rank->nr_placed = flow->nr_placed;
 	rank->nr_done = flow->nr_done;
 }
