Hold idle workflows against what has changed, too

Cause: a workflow of which nothing runs for 1.2 s with room left was held against all VMs at each pass, as it then asks for less. That matters once, when it begins.

Open: workflows that need tickets are still held against all VMs at each pass, as tickets come without a change of a VM.

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -96,7 +96,8 @@
 	/* control_flow.change_nr when no VM had room for it, 0: not known */
 	uint64_t refused_nr;
 	uint64_t weighed_us; /* all VMs were weighed */
-	uint32_t nr_placed; /* of its tasks, when no VM had room */
+	bool starved; /* flow_need.starved, when no VM had room */
+	uint32_t nr_placed; /* of its tasks, then */
 	uint32_t nr_done;
 };
 
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -518,11 +518,13 @@
 {
 	const struct state_flow *flow = rank->flow;
 	uint64_t now_us = flows->control->node->now_us;
-	/* Other tasks wait than those that found no room. */
+	/* Other tasks wait than those that found no room, or they ask for less.
+	 */
 	bool other = flow->nr_done != rank->nr_done ||
-		     flow->nr_placed < rank->nr_placed;
+		     flow->nr_placed < rank->nr_placed ||
+		     (starved && !rank->starved);
 
-	if (starved || other || flow->record.ticket_ms ||
+	if (other || flow->record.ticket_ms ||
 	    now_us - rank->weighed_us >= FLOW_WEIGH_ALL_MS * 1000ull)
 		return 0;
 	return rank->refused_nr;
@@ -544,6 +546,7 @@
 	if (!refused_nr)
 		rank->weighed_us = flows->control->node->now_us;
 	rank->refused_nr = change_nr;
+	rank->starved = starved;
 	rank->nr_placed = flow->nr_placed;
 	rank->nr_done = flow->nr_done;
 }
