Compare lives with a time that grants don't move

Callers would see a submission that never completes, or a lasting task that stays away, after a VM with its clock set back restarted and the leader changed.

The time is now that of the leader's begin plus a lease and the margin.

--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -146,16 +146,22 @@
 		control_flow_order_start(flows, soft);
 }
 
-/* Returns true if the run's life is later than the one that is reported. */
+/*
+ * Returns true if the run's life is later than the one that is reported, and
+ * may be there. Its agent may hear late heartbeats of an earlier life first; a
+ * VM whose clock was set back reports a life that only seems to be earlier. The
+ * grants of earlier leaders have run out by the time that is compared here;
+ * grants to the life that is reported don't matter.
+ */
 static bool flow_life_is_later(const struct control_flow *flows,
 			       const struct flow_soft *soft)
 {
 	const struct flow_task *task = &soft->flow->record.tasks[soft->task];
-	const struct flow_vm *vm = soft->vm;
+	uint64_t until_us = flows->control->leader_since_us +
+			    (flows->lease_ms + FLOW_LEASE_MARGIN_MS) * 1000ull;
 
-	return task->born_ms > vm->worker.born_ms &&
-	       flows->control->node->now_us <=
-		       vm->lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
+	return task->born_ms > soft->vm->worker.born_ms &&
+	       flows->control->node->now_us <= until_us;
 }
 
 /*
