Keep a copy more than may be lost, also while voters are replaced

Operators could lose an acknowledged change on sites that bear the loss of two disks (the grown ones): five voters, two of them wiped, were replaced down to three, whose quorum of two acknowledged on two disks; a final fault takes these two.

Cause: the least number of voters was the losses plus one, which is right for one loss only. It is twice the losses now, so a quorum has one copy more than may be lost.

--- a/src/core/raft/raft_dial.c
+++ b/src/core/raft/raft_dial.c
@@ -10,9 +10,11 @@
 	return false;
 }
 
+/* A quorum of fewer voters could lie on the disks that may be lost. */
 uint32_t raft_min_voters(const struct raft *raft)
 {
-	return raft->losses ? raft->losses + 1 : raft->nr_addresses / 2 + 1;
+	return raft->losses ? MAX(raft->losses * 2, 2) :
+			      raft->nr_addresses / 2 + 1;
 }
 
 static bool raft_is_linked(const struct raft *raft, const char *address)
