Stop a repeated start before it counts as never started

Cause: an agent judged by its own calls alone. What it refuses itself, or sees refused for want of room or lease, says nothing about a call of the agent before it.

An order now says whether another agent process may have had it (the run is of an earlier leader's term, or the agent is another one than before). Such a run is stopped at the worker first, which forbids it, and the look after that settles it.

Evidence: runner, repeated_start_is_stopped failed without the change (one refusal) and passes.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -8401,7 +8401,7 @@
   (ProtobufCMessageInit) masticreach__flow_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_order__field_descriptors[10] =
+static const ProtobufCFieldDescriptor masticreach__flow_order__field_descriptors[11] =
 {
   {
     "action",
@@ -8523,6 +8523,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "repeated",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowOrder, repeated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__flow_order__field_indices_by_name[] = {
   0,   /* field[0] = action */
@@ -8530,6 +8542,7 @@
   7,   /* field[7] = cpu_millis */
   5,   /* field[5] = filler */
   6,   /* field[6] = image */
+  10,   /* field[10] = repeated */
   2,   /* field[2] = run */
   3,   /* field[3] = spec */
   8,   /* field[8] = target_ms */
@@ -8539,7 +8552,7 @@
 static const ProtobufCIntRange masticreach__flow_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_order__descriptor =
 {
@@ -8549,7 +8562,7 @@
   "Masticreach__FlowOrder",
   "masticreach",
   sizeof(Masticreach__FlowOrder),
-  10,
+  11,
   masticreach__flow_order__field_descriptors,
   masticreach__flow_order__field_indices_by_name,
   1,  masticreach__flow_order__number_ranges,
--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -130,6 +130,7 @@
 	if (!run)
 		run = runner_add(runner, order->task, order->run, RUNNER_NEW);
 	run->ordered = true;
+	run->repeated = run->repeated || order->repeated;
 	run->filler = order->filler;
 	run->target_ms = order->target_ms;
 	run->image = pressure_image(runner->pressure, order->image);
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -21,6 +21,7 @@
 	uint32_t run;
 	enum runner_phase phase;
 	bool ordered; /* the leader's order is known */
+	bool repeated; /* an earlier agent may have called its start */
 	bool stop; /* to be stopped */
 	bool stop_calling;
 	uint64_t since_us; /* of the phase */
@@ -143,6 +144,12 @@
 /** Forgets the run and refuses it. */
 void runner_drop(struct runner *runner, struct runner_run *run,
 		 enum result result);
+/**
+ * The start isn't called, or is refused. A run that an earlier agent may have
+ * started, or whose start may still come, is stopped before it is refused.
+ */
+void runner_not_started(struct runner *runner, struct runner_run *run,
+			enum result result);
 /** Calls the worker to start the run, or drops the run. */
 void runner_start(struct runner *runner, struct runner_run *run);
 void runner_stop(struct runner *runner, struct runner_run *run);
--- a/src/core/agent/runner_run.c
+++ b/src/core/agent/runner_run.c
@@ -120,18 +120,31 @@
 	runner_refuse(runner, task, nr, result);
 }
 
+void runner_not_started(struct runner *runner, struct runner_run *run,
+			enum result result)
+{
+	if (!run->repeated) {
+		runner_drop(runner, run, result);
+		return;
+	}
+	runner_set_phase(runner, run, RUNNER_UNSURE);
+	runner_log_run(runner, "run-unsure", run->task, run->run,
+		       "an earlier agent may have started it", result);
+	runner_stop(runner, run);
+}
+
 void runner_start(struct runner *runner, struct runner_run *run)
 {
 	struct exec_call call = { .kind = EXEC_START };
 
 	if (runner->worker.draining) {
-		runner_drop(runner, run, RESULT_LEAVING);
+		runner_not_started(runner, run, RESULT_LEAVING);
 		return;
 	}
 	call.deadline_ms = runner_deadline_ms(runner);
 	if (!call.deadline_ms ||
 	    runner_lease_left_ms(runner) < RUNNER_START_LEASE_MS) {
-		runner_drop(runner, run, RESULT_LEASE_EXPIRED);
+		runner_not_started(runner, run, RESULT_LEASE_EXPIRED);
 		return;
 	}
 	call.task = run->task;
@@ -149,10 +162,12 @@
 	struct exec_call call = { .kind = EXEC_STOP };
 
 	run->stop = true;
-	if (run->phase == RUNNER_NEW) {
+	if (run->phase == RUNNER_NEW && !run->repeated) {
 		runner_drop(runner, run, RESULT_CANCELLED);
 		return;
 	}
+	if (run->phase == RUNNER_NEW)
+		runner_set_phase(runner, run, RUNNER_UNSURE);
 	if (run->stop_calling || run->stopped_us ||
 	    run->phase == RUNNER_STARTING)
 		return;
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -273,10 +273,10 @@
 		if (reply->result == RESULT_CONFLICT)
 			runner_start_barred(runner, run);
 		else
-			runner_drop(runner, run, reply->result);
+			runner_not_started(runner, run, reply->result);
 		break;
 	case EXEC_NOT_SENT:
-		runner_drop(runner, run, RESULT_NO_UPSTREAM);
+		runner_not_started(runner, run, RESULT_NO_UPSTREAM);
 		break;
 	case EXEC_OTHER_LIFE:
 		runner_drop(runner, run, RESULT_OTHER_LIFE);
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -293,6 +293,8 @@
 	uint32_t cpu_millis;
 	uint32_t target_ms;
 	char ticket[NAME_BYTES]; /* permit of the advice service, "" if none */
+	/** Another agent process may have called the worker for this run. */
+	bool repeated;
 };
 
 struct flow_orders {
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -186,6 +186,7 @@
 	F_STRING(flow_order, checkpoint), F_BOOL(flow_order, filler),
 	F_STRING(flow_order, image),	  F_U32(flow_order, cpu_millis),
 	F_U32(flow_order, target_ms),	  F_STRING(flow_order, ticket),
+	F_BOOL(flow_order, repeated),
 };
 static SCHEMA(flow_order_schema, "FlowOrder", flow_order, flow_order_fields);
 
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -375,6 +375,7 @@
 		soft = control_flow_take(flows, flow, i, task->run,
 					 control_flow_vm(flows, task->vm));
 		soft->committed = true;
+		soft->inherited = true;
 	}
 }
 
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -66,6 +66,7 @@
 	bool on; /* the worker has it */
 	uint64_t ordered_us; /* time of the last order, 0: none */
 	uint64_t ordered_node; /* incarnation that got it */
+	bool inherited; /* placed under an earlier leader */
 	uint64_t on_us;
 	uint32_t percent;
 	uint32_t pace; /* percent at which it may work */
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -35,6 +35,10 @@
 	/* A VM that has not reported yet gets its orders after its report. */
 	if (!soft->vm->reported || !control_flow_is_life(soft))
 		return;
+	order.repeated =
+		soft->inherited ||
+		(soft->ordered_us && soft->ordered_node != soft->vm->node_id);
+	soft->inherited = order.repeated;
 	soft->ordered_us = flows->control->node->now_us;
 	soft->ordered_node = soft->vm->node_id;
 	TEXT_SET(order.task, soft->name);
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -23,6 +23,7 @@
 	GArray *refused; /* run numbers that reports said not to start */
 	uint32_t nr_starts;
 	uint32_t nr_stops;
+	bool repeated; /* orders say that an earlier agent may have had them */
 };
 
 struct bench_call {
@@ -190,6 +191,7 @@
 	struct flow_orders orders = { .term = 4, .born_ms = 1, .nr_orders = 1 };
 
 	TEXT_SET(order.task, target_ms ? "ss.0.0.0" : TASK);
+	order.repeated = bench->repeated;
 	order.filler = filler;
 	order.target_ms = target_ms;
 	TEXT_SET(orders.worker, "w");
@@ -446,6 +448,39 @@
 }
 END_TEST
 
+/*
+ * Guards against "never started" for a run whose start an earlier agent has
+ * called: the worker may carry that call out later (soak 33, small).
+ */
+START_TEST(test_repeated_start_is_stopped)
+{
+	static const struct exec_reply refusals[] = {
+		{ .verdict = EXEC_NOT_SENT },
+		{ .verdict = EXEC_REFUSED, .result = RESULT_NO_CAPACITY },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
+		struct bench *bench = bench_ready(true);
+
+		bench->repeated = true;
+		bench_order(bench, FLOW_START, 1, false, 0);
+		ck_assert(bench_answer(bench, EXEC_START, &refusals[i], NULL));
+		bench_run_ms(bench, 20);
+		ck_assert_uint_eq(bench->refused->len, 0);
+		ck_assert_uint_eq(bench->nr_stops, 1);
+		/* The stop forbids the run, and a look shows that it isn't
+		 * there. */
+		ck_assert(bench_answer(bench, EXEC_STOP, &done, NULL));
+		bench_answer(bench, EXEC_HOLD, &done, NULL);
+		bench_run_ms(bench, 20);
+		ck_assert(bench_answer(bench, EXEC_HOLD, &done, NULL));
+		bench_run_ms(bench, 20);
+		ck_assert_uint_eq(bench->refused->len, 1);
+		bench_free(bench);
+	}
+}
+END_TEST
+
 /*
  * Guards against "never started" for a run whose end doesn't fit the list: a
  * worker lists 500 ends at a time.
@@ -789,8 +824,9 @@
 	   test_call_without_end, test_one_look_without_answer,
 	   test_looks_without_answers, test_stale_heartbeats,
 	   test_ends_wait_for_the_log, test_old_run_is_settled_by_lists,
-	   test_full_list_of_ends, test_orders_of_later_life,
-	   test_lists_of_other_life, test_ends_outlive_the_life,
-	   test_late_deregistration, test_late_start_in_later_life,
-	   test_start_by_other_life, test_ends_are_kept,
-	   test_cursor_after_silence, test_pace, test_start_waits_for_room)
+	   test_full_list_of_ends, test_repeated_start_is_stopped,
+	   test_orders_of_later_life, test_lists_of_other_life,
+	   test_ends_outlive_the_life, test_late_deregistration,
+	   test_late_start_in_later_life, test_start_by_other_life,
+	   test_ends_are_kept, test_cursor_after_silence, test_pace,
+	   test_start_waits_for_room)
