Bound the calls that an agent has under way to its worker

Cause: each order became a call at once. Beyond the 32 connections to the worker, calls wait inside the HTTP library, the look that renews the lease among them, and their time limits run out there.

At most 24 starts, stops and paces are under way; the others wait in the agent and go out as those end.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -111,6 +111,7 @@
 	GArray *unsure; /* struct runner_unsure */
 	GHashTable *calls; /* call_nr -> struct runner_call * */
 	uint64_t call_nr;
+	bool calls_wait; /* for others to end, see runner_may_call() */
 	bool holding;
 	uint64_t report_seq;
 	struct pressure *pressure; /* as learned by the leader */
@@ -150,7 +151,7 @@
  */
 void runner_not_started(struct runner *runner, struct runner_run *run,
 			enum result result);
-/** Calls the worker to start the run, or drops the run. */
+/** Calls the worker to start the run, now or later, or drops the run. */
 void runner_start(struct runner *runner, struct runner_run *run);
 void runner_stop(struct runner *runner, struct runner_run *run);
 /** Timer function: repeats stops that had no answer. */
@@ -173,6 +174,8 @@
 void runner_hold_due(void *data, uint64_t now_us);
 /** Ends calls that the host has not answered in time. */
 void runner_expire_calls(struct runner *runner);
+/** Returns false if the call has to wait for others to end. */
+bool runner_may_call(struct runner *runner);
 /** Calls the worker. */
 void runner_call(struct runner *runner, struct exec_call *call);
 
--- a/src/core/agent/runner_pace.c
+++ b/src/core/agent/runner_pace.c
@@ -133,6 +133,9 @@
 {
 	struct exec_call call = { .kind = EXEC_PACE };
 
+	/* The next look sets the pace. */
+	if (!runner_may_call(runner))
+		return;
 	call.task = run->task;
 	call.run = run->run;
 	call.percent = percent;
--- a/src/core/agent/runner_run.c
+++ b/src/core/agent/runner_run.c
@@ -147,6 +147,8 @@
 		runner_not_started(runner, run, RESULT_LEASE_EXPIRED);
 		return;
 	}
+	if (!runner_may_call(runner))
+		return; /* it stays RUNNER_NEW */
 	call.task = run->task;
 	call.run = run->run;
 	call.spec = run->spec;
@@ -169,7 +171,7 @@
 	if (run->phase == RUNNER_NEW)
 		runner_set_phase(runner, run, RUNNER_UNSURE);
 	if (run->stop_calling || run->stopped_us ||
-	    run->phase == RUNNER_STARTING)
+	    run->phase == RUNNER_STARTING || !runner_may_call(runner))
 		return;
 	call.task = run->task;
 	call.run = run->run;
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -40,6 +40,25 @@
 	return (uint32_t)((until_us - runner->node->now_us) / 1000);
 }
 
+bool runner_may_call(struct runner *runner)
+{
+	if (g_hash_table_size(runner->calls) - runner->holding <
+	    RUNNER_CALLS_MAX)
+		return true;
+	runner->calls_wait = true;
+	return false;
+}
+
+/* Makes the calls that waited for others to end. */
+static void runner_call_waiting(struct runner *runner)
+{
+	if (!runner->calls_wait || !runner_may_call(runner))
+		return;
+	runner->calls_wait = false;
+	node_timer_ms(runner->node, &runner->start_timer, 0);
+	node_timer_ms(runner->node, &runner->run_timer, 0);
+}
+
 void runner_call(struct runner *runner, struct exec_call *call)
 {
 	struct runner_call *kept = g_new0(struct runner_call, 1);
@@ -501,6 +520,7 @@
 	}
 out:
 	g_free(call);
+	runner_call_waiting(runner);
 }
 
 /* A host that loses a call must not keep the worker from being looked at. */
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -153,6 +153,11 @@
 #define RUNNER_START_LEASE_MS 1000
 /* Above the longest wait of a call and its time limit; a lease lasts longer. */
 #define RUNNER_CALL_MAX_MS 3000
+/*
+ * Starts, stops and paces under way to the worker. Below the connections that
+ * hosts open to it (32), so that a look, which renews the lease, never waits.
+ */
+#define RUNNER_CALLS_MAX 24
 #define RUNNER_REPORT_INTERVAL_MS 1000 /* five renewals within a lease */
 /* A lease is renewed each second; without two of these it gets a log line. */
 #define RUNNER_UNRENEWED_MS 2500
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -481,6 +481,57 @@
 }
 END_TEST
 
+/* Sends @a nr orders in one message, each for a task of its own. */
+static void bench_order_many(struct bench *bench, uint32_t action, uint32_t nr)
+{
+	struct flow_order *many = g_new0(struct flow_order, nr);
+	struct flow_orders orders = { .term = 4,
+				      .born_ms = 1,
+				      .nr_orders = nr };
+
+	for (uint32_t i = 0; i < nr; i++) {
+		many[i].action = action;
+		many[i].run = 1;
+		g_snprintf(many[i].task, NAME_BYTES, "bb.0.0.%u", i);
+	}
+	TEXT_SET(orders.worker, "w");
+	orders.orders = many;
+	bench_message(bench, MSG_FLOW_ORDERS, &orders);
+	g_free(many);
+}
+
+/* Answers calls of the kind until no more come; checks how many are open. */
+static uint32_t bench_answer_all(struct bench *bench, enum exec_call_kind kind)
+{
+	uint32_t nr = 0;
+
+	for (uint32_t ms = 0; ms < 100; ms++) {
+		ck_assert_uint_le(bench->calls->len, RUNNER_CALLS_MAX + 1);
+		while (bench_answer(bench, kind, &done, NULL))
+			nr++;
+		bench_run_ms(bench, 1);
+	}
+	return nr;
+}
+
+/*
+ * Guards against calls by the thousand that keep a look, and with it the
+ * renewal of the lease, waiting for a connection (soak 5, small: 27,600 calls
+ * stuck).
+ */
+START_TEST(test_calls_are_bounded)
+{
+	struct bench *bench = bench_ready(true);
+
+	bench_run_ms(bench, 20);
+	bench_order_many(bench, FLOW_START, 200);
+	ck_assert_uint_eq(bench_answer_all(bench, EXEC_START), 200);
+	bench_order_many(bench, FLOW_STOP, 200);
+	ck_assert_uint_eq(bench_answer_all(bench, EXEC_STOP), 200);
+	bench_free(bench);
+}
+END_TEST
+
 /*
  * Guards against "never started" for a run whose end doesn't fit the list: a
  * worker lists 500 ends at a time.
@@ -825,8 +876,8 @@
 	   test_looks_without_answers, test_stale_heartbeats,
 	   test_ends_wait_for_the_log, test_old_run_is_settled_by_lists,
 	   test_full_list_of_ends, test_repeated_start_is_stopped,
-	   test_orders_of_later_life, test_lists_of_other_life,
-	   test_ends_outlive_the_life, test_late_deregistration,
-	   test_late_start_in_later_life, test_start_by_other_life,
-	   test_ends_are_kept, test_cursor_after_silence, test_pace,
-	   test_start_waits_for_room)
+	   test_calls_are_bounded, test_orders_of_later_life,
+	   test_lists_of_other_life, test_ends_outlive_the_life,
+	   test_late_deregistration, test_late_start_in_later_life,
+	   test_start_by_other_life, test_ends_are_kept,
+	   test_cursor_after_silence, test_pace, test_start_waits_for_room)
