--- a/src/core/plan/pressure.c
+++ b/src/core/plan/pressure.c
@@ -14,7 +14,7 @@
 #define PRIOR_PERMILLE 600 /* a pair that was never seen: some disturbance */
 #define WEIGHT_MAX_PERMILLE 8000
 #define PRIOR_DOUBT 1000 /* either way, of a pair that was never seen */
-#define PRIOR_VARIANCE (PRIOR_DOUBT * PRIOR_DOUBT)
+#define PRIOR_VARIANCE (INT64_C(1) * PRIOR_DOUBT * PRIOR_DOUBT)
 #define DOUBT_SHARE 4 /* one in so many of the deviation is added */
 #define DRIFT_VARIANCE 500 /* a sample; weights change over the day */
 #define NOISE_VARIANCE 10000 /* figures vary by 40, loads by 100 a second */
--- a/tests/bench_flow.c
+++ b/tests/bench_flow.c
@@ -31,7 +31,7 @@
 
 	flow_world_load(fw, NR_SERVING, NR_WAITING, CPU_STEP_MILLIS);
 	before_us = cpu_us();
-	flow_world_run_ms(fw, MEASURED_S * 1000);
+	flow_world_run_ms(fw, UINT64_C(1000) * MEASURED_S);
 	printf("vms=%d workflows=%d running=%u cpu_us_per_s=%" PRIu64 "\n",
 	       FLOW_WORLD_VMS, NR_WAITING, fw_running(fw),
 	       (cpu_us() - before_us) / MEASURED_S);
