Wait for room on a full disk instead of ending the replica

Callers of a system like ours saw changes refused or unanswered long after disks had been full one after another.

Cause: a refused write counted as a failure of the store, after which it took nothing more. What a refused write left was only right because the process ended: the buffered hard state was dropped, offsets pointed into a log file that was never put in place, and the salt was that of the new file.

What it knows of its files changes only once they are in place. To the log a full disk is a slow one: nothing is acknowledged before it is on disk. A leader hands over if a quorum of others holds the log. A replica also opens its folder while the disk is full.

Ruled out: ending the process and leaving the rest to the supervisor (as before); a reserve of space, as a full disk refuses every write.

--- a/src/core/control/control.c
+++ b/src/core/control/control.c
@@ -475,6 +475,11 @@
 	raft_synced(control->raft, sync_nr, result);
 }
 
+void control_store_full(struct control *control, bool full)
+{
+	raft_store_full(control->raft, full);
+}
+
 uint64_t control_wall_ms(const struct control *control)
 {
 	uint64_t now_ms = control->opts.host->wall_ms(control->opts.host_ctx);
--- a/src/core/raft/raft.c
+++ b/src/core/raft/raft.c
@@ -20,11 +20,11 @@
 	return raft_log_last_index(&raft->log) == 0;
 }
 
-struct raft_peer *raft_peer(struct raft *raft, uint64_t node_id)
+struct raft_peer *raft_peer(const struct raft *raft, uint64_t node_id)
 {
 	for (uint32_t i = 0; i < raft->nr_peers; i++)
 		if (raft->peers[i].node_id == node_id)
-			return &raft->peers[i];
+			return (struct raft_peer *)&raft->peers[i];
 	return NULL;
 }
 
@@ -170,13 +170,36 @@
 	timer_cancel(raft->node->timers, &raft->form_timer);
 }
 
-static void raft_note_sync(struct raft *raft, const struct raft_sync *sync)
+void raft_store_full(struct raft *raft, bool full)
+{
+	GString *line;
+
+	if (raft->full == full)
+		return;
+	raft->full = full;
+	counter_set(raft->node->counters, "store_full", full);
+	line = logline_new(full ? "store-full" : "store-room");
+	logline_u64(line, "term", raft->hard.term);
+	logline_u64(line, "last", raft_log_last_index(&raft->log));
+	logline_u64(line, "synced", raft->synced_index);
+	if (full)
+		raft->full_us = raft->node->now_us;
+	else
+		logline_u64(line, "away_ms",
+			    (raft->node->now_us - raft->full_us) / 1000);
+	node_log(raft->node, line);
+	raft_hand_over(raft);
+}
+
+/* Of the syncs that one answer covers, the first one waited longest. */
+static void raft_note_sync(struct raft *raft, const struct raft_sync *sync,
+			   bool first)
 {
 	uint64_t took_ms = (raft->node->now_us - sync->began_us) / 1000;
 	GString *line;
 
 	counter_observe(raft->node->counters, "sync_ms", took_ms);
-	if (took_ms < RAFT_SLOW_SYNC_MS)
+	if (!first || took_ms < RAFT_SLOW_SYNC_MS)
 		return;
 	line = logline_new("store-slow");
 	logline_u64(line, "took_ms", took_ms);
@@ -203,7 +226,7 @@
 			break;
 		raft->synced_index = sync->last_index;
 		raft->synced_hard_nr = sync->hard_nr;
-		raft_note_sync(raft, sync);
+		raft_note_sync(raft, sync, !nr);
 		nr++;
 	}
 	if (!nr)
@@ -257,7 +280,7 @@
 		record_unref(entry.command);
 	}
 	raft_announce(raft);
-	raft_resign(raft);
+	raft_hand_over(raft);
 	raft_snapshot_maybe(raft);
 }
 
@@ -435,6 +458,8 @@
 
 	if (raft->role != RAFT_LEADER || raft->resigned)
 		return RESULT_NOT_LEADER;
+	if (raft->leaving_us)
+		return RESULT_NO_QUORUM;
 	if (!raft->announced || !raft_has_lease(raft))
 		return RESULT_NO_QUORUM;
 	if (command.type == CMD_MEMBERS) {
@@ -512,6 +537,5 @@
 void raft_step_down(struct raft *raft)
 {
 	raft->resigned = true;
-	raft->resigned_us = raft->node->now_us;
-	raft_resign(raft);
+	raft_hand_over(raft);
 }
--- a/src/core/raft/raft.h
+++ b/src/core/raft/raft.h
@@ -16,7 +16,9 @@
  * Storage of one replica. Writes are buffered until sync(); the host answers
  * with raft_synced(), never from within the call, and covers everything that
  * was written before. A failed write or sync is answered with an error code;
- * the replica then stops acknowledging and leading.
+ * the replica then stops acknowledging and leading. A full disk is no failure:
+ * the store keeps what was refused, tells raft_store_full(), and answers once
+ * the disk has taken it.
  */
 struct store_ops {
 	void (*write_hard_state)(void *ctx, const struct hard_state *state);
@@ -93,6 +95,12 @@
 bool raft_message(struct raft *raft, uint64_t from, uint32_t type,
 		  const void *body);
 void raft_synced(struct raft *raft, uint64_t sync_nr, enum result result);
+/**
+ * The store takes no more bytes, or takes them again. Meanwhile the replica
+ * acknowledges nothing new, doesn't stand for election, and hands leadership
+ * over if a quorum does without it.
+ */
+void raft_store_full(struct raft *raft, bool full);
 
 /**
  * Proposes a command on the leader; the record is referenced. Returns
--- a/src/core/raft/raft_impl.h
+++ b/src/core/raft/raft_impl.h
@@ -125,6 +125,8 @@
 	uint64_t synced_index;
 	enum result store_result;
 	bool dirty; /* written since the last sync was asked for */
+	bool full; /* the disk takes no more bytes */
+	uint64_t full_us; /* since then */
 
 	/* follower */
 	bool ack_due;
@@ -140,10 +142,10 @@
 	bool transfer; /* this candidacy follows a leader that gave up */
 	bool announced; /* leader_changed(true) was called */
 	bool resigned; /* leads no more, for a graceful stop */
+	uint64_t leaving_us; /* leadership is handed over since, 0: it isn't */
 	struct timer heartbeat_timer;
 	uint64_t leader_since_us;
 	uint64_t noop_index;
-	uint64_t resigned_us;
 	uint32_t proposals_head;
 	uint32_t nr_proposals;
 	uint64_t proposals_size;
@@ -172,7 +174,7 @@
 const struct members *raft_config(const struct raft *raft);
 /** True while the log is empty: the replica belongs to no group yet. */
 bool raft_is_fresh(const struct raft *raft);
-struct raft_peer *raft_peer(struct raft *raft, uint64_t node_id);
+struct raft_peer *raft_peer(const struct raft *raft, uint64_t node_id);
 void raft_log_event(struct raft *raft, const char *event);
 /** A leader was heard, or this replica leads. */
 void raft_log_heard(struct raft *raft);
@@ -205,8 +207,11 @@
 /** True while a quorum answered the leader within RAFT_LEADER_LEASE_MS. */
 bool raft_has_lease(const struct raft *raft);
 void raft_heartbeat(void *data, uint64_t now_us);
-/** Hands leadership over once nothing waits for its commit, or too long. */
-void raft_resign(struct raft *raft);
+/**
+ * Hands leadership over if this replica has to leave it, once nothing waits for
+ * its commit, or too long.
+ */
+void raft_hand_over(struct raft *raft);
 
 /* ---- raft_vote.c ---- */
 
@@ -260,6 +265,9 @@
  */
 enum result raft_check_change(const struct raft *raft,
 			      const struct members *members);
+/** Returns how many voters apart from one hold the log and answer the leader.
+ */
+uint32_t raft_voters_besides(const struct raft *raft, uint64_t node_id);
 /** Proposes the next change of the members, if one is due. */
 void raft_member_tick(struct raft *raft);
 
--- a/src/core/raft/raft_role.c
+++ b/src/core/raft/raft_role.c
@@ -63,6 +63,7 @@
 	raft->leader_id = leader_id;
 	raft->announced = false;
 	raft->votes_due = false;
+	raft->leaving_us = 0;
 	if (old != RAFT_LEADER)
 		return;
 	raft_log_event(raft, "raft-leader-lost");
@@ -135,15 +136,30 @@
 		       RAFT_LEADER_LEASE_MS * US_PER_MS;
 }
 
-void raft_resign(struct raft *raft)
+/* A quorum of others can commit while this replica's disk is full. */
+static bool raft_must_leave(const struct raft *raft)
 {
+	uint64_t self = raft_self(raft);
+
+	return raft->resigned ||
+	       (raft->full && raft_voters_besides(raft, self) >=
+				      members_quorum(raft_config(raft)));
+}
+
+void raft_hand_over(struct raft *raft)
+{
+	uint64_t now_us = raft->node->now_us;
 	struct transfer transfer = { raft->hard.term };
 	const struct raft_peer *best = NULL;
-	bool expired = raft->node->now_us - raft->resigned_us >=
-		       RAFT_RESIGN_MS * US_PER_MS;
 
-	if (!raft->resigned || raft->role != RAFT_LEADER ||
-	    (raft->nr_proposals && !expired))
+	if (raft->role != RAFT_LEADER || !raft_must_leave(raft)) {
+		raft->leaving_us = 0;
+		return;
+	}
+	if (!raft->leaving_us)
+		raft->leaving_us = now_us;
+	if (raft->nr_proposals &&
+	    now_us - raft->leaving_us < RAFT_RESIGN_MS * US_PER_MS)
 		return;
 	for (uint32_t i = 0; i < raft->nr_peers; i++) {
 		const struct raft_peer *peer = &raft->peers[i];
@@ -171,7 +187,7 @@
 		raft_follow(raft, raft->hard.term, 0);
 		return;
 	}
-	raft_resign(raft);
+	raft_hand_over(raft);
 	if (raft->role != RAFT_LEADER)
 		return;
 	node_timer_ms(raft->node, &raft->heartbeat_timer, RAFT_HEARTBEAT_MS);
--- a/src/core/raft/raft_vote.c
+++ b/src/core/raft/raft_vote.c
@@ -102,7 +102,7 @@
 	struct raft *raft = data;
 
 	raft_arm_election(raft);
-	if (raft->role == RAFT_LEADER || raft->resigned ||
+	if (raft->role == RAFT_LEADER || raft->resigned || raft->full ||
 	    !members_is_voter(raft_config(raft), raft_self(raft)))
 		return;
 	raft_log_silent(raft);
@@ -182,7 +182,7 @@
 void raft_on_transfer(struct raft *raft, const struct transfer *transfer)
 {
 	if (transfer->term != raft->hard.term || raft->role != RAFT_FOLLOWER ||
-	    raft->resigned ||
+	    raft->resigned || raft->full ||
 	    !members_is_voter(raft_config(raft), raft_self(raft)))
 		return;
 	raft_campaign(raft, false, true);
--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -326,12 +326,19 @@
 
 	loop_enter(host->loop);
 	control_synced(host->control, sync_nr, res);
-	/* A replica that can't write takes no part until it opens its disk
-	 * anew. */
+	/* A replica whose disk failed takes no part until it opens it anew. */
 	if (res != RESULT_OK)
 		loop_end(host->loop, res);
 }
 
+static void host_control_full(void *ctx, bool full)
+{
+	struct host_control *host = ctx;
+
+	loop_enter(host->loop);
+	control_store_full(host->control, full);
+}
+
 /* A replica keeps its identity as long as it keeps its disk. */
 static enum result host_control_open_store(struct host_control *host,
 					   const struct settings *settings)
@@ -343,6 +350,7 @@
 
 	opts.path = settings->data;
 	opts.synced = host_control_synced;
+	opts.full = host_control_full;
 	opts.ctx = host;
 	res = store_open(&opts, &host->store);
 	if (res != RESULT_OK)
--- a/src/daemon/store.c
+++ b/src/daemon/store.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <stdbool.h>
 #include <string.h>
 #include <sys/file.h>
 #include <sys/stat.h>
@@ -11,28 +12,37 @@
 #include "store_file.h"
 #include "store_image.h"
 
+/* A full disk is tried again this often; a refused write costs little. */
+#define STORE_RETRY_MS 200
+
 struct store {
 	void (*synced)(void *ctx, uint64_t sync_nr, enum result result);
+	void (*full)(void *ctx, bool full);
 	void *ctx;
 	int dir_fd;
 	int lock_fd;
-	int log_fd;
+	int log_fd; /* -1: there is no log yet */
 	GSource *sync; /* pending, NULL: none */
 	uint64_t sync_nr;
 	enum result result; /* the first failure; nothing is written after it */
+	bool is_full; /* writes wait for room on the disk */
 	struct store_content content;
 	struct store_image image;
 
-	/* written since the last sync */
+	/* waits to be written, in this order */
 	GByteArray *hard;
-	GByteArray *batch;
+	GByteArray *snapshot;
+	bool stale; /* the log begins before the snapshot, or isn't there */
+	GByteArray *batch; /* entries that go to the log's end */
 
-	/* the log file, with the batch that goes to its end */
+	/* the log file */
 	uint64_t first_index; /* of slots[0] */
 	GArray *slots; /* of struct store_slot */
+	guint nr_written; /* slots in the file; the others' are in the batch */
 	uint64_t log_size;
+	bool torn; /* a refused write may have left bytes behind log_size */
 	uint64_t salt;
-	uint64_t batch_nr;
+	uint64_t batch_nr; /* of the last batch in the file */
 };
 
 static struct store_slot *store_slot(struct store *store, uint64_t index)
@@ -80,75 +90,155 @@
 	return RESULT_OK;
 }
 
-/* Writes a new log file with the entries that have a slot. */
-static enum result store_rewrite_log(struct store *store)
+/* Appends the record of a slot from where @a data holds it. */
+static enum result store_copy_record(const uint8_t *data, size_t size,
+				     struct store_slot *slot, GByteArray *out)
+{
+	struct store_record raw;
+
+	if (!store_get(data, size, &raw))
+		return RESULT_CORRUPT;
+	slot->offset = out->len;
+	g_byte_array_append(out, data, (guint)raw.size);
+	return RESULT_OK;
+}
+
+/* Appends what the log holds of entries that have a slot, moving @a slots. */
+static enum result store_copy_log(const struct store *store, GArray *slots,
+				  GByteArray *out)
 {
 	GByteArray *tail = g_byte_array_new();
-	GByteArray *out = g_byte_array_new();
-	uint64_t start = store->log_size;
 	enum result res = RESULT_OK;
+	uint64_t start = 0;
 
-	if (store->slots->len) {
-		start = g_array_index(store->slots, struct store_slot, 0)
-				.offset;
+	if (store->nr_written) {
+		start = g_array_index(slots, struct store_slot, 0).offset;
 		res = store_read_tail(store, start, tail);
 	}
+	for (guint i = 0; res == RESULT_OK && i < store->nr_written; i++) {
+		struct store_slot *slot =
+			&g_array_index(slots, struct store_slot, i);
+		uint64_t at = slot->offset - start;
+
+		res = store_copy_record(tail->data + at, tail->len - at, slot,
+					out);
+	}
+	g_byte_array_unref(tail);
+	return res;
+}
+
+/*
+ * Puts a new log file in place with the entries that have a slot. What the
+ * store knows of the file changes only once it is in place.
+ */
+static enum result store_rewrite_log(struct store *store)
+{
+	GArray *slots = g_array_copy(store->slots);
+	GByteArray *out = g_byte_array_new();
+	uint64_t old_salt = store->salt;
+	enum result res;
+
 	g_byte_array_append(out, (const uint8_t *)STORE_MAGIC,
 			    STORE_MAGIC_BYTES);
 	store->salt = loop_random_u64();
 	store_put_batch(store, out);
-	for (guint i = 0; res == RESULT_OK && i < store->slots->len; i++) {
-		struct store_slot *slot =
-			&g_array_index(store->slots, struct store_slot, i);
-		const uint8_t *at = tail->data + (slot->offset - start);
-		struct store_record raw;
-
-		if (!store_get(at, tail->len - (slot->offset - start), &raw)) {
-			res = RESULT_CORRUPT;
-			break;
-		}
-		slot->offset = out->len;
-		g_byte_array_append(out, at, (guint)raw.size);
-	}
+	res = store_copy_log(store, slots, out);
 	if (res == RESULT_OK)
 		res = store_replace_file(store->dir_fd, STORE_LOG, out->data,
 					 out->len);
 	if (res == RESULT_OK)
 		res = store_open_log(store);
-	store->log_size = out->len;
-	g_byte_array_unref(tail);
+	if (res == RESULT_OK) {
+		store->log_size = out->len;
+		store->torn = false;
+		store->stale = false;
+		g_array_unref(store->slots);
+		store->slots = g_array_ref(slots);
+	} else {
+		store->salt = old_salt;
+	}
+	g_array_unref(slots);
 	g_byte_array_unref(out);
 	return res;
 }
 
-/* Appends the batch; what a failed write left behind is cut off again. */
+/* Cuts off what a refused write left behind. */
+static enum result store_cut_tail(struct store *store)
+{
+	if (!store->torn)
+		return RESULT_OK;
+	if (ftruncate(store->log_fd, (off_t)store->log_size))
+		return store_errno_result(errno);
+	store->torn = false;
+	return RESULT_OK;
+}
+
 static enum result store_write_batch(struct store *store)
 {
-	enum result res = store_write_all(store->log_fd, store->batch->data,
-					  store->batch->len);
+	GByteArray *out = g_byte_array_new();
+	enum result res = store_cut_tail(store);
+	uint64_t start;
 
+	store->batch_nr++;
+	store_put_batch(store, out);
+	start = store->log_size + out->len;
+	g_byte_array_append(out, store->batch->data, store->batch->len);
+	if (res == RESULT_OK) {
+		store->torn = true;
+		res = store_write_all(store->log_fd, out->data, out->len);
+		if (res == RESULT_OK && fdatasync(store->log_fd))
+			res = store_errno_result(errno);
+	}
 	if (res != RESULT_OK) {
-		if (ftruncate(store->log_fd, (off_t)store->log_size))
-			return RESULT_IO;
-		return res;
+		store->batch_nr--;
+		/* What can't be cut off now is cut off before the next write.
+		 */
+		store_cut_tail(store);
+		goto out;
 	}
-	if (fdatasync(store->log_fd))
-		return store_errno_result(errno);
-	store->log_size += store->batch->len;
+	store->torn = false;
+	store->log_size += out->len;
+	for (guint i = store->nr_written; i < store->slots->len; i++)
+		g_array_index(store->slots, struct store_slot, i).offset +=
+			start;
+	store->nr_written = store->slots->len;
 	g_byte_array_set_size(store->batch, 0);
-	return RESULT_OK;
+out:
+	g_byte_array_unref(out);
+	return res;
 }
 
-/* The hard state goes first: no entry may be of a term it doesn't know. */
-static void store_flush(struct store *store)
+static enum result store_replace(const struct store *store, const char *name,
+				 GByteArray *content)
 {
-	if (store->result == RESULT_OK && store->hard->len)
-		store->result = store_replace_file(store->dir_fd, STORE_HARD,
-						   store->hard->data,
-						   store->hard->len);
-	g_byte_array_set_size(store->hard, 0);
-	if (store->result == RESULT_OK && store->batch->len)
-		store->result = store_write_batch(store);
+	enum result res = store_replace_file(store->dir_fd, name, content->data,
+					     content->len);
+
+	if (res == RESULT_OK)
+		g_byte_array_set_size(content, 0);
+	return res;
+}
+
+/*
+ * Writes what waits. The hard state goes first, as no entry may be of a term
+ * that it doesn't know; entries behind a snapshot must not be on disk before
+ * it. What a full disk refuses waits for the next flush.
+ */
+static enum result store_flush(struct store *store)
+{
+	enum result res = store->result;
+
+	if (res == RESULT_OK && store->hard->len)
+		res = store_replace(store, STORE_HARD, store->hard);
+	if (res == RESULT_OK && store->snapshot->len)
+		res = store_replace(store, STORE_SNAPSHOT, store->snapshot);
+	if (res == RESULT_OK && store->stale)
+		res = store_rewrite_log(store);
+	if (res == RESULT_OK && store->batch->len)
+		res = store_write_batch(store);
+	if (res != RESULT_DISK_FULL)
+		store->result = res;
+	return res;
 }
 
 static void store_write_hard_state(void *ctx, const struct hard_state *state)
@@ -165,76 +255,110 @@
 
 	/* On disk, the entry that follows replaces those behind it. */
 	g_assert(index >= store->first_index);
-	if (index - store->first_index < store->slots->len)
-		g_array_set_size(store->slots,
-				 (guint)(index - store->first_index));
+	if (index - store->first_index >= store->slots->len)
+		return;
+	g_array_set_size(store->slots, (guint)(index - store->first_index));
+	store->nr_written = MIN(store->nr_written, store->slots->len);
 }
 
 static void store_append(void *ctx, const struct log_entry *entry)
 {
 	struct store *store = ctx;
-	struct store_slot slot = { .term = entry->term };
+	struct store_slot slot = { .term = entry->term,
+				   .offset = store->batch->len };
 
 	g_assert(entry->index == store->first_index + store->slots->len);
-	if (!store->batch->len) {
-		store->batch_nr++;
-		store_put_batch(store, store->batch);
-	}
-	slot.offset = store->log_size + store->batch->len;
 	store_put(store->batch, REC_LOG_ENTRY, entry);
 	g_array_append_val(store->slots, slot);
 }
 
+/* Drops the slots up to @a covered, and from the batch what has none. */
+static void store_drop_covered(struct store *store, guint covered)
+{
+	GByteArray *old = store->batch;
+
+	g_array_remove_range(store->slots, 0, covered);
+	store->nr_written -= MIN(store->nr_written, covered);
+	store->batch = g_byte_array_new();
+	for (guint i = store->nr_written; i < store->slots->len; i++) {
+		struct store_slot *slot =
+			&g_array_index(store->slots, struct store_slot, i);
+		uint64_t at = slot->offset;
+		enum result res = store_copy_record(
+			old->data + at, old->len - at, slot, store->batch);
+
+		g_assert(res == RESULT_OK);
+	}
+	g_byte_array_unref(old);
+}
+
 static void store_write_snapshot(void *ctx, const struct snapshot_head *head,
 				 const struct snapshot_record *records)
 {
 	struct store *store = ctx;
-	GByteArray *out = g_byte_array_new();
 	const struct store_slot *slot;
 	uint64_t covered = store->slots->len;
 
-	store_put(out, REC_SNAPSHOT_HEAD, head);
+	g_byte_array_set_size(store->snapshot, 0);
+	store_put(store->snapshot, REC_SNAPSHOT_HEAD, head);
 	for (uint64_t i = 0; i < head->nr_records; i++)
-		store_put(out, records[i].record.type, records[i].record.body);
-	/* Entries behind a snapshot must not be on disk before it. */
-	store_flush(store);
-	if (store->result == RESULT_OK)
-		store->result = store_replace_file(
-			store->dir_fd, STORE_SNAPSHOT, out->data, out->len);
-	g_byte_array_unref(out);
+		store_put(store->snapshot, records[i].record.type,
+			  records[i].record.body);
 	/* The log goes on behind the snapshot only if it holds its last entry.
 	 */
 	slot = store_slot(store, head->last_index);
 	if (slot && slot->term == head->last_term)
 		covered = head->last_index - store->first_index + 1;
-	g_array_remove_range(store->slots, 0, (guint)covered);
+	store_drop_covered(store, (guint)covered);
 	store->first_index = head->last_index + 1;
-	if (store->result == RESULT_OK)
-		store->result = store_rewrite_log(store);
+	store->stale = true;
+	store_flush(store);
+}
+
+static void store_set_full(struct store *store, bool full)
+{
+	if (store->is_full == full)
+		return;
+	store->is_full = full;
+	store->full(store->ctx, full);
 }
 
+static void store_wake(struct store *store, GSource *source);
+
 static gboolean store_sync_now(gpointer data)
 {
 	struct store *store = data;
+	enum result res;
 
 	g_clear_pointer(&store->sync, g_source_unref);
-	store_flush(store);
-	store->synced(store->ctx, store->sync_nr, store->result);
+	res = store_flush(store);
+	store_set_full(store, res == RESULT_DISK_FULL);
+	if (res == RESULT_DISK_FULL)
+		store_wake(store, g_timeout_source_new(STORE_RETRY_MS));
+	else
+		store->synced(store->ctx, store->sync_nr, res);
 	return G_SOURCE_REMOVE;
 }
 
+static void store_wake(struct store *store, GSource *source)
+{
+	store->sync = source;
+	g_source_set_callback(source, store_sync_now, store, NULL);
+	g_source_attach(source, NULL);
+}
+
 static void store_sync(void *ctx, uint64_t sync_nr)
 {
 	struct store *store = ctx;
+	GSource *source;
 
 	store->sync_nr = sync_nr;
 	if (store->sync)
 		return;
 	/* As urgent as messages, which would keep a lower priority waiting. */
-	store->sync = g_idle_source_new();
-	g_source_set_priority(store->sync, G_PRIORITY_DEFAULT);
-	g_source_set_callback(store->sync, store_sync_now, store, NULL);
-	g_source_attach(store->sync, NULL);
+	source = g_idle_source_new();
+	g_source_set_priority(source, G_PRIORITY_DEFAULT);
+	store_wake(store, source);
 }
 
 const struct store_ops store_file_ops = {
@@ -274,21 +398,22 @@
 	store->image.nr_entries = content->entries->len;
 	store->image.entries = (void *)content->entries->data;
 	store->slots = g_array_ref(content->slots);
+	store->nr_written = store->slots->len;
 	store->first_index = content->snapshot.last_index + 1;
 	store->batch_nr = content->batch_nr;
 	store->log_size = content->log_size;
 	store->salt = content->salt;
-	if (!store->salt)
-		return store_rewrite_log(store);
-	res = store_open_log(store);
-	if (res == RESULT_OK && content->cut_bytes &&
-	    (ftruncate(store->log_fd, (off_t)store->log_size) ||
-	     fsync(store->log_fd)))
-		res = store_errno_result(errno);
 	/* Else a later reading would match the snapshot with old entries. */
-	if (res == RESULT_OK && content->stale)
-		res = store_rewrite_log(store);
-	return res;
+	store->stale = !store->salt || content->stale;
+	store->torn = content->cut_bytes > 0;
+	if (store->salt)
+		res = store_open_log(store);
+	if (res == RESULT_OK)
+		res = store_cut_tail(store);
+	if (res == RESULT_OK)
+		res = store_flush(store);
+	/* What a full disk refuses is written with the first sync. */
+	return res == RESULT_DISK_FULL ? RESULT_OK : res;
 }
 
 enum result store_open(const struct store_opts *opts, struct store **out)
@@ -298,9 +423,11 @@
 
 	*out = NULL;
 	store->synced = opts->synced;
+	store->full = opts->full;
 	store->ctx = opts->ctx;
 	store->dir_fd = store->lock_fd = store->log_fd = -1;
 	store->hard = g_byte_array_new();
+	store->snapshot = g_byte_array_new();
 	store->batch = g_byte_array_new();
 	store_content_init(&store->content);
 	res = store_lock(store, opts->path);
@@ -324,6 +451,7 @@
 	if (store->slots)
 		g_array_unref(store->slots);
 	g_byte_array_unref(store->hard);
+	g_byte_array_unref(store->snapshot);
 	g_byte_array_unref(store->batch);
 	if (store->log_fd >= 0)
 		close(store->log_fd);
--- a/src/daemon/store.h
+++ b/src/daemon/store.h
@@ -8,8 +8,12 @@
  * batch is written only after the one before it was synced, so a broken record
  * in the last batch is a torn write and cut off, and one in any earlier batch
  * is damage.
+ *
+ * What a full disk refuses is kept and written again until it is taken; the
+ * sync is answered then.
  */
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "raft.h"
@@ -20,6 +24,8 @@
 	const char *path; /* of the folder, created if missing */
 	/** Called from the main loop; the context of store_file_ops. */
 	void (*synced)(void *ctx, uint64_t sync_nr, enum result result);
+	/** The disk takes no more bytes, or takes them again. */
+	void (*full)(void *ctx, bool full);
 	void *ctx;
 };
 
--- a/tests/bench_commit.c
+++ b/tests/bench_commit.c
@@ -119,6 +119,11 @@
 	g_free(write);
 }
 
+static void bench_full(void *ctx, bool full)
+{
+	g_error("the disk of the measurement is full");
+}
+
 static void bench_synced(void *ctx, uint64_t sync_nr, enum result result)
 {
 	struct bench_replica *replica = ctx;
@@ -270,6 +275,7 @@
 {
 	struct bench_replica *replica = &bench->replicas[i];
 	struct store_opts store_opts = { .synced = bench_synced,
+					 .full = bench_full,
 					 .ctx = replica };
 	struct node_opts node_opts = { .host = &bench_host,
 				       .host_ctx = replica,
--- a/tests/raft_disk.c
+++ b/tests/raft_disk.c
@@ -2,6 +2,8 @@
 
 #include <check.h>
 
+#define DISK_RETRY_US 200000 /* of a full disk */
+
 enum disk_op_kind {
 	DISK_HARD,
 	DISK_APPEND,
@@ -207,6 +209,12 @@
 	struct replica *replica = data;
 	uint64_t sync_nr = 0;
 
+	raft_store_full(replica->raft, replica->disk_full);
+	if (replica->disk_full) {
+		vhost_after(replica->machine, DISK_RETRY_US, disk_synced,
+			    replica);
+		return;
+	}
 	if (replica->sync_result == RESULT_OK)
 		while (!sync_nr)
 			sync_nr = disk_settle(replica->disk);
--- a/tests/raft_world.c
+++ b/tests/raft_world.c
@@ -185,6 +185,7 @@
 	};
 
 	replica->sync_result = RESULT_OK;
+	replica->disk_full = false;
 	g_array_set_size(replica->values, 0);
 	replica->node = vhost_boot(replica->machine, image.hard_state.node_id);
 	replica->raft = raft_new(replica->node, &opts);
--- a/tests/raft_world.h
+++ b/tests/raft_world.h
@@ -28,6 +28,7 @@
 	uint32_t leader_changes;
 	uint32_t sync_delay_us; /* upper bound */
 	enum result sync_result; /* answer of the next syncs */
+	bool disk_full; /* syncs wait until there is room */
 };
 
 struct world_opts {
