Forget a silent leader also where no election is begun

Operators who ask a replica that is no voter, is leaving, or waits for room on its disk were sent to the leader that it heard last, for as long as it hears no other one; each such redirect to a machine that is gone costs them a second.

Cause: only the begin of an election cleared the leader, and these replicas begin none. They clear it now when the election timeout runs out.

Evidence: raft, silent_leader_is_forgotten failed before and passes.

--- a/src/core/raft/raft_vote.c
+++ b/src/core/raft/raft_vote.c
@@ -102,9 +102,14 @@
 	struct raft *raft = data;
 
 	raft_arm_election(raft);
-	if (raft->role == RAFT_LEADER || raft->resigned || raft->full ||
-	    !members_is_voter(raft_config(raft), raft_self(raft)))
+	if (raft->role == RAFT_LEADER)
+		return;
+	if (raft->resigned || raft->full ||
+	    !members_is_voter(raft_config(raft), raft_self(raft))) {
+		/* Nobody is sent to a leader that is gone. */
+		raft->leader_id = 0;
 		return;
+	}
 	raft_log_silent(raft);
 	raft_campaign(raft, true, false);
 }
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -381,6 +381,25 @@
 }
 END_TEST
 
+/*
+ * Guards against callers that are sent to a leader that is gone, by a replica
+ * that doesn't stand for election itself.
+ */
+START_TEST(test_silent_leader_is_forgotten)
+{
+	struct world *world = world_formed(19, 3);
+	struct replica *follower = some_follower(world);
+
+	ck_assert_str_ne(raft_leader_address(follower->raft), "");
+	follower->disk_full = true;
+	propose_some(world, 10);
+	world_isolate(follower, true);
+	world_run_ms(world, 1300);
+	ck_assert_str_eq(raft_leader_address(follower->raft), "");
+	world_free(world);
+}
+END_TEST
+
 /* Guards against a follower behind the log's start that never catches up. */
 START_TEST(test_snapshot_transfer)
 {
@@ -481,5 +500,6 @@
 	   test_step_down, test_step_down_finishes_proposals,
 	   test_bad_member_changes, test_store_failure, test_full_disks_in_turn,
 	   test_leader_with_full_disk, test_full_disk_without_successor,
-	   test_snapshot_transfer, test_restart_from_snapshot, test_lost_disks,
+	   test_silent_leader_is_forgotten, test_snapshot_transfer,
+	   test_restart_from_snapshot, test_lost_disks,
 	   test_wiped_replica_finds_leader)
