Raise a VM's fence with each agent, life and loss

Callers could see a task run twice (test_flow_random, seed 102, 1 of 300): a start that got no answer was carried out 12 s later by a later life of the worker under the same identity, while the agent that had made the call was gone and the leader had placed the task elsewhere.

Cause: calls carried the leader's term as fence, so those of a gone agent, or to an earlier life, were as good as present ones for as long as the leader stays. Stops forbid only what somebody still knows of.

The leader now tells the fence with each grant: its term, and below it a number that rises when a VM gets another agent, its worker another life, or its tasks are taken back. The worker refuses what was sent before, however late.

Ruled out: keeping unsure starts in the log, as each start would cost an entry.

Evidence: seed 102 is a regression case of flow_random, which failed before ("ee.0.0.5 runs at side1 already") and passes; FLOW_RANDOM_SEEDS=300: all pass. The check of test_runner that a call's fence is the term is replaced by one that it is the grant's.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -8272,7 +8272,7 @@
   (ProtobufCMessageInit) masticreach__pressure_pair__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_grant__field_descriptors[8] =
+static const ProtobufCFieldDescriptor masticreach__flow_grant__field_descriptors[9] =
 {
   {
     "seq",
@@ -8370,9 +8370,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fence",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowGrant, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__flow_grant__field_indices_by_name[] = {
   5,   /* field[5] = born_ms */
+  8,   /* field[8] = fence */
   3,   /* field[3] = lease_ms */
   7,   /* field[7] = pairs */
   1,   /* field[1] = sent_us */
@@ -8384,7 +8397,7 @@
 static const ProtobufCIntRange masticreach__flow_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_grant__descriptor =
 {
@@ -8394,7 +8407,7 @@
   "Masticreach__FlowGrant",
   "masticreach",
   sizeof(Masticreach__FlowGrant),
-  8,
+  9,
   masticreach__flow_grant__field_descriptors,
   masticreach__flow_grant__field_indices_by_name,
   1,  masticreach__flow_grant__number_ranges,
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -793,10 +793,11 @@
   uint64_t settled_nr;
   size_t n_pairs;
   Masticreach__PressurePair **pairs;
+  uint64_t fence;
 };
 #define MASTICREACH__FLOW_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_grant__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
 
 
 struct  Masticreach__FlowOrder
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -95,7 +95,8 @@
 	uint64_t worker_seq;
 	uint64_t worker_heard_us; /* last heartbeat */
 	uint64_t life_nr; /* counts the lives seen here */
-	uint64_t term; /* highest leader term heard; the fence of calls */
+	uint64_t term; /* highest leader term heard */
+	uint64_t fence; /* of calls; never falls */
 	uint64_t lease_until_us;
 	uint64_t clock_ms; /* worker's clock when it was heard, 0: unknown */
 	uint64_t clock_us; /* our clock then */
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -65,7 +65,7 @@
 
 	call->address = runner->address;
 	call->life = runner->worker.id;
-	call->fence = runner->term;
+	call->fence = runner->fence;
 	kept->call_nr = ++runner->call_nr;
 	kept->kind = call->kind;
 	kept->sent_us = runner->node->now_us;
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -275,6 +275,8 @@
 	uint64_t settled_nr; /* ends up to this one are in the log */
 	uint32_t nr_pairs; /* weights that are new to the agent */
 	struct pressure_pair *pairs;
+	/* Of calls to the worker, which does nothing for a lower one. */
+	uint64_t fence;
 };
 
 enum flow_action {
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -177,6 +177,7 @@
 	F_U64(flow_grant, born_ms),
 	F_U64(flow_grant, settled_nr),
 	F_MANY(flow_grant, pairs, pressure_pair_schema),
+	F_U64(flow_grant, fence),
 };
 static SCHEMA(flow_grant_schema, "FlowGrant", flow_grant, flow_grant_fields);
 
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -142,6 +142,8 @@
  * run elsewhere within 6 s.
  */
 #define FLOW_LEASE_MAX_MS 5000
+/* Fences that one term has for a VM; 2^53 is the limit of JSON's numbers. */
+#define FLOW_FENCES_PER_TERM 65536u
 /* Between processes; covers what a clock gains over a lease. */
 #define FLOW_LEASE_MARGIN_MS 300
 /* The platform's workers may measure a lease on a clock that is 2 % slow. */
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -32,6 +32,7 @@
 	/** No grant of any leader extends the worker's lease beyond this. */
 	uint64_t lapse_us;
 	GArray *ends; /* struct flow_run_end of the last report */
+	uint32_t fence_nr; /* of the term's fences for this VM */
 	uint64_t settled_nr;
 	uint64_t granted_us; /* last grant of a lease, 0: none */
 	uint64_t lost_us; /* its lease had lapsed in this life, 0: never */
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -44,6 +44,7 @@
 	TEXT_SET(grant.worker, vm->worker.id);
 	grant.born_ms = vm->worker.born_ms;
 	grant.settled_nr = vm->settled_nr;
+	grant.fence = grant.term * FLOW_FENCES_PER_TERM + vm->fence_nr;
 	/* Without a lease the grant still tells the term, for the first look.
 	 */
 	if (!vm->losing && vm->reachable && vm->looked && !vm->worker.ended) {
@@ -60,6 +61,16 @@
 	g_array_unref(pairs);
 }
 
+/*
+ * Voids calls of earlier agents, and to earlier lives, which may be carried out
+ * late; the worker refuses them once it has heard the new fence.
+ */
+static void flow_raise_fence(struct flow_vm *vm)
+{
+	if (vm->fence_nr < FLOW_FENCES_PER_TERM - 1)
+		vm->fence_nr++;
+}
+
 /* Takes the runs that a report lists; returns the set of those it knows. */
 static GHashTable *flow_take_runs(struct control_flow *flows,
 				  struct flow_vm *vm,
@@ -259,6 +270,7 @@
 		vm->lost_us = 0;
 	vm->worker = *worker;
 	if (!same) {
+		flow_raise_fence(vm);
 		vm->settled_nr = 0;
 		vm->ignored_nr = 0;
 		vm->fail_permille = 0;
@@ -355,9 +367,11 @@
 		counter_add(control->node->counters, "reports_earlier_life", 1);
 		return;
 	}
-	if (vm->node_id && vm->node_id != from)
+	if (vm->node_id && vm->node_id != from) {
+		flow_raise_fence(vm);
 		vm->earlier_ids[vm->nr_earlier++ % FLOW_EARLIER_IDS] =
 			vm->node_id;
+	}
 	vm->node_id = from;
 	vm->report_seq = report->seq;
 	vm->report_sent_us = report->sent_us;
@@ -392,6 +406,7 @@
 
 	control_flow_log_lost(flows, vm);
 	counter_add(flows->control->node->counters, "vms_lost", 1);
+	flow_raise_fence(vm);
 	vm->losing = true;
 	vm->lost_us = flows->control->node->now_us;
 	for (GList *item = runs; item; item = item->next)
--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -243,6 +243,7 @@
 	32, /* the same after the earlier life had refused the run */
 	6,
 	17, /* ends settled by the numbers of an earlier life */
+	102, /* a start of an agent that is gone, late in a later life */
 };
 
 /* Guards against the faults listed above. */
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -173,9 +173,13 @@
 	return false;
 }
 
+#define BENCH_FENCE (4 * FLOW_FENCES_PER_TERM + 3)
+
 static void bench_grant(struct bench *bench, uint64_t settled_nr)
 {
-	struct flow_grant grant = { .term = 4, .lease_ms = 5000 };
+	struct flow_grant grant = { .term = 4,
+				    .lease_ms = 5000,
+				    .fence = BENCH_FENCE };
 
 	grant.sent_us = bench->now_us;
 	TEXT_SET(grant.worker, "w");
@@ -283,7 +287,7 @@
 
 	bench_order(bench, FLOW_START, 1, false, 0);
 	ck_assert(bench_answer(bench, EXEC_START, &done, &call));
-	ck_assert_uint_eq(call.fence, 4);
+	ck_assert_uint_eq(call.fence, BENCH_FENCE);
 	/* 5,000 ms of lease from the clock 100,000, which may be 2 % slow. */
 	ck_assert_uint_le(call.deadline_ms, 100000 + 4900);
 	ck_assert_uint_ge(call.deadline_ms, 100000 + 4000);
