Fill the disks of the soak's control VMs in turn, and let none end by it

The soak's full disk bounded the size of one control process's files and let that process end. Beginning at the first control VM, a full disk goes round all of them, one after another, and refuses every write; the seeds' random numbers are drawn as before.

--- a/tests/soak.h
+++ b/tests/soak.h
@@ -53,7 +53,7 @@
 	int64_t until_ms; /* end of the pause, of the grace or of the stop */
 	int64_t leaving_ms; /* since when it has a SIGTERM */
 	bool wipe; /* loses its disk before it starts again */
-	int64_t limited_ms; /* its files are until then: it may end by itself */
+	int64_t limited_ms; /* its files are until then */
 	uint32_t nr_lives;
 	const char *zone; /* SOAK_AGENT */
 	GArray *harm; /* struct soak_span: killed or paused */
--- a/tests/soak_faults.c
+++ b/tests/soak_faults.c
@@ -20,6 +20,7 @@
 #define ROLL_GAP_MAX_MS 3000 /* between the machines of a rolling restart */
 #define FILE_LIMIT_MAX_KIB 256
 #define LIMIT_MAX_MS 4000
+#define FULL_GAP_MS 2500 /* between disks that are full in turn */
 
 enum family {
 	FAMILY_CORE = 1,
@@ -43,8 +44,11 @@
 	{ 0, 4000 },
 };
 
-/* A rolling restart: SIGTERM to one machine after the other. */
+struct soak_faults;
+
+/* What befalls one machine of a role after the other. */
 struct series {
+	void (*strike)(struct soak_faults *faults, struct soak_vm *vm);
 	enum soak_role role;
 	uint32_t next;
 	int64_t next_ms;
@@ -152,10 +156,8 @@
 static void vm_ended(struct soak_faults *faults, struct soak_vm *vm,
 		     int exit_code)
 {
-	if (!vm->limited_ms)
-		soak_violation(faults->soak,
-			       "FAULT: %s ended by itself with code %d",
-			       tb_proc_name(vm->proc), exit_code);
+	soak_violation(faults->soak, "FAULT: %s ended by itself with code %d",
+		       tb_proc_name(vm->proc), exit_code);
 	vm_leave(faults->soak, vm, VM_DOWN,
 		 draw_ms(faults, DOWN_MIN_MS, DOWN_MAX_MS));
 }
@@ -244,6 +246,7 @@
 static void fault_roll(struct soak_faults *faults, struct soak_vm *vm)
 {
 	struct series series = {
+		.strike = vm_terminate,
 		.role = vm->role,
 		.next_ms = soak_now_ms(),
 		.gap_ms = (uint32_t)g_rand_int_range(faults->random, 300,
@@ -286,14 +289,41 @@
 		fault_kill_all(faults, vm);
 }
 
-static void fault_disk_full(struct soak_faults *faults, struct soak_vm *vm)
+static void vm_limit(struct soak_faults *faults, struct soak_vm *vm,
+		     int64_t until_ms, uint64_t bytes)
 {
 	core_harm(faults->soak, true);
-	vm->limited_ms = draw_ms(faults, DOWN_MIN_MS, LIMIT_MAX_MS);
-	tb_proc_limit_files(vm->proc,
-			    (uint64_t)g_rand_int_range(faults->random, 1,
-						       FILE_LIMIT_MAX_KIB)
-				    << 10);
+	vm->limited_ms = until_ms;
+	tb_proc_limit_files(vm->proc, bytes);
+}
+
+/* The disk refuses every write, until the next one's turn. */
+static void vm_fill(struct soak_faults *faults, struct soak_vm *vm)
+{
+	if (!vm->limited_ms)
+		vm_limit(faults, vm, soak_now_ms() + FULL_GAP_MS / 2, 1);
+}
+
+/* Some bytes are still taken; from the first VM on, all disks fill in turn. */
+static void fault_disk_full(struct soak_faults *faults, struct soak_vm *vm)
+{
+	struct series series = {
+		.strike = vm_fill,
+		.role = vm->role,
+		.next = 1,
+		.next_ms = soak_now_ms() + FULL_GAP_MS,
+		.gap_ms = FULL_GAP_MS,
+	};
+	int64_t until_ms = draw_ms(faults, DOWN_MIN_MS, LIMIT_MAX_MS);
+	uint64_t kib = (uint64_t)g_rand_int_range(faults->random, 1,
+						  FILE_LIMIT_MAX_KIB);
+
+	if (vm != soak_vm_of(faults->soak, vm->role, 0)) {
+		vm_limit(faults, vm, until_ms, kib << 10);
+		return;
+	}
+	vm_fill(faults, vm);
+	g_array_append_val(faults->series, series);
 }
 
 static void fault_link(struct soak_faults *faults, struct soak_vm *vm)
@@ -411,8 +441,10 @@
 	if (vm->state != VM_RUNS || (vm->role == SOAK_CONTROL &&
 				     soak_now_ms() < faults->core_locked_ms))
 		return;
-	soak_note("roll: terminate %s", tb_proc_name(vm->proc));
-	vm_terminate(faults, vm);
+	soak_note("series: %s at %s",
+		  series->strike == vm_fill ? "disk-full" : "terminate",
+		  tb_proc_name(vm->proc));
+	series->strike(faults, vm);
 }
 
 static void links_tick(struct soak_faults *faults)
