--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -290,6 +290,7 @@
 		.ops = &runner_site_ops,
 		.ctx = runner,
 		.control_addresses = opts->control_addresses,
+		.asks = true,
 	};
 
 	runner->node = node;
@@ -316,6 +317,11 @@
 	return runner;
 }
 
+const char *runner_leader_address(const struct runner *runner)
+{
+	return site_leader_address(runner->site);
+}
+
 void runner_add_controls(struct runner *runner, const char *const *addresses)
 {
 	site_add_controls(runner->site, addresses);
--- a/src/core/agent/runner.h
+++ b/src/core/agent/runner.h
@@ -48,6 +48,8 @@
 void runner_call_done(struct runner *runner, uint64_t call_nr,
 		      const struct exec_reply *reply);
 
+/** Returns the leader's address, "" if none is connected. */
+const char *runner_leader_address(const struct runner *runner);
 /** Dials these control addresses (NULL-terminated) as well. */
 void runner_add_controls(struct runner *runner, const char *const *addresses);
 
--- a/src/core/entry/intake.c
+++ b/src/core/entry/intake.c
@@ -317,6 +317,7 @@
 		.ops = &intake_site_ops,
 		.ctx = intake,
 		.control_addresses = opts->control_addresses,
+		.asks = true,
 	};
 
 	intake->node = node;
--- a/src/core/link/site.c
+++ b/src/core/link/site.c
@@ -29,10 +29,15 @@
 	node_send(site->node, node_id, MSG_VIEW_QUERY, &query);
 }
 
-/* Asks the leader, or every control replica if none is known. */
+/*
+ * Asks the leader, or every control replica if none is known. Seeds may name
+ * agents, so a process that starts may reach no control replica by its
+ * settings; it asks whom it reaches where they are.
+ */
 static void site_query_all(void *data, uint64_t now_us)
 {
 	struct site *site = data;
+	struct peers question = { 0 };
 	GHashTableIter iter;
 	void *value;
 
@@ -43,8 +48,13 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct link *link = value;
 
-		if (link->peer.role == ROLE_CONTROL && link->up)
+		if (!link->up)
+			continue;
+		if (link->peer.role == ROLE_CONTROL)
 			site_query(site, link->peer.node_id);
+		else if (site->opts.asks && !site->leader)
+			node_send(site->node, link->peer.node_id, MSG_PEERS,
+				  &question);
 	}
 }
 
@@ -206,14 +216,43 @@
  */
 static void site_dial(struct site *site, const char *address)
 {
+	if (!strcmp(address, site->node->self.address))
+		return;
 	if (g_hash_table_size(site->node->dials) < SITE_CONTROLS_MAX)
 		node_dial(site->node, address);
 }
 
-static void site_take_peers(struct site *site, const struct peers *peers)
+/* Returns false if no control replica is connected. */
+static bool site_list_controls(const struct site *site, struct peers *peers)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, site->node->links);
+	while (peers->nr_addresses < SITE_CONTROLS_MAX &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct link *link = value;
+
+		if (!link->up || link->peer.role != ROLE_CONTROL)
+			continue;
+		TEXT_SET(peers->addresses[peers->nr_addresses].address,
+			 link->peer.address);
+		peers->nr_addresses++;
+	}
+	return peers->nr_addresses > 0;
+}
+
+/* A list without addresses asks for one. */
+static void site_take_peers(struct site *site, uint64_t from,
+			    const struct peers *peers)
 {
+	struct peer_address addresses[SITE_CONTROLS_MAX] = { 0 };
+	struct peers known = { 0, addresses };
+
 	for (uint32_t i = 0; i < peers->nr_addresses; i++)
 		site_dial(site, peers->addresses[i].address);
+	if (!peers->nr_addresses && site_list_controls(site, &known))
+		node_send(site->node, from, MSG_PEERS, &known);
 }
 
 void site_add_controls(struct site *site, const char *const *addresses)
@@ -275,7 +314,7 @@
 	if (type == MSG_VIEW)
 		site_take_view(site, from, body);
 	else if (type == MSG_PEERS)
-		site_take_peers(site, body);
+		site_take_peers(site, from, body);
 	else
 		return false;
 	return true;
@@ -312,3 +351,10 @@
 {
 	return site->leader;
 }
+
+const char *site_leader_address(const struct site *site)
+{
+	const struct link *link = node_link(site->node, site->leader);
+
+	return link && link->up ? link->peer.address : "";
+}
--- a/src/core/link/site.h
+++ b/src/core/link/site.h
@@ -27,6 +27,7 @@
 	const struct site_ops *ops;
 	void *ctx;
 	const char *const *control_addresses; /* NULL-terminated, borrowed */
+	bool asks; /* any process where the control replicas are */
 };
 
 struct site *site_new(struct node *node, const struct site_opts *opts);
@@ -52,5 +53,7 @@
 const struct view_agent *site_agent(const struct site *site, uint64_t node_id);
 /** Returns the leader's node_id, 0 if none is known. */
 uint64_t site_leader(const struct site *site);
+/** Returns the leader's address, "" if none is connected. */
+const char *site_leader_address(const struct site *site);
 
 #endif /* SITE_H */
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -460,7 +460,9 @@
 		control_set_port(settings);
 		return RESULT_OK;
 	}
-	if (settings->role == ROLE_CONTROL && !self)
+	/* Replicas that nobody lists join a group on the platform. */
+	if (settings->role == ROLE_CONTROL && !self &&
+	    settings->front_end != FRONT_END_PLATFORM)
 		return settings_fail(error, RESULT_USAGE,
 				     "%s lacks this replica's own address %s",
 				     values_source(values, SET_CONTROL), shown);
@@ -641,10 +643,10 @@
 		res = values_check_role(values, to->role, error);
 	if (res == RESULT_OK)
 		res = fill_identity(to, values, error);
-	if (res == RESULT_OK)
-		res = fill_addresses(to, values, error);
 	if (res == RESULT_OK)
 		res = fill_choices(to, values, error);
+	if (res == RESULT_OK)
+		res = fill_addresses(to, values, error);
 	if (res == RESULT_OK)
 		res = fill_numbers(to, values, error);
 	return res;
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -379,7 +379,8 @@
 	struct runner_opts opts = {
 		.host = &fw_runner_ops,
 		.host_ctx = vm,
-		.control_addresses = vm->world->base->addresses,
+		.control_addresses = vm->seeds ? vm->seeds :
+						 vm->world->base->addresses,
 	};
 
 	vm->runner = runner_new(vhost_boot(vm->machine, 0), &opts);
@@ -580,8 +581,8 @@
 		vm->world = fw;
 		vm->zone = i % 2 ? "porbandar" : "veraval";
 		g_snprintf(vm->name, sizeof(vm->name), "side%u", i);
-		vm->machine =
-			vhost_add(fw->base->vhost, vm->name, vm->zone, "");
+		vm->machine = vhost_add(fw->base->vhost, vm->name, vm->zone,
+					vm->name);
 		vm->worker.runs =
 			g_array_new(FALSE, FALSE, sizeof(struct fw_run));
 		vm->worker.ends =
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -46,6 +46,7 @@
 	const char *zone;
 	struct vmachine *machine;
 	struct runner *runner; /* NULL while the agent is dead */
+	const char *const *seeds; /* NULL: the control replicas */
 	struct fw_worker worker;
 	uint32_t lose_ppm; /* calls without answer, carried out late */
 	uint32_t slow_permille; /* of the worker's clock; set before its life */
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -670,6 +670,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a process that finds no control replica because the seeds of
+ * its settings name agents.
+ */
+START_TEST(test_seeds_are_agents)
+{
+	const char *const seeds[] = { "side0", "side1", NULL };
+	struct flow_world *fw = flow_world_new(31);
+
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		fw->vms[i].seeds = seeds;
+	for (uint32_t i = 1; i < FLOW_WORLD_VMS; i++) {
+		fw_kill_agent(&fw->vms[i]);
+		flow_world_run_ms(fw, 500);
+		fw_boot_agent(&fw->vms[i]);
+		flow_world_run_ms(fw, 3000);
+		ck_assert_str_ne(runner_leader_address(fw->vms[i].runner), "");
+	}
+	/* What an agent knew is gone; another one tells it. */
+	fw_kill_agent(&fw->vms[0]);
+	fw_boot_agent(&fw->vms[0]);
+	flow_world_run_ms(fw, 3000);
+	ck_assert_str_ne(runner_leader_address(fw->vms[0].runner), "");
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("flow", test_operators_view, test_steps_in_order, test_resend_is_one,
 	   test_cancel_before_submission, test_cancel_stops_runs,
 	   test_unknown_names, test_leader_killed, test_agent_restarted,
@@ -678,4 +705,4 @@
 	   test_heartbeat_of_earlier_life, test_life_with_an_earlier_clock,
 	   test_zone_out, test_draining, test_attempts,
 	   test_fillers_are_not_starved, test_advice, test_held_filler_moves,
-	   test_serving_tasks_are_grouped)
+	   test_serving_tasks_are_grouped, test_seeds_are_agents)
--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -264,6 +264,89 @@
 	*(struct soak_answer *)ctx = *answer;
 }
 
+/* Returns the status of the answer to a request without a body. */
+static uint32_t ask(struct soak_conn *conn, const char *method,
+		    const char *path)
+{
+	struct soak_answer answer = { .outcome = CONN_NOT_SENT };
+
+	soak_conn_send(conn, method, path, NULL, 1000, 1000, take_answer,
+		       &answer);
+	for (uint32_t ms = 0; ms < 2000 && !answer.ended_ms; ms += 20)
+		testbed_wait_ms(20);
+	return answer.outcome == CONN_ANSWERED ? answer.status : 0;
+}
+
+/*
+ * Guards against an operator that finds the few control replicas only, one of
+ * which may not answer: agents send it on to the leader.
+ */
+START_TEST(test_operator_at_agents)
+{
+	struct testbed *tb = site_start(0);
+	const char *http = tb_proc_http(testbed_agent(tb, 0));
+	struct soak_conn *conn = soak_conn_new(http);
+
+	ck_assert_uint_eq(ask(conn, "GET", "/Config.Show"), 307);
+	ck_assert_uint_eq(ask(conn, "POST", "/Drain.Start/mangrol"), 307);
+	ck_assert_uint_eq(ask(conn, "GET", "/none"), 404);
+	for (uint32_t i = 0; i < NR_CONTROLS; i++)
+		tb_proc_signal(testbed_control(tb, i), SIGKILL);
+	testbed_wait_ms(500);
+	ck_assert_uint_eq(ask(conn, "GET", "/Config.Show"), 503);
+	soak_conn_free(conn);
+	testbed_free(tb);
+}
+END_TEST
+
+/*
+ * Guards against processes that find nobody after the seeds were exchanged for
+ * agents: an entry, a replica without its disk, then everything at once.
+ */
+START_TEST(test_seeds_are_agents)
+{
+	struct testbed *tb = site_start(0);
+	struct tb_proc *entry = testbed_entry(tb, 0);
+	struct tb_proc *control = testbed_control(tb, 1);
+	char *seeds = g_strjoin(",", tb_proc_listen(testbed_agent(tb, 0)),
+				tb_proc_listen(testbed_agent(tb, 1)), NULL);
+
+	testbed_wait_ms(2000);
+	tb_proc_set_controls(entry, seeds);
+	for (uint32_t i = 0; i < NR_CONTROLS; i++)
+		tb_proc_set_controls(testbed_control(tb, i), seeds);
+	for (uint32_t i = 0; i < NR_WORKERS; i++)
+		tb_proc_set_controls(testbed_agent(tb, i), seeds);
+	testbed_wait_ms(2500);
+	tb_proc_signal(entry, SIGKILL);
+	tb_proc_restart(entry);
+	tb_proc_signal(control, SIGKILL);
+	tb_proc_lose_disk(control);
+	tb_proc_restart(control);
+	platform_bed_submit(tb, 1, 200);
+	platform_bed_wait(tb, 1, "completed", 10000);
+	testbed_wait_ms(3000);
+	/* The wiped replica has to vote, as another one is gone. */
+	tb_proc_signal(testbed_control(tb, 0), SIGKILL);
+	platform_bed_config(tb, 2);
+	for (uint32_t i = 0; i < NR_WORKERS; i++)
+		tb_proc_signal(testbed_agent(tb, i), SIGKILL);
+	for (uint32_t i = 1; i < NR_CONTROLS; i++)
+		tb_proc_signal(testbed_control(tb, i), SIGKILL);
+	tb_proc_signal(entry, SIGKILL);
+	for (uint32_t i = 0; i < NR_CONTROLS; i++)
+		tb_proc_restart(testbed_control(tb, i));
+	for (uint32_t i = 0; i < NR_WORKERS; i++)
+		tb_proc_restart(testbed_agent(tb, i));
+	tb_proc_restart(entry);
+	platform_bed_submit(tb, 2, 0);
+	platform_bed_wait(tb, 2, "running", 10000);
+	check_config(tb, 2);
+	g_free(seeds);
+	testbed_free(tb);
+}
+END_TEST
+
 /*
  * Guards against a request that was read and gets no answer: the entry ends
  * after a SIGTERM while no leader replies and the client would wait longer.
@@ -307,6 +390,8 @@
 		test_power_lost,
 		test_entry_leaves,
 		test_full_disks_in_turn,
+		test_operator_at_agents,
+		test_seeds_are_agents,
 	};
 	size_t nr = sizeof(tests) / sizeof(tests[0]);
 
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -29,6 +29,7 @@
 	char *port_file;
 	char *data;
 	char *node_file;
+	char *listen; /* of an agent on the platform */
 	char *http;
 	pid_t pid; /* 0: not running */
 	int exit_code;
@@ -134,6 +135,7 @@
 	g_free(proc->port_file);
 	g_free(proc->data);
 	g_free(proc->node_file);
+	g_free(proc->listen);
 	g_free(proc->http);
 	g_free(proc);
 }
@@ -197,9 +199,10 @@
 	prlimit(proc->pid, RLIMIT_FSIZE, &limit, NULL);
 }
 
-static void node_file_write(const struct tb_proc *proc, uint32_t first)
+static void node_file_write(const struct tb_proc *proc, const char *list,
+			    uint32_t first)
 {
-	char **addresses = g_strsplit(proc->tb->control_list, ",", -1);
+	char **addresses = g_strsplit(list, ",", -1);
 	guint nr = g_strv_length(addresses);
 	GString *text = g_string_new("[masticreach]\ncontrol=");
 
@@ -214,7 +217,17 @@
 
 void tb_proc_rotate_controls(struct tb_proc *proc, uint32_t first)
 {
-	node_file_write(proc, first);
+	node_file_write(proc, proc->tb->control_list, first);
+}
+
+void tb_proc_set_controls(struct tb_proc *proc, const char *list)
+{
+	node_file_write(proc, list, 0);
+}
+
+const char *tb_proc_listen(const struct tb_proc *proc)
+{
+	return proc->listen;
 }
 
 int tb_proc_wait(struct tb_proc *proc, uint32_t limit_ms)
@@ -382,7 +395,7 @@
 	proc_arg(proc, "--port-file", proc->port_file);
 	if (tb->opts.platform) {
 		proc->node_file = g_strdup_printf("%s/%s.conf", tb->dir, name);
-		node_file_write(proc, 0);
+		node_file_write(proc, tb->control_list, 0);
 		proc_arg(proc, "--node-file", proc->node_file);
 	} else {
 		proc_arg(proc, "--control", tb->control_list);
@@ -635,6 +648,7 @@
 	struct tb_proc *standin = proc_new(tb, worker, program);
 
 	proc_arg(agent, "--listen", listen);
+	agent->listen = g_strdup(listen);
 	proc_start(agent);
 	tb_wait_port(agent);
 	standin->port_file = g_strdup_printf("%s/%s.ports", tb->dir, worker);
--- a/tests/testbed.h
+++ b/tests/testbed.h
@@ -90,6 +90,10 @@
  * in another order, from the one with this index on.
  */
 void tb_proc_rotate_controls(struct tb_proc *proc, uint32_t first);
+/** The address for links, of an agent. */
+const char *tb_proc_listen(const struct tb_proc *proc);
+/** Writes other control addresses, in a comma list, to the node file. */
+void tb_proc_set_controls(struct tb_proc *proc, const char *list);
 /** Empties the data folder of a stopped control process. */
 void tb_proc_lose_disk(struct tb_proc *proc);
 /** What a process has used so far. */
