Order workflows by their worth for the work that remains

Workflows went by whether they can be on time and then by their deadline, earliest first. In an overload that gives room to the one with the least time left, which mostly ends late, and large workflows hold up many small ones.

So those near their end go first, then small ones.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -238,6 +238,16 @@
 /* After this many times its objective, a workflow is worth nothing (platform).
  */
 #define FLOW_LATE_FACTOR 3
+/* Part of an average workflow's worth that doesn't grow with its work, and
+ * what is left of the worth when it comes late (platform). */
+#define FLOW_WORTH_FIXED_PERMILLE 300
+#define FLOW_WORTH_LATE_PERMILLE 150
+/* What nobody waits for is done last, smaller ones first. */
+#define FLOW_WORTH_LEAST_PERMILLE 10
+/* An average work is taken over about so many workflows of a queue. */
+#define FLOW_WORK_SAMPLES 64
+#define FLOW_WORK_MAX_CORE_MS \
+	UINT64_C(1000000000000) /* keeps sums in 64 bits */
 /* Work left undone for a moment, so that a draining worker's checkpoint of it
  * is the last one. */
 #define FLOW_DRAIN_LEFT_MS 1500
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -414,6 +414,8 @@
 	flows->change_nr = 1; /* 0 stands for "not known" */
 	flows->pressure = pressure_new();
 	flows->advice = flow_advice_new();
+	flows->means =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	flows->ranks = g_array_new(FALSE, FALSE, sizeof(struct flow_rank));
 	flows->changes = g_array_new(FALSE, FALSE, sizeof(struct flow_change));
 	flows->change_timer = (struct timer){ flow_propose_changes, flows };
@@ -445,6 +447,7 @@
 	g_hash_table_unref(flows->runs);
 	g_hash_table_unref(flows->vms);
 	g_array_unref(flows->ranks);
+	g_hash_table_unref(flows->means);
 	pressure_free(flows->pressure);
 	flow_advice_free(flows->advice);
 	g_array_unref(flows->changes);
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -88,12 +88,20 @@
 	FLOW_WORTHLESS = 2,
 };
 
+/** Average work of a queue's workflows, by estimates. */
+struct flow_mean {
+	uint64_t sum_core_ms;
+	uint32_t nr;
+};
+
 /** A workflow that has not ended, in the order of work. */
 struct flow_rank {
 	struct state_flow *flow;
 	uint64_t due_us; /* end of its objective */
 	uint64_t worthless_us; /* nobody waits for it any more */
 	enum flow_outlook outlook; /* at the last look */
+	uint64_t density; /* worth of its end for the work that remains */
+	struct flow_mean *mean; /* of its queue */
 	uint64_t idle_us; /* nothing of it runs since then, 0: something does */
 	/* control_flow.change_nr when no VM had room for it, 0: not known */
 	uint64_t refused_nr;
@@ -138,7 +146,8 @@
 	GHashTable *runs; /* task name -> struct flow_soft * */
 	struct pressure *pressure;
 	struct flow_advice *advice;
-	GArray *ranks; /* struct flow_rank, by priority, outlook and due_us */
+	GArray *ranks; /* struct flow_rank, by priority, density and due_us */
+	GHashTable *means; /* host and prefix -> struct flow_mean * */
 	uint64_t change_nr; /* counts changes that may make room on a VM */
 	GArray *changes; /* struct flow_change to be proposed */
 	GHashTable *held; /* task name -> struct flow_vm * that it left */
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -3,9 +3,9 @@
 #include <string.h>
 
 /*
- * Placement: workflows by priority, then those that can still be on time, then
- * by the time at which their objective ends; each waiting task goes to the VM
- * with the lowest cost that has room.
+ * Placement: workflows by priority, then by what their end is worth for the
+ * work that remains, then by the time at which their objective ends; each
+ * waiting task goes to the VM with the lowest cost that has room.
  */
 
 /* ---- order of work ---- */
@@ -32,19 +32,84 @@
 	return longest_ms;
 }
 
+/* Work by estimates, of all tasks or of those that aren't done. */
+static uint64_t flow_work_core_ms(const struct state_flow *flow, bool left)
+{
+	uint64_t work_core_ms = 0;
+
+	for (uint32_t i = 0; i < flow->nr_stages; i++) {
+		const struct flow_step *step = state_flow_step_of(flow, i);
+		uint32_t nr =
+			step->count - (left ? flow->stages[i].nr_done : 0);
+		uint64_t each_core_ms =
+			(uint64_t)step->cpu_millis * step->estimate_ms / 1000;
+
+		work_core_ms += MIN(each_core_ms, FLOW_WORK_MAX_CORE_MS) * nr;
+		if (work_core_ms >= FLOW_WORK_MAX_CORE_MS)
+			return FLOW_WORK_MAX_CORE_MS;
+	}
+	return work_core_ms;
+}
+
+/* Adds a workflow to its queue's average; older ones fade. */
+static struct flow_mean *flow_mean_add(struct control_flow *flows,
+				       const struct state_flow *flow)
+{
+	char *queue =
+		g_strconcat(flow->record.host, " ", flow->record.prefix, NULL);
+	struct flow_mean *mean = g_hash_table_lookup(flows->means, queue);
+
+	if (!mean) {
+		mean = g_new0(struct flow_mean, 1);
+		g_hash_table_insert(flows->means, g_strdup(queue), mean);
+	}
+	g_free(queue);
+	mean->sum_core_ms += flow_work_core_ms(flow, false);
+	if (++mean->nr >= FLOW_WORK_SAMPLES * 2) {
+		mean->nr /= 2;
+		mean->sum_core_ms /= 2;
+	}
+	return mean;
+}
+
+/*
+ * In an overload the earliest due first brings all of them late; those that
+ * are worth most for their remaining work first brings the most worth. So
+ * workflows near their end go first, then small ones, and late ones only if
+ * little of them is left.
+ */
+static uint64_t flow_density(const struct flow_rank *rank)
+{
+	static const uint64_t outlook_permille[] = {
+		[FLOW_ON_TIME] = 1000,
+		[FLOW_LATE] = FLOW_WORTH_LATE_PERMILLE,
+		[FLOW_WORTHLESS] = FLOW_WORTH_LEAST_PERMILLE,
+	};
+	uint64_t mean_core_ms = rank->mean->sum_core_ms / rank->mean->nr;
+	uint64_t work_core_ms = flow_work_core_ms(rank->flow, false);
+	uint64_t worth =
+		mean_core_ms * FLOW_WORTH_FIXED_PERMILLE / 1000 +
+		work_core_ms * (1000 - FLOW_WORTH_FIXED_PERMILLE) / 1000;
+
+	return worth * outlook_permille[rank->outlook] /
+	       (flow_work_core_ms(rank->flow, true) + 1);
+}
+
 /* Sets what the rank's place depends on besides its times. */
 static void flow_rank_update(struct flow_rank *rank, uint64_t now_us)
 {
 	uint64_t end_us = now_us + flow_chain_ms(rank->flow) * 1000;
 
-	/* Lasting work is never too late. */
+	/* Lasting work is never too late, nor done. */
 	if (rank->flow->record.steps[0].lasting) {
 		rank->outlook = FLOW_ON_TIME;
+		rank->density = UINT64_MAX;
 		return;
 	}
 	rank->outlook = end_us <= rank->due_us	     ? FLOW_ON_TIME :
 			end_us <= rank->worthless_us ? FLOW_LATE :
 						       FLOW_WORTHLESS;
+	rank->density = flow_density(rank);
 }
 
 static gint flow_rank_compare(gconstpointer a, gconstpointer b)
@@ -56,8 +121,8 @@
 
 	if (priority_x != priority_y)
 		return priority_x < priority_y ? -1 : 1;
-	if (x->outlook != y->outlook)
-		return x->outlook < y->outlook ? -1 : 1;
+	if (x->density != y->density)
+		return x->density > y->density ? -1 : 1;
 	if (x->due_us != y->due_us)
 		return x->due_us < y->due_us ? -1 : 1;
 	return strcmp(x->flow->record.id, y->flow->record.id);
@@ -84,6 +149,7 @@
 	rank.worthless_us = rank.due_us + objective_us * (FLOW_LATE_FACTOR - 1);
 	if (!objective_us)
 		rank.worthless_us = UINT64_MAX;
+	rank.mean = flow_mean_add(flows, flow);
 	g_array_append_val(flows->ranks, rank);
 }
 
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -697,6 +697,64 @@
 }
 END_TEST
 
+#define OVERLOAD_FLOWS 48
+#define OVERLOAD_GAP_MS 250
+
+/* Returns how many of the workflows ended within their objectives. */
+static uint32_t ended_on_time(struct flow_world *fw, uint32_t chain_ms)
+{
+	struct control *leader = world_leader_host(fw->base)->control;
+	uint32_t nr = 0;
+
+	for (uint32_t i = 0; i < OVERLOAD_FLOWS; i++) {
+		char id[8];
+		const struct flow_record *record;
+
+		g_snprintf(id, sizeof(id), "o%02u", i);
+		record = &state_flow_find(leader->state, id)->record;
+		nr += record->finished_ms &&
+		      record->finished_ms - record->submitted_ms <=
+			      record->slo_ms +
+				      chain_ms * record->slack_permille / 1000;
+	}
+	return nr;
+}
+
+/*
+ * Guards against an overload in which few large workflows keep all others from
+ * ending on time (Dorado scale-1, SHORT). Two thirds of the workflows are small
+ * and need a quarter of the processors.
+ */
+START_TEST(test_overload_ends_most_on_time)
+{
+	struct flow_world *fw = flow_world_new(32);
+	struct flow_step steps[2] = { step_of(8), step_of(8) };
+	uint64_t first = 0;
+	uint32_t nr;
+
+	steps[1].nr_after = 1;
+	steps[1].after = &first;
+	steps[0].estimate_ms = steps[1].estimate_ms = 1000;
+	fw->run_ms = 1000;
+	/* More than twice the work that the VMs can do. */
+	for (uint32_t i = 0; i < OVERLOAD_FLOWS; i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "o%02u", i);
+		steps[0].count = steps[1].count = i % 3 ? 4 : 24;
+		ck_assert_int_eq(flow_world_submit(fw, id, steps, 2),
+				 RESULT_OK);
+		flow_world_run_ms(fw, OVERLOAD_GAP_MS);
+	}
+	flow_world_run_ms(fw, 30000);
+	nr = ended_on_time(fw, 2000);
+	/* Nine in ten of the small ones. */
+	ck_assert_msg(nr >= OVERLOAD_FLOWS * 2 / 3 * 9 / 10,
+		      "%u of %u are on time", nr, OVERLOAD_FLOWS);
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("flow", test_operators_view, test_steps_in_order, test_resend_is_one,
 	   test_cancel_before_submission, test_cancel_stops_runs,
 	   test_unknown_names, test_leader_killed, test_agent_restarted,
@@ -705,4 +763,5 @@
 	   test_heartbeat_of_earlier_life, test_life_with_an_earlier_clock,
 	   test_zone_out, test_draining, test_attempts,
 	   test_fillers_are_not_starved, test_advice, test_held_filler_moves,
-	   test_serving_tasks_are_grouped, test_seeds_are_agents)
+	   test_serving_tasks_are_grouped, test_seeds_are_agents,
+	   test_overload_ends_most_on_time)
