Leave no gap behind a log that is rewritten after a full disk

Cause: entries that were replaced while they waited stayed in the batch. Behind the old log they are replaced on disk as well; the rewritten log ends earlier, so they left a gap there.

The batch is pruned whenever the log has been rewritten.

--- a/src/daemon/store.c
+++ b/src/daemon/store.c
@@ -127,6 +127,27 @@
 	return res;
 }
 
+/*
+ * Drops what has no slot from the batch: behind a new beginning of the log, its
+ * entries would leave a gap.
+ */
+static void store_prune_batch(struct store *store)
+{
+	GByteArray *old = store->batch;
+
+	store->batch = g_byte_array_new();
+	for (guint i = store->nr_written; i < store->slots->len; i++) {
+		struct store_slot *slot =
+			&g_array_index(store->slots, struct store_slot, i);
+		uint64_t at = slot->offset;
+		enum result res = store_copy_record(
+			old->data + at, old->len - at, slot, store->batch);
+
+		g_assert(res == RESULT_OK);
+	}
+	g_byte_array_unref(old);
+}
+
 /*
  * Puts a new log file in place with the entries that have a slot. What the
  * store knows of the file changes only once it is in place.
@@ -154,6 +175,7 @@
 		store->stale = false;
 		g_array_unref(store->slots);
 		store->slots = g_array_ref(slots);
+		store_prune_batch(store);
 	} else {
 		store->salt = old_salt;
 	}
@@ -272,26 +294,6 @@
 	g_array_append_val(store->slots, slot);
 }
 
-/* Drops the slots up to @a covered, and from the batch what has none. */
-static void store_drop_covered(struct store *store, guint covered)
-{
-	GByteArray *old = store->batch;
-
-	g_array_remove_range(store->slots, 0, covered);
-	store->nr_written -= MIN(store->nr_written, covered);
-	store->batch = g_byte_array_new();
-	for (guint i = store->nr_written; i < store->slots->len; i++) {
-		struct store_slot *slot =
-			&g_array_index(store->slots, struct store_slot, i);
-		uint64_t at = slot->offset;
-		enum result res = store_copy_record(
-			old->data + at, old->len - at, slot, store->batch);
-
-		g_assert(res == RESULT_OK);
-	}
-	g_byte_array_unref(old);
-}
-
 static void store_write_snapshot(void *ctx, const struct snapshot_head *head,
 				 const struct snapshot_record *records)
 {
@@ -309,7 +311,8 @@
 	slot = store_slot(store, head->last_index);
 	if (slot && slot->term == head->last_term)
 		covered = head->last_index - store->first_index + 1;
-	store_drop_covered(store, (guint)covered);
+	g_array_remove_range(store->slots, 0, (guint)covered);
+	store->nr_written -= MIN(store->nr_written, (guint)covered);
 	store->first_index = head->last_index + 1;
 	store->stale = true;
 	store_flush(store);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -570,6 +570,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a log that can't be read any more: entries were replaced while
+ * the log behind a snapshot waited for room.
+ */
+START_TEST(test_truncate_with_full_disk)
+{
+	struct folder folder;
+
+	folder_make(&folder);
+	put_three_batches(&folder);
+	/* The snapshot is taken, the longer log is not. */
+	folder.limit_bytes = 130;
+	put_snapshot(&folder, 2, 1, 1);
+	put_entry(&folder, 10, 1, 100);
+	ck_assert(!folder_try_sync(&folder));
+	store_file_ops.truncate(folder.store, 5);
+	put_hard(&folder, 2);
+	put_entry(&folder, 5, 2, 50);
+	folder.limit_bytes = 0;
+	ck_assert_int_eq(folder_sync(&folder), RESULT_OK);
+	folder_reopen(&folder);
+	ck_assert_uint_eq(store_image(folder.store)->snapshot.last_index, 2);
+	check_entries(&folder, 3, 3);
+	folder_remove(&folder);
+}
+END_TEST
+
 /* Guards against a new replica that ends because its disk is full. */
 START_TEST(test_start_with_full_disk)
 {
@@ -685,5 +712,5 @@
 	   test_torn_tail, test_hole_in_the_last_batch, test_damage,
 	   test_missing_files, test_snapshot, test_crash_between_renames,
 	   test_lock, test_full_disk, test_crash_with_full_disk,
-	   test_snapshot_with_full_disk, test_start_with_full_disk,
-	   test_random_writes)
+	   test_snapshot_with_full_disk, test_truncate_with_full_disk,
+	   test_start_with_full_disk, test_random_writes)
