Count serving tasks' processors by their learned load

Cause: placement took 60 % of a serving task's processors as used, whatever its load. Loads swing around 45 % there, so on each VM of 32 cores some five cores were held back from fillers, and at times of high load too many were given.

A serving task now uses its processors by its load, which the leader learns anyway; a task that neither serves nor fills uses all of its own.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -227,8 +227,6 @@
 #define GROUP_GAIN_MIN_PERMILLE 78
 /* Weights are sent again after this, in case a message was lost. */
 #define FLOW_PAIRS_REPEAT_MS 3000
-/* Share of their processors that lasting tasks use, for placing fillers. */
-#define FLOW_LASTING_USE_PERCENT 60
 /*
  * A workflow of which nothing runs gets a task after this while less than this
  * share of the processors is taken; the platform's rule: 3 s and a half.
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -287,8 +287,6 @@
 /** Returns the other VM that the run's task would go to, NULL if none. */
 struct flow_vm *control_flow_other_vm(struct control_flow *flows,
 				      const struct flow_soft *soft);
-/** Processors that fillers may count on, in thousandths. */
-uint32_t control_flow_unused_cpu(const struct flow_vm *vm);
 void control_flow_place_soon(struct control_flow *flows);
 void control_flow_place(void *data, uint64_t now_us);
 void control_flow_rank(struct control_flow *flows, struct state_flow *flow);
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -215,14 +215,6 @@
 	return nr;
 }
 
-uint32_t control_flow_unused_cpu(const struct flow_vm *vm)
-{
-	uint32_t used = vm->cpu_millis - vm->lasting_cpu_millis +
-			vm->lasting_cpu_millis * FLOW_LASTING_USE_PERCENT / 100;
-
-	return vm->worker.cpu_millis > used ? vm->worker.cpu_millis - used : 0;
-}
-
 bool control_flow_vm_fits(struct flow_vm *vm, const struct flow_need *need)
 {
 	const struct flow_step *step = need->step;
--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -248,10 +248,26 @@
 	return MIN(work, room->unused_permille);
 }
 
+/*
+ * Processors that a task leaves to no filler. A serving task uses its share by
+ * its load, which swings; nothing is known of the others.
+ */
+static uint64_t room_used_millis(const struct control_flow *flows,
+				 const struct flow_soft *soft)
+{
+	if (soft->step->filler)
+		return 0;
+	if (!control_flow_serves(soft))
+		return soft->step->cpu_millis;
+	return (uint64_t)soft->step->cpu_millis *
+	       pressure_load(flows->pressure, soft->flow->record.id) / 1000;
+}
+
 static struct flow_room *room_new(const struct control_flow *flows,
 				  const struct flow_vm *vm)
 {
 	struct flow_room *room = g_new0(struct flow_room, 1);
+	uint64_t used_millis = 0;
 	GHashTableIter iter;
 	void *key;
 
@@ -263,6 +279,7 @@
 		const struct flow_soft *soft = key;
 		struct pace_filler filler = { .image = soft->image };
 
+		used_millis += room_used_millis(flows, soft);
 		if (control_flow_serves(soft))
 			room_add_serving(room->servings, soft->image,
 					 pace_room(pressure_load(
@@ -273,7 +290,9 @@
 		filler.share_permille = vm_share(vm, soft->step->cpu_millis);
 		g_array_append_val(room->fillers, filler);
 	}
-	room->unused_permille = vm_share(vm, control_flow_unused_cpu(vm));
+	used_millis = MIN(used_millis, vm->worker.cpu_millis);
+	room->unused_permille =
+		vm_share(vm, vm->worker.cpu_millis - (uint32_t)used_millis);
 	room->work_permille = room_work(flows, room, room->fillers->len);
 	g_array_set_size(room->fillers, room->fillers->len + 1);
 	return room;
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -478,6 +478,40 @@
 }
 END_TEST
 
+/*
+ * Guards against fillers that wait beside serving tasks which hardly use the
+ * processors that they are counted with (Dorado scale-1, SHORT).
+ */
+START_TEST(test_idle_serving_tasks_leave_room)
+{
+	struct flow_world *fw = flow_world_new(33);
+	struct flow_step serving = step_of(FLOW_WORLD_VMS);
+	struct flow_step filler = step_of(6 * FLOW_WORLD_VMS);
+
+	serving.lasting = true;
+	serving.target_ms = 100;
+	serving.max_per_vm = 1;
+	serving.cpu_millis = 8000; /* all of a VM */
+	TEXT_SET(serving.image, "s");
+	filler.filler = true;
+	TEXT_SET(filler.image, "f");
+	fw->run_ms = 0;
+	fw->overcommitted = true;
+	flow_world_submit(fw, "aa", &serving, 1);
+	/* About no load; a figure is learned from when it changes. */
+	for (uint32_t i = 0; i < 20; i++) {
+		fw->tail_ms = 20 + i % 3;
+		flow_world_run_ms(fw, 300);
+	}
+	ck_assert_uint_eq(fw_running(fw), FLOW_WORLD_VMS);
+	flow_world_submit(fw, "bb", &filler, 1);
+	flow_world_run_ms(fw, 1000);
+	/* Five of eight processors of each VM, as weights aren't known yet. */
+	ck_assert_uint_ge(fw_running(fw), 6 * FLOW_WORLD_VMS);
+	flow_world_free(fw);
+}
+END_TEST
+
 /* Guards against starts without the ticket that the queue asks for. */
 START_TEST(test_advice)
 {
@@ -762,6 +796,6 @@
 	   test_leader_without_lease, test_late_calls, test_worker_crashes,
 	   test_heartbeat_of_earlier_life, test_life_with_an_earlier_clock,
 	   test_zone_out, test_draining, test_attempts,
-	   test_fillers_are_not_starved, test_advice, test_held_filler_moves,
-	   test_serving_tasks_are_grouped, test_seeds_are_agents,
-	   test_overload_ends_most_on_time)
+	   test_fillers_are_not_starved, test_idle_serving_tasks_leave_room,
+	   test_advice, test_held_filler_moves, test_serving_tasks_are_grouped,
+	   test_seeds_are_agents, test_overload_ends_most_on_time)
