--- a/src/core/control/control.h
+++ b/src/core/control/control.h
@@ -68,9 +68,9 @@
 		     uint32_t nr_advice);
 
 /** A sync of the store ended. */
-/** The store's disk takes no more bytes, or takes them again. */
-void control_store_full(struct control *control, bool full);
 void control_synced(struct control *control, uint64_t sync_nr,
 		    enum result result);
+/** The store's disk takes no more bytes, or takes them again. */
+void control_store_full(struct control *control, bool full);
 
 #endif /* CONTROL_H */
