Test the walk from an id to the cause on real processes

A change of the operator, a workflow that completes and a call to an unknown queue are followed by the lines that the page names, from the logs of real processes.

Evidence: platform-walk_from_an_id passes; with a name that no event has, it names the pattern that nobody logged.

--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -299,6 +299,80 @@
 }
 END_TEST
 
+/* Returns true if a line of the process's log matches the pattern. */
+static bool logged(const struct tb_proc *proc, const char *pattern)
+{
+	char *text = tb_proc_log(proc);
+	char **lines = g_strsplit(text, "\n", -1);
+	bool found = false;
+
+	for (uint32_t i = 0; lines[i] && !found; i++)
+		found = g_pattern_match_simple(pattern, lines[i]);
+	g_strfreev(lines);
+	g_free(text);
+	return found;
+}
+
+/* Waits until as many of the processes have logged it. */
+static void check_logged(struct tb_proc *const *procs, uint32_t nr_procs,
+			 uint32_t nr_wanted, const char *pattern)
+{
+	uint32_t nr = 0;
+
+	for (uint32_t ms = 0; ms < 3000 && nr < nr_wanted; ms += 100) {
+		if (ms)
+			testbed_wait_ms(100);
+		nr = 0;
+		for (uint32_t i = 0; i < nr_procs; i++)
+			nr += logged(procs[i], pattern);
+	}
+	ck_assert_msg(nr >= nr_wanted, "%u processes logged %s", nr, pattern);
+}
+
+/*
+ * Guards against a step of the walk-throughs in docs/OPERATIONS.md that the
+ * logs don't carry any more: from an id to the cause.
+ */
+START_TEST(test_walk_from_an_id)
+{
+	struct testbed *tb = site_start(0);
+	struct tb_proc *entry = testbed_entry(tb, 0);
+	struct tb_proc *controls[NR_CONTROLS];
+
+	for (uint32_t i = 0; i < NR_CONTROLS; i++)
+		controls[i] = testbed_control(tb, i);
+	testbed_wait_ms(2000);
+	/* A change: where it arrived, its commit, where it is in force. */
+	platform_bed_config(tb, 7);
+	check_logged(controls, NR_CONTROLS, 1,
+		     "*event=operator-received*version=7 *");
+	check_logged(controls, NR_CONTROLS, 1,
+		     "*event=operation-committed*version=7 *");
+	check_logged(controls, NR_CONTROLS, 1,
+		     "*event=operator-call*version=7 *status=200*");
+	check_logged(controls, NR_CONTROLS, NR_CONTROLS,
+		     "*event=bundle version=7 *");
+	/* A workflow that was accepted: entry, leader, its end. */
+	platform_bed_submit(tb, 1, 200);
+	platform_bed_wait(tb, 1, "completed", 10000);
+	check_logged(&entry, 1, 1,
+		     "*event=call kind=submit*/q/0000000000000001*result=ok*");
+	check_logged(controls, NR_CONTROLS, 1,
+		     "*event=workflow id=0000000000000001 state=queued*");
+	check_logged(controls, NR_CONTROLS, 1,
+		     "*event=place task=0000000000000001.0.0.0 run=1 vm=*");
+	check_logged(controls, NR_CONTROLS, 1,
+		     "*event=task-ended task=0000000000000001.0.0.0 run=1*");
+	check_logged(controls, NR_CONTROLS, 1,
+		     "*event=workflow id=0000000000000001 state=completed*");
+	/* One that was refused. */
+	ck_assert_uint_eq(tb_request(entry, "GET", "/none/1", NULL, NULL, NULL),
+			  404);
+	check_logged(&entry, 1, 1, "*event=call*/none/1*result=unknown-queue*");
+	testbed_free(tb);
+}
+END_TEST
+
 /*
  * Guards against processes that find nobody after the seeds were exchanged for
  * agents: an entry, a replica without its disk, then everything at once.
@@ -392,6 +466,7 @@
 		test_full_disks_in_turn,
 		test_operator_at_agents,
 		test_seeds_are_agents,
+		test_walk_from_an_id,
 	};
 	size_t nr = sizeof(tests) / sizeof(tests[0]);
 
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -225,6 +225,16 @@
 	node_file_write(proc, list, 0);
 }
 
+char *tb_proc_log(const struct tb_proc *proc)
+{
+	char *path = g_strdup_printf("%s/%s.log", proc->tb->dir, proc->name);
+	char *text = NULL;
+
+	g_assert(g_file_get_contents(path, &text, NULL, NULL));
+	g_free(path);
+	return text;
+}
+
 const char *tb_proc_listen(const struct tb_proc *proc)
 {
 	return proc->listen;
--- a/tests/testbed.h
+++ b/tests/testbed.h
@@ -90,6 +90,8 @@
  * in another order, from the one with this index on.
  */
 void tb_proc_rotate_controls(struct tb_proc *proc, uint32_t first);
+/** What the process has logged so far, over all its lives; to be freed. */
+char *tb_proc_log(const struct tb_proc *proc);
 /** The address for links, of an agent. */
 const char *tb_proc_listen(const struct tb_proc *proc);
 /** Writes other control addresses, in a comma list, to the node file. */
