Keep the order of work in a file of its own

The loop over all workflows is control_flow_sort() now. The test of the platform's protocol restarts its replicas by one function.

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -275,6 +275,14 @@
 			   const struct flow_soft *soft, enum flow_end end);
 void control_flow_set_gauges(struct control_flow *flows);
 
+/* control_flow_rank.c */
+/** Adds a workflow that has not ended, or removes it. */
+void control_flow_rank(struct control_flow *flows, struct state_flow *flow);
+void control_flow_unrank(struct control_flow *flows,
+			 const struct state_flow *flow);
+/** Puts the workflows in the order of work. */
+void control_flow_sort(struct control_flow *flows);
+
 /* control_flow_place.c */
 /** Returns true if the occurrence of the stage is due. */
 bool control_flow_stage_due(const struct control_flow *flows,
@@ -289,8 +297,5 @@
 				      const struct flow_soft *soft);
 void control_flow_place_soon(struct control_flow *flows);
 void control_flow_place(void *data, uint64_t now_us);
-void control_flow_rank(struct control_flow *flows, struct state_flow *flow);
-void control_flow_unrank(struct control_flow *flows,
-			 const struct state_flow *flow);
 
 #endif /* CONTROL_FLOW_IMPL_H */
--- /dev/null
+++ b/src/core/control/control_flow_rank.c
@@ -0,0 +1,174 @@
+#include "control_flow_impl.h"
+
+#include <string.h>
+
+/*
+ * The order of work: workflows by priority, then by what their end is worth for
+ * the work that remains, then by the time at which their objective ends.
+ */
+
+/* Longest chain of estimates through the steps that aren't done. */
+static uint64_t flow_chain_ms(const struct state_flow *flow)
+{
+	const struct flow_record *record = &flow->record;
+	uint64_t *chain_ms = g_new0(uint64_t, record->nr_steps);
+	uint64_t longest_ms = 0;
+
+	for (uint32_t i = 0; i < record->nr_steps; i++) {
+		const struct flow_step *step = &record->steps[i];
+		/* Occurrences overlap; the first one stands for all. */
+		bool done = flow->stages[i].nr_done == step->count;
+
+		for (uint32_t j = 0; j < step->nr_after; j++)
+			chain_ms[i] =
+				MAX(chain_ms[i], chain_ms[step->after[j]]);
+		chain_ms[i] += step->lasting || done ? 0 : step->estimate_ms;
+		longest_ms = MAX(longest_ms, chain_ms[i]);
+	}
+	g_free(chain_ms);
+	return longest_ms;
+}
+
+/* Work by estimates, of all tasks or of those that aren't done. */
+static uint64_t flow_work_core_ms(const struct state_flow *flow, bool left)
+{
+	uint64_t work_core_ms = 0;
+
+	for (uint32_t i = 0; i < flow->nr_stages; i++) {
+		const struct flow_step *step = state_flow_step_of(flow, i);
+		uint32_t nr =
+			step->count - (left ? flow->stages[i].nr_done : 0);
+		uint64_t each_core_ms =
+			(uint64_t)step->cpu_millis * step->estimate_ms / 1000;
+
+		work_core_ms += MIN(each_core_ms, FLOW_WORK_MAX_CORE_MS) * nr;
+		if (work_core_ms >= FLOW_WORK_MAX_CORE_MS)
+			return FLOW_WORK_MAX_CORE_MS;
+	}
+	return work_core_ms;
+}
+
+/* Adds a workflow to its queue's average; older ones fade. */
+static struct flow_mean *flow_mean_add(struct control_flow *flows,
+				       const struct state_flow *flow)
+{
+	char *queue =
+		g_strconcat(flow->record.host, " ", flow->record.prefix, NULL);
+	struct flow_mean *mean = g_hash_table_lookup(flows->means, queue);
+
+	if (!mean) {
+		mean = g_new0(struct flow_mean, 1);
+		g_hash_table_insert(flows->means, g_strdup(queue), mean);
+	}
+	g_free(queue);
+	mean->sum_core_ms += flow_work_core_ms(flow, false);
+	if (++mean->nr >= FLOW_WORK_SAMPLES * 2) {
+		mean->nr /= 2;
+		mean->sum_core_ms /= 2;
+	}
+	return mean;
+}
+
+/*
+ * In an overload the earliest due first brings all of them late; those that
+ * are worth most for their remaining work first brings the most worth. So
+ * workflows near their end go first, then small ones, and late ones only if
+ * little of them is left.
+ */
+static uint64_t flow_density(const struct flow_rank *rank)
+{
+	static const uint64_t outlook_permille[] = {
+		[FLOW_ON_TIME] = 1000,
+		[FLOW_LATE] = FLOW_WORTH_LATE_PERMILLE,
+		[FLOW_WORTHLESS] = FLOW_WORTH_LEAST_PERMILLE,
+	};
+	uint64_t mean_core_ms = rank->mean->sum_core_ms / rank->mean->nr;
+	uint64_t work_core_ms = flow_work_core_ms(rank->flow, false);
+	uint64_t worth =
+		mean_core_ms * FLOW_WORTH_FIXED_PERMILLE / 1000 +
+		work_core_ms * (1000 - FLOW_WORTH_FIXED_PERMILLE) / 1000;
+
+	return worth * outlook_permille[rank->outlook] /
+	       (flow_work_core_ms(rank->flow, true) + 1);
+}
+
+/* Sets what the rank's place depends on besides its times. */
+static void flow_rank_update(struct flow_rank *rank, uint64_t now_us)
+{
+	uint64_t end_us = now_us + flow_chain_ms(rank->flow) * 1000;
+
+	/* Lasting work is never too late, nor done. */
+	if (rank->flow->record.steps[0].lasting) {
+		rank->outlook = FLOW_ON_TIME;
+		rank->density = UINT64_MAX;
+		return;
+	}
+	rank->outlook = end_us <= rank->due_us	     ? FLOW_ON_TIME :
+			end_us <= rank->worthless_us ? FLOW_LATE :
+						       FLOW_WORTHLESS;
+	rank->density = flow_density(rank);
+}
+
+static gint flow_rank_compare(gconstpointer a, gconstpointer b)
+{
+	const struct flow_rank *x = a;
+	const struct flow_rank *y = b;
+	uint32_t priority_x = x->flow->record.priority;
+	uint32_t priority_y = y->flow->record.priority;
+
+	if (priority_x != priority_y)
+		return priority_x < priority_y ? -1 : 1;
+	if (x->density != y->density)
+		return x->density > y->density ? -1 : 1;
+	if (x->due_us != y->due_us)
+		return x->due_us < y->due_us ? -1 : 1;
+	return strcmp(x->flow->record.id, y->flow->record.id);
+}
+
+void control_flow_rank(struct control_flow *flows, struct state_flow *flow)
+{
+	const struct flow_record *record = &flow->record;
+	struct control *control = flows->control;
+	uint64_t start_ms = MAX(record->submitted_ms, record->first_ms);
+	uint64_t now_ms = control_wall_ms(control);
+	uint64_t objective_us =
+		(record->slo_ms +
+		 flow_chain_ms(flow) * record->slack_permille / 1000) *
+		1000;
+	struct flow_rank rank = { .flow = flow };
+
+	/* From here on the time of day, which may jump, isn't looked at. */
+	rank.due_us = control->node->now_us + objective_us;
+	if (start_ms > now_ms)
+		rank.due_us += (start_ms - now_ms) * 1000;
+	else
+		rank.due_us -= MIN((now_ms - start_ms) * 1000, rank.due_us);
+	rank.worthless_us = rank.due_us + objective_us * (FLOW_LATE_FACTOR - 1);
+	if (!objective_us)
+		rank.worthless_us = UINT64_MAX;
+	rank.mean = flow_mean_add(flows, flow);
+	g_array_append_val(flows->ranks, rank);
+}
+
+void control_flow_unrank(struct control_flow *flows,
+			 const struct state_flow *flow)
+{
+	for (guint i = 0; i < flows->ranks->len; i++) {
+		if (g_array_index(flows->ranks, struct flow_rank, i).flow !=
+		    flow)
+			continue;
+		g_array_remove_index(flows->ranks, i);
+		return;
+	}
+}
+
+void control_flow_sort(struct control_flow *flows)
+{
+	uint64_t now_us = flows->control->node->now_us;
+
+	for (guint i = 0; i < flows->ranks->len; i++)
+		flow_rank_update(&g_array_index(flows->ranks, struct flow_rank,
+						i),
+				 now_us);
+	g_array_sort(flows->ranks, flow_rank_compare);
+}
--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -98,6 +98,16 @@
 }
 END_TEST
 
+/* All replicas lose power and start again. */
+static void restart_controls(struct testbed *tb)
+{
+	for (uint32_t i = 0; i < NR_CONTROLS; i++)
+		if (tb_proc_pid(testbed_control(tb, i)))
+			tb_proc_signal(testbed_control(tb, i), SIGKILL);
+	for (uint32_t i = 0; i < NR_CONTROLS; i++)
+		tb_proc_restart(testbed_control(tb, i));
+}
+
 /* Ends the leader, found by its counter of grants. */
 static struct tb_proc *kill_leader(struct testbed *tb)
 {
@@ -191,10 +201,7 @@
 
 	platform_bed_submit(tb, 1, 500);
 	platform_bed_config(tb, 9);
-	for (uint32_t i = 0; i < NR_CONTROLS; i++)
-		tb_proc_signal(testbed_control(tb, i), SIGKILL);
-	for (uint32_t i = 0; i < NR_CONTROLS; i++)
-		tb_proc_restart(testbed_control(tb, i));
+	restart_controls(tb);
 	platform_bed_wait(tb, 1, "completed", 30000);
 	check_config(tb, 9);
 	ck_assert_uint_eq(platform_bed_check(tb), 8);
@@ -248,10 +255,7 @@
 	for (uint32_t i = 1; i <= NR_CONTROLS; i++)
 		platform_bed_wait(tb, i, "completed", 10000);
 	/* What was acknowledged is on disks. */
-	for (uint32_t i = 0; i < NR_CONTROLS; i++)
-		tb_proc_signal(testbed_control(tb, i), SIGKILL);
-	for (uint32_t i = 0; i < NR_CONTROLS; i++)
-		tb_proc_restart(testbed_control(tb, i));
+	restart_controls(tb);
 	platform_bed_wait(tb, NR_CONTROLS, "completed", 10000);
 	check_config(tb, version);
 	ck_assert_uint_eq(platform_bed_check(tb), 24);
@@ -403,13 +407,11 @@
 	/* The wiped replica has to vote, as another one is gone. */
 	tb_proc_signal(testbed_control(tb, 0), SIGKILL);
 	platform_bed_config(tb, 2);
+	/* Whoever knows a replica is gone. */
 	for (uint32_t i = 0; i < NR_WORKERS; i++)
 		tb_proc_signal(testbed_agent(tb, i), SIGKILL);
-	for (uint32_t i = 1; i < NR_CONTROLS; i++)
-		tb_proc_signal(testbed_control(tb, i), SIGKILL);
 	tb_proc_signal(entry, SIGKILL);
-	for (uint32_t i = 0; i < NR_CONTROLS; i++)
-		tb_proc_restart(testbed_control(tb, i));
+	restart_controls(tb);
 	for (uint32_t i = 0; i < NR_WORKERS; i++)
 		tb_proc_restart(testbed_agent(tb, i));
 	tb_proc_restart(entry);
