Bound the files of running processes only in the soak

Traced: the disk-full fault hit the process in the moment of its start, when it writes its port file, which lies outside its data folder; with the bound in place from the start and no port file, the same program waits for room (store-full).

Evidence: the daemon under ulimit -f 0 ends with 24 (--port-file) if it has to write one, and runs if not.

--- a/tests/soak_faults.c
+++ b/tests/soak_faults.c
@@ -289,9 +289,15 @@
 		fault_kill_all(faults, vm);
 }
 
+/*
+ * The bound is on all files of the process, and the port file that it writes at
+ * its start isn't on its disk: a process that starts is left alone.
+ */
 static void vm_limit(struct soak_faults *faults, struct soak_vm *vm,
 		     int64_t until_ms, uint64_t bytes)
 {
+	if (!tb_proc_http(vm->proc)[0])
+		return;
 	core_harm(faults->soak, true);
 	vm->limited_ms = until_ms;
 	tb_proc_limit_files(vm->proc, bytes);
