Give answers their turn in the tests' load generator

Cause: while entries wait for a leader, hundreds of requests are open in the generator's HTTP session, and each new one costs a walk over all of them. On a busy machine requests become due faster than they are sent, so the loop that sends them never ends (backtrace of a hanging run: load_tick, load_shoot, soup_session_send_async, g_list_find_custom).

At most 16 requests are sent in one turn of the loop; what is checked stays.

--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -1086,6 +1086,8 @@
 	g_free(shot);
 }
 
+#define LOAD_BURST_MAX 16 /* requests in one turn of the loop */
+
 static void load_shoot(struct tb_load *load)
 {
 	struct testbed *tb = load->tb;
@@ -1134,13 +1136,18 @@
 	g_free(url);
 }
 
+/*
+ * Answers get their turn between bursts: a request costs libsoup a walk over
+ * all that are open, so on a busy machine requests become due faster than they
+ * can be sent, and the loop would never leave this function.
+ */
 static gboolean load_tick(gpointer data)
 {
 	struct tb_load *load = data;
 	uint64_t due = (uint64_t)(g_get_monotonic_time() - load->began_us) *
 		       load->opts.per_second / 1000000;
 
-	while (load->stats.sent < due)
+	for (uint32_t i = 0; i < LOAD_BURST_MAX && load->stats.sent < due; i++)
 		load_shoot(load);
 	return G_SOURCE_CONTINUE;
 }
