Wait for voters by the log in the tests of the platform's protocol

On a busy machine a replica may need longer than the two or three seconds that the new tests allowed it to become a voter, and an agent longer than half a second to find its connections closed; none of them has failed so far. They wait for the state that they need, up to 20 and 5 s; what is checked stays.

--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -98,6 +98,48 @@
 }
 END_TEST
 
+/*
+ * Waits until the replica knows that all replicas vote; what its log
+ * says up to @a from is of earlier times.
+ */
+static void wait_for_voters(const struct tb_proc *control, size_t from)
+{
+	char *wanted = g_strdup_printf("voters=%d members=%d", NR_CONTROLS,
+				       NR_CONTROLS);
+	bool found = false;
+
+	for (uint32_t ms = 0; ms < 20000 && !found; ms += 100) {
+		char *text = tb_proc_log(control);
+
+		found = strlen(text) > from && strstr(text + from, wanted);
+		g_free(text);
+		if (!found)
+			testbed_wait_ms(100);
+	}
+	ck_assert_msg(found, "%s doesn't log %s", tb_proc_name(control),
+		      wanted);
+	g_free(wanted);
+}
+
+/* The first configuration is taken before all replicas are voters. */
+static struct testbed *site_start_whole(void)
+{
+	struct testbed *tb = site_start(0);
+
+	for (uint32_t i = 0; i < NR_CONTROLS; i++)
+		wait_for_voters(testbed_control(tb, i), 0);
+	return tb;
+}
+
+static size_t log_size(const struct tb_proc *proc)
+{
+	char *text = tb_proc_log(proc);
+	size_t size = strlen(text);
+
+	g_free(text);
+	return size;
+}
+
 /* All replicas lose power and start again. */
 static void restart_controls(struct testbed *tb)
 {
@@ -233,9 +275,7 @@
 
 	/* A refused write shows as an error in the children. */
 	signal(SIGXFSZ, SIG_IGN);
-	tb = site_start(0);
-	/* The first configuration is taken before all replicas are voters. */
-	testbed_wait_ms(2000);
+	tb = site_start_whole();
 	for (uint32_t i = 0; i < NR_CONTROLS; i++) {
 		struct tb_proc *control = testbed_control(tb, i);
 
@@ -290,14 +330,19 @@
 	struct testbed *tb = site_start(0);
 	const char *http = tb_proc_http(testbed_agent(tb, 0));
 	struct soak_conn *conn = soak_conn_new(http);
+	uint32_t status = 0;
 
 	ck_assert_uint_eq(ask(conn, "GET", "/Config.Show"), 307);
 	ck_assert_uint_eq(ask(conn, "POST", "/Drain.Start/mangrol"), 307);
 	ck_assert_uint_eq(ask(conn, "GET", "/none"), 404);
 	for (uint32_t i = 0; i < NR_CONTROLS; i++)
 		tb_proc_signal(testbed_control(tb, i), SIGKILL);
-	testbed_wait_ms(500);
-	ck_assert_uint_eq(ask(conn, "GET", "/Config.Show"), 503);
+	/* It finds out when its connections are closed. */
+	for (uint32_t ms = 0; ms < 5000 && status != 503; ms += 100) {
+		testbed_wait_ms(100);
+		status = ask(conn, "GET", "/Config.Show");
+	}
+	ck_assert_uint_eq(status, 503);
 	soak_conn_free(conn);
 	testbed_free(tb);
 }
@@ -339,13 +384,12 @@
  */
 START_TEST(test_walk_from_an_id)
 {
-	struct testbed *tb = site_start(0);
+	struct testbed *tb = site_start_whole();
 	struct tb_proc *entry = testbed_entry(tb, 0);
 	struct tb_proc *controls[NR_CONTROLS];
 
 	for (uint32_t i = 0; i < NR_CONTROLS; i++)
 		controls[i] = testbed_control(tb, i);
-	testbed_wait_ms(2000);
 	/* A change: where it arrived, its commit, where it is in force. */
 	platform_bed_config(tb, 7);
 	check_logged(controls, NR_CONTROLS, 1,
@@ -383,13 +427,13 @@
  */
 START_TEST(test_seeds_are_agents)
 {
-	struct testbed *tb = site_start(0);
+	struct testbed *tb = site_start_whole();
 	struct tb_proc *entry = testbed_entry(tb, 0);
 	struct tb_proc *control = testbed_control(tb, 1);
 	char *seeds = g_strjoin(",", tb_proc_listen(testbed_agent(tb, 0)),
 				tb_proc_listen(testbed_agent(tb, 1)), NULL);
+	size_t from;
 
-	testbed_wait_ms(2000);
 	tb_proc_set_controls(entry, seeds);
 	for (uint32_t i = 0; i < NR_CONTROLS; i++)
 		tb_proc_set_controls(testbed_control(tb, i), seeds);
@@ -399,12 +443,13 @@
 	tb_proc_signal(entry, SIGKILL);
 	tb_proc_restart(entry);
 	tb_proc_signal(control, SIGKILL);
+	from = log_size(control);
 	tb_proc_lose_disk(control);
 	tb_proc_restart(control);
 	platform_bed_submit(tb, 1, 200);
 	platform_bed_wait(tb, 1, "completed", 10000);
-	testbed_wait_ms(3000);
-	/* The wiped replica has to vote, as another one is gone. */
+	/* The wiped replica has to vote, as another one goes. */
+	wait_for_voters(control, from);
 	tb_proc_signal(testbed_control(tb, 0), SIGKILL);
 	platform_bed_config(tb, 2);
 	/* Whoever knows a replica is gone. */
