Give no address twice in the testbed

The testbed lets the kernel choose a port, closes the socket and hands the port out, so the kernel may choose it again for another process of the site.

Addresses that were handed out before are drawn again.

--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -343,7 +343,18 @@
 			       getpid() / 250 % 250 + 1, getpid() % 250 + 1);
 }
 
-static char *tb_reserve_on(uint32_t host)
+/* The kernel may give a port again that it gave before. */
+static bool tb_was_reserved(const char *address)
+{
+	static GHashTable *reserved;
+
+	if (!reserved)
+		reserved = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, NULL);
+	return !g_hash_table_add(reserved, g_strdup(address));
+}
+
+static char *tb_draw_on(uint32_t host)
 {
 	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
 				       G_SOCKET_TYPE_STREAM,
@@ -365,6 +376,17 @@
 	return text;
 }
 
+static char *tb_reserve_on(uint32_t host)
+{
+	char *address = tb_draw_on(host);
+
+	while (tb_was_reserved(address)) {
+		g_free(address);
+		address = tb_draw_on(host);
+	}
+	return address;
+}
+
 static char *tb_reserve(void)
 {
 	return tb_reserve_on(0);
