Add up a workflow's work once

The order of work added up the estimates of all tasks of every open workflow at each placement, though they don't change after the submission. The sum is kept with the workflow's place in the order.

test_flow and test_flow_random pass; no behaviour changes.

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -101,6 +101,7 @@
 	uint64_t worthless_us; /* nobody waits for it any more */
 	enum flow_outlook outlook; /* at the last look */
 	uint64_t density; /* worth of its end for the work that remains */
+	uint64_t work_core_ms; /* of all its tasks, by estimates */
 	struct flow_mean *mean; /* of its queue */
 	uint64_t idle_us; /* nothing of it runs since then, 0: something does */
 	/* control_flow.change_nr when no VM had room for it, 0: not known */
--- a/src/core/control/control_flow_rank.c
+++ b/src/core/control/control_flow_rank.c
@@ -50,10 +50,10 @@
 
 /* Adds a workflow to its queue's average; older ones fade. */
 static struct flow_mean *flow_mean_add(struct control_flow *flows,
-				       const struct state_flow *flow)
+				       const struct flow_record *record,
+				       uint64_t work_core_ms)
 {
-	char *queue =
-		g_strconcat(flow->record.host, " ", flow->record.prefix, NULL);
+	char *queue = g_strconcat(record->host, " ", record->prefix, NULL);
 	struct flow_mean *mean = g_hash_table_lookup(flows->means, queue);
 
 	if (!mean) {
@@ -61,7 +61,7 @@
 		g_hash_table_insert(flows->means, g_strdup(queue), mean);
 	}
 	g_free(queue);
-	mean->sum_core_ms += flow_work_core_ms(flow, false);
+	mean->sum_core_ms += work_core_ms;
 	if (++mean->nr >= FLOW_WORK_SAMPLES * 2) {
 		mean->nr /= 2;
 		mean->sum_core_ms /= 2;
@@ -83,10 +83,9 @@
 		[FLOW_WORTHLESS] = FLOW_WORTH_LEAST_PERMILLE,
 	};
 	uint64_t mean_core_ms = rank->mean->sum_core_ms / rank->mean->nr;
-	uint64_t work_core_ms = flow_work_core_ms(rank->flow, false);
 	uint64_t worth =
 		mean_core_ms * FLOW_WORTH_FIXED_PERMILLE / 1000 +
-		work_core_ms * (1000 - FLOW_WORTH_FIXED_PERMILLE) / 1000;
+		rank->work_core_ms * (1000 - FLOW_WORTH_FIXED_PERMILLE) / 1000;
 
 	return worth * outlook_permille[rank->outlook] /
 	       (flow_work_core_ms(rank->flow, true) + 1);
@@ -146,7 +145,8 @@
 	rank.worthless_us = rank.due_us + objective_us * (FLOW_LATE_FACTOR - 1);
 	if (!objective_us)
 		rank.worthless_us = UINT64_MAX;
-	rank.mean = flow_mean_add(flows, flow);
+	rank.work_core_ms = flow_work_core_ms(flow, false);
+	rank.mean = flow_mean_add(flows, record, rank.work_core_ms);
 	g_array_append_val(flows->ranks, rank);
 }
 
