Look up a serving task's load once

Since its load also says what it leaves to fillers, placement looked it up twice for each run of each VM. One function now adds a run that isn't a filler and returns what it uses.

--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -249,18 +249,21 @@
 }
 
 /*
- * Processors that a task leaves to no filler. A serving task uses its share by
- * its load, which swings; nothing is known of the others.
+ * Adds a run that isn't a filler; returns the processors that it leaves to no
+ * filler. A serving task uses its share by its load, which swings; nothing is
+ * known of the others.
  */
-static uint64_t room_used_millis(const struct control_flow *flows,
-				 const struct flow_soft *soft)
+static uint64_t room_add_other(const struct control_flow *flows,
+			       struct flow_room *room,
+			       const struct flow_soft *soft)
 {
-	if (soft->step->filler)
-		return 0;
+	uint32_t load_permille;
+
 	if (!control_flow_serves(soft))
 		return soft->step->cpu_millis;
-	return (uint64_t)soft->step->cpu_millis *
-	       pressure_load(flows->pressure, soft->flow->record.id) / 1000;
+	load_permille = pressure_load(flows->pressure, soft->flow->record.id);
+	room_add_serving(room->servings, soft->image, pace_room(load_permille));
+	return (uint64_t)soft->step->cpu_millis * load_permille / 1000;
 }
 
 static struct flow_room *room_new(const struct control_flow *flows,
@@ -279,13 +282,11 @@
 		const struct flow_soft *soft = key;
 		struct pace_filler filler = { .image = soft->image };
 
-		used_millis += room_used_millis(flows, soft);
-		if (control_flow_serves(soft))
-			room_add_serving(room->servings, soft->image,
-					 pace_room(pressure_load(
-						 flows->pressure,
-						 soft->flow->record.id)));
-		if (!soft->step->filler || soft->stopping)
+		if (!soft->step->filler) {
+			used_millis += room_add_other(flows, room, soft);
+			continue;
+		}
+		if (soft->stopping)
 			continue;
 		filler.share_permille = vm_share(vm, soft->step->cpu_millis);
 		g_array_append_val(room->fillers, filler);
