Ask for the control replicas in one place

Replicas without their disk and processes that follow the site had the same loop over all peers that aren't control replicas. Both call node_ask_controls() now; of a site, questions go after the queries instead of between them.

--- a/src/core/link/node.c
+++ b/src/core/link/node.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "msg_control.h"
 #include "tunables.h"
 #include "logline.h"
 
@@ -367,6 +368,22 @@
 	node->host->send(node->host_ctx, to, type, body);
 }
 
+void node_ask_controls(struct node *node)
+{
+	struct peers question = { 0 };
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, node->links);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct link *link = value;
+
+		if (link->up && link->peer.role != ROLE_CONTROL)
+			node_send(node, link->peer.node_id, MSG_PEERS,
+				  &question);
+	}
+}
+
 const struct link *node_link(const struct node *node, uint64_t node_id)
 {
 	return node_find_link(node, node_id);
--- a/src/core/link/site.c
+++ b/src/core/link/site.c
@@ -37,7 +37,6 @@
 static void site_query_all(void *data, uint64_t now_us)
 {
 	struct site *site = data;
-	struct peers question = { 0 };
 	GHashTableIter iter;
 	void *value;
 
@@ -48,14 +47,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct link *link = value;
 
-		if (!link->up)
-			continue;
-		if (link->peer.role == ROLE_CONTROL)
+		if (link->peer.role == ROLE_CONTROL && link->up)
 			site_query(site, link->peer.node_id);
-		else if (site->opts.asks && !site->leader)
-			node_send(site->node, link->peer.node_id, MSG_PEERS,
-				  &question);
 	}
+	if (site->opts.asks && !site->leader)
+		node_ask_controls(site->node);
 }
 
 static void site_set_leader(struct site *site, uint64_t node_id)
--- a/src/core/raft/raft_dial.c
+++ b/src/core/raft/raft_dial.c
@@ -102,26 +102,6 @@
 	}
 }
 
-/*
- * A replica without its disk may know seeds that are agents; these know the
- * others.
- */
-static void raft_ask(struct raft *raft)
-{
-	struct peers question = { 0 };
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, raft->node->links);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct link *link = value;
-
-		if (link->up && link->peer.role != ROLE_CONTROL)
-			node_send(raft->node, link->peer.node_id, MSG_PEERS,
-				  &question);
-	}
-}
-
 static bool raft_is_alone(const struct raft *raft)
 {
 	GHashTableIter iter;
@@ -168,8 +148,9 @@
 	for (uint32_t i = 0; i < members->nr_members; i++)
 		raft_dial(raft, members->members[i].address);
 	raft_tell_strangers(raft);
+	/* A replica without its disk may know seeds that are agents. */
 	if (!raft->leader_id && raft_is_alone(raft))
-		raft_ask(raft);
+		node_ask_controls(raft->node);
 	if (raft->leader_id)
 		g_hash_table_remove_all(raft->told);
 	g_hash_table_foreach_remove(raft->dialled, raft_undial_absent, raft);
