Drop a cast from raft_peer()

The handover's reasons took a const replica, so raft_peer() cast it away for all its callers. They take it as before; the two reasons why a leader refuses for lack of a quorum stand together.

test_raft and test_raft_faults pass; no behaviour changes.

--- a/src/core/raft/raft.c
+++ b/src/core/raft/raft.c
@@ -20,11 +20,11 @@
 	return raft_log_last_index(&raft->log) == 0;
 }
 
-struct raft_peer *raft_peer(const struct raft *raft, uint64_t node_id)
+struct raft_peer *raft_peer(struct raft *raft, uint64_t node_id)
 {
 	for (uint32_t i = 0; i < raft->nr_peers; i++)
 		if (raft->peers[i].node_id == node_id)
-			return (struct raft_peer *)&raft->peers[i];
+			return &raft->peers[i];
 	return NULL;
 }
 
@@ -458,9 +458,7 @@
 
 	if (raft->role != RAFT_LEADER || raft->resigned)
 		return RESULT_NOT_LEADER;
-	if (raft->leaving_us)
-		return RESULT_NO_QUORUM;
-	if (!raft->announced || !raft_has_lease(raft))
+	if (raft->leaving_us || !raft->announced || !raft_has_lease(raft))
 		return RESULT_NO_QUORUM;
 	if (command.type == CMD_MEMBERS) {
 		res = raft_check_change(raft, command.body);
--- a/src/core/raft/raft_form.c
+++ b/src/core/raft/raft_form.c
@@ -255,7 +255,7 @@
 	record_unref(members);
 }
 
-static bool raft_caught_up(const struct raft *raft, uint64_t node_id)
+static bool raft_caught_up(struct raft *raft, uint64_t node_id)
 {
 	const struct raft_peer *peer = raft_peer(raft, node_id);
 
@@ -318,7 +318,7 @@
 	return false;
 }
 
-uint32_t raft_voters_besides(const struct raft *raft, uint64_t node_id)
+uint32_t raft_voters_besides(struct raft *raft, uint64_t node_id)
 {
 	uint32_t nr = node_id != raft_self(raft); /* itself */
 
@@ -336,7 +336,7 @@
  * An absent voter beyond those that the losses call for only adds to the
  * quorum: four voters with one absent don't survive another loss, three do.
  */
-static uint64_t raft_gone_ms(const struct raft *raft, uint64_t node_id)
+static uint64_t raft_gone_ms(struct raft *raft, uint64_t node_id)
 {
 	uint32_t nr_voters = members_nr_voters(raft_config(raft));
 
--- a/src/core/raft/raft_impl.h
+++ b/src/core/raft/raft_impl.h
@@ -174,7 +174,7 @@
 const struct members *raft_config(const struct raft *raft);
 /** True while the log is empty: the replica belongs to no group yet. */
 bool raft_is_fresh(const struct raft *raft);
-struct raft_peer *raft_peer(const struct raft *raft, uint64_t node_id);
+struct raft_peer *raft_peer(struct raft *raft, uint64_t node_id);
 void raft_log_event(struct raft *raft, const char *event);
 /** A leader was heard, or this replica leads. */
 void raft_log_heard(struct raft *raft);
@@ -267,7 +267,7 @@
 			      const struct members *members);
 /** Returns how many voters apart from one hold the log and answer the leader.
  */
-uint32_t raft_voters_besides(const struct raft *raft, uint64_t node_id);
+uint32_t raft_voters_besides(struct raft *raft, uint64_t node_id);
 /** Proposes the next change of the members, if one is due. */
 void raft_member_tick(struct raft *raft);
 
--- a/src/core/raft/raft_role.c
+++ b/src/core/raft/raft_role.c
@@ -137,7 +137,7 @@
 }
 
 /* A quorum of others can commit while this replica's disk is full. */
-static bool raft_must_leave(const struct raft *raft)
+static bool raft_must_leave(struct raft *raft)
 {
 	uint64_t self = raft_self(raft);
 
