--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -98,26 +98,37 @@
 }
 END_TEST
 
+/*
+ * Returns true if a line of the process's log behind @a from matches the
+ * pattern.
+ */
+static bool logged(const struct tb_proc *proc, size_t from, const char *pattern)
+{
+	char *text = tb_proc_log(proc);
+	char **lines = g_strsplit(text + MIN(from, strlen(text)), "\n", -1);
+	bool found = false;
+
+	for (uint32_t i = 0; lines[i] && !found; i++)
+		found = g_pattern_match_simple(pattern, lines[i]);
+	g_strfreev(lines);
+	g_free(text);
+	return found;
+}
+
 /*
  * Waits until the replica knows that all replicas vote; what its log
  * says up to @a from is of earlier times.
  */
 static void wait_for_voters(const struct tb_proc *control, size_t from)
 {
-	char *wanted = g_strdup_printf("voters=%d members=%d", NR_CONTROLS,
+	char *wanted = g_strdup_printf("*voters=%d members=%d*", NR_CONTROLS,
 				       NR_CONTROLS);
-	bool found = false;
-
-	for (uint32_t ms = 0; ms < 20000 && !found; ms += 100) {
-		char *text = tb_proc_log(control);
 
-		found = strlen(text) > from && strstr(text + from, wanted);
-		g_free(text);
-		if (!found)
-			testbed_wait_ms(100);
-	}
-	ck_assert_msg(found, "%s doesn't log %s", tb_proc_name(control),
-		      wanted);
+	for (uint32_t ms = 0; ms < 20000 && !logged(control, from, wanted);
+	     ms += 100)
+		testbed_wait_ms(100);
+	ck_assert_msg(logged(control, from, wanted), "%s doesn't log %s",
+		      tb_proc_name(control), wanted);
 	g_free(wanted);
 }
 
@@ -348,20 +359,6 @@
 }
 END_TEST
 
-/* Returns true if a line of the process's log matches the pattern. */
-static bool logged(const struct tb_proc *proc, const char *pattern)
-{
-	char *text = tb_proc_log(proc);
-	char **lines = g_strsplit(text, "\n", -1);
-	bool found = false;
-
-	for (uint32_t i = 0; lines[i] && !found; i++)
-		found = g_pattern_match_simple(pattern, lines[i]);
-	g_strfreev(lines);
-	g_free(text);
-	return found;
-}
-
 /* Waits until as many of the processes have logged it. */
 static void check_logged(struct tb_proc *const *procs, uint32_t nr_procs,
 			 uint32_t nr_wanted, const char *pattern)
@@ -373,7 +370,7 @@
 			testbed_wait_ms(100);
 		nr = 0;
 		for (uint32_t i = 0; i < nr_procs; i++)
-			nr += logged(procs[i], pattern);
+			nr += logged(procs[i], 0, pattern);
 	}
 	ck_assert_msg(nr >= nr_wanted, "%u processes logged %s", nr, pattern);
 }
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -481,6 +481,22 @@
 	return folder->nr_synced != before;
 }
 
+/* Fills the disk; returns the first entry that is refused. */
+static uint64_t fill_disk(struct folder *folder)
+{
+	uint64_t index = 10;
+
+	put_three_batches(folder);
+	folder->limit_bytes = 1500;
+	for (; index < 200; index++) {
+		put_entry(folder, index, 1, index * 10);
+		if (!folder_try_sync(folder))
+			break;
+	}
+	ck_assert_uint_lt(index, 200);
+	return index;
+}
+
 /*
  * Guards against a full disk that damages the log, is reported as synced, or
  * ends in a store that takes nothing when there is room again.
@@ -488,17 +504,10 @@
 START_TEST(test_full_disk)
 {
 	struct folder folder;
-	uint64_t index = 10;
+	uint64_t index;
 
 	folder_make(&folder);
-	put_three_batches(&folder);
-	folder.limit_bytes = 1500;
-	for (; index < 200; index++) {
-		put_entry(&folder, index, 1, index * 10);
-		if (!folder_try_sync(&folder))
-			break;
-	}
-	ck_assert_uint_lt(index, 200);
+	index = fill_disk(&folder);
 	/* What comes meanwhile waits with what was refused. */
 	put_hard(&folder, 7);
 	index++;
@@ -522,16 +531,10 @@
 START_TEST(test_crash_with_full_disk)
 {
 	struct folder folder;
-	uint64_t index = 10;
+	uint64_t index;
 
 	folder_make(&folder);
-	put_three_batches(&folder);
-	folder.limit_bytes = 1500;
-	for (; index < 200; index++) {
-		put_entry(&folder, index, 1, index * 10);
-		if (!folder_try_sync(&folder))
-			break;
-	}
+	index = fill_disk(&folder);
 	/* It opens although the disk is still full. */
 	folder_reopen(&folder);
 	check_entries(&folder, 1, (uint32_t)index - 1);
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -54,9 +54,14 @@
 
 /* ---- processes ---- */
 
+static char *proc_log_path(const struct tb_proc *proc)
+{
+	return g_strdup_printf("%s/%s.log", proc->tb->dir, proc->name);
+}
+
 static void proc_spawn(struct tb_proc *proc)
 {
-	char *log = g_strdup_printf("%s/%s.log", proc->tb->dir, proc->name);
+	char *log = proc_log_path(proc);
 	posix_spawn_file_actions_t actions;
 	int fds[2] = { -1, -1 };
 
@@ -227,7 +232,7 @@
 
 char *tb_proc_log(const struct tb_proc *proc)
 {
-	char *path = g_strdup_printf("%s/%s.log", proc->tb->dir, proc->name);
+	char *path = proc_log_path(proc);
 	char *text = NULL;
 
 	g_assert(g_file_get_contents(path, &text, NULL, NULL));
