Log why a start waits and how old its order is

Change: start-waits with the reason, age of the order, fence and time of the call in task-started, orders-held at the leader; counter starts_waiting.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -21,9 +21,11 @@
 	uint32_t run;
 	enum runner_phase phase;
 	bool ordered; /* the leader's order is known */
+	bool waits; /* for room or a free call; it was logged */
 	bool repeated; /* an earlier agent may have called its start */
 	bool stop; /* to be stopped */
 	bool stop_calling;
+	uint64_t added_us;
 	uint64_t since_us; /* of the phase */
 	uint64_t stop_due_us; /* of the next call to stop */
 	uint64_t stopped_us; /* the worker took the stop, 0: not yet */
@@ -48,6 +50,7 @@
 	uint64_t call_nr;
 	enum exec_call_kind kind;
 	uint64_t sent_us;
+	uint64_t fence;
 	uint64_t life; /* runner.life_nr when it was sent */
 	bool extends; /* carries a deadline */
 	uint64_t lease_until_us; /* that the deadline stands for */
@@ -194,6 +197,11 @@
  * renewed, and when it has lapsed.
  */
 void runner_trace_report(struct runner *runner);
+/** Logs once that the start of a run isn't called yet, and why. */
+void runner_log_waits(struct runner *runner, struct runner_run *run,
+		      const char *reason);
+void runner_log_started(struct runner *runner, const struct runner_call *call,
+			const struct runner_run *run);
 /** The worker lists neither the run nor its end. */
 void runner_log_absent(struct runner *runner, const struct runner_run *run);
 
--- a/src/core/agent/runner_log.c
+++ b/src/core/agent/runner_log.c
@@ -267,6 +267,42 @@
 	runner->trace.settled_nr = runner->settled_nr;
 }
 
+void runner_log_waits(struct runner *runner, struct runner_run *run,
+		      const char *reason)
+{
+	GString *line;
+
+	if (run->waits)
+		return;
+	run->waits = true;
+	counter_count(runner->node->counters, "starts_waiting", "reason",
+		      reason);
+	line = logline_new("start-waits");
+	logline_str(line, "task", run->task);
+	logline_u64(line, "run", run->run);
+	logline_str(line, "reason", reason);
+	logline_u64(line, "term", runner->term);
+	logline_u64(line, "fence", runner->fence);
+	logline_u64(line, "lease_left_ms", runner_lease_left_ms(runner));
+	node_log(runner->node, line);
+}
+
+void runner_log_started(struct runner *runner, const struct runner_call *call,
+			const struct runner_run *run)
+{
+	GString *line = logline_new("task-started");
+
+	logline_str(line, "task", run->task);
+	logline_u64(line, "run", run->run);
+	logline_str(line, "worker", runner->worker.id);
+	logline_u64(line, "term", runner->term);
+	logline_str(line, "outcome", "started");
+	logline_u64(line, "fence", call->fence);
+	logline_u64(line, "ordered_ms_ago", ms_since(runner, run->added_us));
+	logline_u64(line, "took_ms", ms_since(runner, call->sent_us));
+	node_log(runner->node, line);
+}
+
 void runner_log_absent(struct runner *runner, const struct runner_run *run)
 {
 	static const char *const phases[] = {
--- a/src/core/agent/runner_pace.c
+++ b/src/core/agent/runner_pace.c
@@ -346,6 +346,7 @@
 		runner_start(runner, run);
 		return;
 	}
+	runner_log_waits(runner, run, "room");
 	runner_make_room(runner, run);
 	if (!timer_armed(&runner->start_timer))
 		node_timer_ms(runner->node, &runner->start_timer,
--- a/src/core/agent/runner_run.c
+++ b/src/core/agent/runner_run.c
@@ -29,7 +29,8 @@
 	TEXT_SET(run->task, task);
 	run->run = nr;
 	run->phase = phase;
-	run->since_us = runner->node->now_us;
+	run->added_us = runner->node->now_us;
+	run->since_us = run->added_us;
 	run->pace = 100;
 	g_hash_table_replace(runner->runs, run->task, run);
 	return run;
@@ -147,8 +148,10 @@
 		runner_not_started(runner, run, RESULT_LEASE_EXPIRED);
 		return;
 	}
-	if (!runner_may_call(runner))
+	if (!runner_may_call(runner)) {
+		runner_log_waits(runner, run, "calls");
 		return; /* it stays RUNNER_NEW */
+	}
 	call.task = run->task;
 	call.run = run->run;
 	call.spec = run->spec;
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -69,6 +69,7 @@
 	kept->call_nr = ++runner->call_nr;
 	kept->kind = call->kind;
 	kept->sent_us = runner->node->now_us;
+	kept->fence = runner->fence;
 	kept->life = runner->life_nr;
 	kept->extends = call->deadline_ms != 0;
 	kept->run = call->run;
@@ -281,8 +282,7 @@
 		counter_observe(runner->node->counters, "start_call_ms",
 				(runner->node->now_us - run->since_us) / 1000);
 		runner_set_phase(runner, run, RUNNER_ON);
-		runner_log_run(runner, "task-started", run->task, run->run,
-			       "started", RESULT_OK);
+		runner_log_started(runner, call, run);
 		if (run->stop)
 			runner_stop(runner, run);
 		else if (run->filler)
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -153,6 +153,7 @@
 	GArray *changes; /* struct flow_change to be proposed */
 	GHashTable *held; /* task name -> struct flow_vm * that it left */
 	GHashTable *orders; /* vm name -> GArray of struct flow_order */
+	uint64_t orders_since_us; /* the oldest of them */
 	GHashTable *waits; /* workflow's id -> struct flow_wait * */
 	struct flow_past_end past[FLOW_PAST_ENDS]; /* a ring */
 	uint64_t nr_past;
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -8,6 +8,8 @@
 {
 	GArray *orders = g_hash_table_lookup(flows->orders, vm->name);
 
+	if (!g_hash_table_size(flows->orders))
+		flows->orders_since_us = flows->control->node->now_us;
 	if (!orders) {
 		orders = g_array_new(FALSE, FALSE, sizeof(struct flow_order));
 		g_hash_table_insert(flows->orders, (gpointer)vm->name, orders);
@@ -98,6 +100,22 @@
 	flow_order_add(flows, vm, &order);
 }
 
+/* Orders go out at once, but while the leader may not grant. */
+static void flow_log_held(struct control_flow *flows)
+{
+	uint64_t held_ms =
+		(flows->control->node->now_us - flows->orders_since_us) / 1000;
+	GString *line;
+
+	if (!g_hash_table_size(flows->orders) || held_ms < FLOW_ORDER_RETRY_MS)
+		return;
+	line = logline_new("orders-held");
+	logline_u64(line, "vms", g_hash_table_size(flows->orders));
+	logline_u64(line, "held_ms", held_ms);
+	logline_u64(line, "term", raft_term(flows->control->raft));
+	node_log(flows->control->node, line);
+}
+
 void control_flow_send_orders(void *data, uint64_t now_us)
 {
 	struct control_flow *flows = data;
@@ -114,6 +132,7 @@
 				      FLOW_ORDER_RETRY_MS);
 		return;
 	}
+	flow_log_held(flows);
 	g_hash_table_iter_init(&iter, flows->orders);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const struct flow_vm *vm = control_flow_vm(flows, key);
