--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -36,8 +36,19 @@
 	uint64_t settled_nr;
 	uint32_t wait_ms;
 	char ticket[NAME_BYTES];
+	bool answered; /* the reply waits for a frozen agent */
+	struct exec_reply reply;
 };
 
+static void call_free(void *data)
+{
+	struct fw_call *call = data;
+
+	g_free(call->reply.runs);
+	g_free(call->reply.ends);
+	g_free(call);
+}
+
 static uint64_t now_us(const struct flow_world *fw)
 {
 	return vhost_now_us(fw->base->vhost);
@@ -212,37 +223,46 @@
 	return now >= call->due_us + call->wait_ms * 1000ull;
 }
 
+/* Gives the agent the answer, if it still waits for one. */
+static void call_answer(struct fw_call *call)
+{
+	static const struct exec_reply none = { .verdict = EXEC_NO_ANSWER };
+	struct fw_vm *vm = call->vm;
+	bool mine = vm->runner == call->runner;
+	bool late = now_us(vm->world) >= call->give_up_us;
+
+	if (mine && vm->frozen)
+		return;
+	/* Beyond the time limit, the limit and the answer are found together.
+	 */
+	if (late && call->answered && vhost_random(vm->world->base->vhost) % 2)
+		call->answered = false;
+	if (!call->answered && !late)
+		return;
+	call->give_up_us = 0;
+	if (!call->answered && !call->lost)
+		call->carried_out = true;
+	if (!mine)
+		return;
+	node_set_time(vhost_node(vm->machine), now_us(vm->world));
+	runner_call_done(vm->runner, call->call_nr,
+			 call->answered ? &call->reply : &none);
+}
+
 /* Returns true once nothing more comes of the call. */
 static bool call_step(struct fw_call *call)
 {
 	struct fw_vm *vm = call->vm;
-	struct exec_reply reply = { 0 };
-	bool mine = vm->runner == call->runner;
-	bool answer = false;
 
 	if (!call->carried_out && vm->worker.up && call_is_due(call)) {
-		worker_carry_out(call, &reply);
-		answer = !call->lost;
+		worker_carry_out(call, &call->reply);
+		call->answered = !call->lost;
 	}
 	/* Nobody takes a late call while the worker is down. */
 	if (!call->carried_out && call->lost && call_is_due(call))
 		call->carried_out = true;
-	if (!answer && now_us(vm->world) >= call->give_up_us &&
-	    call->give_up_us) {
-		answer = true;
-		reply.verdict = EXEC_NO_ANSWER;
-		call->give_up_us = 0;
-		if (!call->lost)
-			call->carried_out = true;
-	}
-	if (answer && mine) {
-		node_set_time(vhost_node(vm->machine), now_us(vm->world));
-		runner_call_done(vm->runner, call->call_nr, &reply);
-	}
-	if (answer)
-		call->give_up_us = 0;
-	g_free(reply.runs);
-	g_free(reply.ends);
+	if (call->give_up_us)
+		call_answer(call);
 	return call->carried_out && !call->give_up_us;
 }
 
@@ -298,7 +318,7 @@
 
 static void vm_beat(struct fw_vm *vm)
 {
-	if (vm->runner && vm->worker.up)
+	if (vm->runner && vm->worker.up && !vm->frozen)
 		fw_beat(vm, vm->worker.born_ms, ++vm->worker.seq);
 }
 
@@ -391,6 +411,13 @@
 {
 	vhost_kill(vm->machine);
 	vm->runner = NULL;
+	vm->frozen = false;
+}
+
+void fw_freeze_agent(struct fw_vm *vm, bool frozen)
+{
+	vm->frozen = frozen;
+	vhost_pause(vm->machine, frozen);
 }
 
 void fw_crash_worker(struct fw_vm *vm)
@@ -569,7 +596,7 @@
 	fw->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fw->ended =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	fw->pending = g_ptr_array_new_with_free_func(g_free);
+	fw->pending = g_ptr_array_new_with_free_func(call_free);
 	fw->run_ms = 500;
 	opts.control_addresses = fw->base->addresses;
 	fw->entry = vhost_add(fw->base->vhost, "entry", "veraval", "");
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -50,6 +50,7 @@
 	struct fw_worker worker;
 	uint32_t lose_ppm; /* calls without answer, carried out late */
 	uint32_t slow_permille; /* of the worker's clock; set before its life */
+	bool frozen; /* the agent; its worker goes on */
 	bool fail_runs; /* every run fails at once */
 	uint32_t tail_ms; /* figure of its runs, 0: the world's */
 	bool draining;
@@ -103,6 +104,11 @@
 
 void fw_kill_agent(struct fw_vm *vm);
 void fw_boot_agent(struct fw_vm *vm);
+/**
+ * The agent stands still: what reaches it waits. When it goes on, it finds
+ * answers of its worker, or takes the calls for unanswered.
+ */
+void fw_freeze_agent(struct fw_vm *vm, bool frozen);
 /** The worker ends with all it runs; another life may come. */
 void fw_crash_worker(struct fw_vm *vm);
 void fw_boot_worker(struct fw_vm *vm);
--- /dev/null
+++ b/tests/test_flow_freeze.c
@@ -0,0 +1,74 @@
+/**
+ * @file test_flow_freeze.c
+ * Workflows under agents that stand still while their workers go on. The world
+ * asserts at every start that the task runs nowhere else and is not done.
+ */
+
+#include <string.h>
+
+#include "flow_world.h"
+#include "suite.h"
+
+#define NR_FILLERS 6
+#define FROZEN_MS 9000 /* beyond a lease and its margin */
+
+static struct flow_step step_of(uint32_t count, const char *image)
+{
+	struct flow_step step = { .count = count,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .estimate_ms = 500 };
+
+	TEXT_SET(step.image, image);
+	return step;
+}
+
+/* Puts a serving task on each VM whose tail leaves fillers no room. */
+static struct flow_world *world_without_room(uint64_t seed)
+{
+	struct flow_world *fw = flow_world_new(seed);
+	struct flow_step serving = step_of(FLOW_WORLD_VMS, "s");
+
+	serving.lasting = true;
+	serving.target_ms = 100;
+	serving.max_per_vm = 1;
+	fw->lasting = "aa";
+	fw->run_ms = 1000;
+	fw->tail_ms = 99;
+	flow_world_submit(fw, "aa", &serving, 1);
+	flow_world_run_ms(fw, 2000);
+	ck_assert_uint_eq(fw_running(fw), FLOW_WORLD_VMS);
+	return fw;
+}
+
+/*
+ * Guards against a start that waits in the agent for room, that the leader
+ * takes back meanwhile, and that the next lease revives (dorado-taller,
+ * agents-frozen, seed 5: TWICE).
+ */
+START_TEST(test_order_of_lost_vm_is_void)
+{
+	struct flow_step filler = step_of(1, "f");
+
+	filler.filler = true;
+	for (uint64_t seed = 1; seed <= 8; seed++) {
+		struct flow_world *fw = world_without_room(seed);
+
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS / 2; i++)
+			fw_freeze_agent(&fw->vms[i], true);
+		for (uint32_t i = 0; i < NR_FILLERS; i++) {
+			char id[NAME_BYTES];
+
+			g_snprintf(id, sizeof(id), "f%u", i);
+			flow_world_submit(fw, id, &filler, 1);
+		}
+		flow_world_run_ms(fw, FROZEN_MS);
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS / 2; i++)
+			fw_freeze_agent(&fw->vms[i], false);
+		flow_world_run_ms(fw, 3000);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
+SUITE_MAIN("flow_freeze", test_order_of_lost_vm_is_void)
