Refuse starts that were ordered under a lower fence

Cause: an order outlived the lease under which it was given. An agent that went on read orders which the leader had taken back. A start without a lease is refused, but a start that waits, for room beside serving tasks or for a free call, is tried again, and by then the next lease was there. Why it works: the leader raises the VM's fence in the moment in which it gives up what the VM was told. The grant that brings the next lease carries the raised fence, so the agent can't have the lease without knowing that the order is void. That also holds for orders of earlier leaders, whose fences are lower. The other tests of the runner now state the fence in their orders, as the leader does.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -8414,7 +8414,7 @@
   (ProtobufCMessageInit) masticreach__flow_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_order__field_descriptors[11] =
+static const ProtobufCFieldDescriptor masticreach__flow_order__field_descriptors[12] =
 {
   {
     "action",
@@ -8548,11 +8548,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fence",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowOrder, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__flow_order__field_indices_by_name[] = {
   0,   /* field[0] = action */
   4,   /* field[4] = checkpoint */
   7,   /* field[7] = cpu_millis */
+  11,   /* field[11] = fence */
   5,   /* field[5] = filler */
   6,   /* field[6] = image */
   10,   /* field[10] = repeated */
@@ -8565,7 +8578,7 @@
 static const ProtobufCIntRange masticreach__flow_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_order__descriptor =
 {
@@ -8575,7 +8588,7 @@
   "Masticreach__FlowOrder",
   "masticreach",
   sizeof(Masticreach__FlowOrder),
-  11,
+  12,
   masticreach__flow_order__field_descriptors,
   masticreach__flow_order__field_indices_by_name,
   1,  masticreach__flow_order__number_ranges,
--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -132,6 +132,7 @@
 	if (!run)
 		run = runner_add(runner, order->task, order->run, RUNNER_NEW);
 	run->ordered = true;
+	run->order_fence = MAX(run->order_fence, order->fence);
 	run->repeated = run->repeated || order->repeated;
 	run->filler = order->filler;
 	run->target_ms = order->target_ms;
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -21,6 +21,7 @@
 	uint32_t run;
 	enum runner_phase phase;
 	bool ordered; /* the leader's order is known */
+	uint64_t order_fence; /* of the last order to start it */
 	bool waits; /* for room or a free call; it was logged */
 	bool repeated; /* an earlier agent may have called its start */
 	bool stop; /* to be stopped */
--- a/src/core/agent/runner_pace.c
+++ b/src/core/agent/runner_pace.c
@@ -341,6 +341,10 @@
 {
 	uint64_t waited_us = runner->node->now_us - run->since_us;
 
+	if (run->order_fence < runner->fence) {
+		runner_not_started(runner, run, RESULT_STALE);
+		return;
+	}
 	if (!run->filler || runner_has_room(runner, run) ||
 	    waited_us >= PACE_START_WAIT_MS * 1000ull) {
 		runner_start(runner, run);
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -297,6 +297,11 @@
 	char ticket[NAME_BYTES]; /* permit of the advice service, "" if none */
 	/** Another agent process may have called the worker for this run. */
 	bool repeated;
+	/**
+	 * The VM's fence when the order was given. It rises when the leader
+	 * gives up what the VM was told, so a start under a lower one is void.
+	 */
+	uint64_t fence;
 };
 
 struct flow_orders {
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -187,6 +187,9 @@
 		      enum flow_end end, const char *checkpoint);
 
 /* control_flow_vm.c */
+/** Returns the fence under which the VM gets its lease and its orders. */
+uint64_t control_flow_fence(const struct control_flow *flows,
+			    const struct flow_vm *vm);
 void control_flow_grant(struct control_flow *flows, struct flow_vm *vm);
 void control_flow_check(void *data, uint64_t now_us);
 
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -4,7 +4,7 @@
 
 /* Orders of one turn go out as one message for each VM. */
 static void flow_order_add(struct control_flow *flows, const struct flow_vm *vm,
-			   const struct flow_order *order)
+			   struct flow_order *order)
 {
 	GArray *orders = g_hash_table_lookup(flows->orders, vm->name);
 
@@ -14,6 +14,7 @@
 		orders = g_array_new(FALSE, FALSE, sizeof(struct flow_order));
 		g_hash_table_insert(flows->orders, (gpointer)vm->name, orders);
 	}
+	order->fence = control_flow_fence(flows, vm);
 	g_array_append_vals(orders, order, 1);
 	if (!timer_armed(&flows->order_timer))
 		node_timer_ms(flows->control->node, &flows->order_timer, 0);
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -28,6 +28,13 @@
 	return open == UINT64_MAX ? last : MAX(vm->settled_nr, open - 1);
 }
 
+uint64_t control_flow_fence(const struct control_flow *flows,
+			    const struct flow_vm *vm)
+{
+	return raft_term(flows->control->raft) * FLOW_FENCES_PER_TERM +
+	       vm->fence_nr;
+}
+
 void control_flow_grant(struct control_flow *flows, struct flow_vm *vm)
 {
 	struct control *control = flows->control;
@@ -44,7 +51,7 @@
 	TEXT_SET(grant.worker, vm->worker.id);
 	grant.born_ms = vm->worker.born_ms;
 	grant.settled_nr = vm->settled_nr;
-	grant.fence = grant.term * FLOW_FENCES_PER_TERM + vm->fence_nr;
+	grant.fence = control_flow_fence(flows, vm);
 	/* Without a lease the grant still tells the term, for the first look.
 	 */
 	if (!vm->losing && vm->reachable && vm->looked && !vm->worker.ended) {
@@ -62,8 +69,9 @@
 }
 
 /*
- * Voids calls of earlier agents, and to earlier lives, which may be carried out
- * late; the worker refuses them once it has heard the new fence.
+ * Voids starts that the agent has not called yet, and calls of earlier agents
+ * and to earlier lives, which may be carried out late. The agent hears the new
+ * fence with the next lease, the worker with the next call.
  */
 static void flow_raise_fence(struct flow_vm *vm)
 {
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -12,6 +12,7 @@
 
 #define LEADER 7
 #define TASK "aa.0.0.0"
+#define BENCH_FENCE (4 * FLOW_FENCES_PER_TERM + 3)
 
 /* What the runner did last. */
 struct bench {
@@ -24,6 +25,7 @@
 	uint32_t nr_starts;
 	uint32_t nr_stops;
 	bool repeated; /* orders say that an earlier agent may have had them */
+	uint64_t fence; /* of the leader's grants and orders */
 };
 
 struct bench_call {
@@ -124,6 +126,7 @@
 	struct view view = { .term = 4, .whole = true };
 
 	bench->now_us = 1000000;
+	bench->fence = BENCH_FENCE;
 	bench->calls = g_array_new(FALSE, FALSE, sizeof(struct bench_call));
 	bench->refused = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	bench->node = node_new(&node_opts);
@@ -173,13 +176,11 @@
 	return false;
 }
 
-#define BENCH_FENCE (4 * FLOW_FENCES_PER_TERM + 3)
-
 static void bench_grant(struct bench *bench, uint64_t settled_nr)
 {
 	struct flow_grant grant = { .term = 4,
 				    .lease_ms = 5000,
-				    .fence = BENCH_FENCE };
+				    .fence = bench->fence };
 
 	grant.sent_us = bench->now_us;
 	TEXT_SET(grant.worker, "w");
@@ -196,6 +197,7 @@
 
 	TEXT_SET(order.task, target_ms ? "ss.0.0.0" : TASK);
 	order.repeated = bench->repeated;
+	order.fence = bench->fence;
 	order.filler = filler;
 	order.target_ms = target_ms;
 	TEXT_SET(orders.worker, "w");
@@ -496,6 +498,7 @@
 	for (uint32_t i = 0; i < nr; i++) {
 		many[i].action = action;
 		many[i].run = 1;
+		many[i].fence = bench->fence;
 		g_snprintf(many[i].task, NAME_BYTES, "bb.0.0.%u", i);
 	}
 	TEXT_SET(orders.worker, "w");
@@ -582,6 +585,7 @@
 	struct flow_orders orders = { .term = 4, .born_ms = 2, .nr_orders = 1 };
 	struct bench *bench = bench_ready(true);
 
+	order.fence = bench->fence;
 	TEXT_SET(order.task, TASK);
 	TEXT_SET(orders.worker, "w");
 	orders.orders = &order;
@@ -836,6 +840,7 @@
 	TEXT_SET(order.image, "f");
 	order.filler = true;
 	order.cpu_millis = 1;
+	order.fence = bench->fence;
 	TEXT_SET(orders.worker, "w");
 	orders.orders = &order;
 	bench_message(bench, MSG_FLOW_ORDERS, &orders);
@@ -874,6 +879,79 @@
 }
 END_TEST
 
+/* Runs 9 s without the agent; the leader has given up its VM meanwhile. */
+static void bench_freeze(struct bench *bench)
+{
+	bench->now_us += 9000000;
+	bench->fence++;
+	bench_grant(bench, 0);
+	bench_run_ms(bench, 1000);
+}
+
+/*
+ * Guards against a start that waits for room, is given up by the leader, and
+ * starts under the next lease (issue 20, TWICE).
+ */
+START_TEST(test_void_start_waits_for_room)
+{
+	struct bench *bench = bench_ready(true);
+	uint32_t starts;
+
+	bench_order(bench, FLOW_START, 1, false, 100);
+	bench_answer(bench, EXEC_START, &done, NULL);
+	bench_order_filler(bench, TASK);
+	bench_run_ms(bench, 500);
+	bench_answer(bench, EXEC_START, &done, NULL);
+	for (uint32_t i = 0; i < 3; i++) {
+		bench_figures(bench, 30);
+		bench_pace(bench);
+	}
+	starts = bench->nr_starts;
+	bench_order_filler(bench, "bb.0.0.0");
+	ck_assert_uint_eq(bench->nr_starts, starts);
+	bench_freeze(bench);
+	ck_assert_uint_eq(bench->nr_starts, starts);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	bench_free(bench);
+}
+END_TEST
+
+/* Guards against the same with a start that waits for a free call. */
+START_TEST(test_void_start_waits_for_calls)
+{
+	struct bench *bench = bench_ready(true);
+
+	bench_run_ms(bench, 20);
+	bench_order_many(bench, FLOW_START, 200);
+	ck_assert_uint_eq(bench->nr_starts, RUNNER_CALLS_MAX);
+	bench_freeze(bench);
+	while (bench_answer(bench, EXEC_STOP, &done, NULL))
+		bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->nr_starts, RUNNER_CALLS_MAX);
+	ck_assert_uint_eq(bench->refused->len, 200 - RUNNER_CALLS_MAX);
+	bench_free(bench);
+}
+END_TEST
+
+/* Guards against the same with an order that is read after the next lease. */
+START_TEST(test_void_order_comes_late)
+{
+	struct bench *bench = bench_ready(true);
+
+	bench_freeze(bench);
+	bench->fence--;
+	bench_order(bench, FLOW_START, 1, false, 0);
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->nr_starts, 0);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	/* The leader's next order may start. */
+	bench->fence++;
+	bench_order(bench, FLOW_START, 2, false, 0);
+	ck_assert_uint_eq(bench->nr_starts, 1);
+	bench_free(bench);
+}
+END_TEST
+
 SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
 	   test_unanswered_start, test_deadline_on_slow_clock,
 	   test_call_without_end, test_one_look_without_answer,
@@ -884,4 +962,6 @@
 	   test_lists_of_other_life, test_ends_outlive_the_life,
 	   test_late_deregistration, test_late_start_in_later_life,
 	   test_start_by_other_life, test_ends_are_kept,
-	   test_cursor_after_silence, test_pace, test_start_waits_for_room)
+	   test_cursor_after_silence, test_pace, test_start_waits_for_room,
+	   test_void_start_waits_for_room, test_void_start_waits_for_calls,
+	   test_void_order_comes_late)
