Count workflows as waiting until a worker has one of their tasks

Cause: a workflow counted as begun from its first placement on. Its start may stay without an answer, or its VM be lost, so it waits on. Why it works: the leader notes which workflows a worker has had, from reports and ends; a new leader learns it within a report and counts too many until then.

--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -203,7 +203,7 @@
 	 */
 	uint32_t result;
 	uint32_t state; /* enum flow_state, 0 for a queue */
-	uint64_t nr_pending; /* of a queue: accepted, nothing placed yet */
+	uint64_t nr_pending; /* of a queue: accepted, no task has started */
 };
 
 /* ---- messages between agents and control ---- */
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -212,6 +212,19 @@
 
 /* ---- committed changes ---- */
 
+void control_flow_note_started(struct control_flow *flows,
+			       const struct state_flow *flow)
+{
+	g_hash_table_add(flows->started, g_strdup(flow->record.id));
+}
+
+bool control_flow_has_started(const struct control_flow *flows,
+			      const struct state_flow *flow)
+{
+	return flow->nr_done ||
+	       g_hash_table_contains(flows->started, flow->record.id);
+}
+
 /* Learns from ends how far a worker can be relied on. */
 static void flow_vm_learn(struct control_flow *flows, struct flow_vm *vm,
 			  const struct flow_soft *soft, enum flow_end end)
@@ -327,6 +340,8 @@
 	flow_log_end(flows, soft, end);
 	control_flow_keep_end(flows, soft, end);
 	flow_vm_learn(flows, soft->vm, soft, end);
+	if (end != FLOW_END_LOST && end != FLOW_END_REFUSED)
+		control_flow_note_started(flows, flow);
 	if (end == FLOW_END_REFUSED)
 		flow_advice_forget(flows, soft);
 	soft->vm->grant_due = true;
@@ -371,6 +386,7 @@
 		flow_observe(flows, flow, "flow_completed_ms");
 	control_flow_unrank(flows, flow);
 	g_hash_table_remove(flows->waits, flow->record.id);
+	g_hash_table_remove(flows->started, flow->record.id);
 	pressure_forget(flows->pressure, flow->record.id);
 	flow_stop_all(flows, flow, flow_state_name(flow->record.state));
 }
@@ -433,6 +449,8 @@
 					      flow_orders_free);
 	flows->waits =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	flows->started =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	flows->change_nr = 1; /* 0 stands for "not known" */
 	flows->pressure = pressure_new();
 	flows->advice = flow_advice_new();
@@ -466,6 +484,7 @@
 	g_hash_table_unref(flows->held);
 	g_hash_table_unref(flows->orders);
 	g_hash_table_unref(flows->waits);
+	g_hash_table_unref(flows->started);
 	g_hash_table_unref(flows->runs);
 	g_hash_table_unref(flows->vms);
 	g_array_unref(flows->ranks);
--- a/src/core/control/control_flow_call.c
+++ b/src/core/control/control_flow_call.c
@@ -145,10 +145,11 @@
 	     node = g_tree_node_next(node)) {
 		const struct state_flow *flow = g_tree_node_value(node);
 
-		reply.nr_pending += state_flow_is_active(flow) &&
-				    !flow->begun &&
-				    !strcmp(flow->record.host, queue->host) &&
-				    !strcmp(flow->record.prefix, queue->prefix);
+		reply.nr_pending +=
+			state_flow_is_active(flow) &&
+			!control_flow_has_started(control->flows, flow) &&
+			!strcmp(flow->record.host, queue->host) &&
+			!strcmp(flow->record.prefix, queue->prefix);
 	}
 	node_send(control->node, from, MSG_FLOW_REPLY, &reply);
 }
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -155,6 +155,7 @@
 	GHashTable *orders; /* vm name -> GArray of struct flow_order */
 	uint64_t orders_since_us; /* the oldest of them */
 	GHashTable *waits; /* workflow's id -> struct flow_wait * */
+	GHashTable *started; /* ids of workflows that a worker has had */
 	struct flow_past_end past[FLOW_PAST_ENDS]; /* a ring */
 	uint64_t nr_past;
 	struct timer change_timer;
@@ -179,6 +180,15 @@
 void control_flow_untake(struct control_flow *flows, struct flow_soft *soft);
 /** Notes that the VM may have room for what found none there before. */
 void control_flow_vm_changed(struct control_flow *flows, struct flow_vm *vm);
+/** Notes that a worker has, or had, a run of the workflow. */
+void control_flow_note_started(struct control_flow *flows,
+			       const struct state_flow *flow);
+/**
+ * Returns true if a task has started. A new leader learns from reports which
+ * have, so it counts too many as waiting rather than too few.
+ */
+bool control_flow_has_started(const struct control_flow *flows,
+			      const struct state_flow *flow);
 /** Adds a change to the next proposal of this turn. */
 void control_flow_propose(struct control_flow *flows,
 			  const struct flow_change *change);
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -105,6 +105,7 @@
 			continue;
 		if (!soft->on) {
 			soft->on = true;
+			control_flow_note_started(flows, soft->flow);
 			if (soft->ordered_us)
 				counter_observe(flows->control->node->counters,
 						"order_ms",
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -513,6 +513,38 @@
 }
 END_TEST
 
+/*
+ * Guards against work that counts as begun because it was placed, though no
+ * worker has answered its start (MIXED: 2 said to wait where 9 did).
+ */
+START_TEST(test_unanswered_starts_wait)
+{
+	struct flow_world *fw = flow_world_new(16);
+	struct flow_step step = step_of(1);
+
+	fw->run_ms = 3000;
+	flow_world_submit(fw, "aa", &step, 1);
+	flow_world_run_ms(fw, 1000);
+	ck_assert_uint_eq(
+		flow_world_call(fw, FLOW_CALL_STATE, "/q/", NULL).nr_pending,
+		0);
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		fw->vms[i].lose_ppm = 1000000;
+	for (uint32_t i = 0; i < 5; i++) {
+		char id[NAME_BYTES];
+
+		g_snprintf(id, sizeof(id), "b%u", i);
+		flow_world_submit(fw, id, &step, 1);
+	}
+	flow_world_run_ms(fw, 100);
+	ck_assert(vhost_log_has(fw->base->vhost, "*event=place task=b4.*"));
+	ck_assert_uint_eq(
+		flow_world_call(fw, FLOW_CALL_STATE, "/q/", NULL).nr_pending,
+		5);
+	flow_world_free(fw);
+}
+END_TEST
+
 /* Guards against starts without the ticket that the queue asks for. */
 START_TEST(test_advice)
 {
@@ -798,5 +830,6 @@
 	   test_heartbeat_of_earlier_life, test_life_with_an_earlier_clock,
 	   test_zone_out, test_draining, test_attempts,
 	   test_fillers_are_not_starved, test_idle_serving_tasks_leave_room,
-	   test_advice, test_held_filler_moves, test_serving_tasks_are_grouped,
-	   test_seeds_are_agents, test_overload_ends_most_on_time)
+	   test_unanswered_starts_wait, test_advice, test_held_filler_moves,
+	   test_serving_tasks_are_grouped, test_seeds_are_agents,
+	   test_overload_ends_most_on_time)
