Bound the nesting of JSON before json-glib parses it

What callers saw: one HTTP request with a body nested about 100,000 levels deep, from any sender, ended an agent, an entry or a control process of either front end with SIGSEGV. A file given to the tool ended the tool.

Cause: json-glib 1.6 parses nested values recursively without a limit, and every place that reads JSON gave it text from outside as it was. It also takes more than JSON, so a count of brackets alone could be misled by comments or single quotes; and it reads some text as another value than JSON has there: 010 as 8, "a\u0000b" as "a", two documents as the first one, - as 1.

json_parse() in src/codec/json_text.c goes over the tokens first, without recursion. It refuses any token that strict JSON doesn't have, text behind the document, strings that a C string can't hold, integers below 64 bits, and more than JSON_NESTING_MAX (32) levels; documents of our interfaces have less than 10. Brackets within strings don't count. All readers use it: the platform's documents, /v1 of control and agent, replies of workers, the tool's files and answers. Where json-glib is called otherwise only tests' stand-ins are left.

--- a/src/codec/json.c
+++ b/src/codec/json.c
@@ -3,6 +3,7 @@
 #include <stdbool.h>
 #include <string.h>
 
+#include "json_text.h"
 #include "schema.h"
 
 static JsonObject *json_object_from(const struct schema *schema,
@@ -290,19 +291,17 @@
 enum result json_text_to_body(uint32_t type, const char *text, gssize size,
 			      void **body, char **error)
 {
-	JsonParser *parser = json_parser_new();
-	enum result res = RESULT_MALFORMED;
-	GError *gerror = NULL;
+	struct json_fault fault;
+	JsonNode *root = json_parse(text, size, &fault);
+	enum result res;
 
 	*body = NULL;
-	if (!json_parser_load_from_data(parser, text, size, &gerror)) {
+	if (!root) {
 		if (error)
-			*error = g_strdup(gerror->message);
-		g_clear_error(&gerror);
-		goto out;
+			*error = json_fault_text(&fault);
+		return RESULT_MALFORMED;
 	}
-	res = json_to_body(type, json_parser_get_root(parser), body, error);
-out:
-	g_object_unref(parser);
+	res = json_to_body(type, root, body, error);
+	json_node_unref(root);
 	return res;
 }
--- /dev/null
+++ b/src/codec/json_text.c
@@ -0,0 +1,344 @@
+#include "json_text.h"
+
+#include <stdbool.h>
+#include <string.h>
+
+#define FAULT_END "the text ends early"
+#define FAULT_BEHIND "text behind the document"
+#define FAULT_CHARACTER "a character that is not JSON"
+#define FAULT_ESCAPE "a string with an escape that is not JSON"
+#define FAULT_DIGITS "a number that is not JSON"
+#define FAULT_ORDER "a value or separator at the wrong place"
+#define FAULT_NESTING \
+	"nested more than " G_STRINGIFY(JSON_NESTING_MAX) " levels deep"
+#define FAULT_TEXT "a string that is not valid Unicode or holds a NUL"
+#define FAULT_NUMBER "a number below the range of 64 bits"
+
+/*
+ * Goes over the tokens of a text. json-glib checks their order afterwards, so
+ * only the nesting and the tokens themselves are checked here.
+ */
+struct json_scan {
+	const char *text;
+	const char *at;
+	const char *end;
+	uint32_t depth;
+	bool ended; /* the document's value is complete */
+	const char *deep_from; /* value beyond JSON_NESTING_MAX, or NULL */
+	GString *out; /* text with replaced values; NULL: they are faults */
+	const char *copied; /* to out, up to here */
+	uint32_t nr_replaced;
+	const char *fault; /* static text, or NULL */
+};
+
+static bool scan_fail(struct json_scan *scan, const char *fault)
+{
+	scan->fault = fault;
+	return false;
+}
+
+/* Returns the next character, 0 at the end of the text. */
+static char scan_peek(const struct json_scan *scan)
+{
+	return scan->at < scan->end ? *scan->at : 0;
+}
+
+static bool scan_take(struct json_scan *scan, char wanted)
+{
+	if (scan->at == scan->end || *scan->at != wanted)
+		return false;
+	scan->at++;
+	return true;
+}
+
+static void scan_spaces(struct json_scan *scan)
+{
+	while (scan_take(scan, ' ') || scan_take(scan, '\t') ||
+	       scan_take(scan, '\n') || scan_take(scan, '\r'))
+		;
+}
+
+/* The value from @a from up to here is JSON, but can't be passed on. */
+static bool scan_unreadable(struct json_scan *scan, const char *from,
+			    const char *fault)
+{
+	if (!scan->out)
+		return scan_fail(scan, fault);
+	if (scan->deep_from)
+		return true; /* it goes with the value around it */
+	g_string_append_len(scan->out, scan->copied, from - scan->copied);
+	scan->copied = scan->at;
+	scan->nr_replaced++;
+	scan_spaces(scan);
+	/* A member's name must stay a string. */
+	g_string_append(scan->out, scan_peek(scan) == ':' ? "\"\"" : "null");
+	return true;
+}
+
+static bool scan_hex(struct json_scan *scan, uint32_t *code)
+{
+	*code = 0;
+	for (int i = 0; i < 4; i++, scan->at++) {
+		if (!g_ascii_isxdigit(scan_peek(scan)))
+			return false;
+		*code = *code << 4 | (uint32_t)g_ascii_xdigit_value(*scan->at);
+	}
+	return true;
+}
+
+/* Behind "\\u" and the first half of a surrogate pair. */
+static bool scan_second_half(struct json_scan *scan, bool *valid)
+{
+	uint32_t code;
+
+	if (scan->end - scan->at < 2 || memcmp(scan->at, "\\u", 2) != 0) {
+		*valid = false;
+		return true;
+	}
+	scan->at += 2;
+	if (!scan_hex(scan, &code))
+		return false;
+	*valid = *valid && code >= 0xdc00 && code < 0xe000;
+	return true;
+}
+
+/* Behind a backslash. Clears @a valid if no string can hold the character. */
+static bool scan_escape(struct json_scan *scan, bool *valid)
+{
+	char c = scan_peek(scan);
+	uint32_t code;
+
+	if (!c || !strchr("\"\\/bfnrtu", c))
+		return false;
+	scan->at++;
+	if (c != 'u')
+		return true;
+	if (!scan_hex(scan, &code))
+		return false;
+	if (code >= 0xd800 && code < 0xdc00)
+		return scan_second_half(scan, valid);
+	*valid = *valid && code && (code < 0xdc00 || code >= 0xe000);
+	return true;
+}
+
+static bool scan_string(struct json_scan *scan)
+{
+	const char *from = scan->at++;
+	bool valid = true;
+
+	while (scan->at < scan->end && *scan->at != '"') {
+		if (*scan->at++ == '\\' && !scan_escape(scan, &valid))
+			return scan_fail(scan, FAULT_ESCAPE);
+	}
+	if (!scan_take(scan, '"'))
+		return scan_fail(scan, FAULT_END);
+	if (!valid || !g_utf8_validate(from, scan->at - from, NULL))
+		return scan_unreadable(scan, from, FAULT_TEXT);
+	return true;
+}
+
+static bool scan_digits(struct json_scan *scan)
+{
+	const char *from = scan->at;
+
+	while (g_ascii_isdigit(scan_peek(scan)))
+		scan->at++;
+	return scan->at > from;
+}
+
+static bool digits_exceed(const char *from, const char *to, uint64_t max)
+{
+	uint64_t value = 0;
+
+	for (; from < to; from++) {
+		uint64_t digit = (uint64_t)(*from - '0');
+
+		if (value > (max - digit) / 10)
+			return true;
+		value = value * 10 + digit;
+	}
+	return false;
+}
+
+static bool scan_number(struct json_scan *scan)
+{
+	const char *from = scan->at;
+	bool negative = scan_take(scan, '-');
+	const char *digits = scan->at;
+	const char *digits_end;
+
+	/* json-glib takes numbers that begin with 0 for octal ones. */
+	if (!scan_take(scan, '0') && !scan_digits(scan))
+		return scan_fail(scan, FAULT_DIGITS);
+	digits_end = scan->at;
+	if (g_ascii_isdigit(scan_peek(scan)) ||
+	    (scan_take(scan, '.') && !scan_digits(scan)))
+		return scan_fail(scan, FAULT_DIGITS);
+	if (scan_take(scan, 'e') || scan_take(scan, 'E')) {
+		if (!scan_take(scan, '+'))
+			scan_take(scan, '-');
+		if (!scan_digits(scan))
+			return scan_fail(scan, FAULT_DIGITS);
+	}
+	/*
+	 * json-glib reads integers above the range as negative, which every
+	 * reader refuses, but those below it as positive.
+	 */
+	if (negative && scan->at == digits_end &&
+	    digits_exceed(digits, digits_end, (uint64_t)G_MAXINT64 + 1))
+		return scan_unreadable(scan, from, FAULT_NUMBER);
+	return true;
+}
+
+static bool scan_word(struct json_scan *scan)
+{
+	static const char *const words[] = { "true", "false", "null" };
+	size_t left = (size_t)(scan->end - scan->at);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(words); i++) {
+		size_t size = strlen(words[i]);
+
+		if (size <= left && !memcmp(scan->at, words[i], size)) {
+			scan->at += size;
+			return true;
+		}
+	}
+	return scan_fail(scan, FAULT_CHARACTER);
+}
+
+static bool scan_open(struct json_scan *scan)
+{
+	if (++scan->depth == JSON_NESTING_MAX + 1) {
+		if (!scan->out)
+			return scan_fail(scan, FAULT_NESTING);
+		scan->deep_from = scan->at;
+	}
+	scan->at++;
+	return true;
+}
+
+static bool scan_close(struct json_scan *scan)
+{
+	const char *from = scan->deep_from;
+
+	if (!scan->depth)
+		return scan_fail(scan, FAULT_ORDER);
+	scan->at++;
+	if (--scan->depth != JSON_NESTING_MAX || !from)
+		return true;
+	scan->deep_from = NULL;
+	return scan_unreadable(scan, from, FAULT_NESTING);
+}
+
+static bool scan_token(struct json_scan *scan)
+{
+	switch (*scan->at) {
+	case '[':
+	case '{':
+		return scan_open(scan);
+	case ']':
+	case '}':
+		return scan_close(scan);
+	case ',':
+	case ':':
+		scan->at++;
+		return true;
+	case '"':
+		return scan_string(scan);
+	case '-':
+		return scan_number(scan);
+	default:
+		return g_ascii_isdigit(*scan->at) ? scan_number(scan) :
+						    scan_word(scan);
+	}
+}
+
+static void scan_run(struct json_scan *scan)
+{
+	scan_spaces(scan);
+	while (scan->at < scan->end && !scan->fault) {
+		/* json-glib leaves what stands behind a document unread. */
+		if (scan->ended) {
+			scan_fail(scan, FAULT_BEHIND);
+			break;
+		}
+		if (!scan_token(scan))
+			break;
+		scan->ended = !scan->depth;
+		scan_spaces(scan);
+	}
+	if (!scan->fault && !scan->ended)
+		scan_fail(scan, FAULT_END);
+}
+
+static struct json_fault scan_fault(const struct json_scan *scan)
+{
+	struct json_fault fault = { scan->fault, 1, 1 };
+
+	for (const char *c = scan->text; c < scan->at; c++) {
+		fault.line += *c == '\n';
+		fault.column = *c == '\n' ? 1 : fault.column + 1;
+	}
+	return fault;
+}
+
+/* Parses text that was checked. */
+static JsonNode *scan_load(const char *text, gsize size,
+			   struct json_fault *fault)
+{
+	JsonParser *parser = json_parser_new();
+	JsonNode *root = NULL;
+
+	if (json_parser_load_from_data(parser, text, (gssize)size, NULL))
+		root = json_parser_steal_root(parser);
+	if (!root) {
+		fault->what = FAULT_ORDER;
+		fault->line = json_parser_get_current_line(parser);
+		fault->column = json_parser_get_current_pos(parser);
+	}
+	g_object_unref(parser);
+	return root;
+}
+
+static JsonNode *scan_parse(struct json_scan *scan, const char *text,
+			    gssize size, struct json_fault *fault)
+{
+	memset(fault, 0, sizeof(*fault));
+	if (size < 0)
+		size = (gssize)strlen(text);
+	scan->text = scan->at = scan->copied = size ? text : "";
+	scan->end = scan->text + size;
+	scan_run(scan);
+	if (scan->fault) {
+		*fault = scan_fault(scan);
+		return NULL;
+	}
+	if (!scan->nr_replaced)
+		return scan_load(text, (gsize)size, fault);
+	g_string_append_len(scan->out, scan->copied, scan->end - scan->copied);
+	return scan_load(scan->out->str, scan->out->len, fault);
+}
+
+char *json_fault_text(const struct json_fault *fault)
+{
+	return g_strdup_printf("line %u, column %u: %s", fault->line,
+			       fault->column, fault->what);
+}
+
+JsonNode *json_parse(const char *text, gssize size, struct json_fault *fault)
+{
+	struct json_scan scan = { 0 };
+
+	return scan_parse(&scan, text, size, fault);
+}
+
+JsonNode *json_parse_list(const char *text, gssize size, uint32_t *nr_replaced,
+			  struct json_fault *fault)
+{
+	struct json_scan scan = { .out = g_string_new(NULL) };
+	JsonNode *root = scan_parse(&scan, text, size, fault);
+
+	*nr_replaced = scan.nr_replaced;
+	g_string_free(scan.out, TRUE);
+	return root;
+}
--- a/src/daemon/host_agent.c
+++ b/src/daemon/host_agent.c
@@ -3,6 +3,7 @@
 #include "agent.h"
 #include "http_call.h"
 #include "json.h"
+#include "logline.h"
 #include "role_host.h"
 
 #define UPSTREAM_PATH "/v1/upstreams/"
@@ -99,12 +100,24 @@
 		http_call_cancel(call);
 }
 
+static void host_agent_log_unreadable(struct host_agent *host, gsize size,
+				      const char *error)
+{
+	GString *line = logline_new("reply-unreadable");
+
+	logline_str(line, "worker", host->worker);
+	logline_u64(line, "body_bytes", size);
+	logline_str(line, "fault", error);
+	node_log(loop_node(host->loop), line);
+}
+
 static void host_agent_worker_done(void *ctx, struct http_call *call,
 				   const struct upstream_result *result)
 {
 	struct host_agent *host = ctx;
 	uint32_t type =
 		GPOINTER_TO_UINT(g_hash_table_lookup(host->worker_calls, call));
+	char *error = NULL;
 	void *body = NULL;
 	const char *text;
 	gsize size;
@@ -113,10 +126,14 @@
 	if (host->freeing)
 		return;
 	text = g_bytes_get_data(result->body, &size);
-	if (!result->complete || result->status != SOUP_STATUS_OK ||
-	    json_text_to_body(type, text, (gssize)size, &body, NULL) !=
-		    RESULT_OK)
+	if (!result->complete || result->status != SOUP_STATUS_OK) {
+		type = TYPE_NONE;
+	} else if (json_text_to_body(type, text, (gssize)size, &body, &error) !=
+		   RESULT_OK) {
 		type = TYPE_NONE;
+		host_agent_log_unreadable(host, size, error);
+		g_free(error);
+	}
 	loop_enter(host->loop);
 	agent_platform_done(host->agent, http_call_nr(call), type, body);
 	record_unref((struct record){ type, body });
@@ -205,6 +222,20 @@
 	.platform_call = host_agent_platform_call,
 };
 
+static void host_agent_log_refused(struct host_agent *host,
+				   const struct http_request *request,
+				   enum result res, const char *error)
+{
+	GString *line = logline_new("call-refused");
+
+	logline_str(line, "method", request->method);
+	logline_str(line, "path", request->path);
+	logline_u64(line, "body_bytes", request->body_bytes);
+	logline_str(line, "result", result_name(res));
+	logline_str(line, "fault", error);
+	node_log(loop_node(host->loop), line);
+}
+
 static void host_agent_announce(struct host_agent *host,
 				struct http_request *request, const char *id)
 {
@@ -233,11 +264,14 @@
 	loop_enter(host->loop);
 	res = agent_announce(host->agent, announce);
 out:
-	if (res == RESULT_OK)
+	if (res != RESULT_OK && !error)
+		error = g_strdup(result_summary(res));
+	if (res == RESULT_OK) {
 		http_respond(request, SOUP_STATUS_NO_CONTENT, NULL, NULL);
-	else
-		http_respond_problem(request, res, RUN_NOT_RUN,
-				     error ? error : result_summary(res));
+	} else {
+		host_agent_log_refused(host, request, res, error);
+		http_respond_problem(request, res, RUN_NOT_RUN, error);
+	}
 	record_unref((struct record){ PLATFORM_ANNOUNCE, announce });
 	g_free(error);
 }
--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -4,7 +4,9 @@
 #include "bundle_doc.h"
 #include "control.h"
 #include "json.h"
+#include "json_text.h"
 #include "host_control.h"
+#include "logline.h"
 #include "store.h"
 
 struct host_control {
@@ -192,21 +194,20 @@
 			      const struct http_request *request,
 			      const char *segment, void **body, char **error)
 {
-	JsonParser *parser = json_parser_new();
-	JsonNode *root = NULL;
+	struct json_fault fault;
 	enum result res = RESULT_MALFORMED;
 	const char *text;
+	JsonNode *root;
 	gsize size;
 
 	text = g_bytes_get_data(request->body, &size);
-	if (!size) {
-		root = json_node_new(JSON_NODE_OBJECT);
-		json_node_take_object(root, json_object_new());
-	} else if (json_parser_load_from_data(parser, text, (gssize)size,
-					      NULL)) {
-		root = json_parser_steal_root(parser);
+	root = size ? json_parse(text, (gssize)size, &fault) :
+		      json_parse("{}", -1, &fault);
+	if (!root) {
+		*error = json_fault_text(&fault);
+		goto out;
 	}
-	if (!root || !JSON_NODE_HOLDS_OBJECT(root)) {
+	if (!JSON_NODE_HOLDS_OBJECT(root)) {
 		*error = g_strdup("the body is no JSON object");
 		goto out;
 	}
@@ -220,7 +221,6 @@
 out:
 	if (root)
 		json_node_unref(root);
-	g_object_unref(parser);
 	return res;
 }
 
@@ -242,6 +242,20 @@
 	control_operate(host->control, ticket, type, body);
 }
 
+static void host_control_log_refused(struct host_control *host,
+				     const struct http_request *request,
+				     enum result res, const char *error)
+{
+	GString *line = logline_new("call-refused");
+
+	logline_str(line, "method", request->method);
+	logline_str(line, "path", request->path);
+	logline_u64(line, "body_bytes", request->body_bytes);
+	logline_str(line, "result", result_name(res));
+	logline_str(line, "fault", error ? error : "");
+	node_log(loop_node(host->loop), line);
+}
+
 static void host_control_operate(struct host_control *host,
 				 const struct route *route, const char *segment,
 				 struct http_request *request)
@@ -256,6 +270,7 @@
 	if (res == RESULT_OK) {
 		host_control_ask(host, request->ticket, route->type, body);
 	} else {
+		host_control_log_refused(host, request, res, error);
 		host_control_refuse(request, res, error);
 	}
 	record_unref((struct record){ route->type, body });
--- a/src/tool/client.c
+++ b/src/tool/client.c
@@ -3,6 +3,8 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
+#include "json_text.h"
+
 #define ATTEMPT_MS 3000 /* a silent replica must not use up the time */
 #define PAUSE_MS 150 /* after all replicas were asked */
 
@@ -101,7 +103,7 @@
 static void attempt_read(const struct attempt *attempt,
 			 struct client_reply *reply)
 {
-	JsonParser *parser = json_parser_new();
+	struct json_fault fault;
 	guint status = soup_message_get_status(attempt->msg);
 	JsonObject *object;
 	const char *text;
@@ -109,11 +111,11 @@
 
 	text = g_bytes_get_data(attempt->body, &size);
 	reply->result = RESULT_MALFORMED;
-	if (size &&
-	    json_parser_load_from_data(parser, text, (gssize)size, NULL)) {
-		reply->root = json_parser_steal_root(parser);
+	reply->root = json_parse(text, (gssize)size, &fault);
+	if (reply->root)
 		reply->result = status == 200 ? RESULT_OK : RESULT_IO;
-	}
+	else
+		reply->message = json_fault_text(&fault);
 	if (reply->root && JSON_NODE_HOLDS_OBJECT(reply->root)) {
 		object = json_node_get_object(reply->root);
 		/* A refusal by the HTTP server itself is a problem document. */
@@ -136,7 +138,6 @@
 		g_free(reply->message);
 		reply->message = g_strdup(result_summary(reply->result));
 	}
-	g_object_unref(parser);
 }
 
 /* Every replica tells its status; the leader's is the one to show. */
--- a/tests/test_contract.c
+++ b/tests/test_contract.c
@@ -335,6 +335,56 @@
 }
 END_TEST
 
+#define DEEP_LEVELS 400000 /* files of bundles have at most 1 MiB */
+
+/* Returns a JSON document that overflows a recursive parser's stack. */
+static char *deep_document(void)
+{
+	GString *text = g_string_new("{\"zones\":");
+
+	for (uint32_t i = 0; i < DEEP_LEVELS; i++)
+		g_string_append_c(text, '[');
+	for (uint32_t i = 0; i < DEEP_LEVELS; i++)
+		g_string_append_c(text, ']');
+	g_string_append_c(text, '}');
+	return g_string_free(text, FALSE);
+}
+
+/*
+ * Guards against a call of /v1, or a file given to the tool, that ends the
+ * process by its nesting.
+ */
+START_TEST(test_nested_documents)
+{
+	struct testbed *tb = site_open();
+	char *text = deep_document();
+	char *path = testbed_write(tb, "deep.json", text);
+	char *answer = NULL;
+
+	ck_assert_uint_eq(tb_request(testbed_control(tb, 0), "POST",
+				     "/v1/bundle/check", NULL, text, &answer),
+			  400);
+	ck_assert_ptr_nonnull(strstr(answer, "\"result\":3"));
+	ck_assert_ptr_nonnull(strstr(answer, "nested"));
+	g_free(answer);
+	ck_assert_uint_eq(tb_request(testbed_agent(tb, 0), "PUT",
+				     "/v1/upstreams/desk-1", NULL, text,
+				     &answer),
+			  400);
+	ck_assert_ptr_nonnull(strstr(answer, "\"code\":3"));
+	ck_assert_ptr_nonnull(strstr(answer, "nested"));
+	g_free(answer);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "bundle", "check", path, NULL),
+			 3);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "job", "submit", path, NULL),
+			 3);
+	ck_assert_int_eq(testbed_tool(tb, NULL, "status", NULL), 0);
+	g_free(path);
+	g_free(text);
+	testbed_free(tb);
+}
+END_TEST
+
 /* Guards against a process that doesn't end, or uses time while it waits. */
 START_TEST(test_processes_wait_and_end)
 {
@@ -370,6 +420,7 @@
 		test_examples,
 		test_resend_with_key,
 		test_tool_exit_codes,
+		test_nested_documents,
 		test_processes_wait_and_end,
 	};
 
