--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -363,24 +363,40 @@
 }
 END_TEST
 
-/* Guards against a deregistration that is taken for one of another life. */
+/*
+ * Guards against a deregistration that is taken for one of another life, or
+ * that ends a life though it can't be read.
+ */
 START_TEST(test_deregistration)
 {
 	static const struct {
 		const char *text;
+		enum result result;
 		uint64_t born_ms;
 	} cases[] = {
-		{ "", 0 },
-		{ "{}", 0 },
-		{ "[7]", 0 },
-		{ "{\"born\":\"x\"}", 0 },
-		{ "{\"born\":1775350000123,\"seq\":9}", 1775350000123 },
+		{ "", RESULT_OK, 0 },
+		{ "{}", RESULT_OK, 0 },
+		{ "{\"born\":1775350000123,\"seq\":9}", RESULT_OK,
+		  1775350000123 },
+		{ "[7]", RESULT_MALFORMED, 0 },
+		{ "nonsense", RESULT_MALFORMED, 0 },
+		{ "{\"born\":\"x\"}", RESULT_MALFORMED, 0 },
+		{ "{\"born\":99999999999999999999}", RESULT_MALFORMED, 0 },
+		{ "{\"born\":1e400}", RESULT_MALFORMED, 0 },
 	};
 
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
-		ck_assert_uint_eq(executor_born_read(cases[i].text,
-						     strlen(cases[i].text)),
-				  cases[i].born_ms);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *fault = NULL;
+		uint64_t born_ms = 1;
+
+		ck_assert_msg(
+			executor_born_read(cases[i].text, strlen(cases[i].text),
+					   &born_ms, &fault) == cases[i].result,
+			"%s", cases[i].text);
+		ck_assert_msg((fault != NULL) == (cases[i].result != RESULT_OK),
+			      "%s", cases[i].text);
+		ck_assert_uint_eq(born_ms, cases[i].born_ms);
+	}
 }
 END_TEST
 
--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -400,6 +400,38 @@
 }
 END_TEST
 
+/*
+ * Guards against a deregistration that can't be read and still ends the
+ * worker's life: its runs go on and are placed elsewhere as well.
+ */
+START_TEST(test_odd_deregistrations)
+{
+	static const char *const texts[] = { "nonsense", "[7]",
+					     "{\"born\":\"x\"}",
+					     "{\"born\":1e400}" };
+	struct testbed *tb = site_start(0);
+
+	platform_bed_submit(tb, 1, 3000);
+	platform_bed_wait(tb, 1, "running", 5000);
+	for (uint32_t i = 0; i < NR_WORKERS; i++) {
+		struct tb_proc *agent = testbed_agent(tb, i);
+		char *path =
+			g_strdup_printf("/Instances.Deregister/i-%u", i + 1);
+
+		for (size_t j = 0; j < G_N_ELEMENTS(texts); j++)
+			ck_assert_uint_eq(tb_request(agent, "POST", path, NULL,
+						     texts[j], NULL),
+					  400);
+		ck_assert(logged(agent, 0, "*event=deregistration-refused*"));
+		ck_assert(!logged(agent, 0, "*event=worker-deregistered*"));
+		g_free(path);
+	}
+	platform_bed_wait(tb, 1, "completed", 15000);
+	ck_assert_uint_eq(platform_bed_check(tb), 8);
+	testbed_free(tb);
+}
+END_TEST
+
 static void take_answer(void *ctx, const struct soak_answer *answer)
 {
 	*(struct soak_answer *)ctx = *answer;
@@ -588,6 +620,7 @@
 		test_calm,
 		test_leader_killed,
 		test_nested_documents,
+		test_odd_deregistrations,
 		test_agents_restarted,
 		test_late_orders,
 		test_worker_reborn,
