Take the good rows of a worker's lists, and conclude nothing from others

What callers saw: one row of `running` or `endedRuns` that can't be read (of another type, a number out of range, a name too long, nested deeply) made every look at its worker count as unanswered: it got no lease and nothing was placed there.

Cause: executor_reply_read() gave the whole reply up at the first odd row. Skipping such rows alone would be worse: runner_sweep() takes what the lists lack for absent, the leader places it elsewhere, and it runs twice; an end that was skipped would be forgotten by the worker as soon as a later one is settled, as the leader settles up to the highest number reported.

Values that can't be read become null before json-glib sees them, so the reader skips the row and counts it. While a list has such rows nothing counts as absent, and the cursor stays below the lowest number that an unread end may have; readable ends behind it go to the leader without numbers, which it commits but doesn't settle. Only a full list lets the cursor pass, as the worker's further ends would never be listed else; the log says so. Looks keep their pause while such an end is listed.

What can't be read of a reply is logged now: reply-unreadable, rows-unreadable, and `fault` in call-unanswered.

--- a/src/codec/json_text.c
+++ b/src/codec/json_text.c
@@ -71,7 +71,9 @@
 	scan->nr_replaced++;
 	scan_spaces(scan);
 	/* A member's name must stay a string. */
-	g_string_append(scan->out, scan_peek(scan) == ':' ? "\"\"" : "null");
+	g_string_append(scan->out, *from == '"' && scan_peek(scan) == ':' ?
+					   "\"\"" :
+					   "null");
 	return true;
 }
 
--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -28,6 +28,22 @@
 	g_array_append_val(runs, item);
 }
 
+/*
+ * Ends behind one that couldn't be read go without their numbers: the leader
+ * takes them, and settles none beyond the one that it hasn't heard of.
+ */
+static void runner_add_ends(const struct runner *runner, GArray *ends)
+{
+	for (guint i = 0; i < runner->ends->len; i++) {
+		struct flow_run_end end =
+			g_array_index(runner->ends, struct flow_run_end, i);
+
+		if (runner->unread_nr && end.nr >= runner->unread_nr)
+			end.nr = 0;
+		g_array_append_val(ends, end);
+	}
+}
+
 static void runner_report(void *data, uint64_t now_us)
 {
 	struct runner *runner = data;
@@ -57,7 +73,7 @@
 	g_hash_table_iter_init(&iter, runner->runs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		runner_add_run(runs, value);
-	g_array_append_vals(ends, runner->ends->data, runner->ends->len);
+	runner_add_ends(runner, ends);
 	g_array_append_vals(ends, runner->own_ends->data,
 			    runner->own_ends->len);
 	g_array_set_size(runner->own_ends, 0);
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -86,6 +86,10 @@
 	bool unrenewed; /* told since renewed_us */
 	bool lapsed; /* told since renewed_us */
 	uint64_t settled_nr; /* told at told_us */
+	uint32_t unread_runs; /* rows of the last list that couldn't be read */
+	uint32_t unread_ends;
+	uint64_t unread_nr;
+	bool list_full;
 	uint64_t told_us;
 };
 
@@ -108,6 +112,8 @@
 	uint32_t lost_looks; /* without an answer, since the last one */
 	bool looked; /* the worker's runs were listed in this life */
 	uint64_t settled_nr;
+	uint32_t nr_unread_ends; /* rows of the last list */
+	uint64_t unread_nr; /* such an end that isn't settled yet, 0: none */
 	GHashTable *runs; /* task -> struct runner_run * */
 	GArray *ends; /* struct flow_run_end, listed and not settled */
 	GArray *own_ends; /* struct flow_run_end that no list has, sent once */
@@ -172,6 +178,8 @@
 uint64_t runner_lease_left_ms(const struct runner *runner);
 /** How long a call without an answer may still extend the worker's lease. */
 uint32_t runner_late_ms(const struct runner *runner);
+/** Returns true if the worker may have more ends than it lists. */
+bool runner_list_is_full(const struct exec_reply *reply);
 /** Looks at the worker, unless a look is under way. */
 void runner_hold(struct runner *runner);
 /** Timer function. */
--- a/src/core/agent/runner_log.c
+++ b/src/core/agent/runner_log.c
@@ -92,6 +92,8 @@
 		logline_str(line, "result", result_name(reply->result));
 		logline_str(line, "reason", refusal_reason(reply->result));
 	}
+	if (reply->fault)
+		logline_str(line, "fault", reply->fault);
 	logline_u64(line, "call", call->call_nr);
 	logline_u64(line, "took_ms", ms_since(runner, call->sent_us));
 	logline_u64(line, "lease_left_ms", runner_lease_left_ms(runner));
@@ -131,6 +133,35 @@
 	trace->lapsed = false;
 }
 
+/* Logs when the rows that can't be read change. */
+static void runner_trace_unread(struct runner *runner,
+				const struct exec_reply *reply)
+{
+	struct runner_trace *trace = &runner->trace;
+	bool full = runner_list_is_full(reply);
+	GString *line;
+
+	if (reply->nr_unread_runs || reply->nr_unread_ends)
+		counter_add(runner->node->counters, "looks_partial", 1);
+	if (trace->unread_runs == reply->nr_unread_runs &&
+	    trace->unread_ends == reply->nr_unread_ends &&
+	    trace->unread_nr == reply->unread_nr &&
+	    (trace->list_full == full || !reply->nr_unread_ends))
+		return;
+	trace->unread_runs = reply->nr_unread_runs;
+	trace->unread_ends = reply->nr_unread_ends;
+	trace->unread_nr = reply->unread_nr;
+	trace->list_full = full;
+	line = logline_new("rows-unreadable");
+	logline_str(line, "worker", runner->worker.id);
+	logline_u64(line, "runs", reply->nr_unread_runs);
+	logline_u64(line, "ends", reply->nr_unread_ends);
+	logline_u64(line, "from_nr", reply->unread_nr);
+	logline_u64(line, "settled", runner->settled_nr);
+	logline_str(line, "passed", full && reply->unread_nr ? "yes" : "no");
+	node_log(runner->node, line);
+}
+
 static void runner_trace_look(struct runner *runner,
 			      const struct exec_reply *reply)
 {
@@ -147,6 +178,8 @@
 		trace->answered_us = runner->node->now_us;
 	else
 		trace->looks_unanswered++;
+	if (reply->verdict == EXEC_DONE)
+		runner_trace_unread(runner, reply);
 }
 
 void runner_trace_reply(struct runner *runner, const struct runner_call *call,
@@ -170,6 +203,8 @@
 		runner_log_reply(runner, "worker-refused", call, reply);
 	} else if (reply->verdict != EXEC_DONE) {
 		runner_log_reply(runner, "call-unanswered", call, reply);
+	} else if (reply->fault) {
+		runner_log_reply(runner, "reply-unreadable", call, reply);
 	}
 	if (call->extends && reply_takes_deadline(reply))
 		runner_trace_renewed(runner, call);
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -80,6 +80,17 @@
 	runner->opts.host->call(runner->opts.host_ctx, kept->call_nr, call);
 }
 
+/*
+ * Number up to which the worker may forget ends. One that couldn't be read
+ * stays listed, as the run would else count as never started.
+ */
+static uint64_t runner_ack_nr(const struct runner *runner)
+{
+	return runner->unread_nr ?
+		       MIN(runner->settled_nr, runner->unread_nr - 1) :
+		       runner->settled_nr;
+}
+
 void runner_hold(struct runner *runner)
 {
 	struct exec_call call = { .kind = EXEC_HOLD };
@@ -94,7 +105,7 @@
 	/* After a call without an answer, another life may be there: its ends
 	 * have the same numbers. */
 	if (runner->reachable)
-		call.settled_nr = runner->settled_nr;
+		call.settled_nr = runner_ack_nr(runner);
 	/* The first look is wanted at once, and one after a lost look. */
 	if (runner->looked && !runner->lost_looks)
 		call.wait_ms = runner_pace_matters(runner) ? HOLD_WAIT_PACE_MS :
@@ -197,6 +208,8 @@
 	runner->reachable = false;
 	runner->lost_looks = 0;
 	runner->settled_nr = 0;
+	runner->nr_unread_ends = 0;
+	runner->unread_nr = 0;
 	runner->holding = false;
 	g_hash_table_remove_all(runner->runs);
 	g_array_set_size(runner->ends, 0);
@@ -424,13 +437,29 @@
 		wait_ms = runner->lost_looks == 1 ? HOLD_AGAIN_MS :
 						    HOLD_RETRY_MS;
 	/* Ends that are listed again and again answer the hold at once. */
-	else if (runner->ends->len)
+	else if (runner->ends->len || runner->nr_unread_ends)
 		wait_ms = HOLD_ENDS_MS;
 	node_timer_ms(runner->node, &runner->hold_timer, wait_ms);
 	if (fresh)
 		runner_report_soon(runner);
 }
 
+bool runner_list_is_full(const struct exec_reply *reply)
+{
+	return reply->nr_ends + reply->nr_unread_ends >= WORKER_LIST_ENDS;
+}
+
+/*
+ * An end that can't be read holds the cursor for as long as the list has room:
+ * behind a full list no further end would be heard of in this life.
+ */
+static void runner_take_unread(struct runner *runner,
+			       const struct exec_reply *reply)
+{
+	runner->nr_unread_ends = reply->nr_unread_ends;
+	runner->unread_nr = runner_list_is_full(reply) ? 0 : reply->unread_nr;
+}
+
 static void runner_hold_done(struct runner *runner,
 			     const struct runner_call *call,
 			     const struct exec_reply *reply)
@@ -451,8 +480,11 @@
 		listed = g_hash_table_new(NULL, NULL);
 		runner_take_runs(runner, listed, reply);
 		fresh = runner_take_ends(runner, reply);
-		/* A full list of ends proves nothing about what it lacks. */
-		if (reply->nr_ends < WORKER_LIST_ENDS)
+		runner_take_unread(runner, reply);
+		/* A list that is full, or has rows that can't be read, proves
+		 * nothing about what it lacks. */
+		if (!runner_list_is_full(reply) && !reply->nr_unread_runs &&
+		    !reply->nr_unread_ends)
 			runner_sweep(runner, listed, call);
 		g_hash_table_unref(listed);
 		fresh = fresh || !runner->looked;
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -349,6 +349,14 @@
 	struct flow_run *runs;
 	uint32_t nr_ends;
 	struct flow_run_end *ends;
+	/*
+	 * EXEC_HOLD: rows that can't be read. A run that the lists lack may be
+	 * in one of them.
+	 */
+	uint32_t nr_unread_runs;
+	uint32_t nr_unread_ends;
+	uint64_t unread_nr; /* lowest number that such an end may have */
+	const char *fault; /* why the body can't be read, static; or NULL */
 };
 
 /** Returns the name of an enum flow_end or flow_state, for logs. */
--- a/tests/platform_bed.h
+++ b/tests/platform_bed.h
@@ -16,6 +16,7 @@
 struct platform_bed_opts {
 	const char *program; /* argv[0] */
 	uint32_t late_percent; /* of the orders to workers */
+	uint32_t odd_percent; /* of the rows of workers' lists */
 	bool proxies; /* before control VMs */
 	uint32_t grace_s; /* from SIGTERM on, 0: not given */
 	uint64_t seed;
--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -432,6 +432,34 @@
 }
 END_TEST
 
+/*
+ * Guards against workers whose lists have a row that can't be read: no look
+ * counts, no lease is renewed, and nothing is placed there, or a run that
+ * such a row hides is placed elsewhere while it goes on.
+ */
+START_TEST(test_odd_rows)
+{
+	struct platform_bed_opts opts = { .program = program,
+					  .odd_percent = 30,
+					  .seed = 1 };
+	struct testbed *tb = platform_bed_new(&opts);
+
+	for (uint32_t nr = 1; nr <= 3; nr++)
+		platform_bed_submit(tb, nr, 1500);
+	for (uint32_t nr = 1; nr <= 3; nr++)
+		platform_bed_wait(tb, nr, "completed", 20000);
+	ck_assert_uint_eq(platform_bed_check(tb), 24);
+	for (uint32_t i = 0; i < NR_WORKERS; i++) {
+		check_alive(testbed_agent(tb, i), "*event=rows-unreadable*");
+		ck_assert(!logged(testbed_agent(tb, i), 0,
+				  "*event=worker-unreachable*"));
+		ck_assert(
+			!logged(testbed_agent(tb, i), 0, "*event=run-absent*"));
+	}
+	testbed_free(tb);
+}
+END_TEST
+
 static void take_answer(void *ctx, const struct soak_answer *answer)
 {
 	*(struct soak_answer *)ctx = *answer;
@@ -621,6 +649,7 @@
 		test_leader_killed,
 		test_nested_documents,
 		test_odd_deregistrations,
+		test_odd_rows,
 		test_agents_restarted,
 		test_late_orders,
 		test_worker_reborn,
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -667,6 +667,7 @@
 	proc_arg_number(standin, "--late-percent", opts->late_percent);
 	proc_arg_number(standin, "--malformed-percent",
 			opts->malformed_percent);
+	proc_arg_number(standin, "--odd-percent", opts->odd_percent);
 	proc_start(standin);
 	tb_wait_port(standin);
 	g_ptr_array_add(tb->agents, agent);
--- a/tests/testbed.h
+++ b/tests/testbed.h
@@ -55,6 +55,7 @@
 	uint32_t late_percent; /* of the orders: no answer, or carried out late
 				*/
 	uint32_t malformed_percent; /* of the reports */
+	uint32_t odd_percent; /* of the rows of lists: can't be read */
 };
 
 /** Starts an agent and, beside it, the stand-in of the platform's worker. */
