--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 
+#include "adviser.h"
 #include "config_doc.h"
 #include "executor_doc.h"
 #include "op.h"
@@ -385,6 +386,68 @@
 }
 END_TEST
 
+static const char *const odd_advice[] = {
+	"7",
+	"[]",
+	"[\"w3\"]",
+	"[\"w3\",7]",
+	"[18446744073709551617,\"t3\"]",
+	"[\"w3\",1e400]",
+	"[\"" NAME127 "\",\"t3\"]",
+	"[\"w3\",\"" NAME127 "\"]",
+	"[\"w3\xff\",\"t3\"]",
+	"[\"w3\",\"t3\\u0000\"]",
+	"{\"w3\":\"t3\"}",
+	DEEP40,
+};
+
+static enum result read_advice(const char *rows, struct adviser_reply *reply)
+{
+	char *text = g_strdup_printf("{\"good\":%s}", rows);
+	enum result res;
+
+	memset(reply, 0, sizeof(*reply));
+	reply->advice = g_array_new(FALSE, TRUE, sizeof(struct advice));
+	res = adviser_reply_read(text, strlen(text), reply);
+	g_free(text);
+	return res;
+}
+
+/* Guards against one odd row that takes the rest of the advice with it. */
+START_TEST(test_odd_advice)
+{
+	struct adviser_reply reply;
+	const struct advice *advice;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_advice); i++) {
+		char *rows = g_strdup_printf(
+			"[[\"w1\",\"t1\"],%s,[\"w2\",\"t2\",5]]",
+			odd_advice[i]);
+
+		ck_assert_msg(read_advice(rows, &reply) == RESULT_OK, "%s",
+			      rows);
+		ck_assert_uint_eq(reply.advice->len, 2);
+		ck_assert_uint_eq(reply.nr_unread, 1);
+		advice = &g_array_index(reply.advice, struct advice, 1);
+		ck_assert_str_eq(advice->worker, "w2");
+		ck_assert_str_eq(advice->ticket, "t2");
+		g_array_unref(reply.advice);
+		g_free(rows);
+	}
+	ck_assert_int_eq(read_advice("[]", &reply), RESULT_OK);
+	g_array_unref(reply.advice);
+	/* Nobody is said to be good, nor that nobody is. */
+	ck_assert_int_eq(read_advice("[7]", &reply), RESULT_MALFORMED);
+	ck_assert_str_eq(reply.fault, "good");
+	g_array_unref(reply.advice);
+	ck_assert_int_eq(read_advice("7", &reply), RESULT_MALFORMED);
+	g_array_unref(reply.advice);
+	ck_assert_int_eq(read_advice("[", &reply), RESULT_MALFORMED);
+	ck_assert_ptr_nonnull(reply.fault);
+	g_array_unref(reply.advice);
+}
+END_TEST
+
 #define DEEP_LEVELS 1000000
 #define NESTED_SUBMISSION "{\"x\":@,\"steps\":[" STEP "]}"
 #define NESTED_CONFIG "{\"x\":@,\"version\":7,\"routes\":[],\"services\":[]}"
@@ -543,6 +606,6 @@
 END_TEST
 
 SUITE_MAIN("platform", test_nested_documents, test_brackets_in_text,
-	   test_odd_rows, test_odd_ends, test_deregistration, test_submissions,
-	   test_submission_fields, test_configs, test_beats, test_replies,
-	   test_random_bytes)
+	   test_odd_rows, test_odd_ends, test_odd_advice, test_deregistration,
+	   test_submissions, test_submission_fields, test_configs, test_beats,
+	   test_replies, test_random_bytes)
