--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 
+#include "adviser.h"
 #include "config_doc.h"
 #include "executor_doc.h"
 #include "op.h"
@@ -194,8 +195,11 @@
 		"{\"serverTimeMs\":50,\"born\":9,"
 		"\"running\":[[\"a.0.0.1\",2,\"c\",41,7]],"
 		"\"endedRuns\":[[58,\"a.0.0.9\",1,\"done\",\"\"]]}";
-	static const char bad[] =
-		"{\"serverTimeMs\":50,\"running\":[[\"a\",\"2\"]]}";
+	static const char torn[] =
+		"{\"serverTimeMs\":50,\"running\":[[\"a\",2]";
+	static const char odd_life[] =
+		"{\"serverTimeMs\":50,\"born\":\"9\",\"running\":[]}";
+	static const char odd_reason[] = "{\"serverTimeMs\":50,\"reason\":7}";
 	static const char fence[] =
 		"{\"serverTimeMs\":50,\"reason\":\"fence\"}";
 	struct exec_reply reply;
@@ -210,9 +214,24 @@
 	ck_assert_uint_eq(reply.nr_ends, 1);
 	ck_assert_uint_eq(reply.ends[0].nr, 58);
 	ck_assert_uint_eq(reply.ends[0].end, FLOW_END_DONE);
+	ck_assert_uint_eq(reply.nr_unread_runs, 0);
+	ck_assert_uint_eq(reply.nr_unread_ends, 0);
+	ck_assert_ptr_null(reply.fault);
 	executor_reply_clear(&reply);
-	executor_reply_read(EXEC_HOLD, 200, bad, strlen(bad), &reply);
+	executor_reply_read(EXEC_HOLD, 200, torn, strlen(torn), &reply);
 	ck_assert_int_eq(reply.verdict, EXEC_NO_ANSWER);
+	ck_assert_ptr_nonnull(reply.fault);
+	executor_reply_clear(&reply);
+	executor_reply_read(EXEC_HOLD, 200, odd_life, strlen(odd_life), &reply);
+	ck_assert_int_eq(reply.verdict, EXEC_NO_ANSWER);
+	ck_assert_uint_eq(reply.clock_ms, 0);
+	ck_assert_str_eq(reply.fault, "born");
+	executor_reply_clear(&reply);
+	executor_reply_read(EXEC_START, 409, odd_reason, strlen(odd_reason),
+			    &reply);
+	ck_assert_int_eq(reply.verdict, EXEC_REFUSED);
+	ck_assert_uint_eq(reply.result, RESULT_CONFLICT);
+	ck_assert_str_eq(reply.fault, "reason");
 	executor_reply_clear(&reply);
 	executor_reply_read(EXEC_START, 409, fence, strlen(fence), &reply);
 	ck_assert_int_eq(reply.verdict, EXEC_REFUSED);
@@ -227,6 +246,282 @@
 }
 END_TEST
 
+/* Returns a text with @a levels times @a open and @a close at "@". */
+static char *nest(const char *text, uint32_t levels, const char *open,
+		  const char *close)
+{
+	const char *at = strchr(text, '@');
+	GString *out = g_string_new_len(text, at - text);
+
+	for (uint32_t i = 0; i < levels; i++)
+		g_string_append(out, open);
+	g_string_append(out, "0");
+	for (uint32_t i = 0; i < levels; i++)
+		g_string_append(out, close);
+	g_string_append(out, at + 1);
+	return g_string_free(out, FALSE);
+}
+
+#define RUN1 "[\"a.0.0.1\",2,\"c\",41,7]"
+#define RUN2 "[\"a.0.0.2\",3,\"\",0,0]"
+#define END1 "[58,\"a.0.0.9\",1,\"done\",\"\"]"
+#define END2 "[61,\"a.0.0.8\",1,\"failed\",\"\"]"
+#define NAME127                                                            \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+#define OPEN10 "[[[[[[[[[["
+#define CLOSE10 "]]]]]]]]]]"
+#define DEEP40 \
+	OPEN10 OPEN10 OPEN10 OPEN10 "\"[\"" CLOSE10 CLOSE10 CLOSE10 CLOSE10
+
+/* Rows that name no run: of another type, too large, too long, unreadable. */
+static const char *const odd_rows[] = {
+	"7",
+	"null",
+	"{\"a\":1}",
+	"[]",
+	"[7,2,\"c\",41,7]",
+	"[\"a.0.0.3\",\"2\",\"c\",41,7]",
+	"[\"a.0.0.3\",-1,\"c\",41,7]",
+	"[\"a.0.0.3\",1.5,\"c\",41,7]",
+	"[\"a.0.0.3\",1e400,\"c\",41,7]",
+	"[\"a.0.0.3\",4294967296,\"c\",41,7]",
+	"[\"a.0.0.3\",18446744073709551617,\"c\",41,7]",
+	"[\"a.0.0.3\",-18446744073709551615,\"c\",41,7]",
+	"[\"" NAME127 "\",2,\"c\",41,7]",
+	"[\"a.0.0.1\\u0000\",2,\"c\",41,7]",
+	"[\"\\ud800\\\"\",2,\"c\",41,7]",
+	"[\"a.0.0.3\xff\",2,\"c\",41,7]",
+	DEEP40,
+	"{\"x\\u0000\" :" DEEP40 "}",
+};
+
+/* Rows of ends that can't be read, and the number that they may have. */
+static const struct {
+	const char *row;
+	uint64_t nr;
+} odd_ends[] = {
+	{ "7", 59 },
+	{ "[]", 59 },
+	{ DEEP40, 59 },
+	{ "[60,7,1,\"done\",\"\"]", 60 },
+	{ "[60,\"a.0.0.7\",\"1\",\"done\",\"\"]", 60 },
+	{ "[60,\"a.0.0.7\",4294967296,\"done\",\"\"]", 60 },
+	{ "[60,\"" NAME127 "\",1,\"done\",\"\"]", 60 },
+	{ "[60,\"a.0.0.7\",1,\"exploded\",\"\"]", 60 },
+	{ "[60,\"a.0.0.7\",1," DEEP40 ",\"\"]", 60 },
+	{ "[0,\"a.0.0.7\",1,\"done\",\"\"]", 59 },
+	{ "[\"60\",\"a.0.0.7\",1,\"done\",\"\"]", 59 },
+	{ "[9007199254740993,\"a.0.0.7\",1,\"done\",\"\"]", 59 },
+	{ "[18446744073709551617,\"a.0.0.7\",1,\"done\",\"\"]", 59 },
+};
+
+static void read_hold(const char *runs, const char *ends,
+		      struct exec_reply *reply)
+{
+	char *text = g_strdup_printf("{\"serverTimeMs\":50,\"born\":9,"
+				     "\"running\":%s,\"endedRuns\":%s}",
+				     runs, ends);
+
+	executor_reply_read(EXEC_HOLD, 200, text, strlen(text), reply);
+	ck_assert_msg(reply->verdict == EXEC_DONE, "%s: %s", text,
+		      reply->fault);
+	ck_assert_uint_eq(reply->clock_ms, 50);
+	ck_assert_uint_eq(reply->born_ms, 9);
+	g_free(text);
+}
+
+/* Guards against one odd row that takes the rest of a worker's list with it. */
+START_TEST(test_odd_rows)
+{
+	struct exec_reply reply;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_rows); i++) {
+		char *runs =
+			g_strdup_printf("[" RUN1 ",%s," RUN2 "]", odd_rows[i]);
+
+		read_hold(runs, "[" END1 "]", &reply);
+		ck_assert_msg(reply.nr_runs == 2, "%s", runs);
+		ck_assert_str_eq(reply.runs[0].task, "a.0.0.1");
+		ck_assert_str_eq(reply.runs[0].checkpoint, "c");
+		ck_assert_str_eq(reply.runs[1].task, "a.0.0.2");
+		ck_assert_uint_eq(reply.runs[1].run, 3);
+		ck_assert_str_eq(reply.runs[1].checkpoint, "");
+		ck_assert_uint_eq(reply.nr_unread_runs, 1);
+		ck_assert_uint_eq(reply.nr_ends, 1);
+		ck_assert_uint_eq(reply.nr_unread_ends, 0);
+		executor_reply_clear(&reply);
+		g_free(runs);
+	}
+	read_hold("{}", "7", &reply);
+	ck_assert_uint_eq(reply.nr_unread_runs, 1);
+	ck_assert_uint_eq(reply.nr_unread_ends, 1);
+	ck_assert_uint_eq(reply.unread_nr, 1);
+	executor_reply_clear(&reply);
+}
+END_TEST
+
+/* Guards against an end that is settled though it couldn't be read. */
+START_TEST(test_odd_ends)
+{
+	struct exec_reply reply;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_ends); i++) {
+		char *ends = g_strdup_printf("[" END1 ",%s," END2 ",7]",
+					     odd_ends[i].row);
+
+		read_hold("[" RUN1 "]", ends, &reply);
+		ck_assert_uint_eq(reply.nr_runs, 1);
+		ck_assert_msg(reply.nr_ends == 2, "%s", ends);
+		ck_assert_uint_eq(reply.ends[0].nr, 58);
+		ck_assert_uint_eq(reply.ends[1].nr, 61);
+		ck_assert_uint_eq(reply.ends[1].end, FLOW_END_FAILED);
+		ck_assert_str_eq(reply.ends[1].task, "a.0.0.8");
+		ck_assert_uint_eq(reply.nr_unread_ends, 2);
+		ck_assert_msg(reply.unread_nr == odd_ends[i].nr, "%s", ends);
+		executor_reply_clear(&reply);
+		g_free(ends);
+	}
+}
+END_TEST
+
+static const char *const odd_advice[] = {
+	"7",
+	"[]",
+	"[\"w3\"]",
+	"[\"w3\",7]",
+	"[18446744073709551617,\"t3\"]",
+	"[\"w3\",1e400]",
+	"[\"" NAME127 "\",\"t3\"]",
+	"[\"w3\",\"" NAME127 "\"]",
+	"[\"w3\xff\",\"t3\"]",
+	"[\"w3\",\"t3\\u0000\"]",
+	"{\"w3\":\"t3\"}",
+	DEEP40,
+};
+
+static enum result read_advice(const char *rows, struct adviser_reply *reply)
+{
+	char *text = g_strdup_printf("{\"good\":%s}", rows);
+	enum result res;
+
+	memset(reply, 0, sizeof(*reply));
+	reply->advice = g_array_new(FALSE, TRUE, sizeof(struct advice));
+	res = adviser_reply_read(text, strlen(text), reply);
+	g_free(text);
+	return res;
+}
+
+/* Guards against one odd row that takes the rest of the advice with it. */
+START_TEST(test_odd_advice)
+{
+	struct adviser_reply reply;
+	const struct advice *advice;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_advice); i++) {
+		char *rows = g_strdup_printf(
+			"[[\"w1\",\"t1\"],%s,[\"w2\",\"t2\",5]]",
+			odd_advice[i]);
+
+		ck_assert_msg(read_advice(rows, &reply) == RESULT_OK, "%s",
+			      rows);
+		ck_assert_uint_eq(reply.advice->len, 2);
+		ck_assert_uint_eq(reply.nr_unread, 1);
+		advice = &g_array_index(reply.advice, struct advice, 1);
+		ck_assert_str_eq(advice->worker, "w2");
+		ck_assert_str_eq(advice->ticket, "t2");
+		g_array_unref(reply.advice);
+		g_free(rows);
+	}
+	ck_assert_int_eq(read_advice("[]", &reply), RESULT_OK);
+	g_array_unref(reply.advice);
+	/* Nobody is said to be good, nor that nobody is. */
+	ck_assert_int_eq(read_advice("[7]", &reply), RESULT_MALFORMED);
+	ck_assert_str_eq(reply.fault, "good");
+	g_array_unref(reply.advice);
+	ck_assert_int_eq(read_advice("7", &reply), RESULT_MALFORMED);
+	g_array_unref(reply.advice);
+	ck_assert_int_eq(read_advice("[", &reply), RESULT_MALFORMED);
+	ck_assert_ptr_nonnull(reply.fault);
+	g_array_unref(reply.advice);
+}
+END_TEST
+
+#define DEEP_LEVELS 1000000
+#define NESTED_SUBMISSION "{\"x\":@,\"steps\":[" STEP "]}"
+#define NESTED_CONFIG "{\"x\":@,\"version\":7,\"routes\":[],\"services\":[]}"
+#define NESTED_BEAT "{\"x\":@," BEAT ",\"seq\":4,\"born\":9}"
+
+/* Reads a document of each kind that is nested at "@"; all must agree. */
+static void check_nested(uint32_t levels, const char *open, const char *close,
+			 enum result result)
+{
+	char *submission = nest(NESTED_SUBMISSION, levels, open, close);
+	char *config = nest(NESTED_CONFIG, levels, open, close);
+	char *beat = nest(NESTED_BEAT, levels, open, close);
+	GBytes *bytes = g_bytes_new_take(config, strlen(config));
+	const char *const zones[] = { NULL };
+	struct flow_record record;
+	struct executor_beat read;
+	struct bundle *bundle = NULL;
+	const char *faults[3];
+
+	ck_assert_int_eq(submission_read(submission, strlen(submission),
+					 &record, &faults[0]),
+			 result);
+	submission_clear(&record);
+	ck_assert_int_eq(config_read(bytes, zones, "op", &bundle, &faults[1]),
+			 result);
+	record_unref((struct record){ OP_BUNDLE_PUT, bundle });
+	ck_assert_int_eq(executor_beat_read(beat, strlen(beat), &read,
+					    &faults[2]),
+			 result);
+	for (size_t i = 0; i < G_N_ELEMENTS(faults) && result; i++)
+		ck_assert_ptr_nonnull(strstr(faults[i], "nested"));
+	g_bytes_unref(bytes);
+	g_free(submission);
+	g_free(beat);
+}
+
+/* Guards against a document that ends the process by its nesting. */
+START_TEST(test_nested_documents)
+{
+	/* The document itself is a level. */
+	check_nested(31, "[", "]", RESULT_OK);
+	check_nested(32, "[", "]", RESULT_MALFORMED);
+	check_nested(32, "{\"a\":", "}", RESULT_MALFORMED);
+	check_nested(DEEP_LEVELS, "[", "]", RESULT_MALFORMED);
+	check_nested(DEEP_LEVELS, "{\"a\":", "}", RESULT_MALFORMED);
+	check_nested(DEEP_LEVELS, "[", "", RESULT_MALFORMED);
+}
+END_TEST
+
+/* Guards against text of a client that is refused for the brackets in it. */
+START_TEST(test_brackets_in_text)
+{
+	static const char *const brackets[] = { "[", "{", "]", "\\\"[{",
+						"\\\\[" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(brackets); i++) {
+		GString *text = g_string_new("{\"spec\":\"");
+		struct flow_record record;
+		const char *fault = NULL;
+
+		for (uint32_t j = 0; j < FLOW_SPEC_MAX_BYTES / 4; j++)
+			g_string_append(text, brackets[i]);
+		g_string_append(text, "\",\"steps\":[" STEP "]}");
+		ck_assert_msg(submission_read(text->str, text->len, &record,
+					      &fault) == RESULT_OK,
+			      "%s: %s", brackets[i], fault);
+		ck_assert_uint_ge(g_bytes_get_size(record.spec),
+				  FLOW_SPEC_MAX_BYTES / 4);
+		submission_clear(&record);
+		g_string_free(text, TRUE);
+	}
+}
+END_TEST
+
 /* Changes some bytes of a good text; the seed makes rounds repeatable. */
 static char *mangle(const char *text, GRand *rand)
 {
@@ -273,27 +568,44 @@
 }
 END_TEST
 
-/* Guards against a deregistration that is taken for one of another life. */
+/*
+ * Guards against a deregistration that is taken for one of another life, or
+ * that ends a life though it can't be read.
+ */
 START_TEST(test_deregistration)
 {
 	static const struct {
 		const char *text;
+		enum result result;
 		uint64_t born_ms;
 	} cases[] = {
-		{ "", 0 },
-		{ "{}", 0 },
-		{ "[7]", 0 },
-		{ "{\"born\":\"x\"}", 0 },
-		{ "{\"born\":1775350000123,\"seq\":9}", 1775350000123 },
+		{ "", RESULT_OK, 0 },
+		{ "{}", RESULT_OK, 0 },
+		{ "{\"born\":1775350000123,\"seq\":9}", RESULT_OK,
+		  1775350000123 },
+		{ "[7]", RESULT_MALFORMED, 0 },
+		{ "nonsense", RESULT_MALFORMED, 0 },
+		{ "{\"born\":\"x\"}", RESULT_MALFORMED, 0 },
+		{ "{\"born\":99999999999999999999}", RESULT_MALFORMED, 0 },
+		{ "{\"born\":1e400}", RESULT_MALFORMED, 0 },
 	};
 
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
-		ck_assert_uint_eq(executor_born_read(cases[i].text,
-						     strlen(cases[i].text)),
-				  cases[i].born_ms);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *fault = NULL;
+		uint64_t born_ms = 1;
+
+		ck_assert_msg(
+			executor_born_read(cases[i].text, strlen(cases[i].text),
+					   &born_ms, &fault) == cases[i].result,
+			"%s", cases[i].text);
+		ck_assert_msg((fault != NULL) == (cases[i].result != RESULT_OK),
+			      "%s", cases[i].text);
+		ck_assert_uint_eq(born_ms, cases[i].born_ms);
+	}
 }
 END_TEST
 
-SUITE_MAIN("platform", test_deregistration, test_submissions,
-	   test_submission_fields, test_configs, test_beats, test_replies,
-	   test_random_bytes)
+SUITE_MAIN("platform", test_nested_documents, test_brackets_in_text,
+	   test_odd_rows, test_odd_ends, test_odd_advice, test_deregistration,
+	   test_submissions, test_submission_fields, test_configs, test_beats,
+	   test_replies, test_random_bytes)
