--- a/src/daemon/http_call.c
+++ b/src/daemon/http_call.c
@@ -8,13 +8,20 @@
 
 #define CALL_READ_BYTES (64u << 10)
 #define CALL_IDLE_S 10 /* an unused connection is closed */
-#define CALL_SOCKETS_KEY "masticreach-sockets"
+#define CALL_CONNECTIONS_KEY "masticreach-connections"
 #define CALL_MAX_CONNECTIONS 8192 /* of a session to all servers */
 /* Unacknowledged data and keepalive probes end a silent connection. */
 #define CALL_KEEPALIVE_S 1
 #define CALL_KEEPALIVE_PROBES 3
 #define CALL_UNACKNOWLEDGED_MS 3000
 
+/* A connection of a session, as seen by its calls. */
+struct call_connection {
+	uint64_t id; /* libsoup's */
+	GSocket *socket;
+	uint64_t answered_us; /* headers of its last response, 0: none yet */
+};
+
 struct http_call {
 	uint64_t call_nr;
 	uint64_t max_bytes;
@@ -82,37 +89,74 @@
 	call_free(call);
 }
 
-static gboolean socket_is_closed(gpointer key, gpointer value, gpointer data)
+static void connection_free(void *data)
+{
+	struct call_connection *connection = data;
+
+	g_object_unref(connection->socket);
+	g_free(connection);
+}
+
+static gboolean connection_is_closed(gpointer key, gpointer value,
+				     gpointer data)
+{
+	const struct call_connection *connection = value;
+
+	return g_socket_is_closed(connection->socket);
+}
+
+/* Notes a new connection for the calls that reuse it. */
+static void call_note_connection(struct http_call *call)
 {
-	return g_socket_is_closed(value);
+	GHashTable *connections = g_object_get_data(G_OBJECT(call->session),
+						    CALL_CONNECTIONS_KEY);
+	struct call_connection *connection = g_new0(struct call_connection, 1);
+
+	connection->id = soup_message_get_connection_id(call->msg);
+	connection->socket = g_object_ref(call->socket);
+	g_hash_table_foreach_remove(connections, connection_is_closed, NULL);
+	g_hash_table_replace(connections, &connection->id, connection);
 }
 
-/* Notes the socket of a new connection for the calls that reuse it. */
-static void call_note_socket(struct http_call *call)
+/* Returns the connection of the call, NULL if it isn't known. */
+static struct call_connection *call_connection(const struct http_call *call)
 {
-	GHashTable *sockets =
-		g_object_get_data(G_OBJECT(call->session), CALL_SOCKETS_KEY);
+	GHashTable *connections = g_object_get_data(G_OBJECT(call->session),
+						    CALL_CONNECTIONS_KEY);
 	uint64_t id = soup_message_get_connection_id(call->msg);
 
-	g_hash_table_foreach_remove(sockets, socket_is_closed, NULL);
-	g_hash_table_replace(sockets, g_memdup2(&id, sizeof(id)),
-			     g_object_ref(call->socket));
+	return g_hash_table_lookup(connections, &id);
 }
 
 /* Returns true if the server has not closed the connection. */
 static bool call_is_connected(const struct http_call *call)
 {
-	GHashTable *sockets =
-		g_object_get_data(G_OBJECT(call->session), CALL_SOCKETS_KEY);
-	uint64_t id = soup_message_get_connection_id(call->msg);
-	GSocket *socket = g_hash_table_lookup(sockets, &id);
+	const struct call_connection *connection = call_connection(call);
 	char byte;
 
-	return socket && !g_socket_is_closed(socket) &&
-	       recv(g_socket_get_fd(socket), &byte, 1,
+	return connection && !g_socket_is_closed(connection->socket) &&
+	       recv(g_socket_get_fd(connection->socket), &byte, 1,
 		    MSG_PEEK | MSG_DONTWAIT) < 0;
 }
 
+/*
+ * Returns true if the idle time of the reused connection may be over. When the
+ * loop finds a request and the end of the idle time in the same turn, libsoup
+ * 3.2 gives the connection to the request, closes it all the same, and uses
+ * its freed memory later.
+ */
+static bool call_is_overdue(const struct http_call *call)
+{
+	const struct call_connection *connection = call_connection(call);
+
+	if (call->new_connection)
+		return false;
+	return !connection || !connection->answered_us ||
+	       (uint64_t)g_get_monotonic_time() - connection->answered_us >=
+		       soup_session_get_idle_timeout(call->session) *
+			       1000000ull;
+}
+
 /*
  * Returns true if the body that was read to its end is whole. libsoup 3.2 takes
  * a body in chunks for whole when the connection ends before the last chunk, so
@@ -199,9 +243,24 @@
 {
 	struct http_call *call = data;
 
-	call->result.connected = true;
 	if (call->socket)
-		call_note_socket(call);
+		call_note_connection(call);
+	/* Nothing is written yet, so the request may go elsewhere. */
+	if (call_is_overdue(call)) {
+		call->closed_early = true;
+		g_cancellable_cancel(call->cancellable);
+		return;
+	}
+	call->result.connected = true;
+}
+
+/* The idle time of the connection begins after this. */
+static void call_got_headers(SoupMessage *msg, gpointer data)
+{
+	struct call_connection *connection = call_connection(data);
+
+	if (connection)
+		connection->answered_us = (uint64_t)g_get_monotonic_time();
 }
 
 /*
@@ -312,6 +371,8 @@
 							 call->request_body);
 	g_signal_connect(call->msg, "starting", G_CALLBACK(call_starting),
 			 call);
+	g_signal_connect(call->msg, "got-headers", G_CALLBACK(call_got_headers),
+			 call);
 	g_signal_connect(call->msg, "restarted", G_CALLBACK(call_restarted),
 			 call);
 	g_signal_connect(call->msg, "network-event",
@@ -329,10 +390,10 @@
 
 	soup_session_remove_feature_by_type(session, SOUP_TYPE_AUTH_MANAGER);
 	soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
-	g_object_set_data_full(G_OBJECT(session), CALL_SOCKETS_KEY,
+	g_object_set_data_full(G_OBJECT(session), CALL_CONNECTIONS_KEY,
 			       g_hash_table_new_full(g_int64_hash,
-						     g_int64_equal, g_free,
-						     g_object_unref),
+						     g_int64_equal, NULL,
+						     connection_free),
 			       (GDestroyNotify)g_hash_table_unref);
 	return session;
 }
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -345,6 +345,47 @@
 }
 END_TEST
 
+/*
+ * Guards against a crash, or a call without an end, after a loop that was held
+ * up reuses a connection whose idle time is over (issue 20).
+ */
+START_TEST(test_reuse_after_idle_time)
+{
+	for (int held_up_first = 0; held_up_first < 2; held_up_first++) {
+		SoupSession *session = http_call_session(64);
+		struct peer peer = { .scripts = {
+					     { STEP_READ, STEP_ANSWER,
+					       STEP_READ },
+					     { STEP_READ, STEP_ANSWER,
+					       STEP_SILENT },
+				     } };
+		struct outcome outcome;
+		struct http_call_opts opts;
+
+		g_object_set(session, "idle-timeout", 1, NULL);
+		peer_start(&peer);
+		run_call(&outcome, session, peer.address, false);
+		ck_assert(outcome.result.complete);
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		opts = call_opts(&outcome, session, peer.address);
+		opts.body = g_bytes_new_static("body", 4);
+		if (held_up_first)
+			g_usleep(1100000);
+		http_call_new(&opts);
+		if (!held_up_first)
+			g_usleep(1100000);
+		wait_for(&outcome.done);
+		ck_assert(outcome.result.connected);
+		ck_assert(outcome.result.complete);
+		ck_assert_int_eq(g_atomic_int_get(&peer.nr_requests), 2);
+		g_bytes_unref(opts.body);
+		g_object_unref(session);
+		peer_stop(&peer);
+	}
+}
+END_TEST
+
 /* Guards against a connection that goes silent and holds its slot for ever. */
 START_TEST(test_silent_upstream_is_given_up)
 {
@@ -806,8 +847,9 @@
 END_TEST
 
 SUITE_MAIN("http", test_call_outcomes, test_refused_connection_is_not_sent,
-	   test_no_second_run, test_silent_upstream_is_given_up,
-	   test_silence_within_a_response, test_body_limit, test_caller_gone,
-	   test_late_answers_by_ticket, test_no_connection_is_leaked,
-	   test_pipelined_request_closes, test_connection_limit,
-	   test_burst_of_connects, test_stop_finishes_requests)
+	   test_no_second_run, test_reuse_after_idle_time,
+	   test_silent_upstream_is_given_up, test_silence_within_a_response,
+	   test_body_limit, test_caller_gone, test_late_answers_by_ticket,
+	   test_no_connection_is_leaked, test_pipelined_request_closes,
+	   test_connection_limit, test_burst_of_connects,
+	   test_stop_finishes_requests)
