--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include "checker.h"
+#include "testbed_address.h"
 
 #define POLL_MS 20
 #define START_LIMIT_MS 10000
@@ -311,62 +312,6 @@
 
 /* ---- the site ---- */
 
-/* Each test program has loopback addresses of its own, one for each host. */
-static char *tb_host_ip(uint32_t host)
-{
-	return g_strdup_printf("127.%u.%d.%d", host + 1,
-			       getpid() / 250 % 250 + 1, getpid() % 250 + 1);
-}
-
-/* The kernel may give a port again that it gave before. */
-static bool tb_was_reserved(const char *address)
-{
-	static GHashTable *reserved;
-
-	if (!reserved)
-		reserved = g_hash_table_new_full(g_str_hash, g_str_equal,
-						 g_free, NULL);
-	return !g_hash_table_add(reserved, g_strdup(address));
-}
-
-static char *tb_draw_on(uint32_t host)
-{
-	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
-				       G_SOCKET_TYPE_STREAM,
-				       G_SOCKET_PROTOCOL_TCP, NULL);
-	char *ip = tb_host_ip(host);
-	GSocketAddress *address = g_inet_socket_address_new_from_string(ip, 0);
-	GSocketAddress *bound;
-	char *text;
-
-	g_assert(g_socket_bind(socket, address, TRUE, NULL));
-	bound = g_socket_get_local_address(socket, NULL);
-	text = g_strdup_printf(
-		"%s:%u", ip,
-		g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
-	g_object_unref(bound);
-	g_object_unref(address);
-	g_object_unref(socket);
-	g_free(ip);
-	return text;
-}
-
-static char *tb_reserve_on(uint32_t host)
-{
-	char *address = tb_draw_on(host);
-
-	while (tb_was_reserved(address)) {
-		g_free(address);
-		address = tb_draw_on(host);
-	}
-	return address;
-}
-
-static char *tb_reserve(void)
-{
-	return tb_reserve_on(0);
-}
-
 /* Returns the address to advertise: the proxy's, or the process's own. */
 static char *tb_proxy(struct testbed *tb, struct tb_proc *proc,
 		      const char *target, char *listen)
@@ -429,20 +374,6 @@
 	}
 }
 
-/*
- * The platform's machines have the same ports, each on an address of its own;
- * redirects to the leader rely on that.
- */
-static char *tb_http_of_host(uint32_t host, const char *first)
-{
-	char *ip = tb_host_ip(host + 1);
-	char *text = first ? g_strdup_printf("%s%s", ip, strrchr(first, ':')) :
-			     tb_reserve_on(host + 1);
-
-	g_free(ip);
-	return text;
-}
-
 static void tb_start_controls(struct testbed *tb)
 {
 	static const char *const zones[] = { "veraval", "porbandar",
@@ -454,11 +385,16 @@
 	for (uint32_t i = 0; i < tb->opts.nr_controls; i++) {
 		uint32_t host = tb->opts.platform ? i + 1 : 0;
 
-		listen[i] = tb_reserve_on(host);
-		shown[i] = tb->opts.proxy_controls ? tb_reserve_on(host) :
-						     g_strdup(listen[i]);
-		if (tb->opts.platform)
-			https[i] = tb_http_of_host(i, https[0]);
+		listen[i] = tb_address(tb->addresses, host);
+		shown[i] = tb->opts.proxy_controls ?
+				   tb_address(tb->addresses, host) :
+				   g_strdup(listen[i]);
+		if (!tb->opts.platform)
+			continue;
+		/* The platform's machines have the same ports, each on an
+		 * address of its own; redirects to the leader rely on that. */
+		https[i] = i ? tb_address_like(tb->addresses, host, https[0]) :
+			       tb_address(tb->addresses, host);
 	}
 	tb->control_list = g_strjoinv(",", shown);
 	for (uint32_t i = 0; i < tb->opts.nr_controls; i++) {
@@ -508,6 +444,7 @@
 	tb_open = tb;
 	atexit(tb_exit);
 	tb->opts = *opts;
+	tb->addresses = tb_addresses_new();
 	tb->bin = absolute;
 	tb->root = g_path_get_dirname(absolute);
 	tb->dir = g_dir_make_tmp("masticreach-XXXXXX", NULL);
@@ -554,6 +491,7 @@
 	g_ptr_array_unref(tb->standins);
 	g_ptr_array_unref(tb->notes);
 	g_object_unref(tb->session);
+	tb_addresses_free(tb->addresses);
 	g_free(tb->control_list);
 	g_free(tb->bin);
 	g_free(tb->root);
@@ -564,7 +502,7 @@
 struct tb_proc *testbed_add_entry(struct testbed *tb, const char *zone)
 {
 	char *name = g_strdup_printf("entry-%u", tb->entries->len + 1);
-	char *http = tb->opts.platform ? tb_reserve() : NULL;
+	char *http = tb->opts.platform ? tb_address(tb->addresses, 0) : NULL;
 	struct tb_proc *proc = tb_daemon(tb, "entry", name, zone, http);
 
 	proc_start(proc);
@@ -582,7 +520,7 @@
 	char *name = g_strdup_printf("worker-%s", vm);
 	char *journal = g_strdup_printf("%s/%s.journal", tb->dir, vm);
 	char *agent_file = g_strdup_printf("%s/%s.ports", tb->dir, vm);
-	char *http = tb_reserve();
+	char *http = tb_address(tb->addresses, 0);
 	struct tb_proc *proc = proc_new(tb, name, program);
 
 	proc->port_file = g_strdup_printf("%s/%s.ports", tb->dir, name);
@@ -613,8 +551,9 @@
 	char *name = g_strdup_printf("vm-%u", tb->agents->len + 1);
 	struct tb_proc *proc = tb_daemon(tb, "agent", name, opts->zone, NULL);
 	struct tb_proc *standin = NULL;
-	char *listen = tb_reserve();
-	char *shown = tb->opts.proxy_agents ? tb_reserve() : NULL;
+	char *listen = tb_address(tb->addresses, 0);
+	char *shown = tb->opts.proxy_agents ? tb_address(tb->addresses, 0) :
+					      NULL;
 
 	proc_arg(proc, "--rack", opts->rack ? opts->rack : "rack-1");
 	proc_arg(proc, "--listen", listen);
@@ -648,9 +587,9 @@
 	char *worker = g_strdup_printf("i-%u", tb->agents->len + 1);
 	char *program = g_build_filename(tb->bin, "executor_standin", NULL);
 	char *journal = g_strdup_printf("%s/%s.journal", tb->dir, name);
-	char *listen = tb_reserve();
+	char *listen = tb_address(tb->addresses, 0);
 	/* Fixed, as the worker keeps the address when the agent restarts. */
-	char *http = tb_reserve();
+	char *http = tb_address(tb->addresses, 0);
 	struct tb_proc *agent = tb_daemon(tb, "agent", name, zone, http);
 	struct tb_proc *standin = proc_new(tb, worker, program);
 
--- a/tests/testbed_impl.h
+++ b/tests/testbed_impl.h
@@ -10,6 +10,8 @@
 
 #include "testbed.h"
 
+struct tb_addresses;
+
 struct tb_proc {
 	struct testbed *tb;
 	char *name;
@@ -31,6 +33,7 @@
 	char *root; /* build folder */
 	char *dir;
 	char *control_list;
+	struct tb_addresses *addresses;
 	GPtrArray *procs; /* owns all */
 	GPtrArray *controls;
 	GPtrArray *entries;
