Number the testbed's ports instead of asking the kernel for them

Cause of site-silent_connections (control-1 could not listen at its start): the testbed let the kernel choose a port, closed the socket and handed the port out, and the kernel chose it again for another process of the same site. On this machine it draws from 7,058 ports, so 215 of 100,000 sets of six draws had a port twice.

Refuted: ports of outgoing connections. They leave from 127.0.0.1, and with 9,000 of them open none kept a process from listening on a testbed's address; nor do other tests, whose addresses differ (0 of 500).

Ports are now counted up from 20000, below the range from which the kernel chooses. A testbed claims its addresses by listening at one of them, as process ids that are 62,500 apart would share them otherwise.

--- a/tests/testbed_address.c
+++ b/tests/testbed_address.c
@@ -1,51 +1,59 @@
 #include "testbed_address.h"
 
 #include <gio/gio.h>
+#include <stdbool.h>
 #include <string.h>
 #include <unistd.h>
 
+/* Listened at on the first host for as long as a testbed has its hosts. */
+#define CLAIM_PORT 20000
+/* Below the ports that Linux gives to sockets that ask for any. */
+#define LAST_PORT 32767
+/* Hosts differ in the second byte of the address, testbeds in the others. */
+#define NR_SLOTS (250 * 250)
+
 struct tb_addresses {
-	uint32_t slot; /* which of the hosts' addresses are this testbed's */
-	GHashTable *given;
+	uint32_t slot;
+	GSocket *claim;
+	uint32_t last_port; /* given */
 };
 
-/* A loopback address of its own for each host. */
 static char *host_ip(const struct tb_addresses *addresses, uint32_t host)
 {
 	return g_strdup_printf("127.%u.%u.%u", host + 1,
-			       addresses->slot / 250 % 250 + 1,
+			       addresses->slot / 250 + 1,
 			       addresses->slot % 250 + 1);
 }
 
-static char *draw(const struct tb_addresses *addresses, uint32_t host)
+/* Returns NULL if somebody listens there. */
+static GSocket *listen_at(const struct tb_addresses *addresses, uint32_t host,
+			  uint32_t port)
 {
 	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
 				       G_SOCKET_TYPE_STREAM,
 				       G_SOCKET_PROTOCOL_TCP, NULL);
 	char *ip = host_ip(addresses, host);
-	GSocketAddress *address = g_inet_socket_address_new_from_string(ip, 0);
-	GSocketAddress *bound;
-	char *text;
+	GSocketAddress *address =
+		g_inet_socket_address_new_from_string(ip, port);
 
-	g_assert(g_socket_bind(socket, address, TRUE, NULL));
-	bound = g_socket_get_local_address(socket, NULL);
-	text = g_strdup_printf(
-		"%s:%u", ip,
-		g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
-	g_object_unref(bound);
+	if (!g_socket_bind(socket, address, TRUE, NULL) ||
+	    !g_socket_listen(socket, NULL))
+		g_clear_object(&socket);
 	g_object_unref(address);
-	g_object_unref(socket);
 	g_free(ip);
-	return text;
+	return socket;
 }
 
 struct tb_addresses *tb_addresses_new(void)
 {
 	struct tb_addresses *addresses = g_new0(struct tb_addresses, 1);
 
-	addresses->slot = (uint32_t)getpid();
-	addresses->given =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	addresses->last_port = CLAIM_PORT;
+	for (uint32_t i = 0; i < NR_SLOTS && !addresses->claim; i++) {
+		addresses->slot = ((uint32_t)getpid() + i) % NR_SLOTS;
+		addresses->claim = listen_at(addresses, 0, CLAIM_PORT);
+	}
+	g_assert(addresses->claim);
 	return addresses;
 }
 
@@ -53,20 +61,33 @@
 {
 	if (!addresses)
 		return;
-	g_hash_table_unref(addresses->given);
+	g_object_unref(addresses->claim);
 	g_free(addresses);
 }
 
-/* The kernel may give a port again that it gave before. */
+/* A program that listens on all addresses has the port on these as well. */
+static bool is_free(const struct tb_addresses *addresses, uint32_t host,
+		    uint32_t port)
+{
+	GSocket *socket = listen_at(addresses, host, port);
+	bool free = socket != NULL;
+
+	g_clear_object(&socket);
+	return free;
+}
+
 char *tb_address(struct tb_addresses *addresses, uint32_t host)
 {
-	char *address = draw(addresses, host);
+	char *ip = host_ip(addresses, host);
+	char *text;
 
-	while (!g_hash_table_add(addresses->given, g_strdup(address))) {
-		g_free(address);
-		address = draw(addresses, host);
-	}
-	return address;
+	do
+		addresses->last_port++;
+	while (!is_free(addresses, host, addresses->last_port));
+	g_assert(addresses->last_port <= LAST_PORT);
+	text = g_strdup_printf("%s:%u", ip, addresses->last_port);
+	g_free(ip);
+	return text;
 }
 
 char *tb_address_like(struct tb_addresses *addresses, uint32_t host,
