--- a/tests/test_testbed.c
+++ b/tests/test_testbed.c
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <stdint.h>
 #include <string.h>
 
 #include "suite.h"
@@ -47,7 +48,8 @@
 		g_free(first);
 	}
 	ck_assert_uint_eq(nr_twice, 0);
-	ck_assert_uint_eq(g_hash_table_size(seen), NR_SITES * NR_HOSTS * 3);
+	ck_assert_uint_eq(g_hash_table_size(seen),
+			  (uintmax_t)NR_SITES * NR_HOSTS * 3);
 	g_hash_table_unref(seen);
 	tb_addresses_free(addresses);
 }
