--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -183,6 +183,14 @@
 /** Calls the worker. */
 void runner_call(struct runner *runner, struct exec_call *call);
 
+/* runner_life.c */
+void runner_log_worker(struct runner *runner, const char *event);
+/**
+ * A start without an answer may still be carried out by a later life under the
+ * same identity, which knows of no stop.
+ */
+void runner_keep_unsure(struct runner *runner, const char *task, uint32_t run);
+
 /* runner_log.c */
 /** Begins the trace of a new life of the worker. */
 void runner_trace_life(struct runner *runner);
