Refuse status reports with addresses and numbers that mean nothing

Callers saw: a status report of another writer with the address 127.0.0.1:70000, or without a port, was answered 200; no call reached the worker from then on. Cause: addr was any text that fits, and numbers were taken up to 2^63.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -151,10 +151,11 @@
 }
 END_TEST
 
-#define BEAT                                                              \
-	"\"service\":\"s\",\"addr\":\"10.0.0.9:80\",\"state\":\"ready\"," \
-	"\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":1},"         \
+#define BEAT_AT(addr)                                                  \
+	"\"service\":\"s\",\"addr\":\"" addr "\",\"state\":\"ready\"," \
+	"\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":1},"      \
 	"\"labels\":[\"a\",\"r1-3\"]"
+#define BEAT BEAT_AT("10.0.0.9:80")
 
 static const struct text_case beats[] = {
 	{ "{" BEAT ",\"seq\":4,\"born\":9}", RESULT_OK },
@@ -187,6 +188,62 @@
 }
 END_TEST
 
+#define NUMBERS ",\"seq\":4,\"born\":9}"
+
+/* Each names the member that is refused. */
+static const struct fault_case {
+	const char *text;
+	const char *fault;
+} odd_beats[] = {
+	{ "{" BEAT_AT("127.0.0.1:70000") NUMBERS, "addr" },
+	{ "{" BEAT_AT("127.0.0.1:65536") NUMBERS, "addr" },
+	{ "{" BEAT_AT("127.0.0.1:0") NUMBERS, "addr" },
+	{ "{" BEAT_AT("127.0.0.1:-1") NUMBERS, "addr" },
+	{ "{" BEAT_AT("127.0.0.1:+80") NUMBERS, "addr" },
+	{ "{" BEAT_AT("127.0.0.1:80x") NUMBERS, "addr" },
+	{ "{" BEAT_AT("127.0.0.1:http") NUMBERS, "addr" },
+	{ "{" BEAT_AT("127.0.0.1:") NUMBERS, "addr" },
+	{ "{" BEAT_AT("127.0.0.1") NUMBERS, "addr" },
+	{ "{" BEAT_AT("host:80") NUMBERS, "addr" },
+	{ "{" BEAT_AT("http://127.0.0.1:80") NUMBERS, "addr" },
+	{ "{" BEAT_AT("") NUMBERS, "addr" },
+	{ "{" BEAT ",\"seq\":9007199254740993,\"born\":9}", "seq" },
+	{ "{" BEAT ",\"seq\":4,\"born\":9007199254740993}", "born" },
+	{ "{" BEAT ",\"seq\":9223372036854775807,\"born\":9}", "seq" },
+};
+
+/*
+ * Guards against a status report of another writer whose address can't be
+ * called, or whose numbers JSON doesn't carry exactly (issue 20: no call
+ * reached the worker, or all its later reports were stale).
+ */
+START_TEST(test_odd_beats)
+{
+	static const char *const good[] = {
+		"{" BEAT_AT("[::1]:65535") NUMBERS,
+		"{" BEAT_AT("10.0.0.9:1") NUMBERS,
+		"{" BEAT ",\"seq\":9007199254740992,\"born\":9}",
+	};
+	struct executor_beat beat;
+	const char *fault;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_beats); i++) {
+		const struct fault_case *c = &odd_beats[i];
+
+		fault = NULL;
+		ck_assert_msg(executor_beat_read(c->text, strlen(c->text),
+						 &beat,
+						 &fault) == RESULT_MALFORMED,
+			      "%s", c->text);
+		ck_assert_str_eq(fault, c->fault);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(good); i++)
+		ck_assert_msg(executor_beat_read(good[i], strlen(good[i]),
+						 &beat, &fault) == RESULT_OK,
+			      "%s", good[i]);
+}
+END_TEST
+
 /* Guards against an answer that is taken for more than it says. */
 START_TEST(test_replies)
 {
@@ -196,6 +253,9 @@
 		"\"endedRuns\":[[58,\"a.0.0.9\",1,\"done\",\"\"]]}";
 	static const char bad[] =
 		"{\"serverTimeMs\":50,\"running\":[[\"a\",\"2\"]]}";
+	static const char far[] =
+		"{\"serverTimeMs\":9007199254740993,\"running\":[],"
+		"\"endedRuns\":[]}";
 	static const char fence[] =
 		"{\"serverTimeMs\":50,\"reason\":\"fence\"}";
 	struct exec_reply reply;
@@ -214,6 +274,11 @@
 	executor_reply_read(EXEC_HOLD, 200, bad, strlen(bad), &reply);
 	ck_assert_int_eq(reply.verdict, EXEC_NO_ANSWER);
 	executor_reply_clear(&reply);
+	/* A deadline can't be counted from such a clock. */
+	executor_reply_read(EXEC_HOLD, 200, far, strlen(far), &reply);
+	ck_assert_int_eq(reply.verdict, EXEC_NO_ANSWER);
+	ck_assert_uint_eq(reply.clock_ms, 0);
+	executor_reply_clear(&reply);
 	executor_reply_read(EXEC_START, 409, fence, strlen(fence), &reply);
 	ck_assert_int_eq(reply.verdict, EXEC_REFUSED);
 	ck_assert_uint_eq(reply.result, RESULT_STALE);
@@ -284,6 +349,7 @@
 		{ "{}", 0 },
 		{ "[7]", 0 },
 		{ "{\"born\":\"x\"}", 0 },
+		{ "{\"born\":9007199254740993}", 0 },
 		{ "{\"born\":1775350000123,\"seq\":9}", 1775350000123 },
 	};
 
@@ -295,5 +361,5 @@
 END_TEST
 
 SUITE_MAIN("platform", test_deregistration, test_submissions,
-	   test_submission_fields, test_configs, test_beats, test_replies,
-	   test_random_bytes)
+	   test_submission_fields, test_configs, test_beats, test_odd_beats,
+	   test_replies, test_random_bytes)
