Look at a life before it replaces the present worker

Callers saw: one readable status report of another writer, with another id or a later born, made the agent forget its sound worker. Cause: runner_heartbeat() believed any report that it could read, and an address as well. Change: another life, or another address of the present one, is a candidate until it has answered a look that names it (no deadline, no cursor of ends). No answer twice, another life, nobody there: it is dropped, and the next report may bring it again; a later candidate replaces an earlier one, and four looks at most are under way. The present worker keeps its lease, runs and calls. Under the id of the present worker the answer has to tell born: a refusal without it may come from the present life. Log line worker-candidate, counter worker_candidates. Why it works: a foreign report can't answer for the life that it names, and a real life answers in one round trip on its own machine.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -46,9 +46,30 @@
 	bool pacing; /* a call to pace is under way */
 };
 
+/** What a look is for. */
+enum runner_look {
+	RUNNER_LOOK_NONE = 0, /* it renews the lease of the present worker */
+	RUNNER_LOOK_CANDIDATE = 1, /* is this life there? */
+};
+
+/**
+ * A life, or an address of the present one, that a report has named and that
+ * hasn't answered yet. The present worker stays until it has.
+ */
+struct runner_candidate {
+	uint64_t nr; /* 0: there is none */
+	struct worker_life life;
+	char address[ADDRESS_BYTES];
+	uint64_t seq;
+	uint64_t since_us;
+	uint32_t lost_looks;
+};
+
 struct runner_call {
 	uint64_t call_nr;
 	enum exec_call_kind kind;
+	enum runner_look look;
+	uint64_t candidate_nr; /* RUNNER_LOOK_CANDIDATE */
 	uint64_t sent_us;
 	uint64_t fence;
 	uint64_t life; /* runner.life_nr when it was sent */
@@ -95,7 +116,11 @@
 	struct site *site;
 	struct worker_life worker; /* id "": none */
 	char address[ADDRESS_BYTES];
-	uint64_t worker_seq;
+	uint64_t worker_seq; /* of the last report that was taken */
+	bool said_draining; /* the worker did, in a report */
+	struct runner_candidate candidate;
+	uint64_t candidate_nr; /* of the last one */
+	uint32_t checks; /* looks but RUNNER_LOOK_NONE under way */
 	uint64_t worker_heard_us; /* last heartbeat */
 	uint64_t life_nr; /* counts the lives seen here */
 	uint64_t term; /* highest leader term heard */
@@ -182,8 +207,17 @@
 bool runner_may_call(struct runner *runner);
 /** Calls the worker. */
 void runner_call(struct runner *runner, struct exec_call *call);
+/**
+ * Looks at a life without extending its lease or settling ends. @a candidate_nr
+ * is echoed in the call.
+ */
+void runner_check(struct runner *runner, enum runner_look look,
+		  uint64_t candidate_nr, const char *id, const char *address);
 
 /* runner_life.c */
+/** Takes the answer to a look that runner_check() has made. */
+void runner_check_done(struct runner *runner, const struct runner_call *call,
+		       const struct exec_reply *reply);
 void runner_log_worker(struct runner *runner, const char *event);
 /**
  * A start without an answer may still be carried out by a later life under the
--- a/src/core/agent/runner_life.c
+++ b/src/core/agent/runner_life.c
@@ -90,44 +90,208 @@
 	runner->lost_looks = 0;
 	runner->settled_nr = 0;
 	runner->holding = false;
+	runner->said_draining = false;
 	g_hash_table_remove_all(runner->runs);
 	g_array_set_size(runner->ends, 0);
 	timer_cancel(runner->node->timers, &runner->hold_timer);
 }
 
-enum result runner_heartbeat(struct runner *runner,
-			     const struct worker_life *life,
-			     const char *address, uint64_t seq)
+/* ---- the present life ---- */
+
+static bool life_is(const struct worker_life *life,
+		    const struct worker_life *other)
 {
-	struct worker_life *worker = &runner->worker;
-	bool same = !strcmp(worker->id, life->id) &&
-		    worker->born_ms == life->born_ms;
-	bool was_draining = same && worker->draining;
-	bool reborn;
-
-	if (worker->id[0] &&
-	    (same ? worker->ended || seq <= runner->worker_seq :
-		    life->born_ms < worker->born_ms)) {
-		counter_add(runner->node->counters, "heartbeats_stale", 1);
-		return RESULT_STALE;
-	}
-	reborn = !same && !strcmp(worker->id, life->id);
-	if (reborn)
-		runner_keep_starting(runner);
-	if (!same)
-		runner_forget_life(runner);
-	*worker = *life;
+	return !strcmp(life->id, other->id) && life->born_ms == other->born_ms;
+}
+
+/* Takes what the present life says of itself, and where it is. */
+static void runner_describe(struct runner *runner,
+			    const struct worker_life *life, const char *address,
+			    uint64_t seq)
+{
+	runner->worker = *life;
 	/* A worker that leaves doesn't come back in this life. */
-	worker->draining = worker->draining || was_draining;
+	runner->said_draining = runner->said_draining || life->draining;
+	runner->worker.draining = runner->said_draining;
 	TEXT_SET(runner->address, address);
 	runner->worker_seq = seq;
 	runner->worker_heard_us = runner->node->now_us;
 	counter_add(runner->node->counters, "heartbeats", 1);
+}
+
+static enum result runner_stale(struct runner *runner)
+{
+	counter_add(runner->node->counters, "heartbeats_stale", 1);
+	return RESULT_STALE;
+}
+
+/* ---- candidates ---- */
+
+static void runner_log_candidate(struct runner *runner, const char *outcome,
+				 const char *reason)
+{
+	const struct runner_candidate *candidate = &runner->candidate;
+	GString *line = logline_new("worker-candidate");
+
+	counter_count2(runner->node->counters, "worker_candidates", "outcome",
+		       outcome, "reason", reason);
+	logline_str(line, "worker", candidate->life.id);
+	logline_u64(line, "born_ms", candidate->life.born_ms);
+	logline_str(line, "address", candidate->address);
+	logline_u64(line, "seq", candidate->seq);
+	logline_str(line, "outcome", outcome);
+	logline_str(line, "reason", reason);
+	logline_u64(line, "took_ms",
+		    (runner->node->now_us - candidate->since_us) / 1000);
+	logline_str(line, "present", runner->worker.id);
+	logline_u64(line, "present_born_ms", runner->worker.born_ms);
+	logline_u64(line, "runs", g_hash_table_size(runner->runs));
+	node_log(runner->node, line);
+}
+
+static void runner_drop_candidate(struct runner *runner, const char *reason)
+{
+	if (!runner->candidate.nr)
+		return;
+	runner_log_candidate(runner, "dropped", reason);
+	runner->candidate.nr = 0;
+}
+
+static void runner_look_at_candidate(struct runner *runner)
+{
+	const struct runner_candidate *candidate = &runner->candidate;
+
+	runner_check(runner, RUNNER_LOOK_CANDIDATE, candidate->nr,
+		     candidate->life.id, candidate->address);
+}
+
+/*
+ * A report may come from another writer, and whoever forgets a sound worker
+ * gives its runs up while they go on. So a life, or an address, has to answer
+ * before it is used. A later one goes first: the one before may never answer.
+ */
+static enum result runner_nominate(struct runner *runner,
+				   const struct worker_life *life,
+				   const char *address, uint64_t seq)
+{
+	struct runner_candidate *candidate = &runner->candidate;
+
+	if (candidate->nr && life_is(&candidate->life, life) &&
+	    !strcmp(candidate->address, address)) {
+		if (seq > candidate->seq) {
+			candidate->life = *life;
+			candidate->seq = seq;
+		}
+		return RESULT_OK;
+	}
+	if (runner->checks >= RUNNER_CANDIDATES_MAX) {
+		counter_count2(runner->node->counters, "worker_candidates",
+			       "outcome", "dropped", "reason", "too-many");
+		return RESULT_OK;
+	}
+	runner_drop_candidate(runner, "replaced");
+	memset(candidate, 0, sizeof(*candidate));
+	candidate->nr = ++runner->candidate_nr;
+	candidate->life = *life;
+	TEXT_SET(candidate->address, address);
+	candidate->seq = seq;
+	candidate->since_us = runner->node->now_us;
+	runner_look_at_candidate(runner);
+	return RESULT_OK;
+}
+
+/* Returns NULL if the candidate has answered, else why it hasn't. */
+static const char *runner_candidate_fault(const struct runner *runner,
+					  const struct exec_reply *reply)
+{
+	const struct worker_life *life = &runner->candidate.life;
+
+	switch (reply->verdict) {
+	case EXEC_NO_ANSWER:
+		return "no-answer";
+	case EXEC_NOT_SENT:
+		return "not-sent";
+	case EXEC_OTHER_LIFE:
+		return "other-life";
+	default:
+		break;
+	}
+	if (reply->born_ms)
+		return reply->born_ms == life->born_ms ? NULL : "other-life";
+	/* Under one identity only this tells lives apart. */
+	return strcmp(runner->worker.id, life->id) != 0 ? NULL :
+							  "life-not-told";
+}
+
+/* Replaces the present worker; a look of its own tells what runs there. */
+static void runner_take_life(struct runner *runner)
+{
+	const struct runner_candidate *candidate = &runner->candidate;
+	bool reborn = !strcmp(runner->worker.id, candidate->life.id);
+
+	if (reborn)
+		runner_keep_starting(runner);
+	runner_forget_life(runner);
+	runner_describe(runner, &candidate->life, candidate->address,
+			candidate->seq);
 	if (reborn)
 		runner_stop_unsure(runner);
-	if (!same || was_draining != worker->draining) {
-		runner_log_worker(runner, same ? "worker-draining" :
-						 "worker-registered");
+	runner_log_worker(runner, "worker-registered");
+	runner_report_soon(runner);
+	runner_hold(runner);
+}
+
+static void runner_candidate_done(struct runner *runner,
+				  const struct runner_call *call,
+				  const struct exec_reply *reply)
+{
+	struct runner_candidate *candidate = &runner->candidate;
+	const char *fault;
+
+	if (!candidate->nr || call->candidate_nr != candidate->nr)
+		return;
+	fault = runner_candidate_fault(runner, reply);
+	/* Single calls are lost on the way to workers that are well. */
+	if (reply->verdict == EXEC_NO_ANSWER &&
+	    ++candidate->lost_looks < RUNNER_CANDIDATE_LOOKS) {
+		runner_look_at_candidate(runner);
+		return;
+	}
+	if (fault) {
+		runner_drop_candidate(runner, fault);
+		return;
+	}
+	if (life_is(&runner->worker, &candidate->life) &&
+	    !runner->worker.ended) {
+		runner_log_candidate(runner, "taken", "new-address");
+		runner_describe(runner, &candidate->life, candidate->address,
+				candidate->seq);
+	} else {
+		runner_log_candidate(runner, "taken", "new-life");
+		runner_take_life(runner);
+	}
+	candidate->nr = 0;
+}
+
+enum result runner_heartbeat(struct runner *runner,
+			     const struct worker_life *life,
+			     const char *address, uint64_t seq)
+{
+	const struct worker_life *worker = &runner->worker;
+	bool was_draining;
+
+	if (!life_is(worker, life))
+		return worker->id[0] && life->born_ms < worker->born_ms ?
+			       runner_stale(runner) :
+			       runner_nominate(runner, life, address, seq);
+	if (seq <= runner->worker_seq)
+		return runner_stale(runner);
+	if (worker->ended || strcmp(runner->address, address) != 0)
+		return runner_nominate(runner, life, address, seq);
+	was_draining = worker->draining;
+	runner_describe(runner, life, address, seq);
+	if (was_draining != worker->draining) {
+		runner_log_worker(runner, "worker-draining");
 		runner_report_soon(runner);
 	}
 	if (!timer_armed(&runner->hold_timer))
@@ -145,3 +309,9 @@
 	runner->worker.ended = true;
 	runner_report_soon(runner);
 }
+
+void runner_check_done(struct runner *runner, const struct runner_call *call,
+		       const struct exec_reply *reply)
+{
+	runner_candidate_done(runner, call, reply);
+}
--- a/src/core/agent/runner_log.c
+++ b/src/core/agent/runner_log.c
@@ -154,6 +154,11 @@
 {
 	struct counters *counters = runner->node->counters;
 
+	if (call->look) {
+		counter_count2(counters, "worker_calls", "kind", "check",
+			       "outcome", verdict_names[reply->verdict]);
+		return;
+	}
 	if (call->life != runner->life_nr) {
 		counter_count2(counters, "worker_calls", "kind",
 			       call_names[call->kind], "outcome",
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -1,6 +1,5 @@
 #include "runner_impl.h"
 
-
 /* The worker beside this agent: its lease, the calls to it. */
 
 bool runner_has_worker(const struct runner *runner)
@@ -41,7 +40,8 @@
 
 bool runner_may_call(struct runner *runner)
 {
-	if (g_hash_table_size(runner->calls) - runner->holding <
+	if (g_hash_table_size(runner->calls) - runner->holding -
+		    runner->checks <
 	    RUNNER_CALLS_MAX)
 		return true;
 	runner->calls_wait = true;
@@ -58,12 +58,9 @@
 	node_timer_ms(runner->node, &runner->run_timer, 0);
 }
 
-void runner_call(struct runner *runner, struct exec_call *call)
+static void runner_send(struct runner *runner, struct runner_call *kept,
+			struct exec_call *call)
 {
-	struct runner_call *kept = g_new0(struct runner_call, 1);
-
-	call->address = runner->address;
-	call->life = runner->worker.id;
 	call->fence = runner->fence;
 	kept->call_nr = ++runner->call_nr;
 	kept->kind = call->kind;
@@ -79,6 +76,27 @@
 	runner->opts.host->call(runner->opts.host_ctx, kept->call_nr, call);
 }
 
+void runner_call(struct runner *runner, struct exec_call *call)
+{
+	call->address = runner->address;
+	call->life = runner->worker.id;
+	runner_send(runner, g_new0(struct runner_call, 1), call);
+}
+
+void runner_check(struct runner *runner, enum runner_look look,
+		  uint64_t candidate_nr, const char *id, const char *address)
+{
+	struct exec_call call = { .kind = EXEC_HOLD };
+	struct runner_call *kept = g_new0(struct runner_call, 1);
+
+	call.address = address;
+	call.life = id;
+	kept->look = look;
+	kept->candidate_nr = candidate_nr;
+	runner->checks++;
+	runner_send(runner, kept, &call);
+}
+
 void runner_hold(struct runner *runner)
 {
 	struct exec_call call = { .kind = EXEC_HOLD };
@@ -338,6 +356,11 @@
 		return;
 	g_hash_table_steal(runner->calls, &call_nr);
 	runner_trace_reply(runner, call, reply);
+	if (call->look) {
+		runner->checks--;
+		runner_check_done(runner, call, reply);
+		goto out;
+	}
 	if (call->life != runner->life_nr)
 		goto out; /* it concerned an earlier life */
 	/* What another life has started must be stopped there. */
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -160,6 +160,10 @@
  * hosts open to it (32), so that a look, which renews the lease, never waits.
  */
 #define RUNNER_CALLS_MAX 24
+/* Looks at candidates under way; each has its answer or none after 300 ms. */
+#define RUNNER_CANDIDATES_MAX 4
+/* A candidate is dropped after as many looks without an answer. */
+#define RUNNER_CANDIDATE_LOOKS 2
 #define RUNNER_REPORT_INTERVAL_MS 1000 /* five renewals within a lease */
 /* A lease is renewed each second; without two of these it gets a log line. */
 #define RUNNER_UNRENEWED_MS 2500
