Bound what one wrong number of a report can hide

Callers saw: after a report of the worker's life with seq 2^53, all later ones were stale for good; "draining" was never heard, and new tasks were started on a worker that leaves (DRAIN). Cause: a report counts only if its seq is above the highest one heard. Change: three reports of the life in a row whose numbers rise, though below the highest one, show that the highest one was wrong. "draining" counts in any report of the present life: a worker that leaves doesn't come back in that life. Why it works: seq rises with each report, so a sound worker's own reports pass after three, whatever was heard first; late reports that are taken so are overtaken by the next one. Evidence: test_odd_seq (RESULT_STALE for the fourth report) and test_stale_report_of_draining (not draining) fail on the code before.

--- a/src/core/agent/runner.h
+++ b/src/core/agent/runner.h
@@ -35,7 +35,7 @@
 /**
  * A worker described itself. @a seq orders the calls of one life. Returns
  * RESULT_OK, or RESULT_STALE for a call that was overtaken by a later one or
- * by a later life; it changes nothing. A life that isn't the
+ * by a later life; nothing but "draining" counts then. A life that isn't the
  * present one, and an address that is new, are used once they have answered.
  */
 enum result runner_heartbeat(struct runner *runner,
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -117,6 +117,8 @@
 	struct worker_life worker; /* id "": none */
 	char address[ADDRESS_BYTES];
 	uint64_t worker_seq; /* of the last report that was taken */
+	uint64_t stale_seq; /* of the last one that wasn't */
+	uint32_t stale_rises; /* in a row, with rising numbers */
 	bool said_draining; /* the worker did, in a report */
 	struct runner_candidate candidate;
 	uint64_t candidate_nr; /* of the last one */
--- a/src/core/agent/runner_life.c
+++ b/src/core/agent/runner_life.c
@@ -115,10 +115,42 @@
 	runner->worker.draining = runner->said_draining;
 	TEXT_SET(runner->address, address);
 	runner->worker_seq = seq;
+	runner->stale_seq = 0;
+	runner->stale_rises = 0;
 	runner->worker_heard_us = runner->node->now_us;
 	counter_add(runner->node->counters, "heartbeats", 1);
 }
 
+/*
+ * Any report of the life that says so counts, however late it comes and
+ * whatever number it has.
+ */
+static void runner_take_draining(struct runner *runner,
+				 const struct worker_life *life)
+{
+	if (!life->draining || runner->said_draining || runner->worker.ended)
+		return;
+	runner->said_draining = true;
+	runner->worker.draining = true;
+	runner->worker.remaining_ms = life->remaining_ms;
+	runner_log_worker(runner, "worker-draining");
+	runner_report_soon(runner);
+}
+
+/*
+ * Returns false for a report that a later one has overtaken. A number that was
+ * far too large doesn't hide the life for good.
+ */
+static bool runner_seq_is_new(struct runner *runner, uint64_t seq)
+{
+	if (seq > runner->worker_seq)
+		return true;
+	runner->stale_rises =
+		seq > runner->stale_seq ? runner->stale_rises + 1 : 1;
+	runner->stale_seq = seq;
+	return runner->stale_rises >= HEARTBEATS_RISING;
+}
+
 static enum result runner_stale(struct runner *runner)
 {
 	counter_add(runner->node->counters, "heartbeats_stale", 1);
@@ -278,22 +310,17 @@
 			     const char *address, uint64_t seq)
 {
 	const struct worker_life *worker = &runner->worker;
-	bool was_draining;
 
 	if (!life_is(worker, life))
 		return worker->id[0] && life->born_ms < worker->born_ms ?
 			       runner_stale(runner) :
 			       runner_nominate(runner, life, address, seq);
-	if (seq <= runner->worker_seq)
+	runner_take_draining(runner, life);
+	if (!runner_seq_is_new(runner, seq))
 		return runner_stale(runner);
 	if (worker->ended || strcmp(runner->address, address) != 0)
 		return runner_nominate(runner, life, address, seq);
-	was_draining = worker->draining;
 	runner_describe(runner, life, address, seq);
-	if (was_draining != worker->draining) {
-		runner_log_worker(runner, "worker-draining");
-		runner_report_soon(runner);
-	}
 	if (!timer_armed(&runner->hold_timer))
 		runner_hold(runner);
 	return RESULT_OK;
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -164,6 +164,11 @@
 #define RUNNER_CANDIDATES_MAX 4
 /* A candidate is dropped after as many looks without an answer. */
 #define RUNNER_CANDIDATE_LOOKS 2
+/*
+ * As many reports of one life in a row whose numbers rise, but stay below the
+ * highest one, show that the highest one was wrong.
+ */
+#define HEARTBEATS_RISING 3
 #define RUNNER_REPORT_INTERVAL_MS 1000 /* five renewals within a lease */
 /* A lease is renewed each second; without two of these it gets a log line. */
 #define RUNNER_UNRENEWED_MS 2500
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -760,6 +760,68 @@
 }
 END_TEST
 
+/*
+ * Guards against a number far too large that makes all later reports of the
+ * life stale, whether the first report heard has it or a later one.
+ */
+START_TEST(test_odd_seq)
+{
+	for (uint32_t first = 0; first < 2; first++) {
+		struct exec_reply list = done;
+		struct bench *bench = bench_new();
+		struct worker_life life = { .id = "w", .born_ms = 1 };
+		uint64_t seq = first ? 1 : 5;
+
+		list.born_ms = 1;
+		if (!first)
+			bench_beat(bench, 1, 4, false);
+		else
+			bench_beat(bench, 1, 9007199254740992, false);
+		ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+		ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+		if (!first)
+			ck_assert_int_eq(bench_beat(bench, 1, 9007199254740992,
+						    false),
+					 RESULT_OK);
+		life.cpu_millis = 7000;
+		/* Late ones that are overtaken again don't count. */
+		for (uint32_t i = 0; i < 9; i++)
+			ck_assert_int_eq(bench_beat(bench, 1, 3 - i % 2, false),
+					 RESULT_STALE);
+		for (uint32_t i = 0; i < HEARTBEATS_RISING; i++)
+			bench_beat_of(bench, &life, BENCH_ADDRESS, seq++);
+		ck_assert_int_eq(bench_beat_of(bench, &life, BENCH_ADDRESS,
+					       seq),
+				 RESULT_OK);
+		bench_run_ms(bench, 1100);
+		ck_assert_uint_eq(bench->report.worker.cpu_millis, 7000);
+		/* An overtaken report stays one. */
+		ck_assert_int_eq(bench_beat(bench, 1, seq - 1, false),
+				 RESULT_STALE);
+		bench_free(bench);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a worker that leaves and isn't heard, as its reports count as
+ * overtaken: it got new tasks (DRAIN).
+ */
+START_TEST(test_stale_report_of_draining)
+{
+	struct bench *bench = bench_ready(true);
+
+	bench_beat(bench, 1, 9007199254740992, false);
+	ck_assert_int_eq(bench_beat(bench, 1, 3, true), RESULT_STALE);
+	bench_run_ms(bench, 5);
+	ck_assert(bench->report.worker.draining);
+	bench_order(bench, FLOW_START, 1, false, 0);
+	bench_run_ms(bench, 5);
+	ck_assert_uint_eq(bench->nr_starts, 0);
+	bench_free(bench);
+}
+END_TEST
+
 /* Sends @a nr orders in one message, each for a task of its own. */
 static void bench_order_many(struct bench *bench, uint32_t action, uint32_t nr)
 {
@@ -1161,6 +1223,7 @@
 	   test_late_deregistration, test_odd_report_of_other_life,
 	   test_refusal_names_no_life, test_silent_candidate,
 	   test_later_candidate_goes_first, test_first_life, test_odd_address,
+	   test_odd_seq, test_stale_report_of_draining,
 	   test_late_start_in_later_life, test_start_by_other_life,
 	   test_ends_are_kept, test_cursor_after_silence, test_pace,
 	   test_start_waits_for_room)
