End a deregistered worker only when it is gone

Callers saw: an Instances.Deregister call of another writer ended a sound worker; the leader took its runs for lost and placed them elsewhere while they went on. Cause: runner_deregister() believed the call. Change: the worker counts as draining at once and is looked at each 100 ms. It has ended when nobody listens at its address or another life answers; one that still answers after 2 s goes on, and drains only if it has said so itself. Silence ends nothing: the lease decides then. upstream_result and exec_reply tell a refused connection from one that wasn't made in time. Why it works: a worker that ends closes its port; calls to a sound one may be lost, but its port isn't closed. Evidence: test_odd_deregistration and test_deregistration fail on the code before.

--- a/src/core/agent/agent.h
+++ b/src/core/agent/agent.h
@@ -43,6 +43,7 @@
 /** How a call to an upstream ended. */
 struct upstream_result {
 	bool connected; /* false: the request was never sent */
+	bool refused; /* nobody listens at the address; nothing was sent */
 	bool complete; /* the whole response was read */
 	uint32_t status;
 	char content_type[KEY_BYTES];
--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -250,6 +250,7 @@
 	timer_cancel(runner->node->timers, &runner->hold_timer);
 	timer_cancel(runner->node->timers, &runner->run_timer);
 	timer_cancel(runner->node->timers, &runner->start_timer);
+	timer_cancel(runner->node->timers, &runner->leaving_timer);
 	site_free(runner->site);
 	g_hash_table_unref(runner->runs);
 	g_hash_table_unref(runner->calls);
@@ -312,6 +313,7 @@
 	runner->hold_timer = (struct timer){ runner_hold_due, runner };
 	runner->run_timer = (struct timer){ runner_run_due, runner };
 	runner->start_timer = (struct timer){ runner_start_due, runner };
+	runner->leaving_timer = (struct timer){ runner_leaving_due, runner };
 	runner->site = site_new(node, &site_opts);
 	node_set_role(node, &runner_role, runner);
 	return runner;
--- a/src/core/agent/runner.h
+++ b/src/core/agent/runner.h
@@ -42,7 +42,10 @@
 			     const struct worker_life *life,
 			     const char *address, uint64_t seq);
 
-/** The life of the worker ends; @a born_ms is 0 if it isn't told. */
+/**
+ * The life of the worker ends; @a born_ms is 0 if it isn't told. It is draining
+ * at once, and ended when it is seen to be gone.
+ */
 void runner_deregister(struct runner *runner, const char *id, uint64_t born_ms);
 
 /** Answers a call; @a reply is borrowed. */
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -50,6 +50,7 @@
 enum runner_look {
 	RUNNER_LOOK_NONE = 0, /* it renews the lease of the present worker */
 	RUNNER_LOOK_CANDIDATE = 1, /* is this life there? */
+	RUNNER_LOOK_LEAVING = 2, /* is the worker gone that said so? */
 };
 
 /**
@@ -120,6 +121,7 @@
 	uint64_t stale_seq; /* of the last one that wasn't */
 	uint32_t stale_rises; /* in a row, with rising numbers */
 	bool said_draining; /* the worker did, in a report */
+	uint64_t leaving_us; /* it was deregistered then, 0: no */
 	struct runner_candidate candidate;
 	uint64_t candidate_nr; /* of the last one */
 	uint32_t checks; /* looks but RUNNER_LOOK_NONE under way */
@@ -152,6 +154,7 @@
 	struct timer hold_timer;
 	struct timer run_timer; /* retries of stops */
 	struct timer start_timer; /* starts that wait for room */
+	struct timer leaving_timer; /* looks at a worker that leaves */
 };
 
 /** Reports within RUNNER_REPORT_SOON_MS. */
@@ -220,6 +223,8 @@
 /** Takes the answer to a look that runner_check() has made. */
 void runner_check_done(struct runner *runner, const struct runner_call *call,
 		       const struct exec_reply *reply);
+/** Timer function: looks again at a worker that leaves. */
+void runner_leaving_due(void *data, uint64_t now_us);
 void runner_log_worker(struct runner *runner, const char *event);
 /**
  * A start without an answer may still be carried out by a later life under the
--- a/src/core/agent/runner_life.c
+++ b/src/core/agent/runner_life.c
@@ -91,9 +91,11 @@
 	runner->settled_nr = 0;
 	runner->holding = false;
 	runner->said_draining = false;
+	runner->leaving_us = 0;
 	g_hash_table_remove_all(runner->runs);
 	g_array_set_size(runner->ends, 0);
 	timer_cancel(runner->node->timers, &runner->hold_timer);
+	timer_cancel(runner->node->timers, &runner->leaving_timer);
 }
 
 /* ---- the present life ---- */
@@ -112,7 +114,7 @@
 	runner->worker = *life;
 	/* A worker that leaves doesn't come back in this life. */
 	runner->said_draining = runner->said_draining || life->draining;
-	runner->worker.draining = runner->said_draining;
+	runner->worker.draining = runner->said_draining || runner->leaving_us;
 	TEXT_SET(runner->address, address);
 	runner->worker_seq = seq;
 	runner->stale_seq = 0;
@@ -232,6 +234,13 @@
 	return RESULT_OK;
 }
 
+/* Returns true if the reply says nothing about who is there. */
+static bool reply_is_silence(const struct exec_reply *reply)
+{
+	return reply->verdict == EXEC_NO_ANSWER ||
+	       (reply->verdict == EXEC_NOT_SENT && !reply->closed);
+}
+
 /* Returns NULL if the candidate has answered, else why it hasn't. */
 static const char *runner_candidate_fault(const struct runner *runner,
 					  const struct exec_reply *reply)
@@ -284,7 +293,7 @@
 		return;
 	fault = runner_candidate_fault(runner, reply);
 	/* Single calls are lost on the way to workers that are well. */
-	if (reply->verdict == EXEC_NO_ANSWER &&
+	if (reply_is_silence(reply) &&
 	    ++candidate->lost_looks < RUNNER_CANDIDATE_LOOKS) {
 		runner_look_at_candidate(runner);
 		return;
@@ -326,19 +335,76 @@
 	return RESULT_OK;
 }
 
+/* ---- the end of a life ---- */
+
+static void runner_end_life(struct runner *runner)
+{
+	runner_log_worker(runner, "worker-ended");
+	runner_forget_life(runner);
+	runner->worker.ended = true;
+	runner_report_soon(runner);
+}
+
+void runner_leaving_due(void *data, uint64_t now_us)
+{
+	struct runner *runner = data;
+
+	runner_check(runner, RUNNER_LOOK_LEAVING, 0, runner->worker.id,
+		     runner->address);
+}
+
+/* The worker is there, though it was deregistered some time ago. */
+static void runner_stays(struct runner *runner)
+{
+	runner->leaving_us = 0;
+	runner->worker.draining = runner->said_draining;
+	runner_log_worker(runner, "worker-stays");
+	runner_report_soon(runner);
+}
+
+/*
+ * Silence ends nothing: calls are lost on the way to sound workers, and the
+ * runs of one that is gone are taken back with its lease.
+ */
+static void runner_leaving_done(struct runner *runner,
+				const struct runner_call *call,
+				const struct exec_reply *reply)
+{
+	bool gone =
+		reply->closed || reply->verdict == EXEC_OTHER_LIFE ||
+		(reply->born_ms && reply->born_ms != runner->worker.born_ms);
+
+	if (!runner->leaving_us || call->life != runner->life_nr)
+		return;
+	if (gone)
+		runner_end_life(runner);
+	else if (!reply_is_silence(reply) &&
+		 call->sent_us - runner->leaving_us >=
+			 RUNNER_LEAVING_MS * 1000ull)
+		runner_stays(runner);
+	else
+		node_timer_ms(runner->node, &runner->leaving_timer,
+			      RUNNER_LEAVING_LOOK_MS);
+}
+
 void runner_deregister(struct runner *runner, const char *id, uint64_t born_ms)
 {
 	if (!runner_has_worker(runner) || strcmp(runner->worker.id, id) != 0 ||
-	    (born_ms && born_ms != runner->worker.born_ms))
+	    (born_ms && born_ms != runner->worker.born_ms) ||
+	    runner->leaving_us)
 		return;
+	runner->leaving_us = runner->node->now_us;
+	runner->worker.draining = true;
 	runner_log_worker(runner, "worker-deregistered");
-	runner_forget_life(runner);
-	runner->worker.ended = true;
 	runner_report_soon(runner);
+	runner_leaving_due(runner, runner->node->now_us);
 }
 
 void runner_check_done(struct runner *runner, const struct runner_call *call,
 		       const struct exec_reply *reply)
 {
-	runner_candidate_done(runner, call, reply);
+	if (call->look == RUNNER_LOOK_CANDIDATE)
+		runner_candidate_done(runner, call, reply);
+	else
+		runner_leaving_done(runner, call, reply);
 }
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -334,7 +334,7 @@
 
 enum exec_verdict {
 	EXEC_NO_ANSWER = 0, /* it may be carried out, now or later */
-	EXEC_NOT_SENT = 1, /* the connection was refused */
+	EXEC_NOT_SENT = 1, /* no connection was made */
 	EXEC_DONE = 2,
 	EXEC_REFUSED = 3, /* nothing was done */
 	EXEC_OTHER_LIFE = 4, /* another life of the worker answered */
@@ -345,10 +345,11 @@
 	uint32_t result; /* enum result, EXEC_REFUSED: why */
 	uint64_t clock_ms; /* worker's clock, 0 if not told */
 	uint64_t born_ms; /* 0 if not told */
-	uint32_t nr_runs; /* EXEC_HOLD */
-	struct flow_run *runs;
-	uint32_t nr_ends;
+	struct flow_run *runs; /* EXEC_HOLD */
 	struct flow_run_end *ends;
+	uint32_t nr_runs;
+	uint32_t nr_ends;
+	bool closed; /* EXEC_NOT_SENT: nobody listens at the address */
 };
 
 /** Returns the name of an enum flow_end or flow_state, for logs. */
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -164,6 +164,9 @@
 #define RUNNER_CANDIDATES_MAX 4
 /* A candidate is dropped after as many looks without an answer. */
 #define RUNNER_CANDIDATE_LOOKS 2
+/* A worker ends right after it has said so; one that answers later goes on. */
+#define RUNNER_LEAVING_MS 2000
+#define RUNNER_LEAVING_LOOK_MS 100
 /*
  * As many reports of one life in a row whose numbers rise, but stay below the
  * highest one, show that the highest one was wrong.
--- a/src/daemon/http_call.c
+++ b/src/daemon/http_call.c
@@ -174,8 +174,14 @@
 static void call_answered(GObject *session, GAsyncResult *res, gpointer data)
 {
 	struct http_call *call = data;
+	GError *error = NULL;
+
 	call->stream =
-		soup_session_send_finish(SOUP_SESSION(session), res, NULL);
+		soup_session_send_finish(SOUP_SESSION(session), res, &error);
+	call->result.refused = !call->result.connected &&
+			       g_error_matches(error, G_IO_ERROR,
+					       G_IO_ERROR_CONNECTION_REFUSED);
+	g_clear_error(&error);
 	if (call->stream) {
 		g_input_stream_read_bytes_async(call->stream, CALL_READ_BYTES,
 						G_PRIORITY_DEFAULT,
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -303,9 +303,12 @@
 	peer_open(&peer); /* bound, so nobody else takes the port */
 	run_call(&outcome, session, peer.address, true);
 	ck_assert(!outcome.result.connected);
+	ck_assert(outcome.result.refused);
 	ck_assert(!outcome.result.complete);
 	run_call(&outcome, session, "not an address", true);
 	ck_assert(!outcome.result.connected);
+	/* That nobody is there was not seen. */
+	ck_assert(!outcome.result.refused);
 	g_object_unref(session);
 	peer_stop(&peer);
 }
@@ -368,6 +371,7 @@
 	http_call_cancel(call);
 	wait_for(&outcome.done);
 	ck_assert(!outcome.result.connected);
+	ck_assert(!outcome.result.refused);
 	g_object_unref(session);
 	peer_stop(&peer);
 }
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -598,7 +598,7 @@
 		{ .id = "w", .born_ms = 9007199254740992 },
 	};
 	static const struct exec_reply replies[] = {
-		{ .verdict = EXEC_NOT_SENT },
+		{ .verdict = EXEC_NOT_SENT, .closed = true },
 		{ .verdict = EXEC_OTHER_LIFE },
 		{ .verdict = EXEC_DONE, .clock_ms = 5, .born_ms = 1 },
 		{ .verdict = EXEC_REFUSED, .born_ms = 1 },
@@ -737,7 +737,8 @@
  */
 START_TEST(test_odd_address)
 {
-	static const struct exec_reply closed = { .verdict = EXEC_NOT_SENT };
+	static const struct exec_reply closed = { .verdict = EXEC_NOT_SENT,
+						  .closed = true };
 	struct worker_life life = { .id = "w", .born_ms = 1 };
 	struct exec_reply list = done;
 	struct bench *bench = bench_busy();
@@ -822,6 +823,81 @@
 }
 END_TEST
 
+/*
+ * Guards against a deregistration by another writer that ends a sound worker:
+ * its runs were placed elsewhere while they went on (TWICE).
+ */
+START_TEST(test_odd_deregistration)
+{
+	static const struct exec_reply cut = { .verdict = EXEC_NOT_SENT };
+	struct bench *bench = bench_busy();
+	struct exec_reply list = done;
+	struct flow_run run = { .run = 1, .percent = 50 };
+
+	TEXT_SET(run.task, TASK);
+	list.born_ms = 1;
+	list.nr_runs = 1;
+	list.runs = &run;
+	runner_deregister(bench->runner, "w", 0);
+	bench_run_ms(bench, 5);
+	/* Nothing is started there until it is known to go on. */
+	ck_assert(bench->report.worker.draining);
+	ck_assert(!bench->report.worker.ended);
+	ck_assert_uint_eq(bench->report.nr_runs, 1);
+	/* Calls are lost on the way to a sound worker, too. */
+	for (uint32_t i = 0; i < 6; i++) {
+		ck_assert(bench_answer_last(bench, i % 2 ? &silence : &cut,
+					    NULL));
+		bench_run_ms(bench, 110);
+	}
+	for (uint32_t ms = 0; ms < 3000; ms += 10) {
+		if (ms % 1000 == 0)
+			bench_grant(bench, 0);
+		while (bench_answer_last(bench, &list, NULL))
+			;
+		bench_run_ms(bench, 10);
+		ck_assert(!bench->report.worker.ended);
+	}
+	ck_assert(!bench->report.worker.draining);
+	check_busy(bench);
+	bench_free(bench);
+}
+END_TEST
+
+/*
+ * Guards against a worker that ends right after it has said so and whose tasks
+ * wait for its lease.
+ */
+START_TEST(test_deregistration)
+{
+	static const struct exec_reply replies[] = {
+		{ .verdict = EXEC_NOT_SENT, .closed = true },
+		{ .verdict = EXEC_OTHER_LIFE },
+		{ .verdict = EXEC_DONE, .clock_ms = 5, .born_ms = 2 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(replies); i++) {
+		struct bench *bench = bench_busy();
+		struct exec_reply list = done;
+
+		bench_beat(bench, 1, 2, true);
+		list.born_ms = 1;
+		runner_deregister(bench->runner, "w", 1);
+		/* It may answer once more before it ends. */
+		ck_assert(bench_answer_last(bench, &list, NULL));
+		ck_assert(!bench->report.worker.ended);
+		bench_run_ms(bench, 110);
+		ck_assert(bench_answer_last(bench, &replies[i], NULL));
+		bench_run_ms(bench, 5);
+		ck_assert(bench->report.worker.ended);
+		ck_assert_uint_eq(bench->report.nr_runs, 0);
+		/* A report of it that was held up brings nothing back. */
+		ck_assert_int_eq(bench_beat(bench, 1, 1, false), RESULT_STALE);
+		bench_free(bench);
+	}
+}
+END_TEST
+
 /* Sends @a nr orders in one message, each for a task of its own. */
 static void bench_order_many(struct bench *bench, uint32_t action, uint32_t nr)
 {
@@ -990,13 +1066,17 @@
  */
 START_TEST(test_late_deregistration)
 {
+	static const struct exec_reply closed = { .verdict = EXEC_NOT_SENT,
+						  .closed = true };
 	struct bench *bench = bench_ready(true);
 
 	bench_reborn(bench, 2);
 	runner_deregister(bench->runner, "w", 1);
 	bench_run_ms(bench, 20);
+	ck_assert(!bench->report.worker.draining);
 	ck_assert(!bench->report.worker.ended);
 	runner_deregister(bench->runner, "w", 2);
+	ck_assert(bench_answer_last(bench, &closed, NULL));
 	bench_run_ms(bench, 20);
 	ck_assert(bench->report.worker.ended);
 	bench_free(bench);
@@ -1223,7 +1303,7 @@
 	   test_late_deregistration, test_odd_report_of_other_life,
 	   test_refusal_names_no_life, test_silent_candidate,
 	   test_later_candidate_goes_first, test_first_life, test_odd_address,
-	   test_odd_seq, test_stale_report_of_draining,
-	   test_late_start_in_later_life, test_start_by_other_life,
-	   test_ends_are_kept, test_cursor_after_silence, test_pace,
-	   test_start_waits_for_room)
+	   test_odd_seq, test_stale_report_of_draining, test_odd_deregistration,
+	   test_deregistration, test_late_start_in_later_life,
+	   test_start_by_other_life, test_ends_are_kept,
+	   test_cursor_after_silence, test_pace, test_start_waits_for_room)
