Play reports of another writer end to end

Change: six kinds of odd reports (another id, another born, a born and a seq of 2^53, another address, a deregistration) against runs under virtual time (flow: odd_reports), beside the random faults of 24 seeds, whose other faults stay as they are (flow_random: random_odd_reports), and against real processes (platform: odd_reports, twelve reports to each of three agents; the worker keeps its runs, and a real later life is taken).

--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -10,6 +10,7 @@
 #define VM_CPU_MILLIS 8000
 #define VM_MEMORY_MIB 16000
 #define VM_ADDRESS "10.0.0.1:1"
+#define ODD_NUMBER 9007199254740992 /* 2^53 */
 #define BUNDLE_VERSION 100 /* above what control_world signs off */
 #define TICKET_MS 3000
 #define LIST_ENDS 500 /* at a time */
@@ -226,6 +227,7 @@
 	if (!call->carried_out && (call->nobody || call->stranger) &&
 	    call_is_due(call)) {
 		reply.verdict = call->nobody ? EXEC_NOT_SENT : EXEC_OTHER_LIFE;
+		reply.closed = call->nobody;
 		call->carried_out = true;
 		answer = true;
 	}
@@ -313,6 +315,38 @@
 	runner_heartbeat(vm->runner, &life, VM_ADDRESS, seq);
 }
 
+void fw_odd_report(struct fw_vm *vm, enum fw_odd odd)
+{
+	struct worker_life life = life_of(vm, vm->worker.born_ms);
+	const char *address = VM_ADDRESS;
+	uint64_t seq = vm->worker.seq + 1;
+
+	node_set_time(vhost_node(vm->machine), now_us(vm->world));
+	switch (odd) {
+	case FW_ODD_ID:
+		TEXT_SET(life.id, "stranger");
+		life.born_ms++;
+		break;
+	case FW_ODD_BORN:
+		life.born_ms++;
+		break;
+	case FW_ODD_BORN_FAR:
+		life.born_ms = ODD_NUMBER;
+		address = "10.0.0.1:2";
+		break;
+	case FW_ODD_ADDRESS:
+		address = "10.0.0.1:2";
+		break;
+	case FW_ODD_SEQ:
+		seq = ODD_NUMBER;
+		break;
+	default:
+		runner_deregister(vm->runner, vm->name, 0);
+		return;
+	}
+	runner_heartbeat(vm->runner, &life, address, seq);
+}
+
 static void vm_beat(struct fw_vm *vm)
 {
 	if (vm->runner && vm->worker.up)
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -108,6 +108,18 @@
 void fw_boot_worker(struct fw_vm *vm);
 /** A heartbeat of this life arrives at the agent, which must run. */
 void fw_beat(struct fw_vm *vm, uint64_t born_ms, uint64_t seq);
+/** A status report, or the last call, of another writer. */
+enum fw_odd {
+	FW_ODD_ID, /* another worker, a little later */
+	FW_ODD_BORN, /* a little later life of this one */
+	FW_ODD_BORN_FAR, /* the same with a number far too large */
+	FW_ODD_ADDRESS, /* of the present life, nothing listens there */
+	FW_ODD_SEQ, /* a number far too large */
+	FW_ODD_DEREGISTERED, /* the present life leaves */
+	FW_ODD_KINDS,
+};
+/** It arrives at the agent, which must run. */
+void fw_odd_report(struct fw_vm *vm, enum fw_odd odd);
 void fw_cut(struct fw_vm *vm, bool cut);
 /** Number of runs at all workers. */
 uint32_t fw_running(const struct flow_world *fw);
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -341,6 +341,36 @@
 }
 END_TEST
 
+/*
+ * Guards against reports of another writer that make the agent give up a sound
+ * worker: its tasks ran twice at a time (issue 20, TWICE).
+ */
+START_TEST(test_odd_reports)
+{
+	struct flow_world *fw = flow_world_new(9);
+	struct flow_step step = step_of(8);
+	uint32_t nr_ended = 0;
+
+	fw->run_ms = 9000;
+	step.estimate_ms = 9000;
+	flow_world_submit(fw, "aa", &step, 1);
+	flow_world_run_ms(fw, 500);
+	ck_assert_uint_eq(fw_running(fw), 8);
+	for (uint32_t odd = 0; odd < FW_ODD_KINDS; odd++) {
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+			fw_odd_report(&fw->vms[i], odd);
+		flow_world_run_ms(fw, 1200);
+	}
+	/* Another life that is real is taken at its first report. */
+	nr_ended = fw->vms[0].worker.runs->len;
+	fw_crash_worker(&fw->vms[0]);
+	fw_boot_worker(&fw->vms[0]);
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 20000));
+	ck_assert_uint_eq(fw->nr_starts, 8 + nr_ended);
+	flow_world_free(fw);
+}
+END_TEST
+
 /*
  * Guards against tasks that wait for ever for a life that is gone: a VM has
  * restarted with its clock set back, so that its worker's present life looks
@@ -795,8 +825,9 @@
 	   test_unknown_names, test_leader_killed, test_agent_restarted,
 	   test_vm_cut_off, test_nothing_placed_on_silent_vm, test_short_cuts,
 	   test_leader_without_lease, test_late_calls, test_worker_crashes,
-	   test_heartbeat_of_earlier_life, test_life_with_an_earlier_clock,
-	   test_zone_out, test_draining, test_attempts,
-	   test_fillers_are_not_starved, test_idle_serving_tasks_leave_room,
-	   test_advice, test_held_filler_moves, test_serving_tasks_are_grouped,
+	   test_heartbeat_of_earlier_life, test_odd_reports,
+	   test_life_with_an_earlier_clock, test_zone_out, test_draining,
+	   test_attempts, test_fillers_are_not_starved,
+	   test_idle_serving_tasks_leave_room, test_advice,
+	   test_held_filler_moves, test_serving_tasks_are_grouped,
 	   test_seeds_are_agents, test_overload_ends_most_on_time)
--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -13,6 +13,7 @@
 #include "suite.h"
 
 #define SEEDS 24
+#define ODD_SEED 1000000
 #define FAULTS_MS 20000
 #define SETTLE_MS 60000
 #define FLOWS_MAX 16
@@ -23,6 +24,7 @@
 struct play {
 	struct flow_world *fw;
 	GRand *rand;
+	GRand *odd; /* of odd reports, NULL: there are none */
 	uint64_t born_ms[FLOW_WORLD_VMS]; /* of a life before the present one */
 	char ids[FLOWS_MAX][8];
 	bool accepted[FLOWS_MAX];
@@ -158,6 +160,18 @@
 	}
 }
 
+/* From numbers of its own, so that the seed's other faults stay the same. */
+static void odd_report(struct play *play)
+{
+	struct fw_vm *vm =
+		&play->fw->vms[g_rand_int_range(play->odd, 0, FLOW_WORLD_VMS)];
+	enum fw_odd odd =
+		(enum fw_odd)g_rand_int_range(play->odd, 0, FW_ODD_KINDS);
+
+	if (vm->runner && g_rand_int_range(play->odd, 0, 2))
+		fw_odd_report(vm, odd);
+}
+
 static void heal(struct play *play)
 {
 	struct flow_world *fw = play->fw;
@@ -193,13 +207,15 @@
 	return nr;
 }
 
-static void play_seed(uint32_t seed, bool verbose)
+static void play_seed(uint32_t seed, bool odd, bool verbose)
 {
 	struct play play = { .rand = g_rand_new_with_seed(seed) };
 	struct flow_world *fw = flow_world_new(seed);
 	uint64_t end_us = vhost_now_us(fw->base->vhost) + FAULTS_MS * 1000ull;
 
 	play.fw = fw;
+	if (odd)
+		play.odd = g_rand_new_with_seed(seed + ODD_SEED);
 	fw->lasting = LASTING;
 	vhost_set_verbose(fw->base->vhost, verbose);
 	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
@@ -215,6 +231,8 @@
 			play.nr_flows++;
 		}
 		fault(&play);
+		if (odd)
+			odd_report(&play);
 		flow_world_run_ms(fw, 50 + below(&play, 900));
 	}
 	heal(&play);
@@ -229,6 +247,8 @@
 	ck_assert_msg(lasting_runs(fw) == LASTING_TASKS,
 		      "seed %u: %u lasting tasks run", seed, lasting_runs(fw));
 	g_rand_free(play.rand);
+	if (odd)
+		g_rand_free(play.odd);
 	flow_world_free(fw);
 }
 
@@ -250,30 +270,44 @@
 START_TEST(test_failed_seeds)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(regressions); i++)
-		play_seed(regressions[i], false);
+		play_seed(regressions[i], false, false);
 }
 END_TEST
 
-/*
- * Guards against tasks that run twice, or again after they are done, and
- * against accepted work that never ends, whatever fails in whichever order.
- */
-START_TEST(test_random_faults)
+/* Plays as many seeds as the environment says, or the usual ones. */
+static void play_seeds(bool odd)
 {
 	const char *one = getenv("FLOW_RANDOM_SEED");
 	const char *nr = getenv("FLOW_RANDOM_SEEDS");
 	uint32_t nr_seeds = nr ? (uint32_t)strtoul(nr, NULL, 10) : SEEDS;
 
 	if (one) {
-		play_seed((uint32_t)strtoul(one, NULL, 10), true);
+		play_seed((uint32_t)strtoul(one, NULL, 10), odd, true);
 		return;
 	}
 	for (uint32_t seed = 1; seed <= nr_seeds; seed++) {
 		if (nr)
 			g_printerr("seed %u\n", seed);
-		play_seed(seed, false);
+		play_seed(seed, odd, false);
 	}
 }
+
+/*
+ * Guards against tasks that run twice, or again after they are done, and
+ * against accepted work that never ends, whatever fails in whichever order.
+ */
+START_TEST(test_random_faults)
+{
+	play_seeds(false);
+}
+END_TEST
+
+/* Guards against the same where another writer sends reports to the agents. */
+START_TEST(test_random_odd_reports)
+{
+	play_seeds(true);
+}
 END_TEST
 
-SUITE_MAIN("flow_random", test_failed_seeds, test_random_faults)
+SUITE_MAIN("flow_random", test_failed_seeds, test_random_faults,
+	   test_random_odd_reports)
--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -375,6 +375,119 @@
 	ck_assert_msg(nr >= nr_wanted, "%u processes logged %s", nr, pattern);
 }
 
+/* Returns when the worker was born, as its agent has logged it. */
+static uint64_t born_of(const struct tb_proc *agent)
+{
+	static const char mark[] = "event=worker-registered ";
+	uint64_t born_ms = 0;
+	char *text = tb_proc_log(agent);
+	const char *at = strstr(text, mark);
+
+	at = at ? strstr(at, "born_ms=") : NULL;
+	if (at)
+		born_ms = g_ascii_strtoull(at + strlen("born_ms="), NULL, 10);
+	g_free(text);
+	ck_assert_uint_gt(born_ms, 0);
+	return born_ms;
+}
+
+/* What another writer says to an agent of its worker. */
+static const struct odd_report {
+	const char *id; /* NULL: the worker's */
+	const char *address; /* NULL: the worker's */
+	uint64_t later_ms; /* than the worker was born */
+	uint64_t born_ms; /* instead, if it isn't 0 */
+	uint64_t seq;
+	guint status;
+} odd_reports[] = {
+	{ "i-odd", "127.0.0.1:70000", 1, 0, 9, 400 },
+	{ "i-odd", "127.0.0.1", 1, 0, 9, 400 },
+	{ "i-odd", NULL, 0, 9007199254740993, 9, 400 },
+	{ NULL, NULL, 0, 0, 9007199254740993, 400 },
+	{ "i-odd", "127.0.0.1:1", 1, 0, 9, 200 },
+	{ "i-odd", NULL, 1, 0, 9, 200 },
+	{ "i-odd", NULL, 0, 9007199254740992, 9, 200 },
+	{ NULL, "127.0.0.1:1", 1, 0, 9, 200 },
+	{ NULL, NULL, 1, 0, 9, 200 },
+	{ NULL, NULL, 0, 9007199254740992, 9, 200 },
+	{ NULL, "127.0.0.1:1", 0, 0, 1000, 200 },
+	{ NULL, NULL, 0, 0, 9007199254740992, 200 },
+};
+
+static void send_odd_report(struct testbed *tb, uint32_t i,
+			    const struct odd_report *odd)
+{
+	struct tb_proc *agent = testbed_agent(tb, i);
+	const char *worker = tb_proc_name(testbed_standin(tb, i));
+	uint64_t born_ms = odd->born_ms ? odd->born_ms :
+					  born_of(agent) + odd->later_ms;
+	char *path = g_strdup_printf("/Instances.Heartbeat/%s",
+				     odd->id ? odd->id : worker);
+	char *text = g_strdup_printf(
+		"{\"service\":\"svc\",\"addr\":\"%s\",\"zone\":\"veraval\","
+		"\"state\":\"ready\",\"capacity\":{\"cpu\":8000,"
+		"\"memMb\":16000,\"gpu\":0},\"born\":%" G_GUINT64_FORMAT
+		",\"seq\":%" G_GUINT64_FORMAT "}",
+		odd->address ? odd->address :
+			       tb_proc_http(testbed_standin(tb, i)),
+		born_ms, odd->seq);
+
+	ck_assert_uint_eq(tb_request(agent, "POST", path, NULL, text, NULL),
+			  odd->status);
+	g_free(text);
+	g_free(path);
+}
+
+/*
+ * Guards against status reports and a deregistration of another writer that
+ * make an agent give up its sound worker: its tasks ran twice at a time, and
+ * the worker was called no more (issue 20).
+ */
+START_TEST(test_odd_reports)
+{
+	struct testbed *tb = site_start(0);
+
+	platform_bed_submit(tb, 1, 5000);
+	platform_bed_wait(tb, 1, "running", 5000);
+	testbed_wait_ms(500);
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_reports); i++) {
+		for (uint32_t j = 0; j < NR_WORKERS; j++)
+			send_odd_report(tb, j, &odd_reports[i]);
+		testbed_wait_ms(150);
+	}
+	for (uint32_t i = 0; i < NR_WORKERS; i++)
+		ck_assert_uint_eq(tb_request(testbed_agent(tb, i), "POST",
+					     "/Instances.Deregister/i-odd",
+					     NULL, "{}", NULL),
+				  200);
+	ck_assert_uint_eq(tb_request(testbed_agent(tb, 0), "POST",
+				     "/Instances.Deregister/i-1", NULL, "{}",
+				     NULL),
+			  200);
+	platform_bed_wait(tb, 1, "completed", 20000);
+	ck_assert_uint_eq(platform_bed_check(tb), 8);
+	for (uint32_t i = 0; i < NR_CONTROLS; i++)
+		ck_assert(!logged(testbed_control(tb, i), 0,
+				  "*event=task-ended * end=lost *"));
+	for (uint32_t i = 0; i < NR_WORKERS; i++) {
+		struct tb_proc *agent = testbed_agent(tb, i);
+
+		ck_assert(!logged(agent, 0, "*event=worker-ended *"));
+		check_logged(&agent, 1, 1,
+			     "*event=worker-candidate worker=i-odd "
+			     "*outcome=dropped *");
+		/* A life that is real is taken, and its tasks go on. */
+		tb_proc_signal(testbed_standin(tb, i), SIGHUP);
+		check_logged(&agent, 1, 1,
+			     "*event=worker-candidate *reason=new-life "
+			     "*present=i-*");
+	}
+	platform_bed_submit(tb, 2, 200);
+	platform_bed_wait(tb, 2, "completed", 10000);
+	testbed_free(tb);
+}
+END_TEST
+
 /*
  * Guards against a step of the walk-throughs in docs/OPERATIONS.md that the
  * logs don't carry any more: from an id to the cause.
@@ -511,6 +624,7 @@
 		test_operator_at_agents,
 		test_seeds_are_agents,
 		test_walk_from_an_id,
+		test_odd_reports,
 	};
 	size_t nr = sizeof(tests) / sizeof(tests[0]);
 
