Hear an earlier life where another one answers for the present

Callers saw: with the clock of a VM set back, its reborn worker had a born below the one known, and its agent took all its reports for stale, for good. The same would follow if an odd life was taken: a worker refuses the first look of an agent that knows no term yet, and such a refusal may tell no born. Cause: a lower born is stale whatever the present life does. Change: it is stale only while the present life answers; else that life is a candidate like any other. Why it works: a late report of an earlier life is harmless, as that life doesn't answer; where the present life doesn't answer for itself, whoever does is there.

--- a/src/core/agent/runner_life.c
+++ b/src/core/agent/runner_life.c
@@ -314,6 +314,18 @@
 	candidate->nr = 0;
 }
 
+/*
+ * Returns true for a report of a life before the present one. Where another
+ * life answers for the present one, the clock may have been set back, or the
+ * present one was taken on the word of a refusal that told no life.
+ */
+static bool runner_is_earlier_life(const struct runner *runner,
+				   const struct worker_life *life)
+{
+	return runner_has_worker(runner) && runner->reachable &&
+	       life->born_ms < runner->worker.born_ms;
+}
+
 enum result runner_heartbeat(struct runner *runner,
 			     const struct worker_life *life,
 			     const char *address, uint64_t seq)
@@ -321,7 +333,7 @@
 	const struct worker_life *worker = &runner->worker;
 
 	if (!life_is(worker, life))
-		return worker->id[0] && life->born_ms < worker->born_ms ?
+		return runner_is_earlier_life(runner, life) ?
 			       runner_stale(runner) :
 			       runner_nominate(runner, life, address, seq);
 	runner_take_draining(runner, life);
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -731,6 +731,47 @@
 }
 END_TEST
 
+/*
+ * Guards against a sound worker whose reports are stale for good, as an odd
+ * life was taken first or as its clock was set back: nothing is started there.
+ */
+START_TEST(test_earlier_life_that_answers)
+{
+	static const struct exec_reply refused = { .verdict = EXEC_REFUSED,
+						   .result = RESULT_STALE };
+
+	for (uint32_t odd = 0; odd < 2; odd++) {
+		struct bench *bench = bench_new();
+		struct exec_reply list = done;
+		struct exec_reply first = odd ? refused : done;
+		uint64_t born_ms = odd ? 9007199254740992 : 5;
+
+		/* A worker refuses the look of an agent that knows no term. */
+		bench_beat(bench, born_ms, 1, false);
+		ck_assert(bench_answer(bench, EXEC_HOLD, &first, NULL));
+		ck_assert(bench_answer(bench, EXEC_HOLD, &first, NULL));
+		ck_assert_int_eq(bench_beat(bench, 3, 1, false), RESULT_STALE);
+		bench_run_ms(bench, 310);
+		ck_assert_uint_eq(bench->report.worker.born_ms, born_ms);
+		list.born_ms = 3;
+		ck_assert(bench_answer(bench, EXEC_HOLD, &list, NULL));
+		ck_assert_int_eq(bench_beat(bench, 3, 2, false), RESULT_OK);
+		ck_assert(bench_answer_last(bench, &list, NULL));
+		ck_assert(bench_answer_last(bench, &list, NULL));
+		bench_run_ms(bench, 5);
+		ck_assert_uint_eq(bench->report.worker.born_ms, 3);
+		ck_assert(bench->report.reachable && bench->report.looked);
+		/* One that doesn't answer is left where it is. */
+		ck_assert(bench_answer_last(bench, &silence, NULL));
+		ck_assert_int_eq(bench_beat(bench, 2, 9, false), RESULT_OK);
+		ck_assert(bench_answer_last(bench, &list, NULL));
+		bench_run_ms(bench, 20);
+		ck_assert_uint_eq(bench->report.worker.born_ms, 3);
+		bench_free(bench);
+	}
+}
+END_TEST
+
 /*
  * Guards against calls that go to an address which another writer has named for
  * the present worker.
@@ -1302,8 +1343,9 @@
 	   test_lists_of_other_life, test_ends_outlive_the_life,
 	   test_late_deregistration, test_odd_report_of_other_life,
 	   test_refusal_names_no_life, test_silent_candidate,
-	   test_later_candidate_goes_first, test_first_life, test_odd_address,
-	   test_odd_seq, test_stale_report_of_draining, test_odd_deregistration,
+	   test_later_candidate_goes_first, test_first_life,
+	   test_earlier_life_that_answers, test_odd_address, test_odd_seq,
+	   test_stale_report_of_draining, test_odd_deregistration,
 	   test_deregistration, test_late_start_in_later_life,
 	   test_start_by_other_life, test_ends_are_kept,
 	   test_cursor_after_silence, test_pace, test_start_waits_for_room)
