--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -136,7 +136,8 @@
 	uint32_t kind; /* enum flow_change_kind */
 	uint32_t run;
 	uint32_t end; /* enum flow_end, FLOW_CHANGE_END */
-	char vm[NAME_BYTES]; /* FLOW_CHANGE_PLACE */
+	char vm[NAME_BYTES]; /* FLOW_CHANGE_PLACE, and ends of runs taken back
+			      */
 	char worker[NAME_BYTES];
 	uint64_t born_ms;
 	char checkpoint[NAME_BYTES]; /* "" leaves the known one */
@@ -202,7 +203,7 @@
 	 */
 	uint32_t result;
 	uint32_t state; /* enum flow_state, 0 for a queue */
-	uint64_t nr_pending; /* of a queue: accepted, nothing placed yet */
+	uint64_t nr_pending; /* of a queue: accepted, no task has started */
 };
 
 /* ---- messages between agents and control ---- */
@@ -297,6 +298,11 @@
 	char ticket[NAME_BYTES]; /* permit of the advice service, "" if none */
 	/** Another agent process may have called the worker for this run. */
 	bool repeated;
+	/**
+	 * The VM's fence when the order was given. It rises when the leader
+	 * gives up what the VM was told, so a start under a lower one is void.
+	 */
+	uint64_t fence;
 };
 
 struct flow_orders {
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -212,6 +212,19 @@
 
 /* ---- committed changes ---- */
 
+void control_flow_note_started(struct control_flow *flows,
+			       const struct state_flow *flow)
+{
+	g_hash_table_add(flows->started, g_strdup(flow->record.id));
+}
+
+bool control_flow_has_started(const struct control_flow *flows,
+			      const struct state_flow *flow)
+{
+	return flow->nr_done ||
+	       g_hash_table_contains(flows->started, flow->record.id);
+}
+
 /* Learns from ends how far a worker can be relied on. */
 static void flow_vm_learn(struct control_flow *flows, struct flow_vm *vm,
 			  const struct flow_soft *soft, enum flow_end end)
@@ -267,6 +280,25 @@
 	node_log(flows->control->node, line);
 }
 
+/* The end of a run that had been taken back. */
+static void flow_log_late(struct control_flow *flows,
+			  const struct state_flow *flow, uint32_t task,
+			  enum flow_end end)
+{
+	const struct flow_task *record = &flow->record.tasks[task];
+	char name[NAME_BYTES];
+	GString *line = logline_new("task-ended-late");
+
+	state_flow_task_name(flow, task, name);
+	logline_str(line, "task", name);
+	logline_u64(line, "run", record->run);
+	logline_str(line, "vm", record->vm);
+	logline_str(line, "end", flow_end_name(end));
+	counter_count(flows->control->node->counters, "task_ends_late", "end",
+		      flow_end_name(end));
+	node_log(flows->control->node, line);
+}
+
 /* Wall clocks may jump, so a time before the submission counts as none. */
 static void flow_observe(struct control_flow *flows,
 			 const struct state_flow *flow, const char *name)
@@ -298,13 +330,18 @@
 		control_flow_order_start(flows, soft);
 		return;
 	}
-	if (!soft)
+	if (!soft || soft->run != record->run) {
+		flow_log_late(flows, flow, task, end);
+		control_flow_place_soon(flows);
 		return;
+	}
 	counter_count(flows->control->node->counters, "task_ends", "end",
 		      flow_end_name(end));
 	flow_log_end(flows, soft, end);
 	control_flow_keep_end(flows, soft, end);
 	flow_vm_learn(flows, soft->vm, soft, end);
+	if (end != FLOW_END_LOST && end != FLOW_END_REFUSED)
+		control_flow_note_started(flows, flow);
 	if (end == FLOW_END_REFUSED)
 		flow_advice_forget(flows, soft);
 	soft->vm->grant_due = true;
@@ -349,6 +386,7 @@
 		flow_observe(flows, flow, "flow_completed_ms");
 	control_flow_unrank(flows, flow);
 	g_hash_table_remove(flows->waits, flow->record.id);
+	g_hash_table_remove(flows->started, flow->record.id);
 	pressure_forget(flows->pressure, flow->record.id);
 	flow_stop_all(flows, flow, flow_state_name(flow->record.state));
 }
@@ -411,6 +449,8 @@
 					      flow_orders_free);
 	flows->waits =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	flows->started =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	flows->change_nr = 1; /* 0 stands for "not known" */
 	flows->pressure = pressure_new();
 	flows->advice = flow_advice_new();
@@ -444,6 +484,7 @@
 	g_hash_table_unref(flows->held);
 	g_hash_table_unref(flows->orders);
 	g_hash_table_unref(flows->waits);
+	g_hash_table_unref(flows->started);
 	g_hash_table_unref(flows->runs);
 	g_hash_table_unref(flows->vms);
 	g_array_unref(flows->ranks);
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -21,13 +21,22 @@
 						      end->task, &flow, &nr))
 			continue;
 		task = &flow->record.tasks[nr];
-		if (task->state == FLOW_TASK_PLACED && task->run == end->run &&
-		    !strcmp(task->vm, vm->name))
+		if ((task->state == FLOW_TASK_PLACED && task->run == end->run &&
+		     !strcmp(task->vm, vm->name)) ||
+		    (end->end == FLOW_END_DONE &&
+		     state_flow_may_be_done(flow, nr, end->run, vm->name)))
 			open = MIN(open, end->nr);
 	}
 	return open == UINT64_MAX ? last : MAX(vm->settled_nr, open - 1);
 }
 
+uint64_t control_flow_fence(const struct control_flow *flows,
+			    const struct flow_vm *vm)
+{
+	return raft_term(flows->control->raft) * FLOW_FENCES_PER_TERM +
+	       vm->fence_nr;
+}
+
 void control_flow_grant(struct control_flow *flows, struct flow_vm *vm)
 {
 	struct control *control = flows->control;
@@ -44,7 +53,7 @@
 	TEXT_SET(grant.worker, vm->worker.id);
 	grant.born_ms = vm->worker.born_ms;
 	grant.settled_nr = vm->settled_nr;
-	grant.fence = grant.term * FLOW_FENCES_PER_TERM + vm->fence_nr;
+	grant.fence = control_flow_fence(flows, vm);
 	/* Without a lease the grant still tells the term, for the first look.
 	 */
 	if (!vm->losing && vm->reachable && vm->looked && !vm->worker.ended) {
@@ -62,8 +71,9 @@
 }
 
 /*
- * Voids calls of earlier agents, and to earlier lives, which may be carried out
- * late; the worker refuses them once it has heard the new fence.
+ * Voids starts that the agent has not called yet, and calls of earlier agents
+ * and to earlier lives, which may be carried out late. The agent hears the new
+ * fence with the next lease, the worker with the next call.
  */
 static void flow_raise_fence(struct flow_vm *vm)
 {
@@ -95,6 +105,7 @@
 			continue;
 		if (!soft->on) {
 			soft->on = true;
+			control_flow_note_started(flows, soft->flow);
 			if (soft->ordered_us)
 				counter_observe(flows->control->node->counters,
 						"order_ms",
@@ -117,6 +128,28 @@
 	return listed;
 }
 
+/*
+ * A run that was taken back with its VM had ended as done, and its task waits:
+ * the end counts. A task that is placed again runs where it is.
+ */
+static void flow_take_done(struct control_flow *flows, const struct flow_vm *vm,
+			   const struct flow_run_end *end)
+{
+	struct flow_change change = { .kind = FLOW_CHANGE_END };
+	struct state_flow *flow;
+
+	if (end->end != FLOW_END_DONE ||
+	    !state_flow_task_find(flows->control->state, end->task, &flow,
+				  &change.task) ||
+	    !state_flow_may_be_done(flow, change.task, end->run, vm->name))
+		return;
+	TEXT_SET(change.id, flow->record.id);
+	change.run = end->run;
+	change.end = end->end;
+	TEXT_SET(change.vm, vm->name);
+	control_flow_propose(flows, &change);
+}
+
 static void flow_take_ends(struct control_flow *flows, struct flow_vm *vm,
 			   const struct flow_report *report)
 {
@@ -131,6 +164,8 @@
 		if (soft && soft->run == end->run && soft->vm == vm)
 			control_flow_end(flows, soft, end->end,
 					 end->checkpoint);
+		else
+			flow_take_done(flows, vm, end);
 	}
 }
 
