--- a/src/core/agent/runner.h
+++ b/src/core/agent/runner.h
@@ -35,13 +35,17 @@
 /**
  * A worker described itself. @a seq orders the calls of one life. Returns
  * RESULT_OK, or RESULT_STALE for a call that was overtaken by a later one or
- * by a later life; it changes nothing.
+ * by a later life; nothing but "draining" counts then. A life that isn't the
+ * present one, and an address that is new, are used once they have answered.
  */
 enum result runner_heartbeat(struct runner *runner,
 			     const struct worker_life *life,
 			     const char *address, uint64_t seq);
 
-/** The life of the worker ends; @a born_ms is 0 if it isn't told. */
+/**
+ * The life of the worker ends; @a born_ms is 0 if it isn't told. It is draining
+ * at once, and ended when it is seen to be gone.
+ */
 void runner_deregister(struct runner *runner, const char *id, uint64_t born_ms);
 
 /** Answers a call; @a reply is borrowed. */
--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -13,6 +13,7 @@
 #include "suite.h"
 
 #define SEEDS 24
+#define ODD_SEED 1000000
 #define FAULTS_MS 20000
 #define SETTLE_MS 60000
 #define FLOWS_MAX 16
@@ -28,6 +29,7 @@
 struct play {
 	struct flow_world *fw;
 	GRand *rand;
+	GRand *odd; /* of odd reports, NULL: there are none */
 	uint32_t nr_kinds; /* of faults; with freezes, starts wait as well */
 	uint64_t born_ms[FLOW_WORLD_VMS]; /* of a life before the present one */
 	bool control_frozen[WORLD_MAX_CONTROLS];
@@ -196,6 +198,18 @@
 	}
 }
 
+/* From numbers of its own, so that the seed's other faults stay the same. */
+static void odd_report(struct play *play)
+{
+	struct fw_vm *vm =
+		&play->fw->vms[g_rand_int_range(play->odd, 0, FLOW_WORLD_VMS)];
+	enum fw_odd odd =
+		(enum fw_odd)g_rand_int_range(play->odd, 0, FW_ODD_KINDS);
+
+	if (vm->runner && g_rand_int_range(play->odd, 0, 2))
+		fw_odd_report(vm, odd);
+}
+
 static void heal(struct play *play)
 {
 	struct flow_world *fw = play->fw;
@@ -235,7 +249,7 @@
 	return nr;
 }
 
-static void play_seed(uint32_t seed, uint32_t nr_kinds, bool verbose)
+static void play_seed(uint32_t seed, uint32_t nr_kinds, bool odd, bool verbose)
 {
 	struct play play = { .rand = g_rand_new_with_seed(seed),
 			     .nr_kinds = nr_kinds };
@@ -243,6 +257,8 @@
 	uint64_t end_us = vhost_now_us(fw->base->vhost) + FAULTS_MS * 1000ull;
 
 	play.fw = fw;
+	if (odd)
+		play.odd = g_rand_new_with_seed(seed + ODD_SEED);
 	fw->lasting = LASTING;
 	if (nr_kinds == KINDS_WITH_FREEZES) {
 		fw->tail_ms = NO_ROOM_TAIL_MS;
@@ -262,6 +278,8 @@
 			play.nr_flows++;
 		}
 		fault(&play);
+		if (odd)
+			odd_report(&play);
 		flow_world_run_ms(fw, 50 + below(&play, 900));
 	}
 	heal(&play);
@@ -276,6 +294,8 @@
 	ck_assert_msg(lasting_runs(fw) == LASTING_TASKS,
 		      "seed %u: %u lasting tasks run", seed, lasting_runs(fw));
 	g_rand_free(play.rand);
+	if (odd)
+		g_rand_free(play.odd);
 	flow_world_free(fw);
 }
 
@@ -304,26 +324,29 @@
 START_TEST(test_failed_seeds)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(regressions); i++)
-		play_seed(regressions[i], KINDS_WITHOUT_FREEZES, false);
+		play_seed(regressions[i], KINDS_WITHOUT_FREEZES, false, false);
 	for (size_t i = 0; i < G_N_ELEMENTS(freeze_regressions); i++)
-		play_seed(freeze_regressions[i], KINDS_WITH_FREEZES, false);
+		play_seed(freeze_regressions[i], KINDS_WITH_FREEZES, false,
+			  false);
 }
 END_TEST
 
-static void play_seeds(uint32_t nr_kinds)
+/* Plays as many seeds as the environment says, or the usual ones. */
+static void play_seeds(uint32_t nr_kinds, bool odd)
 {
 	const char *one = getenv("FLOW_RANDOM_SEED");
 	const char *nr = getenv("FLOW_RANDOM_SEEDS");
 	uint32_t nr_seeds = nr ? (uint32_t)strtoul(nr, NULL, 10) : SEEDS;
 
 	if (one) {
-		play_seed((uint32_t)strtoul(one, NULL, 10), nr_kinds, true);
+		play_seed((uint32_t)strtoul(one, NULL, 10), nr_kinds, odd,
+			  true);
 		return;
 	}
 	for (uint32_t seed = 1; seed <= nr_seeds; seed++) {
 		if (nr)
 			g_printerr("seed %u\n", seed);
-		play_seed(seed, nr_kinds, false);
+		play_seed(seed, nr_kinds, odd, false);
 	}
 }
 
@@ -333,7 +356,7 @@
  */
 START_TEST(test_random_faults)
 {
-	play_seeds(KINDS_WITHOUT_FREEZES);
+	play_seeds(KINDS_WITHOUT_FREEZES, false);
 }
 END_TEST
 
@@ -343,9 +366,16 @@
  */
 START_TEST(test_random_freezes)
 {
-	play_seeds(KINDS_WITH_FREEZES);
+	play_seeds(KINDS_WITH_FREEZES, false);
+}
+END_TEST
+
+/* Guards against the same where another writer sends reports to the agents. */
+START_TEST(test_random_odd_reports)
+{
+	play_seeds(KINDS_WITHOUT_FREEZES, true);
 }
 END_TEST
 
 SUITE_MAIN("flow_random", test_failed_seeds, test_random_faults,
-	   test_random_freezes)
+	   test_random_freezes, test_random_odd_reports)
