Drop the orders that wait for an agent that was replaced

What callers saw: TWICE in the tests' world (test_held_order_for_next_agent, "hh.0.0.0 runs at side1 already"). Cause: an order says when it is queued whether another agent may have had it, and goes to the agent that the VM has when it is sent. While the leader may not grant, orders wait, and the agent may be replaced in between. The next agent refused the order without a stop, so the leader took a run that the earlier agent had started for one that never started. Why it works: as with a new life, the queue of the VM is emptied; the next report shows what is missing, and the order is given anew with what is known then.

--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -404,6 +404,8 @@
 	}
 	if (vm->node_id && vm->node_id != from) {
 		flow_raise_fence(vm);
+		/* They don't say that the earlier agent may have had them. */
+		g_hash_table_remove(flows->orders, vm->name);
 		vm->earlier_ids[vm->nr_earlier++ % FLOW_EARLIER_IDS] =
 			vm->node_id;
 	}
--- a/tests/test_flow_freeze.c
+++ b/tests/test_flow_freeze.c
@@ -136,5 +136,55 @@
 }
 END_TEST
 
+/*
+ * Guards against "never started" for a run that an earlier agent has started:
+ * the leader repeats an order to that agent while it may not grant, and sends
+ * it to the next agent without saying that another one may have had it.
+ */
+START_TEST(test_held_order_for_next_agent)
+{
+	struct flow_step step = step_of(1, "f");
+
+	step.estimate_ms = 4000;
+	for (uint64_t seed = 1; seed <= 8; seed++) {
+		struct flow_world *fw = flow_world_new(seed);
+		uint64_t before[FLOW_WORLD_VMS] = { 0 };
+		struct world_control *host;
+		struct fw_vm *vm;
+
+		fw->run_ms = 4000;
+		flow_world_run_ms(fw, 2000);
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+			fw_freeze_agent(&fw->vms[i], true);
+		flow_world_submit(fw, "hh", &step, 1);
+		flow_world_run_ms(fw, 1600);
+		host = world_leader_host(fw->base);
+		ck_assert_ptr_nonnull(host);
+		vhost_pause(host->machine, true);
+		/* The agents report, then read the order of the start. */
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+			fw_freeze_agent(&fw->vms[i], false);
+		flow_world_run_ms(fw, 20);
+		vm = fw_that_starts(fw, before);
+		ck_assert_ptr_nonnull(vm);
+		ck_assert_uint_eq(fw_running(fw), 1);
+		fw_kill_agent(vm);
+		fw_boot_agent(vm);
+		flow_world_run_ms(fw, 400);
+		fw_beat(vm, vm->worker.born_ms, ++vm->worker.seq);
+		flow_world_run_ms(fw, 40 + seed % 10 * 10);
+		/* The next agent's first look is lost on its way. */
+		vm->lose_ppm = 1000000;
+		vhost_pause(host->machine, false);
+		flow_world_run_ms(fw, 100);
+		vm->lose_ppm = 0;
+		flow_world_run_ms(fw, 8000);
+		ck_assert_uint_eq(fw->nr_starts, 1);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 SUITE_MAIN("flow_freeze", test_order_of_lost_vm_is_void,
-	   test_done_of_lost_vm_counts, test_unanswered_start_of_dark_agent)
+	   test_done_of_lost_vm_counts, test_unanswered_start_of_dark_agent,
+	   test_held_order_for_next_agent)
