Stop a repeated order of an earlier life before it is refused

What callers saw: a run that was said never to have started could still start (a false refusal in the tests; the stop that the leader sends 14 ms later barred it there). Cause: an agent refused each order of a life that is over, also where an earlier agent may have called the start, which a later life under the same identity carries out late. Why it works: such a run is stopped at the present life first, as a run without an answer is; the next look shows that it isn't there. Evidence: found by review; test_repeated_order_of_earlier_life failed before (refused at once, no stop).

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -181,6 +181,31 @@
 	runner_stop(runner, run);
 }
 
+/*
+ * An order of a life that is over. An earlier agent may have called the start,
+ * and a later life under the same identity may still carry it out, so it is
+ * stopped there before it is refused.
+ */
+static void runner_on_earlier_life(struct runner *runner, const char *worker,
+				   const struct flow_order *order)
+{
+	struct runner_run *run = runner_find(runner, order->task, order->run);
+
+	bool other = !run && g_hash_table_contains(runner->runs, order->task);
+
+	if (!order->repeated || other || !runner_has_worker(runner) ||
+	    strcmp(runner->worker.id, worker) != 0) {
+		runner_refuse(runner, order->task, order->run,
+			      RESULT_OTHER_LIFE);
+		return;
+	}
+	if (!run)
+		run = runner_add(runner, order->task, order->run,
+				 RUNNER_UNSURE);
+	run->ordered = true;
+	runner_stop(runner, run);
+}
+
 static void runner_on_orders(struct runner *runner,
 			     const struct flow_orders *orders)
 {
@@ -197,8 +222,7 @@
 		const struct flow_order *order = &orders->orders[i];
 
 		if (!life)
-			runner_refuse(runner, order->task, order->run,
-				      RESULT_OTHER_LIFE);
+			runner_on_earlier_life(runner, orders->worker, order);
 		else if (order->action == FLOW_START)
 			runner_on_start(runner, order);
 		else
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -1545,6 +1545,31 @@
 }
 END_TEST
 
+/*
+ * Guards against "never started" for a run that an earlier agent has called at
+ * an earlier life: a later life under the same identity may carry the start out
+ * late, so it is stopped there first.
+ */
+START_TEST(test_repeated_order_of_earlier_life)
+{
+	struct exec_reply list = { .verdict = EXEC_DONE, .clock_ms = 100 };
+	struct bench *bench = bench_ready(true);
+
+	bench_beat(bench, 2, 1, false);
+	list.born_ms = 2;
+	while (bench_answer(bench, EXEC_HOLD, &list, NULL) &&
+	       !bench->report.looked)
+		bench_run_ms(bench, 20);
+	bench->repeated = true;
+	bench_order(bench, FLOW_START, 1, false, 0);
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->nr_starts, 0);
+	ck_assert_uint_eq(bench->refused->len, 0);
+	ck_assert_uint_eq(bench->nr_stops, 1);
+	bench_free(bench);
+}
+END_TEST
+
 SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
 	   test_unanswered_start, test_deadline_on_slow_clock,
 	   test_call_without_end, test_one_look_without_answer,
@@ -1563,4 +1588,4 @@
 	   test_start_by_other_life, test_ends_are_kept,
 	   test_cursor_after_silence, test_pace, test_start_waits_for_room,
 	   test_void_start_waits_for_room, test_void_start_waits_for_calls,
-	   test_void_order_comes_late)
+	   test_void_order_comes_late, test_repeated_order_of_earlier_life)
