Split the tests of an agent's runner by what they look at

Change: the bench that plays leader and worker is runner_bench; lives and reports stand in test_runner_life.c, waiting starts and paces in test_runner_start.c.

--- /dev/null
+++ b/tests/test_runner_start.c
@@ -0,0 +1,196 @@
+/**
+ * @file test_runner_start.c
+ * Starts that wait in the agent, and the pace of fillers.
+ */
+
+#include <string.h>
+
+#include "runner_bench.h"
+#include "suite.h"
+
+static void bench_list(struct bench *bench, uint32_t tail_ms)
+{
+	struct flow_run runs[2] = { { .run = 1 }, { .run = 1 } };
+	struct exec_reply list = bench_done;
+
+	TEXT_SET(runs[0].task, "ss.0.0.0");
+	runs[0].figure = tail_ms;
+	TEXT_SET(runs[1].task, TASK);
+	list.nr_runs = 2;
+	list.runs = runs;
+	bench_answer(bench, EXEC_HOLD, &list, NULL);
+}
+
+static void bench_figures(struct bench *bench, uint32_t tail_ms)
+{
+	bench_run_ms(bench, 500);
+	bench_grant(bench, 0);
+	bench_list(bench, tail_ms);
+}
+
+static uint32_t bench_pace(struct bench *bench)
+{
+	struct bench_call call = { 0 };
+	uint32_t percent = UINT32_MAX;
+
+	while (bench_answer(bench, EXEC_PACE, &bench_done, &call))
+		percent = call.percent;
+	return percent;
+}
+
+/* Guards against fillers that work on while a neighbour is over its target. */
+START_TEST(test_pace)
+{
+	struct bench *bench = bench_ready(true);
+	uint32_t percent = 100;
+
+	bench_order(bench, FLOW_START, 1, false, 100);
+	bench_answer(bench, EXEC_START, &bench_done, NULL);
+	bench_order(bench, FLOW_START, 1, true, 0);
+	bench_answer(bench, EXEC_START, &bench_done, NULL);
+	/* 2 s over the target: nothing may be left of the pace. */
+	for (uint32_t i = 0; i < 5; i++) {
+		uint32_t next;
+
+		bench_figures(bench, 150);
+		next = bench_pace(bench);
+		percent = next == UINT32_MAX ? percent : next;
+	}
+	ck_assert_uint_eq(percent, 0);
+	for (uint32_t i = 0; i < 40; i++) {
+		uint32_t next;
+
+		bench_figures(bench, 40);
+		next = bench_pace(bench);
+		percent = next == UINT32_MAX ? percent : next;
+	}
+	ck_assert_uint_eq(percent, 100);
+	bench_free(bench);
+}
+END_TEST
+
+/* Orders the start of a filler that takes the whole VM. */
+static void bench_order_filler(struct bench *bench, const char *task)
+{
+	struct flow_order order = { .action = FLOW_START, .run = 1 };
+	struct flow_orders orders = { .term = 4, .born_ms = 1, .nr_orders = 1 };
+
+	TEXT_SET(order.task, task);
+	TEXT_SET(order.image, "f");
+	order.filler = true;
+	order.cpu_millis = 1;
+	order.fence = bench->fence;
+	TEXT_SET(orders.worker, "w");
+	orders.orders = &order;
+	bench_message(bench, MSG_FLOW_ORDERS, &orders);
+}
+
+/*
+ * Guards against a start at full pace beside others that press the same serving
+ * task: they are slowed first, and the start waits 400 ms at most.
+ */
+START_TEST(test_start_waits_for_room)
+{
+	struct bench *bench = bench_ready(true);
+	uint32_t starts;
+
+	bench_order(bench, FLOW_START, 1, false, 100);
+	bench_answer(bench, EXEC_START, &bench_done, NULL);
+	bench_order_filler(bench, TASK);
+	bench_run_ms(bench, 500);
+	bench_answer(bench, EXEC_START, &bench_done, NULL);
+	for (uint32_t i = 0; i < 3; i++) {
+		bench_figures(bench, 30);
+		bench_pace(bench);
+	}
+	starts = bench->nr_starts;
+	bench_order_filler(bench, "bb.0.0.0");
+	ck_assert_uint_eq(bench->nr_starts, starts);
+	ck_assert_uint_eq(bench_pace(bench), 0);
+	/* New figures don't give that room back before the start. */
+	bench_run_ms(bench, 200);
+	bench_list(bench, 30);
+	ck_assert_uint_eq(bench_pace(bench), UINT32_MAX);
+	ck_assert_uint_eq(bench->nr_starts, starts);
+	bench_run_ms(bench, 300);
+	ck_assert_uint_eq(bench->nr_starts, starts + 1);
+	bench_free(bench);
+}
+END_TEST
+
+/* Runs 9 s without the agent; the leader has given up its VM meanwhile. */
+static void bench_freeze(struct bench *bench)
+{
+	bench->now_us += 9000000;
+	bench->fence++;
+	bench_grant(bench, 0);
+	bench_run_ms(bench, 1000);
+}
+
+/*
+ * Guards against a start that waits for room, is given up by the leader, and
+ * starts under the next lease (issue 20, TWICE).
+ */
+START_TEST(test_void_start_waits_for_room)
+{
+	struct bench *bench = bench_ready(true);
+	uint32_t starts;
+
+	bench_order(bench, FLOW_START, 1, false, 100);
+	bench_answer(bench, EXEC_START, &bench_done, NULL);
+	bench_order_filler(bench, TASK);
+	bench_run_ms(bench, 500);
+	bench_answer(bench, EXEC_START, &bench_done, NULL);
+	for (uint32_t i = 0; i < 3; i++) {
+		bench_figures(bench, 30);
+		bench_pace(bench);
+	}
+	starts = bench->nr_starts;
+	bench_order_filler(bench, "bb.0.0.0");
+	ck_assert_uint_eq(bench->nr_starts, starts);
+	bench_freeze(bench);
+	ck_assert_uint_eq(bench->nr_starts, starts);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	bench_free(bench);
+}
+END_TEST
+
+/* Guards against the same with a start that waits for a free call. */
+START_TEST(test_void_start_waits_for_calls)
+{
+	struct bench *bench = bench_ready(true);
+
+	bench_run_ms(bench, 20);
+	bench_order_many(bench, FLOW_START, 200);
+	ck_assert_uint_eq(bench->nr_starts, RUNNER_CALLS_MAX);
+	bench_freeze(bench);
+	while (bench_answer(bench, EXEC_STOP, &bench_done, NULL))
+		bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->nr_starts, RUNNER_CALLS_MAX);
+	ck_assert_uint_eq(bench->refused->len, 200 - RUNNER_CALLS_MAX);
+	bench_free(bench);
+}
+END_TEST
+
+/* Guards against the same with an order that is read after the next lease. */
+START_TEST(test_void_order_comes_late)
+{
+	struct bench *bench = bench_ready(true);
+
+	bench_freeze(bench);
+	bench->fence--;
+	bench_order(bench, FLOW_START, 1, false, 0);
+	bench_run_ms(bench, 20);
+	ck_assert_uint_eq(bench->nr_starts, 0);
+	ck_assert_uint_eq(bench->refused->len, 1);
+	/* The leader's next order may start. */
+	bench->fence++;
+	bench_order(bench, FLOW_START, 2, false, 0);
+	ck_assert_uint_eq(bench->nr_starts, 1);
+	bench_free(bench);
+}
+END_TEST
+
+SUITE_MAIN("runner_start", test_pace, test_start_waits_for_room,
+	   test_void_start_waits_for_room, test_void_start_waits_for_calls,
+	   test_void_order_comes_late)
