--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -190,7 +190,6 @@
 				   const struct flow_order *order)
 {
 	struct runner_run *run = runner_find(runner, order->task, order->run);
-
 	bool other = !run && g_hash_table_contains(runner->runs, order->task);
 
 	if (!order->repeated || other || !runner_has_worker(runner) ||
