Count the times of a worker's calls from their sending

What callers saw: a task of our own jobs at two VMs (tests' world): its start lay unread while its VM stood still, and was carried out after control had declared the VM lost and placed the task elsewhere. A start that was taken late had a lease beyond the VM's. Cause: lease_ms and start_within_ms counted from a call's arrival. Change: both calls tell sent_us, the time since the VM's boot, which agent and worker on one VM read alike; without it the times count from the arrival, as before. The stand-in and the tests' world follow the interface. Why it works: whatever holds a call up, its permit and lease end when those of the agent end, by which time control has waited. Evidence: found by review; test_start_of_suspended_vm and test_slow_start_of_dark_agent failed before.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -5049,7 +5049,7 @@
   (ProtobufCMessageInit) masticreach__grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__platform_start__field_descriptors[11] =
+static const ProtobufCFieldDescriptor masticreach__platform_start__field_descriptors[12] =
 {
   {
     "task_id",
@@ -5183,6 +5183,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__PlatformStart, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__platform_start__field_indices_by_name[] = {
   7,   /* field[7] = accelerators */
@@ -5194,13 +5206,14 @@
   9,   /* field[9] = lease_ms */
   6,   /* field[6] = memory_mib */
   4,   /* field[4] = payload */
+  11,   /* field[11] = sent_us */
   10,   /* field[10] = start_within_ms */
   0,   /* field[0] = task_id */
 };
 static const ProtobufCIntRange masticreach__platform_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor masticreach__platform_start__descriptor =
 {
@@ -5210,7 +5223,7 @@
   "Masticreach__PlatformStart",
   "masticreach",
   sizeof(Masticreach__PlatformStart),
-  11,
+  12,
   masticreach__platform_start__field_descriptors,
   masticreach__platform_start__field_indices_by_name,
   1,  masticreach__platform_start__number_ranges,
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -342,10 +342,11 @@
   char *checkpoint;
   uint32_t lease_ms;
   uint32_t start_within_ms;
+  uint64_t sent_us;
 };
 #define MASTICREACH__PLATFORM_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__platform_start__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Masticreach__TaskOrder
--- a/src/core/agent/agent_task.c
+++ b/src/core/agent/agent_task.c
@@ -273,6 +273,7 @@
 	start.lease_ms = lease_left_ms(&tasks->lease, tasks->node->now_us);
 	start.start_within_ms = permit_left_ms(
 		&tasks->permit, order->permit_sent_us, tasks->node->now_us);
+	start.sent_us = tasks->node->now_us;
 	worker_start(tasks->worker, &start);
 	counter_add(tasks->node->counters, "task_starts", 1);
 	return RESULT_OK;
--- a/src/core/agent/worker.c
+++ b/src/core/agent/worker.c
@@ -402,6 +402,7 @@
 	struct platform_lease lease = { 0 };
 
 	lease.lease_ms = lease_ms;
+	lease.sent_us = worker->node->now_us;
 	lease.nr_tasks = nr_items;
 	lease.tasks = (struct platform_lease_item *)items;
 	if (nr_items && lease_ms)
--- a/src/core/base/platform.h
+++ b/src/core/base/platform.h
@@ -34,6 +34,9 @@
 	char checkpoint[NAME_BYTES]; /* to resume from, "" for a fresh start */
 	uint32_t lease_ms; /* time left when the call is sent */
 	uint32_t start_within_ms; /* start permit; a later start is refused */
+	/** VM's clock since its boot, from which both times count; 0: arrival.
+	 */
+	uint64_t sent_us;
 };
 
 /** POST /v1/tasks/stop */
@@ -60,11 +63,12 @@
 	uint64_t epoch;
 };
 
-/** POST /v1/leases: extends leases to lease_ms from now. */
+/** POST /v1/leases: extends leases to lease_ms from sent_us. */
 struct platform_lease {
 	uint32_t lease_ms;
 	uint32_t nr_tasks;
 	struct platform_lease_item *tasks;
+	uint64_t sent_us; /* as in struct platform_start */
 };
 
 /** GET /v1/tasks */
--- a/src/core/base/schema_platform.c
+++ b/src/core/base/schema_platform.c
@@ -13,6 +13,7 @@
 	F_STRING(platform_start, checkpoint),
 	F_U32(platform_start, lease_ms),
 	F_U32(platform_start, start_within_ms),
+	F_U64(platform_start, sent_us),
 };
 SCHEMA(platform_start_schema, "PlatformStart", platform_start, start_fields);
 
@@ -47,6 +48,7 @@
 static const struct field lease_fields[] = {
 	F_U32(platform_lease, lease_ms),
 	F_MANY(platform_lease, tasks, lease_item_schema),
+	F_U64(platform_lease, sent_us),
 };
 static SCHEMA(lease_schema, "PlatformLease", platform_lease, lease_fields);
 
--- a/tests/control_world.c
+++ b/tests/control_world.c
@@ -298,10 +298,11 @@
 
 static void worker_start_call(struct world_vm *vm,
 			      const struct platform_start *start,
-			      uint64_t sent_us, struct platform_reply *reply)
+			      struct platform_reply *reply)
 {
 	struct world *world = vm->world;
 	uint64_t now_us = worker_now_us(vm);
+	uint64_t sent_us = start->sent_us ? start->sent_us : now_us;
 	struct world_run *run = g_hash_table_lookup(vm->runs, &start->task_id);
 	const uint64_t *work_us =
 		g_hash_table_lookup(world->work, start->checkpoint);
@@ -379,7 +380,8 @@
 static void worker_lease_call(struct world_vm *vm,
 			      const struct platform_lease *lease)
 {
-	uint64_t until_us = worker_now_us(vm) + lease->lease_ms * 1000ull;
+	uint64_t sent_us = lease->sent_us ? lease->sent_us : worker_now_us(vm);
+	uint64_t until_us = sent_us + lease->lease_ms * 1000ull;
 
 	for (uint32_t i = 0; i < lease->nr_tasks; i++) {
 		struct world_run *run = worker_find(vm, lease->tasks[i].task_id,
@@ -475,10 +477,7 @@
 	call->reply = schema_alloc(call->reply_type);
 	switch (call->call.type) {
 	case PLATFORM_START:
-		worker_start_call(vm, body,
-				  vm->counts_from_arrival ? worker_now_us(vm) :
-							    call->sent_us,
-				  call->reply);
+		worker_start_call(vm, body, call->reply);
 		break;
 	case PLATFORM_STOP:
 		worker_stop_call(vm, body);
--- a/tests/control_world.h
+++ b/tests/control_world.h
@@ -60,9 +60,6 @@
 	GHashTable *runs; /* task_id -> struct world_run * */
 	uint64_t call_delay_us;
 	uint64_t start_delay_us; /* added to a start call */
-	/* Times left count from a call's arrival, as docs/interfaces.md says.
-	 */
-	bool counts_from_arrival;
 	uint32_t lose_reply_ppm; /* calls whose outcome stays unknown */
 	bool lose_starts; /* no start arrives, its outcome is unknown */
 	bool fail_starts; /* fails every task right after its start */
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -17,6 +17,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "json.h"
 #include "platform.h"
@@ -107,6 +108,23 @@
 
 /* ---- worker ---- */
 
+/* The clock that the agent reads; it goes on while the VM stands still. */
+static gint64 boot_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (gint64)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+/* Returns where the times of a call count from, on our monotonic clock. */
+static gint64 call_sent_us(uint64_t sent_us)
+{
+	gint64 age_us = sent_us ? boot_us() - (gint64)sent_us : 0;
+
+	return g_get_monotonic_time() - MAX(age_us, 0);
+}
+
 static void work_count(struct work *work)
 {
 	gint64 now_us = g_get_monotonic_time();
@@ -178,6 +196,7 @@
 	struct work *work =
 		g_hash_table_lookup(standin->tasks, &start->task_id);
 	gint64 now_us = g_get_monotonic_time();
+	gint64 sent_us = call_sent_us(start->sent_us);
 
 	if (work && work->start.epoch == start->epoch)
 		return RESULT_OK;
@@ -185,7 +204,7 @@
 		return RESULT_STALE;
 	if (work && work->run == TASK_RUN_RUNNING)
 		return RESULT_CONFLICT;
-	if (!start->start_within_ms)
+	if (now_us >= sent_us + (gint64)start->start_within_ms * 1000)
 		return RESULT_NO_PERMIT;
 	work = g_new0(struct work, 1);
 	work->standin = standin;
@@ -201,7 +220,7 @@
 	work->progress_ppm = work->first_ppm;
 	work->speed_ppm = PROGRESS_FULL_PPM;
 	work->began_us = work->counted_us = now_us;
-	work->lease_end_us = now_us + (gint64)start->lease_ms * 1000;
+	work->lease_end_us = sent_us + (gint64)start->lease_ms * 1000;
 	g_hash_table_replace(standin->tasks,
 			     g_memdup2(&start->task_id, sizeof(uint64_t)),
 			     work);
@@ -268,7 +287,8 @@
 				const struct platform_lease *lease,
 				struct platform_reply *reply)
 {
-	gint64 end_us = g_get_monotonic_time() + (gint64)lease->lease_ms * 1000;
+	gint64 end_us =
+		call_sent_us(lease->sent_us) + (gint64)lease->lease_ms * 1000;
 
 	for (uint32_t i = 0; i < lease->nr_tasks; i++) {
 		struct work *work = work_find(standin, lease->tasks[i].task_id,
--- a/tests/test_suspended.c
+++ b/tests/test_suspended.c
@@ -23,8 +23,7 @@
 
 /*
  * Guards against a start that outlives its permit and lease: the VM stands
- * still, is declared lost, and its worker reads the call of before, whose times
- * left count from its arrival.
+ * still, is declared lost, and its worker reads the call of before.
  */
 START_TEST(test_start_of_suspended_vm)
 {
@@ -33,7 +32,6 @@
 
 	vhost_run_ms(world->vhost, 2000);
 	for (uint32_t i = 0; i < world->nr_vms; i++) {
-		world->vms[i].counts_from_arrival = true;
 		world->vms[i].start_delay_us = 20000;
 	}
 	world_submit(world, "job1", 1, 60000);
@@ -67,7 +65,6 @@
 
 	vhost_run_ms(world->vhost, 2000);
 	for (uint32_t i = 0; i < world->nr_vms; i++) {
-		world->vms[i].counts_from_arrival = true;
 		/* Below the time limit of a call to the worker, 2 s. */
 		world->vms[i].start_delay_us = 1400000;
 	}
