--- a/src/daemon/host_agent.c
+++ b/src/daemon/host_agent.c
@@ -222,20 +222,6 @@
 	.platform_call = host_agent_platform_call,
 };
 
-static void host_agent_log_refused(struct host_agent *host,
-				   const struct http_request *request,
-				   enum result res, const char *error)
-{
-	GString *line = logline_new("call-refused");
-
-	logline_str(line, "method", request->method);
-	logline_str(line, "path", request->path);
-	logline_u64(line, "body_bytes", request->body_bytes);
-	logline_str(line, "result", result_name(res));
-	logline_str(line, "fault", error);
-	node_log(loop_node(host->loop), line);
-}
-
 static void host_agent_announce(struct host_agent *host,
 				struct http_request *request, const char *id)
 {
@@ -269,7 +255,7 @@
 	if (res == RESULT_OK) {
 		http_respond(request, SOUP_STATUS_NO_CONTENT, NULL, NULL);
 	} else {
-		host_agent_log_refused(host, request, res, error);
+		role_host_log_refused(host->loop, request, res, error);
 		http_respond_problem(request, res, RUN_NOT_RUN, error);
 	}
 	record_unref((struct record){ PLATFORM_ANNOUNCE, announce });
--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -242,20 +242,6 @@
 	control_operate(host->control, ticket, type, body);
 }
 
-static void host_control_log_refused(struct host_control *host,
-				     const struct http_request *request,
-				     enum result res, const char *error)
-{
-	GString *line = logline_new("call-refused");
-
-	logline_str(line, "method", request->method);
-	logline_str(line, "path", request->path);
-	logline_u64(line, "body_bytes", request->body_bytes);
-	logline_str(line, "result", result_name(res));
-	logline_str(line, "fault", error ? error : "");
-	node_log(loop_node(host->loop), line);
-}
-
 static void host_control_operate(struct host_control *host,
 				 const struct route *route, const char *segment,
 				 struct http_request *request)
@@ -270,7 +256,7 @@
 	if (res == RESULT_OK) {
 		host_control_ask(host, request->ticket, route->type, body);
 	} else {
-		host_control_log_refused(host, request, res, error);
+		role_host_log_refused(host->loop, request, res, error);
 		host_control_refuse(request, res, error);
 	}
 	record_unref((struct record){ route->type, body });
--- a/src/daemon/role_host.c
+++ b/src/daemon/role_host.c
@@ -1,6 +1,7 @@
 #include "role_host.h"
 
 #include "log.h"
+#include "logline.h"
 
 #include <stdio.h>
 #include <sys/resource.h>
@@ -32,6 +33,20 @@
 	       (uint64_t)(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
 }
 
+void role_host_log_refused(struct loop *loop,
+			   const struct http_request *request, enum result res,
+			   const char *error)
+{
+	GString *line = logline_new("call-refused");
+
+	logline_str(line, "method", request->method);
+	logline_str(line, "path", request->path);
+	logline_u64(line, "body_bytes", request->body_bytes);
+	logline_str(line, "result", result_name(res));
+	logline_str(line, "fault", error ? error : "");
+	node_log(loop_node(loop), line);
+}
+
 void role_host_metrics(struct loop *loop, const struct http_server *server,
 		       GString *out)
 {
--- a/src/daemon/role_host.h
+++ b/src/daemon/role_host.h
@@ -42,6 +42,11 @@
 void role_host_metrics(struct loop *loop, const struct http_server *server,
 		       GString *out);
 
+/** Logs a call that is refused; @a error may be NULL. */
+void role_host_log_refused(struct loop *loop,
+			   const struct http_request *request, enum result res,
+			   const char *error);
+
 struct metrics_server;
 
 /** Serves the host's counters on an address of their own. */
--- a/tests/runner_bench.c
+++ b/tests/runner_bench.c
@@ -132,41 +132,40 @@
 	return bench_beat_of(bench, &life, BENCH_ADDRESS, seq);
 }
 
+/* Answers the call if it is of the kind. */
+static bool bench_answer_at(struct bench *bench, guint i,
+			    enum exec_call_kind kind,
+			    const struct exec_reply *reply,
+			    struct bench_call *taken)
+{
+	struct bench_call call =
+		g_array_index(bench->calls, struct bench_call, i);
+
+	if (call.kind != kind)
+		return false;
+	g_array_remove_index(bench->calls, i);
+	if (taken)
+		*taken = call;
+	node_set_time(bench->node, bench->now_us);
+	runner_call_done(bench->runner, call.nr, reply);
+	return true;
+}
+
 bool bench_answer(struct bench *bench, enum exec_call_kind kind,
 		  const struct exec_reply *reply, struct bench_call *taken)
 {
-	for (guint i = 0; i < bench->calls->len; i++) {
-		struct bench_call call =
-			g_array_index(bench->calls, struct bench_call, i);
-
-		if (call.kind != kind)
-			continue;
-		g_array_remove_index(bench->calls, i);
-		if (taken)
-			*taken = call;
-		node_set_time(bench->node, bench->now_us);
-		runner_call_done(bench->runner, call.nr, reply);
-		return true;
-	}
+	for (guint i = 0; i < bench->calls->len; i++)
+		if (bench_answer_at(bench, i, kind, reply, taken))
+			return true;
 	return false;
 }
 
 bool bench_answer_last(struct bench *bench, const struct exec_reply *reply,
 		       struct bench_call *taken)
 {
-	for (guint i = bench->calls->len; i-- > 0;) {
-		struct bench_call call =
-			g_array_index(bench->calls, struct bench_call, i);
-
-		if (call.kind != EXEC_HOLD)
-			continue;
-		g_array_remove_index(bench->calls, i);
-		if (taken)
-			*taken = call;
-		node_set_time(bench->node, bench->now_us);
-		runner_call_done(bench->runner, call.nr, reply);
-		return true;
-	}
+	for (guint i = bench->calls->len; i-- > 0;)
+		if (bench_answer_at(bench, i, EXEC_HOLD, reply, taken))
+			return true;
 	return false;
 }
 
--- a/tests/test_flow_late.c
+++ b/tests/test_flow_late.c
@@ -20,6 +20,27 @@
 	return step;
 }
 
+/* Returns a VM with one run, at which all calls of one second were lost. */
+static struct fw_vm *vm_with_late_look(uint64_t seed, const char *id)
+{
+	struct flow_world *fw = flow_world_new(seed);
+	struct flow_step step = step_of(1, "f");
+	uint64_t before[FLOW_WORLD_VMS] = { 0 };
+	struct fw_vm *vm;
+
+	step.estimate_ms = 30000;
+	fw->run_ms = 30000;
+	flow_world_submit(fw, id, &step, 1);
+	flow_world_run_ms(fw, 3000 + seed * 60);
+	vm = fw_that_starts(fw, before);
+	ck_assert_ptr_nonnull(vm);
+	vm->late_lease = true;
+	vm->lose_ppm = 1000000;
+	flow_world_run_ms(fw, 1000);
+	vm->lose_ppm = 0;
+	return vm;
+}
+
 /*
  * Guards against a run that goes on after the leader has placed its task
  * elsewhere: a look without an answer extends the lease late, and its agent
@@ -27,23 +48,10 @@
  */
 START_TEST(test_unanswered_look_of_dark_agent)
 {
-	struct flow_step step = step_of(1, "f");
-
-	step.estimate_ms = 30000;
 	for (uint64_t seed = 1; seed <= 16; seed++) {
-		struct flow_world *fw = flow_world_new(seed);
-		uint64_t before[FLOW_WORLD_VMS] = { 0 };
-		struct fw_vm *vm;
+		struct fw_vm *vm = vm_with_late_look(seed, "ll");
+		struct flow_world *fw = vm->world;
 
-		fw->run_ms = 30000;
-		flow_world_submit(fw, "ll", &step, 1);
-		flow_world_run_ms(fw, 3000 + seed * 60);
-		vm = fw_that_starts(fw, before);
-		ck_assert_ptr_nonnull(vm);
-		vm->late_lease = true;
-		vm->lose_ppm = 1000000;
-		flow_world_run_ms(fw, 1000);
-		vm->lose_ppm = 0;
 		flow_world_run_ms(fw, DARK_AFTER_MS);
 		fw_freeze_agent(vm, true);
 		flow_world_run_ms(fw, 12000);
@@ -59,23 +67,10 @@
  */
 START_TEST(test_late_extension_over_new_leader)
 {
-	struct flow_step step = step_of(1, "f");
-
-	step.estimate_ms = 30000;
 	for (uint64_t seed = 1; seed <= 32; seed++) {
-		struct flow_world *fw = flow_world_new(seed);
-		uint64_t before[FLOW_WORLD_VMS] = { 0 };
-		struct fw_vm *vm;
+		struct fw_vm *vm = vm_with_late_look(seed, "nn");
+		struct flow_world *fw = vm->world;
 
-		fw->run_ms = 30000;
-		flow_world_submit(fw, "nn", &step, 1);
-		flow_world_run_ms(fw, 3000 + seed * 60);
-		vm = fw_that_starts(fw, before);
-		ck_assert_ptr_nonnull(vm);
-		vm->late_lease = true;
-		vm->lose_ppm = 1000000;
-		flow_world_run_ms(fw, 1000);
-		vm->lose_ppm = 0;
 		/* The agent's reports tell of it by then. */
 		flow_world_run_ms(fw, 2500);
 		fw_freeze_agent(vm, true);
--- a/tests/test_runner_start.c
+++ b/tests/test_runner_start.c
@@ -85,11 +85,8 @@
 	bench_message(bench, MSG_FLOW_ORDERS, &orders);
 }
 
-/*
- * Guards against a start at full pace beside others that press the same serving
- * task: they are slowed first, and the start waits 400 ms at most.
- */
-START_TEST(test_start_waits_for_room)
+/* A start waits for room that a filler beside the same serving task has. */
+static struct bench *bench_waiting(void)
 {
 	struct bench *bench = bench_ready(true);
 	uint32_t starts;
@@ -106,6 +103,18 @@
 	starts = bench->nr_starts;
 	bench_order_filler(bench, "bb.0.0.0");
 	ck_assert_uint_eq(bench->nr_starts, starts);
+	return bench;
+}
+
+/*
+ * Guards against a start at full pace beside others that press the same serving
+ * task: they are slowed first, and the start waits 400 ms at most.
+ */
+START_TEST(test_start_waits_for_room)
+{
+	struct bench *bench = bench_waiting();
+	uint32_t starts = bench->nr_starts;
+
 	ck_assert_uint_eq(bench_pace(bench), 0);
 	/* New figures don't give that room back before the start. */
 	bench_run_ms(bench, 200);
@@ -133,21 +142,9 @@
  */
 START_TEST(test_void_start_waits_for_room)
 {
-	struct bench *bench = bench_ready(true);
-	uint32_t starts;
+	struct bench *bench = bench_waiting();
+	uint32_t starts = bench->nr_starts;
 
-	bench_order(bench, FLOW_START, 1, false, 100);
-	bench_answer(bench, EXEC_START, &bench_done, NULL);
-	bench_order_filler(bench, TASK);
-	bench_run_ms(bench, 500);
-	bench_answer(bench, EXEC_START, &bench_done, NULL);
-	for (uint32_t i = 0; i < 3; i++) {
-		bench_figures(bench, 30);
-		bench_pace(bench);
-	}
-	starts = bench->nr_starts;
-	bench_order_filler(bench, "bb.0.0.0");
-	ck_assert_uint_eq(bench->nr_starts, starts);
 	bench_freeze(bench);
 	ck_assert_uint_eq(bench->nr_starts, starts);
 	ck_assert_uint_eq(bench->refused->len, 1);
--- a/tests/test_suspended.c
+++ b/tests/test_suspended.c
@@ -11,7 +11,7 @@
 
 /* Returns the VM whose agent has called a start that hasn't arrived, or NULL.
  */
-static struct world_vm *vm_that_calls_start(struct world *world)
+static struct world_vm *vm_that_starts(struct world *world)
 {
 	for (uint32_t i = 0; i < world->nr_vms; i++)
 		if (!g_hash_table_size(world->vms[i].runs) &&
@@ -21,25 +21,33 @@
 	return NULL;
 }
 
-/*
- * Guards against a start that outlives its permit and lease: the VM stands
- * still, is declared lost, and its worker reads the call of before.
- */
-START_TEST(test_start_of_suspended_vm)
+/* Submits one task; returns the VM whose agent calls its start, so late. */
+static struct world_vm *start_slowly(struct world *world,
+				     uint64_t start_delay_us)
 {
-	struct world *world = world_new(31, 3, 3);
 	struct world_vm *vm = NULL;
 
 	vhost_run_ms(world->vhost, 2000);
-	for (uint32_t i = 0; i < world->nr_vms; i++) {
-		world->vms[i].start_delay_us = 20000;
-	}
+	for (uint32_t i = 0; i < world->nr_vms; i++)
+		world->vms[i].start_delay_us = start_delay_us;
 	world_submit(world, "job1", 1, 60000);
 	for (uint32_t i = 0; i < 1000 && !vm; i++) {
 		vhost_run_ms(world->vhost, 1);
-		vm = vm_that_calls_start(world);
+		vm = vm_that_starts(world);
 	}
 	ck_assert_ptr_nonnull(vm);
+	return vm;
+}
+
+/*
+ * Guards against a start that outlives its permit and lease: the VM stands
+ * still, is declared lost, and its worker reads the call of before.
+ */
+START_TEST(test_start_of_suspended_vm)
+{
+	struct world *world = world_new(31, 3, 3);
+	struct world_vm *vm = start_slowly(world, 20000);
+
 	vhost_pause(vm->machine, true);
 	vhost_pause(vm->worker, true);
 	/* The world asserts that no task runs twice. */
@@ -61,19 +69,9 @@
 START_TEST(test_slow_start_of_dark_agent)
 {
 	struct world *world = world_new(32, 3, 3);
-	struct world_vm *vm = NULL;
+	/* Below the time limit of a call to the worker, 2 s. */
+	struct world_vm *vm = start_slowly(world, 1400000);
 
-	vhost_run_ms(world->vhost, 2000);
-	for (uint32_t i = 0; i < world->nr_vms; i++) {
-		/* Below the time limit of a call to the worker, 2 s. */
-		world->vms[i].start_delay_us = 1400000;
-	}
-	world_submit(world, "job1", 1, 60000);
-	for (uint32_t i = 0; i < 1000 && !vm; i++) {
-		vhost_run_ms(world->vhost, 1);
-		vm = vm_that_calls_start(world);
-	}
-	ck_assert_ptr_nonnull(vm);
 	vhost_pause(vm->machine, true);
 	for (uint32_t i = 0; i < world->nr_vms; i++)
 		if (&world->vms[i] != vm)
