Freeze agents of real processes for longer than a lease

Cause: no test with real processes stopped an agent beyond its worker's lease. Change: platform-agents_frozen stops two of three agents for 8 s while the leader still places tasks there.

--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -213,6 +213,32 @@
 }
 END_TEST
 
+/*
+ * Guards against orders that agents read after their VMs were given up, and
+ * against tasks that run again though their ends are listed (issue 20, TWICE).
+ */
+START_TEST(test_agents_frozen)
+{
+	const uint32_t frozen_ms = 8000; /* beyond a lease and its margin */
+	struct testbed *tb = site_start(0);
+
+	for (uint32_t i = 1; i <= 3; i++)
+		platform_bed_submit(tb, i, 900);
+	tb_proc_signal(testbed_agent(tb, 0), SIGSTOP);
+	tb_proc_signal(testbed_agent(tb, 1), SIGSTOP);
+	/* Within 0.8 s the leader still places tasks there. */
+	for (uint32_t i = 4; i <= 6; i++)
+		platform_bed_submit(tb, i, 900);
+	testbed_wait_ms(frozen_ms);
+	tb_proc_signal(testbed_agent(tb, 0), SIGCONT);
+	tb_proc_signal(testbed_agent(tb, 1), SIGCONT);
+	for (uint32_t i = 1; i <= 6; i++)
+		platform_bed_wait(tb, i, "completed", 30000);
+	ck_assert_uint_eq(platform_bed_check(tb), 48);
+	testbed_free(tb);
+}
+END_TEST
+
 /* Guards against orders that are carried out long after their answer was due.
  */
 START_TEST(test_late_orders)
@@ -764,6 +790,7 @@
 		test_odd_deregistrations,
 		test_odd_rows,
 		test_agents_restarted,
+		test_agents_frozen,
 		test_late_orders,
 		test_worker_reborn,
 		test_power_lost,
