Take a worker's crash for no sign of late calls

What callers saw: nothing yet; the tasks of each VM that goes silent within 17 s of a worker's crash would have waited 17 s instead of 5.3 s. Cause: waits longer while agents tell of calls without an answer. The last look at a worker that crashes after a heartbeat is such a call. Why it works: an agent whose worker answers again had a call that was late or lost; one whose worker is silent has not. Evidence: test_crash_delays_no_other_vm failed before (vm-lost of the other VM didn't come within 6.5 s).

--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -417,11 +417,13 @@
 	vm->reachable = report->reachable;
 	vm->looked = report->looked && report->worker.id[0];
 	TEXT_SET(vm->zone, report->zone);
-	if (report->late_ms) {
+	if (report->late_ms)
 		vm->lapse_us = MAX(vm->lapse_us,
 				   vm->reported_us + report->late_ms * 1000ull);
+	/* A worker that answers again was there when it left a call; one that
+	 * doesn't may have crashed with it. */
+	if (report->late_ms && report->reachable)
 		flows->late_until_us = MAX(flows->late_until_us, vm->lapse_us);
-	}
 	counter_add(control->node->counters, "flow_reports", 1);
 	flow_take_life(flows, vm, report);
 	listed = flow_take_runs(flows, vm, report);
--- a/tests/test_flow_freeze.c
+++ b/tests/test_flow_freeze.c
@@ -185,6 +185,36 @@
 }
 END_TEST
 
+/*
+ * Guards against a wait of 17 s for the tasks of every silent VM after the
+ * crash of one worker, whose last look has no answer either.
+ */
+START_TEST(test_crash_delays_no_other_vm)
+{
+	struct flow_step step = step_of(FLOW_WORLD_VMS, "f");
+
+	step.max_per_vm = 1;
+	for (uint64_t seed = 1; seed <= 8; seed++) {
+		struct flow_world *fw = flow_world_new(seed);
+
+		fw->run_ms = 30000;
+		flow_world_submit(fw, "cc", &step, 1);
+		flow_world_run_ms(fw, 2000);
+		ck_assert_uint_eq(fw_running(fw), FLOW_WORLD_VMS);
+		/* Just after a heartbeat, while a look waits. */
+		flow_world_run_ms(fw, 1100 - vhost_now_us(fw->base->vhost) /
+						      1000 % 1000);
+		fw_crash_worker(&fw->vms[1]);
+		flow_world_run_ms(fw, 2500);
+		fw_freeze_agent(&fw->vms[0], true);
+		flow_world_run_ms(fw, 6500);
+		ck_assert(vhost_log_has(fw->base->vhost,
+					"*event=vm-lost vm=side0 *"));
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 SUITE_MAIN("flow_freeze", test_order_of_lost_vm_is_void,
 	   test_done_of_lost_vm_counts, test_unanswered_start_of_dark_agent,
-	   test_held_order_for_next_agent)
+	   test_held_order_for_next_agent, test_crash_delays_no_other_vm)
