Ignore SIGHUP until the loop reloads settings

Cause: the handler is installed when the loop runs; before, SIGHUP has its default action. Change: main() ignores the signal first. Settings that change meanwhile are seen by the loop's own look at the file. The time between exec and main() remains.

--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,5 +1,6 @@
 /** @file main.c Starts one process of masticreach. */
 
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/stat.h>
@@ -202,6 +203,9 @@
 	char *error = NULL;
 	enum result res;
 
+	/* The loop reloads changed settings; until it runs, a signal that says
+	 * so must not end the process. */
+	signal(SIGHUP, SIG_IGN);
 	res = settings_read(&settings, argc, argv, environ, &error);
 	if (res != RESULT_OK) {
 		fprintf(stderr, "masticreachd: %s\n", error);
--- a/tests/test_contract.c
+++ b/tests/test_contract.c
@@ -4,9 +4,15 @@
  * and checks exit codes of the daemon and the tool.
  */
 
+#include <fcntl.h>
+#include <gio/gio.h>
+#include <glib-unix.h>
+#include <glib/gstdio.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include "suite.h"
 #include "testbed.h"
@@ -553,12 +559,78 @@
 }
 END_TEST
 
+/* Fills a pipe, so that the next writer waits. */
+static void pipe_fill(int fd)
+{
+	static const char block[4096];
+
+	ck_assert_int_eq(fcntl(fd, F_SETFL, O_NONBLOCK), 0);
+	while (write(fd, block, sizeof(block)) > 0)
+		;
+	ck_assert_int_eq(fcntl(fd, F_SETFL, 0), 0);
+}
+
+static void pipe_drain(int fd)
+{
+	char block[4096];
+
+	while (read(fd, block, sizeof(block)) > 0)
+		;
+}
+
+/*
+ * Guards against a process that SIGHUP ends before its loop runs (soak, seed
+ * 636: "entry-1 ended by itself with code -1"). The process opens a pipe as its
+ * settings, and waits with the complaint about it until the signal was sent.
+ */
+START_TEST(test_reload_while_starting)
+{
+	char *folder = g_path_get_dirname(program);
+	char *daemon = g_build_filename(folder, "..", "masticreachd", NULL);
+	char *settings_dir = g_dir_make_tmp(NULL, NULL);
+	char *fifo = g_build_filename(settings_dir, "node.conf", NULL);
+	GSubprocessLauncher *launcher =
+		g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
+	GSubprocess *process;
+	int errors[2];
+
+	ck_assert_int_eq(mkfifo(fifo, 0600), 0);
+	ck_assert(g_unix_open_pipe(errors, FD_CLOEXEC, NULL));
+	pipe_fill(errors[1]);
+	g_subprocess_launcher_take_stderr_fd(launcher, errors[1]);
+	process = g_subprocess_launcher_spawn(launcher, NULL, daemon,
+					      "--node-file", fifo, NULL);
+	ck_assert_ptr_nonnull(process);
+	g_object_unref(launcher);
+	/* Returns when the process opens its settings. */
+	close(open(fifo, O_WRONLY));
+	g_subprocess_send_signal(process, SIGHUP);
+	testbed_wait_ms(100);
+	pipe_drain(errors[0]);
+	ck_assert(g_subprocess_wait(process, NULL, NULL));
+	ck_assert(g_subprocess_get_if_exited(process));
+	ck_assert_int_ne(g_subprocess_get_exit_status(process), 0);
+	g_object_unref(process);
+	close(errors[0]);
+	g_unlink(fifo);
+	g_rmdir(settings_dir);
+	g_free(fifo);
+	g_free(settings_dir);
+	g_free(daemon);
+	g_free(folder);
+}
+END_TEST
+
 int main(int argc, char **argv)
 {
 	const TTest *const tests[] = {
-		test_examples,	       test_resend_with_key,
-		test_tool_exit_codes,  test_nested_documents,
-		test_tool_odd_answers, test_processes_wait_and_end,
+		test_examples,
+		test_resend_with_key,
+		test_tool_exit_codes,
+		test_nested_documents,
+		test_tool_odd_answers,
+		test_processes_wait_and_end,
+		test_reload_while_starting,
 	};
 
 	program = argv[0];
