--- a/src/core/agent/agent.h
+++ b/src/core/agent/agent.h
@@ -51,6 +51,11 @@
 	bool connected; /* false: the request was never sent */
 	bool refused; /* no process listens there; the request wasn't sent */
 	bool complete; /* the whole response was read */
+	/**
+	 * The request was sent again because the reused connection failed; the
+	 * server may have received the first copy, too.
+	 */
+	bool resent;
 	uint32_t status; /* HTTP status code */
 	char content_type[KEY_BYTES];
 	GBytes *body; /* borrowed */
--- a/src/core/agent/runner_log.c
+++ b/src/core/agent/runner_log.c
@@ -95,6 +95,7 @@
 	if (reply->fault)
 		logline_str(line, "fault", reply->fault);
 	logline_u64(line, "call", call->call_nr);
+	logline_str(line, "resent", reply->resent ? "yes" : "no");
 	logline_u64(line, "took_ms", ms_since(runner, call->sent_us));
 	logline_u64(line, "lease_left_ms", runner_lease_left_ms(runner));
 	node_log(runner->node, line);
@@ -207,6 +208,9 @@
 	counter_inc_label2(counters, "worker_calls", "kind",
 			   call_names[call->kind], "outcome",
 			   verdict_names[reply->verdict]);
+	if (reply->resent)
+		counter_inc_label(counters, "calls_resent", "kind",
+				  call_names[call->kind]);
 	if (call->kind == EXEC_POLL)
 		runner_trace_poll(runner, reply);
 	if (reply->verdict == EXEC_REFUSED) {
@@ -217,6 +221,8 @@
 		runner_log_reply(runner, "call-unanswered", call, reply);
 	} else if (reply->fault) {
 		runner_log_reply(runner, "reply-unreadable", call, reply);
+	} else if (reply->resent) {
+		runner_log_reply(runner, "call-resent", call, reply);
 	}
 	if (call->extends_lease && reply_accepts_deadline(reply))
 		runner_trace_renewed(runner, call);
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -389,6 +389,11 @@
 	uint32_t nr_runs;
 	uint32_t nr_ends;
 	bool closed; /* EXEC_NOT_SENT: the connection was refused */
+	/*
+	 * The reply is to a second copy of the call, sent after the connection
+	 * of the first one had failed. The worker may carry out both.
+	 */
+	bool resent;
 	/*
 	 * EXEC_POLL: rows of the worker's lists that couldn't be parsed. A run
 	 * that is missing in runs and ends may be in one of these rows.
--- a/src/daemon/http_call.c
+++ b/src/daemon/http_call.c
@@ -243,6 +243,7 @@
 	if (!call->once && !call->retried && !call->given_up &&
 	    (call->closed_early || !call->new_connection)) {
 		call->retried = true;
+		call->result.resent = call->result.connected;
 		call_send(call);
 		return;
 	}
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -340,6 +340,7 @@
 		run_call(&outcome, session, peer.address, once);
 		ck_assert_int_eq(outcome.result.complete, !once);
 		ck_assert(outcome.result.connected);
+		ck_assert_int_eq(outcome.result.resent, !once);
 		ck_assert_int_eq(g_atomic_int_get(&peer.nr_requests),
 				 once ? 2 : 3);
 		g_object_unref(session);
@@ -381,6 +382,8 @@
 		wait_for(&outcome.done);
 		ck_assert(outcome.result.connected);
 		ck_assert(outcome.result.complete);
+		/* Nothing was written on the connection that had expired. */
+		ck_assert(!outcome.result.resent);
 		ck_assert_int_eq(g_atomic_int_get(&peer.nr_requests), 2);
 		g_bytes_unref(opts.body);
 		g_object_unref(session);
