--- a/tests/executor_standin.c
+++ b/tests/executor_standin.c
@@ -22,6 +22,7 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define HEARTBEAT_MS 300
@@ -44,6 +45,7 @@
 	char *zone;
 	char **argv;
 	gint late_percent; /* of the calls: no answer, may run later */
+	gint reset_percent; /* of the starts, see reset_start() */
 	gint malformed_percent; /* of the heartbeats, sent in addition */
 	gint odd_percent; /* of the rows of lists: invalid */
 	GRand *random;
@@ -55,6 +57,7 @@
 	uint64_t next_end; /* number of the last end */
 	GHashTable *runs; /* task -> struct run * */
 	GHashTable *barred; /* task -> highest run that must not start */
+	GHashTable *resets; /* set of "TASK RUN", see reset_start() */
 	GPtrArray *ends; /* struct end * that aren't acknowledged */
 	GPtrArray *holds; /* struct hold * */
 };
@@ -386,16 +389,15 @@
 }
 
 /*
- * Leaves a call unanswered, and executes it at once (one call in four), not at
- * all (one call in four) or late (the other calls).
+ * Executes a call that gets no answer: at once (one call in four), not at all
+ * (one call in four) or late (the other calls).
  */
-static void leave_unanswered(struct standin *standin, SoupServerMessage *msg,
-			     const char *path, JsonObject *call)
+static void execute_unanswered(struct standin *standin, SoupServerMessage *msg,
+			       const char *path, JsonObject *call)
 {
 	gint choice = g_rand_int_range(standin->random, 0, 4);
 	struct late_call *late_call;
 
-	soup_server_message_pause(msg);
 	if (choice == 0)
 		order_execute(standin, path, call, false);
 	if (choice <= 1)
@@ -410,6 +412,50 @@
 		      order_execute_late, late_call);
 }
 
+static void reset_connection(SoupServerMessage *msg)
+{
+	GSocket *socket = soup_server_message_get_socket(msg);
+	struct linger linger = { .l_onoff = 1 };
+	GIOStream *stream;
+
+	setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &linger,
+		   sizeof(linger));
+	stream = soup_server_message_steal_connection(msg);
+	g_io_stream_close(stream, NULL, NULL);
+	g_object_unref(stream);
+}
+
+/*
+ * Resets the connection of reset_percent of the starts, which may be executed
+ * like other calls without an answer, and refuses the next copy of each such
+ * start. Returns false if the call is to be handled as usual.
+ */
+static bool reset_start(struct standin *standin, SoupServerMessage *msg,
+			const char *path, JsonObject *call)
+{
+	char *key;
+
+	if (!standin->reset_percent || strcmp(path, "/run-start") != 0)
+		return false;
+	key = g_strdup_printf("%s %" G_GINT64_FORMAT,
+			      json_object_get_string_member(call, "task"),
+			      json_object_get_int_member(call, "run"));
+	if (g_hash_table_remove(standin->resets, key)) {
+		send_answer(msg, 503, g_strdup("{}"));
+		g_free(key);
+		return true;
+	}
+	if (g_rand_int_range(standin->random, 0, 100) >=
+	    standin->reset_percent) {
+		g_free(key);
+		return false;
+	}
+	g_hash_table_add(standin->resets, key);
+	execute_unanswered(standin, msg, path, call);
+	reset_connection(msg);
+	return true;
+}
+
 static void hold_answer(struct standin *standin, SoupServerMessage *msg)
 {
 	send_answer(msg, 200, lists_text(standin));
@@ -449,9 +495,12 @@
 	}
 	call = json_node_get_object(json_parser_get_root(parser));
 	if (g_rand_int_range(standin->random, 0, 100) < standin->late_percent) {
-		leave_unanswered(standin, msg, path, call);
+		soup_server_message_pause(msg);
+		execute_unanswered(standin, msg, path, call);
 		goto out;
 	}
+	if (reset_start(standin, msg, path, call))
+		goto out;
 	reason = order_execute(standin, path, call, false);
 	if (!reason && !strcmp(path, "/hold"))
 		hold_wait(standin, msg, call);
@@ -611,6 +660,8 @@
 		{ "port-file", 0, 0, G_OPTION_ARG_STRING, &port_file },
 		{ "late-percent", 0, 0, G_OPTION_ARG_INT,
 		  &standin.late_percent },
+		{ "reset-percent", 0, 0, G_OPTION_ARG_INT,
+		  &standin.reset_percent },
 		{ "malformed-percent", 0, 0, G_OPTION_ARG_INT,
 		  &standin.malformed_percent },
 		{ "odd-percent", 0, 0, G_OPTION_ARG_INT, &standin.odd_percent },
@@ -633,6 +684,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, run_free);
 	standin.barred =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	standin.resets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	standin.ends = g_ptr_array_new_with_free_func(end_free);
 	standin.holds = g_ptr_array_new();
 	if (!standin.journal || !serve(&standin, port_file))
--- a/tests/platform_testbed.c
+++ b/tests/platform_testbed.c
@@ -44,6 +44,8 @@
 					.grace_s = opts->grace_s,
 					.seed = opts->seed };
 	struct tb_executor_opts executor = { .late_percent = opts->late_percent,
+					     .reset_percent =
+						     opts->reset_percent,
 					     .malformed_percent = 10,
 					     .odd_percent = opts->odd_percent };
 	struct testbed *tb = testbed_new(&tb_opts, opts->program);
--- a/tests/platform_testbed.h
+++ b/tests/platform_testbed.h
@@ -17,6 +17,8 @@
 struct platform_testbed_opts {
 	const char *program; /* argv[0] */
 	uint32_t late_percent; /* of the calls, which workers carry out late */
+	/* Of the starts, see struct tb_executor_opts. */
+	uint32_t reset_percent;
 	uint32_t odd_percent; /* of the rows in workers' lists, sent invalid */
 	bool proxies; /* control processes are reached by fault proxies */
 	uint32_t grace_s; /* setting --grace-s, 0: not set */
--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -266,6 +266,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that runs twice because the connection of its start
+ * call was reset: the call is sent again, and the refusal of its second copy
+ * doesn't prove that the first one isn't carried out (issue 26).
+ */
+START_TEST(test_resent_starts)
+{
+	struct platform_testbed_opts opts = { .program = program,
+					      .reset_percent = 40,
+					      .seed = 1 };
+	struct testbed *tb = platform_testbed_new(&opts);
+	uint64_t nr_resent = 0;
+
+	for (uint32_t i = 1; i <= 6; i++)
+		platform_testbed_submit(tb, i, 300);
+	for (uint32_t i = 1; i <= 6; i++)
+		platform_testbed_wait(tb, i, "completed", 40000);
+	testbed_wait_ms(2500);
+	for (uint32_t i = 0; i < NR_WORKERS; i++)
+		nr_resent += tb_proc_metric(testbed_agent(tb, i),
+					    "calls_resent{kind=\"start\"}");
+	ck_assert_uint_gt(nr_resent, 0);
+	ck_assert_uint_eq(platform_testbed_check(tb), 48);
+	testbed_free(tb);
+}
+END_TEST
+
 /* Guards against runs that aren't ended when their worker has restarted. */
 START_TEST(test_worker_reborn)
 {
@@ -819,6 +846,7 @@
 		test_agents_restarted,
 		test_agents_frozen,
 		test_late_orders,
+		test_resent_starts,
 		test_worker_reborn,
 		test_power_lost,
 		test_entry_leaves,
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -606,6 +606,7 @@
 	proc_arg(standin, "--port-file", standin->port_file);
 	proc_arg(standin, "--zone", zone);
 	proc_arg_number(standin, "--late-percent", opts->late_percent);
+	proc_arg_number(standin, "--reset-percent", opts->reset_percent);
 	proc_arg_number(standin, "--malformed-percent",
 			opts->malformed_percent);
 	proc_arg_number(standin, "--odd-percent", opts->odd_percent);
--- a/tests/testbed.h
+++ b/tests/testbed.h
@@ -58,6 +58,11 @@
 struct tb_executor_opts {
 	const char *zone; /* NULL: veraval */
 	uint32_t late_percent; /* of the calls: no answer, may run later */
+	/*
+	 * Of the starts: the connection is reset, the call may be carried out,
+	 * and a copy of the call is refused.
+	 */
+	uint32_t reset_percent;
 	uint32_t malformed_percent; /* of the heartbeats */
 	uint32_t odd_percent; /* of the rows of lists: invalid */
 };
