Stop a run whose start was sent twice before reporting it as refused

Cause: http_call sends a request again if the connection that it reused fails after the request was written. The worker carries out the first copy, at once or late, and refuses the second one, for example because it isn't healthy. The agent took the refusal for proof that the run would never start, and the leader placed the task elsewhere.

A refusal of the second copy now counts like a start without an answer: the agent stops the run, which bars the first copy too, and reports the run as never started only when a list requested after that stop shows neither the run nor its end. A start that was sent twice is also stopped in a later incarnation with the same identity, whatever its answer, as the first copy may still arrive. Sending starts only once instead would leave each start that meets a closed idle connection without an answer.

--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -157,6 +157,21 @@
 	runner_poll(runner);
 }
 
+/*
+ * Handles a run whose start call may still be carried out. A stop prevents
+ * this; after that a list shows whether the worker has the run.
+ */
+static void runner_start_unconfirmed(struct runner *runner,
+				     struct runner_run *run,
+				     const char *outcome, enum result result)
+{
+	runner_set_phase(runner, run, RUNNER_UNCONFIRMED);
+	runner_log_run(runner, "run-unsure", run->task, run->run, outcome,
+		       result);
+	runner_report_soon(runner);
+	runner_stop(runner, run);
+}
+
 static void runner_start_done(struct runner *runner,
 			      const struct runner_call *call,
 			      const struct exec_reply *reply)
@@ -165,6 +180,8 @@
 
 	if (!run || run->phase != RUNNER_STARTING)
 		return;
+	if (reply->resent || reply->verdict == EXEC_NO_ANSWER)
+		runner_keep_late_start(runner, run->task, run->run);
 	switch (reply->verdict) {
 	case EXEC_DONE:
 		counter_observe(runner->node->counters, "start_call_ms",
@@ -179,6 +196,12 @@
 	case EXEC_REFUSED:
 		if (reply->result == RESULT_CONFLICT)
 			runner_start_conflict(runner, run);
+		else if (reply->resent)
+			/* Only the second copy of the call was refused. */
+			runner_start_unconfirmed(runner, run,
+						 "an earlier copy of the "
+						 "start may be carried out",
+						 reply->result);
 		else
 			runner_start_failed(runner, run, reply->result);
 		break;
@@ -189,13 +212,8 @@
 		runner_drop(runner, run, RESULT_OTHER_LIFE);
 		break;
 	default:
-		/* The worker may still start the run; a stop prevents this. */
-		runner_set_phase(runner, run, RUNNER_UNCONFIRMED);
-		runner_keep_late_start(runner, run->task, run->run);
-		runner_log_run(runner, "run-unsure", run->task, run->run,
-			       "no answer to the start", RESULT_TIMEOUT);
-		runner_report_soon(runner);
-		runner_stop(runner, run);
+		runner_start_unconfirmed(runner, run, "no answer to the start",
+					 RESULT_TIMEOUT);
 		break;
 	}
 }
@@ -415,11 +433,13 @@
 	}
 	if (call->incarnation_nr != runner->incarnation_nr)
 		goto out; /* the call was made to an earlier incarnation */
-	/* A run that another incarnation has started must be stopped there, so
-	 * its start call counts as unanswered, which leads to a stop. */
+	/* A run that another incarnation has or may have started must be
+	 * stopped there, so its start call counts as unanswered, which leads to
+	 * a stop. */
 	if (runner_is_other_incarnation(runner, reply))
 		reply = call->kind == EXEC_START &&
-					reply->verdict == EXEC_DONE ?
+					(reply->verdict == EXEC_DONE ||
+					 reply->resent) ?
 				&none :
 				&other;
 	if (reply->clock_ms) {
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -80,6 +80,36 @@
 }
 END_TEST
 
+/*
+ * Guards against a start that is reported as refused although an earlier copy
+ * of its call may have reached the worker: the run must be stopped first (issue
+ * 26).
+ */
+START_TEST(test_resent_start_is_refused)
+{
+	const struct exec_reply refused = { .verdict = EXEC_REFUSED,
+					    .result = RESULT_OVERLOADED,
+					    .resent = true };
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &refused, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	ck_assert(fixture_answer(fixture, EXEC_STOP, &fixture_done, NULL));
+	fixture_run_ms(fixture, 20);
+	/* The open poll was sent before the stop, so its list doesn't count. */
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
 /*
  * Guards against a lease that lasts longer than granted at a worker whose clock
  * is slow.
@@ -520,11 +550,11 @@
 END_TEST
 
 SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
-	   test_unanswered_start, test_deadline_on_slow_clock,
-	   test_call_never_answered, test_one_missed_poll,
-	   test_missed_polls_back_off, test_ends_wait_for_the_log,
-	   test_old_run_is_settled_by_lists, test_repeated_start_is_stopped,
-	   test_calls_are_bounded, test_full_list_of_ends,
-	   test_rows_that_cannot_be_read, test_end_that_cannot_be_read,
-	   test_unreadable_end_in_full_list, test_ends_are_kept,
-	   test_cursor_after_missed_poll)
+	   test_unanswered_start, test_resent_start_is_refused,
+	   test_deadline_on_slow_clock, test_call_never_answered,
+	   test_one_missed_poll, test_missed_polls_back_off,
+	   test_ends_wait_for_the_log, test_old_run_is_settled_by_lists,
+	   test_repeated_start_is_stopped, test_calls_are_bounded,
+	   test_full_list_of_ends, test_rows_that_cannot_be_read,
+	   test_end_that_cannot_be_read, test_unreadable_end_in_full_list,
+	   test_ends_are_kept, test_cursor_after_missed_poll)
--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -615,6 +615,47 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that a later incarnation with the same id starts because
+ * of the first copy of a start call, of which the second copy was accepted.
+ */
+START_TEST(test_resent_start_in_later_incarnation)
+{
+	struct exec_reply reply = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+
+	reply.resent = true;
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &reply, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->nr_stops, 0);
+	fixture_restart_worker(fixture, 2);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a run that is reported as never started because another
+ * incarnation has refused the second copy of its start call.
+ */
+START_TEST(test_resent_start_at_other_incarnation)
+{
+	const struct exec_reply refused = { .verdict = EXEC_REFUSED,
+					    .result = RESULT_OVERLOADED,
+					    .born_ms = 2,
+					    .resent = true };
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &refused, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
 /*
  * Guards against a run that is reported as never started though an earlier
  * agent process has called its start on an earlier incarnation. A later
@@ -651,4 +692,6 @@
 	   test_lists_of_other_incarnation, test_ends_survive_incarnation,
 	   test_late_deregistration, test_late_start_in_later_incarnation,
 	   test_start_by_other_incarnation,
+	   test_resent_start_in_later_incarnation,
+	   test_resent_start_at_other_incarnation,
 	   test_repeated_order_for_earlier_incarnation)
