Limit the leases of the workers under virtual time

The platform's workers shorten a longer lease to a maximum (PROTOCOL.md, "Running tasks"); those of flow_world took any deadline. A call that reaches a later incarnation under the same identity carries a deadline on the clock of the earlier one, so its lease lasted for as long as the earlier incarnation had run, up to 18 s. The worker now limits a lease to 10 s, the greater of the two sites' maxima, and the replicas are told so by worker_lease_ms, as they are on a site. They grant 5 s as before.

--- a/tests/control_world.c
+++ b/tests/control_world.c
@@ -157,6 +157,7 @@
 		.store_ctx = host,
 		.image = &image,
 		.control_addresses = host->world->addresses,
+		.worker_lease_ms = WORLD_WORKER_LEASE_MS,
 	};
 	struct node *node = sim_boot(host->machine, host->node_id);
 
--- a/tests/control_world.h
+++ b/tests/control_world.h
@@ -109,6 +109,9 @@
 	void *reply;
 };
 
+/* Longest lease that workers accept, as at site jaldhara-loft. */
+#define WORLD_WORKER_LEASE_MS 10000
+
 /**
  * Starts the replicas and VMs, spreads the VMs over three zones, and puts a
  * bundle in force.
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -217,7 +217,10 @@
 	if (call->deadline_ms && call->lost && vm->late_lease)
 		call->deadline_ms += clock_ms(vm) - call->sent_clock_ms;
 	if (call->deadline_ms)
-		worker->lease_ms = MAX(worker->lease_ms, call->deadline_ms);
+		worker->lease_ms =
+			MAX(worker->lease_ms,
+			    MIN(call->deadline_ms,
+				clock_ms(vm) + WORLD_WORKER_LEASE_MS));
 	if (call->kind == EXEC_START)
 		worker_start(call, reply);
 	else if (call->kind == EXEC_POLL)
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -5,10 +5,11 @@
  * @file flow_world.h
  * Simulated workflows in virtual time for tests: control replicas, one entry,
  * and VMs with an agent and a worker. The worker follows the rules of the
- * platform's workers: one lease by its own clock, fencing tokens, run numbers,
- * and ends that stay listed until they are acknowledged. At every start the
- * simulation asserts that the task runs nowhere else and isn't done, and at all
- * times that no VM is overcommitted, unless flow_world.overcommitted is set.
+ * platform's workers: one lease by its own clock and of limited length, fencing
+ * tokens, run numbers, and ends that stay listed until they are acknowledged.
+ * At every start the simulation asserts that the task runs nowhere else and
+ * isn't done, and at all times that no VM is overcommitted, unless
+ * flow_world.overcommitted is set.
  */
 
 #include "control_world.h"
