Let a restarted worker's lease last its greatest length

What callers saw: TWICE in the tests' world, a task that was placed elsewhere while its worker, restarted under its identity, went on, or after it was done there. Cause: calls that are in flight when a worker is restarted under its identity may be carried out by the new incarnation. The leader counted with the 5 s that it grants. Until a run of the new incarnation is listed, which shows that the worker has the raised fencing token and refuses such calls, the leader now assumes the greatest length from each report on. No message changes. Price: if the VM of such a worker goes silent within that time, its runs are taken back up to 5 s later. Ruled out: a late start without an answer; none is carried out in the traced case of seed 981, where the call was in flight as the worker was restarted. Test: flow_freeze: lease_of_restarted_worker failed before. Seed 981 of random_faults and random_foreign_reports failed and passes. Seed 6232 is the same cause with a change of leader in between, and stays: a new leader doesn't know which workers were restarted.

--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -457,9 +457,12 @@
 
 	flows->control = control;
 	flows->lease_ms = FLOW_LEASE_MAX_MS;
-	if (control->opts.worker_lease_ms)
+	flows->worker_lease_ms = FLOW_LEASE_MAX_MS;
+	if (control->opts.worker_lease_ms) {
 		flows->lease_ms = MIN(flows->lease_ms,
 				      control->opts.worker_lease_ms * 9 / 10);
+		flows->worker_lease_ms = control->opts.worker_lease_ms;
+	}
 	flows->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   flow_vm_free);
 	flows->runs =
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -62,6 +62,11 @@
 	 * this and of earlier leaders and by reported calls without an answer.
 	 */
 	uint64_t lapse_us;
+	/*
+	 * The worker was restarted under its identity, and no run of the new
+	 * incarnation was listed yet, see flow_extend_lapse().
+	 */
+	bool restarted;
 	GArray *ends; /* struct flow_run_end, as listed in the last report */
 	/* Added to the term's first fencing token for this VM. */
 	uint32_t fence_nr;
@@ -236,6 +241,8 @@
 struct control_flow {
 	struct control *control;
 	uint32_t lease_ms; /* length of each lease that workers get */
+	/* The longest lease that workers accept in a call. */
+	uint32_t worker_lease_ms;
 	GHashTable *vms; /* name -> struct flow_vm * */
 	GHashTable *runs; /* task name -> struct flow_placement * */
 	struct pressure *pressure;
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -123,6 +123,8 @@
 			continue;
 		if (!placed->listed) {
 			placed->listed = true;
+			if (control_flow_is_current_incarnation(placed))
+				vm->restarted = false;
 			control_flow_note_started(flows, placed->flow);
 			if (placed->ordered_us)
 				counter_observe(flows->control->node->counters,
@@ -334,6 +336,7 @@
 	const struct worker_incarnation *worker = &report->worker;
 	bool same = !strcmp(vm->worker.id, worker->id) &&
 		    vm->worker.born_ms == worker->born_ms;
+	bool restarted = !same && !strcmp(vm->worker.id, worker->id);
 	bool draining = worker->draining && !vm->worker.draining;
 	bool ended = worker->ended && !vm->worker.ended;
 
@@ -349,6 +352,7 @@
 	vm->worker = *worker;
 	if (!same) {
 		flow_raise_fence(vm);
+		vm->restarted = restarted;
 		vm->settled_nr = 0;
 		vm->checked_end_nr = 0;
 		vm->fail_permille = 0;
@@ -436,6 +440,26 @@
 	       now_us <= vm->lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
 }
 
+/*
+ * Extends the time at which the worker's lease can end by what the report says.
+ * A worker that was restarted under its identity may carry out calls that were
+ * meant for the earlier incarnation. Their deadlines are times on the earlier
+ * clock, which is far ahead of the new one, so they give the lease its greatest
+ * length. Once a run of the new incarnation has started, the worker has the
+ * raised fencing token and refuses these calls.
+ */
+static void flow_extend_lapse(struct control_flow *flows, struct flow_vm *vm,
+			      const struct flow_report *report)
+{
+	uint32_t open_ms = report->late_ms;
+
+	if (vm->restarted)
+		open_ms = MAX(open_ms, flows->worker_lease_ms);
+	if (open_ms)
+		vm->lapse_us =
+			MAX(vm->lapse_us, vm->reported_us + open_ms * 1000ull);
+}
+
 void control_flow_report(struct control_flow *flows, uint64_t from,
 			 const struct flow_report *report)
 {
@@ -469,9 +493,6 @@
 	vm->reachable = report->reachable;
 	vm->looked = report->looked && report->worker.id[0];
 	TEXT_SET(vm->zone, report->zone);
-	if (report->late_ms)
-		vm->lapse_us = MAX(vm->lapse_us,
-				   vm->reported_us + report->late_ms * 1000ull);
 	/*
 	 * A worker that responds again was running when it left the call
 	 * unanswered, so calls on other VMs may be late, too. A worker that
@@ -480,9 +501,11 @@
 	 */
 	if (report->late_ms && report->reachable)
 		flows->unanswered_until_us =
-			MAX(flows->unanswered_until_us, vm->lapse_us);
+			MAX(flows->unanswered_until_us,
+			    vm->reported_us + report->late_ms * 1000ull);
 	counter_add(control->node->counters, "flow_reports", 1);
 	flow_update_worker(flows, vm, report);
+	flow_extend_lapse(flows, vm, report);
 	listed = flow_handle_runs(flows, vm, report);
 	control_flow_log_ignored_ends(flows, vm, report);
 	flow_handle_ends(flows, vm, report);
--- a/tests/test_flow_freeze.c
+++ b/tests/test_flow_freeze.c
@@ -225,6 +225,47 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that is placed elsewhere while its worker continues it.
+ * The worker was restarted under its identity and carried out a poll that was
+ * meant for the earlier incarnation. The poll's deadline is a time on the clock
+ * of that incarnation, so the lease is as long as a worker accepts, which is
+ * longer than the leader grants. First seen in test_flow_random, seed 981.
+ */
+START_TEST(test_lease_of_restarted_worker)
+{
+	struct flow_step step = step_of(1, "f");
+
+	step.estimate_ms = 30000;
+	for (uint64_t seed = 1; seed <= 8; seed++) {
+		struct flow_world *fw = flow_world_new(seed);
+		uint64_t before[FLOW_WORLD_VMS] = { 0 };
+		struct fw_vm *vm;
+
+		fw->run_ms = 30000;
+		flow_world_run_ms(fw, 6000 + seed * 60);
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+			before[i] = counter_get(
+				sim_node(fw->vms[i].machine)->counters,
+				"starts_called");
+			fw_crash_worker(&fw->vms[i]);
+			fw_boot_worker(&fw->vms[i]);
+		}
+		flow_world_run_ms(fw, 1500);
+		flow_world_submit(fw, "rr", &step, 1);
+		flow_world_run_ms(fw, 100);
+		ck_assert_uint_eq(fw_running(fw), 1);
+		vm = fw_starting_vm(fw, before);
+		ck_assert_ptr_nonnull(vm);
+		fw_freeze_agent(vm, true);
+		flow_world_run_ms(fw, 14000);
+		ck_assert_uint_eq(fw->nr_starts, 2);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 SUITE_MAIN("flow_freeze", test_order_of_lost_vm_is_void,
 	   test_done_of_lost_vm_counts, test_unanswered_start_of_frozen_agent,
-	   test_held_order_for_next_agent, test_crash_delays_no_other_vm)
+	   test_held_order_for_next_agent, test_crash_delays_no_other_vm,
+	   test_lease_of_restarted_worker)
--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -334,6 +334,7 @@
 	17, /* ends acknowledged by end numbers of an earlier incarnation */
 	102, /* a start by an earlier agent, late in a later incarnation */
 	392, /* a late start in a later incarnation: a done task ran again */
+	981, /* a call for an earlier incarnation prolonged the lease */
 };
 
 /* Guards against the failures that the lists of seeds above name. */
