Answer a workflow call as refused only if every copy was refused

The gateway sends a call without a reply to the leader again, but took the first refusal of any copy for the answer to the call. The leader may refuse a copy, for example because it has too many uncommitted proposals or because the queue was removed, while an earlier copy is being committed or was committed by an earlier leader whose reply was lost.

Now a refusal of one copy only closes that copy. The call is refused when none is open, and answered as unknown (504) at its time limit otherwise. Queries change nothing, so their first answer still counts.

--- a/src/core/entry/gateway.c
+++ b/src/core/entry/gateway.c
@@ -229,6 +229,31 @@
 	site_peer_down(gateway->site, link);
 }
 
+/*
+ * Returns true if the reply to one copy of the call answers the call. A refusal
+ * doesn't while other copies are open: the leader may refuse a copy and carry
+ * out another one, and a refused submission must never run. A query changes
+ * nothing, so its first answer is good.
+ */
+static bool gateway_reply_is_final(const struct gateway_call *call,
+				   enum result result)
+{
+	const struct flow_call *message = call->message.body;
+
+	switch (result) {
+	case RESULT_OK:
+	case RESULT_UNKNOWN_OBJECT:
+	case RESULT_OUTCOME_UNKNOWN:
+		return true;
+	case RESULT_NOT_LEADER:
+	case RESULT_NO_QUORUM:
+		/* The call is sent again once the new leader is known. */
+		return false;
+	default:
+		return call->nr_open <= 1 || message->kind == FLOW_CALL_STATE;
+	}
+}
+
 static void gateway_on_reply(struct gateway *gateway,
 			     const struct flow_reply *reply)
 {
@@ -237,9 +262,7 @@
 
 	if (!call)
 		return;
-	/* The call is sent again once the new leader is known. */
-	if (reply->result != RESULT_NOT_LEADER &&
-	    reply->result != RESULT_NO_QUORUM) {
+	if (gateway_reply_is_final(call, reply->result)) {
 		gateway_call_finish(call, reply);
 		return;
 	}
--- a/src/core/entry/gateway.h
+++ b/src/core/entry/gateway.h
@@ -6,7 +6,8 @@
  * Forwards clients' calls about workflows (to submit, query or cancel one) to
  * the leading control replica and returns its replies. It keeps only the calls
  * in progress. All calls are idempotent, so a call without a reply is sent
- * again, also to a new leader.
+ * again, also to a new leader. The caller is told that a change was refused
+ * only if every copy of the call was refused.
  */
 
 #include "flow.h"
