Don't take the refusal of a start's second copy for its end

The agent now learns whether the call was sent twice. A refusal then leaves the start open, as a call without an answer does: the task runs if a list of the worker shows it, and has ended if a list that was requested after the permit's end doesn't.

Both new tests failed before: an end was reported at once.

--- a/src/core/agent/agent.c
+++ b/src/core/agent/agent.c
@@ -273,8 +273,8 @@
 	admit_call_done(agent->admit, call_nr, result);
 }
 
-void agent_platform_done(struct agent *agent, uint64_t call_nr, uint32_t type,
-			 const void *body)
+void agent_platform_done(struct agent *agent, uint64_t call_nr,
+			 const struct platform_answer *answer)
 {
-	agent_task_platform_done(agent->tasks, call_nr, type, body);
+	agent_task_platform_done(agent->tasks, call_nr, answer);
 }
--- a/src/core/agent/agent.h
+++ b/src/core/agent/agent.h
@@ -61,6 +61,13 @@
 	GBytes *body; /* borrowed */
 };
 
+/** The worker's answer to a call. */
+struct platform_answer {
+	uint32_t type; /* PLATFORM_REPLY, PLATFORM_TASKS or TYPE_NONE */
+	const void *body; /* borrowed; NULL: the call's outcome is unknown */
+	bool resent; /* see struct upstream_result */
+};
+
 struct agent *agent_new(struct node *node, const struct agent_opts *opts);
 
 /**
@@ -76,11 +83,8 @@
 void agent_upstream_done(struct agent *agent, uint64_t call_nr,
 			 const struct upstream_result *result);
 
-/**
- * Handles the worker's reply to a call: PLATFORM_REPLY or PLATFORM_TASKS with
- * its body, or TYPE_NONE and NULL if the outcome of the call is unknown.
- */
-void agent_platform_done(struct agent *agent, uint64_t call_nr, uint32_t type,
-			 const void *body);
+/** Handles the worker's answer to a call. */
+void agent_platform_done(struct agent *agent, uint64_t call_nr,
+			 const struct platform_answer *answer);
 
 #endif /* AGENT_H */
--- a/src/core/agent/agent_task.c
+++ b/src/core/agent/agent_task.c
@@ -410,9 +410,9 @@
 }
 
 void agent_task_platform_done(struct agent_task *tasks, uint64_t call_nr,
-			      uint32_t type, const void *body)
+			      const struct platform_answer *answer)
 {
-	worker_call_done(tasks->worker, call_nr, type, body);
+	worker_call_done(tasks->worker, call_nr, answer);
 }
 
 bool agent_task_may_start(const struct agent_task *tasks)
--- a/src/core/agent/agent_task.h
+++ b/src/core/agent/agent_task.h
@@ -32,7 +32,7 @@
 bool agent_task_message(struct agent_task *tasks, uint64_t from, uint32_t type,
 			const void *body);
 void agent_task_platform_done(struct agent_task *tasks, uint64_t call_nr,
-			      uint32_t type, const void *body);
+			      const struct platform_answer *answer);
 
 /** Returns true while the permit is valid and the VM's zone isn't out. */
 bool agent_task_may_start(const struct agent_task *tasks);
--- a/src/core/agent/worker.c
+++ b/src/core/agent/worker.c
@@ -244,7 +244,7 @@
 }
 
 static void worker_start_done(struct worker *worker, struct worker_run *run,
-			      const struct platform_reply *reply)
+			      const struct platform_reply *reply, bool resent)
 {
 	bool late;
 
@@ -255,6 +255,12 @@
 		worker_continue_run(worker, run);
 		return;
 	}
+	/* The worker refused the second copy of the call. It may still carry
+	 * out the first one, so the next list decides here, too. */
+	if (resent) {
+		counter_add(worker->node->counters, "worker_calls_unknown", 1);
+		return;
+	}
 	late = reply->result == RESULT_NO_PERMIT ||
 	       reply->result == RESULT_LEASE_EXPIRED ||
 	       reply->result == RESULT_STALE;
@@ -280,8 +286,11 @@
 
 static void worker_run_done(struct worker *worker, struct worker_run *run,
 			    const struct worker_call *call,
-			    const struct platform_reply *reply)
+			    const struct platform_answer *answer)
 {
+	const struct platform_reply *reply =
+		answer->type == PLATFORM_REPLY ? answer->body : NULL;
+
 	/* A reply to a call of an earlier phase leaves call_pending as is. */
 	if ((call->type == PLATFORM_START && run->phase == PHASE_STARTING) ||
 	    (call->type == PLATFORM_STOP && run->phase == PHASE_STOPPING) ||
@@ -293,7 +302,7 @@
 	switch (call->type) {
 	case PLATFORM_START:
 		if (run->phase == PHASE_STARTING)
-			worker_start_done(worker, run, reply);
+			worker_start_done(worker, run, reply, answer->resent);
 		break;
 	case PLATFORM_CHECKPOINT:
 		worker_checkpoint_done(worker, run, reply);
@@ -417,11 +426,9 @@
 		worker_call(worker, PLATFORM_LEASE, 0, 0, &lease);
 }
 
-void worker_call_done(struct worker *worker, uint64_t call_nr, uint32_t type,
-		      const void *body)
+void worker_call_done(struct worker *worker, uint64_t call_nr,
+		      const struct platform_answer *answer)
 {
-	const struct platform_reply *reply = type == PLATFORM_REPLY ? body :
-								      NULL;
 	struct worker_call *call;
 	struct worker_run *run;
 	gpointer key = NULL;
@@ -430,19 +437,19 @@
 					 (gpointer *)&call))
 		return;
 	g_free(key);
-	if (type == TYPE_NONE)
+	if (answer->type == TYPE_NONE)
 		counter_add(worker->node->counters, "worker_calls_unknown", 1);
 	if (call->type == PLATFORM_LIST) {
 		worker->listing = false;
-		if (type == PLATFORM_TASKS)
-			worker_apply_list(worker, call_nr, call, body);
+		if (answer->type == PLATFORM_TASKS)
+			worker_apply_list(worker, call_nr, call, answer->body);
 		if (worker->list_again)
 			worker_list(worker);
 	} else {
 		worker->nr_calls--;
 		run = worker_find(worker, call->task_id);
 		if (run && run->epoch == call->epoch)
-			worker_run_done(worker, run, call, reply);
+			worker_run_done(worker, run, call, answer);
 	}
 	g_free(call);
 }
--- a/src/core/agent/worker.h
+++ b/src/core/agent/worker.h
@@ -98,8 +98,8 @@
 			 const struct platform_lease_item *items,
 			 uint32_t nr_items);
 
-/** Handles the reply to a call; see agent_platform_done(). */
-void worker_call_done(struct worker *worker, uint64_t call_nr, uint32_t type,
-		      const void *body);
+/** Handles the answer to a call. */
+void worker_call_done(struct worker *worker, uint64_t call_nr,
+		      const struct platform_answer *answer);
 
 #endif /* WORKER_H */
--- a/src/daemon/host_agent.c
+++ b/src/daemon/host_agent.c
@@ -124,6 +124,7 @@
 	struct host_agent *host = ctx;
 	uint32_t type =
 		GPOINTER_TO_UINT(g_hash_table_lookup(host->worker_calls, call));
+	struct platform_answer answer = { .resent = result->resent };
 	char *error = NULL;
 	void *body = NULL;
 	const char *text;
@@ -142,7 +143,9 @@
 		g_free(error);
 	}
 	loop_update_time(host->loop);
-	agent_platform_done(host->agent, http_call_nr(call), type, body);
+	answer.type = type;
+	answer.body = body;
+	agent_platform_done(host->agent, http_call_nr(call), &answer);
 	record_unref((struct record){ type, body });
 }
 
@@ -163,12 +166,13 @@
 	struct host_agent *host = call->host;
 	struct platform_reply reply = { .result = RESULT_NO_CAPACITY };
 	struct platform_tasks tasks = { 0 };
-	bool list = call->type == PLATFORM_LIST;
+	struct platform_answer answer = { PLATFORM_REPLY, &reply, false };
 
+	if (call->type == PLATFORM_LIST)
+		answer = (struct platform_answer){ PLATFORM_TASKS, &tasks,
+						   false };
 	loop_update_time(host->loop);
-	agent_platform_done(host->agent, call->call_nr,
-			    list ? PLATFORM_TASKS : PLATFORM_REPLY,
-			    list ? (void *)&tasks : (void *)&reply);
+	agent_platform_done(host->agent, call->call_nr, &answer);
 	return G_SOURCE_REMOVE;
 }
 
--- a/tests/control_world.c
+++ b/tests/control_world.c
@@ -446,9 +446,10 @@
 static void call_return(void *data)
 {
 	struct world_call *call = data;
+	struct platform_answer answer = { call->reply_type, call->reply,
+					  false };
 
-	agent_platform_done(call->vm->agent, call->call_nr, call->reply_type,
-			    call->reply);
+	agent_platform_done(call->vm->agent, call->call_nr, &answer);
 	g_hash_table_remove(call->vm->world->in_flight, call);
 	call_free(call);
 }
--- a/tests/fake_site.c
+++ b/tests/fake_site.c
@@ -168,7 +168,7 @@
 }
 
 void agent_task_platform_done(struct agent_task *task, uint64_t call_nr,
-			      uint32_t type, const void *body)
+			      const struct platform_answer *answer)
 {
 }
 
--- a/tests/test_agent_task.c
+++ b/tests/test_agent_task.c
@@ -48,6 +48,7 @@
 static struct platform_task
 	worker_task; /* the only task that the worker may have */
 static uint32_t nr_worker_tasks; /* 0: the worker has no task */
+static bool resent; /* the answers are to second copies of the calls */
 
 static void leader_message(void *role, uint64_t from, uint32_t type,
 			   const void *body)
@@ -72,10 +73,11 @@
 static void answer(size_t i, uint32_t type, const void *body)
 {
 	struct call call = g_array_index(calls, struct call, i);
+	struct platform_answer platform_answer = { type, body, resent };
 
 	g_array_remove_index(calls, (guint)i);
 	node_set_time(sim_node(machine), sim_now_us(sim));
-	agent_platform_done(agent, call.call_nr, type, body);
+	agent_platform_done(agent, call.call_nr, &platform_answer);
 	record_unref((struct record){ call.type, call.body });
 }
 
@@ -196,6 +198,7 @@
 	calls = g_array_new(FALSE, TRUE, sizeof(struct call));
 	memset(nr_calls, 0, sizeof(nr_calls));
 	nr_reports = nr_events = nr_worker_tasks = 0;
+	resent = false;
 	answer_lists = answer_first_list;
 	sim = sim_new(1);
 	leader = sim_add_machine(sim, "control0", "veraval", addresses[0]);
@@ -536,6 +539,47 @@
 }
 END_TEST
 
+/*
+ * Guards against an end that is reported because the worker refused the second
+ * copy of the start, while it may still carry out the first one.
+ */
+START_TEST(test_refused_copy_of_start)
+{
+	set_up();
+	send_grant(0);
+	send_order(TASK_START, 1);
+	resent = true;
+	reply_result(PLATFORM_START, RESULT_NO_CAPACITY);
+	sim_run_ms(sim, 1000);
+	ck_assert_uint_eq(nr_events, 0);
+	ck_assert_uint_eq(reported.run, TASK_RUN_NONE);
+	worker_task.task_id = 1;
+	worker_task.epoch = 1;
+	worker_task.run = TASK_RUN_RUNNING;
+	nr_worker_tasks = 1;
+	sim_run_ms(sim, 1200);
+	ck_assert_uint_eq(nr_events, 0);
+	ck_assert_uint_eq(reported.run, TASK_RUN_RUNNING);
+	tear_down();
+}
+END_TEST
+
+/* Guards against a start, refused after a resend, that never ends. */
+START_TEST(test_refused_copies_of_start)
+{
+	set_up();
+	send_grant(0);
+	send_order(TASK_START, 1);
+	resent = true;
+	reply_result(PLATFORM_START, RESULT_NO_CAPACITY);
+	sim_run_ms(sim, 2500);
+	ck_assert_uint_gt(nr_events, 0);
+	ck_assert_uint_eq(event.run, TASK_RUN_STOPPED);
+	ck_assert_uint_eq(event.result, RESULT_NO_PERMIT);
+	tear_down();
+}
+END_TEST
+
 /* Guards against an end event that is sent before the stop is confirmed. */
 START_TEST(test_checkpoint_stop)
 {
@@ -716,6 +760,7 @@
 	   test_unconfirmed_is_stopped, test_grant_of_earlier_report,
 	   test_ended_epoch_stays_ended, test_newer_epoch_waits_for_stop,
 	   test_start_under_way_is_reported, test_unknown_start,
-	   test_unknown_start_that_ran, test_checkpoint_stop,
+	   test_unknown_start_that_ran, test_refused_copy_of_start,
+	   test_refused_copies_of_start, test_checkpoint_stop,
 	   test_events_repeat, test_lease_ends, test_view_never_reverts,
 	   test_view_parts)
