Don't report a change as refused when an earlier copy may have been made

An operator's command could fail with "no such object" or "stale" after control had carried the change out. The tool repeats a request without a clear answer, at another replica or later, and reported the answer to the last copy alone. The first copy may be committed: the removal of a member was then refused because the member was gone, a bundle because a newer one had been signed off, and a change that met no quorum afterwards was reported as "no quorum".

The tool now remembers that a copy had no clear answer, and reports a later refusal as an unknown outcome (18) with the refusal's text. Requests that change nothing (GET) report the last answer as before.

The new test failed before: exit code 6 instead of 18.

--- a/src/tool/client.c
+++ b/src/tool/client.c
@@ -204,11 +204,37 @@
 		g_usleep(PAUSE_MS * 1000ul);
 }
 
-static void client_run(struct client *client, const char *method,
-		       const char *path, const char *body, bool once,
-		       struct client_reply *reply)
+/* Returns true if the reply says that the change was not carried out. */
+static bool reply_is_refusal(const struct client_reply *reply)
+{
+	return reply->result != RESULT_OK &&
+	       reply->result != RESULT_OUTCOME_UNKNOWN &&
+	       reply->result != RESULT_TIMEOUT;
+}
+
+/*
+ * Replaces the refusal of a change by an unknown outcome: an earlier copy of
+ * the request, which got no clear answer, may have been carried out.
+ */
+static void reply_set_unknown(struct client_reply *reply)
+{
+	char *refusal = reply->message;
+
+	reply->message = g_strdup_printf(
+		"an earlier request got no clear answer and may have been "
+		"carried out; the last one was refused: %s",
+		refusal);
+	reply->result = RESULT_OUTCOME_UNKNOWN;
+	g_free(refusal);
+}
+
+/* Sends the request to one replica after the other until one answers it. */
+static void client_repeat(struct client *client, const char *method,
+			  const char *path, const char *body, bool once,
+			  struct client_reply *reply)
 {
 	uint32_t nr_followers = 0;
+	bool lost = false;
 
 	memset(reply, 0, sizeof(*reply));
 	do {
@@ -216,6 +242,7 @@
 
 		client_reply_clear(reply);
 		attempt_run(&attempt, method, path, body);
+		reply->lost = lost;
 		if (attempt.body) {
 			attempt_read(&attempt, reply);
 		} else {
@@ -223,11 +250,12 @@
 			reply->message = g_strdup_printf(
 				"no answer from %s",
 				client->addresses[client->current]);
-			reply->lost = attempt.sent;
+			reply->lost |= attempt.sent;
 		}
 		if (reply->result == RESULT_OUTCOME_UNKNOWN ||
 		    (attempt.body && reply->result == RESULT_TIMEOUT))
 			reply->lost = true;
+		lost = reply->lost;
 		attempt_clear(&attempt);
 		if (reply_is_from_follower(reply) &&
 		    ++nr_followers < client->nr_addresses) {
@@ -242,6 +270,16 @@
 	} while (client_remaining_ms(client) > 0);
 }
 
+static void client_run(struct client *client, const char *method,
+		       const char *path, const char *body, bool once,
+		       struct client_reply *reply)
+{
+	client_repeat(client, method, path, body, once, reply);
+	if (strcmp(method, "GET") != 0 && reply->lost &&
+	    reply_is_refusal(reply))
+		reply_set_unknown(reply);
+}
+
 struct client *client_new(const struct client_opts *opts)
 {
 	struct client *client = g_new0(struct client, 1);
--- a/src/tool/client.h
+++ b/src/tool/client.h
@@ -36,7 +36,8 @@
 
 /**
  * Sends a request until the leader answers or the time limit of the command
- * has passed. @a body may be NULL. The request must be safe to repeat.
+ * has passed. @a body may be NULL. The request must be safe to repeat. A change
+ * whose last request was refused has an unknown outcome if reply.lost is set.
  */
 void client_call(struct client *client, const char *method, const char *path,
 		 const char *body, struct client_reply *reply);
--- a/tests/test_contract.c
+++ b/tests/test_contract.c
@@ -394,12 +394,13 @@
 }
 END_TEST
 
-/* A simulated control process that answers with invalid pages. */
+/* A simulated control process with scripted answers. */
 struct fake_control {
 	SoupServer *server;
 	char *address;
 	const char *first;
-	const char *next; /* answer to requests of further pages */
+	const char *next; /* answer to requests of further pages, or to a
+			   * change that is sent again */
 	uint32_t nr_calls;
 };
 
@@ -408,7 +409,9 @@
 			       gpointer data)
 {
 	struct fake_control *fake = data;
-	const char *text = query ? fake->next : fake->first;
+	bool change = strcmp(soup_server_message_get_method(msg), "GET") != 0;
+	bool again = change ? fake->nr_calls > 0 : query != NULL;
+	const char *text = again ? fake->next : fake->first;
 
 	/* Ends the list, so that a tool that requests pages forever fails. */
 	if (++fake->nr_calls > 20)
@@ -451,13 +454,13 @@
 
 /* Runs the tool against the simulated control; returns its exit code. */
 static int tool_run(struct fake_control *fake, const char *object,
-		    const char *verb, char **out)
+		    const char *verb, const char *argument, char **out)
 {
 	char *folder = g_path_get_dirname(program);
 	char *tool = g_build_filename(folder, "..", "src", "tool",
 				      "masticreach", NULL);
-	const char *argv[] = { tool,   "--control", fake->address,
-			       object, verb,	    NULL };
+	const char *argv[] = { tool, "--control", fake->address, object,
+			       verb, argument,	  NULL };
 	GSubprocess *process;
 	int code;
 
@@ -517,7 +520,7 @@
 	fake_control_open(&fake);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		fake.first = cases[i].first;
-		ck_assert_msg(tool_run(&fake, "zone", "list", &out) ==
+		ck_assert_msg(tool_run(&fake, "zone", "list", NULL, &out) ==
 				      cases[i].code,
 			      "%s: %s", cases[i].first, out);
 		ck_assert_msg(fake.nr_calls == cases[i].nr_calls,
@@ -527,10 +530,37 @@
 		g_free(out);
 	}
 	fake.first = "[1]";
-	ck_assert_int_eq(tool_run(&fake, "status", NULL, &out), 3);
+	ck_assert_int_eq(tool_run(&fake, "status", NULL, NULL, &out), 3);
 	g_free(out);
 	fake.first = "{\"members\":7}";
-	ck_assert_int_eq(tool_run(&fake, "member", "list", &out), 3);
+	ck_assert_int_eq(tool_run(&fake, "member", "list", NULL, &out), 3);
+	g_free(out);
+	fake_control_close(&fake);
+}
+END_TEST
+
+/*
+ * Guards against a change that the tool reports as refused because its second
+ * copy was refused, though the first one may have been carried out.
+ */
+START_TEST(test_tool_refused_copy)
+{
+	static const char unknown[] = "{\"result\":18}";
+	static const char refused[] = "{\"result\":6}";
+	struct fake_control fake = { .first = unknown, .next = refused };
+	char *out;
+
+	fake_control_open(&fake);
+	ck_assert_int_eq(tool_run(&fake, "member", "remove", "7", &out), 18);
+	ck_assert_uint_eq(fake.nr_calls, 2);
+	g_free(out);
+	fake.first = refused;
+	ck_assert_int_eq(tool_run(&fake, "member", "remove", "7", &out), 6);
+	ck_assert_uint_eq(fake.nr_calls, 1);
+	g_free(out);
+	fake.first = unknown;
+	fake.next = "{\"result\":0}";
+	ck_assert_int_eq(tool_run(&fake, "member", "remove", "7", &out), 0);
 	g_free(out);
 	fake_control_close(&fake);
 }
@@ -636,6 +666,7 @@
 		test_tool_exit_codes,
 		test_nested_documents,
 		test_tool_invalid_answers,
+		test_tool_refused_copy,
 		test_processes_wait_and_end,
 		test_reload_while_starting,
 	};
