Don't answer a change of the members from an uncommitted configuration

An operator whose request to add a member was sent again could be told "ok" though the addition was never made, and a removal could be refused because the member was gone though it then stayed. The leader compared the request with its latest configuration, which contains the first copy's change before it is committed; a change of the leader can drop it.

While a change of the members isn't committed, the leader now answers any other one with in-progress, as raft already refused to start it. The tool repeats such a request until the time limit, so the copy is answered from the committed configuration.

The new test failed before: result 0 (ok) right after the first copy was proposed.

--- a/src/core/control/control_op.c
+++ b/src/core/control/control_op.c
@@ -244,12 +244,28 @@
 	return members;
 }
 
+/*
+ * Returns true after refusing a change of the members because another one is
+ * not committed yet. That one may be an earlier copy of the same change, which
+ * must be neither acknowledged nor refused before its outcome is known.
+ */
+static bool control_op_members_wait(struct control *control, uint64_t ticket)
+{
+	if (!raft_change_is_pending(control->raft))
+		return false;
+	control_op_reply(control, ticket, RESULT_IN_PROGRESS, NULL);
+	return true;
+}
+
 static void control_op_member_add(struct control *control, uint64_t ticket,
 				  const void *body)
 {
 	struct member member = *(const struct member *)body;
-	GArray *members = control_op_members(control, member.node_id);
+	GArray *members;
 
+	if (control_op_members_wait(control, ticket))
+		return;
+	members = control_op_members(control, member.node_id);
 	/* Raft makes the new member a voter once its log has caught up. */
 	member.voter = false;
 	if (!member.node_id || !*member.address) {
@@ -273,8 +289,11 @@
 				     const void *body)
 {
 	const struct member *member = body;
-	GArray *members = control_op_members(control, member->node_id);
+	GArray *members;
 
+	if (control_op_members_wait(control, ticket))
+		return;
+	members = control_op_members(control, member->node_id);
 	if (members->len == raft_members(control->raft)->nr_members)
 		control_op_reply(control, ticket, RESULT_UNKNOWN_OBJECT, NULL);
 	else if (!members->len)
--- a/src/core/raft/raft.h
+++ b/src/core/raft/raft.h
@@ -144,6 +144,8 @@
 uint64_t raft_leader_id(const struct raft *raft);
 /** Returns the current configuration, valid until the next call to raft. */
 const struct members *raft_members(const struct raft *raft);
+/** Returns true if the current configuration is not committed yet. */
+bool raft_change_is_pending(const struct raft *raft);
 /**
  * Returns the index of the last entry that the member is known to have stored,
  * 0 if unknown. Only a leader knows it of other members.
--- a/src/core/raft/raft_form.c
+++ b/src/core/raft/raft_form.c
@@ -253,12 +253,17 @@
 	return true;
 }
 
+bool raft_change_is_pending(const struct raft *raft)
+{
+	return raft_configs_last(&raft->configs)->index > raft->commit_index;
+}
+
 enum result raft_check_change(const struct raft *raft,
 			      const struct members *members)
 {
 	const struct members *now = raft_config(raft);
 
-	if (raft_configs_last(&raft->configs)->index > raft->commit_index)
+	if (raft_change_is_pending(raft))
 		return RESULT_IN_PROGRESS;
 	if (members->nr_members > RAFT_MEMBERS_MAX ||
 	    !members_are_distinct(members) ||
--- a/src/tool/client.c
+++ b/src/tool/client.c
@@ -188,6 +188,7 @@
 	case RESULT_NOT_LEADER:
 	case RESULT_NO_QUORUM:
 	case RESULT_OVERLOADED:
+	case RESULT_IN_PROGRESS:
 	case RESULT_LEAVING:
 	case RESULT_OUTCOME_UNKNOWN:
 	case RESULT_TIMEOUT:
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -980,6 +980,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a change of the members that is acknowledged, or refused as
+ * made already, when it is sent again before its first copy is committed.
+ */
+START_TEST(test_members_resent)
+{
+	struct world *world = world_new(34, 3, 1);
+	struct world_control *host = NULL;
+	struct member member = { .node_id = 12345 };
+	const struct op_reply *reply;
+
+	sim_run_ms(world->sim, 2000);
+	TEXT_SET(member.address, "10.0.0.99:7000");
+	host = world_leader_host(world);
+	for (uint32_t i = 0; i < 2; i++) {
+		uint32_t type = i ? OP_MEMBER_REMOVE : OP_MEMBER_ADD;
+
+		control_operate(host->control, ++world->ticket, type, &member);
+		control_operate(host->control, ++world->ticket, type, &member);
+		reply = world->reply;
+		ck_assert_uint_eq(world->reply_type, OP_REPLY);
+		ck_assert_int_eq(reply->result, RESULT_IN_PROGRESS);
+		sim_run_ms(world->sim, 1000);
+	}
+	world_free(world);
+}
+END_TEST
+
 /* Guards against a response that is lost with the agent that produced it. */
 START_TEST(test_claim_response)
 {
@@ -1078,5 +1106,5 @@
 	   test_unknown_policy, test_bundle_in_force,
 	   test_bundle_survives_restarts, test_not_leader, test_claim_race,
 	   test_claim_survives_leader, test_view_of_agents, test_list_pages,
-	   test_members, test_claim_response, test_expiry,
+	   test_members, test_members_resent, test_claim_response, test_expiry,
 	   test_agents_get_no_agents, test_random_faults)
