Show that an order for an earlier incarnation refuses a late start

The agent stops a run whose start had no answer when the worker has restarted under its id. If an order for that run, made for the earlier incarnation, arrives meanwhile, runner_on_earlier_incarnation() reports the run as never started before the stop has an answer: orders to stop are never marked as repeated, and a start order that is sent again to the same agent process isn't either.

--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -682,6 +682,28 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is reported as never started because the leader
+ * doesn't know the worker's later incarnation yet: that incarnation, which has
+ * the same id, may still carry out the unanswered start.
+ */
+START_TEST(test_late_start_is_ordered_again)
+{
+	for (uint32_t i = 0; i < 2; i++) {
+		struct fixture *fixture = fixture_ready(true);
+
+		fixture_order(fixture, FLOW_START, 1, false, 0);
+		fixture_restart_worker(fixture, 2);
+		ck_assert_uint_eq(fixture->nr_stops, 1);
+		fixture_order(fixture, i ? FLOW_START : FLOW_STOP, 1, false, 0);
+		fixture_run_ms(fixture, 20);
+		/* The stop has no answer yet. */
+		ck_assert_uint_eq(fixture->refused->len, 0);
+		fixture_free(fixture);
+	}
+}
+END_TEST
+
 SUITE_MAIN("runner_life", test_stale_heartbeats,
 	   test_heartbeat_of_foreign_worker, test_refusal_without_incarnation,
 	   test_unanswered_candidate, test_later_candidate_goes_first,
@@ -694,4 +716,5 @@
 	   test_start_by_other_incarnation,
 	   test_resent_start_in_later_incarnation,
 	   test_resent_start_at_other_incarnation,
-	   test_repeated_order_for_earlier_incarnation)
+	   test_repeated_order_for_earlier_incarnation,
+	   test_late_start_is_ordered_again)
