Show that the first copy of a start is forgotten if a list comes first

runner_start_done() returns before runner_keep_late_start() if the run is no longer in RUNNER_STARTING or has no record, because a poll has listed the run or its end before the start call was answered. The first copy of the call may then be carried out by a later incarnation with the same id, also after the task is done.

runner_life resent_start_is_listed_first fails for a listed run and for a listed end: no stop is called, one is expected.

--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -704,6 +704,39 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that a later incarnation with the same id starts because
+ * of the first copy of a start call: the worker listed the run, or its end,
+ * before it answered the second copy.
+ */
+START_TEST(test_resent_start_is_listed_first)
+{
+	for (uint32_t i = 0; i < 2; i++) {
+		struct flow_run run = { .task = TASK, .run = 1 };
+		struct flow_run_end end = {
+			.nr = 1, .task = TASK, .run = 1, .end = FLOW_END_DONE
+		};
+		struct exec_reply list = fixture_done;
+		struct exec_reply reply = fixture_done;
+		struct fixture *fixture = fixture_ready(true);
+
+		reply.resent = true;
+		list.runs = &run;
+		list.nr_runs = !i;
+		list.ends = &end;
+		list.nr_ends = i;
+		fixture_run_ms(fixture, 20);
+		fixture_order(fixture, FLOW_START, 1, false, 0);
+		ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+		ck_assert(fixture_answer(fixture, EXEC_START, &reply, NULL));
+		fixture_run_ms(fixture, 20);
+		fixture_restart_worker(fixture, 2);
+		ck_assert_uint_eq(fixture->nr_stops, 1);
+		fixture_free(fixture);
+	}
+}
+END_TEST
+
 SUITE_MAIN("runner_life", test_stale_heartbeats,
 	   test_heartbeat_of_foreign_worker, test_refusal_without_incarnation,
 	   test_unanswered_candidate, test_later_candidate_goes_first,
@@ -717,4 +750,4 @@
 	   test_resent_start_in_later_incarnation,
 	   test_resent_start_at_other_incarnation,
 	   test_repeated_order_for_earlier_incarnation,
-	   test_late_start_is_ordered_again)
+	   test_late_start_is_ordered_again, test_resent_start_is_listed_first)
