Show that of two late starts of a task only the first is stopped

runner_stop_late_starts() skips a start if the task has a record already. The record is that of the task's oldest late start, and its stop doesn't prevent a later run.

runner_life two_late_starts_of_a_task fails: only run 1 is stopped.

--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -737,6 +737,40 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that a later incarnation with the same id starts because
+ * of a late start call: an earlier run of the task had such a call, too, and
+ * only that run was stopped.
+ */
+START_TEST(test_two_late_starts_of_a_task)
+{
+	struct exec_reply resent = fixture_done;
+	struct fixture_call stop = { 0 };
+	struct fixture *fixture = fixture_ready(true);
+
+	resent.resent = true;
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(
+		fixture_answer(fixture, EXEC_START, &fixture_no_answer, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_STOP, &fixture_done, NULL));
+	for (uint32_t i = 0; i < 2; i++) {
+		ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done,
+					 NULL));
+		fixture_run_ms(fixture, 20);
+	}
+	ck_assert_uint_eq(fixture->refused->len, 1);
+	fixture_order(fixture, FLOW_START, 2, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &resent, NULL));
+	fixture_restart_worker(fixture, 2);
+	while (fixture_answer(fixture, EXEC_STOP, &fixture_no_answer, &stop) &&
+	       stop.run != 2)
+		;
+	/* The stop of run 2 prevents run 1, too, but not the reverse. */
+	ck_assert_uint_eq(stop.run, 2);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner_life", test_stale_heartbeats,
 	   test_heartbeat_of_foreign_worker, test_refusal_without_incarnation,
 	   test_unanswered_candidate, test_later_candidate_goes_first,
@@ -750,4 +784,5 @@
 	   test_resent_start_in_later_incarnation,
 	   test_resent_start_at_other_incarnation,
 	   test_repeated_order_for_earlier_incarnation,
-	   test_late_start_is_ordered_again, test_resent_start_is_listed_first)
+	   test_late_start_is_ordered_again, test_resent_start_is_listed_first,
+	   test_two_late_starts_of_a_task)
