Show that a refusal by another incarnation refuses a repeated start

A refusal with another born_ms becomes EXEC_OTHER_INCARNATION, for which runner_start_done() drops the run without regard to run->repeated. An incarnation with the same id may still carry out the start that an earlier agent process has called.

runner_life repeated_start_at_other_incarnation fails: the run is refused without a stop.

--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -771,6 +771,28 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is reported as never started because another
+ * incarnation has refused its start, though an earlier agent process has called
+ * the start, too, and that incarnation may carry out that call.
+ */
+START_TEST(test_repeated_start_at_other_incarnation)
+{
+	const struct exec_reply refused = { .verdict = EXEC_REFUSED,
+					    .result = RESULT_OVERLOADED,
+					    .born_ms = 2 };
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture->repeated = true;
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &refused, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner_life", test_stale_heartbeats,
 	   test_heartbeat_of_foreign_worker, test_refusal_without_incarnation,
 	   test_unanswered_candidate, test_later_candidate_goes_first,
@@ -785,4 +807,5 @@
 	   test_resent_start_at_other_incarnation,
 	   test_repeated_order_for_earlier_incarnation,
 	   test_late_start_is_ordered_again, test_resent_start_is_listed_first,
-	   test_two_late_starts_of_a_task)
+	   test_two_late_starts_of_a_task,
+	   test_repeated_start_at_other_incarnation)
