Show that a start in flight is forgotten when its incarnation ends

runner_end_incarnation() drops the runs without recording their unanswered starts, and the reply to a call of an earlier incarnation is ignored. A later incarnation with the same id may carry out the start, while the leader has ended the run as lost at once.

runner_life late_start_after_deregistration fails: no stop is called, one is expected.

--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -793,6 +793,30 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that a later incarnation with the same id starts because
+ * its start call was in flight when the deregistered incarnation terminated.
+ */
+START_TEST(test_late_start_after_deregistration)
+{
+	const struct exec_reply closed = { .verdict = EXEC_NOT_SENT,
+					   .closed = true };
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_run_ms(fixture, 20);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	runner_deregister(fixture->runner, "w", 1);
+	ck_assert(fixture_answer_last_poll(fixture, &closed, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture->report.worker.ended);
+	ck_assert(
+		fixture_answer(fixture, EXEC_START, &fixture_no_answer, NULL));
+	fixture_restart_worker(fixture, 2);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner_life", test_stale_heartbeats,
 	   test_heartbeat_of_foreign_worker, test_refusal_without_incarnation,
 	   test_unanswered_candidate, test_later_candidate_goes_first,
@@ -808,4 +832,5 @@
 	   test_repeated_order_for_earlier_incarnation,
 	   test_late_start_is_ordered_again, test_resent_start_is_listed_first,
 	   test_two_late_starts_of_a_task,
-	   test_repeated_start_at_other_incarnation)
+	   test_repeated_start_at_other_incarnation,
+	   test_late_start_after_deregistration)
