Show that an unreadable refusal of a resent start counts as a stop

A 409 without a readable reason becomes RESULT_CONFLICT, because the worker may have had the run. runner_start_conflict() then treats the run as barred at the worker. If the unreadable reason was another one, such as room, the first copy of the start may still be carried out.

runner resent_start_is_refused_unreadably fails: the run is refused without a stop.

--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -549,6 +549,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is reported as never started because the refusal of
+ * the second copy of its start has no readable reason: the worker may have
+ * refused it for lack of room, and still carry out the first copy.
+ */
+START_TEST(test_resent_start_is_refused_unreadably)
+{
+	const struct exec_reply refused = { .verdict = EXEC_REFUSED,
+					    .result = RESULT_CONFLICT,
+					    .fault = "reason",
+					    .resent = true };
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_run_ms(fixture, 20);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &refused, NULL));
+	for (uint32_t i = 0; i < 2; i++) {
+		fixture_run_ms(fixture, 200);
+		fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL);
+	}
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
 	   test_unanswered_start, test_resent_start_is_refused,
 	   test_deadline_on_slow_clock, test_call_never_answered,
@@ -557,4 +584,5 @@
 	   test_repeated_start_is_stopped, test_calls_are_bounded,
 	   test_full_list_of_ends, test_rows_that_cannot_be_read,
 	   test_end_that_cannot_be_read, test_unreadable_end_in_full_list,
-	   test_ends_are_kept, test_cursor_after_missed_poll)
+	   test_ends_are_kept, test_cursor_after_missed_poll,
+	   test_resent_start_is_refused_unreadably)
