Show that a repeated start is refused because of another run's record

runner_on_start() refuses an order if the agent has a record of another run of the task. If the order is repeated, an earlier agent process may have called the start, and no stop prevents it.

runner repeated_start_beside_other_run fails: the run is refused at once.

--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -576,6 +576,24 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is reported as never started because the agent has
+ * a record of another run of the task, though an earlier agent process has
+ * called its start.
+ */
+START_TEST(test_repeated_start_beside_other_run)
+{
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_order(fixture, FLOW_STOP, 1, false, 0);
+	fixture->repeated = true;
+	fixture_order(fixture, FLOW_START, 2, false, 0);
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
 	   test_unanswered_start, test_resent_start_is_refused,
 	   test_deadline_on_slow_clock, test_call_never_answered,
@@ -585,4 +603,5 @@
 	   test_full_list_of_ends, test_rows_that_cannot_be_read,
 	   test_end_that_cannot_be_read, test_unreadable_end_in_full_list,
 	   test_ends_are_kept, test_cursor_after_missed_poll,
-	   test_resent_start_is_refused_unreadably)
+	   test_resent_start_is_refused_unreadably,
+	   test_repeated_start_beside_other_run)
