Show that a listed earlier run replaces the record of a called start

runner_apply_runs() adds a record for each listed run, which replaces the record of another run of the task. The answer to the start call of the replaced run is then ignored, and the leader's next order for it is refused although the worker may carry out the call.

runner start_beside_listed_earlier_run fails: the run is refused without a stop. It takes a worker that lists an earlier run of the task, such as one that was started late.

--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -594,6 +594,32 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is reported as never started though its start had
+ * no answer: the worker lists an earlier run of the task, which replaces the
+ * agent's record of the later one.
+ */
+START_TEST(test_start_beside_listed_earlier_run)
+{
+	struct flow_run run = { .task = TASK, .run = 1 };
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+
+	list.runs = &run;
+	list.nr_runs = 1;
+	fixture_run_ms(fixture, 20);
+	fixture_order(fixture, FLOW_START, 2, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	ck_assert(
+		fixture_answer(fixture, EXEC_START, &fixture_no_answer, NULL));
+	/* The leader repeats the order, as the run isn't reported. */
+	fixture_order(fixture, FLOW_START, 2, false, 0);
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
 	   test_unanswered_start, test_resent_start_is_refused,
 	   test_deadline_on_slow_clock, test_call_never_answered,
@@ -604,4 +630,5 @@
 	   test_end_that_cannot_be_read, test_unreadable_end_in_full_list,
 	   test_ends_are_kept, test_cursor_after_missed_poll,
 	   test_resent_start_is_refused_unreadably,
-	   test_repeated_start_beside_other_run)
+	   test_repeated_start_beside_other_run,
+	   test_start_beside_listed_earlier_run)
