Show that a stop order for an earlier incarnation refuses the run

Stop orders aren't marked as repeated, so runner_on_earlier_incarnation() reports the run as never started at once. If an earlier agent process has called the start, the later incarnation with the same id may still carry it out. For start orders that are repeated the agent stops the run first.

--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -817,6 +817,24 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is reported as never started because the order to
+ * stop it was made for an earlier incarnation. An earlier agent process may
+ * have called its start, which stop orders don't tell.
+ */
+START_TEST(test_stop_order_for_earlier_incarnation)
+{
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_restart_worker(fixture, 2);
+	fixture_order(fixture, FLOW_STOP, 1, false, 0);
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner_life", test_stale_heartbeats,
 	   test_heartbeat_of_foreign_worker, test_refusal_without_incarnation,
 	   test_unanswered_candidate, test_later_candidate_goes_first,
@@ -833,4 +851,5 @@
 	   test_late_start_is_ordered_again, test_resent_start_is_listed_first,
 	   test_two_late_starts_of_a_task,
 	   test_repeated_start_at_other_incarnation,
-	   test_late_start_after_deregistration)
+	   test_late_start_after_deregistration,
+	   test_stop_order_for_earlier_incarnation)
