Treat a start that was sent twice like one that is ordered again

Both may be carried out by another call than the refused one, but only some refusals were handled so. A refusal without a readable reason of a start that was sent twice counted as proof that the run is barred (runner resent_start_is_refused_unreadably failed before), and a refusal by another incarnation with the same identity dropped a run that an earlier agent process may have called (runner_life repeated_start_at_other_incarnation failed before). Now any refusal of such a run leads to a stop first.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -35,7 +35,11 @@
 	bool ordered; /* an order of the leader for this run was received */
 	uint64_t order_fence; /* fencing token of the last start order */
 	bool wait_logged; /* the wait of the start was logged */
-	bool repeated; /* an earlier agent process may have started the run */
+	/*
+	 * The worker may carry out another start call for the run: one of an
+	 * earlier agent process, or the first copy of one that was sent twice.
+	 */
+	bool repeated;
 	bool stop; /* the run is to be stopped */
 	bool stop_call_pending;
 	uint64_t added_us; /* when this record was added */
@@ -210,10 +214,16 @@
 /** Removes the run and reports it as never started. */
 void runner_drop(struct runner *runner, struct runner_run *run,
 		 enum result result);
+/**
+ * Handles a run whose start call may still be carried out. A stop prevents
+ * this; after that a list shows whether the worker has the run.
+ */
+void runner_start_unconfirmed(struct runner *runner, struct runner_run *run,
+			      const char *outcome, enum result result);
 /**
  * Handles a run whose start can't be called or was refused by the worker. The
- * run is dropped; but if an earlier agent process may have called its start,
- * the run is stopped first, as the worker may still carry out that call.
+ * run is dropped; but if the worker may carry out another start call for it,
+ * the run is stopped first.
  */
 void runner_start_failed(struct runner *runner, struct runner_run *run,
 			 enum result result);
--- a/src/core/agent/runner_run.c
+++ b/src/core/agent/runner_run.c
@@ -121,17 +121,23 @@
 	runner_refuse(runner, task, nr, result);
 }
 
+void runner_start_unconfirmed(struct runner *runner, struct runner_run *run,
+			      const char *outcome, enum result result)
+{
+	runner_set_phase(runner, run, RUNNER_UNCONFIRMED);
+	runner_log_run(runner, "run-unsure", run->task, run->run, outcome,
+		       result);
+	runner_stop(runner, run);
+}
+
 void runner_start_failed(struct runner *runner, struct runner_run *run,
 			 enum result result)
 {
-	if (!run->repeated) {
+	if (run->repeated)
+		runner_start_unconfirmed(runner, run,
+					 "another call may start it", result);
+	else
 		runner_drop(runner, run, result);
-		return;
-	}
-	runner_set_phase(runner, run, RUNNER_UNCONFIRMED);
-	runner_log_run(runner, "run-unsure", run->task, run->run,
-		       "an earlier agent may have started it", result);
-	runner_stop(runner, run);
 }
 
 void runner_start(struct runner *runner, struct runner_run *run)
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -157,21 +157,6 @@
 	runner_poll(runner);
 }
 
-/*
- * Handles a run whose start call may still be carried out. A stop prevents
- * this; after that a list shows whether the worker has the run.
- */
-static void runner_start_unconfirmed(struct runner *runner,
-				     struct runner_run *run,
-				     const char *outcome, enum result result)
-{
-	runner_set_phase(runner, run, RUNNER_UNCONFIRMED);
-	runner_log_run(runner, "run-unsure", run->task, run->run, outcome,
-		       result);
-	runner_report_soon(runner);
-	runner_stop(runner, run);
-}
-
 static void runner_start_done(struct runner *runner,
 			      const struct runner_call *call,
 			      const struct exec_reply *reply)
@@ -183,6 +168,7 @@
 	/* A list may have shown the run or its end before this reply. */
 	if (!run || run->phase != RUNNER_STARTING)
 		return;
+	run->repeated = run->repeated || reply->resent;
 	switch (reply->verdict) {
 	case EXEC_DONE:
 		counter_observe(runner->node->counters, "start_call_ms",
@@ -195,14 +181,8 @@
 			runner_pace(runner);
 		break;
 	case EXEC_REFUSED:
-		if (reply->result == RESULT_CONFLICT)
+		if (reply->result == RESULT_CONFLICT && !run->repeated)
 			runner_start_conflict(runner, run);
-		else if (reply->resent)
-			/* Only the second copy of the call was refused. */
-			runner_start_unconfirmed(runner, run,
-						 "an earlier copy of the "
-						 "start may be carried out",
-						 reply->result);
 		else
 			runner_start_failed(runner, run, reply->result);
 		break;
@@ -210,11 +190,12 @@
 		runner_start_failed(runner, run, RESULT_NO_UPSTREAM);
 		break;
 	case EXEC_OTHER_INCARNATION:
-		runner_drop(runner, run, RESULT_OTHER_LIFE);
+		runner_start_failed(runner, run, RESULT_OTHER_LIFE);
 		break;
 	default:
 		runner_start_unconfirmed(runner, run, "no answer to the start",
 					 RESULT_TIMEOUT);
+		runner_report_soon(runner);
 		break;
 	}
 }
@@ -414,14 +395,28 @@
 	return reply->born_ms && reply->born_ms != runner->worker.born_ms;
 }
 
+/*
+ * Returns what another incarnation's reply means for the call. A run that this
+ * incarnation has started must be stopped there, so its start call counts as
+ * unanswered, which leads to a stop.
+ */
+static struct exec_reply
+runner_reply_of_other_incarnation(const struct runner_call *call,
+				  const struct exec_reply *reply)
+{
+	struct exec_reply other = { .verdict = EXEC_OTHER_INCARNATION,
+				    .resent = reply->resent };
+
+	if (call->kind == EXEC_START && reply->verdict == EXEC_DONE)
+		other.verdict = EXEC_NO_ANSWER;
+	return other;
+}
+
 void runner_call_done(struct runner *runner, uint64_t call_nr,
 		      const struct exec_reply *reply)
 {
-	static const struct exec_reply other = {
-		.verdict = EXEC_OTHER_INCARNATION
-	};
-	static const struct exec_reply none = { .verdict = EXEC_NO_ANSWER };
 	struct runner_call *call = g_hash_table_lookup(runner->calls, &call_nr);
+	struct exec_reply other;
 
 	if (!call)
 		return;
@@ -434,15 +429,10 @@
 	}
 	if (call->incarnation_nr != runner->incarnation_nr)
 		goto out; /* the call was made to an earlier incarnation */
-	/* A run that another incarnation has or may have started must be
-	 * stopped there, so its start call counts as unanswered, which leads to
-	 * a stop. */
-	if (runner_is_other_incarnation(runner, reply))
-		reply = call->kind == EXEC_START &&
-					(reply->verdict == EXEC_DONE ||
-					 reply->resent) ?
-				&none :
-				&other;
+	if (runner_is_other_incarnation(runner, reply)) {
+		other = runner_reply_of_other_incarnation(call, reply);
+		reply = &other;
+	}
 	if (reply->clock_ms) {
 		runner->clock_ms = reply->clock_ms;
 		runner->clock_us = runner->node->now_us;
