Stop the highest late start of a task in a later incarnation

Of two starts of one task without an answer only the first was stopped in the next incarnation with the same identity, which doesn't bar the second. Only the highest run is recorded now; its stop bars the lower ones. runner_life two_late_starts_of_a_task failed before and passes.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -172,7 +172,7 @@
 	GArray *ends; /* struct flow_run_end, listed but not acknowledged */
 	GArray *unlisted_ends; /* struct flow_run_end, not listed, sent once */
 	GHashTable *refusals; /* task -> struct runner_refusal * */
-	GArray *late_starts; /* struct runner_late_start, oldest first */
+	GArray *late_starts; /* struct runner_late_start, one a task */
 	GHashTable *calls; /* call_nr -> struct runner_call * */
 	uint64_t call_nr; /* number of the last call */
 	bool calls_deferred; /* runner_may_call() has returned false */
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -29,11 +29,20 @@
 {
 	struct runner_late_start start = { .run = run };
 
-	/* Drops expired records; the oldest are at the front. */
-	while (runner->late_starts->len &&
-	       g_array_index(runner->late_starts, struct runner_late_start, 0)
-			       .until_us <= runner->node->now_us)
-		g_array_remove_index(runner->late_starts, 0);
+	/*
+	 * Drops expired records, and the task's earlier one: a stop of its
+	 * highest run bars the lower ones, too.
+	 */
+	for (guint i = runner->late_starts->len; i-- > 0;) {
+		const struct runner_late_start *known = &g_array_index(
+			runner->late_starts, struct runner_late_start, i);
+		bool same = !strcmp(known->task, task);
+
+		if (same)
+			start.run = MAX(start.run, known->run);
+		if (same || known->until_us <= runner->node->now_us)
+			g_array_remove_index(runner->late_starts, i);
+	}
 	TEXT_SET(start.task, task);
 	start.until_us =
 		runner->node->now_us + WORKER_CALL_MAX_DELAY_MS * 1000ull;
