Record starts in flight also when an incarnation has ended

They were recorded only when the next incarnation replaced the current one. After a deregistration the worker's records are dropped as soon as its process has terminated, and the next incarnation with the same identity wasn't told to stop these runs. runner_life late_start_after_deregistration failed before and passes.

--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -101,6 +101,7 @@
 static void runner_reset_incarnation(struct runner *runner)
 {
 	runner_keep_ends(runner);
+	runner_keep_unanswered_starts(runner);
 	runner->incarnation_nr++;
 	runner_trace_incarnation(runner);
 	runner->clock_ms = 0;
@@ -308,8 +309,6 @@
 	const struct runner_candidate *candidate = &runner->candidate;
 	bool restarted = !strcmp(runner->worker.id, candidate->incarnation.id);
 
-	if (restarted)
-		runner_keep_unanswered_starts(runner);
 	runner_reset_incarnation(runner);
 	runner_update_worker(runner, &candidate->incarnation,
 			     candidate->address, candidate->seq);
