Stop a run before refusing an order for an earlier incarnation

An order for an earlier incarnation was refused at once unless it was marked as repeated, though the agent itself had the run's start without an answer on record, and though stop orders never carry that mark. The current incarnation with the same identity may still carry the start out. runner_life late_start_is_ordered_again and stop_order_for_earlier_incarnation failed before and pass.

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -186,10 +186,11 @@
 }
 
 /*
- * Handles an order for an earlier incarnation of the worker. If an earlier
- * agent process may have called the run's start, and the current incarnation
- * has the same id, it may still carry out that call. The run is then stopped at
- * the current incarnation before it is reported as never started.
+ * Handles an order for an earlier incarnation of the worker. If the run's start
+ * may have been called, by this or an earlier agent process, and the current
+ * incarnation has the same id, it may still carry out that call. The run is
+ * then stopped at the current incarnation before it is reported as never
+ * started. A stop order doesn't tell whether the start was called.
  */
 static void runner_on_earlier_incarnation(struct runner *runner,
 					  const char *worker,
@@ -198,8 +199,10 @@
 	struct runner_run *run = runner_find(runner, order->task, order->run);
 	bool other_run = !run &&
 			 g_hash_table_contains(runner->runs, order->task);
+	bool never_called = !run && !order->repeated &&
+			    order->action == FLOW_START;
 
-	if (!order->repeated || other_run || !runner_has_worker(runner) ||
+	if (never_called || other_run || !runner_has_worker(runner) ||
 	    strcmp(runner->worker.id, worker) != 0) {
 		runner_refuse(runner, order->task, order->run,
 			      RESULT_OTHER_LIFE);
