Don't refuse a repeated order because of another run's record

An earlier agent process may have called the start of the run, so that the refusal proves nothing. The order is left to be repeated until the agent's record of the other run is gone. runner repeated_start_beside_other_run failed before and passes.

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -144,8 +144,11 @@
 		return;
 	}
 	if (run && run->run != order->run) {
-		runner_refuse(runner, order->task, order->run,
-			      RESULT_IN_PROGRESS);
+		/* Another call may start the run of a repeated order. The
+		 * leader repeats the order until the other run has ended. */
+		if (!order->repeated)
+			runner_refuse(runner, order->task, order->run,
+				      RESULT_IN_PROGRESS);
 		return;
 	}
 	if (!run)
