Keep the record of a called start beside a listed earlier run

A list with an earlier run of the task replaced the agent's record of the later run, whose start was in flight; the answer was then ignored, and the leader's next order for the run was refused without a stop. The earlier run is now stopped without a record of its own, after each list that still shows it, and reported, so that the leader places the task nowhere else meanwhile. runner start_beside_listed_earlier_run failed before and passes; superseded_run_is_reported covers the report.

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -76,6 +76,8 @@
 	g_hash_table_iter_init(&iter, runner->runs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		runner_add_run(runs, value);
+	g_array_append_vals(runs, runner->superseded->data,
+			    runner->superseded->len);
 	runner_add_ends(runner, ends);
 	g_array_append_vals(ends, runner->unlisted_ends->data,
 			    runner->unlisted_ends->len);
@@ -312,6 +314,7 @@
 	site_free(runner->site);
 	g_hash_table_unref(runner->runs);
 	g_hash_table_unref(runner->calls);
+	g_array_unref(runner->superseded);
 	g_array_unref(runner->ends);
 	g_array_unref(runner->unlisted_ends);
 	g_array_unref(runner->late_starts);
@@ -360,6 +363,7 @@
 					     runner_run_free);
 	runner->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					      g_free);
+	runner->superseded = g_array_new(FALSE, FALSE, sizeof(struct flow_run));
 	runner->ends = g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
 	runner->unlisted_ends =
 		g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -169,6 +169,8 @@
 	/** Lowest number of an unreadable end, 0: none, or the list is full. */
 	uint64_t first_unreadable_nr;
 	GHashTable *runs; /* task -> struct runner_run * */
+	/* struct flow_run in the last list that a later run has superseded. */
+	GArray *superseded;
 	GArray *ends; /* struct flow_run_end, listed but not acknowledged */
 	GArray *unlisted_ends; /* struct flow_run_end, not listed, sent once */
 	GHashTable *refusals; /* task -> struct runner_refusal * */
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -116,6 +116,7 @@
 	runner->reported_draining = false;
 	runner->deregistered_us = 0;
 	g_hash_table_remove_all(runner->runs);
+	g_array_set_size(runner->superseded, 0);
 	g_array_set_size(runner->ends, 0);
 	timer_cancel(runner->node->timers, &runner->poll_timer);
 	timer_cancel(runner->node->timers, &runner->leaving_timer);
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -219,15 +219,49 @@
 		node_timer_ms(runner->node, &runner->run_timer, STOP_REPEAT_MS);
 }
 
+/*
+ * Returns true if the agent has a record of a later run of the task than the
+ * listed one. The leader has given up the listed run, so it is stopped. A
+ * record of it would replace that of the later run, whose start may be in
+ * flight. The leader is told of it, so that it doesn't place the task elsewhere
+ * meanwhile.
+ */
+static bool runner_stop_superseded(struct runner *runner,
+				   const struct flow_run *seen)
+{
+	const struct runner_run *run =
+		g_hash_table_lookup(runner->runs, seen->task);
+	struct exec_call call = { .kind = EXEC_STOP };
+
+	if (!run || run->run <= seen->run)
+		return false;
+	g_array_append_vals(runner->superseded, seen, 1);
+	runner_report_soon(runner);
+	/* A stop that isn't called or has no answer is called after the next
+	 * list. */
+	if (runner_may_call(runner)) {
+		call.task = seen->task;
+		call.run = seen->run;
+		counter_add(runner->node->counters, "stops_called", 1);
+		runner_log_run(runner, "task-stopping", seen->task, seen->run,
+			       "superseded", RESULT_OK);
+		runner_call(runner, &call);
+	}
+	return true;
+}
+
 /* Applies the runs that the worker lists, and adds them to @a listed. */
 static void runner_apply_runs(struct runner *runner, GHashTable *listed,
 			      const struct exec_reply *reply)
 {
+	g_array_set_size(runner->superseded, 0);
 	for (uint32_t i = 0; i < reply->nr_runs; i++) {
 		const struct flow_run *seen = &reply->runs[i];
 		struct runner_run *run =
 			runner_find(runner, seen->task, seen->run);
 
+		if (!run && runner_stop_superseded(runner, seen))
+			continue;
 		if (!run) {
 			run = runner_add(runner, seen->task, seen->run,
 					 RUNNER_RUNNING);
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -620,6 +620,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that is placed elsewhere while the worker still has an
+ * earlier run of it: the run is stopped, and reported beside the later one.
+ */
+START_TEST(test_superseded_run_is_reported)
+{
+	struct flow_run run = { .task = TASK, .run = 1 };
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+
+	list.runs = &run;
+	list.nr_runs = 1;
+	fixture_run_ms(fixture, 20);
+	fixture_order(fixture, FLOW_START, 2, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	ck_assert_uint_eq(fixture->report.nr_runs, 2);
+	ck_assert(fixture_answer(fixture, EXEC_START, &fixture_done, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_STOP, &fixture_done, NULL));
+	fixture_run_ms(fixture, 20);
+	run.run = 2;
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 1100);
+	ck_assert_uint_eq(fixture->report.nr_runs, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
 	   test_unanswered_start, test_resent_start_is_refused,
 	   test_deadline_on_slow_clock, test_call_never_answered,
@@ -631,4 +660,5 @@
 	   test_ends_are_kept, test_cursor_after_missed_poll,
 	   test_resent_start_is_refused_unreadably,
 	   test_repeated_start_beside_other_run,
-	   test_start_beside_listed_earlier_run)
+	   test_start_beside_listed_earlier_run,
+	   test_superseded_run_is_reported)
