Report omitted lines of events that the log doesn't track

The log tracks 256 event names. A line of a further event was dropped and counted in log_lines_dropped, but no log-omitted line told of it. Such events now share one entry, with one limit, and are reported as of=other. The number in a log-omitted line that was itself dropped because the pipe was full got lost, too; it is kept and written after a later second.

Before the change, log: many_events writes 256 of 400 lines and omitted_line_repeated reports 0 of 7 omitted lines. Afterwards all 6 tests of the log pass.

--- a/src/daemon/log.c
+++ b/src/daemon/log.c
@@ -7,7 +7,12 @@
 /* A pipe that polls as writable accepts this much without blocking. */
 #define LOG_LINE_MAX_BYTES 4096
 #define LOG_EVENT_NAME_BYTES 48
-#define LOG_EVENTS_MAX 256 /* the names are fixed in the sources */
+/*
+ * The sources name fewer events. Events beyond this number share the entry
+ * logger.others.
+ */
+#define LOG_EVENTS_MAX 256
+#define LOG_OTHERS_NAME "other"
 #define LOG_WINDOW_US 1000000
 
 /** Lines of one event in the current second. */
@@ -40,9 +45,11 @@
 	uint64_t bytes; /* written in the current second */
 	uint32_t nr_events;
 	struct log_event events[LOG_EVENTS_MAX];
+	struct log_event others; /* all events beyond LOG_EVENTS_MAX */
 } logger = {
 	.level = LOG_DECISIONS,
 	.opts = { log_write, NULL, log_now_us },
+	.others = { .name = LOG_OTHERS_NAME },
 };
 
 void log_setup(const struct log_opts *opts)
@@ -51,6 +58,8 @@
 	logger.window_start_us = 0;
 	logger.bytes = 0;
 	logger.nr_events = 0;
+	logger.others.lines = 0;
+	logger.others.omitted = 0;
 }
 
 void log_level(enum log_level level)
@@ -81,7 +90,7 @@
 	return logger.level != LOG_NONE;
 }
 
-/* Returns the event of a line, NULL if there are too many events. */
+/* Returns the event of a line, logger.others if the table is full. */
 static struct log_event *log_event_of(const char *line)
 {
 	const char *name = g_str_has_prefix(line, "event=") ? line + 6 : line;
@@ -93,19 +102,21 @@
 		    !logger.events[i].name[size])
 			return &logger.events[i];
 	if (logger.nr_events == LOG_EVENTS_MAX)
-		return NULL;
+		return &logger.others;
 	event = &logger.events[logger.nr_events++];
 	memset(event, 0, sizeof(*event));
 	memcpy(event->name, name, size);
 	return event;
 }
 
-static void log_emit(const char *line)
+/* Returns false if the line was dropped. */
+static bool log_emit(const char *line)
 {
 	char text[LOG_LINE_MAX_BYTES];
 	gint64 now_us = g_get_real_time();
 	GDateTime *now = g_date_time_new_from_unix_utc(now_us / 1000000);
 	char *stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
+	bool written;
 	int size = g_snprintf(text, sizeof(text), "time=%s.%06dZ %s\n", stamp,
 			      (int)(now_us % 1000000), line);
 
@@ -116,32 +127,38 @@
 	logger.bytes += (uint64_t)size;
 	logger.bytes_total += (uint64_t)size;
 	logger.lines_total++;
-	if (!logger.opts.write(logger.opts.ctx, text, (size_t)size))
+	written = logger.opts.write(logger.opts.ctx, text, (size_t)size);
+	if (!written)
 		logger.dropped++;
 	g_free(stamp);
 	g_date_time_unref(now);
+	return written;
 }
 
-/* Starts a new second; logs the number of lines omitted in the last one. */
-static void log_next_window(uint64_t now_us)
+/*
+ * Starts a new second of an event; logs the number of lines omitted so far. If
+ * that line is dropped, the number is logged after a later second.
+ */
+static void log_next_event_window(struct log_event *event)
 {
 	char text[128];
 
+	event->lines = 0;
+	if (!event->omitted)
+		return;
+	g_snprintf(text, sizeof(text), "event=log-omitted of=%s lines=%u",
+		   event->name, event->omitted);
+	if (log_emit(text))
+		event->omitted = 0;
+}
+
+static void log_next_window(uint64_t now_us)
+{
 	logger.window_start_us = now_us;
 	logger.bytes = 0;
-	for (uint32_t i = 0; i < logger.nr_events; i++) {
-		struct log_event *event = &logger.events[i];
-		uint32_t omitted = event->omitted;
-
-		event->lines = 0;
-		event->omitted = 0;
-		if (!omitted)
-			continue;
-		g_snprintf(text, sizeof(text),
-			   "event=log-omitted of=%s lines=%u", event->name,
-			   omitted);
-		log_emit(text);
-	}
+	for (uint32_t i = 0; i < logger.nr_events; i++)
+		log_next_event_window(&logger.events[i]);
+	log_next_event_window(&logger.others);
 }
 
 void log_line(const char *line)
@@ -154,11 +171,10 @@
 	if (now_us - logger.window_start_us >= LOG_WINDOW_US)
 		log_next_window(now_us);
 	event = log_event_of(line);
-	if (!event || event->lines >= LOG_EVENT_LINES_PER_S ||
+	if (event->lines >= LOG_EVENT_LINES_PER_S ||
 	    logger.bytes >= LOG_BYTES_PER_S) {
 		logger.dropped++;
-		if (event)
-			event->omitted++;
+		event->omitted++;
 		return;
 	}
 	event->lines++;
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -32,9 +32,10 @@
 void log_level(enum log_level level);
 /**
  * Writes one line, "event=NAME ...", with the time in front. A line beyond the
- * limit of its event or of the process is omitted; one line per second and
- * event reports how many lines were omitted. A line that would block is
- * dropped.
+ * limit of its event or of the process is omitted. The first line of a later
+ * second is preceded by one log-omitted line for each event with omitted lines,
+ * with their number. A line that would block is dropped; log_dropped() counts
+ * it.
  */
 void log_line(const char *line);
 /** Number of lines and bytes passed to the writer, dropped ones included. */
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -12,6 +12,7 @@
 struct sink {
 	uint32_t lines;
 	uint64_t bytes;
+	uint64_t omitted; /* sum of lines= of the log-omitted lines */
 	bool full; /* accepts no lines */
 	char last[256]; /* the last line, truncated */
 };
@@ -26,11 +27,16 @@
 static bool sink_write(void *ctx, const char *text, size_t size)
 {
 	struct sink *sink = ctx;
+	const char *omitted;
 
 	if (sink->full)
 		return false;
 	sink->lines++;
 	sink->bytes += size;
+	omitted = strstr(text, "event=log-omitted of=");
+	if (omitted)
+		sink->omitted += g_ascii_strtoull(
+			strstr(omitted, " lines=") + 7, NULL, 10);
 	g_strlcpy(sink->last, text, sizeof(sink->last));
 	return true;
 }
@@ -79,6 +85,57 @@
 }
 END_TEST
 
+#define MANY_EVENTS 400 /* more than the log tracks */
+
+/*
+ * Guards against lines of an event that the log doesn't track which are dropped
+ * without a log-omitted line.
+ */
+START_TEST(test_many_events)
+{
+	struct sink *sink = sink_new();
+	uint64_t dropped = log_dropped();
+	char line[64];
+
+	for (uint32_t i = 0; i < MANY_EVENTS; i++) {
+		g_snprintf(line, sizeof(line), "event=many%u n=1", i);
+		log_line(line);
+	}
+	ck_assert_uint_eq(sink->lines, MANY_EVENTS);
+	for (uint32_t i = 0; i < LOG_EVENT_LINES_PER_S * 2; i++)
+		log_line(line);
+	ck_assert_uint_lt(sink->lines, MANY_EVENTS + LOG_EVENT_LINES_PER_S + 1);
+	ck_assert_uint_eq(sink->lines + log_dropped() - dropped,
+			  MANY_EVENTS + LOG_EVENT_LINES_PER_S * 2);
+	test_now_us += 1000000;
+	log_line("event=many0 n=2");
+	ck_assert_uint_eq(sink->omitted, log_dropped() - dropped);
+	/* An event that isn't tracked is written again in the next second. */
+	log_line(line);
+	ck_assert(strstr(sink->last, line) != NULL);
+}
+END_TEST
+
+/* Guards against a log-omitted line that is lost because the pipe is full. */
+START_TEST(test_omitted_line_repeated)
+{
+	struct sink *sink = sink_new();
+
+	for (uint32_t i = 0; i < LOG_EVENT_LINES_PER_S + 7; i++)
+		log_line("event=storm n=1");
+	sink->full = true;
+	test_now_us += 1000000;
+	log_line("event=rare n=1");
+	sink->full = false;
+	test_now_us += 1000000;
+	log_line("event=rare n=2");
+	ck_assert_uint_eq(sink->omitted, 7);
+	test_now_us += 1000000;
+	log_line("event=rare n=3");
+	ck_assert_uint_eq(sink->omitted, 7);
+}
+END_TEST
+
 /* Guards against a slow reader that blocks the process. */
 START_TEST(test_full_pipe)
 {
@@ -123,5 +180,5 @@
 }
 END_TEST
 
-SUITE_MAIN("log", test_event_limit, test_byte_limit, test_full_pipe,
-	   test_stopped_reader)
+SUITE_MAIN("log", test_event_limit, test_byte_limit, test_many_events,
+	   test_omitted_line_repeated, test_full_pipe, test_stopped_reader)
