Assert the end of the test of deadlines on a slow clock

deadline_on_slow_clock ended with 4,500 ms and an order, and asserted nothing about them. Now the polls of that time are answered, with a clock that is 2 % slow, and none may carry a later deadline; the order of a run with 500 ms of the lease left must be refused, and one after the next grant called.

--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -82,12 +82,15 @@
 
 /*
  * Guards against a lease that lasts longer than granted at a worker whose clock
- * is slow.
+ * is slow, and against a run that is started when the lease is about to end.
  */
 START_TEST(test_deadline_on_slow_clock)
 {
 	struct fixture *fixture = fixture_ready(true);
 	struct fixture_call call = { 0 };
+	struct exec_reply list = { .verdict = EXEC_DONE };
+	struct flow_run run = { .task = TASK, .run = 1, .percent = 10 };
+	uint32_t nr_polls = 0;
 
 	fixture_order(fixture, FLOW_START, 1, false, 0);
 	ck_assert(fixture_answer(fixture, EXEC_START, &fixture_done, &call));
@@ -96,9 +99,29 @@
 	 * may be 2 % slow. */
 	ck_assert_uint_le(call.deadline_ms, 100000 + 4900);
 	ck_assert_uint_ge(call.deadline_ms, 100000 + 4000);
-	/* Without another grant, the lease isn't extended. */
-	fixture_run_ms(fixture, 4500);
-	fixture_order(fixture, FLOW_START, 2, false, 0);
+	/* Without another grant, polls don't extend the lease. */
+	list.nr_runs = 1;
+	list.runs = &run;
+	for (uint32_t ms = 100; ms <= 4500; ms += 100) {
+		fixture_run_ms(fixture, 100);
+		list.clock_ms = 100000 + ms * 98 / 100;
+		if (!fixture_answer(fixture, EXEC_POLL, &list, &call))
+			continue;
+		nr_polls++;
+		ck_assert_uint_le(call.deadline_ms, 100000 + 4900);
+	}
+	ck_assert_uint_ge(nr_polls, 2);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	/* A run isn't started with 500 ms of the lease left. */
+	fixture_order(fixture, FLOW_START, 2, false, 100);
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->nr_starts, 1);
+	ck_assert_uint_eq(fixture->refused->len, 1);
+	ck_assert_uint_eq(g_array_index(fixture->refused, uint32_t, 0), 2);
+	/* After a grant it is. */
+	fixture_grant(fixture, 0);
+	fixture_order(fixture, FLOW_START, 3, false, 100);
+	ck_assert_uint_eq(fixture->nr_starts, 2);
 	fixture_free(fixture);
 }
 END_TEST
