Move long-running tasks only while their whole step is up

max_unavailable was thought to be kept by moving one task of a step at a time, but two paths didn't: the leader took tasks on a VM that had gone silent for running until their lease expired, and moved another serving task of the step meanwhile; and a throttled filler that is long-running was moved whatever its step's other tasks did.

--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -41,7 +41,11 @@
 	char data_rack[NAME_BYTES]; /* rack of the tasks' data, "": any */
 	uint32_t max_per_vm; /* tasks of an occurrence on a VM, 0: no limit */
 	uint32_t target_ms; /* limit of a serving task's tail latency, or 0 */
-	/** Tasks that the leader may stop by itself at a time, 0: no limit. */
+	/**
+	 * How many running tasks of a long-running step the leader may make
+	 * unavailable at a time, 0: no limit. The leader moves one at a time,
+	 * whatever the number.
+	 */
 	uint32_t max_unavailable;
 };
 
--- a/src/core/control/control_flow_group.c
+++ b/src/core/control/control_flow_group.c
@@ -104,12 +104,8 @@
 /* Maximum number of serving images evaluated on one VM; others are ignored. */
 #define GROUP_IMAGES_MAX 32
 
-/*
- * Returns true if all tasks of the run's step have been running for
- * GROUP_SETTLE_MS at least.
- */
-static bool step_is_settled(const struct control_flow *flows,
-			    const struct flow_placement *placed)
+bool control_flow_step_is_settled(const struct control_flow *flows,
+				  const struct flow_placement *placed)
 {
 	const struct state_flow *flow = placed->flow;
 	uint32_t step = state_flow_step(flow, placed->task);
@@ -123,7 +119,9 @@
 		other = control_flow_placement(flows, flow, i);
 		if (!other || !other->listed || other->stopping ||
 		    other->ending || other->percent != 100 ||
-		    now_us - other->listed_us < GROUP_SETTLE_MS * 1000ull)
+		    now_us - other->listed_us < GROUP_SETTLE_MS * 1000ull ||
+		    !control_flow_vm_keeps_runs(flows, other->vm) ||
+		    !control_flow_is_current_incarnation(other))
 			return false;
 	}
 	return true;
@@ -184,7 +182,7 @@
 		    (!placed->no_better_vm_us ||
 		     now_us - placed->no_better_vm_us >=
 			     GROUP_RETRY_MS * 1000ull) &&
-		    step_is_settled(flows, placed))
+		    control_flow_step_is_settled(flows, placed))
 			return placed;
 	}
 	return NULL;
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -323,6 +323,9 @@
 uint64_t control_flow_fence(const struct control_flow *flows,
 			    const struct flow_vm *vm);
 void control_flow_grant(struct control_flow *flows, struct flow_vm *vm);
+/** Returns true if reports still show how the worker's runs end. */
+bool control_flow_vm_is_reporting(const struct control_flow *flows,
+				  const struct flow_vm *vm);
 void control_flow_check(void *data, uint64_t now_us);
 
 /* control_flow_order.c */
@@ -403,6 +406,13 @@
 void control_flow_move_fillers(struct control_flow *flows, struct flow_vm *vm);
 
 /* control_flow_group.c */
+/**
+ * Returns true if all tasks of the run's step are running, and have been for
+ * GROUP_SETTLE_MS at least, on VMs that keep their runs. Only then may the
+ * leader stop one of them to move it.
+ */
+bool control_flow_step_is_settled(const struct control_flow *flows,
+				  const struct flow_placement *placed);
 /**
  * Returns how much processor capacity of the VM, in millis, fillers would lose
  * if another serving task of the image were placed on it.
@@ -453,6 +463,12 @@
 /** Returns true if the start time of the stage's occurrence has come. */
 bool control_flow_stage_due(const struct control_flow *flows,
 			    const struct state_flow *flow, uint32_t stage);
+/**
+ * Returns true if the VM's runs are expected to continue: its agent reports,
+ * its worker responds, and neither drains nor has ended or been lost.
+ */
+bool control_flow_vm_keeps_runs(const struct control_flow *flows,
+				const struct flow_vm *vm);
 /**
  * Returns true if the VM may take tasks of the service now, whatever their
  * size.
--- a/src/core/control/control_flow_move.c
+++ b/src/core/control/control_flow_move.c
@@ -5,7 +5,8 @@
  * on their VM meet their targets. Fillers with a low pace are moved to VMs on
  * which they may run faster. The worker takes a checkpoint when it stops a run,
  * and a step without checkpoints is moved only early in its run, so that little
- * work is lost.
+ * work is lost. A long-running filler whose step limits unavailable tasks is
+ * moved only while all tasks of its step are running.
  */
 
 /* Returns true if the run may be stopped to move it to another VM. */
@@ -18,9 +19,12 @@
 	if (!placed->step->checkpoints &&
 	    placed->percent > FLOW_MOVE_LOSS_PERCENT)
 		return false;
-	return placed->throttled_since_us &&
-	       flows->control->node->now_us - placed->throttled_since_us >=
-		       FLOW_MOVE_AFTER_MS * 1000ull;
+	if (!placed->throttled_since_us ||
+	    flows->control->node->now_us - placed->throttled_since_us <
+		    FLOW_MOVE_AFTER_MS * 1000ull)
+		return false;
+	return !placed->step->lasting || !placed->step->max_unavailable ||
+	       control_flow_step_is_settled(flows, placed);
 }
 
 void control_flow_note_pace(struct control_flow *flows,
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -30,17 +30,22 @@
 	       node->now_us - link->heard_us > FLOW_SILENT_MS * 1000ull;
 }
 
+bool control_flow_vm_keeps_runs(const struct control_flow *flows,
+				const struct flow_vm *vm)
+{
+	return control_flow_vm_is_reporting(flows, vm) &&
+	       !vm->worker.draining && !vm->worker.ended && !vm->loss_pending &&
+	       !flow_vm_is_cut_off(flows, vm);
+}
+
 bool control_flow_vm_usable(const struct control_flow *flows,
 			    const struct flow_vm *vm, const char *service)
 {
 	uint64_t now_us = flows->control->node->now_us;
 
-	return vm->reported && vm->reachable && vm->looked &&
-	       !vm->worker.draining && !vm->worker.ended && !vm->loss_pending &&
-	       !strcmp(vm->worker.service, service) &&
-	       now_us - vm->reported_us < FLOW_REPORT_STALE_MS * 1000ull &&
+	return !strcmp(vm->worker.service, service) &&
+	       control_flow_vm_keeps_runs(flows, vm) &&
 	       now_us >= vm->backoff_until_us &&
-	       !flow_vm_is_cut_off(flows, vm) &&
 	       state_zone_is_in(flows->control->state, vm->zone);
 }
 
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -537,9 +537,11 @@
 	g_list_free(runs);
 }
 
-/* Returns true if reports still show how the worker's runs end. */
-static bool flow_vm_is_reporting(const struct flow_vm *vm, uint64_t now_us)
+bool control_flow_vm_is_reporting(const struct control_flow *flows,
+				  const struct flow_vm *vm)
 {
+	uint64_t now_us = flows->control->node->now_us;
+
 	return vm->reported && vm->reachable && vm->looked &&
 	       now_us - vm->reported_us < FLOW_REPORT_STALE_MS * 1000ull;
 }
@@ -581,7 +583,8 @@
 		 * its runs end.
 		 */
 		if (now_us > flow_lapsed_us(flows, vm) &&
-		    !flow_vm_is_reporting(vm, now_us) && flow_vm_has_runs(vm))
+		    !control_flow_vm_is_reporting(flows, vm) &&
+		    flow_vm_has_runs(vm))
 			flow_vm_lost(flows, vm);
 	}
 	control_flow_set_gauges(flows);
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -699,6 +699,53 @@
 }
 END_TEST
 
+/*
+ * Guards against a throttled long-running filler that is moved while as many
+ * other tasks of its step are away as the step allows.
+ */
+START_TEST(test_held_filler_stays_for_its_step)
+{
+	struct flow_world *fw = flow_world_new(15);
+	struct flow_step serving = serving_step(4, "s");
+	struct flow_step filler = step_of(2);
+	struct fw_vm *down = NULL;
+	struct fw_vm *held = NULL;
+
+	filler.filler = true;
+	filler.checkpoints = true;
+	filler.lasting = true;
+	filler.max_unavailable = 1;
+	filler.max_per_vm = 1;
+	TEXT_SET(filler.image, "f");
+	fw->run_ms = 0;
+	fw->tail_ms = 30;
+	flow_world_submit(fw, "aa", &serving, 1);
+	flow_world_run_ms(fw, 3000);
+	flow_world_submit(fw, "ff", &filler, 1);
+	flow_world_run_ms(fw, 2500);
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+		if (!count_runs(&fw->vms[i], "ff"))
+			continue;
+		down = held;
+		held = &fw->vms[i];
+	}
+	ck_assert_ptr_nonnull(down);
+	fw_kill_agent(down);
+	fw_crash_worker(down);
+	held->tail_ms = 130;
+	for (uint32_t ms = 0; ms < 5000; ms += 20) {
+		flow_world_run_ms(fw, 20);
+		ck_assert_msg(count_runs(held, "ff") == 1,
+			      "stopped after %u ms", ms);
+	}
+	/* The other filler is placed elsewhere, then this one moves. */
+	flow_world_run_ms(fw, 6000);
+	ck_assert_uint_eq(count_runs(held, "ff"), 0);
+	ck_assert_uint_eq(fw_running(fw), 5);
+	flow_world_free(fw);
+}
+END_TEST
+
 static void set_zone(struct flow_world *fw, const char *zone, bool out)
 {
 	struct cmd_zone_set set = { .out = out };
@@ -733,16 +780,14 @@
 }
 
 /*
- * Guards against moves of serving tasks that make more tasks of a step
- * unavailable than it allows, and against VMs that stay unusable for all
- * fillers.
+ * Puts serving tasks of two images on each VM of one zone ("aa", "bb"), and of
+ * one image on each VM of the other ("cc", "dd"); then commits weights by which
+ * the tasks of the first two are to be moved.
  */
-START_TEST(test_serving_tasks_are_grouped)
+static void submit_serving(struct flow_world *fw)
 {
-	struct flow_world *fw = flow_world_new(16);
 	struct flow_step one = serving_step(2, "s1");
 	struct flow_step two = serving_step(2, "s2");
-	uint32_t mixed = 0;
 
 	fw->run_ms = 0;
 	fw->tail_ms = 30;
@@ -761,6 +806,19 @@
 	flow_world_run_ms(fw, 1000);
 	set_zone(fw, "veraval", false);
 	commit_weights(fw);
+}
+
+/*
+ * Guards against moves of serving tasks that make more tasks of a step
+ * unavailable than it allows, and against VMs that stay unusable for all
+ * fillers.
+ */
+START_TEST(test_serving_tasks_are_grouped)
+{
+	struct flow_world *fw = flow_world_new(16);
+	uint32_t mixed = 0;
+
+	submit_serving(fw);
 	for (uint32_t ms = 0; ms < 20000; ms += 20) {
 		uint32_t nr[2] = { 0 };
 
@@ -785,6 +843,46 @@
 }
 END_TEST
 
+/*
+ * Guards against a serving task that is moved while another task of its step is
+ * away because its VM is down. The leader took the tasks of a VM for running
+ * until their lease had expired.
+ */
+START_TEST(test_no_move_while_a_vm_is_down)
+{
+	struct flow_world *fw = flow_world_new(16);
+	struct fw_vm *down = NULL;
+
+	submit_serving(fw);
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		if (count_runs(&fw->vms[i], "aa") &&
+		    count_runs(&fw->vms[i], "bb"))
+			down = &fw->vms[i];
+	ck_assert_ptr_nonnull(down);
+	fw_kill_agent(down);
+	fw_crash_worker(down);
+	for (uint32_t ms = 0; ms < 5000; ms += 20) {
+		uint32_t nr[2] = { 0 };
+
+		flow_world_run_ms(fw, 20);
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+			nr[0] += count_runs(&fw->vms[i], "aa");
+			nr[1] += count_runs(&fw->vms[i], "bb");
+		}
+		ck_assert_msg(nr[0] >= 1 && nr[1] >= 1,
+			      "after %u ms %u and %u tasks run", ms, nr[0],
+			      nr[1]);
+	}
+	/* The tasks of the VM are placed elsewhere, then the others move. */
+	flow_world_run_ms(fw, 20000);
+	ck_assert_uint_eq(fw_running(fw), 6);
+	ck_assert(
+		sim_log_has(fw->base->sim,
+			    "*event=task-stop *reason=\"other neighbours\"*"));
+	flow_world_free(fw);
+}
+END_TEST
+
 /* Guards against a list of workflows that doesn't say why a workflow waits. */
 START_TEST(test_operators_view)
 {
@@ -914,5 +1012,7 @@
 	   test_life_with_an_earlier_clock, test_zone_out, test_draining,
 	   test_attempts, test_fillers_are_not_starved,
 	   test_idle_serving_tasks_leave_room, test_unanswered_starts_wait,
-	   test_advice, test_held_filler_moves, test_serving_tasks_are_grouped,
-	   test_seeds_are_agents, test_overload_ends_most_on_time)
+	   test_advice, test_held_filler_moves,
+	   test_held_filler_stays_for_its_step, test_serving_tasks_are_grouped,
+	   test_no_move_while_a_vm_is_down, test_seeds_are_agents,
+	   test_overload_ends_most_on_time)
