Begin each soak with a phase in which the core has no faults

An order of an operator is judged late after SOAK_ACK_MS in a time without faults of the core, which begins SOAK_CONTACT_MS after the last one: 7 s in all. Three of the four phases without faults of the core were shorter, and the fourth was drawn seldom, began with faults of the core that were still in progress, or was cut off at the end.

Each run now begins with 8.5 s of faults of entries and agents, in addition to the time that the shape gives.

--- a/tests/soak.h
+++ b/tests/soak.h
@@ -28,6 +28,11 @@
 /* Time limits from the platform's settings, and of this test. */
 #define SOAK_CONTACT_MS 3000 /* after a fault, until the limits hold */
 #define SOAK_ACK_MS 4000 /* until an operator's valid order is acknowledged */
+/*
+ * Duration of a run's first phase of faults, in which the core has none; longer
+ * than SOAK_CONTACT_MS and SOAK_ACK_MS together.
+ */
+#define SOAK_STABLE_CORE_MS 8500
 #define SOAK_CONFIG_MS 2000 /* until an acknowledged config is in force */
 #define SOAK_EVACUATE_MS 5000 /* until no task starts in a zone that is out */
 #define SOAK_CANCEL_MS 3000 /* until no cancelled task starts */
@@ -159,6 +164,12 @@
 void soak_faults_end(struct soak *soak);
 /** Returns true while a process is paused, terminating or down. */
 bool soak_faults_active(const struct soak *soak);
+/**
+ * Returns the longest time between soak_faults_start() and soak_faults_end() in
+ * which the core had no fault. Limits that hold only while the core is stable
+ * are judged in such times, besides the stable load at the end.
+ */
+uint32_t soak_faults_stable_ms(const struct soak *soak);
 void soak_faults_free(struct soak *soak);
 
 /* ---- soak_clients.c ---- */
--- a/tests/soak_faults.c
+++ b/tests/soak_faults.c
@@ -36,16 +36,27 @@
 };
 
 /*
- * The longest phase without faults of the core exceeds SOAK_CONTACT_MS and
- * SOAK_ACK_MS together.
+ * First phase of each run. Limits that hold only while the core is stable are
+ * judged SOAK_CONTACT_MS after its last fault, and an order has SOAK_ACK_MS, so
+ * faults of the other roles show a late acknowledgement only in a longer phase
+ * without faults of the core. Faults of the core last up to PAUSE_MAX_MS beyond
+ * their phase, so only the first phase is certain to have none.
  */
+static const struct phase first_phase = { FAMILY_ENTRY | FAMILY_AGENT,
+					  SOAK_STABLE_CORE_MS };
+
+/*
+ * Drawn at random after the first phase. The second phase is one of the first
+ * CORE_PHASES, so that the core has faults in the shortest run, too.
+ */
+#define CORE_PHASES 3
 static const struct phase phases[] = {
-	{ FAMILY_ENTRY, 5000 },
-	{ FAMILY_AGENT, 5000 },
-	{ FAMILY_ENTRY | FAMILY_AGENT, 8500 },
 	{ FAMILY_CORE, 5000 },
 	{ FAMILY_CORE | FAMILY_ENTRY, 6000 },
 	{ FAMILY_CORE | FAMILY_ENTRY | FAMILY_AGENT, 6000 },
+	{ FAMILY_ENTRY, 5000 },
+	{ FAMILY_AGENT, 5000 },
+	{ FAMILY_ENTRY | FAMILY_AGENT, SOAK_STABLE_CORE_MS },
 	{ 0, 4000 },
 };
 
@@ -69,12 +80,15 @@
 	GRand *random;
 	guint tick;
 	uint32_t families;
+	uint32_t nr_phases; /* phases that have begun */
 	int64_t phase_end_ms;
 	int64_t next_ms;
 	int64_t core_exclusive_until_ms; /* until then, no other core fault */
 	GArray *series; /* struct series */
 	struct link_fault links[TB_MAX_CONTROLS];
 	bool over; /* no further faults are injected */
+	int64_t started_us;
+	int64_t ended_us;
 };
 
 static int64_t draw_time_ms(struct soak_faults *faults, uint32_t min_ms,
@@ -495,9 +509,14 @@
 
 static void phase_begin(struct soak_faults *faults)
 {
-	const struct phase *phase = &phases[g_rand_int_range(
-		faults->random, 0, G_N_ELEMENTS(phases))];
+	const struct phase *phase = &first_phase;
 
+	if (faults->nr_phases)
+		phase = &phases[g_rand_int_range(faults->random, 0,
+						 faults->nr_phases == 1 ?
+							 CORE_PHASES :
+							 G_N_ELEMENTS(phases))];
+	faults->nr_phases++;
 	faults->families = phase->families;
 	faults->phase_end_ms = soak_now_ms() + phase->duration_ms;
 	soak_note("phase %u for %u ms", phase->families, phase->duration_ms);
@@ -537,6 +556,7 @@
 	faults->soak = soak;
 	faults->random = g_rand_new_with_seed((guint32)soak->seed);
 	faults->series = g_array_new(FALSE, FALSE, sizeof(struct series));
+	faults->started_us = g_get_monotonic_time();
 	faults->phase_end_ms = soak_now_ms() + FIRST_FAULT_DELAY_MS;
 	faults->tick = g_timeout_add(TICK_MS, faults_tick, faults);
 	soak->faults = faults;
@@ -545,6 +565,7 @@
 void soak_faults_end(struct soak *soak)
 {
 	soak->faults->over = true;
+	soak->faults->ended_us = g_get_monotonic_time();
 	g_array_set_size(soak->faults->series, 0);
 }
 
@@ -557,6 +578,25 @@
 	return false;
 }
 
+uint32_t soak_faults_stable_ms(const struct soak *soak)
+{
+	const struct soak_faults *faults = soak->faults;
+	int64_t from_us = faults->started_us;
+	int64_t longest_us = 0;
+
+	for (guint i = 0; i < soak->core_faults->len; i++) {
+		const struct soak_span *span =
+			&g_array_index(soak->core_faults, struct soak_span, i);
+
+		longest_us =
+			MAX(longest_us,
+			    MIN(span->begin_us, faults->ended_us) - from_us);
+		from_us = MAX(from_us, span->end_us);
+	}
+	longest_us = MAX(longest_us, faults->ended_us - from_us);
+	return (uint32_t)(longest_us / 1000);
+}
+
 void soak_faults_free(struct soak *soak)
 {
 	g_source_remove(soak->faults->tick);
