--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -457,15 +457,20 @@
 
 	flows->control = control;
 	flows->lease_ms = FLOW_LEASE_MAX_MS;
-	if (control->opts.worker_lease_ms)
+	flows->worker_lease_ms = FLOW_LEASE_MAX_MS;
+	if (control->opts.worker_lease_ms) {
 		flows->lease_ms = MIN(flows->lease_ms,
 				      control->opts.worker_lease_ms * 9 / 10);
+		flows->worker_lease_ms = control->opts.worker_lease_ms;
+	}
 	flows->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   flow_vm_free);
 	flows->runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	flows->left_vms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	flows->strays =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	flows->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      flow_orders_free);
 	flows->waits =
@@ -503,6 +508,7 @@
 	timer_cancel(timers, &flows->order_timer);
 	timer_cancel(timers, &flows->check_timer);
 	g_hash_table_unref(flows->left_vms);
+	g_hash_table_unref(flows->strays);
 	g_hash_table_unref(flows->orders);
 	g_hash_table_unref(flows->waits);
 	g_hash_table_unref(flows->started);
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -62,6 +62,11 @@
 	 * this and of earlier leaders and by reported calls without an answer.
 	 */
 	uint64_t lapse_us;
+	/*
+	 * The worker was restarted under its identity, and no run of the new
+	 * incarnation was listed yet, see flow_extend_lapse().
+	 */
+	bool restarted;
 	GArray *ends; /* struct flow_run_end, as listed in the last report */
 	/* Added to the term's first fencing token for this VM. */
 	uint32_t fence_nr;
@@ -236,6 +241,8 @@
 struct control_flow {
 	struct control *control;
 	uint32_t lease_ms; /* length of each lease that workers get */
+	/* The longest lease that workers accept in a call. */
+	uint32_t worker_lease_ms;
 	GHashTable *vms; /* name -> struct flow_vm * */
 	GHashTable *runs; /* task name -> struct flow_placement * */
 	struct pressure *pressure;
@@ -248,6 +255,11 @@
 	GArray *changes; /* struct flow_change to be proposed */
 	/* Task name -> struct flow_vm * that it was moved from. */
 	GHashTable *left_vms;
+	/*
+	 * Task name -> struct flow_vm * whose last report listed a run of the
+	 * task that isn't placed there, for example because it was lost.
+	 */
+	GHashTable *strays;
 	/* VM name -> GArray of struct flow_order to be sent. */
 	GHashTable *orders;
 	/* when the oldest order in orders was queued */
@@ -327,6 +339,12 @@
 bool control_flow_vm_is_reporting(const struct control_flow *flows,
 				  const struct flow_vm *vm);
 void control_flow_check(void *data, uint64_t now_us);
+/**
+ * Returns true if a worker whose lease may hold still runs an earlier run of
+ * the task, by the last report about it.
+ */
+bool control_flow_has_stray(const struct control_flow *flows,
+			    const struct state_flow *flow, uint32_t task);
 
 /* control_flow_order.c */
 /** Returns true if the run belongs to the worker's present incarnation. */
--- a/tests/control_world.c
+++ b/tests/control_world.c
@@ -157,6 +157,7 @@
 		.store_ctx = host,
 		.image = &image,
 		.control_addresses = host->world->addresses,
+		.worker_lease_ms = WORLD_WORKER_LEASE_MS,
 	};
 	struct node *node = sim_boot(host->machine, host->node_id);
 
@@ -446,9 +447,10 @@
 static void call_return(void *data)
 {
 	struct world_call *call = data;
+	struct platform_answer answer = { call->reply_type, call->reply,
+					  false };
 
-	agent_platform_done(call->vm->agent, call->call_nr, call->reply_type,
-			    call->reply);
+	agent_platform_done(call->vm->agent, call->call_nr, &answer);
 	g_hash_table_remove(call->vm->world->in_flight, call);
 	call_free(call);
 }
--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -615,6 +615,47 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that a later incarnation with the same id starts because
+ * of the first copy of a start call, of which the second copy was accepted.
+ */
+START_TEST(test_resent_start_in_later_incarnation)
+{
+	struct exec_reply reply = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+
+	reply.resent = true;
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &reply, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->nr_stops, 0);
+	fixture_restart_worker(fixture, 2);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a run that is reported as never started because another
+ * incarnation has refused the second copy of its start call.
+ */
+START_TEST(test_resent_start_at_other_incarnation)
+{
+	const struct exec_reply refused = { .verdict = EXEC_REFUSED,
+					    .result = RESULT_OVERLOADED,
+					    .born_ms = 2,
+					    .resent = true };
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &refused, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
 /*
  * Guards against a run that is reported as never started though an earlier
  * agent process has called its start on an earlier incarnation. A later
@@ -641,6 +682,141 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is reported as never started because the leader
+ * doesn't know the worker's later incarnation yet: that incarnation, which has
+ * the same id, may still carry out the unanswered start.
+ */
+START_TEST(test_late_start_is_ordered_again)
+{
+	for (uint32_t i = 0; i < 2; i++) {
+		struct fixture *fixture = fixture_ready(true);
+
+		fixture_order(fixture, FLOW_START, 1, false, 0);
+		fixture_restart_worker(fixture, 2);
+		ck_assert_uint_eq(fixture->nr_stops, 1);
+		fixture_order(fixture, i ? FLOW_START : FLOW_STOP, 1, false, 0);
+		fixture_run_ms(fixture, 20);
+		/* The stop has no answer yet. */
+		ck_assert_uint_eq(fixture->refused->len, 0);
+		fixture_free(fixture);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a run that a later incarnation with the same id starts because
+ * of the first copy of a start call: the worker listed the run, or its end,
+ * before it answered the second copy.
+ */
+START_TEST(test_resent_start_is_listed_first)
+{
+	for (uint32_t i = 0; i < 2; i++) {
+		struct flow_run run = { .task = TASK, .run = 1 };
+		struct flow_run_end end = {
+			.nr = 1, .task = TASK, .run = 1, .end = FLOW_END_DONE
+		};
+		struct exec_reply list = fixture_done;
+		struct exec_reply reply = fixture_done;
+		struct fixture *fixture = fixture_ready(true);
+
+		reply.resent = true;
+		list.runs = &run;
+		list.nr_runs = !i;
+		list.ends = &end;
+		list.nr_ends = i;
+		fixture_run_ms(fixture, 20);
+		fixture_order(fixture, FLOW_START, 1, false, 0);
+		ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+		ck_assert(fixture_answer(fixture, EXEC_START, &reply, NULL));
+		fixture_run_ms(fixture, 20);
+		fixture_restart_worker(fixture, 2);
+		ck_assert_uint_eq(fixture->nr_stops, 1);
+		fixture_free(fixture);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a run that a later incarnation with the same id starts because
+ * of a late start call: an earlier run of the task had such a call, too, and
+ * only that run was stopped.
+ */
+START_TEST(test_two_late_starts_of_a_task)
+{
+	struct exec_reply resent = fixture_done;
+	struct fixture_call stop = { 0 };
+	struct fixture *fixture = fixture_ready(true);
+
+	resent.resent = true;
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(
+		fixture_answer(fixture, EXEC_START, &fixture_no_answer, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_STOP, &fixture_done, NULL));
+	for (uint32_t i = 0; i < 2; i++) {
+		ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done,
+					 NULL));
+		fixture_run_ms(fixture, 20);
+	}
+	ck_assert_uint_eq(fixture->refused->len, 1);
+	fixture_order(fixture, FLOW_START, 2, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &resent, NULL));
+	fixture_restart_worker(fixture, 2);
+	while (fixture_answer(fixture, EXEC_STOP, &fixture_no_answer, &stop) &&
+	       stop.run != 2)
+		;
+	/* The stop of run 2 prevents run 1, too, but not the reverse. */
+	ck_assert_uint_eq(stop.run, 2);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a run that is reported as never started because another
+ * incarnation has refused its start, though an earlier agent process has called
+ * the start, too, and that incarnation may carry out that call.
+ */
+START_TEST(test_repeated_start_at_other_incarnation)
+{
+	const struct exec_reply refused = { .verdict = EXEC_REFUSED,
+					    .result = RESULT_OVERLOADED,
+					    .born_ms = 2 };
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture->repeated = true;
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &refused, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a run that a later incarnation with the same id starts because
+ * its start call was in flight when the deregistered incarnation terminated.
+ */
+START_TEST(test_late_start_after_deregistration)
+{
+	const struct exec_reply closed = { .verdict = EXEC_NOT_SENT,
+					   .closed = true };
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_run_ms(fixture, 20);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	runner_deregister(fixture->runner, "w", 1);
+	ck_assert(fixture_answer_last_poll(fixture, &closed, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture->report.worker.ended);
+	ck_assert(
+		fixture_answer(fixture, EXEC_START, &fixture_no_answer, NULL));
+	fixture_restart_worker(fixture, 2);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner_life", test_stale_heartbeats,
 	   test_heartbeat_of_foreign_worker, test_refusal_without_incarnation,
 	   test_unanswered_candidate, test_later_candidate_goes_first,
@@ -651,4 +827,10 @@
 	   test_lists_of_other_incarnation, test_ends_survive_incarnation,
 	   test_late_deregistration, test_late_start_in_later_incarnation,
 	   test_start_by_other_incarnation,
-	   test_repeated_order_for_earlier_incarnation)
+	   test_resent_start_in_later_incarnation,
+	   test_resent_start_at_other_incarnation,
+	   test_repeated_order_for_earlier_incarnation,
+	   test_late_start_is_ordered_again, test_resent_start_is_listed_first,
+	   test_two_late_starts_of_a_task,
+	   test_repeated_start_at_other_incarnation,
+	   test_late_start_after_deregistration)
