Don't say that another change to a zone came first when that isn't known

An operator's "zone out" or "zone in" could fail with "another change to the zone came first" (stale) after it had been made. If the request gets no clear answer, the tool reads the zone again. When its version had risen by more than one, it took this for another operator's change alone, but the tool's own change may be the first of them.

The tool now reports such a change as unknown (18). A version that has risen by one by another operator still means that this one can't be made.

The new test failed before: exit code 8 instead of 18.

--- a/src/tool/commands.c
+++ b/src/tool/commands.c
@@ -670,6 +670,11 @@
 			       "}\n" :
 			       "ok version=%" G_GUINT64_FORMAT "\n",
 		       zone.version);
+	} else if (res == RESULT_OK &&
+		   zone.version > set->expected_version + 1) {
+		res = command_fail(RESULT_OUTCOME_UNKNOWN,
+				   "the zone has changed more than once; this "
+				   "change may be one of them");
 	} else if (res == RESULT_OK) {
 		res = command_fail(RESULT_STALE,
 				   "another change to the zone came first");
--- a/tests/test_contract.c
+++ b/tests/test_contract.c
@@ -394,6 +394,8 @@
 }
 END_TEST
 
+#define TOOL_UNKNOWN "{\"result\":18}" /* the outcome is unknown */
+
 /* A simulated control process with scripted answers. */
 struct fake_control {
 	SoupServer *server;
@@ -401,7 +403,10 @@
 	const char *first;
 	const char *next; /* answer to requests of further pages, or to a
 			   * change that is sent again */
+	/** First page after a change, whose outcome is unknown; or NULL. */
+	const char *changed;
 	uint32_t nr_calls;
+	uint32_t nr_changes;
 };
 
 static void fake_control_serve(SoupServer *server, SoupServerMessage *msg,
@@ -410,9 +415,15 @@
 {
 	struct fake_control *fake = data;
 	bool change = strcmp(soup_server_message_get_method(msg), "GET") != 0;
-	bool again = change ? fake->nr_calls > 0 : query != NULL;
+	bool again = change ? fake->nr_changes > 0 : query != NULL;
 	const char *text = again ? fake->next : fake->first;
 
+	if (change && !again && fake->changed)
+		text = TOOL_UNKNOWN;
+	else if (!change && !again && fake->nr_changes && fake->changed)
+		text = fake->changed;
+	fake->nr_changes += change;
+
 	/* Ends the list, so that a tool that requests pages forever fails. */
 	if (++fake->nr_calls > 20)
 		text = "{\"zones\":[]}";
@@ -452,21 +463,22 @@
 						       res, out, NULL, NULL));
 }
 
-/* Runs the tool against the simulated control; returns its exit code. */
-static int tool_run(struct fake_control *fake, const char *object,
-		    const char *verb, const char *argument, char **out)
+/* Runs a command of the tool against the simulated control. */
+static int tool_run(struct fake_control *fake, const char *command, char **out)
 {
 	char *folder = g_path_get_dirname(program);
-	char *tool = g_build_filename(folder, "..", "src", "tool",
-				      "masticreach", NULL);
-	const char *argv[] = { tool, "--control", fake->address, object,
-			       verb, argument,	  NULL };
+	char *line = g_strdup_printf("%s/../src/tool/masticreach --control %s "
+				     "%s",
+				     folder, fake->address, command);
+	char **argv = g_strsplit(line, " ", -1);
 	GSubprocess *process;
 	int code;
 
 	fake->nr_calls = 0;
+	fake->nr_changes = 0;
 	*out = NULL;
-	process = g_subprocess_newv(argv, G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL);
+	process = g_subprocess_newv((const char *const *)argv,
+				    G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL);
 	ck_assert_ptr_nonnull(process);
 	g_subprocess_communicate_utf8_async(process, NULL, NULL, tool_done,
 					    out);
@@ -476,7 +488,8 @@
 		       g_subprocess_get_exit_status(process) :
 		       -1;
 	g_object_unref(process);
-	g_free(tool);
+	g_strfreev(argv);
+	g_free(line);
 	g_free(folder);
 	return code;
 }
@@ -520,7 +533,7 @@
 	fake_control_open(&fake);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		fake.first = cases[i].first;
-		ck_assert_msg(tool_run(&fake, "zone", "list", NULL, &out) ==
+		ck_assert_msg(tool_run(&fake, "zone list", &out) ==
 				      cases[i].code,
 			      "%s: %s", cases[i].first, out);
 		ck_assert_msg(fake.nr_calls == cases[i].nr_calls,
@@ -530,10 +543,10 @@
 		g_free(out);
 	}
 	fake.first = "[1]";
-	ck_assert_int_eq(tool_run(&fake, "status", NULL, NULL, &out), 3);
+	ck_assert_int_eq(tool_run(&fake, "status", &out), 3);
 	g_free(out);
 	fake.first = "{\"members\":7}";
-	ck_assert_int_eq(tool_run(&fake, "member", "list", NULL, &out), 3);
+	ck_assert_int_eq(tool_run(&fake, "member list", &out), 3);
 	g_free(out);
 	fake_control_close(&fake);
 }
@@ -545,22 +558,51 @@
  */
 START_TEST(test_tool_refused_copy)
 {
-	static const char unknown[] = "{\"result\":18}";
+	static const char unknown[] = TOOL_UNKNOWN;
 	static const char refused[] = "{\"result\":6}";
 	struct fake_control fake = { .first = unknown, .next = refused };
 	char *out;
 
 	fake_control_open(&fake);
-	ck_assert_int_eq(tool_run(&fake, "member", "remove", "7", &out), 18);
+	ck_assert_int_eq(tool_run(&fake, "member remove 7", &out), 18);
 	ck_assert_uint_eq(fake.nr_calls, 2);
 	g_free(out);
 	fake.first = refused;
-	ck_assert_int_eq(tool_run(&fake, "member", "remove", "7", &out), 6);
+	ck_assert_int_eq(tool_run(&fake, "member remove 7", &out), 6);
 	ck_assert_uint_eq(fake.nr_calls, 1);
 	g_free(out);
 	fake.first = unknown;
 	fake.next = "{\"result\":0}";
-	ck_assert_int_eq(tool_run(&fake, "member", "remove", "7", &out), 0);
+	ck_assert_int_eq(tool_run(&fake, "member remove 7", &out), 0);
+	g_free(out);
+	fake_control_close(&fake);
+}
+END_TEST
+
+#define ZONE_PAGE(version, by)                                       \
+	"{\"zones\":[{\"zone\":{\"name\":\"veraval\",\"out\":false," \
+	"\"version\":" version ",\"changed_by\":\"" by "\"}}]}"
+
+/*
+ * Guards against a change of a zone that is reported as not made because
+ * another change followed it before the tool had read the zone again.
+ */
+START_TEST(test_tool_zone_changed_twice)
+{
+	struct fake_control fake = { .first = ZONE_PAGE("1", "ravi"),
+				     .next = "{\"zones\":[]}" };
+	char *out;
+
+	fake_control_open(&fake);
+	fake.changed = ZONE_PAGE("3", "ravi");
+	ck_assert_int_eq(tool_run(&fake, "zone out veraval --by asha", &out),
+			 18);
+	ck_assert_uint_eq(fake.nr_changes, 1);
+	g_free(out);
+	/* Only the other change was made. */
+	fake.changed = ZONE_PAGE("2", "ravi");
+	ck_assert_int_eq(tool_run(&fake, "zone out veraval --by asha", &out),
+			 8);
 	g_free(out);
 	fake_control_close(&fake);
 }
@@ -667,6 +709,7 @@
 		test_nested_documents,
 		test_tool_invalid_answers,
 		test_tool_refused_copy,
+		test_tool_zone_changed_twice,
 		test_processes_wait_and_end,
 		test_reload_while_starting,
 	};
