--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -76,6 +76,8 @@
 	g_hash_table_iter_init(&iter, runner->runs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		runner_add_run(runs, value);
+	g_array_append_vals(runs, runner->superseded->data,
+			    runner->superseded->len);
 	runner_add_ends(runner, ends);
 	g_array_append_vals(ends, runner->unlisted_ends->data,
 			    runner->unlisted_ends->len);
@@ -144,8 +146,11 @@
 		return;
 	}
 	if (run && run->run != order->run) {
-		runner_refuse(runner, order->task, order->run,
-			      RESULT_IN_PROGRESS);
+		/* Another call may start the run of a repeated order. The
+		 * leader repeats the order until the other run has ended. */
+		if (!order->repeated)
+			runner_refuse(runner, order->task, order->run,
+				      RESULT_IN_PROGRESS);
 		return;
 	}
 	if (!run)
@@ -186,10 +191,11 @@
 }
 
 /*
- * Handles an order for an earlier incarnation of the worker. If an earlier
- * agent process may have called the run's start, and the current incarnation
- * has the same id, it may still carry out that call. The run is then stopped at
- * the current incarnation before it is reported as never started.
+ * Handles an order for an earlier incarnation of the worker. If the run's start
+ * may have been called, by this or an earlier agent process, and the current
+ * incarnation has the same id, it may still carry out that call. The run is
+ * then stopped at the current incarnation before it is reported as never
+ * started. A stop order doesn't tell whether the start was called.
  */
 static void runner_on_earlier_incarnation(struct runner *runner,
 					  const char *worker,
@@ -198,8 +204,10 @@
 	struct runner_run *run = runner_find(runner, order->task, order->run);
 	bool other_run = !run &&
 			 g_hash_table_contains(runner->runs, order->task);
+	bool never_called = !run && !order->repeated &&
+			    order->action == FLOW_START;
 
-	if (!order->repeated || other_run || !runner_has_worker(runner) ||
+	if (never_called || other_run || !runner_has_worker(runner) ||
 	    strcmp(runner->worker.id, worker) != 0) {
 		runner_refuse(runner, order->task, order->run,
 			      RESULT_OTHER_LIFE);
@@ -306,6 +314,7 @@
 	site_free(runner->site);
 	g_hash_table_unref(runner->runs);
 	g_hash_table_unref(runner->calls);
+	g_array_unref(runner->superseded);
 	g_array_unref(runner->ends);
 	g_array_unref(runner->unlisted_ends);
 	g_array_unref(runner->late_starts);
@@ -354,6 +363,7 @@
 					     runner_run_free);
 	runner->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					      g_free);
+	runner->superseded = g_array_new(FALSE, FALSE, sizeof(struct flow_run));
 	runner->ends = g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
 	runner->unlisted_ends =
 		g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -35,7 +35,11 @@
 	bool ordered; /* an order of the leader for this run was received */
 	uint64_t order_fence; /* fencing token of the last start order */
 	bool wait_logged; /* the wait of the start was logged */
-	bool repeated; /* an earlier agent process may have started the run */
+	/*
+	 * The worker may carry out another start call for the run: one of an
+	 * earlier agent process, or the first copy of one that was sent twice.
+	 */
+	bool repeated;
 	bool stop; /* the run is to be stopped */
 	bool stop_call_pending;
 	uint64_t added_us; /* when this record was added */
@@ -96,7 +100,10 @@
 	uint32_t percent; /* EXEC_PACE: the new pace */
 };
 
-/** A start call without an answer, which a worker may still carry out. */
+/**
+ * A start call without an answer, or that was sent twice, so that a worker may
+ * still carry it out.
+ */
 struct runner_late_start {
 	char task[NAME_BYTES];
 	uint32_t run;
@@ -162,10 +169,12 @@
 	/** Lowest number of an unreadable end, 0: none, or the list is full. */
 	uint64_t first_unreadable_nr;
 	GHashTable *runs; /* task -> struct runner_run * */
+	/* struct flow_run in the last list that a later run has superseded. */
+	GArray *superseded;
 	GArray *ends; /* struct flow_run_end, listed but not acknowledged */
 	GArray *unlisted_ends; /* struct flow_run_end, not listed, sent once */
 	GHashTable *refusals; /* task -> struct runner_refusal * */
-	GArray *late_starts; /* struct runner_late_start, oldest first */
+	GArray *late_starts; /* struct runner_late_start, one a task */
 	GHashTable *calls; /* call_nr -> struct runner_call * */
 	uint64_t call_nr; /* number of the last call */
 	bool calls_deferred; /* runner_may_call() has returned false */
@@ -207,10 +216,16 @@
 /** Removes the run and reports it as never started. */
 void runner_drop(struct runner *runner, struct runner_run *run,
 		 enum result result);
+/**
+ * Handles a run whose start call may still be carried out. A stop prevents
+ * this; after that a list shows whether the worker has the run.
+ */
+void runner_start_unconfirmed(struct runner *runner, struct runner_run *run,
+			      const char *outcome, enum result result);
 /**
  * Handles a run whose start can't be called or was refused by the worker. The
- * run is dropped; but if an earlier agent process may have called its start,
- * the run is stopped first, as the worker may still carry out that call.
+ * run is dropped; but if the worker may carry out another start call for it,
+ * the run is stopped first.
  */
 void runner_start_failed(struct runner *runner, struct runner_run *run,
 			 enum result result);
@@ -277,8 +292,9 @@
 /** Logs an event of the current worker. */
 void runner_log_worker(struct runner *runner, const char *event);
 /**
- * Records a start call without an answer. A later incarnation with the same id
- * may still carry out the call, even if the current one has stopped the run.
+ * Records a start call without an answer, or that was sent twice. A later
+ * incarnation with the same id may still carry out the call, even if the
+ * current one has stopped the run.
  */
 void runner_keep_late_start(struct runner *runner, const char *task,
 			    uint32_t run);
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -29,11 +29,20 @@
 {
 	struct runner_late_start start = { .run = run };
 
-	/* Drops expired records; the oldest are at the front. */
-	while (runner->late_starts->len &&
-	       g_array_index(runner->late_starts, struct runner_late_start, 0)
-			       .until_us <= runner->node->now_us)
-		g_array_remove_index(runner->late_starts, 0);
+	/*
+	 * Drops expired records, and the task's earlier one: a stop of its
+	 * highest run bars the lower ones, too.
+	 */
+	for (guint i = runner->late_starts->len; i-- > 0;) {
+		const struct runner_late_start *known = &g_array_index(
+			runner->late_starts, struct runner_late_start, i);
+		bool same = !strcmp(known->task, task);
+
+		if (same)
+			start.run = MAX(start.run, known->run);
+		if (same || known->until_us <= runner->node->now_us)
+			g_array_remove_index(runner->late_starts, i);
+	}
 	TEXT_SET(start.task, task);
 	start.until_us =
 		runner->node->now_us + WORKER_CALL_MAX_DELAY_MS * 1000ull;
@@ -92,6 +101,7 @@
 static void runner_reset_incarnation(struct runner *runner)
 {
 	runner_keep_ends(runner);
+	runner_keep_unanswered_starts(runner);
 	runner->incarnation_nr++;
 	runner_trace_incarnation(runner);
 	runner->clock_ms = 0;
@@ -106,6 +116,7 @@
 	runner->reported_draining = false;
 	runner->deregistered_us = 0;
 	g_hash_table_remove_all(runner->runs);
+	g_array_set_size(runner->superseded, 0);
 	g_array_set_size(runner->ends, 0);
 	timer_cancel(runner->node->timers, &runner->poll_timer);
 	timer_cancel(runner->node->timers, &runner->leaving_timer);
@@ -299,8 +310,6 @@
 	const struct runner_candidate *candidate = &runner->candidate;
 	bool restarted = !strcmp(runner->worker.id, candidate->incarnation.id);
 
-	if (restarted)
-		runner_keep_unanswered_starts(runner);
 	runner_reset_incarnation(runner);
 	runner_update_worker(runner, &candidate->incarnation,
 			     candidate->address, candidate->seq);
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -549,6 +549,106 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is reported as never started because the refusal of
+ * the second copy of its start has no readable reason: the worker may have
+ * refused it for lack of room, and still carry out the first copy.
+ */
+START_TEST(test_resent_start_is_refused_unreadably)
+{
+	const struct exec_reply refused = { .verdict = EXEC_REFUSED,
+					    .result = RESULT_CONFLICT,
+					    .fault = "reason",
+					    .resent = true };
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_run_ms(fixture, 20);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &refused, NULL));
+	for (uint32_t i = 0; i < 2; i++) {
+		fixture_run_ms(fixture, 200);
+		fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL);
+	}
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a run that is reported as never started because the agent has
+ * a record of another run of the task, though an earlier agent process has
+ * called its start.
+ */
+START_TEST(test_repeated_start_beside_other_run)
+{
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_order(fixture, FLOW_STOP, 1, false, 0);
+	fixture->repeated = true;
+	fixture_order(fixture, FLOW_START, 2, false, 0);
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a run that is reported as never started though its start had
+ * no answer: the worker lists an earlier run of the task, which replaces the
+ * agent's record of the later one.
+ */
+START_TEST(test_start_beside_listed_earlier_run)
+{
+	struct flow_run run = { .task = TASK, .run = 1 };
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+
+	list.runs = &run;
+	list.nr_runs = 1;
+	fixture_run_ms(fixture, 20);
+	fixture_order(fixture, FLOW_START, 2, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	ck_assert(
+		fixture_answer(fixture, EXEC_START, &fixture_no_answer, NULL));
+	/* The leader repeats the order, as the run isn't reported. */
+	fixture_order(fixture, FLOW_START, 2, false, 0);
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a task that is placed elsewhere while the worker still has an
+ * earlier run of it: the run is stopped, and reported beside the later one.
+ */
+START_TEST(test_superseded_run_is_reported)
+{
+	struct flow_run run = { .task = TASK, .run = 1 };
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+
+	list.runs = &run;
+	list.nr_runs = 1;
+	fixture_run_ms(fixture, 20);
+	fixture_order(fixture, FLOW_START, 2, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	ck_assert_uint_eq(fixture->report.nr_runs, 2);
+	ck_assert(fixture_answer(fixture, EXEC_START, &fixture_done, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_STOP, &fixture_done, NULL));
+	fixture_run_ms(fixture, 20);
+	run.run = 2;
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 1100);
+	ck_assert_uint_eq(fixture->report.nr_runs, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
 	   test_unanswered_start, test_resent_start_is_refused,
 	   test_deadline_on_slow_clock, test_call_never_answered,
@@ -557,4 +657,8 @@
 	   test_repeated_start_is_stopped, test_calls_are_bounded,
 	   test_full_list_of_ends, test_rows_that_cannot_be_read,
 	   test_end_that_cannot_be_read, test_unreadable_end_in_full_list,
-	   test_ends_are_kept, test_cursor_after_missed_poll)
+	   test_ends_are_kept, test_cursor_after_missed_poll,
+	   test_resent_start_is_refused_unreadably,
+	   test_repeated_start_beside_other_run,
+	   test_start_beside_listed_earlier_run,
+	   test_superseded_run_is_reported)
