--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -48,6 +48,23 @@
 }
 END_TEST
 
+/*
+ * Answers the open stop call, and checks that the run is reported as refused
+ * once a list that was requested after that doesn't show it.
+ */
+static void check_refused_after_stop(struct fixture *fixture)
+{
+	ck_assert(fixture_answer(fixture, EXEC_STOP, &fixture_done, NULL));
+	fixture_run_ms(fixture, 20);
+	/* The open poll was sent before the stop, so its list doesn't count. */
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->refused->len, 1);
+}
+
 /*
  * Guards against a run that is reported as never started although the worker
  * may still start it: after a start call without an answer, the worker must
@@ -67,15 +84,7 @@
 	fixture_run_ms(fixture, 600);
 	ck_assert_uint_eq(fixture->nr_stops, 2);
 	ck_assert_uint_eq(fixture->refused->len, 0);
-	ck_assert(fixture_answer(fixture, EXEC_STOP, &fixture_done, NULL));
-	fixture_run_ms(fixture, 20);
-	/* The open poll was sent before the stop, so its list doesn't count. */
-	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL));
-	fixture_run_ms(fixture, 20);
-	ck_assert_uint_eq(fixture->refused->len, 0);
-	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL));
-	fixture_run_ms(fixture, 20);
-	ck_assert_uint_eq(fixture->refused->len, 1);
+	check_refused_after_stop(fixture);
 	fixture_free(fixture);
 }
 END_TEST
@@ -97,15 +106,7 @@
 	fixture_run_ms(fixture, 20);
 	ck_assert_uint_eq(fixture->refused->len, 0);
 	ck_assert_uint_eq(fixture->nr_stops, 1);
-	ck_assert(fixture_answer(fixture, EXEC_STOP, &fixture_done, NULL));
-	fixture_run_ms(fixture, 20);
-	/* The open poll was sent before the stop, so its list doesn't count. */
-	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL));
-	fixture_run_ms(fixture, 20);
-	ck_assert_uint_eq(fixture->refused->len, 0);
-	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL));
-	fixture_run_ms(fixture, 20);
-	ck_assert_uint_eq(fixture->refused->len, 1);
+	check_refused_after_stop(fixture);
 	fixture_free(fixture);
 }
 END_TEST
@@ -617,6 +618,31 @@
 }
 END_TEST
 
+/* Answers the oldest open poll with one run of TASK. */
+static void fixture_list_run(struct fixture *fixture, uint32_t nr)
+{
+	struct flow_run run = { .task = TASK, .run = nr };
+	struct exec_reply list = fixture_done;
+
+	list.runs = &run;
+	list.nr_runs = 1;
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+}
+
+/*
+ * Returns a runner that has called the start of run 2 of TASK, while the worker
+ * lists run 1.
+ */
+static struct fixture *fixture_with_superseded_run(void)
+{
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_run_ms(fixture, 20);
+	fixture_order(fixture, FLOW_START, 2, false, 0);
+	fixture_list_run(fixture, 1);
+	return fixture;
+}
+
 /*
  * Guards against a run that is reported as never started though its start had
  * no answer: the worker lists an earlier run of the task, which replaces the
@@ -624,15 +650,8 @@
  */
 START_TEST(test_start_beside_listed_earlier_run)
 {
-	struct flow_run run = { .task = TASK, .run = 1 };
-	struct exec_reply list = fixture_done;
-	struct fixture *fixture = fixture_ready(true);
+	struct fixture *fixture = fixture_with_superseded_run();
 
-	list.runs = &run;
-	list.nr_runs = 1;
-	fixture_run_ms(fixture, 20);
-	fixture_order(fixture, FLOW_START, 2, false, 0);
-	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
 	ck_assert(
 		fixture_answer(fixture, EXEC_START, &fixture_no_answer, NULL));
 	/* The leader repeats the order, as the run isn't reported. */
@@ -649,23 +668,15 @@
  */
 START_TEST(test_superseded_run_is_reported)
 {
-	struct flow_run run = { .task = TASK, .run = 1 };
-	struct exec_reply list = fixture_done;
-	struct fixture *fixture = fixture_ready(true);
+	struct fixture *fixture = fixture_with_superseded_run();
 
-	list.runs = &run;
-	list.nr_runs = 1;
-	fixture_run_ms(fixture, 20);
-	fixture_order(fixture, FLOW_START, 2, false, 0);
-	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
 	fixture_run_ms(fixture, 20);
 	ck_assert_uint_eq(fixture->nr_stops, 1);
 	ck_assert_uint_eq(fixture->report.nr_runs, 2);
 	ck_assert(fixture_answer(fixture, EXEC_START, &fixture_done, NULL));
 	ck_assert(fixture_answer(fixture, EXEC_STOP, &fixture_done, NULL));
 	fixture_run_ms(fixture, 20);
-	run.run = 2;
-	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_list_run(fixture, 2);
 	fixture_run_ms(fixture, 1100);
 	ck_assert_uint_eq(fixture->report.nr_runs, 1);
 	fixture_free(fixture);
