Keep the refusal of a task's highest run

A late order for an earlier run, refused as stale, replaced the record of the refusal of a later run, and a copy of the later run's order then started it, though the leader had been told that it never would. runner highest_refusal_is_kept failed before and passes. Found by the review of repeated messages.

--- a/src/core/agent/runner_run.c
+++ b/src/core/agent/runner_run.c
@@ -73,12 +73,14 @@
 				uint32_t run)
 {
 	struct runner_refusal *refusal = g_new0(struct runner_refusal, 1);
+	const struct runner_refusal *known =
+		g_hash_table_lookup(runner->refusals, task);
 
+	refusal->run = known ? MAX(known->run, run) : run;
 	if (g_hash_table_size(runner->refusals) >= RUNNER_REFUSALS_MAX)
 		g_hash_table_foreach_remove(runner->refusals,
 					    runner_refusal_is_old, runner);
 	TEXT_SET(refusal->task, task);
-	refusal->run = run;
 	refusal->at_us = runner->node->now_us;
 	g_hash_table_replace(runner->refusals, refusal->task, refusal);
 }
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -48,6 +48,25 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that starts after it was reported as refused: a late
+ * order for an earlier run of the task replaced the record of the refusal.
+ */
+START_TEST(test_highest_refusal_is_kept)
+{
+	struct fixture *fixture = fixture_ready(false);
+
+	fixture_order(fixture, FLOW_START, 3, false, 0);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	fixture_grant(fixture, 0);
+	fixture_order(fixture, FLOW_START, 3, false, 0);
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->nr_starts, 0);
+	ck_assert_uint_eq(fixture->refused->len, 3);
+	fixture_free(fixture);
+}
+END_TEST
+
 /*
  * Answers the open stop call, and checks that the run is reported as refused
  * once a list that was requested after that doesn't show it.
@@ -683,15 +702,16 @@
 }
 END_TEST
 
-SUITE_MAIN("runner", test_refusal_is_kept, test_orders_before_heartbeat,
-	   test_unanswered_start, test_resent_start_is_refused,
-	   test_deadline_on_slow_clock, test_call_never_answered,
-	   test_one_missed_poll, test_missed_polls_back_off,
-	   test_ends_wait_for_the_log, test_old_run_is_settled_by_lists,
-	   test_repeated_start_is_stopped, test_calls_are_bounded,
-	   test_full_list_of_ends, test_rows_that_cannot_be_read,
-	   test_end_that_cannot_be_read, test_unreadable_end_in_full_list,
-	   test_ends_are_kept, test_cursor_after_missed_poll,
+SUITE_MAIN("runner", test_refusal_is_kept, test_highest_refusal_is_kept,
+	   test_orders_before_heartbeat, test_unanswered_start,
+	   test_resent_start_is_refused, test_deadline_on_slow_clock,
+	   test_call_never_answered, test_one_missed_poll,
+	   test_missed_polls_back_off, test_ends_wait_for_the_log,
+	   test_old_run_is_settled_by_lists, test_repeated_start_is_stopped,
+	   test_calls_are_bounded, test_full_list_of_ends,
+	   test_rows_that_cannot_be_read, test_end_that_cannot_be_read,
+	   test_unreadable_end_in_full_list, test_ends_are_kept,
+	   test_cursor_after_missed_poll,
 	   test_resent_start_is_refused_unreadably,
 	   test_repeated_start_beside_other_run,
 	   test_start_beside_listed_earlier_run,
