--- a/tests/executor_standin.c
+++ b/tests/executor_standin.c
@@ -113,8 +113,9 @@
 {
 	fprintf(standin->journal,
 		"t=%" G_GINT64_FORMAT " worker=%s event=%s task=%s run=%" PRIu64
-		"\n",
-		g_get_monotonic_time(), standin->name, what, task, run);
+		" born=%" PRIu64 "\n",
+		g_get_monotonic_time(), standin->name, what, task, run,
+		standin->born_ms);
 	fflush(standin->journal);
 }
 
--- a/tests/task_journal.c
+++ b/tests/task_journal.c
@@ -18,17 +18,18 @@
 	{ "settled-failed", TASK_SETTLED_FAILED, false },
 };
 
-/* A line is "t=US worker=NAME event=NAME task=NAME run=NR". */
+/* A line is "t=US worker=NAME event=NAME task=NAME run=NR born=MS". */
 static void event_read(GArray *events, const char *line)
 {
 	struct task_event event = { .line = line };
 	char **words = g_strsplit(line, " ", -1);
 	const char *name;
 
-	if (g_strv_length(words) != 5)
+	if (g_strv_length(words) != 6)
 		goto out; /* a note of the test itself */
 	event.t_us = g_ascii_strtoll(words[0] + strlen("t="), NULL, 10);
 	event.run = g_ascii_strtoull(words[4] + strlen("run="), NULL, 10);
+	event.born_ms = g_ascii_strtoull(words[5] + strlen("born="), NULL, 10);
 	name = words[2] + strlen("event=");
 	for (size_t i = 0; i < G_N_ELEMENTS(event_names); i++) {
 		if (strcmp(name, event_names[i].name))
@@ -81,14 +82,28 @@
 	g_free(journal);
 }
 
+/* An end as done. A run may end once in each incarnation of a worker. */
+struct task_end {
+	const char *worker;
+	uint64_t run;
+	uint64_t born_ms;
+	bool restarted; /* the task has started again since */
+};
+
 struct task_history {
 	uint32_t nr_running;
-	bool done;
 	bool settled; /* an end as done was acknowledged */
-	uint64_t restarted_run; /* first run after an end as done, 0: none */
-	uint64_t done_run; /* first run that ended as done, 0: none */
+	GArray *ends; /* struct task_end */
 };
 
+static void history_free(void *data)
+{
+	struct task_history *seen = data;
+
+	g_array_unref(seen->ends);
+	g_free(seen);
+}
+
 static void seen_start(struct task_history *seen,
 		       const struct task_event *event,
 		       task_violation_fn *report, void *ctx)
@@ -98,15 +113,43 @@
 	if (seen->settled)
 		report(ctx, "TWICE: a task starts after it was done", event);
 	seen->nr_running++;
-	if (seen->done && !seen->restarted_run)
-		seen->restarted_run = event->run;
+	for (guint i = 0; i < seen->ends->len; i++)
+		g_array_index(seen->ends, struct task_end, i).restarted = true;
+}
+
+static void seen_done(struct task_history *seen, const struct task_event *event)
+{
+	struct task_end end = { event->worker, event->run, event->born_ms,
+				false };
+
+	g_array_append_val(seen->ends, end);
+	seen->nr_running--;
+}
+
+static void seen_settled(struct task_history *seen,
+			 const struct task_event *event,
+			 task_violation_fn *report, void *ctx)
+{
+	seen->settled = true;
+	for (guint i = 0; i < seen->ends->len; i++) {
+		const struct task_end *end =
+			&g_array_index(seen->ends, struct task_end, i);
+
+		if (end->restarted && end->run == event->run &&
+		    end->born_ms == event->born_ms &&
+		    !strcmp(end->worker, event->worker))
+			report(ctx,
+			       "TWICE: a task started between its end and the "
+			       "acknowledgement",
+			       event);
+	}
 }
 
 uint32_t task_journal_check(const struct task_journal *journal,
 			    task_violation_fn *report, void *ctx)
 {
-	GHashTable *tasks =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	GHashTable *tasks = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						  history_free);
 	uint32_t nr_done = 0;
 
 	for (guint i = 0; i < journal->events->len; i++) {
@@ -117,6 +160,8 @@
 
 		if (!seen) {
 			seen = g_new0(struct task_history, 1);
+			seen->ends = g_array_new(FALSE, FALSE,
+						 sizeof(struct task_end));
 			g_hash_table_insert(tasks, event->task, seen);
 		}
 		switch (event->kind) {
@@ -124,21 +169,13 @@
 			seen_start(seen, event, report, ctx);
 			break;
 		case TASK_SETTLED:
-			if (seen->restarted_run && seen->done_run == event->run)
-				report(ctx,
-				       "TWICE: a task started between its end "
-				       "and the acknowledgement",
-				       event);
-			seen->settled = true;
+			seen_settled(seen, event, report, ctx);
 			break;
 		case TASK_SETTLED_FAILED:
 			break;
 		case TASK_DONE:
-			nr_done += !seen->done;
-			if (!seen->done)
-				seen->done_run = event->run;
-			seen->done = true;
-			seen->nr_running--;
+			nr_done += !seen->ends->len;
+			seen_done(seen, event);
 			break;
 		case TASK_FAILED:
 		case TASK_ENDED:
--- a/tests/task_journal.h
+++ b/tests/task_journal.h
@@ -25,6 +25,7 @@
 	enum task_event_kind kind;
 	bool late; /* start by a call that was carried out late */
 	uint64_t run; /* number of the task's run */
+	uint64_t born_ms; /* start time of the worker's incarnation */
 	char *worker;
 	char *task;
 	const char *line; /* of the journal, which owns it */
