--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -259,7 +259,7 @@
 	 * Task name -> struct flow_vm * whose last report listed a run of the
 	 * task that isn't placed there, for example because it was lost.
 	 */
-	GHashTable *strays;
+	GHashTable *orphans;
 	/* VM name -> GArray of struct flow_order to be sent. */
 	GHashTable *orders;
 	/* when the oldest order in orders was queued */
@@ -343,8 +343,8 @@
  * Returns true if a worker whose lease may hold still runs an earlier run of
  * the task, by the last report about it.
  */
-bool control_flow_has_stray(const struct control_flow *flows,
-			    const struct state_flow *flow, uint32_t task);
+bool control_flow_has_orphan(const struct control_flow *flows,
+			     const struct state_flow *flow, uint32_t task);
 
 /* control_flow_order.c */
 /** Returns true if the run belongs to the worker's present incarnation. */
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -96,7 +96,7 @@
 		vm->fence_nr++;
 }
 
-static gboolean flow_stray_is_at(void *key, void *value, void *vm)
+static gboolean flow_orphan_is_at(void *key, void *value, void *vm)
 {
 	return value == vm;
 }
@@ -112,7 +112,7 @@
 	GHashTable *listed = g_hash_table_new(NULL, NULL);
 	uint64_t now_us = flows->control->node->now_us;
 
-	g_hash_table_foreach_remove(flows->strays, flow_stray_is_at, vm);
+	g_hash_table_foreach_remove(flows->orphans, flow_orphan_is_at, vm);
 	for (uint32_t i = 0; i < report->nr_runs; i++) {
 		const struct flow_run *run = &report->runs[i];
 		struct flow_placement *placed =
@@ -122,8 +122,8 @@
 		    placed->vm != vm) {
 			if (run->unconfirmed)
 				continue;
-			g_hash_table_replace(flows->strays, g_strdup(run->task),
-					     vm);
+			g_hash_table_replace(flows->orphans,
+					     g_strdup(run->task), vm);
 			control_flow_order_kill(flows, vm, run);
 			continue;
 		}
@@ -551,16 +551,16 @@
 	return lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
 }
 
-bool control_flow_has_stray(const struct control_flow *flows,
-			    const struct state_flow *flow, uint32_t task)
+bool control_flow_has_orphan(const struct control_flow *flows,
+			     const struct state_flow *flow, uint32_t task)
 {
 	const struct flow_vm *vm;
 	char name[NAME_BYTES];
 
-	if (!g_hash_table_size(flows->strays))
+	if (!g_hash_table_size(flows->orphans))
 		return false;
 	state_flow_task_name(flow, task, name);
-	vm = g_hash_table_lookup(flows->strays, name);
+	vm = g_hash_table_lookup(flows->orphans, name);
 	return vm && flows->control->node->now_us <= flow_lapsed_us(flows, vm);
 }
 
