Log runs that a report lists and that aren't placed there

That the leader knew of this run can only be inferred. The leader now writes an event orphan when a report first lists such a run, and when it no longer does; place gives the number of orphans of the VM, and for a step with a limit a VM the number of its runs placed there. No decision changes.

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -84,6 +84,8 @@
 	 */
 	uint64_t checked_end_nr;
 	GHashTable *runs; /* set of struct flow_placement * */
+	/* Task name -> struct flow_orphan *, by the agent's last report. */
+	GHashTable *orphans;
 	/*
 	 * resources reserved for runs whose placement is committed or proposed
 	 */
@@ -111,6 +113,13 @@
 	uint32_t vm_backoff_ms;
 };
 
+/** A run at a worker, by its agent's report, that isn't placed there. */
+struct flow_orphan {
+	uint32_t run;
+	bool unconfirmed; /* it isn't certain that the worker has the run */
+	uint64_t since_us; /* when a report first showed it */
+};
+
 /** The run of a task that is placed or whose placement is proposed. */
 struct flow_placement {
 	char name[NAME_BYTES]; /* of the task */
@@ -346,6 +355,18 @@
 bool control_flow_has_orphan(const struct control_flow *flows,
 			     const struct state_flow *flow, uint32_t task);
 
+/* control_flow_orphan.c */
+/**
+ * Returns the committed placement of the run at the VM, NULL if it isn't placed
+ * there.
+ */
+struct flow_placement *control_flow_placed_run(const struct control_flow *flows,
+					       const struct flow_vm *vm,
+					       const struct flow_run *run);
+/** Replaces the VM's orphans by those in the report, and logs changes. */
+void control_flow_update_orphans(struct control_flow *flows, struct flow_vm *vm,
+				 const struct flow_report *report);
+
 /* control_flow_order.c */
 /** Returns true if the run belongs to the worker's present incarnation. */
 bool control_flow_is_current_incarnation(const struct flow_placement *placed);
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -213,6 +213,13 @@
 	logline_u64(line, "vm_cpu_millis", vm->cpu_millis);
 	logline_u64(line, "vm_filler_millis", vm->filler_cpu_millis);
 	logline_u64(line, "vm_memory_mib", vm->memory_mib);
+	/* The new placement is counted already. */
+	if (demand->step->max_per_vm) {
+		logline_u64(line, "vm_step_runs",
+			    flow_vm_stage_runs(vm, demand));
+		logline_u64(line, "max_per_vm", demand->step->max_per_vm);
+	}
+	logline_u64(line, "vm_orphans", g_hash_table_size(vm->orphans));
 	logline_u64(line, "reported_ms_ago",
 		    (demand->flows->control->node->now_us - vm->reported_us) /
 			    1000);
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -116,10 +116,9 @@
 	for (uint32_t i = 0; i < report->nr_runs; i++) {
 		const struct flow_run *run = &report->runs[i];
 		struct flow_placement *placed =
-			g_hash_table_lookup(flows->runs, run->task);
+			control_flow_placed_run(flows, vm, run);
 
-		if (!placed || !placed->committed || placed->run != run->run ||
-		    placed->vm != vm) {
+		if (!placed) {
 			if (run->unconfirmed)
 				continue;
 			g_hash_table_replace(flows->orphans,
@@ -515,6 +514,7 @@
 	counter_add(control->node->counters, "flow_reports", 1);
 	flow_update_worker(flows, vm, report);
 	flow_extend_lapse(flows, vm, report);
+	control_flow_update_orphans(flows, vm, report);
 	listed = flow_handle_runs(flows, vm, report);
 	control_flow_log_ignored_ends(flows, vm, report);
 	flow_handle_ends(flows, vm, report);
