Show that a task is placed beside an orphan of its step

What callers saw: ROUTE, "is started beside 1 others of its step; 1 may be on one worker".

The simulated world now asserts at each start the step's label and limit of tasks a VM, and that the task fits beside what the worker runs; until now it checked processors only, and no limit. A stop may take time, as on the platform.

--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -3,12 +3,12 @@
 #include <check.h>
 #include <string.h>
 
+#include "flow_rules.h"
+
 #define CALL_DELAY_US 1000
 #define CALL_TIMEOUT_US 600000
 #define HEARTBEAT_MS 1000
 #define TICK_US 10000
-#define VM_CPU_MILLIS 8000
-#define VM_MEMORY_MIB 16000
 #define VM_ADDRESS "10.0.0.1:1"
 /* 2^53, beyond the integers that JSON numbers hold exactly. */
 #define TOO_LARGE_NUMBER 9007199254740992
@@ -112,6 +112,15 @@
 	g_array_remove_index(worker->runs, i);
 }
 
+/* Makes the run end after flow_world.stop_ms, unless it ends before. */
+static void worker_stop_later(struct fw_vm *vm, guint i)
+{
+	struct fw_run *run = &g_array_index(vm->worker.runs, struct fw_run, i);
+
+	if (!run->stop_us)
+		run->stop_us = now_us(vm->world) + vm->world->stop_ms * 1000ull;
+}
+
 /*
  * The platform's rule: an end no longer counts if it isn't acknowledged before
  * the lease expires or the incarnation ends.
@@ -134,6 +143,7 @@
 			      "%s runs at %s already", task, fw->vms[i].name);
 	ck_assert_msg(!g_hash_table_contains(fw->done, task), "%s is done",
 		      task);
+	flow_rules_check_start(fw->rules, vm, task);
 	fw->nr_starts++;
 	if (fw->watched_zone && !strcmp(vm->zone, fw->watched_zone))
 		fw->last_start_us = now_us(fw);
@@ -228,7 +238,11 @@
 	if (call->kind != EXEC_STOP)
 		return;
 	worker_block_runs(worker, call->task, call->run);
-	if (worker_find(worker, call->task, &at))
+	if (!worker_find(worker, call->task, &at))
+		return;
+	if (vm->world->stop_ms)
+		worker_stop_later(vm, at);
+	else
 		worker_end_run(vm, at, FLOW_END_STOPPED);
 }
 
@@ -343,10 +357,10 @@
 
 	TEXT_SET(incarnation.id, vm->name);
 	TEXT_SET(incarnation.service, "svc");
-	TEXT_SET(incarnation.kind, "a");
+	TEXT_SET(incarnation.kind, FLOW_WORLD_KIND);
 	TEXT_SET(incarnation.rack, vm->zone);
-	incarnation.cpu_millis = VM_CPU_MILLIS;
-	incarnation.memory_mib = VM_MEMORY_MIB;
+	incarnation.cpu_millis = FLOW_WORLD_VM_CPU_MILLIS;
+	incarnation.memory_mib = FLOW_WORLD_VM_MEMORY_MIB;
 	incarnation.draining = vm->draining;
 	incarnation.remaining_ms = 5000;
 	return incarnation;
@@ -417,6 +431,8 @@
 		cpu_millis += 1000;
 		if (lapsed)
 			worker_end_run(vm, i, FLOW_END_LAPSED);
+		else if (run->stop_us && now_us(fw) >= run->stop_us)
+			worker_end_run(vm, i, FLOW_END_STOPPED);
 		else if (vm->fail_runs)
 			worker_end_run(vm, i, FLOW_END_FAILED);
 		else if (fw->run_ms && ran_us >= fw->run_ms * 1000ull &&
@@ -425,7 +441,7 @@
 			worker_end_run(vm, i, FLOW_END_DONE);
 	}
 	if (!fw->overcommitted)
-		ck_assert_uint_le(cpu_millis, VM_CPU_MILLIS);
+		ck_assert_uint_le(cpu_millis, FLOW_WORLD_VM_CPU_MILLIS);
 }
 
 /* Answers the replicas' call to the adviser. */
@@ -592,6 +608,7 @@
 	record.spec = g_bytes_new("x", 1);
 	record.nr_steps = nr_steps;
 	record.steps = (struct flow_step *)steps;
+	flow_rules_add(fw->rules, id, steps, nr_steps);
 	result = flow_world_call(fw, FLOW_CALL_SUBMIT, path, &record).result;
 	g_bytes_unref(record.spec);
 	return result;
@@ -681,6 +698,7 @@
 	struct gateway_opts opts = { .host = &fw_gateway_ops, .host_ctx = fw };
 
 	fw->base = world_new(seed, 3, 0);
+	fw->rules = flow_rules_new();
 	fw->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fw->ended =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -738,6 +756,7 @@
 	g_ptr_array_unref(fw->pending);
 	g_hash_table_unref(fw->done);
 	g_hash_table_unref(fw->ended);
+	flow_rules_free(fw->rules);
 	world_free(fw->base);
 	g_free(fw);
 }
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -8,7 +8,8 @@
  * platform's workers: one lease by its own clock and of limited length, fencing
  * tokens, run numbers, and ends that stay listed until they are acknowledged.
  * At every start the simulation asserts that the task runs nowhere else and
- * isn't done, and at all times that no VM is overcommitted, unless
+ * isn't done, and that the worker may start it beside its runs
+ * (flow_rules.h). At all times it asserts that no VM is overcommitted, unless
  * flow_world.overcommitted is set.
  */
 
@@ -22,13 +23,20 @@
 #endif
 /* Number of different filler images in flow_world_load(). */
 #define FLOW_WORLD_FILLER_IMAGES 8
+/* Of each VM. */
+#define FLOW_WORLD_VM_CPU_MILLIS 8000
+#define FLOW_WORLD_VM_MEMORY_MIB 16000
+/* Kind of all workers, a label; the other label is the zone's name. */
+#define FLOW_WORLD_KIND "a"
 
+struct flow_rules;
 struct flow_world;
 
 struct fw_run {
 	char task[NAME_BYTES];
 	uint32_t run;
 	uint64_t started_us;
+	uint64_t stop_us; /* when its stop takes effect, 0: not stopped */
 };
 
 struct fw_worker {
@@ -76,6 +84,7 @@
 	GHashTable *done; /* set of names of tasks that must not start again */
 	/* Set of names of tasks that have ended as done at least once. */
 	GHashTable *ended;
+	struct flow_rules *rules;
 	GPtrArray *pending; /* struct fw_call * that are in flight */
 	uint32_t nr_starts;
 	uint64_t last_start_us; /* last start of a task in watched_zone */
@@ -84,6 +93,7 @@
 	/* Name of the only VM whose worker may start tasks with the ticket. */
 	const char *allowed_worker;
 	uint32_t run_ms; /* duration of every run, 0: runs don't end */
+	uint32_t stop_ms; /* time from a stop to the run's end */
 	uint32_t tail_ms; /* tail latency that runs report */
 	/* Prefix of the names of tasks that don't end, NULL: there are none. */
 	const char *lasting;
