Count orphans against a VM's room and limits

Cause: placement counted the runs that are placed on a VM. A run that the VM's agent reports and that isn't placed there, an orphan, barred only its own task; it was ordered to stop, which takes up to 900 ms, and meanwhile its place was given to another task of the step.

Orphans now count against processors, memory, accelerators and the limit of the step, until the agent reports them no more. The VM then counts as changed, so that tasks which found no room are tried there again.

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -226,6 +226,14 @@
 	uint64_t at_us;
 };
 
+/** What a worker runs, or may run, as far as it bars more tasks. */
+struct flow_load {
+	uint32_t cpu_millis; /* not counting fillers */
+	uint32_t memory_mib;
+	uint32_t accelerators;
+	uint32_t stage_orphans; /* orphans of the demanded stage */
+};
+
 /** What a stage requires of a VM. */
 struct flow_demand {
 	struct control_flow *flows;
@@ -363,6 +371,10 @@
 struct flow_placement *control_flow_placed_run(const struct control_flow *flows,
 					       const struct flow_vm *vm,
 					       const struct flow_run *run);
+/** Adds the VM's orphans to the load; @a demand has the stage to count. */
+void control_flow_add_orphans(const struct flow_vm *vm,
+			      const struct flow_demand *demand,
+			      struct flow_load *load);
 /** Replaces the VM's orphans by those in the report, and logs changes. */
 void control_flow_update_orphans(struct control_flow *flows, struct flow_vm *vm,
 				 const struct flow_report *report);
@@ -514,6 +526,12 @@
  */
 bool control_flow_vm_usable(const struct control_flow *flows,
 			    const struct flow_vm *vm, const char *service);
+/**
+ * Returns true if the VM's placed runs and orphans leave too few resources for
+ * a task of the stage.
+ */
+bool control_flow_vm_is_full(const struct flow_vm *vm,
+			     const struct flow_demand *demand);
 /**
  * Returns true if the VM has the resources, label and ticket that a task of the
  * stage requires.
--- a/src/core/control/control_flow_log.c
+++ b/src/core/control/control_flow_log.c
@@ -63,15 +63,6 @@
 	return WAIT_SILENT;
 }
 
-static bool vm_is_full(const struct flow_vm *vm, const struct flow_step *step)
-{
-	return vm->memory_mib + step->memory_mib > vm->worker.memory_mib ||
-	       vm->accelerators + step->accelerators >
-		       vm->worker.accelerators ||
-	       (!step->filler &&
-		vm->cpu_millis + step->cpu_millis > vm->worker.cpu_millis);
-}
-
 static enum wait_reason unfit_reason(const struct flow_vm *vm,
 				     const struct flow_demand *demand)
 {
@@ -83,7 +74,7 @@
 	if (demand->flow->record.ticket_ms &&
 	    !flow_advice_ticket(demand->flows, demand->flow, demand->stage, vm))
 		return WAIT_NO_TICKET;
-	if (vm_is_full(vm, step))
+	if (control_flow_vm_is_full(vm, demand))
 		return WAIT_NO_ROOM;
 	return step->filler ? WAIT_NO_GAIN : WAIT_VM_LIMIT;
 }
--- a/src/core/control/control_flow_orphan.c
+++ b/src/core/control/control_flow_orphan.c
@@ -26,6 +26,31 @@
 		       NULL;
 }
 
+void control_flow_add_orphans(const struct flow_vm *vm,
+			      const struct flow_demand *demand,
+			      struct flow_load *load)
+{
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, vm->orphans);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct flow_step *step;
+		struct state_flow *flow;
+		uint32_t stage;
+
+		if (!state_flow_stage_find(demand->flows->control->state, key,
+					   &flow, &stage))
+			continue;
+		step = state_flow_stage_step(flow, stage);
+		load->cpu_millis += step->filler ? 0 : step->cpu_millis;
+		load->memory_mib += step->memory_mib;
+		load->accelerators += step->accelerators;
+		load->stage_orphans += flow == demand->flow &&
+				       stage == demand->stage;
+	}
+}
+
 static void orphan_log(struct control_flow *flows, const struct flow_vm *vm,
 		       const char *task, const struct flow_orphan *orphan,
 		       const char *change)
@@ -89,8 +114,12 @@
 		if (!control_flow_placed_run(flows, vm, &report->runs[i]))
 			orphan_add(flows, vm, before, &report->runs[i]);
 	g_hash_table_iter_init(&iter, before);
-	while (g_hash_table_iter_next(&iter, &key, &value))
-		if (!g_hash_table_contains(vm->orphans, key))
-			orphan_log(flows, vm, key, value, "gone");
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		if (g_hash_table_contains(vm->orphans, key))
+			continue;
+		orphan_log(flows, vm, key, value, "gone");
+		control_flow_vm_changed(flows, vm);
+		control_flow_place_soon(flows);
+	}
 	g_hash_table_unref(before);
 }
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -68,27 +68,62 @@
 	return nr;
 }
 
+/*
+ * Returns what the VM's worker runs or may run: the runs that are placed there,
+ * and the orphans, which use their resources until they have ended.
+ */
+static struct flow_load flow_vm_load(const struct flow_vm *vm,
+				     const struct flow_demand *demand)
+{
+	struct flow_load load = {
+		.cpu_millis = vm->cpu_millis,
+		.memory_mib = vm->memory_mib,
+		.accelerators = vm->accelerators,
+	};
+
+	control_flow_add_orphans(vm, demand, &load);
+	return load;
+}
+
+static bool flow_load_is_full(const struct flow_load *load,
+			      const struct flow_vm *vm,
+			      const struct flow_step *step)
+{
+	return load->memory_mib + step->memory_mib > vm->worker.memory_mib ||
+	       load->accelerators + step->accelerators >
+		       vm->worker.accelerators ||
+	       (!step->filler &&
+		load->cpu_millis + step->cpu_millis > vm->worker.cpu_millis);
+}
+
+bool control_flow_vm_is_full(const struct flow_vm *vm,
+			     const struct flow_demand *demand)
+{
+	struct flow_load load = flow_vm_load(vm, demand);
+
+	return flow_load_is_full(&load, vm, demand->step);
+}
+
 bool control_flow_vm_fits(struct flow_vm *vm, const struct flow_demand *demand)
 {
 	const struct flow_step *step = demand->step;
+	struct flow_load load;
 
 	if (step->label[0] && !flow_vm_has_label(vm, step->label))
 		return false;
 	if (demand->flow->record.ticket_ms &&
 	    !flow_advice_ticket(demand->flows, demand->flow, demand->stage, vm))
 		return false;
-	if (vm->memory_mib + step->memory_mib > vm->worker.memory_mib ||
-	    vm->accelerators + step->accelerators > vm->worker.accelerators)
-		return false;
-	if (!step->filler &&
-	    vm->cpu_millis + step->cpu_millis > vm->worker.cpu_millis)
+	load = flow_vm_load(vm, demand);
+	if (flow_load_is_full(&load, vm, step))
 		return false;
 	if (step->filler && !demand->starved &&
 	    control_flow_gain(demand->flows, vm, step) <
 		    FLOW_FILLER_MIN_GAIN_PERMILLE)
 		return false;
 	return !step->max_per_vm ||
-	       flow_vm_stage_runs(vm, demand) < step->max_per_vm;
+	       load.stage_orphans + flow_vm_stage_runs(vm, demand) <
+		       step->max_per_vm;
 }
 
 /*
--- a/src/core/state/state_flow.c
+++ b/src/core/state/state_flow.c
@@ -104,31 +104,49 @@
 	return true;
 }
 
-bool state_flow_task_find(const struct state *state, const char *name,
-			  struct state_flow **flow, uint32_t *task)
+/* Parses "FLOW.OCCURRENCE.STEP.INDEX"; returns false for other names. */
+static bool parse_task_name(const struct state *state, const char *name,
+			    struct state_flow **flow, uint32_t *stage,
+			    uint32_t *index)
 {
 	const char *dot = strchr(name, '.');
 	char id[NAME_BYTES];
 	uint32_t occurrence;
 	uint32_t step;
-	uint32_t index;
-	uint64_t at;
 
 	if (!dot || dot - name >= NAME_BYTES)
 		return false;
 	text_set(id, (size_t)(dot - name) + 1, name);
 	*flow = state_flow_find(state, id);
 	dot++;
-	if (!*flow || !(*flow)->record.nr_tasks ||
-	    !parse_index(&dot, &occurrence) || !parse_index(&dot, &step) ||
-	    !parse_index(&dot, &index) || step >= (*flow)->record.nr_steps ||
-	    index >= (*flow)->record.steps[step].count)
+	if (!*flow || !parse_index(&dot, &occurrence) ||
+	    !parse_index(&dot, &step) || !parse_index(&dot, index) ||
+	    step >= (*flow)->record.nr_steps ||
+	    occurrence >= (*flow)->nr_stages / (*flow)->record.nr_steps ||
+	    *index >= (*flow)->record.steps[step].count)
 		return false;
-	at = (uint64_t)occurrence * (*flow)->tasks_per_occurrence +
-	     (*flow)->first_task[step] + index;
-	if (at >= (*flow)->record.nr_tasks)
+	*stage = occurrence * (*flow)->record.nr_steps + step;
+	return true;
+}
+
+bool state_flow_stage_find(const struct state *state, const char *name,
+			   struct state_flow **flow, uint32_t *stage)
+{
+	uint32_t index;
+
+	return parse_task_name(state, name, flow, stage, &index);
+}
+
+bool state_flow_task_find(const struct state *state, const char *name,
+			  struct state_flow **flow, uint32_t *task)
+{
+	uint32_t stage;
+	uint32_t index;
+
+	if (!parse_task_name(state, name, flow, &stage, &index) ||
+	    !(*flow)->record.nr_tasks)
 		return false;
-	*task = (uint32_t)at;
+	*task = state_flow_first_task(*flow, stage) + index;
 	return true;
 }
 
--- a/src/core/state/state_flow.h
+++ b/src/core/state/state_flow.h
@@ -66,6 +66,12 @@
 void state_flow_task_name(const struct state_flow *flow, uint32_t task,
 			  char *name);
 
+/**
+ * Finds the stage of a task by the task's name, also in a workflow that has
+ * ended and has no tasks any more. Returns false if there is none.
+ */
+bool state_flow_stage_find(const struct state *state, const char *name,
+			   struct state_flow **flow, uint32_t *stage);
 /** Finds a task by its name; returns false if there is none. */
 bool state_flow_task_find(const struct state *state, const char *name,
 			  struct state_flow **flow, uint32_t *task);
