Hold a start while an orphan uses its room

A start beside an orphan of its step, or of a task of which an earlier run goes on elsewhere.

Cause: orphans are considered when a task is placed. Its placement is then proposed, and the start ordered once it is committed; a report that shows an orphan in between wasn't considered.

The leader now orders a start only if no orphan bars it then. The committed placement keeps its room, and the start is ordered after a later report, like one whose order got lost. start-held and starts_held tell of it.

Before: orphan_before_commit ("oo.0.0.1 starts at side0 beside 1 of its step, limit 1") and earlier_run_before_commit ("oo.0.0.1 runs at side2 already") of flow_orphan fail. After: both pass, as do the other suites of flows.

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -375,6 +375,16 @@
 void control_flow_add_orphans(const struct flow_vm *vm,
 			      const struct flow_demand *demand,
 			      struct flow_load *load);
+/** Adds what one task of the step uses. */
+void control_flow_load_add(struct flow_load *load,
+			   const struct flow_step *step);
+/**
+ * Returns true if the run must not be started yet: an earlier run of its task
+ * may still run somewhere, or orphans of the VM use the room that was reserved
+ * for it.
+ */
+bool control_flow_start_is_barred(struct control_flow *flows,
+				  const struct flow_placement *placed);
 /** Replaces the VM's orphans by those in the report, and logs changes. */
 void control_flow_update_orphans(struct control_flow *flows, struct flow_vm *vm,
 				 const struct flow_report *report);
@@ -532,6 +542,12 @@
  */
 bool control_flow_vm_is_full(const struct flow_vm *vm,
 			     const struct flow_demand *demand);
+/**
+ * Returns true if the VM's placed runs and orphans together use more than the
+ * VM has, or are more tasks of the stage than may run there.
+ */
+bool control_flow_vm_is_over(const struct flow_vm *vm,
+			     const struct flow_demand *demand);
 /**
  * Returns true if the VM has the resources, label and ticket that a task of the
  * stage requires.
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -35,6 +35,23 @@
 	       task->born_ms == worker->born_ms;
 }
 
+/*
+ * Logs a start that is ordered after a later report, when no orphan bars it any
+ * more.
+ */
+static void flow_log_held_start(struct control_flow *flows,
+				const struct flow_placement *placed)
+{
+	GString *line = logline_new("start-held");
+
+	logline_str(line, "task", placed->name);
+	logline_u64(line, "run", placed->run);
+	logline_str(line, "vm", placed->vm->name);
+	logline_u64(line, "vm_orphans", g_hash_table_size(placed->vm->orphans));
+	counter_add(flows->control->node->counters, "starts_held", 1);
+	node_log(flows->control->node, line);
+}
+
 void control_flow_order_start(struct control_flow *flows,
 			      struct flow_placement *placed)
 {
@@ -48,6 +65,10 @@
 	if (!placed->vm->reported ||
 	    !control_flow_is_current_incarnation(placed))
 		return;
+	if (!placed->listed && control_flow_start_is_barred(flows, placed)) {
+		flow_log_held_start(flows, placed);
+		return;
+	}
 	order.repeated = placed->inherited ||
 			 (placed->ordered_us &&
 			  placed->ordered_node != placed->vm->node_id);
--- a/src/core/control/control_flow_orphan.c
+++ b/src/core/control/control_flow_orphan.c
@@ -26,6 +26,13 @@
 		       NULL;
 }
 
+void control_flow_load_add(struct flow_load *load, const struct flow_step *step)
+{
+	load->cpu_millis += step->filler ? 0 : step->cpu_millis;
+	load->memory_mib += step->memory_mib;
+	load->accelerators += step->accelerators;
+}
+
 void control_flow_add_orphans(const struct flow_vm *vm,
 			      const struct flow_demand *demand,
 			      struct flow_load *load)
@@ -35,22 +42,33 @@
 
 	g_hash_table_iter_init(&iter, vm->orphans);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const struct flow_step *step;
 		struct state_flow *flow;
 		uint32_t stage;
 
 		if (!state_flow_stage_find(demand->flows->control->state, key,
 					   &flow, &stage))
 			continue;
-		step = state_flow_stage_step(flow, stage);
-		load->cpu_millis += step->filler ? 0 : step->cpu_millis;
-		load->memory_mib += step->memory_mib;
-		load->accelerators += step->accelerators;
+		control_flow_load_add(load, state_flow_stage_step(flow, stage));
 		load->stage_orphans += flow == demand->flow &&
 				       stage == demand->stage;
 	}
 }
 
+bool control_flow_start_is_barred(struct control_flow *flows,
+				  const struct flow_placement *placed)
+{
+	struct flow_demand demand = { .flows = flows,
+				      .flow = placed->flow,
+				      .step = placed->step };
+
+	if (control_flow_has_orphan(flows, placed->flow, placed->task))
+		return true;
+	if (!g_hash_table_size(placed->vm->orphans))
+		return false;
+	demand.stage = state_flow_stage_of(placed->flow, placed->task);
+	return control_flow_vm_is_over(placed->vm, &demand);
+}
+
 static void orphan_log(struct control_flow *flows, const struct flow_vm *vm,
 		       const char *task, const struct flow_orphan *orphan,
 		       const char *change)
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -85,15 +85,14 @@
 	return load;
 }
 
-static bool flow_load_is_full(const struct flow_load *load,
+/* Returns true if the load is more than the VM has; fillers need no cpu. */
+static bool flow_load_exceeds(const struct flow_load *load,
 			      const struct flow_vm *vm,
 			      const struct flow_step *step)
 {
-	return load->memory_mib + step->memory_mib > vm->worker.memory_mib ||
-	       load->accelerators + step->accelerators >
-		       vm->worker.accelerators ||
-	       (!step->filler &&
-		load->cpu_millis + step->cpu_millis > vm->worker.cpu_millis);
+	return load->memory_mib > vm->worker.memory_mib ||
+	       load->accelerators > vm->worker.accelerators ||
+	       (!step->filler && load->cpu_millis > vm->worker.cpu_millis);
 }
 
 bool control_flow_vm_is_full(const struct flow_vm *vm,
@@ -101,7 +100,20 @@
 {
 	struct flow_load load = flow_vm_load(vm, demand);
 
-	return flow_load_is_full(&load, vm, demand->step);
+	control_flow_load_add(&load, demand->step);
+	return flow_load_exceeds(&load, vm, demand->step);
+}
+
+bool control_flow_vm_is_over(const struct flow_vm *vm,
+			     const struct flow_demand *demand)
+{
+	struct flow_load load = flow_vm_load(vm, demand);
+	uint32_t max_per_vm = demand->step->max_per_vm;
+
+	return flow_load_exceeds(&load, vm, demand->step) ||
+	       (max_per_vm &&
+		load.stage_orphans + flow_vm_stage_runs(vm, demand) >
+			max_per_vm);
 }
 
 bool control_flow_vm_fits(struct flow_vm *vm, const struct flow_demand *demand)
@@ -115,7 +127,8 @@
 	    !flow_advice_ticket(demand->flows, demand->flow, demand->stage, vm))
 		return false;
 	load = flow_vm_load(vm, demand);
-	if (flow_load_is_full(&load, vm, step))
+	control_flow_load_add(&load, step);
+	if (flow_load_exceeds(&load, vm, step))
 		return false;
 	if (step->filler && !demand->starved &&
 	    control_flow_gain(demand->flows, vm, step) <
@@ -221,14 +234,12 @@
 struct flow_vm *control_flow_other_vm(struct control_flow *flows,
 				      const struct flow_placement *placed)
 {
-	uint32_t occurrence = state_flow_occurrence(placed->flow, placed->task);
 	struct flow_demand demand = { .flows = flows,
 				      .flow = placed->flow,
 				      .step = placed->step,
 				      .except = placed->vm };
 
-	demand.stage = occurrence * placed->flow->record.nr_steps +
-		       state_flow_step(placed->flow, placed->task);
+	demand.stage = state_flow_stage_of(placed->flow, placed->task);
 	return flow_choose_vm(&demand, NULL);
 }
 
--- a/src/core/state/state_flow.c
+++ b/src/core/state/state_flow.c
@@ -56,8 +56,7 @@
 	return &flow->record.steps[stage % flow->record.nr_steps];
 }
 
-static uint32_t state_flow_stage_of(const struct state_flow *flow,
-				    uint32_t task)
+uint32_t state_flow_stage_of(const struct state_flow *flow, uint32_t task)
 {
 	return state_flow_occurrence(flow, task) * flow->record.nr_steps +
 	       state_flow_step(flow, task);
--- a/src/core/state/state_flow.h
+++ b/src/core/state/state_flow.h
@@ -59,6 +59,8 @@
 const struct flow_step *state_flow_stage_step(const struct state_flow *flow,
 					      uint32_t stage);
 
+/** Returns the number of the task's stage. */
+uint32_t state_flow_stage_of(const struct state_flow *flow, uint32_t task);
 /** Returns true if all tasks that the stage depends on are done. */
 bool state_flow_stage_ready(const struct state_flow *flow, uint32_t stage);
 
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -176,6 +176,13 @@
  */
 struct fw_vm *fw_starting_vm(struct flow_world *fw,
 			     const uint64_t before[FLOW_WORLD_VMS]);
+/** Returns true if the VM's worker runs the task. */
+bool fw_runs(const struct fw_vm *vm, const char *task);
+/**
+ * Makes the worker run a task whatever it may start, as if by a call that was
+ * sent long before.
+ */
+void fw_add_run(struct fw_vm *vm, const char *task, uint32_t run);
 /** Returns the number of runs at all workers. */
 uint32_t fw_running(const struct flow_world *fw);
 
