Bar a task while a lost run of it may still start

What callers would see: TWICE, a lost run that starts late beside the next run of its task.

Cause: a report may list a run whose start call had no answer (unconfirmed). If the run wasn't placed at the VM any more, the leader passed it over: its task could be placed elsewhere, or on the same VM, and the agent got no order to stop it.

The leader now handles such a run like one that the worker certainly has: it orders the agent to stop it, and starts no other run of the task. The bar ends with a report that doesn't list the run, and at the latest when the worker's lease has certainly expired, which covers agents that go silent and workers that don't answer.

Before: all three tests of flow_report fail ("tt.0.0.0 is started beside an earlier run").

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -274,7 +274,8 @@
 	GHashTable *left_vms;
 	/*
 	 * Task name -> struct flow_vm * whose last report listed a run of the
-	 * task that isn't placed there, for example because it was lost.
+	 * task that isn't placed there, for example because it was lost. The
+	 * run may be unconfirmed.
 	 */
 	GHashTable *orphans;
 	/* VM name -> GArray of struct flow_order to be sent. */
@@ -357,8 +358,8 @@
 				  const struct flow_vm *vm);
 void control_flow_check(void *data, uint64_t now_us);
 /**
- * Returns true if a worker whose lease may hold still runs an earlier run of
- * the task, by the last report about it.
+ * Returns true if a worker whose lease may hold runs, or may still start, an
+ * earlier run of the task, by the last report about it.
  */
 bool control_flow_has_orphan(const struct control_flow *flows,
 			     const struct state_flow *flow, uint32_t task);
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -119,8 +119,6 @@
 			control_flow_placed_run(flows, vm, run);
 
 		if (!placed) {
-			if (run->unconfirmed)
-				continue;
 			g_hash_table_replace(flows->orphans,
 					     g_strdup(run->task), vm);
 			control_flow_order_kill(flows, vm, run);
--- /dev/null
+++ b/tests/test_flow_report.c
@@ -0,0 +1,320 @@
+/**
+ * @file test_flow_report.c
+ * What the leader orders after reports that tests write themselves: the VMs
+ * have scripted agents instead of runners. All tests are about runs of one task
+ * that isn't placed where they run (orphans), and about how long they keep the
+ * task from being started elsewhere.
+ */
+
+#include <string.h>
+
+#include "flow_world.h"
+#include "site.h"
+#include "suite.h"
+
+#define TASK "tt.0.0.0"
+#define REPORT_MS 500
+/* Longer than a lease and its margin. */
+#define LOST_MS 7000
+
+/** An agent that reports what the test says, and carries out no order. */
+struct scripted_agent {
+	struct fw_vm *vm;
+	struct node *node;
+	struct site *site;
+	uint64_t seq;
+	bool silent;
+	bool looked; /* it has listed its worker's runs */
+	bool unreachable;
+	bool draining;
+	bool has_run; /* reports the run */
+	struct flow_run run;
+	bool has_end; /* reports the end, once */
+	struct flow_run_end end;
+	uint32_t nr_starts; /* number of orders to start a run */
+};
+
+struct script {
+	struct flow_world *fw;
+	struct scripted_agent agents[FLOW_WORLD_VMS];
+};
+
+static void agent_start(void *role)
+{
+	struct scripted_agent *agent = role;
+
+	site_start(agent->site);
+}
+
+static void agent_peer_up(void *role, const struct link *link)
+{
+	struct scripted_agent *agent = role;
+
+	site_peer_up(agent->site, link);
+}
+
+static void agent_peer_down(void *role, const struct link *link)
+{
+	struct scripted_agent *agent = role;
+
+	site_peer_down(agent->site, link);
+}
+
+static void agent_message(void *role, uint64_t from, uint32_t type,
+			  const void *body)
+{
+	struct scripted_agent *agent = role;
+	const struct flow_orders *orders = body;
+
+	if (site_message(agent->site, from, type, body) ||
+	    type != MSG_FLOW_ORDERS)
+		return;
+	for (uint32_t i = 0; i < orders->nr_orders; i++) {
+		const struct flow_order *order = &orders->orders[i];
+
+		if (order->action != FLOW_START)
+			continue;
+		agent->nr_starts++;
+		agent->has_run = true;
+		memset(&agent->run, 0, sizeof(agent->run));
+		TEXT_SET(agent->run.task, order->task);
+		agent->run.run = order->run;
+	}
+}
+
+static void agent_free(void *role)
+{
+	struct scripted_agent *agent = role;
+
+	site_free(agent->site);
+}
+
+static const struct role_ops scripted_role = {
+	.role = ROLE_AGENT,
+	.start = agent_start,
+	.peer_up = agent_peer_up,
+	.peer_down = agent_peer_down,
+	.message = agent_message,
+	.free = agent_free,
+};
+
+static void agent_boot(struct scripted_agent *agent)
+{
+	static const struct site_ops ops = { 0 };
+	struct site_opts opts = { .ops = &ops };
+
+	opts.control_addresses = agent->vm->world->base->addresses;
+	fw_kill_agent(agent->vm);
+	agent->node = sim_boot(agent->vm->machine, 0);
+	agent->site = site_new(agent->node, &opts);
+	agent->seq = 0;
+	agent->looked = false;
+	node_set_role(agent->node, &scripted_role, agent);
+	sim_start(agent->vm->machine);
+}
+
+static void agent_report(struct scripted_agent *agent)
+{
+	const struct flow_world *fw = agent->vm->world;
+	uint64_t leader = site_leader(agent->site);
+	struct flow_report report = { 0 };
+
+	if (agent->silent || !leader)
+		return;
+	node_set_time(agent->node, sim_now_us(fw->base->sim));
+	report.seq = ++agent->seq;
+	report.sent_us = agent->node->now_us;
+	TEXT_SET(report.vm, agent->vm->name);
+	TEXT_SET(report.zone, agent->vm->zone);
+	report.looked = agent->looked;
+	report.reachable = agent->looked && !agent->unreachable;
+	if (agent->looked) {
+		TEXT_SET(report.worker.id, agent->vm->name);
+		TEXT_SET(report.worker.service, "svc");
+		report.worker.born_ms = agent->vm->worker.born_ms;
+		report.worker.cpu_millis = FLOW_WORLD_VM_CPU_MILLIS;
+		report.worker.memory_mib = FLOW_WORLD_VM_MEMORY_MIB;
+		report.worker.draining = agent->draining;
+		report.nr_runs = agent->has_run;
+		report.nr_ends = agent->has_end;
+		agent->has_end = false;
+	}
+	report.runs = &agent->run;
+	report.ends = &agent->end;
+	node_send(agent->node, leader, MSG_FLOW_REPORT, &report);
+}
+
+static void script_run_ms(struct script *script, uint32_t ms)
+{
+	for (uint32_t spent_ms = 0; spent_ms < ms; spent_ms += REPORT_MS) {
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+			agent_report(&script->agents[i]);
+			flow_world_run_ms(script->fw,
+					  REPORT_MS / FLOW_WORLD_VMS);
+		}
+	}
+}
+
+static uint32_t script_starts(const struct script *script)
+{
+	uint32_t nr = 0;
+
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		nr += script->agents[i].nr_starts;
+	return nr;
+}
+
+/* Returns the agent that got the last order to start a run. */
+static struct scripted_agent *script_started(struct script *script)
+{
+	struct scripted_agent *last = NULL;
+
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+		struct scripted_agent *agent = &script->agents[i];
+
+		if (agent->has_run && (!last || agent->run.run > last->run.run))
+			last = agent;
+	}
+	ck_assert_ptr_nonnull(last);
+	return last;
+}
+
+/* Makes all VMs but this one drain, or ready again. */
+static void script_drain_others(struct script *script,
+				const struct scripted_agent *agent, bool drain)
+{
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		if (&script->agents[i] != agent)
+			script->agents[i].draining = drain;
+}
+
+/* Submits a workflow of one task, which starts. */
+static struct script *script_new(uint64_t seed)
+{
+	struct script *script = g_new0(struct script, 1);
+	struct flow_step step = { .count = 1,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .estimate_ms = 30000 };
+
+	script->fw = flow_world_new(seed);
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+		struct scripted_agent *agent = &script->agents[i];
+
+		agent->vm = &script->fw->vms[i];
+		agent_boot(agent);
+		agent->looked = true;
+	}
+	script_run_ms(script, 3000);
+	flow_world_submit(script->fw, "tt", &step, 1);
+	script_run_ms(script, 1000);
+	ck_assert_uint_eq(script_starts(script), 1);
+	return script;
+}
+
+static void script_free(struct script *script)
+{
+	flow_world_free(script->fw);
+	g_free(script);
+}
+
+/*
+ * Makes the leader take the agent's run for lost while no VM may take the task.
+ * The agent then reports the run again, and that its worker drains.
+ */
+static void script_lose_run(struct script *script, struct scripted_agent *agent)
+{
+	uint32_t nr_starts = script_starts(script);
+
+	script_drain_others(script, agent, true);
+	script_run_ms(script, REPORT_MS);
+	agent->silent = true;
+	script_run_ms(script, LOST_MS);
+	ck_assert(sim_log_has(script->fw->base->sim, "*event=vm-lost*"));
+	ck_assert_uint_eq(script_starts(script), nr_starts);
+	agent->silent = false;
+	agent->draining = true;
+}
+
+/* Asserts that the task isn't started within the time. */
+static void expect_no_start(struct script *script, uint32_t ms)
+{
+	uint32_t nr_starts = script_starts(script);
+
+	script_run_ms(script, ms);
+	ck_assert_msg(script_starts(script) == nr_starts,
+		      TASK " is started beside an earlier run");
+}
+
+/* Asserts that the task is started within the time. */
+static void expect_start(struct script *script, uint32_t ms)
+{
+	uint32_t nr_starts = script_starts(script);
+
+	script_run_ms(script, ms);
+	ck_assert_msg(script_starts(script) == nr_starts + 1,
+		      TASK " isn't started");
+}
+
+/*
+ * Guards against a second run of a task whose lost run may still start: the
+ * agent reports that the start call had no answer.
+ */
+START_TEST(test_unconfirmed_run_bars_task)
+{
+	struct script *script = script_new(1);
+	struct scripted_agent *agent = script_started(script);
+
+	script_lose_run(script, agent);
+	agent->run.unconfirmed = true;
+	script_run_ms(script, REPORT_MS);
+	script_drain_others(script, agent, false);
+	expect_no_start(script, 3000);
+	agent->has_run = false;
+	expect_start(script, 1500);
+	script_free(script);
+}
+END_TEST
+
+/*
+ * Guards against a task that waits forever for an unconfirmed run whose agent
+ * is gone.
+ */
+START_TEST(test_silent_agent_ends_bar)
+{
+	struct script *script = script_new(2);
+	struct scripted_agent *agent = script_started(script);
+
+	script_lose_run(script, agent);
+	agent->run.unconfirmed = true;
+	script_run_ms(script, REPORT_MS);
+	script_drain_others(script, agent, false);
+	agent->silent = true;
+	expect_no_start(script, 4000);
+	expect_start(script, 2500);
+	script_free(script);
+}
+END_TEST
+
+/*
+ * Guards against a task that waits forever for an unconfirmed run whose worker
+ * doesn't answer its agent.
+ */
+START_TEST(test_unreachable_worker_ends_bar)
+{
+	struct script *script = script_new(3);
+	struct scripted_agent *agent = script_started(script);
+
+	script_lose_run(script, agent);
+	agent->run.unconfirmed = true;
+	script_run_ms(script, REPORT_MS);
+	script_drain_others(script, agent, false);
+	agent->unreachable = true;
+	expect_no_start(script, 4000);
+	expect_start(script, 2500);
+	script_free(script);
+}
+END_TEST
+
+SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
+	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar)
