Keep the orphans of a task at each VM

What callers would see: TWICE, a start beside an orphan of the same task.

Cause: the table of orphans held one VM a task. When two VMs reported runs of one task, the later report replaced the earlier one, and once the later VM's run had ended, the task was placed until the other VM reported again.

The leader now looks through the orphans that each VM has, which a report of that VM alone replaces, and the second table goes.

Before: two_orphans_of_task of flow_report fails ("tt.0.0.0 is started beside an earlier run"). After: it passes, as do the other suites of flows.

--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -472,8 +472,6 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	flows->left_vms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	flows->orphans =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	flows->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      flow_orders_free);
 	flows->waits =
@@ -511,7 +509,6 @@
 	timer_cancel(timers, &flows->order_timer);
 	timer_cancel(timers, &flows->check_timer);
 	g_hash_table_unref(flows->left_vms);
-	g_hash_table_unref(flows->orphans);
 	g_hash_table_unref(flows->orders);
 	g_hash_table_unref(flows->waits);
 	g_hash_table_unref(flows->started);
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -84,7 +84,10 @@
 	 */
 	uint64_t checked_end_nr;
 	GHashTable *runs; /* set of struct flow_placement * */
-	/* Task name -> struct flow_orphan *, by the agent's last report. */
+	/*
+	 * Task name -> struct flow_orphan *, by the agent's last report. Two
+	 * VMs may have orphans of one task.
+	 */
 	GHashTable *orphans;
 	/*
 	 * resources reserved for runs whose placement is committed or proposed
@@ -272,12 +275,7 @@
 	GArray *changes; /* struct flow_change to be proposed */
 	/* Task name -> struct flow_vm * that it was moved from. */
 	GHashTable *left_vms;
-	/*
-	 * Task name -> struct flow_vm * whose last report listed a run of the
-	 * task that isn't placed there, for example because it was lost. The
-	 * run may be unconfirmed.
-	 */
-	GHashTable *orphans;
+	uint32_t nr_orphans; /* at all VMs */
 	/* VM name -> GArray of struct flow_order to be sent. */
 	GHashTable *orders;
 	/* when the oldest order in orders was queued */
--- a/src/core/control/control_flow_orphan.c
+++ b/src/core/control/control_flow_orphan.c
@@ -131,6 +131,8 @@
 	for (uint32_t i = 0; i < report->nr_runs; i++)
 		if (!control_flow_placed_run(flows, vm, &report->runs[i]))
 			orphan_add(flows, vm, before, &report->runs[i]);
+	flows->nr_orphans +=
+		g_hash_table_size(vm->orphans) - g_hash_table_size(before);
 	g_hash_table_iter_init(&iter, before);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		if (g_hash_table_contains(vm->orphans, key))
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -96,11 +96,6 @@
 		vm->fence_nr++;
 }
 
-static gboolean flow_orphan_is_at(void *key, void *value, void *vm)
-{
-	return value == vm;
-}
-
 /*
  * Handles the runs in a report; returns the set of the struct flow_placement *
  * of runs that are committed to the VM.
@@ -112,15 +107,12 @@
 	GHashTable *listed = g_hash_table_new(NULL, NULL);
 	uint64_t now_us = flows->control->node->now_us;
 
-	g_hash_table_foreach_remove(flows->orphans, flow_orphan_is_at, vm);
 	for (uint32_t i = 0; i < report->nr_runs; i++) {
 		const struct flow_run *run = &report->runs[i];
 		struct flow_placement *placed =
 			control_flow_placed_run(flows, vm, run);
 
 		if (!placed) {
-			g_hash_table_replace(flows->orphans,
-					     g_strdup(run->task), vm);
 			control_flow_order_kill(flows, vm, run);
 			continue;
 		}
@@ -552,14 +544,24 @@
 bool control_flow_has_orphan(const struct control_flow *flows,
 			     const struct state_flow *flow, uint32_t task)
 {
-	const struct flow_vm *vm;
+	uint64_t now_us = flows->control->node->now_us;
 	char name[NAME_BYTES];
+	GHashTableIter iter;
+	void *value;
 
-	if (!g_hash_table_size(flows->orphans))
+	if (!flows->nr_orphans)
 		return false;
 	state_flow_task_name(flow, task, name);
-	vm = g_hash_table_lookup(flows->orphans, name);
-	return vm && flows->control->node->now_us <= flow_lapsed_us(flows, vm);
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct flow_vm *vm = value;
+
+		if (g_hash_table_size(vm->orphans) &&
+		    g_hash_table_contains(vm->orphans, name) &&
+		    now_us <= flow_lapsed_us(flows, vm))
+			return true;
+	}
+	return false;
 }
 
 /*
--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -37,6 +37,7 @@
 struct script {
 	struct flow_world *fw;
 	struct scripted_agent agents[FLOW_WORLD_VMS];
+	uint32_t last; /* number of the agent that reports after the others */
 };
 
 static void agent_start(void *role)
@@ -147,8 +148,10 @@
 static void script_run_ms(struct script *script, uint32_t ms)
 {
 	for (uint32_t spent_ms = 0; spent_ms < ms; spent_ms += REPORT_MS) {
-		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
-			agent_report(&script->agents[i]);
+		for (uint32_t i = 1; i <= FLOW_WORLD_VMS; i++) {
+			uint32_t nr = (script->last + i) % FLOW_WORLD_VMS;
+
+			agent_report(&script->agents[nr]);
 			flow_world_run_ms(script->fw,
 					  REPORT_MS / FLOW_WORLD_VMS);
 		}
@@ -316,5 +319,40 @@
 }
 END_TEST
 
+/*
+ * Guards against a run beside the first of two earlier runs at different VMs:
+ * the leader forgot the first one's report when the second one had ended.
+ */
+START_TEST(test_two_orphans_of_task)
+{
+	struct script *script = script_new(4);
+	struct scripted_agent *first = script_started(script);
+	struct scripted_agent *second;
+	uint32_t nr;
+
+	script_lose_run(script, first);
+	first->silent = true;
+	script_drain_others(script, first, false);
+	expect_start(script, 1500);
+	second = script_started(script);
+	ck_assert_ptr_ne(first, second);
+	nr = (uint32_t)(second - script->agents);
+	script->last = nr;
+	script_lose_run(script, second);
+	first->silent = false;
+	script_run_ms(script, REPORT_MS);
+	script_drain_others(script, first, false);
+	expect_no_start(script, 1000);
+	/* The next report after that of the second VM is its own again. */
+	script->last = (nr + FLOW_WORLD_VMS - 1) % FLOW_WORLD_VMS;
+	second->has_run = false;
+	expect_no_start(script, 3000);
+	first->has_run = false;
+	expect_start(script, 1500);
+	script_free(script);
+}
+END_TEST
+
 SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
-	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar)
+	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
+	   test_two_orphans_of_task)
