Keep orphans while a restarted agent lists its runs

What callers would see: TWICE, a start beside an orphan of the same task.

Cause: an agent process that has just started reports before it has listed its worker's runs. The leader took the empty list for the end of the VM's orphans, and placed their tasks elsewhere while they went on running.

The leader now keeps the orphans of the same incarnation of the worker until its agent has listed the runs. As before, they count no longer than the worker's lease may hold.

Before: restarted_agent_keeps_bar of flow_report fails ("tt.0.0.0 is started beside an earlier run"). After: it passes, as do the other suites of flows.

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -119,6 +119,7 @@
 /** A run at a worker, by its agent's report, that isn't placed there. */
 struct flow_orphan {
 	uint32_t run;
+	uint64_t born_ms; /* start time of the worker's incarnation */
 	bool unconfirmed; /* it isn't certain that the worker has the run */
 	uint64_t since_us; /* when a report first showed it */
 };
@@ -384,7 +385,10 @@
  */
 bool control_flow_start_is_barred(struct control_flow *flows,
 				  const struct flow_placement *placed);
-/** Replaces the VM's orphans by those in the report, and logs changes. */
+/**
+ * Replaces the VM's orphans by those in the report, and logs changes. Orphans
+ * of an agent that hasn't listed its worker's runs yet stay.
+ */
 void control_flow_update_orphans(struct control_flow *flows, struct flow_vm *vm,
 				 const struct flow_report *report);
 
--- a/src/core/control/control_flow_orphan.c
+++ b/src/core/control/control_flow_orphan.c
@@ -107,6 +107,7 @@
 	bool same = known && known->run == run->run;
 
 	orphan->run = run->run;
+	orphan->born_ms = vm->worker.born_ms;
 	orphan->unconfirmed = run->unconfirmed;
 	orphan->since_us = same ? known->since_us :
 				  flows->control->node->now_us;
@@ -118,9 +119,34 @@
 	orphan_log(flows, vm, run->task, orphan, "listed");
 }
 
+/*
+ * Keeps the orphans of the present incarnation if the agent hasn't listed its
+ * runs yet: an agent process that has just started knows none.
+ */
+static void orphans_keep_unlisted(struct flow_vm *vm, GHashTable *before)
+{
+	GHashTableIter iter;
+	void *key;
+	void *value;
+
+	if (vm->looked || vm->worker.ended)
+		return;
+	g_hash_table_iter_init(&iter, before);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct flow_orphan *orphan = value;
+
+		if (orphan->born_ms != vm->worker.born_ms ||
+		    g_hash_table_contains(vm->orphans, key))
+			continue;
+		g_hash_table_iter_steal(&iter);
+		g_hash_table_insert(vm->orphans, key, value);
+	}
+}
+
 void control_flow_update_orphans(struct control_flow *flows, struct flow_vm *vm,
 				 const struct flow_report *report)
 {
+	uint32_t nr_before = g_hash_table_size(vm->orphans);
 	GHashTable *before = vm->orphans;
 	GHashTableIter iter;
 	void *key;
@@ -131,8 +157,8 @@
 	for (uint32_t i = 0; i < report->nr_runs; i++)
 		if (!control_flow_placed_run(flows, vm, &report->runs[i]))
 			orphan_add(flows, vm, before, &report->runs[i]);
-	flows->nr_orphans +=
-		g_hash_table_size(vm->orphans) - g_hash_table_size(before);
+	orphans_keep_unlisted(vm, before);
+	flows->nr_orphans += g_hash_table_size(vm->orphans) - nr_before;
 	g_hash_table_iter_init(&iter, before);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		if (g_hash_table_contains(vm->orphans, key))
--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -353,6 +353,28 @@
 }
 END_TEST
 
+/*
+ * Guards against a run beside one that continues at its worker while the agent
+ * restarts: the new agent process first reports that it knows no runs.
+ */
+START_TEST(test_restarted_agent_keeps_bar)
+{
+	struct script *script = script_new(5);
+	struct scripted_agent *agent = script_started(script);
+
+	script_lose_run(script, agent);
+	script_run_ms(script, REPORT_MS);
+	script_drain_others(script, agent, false);
+	agent_boot(agent);
+	expect_no_start(script, 2000);
+	agent->looked = true;
+	expect_no_start(script, 2000);
+	agent->has_run = false;
+	expect_start(script, 1500);
+	script_free(script);
+}
+END_TEST
+
 SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
-	   test_two_orphans_of_task)
+	   test_two_orphans_of_task, test_restarted_agent_keeps_bar)
