Treat a run that is listed beside its own end as an orphan

What callers would see: TWICE, a run that has ended starts again beside the next run of its task.

Cause: after a worker was restarted under its identity, its agent reports the ends that the earlier incarnation had listed, and with them, as unconfirmed, runs whose start the new incarnation may carry out again. Such a run is still placed when the report is handled, so it wasn't an orphan; its end was then committed and the task placed elsewhere before the next report.

A run whose end stands in the same report is now an orphan at once: no other run of the task starts until a report doesn't list it.

Before: ended_run_that_may_start_again of flow_report fails ("tt.0.0.0 is started beside an earlier run").

--- a/src/core/control/control_flow_orphan.c
+++ b/src/core/control/control_flow_orphan.c
@@ -143,6 +143,24 @@
 	}
 }
 
+/*
+ * Returns true if the report also has the run's end, from before the worker was
+ * restarted under its identity or from a refused start: another start call for
+ * the run may be, or have been, carried out since.
+ */
+static bool report_has_end(const struct flow_report *report,
+			   const struct flow_run *run)
+{
+	for (uint32_t i = 0; i < report->nr_ends; i++) {
+		const struct flow_run_end *end = &report->ends[i];
+
+		if (!end->nr && end->run == run->run &&
+		    !strcmp(end->task, run->task))
+			return true;
+	}
+	return false;
+}
+
 void control_flow_update_orphans(struct control_flow *flows, struct flow_vm *vm,
 				 const struct flow_report *report)
 {
@@ -154,9 +172,13 @@
 
 	vm->orphans =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	for (uint32_t i = 0; i < report->nr_runs; i++)
-		if (!control_flow_placed_run(flows, vm, &report->runs[i]))
-			orphan_add(flows, vm, before, &report->runs[i]);
+	for (uint32_t i = 0; i < report->nr_runs; i++) {
+		const struct flow_run *run = &report->runs[i];
+
+		if (!control_flow_placed_run(flows, vm, run) ||
+		    report_has_end(report, run))
+			orphan_add(flows, vm, before, run);
+	}
 	orphans_keep_unlisted(vm, before);
 	flows->nr_orphans += g_hash_table_size(vm->orphans) - nr_before;
 	g_hash_table_iter_init(&iter, before);
--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -375,6 +375,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a run beside one that may still start although it has ended:
+ * a worker that was restarted under its identity may carry out the start again.
+ * Its agent reports the end and the unconfirmed run together.
+ */
+START_TEST(test_ended_run_that_may_start_again)
+{
+	struct script *script = script_new(6);
+	struct scripted_agent *agent = script_started(script);
+
+	agent->run.unconfirmed = true;
+	agent->has_end = true;
+	TEXT_SET(agent->end.task, TASK);
+	agent->end.run = agent->run.run;
+	agent->end.end = FLOW_END_FAILED;
+	expect_no_start(script, 3000);
+	agent->has_run = false;
+	expect_start(script, 1500);
+	script_free(script);
+}
+END_TEST
+
 SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
-	   test_two_orphans_of_task, test_restarted_agent_keeps_bar)
+	   test_two_orphans_of_task, test_restarted_agent_keeps_bar,
+	   test_ended_run_that_may_start_again)
