Report no absent runs by a list from before the permits expired

What callers would see: two runs of one task of a job.

Cause: an agent reports from the last list that its worker answered, however old. After an agent was restarted, the leader gives up a placed run that isn't reported 2 s after the first report, when the permit of every start call has expired. If the call of the earlier process was carried out after the new one's first list, and later lists had no answer, the report was sent late enough but its list had been requested too early. The leader usually orders the start again, which tells the new process of the run; it doesn't when the zone was taken out meanwhile.

Until a list that was requested PERMIT_TTL_MS after the process started is there, the agent now reports only by a list requested within the last LEASE_MARGIN_MS, which the leader waits beyond the permit. A report that has to wait is sent with the next list.

Before: start_after_last_list of test_control fails ("world_place(world, start->task_id) == NULL"): the second run starts beside the first. After: it passes, as do the suites of control, grants, agents, requests and claims.

--- a/src/core/agent/agent_task.c
+++ b/src/core/agent/agent_task.c
@@ -14,6 +14,8 @@
 	struct agent_task_opts opts;
 	struct worker *worker;
 	struct timer tick;
+	uint64_t started_us; /* when this agent process started */
+	bool report_due; /* a report waits for a list */
 	uint64_t leader; /* node_id, 0 if none is known */
 	uint64_t term; /* highest leader term seen in a message */
 	uint64_t seq; /* sequence number of the last report, 0: none yet */
@@ -87,6 +89,31 @@
 	return FALSE;
 }
 
+/*
+ * Returns true once a list shows all runs that earlier agent processes have
+ * started: the permits of their start calls have expired by then.
+ */
+static bool agent_task_knows_runs(const struct agent_task *tasks)
+{
+	return tasks->worker->listed &&
+	       tasks->worker->listed_us >=
+		       tasks->started_us + PERMIT_TTL_MS * 1000ull;
+}
+
+/*
+ * Returns true if a run that isn't in the list counts as absent at the time of
+ * a report. Until agent_task_knows_runs() does, this takes a recent list. The
+ * leader waits LEASE_MARGIN_MS longer than a permit before it gives up a run
+ * that isn't reported.
+ */
+static bool agent_task_may_report(const struct agent_task *tasks)
+{
+	return agent_task_knows_runs(tasks) ||
+	       (tasks->worker->listed &&
+		tasks->node->now_us - tasks->worker->listed_us <=
+			LEASE_MARGIN_MS * 1000ull);
+}
+
 static void agent_task_report(struct agent_task *tasks)
 {
 	struct report report = { 0 };
@@ -95,7 +122,8 @@
 
 	/* Before the worker's first list the report would be empty, and the
 	 * leader would conclude that the VM's tasks no longer exist. */
-	if (!tasks->leader || !tasks->worker->listed)
+	tasks->report_due = !agent_task_may_report(tasks);
+	if (!tasks->leader || tasks->report_due)
 		return;
 	/* Events are sent before the report, as only events contain the
 	 * result codes of ended tasks. */
@@ -332,9 +360,9 @@
 {
 	struct agent_task *tasks = ctx;
 
-	/* The first report had to wait for this list; it is sent at once
-	 * instead of at the next tick. */
-	if (!tasks->seq)
+	/* A report that had to wait for this list is sent at once instead of
+	 * at the next tick. */
+	if (!tasks->seq || tasks->report_due)
 		agent_task_report(tasks);
 }
 
@@ -385,7 +413,8 @@
 
 void agent_task_start(struct agent_task *tasks)
 {
-	agent_task_tick(tasks, tasks->node->now_us);
+	tasks->started_us = tasks->node->now_us;
+	agent_task_tick(tasks, tasks->started_us);
 }
 
 void agent_task_leader_changed(struct agent_task *tasks, uint64_t node_id)
--- a/src/core/agent/worker.c
+++ b/src/core/agent/worker.c
@@ -231,6 +231,7 @@
 	g_ptr_array_unref(runs);
 	g_hash_table_unref(listed);
 	worker->listed = true;
+	worker->listed_us = call->sent_us;
 	worker->opts.ops->listed(worker->opts.ctx);
 }
 
--- a/src/core/agent/worker.h
+++ b/src/core/agent/worker.h
@@ -69,6 +69,7 @@
 	bool listing; /* a list call is in flight */
 	bool list_again; /* another list call must follow the current one */
 	bool listed; /* at least one list was received */
+	uint64_t listed_us; /* when the last received list was requested */
 };
 
 struct worker *worker_new(struct node *node, const struct worker_opts *opts);
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -144,6 +144,39 @@
 }
 END_TEST
 
+/*
+ * Guards against a second run of a task whose start, called by an agent that
+ * died, is carried out after the new agent's first list, while later lists have
+ * no answer. The leader took the report, which was sent later, for proof that
+ * the worker doesn't have the run.
+ */
+START_TEST(test_start_after_last_list)
+{
+	struct world *world = world_new(27, 1, 2);
+	struct world_vm *vm = &world->vms[0];
+	uint64_t job_id;
+
+	sim_run_ms(world->sim, 2000);
+	world_lose_vm(&world->vms[1]);
+	sim_run_ms(world->sim, 8000);
+	vm->start_delay_us = 1000000;
+	job_id = world_submit(world, "job1", 1, 20000);
+	sim_run_ms(world->sim, 100);
+	world_kill_agent(vm);
+	ck_assert_int_eq(world_set_zone(world, vm->zone, true), RESULT_OK);
+	world_boot_agent(vm);
+	world_return_vm(&world->vms[1]);
+	sim_run_ms(world->sim, 700);
+	ck_assert_uint_eq(world->nr_starts, 0);
+	vm->lose_reply_ppm = 1000000;
+	sim_run_ms(world->sim, 4000);
+	ck_assert_uint_eq(world->nr_starts, 1);
+	vm->lose_reply_ppm = 0;
+	ck_assert(world_wait_job(world, job_id, 60000));
+	world_free(world);
+}
+END_TEST
+
 /* Guards against a slow start that is treated as a failed one. */
 START_TEST(test_slow_start)
 {
@@ -1096,7 +1129,8 @@
 
 SUITE_MAIN("control", test_job_runs, test_vm_lost, test_vm_returns,
 	   test_vm_cut_off, test_late_end, test_agent_restart,
-	   test_agent_dies_during_start, test_slow_start, test_lost_replies,
+	   test_agent_dies_during_start, test_start_after_last_list,
+	   test_slow_start, test_lost_replies,
 	   test_lost_start_after_earlier_epoch, test_leader_dies,
 	   test_leader_dies_with_vm, test_leader_cut_off, test_quorum_lost,
 	   test_zone_out, test_tasks_leave_zone,
