--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -84,7 +84,10 @@
 	 */
 	uint64_t checked_end_nr;
 	GHashTable *runs; /* set of struct flow_placement * */
-	/* Task name -> struct flow_orphan *, by the agent's last report. */
+	/*
+	 * Task name -> struct flow_orphan *, by the agent's last report. Two
+	 * VMs may have orphans of one task.
+	 */
 	GHashTable *orphans;
 	/*
 	 * resources reserved for runs whose placement is committed or proposed
@@ -116,6 +119,7 @@
 /** A run at a worker, by its agent's report, that isn't placed there. */
 struct flow_orphan {
 	uint32_t run;
+	uint64_t born_ms; /* start time of the worker's incarnation */
 	bool unconfirmed; /* it isn't certain that the worker has the run */
 	uint64_t since_us; /* when a report first showed it */
 };
@@ -272,11 +276,7 @@
 	GArray *changes; /* struct flow_change to be proposed */
 	/* Task name -> struct flow_vm * that it was moved from. */
 	GHashTable *left_vms;
-	/*
-	 * Task name -> struct flow_vm * whose last report listed a run of the
-	 * task that isn't placed there, for example because it was lost.
-	 */
-	GHashTable *orphans;
+	uint32_t nr_orphans; /* at all VMs */
 	/* VM name -> GArray of struct flow_order to be sent. */
 	GHashTable *orders;
 	/* when the oldest order in orders was queued */
@@ -357,8 +357,8 @@
 				  const struct flow_vm *vm);
 void control_flow_check(void *data, uint64_t now_us);
 /**
- * Returns true if a worker whose lease may hold still runs an earlier run of
- * the task, by the last report about it.
+ * Returns true if a worker whose lease may hold runs, or may still start, an
+ * earlier run of the task, by the last report about it.
  */
 bool control_flow_has_orphan(const struct control_flow *flows,
 			     const struct state_flow *flow, uint32_t task);
@@ -385,7 +385,10 @@
  */
 bool control_flow_start_is_barred(struct control_flow *flows,
 				  const struct flow_placement *placed);
-/** Replaces the VM's orphans by those in the report, and logs changes. */
+/**
+ * Replaces the VM's orphans by those in the report, and logs changes. Orphans
+ * of an agent that hasn't listed its worker's runs yet stay.
+ */
 void control_flow_update_orphans(struct control_flow *flows, struct flow_vm *vm,
 				 const struct flow_report *report);
 
