Show that two orphans of one task count as one

The leader keeps a VM's orphans by task name, so of two listed runs of a task that are both orphans it counts one against processors, memory and the limit of the step.

Fails on: "oo.0.0.1 starts at side1 beside 2 of its step, limit 2" (flow_orphan: orphans_of_one_task_count_each).

Neither the test nor a play shows that current code leads to two such runs; the test puts the second one into the worker's list.

--- a/tests/test_flow_orphan.c
+++ b/tests/test_flow_orphan.c
@@ -56,6 +56,22 @@
 	return fw;
 }
 
+/*
+ * Makes the worker list a later run of each of its tasks, too. Workers accept a
+ * start of a task beside another run of it.
+ */
+static void fw_add_later_run(struct fw_vm *vm)
+{
+	GArray *runs = vm->worker.runs;
+
+	for (guint i = runs->len; i-- > 0;) {
+		struct fw_run run = g_array_index(runs, struct fw_run, i);
+
+		run.run++;
+		g_array_prepend_val(runs, run);
+	}
+}
+
 /* Waits until all tasks run again. */
 static void expect_all_run(struct flow_world *fw)
 {
@@ -109,5 +125,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that is placed beside two runs of another task of its
+ * step, of which the leader counts one: it keeps the orphans of a VM by task.
+ */
+START_TEST(test_orphans_of_one_task_count_each)
+{
+	struct flow_step step = { .count = FLOW_WORLD_VMS,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .estimate_ms = RUN_MS,
+				  .max_per_vm = 2 };
+
+	for (uint64_t seed = 1; seed <= NR_SEEDS; seed++) {
+		struct flow_world *fw = world_with_orphans(seed, &step);
+
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+			fw_add_later_run(&fw->vms[i]);
+		flow_world_run_ms(fw, 1500);
+		ck_assert(sim_log_has(fw->base->sim, "*event=orphan*"));
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 SUITE_MAIN("flow_orphan", test_orphan_counts_for_step_limit,
-	   test_orphan_uses_capacity)
+	   test_orphan_uses_capacity, test_orphans_of_one_task_count_each)
