Show that a report omits the earlier of two listed runs of a task

If a list has a lower run of a task before a higher one and the agent knows neither, as after its start, the record of the higher run replaces that of the lower one. The lower run is neither among the runs nor among the superseded ones until the next list, up to POLL_WAIT_MS later, so the leader counts its place as free.

Fails on: "fixture->report.nr_runs == 1, 2 == 2" (runner: two_runs_in_one_list_are_reported).

--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -702,6 +702,27 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that no report shows although the worker lists it: a
+ * later run of the task in the same list replaces the agent's record of it.
+ */
+START_TEST(test_two_runs_in_one_list_are_reported)
+{
+	struct fixture *fixture = fixture_ready(true);
+	struct flow_run runs[] = { { .task = TASK, .run = 1 },
+				   { .task = TASK, .run = 2 } };
+	struct exec_reply list = fixture_done;
+
+	list.runs = runs;
+	list.nr_runs = 2;
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->report.nr_runs, 2);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner", test_refusal_is_kept, test_highest_refusal_is_kept,
 	   test_orders_before_heartbeat, test_unanswered_start,
 	   test_resent_start_is_refused, test_deadline_on_slow_clock,
@@ -715,4 +736,5 @@
 	   test_resent_start_is_refused_unreadably,
 	   test_repeated_start_beside_other_run,
 	   test_start_beside_listed_earlier_run,
-	   test_superseded_run_is_reported)
+	   test_superseded_run_is_reported,
+	   test_two_runs_in_one_list_are_reported)
