Show that a run is forgotten from its end as lost to the next report

The leader proposes the end of a VM's runs as lost. Before this is committed, the VM's agent reports again and lists the runs. They are still placed there, so neither the VM's orphans nor the orphans by task get them. With the commit the VM becomes usable and its runs count no more; until its next report, up to RUNNER_REPORT_INTERVAL_MS later, the leader places their tasks elsewhere and other tasks beside them.

Fails on: "oo.0.0.2 runs at side0 already" (flow_orphan: lost_run_counts_until_next_report; the commit takes 60 to 100 ms, as the leader is cut off from the other replicas).

--- a/tests/test_flow_orphan.c
+++ b/tests/test_flow_orphan.c
@@ -8,6 +8,7 @@
 
 #include <string.h>
 
+#include "control_flow_impl.h"
 #include "flow_world.h"
 #include "suite.h"
 
@@ -16,6 +17,7 @@
 #define STOP_MS 900
 /* Longer than a lease of the new leader and its margin. */
 #define AWAY_MS 6800
+#define AGENTS_BEFORE_LOSS_MS 300
 
 /*
  * Makes the workers continue runs that the leader has taken for lost: the
@@ -24,11 +26,10 @@
  * agents are down until the runs are lost.
  *
  * Submits a workflow of one task on each VM, whose last one ends with its
- * worker. Returns after the agents have started again; the workers have the
- * other tasks as orphans.
+ * worker. Returns when the agents and the leader are down.
  */
-static struct flow_world *world_with_orphans(uint64_t seed,
-					     const struct flow_step *step)
+static struct flow_world *world_without_agents(uint64_t seed,
+					       const struct flow_step *step)
 {
 	struct flow_world *fw = flow_world_new(seed);
 	struct fw_vm *last = &fw->vms[FLOW_WORLD_VMS - 1];
@@ -48,6 +49,18 @@
 		fw_kill_agent(&fw->vms[i]);
 	fw_crash_worker(last);
 	world_kill_control(world_leader_host(fw->base));
+	return fw;
+}
+
+/*
+ * Returns a world after the agents have started again; the workers have the
+ * tasks, except the last one, as orphans.
+ */
+static struct flow_world *world_with_orphans(uint64_t seed,
+					     const struct flow_step *step)
+{
+	struct flow_world *fw = world_without_agents(seed, step);
+
 	flow_world_run_ms(fw, AWAY_MS);
 	ck_assert(sim_log_has(fw->base->sim, "*event=vm-lost*"));
 	ck_assert_uint_eq(fw_running(fw), FLOW_WORLD_VMS - 1);
@@ -149,5 +162,66 @@
 }
 END_TEST
 
+/* Cuts the leader's links to the other replicas, so that it can't commit. */
+static void cut_followers(struct flow_world *fw, bool cut)
+{
+	struct world_control *leader = world_leader_host(fw->base);
+
+	for (uint32_t i = 0; i < fw->base->nr_controls; i++)
+		if (&fw->base->controls[i] != leader)
+			sim_partition(leader->machine,
+				      fw->base->controls[i].machine, cut);
+}
+
+/*
+ * Guards against tasks that are placed elsewhere, or beside another run of
+ * their step, although the last report lists their run: it arrived while the
+ * run's end as lost was being committed, so it doesn't list the run as an
+ * orphan.
+ */
+START_TEST(test_lost_run_counts_until_next_report)
+{
+	struct flow_step step = { .count = FLOW_WORLD_VMS,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .estimate_ms = RUN_MS,
+				  .max_per_vm = 1 };
+
+	for (uint64_t seed = 1; seed <= NR_SEEDS; seed++) {
+		struct flow_world *fw = world_without_agents(seed, &step);
+		struct control *leader;
+		uint64_t lost_ms;
+
+		flow_world_run_ms(fw, 3000);
+		leader = world_leader(fw->base);
+		ck_assert_ptr_nonnull(leader);
+		/* The first check after the leases have certainly expired. */
+		lost_ms = leader->leader_since_us / 1000 +
+			  ((leader->flows->lease_ms + FLOW_LEASE_MARGIN_MS) /
+				   VM_CHECK_MS +
+			   1) * VM_CHECK_MS;
+		flow_world_run_ms(fw, lost_ms - AGENTS_BEFORE_LOSS_MS -
+					      sim_now_us(fw->base->sim) / 1000);
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+			fw_boot_agent(&fw->vms[i]);
+		flow_world_run_ms(fw, AGENTS_BEFORE_LOSS_MS - 20);
+		cut_followers(fw, true);
+		flow_world_run_ms(fw, 30);
+		ck_assert(sim_log_has(fw->base->sim, "*event=vm-lost*"));
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS - 1; i++)
+			fw_heartbeat(&fw->vms[i], fw->vms[i].worker.born_ms,
+				     ++fw->vms[i].worker.seq);
+		flow_world_run_ms(fw, 60);
+		ck_assert(control_flow_vm(leader->flows, "side0")->looked);
+		ck_assert(!sim_log_has(fw->base->sim, "*event=task-ended*"));
+		cut_followers(fw, false);
+		flow_world_run_ms(fw, 1500);
+		ck_assert_ptr_eq(world_leader(fw->base), leader);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 SUITE_MAIN("flow_orphan", test_orphan_counts_for_step_limit,
-	   test_orphan_uses_capacity, test_orphans_of_one_task_count_each)
+	   test_orphan_uses_capacity, test_orphans_of_one_task_count_each,
+	   test_lost_run_counts_until_next_report)
