Show that an orphan is forgotten when its agent starts again

The first report of an agent that has just started lists no runs, as it hasn't fetched the worker's list. The leader drops the orphans that the earlier agent reported, by VM and by task. The VM itself gets no tasks until its agent has looked, but the task of the orphan is placed on another VM while the first worker still runs it.

Fails on: "oo.0.0.2 runs at side0 already" (flow_orphan: orphan_counts_until_next_agent_looks).

--- a/tests/test_flow_orphan.c
+++ b/tests/test_flow_orphan.c
@@ -222,6 +222,44 @@
 }
 END_TEST
 
+/* Waits until the leader knows of an orphan at the VM. */
+static void wait_for_orphan(struct flow_world *fw, const char *vm)
+{
+	struct control *leader = world_leader(fw->base);
+	struct flow_vm *known;
+
+	ck_assert_ptr_nonnull(leader);
+	known = control_flow_vm(leader->flows, vm);
+	for (uint32_t i = 0; i < 300 && !g_hash_table_size(known->orphans); i++)
+		flow_world_run_ms(fw, 10);
+	ck_assert_uint_eq(g_hash_table_size(known->orphans), 1);
+}
+
+/*
+ * Guards against a task that is placed elsewhere while an orphan of it runs:
+ * the agent that reported the orphan is started again, and its first report
+ * comes before it has fetched the worker's list.
+ */
+START_TEST(test_orphan_counts_until_next_agent_looks)
+{
+	struct flow_step step = { .count = FLOW_WORLD_VMS,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .estimate_ms = RUN_MS };
+
+	for (uint64_t seed = 1; seed <= NR_SEEDS; seed++) {
+		struct flow_world *fw = world_with_orphans(seed, &step);
+
+		wait_for_orphan(fw, "side0");
+		fw_kill_agent(&fw->vms[0]);
+		fw_boot_agent(&fw->vms[0]);
+		flow_world_run_ms(fw, STOP_MS);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 SUITE_MAIN("flow_orphan", test_orphan_counts_for_step_limit,
 	   test_orphan_uses_capacity, test_orphans_of_one_task_count_each,
-	   test_lost_run_counts_until_next_report)
+	   test_lost_run_counts_until_next_report,
+	   test_orphan_counts_until_next_agent_looks)
