Show that only one orphan of a task bars its task

The leader keeps the orphans by task with one VM each. If two VMs report orphans of one task, the one reported last is kept; once it has ended, the task is placed although the other VM's last report still lists the first one.

Fails on: "oo.0.0.2 runs at side0 already" (flow_orphan: orphans_at_two_vms_bar_their_task).

--- a/tests/test_flow_orphan.c
+++ b/tests/test_flow_orphan.c
@@ -222,17 +222,18 @@
 }
 END_TEST
 
-/* Waits until the leader knows of an orphan at the VM. */
-static void wait_for_orphan(struct flow_world *fw, const char *vm)
+/* Waits until the leader knows of @a nr orphans at the VM. */
+static void wait_for_orphans(struct flow_world *fw, const char *vm, uint32_t nr)
 {
 	struct control *leader = world_leader(fw->base);
 	struct flow_vm *known;
 
 	ck_assert_ptr_nonnull(leader);
 	known = control_flow_vm(leader->flows, vm);
-	for (uint32_t i = 0; i < 300 && !g_hash_table_size(known->orphans); i++)
+	for (uint32_t i = 0; i < 300 && g_hash_table_size(known->orphans) < nr;
+	     i++)
 		flow_world_run_ms(fw, 10);
-	ck_assert_uint_eq(g_hash_table_size(known->orphans), 1);
+	ck_assert_uint_eq(g_hash_table_size(known->orphans), nr);
 }
 
 /*
@@ -250,7 +251,7 @@
 	for (uint64_t seed = 1; seed <= NR_SEEDS; seed++) {
 		struct flow_world *fw = world_with_orphans(seed, &step);
 
-		wait_for_orphan(fw, "side0");
+		wait_for_orphans(fw, "side0", 1);
 		fw_kill_agent(&fw->vms[0]);
 		fw_boot_agent(&fw->vms[0]);
 		flow_world_run_ms(fw, STOP_MS);
@@ -259,7 +260,48 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that is placed again while an orphan of it runs: the
+ * leader keeps one VM a task, and forgets the orphan once another VM's orphan
+ * of the task has ended.
+ */
+START_TEST(test_orphans_at_two_vms_bar_their_task)
+{
+	struct flow_step step = { .count = FLOW_WORLD_VMS,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .estimate_ms = RUN_MS };
+
+	for (uint64_t seed = 1; seed <= NR_SEEDS; seed++) {
+		struct flow_world *fw = world_with_orphans(seed, &step);
+		GArray *runs = fw->vms[0].worker.runs;
+		GArray *other_runs = fw->vms[1].worker.runs;
+		struct fw_run run = g_array_index(runs, struct fw_run, 0);
+		const struct flow_vm *known;
+
+		run.run++;
+		g_array_append_val(other_runs, run);
+		/* So the task would be placed on another VM. */
+		fw->vms[0].draining = true;
+		fw->vms[1].draining = true;
+		wait_for_orphans(fw, "side0", 1);
+		wait_for_orphans(fw, "side1", 2);
+		known = g_hash_table_lookup(
+			world_leader(fw->base)->flows->orphans, run.task);
+		ck_assert_ptr_nonnull(known);
+		/* Ends the run that was reported last. */
+		if (!strcmp(known->name, "side0"))
+			g_array_index(runs, struct fw_run, 0).stop_us = 1;
+		else
+			g_array_index(other_runs, struct fw_run, 1).stop_us = 1;
+		flow_world_run_ms(fw, STOP_MS);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 SUITE_MAIN("flow_orphan", test_orphan_counts_for_step_limit,
 	   test_orphan_uses_capacity, test_orphans_of_one_task_count_each,
 	   test_lost_run_counts_until_next_report,
-	   test_orphan_counts_until_next_agent_looks)
+	   test_orphan_counts_until_next_agent_looks,
+	   test_orphans_at_two_vms_bar_their_task)
