Show that a start is ordered beside an orphan known before its commit

The leader counts orphans when it chooses a VM, and not again when the placement is committed and the start is ordered. An orphan that a report lists in between is ordered to stop, and the start follows while it still runs. Starts that are repeated later go the same way.

Fails on: "aa.0.0.3 doesn't fit at side2" (flow_orphan: orphan_listed_before_commit; the commit takes 60 ms, as the leader is cut off from the other replicas).

--- a/tests/test_flow_orphan.c
+++ b/tests/test_flow_orphan.c
@@ -300,8 +300,73 @@
 }
 END_TEST
 
+/* Makes the worker list a run, and answer the poll in flight at once. */
+static void fw_list_run(struct fw_vm *vm, const char *task, uint32_t nr)
+{
+	struct fw_run run = { .run = nr };
+	struct fw_run ended = { .task = "zz.0.0.0", .run = 1, .stop_us = 1 };
+
+	TEXT_SET(run.task, task);
+	run.started_us = sim_now_us(vm->world->base->sim);
+	ended.started_us = run.started_us;
+	g_array_append_val(vm->worker.runs, run);
+	g_array_append_val(vm->worker.runs, ended);
+}
+
+/* Stops within half a millisecond of the line. */
+static void run_until_logged(struct flow_world *fw, const char *pattern)
+{
+	for (uint32_t i = 0; i < 300; i++) {
+		for (uint32_t j = 0; j < 20; j++) {
+			if (sim_log_has(fw->base->sim, pattern))
+				return;
+			sim_run_us(fw->base->sim, 500);
+		}
+		flow_world_run_ms(fw, 10);
+	}
+	ck_abort_msg("%s isn't logged", pattern);
+}
+
+/*
+ * Guards against a start that is ordered beside an orphan that a report has
+ * shown after the VM was chosen but before the placement was committed.
+ */
+START_TEST(test_orphan_listed_before_commit)
+{
+	struct flow_step step = { .count = FLOW_WORLD_VMS,
+				  .cpu_millis = 1000,
+				  .memory_mib = FLOW_WORLD_VM_MEMORY_MIB,
+				  .estimate_ms = RUN_MS };
+
+	for (uint64_t seed = 1; seed <= NR_SEEDS; seed++) {
+		struct flow_world *fw = flow_world_new(seed);
+
+		/* The tasks of aa are placed as those of bb end. */
+		flow_world_submit(fw, "bb", &step, 1);
+		flow_world_submit(fw, "aa", &step, 1);
+		fw->stop_ms = STOP_MS;
+		run_until_logged(fw, "*event=place task=aa.*");
+		fw->run_ms = RUN_MS;
+		cut_followers(fw, true);
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+			char task[NAME_BYTES];
+
+			g_snprintf(task, sizeof(task), "bb.0.0.%u", i);
+			fw_list_run(&fw->vms[i], task, 2);
+		}
+		flow_world_run_ms(fw, 60);
+		ck_assert(sim_log_has(fw->base->sim, "*event=orphan*"));
+		ck_assert_uint_eq(fw->nr_starts, FLOW_WORLD_VMS);
+		cut_followers(fw, false);
+		flow_world_run_ms(fw, STOP_MS / 2);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 SUITE_MAIN("flow_orphan", test_orphan_counts_for_step_limit,
 	   test_orphan_uses_capacity, test_orphans_of_one_task_count_each,
 	   test_lost_run_counts_until_next_report,
 	   test_orphan_counts_until_next_agent_looks,
-	   test_orphans_at_two_vms_bar_their_task)
+	   test_orphans_at_two_vms_bar_their_task,
+	   test_orphan_listed_before_commit)
