Report the earlier of two listed runs of a task

Cause: if a list has a lower run of a task before a higher one and the agent knows neither, as after its start, the record of the higher run replaced that of the lower one, which was neither reported nor stopped until the next list, up to POLL_WAIT_MS later.

The lower run is now stopped and reported as superseded at once, as it is when the higher one is known or listed first. The set of listed records no longer keeps a pointer to the replaced one.

Before: two_runs_in_one_list_are_reported of runner fails. After: it passes, as do runner_life, runner_start, flow, flow_freeze, flow_random.

--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -250,6 +250,30 @@
 	return true;
 }
 
+/*
+ * Adds a record of a listed run that the agent doesn't know: an earlier agent
+ * process must have started it. The leader answers the report with the run's
+ * start order, which has the attributes of the run.
+ */
+static struct runner_run *runner_add_listed(struct runner *runner,
+					    GHashTable *listed,
+					    const struct flow_run *seen)
+{
+	struct runner_run *earlier =
+		g_hash_table_lookup(runner->runs, seen->task);
+	bool both = earlier && g_hash_table_remove(listed, earlier);
+	struct flow_run superseded = { 0 };
+	struct runner_run *run;
+
+	if (both)
+		superseded = earlier->seen;
+	run = runner_add(runner, seen->task, seen->run, RUNNER_RUNNING);
+	if (both)
+		runner_stop_superseded(runner, &superseded);
+	runner_report_soon(runner);
+	return run;
+}
+
 /* Applies the runs that the worker lists, and adds them to @a listed. */
 static void runner_apply_runs(struct runner *runner, GHashTable *listed,
 			      const struct exec_reply *reply)
@@ -262,14 +286,8 @@
 
 		if (!run && runner_stop_superseded(runner, seen))
 			continue;
-		if (!run) {
-			run = runner_add(runner, seen->task, seen->run,
-					 RUNNER_RUNNING);
-			/* An earlier agent process must have started the run.
-			 * The leader answers the report with the run's start
-			 * order, which has the attributes of the run. */
-			runner_report_soon(runner);
-		}
+		if (!run)
+			run = runner_add_listed(runner, listed, seen);
 		if (run->phase != RUNNER_RUNNING)
 			runner_set_phase(runner, run, RUNNER_RUNNING);
 		run->seen = *seen;
