Count each orphan of a task by itself

Cause: a VM's orphans were kept by task, so the second replaced the first, and one was counted. They are now kept by task and run.

--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -9,7 +9,7 @@
 	struct flow_vm *vm = data;
 
 	g_hash_table_unref(vm->runs);
-	g_hash_table_unref(vm->orphans);
+	g_array_unref(vm->orphans);
 	g_array_unref(vm->ends);
 	control_flow_capacity_free(vm->capacity);
 	g_free(vm);
@@ -24,8 +24,7 @@
 	vm = g_new0(struct flow_vm, 1);
 	TEXT_SET(vm->name, name);
 	vm->runs = g_hash_table_new(NULL, NULL);
-	vm->orphans =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	vm->orphans = g_array_new(FALSE, FALSE, sizeof(struct flow_orphan));
 	vm->ends = g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
 	/* Leases that an earlier leader granted have ended by this time. */
 	vm->lapse_us =
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -84,11 +84,7 @@
 	 */
 	uint64_t checked_end_nr;
 	GHashTable *runs; /* set of struct flow_placement * */
-	/*
-	 * Task name -> struct flow_orphan *, by the agent's last report. Two
-	 * VMs may have orphans of one task.
-	 */
-	GHashTable *orphans;
+	GArray *orphans; /* struct flow_orphan, by the agent's last report */
 	/*
 	 * resources reserved for runs whose placement is committed or proposed
 	 */
@@ -118,6 +114,7 @@
 
 /** A run at a worker, by its agent's report, that isn't placed there. */
 struct flow_orphan {
+	char task[NAME_BYTES];
 	uint32_t run;
 	uint64_t born_ms; /* start time of the worker's incarnation */
 	bool unconfirmed; /* it isn't certain that the worker has the run */
@@ -371,6 +368,8 @@
 struct flow_placement *control_flow_placed_run(const struct control_flow *flows,
 					       const struct flow_vm *vm,
 					       const struct flow_run *run);
+/** Returns true if the VM has an orphan of the task. */
+bool control_flow_vm_has_orphan(const struct flow_vm *vm, const char *task);
 /** Adds the VM's orphans to the load; @a demand has the stage to count. */
 void control_flow_add_orphans(const struct flow_vm *vm,
 			      const struct flow_demand *demand,
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -47,7 +47,7 @@
 	logline_str(line, "task", placed->name);
 	logline_u64(line, "run", placed->run);
 	logline_str(line, "vm", placed->vm->name);
-	logline_u64(line, "vm_orphans", g_hash_table_size(placed->vm->orphans));
+	logline_u64(line, "vm_orphans", placed->vm->orphans->len);
 	counter_add(flows->control->node->counters, "starts_held", 1);
 	node_log(flows->control->node, line);
 }
--- a/src/core/control/control_flow_orphan.c
+++ b/src/core/control/control_flow_orphan.c
@@ -33,19 +33,42 @@
 	load->accelerators += step->accelerators;
 }
 
+static struct flow_orphan *orphan_at(const GArray *orphans, guint i)
+{
+	return &g_array_index(orphans, struct flow_orphan, i);
+}
+
+/* Returns the orphan with the task and run, NULL if there is none. */
+static const struct flow_orphan *orphan_find(const GArray *orphans,
+					     const char *task, uint32_t run)
+{
+	for (guint i = 0; i < orphans->len; i++) {
+		const struct flow_orphan *orphan = orphan_at(orphans, i);
+
+		if (orphan->run == run && !strcmp(orphan->task, task))
+			return orphan;
+	}
+	return NULL;
+}
+
+bool control_flow_vm_has_orphan(const struct flow_vm *vm, const char *task)
+{
+	for (guint i = 0; i < vm->orphans->len; i++)
+		if (!strcmp(orphan_at(vm->orphans, i)->task, task))
+			return true;
+	return false;
+}
+
 void control_flow_add_orphans(const struct flow_vm *vm,
 			      const struct flow_demand *demand,
 			      struct flow_load *load)
 {
-	GHashTableIter iter;
-	void *key;
-
-	g_hash_table_iter_init(&iter, vm->orphans);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+	for (guint i = 0; i < vm->orphans->len; i++) {
 		struct state_flow *flow;
 		uint32_t stage;
 
-		if (!state_flow_stage_find(demand->flows->control->state, key,
+		if (!state_flow_stage_find(demand->flows->control->state,
+					   orphan_at(vm->orphans, i)->task,
 					   &flow, &stage))
 			continue;
 		control_flow_load_add(load, state_flow_stage_step(flow, stage));
@@ -63,24 +86,24 @@
 
 	if (control_flow_has_orphan(flows, placed->flow, placed->task))
 		return true;
-	if (!g_hash_table_size(placed->vm->orphans))
+	if (!placed->vm->orphans->len)
 		return false;
 	demand.stage = state_flow_stage_of(placed->flow, placed->task);
 	return control_flow_vm_is_over(placed->vm, &demand);
 }
 
 static void orphan_log(struct control_flow *flows, const struct flow_vm *vm,
-		       const char *task, const struct flow_orphan *orphan,
-		       const char *change)
+		       const struct flow_orphan *orphan, const char *change)
 {
 	GString *line = logline_new("orphan");
 	const struct flow_task *record = NULL;
 	struct state_flow *flow;
 	uint32_t nr;
 
-	if (state_flow_task_find(flows->control->state, task, &flow, &nr))
+	if (state_flow_task_find(flows->control->state, orphan->task, &flow,
+				 &nr))
 		record = &flow->record.tasks[nr];
-	logline_str(line, "task", task);
+	logline_str(line, "task", orphan->task);
 	logline_u64(line, "run", orphan->run);
 	logline_str(line, "vm", vm->name);
 	logline_str(line, "worker", vm->worker.id);
@@ -99,47 +122,39 @@
 
 /* Adds a reported run to the VM's orphans; @a before has the previous ones. */
 static void orphan_add(struct control_flow *flows, struct flow_vm *vm,
-		       GHashTable *before, const struct flow_run *run)
+		       const GArray *before, const struct flow_run *run)
 {
 	const struct flow_orphan *known =
-		g_hash_table_lookup(before, run->task);
-	struct flow_orphan *orphan = g_new0(struct flow_orphan, 1);
-	bool same = known && known->run == run->run;
-
-	orphan->run = run->run;
-	orphan->born_ms = vm->worker.born_ms;
-	orphan->unconfirmed = run->unconfirmed;
-	orphan->since_us = same ? known->since_us :
+		orphan_find(before, run->task, run->run);
+	struct flow_orphan orphan = { .run = run->run };
+
+	TEXT_SET(orphan.task, run->task);
+	orphan.born_ms = vm->worker.born_ms;
+	orphan.unconfirmed = run->unconfirmed;
+	orphan.since_us = known ? known->since_us :
 				  flows->control->node->now_us;
-	g_hash_table_replace(vm->orphans, g_strdup(run->task), orphan);
-	if (same && known->unconfirmed == orphan->unconfirmed)
+	g_array_append_val(vm->orphans, orphan);
+	if (known && known->unconfirmed == orphan.unconfirmed)
 		return;
-	if (!same)
+	if (!known)
 		counter_add(flows->control->node->counters, "orphans", 1);
-	orphan_log(flows, vm, run->task, orphan, "listed");
+	orphan_log(flows, vm, &orphan, "listed");
 }
 
 /*
  * Keeps the orphans of the present incarnation if the agent hasn't listed its
  * runs yet: an agent process that has just started knows none.
  */
-static void orphans_keep_unlisted(struct flow_vm *vm, GHashTable *before)
+static void orphans_keep_unlisted(struct flow_vm *vm, const GArray *before)
 {
-	GHashTableIter iter;
-	void *key;
-	void *value;
-
 	if (vm->looked || vm->worker.ended)
 		return;
-	g_hash_table_iter_init(&iter, before);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const struct flow_orphan *orphan = value;
+	for (guint i = 0; i < before->len; i++) {
+		const struct flow_orphan *orphan = orphan_at(before, i);
 
-		if (orphan->born_ms != vm->worker.born_ms ||
-		    g_hash_table_contains(vm->orphans, key))
-			continue;
-		g_hash_table_iter_steal(&iter);
-		g_hash_table_insert(vm->orphans, key, value);
+		if (orphan->born_ms == vm->worker.born_ms &&
+		    !orphan_find(vm->orphans, orphan->task, orphan->run))
+			g_array_append_vals(vm->orphans, orphan, 1);
 	}
 }
 
@@ -164,14 +179,9 @@
 void control_flow_update_orphans(struct control_flow *flows, struct flow_vm *vm,
 				 const struct flow_report *report)
 {
-	uint32_t nr_before = g_hash_table_size(vm->orphans);
-	GHashTable *before = vm->orphans;
-	GHashTableIter iter;
-	void *key;
-	void *value;
-
-	vm->orphans =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	GArray *before = vm->orphans;
+
+	vm->orphans = g_array_new(FALSE, FALSE, sizeof(struct flow_orphan));
 	for (uint32_t i = 0; i < report->nr_runs; i++) {
 		const struct flow_run *run = &report->runs[i];
 
@@ -180,14 +190,15 @@
 			orphan_add(flows, vm, before, run);
 	}
 	orphans_keep_unlisted(vm, before);
-	flows->nr_orphans += g_hash_table_size(vm->orphans) - nr_before;
-	g_hash_table_iter_init(&iter, before);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		if (g_hash_table_contains(vm->orphans, key))
+	flows->nr_orphans += vm->orphans->len - before->len;
+	for (guint i = 0; i < before->len; i++) {
+		const struct flow_orphan *orphan = orphan_at(before, i);
+
+		if (orphan_find(vm->orphans, orphan->task, orphan->run))
 			continue;
-		orphan_log(flows, vm, key, value, "gone");
+		orphan_log(flows, vm, orphan, "gone");
 		control_flow_vm_changed(flows, vm);
 		control_flow_place_soon(flows);
 	}
-	g_hash_table_unref(before);
+	g_array_unref(before);
 }
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -265,7 +265,7 @@
 			    flow_vm_stage_runs(vm, demand));
 		logline_u64(line, "max_per_vm", demand->step->max_per_vm);
 	}
-	logline_u64(line, "vm_orphans", g_hash_table_size(vm->orphans));
+	logline_u64(line, "vm_orphans", vm->orphans->len);
 	logline_u64(line, "reported_ms_ago",
 		    (demand->flows->control->node->now_us - vm->reported_us) /
 			    1000);
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -556,8 +556,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct flow_vm *vm = value;
 
-		if (g_hash_table_size(vm->orphans) &&
-		    g_hash_table_contains(vm->orphans, name) &&
+		if (control_flow_vm_has_orphan(vm, name) &&
 		    now_us <= flow_lapsed_us(flows, vm))
 			return true;
 	}
--- a/tests/test_flow_orphan.c
+++ b/tests/test_flow_orphan.c
@@ -230,10 +230,9 @@
 
 	ck_assert_ptr_nonnull(leader);
 	known = control_flow_vm(leader->flows, vm);
-	for (uint32_t i = 0; i < 300 && g_hash_table_size(known->orphans) < nr;
-	     i++)
+	for (uint32_t i = 0; i < 300 && known->orphans->len < nr; i++)
 		flow_world_run_ms(fw, 10);
-	ck_assert_uint_eq(g_hash_table_size(known->orphans), nr);
+	ck_assert_uint_eq(known->orphans->len, nr);
 }
 
 /*
