Keep a lost run as an orphan until the next report

Cause: the leader proposes the end of a VM's runs as lost. A report that arrives before the commit lists the runs, which are still placed, so it shows no orphans. With the commit the VM is usable and its runs count no more, until its next report up to RUNNER_REPORT_INTERVAL_MS later.

A run whose end as lost is committed while its VM reports is now an orphan, not confirmed, until the next report says what the worker has.

Before: lost_run_counts_until_next_report of flow_orphan fails ("oo.0.0.2 runs at side0 already").

--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -367,6 +367,8 @@
 		control_flow_note_started(flows, flow);
 	if (end == FLOW_END_REFUSED)
 		flow_advice_forget(flows, placed);
+	if (end == FLOW_END_LOST)
+		control_flow_orphan_lost_run(flows, placed);
 	placed->vm->grant_due = true;
 	if (end != FLOW_END_STOPPED)
 		g_hash_table_remove(flows->left_vms, placed->name);
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -384,6 +384,13 @@
  */
 bool control_flow_start_is_barred(struct control_flow *flows,
 				  const struct flow_placement *placed);
+/**
+ * Makes a run an orphan whose end as lost is committed although its VM reports:
+ * the report may have come before the commit and have shown the run, which was
+ * placed then.
+ */
+void control_flow_orphan_lost_run(struct control_flow *flows,
+				  const struct flow_placement *placed);
 /**
  * Replaces the VM's orphans by those in the report, and logs changes. Orphans
  * of an agent that hasn't listed its worker's runs yet stay.
--- a/src/core/control/control_flow_orphan.c
+++ b/src/core/control/control_flow_orphan.c
@@ -141,6 +141,21 @@
 	orphan_log(flows, vm, &orphan, "listed");
 }
 
+void control_flow_orphan_lost_run(struct control_flow *flows,
+				  const struct flow_placement *placed)
+{
+	struct flow_vm *vm = placed->vm;
+	struct flow_run run = { .run = placed->run, .unconfirmed = true };
+
+	if (!control_flow_vm_is_reporting(flows, vm) ||
+	    !control_flow_is_current_incarnation(placed) ||
+	    orphan_find(vm->orphans, placed->name, placed->run))
+		return;
+	TEXT_SET(run.task, placed->name);
+	orphan_add(flows, vm, vm->orphans, &run);
+	flows->nr_orphans++;
+}
+
 /*
  * Keeps the orphans of the present incarnation if the agent hasn't listed its
  * runs yet: an agent process that has just started knows none.
