Keep an upstream's calls in flight when it is announced again

What callers would see: an upstream gets more requests at a time than it has slots or connections.

Cause: once an upstream's announcement has expired, or it was withdrawn, the agent keeps its record until its calls in flight have ended, but made a new one, without any, for its next announcement. Requests that still ran there no longer counted against its slots.

An announcement with the same id and address now takes up the old record. One with another address is of another process and gets its own.

Before: announced_again of test_admit fails (3 requests in flight, 2 slots). After: it passes, as do the suites of requests, claims, contracts and HTTP.

--- a/src/core/agent/admit.c
+++ b/src/core/agent/admit.c
@@ -315,6 +315,10 @@
 		return RESULT_OUT_OF_RANGE;
 	service = admit_add_service(admit, announce->service);
 	upstream = admit_upstreams_find(service->upstreams, announce->id);
+	/* The requests in flight still use its slots. */
+	if (!upstream)
+		upstream = admit_upstreams_find_removed(
+			service->upstreams, announce->id, announce->address);
 	if (!upstream) {
 		upstream = g_new0(struct admit_upstream, 1);
 		TEXT_SET(upstream->id, announce->id);
--- a/src/core/agent/admit_upstream.c
+++ b/src/core/agent/admit_upstream.c
@@ -32,6 +32,7 @@
 	upstream->connections = announce->connections;
 	upstream->leaving = announce->leaving;
 	upstream->refused = false;
+	upstream->removed = false;
 	upstream->expires_us = now_us + UPSTREAM_ANNOUNCE_TTL_MS * 1000ull;
 }
 
@@ -48,6 +49,21 @@
 	return NULL;
 }
 
+struct admit_upstream *admit_upstreams_find_removed(const GPtrArray *upstreams,
+						    const char *id,
+						    const char *address)
+{
+	for (uint32_t i = 0; i < upstreams->len; i++) {
+		struct admit_upstream *upstream =
+			admit_upstream_at(upstreams, i);
+
+		if (upstream->removed && !g_strcmp0(upstream->id, id) &&
+		    !g_strcmp0(upstream->address, address))
+			return upstream;
+	}
+	return NULL;
+}
+
 struct admit_upstream *admit_upstreams_most_free(const GPtrArray *upstreams)
 {
 	struct admit_upstream *best = NULL;
--- a/src/core/agent/admit_upstream.h
+++ b/src/core/agent/admit_upstream.h
@@ -41,6 +41,14 @@
 struct admit_upstream *admit_upstreams_find(const GPtrArray *upstreams,
 					    const char *id);
 
+/**
+ * Returns the removed upstream with this id and address that still has requests
+ * in flight, NULL if there is none.
+ */
+struct admit_upstream *admit_upstreams_find_removed(const GPtrArray *upstreams,
+						    const char *id,
+						    const char *address);
+
 /** Returns the upstream with the most free slots, NULL if none has any. */
 struct admit_upstream *admit_upstreams_most_free(const GPtrArray *upstreams);
 
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -316,6 +316,36 @@
 }
 END_TEST
 
+/*
+ * Guards against more calls than an upstream has slots after its announcement
+ * had expired while it was working: the agent forgot its calls in flight.
+ */
+START_TEST(test_announced_again)
+{
+	struct peer peer = { 0 };
+
+	peer_start(&peer, 2);
+	peer_agent(&peer)->slow_ppm = 120000000;
+	peer_request(&peer, 1, false, "", 10000);
+	peer_request(&peer, 2, false, "", 10000);
+	peer_run_ms(&peer, 100);
+	ck_assert_uint_eq(peer_agent(&peer)->in_flight, 2);
+	peer_agent(&peer)->silent = true;
+	peer_run_ms(&peer, UPSTREAM_ANNOUNCE_TTL_MS + 100);
+	peer_agent(&peer)->silent = false;
+	peer_run_ms(&peer, 1500);
+	peer_request(&peer, 3, false, "", 20000);
+	peer_run_ms(&peer, 100);
+	ck_assert_uint_eq(peer_agent(&peer)->in_flight, 2);
+	peer_run_ms(&peer, 15000);
+	check_answer(&peer, 1, RUN_DONE, RESULT_OK);
+	check_answer(&peer, 2, RUN_DONE, RESULT_OK);
+	check_answer(&peer, 3, RUN_DONE, RESULT_OK);
+	ck_assert_uint_eq(peer_agent(&peer)->max_in_flight, 2);
+	harness_free(peer.harness);
+}
+END_TEST
+
 /* Guards against the answer RUN_NOT_RUN after an incomplete response. */
 START_TEST(test_broken_response)
 {
@@ -338,4 +368,4 @@
 SUITE_MAIN("admit", test_refused_before_arrival, test_doubled_requests,
 	   test_query_after_record, test_other_incarnation, test_queue,
 	   test_cancel, test_leave, test_refused_connection,
-	   test_broken_response)
+	   test_announced_again, test_broken_response)
