Hold the starts of a gang together

What callers would see: GANG, a run that ends as alone, because the start of another task of its gang is held.

Cause: a start is held while an orphan bars it, and each task was held by itself. The other tasks of a gang started, and wait for the held one no longer than the worker allows.

A start is now also held while one of another task of the gang is, unless that task runs already.

Before: gang_starts_together of flow_report fails (one of two tasks starts while an orphan bars the other).

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -381,7 +381,7 @@
 /**
  * Returns true if the run must not be started yet: an earlier run of its task
  * may still run somewhere, or orphans of the VM use the room that was reserved
- * for it.
+ * for it. The tasks of a gang are barred together.
  */
 bool control_flow_start_is_barred(struct control_flow *flows,
 				  const struct flow_placement *placed);
--- a/src/core/control/control_flow_orphan.c
+++ b/src/core/control/control_flow_orphan.c
@@ -54,8 +54,9 @@
 	}
 }
 
-bool control_flow_start_is_barred(struct control_flow *flows,
-				  const struct flow_placement *placed)
+/* Like control_flow_start_is_barred(), for one task of a gang. */
+static bool start_is_barred(struct control_flow *flows,
+			    const struct flow_placement *placed)
 {
 	struct flow_demand demand = { .flows = flows,
 				      .flow = placed->flow,
@@ -69,6 +70,26 @@
 	return control_flow_vm_is_over(placed->vm, &demand);
 }
 
+bool control_flow_start_is_barred(struct control_flow *flows,
+				  const struct flow_placement *placed)
+{
+	const struct state_flow *flow = placed->flow;
+	uint32_t first;
+
+	if (!placed->step->gang)
+		return start_is_barred(flows, placed);
+	first = state_flow_first_task(flow,
+				      state_flow_stage_of(flow, placed->task));
+	for (uint32_t i = first; i < first + placed->step->count; i++) {
+		const struct flow_placement *other =
+			control_flow_placement(flows, flow, i);
+
+		if (other && !other->listed && start_is_barred(flows, other))
+			return true;
+	}
+	return false;
+}
+
 static void orphan_log(struct control_flow *flows, const struct flow_vm *vm,
 		       const char *task, const struct flow_orphan *orphan,
 		       const char *change)
--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -246,7 +246,7 @@
 
 	script_run_ms(script, ms);
 	ck_assert_msg(script_starts(script) == nr_starts,
-		      TASK " is started beside an earlier run");
+		      "a task is started beside an earlier run");
 }
 
 /* Asserts that the task is started within the time. */
@@ -397,7 +397,78 @@
 }
 END_TEST
 
+/* Makes each commit take twice this time. */
+static void set_control_delay(const struct script *script, uint32_t delay_us)
+{
+	struct world *base = script->fw->base;
+
+	for (uint32_t i = 0; i < base->nr_controls; i++)
+		for (uint32_t j = 0; j < base->nr_controls; j++)
+			if (i != j)
+				sim_path_between(base->controls[i].machine,
+						 base->controls[j].machine)
+					->delay_us = delay_us;
+}
+
+/* Returns an agent on whose VM no task is placed, by the leader's log. */
+static struct scripted_agent *script_unused(struct script *script)
+{
+	char pattern[2 * NAME_BYTES];
+
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+		struct scripted_agent *agent = &script->agents[i];
+
+		g_snprintf(pattern, sizeof(pattern), "*event=place *vm=%s *",
+			   agent->vm->name);
+		if (!sim_log_has(script->fw->base->sim, pattern))
+			return agent;
+	}
+	ck_abort_msg("all VMs are used");
+	return NULL;
+}
+
+/*
+ * Guards against a gang of which one task starts while an orphan holds the
+ * start of another: the worker ends a run that waits too long for the others.
+ */
+START_TEST(test_gang_starts_together)
+{
+	struct script *script = script_new(7);
+	struct flow_step step = { .count = 2,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .estimate_ms = 30000,
+				  .max_per_vm = 1,
+				  .gang = true };
+	struct scripted_agent *agent;
+	uint32_t nr_starts;
+
+	script_started(script)->draining = true;
+	script_run_ms(script, REPORT_MS);
+	nr_starts = script_starts(script);
+	set_control_delay(script, 200000);
+	flow_world_submit(script->fw, "gg", &step, 1);
+	for (uint32_t i = 0;
+	     i < 100 && !sim_log_has(script->fw->base->sim,
+				     "*event=place task=gg.0.0.1 *");
+	     i++)
+		flow_world_run_ms(script->fw, 10);
+	ck_assert_uint_eq(script_starts(script), nr_starts);
+	agent = script_unused(script);
+	agent->has_run = true;
+	TEXT_SET(agent->run.task, "gg.0.0.1");
+	agent->run.run = 9;
+	agent->run.unconfirmed = true;
+	agent_report(agent);
+	expect_no_start(script, 3000);
+	agent->has_run = false;
+	script_run_ms(script, 2000);
+	ck_assert_uint_eq(script_starts(script), nr_starts + 2);
+	script_free(script);
+}
+END_TEST
+
 SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
 	   test_two_orphans_of_task, test_restarted_agent_keeps_bar,
-	   test_ended_run_that_may_start_again)
+	   test_ended_run_that_may_start_again, test_gang_starts_together)
