Draw steps with limits and large tasks in flow_random

A further case, "limits", draws steps with one task a VM (two for the lasting tasks), with tasks of 6000 MiB or 3 processors, and with stops of 0, 200 or 900 ms by the seed, as at the platform's sites.

FLOW_RANDOM_CASE=NAME plays one case only.

--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -5,7 +5,8 @@
  * the VM.
  *
  * FLOW_RANDOM_SEED=N runs one seed with logs, FLOW_RANDOM_SEEDS=N runs that
- * many.
+ * many, FLOW_RANDOM_CASE=NAME only one case: faults, freezes, foreign or
+ * limits.
  */
 
 #include <stdlib.h>
@@ -21,6 +22,12 @@
 #define FLOWS_MAX 16
 #define LASTING "ee"
 #define LASTING_TASKS 6
+/*
+ * A VM with two lasting tasks has room for two tasks of either size: memory for
+ * two, processors for two.
+ */
+#define LARGE_MEMORY_MIB 6000
+#define LARGE_CPU_MILLIS 3000
 /* The target is 100 ms, so fillers have to wait. */
 #define NO_HEADROOM_TAIL_MS 99
 
@@ -31,16 +38,25 @@
 #define KINDS_WITHOUT_FREEZES 9
 #define KINDS_WITH_FREEZES 14
 
-/* One run of a seed. */
-struct scenario {
-	struct flow_world *fw;
-	GRand *rand;
-	GRand *foreign; /* for foreign_report(), NULL: not called */
+/* What a case adds to workflows and faults. */
+struct variant {
+	const char *name; /* for FLOW_RANDOM_CASE */
 	/*
 	 * Number of kinds of faults. With KINDS_WITH_FREEZES, starts also wait
 	 * in agents, as tasks are fillers.
 	 */
 	uint32_t nr_kinds;
+	bool foreign; /* foreign_report() is called */
+	/* Steps are limited to some tasks a VM, and VMs get full. */
+	bool limits;
+};
+
+/* One run of a seed. */
+struct scenario {
+	struct flow_world *fw;
+	const struct variant *variant;
+	GRand *rand;
+	GRand *foreign; /* for foreign_report(), NULL: not called */
 	/* Start time of an earlier incarnation of the worker, 0: none. */
 	uint64_t born_ms[FLOW_WORLD_VMS];
 	bool control_frozen[WORLD_MAX_CONTROLS];
@@ -70,7 +86,7 @@
 	struct flow_step steps[2] = { step_of(4), step_of(3) };
 	uint64_t first = 0;
 	bool lasting = !strcmp(id, LASTING);
-	bool freezes = scenario->nr_kinds == KINDS_WITH_FREEZES;
+	bool freezes = scenario->variant->nr_kinds == KINDS_WITH_FREEZES;
 
 	steps[1].nr_after = 1;
 	steps[1].after = &first;
@@ -85,6 +101,12 @@
 		steps[0].filler = !lasting;
 		steps[1].filler = true;
 	}
+	if (scenario->variant->limits) {
+		steps[0].max_per_vm = lasting ? 2 : 1;
+		steps[1].max_per_vm = 1;
+		steps[0].memory_mib = lasting ? 500 : LARGE_MEMORY_MIB;
+		steps[1].cpu_millis = LARGE_CPU_MILLIS;
+	}
 	return flow_world_submit(scenario->fw, id, steps, lasting ? 1 : 2) ==
 	       RESULT_OK;
 }
@@ -169,7 +191,7 @@
 	uint32_t i = random_below(scenario, FLOW_WORLD_VMS);
 	struct fw_vm *vm = &fw->vms[i];
 
-	switch (random_below(scenario, scenario->nr_kinds)) {
+	switch (random_below(scenario, scenario->variant->nr_kinds)) {
 	case 0:
 		toggle_agent(vm);
 		break;
@@ -264,22 +286,26 @@
 	return nr;
 }
 
-static void run_random_seed(uint32_t seed, uint32_t nr_kinds, bool foreign,
+static void run_random_seed(uint32_t seed, const struct variant *variant,
 			    bool verbose)
 {
+	/* The platform's stops take up to 900 ms. */
+	static const uint32_t stops_ms[] = { 0, 200, 900 };
 	struct scenario scenario = { .rand = g_rand_new_with_seed(seed),
-				     .nr_kinds = nr_kinds };
+				     .variant = variant };
 	struct flow_world *fw = flow_world_new(seed);
 	uint64_t end_us = sim_now_us(fw->base->sim) + FAULTS_MS * 1000ull;
 
 	scenario.fw = fw;
-	if (foreign)
+	if (variant->foreign)
 		scenario.foreign = g_rand_new_with_seed(seed + FOREIGN_SEED);
 	fw->lasting = LASTING;
-	if (nr_kinds == KINDS_WITH_FREEZES) {
+	if (variant->nr_kinds == KINDS_WITH_FREEZES) {
 		fw->tail_ms = NO_HEADROOM_TAIL_MS;
 		fw->overcommitted = true;
 	}
+	if (variant->limits)
+		fw->stop_ms = stops_ms[seed % G_N_ELEMENTS(stops_ms)];
 	sim_set_verbose(fw->base->sim, verbose);
 	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
 		fw->vms[i].slow_permille = i % 2 ? 20 : 0;
@@ -295,7 +321,7 @@
 			scenario.nr_flows++;
 		}
 		inject_fault(&scenario);
-		if (foreign)
+		if (variant->foreign)
 			foreign_report(&scenario);
 		flow_world_run_ms(fw, 50 + random_below(&scenario, 900));
 	}
@@ -311,11 +337,30 @@
 	ck_assert_msg(lasting_runs(fw) == LASTING_TASKS,
 		      "seed %u: %u lasting tasks run", seed, lasting_runs(fw));
 	g_rand_free(scenario.rand);
-	if (foreign)
+	if (variant->foreign)
 		g_rand_free(scenario.foreign);
 	flow_world_free(fw);
 }
 
+static const struct variant faults = {
+	.name = "faults",
+	.nr_kinds = KINDS_WITHOUT_FREEZES,
+};
+static const struct variant freezes = {
+	.name = "freezes",
+	.nr_kinds = KINDS_WITH_FREEZES,
+};
+static const struct variant foreign_reports = {
+	.name = "foreign",
+	.nr_kinds = KINDS_WITHOUT_FREEZES,
+	.foreign = true,
+};
+static const struct variant limits = {
+	.name = "limits",
+	.nr_kinds = KINDS_WITHOUT_FREEZES,
+	.limits = true,
+};
+
 /* Seeds that have failed with KINDS_WITH_FREEZES, by their cause. */
 static const uint32_t freeze_regressions[] = {
 	184, /* a lease by an earlier incarnation's clock: a done task ran */
@@ -346,15 +391,15 @@
 /* Guards against the failures that the lists of seeds above name. */
 START_TEST(test_failed_seeds)
 {
+	if (getenv("FLOW_RANDOM_CASE"))
+		return;
 	for (size_t i = 0; i < G_N_ELEMENTS(regressions); i++)
-		run_random_seed(regressions[i], KINDS_WITHOUT_FREEZES, false,
-				false);
+		run_random_seed(regressions[i], &faults, false);
 	for (size_t i = 0; i < G_N_ELEMENTS(freeze_regressions); i++)
-		run_random_seed(freeze_regressions[i], KINDS_WITH_FREEZES,
-				false, false);
+		run_random_seed(freeze_regressions[i], &freezes, false);
 	for (size_t i = 0; i < G_N_ELEMENTS(foreign_regressions); i++)
-		run_random_seed(foreign_regressions[i], KINDS_WITHOUT_FREEZES,
-				true, false);
+		run_random_seed(foreign_regressions[i], &foreign_reports,
+				false);
 }
 END_TEST
 
@@ -362,21 +407,24 @@
  * Runs the seed or the number of seeds that the environment asks for, otherwise
  * the default number.
  */
-static void run_random_seeds(uint32_t nr_kinds, bool foreign)
+static void run_random_seeds(const struct variant *variant)
 {
 	const char *one = getenv("FLOW_RANDOM_SEED");
 	const char *nr = getenv("FLOW_RANDOM_SEEDS");
+	const char *name = getenv("FLOW_RANDOM_CASE");
 	uint32_t nr_seeds = nr ? (uint32_t)strtoul(nr, NULL, 10) : SEEDS;
 
+	if (name && strcmp(name, variant->name) != 0)
+		return;
 	if (one) {
-		run_random_seed((uint32_t)strtoul(one, NULL, 10), nr_kinds,
-				foreign, true);
+		run_random_seed((uint32_t)strtoul(one, NULL, 10), variant,
+				true);
 		return;
 	}
 	for (uint32_t seed = 1; seed <= nr_seeds; seed++) {
 		if (nr)
 			g_printerr("seed %u\n", seed);
-		run_random_seed(seed, nr_kinds, foreign, false);
+		run_random_seed(seed, variant, false);
 	}
 }
 
@@ -386,7 +434,7 @@
  */
 START_TEST(test_random_faults)
 {
-	run_random_seeds(KINDS_WITHOUT_FREEZES, false);
+	run_random_seeds(&faults);
 }
 END_TEST
 
@@ -396,7 +444,7 @@
  */
 START_TEST(test_random_freezes)
 {
-	run_random_seeds(KINDS_WITH_FREEZES, false);
+	run_random_seeds(&freezes);
 }
 END_TEST
 
@@ -406,9 +454,19 @@
  */
 START_TEST(test_random_foreign_reports)
 {
-	run_random_seeds(KINDS_WITHOUT_FREEZES, true);
+	run_random_seeds(&foreign_reports);
+}
+END_TEST
+
+/*
+ * Guards against a task that starts beside more tasks of its step than the step
+ * allows, or where no room is left, while stops take time (issue 29).
+ */
+START_TEST(test_random_limits)
+{
+	run_random_seeds(&limits);
 }
 END_TEST
 
 SUITE_MAIN("flow_random", test_failed_seeds, test_random_faults,
-	   test_random_freezes, test_random_foreign_reports)
+	   test_random_freezes, test_random_foreign_reports, test_random_limits)
