Give the simulated workers a file of their own

Renames: call_free fw_call_free, call_step fw_call_step, clock_ms fw_clock_ms, now_us fw_now_us, vm_discard_ends fw_discard_ends, worker_end_run fw_end_run

--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -1,354 +1,19 @@
-#include "flow_world.h"
-
 #include <check.h>
 #include <string.h>
 
 #include "flow_rules.h"
+#include "flow_world_impl.h"
 
-#define CALL_DELAY_US 1000
-#define CALL_TIMEOUT_US 600000
 #define HEARTBEAT_MS 1000
 #define TICK_US 10000
-#define VM_ADDRESS "10.0.0.1:1"
 /* 2^53, beyond the integers that JSON numbers hold exactly. */
 #define TOO_LARGE_NUMBER 9007199254740992
 /* Higher than the versions that control_world signs. */
 #define BUNDLE_VERSION 100
 #define TICKET_MS 3000
-#define LIST_ENDS 500 /* maximum number of ends in one answer */
 #define LOAD_RUN_MS 2700
 #define LOAD_TAIL_MS 60 /* the target is 100 ms */
 #define LOAD_SERVING_IMAGES 4
-#define LATE_MIN_US 2000000
-#define LATE_MAX_US 12000000
-
-/* A call on its way to the worker, or its reply on the way back. */
-struct fw_call {
-	struct fw_vm *vm;
-	uint64_t due_us; /* when it reaches the worker */
-	uint64_t answer_us;
-	uint64_t give_up_us; /* when the agent stops waiting, 0: it has */
-	bool carried_out;
-	bool lost; /* gets no answer and is carried out late */
-	bool no_listener; /* nothing listens at its address */
-	bool other_incarnation; /* names an incarnation that isn't running */
-	uint64_t call_nr;
-	const struct runner *runner; /* the agent that made the call */
-	enum exec_call_kind kind;
-	char task[NAME_BYTES];
-	uint32_t run;
-	uint64_t fence;
-	uint64_t deadline_ms;
-	uint64_t settled_nr;
-	uint32_t wait_ms;
-	char ticket[NAME_BYTES];
-	uint64_t sent_clock_ms; /* by the worker's clock */
-	bool answered; /* the reply is there for the agent to handle */
-	struct exec_reply reply;
-};
-
-static void call_free(void *data)
-{
-	struct fw_call *call = data;
-
-	g_free(call->reply.runs);
-	g_free(call->reply.ends);
-	g_free(call);
-}
-
-static uint64_t now_us(const struct flow_world *fw)
-{
-	return sim_now_us(fw->base->sim);
-}
-
-static uint64_t clock_ms(const struct fw_vm *vm)
-{
-	uint64_t age_ms = now_us(vm->world) / 1000 + 1 - vm->worker.born_ms;
-
-	return age_ms * (1000 - vm->slow_permille) / 1000;
-}
-
-static const struct fw_run *worker_find(const struct fw_worker *worker,
-					const char *task, guint *at)
-{
-	for (guint i = 0; i < worker->runs->len; i++) {
-		struct fw_run *run =
-			&g_array_index(worker->runs, struct fw_run, i);
-
-		if (strcmp(run->task, task) != 0)
-			continue;
-		if (at)
-			*at = i;
-		return run;
-	}
-	return NULL;
-}
-
-static void worker_block_runs(struct fw_worker *worker, const char *task,
-			      uint32_t run)
-{
-	uint32_t known =
-		GPOINTER_TO_UINT(g_hash_table_lookup(worker->blocked, task));
-
-	g_hash_table_insert(worker->blocked, g_strdup(task),
-			    GUINT_TO_POINTER(MAX(run, known)));
-}
-
-static void worker_end_run(struct fw_vm *vm, guint i, enum flow_end how)
-{
-	struct fw_worker *worker = &vm->worker;
-	struct fw_run *run = &g_array_index(worker->runs, struct fw_run, i);
-	struct flow_run_end end = { .nr = ++worker->next_end };
-
-	TEXT_SET(end.task, run->task);
-	end.run = run->run;
-	end.end = how;
-	worker_block_runs(worker, run->task, run->run);
-	if (how == FLOW_END_DONE) {
-		g_hash_table_add(vm->world->done, g_strdup(run->task));
-		g_hash_table_add(vm->world->ended, g_strdup(run->task));
-	}
-	g_array_append_val(worker->ends, end);
-	g_array_remove_index(worker->runs, i);
-}
-
-/* Makes the run end after flow_world.stop_ms, unless it ends before. */
-static void worker_stop_later(struct fw_vm *vm, guint i)
-{
-	struct fw_run *run = &g_array_index(vm->worker.runs, struct fw_run, i);
-
-	if (!run->stop_us)
-		run->stop_us = now_us(vm->world) + vm->world->stop_ms * 1000ull;
-}
-
-/*
- * The platform's rule: an end no longer counts if it isn't acknowledged before
- * the lease expires or the incarnation ends.
- */
-static void vm_discard_ends(struct fw_vm *vm)
-{
-	for (guint i = 0; i < vm->worker.ends->len; i++)
-		g_hash_table_remove(vm->world->done,
-				    g_array_index(vm->worker.ends,
-						  struct flow_run_end, i)
-					    .task);
-}
-
-static void check_start(struct fw_vm *vm, const char *task)
-{
-	struct flow_world *fw = vm->world;
-
-	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
-		ck_assert_msg(!worker_find(&fw->vms[i].worker, task, NULL),
-			      "%s runs at %s already", task, fw->vms[i].name);
-	ck_assert_msg(!g_hash_table_contains(fw->done, task), "%s is done",
-		      task);
-	flow_rules_check_start(fw->rules, vm, task);
-	fw->nr_starts++;
-	if (fw->watched_zone && !strcmp(vm->zone, fw->watched_zone))
-		fw->last_start_us = now_us(fw);
-}
-
-static void worker_start(struct fw_call *call, struct exec_reply *reply)
-{
-	struct fw_vm *vm = call->vm;
-	struct fw_worker *worker = &vm->worker;
-	const struct fw_run *known = worker_find(worker, call->task, NULL);
-	struct fw_run run = { .run = call->run,
-			      .started_us = now_us(vm->world) };
-
-	if (known && known->run == call->run)
-		return;
-	reply->verdict = EXEC_REFUSED;
-	reply->result = RESULT_CONFLICT;
-	if (known || call->run <= GPOINTER_TO_UINT(g_hash_table_lookup(
-					  worker->blocked, call->task)))
-		return;
-	reply->result = RESULT_LEASE_EXPIRED;
-	if (call->deadline_ms <= clock_ms(vm))
-		return;
-	reply->result = RESULT_NO_PERMIT;
-	if (vm->world->valid_ticket &&
-	    (strcmp(vm->name, vm->world->allowed_worker) != 0 ||
-	     strcmp(call->ticket, vm->world->valid_ticket) != 0))
-		return;
-	reply->verdict = EXEC_DONE;
-	check_start(vm, call->task);
-	TEXT_SET(run.task, call->task);
-	g_array_append_val(worker->runs, run);
-}
-
-static void worker_list(struct fw_call *call, struct exec_reply *reply)
-{
-	struct fw_worker *worker = &call->vm->worker;
-
-	while (worker->ends->len &&
-	       g_array_index(worker->ends, struct flow_run_end, 0).nr <=
-		       call->settled_nr)
-		g_array_remove_index(worker->ends, 0);
-	reply->nr_runs = worker->runs->len;
-	reply->runs = g_new0(struct flow_run, MAX(worker->runs->len, 1));
-	for (guint i = 0; i < worker->runs->len; i++) {
-		const struct fw_run *run =
-			&g_array_index(worker->runs, struct fw_run, i);
-
-		TEXT_SET(reply->runs[i].task, run->task);
-		reply->runs[i].run = run->run;
-		reply->runs[i].percent = 100;
-		reply->runs[i].figure = call->vm->tail_ms ?
-						call->vm->tail_ms :
-						call->vm->world->tail_ms;
-	}
-	reply->nr_ends = MIN(worker->ends->len, LIST_ENDS);
-	reply->ends = g_memdup2(worker->ends->data,
-				reply->nr_ends * sizeof(struct flow_run_end));
-}
-
-static void worker_carry_out(struct fw_call *call, struct exec_reply *reply)
-{
-	struct fw_vm *vm = call->vm;
-	struct fw_worker *worker = &vm->worker;
-	guint at = 0;
-
-	call->carried_out = true;
-	reply->verdict = EXEC_DONE;
-	/*
-	 * All incarnations have the same identity, so a late call reaches the
-	 * present one.
-	 */
-	reply->born_ms = worker->born_ms;
-	reply->clock_ms = clock_ms(vm);
-	if (call->fence < worker->fence) {
-		reply->verdict = EXEC_REFUSED;
-		reply->result = RESULT_STALE;
-		return;
-	}
-	worker->fence = call->fence;
-	if (call->deadline_ms && call->lost && vm->late_lease)
-		call->deadline_ms += clock_ms(vm) - call->sent_clock_ms;
-	if (call->deadline_ms)
-		worker->lease_ms =
-			MAX(worker->lease_ms,
-			    MIN(call->deadline_ms,
-				clock_ms(vm) + WORLD_WORKER_LEASE_MS));
-	if (call->kind == EXEC_START)
-		worker_start(call, reply);
-	else if (call->kind == EXEC_POLL)
-		worker_list(call, reply);
-	if (call->kind != EXEC_STOP)
-		return;
-	worker_block_runs(worker, call->task, call->run);
-	if (!worker_find(worker, call->task, &at))
-		return;
-	if (vm->world->stop_ms)
-		worker_stop_later(vm, at);
-	else
-		worker_end_run(vm, at, FLOW_END_STOPPED);
-}
-
-static bool call_is_due(const struct fw_call *call)
-{
-	uint64_t now = now_us(call->vm->world);
-
-	if (call->kind == EXEC_POLL && !call->lost &&
-	    call->vm->worker.ends->len)
-		return now >= call->due_us;
-	return now >= call->due_us + call->wait_ms * 1000ull;
-}
-
-/*
- * Gives the agent the call's answer, or none after the time limit, if the agent
- * still waits for it.
- */
-static void call_answer(struct fw_call *call)
-{
-	static const struct exec_reply none = { .verdict = EXEC_NO_ANSWER };
-	struct fw_vm *vm = call->vm;
-	bool mine = vm->runner == call->runner;
-	bool late = now_us(vm->world) >= call->give_up_us;
-
-	if (mine && vm->frozen)
-		return;
-	/*
-	 * An agent that continues after a freeze finds both an answer and the
-	 * call's expired time limit, and may handle either of them first.
-	 */
-	if (late && call->answered && sim_random(vm->world->base->sim) % 2)
-		call->answered = false;
-	if (!call->answered && !late)
-		return;
-	call->give_up_us = 0;
-	if (!call->answered && !call->lost)
-		call->carried_out = true;
-	if (!mine)
-		return;
-	node_set_time(sim_node(vm->machine), now_us(vm->world));
-	runner_call_done(vm->runner, call->call_nr,
-			 call->answered ? &call->reply : &none);
-}
-
-/* Does what is due of a call; returns true once the call is finished. */
-static bool call_step(struct fw_call *call)
-{
-	struct fw_vm *vm = call->vm;
-
-	if (!call->carried_out &&
-	    (call->no_listener || call->other_incarnation) &&
-	    call_is_due(call)) {
-		call->reply.verdict = call->no_listener ?
-					      EXEC_NOT_SENT :
-					      EXEC_OTHER_INCARNATION;
-		call->reply.closed = call->no_listener;
-		call->carried_out = true;
-		call->answered = true;
-	}
-	if (!call->carried_out && vm->worker.up && call_is_due(call)) {
-		worker_carry_out(call, &call->reply);
-		call->answered = !call->lost;
-	}
-	/* A late call that arrives while the worker is down is lost. */
-	if (!call->carried_out && call->lost && call_is_due(call))
-		call->carried_out = true;
-	if (call->give_up_us)
-		call_answer(call);
-	return call->carried_out && !call->give_up_us;
-}
-
-static void world_call(void *ctx, uint64_t call_nr,
-		       const struct exec_call *from)
-{
-	struct fw_vm *vm = ctx;
-	struct flow_world *fw = vm->world;
-	struct fw_call *call = g_new0(struct fw_call, 1);
-
-	call->vm = vm;
-	call->call_nr = call_nr;
-	call->runner = vm->runner;
-	call->kind = from->kind;
-	TEXT_SET(call->task, from->task ? from->task : "");
-	call->run = from->run;
-	call->fence = from->fence;
-	call->deadline_ms = from->deadline_ms;
-	call->settled_nr = from->settled_nr;
-	call->wait_ms = from->wait_ms;
-	TEXT_SET(call->ticket, from->ticket ? from->ticket : "");
-	call->no_listener = strcmp(from->address, VM_ADDRESS) != 0;
-	call->other_incarnation = strcmp(from->worker_id, vm->name) != 0;
-	call->sent_clock_ms = clock_ms(vm);
-	call->due_us = now_us(fw) + CALL_DELAY_US;
-	call->give_up_us =
-		now_us(fw) + from->wait_ms * 1000ull + CALL_TIMEOUT_US;
-	call->lost = sim_random(fw->base->sim) % 1000000 < vm->lose_ppm;
-	if (call->lost) {
-		call->wait_ms = 0;
-		call->due_us +=
-			LATE_MIN_US +
-			sim_random(fw->base->sim) % (LATE_MAX_US - LATE_MIN_US);
-	}
-	g_ptr_array_add(fw->pending, call);
-}
-
-static const struct runner_host_ops fw_runner_ops = { .call = world_call };
 
 static struct worker_incarnation incarnation_of(const struct fw_vm *vm,
 						uint64_t born_ms)
@@ -370,7 +35,7 @@
 {
 	struct worker_incarnation incarnation = incarnation_of(vm, born_ms);
 
-	node_set_time(sim_node(vm->machine), now_us(vm->world));
+	node_set_time(sim_node(vm->machine), fw_now_us(vm->world));
 	runner_heartbeat(vm->runner, &incarnation, VM_ADDRESS, seq);
 }
 
@@ -381,7 +46,7 @@
 	const char *address = VM_ADDRESS;
 	uint64_t seq = vm->worker.seq + 1;
 
-	node_set_time(sim_node(vm->machine), now_us(vm->world));
+	node_set_time(sim_node(vm->machine), fw_now_us(vm->world));
 	switch (foreign) {
 	case FW_FOREIGN_ID:
 		TEXT_SET(incarnation.id, "stranger");
@@ -418,27 +83,27 @@
 {
 	struct flow_world *fw = vm->world;
 	struct fw_worker *worker = &vm->worker;
-	bool lapsed = worker->up && clock_ms(vm) > worker->lease_ms;
+	bool lapsed = worker->up && fw_clock_ms(vm) > worker->lease_ms;
 	uint32_t cpu_millis = 0;
 
 	if (lapsed)
-		vm_discard_ends(vm);
+		fw_discard_ends(vm);
 	for (guint i = worker->runs->len; i-- > 0;) {
 		const struct fw_run *run =
 			&g_array_index(worker->runs, struct fw_run, i);
-		uint64_t ran_us = now_us(fw) - run->started_us;
+		uint64_t ran_us = fw_now_us(fw) - run->started_us;
 
 		cpu_millis += 1000;
 		if (lapsed)
-			worker_end_run(vm, i, FLOW_END_LAPSED);
-		else if (run->stop_us && now_us(fw) >= run->stop_us)
-			worker_end_run(vm, i, FLOW_END_STOPPED);
+			fw_end_run(vm, i, FLOW_END_LAPSED);
+		else if (run->stop_us && fw_now_us(fw) >= run->stop_us)
+			fw_end_run(vm, i, FLOW_END_STOPPED);
 		else if (vm->fail_runs)
-			worker_end_run(vm, i, FLOW_END_FAILED);
+			fw_end_run(vm, i, FLOW_END_FAILED);
 		else if (fw->run_ms && ran_us >= fw->run_ms * 1000ull &&
 			 !(fw->lasting &&
 			   g_str_has_prefix(run->task, fw->lasting)))
-			worker_end_run(vm, i, FLOW_END_DONE);
+			fw_end_run(vm, i, FLOW_END_DONE);
 	}
 	if (!fw->overcommitted)
 		ck_assert_uint_le(cpu_millis, FLOW_WORLD_VM_CPU_MILLIS);
@@ -461,7 +126,7 @@
 
 		if (!host->control || host->control != base->advice_from)
 			continue;
-		node_set_time(sim_node(host->machine), now_us(fw));
+		node_set_time(sim_node(host->machine), fw_now_us(fw));
 		control_advised(host->control, call_nr, RESULT_OK, &advice, 1);
 	}
 }
@@ -471,11 +136,11 @@
 	world_answer_advice(fw);
 	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
 		vm_tick(&fw->vms[i]);
-		if (now_us(fw) / 1000 % HEARTBEAT_MS < TICK_US / 1000)
+		if (fw_now_us(fw) / 1000 % HEARTBEAT_MS < TICK_US / 1000)
 			vm_heartbeat(&fw->vms[i]);
 	}
 	for (guint i = fw->pending->len; i-- > 0;)
-		if (call_step(fw->pending->pdata[i]))
+		if (fw_call_step(fw->pending->pdata[i]))
 			g_ptr_array_remove_index(fw->pending, i);
 }
 
@@ -516,7 +181,7 @@
 void fw_crash_worker(struct fw_vm *vm)
 {
 	vm->worker.up = false;
-	vm_discard_ends(vm);
+	fw_discard_ends(vm);
 	g_array_set_size(vm->worker.runs, 0);
 	g_array_set_size(vm->worker.ends, 0);
 	g_hash_table_remove_all(vm->worker.blocked);
@@ -527,7 +192,7 @@
 	struct fw_worker *worker = &vm->worker;
 
 	worker->up = true;
-	worker->born_ms = now_us(vm->world) / 1000 + 1;
+	worker->born_ms = fw_now_us(vm->world) / 1000 + 1;
 	worker->seq = 0;
 	worker->fence = 0;
 	worker->lease_ms = 0;
@@ -589,7 +254,7 @@
 	call.nr_flows = record ? 1 : 0;
 	call.flows = record;
 	fw->answered = false;
-	node_set_time(sim_node(fw->entry), now_us(fw));
+	node_set_time(sim_node(fw->entry), fw_now_us(fw));
 	gateway_call(fw->gateway, &call, 3000);
 	for (uint32_t i = 0; i < 400 && !fw->answered; i++)
 		flow_world_run_ms(fw, TICK_US / 1000);
@@ -653,11 +318,11 @@
 bool flow_world_wait(struct flow_world *fw, const char *id,
 		     enum flow_state state, uint64_t limit_ms)
 {
-	uint64_t until_us = now_us(fw) + limit_ms * 1000;
+	uint64_t until_us = fw_now_us(fw) + limit_ms * 1000;
 	char path[PATH_BYTES];
 
 	g_snprintf(path, sizeof(path), "/q/%s", id);
-	while (now_us(fw) < until_us) {
+	while (fw_now_us(fw) < until_us) {
 		struct flow_reply reply =
 			flow_world_call(fw, FLOW_CALL_STATE, path, NULL);
 
@@ -702,7 +367,7 @@
 	fw->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fw->ended =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	fw->pending = g_ptr_array_new_with_free_func(call_free);
+	fw->pending = g_ptr_array_new_with_free_func(fw_call_free);
 	fw->run_ms = 500;
 	opts.control_addresses = fw->base->addresses;
 	fw->entry = sim_add_machine(fw->base->sim, "entry", "veraval", "");
--- /dev/null
+++ b/tests/flow_world_impl.h
@@ -0,0 +1,33 @@
+#ifndef FLOW_WORLD_IMPL_H
+#define FLOW_WORLD_IMPL_H
+
+/**
+ * @file flow_world_impl.h
+ * Workers and the calls of their agents (flow_worker.c), for the simulation of
+ * flow_world.h.
+ */
+
+#include "flow_world.h"
+
+#define VM_ADDRESS "10.0.0.1:1"
+
+struct fw_call;
+
+/** Functions of the host of all agents. */
+extern const struct runner_host_ops fw_runner_ops;
+
+uint64_t fw_now_us(const struct flow_world *fw);
+/** Returns the time by the worker's clock. */
+uint64_t fw_clock_ms(const struct fw_vm *vm);
+/** Ends the worker's run with the index @a i. */
+void fw_end_run(struct fw_vm *vm, guint i, enum flow_end how);
+/**
+ * Discards the ends that aren't acknowledged. The platform's rule: they no
+ * longer count if the lease expires or the incarnation ends.
+ */
+void fw_discard_ends(struct fw_vm *vm);
+/** Does what is due of a call; returns true once the call is finished. */
+bool fw_call_step(struct fw_call *call);
+void fw_call_free(void *call);
+
+#endif /* FLOW_WORLD_IMPL_H */
