Send calls twice and refuse starts in flow_random

fw_vm.resend_ppm is a share of calls that are sent twice, as http_call does after a broken connection: the first copy is carried out at once, within 2 s, within 12 s or never, and the agent sees the answer to the second one (exec_reply.resent). fw_vm.unhealthy_ppm is a share of starts that the worker refuses with nothing done, as a 503 on the platform. The case "resends" of flow_random draws both, beside the limits and large tasks of the case "limits".

--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -6,6 +6,8 @@
 
 #define CALL_DELAY_US 1000
 #define CALL_TIMEOUT_US 600000
+/* From the first copy of a call that is sent twice to the second one. */
+#define RESEND_DELAY_US 20000
 #define LIST_ENDS 500 /* maximum number of ends in one answer */
 #define LATE_MIN_US 2000000
 #define LATE_MAX_US 12000000
@@ -17,6 +19,7 @@
 	uint64_t give_up_us; /* when the agent stops waiting, 0: it has */
 	bool carried_out;
 	bool lost; /* gets no answer and is carried out late */
+	bool resent; /* the second copy of a call */
 	bool no_listener; /* nothing listens at its address */
 	bool other_incarnation; /* names an incarnation that isn't running */
 	uint64_t call_nr;
@@ -188,6 +191,12 @@
 				reply->nr_ends * sizeof(struct flow_run_end));
 }
 
+/* Draws true with the given probability; draws no number for 0. */
+static bool draw(struct fw_vm *vm, uint32_t ppm)
+{
+	return ppm && sim_random(vm->world->base->sim) % 1000000 < ppm;
+}
+
 static void worker_carry_out(struct fw_call *call, struct exec_reply *reply)
 {
 	struct fw_vm *vm = call->vm;
@@ -195,6 +204,12 @@
 	guint at = 0;
 
 	call->carried_out = true;
+	/* A worker that isn't healthy does nothing and says nothing else. */
+	if (call->kind == EXEC_START && draw(vm, vm->unhealthy_ppm)) {
+		reply->verdict = EXEC_REFUSED;
+		reply->result = RESULT_OVERLOADED;
+		return;
+	}
 	reply->verdict = EXEC_DONE;
 	/*
 	 * All incarnations have the same identity, so a late call reaches the
@@ -246,7 +261,8 @@
  */
 static void call_answer(struct fw_call *call)
 {
-	static const struct exec_reply none = { .verdict = EXEC_NO_ANSWER };
+	const struct exec_reply none = { .verdict = EXEC_NO_ANSWER,
+					 .resent = call->resent };
 	struct fw_vm *vm = call->vm;
 	bool mine = vm->runner == call->runner;
 	bool late = fw_now_us(vm->world) >= call->give_up_us;
@@ -266,6 +282,7 @@
 		call->carried_out = true;
 	if (!mine)
 		return;
+	call->reply.resent = call->resent;
 	node_set_time(sim_node(vm->machine), fw_now_us(vm->world));
 	runner_call_done(vm->runner, call->call_nr,
 			 call->answered ? &call->reply : &none);
@@ -297,6 +314,43 @@
 	return call->carried_out && !call->give_up_us;
 }
 
+/* Draws when the first copy of a call arrives; returns false for never. */
+static bool draw_first_copy(struct fw_call *call)
+{
+	struct sim *sim = call->vm->world->base->sim;
+
+	switch (sim_random(sim) % 4) {
+	case 0: /* before the second copy */
+		return true;
+	case 1: /* while the agent handles the answer to the second copy */
+		call->due_us += sim_random(sim) % LATE_MIN_US;
+		return true;
+	case 2:
+		call->due_us += LATE_MIN_US +
+				sim_random(sim) % (LATE_MAX_US - LATE_MIN_US);
+		return true;
+	default:
+		return false;
+	}
+}
+
+/* Makes @a call the second copy, and adds the first one to the calls. */
+static void call_resend(struct fw_call *call)
+{
+	struct fw_call *first = g_memdup2(call, sizeof(*call));
+
+	call->resent = true;
+	call->due_us += RESEND_DELAY_US;
+	call->give_up_us += RESEND_DELAY_US;
+	first->lost = true;
+	first->give_up_us = 0;
+	first->wait_ms = 0;
+	if (draw_first_copy(first))
+		g_ptr_array_add(call->vm->world->pending, first);
+	else
+		fw_call_free(first);
+}
+
 static void world_call(void *ctx, uint64_t call_nr,
 		       const struct exec_call *from)
 {
@@ -321,6 +375,8 @@
 	call->due_us = fw_now_us(fw) + CALL_DELAY_US;
 	call->give_up_us =
 		fw_now_us(fw) + from->wait_ms * 1000ull + CALL_TIMEOUT_US;
+	if (!call->no_listener && draw(vm, vm->resend_ppm))
+		call_resend(call);
 	call->lost = sim_random(fw->base->sim) % 1000000 < vm->lose_ppm;
 	if (call->lost) {
 		call->wait_ms = 0;
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -63,6 +63,13 @@
 	struct fw_worker worker;
 	/* Share of calls that get no answer and are carried out late. */
 	uint32_t lose_ppm;
+	/*
+	 * Share of calls that are sent twice: the connection of the first copy
+	 * fails, and that copy is carried out at once, late or never.
+	 */
+	uint32_t resend_ppm;
+	/* Share of starts that the worker refuses because it isn't healthy. */
+	uint32_t unhealthy_ppm;
 	/* In a late call, the lease counts from the call's arrival. */
 	bool late_lease;
 	/*
--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -49,6 +49,7 @@
 	bool foreign; /* foreign_report() is called */
 	/* Steps are limited to some tasks a VM, and VMs get full. */
 	bool limits;
+	bool resends; /* draw_call_faults() is called */
 };
 
 /* One run of a seed. */
@@ -247,6 +248,27 @@
 		fw_foreign_report(vm, foreign);
 }
 
+/*
+ * Changes the shares of calls that are sent twice and of starts that a worker
+ * refuses because it isn't healthy.
+ */
+static void draw_call_faults(struct scenario *scenario)
+{
+	struct fw_vm *vm =
+		&scenario->fw->vms[random_below(scenario, FLOW_WORLD_VMS)];
+
+	switch (random_below(scenario, 3)) {
+	case 0:
+		vm->resend_ppm = random_below(scenario, 4) * 200000;
+		break;
+	case 1:
+		vm->unhealthy_ppm = random_below(scenario, 4) * 200000;
+		break;
+	default:
+		break;
+	}
+}
+
 static void end_faults(struct scenario *scenario)
 {
 	struct flow_world *fw = scenario->fw;
@@ -264,6 +286,8 @@
 			fw_freeze_agent(vm, false);
 		fw_cut(vm, false);
 		vm->lose_ppm = 0;
+		vm->resend_ppm = 0;
+		vm->unhealthy_ppm = 0;
 		if (!vm->runner)
 			fw_boot_agent(vm);
 		if (!vm->worker.up)
@@ -323,6 +347,8 @@
 		inject_fault(&scenario);
 		if (variant->foreign)
 			foreign_report(&scenario);
+		if (variant->resends)
+			draw_call_faults(&scenario);
 		flow_world_run_ms(fw, 50 + random_below(&scenario, 900));
 	}
 	end_faults(&scenario);
@@ -360,6 +386,12 @@
 	.nr_kinds = KINDS_WITHOUT_FREEZES,
 	.limits = true,
 };
+static const struct variant resends = {
+	.name = "resends",
+	.nr_kinds = KINDS_WITHOUT_FREEZES,
+	.limits = true,
+	.resends = true,
+};
 
 /* Seeds that have failed with KINDS_WITH_FREEZES, by their cause. */
 static const uint32_t freeze_regressions[] = {
@@ -468,5 +500,16 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that counts as refused although the worker has carried
+ * out, or still carries out, the first copy of its start (issue 26).
+ */
+START_TEST(test_random_resends)
+{
+	run_random_seeds(&resends);
+}
+END_TEST
+
 SUITE_MAIN("flow_random", test_failed_seeds, test_random_faults,
-	   test_random_freezes, test_random_foreign_reports, test_random_limits)
+	   test_random_freezes, test_random_foreign_reports, test_random_limits,
+	   test_random_resends)
