Assert ORDER, BUDGET and unknown workflows at each start

The simulated world checked at a start where a task may run, but not whether its turn had come. flow_rules now asserts the platform's rules at the start itself: ORDER (all tasks of the steps in `after` have ended as done), BUDGET (no start after the queue's number of acknowledged failures, and no such end acknowledged after a later start) and of UNASKED that the workflow was submitted. The index lists of steps are copied, as callers free theirs.

A start of a workflow that wasn't submitted can't be brought about by taking out a mechanism of the core; that check wasn't seen to fail.

--- a/tests/flow_rules.c
+++ b/tests/flow_rules.c
@@ -5,6 +5,13 @@
 
 struct flow_rules {
 	GHashTable *steps; /* workflow id -> GArray of struct flow_step */
+	GHashTable *attempts; /* task -> struct task_attempts * */
+};
+
+struct task_attempts {
+	uint64_t started_us; /* last start of a run */
+	uint64_t failed_us; /* last end as failed, 0: none */
+	uint32_t settled; /* acknowledged ends as failed */
 };
 
 struct flow_rules *flow_rules_new(void)
@@ -13,6 +20,8 @@
 
 	rules->steps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     (GDestroyNotify)g_array_unref);
+	rules->attempts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return rules;
 }
 
@@ -21,9 +30,17 @@
 	if (!rules)
 		return;
 	g_hash_table_unref(rules->steps);
+	g_hash_table_unref(rules->attempts);
 	g_free(rules);
 }
 
+static void step_clear(void *data)
+{
+	struct flow_step *step = data;
+
+	g_free(step->after);
+}
+
 void flow_rules_add(struct flow_rules *rules, const char *id,
 		    const struct flow_step *steps, uint32_t nr_steps)
 {
@@ -32,25 +49,70 @@
 	if (g_hash_table_contains(rules->steps, id))
 		return;
 	copy = g_array_new(FALSE, FALSE, sizeof(struct flow_step));
-	g_array_append_vals(copy, steps, nr_steps);
+	g_array_set_clear_func(copy, step_clear);
+	for (uint32_t i = 0; i < nr_steps; i++) {
+		struct flow_step step = steps[i];
+
+		step.after = g_memdup2(step.after,
+				       step.nr_after * sizeof(*step.after));
+		g_array_append_val(copy, step);
+	}
 	g_hash_table_insert(rules->steps, g_strdup(id), copy);
 }
 
-/* Returns the step of a task named "ID.OCCURRENCE.STEP.INDEX", or NULL. */
+/* Returns the step of a task named "ID.OCCURRENCE.STEP.INDEX". */
 static const struct flow_step *step_of(const struct flow_rules *rules,
 				       const char *task)
 {
 	char **words = g_strsplit(task, ".", 4);
-	const struct flow_step *step = NULL;
 	const GArray *steps;
+	uint64_t nr;
 
 	ck_assert_uint_eq(g_strv_length(words), 4);
 	steps = g_hash_table_lookup(rules->steps, words[0]);
-	if (steps)
-		step = &g_array_index(steps, struct flow_step,
-				      g_ascii_strtoull(words[2], NULL, 10));
+	nr = g_ascii_strtoull(words[2], NULL, 10);
 	g_strfreev(words);
-	return step;
+	ck_assert_msg(steps && nr < steps->len, "%s wasn't submitted", task);
+	return &g_array_index(steps, struct flow_step, nr);
+}
+
+static struct task_attempts *attempts_of(struct flow_rules *rules,
+					 const char *task)
+{
+	struct task_attempts *attempts =
+		g_hash_table_lookup(rules->attempts, task);
+
+	if (!attempts) {
+		attempts = g_new0(struct task_attempts, 1);
+		g_hash_table_insert(rules->attempts, g_strdup(task), attempts);
+	}
+	return attempts;
+}
+
+/* Returns true if the queue's limit of failed runs holds for the task. */
+static bool has_budget(const struct flow_rules *rules, const char *task)
+{
+	return !step_of(rules, task)->lasting;
+}
+
+void flow_rules_failed(struct flow_rules *rules, const char *task,
+		       uint64_t now_us)
+{
+	attempts_of(rules, task)->failed_us = now_us;
+}
+
+void flow_rules_failure_settled(struct flow_rules *rules, const char *task)
+{
+	struct task_attempts *attempts = attempts_of(rules, task);
+
+	attempts->settled++;
+	if (!has_budget(rules, task))
+		return;
+	ck_assert_msg(attempts->settled < FLOW_WORLD_ATTEMPTS ||
+			      (attempts->settled == FLOW_WORLD_ATTEMPTS &&
+			       attempts->started_us <= attempts->failed_us),
+		      "%s was started after it failed %u times", task,
+		      FLOW_WORLD_ATTEMPTS);
 }
 
 /* Returns true if the tasks belong to one step of one occurrence. */
@@ -61,8 +123,39 @@
 	return !strncmp(a, b, length);
 }
 
-void flow_rules_check_start(const struct flow_rules *rules,
-			    const struct fw_vm *vm, const char *task)
+/*
+ * A gang ends together, so one end as done represents all of its tasks. An end
+ * counts even if it was discarded later, as the leader may have stored it.
+ */
+static void check_order(const struct flow_rules *rules,
+			const struct flow_world *fw, const char *task)
+{
+	const struct flow_step *step = step_of(rules, task);
+	char **words = g_strsplit(task, ".", 4);
+	const GArray *steps = g_hash_table_lookup(rules->steps, words[0]);
+
+	for (uint32_t i = 0; i < step->nr_after; i++) {
+		const struct flow_step *before =
+			&g_array_index(steps, struct flow_step, step->after[i]);
+		uint32_t nr_done = 0;
+
+		for (uint32_t j = 0; j < before->count; j++) {
+			char *name = g_strdup_printf("%s.%s.%" G_GUINT64_FORMAT
+						     ".%u",
+						     words[0], words[1],
+						     step->after[i], j);
+
+			nr_done += g_hash_table_contains(fw->ended, name);
+			g_free(name);
+		}
+		ck_assert_msg(nr_done >= (before->gang ? 1 : before->count),
+			      "%s starts before its step's turn", task);
+	}
+	g_strfreev(words);
+}
+
+static void check_room(const struct flow_rules *rules, const struct fw_vm *vm,
+		       const char *task)
 {
 	const struct flow_step *step = step_of(rules, task);
 	uint64_t cpu_millis;
@@ -70,8 +163,6 @@
 	uint64_t accelerators;
 	uint32_t nr_stage = 1;
 
-	if (!step)
-		return;
 	ck_assert_msg(!step->label[0] ||
 			      !strcmp(step->label, FLOW_WORLD_KIND) ||
 			      !strcmp(step->label, vm->zone),
@@ -86,8 +177,6 @@
 		const struct flow_step *other = step_of(rules, run->task);
 
 		nr_stage += same_stage(task, run->task);
-		if (!other)
-			continue;
 		cpu_millis += other->filler ? 0 : other->cpu_millis;
 		memory_mib += other->memory_mib;
 		accelerators += other->accelerators;
@@ -100,3 +189,17 @@
 			      !accelerators,
 		      "%s doesn't fit at %s", task, vm->name);
 }
+
+void flow_rules_check_start(struct flow_rules *rules, const struct fw_vm *vm,
+			    const char *task)
+{
+	struct task_attempts *attempts = attempts_of(rules, task);
+
+	attempts->started_us = sim_now_us(vm->world->base->sim);
+	ck_assert_msg(!has_budget(rules, task) ||
+			      attempts->settled < FLOW_WORLD_ATTEMPTS,
+		      "%s starts after it failed %u times", task,
+		      attempts->settled);
+	check_order(rules, vm->world, task);
+	check_room(rules, vm, task);
+}
--- a/tests/flow_rules.h
+++ b/tests/flow_rules.h
@@ -3,9 +3,9 @@
 
 /**
  * @file flow_rules.h
- * What a worker may start beside its runs, by the workflows that were
- * submitted. The simulation asserts it at the start itself, from what the
- * worker runs, whatever the leader has placed there.
+ * What a worker may start, by the workflows that were submitted, by what the
+ * worker runs and by how runs have ended. The simulation asserts it at the
+ * start itself, whatever the leader has placed there.
  */
 
 #include "flow_world.h"
@@ -15,13 +15,26 @@
 /** Adds a workflow; one with an id that is known already is left out. */
 void flow_rules_add(struct flow_rules *rules, const char *id,
 		    const struct flow_step *steps, uint32_t nr_steps);
+/** Notes that a run of the task has ended as failed. */
+void flow_rules_failed(struct flow_rules *rules, const char *task,
+		       uint64_t now_us);
 /**
- * Asserts that the VM has the step's label, that no more tasks of the step and
- * occurrence run there than the step allows, and that the task fits beside the
- * VM's runs. Runs that are being stopped count. Tasks of workflows that were
- * not added are left out.
+ * Notes that such an end was acknowledged. Asserts that no run of the task was
+ * started after the last failure that its queue allows (BUDGET). Tasks that
+ * last have no such limit.
  */
-void flow_rules_check_start(const struct flow_rules *rules,
-			    const struct fw_vm *vm, const char *task);
+void flow_rules_failure_settled(struct flow_rules *rules, const char *task);
+/**
+ * Asserts, for a task that starts now:
+ * - its workflow was submitted (UNASKED);
+ * - all tasks that its step comes after have ended as done (ORDER);
+ * - the acknowledged failures leave it another run (BUDGET);
+ * - the VM has the step's label, and no more tasks of the step and occurrence
+ *   run there than the step allows (ROUTE);
+ * - the task fits beside the VM's runs (LIMIT).
+ * Runs that are being stopped count.
+ */
+void flow_rules_check_start(struct flow_rules *rules, const struct fw_vm *vm,
+			    const char *task);
 
 #endif /* FLOW_RULES_H */
--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -94,6 +94,9 @@
 	end.run = run->run;
 	end.end = how;
 	worker_block_runs(worker, run->task, run->run);
+	if (how == FLOW_END_FAILED)
+		flow_rules_failed(vm->world->rules, run->task,
+				  fw_now_us(vm->world));
 	if (how == FLOW_END_DONE) {
 		g_hash_table_add(vm->world->done, g_strdup(run->task));
 		g_hash_table_add(vm->world->ended, g_strdup(run->task));
@@ -169,10 +172,17 @@
 {
 	struct fw_worker *worker = &call->vm->worker;
 
-	while (worker->ends->len &&
-	       g_array_index(worker->ends, struct flow_run_end, 0).nr <=
-		       call->settled_nr)
+	while (worker->ends->len) {
+		const struct flow_run_end *end =
+			&g_array_index(worker->ends, struct flow_run_end, 0);
+
+		if (end->nr > call->settled_nr)
+			break;
+		if (end->end == FLOW_END_FAILED)
+			flow_rules_failure_settled(call->vm->world->rules,
+						   end->task);
 		g_array_remove_index(worker->ends, 0);
+	}
 	reply->nr_runs = worker->runs->len;
 	reply->runs = g_new0(struct flow_run, MAX(worker->runs->len, 1));
 	for (guint i = 0; i < worker->runs->len; i++) {
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -340,8 +340,9 @@
 {
 	struct bundle_zone zones[] = { { "veraval", "", 0 },
 				       { "porbandar", "", 0 } };
-	struct bundle_queue queues[] = { { "q", "shop", "/q/", "svc", 0, 2,
-					   2000, 1000, 3000, ticket_ms } };
+	struct bundle_queue queues[] = { { "q", "shop", "/q/", "svc", 0,
+					   FLOW_WORLD_ATTEMPTS, 2000, 1000,
+					   3000, ticket_ms } };
 	struct bundle_pool pools[] = { { "svc", true, false } };
 	struct bundle bundle = { .version = version };
 
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -8,9 +8,8 @@
  * platform's workers: one lease by its own clock and of limited length, fencing
  * tokens, run numbers, and ends that stay listed until they are acknowledged.
  * At every start the simulation asserts that the task runs nowhere else and
- * isn't done, and that the worker may start it beside its runs
- * (flow_rules.h). At all times it asserts that no VM is overcommitted, unless
- * flow_world.overcommitted is set.
+ * isn't done, and that the worker may start it (flow_rules.h). At all times it
+ * asserts that no VM is overcommitted, unless flow_world.overcommitted is set.
  */
 
 #include "control_world.h"
@@ -26,6 +25,8 @@
 /* Of each VM. */
 #define FLOW_WORLD_VM_CPU_MILLIS 8000
 #define FLOW_WORLD_VM_MEMORY_MIB 16000
+/* Failed runs of a task that the queue allows. */
+#define FLOW_WORLD_ATTEMPTS 2
 /* Kind of all workers, a label; the other label is the zone's name. */
 #define FLOW_WORLD_KIND "a"
 
