--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -74,6 +74,19 @@
 	return NULL;
 }
 
+bool fw_runs(const struct fw_vm *vm, const char *task)
+{
+	return worker_find(&vm->worker, task, NULL) != NULL;
+}
+
+void fw_add_run(struct fw_vm *vm, const char *task, uint32_t nr)
+{
+	struct fw_run run = { .run = nr, .started_us = fw_now_us(vm->world) };
+
+	TEXT_SET(run.task, task);
+	g_array_append_val(vm->worker.runs, run);
+}
+
 static void worker_block_runs(struct fw_worker *worker, const char *task,
 			      uint32_t run)
 {
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -217,19 +217,6 @@
 	return NULL;
 }
 
-bool fw_runs(const struct fw_vm *vm, const char *task)
-{
-	return worker_find(&vm->worker, task, NULL) != NULL;
-}
-
-void fw_add_run(struct fw_vm *vm, const char *task, uint32_t nr)
-{
-	struct fw_run run = { .run = nr, .started_us = now_us(vm->world) };
-
-	TEXT_SET(run.task, task);
-	g_array_append_val(vm->worker.runs, run);
-}
-
 uint32_t fw_running(const struct flow_world *fw)
 {
 	uint32_t nr = 0;
