Report starts in flight of a worker that was restarted

Cause: a worker has deregistered; its agent's probe is answered by a later incarnation under the same identity, and the agent reports the worker as ended. The leader takes all its runs for lost at once, and a start that was called for the ended incarnation is carried out by the present one. As long as its heartbeat hasn't arrived, the agent has no worker to tell to stop the run.

Ruled out: to count such a worker as not ended; test_deregistration asks that its tasks are placed again at once, and only those with a start in flight need to wait.

The agent now reports the starts in flight as unconfirmed runs of the ended incarnation, at most until no call can be carried out any more (12 s). The leader keeps their placements meanwhile, as it does with other unconfirmed runs.

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -78,6 +78,8 @@
 		runner_add_run(runs, value);
 	g_array_append_vals(runs, runner->superseded->data,
 			    runner->superseded->len);
+	if (runner->restarted)
+		runner_add_late_starts(runner, runs);
 	runner_add_ends(runner, ends);
 	g_array_append_vals(ends, runner->unlisted_ends->data,
 			    runner->unlisted_ends->len);
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -149,6 +149,11 @@
 	uint32_t stale_increases; /* stale heartbeats in a row, seq rising */
 	bool reported_draining; /* by a heartbeat of this incarnation */
 	uint64_t deregistered_us; /* time of deregistration, 0: none */
+	/*
+	 * The ended incarnation was restarted under its identity, and the new
+	 * one isn't known yet; it may carry out the late starts.
+	 */
+	bool restarted;
 	struct runner_candidate candidate;
 	uint64_t candidate_nr; /* number of the newest candidate */
 	uint32_t probes_in_flight;
@@ -298,6 +303,8 @@
  */
 void runner_keep_late_start(struct runner *runner, const char *task,
 			    uint32_t run);
+/** Adds the late starts that may still be carried out to a report's runs. */
+void runner_add_late_starts(const struct runner *runner, GArray *runs);
 
 /* runner_log.c */
 /** Resets the trace for a new incarnation of the worker. */
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -65,6 +65,20 @@
 	}
 }
 
+void runner_add_late_starts(const struct runner *runner, GArray *runs)
+{
+	for (guint i = 0; i < runner->late_starts->len; i++) {
+		const struct runner_late_start *start = &g_array_index(
+			runner->late_starts, struct runner_late_start, i);
+		struct flow_run run = { .run = start->run,
+					.unconfirmed = true };
+
+		TEXT_SET(run.task, start->task);
+		if (start->until_us > runner->node->now_us)
+			g_array_append_val(runs, run);
+	}
+}
+
 /*
  * Stops the runs that the new incarnation may start because it may still carry
  * out calls that the earlier one hasn't answered.
@@ -115,6 +129,7 @@
 	runner->poll_in_flight = false;
 	runner->reported_draining = false;
 	runner->deregistered_us = 0;
+	runner->restarted = false;
 	g_hash_table_remove_all(runner->runs);
 	g_array_set_size(runner->superseded, 0);
 	g_array_set_size(runner->ends, 0);
@@ -391,11 +406,12 @@
 
 /* ---- the end of an incarnation ---- */
 
-static void runner_end_incarnation(struct runner *runner)
+static void runner_end_incarnation(struct runner *runner, bool restarted)
 {
 	runner_log_worker(runner, "worker-ended");
 	runner_reset_incarnation(runner);
 	runner->worker.ended = true;
+	runner->restarted = restarted;
 	runner_report_soon(runner);
 }
 
@@ -425,15 +441,16 @@
 				const struct runner_call *call,
 				const struct exec_reply *reply)
 {
-	bool terminated =
-		reply->closed || reply->verdict == EXEC_OTHER_INCARNATION ||
-		(reply->born_ms && reply->born_ms != runner->worker.born_ms);
+	bool restarted = reply->born_ms &&
+			 reply->born_ms != runner->worker.born_ms;
+	bool terminated = reply->closed || restarted ||
+			  reply->verdict == EXEC_OTHER_INCARNATION;
 
 	if (!runner->deregistered_us ||
 	    call->incarnation_nr != runner->incarnation_nr)
 		return;
 	if (terminated)
-		runner_end_incarnation(runner);
+		runner_end_incarnation(runner, restarted);
 	else if (!reply_is_inconclusive(reply) &&
 		 call->sent_us - runner->deregistered_us >=
 			 RUNNER_LEAVING_MS * 1000ull)
