--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -418,7 +418,7 @@
 static const uint32_t foreign_regressions[] = {
 	216, /* a task was placed although a report listed an earlier run */
 	981, /* as seed 981 above */
-	9051, /* a start in flight ran after its worker had ended as restarted */
+	9051, /* a start in flight ran at a restarted worker */
 };
 
 /* Guards against the failures that the lists of seeds above name. */
