Show that a task starts beside an earlier run listed before its commit

The leader asks for orphans of a task when it places the task, and not again when the placement is committed and the start is ordered.

The other cases play as before.

--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -18,6 +18,8 @@
 #define FOREIGN_SEED 1000000
 #define FAULTS_MS 20000
 #define SETTLE_MS 60000
+#define STOP_MS 900
+#define MAX_PER_VM 2
 #define FLOWS_MAX 16
 #define LASTING "ee"
 #define LASTING_TASKS 6
@@ -41,6 +43,8 @@
 	 * in agents, as tasks are fillers.
 	 */
 	uint32_t nr_kinds;
+	/* Stops take STOP_MS, and steps have a limit of tasks a VM. */
+	bool slow_stops;
 	/* Start time of an earlier incarnation of the worker, 0: none. */
 	uint64_t born_ms[FLOW_WORLD_VMS];
 	bool control_frozen[WORLD_MAX_CONTROLS];
@@ -78,6 +82,10 @@
 		steps[0] = step_of(LASTING_TASKS);
 		steps[0].lasting = true;
 	}
+	if (scenario->slow_stops) {
+		steps[0].max_per_vm = MAX_PER_VM;
+		steps[1].max_per_vm = MAX_PER_VM;
+	}
 	if (freezes) {
 		TEXT_SET(steps[0].image, lasting ? "s" : "f");
 		TEXT_SET(steps[1].image, "f");
@@ -265,10 +273,11 @@
 }
 
 static void run_random_seed(uint32_t seed, uint32_t nr_kinds, bool foreign,
-			    bool verbose)
+			    bool verbose, bool slow_stops)
 {
 	struct scenario scenario = { .rand = g_rand_new_with_seed(seed),
-				     .nr_kinds = nr_kinds };
+				     .nr_kinds = nr_kinds,
+				     .slow_stops = slow_stops };
 	struct flow_world *fw = flow_world_new(seed);
 	uint64_t end_us = sim_now_us(fw->base->sim) + FAULTS_MS * 1000ull;
 
@@ -276,6 +285,7 @@
 	if (foreign)
 		scenario.foreign = g_rand_new_with_seed(seed + FOREIGN_SEED);
 	fw->lasting = LASTING;
+	fw->stop_ms = slow_stops ? STOP_MS : 0;
 	if (nr_kinds == KINDS_WITH_FREEZES) {
 		fw->tail_ms = NO_HEADROOM_TAIL_MS;
 		fw->overcommitted = true;
@@ -348,13 +358,23 @@
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(regressions); i++)
 		run_random_seed(regressions[i], KINDS_WITHOUT_FREEZES, false,
-				false);
+				false, false);
 	for (size_t i = 0; i < G_N_ELEMENTS(freeze_regressions); i++)
 		run_random_seed(freeze_regressions[i], KINDS_WITH_FREEZES,
-				false, false);
+				false, false, false);
 	for (size_t i = 0; i < G_N_ELEMENTS(foreign_regressions); i++)
 		run_random_seed(foreign_regressions[i], KINDS_WITHOUT_FREEZES,
-				true, false);
+				true, false, false);
+}
+END_TEST
+
+/*
+ * Guards against a task that runs twice: its placement is in flight when a
+ * report first lists an earlier run of it, which takes STOP_MS to stop.
+ */
+START_TEST(test_run_listed_before_commit)
+{
+	run_random_seed(284, KINDS_WITHOUT_FREEZES, true, false, true);
 }
 END_TEST
 
@@ -370,13 +390,13 @@
 
 	if (one) {
 		run_random_seed((uint32_t)strtoul(one, NULL, 10), nr_kinds,
-				foreign, true);
+				foreign, true, false);
 		return;
 	}
 	for (uint32_t seed = 1; seed <= nr_seeds; seed++) {
 		if (nr)
 			g_printerr("seed %u\n", seed);
-		run_random_seed(seed, nr_kinds, foreign, false);
+		run_random_seed(seed, nr_kinds, foreign, false, false);
 	}
 }
 
@@ -411,4 +431,5 @@
 END_TEST
 
 SUITE_MAIN("flow_random", test_failed_seeds, test_random_faults,
-	   test_random_freezes, test_random_foreign_reports)
+	   test_random_freezes, test_random_foreign_reports,
+	   test_run_listed_before_commit)
