Show that a new leader forgets the orphans of a VM cut off from it

A leader keeps orphans in memory only, and the state has their tasks as waiting. If it ends before the order to stop reaches the agent, and the VM is cut off from its successor, the task is placed elsewhere at once, though the worker's lease may hold. For placed runs of such a VM the new leader waits until the lease has certainly expired.

Fails on: "oo.0.0.2 runs at side0 already" (flow_orphan: orphan_counts_at_new_leader).

--- a/tests/test_flow_orphan.c
+++ b/tests/test_flow_orphan.c
@@ -364,9 +364,39 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that is placed elsewhere while an orphan of it runs:
+ * only the earlier leader knew of the orphan, and its VM is cut off from the
+ * new one.
+ */
+START_TEST(test_orphan_counts_at_new_leader)
+{
+	struct flow_step step = { .count = FLOW_WORLD_VMS,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .estimate_ms = RUN_MS };
+
+	for (uint64_t seed = 1; seed <= NR_SEEDS; seed++) {
+		struct flow_world *fw = world_with_orphans(seed, &step);
+
+		for (uint32_t i = 0; i < fw->base->nr_controls; i++)
+			if (!fw->base->controls[i].control)
+				world_boot_control(&fw->base->controls[i]);
+		/* Agents list the runs after their workers' heartbeats. */
+		flow_world_run_ms(fw, 1030 - sim_now_us(fw->base->sim) / 1000 %
+						      1000);
+		run_until_logged(fw, "*event=orphan*vm=side0 *");
+		fw_cut(&fw->vms[0], true);
+		world_kill_control(world_leader_host(fw->base));
+		flow_world_run_ms(fw, 4000);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 SUITE_MAIN("flow_orphan", test_orphan_counts_for_step_limit,
 	   test_orphan_uses_capacity, test_orphans_of_one_task_count_each,
 	   test_lost_run_counts_until_next_report,
 	   test_orphan_counts_until_next_agent_looks,
 	   test_orphans_at_two_vms_bar_their_task,
-	   test_orphan_listed_before_commit)
+	   test_orphan_listed_before_commit, test_orphan_counts_at_new_leader)
