--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -22,6 +22,8 @@
 #define FLOWS_MAX 16
 #define LASTING "ee"
 #define LASTING_TASKS 6
+#define STOP_MS 900
+#define MAX_PER_VM 2
 /*
  * A VM with two lasting tasks has room for two tasks of either size: memory for
  * two, processors for two.
@@ -50,6 +52,8 @@
 	/* Steps are limited to some tasks a VM, and VMs get full. */
 	bool limits;
 	bool resends; /* draw_call_faults() is called */
+	/* Stops take STOP_MS, and steps have a limit of MAX_PER_VM tasks. */
+	bool slow_stops;
 };
 
 /* One run of a seed. */
@@ -102,6 +106,10 @@
 		steps[0].filler = !lasting;
 		steps[1].filler = true;
 	}
+	if (scenario->variant->slow_stops) {
+		steps[0].max_per_vm = MAX_PER_VM;
+		steps[1].max_per_vm = MAX_PER_VM;
+	}
 	if (scenario->variant->limits) {
 		steps[0].max_per_vm = lasting ? 2 : 1;
 		steps[1].max_per_vm = 1;
@@ -328,6 +336,8 @@
 		fw->tail_ms = NO_HEADROOM_TAIL_MS;
 		fw->overcommitted = true;
 	}
+	if (variant->slow_stops)
+		fw->stop_ms = STOP_MS;
 	if (variant->limits)
 		fw->stop_ms = stops_ms[seed % G_N_ELEMENTS(stops_ms)];
 	sim_set_verbose(fw->base->sim, verbose);
@@ -381,6 +391,12 @@
 	.nr_kinds = KINDS_WITHOUT_FREEZES,
 	.foreign = true,
 };
+static const struct variant slow_stops = {
+	.name = "slow-stops",
+	.nr_kinds = KINDS_WITHOUT_FREEZES,
+	.foreign = true,
+	.slow_stops = true,
+};
 static const struct variant limits = {
 	.name = "limits",
 	.nr_kinds = KINDS_WITHOUT_FREEZES,
@@ -436,6 +452,17 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that runs twice: its placement is in flight when a
+ * report first lists an earlier run of it, which takes STOP_MS to stop.
+ */
+START_TEST(test_run_listed_before_commit)
+{
+	if (!getenv("FLOW_RANDOM_CASE"))
+		run_random_seed(284, &slow_stops, false);
+}
+END_TEST
+
 /*
  * Runs the seed or the number of seeds that the environment asks for, otherwise
  * the default number.
@@ -513,4 +540,4 @@
 
 SUITE_MAIN("flow_random", test_failed_seeds, test_random_faults,
 	   test_random_freezes, test_random_foreign_reports, test_random_limits,
-	   test_random_resends)
+	   test_random_resends, test_run_listed_before_commit)
