Let a new leader wait for the VM of a task's last run

Cause: a new leader knows no orphans. A placed run of a VM that hasn't reported waits for the worker's lease, but a waiting task whose last run may still go on there, as an orphan that the earlier leader knew of, was placed at once.

A waiting task now waits until the VM of its last run has reported, or the leases of earlier leaders have certainly expired: the time after which the placed runs of such a VM are taken for lost.

Before: orphan_counts_at_new_leader of flow_orphan fails ("oo.0.0.2 runs at side0 already"). After: it passes, as do the other suites of flows, state and control.

--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -296,11 +296,30 @@
 	return placed;
 }
 
+/*
+ * Returns true if the VM of the task's last run hasn't reported to this leader,
+ * and its worker may hold a lease of an earlier one: the run may be an orphan
+ * that only the earlier leader knew of.
+ */
+static bool flow_last_vm_is_unknown(const struct control_flow *flows,
+				    const struct flow_task *task)
+{
+	const struct flow_vm *vm = g_hash_table_lookup(flows->vms, task->vm);
+	uint64_t until_us = flows->control->leader_since_us +
+			    (flows->lease_ms + FLOW_LEASE_MARGIN_MS) * 1000ull;
+
+	return task->run && !(vm && vm->reported) &&
+	       flows->control->node->now_us <= until_us;
+}
+
 static bool flow_task_waits(const struct flow_demand *demand, uint32_t task)
 {
-	return demand->flow->record.tasks[task].state == FLOW_TASK_WAITING &&
+	const struct flow_task *record = &demand->flow->record.tasks[task];
+
+	return record->state == FLOW_TASK_WAITING &&
 	       !control_flow_placement(demand->flows, demand->flow, task) &&
-	       !control_flow_has_orphan(demand->flows, demand->flow, task);
+	       !control_flow_has_orphan(demand->flows, demand->flow, task) &&
+	       !flow_last_vm_is_unknown(demand->flows, record);
 }
 
 /*
