Check in the workers' journals what a worker runs at a time

task_journal_check_workers() reports at each start the step's label, its limit of tasks on a worker, and processors and memory of the worker, by incarnation. Late starts count like others, and runs that are being stopped count until their end. What was submitted comes from the caller.

--- a/tests/task_journal.c
+++ b/tests/task_journal.c
@@ -186,3 +186,128 @@
 	g_hash_table_unref(tasks);
 	return nr_done;
 }
+
+/* What one incarnation of a worker runs. */
+struct worker_load {
+	uint64_t cpu_millis;
+	uint64_t memory_mib;
+	GHashTable *stages; /* "ID.OCCURRENCE.STEP" -> number of its runs */
+};
+
+static void worker_load_free(void *data)
+{
+	struct worker_load *load = data;
+
+	g_hash_table_unref(load->stages);
+	g_free(load);
+}
+
+static struct worker_load *worker_load(GHashTable *loads,
+				       const struct task_event *event)
+{
+	char *key = g_strdup_printf("%s %" G_GUINT64_FORMAT, event->worker,
+				    event->born_ms);
+	struct worker_load *load = g_hash_table_lookup(loads, key);
+
+	if (load) {
+		g_free(key);
+		return load;
+	}
+	load = g_new0(struct worker_load, 1);
+	load->stages =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_hash_table_insert(loads, key, load);
+	return load;
+}
+
+/* Returns the step of a task "ID.OCCURRENCE.STEP.INDEX", NULL if unknown. */
+static const struct task_step *step_of(const struct task_site *site,
+				       const char *task)
+{
+	char **words = g_strsplit(task, ".", -1);
+	const struct task_step *step = NULL;
+	const GArray *steps = NULL;
+	uint64_t nr;
+
+	if (g_strv_length(words) == 4)
+		steps = g_hash_table_lookup(site->steps, words[0]);
+	if (steps) {
+		nr = g_ascii_strtoull(words[2], NULL, 10);
+		if (nr < steps->len)
+			step = &g_array_index(steps, struct task_step, nr);
+	}
+	g_strfreev(words);
+	return step;
+}
+
+/* Adds @a change to the worker's runs of the task's step; returns the sum. */
+static uint32_t stage_add(struct worker_load *load, const char *task,
+			  int32_t change)
+{
+	char *stage = g_strndup(task, (gsize)(strrchr(task, '.') - task));
+	guint nr = GPOINTER_TO_UINT(g_hash_table_lookup(load->stages, stage)) +
+		   (guint)change;
+
+	g_hash_table_replace(load->stages, stage, GUINT_TO_POINTER(nr));
+	return nr;
+}
+
+static void check_worker_start(const struct task_site *site,
+			       struct worker_load *load,
+			       const struct task_step *step,
+			       const struct task_event *event,
+			       task_violation_fn *report, void *ctx)
+{
+	uint32_t nr = stage_add(load, event->task, 1);
+
+	load->cpu_millis += step->fills ? 0 : step->cpu_millis;
+	load->memory_mib += step->memory_mib;
+	if (step->label &&
+	    g_strcmp0(step->label, site->label_of(event->worker)) != 0)
+		report(ctx, "ROUTE: a task starts without the step's label",
+		       event);
+	if (step->max_per_worker && nr > step->max_per_worker)
+		report(ctx,
+		       "ROUTE: a task starts beyond the step's limit of tasks "
+		       "on a worker",
+		       event);
+	if (load->cpu_millis > site->cpu_millis ||
+	    load->memory_mib > site->memory_mib)
+		report(ctx, "LIMIT: a task starts beyond the worker's capacity",
+		       event);
+}
+
+void task_journal_check_workers(const struct task_journal *journal,
+				const struct task_site *site,
+				task_violation_fn *report, void *ctx)
+{
+	GHashTable *loads = g_hash_table_new_full(g_str_hash, g_str_equal,
+						  g_free, worker_load_free);
+
+	for (guint i = 0; i < journal->events->len; i++) {
+		const struct task_event *event =
+			&g_array_index(journal->events, struct task_event, i);
+		const struct task_step *step = step_of(site, event->task);
+		struct worker_load *load = worker_load(loads, event);
+
+		if (!step)
+			continue;
+		switch (event->kind) {
+		case TASK_START:
+			check_worker_start(site, load, step, event, report,
+					   ctx);
+			break;
+		case TASK_DONE:
+		case TASK_FAILED:
+		case TASK_ENDED:
+			stage_add(load, event->task, -1);
+			load->cpu_millis -= step->fills ? 0 : step->cpu_millis;
+			load->memory_mib -= step->memory_mib;
+			break;
+		case TASK_SETTLED:
+		case TASK_SETTLED_FAILED:
+			break;
+		}
+	}
+	g_hash_table_unref(loads);
+}
--- a/tests/task_journal.h
+++ b/tests/task_journal.h
@@ -4,7 +4,8 @@
 /**
  * @file task_journal.h
  * Reads the journals of the stand-ins for the platform's workers into a list of
- * events, and checks the rules that concern one task at a time.
+ * events, and checks the rules that concern one task at a time, and those that
+ * concern what one worker runs at a time.
  */
 
 #include <glib.h>
@@ -51,4 +52,33 @@
 uint32_t task_journal_check(const struct task_journal *journal,
 			    task_violation_fn *report, void *ctx);
 
+/** What each task of a step uses, and where it may run. */
+struct task_step {
+	uint32_t cpu_millis; /* not counted for fillers */
+	uint32_t memory_mib;
+	bool fills;
+	uint32_t max_per_worker; /* tasks of one occurrence, 0: no limit */
+	const char *label; /* that its worker must have, NULL: none */
+};
+
+/** What clients have submitted, and what each worker of the site offers. */
+struct task_site {
+	GHashTable *steps; /* workflow id -> GArray of struct task_step */
+	uint32_t cpu_millis;
+	uint32_t memory_mib;
+	/* Returns the label of a worker, NULL: it has none. */
+	const char *(*label_of)(const char *worker);
+};
+
+/**
+ * Reports each start on a worker without the step's label, each start that
+ * brings an incarnation of a worker over the step's limit of tasks, and each
+ * that brings it over its processors or memory. Starts that were carried out
+ * late count like others; runs that are being stopped count until their end.
+ * Tasks of workflows that aren't in @a site are left out.
+ */
+void task_journal_check_workers(const struct task_journal *journal,
+				const struct task_site *site,
+				task_violation_fn *report, void *ctx);
+
 #endif /* TASK_JOURNAL_H */
