Check what workers run at a time in soak and platform-site

The soak now submits steps with a limit of 1, lasting ones with a limit of 2, large tasks, tasks with much memory, and tasks with a label that half of the workers have. Workers of odd seeds start what doesn't fit, and their configuration says so; those of even seeds refuse it. platform-site submits steps with limits of 2 and 1. Both check the journals with task_journal_check_workers(). The soak's random draws change with the kinds: the seeds 1, 2 and 103 stay, with other submissions than before.

--- a/tests/executor_standin.c
+++ b/tests/executor_standin.c
@@ -5,9 +5,10 @@
  * fencing tokens, run numbers, and ends that it lists until they are
  * acknowledged. It writes all starts and ends to a journal.
  *
- * A task's spec is "MS [HOW [CPU]]": its run time in milliseconds (0: until it
- * is stopped); "done", "fail" or "once" (only the first run fails); and its CPU
- * use in thousandths of a core.
+ * A task's spec is "MS [HOW [CPU [MEMORY]]]": its run time in milliseconds (0:
+ * until it is stopped); "done", "fail" or "once" (only the first run fails);
+ * its CPU use in thousandths of a core; and its memory in MiB. Starts that
+ * don't fit are refused, unless --unguarded is given.
  *
  * SIGHUP ends this incarnation, with its connections, and starts another one
  * with the same name at the same address.
@@ -25,13 +26,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "testbed.h"
+
 #define HEARTBEAT_MS 300
 #define TICK_MS 10
 /* Delay after which an unanswered call may still be carried out. */
 #define LATE_MIN_MS 2000
 #define LATE_MAX_MS 12000
 #define ENDS_PER_REPLY 500 /* limit of the protocol */
-#define CAPACITY_MILLIS 8000
 #define HOLD_MAX_MS 10000
 
 struct standin {
@@ -43,6 +45,8 @@
 	char *agent;
 	char *address; /* own HTTP address, NULL before the first start */
 	char *zone;
+	char *label; /* its kind, the first of its labels */
+	gboolean unguarded; /* starts tasks that don't fit */
 	char **argv;
 	gint late_percent; /* of the calls: no answer, may run later */
 	gint reset_percent; /* of the starts, see reset_start() */
@@ -68,6 +72,7 @@
 	uint64_t run_ms; /* 0: until it is stopped */
 	bool fails;
 	uint32_t cpu_millis;
+	uint32_t memory_mib;
 	gint64 began_us;
 };
 
@@ -260,16 +265,21 @@
 
 /* ---- calls ---- */
 
-static uint32_t cpu_in_use(const struct standin *standin)
+/* Returns true if the run fits beside those that the worker has. */
+static bool run_fits(const struct standin *standin, const struct run *run)
 {
+	uint64_t cpu_millis = run->cpu_millis;
+	uint64_t memory_mib = run->memory_mib;
 	GHashTableIter iter;
-	uint32_t millis = 0;
 	void *value;
 
 	g_hash_table_iter_init(&iter, standin->runs);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		millis += ((struct run *)value)->cpu_millis;
-	return millis;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cpu_millis += ((struct run *)value)->cpu_millis;
+		memory_mib += ((struct run *)value)->memory_mib;
+	}
+	return cpu_millis <= TB_EXECUTOR_CPU_MILLIS &&
+	       memory_mib <= TB_EXECUTOR_MEMORY_MIB;
 }
 
 static struct run *run_new(const char *task, uint64_t nr, const char *spec)
@@ -287,6 +297,9 @@
 	if (nr_words > 2)
 		run->cpu_millis =
 			(uint32_t)g_ascii_strtoull(words[2], NULL, 10);
+	if (nr_words > 3)
+		run->memory_mib =
+			(uint32_t)g_ascii_strtoull(words[3], NULL, 10);
 	run->began_us = g_get_monotonic_time();
 	g_strfreev(words);
 	return run;
@@ -309,7 +322,7 @@
 	if (standin->lease_ms <= clock_ms(standin))
 		return "late";
 	run = run_new(task, nr, spec);
-	if (cpu_in_use(standin) + run->cpu_millis > CAPACITY_MILLIS) {
+	if (!standin->unguarded && !run_fits(standin, run)) {
 		run_free(run);
 		return "room";
 	}
@@ -587,11 +600,13 @@
 			"{\"service\":\"svc\",\"addr\":\"%s\","
 			"\"zone\":\"%s\",\"version\":\"v1\",\"slots\":8,"
 			"\"state\":\"ready\",\"warmupLeftMs\":0,\"capacity\":"
-			"{\"cpu\":8000,\"memMb\":16000,\"gpu\":0},"
-			"\"labels\":[\"a\",\"r1\"],\"machine\":\"m-%s\","
+			"{\"cpu\":%d,\"memMb\":%d,\"gpu\":0},"
+			"\"labels\":[\"%s\",\"r1\"],\"machine\":\"m-%s\","
 			"\"serverTimeMs\":%" PRIu64 ",\"born\":%" PRIu64
 			",\"seq\":%" PRIu64 "}",
-			standin->address, standin->zone, standin->name,
+			standin->address, standin->zone, TB_EXECUTOR_CPU_MILLIS,
+			TB_EXECUTOR_MEMORY_MIB,
+			standin->label ? standin->label : "a", standin->name,
 			clock_ms(standin), standin->born_ms, ++standin->seq));
 	return G_SOURCE_CONTINUE;
 }
@@ -657,6 +672,8 @@
 		{ "agent", 0, 0, G_OPTION_ARG_STRING, &standin.agent },
 		{ "journal", 0, 0, G_OPTION_ARG_STRING, &journal },
 		{ "zone", 0, 0, G_OPTION_ARG_STRING, &standin.zone },
+		{ "label", 0, 0, G_OPTION_ARG_STRING, &standin.label },
+		{ "unguarded", 0, 0, G_OPTION_ARG_NONE, &standin.unguarded },
 		{ "address", 0, 0, G_OPTION_ARG_STRING, &standin.address },
 		{ "port-file", 0, 0, G_OPTION_ARG_STRING, &port_file },
 		{ "late-percent", 0, 0, G_OPTION_ARG_INT,
--- a/tests/platform_testbed.c
+++ b/tests/platform_testbed.c
@@ -57,20 +57,42 @@
 	return tb;
 }
 
+/* The steps of each workflow. */
+static const struct task_step steps[] = {
+	{ .cpu_millis = 500, .memory_mib = 100, .max_per_worker = 2 },
+	{ .cpu_millis = 500, .memory_mib = 100, .max_per_worker = 1 },
+};
+
 static char *path_of(uint32_t nr)
 {
 	return g_strdup_printf("/q/%016x", nr);
 }
 
+static char *steps_text(uint32_t run_ms)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_printf(text, "{\"spec\":\"%u\",\"steps\":[", run_ms);
+	for (guint i = 0; i < G_N_ELEMENTS(steps); i++) {
+		g_string_append_printf(text,
+				       "%s{\"count\":4,\"cpu\":%u,\"memMb\":%u,"
+				       "\"maxPerServer\":%u,\"estimateMs\":%u",
+				       i ? "," : "", steps[i].cpu_millis,
+				       steps[i].memory_mib,
+				       steps[i].max_per_worker, run_ms);
+		if (i)
+			g_string_append_printf(text, ",\"after\":[%u]", i - 1);
+		g_string_append_c(text, '}');
+	}
+	g_string_append(text, "]}");
+	return g_string_free(text, FALSE);
+}
+
 guint platform_testbed_submit_once(struct testbed *tb, uint32_t nr,
 				   uint32_t run_ms)
 {
 	char *path = path_of(nr);
-	char *text = g_strdup_printf(
-		"{\"spec\":\"%u\",\"steps\":[{\"count\":4,\"cpu\":500,"
-		"\"memMb\":100,\"estimateMs\":%u},{\"count\":4,\"cpu\":500,"
-		"\"memMb\":100,\"estimateMs\":%u,\"after\":[0]}]}",
-		run_ms, run_ms, run_ms);
+	char *text = steps_text(run_ms);
 	struct tb_proc *entry = testbed_entry(tb, 0);
 	guint status = 0;
 
@@ -120,11 +142,41 @@
 	ck_abort_msg("%s: %s", violation, event->line);
 }
 
+static const char *label_of(const char *worker)
+{
+	return NULL;
+}
+
+/* Returns the steps of all workflows that have started. */
+static GHashTable *started_steps(const struct task_journal *journal)
+{
+	GHashTable *table = g_hash_table_new_full(
+		g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_array_unref);
+
+	for (guint i = 0; i < journal->events->len; i++) {
+		const char *task =
+			g_array_index(journal->events, struct task_event, i)
+				.task;
+		char *id = g_strndup(task, strcspn(task, "."));
+		GArray *copy = g_array_new(FALSE, FALSE, sizeof(steps[0]));
+
+		g_array_append_vals(copy, steps, G_N_ELEMENTS(steps));
+		g_hash_table_replace(table, id, copy);
+	}
+	return table;
+}
+
 uint32_t platform_testbed_check(struct testbed *tb)
 {
 	struct task_journal *journal = task_journal_new(testbed_lines(tb));
+	struct task_site site = { .steps = started_steps(journal),
+				  .cpu_millis = TB_EXECUTOR_CPU_MILLIS,
+				  .memory_mib = TB_EXECUTOR_MEMORY_MIB,
+				  .label_of = label_of };
 	uint32_t nr_done = task_journal_check(journal, report_violation, NULL);
 
+	task_journal_check_workers(journal, &site, report_violation, NULL);
+	g_hash_table_unref(site.steps);
 	task_journal_free(journal);
 	return nr_done;
 }
--- a/tests/platform_testbed.h
+++ b/tests/platform_testbed.h
@@ -30,7 +30,8 @@
 /** Sends the configuration as @a version until a replica acknowledges it. */
 void platform_testbed_config(struct testbed *tb, uint32_t version);
 /**
- * Submits workflow @a nr, which has two steps of four tasks; each task takes
+ * Submits workflow @a nr, which has two steps of four tasks; a worker may run
+ * two of the first step and one of the second at a time. Each task takes
  * @a run_ms, 0: it runs until cancelled. Returns the HTTP status, 0 if there
  * was no answer.
  */
@@ -43,8 +44,9 @@
 			   uint32_t limit_ms);
 /**
  * Checks the workers' journals: no task may run twice at a time, nor again
- * after an end that was acknowledged. Returns the number of tasks that ended as
- * done.
+ * after an end that was acknowledged, and no worker may run more tasks of a
+ * step than it allows, nor more than its capacity. Returns the number of tasks
+ * that ended as done.
  */
 uint32_t platform_testbed_check(struct testbed *tb);
 
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -137,6 +137,13 @@
 
 void soak_site_start(struct soak *soak, const char *program);
 void soak_site_free(struct soak *soak);
+/**
+ * Returns true if workers refuse tasks that don't fit, as the configuration
+ * says; otherwise they start them. It depends on the seed.
+ */
+bool soak_site_is_guarded(const struct soak *soak);
+/** Returns the label of a worker "i-NR"; each label has half of them. */
+const char *soak_worker_label(const char *worker);
 /** Returns the i-th process of the role, NULL past the last one. */
 struct soak_proc *soak_proc_at(const struct soak *soak, enum soak_role role,
 			       uint32_t i);
@@ -179,10 +186,14 @@
 	uint32_t nr_steps;
 	uint32_t nr_tasks; /* in each step */
 	uint32_t cpu_millis;
+	uint32_t memory_mib;
 	uint32_t run_ms; /* 0: runs until cancelled */
-	const char *how; /* "done", "fail" or "once", see executor_standin.c */
+	/* "fail" or "once", see executor_standin.c; NULL: "done" */
+	const char *how;
 	bool fills; /* its tasks are fillers: they use idle processors */
 	uint32_t target_ms; /* tail latency of its serving tasks, 0: none */
+	uint32_t max_per_worker; /* tasks of a step, 0: no limit */
+	const char *label; /* that its workers must have, NULL: none */
 	uint32_t weight; /* relative probability that a client submits it */
 };
 
--- a/tests/soak_clients.c
+++ b/tests/soak_clients.c
@@ -23,15 +23,96 @@
 /* Refusals that come later than this after a fault are counted. */
 #define STABLE_MIN_MS 5000
 
+/*
+ * Together these use most of the site's processors and memory at times, so that
+ * tasks wait for room.
+ */
 static const struct soak_flow_kind kinds[] = {
-	{ "quick", 2, 6, 500, 300, "done", false, 0, 40 },
-	{ "wide", 2, 8, 1000, 700, "done", false, 0, 16 },
-	{ "once", 1, 4, 500, 300, "once", false, 0, 10 },
-	{ "failing", 1, 3, 300, 200, "fail", false, 0, 6 },
-	{ "lasting", 1, 4, 300, 0, "done", false, 200, 3 },
-	{ "filler", 1, 4, 500, 500, "done", true, 0, 8 },
+	{ .name = "quick",
+	  .nr_steps = 2,
+	  .nr_tasks = 6,
+	  .cpu_millis = 500,
+	  .memory_mib = 10,
+	  .run_ms = 300,
+	  .weight = 30 },
+	{ .name = "wide",
+	  .nr_steps = 2,
+	  .nr_tasks = 8,
+	  .cpu_millis = 1000,
+	  .memory_mib = 10,
+	  .run_ms = 700,
+	  .weight = 12 },
+	{ .name = "apart",
+	  .nr_steps = 2,
+	  .nr_tasks = 5,
+	  .cpu_millis = 500,
+	  .memory_mib = 10,
+	  .run_ms = 400,
+	  .max_per_worker = 1,
+	  .weight = 14 },
+	{ .name = "large",
+	  .nr_steps = 1,
+	  .nr_tasks = 3,
+	  .cpu_millis = 3000,
+	  .memory_mib = 10,
+	  .run_ms = 600,
+	  .weight = 5 },
+	{ .name = "memory",
+	  .nr_steps = 1,
+	  .nr_tasks = 4,
+	  .cpu_millis = 300,
+	  .memory_mib = 6000,
+	  .run_ms = 500,
+	  .weight = 5 },
+	{ .name = "labelled",
+	  .nr_steps = 1,
+	  .nr_tasks = 3,
+	  .cpu_millis = 500,
+	  .memory_mib = 10,
+	  .run_ms = 400,
+	  .max_per_worker = 1,
+	  .label = "b",
+	  .weight = 5 },
+	{ .name = "once",
+	  .nr_steps = 1,
+	  .nr_tasks = 4,
+	  .cpu_millis = 500,
+	  .memory_mib = 10,
+	  .run_ms = 300,
+	  .how = "once",
+	  .weight = 10 },
+	{ .name = "failing",
+	  .nr_steps = 1,
+	  .nr_tasks = 3,
+	  .cpu_millis = 300,
+	  .memory_mib = 10,
+	  .run_ms = 200,
+	  .how = "fail",
+	  .weight = 6 },
+	{ .name = "lasting",
+	  .nr_steps = 1,
+	  .nr_tasks = 4,
+	  .cpu_millis = 300,
+	  .memory_mib = 10,
+	  .target_ms = 200,
+	  .max_per_worker = 2,
+	  .weight = 3 },
+	{ .name = "filler",
+	  .nr_steps = 1,
+	  .nr_tasks = 4,
+	  .cpu_millis = 500,
+	  .memory_mib = 10,
+	  .run_ms = 500,
+	  .fills = true,
+	  .weight = 8 },
 	/* A worker has more ended runs than one reply lists. */
-	{ "many", 1, 2400, 2, 1500, "done", false, 0, 1 },
+	{ .name = "many",
+	  .nr_steps = 1,
+	  .nr_tasks = 2400,
+	  .cpu_millis = 2,
+	  .memory_mib = 1,
+	  .run_ms = 1500,
+	  .weight = 1 },
 };
 
 /* Timeouts of the clients; the sites' clients wait for 3 s. */
@@ -88,18 +169,24 @@
 	const struct soak_flow_kind *kind = flow->kind;
 	GString *text = g_string_new(NULL);
 
-	g_string_printf(text, "{\"spec\":\"%u %s %u\",\"steps\":[",
-			kind->run_ms, kind->how,
-			kind->fills ? 0 : kind->cpu_millis);
+	g_string_printf(text, "{\"spec\":\"%u %s %u %u\",\"steps\":[",
+			kind->run_ms, kind->how ? kind->how : "done",
+			kind->fills ? 0 : kind->cpu_millis, kind->memory_mib);
 	for (uint32_t i = 0; i < kind->nr_steps; i++) {
 		g_string_append_printf(
 			text,
-			"%s{\"count\":%u,\"cpu\":%u,\"memMb\":10,"
+			"%s{\"count\":%u,\"cpu\":%u,\"memMb\":%u,"
 			"\"estimateMs\":%u",
 			i ? "," : "", kind->nr_tasks, kind->cpu_millis,
-			kind->run_ms ? kind->run_ms : 1000);
+			kind->memory_mib, kind->run_ms ? kind->run_ms : 1000);
 		if (i)
 			g_string_append_printf(text, ",\"after\":[%u]", i - 1);
+		if (kind->max_per_worker)
+			g_string_append_printf(text, ",\"maxPerServer\":%u",
+					       kind->max_per_worker);
+		if (kind->label)
+			g_string_append_printf(
+				text, ",\"requiredLabel\":\"%s\"", kind->label);
 		if (!kind->run_ms)
 			g_string_append_printf(text,
 					       ",\"longRunning\":true,"
@@ -294,9 +381,9 @@
 	if (!strcmp(state, "cancelled"))
 		return flow->cancel_sent_ms;
 	if (!strcmp(state, "failed"))
-		return !strcmp(flow->kind->how, "fail");
+		return !g_strcmp0(flow->kind->how, "fail");
 	if (!strcmp(state, "completed"))
-		return flow->kind->run_ms && strcmp(flow->kind->how, "fail");
+		return flow->kind->run_ms && g_strcmp0(flow->kind->how, "fail");
 	return true;
 }
 
--- a/tests/soak_journal.c
+++ b/tests/soak_journal.c
@@ -233,16 +233,49 @@
 	return flow && *step < flow->kind->nr_steps ? flow : NULL;
 }
 
+/* Returns the steps of all submissions, see struct task_site. */
+static GHashTable *submitted_steps(const struct soak *soak)
+{
+	GHashTable *table = g_hash_table_new_full(
+		g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_array_unref);
+	GPtrArray *flows = soak_flows(soak);
+
+	for (guint i = 0; i < flows->len; i++) {
+		struct soak_flow *flow = flows->pdata[i];
+		const struct soak_flow_kind *kind = flow->kind;
+		struct task_step step = {
+			.cpu_millis = kind->cpu_millis,
+			.memory_mib = kind->memory_mib,
+			.fills = kind->fills,
+			.max_per_worker = kind->max_per_worker,
+			.label = kind->label,
+		};
+		GArray *steps = g_array_new(FALSE, FALSE, sizeof(step));
+
+		for (uint32_t j = 0; j < kind->nr_steps; j++)
+			g_array_append_val(steps, step);
+		g_hash_table_insert(table, flow->id, steps);
+	}
+	return table;
+}
+
 void soak_journal_check(struct soak *soak)
 {
 	struct task_journal *journal =
 		task_journal_new(testbed_lines(soak->tb));
+	struct task_site site = {
+		.steps = submitted_steps(soak),
+		.cpu_millis = TB_EXECUTOR_CPU_MILLIS,
+		.memory_mib = TB_EXECUTOR_MEMORY_MIB,
+		.label_of = soak_worker_label,
+	};
 	struct view view = { .soak = soak };
 
 	view.tasks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					   task_view_free);
 	view.flows = g_hash_table_new_full(NULL, NULL, NULL, flow_view_free);
 	task_journal_check(journal, report_event, soak);
+	task_journal_check_workers(journal, &site, report_event, soak);
 	for (guint i = 0; i < journal->events->len; i++) {
 		const struct task_event *event =
 			&g_array_index(journal->events, struct task_event, i);
@@ -259,6 +292,7 @@
 	check_flows(&view);
 	g_hash_table_unref(view.tasks);
 	g_hash_table_unref(view.flows);
+	g_hash_table_unref(site.steps);
 	task_journal_free(journal);
 }
 
--- a/tests/soak_operator.c
+++ b/tests/soak_operator.c
@@ -177,15 +177,23 @@
 		prefix, prefix, timeout_ms, service, SOAK_ATTEMPTS);
 }
 
+/* The argument is the service's enforcesCapacity. */
 static const char config_tail[] =
 	"],\"services\":[{\"name\":\"svc\",\"healthPath\":\"/health\","
 	"\"maxConns\":64,\"protocol\":\"h1\",\"tls\":false,"
-	"\"coldStartS\":0.0,\"warmupPerS\":0.0,\"enforcesCapacity\":true,"
+	"\"coldStartS\":0.0,\"warmupPerS\":0.0,\"enforcesCapacity\":%s,"
 	"\"standby\":false}],\"limits\":{\"maxHeaderBytes\":16384,"
 	"\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
 	"\"idleTimeoutMs\":15000}}";
 
-static char *config_text(uint64_t nr, uint32_t timeout_ms)
+static void append_tail(GString *text, const struct soak *soak)
+{
+	g_string_append_printf(text, config_tail,
+			       soak_site_is_guarded(soak) ? "true" : "false");
+}
+
+static char *config_text(const struct soak *soak, uint64_t nr,
+			 uint32_t timeout_ms)
 {
 	GString *text = g_string_new(NULL);
 
@@ -201,12 +209,12 @@
 		g_string_append_c(text, ',');
 		append_route(text, prefix, "svc", 3000);
 	}
-	g_string_append(text, config_tail);
+	append_tail(text, soak);
 	return g_string_free(text, FALSE);
 }
 
 /* Returns a configuration of one of the four kinds that control must reject. */
-static char *invalid_text(uint64_t nr, uint32_t kind)
+static char *invalid_text(const struct soak *soak, uint64_t nr, uint32_t kind)
 {
 	GString *text = g_string_new(NULL);
 
@@ -218,7 +226,7 @@
 		g_string_append_c(text, ',');
 		append_route(text, "q", "svc", 2000);
 	}
-	g_string_append(text, config_tail);
+	append_tail(text, soak);
 	if (kind == 3)
 		g_string_truncate(text, text->len / 2);
 	return g_string_free(text, FALSE);
@@ -429,7 +437,8 @@
 	if (!again)
 		all->last_nr += (uint64_t)g_rand_int_range(issuer->random, 1,
 							   VERSION_STEP_MAX);
-	text = config_text(again ? again->nr : all->last_nr, timeout_ms);
+	text = config_text(issuer->soak, again ? again->nr : all->last_nr,
+			   timeout_ms);
 	order = order_new(issuer, ORDER_CONFIG, g_strdup("/Config.Replace"),
 			  text);
 	if (!again)
@@ -440,8 +449,9 @@
 {
 	struct soak_operators *all = issuer->soak->operators;
 	uint64_t nr = all->last_nr + INVALID_STEP + all->nr_invalid++;
-	char *text = invalid_text(nr, (uint32_t)g_rand_int_range(issuer->random,
-								 0, 4));
+	char *text =
+		invalid_text(issuer->soak, nr,
+			     (uint32_t)g_rand_int_range(issuer->random, 0, 4));
 
 	version_new(all, nr, text, true);
 	order_new(issuer, ORDER_INVALID, g_strdup("/Config.Replace"), text);
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -4,6 +4,8 @@
  */
 
 #include <signal.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "soak.h"
 
@@ -33,6 +35,16 @@
 	g_free(proc);
 }
 
+bool soak_site_is_guarded(const struct soak *soak)
+{
+	return soak->seed % 2 == 0;
+}
+
+const char *soak_worker_label(const char *worker)
+{
+	return atoi(worker + strlen("i-")) % 2 ? "a" : "b";
+}
+
 void soak_site_start(struct soak *soak, const char *program)
 {
 	const struct soak_shape *shape = soak->shape;
@@ -43,6 +55,7 @@
 				     .grace_s = SOAK_GRACE_S,
 				     .seed = soak->seed };
 	struct tb_executor_opts executor = {
+		.unguarded = !soak_site_is_guarded(soak),
 		.late_percent = shape->late_percent,
 		.malformed_percent = 10,
 	};
@@ -60,12 +73,15 @@
 			 testbed_add_entry(soak->tb,
 					   zones[i % G_N_ELEMENTS(zones)]));
 	for (uint32_t i = 0; i < shape->nr_workers; i++) {
+		char *worker = g_strdup_printf("i-%u", i + 1);
 		struct soak_proc *proc;
 
+		executor.label = soak_worker_label(worker);
 		executor.zone = zones[i % G_N_ELEMENTS(zones)];
 		proc = proc_add(soak, SOAK_AGENT,
 				testbed_add_executor(soak->tb, &executor));
 		proc->zone = executor.zone;
+		g_free(worker);
 	}
 	for (uint32_t i = 0; i < shape->nr_workers; i++)
 		proc_add(soak, SOAK_WORKER, testbed_standin(soak->tb, i));
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -605,6 +605,9 @@
 	proc_arg(standin, "--journal", journal);
 	proc_arg(standin, "--port-file", standin->port_file);
 	proc_arg(standin, "--zone", zone);
+	proc_arg(standin, "--label", opts->label ? opts->label : "a");
+	if (opts->unguarded)
+		g_ptr_array_add(standin->argv, g_strdup("--unguarded"));
 	proc_arg_number(standin, "--late-percent", opts->late_percent);
 	proc_arg_number(standin, "--reset-percent", opts->reset_percent);
 	proc_arg_number(standin, "--malformed-percent",
--- a/tests/testbed.h
+++ b/tests/testbed.h
@@ -55,8 +55,14 @@
 struct tb_proc *testbed_add_vm(struct testbed *tb,
 			       const struct tb_vm_opts *opts);
 
+/* Capacity of the worker of testbed_add_executor(). */
+#define TB_EXECUTOR_CPU_MILLIS 8000
+#define TB_EXECUTOR_MEMORY_MIB 16000
+
 struct tb_executor_opts {
 	const char *zone; /* NULL: veraval */
+	const char *label; /* of the worker, NULL: a */
+	bool unguarded; /* the worker starts tasks that don't fit */
 	uint32_t late_percent; /* of the calls: no answer, may run later */
 	/*
 	 * Of the starts: the connection is reset, the call may be carried out,
