Reset connections to workers that refuse calls in the soak

The soak reset no such connection; platform-resent_starts has resets of starts only.

A new fault makes all workers unhealthy for 1 to 5 s: they refuse half of the calls, starts, stops and polls alike, and reset the connections of a quarter, which they may carry out at once or late.

--- a/tests/executor_standin.c
+++ b/tests/executor_standin.c
@@ -10,6 +10,9 @@
  * its CPU use in thousandths of a core; and its memory in MiB. Starts that
  * don't fit are refused, unless --unguarded is given.
  *
+ * After SIGUSR1 it is unhealthy for some seconds: it refuses half of the calls,
+ * and connections of others are reset, which makes the agent send them again.
+ *
  * SIGHUP ends this incarnation, with its connections, and starts another one
  * with the same name at the same address.
  */
@@ -33,6 +36,10 @@
 /* Delay after which an unanswered call may still be carried out. */
 #define LATE_MIN_MS 2000
 #define LATE_MAX_MS 12000
+#define UNHEALTHY_MIN_MS 1000
+#define UNHEALTHY_MAX_MS 5000
+#define UNHEALTHY_REFUSED_PERCENT 50
+#define UNHEALTHY_RESET_PERCENT 25
 #define ENDS_PER_REPLY 500 /* limit of the protocol */
 #define HOLD_MAX_MS 10000
 
@@ -53,6 +60,7 @@
 	gint malformed_percent; /* of the heartbeats, sent in addition */
 	gint odd_percent; /* of the rows of lists: invalid */
 	GRand *random;
+	gint64 unhealthy_until_us;
 	uint64_t born_ms; /* real time of the start: its incarnation */
 	gint64 born_us; /* the start in monotonic time */
 	uint64_t seq; /* of the last heartbeat */
@@ -470,6 +478,30 @@
 	return true;
 }
 
+/*
+ * Refuses calls and resets connections of an unhealthy worker; a call on a
+ * connection that is reset may be executed. Returns false if the call is to be
+ * handled as usual.
+ */
+static bool disturb_call(struct standin *standin, SoupServerMessage *msg,
+			 const char *path, JsonObject *call)
+{
+	gint draw;
+
+	if (g_get_monotonic_time() >= standin->unhealthy_until_us)
+		return false;
+	draw = g_rand_int_range(standin->random, 0, 100);
+	if (draw < UNHEALTHY_REFUSED_PERCENT) {
+		send_answer(msg, 503, g_strdup("{}"));
+		return true;
+	}
+	if (draw >= UNHEALTHY_REFUSED_PERCENT + UNHEALTHY_RESET_PERCENT)
+		return false;
+	execute_unanswered(standin, msg, path, call);
+	reset_connection(msg);
+	return true;
+}
+
 static void hold_answer(struct standin *standin, SoupServerMessage *msg)
 {
 	send_answer(msg, 200, lists_text(standin));
@@ -513,7 +545,8 @@
 		execute_unanswered(standin, msg, path, call);
 		goto out;
 	}
-	if (reset_start(standin, msg, path, call))
+	if (disturb_call(standin, msg, path, call) ||
+	    reset_start(standin, msg, path, call))
 		goto out;
 	reason = order_execute(standin, path, call, false);
 	if (!reason && !strcmp(path, "/hold"))
@@ -633,11 +666,24 @@
 	g_ptr_array_add(argv, NULL);
 	/* Ignores further signals until the new incarnation has its handler. */
 	signal(SIGHUP, SIG_IGN);
+	signal(SIGUSR1, SIG_IGN);
 	execv("/proc/self/exe", (char **)argv->pdata);
 	g_error("can't start another incarnation");
 	return G_SOURCE_REMOVE;
 }
 
+static gboolean on_unhealthy(gpointer data)
+{
+	struct standin *standin = data;
+
+	standin->unhealthy_until_us =
+		g_get_monotonic_time() + g_rand_int_range(standin->random,
+							  UNHEALTHY_MIN_MS,
+							  UNHEALTHY_MAX_MS) *
+						 INT64_C(1000);
+	return G_SOURCE_CONTINUE;
+}
+
 static bool serve(struct standin *standin, const char *port_file)
 {
 	const char *colon = standin->address ? strchr(standin->address, ':') :
@@ -710,6 +756,7 @@
 		return 1;
 	standin.loop = g_main_loop_new(NULL, FALSE);
 	g_unix_signal_add(SIGHUP, on_restart, &standin);
+	g_unix_signal_add(SIGUSR1, on_unhealthy, &standin);
 	g_timeout_add(TICK_MS, on_tick, &standin);
 	/* After a restart, calls arrive before the first heartbeat is sent. */
 	g_timeout_add((guint)g_random_int_range(1, HEARTBEAT_MS),
--- a/tests/soak_faults.c
+++ b/tests/soak_faults.c
@@ -400,6 +400,19 @@
 	tb_proc_signal(proc->handle, SIGHUP);
 }
 
+/*
+ * The workers of all VMs refuse calls while connections to them are reset, so
+ * that a call is sent again and its copy refused (issue 26).
+ */
+static void fault_workers_unhealthy(struct soak_faults *faults,
+				    struct soak_proc *proc)
+{
+	for (uint32_t i = 0; i < soak_nr_procs(faults->soak, proc->role); i++)
+		tb_proc_signal(
+			soak_proc_at(faults->soak, proc->role, i)->handle,
+			SIGUSR1);
+}
+
 static const struct fault_kind kinds[] = {
 	{ "kill", FAMILY_CORE, SOAK_CONTROL, 4, fault_kill },
 	{ "pause", FAMILY_CORE, SOAK_CONTROL, 3, fault_pause },
@@ -422,6 +435,7 @@
 	{ "roll", FAMILY_AGENT, SOAK_AGENT, 1, fault_rolling_restart },
 	{ "reload", FAMILY_AGENT, SOAK_AGENT, 1, fault_reload },
 	{ "reborn", FAMILY_AGENT, SOAK_WORKER, 4, fault_worker_restart },
+	{ "unhealthy", FAMILY_AGENT, SOAK_WORKER, 2, fault_workers_unhealthy },
 };
 
 static const struct fault_kind *draw_kind(struct soak_faults *faults)
