Move the soak's kinds of submissions to a file of their own

What is submitted now stands apart from the clients that submit it; no function changes but in name.

--- a/tests/soak.h
+++ b/tests/soak.h
@@ -179,7 +179,7 @@
 uint32_t soak_faults_stable_ms(const struct soak *soak);
 void soak_faults_free(struct soak *soak);
 
-/* ---- soak_clients.c ---- */
+/* ---- soak_flow.c ---- */
 
 struct soak_flow_kind {
 	const char *name;
@@ -216,6 +216,13 @@
 	int64_t final_us; /* time of that answer */
 };
 
+/** Returns a kind of submission, by its weight. */
+const struct soak_flow_kind *soak_flow_draw_kind(GRand *random);
+/** Returns the document of a submission, to be freed. */
+char *soak_flow_text(const struct soak_flow *flow);
+
+/* ---- soak_clients.c ---- */
+
 void soak_clients_start(struct soak *soak);
 /** Makes clients finish their open calls and retries and begin no new ones. */
 void soak_clients_stop(struct soak *soak);
