--- a/tests/test_task_journal.c
+++ b/tests/test_task_journal.c
@@ -82,18 +82,18 @@
 }
 END_TEST
 
-/* Steps of the workflows "limited", "large" and "labelled". */
-static const struct task_step limited_steps[] = {
+/* Steps of the workflows "few", "big" and "b". */
+static const struct task_step few_steps[] = {
 	{ 1000, 100, false, 1, NULL },
 	{ 1000, 100, false, 2, NULL },
 	{ 1000, 100, false, 0, NULL },
 };
-static const struct task_step large_steps[] = {
+static const struct task_step big_steps[] = {
 	{ 4000, 100, false, 0, NULL },
 	{ 500, 8000, false, 0, NULL },
 	{ 4000, 8000, true, 0, NULL },
 };
-static const struct task_step labelled_steps[] = {
+static const struct task_step b_steps[] = {
 	{ 1000, 100, false, 0, "b" },
 };
 
@@ -120,11 +120,9 @@
 
 	site.steps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   (GDestroyNotify)g_array_unref);
-	add_steps(site.steps, "limited", limited_steps,
-		  G_N_ELEMENTS(limited_steps));
-	add_steps(site.steps, "large", large_steps, G_N_ELEMENTS(large_steps));
-	add_steps(site.steps, "labelled", labelled_steps,
-		  G_N_ELEMENTS(labelled_steps));
+	add_steps(site.steps, "few", few_steps, G_N_ELEMENTS(few_steps));
+	add_steps(site.steps, "big", big_steps, G_N_ELEMENTS(big_steps));
+	add_steps(site.steps, "b", b_steps, G_N_ELEMENTS(b_steps));
 	for (size_t i = 0; i < nr; i++) {
 		struct task_journal *journal = case_journal(&cases[i]);
 		uint32_t nr_violations = 0;
@@ -146,55 +144,49 @@
 {
 	static const struct journal_case cases[] = {
 		{ "two at a time",
-		  { "t=1 worker=i event=start task=limited.0.0.0 run=1 born=5",
-		    "t=2 worker=i event=start task=limited.0.0.1 run=1 born=5" },
+		  { "t=1 worker=i event=start task=few.0.0.0 run=1 born=5",
+		    "t=2 worker=i event=start task=few.0.0.1 run=1 born=5" },
 		  1 },
 		{ "a late start",
-		  { "t=1 worker=i event=start task=limited.0.0.0 run=2 born=5",
-		    "t=2 worker=i event=late-start task=limited.0.0.1 run=1 "
-		    "born=5" },
+		  { "t=1 worker=i event=start task=few.0.0.0 run=2 born=5",
+		    "t=2 worker=i event=late-start task=few.0.0.1 run=1 born=5" },
 		  1 },
 		{ "beside a late start",
-		  { "t=1 worker=i event=late-start task=limited.0.0.1 run=1 "
-		    "born=5",
-		    "t=2 worker=i event=start task=limited.0.0.0 run=2 "
+		  { "t=1 worker=i event=late-start task=few.0.0.1 run=1 born=5",
+		    "t=2 worker=i event=start task=few.0.0.0 run=2 "
 		    "born=5" },
 		  1 },
 		{ "before the end of the first",
-		  { "t=1 worker=i event=start task=limited.0.0.0 run=1 born=5",
-		    "t=2 worker=i event=start task=limited.0.0.1 run=1 born=5",
-		    "t=3 worker=i event=end task=limited.0.0.0 run=1 born=5" },
+		  { "t=1 worker=i event=start task=few.0.0.0 run=1 born=5",
+		    "t=2 worker=i event=start task=few.0.0.1 run=1 born=5",
+		    "t=3 worker=i event=end task=few.0.0.0 run=1 born=5" },
 		  1 },
 		{ "one after the other",
-		  { "t=1 worker=i event=start task=limited.0.0.0 run=1 born=5",
-		    "t=2 worker=i event=end task=limited.0.0.0 run=1 born=5",
-		    "t=3 worker=i event=start task=limited.0.0.1 run=1 born=5",
-		    "t=4 worker=i event=failed task=limited.0.0.1 run=1 born=5",
-		    "t=5 worker=i event=start task=limited.0.0.2 run=1 born=5",
-		    "t=6 worker=i event=done task=limited.0.0.2 run=1 born=5",
-		    "t=7 worker=i event=start task=limited.0.0.3 run=1 "
-		    "born=5" },
+		  { "t=1 worker=i event=start task=few.0.0.0 run=1 born=5",
+		    "t=2 worker=i event=end task=few.0.0.0 run=1 born=5",
+		    "t=3 worker=i event=start task=few.0.0.1 run=1 born=5",
+		    "t=4 worker=i event=failed task=few.0.0.1 run=1 born=5",
+		    "t=5 worker=i event=start task=few.0.0.2 run=1 born=5",
+		    "t=6 worker=i event=done task=few.0.0.2 run=1 born=5",
+		    "t=7 worker=i event=start task=few.0.0.3 run=1 born=5" },
 		  0 },
 		{ "other workers, incarnations, occurrences and steps",
-		  { "t=1 worker=i event=start task=limited.0.0.0 run=1 born=5",
-		    "t=2 worker=j event=start task=limited.0.0.1 run=1 born=5",
-		    "t=3 worker=i event=start task=limited.0.0.2 run=1 born=6",
-		    "t=4 worker=i event=start task=limited.1.0.0 run=1 born=5",
-		    "t=5 worker=i event=start task=limited.0.1.0 run=1 born=5",
-		    "t=6 worker=i event=start task=limited.0.1.1 run=1 "
-		    "born=5" },
+		  { "t=1 worker=i event=start task=few.0.0.0 run=1 born=5",
+		    "t=2 worker=j event=start task=few.0.0.1 run=1 born=5",
+		    "t=3 worker=i event=start task=few.0.0.2 run=1 born=6",
+		    "t=4 worker=i event=start task=few.1.0.0 run=1 born=5",
+		    "t=5 worker=i event=start task=few.0.1.0 run=1 born=5",
+		    "t=6 worker=i event=start task=few.0.1.1 run=1 born=5" },
 		  0 },
 		{ "three of two",
-		  { "t=1 worker=i event=start task=limited.0.1.0 run=1 born=5",
-		    "t=2 worker=i event=start task=limited.0.1.1 run=1 born=5",
-		    "t=3 worker=i event=start task=limited.0.1.2 run=1 "
-		    "born=5" },
+		  { "t=1 worker=i event=start task=few.0.1.0 run=1 born=5",
+		    "t=2 worker=i event=start task=few.0.1.1 run=1 born=5",
+		    "t=3 worker=i event=start task=few.0.1.2 run=1 born=5" },
 		  1 },
 		{ "no limit",
-		  { "t=1 worker=i event=start task=limited.0.2.0 run=1 born=5",
-		    "t=2 worker=i event=start task=limited.0.2.1 run=1 born=5",
-		    "t=3 worker=i event=start task=limited.0.2.2 run=1 "
-		    "born=5" },
+		  { "t=1 worker=i event=start task=few.0.2.0 run=1 born=5",
+		    "t=2 worker=i event=start task=few.0.2.1 run=1 born=5",
+		    "t=3 worker=i event=start task=few.0.2.2 run=1 born=5" },
 		  0 },
 	};
 
@@ -210,43 +202,40 @@
 {
 	static const struct journal_case cases[] = {
 		{ "processors",
-		  { "t=1 worker=i event=start task=large.0.0.0 run=1 born=5",
-		    "t=2 worker=i event=start task=large.0.0.1 run=1 born=5",
-		    "t=3 worker=i event=start task=limited.0.2.0 run=1 "
-		    "born=5" },
+		  { "t=1 worker=i event=start task=big.0.0.0 run=1 born=5",
+		    "t=2 worker=i event=start task=big.0.0.1 run=1 born=5",
+		    "t=3 worker=i event=start task=few.0.2.0 run=1 born=5" },
 		  1 },
 		{ "processors are used in full",
-		  { "t=1 worker=i event=start task=large.0.0.0 run=1 born=5",
-		    "t=2 worker=i event=start task=large.0.0.1 run=1 born=5" },
+		  { "t=1 worker=i event=start task=big.0.0.0 run=1 born=5",
+		    "t=2 worker=i event=start task=big.0.0.1 run=1 born=5" },
 		  0 },
 		{ "processors of a run that is being stopped",
-		  { "t=1 worker=i event=start task=large.0.0.0 run=1 born=5",
-		    "t=2 worker=i event=start task=large.0.0.1 run=1 born=5",
-		    "t=3 worker=i event=start task=large.0.0.2 run=1 born=5",
-		    "t=4 worker=i event=end task=large.0.0.0 run=1 born=5" },
+		  { "t=1 worker=i event=start task=big.0.0.0 run=1 born=5",
+		    "t=2 worker=i event=start task=big.0.0.1 run=1 born=5",
+		    "t=3 worker=i event=start task=big.0.0.2 run=1 born=5",
+		    "t=4 worker=i event=end task=big.0.0.0 run=1 born=5" },
 		  1 },
 		{ "memory",
-		  { "t=1 worker=i event=start task=large.0.1.0 run=1 born=5",
-		    "t=2 worker=i event=start task=large.0.1.1 run=1 born=5",
-		    "t=3 worker=i event=late-start task=limited.0.2.0 run=1 "
-		    "born=5" },
+		  { "t=1 worker=i event=start task=big.0.1.0 run=1 born=5",
+		    "t=2 worker=i event=start task=big.0.1.1 run=1 born=5",
+		    "t=3 worker=i event=late-start task=few.0.2.0 run=1 born=5" },
 		  1 },
 		{ "memory becomes free",
-		  { "t=1 worker=i event=start task=large.0.1.0 run=1 born=5",
-		    "t=2 worker=i event=start task=large.0.1.1 run=1 born=5",
-		    "t=3 worker=i event=done task=large.0.1.0 run=1 born=5",
-		    "t=4 worker=i event=start task=limited.0.2.0 run=1 "
-		    "born=5" },
+		  { "t=1 worker=i event=start task=big.0.1.0 run=1 born=5",
+		    "t=2 worker=i event=start task=big.0.1.1 run=1 born=5",
+		    "t=3 worker=i event=done task=big.0.1.0 run=1 born=5",
+		    "t=4 worker=i event=start task=few.0.2.0 run=1 born=5" },
 		  0 },
 		{ "processors of fillers",
-		  { "t=1 worker=i event=start task=large.0.2.0 run=1 born=5",
-		    "t=2 worker=i event=start task=large.0.0.0 run=1 born=5",
-		    "t=3 worker=i event=start task=large.0.0.1 run=1 born=5" },
+		  { "t=1 worker=i event=start task=big.0.2.0 run=1 born=5",
+		    "t=2 worker=i event=start task=big.0.0.0 run=1 born=5",
+		    "t=3 worker=i event=start task=big.0.0.1 run=1 born=5" },
 		  0 },
 		{ "memory of fillers",
-		  { "t=1 worker=i event=start task=large.0.2.0 run=1 born=5",
-		    "t=2 worker=i event=start task=large.0.2.1 run=1 born=5",
-		    "t=3 worker=i event=start task=large.0.2.2 run=1 born=5" },
+		  { "t=1 worker=i event=start task=big.0.2.0 run=1 born=5",
+		    "t=2 worker=i event=start task=big.0.2.1 run=1 born=5",
+		    "t=3 worker=i event=start task=big.0.2.2 run=1 born=5" },
 		  1 },
 	};
 
@@ -259,18 +248,15 @@
 {
 	static const struct journal_case cases[] = {
 		{ "without the label",
-		  { "t=1 worker=i event=start task=labelled.0.0.0 run=1 "
-		    "born=5" },
+		  { "t=1 worker=i event=start task=b.0.0.0 run=1 born=5" },
 		  1 },
 		{ "with the label",
-		  { "t=1 worker=j event=start task=labelled.0.0.0 run=1 born=5",
-		    "t=2 worker=j event=start task=limited.0.0.0 run=1 "
-		    "born=5" },
+		  { "t=1 worker=j event=start task=b.0.0.0 run=1 born=5",
+		    "t=2 worker=j event=start task=few.0.0.0 run=1 born=5" },
 		  0 },
 		{ "a workflow that wasn't submitted",
 		  { "t=1 worker=i event=start task=other.0.0.0 run=1 born=5",
-		    "t=2 worker=i event=start task=labelled.0.1.0 run=1 "
-		    "born=5" },
+		    "t=2 worker=i event=start task=b.0.1.0 run=1 born=5" },
 		  0 },
 	};
 
