--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -84,8 +84,7 @@
 	 */
 	uint64_t checked_end_nr;
 	GHashTable *runs; /* set of struct flow_placement * */
-	/* Task name -> struct flow_orphan *, by the agent's last report. */
-	GHashTable *orphans;
+	GArray *orphans; /* struct flow_orphan, by the agent's last report */
 	/*
 	 * resources reserved for runs whose placement is committed or proposed
 	 */
@@ -115,7 +114,9 @@
 
 /** A run at a worker, by its agent's report, that isn't placed there. */
 struct flow_orphan {
+	char task[NAME_BYTES];
 	uint32_t run;
+	uint64_t born_ms; /* start time of the worker's incarnation */
 	bool unconfirmed; /* it isn't certain that the worker has the run */
 	uint64_t since_us; /* when a report first showed it */
 };
@@ -132,6 +133,8 @@
 	bool ending; /* its end is proposed */
 	bool stopping; /* an order to stop it was sent */
 	bool listed; /* the worker runs it, by an agent's report */
+	/* A worker lists the end of an earlier run of the task as done. */
+	bool done_earlier;
 	uint64_t ordered_us; /* time of the last order, 0: none */
 	/* Incarnation of the agent that got the last order. */
 	uint64_t ordered_node;
@@ -272,11 +275,7 @@
 	GArray *changes; /* struct flow_change to be proposed */
 	/* Task name -> struct flow_vm * that it was moved from. */
 	GHashTable *left_vms;
-	/*
-	 * Task name -> struct flow_vm * whose last report listed a run of the
-	 * task that isn't placed there, for example because it was lost.
-	 */
-	GHashTable *orphans;
+	uint32_t nr_orphans; /* at all VMs */
 	/* VM name -> GArray of struct flow_order to be sent. */
 	GHashTable *orders;
 	/* when the oldest order in orders was queued */
@@ -357,8 +356,8 @@
 				  const struct flow_vm *vm);
 void control_flow_check(void *data, uint64_t now_us);
 /**
- * Returns true if a worker whose lease may hold still runs an earlier run of
- * the task, by the last report about it.
+ * Returns true if a worker whose lease may hold runs, or may still start, an
+ * earlier run of the task, by the last report about it.
  */
 bool control_flow_has_orphan(const struct control_flow *flows,
 			     const struct state_flow *flow, uint32_t task);
@@ -371,6 +370,14 @@
 struct flow_placement *control_flow_placed_run(const struct control_flow *flows,
 					       const struct flow_vm *vm,
 					       const struct flow_run *run);
+/**
+ * Returns true if the end completes the task of a placed run that no leader has
+ * ordered to start: an earlier run of the task, an orphan, has ended as done.
+ */
+bool control_flow_end_is_earlier(const struct flow_placement *placed,
+				 const struct flow_run_end *end);
+/** Returns true if the VM has an orphan of the task. */
+bool control_flow_vm_has_orphan(const struct flow_vm *vm, const char *task);
 /** Adds the VM's orphans to the load; @a demand has the stage to count. */
 void control_flow_add_orphans(const struct flow_vm *vm,
 			      const struct flow_demand *demand,
@@ -381,11 +388,21 @@
 /**
  * Returns true if the run must not be started yet: an earlier run of its task
  * may still run somewhere, or orphans of the VM use the room that was reserved
- * for it.
+ * for it. The tasks of a gang are barred together.
  */
 bool control_flow_start_is_barred(struct control_flow *flows,
 				  const struct flow_placement *placed);
-/** Replaces the VM's orphans by those in the report, and logs changes. */
+/**
+ * Makes a run an orphan whose end as lost is committed although its VM reports:
+ * the report may have come before the commit and have shown the run, which was
+ * placed then.
+ */
+void control_flow_orphan_lost_run(struct control_flow *flows,
+				  const struct flow_placement *placed);
+/**
+ * Replaces the VM's orphans by those in the report, and logs changes. Orphans
+ * of an agent that hasn't listed its worker's runs yet stay.
+ */
 void control_flow_update_orphans(struct control_flow *flows, struct flow_vm *vm,
 				 const struct flow_report *report);
 
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -22,6 +22,7 @@
 	for (guint i = 0; i < vm->ends->len; i++) {
 		const struct flow_run_end *end =
 			&g_array_index(vm->ends, struct flow_run_end, i);
+		const struct flow_placement *placed;
 		const struct flow_task *task;
 		struct state_flow *flow;
 		uint32_t nr;
@@ -31,7 +32,9 @@
 						      end->task, &flow, &nr))
 			continue;
 		task = &flow->record.tasks[nr];
-		if ((task->state == FLOW_TASK_PLACED && task->run == end->run &&
+		placed = control_flow_placement(flows, flow, nr);
+		if (control_flow_end_is_earlier(placed, end) ||
+		    (task->state == FLOW_TASK_PLACED && task->run == end->run &&
 		     !strcmp(task->vm, vm->name)) ||
 		    (end->end == FLOW_END_DONE &&
 		     state_flow_accepts_late_done(flow, nr, end->run,
@@ -96,11 +99,6 @@
 		vm->fence_nr++;
 }
 
-static gboolean flow_orphan_is_at(void *key, void *value, void *vm)
-{
-	return value == vm;
-}
-
 /*
  * Handles the runs in a report; returns the set of the struct flow_placement *
  * of runs that are committed to the VM.
@@ -112,17 +110,12 @@
 	GHashTable *listed = g_hash_table_new(NULL, NULL);
 	uint64_t now_us = flows->control->node->now_us;
 
-	g_hash_table_foreach_remove(flows->orphans, flow_orphan_is_at, vm);
 	for (uint32_t i = 0; i < report->nr_runs; i++) {
 		const struct flow_run *run = &report->runs[i];
 		struct flow_placement *placed =
 			control_flow_placed_run(flows, vm, run);
 
 		if (!placed) {
-			if (run->unconfirmed)
-				continue;
-			g_hash_table_replace(flows->orphans,
-					     g_strdup(run->task), vm);
 			control_flow_order_kill(flows, vm, run);
 			continue;
 		}
@@ -192,11 +185,16 @@
 
 		if (end->nr)
 			g_array_append_vals(vm->ends, end, 1);
-		if (placed && placed->run == end->run && placed->vm == vm)
+		if (placed && placed->run == end->run && placed->vm == vm) {
 			control_flow_propose_end(flows, placed, end->end,
 						 end->checkpoint);
-		else
+		} else if (control_flow_end_is_earlier(placed, end)) {
+			placed->done_earlier = true;
+			control_flow_propose_end(flows, placed, FLOW_END_DONE,
+						 end->checkpoint);
+		} else {
 			flow_accept_late_done(flows, vm, end);
+		}
 	}
 }
 
@@ -554,14 +552,23 @@
 bool control_flow_has_orphan(const struct control_flow *flows,
 			     const struct state_flow *flow, uint32_t task)
 {
-	const struct flow_vm *vm;
+	uint64_t now_us = flows->control->node->now_us;
 	char name[NAME_BYTES];
+	GHashTableIter iter;
+	void *value;
 
-	if (!g_hash_table_size(flows->orphans))
+	if (!flows->nr_orphans)
 		return false;
 	state_flow_task_name(flow, task, name);
-	vm = g_hash_table_lookup(flows->orphans, name);
-	return vm && flows->control->node->now_us <= flow_lapsed_us(flows, vm);
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct flow_vm *vm = value;
+
+		if (control_flow_vm_has_orphan(vm, name) &&
+		    now_us <= flow_lapsed_us(flows, vm))
+			return true;
+	}
+	return false;
 }
 
 /*
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -8,9 +8,8 @@
  * platform's workers: one lease by its own clock and of limited length, fencing
  * tokens, run numbers, and ends that stay listed until they are acknowledged.
  * At every start the simulation asserts that the task runs nowhere else and
- * isn't done, and that the worker may start it beside its runs
- * (flow_rules.h). At all times it asserts that no VM is overcommitted, unless
- * flow_world.overcommitted is set.
+ * isn't done, and that the worker may start it (flow_rules.h). At all times it
+ * asserts that no VM is overcommitted, unless flow_world.overcommitted is set.
  */
 
 #include "control_world.h"
@@ -26,6 +25,8 @@
 /* Of each VM. */
 #define FLOW_WORLD_VM_CPU_MILLIS 8000
 #define FLOW_WORLD_VM_MEMORY_MIB 16000
+/* Failed runs of a task that the queue allows. */
+#define FLOW_WORLD_ATTEMPTS 2
 /* Kind of all workers, a label; the other label is the zone's name. */
 #define FLOW_WORLD_KIND "a"
 
@@ -63,6 +64,13 @@
 	struct fw_worker worker;
 	/* Share of calls that get no answer and are carried out late. */
 	uint32_t lose_ppm;
+	/*
+	 * Share of calls that are sent twice: the connection of the first copy
+	 * fails, and that copy is carried out at once, late or never.
+	 */
+	uint32_t resend_ppm;
+	/* Share of starts that the worker refuses because it isn't healthy. */
+	uint32_t unhealthy_ppm;
 	/* In a late call, the lease counts from the call's arrival. */
 	bool late_lease;
 	/*
@@ -180,9 +188,10 @@
 bool fw_runs(const struct fw_vm *vm, const char *task);
 /**
  * Makes the worker run a task whatever it may start, as if by a call that was
- * sent long before.
+ * sent long before; the run has gone on for @a age_ms.
  */
-void fw_add_run(struct fw_vm *vm, const char *task, uint32_t run);
+void fw_add_run(struct fw_vm *vm, const char *task, uint32_t run,
+		uint32_t age_ms);
 /** Returns the number of runs at all workers. */
 uint32_t fw_running(const struct flow_world *fw);
 
