Let stops take time in the stand-in for the platform's worker

The stand-in ended a run in the call that stops it. A stopped run now ends after a random time of up to 900 ms.

--- a/tests/executor_standin.c
+++ b/tests/executor_standin.c
@@ -42,6 +42,7 @@
 #define UNHEALTHY_RESET_PERCENT 25
 #define ENDS_PER_REPLY 500 /* limit of the protocol */
 #define HOLD_MAX_MS 10000
+#define STOP_MAX_MS 900 /* until a run that is being stopped has ended */
 
 struct standin {
 	GMainLoop *loop;
@@ -82,6 +83,7 @@
 	uint32_t cpu_millis;
 	uint32_t memory_mib;
 	gint64 began_us;
+	gint64 stopped_us; /* when it ends as stopped, 0: it isn't stopped */
 };
 
 struct end {
@@ -346,8 +348,11 @@
 	struct run *run = g_hash_table_lookup(standin->runs, task);
 
 	bar_runs(standin, task, nr);
-	if (run && run->nr <= nr)
-		run_ended(standin, run, "stopped");
+	if (run && run->nr <= nr && !run->stopped_us)
+		run->stopped_us =
+			g_get_monotonic_time() +
+			g_rand_int_range(standin->random, 0, STOP_MAX_MS) *
+				INT64_C(1000);
 }
 
 static void settle(struct standin *standin, uint64_t nr)
@@ -574,6 +579,10 @@
 
 		if (lapsed)
 			run_ended(standin, run, "lapsed");
+		else if (run->stopped_us && now_us >= run->stopped_us)
+			run_ended(standin, run, "stopped");
+		else if (run->stopped_us)
+			continue;
 		else if (run->run_ms &&
 			 now_us - run->began_us >= (gint64)run->run_ms * 1000)
 			run_ended(standin, run, run->fails ? "failed" : "done");
