Show that a run of a later incarnation isn't cancelled

What callers saw: UNASKED, a task runs on after its submission was cancelled. Task .0.0.3 was placed as run 2 on vm-3 for the incarnation of i-3 and started by the next one, which had been born 0.35 s before the start; agents and leaders came and went after that. The last leader ordered the other three tasks to stop, and logged neither a stop nor an end of this one.

flow_report fails with it: "fw_running(fw) == 1".

--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -503,8 +503,48 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that runs on after its cancellation: its start was
+ * carried out by a later incarnation of the worker, which lists the run, and
+ * the leader neither stopped nor ended it (soak seed 821).
+ */
+START_TEST(test_run_of_later_incarnation_is_cancelled)
+{
+	struct flow_step step = { .count = 1,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .lasting = true };
+	struct flow_world *fw = flow_world_new(1);
+	struct fw_vm *vm = NULL;
+
+	fw->lasting = "cc";
+	flow_world_submit(fw, "cc", &step, 1);
+	flow_world_run_ms(fw, 2000);
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		if (fw_runs(&fw->vms[i], "cc.0.0.0"))
+			vm = &fw->vms[i];
+	ck_assert_ptr_nonnull(vm);
+	fw_freeze_agent(vm, true);
+	fw_crash_worker(vm);
+	fw_boot_worker(vm);
+	/* The late start brings the incarnation its first lease. */
+	vm->worker.lease_ms = 3000;
+	fw_add_run(vm, "cc.0.0.0", 1, 0);
+	fw_freeze_agent(vm, false);
+	flow_world_run_ms(fw, 2000);
+	ck_assert(fw_runs(vm, "cc.0.0.0"));
+	ck_assert_int_eq(
+		flow_world_call(fw, FLOW_CALL_CANCEL, "/q/cc", NULL).result,
+		RESULT_OK);
+	flow_world_run_ms(fw, 2000);
+	ck_assert_uint_eq(fw_running(fw), 0);
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
 	   test_two_orphans_of_task, test_restarted_agent_keeps_bar,
 	   test_ended_run_that_may_start_again, test_gang_starts_together,
-	   test_start_in_flight_at_end_of_incarnation)
+	   test_start_in_flight_at_end_of_incarnation,
+	   test_run_of_later_incarnation_is_cancelled)
