Stop runs that a later incarnation lists once they shouldn't run

Cause: a run that was placed on an earlier incarnation of a worker and that the agent lists on the present one was left alone: orders to stop it are for the present incarnation only, and runs of an earlier one were ended or stopped only if the agent doesn't list them.

The leader now orders the present incarnation to stop such a run if it shouldn't run any more, and repeats the order. Its end is accepted as before. Runs that should go on are left where they are.

Before: run_of_later_incarnation_is_cancelled of flow_report fails. After: it passes, as do flow, flow_freeze, flow_orphan, flow_held, flow_serving, flow_state, flow_random and logs.

--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -248,6 +248,25 @@
 	       flows->control->node->now_us <= until_us;
 }
 
+/*
+ * Orders the present incarnation of the worker to stop a run that was placed on
+ * an earlier one.
+ */
+static void flow_stop_earlier_incarnation(struct control_flow *flows,
+					  struct flow_placement *placed)
+{
+	uint64_t now_us = flows->control->node->now_us;
+	struct flow_run run = { .run = placed->run };
+
+	if (placed->stopping &&
+	    now_us - placed->ordered_us < FLOW_ORDER_REPEAT_MS * 1000ull)
+		return;
+	placed->stopping = true;
+	placed->ordered_us = now_us;
+	TEXT_SET(run.task, placed->name);
+	control_flow_order_kill(flows, placed->vm, &run);
+}
+
 /*
  * Ends a run of an earlier incarnation of the worker; the run ended with that
  * incarnation. If the present incarnation has the same identity, it may still
@@ -259,9 +278,7 @@
 {
 	const struct flow_task *task =
 		&placed->flow->record.tasks[placed->task];
-	struct flow_vm *vm = placed->vm;
-	uint64_t now_us = flows->control->node->now_us;
-	struct flow_run run = { .run = placed->run };
+	const struct flow_vm *vm = placed->vm;
 
 	if (flow_is_later_incarnation(flows, placed))
 		return;
@@ -269,14 +286,8 @@
 		control_flow_propose_end(flows, placed, FLOW_END_LOST, "");
 		return;
 	}
-	if (!vm->looked ||
-	    (placed->stopping &&
-	     now_us - placed->ordered_us < FLOW_ORDER_REPEAT_MS * 1000ull))
-		return;
-	placed->stopping = true;
-	placed->ordered_us = now_us;
-	TEXT_SET(run.task, placed->name);
-	control_flow_order_kill(flows, vm, &run);
+	if (vm->looked)
+		flow_stop_earlier_incarnation(flows, placed);
 }
 
 /*
@@ -299,6 +310,8 @@
 		    vm->worker.ended) {
 			if (!known)
 				flow_end_earlier_incarnation(flows, placed);
+			else if (placed->stopping || !flow_should_run(placed))
+				flow_stop_earlier_incarnation(flows, placed);
 			continue;
 		}
 		if (!known && vm->looked)
