--- a/tests/soak_clients.c
+++ b/tests/soak_clients.c
@@ -23,17 +23,6 @@
 /* Refusals that come later than this after a fault are counted. */
 #define STABLE_MIN_MS 5000
 
-static const struct soak_flow_kind kinds[] = {
-	{ "quick", 2, 6, 500, 300, "done", false, 0, 40 },
-	{ "wide", 2, 8, 1000, 700, "done", false, 0, 16 },
-	{ "once", 1, 4, 500, 300, "once", false, 0, 10 },
-	{ "failing", 1, 3, 300, 200, "fail", false, 0, 6 },
-	{ "lasting", 1, 4, 300, 0, "done", false, 200, 3 },
-	{ "filler", 1, 4, 500, 500, "done", true, 0, 8 },
-	/* A worker has more ended runs than one reply lists. */
-	{ "many", 1, 2400, 2, 1500, "done", false, 0, 1 },
-};
-
 /* Timeouts of the clients; the sites' clients wait for 3 s. */
 static const uint32_t client_timeouts_ms[] = { 3000, 3000, 3000, 1000, 10000 };
 
@@ -83,60 +72,11 @@
 
 /* ---- submissions ---- */
 
-static char *flow_text(const struct soak_flow *flow)
-{
-	const struct soak_flow_kind *kind = flow->kind;
-	GString *text = g_string_new(NULL);
-
-	g_string_printf(text, "{\"spec\":\"%u %s %u\",\"steps\":[",
-			kind->run_ms, kind->how,
-			kind->fills ? 0 : kind->cpu_millis);
-	for (uint32_t i = 0; i < kind->nr_steps; i++) {
-		g_string_append_printf(
-			text,
-			"%s{\"count\":%u,\"cpu\":%u,\"memMb\":10,"
-			"\"estimateMs\":%u",
-			i ? "," : "", kind->nr_tasks, kind->cpu_millis,
-			kind->run_ms ? kind->run_ms : 1000);
-		if (i)
-			g_string_append_printf(text, ",\"after\":[%u]", i - 1);
-		if (!kind->run_ms)
-			g_string_append_printf(text,
-					       ",\"longRunning\":true,"
-					       "\"image\":\"%s\","
-					       "\"targetMs\":%u",
-					       kind->name, kind->target_ms);
-		if (kind->fills)
-			g_string_append_printf(
-				text, ",\"fills\":true,\"image\":\"%s\"",
-				kind->name);
-		g_string_append_c(text, '}');
-	}
-	g_string_append(text, "]}");
-	return g_string_free(text, FALSE);
-}
-
 static char *flow_path(const struct soak_flow *flow)
 {
 	return g_strdup_printf("/q/%s", flow->id);
 }
 
-static const struct soak_flow_kind *draw_flow_kind(GRand *random)
-{
-	uint32_t sum = 0;
-	uint32_t at;
-
-	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
-		sum += kinds[i].weight;
-	at = (uint32_t)g_rand_int_range(random, 0, (gint)sum);
-	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
-		if (at < kinds[i].weight)
-			return &kinds[i];
-		at -= kinds[i].weight;
-	}
-	return &kinds[0];
-}
-
 static struct soak_flow *flow_new(struct client *client)
 {
 	struct soak_clients *all = client->all;
@@ -144,7 +84,7 @@
 
 	g_snprintf(flow->id, sizeof(flow->id), "%08x%08x", all->flows->len + 1,
 		   g_rand_int(all->ids));
-	flow->kind = draw_flow_kind(client->random);
+	flow->kind = soak_flow_draw_kind(client->random);
 	g_ptr_array_add(all->flows, flow);
 	g_hash_table_insert(all->by_id, flow->id, flow);
 	all->soak->stats.nr_submitted++;
@@ -294,9 +234,9 @@
 	if (!strcmp(state, "cancelled"))
 		return flow->cancel_sent_ms;
 	if (!strcmp(state, "failed"))
-		return !strcmp(flow->kind->how, "fail");
+		return !g_strcmp0(flow->kind->how, "fail");
 	if (!strcmp(state, "completed"))
-		return flow->kind->run_ms && strcmp(flow->kind->how, "fail");
+		return flow->kind->run_ms && g_strcmp0(flow->kind->how, "fail");
 	return true;
 }
 
@@ -628,7 +568,7 @@
 		return G_SOURCE_REMOVE;
 	}
 	if (!strcmp(client->call->method, "POST"))
-		text = flow_text(client->flow);
+		text = soak_flow_text(client->flow);
 	soak_conn_send(client->conn, client->call->method, path, text,
 		       timeout_ms, timeout_ms + ANSWER_SLACK_MS, client_done,
 		       client);
