Await the list of a task's last VM after a change of leader

What callers would see: TWICE, a start beside an orphan of the same task.

Cause: a new leader knows no orphans until their agents report to it. It placed a waiting task at once, though the VM of the task's last run hadn't reported and a lease of the previous leader could still hold there. For placed tasks it waits already.

A waiting task that has run before is now placed once that VM has reported its list, or the leases of earlier leaders have expired. VMs report within a second of a change of leader, so only tasks of VMs that are down wait, as long as tasks that were still placed there.

Before: new_leader_awaits_report of flow_report fails ("a task is started beside an earlier run").

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -40,6 +40,7 @@
 	bool reported; /* the agent has sent a report to this leader */
 	bool reachable; /* the worker responds to its agent */
 	bool looked; /* the agent has fetched the list of the worker's runs */
+	bool listed; /* a report to this leader had that list */
 	/*
 	 * The end of the VM's runs as lost is proposed; the VM gets no grants
 	 * until this is committed.
@@ -363,6 +364,14 @@
 bool control_flow_has_orphan(const struct control_flow *flows,
 			     const struct state_flow *flow, uint32_t task);
 
+/**
+ * Returns true if the last run of the waiting task may go on at a VM of which
+ * this leader doesn't know the runs yet, until the leases that earlier leaders
+ * may have granted have expired.
+ */
+bool control_flow_awaits_report(const struct control_flow *flows,
+				const struct state_flow *flow, uint32_t task);
+
 /* control_flow_orphan.c */
 /**
  * Returns the committed placement of the run at the VM, NULL if it isn't placed
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -300,7 +300,8 @@
 {
 	return demand->flow->record.tasks[task].state == FLOW_TASK_WAITING &&
 	       !control_flow_placement(demand->flows, demand->flow, task) &&
-	       !control_flow_has_orphan(demand->flows, demand->flow, task);
+	       !control_flow_has_orphan(demand->flows, demand->flow, task) &&
+	       !control_flow_awaits_report(demand->flows, demand->flow, task);
 }
 
 /*
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -490,6 +490,7 @@
 	vm->reported = true;
 	vm->reachable = report->reachable;
 	vm->looked = report->looked && report->worker.id[0];
+	vm->listed = vm->listed || vm->looked;
 	TEXT_SET(vm->zone, report->zone);
 	/*
 	 * A worker that responds again was running when it left the call
@@ -564,6 +565,20 @@
 	return false;
 }
 
+bool control_flow_awaits_report(const struct control_flow *flows,
+				const struct state_flow *flow, uint32_t task)
+{
+	const struct flow_task *record = &flow->record.tasks[task];
+	uint64_t until_us = flows->control->leader_since_us +
+			    (flows->lease_ms + FLOW_LEASE_MARGIN_MS) * 1000ull;
+	const struct flow_vm *vm;
+
+	if (!record->run || flows->control->node->now_us > until_us)
+		return false;
+	vm = g_hash_table_lookup(flows->vms, record->vm);
+	return !vm || !vm->listed;
+}
+
 /*
  * Proposes all runs of a VM as lost, as its worker's lease has certainly
  * expired.
--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -468,7 +468,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a run beside an earlier one that the previous leader knew of:
+ * the VM hasn't reported to the new leader yet.
+ */
+START_TEST(test_new_leader_awaits_report)
+{
+	struct script *script = script_new(8);
+	struct scripted_agent *agent = script_started(script);
+
+	script_lose_run(script, agent);
+	script_run_ms(script, REPORT_MS);
+	script_drain_others(script, agent, false);
+	expect_no_start(script, 1000);
+	agent->silent = true;
+	world_kill_control(world_leader_host(script->fw->base));
+	expect_no_start(script, 5500);
+	expect_start(script, 3000);
+	script_free(script);
+}
+END_TEST
+
 SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
 	   test_two_orphans_of_task, test_restarted_agent_keeps_bar,
-	   test_ended_run_that_may_start_again, test_gang_starts_together)
+	   test_ended_run_that_may_start_again, test_gang_starts_together,
+	   test_new_leader_awaits_report)
