--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -85,11 +85,7 @@
 	 */
 	uint64_t checked_end_nr;
 	GHashTable *runs; /* set of struct flow_placement * */
-	/*
-	 * Task name -> struct flow_orphan *, by the agent's last report. Two
-	 * VMs may have orphans of one task.
-	 */
-	GHashTable *orphans;
+	GArray *orphans; /* struct flow_orphan, by the agent's last report */
 	/*
 	 * resources reserved for runs whose placement is committed or proposed
 	 */
@@ -119,6 +115,7 @@
 
 /** A run at a worker, by its agent's report, that isn't placed there. */
 struct flow_orphan {
+	char task[NAME_BYTES];
 	uint32_t run;
 	uint64_t born_ms; /* start time of the worker's incarnation */
 	bool unconfirmed; /* it isn't certain that the worker has the run */
@@ -380,6 +377,8 @@
 struct flow_placement *control_flow_placed_run(const struct control_flow *flows,
 					       const struct flow_vm *vm,
 					       const struct flow_run *run);
+/** Returns true if the VM has an orphan of the task. */
+bool control_flow_vm_has_orphan(const struct flow_vm *vm, const char *task);
 /** Adds the VM's orphans to the load; @a demand has the stage to count. */
 void control_flow_add_orphans(const struct flow_vm *vm,
 			      const struct flow_demand *demand,
@@ -394,6 +393,13 @@
  */
 bool control_flow_start_is_barred(struct control_flow *flows,
 				  const struct flow_placement *placed);
+/**
+ * Makes a run an orphan whose end as lost is committed although its VM reports:
+ * the report may have come before the commit and have shown the run, which was
+ * placed then.
+ */
+void control_flow_orphan_lost_run(struct control_flow *flows,
+				  const struct flow_placement *placed);
 /**
  * Replaces the VM's orphans by those in the report, and logs changes. Orphans
  * of an agent that hasn't listed its worker's runs yet stay.
