--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -40,7 +40,6 @@
 	bool reported; /* the agent has sent a report to this leader */
 	bool reachable; /* the worker responds to its agent */
 	bool looked; /* the agent has fetched the list of the worker's runs */
-	bool listed; /* a report to this leader had that list */
 	/*
 	 * The end of the VM's runs as lost is proposed; the VM gets no grants
 	 * until this is committed.
@@ -134,6 +133,8 @@
 	bool ending; /* its end is proposed */
 	bool stopping; /* an order to stop it was sent */
 	bool listed; /* the worker runs it, by an agent's report */
+	/* A worker lists the end of an earlier run of the task as done. */
+	bool done_earlier;
 	uint64_t ordered_us; /* time of the last order, 0: none */
 	/* Incarnation of the agent that got the last order. */
 	uint64_t ordered_node;
@@ -361,14 +362,6 @@
 bool control_flow_has_orphan(const struct control_flow *flows,
 			     const struct state_flow *flow, uint32_t task);
 
-/**
- * Returns true if the last run of the waiting task may go on at a VM of which
- * this leader doesn't know the runs yet, until the leases that earlier leaders
- * may have granted have expired.
- */
-bool control_flow_awaits_report(const struct control_flow *flows,
-				const struct state_flow *flow, uint32_t task);
-
 /* control_flow_orphan.c */
 /**
  * Returns the committed placement of the run at the VM, NULL if it isn't placed
@@ -377,6 +370,12 @@
 struct flow_placement *control_flow_placed_run(const struct control_flow *flows,
 					       const struct flow_vm *vm,
 					       const struct flow_run *run);
+/**
+ * Returns true if the end completes the task of a placed run that no leader has
+ * ordered to start: an earlier run of the task, an orphan, has ended as done.
+ */
+bool control_flow_end_is_earlier(const struct flow_placement *placed,
+				 const struct flow_run_end *end);
 /** Returns true if the VM has an orphan of the task. */
 bool control_flow_vm_has_orphan(const struct flow_vm *vm, const char *task);
 /** Adds the VM's orphans to the load; @a demand has the stage to count. */
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -22,6 +22,7 @@
 	for (guint i = 0; i < vm->ends->len; i++) {
 		const struct flow_run_end *end =
 			&g_array_index(vm->ends, struct flow_run_end, i);
+		const struct flow_placement *placed;
 		const struct flow_task *task;
 		struct state_flow *flow;
 		uint32_t nr;
@@ -31,7 +32,9 @@
 						      end->task, &flow, &nr))
 			continue;
 		task = &flow->record.tasks[nr];
-		if ((task->state == FLOW_TASK_PLACED && task->run == end->run &&
+		placed = control_flow_placement(flows, flow, nr);
+		if (control_flow_end_is_earlier(placed, end) ||
+		    (task->state == FLOW_TASK_PLACED && task->run == end->run &&
 		     !strcmp(task->vm, vm->name)) ||
 		    (end->end == FLOW_END_DONE &&
 		     state_flow_accepts_late_done(flow, nr, end->run,
@@ -182,11 +185,16 @@
 
 		if (end->nr)
 			g_array_append_vals(vm->ends, end, 1);
-		if (placed && placed->run == end->run && placed->vm == vm)
+		if (placed && placed->run == end->run && placed->vm == vm) {
 			control_flow_propose_end(flows, placed, end->end,
 						 end->checkpoint);
-		else
+		} else if (control_flow_end_is_earlier(placed, end)) {
+			placed->done_earlier = true;
+			control_flow_propose_end(flows, placed, FLOW_END_DONE,
+						 end->checkpoint);
+		} else {
 			flow_accept_late_done(flows, vm, end);
+		}
 	}
 }
 
@@ -515,7 +523,6 @@
 	vm->reported = true;
 	vm->reachable = report->reachable;
 	vm->looked = report->looked && report->worker.id[0];
-	vm->listed = vm->listed || vm->looked;
 	TEXT_SET(vm->zone, report->zone);
 	/*
 	 * A worker that responds again was running when it left the call
@@ -589,20 +596,6 @@
 	return false;
 }
 
-bool control_flow_awaits_report(const struct control_flow *flows,
-				const struct state_flow *flow, uint32_t task)
-{
-	const struct flow_task *record = &flow->record.tasks[task];
-	uint64_t until_us = flows->control->leader_since_us +
-			    (flows->lease_ms + FLOW_LEASE_MARGIN_MS) * 1000ull;
-	const struct flow_vm *vm;
-
-	if (!record->run || flows->control->node->now_us > until_us)
-		return false;
-	vm = g_hash_table_lookup(flows->vms, record->vm);
-	return !vm || !vm->listed;
-}
-
 /*
  * Proposes all runs of a VM as lost, as its worker's lease has certainly
  * expired.
