Let a new leader wait for the list of the task's last VM

What callers would see: TWICE, a start beside an orphan of the same task.

The first report of an agent that was restarted ended the wait, though the agent hadn't listed its worker's runs yet.

The wait now ends with the first report that has the list.

Before: new_leader_awaits_list of flow_report fails ("a task is started beside an earlier run").

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -40,6 +40,7 @@
 	bool reported; /* the agent has sent a report to this leader */
 	bool reachable; /* the worker responds to its agent */
 	bool looked; /* the agent has fetched the list of the worker's runs */
+	bool listed; /* a report to this leader had that list */
 	/*
 	 * The end of the VM's runs as lost is proposed; the VM gets no grants
 	 * until this is committed.
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -297,9 +297,9 @@
 }
 
 /*
- * Returns true if the VM of the task's last run hasn't reported to this leader,
- * and its worker may hold a lease of an earlier one: the run may be an orphan
- * that only the earlier leader knew of.
+ * Returns true if no report to this leader had the list of the runs at the VM
+ * of the task's last run, and its worker may hold a lease of an earlier leader:
+ * the run may be an orphan that only that leader knew of.
  */
 static bool flow_last_vm_is_unknown(const struct control_flow *flows,
 				    const struct flow_task *task)
@@ -308,7 +308,7 @@
 	uint64_t until_us = flows->control->leader_since_us +
 			    (flows->lease_ms + FLOW_LEASE_MARGIN_MS) * 1000ull;
 
-	return task->run && !(vm && vm->reported) &&
+	return task->run && !(vm && vm->listed) &&
 	       flows->control->node->now_us <= until_us;
 }
 
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -523,6 +523,7 @@
 	vm->reported = true;
 	vm->reachable = report->reachable;
 	vm->looked = report->looked && report->worker.id[0];
+	vm->listed = vm->listed || vm->looked;
 	TEXT_SET(vm->zone, report->zone);
 	/*
 	 * A worker that responds again was running when it left the call
--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -489,6 +489,30 @@
 }
 END_TEST
 
+/*
+ * Guards against a new leader that takes the first report of a restarted agent,
+ * which knows no runs yet, for the list of the runs at its VM.
+ */
+START_TEST(test_new_leader_awaits_list)
+{
+	struct script *script = script_new(10);
+	struct scripted_agent *agent = script_started(script);
+
+	script_lose_run(script, agent);
+	script_run_ms(script, REPORT_MS);
+	script_drain_others(script, agent, false);
+	expect_no_start(script, 1000);
+	world_kill_control(world_leader_host(script->fw->base));
+	agent_boot(agent);
+	expect_no_start(script, 2500);
+	agent->looked = true;
+	expect_no_start(script, 2000);
+	agent->has_run = false;
+	expect_start(script, 1500);
+	script_free(script);
+}
+END_TEST
+
 /*
  * Guards against a new leader that takes a run for lost too early because it
  * doesn't know that the worker was restarted under its identity: a late start
@@ -552,5 +576,6 @@
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
 	   test_two_orphans_of_task, test_restarted_agent_keeps_bar,
 	   test_ended_run_that_may_start_again, test_gang_starts_together,
-	   test_new_leader_awaits_report, test_new_leader_knows_restart,
+	   test_new_leader_awaits_report, test_new_leader_awaits_list,
+	   test_new_leader_knows_restart,
 	   test_start_in_flight_at_end_of_incarnation)
