--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -468,6 +468,75 @@
 }
 END_TEST
 
+/*
+ * Guards against a run beside an earlier one that the previous leader knew of:
+ * the VM hasn't reported to the new leader yet.
+ */
+START_TEST(test_new_leader_awaits_report)
+{
+	struct script *script = script_new(8);
+	struct scripted_agent *agent = script_started(script);
+
+	script_lose_run(script, agent);
+	script_run_ms(script, REPORT_MS);
+	script_drain_others(script, agent, false);
+	expect_no_start(script, 1000);
+	agent->silent = true;
+	world_kill_control(world_leader_host(script->fw->base));
+	expect_no_start(script, 5500);
+	expect_start(script, 3000);
+	script_free(script);
+}
+END_TEST
+
+/*
+ * Guards against a new leader that takes the first report of a restarted agent,
+ * which knows no runs yet, for the list of the runs at its VM.
+ */
+START_TEST(test_new_leader_awaits_list)
+{
+	struct script *script = script_new(10);
+	struct scripted_agent *agent = script_started(script);
+
+	script_lose_run(script, agent);
+	script_run_ms(script, REPORT_MS);
+	script_drain_others(script, agent, false);
+	expect_no_start(script, 1000);
+	world_kill_control(world_leader_host(script->fw->base));
+	agent_boot(agent);
+	expect_no_start(script, 2500);
+	agent->looked = true;
+	expect_no_start(script, 2000);
+	agent->has_run = false;
+	expect_start(script, 1500);
+	script_free(script);
+}
+END_TEST
+
+/*
+ * Guards against a new leader that takes a run for lost too early because it
+ * doesn't know that the worker was restarted under its identity: a late start
+ * then gets the longest lease that workers accept.
+ */
+START_TEST(test_new_leader_knows_restart)
+{
+	struct script *script = script_new(9);
+	struct scripted_agent *agent = script_started(script);
+
+	agent->silent = true;
+	world_kill_control(world_leader_host(script->fw->base));
+	agent->vm->worker.born_ms += 5000;
+	script_run_ms(script, 2000);
+	agent->silent = false;
+	agent->run.unconfirmed = true;
+	script_run_ms(script, REPORT_MS);
+	agent->silent = true;
+	expect_no_start(script, WORLD_WORKER_LEASE_MS - 1500);
+	expect_start(script, 3000);
+	script_free(script);
+}
+END_TEST
+
 /*
  * Guards against a task that is placed elsewhere although a later incarnation
  * of the worker carries out its start. The incarnation that the start was
@@ -546,5 +615,7 @@
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
 	   test_two_orphans_of_task, test_restarted_agent_keeps_bar,
 	   test_ended_run_that_may_start_again, test_gang_starts_together,
+	   test_new_leader_awaits_report, test_new_leader_awaits_list,
+	   test_new_leader_knows_restart,
 	   test_start_in_flight_at_end_of_incarnation,
 	   test_run_of_later_incarnation_is_cancelled)
