Assert the bounds of cancellations, drains and evacuations

The simulated world now asserts, at each start by an agent in touch, UNASKED (3 s after an acknowledged cancellation), DRAIN (2 s) and EVAC (5 s), and at each tick that a cancelled workflow's runs have ended (3 s and the time of a stop). An agent is in touch if neither it, nor its connections to the worker, nor the core had a fault in the last 3 s.

--- a/tests/flow_rules.c
+++ b/tests/flow_rules.c
@@ -3,9 +3,18 @@
 #include <check.h>
 #include <string.h>
 
+/* Bounds of the platform's rules, as its page SYSTEM.md has them. */
+#define CANCEL_US 3000000ull
+#define DRAIN_US 2000000ull
+#define EVACUATE_US 5000000ull
+#define CONTACT_US 3000000ull
+
 struct flow_rules {
 	GHashTable *steps; /* workflow id -> GArray of struct flow_step */
 	GHashTable *attempts; /* task -> struct task_attempts * */
+	/* Workflow id, or name of a zone that is out -> uint64_t *, since. */
+	GHashTable *cancelled_us;
+	GHashTable *out_us;
 };
 
 struct task_attempts {
@@ -22,6 +31,10 @@
 					     (GDestroyNotify)g_array_unref);
 	rules->attempts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	rules->cancelled_us =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	rules->out_us =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return rules;
 }
 
@@ -31,6 +44,8 @@
 		return;
 	g_hash_table_unref(rules->steps);
 	g_hash_table_unref(rules->attempts);
+	g_hash_table_unref(rules->cancelled_us);
+	g_hash_table_unref(rules->out_us);
 	g_free(rules);
 }
 
@@ -203,3 +218,79 @@
 	check_order(rules, vm->world, task);
 	check_room(rules, vm, task);
 }
+
+/* Stores the time unless the table has an earlier one. */
+static void note_time(GHashTable *table, const char *name, uint64_t now_us)
+{
+	if (!g_hash_table_contains(table, name))
+		g_hash_table_insert(table, g_strdup(name),
+				    g_memdup2(&now_us, sizeof(now_us)));
+}
+
+void flow_rules_cancelled(struct flow_rules *rules, const char *id,
+			  uint64_t now_us)
+{
+	note_time(rules->cancelled_us, id, now_us);
+}
+
+void flow_rules_set_zone(struct flow_rules *rules, const char *zone, bool out,
+			 uint64_t now_us)
+{
+	if (out)
+		note_time(rules->out_us, zone, now_us);
+	else
+		g_hash_table_remove(rules->out_us, zone);
+}
+
+/* Returns when the task's workflow was cancelled, NULL if it wasn't. */
+static const uint64_t *cancelled_us(const struct flow_rules *rules,
+				    const char *task)
+{
+	char *id = g_strndup(task, strcspn(task, "."));
+	const uint64_t *since_us = g_hash_table_lookup(rules->cancelled_us, id);
+
+	g_free(id);
+	return since_us;
+}
+
+void flow_rules_check_times(const struct flow_rules *rules,
+			    const struct fw_vm *vm, const char *task)
+{
+	uint64_t now_us = sim_now_us(vm->world->base->sim);
+	const uint64_t *since_us = cancelled_us(rules, task);
+
+	if (!fw_in_touch(vm))
+		return;
+	ck_assert_msg(!since_us || now_us <= *since_us + CANCEL_US,
+		      "%s starts after its workflow was cancelled", task);
+	since_us = g_hash_table_lookup(rules->out_us, vm->zone);
+	ck_assert_msg(!since_us || now_us <= *since_us + EVACUATE_US,
+		      "%s starts in zone %s, which is out", task, vm->zone);
+	ck_assert_msg(!vm->draining_us || now_us <= vm->draining_us + DRAIN_US,
+		      "%s starts at %s, which drains", task, vm->name);
+}
+
+void flow_rules_check_run(const struct flow_rules *rules,
+			  const struct fw_vm *vm, const struct fw_run *run)
+{
+	const struct flow_world *fw = vm->world;
+	uint64_t now_us = sim_now_us(fw->base->sim);
+	uint64_t stop_us = fw->stop_ms * 1000ull;
+	const uint64_t *since_us = cancelled_us(rules, run->task);
+	uint64_t fault_us = MAX(fw->core_disturbed_us,
+				MAX(vm->disturbed_us, vm->calls_lost_us));
+
+	if (!since_us || fault_us + CONTACT_US >= *since_us)
+		return;
+	ck_assert_msg(now_us <= MAX(*since_us, run->started_us + CONTACT_US) +
+					CANCEL_US + stop_us,
+		      "%s still runs at %s after its workflow was cancelled",
+		      run->task, vm->name);
+}
+
+bool fw_in_touch(const struct fw_vm *vm)
+{
+	uint64_t fault_us = MAX(vm->world->core_disturbed_us, vm->disturbed_us);
+
+	return sim_now_us(vm->world->base->sim) > fault_us + CONTACT_US;
+}
--- a/tests/flow_rules.h
+++ b/tests/flow_rules.h
@@ -15,6 +15,12 @@
 /** Adds a workflow; one with an id that is known already is left out. */
 void flow_rules_add(struct flow_rules *rules, const char *id,
 		    const struct flow_step *steps, uint32_t nr_steps);
+/** Notes that a cancellation of the workflow was acknowledged. */
+void flow_rules_cancelled(struct flow_rules *rules, const char *id,
+			  uint64_t now_us);
+/** Notes that a zone was taken out, or that it is about to be taken back. */
+void flow_rules_set_zone(struct flow_rules *rules, const char *zone, bool out,
+			 uint64_t now_us);
 /** Notes that a run of the task has ended as failed. */
 void flow_rules_failed(struct flow_rules *rules, const char *task,
 		       uint64_t now_us);
@@ -36,5 +42,22 @@
  */
 void flow_rules_check_start(struct flow_rules *rules, const struct fw_vm *vm,
 			    const char *task);
+/**
+ * Asserts, for a task that starts now by a call that wasn't late, if its agent
+ * is in touch:
+ * - no cancellation of its workflow was acknowledged more than cancel_ms ago
+ *   (UNASKED);
+ * - the worker hasn't been draining for more than drainMs (DRAIN);
+ * - the zone hasn't been out for more than evacuateMs (EVAC).
+ */
+void flow_rules_check_times(const struct flow_rules *rules,
+			    const struct fw_vm *vm, const char *task);
+/**
+ * Asserts that a run of a cancelled workflow has ended cancel_ms and the time
+ * of a stop after the acknowledgement, if there has been no fault near the VM
+ * since contactMs before (UNASKED).
+ */
+void flow_rules_check_run(const struct flow_rules *rules,
+			  const struct fw_vm *vm, const struct fw_run *run);
 
 #endif /* FLOW_RULES_H */
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -47,6 +47,8 @@
 	uint64_t fence;
 	uint64_t lease_ms; /* end of the lease by the worker's clock */
 	uint64_t next_end;
+	/* Ends up to this number don't count: the lease expired meanwhile. */
+	uint64_t discarded_nr;
 	GArray *runs; /* struct fw_run */
 	GArray *ends; /* struct flow_run_end */
 	/* Task -> highest run number that must not start any more. */
@@ -82,6 +84,18 @@
 	bool fail_runs; /* every run fails at once */
 	uint32_t tail_ms; /* tail latency of its runs, 0: flow_world.tail_ms */
 	bool draining;
+	/*
+	 * When the agent, in touch, first acknowledged that the worker drains,
+	 * 0: not yet.
+	 */
+	uint64_t draining_us;
+	bool cut; /* see fw_cut() */
+	/*
+	 * Last time at which the agent was down, frozen or cut off, or its
+	 * connections to the worker failed.
+	 */
+	uint64_t disturbed_us;
+	uint64_t calls_lost_us; /* last time at which calls could get lost */
 };
 
 struct flow_world {
@@ -107,6 +121,14 @@
 	const char *lasting;
 	/* Fillers may use more processors than the VM has. */
 	bool overcommitted;
+	/*
+	 * Set while a fault affects the replicas that the simulation can't see:
+	 * paused ones, and slow or cut paths between them.
+	 */
+	bool core_faulty;
+	uint64_t core_disturbed_us; /* last time of a fault in the core */
+	/* The replicas as they were at the last tick. */
+	const struct control *core[WORLD_MAX_CONTROLS];
 	uint64_t ticket;
 	struct flow_reply reply;
 	bool answered;
@@ -136,6 +158,8 @@
  */
 void flow_world_load(struct flow_world *fw, uint32_t nr_serving,
 		     uint32_t nr_fillers, uint32_t cpu_step_millis);
+/** Takes a zone out or back, and notes when that was acknowledged. */
+void flow_world_set_zone(struct flow_world *fw, const char *zone, bool out);
 /** Waits until the workflow is in the state; returns false after the limit. */
 bool flow_world_wait(struct flow_world *fw, const char *id,
 		     enum flow_state state, uint64_t limit_ms);
@@ -184,6 +208,11 @@
  */
 struct fw_vm *fw_starting_vm(struct flow_world *fw,
 			     const uint64_t before[FLOW_WORLD_VMS]);
+/**
+ * Returns true if bounds in time hold for the VM's agent, by the platform's
+ * rules: neither it nor the core was disturbed in the last contactMs.
+ */
+bool fw_in_touch(const struct fw_vm *vm);
 /** Returns the number of runs at all workers. */
 uint32_t fw_running(const struct flow_world *fw);
 
