--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -85,7 +85,10 @@
 	return load;
 }
 
-/* Returns true if the load is more than the VM has; fillers need no cpu. */
+/*
+ * Returns true if the load is more than the VM has. The processors that fillers
+ * use are no limit.
+ */
 static bool flow_load_exceeds(const struct flow_load *load,
 			      const struct flow_vm *vm,
 			      const struct flow_step *step)
--- a/tests/control_world.c
+++ b/tests/control_world.c
@@ -679,6 +679,16 @@
 
 /* ---- operators ---- */
 
+void world_set_control_delay(struct world *world, uint32_t delay_us)
+{
+	for (uint32_t i = 0; i < world->nr_controls; i++)
+		for (uint32_t j = 0; j < world->nr_controls; j++)
+			if (i != j)
+				sim_path_between(world->controls[i].machine,
+						 world->controls[j].machine)
+					->delay_us = delay_us;
+}
+
 struct world_control *world_leader_host(struct world *world)
 {
 	for (uint32_t i = 0; i < world->nr_controls; i++) {
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -239,19 +239,6 @@
 }
 END_TEST
 
-/* Sets the delay of messages between the replicas. */
-static void set_control_delay(struct flow_world *fw, uint32_t delay_us)
-{
-	struct world *base = fw->base;
-
-	for (uint32_t i = 0; i < base->nr_controls; i++)
-		for (uint32_t j = 0; j < base->nr_controls; j++)
-			if (i != j)
-				sim_path_between(base->controls[i].machine,
-						 base->controls[j].machine)
-					->delay_us = delay_us;
-}
-
 /*
  * Guards against a leader that ignores reports while its own lease has expired,
  * because its quorum answers too late. It revoked runs whose ends had been
@@ -273,9 +260,9 @@
 		 * The round trip takes 600 ms; an election starts after 600 ms
 		 * without a message of the leader.
 		 */
-		set_control_delay(fw, 300000);
+		world_set_control_delay(fw->base, 300000);
 		flow_world_run_ms(fw, 7000);
-		set_control_delay(fw, 500);
+		world_set_control_delay(fw->base, 500);
 		ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 20000));
 		ck_assert_uint_eq(fw->nr_starts, 8);
 		flow_world_free(fw);
--- a/tests/test_flow_held.c
+++ b/tests/test_flow_held.c
@@ -14,19 +14,6 @@
 #define STOP_MS 900
 #define COMMIT_MS 400
 
-/* Makes each commit take twice this time. */
-static void set_control_delay(struct flow_world *fw, uint32_t delay_us)
-{
-	struct world *base = fw->base;
-
-	for (uint32_t i = 0; i < base->nr_controls; i++)
-		for (uint32_t j = 0; j < base->nr_controls; j++)
-			if (i != j)
-				sim_path_between(base->controls[i].machine,
-						 base->controls[j].machine)
-					->delay_us = delay_us;
-}
-
 /* Returns the VM whose worker runs the task, NULL if there is none. */
 static struct fw_vm *vm_running(struct flow_world *fw, const char *task)
 {
@@ -89,7 +76,8 @@
 	flow_world_run_ms(fw, 1000);
 	ck_assert_uint_eq(fw_running(fw), 2 + FLOW_WORLD_VMS);
 	vm = vm_running(fw, "oo.0.0.1");
-	set_control_delay(fw, COMMIT_MS * 1000 / 2);
+	/* A commit takes twice the delay. */
+	world_set_control_delay(fw->base, COMMIT_MS * 1000 / 2);
 	fw_crash_worker(vm);
 	fw_boot_worker(vm);
 	for (uint32_t i = 0; i < 500 && !vm_placed(fw, "oo.0.0.1", 2); i++)
--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -188,15 +188,8 @@
 
 static void set_control_delay(struct flow_world *fw, uint32_t delay_us)
 {
-	struct world *base = fw->base;
-
 	fw->core_faulty = delay_us > CONTROL_DELAY_US;
-	for (uint32_t i = 0; i < base->nr_controls; i++)
-		for (uint32_t j = 0; j < base->nr_controls; j++)
-			if (i != j)
-				sim_path_between(base->controls[i].machine,
-						 base->controls[j].machine)
-					->delay_us = delay_us;
+	world_set_control_delay(fw->base, delay_us);
 }
 
 static void inject_fault(struct scenario *scenario)
--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -397,19 +397,6 @@
 }
 END_TEST
 
-/* Makes each commit take twice this time. */
-static void set_control_delay(const struct script *script, uint32_t delay_us)
-{
-	struct world *base = script->fw->base;
-
-	for (uint32_t i = 0; i < base->nr_controls; i++)
-		for (uint32_t j = 0; j < base->nr_controls; j++)
-			if (i != j)
-				sim_path_between(base->controls[i].machine,
-						 base->controls[j].machine)
-					->delay_us = delay_us;
-}
-
 /* Returns an agent on whose VM no task is placed, by the leader's log. */
 static struct scripted_agent *script_unused(struct script *script)
 {
@@ -446,7 +433,8 @@
 	script_started(script)->draining = true;
 	script_run_ms(script, REPORT_MS);
 	nr_starts = script_starts(script);
-	set_control_delay(script, 200000);
+	/* A commit takes twice the delay. */
+	world_set_control_delay(script->fw->base, 200000);
 	flow_world_submit(script->fw, "gg", &step, 1);
 	for (uint32_t i = 0;
 	     i < 100 && !sim_log_has(script->fw->base->sim,
