--- a/tests/control_world.h
+++ b/tests/control_world.h
@@ -125,9 +125,9 @@
 
 /** Returns the leader if it may grant leases now, NULL if there is none. */
 struct control *world_leader(struct world *world);
+struct world_control *world_leader_host(struct world *world);
 /** Sets the delay of messages between the replicas, one way. */
 void world_set_control_delay(struct world *world, uint32_t delay_us);
-struct world_control *world_leader_host(struct world *world);
 
 /**
  * Sends an operator's request, repeatedly if it fails for lack of a leader.
