Show that a step's label is kept

No flow suite had a step whose label some VMs have, so the check of labels at each start had nothing to check.

--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -466,6 +466,21 @@
 }
 END_TEST
 
+/* Guards against a task that is placed on a VM without its step's label. */
+START_TEST(test_label)
+{
+	struct flow_world *fw = flow_world_new(10);
+	struct flow_step step = step_of(8);
+
+	TEXT_SET(step.label, "porbandar");
+	fw->watched_zone = "veraval";
+	flow_world_submit(fw, "aa", &step, 1);
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 9000));
+	ck_assert_uint_eq(fw->last_start_us, 0);
+	flow_world_free(fw);
+}
+END_TEST
+
 /* Guards against tasks that are placed on a draining worker. */
 START_TEST(test_draining)
 {
@@ -683,6 +698,6 @@
 	   test_vm_cut_off, test_nothing_placed_on_silent_vm, test_short_cuts,
 	   test_leader_without_lease, test_late_calls, test_worker_crashes,
 	   test_heartbeat_of_earlier_life, test_foreign_reports,
-	   test_life_with_an_earlier_clock, test_zone_out, test_draining,
-	   test_attempts, test_unanswered_starts_wait, test_advice,
-	   test_seeds_are_agents, test_overload_ends_most_on_time)
+	   test_life_with_an_earlier_clock, test_zone_out, test_label,
+	   test_draining, test_attempts, test_unanswered_starts_wait,
+	   test_advice, test_seeds_are_agents, test_overload_ends_most_on_time)
