Check that a task is placed where its earlier end is noted

clang-tidy doesn't see that control_flow_end_is_earlier() is false for a task without a placement, and reports a null dereference, so make check fails since. No decision changes. clang-tidy has no finding in the file; flow, flow_held and flow_report pass.

--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -188,7 +188,7 @@
 		if (placed && placed->run == end->run && placed->vm == vm) {
 			control_flow_propose_end(flows, placed, end->end,
 						 end->checkpoint);
-		} else if (control_flow_end_is_earlier(placed, end)) {
+		} else if (placed && control_flow_end_is_earlier(placed, end)) {
 			placed->done_earlier = true;
 			control_flow_propose_end(flows, placed, FLOW_END_DONE,
 						 end->checkpoint);
