--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -84,6 +84,8 @@
 	 */
 	uint64_t checked_end_nr;
 	GHashTable *runs; /* set of struct flow_placement * */
+	/* Task name -> struct flow_orphan *, by the agent's last report. */
+	GHashTable *orphans;
 	/*
 	 * resources reserved for runs whose placement is committed or proposed
 	 */
@@ -111,6 +113,13 @@
 	uint32_t vm_backoff_ms;
 };
 
+/** A run at a worker, by its agent's report, that isn't placed there. */
+struct flow_orphan {
+	uint32_t run;
+	bool unconfirmed; /* it isn't certain that the worker has the run */
+	uint64_t since_us; /* when a report first showed it */
+};
+
 /** The run of a task that is placed or whose placement is proposed. */
 struct flow_placement {
 	char name[NAME_BYTES]; /* of the task */
@@ -217,6 +226,14 @@
 	uint64_t at_us;
 };
 
+/** What a worker runs, or may run, as far as it bars more tasks. */
+struct flow_load {
+	uint32_t cpu_millis; /* not counting fillers */
+	uint32_t memory_mib;
+	uint32_t accelerators;
+	uint32_t stage_orphans; /* orphans of the demanded stage */
+};
+
 /** What a stage requires of a VM. */
 struct flow_demand {
 	struct control_flow *flows;
@@ -346,6 +363,22 @@
 bool control_flow_has_orphan(const struct control_flow *flows,
 			     const struct state_flow *flow, uint32_t task);
 
+/* control_flow_orphan.c */
+/**
+ * Returns the committed placement of the run at the VM, NULL if it isn't placed
+ * there.
+ */
+struct flow_placement *control_flow_placed_run(const struct control_flow *flows,
+					       const struct flow_vm *vm,
+					       const struct flow_run *run);
+/** Adds the VM's orphans to the load; @a demand has the stage to count. */
+void control_flow_add_orphans(const struct flow_vm *vm,
+			      const struct flow_demand *demand,
+			      struct flow_load *load);
+/** Replaces the VM's orphans by those in the report, and logs changes. */
+void control_flow_update_orphans(struct control_flow *flows, struct flow_vm *vm,
+				 const struct flow_report *report);
+
 /* control_flow_order.c */
 /** Returns true if the run belongs to the worker's present incarnation. */
 bool control_flow_is_current_incarnation(const struct flow_placement *placed);
@@ -493,6 +526,12 @@
  */
 bool control_flow_vm_usable(const struct control_flow *flows,
 			    const struct flow_vm *vm, const char *service);
+/**
+ * Returns true if the VM's placed runs and orphans leave too few resources for
+ * a task of the stage.
+ */
+bool control_flow_vm_is_full(const struct flow_vm *vm,
+			     const struct flow_demand *demand);
 /**
  * Returns true if the VM has the resources, label and ticket that a task of the
  * stage requires.
