--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -9,7 +9,7 @@
 	struct flow_vm *vm = data;
 
 	g_hash_table_unref(vm->runs);
-	g_hash_table_unref(vm->orphans);
+	g_array_unref(vm->orphans);
 	g_array_unref(vm->ends);
 	control_flow_capacity_free(vm->capacity);
 	g_free(vm);
@@ -24,8 +24,7 @@
 	vm = g_new0(struct flow_vm, 1);
 	TEXT_SET(vm->name, name);
 	vm->runs = g_hash_table_new(NULL, NULL);
-	vm->orphans =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	vm->orphans = g_array_new(FALSE, FALSE, sizeof(struct flow_orphan));
 	vm->ends = g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
 	/* Leases that an earlier leader granted have ended by this time. */
 	vm->lapse_us =
@@ -368,6 +367,8 @@
 		control_flow_note_started(flows, flow);
 	if (end == FLOW_END_REFUSED)
 		flow_advice_forget(flows, placed);
+	if (end == FLOW_END_LOST)
+		control_flow_orphan_lost_run(flows, placed);
 	placed->vm->grant_due = true;
 	if (end != FLOW_END_STOPPED)
 		g_hash_table_remove(flows->left_vms, placed->name);
@@ -472,8 +473,6 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	flows->left_vms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	flows->orphans =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	flows->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      flow_orders_free);
 	flows->waits =
@@ -511,7 +510,6 @@
 	timer_cancel(timers, &flows->order_timer);
 	timer_cancel(timers, &flows->check_timer);
 	g_hash_table_unref(flows->left_vms);
-	g_hash_table_unref(flows->orphans);
 	g_hash_table_unref(flows->orders);
 	g_hash_table_unref(flows->waits);
 	g_hash_table_unref(flows->started);
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -85,15 +85,14 @@
 	return load;
 }
 
-static bool flow_load_is_full(const struct flow_load *load,
+/* Returns true if the load is more than the VM has; fillers need no cpu. */
+static bool flow_load_exceeds(const struct flow_load *load,
 			      const struct flow_vm *vm,
 			      const struct flow_step *step)
 {
-	return load->memory_mib + step->memory_mib > vm->worker.memory_mib ||
-	       load->accelerators + step->accelerators >
-		       vm->worker.accelerators ||
-	       (!step->filler &&
-		load->cpu_millis + step->cpu_millis > vm->worker.cpu_millis);
+	return load->memory_mib > vm->worker.memory_mib ||
+	       load->accelerators > vm->worker.accelerators ||
+	       (!step->filler && load->cpu_millis > vm->worker.cpu_millis);
 }
 
 bool control_flow_vm_is_full(const struct flow_vm *vm,
@@ -101,7 +100,20 @@
 {
 	struct flow_load load = flow_vm_load(vm, demand);
 
-	return flow_load_is_full(&load, vm, demand->step);
+	control_flow_load_add(&load, demand->step);
+	return flow_load_exceeds(&load, vm, demand->step);
+}
+
+bool control_flow_vm_is_over(const struct flow_vm *vm,
+			     const struct flow_demand *demand)
+{
+	struct flow_load load = flow_vm_load(vm, demand);
+	uint32_t max_per_vm = demand->step->max_per_vm;
+
+	return flow_load_exceeds(&load, vm, demand->step) ||
+	       (max_per_vm &&
+		load.stage_orphans + flow_vm_stage_runs(vm, demand) >
+			max_per_vm);
 }
 
 bool control_flow_vm_fits(struct flow_vm *vm, const struct flow_demand *demand)
@@ -115,7 +127,8 @@
 	    !flow_advice_ticket(demand->flows, demand->flow, demand->stage, vm))
 		return false;
 	load = flow_vm_load(vm, demand);
-	if (flow_load_is_full(&load, vm, step))
+	control_flow_load_add(&load, step);
+	if (flow_load_exceeds(&load, vm, step))
 		return false;
 	if (step->filler && !demand->starved &&
 	    control_flow_gain(demand->flows, vm, step) <
@@ -221,14 +234,12 @@
 struct flow_vm *control_flow_other_vm(struct control_flow *flows,
 				      const struct flow_placement *placed)
 {
-	uint32_t occurrence = state_flow_occurrence(placed->flow, placed->task);
 	struct flow_demand demand = { .flows = flows,
 				      .flow = placed->flow,
 				      .step = placed->step,
 				      .except = placed->vm };
 
-	demand.stage = occurrence * placed->flow->record.nr_steps +
-		       state_flow_step(placed->flow, placed->task);
+	demand.stage = state_flow_stage_of(placed->flow, placed->task);
 	return flow_choose_vm(&demand, NULL);
 }
 
@@ -254,7 +265,7 @@
 			    flow_vm_stage_runs(vm, demand));
 		logline_u64(line, "max_per_vm", demand->step->max_per_vm);
 	}
-	logline_u64(line, "vm_orphans", g_hash_table_size(vm->orphans));
+	logline_u64(line, "vm_orphans", vm->orphans->len);
 	logline_u64(line, "reported_ms_ago",
 		    (demand->flows->control->node->now_us - vm->reported_us) /
 			    1000);
@@ -285,11 +296,30 @@
 	return placed;
 }
 
+/*
+ * Returns true if the VM of the task's last run hasn't reported to this leader,
+ * and its worker may hold a lease of an earlier one: the run may be an orphan
+ * that only the earlier leader knew of.
+ */
+static bool flow_last_vm_is_unknown(const struct control_flow *flows,
+				    const struct flow_task *task)
+{
+	const struct flow_vm *vm = g_hash_table_lookup(flows->vms, task->vm);
+	uint64_t until_us = flows->control->leader_since_us +
+			    (flows->lease_ms + FLOW_LEASE_MARGIN_MS) * 1000ull;
+
+	return task->run && !(vm && vm->reported) &&
+	       flows->control->node->now_us <= until_us;
+}
+
 static bool flow_task_waits(const struct flow_demand *demand, uint32_t task)
 {
-	return demand->flow->record.tasks[task].state == FLOW_TASK_WAITING &&
+	const struct flow_task *record = &demand->flow->record.tasks[task];
+
+	return record->state == FLOW_TASK_WAITING &&
 	       !control_flow_placement(demand->flows, demand->flow, task) &&
-	       !control_flow_has_orphan(demand->flows, demand->flow, task);
+	       !control_flow_has_orphan(demand->flows, demand->flow, task) &&
+	       !flow_last_vm_is_unknown(demand->flows, record);
 }
 
 /*
