--- a/tests/executor_standin.c
+++ b/tests/executor_standin.c
@@ -5,9 +5,13 @@
  * fencing tokens, run numbers, and ends that it lists until they are
  * acknowledged. It writes all starts and ends to a journal.
  *
- * A task's spec is "MS [HOW [CPU]]": its run time in milliseconds (0: until it
- * is stopped); "done", "fail" or "once" (only the first run fails); and its CPU
- * use in thousandths of a core.
+ * A task's spec is "MS [HOW [CPU [MEMORY]]]": its run time in milliseconds (0:
+ * until it is stopped); "done", "fail" or "once" (only the first run fails);
+ * its CPU use in thousandths of a core; and its memory in MiB. Starts that
+ * don't fit are refused, unless --unguarded is given.
+ *
+ * After SIGUSR1 it is unhealthy for some seconds: it refuses half of the calls,
+ * and connections of others are reset, which makes the agent send them again.
  *
  * SIGHUP ends this incarnation, with its connections, and starts another one
  * with the same name at the same address.
@@ -25,14 +29,20 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "testbed.h"
+
 #define HEARTBEAT_MS 300
 #define TICK_MS 10
 /* Delay after which an unanswered call may still be carried out. */
 #define LATE_MIN_MS 2000
 #define LATE_MAX_MS 12000
+#define UNHEALTHY_MIN_MS 1000
+#define UNHEALTHY_MAX_MS 5000
+#define UNHEALTHY_REFUSED_PERCENT 50
+#define UNHEALTHY_RESET_PERCENT 25
 #define ENDS_PER_REPLY 500 /* limit of the protocol */
-#define CAPACITY_MILLIS 8000
 #define HOLD_MAX_MS 10000
+#define STOP_MAX_MS 900 /* until a run that is being stopped has ended */
 
 struct standin {
 	GMainLoop *loop;
@@ -43,12 +53,15 @@
 	char *agent;
 	char *address; /* own HTTP address, NULL before the first start */
 	char *zone;
+	char *label; /* its kind, the first of its labels */
+	gboolean unguarded; /* starts tasks that don't fit */
 	char **argv;
 	gint late_percent; /* of the calls: no answer, may run later */
 	gint reset_percent; /* of the starts, see reset_start() */
 	gint malformed_percent; /* of the heartbeats, sent in addition */
 	gint odd_percent; /* of the rows of lists: invalid */
 	GRand *random;
+	gint64 unhealthy_until_us;
 	uint64_t born_ms; /* real time of the start: its incarnation */
 	gint64 born_us; /* the start in monotonic time */
 	uint64_t seq; /* of the last heartbeat */
@@ -68,7 +81,9 @@
 	uint64_t run_ms; /* 0: until it is stopped */
 	bool fails;
 	uint32_t cpu_millis;
+	uint32_t memory_mib;
 	gint64 began_us;
+	gint64 stopped_us; /* when it ends as stopped, 0: it isn't stopped */
 };
 
 struct end {
@@ -260,16 +275,21 @@
 
 /* ---- calls ---- */
 
-static uint32_t cpu_in_use(const struct standin *standin)
+/* Returns true if the run fits beside those that the worker has. */
+static bool run_fits(const struct standin *standin, const struct run *run)
 {
+	uint64_t cpu_millis = run->cpu_millis;
+	uint64_t memory_mib = run->memory_mib;
 	GHashTableIter iter;
-	uint32_t millis = 0;
 	void *value;
 
 	g_hash_table_iter_init(&iter, standin->runs);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		millis += ((struct run *)value)->cpu_millis;
-	return millis;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cpu_millis += ((struct run *)value)->cpu_millis;
+		memory_mib += ((struct run *)value)->memory_mib;
+	}
+	return cpu_millis <= TB_EXECUTOR_CPU_MILLIS &&
+	       memory_mib <= TB_EXECUTOR_MEMORY_MIB;
 }
 
 static struct run *run_new(const char *task, uint64_t nr, const char *spec)
@@ -287,6 +307,9 @@
 	if (nr_words > 2)
 		run->cpu_millis =
 			(uint32_t)g_ascii_strtoull(words[2], NULL, 10);
+	if (nr_words > 3)
+		run->memory_mib =
+			(uint32_t)g_ascii_strtoull(words[3], NULL, 10);
 	run->began_us = g_get_monotonic_time();
 	g_strfreev(words);
 	return run;
@@ -309,7 +332,7 @@
 	if (standin->lease_ms <= clock_ms(standin))
 		return "late";
 	run = run_new(task, nr, spec);
-	if (cpu_in_use(standin) + run->cpu_millis > CAPACITY_MILLIS) {
+	if (!standin->unguarded && !run_fits(standin, run)) {
 		run_free(run);
 		return "room";
 	}
@@ -325,8 +348,11 @@
 	struct run *run = g_hash_table_lookup(standin->runs, task);
 
 	bar_runs(standin, task, nr);
-	if (run && run->nr <= nr)
-		run_ended(standin, run, "stopped");
+	if (run && run->nr <= nr && !run->stopped_us)
+		run->stopped_us =
+			g_get_monotonic_time() +
+			g_rand_int_range(standin->random, 0, STOP_MAX_MS) *
+				INT64_C(1000);
 }
 
 static void settle(struct standin *standin, uint64_t nr)
@@ -457,6 +483,30 @@
 	return true;
 }
 
+/*
+ * Refuses calls and resets connections of an unhealthy worker; a call on a
+ * connection that is reset may be executed. Returns false if the call is to be
+ * handled as usual.
+ */
+static bool disturb_call(struct standin *standin, SoupServerMessage *msg,
+			 const char *path, JsonObject *call)
+{
+	gint draw;
+
+	if (g_get_monotonic_time() >= standin->unhealthy_until_us)
+		return false;
+	draw = g_rand_int_range(standin->random, 0, 100);
+	if (draw < UNHEALTHY_REFUSED_PERCENT) {
+		send_answer(msg, 503, g_strdup("{}"));
+		return true;
+	}
+	if (draw >= UNHEALTHY_REFUSED_PERCENT + UNHEALTHY_RESET_PERCENT)
+		return false;
+	execute_unanswered(standin, msg, path, call);
+	reset_connection(msg);
+	return true;
+}
+
 static void hold_answer(struct standin *standin, SoupServerMessage *msg)
 {
 	send_answer(msg, 200, lists_text(standin));
@@ -500,7 +550,8 @@
 		execute_unanswered(standin, msg, path, call);
 		goto out;
 	}
-	if (reset_start(standin, msg, path, call))
+	if (disturb_call(standin, msg, path, call) ||
+	    reset_start(standin, msg, path, call))
 		goto out;
 	reason = order_execute(standin, path, call, false);
 	if (!reason && !strcmp(path, "/hold"))
@@ -528,6 +579,10 @@
 
 		if (lapsed)
 			run_ended(standin, run, "lapsed");
+		else if (run->stopped_us && now_us >= run->stopped_us)
+			run_ended(standin, run, "stopped");
+		else if (run->stopped_us)
+			continue;
 		else if (run->run_ms &&
 			 now_us - run->began_us >= (gint64)run->run_ms * 1000)
 			run_ended(standin, run, run->fails ? "failed" : "done");
@@ -587,11 +642,13 @@
 			"{\"service\":\"svc\",\"addr\":\"%s\","
 			"\"zone\":\"%s\",\"version\":\"v1\",\"slots\":8,"
 			"\"state\":\"ready\",\"warmupLeftMs\":0,\"capacity\":"
-			"{\"cpu\":8000,\"memMb\":16000,\"gpu\":0},"
-			"\"labels\":[\"a\",\"r1\"],\"machine\":\"m-%s\","
+			"{\"cpu\":%d,\"memMb\":%d,\"gpu\":0},"
+			"\"labels\":[\"%s\",\"r1\"],\"machine\":\"m-%s\","
 			"\"serverTimeMs\":%" PRIu64 ",\"born\":%" PRIu64
 			",\"seq\":%" PRIu64 "}",
-			standin->address, standin->zone, standin->name,
+			standin->address, standin->zone, TB_EXECUTOR_CPU_MILLIS,
+			TB_EXECUTOR_MEMORY_MIB,
+			standin->label ? standin->label : "a", standin->name,
 			clock_ms(standin), standin->born_ms, ++standin->seq));
 	return G_SOURCE_CONTINUE;
 }
@@ -618,11 +675,24 @@
 	g_ptr_array_add(argv, NULL);
 	/* Ignores further signals until the new incarnation has its handler. */
 	signal(SIGHUP, SIG_IGN);
+	signal(SIGUSR1, SIG_IGN);
 	execv("/proc/self/exe", (char **)argv->pdata);
 	g_error("can't start another incarnation");
 	return G_SOURCE_REMOVE;
 }
 
+static gboolean on_unhealthy(gpointer data)
+{
+	struct standin *standin = data;
+
+	standin->unhealthy_until_us =
+		g_get_monotonic_time() + g_rand_int_range(standin->random,
+							  UNHEALTHY_MIN_MS,
+							  UNHEALTHY_MAX_MS) *
+						 INT64_C(1000);
+	return G_SOURCE_CONTINUE;
+}
+
 static bool serve(struct standin *standin, const char *port_file)
 {
 	const char *colon = standin->address ? strchr(standin->address, ':') :
@@ -657,6 +727,8 @@
 		{ "agent", 0, 0, G_OPTION_ARG_STRING, &standin.agent },
 		{ "journal", 0, 0, G_OPTION_ARG_STRING, &journal },
 		{ "zone", 0, 0, G_OPTION_ARG_STRING, &standin.zone },
+		{ "label", 0, 0, G_OPTION_ARG_STRING, &standin.label },
+		{ "unguarded", 0, 0, G_OPTION_ARG_NONE, &standin.unguarded },
 		{ "address", 0, 0, G_OPTION_ARG_STRING, &standin.address },
 		{ "port-file", 0, 0, G_OPTION_ARG_STRING, &port_file },
 		{ "late-percent", 0, 0, G_OPTION_ARG_INT,
@@ -693,6 +765,7 @@
 		return 1;
 	standin.loop = g_main_loop_new(NULL, FALSE);
 	g_unix_signal_add(SIGHUP, on_restart, &standin);
+	g_unix_signal_add(SIGUSR1, on_unhealthy, &standin);
 	g_timeout_add(TICK_MS, on_tick, &standin);
 	/* After a restart, calls arrive before the first heartbeat is sent. */
 	g_timeout_add((guint)g_random_int_range(1, HEARTBEAT_MS),
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -239,19 +239,6 @@
 }
 END_TEST
 
-/* Sets the delay of messages between the replicas. */
-static void set_control_delay(struct flow_world *fw, uint32_t delay_us)
-{
-	struct world *base = fw->base;
-
-	for (uint32_t i = 0; i < base->nr_controls; i++)
-		for (uint32_t j = 0; j < base->nr_controls; j++)
-			if (i != j)
-				sim_path_between(base->controls[i].machine,
-						 base->controls[j].machine)
-					->delay_us = delay_us;
-}
-
 /*
  * Guards against a leader that ignores reports while its own lease has expired,
  * because its quorum answers too late. It revoked runs whose ends had been
@@ -273,9 +260,9 @@
 		 * The round trip takes 600 ms; an election starts after 600 ms
 		 * without a message of the leader.
 		 */
-		set_control_delay(fw, 300000);
+		world_set_control_delay(fw->base, 300000);
 		flow_world_run_ms(fw, 7000);
-		set_control_delay(fw, 500);
+		world_set_control_delay(fw->base, 500);
 		ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 20000));
 		ck_assert_uint_eq(fw->nr_starts, 8);
 		flow_world_free(fw);
@@ -447,22 +434,18 @@
 START_TEST(test_zone_out)
 {
 	struct flow_world *fw = flow_world_new(9);
-	struct cmd_zone_set set = { .out = true };
 	struct flow_step step = step_of(12);
 	uint64_t out_us;
 
-	TEXT_SET(set.name, "veraval");
-	TEXT_SET(set.changed_by, "test");
 	fw->watched_zone = "veraval";
-	ck_assert_int_eq(world_change(fw->base, OP_ZONE_PUT, &set), RESULT_OK);
+	flow_world_set_zone(fw, "veraval", true);
 	out_us = sim_now_us(fw->base->sim);
 	flow_world_submit(fw, "aa", &step, 1);
 	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 9000));
 	ck_assert_uint_le(fw->last_start_us, out_us);
 	/* The same change is acknowledged when it is sent again. */
-	ck_assert_int_eq(world_change(fw->base, OP_ZONE_PUT, &set), RESULT_OK);
-	set.out = false;
-	ck_assert_int_eq(world_change(fw->base, OP_ZONE_PUT, &set), RESULT_OK);
+	flow_world_set_zone(fw, "veraval", true);
+	flow_world_set_zone(fw, "veraval", false);
 	flow_world_submit(fw, "bb", &step, 1);
 	ck_assert(flow_world_wait(fw, "bb", FLOW_COMPLETED, 9000));
 	ck_assert_uint_gt(fw->last_start_us, out_us);
@@ -470,6 +453,21 @@
 }
 END_TEST
 
+/* Guards against a task that is placed on a VM without its step's label. */
+START_TEST(test_label)
+{
+	struct flow_world *fw = flow_world_new(10);
+	struct flow_step step = step_of(8);
+
+	TEXT_SET(step.label, "porbandar");
+	fw->watched_zone = "veraval";
+	flow_world_submit(fw, "aa", &step, 1);
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 9000));
+	ck_assert_uint_eq(fw->last_start_us, 0);
+	flow_world_free(fw);
+}
+END_TEST
+
 /* Guards against tasks that are placed on a draining worker. */
 START_TEST(test_draining)
 {
@@ -687,6 +685,6 @@
 	   test_vm_cut_off, test_nothing_placed_on_silent_vm, test_short_cuts,
 	   test_leader_without_lease, test_late_calls, test_worker_crashes,
 	   test_heartbeat_of_earlier_life, test_foreign_reports,
-	   test_life_with_an_earlier_clock, test_zone_out, test_draining,
-	   test_attempts, test_unanswered_starts_wait, test_advice,
-	   test_seeds_are_agents, test_overload_ends_most_on_time)
+	   test_life_with_an_earlier_clock, test_zone_out, test_label,
+	   test_draining, test_attempts, test_unanswered_starts_wait,
+	   test_advice, test_seeds_are_agents, test_overload_ends_most_on_time)
--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -397,19 +397,6 @@
 }
 END_TEST
 
-/* Makes each commit take twice this time. */
-static void set_control_delay(const struct script *script, uint32_t delay_us)
-{
-	struct world *base = script->fw->base;
-
-	for (uint32_t i = 0; i < base->nr_controls; i++)
-		for (uint32_t j = 0; j < base->nr_controls; j++)
-			if (i != j)
-				sim_path_between(base->controls[i].machine,
-						 base->controls[j].machine)
-					->delay_us = delay_us;
-}
-
 /* Returns an agent on whose VM no task is placed, by the leader's log. */
 static struct scripted_agent *script_unused(struct script *script)
 {
@@ -446,7 +433,8 @@
 	script_started(script)->draining = true;
 	script_run_ms(script, REPORT_MS);
 	nr_starts = script_starts(script);
-	set_control_delay(script, 200000);
+	/* A commit takes twice the delay. */
+	world_set_control_delay(script->fw->base, 200000);
 	flow_world_submit(script->fw, "gg", &step, 1);
 	for (uint32_t i = 0;
 	     i < 100 && !sim_log_has(script->fw->base->sim,
@@ -468,6 +456,75 @@
 }
 END_TEST
 
+/*
+ * Guards against a run beside an earlier one that the previous leader knew of:
+ * the VM hasn't reported to the new leader yet.
+ */
+START_TEST(test_new_leader_awaits_report)
+{
+	struct script *script = script_new(8);
+	struct scripted_agent *agent = script_started(script);
+
+	script_lose_run(script, agent);
+	script_run_ms(script, REPORT_MS);
+	script_drain_others(script, agent, false);
+	expect_no_start(script, 1000);
+	agent->silent = true;
+	world_kill_control(world_leader_host(script->fw->base));
+	expect_no_start(script, 5500);
+	expect_start(script, 3000);
+	script_free(script);
+}
+END_TEST
+
+/*
+ * Guards against a new leader that takes the first report of a restarted agent,
+ * which knows no runs yet, for the list of the runs at its VM.
+ */
+START_TEST(test_new_leader_awaits_list)
+{
+	struct script *script = script_new(10);
+	struct scripted_agent *agent = script_started(script);
+
+	script_lose_run(script, agent);
+	script_run_ms(script, REPORT_MS);
+	script_drain_others(script, agent, false);
+	expect_no_start(script, 1000);
+	world_kill_control(world_leader_host(script->fw->base));
+	agent_boot(agent);
+	expect_no_start(script, 2500);
+	agent->looked = true;
+	expect_no_start(script, 2000);
+	agent->has_run = false;
+	expect_start(script, 1500);
+	script_free(script);
+}
+END_TEST
+
+/*
+ * Guards against a new leader that takes a run for lost too early because it
+ * doesn't know that the worker was restarted under its identity: a late start
+ * then gets the longest lease that workers accept.
+ */
+START_TEST(test_new_leader_knows_restart)
+{
+	struct script *script = script_new(9);
+	struct scripted_agent *agent = script_started(script);
+
+	agent->silent = true;
+	world_kill_control(world_leader_host(script->fw->base));
+	agent->vm->worker.born_ms += 5000;
+	script_run_ms(script, 2000);
+	agent->silent = false;
+	agent->run.unconfirmed = true;
+	script_run_ms(script, REPORT_MS);
+	agent->silent = true;
+	expect_no_start(script, WORLD_WORKER_LEASE_MS - 1500);
+	expect_start(script, 3000);
+	script_free(script);
+}
+END_TEST
+
 /*
  * Guards against a task that is placed elsewhere although a later incarnation
  * of the worker carries out its start. The incarnation that the start was
@@ -503,8 +560,50 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that runs on after its cancellation: its start was
+ * carried out by a later incarnation of the worker, which lists the run, and
+ * the leader neither stopped nor ended it (soak seed 821).
+ */
+START_TEST(test_run_of_later_incarnation_is_cancelled)
+{
+	struct flow_step step = { .count = 1,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .lasting = true };
+	struct flow_world *fw = flow_world_new(1);
+	struct fw_vm *vm = NULL;
+
+	fw->lasting = "cc";
+	flow_world_submit(fw, "cc", &step, 1);
+	flow_world_run_ms(fw, 2000);
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		if (fw_runs(&fw->vms[i], "cc.0.0.0"))
+			vm = &fw->vms[i];
+	ck_assert_ptr_nonnull(vm);
+	fw_freeze_agent(vm, true);
+	fw_crash_worker(vm);
+	fw_boot_worker(vm);
+	/* The late start brings the incarnation its first lease. */
+	vm->worker.lease_ms = 3000;
+	fw_add_run(vm, "cc.0.0.0", 1, 0);
+	fw_freeze_agent(vm, false);
+	flow_world_run_ms(fw, 2000);
+	ck_assert(fw_runs(vm, "cc.0.0.0"));
+	ck_assert_int_eq(
+		flow_world_call(fw, FLOW_CALL_CANCEL, "/q/cc", NULL).result,
+		RESULT_OK);
+	flow_world_run_ms(fw, 2000);
+	ck_assert_uint_eq(fw_running(fw), 0);
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
 	   test_two_orphans_of_task, test_restarted_agent_keeps_bar,
 	   test_ended_run_that_may_start_again, test_gang_starts_together,
-	   test_start_in_flight_at_end_of_incarnation)
+	   test_new_leader_awaits_report, test_new_leader_awaits_list,
+	   test_new_leader_knows_restart,
+	   test_start_in_flight_at_end_of_incarnation,
+	   test_run_of_later_incarnation_is_cancelled)
