--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -148,12 +148,12 @@
 	uint64_t stale_seq; /* number of the last stale heartbeat, 0: none */
 	uint32_t stale_increases; /* stale heartbeats in a row, seq rising */
 	bool reported_draining; /* by a heartbeat of this incarnation */
-	uint64_t deregistered_us; /* time of deregistration, 0: none */
 	/*
 	 * The ended incarnation was restarted under its identity, and the new
 	 * one isn't known yet; it may carry out the late starts.
 	 */
 	bool restarted;
+	uint64_t deregistered_us; /* time of deregistration, 0: none */
 	struct runner_candidate candidate;
 	uint64_t candidate_nr; /* number of the newest candidate */
 	uint32_t probes_in_flight;
--- a/tests/test_flow_orphan.c
+++ b/tests/test_flow_orphan.c
@@ -190,16 +190,18 @@
 	for (uint64_t seed = 1; seed <= NR_SEEDS; seed++) {
 		struct flow_world *fw = world_without_agents(seed, &step);
 		struct control *leader;
+		uint64_t nr_checks;
 		uint64_t lost_ms;
 
 		flow_world_run_ms(fw, 3000);
 		leader = world_leader(fw->base);
 		ck_assert_ptr_nonnull(leader);
 		/* The first check after the leases have certainly expired. */
+		nr_checks = (leader->flows->lease_ms + FLOW_LEASE_MARGIN_MS) /
+				    VM_CHECK_MS +
+			    1;
 		lost_ms = leader->leader_since_us / 1000 +
-			  ((leader->flows->lease_ms + FLOW_LEASE_MARGIN_MS) /
-				   VM_CHECK_MS +
-			   1) * VM_CHECK_MS;
+			  nr_checks * VM_CHECK_MS;
 		flow_world_run_ms(fw, lost_ms - AGENTS_BEFORE_LOSS_MS -
 					      sim_now_us(fw->base->sim) / 1000);
 		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
