Accept an earlier run's end if the placed run's worker has been restarted

What callers would see: a task starts again after it is done.

Cause: run 1 of a task counted as refused after a stop, and run 2 was placed on the same VM. The worker was then restarted under its identity, carried out the late start of run 1 and lists its end as done. The leader ignored this end because run 2 was placed, though run 2 had ended with its incarnation, and placed run 3.

The end now completes the task, and the present incarnation is ordered to stop run 2, whose start it may carry out late, too.

Ruled out: the case of a placed run that no leader has ordered to start was covered already (flow_held: earlier_run_is_done).

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -372,10 +372,13 @@
 					       const struct flow_vm *vm,
 					       const struct flow_run *run);
 /**
- * Returns true if the end completes the task of a placed run that no leader has
- * ordered to start: an earlier run of the task, an orphan, has ended as done.
+ * Returns true if the end, which the VM's agent reports, completes the task of
+ * a placed run: an earlier run of the task, an orphan, has ended as done, and
+ * no leader has ordered the placed run to start, or its worker has been
+ * restarted since.
  */
-bool control_flow_end_is_earlier(const struct flow_placement *placed,
+bool control_flow_end_is_earlier(const struct flow_vm *vm,
+				 const struct flow_placement *placed,
 				 const struct flow_run_end *end);
 /** Returns true if the VM has an orphan of the task. */
 bool control_flow_vm_has_orphan(const struct flow_vm *vm, const char *task);
--- a/src/core/control/control_flow_log.c
+++ b/src/core/control/control_flow_log.c
@@ -258,7 +258,7 @@
 			    &flow->record.steps[state_flow_step(flow, nr)]) ||
 		    end_is_accepted(flow, nr, end, vm->name) ||
 		    control_flow_end_is_earlier(
-			    control_flow_placement(flows, flow, nr), end))
+			    vm, control_flow_placement(flows, flow, nr), end))
 			continue;
 		log_ignored(flows, vm, end, &flow->record.tasks[nr]);
 	}
--- a/src/core/control/control_flow_orphan.c
+++ b/src/core/control/control_flow_orphan.c
@@ -51,12 +51,28 @@
 	return NULL;
 }
 
-bool control_flow_end_is_earlier(const struct flow_placement *placed,
+/*
+ * Returns true if the run was placed on an incarnation of the VM's worker that
+ * a later one has replaced.
+ */
+static bool is_of_earlier_incarnation(const struct flow_placement *placed)
+{
+	const struct flow_task *task =
+		&placed->flow->record.tasks[placed->task];
+
+	return task->born_ms < placed->vm->worker.born_ms;
+}
+
+bool control_flow_end_is_earlier(const struct flow_vm *vm,
+				 const struct flow_placement *placed,
 				 const struct flow_run_end *end)
 {
-	return placed && end->end == FLOW_END_DONE && end->run < placed->run &&
-	       !placed->ordered_us && !placed->inherited &&
-	       !placed->step->lasting && !placed->step->gang;
+	if (!placed || end->end != FLOW_END_DONE || end->run >= placed->run ||
+	    placed->step->lasting || placed->step->gang)
+		return false;
+	return (!placed->ordered_us && !placed->inherited) ||
+	       (placed->committed && placed->vm == vm &&
+		is_of_earlier_incarnation(placed));
 }
 
 bool control_flow_vm_has_orphan(const struct flow_vm *vm, const char *task)
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -33,7 +33,7 @@
 			continue;
 		task = &flow->record.tasks[nr];
 		placed = control_flow_placement(flows, flow, nr);
-		if (control_flow_end_is_earlier(placed, end) ||
+		if (control_flow_end_is_earlier(vm, placed, end) ||
 		    (task->state == FLOW_TASK_PLACED && task->run == end->run &&
 		     !strcmp(task->vm, vm->name)) ||
 		    (end->end == FLOW_END_DONE &&
@@ -174,6 +174,25 @@
 	control_flow_propose(flows, &change);
 }
 
+/*
+ * Orders the present incarnation of the worker to stop a run that was placed on
+ * an earlier one.
+ */
+static void flow_stop_earlier_incarnation(struct control_flow *flows,
+					  struct flow_placement *placed)
+{
+	uint64_t now_us = flows->control->node->now_us;
+	struct flow_run run = { .run = placed->run };
+
+	if (placed->stopping &&
+	    now_us - placed->ordered_us < FLOW_ORDER_REPEAT_MS * 1000ull)
+		return;
+	placed->stopping = true;
+	placed->ordered_us = now_us;
+	TEXT_SET(run.task, placed->name);
+	control_flow_order_kill(flows, placed->vm, &run);
+}
+
 static void flow_handle_ends(struct control_flow *flows, struct flow_vm *vm,
 			     const struct flow_report *report)
 {
@@ -188,8 +207,12 @@
 		if (placed && placed->run == end->run && placed->vm == vm) {
 			control_flow_propose_end(flows, placed, end->end,
 						 end->checkpoint);
-		} else if (placed && control_flow_end_is_earlier(placed, end)) {
+		} else if (placed &&
+			   control_flow_end_is_earlier(vm, placed, end)) {
 			placed->done_earlier = true;
+			/* The worker may carry out the placed run's start. */
+			if (placed->ordered_us || placed->inherited)
+				flow_stop_earlier_incarnation(flows, placed);
 			control_flow_propose_end(flows, placed, FLOW_END_DONE,
 						 end->checkpoint);
 		} else {
@@ -248,25 +271,6 @@
 	       flows->control->node->now_us <= until_us;
 }
 
-/*
- * Orders the present incarnation of the worker to stop a run that was placed on
- * an earlier one.
- */
-static void flow_stop_earlier_incarnation(struct control_flow *flows,
-					  struct flow_placement *placed)
-{
-	uint64_t now_us = flows->control->node->now_us;
-	struct flow_run run = { .run = placed->run };
-
-	if (placed->stopping &&
-	    now_us - placed->ordered_us < FLOW_ORDER_REPEAT_MS * 1000ull)
-		return;
-	placed->stopping = true;
-	placed->ordered_us = now_us;
-	TEXT_SET(run.task, placed->name);
-	control_flow_order_kill(flows, placed->vm, &run);
-}
-
 /*
  * Ends a run of an earlier incarnation of the worker; the run ended with that
  * incarnation. If the present incarnation has the same identity, it may still
--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -32,6 +32,7 @@
 	bool has_end; /* reports the end, once */
 	struct flow_run_end end;
 	uint32_t nr_starts; /* number of orders to start a run */
+	uint32_t stopped_run; /* number of the run in the last order to stop */
 };
 
 struct script {
@@ -73,6 +74,8 @@
 	for (uint32_t i = 0; i < orders->nr_orders; i++) {
 		const struct flow_order *order = &orders->orders[i];
 
+		if (order->action == FLOW_STOP)
+			agent->stopped_run = order->run;
 		if (order->action != FLOW_START)
 			continue;
 		agent->nr_starts++;
@@ -599,6 +602,42 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that starts again after it is done. Its first run
+ * counted as refused, and was carried out late by the next incarnation of the
+ * worker, whose restart ended the second run. First seen with flow_random,
+ * faults, seed 1027.
+ */
+START_TEST(test_done_by_later_incarnation)
+{
+	struct script *script = script_new(10);
+	struct scripted_agent *agent = script_started(script);
+	uint32_t run = agent->run.run;
+
+	script_drain_others(script, agent, true);
+	script_run_ms(script, REPORT_MS);
+	agent->has_run = false;
+	agent->has_end = true;
+	TEXT_SET(agent->end.task, TASK);
+	agent->end.run = run;
+	agent->end.end = FLOW_END_REFUSED;
+	expect_start(script, 1500);
+	script_drain_others(script, agent, false);
+	agent->vm->worker.born_ms += 5000;
+	agent->has_run = false;
+	agent->has_end = true;
+	agent->end.nr = 1;
+	agent->end.end = FLOW_END_DONE;
+	expect_no_start(script, 5000);
+	ck_assert(sim_log_has(script->fw->base->sim,
+			      "*event=task-ended task=" TASK
+			      " run=2 *end=done*"));
+	/* The second run's start may be carried out late, too. */
+	ck_assert_uint_eq(agent->stopped_run, run + 1);
+	script_free(script);
+}
+END_TEST
+
 SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
 	   test_two_orphans_of_task, test_restarted_agent_keeps_bar,
@@ -606,4 +645,5 @@
 	   test_new_leader_awaits_report, test_new_leader_awaits_list,
 	   test_new_leader_knows_restart,
 	   test_start_in_flight_at_end_of_incarnation,
-	   test_run_of_later_incarnation_is_cancelled)
+	   test_run_of_later_incarnation_is_cancelled,
+	   test_done_by_later_incarnation)
