Bound a lost worker's lease by what is known of it

Cause: while any agent told of a call without an answer, the leader assumed one at each VM whose last report was older than that, and that the lease time in it counts from its arrival: 12 s and the longest lease more. An agent that reports that its worker is gone moved this time on with each report.

The deadline in a call is a time on the worker's clock, so a late call gives its incarnation no longer lease than the agent was granted. So the grants alone bound the lease.

vm-lost says which bound held it; vm_lost_ms has the time from the last report that the worker answers.

--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -27,14 +27,13 @@
 
 uint32_t runner_late_ms(const struct runner *runner)
 {
-	uint64_t until_us =
-		runner->unanswered_us +
-		(WORKER_CALL_MAX_DELAY_MS + FLOW_LEASE_MAX_MS) * 1000ull;
+	uint64_t until_us = runner->unanswered_start_us +
+			    WORKER_CALL_MAX_DELAY_MS * 1000ull;
 
 	/* A worker that has sent no heartbeat since the call counts as
 	 * terminated, and won't carry out the call. */
-	if (!runner->unanswered_us ||
-	    runner->heartbeat_us <= runner->unanswered_us ||
+	if (!runner->unanswered_start_us ||
+	    runner->heartbeat_us <= runner->unanswered_start_us ||
 	    until_us <= runner->node->now_us)
 		return 0;
 	return (uint32_t)((until_us - runner->node->now_us) / 1000);
@@ -491,9 +490,9 @@
 	}
 	if (reply->verdict == EXEC_NO_ANSWER) {
 		counter_add(runner->node->counters, "calls_unanswered", 1);
-		if (call->extends_lease)
-			runner->unanswered_us =
-				MAX(runner->unanswered_us, call->sent_us);
+		if (call->kind == EXEC_START)
+			runner->unanswered_start_us =
+				MAX(runner->unanswered_start_us, call->sent_us);
 	}
 	switch (call->kind) {
 	case EXEC_START:
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -285,8 +285,8 @@
 	bool reachable; /* the worker answers calls */
 	bool looked; /* a poll has succeeded: runs has all the worker's runs */
 	/**
-	 * Time for which a call that had no answer may still be carried out and
-	 * may extend the worker's lease, 0: no call of this kind.
+	 * Time for which a start that had no answer may still be carried out by
+	 * a later incarnation of the worker, 0: no such start.
 	 */
 	uint32_t late_ms;
 	uint32_t nr_runs;
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -29,6 +29,7 @@
 	/* Leases that an earlier leader granted have ended by this time. */
 	vm->lapse_us =
 		flows->control->leader_since_us + flows->lease_ms * 1000ull;
+	vm->reachable_us = flows->control->leader_since_us;
 	g_hash_table_insert(flows->vms, vm->name, vm);
 	return vm;
 }
@@ -143,6 +144,22 @@
 		control_flow_release(flows, placed);
 }
 
+/* Returns true if the end of any of the VM's runs is proposed. */
+static bool flow_vm_ends_runs(const struct flow_vm *vm)
+{
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, vm->runs);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct flow_placement *placed = key;
+
+		if (placed->ending)
+			return true;
+	}
+	return false;
+}
+
 static void flow_changes_done(struct control *control,
 			      const struct control_proposal *proposal,
 			      const struct state_outcome *outcome)
@@ -163,8 +180,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct flow_vm *vm = value;
 
-		vm->loss_pending = vm->loss_pending &&
-				   g_hash_table_size(vm->runs);
+		vm->loss_pending = vm->loss_pending && flow_vm_ends_runs(vm);
 		if (vm->grant_due)
 			control_flow_grant(flows, vm);
 	}
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -28,6 +28,15 @@
  */
 #define FLOW_EARLIER_IDS 4
 
+/** What the latest time at which a worker's lease can end follows from. */
+enum flow_bound {
+	FLOW_BOUND_LEADER =
+		0, /* leases that an earlier leader may have granted */
+	FLOW_BOUND_GRANT = 1, /* this leader's last grant */
+	/* The longest lease, which a restarted worker may have accepted. */
+	FLOW_BOUND_RESTART = 2,
+};
+
 /** A VM whose worker runs tasks of workflows. */
 struct flow_vm {
 	char name[NAME_BYTES];
@@ -55,17 +64,28 @@
 	 */
 	uint64_t changed_nr;
 	uint64_t reported_us; /* time of the last report */
+	/*
+	 * When a report last said that the worker responds; the start of the
+	 * leader's term if none has.
+	 */
+	uint64_t reachable_us;
 	uint64_t report_seq;
 	/* Agent's clock when it sent the last report. */
 	uint64_t report_sent_us;
 	/**
-	 * Latest time at which the worker's lease can end, by the grants of
-	 * this and of earlier leaders and by reported calls without an answer.
+	 * Latest time at which the worker's lease can end, by what is known of
+	 * this VM.
 	 */
 	uint64_t lapse_us;
+	enum flow_bound bound; /* what lapse_us follows from */
+	/*
+	 * Until this time a later incarnation of the worker may carry out
+	 * starts without an answer, by the agent's reports, 0: there are none.
+	 */
+	uint64_t late_start_us;
 	/*
 	 * The worker was restarted under its identity, and no run of the new
-	 * incarnation was listed yet, see flow_extend_lapse().
+	 * incarnation was listed yet, see flow_note_late_calls().
 	 */
 	bool restarted;
 	GArray *ends; /* struct flow_run_end, as listed in the last report */
@@ -134,6 +154,8 @@
 	bool ending; /* its end is proposed */
 	bool stopping; /* an order to stop it was sent */
 	bool listed; /* the worker runs it, by an agent's report */
+	/* Its start had no answer, by the last report that shows it. */
+	bool unconfirmed;
 	/* A worker lists the end of an earlier run of the task as done. */
 	bool done_earlier;
 	uint64_t ordered_us; /* time of the last order, 0: none */
@@ -293,12 +315,6 @@
 	struct timer check_timer;
 	/* When learned weights were last proposed for saving. */
 	uint64_t pressure_saved_us;
-	/**
-	 * Until this time, workers may carry out calls to which their agents
-	 * got no answer, by the agents' reports; 0: no such call was reported.
-	 * See flow_lapsed_us().
-	 */
-	uint64_t unanswered_until_us;
 	/* When control_flow_group_serving() last searched for moves. */
 	uint64_t group_checked_us;
 };
@@ -380,8 +396,12 @@
 bool control_flow_end_is_earlier(const struct flow_vm *vm,
 				 const struct flow_placement *placed,
 				 const struct flow_run_end *end);
-/** Returns true if the VM has an orphan of the task. */
-bool control_flow_vm_has_orphan(const struct flow_vm *vm, const char *task);
+/**
+ * Returns an orphan of the task at the VM, NULL if there is none. An
+ * unconfirmed one goes first, as it bars the task for longer.
+ */
+const struct flow_orphan *control_flow_vm_orphan(const struct flow_vm *vm,
+						 const char *task);
 /** Adds the VM's orphans to the load; @a demand has the stage to count. */
 void control_flow_add_orphans(const struct flow_vm *vm,
 			      const struct flow_demand *demand,
@@ -413,6 +433,8 @@
 /* control_flow_order.c */
 /** Returns true if the run belongs to the worker's present incarnation. */
 bool control_flow_is_current_incarnation(const struct flow_placement *placed);
+/** Returns true if the worker had the run, by the last report that shows it. */
+bool control_flow_is_at_worker(const struct flow_placement *placed);
 void control_flow_order_start(struct control_flow *flows,
 			      struct flow_placement *placed);
 void control_flow_order_stop(struct control_flow *flows,
@@ -516,8 +538,9 @@
 void control_flow_log_ignored_ends(struct control_flow *flows,
 				   struct flow_vm *vm,
 				   const struct flow_report *report);
+/** Logs that the VM's @a runs, struct flow_placement *, are given up. */
 void control_flow_log_lost_vm(struct control_flow *flows,
-			      const struct flow_vm *vm);
+			      const struct flow_vm *vm, GList *runs);
 /** Notes that no VM can take a task of the stage; logs it from time to time. */
 void control_flow_note_wait(const struct flow_demand *demand);
 /** Notes that all tasks of a stage are placed. */
--- a/src/core/control/control_flow_log.c
+++ b/src/core/control/control_flow_log.c
@@ -265,19 +265,42 @@
 	vm->checked_end_nr = checked_nr;
 }
 
+/* Logs what the runs' loss has waited for, and since when that has passed. */
+static void log_bound(struct control_flow *flows, const struct flow_vm *vm,
+		      GList *runs, GString *line)
+{
+	static const char *const bounds[] = {
+		[FLOW_BOUND_LEADER] = "new-leader",
+		[FLOW_BOUND_GRANT] = "grant",
+		[FLOW_BOUND_RESTART] = "restart",
+	};
+	const char *bound = bounds[vm->bound];
+	uint64_t until_us = vm->lapse_us;
+	uint64_t late_us = vm->late_start_us + flows->worker_lease_ms * 1000ull;
+
+	for (GList *item = runs; item; item = item->next) {
+		const struct flow_placement *placed = item->data;
+
+		if (control_flow_is_at_worker(placed) ||
+		    late_us <= vm->lapse_us)
+			continue;
+		bound = "late-start";
+		until_us = late_us;
+	}
+	logline_str(line, "bound", bound);
+	logline_u64(line, "bound_ms_ago", ms_since(flows, until_us));
+}
+
 void control_flow_log_lost_vm(struct control_flow *flows,
-			      const struct flow_vm *vm)
+			      const struct flow_vm *vm, GList *runs)
 {
 	GString *line = logline_new("vm-lost");
 	GString *tasks = g_string_new(NULL);
 	uint32_t shown = 0;
-	GHashTableIter iter;
-	void *key;
 
-	g_hash_table_iter_init(&iter, vm->runs);
-	while (shown < LOST_TASKS_SHOWN &&
-	       g_hash_table_iter_next(&iter, &key, NULL)) {
-		const struct flow_placement *placed = key;
+	for (GList *item = runs; item && shown < LOST_TASKS_SHOWN;
+	     item = item->next) {
+		const struct flow_placement *placed = item->data;
 
 		g_string_append_printf(tasks, "%s%s/%u", shown ? "," : "",
 				       placed->name, placed->run);
@@ -285,8 +308,13 @@
 	}
 	logline_str(line, "vm", vm->name);
 	logline_str(line, "worker", vm->worker.id);
-	logline_u64(line, "runs", g_hash_table_size(vm->runs));
+	logline_u64(line, "runs", g_list_length(runs));
+	logline_u64(line, "runs_kept",
+		    g_hash_table_size(vm->runs) - g_list_length(runs));
 	logline_str(line, "tasks", tasks->str);
+	log_bound(flows, vm, runs, line);
+	logline_u64(line, "reachable_ms_ago",
+		    ms_since(flows, vm->reachable_us));
 	logline_u64(line, "lapsed_ms_ago", ms_since(flows, vm->lapse_us));
 	/*
 	 * If there was no grant or report, time is counted from the start of
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -35,6 +35,11 @@
 	       task->born_ms == worker->born_ms;
 }
 
+bool control_flow_is_at_worker(const struct flow_placement *placed)
+{
+	return placed->listed && !placed->unconfirmed;
+}
+
 /*
  * Logs a start that is ordered after a later report, when no orphan bars it any
  * more.
--- a/src/core/control/control_flow_orphan.c
+++ b/src/core/control/control_flow_orphan.c
@@ -75,12 +75,19 @@
 		is_of_earlier_incarnation(placed));
 }
 
-bool control_flow_vm_has_orphan(const struct flow_vm *vm, const char *task)
+const struct flow_orphan *control_flow_vm_orphan(const struct flow_vm *vm,
+						 const char *task)
 {
-	for (guint i = 0; i < vm->orphans->len; i++)
-		if (!strcmp(orphan_at(vm->orphans, i)->task, task))
-			return true;
-	return false;
+	const struct flow_orphan *found = NULL;
+
+	for (guint i = 0; i < vm->orphans->len; i++) {
+		const struct flow_orphan *orphan = orphan_at(vm->orphans, i);
+
+		if (!strcmp(orphan->task, task) &&
+		    (!found || orphan->unconfirmed))
+			found = orphan;
+	}
+	return found;
 }
 
 void control_flow_add_orphans(const struct flow_vm *vm,
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -44,6 +44,22 @@
 	return open == UINT64_MAX ? last : MAX(vm->settled_nr, open - 1);
 }
 
+/* Notes that the worker's lease may last until @a until_us. */
+static void flow_extend_lapse(struct flow_vm *vm, enum flow_bound bound,
+			      uint64_t until_us)
+{
+	if (until_us <= vm->lapse_us)
+		return;
+	vm->lapse_us = until_us;
+	vm->bound = bound;
+}
+
+/* Returns the time at which the worker's lease has certainly expired. */
+static uint64_t flow_lapsed_us(const struct flow_vm *vm)
+{
+	return vm->lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
+}
+
 uint64_t control_flow_fence(const struct control_flow *flows,
 			    const struct flow_vm *vm)
 {
@@ -76,8 +92,8 @@
 	    !vm->worker.ended) {
 		grant.lease_ms = flows->lease_ms;
 		vm->granted_us = control->node->now_us;
-		vm->lapse_us = MAX(vm->lapse_us,
-				   vm->reported_us + flows->lease_ms * 1000ull);
+		flow_extend_lapse(vm, FLOW_BOUND_GRANT,
+				  vm->reported_us + flows->lease_ms * 1000ull);
 	}
 	counter_add(control->node->counters, "flow_grants", 1);
 	pairs = control_flow_agent_weights(flows, vm);
@@ -120,6 +136,7 @@
 			continue;
 		}
 		g_hash_table_add(listed, placed);
+		placed->unconfirmed = run->unconfirmed;
 		if (run->unconfirmed)
 			continue;
 		if (!placed->listed) {
@@ -485,27 +502,33 @@
 
 	return worker->id[0] && vm->worker.id[0] &&
 	       worker->born_ms < vm->worker.born_ms &&
-	       now_us <= vm->lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
+	       now_us <= flow_lapsed_us(vm);
 }
 
 /*
- * Extends the time at which the worker's lease can end by what the report says.
- * A worker that was restarted under its identity may carry out calls that were
- * meant for the earlier incarnation. Their deadlines are times on the earlier
- * clock, which is far ahead of the new one, so they give the lease its greatest
- * length. Once a run of the new incarnation has started, the worker has the
- * raised fencing token and refuses these calls.
+ * Notes for how long the worker may still carry out late calls.
+ *
+ * The deadline in a call is a time on the worker's clock, so a late call gives
+ * its incarnation no longer lease than its agent was granted. A worker that was
+ * restarted under its identity may also carry out calls that were meant for the
+ * earlier incarnation. Their deadlines are far ahead of its new clock, so they
+ * give the lease its greatest length. Once a run of the new incarnation has
+ * started, the worker has the raised fencing token and refuses these calls.
+ *
+ * A start without an answer may be carried out by a later incarnation, too,
+ * whatever its deadline.
  */
-static void flow_extend_lapse(struct control_flow *flows, struct flow_vm *vm,
-			      const struct flow_report *report)
+static void flow_note_late_calls(struct control_flow *flows, struct flow_vm *vm,
+				 const struct flow_report *report)
 {
-	uint32_t open_ms = report->late_ms;
-
 	if (vm->restarted)
-		open_ms = MAX(open_ms, flows->worker_lease_ms);
-	if (open_ms)
-		vm->lapse_us =
-			MAX(vm->lapse_us, vm->reported_us + open_ms * 1000ull);
+		flow_extend_lapse(vm, FLOW_BOUND_RESTART,
+				  vm->reported_us +
+					  flows->worker_lease_ms * 1000ull);
+	if (report->late_ms)
+		vm->late_start_us =
+			MAX(vm->late_start_us,
+			    vm->reported_us + report->late_ms * 1000ull);
 }
 
 void control_flow_report(struct control_flow *flows, uint64_t from,
@@ -542,19 +565,11 @@
 	vm->looked = report->looked && report->worker.id[0];
 	vm->listed = vm->listed || vm->looked;
 	TEXT_SET(vm->zone, report->zone);
-	/*
-	 * A worker that responds again was running when it left the call
-	 * unanswered, so calls on other VMs may be late, too. A worker that
-	 * doesn't respond may have crashed, so its call says nothing about
-	 * other VMs.
-	 */
-	if (report->late_ms && report->reachable)
-		flows->unanswered_until_us =
-			MAX(flows->unanswered_until_us,
-			    vm->reported_us + report->late_ms * 1000ull);
+	if (report->reachable)
+		vm->reachable_us = vm->reported_us;
 	counter_add(control->node->counters, "flow_reports", 1);
 	flow_update_worker(flows, vm, report);
-	flow_extend_lapse(flows, vm, report);
+	flow_note_late_calls(flows, vm, report);
 	control_flow_update_orphans(flows, vm, report);
 	listed = flow_handle_runs(flows, vm, report);
 	control_flow_log_ignored_ends(flows, vm, report);
@@ -571,25 +586,20 @@
 }
 
 /*
- * Returns the time at which the worker's lease has certainly expired. A call
- * without an answer may be carried out late and extend the lease. While agents
- * report unanswered calls, a VM whose reports have stopped is assumed to have
- * had one after its last report, too.
+ * Returns the time at which the worker has certainly no longer a run. If it
+ * isn't certain that the worker has had it, a later incarnation may carry out
+ * its start, or that of an earlier run of the task, until late_start_us, with
+ * the longest lease that workers accept.
  */
-static uint64_t flow_lapsed_us(const struct control_flow *flows,
-			       const struct flow_vm *vm)
+static uint64_t flow_run_lapsed_us(const struct control_flow *flows,
+				   const struct flow_vm *vm, bool certain)
 {
-	uint64_t last_report_us = vm->reported ?
-					  vm->reported_us :
-					  flows->control->leader_since_us;
-	uint64_t lapse_us = vm->lapse_us;
-
-	if (last_report_us <= flows->unanswered_until_us)
-		lapse_us = MAX(lapse_us,
-			       last_report_us + (WORKER_CALL_MAX_DELAY_MS +
-						 FLOW_LEASE_MAX_MS) *
-							1000ull);
-	return lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
+	uint64_t late_us =
+		vm->late_start_us +
+		(flows->worker_lease_ms + FLOW_LEASE_MARGIN_MS) * 1000ull;
+
+	return certain || !vm->late_start_us ? flow_lapsed_us(vm) :
+					       MAX(flow_lapsed_us(vm), late_us);
 }
 
 bool control_flow_has_orphan(const struct control_flow *flows,
@@ -606,30 +616,58 @@
 	g_hash_table_iter_init(&iter, flows->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct flow_vm *vm = value;
+		const struct flow_orphan *orphan =
+			control_flow_vm_orphan(vm, name);
 
-		if (control_flow_vm_has_orphan(vm, name) &&
-		    now_us <= flow_lapsed_us(flows, vm))
+		if (orphan &&
+		    now_us <=
+			    flow_run_lapsed_us(flows, vm, !orphan->unconfirmed))
 			return true;
 	}
 	return false;
 }
 
 /*
- * Proposes all runs of a VM as lost, as its worker's lease has certainly
- * expired.
+ * Returns the committed runs of the VM that its worker can't have, or get, any
+ * more.
  */
-static void flow_vm_lost(struct control_flow *flows, struct flow_vm *vm)
+static GList *flow_lost_runs(const struct control_flow *flows,
+			     const struct flow_vm *vm)
 {
-	GList *runs = g_hash_table_get_keys(vm->runs);
+	uint64_t now_us = flows->control->node->now_us;
+	GList *lost = NULL;
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, vm->runs);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct flow_placement *placed = key;
 
-	control_flow_log_lost_vm(flows, vm);
-	counter_add(flows->control->node->counters, "vms_lost", 1);
+		if (placed->committed && !placed->ending &&
+		    now_us > flow_run_lapsed_us(
+				     flows, vm,
+				     control_flow_is_at_worker(placed)))
+			lost = g_list_prepend(lost, key);
+	}
+	return lost;
+}
+
+/* Proposes the runs as lost, as the worker's lease has certainly expired. */
+static void flow_vm_lost(struct control_flow *flows, struct flow_vm *vm,
+			 GList *runs)
+{
+	struct counters *counters = flows->control->node->counters;
+	uint64_t now_us = flows->control->node->now_us;
+
+	control_flow_log_lost_vm(flows, vm, runs);
+	counter_add(counters, "vms_lost", 1);
+	counter_observe(counters, "vm_lost_ms",
+			(now_us - vm->reachable_us) / 1000);
 	flow_raise_fence(vm);
 	vm->loss_pending = true;
-	vm->lost_us = flows->control->node->now_us;
+	vm->lost_us = now_us;
 	for (GList *item = runs; item; item = item->next)
 		control_flow_propose_end(flows, item->data, FLOW_END_LOST, "");
-	g_list_free(runs);
 }
 
 bool control_flow_vm_is_reporting(const struct control_flow *flows,
@@ -641,21 +679,6 @@
 	       now_us - vm->reported_us < FLOW_REPORT_STALE_MS * 1000ull;
 }
 
-static bool flow_vm_has_runs(const struct flow_vm *vm)
-{
-	GHashTableIter iter;
-	void *key;
-
-	g_hash_table_iter_init(&iter, vm->runs);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const struct flow_placement *placed = key;
-
-		if (placed->committed && !placed->ending)
-			return true;
-	}
-	return false;
-}
-
 void control_flow_check(void *data, uint64_t now_us)
 {
 	struct control_flow *flows = data;
@@ -669,6 +692,7 @@
 	g_hash_table_iter_init(&iter, flows->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct flow_vm *vm = value;
+		GList *lost;
 
 		if (vm->grant_due)
 			control_flow_grant(flows, vm);
@@ -677,10 +701,12 @@
 		 * runs are revoked only on a VM whose reports don't show how
 		 * its runs end.
 		 */
-		if (now_us > flow_lapsed_us(flows, vm) &&
-		    !control_flow_vm_is_reporting(flows, vm) &&
-		    flow_vm_has_runs(vm))
-			flow_vm_lost(flows, vm);
+		if (control_flow_vm_is_reporting(flows, vm))
+			continue;
+		lost = flow_lost_runs(flows, vm);
+		if (lost)
+			flow_vm_lost(flows, vm, lost);
+		g_list_free(lost);
 	}
 	control_flow_set_gauges(flows);
 	control_flow_save_weights(flows);
