--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -45,11 +45,17 @@
 	/* Ids of the agent's previous incarnations, a ring buffer. */
 	uint64_t earlier_node_ids[FLOW_EARLIER_IDS];
 	uint32_t nr_earlier;
+	enum flow_bound bound; /* what lapse_us follows from */
 	struct worker_incarnation worker;
 	bool reported; /* the agent has sent a report to this leader */
 	bool reachable; /* the worker responds to its agent */
 	bool looked; /* the agent has fetched the list of the worker's runs */
 	bool listed; /* a report to this leader had that list */
+	/*
+	 * The worker was restarted under its identity, and no run of the new
+	 * incarnation was listed yet, see flow_note_late_calls().
+	 */
+	bool restarted;
 	/*
 	 * The end of the VM's runs as lost is proposed; the VM gets no grants
 	 * until this is committed.
@@ -77,17 +83,11 @@
 	 * this VM.
 	 */
 	uint64_t lapse_us;
-	enum flow_bound bound; /* what lapse_us follows from */
 	/*
 	 * Until this time a later incarnation of the worker may carry out
 	 * starts without an answer, by the agent's reports, 0: there are none.
 	 */
 	uint64_t late_start_us;
-	/*
-	 * The worker was restarted under its identity, and no run of the new
-	 * incarnation was listed yet, see flow_note_late_calls().
-	 */
-	bool restarted;
 	GArray *ends; /* struct flow_run_end, as listed in the last report */
 	/* Added to the term's first fencing token for this VM. */
 	uint32_t fence_nr;
