--- a/tests/test_flow_late.c
+++ b/tests/test_flow_late.c
@@ -93,5 +93,154 @@
 }
 END_TEST
 
+/*
+ * Returns a VM whose agent has called a start that the worker carries out late,
+ * @a ms after that call. The worker's clock is ahead, so that the deadline
+ * doesn't prevent the start at a later incarnation.
+ */
+static struct fw_vm *vm_with_late_start(uint64_t seed, uint32_t ms)
+{
+	struct flow_world *fw = flow_world_new(seed);
+	struct flow_step step = step_of(1, "f");
+	uint64_t before[FLOW_WORLD_VMS] = { 0 };
+	struct fw_vm *vm = NULL;
+
+	step.estimate_ms = 30000;
+	fw->run_ms = 30000;
+	flow_world_run_ms(fw, 20000);
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		fw->vms[i].lose_ppm = 1000000;
+	flow_world_submit(fw, "rr", &step, 1);
+	for (uint32_t i = 0; i < 50 && !vm; i++) {
+		flow_world_run_ms(fw, 10);
+		vm = fw_starting_vm(fw, before);
+	}
+	ck_assert_ptr_nonnull(vm);
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		if (&fw->vms[i] != vm)
+			fw->vms[i].lose_ppm = 0;
+	flow_world_run_ms(fw, ms);
+	vm->lose_ppm = 0;
+	return vm;
+}
+
+/* Restarts the worker under its identity while its agent is frozen. */
+static void check_restart_beside_frozen_agent(uint32_t freeze_after_ms)
+{
+	for (uint64_t seed = 1; seed <= 16; seed++) {
+		struct fw_vm *vm = vm_with_late_start(seed, freeze_after_ms);
+		struct flow_world *fw = vm->world;
+
+		fw_freeze_agent(vm, true);
+		fw_crash_worker(vm);
+		fw_boot_worker(vm);
+		flow_world_run_ms(fw, 30000);
+		flow_world_free(fw);
+	}
+}
+
+/*
+ * Guards against a run that is given up although a later incarnation of the
+ * worker may carry out its start. The agent has reported the missing answer.
+ */
+START_TEST(test_restart_after_reported_start)
+{
+	check_restart_beside_frozen_agent(3000);
+}
+END_TEST
+
+/*
+ * Guards against the same while the start call still waits for its answer. A
+ * report has listed the run as unconfirmed.
+ */
+START_TEST(test_restart_after_listed_start)
+{
+	check_restart_beside_frozen_agent(550);
+}
+END_TEST
+
+/*
+ * Guards against a run that is given up although the agent, which isn't frozen,
+ * still reports its start. The worker ended without a heartbeat after the call,
+ * and is restarted under its identity 6 s later.
+ */
+START_TEST(test_restart_without_heartbeat)
+{
+	for (uint64_t seed = 1; seed <= 16; seed++) {
+		struct fw_vm *vm = vm_with_late_start(seed, 1);
+		struct flow_world *fw = vm->world;
+
+		fw_crash_worker(vm);
+		flow_world_run_ms(fw, 6000);
+		fw_boot_worker(vm);
+		flow_world_run_ms(fw, 30000);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a run that is given up although a later incarnation may carry
+ * out its start: the call was in flight when the agent switched to that
+ * incarnation. The agent's stop is lost, and the agent freezes.
+ */
+START_TEST(test_restart_with_start_in_flight)
+{
+	for (uint64_t seed = 1; seed <= 64; seed++) {
+		struct fw_vm *vm = vm_with_late_start(seed, 100);
+		struct flow_world *fw = vm->world;
+
+		fw_crash_worker(vm);
+		fw_boot_worker(vm);
+		fw_heartbeat(vm, vm->worker.born_ms, ++vm->worker.seq);
+		vm->lose_ppm = 1000000;
+		flow_world_run_ms(fw, 20);
+		fw_freeze_agent(vm, true);
+		flow_world_run_ms(fw, 30000);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
+/*
+ * Guards against the same in the second after the missing answer. The agent has
+ * reported it, but no heartbeat had come since the call.
+ */
+START_TEST(test_restart_before_heartbeat)
+{
+	check_restart_beside_frozen_agent(1500);
+}
+END_TEST
+
+/*
+ * Guards against a run that waits for much longer than its worker's lease: its
+ * start had no answer, heartbeats came after the call, and then the worker is
+ * gone for good, which its agent reports.
+ */
+START_TEST(test_gone_worker_after_unanswered_start)
+{
+	uint32_t max_ms = 0;
+
+	for (uint64_t seed = 1; seed <= 16; seed++) {
+		struct fw_vm *vm = vm_with_late_start(seed, 1900);
+		struct flow_world *fw = vm->world;
+		uint32_t spent_ms = 0;
+
+		fw_crash_worker(vm);
+		while (!fw->nr_starts && spent_ms < 40000) {
+			flow_world_run_ms(fw, 20);
+			spent_ms += 20;
+		}
+		max_ms = MAX(max_ms, spent_ms);
+		flow_world_free(fw);
+	}
+	ck_assert_uint_le(max_ms, RECOVERY_MAX_MS);
+}
+END_TEST
+
 SUITE_MAIN("flow_late", test_unanswered_look_of_frozen_agent,
-	   test_late_extension_over_new_leader)
+	   test_late_extension_over_new_leader,
+	   test_restart_after_reported_start, test_restart_after_listed_start,
+	   test_restart_before_heartbeat, test_restart_without_heartbeat,
+	   test_restart_with_start_in_flight,
+	   test_gone_worker_after_unanswered_start)
--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -638,6 +638,39 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that starts again after it is done: as in
+ * test_done_by_later_incarnation, but the second run was given up with its VM,
+ * so the task waits for a placement when the end of the first run is listed.
+ */
+START_TEST(test_done_by_later_incarnation_of_lost_vm)
+{
+	struct script *script = script_new(10);
+	struct scripted_agent *agent = script_started(script);
+	uint32_t run = agent->run.run;
+
+	script_drain_others(script, agent, true);
+	script_run_ms(script, REPORT_MS);
+	agent->has_run = false;
+	agent->has_end = true;
+	TEXT_SET(agent->end.task, TASK);
+	agent->end.run = run;
+	agent->end.end = FLOW_END_REFUSED;
+	expect_start(script, 1500);
+	agent->silent = true;
+	script_run_ms(script, LOST_MS);
+	ck_assert(sim_log_has(script->fw->base->sim, "*event=vm-lost*"));
+	agent->silent = false;
+	agent->vm->worker.born_ms += 5000;
+	agent->has_run = false;
+	agent->has_end = true;
+	agent->end.nr = 1;
+	agent->end.end = FLOW_END_DONE;
+	expect_no_start(script, 5000);
+	script_free(script);
+}
+END_TEST
+
 SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
 	   test_two_orphans_of_task, test_restarted_agent_keeps_bar,
@@ -646,4 +679,5 @@
 	   test_new_leader_knows_restart,
 	   test_start_in_flight_at_end_of_incarnation,
 	   test_run_of_later_incarnation_is_cancelled,
-	   test_done_by_later_incarnation)
+	   test_done_by_later_incarnation,
+	   test_done_by_later_incarnation_of_lost_vm)
--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -835,6 +835,78 @@
 }
 END_TEST
 
+/*
+ * Guards against a leader that doesn't learn for how long a later incarnation
+ * may carry out a start: the call was in flight when the agent switched to the
+ * incarnation, or reported that the earlier one had ended. The run is reported
+ * as unconfirmed, so its loss has to wait for this time.
+ */
+START_TEST(test_late_time_of_start_in_flight_at_restart)
+{
+	const struct exec_reply other = { .verdict = EXEC_DONE, .born_ms = 2 };
+
+	for (uint32_t i = 0; i < 2; i++) {
+		struct fixture *fixture = fixture_ready(true);
+
+		fixture_run_ms(fixture, 20);
+		fixture_order(fixture, FLOW_START, 1, false, 0);
+		if (i) {
+			runner_deregister(fixture->runner, "w", 1);
+			ck_assert(fixture_answer_last_poll(fixture, &other,
+							   NULL));
+		} else {
+			fixture_restart_worker(fixture, 2);
+		}
+		fixture_heartbeat(fixture, 2, 2, false);
+		fixture_run_ms(fixture, 1000);
+		ck_assert_uint_eq(fixture->report.nr_runs, 1);
+		ck_assert_msg(fixture->report.late_ms > 0,
+			      "no time is reported, case %u", i);
+		fixture_free(fixture);
+	}
+}
+END_TEST
+
+/*
+ * Guards against the same if the start call was sent twice: the first copy may
+ * still be carried out, though the second one was answered.
+ */
+START_TEST(test_late_time_of_resent_start)
+{
+	struct fixture *fixture = fixture_ready(true);
+	const struct exec_reply refused = { .verdict = EXEC_REFUSED,
+					    .result = RESULT_OVERLOADED,
+					    .resent = true };
+
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &refused, NULL));
+	fixture_run_ms(fixture, 10);
+	fixture_heartbeat(fixture, 1, 2, false);
+	fixture_run_ms(fixture, 1000);
+	ck_assert_uint_eq(fixture->report.nr_runs, 1);
+	ck_assert_uint_gt(fixture->report.late_ms, 0);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against the same while the start call still waits for its answer: the
+ * agent may freeze before the call times out.
+ */
+START_TEST(test_late_time_of_start_in_flight)
+{
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	fixture_run_ms(fixture, 10);
+	fixture_heartbeat(fixture, 1, 2, false);
+	fixture_run_ms(fixture, 1000);
+	ck_assert_uint_eq(fixture->report.nr_runs, 1);
+	ck_assert_uint_gt(fixture->report.late_ms, 0);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner_life", test_stale_heartbeats,
 	   test_heartbeat_of_foreign_worker, test_refusal_without_incarnation,
 	   test_unanswered_candidate, test_later_candidate_goes_first,
@@ -852,4 +924,6 @@
 	   test_two_late_starts_of_a_task,
 	   test_repeated_start_at_other_incarnation,
 	   test_late_start_after_deregistration,
-	   test_stop_order_for_earlier_incarnation)
+	   test_stop_order_for_earlier_incarnation,
+	   test_late_time_of_start_in_flight_at_restart,
+	   test_late_time_of_resent_start, test_late_time_of_start_in_flight)
