--- a/tests/test_flow_late.c
+++ b/tests/test_flow_late.c
@@ -7,6 +7,7 @@
  */
 
 #include "flow_world.h"
+#include "runner_impl.h"
 #include "suite.h"
 
 #define FREEZE_AFTER_MS 10 /* before the call times out */
@@ -125,12 +126,17 @@
 }
 
 /* Restarts the worker under its identity while its agent is frozen. */
-static void check_restart_beside_frozen_agent(uint32_t freeze_after_ms)
+static void check_restart_beside_frozen_agent(uint32_t freeze_after_ms,
+					      bool report)
 {
 	for (uint64_t seed = 1; seed <= 16; seed++) {
 		struct fw_vm *vm = vm_with_late_start(seed, freeze_after_ms);
 		struct flow_world *fw = vm->world;
 
+		if (report) {
+			runner_report_soon(vm->runner);
+			flow_world_run_ms(fw, 20);
+		}
 		fw_freeze_agent(vm, true);
 		fw_crash_worker(vm);
 		fw_boot_worker(vm);
@@ -145,7 +151,7 @@
  */
 START_TEST(test_restart_after_reported_start)
 {
-	check_restart_beside_frozen_agent(3000);
+	check_restart_beside_frozen_agent(3000, false);
 }
 END_TEST
 
@@ -155,7 +161,7 @@
  */
 START_TEST(test_restart_after_listed_start)
 {
-	check_restart_beside_frozen_agent(550);
+	check_restart_beside_frozen_agent(500, true);
 }
 END_TEST
 
@@ -166,7 +172,7 @@
  */
 START_TEST(test_restart_without_heartbeat)
 {
-	for (uint64_t seed = 1; seed <= 16; seed++) {
+	for (uint64_t seed = 1; seed <= 200; seed++) {
 		struct fw_vm *vm = vm_with_late_start(seed, 1);
 		struct flow_world *fw = vm->world;
 
@@ -208,7 +214,7 @@
  */
 START_TEST(test_restart_before_heartbeat)
 {
-	check_restart_beside_frozen_agent(1500);
+	check_restart_beside_frozen_agent(1500, false);
 }
 END_TEST
 
--- a/tests/test_flow_lost.c
+++ b/tests/test_flow_lost.c
@@ -204,6 +204,41 @@
 }
 END_TEST
 
+/*
+ * Guards against runs that are never given up: the worker is restarted under
+ * its identity, and is gone for good soon after its new incarnation has
+ * answered the agent. The agent keeps reporting that the worker doesn't
+ * respond, and each of these reports extends the time until which the leader
+ * takes the lease to last.
+ */
+START_TEST(test_gone_after_restart)
+{
+	for (uint32_t up_ms = 5; up_ms <= 50; up_ms += 5) {
+		struct flow_world *fw = world_with_tasks(1);
+		struct fw_vm *vm = vm_with_two_runs(fw);
+		char tasks[2][NAME_BYTES];
+		uint32_t spent_ms = 0;
+
+		tasks_of(vm, tasks);
+		fw_crash_worker(vm);
+		fw_boot_worker(vm);
+		fw_heartbeat(vm, vm->worker.born_ms, ++vm->worker.seq);
+		flow_world_run_ms(fw, up_ms);
+		fw_crash_worker(vm);
+		while (!placed_elsewhere(vm, tasks) && spent_ms < LIMIT_MS) {
+			flow_world_run_ms(fw, 20);
+			spent_ms += 20;
+		}
+		ck_assert_msg(spent_ms < WORLD_WORKER_LEASE_MS +
+						 FLOW_LEASE_MARGIN_MS +
+						 RECOVERY_MAX_MS,
+			      "up for %u ms: placed elsewhere after %u ms",
+			      up_ms, spent_ms);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 SUITE_MAIN("flow_lost", test_gone_worker_beside_silent_one,
 	   test_gone_worker_was_silent, test_ended_agent_beside_silent_worker,
-	   test_new_leader_beside_silent_worker)
+	   test_new_leader_beside_silent_worker, test_gone_after_restart)
