--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -671,6 +671,27 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that waits forever for an unconfirmed run: its worker
+ * was restarted under its identity and doesn't respond, and each report of that
+ * extends the time until which the leader takes the lease to last.
+ */
+START_TEST(test_unreachable_restarted_worker_ends_bar)
+{
+	struct script *script = script_new(3);
+	struct scripted_agent *agent = script_started(script);
+
+	script_lose_run(script, agent);
+	agent->run.unconfirmed = true;
+	agent->vm->worker.born_ms += 5000;
+	script_run_ms(script, REPORT_MS);
+	script_drain_others(script, agent, false);
+	agent->unreachable = true;
+	expect_start(script, WORLD_WORKER_LEASE_MS + 3000);
+	script_free(script);
+}
+END_TEST
+
 SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
 	   test_two_orphans_of_task, test_restarted_agent_keeps_bar,
@@ -680,4 +701,5 @@
 	   test_start_in_flight_at_end_of_incarnation,
 	   test_run_of_later_incarnation_is_cancelled,
 	   test_done_by_later_incarnation,
-	   test_done_by_later_incarnation_of_lost_vm)
+	   test_done_by_later_incarnation_of_lost_vm,
+	   test_unreachable_restarted_worker_ends_bar)
