--- a/tests/test_flow_freeze.c
+++ b/tests/test_flow_freeze.c
@@ -232,8 +232,9 @@
  * Restarts all workers under their identities, and submits a workflow of one
  * task. Returns the VM that runs it.
  */
-static struct fw_vm *vm_of_restarted_worker(struct flow_world *fw,
-					    const char *id)
+static struct fw_vm *vm_of_restarted_worker_after(struct flow_world *fw,
+						  const char *id,
+						  uint32_t submit_ms)
 {
 	struct flow_step step = step_of(1, "f");
 	uint64_t before[FLOW_WORLD_VMS] = { 0 };
@@ -247,7 +248,7 @@
 		fw_crash_worker(&fw->vms[i]);
 		fw_boot_worker(&fw->vms[i]);
 	}
-	flow_world_run_ms(fw, 1500);
+	flow_world_run_ms(fw, submit_ms);
 	flow_world_submit(fw, id, &step, 1);
 	flow_world_run_ms(fw, 100);
 	ck_assert_uint_eq(fw_running(fw), 1);
@@ -256,6 +257,12 @@
 	return vm;
 }
 
+static struct fw_vm *vm_of_restarted_worker(struct flow_world *fw,
+					    const char *id)
+{
+	return vm_of_restarted_worker_after(fw, id, 1500);
+}
+
 /*
  * Guards against a task that is placed elsewhere while its worker continues it.
  * The worker was restarted under its identity and carried out a poll that was
@@ -277,6 +284,29 @@
 }
 END_TEST
 
+/*
+ * Guards against the same if the worker's clock is 2 % slow: its longest lease
+ * then lasts longer than by the leader's clock, and the poll may be carried out
+ * after the last report.
+ */
+START_TEST(test_lease_of_restarted_worker_after_report)
+{
+	for (uint32_t i = 0; i < 224; i++) {
+		struct flow_world *fw = flow_world_new(1 + i % 16);
+		struct fw_vm *vm;
+
+		for (uint32_t k = 0; k < FLOW_WORLD_VMS; k++)
+			fw->vms[k].slow_permille = 20;
+		flow_world_run_ms(fw, 6000 + i % 16 * 60);
+		vm = vm_of_restarted_worker_after(fw, "rr",
+						  1500 + i / 16 * 50);
+		fw_freeze_agent(vm, true);
+		flow_world_run_ms(fw, 14000);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 /*
  * Guards against a task that is placed elsewhere in the turn in which a report
  * lists an earlier run of it, which was only ordered to stop then. The run was
@@ -310,4 +340,6 @@
 SUITE_MAIN("flow_freeze", test_order_of_lost_vm_is_void,
 	   test_done_of_lost_vm_counts, test_unanswered_start_of_frozen_agent,
 	   test_held_order_for_next_agent, test_crash_delays_no_other_vm,
-	   test_lease_of_restarted_worker, test_listed_run_of_waiting_task)
+	   test_lease_of_restarted_worker,
+	   test_lease_of_restarted_worker_after_report,
+	   test_listed_run_of_waiting_task)
