Give up the runs of a worker that is gone after its restart

flow_lost: gone_after_restart (not placed after 60 s) and flow_report: unreachable_restarted_worker_ends_bar failed before.

--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -521,7 +521,8 @@
 static void flow_note_late_calls(struct control_flow *flows, struct flow_vm *vm,
 				 const struct flow_report *report)
 {
-	if (vm->restarted)
+	/* An agent whose worker is gone may report the restart for ever. */
+	if (vm->restarted && report->reachable)
 		flow_extend_lapse(vm, FLOW_BOUND_RESTART,
 				  vm->reported_us +
 					  control_flow_longest_lease_us(flows));
