Accept an earlier run's end also after the later run was given up

The end now completes the task as run 2's end, and isn't acknowledged before that is committed. The state machine is unchanged: run 2 can't be done, as its incarnation has ended (flow_state: done_after_loss still holds for a run of another VM).

flow_report: done_by_later_incarnation_of_lost_vm failed before.

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -396,6 +396,16 @@
 bool control_flow_end_is_earlier(const struct flow_vm *vm,
 				 const struct flow_placement *placed,
 				 const struct flow_run_end *end);
+/**
+ * Returns the number of the revoked run as whose end the reported end completes
+ * its task, which waits for a VM, 0 if it doesn't. An earlier run counts if the
+ * revoked one was placed on an incarnation of the VM's worker that a later one
+ * has replaced.
+ */
+uint32_t control_flow_late_done_run(const struct flow_vm *vm,
+				    const struct state_flow *flow,
+				    uint32_t task,
+				    const struct flow_run_end *end);
 /**
  * Returns an orphan of the task at the VM, NULL if there is none. An
  * unconfirmed one goes first, as it bars the task for longer.
--- a/src/core/control/control_flow_log.c
+++ b/src/core/control/control_flow_log.c
@@ -219,15 +219,16 @@
 
 /* Returns true if the task's record has the end already or still accepts it. */
 static bool end_is_accepted(const struct state_flow *flow, uint32_t nr,
-			    const struct flow_run_end *end, const char *vm)
+			    const struct flow_run_end *end,
+			    const struct flow_vm *vm)
 {
 	const struct flow_task *task = &flow->record.tasks[nr];
 
-	if (state_flow_accepts_late_done(flow, nr, end->run, vm))
+	if (control_flow_late_done_run(vm, flow, nr, end))
 		return true;
 	if (task->state == FLOW_TASK_WAITING || task->run != end->run)
 		return false;
-	return task->state == FLOW_TASK_DONE || !strcmp(task->vm, vm);
+	return task->state == FLOW_TASK_DONE || !strcmp(task->vm, vm->name);
 }
 
 /* Returns true if several runs of a task may end as done. */
@@ -256,7 +257,7 @@
 		    !state_flow_is_active(flow) ||
 		    step_may_repeat(
 			    &flow->record.steps[state_flow_step(flow, nr)]) ||
-		    end_is_accepted(flow, nr, end, vm->name) ||
+		    end_is_accepted(flow, nr, end, vm) ||
 		    control_flow_end_is_earlier(
 			    vm, control_flow_placement(flows, flow, nr), end))
 			continue;
--- a/src/core/control/control_flow_orphan.c
+++ b/src/core/control/control_flow_orphan.c
@@ -75,6 +75,22 @@
 		is_of_earlier_incarnation(placed));
 }
 
+uint32_t control_flow_late_done_run(const struct flow_vm *vm,
+				    const struct state_flow *flow,
+				    uint32_t task,
+				    const struct flow_run_end *end)
+{
+	const struct flow_task *record = &flow->record.tasks[task];
+	uint32_t run = end->run;
+
+	if (end->end != FLOW_END_DONE)
+		return 0;
+	if (run < record->run && record->born_ms < vm->worker.born_ms)
+		run = record->run;
+	return state_flow_accepts_late_done(flow, task, run, vm->name) ? run :
+									 0;
+}
+
 const struct flow_orphan *control_flow_vm_orphan(const struct flow_vm *vm,
 						 const char *task)
 {
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -36,9 +36,7 @@
 		if (control_flow_end_is_earlier(vm, placed, end) ||
 		    (task->state == FLOW_TASK_PLACED && task->run == end->run &&
 		     !strcmp(task->vm, vm->name)) ||
-		    (end->end == FLOW_END_DONE &&
-		     state_flow_accepts_late_done(flow, nr, end->run,
-						  vm->name)))
+		    control_flow_late_done_run(vm, flow, nr, end))
 			open = MIN(open, end->nr);
 	}
 	return open == UINT64_MAX ? last : MAX(vm->settled_nr, open - 1);
@@ -178,14 +176,13 @@
 	struct flow_change change = { .kind = FLOW_CHANGE_END };
 	struct state_flow *flow;
 
-	if (end->end != FLOW_END_DONE ||
-	    !state_flow_task_find(flows->control->state, end->task, &flow,
-				  &change.task) ||
-	    !state_flow_accepts_late_done(flow, change.task, end->run,
-					  vm->name))
+	if (!state_flow_task_find(flows->control->state, end->task, &flow,
+				  &change.task))
+		return;
+	change.run = control_flow_late_done_run(vm, flow, change.task, end);
+	if (!change.run)
 		return;
 	TEXT_SET(change.id, flow->record.id);
-	change.run = end->run;
 	change.end = end->end;
 	TEXT_SET(change.vm, vm->name);
 	control_flow_propose(flows, &change);
