Report each start that a later incarnation may carry out

Found by the review of: the agent reported no time for a start in flight, for one that it had called before it learned of a restart, for one that was sent twice, and for one since which no heartbeat had come. A worker that is restarted under its identity may carry out each of them; if its VM was lost meanwhile, the leader had placed the task elsewhere.

The time now follows from the records of late starts and the starts in flight. That no heartbeat has come says that this incarnation has ended, not that no later one starts, so it no longer counts. The price: a run whose start had no answer waits for 12 s and the longest lease also if its worker is gone for good; the agent can't tell the two apart.

flow_late: restart_after_listed_start, restart_before_heartbeat, restart_without_heartbeat, restart_with_start_in_flight and runner_life: late_time_of_start_in_flight_at_restart, late_time_of_resent_start, late_time_of_start_in_flight failed before.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -164,8 +164,6 @@
 	uint64_t lease_until_us; /* end of the granted lease, 0: none yet */
 	uint64_t clock_ms; /* worker's clock in its last reply, 0: unknown */
 	uint64_t clock_us; /* agent's clock when that reply arrived */
-	/** When the last start without an answer was sent, 0: none. */
-	uint64_t unanswered_start_us;
 	bool reachable; /* the worker answered the last poll */
 	uint32_t missed_polls; /* polls missed in a row */
 	bool listed; /* this incarnation's runs were listed at least once */
@@ -256,7 +254,8 @@
 uint64_t runner_lease_left_ms(const struct runner *runner);
 /**
  * Returns for how many more milliseconds a later incarnation of the worker may
- * carry out a start that had no answer, 0 if there is no such start.
+ * carry out a start that is in flight, had no answer or was sent twice, 0 if
+ * there is no such start.
  */
 uint32_t runner_late_ms(const struct runner *runner);
 /** Returns true if the worker may have more ends than this list shows. */
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -119,7 +119,6 @@
 	runner->incarnation_nr++;
 	runner_trace_incarnation(runner);
 	runner->clock_ms = 0;
-	runner->unanswered_start_us = 0;
 	runner->listed = false;
 	runner->reachable = false;
 	runner->missed_polls = 0;
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -27,16 +27,27 @@
 
 uint32_t runner_late_ms(const struct runner *runner)
 {
-	uint64_t until_us = runner->unanswered_start_us +
-			    WORKER_CALL_MAX_DELAY_MS * 1000ull;
-
-	/* A worker that has sent no heartbeat since the call counts as
-	 * terminated, and won't carry out the call. */
-	if (!runner->unanswered_start_us ||
-	    runner->heartbeat_us <= runner->unanswered_start_us ||
-	    until_us <= runner->node->now_us)
-		return 0;
-	return (uint32_t)((until_us - runner->node->now_us) / 1000);
+	uint64_t now_us = runner->node->now_us;
+	uint64_t until_us = now_us;
+	GHashTableIter iter;
+	void *value;
+
+	for (guint i = 0; i < runner->late_starts->len; i++)
+		until_us =
+			MAX(until_us, g_array_index(runner->late_starts,
+						    struct runner_late_start, i)
+					      .until_us);
+	g_hash_table_iter_init(&iter, runner->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct runner_run *run = value;
+
+		if (run->phase == RUNNER_STARTING)
+			until_us =
+				MAX(until_us,
+				    run->since_us +
+					    WORKER_CALL_MAX_DELAY_MS * 1000ull);
+	}
+	return (uint32_t)((until_us - now_us) / 1000);
 }
 
 bool runner_may_call(struct runner *runner)
@@ -488,12 +499,8 @@
 		runner->clock_ms = reply->clock_ms;
 		runner->clock_us = runner->node->now_us;
 	}
-	if (reply->verdict == EXEC_NO_ANSWER) {
+	if (reply->verdict == EXEC_NO_ANSWER)
 		counter_add(runner->node->counters, "calls_unanswered", 1);
-		if (call->kind == EXEC_START)
-			runner->unanswered_start_us =
-				MAX(runner->unanswered_start_us, call->sent_us);
-	}
 	switch (call->kind) {
 	case EXEC_START:
 		runner_start_done(runner, call, reply);
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -285,8 +285,9 @@
 	bool reachable; /* the worker answers calls */
 	bool looked; /* a poll has succeeded: runs has all the worker's runs */
 	/**
-	 * Time for which a start that had no answer may still be carried out by
-	 * a later incarnation of the worker, 0: no such start.
+	 * Time for which a start that is in flight, had no answer or was sent
+	 * twice may still be carried out by a later incarnation of the worker,
+	 * 0: no such start.
 	 */
 	uint32_t late_ms;
 	uint32_t nr_runs;
