--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -5,7 +5,6 @@
 #include "flow_world_impl.h"
 
 #define CALL_DELAY_US 1000
-#define CALL_TIMEOUT_US 600000
 /* From the first copy of a call that is sent twice to the second one. */
 #define RESEND_DELAY_US 20000
 #define LIST_ENDS 500 /* maximum number of ends in one answer */
@@ -404,8 +403,8 @@
 	call->other_incarnation = strcmp(from->worker_id, vm->name) != 0;
 	call->sent_clock_ms = fw_clock_ms(vm);
 	call->due_us = fw_now_us(fw) + CALL_DELAY_US;
-	call->give_up_us =
-		fw_now_us(fw) + from->wait_ms * 1000ull + CALL_TIMEOUT_US;
+	call->give_up_us = fw_now_us(fw) +
+			   (from->wait_ms + FLOW_WORLD_CALL_LIMIT_MS) * 1000ull;
 	if (!call->no_listener && draw(vm, vm->resend_ppm))
 		call_resend(call);
 	call->lost = sim_random(fw->base->sim) % 1000000 < vm->lose_ppm;
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -25,6 +25,8 @@
 /* Of each VM. */
 #define FLOW_WORLD_VM_CPU_MILLIS 8000
 #define FLOW_WORLD_VM_MEMORY_MIB 16000
+/* Agents treat a call as unanswered this long after the time it may wait. */
+#define FLOW_WORLD_CALL_LIMIT_MS 600
 /* Failed runs of a task that the queue allows. */
 #define FLOW_WORLD_ATTEMPTS 2
 /* Kind of all workers, a label; the other label is the zone's name. */
