Judge lasting tasks without a run in flow_world

No test under virtual time judges how long a lasting task may stay without a run; test_flow_random only counts the runs once all faults have ended.

flow_rules_check_lasting() asserts the rule LOST at each tick of worlds that set judge_lasting: no lasting task is without a run for 3 s, from 6 s after its last run, while VMs without a fault have room for it twice, and they and the core have had no fault in the 7 s before.

Placing a task early may run it twice, so a start of which the leader can't know whether it was carried out counts as a run. A run that its agent couldn't report, and a fault that begins at another VM about when the run ends or later, count for 12 s from the start or the fault.

check_room() keeps its conditions; they are functions of their own now, as the new rule asks them, too. No test sets judge_lasting yet.

--- a/tests/flow_rules.c
+++ b/tests/flow_rules.c
@@ -8,6 +8,16 @@
 #define DRAIN_US 2000000ull
 #define EVACUATE_US 5000000ull
 #define CONTACT_US 3000000ull
+/* Of the rule LOST. */
+#define AWAY_US 6000000ull /* from the end of a lasting task's last run */
+#define LOST_US 3000000ull /* without a run, once AWAY_US have passed */
+#define CALM_US 4000000ull /* without a fault, before LOST_US begin */
+/* A start without an answer may be carried out that long after its call. */
+#define START_DELAY_US 12000000ull
+/* Longest lease that a restarted worker gives a run that it starts late. */
+#define LATE_LEASE_US (WORLD_WORKER_LEASE_MS * 1000ull)
+/* In this time, an agent in touch has reported its worker's runs. */
+#define REPORT_US 2000000ull
 
 struct flow_rules {
 	GHashTable *steps; /* workflow id -> GArray of struct flow_step */
@@ -15,6 +25,16 @@
 	/* Workflow id, or name of a zone that is out -> uint64_t *, since. */
 	GHashTable *cancelled_us;
 	GHashTable *out_us;
+	GHashTable *lasting; /* task -> struct lasting_task * */
+};
+
+struct lasting_task {
+	const struct fw_vm *vm; /* of the last run, NULL: none yet */
+	uint64_t started_us; /* start of the last run */
+	uint64_t ran_us; /* last time with a run, at first: when it was added */
+	bool reported; /* an agent in touch could report the last run */
+	uint64_t unanswered_us; /* last call of a start without an answer */
+	uint64_t due_us; /* since when it should run (LOST), 0: it needn't */
 };
 
 struct task_attempts {
@@ -35,6 +55,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rules->out_us =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	rules->lasting =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return rules;
 }
 
@@ -46,6 +68,7 @@
 	g_hash_table_unref(rules->attempts);
 	g_hash_table_unref(rules->cancelled_us);
 	g_hash_table_unref(rules->out_us);
+	g_hash_table_unref(rules->lasting);
 	g_free(rules);
 }
 
@@ -169,40 +192,69 @@
 	g_strfreev(words);
 }
 
-static void check_room(const struct flow_rules *rules, const struct fw_vm *vm,
-		       const char *task)
-{
-	const struct flow_step *step = step_of(rules, task);
+/* What the runs of a worker use. */
+struct vm_use {
 	uint64_t cpu_millis;
 	uint64_t memory_mib;
 	uint64_t accelerators;
-	uint32_t nr_stage = 1;
-
-	ck_assert_msg(!step->label[0] ||
-			      !strcmp(step->label, FLOW_WORLD_KIND) ||
-			      !strcmp(step->label, vm->zone),
-		      "%s starts at %s without label %s", task, vm->name,
-		      step->label);
-	cpu_millis = step->filler ? 0 : step->cpu_millis;
-	memory_mib = step->memory_mib;
-	accelerators = step->accelerators;
+	uint32_t nr_stage; /* tasks of the step and occurrence of a task */
+};
+
+static void use_add(struct vm_use *use, const struct flow_step *step)
+{
+	use->cpu_millis += step->filler ? 0 : step->cpu_millis;
+	use->memory_mib += step->memory_mib;
+	use->accelerators += step->accelerators;
+}
+
+static struct vm_use use_of(const struct flow_rules *rules,
+			    const struct fw_vm *vm, const char *task)
+{
+	struct vm_use use = { 0 };
+
 	for (guint i = 0; i < vm->worker.runs->len; i++) {
 		const struct fw_run *run =
 			&g_array_index(vm->worker.runs, struct fw_run, i);
-		const struct flow_step *other = step_of(rules, run->task);
 
-		nr_stage += same_stage(task, run->task);
-		cpu_millis += other->filler ? 0 : other->cpu_millis;
-		memory_mib += other->memory_mib;
-		accelerators += other->accelerators;
+		use_add(&use, step_of(rules, run->task));
+		use.nr_stage += same_stage(task, run->task);
 	}
-	ck_assert_msg(!step->max_per_vm || nr_stage <= step->max_per_vm,
+	return use;
+}
+
+static bool has_label(const struct fw_vm *vm, const struct flow_step *step)
+{
+	return !step->label[0] || !strcmp(step->label, FLOW_WORLD_KIND) ||
+	       !strcmp(step->label, vm->zone);
+}
+
+static bool within_limit(const struct vm_use *use, const struct flow_step *step)
+{
+	return !step->max_per_vm || use->nr_stage <= step->max_per_vm;
+}
+
+static bool within_capacity(const struct vm_use *use)
+{
+	return use->cpu_millis <= FLOW_WORLD_VM_CPU_MILLIS &&
+	       use->memory_mib <= FLOW_WORLD_VM_MEMORY_MIB &&
+	       !use->accelerators;
+}
+
+static void check_room(const struct flow_rules *rules, const struct fw_vm *vm,
+		       const char *task)
+{
+	const struct flow_step *step = step_of(rules, task);
+	struct vm_use use = use_of(rules, vm, task);
+
+	ck_assert_msg(has_label(vm, step), "%s starts at %s without label %s",
+		      task, vm->name, step->label);
+	use_add(&use, step);
+	use.nr_stage++;
+	ck_assert_msg(within_limit(&use, step),
 		      "%s starts at %s beside %u of its step, limit %u", task,
-		      vm->name, nr_stage - 1, step->max_per_vm);
-	ck_assert_msg(cpu_millis <= FLOW_WORLD_VM_CPU_MILLIS &&
-			      memory_mib <= FLOW_WORLD_VM_MEMORY_MIB &&
-			      !accelerators,
-		      "%s doesn't fit at %s", task, vm->name);
+		      vm->name, use.nr_stage - 1, step->max_per_vm);
+	ck_assert_msg(within_capacity(&use), "%s doesn't fit at %s", task,
+		      vm->name);
 }
 
 void flow_rules_check_start(struct flow_rules *rules, const struct fw_vm *vm,
@@ -288,6 +340,161 @@
 		      run->task, vm->name);
 }
 
+/* Returns true if the VM can get tasks and has had no fault for CALM_US. */
+static bool is_calm(const struct flow_rules *rules, const struct fw_vm *vm)
+{
+	uint64_t now_us = sim_now_us(vm->world->base->sim);
+	uint64_t fault_us = MAX(vm->disturbed_us, vm->calls_lost_us);
+
+	return vm->worker.up && !vm->draining && !vm->fail_runs &&
+	       !g_hash_table_contains(rules->out_us, vm->zone) &&
+	       now_us > MAX(fault_us, vm->worker.born_ms * 1000) + CALM_US;
+}
+
+/* Returns true if calm VMs have room for the task twice. */
+static bool has_room_twice(const struct flow_rules *rules,
+			   const struct flow_world *fw, const char *task)
+{
+	const struct flow_step *step = step_of(rules, task);
+	uint32_t nr_free = 0;
+
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS && nr_free < 2; i++) {
+		const struct fw_vm *vm = &fw->vms[i];
+		struct vm_use use = use_of(rules, vm, task);
+
+		if (!is_calm(rules, vm) || !has_label(vm, step))
+			continue;
+		for (uint32_t j = 0; j < 2; j++) {
+			use_add(&use, step);
+			use.nr_stage++;
+			nr_free += within_limit(&use, step) &&
+				   within_capacity(&use);
+		}
+	}
+	return nr_free >= 2;
+}
+
+static struct lasting_task *lasting_of(struct flow_rules *rules,
+				       const char *task, uint64_t now_us)
+{
+	struct lasting_task *lasting =
+		g_hash_table_lookup(rules->lasting, task);
+
+	if (!lasting) {
+		lasting = g_new0(struct lasting_task, 1);
+		lasting->ran_us = now_us;
+		g_hash_table_insert(rules->lasting, g_strdup(task), lasting);
+	}
+	return lasting;
+}
+
+void flow_rules_start_unanswered(struct flow_rules *rules, const char *task,
+				 uint64_t called_us)
+{
+	if (step_of(rules, task)->lasting)
+		lasting_of(rules, task, called_us)->unanswered_us = called_us;
+}
+
+/* Notes where the task runs now, if it does. */
+static void lasting_note_run(struct lasting_task *lasting,
+			     const struct flow_world *fw, const char *task)
+{
+	uint64_t now_us = sim_now_us(fw->base->sim);
+
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+		const struct fw_vm *vm = &fw->vms[i];
+		const struct fw_run *run = fw_find_run(vm, task);
+
+		if (!run)
+			continue;
+		if (lasting->vm != vm || lasting->started_us != run->started_us)
+			lasting->reported = false;
+		lasting->vm = vm;
+		lasting->started_us = run->started_us;
+		lasting->ran_us = now_us;
+		if (now_us > MAX(run->started_us,
+				 MAX(vm->disturbed_us, fw->core_disturbed_us)) +
+				     REPORT_US)
+			lasting->reported = true;
+	}
+}
+
+/*
+ * Returns the last time at which the task ran or, for all that the leader can
+ * know, may have run. After a start without an answer, that is the end of the
+ * lease with which a restarted worker may carry it out late. If the leader
+ * can't know whether a start was called, it waits with that VM for less than
+ * START_DELAY_US: the last run if its agent couldn't report it, and a start
+ * that may have been ordered at another VM just before a fault there.
+ */
+static uint64_t may_have_run_us(const struct lasting_task *lasting,
+				const struct flow_world *fw)
+{
+	uint64_t ran_us = lasting->ran_us;
+
+	if (!lasting->reported)
+		ran_us = MAX(ran_us, lasting->started_us + START_DELAY_US);
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+		const struct fw_vm *vm = &fw->vms[i];
+
+		if (vm != lasting->vm &&
+		    vm->fault_us + REPORT_US > lasting->ran_us)
+			ran_us = MAX(ran_us, vm->fault_us + START_DELAY_US);
+	}
+	if (lasting->unanswered_us)
+		ran_us = MAX(ran_us, lasting->unanswered_us + START_DELAY_US +
+					     LATE_LEASE_US);
+	return ran_us;
+}
+
+static void check_lasting(struct flow_rules *rules, const struct flow_world *fw,
+			  const char *task)
+{
+	uint64_t now_us = sim_now_us(fw->base->sim);
+	struct lasting_task *lasting = lasting_of(rules, task, now_us);
+
+	lasting_note_run(lasting, fw, task);
+	if (now_us < may_have_run_us(lasting, fw) + AWAY_US ||
+	    now_us <= fw->core_disturbed_us + CALM_US ||
+	    cancelled_us(rules, task) || !has_room_twice(rules, fw, task)) {
+		lasting->due_us = 0;
+		return;
+	}
+	if (!lasting->due_us)
+		lasting->due_us = now_us;
+	ck_assert_msg(now_us < lasting->due_us + LOST_US,
+		      "%s hasn't run for %" G_GUINT64_FORMAT
+		      " ms, with room for it at VMs without a fault",
+		      task, (now_us - lasting->ran_us) / 1000);
+}
+
+void flow_rules_check_lasting(struct flow_rules *rules,
+			      const struct flow_world *fw)
+{
+	GHashTableIter iter;
+	void *id;
+	void *value;
+
+	g_hash_table_iter_init(&iter, rules->steps);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		const GArray *steps = value;
+
+		for (guint i = 0; i < steps->len; i++) {
+			const struct flow_step *step =
+				&g_array_index(steps, struct flow_step, i);
+
+			for (uint32_t j = 0; step->lasting && j < step->count;
+			     j++) {
+				char *task = g_strdup_printf("%s.0.%u.%u",
+							     (char *)id, i, j);
+
+				check_lasting(rules, fw, task);
+				g_free(task);
+			}
+		}
+	}
+}
+
 bool fw_in_touch(const struct fw_vm *vm)
 {
 	uint64_t fault_us = MAX(vm->world->core_disturbed_us, vm->disturbed_us);
--- a/tests/flow_rules.h
+++ b/tests/flow_rules.h
@@ -59,5 +59,17 @@
  */
 void flow_rules_check_run(const struct flow_rules *rules,
 			  const struct fw_vm *vm, const struct fw_run *run);
+/** Notes that a start of the task got no answer. */
+void flow_rules_start_unanswered(struct flow_rules *rules, const char *task,
+				 uint64_t called_us);
+/**
+ * Asserts that no lasting task is without a run for 3 s, from 6 s after its
+ * last run on (LOST). Holds only while VMs without a fault have room for it
+ * twice, and while they and the core have had none since 4 s before. A start of
+ * which the leader can't know whether it was carried out counts as a run for as
+ * long as it may be, or may last.
+ */
+void flow_rules_check_lasting(struct flow_rules *rules,
+			      const struct flow_world *fw);
 
 #endif /* FLOW_RULES_H */
--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -73,9 +73,14 @@
 	return NULL;
 }
 
+const struct fw_run *fw_find_run(const struct fw_vm *vm, const char *task)
+{
+	return worker_find(&vm->worker, task, NULL);
+}
+
 bool fw_runs(const struct fw_vm *vm, const char *task)
 {
-	return worker_find(&vm->worker, task, NULL) != NULL;
+	return fw_find_run(vm, task) != NULL;
 }
 
 void fw_add_run(struct fw_vm *vm, const char *task, uint32_t nr,
@@ -295,6 +300,9 @@
 	bool mine = vm->runner == call->runner;
 	bool late = fw_now_us(vm->world) >= call->give_up_us;
 
+	if (late && !call->answered && call->kind == EXEC_START)
+		flow_rules_start_unanswered(vm->world->rules, call->task,
+					    call->give_up_us - CALL_TIMEOUT_US);
 	if (mine && vm->frozen)
 		return;
 	/*
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -136,6 +136,20 @@
 	}
 }
 
+/* Notes which faults the VM has, and when the last one began. */
+static void vm_note_faults(struct fw_vm *vm)
+{
+	const bool present[] = { !vm->runner, vm->frozen, vm->cut,
+				 !vm->worker.up, vm->lose_ppm != 0 };
+	uint32_t faults = 0;
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(present); i++)
+		faults |= (uint32_t)present[i] << i;
+	if (faults & ~vm->faults)
+		vm->fault_us = fw_now_us(vm->world);
+	vm->faults = faults;
+}
+
 /* Notes which agents, and whether the core, are disturbed now. */
 static void world_note_faults(struct flow_world *fw)
 {
@@ -155,6 +169,7 @@
 			vm->disturbed_us = now_us;
 		if (vm->lose_ppm || vm->unhealthy_ppm)
 			vm->calls_lost_us = now_us;
+		vm_note_faults(vm);
 	}
 }
 
@@ -170,6 +185,8 @@
 	for (guint i = fw->pending->len; i-- > 0;)
 		if (fw_call_step(fw->pending->pdata[i]))
 			g_ptr_array_remove_index(fw->pending, i);
+	if (fw->judge_lasting)
+		flow_rules_check_lasting(fw->rules, fw);
 }
 
 void flow_world_run_ms(struct flow_world *fw, uint64_t ms)
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -94,6 +94,8 @@
 	 */
 	uint64_t disturbed_us;
 	uint64_t calls_lost_us; /* last time at which calls could get lost */
+	uint32_t faults; /* bits of the faults that the VM has now */
+	uint64_t fault_us; /* last time at which one of them began */
 };
 
 struct flow_world {
@@ -117,6 +119,8 @@
 	uint32_t tail_ms; /* tail latency that runs report */
 	/* Prefix of the names of tasks that don't end, NULL: there are none. */
 	const char *lasting;
+	/* flow_rules_check_lasting() is called at all times. */
+	bool judge_lasting;
 	/* Fillers may use more processors than the VM has. */
 	bool overcommitted;
 	/*
@@ -206,6 +210,8 @@
  */
 struct fw_vm *fw_starting_vm(struct flow_world *fw,
 			     const uint64_t before[FLOW_WORLD_VMS]);
+/** Returns the worker's run of the task, NULL if there is none. */
+const struct fw_run *fw_find_run(const struct fw_vm *vm, const char *task);
 /** Returns true if the VM's worker runs the task. */
 bool fw_runs(const struct fw_vm *vm, const char *task);
 /**
