Add the case silent to flow_random

A worker leaves 0, 30, 60 or 90 % of its calls unanswered for long spells, beside another worker that crashes and isn't restarted, agents that end or are frozen, and changes of the leader. One VM has no faults. Faults last 60 s, as the rule LOST is judged only while the core is undisturbed. The other cases draw the same random numbers as before.

--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -6,7 +6,7 @@
  *
  * FLOW_RANDOM_SEED=N runs one seed with logs, FLOW_RANDOM_SEEDS=N runs that
  * many, FLOW_RANDOM_CASE=NAME only one case: faults, freezes, foreign, limits,
- * resends or orders.
+ * resends, orders or silent.
  */
 
 #include <stdlib.h>
@@ -18,6 +18,8 @@
 #define SEEDS 24
 #define FOREIGN_SEED 1000000
 #define FAULTS_MS 20000
+/* LOST is judged only while the core has had no fault for 7 s. */
+#define SILENT_FAULTS_MS 60000
 #define SETTLE_MS 60000
 #define FLOWS_MAX 16
 #define LASTING "ee"
@@ -56,6 +58,11 @@
 	/* Stops take STOP_MS, and steps have a limit of MAX_PER_VM tasks. */
 	bool slow_stops;
 	bool orders; /* draw_order() is called */
+	/*
+	 * inject_silent_fault() replaces inject_fault(), and lasting tasks that
+	 * stay without a run are judged.
+	 */
+	bool silent;
 };
 
 /* One run of a seed. */
@@ -72,6 +79,10 @@
 	bool cancelled[FLOWS_MAX];
 	bool zone_out;
 	uint32_t nr_flows;
+	struct fw_vm *silent; /* VM whose worker leaves calls unanswered */
+	/* VMs of which one worker crashes, and whose agents have faults. */
+	struct fw_vm *failing[2];
+	bool crashed; /* a worker of them has crashed */
 };
 
 static uint32_t random_below(struct scenario *scenario, uint32_t bound)
@@ -277,6 +288,63 @@
 	}
 }
 
+/*
+ * Draws which VMs have which faults. One VM has none, so that there is room for
+ * the lasting tasks of the others.
+ */
+static void draw_silent_vms(struct scenario *scenario)
+{
+	struct flow_world *fw = scenario->fw;
+	uint32_t first = random_below(scenario, FLOW_WORLD_VMS);
+
+	scenario->silent = &fw->vms[first];
+	for (uint32_t i = 0; i < G_N_ELEMENTS(scenario->failing); i++)
+		scenario->failing[i] =
+			&fw->vms[(first + 1 + i) % FLOW_WORLD_VMS];
+}
+
+/*
+ * Draws a fault beside a worker that leaves calls unanswered: another worker
+ * that crashes and isn't restarted, an agent that ends or is frozen, or a
+ * change of the leader. A replica that has ended is started again first.
+ */
+static void inject_silent_fault(struct scenario *scenario)
+{
+	struct flow_world *fw = scenario->fw;
+	struct fw_vm *vm = scenario->failing[random_below(
+		scenario, G_N_ELEMENTS(scenario->failing))];
+
+	for (uint32_t i = 0; i < fw->base->nr_controls; i++)
+		if (!fw->base->controls[i].control)
+			world_boot_control(&fw->base->controls[i]);
+	switch (random_below(scenario, 40)) {
+	case 0:
+		if (world_leader(fw->base))
+			world_kill_control(world_leader_host(fw->base));
+		break;
+	case 1:
+	case 2:
+		if (!scenario->crashed)
+			fw_crash_worker(vm);
+		scenario->crashed = true;
+		break;
+	case 3:
+		toggle_agent(vm);
+		break;
+	case 4:
+		toggle_freeze(vm);
+		break;
+	case 5:
+	case 6:
+	case 7:
+	case 8:
+		scenario->silent->lose_ppm = random_below(scenario, 4) * 300000;
+		break;
+	default:
+		break;
+	}
+}
+
 /* Cancels a workflow, which may be running or have ended. */
 static void cancel_some(struct scenario *scenario)
 {
@@ -422,9 +490,13 @@
 	struct scenario scenario = { .rand = g_rand_new_with_seed(seed),
 				     .variant = variant };
 	struct flow_world *fw = flow_world_new(seed);
-	uint64_t end_us = sim_now_us(fw->base->sim) + FAULTS_MS * 1000ull;
+	uint32_t faults_ms = variant->silent ? SILENT_FAULTS_MS : FAULTS_MS;
+	uint64_t end_us = sim_now_us(fw->base->sim) + faults_ms * 1000ull;
 
 	scenario.fw = fw;
+	if (variant->silent)
+		draw_silent_vms(&scenario);
+	fw->judge_lasting = variant->silent;
 	if (variant->foreign)
 		scenario.foreign = g_rand_new_with_seed(seed + FOREIGN_SEED);
 	fw->lasting = LASTING;
@@ -451,7 +523,9 @@
 			scenario.nr_flows++;
 		}
 		/* Orders have bounds in time only while there are no faults. */
-		if (!variant->orders || seed % 2)
+		if (variant->silent)
+			inject_silent_fault(&scenario);
+		else if (!variant->orders || seed % 2)
 			inject_fault(&scenario);
 		if (variant->foreign)
 			foreign_report(&scenario);
@@ -520,6 +594,11 @@
 	.orders = true,
 };
 
+static const struct variant silent = {
+	.name = "silent",
+	.silent = true,
+};
+
 /* Seeds that have failed with KINDS_WITH_FREEZES, by their cause. */
 static const uint32_t freeze_regressions[] = {
 	184, /* a lease by an earlier incarnation's clock: a done task ran */
@@ -661,7 +740,17 @@
 }
 END_TEST
 
+/*
+ * Guards against lasting tasks of a lost VM that stay without a run while other
+ * workers leave calls unanswered (issue 33).
+ */
+START_TEST(test_random_silent)
+{
+	run_random_seeds(&silent);
+}
+END_TEST
+
 SUITE_MAIN("flow_random", test_failed_seeds, test_random_faults,
 	   test_random_freezes, test_random_foreign_reports, test_random_limits,
 	   test_random_resends, test_run_listed_before_commit,
-	   test_random_orders)
+	   test_random_orders, test_random_silent)
