--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -300,8 +300,9 @@
 	bool late = fw_now_us(vm->world) >= call->give_up_us;
 
 	if (late && !call->answered && call->kind == EXEC_START)
-		flow_rules_start_unanswered(vm->world->rules, call->task,
-					    call->give_up_us - CALL_TIMEOUT_US);
+		flow_rules_start_unanswered(
+			vm->world->rules, call->task,
+			call->give_up_us - FLOW_WORLD_CALL_LIMIT_MS * 1000ull);
 	if (mine && vm->frozen)
 		return;
 	/*
