Let the stand-in of a worker leave a share of its calls unanswered

The connections stay open; two in three of these calls are carried out 2 to 12 s later, the others not at all.

--- a/tests/executor_standin.c
+++ b/tests/executor_standin.c
@@ -13,6 +13,13 @@
  * After SIGUSR1 it is unhealthy for some seconds: it refuses half of the calls,
  * and connections of others are reset, which makes the agent send them again.
  *
+ * After SIGUSR2 it leaves --silent-percent of the calls unanswered for
+ * --silent-ms: their connections stay open, and the calls are carried out late
+ * or not at all.
+ *
+ * SIGTERM ends the process at once, like the loss of a VM, after it has noted
+ * the ends of its runs in the journal.
+ *
  * SIGHUP ends this incarnation, with its connections, and starts another one
  * with the same name at the same address.
  */
@@ -60,8 +67,11 @@
 	gint reset_percent; /* of the starts, see reset_start() */
 	gint malformed_percent; /* of the heartbeats, sent in addition */
 	gint odd_percent; /* of the rows of lists: invalid */
+	gint silent_percent; /* of the calls after SIGUSR2: no answer */
+	gint silent_ms; /* duration after SIGUSR2 */
 	GRand *random;
 	gint64 unhealthy_until_us;
+	gint64 silent_until_us;
 	uint64_t born_ms; /* real time of the start: its incarnation */
 	gint64 born_us; /* the start in monotonic time */
 	uint64_t seq; /* of the last heartbeat */
@@ -415,6 +425,20 @@
 	return G_SOURCE_REMOVE;
 }
 
+static void execute_later(struct standin *standin, SoupServerMessage *msg,
+			  const char *path)
+{
+	struct late_call *late_call = g_new0(struct late_call, 1);
+
+	late_call->standin = standin;
+	late_call->path = g_strdup(path);
+	late_call->body = soup_message_body_flatten(
+		soup_server_message_get_request_body(msg));
+	g_timeout_add((guint)g_rand_int_range(standin->random, LATE_MIN_MS,
+					      LATE_MAX_MS),
+		      order_execute_late, late_call);
+}
+
 /*
  * Executes a call that gets no answer: at once (one call in four), not at all
  * (one call in four) or late (the other calls).
@@ -423,20 +447,29 @@
 			       const char *path, JsonObject *call)
 {
 	gint choice = g_rand_int_range(standin->random, 0, 4);
-	struct late_call *late_call;
 
 	if (choice == 0)
 		order_execute(standin, path, call, false);
-	if (choice <= 1)
-		return;
-	late_call = g_new0(struct late_call, 1);
-	late_call->standin = standin;
-	late_call->path = g_strdup(path);
-	late_call->body = soup_message_body_flatten(
-		soup_server_message_get_request_body(msg));
-	g_timeout_add((guint)g_rand_int_range(standin->random, LATE_MIN_MS,
-					      LATE_MAX_MS),
-		      order_execute_late, late_call);
+	else if (choice > 1)
+		execute_later(standin, msg, path);
+}
+
+/*
+ * Leaves silent_percent of the calls to a silent worker unanswered; one in
+ * three of them is not carried out. Returns false if the call is to be handled
+ * as usual.
+ */
+static bool leave_unanswered(struct standin *standin, SoupServerMessage *msg,
+			     const char *path)
+{
+	if (g_get_monotonic_time() >= standin->silent_until_us ||
+	    g_rand_int_range(standin->random, 0, 100) >=
+		    standin->silent_percent)
+		return false;
+	soup_server_message_pause(msg);
+	if (g_rand_int_range(standin->random, 0, 3))
+		execute_later(standin, msg, path);
+	return true;
 }
 
 static void reset_connection(SoupServerMessage *msg)
@@ -550,7 +583,8 @@
 		execute_unanswered(standin, msg, path, call);
 		goto out;
 	}
-	if (disturb_call(standin, msg, path, call) ||
+	if (leave_unanswered(standin, msg, path) ||
+	    disturb_call(standin, msg, path, call) ||
 	    reset_start(standin, msg, path, call))
 		goto out;
 	reason = order_execute(standin, path, call, false);
@@ -676,6 +710,7 @@
 	/* Ignores further signals until the new incarnation has its handler. */
 	signal(SIGHUP, SIG_IGN);
 	signal(SIGUSR1, SIG_IGN);
+	signal(SIGUSR2, SIG_IGN);
 	execv("/proc/self/exe", (char **)argv->pdata);
 	g_error("can't start another incarnation");
 	return G_SOURCE_REMOVE;
@@ -693,6 +728,21 @@
 	return G_SOURCE_CONTINUE;
 }
 
+static gboolean on_silent(gpointer data)
+{
+	struct standin *standin = data;
+
+	standin->silent_until_us =
+		g_get_monotonic_time() + standin->silent_ms * INT64_C(1000);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean on_lost(gpointer data)
+{
+	end_life(data);
+	_exit(0);
+}
+
 static bool serve(struct standin *standin, const char *port_file)
 {
 	const char *colon = standin->address ? strchr(standin->address, ':') :
@@ -738,6 +788,9 @@
 		{ "malformed-percent", 0, 0, G_OPTION_ARG_INT,
 		  &standin.malformed_percent },
 		{ "odd-percent", 0, 0, G_OPTION_ARG_INT, &standin.odd_percent },
+		{ "silent-percent", 0, 0, G_OPTION_ARG_INT,
+		  &standin.silent_percent },
+		{ "silent-ms", 0, 0, G_OPTION_ARG_INT, &standin.silent_ms },
 		{ NULL },
 	};
 	GOptionContext *context = g_option_context_new(NULL);
@@ -766,6 +819,8 @@
 	standin.loop = g_main_loop_new(NULL, FALSE);
 	g_unix_signal_add(SIGHUP, on_restart, &standin);
 	g_unix_signal_add(SIGUSR1, on_unhealthy, &standin);
+	g_unix_signal_add(SIGUSR2, on_silent, &standin);
+	g_unix_signal_add(SIGTERM, on_lost, &standin);
 	g_timeout_add(TICK_MS, on_tick, &standin);
 	/* After a restart, calls arrive before the first heartbeat is sent. */
 	g_timeout_add((guint)g_random_int_range(1, HEARTBEAT_MS),
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -613,6 +613,8 @@
 	proc_arg_number(standin, "--malformed-percent",
 			opts->malformed_percent);
 	proc_arg_number(standin, "--odd-percent", opts->odd_percent);
+	proc_arg_number(standin, "--silent-percent", opts->silent_percent);
+	proc_arg_number(standin, "--silent-ms", opts->silent_ms);
 	proc_start(standin);
 	tb_wait_port(standin);
 	g_ptr_array_add(tb->agents, agent);
--- a/tests/testbed.h
+++ b/tests/testbed.h
@@ -71,6 +71,9 @@
 	uint32_t reset_percent;
 	uint32_t malformed_percent; /* of the heartbeats */
 	uint32_t odd_percent; /* of the rows of lists: invalid */
+	/* Of the calls, for silent_ms after SIGUSR2: no answer, may run late */
+	uint32_t silent_percent;
+	uint32_t silent_ms;
 };
 
 /** Starts an agent and a stand-in for the platform's worker on its VM. */
