Check for lost lasting tasks in the workers' journals

task_journal_check_lost() reports a lasting task without a run for 3 s, counted from 6 s after its last run, if this time is judged and two sound workers have room for it throughout. test_task_journal passes.

--- a/tests/task_journal.c
+++ b/tests/task_journal.c
@@ -311,3 +311,173 @@
 	}
 	g_hash_table_unref(loads);
 }
+
+#define LOST_WORKERS_MIN 2 /* that have room for the task */
+#define LOST_STEP_US INT64_C(100000) /* between the times that are judged */
+
+/* The time of a lasting task from the end of its last run on. */
+struct task_gap {
+	const struct task_event *end;
+	const struct task_step *step;
+	char *stage; /* "ID.OCCURRENCE.STEP." */
+	int64_t next_us; /* start of its next run, or the end of the journal */
+};
+
+static bool is_end(const struct task_event *event)
+{
+	return event->kind == TASK_DONE || event->kind == TASK_FAILED ||
+	       event->kind == TASK_ENDED;
+}
+
+/* What a worker would run with the gap's task. */
+struct task_room {
+	int64_t cpu_millis;
+	int64_t memory_mib;
+	int64_t nr_of_stage;
+};
+
+static bool room_fits(const struct task_room *room,
+		      const struct task_site *site,
+		      const struct task_step *step)
+{
+	return room->cpu_millis <= site->cpu_millis &&
+	       room->memory_mib <= site->memory_mib &&
+	       (!step->max_per_worker ||
+		room->nr_of_stage <= step->max_per_worker);
+}
+
+/* Returns true if the worker has room for the gap's task throughout. */
+static bool worker_has_room(const struct task_journal *journal,
+			    const struct task_site *site, const char *worker,
+			    const struct task_gap *gap, int64_t from_us,
+			    int64_t to_us)
+{
+	const struct task_step *step = gap->step;
+	struct task_room room = { step->cpu_millis, step->memory_mib, 1 };
+
+	if (step->label && g_strcmp0(step->label, site->label_of(worker)) != 0)
+		return false;
+	for (guint i = 0; i < journal->events->len; i++) {
+		const struct task_event *event =
+			&g_array_index(journal->events, struct task_event, i);
+		const struct task_step *other;
+		int64_t sign = event->kind == TASK_START ? 1 : -1;
+
+		if (event->t_us > to_us)
+			break;
+		if ((event->kind != TASK_START && !is_end(event)) ||
+		    strcmp(event->worker, worker) != 0)
+			continue;
+		other = step_of(site, event->task);
+		if (!other)
+			continue;
+		if (event->t_us > from_us && !room_fits(&room, site, step))
+			return false;
+		room.cpu_millis += other->fills ? 0 : sign * other->cpu_millis;
+		room.memory_mib += sign * other->memory_mib;
+		if (g_str_has_prefix(event->task, gap->stage))
+			room.nr_of_stage += sign;
+	}
+	return room_fits(&room, site, step);
+}
+
+static bool gap_is_judged(const struct task_journal *journal,
+			  const struct task_site *site,
+			  const struct task_watch *watch,
+			  const struct task_gap *gap, int64_t from_us,
+			  void *ctx)
+{
+	int64_t to_us = from_us + TASK_LOST_MS * INT64_C(1000);
+	uint32_t nr = 0;
+
+	if (!watch->is_judged(ctx, gap->end->task, from_us, to_us))
+		return false;
+	for (guint i = 0; i < watch->workers->len && nr < LOST_WORKERS_MIN;
+	     i++) {
+		const char *worker = watch->workers->pdata[i];
+
+		nr += watch->is_sound(ctx, worker, from_us, to_us) &&
+		      worker_has_room(journal, site, worker, gap, from_us,
+				      to_us);
+	}
+	return nr >= LOST_WORKERS_MIN;
+}
+
+/* Returns true if no other run of the task is in progress after its end. */
+static bool gap_after(const struct task_journal *journal, guint at,
+		      const struct task_watch *watch, struct task_gap *gap)
+{
+	uint32_t nr_running = 0;
+
+	gap->end = &g_array_index(journal->events, struct task_event, at);
+	gap->next_us = watch->until_us;
+	for (guint i = 0; i < journal->events->len; i++) {
+		const struct task_event *event =
+			&g_array_index(journal->events, struct task_event, i);
+
+		if (strcmp(event->task, gap->end->task) != 0)
+			continue;
+		if (i > at && event->kind == TASK_START) {
+			gap->next_us = MIN(event->t_us, watch->until_us);
+			break;
+		}
+		if (i <= at && event->kind == TASK_START)
+			nr_running++;
+		else if (i <= at && is_end(event))
+			nr_running--;
+	}
+	return !nr_running;
+}
+
+/* Returns true if the first time after the gap's end is judged. */
+static bool gap_check(const struct task_journal *journal,
+		      const struct task_site *site,
+		      const struct task_watch *watch,
+		      const struct task_gap *gap, task_violation_fn *report,
+		      void *ctx)
+{
+	int64_t first_us = gap->end->t_us + TASK_LOST_AFTER_MS * INT64_C(1000);
+	int64_t last_us = gap->next_us - TASK_LOST_MS * INT64_C(1000);
+	bool first_is_judged =
+		first_us + TASK_LOST_MS * INT64_C(1000) <= watch->until_us &&
+		gap_is_judged(journal, site, watch, gap, first_us, ctx);
+	char *what;
+
+	for (int64_t from_us = first_us; from_us <= last_us;
+	     from_us += LOST_STEP_US) {
+		if (!gap_is_judged(journal, site, watch, gap, from_us, ctx))
+			continue;
+		what = g_strdup_printf(
+			"LOST: a lasting task has no run for %" G_GINT64_FORMAT
+			" ms",
+			(from_us - gap->end->t_us) / 1000 + TASK_LOST_MS);
+		report(ctx, what, gap->end);
+		g_free(what);
+		break;
+	}
+	return first_is_judged;
+}
+
+uint32_t task_journal_check_lost(const struct task_journal *journal,
+				 const struct task_site *site,
+				 const struct task_watch *watch,
+				 task_violation_fn *report, void *ctx)
+{
+	uint32_t nr_judged = 0;
+
+	for (guint i = 0; i < journal->events->len; i++) {
+		const struct task_event *event =
+			&g_array_index(journal->events, struct task_event, i);
+		struct task_gap gap = { .step = step_of(site, event->task) };
+
+		if (!is_end(event) || !gap.step || !gap.step->lasts ||
+		    !gap_after(journal, i, watch, &gap))
+			continue;
+		gap.stage = g_strndup(
+			event->task,
+			(gsize)(strrchr(event->task, '.') - event->task) + 1);
+		nr_judged += gap_check(journal, site, watch, &gap, report, ctx);
+		g_free(gap.stage);
+	}
+	return nr_judged;
+}
--- a/tests/task_journal.h
+++ b/tests/task_journal.h
@@ -59,6 +59,7 @@
 	bool fills;
 	uint32_t max_per_worker; /* tasks of one occurrence, 0: no limit */
 	const char *label; /* that its worker must have, NULL: none */
+	bool lasts; /* its tasks run until they are cancelled */
 };
 
 /** What clients have submitted, and what each worker of the site offers. */
@@ -81,4 +82,30 @@
 				const struct task_site *site,
 				task_violation_fn *report, void *ctx);
 
+#define TASK_LOST_AFTER_MS 6000 /* after the last run, until time counts */
+#define TASK_LOST_MS 3000 /* without a run */
+
+/** The times that task_journal_check_lost() judges. */
+struct task_watch {
+	GPtrArray *workers; /* char *: the names of all workers */
+	int64_t until_us; /* end of the time that is judged */
+	/* Returns true if the task was to run, and the core had no fault. */
+	bool (*is_judged)(void *ctx, const char *task, int64_t from_us,
+			  int64_t to_us);
+	/* Returns true if the worker and its agent had no fault. */
+	bool (*is_sound)(void *ctx, const char *worker, int64_t from_us,
+			 int64_t to_us);
+};
+
+/**
+ * Reports each lasting task that has no run for TASK_LOST_MS, counted from
+ * TASK_LOST_AFTER_MS after the end of its last run, while this time is judged
+ * and two sound workers have room for the task throughout. Returns the number
+ * of ends of runs for which the first such time is judged.
+ */
+uint32_t task_journal_check_lost(const struct task_journal *journal,
+				 const struct task_site *site,
+				 const struct task_watch *watch,
+				 task_violation_fn *report, void *ctx);
+
 #endif /* TASK_JOURNAL_H */
--- a/tests/test_task_journal.c
+++ b/tests/test_task_journal.c
@@ -96,6 +96,10 @@
 static const struct task_step b_steps[] = {
 	{ 1000, 100, false, 0, "b" },
 };
+static const struct task_step lasting_steps[] = {
+	{ 4000, 100, false, 1, NULL, true },
+	{ 4000, 100, false, 0, "b", true },
+};
 
 /* Worker "j" has the label "b", the others have none. */
 static const char *label_of(const char *worker)
@@ -112,17 +116,24 @@
 	g_hash_table_insert(steps, (char *)id, copy);
 }
 
+static void add_all_steps(struct task_site *site)
+{
+	site->steps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    (GDestroyNotify)g_array_unref);
+	add_steps(site->steps, "few", few_steps, G_N_ELEMENTS(few_steps));
+	add_steps(site->steps, "big", big_steps, G_N_ELEMENTS(big_steps));
+	add_steps(site->steps, "b", b_steps, G_N_ELEMENTS(b_steps));
+	add_steps(site->steps, "last", lasting_steps,
+		  G_N_ELEMENTS(lasting_steps));
+}
+
 static void check_worker_cases(const struct journal_case *cases, size_t nr)
 {
 	struct task_site site = { .cpu_millis = 8000,
 				  .memory_mib = 16000,
 				  .label_of = label_of };
 
-	site.steps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					   (GDestroyNotify)g_array_unref);
-	add_steps(site.steps, "few", few_steps, G_N_ELEMENTS(few_steps));
-	add_steps(site.steps, "big", big_steps, G_N_ELEMENTS(big_steps));
-	add_steps(site.steps, "b", b_steps, G_N_ELEMENTS(b_steps));
+	add_all_steps(&site);
 	for (size_t i = 0; i < nr; i++) {
 		struct task_journal *journal = case_journal(&cases[i]);
 		uint32_t nr_violations = 0;
@@ -264,5 +275,183 @@
 }
 END_TEST
 
+/* Workers "i", "j" and "k"; times in microseconds. */
+struct watch_case {
+	struct journal_case journal;
+	int64_t judged_from_us;
+	int64_t judged_to_us;
+	const char *unsound; /* worker, NULL: none */
+	uint32_t nr_judged; /* ends whose first time is judged */
+};
+
+static const struct watch_case *watch_case;
+
+static bool watch_is_judged(void *ctx, const char *task, int64_t from_us,
+			    int64_t to_us)
+{
+	return watch_case->judged_from_us <= from_us &&
+	       to_us <= watch_case->judged_to_us;
+}
+
+static bool watch_is_sound(void *ctx, const char *worker, int64_t from_us,
+			   int64_t to_us)
+{
+	return g_strcmp0(worker, watch_case->unsound) != 0;
+}
+
+/*
+ * Guards against a lasting task that isn't started again after its run has
+ * ended, and isn't reported (issue 33), and against reports for times that
+ * aren't judged, for a site without room and for tasks that don't last.
+ */
+START_TEST(test_lost)
+{
+	static const struct watch_case cases[] = {
+		{ { "no run for 9 s",
+		    { "t=1000000 worker=i event=start task=last.0.0.0 run=1 born=5",
+		      "t=2000000 worker=i event=end task=last.0.0.0 run=1 born=5",
+		      "t=11000001 worker=j event=start task=last.0.0.0 run=2 "
+		      "born=5" },
+		    1 },
+		  0,
+		  30000000,
+		  NULL,
+		  1 },
+		{ { "no further run",
+		    { "t=1000000 worker=i event=start task=last.0.0.0 run=1 born=5",
+		      "t=2000000 worker=i event=end task=last.0.0.0 run=1 "
+		      "born=5" },
+		    1 },
+		  0,
+		  30000000,
+		  "i",
+		  1 },
+		{ { "a run before 9 s have passed",
+		    { "t=1000000 worker=i event=start task=last.0.0.0 run=1 born=5",
+		      "t=2000000 worker=i event=end task=last.0.0.0 run=1 born=5",
+		      "t=10999999 worker=j event=late-start task=last.0.0.0 run=2 "
+		      "born=5" },
+		    0 },
+		  0,
+		  30000000,
+		  NULL,
+		  1 },
+		{ { "judged later",
+		    { "t=1000000 worker=i event=start task=last.0.0.0 run=1 born=5",
+		      "t=2000000 worker=i event=end task=last.0.0.0 run=1 born=5",
+		      "t=20000000 worker=j event=start task=last.0.0.0 run=2 "
+		      "born=5" },
+		    1 },
+		  15000000,
+		  30000000,
+		  NULL,
+		  0 },
+		{ { "judged for less than 3 s",
+		    { "t=1000000 worker=i event=start task=last.0.0.0 run=1 born=5",
+		      "t=2000000 worker=i event=end task=last.0.0.0 run=1 born=5",
+		      "t=20000000 worker=j event=start task=last.0.0.0 run=2 "
+		      "born=5" },
+		    0 },
+		  15000000,
+		  17900000,
+		  NULL,
+		  0 },
+		{ { "the task doesn't last",
+		    { "t=1000000 worker=i event=start task=few.0.2.0 run=1 born=5",
+		      "t=2000000 worker=i event=failed task=few.0.2.0 run=1 "
+		      "born=5" },
+		    0 },
+		  0,
+		  30000000,
+		  NULL,
+		  0 },
+		{ { "another run when the first one ends",
+		    { "t=1000000 worker=i event=start task=last.0.0.0 run=1 born=5",
+		      "t=1500000 worker=j event=start task=last.0.0.0 run=2 born=5",
+		      "t=2000000 worker=i event=end task=last.0.0.0 run=1 "
+		      "born=5" },
+		    0 },
+		  0,
+		  30000000,
+		  NULL,
+		  0 },
+		{ { "one worker has another task of the step",
+		    { "t=1000000 worker=i event=start task=last.0.0.0 run=1 born=5",
+		      "t=1000000 worker=j event=start task=last.0.0.1 run=1 born=5",
+		      "t=2000000 worker=i event=end task=last.0.0.0 run=1 "
+		      "born=5" },
+		    0 },
+		  0,
+		  30000000,
+		  "i",
+		  0 },
+		{ { "one worker is full for some time",
+		    { "t=1000000 worker=i event=start task=last.0.0.0 run=1 born=5",
+		      "t=1000000 worker=j event=start task=big.0.0.0 run=1 born=5",
+		      "t=2000000 worker=i event=end task=last.0.0.0 run=1 born=5",
+		      "t=9000000 worker=j event=start task=few.0.2.0 run=1 born=5",
+		      "t=9100000 worker=j event=done task=few.0.2.0 run=1 born=5",
+		      "t=12200000 worker=k event=start task=last.0.0.0 run=2 "
+		      "born=5" },
+		    1 },
+		  0,
+		  30000000,
+		  "i",
+		  0 },
+		{ { "one worker is full again and again",
+		    { "t=1000000 worker=i event=start task=last.0.0.0 run=1 born=5",
+		      "t=1000000 worker=j event=start task=big.0.0.0 run=1 born=5",
+		      "t=2000000 worker=i event=end task=last.0.0.0 run=1 born=5",
+		      "t=9000000 worker=j event=start task=few.0.2.0 run=1 born=5",
+		      "t=9100000 worker=j event=done task=few.0.2.0 run=1 born=5",
+		      "t=12000000 worker=k event=start task=last.0.0.0 run=2 "
+		      "born=5" },
+		    0 },
+		  0,
+		  30000000,
+		  "i",
+		  0 },
+		{ { "one worker has the label",
+		    { "t=1000000 worker=j event=start task=last.0.1.0 run=1 born=5",
+		      "t=2000000 worker=j event=end task=last.0.1.0 run=1 "
+		      "born=5" },
+		    0 },
+		  0,
+		  30000000,
+		  NULL,
+		  0 },
+	};
+	struct task_site site = { .cpu_millis = 8000,
+				  .memory_mib = 16000,
+				  .label_of = label_of };
+	struct task_watch watch = { .workers = g_ptr_array_new(),
+				    .until_us = 30000000,
+				    .is_judged = watch_is_judged,
+				    .is_sound = watch_is_sound };
+
+	add_all_steps(&site);
+	g_ptr_array_add(watch.workers, "i");
+	g_ptr_array_add(watch.workers, "j");
+	g_ptr_array_add(watch.workers, "k");
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct task_journal *journal = case_journal(&cases[i].journal);
+		uint32_t nr_violations = 0;
+		uint32_t nr_judged;
+
+		watch_case = &cases[i];
+		nr_judged = task_journal_check_lost(journal, &site, &watch,
+						    count_violation,
+						    &nr_violations);
+		check_case(&cases[i].journal, nr_violations);
+		ck_assert_msg(nr_judged == cases[i].nr_judged,
+			      "%s: %u ends judged", cases[i].journal.name,
+			      nr_judged);
+		task_journal_free(journal);
+	}
+	g_ptr_array_unref(watch.workers);
+	g_hash_table_unref(site.steps);
+}
+END_TEST
+
 SUITE_MAIN("task_journal", test_start_before_settled, test_tasks_of_a_step,
-	   test_capacity, test_label)
+	   test_capacity, test_label, test_lost)
