Soak with silent and lost workers, and LOST from the journals

The first phase of each run (14 s in the shape short, 60 s in large) has one worker in ten, at least one, that leaves 40 % of its calls unanswered, and as many lost ones, which come back after 10 to 14 s, half of them with their agent; nothing else has a fault. The first submissions last, aren't cancelled in this phase, and fewer others leave room. LOST is judged from the journals.

--- a/tests/soak.c
+++ b/tests/soak.c
@@ -28,9 +28,9 @@
 };
 
 static const struct named_shape shapes[] = {
-	{ "short", { 3, 3, 4, 6, 12000, 4 } },
-	{ "small", { 3, 3, 6, 8, 20000, 4 } },
-	{ "large", { 5, 4, 40, 24, 30000, 4 } },
+	{ "short", { 3, 3, 4, 6, 12000, 4, 14000 } },
+	{ "small", { 3, 3, 6, 8, 20000, 4, 20000 } },
+	{ "large", { 5, 4, 40, 24, 30000, 4, 60000 } },
 };
 
 static const char *program;
@@ -241,14 +241,15 @@
 		"%u submitted, %u accepted, %u rejected, "
 		"%u refused without a fault, %u unread, %u excused; "
 		"no fault of the core for up to %u ms; "
+		"LOST judged after %u runs; "
 		"%u orders, %u acknowledged, %u read back; the machine stalled for %u ms; "
 		"%u violations",
 		soak->seed, stats->nr_faults, stats->nr_calls,
 		stats->nr_submitted, stats->nr_accepted, stats->nr_rejected,
 		stats->nr_stable_refusals, stats->nr_unread, stats->nr_excused,
-		soak_faults_stable_ms(soak), stats->nr_orders,
-		stats->nr_acknowledged, stats->nr_read_back, stats->stalled_ms,
-		soak->nr_violations);
+		soak_faults_stable_ms(soak), stats->nr_lost_judged,
+		stats->nr_orders, stats->nr_acknowledged, stats->nr_read_back,
+		stats->stalled_ms, soak->nr_violations);
 }
 
 static void run_seed(uint64_t seed)
@@ -267,7 +268,8 @@
 		 is_configured);
 	soak_clients_start(&soak);
 	soak_faults_start(&soak);
-	testbed_wait_ms(SOAK_STABLE_CORE_MS + shape->faults_ms);
+	testbed_wait_ms(shape->silent_ms + SOAK_STABLE_CORE_MS +
+			shape->faults_ms);
 	soak_note("the faults end");
 	soak_faults_end(&soak);
 	wait_for(&soak, "processes don't run", IDLE_LIMIT_MS, is_running);
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -42,6 +42,8 @@
 #define SOAK_RECOVER_MS 12000 /* from the last fault until service is back */
 #define SOAK_FINISH_MS 40000 /* until leases, late calls, elections end */
 
+#define SOAK_HARM_MS 4000 /* after a fault, until LOST is judged */
+
 #define SOAK_ATTEMPTS 3 /* failed runs after which a task isn't run again */
 #define SOAK_NR_ROUTES 4 /* each configuration version lacks one of them */
 
@@ -66,6 +68,7 @@
 	enum soak_proc_state state;
 	int64_t until_ms; /* end of pause, grace period or downtime */
 	int64_t sigterm_ms; /* time of the last SIGTERM, 0: none */
+	int64_t silent_until_ms; /* of a worker, 0: it answers all calls */
 	bool wipe; /* its data folder is emptied before it starts again */
 	int64_t limited_until_ms; /* end of its file size limit, 0: none */
 	uint32_t nr_starts; /* number of its incarnations */
@@ -81,6 +84,7 @@
 	uint32_t nr_clients;
 	uint32_t faults_ms; /* time during which faults are injected */
 	uint32_t late_percent; /* see struct tb_executor_opts */
+	uint32_t silent_ms; /* duration of the phase with silent workers */
 };
 
 struct soak_stats {
@@ -95,6 +99,7 @@
 	uint32_t nr_acknowledged;
 	uint32_t nr_read_back; /* configurations that replicas have shown */
 	uint32_t nr_faults;
+	uint32_t nr_lost_judged; /* ends of lasting tasks' runs */
 	uint32_t stalled_ms; /* the machine held processes up */
 };
 
@@ -169,6 +174,11 @@
 void soak_faults_start(struct soak *soak);
 /** Ends all faults, restarts all processes and injects no further faults. */
 void soak_faults_end(struct soak *soak);
+/**
+ * Returns true until the end of the first phase, in which workers are silent or
+ * lost and nothing else has a fault.
+ */
+bool soak_faults_only_workers(const struct soak *soak);
 /** Returns true while a process is paused, terminating or down. */
 bool soak_faults_active(const struct soak *soak);
 /**
@@ -216,6 +226,8 @@
 	int64_t final_us; /* time of that answer */
 };
 
+/** Returns the i-th kind of lasting tasks, the first one after the last one. */
+const struct soak_flow_kind *soak_flow_lasting_kind(uint32_t i);
 /** Returns a kind of submission, by its weight. */
 const struct soak_flow_kind *soak_flow_draw_kind(GRand *random);
 /** Returns the document of a submission, to be freed. */
@@ -258,6 +270,12 @@
 void soak_operators_check_end(struct soak *soak);
 /** Returns true if no task may start in the zone at @a t_us. */
 bool soak_zone_is_out(const struct soak *soak, const char *zone, int64_t t_us);
+/**
+ * Returns true if any zone was out, or ordered out or in, between the two
+ * times.
+ */
+bool soak_zones_changed(const struct soak *soak, int64_t from_us,
+			int64_t to_us);
 void soak_operators_free(struct soak *soak);
 
 /* ---- soak_journal.c ---- */
@@ -267,4 +285,7 @@
 /** Returns the number of running tasks of a submission; NULL: of all. */
 uint32_t soak_journal_running(struct soak *soak, const char *id);
 
+/** Returns the numbers of lasting tasks that run, by the workers' names. */
+GHashTable *soak_journal_lasting(struct soak *soak);
+
 #endif /* SOAK_H */
--- a/tests/soak_clients.c
+++ b/tests/soak_clients.c
@@ -14,6 +14,9 @@
 /* Added to a client's timeout before an answer counts as missing, since a busy
  * machine delays answers. */
 #define ANSWER_SLACK_MS 2500
+/* Submissions at the start whose tasks last, so that lost workers run some. */
+#define NR_FIRST_LASTING 4
+#define SPARED_PERCENT 80 /* of the submissions while workers are lost */
 #define NR_ATTEMPTS 4 /* to submit, as the sites' clients do */
 #define GAP_MIN_MS 5
 #define GAP_MAX_MS 120
@@ -84,7 +87,9 @@
 
 	g_snprintf(flow->id, sizeof(flow->id), "%08x%08x", all->flows->len + 1,
 		   g_rand_int(all->ids));
-	flow->kind = soak_flow_draw_kind(client->random);
+	flow->kind = all->flows->len < NR_FIRST_LASTING ?
+			     soak_flow_lasting_kind(all->flows->len) :
+			     soak_flow_draw_kind(client->random);
 	g_ptr_array_add(all->flows, flow);
 	g_hash_table_insert(all->by_id, flow->id, flow);
 	all->soak->stats.nr_submitted++;
@@ -128,8 +133,18 @@
 				   now_us);
 }
 
+/* LOST is judged while two workers without a fault have room. */
+static bool client_spares_room(struct client *client)
+{
+	return client->all->flows->len >= NR_FIRST_LASTING &&
+	       soak_faults_only_workers(client->soak) &&
+	       soak_chance(client->random, SPARED_PERCENT);
+}
+
 static char *submit_begin(struct client *client)
 {
+	if (!client->retry && client_spares_room(client))
+		return NULL;
 	if (!client->retry) {
 		client->retry = flow_new(client);
 		client->nr_unclear = client->nr_rejected = 0;
@@ -296,6 +311,10 @@
 		if (flow && flow->kind->run_ms &&
 		    !soak_chance(client->random, 20))
 			flow = NULL;
+		/* LOST is judged on them. */
+		if (flow && !flow->kind->run_ms &&
+		    soak_faults_only_workers(client->soak))
+			flow = NULL;
 	}
 	client->flow = flow;
 	if (!flow || flow_is_final(flow))
@@ -518,7 +537,8 @@
 
 	if (client->all->mode >= MODE_CANCEL)
 		return &sweep_calls[client->all->mode];
-	if (client->retry && soak_chance(client->random, 50))
+	if (client->all->flows->len < NR_FIRST_LASTING ||
+	    (client->retry && soak_chance(client->random, 50)))
 		return &submit_call;
 	at = (uint32_t)g_rand_int_range(client->random, 0, 100);
 	for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
--- a/tests/soak_faults.c
+++ b/tests/soak_faults.c
@@ -2,7 +2,8 @@
  * @file soak_faults.c
  * Injects faults from outside the processes: signals, link faults, limits of
  * file sizes and lost disks. Each phase of a run draws faults that hit certain
- * roles; a series hits the processes of a role one by one, across phases.
+ * roles; a series hits the processes of a role one by one, across phases. In
+ * the first phase, workers leave calls unanswered while others are lost.
  */
 
 #include <signal.h>
@@ -22,12 +23,21 @@
 #define FILE_LIMIT_MAX_KIB 256
 #define LIMIT_MAX_MS 4000
 #define DISK_FULL_GAP_MS 2500 /* between disks that fill up in turn */
+#define LOST_MIN_MS 10000 /* until a lost worker is started again */
+#define LOST_MAX_MS 14000
+#define LOSS_GAP_MS 1500 /* from the phase's start, and between two losses */
+#define VMS_PER_LOSS 10 /* one silent and one lost worker among so many VMs */
+#define WORKER_EXIT_MS 1000 /* until a worker that a SIGTERM ends is killed */
+/* Longest effect of a fault that the worker itself ends. */
+#define REBORN_MS 1000
+#define UNHEALTHY_MS 5000
 
 /* Group of roles that a fault hits. */
 enum family {
 	FAMILY_CORE = 1, /* control replicas */
 	FAMILY_ENTRY = 2,
 	FAMILY_AGENT = 4, /* agents and workers */
+	FAMILY_WORKER = 8, /* silent and lost workers */
 };
 
 struct phase {
@@ -36,18 +46,19 @@
 };
 
 /*
- * First phase of each run. Limits that hold only while the core is stable are
- * judged SOAK_CONTACT_MS after its last fault, and an order has SOAK_ACK_MS, so
- * faults of the other roles show a late acknowledgement only in a longer phase
- * without faults of the core. Faults of the core last up to PAUSE_MAX_MS beyond
- * their phase, so only the first phase is certain to have none.
+ * Phase after the one with silent and lost workers. Limits that hold only while
+ * the core is stable are judged SOAK_CONTACT_MS after its last fault, and an
+ * order has SOAK_ACK_MS, so faults of the other roles show a late
+ * acknowledgement only in a longer phase without faults of the core. Faults of
+ * the core last up to PAUSE_MAX_MS beyond their phase, so only the first phases
+ * are certain to have none.
  */
-static const struct phase first_phase = { FAMILY_ENTRY | FAMILY_AGENT,
-					  SOAK_STABLE_CORE_MS };
+static const struct phase stable_core_phase = { FAMILY_ENTRY | FAMILY_AGENT,
+						SOAK_STABLE_CORE_MS };
 
 /*
- * Drawn at random after the first phase. The second phase is one of the first
- * CORE_PHASES, so that the core has faults in the shortest run, too.
+ * Drawn at random after these two phases. The first drawn one is one of the
+ * first CORE_PHASES, so that the core has faults in the shortest run, too.
  */
 #define CORE_PHASES 3
 static const struct phase phases[] = {
@@ -83,6 +94,7 @@
 	uint32_t nr_phases; /* phases that have begun */
 	int64_t phase_end_ms;
 	int64_t next_ms;
+	int64_t next_loss_ms; /* no worker is lost before */
 	int64_t core_exclusive_until_ms; /* until then, no other core fault */
 	GArray *series; /* struct series */
 	struct link_fault links[TB_MAX_CONTROLS];
@@ -393,10 +405,20 @@
 	}
 }
 
+/* Records a fault that ends by itself. */
+static void proc_disturbed(struct soak_proc *proc, uint32_t duration_ms)
+{
+	struct soak_span span = { .begin_us = g_get_monotonic_time() };
+
+	span.end_us = span.begin_us + duration_ms * INT64_C(1000);
+	g_array_append_val(proc->disturbances, span);
+}
+
 /* Ends the worker and starts a new incarnation under the same name. */
 static void fault_worker_restart(struct soak_faults *faults,
 				 struct soak_proc *proc)
 {
+	proc_disturbed(proc, REBORN_MS);
 	tb_proc_signal(proc->handle, SIGHUP);
 }
 
@@ -407,10 +429,45 @@
 static void fault_workers_unhealthy(struct soak_faults *faults,
 				    struct soak_proc *proc)
 {
-	for (uint32_t i = 0; i < soak_nr_procs(faults->soak, proc->role); i++)
-		tb_proc_signal(
-			soak_proc_at(faults->soak, proc->role, i)->handle,
-			SIGUSR1);
+	for (uint32_t i = 0; i < soak_nr_procs(faults->soak, proc->role); i++) {
+		struct soak_proc *worker =
+			soak_proc_at(faults->soak, proc->role, i);
+
+		proc_disturbed(worker, UNHEALTHY_MS);
+		tb_proc_signal(worker->handle, SIGUSR1);
+	}
+}
+
+/* Makes the worker leave calls unanswered until the end of the phase. */
+static void fault_worker_silent(struct soak_faults *faults,
+				struct soak_proc *proc)
+{
+	uint32_t silent_ms = faults->soak->shape->silent_ms;
+
+	proc_disturbed(proc, silent_ms);
+	proc->silent_until_ms = soak_now_ms() + silent_ms;
+	tb_proc_signal(proc->handle, SIGUSR2);
+}
+
+/*
+ * Ends the worker; its journal gets the ends of its runs. In half of the cases
+ * the VM is lost: its agent is killed, too.
+ */
+static void fault_worker_lost(struct soak_faults *faults,
+			      struct soak_proc *proc)
+{
+	struct soak *soak = faults->soak;
+	int64_t until_ms = draw_time_ms(faults, LOST_MIN_MS, LOST_MAX_MS);
+	bool is_vm = soak_chance(faults->random, 50);
+
+	proc_interrupt(soak, proc, PROC_DOWN, until_ms);
+	tb_proc_signal(proc->handle, SIGTERM);
+	tb_proc_wait(proc->handle, WORKER_EXIT_MS);
+	tb_proc_signal(proc->handle, SIGKILL);
+	for (uint32_t i = 0; is_vm && i < soak_nr_procs(soak, SOAK_WORKER); i++)
+		if (soak_proc_at(soak, SOAK_WORKER, i) == proc)
+			proc_kill(faults, soak_proc_at(soak, SOAK_AGENT, i),
+				  until_ms);
 }
 
 static const struct fault_kind kinds[] = {
@@ -459,6 +516,14 @@
 	return NULL;
 }
 
+static void fault_at(struct soak_faults *faults, const struct fault_kind *kind,
+		     struct soak_proc *proc)
+{
+	soak_note("fault %s at %s", kind->name, tb_proc_name(proc->handle));
+	faults->soak->stats.nr_faults++;
+	kind->begin(faults, proc);
+}
+
 static void fault_begin(struct soak_faults *faults)
 {
 	const struct fault_kind *kind = draw_kind(faults);
@@ -476,9 +541,88 @@
 	if (kind->family == FAMILY_CORE &&
 	    soak_now_ms() < faults->core_exclusive_until_ms)
 		return;
-	soak_note("fault %s at %s", kind->name, tb_proc_name(proc->handle));
-	faults->soak->stats.nr_faults++;
-	kind->begin(faults, proc);
+	fault_at(faults, kind, proc);
+}
+
+static bool worker_is_undisturbed(const struct soak_proc *proc)
+{
+	return proc->state == PROC_RUNNING &&
+	       soak_now_ms() >= proc->silent_until_ms;
+}
+
+/* Returns a worker without a fault, NULL if three draws find none. */
+static struct soak_proc *draw_worker(struct soak_faults *faults)
+{
+	uint32_t nr = soak_nr_procs(faults->soak, SOAK_WORKER);
+
+	for (uint32_t i = 0; i < 3; i++) {
+		struct soak_proc *proc =
+			soak_proc_at(faults->soak, SOAK_WORKER,
+				     (uint32_t)g_rand_int_range(faults->random,
+								0, (gint)nr));
+
+		if (worker_is_undisturbed(proc))
+			return proc;
+	}
+	return NULL;
+}
+
+/* Returns the worker without a fault that runs the most lasting tasks. */
+static struct soak_proc *busiest_worker(struct soak_faults *faults)
+{
+	struct soak *soak = faults->soak;
+	GHashTable *lasting = soak_journal_lasting(soak);
+	struct soak_proc *busiest = NULL;
+	guint most = 0;
+
+	for (uint32_t i = 0; i < soak_nr_procs(soak, SOAK_WORKER); i++) {
+		struct soak_proc *proc = soak_proc_at(soak, SOAK_WORKER, i);
+		guint nr = GPOINTER_TO_UINT(g_hash_table_lookup(
+			lasting, tb_proc_name(proc->handle)));
+
+		if (!worker_is_undisturbed(proc) || nr <= most)
+			continue;
+		busiest = proc;
+		most = nr;
+	}
+	g_hash_table_unref(lasting);
+	return busiest;
+}
+
+/* Keeps one worker in VMS_PER_LOSS silent and one lost, at least one each. */
+static void workers_tick(struct soak_faults *faults)
+{
+	static const struct fault_kind silent = { "silent", FAMILY_WORKER,
+						  SOAK_WORKER, 0,
+						  fault_worker_silent };
+	static const struct fault_kind lost = { "lost", FAMILY_WORKER,
+						SOAK_WORKER, 0,
+						fault_worker_lost };
+	const struct soak *soak = faults->soak;
+	uint32_t nr = MAX(1, soak->shape->nr_workers / VMS_PER_LOSS);
+	uint32_t nr_silent = 0;
+	uint32_t nr_lost = 0;
+	const struct fault_kind *kind;
+	struct soak_proc *proc;
+
+	for (uint32_t i = 0; i < soak->shape->nr_workers; i++) {
+		proc = soak_proc_at(soak, SOAK_WORKER, i);
+		nr_silent += soak_now_ms() < proc->silent_until_ms;
+		nr_lost += proc->state == PROC_DOWN;
+	}
+	if (nr_silent < nr) {
+		kind = &silent;
+		proc = draw_worker(faults);
+	} else if (nr_lost < nr && soak_now_ms() >= faults->next_loss_ms &&
+		   soak_now_ms() + LOST_MIN_MS < faults->phase_end_ms) {
+		kind = &lost;
+		proc = busiest_worker(faults);
+		faults->next_loss_ms = soak_now_ms() + LOSS_GAP_MS;
+	} else {
+		return;
+	}
+	if (proc)
+		fault_at(faults, kind, proc);
 }
 
 /* ---- timers ---- */
@@ -523,13 +667,19 @@
 
 static void phase_begin(struct soak_faults *faults)
 {
-	const struct phase *phase = &first_phase;
+	const struct phase silent_phase = { FAMILY_WORKER,
+					    faults->soak->shape->silent_ms };
+	const struct phase *phase = &silent_phase;
 
-	if (faults->nr_phases)
+	if (faults->nr_phases == 1)
+		phase = &stable_core_phase;
+	else if (faults->nr_phases)
 		phase = &phases[g_rand_int_range(faults->random, 0,
-						 faults->nr_phases == 1 ?
+						 faults->nr_phases == 2 ?
 							 CORE_PHASES :
 							 G_N_ELEMENTS(phases))];
+	else
+		faults->next_loss_ms = soak_now_ms() + LOSS_GAP_MS;
 	faults->nr_phases++;
 	faults->families = phase->families;
 	faults->phase_end_ms = soak_now_ms() + phase->duration_ms;
@@ -552,6 +702,8 @@
 		series_tick(faults, i);
 	if (soak_now_ms() >= faults->phase_end_ms)
 		phase_begin(faults);
+	if (faults->families & FAMILY_WORKER)
+		workers_tick(faults);
 	if (soak_now_ms() < faults->next_ms)
 		return G_SOURCE_CONTINUE;
 	faults->next_ms =
@@ -583,6 +735,11 @@
 	g_array_set_size(soak->faults->series, 0);
 }
 
+bool soak_faults_only_workers(const struct soak *soak)
+{
+	return !soak->faults || soak->faults->nr_phases <= 1;
+}
+
 bool soak_faults_active(const struct soak *soak)
 {
 	for (guint i = 0; i < soak->procs->len; i++)
--- a/tests/soak_flow.c
+++ b/tests/soak_flow.c
@@ -79,6 +79,14 @@
 	  .target_ms = 200,
 	  .max_per_worker = 2,
 	  .weight = 3 },
+	/* Each sound worker has room for all of its tasks. */
+	{ .name = "steady",
+	  .nr_steps = 1,
+	  .nr_tasks = 4,
+	  .cpu_millis = 300,
+	  .memory_mib = 10,
+	  .target_ms = 200,
+	  .weight = 2 },
 	{ .name = "filler",
 	  .nr_steps = 1,
 	  .nr_tasks = 4,
@@ -97,6 +105,19 @@
 	  .weight = 1 },
 };
 
+const struct soak_flow_kind *soak_flow_lasting_kind(uint32_t i)
+{
+	uint32_t nr = 0;
+
+	for (size_t j = 0; j < G_N_ELEMENTS(kinds); j++)
+		nr += !kinds[j].run_ms;
+	i %= nr;
+	for (size_t j = 0; j < G_N_ELEMENTS(kinds); j++)
+		if (!kinds[j].run_ms && i-- == 0)
+			return &kinds[j];
+	return NULL;
+}
+
 const struct soak_flow_kind *soak_flow_draw_kind(GRand *random)
 {
 	uint32_t sum = 0;
--- a/tests/soak_journal.c
+++ b/tests/soak_journal.c
@@ -249,6 +249,7 @@
 			.fills = kind->fills,
 			.max_per_worker = kind->max_per_worker,
 			.label = kind->label,
+			.lasts = !kind->run_ms,
 		};
 		GArray *steps = g_array_new(FALSE, FALSE, sizeof(step));
 
@@ -259,6 +260,59 @@
 	return table;
 }
 
+/*
+ * Returns true if the task wasn't cancelled, and neither the core had a fault
+ * nor a zone was out, in the time and SOAK_HARM_MS before it.
+ */
+static bool lost_is_judged(void *ctx, const char *task, int64_t from_us,
+			   int64_t to_us)
+{
+	struct soak *soak = ctx;
+	uint32_t step = 0;
+	const struct soak_flow *flow = flow_of(soak, task, &step);
+	int64_t before_us = from_us - SOAK_HARM_MS * INT64_C(1000);
+
+	return flow &&
+	       (!flow->cancel_sent_ms || to_us < flow->cancel_sent_ms * 1000) &&
+	       !soak_spans_overlap(soak->core_faults, before_us, to_us) &&
+	       !soak_zones_changed(soak, before_us, to_us);
+}
+
+static bool worker_is_sound(void *ctx, const char *worker, int64_t from_us,
+			    int64_t to_us)
+{
+	struct soak *soak = ctx;
+	uint32_t i = (uint32_t)atoi(worker + strlen("i-")) - 1;
+	int64_t before_us = from_us - SOAK_HARM_MS * INT64_C(1000);
+
+	return !soak_spans_overlap(
+		       soak_proc_at(soak, SOAK_AGENT, i)->disturbances,
+		       before_us, to_us) &&
+	       !soak_spans_overlap(
+		       soak_proc_at(soak, SOAK_WORKER, i)->disturbances,
+		       before_us, to_us);
+}
+
+static void check_lost(struct soak *soak, const struct task_journal *journal,
+		       const struct task_site *site)
+{
+	struct task_watch watch = {
+		.workers = g_ptr_array_new(),
+		.until_us = g_get_monotonic_time(),
+		.is_judged = lost_is_judged,
+		.is_sound = worker_is_sound,
+	};
+
+	for (uint32_t i = 0; i < soak_nr_procs(soak, SOAK_WORKER); i++)
+		g_ptr_array_add(
+			watch.workers,
+			(char *)tb_proc_name(
+				soak_proc_at(soak, SOAK_WORKER, i)->handle));
+	soak->stats.nr_lost_judged = task_journal_check_lost(
+		journal, site, &watch, report_event, soak);
+	g_ptr_array_unref(watch.workers);
+}
+
 void soak_journal_check(struct soak *soak)
 {
 	struct task_journal *journal =
@@ -276,6 +330,7 @@
 	view.flows = g_hash_table_new_full(NULL, NULL, NULL, flow_view_free);
 	task_journal_check(journal, report_event, soak);
 	task_journal_check_workers(journal, &site, report_event, soak);
+	check_lost(soak, journal, &site);
 	for (guint i = 0; i < journal->events->len; i++) {
 		const struct task_event *event =
 			&g_array_index(journal->events, struct task_event, i);
@@ -316,3 +371,29 @@
 	task_journal_free(journal);
 	return nr;
 }
+
+GHashTable *soak_journal_lasting(struct soak *soak)
+{
+	GHashTable *lasting =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	struct task_journal *journal =
+		task_journal_new(testbed_lines(soak->tb));
+
+	for (guint i = 0; i < journal->events->len; i++) {
+		const struct task_event *event =
+			&g_array_index(journal->events, struct task_event, i);
+		guint nr = GPOINTER_TO_UINT(
+			g_hash_table_lookup(lasting, event->worker));
+		uint32_t step = 0;
+		const struct soak_flow *flow =
+			flow_of(soak, event->task, &step);
+
+		if (!flow || flow->kind->run_ms || event->kind >= TASK_SETTLED)
+			continue;
+		nr += event->kind == TASK_START ? 1 : (guint)-1;
+		g_hash_table_replace(lasting, g_strdup(event->worker),
+				     GUINT_TO_POINTER(nr));
+	}
+	task_journal_free(journal);
+	return lasting;
+}
--- a/tests/soak_operator.c
+++ b/tests/soak_operator.c
@@ -102,6 +102,7 @@
 	uint64_t last_nr; /* highest number of a valid version */
 	uint64_t nr_invalid;
 	const char *zone; /* zone out, or ordered out or in; NULL: none */
+	GArray *zone_changes; /* struct soak_span: zone wasn't NULL */
 	guint zone_timer;
 	bool stopped;
 };
@@ -299,6 +300,7 @@
 		break;
 	case ORDER_IN:
 		all->zone = NULL;
+		soak_span_end(all->zone_changes);
 		break;
 	}
 	order_close(order);
@@ -508,10 +510,12 @@
 
 	if (!all->zone) {
 		/* Control knows the zones from the first configuration on. */
-		if (all->stopped || !version_newest_acked(all, G_MAXINT64))
+		if (all->stopped || soak_faults_only_workers(soak) ||
+		    !version_newest_acked(all, G_MAXINT64))
 			return G_SOURCE_CONTINUE;
 		all->zone = zones[g_rand_int_range(all->operators[0].random, 0,
 						   G_N_ELEMENTS(zones))];
+		soak_span_begin(all->zone_changes);
 		zone_order(soak, ORDER_OUT);
 	} else if (last && last->end_us == G_MAXINT64 &&
 		   (all->stopped ||
@@ -540,6 +544,12 @@
 	return false;
 }
 
+bool soak_zones_changed(const struct soak *soak, int64_t from_us, int64_t to_us)
+{
+	return soak_spans_overlap(soak->operators->zone_changes, from_us,
+				  to_us);
+}
+
 /* ---- readers ---- */
 
 static void reader_check(struct reader *reader,
@@ -717,6 +727,7 @@
 	all->open = g_ptr_array_new();
 	all->waits = g_array_new(FALSE, FALSE, sizeof(struct wait));
 	all->outages = g_array_new(FALSE, FALSE, sizeof(struct outage));
+	all->zone_changes = g_array_new(FALSE, FALSE, sizeof(struct soak_span));
 	for (uint32_t i = 0; i < NR_OPERATORS; i++) {
 		struct issuer *issuer = &all->operators[i];
 
@@ -775,6 +786,7 @@
 	g_ptr_array_unref(all->open);
 	g_ptr_array_unref(all->versions);
 	g_array_unref(all->outages);
+	g_array_unref(all->zone_changes);
 	g_array_unref(all->waits);
 	g_free(all);
 }
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -9,6 +9,8 @@
 
 #include "soak.h"
 
+#define SILENT_PERCENT 40 /* of the calls to a silent worker */
+
 static const char *const zones[] = { "veraval", "porbandar", "mangrol" };
 
 static struct soak_proc *proc_add(struct soak *soak, enum soak_role role,
@@ -58,6 +60,8 @@
 		.unguarded = !soak_site_is_guarded(soak),
 		.late_percent = shape->late_percent,
 		.malformed_percent = 10,
+		.silent_percent = SILENT_PERCENT,
+		.silent_ms = shape->silent_ms,
 	};
 
 	/* In the children, writes beyond a file size limit return an error. */
