Lose a worker whose tasks have room elsewhere in the soak

The first submissions are of a kind without such a limit now, and the worker that runs the most of their tasks is lost.

--- a/tests/soak.h
+++ b/tests/soak.h
@@ -226,8 +226,8 @@
 	int64_t final_us; /* time of that answer */
 };
 
-/** Returns the i-th kind of lasting tasks, the first one after the last one. */
-const struct soak_flow_kind *soak_flow_lasting_kind(uint32_t i);
+/** Returns the kind of lasting tasks for which each sound worker has room. */
+const struct soak_flow_kind *soak_flow_steady_kind(void);
 /** Returns a kind of submission, by its weight. */
 const struct soak_flow_kind *soak_flow_draw_kind(GRand *random);
 /** Returns the document of a submission, to be freed. */
@@ -285,7 +285,10 @@
 /** Returns the number of running tasks of a submission; NULL: of all. */
 uint32_t soak_journal_running(struct soak *soak, const char *id);
 
-/** Returns the numbers of lasting tasks that run, by the workers' names. */
-GHashTable *soak_journal_lasting(struct soak *soak);
+/**
+ * Returns the numbers of lasting tasks without a limit for each worker that
+ * run, by the workers' names.
+ */
+GHashTable *soak_journal_steady(struct soak *soak);
 
 #endif /* SOAK_H */
--- a/tests/soak_clients.c
+++ b/tests/soak_clients.c
@@ -15,7 +15,7 @@
  * machine delays answers. */
 #define ANSWER_SLACK_MS 2500
 /* Submissions at the start whose tasks last, so that lost workers run some. */
-#define NR_FIRST_LASTING 4
+#define NR_FIRST_STEADY 4
 #define SPARED_PERCENT 90 /* of the submissions while workers are lost */
 #define NR_ATTEMPTS 4 /* to submit, as the sites' clients do */
 #define GAP_MIN_MS 5
@@ -87,8 +87,8 @@
 
 	g_snprintf(flow->id, sizeof(flow->id), "%08x%08x", all->flows->len + 1,
 		   g_rand_int(all->ids));
-	flow->kind = all->flows->len < NR_FIRST_LASTING ?
-			     soak_flow_lasting_kind(all->flows->len) :
+	flow->kind = all->flows->len < NR_FIRST_STEADY ?
+			     soak_flow_steady_kind() :
 			     soak_flow_draw_kind(client->random);
 	g_ptr_array_add(all->flows, flow);
 	g_hash_table_insert(all->by_id, flow->id, flow);
@@ -136,7 +136,7 @@
 /* LOST is judged while two workers without a fault have room. */
 static bool client_spares_room(struct client *client)
 {
-	return client->all->flows->len >= NR_FIRST_LASTING &&
+	return client->all->flows->len >= NR_FIRST_STEADY &&
 	       soak_faults_only_workers(client->soak) &&
 	       soak_chance(client->random, SPARED_PERCENT);
 }
@@ -537,7 +537,7 @@
 
 	if (client->all->mode >= MODE_CANCEL)
 		return &sweep_calls[client->all->mode];
-	if (client->all->flows->len < NR_FIRST_LASTING ||
+	if (client->all->flows->len < NR_FIRST_STEADY ||
 	    (client->retry && soak_chance(client->random, 50)))
 		return &submit_call;
 	at = (uint32_t)g_rand_int_range(client->random, 0, 100);
--- a/tests/soak_faults.c
+++ b/tests/soak_faults.c
@@ -567,25 +567,28 @@
 	return NULL;
 }
 
-/* Returns the worker without a fault that runs the most lasting tasks. */
+/*
+ * Returns the worker without a fault that runs the most lasting tasks for which
+ * other workers have room, so that LOST is judged.
+ */
 static struct soak_proc *busiest_worker(struct soak_faults *faults)
 {
 	struct soak *soak = faults->soak;
-	GHashTable *lasting = soak_journal_lasting(soak);
+	GHashTable *steady = soak_journal_steady(soak);
 	struct soak_proc *busiest = NULL;
 	guint most = 0;
 
 	for (uint32_t i = 0; i < soak_nr_procs(soak, SOAK_WORKER); i++) {
 		struct soak_proc *proc = soak_proc_at(soak, SOAK_WORKER, i);
 		guint nr = GPOINTER_TO_UINT(g_hash_table_lookup(
-			lasting, tb_proc_name(proc->handle)));
+			steady, tb_proc_name(proc->handle)));
 
 		if (!worker_is_undisturbed(proc) || nr <= most)
 			continue;
 		busiest = proc;
 		most = nr;
 	}
-	g_hash_table_unref(lasting);
+	g_hash_table_unref(steady);
 	return busiest;
 }
 
--- a/tests/soak_flow.c
+++ b/tests/soak_flow.c
@@ -105,16 +105,11 @@
 	  .weight = 1 },
 };
 
-const struct soak_flow_kind *soak_flow_lasting_kind(uint32_t i)
+const struct soak_flow_kind *soak_flow_steady_kind(void)
 {
-	uint32_t nr = 0;
-
-	for (size_t j = 0; j < G_N_ELEMENTS(kinds); j++)
-		nr += !kinds[j].run_ms;
-	i %= nr;
-	for (size_t j = 0; j < G_N_ELEMENTS(kinds); j++)
-		if (!kinds[j].run_ms && i-- == 0)
-			return &kinds[j];
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
+		if (!kinds[i].run_ms && !kinds[i].max_per_worker)
+			return &kinds[i];
 	return NULL;
 }
 
--- a/tests/soak_journal.c
+++ b/tests/soak_journal.c
@@ -372,9 +372,9 @@
 	return nr;
 }
 
-GHashTable *soak_journal_lasting(struct soak *soak)
+GHashTable *soak_journal_steady(struct soak *soak)
 {
-	GHashTable *lasting =
+	GHashTable *steady =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	struct task_journal *journal =
 		task_journal_new(testbed_lines(soak->tb));
@@ -383,17 +383,18 @@
 		const struct task_event *event =
 			&g_array_index(journal->events, struct task_event, i);
 		guint nr = GPOINTER_TO_UINT(
-			g_hash_table_lookup(lasting, event->worker));
+			g_hash_table_lookup(steady, event->worker));
 		uint32_t step = 0;
 		const struct soak_flow *flow =
 			flow_of(soak, event->task, &step);
 
-		if (!flow || flow->kind->run_ms || event->kind >= TASK_SETTLED)
+		if (!flow || flow->kind->run_ms || flow->kind->max_per_worker ||
+		    event->kind >= TASK_SETTLED)
 			continue;
 		nr += event->kind == TASK_START ? 1 : (guint)-1;
-		g_hash_table_replace(lasting, g_strdup(event->worker),
+		g_hash_table_replace(steady, g_strdup(event->worker),
 				     GUINT_TO_POINTER(nr));
 	}
 	task_journal_free(journal);
-	return lasting;
+	return steady;
 }
