--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -396,6 +396,16 @@
 bool control_flow_end_is_earlier(const struct flow_vm *vm,
 				 const struct flow_placement *placed,
 				 const struct flow_run_end *end);
+/**
+ * Returns the number of the revoked run as whose end the reported end completes
+ * its task, which waits for a VM, 0 if it doesn't. An earlier run counts if the
+ * revoked one was placed on an incarnation of the VM's worker that a later one
+ * has replaced.
+ */
+uint32_t control_flow_late_done_run(const struct flow_vm *vm,
+				    const struct state_flow *flow,
+				    uint32_t task,
+				    const struct flow_run_end *end);
 /**
  * Returns an orphan of the task at the VM, NULL if there is none. An
  * unconfirmed one goes first, as it bars the task for longer.
@@ -431,6 +441,11 @@
 				 const struct flow_report *report);
 
 /* control_flow_order.c */
+/**
+ * Returns for how long the longest lease that workers accept lasts on a clock
+ * that is slow by WORKER_CLOCK_SLOW_PERMILLE.
+ */
+uint64_t control_flow_longest_lease_us(const struct control_flow *flows);
 /** Returns true if the run belongs to the worker's present incarnation. */
 bool control_flow_is_current_incarnation(const struct flow_placement *placed);
 /** Returns true if the worker had the run, by the last report that shows it. */
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -36,9 +36,7 @@
 		if (control_flow_end_is_earlier(vm, placed, end) ||
 		    (task->state == FLOW_TASK_PLACED && task->run == end->run &&
 		     !strcmp(task->vm, vm->name)) ||
-		    (end->end == FLOW_END_DONE &&
-		     state_flow_accepts_late_done(flow, nr, end->run,
-						  vm->name)))
+		    control_flow_late_done_run(vm, flow, nr, end))
 			open = MIN(open, end->nr);
 	}
 	return open == UINT64_MAX ? last : MAX(vm->settled_nr, open - 1);
@@ -178,14 +176,13 @@
 	struct flow_change change = { .kind = FLOW_CHANGE_END };
 	struct state_flow *flow;
 
-	if (end->end != FLOW_END_DONE ||
-	    !state_flow_task_find(flows->control->state, end->task, &flow,
-				  &change.task) ||
-	    !state_flow_accepts_late_done(flow, change.task, end->run,
-					  vm->name))
+	if (!state_flow_task_find(flows->control->state, end->task, &flow,
+				  &change.task))
+		return;
+	change.run = control_flow_late_done_run(vm, flow, change.task, end);
+	if (!change.run)
 		return;
 	TEXT_SET(change.id, flow->record.id);
-	change.run = end->run;
 	change.end = end->end;
 	TEXT_SET(change.vm, vm->name);
 	control_flow_propose(flows, &change);
@@ -521,10 +518,11 @@
 static void flow_note_late_calls(struct control_flow *flows, struct flow_vm *vm,
 				 const struct flow_report *report)
 {
-	if (vm->restarted)
+	/* An agent whose worker is gone may report the restart for ever. */
+	if (vm->restarted && report->reachable)
 		flow_extend_lapse(vm, FLOW_BOUND_RESTART,
 				  vm->reported_us +
-					  flows->worker_lease_ms * 1000ull);
+					  control_flow_longest_lease_us(flows));
 	if (report->late_ms)
 		vm->late_start_us =
 			MAX(vm->late_start_us,
@@ -594,9 +592,9 @@
 static uint64_t flow_run_lapsed_us(const struct control_flow *flows,
 				   const struct flow_vm *vm, bool certain)
 {
-	uint64_t late_us =
-		vm->late_start_us +
-		(flows->worker_lease_ms + FLOW_LEASE_MARGIN_MS) * 1000ull;
+	uint64_t late_us = vm->late_start_us +
+			   control_flow_longest_lease_us(flows) +
+			   FLOW_LEASE_MARGIN_MS * 1000ull;
 
 	return certain || !vm->late_start_us ? flow_lapsed_us(vm) :
 					       MAX(flow_lapsed_us(vm), late_us);
