--- a/tests/soak_flow.c
+++ b/tests/soak_flow.c
@@ -79,6 +79,14 @@
 	  .target_ms = 200,
 	  .max_per_worker = 2,
 	  .weight = 3 },
+	/* Each sound worker has room for all of its tasks. */
+	{ .name = "steady",
+	  .nr_steps = 1,
+	  .nr_tasks = 4,
+	  .cpu_millis = 300,
+	  .memory_mib = 10,
+	  .target_ms = 200,
+	  .weight = 2 },
 	{ .name = "filler",
 	  .nr_steps = 1,
 	  .nr_tasks = 4,
@@ -97,6 +105,14 @@
 	  .weight = 1 },
 };
 
+const struct soak_flow_kind *soak_flow_steady_kind(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
+		if (!kinds[i].run_ms && !kinds[i].max_per_worker)
+			return &kinds[i];
+	return NULL;
+}
+
 const struct soak_flow_kind *soak_flow_draw_kind(GRand *random)
 {
 	uint32_t sum = 0;
