--- a/tests/test_flow_freeze.c
+++ b/tests/test_flow_freeze.c
@@ -298,8 +298,7 @@
 		for (uint32_t k = 0; k < FLOW_WORLD_VMS; k++)
 			fw->vms[k].slow_permille = 20;
 		flow_world_run_ms(fw, 6000 + i % 16 * 60);
-		vm = vm_of_restarted_worker_after(fw, "rr",
-						  1500 + i / 16 * 50);
+		vm = vm_of_restarted_worker_after(fw, "rr", 1500 + i / 16 * 50);
 		fw_freeze_agent(vm, true);
 		flow_world_run_ms(fw, 14000);
 		flow_world_free(fw);
