--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -30,8 +30,8 @@
 
 /** What the latest time at which a worker's lease can end follows from. */
 enum flow_bound {
-	FLOW_BOUND_LEADER =
-		0, /* leases that an earlier leader may have granted */
+	/* Leases that an earlier leader may have granted. */
+	FLOW_BOUND_LEADER = 0,
 	FLOW_BOUND_GRANT = 1, /* this leader's last grant */
 	/* The longest lease, which a restarted worker may have accepted. */
 	FLOW_BOUND_RESTART = 2,
@@ -87,7 +87,7 @@
 	uint64_t lapse_us;
 	/*
 	 * Until this time a later incarnation of the worker may carry out
-	 * starts without an answer, by the agent's reports, 0: there are none.
+	 * starts of an earlier one (flow_report.late_ms), 0: there are none.
 	 */
 	uint64_t late_start_us;
 	GArray *ends; /* struct flow_run_end, as listed in the last report */
