--- a/tests/test_flow_lost.c
+++ b/tests/test_flow_lost.c
@@ -45,8 +45,10 @@
 	ck_abort_msg("no VM with two runs");
 }
 
-/* Makes the worker of another VM, which is returned, leave half of its calls
- * unanswered. */
+/*
+ * Makes the worker of another VM, which is returned, leave half of its calls
+ * unanswered.
+ */
 static struct fw_vm *silence_other(struct fw_vm *vm)
 {
 	struct flow_world *fw = vm->world;
