Report a filler's low pace to the leader at once

Cause: the leader moves a filler that has run at 40 % of its speed or less for 600 ms, but learns of the pace only with the agent's next report, which comes once a second.

--- a/src/core/agent/runner_pace.c
+++ b/src/core/agent/runner_pace.c
@@ -433,4 +433,8 @@
 	run->previous_pace = run->pace;
 	run->pace = call->percent;
 	run->pace_changed_us = runner->node->now_us;
+	/* The leader may move the filler to another VM. */
+	if (run->pace <= FLOW_MOVE_PACE_PERCENT &&
+	    run->previous_pace > FLOW_MOVE_PACE_PERCENT)
+		runner_report_soon(runner);
 }
--- a/tests/test_runner_start.c
+++ b/tests/test_runner_start.c
@@ -142,6 +142,31 @@
 }
 END_TEST
 
+/*
+ * Guards against a leader that learns of a throttled filler only with the
+ * agent's next regular report, up to RUNNER_REPORT_INTERVAL_MS later, and moves
+ * it that much later.
+ */
+START_TEST(test_low_pace_is_reported_at_once)
+{
+	struct fixture *fixture = fixture_ready(true);
+	uint64_t seq;
+
+	fixture_order(fixture, FLOW_START, 1, false, 100);
+	fixture_answer(fixture, EXEC_START, &fixture_done, NULL);
+	fixture_order_filler(fixture, TASK);
+	fixture_run_ms(fixture, 500);
+	fixture_answer(fixture, EXEC_START, &fixture_done, NULL);
+	fixture_list_after_500_ms(fixture, 150);
+	fixture_list_after_500_ms(fixture, 150);
+	seq = fixture->report.seq;
+	ck_assert_uint_le(fixture_last_pace(fixture), FLOW_MOVE_PACE_PERCENT);
+	fixture_run_ms(fixture, 2 * RUNNER_REPORT_DELAY_MS);
+	ck_assert_uint_gt(fixture->report.seq, seq);
+	fixture_free(fixture);
+}
+END_TEST
+
 /* Freezes the agent for 9 s, in which the leader revokes its runs. */
 static void fixture_freeze(struct fixture *fixture)
 {
@@ -209,6 +234,6 @@
 }
 END_TEST
 
-SUITE_MAIN("runner_start", test_pace, test_start_waits_for_room,
-	   test_revoked_start_waits_for_room,
+SUITE_MAIN("runner_start", test_pace, test_low_pace_is_reported_at_once,
+	   test_start_waits_for_room, test_revoked_start_waits_for_room,
 	   test_revoked_start_waits_for_calls, test_revoked_order_comes_late)
