--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -4,6 +4,8 @@
 
 #include "control_flow_impl.h"
 
+#define WORKFLOW_STEPS_SHOWN 8 /* in a log line */
+
 static void flow_vm_free(void *data)
 {
 	struct flow_vm *vm = data;
@@ -407,6 +409,29 @@
 	}
 }
 
+/*
+ * Appends the first WORKFLOW_STEPS_SHOWN steps to a log line, each as
+ * COUNTxCPU_MILLIS, with the steps that it waits for after a "<".
+ */
+static void flow_log_steps(const struct flow_record *record, GString *line)
+{
+	uint32_t nr = MIN(record->nr_steps, WORKFLOW_STEPS_SHOWN);
+	GString *steps = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < nr; i++) {
+		const struct flow_step *step = &record->steps[i];
+
+		g_string_append_printf(steps, "%s%ux%u", i ? "," : "",
+				       step->count, step->cpu_millis);
+		for (uint32_t j = 0;
+		     j < MIN(step->nr_after, WORKFLOW_STEPS_SHOWN); j++)
+			g_string_append_printf(steps, "%c%" G_GUINT64_FORMAT,
+					       j ? '+' : '<', step->after[j]);
+	}
+	logline_str(line, "steps", steps->str);
+	g_string_free(steps, TRUE);
+}
+
 void control_flow_changed(struct control_flow *flows,
 			  const struct state_flow *flow)
 {
@@ -417,6 +442,13 @@
 	logline_u64(line, "tasks", flow->record.nr_tasks);
 	logline_u64(line, "done", flow->nr_done);
 	logline_u64(line, "priority", flow->record.priority);
+	if (state_flow_is_active(flow)) {
+		logline_u64(line, "objective_ms",
+			    control_flow_objective_ms(flow));
+		logline_str(line, "lasting",
+			    flow->record.steps[0].lasting ? "yes" : "no");
+		flow_log_steps(&flow->record, line);
+	}
 	node_log(flows->control->node, line);
 	if (state_flow_is_active(flow)) {
 		control_flow_rank_add(flows, (struct state_flow *)flow);
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -573,6 +573,11 @@
 void control_flow_set_gauges(struct control_flow *flows);
 
 /* control_flow_rank.c */
+/**
+ * Returns the time from the start of a workflow within which it should be
+ * completed, by the estimates of the steps that aren't done.
+ */
+uint64_t control_flow_objective_ms(const struct state_flow *flow);
 /**
  * Add a workflow that has not ended to control_flow.ranks, and remove a
  * workflow from there.
--- a/src/core/control/control_flow_rank.c
+++ b/src/core/control/control_flow_rank.c
@@ -139,16 +139,19 @@
 	return strcmp(x->flow->record.id, y->flow->record.id);
 }
 
+uint64_t control_flow_objective_ms(const struct state_flow *flow)
+{
+	return flow->record.slo_ms +
+	       flow_chain_ms(flow) * flow->record.slack_permille / 1000;
+}
+
 void control_flow_rank_add(struct control_flow *flows, struct state_flow *flow)
 {
 	const struct flow_record *record = &flow->record;
 	struct control *control = flows->control;
 	uint64_t start_ms = MAX(record->submitted_ms, record->first_ms);
 	uint64_t now_ms = control_wall_ms(control);
-	uint64_t objective_us =
-		(record->slo_ms +
-		 flow_chain_ms(flow) * record->slack_permille / 1000) *
-		1000;
+	uint64_t objective_us = control_flow_objective_ms(flow) * 1000;
 	struct flow_rank rank = { .flow = flow };
 
 	/*
