--- a/tests/test_flow_load.c
+++ b/tests/test_flow_load.c
@@ -15,6 +15,7 @@
 #define RUN_MS 2700
 /* How often in a second all VMs may be evaluated for one waiting workflow. */
 #define FULL_EVALUATIONS_PER_S 4
+#define NR_THROTTLED 100 /* number of fillers without headroom */
 #define NR_CHAIN 60 /* number of steps that depend on each other */
 
 /*
@@ -192,6 +193,72 @@
 }
 END_TEST
 
+/*
+ * Guards against a search for a better VM for each throttled filler at each
+ * report of its VM. First seen at site jaldhara-loft-large, scenario trouble-3:
+ * the searches took a quarter of the leader's processor time.
+ */
+START_TEST(test_throttled_fillers_cost_little)
+{
+	struct flow_world *fw = flow_world_new(26);
+	struct counters *counters = world_leader(fw->base)->node->counters;
+	struct flow_step serving = { .count = FLOW_WORLD_VMS,
+				     .cpu_millis = 1000,
+				     .memory_mib = 100,
+				     .lasting = true,
+				     .max_per_vm = 1,
+				     .target_ms = 100,
+				     .image = "serving" };
+	struct flow_step filler = { .count = NR_THROTTLED,
+				    .cpu_millis = 200,
+				    .memory_mib = 100,
+				    .lasting = true,
+				    .filler = true,
+				    .checkpoints = true,
+				    .image = "filler" };
+	struct flow_step step = { .count = FLOW_WORLD_VMS,
+				  .cpu_millis = 100,
+				  .memory_mib = 100,
+				  .estimate_ms = 200 };
+	uint64_t nr_evaluated;
+	uint64_t placed;
+	uint64_t bound;
+
+	fw->lasting = "s";
+	fw->run_ms = 200;
+	fw->tail_ms = 30;
+	fw->overcommitted = true;
+	flow_world_submit(fw, "sa", &serving, 1);
+	flow_world_submit(fw, "sf", &filler, 1);
+	flow_world_run_ms(fw, 3000);
+	ck_assert_uint_eq(fw_running(fw), FLOW_WORLD_VMS + NR_THROTTLED);
+	/* No VM has headroom for a filler, so none is moved. */
+	fw->tail_ms = 200;
+	flow_world_run_ms(fw, 3000);
+	nr_evaluated = counter_get(counters, "vms_weighed");
+	placed = counter_get(counters, "tasks_placed");
+	/* Each end of a short task makes its agent report. */
+	for (uint32_t i = 0; i < MEASURED_MS / 100; i++) {
+		char id[NAME_BYTES];
+
+		g_snprintf(id, sizeof(id), "q%u", i);
+		flow_world_submit(fw, id, &step, 1);
+		flow_world_run_ms(fw, 100);
+	}
+	nr_evaluated = counter_get(counters, "vms_weighed") - nr_evaluated;
+	placed = counter_get(counters, "tasks_placed") - placed;
+	bound = (placed +
+		 NR_THROTTLED * (MEASURED_MS / FLOW_MOVE_RETRY_MS + 2)) *
+		FLOW_WORLD_VMS;
+	ck_assert_msg(nr_evaluated <= bound,
+		      "%" G_GUINT64_FORMAT
+		      " VMs weighed, bound %" G_GUINT64_FORMAT,
+		      nr_evaluated, bound);
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("flow_load", test_backlog_costs_what_changed,
 	   test_like_fillers_share_a_gain, test_waiting_gang_changes_no_vm,
-	   test_impossible_work_costs_little, test_looks_for_moves_cost_little)
+	   test_impossible_work_costs_little, test_looks_for_moves_cost_little,
+	   test_throttled_fillers_cost_little)
