--- a/tests/test_flow_load.c
+++ b/tests/test_flow_load.c
@@ -248,7 +248,7 @@
 	nr_evaluated = counter_get(counters, "vms_weighed") - nr_evaluated;
 	placed = counter_get(counters, "tasks_placed") - placed;
 	bound = (placed +
-		 NR_THROTTLED * (MEASURED_MS / FLOW_MOVE_RETRY_MS + 2)) *
+		 NR_THROTTLED * (MEASURED_MS / FLOW_MOVE_RETRY_MS + 2ull)) *
 		FLOW_WORLD_VMS;
 	ck_assert_msg(nr_evaluated <= bound,
 		      "%" G_GUINT64_FORMAT
--- a/tests/test_runner_start.c
+++ b/tests/test_runner_start.c
@@ -161,7 +161,7 @@
 	fixture_list_after_500_ms(fixture, 150);
 	seq = fixture->report.seq;
 	ck_assert_uint_le(fixture_last_pace(fixture), FLOW_MOVE_PACE_PERCENT);
-	fixture_run_ms(fixture, 2 * RUNNER_REPORT_DELAY_MS);
+	fixture_run_ms(fixture, 2ull * RUNNER_REPORT_DELAY_MS);
 	ck_assert_uint_gt(fixture->report.seq, seq);
 	fixture_free(fixture);
 }
