--- a/src/core/plan/pressure.c
+++ b/src/core/plan/pressure.c
@@ -70,7 +70,7 @@
 	/*
 	 * One GPtrArray of struct weight * by filler image for each serving
 	 * image; NULL: no weight. Placement reads weights so often that a hash
-	 * table took 40 % of the processor time of a leader with 240 VMs.
+	 * table took a third of the processor time of a leader with 240 VMs.
 	 */
 	GPtrArray *weights;
 	uint32_t nr_weights;
