Keep the voters of an open group without a number of losses

With replica_losses 0, the default (fewer than half of the listed replicas), the leader of an open group counted no tolerated loss at all: a voter without a connection was removed as long as one other was left. After 12 s of three voters two were left, after 2 s more one.

Use the minority of the list where members are removed. The test is red without the change: two voters instead of three after 24 s.

--- a/src/core/raft/raft_dial.c
+++ b/src/core/raft/raft_dial.c
@@ -12,6 +12,11 @@
 	return false;
 }
 
+uint32_t raft_losses(const struct raft *raft)
+{
+	return raft->losses ? raft->losses : (raft->nr_addresses - 1) / 2;
+}
+
 /*
  * With fewer voters, the tolerated losses could include every disk of a quorum,
  * and a committed entry would be lost with them.
--- a/src/core/raft/raft_form.c
+++ b/src/core/raft/raft_form.c
@@ -380,7 +380,7 @@
 	return members_is_voter(raft_config(raft), node_id) &&
 			       nr_voters % 2 == 0 &&
 			       raft_healthy_voters_except(raft, node_id) >
-				       raft->losses * 2 ?
+				       raft_losses(raft) * 2 ?
 		       RAFT_VOTER_REMOVE_AFTER_MS :
 		       RAFT_MEMBER_REMOVE_AFTER_MS;
 }
@@ -405,7 +405,7 @@
 			    raft_absence_limit_ms(raft, peer->node_id) *
 				    US_PER_MS ||
 		    (voter &&
-		     members_nr_voters(members) <= raft->losses * 2 + 1))
+		     members_nr_voters(members) <= raft_losses(raft) * 2 + 1))
 			continue;
 		raft_append_members(raft,
 				    members_remove(members, peer->node_id));
--- a/src/core/raft/raft_impl.h
+++ b/src/core/raft/raft_impl.h
@@ -167,6 +167,8 @@
 /** Timer function: maintains this replica's connections to the others. */
 void raft_dial_due(void *data, uint64_t now_us);
 void raft_on_peers(struct raft *raft, const struct peers *peers);
+/** Returns how many replicas may be lost at a time. */
+uint32_t raft_losses(const struct raft *raft);
 /** Returns how many voters the group needs to accept commands. */
 uint32_t raft_min_voters(const struct raft *raft);
 bool raft_is_listed(const struct raft *raft, const char *address);
--- a/tests/raft_world.c
+++ b/tests/raft_world.c
@@ -237,7 +237,7 @@
 	for (uint32_t i = 0;
 	     i < (opts->nr_listed ? opts->nr_listed : opts->nr_replicas); i++)
 		world->listed[i] = world->addresses[i];
-	for (uint32_t i = 0; i < world->nr_replicas; i++)
+	for (uint32_t i = 0; i < world->nr_replicas - opts->nr_spare; i++)
 		world_boot(&world->replicas[i]);
 	return world;
 }
--- a/tests/raft_world.h
+++ b/tests/raft_world.h
@@ -34,6 +34,8 @@
 struct world_opts {
 	uint64_t seed;
 	uint32_t nr_replicas;
+	/** Of the replicas, how many at the end aren't started at first. */
+	uint32_t nr_spare;
 	/** Replicas listed in an open group; 0: all are, and it isn't open. */
 	uint32_t nr_listed;
 	uint32_t losses;
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "raft_member.h"
 #include "raft_world.h"
 #include "suite.h"
 
@@ -495,6 +496,43 @@
 }
 END_TEST
 
+/* Starts a group with replicas to come, and waits until the others vote. */
+static struct world *world_with_spares(uint64_t seed, uint32_t nr_replicas,
+				       uint32_t nr_spare, uint32_t losses)
+{
+	struct world_opts opts = {
+		.seed = seed,
+		.nr_replicas = nr_replicas,
+		.nr_spare = nr_spare,
+		.nr_listed = 3,
+		.losses = losses,
+	};
+	struct world *world = world_new(&opts);
+
+	ck_assert(world_elect(world, 20000));
+	world_run_ms(world, 3000);
+	ck_assert_uint_eq(raft_members(world_leader(world)->raft)->nr_members,
+			  nr_replicas - nr_spare);
+	return world;
+}
+
+/*
+ * Guards against an open group that removes voters it needs: without a number
+ * of tolerated losses these are fewer than half of the listed replicas.
+ */
+START_TEST(test_default_losses_keep_the_voters)
+{
+	struct world *world = world_with_spares(1, 3, 0, 0);
+
+	world_crash(&world->replicas[2]);
+	world_run_ms(world, UINT64_C(2) * RAFT_MEMBER_REMOVE_AFTER_MS);
+	ck_assert_ptr_nonnull(world_leader(world));
+	ck_assert_uint_eq(
+		members_nr_voters(raft_members(world_leader(world)->raft)), 3);
+	world_free(world);
+}
+END_TEST
+
 SUITE_MAIN("raft", test_single_replica, test_formation,
 	   test_no_formation_with_an_address_missing, test_group_commit,
 	   test_proposals_are_bounded, test_leader_without_quorum,
@@ -504,4 +542,4 @@
 	   test_leader_with_full_disk, test_full_disk_without_successor,
 	   test_silent_leader_is_cleared, test_snapshot_transfer,
 	   test_restart_from_snapshot, test_lost_disks,
-	   test_wiped_replica_finds_leader)
+	   test_wiped_replica_finds_leader, test_default_losses_keep_the_voters)
