Free the seats of stopping and absent voters at once

Cause: a replica that stopped told nobody, and an absent voter kept its seat for 12 s, counted anew by each new leader, unless the number of voters was even. raft-members of the leader shows voters=7 from the second replacement to the end, with two of the seven gone: the quorum was four, and three of five machines were left. Ruled out: replicas without the log, and a second group of the wiped ones.

Change: a replica that gets SIGTERM announces it (MSG_LEAVE). While there are more voters than the tolerated losses need, the leader removes a stopping voter at once and an absent one after 2 s; absence is counted by all replicas. Removing such a voter never lowers what the group can lose, as it only raised the quorum. A stopping follower doesn't stand for election any more.

Tests, red before: raft planned_replacements_keep_a_quorum, seats_of_replaced_voters_are_freed, absence_outlasts_a_leader; platform-controls_replaced.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -2572,6 +2572,51 @@
   assert(message->base.descriptor == &masticreach__transfer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   masticreach__leave__init
+                     (Masticreach__Leave         *message)
+{
+  static const Masticreach__Leave init_value = MASTICREACH__LEAVE__INIT;
+  *message = init_value;
+}
+size_t masticreach__leave__get_packed_size
+                     (const Masticreach__Leave *message)
+{
+  assert(message->base.descriptor == &masticreach__leave__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__leave__pack
+                     (const Masticreach__Leave *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__leave__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__leave__pack_to_buffer
+                     (const Masticreach__Leave *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__leave__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__Leave *
+       masticreach__leave__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__Leave *)
+     protobuf_c_message_unpack (&masticreach__leave__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__leave__free_unpacked
+                     (Masticreach__Leave *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__leave__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   masticreach__hard_state__init
                      (Masticreach__HardState         *message)
 {
@@ -9518,6 +9563,44 @@
   (ProtobufCMessageInit) masticreach__transfer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor masticreach__leave__field_descriptors[1] =
+{
+  {
+    "removed",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__Leave, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__leave__field_indices_by_name[] = {
+  0,   /* field[0] = removed */
+};
+static const ProtobufCIntRange masticreach__leave__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__leave__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.Leave",
+  "Leave",
+  "Masticreach__Leave",
+  "masticreach",
+  sizeof(Masticreach__Leave),
+  1,
+  masticreach__leave__field_descriptors,
+  masticreach__leave__field_indices_by_name,
+  1,  masticreach__leave__number_ranges,
+  (ProtobufCMessageInit) masticreach__leave__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor masticreach__hard_state__field_descriptors[3] =
 {
   {
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -72,6 +72,7 @@
 typedef struct Masticreach__SnapshotReply Masticreach__SnapshotReply;
 typedef struct Masticreach__Form Masticreach__Form;
 typedef struct Masticreach__Transfer Masticreach__Transfer;
+typedef struct Masticreach__Leave Masticreach__Leave;
 typedef struct Masticreach__HardState Masticreach__HardState;
 typedef struct Masticreach__SnapshotHead Masticreach__SnapshotHead;
 typedef struct Masticreach__CmdNoop Masticreach__CmdNoop;
@@ -988,6 +989,16 @@
     , 0 }
 
 
+struct  Masticreach__Leave
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean removed;
+};
+#define MASTICREACH__LEAVE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__leave__descriptor) \
+    , 0 }
+
+
 struct  Masticreach__HardState
 {
   ProtobufCMessage base;
@@ -2359,6 +2370,25 @@
 void   masticreach__transfer__free_unpacked
                      (Masticreach__Transfer *message,
                       ProtobufCAllocator *allocator);
+/* Masticreach__Leave methods */
+void   masticreach__leave__init
+                     (Masticreach__Leave         *message);
+size_t masticreach__leave__get_packed_size
+                     (const Masticreach__Leave   *message);
+size_t masticreach__leave__pack
+                     (const Masticreach__Leave   *message,
+                      uint8_t             *out);
+size_t masticreach__leave__pack_to_buffer
+                     (const Masticreach__Leave   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__Leave *
+       masticreach__leave__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__leave__free_unpacked
+                     (Masticreach__Leave *message,
+                      ProtobufCAllocator *allocator);
 /* Masticreach__HardState methods */
 void   masticreach__hard_state__init
                      (Masticreach__HardState         *message);
@@ -2931,6 +2961,9 @@
 typedef void (*Masticreach__Transfer_Closure)
                  (const Masticreach__Transfer *message,
                   void *closure_data);
+typedef void (*Masticreach__Leave_Closure)
+                 (const Masticreach__Leave *message,
+                  void *closure_data);
 typedef void (*Masticreach__HardState_Closure)
                  (const Masticreach__HardState *message,
                   void *closure_data);
@@ -3057,6 +3090,7 @@
 extern const ProtobufCMessageDescriptor masticreach__snapshot_reply__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__form__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__transfer__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__leave__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__hard_state__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__snapshot_head__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__cmd_noop__descriptor;
--- a/src/core/base/msg_raft.h
+++ b/src/core/base/msg_raft.h
@@ -100,6 +100,14 @@
 	uint64_t term;
 };
 
+/**
+ * Sent by a replica that stops, to all others; the leader answers once the
+ * sender is no member any more.
+ */
+struct leave {
+	bool removed; /* true in the answer */
+};
+
 /** A replica's term and vote, written to disk before it votes. */
 struct hard_state {
 	uint64_t node_id;
--- a/src/core/base/schema_raft.c
+++ b/src/core/base/schema_raft.c
@@ -76,6 +76,11 @@
 };
 static SCHEMA(transfer_schema, "Transfer", transfer, transfer_fields);
 
+static const struct field leave_fields[] = {
+	F_BOOL(leave, removed),
+};
+static SCHEMA(leave_schema, "Leave", leave, leave_fields);
+
 static const struct field hard_state_fields[] = {
 	F_U64(hard_state, node_id),
 	F_U64(hard_state, term),
@@ -113,6 +118,7 @@
 	{ MSG_SNAPSHOT_REPLY, &snapshot_reply_schema },
 	{ MSG_FORM, &form_schema },
 	{ MSG_TRANSFER, &transfer_schema },
+	{ MSG_LEAVE, &leave_schema },
 	{ REC_HARD_STATE, &hard_state_schema },
 	{ REC_LOG_ENTRY, &log_entry_schema },
 	{ REC_SNAPSHOT_HEAD, &snapshot_head_schema },
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -113,6 +113,9 @@
  * to 10 s, after which they come back.
  */
 #define RAFT_MEMBER_REMOVE_AFTER_MS 12000
+/* How long, and how often, a replica that stops asks to be removed. */
+#define RAFT_LEAVE_WAIT_MS 1000
+#define RAFT_LEAVE_INTERVAL_MS 100
 /*
  * A voter without a connection is removed after this shorter time if the other
  * voters are enough, because one of them has replaced it: the absent voter only
--- a/src/core/control/control.c
+++ b/src/core/control/control.c
@@ -353,8 +353,7 @@
 {
 	struct control *control = role;
 
-	if (control->leader)
-		raft_step_down(control->raft);
+	raft_step_down(control->raft);
 }
 
 static bool control_idle(const void *role)
@@ -362,6 +361,7 @@
 	const struct control *control = role;
 
 	return !raft_is_leader(control->raft) &&
+	       !raft_is_leaving(control->raft) &&
 	       !g_hash_table_size(control->proposals);
 }
 
--- a/src/core/raft/raft.c
+++ b/src/core/raft/raft.c
@@ -338,6 +338,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	raft->advertised =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	raft->leaving = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					      g_free, NULL);
 	raft->snapshot_entries = opts->snapshot_entries ?
 					 opts->snapshot_entries :
 					 RAFT_SNAPSHOT_ENTRIES;
@@ -352,6 +354,7 @@
 	raft->heartbeat_timer = (struct timer){ raft_heartbeat, raft };
 	raft->form_timer = (struct timer){ raft_form_due, raft };
 	raft->dial_timer = (struct timer){ raft_dial_due, raft };
+	raft->leave_timer = (struct timer){ raft_leave_due, raft };
 	/* The host has set the node_id to the one in the store's image. */
 	g_assert(!opts->image->hard_state.node_id ||
 		 opts->image->hard_state.node_id == raft_self(raft));
@@ -368,6 +371,7 @@
 	timer_cancel(raft->node->timers, &raft->heartbeat_timer);
 	timer_cancel(raft->node->timers, &raft->form_timer);
 	timer_cancel(raft->node->timers, &raft->dial_timer);
+	timer_cancel(raft->node->timers, &raft->leave_timer);
 	for (uint32_t i = 0; i < raft->nr_peers; i++)
 		raft_snapshot_unref(raft->peers[i].snapshot);
 	raft_snapshot_unref(raft->snapshot);
@@ -377,6 +381,7 @@
 	g_array_unref(raft->syncs);
 	g_hash_table_unref(raft->dialled);
 	g_hash_table_unref(raft->advertised);
+	g_hash_table_unref(raft->leaving);
 	g_strfreev(raft->addresses);
 	g_free(raft);
 }
@@ -402,6 +407,8 @@
 {
 	struct raft_peer *peer = raft_peer(raft, link->peer.node_id);
 
+	/* A replica that only restarted joins again. */
+	g_hash_table_remove(raft->leaving, &link->peer.node_id);
 	if (peer && raft->role == RAFT_LEADER)
 		raft_replicate_to(raft, peer, true);
 }
@@ -428,7 +435,7 @@
 		raft_on_peers(raft, body);
 		return true;
 	}
-	if (type < MSG_VOTE || type > MSG_TRANSFER)
+	if (type < MSG_VOTE || type > MSG_LEAVE)
 		return false;
 	if (failed)
 		return true;
@@ -454,6 +461,9 @@
 	case MSG_FORM:
 		raft_on_form(raft, from, body);
 		break;
+	case MSG_LEAVE:
+		raft_on_leave(raft, from, body);
+		break;
 	default:
 		raft_on_transfer(raft, body);
 		break;
@@ -547,5 +557,6 @@
 void raft_step_down(struct raft *raft)
 {
 	raft->resigned = true;
+	raft_leave(raft);
 	raft_hand_over(raft);
 }
--- a/src/core/raft/raft.h
+++ b/src/core/raft/raft.h
@@ -105,7 +105,7 @@
 void raft_peer_up(struct raft *raft, const struct link *link);
 void raft_peer_down(struct raft *raft, const struct link *link);
 /**
- * Handles MSG_PEERS and the types from MSG_VOTE to MSG_TRANSFER; returns false
+ * Handles MSG_PEERS and the types from MSG_VOTE to MSG_LEAVE; returns false
  * for any other type.
  */
 bool raft_message(struct raft *raft, uint64_t from, uint32_t type,
@@ -159,8 +159,15 @@
 /**
  * Prepares a graceful stop: refuses new proposals, waits up to
  * RAFT_STEP_DOWN_MS for those in progress, then hands leadership to the voter
- * with the most complete log. This replica doesn't lead again.
+ * with the most complete log. This replica doesn't lead again. In an open group
+ * it also announces that it stops.
  */
 void raft_step_down(struct raft *raft);
+/**
+ * Returns true while a replica that stops, for at most RAFT_LEAVE_WAIT_MS,
+ * waits for the leader to give up its seat. It doesn't wait if the group has no
+ * more voters than the tolerated losses need.
+ */
+bool raft_is_leaving(const struct raft *raft);
 
 #endif /* RAFT_H */
--- a/src/core/raft/raft_dial.c
+++ b/src/core/raft/raft_dial.c
@@ -158,6 +158,7 @@
 		raft_dial(raft, raft->addresses[i]);
 	if (!raft->open)
 		return;
+	raft_note_absences(raft);
 	for (uint32_t i = 0; i < members->nr_members; i++)
 		raft_dial(raft, members->members[i].address);
 	raft_advertise_members(raft);
--- a/src/core/raft/raft_form.c
+++ b/src/core/raft/raft_form.c
@@ -6,12 +6,7 @@
 
 /* ---- bootstrap of a group by replicas without state ---- */
 
-/*
- * Returns true if messages arrive on the link. Only the dialling side sends
- * pings and counts the unanswered ones; the accepting side checks when the last
- * message arrived.
- */
-static bool raft_link_is_alive(const struct raft *raft, const struct link *link)
+bool raft_link_is_alive(const struct raft *raft, const struct link *link)
 {
 	return link->up && !link_is_silent(link) &&
 	       raft->node->now_us - link->heard_us <
@@ -304,14 +299,16 @@
 	const struct link *link;
 
 	if (member && raft_link_at(raft, address, member->node_id)) {
-		if (member->voter || !raft_has_caught_up(raft, member->node_id))
+		if (member->voter ||
+		    raft_peer_is_leaving(raft, member->node_id) ||
+		    !raft_has_caught_up(raft, member->node_id))
 			return false;
 		raft_append_members(raft,
 				    members_promote(members, member->node_id));
 		return true;
 	}
 	link = raft_link_at(raft, address, 0);
-	if (!link)
+	if (!link || raft_peer_is_leaving(raft, link->peer.node_id))
 		return false;
 	if (!member && members->nr_members == RAFT_MEMBERS_MAX)
 		return false;
@@ -367,56 +364,25 @@
 	return nr;
 }
 
-/*
- * Returns how long a member may be absent before it is removed. An absent voter
- * that isn't needed for the tolerated losses only raises the quorum, so it is
- * removed sooner: four voters of which one is absent don't survive another
- * loss, three voters do.
- */
-static uint64_t raft_absence_limit_ms(struct raft *raft, uint64_t node_id)
-{
-	uint32_t nr_voters = members_nr_voters(raft_config(raft));
-
-	return members_is_voter(raft_config(raft), node_id) &&
-			       nr_voters % 2 == 0 &&
-			       raft_healthy_voters_except(raft, node_id) >
-				       raft_losses(raft) * 2 ?
-		       RAFT_VOTER_REMOVE_AFTER_MS :
-		       RAFT_MEMBER_REMOVE_AFTER_MS;
-}
-
-/*
- * Proposes to remove an absent member if enough voters remain without it;
- * returns true if it proposed a change.
- */
-static bool raft_remove_absent_member(struct raft *raft)
+/* Proposes to remove a member that stops or is absent, if there is one. */
+static void raft_remove_left_member(struct raft *raft)
 {
-	const struct members *members = raft_config(raft);
-	uint64_t now_us = raft->node->now_us;
-
 	for (uint32_t i = 0; i < raft->nr_peers; i++) {
-		struct raft_peer *peer = &raft->peers[i];
-		const struct link *link = node_link(raft->node, peer->node_id);
-		bool voter = members_is_voter(members, peer->node_id);
-
-		if ((link && raft_link_is_alive(raft, link)) || !peer->seen_us)
-			peer->seen_us = now_us;
-		if (now_us - peer->seen_us <
-			    raft_absence_limit_ms(raft, peer->node_id) *
-				    US_PER_MS ||
-		    (voter &&
-		     members_nr_voters(members) <= raft_losses(raft) * 2 + 1))
+		const struct raft_peer *peer = &raft->peers[i];
+
+		if (!raft_has_left(raft, peer))
 			continue;
-		raft_append_members(raft,
-				    members_remove(members, peer->node_id));
-		return true;
+		raft_append_members(raft, members_remove(raft_config(raft),
+							 peer->node_id));
+		return;
 	}
-	return false;
 }
 
 void raft_reconcile_members(struct raft *raft)
 {
-	if (raft_configs_last(&raft->configs)->index > raft->commit_index)
+	if (raft->open)
+		raft_note_absences(raft);
+	if (raft_change_is_pending(raft))
 		return; /* one change at a time */
 	for (uint32_t i = 0; i < raft->nr_addresses; i++)
 		if (!raft_is_self(raft, raft->addresses[i]) &&
@@ -424,5 +390,5 @@
 			return;
 	if (!raft->open || raft_add_unlisted_member(raft))
 		return;
-	raft_remove_absent_member(raft);
+	raft_remove_left_member(raft);
 }
--- a/src/core/raft/raft_impl.h
+++ b/src/core/raft/raft_impl.h
@@ -12,6 +12,7 @@
  *   raft_snapshot.c: snapshots
  *   raft_dial.c: connections between the replicas
  *   raft_form.c: bootstrap of the group and changes of its members
+ *   raft_leave.c: members that stop or are absent
  */
 
 #include "msg_control.h"
@@ -36,7 +37,8 @@
 	struct snapshot_record *records;
 };
 
-/** Another member. Only a leader uses the fields other than voted. */
+/** Another member. Only a leader uses the fields other than voted and seen_us.
+ */
 struct raft_peer {
 	uint64_t node_id;
 	bool voted; /* granted its vote in this candidacy */
@@ -45,7 +47,7 @@
 	uint64_t next_index; /* next entry to send */
 	uint64_t match_index; /* last entry known to be stored */
 	uint64_t acked_us; /* send time of the latest answered message */
-	uint64_t seen_us; /* when it was last connected, 0: not checked yet */
+	uint64_t seen_us; /* last check with a live connection, 0: none yet */
 	uint64_t reset_us; /* ignores rejections of appends sent earlier */
 	uint64_t in_flight[RAFT_IN_FLIGHT_MAX]; /* last index of each append */
 	struct raft_snapshot *snapshot; /* being transferred, NULL: none */
@@ -145,6 +147,7 @@
 	bool transfer; /* this candidacy was requested by the leader */
 	bool announced; /* leader_changed(true) was called */
 	bool resigned; /* never leads again, for a graceful stop */
+	bool removed; /* the leader removed it after its resignation */
 	uint64_t handover_since_us; /* start of a handover, 0: none */
 	struct timer heartbeat_timer;
 	uint64_t leader_since_us;
@@ -154,6 +157,12 @@
 	uint64_t proposals_size; /* in bytes */
 	struct raft_proposal proposals[RAFT_PROPOSALS_MAX];
 
+	/* members that stop or are absent */
+	GHashTable *leaving; /* set of uint64_t node_id that announced it */
+	uint64_t absences_us; /* last raft_note_absences() */
+	struct timer leave_timer;
+	uint64_t leave_since_us; /* when this replica announced it, 0: never */
+
 	/* bootstrap */
 	struct timer form_timer;
 	struct raft_form_peer form_peers[RAFT_MEMBERS_MAX]; /* by address */
@@ -261,8 +270,32 @@
 void raft_on_page_reply(struct raft *raft, uint64_t from,
 			const struct snapshot_reply *reply);
 
+/* ---- raft_leave.c ---- */
+
+/** Announces to the other replicas that this one stops. */
+void raft_leave(struct raft *raft);
+/** Timer function: repeats the announcement until the seat was given up. */
+void raft_leave_due(void *data, uint64_t now_us);
+void raft_on_leave(struct raft *raft, uint64_t from, const struct leave *leave);
+/** Returns true if the replica announced that it stops. */
+bool raft_peer_is_leaving(const struct raft *raft, uint64_t node_id);
+/**
+ * Records which members are connected. Followers do so too: a member's absence
+ * is not counted anew by each leader.
+ */
+void raft_note_absences(struct raft *raft);
+/** Returns true if the member stops or is absent and can be removed. */
+bool raft_has_left(struct raft *raft, const struct raft_peer *peer);
+
 /* ---- raft_form.c ---- */
 
+/**
+ * Returns true if messages arrive on the link. Only the dialling side sends
+ * pings and counts the unanswered ones; the accepting side checks when the last
+ * message arrived.
+ */
+bool raft_link_is_alive(const struct raft *raft, const struct link *link);
+
 void raft_form_start(struct raft *raft);
 void raft_form_due(void *data, uint64_t now_us);
 void raft_on_form(struct raft *raft, uint64_t from, const struct form *form);
--- a/src/core/raft/raft_role.c
+++ b/src/core/raft/raft_role.c
@@ -95,6 +95,7 @@
 		*peer = (struct raft_peer){
 			.node_id = peer->node_id,
 			.next_index = next_index,
+			.seen_us = peer->seen_us,
 		};
 	}
 	raft_emit_event(raft, "raft-leader");
@@ -170,6 +171,7 @@
 
 		if (link && link->up &&
 		    members_is_voter(raft_config(raft), peer->node_id) &&
+		    !raft_peer_is_leaving(raft, peer->node_id) &&
 		    (!best || peer->match_index > best->match_index))
 			best = peer;
 	}
--- a/tests/raft_world.c
+++ b/tests/raft_world.c
@@ -200,6 +200,19 @@
 	disk_crash(replica->disk, replica->world->sim);
 }
 
+void world_stop(struct replica *replica)
+{
+	uint64_t limit_ms = 2000;
+
+	node_set_time(replica->node, sim_now_us(replica->world->sim));
+	raft_step_down(replica->raft);
+	while ((raft_is_leader(replica->raft) ||
+		raft_is_leaving(replica->raft)) &&
+	       limit_ms--)
+		world_run_ms(replica->world, 1);
+	world_crash(replica);
+}
+
 void world_lose_disk(struct replica *replica)
 {
 	sim_kill(replica->machine);
--- a/tests/raft_world.h
+++ b/tests/raft_world.h
@@ -13,7 +13,7 @@
 #include "raft.h"
 #include "sim.h"
 
-#define WORLD_MAX_REPLICAS 5
+#define WORLD_MAX_REPLICAS 10
 
 struct disk;
 struct world;
@@ -75,6 +75,8 @@
 void world_boot(struct replica *replica);
 /** Kills the process; some unsynced writes may have reached the disk. */
 void world_crash(struct replica *replica);
+/** Stops the process gracefully, as SIGTERM does. */
+void world_stop(struct replica *replica);
 /** Kills the process and replaces its disk by an empty one. */
 void world_lose_disk(struct replica *replica);
 /** Returns a random number below @a bound. */
--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -802,6 +802,42 @@
 }
 END_TEST
 
+/*
+ * Guards against control processes that are replaced as planned and stay
+ * voters: the new ones start first, then the old ones get SIGTERM in turn, and
+ * the new ones have no leader. Also guards against a stop that isn't graceful
+ * any more.
+ */
+START_TEST(test_controls_replaced)
+{
+	struct testbed *tb = site_start_whole();
+
+	platform_testbed_submit(tb, 1, 200);
+	platform_testbed_wait(tb, 1, "completed", 10000);
+	for (uint32_t i = 0; i < NR_CONTROLS; i++) {
+		struct tb_proc *control = testbed_add_control(tb, "veraval");
+		uint32_t nr = NR_CONTROLS + i + 1;
+		char *wanted = g_strdup_printf("*event=raft-members *voters=%u "
+					       "members=%u*",
+					       nr, nr);
+
+		for (uint32_t ms = 0; ms < 10000 && !logged(control, 0, wanted);
+		     ms += 100)
+			testbed_wait_ms(100);
+		ck_assert(logged(control, 0, wanted));
+		g_free(wanted);
+	}
+	for (uint32_t i = 0; i < NR_CONTROLS; i++) {
+		tb_proc_signal(testbed_control(tb, i), SIGTERM);
+		ck_assert_int_eq(tb_proc_wait(testbed_control(tb, i), 5000), 0);
+	}
+	platform_testbed_submit(tb, 2, 200);
+	platform_testbed_wait(tb, 2, "completed", 10000);
+	ck_assert_uint_eq(platform_testbed_check(tb), 16);
+	testbed_free(tb);
+}
+END_TEST
+
 /*
  * Guards against a request that gets no answer because its entry ends: the
  * entry gets SIGTERM while no leader replies, and the client's time limit is
@@ -850,6 +886,7 @@
 		test_worker_reborn,
 		test_power_lost,
 		test_entry_leaves,
+		test_controls_replaced,
 		test_full_disks_in_turn,
 		test_operator_at_agents,
 		test_seeds_are_agents,
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -496,6 +496,21 @@
 }
 END_TEST
 
+/* Returns true if the group has a leader that commits a new value in time. */
+static bool group_commits(struct world *world, uint64_t limit_ms)
+{
+	uint32_t before = world->acknowledged;
+
+	while (world->acknowledged == before && limit_ms--) {
+		struct replica *leader = world_leader(world);
+
+		if (leader && leader->node)
+			world_propose(leader);
+		world_run_ms(world, 1);
+	}
+	return world->acknowledged > before;
+}
+
 /* Starts a group with replicas to come, and waits until the others vote. */
 static struct world *world_with_spares(uint64_t seed, uint32_t nr_replicas,
 				       uint32_t nr_spare, uint32_t losses)
@@ -516,6 +531,121 @@
 	return world;
 }
 
+/*
+ * Starts a successor for each of the first replicas, then stops these one after
+ * the other, as planned work does.
+ */
+static void replace_in_turn(struct world *world, uint32_t nr, uint64_t gap_ms)
+{
+	for (uint32_t i = 0; i < nr; i++) {
+		world_boot(&world->replicas[nr + i]);
+		world_run_ms(world, 1000);
+	}
+	for (uint32_t i = 0; i < nr; i++) {
+		world_stop(&world->replicas[i]);
+		world_run_ms(world, gap_ms);
+	}
+}
+
+/*
+ * Guards against replicas that stop for good and stay voters: the successors,
+ * which have the whole log, are no quorum then.
+ */
+START_TEST(test_planned_replacements_keep_a_quorum)
+{
+	static const struct {
+		uint32_t nr; /* replicas, all of which are replaced */
+		uint64_t gap_ms; /* between two stops */
+	} cases[] = { { 3, 0 }, { 3, 500 }, { 5, 0 }, { 5, 500 } };
+
+	for (uint64_t seed = 1; seed <= 5; seed++)
+		for (uint32_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+			uint32_t nr = cases[i].nr;
+			struct world *world = world_with_spares(
+				seed, 2 * nr, nr, (nr - 1) / 2);
+
+			replace_in_turn(world, nr, cases[i].gap_ms);
+			ck_assert_msg(group_commits(world, 3000),
+				      "%u replicas, a stop each %u ms, seed %u",
+				      (unsigned)nr, (unsigned)cases[i].gap_ms,
+				      (unsigned)seed);
+			world_free(world);
+		}
+}
+END_TEST
+
+/*
+ * Guards against seats of replaced replicas that count for the quorum when as
+ * many disks are lost as the group must bear: one of five was lost for good,
+ * and another one replaced as planned, so that for a while there are seven
+ * voters.
+ */
+START_TEST(test_seats_of_replaced_voters_are_freed)
+{
+	for (uint64_t seed = 1; seed <= 5; seed++) {
+		struct world *world = world_with_spares(seed, 7, 2, 2);
+		struct replica *leader;
+
+		world_crash(&world->replicas[4]);
+		world_run_ms(world, 1000);
+		world_boot(&world->replicas[5]);
+		world_boot(&world->replicas[6]);
+		world_run_ms(world, 6000);
+		world_stop(&world->replicas[3]);
+		world_run_ms(world, 2500);
+		leader = world_leader(world);
+		ck_assert_ptr_nonnull(leader);
+		world_stop(leader);
+		world_run_ms(world, 500);
+		world_boot(leader);
+		world_run_ms(world, 8000);
+		world_lose_disk(&world->replicas[0]);
+		world_lose_disk(&world->replicas[1]);
+		world_run_ms(world, 1000);
+		world_boot(&world->replicas[0]);
+		world_boot(&world->replicas[1]);
+		ck_assert_msg(group_commits(world, 5000), "seed %u",
+			      (unsigned)seed);
+		world_free(world);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a lost voter whose absence each new leader counts anew, so
+ * that it keeps its seat while leaders change.
+ */
+START_TEST(test_absence_outlasts_a_leader)
+{
+	for (uint64_t seed = 1; seed <= 5; seed++) {
+		struct world *world = world_with_spares(seed, 7, 2, 2);
+		struct replica *lost = &world->replicas[4];
+		uint64_t lost_id = lost->node->self.node_id;
+
+		world_crash(lost);
+		world_boot(&world->replicas[5]);
+		world_boot(&world->replicas[6]);
+		for (uint32_t i = 0; i < 3; i++) {
+			struct replica *leader;
+
+			world_run_ms(world, 1500);
+			leader = world_leader(world);
+			ck_assert_ptr_nonnull(leader);
+			world_stop(leader);
+			world_boot(leader);
+			ck_assert(world_elect(world, 3000));
+		}
+		world_run_ms(world, 500);
+		ck_assert_ptr_nonnull(world_leader(world));
+		ck_assert_msg(
+			!members_find(raft_members(world_leader(world)->raft),
+				      lost_id),
+			"seed %u", (unsigned)seed);
+		world_free(world);
+	}
+}
+END_TEST
+
 /*
  * Guards against an open group that removes voters it needs: without a number
  * of tolerated losses these are fewer than half of the listed replicas.
@@ -542,4 +672,7 @@
 	   test_leader_with_full_disk, test_full_disk_without_successor,
 	   test_silent_leader_is_cleared, test_snapshot_transfer,
 	   test_restart_from_snapshot, test_lost_disks,
-	   test_wiped_replica_finds_leader, test_default_losses_keep_the_voters)
+	   test_wiped_replica_finds_leader,
+	   test_planned_replacements_keep_a_quorum,
+	   test_seats_of_replaced_voters_are_freed,
+	   test_absence_outlasts_a_leader, test_default_losses_keep_the_voters)
--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -534,6 +534,80 @@
 }
 END_TEST
 
+/* Announces that the replica stops; returns true if the leader removed it. */
+static bool raft_fixture_leave(struct raft_fixture *fixture, uint64_t from)
+{
+	const struct leave leave = { .removed = false };
+	const struct leave *answer;
+
+	raft_fixture_forget(fixture);
+	raft_fixture_deliver(fixture, from, MSG_LEAVE, &leave);
+	answer = raft_fixture_last(fixture, from, MSG_LEAVE);
+	return answer && answer->removed;
+}
+
+/*
+ * Guards against a leader that removes a voter the group needs because it
+ * stops, keeps a learner that stops, or adds it again while it is still
+ * connected.
+ */
+START_TEST(test_stopping_members)
+{
+	const uint64_t peers[] = { 2, 3 };
+	struct raft_fixture fixture;
+
+	raft_fixture_new_open(&fixture, 1);
+	raft_fixture_elect(&fixture);
+	raft_fixture_synced(&fixture);
+	raft_fixture_acknowledge(&fixture, 2, 3, fixture.now_us);
+	raft_fixture_add_peer(&fixture, 4);
+	raft_fixture_run_with(&fixture, peers, 2, 500);
+	ck_assert_uint_eq(raft_members(fixture.raft)->nr_members, 4);
+	ck_assert(!raft_fixture_leave(&fixture, 3));
+	ck_assert(!raft_fixture_leave(&fixture, 4));
+	raft_fixture_run_with(&fixture, peers, 2, 1000);
+	ck_assert(raft_fixture_is_voter(&fixture, 3));
+	ck_assert_uint_eq(raft_members(fixture.raft)->nr_members, 3);
+	ck_assert(!raft_fixture_leave(&fixture, 3));
+	ck_assert(raft_fixture_leave(&fixture, 4));
+	raft_fixture_free(&fixture);
+}
+END_TEST
+
+/* Guards against a leader that stops and is succeeded by one that stops too. */
+START_TEST(test_no_handover_to_a_stopping_voter)
+{
+	struct raft_fixture fixture;
+
+	raft_fixture_new_open(&fixture, 1);
+	raft_fixture_elect(&fixture);
+	raft_fixture_synced(&fixture);
+	raft_fixture_acknowledge(&fixture, 2, 3, fixture.now_us);
+	raft_fixture_leave(&fixture, 2);
+	raft_step_down(fixture.raft);
+	raft_fixture_run_ms(&fixture, RAFT_HEARTBEAT_MS);
+	ck_assert(!raft_is_leader(fixture.raft));
+	ck_assert_ptr_null(raft_fixture_last(&fixture, 2, MSG_TRANSFER));
+	ck_assert_ptr_nonnull(raft_fixture_last(&fixture, 3, MSG_TRANSFER));
+	raft_fixture_free(&fixture);
+}
+END_TEST
+
+/* Guards against a follower that stops and stands for election before its end.
+ */
+START_TEST(test_stopping_follower_is_no_candidate)
+{
+	struct raft_fixture fixture;
+
+	raft_fixture_new_open(&fixture, 1);
+	raft_step_down(fixture.raft);
+	ck_assert_ptr_nonnull(raft_fixture_last(&fixture, 2, MSG_LEAVE));
+	raft_fixture_run_ms(&fixture, UINT64_C(2) * RAFT_ELECTION_MAX_MS);
+	ck_assert_ptr_null(raft_fixture_last(&fixture, 2, MSG_VOTE));
+	raft_fixture_free(&fixture);
+}
+END_TEST
+
 static bool raft_fixture_page(struct raft_fixture *fixture, uint32_t page,
 			      bool last)
 {
@@ -612,6 +686,8 @@
 	   test_voters_stay_a_majority_of_the_list,
 	   test_learner_catches_up_first, test_one_change_at_a_time,
 	   test_commit_outlives_the_losses, test_replaced_voter_leaves,
+	   test_stopping_members, test_no_handover_to_a_stopping_voter,
+	   test_stopping_follower_is_no_candidate,
 	   test_replaced_silent_voter_leaves, test_wiped_voter_rejoins_at_once,
 	   test_unreplaced_voter_stays, test_pages_are_in_order,
 	   test_large_entries_bring_a_snapshot)
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -374,6 +374,22 @@
 	}
 }
 
+/* Prepares a control process with an empty data folder to start. */
+static struct tb_proc *tb_prepare_control(struct testbed *tb, const char *zone,
+					  const char *listen, const char *http)
+{
+	char *name = g_strdup_printf("control-%u", tb->controls->len + 1);
+	struct tb_proc *proc = tb_add_daemon(tb, "control", name, zone, http);
+
+	proc->data = g_strdup_printf("%s/%s.data", tb->dir, name);
+	g_mkdir(proc->data, 0755);
+	proc_arg(proc, "--listen", listen);
+	proc_arg(proc, "--data", proc->data);
+	g_ptr_array_add(tb->controls, proc);
+	g_free(name);
+	return proc;
+}
+
 static void tb_start_controls(struct testbed *tb)
 {
 	static const char *const zones[] = { "veraval", "porbandar",
@@ -399,23 +415,16 @@
 	}
 	tb->control_list = g_strjoinv(",", advertised);
 	for (uint32_t i = 0; i < tb->opts.nr_controls; i++) {
-		char *name = g_strdup_printf("control-%u", i + 1);
-		struct tb_proc *proc = tb_add_daemon(
-			tb, "control", name, zones[i % 3], http_addresses[i]);
+		struct tb_proc *proc = tb_prepare_control(
+			tb, zones[i % 3], listen[i], http_addresses[i]);
 
 		if (tb->opts.platform)
 			proc_arg(proc, "--bootstrap", "true");
-		proc->data = g_strdup_printf("%s/%s.data", tb->dir, name);
-		g_mkdir(proc->data, 0755);
-		proc_arg(proc, "--listen", listen[i]);
-		proc_arg(proc, "--data", proc->data);
 		if (tb->opts.proxy_controls) {
 			tb_add_proxy(tb, proc, listen[i], advertised[i]);
 			proc_arg(proc, "--advertise", advertised[i]);
 		}
 		proc_start(proc);
-		g_ptr_array_add(tb->controls, proc);
-		g_free(name);
 	}
 	for (uint32_t i = 0; i < tb->opts.nr_controls; i++) {
 		tb_wait_port(testbed_control(tb, i));
@@ -500,6 +509,22 @@
 	g_free(tb);
 }
 
+struct tb_proc *testbed_add_control(struct testbed *tb, const char *zone)
+{
+	uint32_t host = tb->controls->len + 1;
+	char *listen = tb_address(tb->addresses, host);
+	char *http = tb_address_like(tb->addresses, host,
+				     tb_proc_http(testbed_control(tb, 0)));
+	struct tb_proc *proc = tb_prepare_control(tb, zone, listen, http);
+
+	proc_arg(proc, "--bootstrap", "false");
+	proc_start(proc);
+	tb_wait_port(proc);
+	g_free(http);
+	g_free(listen);
+	return proc;
+}
+
 struct tb_proc *testbed_add_entry(struct testbed *tb, const char *zone)
 {
 	char *name = g_strdup_printf("entry-%u", tb->entries->len + 1);
--- a/tests/testbed.h
+++ b/tests/testbed.h
@@ -50,6 +50,11 @@
 /** Kills all processes and removes their files, unless TB_KEEP is set. */
 void testbed_free(struct testbed *tb);
 
+/**
+ * Starts a control process with an empty disk at an address that the others
+ * don't know. Only on the platform.
+ */
+struct tb_proc *testbed_add_control(struct testbed *tb, const char *zone);
 struct tb_proc *testbed_add_entry(struct testbed *tb, const char *zone);
 /** Starts a stand-in and its agent; returns the agent. */
 struct tb_proc *testbed_add_vm(struct testbed *tb,
