--- a/src/core/raft/raft_impl.h
+++ b/src/core/raft/raft_impl.h
@@ -37,8 +37,7 @@
 	struct snapshot_record *records;
 };
 
-/** Another member. Only a leader uses the fields other than voted and seen_us.
- */
+/** Another member. Only voted and seen_us are used by all roles. */
 struct raft_peer {
 	uint64_t node_id;
 	bool voted; /* granted its vote in this candidacy */
@@ -135,6 +134,7 @@
 
 	/* follower */
 	bool ack_due; /* an append is still to be acknowledged */
+	bool removed; /* the leader removed this replica, which stops */
 	uint64_t verified_index; /* last entry that matches the leader's log */
 	uint64_t echo_us; /* sent_us of the leader's last append */
 	uint64_t vote_reply_to; /* candidate, until the sync; 0: none */
@@ -147,7 +147,6 @@
 	bool transfer; /* this candidacy was requested by the leader */
 	bool announced; /* leader_changed(true) was called */
 	bool resigned; /* never leads again, for a graceful stop */
-	bool removed; /* the leader removed it after its resignation */
 	uint64_t handover_since_us; /* start of a handover, 0: none */
 	struct timer heartbeat_timer;
 	uint64_t leader_since_us;
