Make accepted workflows follow their queue

With the old pool full and the new one idle the accepted work waited all the same.

Cause: flow_call_submit() copies service, priority, attempts, objective and ticket validity of the queue into the workflow's record, and nothing renewed them. Ruled out: VMs that aren't evaluated again (they are, each second), and entries with an old bundle (the later submission takes the same way).

The leader logs workflow-queue, computes the objective anew and evaluates all VMs. A workflow with a task that has failed as often as is allowed now fails. Running tasks aren't stopped.

--- a/src/core/control/control.c
+++ b/src/core/control/control.c
@@ -233,6 +233,14 @@
 		control_flow_changed(control->flows, flow);
 }
 
+static void control_watch_flow_queue(void *ctx, const struct state_flow *flow)
+{
+	struct control *control = ctx;
+
+	if (control->leader)
+		control_flow_queue_changed(control->flows, flow);
+}
+
 static void control_watch_flow_task(void *ctx, struct state_flow *flow,
 				    uint32_t task, enum flow_end end)
 {
@@ -250,6 +258,7 @@
 	.task = control_task_changed,
 	.job_dropped = control_job_dropped,
 	.flow = control_watch_flow,
+	.flow_queue = control_watch_flow_queue,
 	.flow_task = control_watch_flow_task,
 };
 
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -464,6 +464,22 @@
 	flow_stop_all(flows, flow, flow_state_name(flow->record.state));
 }
 
+void control_flow_queue_changed(struct control_flow *flows,
+				const struct state_flow *flow)
+{
+	GString *line = logline_new("workflow-queue");
+
+	logline_str(line, "id", flow->record.id);
+	logline_str(line, "service", flow->record.service);
+	logline_u64(line, "priority", flow->record.priority);
+	logline_u64(line, "attempts", flow->record.attempts);
+	logline_u64(line, "objective_ms", control_flow_objective_ms(flow));
+	logline_u64(line, "ticket_ms", flow->record.ticket_ms);
+	node_log(flows->control->node, line);
+	control_flow_rank_change(flows, flow);
+	control_flow_place_soon(flows);
+}
+
 void control_flow_zone_changed(struct control_flow *flows)
 {
 	control_flow_place_soon(flows);
--- a/src/core/control/control_flow.h
+++ b/src/core/control/control_flow.h
@@ -39,11 +39,14 @@
 			  uint32_t nr_advice);
 
 /*
- * Handle a committed change: of a workflow, of a task that was placed (then
- * @a end is FLOW_END_NONE) or has ended, or of a zone.
+ * Handle a committed change: of a workflow, of the values of its queue, of a
+ * task that was placed (then @a end is FLOW_END_NONE) or has ended, or of a
+ * zone.
  */
 void control_flow_changed(struct control_flow *flows,
 			  const struct state_flow *flow);
+void control_flow_queue_changed(struct control_flow *flows,
+				const struct state_flow *flow);
 void control_flow_task_changed(struct control_flow *flows,
 			       struct state_flow *flow, uint32_t task,
 			       enum flow_end end);
--- a/src/core/control/control_flow_call.c
+++ b/src/core/control/control_flow_call.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "state_flow_queue.h"
+
 /*
  * Calls about workflows, which entries forward to the leader. Only the leader
  * maps a call's path to a queue, so that a change of the bundle, the operators'
@@ -92,12 +94,7 @@
 	TEXT_SET(record.id, id);
 	TEXT_SET(record.host, queue->host);
 	TEXT_SET(record.prefix, queue->prefix);
-	TEXT_SET(record.service, queue->service);
-	record.priority = queue->priority;
-	record.attempts = MAX(queue->attempts, 1);
-	record.slack_permille = queue->slack_permille;
-	record.slo_ms = queue->slo_ms;
-	record.ticket_ms = queue->ticket_ms;
+	state_flow_set_queue(&record, queue);
 	record.submitted_ms = control_wall_ms(control);
 	record.finished_ms = 0;
 	record.state = FLOW_QUEUED;
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -583,6 +583,9 @@
  * workflow from there.
  */
 void control_flow_rank_add(struct control_flow *flows, struct state_flow *flow);
+/** Takes over changed values of the workflow's queue. */
+void control_flow_rank_change(struct control_flow *flows,
+			      const struct state_flow *flow);
 void control_flow_rank_remove(struct control_flow *flows,
 			      const struct state_flow *flow);
 /** Updates and sorts control_flow.ranks. */
--- a/src/core/control/control_flow_rank.c
+++ b/src/core/control/control_flow_rank.c
@@ -145,28 +145,62 @@
 	       flow_chain_ms(flow) * flow->record.slack_permille / 1000;
 }
 
-void control_flow_rank_add(struct control_flow *flows, struct state_flow *flow)
+/* Sets when the objective ends, from the time of the submission. */
+static void flow_rank_set_due(struct control_flow *flows,
+			      struct flow_rank *rank)
 {
-	const struct flow_record *record = &flow->record;
+	const struct flow_record *record = &rank->flow->record;
 	struct control *control = flows->control;
 	uint64_t start_ms = MAX(record->submitted_ms, record->first_ms);
 	uint64_t now_ms = control_wall_ms(control);
-	uint64_t objective_us = control_flow_objective_ms(flow) * 1000;
-	struct flow_rank rank = { .flow = flow };
+	uint64_t objective_us = control_flow_objective_ms(rank->flow) * 1000;
 
 	/*
 	 * From here on only monotonic time is used, as the time of day may
 	 * jump.
 	 */
-	rank.due_us = control->node->now_us + objective_us;
+	rank->due_us = control->node->now_us + objective_us;
 	if (start_ms > now_ms)
-		rank.due_us += (start_ms - now_ms) * 1000;
+		rank->due_us += (start_ms - now_ms) * 1000;
 	else
-		rank.due_us -= MIN((now_ms - start_ms) * 1000, rank.due_us);
-	rank.abandoned_us =
-		rank.due_us + objective_us * (FLOW_ZERO_VALUE_FACTOR - 1);
+		rank->due_us -= MIN((now_ms - start_ms) * 1000, rank->due_us);
+	rank->abandoned_us =
+		rank->due_us + objective_us * (FLOW_ZERO_VALUE_FACTOR - 1);
 	if (!objective_us)
-		rank.abandoned_us = UINT64_MAX;
+		rank->abandoned_us = UINT64_MAX;
+}
+
+static struct flow_rank *flow_rank_find(struct control_flow *flows,
+					const struct state_flow *flow)
+{
+	for (guint i = 0; i < flows->ranks->len; i++) {
+		struct flow_rank *rank =
+			&g_array_index(flows->ranks, struct flow_rank, i);
+
+		if (rank->flow == flow)
+			return rank;
+	}
+	return NULL;
+}
+
+void control_flow_rank_change(struct control_flow *flows,
+			      const struct state_flow *flow)
+{
+	struct flow_rank *rank = flow_rank_find(flows, flow);
+
+	if (!rank)
+		return;
+	flow_rank_set_due(flows, rank);
+	/* Other VMs may take its tasks now. */
+	rank->evaluated_change_nr = 0;
+}
+
+void control_flow_rank_add(struct control_flow *flows, struct state_flow *flow)
+{
+	const struct flow_record *record = &flow->record;
+	struct flow_rank rank = { .flow = flow };
+
+	flow_rank_set_due(flows, &rank);
 	rank.work_core_ms = flow_estimated_core_ms(flow, false);
 	rank.mean = flow_work_mean_add(flows, record, rank.work_core_ms);
 	g_array_append_val(flows->ranks, rank);
@@ -175,13 +209,13 @@
 void control_flow_rank_remove(struct control_flow *flows,
 			      const struct state_flow *flow)
 {
-	for (guint i = 0; i < flows->ranks->len; i++) {
-		if (g_array_index(flows->ranks, struct flow_rank, i).flow !=
-		    flow)
-			continue;
-		g_array_remove_index(flows->ranks, i);
-		return;
-	}
+	struct flow_rank *rank = flow_rank_find(flows, flow);
+
+	if (rank)
+		g_array_remove_index(
+			flows->ranks,
+			(guint)(rank - (struct flow_rank *)(void *)
+					       flows->ranks->data));
 }
 
 void control_flow_sort(struct control_flow *flows)
--- a/src/core/state/state.c
+++ b/src/core/state/state.c
@@ -4,6 +4,7 @@
 
 #include "schema.h"
 #include "schema_tables.h"
+#include "state_flow_queue.h"
 
 typedef struct state_outcome (*state_apply_fn)(struct state *state,
 					       const void *body);
@@ -250,6 +251,8 @@
 			break;
 		}
 	}
+	/* Earlier versions stored queues' values as at the submission. */
+	state_flow_apply_bundle(state);
 }
 
 static gboolean state_job_expired(gpointer key, gpointer value, gpointer data)
@@ -409,6 +412,13 @@
 		state->watch->flow(state->watch_ctx, flow);
 }
 
+void state_flow_queue_changed(struct state *state,
+			      const struct state_flow *flow)
+{
+	if (state->watch && state->watch->flow_queue)
+		state->watch->flow_queue(state->watch_ctx, flow);
+}
+
 void state_flow_task_changed(struct state *state, struct state_flow *flow,
 			     uint32_t task, enum flow_end end)
 {
--- a/src/core/state/state.h
+++ b/src/core/state/state.h
@@ -44,6 +44,8 @@
 	void (*job_dropped)(void *ctx, uint64_t job_id);
 	/** A workflow was accepted or ended. */
 	void (*flow)(void *ctx, const struct state_flow *flow);
+	/** A bundle has changed the values of a workflow's queue. */
+	void (*flow_queue)(void *ctx, const struct state_flow *flow);
 	/** A task was placed (@a end is FLOW_END_NONE), or its run ended. */
 	void (*flow_task)(void *ctx, struct state_flow *flow, uint32_t task,
 			  enum flow_end end);
@@ -105,6 +107,8 @@
 			const struct task_record *before);
 void state_job_dropped(struct state *state, uint64_t job_id);
 void state_flow_changed(struct state *state, const struct state_flow *flow);
+void state_flow_queue_changed(struct state *state,
+			      const struct state_flow *flow);
 void state_flow_task_changed(struct state *state, struct state_flow *flow,
 			     uint32_t task, enum flow_end end);
 
--- a/src/core/state/state_bundle.c
+++ b/src/core/state/state_bundle.c
@@ -5,6 +5,7 @@
 #include "schema.h"
 #include "schema_tables.h"
 #include "state.h"
+#include "state_flow_queue.h"
 
 static void state_bundle_free(struct bundle *bundle)
 {
@@ -190,7 +191,8 @@
 	return outcome;
 }
 
-/* Updates zones and services after a change of the bundle in force. */
+/* Updates zones, services and workflows after a change of the bundle in force.
+ */
 static void state_bundle_enforce(struct state *state)
 {
 	const struct bundle *bundle = state->bundles.in_force;
@@ -198,6 +200,7 @@
 	state_zone_apply_bundle(state, bundle);
 	state_bundle_changed(state, bundle);
 	state_job_apply_bundle(state, bundle);
+	state_flow_apply_bundle(state);
 }
 
 struct state_outcome state_bundle_sign(struct state *state, const void *body)
--- a/src/core/state/state_flow.c
+++ b/src/core/state/state_flow.c
@@ -5,6 +5,7 @@
 #include "schema.h"
 #include "schema_tables.h"
 #include "state.h"
+#include "state_flow_queue.h"
 
 struct state_flow *state_flow_find(const struct state *state, const char *id)
 {
@@ -263,6 +264,7 @@
 {
 	const struct flow_record *record = body;
 	struct state_outcome outcome = { 0 };
+	const struct bundle_queue *queue;
 	struct state_flow *flow;
 
 	if (state_flow_find(state, record->id))
@@ -271,6 +273,10 @@
 	if (outcome.result)
 		return outcome;
 	flow = state_flow_insert(state, record);
+	/* The bundle may have changed since the submission was proposed. */
+	queue = state_flow_queue(state, record);
+	if (queue)
+		state_flow_set_queue(&flow->record, queue);
 	state_flow_changed(state, flow);
 	return outcome;
 }
@@ -366,6 +372,19 @@
 	       flow->record.attempts;
 }
 
+void state_flow_check_attempts(struct state *state, struct state_flow *flow)
+{
+	for (uint32_t i = 0; i < flow->record.nr_tasks; i++) {
+		if (flow->record.tasks[i].state == FLOW_TASK_DONE ||
+		    !task_has_failed(flow, i))
+			continue;
+		state_flow_end(state, flow, FLOW_FAILED,
+			       state->counters.clock_ms);
+		state_flow_trim(flow);
+		return;
+	}
+}
+
 bool state_flow_accepts_late_done(const struct state_flow *flow, uint32_t task,
 				  uint32_t run, const char *vm)
 {
--- a/src/core/state/state_flow.h
+++ b/src/core/state/state_flow.h
@@ -104,6 +104,13 @@
 void state_pressure_restore(struct state *state,
 			    const struct pressure_pair *pair);
 
+/**
+ * Ends the workflow as failed if a task, or a gang, has failed as often as its
+ * queue allows. A failed run does this by itself; a change of the queue needs
+ * it.
+ */
+void state_flow_check_attempts(struct state *state, struct state_flow *flow);
+
 /** Asserts that the counts agree with the tasks; for tests. */
 void state_flow_verify(const struct state_flow *flow);
 
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -21,7 +21,8 @@
 	struct worker_incarnation incarnation = { .born_ms = born_ms };
 
 	TEXT_SET(incarnation.id, vm->name);
-	TEXT_SET(incarnation.service, "svc");
+	TEXT_SET(incarnation.service,
+		 vm->service ? vm->service : FLOW_WORLD_SERVICE);
 	TEXT_SET(incarnation.kind, FLOW_WORLD_KIND);
 	TEXT_SET(incarnation.rack, vm->zone);
 	incarnation.cpu_millis = FLOW_WORLD_VM_CPU_MILLIS;
@@ -403,24 +404,33 @@
 
 /* ---- the simulation ---- */
 
-static void world_put_bundle(struct flow_world *fw, uint64_t version,
-			     uint32_t ticket_ms)
+const struct bundle_queue flow_world_queue = {
+	.name = "q",
+	.host = "shop",
+	.prefix = "/q/",
+	.service = FLOW_WORLD_SERVICE,
+	.attempts = FLOW_WORLD_ATTEMPTS,
+	.slack_permille = 2000,
+	.slo_ms = 1000,
+	.timeout_ms = 3000,
+};
+
+void flow_world_put_queue(struct flow_world *fw,
+			  const struct bundle_queue *queue)
 {
 	struct bundle_zone zones[] = { { "veraval", "", 0 },
 				       { "porbandar", "", 0 } };
-	struct bundle_queue queues[] = { { "q", "shop", "/q/", "svc", 0,
-					   FLOW_WORLD_ATTEMPTS, 2000, 1000,
-					   3000, ticket_ms } };
-	struct bundle_pool pools[] = { { "svc", true, false } };
-	struct bundle bundle = { .version = version };
+	struct bundle_pool pools[] = { { FLOW_WORLD_SERVICE, true, false },
+				       { FLOW_WORLD_OTHER, true, false } };
+	struct bundle bundle = { .version = ++fw->bundle_version };
 
 	TEXT_SET(bundle.digest, "d");
 	TEXT_SET(bundle.signed_by, "test");
-	bundle.nr_zones = 2;
+	bundle.nr_zones = G_N_ELEMENTS(zones);
 	bundle.zones = zones;
-	bundle.nr_queues = 1;
-	bundle.queues = queues;
-	bundle.nr_pools = 1;
+	bundle.nr_queues = queue != NULL;
+	bundle.queues = (struct bundle_queue *)queue;
+	bundle.nr_pools = G_N_ELEMENTS(pools);
 	bundle.pools = pools;
 	ck_assert_int_eq(world_change(fw->base, OP_BUNDLE_PUT, &bundle),
 			 RESULT_OK);
@@ -460,13 +470,17 @@
 		fw_boot_agent(vm);
 	}
 	flow_world_run_ms(fw, 5000);
-	world_put_bundle(fw, BUNDLE_VERSION, 0);
+	fw->bundle_version = BUNDLE_VERSION - 1;
+	flow_world_put_queue(fw, &flow_world_queue);
 	flow_world_run_ms(fw, 3000);
 	return fw;
 }
 
 void flow_world_advise(struct flow_world *fw, const char *allowed_worker)
 {
+	struct bundle_queue queue = flow_world_queue;
+
+	queue.ticket_ms = TICKET_MS;
 	/* Replicas get the adviser when they start. */
 	fw->base->advised = true;
 	for (uint32_t i = 0; i < fw->base->nr_controls; i++) {
@@ -476,7 +490,7 @@
 	flow_world_run_ms(fw, 3000);
 	fw->allowed_worker = allowed_worker;
 	fw->valid_ticket = "ticket-1";
-	world_put_bundle(fw, BUNDLE_VERSION + 1, TICKET_MS);
+	flow_world_put_queue(fw, &queue);
 	flow_world_run_ms(fw, 1000);
 }
 
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -29,6 +29,9 @@
 #define FLOW_WORLD_CALL_LIMIT_MS 600
 /* Failed runs of a task that the queue allows. */
 #define FLOW_WORLD_ATTEMPTS 2
+/* Services: of the queue at first and of the workers; another one. */
+#define FLOW_WORLD_SERVICE "svc"
+#define FLOW_WORLD_OTHER "other"
 /* Kind of all workers, a label; the other label is the zone's name. */
 #define FLOW_WORLD_KIND "a"
 
@@ -65,6 +68,8 @@
 	struct runner *runner; /* NULL: the agent isn't running */
 	/* Addresses that the agent contacts first, NULL: the replicas. */
 	const char *const *seeds;
+	/* Of the worker, NULL: FLOW_WORLD_SERVICE. */
+	const char *service;
 	struct fw_worker worker;
 	/* Share of calls that get no answer and are carried out late. */
 	uint32_t lose_ppm;
@@ -136,13 +141,20 @@
 	uint64_t ticket;
 	struct flow_reply reply;
 	bool answered;
+	uint64_t bundle_version; /* of the last bundle */
 };
 
+/** The queue of the first bundle. */
+extern const struct bundle_queue flow_world_queue;
+
 struct flow_world *flow_world_new(uint64_t seed);
 /**
  * Makes starts of the queue's tasks need a ticket that only one worker gets.
  */
 void flow_world_advise(struct flow_world *fw, const char *allowed_worker);
+/** Puts the next bundle in force; its only queue is @a queue, NULL: none. */
+void flow_world_put_queue(struct flow_world *fw,
+			  const struct bundle_queue *queue);
 void flow_world_free(struct flow_world *fw);
 void flow_world_run_ms(struct flow_world *fw, uint64_t ms);
 
--- a/tests/test_flow_state.c
+++ b/tests/test_flow_state.c
@@ -412,6 +412,121 @@
 }
 END_TEST
 
+/* Puts a bundle in force; its queue has this service and these attempts. */
+static void put_queue(struct state *state, uint64_t version,
+		      const char *service, uint32_t attempts)
+{
+	struct bundle_queue queue = { .host = "shop",
+				      .prefix = "/q/",
+				      .timeout_ms = 1000,
+				      .attempts = attempts,
+				      .slo_ms = (uint32_t)version };
+	struct bundle_pool pools[] = { { "old", true, false },
+				       { "new", true, false } };
+	struct bundle bundle = { .version = version,
+				 .nr_queues = service != NULL,
+				 .queues = &queue,
+				 .nr_pools = G_N_ELEMENTS(pools),
+				 .pools = pools };
+
+	if (service)
+		TEXT_SET(queue.service, service);
+	TEXT_SET(bundle.digest, "d");
+	TEXT_SET(bundle.signed_by, "test");
+	ck_assert_int_eq(state_bundle_put(state, &bundle).result, RESULT_OK);
+}
+
+static void submit_to_queue(struct state *state, const char *id,
+			    const char *service)
+{
+	struct flow_step steps[] = { { .count = 2 } };
+	struct flow_record record = { .attempts = 3,
+				      .state = FLOW_QUEUED,
+				      .nr_steps = 1,
+				      .steps = steps };
+
+	TEXT_SET(record.id, id);
+	TEXT_SET(record.host, "shop");
+	TEXT_SET(record.prefix, "/q/");
+	TEXT_SET(record.service, service);
+	ck_assert_int_eq(state_flow_submit(state, &record).result, RESULT_OK);
+}
+
+static const char *service_of(const struct state *state, const char *id)
+{
+	return state_flow_find(state, id)->record.service;
+}
+
+/*
+ * Guards against workflows that keep a service which their queue has left:
+ * those accepted before, one whose submission was proposed before the bundle
+ * and committed after it, and one that was stored so. A workflow whose queue
+ * was removed keeps the last one, and one that has ended is not changed.
+ */
+START_TEST(test_service_follows_the_queue)
+{
+	struct state *state = state_new();
+	struct state *restored = state_new();
+	struct snapshot_record *records;
+	uint32_t nr_records;
+
+	put_queue(state, 1, "old", 3);
+	submit_to_queue(state, "a", "old");
+	submit_to_queue(state, "c", "old");
+	for (uint32_t i = 0; i < 2; i++) {
+		change(state, "c", FLOW_CHANGE_PLACE, i, 1, FLOW_END_NONE);
+		change(state, "c", FLOW_CHANGE_END, i, 1, FLOW_END_DONE);
+	}
+	put_queue(state, 2, "new", 3);
+	ck_assert_str_eq(service_of(state, "a"), "new");
+	ck_assert_uint_eq(state_flow_find(state, "a")->record.slo_ms, 2);
+	ck_assert_str_eq(service_of(state, "c"), "old");
+	submit_to_queue(state, "b", "old");
+	ck_assert_str_eq(service_of(state, "b"), "new");
+	/* A state that an earlier version stored. */
+	TEXT_SET(state_flow_find(state, "a")->record.service, "old");
+	records = state_snapshot(state, &nr_records);
+	state_restore(restored, records, nr_records);
+	ck_assert_str_eq(service_of(restored, "a"), "new");
+	put_queue(restored, 3, NULL, 0);
+	ck_assert_str_eq(service_of(restored, "a"), "new");
+	for (uint32_t i = 0; i < nr_records; i++)
+		record_unref(records[i].record);
+	g_free(records);
+	state_free(restored);
+	state_free(state);
+}
+END_TEST
+
+/*
+ * Guards against starts of a task that has failed as often as its queue allows
+ * since a later bundle, and against a workflow that fails too early.
+ */
+START_TEST(test_attempts_follow_the_queue)
+{
+	struct state *state = state_new();
+
+	put_queue(state, 1, "old", 2);
+	submit_to_queue(state, "a", "old");
+	place(state, 0, 1);
+	end(state, 0, 1, FLOW_END_FAILED);
+	put_queue(state, 2, "old", 4);
+	for (uint32_t run = 2; run <= 3; run++) {
+		place(state, 0, run);
+		end(state, 0, run, FLOW_END_FAILED);
+		ck_assert_uint_eq(state_flow_find(state, "a")->record.state,
+				  FLOW_RUNNING);
+	}
+	place(state, 1, 1);
+	put_queue(state, 3, "old", 3);
+	ck_assert_uint_eq(state_flow_find(state, "a")->record.state,
+			  FLOW_FAILED);
+	state_verify(state);
+	state_free(state);
+}
+END_TEST
+
 SUITE_MAIN("flow_state", test_place_rules, test_done_after_loss, test_attempts,
 	   test_gang, test_lasting, test_cancel, test_snapshot, test_bundle_put,
-	   test_pressure, test_pressure_is_saved, test_pace)
+	   test_pressure, test_pressure_is_saved, test_pace,
+	   test_service_follows_the_queue, test_attempts_follow_the_queue)
