Return a char where json_text peeks at the end of the text

make check failed on x86-64, where char is signed: the conditional operator made the character an int, and clang-tidy counts its way back as narrowing (bugprone-narrowing-conversions).

--- a/src/codec/json_text.c
+++ b/src/codec/json_text.c
@@ -45,7 +45,9 @@
 /* Returns the next character, 0 at the end of the text. */
 static char scan_peek(const struct json_scan *scan)
 {
-	return scan->at < scan->end ? *scan->at : 0;
+	if (scan->at >= scan->end)
+		return 0;
+	return *scan->at;
 }
 
 static bool scan_take(struct json_scan *scan, char wanted)
