Replace the least used control address when there are too many

Cause: entries and agents never dropped a control address and ignored new ones once they had 32 connections to dial. Ruled out: the core, which answered the operator all the while.

Change: the addresses are kept with the time of their last use, and a new one takes the place of the one least recently named or connected, never of a connected replica. An entry's connections to agents no longer count.

Test, red before: gateway many_control_addresses.

--- a/src/core/link/site.c
+++ b/src/core/link/site.c
@@ -5,10 +5,12 @@
 #include "logline.h"
 #include "schema.h"
 #include "schema_tables.h"
+#include "site_dial.h"
 
 struct site {
 	struct node *node;
 	struct site_opts opts;
+	struct site_dial *dials;
 	struct timer query_timer;
 	uint64_t leader; /* node_id, 0 if none is known */
 	uint64_t changed_us; /* last change of the leader */
@@ -208,18 +210,6 @@
 	site_set_leader(site, from);
 }
 
-/*
- * Addresses are never removed, only limited in number: the list may come from a
- * partitioned replica that has an old configuration.
- */
-static void site_dial(struct site *site, const char *address)
-{
-	if (!strcmp(address, site->node->self.address))
-		return;
-	if (g_hash_table_size(site->node->dials) < SITE_CONTROLS_MAX)
-		node_dial(site->node, address);
-}
-
 /* Lists the connected control replicas; returns false if there are none. */
 static bool site_list_controls(const struct site *site, struct peers *peers)
 {
@@ -248,7 +238,7 @@
 	struct peers known = { 0, addresses };
 
 	for (uint32_t i = 0; i < peers->nr_addresses; i++)
-		site_dial(site, peers->addresses[i].address);
+		site_dial_add(site->dials, peers->addresses[i].address);
 	if (!peers->nr_addresses && site_list_controls(site, &known))
 		node_send(site->node, from, MSG_PEERS, &known);
 }
@@ -256,7 +246,7 @@
 void site_add_controls(struct site *site, const char *const *addresses)
 {
 	for (uint32_t i = 0; addresses[i]; i++)
-		site_dial(site, addresses[i]);
+		site_dial_add(site->dials, addresses[i]);
 }
 
 struct site *site_new(struct node *node, const struct site_opts *opts)
@@ -266,6 +256,7 @@
 	site->node = node;
 	site->opts = *opts;
 	site->changed_us = node->now_us;
+	site->dials = site_dial_new(node);
 	site->query_timer.fn = site_query_all;
 	site->query_timer.data = site;
 	site->zones =
@@ -280,6 +271,7 @@
 	if (!site)
 		return;
 	timer_cancel(site->node->timers, &site->query_timer);
+	site_dial_free(site->dials);
 	g_hash_table_unref(site->agents);
 	g_hash_table_unref(site->zones);
 	if (site->bundle)
@@ -302,6 +294,7 @@
 
 void site_peer_down(struct site *site, const struct link *link)
 {
+	site_dial_used(site->dials, link);
 	if (link->peer.node_id == site->leader)
 		site_set_leader(site, 0);
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -173,6 +173,65 @@
 }
 END_TEST
 
+/* Names control addresses, three each second, at which nothing listens. */
+static void name_addresses(uint32_t first, uint32_t nr)
+{
+	for (uint32_t i = 0; i < nr; i += 3) {
+		char *addresses[4] = { NULL };
+
+		for (uint32_t j = 0; j < 3; j++)
+			addresses[j] = g_strdup_printf("10.1.0.%u:7000",
+						       first + i + j);
+		node_set_time(sim_node(machine), sim_now_us(sim));
+		gateway_add_controls(gateway, (const char *const *)addresses);
+		sim_run_ms(sim, 1000);
+		for (uint32_t j = 0; j < 3; j++)
+			g_free(addresses[j]);
+	}
+}
+
+/*
+ * Guards against an entry that reaches no new control replica after many
+ * addresses were named, and one that drops a replica it is connected to.
+ */
+START_TEST(test_many_control_addresses)
+{
+	struct peer_address address = { "10.0.0.3:7000" };
+	struct peers peers = { 1, &address };
+	struct sim_machine *next;
+
+	set_up(FLOW_CALL_STATE);
+	name_addresses(1, 45);
+	next = sim_add_machine(sim, "control1", "veraval", address.address);
+	node_set_role(sim_boot(next, LEADER_ID + 1), &leader_role, NULL);
+	sim_start(next);
+	send_to_gateway(MSG_PEERS, &peers);
+	sim_run_ms(sim, 100);
+	ck_assert_ptr_nonnull(node_link(sim_node(machine), LEADER_ID));
+	ck_assert_ptr_nonnull(node_link(sim_node(machine), LEADER_ID + 1));
+	tear_down();
+}
+END_TEST
+
+/*
+ * Guards against an entry that drops the address of a control replica which is
+ * down for some seconds while others are named.
+ */
+START_TEST(test_control_address_outlasts_its_replica)
+{
+	set_up(FLOW_CALL_STATE);
+	name_addresses(1, 45);
+	sim_kill(leader);
+	name_addresses(101, 24);
+	node_set_role(sim_boot(leader, LEADER_ID), &leader_role, NULL);
+	sim_start(leader);
+	sim_run_ms(sim, UINT64_C(2) * LINK_REDIAL_MAX_MS);
+	ck_assert_ptr_nonnull(node_link(sim_node(machine), LEADER_ID));
+	tear_down();
+}
+END_TEST
+
 SUITE_MAIN("gateway", test_refused_copy_is_no_refusal,
 	   test_refused_copy_beside_lost_one, test_all_copies_refused,
-	   test_query_needs_one_answer)
+	   test_query_needs_one_answer, test_many_control_addresses,
+	   test_control_address_outlasts_its_replica)
