Count a service's own processors when its fillers wait

Cause: a filler that would get less than half of its processors is placed after 1.2 s if less than 60 % of the processors is in use, and the sum was over the VMs of all services. The other service's load kept it above 60 %.

Change: the sums are kept for each service. With one service nothing changes.

Test, red before: flow_serving filler_beside_a_busy_service.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -391,9 +391,10 @@
 #define FLOW_PAIRS_REPEAT_MS 3000
 /*
  * If a workflow has had no task placed for FLOW_IDLE_MAX_MS and less than
- * FLOW_IDLE_MAX_USED_PERCENT of the processors is in use, one of its tasks is
- * placed, even a filler that slows down serving tasks. The platform requires a
- * placement within 3 s if less than half of the processors is in use.
+ * FLOW_IDLE_MAX_USED_PERCENT of its service's processors is in use, one of its
+ * tasks is placed, even a filler that slows down serving tasks. The platform
+ * requires a placement within 3 s if less than half of the processors is in
+ * use.
  */
 #define FLOW_IDLE_MAX_MS 1200
 #define FLOW_IDLE_MAX_USED_PERCENT 60
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -492,14 +492,59 @@
 	       opts->host->wall_ms(opts->host_ctx) >= due_ms;
 }
 
+/* Processors of the reporting VMs of a service, not counting fillers. */
+struct flow_service_cpu {
+	uint64_t capacity_millis;
+	uint64_t taken_millis;
+};
+
+/* Returns struct flow_service_cpu by the service's name. */
+static GHashTable *flow_sum_services(const struct control_flow *flows)
+{
+	GHashTable *services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct flow_vm *vm = value;
+		struct flow_service_cpu *cpu;
+
+		if (!vm->reported || vm->worker.ended)
+			continue;
+		cpu = g_hash_table_lookup(services, vm->worker.service);
+		if (!cpu) {
+			cpu = g_new0(struct flow_service_cpu, 1);
+			g_hash_table_insert(services, vm->worker.service, cpu);
+		}
+		cpu->capacity_millis += vm->worker.cpu_millis;
+		cpu->taken_millis += vm->cpu_millis;
+	}
+	return services;
+}
+
+/*
+ * Returns true if less than FLOW_IDLE_MAX_USED_PERCENT of the service's
+ * processors is taken.
+ */
+static bool flow_has_free_cpu(GHashTable *services, const char *service)
+{
+	const struct flow_service_cpu *cpu =
+		g_hash_table_lookup(services, service);
+
+	return cpu && cpu->taken_millis * 100 <
+			      cpu->capacity_millis * FLOW_IDLE_MAX_USED_PERCENT;
+}
+
 /*
  * Returns true if a filler may be placed although it slows down serving tasks.
  * Fillers wait for a VM on which they slow down none, but no longer than
- * FLOW_IDLE_MAX_MS while most processors are free: then each workflow gets one
- * task placed.
+ * FLOW_IDLE_MAX_MS while most processors of their service are free: then each
+ * workflow gets one task placed.
  */
 static bool flow_is_starved(const struct control_flow *flows,
-			    struct flow_rank *rank, bool free_cpu)
+			    struct flow_rank *rank, GHashTable *services)
 {
 	uint64_t now_us = flows->control->node->now_us;
 
@@ -509,30 +554,8 @@
 	}
 	if (!rank->idle_us)
 		rank->idle_us = now_us;
-	return free_cpu && now_us - rank->idle_us > FLOW_IDLE_MAX_MS * 1000ull;
-}
-
-/*
- * Returns true if less than FLOW_IDLE_MAX_USED_PERCENT of the reporting VMs'
- * processors is taken, not counting fillers.
- */
-static bool flow_has_free_cpu(const struct control_flow *flows)
-{
-	uint64_t capacity = 0;
-	uint64_t taken = 0;
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, flows->vms);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct flow_vm *vm = value;
-
-		if (!vm->reported || vm->worker.ended)
-			continue;
-		capacity += vm->worker.cpu_millis;
-		taken += vm->cpu_millis;
-	}
-	return taken * 100 < capacity * FLOW_IDLE_MAX_USED_PERCENT;
+	return now_us - rank->idle_us > FLOW_IDLE_MAX_MS * 1000ull &&
+	       flow_has_free_cpu(services, rank->flow->record.service);
 }
 
 /*
@@ -599,10 +622,10 @@
 }
 
 static void flow_rank_place(struct control_flow *flows, struct flow_rank *rank,
-			    bool free_cpu)
+			    GHashTable *services)
 {
 	struct state_flow *flow = rank->flow;
-	bool starved = flow_is_starved(flows, rank, free_cpu);
+	bool starved = flow_is_starved(flows, rank, services);
 	uint64_t evaluated_change_nr =
 		flow_rank_evaluated_nr(flows, rank, starved);
 	/* VM changes during this pass are considered in the next pass. */
@@ -624,7 +647,7 @@
 {
 	struct control_flow *flows = data;
 	struct control *control = flows->control;
-	bool free_cpu = flow_has_free_cpu(flows);
+	GHashTable *services;
 
 	if (!raft_may_grant(control->raft)) {
 		control_flow_place_soon(flows);
@@ -632,15 +655,17 @@
 	}
 	control_flow_sort(flows);
 	flow_pass_begin(flows);
+	services = flow_sum_services(flows);
 	for (guint i = 0; i < flows->ranks->len; i++) {
 		struct flow_rank *rank =
 			&g_array_index(flows->ranks, struct flow_rank, i);
 		const struct state_flow *flow = rank->flow;
 
 		if (flow->nr_placed + flow->nr_done < flow->record.nr_tasks)
-			flow_rank_place(flows, rank, free_cpu);
+			flow_rank_place(flows, rank, services);
 	}
 	flows->placing = false;
+	g_hash_table_unref(services);
 }
 
 void control_flow_place_soon(struct control_flow *flows)
--- a/tests/test_flow_serving.c
+++ b/tests/test_flow_serving.c
@@ -333,7 +333,51 @@
 }
 END_TEST
 
+/*
+ * Guards against a filler that never starts while the workers of another
+ * service are busy: only its own service's processors tell whether enough are
+ * free.
+ */
+START_TEST(test_filler_beside_a_busy_service)
+{
+	struct flow_world *fw = flow_world_new(42);
+	struct bundle_queue queue = flow_world_queue;
+	struct flow_step busy = step_of(2);
+	struct flow_step half = step_of(1);
+	struct flow_step filler = step_of(1);
+
+	for (uint32_t i = 2; i < FLOW_WORLD_VMS; i++) {
+		fw_crash_worker(&fw->vms[i]);
+		fw->vms[i].service = FLOW_WORLD_OTHER;
+		fw_boot_worker(&fw->vms[i]);
+	}
+	flow_world_run_ms(fw, 8000);
+	fw->run_ms = 0;
+	fw->overcommitted = true;
+	busy.lasting = true;
+	busy.cpu_millis = 8000;
+	flow_world_submit(fw, "pp", &busy, 1);
+	flow_world_run_ms(fw, 1000);
+	ck_assert_uint_eq(fw_running(fw), 2);
+	TEXT_SET(queue.service, FLOW_WORLD_OTHER);
+	flow_world_put_queue(fw, &queue);
+	half.lasting = true;
+	half.cpu_millis = 6000; /* of 16000 of the service */
+	TEXT_SET(half.label, fw->vms[2].zone);
+	flow_world_submit(fw, "hh", &half, 1);
+	flow_world_run_ms(fw, 1000);
+	filler.filler = true;
+	filler.cpu_millis = 5000; /* two fifths of it are free */
+	TEXT_SET(filler.image, "f");
+	TEXT_SET(filler.label, fw->vms[2].zone);
+	flow_world_submit(fw, "ff", &filler, 1);
+	flow_world_run_ms(fw, 3000);
+	ck_assert(fw_runs(&fw->vms[2], "ff.0.0.0"));
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("flow_serving", test_fillers_are_not_starved,
 	   test_idle_serving_tasks_leave_room, test_held_filler_moves,
 	   test_held_filler_stays_for_its_step, test_serving_tasks_are_grouped,
-	   test_no_move_while_a_vm_is_down)
+	   test_no_move_while_a_vm_is_down, test_filler_beside_a_busy_service)
