Place long-running fillers that have waited, whatever their VMs' load

Cause: a filler takes a VM on which it gets less than half of its processors only if no task of its workflow is placed. The other tasks of a long-running step never end, so the lost one waited for ever.

Change: each waiting task of a long-running workflow takes any VM with memory after 1.2 s. The time of waiting starts anew once all tasks are placed.

Test, red before: flow_serving lasting_fillers_return.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -394,7 +394,7 @@
  * FLOW_IDLE_MAX_USED_PERCENT of its service's processors is in use, one of its
  * tasks is placed, even a filler that slows down serving tasks. The platform
  * requires a placement within 3 s if less than half of the processors is in
- * use.
+ * use, and within 9 s for each long-running task, however many are.
  */
 #define FLOW_IDLE_MAX_MS 1200
 #define FLOW_IDLE_MAX_USED_PERCENT 60
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -223,8 +223,9 @@
 	uint64_t work_core_ms; /* estimated work of all its tasks */
 	struct flow_work_mean *mean; /* of its queue */
 	/*
-	 * When placement first found none of its tasks placed, 0: one is placed
-	 * or placement hasn't come to this workflow yet.
+	 * When placement first found none of its tasks placed, or one of its
+	 * long-running tasks waiting. 0: this isn't so, or placement hasn't
+	 * come to this workflow yet.
 	 */
 	uint64_t idle_us;
 	/*
@@ -276,8 +277,9 @@
 	const struct flow_vm *avoid;
 	const struct flow_vm *except; /* VM that is never chosen, NULL: none */
 	/*
-	 * No task of the workflow is placed although processors are free, so a
-	 * filler may slow down serving tasks.
+	 * No task of the workflow is placed although processors are free, or
+	 * its long-running tasks have waited, so a filler may slow down serving
+	 * tasks.
 	 */
 	bool starved;
 	/* Evaluate only VMs that have changed since this number, 0: all. */
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -470,8 +470,8 @@
 		if (!vm)
 			return false;
 		flow_place_on(demand, i, task->run + 1, vm);
-		/* the workflow has a placed task now */
-		demand->starved = false;
+		/* The workflow has a placed task now. */
+		demand->starved = demand->starved && demand->step->lasting;
 	}
 	return true;
 }
@@ -538,24 +538,27 @@
 }
 
 /*
- * Returns true if a filler may be placed although it slows down serving tasks.
- * Fillers wait for a VM on which they slow down none, but no longer than
- * FLOW_IDLE_MAX_MS while most processors of their service are free: then each
- * workflow gets one task placed.
+ * Returns true if a filler may be placed although it slows down serving tasks,
+ * or gets few processors. Fillers wait for a better VM, but no longer than
+ * FLOW_IDLE_MAX_MS: then a workflow without a placed task gets one, while most
+ * processors of its service are free. Long-running tasks free no processors by
+ * their end, so each of them is placed then.
  */
 static bool flow_is_starved(const struct control_flow *flows,
 			    struct flow_rank *rank, GHashTable *services)
 {
+	const struct flow_record *record = &rank->flow->record;
 	uint64_t now_us = flows->control->node->now_us;
+	bool lasting = record->steps[0].lasting;
 
-	if (rank->flow->nr_placed) {
+	if (rank->flow->nr_placed && !lasting) {
 		rank->idle_us = 0;
 		return false;
 	}
 	if (!rank->idle_us)
 		rank->idle_us = now_us;
 	return now_us - rank->idle_us > FLOW_IDLE_MAX_MS * 1000ull &&
-	       flow_has_free_cpu(services, rank->flow->record.service);
+	       (lasting || flow_has_free_cpu(services, record->service));
 }
 
 /*
@@ -663,6 +666,8 @@
 
 		if (flow->nr_placed + flow->nr_done < flow->record.nr_tasks)
 			flow_rank_place(flows, rank, services);
+		else
+			rank->idle_us = 0;
 	}
 	flows->placing = false;
 	g_hash_table_unref(services);
--- a/tests/test_flow_serving.c
+++ b/tests/test_flow_serving.c
@@ -333,6 +333,38 @@
 }
 END_TEST
 
+/*
+ * Guards against long-running fillers that never run again once their workers
+ * have left, because the step's other tasks run and no other VM has half of its
+ * processors free.
+ */
+START_TEST(test_lasting_fillers_return)
+{
+	struct flow_world *fw = flow_world_new(41);
+	struct flow_step step = step_of(FLOW_WORLD_VMS);
+
+	step.lasting = true;
+	step.filler = true;
+	step.cpu_millis = 6000; /* of 8000 */
+	TEXT_SET(step.image, "f");
+	fw->lasting = "ll";
+	fw->run_ms = 0;
+	fw->overcommitted = true;
+	flow_world_submit(fw, "ll", &step, 1);
+	flow_world_run_ms(fw, 3000);
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		ck_assert_uint_eq(fw->vms[i].worker.runs->len, 1);
+	fw->vms[2].draining = true;
+	fw->vms[3].draining = true;
+	flow_world_run_ms(fw, 2500);
+	ck_assert_uint_eq(fw->vms[2].worker.runs->len, 0);
+	ck_assert_uint_eq(fw->vms[3].worker.runs->len, 0);
+	flow_world_run_ms(fw, 3500);
+	ck_assert_uint_eq(fw_running(fw), FLOW_WORLD_VMS);
+	flow_world_free(fw);
+}
+END_TEST
+
 /*
  * Guards against a filler that never starts while the workers of another
  * service are busy: only its own service's processors tell whether enough are
@@ -380,4 +412,5 @@
 SUITE_MAIN("flow_serving", test_fillers_are_not_starved,
 	   test_idle_serving_tasks_leave_room, test_held_filler_moves,
 	   test_held_filler_stays_for_its_step, test_serving_tasks_are_grouped,
-	   test_no_move_while_a_vm_is_down, test_filler_beside_a_busy_service)
+	   test_no_move_while_a_vm_is_down, test_lasting_fillers_return,
+	   test_filler_beside_a_busy_service)
