Find a workflow's rank in one place

control_flow_rank_change() and control_flow_rank_remove() looked for the rank in the same loop, and the latter computed an index from a pointer. No change of behaviour: flow, flow_queue, flow_serving and flow_load pass.

--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -470,7 +470,7 @@
 		if (!vm)
 			return false;
 		flow_place_on(demand, i, task->run + 1, vm);
-		/* The workflow has a placed task now. */
+		/* One placed task is enough, but long-running ones all run. */
 		demand->starved = demand->starved && demand->step->lasting;
 	}
 	return true;
--- a/src/core/control/control_flow_rank.c
+++ b/src/core/control/control_flow_rank.c
@@ -170,26 +170,27 @@
 		rank->abandoned_us = UINT64_MAX;
 }
 
-static struct flow_rank *flow_rank_find(struct control_flow *flows,
-					const struct state_flow *flow)
+/* Returns the workflow's index in the ranks, their number if it has none. */
+static guint flow_rank_index(const struct control_flow *flows,
+			     const struct state_flow *flow)
 {
-	for (guint i = 0; i < flows->ranks->len; i++) {
-		struct flow_rank *rank =
-			&g_array_index(flows->ranks, struct flow_rank, i);
+	guint i = 0;
 
-		if (rank->flow == flow)
-			return rank;
-	}
-	return NULL;
+	while (i < flows->ranks->len &&
+	       g_array_index(flows->ranks, struct flow_rank, i).flow != flow)
+		i++;
+	return i;
 }
 
 void control_flow_rank_change(struct control_flow *flows,
 			      const struct state_flow *flow)
 {
-	struct flow_rank *rank = flow_rank_find(flows, flow);
+	guint i = flow_rank_index(flows, flow);
+	struct flow_rank *rank;
 
-	if (!rank)
+	if (i == flows->ranks->len)
 		return;
+	rank = &g_array_index(flows->ranks, struct flow_rank, i);
 	flow_rank_set_due(flows, rank);
 	/* Other VMs may take its tasks now. */
 	rank->evaluated_change_nr = 0;
@@ -209,13 +210,10 @@
 void control_flow_rank_remove(struct control_flow *flows,
 			      const struct state_flow *flow)
 {
-	struct flow_rank *rank = flow_rank_find(flows, flow);
+	guint i = flow_rank_index(flows, flow);
 
-	if (rank)
-		g_array_remove_index(
-			flows->ranks,
-			(guint)(rank - (struct flow_rank *)(void *)
-					       flows->ranks->data));
+	if (i < flows->ranks->len)
+		g_array_remove_index(flows->ranks, i);
 }
 
 void control_flow_sort(struct control_flow *flows)
