--- a/tests/raft_world.h
+++ b/tests/raft_world.h
@@ -13,7 +13,7 @@
 #include "raft.h"
 #include "sim.h"
 
-#define WORLD_MAX_REPLICAS 10
+#define WORLD_MAX_REPLICAS 32
 
 struct disk;
 struct world;
