--- a/src/core/state/state_bundle.c
+++ b/src/core/state/state_bundle.c
@@ -191,8 +191,7 @@
 	return outcome;
 }
 
-/* Updates zones, services and workflows after a change of the bundle in force.
- */
+/* Updates what depends on the bundle after another one came into force. */
 static void state_bundle_enforce(struct state *state)
 {
 	const struct bundle *bundle = state->bundles.in_force;
