Log calls that another incarnation answers, and known restarts

The logs couldn't tell whether the leader that gave a run up knew of the restart, nor whether a call with a deadline on the earlier clock had reached the new incarnation. The agent logs call-misdirected with the start times, the deadline and the answering clock; the leader's worker and vm-lost lines have restarted=yes or no. No decision changes.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -95,6 +95,7 @@
 	uint64_t incarnation_nr; /* runner.incarnation_nr when it was sent */
 	bool extends_lease; /* the call has a new deadline for the lease */
 	uint64_t lease_until_us; /* end of that lease by the agent's clock */
+	uint64_t deadline_ms; /* the same by the worker's clock, 0: none */
 	char task[NAME_BYTES]; /* "" for EXEC_POLL */
 	uint32_t run;
 	uint32_t percent; /* EXEC_PACE: the new pace */
@@ -312,6 +313,10 @@
 /** Counts a reply; logs missing and unreadable replies, and refusals. */
 void runner_trace_reply(struct runner *runner, const struct runner_call *call,
 			const struct exec_reply *reply);
+/** Logs a call that another incarnation of the worker has answered. */
+void runner_log_misdirected(struct runner *runner,
+			    const struct runner_call *call,
+			    const struct exec_reply *reply);
 /** Appends the results of the last polls of the worker to a log line. */
 void runner_log_polls(const struct runner *runner, GString *line);
 /**
--- a/src/core/agent/runner_log.c
+++ b/src/core/agent/runner_log.c
@@ -101,6 +101,31 @@
 	node_log(runner->node, line);
 }
 
+void runner_log_misdirected(struct runner *runner,
+			    const struct runner_call *call,
+			    const struct exec_reply *reply)
+{
+	GString *line = logline_new("call-misdirected");
+
+	counter_inc_label2(runner->node->counters, "calls_misdirected", "kind",
+			   call_names[call->kind], "outcome",
+			   verdict_names[reply->verdict]);
+	logline_str(line, "kind", call_names[call->kind]);
+	if (call->task[0]) {
+		logline_str(line, "task", call->task);
+		logline_u64(line, "run", call->run);
+	}
+	logline_str(line, "worker", runner->worker.id);
+	logline_u64(line, "answered_born_ms", reply->born_ms);
+	logline_u64(line, "present_born_ms", runner->worker.born_ms);
+	logline_str(line, "outcome", verdict_names[reply->verdict]);
+	logline_u64(line, "deadline_ms", call->deadline_ms);
+	logline_u64(line, "clock_ms", reply->clock_ms);
+	logline_u64(line, "fence", call->fence);
+	logline_u64(line, "took_ms", ms_since(runner, call->sent_us));
+	node_log(runner->node, line);
+}
+
 /*
  * Returns true if the worker has accepted the lease's deadline in the call. A
  * refusal because of the run or of missing capacity accepts the deadline, too.
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -80,6 +80,7 @@
 	pending->fence = runner->fence;
 	pending->incarnation_nr = runner->incarnation_nr;
 	pending->extends_lease = call->deadline_ms != 0;
+	pending->deadline_ms = call->deadline_ms;
 	pending->run = call->run;
 	pending->percent = call->percent;
 	TEXT_SET(pending->task, call->task ? call->task : "");
@@ -457,6 +458,21 @@
 	return reply->born_ms && reply->born_ms != runner->worker.born_ms;
 }
 
+/*
+ * Returns true if a call for one incarnation was answered by another. The
+ * worker's id in the call is that of both.
+ */
+static bool runner_is_misdirected(const struct runner *runner,
+				  const struct runner_call *call,
+				  const struct exec_reply *reply)
+{
+	if (call->probe_kind || !reply->born_ms)
+		return false;
+	return call->incarnation_nr == runner->incarnation_nr ?
+		       runner_is_other_incarnation(runner, reply) :
+		       reply->born_ms == runner->worker.born_ms;
+}
+
 /*
  * Returns what another incarnation's reply means for the call. A run that this
  * incarnation has started must be stopped there, so its start call counts as
@@ -484,6 +500,8 @@
 		return;
 	g_hash_table_steal(runner->calls, &call_nr);
 	runner_trace_reply(runner, call, reply);
+	if (runner_is_misdirected(runner, call, reply))
+		runner_log_misdirected(runner, call, reply);
 	if (call->probe_kind) {
 		runner->probes_in_flight--;
 		runner_probe_done(runner, call, reply);
--- a/src/core/control/control_flow_log.c
+++ b/src/core/control/control_flow_log.c
@@ -315,6 +315,7 @@
 		    g_hash_table_size(vm->runs) - g_list_length(runs));
 	logline_str(line, "tasks", tasks->str);
 	log_bound(flows, vm, runs, line);
+	logline_str(line, "restarted", vm->restarted ? "yes" : "no");
 	logline_u64(line, "reachable_ms_ago",
 		    ms_since(flows, vm->reachable_us));
 	logline_u64(line, "lapsed_ms_ago", ms_since(flows, vm->lapse_us));
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -359,6 +359,7 @@
 	logline_u64(line, "cpu_millis", vm->worker.cpu_millis);
 	logline_u64(line, "memory_mib", vm->worker.memory_mib);
 	logline_u64(line, "runs", g_hash_table_size(vm->runs));
+	logline_str(line, "restarted", vm->restarted ? "yes" : "no");
 	logline_str(line, "change", change);
 	node_log(flows->control->node, line);
 }
