--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -338,11 +338,14 @@
 		call->carried_out = true;
 		call->answered = true;
 	}
-	if (!call->carried_out && vm->worker.up && call_is_due(call)) {
+	if (!call->carried_out && vm->worker.up && !vm->worker_cut &&
+	    call_is_due(call)) {
 		worker_carry_out(call, &call->reply);
 		call->answered = !call->lost;
 	}
-	/* A late call that arrives while the worker is down is lost. */
+	/*
+	 * A late call that arrives while the worker is down or cut off is lost.
+	 */
 	if (!call->carried_out && call->lost && call_is_due(call))
 		call->carried_out = true;
 	if (call->give_up_us)
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -79,7 +79,7 @@
 
 static void vm_heartbeat(struct fw_vm *vm)
 {
-	if (vm->runner && vm->worker.up && !vm->frozen)
+	if (vm->runner && vm->worker.up && !vm->frozen && !vm->worker_cut)
 		fw_heartbeat(vm, vm->worker.born_ms, ++vm->worker.seq);
 }
 
@@ -141,7 +141,8 @@
 static void vm_note_faults(struct fw_vm *vm)
 {
 	const bool present[] = { !vm->runner, vm->frozen, vm->cut,
-				 !vm->worker.up, vm->lose_ppm != 0 };
+				 !vm->worker.up || vm->worker_cut,
+				 vm->lose_ppm != 0 };
 	uint32_t faults = 0;
 
 	for (uint32_t i = 0; i < G_N_ELEMENTS(present); i++)
@@ -258,6 +259,12 @@
 			      cut);
 }
 
+void fw_cut_worker(struct fw_vm *vm, bool cut)
+{
+	vm->disturbed_us = fw_now_us(vm->world);
+	vm->worker_cut = cut;
+}
+
 struct fw_vm *fw_starting_vm(struct flow_world *fw,
 			     const uint64_t before[FLOW_WORLD_VMS])
 {
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -95,6 +95,7 @@
 	 */
 	uint64_t draining_us;
 	bool cut; /* see fw_cut() */
+	bool worker_cut; /* see fw_cut_worker() */
 	/*
 	 * Last time at which the agent was down, frozen or cut off, or its
 	 * connections to the worker failed.
@@ -218,6 +219,11 @@
 void fw_foreign_report(struct fw_vm *vm, enum fw_foreign foreign);
 /** Cuts the links of the VM's agent to all replicas, or restores them. */
 void fw_cut(struct fw_vm *vm, bool cut);
+/**
+ * Cuts the VM's worker off from its agent, or restores the connection: neither
+ * calls nor heartbeats arrive.
+ */
+void fw_cut_worker(struct fw_vm *vm, bool cut);
 /**
  * Returns a VM whose agent has called more starts than @a before, NULL if there
  * is none.
