Record restarts of workers in the replicated state

Cause: a call that was meant for the former incarnation has a deadline on its clock, which gives the new one the longest lease that workers accept, 10 s. Only the leader that saw the restart counted with that. A new leader counted with the 5 s that leaders grant, and placed the tasks elsewhere while their runs went on.

Change: the replicated state has the last reported incarnation of each VM's worker and whether such a lease may last (CMD_FLOW_WORKERS). Tasks are placed on an incarnation only once it is recorded. A new leader counts with the longest lease for the recorded VMs, from the start of its term. The record replaces the inference from runs that are placed on an earlier incarnation.

flow_orphan and flow_freeze used this fault to get runs that a new leader takes for lost; they lengthen the workers' leases directly instead.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -3472,6 +3472,96 @@
   assert(message->base.descriptor == &masticreach__cmd_pressure__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   masticreach__flow_worker__init
+                     (Masticreach__FlowWorker         *message)
+{
+  static const Masticreach__FlowWorker init_value = MASTICREACH__FLOW_WORKER__INIT;
+  *message = init_value;
+}
+size_t masticreach__flow_worker__get_packed_size
+                     (const Masticreach__FlowWorker *message)
+{
+  assert(message->base.descriptor == &masticreach__flow_worker__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__flow_worker__pack
+                     (const Masticreach__FlowWorker *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__flow_worker__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__flow_worker__pack_to_buffer
+                     (const Masticreach__FlowWorker *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__flow_worker__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__FlowWorker *
+       masticreach__flow_worker__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__FlowWorker *)
+     protobuf_c_message_unpack (&masticreach__flow_worker__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__flow_worker__free_unpacked
+                     (Masticreach__FlowWorker *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__flow_worker__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_flow_workers__init
+                     (Masticreach__CmdFlowWorkers         *message)
+{
+  static const Masticreach__CmdFlowWorkers init_value = MASTICREACH__CMD_FLOW_WORKERS__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_flow_workers__get_packed_size
+                     (const Masticreach__CmdFlowWorkers *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_flow_workers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_flow_workers__pack
+                     (const Masticreach__CmdFlowWorkers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_flow_workers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_flow_workers__pack_to_buffer
+                     (const Masticreach__CmdFlowWorkers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_flow_workers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdFlowWorkers *
+       masticreach__cmd_flow_workers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdFlowWorkers *)
+     protobuf_c_message_unpack (&masticreach__cmd_flow_workers__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_flow_workers__free_unpacked
+                     (Masticreach__CmdFlowWorkers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_flow_workers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   masticreach__task_record__init
                      (Masticreach__TaskRecord         *message)
 {
@@ -11103,6 +11193,121 @@
   (ProtobufCMessageInit) masticreach__cmd_pressure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor masticreach__flow_worker__field_descriptors[4] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowWorker, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowWorker, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowWorker, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "restarted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowWorker, restarted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__flow_worker__field_indices_by_name[] = {
+  2,   /* field[2] = born_ms */
+  1,   /* field[1] = id */
+  3,   /* field[3] = restarted */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange masticreach__flow_worker__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticreach__flow_worker__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.FlowWorker",
+  "FlowWorker",
+  "Masticreach__FlowWorker",
+  "masticreach",
+  sizeof(Masticreach__FlowWorker),
+  4,
+  masticreach__flow_worker__field_descriptors,
+  masticreach__flow_worker__field_indices_by_name,
+  1,  masticreach__flow_worker__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_worker__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_flow_workers__field_descriptors[1] =
+{
+  {
+    "workers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__CmdFlowWorkers, n_workers),
+    offsetof(Masticreach__CmdFlowWorkers, workers),
+    &masticreach__flow_worker__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__cmd_flow_workers__field_indices_by_name[] = {
+  0,   /* field[0] = workers */
+};
+static const ProtobufCIntRange masticreach__cmd_flow_workers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_flow_workers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdFlowWorkers",
+  "CmdFlowWorkers",
+  "Masticreach__CmdFlowWorkers",
+  "masticreach",
+  sizeof(Masticreach__CmdFlowWorkers),
+  1,
+  masticreach__cmd_flow_workers__field_descriptors,
+  masticreach__cmd_flow_workers__field_indices_by_name,
+  1,  masticreach__cmd_flow_workers__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_flow_workers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor masticreach__task_record__field_descriptors[13] =
 {
   {
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -92,6 +92,8 @@
 typedef struct Masticreach__CmdFlowChange Masticreach__CmdFlowChange;
 typedef struct Masticreach__CmdFlowExpire Masticreach__CmdFlowExpire;
 typedef struct Masticreach__CmdPressure Masticreach__CmdPressure;
+typedef struct Masticreach__FlowWorker Masticreach__FlowWorker;
+typedef struct Masticreach__CmdFlowWorkers Masticreach__CmdFlowWorkers;
 typedef struct Masticreach__TaskRecord Masticreach__TaskRecord;
 typedef struct Masticreach__StateCounters Masticreach__StateCounters;
 
@@ -1253,6 +1255,30 @@
     , 0,NULL }
 
 
+struct  Masticreach__FlowWorker
+{
+  ProtobufCMessage base;
+  char *vm;
+  char *id;
+  uint64_t born_ms;
+  protobuf_c_boolean restarted;
+};
+#define MASTICREACH__FLOW_WORKER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_worker__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Masticreach__CmdFlowWorkers
+{
+  ProtobufCMessage base;
+  size_t n_workers;
+  Masticreach__FlowWorker **workers;
+};
+#define MASTICREACH__CMD_FLOW_WORKERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__cmd_flow_workers__descriptor) \
+    , 0,NULL }
+
+
 struct  Masticreach__TaskRecord
 {
   ProtobufCMessage base;
@@ -2750,6 +2776,44 @@
 void   masticreach__cmd_pressure__free_unpacked
                      (Masticreach__CmdPressure *message,
                       ProtobufCAllocator *allocator);
+/* Masticreach__FlowWorker methods */
+void   masticreach__flow_worker__init
+                     (Masticreach__FlowWorker         *message);
+size_t masticreach__flow_worker__get_packed_size
+                     (const Masticreach__FlowWorker   *message);
+size_t masticreach__flow_worker__pack
+                     (const Masticreach__FlowWorker   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_worker__pack_to_buffer
+                     (const Masticreach__FlowWorker   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowWorker *
+       masticreach__flow_worker__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_worker__free_unpacked
+                     (Masticreach__FlowWorker *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__CmdFlowWorkers methods */
+void   masticreach__cmd_flow_workers__init
+                     (Masticreach__CmdFlowWorkers         *message);
+size_t masticreach__cmd_flow_workers__get_packed_size
+                     (const Masticreach__CmdFlowWorkers   *message);
+size_t masticreach__cmd_flow_workers__pack
+                     (const Masticreach__CmdFlowWorkers   *message,
+                      uint8_t             *out);
+size_t masticreach__cmd_flow_workers__pack_to_buffer
+                     (const Masticreach__CmdFlowWorkers   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__CmdFlowWorkers *
+       masticreach__cmd_flow_workers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__cmd_flow_workers__free_unpacked
+                     (Masticreach__CmdFlowWorkers *message,
+                      ProtobufCAllocator *allocator);
 /* Masticreach__TaskRecord methods */
 void   masticreach__task_record__init
                      (Masticreach__TaskRecord         *message);
@@ -3021,6 +3085,12 @@
 typedef void (*Masticreach__CmdPressure_Closure)
                  (const Masticreach__CmdPressure *message,
                   void *closure_data);
+typedef void (*Masticreach__FlowWorker_Closure)
+                 (const Masticreach__FlowWorker *message,
+                  void *closure_data);
+typedef void (*Masticreach__CmdFlowWorkers_Closure)
+                 (const Masticreach__CmdFlowWorkers *message,
+                  void *closure_data);
 typedef void (*Masticreach__TaskRecord_Closure)
                  (const Masticreach__TaskRecord *message,
                   void *closure_data);
@@ -3110,6 +3180,8 @@
 extern const ProtobufCMessageDescriptor masticreach__cmd_flow_change__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__cmd_flow_expire__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__cmd_pressure__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_worker__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__cmd_flow_workers__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__task_record__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__state_counters__descriptor;
 
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -199,6 +199,27 @@
 	struct pressure_pair *pairs;
 };
 
+/**
+ * The incarnation of a VM's worker that was reported last. The record of a
+ * snapshot, too. Tells later leaders that the worker was restarted.
+ */
+struct flow_worker {
+	char vm[NAME_BYTES];
+	char id[NAME_BYTES]; /* in a command, "": drops the VM's record */
+	uint64_t born_ms; /* start time of the incarnation */
+	/*
+	 * It has the id of an earlier incarnation, a call to which may have
+	 * given it a longer lease than any leader has granted.
+	 */
+	bool restarted;
+};
+
+/** Sets the records of some VMs' workers. */
+struct cmd_flow_workers {
+	uint32_t nr_workers;
+	struct flow_worker *workers;
+};
+
 /* ---- messages between entries and control ---- */
 
 enum flow_call_kind {
--- a/src/core/base/schema.h
+++ b/src/core/base/schema.h
@@ -78,6 +78,7 @@
 	CMD_FLOW_CHANGE = 118,
 	CMD_FLOW_EXPIRE = 119,
 	CMD_PRESSURE = 120,
+	CMD_FLOW_WORKERS = 121,
 	/* records of its snapshots, command.h and flow.h */
 	REC_BUNDLE = 150,
 	REC_ZONE = 151,
@@ -88,6 +89,7 @@
 	REC_COUNTERS = 156,
 	REC_FLOW = 157,
 	REC_PRESSURE = 158,
+	REC_FLOW_WORKER = 159,
 	/* enum op_type: operators' requests and replies, op.h */
 	OP_FIRST = 200,
 	OP_LAST = 249,
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -108,6 +108,21 @@
 static SCHEMA(cmd_pressure_schema, "CmdPressure", cmd_pressure,
 	      cmd_pressure_fields);
 
+static const struct field flow_worker_fields[] = {
+	F_STRING(flow_worker, vm),
+	F_STRING(flow_worker, id),
+	F_U64(flow_worker, born_ms),
+	F_BOOL(flow_worker, restarted),
+};
+static SCHEMA(flow_worker_schema, "FlowWorker", flow_worker,
+	      flow_worker_fields);
+
+static const struct field cmd_flow_workers_fields[] = {
+	F_STRUCTS(cmd_flow_workers, workers, flow_worker_schema),
+};
+static SCHEMA(cmd_flow_workers_schema, "CmdFlowWorkers", cmd_flow_workers,
+	      cmd_flow_workers_fields);
+
 static const struct field flow_call_fields[] = {
 	F_U64(flow_call, ticket),
 	F_U32(flow_call, kind),
@@ -218,7 +233,9 @@
 	{ CMD_FLOW_EXPIRE, &cmd_flow_expire_schema },
 	{ CMD_BUNDLE_PUT, &bundle_schema },
 	{ CMD_PRESSURE, &cmd_pressure_schema },
+	{ CMD_FLOW_WORKERS, &cmd_flow_workers_schema },
 	{ REC_FLOW, &flow_record_schema },
 	{ REC_PRESSURE, &pressure_pair_schema },
+	{ REC_FLOW_WORKER, &flow_worker_schema },
 	{ TYPE_NONE, NULL },
 };
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -28,9 +28,7 @@
 	vm->runs = g_hash_table_new(NULL, NULL);
 	vm->orphans = g_array_new(FALSE, FALSE, sizeof(struct flow_orphan));
 	vm->ends = g_array_new(FALSE, FALSE, sizeof(struct flow_run_end));
-	/* Leases that an earlier leader granted have ended by this time. */
-	vm->lapse_us =
-		flows->control->leader_since_us + flows->lease_ms * 1000ull;
+	control_flow_worker_inherit(flows, vm);
 	vm->reachable_us = flows->control->leader_since_us;
 	g_hash_table_insert(flows->vms, vm->name, vm);
 	return vm;
@@ -554,6 +552,8 @@
 	flows->place_timer = (struct timer){ control_flow_place, flows };
 	flows->order_timer = (struct timer){ control_flow_send_orders, flows };
 	flows->check_timer = (struct timer){ control_flow_check, flows };
+	flows->worker_timer =
+		(struct timer){ control_flow_record_workers, flows };
 	control_flow_load_weights(flows);
 	for (GTreeNode *node = g_tree_node_first(control->state->flows); node;
 	     node = g_tree_node_next(node))
@@ -573,6 +573,7 @@
 	timer_cancel(timers, &flows->place_timer);
 	timer_cancel(timers, &flows->order_timer);
 	timer_cancel(timers, &flows->check_timer);
+	timer_cancel(timers, &flows->worker_timer);
 	g_hash_table_unref(flows->left_vms);
 	g_hash_table_unref(flows->orders);
 	g_hash_table_unref(flows->waits);
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -56,6 +56,11 @@
 	 * incarnation was listed yet, see flow_note_late_calls().
 	 */
 	bool restarted;
+	/*
+	 * Latest time at which the lease of a restarted worker can end because
+	 * of a call to the earlier incarnation, 0: not restarted.
+	 */
+	uint64_t restart_lapse_us;
 	/*
 	 * The end of the VM's runs as lost is proposed; the VM gets no grants
 	 * until this is committed.
@@ -319,6 +324,9 @@
 	struct timer place_timer;
 	struct timer order_timer;
 	struct timer check_timer;
+	struct timer worker_timer;
+	bool workers_proposed; /* a CMD_FLOW_WORKERS has no outcome yet */
+	uint64_t workers_dropped_us; /* last search for records to drop */
 	/* When learned weights were last proposed for saving. */
 	uint64_t pressure_saved_us;
 	/* When control_flow_group_serving() last searched for moves. */
@@ -385,6 +393,33 @@
 bool control_flow_has_orphan(const struct control_flow *flows,
 			     const struct state_flow *flow, uint32_t task);
 
+/* control_flow_worker.c */
+/**
+ * Returns the latest time at which the lease that the VM's worker got from
+ * earlier leaders can end.
+ */
+uint64_t control_flow_inherited_lapse_us(const struct control_flow *flows,
+					 const char *vm);
+/** Sets what earlier leaders knew of the VM's worker. */
+void control_flow_worker_inherit(struct control_flow *flows,
+				 struct flow_vm *vm);
+/**
+ * Returns true if the worker, which isn't the incarnation that was last
+ * reported to this leader, was restarted under its identity.
+ */
+bool control_flow_worker_is_restarted(const struct control_flow *flows,
+				      const struct flow_vm *vm,
+				      const struct worker_incarnation *worker);
+/**
+ * Returns true if the replicated state has the reported incarnation of the
+ * VM's worker. No task is placed on it before, as a later leader wouldn't know
+ * of its restart.
+ */
+bool control_flow_worker_is_recorded(const struct control_flow *flows,
+				     const struct flow_vm *vm);
+/** Timer function: proposes the records of workers that have changed. */
+void control_flow_record_workers(void *data, uint64_t now_us);
+
 /* control_flow_orphan.c */
 /**
  * Returns the committed placement of the run at the VM, NULL if it isn't placed
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -278,8 +278,9 @@
 {
 	const struct flow_task *task =
 		&placed->flow->record.tasks[placed->task];
-	uint64_t until_us = flows->control->leader_since_us +
-			    (flows->lease_ms + FLOW_LEASE_MARGIN_MS) * 1000ull;
+	uint64_t until_us =
+		control_flow_inherited_lapse_us(flows, placed->vm->name) +
+		FLOW_LEASE_MARGIN_MS * 1000ull;
 
 	return task->born_ms > placed->vm->worker.born_ms &&
 	       flows->control->node->now_us <= until_us;
@@ -364,30 +365,6 @@
 	node_log(flows->control->node, line);
 }
 
-/*
- * Returns true if a run was placed on an earlier incarnation of the worker
- * under the same identity, so that the worker has been restarted.
- */
-static bool
-flow_had_earlier_incarnation(const struct flow_vm *vm,
-			     const struct worker_incarnation *worker)
-{
-	GHashTableIter iter;
-	void *key;
-
-	g_hash_table_iter_init(&iter, vm->runs);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const struct flow_placement *placed = key;
-		const struct flow_task *task =
-			&placed->flow->record.tasks[placed->task];
-
-		if (placed->committed && !strcmp(task->worker, worker->id) &&
-		    task->born_ms < worker->born_ms)
-			return true;
-	}
-	return false;
-}
-
 /*
  * Stores the reported description of the worker; logs a new, draining or ended
  * worker.
@@ -398,7 +375,6 @@
 	const struct worker_incarnation *worker = &report->worker;
 	bool same = !strcmp(vm->worker.id, worker->id) &&
 		    vm->worker.born_ms == worker->born_ms;
-	bool restarted = !same && !strcmp(vm->worker.id, worker->id);
 	bool draining = worker->draining && !vm->worker.draining;
 	bool ended = worker->ended && !vm->worker.ended;
 
@@ -411,11 +387,13 @@
 	 */
 	if (!same && vm->worker.id[0])
 		vm->lost_us = 0;
+	if (!same)
+		vm->restarted =
+			control_flow_worker_is_restarted(flows, vm, worker);
 	vm->worker = *worker;
 	if (!same) {
 		flow_raise_fence(vm);
-		vm->restarted = restarted ||
-				flow_had_earlier_incarnation(vm, worker);
+		node_timer_ms(flows->control->node, &flows->worker_timer, 0);
 		vm->settled_nr = 0;
 		vm->checked_end_nr = 0;
 		vm->fail_permille = 0;
@@ -520,10 +498,11 @@
 				 const struct flow_report *report)
 {
 	/* An agent whose worker is gone may report the restart for ever. */
-	if (vm->restarted && report->reachable)
-		flow_extend_lapse(vm, FLOW_BOUND_RESTART,
-				  vm->reported_us +
-					  control_flow_longest_lease_us(flows));
+	if (vm->restarted && report->reachable) {
+		vm->restart_lapse_us =
+			vm->reported_us + control_flow_longest_lease_us(flows);
+		flow_extend_lapse(vm, FLOW_BOUND_RESTART, vm->restart_lapse_us);
+	}
 	if (report->late_ms)
 		vm->late_start_us =
 			MAX(vm->late_start_us,
@@ -711,6 +690,7 @@
 	}
 	control_flow_set_gauges(flows);
 	control_flow_save_weights(flows);
+	control_flow_record_workers(flows, now_us);
 	control_flow_group_serving(flows);
 	control_flow_place_soon(flows);
 }
--- /dev/null
+++ b/src/core/control/control_flow_worker.c
@@ -0,0 +1,171 @@
+#include <string.h>
+
+#include "control_flow_impl.h"
+
+/*
+ * Records of workers in the replicated state. A worker that was restarted under
+ * its identity may have accepted a call to its earlier incarnation, whose
+ * deadline gives it the longest lease. A new leader has to know that, also if
+ * neither the worker nor its agent can tell it any more.
+ */
+
+static bool is_incarnation(const struct flow_worker *record,
+			   const struct worker_incarnation *worker)
+{
+	return !strcmp(record->id, worker->id) &&
+	       record->born_ms == worker->born_ms;
+}
+
+/*
+ * Returns true if the worker's lease may be longer than the granted one because
+ * it was restarted, by what is known of it from before this leader's term.
+ */
+static bool was_restarted(const struct control_flow *flows, const char *vm)
+{
+	const struct flow_worker *record =
+		state_worker_find(flows->control->state, vm);
+
+	return record && record->restarted;
+}
+
+uint64_t control_flow_inherited_lapse_us(const struct control_flow *flows,
+					 const char *vm)
+{
+	return flows->control->leader_since_us +
+	       (was_restarted(flows, vm) ?
+			control_flow_longest_lease_us(flows) :
+			flows->lease_ms * 1000ull);
+}
+
+void control_flow_worker_inherit(struct control_flow *flows, struct flow_vm *vm)
+{
+	vm->lapse_us = control_flow_inherited_lapse_us(flows, vm->name);
+	if (!was_restarted(flows, vm->name))
+		return;
+	vm->restarted = true;
+	vm->restart_lapse_us = vm->lapse_us;
+	vm->bound = FLOW_BOUND_RESTART;
+}
+
+bool control_flow_worker_is_restarted(const struct control_flow *flows,
+				      const struct flow_vm *vm,
+				      const struct worker_incarnation *worker)
+{
+	const struct flow_worker *record =
+		state_worker_find(flows->control->state, vm->name);
+
+	if (vm->worker.id[0])
+		return !strcmp(vm->worker.id, worker->id);
+	/* A state that an earlier version wrote has runs, but no record. */
+	if (!record)
+		return g_hash_table_size(vm->runs) > 0;
+	return is_incarnation(record, worker) ? record->restarted :
+						!strcmp(record->id, worker->id);
+}
+
+bool control_flow_worker_is_recorded(const struct control_flow *flows,
+				     const struct flow_vm *vm)
+{
+	const struct flow_worker *record =
+		state_worker_find(flows->control->state, vm->name);
+
+	return record && is_incarnation(record, &vm->worker) &&
+	       (record->restarted || !vm->restarted);
+}
+
+/* Adds the VM's record to @a changes if the replicated one isn't up to date. */
+static void add_change(const struct control_flow *flows,
+		       const struct flow_vm *vm, GArray *changes)
+{
+	const struct flow_worker *record =
+		state_worker_find(flows->control->state, vm->name);
+	struct flow_worker change = { 0 };
+
+	if (!vm->worker.id[0])
+		return;
+	TEXT_SET(change.vm, vm->name);
+	TEXT_SET(change.id, vm->worker.id);
+	change.born_ms = vm->worker.born_ms;
+	change.restarted =
+		vm->restarted ||
+		flows->control->node->now_us <=
+			vm->restart_lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
+	if (!record || !is_incarnation(record, &vm->worker) ||
+	    record->restarted != change.restarted)
+		g_array_append_val(changes, change);
+}
+
+struct drop_search {
+	const struct control_flow *flows;
+	GArray *changes;
+};
+
+/* Adds a change that drops the record if its VM hasn't reported for long. */
+static gboolean add_drop(gpointer key, gpointer value, gpointer data)
+{
+	const struct flow_worker *record = value;
+	struct drop_search *search = data;
+	const struct control *control = search->flows->control;
+	const struct flow_vm *vm =
+		g_hash_table_lookup(search->flows->vms, record->vm);
+	uint64_t since_us = vm && vm->reported ? vm->reported_us :
+						 control->leader_since_us;
+	struct flow_worker change = { 0 };
+
+	if (control->node->now_us - since_us <
+		    FLOW_WORKER_FORGET_MS * 1000ull ||
+	    (vm && g_hash_table_size(vm->runs)))
+		return FALSE;
+	TEXT_SET(change.vm, record->vm);
+	g_array_append_val(search->changes, change);
+	return FALSE;
+}
+
+static void add_drops(struct control_flow *flows, GArray *changes)
+{
+	struct drop_search search = { flows, changes };
+	uint64_t now_us = flows->control->node->now_us;
+
+	if (now_us - flows->workers_dropped_us <
+	    FLOW_WORKER_FORGET_CHECK_MS * 1000ull)
+		return;
+	flows->workers_dropped_us = now_us;
+	g_tree_foreach(flows->control->state->workers, add_drop, &search);
+}
+
+static void records_done(struct control *control,
+			 const struct control_proposal *proposal,
+			 const struct state_outcome *outcome)
+{
+	struct control_flow *flows = control->flows;
+
+	if (!flows)
+		return;
+	flows->workers_proposed = false;
+	if (!outcome->result)
+		control_flow_place_soon(flows);
+}
+
+void control_flow_record_workers(void *data, uint64_t now_us)
+{
+	struct control_flow *flows = data;
+	struct control_proposal proposal = { .done = records_done };
+	struct cmd_flow_workers cmd = { 0 };
+	GHashTableIter iter;
+	GArray *changes;
+	void *value;
+
+	if (flows->workers_proposed)
+		return;
+	changes = g_array_new(FALSE, FALSE, sizeof(struct flow_worker));
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		add_change(flows, value, changes);
+	add_drops(flows, changes);
+	cmd.nr_workers = MIN(changes->len, FLOW_WORKERS_MAX);
+	cmd.workers = (struct flow_worker *)(void *)changes->data;
+	if (changes->len)
+		flows->workers_proposed = !control_propose(
+			flows->control, CMD_FLOW_WORKERS, &cmd, &proposal);
+	g_array_unref(changes);
+}
--- a/src/core/state/state.c
+++ b/src/core/state/state.c
@@ -32,6 +32,7 @@
 	{ CMD_FLOW_CHANGE, state_flow_change },
 	{ CMD_FLOW_EXPIRE, state_flow_expire },
 	{ CMD_PRESSURE, state_pressure_set },
+	{ CMD_FLOW_WORKERS, state_worker_set },
 };
 
 static void state_add_record(uint32_t type, const void *body, GArray *out)
@@ -87,6 +88,12 @@
 	return FALSE;
 }
 
+static gboolean state_add_worker(gpointer key, gpointer value, gpointer data)
+{
+	state_add_record(REC_FLOW_WORKER, value, data);
+	return FALSE;
+}
+
 static gint state_compare_keys(gconstpointer a, gconstpointer b)
 {
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
@@ -118,6 +125,7 @@
 	g_clear_pointer(&state->claims, g_hash_table_unref);
 	g_clear_pointer(&state->flows, g_tree_unref);
 	g_clear_pointer(&state->pressures, g_tree_unref);
+	g_clear_pointer(&state->workers, g_tree_unref);
 	g_clear_pointer(&state->job_keys, g_hash_table_unref);
 	g_clear_pointer(&state->tasks, g_tree_unref);
 	g_clear_pointer(&state->jobs, g_tree_unref);
@@ -138,6 +146,8 @@
 				       state_flow_free);
 	state->pressures =
 		g_tree_new_full(state_compare_names, NULL, g_free, g_free);
+	state->workers =
+		g_tree_new_full(state_compare_names, NULL, NULL, g_free);
 	state->job_keys = g_hash_table_new(g_str_hash, g_str_equal);
 	state->claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      claim_free);
@@ -206,6 +216,7 @@
 	g_tree_foreach(state->tasks, state_add_task, out);
 	g_tree_foreach(state->flows, state_add_flow, out);
 	g_tree_foreach(state->pressures, state_add_pressure, out);
+	g_tree_foreach(state->workers, state_add_worker, out);
 	state_add_claims(state, out);
 	*nr_records = out->len;
 	return (struct snapshot_record *)(void *)g_array_free(out, FALSE);
@@ -244,6 +255,9 @@
 		case REC_PRESSURE:
 			state_pressure_restore(state, body);
 			break;
+		case REC_FLOW_WORKER:
+			state_worker_restore(state, body);
+			break;
 		case REC_CLAIM:
 			claim_restore(state, body);
 			break;
--- a/src/core/state/state.h
+++ b/src/core/state/state.h
@@ -22,6 +22,7 @@
 #include "result.h"
 #include "state_task.h"
 #include "state_vm.h"
+#include "state_worker.h"
 #include "state_zone.h"
 
 /** The outcome of a command. */
@@ -61,6 +62,7 @@
 	GHashTable *job_keys; /* key -> struct state_job *, borrowed */
 	GTree *flows; /* id -> struct state_flow * */
 	GTree *pressures; /* "SERVING\nFILLER" -> struct pressure_pair * */
+	GTree *workers; /* VM name -> struct flow_worker * */
 	GHashTable *claims; /* service and key -> struct claim_record * */
 	const struct state_watch_ops *watch;
 	void *watch_ctx;
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -259,6 +259,11 @@
 			      cut);
 }
 
+void fw_extend_lease(struct fw_vm *vm)
+{
+	vm->worker.lease_ms = fw_clock_ms(vm) + WORLD_WORKER_LEASE_MS;
+}
+
 void fw_cut_worker(struct fw_vm *vm, bool cut)
 {
 	vm->disturbed_us = fw_now_us(vm->world);
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -219,6 +219,11 @@
 void fw_foreign_report(struct fw_vm *vm, enum fw_foreign foreign);
 /** Cuts the links of the VM's agent to all replicas, or restores them. */
 void fw_cut(struct fw_vm *vm, bool cut);
+/**
+ * Gives the worker the longest lease it accepts, whatever its agent was
+ * granted: its runs outlast the time at which the leader takes them for lost.
+ */
+void fw_extend_lease(struct fw_vm *vm);
 /**
  * Cuts the VM's worker off from its agent, or restores the connection: neither
  * calls nor heartbeats arrive.
