Record starts without an answer for later leaders

A worker that is restarted under its identity may carry out a start up to 12 s after the call.

Change: the record of a VM's worker names the placed runs whose start had no answer, and a new leader waits for these as long. Reports tell a start that waits for its answer from one without an answer; only the latter is recorded, at once.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -3472,6 +3472,51 @@
   assert(message->base.descriptor == &masticreach__cmd_pressure__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   masticreach__flow_unconfirmed__init
+                     (Masticreach__FlowUnconfirmed         *message)
+{
+  static const Masticreach__FlowUnconfirmed init_value = MASTICREACH__FLOW_UNCONFIRMED__INIT;
+  *message = init_value;
+}
+size_t masticreach__flow_unconfirmed__get_packed_size
+                     (const Masticreach__FlowUnconfirmed *message)
+{
+  assert(message->base.descriptor == &masticreach__flow_unconfirmed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__flow_unconfirmed__pack
+                     (const Masticreach__FlowUnconfirmed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__flow_unconfirmed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__flow_unconfirmed__pack_to_buffer
+                     (const Masticreach__FlowUnconfirmed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__flow_unconfirmed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__FlowUnconfirmed *
+       masticreach__flow_unconfirmed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__FlowUnconfirmed *)
+     protobuf_c_message_unpack (&masticreach__flow_unconfirmed__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__flow_unconfirmed__free_unpacked
+                     (Masticreach__FlowUnconfirmed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__flow_unconfirmed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   masticreach__flow_worker__init
                      (Masticreach__FlowWorker         *message)
 {
@@ -7956,7 +8001,7 @@
   (ProtobufCMessageInit) masticreach__worker_life__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_run__field_descriptors[8] =
+static const ProtobufCFieldDescriptor masticreach__flow_run__field_descriptors[9] =
 {
   {
     "task",
@@ -8054,6 +8099,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "starting",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowRun, starting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__flow_run__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
@@ -8061,6 +8118,7 @@
   7,   /* field[7] = pace */
   5,   /* field[5] = percent */
   1,   /* field[1] = run */
+  8,   /* field[8] = starting */
   0,   /* field[0] = task */
   2,   /* field[2] = unconfirmed */
   3,   /* field[3] = unordered */
@@ -8068,7 +8126,7 @@
 static const ProtobufCIntRange masticreach__flow_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_run__descriptor =
 {
@@ -8078,7 +8136,7 @@
   "Masticreach__FlowRun",
   "masticreach",
   sizeof(Masticreach__FlowRun),
-  8,
+  9,
   masticreach__flow_run__field_descriptors,
   masticreach__flow_run__field_indices_by_name,
   1,  masticreach__flow_run__number_ranges,
@@ -11193,7 +11251,58 @@
   (ProtobufCMessageInit) masticreach__cmd_pressure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_worker__field_descriptors[4] =
+static const ProtobufCFieldDescriptor masticreach__flow_unconfirmed__field_descriptors[2] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowUnconfirmed, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowUnconfirmed, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__flow_unconfirmed__field_indices_by_name[] = {
+  1,   /* field[1] = run */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange masticreach__flow_unconfirmed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__flow_unconfirmed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.FlowUnconfirmed",
+  "FlowUnconfirmed",
+  "Masticreach__FlowUnconfirmed",
+  "masticreach",
+  sizeof(Masticreach__FlowUnconfirmed),
+  2,
+  masticreach__flow_unconfirmed__field_descriptors,
+  masticreach__flow_unconfirmed__field_indices_by_name,
+  1,  masticreach__flow_unconfirmed__number_ranges,
+  (ProtobufCMessageInit) masticreach__flow_unconfirmed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__flow_worker__field_descriptors[5] =
 {
   {
     "vm",
@@ -11243,17 +11352,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unconfirmed",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__FlowWorker, n_unconfirmed),
+    offsetof(Masticreach__FlowWorker, unconfirmed),
+    &masticreach__flow_unconfirmed__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__flow_worker__field_indices_by_name[] = {
   2,   /* field[2] = born_ms */
   1,   /* field[1] = id */
   3,   /* field[3] = restarted */
+  4,   /* field[4] = unconfirmed */
   0,   /* field[0] = vm */
 };
 static const ProtobufCIntRange masticreach__flow_worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_worker__descriptor =
 {
@@ -11263,7 +11385,7 @@
   "Masticreach__FlowWorker",
   "masticreach",
   sizeof(Masticreach__FlowWorker),
-  4,
+  5,
   masticreach__flow_worker__field_descriptors,
   masticreach__flow_worker__field_indices_by_name,
   1,  masticreach__flow_worker__number_ranges,
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -92,6 +92,7 @@
 typedef struct Masticreach__CmdFlowChange Masticreach__CmdFlowChange;
 typedef struct Masticreach__CmdFlowExpire Masticreach__CmdFlowExpire;
 typedef struct Masticreach__CmdPressure Masticreach__CmdPressure;
+typedef struct Masticreach__FlowUnconfirmed Masticreach__FlowUnconfirmed;
 typedef struct Masticreach__FlowWorker Masticreach__FlowWorker;
 typedef struct Masticreach__CmdFlowWorkers Masticreach__CmdFlowWorkers;
 typedef struct Masticreach__TaskRecord Masticreach__TaskRecord;
@@ -730,10 +731,11 @@
   uint32_t percent;
   uint32_t figure;
   uint32_t pace;
+  protobuf_c_boolean starting;
 };
 #define MASTICREACH__FLOW_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_run__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Masticreach__FlowRunEnd
@@ -1255,6 +1257,17 @@
     , 0,NULL }
 
 
+struct  Masticreach__FlowUnconfirmed
+{
+  ProtobufCMessage base;
+  char *task;
+  uint32_t run;
+};
+#define MASTICREACH__FLOW_UNCONFIRMED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_unconfirmed__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Masticreach__FlowWorker
 {
   ProtobufCMessage base;
@@ -1262,10 +1275,12 @@
   char *id;
   uint64_t born_ms;
   protobuf_c_boolean restarted;
+  size_t n_unconfirmed;
+  Masticreach__FlowUnconfirmed **unconfirmed;
 };
 #define MASTICREACH__FLOW_WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_worker__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 struct  Masticreach__CmdFlowWorkers
@@ -2776,6 +2791,25 @@
 void   masticreach__cmd_pressure__free_unpacked
                      (Masticreach__CmdPressure *message,
                       ProtobufCAllocator *allocator);
+/* Masticreach__FlowUnconfirmed methods */
+void   masticreach__flow_unconfirmed__init
+                     (Masticreach__FlowUnconfirmed         *message);
+size_t masticreach__flow_unconfirmed__get_packed_size
+                     (const Masticreach__FlowUnconfirmed   *message);
+size_t masticreach__flow_unconfirmed__pack
+                     (const Masticreach__FlowUnconfirmed   *message,
+                      uint8_t             *out);
+size_t masticreach__flow_unconfirmed__pack_to_buffer
+                     (const Masticreach__FlowUnconfirmed   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__FlowUnconfirmed *
+       masticreach__flow_unconfirmed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__flow_unconfirmed__free_unpacked
+                     (Masticreach__FlowUnconfirmed *message,
+                      ProtobufCAllocator *allocator);
 /* Masticreach__FlowWorker methods */
 void   masticreach__flow_worker__init
                      (Masticreach__FlowWorker         *message);
@@ -3085,6 +3119,9 @@
 typedef void (*Masticreach__CmdPressure_Closure)
                  (const Masticreach__CmdPressure *message,
                   void *closure_data);
+typedef void (*Masticreach__FlowUnconfirmed_Closure)
+                 (const Masticreach__FlowUnconfirmed *message,
+                  void *closure_data);
 typedef void (*Masticreach__FlowWorker_Closure)
                  (const Masticreach__FlowWorker *message,
                   void *closure_data);
@@ -3180,6 +3217,7 @@
 extern const ProtobufCMessageDescriptor masticreach__cmd_flow_change__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__cmd_flow_expire__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__cmd_pressure__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__flow_unconfirmed__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__flow_worker__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__cmd_flow_workers__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__task_record__descriptor;
--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -23,6 +23,8 @@
 	TEXT_SET(item.task, run->task);
 	item.run = run->run;
 	item.unconfirmed = run->phase != RUNNER_RUNNING;
+	item.starting = run->phase == RUNNER_NEW ||
+			run->phase == RUNNER_STARTING;
 	item.unordered = !run->ordered && !run->stop;
 	item.pace = run->pace;
 	g_array_append_val(runs, item);
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -199,9 +199,15 @@
 	struct pressure_pair *pairs;
 };
 
+/** A run whose start may still be carried out, or may have been. */
+struct flow_unconfirmed {
+	char task[NAME_BYTES];
+	uint32_t run;
+};
+
 /**
- * The incarnation of a VM's worker that was reported last. The record of a
- * snapshot, too. Tells later leaders that the worker was restarted.
+ * The incarnation of a VM's worker that was reported last, in the replicated
+ * state. Tells later leaders what the worker may still do.
  */
 struct flow_worker {
 	char vm[NAME_BYTES];
@@ -212,6 +218,9 @@
 	 * given it a longer lease than any leader has granted.
 	 */
 	bool restarted;
+	/* Starts without an answer, by its agent's reports. */
+	uint32_t nr_unconfirmed;
+	struct flow_unconfirmed *unconfirmed;
 };
 
 /** Sets the records of some VMs' workers. */
@@ -280,6 +289,8 @@
 	/** Serving task: tail latency in ms. Filler: CPU use in cpu_millis. */
 	uint32_t figure;
 	uint32_t pace; /* allowed speed in percent */
+	/* Unconfirmed: its start isn't called yet or waits for its answer. */
+	bool starting;
 };
 
 /** The end of a run. */
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -108,14 +108,21 @@
 static SCHEMA(cmd_pressure_schema, "CmdPressure", cmd_pressure,
 	      cmd_pressure_fields);
 
+static const struct field flow_unconfirmed_fields[] = {
+	F_STRING(flow_unconfirmed, task),
+	F_U32(flow_unconfirmed, run),
+};
+static SCHEMA(flow_unconfirmed_schema, "FlowUnconfirmed", flow_unconfirmed,
+	      flow_unconfirmed_fields);
+
 static const struct field flow_worker_fields[] = {
 	F_STRING(flow_worker, vm),
 	F_STRING(flow_worker, id),
 	F_U64(flow_worker, born_ms),
 	F_BOOL(flow_worker, restarted),
+	F_STRUCTS(flow_worker, unconfirmed, flow_unconfirmed_schema),
 };
-static SCHEMA(flow_worker_schema, "FlowWorker", flow_worker,
-	      flow_worker_fields);
+SCHEMA(flow_worker_schema, "FlowWorker", flow_worker, flow_worker_fields);
 
 static const struct field cmd_flow_workers_fields[] = {
 	F_STRUCTS(cmd_flow_workers, workers, flow_worker_schema),
@@ -163,6 +170,7 @@
 	F_BOOL(flow_run, unconfirmed),	F_BOOL(flow_run, unordered),
 	F_STRING(flow_run, checkpoint), F_U32(flow_run, percent),
 	F_U32(flow_run, figure),	F_U32(flow_run, pace),
+	F_BOOL(flow_run, starting),
 };
 static SCHEMA(flow_run_schema, "FlowRun", flow_run, flow_run_fields);
 
--- a/src/core/base/schema_tables.h
+++ b/src/core/base/schema_tables.h
@@ -28,6 +28,7 @@
 extern const struct schema cmd_vm_quarantine_schema;
 extern const struct schema cmd_zone_set_schema;
 extern const struct schema flow_record_schema;
+extern const struct schema flow_worker_schema;
 extern const struct schema job_record_schema;
 extern const struct schema member_schema;
 extern const struct schema platform_start_schema;
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -501,6 +501,7 @@
 					      control_flow_vm(flows, task->vm));
 		placed->committed = true;
 		placed->inherited = true;
+		control_flow_worker_inherit_run(flows, placed);
 	}
 }
 
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -164,6 +164,15 @@
 	bool listed; /* the worker runs it, by an agent's report */
 	/* Its start had no answer, by the last report that shows it. */
 	bool unconfirmed;
+	/*
+	 * By that report, its start isn't called yet or waits for its answer.
+	 */
+	bool starting;
+	/*
+	 * An earlier leader has recorded that its start may still be carried
+	 * out. Until this time it may be, 0: not recorded.
+	 */
+	uint64_t inherited_late_us;
 	/* A worker lists the end of an earlier run of the task as done. */
 	bool done_earlier;
 	uint64_t ordered_us; /* time of the last order, 0: none */
@@ -382,6 +391,11 @@
 uint64_t control_flow_fence(const struct control_flow *flows,
 			    const struct flow_vm *vm);
 void control_flow_grant(struct control_flow *flows, struct flow_vm *vm);
+/**
+ * Returns the time until which a later incarnation of the worker may carry out
+ * the run's start, 0 if the worker certainly has the run.
+ */
+uint64_t control_flow_late_start_us(const struct flow_placement *placed);
 /** Returns true if reports still show how the worker's runs end. */
 bool control_flow_vm_is_reporting(const struct control_flow *flows,
 				  const struct flow_vm *vm);
@@ -417,6 +431,11 @@
  */
 bool control_flow_worker_is_recorded(const struct control_flow *flows,
 				     const struct flow_vm *vm);
+/**
+ * Sets what earlier leaders have recorded of a run that they have placed.
+ */
+void control_flow_worker_inherit_run(const struct control_flow *flows,
+				     struct flow_placement *placed);
 /** Timer function: proposes the records of workers that have changed. */
 void control_flow_record_workers(void *data, uint64_t now_us);
 
--- a/src/core/control/control_flow_log.c
+++ b/src/core/control/control_flow_log.c
@@ -277,14 +277,14 @@
 	};
 	const char *bound = bounds[vm->bound];
 	uint64_t until_us = vm->lapse_us;
-	uint64_t late_us =
-		vm->late_start_us + control_flow_longest_lease_us(flows);
 
 	for (GList *item = runs; item; item = item->next) {
-		const struct flow_placement *placed = item->data;
+		uint64_t late_us = control_flow_late_start_us(item->data);
 
-		if (control_flow_is_at_worker(placed) ||
-		    late_us <= vm->lapse_us)
+		if (!late_us)
+			continue;
+		late_us += control_flow_longest_lease_us(flows);
+		if (late_us <= until_us)
 			continue;
 		bound = "late-start";
 		until_us = late_us;
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -134,7 +134,13 @@
 			continue;
 		}
 		g_hash_table_add(listed, placed);
+		/* Later leaders have to know of a start without an answer. */
+		if (run->unconfirmed && !run->starting &&
+		    (!placed->unconfirmed || placed->starting))
+			node_timer_ms(flows->control->node,
+				      &flows->worker_timer, 0);
 		placed->unconfirmed = run->unconfirmed;
+		placed->starting = run->starting;
 		if (run->unconfirmed)
 			continue;
 		if (!placed->listed) {
@@ -565,21 +571,26 @@
 	control_flow_grant(flows, vm);
 }
 
+uint64_t control_flow_late_start_us(const struct flow_placement *placed)
+{
+	return control_flow_is_at_worker(placed) ?
+		       0 :
+		       MAX(placed->vm->late_start_us,
+			   placed->inherited_late_us);
+}
+
 /*
- * Returns the time at which the worker has certainly no longer a run. If it
- * isn't certain that the worker has had it, a later incarnation may carry out
- * its start, or that of an earlier run of the task, until late_start_us, with
- * the longest lease that workers accept.
+ * Returns the time at which the worker has certainly no longer a run. A later
+ * incarnation that carries out its start, or that of an earlier run of the
+ * task, until @a late_us may keep it for the longest lease that workers accept.
  */
 static uint64_t flow_run_lapsed_us(const struct control_flow *flows,
-				   const struct flow_vm *vm, bool certain)
+				   const struct flow_vm *vm, uint64_t late_us)
 {
-	uint64_t late_us = vm->late_start_us +
-			   control_flow_longest_lease_us(flows) +
-			   FLOW_LEASE_MARGIN_MS * 1000ull;
-
-	return certain || !vm->late_start_us ? flow_lapsed_us(vm) :
-					       MAX(flow_lapsed_us(vm), late_us);
+	return late_us ? MAX(flow_lapsed_us(vm),
+			     late_us + control_flow_longest_lease_us(flows) +
+				     FLOW_LEASE_MARGIN_MS * 1000ull) :
+			 flow_lapsed_us(vm);
 }
 
 bool control_flow_has_orphan(const struct control_flow *flows,
@@ -600,8 +611,10 @@
 			control_flow_vm_orphan(vm, name);
 
 		if (orphan &&
-		    now_us <=
-			    flow_run_lapsed_us(flows, vm, !orphan->unconfirmed))
+		    now_us <= flow_run_lapsed_us(flows, vm,
+						 orphan->unconfirmed ?
+							 vm->late_start_us :
+							 0))
 			return true;
 	}
 	return false;
@@ -626,7 +639,7 @@
 		if (placed->committed && !placed->ending &&
 		    now_us > flow_run_lapsed_us(
 				     flows, vm,
-				     control_flow_is_at_worker(placed)))
+				     control_flow_late_start_us(placed)))
 			lost = g_list_prepend(lost, key);
 	}
 	return lost;
--- a/src/core/control/control_flow_worker.c
+++ b/src/core/control/control_flow_worker.c
@@ -5,8 +5,9 @@
 /*
  * Records of workers in the replicated state. A worker that was restarted under
  * its identity may have accepted a call to its earlier incarnation, whose
- * deadline gives it the longest lease. A new leader has to know that, also if
- * neither the worker nor its agent can tell it any more.
+ * deadline gives it the longest lease, and may still carry out starts that had
+ * no answer. A new leader has to know that, also if neither the worker nor its
+ * agent can tell it any more.
  */
 
 static bool is_incarnation(const struct flow_worker *record,
@@ -37,8 +38,26 @@
 			flows->lease_ms * 1000ull);
 }
 
+static void log_inherited(const struct control_flow *flows,
+			  const struct flow_worker *record)
+{
+	GString *line = logline_new("worker-inherited");
+
+	logline_str(line, "vm", record->vm);
+	logline_str(line, "worker", record->id);
+	logline_u64(line, "born_ms", record->born_ms);
+	logline_str(line, "restarted", record->restarted ? "yes" : "no");
+	logline_u64(line, "unconfirmed", record->nr_unconfirmed);
+	node_log(flows->control->node, line);
+}
+
 void control_flow_worker_inherit(struct control_flow *flows, struct flow_vm *vm)
 {
+	const struct flow_worker *record =
+		state_worker_find(flows->control->state, vm->name);
+
+	if (record && (record->restarted || record->nr_unconfirmed))
+		log_inherited(flows, record);
 	vm->lapse_us = control_flow_inherited_lapse_us(flows, vm->name);
 	if (!was_restarted(flows, vm->name))
 		return;
@@ -73,6 +92,93 @@
 	       (record->restarted || !vm->restarted);
 }
 
+/* ---- starts that the worker may still carry out ---- */
+
+static bool has_unconfirmed(const struct flow_worker *record, const char *task,
+			    uint32_t run)
+{
+	for (uint32_t i = 0; i < record->nr_unconfirmed; i++)
+		if (record->unconfirmed[i].run == run &&
+		    !strcmp(record->unconfirmed[i].task, task))
+			return true;
+	return false;
+}
+
+/*
+ * Returns the time until which a start that an earlier leader has recorded may
+ * be carried out; it was called before this leader's term.
+ */
+static uint64_t inherited_late_us(const struct control_flow *flows)
+{
+	return flows->control->leader_since_us +
+	       WORKER_CALL_MAX_DELAY_MS * 1000ull;
+}
+
+void control_flow_worker_inherit_run(const struct control_flow *flows,
+				     struct flow_placement *placed)
+{
+	const struct flow_worker *record =
+		state_worker_find(flows->control->state, placed->vm->name);
+
+	if (record && has_unconfirmed(record, placed->name, placed->run))
+		placed->inherited_late_us = inherited_late_us(flows);
+}
+
+/*
+ * Returns true if a later leader has to know that the worker may still carry
+ * out the run's start. Most starts that are only waiting for their answers get
+ * them soon.
+ */
+static bool is_unconfirmed(const struct flow_placement *placed)
+{
+	if (!placed->committed || placed->ending ||
+	    control_flow_is_at_worker(placed))
+		return false;
+	return (placed->unconfirmed && !placed->starting) ||
+	       placed->inherited_late_us;
+}
+
+/* Returns the VM's runs that the worker may still start. */
+static GArray *vm_unconfirmed(const struct flow_vm *vm)
+{
+	GArray *starts =
+		g_array_new(FALSE, FALSE, sizeof(struct flow_unconfirmed));
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, vm->runs);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct flow_placement *placed = key;
+		struct flow_unconfirmed start = { .run = placed->run };
+
+		if (!is_unconfirmed(placed))
+			continue;
+		TEXT_SET(start.task, placed->name);
+		g_array_append_val(starts, start);
+	}
+	return starts;
+}
+
+/* ---- changes of the records ---- */
+
+/*
+ * Returns true if the record lacks one of the starts, or has some though there
+ * are none any more. One that is confirmed beside others stays in the record
+ * until then, to save commands.
+ */
+static bool starts_differ(const struct flow_worker *record,
+			  const GArray *starts)
+{
+	for (guint i = 0; i < starts->len; i++) {
+		const struct flow_unconfirmed *start =
+			&g_array_index(starts, struct flow_unconfirmed, i);
+
+		if (!has_unconfirmed(record, start->task, start->run))
+			return true;
+	}
+	return !starts->len && record->nr_unconfirmed;
+}
+
 /* Adds the VM's record to @a changes if the replicated one isn't up to date. */
 static void add_change(const struct control_flow *flows,
 		       const struct flow_vm *vm, GArray *changes)
@@ -80,6 +186,7 @@
 	const struct flow_worker *record =
 		state_worker_find(flows->control->state, vm->name);
 	struct flow_worker change = { 0 };
+	GArray *starts;
 
 	if (!vm->worker.id[0])
 		return;
@@ -90,9 +197,22 @@
 		vm->restarted ||
 		flows->control->node->now_us <=
 			vm->restart_lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
+	starts = vm_unconfirmed(vm);
 	if (!record || !is_incarnation(record, &vm->worker) ||
-	    record->restarted != change.restarted)
+	    record->restarted != change.restarted ||
+	    starts_differ(record, starts)) {
+		change.nr_unconfirmed = starts->len;
+		change.unconfirmed =
+			(struct flow_unconfirmed *)(void *)g_array_steal(starts,
+									 NULL);
 		g_array_append_val(changes, change);
+	}
+	g_array_unref(starts);
+}
+
+static void change_clear(void *data)
+{
+	g_free(((struct flow_worker *)data)->unconfirmed);
 }
 
 struct drop_search {
@@ -158,12 +278,15 @@
 	if (flows->workers_proposed)
 		return;
 	changes = g_array_new(FALSE, FALSE, sizeof(struct flow_worker));
+	g_array_set_clear_func(changes, change_clear);
 	g_hash_table_iter_init(&iter, flows->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		add_change(flows, value, changes);
 	add_drops(flows, changes);
 	cmd.nr_workers = MIN(changes->len, FLOW_WORKERS_MAX);
 	cmd.workers = (struct flow_worker *)(void *)changes->data;
+	counter_add(flows->control->node->counters, "worker_records",
+		    cmd.nr_workers);
 	if (changes->len)
 		flows->workers_proposed = !control_propose(
 			flows->control, CMD_FLOW_WORKERS, &cmd, &proposal);
--- a/src/core/state/state.c
+++ b/src/core/state/state.c
@@ -146,8 +146,8 @@
 				       state_flow_free);
 	state->pressures =
 		g_tree_new_full(state_compare_names, NULL, g_free, g_free);
-	state->workers =
-		g_tree_new_full(state_compare_names, NULL, NULL, g_free);
+	state->workers = g_tree_new_full(state_compare_names, NULL, NULL,
+					 state_worker_free);
 	state->job_keys = g_hash_table_new(g_str_hash, g_str_equal);
 	state->claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      claim_free);
--- a/src/core/state/state_worker.c
+++ b/src/core/state/state_worker.c
@@ -1,5 +1,7 @@
 #include "state_worker.h"
 
+#include "schema.h"
+#include "schema_tables.h"
 #include "state.h"
 
 const struct flow_worker *state_worker_find(const struct state *state,
@@ -8,6 +10,14 @@
 	return g_tree_lookup(state->workers, vm);
 }
 
+void state_worker_free(void *data)
+{
+	if (!data)
+		return;
+	schema_clear(&flow_worker_schema, data);
+	g_free(data);
+}
+
 void state_worker_restore(struct state *state, const struct flow_worker *worker)
 {
 	struct flow_worker *copy;
@@ -16,7 +26,8 @@
 		g_tree_remove(state->workers, worker->vm);
 		return;
 	}
-	copy = g_memdup2(worker, sizeof(*worker));
+	copy = g_new0(struct flow_worker, 1);
+	schema_copy(&flow_worker_schema, copy, worker);
 	g_tree_replace(state->workers, copy->vm, copy);
 }
 
--- a/src/core/state/state_worker.h
+++ b/src/core/state/state_worker.h
@@ -5,7 +5,8 @@
  * @file state_worker.h
  * Workers that run tasks of workflows. The replicated state has the last known
  * incarnation of each VM's worker, that is execution of its process, so that
- * each leader knows whether it was restarted under its identity.
+ * each leader knows whether it was restarted under its identity, and which
+ * starts it may still carry out.
  */
 
 #include "flow.h"
@@ -20,6 +21,8 @@
 /** Applies a struct cmd_flow_workers. */
 struct state_outcome state_worker_set(struct state *state, const void *body);
 
+void state_worker_free(void *data);
+
 void state_worker_restore(struct state *state,
 			  const struct flow_worker *worker);
 
--- a/tests/test_flow_late.c
+++ b/tests/test_flow_late.c
@@ -132,9 +132,12 @@
 	return vm;
 }
 
-/* Restarts the worker under its identity while its agent is frozen. */
+/*
+ * Restarts the worker under its identity while its agent is frozen. If
+ * @a leader_ms isn't 0, the leader is killed that long after the freeze.
+ */
 static void check_restart_beside_frozen_agent(uint32_t freeze_after_ms,
-					      bool report)
+					      bool report, uint32_t leader_ms)
 {
 	for (uint64_t seed = 1; seed <= 16; seed++) {
 		struct fw_vm *vm = vm_with_late_start(seed, freeze_after_ms);
@@ -145,6 +148,10 @@
 			flow_world_run_ms(fw, 20);
 		}
 		fw_freeze_agent(vm, true);
+		if (leader_ms) {
+			flow_world_run_ms(fw, leader_ms);
+			world_kill_control(world_leader_host(fw->base));
+		}
 		fw_crash_worker(vm);
 		fw_boot_worker(vm);
 		flow_world_run_ms(fw, 30000);
@@ -158,7 +165,7 @@
  */
 START_TEST(test_restart_after_reported_start)
 {
-	check_restart_beside_frozen_agent(3000, false);
+	check_restart_beside_frozen_agent(3000, false, 0);
 }
 END_TEST
 
@@ -168,7 +175,7 @@
  */
 START_TEST(test_restart_after_listed_start)
 {
-	check_restart_beside_frozen_agent(500, true);
+	check_restart_beside_frozen_agent(500, true, 0);
 }
 END_TEST
 
@@ -221,7 +228,18 @@
  */
 START_TEST(test_restart_before_heartbeat)
 {
-	check_restart_beside_frozen_agent(1500, false);
+	check_restart_beside_frozen_agent(1500, false, 0);
+}
+END_TEST
+
+/*
+ * Guards against a run that a new leader gives up although a later incarnation
+ * of the worker may carry out its start: the agent has reported the missing
+ * answer to the former leader only.
+ */
+START_TEST(test_restart_after_start_reported_to_former_leader)
+{
+	check_restart_beside_frozen_agent(1500, false, 20);
 }
 END_TEST
 
@@ -256,4 +274,5 @@
 	   test_restart_after_reported_start, test_restart_after_listed_start,
 	   test_restart_before_heartbeat, test_restart_without_heartbeat,
 	   test_restart_with_start_in_flight,
+	   test_restart_after_start_reported_to_former_leader,
 	   test_gone_worker_after_unanswered_start)
