--- a/tests/test_flow_restart.c
+++ b/tests/test_flow_restart.c
@@ -9,6 +9,7 @@
 
 #include <string.h>
 
+#include "control_impl.h"
 #include "flow_world.h"
 #include "suite.h"
 
@@ -266,8 +267,302 @@
 }
 END_TEST
 
+/* ---- calls to the former incarnation that arrive late, and no record ---- */
+
+#define LATE_RUN_MS 14000
+#define FROZEN_MS 3600 /* a grant of 5 s still allows a start after it */
+#define LATE_CUT_MS 12000
+#define GRANT_DELAY_US 25000
+
+static void cut_worker(struct fw_vm *vm)
+{
+	fw_cut_worker(vm, true);
+}
+
+static void rejoin_worker(struct fw_vm *vm)
+{
+	fw_cut_worker(vm, false);
+}
+
+/* Calls to the worker wait until it is back. */
+static void restart_worker(struct fw_vm *vm)
+{
+	fw_crash_worker(vm);
+	fw_boot_worker(vm);
+}
+
+static void set_frozen(struct flow_world *fw, bool frozen)
+{
+	for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
+		fw_freeze_agent(&fw->vms[restarted_vms[i]], frozen);
+}
+
+/*
+ * Delays messages to the agent, so that it polls the new incarnation before it
+ * has the raised fencing token.
+ */
+static void slow_grants(struct fw_vm *vm)
+{
+	const struct world *base = vm->world->base;
+
+	for (uint32_t i = 0; i < base->nr_controls; i++)
+		sim_path_between(base->controls[i].machine, vm->machine)
+			->delay_us = GRANT_DELAY_US;
+}
+
+/*
+ * Makes the restarted workers carry out a call to their former incarnation that
+ * was delayed by less than the platform's 12 s. They accept it: they have seen
+ * no fencing token above the former one.
+ */
+static void carry_out_former_calls(struct flow_world *fw,
+				   const uint64_t *former_fences)
+{
+	for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++) {
+		struct fw_vm *vm = &fw->vms[restarted_vms[i]];
+
+		if (vm->worker.fence <= former_fences[i])
+			fw_extend_lease(vm);
+	}
+}
+
+/*
+ * The agents of the restarted workers are frozen just after they have reported
+ * the restart, and continue when a start that was ordered meanwhile is still
+ * allowed. They are cut off from the replicas by then.
+ */
+static void play_late_starts(uint64_t seed, uint32_t report_ms, bool kill)
+{
+	struct flow_world *fw = flow_world_new(seed);
+	uint64_t former_fences[G_N_ELEMENTS(restarted_vms)];
+	struct world_control *killed = NULL;
+
+	fw->run_ms = LATE_RUN_MS;
+	flow_world_run_ms(fw, UPTIME_MS);
+	each_restarted(fw, slow_grants);
+	/* All tasks go to the restarted workers. */
+	flow_world_set_zone(fw, fw->vms[1].zone, true);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
+		former_fences[i] = fw->vms[restarted_vms[i]].worker.fence;
+	each_restarted(fw, fw_crash_worker);
+	flow_world_run_ms(fw, WORKER_DOWN_MS);
+	each_restarted(fw, fw_boot_worker);
+	flow_world_run_ms(fw, FIRST_HEARTBEAT_MS);
+	each_restarted(fw, send_heartbeat);
+	flow_world_run_ms(fw, report_ms);
+	set_frozen(fw, true);
+	submit(fw, "bb");
+	flow_world_run_ms(fw, 100);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
+		fw_cut(&fw->vms[restarted_vms[i]], true);
+	if (kill) {
+		killed = kill_leader(fw);
+		flow_world_run_ms(fw, 1000);
+		world_boot_control(killed);
+		flow_world_run_ms(fw, FROZEN_MS - 1100);
+	} else {
+		flow_world_run_ms(fw, FROZEN_MS - 100);
+	}
+	carry_out_former_calls(fw, former_fences);
+	set_frozen(fw, false);
+	flow_world_set_zone(fw, fw->vms[1].zone, false);
+	flow_world_run_ms(fw, LATE_CUT_MS);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
+		fw_cut(&fw->vms[restarted_vms[i]], false);
+	ck_assert(flow_world_wait(fw, "bb", FLOW_COMPLETED, 60000));
+	flow_world_free(fw);
+}
+
+/*
+ * Guards against a leader that counts with the longest lease from the last
+ * report. Until the worker has seen the raised fencing token, a call to the
+ * former incarnation gives it that lease at a later time.
+ */
+START_TEST(test_former_call_before_late_start)
+{
+	for (uint32_t ms = 10; ms <= 100; ms += 10)
+		play_late_starts(1 + ms / 10 % SEEDS, ms, false);
+}
+END_TEST
+
+/* Guards against the same with a new leader, from the start of its term. */
+START_TEST(test_former_call_before_late_start_new_leader)
+{
+	for (uint32_t ms = 10; ms <= 100; ms += 10)
+		play_late_starts(1 + ms / 10 % SEEDS, ms, true);
+}
+END_TEST
+
+static void drop_record(struct state *state, const char *vm)
+{
+	struct flow_worker worker = { 0 };
+	struct cmd_flow_workers cmd = { 1, &worker };
+	struct record command = { CMD_FLOW_WORKERS, &cmd };
+
+	TEXT_SET(worker.vm, vm);
+	ck_assert_int_eq(state_apply(state, command).result, RESULT_OK);
+}
+
+/*
+ * Guards against a restart of which no leader can know: the replicated state
+ * has no record of the worker, as an earlier version wrote it or the record was
+ * dropped, and no run is placed there. The leader doesn't change any more.
+ */
+START_TEST(test_restart_without_record)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct flow_world *fw = flow_world_new(seed);
+		struct world_control *killed;
+
+		fw->run_ms = RUN_MS;
+		flow_world_run_ms(fw, UPTIME_MS + seed * 30);
+		killed = kill_leader(fw);
+		for (uint32_t i = 0; i < fw->base->nr_controls; i++)
+			for (uint32_t j = 0; j < G_N_ELEMENTS(restarted_vms);
+			     j++)
+				if (fw->base->controls[i].control)
+					drop_record(
+						fw->base->controls[i]
+							.control->state,
+						fw->vms[restarted_vms[j]].name);
+		flow_world_run_ms(fw, 400);
+		each_restarted(fw, fw_crash_worker);
+		flow_world_run_ms(fw, WORKER_DOWN_MS);
+		each_restarted(fw, fw_boot_worker);
+		flow_world_run_ms(fw, FIRST_HEARTBEAT_MS);
+		each_restarted(fw, send_heartbeat);
+		flow_world_run_ms(fw, 2500);
+		submit(fw, "bb");
+		flow_world_run_ms(fw, 500);
+		each_restarted(fw, cut_worker);
+		flow_world_run_ms(fw, CUT_MS);
+		each_restarted(fw, rejoin_worker);
+		world_boot_control(killed);
+		ck_assert(flow_world_wait(fw, "bb", FLOW_COMPLETED, 60000));
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a leader that knows only of one of three restarts in a row:
+ * the second and third happen while the leader changes.
+ */
+START_TEST(test_restarts_in_a_row)
+{
+	for (uint32_t ms = 100; ms < 2000; ms += 100) {
+		struct flow_world *fw = flow_world_new(1 + ms / 100);
+		struct world_control *killed;
+
+		fw->run_ms = RUN_MS;
+		flow_world_run_ms(fw, UPTIME_MS);
+		submit(fw, "aa");
+		flow_world_run_ms(fw, 1000);
+		each_restarted(fw, restart_worker);
+		flow_world_run_ms(fw, ms);
+		killed = kill_leader(fw);
+		flow_world_run_ms(fw, 300);
+		each_restarted(fw, restart_worker);
+		flow_world_run_ms(fw, 1000);
+		world_boot_control(killed);
+		submit(fw, "bb");
+		flow_world_run_ms(fw, 300);
+		each_restarted(fw, restart_worker);
+		flow_world_run_ms(fw, 600);
+		killed = kill_leader(fw);
+		flow_world_run_ms(fw, 400);
+		each_restarted(fw, cut_worker);
+		flow_world_run_ms(fw, CUT_MS + 3000);
+		each_restarted(fw, rejoin_worker);
+		world_boot_control(killed);
+		ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 60000));
+		ck_assert(flow_world_wait(fw, "bb", FLOW_COMPLETED, 60000));
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a leader that is paused while another one takes over, and
+ * continues with what it knew of the restart.
+ */
+START_TEST(test_paused_leader_continues)
+{
+	for (uint32_t ms = 100; ms < 1500; ms += 100) {
+		struct flow_world *fw = flow_world_new(1 + ms / 100);
+		struct world_control *host;
+
+		fw->run_ms = RUN_MS;
+		fw->core_faulty = true;
+		flow_world_run_ms(fw, UPTIME_MS);
+		submit(fw, "aa");
+		flow_world_run_ms(fw, 1000);
+		each_restarted(fw, restart_worker);
+		submit(fw, "bb");
+		flow_world_run_ms(fw, ms);
+		host = world_leader_host(fw->base);
+		ck_assert_ptr_nonnull(host);
+		sim_pause(host->machine, true);
+		flow_world_run_ms(fw, 400);
+		each_restarted(fw, cut_worker);
+		flow_world_run_ms(fw, 3000);
+		sim_pause(host->machine, false);
+		flow_world_run_ms(fw, CUT_MS);
+		each_restarted(fw, rejoin_worker);
+		ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 60000));
+		ck_assert(flow_world_wait(fw, "bb", FLOW_COMPLETED, 60000));
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a new leader that doesn't know of a start without an answer:
+ * the agent reported it to the former leader only and is frozen, and the worker
+ * is restarted and carries the start out late.
+ */
+START_TEST(test_unanswered_start_known_to_former_leader)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct flow_world *fw = flow_world_new(seed);
+		struct world_control *killed;
+
+		fw->run_ms = LATE_RUN_MS;
+		flow_world_run_ms(fw, UPTIME_MS);
+		flow_world_set_zone(fw, fw->vms[1].zone, true);
+		for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
+			fw->vms[restarted_vms[i]].lose_ppm = 1000000;
+		submit(fw, "bb");
+		flow_world_run_ms(fw, 100);
+		each_restarted(fw, fw_crash_worker);
+		/*
+		 * The agents report that the starts had no answer. They stop
+		 * the runs, but some stops arrive after the starts.
+		 */
+		flow_world_run_ms(fw, FLOW_WORLD_CALL_LIMIT_MS + 100);
+		for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
+			fw->vms[restarted_vms[i]].lose_ppm = 0;
+		each_restarted(fw, fw_boot_worker);
+		set_frozen(fw, true);
+		killed = kill_leader(fw);
+		flow_world_run_ms(fw, 2500);
+		flow_world_set_zone(fw, fw->vms[1].zone, false);
+		flow_world_run_ms(fw, LATE_CUT_MS);
+		world_boot_control(killed);
+		set_frozen(fw, false);
+		ck_assert(flow_world_wait(fw, "bb", FLOW_COMPLETED, 60000));
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 SUITE_MAIN("flow_restart", test_new_leader_beside_cut_worker,
 	   test_new_leader_beside_frozen_agent,
 	   test_new_leader_beside_cut_agent, test_new_leader_beside_new_agent,
 	   test_second_leader_beside_cut_worker, test_restart_without_leader,
-	   test_leader_killed_at_any_time, test_same_leader_beside_cut_worker)
+	   test_leader_killed_at_any_time, test_same_leader_beside_cut_worker,
+	   test_former_call_before_late_start,
+	   test_former_call_before_late_start_new_leader,
+	   test_restart_without_record, test_restarts_in_a_row,
+	   test_paused_leader_continues,
+	   test_unanswered_start_known_to_former_leader)
