Place tasks on a restarted worker once it refuses earlier calls

Change: agents report the highest token that the present incarnation has answered. Until it is the raised one, no task is placed on a restarted worker, and the longest lease is assumed from each report; a listed run no longer counts as the sign. After a restart polls aren't delayed until then. A start has at least the token of its order, as the grant with it may have got lost. A worker gets no lease before its record is committed. A new leader assumes a restart where the state has no record, if a bundle was in force before its term.

Not covered: an id that changes and comes back within 12 s.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -8246,7 +8246,7 @@
   (ProtobufCMessageInit) masticreach__flow_run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_report__field_descriptors[10] =
+static const ProtobufCFieldDescriptor masticreach__flow_report__field_descriptors[11] =
 {
   {
     "seq",
@@ -8368,8 +8368,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answered_fence",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowReport, answered_fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__flow_report__field_indices_by_name[] = {
+  10,   /* field[10] = answered_fence */
   9,   /* field[9] = ends */
   7,   /* field[7] = late_ms */
   6,   /* field[6] = looked */
@@ -8384,7 +8397,7 @@
 static const ProtobufCIntRange masticreach__flow_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_report__descriptor =
 {
@@ -8394,7 +8407,7 @@
   "Masticreach__FlowReport",
   "masticreach",
   sizeof(Masticreach__FlowReport),
-  10,
+  11,
   masticreach__flow_report__field_descriptors,
   masticreach__flow_report__field_indices_by_name,
   1,  masticreach__flow_report__number_ranges,
--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -75,6 +75,7 @@
 	report.reachable = runner->reachable;
 	report.looked = runner->listed;
 	report.late_ms = runner_late_ms(runner);
+	report.answered_fence = runner->answered_fence;
 	g_hash_table_iter_init(&iter, runner->runs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		runner_add_run(runs, value);
@@ -161,6 +162,8 @@
 		run = runner_add(runner, order->task, order->run, RUNNER_NEW);
 	run->ordered = true;
 	run->order_fence = MAX(run->order_fence, order->fence);
+	/* The grant with this token may have got lost. */
+	runner->fence = MAX(runner->fence, order->fence);
 	run->repeated = run->repeated || order->repeated;
 	run->filler = order->filler;
 	run->target_ms = order->target_ms;
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -162,6 +162,14 @@
 	uint64_t incarnation_nr; /* raised when an incarnation starts or ends */
 	uint64_t term; /* highest leader term seen in a message */
 	uint64_t fence; /* fencing token of calls; never decreases */
+	/* Highest token of a call that this incarnation has answered, or 0. */
+	uint64_t answered_fence;
+	/*
+	 * Token of the calls to the earlier incarnation if the worker was
+	 * restarted under its identity, else 0. The leader's next grant brings
+	 * a higher one.
+	 */
+	uint64_t earlier_fence;
 	uint64_t lease_until_us; /* end of the granted lease, 0: none yet */
 	uint64_t clock_ms; /* worker's clock in its last reply, 0: unknown */
 	uint64_t clock_us; /* agent's clock when that reply arrived */
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -119,6 +119,8 @@
 	runner->incarnation_nr++;
 	runner_trace_incarnation(runner);
 	runner->clock_ms = 0;
+	runner->answered_fence = 0;
+	runner->earlier_fence = 0;
 	runner->listed = false;
 	runner->reachable = false;
 	runner->missed_polls = 0;
@@ -327,8 +329,10 @@
 	runner_reset_incarnation(runner);
 	runner_update_worker(runner, &candidate->incarnation,
 			     candidate->address, candidate->seq);
-	if (restarted)
+	if (restarted) {
+		runner->earlier_fence = runner->fence;
 		runner_stop_late_starts(runner);
+	}
 	runner_log_worker(runner, "worker-registered");
 	runner_report_soon(runner);
 	runner_poll(runner);
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -123,6 +123,13 @@
 		       runner->settled_nr;
 }
 
+/* Returns true if a restarted worker may still accept earlier calls. */
+static bool runner_accepts_earlier_calls(const struct runner *runner)
+{
+	return runner->earlier_fence &&
+	       runner->answered_fence <= runner->earlier_fence;
+}
+
 void runner_poll(struct runner *runner)
 {
 	struct exec_call call = { .kind = EXEC_POLL };
@@ -140,8 +147,10 @@
 	if (runner->reachable)
 		call.settled_nr = runner_ack_nr(runner);
 	/* The worker must answer the first poll, and a poll after a missed one,
-	 * at once; it may delay the answer to other polls until a run ends. */
-	if (runner->listed && !runner->missed_polls)
+	 * at once; it may delay the answer to other polls until a run ends. The
+	 * leader waits until a restarted worker refuses earlier calls. */
+	if (runner->listed && !runner->missed_polls &&
+	    !runner_accepts_earlier_calls(runner))
 		call.wait_ms = runner_needs_pacing(runner) ? POLL_WAIT_PACE_MS :
 							     POLL_WAIT_MS;
 	runner_call(runner, &call);
@@ -385,7 +394,8 @@
 						      POLL_RETRY_MS;
 	/* While ends are listed, the worker answers polls without a delay, so
 	 * the agent pauses between them. */
-	else if (runner->ends->len || runner->nr_unreadable_ends)
+	else if (runner->ends->len || runner->nr_unreadable_ends ||
+		 runner_accepts_earlier_calls(runner))
 		wait_ms = POLL_UNACKED_ENDS_MS;
 	node_timer_ms(runner->node, &runner->poll_timer, wait_ms);
 	if (changed)
@@ -490,6 +500,27 @@
 	return other;
 }
 
+/*
+ * Notes that the present incarnation has answered the call, so that it refuses
+ * calls with a lower fencing token. A refusal because of the token proves that
+ * it has a higher one. The leader waits for this after a restart.
+ */
+static void runner_note_answered(struct runner *runner,
+				 const struct runner_call *call,
+				 const struct exec_reply *reply)
+{
+	bool answered = reply->verdict == EXEC_DONE ||
+			reply->verdict == EXEC_REFUSED;
+
+	if (!answered || call->probe_kind ||
+	    call->incarnation_nr != runner->incarnation_nr ||
+	    runner_is_other_incarnation(runner, reply) ||
+	    call->fence <= runner->answered_fence)
+		return;
+	runner->answered_fence = call->fence;
+	runner_report_soon(runner);
+}
+
 void runner_call_done(struct runner *runner, uint64_t call_nr,
 		      const struct exec_reply *reply)
 {
@@ -502,6 +533,7 @@
 	runner_trace_reply(runner, call, reply);
 	if (runner_is_misdirected(runner, call, reply))
 		runner_log_misdirected(runner, call, reply);
+	runner_note_answered(runner, call, reply);
 	if (call->probe_kind) {
 		runner->probes_in_flight--;
 		runner_probe_done(runner, call, reply);
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -207,7 +207,7 @@
 
 /**
  * The incarnation of a VM's worker that was reported last, in the replicated
- * state. Tells later leaders what the worker may still do.
+ * state and its snapshots. Tells later leaders what the worker may still do.
  */
 struct flow_worker {
 	char vm[NAME_BYTES];
@@ -326,6 +326,11 @@
 	struct flow_run *runs;
 	uint32_t nr_ends;
 	struct flow_run_end *ends;
+	/**
+	 * Highest fencing token of a call that this incarnation of the worker
+	 * has answered; it refuses calls with a lower one. 0: none.
+	 */
+	uint64_t answered_fence;
 };
 
 /** The leader's reply to a flow_report. */
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -210,11 +210,11 @@
 /* The platform's workers may measure a lease with a clock that is 2 % slow. */
 #define WORKER_CLOCK_SLOW_PERMILLE 20
 /*
- * The record of a VM's worker is dropped once no report has come for this time.
+ * The record of a VM's worker expires once no report has come for this time.
  * Longer than any call is delayed and any lease lasts.
  */
-#define FLOW_WORKER_FORGET_MS 600000u
-#define FLOW_WORKER_FORGET_CHECK_MS 60000u
+#define FLOW_WORKER_EXPIRE_MS 600000u
+#define FLOW_WORKER_EXPIRE_CHECK_MS 60000u
 #define FLOW_WORKERS_MAX 256 /* records in one command */
 /*
  * The platform may delay a call by this much, so a worker may carry out a call
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -523,6 +523,7 @@
 	struct control_flow *flows = g_new0(struct control_flow, 1);
 
 	flows->control = control;
+	flows->had_bundle = control->state->bundles.in_force != NULL;
 	flows->lease_ms = FLOW_LEASE_MAX_MS;
 	flows->worker_lease_ms = FLOW_LEASE_MAX_MS;
 	if (control->opts.worker_lease_ms) {
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -52,10 +52,16 @@
 	bool looked; /* the agent has fetched the list of the worker's runs */
 	bool listed; /* a report to this leader had that list */
 	/*
-	 * The worker was restarted under its identity, and no run of the new
-	 * incarnation was listed yet, see flow_note_late_calls().
+	 * The worker was restarted under its identity, and may still accept
+	 * calls to the earlier incarnation, see flow_note_late_calls().
 	 */
 	bool restarted;
+	/*
+	 * Once the worker has answered a call with this fencing token, it
+	 * refuses calls to earlier incarnations.
+	 */
+	uint64_t incarnation_fence;
+	uint64_t answered_fence; /* as in the last struct flow_report */
 	/*
 	 * Latest time at which the lease of a restarted worker can end because
 	 * of a call to the earlier incarnation, 0: not restarted.
@@ -334,8 +340,10 @@
 	struct timer order_timer;
 	struct timer check_timer;
 	struct timer worker_timer;
+	/* The site was in operation before this leader's term. */
+	bool had_bundle;
 	bool workers_proposed; /* a CMD_FLOW_WORKERS has no outcome yet */
-	uint64_t workers_dropped_us; /* last search for records to drop */
+	uint64_t workers_expired_us; /* last search for expired records */
 	/* When learned weights were last proposed for saving. */
 	uint64_t pressure_saved_us;
 	/* When control_flow_group_serving() last searched for moves. */
@@ -409,11 +417,11 @@
 
 /* control_flow_worker.c */
 /**
- * Returns the latest time at which the lease that the VM's worker got from
- * earlier leaders can end.
+ * Returns the time at which the lease that the VM's worker got from earlier
+ * leaders has certainly expired.
  */
-uint64_t control_flow_inherited_lapse_us(const struct control_flow *flows,
-					 const char *vm);
+uint64_t control_flow_inherited_lapsed_us(const struct control_flow *flows,
+					  const char *vm);
 /** Sets what earlier leaders knew of the VM's worker. */
 void control_flow_worker_inherit(struct control_flow *flows,
 				 struct flow_vm *vm);
@@ -426,11 +434,18 @@
 				      const struct worker_incarnation *worker);
 /**
  * Returns true if the replicated state has the reported incarnation of the
- * VM's worker. No task is placed on it before, as a later leader wouldn't know
- * of its restart.
+ * VM's worker. It gets no lease before, as a later leader wouldn't know of its
+ * restart.
  */
 bool control_flow_worker_is_recorded(const struct control_flow *flows,
 				     const struct flow_vm *vm);
+/**
+ * Returns true if tasks may be placed on the reported incarnation of the VM's
+ * worker: it is recorded, and refuses calls to earlier incarnations, which
+ * would lengthen its lease.
+ */
+bool control_flow_worker_takes_tasks(const struct control_flow *flows,
+				     const struct flow_vm *vm);
 /**
  * Sets what earlier leaders have recorded of a run that they have placed.
  */
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -43,7 +43,7 @@
 				const struct flow_vm *vm)
 {
 	return control_flow_vm_keeps_runs(flows, vm) &&
-	       control_flow_worker_is_recorded(flows, vm) &&
+	       control_flow_worker_takes_tasks(flows, vm) &&
 	       flows->control->node->now_us >= vm->backoff_until_us &&
 	       state_zone_is_in(flows->control->state, vm->zone);
 }
@@ -347,8 +347,7 @@
 				    const struct flow_task *task)
 {
 	const struct flow_vm *vm = g_hash_table_lookup(flows->vms, task->vm);
-	uint64_t until_us = control_flow_inherited_lapse_us(flows, task->vm) +
-			    FLOW_LEASE_MARGIN_MS * 1000ull;
+	uint64_t until_us = control_flow_inherited_lapsed_us(flows, task->vm);
 
 	return task->run && !(vm && vm->listed) &&
 	       flows->control->node->now_us <= until_us;
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -82,12 +82,13 @@
 	grant.born_ms = vm->worker.born_ms;
 	grant.settled_nr = vm->settled_nr;
 	grant.fence = control_flow_fence(flows, vm);
+	vm->grant_due = !control_flow_worker_is_recorded(flows, vm);
 	/*
 	 * A grant without a lease still carries the term, which the agent needs
 	 * before it lists the worker's runs for the first time.
 	 */
-	if (!vm->loss_pending && vm->reachable && vm->looked &&
-	    !vm->worker.ended) {
+	if (!vm->grant_due && !vm->loss_pending && vm->reachable &&
+	    vm->looked && !vm->worker.ended) {
 		grant.lease_ms = flows->lease_ms;
 		vm->granted_us = control->node->now_us;
 		flow_extend_lapse(vm, FLOW_BOUND_GRANT,
@@ -145,7 +146,13 @@
 			continue;
 		if (!placed->listed) {
 			placed->listed = true;
-			if (control_flow_is_current_incarnation(placed))
+			/*
+			 * An agent of an earlier version reports no fencing
+			 * token, but a start of this incarnation has the raised
+			 * one.
+			 */
+			if (!vm->answered_fence &&
+			    control_flow_is_current_incarnation(placed))
 				vm->restarted = false;
 			control_flow_note_started(flows, placed->flow);
 			if (placed->ordered_us)
@@ -285,8 +292,7 @@
 	const struct flow_task *task =
 		&placed->flow->record.tasks[placed->task];
 	uint64_t until_us =
-		control_flow_inherited_lapse_us(flows, placed->vm->name) +
-		FLOW_LEASE_MARGIN_MS * 1000ull;
+		control_flow_inherited_lapsed_us(flows, placed->vm->name);
 
 	return task->born_ms > placed->vm->worker.born_ms &&
 	       flows->control->node->now_us <= until_us;
@@ -399,6 +405,7 @@
 	vm->worker = *worker;
 	if (!same) {
 		flow_raise_fence(vm);
+		vm->incarnation_fence = control_flow_fence(flows, vm);
 		node_timer_ms(flows->control->node, &flows->worker_timer, 0);
 		vm->settled_nr = 0;
 		vm->checked_end_nr = 0;
@@ -494,8 +501,8 @@
  * its incarnation no longer lease than its agent was granted. A worker that was
  * restarted under its identity may also carry out calls that were meant for the
  * earlier incarnation. Their deadlines are far ahead of its new clock, so they
- * give the lease its greatest length. Once a run of the new incarnation has
- * started, the worker has the raised fencing token and refuses these calls.
+ * give the lease its greatest length. Once it has answered a call with the
+ * fencing token that was raised for the new incarnation, it refuses them.
  *
  * A start without an answer may be carried out by a later incarnation, too,
  * whatever its deadline.
@@ -503,12 +510,17 @@
 static void flow_note_late_calls(struct control_flow *flows, struct flow_vm *vm,
 				 const struct flow_report *report)
 {
+	bool fenced = report->answered_fence >= vm->incarnation_fence;
+
+	vm->answered_fence = report->answered_fence;
 	/* An agent whose worker is gone may report the restart for ever. */
-	if (vm->restarted && report->reachable) {
+	if (vm->restarted && (report->reachable || fenced)) {
 		vm->restart_lapse_us =
 			vm->reported_us + control_flow_longest_lease_us(flows);
 		flow_extend_lapse(vm, FLOW_BOUND_RESTART, vm->restart_lapse_us);
 	}
+	if (fenced)
+		vm->restarted = false;
 	if (report->late_ms)
 		vm->late_start_us =
 			MAX(vm->late_start_us,
--- a/src/core/control/control_flow_worker.c
+++ b/src/core/control/control_flow_worker.c
@@ -19,25 +19,32 @@
 
 /*
  * Returns true if the worker's lease may be longer than the granted one because
- * it was restarted, by what is known of it from before this leader's term.
+ * it was restarted, by what is known of it from before this leader's term. A
+ * state that an earlier version wrote has no records.
  */
-static bool was_restarted(const struct control_flow *flows, const char *vm)
+static bool was_restarted(const struct control_flow *flows,
+			  const struct flow_worker *record)
 {
-	const struct flow_worker *record =
-		state_worker_find(flows->control->state, vm);
-
-	return record && record->restarted;
+	return record ? record->restarted : flows->had_bundle;
 }
 
-uint64_t control_flow_inherited_lapse_us(const struct control_flow *flows,
-					 const char *vm)
+static uint64_t inherited_lapse_us(const struct control_flow *flows,
+				   const struct flow_worker *record)
 {
 	return flows->control->leader_since_us +
-	       (was_restarted(flows, vm) ?
+	       (was_restarted(flows, record) ?
 			control_flow_longest_lease_us(flows) :
 			flows->lease_ms * 1000ull);
 }
 
+uint64_t control_flow_inherited_lapsed_us(const struct control_flow *flows,
+					  const char *vm)
+{
+	return inherited_lapse_us(
+		       flows, state_worker_find(flows->control->state, vm)) +
+	       FLOW_LEASE_MARGIN_MS * 1000ull;
+}
+
 static void log_inherited(const struct control_flow *flows,
 			  const struct flow_worker *record)
 {
@@ -58,8 +65,8 @@
 
 	if (record && (record->restarted || record->nr_unconfirmed))
 		log_inherited(flows, record);
-	vm->lapse_us = control_flow_inherited_lapse_us(flows, vm->name);
-	if (!was_restarted(flows, vm->name))
+	vm->lapse_us = inherited_lapse_us(flows, record);
+	if (!was_restarted(flows, record))
 		return;
 	vm->restarted = true;
 	vm->restart_lapse_us = vm->lapse_us;
@@ -75,11 +82,9 @@
 
 	if (vm->worker.id[0])
 		return !strcmp(vm->worker.id, worker->id);
-	/* A state that an earlier version wrote has runs, but no record. */
-	if (!record)
-		return g_hash_table_size(vm->runs) > 0;
-	return is_incarnation(record, worker) ? record->restarted :
-						!strcmp(record->id, worker->id);
+	if (!record || is_incarnation(record, worker))
+		return was_restarted(flows, record);
+	return !strcmp(record->id, worker->id);
 }
 
 bool control_flow_worker_is_recorded(const struct control_flow *flows,
@@ -92,6 +97,14 @@
 	       (record->restarted || !vm->restarted);
 }
 
+bool control_flow_worker_takes_tasks(const struct control_flow *flows,
+				     const struct flow_vm *vm)
+{
+	/* Agents of an earlier version report no answered token. */
+	return control_flow_worker_is_recorded(flows, vm) &&
+	       (!vm->restarted || !vm->answered_fence);
+}
+
 /* ---- starts that the worker may still carry out ---- */
 
 static bool has_unconfirmed(const struct flow_worker *record, const char *task,
@@ -180,8 +193,8 @@
 }
 
 /* Adds the VM's record to @a changes if the replicated one isn't up to date. */
-static void add_change(const struct control_flow *flows,
-		       const struct flow_vm *vm, GArray *changes)
+static void add_record_change(const struct control_flow *flows,
+			      const struct flow_vm *vm, GArray *changes)
 {
 	const struct flow_worker *record =
 		state_worker_find(flows->control->state, vm->name);
@@ -215,16 +228,16 @@
 	g_free(((struct flow_worker *)data)->unconfirmed);
 }
 
-struct drop_search {
+struct expiry_search {
 	const struct control_flow *flows;
 	GArray *changes;
 };
 
 /* Adds a change that drops the record if its VM hasn't reported for long. */
-static gboolean add_drop(gpointer key, gpointer value, gpointer data)
+static gboolean add_if_expired(gpointer key, gpointer value, gpointer data)
 {
 	const struct flow_worker *record = value;
-	struct drop_search *search = data;
+	struct expiry_search *search = data;
 	const struct control *control = search->flows->control;
 	const struct flow_vm *vm =
 		g_hash_table_lookup(search->flows->vms, record->vm);
@@ -233,7 +246,7 @@
 	struct flow_worker change = { 0 };
 
 	if (control->node->now_us - since_us <
-		    FLOW_WORKER_FORGET_MS * 1000ull ||
+		    FLOW_WORKER_EXPIRE_MS * 1000ull ||
 	    (vm && g_hash_table_size(vm->runs)))
 		return FALSE;
 	TEXT_SET(change.vm, record->vm);
@@ -241,16 +254,16 @@
 	return FALSE;
 }
 
-static void add_drops(struct control_flow *flows, GArray *changes)
+static void add_expired(struct control_flow *flows, GArray *changes)
 {
-	struct drop_search search = { flows, changes };
+	struct expiry_search search = { flows, changes };
 	uint64_t now_us = flows->control->node->now_us;
 
-	if (now_us - flows->workers_dropped_us <
-	    FLOW_WORKER_FORGET_CHECK_MS * 1000ull)
+	if (now_us - flows->workers_expired_us <
+	    FLOW_WORKER_EXPIRE_CHECK_MS * 1000ull)
 		return;
-	flows->workers_dropped_us = now_us;
-	g_tree_foreach(flows->control->state->workers, add_drop, &search);
+	flows->workers_expired_us = now_us;
+	g_tree_foreach(flows->control->state->workers, add_if_expired, &search);
 }
 
 static void records_done(struct control *control,
@@ -258,12 +271,24 @@
 			 const struct state_outcome *outcome)
 {
 	struct control_flow *flows = control->flows;
+	GHashTableIter iter;
+	void *value;
 
 	if (!flows)
 		return;
 	flows->workers_proposed = false;
-	if (!outcome->result)
-		control_flow_place_soon(flows);
+	if (outcome->result)
+		return;
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct flow_vm *vm = value;
+
+		if (vm->grant_due)
+			control_flow_grant(flows, vm);
+	}
+	control_flow_place_soon(flows);
+	/* Workers may have changed, or been too many for the command. */
+	node_timer_ms(control->node, &flows->worker_timer, 0);
 }
 
 void control_flow_record_workers(void *data, uint64_t now_us)
@@ -281,8 +306,8 @@
 	g_array_set_clear_func(changes, change_clear);
 	g_hash_table_iter_init(&iter, flows->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		add_change(flows, value, changes);
-	add_drops(flows, changes);
+		add_record_change(flows, value, changes);
+	add_expired(flows, changes);
 	cmd.nr_workers = MIN(changes->len, FLOW_WORKERS_MAX);
 	cmd.workers = (struct flow_worker *)(void *)changes->data;
 	counter_add(flows->control->node->counters, "worker_records",
