Keep the wait for a lease and the grants apart, tell agents without tokens

A VM without a worker counted as not recorded, so each commit sent its agent another grant. An agent that hadn't been granted anything yet looked like one of an earlier version, which reports no answered token, so tasks could be placed on its restarted worker; and a report without a worker counted as answered.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -8246,7 +8246,7 @@
   (ProtobufCMessageInit) masticreach__flow_run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_report__field_descriptors[11] =
+static const ProtobufCFieldDescriptor masticreach__flow_report__field_descriptors[12] =
 {
   {
     "seq",
@@ -8380,6 +8380,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reports_fence",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowReport, reports_fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__flow_report__field_indices_by_name[] = {
   10,   /* field[10] = answered_fence */
@@ -8387,6 +8399,7 @@
   7,   /* field[7] = late_ms */
   6,   /* field[6] = looked */
   5,   /* field[5] = reachable */
+  11,   /* field[11] = reports_fence */
   8,   /* field[8] = runs */
   1,   /* field[1] = sent_us */
   0,   /* field[0] = seq */
@@ -8397,7 +8410,7 @@
 static const ProtobufCIntRange masticreach__flow_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_report__descriptor =
 {
@@ -8407,7 +8420,7 @@
   "Masticreach__FlowReport",
   "masticreach",
   sizeof(Masticreach__FlowReport),
-  11,
+  12,
   masticreach__flow_report__field_descriptors,
   masticreach__flow_report__field_indices_by_name,
   1,  masticreach__flow_report__number_ranges,
--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -76,6 +76,7 @@
 	report.looked = runner->listed;
 	report.late_ms = runner_late_ms(runner);
 	report.answered_fence = runner->answered_fence;
+	report.reports_fence = true;
 	g_hash_table_iter_init(&iter, runner->runs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		runner_add_run(runs, value);
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -331,6 +331,8 @@
 	 * has answered; it refuses calls with a lower one. 0: none.
 	 */
 	uint64_t answered_fence;
+	/** False: an agent of an earlier version, without answered_fence. */
+	bool reports_fence;
 };
 
 /** The leader's reply to a flow_report. */
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -61,7 +61,7 @@
 	 * refuses calls to earlier incarnations.
 	 */
 	uint64_t incarnation_fence;
-	uint64_t answered_fence; /* as in the last struct flow_report */
+	bool reports_fence; /* as in the last struct flow_report */
 	/*
 	 * Latest time at which the lease of a restarted worker can end because
 	 * of a call to the earlier incarnation, 0: not restarted.
@@ -73,6 +73,8 @@
 	 */
 	bool loss_pending;
 	bool grant_due; /* a grant is sent at the next commit or check */
+	/* The lease was withheld, as the worker's record isn't committed. */
+	bool lease_due;
 	bool takes_tasks; /* during a pass of placement: its result */
 	/* Runs or weights have changed since capacity was computed. */
 	bool gains_stale;
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -82,12 +82,13 @@
 	grant.born_ms = vm->worker.born_ms;
 	grant.settled_nr = vm->settled_nr;
 	grant.fence = control_flow_fence(flows, vm);
-	vm->grant_due = !control_flow_worker_is_recorded(flows, vm);
+	vm->lease_due = vm->worker.id[0] &&
+			!control_flow_worker_is_recorded(flows, vm);
 	/*
 	 * A grant without a lease still carries the term, which the agent needs
 	 * before it lists the worker's runs for the first time.
 	 */
-	if (!vm->grant_due && !vm->loss_pending && vm->reachable &&
+	if (!vm->lease_due && !vm->loss_pending && vm->reachable &&
 	    vm->looked && !vm->worker.ended) {
 		grant.lease_ms = flows->lease_ms;
 		vm->granted_us = control->node->now_us;
@@ -151,7 +152,7 @@
 			 * token, but a start of this incarnation has the raised
 			 * one.
 			 */
-			if (!vm->answered_fence &&
+			if (!vm->reports_fence &&
 			    control_flow_is_current_incarnation(placed))
 				vm->restarted = false;
 			control_flow_note_started(flows, placed->flow);
@@ -510,9 +511,10 @@
 static void flow_note_late_calls(struct control_flow *flows, struct flow_vm *vm,
 				 const struct flow_report *report)
 {
-	bool fenced = report->answered_fence >= vm->incarnation_fence;
+	bool fenced = vm->incarnation_fence &&
+		      report->answered_fence >= vm->incarnation_fence;
 
-	vm->answered_fence = report->answered_fence;
+	vm->reports_fence = report->reports_fence;
 	/* An agent whose worker is gone may report the restart for ever. */
 	if (vm->restarted && (report->reachable || fenced)) {
 		vm->restart_lapse_us =
--- a/src/core/control/control_flow_worker.c
+++ b/src/core/control/control_flow_worker.c
@@ -102,7 +102,7 @@
 {
 	/* Agents of an earlier version report no answered token. */
 	return control_flow_worker_is_recorded(flows, vm) &&
-	       (!vm->restarted || !vm->answered_fence);
+	       (!vm->restarted || !vm->reports_fence);
 }
 
 /* ---- starts that the worker may still carry out ---- */
@@ -283,7 +283,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct flow_vm *vm = value;
 
-		if (vm->grant_due)
+		if (vm->lease_due)
 			control_flow_grant(flows, vm);
 	}
 	control_flow_place_soon(flows);
