Play random series of restarts of workers

flow_random gets the case restarts: workers crash and are back under their ids, and around it the leader is killed or paused, workers are cut off from their agents, and agents end, freeze or lose the replicas.

--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -21,6 +21,8 @@
 	bool resent; /* the second copy of a call */
 	bool no_listener; /* nothing listens at its address */
 	bool other_incarnation; /* names an incarnation that isn't running */
+	uint64_t called_us;
+	uint64_t called_born_ms; /* the worker's incarnation at that time */
 	uint64_t call_nr;
 	const struct runner *runner; /* the agent that made the call */
 	enum exec_call_kind kind;
@@ -102,12 +104,29 @@
 			    GUINT_TO_POINTER(MAX(run, known)));
 }
 
+void fw_print_run(const struct fw_vm *vm, const struct fw_run *run,
+		  const char *event)
+{
+	uint64_t now_us = fw_now_us(vm->world);
+
+	if (vm->world->prints_runs)
+		g_printerr(
+			"%10" G_GUINT64_FORMAT
+			" %s RUN %s task=%s run=%u called_ms_ago=%" G_GUINT64_FORMAT
+			" called_for=%s\n",
+			now_us, vm->name, event, run->task, run->run,
+			(now_us - run->called_us) / 1000,
+			run->called_born_ms == vm->worker.born_ms ? "this" :
+								    "earlier");
+}
+
 void fw_end_run(struct fw_vm *vm, guint i, enum flow_end how)
 {
 	struct fw_worker *worker = &vm->worker;
 	struct fw_run *run = &g_array_index(worker->runs, struct fw_run, i);
 	struct flow_run_end end = { .nr = ++worker->next_end };
 
+	fw_print_run(vm, run, how == FLOW_END_DONE ? "done" : "ends");
 	TEXT_SET(end.task, run->task);
 	end.run = run->run;
 	end.end = how;
@@ -168,7 +187,9 @@
 	struct fw_worker *worker = &vm->worker;
 	const struct fw_run *known = worker_find(worker, call->task, NULL);
 	struct fw_run run = { .run = call->run,
-			      .started_us = fw_now_us(vm->world) };
+			      .started_us = fw_now_us(vm->world),
+			      .called_us = call->called_us,
+			      .called_born_ms = call->called_born_ms };
 
 	if (known && known->run == call->run)
 		return;
@@ -186,8 +207,9 @@
 	     strcmp(call->ticket, vm->world->valid_ticket) != 0))
 		return;
 	reply->verdict = EXEC_DONE;
-	check_start(call);
 	TEXT_SET(run.task, call->task);
+	fw_print_run(vm, &run, "starts");
+	check_start(call);
 	g_array_append_val(worker->runs, run);
 }
 
@@ -398,6 +420,8 @@
 	struct fw_call *call = g_new0(struct fw_call, 1);
 
 	call->vm = vm;
+	call->called_us = fw_now_us(fw);
+	call->called_born_ms = vm->worker.born_ms;
 	call->call_nr = call_nr;
 	call->runner = vm->runner;
 	call->kind = from->kind;
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -79,10 +79,21 @@
 
 static void vm_heartbeat(struct fw_vm *vm)
 {
-	if (vm->runner && vm->worker.up && !vm->frozen && !vm->worker_cut)
+	if (vm->runner && vm->worker.up && !vm->frozen && !vm->worker_cut &&
+	    fw_now_us(vm->world) >= vm->first_heartbeat_us)
 		fw_heartbeat(vm, vm->worker.born_ms, ++vm->worker.seq);
 }
 
+/* Returns the duration of the task's runs. */
+static uint64_t task_run_us(const struct flow_world *fw, const char *task)
+{
+	uint64_t run_ms = fw->run_ms;
+
+	if (fw->run_spread_ms)
+		run_ms += g_str_hash(task) % fw->run_spread_ms;
+	return run_ms * 1000;
+}
+
 /* Ends runs that are complete, and all runs once the lease has expired. */
 static void vm_tick(struct fw_vm *vm)
 {
@@ -106,7 +117,7 @@
 			fw_end_run(vm, i, FLOW_END_STOPPED);
 		else if (vm->fail_runs)
 			fw_end_run(vm, i, FLOW_END_FAILED);
-		else if (fw->run_ms && ran_us >= fw->run_ms * 1000ull &&
+		else if (fw->run_ms && ran_us >= task_run_us(fw, run->task) &&
 			 !(fw->lasting &&
 			   g_str_has_prefix(run->task, fw->lasting)))
 			fw_end_run(vm, i, FLOW_END_DONE);
@@ -177,6 +188,8 @@
 
 static void fw_tick(struct flow_world *fw)
 {
+	if (fw->tick)
+		fw->tick(fw->tick_ctx);
 	world_answer_advice(fw);
 	world_note_faults(fw);
 	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
@@ -229,6 +242,10 @@
 
 void fw_crash_worker(struct fw_vm *vm)
 {
+	for (guint i = 0; i < vm->worker.runs->len; i++)
+		fw_print_run(vm,
+			     &g_array_index(vm->worker.runs, struct fw_run, i),
+			     "crashes");
 	vm->worker.up = false;
 	fw_discard_ends(vm);
 	g_array_set_size(vm->worker.runs, 0);
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -43,6 +43,10 @@
 	uint32_t run;
 	uint64_t started_us;
 	uint64_t stop_us; /* when its stop takes effect, 0: not stopped */
+	/* When its start was called, 0: not by a call, and to which
+	 * incarnation. */
+	uint64_t called_us;
+	uint64_t called_born_ms;
 };
 
 struct fw_worker {
@@ -96,6 +100,8 @@
 	uint64_t draining_us;
 	bool cut; /* see fw_cut() */
 	bool worker_cut; /* see fw_cut_worker() */
+	/* The worker sends no regular heartbeats before this time. */
+	uint64_t first_heartbeat_us;
 	/*
 	 * Last time at which the agent was down, frozen or cut off, or its
 	 * connections to the worker failed.
@@ -123,6 +129,8 @@
 	/* Name of the only VM whose worker may start tasks with the ticket. */
 	const char *allowed_worker;
 	uint32_t run_ms; /* duration of every run, 0: runs don't end */
+	/* Runs of a task take longer by a fixed part of this time. */
+	uint32_t run_spread_ms;
 	uint32_t stop_ms; /* time from a stop to the run's end */
 	uint32_t tail_ms; /* tail latency that runs report */
 	/* Prefix of the names of tasks that don't end, NULL: there are none. */
@@ -139,6 +147,11 @@
 	uint64_t core_disturbed_us; /* last time of a fault in the core */
 	/* The replicas as they were at the last tick. */
 	const struct control *core[WORLD_MAX_CONTROLS];
+	/* Starts and ends of runs are printed, with the ages of their calls. */
+	bool prints_runs;
+	/* Called every 10 ms of virtual time, NULL: nothing is called. */
+	void (*tick)(void *ctx);
+	void *tick_ctx;
 	uint64_t ticket;
 	struct flow_reply reply;
 	bool answered;
--- a/tests/flow_world_impl.h
+++ b/tests/flow_world_impl.h
@@ -19,6 +19,9 @@
 uint64_t fw_now_us(const struct flow_world *fw);
 /** Returns the time by the worker's clock. */
 uint64_t fw_clock_ms(const struct fw_vm *vm);
+/** Prints the event of a run if flow_world.prints_runs is set. */
+void fw_print_run(const struct fw_vm *vm, const struct fw_run *run,
+		  const char *event);
 /** Ends the worker's run with the index @a i. */
 void fw_end_run(struct fw_vm *vm, guint i, enum flow_end how);
 /**
--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -6,12 +6,13 @@
  *
  * FLOW_RANDOM_SEED=N runs one seed with logs, FLOW_RANDOM_SEEDS=N runs that
  * many, FLOW_RANDOM_CASE=NAME only one case: faults, freezes, foreign, limits,
- * resends, orders or silent.
+ * resends, orders, silent or restarts.
  */
 
 #include <stdlib.h>
 #include <string.h>
 
+#include "flow_restarts.h"
 #include "flow_world.h"
 #include "suite.h"
 
@@ -46,6 +47,8 @@
 /* What a case adds to workflows and faults. */
 struct variant {
 	const char *name; /* for FLOW_RANDOM_CASE */
+	/* Plays a seed in place of run_random_seed(), NULL: it is called. */
+	void (*play)(uint32_t seed, bool verbose);
 	/*
 	 * Number of kinds of faults. With KINDS_WITH_FREEZES, starts also wait
 	 * in agents, as tasks are fillers.
@@ -556,6 +559,15 @@
 	flow_world_free(fw);
 }
 
+static void play_seed(uint32_t seed, const struct variant *variant,
+		      bool verbose)
+{
+	if (variant->play)
+		variant->play(seed, verbose);
+	else
+		run_random_seed(seed, variant, verbose);
+}
+
 static const struct variant faults = {
 	.name = "faults",
 	.nr_kinds = KINDS_WITHOUT_FREEZES,
@@ -599,6 +611,11 @@
 	.silent = true,
 };
 
+static const struct variant restarts = {
+	.name = "restarts",
+	.play = flow_restarts_play,
+};
+
 /* Seeds that have failed with KINDS_WITH_FREEZES, by their cause. */
 static const uint32_t freeze_regressions[] = {
 	184, /* a lease by an earlier incarnation's clock: a done task ran */
@@ -668,14 +685,13 @@
 	if (name && strcmp(name, variant->name) != 0)
 		return;
 	if (one) {
-		run_random_seed((uint32_t)strtoul(one, NULL, 10), variant,
-				true);
+		play_seed((uint32_t)strtoul(one, NULL, 10), variant, true);
 		return;
 	}
 	for (uint32_t seed = 1; seed <= nr_seeds; seed++) {
 		if (nr)
 			g_printerr("seed %u\n", seed);
-		run_random_seed(seed, variant, false);
+		play_seed(seed, variant, false);
 	}
 }
 
@@ -749,7 +765,18 @@
 }
 END_TEST
 
+/*
+ * Guards against tasks that run twice because a new leader, or an agent that is
+ * new, frozen or cut off, doesn't know of calls to a worker's earlier
+ * incarnation (issue 48).
+ */
+START_TEST(test_random_restarts)
+{
+	run_random_seeds(&restarts);
+}
+END_TEST
+
 SUITE_MAIN("flow_random", test_failed_seeds, test_random_faults,
 	   test_random_freezes, test_random_foreign_reports, test_random_limits,
 	   test_random_resends, test_run_listed_before_commit,
-	   test_random_orders, test_random_silent)
+	   test_random_orders, test_random_silent, test_random_restarts)
