Reproduce late starts at workers that were just restarted

A start without an answer is stopped and its task done elsewhere.

The simulated worker can be silent for a while, and tells when a late start arrives.

--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -353,6 +353,22 @@
 	return call->carried_out && !call->give_up_us;
 }
 
+uint64_t fw_late_start_us(const struct fw_vm *vm)
+{
+	const GPtrArray *pending = vm->world->pending;
+	uint64_t first_us = 0;
+
+	for (guint i = 0; i < pending->len; i++) {
+		const struct fw_call *call = pending->pdata[i];
+
+		if (call->vm == vm && call->lost && !call->carried_out &&
+		    call->kind == EXEC_START)
+			first_us = first_us ? MIN(first_us, call->due_us) :
+					      call->due_us;
+	}
+	return first_us;
+}
+
 /* Draws when the first copy of a call arrives; returns false for never. */
 static bool draw_first_copy(struct fw_call *call)
 {
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -79,7 +79,8 @@
 
 static void vm_heartbeat(struct fw_vm *vm)
 {
-	if (vm->runner && vm->worker.up && !vm->frozen && !vm->worker_cut)
+	if (vm->runner && vm->worker.up && !vm->frozen && !vm->worker_cut &&
+	    fw_now_us(vm->world) >= vm->silent_until_us)
 		fw_heartbeat(vm, vm->worker.born_ms, ++vm->worker.seq);
 }
 
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -96,6 +96,7 @@
 	uint64_t draining_us;
 	bool cut; /* see fw_cut() */
 	bool worker_cut; /* see fw_cut_worker() */
+	uint64_t silent_until_us; /* the worker sends no heartbeat before */
 	/*
 	 * Last time at which the agent was down, frozen or cut off, or its
 	 * connections to the worker failed.
@@ -229,6 +230,11 @@
  * calls nor heartbeats arrive.
  */
 void fw_cut_worker(struct fw_vm *vm, bool cut);
+/**
+ * Returns when the first of the VM's start calls that had no answer reaches its
+ * worker, 0 if there is none.
+ */
+uint64_t fw_late_start_us(const struct fw_vm *vm);
 /**
  * Returns a VM whose agent has called more starts than @a before, NULL if there
  * is none.
--- a/tests/test_flow_late.c
+++ b/tests/test_flow_late.c
@@ -21,6 +21,18 @@
 	(WORKER_CALL_MAX_DELAY_MS + LONGEST_LEASE_MS + FLOW_LEASE_MARGIN_MS + \
 	 2000)
 #define FAILOVER_MAX_MS 1500 /* until another replica leads */
+/* Longer than the longest poll and its time limit. */
+#define WORKER_DOWN_MS 2000
+/*
+ * The longest poll may still be in flight when a worker is restarted; the next
+ * one is sent when that is answered.
+ */
+#define POLLED_BEFORE_MS 1500
+
+static uint64_t now_us(const struct flow_world *fw)
+{
+	return sim_now_us(fw->base->sim);
+}
 
 static struct flow_step step_of(uint32_t count, const char *image)
 {
@@ -251,9 +263,59 @@
 }
 END_TEST
 
+/*
+ * Restarts a worker that is to carry out a start late, though its run was
+ * stopped, reported as never started, and done elsewhere. The agent's polls
+ * reach the new incarnation before the start does, and before its first
+ * heartbeat.
+ */
+static void check_late_start_after_restart(uint32_t down_ms)
+{
+	uint32_t nr_late = 0;
+
+	for (uint64_t seed = 1; seed <= 64; seed++) {
+		struct fw_vm *vm = vm_with_late_start(seed, 1);
+		struct flow_world *fw = vm->world;
+		uint64_t late_us = fw_late_start_us(vm);
+		uint64_t boot_us = late_us - POLLED_BEFORE_MS * 1000ull;
+		uint32_t done;
+
+		fw->run_ms = 500;
+		vm->silent_until_us = late_us + 1000000;
+		while (now_us(fw) + down_ms * 1000ull < boot_us)
+			flow_world_run_ms(fw, 10);
+		done = g_hash_table_size(fw->done);
+		fw_crash_worker(vm);
+		while (now_us(fw) < boot_us)
+			flow_world_run_ms(fw, 10);
+		fw_boot_worker(vm);
+		nr_late += done && fw_late_start_us(vm) == late_us;
+		flow_world_run_ms(fw, 15000);
+		flow_world_free(fw);
+	}
+	/* In the other plays, the task wasn't done before the restart. */
+	ck_assert_uint_ge(nr_late, 32);
+}
+
+/* Guards against such a start if polls are missed while the worker is down. */
+START_TEST(test_late_start_after_missed_polls)
+{
+	check_late_start_after_restart(WORKER_DOWN_MS);
+}
+END_TEST
+
+/* Guards against such a start if no poll is missed. */
+START_TEST(test_late_start_after_short_restart)
+{
+	check_late_start_after_restart(10);
+}
+END_TEST
+
 SUITE_MAIN("flow_late", test_unanswered_look_of_frozen_agent,
 	   test_late_extension_over_new_leader,
 	   test_restart_after_reported_start, test_restart_after_listed_start,
 	   test_restart_before_heartbeat, test_restart_without_heartbeat,
 	   test_restart_with_start_in_flight,
+	   test_late_start_after_missed_polls,
+	   test_late_start_after_short_restart,
 	   test_gone_worker_after_unanswered_start)
