Give the agent a part of the fencing token of calls

Cause: a restarted worker has received no token, and the agent's first calls to it carried the same token as its calls to the former incarnation, until the leader had heard of the restart and granted with a higher one. A start from before the restart was carried out meanwhile.

Change: the token of a call is (term x 16384 + leader's count) x 2048 + agent's count. The agent raises its count when it may have lost contact with the worker's incarnation, so that the next call that is carried out bars all earlier ones. Messages between leader and agent carry the leader's token as before, and grants and orders are compared by it. test_deadline_on_slow_clock expects the new token.

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -100,7 +100,7 @@
 		return false;
 	}
 	runner->term = term;
-	runner->fence = MAX(runner->fence, term * FLOW_FENCES_PER_TERM);
+	runner_accept_fence(runner, term * FLOW_FENCES_PER_TERM);
 	return true;
 }
 
@@ -118,7 +118,7 @@
 	    !runner_is_incarnation(runner, grant->worker, grant->born_ms))
 		return;
 	runner->trace.granted_us = runner->node->now_us;
-	runner->fence = MAX(runner->fence, grant->fence);
+	runner_accept_fence(runner, grant->fence);
 	if (grant->lease_ms)
 		runner->lease_until_us =
 			MAX(runner->lease_until_us,
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -6,9 +6,15 @@
  * Types and functions shared by the runner's files. The runner makes four kinds
  * of calls to the worker: start, stop, pace (sets the speed of a filler, a
  * best-effort task) and poll (lists runs and ends, renews the lease). A poll
- * that only asks whether a worker is there is called a probe. Each call carries
- * the fencing token, a number that the leader raises when it revokes the VM's
- * runs and that rises with the leader's term.
+ * that only asks whether a worker is there is called a probe.
+ *
+ * Each call carries a fencing token, in which the leader's token comes first
+ * and the agent's count last. The leader raises its token when it revokes the
+ * VM's runs, and with its term; grants and orders are compared by it. The agent
+ * raises its count when it may have lost contact with the worker's incarnation,
+ * so that the next call that is carried out bars all earlier ones, also at an
+ * incarnation that has been restarted with the same identity and has received
+ * no token yet.
  *
  * Serving tasks have a target for their tail latency. Pressure is utilization
  * that fillers add to them. A weight is the pressure of a filler of one image
@@ -161,7 +167,9 @@
 	uint64_t heartbeat_us; /* time of the last accepted heartbeat */
 	uint64_t incarnation_nr; /* raised when an incarnation starts or ends */
 	uint64_t term; /* highest leader term seen in a message */
-	uint64_t fence; /* fencing token of calls; never decreases */
+	uint64_t fence; /* the leader's fencing token; never decreases */
+	/* Fencing token of calls, see runner_accept_fence(); the same. */
+	uint64_t call_fence;
 	uint64_t lease_until_us; /* end of the granted lease, 0: none yet */
 	uint64_t clock_ms; /* worker's clock in its last reply, 0: unknown */
 	uint64_t clock_us; /* agent's clock when that reply arrived */
@@ -279,6 +287,17 @@
  * ended.
  */
 bool runner_may_call(struct runner *runner);
+/**
+ * Applies a leader's token. If it raises the token of calls, the agent's count
+ * begins at 0 again.
+ */
+void runner_accept_fence(struct runner *runner, uint64_t fence);
+/**
+ * Raises the token of calls by one, so that the worker refuses all earlier
+ * calls once it has received a later one. Once the agent's count is used up,
+ * the token stays as it is until the leader raises its own.
+ */
+void runner_bar_earlier_calls(struct runner *runner);
 /** Calls the current worker. */
 void runner_call(struct runner *runner, struct exec_call *call);
 /**
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -241,6 +241,9 @@
 {
 	const struct runner_candidate *candidate = &runner->candidate;
 
+	/* A worker with another id refuses all calls for the current one. */
+	if (!strcmp(runner->worker.id, candidate->incarnation.id))
+		runner_bar_earlier_calls(runner);
 	runner_probe(runner, RUNNER_PROBE_CANDIDATE, candidate->nr,
 		     candidate->incarnation.id, candidate->address);
 }
@@ -418,6 +421,8 @@
 {
 	struct runner *runner = data;
 
+	/* The worker may have been restarted instead. */
+	runner_bar_earlier_calls(runner);
 	runner_probe(runner, RUNNER_PROBE_LEAVING, 0, runner->worker.id,
 		     runner->address);
 }
--- a/src/core/agent/runner_log.c
+++ b/src/core/agent/runner_log.c
@@ -412,6 +412,8 @@
 	counter_set(counters, "lease_left_ms", runner_lease_left_ms(runner));
 	counter_set(counters, "runs", g_hash_table_size(runner->runs));
 	counter_set(counters, "ends_unsettled", runner->ends->len);
+	counter_set(counters, "call_fence_count",
+		    runner->call_fence % WORKER_FENCE_AGENT_COUNTS);
 	counter_set(counters, "worker_calls_open",
 		    g_hash_table_size(runner->calls));
 	if (ms_since(runner, runner->trace.acks_logged_us) >=
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -70,14 +70,48 @@
 	node_timer_ms(runner->node, &runner->run_timer, 0);
 }
 
+G_STATIC_ASSERT((uint64_t)
+			WORKER_FENCE_LEADER_COUNTS *WORKER_FENCE_AGENT_COUNTS >=
+		FLOW_FENCES_PER_TERM);
+
+void runner_accept_fence(struct runner *runner, uint64_t fence)
+{
+	uint64_t term = fence / FLOW_FENCES_PER_TERM;
+	uint64_t count = MIN(fence % FLOW_FENCES_PER_TERM,
+			     WORKER_FENCE_LEADER_COUNTS - 1);
+	uint64_t call_fence = (term * WORKER_FENCE_LEADER_COUNTS + count) *
+			      WORKER_FENCE_AGENT_COUNTS;
+
+	runner->fence = MAX(runner->fence, fence);
+	runner->call_fence = MAX(runner->call_fence, call_fence);
+}
+
+void runner_bar_earlier_calls(struct runner *runner)
+{
+	if (runner->call_fence % WORKER_FENCE_AGENT_COUNTS <
+	    WORKER_FENCE_AGENT_COUNTS - 1)
+		runner->call_fence++;
+}
+
+/*
+ * Handles a call after which the worker may have been restarted. If the token
+ * has been raised since the call was sent, nothing is to be done.
+ */
+static void runner_contact_lost(struct runner *runner,
+				const struct runner_call *call)
+{
+	if (call->fence == runner->call_fence)
+		runner_bar_earlier_calls(runner);
+}
+
 static void runner_send(struct runner *runner, struct runner_call *pending,
 			struct exec_call *call)
 {
-	call->fence = runner->fence;
+	call->fence = runner->call_fence;
 	pending->call_nr = ++runner->call_nr;
 	pending->kind = call->kind;
 	pending->sent_us = runner->node->now_us;
-	pending->fence = runner->fence;
+	pending->fence = runner->call_fence;
 	pending->incarnation_nr = runner->incarnation_nr;
 	pending->extends_lease = call->deadline_ms != 0;
 	pending->deadline_ms = call->deadline_ms;
@@ -139,9 +173,12 @@
 	 * incarnation may have the same numbers, and must not be dropped. */
 	if (runner->reachable)
 		call.settled_nr = runner_ack_nr(runner);
-	/* The worker must answer the first poll, and a poll after a missed one,
-	 * at once; it may delay the answer to other polls until a run ends. */
-	if (runner->listed && !runner->missed_polls)
+	/*
+	 * The worker must answer the first poll, and a poll after a missed one
+	 * or after another incarnation's answer, at once; it may delay the
+	 * answer to other polls until a run ends.
+	 */
+	if (runner->listed && runner->reachable && !runner->missed_polls)
 		call.wait_ms = runner_needs_pacing(runner) ? POLL_WAIT_PACE_MS :
 							     POLL_WAIT_MS;
 	runner_call(runner, &call);
@@ -374,15 +411,20 @@
 }
 
 static void runner_schedule_poll(struct runner *runner, bool changed,
-				 bool answered)
+				 bool answered, bool restarted)
 {
 	uint32_t wait_ms = 0;
 
-	/* A single poll may be lost on the way to a healthy worker, so the
-	 * pause after the first missed poll is shorter than after others. */
+	/*
+	 * A single poll may be lost on the way to a healthy worker, so the
+	 * pause after the first missed poll is shorter than after others. So is
+	 * the one after the first answer of another incarnation, at which the
+	 * next poll bars the earlier calls.
+	 */
 	if (!answered)
-		wait_ms = runner->missed_polls == 1 ? POLL_FIRST_RETRY_MS :
-						      POLL_RETRY_MS;
+		wait_ms = runner->missed_polls == 1 || restarted ?
+				  POLL_FIRST_RETRY_MS :
+				  POLL_RETRY_MS;
 	/* While ends are listed, the worker answers polls without a delay, so
 	 * the agent pauses between them. */
 	else if (runner->ends->len || runner->nr_unreadable_ends)
@@ -427,6 +469,13 @@
 		runner->missed_polls = 0;
 	/* A worker that refuses the fencing token is reachable, too. */
 	runner->reachable = answered || reply->verdict == EXEC_REFUSED;
+	/*
+	 * The worker refuses the token, too, if the leader's count in it is
+	 * used up and an earlier agent process had a higher agent's count.
+	 */
+	if (!runner->reachable ||
+	    (reply->verdict == EXEC_REFUSED && reply->result == RESULT_STALE))
+		runner_contact_lost(runner, call);
 	if (answered) {
 		listed = g_hash_table_new(NULL, NULL);
 		runner_apply_runs(runner, listed, reply);
@@ -448,7 +497,9 @@
 						  "worker-unreachable");
 		changed = true;
 	}
-	runner_schedule_poll(runner, changed, answered);
+	runner_schedule_poll(runner, changed, answered,
+			     was_reachable &&
+				     reply->verdict == EXEC_OTHER_INCARNATION);
 }
 
 /* Returns true if another incarnation with the same id has replied. */
@@ -510,6 +561,7 @@
 	if (call->incarnation_nr != runner->incarnation_nr)
 		goto out; /* the call was made to an earlier incarnation */
 	if (runner_is_other_incarnation(runner, reply)) {
+		runner_contact_lost(runner, call);
 		other = runner_reply_of_other_incarnation(call, reply);
 		reply = &other;
 	}
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -200,11 +200,20 @@
  */
 #define FLOW_LEASE_MAX_MS 5000
 /*
- * Number of fencing tokens that a leader can use for one VM in its term. A
- * token is the term times this number plus a count, and has to be below 2^53,
- * up to which JSON carries integers exactly.
+ * Number of fencing tokens that a leader can use for one VM in its term, in
+ * messages to the agent. A token is the term times this number plus a count.
  */
 #define FLOW_FENCES_PER_TERM 65536u
+/*
+ * Numbers of the leader's and the agent's counts in the fencing token of a call
+ * to the worker: (term x leader's counts + leader's count) x agent's counts +
+ * agent's count. The token has to be below 2^53, up to which JSON carries
+ * integers exactly, so terms may reach 2^28. The product has to be above
+ * FLOW_FENCES_PER_TERM: earlier releases send the leader's token itself, and a
+ * worker must not receive lower tokens after an upgrade.
+ */
+#define WORKER_FENCE_LEADER_COUNTS 16384u
+#define WORKER_FENCE_AGENT_COUNTS 2048u
 /* Margin for the drift between two processes' clocks during a lease. */
 #define FLOW_LEASE_MARGIN_MS 300
 /* The platform's workers may measure a lease with a clock that is 2 % slow. */
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -12,7 +12,13 @@
 #include "runner.h"
 
 #define TASK "aa.0.0.0"
-#define FIXTURE_FENCE (4 * FLOW_FENCES_PER_TERM + 3)
+#define FIXTURE_TERM 4ull
+#define FIXTURE_COUNT 3ull
+/* The leader's token, and the agent's first token under it. */
+#define FIXTURE_FENCE (FIXTURE_TERM * FLOW_FENCES_PER_TERM + FIXTURE_COUNT)
+#define FIXTURE_CALL_FENCE                                             \
+	((FIXTURE_TERM * WORKER_FENCE_LEADER_COUNTS + FIXTURE_COUNT) * \
+	 WORKER_FENCE_AGENT_COUNTS)
 
 /** A runner, its open calls and its last report. */
 struct fixture {
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -144,7 +144,7 @@
 
 	fixture_order(fixture, FLOW_START, 1, false, 0);
 	ck_assert(fixture_answer(fixture, EXEC_START, &fixture_done, &call));
-	ck_assert_uint_eq(call.fence, FIXTURE_FENCE);
+	ck_assert_uint_eq(call.fence, FIXTURE_CALL_FENCE);
 	/* The lease ends 5,000 ms after 100,000 ms on the worker's clock, which
 	 * may be 2 % slow. */
 	ck_assert_uint_le(call.deadline_ms, 100000 + 4900);
