Log the leader's token and the token of a call

The key fence of task-started and call-misdirected keeps its meaning, the leader's token, so that it can be compared with that of start-waits (docs/OPERATIONS.md, From an id to the cause). call_fence is the token in the call to the worker.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -98,6 +98,7 @@
 	uint64_t candidate_nr; /* RUNNER_PROBE_CANDIDATE only */
 	uint64_t sent_us;
 	uint64_t fence;
+	uint64_t leader_fence; /* the leader's token when it was sent */
 	uint64_t incarnation_nr; /* runner.incarnation_nr when it was sent */
 	bool extends_lease; /* the call has a new deadline for the lease */
 	uint64_t lease_until_us; /* end of that lease by the agent's clock */
--- a/src/core/agent/runner_log.c
+++ b/src/core/agent/runner_log.c
@@ -121,7 +121,8 @@
 	logline_str(line, "outcome", verdict_names[reply->verdict]);
 	logline_u64(line, "deadline_ms", call->deadline_ms);
 	logline_u64(line, "clock_ms", reply->clock_ms);
-	logline_u64(line, "fence", call->fence);
+	logline_u64(line, "fence", call->leader_fence);
+	logline_u64(line, "call_fence", call->fence);
 	logline_u64(line, "took_ms", ms_since(runner, call->sent_us));
 	node_log(runner->node, line);
 }
@@ -377,7 +378,8 @@
 	logline_str(line, "worker", runner->worker.id);
 	logline_u64(line, "term", runner->term);
 	logline_str(line, "outcome", "started");
-	logline_u64(line, "fence", call->fence);
+	logline_u64(line, "fence", call->leader_fence);
+	logline_u64(line, "call_fence", call->fence);
 	logline_u64(line, "ordered_ms_ago", ms_since(runner, run->added_us));
 	logline_u64(line, "took_ms", ms_since(runner, call->sent_us));
 	node_log(runner->node, line);
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -112,6 +112,7 @@
 	pending->kind = call->kind;
 	pending->sent_us = runner->node->now_us;
 	pending->fence = runner->call_fence;
+	pending->leader_fence = runner->fence;
 	pending->incarnation_nr = runner->incarnation_nr;
 	pending->extends_lease = call->deadline_ms != 0;
 	pending->deadline_ms = call->deadline_ms;
