--- a/src/core/agent/runner_log.c
+++ b/src/core/agent/runner_log.c
@@ -121,7 +121,8 @@
 	logline_str(line, "outcome", verdict_names[reply->verdict]);
 	logline_u64(line, "deadline_ms", call->deadline_ms);
 	logline_u64(line, "clock_ms", reply->clock_ms);
-	logline_u64(line, "fence", call->fence);
+	logline_u64(line, "fence", call->leader_fence);
+	logline_u64(line, "call_fence", call->fence);
 	logline_u64(line, "took_ms", ms_since(runner, call->sent_us));
 	node_log(runner->node, line);
 }
@@ -377,7 +378,8 @@
 	logline_str(line, "worker", runner->worker.id);
 	logline_u64(line, "term", runner->term);
 	logline_str(line, "outcome", "started");
-	logline_u64(line, "fence", call->fence);
+	logline_u64(line, "fence", call->leader_fence);
+	logline_u64(line, "call_fence", call->fence);
 	logline_u64(line, "ordered_ms_ago", ms_since(runner, run->added_us));
 	logline_u64(line, "took_ms", ms_since(runner, call->sent_us));
 	node_log(runner->node, line);
@@ -412,6 +414,8 @@
 	counter_set(counters, "lease_left_ms", runner_lease_left_ms(runner));
 	counter_set(counters, "runs", g_hash_table_size(runner->runs));
 	counter_set(counters, "ends_unsettled", runner->ends->len);
+	counter_set(counters, "call_fence_count",
+		    runner->call_fence % WORKER_FENCE_AGENT_COUNTS);
 	counter_set(counters, "worker_calls_open",
 		    g_hash_table_size(runner->calls));
 	if (ms_since(runner, runner->trace.acks_logged_us) >=
