Let stand-ins keep calls waiting over a restart, and cut them off

The stand-in for the platform's worker closed its listening socket when it was restarted, so calls sent meanwhile were refused, and it couldn't be cut off from its agent.

--- a/tests/executor_standin.c
+++ b/tests/executor_standin.c
@@ -15,15 +15,20 @@
  *
  * After SIGUSR2 it leaves --silent-percent of the calls unanswered for
  * --silent-ms: their connections stay open, and the calls are carried out late
- * or not at all.
+ * or not at all. With --cut it is cut off from its agent for that time instead:
+ * no call is carried out or answered, and no heartbeat is sent.
  *
  * SIGTERM ends the process at once, like the loss of a VM, after it has noted
  * the ends of its runs in the journal.
  *
  * SIGHUP ends this incarnation, with its connections, and starts another one
- * with the same name at the same address.
+ * with the same name at the same address. With --restart-ms the next
+ * incarnation starts after that time, and the listening socket stays open
+ * meanwhile: calls wait there and reach the next incarnation before it sends a
+ * heartbeat, like connection attempts that are sent again.
  */
 
+#include <fcntl.h>
 #include <glib-unix.h>
 #include <inttypes.h>
 #include <json-glib/json-glib.h>
@@ -39,6 +44,8 @@
 #include "testbed.h"
 
 #define HEARTBEAT_MS 300
+/* Delay of the first heartbeat if calls may have waited for the restart. */
+#define RESTART_HEARTBEAT_MS 100
 #define TICK_MS 10
 /* Delay after which an unanswered call may still be carried out. */
 #define LATE_MIN_MS 2000
@@ -48,7 +55,6 @@
 #define UNHEALTHY_REFUSED_PERCENT 50
 #define UNHEALTHY_RESET_PERCENT 25
 #define ENDS_PER_REPLY 500 /* limit of the protocol */
-#define HOLD_MAX_MS 10000
 #define STOP_MAX_MS 900 /* until a run that is being stopped has ended */
 
 struct standin {
@@ -69,6 +75,10 @@
 	gint odd_percent; /* of the rows of lists: invalid */
 	gint silent_percent; /* of the calls after SIGUSR2: no answer */
 	gint silent_ms; /* duration after SIGUSR2 */
+	gboolean cut; /* cut off from its agent after SIGUSR2 */
+	/* Time between two incarnations, 0: its address refuses connections */
+	gint restart_ms;
+	gint listen_fd; /* inherited listening socket, -1: none */
 	GRand *random;
 	gint64 unhealthy_until_us;
 	gint64 silent_until_us;
@@ -393,7 +403,10 @@
 	if (fence < standin->fence)
 		return "fence";
 	standin->fence = fence;
-	lease_ms = MIN(lease_ms, clock_ms(standin) + HOLD_MAX_MS);
+	if (lease_ms > clock_ms(standin) + TB_EXECUTOR_LEASE_MAX_MS) {
+		lease_ms = clock_ms(standin) + TB_EXECUTOR_LEASE_MAX_MS;
+		journal_event(standin, "longest-lease", "-", 0);
+	}
 	standin->lease_ms = MAX(standin->lease_ms, lease_ms);
 	if (!strcmp(path, "/run-start"))
 		return start_run(standin, call, late);
@@ -454,14 +467,24 @@
 		execute_later(standin, msg, path);
 }
 
+static bool is_cut_off(const struct standin *standin)
+{
+	return standin->cut &&
+	       g_get_monotonic_time() < standin->silent_until_us;
+}
+
 /*
- * Leaves silent_percent of the calls to a silent worker unanswered; one in
- * three of them is not carried out. Returns false if the call is to be handled
- * as usual.
+ * Leaves all calls to a worker that is cut off, and silent_percent of the calls
+ * to a silent worker unanswered. None of the first and two in three of the
+ * others are carried out. Returns false if the call is to be handled as usual.
  */
 static bool leave_unanswered(struct standin *standin, SoupServerMessage *msg,
 			     const char *path)
 {
+	if (is_cut_off(standin)) {
+		soup_server_message_pause(msg);
+		return true;
+	}
 	if (g_get_monotonic_time() >= standin->silent_until_us ||
 	    g_rand_int_range(standin->random, 0, 100) >=
 		    standin->silent_percent)
@@ -563,6 +586,18 @@
 	soup_server_message_pause(msg);
 }
 
+/* Leaves the waiting long polls unanswered. */
+static void drop_holds(struct standin *standin)
+{
+	for (guint i = 0; i < standin->holds->len; i++) {
+		struct hold *hold = standin->holds->pdata[i];
+
+		g_object_unref(hold->msg);
+		g_free(hold);
+	}
+	g_ptr_array_set_size(standin->holds, 0);
+}
+
 static void on_call(SoupServer *server, SoupServerMessage *msg,
 		    const char *path, GHashTable *query, gpointer data)
 {
@@ -578,7 +613,8 @@
 		goto out;
 	}
 	call = json_node_get_object(json_parser_get_root(parser));
-	if (g_rand_int_range(standin->random, 0, 100) < standin->late_percent) {
+	if (!is_cut_off(standin) &&
+	    g_rand_int_range(standin->random, 0, 100) < standin->late_percent) {
 		soup_server_message_pause(msg);
 		execute_unanswered(standin, msg, path, call);
 		goto out;
@@ -665,6 +701,8 @@
 {
 	struct standin *standin = data;
 
+	if (is_cut_off(standin))
+		return G_SOURCE_CONTINUE;
 	if (g_rand_int_range(standin->random, 0, 100) <
 	    standin->malformed_percent)
 		post_heartbeat(standin,
@@ -694,6 +732,17 @@
 	return G_SOURCE_REMOVE;
 }
 
+/* Lets the next incarnation inherit the listening socket, which it returns. */
+static int keep_listening(const struct standin *standin)
+{
+	GSList *listeners = soup_server_get_listeners(standin->server);
+	int fd = g_socket_get_fd(listeners->data);
+
+	fcntl(fd, F_SETFD, 0);
+	g_slist_free(listeners);
+	return fd;
+}
+
 /* Executes the program anew. Sockets are closed on exec: connections end. */
 static gboolean on_restart(gpointer data)
 {
@@ -703,9 +752,13 @@
 
 	end_life(standin);
 	for (char **arg = standin->argv; *arg; arg++)
-		if (!g_str_has_prefix(*arg, "--address="))
+		if (!g_str_has_prefix(*arg, "--address=") &&
+		    !g_str_has_prefix(*arg, "--listen-fd="))
 			g_ptr_array_add(argv, *arg);
 	g_ptr_array_add(argv, address);
+	if (standin->restart_ms)
+		g_ptr_array_add(argv, g_strdup_printf("--listen-fd=%d",
+						      keep_listening(standin)));
 	g_ptr_array_add(argv, NULL);
 	/* Ignores further signals until the new incarnation has its handler. */
 	signal(SIGHUP, SIG_IGN);
@@ -734,6 +787,8 @@
 
 	standin->silent_until_us =
 		g_get_monotonic_time() + standin->silent_ms * INT64_C(1000);
+	if (standin->cut)
+		drop_holds(standin);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -743,19 +798,35 @@
 	_exit(0);
 }
 
-static bool serve(struct standin *standin, const char *port_file)
+/* Listens at the inherited socket if there is one. */
+static bool start_listening(struct standin *standin)
 {
 	const char *colon = standin->address ? strchr(standin->address, ':') :
 					       NULL;
 	guint port = colon ? (guint)g_ascii_strtoull(colon + 1, NULL, 10) : 0;
+	GSocket *socket;
+	bool listens;
+
+	if (standin->listen_fd < 0)
+		return soup_server_listen_local(standin->server, port,
+						SOUP_SERVER_LISTEN_IPV4_ONLY,
+						NULL);
+	socket = g_socket_new_from_fd(standin->listen_fd, NULL);
+	listens = socket &&
+		  soup_server_listen_socket(standin->server, socket, 0, NULL);
+	g_clear_object(&socket);
+	return listens;
+}
+
+static bool serve(struct standin *standin, const char *port_file)
+{
 	GSList *uris;
 	char *text;
 	bool written;
 
 	standin->server = soup_server_new(NULL, NULL);
 	soup_server_add_handler(standin->server, NULL, on_call, standin, NULL);
-	if (!soup_server_listen_local(standin->server, port,
-				      SOUP_SERVER_LISTEN_IPV4_ONLY, NULL))
+	if (!start_listening(standin))
 		return false;
 	uris = soup_server_get_uris(standin->server);
 	standin->address =
@@ -769,7 +840,8 @@
 
 int main(int argc, char **argv)
 {
-	static struct standin standin;
+	static struct standin standin = { .listen_fd = -1 };
+	bool inherits;
 	char *port_file = NULL;
 	char *journal = NULL;
 	GOptionEntry entries[] = {
@@ -791,6 +863,9 @@
 		{ "silent-percent", 0, 0, G_OPTION_ARG_INT,
 		  &standin.silent_percent },
 		{ "silent-ms", 0, 0, G_OPTION_ARG_INT, &standin.silent_ms },
+		{ "cut", 0, 0, G_OPTION_ARG_NONE, &standin.cut },
+		{ "restart-ms", 0, 0, G_OPTION_ARG_INT, &standin.restart_ms },
+		{ "listen-fd", 0, 0, G_OPTION_ARG_INT, &standin.listen_fd },
 		{ NULL },
 	};
 	GOptionContext *context = g_option_context_new(NULL);
@@ -801,6 +876,10 @@
 	    !standin.name || !standin.agent || !standin.zone || !journal ||
 	    !port_file)
 		return 2;
+	inherits = standin.listen_fd >= 0;
+	/* The worker doesn't exist between its incarnations. */
+	if (inherits)
+		g_usleep((gulong)standin.restart_ms * 1000);
 	standin.journal = fopen(journal, "ae");
 	standin.born_ms = (uint64_t)g_get_real_time() / 1000;
 	standin.born_us = g_get_monotonic_time();
@@ -823,7 +902,8 @@
 	g_unix_signal_add(SIGTERM, on_lost, &standin);
 	g_timeout_add(TICK_MS, on_tick, &standin);
 	/* After a restart, calls arrive before the first heartbeat is sent. */
-	g_timeout_add((guint)g_random_int_range(1, HEARTBEAT_MS),
+	g_timeout_add(inherits ? RESTART_HEARTBEAT_MS :
+				 (guint)g_random_int_range(1, HEARTBEAT_MS),
 		      on_first_heartbeat, &standin);
 	g_main_loop_run(standin.loop);
 	return 0;
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -354,6 +354,9 @@
 	}
 	if (tb->opts.platform && tb->opts.grace_s)
 		proc_arg_number(proc, "--grace-s", tb->opts.grace_s);
+	if (tb->opts.platform && tb->opts.worker_lease_ms)
+		proc_arg_number(proc, "--worker-lease-ms",
+				tb->opts.worker_lease_ms);
 	if (tb->opts.platform) {
 		proc_arg(proc, "--front-end", "platform");
 		proc_arg(proc, "--zones", "veraval,porbandar,mangrol");
@@ -640,6 +643,9 @@
 	proc_arg_number(standin, "--odd-percent", opts->odd_percent);
 	proc_arg_number(standin, "--silent-percent", opts->silent_percent);
 	proc_arg_number(standin, "--silent-ms", opts->silent_ms);
+	proc_arg_number(standin, "--restart-ms", opts->restart_ms);
+	if (opts->cut)
+		g_ptr_array_add(standin->argv, g_strdup("--cut"));
 	proc_start(standin);
 	tb_wait_port(standin);
 	g_ptr_array_add(tb->agents, agent);
--- a/tests/testbed.h
+++ b/tests/testbed.h
@@ -32,6 +32,8 @@
 	bool proxy_agents; /* a fault proxy for each agent */
 	bool platform; /* the processes use the platform's protocol */
 	uint32_t grace_s; /* --grace-s of the processes, 0: the default */
+	/* --worker-lease-ms of the processes, 0: the default */
+	uint32_t worker_lease_ms;
 	uint64_t seed; /* of the fault proxies */
 };
 
@@ -63,6 +65,7 @@
 /* Capacity of the worker of testbed_add_executor(). */
 #define TB_EXECUTOR_CPU_MILLIS 8000
 #define TB_EXECUTOR_MEMORY_MIB 16000
+#define TB_EXECUTOR_LEASE_MAX_MS 10000 /* longest lease that it accepts */
 
 struct tb_executor_opts {
 	const char *zone; /* NULL: veraval */
@@ -79,6 +82,12 @@
 	/* Of the calls, for silent_ms after SIGUSR2: no answer, may run late */
 	uint32_t silent_percent;
 	uint32_t silent_ms;
+	bool cut; /* for silent_ms after SIGUSR2 it is cut off from its agent */
+	/*
+	 * From the end of an incarnation by SIGHUP to the start of the next
+	 * one, which calls wait for; 0: calls are refused meanwhile.
+	 */
+	uint32_t restart_ms;
 };
 
 /** Starts an agent and a stand-in for the platform's worker on its VM. */
