Set the workers' longest lease in the platform's testbed

A deployment sets it to the workers' limit (deploy/node.conf), and with the default no leader counts with the longer lease of a restarted worker.

Change: the testbed passes the stand-ins' limit. It can also set the time of a restart and of a cut, and submit a workflow with one step only.

--- a/tests/platform_testbed.c
+++ b/tests/platform_testbed.c
@@ -42,12 +42,17 @@
 					.proxy_controls = opts->proxies,
 					.platform = true,
 					.grace_s = opts->grace_s,
+					.worker_lease_ms =
+						TB_EXECUTOR_LEASE_MAX_MS,
 					.seed = opts->seed };
 	struct tb_executor_opts executor = { .late_percent = opts->late_percent,
 					     .reset_percent =
 						     opts->reset_percent,
 					     .malformed_percent = 10,
-					     .odd_percent = opts->odd_percent };
+					     .odd_percent = opts->odd_percent,
+					     .cut = opts->cut_ms > 0,
+					     .silent_ms = opts->cut_ms,
+					     .restart_ms = opts->restart_ms };
 	struct testbed *tb = testbed_new(&tb_opts, opts->program);
 
 	testbed_add_entry(tb, "veraval");
@@ -68,12 +73,12 @@
 	return g_strdup_printf("/q/%016x", nr);
 }
 
-static char *steps_text(uint32_t run_ms)
+static char *steps_text(uint32_t nr_steps, uint32_t run_ms)
 {
 	GString *text = g_string_new(NULL);
 
 	g_string_printf(text, "{\"spec\":\"%u\",\"steps\":[", run_ms);
-	for (guint i = 0; i < G_N_ELEMENTS(steps); i++) {
+	for (guint i = 0; i < nr_steps; i++) {
 		g_string_append_printf(text,
 				       "%s{\"count\":4,\"cpu\":%u,\"memMb\":%u,"
 				       "\"maxPerServer\":%u,\"estimateMs\":%u",
@@ -88,11 +93,11 @@
 	return g_string_free(text, FALSE);
 }
 
-guint platform_testbed_submit_once(struct testbed *tb, uint32_t nr,
-				   uint32_t run_ms)
+static guint submit_once(struct testbed *tb, uint32_t nr, uint32_t nr_steps,
+			 uint32_t run_ms)
 {
 	char *path = path_of(nr);
-	char *text = steps_text(run_ms);
+	char *text = steps_text(nr_steps, run_ms);
 	struct tb_proc *entry = testbed_entry(tb, 0);
 	guint status = 0;
 
@@ -103,18 +108,36 @@
 	return status;
 }
 
-void platform_testbed_submit(struct testbed *tb, uint32_t nr, uint32_t run_ms)
+guint platform_testbed_submit_once(struct testbed *tb, uint32_t nr,
+				   uint32_t run_ms)
+{
+	return submit_once(tb, nr, G_N_ELEMENTS(steps), run_ms);
+}
+
+static void submit(struct testbed *tb, uint32_t nr, uint32_t nr_steps,
+		   uint32_t run_ms)
 {
 	guint status = 0;
 
 	for (uint32_t i = 0; i < 100 && status != 200; i++) {
-		status = platform_testbed_submit_once(tb, nr, run_ms);
+		status = submit_once(tb, nr, nr_steps, run_ms);
 		if (status != 200)
 			testbed_wait_ms(100);
 	}
 	ck_assert_uint_eq(status, 200);
 }
 
+void platform_testbed_submit(struct testbed *tb, uint32_t nr, uint32_t run_ms)
+{
+	submit(tb, nr, G_N_ELEMENTS(steps), run_ms);
+}
+
+void platform_testbed_submit_step(struct testbed *tb, uint32_t nr,
+				  uint32_t run_ms)
+{
+	submit(tb, nr, 1, run_ms);
+}
+
 void platform_testbed_wait(struct testbed *tb, uint32_t nr, const char *state,
 			   uint32_t limit_ms)
 {
--- a/tests/platform_testbed.h
+++ b/tests/platform_testbed.h
@@ -22,6 +22,10 @@
 	uint32_t odd_percent; /* of the rows in workers' lists, sent invalid */
 	bool proxies; /* control processes are reached by fault proxies */
 	uint32_t grace_s; /* setting --grace-s, 0: not set */
+	/* Workers are cut off from their agents for this time after SIGUSR2. */
+	uint32_t cut_ms;
+	/* From SIGHUP to a worker to its next incarnation, see testbed.h. */
+	uint32_t restart_ms;
 	uint64_t seed; /* of random faults */
 };
 
@@ -39,6 +43,9 @@
 				   uint32_t run_ms);
 /** Repeats platform_testbed_submit_once() until the workflow is accepted. */
 void platform_testbed_submit(struct testbed *tb, uint32_t nr, uint32_t run_ms);
+/** Submits workflow @a nr with the first of the two steps only. */
+void platform_testbed_submit_step(struct testbed *tb, uint32_t nr,
+				  uint32_t run_ms);
 /** Waits up to @a limit_ms until workflow @a nr is in the @a state. */
 void platform_testbed_wait(struct testbed *tb, uint32_t nr, const char *state,
 			   uint32_t limit_ms);
