Play a new leader beside a restarted worker with real processes

Change: three cases of test_platform_site. A worker crashes and is back after 0.6 s; calls that waited at its address give it the longest lease. The leader ends 1.4 s later, by SIGKILL or SIGTERM, and the worker is cut off from its agent, or the agent is frozen, from 2.0 s after the restart for 9 s. All workers are full until tasks run on the new incarnation, so the leader has no choice; then cancelled workflows make room for a second run elsewhere. The test waits for these runs and for the longest lease instead of expecting them by a time.

--- a/tests/platform_testbed.c
+++ b/tests/platform_testbed.c
@@ -138,6 +138,21 @@
 	submit(tb, nr, 1, run_ms);
 }
 
+void platform_testbed_cancel(struct testbed *tb, uint32_t nr)
+{
+	char *path = path_of(nr);
+	guint status = 0;
+
+	for (uint32_t i = 0; i < 100 && status != 200; i++) {
+		status = tb_request(testbed_entry(tb, 0), "DELETE", path, NULL,
+				    NULL, NULL);
+		if (status != 200)
+			testbed_wait_ms(100);
+	}
+	ck_assert_uint_eq(status, 200);
+	g_free(path);
+}
+
 void platform_testbed_wait(struct testbed *tb, uint32_t nr, const char *state,
 			   uint32_t limit_ms)
 {
--- a/tests/platform_testbed.h
+++ b/tests/platform_testbed.h
@@ -46,6 +46,8 @@
 /** Submits workflow @a nr with the first of the two steps only. */
 void platform_testbed_submit_step(struct testbed *tb, uint32_t nr,
 				  uint32_t run_ms);
+/** Cancels workflow @a nr. */
+void platform_testbed_cancel(struct testbed *tb, uint32_t nr);
 /** Waits up to @a limit_ms until workflow @a nr is in the @a state. */
 void platform_testbed_wait(struct testbed *tb, uint32_t nr, const char *state,
 			   uint32_t limit_ms);
--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -167,8 +167,8 @@
 		tb_proc_restart(testbed_control(tb, i));
 }
 
-/* Kills the leader, which is the replica with the most grants. */
-static struct tb_proc *kill_leader(struct testbed *tb)
+/* Ends the leader, which is the replica with the most grants, by a signal. */
+static struct tb_proc *end_leader(struct testbed *tb, int signal_nr)
 {
 	struct tb_proc *leader = testbed_control(tb, 0);
 
@@ -176,7 +176,7 @@
 		if (tb_proc_metric(testbed_control(tb, i), "flow_grants") >
 		    tb_proc_metric(leader, "flow_grants"))
 			leader = testbed_control(tb, i);
-	tb_proc_signal(leader, SIGKILL);
+	tb_proc_signal(leader, signal_nr);
 	return leader;
 }
 
@@ -191,7 +191,7 @@
 	for (uint32_t i = 1; i <= 4; i++)
 		platform_testbed_submit(tb, i, 700);
 	testbed_wait_ms(300);
-	leader = kill_leader(tb);
+	leader = end_leader(tb, SIGKILL);
 	platform_testbed_submit(tb, 5, 300);
 	tb_proc_restart(leader);
 	for (uint32_t i = 1; i <= 5; i++)
@@ -311,6 +311,154 @@
 }
 END_TEST
 
+/* The restarted worker and its agent. */
+#define RESTARTED 0
+#define WORKER_DOWN_MS 600
+/*
+ * With a granted lease of 5 s, the deadlines of calls at this time are beyond
+ * the longest lease on the clock of the next incarnation.
+ */
+#define UPTIME_MS 6000
+/* From the restart. */
+#define LEADER_ENDS_AFTER_MS 1400
+#define CUT_AFTER_MS 2000
+#define LEADER_BACK_AFTER_MS 2400
+#define CUT_MS 9000
+/*
+ * Twelve workflows of four tasks fill all workers, so the tasks that the
+ * restart has ended can only run at the restarted worker. The first ones run
+ * until they are cancelled, which then gives the other workers free capacity.
+ */
+#define NR_LASTING 6
+#define NR_WORKFLOWS 12
+/* Longer than the lease of the restarted worker lasts. */
+#define RUN_MS 16000
+
+struct restart_case {
+	int leader_signal; /* that ends the leader */
+	bool freeze_agent; /* in place of the cut between worker and agent */
+};
+
+static void wait_until(gint64 since_us, uint32_t ms)
+{
+	gint64 left_ms = ms - (g_get_monotonic_time() - since_us) / 1000;
+
+	if (left_ms > 0)
+		testbed_wait_ms((uint32_t)left_ms);
+}
+
+/* Counts the starts at the worker of tasks that aren't lasting. */
+static uint32_t nr_starts(struct testbed *tb, const struct tb_proc *worker)
+{
+	char *start =
+		g_strdup_printf("worker=%s event=start", tb_proc_name(worker));
+	uint32_t nr = 0;
+
+	for (uint32_t i = NR_LASTING + 1; i < NR_WORKFLOWS; i++) {
+		char *task = g_strdup_printf("task=%016x.", i);
+
+		nr += testbed_journal_count(tb, start, task);
+		g_free(task);
+	}
+	g_free(start);
+	return nr;
+}
+
+/* Waits until the restarted worker runs tasks again. */
+static void wait_for_starts(struct testbed *tb, uint32_t nr_before)
+{
+	const struct tb_proc *worker = testbed_standin(tb, RESTARTED);
+
+	for (uint32_t ms = 0; ms < 10000 && nr_starts(tb, worker) <= nr_before;
+	     ms += 20)
+		testbed_wait_ms(20);
+	ck_assert_uint_gt(nr_starts(tb, worker), nr_before);
+}
+
+/*
+ * Restarts a worker while calls wait at its address. Soon after that the leader
+ * ends, and the worker is cut off from its agent or the agent is frozen.
+ */
+static void play_restart(const struct restart_case *test)
+{
+	struct platform_testbed_opts opts = { .program = program,
+					      .cut_ms = CUT_MS,
+					      .restart_ms = WORKER_DOWN_MS,
+					      .seed = 1 };
+	struct testbed *tb = platform_testbed_new(&opts);
+	struct tb_proc *worker = testbed_standin(tb, RESTARTED);
+	struct tb_proc *agent = testbed_agent(tb, RESTARTED);
+	struct tb_proc *cut = test->freeze_agent ? agent : worker;
+	struct tb_proc *leader;
+	uint32_t nr_before;
+	gint64 restart_us;
+
+	for (uint32_t i = 1; i < NR_WORKFLOWS; i++)
+		platform_testbed_submit_step(tb, i,
+					     i <= NR_LASTING ? 0 : RUN_MS);
+	testbed_wait_ms(UPTIME_MS);
+	nr_before = nr_starts(tb, worker);
+	tb_proc_signal(worker, SIGHUP);
+	restart_us = g_get_monotonic_time() + WORKER_DOWN_MS * INT64_C(1000);
+	/* Starts of this workflow's tasks may wait at the worker, too. */
+	platform_testbed_submit_step(tb, NR_WORKFLOWS, RUN_MS);
+	wait_for_starts(tb, nr_before);
+	ck_assert_uint_gt(testbed_journal_count(tb, "event=longest-lease",
+						tb_proc_name(worker)),
+			  0);
+	for (uint32_t i = 1; i <= NR_LASTING; i++)
+		platform_testbed_cancel(tb, i);
+	wait_until(restart_us, LEADER_ENDS_AFTER_MS);
+	leader = end_leader(tb, test->leader_signal);
+	wait_until(restart_us, CUT_AFTER_MS);
+	tb_proc_signal(cut, test->freeze_agent ? SIGSTOP : SIGUSR2);
+	wait_until(restart_us, LEADER_BACK_AFTER_MS);
+	ck_assert_int_eq(tb_proc_wait(leader, 10000),
+			 test->leader_signal == SIGTERM ? 0 : -1);
+	tb_proc_restart(leader);
+	wait_until(restart_us, CUT_AFTER_MS + CUT_MS);
+	if (test->freeze_agent)
+		tb_proc_signal(agent, SIGCONT);
+	for (uint32_t i = NR_LASTING + 1; i <= NR_WORKFLOWS; i++)
+		platform_testbed_wait(tb, i, "completed", 40000);
+	ck_assert_uint_eq(platform_testbed_check(tb),
+			  (NR_WORKFLOWS - NR_LASTING) * 4);
+	testbed_free(tb);
+}
+
+/*
+ * Guards against a new leader that gives up the runs of a restarted worker
+ * before its lease has expired, so that tasks run twice (issue 48): the worker
+ * got the longest lease from a call to its former incarnation, and has been cut
+ * off from its agent.
+ */
+START_TEST(test_worker_restarted)
+{
+	static const struct restart_case test = { .leader_signal = SIGKILL };
+
+	play_restart(&test);
+}
+END_TEST
+
+/* Guards against the same with an agent that doesn't report any more. */
+START_TEST(test_worker_restarted_frozen)
+{
+	static const struct restart_case test = { .leader_signal = SIGKILL,
+						  .freeze_agent = true };
+
+	play_restart(&test);
+}
+END_TEST
+
+/* Guards against the same after a leader that has handed over its role. */
+START_TEST(test_worker_restarted_sigterm)
+{
+	static const struct restart_case test = { .leader_signal = SIGTERM };
+
+	play_restart(&test);
+}
+END_TEST
+
 /* Guards against the loss of acknowledged changes if all replicas fail. */
 START_TEST(test_power_lost)
 {
@@ -884,6 +1032,9 @@
 		test_late_orders,
 		test_resent_starts,
 		test_worker_reborn,
+		test_worker_restarted,
+		test_worker_restarted_frozen,
+		test_worker_restarted_sigterm,
 		test_power_lost,
 		test_entry_leaves,
 		test_controls_replaced,
