Count a test's tasks in a variable

clang-tidy reports the multiplication in the argument of ck_assert_uint_eq() as an implicit widening. No behaviour changes.

--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -389,6 +389,7 @@
 	struct tb_proc *worker = testbed_standin(tb, RESTARTED);
 	struct tb_proc *agent = testbed_agent(tb, RESTARTED);
 	struct tb_proc *cut = test->freeze_agent ? agent : worker;
+	uint32_t nr_tasks = (NR_WORKFLOWS - NR_LASTING) * 4;
 	struct tb_proc *leader;
 	uint32_t nr_before;
 	gint64 restart_us;
@@ -421,8 +422,7 @@
 		tb_proc_signal(agent, SIGCONT);
 	for (uint32_t i = NR_LASTING + 1; i <= NR_WORKFLOWS; i++)
 		platform_testbed_wait(tb, i, "completed", 40000);
-	ck_assert_uint_eq(platform_testbed_check(tb),
-			  (NR_WORKFLOWS - NR_LASTING) * 4);
+	ck_assert_uint_eq(platform_testbed_check(tb), nr_tasks);
 	testbed_free(tb);
 }
 
