Keep the restart test's lasting tasks from being stopped as stalled

Tasks without a run time have the estimate 0, and the stand-ins report no progress, so the leader stopped them after 4 s as stalled. That briefly left other workers with free capacity shortly before the restart.

Change: the tasks that the test cancels have a run time of a minute.

--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -326,12 +326,17 @@
 #define CUT_MS 9000
 /*
  * Twelve workflows of four tasks fill all workers, so the tasks that the
- * restart has ended can only run at the restarted worker. The first ones run
- * until they are cancelled, which then gives the other workers free capacity.
+ * restart has ended can only run at the restarted worker. The first ones are
+ * cancelled after that, which gives the other workers free capacity.
  */
 #define NR_LASTING 6
 #define NR_WORKFLOWS 12
-/* Longer than the lease of the restarted worker lasts. */
+/*
+ * Of the lasting tasks. A task whose estimate is shorter would be stopped as
+ * stalled before the restart, as stand-ins report no progress.
+ */
+#define LASTING_MS 60000
+/* Longer than the lease of the restarted worker. */
 #define RUN_MS 16000
 
 struct restart_case {
@@ -395,8 +400,8 @@
 	gint64 restart_us;
 
 	for (uint32_t i = 1; i < NR_WORKFLOWS; i++)
-		platform_testbed_submit_step(tb, i,
-					     i <= NR_LASTING ? 0 : RUN_MS);
+		platform_testbed_submit_step(
+			tb, i, i <= NR_LASTING ? LASTING_MS : RUN_MS);
 	testbed_wait_ms(UPTIME_MS);
 	nr_before = nr_starts(tb, worker);
 	tb_proc_signal(worker, SIGHUP);
