--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -642,6 +642,7 @@
 static const uint32_t foreign_regressions[] = {
 	216, /* a task was placed although a report listed an earlier run */
 	981, /* as seed 981 above */
+	1027, /* a start in flight ran at a restarted worker, as 9051 */
 	9051, /* a start in flight ran at a restarted worker */
 };
 
