--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -12,7 +12,7 @@
  * and the agent's count last. The leader raises its token when it revokes the
  * VM's runs, and with its term; grants and orders are compared by it. The agent
  * raises its count when it may have lost contact with the worker's incarnation,
- * so that the next call that is carried out bars all earlier ones, also at an
+ * so that the next call that is executed bars all earlier ones, also at an
  * incarnation that has been restarted with the same identity and has received
  * no token yet.
  *
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -199,7 +199,7 @@
 	struct pressure_pair *pairs;
 };
 
-/** A run whose start may still be carried out, or may have been. */
+/** A run whose start may still be executed, or may have been. */
 struct flow_unconfirmed {
 	char task[NAME_BYTES];
 	uint32_t run;
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -177,8 +177,8 @@
 	 */
 	bool starting;
 	/*
-	 * An earlier leader has recorded that its start may still be carried
-	 * out. Until this time it may be, 0: not recorded.
+	 * An earlier leader has recorded that its start may still be
+	 * executed. Until this time it may be, 0: not recorded.
 	 */
 	uint64_t inherited_late_us;
 	/* A worker lists the end of an earlier run of the task as done. */
@@ -402,7 +402,7 @@
 			    const struct flow_vm *vm);
 void control_flow_grant(struct control_flow *flows, struct flow_vm *vm);
 /**
- * Returns the time until which a later incarnation of the worker may carry out
+ * Returns the time until which a later incarnation of the worker may execute
  * the run's start, 0 if the worker certainly has the run.
  */
 uint64_t control_flow_late_start_us(const struct flow_placement *placed);
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -595,7 +595,7 @@
 
 /*
  * Returns the time at which the worker has certainly no longer a run. A later
- * incarnation that carries out its start, or that of an earlier run of the
+ * incarnation that executes its start, or that of an earlier run of the
  * task, until @a late_us may keep it for the longest lease that workers accept.
  */
 static uint64_t flow_run_lapsed_us(const struct control_flow *flows,
--- a/src/core/control/control_flow_worker.c
+++ b/src/core/control/control_flow_worker.c
@@ -5,7 +5,7 @@
 /*
  * Records of workers in the replicated state. A worker that was restarted under
  * its identity may have accepted a call to its earlier incarnation, whose
- * deadline gives it the longest lease, and may still carry out starts that had
+ * deadline gives it the longest lease, and may still execute starts that had
  * no answer. A new leader has to know that, also if neither the worker nor its
  * agent can tell it any more.
  */
@@ -105,7 +105,7 @@
 	       (!vm->restarted || !vm->reports_fence);
 }
 
-/* ---- starts that the worker may still carry out ---- */
+/* ---- starts that the worker may still execute ---- */
 
 static bool has_unconfirmed(const struct flow_worker *record, const char *task,
 			    uint32_t run)
@@ -119,7 +119,7 @@
 
 /*
  * Returns the time until which a start that an earlier leader has recorded may
- * be carried out; it was called before this leader's term.
+ * be executed; it was called before this leader's term.
  */
 static uint64_t inherited_late_us(const struct control_flow *flows)
 {
@@ -138,8 +138,8 @@
 }
 
 /*
- * Returns true if a later leader has to know that the worker may still carry
- * out the run's start. Most starts that are only waiting for their answers get
+ * Returns true if a later leader has to know that the worker may still
+ * execute the run's start. Most starts that are waiting for their answers get
  * them soon.
  */
 static bool is_unconfirmed(const struct flow_placement *placed)
@@ -233,7 +233,8 @@
 	GArray *changes;
 };
 
-/* Adds a change that drops the record if its VM hasn't reported for long. */
+/* Adds a change that drops the record if its VM hasn't reported for
+ * FLOW_WORKER_EXPIRE_MS. */
 static gboolean add_if_expired(gpointer key, gpointer value, gpointer data)
 {
 	const struct flow_worker *record = value;
--- a/src/core/state/state_worker.h
+++ b/src/core/state/state_worker.h
@@ -6,7 +6,7 @@
  * Workers that run tasks of workflows. The replicated state has the last known
  * incarnation of each VM's worker, that is execution of its process, so that
  * each leader knows whether it was restarted under its identity, and which
- * starts it may still carry out.
+ * starts it may still execute.
  */
 
 #include "flow.h"
--- a/tests/executor_standin.c
+++ b/tests/executor_standin.c
@@ -16,7 +16,7 @@
  * After SIGUSR2 it leaves --silent-percent of the calls unanswered for
  * --silent-ms: their connections stay open, and the calls are carried out late
  * or not at all. With --cut it is cut off from its agent for that time instead:
- * no call is carried out or answered, and no heartbeat is sent.
+ * no call is executed or answered, and no heartbeat is sent.
  *
  * SIGTERM ends the process at once, like the loss of a VM, after it has noted
  * the ends of its runs in the journal.
--- a/tests/test_flow_freeze.c
+++ b/tests/test_flow_freeze.c
@@ -316,8 +316,8 @@
 /*
  * Guards against a task that is placed elsewhere in the turn in which a report
  * lists an earlier run of it, which was only ordered to stop then. The run was
- * taken for lost, but its worker has a longer lease than the new leader counts
- * with. First seen in test_flow_random, seed 216 with foreign reports.
+ * taken for lost, but its worker has a longer lease than the new leader
+ * assumes. First seen in test_flow_random, seed 216 with foreign reports.
  */
 START_TEST(test_listed_run_of_waiting_task)
 {
--- a/tests/test_flow_late.c
+++ b/tests/test_flow_late.c
@@ -246,7 +246,7 @@
 
 /*
  * Guards against a run that a new leader gives up although a later incarnation
- * of the worker may carry out its start: the agent has reported the missing
+ * of the worker may execute its start: the agent has reported the missing
  * answer to the former leader only.
  */
 START_TEST(test_restart_after_start_reported_to_former_leader)
@@ -282,7 +282,7 @@
 END_TEST
 
 /*
- * Restarts a worker that is to carry out a start late, though its run was
+ * Restarts a worker that is to execute a start late, though its run was
  * stopped, reported as never started, and done elsewhere. The agent's polls
  * reach the new incarnation before the start does, and before its first
  * heartbeat.
--- a/tests/test_flow_orphan.c
+++ b/tests/test_flow_orphan.c
@@ -21,7 +21,7 @@
 
 /*
  * Makes the workers continue runs that the leader has taken for lost: their
- * leases last longer than it counts with, and the agents are down until the
+ * leases last longer than it assumes, and the agents are down until the
  * runs are lost.
  *
  * Submits a workflow of one task on each VM, whose last one ends with its
--- a/tests/test_flow_restart.c
+++ b/tests/test_flow_restart.c
@@ -259,7 +259,7 @@
 }
 END_TEST
 
-/* The leader that has seen the restart counts with the longest lease. */
+/* The leader that has seen the restart assumes the longest lease. */
 START_TEST(test_same_leader_beside_cut_worker)
 {
 	static const struct restart_case test = {
@@ -315,12 +315,12 @@
 }
 
 /*
- * Makes the restarted workers carry out a call to their former incarnation that
+ * Makes the restarted workers execute a call to their former incarnation that
  * was delayed by less than the platform's 12 s. They accept it: they have seen
  * no fencing token above the former one.
  */
-static void carry_out_former_calls(struct flow_world *fw,
-				   const uint64_t *former_fences)
+static void execute_former_calls(struct flow_world *fw,
+				 const uint64_t *former_fences)
 {
 	for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++) {
 		struct fw_vm *vm = &fw->vms[restarted_vms[i]];
@@ -367,7 +367,7 @@
 	} else {
 		flow_world_run_ms(fw, FROZEN_MS - 100);
 	}
-	carry_out_former_calls(fw, former_fences);
+	execute_former_calls(fw, former_fences);
 	set_frozen(fw, false);
 	flow_world_set_zone(fw, fw->vms[1].zone, false);
 	flow_world_run_ms(fw, LATE_CUT_MS);
@@ -378,7 +378,7 @@
 }
 
 /*
- * Guards against a leader that counts with the longest lease from the last
+ * Guards against a leader that assumes the longest lease from the last
  * report. Until the worker has seen the raised fencing token, a call to the
  * former incarnation gives it that lease at a later time.
  */
--- a/tests/test_runner_fence.c
+++ b/tests/test_runner_fence.c
@@ -4,7 +4,7 @@
  * with a lower token than the highest one it has received, and a restarted
  * worker has received none. The agent raises its part of the token when it may
  * have lost contact with the worker's incarnation, so that the next call that
- * is carried out bars all earlier ones.
+ * is executed bars all earlier ones.
  */
 
 #include <string.h>
@@ -66,7 +66,7 @@
 }
 
 /*
- * Guards against a restarted worker that carries out calls from before a poll
+ * Guards against a restarted worker that executes calls from before a poll
  * that was missed: all later calls, which the leader's present orders still
  * allow, have a higher token.
  */
@@ -97,7 +97,7 @@
 END_TEST
 
 /*
- * Guards against a restarted worker that carries out earlier calls, because the
+ * Guards against a restarted worker that executes earlier calls, because the
  * first poll that it has answered had the same token as they. The next poll is
  * sent at once.
  */
@@ -135,7 +135,7 @@
 END_TEST
 
 /*
- * Guards against a restarted worker that carries out earlier calls after it has
+ * Guards against a restarted worker that executes earlier calls after it has
  * answered the probe that its first heartbeat leads to. Workers with another
  * id refuse these calls, so that a probe of one raises nothing.
  */
@@ -215,7 +215,7 @@
 END_TEST
 
 /*
- * Guards against an order of an earlier leader's token that is carried out
+ * Guards against an order of an earlier leader's token that is executed
  * because the agent's part makes the call's token the highest one.
  */
 START_TEST(test_order_under_lower_token)
@@ -253,8 +253,8 @@
 
 /*
  * Guards against a start that a poll with a higher token has overtaken, and
- * that counts as never started although it was sent twice: the worker may have
- * carried out the first copy. Sent once, its refusal proves it.
+ * that is taken for never started although it was sent twice: the worker may
+ * have executed the first copy. Sent once, its refusal proves it.
  */
 START_TEST(test_overtaken_start)
 {
--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -920,7 +920,7 @@
 
 /*
  * Guards against a leader that takes a restarted worker to refuse calls to its
- * earlier incarnation before it does, or that waits for long: the agent reports
+ * earlier incarnation before it does, or that waits too long: the agent reports
  * the token of calls that this incarnation has answered, and delays no poll
  * until that is the raised one.
  */
