Don't take the refusal of an unhealthy worker for an answered token

A worker that isn't healthy refuses calls without doing anything, so its refusal doesn't show that it has noted the fencing token. After a restart the agent reported the token as answered, and the leader placed tasks there while calls to the former incarnation could still lengthen the lease.

--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -553,16 +553,18 @@
 }
 
 /*
- * Notes that the present incarnation has answered the call, so that it refuses
- * calls with a lower fencing token. A refusal because of the token proves that
- * it has a higher one. The leader waits for this after a restart.
+ * Notes that the present incarnation has executed the call, so that it refuses
+ * calls with a lower fencing token, or has refused it because of its token,
+ * which proves that it has a higher one. A worker that isn't healthy refuses
+ * calls without noting their tokens. The leader waits for this after a restart.
  */
 static void runner_note_answered(struct runner *runner,
 				 const struct runner_call *call,
 				 const struct exec_reply *reply)
 {
 	bool answered = reply->verdict == EXEC_DONE ||
-			reply->verdict == EXEC_REFUSED;
+			(reply->verdict == EXEC_REFUSED &&
+			 reply->result == RESULT_STALE);
 
 	if (!answered || call->probe_kind ||
 	    call->incarnation_nr != runner->incarnation_nr ||
--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -927,6 +927,9 @@
 START_TEST(test_answered_fence_after_restart)
 {
 	struct fixture *fixture = fixture_ready(true);
+	struct exec_reply unhealthy = { .verdict = EXEC_REFUSED,
+					.result = RESULT_OVERLOADED,
+					.born_ms = 2 };
 	struct exec_reply list = fixture_done;
 	struct fixture_call call = { 0 };
 	uint64_t earlier_fence = fixture->fence;
@@ -946,6 +949,10 @@
 	ck_assert_uint_eq(call.wait_ms, 0);
 	fixture_run_ms(fixture, POLL_UNACKED_ENDS_MS + 10);
 	ck_assert_uint_eq(fixture->report.answered_fence, earlier_fence);
+	/* A worker that isn't healthy hasn't noted the token. */
+	ck_assert(fixture_answer_last_poll(fixture, &unhealthy, NULL));
+	fixture_run_ms(fixture, POLL_RETRY_MS + 10);
+	ck_assert_uint_eq(fixture->report.answered_fence, earlier_fence);
 	ck_assert(fixture_answer_last_poll(fixture, &list, &call));
 	ck_assert_uint_eq(call.fence,
 			  FIXTURE_CALL_FENCE + WORKER_FENCE_AGENT_COUNTS);
