Reproduce runs that are taken for the former incarnation's

The simulated workers named their incarnation in every answer; by the platform's pages only lists do.

--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -217,6 +217,7 @@
 {
 	struct fw_worker *worker = &call->vm->worker;
 
+	reply->born_ms = worker->born_ms;
 	while (worker->ends->len) {
 		const struct flow_run_end *end =
 			&g_array_index(worker->ends, struct flow_run_end, 0);
@@ -269,9 +270,8 @@
 	reply->verdict = EXEC_DONE;
 	/*
 	 * All incarnations have the same identity, so a late call reaches the
-	 * present one.
+	 * present one. Only lists name the incarnation.
 	 */
-	reply->born_ms = worker->born_ms;
 	reply->clock_ms = fw_clock_ms(vm);
 	if (call->fence < worker->fence) {
 		reply->verdict = EXEC_REFUSED;
@@ -363,7 +363,7 @@
 	if (!call->carried_out && vm->worker.up && !vm->worker_cut &&
 	    call_is_due(call)) {
 		worker_carry_out(call, &call->reply);
-		call->answered = !call->lost;
+		call->answered = !call->lost && !vm->mute;
 	}
 	/*
 	 * A late call that arrives while the worker is down or cut off is lost.
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -100,6 +100,7 @@
 	uint64_t draining_us;
 	bool cut; /* see fw_cut() */
 	bool worker_cut; /* see fw_cut_worker() */
+	bool mute; /* the worker executes calls but doesn't answer them */
 	/* The worker sends no regular heartbeats before this time. */
 	uint64_t first_heartbeat_us;
 	/*
--- /dev/null
+++ b/tests/test_flow_unannounced.c
@@ -0,0 +1,262 @@
+/**
+ * @file test_flow_unannounced.c
+ * Workers that are restarted under their identity and cut off from their agents
+ * before their first heartbeat. Calls that waited for them are executed by the
+ * new incarnation, and only lists name the incarnation that answers: answers to
+ * starts and stops have the worker's clock alone. The simulation asserts that
+ * no task runs at two workers.
+ */
+
+#include <stdlib.h>
+
+#include "control_impl.h"
+#include "flow_world.h"
+#include "suite.h"
+
+#define SEEDS 6
+#define TASKS 4 /* the other workers have room for all */
+/* Longer than the longest lease. */
+#define RUN_MS 14000
+/* Until the workers' clocks are ahead of the longest lease. */
+#define UPTIME_MS 15000
+#define WORKER_DOWN_MS 300
+/* From the crash: the agents take the workers for reachable. */
+#define FIRST_SUBMIT_AFTER_MS 20
+/* From the restart. */
+#define SECOND_SUBMIT_AFTER_MS 200
+#define LEADER_DOWN_MS 1000
+#define CUT_MS 12000
+
+/* The first VMs, those of a zone, whose workers are restarted. */
+static const uint32_t restarted_vms[] = { 0, 2 };
+
+/* Times are from the restart; 0: it doesn't happen. */
+struct unannounced_case {
+	uint32_t heartbeat_ms; /* the first heartbeat, unless cut off */
+	uint32_t cut_ms; /* the worker is cut off from its agent */
+	uint32_t freeze_ms; /* the agent's process is stopped */
+	uint32_t agent_killed_ms; /* the agent is restarted at once */
+	uint32_t leader_killed_ms;
+	uint32_t unanswered_ms; /* calls get no answers until then */
+};
+
+static void each_restarted(struct flow_world *fw,
+			   void (*function)(struct fw_vm *vm))
+{
+	for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
+		function(&fw->vms[restarted_vms[i]]);
+}
+
+static void cut_worker(struct fw_vm *vm)
+{
+	fw_cut_worker(vm, true);
+}
+
+static void rejoin_worker(struct fw_vm *vm)
+{
+	fw_cut_worker(vm, false);
+}
+
+static void freeze_agent(struct fw_vm *vm)
+{
+	fw_freeze_agent(vm, true);
+}
+
+static void continue_agent(struct fw_vm *vm)
+{
+	if (vm->frozen)
+		fw_freeze_agent(vm, false);
+}
+
+static void restart_agent(struct fw_vm *vm)
+{
+	fw_kill_agent(vm);
+	fw_boot_agent(vm);
+}
+
+static void submit(struct flow_world *fw, const char *id)
+{
+	struct flow_step step = { .count = TASKS,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .estimate_ms = RUN_MS };
+	enum result result = RESULT_NO_QUORUM;
+
+	TEXT_SET(step.image, "f");
+	/* The leader may be away. */
+	for (uint32_t i = 0; i < 5 && result == RESULT_NO_QUORUM; i++)
+		result = flow_world_submit(fw, id, &step, 1);
+	ck_assert_int_eq(result, RESULT_OK);
+}
+
+/* Plays the faults of the case from the restart to the end of the cut. */
+static void play_faults(struct flow_world *fw,
+			const struct unannounced_case *test)
+{
+	struct world_control *killed = NULL;
+
+	for (uint32_t ms = 0; ms < test->cut_ms + CUT_MS; ms += 20) {
+		if (ms && ms == test->leader_killed_ms) {
+			killed = world_leader_host(fw->base);
+			ck_assert_ptr_nonnull(killed);
+			world_kill_control(killed);
+		}
+		if (killed && ms == test->leader_killed_ms + LEADER_DOWN_MS)
+			world_boot_control(killed);
+		if (ms == SECOND_SUBMIT_AFTER_MS)
+			submit(fw, "cc");
+		if (ms == test->unanswered_ms)
+			for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms);
+			     i++)
+				fw->vms[restarted_vms[i]].mute = false;
+		if (ms && ms == test->agent_killed_ms)
+			each_restarted(fw, restart_agent);
+		if (ms && ms == test->freeze_ms)
+			each_restarted(fw, freeze_agent);
+		if (ms == test->cut_ms)
+			each_restarted(fw, cut_worker);
+		flow_world_run_ms(fw, 20);
+	}
+}
+
+static void play(const struct unannounced_case *test, uint64_t seed)
+{
+	struct flow_world *fw = flow_world_new(seed);
+	uint64_t restart_us;
+
+	if (getenv("FLOW_UNANNOUNCED_SEED")) {
+		sim_set_verbose(fw->base->sim, true);
+		fw->prints_runs = true;
+	}
+	fw->run_ms = RUN_MS;
+	flow_world_run_ms(fw, UPTIME_MS);
+	submit(fw, "aa");
+	flow_world_run_ms(fw, 1000 + seed * 30);
+	each_restarted(fw, fw_crash_worker);
+	flow_world_run_ms(fw, FIRST_SUBMIT_AFTER_MS);
+	submit(fw, "bb");
+	flow_world_run_ms(fw, WORKER_DOWN_MS - FIRST_SUBMIT_AFTER_MS);
+	each_restarted(fw, fw_boot_worker);
+	restart_us = sim_now_us(fw->base->sim);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++) {
+		struct fw_vm *vm = &fw->vms[restarted_vms[i]];
+
+		vm->first_heartbeat_us =
+			restart_us + test->heartbeat_ms * 1000ull;
+		vm->mute = test->unanswered_ms > 0;
+	}
+	play_faults(fw, test);
+	each_restarted(fw, continue_agent);
+	each_restarted(fw, rejoin_worker);
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 60000));
+	ck_assert(flow_world_wait(fw, "bb", FLOW_COMPLETED, 60000));
+	ck_assert(flow_world_wait(fw, "cc", FLOW_COMPLETED, 60000));
+	flow_world_free(fw);
+}
+
+/* FLOW_UNANNOUNCED_SEED=N plays and logs one seed of each test. */
+static void play_seeds(const struct unannounced_case *test)
+{
+	const char *one = getenv("FLOW_UNANNOUNCED_SEED");
+
+	if (one) {
+		play(test, strtoul(one, NULL, 10));
+		return;
+	}
+	for (uint64_t seed = 1; seed <= SEEDS; seed++)
+		play(test, seed);
+}
+
+/*
+ * Guards against a run of the new incarnation that counts as one of the former,
+ * as the answer to its start names no incarnation: it is taken for lost when
+ * the former incarnation's lease ends.
+ */
+START_TEST(test_cut_at_once)
+{
+	static const struct unannounced_case test = { .heartbeat_ms = 1000,
+						      .cut_ms = 100 };
+
+	play_seeds(&test);
+}
+END_TEST
+
+/* Guards against the same if polls have shown the new incarnation. */
+START_TEST(test_cut_before_heartbeat)
+{
+	static const struct unannounced_case test = { .heartbeat_ms = 1000,
+						      .cut_ms = 300 };
+
+	play_seeds(&test);
+}
+END_TEST
+
+/*
+ * Guards against a start that is called for the former incarnation with a
+ * deadline on the new one's clock, after an answer has shown that clock.
+ */
+START_TEST(test_late_heartbeat)
+{
+	static const struct unannounced_case test = { .heartbeat_ms = 3000,
+						      .cut_ms = 2000 };
+
+	play_seeds(&test);
+}
+END_TEST
+
+/* Guards against the same if the first calls get no answers. */
+START_TEST(test_unanswered_calls)
+{
+	static const struct unannounced_case test = { .heartbeat_ms = 2500,
+						      .cut_ms = 2000,
+						      .unanswered_ms = 40 };
+
+	play_seeds(&test);
+}
+END_TEST
+
+/* Guards against the same with an agent that stops instead of a cut. */
+START_TEST(test_frozen_agent)
+{
+	static const struct unannounced_case test = { .heartbeat_ms = 3000,
+						      .cut_ms = 2000,
+						      .freeze_ms = 1000 };
+
+	play_seeds(&test);
+}
+END_TEST
+
+/* Guards against an agent that knew of the restart, and is replaced. */
+START_TEST(test_agent_killed)
+{
+	static const struct unannounced_case test = { .heartbeat_ms = 3000,
+						      .cut_ms = 500,
+						      .agent_killed_ms = 500 };
+
+	play_seeds(&test);
+}
+END_TEST
+
+/* Guards against a leader that knew of the restart, and is replaced. */
+START_TEST(test_leader_killed)
+{
+	static const struct unannounced_case tests[] = {
+		{ .heartbeat_ms = 1000,
+		  .cut_ms = 300,
+		  .leader_killed_ms = 200 },
+		{ .heartbeat_ms = 3000,
+		  .cut_ms = 2000,
+		  .leader_killed_ms = 1400 },
+		{ .heartbeat_ms = 3000,
+		  .cut_ms = 2000,
+		  .leader_killed_ms = 2400 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++)
+		play_seeds(&tests[i]);
+}
+END_TEST
+
+SUITE_MAIN("flow_unannounced", test_cut_at_once, test_cut_before_heartbeat,
+	   test_late_heartbeat, test_unanswered_calls, test_frozen_agent,
+	   test_agent_killed, test_leader_killed)
