Log answers whose clock shows another incarnation

The agent now compares the clock in an answer with the lowest one that the known incarnation can have, and logs call-misdirected if it is lower; task-started has the deadline and the clock.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -25,6 +25,7 @@
 #include "pressure.h"
 #include "runner.h"
 #include "site.h"
+#include "worker_clock.h"
 
 enum runner_phase {
 	RUNNER_NEW = 1, /* ordered; the start call isn't made yet */
@@ -182,8 +183,7 @@
 	 */
 	uint64_t earlier_fence;
 	uint64_t lease_until_us; /* end of the granted lease, 0: none yet */
-	uint64_t clock_ms; /* worker's clock in its last reply, 0: unknown */
-	uint64_t clock_us; /* agent's clock when that reply arrived */
+	struct worker_clock clock; /* in the incarnation's last reply */
 	bool reachable; /* the worker answered the last poll */
 	uint32_t missed_polls; /* polls missed in a row */
 	bool listed; /* this incarnation's runs were listed at least once */
@@ -347,6 +347,7 @@
 void runner_log_misdirected(struct runner *runner,
 			    const struct runner_call *call,
 			    const struct exec_reply *reply);
+/** Logs a start that the worker has executed, and which clock has answered. */
 /** Appends the results of the last polls of the worker to a log line. */
 void runner_log_polls(const struct runner *runner, GString *line);
 /**
@@ -358,7 +359,8 @@
 void runner_log_start_wait(struct runner *runner, struct runner_run *run,
 			   const char *reason);
 void runner_log_started(struct runner *runner, const struct runner_call *call,
-			const struct runner_run *run);
+			const struct runner_run *run,
+			const struct exec_reply *reply);
 /** Logs that the worker lists neither the run nor its end. */
 void runner_log_absent(struct runner *runner, const struct runner_run *run);
 
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -118,7 +118,7 @@
 	runner_keep_unanswered_starts(runner);
 	runner->incarnation_nr++;
 	runner_trace_incarnation(runner);
-	runner->clock_ms = 0;
+	memset(&runner->clock, 0, sizeof(runner->clock));
 	runner->answered_fence = 0;
 	runner->earlier_fence = 0;
 	runner->listed = false;
--- a/src/core/agent/runner_log.c
+++ b/src/core/agent/runner_log.c
@@ -121,6 +121,8 @@
 	logline_str(line, "outcome", verdict_names[reply->verdict]);
 	logline_u64(line, "deadline_ms", call->deadline_ms);
 	logline_u64(line, "clock_ms", reply->clock_ms);
+	logline_u64(line, "clock_min_ms",
+		    worker_clock_min_ms(&runner->clock, call->sent_us));
 	logline_u64(line, "fence", call->leader_fence);
 	logline_u64(line, "call_fence", call->fence);
 	logline_u64(line, "took_ms", ms_since(runner, call->sent_us));
@@ -369,7 +371,8 @@
 }
 
 void runner_log_started(struct runner *runner, const struct runner_call *call,
-			const struct runner_run *run)
+			const struct runner_run *run,
+			const struct exec_reply *reply)
 {
 	GString *line = logline_new("task-started");
 
@@ -380,6 +383,8 @@
 	logline_str(line, "outcome", "started");
 	logline_u64(line, "fence", call->leader_fence);
 	logline_u64(line, "call_fence", call->fence);
+	logline_u64(line, "deadline_ms", call->deadline_ms);
+	logline_u64(line, "clock_ms", reply->clock_ms);
 	logline_u64(line, "ordered_ms_ago", ms_since(runner, run->added_us));
 	logline_u64(line, "took_ms", ms_since(runner, call->sent_us));
 	node_log(runner->node, line);
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -11,10 +11,11 @@
 {
 	uint64_t left_us;
 
-	if (!runner->clock_ms || runner->lease_until_us <= runner->node->now_us)
+	if (!runner->clock.read_ms ||
+	    runner->lease_until_us <= runner->node->now_us)
 		return 0;
-	left_us = runner->lease_until_us - runner->clock_us;
-	return runner->clock_ms +
+	left_us = runner->lease_until_us - runner->clock.received_us;
+	return runner->clock.read_ms +
 	       left_us / 1000 * (1000 - WORKER_CLOCK_SLOW_PERMILLE) / 1000;
 }
 
@@ -232,7 +233,7 @@
 		counter_observe(runner->node->counters, "start_call_ms",
 				(runner->node->now_us - run->since_us) / 1000);
 		runner_set_phase(runner, run, RUNNER_RUNNING);
-		runner_log_started(runner, call, run);
+		runner_log_started(runner, call, run, reply);
 		if (run->stop)
 			runner_stop(runner, run);
 		else if (run->filler)
@@ -520,6 +521,29 @@
 	return reply->born_ms && reply->born_ms != runner->worker.born_ms;
 }
 
+static struct worker_clock runner_reply_clock(const struct runner *runner,
+					      const struct runner_call *call,
+					      const struct exec_reply *reply)
+{
+	return (struct worker_clock){ .read_ms = reply->clock_ms,
+				      .sent_us = call->sent_us,
+				      .received_us = runner->node->now_us };
+}
+
+/* Returns which incarnation has replied, by its name or else by its clock. */
+static enum worker_clock_origin
+runner_reply_origin(const struct runner *runner, const struct runner_call *call,
+		    const struct exec_reply *reply)
+{
+	struct worker_clock clock = runner_reply_clock(runner, call, reply);
+
+	if (reply->born_ms)
+		return runner_is_other_incarnation(runner, reply) ?
+			       WORKER_CLOCK_OTHER :
+			       WORKER_CLOCK_SAME;
+	return worker_clock_origin(&runner->clock, &clock);
+}
+
 /*
  * Returns true if a call for one incarnation was answered by another. The
  * worker's id in the call is that of both.
@@ -528,11 +552,13 @@
 				  const struct runner_call *call,
 				  const struct exec_reply *reply)
 {
-	if (call->probe_kind || !reply->born_ms)
+	if (call->probe_kind)
 		return false;
 	return call->incarnation_nr == runner->incarnation_nr ?
-		       runner_is_other_incarnation(runner, reply) :
-		       reply->born_ms == runner->worker.born_ms;
+		       runner_reply_origin(runner, call, reply) ==
+			       WORKER_CLOCK_OTHER :
+		       reply->born_ms &&
+			       reply->born_ms == runner->worker.born_ms;
 }
 
 /*
@@ -600,10 +626,8 @@
 		other = runner_reply_of_other_incarnation(call, reply);
 		reply = &other;
 	}
-	if (reply->clock_ms) {
-		runner->clock_ms = reply->clock_ms;
-		runner->clock_us = runner->node->now_us;
-	}
+	if (reply->clock_ms)
+		runner->clock = runner_reply_clock(runner, call, reply);
 	if (reply->verdict == EXEC_NO_ANSWER)
 		counter_add(runner->node->counters, "calls_unanswered", 1);
 	switch (call->kind) {
