Count the longest lease from the first report of a restart

A restarted worker may have the longest lease that workers accept. The first report of a restart now counts in any case; later ones still only if the worker responds, since the agent of a lost worker may report the restart for ever.

flow_report, unreachable_worker_was_restarted: a task is started beside an earlier run on the code before, passes now, as do the suite's other 15 tests.

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -56,6 +56,8 @@
 	 * calls to the earlier incarnation, see flow_note_late_calls().
 	 */
 	bool restarted;
+	/* restart_lapse_us counts the restart that was reported last. */
+	bool restart_counted;
 	/*
 	 * Once the worker has answered a call with this fencing token, it
 	 * refuses calls to earlier incarnations.
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -405,6 +405,7 @@
 			control_flow_worker_is_restarted(flows, vm, worker);
 	vm->worker = *worker;
 	if (!same) {
+		vm->restart_counted = false;
 		flow_raise_fence(vm);
 		vm->incarnation_fence = control_flow_fence(flows, vm);
 		node_timer_ms(flows->control->node, &flows->worker_timer, 0);
@@ -505,6 +506,10 @@
  * give the lease its greatest length. Once it has answered a call with the
  * fencing token that was raised for the new incarnation, it refuses them.
  *
+ * The longest lease is counted from each report in which the worker responds,
+ * and from the first report of the restart in any case: the worker may be cut
+ * off from then on.
+ *
  * A start without an answer may be carried out by a later incarnation, too,
  * whatever its deadline.
  */
@@ -516,7 +521,9 @@
 
 	vm->reports_fence = report->reports_fence;
 	/* An agent whose worker is gone may report the restart for ever. */
-	if (vm->restarted && (report->reachable || fenced)) {
+	if (vm->restarted &&
+	    (report->reachable || fenced || !vm->restart_counted)) {
+		vm->restart_counted = true;
 		vm->restart_lapse_us =
 			vm->reported_us + control_flow_longest_lease_us(flows);
 		flow_extend_lapse(vm, FLOW_BOUND_RESTART, vm->restart_lapse_us);
--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -692,6 +692,24 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is taken for lost when the former incarnation's
+ * lease ends: the worker was cut off as soon as its agent knew of the restart,
+ * so no report says that the new incarnation responds.
+ */
+START_TEST(test_unreachable_worker_was_restarted)
+{
+	struct script *script = script_new(9);
+	struct scripted_agent *agent = script_started(script);
+
+	agent->vm->worker.born_ms += 5000;
+	agent->unreachable = true;
+	expect_no_start(script, WORLD_WORKER_LEASE_MS - 1500);
+	expect_start(script, 3000);
+	script_free(script);
+}
+END_TEST
+
 SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
 	   test_two_orphans_of_task, test_restarted_agent_keeps_bar,
@@ -702,4 +720,5 @@
 	   test_run_of_later_incarnation_is_cancelled,
 	   test_done_by_later_incarnation,
 	   test_done_by_later_incarnation_of_lost_vm,
-	   test_unreachable_restarted_worker_ends_bar)
+	   test_unreachable_restarted_worker_ends_bar,
+	   test_unreachable_worker_was_restarted)
