Tell a worker's incarnations apart in answers that don't name one

Cause: only heartbeats and lists of runs name a worker's incarnation. An answer to a start, a stop or a change of pace has the worker's clock alone, and the agent took each for one of the incarnation that the call was meant for. So a run of the new incarnation counted as confirmed at the former one, and starts went on with deadlines on the new clock. The agent also saw other incarnations in lists, but the leader heard of a restart with the first heartbeat only. It gave the runs up with the former incarnation's granted lease, after 5.3 s, while the new one's was the longest, 10 s. The class: a fact about one incarnation of a worker is taken for one about another.

A start whose answer could be of either stays unconfirmed until a list names the incarnation. If an answer shows another one, the agent calls no starts, sends no deadlines and acknowledges no ends, tells the leader at once (flow_report.restart_seen), and probes the incarnation that a list has named. The leader records the restart in the replicated state and counts the longest lease from that report; it places nothing there until the worker refuses earlier calls. A list that names the known incarnation refutes a restart, as a worker's clock may stand still.

Without the leader's part two tests of flow_report start a task beside an earlier run. The runner's fixture lets the worker's clock go on; the test of lists of another incarnation answers its probe, too, and the one of fencing tokens checks the probe beside the poll.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -8246,7 +8246,7 @@
   (ProtobufCMessageInit) masticreach__flow_run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_report__field_descriptors[12] =
+static const ProtobufCFieldDescriptor masticreach__flow_report__field_descriptors[13] =
 {
   {
     "seq",
@@ -8392,6 +8392,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "restart_seen",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowReport, restart_seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__flow_report__field_indices_by_name[] = {
   10,   /* field[10] = answered_fence */
@@ -8400,6 +8412,7 @@
   6,   /* field[6] = looked */
   5,   /* field[5] = reachable */
   11,   /* field[11] = reports_fence */
+  12,   /* field[12] = restart_seen */
   8,   /* field[8] = runs */
   1,   /* field[1] = sent_us */
   0,   /* field[0] = seq */
@@ -8410,7 +8423,7 @@
 static const ProtobufCIntRange masticreach__flow_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_report__descriptor =
 {
@@ -8420,7 +8433,7 @@
   "Masticreach__FlowReport",
   "masticreach",
   sizeof(Masticreach__FlowReport),
-  12,
+  13,
   masticreach__flow_report__field_descriptors,
   masticreach__flow_report__field_indices_by_name,
   1,  masticreach__flow_report__number_ranges,
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -770,10 +770,11 @@
   Masticreach__FlowRunEnd **ends;
   uint64_t answered_fence;
   protobuf_c_boolean reports_fence;
+  protobuf_c_boolean restart_seen;
 };
 #define MASTICREACH__FLOW_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_report__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Masticreach__PressurePair
--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -22,9 +22,9 @@
 
 	TEXT_SET(item.task, run->task);
 	item.run = run->run;
-	item.unconfirmed = run->phase != RUNNER_RUNNING;
+	item.unconfirmed = run->phase != RUNNER_RUNNING || run->unattributed;
 	item.starting = run->phase == RUNNER_NEW ||
-			run->phase == RUNNER_STARTING;
+			run->phase == RUNNER_STARTING || run->unattributed;
 	item.unordered = !run->ordered && !run->stop;
 	item.pace = run->pace;
 	g_array_append_val(runs, item);
@@ -77,6 +77,7 @@
 	report.late_ms = runner_late_ms(runner);
 	report.answered_fence = runner->answered_fence;
 	report.reports_fence = true;
+	report.restart_seen = runner->restart_seen;
 	g_hash_table_iter_init(&iter, runner->runs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		runner_add_run(runs, value);
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -47,6 +47,11 @@
 	 * earlier agent process, or the first copy of one that was sent twice.
 	 */
 	bool repeated;
+	/*
+	 * The answer to the start may be of another incarnation; a list that
+	 * names the incarnation shows whether this one has the run.
+	 */
+	bool unattributed;
 	bool stop; /* the run is to be stopped */
 	bool stop_call_pending;
 	uint64_t added_us; /* when this record was added */
@@ -153,6 +158,13 @@
 	struct site *site;
 	struct worker_incarnation worker; /* the current one, id "": none */
 	char address[ADDRESS_BYTES]; /* of the current worker */
+	/*
+	 * An answer has shown that another incarnation with the worker's id is
+	 * running. Until a list names the current one or a candidate takes its
+	 * place, no call has a deadline, and answers that name no incarnation
+	 * don't count.
+	 */
+	bool restart_seen;
 	uint64_t worker_seq; /* number of the last accepted heartbeat */
 	uint64_t stale_seq; /* number of the last stale heartbeat, 0: none */
 	uint32_t stale_increases; /* stale heartbeats in a row, seq rising */
@@ -319,6 +331,13 @@
 		  uint64_t candidate_nr, const char *id, const char *address);
 
 /* runner_incarnation.c */
+/**
+ * Handles an answer of another incarnation with the worker's id. @a born_ms is
+ * 0 if the answer doesn't name it; otherwise it becomes the candidate.
+ */
+void runner_note_restart(struct runner *runner, uint64_t born_ms);
+/** Handles a list that names the current incarnation. */
+void runner_clear_restart(struct runner *runner);
 /** Handles the reply to a probe. */
 void runner_probe_done(struct runner *runner, const struct runner_call *call,
 		       const struct exec_reply *reply);
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -60,7 +60,7 @@
 		const struct runner_run *run = value;
 
 		if (run->phase == RUNNER_STARTING ||
-		    run->phase == RUNNER_UNCONFIRMED)
+		    run->phase == RUNNER_UNCONFIRMED || run->unattributed)
 			runner_keep_late_start(runner, run->task, run->run);
 	}
 }
@@ -131,6 +131,7 @@
 	runner->reported_draining = false;
 	runner->deregistered_us = 0;
 	runner->restarted = false;
+	runner->restart_seen = false;
 	g_hash_table_remove_all(runner->runs);
 	g_array_set_size(runner->superseded, 0);
 	g_array_set_size(runner->ends, 0);
@@ -289,6 +290,46 @@
 	return RESULT_OK;
 }
 
+/*
+ * Makes the incarnation that an answer of the worker's address has named the
+ * candidate. Only a heartbeat describes it; until then it has no service, so
+ * that the leader places no tasks on it.
+ */
+static void runner_add_named_candidate(struct runner *runner, uint64_t born_ms)
+{
+	struct worker_incarnation incarnation = { .born_ms = born_ms };
+
+	TEXT_SET(incarnation.id, runner->worker.id);
+	if (runner->candidate.nr &&
+	    worker_incarnation_equal(&runner->candidate.incarnation,
+				     &incarnation))
+		return;
+	runner_add_candidate(runner, &incarnation, runner->address, 0);
+}
+
+void runner_note_restart(struct runner *runner, uint64_t born_ms)
+{
+	if (!runner->restart_seen) {
+		runner->restart_seen = true;
+		runner_log_worker(runner, "worker-restart-seen");
+		counter_add(runner->node->counters, "worker_restarts_seen", 1);
+		runner_report_soon(runner);
+	}
+	runner->answered_fence = 0;
+	memset(&runner->clock, 0, sizeof(runner->clock));
+	if (born_ms)
+		runner_add_named_candidate(runner, born_ms);
+}
+
+void runner_clear_restart(struct runner *runner)
+{
+	if (!runner->restart_seen)
+		return;
+	runner->restart_seen = false;
+	runner_log_worker(runner, "worker-restart-refuted");
+	runner_report_soon(runner);
+}
+
 /* Returns true if the reply doesn't show which worker, if any, is there. */
 static bool reply_is_inconclusive(const struct exec_reply *reply)
 {
@@ -393,6 +434,7 @@
 			     const char *address, uint64_t seq)
 {
 	const struct worker_incarnation *worker = &runner->worker;
+	bool described;
 
 	if (!worker_incarnation_equal(worker, incarnation))
 		return runner_is_earlier_incarnation(runner, incarnation) ?
@@ -404,7 +446,12 @@
 		return runner_reject_stale(runner);
 	if (worker->ended || strcmp(runner->address, address) != 0)
 		return runner_add_candidate(runner, incarnation, address, seq);
+	described = !worker->service[0] && incarnation->service[0];
 	runner_update_worker(runner, incarnation, address, seq);
+	if (described) {
+		runner_log_worker(runner, "worker-registered");
+		runner_report_soon(runner);
+	}
 	if (!timer_armed(&runner->poll_timer))
 		runner_poll(runner);
 	return RESULT_OK;
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -42,7 +42,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct runner_run *run = value;
 
-		if (run->phase == RUNNER_STARTING)
+		if (run->phase == RUNNER_STARTING || run->unattributed)
 			until_us =
 				MAX(until_us,
 				    run->since_us +
@@ -180,7 +180,7 @@
 		call.deadline_ms = runner_deadline_ms(runner);
 	/* A worker that didn't answer may have been restarted. Ends of the new
 	 * incarnation may have the same numbers, and must not be dropped. */
-	if (runner->reachable)
+	if (runner->reachable && !runner->restart_seen)
 		call.settled_nr = runner_ack_nr(runner);
 	/*
 	 * The worker must answer the first poll, and a poll after a missed one
@@ -189,7 +189,7 @@
 	 * restarted worker refuses earlier calls.
 	 */
 	if (runner->listed && runner->reachable && !runner->missed_polls &&
-	    !runner_accepts_earlier_calls(runner))
+	    !runner->restart_seen && !runner_accepts_earlier_calls(runner))
 		call.wait_ms = runner_needs_pacing(runner) ? POLL_WAIT_PACE_MS :
 							     POLL_WAIT_MS;
 	runner_call(runner, &call);
@@ -218,7 +218,8 @@
 
 static void runner_start_done(struct runner *runner,
 			      const struct runner_call *call,
-			      const struct exec_reply *reply)
+			      const struct exec_reply *reply,
+			      enum worker_clock_origin origin)
 {
 	struct runner_run *run = runner_find(runner, call->task, call->run);
 
@@ -233,6 +234,7 @@
 		counter_observe(runner->node->counters, "start_call_ms",
 				(runner->node->now_us - run->since_us) / 1000);
 		runner_set_phase(runner, run, RUNNER_RUNNING);
+		run->unattributed = origin != WORKER_CLOCK_SAME;
 		runner_log_started(runner, call, run, reply);
 		if (run->stop)
 			runner_stop(runner, run);
@@ -349,6 +351,7 @@
 			run = runner_add_listed(runner, listed, seen);
 		if (run->phase != RUNNER_RUNNING)
 			runner_set_phase(runner, run, RUNNER_RUNNING);
+		run->unattributed = false;
 		run->seen = *seen;
 		g_hash_table_add(listed, run);
 	}
@@ -586,7 +589,8 @@
  */
 static void runner_note_answered(struct runner *runner,
 				 const struct runner_call *call,
-				 const struct exec_reply *reply)
+				 const struct exec_reply *reply,
+				 enum worker_clock_origin origin)
 {
 	bool answered = reply->verdict == EXEC_DONE ||
 			(reply->verdict == EXEC_REFUSED &&
@@ -594,7 +598,7 @@
 
 	if (!answered || call->probe_kind ||
 	    call->incarnation_nr != runner->incarnation_nr ||
-	    runner_is_other_incarnation(runner, reply) ||
+	    origin != WORKER_CLOCK_SAME ||
 	    call->leader_fence <= runner->answered_fence)
 		return;
 	runner->answered_fence = call->leader_fence;
@@ -605,6 +609,7 @@
 		      const struct exec_reply *reply)
 {
 	struct runner_call *call = g_hash_table_lookup(runner->calls, &call_nr);
+	enum worker_clock_origin origin;
 	struct exec_reply other;
 
 	if (!call)
@@ -613,7 +618,8 @@
 	runner_trace_reply(runner, call, reply);
 	if (runner_is_misdirected(runner, call, reply))
 		runner_log_misdirected(runner, call, reply);
-	runner_note_answered(runner, call, reply);
+	origin = runner_reply_origin(runner, call, reply);
+	runner_note_answered(runner, call, reply, origin);
 	if (call->probe_kind) {
 		runner->probes_in_flight--;
 		runner_probe_done(runner, call, reply);
@@ -621,18 +627,29 @@
 	}
 	if (call->incarnation_nr != runner->incarnation_nr)
 		goto out; /* the call was made to an earlier incarnation */
-	if (runner_is_other_incarnation(runner, reply)) {
+	if (origin == WORKER_CLOCK_SAME && reply->born_ms)
+		runner_clear_restart(runner);
+	if (origin == WORKER_CLOCK_OTHER) {
+		runner_note_restart(runner, reply->born_ms);
 		runner_contact_lost(runner, call);
+		runner_poll(runner);
+	}
+	if (origin == WORKER_CLOCK_OTHER ||
+	    (runner->restart_seen && origin != WORKER_CLOCK_SAME &&
+	     (reply->verdict == EXEC_DONE || reply->verdict == EXEC_REFUSED))) {
 		other = runner_reply_of_other_incarnation(call, reply);
 		reply = &other;
 	}
-	if (reply->clock_ms)
+	/* The first list sets the clock that later answers are compared with.
+	 */
+	if (origin == WORKER_CLOCK_SAME ||
+	    (call->kind == EXEC_POLL && !runner->clock.read_ms))
 		runner->clock = runner_reply_clock(runner, call, reply);
 	if (reply->verdict == EXEC_NO_ANSWER)
 		counter_add(runner->node->counters, "calls_unanswered", 1);
 	switch (call->kind) {
 	case EXEC_START:
-		runner_start_done(runner, call, reply);
+		runner_start_done(runner, call, reply, origin);
 		break;
 	case EXEC_STOP:
 		runner_stop_done(runner, call, reply);
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -333,6 +333,12 @@
 	uint64_t answered_fence;
 	/** False: an agent of an earlier version, without answered_fence. */
 	bool reports_fence;
+	/**
+	 * An answer has shown that another incarnation with the worker's id is
+	 * running, which isn't known yet. The worker's runs have ended, and the
+	 * other one may have the longest lease that workers accept.
+	 */
+	bool restart_seen;
 };
 
 /** The leader's reply to a flow_report. */
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -195,6 +195,7 @@
 	F_STRUCTS(flow_report, ends, flow_run_end_schema),
 	F_U64(flow_report, answered_fence),
 	F_BOOL(flow_report, reports_fence),
+	F_BOOL(flow_report, restart_seen),
 };
 static SCHEMA(flow_report_schema, "FlowReport", flow_report,
 	      flow_report_fields);
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -56,6 +56,7 @@
 	 * calls to the earlier incarnation, see flow_note_late_calls().
 	 */
 	bool restarted;
+	bool restart_seen; /* as in the last struct flow_report */
 	/* restart_lapse_us counts the restart that was reported last. */
 	bool restart_counted;
 	/*
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -506,9 +506,10 @@
  * give the lease its greatest length. Once it has answered a call with the
  * fencing token that was raised for the new incarnation, it refuses them.
  *
- * The longest lease is counted from each report in which the worker responds,
- * and from the first report of the restart in any case: the worker may be cut
- * off from then on.
+ * The agent may report the restart before it knows the new incarnation. The
+ * longest lease is counted from each report in which the worker responds, and
+ * from the first report of the restart in any case: the worker may be cut off
+ * from then on.
  *
  * A start without an answer may be carried out by a later incarnation, too,
  * whatever its deadline.
@@ -520,6 +521,13 @@
 		      report->answered_fence >= vm->incarnation_fence;
 
 	vm->reports_fence = report->reports_fence;
+	if (report->restart_seen && !vm->restart_seen) {
+		vm->restarted = true;
+		vm->restart_counted = false;
+		node_timer_ms(flows->control->node, &flows->worker_timer, 0);
+		flow_log_worker(flows, vm, "restart seen");
+	}
+	vm->restart_seen = report->restart_seen;
 	/* An agent whose worker is gone may report the restart for ever. */
 	if (vm->restarted &&
 	    (report->reachable || fenced || !vm->restart_counted)) {
@@ -528,7 +536,7 @@
 			vm->reported_us + control_flow_longest_lease_us(flows);
 		flow_extend_lapse(vm, FLOW_BOUND_RESTART, vm->restart_lapse_us);
 	}
-	if (fenced)
+	if (fenced && !report->restart_seen)
 		vm->restarted = false;
 	if (report->late_ms)
 		vm->late_start_us =
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -99,7 +99,7 @@
 	struct hello leader = { .node_id = LEADER, .role = ROLE_CONTROL };
 	struct view view = { .term = 4, .whole = true };
 
-	fixture->now_us = 1000000;
+	fixture->now_us = FIXTURE_START_US;
 	fixture->fence = FIXTURE_FENCE;
 	fixture->calls = g_array_new(FALSE, FALSE, sizeof(struct fixture_call));
 	fixture->refused = g_array_new(FALSE, FALSE, sizeof(uint32_t));
@@ -146,14 +146,19 @@
 {
 	struct fixture_call call =
 		g_array_index(fixture->calls, struct fixture_call, i);
+	struct exec_reply advanced = *reply;
 
 	if (call.kind != kind)
 		return false;
+	/* The agent tells incarnations apart by a clock that goes on. */
+	if (reply->clock_ms == FIXTURE_CLOCK_MS)
+		advanced.clock_ms +=
+			(fixture->now_us - FIXTURE_START_US) / 1000;
 	g_array_remove_index(fixture->calls, i);
 	if (answered)
 		*answered = call;
 	node_set_time(fixture->node, fixture->now_us);
-	runner_call_done(fixture->runner, call.nr, reply);
+	runner_call_done(fixture->runner, call.nr, &advanced);
 	return true;
 }
 
@@ -228,7 +233,8 @@
 
 struct fixture *fixture_ready(bool lease)
 {
-	struct exec_reply list = { .verdict = EXEC_DONE, .clock_ms = 100000 };
+	struct exec_reply list = { .verdict = EXEC_DONE,
+				   .clock_ms = FIXTURE_CLOCK_MS };
 	struct fixture *fixture = fixture_new();
 
 	fixture_heartbeat(fixture, 1, 1, false);
@@ -241,7 +247,7 @@
 }
 
 const struct exec_reply fixture_done = { .verdict = EXEC_DONE,
-					 .clock_ms = 100000 };
+					 .clock_ms = FIXTURE_CLOCK_MS };
 const struct exec_reply fixture_no_answer = { .verdict = EXEC_NO_ANSWER };
 
 void fixture_order_many(struct fixture *fixture, uint32_t action, uint32_t nr)
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -20,6 +20,10 @@
 	((FIXTURE_TERM * WORKER_FENCE_LEADER_COUNTS + FIXTURE_COUNT) * \
 	 WORKER_FENCE_AGENT_COUNTS)
 
+/** Time at which a fixture starts, and the worker's clock at that time. */
+#define FIXTURE_START_US 1000000ull
+#define FIXTURE_CLOCK_MS 100000ull
+
 /** A runner, its open calls and its last report. */
 struct fixture {
 	struct node *node;
@@ -75,7 +79,8 @@
 
 /**
  * Answers the oldest open call of a kind; returns false if there is none. Fills
- * in @a answered, unless it is NULL, with the call.
+ * in @a answered, unless it is NULL, with the call. A reply with the clock
+ * FIXTURE_CLOCK_MS has the time since the start added to it.
  */
 bool fixture_answer(struct fixture *fixture, enum exec_call_kind kind,
 		    const struct exec_reply *reply,
--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -26,6 +26,9 @@
 	bool silent;
 	bool looked; /* it has listed its worker's runs */
 	bool unreachable;
+	bool restart_seen; /* as in struct flow_report, like the next ones */
+	bool reports_fence;
+	uint64_t answered_fence;
 	bool draining;
 	bool has_run; /* reports the run */
 	struct flow_run run;
@@ -132,6 +135,9 @@
 	TEXT_SET(report.zone, agent->vm->zone);
 	report.looked = agent->looked;
 	report.reachable = agent->looked && !agent->unreachable;
+	report.restart_seen = agent->restart_seen;
+	report.reports_fence = agent->reports_fence;
+	report.answered_fence = agent->answered_fence;
 	if (agent->looked) {
 		TEXT_SET(report.worker.id, agent->vm->name);
 		TEXT_SET(report.worker.service, "svc");
@@ -710,6 +716,70 @@
 }
 END_TEST
 
+/*
+ * Guards against the same if the agent knows of the restart, but not of the new
+ * incarnation.
+ */
+START_TEST(test_restart_without_incarnation)
+{
+	struct script *script = script_new(9);
+	struct scripted_agent *agent = script_started(script);
+
+	agent->restart_seen = true;
+	agent->unreachable = true;
+	expect_no_start(script, WORLD_WORKER_LEASE_MS - 1500);
+	expect_start(script, 3000);
+	script_free(script);
+}
+END_TEST
+
+/* Guards against a new leader that doesn't know of such a restart. */
+START_TEST(test_new_leader_knows_restart_without_incarnation)
+{
+	struct script *script = script_new(9);
+	struct scripted_agent *agent = script_started(script);
+
+	agent->restart_seen = true;
+	agent->unreachable = true;
+	script_run_ms(script, 2 * REPORT_MS);
+	agent->silent = true;
+	world_kill_control(world_leader_host(script->fw->base));
+	expect_no_start(script, WORLD_WORKER_LEASE_MS - 1500);
+	expect_start(script, 5000);
+	script_free(script);
+}
+END_TEST
+
+/*
+ * Guards against a worker that gets no tasks any more after its clock has stood
+ * still, as it seemed to have been restarted.
+ */
+START_TEST(test_restart_is_refuted)
+{
+	struct script *script = script_new(9);
+	struct scripted_agent *agent = script_started(script);
+	struct flow_step step = { .count = FLOW_WORLD_VMS,
+				  .cpu_millis = 5000,
+				  .memory_mib = 500,
+				  .estimate_ms = 30000 };
+	uint32_t nr_starts;
+
+	agent->reports_fence = true;
+	agent->restart_seen = true;
+	script_run_ms(script, REPORT_MS);
+	nr_starts = agent->nr_starts;
+	flow_world_submit(script->fw, "uu", &step, 1);
+	script_run_ms(script, 2000);
+	ck_assert_uint_eq(agent->nr_starts, nr_starts);
+	agent->restart_seen = false;
+	/* Above the tokens of all terms of the test. */
+	agent->answered_fence = 1000 * FLOW_FENCES_PER_TERM;
+	script_run_ms(script, 2000);
+	ck_assert_uint_gt(agent->nr_starts, nr_starts);
+	script_free(script);
+}
+END_TEST
+
 SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
 	   test_two_orphans_of_task, test_restarted_agent_keeps_bar,
@@ -721,4 +791,7 @@
 	   test_done_by_later_incarnation,
 	   test_done_by_later_incarnation_of_lost_vm,
 	   test_unreachable_restarted_worker_ends_bar,
-	   test_unreachable_worker_was_restarted)
+	   test_unreachable_worker_was_restarted,
+	   test_restart_without_incarnation,
+	   test_new_leader_knows_restart_without_incarnation,
+	   test_restart_is_refuted)
--- a/tests/test_runner_fence.c
+++ b/tests/test_runner_fence.c
@@ -99,22 +99,27 @@
 /*
  * Guards against a restarted worker that executes earlier calls, because the
  * first poll that it has answered had the same token as they. The next poll is
- * sent at once.
+ * sent at once, and so is a probe of the named incarnation.
  */
 START_TEST(test_poll_answered_by_other_incarnation)
 {
 	struct fixture *fixture = fixture_polling();
 	struct exec_reply other = fixture_done;
+	struct fixture_call call = { 0 };
 
 	other.born_ms = 2;
 	answer_poll(fixture, &other);
-	fixture_run_ms(fixture, POLL_FIRST_RETRY_MS + 1);
 	ck_assert_uint_eq(fixture_open_polls(fixture), 1);
-	ck_assert_uint_eq(answer_poll(fixture, &other).fence,
-			  FIXTURE_CALL_FENCE + 1);
+	fixture_run_ms(fixture, POLL_FIRST_RETRY_MS + 1);
+	ck_assert_uint_eq(fixture_open_polls(fixture), 2);
+	ck_assert(fixture_answer_last_poll(fixture, &other, &call));
+	ck_assert_uint_eq(call.fence, FIXTURE_CALL_FENCE + 1);
+	ck_assert_uint_eq(call.deadline_ms, 0);
 	/* Further polls wait as they do for a worker that doesn't answer. */
 	fixture_run_ms(fixture, POLL_RETRY_MS - 10);
-	ck_assert_uint_eq(fixture_open_polls(fixture), 0);
+	ck_assert_uint_eq(fixture_open_polls(fixture), 1);
+	ck_assert_uint_eq(answer_poll(fixture, &fixture_no_answer).fence,
+			  FIXTURE_CALL_FENCE + 1);
 	fixture_free(fixture);
 }
 END_TEST
--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -508,6 +508,9 @@
 	ck_assert_uint_eq(fixture->refused->len, 0);
 	list.born_ms = 1;
 	fixture_run_ms(fixture, 500);
+	/* A probe of the other incarnation and a poll are open. */
+	ck_assert_uint_eq(fixture_open_polls(fixture), 2);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
 	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
 	fixture_run_ms(fixture, 20);
 	ck_assert_uint_eq(fixture->refused->len, 1);
@@ -965,6 +968,181 @@
 }
 END_TEST
 
+/* ---- answers that name no incarnation ---- */
+
+/* Of a later incarnation: its clock has just begun. */
+static const struct exec_reply answer_of_other = { .verdict = EXEC_DONE,
+						   .clock_ms = 20 };
+
+/*
+ * Guards against a run of another incarnation that counts as confirmed, and a
+ * leader that isn't told of the restart: only the clock in the answer to the
+ * start shows it. No further start is called, and no call has a deadline or
+ * acknowledges ends.
+ */
+START_TEST(test_start_answered_on_other_clock)
+{
+	struct fixture *fixture = fixture_ready(true);
+	struct fixture_call call = { 0 };
+
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL));
+	fixture_grant(fixture, 7);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &answer_of_other, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture->report.restart_seen);
+	ck_assert_uint_eq(fixture->report.answered_fence, 0);
+	ck_assert_uint_gt(fixture->report.late_ms, 0);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	fixture_order_many(fixture, FLOW_START, 1);
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->nr_starts, 1);
+	ck_assert_uint_eq(fixture->refused->len, 1);
+	while (fixture_answer(fixture, EXEC_POLL, &fixture_no_answer, &call))
+		;
+	fixture_run_ms(fixture, POLL_RETRY_MS + 10);
+	ck_assert(
+		fixture_answer(fixture, EXEC_POLL, &fixture_no_answer, &call));
+	ck_assert_uint_eq(call.deadline_ms, 0);
+	ck_assert_uint_eq(call.settled_nr, 0);
+	ck_assert_uint_eq(call.wait_ms, 0);
+	fixture_run_ms(fixture, 1000);
+	ck_assert(fixture->report.restart_seen);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a restart that the leader hears of only with the first
+ * heartbeat: a list names the new incarnation, which becomes the worker once it
+ * has answered a probe. It has no service until a heartbeat describes it.
+ */
+START_TEST(test_list_names_later_incarnation)
+{
+	const struct worker_incarnation described = { .id = "w",
+						      .born_ms = 2,
+						      .service = "svc" };
+	struct exec_reply list = answer_of_other;
+	struct fixture *fixture = fixture_with_run();
+
+	list.born_ms = 2;
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 5);
+	ck_assert(fixture->report.restart_seen);
+	ck_assert_uint_eq(fixture->report.worker.born_ms, 1);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 5);
+	ck_assert(!fixture->report.restart_seen);
+	ck_assert_uint_eq(fixture->report.worker.born_ms, 2);
+	ck_assert_str_eq(fixture->report.worker.service, "");
+	ck_assert_uint_eq(fixture->report.nr_runs, 0);
+	ck_assert_int_eq(fixture_heartbeat_of(fixture, &described,
+					      FIXTURE_ADDRESS, 1),
+			 RESULT_OK);
+	fixture_run_ms(fixture, 5);
+	ck_assert_str_eq(fixture->report.worker.service, "svc");
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a worker whose runs are given up because its clock has stood
+ * still: a list that names the known incarnation refutes the restart. The run
+ * whose start had that answer was stopped, and isn't listed.
+ */
+START_TEST(test_clock_stands_still)
+{
+	struct flow_run run = { .task = TASK, .run = 1 };
+	struct exec_reply frozen = { .verdict = EXEC_DONE,
+				     .clock_ms = FIXTURE_CLOCK_MS + 1 };
+	struct fixture *fixture = fixture_with_run();
+	struct fixture_call call = { 0 };
+
+	fixture_run_ms(fixture, 500);
+	fixture_order_many(fixture, FLOW_START, 1);
+	ck_assert(fixture_answer(fixture, EXEC_START, &frozen, NULL));
+	fixture_run_ms(fixture, 5);
+	ck_assert(fixture->report.restart_seen);
+	ck_assert(fixture_answer(fixture, EXEC_STOP, &fixture_no_answer, NULL));
+	frozen.born_ms = 1;
+	frozen.runs = &run;
+	frozen.nr_runs = 1;
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &frozen, NULL));
+	fixture_grant(fixture, 0);
+	fixture_run_ms(fixture, 20);
+	ck_assert(!fixture->report.restart_seen);
+	ck_assert(fixture->report.reachable);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &frozen, &call));
+	ck_assert_uint_gt(call.deadline_ms, FIXTURE_CLOCK_MS + 4000);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a start at a young worker that counts as confirmed, though the
+ * clock in its answer could be that of a later incarnation, and against one
+ * that is stopped because of that. The next list confirms it.
+ */
+START_TEST(test_start_at_young_worker)
+{
+	struct flow_run run = { .task = TASK, .run = 1 };
+	struct exec_reply list = { .verdict = EXEC_DONE,
+				   .clock_ms = 5,
+				   .born_ms = 1 };
+	struct exec_reply answer = { .verdict = EXEC_DONE, .clock_ms = 900 };
+	struct fixture *fixture = fixture_new();
+
+	fixture_heartbeat(fixture, 1, 1, false);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_grant(fixture, 0);
+	fixture_run_ms(fixture, 900);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &answer, NULL));
+	fixture_run_ms(fixture, 1000);
+	ck_assert_uint_eq(fixture->report.nr_runs, 1);
+	ck_assert_uint_gt(fixture->report.late_ms, 0);
+	ck_assert_uint_eq(fixture->nr_stops, 0);
+	ck_assert(!fixture->report.restart_seen);
+	list.clock_ms = 1905;
+	list.runs = &run;
+	list.nr_runs = 1;
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 1000);
+	ck_assert_uint_eq(fixture->report.nr_runs, 1);
+	ck_assert_uint_eq(fixture->report.late_ms, 0);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a run of a later incarnation that isn't stopped, if the answer
+ * to its start could have been of either one.
+ */
+START_TEST(test_start_at_young_worker_restarted)
+{
+	struct exec_reply list = { .verdict = EXEC_DONE,
+				   .clock_ms = 5,
+				   .born_ms = 1 };
+	struct exec_reply answer = { .verdict = EXEC_DONE, .clock_ms = 900 };
+	struct fixture *fixture = fixture_new();
+
+	fixture_heartbeat(fixture, 1, 1, false);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_grant(fixture, 0);
+	fixture_run_ms(fixture, 900);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &answer, NULL));
+	fixture_restart_worker(fixture, 2);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner_life", test_stale_heartbeats,
 	   test_heartbeat_of_foreign_worker, test_refusal_without_incarnation,
 	   test_unanswered_candidate, test_later_candidate_goes_first,
@@ -985,4 +1163,7 @@
 	   test_stop_order_for_earlier_incarnation,
 	   test_late_time_of_start_in_flight_at_restart,
 	   test_late_time_of_resent_start, test_late_time_of_start_in_flight,
-	   test_answered_fence_after_restart)
+	   test_answered_fence_after_restart,
+	   test_start_answered_on_other_clock,
+	   test_list_names_later_incarnation, test_clock_stands_still,
+	   test_start_at_young_worker, test_start_at_young_worker_restarted)
