Don't let an earlier list refute a restart

An answer of a new incarnation may overtake a list that its former incarnation sent before it ended. That list then refuted the restart that the answer had shown: starts were called again with deadlines on the former clock, and the leader was told that there had been no restart. Only a list that was requested after that answer refutes it now, and until then no clock and no answered token are recorded. Found by reading the fix again; runner_life, list_from_before_restart, fails on the code before.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -160,11 +160,12 @@
 	char address[ADDRESS_BYTES]; /* of the current worker */
 	/*
 	 * An answer has shown that another incarnation with the worker's id is
-	 * running. Until a list names the current one or a candidate takes its
-	 * place, no call has a deadline, and answers that name no incarnation
-	 * don't count.
+	 * running. Until a list that was requested after that names the current
+	 * one, or a candidate takes its place, no call has a deadline, and
+	 * answers that name no incarnation don't count.
 	 */
 	bool restart_seen;
+	uint64_t restart_seen_nr; /* number of the last call before that */
 	uint64_t worker_seq; /* number of the last accepted heartbeat */
 	uint64_t stale_seq; /* number of the last stale heartbeat, 0: none */
 	uint32_t stale_increases; /* stale heartbeats in a row, seq rising */
@@ -336,8 +337,9 @@
  * 0 if the answer doesn't name it; otherwise it becomes the candidate.
  */
 void runner_note_restart(struct runner *runner, uint64_t born_ms);
-/** Handles a list that names the current incarnation. */
-void runner_clear_restart(struct runner *runner);
+/** Handles a list, the reply to @a call, that names the current incarnation. */
+void runner_clear_restart(struct runner *runner,
+			  const struct runner_call *call);
 /** Handles the reply to a probe. */
 void runner_probe_done(struct runner *runner, const struct runner_call *call,
 		       const struct exec_reply *reply);
@@ -366,7 +368,6 @@
 void runner_log_misdirected(struct runner *runner,
 			    const struct runner_call *call,
 			    const struct exec_reply *reply);
-/** Logs a start that the worker has executed, and which clock has answered. */
 /** Appends the results of the last polls of the worker to a log line. */
 void runner_log_polls(const struct runner *runner, GString *line);
 /**
@@ -377,6 +378,7 @@
 /** Logs once per run that its start has to wait for @a reason. */
 void runner_log_start_wait(struct runner *runner, struct runner_run *run,
 			   const char *reason);
+/** Logs a start that the worker has executed, with the clock in its answer. */
 void runner_log_started(struct runner *runner, const struct runner_call *call,
 			const struct runner_run *run,
 			const struct exec_reply *reply);
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -315,15 +315,17 @@
 		counter_add(runner->node->counters, "worker_restarts_seen", 1);
 		runner_report_soon(runner);
 	}
+	runner->restart_seen_nr = runner->call_nr;
 	runner->answered_fence = 0;
 	memset(&runner->clock, 0, sizeof(runner->clock));
 	if (born_ms)
 		runner_add_named_candidate(runner, born_ms);
 }
 
-void runner_clear_restart(struct runner *runner)
+void runner_clear_restart(struct runner *runner, const struct runner_call *call)
 {
-	if (!runner->restart_seen)
+	/* An earlier list may have been sent before the restart. */
+	if (!runner->restart_seen || call->call_nr <= runner->restart_seen_nr)
 		return;
 	runner->restart_seen = false;
 	runner_log_worker(runner, "worker-restart-refuted");
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -517,13 +517,6 @@
 				     reply->verdict == EXEC_OTHER_INCARNATION);
 }
 
-/* Returns true if another incarnation with the same id has replied. */
-static bool runner_is_other_incarnation(const struct runner *runner,
-					const struct exec_reply *reply)
-{
-	return reply->born_ms && reply->born_ms != runner->worker.born_ms;
-}
-
 static struct worker_clock runner_reply_clock(const struct runner *runner,
 					      const struct runner_call *call,
 					      const struct exec_reply *reply)
@@ -541,9 +534,9 @@
 	struct worker_clock clock = runner_reply_clock(runner, call, reply);
 
 	if (reply->born_ms)
-		return runner_is_other_incarnation(runner, reply) ?
-			       WORKER_CLOCK_OTHER :
-			       WORKER_CLOCK_SAME;
+		return reply->born_ms == runner->worker.born_ms ?
+			       WORKER_CLOCK_SAME :
+			       WORKER_CLOCK_OTHER;
 	return worker_clock_origin(&runner->clock, &clock);
 }
 
@@ -596,9 +589,7 @@
 			(reply->verdict == EXEC_REFUSED &&
 			 reply->result == RESULT_STALE);
 
-	if (!answered || call->probe_kind ||
-	    call->incarnation_nr != runner->incarnation_nr ||
-	    origin != WORKER_CLOCK_SAME ||
+	if (!answered || origin != WORKER_CLOCK_SAME || runner->restart_seen ||
 	    call->leader_fence <= runner->answered_fence)
 		return;
 	runner->answered_fence = call->leader_fence;
@@ -618,8 +609,6 @@
 	runner_trace_reply(runner, call, reply);
 	if (runner_is_misdirected(runner, call, reply))
 		runner_log_misdirected(runner, call, reply);
-	origin = runner_reply_origin(runner, call, reply);
-	runner_note_answered(runner, call, reply, origin);
 	if (call->probe_kind) {
 		runner->probes_in_flight--;
 		runner_probe_done(runner, call, reply);
@@ -627,8 +616,10 @@
 	}
 	if (call->incarnation_nr != runner->incarnation_nr)
 		goto out; /* the call was made to an earlier incarnation */
+	origin = runner_reply_origin(runner, call, reply);
 	if (origin == WORKER_CLOCK_SAME && reply->born_ms)
-		runner_clear_restart(runner);
+		runner_clear_restart(runner, call);
+	runner_note_answered(runner, call, reply, origin);
 	if (origin == WORKER_CLOCK_OTHER) {
 		runner_note_restart(runner, reply->born_ms);
 		runner_contact_lost(runner, call);
@@ -640,10 +631,11 @@
 		other = runner_reply_of_other_incarnation(call, reply);
 		reply = &other;
 	}
-	/* The first list sets the clock that later answers are compared with.
-	 */
-	if (origin == WORKER_CLOCK_SAME ||
-	    (call->kind == EXEC_POLL && !runner->clock.read_ms))
+	/* The first list sets the clock that answers are compared with. */
+	if (!runner->restart_seen &&
+	    (origin == WORKER_CLOCK_SAME ||
+	     (reply->verdict == EXEC_DONE && call->kind == EXEC_POLL &&
+	      !runner->clock.read_ms)))
 		runner->clock = runner_reply_clock(runner, call, reply);
 	if (reply->verdict == EXEC_NO_ANSWER)
 		counter_add(runner->node->counters, "calls_unanswered", 1);
--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -1069,9 +1069,13 @@
 	frozen.born_ms = 1;
 	frozen.runs = &run;
 	frozen.nr_runs = 1;
-	ck_assert(fixture_answer(fixture, EXEC_POLL, &frozen, NULL));
-	fixture_grant(fixture, 0);
-	fixture_run_ms(fixture, 20);
+	/* The first poll was in flight when the restart was seen. */
+	for (uint32_t i = 0; i < 2; i++) {
+		ck_assert(fixture->report.restart_seen);
+		ck_assert(fixture_answer(fixture, EXEC_POLL, &frozen, NULL));
+		fixture_grant(fixture, 0);
+		fixture_run_ms(fixture, 20);
+	}
 	ck_assert(!fixture->report.restart_seen);
 	ck_assert(fixture->report.reachable);
 	ck_assert(fixture_answer(fixture, EXEC_POLL, &frozen, &call));
@@ -1081,6 +1085,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a restart that a list of the former incarnation refutes: the
+ * list was sent before the restart, and an answer of the new incarnation has
+ * overtaken it. Only a list that is requested after that answer counts.
+ */
+START_TEST(test_list_from_before_restart)
+{
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+
+	list.born_ms = 1;
+	fixture_run_ms(fixture, 500);
+	ck_assert_uint_eq(fixture_open_polls(fixture), 1);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &answer_of_other, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 10);
+	ck_assert(fixture->report.restart_seen);
+	ck_assert_uint_eq(fixture->report.answered_fence, 0);
+	fixture_order_many(fixture, FLOW_START, 1);
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->nr_starts, 1);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 10);
+	ck_assert(!fixture->report.restart_seen);
+	fixture_free(fixture);
+}
+END_TEST
+
 /*
  * Guards against a start at a young worker that counts as confirmed, though the
  * clock in its answer could be that of a later incarnation, and against one
@@ -1166,4 +1199,5 @@
 	   test_answered_fence_after_restart,
 	   test_start_answered_on_other_clock,
 	   test_list_names_later_incarnation, test_clock_stands_still,
-	   test_start_at_young_worker, test_start_at_young_worker_restarted)
+	   test_list_from_before_restart, test_start_at_young_worker,
+	   test_start_at_young_worker_restarted)
