Show that facts of one incarnation count for another in the runner

Four tests of runner_life fail: - refusal_of_other_id_is_no_restart: a 421 with a clock, of a worker with another id, sets restart_seen, so the leader assumes the longest lease. - earlier_list_refutes_no_restart: a list that the former incarnation answered before its end, read after an answer of the later one, clears restart_seen; the next poll has a deadline and acknowledges ends. - refused_poll_after_missed_one: a refused poll makes the worker reachable, though a refusal names no incarnation, so the next poll acknowledges ends and has a deadline on the former clock. - no_acknowledgement_without_ends: each poll has the acknowledgement, though no acknowledged end is listed any more.

--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -1176,6 +1176,115 @@
 }
 END_TEST
 
+/*
+ * Guards against a restart under the same identity that is reported because a
+ * worker with another id has refused a call: its refusal has a clock, too. The
+ * leader would assume the longest lease for a worker that can't execute calls
+ * to the former one.
+ */
+START_TEST(test_refusal_of_other_id_is_no_restart)
+{
+	const struct exec_reply refused = { .verdict = EXEC_OTHER_INCARNATION,
+					    .clock_ms = 20 };
+	struct fixture *fixture = fixture_with_run();
+
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &refused, NULL));
+	fixture_run_ms(fixture, 5);
+	ck_assert(!fixture->report.reachable);
+	ck_assert(!fixture->report.restart_seen);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a restart that is refuted by a list which the former
+ * incarnation has answered before it ended. An agent that was frozen may read
+ * that answer after the one to a later call. The clock in the latter has gone
+ * back, which a clock that stands still doesn't do.
+ */
+START_TEST(test_earlier_list_refutes_no_restart)
+{
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+	struct fixture_call call = { 0 };
+
+	list.born_ms = 1;
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_grant(fixture, 7);
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture_open_polls(fixture), 1);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &answer_of_other, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 5);
+	ck_assert_uint_eq(fixture_open_polls(fixture), 1);
+	ck_assert(
+		fixture_answer(fixture, EXEC_POLL, &fixture_no_answer, &call));
+	ck_assert_msg(!call.settled_nr && !call.deadline_ms,
+		      "a poll acknowledges ends of the new incarnation");
+	ck_assert(fixture->report.restart_seen);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against ends of a new incarnation that are acknowledged, and a lease
+ * that is given to it, because it has refused a poll: a refusal names no
+ * incarnation, and one of an unhealthy worker has no clock.
+ */
+START_TEST(test_refused_poll_after_missed_one)
+{
+	const struct exec_reply refused = { .verdict = EXEC_REFUSED,
+					    .result = RESULT_OVERLOADED };
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+	struct fixture_call call = { 0 };
+
+	list.born_ms = 1;
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_grant(fixture, 7);
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_no_answer, NULL));
+	fixture_run_ms(fixture, POLL_FIRST_RETRY_MS + 5);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &refused, &call));
+	ck_assert_uint_eq(call.settled_nr, 0);
+	ck_assert_uint_eq(call.deadline_ms, 0);
+	fixture_run_ms(fixture, POLL_RETRY_MS + 5);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, &call));
+	ck_assert_msg(!call.settled_nr && !call.deadline_ms,
+		      "a poll acknowledges ends of a worker that may be new");
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against an acknowledgement in each poll though the worker lists no
+ * acknowledged end any more: a poll that waits for its answer while the worker
+ * is restarted drops ends of the new incarnation.
+ */
+START_TEST(test_no_acknowledgement_without_ends)
+{
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+	struct fixture_call call = { 0 };
+
+	list.born_ms = 1;
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_grant(fixture, 7);
+	for (uint32_t i = 0; i < 3; i++) {
+		fixture_run_ms(fixture, 20);
+		ck_assert(fixture_answer(fixture, EXEC_POLL, &list, &call));
+	}
+	ck_assert_uint_eq(call.settled_nr, 0);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner_life", test_stale_heartbeats,
 	   test_heartbeat_of_foreign_worker, test_refusal_without_incarnation,
 	   test_unanswered_candidate, test_later_candidate_goes_first,
@@ -1199,5 +1308,10 @@
 	   test_answered_fence_after_restart,
 	   test_start_answered_on_other_clock,
 	   test_list_names_later_incarnation, test_clock_stands_still,
+	   test_list_names_later_incarnation, test_clock_stands_still,
 	   test_list_from_before_restart, test_start_at_young_worker,
-	   test_start_at_young_worker_restarted)
+	   test_start_at_young_worker_restarted,
+	   test_refusal_of_other_id_is_no_restart,
+	   test_earlier_list_refutes_no_restart,
+	   test_refused_poll_after_missed_one,
+	   test_no_acknowledgement_without_ends)
