Show an end that a waiting poll drops, and lasting tasks that wait too long

flow_unannounced, poll_acknowledges_ends_of_next_incarnation: a poll for the former incarnation, with its acknowledgement, is executed by the next one and drops an end as done; "bb.0.0.7 is done" (TWICE).

flow_unannounced, lasting_tasks_of_ended_incarnation: lists have named the next incarnation, the worker is cut off; the lasting tasks that ran on the former one are placed elsewhere when the longest lease has passed: 9 s without a run (LOST).

--- a/tests/test_flow_unannounced.c
+++ b/tests/test_flow_unannounced.c
@@ -257,6 +257,86 @@
 }
 END_TEST
 
+static void set_mute(struct flow_world *fw, bool mute)
+{
+	for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
+		fw->vms[restarted_vms[i]].mute = mute;
+}
+
+/*
+ * Guards against an end that is lost: a poll for the former incarnation, which
+ * acknowledges its ends, waits at the worker while that is restarted, and drops
+ * an end of the new incarnation. The first calls get no answers. The task would
+ * start again after it is done.
+ */
+START_TEST(test_poll_acknowledges_ends_of_next_incarnation)
+{
+	struct flow_step step = { .count = 8,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .estimate_ms = 100 };
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct flow_world *fw = flow_world_new(seed);
+
+		fw->run_ms = 100;
+		flow_world_run_ms(fw, UPTIME_MS);
+		/* Ends of the former incarnations are acknowledged. */
+		ck_assert_int_eq(flow_world_submit(fw, "aa", &step, 1),
+				 RESULT_OK);
+		flow_world_run_ms(fw, 1000 + seed * 30);
+		each_restarted(fw, fw_crash_worker);
+		ck_assert_int_eq(flow_world_submit(fw, "bb", &step, 1),
+				 RESULT_OK);
+		flow_world_run_ms(fw, 200);
+		each_restarted(fw, fw_boot_worker);
+		set_mute(fw, true);
+		flow_world_run_ms(fw, 300);
+		set_mute(fw, false);
+		ck_assert(flow_world_wait(fw, "bb", FLOW_COMPLETED, 30000));
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
+/*
+ * Guards against lasting tasks without a run for more than 9 s (rule LOST): an
+ * answer has shown that the incarnation that ran them has ended, and the worker
+ * is cut off then. Only runs whose start was sent twice, had no answer or one
+ * of the new incarnation may be there.
+ */
+START_TEST(test_lasting_tasks_of_ended_incarnation)
+{
+	struct flow_step lasting = { .count = 4,
+				     .cpu_millis = 1000,
+				     .memory_mib = 500,
+				     .lasting = true };
+	struct flow_world *fw = flow_world_new(1);
+	struct fw_vm *vm = &fw->vms[0];
+
+	fw->judge_lasting = true;
+	fw->lasting = "ll";
+	flow_world_run_ms(fw, UPTIME_MS);
+	ck_assert_int_eq(flow_world_submit(fw, "ll", &lasting, 1), RESULT_OK);
+	flow_world_run_ms(fw, 4000);
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		if (fw->vms[i].worker.runs->len)
+			vm = &fw->vms[i];
+	ck_assert_uint_gt(vm->worker.runs->len, 0);
+	fw_crash_worker(vm);
+	flow_world_run_ms(fw, WORKER_DOWN_MS);
+	fw_boot_worker(vm);
+	vm->first_heartbeat_us = UINT64_MAX;
+	/* Two polls reach the new incarnation. */
+	flow_world_run_ms(fw, 40);
+	fw_cut_worker(vm, true);
+	flow_world_run_ms(fw, 20000);
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("flow_unannounced", test_cut_at_once, test_cut_before_heartbeat,
 	   test_late_heartbeat, test_unanswered_calls, test_frozen_agent,
-	   test_agent_killed, test_leader_killed)
+	   test_agent_killed, test_leader_killed,
+	   test_poll_acknowledges_ends_of_next_incarnation,
+	   test_lasting_tasks_of_ended_incarnation)
