Don't take the refusal of a worker with another id for a restart

A worker with another id refuses a call with status 421 and its clock. The agent took that clock for one of a later incarnation under the same id and reported restart_seen, so that the leader assumed the longest lease for a worker that can't execute calls to the former one: its tasks waited longer than needed. Such a refusal is of no incarnation of the known id.

--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -533,6 +533,9 @@
 {
 	struct worker_clock clock = runner_reply_clock(runner, call, reply);
 
+	/* A worker with another id executes none of this worker's calls. */
+	if (reply->verdict == EXEC_OTHER_INCARNATION)
+		return WORKER_CLOCK_UNKNOWN;
 	if (reply->born_ms)
 		return reply->born_ms == runner->worker.born_ms ?
 			       WORKER_CLOCK_SAME :
