Renew leases and acknowledge ends only for an incarnation that is known to answer

After a missed poll the worker may have been restarted, so the next poll has no deadline and no acknowledgement. A refused poll ended that, though a refusal names no incarnation, and one of an unhealthy worker has no clock: the next poll could give a new incarnation the longest lease and drop ends of it, whose tasks would run again. A poll now has both only if an answer since the last missed poll is surely of this incarnation, by its name or its clock.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -198,6 +198,11 @@
 	uint64_t lease_until_us; /* end of the granted lease, 0: none yet */
 	struct worker_clock clock; /* in the incarnation's last reply */
 	bool reachable; /* the worker answered the last poll */
+	/*
+	 * Since the last poll without an answer, one came that is surely of
+	 * this incarnation. A refusal may be of a later one.
+	 */
+	bool in_contact;
 	uint32_t missed_polls; /* polls missed in a row */
 	bool listed; /* this incarnation's runs were listed at least once */
 	uint64_t settled_nr; /* number of the last acknowledged end */
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -123,6 +123,7 @@
 	runner->earlier_fence = 0;
 	runner->listed = false;
 	runner->reachable = false;
+	runner->in_contact = false;
 	runner->missed_polls = 0;
 	runner->settled_nr = 0;
 	runner->nr_unreadable_ends = 0;
@@ -316,6 +317,7 @@
 		runner_report_soon(runner);
 	}
 	runner->restart_seen_nr = runner->call_nr;
+	runner->in_contact = false;
 	runner->answered_fence = 0;
 	memset(&runner->clock, 0, sizeof(runner->clock));
 	if (born_ms)
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -149,14 +149,17 @@
 /*
  * Returns the number up to which the worker may drop ends. The worker must not
  * drop an unreadable end: its run would be missing in the next list, and be
- * reported as never started.
+ * reported as never started. A later incarnation that executes the call would
+ * drop ends of its own, so no poll has the number unless an answer is surely of
+ * this incarnation.
  */
 static uint64_t runner_ack_nr(const struct runner *runner)
 {
-	return runner->first_unreadable_nr ?
-		       MIN(runner->settled_nr,
-			   runner->first_unreadable_nr - 1) :
-		       runner->settled_nr;
+	uint64_t nr = runner->settled_nr;
+
+	if (runner->first_unreadable_nr)
+		nr = MIN(nr, runner->first_unreadable_nr - 1);
+	return runner->in_contact ? nr : 0;
 }
 
 /* Returns true if a restarted worker may still accept earlier calls. */
@@ -174,22 +177,22 @@
 		return;
 	timer_cancel(runner->node->timers, &runner->poll_timer);
 	runner->poll_in_flight = true;
-	/* The lease of a worker that doesn't answer must lapse, so this poll
-	 * doesn't extend it. */
-	if (runner->reachable || !runner->listed)
+	/*
+	 * The lease of a worker that doesn't answer must lapse, so this poll
+	 * doesn't extend it, and a worker that didn't answer may have been
+	 * restarted.
+	 */
+	if (runner->in_contact || !runner->listed)
 		call.deadline_ms = runner_deadline_ms(runner);
-	/* A worker that didn't answer may have been restarted. Ends of the new
-	 * incarnation may have the same numbers, and must not be dropped. */
-	if (runner->reachable && !runner->restart_seen)
-		call.settled_nr = runner_ack_nr(runner);
+	call.settled_nr = runner_ack_nr(runner);
 	/*
 	 * The worker must answer the first poll, and a poll after a missed one
 	 * or after another incarnation's answer, at once; it may delay the
 	 * answer to other polls until a run ends. The leader waits until a
 	 * restarted worker refuses earlier calls.
 	 */
-	if (runner->listed && runner->reachable && !runner->missed_polls &&
-	    !runner->restart_seen && !runner_accepts_earlier_calls(runner))
+	if (runner->listed && runner->reachable && runner->in_contact &&
+	    !runner_accepts_earlier_calls(runner))
 		call.wait_ms = runner_needs_pacing(runner) ? POLL_WAIT_PACE_MS :
 							     POLL_WAIT_MS;
 	runner_call(runner, &call);
@@ -482,6 +485,8 @@
 		runner->missed_polls++;
 	else
 		runner->missed_polls = 0;
+	if (!answered && reply->verdict != EXEC_REFUSED)
+		runner->in_contact = false;
 	/* A worker that refuses the fencing token is reachable, too. */
 	runner->reachable = answered || reply->verdict == EXEC_REFUSED;
 	/*
@@ -638,8 +643,10 @@
 	if (!runner->restart_seen &&
 	    (origin == WORKER_CLOCK_SAME ||
 	     (reply->verdict == EXEC_DONE && call->kind == EXEC_POLL &&
-	      !runner->clock.read_ms)))
+	      !runner->clock.read_ms))) {
 		runner->clock = runner_reply_clock(runner, call, reply);
+		runner->in_contact = true;
+	}
 	if (reply->verdict == EXEC_NO_ANSWER)
 		counter_add(runner->node->counters, "calls_unanswered", 1);
 	switch (call->kind) {
