Acknowledge ends only while they are listed, in polls that don't wait

Each poll had the number up to which ends were committed, also when the worker listed none any more, and most polls wait for a second. If the worker was restarted meanwhile, its next incarnation executed the waiting poll and dropped ends of its own, of which the leader never heard: their tasks ran again after they were done. A poll now has the number only if the last list had such ends, and is answered at once then, which takes a millisecond in place of a second.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -206,6 +206,7 @@
 	uint32_t missed_polls; /* polls missed in a row */
 	bool listed; /* this incarnation's runs were listed at least once */
 	uint64_t settled_nr; /* number of the last acknowledged end */
+	uint64_t first_listed_nr; /* of the ends in the last list, 0: none */
 	uint32_t nr_unreadable_ends; /* unreadable ends in the last list */
 	/** Lowest number of an unreadable end, 0: none, or the list is full. */
 	uint64_t first_unreadable_nr;
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -126,6 +126,7 @@
 	runner->in_contact = false;
 	runner->missed_polls = 0;
 	runner->settled_nr = 0;
+	runner->first_listed_nr = 0;
 	runner->nr_unreadable_ends = 0;
 	runner->first_unreadable_nr = 0;
 	runner->poll_in_flight = false;
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -147,11 +147,11 @@
 }
 
 /*
- * Returns the number up to which the worker may drop ends. The worker must not
- * drop an unreadable end: its run would be missing in the next list, and be
- * reported as never started. A later incarnation that executes the call would
- * drop ends of its own, so no poll has the number unless an answer is surely of
- * this incarnation.
+ * Returns the number up to which the worker may drop ends, 0: none that it
+ * lists. The worker must not drop an unreadable end: its run would be missing
+ * in the next list, and be reported as never started. A later incarnation that
+ * executes the call would drop ends of its own. So no poll has the number
+ * unless an answer is surely of this incarnation and listed such ends.
  */
 static uint64_t runner_ack_nr(const struct runner *runner)
 {
@@ -159,7 +159,10 @@
 
 	if (runner->first_unreadable_nr)
 		nr = MIN(nr, runner->first_unreadable_nr - 1);
-	return runner->in_contact ? nr : 0;
+	return runner->in_contact && runner->first_listed_nr &&
+			       runner->first_listed_nr <= nr ?
+		       nr :
+		       0;
 }
 
 /* Returns true if a restarted worker may still accept earlier calls. */
@@ -186,13 +189,14 @@
 		call.deadline_ms = runner_deadline_ms(runner);
 	call.settled_nr = runner_ack_nr(runner);
 	/*
-	 * The worker must answer the first poll, and a poll after a missed one
-	 * or after another incarnation's answer, at once; it may delay the
-	 * answer to other polls until a run ends. The leader waits until a
-	 * restarted worker refuses earlier calls.
+	 * The worker must answer at once the first poll, a poll after a missed
+	 * one or after another incarnation's answer, and one that acknowledges
+	 * ends: a later incarnation might execute it while it waits. The answer
+	 * to other polls may be delayed until a run ends. The leader waits
+	 * until a restarted worker refuses earlier calls.
 	 */
 	if (runner->listed && runner->reachable && runner->in_contact &&
-	    !runner_accepts_earlier_calls(runner))
+	    !call.settled_nr && !runner_accepts_earlier_calls(runner))
 		call.wait_ms = runner_needs_pacing(runner) ? POLL_WAIT_PACE_MS :
 							     POLL_WAIT_MS;
 	runner_call(runner, &call);
@@ -466,6 +470,10 @@
 static void runner_apply_unreadable(struct runner *runner,
 				    const struct exec_reply *reply)
 {
+	runner->first_listed_nr = reply->first_unreadable_nr;
+	if (reply->nr_ends && (!runner->first_listed_nr ||
+			       reply->ends[0].nr < runner->first_listed_nr))
+		runner->first_listed_nr = reply->ends[0].nr;
 	runner->nr_unreadable_ends = reply->nr_unreadable_ends;
 	runner->first_unreadable_nr =
 		runner_list_is_full(reply) ? 0 : reply->first_unreadable_nr;
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -572,21 +572,26 @@
  */
 START_TEST(test_cursor_after_missed_poll)
 {
+	struct flow_run_end end = { .nr = 5, .run = 1, .end = FLOW_END_DONE };
+	struct exec_reply list = fixture_done;
 	struct fixture *fixture = fixture_ready(true);
 	struct fixture_call call = { 0 };
 
+	TEXT_SET(end.task, TASK);
+	list.nr_ends = 1;
+	list.ends = &end;
 	fixture_run_ms(fixture, 20);
 	fixture_grant(fixture, 5);
-	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
 	fixture_run_ms(fixture, 20);
 	ck_assert(
 		fixture_answer(fixture, EXEC_POLL, &fixture_no_answer, &call));
 	ck_assert_uint_eq(call.settled_nr, 5);
 	fixture_run_ms(fixture, 400);
-	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, &call));
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, &call));
 	ck_assert_uint_eq(call.settled_nr, 0);
 	fixture_run_ms(fixture, 20);
-	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, &call));
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, &call));
 	ck_assert_uint_eq(call.settled_nr, 5);
 	fixture_free(fixture);
 }
