Report the runs that have ended with a restarted worker's incarnation

Once another incarnation under the same id has answered, the former one and its runs have ended. The leader learned of these runs' ends by stopping them at the new incarnation, and if that was cut off, it waited for the longest lease, 10.3 s: lasting tasks stayed without a run for more than 9 s (LOST). The agent now reports them as lost, unless the new incarnation lists them, or a copy of their start or an earlier agent's call may still be executed.

--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -369,12 +369,77 @@
 		       "life-not-told";
 }
 
-/* Replaces the current worker by the candidate, and polls it for its runs. */
-static void runner_switch_incarnation(struct runner *runner)
+/* Returns true if a later incarnation may still execute a start of the task. */
+static bool runner_may_start_late(const struct runner *runner, const char *task)
+{
+	for (guint i = 0; i < runner->late_starts->len; i++) {
+		const struct runner_late_start *start = &g_array_index(
+			runner->late_starts, struct runner_late_start, i);
+
+		if (start->until_us > runner->node->now_us &&
+		    !strcmp(start->task, task))
+			return true;
+	}
+	return false;
+}
+
+static bool reply_lists_task(const struct exec_reply *reply, const char *task)
+{
+	for (uint32_t i = 0; i < reply->nr_runs; i++)
+		if (!strcmp(reply->runs[i].task, task))
+			return true;
+	for (uint32_t i = 0; i < reply->nr_ends; i++)
+		if (!strcmp(reply->ends[i].task, task))
+			return true;
+	return false;
+}
+
+/*
+ * Reports the runs that have ended with an incarnation whose successor has the
+ * same id and has sent the list @a reply, so that the leader needs to wait for
+ * no lease. A run is left out if the successor has it, or if a copy of its
+ * start, or the call of an earlier agent process, may still be executed.
+ */
+static void runner_report_runs_lost(struct runner *runner,
+				    const struct exec_reply *reply)
+{
+	GHashTableIter iter;
+	void *value;
+
+	if (reply->verdict != EXEC_DONE || runner_list_is_full(reply) ||
+	    reply->nr_unreadable_runs || reply->nr_unreadable_ends)
+		return;
+	g_hash_table_iter_init(&iter, runner->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct runner_run *run = value;
+		struct flow_run_end end = { .run = run->run,
+					    .end = FLOW_END_LOST };
+
+		if (run->phase != RUNNER_RUNNING || run->unattributed ||
+		    run->repeated || !run->ordered ||
+		    runner_may_start_late(runner, run->task) ||
+		    reply_lists_task(reply, run->task))
+			continue;
+		TEXT_SET(end.task, run->task);
+		TEXT_SET(end.checkpoint, run->seen.checkpoint);
+		g_array_append_val(runner->unlisted_ends, end);
+		runner_log_run(runner, "run-ended", run->task, run->run,
+			       flow_end_name(end.end), RESULT_OK);
+	}
+}
+
+/*
+ * Replaces the current worker by the candidate, which has sent @a reply, and
+ * polls it for its runs.
+ */
+static void runner_switch_incarnation(struct runner *runner,
+				      const struct exec_reply *reply)
 {
 	const struct runner_candidate *candidate = &runner->candidate;
 	bool restarted = !strcmp(runner->worker.id, candidate->incarnation.id);
 
+	if (restarted)
+		runner_report_runs_lost(runner, reply);
 	runner_reset_incarnation(runner);
 	runner_update_worker(runner, &candidate->incarnation,
 			     candidate->address, candidate->seq);
@@ -415,7 +480,7 @@
 				     candidate->address, candidate->seq);
 	} else {
 		runner_log_candidate(runner, "taken", "new-life");
-		runner_switch_incarnation(runner);
+		runner_switch_incarnation(runner, reply);
 	}
 	candidate->nr = 0;
 }
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -33,6 +33,7 @@
 	struct flow_report report; /* last report; its pointers aren't valid */
 	uint64_t ends_nr; /* highest end number in the last report */
 	GArray *refused; /* uint32_t, numbers of runs reported as refused */
+	uint32_t nr_lost; /* ends so far that were reported as lost */
 	uint32_t nr_starts; /* start calls so far */
 	uint32_t nr_stops; /* stop calls so far */
 	bool repeated; /* orders are marked as repeated */
