Let a simulated worker's clock run on when its speed changes

The clock was its incarnation's age times its present speed. All tests that make a clock 2 % slow do so after the worker has run for 8 s, so the clock jumped back by 160 ms without a restart.

The clock is now advanced each tick.

--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -53,9 +53,7 @@
 
 uint64_t fw_clock_ms(const struct fw_vm *vm)
 {
-	uint64_t age_ms = fw_now_us(vm->world) / 1000 + 1 - vm->worker.born_ms;
-
-	return age_ms * (1000 - vm->slow_permille) / 1000;
+	return vm->worker.clock_us / 1000;
 }
 
 static const struct fw_run *worker_find(const struct fw_worker *worker,
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -186,8 +186,16 @@
 	}
 }
 
+static void advance_clocks(struct flow_world *fw)
+{
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		fw->vms[i].worker.clock_us +=
+			TICK_US / 1000 * (1000 - fw->vms[i].slow_permille);
+}
+
 static void fw_tick(struct flow_world *fw)
 {
+	advance_clocks(fw);
 	if (fw->tick)
 		fw->tick(fw->tick_ctx);
 	world_answer_advice(fw);
@@ -259,6 +267,7 @@
 
 	worker->up = true;
 	worker->born_ms = fw_now_us(vm->world) / 1000 + 1;
+	worker->clock_us = 0;
 	worker->seq = 0;
 	worker->fence = 0;
 	worker->lease_ms = 0;
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -52,6 +52,7 @@
 struct fw_worker {
 	bool up;
 	uint64_t born_ms;
+	uint64_t clock_us; /* its steady clock, which begins with it */
 	uint64_t seq;
 	uint64_t fence;
 	uint64_t lease_ms; /* end of the lease by the worker's clock */
@@ -84,10 +85,7 @@
 	uint32_t resend_ppm;
 	/* Share of starts that the worker refuses because it isn't healthy. */
 	uint32_t unhealthy_ppm;
-	/*
-	 * How much slower the worker's clock runs; set before its incarnation
-	 * starts.
-	 */
+	/* How much slower the worker's clock runs from now on. */
 	uint32_t slow_permille;
 	bool frozen; /* the agent's process is stopped; its worker continues */
 	bool fail_runs; /* every run fails at once */
