Add suspended workers and delayed answers to the simulation

A suspended machine's clock stands still, so an agent that compares clocks may take it for another incarnation; answers that overtake each other show clocks in the wrong order.

fw_suspend_worker() stops the worker's clock and runs while calls wait; fw_vm.delay_answers_ppm delays a share of the answers by up to 400 ms.

--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -7,6 +7,7 @@
 #define CALL_DELAY_US 1000
 /* From the first copy of a call that is sent twice to the second one. */
 #define RESEND_DELAY_US 20000
+#define ANSWER_DELAY_MAX_US 400000
 #define LIST_ENDS 500 /* maximum number of ends in one answer */
 #define LATE_MIN_US 2000000
 #define LATE_MAX_US 12000000
@@ -14,7 +15,7 @@
 struct fw_call {
 	struct fw_vm *vm;
 	uint64_t due_us; /* when it reaches the worker */
-	uint64_t answer_us;
+	uint64_t answer_us; /* when its answer reaches the agent */
 	uint64_t give_up_us; /* when the agent stops waiting, 0: it has */
 	bool carried_out;
 	bool lost; /* gets no answer and is carried out late */
@@ -331,10 +332,11 @@
 	 */
 	if (late && call->answered && sim_random(vm->world->base->sim) % 2)
 		call->answered = false;
-	if (!call->answered && !late)
+	if (!late &&
+	    (!call->answered || fw_now_us(vm->world) < call->answer_us))
 		return;
 	call->give_up_us = 0;
-	if (!call->answered && !call->lost)
+	if (!call->answered && !call->lost && !vm->suspended)
 		call->carried_out = true;
 	if (!mine)
 		return;
@@ -359,14 +361,19 @@
 		call->answered = true;
 	}
 	if (!call->carried_out && vm->worker.up && !vm->worker_cut &&
-	    call_is_due(call)) {
+	    !vm->suspended && call_is_due(call)) {
 		worker_carry_out(call, &call->reply);
-		call->answered = !call->lost && !vm->mute;
+		call->answered = !call->lost && !vm->mute && call->give_up_us;
+		if (draw(vm, vm->delay_answers_ppm))
+			call->answer_us = fw_now_us(vm->world) +
+					  sim_random(vm->world->base->sim) %
+						  ANSWER_DELAY_MAX_US;
 	}
 	/*
 	 * A late call that arrives while the worker is down or cut off is lost.
 	 */
-	if (!call->carried_out && call->lost && call_is_due(call))
+	if (!call->carried_out && call->lost && !vm->suspended &&
+	    call_is_due(call))
 		call->carried_out = true;
 	if (call->give_up_us)
 		call_answer(call);
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -80,7 +80,7 @@
 static void vm_heartbeat(struct fw_vm *vm)
 {
 	if (vm->runner && vm->worker.up && !vm->frozen && !vm->worker_cut &&
-	    fw_now_us(vm->world) >= vm->first_heartbeat_us)
+	    !vm->suspended && fw_now_us(vm->world) >= vm->first_heartbeat_us)
 		fw_heartbeat(vm, vm->worker.born_ms, ++vm->worker.seq);
 }
 
@@ -152,7 +152,8 @@
 static void vm_note_faults(struct fw_vm *vm)
 {
 	const bool present[] = { !vm->runner, vm->frozen, vm->cut,
-				 !vm->worker.up || vm->worker_cut,
+				 !vm->worker.up || vm->worker_cut ||
+					 vm->suspended,
 				 vm->lose_ppm != 0 };
 	uint32_t faults = 0;
 
@@ -188,9 +189,26 @@
 
 static void advance_clocks(struct flow_world *fw)
 {
-	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
-		fw->vms[i].worker.clock_us +=
-			TICK_US / 1000 * (1000 - fw->vms[i].slow_permille);
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+		struct fw_vm *vm = &fw->vms[i];
+
+		if (!vm->suspended)
+			vm->worker.clock_us +=
+				TICK_US / 1000 * (1000 - vm->slow_permille);
+	}
+}
+
+/* Makes the runs of a suspended worker end a tick later. */
+static void delay_runs(struct fw_worker *worker)
+{
+	for (guint i = 0; i < worker->runs->len; i++) {
+		struct fw_run *run =
+			&g_array_index(worker->runs, struct fw_run, i);
+
+		run->started_us += TICK_US;
+		if (run->stop_us)
+			run->stop_us += TICK_US;
+	}
 }
 
 static void fw_tick(struct flow_world *fw)
@@ -201,6 +219,8 @@
 	world_answer_advice(fw);
 	world_note_faults(fw);
 	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+		if (fw->vms[i].suspended)
+			delay_runs(&fw->vms[i].worker);
 		vm_tick(&fw->vms[i]);
 		if (fw_now_us(fw) / 1000 % HEARTBEAT_MS < TICK_US / 1000)
 			vm_heartbeat(&fw->vms[i]);
@@ -273,6 +293,7 @@
 	worker->lease_ms = 0;
 	worker->next_end = 0;
 	worker->discarded_nr = 0;
+	vm->suspended = false;
 	vm->draining_us = 0;
 }
 
@@ -296,6 +317,12 @@
 	vm->worker_cut = cut;
 }
 
+void fw_suspend_worker(struct fw_vm *vm, bool suspended)
+{
+	vm->disturbed_us = fw_now_us(vm->world);
+	vm->suspended = suspended;
+}
+
 struct fw_vm *fw_starting_vm(struct flow_world *fw,
 			     const uint64_t before[FLOW_WORLD_VMS])
 {
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -99,6 +99,12 @@
 	bool cut; /* see fw_cut() */
 	bool worker_cut; /* see fw_cut_worker() */
 	bool mute; /* the worker executes calls but doesn't answer them */
+	bool suspended; /* see fw_suspend_worker() */
+	/*
+	 * Share of answers that are delayed, so that answers of later calls may
+	 * overtake them.
+	 */
+	uint32_t delay_answers_ppm;
 	/* The worker sends no regular heartbeats before this time. */
 	uint64_t first_heartbeat_us;
 	/*
@@ -241,6 +247,12 @@
  * calls nor heartbeats arrive.
  */
 void fw_cut_worker(struct fw_vm *vm, bool cut);
+/**
+ * Suspends the worker's machine or resumes it: its clock stops, its runs make
+ * no progress, and calls wait until it resumes or their time limit expires. A
+ * call that was waiting when its limit expired is executed nevertheless.
+ */
+void fw_suspend_worker(struct fw_vm *vm, bool suspended);
 /**
  * Returns when the first of the VM's start calls that had no answer reaches its
  * worker, 0 if there is none.
