Share the random plays of the case restarts with further cases

flow_play has the events, faults, workflows and final checks, flow_restarts what its series consist of (struct play_ops).

--- a/tests/flow_restarts.c
+++ b/tests/flow_restarts.c
@@ -1,277 +1,17 @@
 #include "flow_restarts.h"
 
-#include <check.h>
-
-#include "flow_world.h"
-
-/* So that no other case has the same random numbers. */
-#define RANDOM_SEED 48000000
-/* Until the workers' clocks are ahead of the longest lease. */
-#define UPTIME_MS 7000
-#define FAULTS_MS 60000
-#define SETTLE_MS 60000
-#define FLOWS_MAX 64
-#define LASTING "ee"
-#define LASTING_TASKS 6
-#define RUN_MIN_MS 1000
-#define RUN_MAX_MS 12000
-/* Few enough that a zone has room for them. */
-#define RUNS_MAX 14
-#define TASKS_MAX 6 /* of a step */
-#define SUBMIT_MAX_MS 800 /* from one workflow to the next */
+#include "flow_play.h"
 
 /* Times of a series; those without another origin start at the restart. */
 #define DOWN_MIN_MS 200
 #define DOWN_MAX_MS 1000
-#define FIRST_HEARTBEAT_MIN_MS 20
-#define FIRST_HEARTBEAT_MAX_MS 1500
 #define FAULT_MIN_MS 200
 #define FAULT_MAX_MS 3000
-#define NEXT_SERIES_MIN_MS 3000
-#define NEXT_SERIES_MAX_MS 14000
-#define CUT_MIN_MS 5000 /* duration, also of a freeze */
-#define CUT_MAX_MS 12000
-#define LEADER_DOWN_MS 1000
-#define SECOND_KILL_MIN_MS 1200 /* from the first one */
-#define SECOND_KILL_MAX_MS 3000
-#define LEADER_PAUSE_MIN_MS 2000
-#define LEADER_PAUSE_MAX_MS 8000
-#define AGENT_DOWN_MIN_MS 50
-#define AGENT_DOWN_MAX_MS 1500
-/* Late calls: before the crash and after the restart. */
-#define LATE_BEFORE_MS 2000
-#define LATE_AFTER_MS 3000
-#define LATE_MIN_PPM 30000
-#define LATE_MAX_PPM 80000
-/* Only every fourth seed has late calls, in half of its series. */
-#define LATE_SEEDS 4
-
-struct play;
-
-/* A fault or the end of one, at a VM or in the core. */
-struct event {
-	uint64_t due_us;
-	const char *name; /* for the log */
-	void (*happen)(struct play *play, uint32_t target);
-	uint32_t target; /* index of the VM or the replica */
-};
-
-struct play {
-	struct flow_world *fw;
-	GRand *rand;
-	GArray *events; /* struct event that are still to happen */
-	uint64_t series_us; /* time of the next series, 0: there is none */
-	bool late_calls; /* some series have late calls */
-	bool paused[WORLD_MAX_CONTROLS];
-	bool verbose;
-	uint32_t nr_flows;
-	char ids[FLOWS_MAX][8];
-	bool accepted[FLOWS_MAX];
-};
-
-static uint32_t random_between(struct play *play, uint32_t from, uint32_t to)
-{
-	return (uint32_t)g_rand_int_range(play->rand, (gint32)from, (gint32)to);
-}
-
-static void add_event(struct play *play, uint32_t after_ms, const char *name,
-		      void (*happen)(struct play *play, uint32_t target),
-		      uint32_t target)
-{
-	struct event event = { .name = name,
-			       .happen = happen,
-			       .target = target };
-
-	event.due_us = sim_now_us(play->fw->base->sim) + after_ms * 1000ull;
-	g_array_append_val(play->events, event);
-}
-
-/* ---- faults of a worker ---- */
-
-static void crash_worker(struct play *play, uint32_t target)
-{
-	struct fw_vm *vm = &play->fw->vms[target];
-
-	if (vm->worker.up)
-		fw_crash_worker(vm);
-}
-
-static void send_first_heartbeat(struct play *play, uint32_t target)
-{
-	struct fw_vm *vm = &play->fw->vms[target];
-
-	if (vm->runner && vm->worker.up && !vm->frozen && !vm->worker_cut)
-		fw_heartbeat(vm, vm->worker.born_ms, ++vm->worker.seq);
-}
-
-static void boot_worker(struct play *play, uint32_t target)
-{
-	struct fw_vm *vm = &play->fw->vms[target];
-	uint32_t heartbeat_ms = random_between(play, FIRST_HEARTBEAT_MIN_MS,
-					       FIRST_HEARTBEAT_MAX_MS);
-
-	if (vm->worker.up)
-		return;
-	fw_boot_worker(vm);
-	vm->first_heartbeat_us =
-		sim_now_us(play->fw->base->sim) + heartbeat_ms * 1000ull;
-	add_event(play, heartbeat_ms, "first heartbeat", send_first_heartbeat,
-		  target);
-}
-
-static void cut_worker(struct play *play, uint32_t target)
-{
-	fw_cut_worker(&play->fw->vms[target], true);
-}
-
-static void restore_worker(struct play *play, uint32_t target)
-{
-	fw_cut_worker(&play->fw->vms[target], false);
-}
-
-static void delay_calls(struct play *play, uint32_t target)
-{
-	play->fw->vms[target].lose_ppm =
-		random_between(play, LATE_MIN_PPM, LATE_MAX_PPM);
-}
-
-static void end_delays(struct play *play, uint32_t target)
-{
-	play->fw->vms[target].lose_ppm = 0;
-}
-
-/* ---- faults of an agent ---- */
-
-static void kill_agent(struct play *play, uint32_t target)
-{
-	if (play->fw->vms[target].runner)
-		fw_kill_agent(&play->fw->vms[target]);
-}
-
-static void boot_agent(struct play *play, uint32_t target)
-{
-	if (!play->fw->vms[target].runner)
-		fw_boot_agent(&play->fw->vms[target]);
-}
-
-static void freeze_agent(struct play *play, uint32_t target)
-{
-	if (play->fw->vms[target].runner)
-		fw_freeze_agent(&play->fw->vms[target], true);
-}
-
-static void continue_agent(struct play *play, uint32_t target)
-{
-	if (play->fw->vms[target].frozen)
-		fw_freeze_agent(&play->fw->vms[target], false);
-}
-
-static void cut_agent(struct play *play, uint32_t target)
-{
-	fw_cut(&play->fw->vms[target], true);
-}
-
-static void restore_agent(struct play *play, uint32_t target)
-{
-	fw_cut(&play->fw->vms[target], false);
-}
-
-/* ---- faults of the leader ---- */
-
-static void boot_control(struct play *play, uint32_t target)
-{
-	if (!play->fw->base->controls[target].control)
-		world_boot_control(&play->fw->base->controls[target]);
-}
-
-/* A paused replica would still take itself for the leader. */
-static struct world_control *find_leader(const struct play *play)
-{
-	struct world *base = play->fw->base;
-
-	for (uint32_t i = 0; i < base->nr_controls; i++) {
-		struct world_control *host = &base->controls[i];
-
-		if (host->control && !play->paused[i] &&
-		    control_check_leader(host->control) == RESULT_OK)
-			return host;
-	}
-	return NULL;
-}
-
-static void kill_leader(struct play *play, uint32_t target)
-{
-	struct world_control *host = find_leader(play);
-
-	(void)target;
-	if (!host)
-		return;
-	world_kill_control(host);
-	add_event(play, LEADER_DOWN_MS, "control starts", boot_control,
-		  (uint32_t)(host - play->fw->base->controls));
-}
-
-static void continue_control(struct play *play, uint32_t target)
-{
-	play->paused[target] = false;
-	sim_pause(play->fw->base->controls[target].machine, false);
-}
-
-static void pause_leader(struct play *play, uint32_t target)
-{
-	struct world_control *host = find_leader(play);
-	uint32_t pause_ms =
-		random_between(play, LEADER_PAUSE_MIN_MS, LEADER_PAUSE_MAX_MS);
-
-	if (!host)
-		return;
-	target = (uint32_t)(host - play->fw->base->controls);
-	play->paused[target] = true;
-	sim_pause(host->machine, true);
-	add_event(play, pause_ms, "control continues", continue_control,
-		  target);
-}
-
-/* ---- series ---- */
-
-/* Adds a fault that lasts as long as a cut, and its end. */
-static void add_cut(struct play *play, uint32_t after_ms, const char *name,
-		    void (*begin)(struct play *play, uint32_t target),
-		    void (*end)(struct play *play, uint32_t target),
-		    uint32_t target)
-{
-	add_event(play, after_ms, name, begin, target);
-	add_event(play, after_ms + random_between(play, CUT_MIN_MS, CUT_MAX_MS),
-		  "it ends", end, target);
-}
+#define LATE_BEFORE_MS 2000 /* late calls begin before the crash */
 
 static uint32_t fault_ms(struct play *play, uint32_t restart_ms)
 {
-	return restart_ms + random_between(play, FAULT_MIN_MS, FAULT_MAX_MS);
-}
-
-static void add_leader_faults(struct play *play, uint32_t restart_ms)
-{
-	uint32_t at_ms = fault_ms(play, restart_ms);
-
-	switch (random_between(play, 0, 6)) {
-	case 0:
-		break;
-	case 1:
-		add_event(play, at_ms, "leader pauses", pause_leader, 0);
-		break;
-	case 2:
-	case 3:
-		add_event(play, at_ms, "leader is killed", kill_leader, 0);
-		add_event(play,
-			  at_ms + random_between(play, SECOND_KILL_MIN_MS,
-						 SECOND_KILL_MAX_MS),
-			  "leader is killed", kill_leader, 0);
-		break;
-	default:
-		add_event(play, at_ms, "leader is killed", kill_leader, 0);
-		break;
-	}
+	return restart_ms + play_random(play, FAULT_MIN_MS, FAULT_MAX_MS);
 }
 
 static void add_agent_fault(struct play *play, uint32_t restart_ms,
@@ -279,21 +19,17 @@
 {
 	uint32_t at_ms = fault_ms(play, restart_ms);
 
-	switch (random_between(play, 0, 6)) {
+	switch (play_random(play, 0, 6)) {
 	case 0:
-		add_event(play, at_ms, "agent is killed", kill_agent, target);
-		add_event(play,
-			  at_ms + random_between(play, AGENT_DOWN_MIN_MS,
-						 AGENT_DOWN_MAX_MS),
-			  "agent starts", boot_agent, target);
+		play_add_agent_kill(play, at_ms, target);
 		break;
 	case 1:
-		add_cut(play, at_ms, "agent freezes", freeze_agent,
-			continue_agent, target);
+		play_add_cut(play, at_ms, "agent freezes", play_freeze_agent,
+			     play_continue_agent, target);
 		break;
 	case 2:
-		add_cut(play, at_ms, "agent is cut off", cut_agent,
-			restore_agent, target);
+		play_add_cut(play, at_ms, "agent is cut off", play_cut_agent,
+			     play_restore_agent, target);
 		break;
 	default:
 		break;
@@ -303,178 +39,53 @@
 static void add_worker_faults(struct play *play, uint32_t crash_ms,
 			      uint32_t restart_ms, bool late, uint32_t target)
 {
-	if (late) {
-		add_event(play, 0, "calls are late", delay_calls, target);
-		add_event(play, restart_ms + LATE_AFTER_MS, "no calls are late",
-			  end_delays, target);
-	}
-	add_event(play, crash_ms, "worker crashes", crash_worker, target);
-	add_event(play, restart_ms, "worker starts", boot_worker, target);
-	if (random_between(play, 0, 2))
-		add_cut(play, fault_ms(play, restart_ms), "worker is cut off",
-			cut_worker, restore_worker, target);
+	if (late)
+		play_add_late_calls(play, restart_ms, target);
+	play_add(play, crash_ms, "worker crashes", play_crash_worker, target);
+	play_add(play, restart_ms, "worker starts", play_boot_worker, target);
+	if (play_random(play, 0, 2))
+		play_add_cut(play, fault_ms(play, restart_ms),
+			     "worker is cut off", play_cut_worker,
+			     play_restore_worker, target);
 	add_agent_fault(play, restart_ms, target);
 }
 
 /* One worker, or those of a zone, which is every second VM. */
 static void start_series(struct play *play)
 {
-	bool zone = random_between(play, 0, 2);
-	uint32_t first = random_between(play, 0, zone ? 2 : FLOW_WORLD_VMS);
-	bool late = play->late_calls && random_between(play, 0, 2);
-	uint32_t crash_ms = late ? random_between(play, 0, LATE_BEFORE_MS) : 0;
+	bool zone = play_random(play, 0, 2);
+	uint32_t first = play_random(play, 0, zone ? 2 : FLOW_WORLD_VMS);
+	bool late = play->late_calls && play_random(play, 0, 2);
+	uint32_t crash_ms = late ? play_random(play, 0, LATE_BEFORE_MS) : 0;
 	uint32_t restart_ms =
-		crash_ms + random_between(play, DOWN_MIN_MS, DOWN_MAX_MS);
+		crash_ms + play_random(play, DOWN_MIN_MS, DOWN_MAX_MS);
 
 	for (uint32_t i = first; i < FLOW_WORLD_VMS; i += 2) {
 		add_worker_faults(play, crash_ms, restart_ms, late, i);
 		if (!zone)
 			break;
 	}
-	add_leader_faults(play, restart_ms);
-	play->series_us = sim_now_us(play->fw->base->sim) +
-			  (restart_ms + random_between(play, NEXT_SERIES_MIN_MS,
-						       NEXT_SERIES_MAX_MS)) *
-				  1000ull;
-}
-
-/* Makes all events happen that are due, and starts a series if one is due. */
-static void play_events(void *ctx)
-{
-	struct play *play = ctx;
-	uint64_t now_us = sim_now_us(play->fw->base->sim);
-
-	if (play->series_us && now_us >= play->series_us)
-		start_series(play);
-	for (guint i = 0; i < play->events->len;) {
-		struct event event =
-			g_array_index(play->events, struct event, i);
-
-		if (event.due_us > now_us) {
-			i++;
-			continue;
-		}
-		g_array_remove_index(play->events, i);
-		if (play->verbose)
-			g_printerr("%10" G_GUINT64_FORMAT " FAULT %u %s\n",
-				   now_us, event.target, event.name);
-		event.happen(play, event.target);
-	}
-}
-
-/* ---- workflows ---- */
-
-static bool submit(struct play *play, const char *id, uint32_t nr_tasks,
-		   bool lasting)
-{
-	struct flow_step step = { .count = nr_tasks,
-				  .cpu_millis = 1000,
-				  .memory_mib = 500,
-				  .lasting = lasting,
-				  .estimate_ms = RUN_MAX_MS / 2 };
-
-	return flow_world_submit(play->fw, id, &step, 1) == RESULT_OK;
-}
-
-/* Submits a workflow if there is a leader, few runs, and no limit is reached.
- */
-static void submit_next(struct play *play)
-{
-	uint32_t nr = play->nr_flows;
-
-	if (nr == FLOWS_MAX || !find_leader(play) ||
-	    fw_running(play->fw) > RUNS_MAX)
-		return;
-	play->nr_flows++;
-	g_snprintf(play->ids[nr], sizeof(play->ids[nr]), "f%u", nr);
-	play->accepted[nr] = submit(play, play->ids[nr],
-				    random_between(play, 1, TASKS_MAX + 1),
-				    false);
+	play_add_leader_faults(play, fault_ms(play, restart_ms));
+	play_set_next(play, restart_ms);
 }
 
-static void end_faults(struct play *play)
+static void prepare(struct play *play, uint32_t seed)
 {
-	struct flow_world *fw = play->fw;
-
-	play->series_us = 0;
-	g_array_set_size(play->events, 0);
-	for (uint32_t i = 0; i < fw->base->nr_controls; i++) {
-		boot_control(play, i);
-		continue_control(play, i);
-	}
-	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
-		continue_agent(play, i);
-		restore_agent(play, i);
-		restore_worker(play, i);
-		end_delays(play, i);
-		boot_agent(play, i);
-		if (!fw->vms[i].worker.up)
-			fw_boot_worker(&fw->vms[i]);
-	}
-}
-
-static uint32_t lasting_runs(const struct flow_world *fw)
-{
-	uint32_t nr = 0;
-
-	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
-		const GArray *runs = fw->vms[i].worker.runs;
-
-		for (guint j = 0; j < runs->len; j++)
-			nr += g_str_has_prefix(
-				g_array_index(runs, struct fw_run, j).task,
-				LASTING);
-	}
-	return nr;
-}
-
-static void check_end(struct play *play, uint32_t seed)
-{
-	for (uint32_t i = 0; i < play->nr_flows; i++)
-		ck_assert_msg(
-			!play->accepted[i] ||
-				flow_world_wait(play->fw, play->ids[i],
-						FLOW_COMPLETED, SETTLE_MS),
-			"seed %u: %s isn't completed", seed, play->ids[i]);
-	flow_world_run_ms(play->fw, 7000);
-	ck_assert_msg(lasting_runs(play->fw) == LASTING_TASKS,
-		      "seed %u: %u lasting tasks run", seed,
-		      lasting_runs(play->fw));
+	(void)seed;
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		play->fw->vms[i].slow_permille = i % 2 ? 20 : 0;
 }
 
 void flow_restarts_play(uint32_t seed, bool verbose)
 {
-	struct flow_world *fw = flow_world_new(seed);
-	struct play play = {
-		.fw = fw,
-		.rand = g_rand_new_with_seed(seed + RANDOM_SEED),
-		.events = g_array_new(FALSE, FALSE, sizeof(struct event)),
-		.late_calls = seed % LATE_SEEDS == 0,
-		.verbose = verbose,
+	static const struct play_ops ops = {
+		.random_seed = 48000000,
+		.flows_max = 64,
+		.first_heartbeat_min_ms = 20,
+		.first_heartbeat_max_ms = 1500,
+		.prepare = prepare,
+		.start_series = start_series,
 	};
-	uint64_t end_us;
 
-	sim_set_verbose(fw->base->sim, verbose);
-	fw->prints_runs = verbose;
-	fw->lasting = LASTING;
-	fw->run_ms = RUN_MIN_MS;
-	fw->run_spread_ms = RUN_MAX_MS - RUN_MIN_MS;
-	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
-		fw->vms[i].slow_permille = i % 2 ? 20 : 0;
-	ck_assert(submit(&play, LASTING, LASTING_TASKS, true));
-	flow_world_run_ms(fw, UPTIME_MS);
-	end_us = sim_now_us(fw->base->sim) + FAULTS_MS * 1000ull;
-	play.series_us = sim_now_us(fw->base->sim) + 1000000;
-	fw->tick = play_events;
-	fw->tick_ctx = &play;
-	while (sim_now_us(fw->base->sim) < end_us) {
-		submit_next(&play);
-		flow_world_run_ms(fw, random_between(&play, 10, SUBMIT_MAX_MS));
-	}
-	end_faults(&play);
-	flow_world_run_ms(fw, 3000);
-	check_end(&play, seed);
-	g_array_unref(play.events);
-	g_rand_free(play.rand);
-	flow_world_free(fw);
+	play_run(&ops, seed, verbose);
 }
