--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -6,13 +6,14 @@
  *
  * FLOW_RANDOM_SEED=N runs one seed with logs, FLOW_RANDOM_SEEDS=N runs that
  * many, FLOW_RANDOM_CASE=NAME only one case: faults, freezes, foreign, limits,
- * resends, orders, silent or restarts.
+ * resends, orders, silent, restarts or unannounced.
  */
 
 #include <stdlib.h>
 #include <string.h>
 
 #include "flow_restarts.h"
+#include "flow_unannounced.h"
 #include "flow_world.h"
 #include "suite.h"
 
@@ -616,6 +617,11 @@
 	.play = flow_restarts_play,
 };
 
+static const struct variant unannounced = {
+	.name = "unannounced",
+	.play = flow_unannounced_play,
+};
+
 /* Seeds that have failed with KINDS_WITH_FREEZES, by their cause. */
 static const uint32_t freeze_regressions[] = {
 	184, /* a lease by an earlier incarnation's clock: a done task ran */
@@ -777,7 +783,19 @@
 }
 END_TEST
 
+/*
+ * Guards against tasks that run twice because an agent, or the leader that it
+ * reports to, doesn't know which incarnation of a restarted worker has executed
+ * a call (issue 51).
+ */
+START_TEST(test_random_unannounced)
+{
+	run_random_seeds(&unannounced);
+}
+END_TEST
+
 SUITE_MAIN("flow_random", test_failed_seeds, test_random_faults,
 	   test_random_freezes, test_random_foreign_reports, test_random_limits,
 	   test_random_resends, test_run_listed_before_commit,
-	   test_random_orders, test_random_silent, test_random_restarts)
+	   test_random_orders, test_random_silent, test_random_restarts,
+	   test_random_unannounced)
