Show a start that is answered when the new clock reads 0

serverTimeMs is 0 in the first millisecond of an incarnation, which the agent takes for an answer without a clock: the start counts as one of either incarnation, but isn't reported at once, and the report says starting, so that the leader doesn't record it. If the agent stops before its next poll, up to 1 s later, the runs are given up with the former incarnation's granted lease.

--- a/tests/test_flow_unannounced.c
+++ b/tests/test_flow_unannounced.c
@@ -38,6 +38,8 @@
 	uint32_t agent_killed_ms; /* the agent is restarted at once */
 	uint32_t leader_killed_ms;
 	uint32_t unanswered_ms; /* calls get no answers until then */
+	/* The calls that wait are executed at 0 ms on the new clock. */
+	bool executed_at_once;
 };
 
 static void each_restarted(struct flow_world *fw,
@@ -119,6 +121,22 @@
 	}
 }
 
+static void boot_at_tick(void *ctx)
+{
+	struct flow_world *fw = ctx;
+
+	fw->tick = NULL;
+	each_restarted(fw, fw_boot_worker);
+}
+
+/* Starts the workers at the next tick, in which calls are executed. */
+static void boot_and_execute(struct flow_world *fw)
+{
+	fw->tick = boot_at_tick;
+	fw->tick_ctx = fw;
+	flow_world_run_ms(fw, 10);
+}
+
 static void play(const struct unannounced_case *test, uint64_t seed)
 {
 	struct flow_world *fw = flow_world_new(seed);
@@ -136,7 +154,10 @@
 	flow_world_run_ms(fw, FIRST_SUBMIT_AFTER_MS);
 	submit(fw, "bb");
 	flow_world_run_ms(fw, WORKER_DOWN_MS - FIRST_SUBMIT_AFTER_MS);
-	each_restarted(fw, fw_boot_worker);
+	if (test->executed_at_once)
+		boot_and_execute(fw);
+	else
+		each_restarted(fw, fw_boot_worker);
 	restart_us = sim_now_us(fw->base->sim);
 	for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++) {
 		struct fw_vm *vm = &fw->vms[restarted_vms[i]];
@@ -257,6 +278,30 @@
 }
 END_TEST
 
+/*
+ * Guards against an answer that counts as one without a clock, because the
+ * clock of the new incarnation reads 0: the agent stops before its next poll,
+ * and no leader knows that the start may have been executed after the restart.
+ */
+START_TEST(test_answered_at_zero)
+{
+	static const struct unannounced_case tests[] = {
+		{ .heartbeat_ms = 3000,
+		  .cut_ms = 2000,
+		  .freeze_ms = 100,
+		  .executed_at_once = true },
+		{ .heartbeat_ms = 3000,
+		  .cut_ms = 2000,
+		  .freeze_ms = 100,
+		  .leader_killed_ms = 600,
+		  .executed_at_once = true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++)
+		play_seeds(&tests[i]);
+}
+END_TEST
+
 static void set_mute(struct flow_world *fw, bool mute)
 {
 	for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
@@ -337,6 +382,6 @@
 
 SUITE_MAIN("flow_unannounced", test_cut_at_once, test_cut_before_heartbeat,
 	   test_late_heartbeat, test_unanswered_calls, test_frozen_agent,
-	   test_agent_killed, test_leader_killed,
+	   test_agent_killed, test_leader_killed, test_answered_at_zero,
 	   test_poll_acknowledges_ends_of_next_incarnation,
 	   test_lasting_tasks_of_ended_incarnation)
