--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -147,16 +147,22 @@
 }
 
 /*
- * Returns the number up to which the worker may drop ends. The worker must not
- * drop an unreadable end: its run would be missing in the next list, and be
- * reported as never started.
+ * Returns the number up to which the worker may drop ends, 0: none that it
+ * lists. The worker must not drop an unreadable end: its run would be missing
+ * in the next list, and be reported as never started. A later incarnation that
+ * executes the call would drop ends of its own. So no poll has the number
+ * unless an answer is surely of this incarnation and listed such ends.
  */
 static uint64_t runner_ack_nr(const struct runner *runner)
 {
-	return runner->first_unreadable_nr ?
-		       MIN(runner->settled_nr,
-			   runner->first_unreadable_nr - 1) :
-		       runner->settled_nr;
+	uint64_t nr = runner->settled_nr;
+
+	if (runner->first_unreadable_nr)
+		nr = MIN(nr, runner->first_unreadable_nr - 1);
+	return runner->in_contact && runner->first_listed_nr &&
+			       runner->first_listed_nr <= nr ?
+		       nr :
+		       0;
 }
 
 /* Returns true if a restarted worker may still accept earlier calls. */
@@ -174,22 +180,23 @@
 		return;
 	timer_cancel(runner->node->timers, &runner->poll_timer);
 	runner->poll_in_flight = true;
-	/* The lease of a worker that doesn't answer must lapse, so this poll
-	 * doesn't extend it. */
-	if (runner->reachable || !runner->listed)
+	/*
+	 * The lease of a worker that doesn't answer must lapse, so this poll
+	 * doesn't extend it, and a worker that didn't answer may have been
+	 * restarted.
+	 */
+	if (runner->in_contact || !runner->listed)
 		call.deadline_ms = runner_deadline_ms(runner);
-	/* A worker that didn't answer may have been restarted. Ends of the new
-	 * incarnation may have the same numbers, and must not be dropped. */
-	if (runner->reachable && !runner->restart_seen)
-		call.settled_nr = runner_ack_nr(runner);
+	call.settled_nr = runner_ack_nr(runner);
 	/*
-	 * The worker must answer the first poll, and a poll after a missed one
-	 * or after another incarnation's answer, at once; it may delay the
-	 * answer to other polls until a run ends. The leader waits until a
-	 * restarted worker refuses earlier calls.
+	 * The worker must answer at once the first poll, a poll after a missed
+	 * one or after another incarnation's answer, and one that acknowledges
+	 * ends: a later incarnation might execute it while it waits. The answer
+	 * to other polls may be delayed until a run ends. The leader waits
+	 * until a restarted worker refuses earlier calls.
 	 */
-	if (runner->listed && runner->reachable && !runner->missed_polls &&
-	    !runner->restart_seen && !runner_accepts_earlier_calls(runner))
+	if (runner->listed && runner->reachable && runner->in_contact &&
+	    !call.settled_nr && !runner_accepts_earlier_calls(runner))
 		call.wait_ms = runner_needs_pacing(runner) ? POLL_WAIT_PACE_MS :
 							     POLL_WAIT_MS;
 	runner_call(runner, &call);
@@ -463,6 +470,10 @@
 static void runner_apply_unreadable(struct runner *runner,
 				    const struct exec_reply *reply)
 {
+	runner->first_listed_nr = reply->first_unreadable_nr;
+	if (reply->nr_ends && (!runner->first_listed_nr ||
+			       reply->ends[0].nr < runner->first_listed_nr))
+		runner->first_listed_nr = reply->ends[0].nr;
 	runner->nr_unreadable_ends = reply->nr_unreadable_ends;
 	runner->first_unreadable_nr =
 		runner_list_is_full(reply) ? 0 : reply->first_unreadable_nr;
@@ -482,6 +493,8 @@
 		runner->missed_polls++;
 	else
 		runner->missed_polls = 0;
+	if (!answered && reply->verdict != EXEC_REFUSED)
+		runner->in_contact = false;
 	/* A worker that refuses the fencing token is reachable, too. */
 	runner->reachable = answered || reply->verdict == EXEC_REFUSED;
 	/*
@@ -638,8 +651,10 @@
 	if (!runner->restart_seen &&
 	    (origin == WORKER_CLOCK_SAME ||
 	     (reply->verdict == EXEC_DONE && call->kind == EXEC_POLL &&
-	      !runner->clock.read_ms)))
+	      !runner->clock.read_ms))) {
 		runner->clock = runner_reply_clock(runner, call, reply);
+		runner->in_contact = true;
+	}
 	if (reply->verdict == EXEC_NO_ANSWER)
 		counter_add(runner->node->counters, "calls_unanswered", 1);
 	switch (call->kind) {
