--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -52,6 +52,7 @@
 struct fw_worker {
 	bool up;
 	uint64_t born_ms;
+	uint64_t clock_us; /* its steady clock, which begins with it */
 	uint64_t seq;
 	uint64_t fence;
 	uint64_t lease_ms; /* end of the lease by the worker's clock */
@@ -84,10 +85,7 @@
 	uint32_t resend_ppm;
 	/* Share of starts that the worker refuses because it isn't healthy. */
 	uint32_t unhealthy_ppm;
-	/*
-	 * How much slower the worker's clock runs; set before its incarnation
-	 * starts.
-	 */
+	/* How much slower the worker's clock runs from now on. */
 	uint32_t slow_permille;
 	bool frozen; /* the agent's process is stopped; its worker continues */
 	bool fail_runs; /* every run fails at once */
@@ -101,6 +99,12 @@
 	bool cut; /* see fw_cut() */
 	bool worker_cut; /* see fw_cut_worker() */
 	bool mute; /* the worker executes calls but doesn't answer them */
+	bool suspended; /* see fw_suspend_worker() */
+	/*
+	 * Share of answers that are delayed, so that answers of later calls may
+	 * overtake them.
+	 */
+	uint32_t delay_answers_ppm;
 	/* The worker sends no regular heartbeats before this time. */
 	uint64_t first_heartbeat_us;
 	/*
@@ -243,6 +247,12 @@
  * calls nor heartbeats arrive.
  */
 void fw_cut_worker(struct fw_vm *vm, bool cut);
+/**
+ * Suspends the worker's machine or resumes it: its clock stops, its runs make
+ * no progress, and calls wait until it resumes or their time limit expires. A
+ * call that was waiting when its limit expired is executed nevertheless.
+ */
+void fw_suspend_worker(struct fw_vm *vm, bool suspended);
 /**
  * Returns when the first of the VM's start calls that had no answer reaches its
  * worker, 0 if there is none.
