Don't take the first millisecond of a worker's clock for a missing clock

serverTimeMs is 0 in the first millisecond of an incarnation, and 0 stood for an answer without a clock. A start that a new incarnation executed just then counted as one that could be of either, and the restart wasn't reported at once; if the agent stopped before its next poll, the runs were given up with the former incarnation's granted lease (TWICE). The first millisecond now reads 1.

--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -432,7 +432,8 @@
 struct exec_reply {
 	enum exec_verdict verdict;
 	uint32_t result; /* EXEC_REFUSED: enum result, the reason */
-	uint64_t clock_ms; /* worker's clock, 0 if not reported */
+	/** Worker's clock, 0 if not reported; its first millisecond is 1. */
+	uint64_t clock_ms;
 	uint64_t born_ms; /* worker's start time, 0 if not reported */
 	struct flow_run *runs; /* EXEC_POLL: runs in progress */
 	struct flow_run_end *ends; /* EXEC_POLL: ends not dropped yet */
--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -271,7 +271,7 @@
 	 * All incarnations have the same identity, so a late call reaches the
 	 * present one. Only lists name the incarnation.
 	 */
-	reply->clock_ms = fw_clock_ms(vm);
+	reply->clock_ms = MAX(fw_clock_ms(vm), 1);
 	if (call->fence < worker->fence) {
 		reply->verdict = EXEC_REFUSED;
 		reply->result = RESULT_STALE;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -268,6 +268,7 @@
 		"\"endedRuns\":[]}";
 	static const char fence[] =
 		"{\"serverTimeMs\":50,\"reason\":\"fence\"}";
+	static const char first_ms[] = "{\"serverTimeMs\":0}";
 	struct exec_reply reply;
 
 	executor_reply_read(EXEC_POLL, 200, list, strlen(list), &reply);
@@ -307,6 +308,12 @@
 	ck_assert_int_eq(reply.verdict, EXEC_NO_ANSWER);
 	ck_assert_uint_eq(reply.clock_ms, 0);
 	executor_reply_clear(&reply);
+	/* A restarted worker's clock isn't taken for a missing one. */
+	executor_reply_read(EXEC_START, 200, first_ms, strlen(first_ms),
+			    &reply);
+	ck_assert_int_eq(reply.verdict, EXEC_DONE);
+	ck_assert_uint_eq(reply.clock_ms, 1);
+	executor_reply_clear(&reply);
 	executor_reply_read(EXEC_START, 409, fence, strlen(fence), &reply);
 	ck_assert_int_eq(reply.verdict, EXEC_REFUSED);
 	ck_assert_uint_eq(reply.result, RESULT_STALE);
