Show weights that are learned with the capacity of another incarnation

flow_serving, weights_after_unannounced_restart: the leader is told of an incarnation that only a list has named, with a capacity of 0, and learns again from the figures of the former incarnation's runs, as shares of that.

--- a/tests/test_flow_serving.c
+++ b/tests/test_flow_serving.c
@@ -9,6 +9,7 @@
 
 #include <string.h>
 
+#include "control_flow_impl.h"
 #include "control_impl.h"
 #include "flow_world.h"
 #include "suite.h"
@@ -409,8 +410,57 @@
 }
 END_TEST
 
+/*
+ * Guards against weights that are learned from the measurements of an
+ * incarnation that has ended, as shares of the processors of the next one: that
+ * is known from a list, which has no capacity. The weights are replicated.
+ */
+START_TEST(test_weights_after_unannounced_restart)
+{
+	struct flow_world *fw = flow_world_new(14);
+	struct flow_step serving = step_of(4);
+	struct flow_step filler = step_of(4);
+	struct fw_vm *vm = &fw->vms[0];
+	struct pressure *pressure;
+	uint32_t images[2];
+	uint32_t before;
+	uint32_t after;
+
+	serving.lasting = true;
+	serving.target_ms = 100;
+	serving.max_per_vm = 1;
+	TEXT_SET(serving.image, "s");
+	filler.filler = true;
+	filler.max_per_vm = 1;
+	TEXT_SET(filler.image, "f");
+	fw->run_ms = 0;
+	fw->tail_ms = 60;
+	flow_world_submit(fw, "aa", &serving, 1);
+	flow_world_run_ms(fw, 2000);
+	flow_world_submit(fw, "ff", &filler, 1);
+	flow_world_run_ms(fw, 8000);
+	ck_assert_uint_eq(fw_running(fw), 8);
+	pressure = world_leader_host(fw->base)->control->flows->pressure;
+	images[0] = pressure_image(pressure, "s");
+	images[1] = pressure_image(pressure, "f");
+	before = pressure_learned_weight(pressure, images[0], images[1]);
+	fw_crash_worker(vm);
+	flow_world_run_ms(fw, 300);
+	fw_boot_worker(vm);
+	vm->first_heartbeat_us = sim_now_us(fw->base->sim) + 2000000;
+	flow_world_run_ms(fw, 1000);
+	ck_assert(sim_log_has(fw->base->sim, "*event=worker *cpu_millis=0 *"));
+	after = pressure_learned_weight(pressure, images[0], images[1]);
+	ck_assert_msg(after + 100 > before && after < before + 100,
+		      "the weight changes from %u to %u permille", before,
+		      after);
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("flow_serving", test_fillers_are_not_starved,
 	   test_idle_serving_tasks_leave_room, test_held_filler_moves,
 	   test_held_filler_stays_for_its_step, test_serving_tasks_are_grouped,
 	   test_no_move_while_a_vm_is_down, test_lasting_fillers_return,
-	   test_filler_beside_a_busy_service)
+	   test_filler_beside_a_busy_service,
+	   test_weights_after_unannounced_restart)
