Show reports that are ignored after a restart with an earlier start time

flow_report, restart_with_earlier_start_time: the report of a restart extends the time for which a lease may last, and until its end the leader ignores reports of an incarnation with a lower start time.

--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -780,6 +780,36 @@
 }
 END_TEST
 
+/*
+ * Guards against a VM whose reports are ignored until the longest lease has
+ * passed: the worker was restarted after its clock had been set back, so the
+ * new incarnation seems to be an earlier one. The agent has reported the
+ * restart before it knew the incarnation.
+ */
+START_TEST(test_restart_with_earlier_start_time)
+{
+	struct script *script = script_new(9);
+	struct scripted_agent *agent = script_started(script);
+	uint32_t nr_starts;
+
+	agent->reports_fence = true;
+	agent->answered_fence = 1000 * FLOW_FENCES_PER_TERM;
+	agent->vm->worker.born_ms += 50000;
+	script_run_ms(script, WORLD_WORKER_LEASE_MS + 3000);
+	nr_starts = script_starts(script);
+	agent->restart_seen = true;
+	agent->answered_fence = 0;
+	script_run_ms(script, REPORT_MS);
+	agent->restart_seen = false;
+	agent->vm->worker.born_ms -= 5000;
+	agent->has_run = false;
+	script_run_ms(script, 7000);
+	ck_assert_msg(agent->stopped_run || script_starts(script) > nr_starts,
+		      "the reports of the new incarnation are ignored");
+	script_free(script);
+}
+END_TEST
+
 SUITE_MAIN("flow_report", test_unconfirmed_run_bars_task,
 	   test_silent_agent_ends_bar, test_unreachable_worker_ends_bar,
 	   test_two_orphans_of_task, test_restarted_agent_keeps_bar,
@@ -794,4 +824,4 @@
 	   test_unreachable_worker_was_restarted,
 	   test_restart_without_incarnation,
 	   test_new_leader_knows_restart_without_incarnation,
-	   test_restart_is_refuted)
+	   test_restart_is_refuted, test_restart_with_earlier_start_time)
