Show tickets that are used for another incarnation than they are for

flow, ticket_of_former_incarnation: the worker is restarted during the call to the adviser; the leader notes the ticket for the incarnation that is present when the answer arrives, and both starts are refused.

--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -559,6 +559,39 @@
 }
 END_TEST
 
+/*
+ * Guards against a ticket of a former incarnation that is used for the next one
+ * because the worker was restarted during the call to the adviser: the ticket
+ * is valid for one incarnation only, and each start with it is refused.
+ */
+START_TEST(test_ticket_of_former_incarnation)
+{
+	struct flow_world *fw = flow_world_new(13);
+	struct flow_step step = step_of(2);
+	struct fw_vm *vm = &fw->vms[2];
+	uint64_t refused;
+
+	flow_world_advise(fw, vm->name);
+	fw->valid_ticket = NULL; /* the adviser decides */
+	ck_assert_int_eq(flow_world_submit(fw, "aa", &step, 1), RESULT_OK);
+	flow_world_run_ms(fw, 50);
+	ck_assert_uint_eq(fw->base->nr_advice, 1);
+	fw_crash_worker(vm);
+	flow_world_run_ms(fw, 100);
+	fw_boot_worker(vm);
+	flow_world_run_ms(fw, 2000);
+	ck_assert(sim_log_has(fw->base->sim, "*event=worker vm=side2 *"));
+	/* The answer has a ticket of the former incarnation. */
+	fw->valid_ticket = "ticket-1";
+	flow_world_run_ms(fw, 10);
+	fw->valid_ticket = "ticket-2";
+	ck_assert(flow_world_wait(fw, "aa", FLOW_COMPLETED, 9000));
+	refused = counter_get(sim_node(vm->machine)->counters, "runs_refused");
+	ck_assert_uint_eq(refused, 0);
+	flow_world_free(fw);
+}
+END_TEST
+
 /* Guards against a list of workflows that doesn't say why a workflow waits. */
 START_TEST(test_operators_view)
 {
@@ -687,4 +720,5 @@
 	   test_heartbeat_of_earlier_life, test_foreign_reports,
 	   test_life_with_an_earlier_clock, test_zone_out, test_label,
 	   test_draining, test_attempts, test_unanswered_starts_wait,
-	   test_advice, test_seeds_are_agents, test_overload_ends_most_on_time)
+	   test_advice, test_ticket_of_former_incarnation,
+	   test_seeds_are_agents, test_overload_ends_most_on_time)
