Show a lasting task that waits for a call that was answered

flow_unannounced, lasting_task_started_by_next_incarnation: the start was executed and answered by the next incarnation, as the clock in the answer shows, but counts as unanswered; the worker is cut off, its run ends after 10.1 s, and the task is placed elsewhere after 22.7 s (rule LOST).

--- a/tests/test_flow_unannounced.c
+++ b/tests/test_flow_unannounced.c
@@ -380,8 +380,40 @@
 }
 END_TEST
 
+/*
+ * Guards against the same for a task whose start a new incarnation has executed
+ * and answered, as its clock shows: the call can't be executed again, so only
+ * the lease counts, not the time for which a call may be late.
+ */
+START_TEST(test_lasting_task_started_by_next_incarnation)
+{
+	struct flow_step lasting = { .count = 4,
+				     .cpu_millis = 1000,
+				     .memory_mib = 500,
+				     .max_per_vm = 2,
+				     .lasting = true };
+	struct flow_world *fw = flow_world_new(1);
+	struct fw_vm *vm = &fw->vms[0];
+
+	fw->judge_lasting = true;
+	fw->lasting = "ll";
+	flow_world_run_ms(fw, UPTIME_MS);
+	fw_crash_worker(vm);
+	ck_assert_int_eq(flow_world_submit(fw, "ll", &lasting, 1), RESULT_OK);
+	flow_world_run_ms(fw, WORKER_DOWN_MS - 20);
+	fw_boot_worker(vm);
+	vm->first_heartbeat_us = UINT64_MAX;
+	flow_world_run_ms(fw, 10);
+	ck_assert_uint_eq(vm->worker.runs->len, 1);
+	fw_cut_worker(vm, true);
+	flow_world_run_ms(fw, 30000);
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("flow_unannounced", test_cut_at_once, test_cut_before_heartbeat,
 	   test_late_heartbeat, test_unanswered_calls, test_frozen_agent,
 	   test_agent_killed, test_leader_killed, test_answered_at_zero,
 	   test_poll_acknowledges_ends_of_next_incarnation,
-	   test_lasting_tasks_of_ended_incarnation)
+	   test_lasting_tasks_of_ended_incarnation,
+	   test_lasting_task_started_by_next_incarnation)
