Learn weights from runs of the worker's present incarnation only

After an unannounced restart the leader has the new incarnation without a capacity, while the runs of the former one, with their last figures, stay on the VM until their ends are committed.

--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -58,6 +58,18 @@
 
 /* ---- learning ---- */
 
+/*
+ * Returns true if the run's last figure is a measurement of the worker's
+ * present incarnation. Runs of a former one stay on the VM until their ends are
+ * committed, and the present one may not be described yet.
+ */
+static bool is_measured(const struct flow_placement *placed)
+{
+	return placed->listed && placed->figure &&
+	       control_flow_is_current_incarnation(placed) &&
+	       placed->vm->worker.cpu_millis;
+}
+
 /*
  * Returns the fillers on the VM, with their processor use in the last report,
  * to learn weights from.
@@ -74,7 +86,7 @@
 		const struct flow_placement *placed = key;
 		struct pressure_filler filler = { .image = placed->image };
 
-		if (!placed->step->filler || !placed->listed || !placed->figure)
+		if (!placed->step->filler || !is_measured(placed))
 			continue;
 		filler.share_permille = vm_share(vm, placed->figure);
 		g_array_append_val(fillers, filler);
@@ -124,9 +136,8 @@
 			.now_us = now_us,
 		};
 
-		if (!control_flow_is_serving(placed) || !placed->listed ||
-		    !placed->figure || placed->percent != 100 ||
-		    placed->sample_hash == new_hash ||
+		if (!control_flow_is_serving(placed) || !is_measured(placed) ||
+		    placed->percent != 100 || placed->sample_hash == new_hash ||
 		    now_us - placed->listed_us <
 			    FLOW_MEASUREMENT_WARMUP_MS * 1000ull)
 			continue;
