Accept an earlier start time from the agent that has reported the restart

The leader ignores reports of an incarnation that seems to have started before the known one until the latter's lease has certainly expired, as a delayed heartbeat may name it. The agent that has reported the restart has probed the new incarnation, so its reports count at once. flow_report, restart_with_earlier_start_time, fails without it.

--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -483,14 +483,17 @@
  * Returns true if the report names an incarnation of the worker that started
  * before the known one: an agent that has just started may receive a delayed
  * heartbeat. Start times come from a clock that may have been set back, so the
- * function returns true only until the known incarnation's lease has expired.
+ * function returns true only until the known incarnation's lease has expired,
+ * and not for the agent @a from that has reported that this one has ended.
  */
 static bool flow_is_earlier_incarnation(const struct control_flow *flows,
-					const struct flow_vm *vm,
+					const struct flow_vm *vm, uint64_t from,
 					const struct worker_incarnation *worker)
 {
 	uint64_t now_us = flows->control->node->now_us;
 
+	if (vm->restart_seen && vm->node_id == from)
+		return false;
 	return worker->id[0] && vm->worker.id[0] &&
 	       worker->born_ms < vm->worker.born_ms &&
 	       now_us <= flow_lapsed_us(vm);
@@ -555,7 +558,7 @@
 	if (vm->node_id == from ? report->seq <= vm->report_seq :
 				  flow_is_earlier_agent(vm, from))
 		return;
-	if (flow_is_earlier_incarnation(flows, vm, &report->worker)) {
+	if (flow_is_earlier_incarnation(flows, vm, from, &report->worker)) {
 		counter_add(control->node->counters, "reports_earlier_life", 1);
 		return;
 	}
