Note tickets of the adviser for the incarnation that was asked for

A ticket is valid during one incarnation of a worker. The leader noted it for the incarnation that was present when the answer arrived, so after a restart during the call each start with it was refused, until the ticket expired.

--- a/src/core/control/control_flow_advice.c
+++ b/src/core/control/control_flow_advice.c
@@ -23,6 +23,7 @@
 	/* Name of the step that the present call is about, NULL: no call. */
 	char *asked_step;
 	GPtrArray *asked_workers; /* names, for the present call */
+	GArray *asked_born_ms; /* uint64_t, of the same workers */
 	uint32_t ticket_ms; /* lifetime of the tickets in the present call */
 	uint64_t asked_us; /* start of the present call */
 	uint64_t call_nr;
@@ -36,6 +37,7 @@
 	advice->rows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	advice->asked_workers = g_ptr_array_new_with_free_func(g_free);
+	advice->asked_born_ms = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_queue_init(&advice->waiting_steps);
 	return advice;
 }
@@ -47,6 +49,7 @@
 	g_hash_table_unref(advice->rows);
 	g_queue_clear_full(&advice->waiting_steps, g_free);
 	g_ptr_array_unref(advice->asked_workers);
+	g_array_unref(advice->asked_born_ms);
 	g_free(advice->asked_step);
 	g_free(advice);
 }
@@ -109,17 +112,19 @@
 	void *value;
 
 	g_ptr_array_set_size(advice->asked_workers, 0);
+	g_array_set_size(advice->asked_born_ms, 0);
 	g_hash_table_iter_init(&iter, flows->vms);
 	while (advice->asked_workers->len < ADVICE_MAX_WORKERS &&
 	       g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct flow_vm *vm = value;
 
-		if (vm->reported && vm->worker.id[0] && !vm->worker.ended &&
-		    !vm->worker.draining &&
-		    !strcmp(vm->worker.service, service) &&
-		    !advice_for_vm(flows, step, vm))
-			g_ptr_array_add(advice->asked_workers,
-					g_strdup(vm->worker.id));
+		if (!vm->reported || !vm->worker.id[0] || vm->worker.ended ||
+		    vm->worker.draining ||
+		    strcmp(vm->worker.service, service) != 0 ||
+		    advice_for_vm(flows, step, vm))
+			continue;
+		g_ptr_array_add(advice->asked_workers, g_strdup(vm->worker.id));
+		g_array_append_val(advice->asked_born_ms, vm->worker.born_ms);
 	}
 }
 
@@ -248,13 +253,14 @@
 	g_hash_table_foreach_remove(advice->rows, advice_is_expired, flows);
 	for (guint i = 0; i < advice->asked_workers->len && !result; i++) {
 		const char *worker = advice->asked_workers->pdata[i];
-		const struct flow_vm *vm = advice_vm_of_worker(flows, worker);
 		struct advice_row *row;
 
-		if (!vm)
+		if (!advice_vm_of_worker(flows, worker))
 			continue;
 		row = g_new0(struct advice_row, 1);
-		row->born_ms = vm->worker.born_ms;
+		/* A ticket is valid for the incarnation that was asked for. */
+		row->born_ms =
+			g_array_index(advice->asked_born_ms, uint64_t, i);
 		row->until_us =
 			until_us - MIN(until_us, ADVICE_MARGIN_MS * 1000ull);
 		TEXT_SET(row->ticket, advice_ticket_in(rows, nr_rows, worker));
