Report starts that wait 20 ms for their answers

A start in flight was reported with the next regular report, up to a second later. If the agent ended, froze or was cut off before it, nobody knew of the start, and a later incarnation of the worker could execute it: the run was given up with the granted lease and the task ran twice. Workers on the same VM answer within a few milliseconds, so a start without an answer for 20 ms is now reported at once, as one that later leaders have to know of.

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -24,7 +24,8 @@
 	item.run = run->run;
 	item.unconfirmed = run->phase != RUNNER_RUNNING || run->unattributed;
 	item.starting = run->phase == RUNNER_NEW ||
-			run->phase == RUNNER_STARTING || run->unattributed;
+			(run->phase == RUNNER_STARTING && !run->overdue) ||
+			run->unattributed;
 	item.unordered = !run->ordered && !run->stop;
 	item.pace = run->pace;
 	g_array_append_val(runs, item);
@@ -319,6 +320,7 @@
 	timer_cancel(runner->node->timers, &runner->poll_timer);
 	timer_cancel(runner->node->timers, &runner->run_timer);
 	timer_cancel(runner->node->timers, &runner->start_timer);
+	timer_cancel(runner->node->timers, &runner->overdue_timer);
 	timer_cancel(runner->node->timers, &runner->leaving_timer);
 	site_free(runner->site);
 	g_hash_table_unref(runner->runs);
@@ -384,6 +386,7 @@
 	runner->poll_timer = (struct timer){ runner_poll_due, runner };
 	runner->run_timer = (struct timer){ runner_run_due, runner };
 	runner->start_timer = (struct timer){ runner_start_due, runner };
+	runner->overdue_timer = (struct timer){ runner_overdue_due, runner };
 	runner->leaving_timer = (struct timer){ runner_leaving_due, runner };
 	runner->site = site_new(node, &site_opts);
 	node_set_role(node, &runner_role, runner);
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -47,6 +47,7 @@
 	 * earlier agent process, or the first copy of one that was sent twice.
 	 */
 	bool repeated;
+	bool overdue; /* the start had no answer for RUNNER_START_OVERDUE_MS */
 	/*
 	 * The answer to the start may be of another incarnation; a list that
 	 * names the incarnation shows whether this one has the run.
@@ -229,6 +230,7 @@
 	struct timer poll_timer; /* the next poll */
 	struct timer run_timer; /* repeats stop calls */
 	struct timer start_timer; /* repeats delayed starts */
+	struct timer overdue_timer; /* reports starts without an answer */
 	struct timer leaving_timer; /* probes of a deregistered worker */
 };
 
@@ -278,6 +280,8 @@
 void runner_start(struct runner *runner, struct runner_run *run);
 /** Marks the run to be stopped, and calls the stop if it is due. */
 void runner_stop(struct runner *runner, struct runner_run *run);
+/** Timer function: reports starts that wait long for their answers. */
+void runner_overdue_due(void *data, uint64_t now_us);
 /** Timer function: repeats stop calls that had no answer or were deferred. */
 void runner_run_due(void *data, uint64_t now_us);
 
--- a/src/core/agent/runner_run.c
+++ b/src/core/agent/runner_run.c
@@ -168,6 +168,36 @@
 	runner_set_phase(runner, run, RUNNER_STARTING);
 	counter_add(runner->node->counters, "starts_called", 1);
 	runner_call(runner, &call);
+	if (!timer_armed(&runner->overdue_timer))
+		node_timer_ms(runner->node, &runner->overdue_timer,
+			      RUNNER_START_OVERDUE_MS);
+}
+
+void runner_overdue_due(void *data, uint64_t now_us)
+{
+	struct runner *runner = data;
+	uint64_t next_us = UINT64_MAX;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, runner->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct runner_run *run = value;
+		uint64_t due_us =
+			run->since_us + RUNNER_START_OVERDUE_MS * 1000ull;
+
+		if (run->phase != RUNNER_STARTING || run->overdue)
+			continue;
+		if (due_us > now_us) {
+			next_us = MIN(next_us, due_us);
+			continue;
+		}
+		run->overdue = true;
+		runner_report_soon(runner);
+	}
+	if (next_us != UINT64_MAX)
+		timer_set(runner->node->timers, &runner->overdue_timer,
+			  next_us);
 }
 
 void runner_stop(struct runner *runner, struct runner_run *run)
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -289,7 +289,8 @@
 	/** Serving task: tail latency in ms. Filler: CPU use in cpu_millis. */
 	uint32_t figure;
 	uint32_t pace; /* allowed speed in percent */
-	/* Unconfirmed: its start isn't called yet or waits for its answer. */
+	/* Unconfirmed: its start isn't called yet or waits shortly for its
+	 * answer. */
 	bool starting;
 };
 
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -276,6 +276,12 @@
 #define RUNNER_UNRENEWED_MS 2500
 /* Delay of a report after a change, to cover runs that end close in time. */
 #define RUNNER_REPORT_DELAY_MS 3
+/*
+ * A start that has had no answer for this time is reported, in case the agent
+ * ends before the call times out. Workers on the same VM answer within a few
+ * milliseconds.
+ */
+#define RUNNER_START_OVERDUE_MS 20
 /* Time that a poll waits for a run to end; the platform allows 2,000 ms. */
 #define POLL_WAIT_MS 1000
 /*
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -21,6 +21,8 @@
 		if (report->ends[i].end == FLOW_END_REFUSED)
 			g_array_append_val(fixture->refused,
 					   report->ends[i].run);
+	if (report->nr_runs)
+		fixture->first_run = report->runs[0];
 	for (uint32_t i = 0; i < report->nr_ends; i++)
 		fixture->nr_lost += report->ends[i].end == FLOW_END_LOST;
 }
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -31,6 +31,7 @@
 	uint64_t now_us;
 	GArray *calls; /* struct fixture_call, not answered yet, oldest first */
 	struct flow_report report; /* last report; its pointers aren't valid */
+	struct flow_run first_run; /* in the last report that had one */
 	uint64_t ends_nr; /* highest end number in the last report */
 	GArray *refused; /* uint32_t, numbers of runs reported as refused */
 	uint32_t nr_lost; /* ends so far that were reported as lost */
--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -910,6 +910,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a leader that hears of a start without an answer with the next
+ * regular report only: if the agent ends before that, a later incarnation of
+ * the worker may execute the start and nobody knows of it. A start that waits
+ * shortly is no reason to report.
+ */
+START_TEST(test_overdue_start_is_reported)
+{
+	struct fixture *fixture = fixture_ready(true);
+	uint64_t seq;
+
+	fixture_run_ms(fixture, 100);
+	seq = fixture->report.seq;
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	fixture_run_ms(fixture, RUNNER_START_OVERDUE_MS - 1);
+	ck_assert_uint_eq(fixture->report.seq, seq);
+	fixture_run_ms(fixture, 1 + RUNNER_REPORT_DELAY_MS);
+	ck_assert_uint_eq(fixture->report.seq, seq + 1);
+	ck_assert(fixture->first_run.unconfirmed);
+	ck_assert(!fixture->first_run.starting);
+	ck_assert_uint_gt(fixture->report.late_ms, 0);
+	fixture_run_ms(fixture, 500);
+	ck_assert_uint_eq(fixture->report.seq, seq + 1);
+	fixture_free(fixture);
+}
+END_TEST
+
 /* Sends a grant for the second incarnation, with a raised fencing token. */
 static void grant_after_restart(struct fixture *fixture)
 {
@@ -1357,7 +1384,7 @@
 	   test_stop_order_for_earlier_incarnation,
 	   test_late_time_of_start_in_flight_at_restart,
 	   test_late_time_of_resent_start, test_late_time_of_start_in_flight,
-	   test_answered_fence_after_restart,
+	   test_overdue_start_is_reported, test_answered_fence_after_restart,
 	   test_start_answered_on_other_clock,
 	   test_list_names_later_incarnation, test_clock_stands_still,
 	   test_list_names_later_incarnation, test_clock_stands_still,
