Let the stand-in's answers have the platform's fields only

Its 400 and 503 answers had a body without `serverTimeMs`, it never sent 429, and it executed calls whose X-Masticreach-Target-Instance names another worker.

An unhealthy worker answers 429 or 503, and a call for another worker gets 421 and isn't executed.

--- a/tests/executor_standin.c
+++ b/tests/executor_standin.c
@@ -201,16 +201,14 @@
 
 /* ---- answers ---- */
 
+/* Of the answers, only lists name the incarnation (born). */
 static char *answer_text(const struct standin *standin, const char *reason)
 {
 	return reason ? g_strdup_printf("{\"serverTimeMs\":%" PRIu64
-					",\"born\":%" PRIu64
 					",\"reason\":\"%s\"}",
-					clock_ms(standin), standin->born_ms,
-					reason) :
-			g_strdup_printf("{\"serverTimeMs\":%" PRIu64
-					",\"born\":%" PRIu64 "}",
-					clock_ms(standin), standin->born_ms);
+					clock_ms(standin), reason) :
+			g_strdup_printf("{\"serverTimeMs\":%" PRIu64 "}",
+					clock_ms(standin));
 }
 
 static void send_answer(SoupServerMessage *msg, guint status, char *text)
@@ -220,6 +218,13 @@
 					 SOUP_MEMORY_TAKE, text, strlen(text));
 }
 
+/* Refuses a call with one of the two statuses of an unhealthy worker. */
+static void refuse_unhealthy(struct standin *standin, SoupServerMessage *msg)
+{
+	send_answer(msg, g_rand_boolean(standin->random) ? 429 : 503,
+		    answer_text(standin, NULL));
+}
+
 #define OPEN10 "[[[[[[[[[["
 #define CLOSE10 "]]]]]]]]]]"
 
@@ -524,7 +529,7 @@
 			      json_object_get_string_member(call, "task"),
 			      json_object_get_int_member(call, "run"));
 	if (g_hash_table_remove(standin->resets, key)) {
-		send_answer(msg, 503, g_strdup("{}"));
+		refuse_unhealthy(standin, msg);
 		g_free(key);
 		return true;
 	}
@@ -553,7 +558,7 @@
 		return false;
 	draw = g_rand_int_range(standin->random, 0, 100);
 	if (draw < UNHEALTHY_REFUSED_PERCENT) {
-		send_answer(msg, 503, g_strdup("{}"));
+		refuse_unhealthy(standin, msg);
 		return true;
 	}
 	if (draw >= UNHEALTHY_REFUSED_PERCENT + UNHEALTHY_RESET_PERCENT)
@@ -598,6 +603,17 @@
 	g_ptr_array_set_size(standin->holds, 0);
 }
 
+/* Returns true if the call names another worker than this one. */
+static bool is_misdirected(const struct standin *standin,
+			   SoupServerMessage *msg)
+{
+	const char *target = soup_message_headers_get_one(
+		soup_server_message_get_request_headers(msg),
+		"X-Masticreach-Target-Instance");
+
+	return target && strcmp(target, standin->name) != 0;
+}
+
 static void on_call(SoupServer *server, SoupServerMessage *msg,
 		    const char *path, GHashTable *query, gpointer data)
 {
@@ -609,10 +625,14 @@
 
 	if (!json_parser_load_from_data(parser, body->data,
 					(gssize)body->length, NULL)) {
-		send_answer(msg, 400, g_strdup("{}"));
+		send_answer(msg, 400, answer_text(standin, NULL));
 		goto out;
 	}
 	call = json_node_get_object(json_parser_get_root(parser));
+	if (!is_cut_off(standin) && is_misdirected(standin, msg)) {
+		send_answer(msg, 421, answer_text(standin, NULL));
+		goto out;
+	}
 	if (!is_cut_off(standin) &&
 	    g_rand_int_range(standin->random, 0, 100) < standin->late_percent) {
 		soup_server_message_pause(msg);
