--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -107,22 +107,35 @@
 
 #define ROUTE                                                    \
 	"{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/p/\"," \
-	"\"service\":\"s\",\"timeoutMs\":3000,\"sloMs\":250,"    \
-	"\"priority\":2,\"attempts\":4,\"slackFactor\":1.5}"
-#define SERVICE "{\"name\":\"s\",\"enforcesCapacity\":true}"
+	"\"kind\":\"unsafe\",\"service\":\"s\","                 \
+	"\"timeoutMs\":3000,\"sloMs\":250,\"priority\":2,"       \
+	"\"attempts\":4,\"slackFactor\":1.5}"
+#define SERVICE                                              \
+	"{\"name\":\"s\",\"healthPath\":\"/health\","        \
+	"\"maxConns\":64,\"protocol\":\"h1\",\"tls\":false," \
+	"\"coldStartS\":0.0,\"warmupPerS\":0.0,"             \
+	"\"enforcesCapacity\":true,\"standby\":false}"
+#define LIMITS                                                          \
+	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144," \
+	"\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}"
 
 static const struct text_case configs[] = {
-	{ "{\"version\":7,\"routes\":[" ROUTE "],\"services\":[" SERVICE "]}",
+	{ "{\"version\":7,\"routes\":[" ROUTE "],\"services\":[" SERVICE
+	  "]," LIMITS "}",
 	  RESULT_OK },
-	{ "{\"version\":7,\"routes\":[" ROUTE "],\"services\":[" SERVICE "]",
+	{ "{\"version\":7,\"routes\":[" ROUTE "],\"services\":[" SERVICE
+	  "]," LIMITS,
 	  RESULT_MALFORMED },
-	{ "{\"routes\":[],\"services\":[]}", RESULT_MALFORMED },
-	{ "{\"version\":-1,\"routes\":[],\"services\":[]}", RESULT_MALFORMED },
-	{ "{\"version\":\"7\",\"routes\":[],\"services\":[]}",
+	{ "{\"routes\":[],\"services\":[]," LIMITS "}", RESULT_MALFORMED },
+	{ "{\"version\":-1,\"routes\":[],\"services\":[]," LIMITS "}",
 	  RESULT_MALFORMED },
-	{ "{\"version\":7,\"services\":[]}", RESULT_MALFORMED },
-	{ "{\"version\":7,\"routes\":{},\"services\":[]}", RESULT_MALFORMED },
-	{ "{\"version\":7,\"routes\":[{\"host\":\"h\"}],\"services\":[]}",
+	{ "{\"version\":\"7\",\"routes\":[],\"services\":[]," LIMITS "}",
+	  RESULT_MALFORMED },
+	{ "{\"version\":7,\"services\":[]," LIMITS "}", RESULT_MALFORMED },
+	{ "{\"version\":7,\"routes\":{},\"services\":[]," LIMITS "}",
+	  RESULT_MALFORMED },
+	{ "{\"version\":7,\"routes\":[{\"host\":\"h\"}],\"services\":[]," LIMITS
+	  "}",
 	  RESULT_MALFORMED },
 };
 
@@ -155,10 +168,12 @@
 }
 END_TEST
 
-#define HEARTBEAT_AT(addr)                                             \
-	"\"service\":\"s\",\"addr\":\"" addr "\",\"state\":\"ready\"," \
-	"\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":1},"      \
-	"\"labels\":[\"a\",\"r1-3\"]"
+#define HEARTBEAT_AT(addr)                                         \
+	"\"service\":\"s\",\"addr\":\"" addr "\",\"zone\":\"z1\"," \
+	"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","      \
+	"\"warmupLeftMs\":0,"                                      \
+	"\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":1},"  \
+	"\"labels\":[\"a\",\"r1-3\"],\"serverTimeMs\":482113"
 #define HEARTBEAT HEARTBEAT_AT("10.0.0.9:80")
 
 static const struct text_case heartbeats[] = {
@@ -259,13 +274,14 @@
 		"\"running\":[[\"a.0.0.1\",2,\"c\",41,7]],"
 		"\"endedRuns\":[[58,\"a.0.0.9\",1,\"done\",\"\"]]}";
 	static const char truncated[] =
-		"{\"serverTimeMs\":50,\"running\":[[\"a\",2]";
+		"{\"serverTimeMs\":50,\"born\":9,\"running\":[[\"a\",2]";
 	static const char wrong_born[] =
-		"{\"serverTimeMs\":50,\"born\":\"9\",\"running\":[]}";
+		"{\"serverTimeMs\":50,\"born\":\"9\",\"running\":[],"
+		"\"endedRuns\":[]}";
 	static const char wrong_reason[] = "{\"serverTimeMs\":50,\"reason\":7}";
 	static const char large_clock[] =
-		"{\"serverTimeMs\":9007199254740993,\"running\":[],"
-		"\"endedRuns\":[]}";
+		"{\"serverTimeMs\":9007199254740993,\"born\":9,"
+		"\"running\":[],\"endedRuns\":[]}";
 	static const char fence[] =
 		"{\"serverTimeMs\":50,\"reason\":\"fence\"}";
 	struct exec_reply reply;
@@ -478,7 +494,7 @@
 
 static enum result read_advice(const char *rows, struct adviser_reply *reply)
 {
-	char *text = g_strdup_printf("{\"good\":%s}", rows);
+	char *text = g_strdup_printf("{\"good\":%s,\"validMs\":3000}", rows);
 	enum result res;
 
 	memset(reply, 0, sizeof(*reply));
@@ -525,7 +541,8 @@
 
 #define DEEP_LEVELS 1000000
 #define NESTED_SUBMISSION "{\"x\":@,\"steps\":[" STEP "]}"
-#define NESTED_CONFIG "{\"x\":@,\"version\":7,\"routes\":[],\"services\":[]}"
+#define NESTED_CONFIG \
+	"{\"x\":@,\"version\":7,\"routes\":[],\"services\":[]," LIMITS "}"
 #define NESTED_HEARTBEAT "{\"x\":@," HEARTBEAT ",\"seq\":4,\"born\":9}"
 
 /* Reads each kind of document with a nested member; checks the results. */
--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -798,8 +798,10 @@
 				     c->id ? c->id : worker);
 	char *text = g_strdup_printf(
 		"{\"service\":\"svc\",\"addr\":\"%s\",\"zone\":\"veraval\","
-		"\"state\":\"ready\",\"capacity\":{\"cpu\":8000,"
-		"\"memMb\":16000,\"gpu\":0},\"born\":%" G_GUINT64_FORMAT
+		"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+		"\"warmupLeftMs\":0,\"capacity\":{\"cpu\":8000,"
+		"\"memMb\":16000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
+		"\"serverTimeMs\":1,\"born\":%" G_GUINT64_FORMAT
 		",\"seq\":%" G_GUINT64_FORMAT "}",
 		c->address ? c->address : tb_proc_http(testbed_standin(tb, i)),
 		born_ms, c->seq);
