--- a/tests/executor_standin.c
+++ b/tests/executor_standin.c
@@ -25,7 +25,11 @@
  * with the same name at the same address. With --restart-ms the next
  * incarnation starts after that time, and the listening socket stays open
  * meanwhile: calls wait there and reach the next incarnation before it sends a
- * heartbeat, like connection attempts that are sent again.
+ * heartbeat, like connection attempts that are sent again. --first-heartbeat-ms
+ * sets the time from its start to its first heartbeat. --waiting-calls sets
+ * what becomes of the calls that waited, which are executed in any case:
+ * "answered", "held" (no answer, the connection stays open) or "closed" (no
+ * answer, the connection is closed).
  */
 
 #include <fcntl.h>
@@ -46,6 +50,8 @@
 #define HEARTBEAT_MS 300
 /* Delay of the first heartbeat if calls may have waited for the restart. */
 #define RESTART_HEARTBEAT_MS 100
+/* Calls that arrive within this time of the start have waited for it. */
+#define WAITED_MS 50
 #define TICK_MS 10
 /* Delay after which an unanswered call may still be carried out. */
 #define LATE_MIN_MS 2000
@@ -78,7 +84,9 @@
 	gboolean cut; /* cut off from its agent after SIGUSR2 */
 	/* Time between two incarnations, 0: its address refuses connections */
 	gint restart_ms;
+	gint first_heartbeat_ms; /* after a restart with restart_ms */
 	gint listen_fd; /* inherited listening socket, -1: none */
+	const struct waiting_ops *waiting;
 	GRand *random;
 	gint64 unhealthy_until_us;
 	gint64 silent_until_us;
@@ -95,6 +103,12 @@
 	GPtrArray *holds; /* struct hold * */
 };
 
+/* What becomes of a call that waited for the restart and was executed. */
+struct waiting_ops {
+	const char *name; /* value of --waiting-calls */
+	void (*leave_unanswered)(SoupServerMessage *msg); /* NULL: answered */
+};
+
 struct run {
 	char *task;
 	uint64_t nr;
@@ -500,17 +514,51 @@
 	return true;
 }
 
+static void close_connection(SoupServerMessage *msg)
+{
+	GIOStream *stream = soup_server_message_steal_connection(msg);
+
+	g_io_stream_close(stream, NULL, NULL);
+	g_object_unref(stream);
+}
+
 static void reset_connection(SoupServerMessage *msg)
 {
 	GSocket *socket = soup_server_message_get_socket(msg);
 	struct linger linger = { .l_onoff = 1 };
-	GIOStream *stream;
 
 	setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &linger,
 		   sizeof(linger));
-	stream = soup_server_message_steal_connection(msg);
-	g_io_stream_close(stream, NULL, NULL);
-	g_object_unref(stream);
+	close_connection(msg);
+}
+
+static const struct waiting_ops waiting_ops[] = {
+	{ .name = "answered" },
+	{ .name = "held", .leave_unanswered = soup_server_message_pause },
+	{ .name = "closed", .leave_unanswered = close_connection },
+};
+
+static const struct waiting_ops *waiting_find(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(waiting_ops); i++)
+		if (!strcmp(waiting_ops[i].name, name))
+			return &waiting_ops[i];
+	return NULL;
+}
+
+/*
+ * Executes a call that has waited for the restart, if such calls get no answer.
+ * Returns false if the call is to be handled as usual.
+ */
+static bool execute_waiting(struct standin *standin, SoupServerMessage *msg,
+			    const char *path, JsonObject *call)
+{
+	if (standin->listen_fd < 0 || !standin->waiting->leave_unanswered ||
+	    clock_ms(standin) > WAITED_MS)
+		return false;
+	order_execute(standin, path, call, false);
+	standin->waiting->leave_unanswered(msg);
+	return true;
 }
 
 /*
@@ -633,6 +681,8 @@
 		send_answer(msg, 421, answer_text(standin, NULL));
 		goto out;
 	}
+	if (execute_waiting(standin, msg, path, call))
+		goto out;
 	if (!is_cut_off(standin) &&
 	    g_rand_int_range(standin->random, 0, 100) < standin->late_percent) {
 		soup_server_message_pause(msg);
@@ -723,6 +773,8 @@
 
 	if (is_cut_off(standin))
 		return G_SOURCE_CONTINUE;
+	if (!standin->seq)
+		journal_event(standin, "first-heartbeat", "-", 0);
 	if (g_rand_int_range(standin->random, 0, 100) <
 	    standin->malformed_percent)
 		post_heartbeat(standin,
@@ -860,8 +912,12 @@
 
 int main(int argc, char **argv)
 {
-	static struct standin standin = { .listen_fd = -1 };
+	static struct standin standin = {
+		.listen_fd = -1,
+		.first_heartbeat_ms = RESTART_HEARTBEAT_MS,
+	};
 	bool inherits;
+	char *waiting = NULL;
 	char *port_file = NULL;
 	char *journal = NULL;
 	GOptionEntry entries[] = {
@@ -885,6 +941,9 @@
 		{ "silent-ms", 0, 0, G_OPTION_ARG_INT, &standin.silent_ms },
 		{ "cut", 0, 0, G_OPTION_ARG_NONE, &standin.cut },
 		{ "restart-ms", 0, 0, G_OPTION_ARG_INT, &standin.restart_ms },
+		{ "first-heartbeat-ms", 0, 0, G_OPTION_ARG_INT,
+		  &standin.first_heartbeat_ms },
+		{ "waiting-calls", 0, 0, G_OPTION_ARG_STRING, &waiting },
 		{ "listen-fd", 0, 0, G_OPTION_ARG_INT, &standin.listen_fd },
 		{ NULL },
 	};
@@ -896,6 +955,9 @@
 	    !standin.name || !standin.agent || !standin.zone || !journal ||
 	    !port_file)
 		return 2;
+	standin.waiting = waiting_find(waiting ? waiting : "answered");
+	if (!standin.waiting)
+		return 2;
 	inherits = standin.listen_fd >= 0;
 	/* The worker doesn't exist between its incarnations. */
 	if (inherits)
@@ -922,7 +984,7 @@
 	g_unix_signal_add(SIGTERM, on_lost, &standin);
 	g_timeout_add(TICK_MS, on_tick, &standin);
 	/* After a restart, calls arrive before the first heartbeat is sent. */
-	g_timeout_add(inherits ? RESTART_HEARTBEAT_MS :
+	g_timeout_add(inherits ? (guint)standin.first_heartbeat_ms :
 				 (guint)g_random_int_range(1, HEARTBEAT_MS),
 		      on_first_heartbeat, &standin);
 	g_main_loop_run(standin.loop);
--- a/tests/platform_testbed.c
+++ b/tests/platform_testbed.c
@@ -45,14 +45,17 @@
 					.worker_lease_ms =
 						TB_EXECUTOR_LEASE_MAX_MS,
 					.seed = opts->seed };
-	struct tb_executor_opts executor = { .late_percent = opts->late_percent,
-					     .reset_percent =
-						     opts->reset_percent,
-					     .malformed_percent = 10,
-					     .odd_percent = opts->odd_percent,
-					     .cut = opts->cut_ms > 0,
-					     .silent_ms = opts->cut_ms,
-					     .restart_ms = opts->restart_ms };
+	struct tb_executor_opts executor = {
+		.late_percent = opts->late_percent,
+		.reset_percent = opts->reset_percent,
+		.malformed_percent = 10,
+		.odd_percent = opts->odd_percent,
+		.cut = opts->cut_ms > 0,
+		.silent_ms = opts->cut_ms,
+		.restart_ms = opts->restart_ms,
+		.first_heartbeat_ms = opts->first_heartbeat_ms,
+		.waiting_calls = opts->waiting_calls
+	};
 	struct testbed *tb = testbed_new(&tb_opts, opts->program);
 
 	testbed_add_entry(tb, "veraval");
--- a/tests/platform_testbed.h
+++ b/tests/platform_testbed.h
@@ -26,6 +26,8 @@
 	uint32_t cut_ms;
 	/* From SIGHUP to a worker to its next incarnation, see testbed.h. */
 	uint32_t restart_ms;
+	uint32_t first_heartbeat_ms; /* after the restart, see testbed.h */
+	const char *waiting_calls; /* for the restart, see testbed.h */
 	uint64_t seed; /* of random faults */
 };
 
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -644,6 +644,11 @@
 	proc_arg_number(standin, "--silent-percent", opts->silent_percent);
 	proc_arg_number(standin, "--silent-ms", opts->silent_ms);
 	proc_arg_number(standin, "--restart-ms", opts->restart_ms);
+	if (opts->first_heartbeat_ms)
+		proc_arg_number(standin, "--first-heartbeat-ms",
+				opts->first_heartbeat_ms);
+	if (opts->waiting_calls)
+		proc_arg(standin, "--waiting-calls", opts->waiting_calls);
 	if (opts->cut)
 		g_ptr_array_add(standin->argv, g_strdup("--cut"));
 	proc_start(standin);
--- a/tests/testbed.h
+++ b/tests/testbed.h
@@ -88,6 +88,13 @@
 	 * one, which calls wait for; 0: calls are refused meanwhile.
 	 */
 	uint32_t restart_ms;
+	/* From such a restart to the first heartbeat, 0: 0.1 s. */
+	uint32_t first_heartbeat_ms;
+	/*
+	 * What becomes of the calls that waited for the restart: "answered",
+	 * "held" or "closed" (executed without an answer), NULL: answered.
+	 */
+	const char *waiting_calls;
 };
 
 /** Starts an agent and a stand-in for the platform's worker on its VM. */
