Cut restarted workers off before their first heartbeat in tests

The tests that we had sent it 0.1 s after the restart.

Seven cases of test_platform_site: cut off 0.3, 0.6, 1.0 and 2.0 s after the restart, the leader killed in addition, and two in which calls that waited get no answer. The worker is down for 0.2 s, less than an agent waits for an answer. A case checks that starts were executed by the new incarnation, that it got the longest lease, and that it sent no heartbeat before the cut.

--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -464,6 +464,203 @@
 }
 END_TEST
 
+/* Longer than the longest lease of the restarted worker. */
+#define UNANNOUNCED_RUN_MS (TB_EXECUTOR_LEASE_MAX_MS + 500)
+#define NR_UNANNOUNCED_WORKFLOWS 13
+/*
+ * Less than the 300 ms for which agents wait for an answer, so that the next
+ * incarnation answers starts which are called meanwhile.
+ */
+#define UNANNOUNCED_DOWN_MS 200
+/* From the crash, when workflows are submitted whose starts wait. */
+static const uint32_t submit_after_ms[] = { 50, 120 };
+
+struct unannounced_case {
+	bool kill_leader;
+	/* Times from the restart; the heartbeat would be sent after the cut. */
+	uint32_t cut_after_ms;
+	uint32_t first_heartbeat_ms;
+	const char *waiting_calls; /* see struct tb_executor_opts */
+};
+
+static uint32_t nr_journaled(struct testbed *tb, const struct tb_proc *worker,
+			     const char *event)
+{
+	char *text = g_strdup_printf("worker=%s event=%s ",
+				     tb_proc_name(worker), event);
+	uint32_t nr = testbed_journal_count(tb, text, NULL);
+
+	g_free(text);
+	return nr;
+}
+
+/* Restarts the worker while starts wait; returns the time of the restart. */
+static gint64 restart_unannounced(struct testbed *tb, uint32_t first_nr)
+{
+	struct tb_proc *worker = testbed_standin(tb, RESTARTED);
+	uint32_t nr_before = nr_journaled(tb, worker, "start");
+	gint64 crash_us = g_get_monotonic_time();
+	gint64 restart_us = crash_us + UNANNOUNCED_DOWN_MS * INT64_C(1000);
+
+	tb_proc_signal(worker, SIGHUP);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(submit_after_ms); i++) {
+		wait_until(crash_us, submit_after_ms[i]);
+		platform_testbed_submit_step(tb, first_nr + i,
+					     UNANNOUNCED_RUN_MS);
+	}
+	wait_until(crash_us, UNANNOUNCED_DOWN_MS);
+	for (uint32_t ms = 0;
+	     ms < 500 && nr_journaled(tb, worker, "start") <= nr_before;
+	     ms += 10)
+		testbed_wait_ms(10);
+	ck_assert_uint_gt(nr_journaled(tb, worker, "start"), nr_before);
+	ck_assert_uint_gt(nr_journaled(tb, worker, "longest-lease"), 0);
+	return restart_us;
+}
+
+/*
+ * Restarts a worker while starts wait at its address, and cuts it off from its
+ * agent before it has sent a heartbeat, so that only answers to calls show that
+ * it has restarted. Its lease is the longest from the beginning, as the
+ * deadlines of these starts are on the clock of the former incarnation.
+ */
+static void play_unannounced(const struct unannounced_case *test)
+{
+	struct platform_testbed_opts opts = {
+		.program = program,
+		.cut_ms = CUT_MS,
+		.restart_ms = UNANNOUNCED_DOWN_MS,
+		.first_heartbeat_ms = test->first_heartbeat_ms,
+		.waiting_calls = test->waiting_calls,
+		.seed = 1
+	};
+	struct testbed *tb = platform_testbed_new(&opts);
+	struct tb_proc *worker = testbed_standin(tb, RESTARTED);
+	const uint32_t last_nr = NR_UNANNOUNCED_WORKFLOWS;
+	const uint32_t nr_before = last_nr - G_N_ELEMENTS(submit_after_ms) - 1;
+	struct tb_proc *leader = NULL;
+	gint64 restart_us;
+
+	for (uint32_t i = 1; i <= nr_before; i++)
+		platform_testbed_submit_step(
+			tb, i,
+			i <= NR_LASTING ? LASTING_MS : UNANNOUNCED_RUN_MS);
+	testbed_wait_ms(UPTIME_MS);
+	restart_us = restart_unannounced(tb, nr_before + 1);
+	/* Starts of this workflow's tasks are called after the restart. */
+	platform_testbed_submit_step(tb, last_nr, UNANNOUNCED_RUN_MS);
+	if (test->kill_leader) {
+		wait_until(restart_us, LEADER_ENDS_AFTER_MS);
+		leader = end_leader(tb, SIGKILL);
+	}
+	wait_until(restart_us, test->cut_after_ms);
+	tb_proc_signal(worker, SIGUSR2);
+	testbed_wait_ms(50);
+	/* The only heartbeats have been those of the former incarnation. */
+	ck_assert_uint_eq(nr_journaled(tb, worker, "first-heartbeat"), 1);
+	if (leader) {
+		wait_until(restart_us, LEADER_BACK_AFTER_MS);
+		tb_proc_restart(leader);
+	}
+	/* Gives the other workers free capacity for the lost tasks. */
+	for (uint32_t i = 1; i <= NR_LASTING; i++)
+		platform_testbed_cancel(tb, i);
+	for (uint32_t i = NR_LASTING + 1; i <= last_nr; i++)
+		platform_testbed_wait(tb, i, "completed", 40000);
+	ck_assert_uint_eq(platform_testbed_check(tb),
+			  (last_nr - NR_LASTING) * 4);
+	testbed_free(tb);
+}
+
+/*
+ * Guards against a leader that gives up runs of a restarted worker before its
+ * lease has expired, so that tasks run twice (issue 51): the worker has
+ * executed starts that were called for its former incarnation, and is cut off
+ * before it has sent a heartbeat. The leader stays the same.
+ */
+START_TEST(test_unannounced_300)
+{
+	static const struct unannounced_case test = {
+		.cut_after_ms = 300, .first_heartbeat_ms = 1000
+	};
+
+	play_unannounced(&test);
+}
+END_TEST
+
+/* Guards against the same with more calls between restart and cut. */
+START_TEST(test_unannounced_600)
+{
+	static const struct unannounced_case test = {
+		.cut_after_ms = 600, .first_heartbeat_ms = 1000
+	};
+
+	play_unannounced(&test);
+}
+END_TEST
+
+/* Guards against the same after about one poll. */
+START_TEST(test_unannounced_1000)
+{
+	static const struct unannounced_case test = {
+		.cut_after_ms = 1000, .first_heartbeat_ms = 1500
+	};
+
+	play_unannounced(&test);
+}
+END_TEST
+
+/* Guards against the same after several polls. */
+START_TEST(test_unannounced_2000)
+{
+	static const struct unannounced_case test = {
+		.cut_after_ms = 2000, .first_heartbeat_ms = 3000
+	};
+
+	play_unannounced(&test);
+}
+END_TEST
+
+/* Guards against the same when a new leader has only the agents' reports. */
+START_TEST(test_unannounced_leader_killed)
+{
+	static const struct unannounced_case test = { .kill_leader = true,
+						      .cut_after_ms = 2000,
+						      .first_heartbeat_ms =
+							      3000 };
+
+	play_unannounced(&test);
+}
+END_TEST
+
+/*
+ * Guards against the same if the calls that waited get no answer; the worker is
+ * cut off before its agent has stopped these runs.
+ */
+START_TEST(test_unannounced_held)
+{
+	static const struct unannounced_case test = { .cut_after_ms = 100,
+						      .first_heartbeat_ms =
+							      1000,
+						      .waiting_calls = "held" };
+
+	play_unannounced(&test);
+}
+END_TEST
+
+/* Guards against the same if the connections of these calls are closed. */
+START_TEST(test_unannounced_closed)
+{
+	static const struct unannounced_case test = {
+		.cut_after_ms = 2000,
+		.first_heartbeat_ms = 3000,
+		.waiting_calls = "closed"
+	};
+
+	play_unannounced(&test);
+}
+END_TEST
+
 /* Guards against the loss of acknowledged changes if all replicas fail. */
 START_TEST(test_power_lost)
 {
@@ -1042,6 +1239,13 @@
 		test_worker_restarted,
 		test_worker_restarted_frozen,
 		test_worker_restarted_sigterm,
+		test_unannounced_300,
+		test_unannounced_600,
+		test_unannounced_1000,
+		test_unannounced_2000,
+		test_unannounced_leader_killed,
+		test_unannounced_held,
+		test_unannounced_closed,
 		test_power_lost,
 		test_entry_leaves,
 		test_controls_replaced,
