--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -25,6 +25,7 @@
 #include "pressure.h"
 #include "runner.h"
 #include "site.h"
+#include "worker_clock.h"
 
 enum runner_phase {
 	RUNNER_NEW = 1, /* ordered; the start call isn't made yet */
@@ -46,6 +47,11 @@
 	 * earlier agent process, or the first copy of one that was sent twice.
 	 */
 	bool repeated;
+	/*
+	 * The answer to the start may be of another incarnation; a list that
+	 * names the incarnation shows whether this one has the run.
+	 */
+	bool unattributed;
 	bool stop; /* the run is to be stopped */
 	bool stop_call_pending;
 	uint64_t added_us; /* when this record was added */
@@ -152,6 +158,14 @@
 	struct site *site;
 	struct worker_incarnation worker; /* the current one, id "": none */
 	char address[ADDRESS_BYTES]; /* of the current worker */
+	/*
+	 * An answer has shown that another incarnation with the worker's id is
+	 * running. Until a list that was requested after that names the current
+	 * one, or a candidate takes its place, no call has a deadline, and
+	 * answers that name no incarnation don't count.
+	 */
+	bool restart_seen;
+	uint64_t restart_seen_nr; /* number of the last call before that */
 	uint64_t worker_seq; /* number of the last accepted heartbeat */
 	uint64_t stale_seq; /* number of the last stale heartbeat, 0: none */
 	uint32_t stale_increases; /* stale heartbeats in a row, seq rising */
@@ -182,12 +196,17 @@
 	 */
 	uint64_t earlier_fence;
 	uint64_t lease_until_us; /* end of the granted lease, 0: none yet */
-	uint64_t clock_ms; /* worker's clock in its last reply, 0: unknown */
-	uint64_t clock_us; /* agent's clock when that reply arrived */
+	struct worker_clock clock; /* in the incarnation's last reply */
 	bool reachable; /* the worker answered the last poll */
+	/*
+	 * Since the last poll without an answer, one came that is surely of
+	 * this incarnation. A refusal may be of a later one.
+	 */
+	bool in_contact;
 	uint32_t missed_polls; /* polls missed in a row */
 	bool listed; /* this incarnation's runs were listed at least once */
 	uint64_t settled_nr; /* number of the last acknowledged end */
+	uint64_t first_listed_nr; /* of the ends in the last list, 0: none */
 	uint32_t nr_unreadable_ends; /* unreadable ends in the last list */
 	/** Lowest number of an unreadable end, 0: none, or the list is full. */
 	uint64_t first_unreadable_nr;
@@ -319,6 +338,14 @@
 		  uint64_t candidate_nr, const char *id, const char *address);
 
 /* runner_incarnation.c */
+/**
+ * Handles an answer of another incarnation with the worker's id. @a born_ms is
+ * 0 if the answer doesn't name it; otherwise it becomes the candidate.
+ */
+void runner_note_restart(struct runner *runner, uint64_t born_ms);
+/** Handles a list, the reply to @a call, that names the current incarnation. */
+void runner_clear_restart(struct runner *runner,
+			  const struct runner_call *call);
 /** Handles the reply to a probe. */
 void runner_probe_done(struct runner *runner, const struct runner_call *call,
 		       const struct exec_reply *reply);
@@ -357,8 +384,10 @@
 /** Logs once per run that its start has to wait for @a reason. */
 void runner_log_start_wait(struct runner *runner, struct runner_run *run,
 			   const char *reason);
+/** Logs a start that the worker has executed, with the clock in its answer. */
 void runner_log_started(struct runner *runner, const struct runner_call *call,
-			const struct runner_run *run);
+			const struct runner_run *run,
+			const struct exec_reply *reply);
 /** Logs that the worker lists neither the run nor its end. */
 void runner_log_absent(struct runner *runner, const struct runner_run *run);
 
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -60,7 +60,7 @@
 		const struct runner_run *run = value;
 
 		if (run->phase == RUNNER_STARTING ||
-		    run->phase == RUNNER_UNCONFIRMED)
+		    run->phase == RUNNER_UNCONFIRMED || run->unattributed)
 			runner_keep_late_start(runner, run->task, run->run);
 	}
 }
@@ -118,19 +118,22 @@
 	runner_keep_unanswered_starts(runner);
 	runner->incarnation_nr++;
 	runner_trace_incarnation(runner);
-	runner->clock_ms = 0;
+	memset(&runner->clock, 0, sizeof(runner->clock));
 	runner->answered_fence = 0;
 	runner->earlier_fence = 0;
 	runner->listed = false;
 	runner->reachable = false;
+	runner->in_contact = false;
 	runner->missed_polls = 0;
 	runner->settled_nr = 0;
+	runner->first_listed_nr = 0;
 	runner->nr_unreadable_ends = 0;
 	runner->first_unreadable_nr = 0;
 	runner->poll_in_flight = false;
 	runner->reported_draining = false;
 	runner->deregistered_us = 0;
 	runner->restarted = false;
+	runner->restart_seen = false;
 	g_hash_table_remove_all(runner->runs);
 	g_array_set_size(runner->superseded, 0);
 	g_array_set_size(runner->ends, 0);
@@ -289,6 +292,49 @@
 	return RESULT_OK;
 }
 
+/*
+ * Makes the incarnation that an answer of the worker's address has named the
+ * candidate. Only a heartbeat describes it; until then it has no service, so
+ * that the leader places no tasks on it.
+ */
+static void runner_add_named_candidate(struct runner *runner, uint64_t born_ms)
+{
+	struct worker_incarnation incarnation = { .born_ms = born_ms };
+
+	TEXT_SET(incarnation.id, runner->worker.id);
+	if (runner->candidate.nr &&
+	    worker_incarnation_equal(&runner->candidate.incarnation,
+				     &incarnation))
+		return;
+	runner_add_candidate(runner, &incarnation, runner->address, 0);
+}
+
+void runner_note_restart(struct runner *runner, uint64_t born_ms)
+{
+	if (!runner->restart_seen) {
+		runner->restart_seen = true;
+		runner_log_worker(runner, "worker-restart-seen");
+		counter_add(runner->node->counters, "worker_restarts_seen", 1);
+		runner_report_soon(runner);
+	}
+	runner->restart_seen_nr = runner->call_nr;
+	runner->in_contact = false;
+	runner->answered_fence = 0;
+	memset(&runner->clock, 0, sizeof(runner->clock));
+	if (born_ms)
+		runner_add_named_candidate(runner, born_ms);
+}
+
+void runner_clear_restart(struct runner *runner, const struct runner_call *call)
+{
+	/* An earlier list may have been sent before the restart. */
+	if (!runner->restart_seen || call->call_nr <= runner->restart_seen_nr)
+		return;
+	runner->restart_seen = false;
+	runner_log_worker(runner, "worker-restart-refuted");
+	runner_report_soon(runner);
+}
+
 /* Returns true if the reply doesn't show which worker, if any, is there. */
 static bool reply_is_inconclusive(const struct exec_reply *reply)
 {
@@ -323,12 +369,77 @@
 		       "life-not-told";
 }
 
-/* Replaces the current worker by the candidate, and polls it for its runs. */
-static void runner_switch_incarnation(struct runner *runner)
+/* Returns true if a later incarnation may still execute a start of the task. */
+static bool runner_may_start_late(const struct runner *runner, const char *task)
+{
+	for (guint i = 0; i < runner->late_starts->len; i++) {
+		const struct runner_late_start *start = &g_array_index(
+			runner->late_starts, struct runner_late_start, i);
+
+		if (start->until_us > runner->node->now_us &&
+		    !strcmp(start->task, task))
+			return true;
+	}
+	return false;
+}
+
+static bool reply_lists_task(const struct exec_reply *reply, const char *task)
+{
+	for (uint32_t i = 0; i < reply->nr_runs; i++)
+		if (!strcmp(reply->runs[i].task, task))
+			return true;
+	for (uint32_t i = 0; i < reply->nr_ends; i++)
+		if (!strcmp(reply->ends[i].task, task))
+			return true;
+	return false;
+}
+
+/*
+ * Reports the runs that have ended with an incarnation whose successor has the
+ * same id and has sent the list @a reply, so that the leader needs to wait for
+ * no lease. A run is left out if the successor has it, or if a copy of its
+ * start, or the call of an earlier agent process, may still be executed.
+ */
+static void runner_report_runs_lost(struct runner *runner,
+				    const struct exec_reply *reply)
+{
+	GHashTableIter iter;
+	void *value;
+
+	if (reply->verdict != EXEC_DONE || runner_list_is_full(reply) ||
+	    reply->nr_unreadable_runs || reply->nr_unreadable_ends)
+		return;
+	g_hash_table_iter_init(&iter, runner->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct runner_run *run = value;
+		struct flow_run_end end = { .run = run->run,
+					    .end = FLOW_END_LOST };
+
+		if (run->phase != RUNNER_RUNNING || run->unattributed ||
+		    run->repeated || !run->ordered ||
+		    runner_may_start_late(runner, run->task) ||
+		    reply_lists_task(reply, run->task))
+			continue;
+		TEXT_SET(end.task, run->task);
+		TEXT_SET(end.checkpoint, run->seen.checkpoint);
+		g_array_append_val(runner->unlisted_ends, end);
+		runner_log_run(runner, "run-ended", run->task, run->run,
+			       flow_end_name(end.end), RESULT_OK);
+	}
+}
+
+/*
+ * Replaces the current worker by the candidate, which has sent @a reply, and
+ * polls it for its runs.
+ */
+static void runner_switch_incarnation(struct runner *runner,
+				      const struct exec_reply *reply)
 {
 	const struct runner_candidate *candidate = &runner->candidate;
 	bool restarted = !strcmp(runner->worker.id, candidate->incarnation.id);
 
+	if (restarted)
+		runner_report_runs_lost(runner, reply);
 	runner_reset_incarnation(runner);
 	runner_update_worker(runner, &candidate->incarnation,
 			     candidate->address, candidate->seq);
@@ -369,7 +480,7 @@
 				     candidate->address, candidate->seq);
 	} else {
 		runner_log_candidate(runner, "taken", "new-life");
-		runner_switch_incarnation(runner);
+		runner_switch_incarnation(runner, reply);
 	}
 	candidate->nr = 0;
 }
@@ -393,6 +504,7 @@
 			     const char *address, uint64_t seq)
 {
 	const struct worker_incarnation *worker = &runner->worker;
+	bool described;
 
 	if (!worker_incarnation_equal(worker, incarnation))
 		return runner_is_earlier_incarnation(runner, incarnation) ?
@@ -404,7 +516,12 @@
 		return runner_reject_stale(runner);
 	if (worker->ended || strcmp(runner->address, address) != 0)
 		return runner_add_candidate(runner, incarnation, address, seq);
+	described = !worker->service[0] && incarnation->service[0];
 	runner_update_worker(runner, incarnation, address, seq);
+	if (described) {
+		runner_log_worker(runner, "worker-registered");
+		runner_report_soon(runner);
+	}
 	if (!timer_armed(&runner->poll_timer))
 		runner_poll(runner);
 	return RESULT_OK;
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -11,10 +11,11 @@
 {
 	uint64_t left_us;
 
-	if (!runner->clock_ms || runner->lease_until_us <= runner->node->now_us)
+	if (!runner->clock.read_ms ||
+	    runner->lease_until_us <= runner->node->now_us)
 		return 0;
-	left_us = runner->lease_until_us - runner->clock_us;
-	return runner->clock_ms +
+	left_us = runner->lease_until_us - runner->clock.received_us;
+	return runner->clock.read_ms +
 	       left_us / 1000 * (1000 - WORKER_CLOCK_SLOW_PERMILLE) / 1000;
 }
 
@@ -41,7 +42,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct runner_run *run = value;
 
-		if (run->phase == RUNNER_STARTING)
+		if (run->phase == RUNNER_STARTING || run->unattributed)
 			until_us =
 				MAX(until_us,
 				    run->since_us +
@@ -146,16 +147,22 @@
 }
 
 /*
- * Returns the number up to which the worker may drop ends. The worker must not
- * drop an unreadable end: its run would be missing in the next list, and be
- * reported as never started.
+ * Returns the number up to which the worker may drop ends, 0: none that it
+ * lists. The worker must not drop an unreadable end: its run would be missing
+ * in the next list, and be reported as never started. A later incarnation that
+ * executes the call would drop ends of its own. So no poll has the number
+ * unless an answer is surely of this incarnation and listed such ends.
  */
 static uint64_t runner_ack_nr(const struct runner *runner)
 {
-	return runner->first_unreadable_nr ?
-		       MIN(runner->settled_nr,
-			   runner->first_unreadable_nr - 1) :
-		       runner->settled_nr;
+	uint64_t nr = runner->settled_nr;
+
+	if (runner->first_unreadable_nr)
+		nr = MIN(nr, runner->first_unreadable_nr - 1);
+	return runner->in_contact && runner->first_listed_nr &&
+			       runner->first_listed_nr <= nr ?
+		       nr :
+		       0;
 }
 
 /* Returns true if a restarted worker may still accept earlier calls. */
@@ -173,22 +180,23 @@
 		return;
 	timer_cancel(runner->node->timers, &runner->poll_timer);
 	runner->poll_in_flight = true;
-	/* The lease of a worker that doesn't answer must lapse, so this poll
-	 * doesn't extend it. */
-	if (runner->reachable || !runner->listed)
+	/*
+	 * The lease of a worker that doesn't answer must lapse, so this poll
+	 * doesn't extend it, and a worker that didn't answer may have been
+	 * restarted.
+	 */
+	if (runner->in_contact || !runner->listed)
 		call.deadline_ms = runner_deadline_ms(runner);
-	/* A worker that didn't answer may have been restarted. Ends of the new
-	 * incarnation may have the same numbers, and must not be dropped. */
-	if (runner->reachable)
-		call.settled_nr = runner_ack_nr(runner);
+	call.settled_nr = runner_ack_nr(runner);
 	/*
-	 * The worker must answer the first poll, and a poll after a missed one
-	 * or after another incarnation's answer, at once; it may delay the
-	 * answer to other polls until a run ends. The leader waits until a
-	 * restarted worker refuses earlier calls.
+	 * The worker must answer at once the first poll, a poll after a missed
+	 * one or after another incarnation's answer, and one that acknowledges
+	 * ends: a later incarnation might execute it while it waits. The answer
+	 * to other polls may be delayed until a run ends. The leader waits
+	 * until a restarted worker refuses earlier calls.
 	 */
-	if (runner->listed && runner->reachable && !runner->missed_polls &&
-	    !runner_accepts_earlier_calls(runner))
+	if (runner->listed && runner->reachable && runner->in_contact &&
+	    !call.settled_nr && !runner_accepts_earlier_calls(runner))
 		call.wait_ms = runner_needs_pacing(runner) ? POLL_WAIT_PACE_MS :
 							     POLL_WAIT_MS;
 	runner_call(runner, &call);
@@ -217,7 +225,8 @@
 
 static void runner_start_done(struct runner *runner,
 			      const struct runner_call *call,
-			      const struct exec_reply *reply)
+			      const struct exec_reply *reply,
+			      enum worker_clock_origin origin)
 {
 	struct runner_run *run = runner_find(runner, call->task, call->run);
 
@@ -232,7 +241,8 @@
 		counter_observe(runner->node->counters, "start_call_ms",
 				(runner->node->now_us - run->since_us) / 1000);
 		runner_set_phase(runner, run, RUNNER_RUNNING);
-		runner_log_started(runner, call, run);
+		run->unattributed = origin != WORKER_CLOCK_SAME;
+		runner_log_started(runner, call, run, reply);
 		if (run->stop)
 			runner_stop(runner, run);
 		else if (run->filler)
@@ -348,6 +358,7 @@
 			run = runner_add_listed(runner, listed, seen);
 		if (run->phase != RUNNER_RUNNING)
 			runner_set_phase(runner, run, RUNNER_RUNNING);
+		run->unattributed = false;
 		run->seen = *seen;
 		g_hash_table_add(listed, run);
 	}
@@ -459,6 +470,10 @@
 static void runner_apply_unreadable(struct runner *runner,
 				    const struct exec_reply *reply)
 {
+	runner->first_listed_nr = reply->first_unreadable_nr;
+	if (reply->nr_ends && (!runner->first_listed_nr ||
+			       reply->ends[0].nr < runner->first_listed_nr))
+		runner->first_listed_nr = reply->ends[0].nr;
 	runner->nr_unreadable_ends = reply->nr_unreadable_ends;
 	runner->first_unreadable_nr =
 		runner_list_is_full(reply) ? 0 : reply->first_unreadable_nr;
@@ -478,6 +493,8 @@
 		runner->missed_polls++;
 	else
 		runner->missed_polls = 0;
+	if (!answered && reply->verdict != EXEC_REFUSED)
+		runner->in_contact = false;
 	/* A worker that refuses the fencing token is reachable, too. */
 	runner->reachable = answered || reply->verdict == EXEC_REFUSED;
 	/*
@@ -513,11 +530,30 @@
 				     reply->verdict == EXEC_OTHER_INCARNATION);
 }
 
-/* Returns true if another incarnation with the same id has replied. */
-static bool runner_is_other_incarnation(const struct runner *runner,
-					const struct exec_reply *reply)
+static struct worker_clock runner_reply_clock(const struct runner *runner,
+					      const struct runner_call *call,
+					      const struct exec_reply *reply)
 {
-	return reply->born_ms && reply->born_ms != runner->worker.born_ms;
+	return (struct worker_clock){ .read_ms = reply->clock_ms,
+				      .sent_us = call->sent_us,
+				      .received_us = runner->node->now_us };
+}
+
+/* Returns which incarnation has replied, by its name or else by its clock. */
+static enum worker_clock_origin
+runner_reply_origin(const struct runner *runner, const struct runner_call *call,
+		    const struct exec_reply *reply)
+{
+	struct worker_clock clock = runner_reply_clock(runner, call, reply);
+
+	/* A worker with another id executes none of this worker's calls. */
+	if (reply->verdict == EXEC_OTHER_INCARNATION)
+		return WORKER_CLOCK_UNKNOWN;
+	if (reply->born_ms)
+		return reply->born_ms == runner->worker.born_ms ?
+			       WORKER_CLOCK_SAME :
+			       WORKER_CLOCK_OTHER;
+	return worker_clock_origin(&runner->clock, &clock);
 }
 
 /*
@@ -528,11 +564,13 @@
 				  const struct runner_call *call,
 				  const struct exec_reply *reply)
 {
-	if (call->probe_kind || !reply->born_ms)
+	if (call->probe_kind)
 		return false;
 	return call->incarnation_nr == runner->incarnation_nr ?
-		       runner_is_other_incarnation(runner, reply) :
-		       reply->born_ms == runner->worker.born_ms;
+		       runner_reply_origin(runner, call, reply) ==
+			       WORKER_CLOCK_OTHER :
+		       reply->born_ms &&
+			       reply->born_ms == runner->worker.born_ms;
 }
 
 /*
@@ -560,15 +598,14 @@
  */
 static void runner_note_answered(struct runner *runner,
 				 const struct runner_call *call,
-				 const struct exec_reply *reply)
+				 const struct exec_reply *reply,
+				 enum worker_clock_origin origin)
 {
 	bool answered = reply->verdict == EXEC_DONE ||
 			(reply->verdict == EXEC_REFUSED &&
 			 reply->result == RESULT_STALE);
 
-	if (!answered || call->probe_kind ||
-	    call->incarnation_nr != runner->incarnation_nr ||
-	    runner_is_other_incarnation(runner, reply) ||
+	if (!answered || origin != WORKER_CLOCK_SAME || runner->restart_seen ||
 	    call->leader_fence <= runner->answered_fence)
 		return;
 	runner->answered_fence = call->leader_fence;
@@ -579,6 +616,7 @@
 		      const struct exec_reply *reply)
 {
 	struct runner_call *call = g_hash_table_lookup(runner->calls, &call_nr);
+	enum worker_clock_origin origin;
 	struct exec_reply other;
 
 	if (!call)
@@ -587,7 +625,6 @@
 	runner_trace_reply(runner, call, reply);
 	if (runner_is_misdirected(runner, call, reply))
 		runner_log_misdirected(runner, call, reply);
-	runner_note_answered(runner, call, reply);
 	if (call->probe_kind) {
 		runner->probes_in_flight--;
 		runner_probe_done(runner, call, reply);
@@ -595,20 +632,34 @@
 	}
 	if (call->incarnation_nr != runner->incarnation_nr)
 		goto out; /* the call was made to an earlier incarnation */
-	if (runner_is_other_incarnation(runner, reply)) {
+	origin = runner_reply_origin(runner, call, reply);
+	if (origin == WORKER_CLOCK_SAME && reply->born_ms)
+		runner_clear_restart(runner, call);
+	runner_note_answered(runner, call, reply, origin);
+	if (origin == WORKER_CLOCK_OTHER) {
+		runner_note_restart(runner, reply->born_ms);
 		runner_contact_lost(runner, call);
+		runner_poll(runner);
+	}
+	if (origin == WORKER_CLOCK_OTHER ||
+	    (runner->restart_seen && origin != WORKER_CLOCK_SAME &&
+	     (reply->verdict == EXEC_DONE || reply->verdict == EXEC_REFUSED))) {
 		other = runner_reply_of_other_incarnation(call, reply);
 		reply = &other;
 	}
-	if (reply->clock_ms) {
-		runner->clock_ms = reply->clock_ms;
-		runner->clock_us = runner->node->now_us;
+	/* The first list sets the clock that answers are compared with. */
+	if (!runner->restart_seen &&
+	    (origin == WORKER_CLOCK_SAME ||
+	     (reply->verdict == EXEC_DONE && call->kind == EXEC_POLL &&
+	      !runner->clock.read_ms))) {
+		runner->clock = runner_reply_clock(runner, call, reply);
+		runner->in_contact = true;
 	}
 	if (reply->verdict == EXEC_NO_ANSWER)
 		counter_add(runner->node->counters, "calls_unanswered", 1);
 	switch (call->kind) {
 	case EXEC_START:
-		runner_start_done(runner, call, reply);
+		runner_start_done(runner, call, reply, origin);
 		break;
 	case EXEC_STOP:
 		runner_stop_done(runner, call, reply);
--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -508,6 +508,9 @@
 	ck_assert_uint_eq(fixture->refused->len, 0);
 	list.born_ms = 1;
 	fixture_run_ms(fixture, 500);
+	/* A probe of the other incarnation and a poll are open. */
+	ck_assert_uint_eq(fixture_open_polls(fixture), 2);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
 	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
 	fixture_run_ms(fixture, 20);
 	ck_assert_uint_eq(fixture->refused->len, 1);
@@ -965,6 +968,375 @@
 }
 END_TEST
 
+/* ---- answers that name no incarnation ---- */
+
+/* Of a later incarnation: its clock has just begun. */
+static const struct exec_reply answer_of_other = { .verdict = EXEC_DONE,
+						   .clock_ms = 20 };
+
+/*
+ * Guards against a run of another incarnation that counts as confirmed, and a
+ * leader that isn't told of the restart: only the clock in the answer to the
+ * start shows it. No further start is called, and no call has a deadline or
+ * acknowledges ends.
+ */
+START_TEST(test_start_answered_on_other_clock)
+{
+	struct fixture *fixture = fixture_ready(true);
+	struct fixture_call call = { 0 };
+
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL));
+	fixture_grant(fixture, 7);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &answer_of_other, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture->report.restart_seen);
+	ck_assert_uint_eq(fixture->report.answered_fence, 0);
+	ck_assert_uint_gt(fixture->report.late_ms, 0);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	fixture_order_many(fixture, FLOW_START, 1);
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->nr_starts, 1);
+	ck_assert_uint_eq(fixture->refused->len, 1);
+	while (fixture_answer(fixture, EXEC_POLL, &fixture_no_answer, &call))
+		;
+	fixture_run_ms(fixture, POLL_RETRY_MS + 10);
+	ck_assert(
+		fixture_answer(fixture, EXEC_POLL, &fixture_no_answer, &call));
+	ck_assert_uint_eq(call.deadline_ms, 0);
+	ck_assert_uint_eq(call.settled_nr, 0);
+	ck_assert_uint_eq(call.wait_ms, 0);
+	fixture_run_ms(fixture, 1000);
+	ck_assert(fixture->report.restart_seen);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a restart that the leader hears of only with the first
+ * heartbeat: a list names the new incarnation, which becomes the worker once it
+ * has answered a probe. It has no service until a heartbeat describes it.
+ */
+START_TEST(test_list_names_later_incarnation)
+{
+	const struct worker_incarnation described = { .id = "w",
+						      .born_ms = 2,
+						      .service = "svc" };
+	struct exec_reply list = answer_of_other;
+	struct fixture *fixture = fixture_with_run();
+
+	list.born_ms = 2;
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 5);
+	ck_assert(fixture->report.restart_seen);
+	ck_assert_uint_eq(fixture->report.worker.born_ms, 1);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 5);
+	ck_assert(!fixture->report.restart_seen);
+	ck_assert_uint_eq(fixture->report.worker.born_ms, 2);
+	ck_assert_str_eq(fixture->report.worker.service, "");
+	ck_assert_uint_eq(fixture->report.nr_runs, 0);
+	ck_assert_int_eq(fixture_heartbeat_of(fixture, &described,
+					      FIXTURE_ADDRESS, 1),
+			 RESULT_OK);
+	fixture_run_ms(fixture, 5);
+	ck_assert_str_eq(fixture->report.worker.service, "svc");
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a worker whose runs are given up because its clock has stood
+ * still: a list that names the known incarnation refutes the restart. The run
+ * whose start had that answer was stopped, and isn't listed.
+ */
+START_TEST(test_clock_stands_still)
+{
+	struct flow_run run = { .task = TASK, .run = 1 };
+	struct exec_reply frozen = { .verdict = EXEC_DONE,
+				     .clock_ms = FIXTURE_CLOCK_MS + 1 };
+	struct fixture *fixture = fixture_with_run();
+	struct fixture_call call = { 0 };
+
+	fixture_run_ms(fixture, 500);
+	fixture_order_many(fixture, FLOW_START, 1);
+	ck_assert(fixture_answer(fixture, EXEC_START, &frozen, NULL));
+	fixture_run_ms(fixture, 5);
+	ck_assert(fixture->report.restart_seen);
+	ck_assert(fixture_answer(fixture, EXEC_STOP, &fixture_no_answer, NULL));
+	frozen.born_ms = 1;
+	frozen.runs = &run;
+	frozen.nr_runs = 1;
+	/* The first poll was in flight when the restart was seen. */
+	for (uint32_t i = 0; i < 2; i++) {
+		ck_assert(fixture->report.restart_seen);
+		ck_assert(fixture_answer(fixture, EXEC_POLL, &frozen, NULL));
+		fixture_grant(fixture, 0);
+		fixture_run_ms(fixture, 20);
+	}
+	ck_assert(!fixture->report.restart_seen);
+	ck_assert(fixture->report.reachable);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &frozen, &call));
+	ck_assert_uint_gt(call.deadline_ms, FIXTURE_CLOCK_MS + 4000);
+	ck_assert_uint_eq(fixture->refused->len, 0);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a restart that a list of the former incarnation refutes: the
+ * list was sent before the restart, and an answer of the new incarnation has
+ * overtaken it. Only a list that is requested after that answer counts.
+ */
+START_TEST(test_list_from_before_restart)
+{
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+
+	list.born_ms = 1;
+	fixture_run_ms(fixture, 500);
+	ck_assert_uint_eq(fixture_open_polls(fixture), 1);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &answer_of_other, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 10);
+	ck_assert(fixture->report.restart_seen);
+	ck_assert_uint_eq(fixture->report.answered_fence, 0);
+	fixture_order_many(fixture, FLOW_START, 1);
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture->nr_starts, 1);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 10);
+	ck_assert(!fixture->report.restart_seen);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a run that waits for the longest lease although it has ended
+ * with its incarnation, and against one that is given up although the next
+ * incarnation has it or may still start it.
+ */
+START_TEST(test_runs_end_with_their_incarnation)
+{
+	static const struct {
+		const char *name;
+		bool resent; /* the start was sent twice */
+		bool repeated; /* an earlier agent process may have called it */
+		bool listed; /* the next incarnation has the run */
+		bool ended; /* the same, but it has ended there */
+		uint32_t nr_lost;
+	} cases[] = {
+		{ .name = "confirmed", .nr_lost = 1 },
+		{ .name = "resent", .resent = true },
+		{ .name = "repeated", .repeated = true },
+		{ .name = "listed", .listed = true },
+		{ .name = "ended", .ended = true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct flow_run run = { .task = TASK, .run = 1 };
+		struct flow_run_end end = {
+			.nr = 1, .task = TASK, .run = 1, .end = FLOW_END_DONE
+		};
+		struct exec_reply answer = fixture_done;
+		struct exec_reply list = answer_of_other;
+		struct fixture *fixture = fixture_ready(true);
+
+		answer.resent = cases[i].resent;
+		fixture->repeated = cases[i].repeated;
+		fixture_order(fixture, FLOW_START, 1, false, 0);
+		ck_assert(fixture_answer(fixture, EXEC_START, &answer, NULL));
+		fixture_run_ms(fixture, 20);
+		list.born_ms = 2;
+		list.runs = &run;
+		list.nr_runs = cases[i].listed;
+		list.ends = &end;
+		list.nr_ends = cases[i].ended;
+		fixture_heartbeat(fixture, 2, 1, false);
+		ck_assert(fixture_answer_last_poll(fixture, &list, NULL));
+		fixture_run_ms(fixture, 5);
+		ck_assert_uint_eq(fixture->report.worker.born_ms, 2);
+		ck_assert_msg(fixture->nr_lost == cases[i].nr_lost, "%s",
+			      cases[i].name);
+		fixture_free(fixture);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a start at a young worker that counts as confirmed, though the
+ * clock in its answer could be that of a later incarnation, and against one
+ * that is stopped because of that. The next list confirms it.
+ */
+START_TEST(test_start_at_young_worker)
+{
+	struct flow_run run = { .task = TASK, .run = 1 };
+	struct exec_reply list = { .verdict = EXEC_DONE,
+				   .clock_ms = 5,
+				   .born_ms = 1 };
+	struct exec_reply answer = { .verdict = EXEC_DONE, .clock_ms = 900 };
+	struct fixture *fixture = fixture_new();
+
+	fixture_heartbeat(fixture, 1, 1, false);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_grant(fixture, 0);
+	fixture_run_ms(fixture, 900);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &answer, NULL));
+	fixture_run_ms(fixture, 1000);
+	ck_assert_uint_eq(fixture->report.nr_runs, 1);
+	ck_assert_uint_gt(fixture->report.late_ms, 0);
+	ck_assert_uint_eq(fixture->nr_stops, 0);
+	ck_assert(!fixture->report.restart_seen);
+	list.clock_ms = 1905;
+	list.runs = &run;
+	list.nr_runs = 1;
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 1000);
+	ck_assert_uint_eq(fixture->report.nr_runs, 1);
+	ck_assert_uint_eq(fixture->report.late_ms, 0);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a run of a later incarnation that isn't stopped, if the answer
+ * to its start could have been of either one.
+ */
+START_TEST(test_start_at_young_worker_restarted)
+{
+	struct exec_reply list = { .verdict = EXEC_DONE,
+				   .clock_ms = 5,
+				   .born_ms = 1 };
+	struct exec_reply answer = { .verdict = EXEC_DONE, .clock_ms = 900 };
+	struct fixture *fixture = fixture_new();
+
+	fixture_heartbeat(fixture, 1, 1, false);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_grant(fixture, 0);
+	fixture_run_ms(fixture, 900);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &answer, NULL));
+	fixture_restart_worker(fixture, 2);
+	ck_assert_uint_eq(fixture->nr_stops, 1);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a restart under the same identity that is reported because a
+ * worker with another id has refused a call: its refusal has a clock, too. The
+ * leader would assume the longest lease for a worker that can't execute calls
+ * to the former one.
+ */
+START_TEST(test_refusal_of_other_id_is_no_restart)
+{
+	const struct exec_reply refused = { .verdict = EXEC_OTHER_INCARNATION,
+					    .clock_ms = 20 };
+	struct fixture *fixture = fixture_with_run();
+
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &refused, NULL));
+	fixture_run_ms(fixture, 5);
+	ck_assert(!fixture->report.reachable);
+	ck_assert(!fixture->report.restart_seen);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a restart that is refuted by a list which the former
+ * incarnation has answered before it ended. An agent that was frozen may read
+ * that answer after the one to a later call. The clock in the latter has gone
+ * back, which a clock that stands still doesn't do.
+ */
+START_TEST(test_earlier_list_refutes_no_restart)
+{
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+	struct fixture_call call = { 0 };
+
+	list.born_ms = 1;
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_grant(fixture, 7);
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert_uint_eq(fixture_open_polls(fixture), 1);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_START, &answer_of_other, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, 5);
+	ck_assert_uint_eq(fixture_open_polls(fixture), 1);
+	ck_assert(
+		fixture_answer(fixture, EXEC_POLL, &fixture_no_answer, &call));
+	ck_assert_msg(!call.settled_nr && !call.deadline_ms,
+		      "a poll acknowledges ends of the new incarnation");
+	ck_assert(fixture->report.restart_seen);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against ends of a new incarnation that are acknowledged, and a lease
+ * that is given to it, because it has refused a poll: a refusal names no
+ * incarnation, and one of an unhealthy worker has no clock.
+ */
+START_TEST(test_refused_poll_after_missed_one)
+{
+	const struct exec_reply refused = { .verdict = EXEC_REFUSED,
+					    .result = RESULT_OVERLOADED };
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+	struct fixture_call call = { 0 };
+
+	list.born_ms = 1;
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_grant(fixture, 7);
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_no_answer, NULL));
+	fixture_run_ms(fixture, POLL_FIRST_RETRY_MS + 5);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &refused, &call));
+	ck_assert_uint_eq(call.settled_nr, 0);
+	ck_assert_uint_eq(call.deadline_ms, 0);
+	fixture_run_ms(fixture, POLL_RETRY_MS + 5);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, &call));
+	ck_assert_msg(!call.settled_nr && !call.deadline_ms,
+		      "a poll acknowledges ends of a worker that may be new");
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against an acknowledgement in each poll though the worker lists no
+ * acknowledged end any more: a poll that waits for its answer while the worker
+ * is restarted drops ends of the new incarnation.
+ */
+START_TEST(test_no_acknowledgement_without_ends)
+{
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+	struct fixture_call call = { 0 };
+
+	list.born_ms = 1;
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_grant(fixture, 7);
+	for (uint32_t i = 0; i < 3; i++) {
+		fixture_run_ms(fixture, 20);
+		ck_assert(fixture_answer(fixture, EXEC_POLL, &list, &call));
+	}
+	ck_assert_uint_eq(call.settled_nr, 0);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner_life", test_stale_heartbeats,
 	   test_heartbeat_of_foreign_worker, test_refusal_without_incarnation,
 	   test_unanswered_candidate, test_later_candidate_goes_first,
@@ -985,4 +1357,13 @@
 	   test_stop_order_for_earlier_incarnation,
 	   test_late_time_of_start_in_flight_at_restart,
 	   test_late_time_of_resent_start, test_late_time_of_start_in_flight,
-	   test_answered_fence_after_restart)
+	   test_answered_fence_after_restart,
+	   test_start_answered_on_other_clock,
+	   test_list_names_later_incarnation, test_clock_stands_still,
+	   test_list_names_later_incarnation, test_clock_stands_still,
+	   test_list_from_before_restart, test_runs_end_with_their_incarnation,
+	   test_start_at_young_worker, test_start_at_young_worker_restarted,
+	   test_refusal_of_other_id_is_no_restart,
+	   test_earlier_list_refutes_no_restart,
+	   test_refused_poll_after_missed_one,
+	   test_no_acknowledgement_without_ends)
