--- a/tests/executor_standin.c
+++ b/tests/executor_standin.c
@@ -25,7 +25,11 @@
  * with the same name at the same address. With --restart-ms the next
  * incarnation starts after that time, and the listening socket stays open
  * meanwhile: calls wait there and reach the next incarnation before it sends a
- * heartbeat, like connection attempts that are sent again.
+ * heartbeat, like connection attempts that are sent again. --first-heartbeat-ms
+ * sets the time from its start to its first heartbeat. --waiting-calls sets
+ * what becomes of the calls that waited, which are executed in any case:
+ * "answered", "held" (no answer, the connection stays open) or "closed" (no
+ * answer, the connection is closed).
  */
 
 #include <fcntl.h>
@@ -46,6 +50,8 @@
 #define HEARTBEAT_MS 300
 /* Delay of the first heartbeat if calls may have waited for the restart. */
 #define RESTART_HEARTBEAT_MS 100
+/* Calls that arrive within this time of the start have waited for it. */
+#define WAITED_MS 50
 #define TICK_MS 10
 /* Delay after which an unanswered call may still be carried out. */
 #define LATE_MIN_MS 2000
@@ -78,7 +84,9 @@
 	gboolean cut; /* cut off from its agent after SIGUSR2 */
 	/* Time between two incarnations, 0: its address refuses connections */
 	gint restart_ms;
+	gint first_heartbeat_ms; /* after a restart with restart_ms */
 	gint listen_fd; /* inherited listening socket, -1: none */
+	const struct waiting_ops *waiting;
 	GRand *random;
 	gint64 unhealthy_until_us;
 	gint64 silent_until_us;
@@ -95,6 +103,12 @@
 	GPtrArray *holds; /* struct hold * */
 };
 
+/* What becomes of a call that waited for the restart and was executed. */
+struct waiting_ops {
+	const char *name; /* value of --waiting-calls */
+	void (*leave_unanswered)(SoupServerMessage *msg); /* NULL: answered */
+};
+
 struct run {
 	char *task;
 	uint64_t nr;
@@ -201,16 +215,14 @@
 
 /* ---- answers ---- */
 
+/* Of the answers, only lists name the incarnation (born). */
 static char *answer_text(const struct standin *standin, const char *reason)
 {
 	return reason ? g_strdup_printf("{\"serverTimeMs\":%" PRIu64
-					",\"born\":%" PRIu64
 					",\"reason\":\"%s\"}",
-					clock_ms(standin), standin->born_ms,
-					reason) :
-			g_strdup_printf("{\"serverTimeMs\":%" PRIu64
-					",\"born\":%" PRIu64 "}",
-					clock_ms(standin), standin->born_ms);
+					clock_ms(standin), reason) :
+			g_strdup_printf("{\"serverTimeMs\":%" PRIu64 "}",
+					clock_ms(standin));
 }
 
 static void send_answer(SoupServerMessage *msg, guint status, char *text)
@@ -220,6 +232,13 @@
 					 SOUP_MEMORY_TAKE, text, strlen(text));
 }
 
+/* Refuses a call with one of the two statuses of an unhealthy worker. */
+static void refuse_unhealthy(struct standin *standin, SoupServerMessage *msg)
+{
+	send_answer(msg, g_rand_boolean(standin->random) ? 429 : 503,
+		    answer_text(standin, NULL));
+}
+
 #define OPEN10 "[[[[[[[[[["
 #define CLOSE10 "]]]]]]]]]]"
 
@@ -495,17 +514,51 @@
 	return true;
 }
 
+static void close_connection(SoupServerMessage *msg)
+{
+	GIOStream *stream = soup_server_message_steal_connection(msg);
+
+	g_io_stream_close(stream, NULL, NULL);
+	g_object_unref(stream);
+}
+
 static void reset_connection(SoupServerMessage *msg)
 {
 	GSocket *socket = soup_server_message_get_socket(msg);
 	struct linger linger = { .l_onoff = 1 };
-	GIOStream *stream;
 
 	setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &linger,
 		   sizeof(linger));
-	stream = soup_server_message_steal_connection(msg);
-	g_io_stream_close(stream, NULL, NULL);
-	g_object_unref(stream);
+	close_connection(msg);
+}
+
+static const struct waiting_ops waiting_ops[] = {
+	{ .name = "answered" },
+	{ .name = "held", .leave_unanswered = soup_server_message_pause },
+	{ .name = "closed", .leave_unanswered = close_connection },
+};
+
+static const struct waiting_ops *waiting_find(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(waiting_ops); i++)
+		if (!strcmp(waiting_ops[i].name, name))
+			return &waiting_ops[i];
+	return NULL;
+}
+
+/*
+ * Executes a call that has waited for the restart, if such calls get no answer.
+ * Returns false if the call is to be handled as usual.
+ */
+static bool execute_waiting(struct standin *standin, SoupServerMessage *msg,
+			    const char *path, JsonObject *call)
+{
+	if (standin->listen_fd < 0 || !standin->waiting->leave_unanswered ||
+	    clock_ms(standin) > WAITED_MS)
+		return false;
+	order_execute(standin, path, call, false);
+	standin->waiting->leave_unanswered(msg);
+	return true;
 }
 
 /*
@@ -524,7 +577,7 @@
 			      json_object_get_string_member(call, "task"),
 			      json_object_get_int_member(call, "run"));
 	if (g_hash_table_remove(standin->resets, key)) {
-		send_answer(msg, 503, g_strdup("{}"));
+		refuse_unhealthy(standin, msg);
 		g_free(key);
 		return true;
 	}
@@ -553,7 +606,7 @@
 		return false;
 	draw = g_rand_int_range(standin->random, 0, 100);
 	if (draw < UNHEALTHY_REFUSED_PERCENT) {
-		send_answer(msg, 503, g_strdup("{}"));
+		refuse_unhealthy(standin, msg);
 		return true;
 	}
 	if (draw >= UNHEALTHY_REFUSED_PERCENT + UNHEALTHY_RESET_PERCENT)
@@ -598,6 +651,17 @@
 	g_ptr_array_set_size(standin->holds, 0);
 }
 
+/* Returns true if the call names another worker than this one. */
+static bool is_misdirected(const struct standin *standin,
+			   SoupServerMessage *msg)
+{
+	const char *target = soup_message_headers_get_one(
+		soup_server_message_get_request_headers(msg),
+		"X-Masticreach-Target-Instance");
+
+	return target && strcmp(target, standin->name) != 0;
+}
+
 static void on_call(SoupServer *server, SoupServerMessage *msg,
 		    const char *path, GHashTable *query, gpointer data)
 {
@@ -609,10 +673,16 @@
 
 	if (!json_parser_load_from_data(parser, body->data,
 					(gssize)body->length, NULL)) {
-		send_answer(msg, 400, g_strdup("{}"));
+		send_answer(msg, 400, answer_text(standin, NULL));
 		goto out;
 	}
 	call = json_node_get_object(json_parser_get_root(parser));
+	if (!is_cut_off(standin) && is_misdirected(standin, msg)) {
+		send_answer(msg, 421, answer_text(standin, NULL));
+		goto out;
+	}
+	if (execute_waiting(standin, msg, path, call))
+		goto out;
 	if (!is_cut_off(standin) &&
 	    g_rand_int_range(standin->random, 0, 100) < standin->late_percent) {
 		soup_server_message_pause(msg);
@@ -703,6 +773,8 @@
 
 	if (is_cut_off(standin))
 		return G_SOURCE_CONTINUE;
+	if (!standin->seq)
+		journal_event(standin, "first-heartbeat", "-", 0);
 	if (g_rand_int_range(standin->random, 0, 100) <
 	    standin->malformed_percent)
 		post_heartbeat(standin,
@@ -840,8 +912,12 @@
 
 int main(int argc, char **argv)
 {
-	static struct standin standin = { .listen_fd = -1 };
+	static struct standin standin = {
+		.listen_fd = -1,
+		.first_heartbeat_ms = RESTART_HEARTBEAT_MS,
+	};
 	bool inherits;
+	char *waiting = NULL;
 	char *port_file = NULL;
 	char *journal = NULL;
 	GOptionEntry entries[] = {
@@ -865,6 +941,9 @@
 		{ "silent-ms", 0, 0, G_OPTION_ARG_INT, &standin.silent_ms },
 		{ "cut", 0, 0, G_OPTION_ARG_NONE, &standin.cut },
 		{ "restart-ms", 0, 0, G_OPTION_ARG_INT, &standin.restart_ms },
+		{ "first-heartbeat-ms", 0, 0, G_OPTION_ARG_INT,
+		  &standin.first_heartbeat_ms },
+		{ "waiting-calls", 0, 0, G_OPTION_ARG_STRING, &waiting },
 		{ "listen-fd", 0, 0, G_OPTION_ARG_INT, &standin.listen_fd },
 		{ NULL },
 	};
@@ -876,6 +955,9 @@
 	    !standin.name || !standin.agent || !standin.zone || !journal ||
 	    !port_file)
 		return 2;
+	standin.waiting = waiting_find(waiting ? waiting : "answered");
+	if (!standin.waiting)
+		return 2;
 	inherits = standin.listen_fd >= 0;
 	/* The worker doesn't exist between its incarnations. */
 	if (inherits)
@@ -902,7 +984,7 @@
 	g_unix_signal_add(SIGTERM, on_lost, &standin);
 	g_timeout_add(TICK_MS, on_tick, &standin);
 	/* After a restart, calls arrive before the first heartbeat is sent. */
-	g_timeout_add(inherits ? RESTART_HEARTBEAT_MS :
+	g_timeout_add(inherits ? (guint)standin.first_heartbeat_ms :
 				 (guint)g_random_int_range(1, HEARTBEAT_MS),
 		      on_first_heartbeat, &standin);
 	g_main_loop_run(standin.loop);
