Show a lasting task that waits anew with each new leader

The record of a start without an answer (struct flow_worker) doesn't say when the start was called. inherited_late_us() counts 12 s from the new leader's term each time, and the longest lease after that, so that every change of the leader within that time prolongs the wait, without a bound (LOST).

--- a/tests/test_flow_lost.c
+++ b/tests/test_flow_lost.c
@@ -18,6 +18,8 @@
 #define LIMIT_MS 60000 /* end of the wait for a start that never comes */
 /* From the end of the lease to the placement elsewhere, issue 33. */
 #define RECOVERY_MAX_MS 2000
+#define LEADER_DOWN_MS 1000
+#define LEADER_START_MS 2000 /* until another replica leads, at most */
 
 /* Runs a lasting workflow of NR_TASKS tasks, at most three on a VM. */
 static struct flow_world *world_with_tasks(uint64_t seed)
@@ -285,7 +287,76 @@
 }
 END_TEST
 
-SUITE_MAIN("flow_lost", test_gone_worker_beside_silent_one,
-	   test_lost_run_avoids_silent_worker, test_gone_worker_was_silent,
-	   test_ended_agent_beside_silent_worker,
-	   test_new_leader_beside_silent_worker, test_gone_after_restart)
+/* Replaces the leader; the former one comes back as a follower. */
+static void change_leader(struct flow_world *fw)
+{
+	struct world_control *host = world_leader_host(fw->base);
+
+	ck_assert_ptr_nonnull(host);
+	world_kill_control(host);
+	flow_world_run_ms(fw, LEADER_DOWN_MS);
+	world_boot_control(host);
+}
+
+/*
+ * Guards against a lasting task that waits ever longer for a start without an
+ * answer: the record of the start doesn't say when it was called, so each new
+ * leader counts WORKER_CALL_MAX_DELAY_MS from the begin of its own term (LOST,
+ * 38 s in flow_random, seed 142 of silent). The first new leader's time is
+ * enough.
+ */
+START_TEST(test_unanswered_start_known_to_former_leaders)
+{
+	struct flow_world *fw = flow_world_new(1);
+	struct flow_step step = { .count = FLOW_WORLD_VMS,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .lasting = true,
+				  .max_per_vm = 2 };
+	struct fw_vm *vm = &fw->vms[0];
+	uint64_t until_us;
+
+	fw->lasting = "aa";
+	vm->lose_ppm = 1000000;
+	flow_world_submit(fw, "aa", &step, 1);
+	flow_world_run_ms(fw, 1000);
+	ck_assert_uint_eq(fw_running(fw), FLOW_WORLD_VMS - 1);
+	/* The calls that are late are lost. */
+	fw_crash_worker(vm);
+	change_leader(fw);
+	until_us = sim_now_us(fw->base->sim) +
+		   (WORKER_CALL_MAX_DELAY_MS + WORLD_WORKER_LEASE_MS +
+		    FLOW_LEASE_MARGIN_MS + LEADER_START_MS + RECOVERY_MAX_MS) *
+			   1000ull;
+	flow_world_run_ms(fw, 8000);
+	change_leader(fw);
+	flow_world_run_ms(fw, 8000);
+	change_leader(fw);
+	while (sim_now_us(fw->base->sim) < until_us)
+		flow_world_run_ms(fw, 20);
+	ck_assert_uint_eq(fw_running(fw), FLOW_WORLD_VMS);
+	flow_world_free(fw);
+}
+END_TEST
+
+/* The case former_leaders is known as red; CK_RUN_CASE selects. */
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_gone_worker_beside_silent_one,
+		test_lost_run_avoids_silent_worker,
+		test_gone_worker_was_silent,
+		test_ended_agent_beside_silent_worker,
+		test_new_leader_beside_silent_worker,
+		test_gone_after_restart,
+	};
+	const TTest *const former_leaders[] = {
+		test_unanswered_start_known_to_former_leaders
+	};
+	Suite *suite = suite_create("flow_lost");
+
+	suite_add_case(suite, "flow_lost", tests, G_N_ELEMENTS(tests));
+	suite_add_case(suite, "former_leaders", former_leaders,
+		       G_N_ELEMENTS(former_leaders));
+	return suite_run_all(suite);
+}
