--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -159,14 +159,6 @@
 	struct site *site;
 	struct worker_incarnation worker; /* the current one, id "": none */
 	char address[ADDRESS_BYTES]; /* of the current worker */
-	/*
-	 * An answer has shown that another incarnation with the worker's id is
-	 * running. Until a list that was requested after that names the current
-	 * one, or a candidate takes its place, no call has a deadline, and
-	 * answers that name no incarnation don't count.
-	 */
-	bool restart_seen;
-	uint64_t restart_seen_nr; /* number of the last call before that */
 	uint64_t worker_seq; /* number of the last accepted heartbeat */
 	uint64_t stale_seq; /* number of the last stale heartbeat, 0: none */
 	uint32_t stale_increases; /* stale heartbeats in a row, seq rising */
@@ -205,7 +197,15 @@
 	 */
 	bool in_contact;
 	uint32_t missed_polls; /* polls missed in a row */
+	/*
+	 * An answer has shown that another incarnation with the worker's id is
+	 * running. Until a list that was requested after that names the current
+	 * one, or a candidate takes its place, no call has a deadline, and
+	 * answers that name no incarnation don't count.
+	 */
+	bool restart_seen;
 	bool listed; /* this incarnation's runs were listed at least once */
+	uint64_t restart_seen_nr; /* last call before restart_seen was set */
 	uint64_t settled_nr; /* number of the last acknowledged end */
 	uint64_t first_listed_nr; /* of the ends in the last list, 0: none */
 	uint32_t nr_unreadable_ends; /* unreadable ends in the last list */
