Call waiting starts and stops by urgency, not by order

The agent called what waited in the order in which it came, starts before stops, and each start without an answer passed its call on to its own stop at once.

An order now says for how long its start may yield to later ones: not at all for lasting tasks, 2 to 6 s by priority for others. The agent calls waiting starts and stops by the time of the order plus this time (runner_queue.c), so urgent ones pass and nothing waits for ever. Those that yield to others hold 20 of the 24 calls at most, because at a worker that leaves calls unanswered they hold a call until its time limit. The orders of one message are sorted together with what waits already, so the leader needn't order its messages. Orders of a leader without the field yield to none, which is the order so far.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -8659,7 +8659,7 @@
   (ProtobufCMessageInit) masticreach__flow_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_order__field_descriptors[12] =
+static const ProtobufCFieldDescriptor masticreach__flow_order__field_descriptors[13] =
 {
   {
     "action",
@@ -8805,6 +8805,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "yield_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowOrder, yield_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__flow_order__field_indices_by_name[] = {
   0,   /* field[0] = action */
@@ -8819,11 +8831,12 @@
   8,   /* field[8] = target_ms */
   1,   /* field[1] = task */
   9,   /* field[9] = ticket */
+  12,   /* field[12] = yield_ms */
 };
 static const ProtobufCIntRange masticreach__flow_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_order__descriptor =
 {
@@ -8833,7 +8846,7 @@
   "Masticreach__FlowOrder",
   "masticreach",
   sizeof(Masticreach__FlowOrder),
-  12,
+  13,
   masticreach__flow_order__field_descriptors,
   masticreach__flow_order__field_indices_by_name,
   1,  masticreach__flow_order__number_ranges,
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -824,10 +824,11 @@
   char *ticket;
   protobuf_c_boolean repeated;
   uint64_t fence;
+  uint32_t yield_ms;
 };
 #define MASTICREACH__FLOW_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_order__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Masticreach__FlowOrders
--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -171,12 +171,12 @@
 	run->target_ms = order->target_ms;
 	run->image = pressure_image(runner->pressure, order->image);
 	run->cpu_millis = order->cpu_millis;
+	run->yield_ms = order->yield_ms;
 	if (known)
 		return;
 	run->spec = order->spec ? g_bytes_ref(order->spec) : NULL;
 	TEXT_SET(run->checkpoint, order->checkpoint);
 	TEXT_SET(run->ticket, order->ticket);
-	runner_start_paced(runner, run);
 }
 
 static void runner_on_stop(struct runner *runner,
@@ -242,6 +242,8 @@
 	current =
 		runner_has_worker(runner) &&
 		runner_is_incarnation(runner, orders->worker, orders->born_ms);
+	/* The place of an order in the message doesn't decide its turn. */
+	runner->calls_deferred = true;
 	for (uint32_t i = 0; i < orders->nr_orders; i++) {
 		const struct flow_order *order = &orders->orders[i];
 
@@ -253,6 +255,7 @@
 		else
 			runner_on_stop(runner, order);
 	}
+	runner_queue_due(runner, runner->node->now_us);
 }
 
 /* ---- the role ---- */
@@ -382,8 +385,8 @@
 		g_array_new(FALSE, FALSE, sizeof(struct runner_late_start));
 	runner->report_timer = (struct timer){ runner_report, runner };
 	runner->poll_timer = (struct timer){ runner_poll_due, runner };
-	runner->run_timer = (struct timer){ runner_run_due, runner };
-	runner->start_timer = (struct timer){ runner_start_due, runner };
+	runner->run_timer = (struct timer){ runner_queue_due, runner };
+	runner->start_timer = (struct timer){ runner_queue_due, runner };
 	runner->leaving_timer = (struct timer){ runner_leaving_due, runner };
 	runner->site = site_new(node, &site_opts);
 	node_set_role(node, &runner_role, runner);
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -41,6 +41,7 @@
 	enum runner_phase phase;
 	bool ordered; /* an order of the leader for this run was received */
 	uint64_t order_fence; /* fencing token of the last start order */
+	uint32_t yield_ms; /* of its start order, 0: no order was received */
 	bool wait_logged; /* the wait of the start was logged */
 	/*
 	 * The worker may carry out another start call for the run: one of an
@@ -109,6 +110,7 @@
 	bool extends_lease; /* the call has a new deadline for the lease */
 	uint64_t lease_until_us; /* end of that lease by the agent's clock */
 	uint64_t deadline_ms; /* the same by the worker's clock, 0: none */
+	bool yields; /* a start or stop of a run with a yield_ms above 0 */
 	char task[NAME_BYTES]; /* "" for EXEC_POLL */
 	uint32_t run;
 	uint32_t percent; /* EXEC_PACE: the new pace */
@@ -212,7 +214,9 @@
 	GArray *late_starts; /* struct runner_late_start, one a task */
 	GHashTable *calls; /* call_nr -> struct runner_call * */
 	uint64_t call_nr; /* number of the last call */
-	bool calls_deferred; /* runner_may_call() has returned false */
+	bool calls_deferred; /* starts or stops may wait for a free call */
+	uint32_t yielding_calls; /* calls in flight with runner_call.yields */
+	bool queue_running; /* in runner_queue_due() */
 	bool poll_in_flight;
 	uint64_t report_seq; /* sequence number of the last report */
 	struct pressure *pressure; /* weights, as sent by the leader */
@@ -220,8 +224,8 @@
 	struct runner_trace trace;
 	struct timer report_timer;
 	struct timer poll_timer; /* the next poll */
-	struct timer run_timer; /* repeats stop calls */
-	struct timer start_timer; /* repeats delayed starts */
+	struct timer run_timer; /* calls and repeats waiting stops and starts */
+	struct timer start_timer; /* starts that wait for headroom */
 	struct timer leaving_timer; /* probes of a deregistered worker */
 };
 
@@ -269,10 +273,20 @@
  * handles it as failed if the worker drains or the lease is too short.
  */
 void runner_start(struct runner *runner, struct runner_run *run);
-/** Marks the run to be stopped, and calls the stop if it is due. */
+/** Marks the run to be stopped, and calls the stop or defers it. */
 void runner_stop(struct runner *runner, struct runner_run *run);
-/** Timer function: repeats stop calls that had no answer or were deferred. */
-void runner_run_due(void *data, uint64_t now_us);
+
+/* runner_queue.c */
+/**
+ * Returns false if the run's start or stop must wait, because too many calls
+ * are in flight or others wait that may be more urgent. It is then called in
+ * its turn when a call has ended.
+ */
+bool runner_is_turn(struct runner *runner, const struct runner_run *run);
+/** Timer function: calls the starts and stops that are due, in their order. */
+void runner_queue_due(void *data, uint64_t now_us);
+/** Has the waiting starts and stops called if a call is free. */
+void runner_call_deferred(struct runner *runner);
 
 /* runner_worker.c */
 bool runner_has_worker(const struct runner *runner);
@@ -306,10 +320,9 @@
 void runner_expire_calls(struct runner *runner);
 /**
  * Returns false if RUNNER_CALLS_MAX calls, besides polls, are in flight. Starts
- * and stops that were deferred for this reason are called when a call has
- * ended.
+ * and stops that have to wait take their turn with runner_is_turn().
  */
-bool runner_may_call(struct runner *runner);
+bool runner_may_call(const struct runner *runner);
 /**
  * Applies a leader's token. If it raises the token of calls, the agent's count
  * begins at 0 again.
@@ -321,8 +334,9 @@
  * the token stays as it is until the leader raises its own.
  */
 void runner_bar_earlier_calls(struct runner *runner);
-/** Calls the current worker. */
-void runner_call(struct runner *runner, struct exec_call *call);
+/** Calls the current worker. @a run is the run to start or stop, or NULL. */
+void runner_call(struct runner *runner, const struct runner_run *run,
+		 struct exec_call *call);
 /**
  * Probes a worker without extending its lease or acknowledging ends.
  * @a candidate_nr is the number of the probed candidate, else 0.
@@ -390,8 +404,6 @@
  * (those with a target for their tail latency) have headroom for this pace.
  */
 void runner_start_paced(struct runner *runner, struct runner_run *run);
-/** Timer function: starts the waiting runs that can be started now. */
-void runner_start_due(void *data, uint64_t now_us);
 /** Adjusts the fillers' pace to the measurements in the last list. */
 void runner_pace(struct runner *runner);
 void runner_pace_done(struct runner *runner, const struct runner_call *call,
--- a/src/core/agent/runner_pace.c
+++ b/src/core/agent/runner_pace.c
@@ -161,7 +161,7 @@
 	call.percent = percent;
 	run->pace_call_pending = true;
 	counter_add(runner->node->counters, "pace_calls", 1);
-	runner_call(runner, &call);
+	runner_call(runner, NULL, &call);
 }
 
 /*
@@ -401,24 +401,6 @@
 			      PACE_START_STEP_MS);
 }
 
-void runner_start_due(void *data, uint64_t now_us)
-{
-	struct runner *runner = data;
-	GPtrArray *runs = g_ptr_array_new();
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, runner->runs);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((struct runner_run *)value)->phase == RUNNER_NEW)
-			g_ptr_array_add(runs, value);
-	g_ptr_array_sort(runs, runner_compare_runs);
-	/* Each start reduces the headroom for the starts after it. */
-	for (guint i = 0; i < runs->len; i++)
-		runner_start_paced(runner, runs->pdata[i]);
-	g_ptr_array_unref(runs);
-}
-
 void runner_pace_done(struct runner *runner, const struct runner_call *call,
 		      const struct exec_reply *reply)
 {
--- a/src/core/agent/runner_run.c
+++ b/src/core/agent/runner_run.c
@@ -156,7 +156,7 @@
 		runner_start_failed(runner, run, RESULT_LEASE_EXPIRED);
 		return;
 	}
-	if (!runner_may_call(runner)) {
+	if (!runner_is_turn(runner, run)) {
 		runner_log_start_wait(runner, run, "calls");
 		return; /* the run stays in RUNNER_NEW */
 	}
@@ -167,13 +167,15 @@
 	call.ticket = run->ticket;
 	runner_set_phase(runner, run, RUNNER_STARTING);
 	counter_add(runner->node->counters, "starts_called", 1);
-	runner_call(runner, &call);
+	runner_call(runner, run, &call);
 }
 
 void runner_stop(struct runner *runner, struct runner_run *run)
 {
 	struct exec_call call = { .kind = EXEC_STOP };
 
+	if (!run->stop)
+		run->stop_due_us = runner->node->now_us;
 	run->stop = true;
 	if (run->phase == RUNNER_NEW && !run->repeated) {
 		runner_drop(runner, run, RESULT_CANCELLED);
@@ -182,37 +184,11 @@
 	if (run->phase == RUNNER_NEW)
 		runner_set_phase(runner, run, RUNNER_UNCONFIRMED);
 	if (run->stop_call_pending || run->stopped_us ||
-	    run->phase == RUNNER_STARTING || !runner_may_call(runner))
+	    run->phase == RUNNER_STARTING || !runner_is_turn(runner, run))
 		return;
 	call.task = run->task;
 	call.run = run->run;
 	run->stop_call_pending = true;
 	counter_add(runner->node->counters, "stops_called", 1);
-	runner_call(runner, &call);
-}
-
-void runner_run_due(void *data, uint64_t now_us)
-{
-	struct runner *runner = data;
-	GPtrArray *stops = g_ptr_array_new();
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, runner->runs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct runner_run *run = value;
-
-		if (run->stop && !run->stopped_us && !run->stop_call_pending)
-			g_ptr_array_add(stops, value);
-	}
-	/* runner_stop() may remove the run from the table iterated above. */
-	for (guint i = 0; i < stops->len; i++) {
-		struct runner_run *run = stops->pdata[i];
-
-		if (run->stop_due_us <= now_us)
-			runner_stop(runner, run);
-	}
-	if (stops->len)
-		node_timer_ms(runner->node, &runner->run_timer, STOP_REPEAT_MS);
-	g_ptr_array_unref(stops);
+	runner_call(runner, run, &call);
 }
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -51,24 +51,11 @@
 	return (uint32_t)((until_us - now_us) / 1000);
 }
 
-bool runner_may_call(struct runner *runner)
+bool runner_may_call(const struct runner *runner)
 {
-	if (g_hash_table_size(runner->calls) - runner->poll_in_flight -
-		    runner->probes_in_flight <
-	    RUNNER_CALLS_MAX)
-		return true;
-	runner->calls_deferred = true;
-	return false;
-}
-
-/* Makes the starts and stops that runner_may_call() has deferred. */
-static void runner_call_deferred(struct runner *runner)
-{
-	if (!runner->calls_deferred || !runner_may_call(runner))
-		return;
-	runner->calls_deferred = false;
-	node_timer_ms(runner->node, &runner->start_timer, 0);
-	node_timer_ms(runner->node, &runner->run_timer, 0);
+	return g_hash_table_size(runner->calls) - runner->poll_in_flight -
+		       runner->probes_in_flight <
+	       RUNNER_CALLS_MAX;
 }
 
 G_STATIC_ASSERT((uint64_t)
@@ -125,11 +112,16 @@
 	runner->opts.host->call(runner->opts.host_ctx, pending->call_nr, call);
 }
 
-void runner_call(struct runner *runner, struct exec_call *call)
+void runner_call(struct runner *runner, const struct runner_run *run,
+		 struct exec_call *call)
 {
+	struct runner_call *pending = g_new0(struct runner_call, 1);
+
 	call->address = runner->address;
 	call->worker_id = runner->worker.id;
-	runner_send(runner, g_new0(struct runner_call, 1), call);
+	pending->yields = run && run->yield_ms;
+	runner->yielding_calls += pending->yields;
+	runner_send(runner, pending, call);
 }
 
 void runner_probe(struct runner *runner, enum runner_probe_kind kind,
@@ -192,7 +184,7 @@
 	    !runner->restart_seen && !runner_accepts_earlier_calls(runner))
 		call.wait_ms = runner_needs_pacing(runner) ? POLL_WAIT_PACE_MS :
 							     POLL_WAIT_MS;
-	runner_call(runner, &call);
+	runner_call(runner, NULL, &call);
 }
 
 void runner_poll_due(void *data, uint64_t now_us)
@@ -306,7 +298,7 @@
 		counter_add(runner->node->counters, "stops_called", 1);
 		runner_log_run(runner, "task-stopping", seen->task, seen->run,
 			       "superseded", RESULT_OK);
-		runner_call(runner, &call);
+		runner_call(runner, NULL, &call);
 	}
 	return true;
 }
@@ -615,6 +607,7 @@
 	if (!call)
 		return;
 	g_hash_table_steal(runner->calls, &call_nr);
+	runner->yielding_calls -= call->yields;
 	runner_trace_reply(runner, call, reply);
 	if (runner_is_misdirected(runner, call, reply))
 		runner_log_misdirected(runner, call, reply);
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -384,6 +384,11 @@
 	 * a lower token invalid.
 	 */
 	uint64_t fence;
+	/**
+	 * For how long the start may wait at its agent in favour of calls that
+	 * came later.
+	 */
+	uint32_t yield_ms;
 };
 
 struct flow_orders {
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -220,6 +220,7 @@
 	F_STRING(flow_order, image),	  F_U32(flow_order, cpu_millis),
 	F_U32(flow_order, target_ms),	  F_STRING(flow_order, ticket),
 	F_BOOL(flow_order, repeated),	  F_U64(flow_order, fence),
+	F_U32(flow_order, yield_ms),
 };
 static SCHEMA(flow_order_schema, "FlowOrder", flow_order, flow_order_fields);
 
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -250,6 +250,26 @@
  * lease, never waits for a connection.
  */
 #define RUNNER_CALLS_MAX 24
+/*
+ * So many of them are kept from starts and stops that yield to others. At a
+ * worker that leaves calls unanswered, starts of a large batch step would soon
+ * hold all calls until their time limit.
+ */
+#define RUNNER_CALLS_RESERVED 4
+/*
+ * A start that waits for a free call lets those pass that are more urgent and
+ * were ordered at most this much later: the step for each priority, and the
+ * maximum. Lasting tasks yield to none. As the time is limited, no start waits
+ * for ever, however many urgent ones follow it.
+ */
+#define FLOW_START_YIELD_STEP_MS 2000
+#define FLOW_START_YIELD_MAX_MS 6000
+/*
+ * The same for stops of tasks that don't last. They go before most starts: a
+ * stop makes room, and after a start without an answer its task can't be placed
+ * again before the stop.
+ */
+#define RUNNER_STOP_YIELD_MS 1000
 /*
  * Maximum number of probes in flight, each of which ends within 300 ms. Probes
  * are sent to candidates: incarnations or addresses of the worker that
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -63,6 +63,23 @@
 	node_log(flows->control->node, line);
 }
 
+/*
+ * Returns for how long a start may yield to more urgent ones: the urgency is
+ * that of placements, but lasting tasks go first whatever their priority is, as
+ * each second without a run is lost.
+ */
+static uint32_t flow_start_yield_ms(const struct flow_placement *placed)
+{
+	uint32_t steps =
+		MIN(placed->flow->record.priority,
+		    FLOW_START_YIELD_MAX_MS / FLOW_START_YIELD_STEP_MS);
+
+	if (placed->step->lasting)
+		return 0;
+	return MIN((steps + 1) * FLOW_START_YIELD_STEP_MS,
+		   FLOW_START_YIELD_MAX_MS);
+}
+
 void control_flow_order_start(struct control_flow *flows,
 			      struct flow_placement *placed)
 {
@@ -99,6 +116,7 @@
 	order.target_ms = placed->step->target_ms;
 	TEXT_SET(order.image, placed->step->image);
 	order.cpu_millis = placed->step->cpu_millis;
+	order.yield_ms = flow_start_yield_ms(placed);
 	/* The next grant brings the agent the weights for the new run. */
 	placed->vm->grant_due = true;
 	counter_add(flows->control->node->counters, "start_orders", 1);
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -54,6 +54,7 @@
 	struct fixture *fixture = ctx;
 	struct fixture_call call = { .nr = call_nr, .kind = from->kind };
 
+	TEXT_SET(call.task, from->task ? from->task : "");
 	call.run = from->run;
 	call.deadline_ms = from->deadline_ms;
 	call.fence = from->fence;
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -43,6 +43,7 @@
 struct fixture_call {
 	uint64_t nr;
 	enum exec_call_kind kind;
+	char task[NAME_BYTES];
 	uint32_t run;
 	uint64_t deadline_ms;
 	uint64_t fence;
--- a/tests/test_flow_lost.c
+++ b/tests/test_flow_lost.c
@@ -14,6 +14,11 @@
 #include "suite.h"
 
 #define NR_TASKS 6
+/* The batch step, and when it comes: the VM is given up 0.3 to 1 s later. */
+#define NR_BATCH 600
+#define BATCH_AFTER_MS 3800
+#define BATCH_RUN_MS 60000
+#define BATCH_LOSE_PPM 400000 /* as of workers that are silent in the soak */
 #define SILENT_PPM 500000 /* share of calls without an answer */
 #define LIMIT_MS 60000 /* end of the wait for a start that never comes */
 /* From the end of the lease to the placement elsewhere, issue 33. */
@@ -285,7 +290,78 @@
 }
 END_TEST
 
+/* Returns true if each of the tasks runs at a worker. */
+static bool both_run(const struct flow_world *fw, char tasks[2][NAME_BYTES])
+{
+	uint32_t nr = 0;
+
+	for (uint32_t i = 0; i < 2; i++)
+		for (uint32_t j = 0; j < FLOW_WORLD_VMS; j++)
+			nr += fw_runs(&fw->vms[j], tasks[i]);
+	return nr == 2;
+}
+
+/* Returns true if the start of one of the tasks waits for a free call. */
+static bool start_waits(const struct flow_world *fw, char tasks[2][NAME_BYTES])
+{
+	for (uint32_t i = 0; i < 2; i++)
+		for (uint32_t j = 0; j < FLOW_WORLD_VMS; j++) {
+			const struct runner_run *run =
+				fw->vms[j].runner ?
+					g_hash_table_lookup(
+						fw->vms[j].runner->runs,
+						tasks[i]) :
+					NULL;
+
+			if (run && run->phase == RUNNER_NEW)
+				return true;
+		}
+	return false;
+}
+
+/*
+ * Guards against a lost task whose start waits behind those of a large batch
+ * step, at workers that leave calls unanswered (LOST in the soak: 3.1 s of the
+ * 9 s). If batch starts may hold all calls, a call is free only when the time
+ * limit of one has passed, and each start in a row waits for that again.
+ */
+START_TEST(test_lost_run_beside_batch_starts)
+{
+	struct flow_step step = { .count = NR_BATCH,
+				  .cpu_millis = 10,
+				  .memory_mib = 10 };
+
+	for (uint64_t seed = 1; seed <= 8; seed++) {
+		struct flow_world *fw = world_with_tasks(seed);
+		struct fw_vm *vm = vm_with_two_runs(fw);
+		char tasks[2][NAME_BYTES];
+		uint32_t waited_ms = 0;
+		uint32_t spent_ms = 0;
+
+		tasks_of(vm, tasks);
+		fw->run_ms = BATCH_RUN_MS;
+		fw->overcommitted = true; /* it takes a run for 1,000 millis */
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+			fw->vms[i].lose_ppm = BATCH_LOSE_PPM;
+		fw_crash_worker(vm);
+		while (!both_run(fw, tasks) && spent_ms < LIMIT_MS) {
+			if (spent_ms == BATCH_AFTER_MS)
+				flow_world_submit(fw, "bb", &step, 1);
+			flow_world_run_ms(fw, 10);
+			spent_ms += 10;
+			waited_ms += start_waits(fw, tasks) ? 10 : 0;
+		}
+		ck_assert_uint_gt(spent_ms, BATCH_AFTER_MS);
+		ck_assert_msg(waited_ms <= FLOW_WORLD_CALL_LIMIT_MS,
+			      "seed %u: waited for %u ms of %u ms",
+			      (uint32_t)seed, waited_ms, spent_ms);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 SUITE_MAIN("flow_lost", test_gone_worker_beside_silent_one,
 	   test_lost_run_avoids_silent_worker, test_gone_worker_was_silent,
 	   test_ended_agent_beside_silent_worker,
-	   test_new_leader_beside_silent_worker, test_gone_after_restart)
+	   test_new_leader_beside_silent_worker, test_gone_after_restart,
+	   test_lost_run_beside_batch_starts)
--- a/tests/test_runner_start.c
+++ b/tests/test_runner_start.c
@@ -167,6 +167,195 @@
 }
 END_TEST
 
+/* Sends one start order each for @a nr tasks with the prefix. */
+static void fixture_order_starts(struct fixture *fixture, const char *prefix,
+				 uint32_t nr, uint32_t yield_ms)
+{
+	struct flow_order *many = g_new0(struct flow_order, nr);
+	struct flow_orders orders = { .term = 4,
+				      .born_ms = 1,
+				      .nr_orders = nr };
+
+	for (uint32_t i = 0; i < nr; i++) {
+		many[i].action = FLOW_START;
+		many[i].run = 1;
+		many[i].fence = fixture->fence;
+		many[i].yield_ms = yield_ms;
+		g_snprintf(many[i].task, NAME_BYTES, "%s.0.0.%u", prefix, i);
+	}
+	TEXT_SET(orders.worker, "w");
+	orders.orders = many;
+	fixture_message(fixture, MSG_FLOW_ORDERS, &orders);
+	g_free(many);
+}
+
+/* Returns true if the last call but polls is of this kind, for the task. */
+static bool fixture_last_call_is(const struct fixture *fixture,
+				 enum exec_call_kind kind, const char *task)
+{
+	const struct fixture_call *last = NULL;
+
+	for (guint i = 0; i < fixture->calls->len; i++) {
+		const struct fixture_call *call =
+			&g_array_index(fixture->calls, struct fixture_call, i);
+
+		if (call->kind != EXEC_POLL)
+			last = call;
+	}
+	return last && last->kind == kind && !strcmp(last->task, task);
+}
+
+/*
+ * Guards against the start of a lasting task that waits for a free call behind
+ * all starts of a batch step that were ordered before it (LOST in the soak,
+ * issue 33: more than 70 of them, 3.1 s).
+ */
+START_TEST(test_lasting_start_goes_first)
+{
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_order_starts(fixture, "bb", 100, FLOW_START_YIELD_MAX_MS);
+	fixture_order_starts(fixture, "kk", RUNNER_CALLS_RESERVED, 0);
+	fixture_run_ms(fixture, 600);
+	fixture_order_starts(fixture, "ll", 1, 0);
+	ck_assert_uint_eq(fixture->nr_starts, RUNNER_CALLS_MAX);
+	fixture_answer(fixture, EXEC_START, &fixture_done, NULL);
+	fixture_run_ms(fixture, 1);
+	ck_assert_uint_eq(fixture->nr_starts, RUNNER_CALLS_MAX + 1);
+	ck_assert(fixture_last_call_is(fixture, EXEC_START, "ll.0.0.0"));
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against the same wait for one of the calls that batch starts hold
+ * until their time limit.
+ */
+START_TEST(test_batch_starts_leave_calls)
+{
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_order_starts(fixture, "bb", 100, FLOW_START_YIELD_MAX_MS);
+	fixture_order_starts(fixture, "ll", RUNNER_CALLS_RESERVED, 0);
+	ck_assert_uint_eq(fixture->nr_starts, RUNNER_CALLS_MAX);
+	ck_assert(fixture_last_call_is(fixture, EXEC_START, "ll.0.0.3"));
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against the same wait behind the stops of batch runs whose starts had
+ * no answer: each took the call that its start had just freed.
+ */
+START_TEST(test_lasting_start_goes_before_stops)
+{
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_order_starts(fixture, "bb", 100, FLOW_START_YIELD_MAX_MS);
+	fixture_order_starts(fixture, "kk", RUNNER_CALLS_RESERVED, 0);
+	fixture_order_starts(fixture, "ll", 1, 0);
+	fixture_answer(fixture, EXEC_START, &fixture_no_answer, NULL);
+	fixture_run_ms(fixture, 1);
+	ck_assert(fixture_last_call_is(fixture, EXEC_START, "ll.0.0.0"));
+	ck_assert_uint_eq(fixture->nr_stops, 0);
+	/* The stop goes before the starts of the batch step. */
+	fixture_answer(fixture, EXEC_START, &fixture_done, NULL);
+	fixture_run_ms(fixture, 1);
+	ck_assert(fixture_last_call_is(fixture, EXEC_STOP, "bb.0.0.0"));
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against the stop of a lasting run without an answer that waits behind
+ * batch starts: the task can't be placed again before it.
+ */
+START_TEST(test_stop_of_lasting_run_goes_first)
+{
+	struct fixture *fixture = fixture_ready(true);
+
+	fixture_order_starts(fixture, "ll", RUNNER_CALLS_RESERVED, 0);
+	fixture_order_starts(fixture, "bb", 100, FLOW_START_YIELD_MAX_MS);
+	fixture_run_ms(fixture, 600);
+	/* The oldest call is the lasting run's. */
+	fixture_answer(fixture, EXEC_START, &fixture_no_answer, NULL);
+	fixture_run_ms(fixture, 1);
+	ck_assert(fixture_last_call_is(fixture, EXEC_STOP, "ll.0.0.0"));
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against an urgent start that is last in the leader's message, and
+ * waits for a free call because of that.
+ */
+START_TEST(test_place_in_message_decides_no_turn)
+{
+	struct fixture *fixture = fixture_ready(true);
+	struct flow_order many[RUNNER_CALLS_MAX + 1] = { { 0 } };
+	struct flow_orders orders = { .term = 4,
+				      .born_ms = 1,
+				      .nr_orders = RUNNER_CALLS_MAX + 1 };
+	bool called = false;
+
+	for (uint32_t i = 0; i <= RUNNER_CALLS_MAX; i++) {
+		many[i].action = FLOW_START;
+		many[i].run = 1;
+		many[i].fence = fixture->fence;
+		many[i].yield_ms =
+			i < RUNNER_CALLS_MAX ? FLOW_START_YIELD_MAX_MS : 0;
+		g_snprintf(many[i].task, NAME_BYTES, "bb.0.0.%u", i);
+	}
+	TEXT_SET(orders.worker, "w");
+	orders.orders = many;
+	fixture_message(fixture, MSG_FLOW_ORDERS, &orders);
+	for (guint i = 0; i < fixture->calls->len; i++)
+		called = called || !strcmp(g_array_index(fixture->calls,
+							 struct fixture_call, i)
+						   .task,
+					   many[RUNNER_CALLS_MAX].task);
+	ck_assert(called);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against batch starts that are never called because urgent ones keep
+ * following them: here one for each call that ends.
+ */
+START_TEST(test_batch_starts_are_not_starved)
+{
+	struct fixture *fixture = fixture_ready(true);
+	uint32_t nr_batch = 0;
+	uint32_t nr_urgent = 0;
+
+	fixture_order_starts(fixture, "uu", RUNNER_CALLS_MAX, 0);
+	fixture_order_starts(fixture, "bb", 10, FLOW_START_YIELD_MAX_MS);
+	for (uint32_t ms = 0; ms < FLOW_START_YIELD_MAX_MS + 100; ms += 10) {
+		struct fixture_call call = { 0 };
+		char prefix[NAME_BYTES];
+
+		if (ms % 1000 == 0)
+			fixture_grant(fixture, 0);
+		g_snprintf(prefix, sizeof(prefix), "v%u", ms);
+		fixture_order_starts(fixture, prefix, 1, 0);
+		ck_assert(fixture_answer(fixture, EXEC_START, &fixture_done,
+					 &call));
+		nr_batch += g_str_has_prefix(call.task, "bb.");
+		nr_urgent += !g_str_has_prefix(call.task, "bb.");
+		fixture_run_ms(fixture, 10);
+	}
+	for (guint i = 0; i < fixture->calls->len; i++)
+		nr_batch += g_str_has_prefix(
+			g_array_index(fixture->calls, struct fixture_call, i)
+				.task,
+			"bb.");
+	ck_assert_uint_eq(nr_batch, 10);
+	ck_assert_uint_gt(nr_urgent, 500);
+	fixture_free(fixture);
+}
+END_TEST
+
 /* Freezes the agent for 9 s, in which the leader revokes its runs. */
 static void fixture_freeze(struct fixture *fixture)
 {
@@ -256,4 +445,8 @@
 SUITE_MAIN("runner_start", test_pace, test_low_pace_is_reported_at_once,
 	   test_start_waits_for_room, test_revoked_start_waits_for_room,
 	   test_revoked_start_waits_for_calls, test_revoked_order_comes_late,
-	   test_start_has_the_token_of_its_order)
+	   test_start_has_the_token_of_its_order, test_lasting_start_goes_first,
+	   test_batch_starts_leave_calls, test_lasting_start_goes_before_stops,
+	   test_stop_of_lasting_run_goes_first,
+	   test_place_in_message_decides_no_turn,
+	   test_batch_starts_are_not_starved)
