--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -51,24 +51,11 @@
 	return (uint32_t)((until_us - now_us) / 1000);
 }
 
-bool runner_may_call(struct runner *runner)
+bool runner_may_call(const struct runner *runner)
 {
-	if (g_hash_table_size(runner->calls) - runner->poll_in_flight -
-		    runner->probes_in_flight <
-	    RUNNER_CALLS_MAX)
-		return true;
-	runner->calls_deferred = true;
-	return false;
-}
-
-/* Makes the starts and stops that runner_may_call() has deferred. */
-static void runner_call_deferred(struct runner *runner)
-{
-	if (!runner->calls_deferred || !runner_may_call(runner))
-		return;
-	runner->calls_deferred = false;
-	node_timer_ms(runner->node, &runner->start_timer, 0);
-	node_timer_ms(runner->node, &runner->run_timer, 0);
+	return g_hash_table_size(runner->calls) - runner->poll_in_flight -
+		       runner->probes_in_flight <
+	       RUNNER_CALLS_MAX;
 }
 
 G_STATIC_ASSERT((uint64_t)
@@ -125,11 +112,16 @@
 	runner->opts.host->call(runner->opts.host_ctx, pending->call_nr, call);
 }
 
-void runner_call(struct runner *runner, struct exec_call *call)
+void runner_call(struct runner *runner, const struct runner_run *run,
+		 struct exec_call *call)
 {
+	struct runner_call *pending = g_new0(struct runner_call, 1);
+
 	call->address = runner->address;
 	call->worker_id = runner->worker.id;
-	runner_send(runner, g_new0(struct runner_call, 1), call);
+	pending->yields = run && run->yield_ms;
+	runner->yielding_calls += pending->yields;
+	runner_send(runner, pending, call);
 }
 
 void runner_probe(struct runner *runner, enum runner_probe_kind kind,
@@ -172,6 +164,27 @@
 	       runner->answered_fence <= runner->earlier_fence;
 }
 
+/*
+ * Returns true if no list was requested since an unconfirmed run was stopped.
+ * The next list shows whether the worker has that run, and until then its task
+ * can't be placed again.
+ */
+static bool runner_awaits_list(const struct runner *runner)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, runner->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct runner_run *run = value;
+
+		if (run->phase == RUNNER_UNCONFIRMED && run->stopped_us &&
+		    run->stopped_us >= runner->polled_us)
+			return true;
+	}
+	return false;
+}
+
 void runner_poll(struct runner *runner)
 {
 	struct exec_call call = { .kind = EXEC_POLL };
@@ -190,16 +203,19 @@
 	call.settled_nr = runner_ack_nr(runner);
 	/*
 	 * The worker must answer at once the first poll, a poll after a missed
-	 * one or after another incarnation's answer, and one that acknowledges
-	 * ends: a later incarnation might execute it while it waits. The answer
-	 * to other polls may be delayed until a run ends. The leader waits
-	 * until a restarted worker refuses earlier calls.
+	 * one or after another incarnation's answer, one that settles a stopped
+	 * run, and one that acknowledges ends: a later incarnation might
+	 * execute it while it waits. The answer to other polls may be delayed
+	 * until a run ends. The leader waits until a restarted worker refuses
+	 * earlier calls.
 	 */
 	if (runner->listed && runner->reachable && runner->in_contact &&
-	    !call.settled_nr && !runner_accepts_earlier_calls(runner))
+	    !call.settled_nr && !runner_accepts_earlier_calls(runner) &&
+	    !runner_awaits_list(runner))
 		call.wait_ms = runner_needs_pacing(runner) ? POLL_WAIT_PACE_MS :
 							     POLL_WAIT_MS;
-	runner_call(runner, &call);
+	runner->polled_us = runner->node->now_us;
+	runner_call(runner, NULL, &call);
 }
 
 void runner_poll_due(void *data, uint64_t now_us)
@@ -273,6 +289,7 @@
 			     const struct exec_reply *reply)
 {
 	struct runner_run *run = runner_find(runner, call->task, call->run);
+	uint32_t pause_ms;
 
 	if (!run)
 		return;
@@ -282,9 +299,12 @@
 		runner_poll(runner);
 		return;
 	}
-	run->stop_due_us = runner->node->now_us + STOP_REPEAT_MS * 1000ull;
-	if (!timer_armed(&runner->run_timer))
-		node_timer_ms(runner->node, &runner->run_timer, STOP_REPEAT_MS);
+	/* A single call may be lost on the way to a healthy worker. */
+	pause_ms = run->missed_stops++ ? STOP_REPEAT_MS : STOP_FIRST_REPEAT_MS;
+	run->stop_due_us = runner->node->now_us + pause_ms * 1000ull;
+	if (!timer_armed(&runner->run_timer) ||
+	    runner->run_timer.due_us > run->stop_due_us)
+		node_timer_ms(runner->node, &runner->run_timer, pause_ms);
 }
 
 /*
@@ -313,7 +333,7 @@
 		counter_add(runner->node->counters, "stops_called", 1);
 		runner_log_run(runner, "task-stopping", seen->task, seen->run,
 			       "superseded", RESULT_OK);
-		runner_call(runner, &call);
+		runner_call(runner, NULL, &call);
 	}
 	return true;
 }
@@ -622,6 +642,7 @@
 	if (!call)
 		return;
 	g_hash_table_steal(runner->calls, &call_nr);
+	runner->yielding_calls -= call->yields;
 	runner_trace_reply(runner, call, reply);
 	if (runner_is_misdirected(runner, call, reply))
 		runner_log_misdirected(runner, call, reply);
