--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -513,6 +513,7 @@
 	if (variant->limits)
 		fw->stop_ms = stops_ms[seed % G_N_ELEMENTS(stops_ms)];
 	sim_set_verbose(fw->base->sim, verbose);
+	fw->prints_runs = verbose;
 	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
 		fw->vms[i].slow_permille = i % 2 ? 20 : 0;
 	ck_assert(submit(&scenario, LASTING));
