--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -194,7 +194,7 @@
 
 		if (!vm->suspended)
 			vm->worker.clock_us +=
-				TICK_US / 1000 * (1000 - vm->slow_permille);
+				TICK_US / 1000 * (1000ull - vm->slow_permille);
 	}
 }
 
