--- a/tests/test_flow_report.c
+++ b/tests/test_flow_report.c
@@ -773,7 +773,7 @@
 	ck_assert_uint_eq(agent->nr_starts, nr_starts);
 	agent->restart_seen = false;
 	/* Above the tokens of all terms of the test. */
-	agent->answered_fence = 1000 * FLOW_FENCES_PER_TERM;
+	agent->answered_fence = 1000ull * FLOW_FENCES_PER_TERM;
 	script_run_ms(script, 2000);
 	ck_assert_uint_gt(agent->nr_starts, nr_starts);
 	script_free(script);
@@ -793,7 +793,7 @@
 	uint32_t nr_starts;
 
 	agent->reports_fence = true;
-	agent->answered_fence = 1000 * FLOW_FENCES_PER_TERM;
+	agent->answered_fence = 1000ull * FLOW_FENCES_PER_TERM;
 	agent->vm->worker.born_ms += 50000;
 	script_run_ms(script, WORLD_WORKER_LEASE_MS + 3000);
 	nr_starts = script_starts(script);
--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -568,7 +568,7 @@
 	for (uint32_t i = NR_LASTING + 1; i <= last_nr; i++)
 		platform_testbed_wait(tb, i, "completed", 40000);
 	ck_assert_uint_eq(platform_testbed_check(tb),
-			  (last_nr - NR_LASTING) * 4);
+			  (last_nr - NR_LASTING) * 4ull);
 	testbed_free(tb);
 }
 
