--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -58,7 +58,6 @@
 	bool stop_call_pending;
 	uint64_t added_us; /* when this record was added */
 	uint64_t since_us; /* when the run entered its phase */
-	uint32_t missed_stops; /* stop calls without an answer */
 	uint64_t stop_due_us; /* when the next stop call is due */
 	uint64_t stopped_us; /* when the worker confirmed a stop, 0: not yet */
 	GBytes *spec;
--- a/src/core/agent/runner_queue.c
+++ b/src/core/agent/runner_queue.c
@@ -60,7 +60,6 @@
 {
 	struct runner *runner = data;
 	GPtrArray *runs = g_ptr_array_new();
-	uint64_t pause_us = STOP_REPEAT_MS * 1000ull;
 	bool has_stops = false;
 	GHashTableIter iter;
 	void *value;
@@ -72,8 +71,6 @@
 		const struct runner_run *run = value;
 
 		has_stops = has_stops || runner_waits_for_stop(run);
-		if (runner_waits_for_stop(run) && run->stop_due_us > now_us)
-			pause_us = MIN(pause_us, run->stop_due_us - now_us);
 		if (run->stop ? runner_waits_for_stop(run) &&
 					run->stop_due_us <= now_us :
 				run->phase == RUNNER_NEW)
@@ -92,7 +89,6 @@
 	}
 	runner->queue_running = false;
 	if (has_stops)
-		timer_set(runner->node->timers, &runner->run_timer,
-			  now_us + pause_us);
+		node_timer_ms(runner->node, &runner->run_timer, STOP_REPEAT_MS);
 	g_ptr_array_unref(runs);
 }
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -289,7 +289,6 @@
 			     const struct exec_reply *reply)
 {
 	struct runner_run *run = runner_find(runner, call->task, call->run);
-	uint32_t pause_ms;
 
 	if (!run)
 		return;
@@ -299,12 +298,9 @@
 		runner_poll(runner);
 		return;
 	}
-	/* A single call may be lost on the way to a healthy worker. */
-	pause_ms = run->missed_stops++ ? STOP_REPEAT_MS : STOP_FIRST_REPEAT_MS;
-	run->stop_due_us = runner->node->now_us + pause_ms * 1000ull;
-	if (!timer_armed(&runner->run_timer) ||
-	    runner->run_timer.due_us > run->stop_due_us)
-		node_timer_ms(runner->node, &runner->run_timer, pause_ms);
+	run->stop_due_us = runner->node->now_us + STOP_REPEAT_MS * 1000ull;
+	if (!timer_armed(&runner->run_timer))
+		node_timer_ms(runner->node, &runner->run_timer, STOP_REPEAT_MS);
 }
 
 /*
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -327,12 +327,7 @@
  */
 #define RUNNER_REFUSAL_KEEP_MS 60000
 #define RUNNER_REFUSALS_MAX 4096
-/*
- * Pause after the first of several stop calls of a run without an answer, and
- * after each following one.
- */
-#define STOP_FIRST_REPEAT_MS 10
-#define STOP_REPEAT_MS 500
+#define STOP_REPEAT_MS 500 /* repeat interval of an unanswered stop call */
 /* A VM whose agent has sent no report for this long gets no new tasks. */
 #define FLOW_REPORT_STALE_MS 2500
 /*
