--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -226,7 +226,6 @@
 	uint32_t yielding_calls; /* calls in flight with runner_call.yields */
 	bool queue_running; /* in runner_queue_due() */
 	bool poll_in_flight;
-	uint64_t polled_us; /* when the last poll was sent, 0: none yet */
 	uint64_t report_seq; /* sequence number of the last report */
 	struct pressure *pressure; /* weights, as sent by the leader */
 	uint64_t over_since_us; /* when last no task was over its target */
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -164,27 +164,6 @@
 	       runner->answered_fence <= runner->earlier_fence;
 }
 
-/*
- * Returns true if no list was requested since an unconfirmed run was stopped.
- * The next list shows whether the worker has that run, and until then its task
- * can't be placed again.
- */
-static bool runner_awaits_list(const struct runner *runner)
-{
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, runner->runs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct runner_run *run = value;
-
-		if (run->phase == RUNNER_UNCONFIRMED && run->stopped_us &&
-		    run->stopped_us >= runner->polled_us)
-			return true;
-	}
-	return false;
-}
-
 void runner_poll(struct runner *runner)
 {
 	struct exec_call call = { .kind = EXEC_POLL };
@@ -203,18 +182,15 @@
 	call.settled_nr = runner_ack_nr(runner);
 	/*
 	 * The worker must answer at once the first poll, a poll after a missed
-	 * one or after another incarnation's answer, one that settles a stopped
-	 * run, and one that acknowledges ends: a later incarnation might
-	 * execute it while it waits. The answer to other polls may be delayed
-	 * until a run ends. The leader waits until a restarted worker refuses
-	 * earlier calls.
+	 * one or after another incarnation's answer, and one that acknowledges
+	 * ends: a later incarnation might execute it while it waits. The answer
+	 * to other polls may be delayed until a run ends. The leader waits
+	 * until a restarted worker refuses earlier calls.
 	 */
 	if (runner->listed && runner->reachable && runner->in_contact &&
-	    !call.settled_nr && !runner_accepts_earlier_calls(runner) &&
-	    !runner_awaits_list(runner))
+	    !call.settled_nr && !runner_accepts_earlier_calls(runner))
 		call.wait_ms = runner_needs_pacing(runner) ? POLL_WAIT_PACE_MS :
 							     POLL_WAIT_MS;
-	runner->polled_us = runner->node->now_us;
 	runner_call(runner, NULL, &call);
 }
 
