--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -588,6 +588,19 @@
 }
 END_TEST
 
+/*
+ * Guards against the same if only the answers to the starts have arrived, which
+ * don't name the incarnation.
+ */
+START_TEST(test_unannounced_0)
+{
+	static const struct unannounced_case test = { .first_heartbeat_ms =
+							      1000 };
+
+	play_unannounced(&test);
+}
+END_TEST
+
 /* Guards against the same with more calls between restart and cut. */
 START_TEST(test_unannounced_600)
 {
@@ -1239,6 +1252,7 @@
 		test_worker_restarted,
 		test_worker_restarted_frozen,
 		test_worker_restarted_sigterm,
+		test_unannounced_0,
 		test_unannounced_300,
 		test_unannounced_600,
 		test_unannounced_1000,
