--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -370,6 +370,11 @@
 	uint32_t action; /* enum flow_action */
 	char task[NAME_BYTES];
 	uint32_t run;
+	/**
+	 * For how long the start may wait at its agent in favour of calls that
+	 * came later.
+	 */
+	uint32_t yield_ms;
 	GBytes *spec; /* this and the rest for FLOW_START */
 	char checkpoint[NAME_BYTES]; /* to resume from, "": none */
 	bool filler;
@@ -385,11 +390,6 @@
 	 * a lower token invalid.
 	 */
 	uint64_t fence;
-	/**
-	 * For how long the start may wait at its agent in favour of calls that
-	 * came later.
-	 */
-	uint32_t yield_ms;
 };
 
 struct flow_orders {
