--- a/tests/test_flow_unannounced.c
+++ b/tests/test_flow_unannounced.c
@@ -411,6 +411,41 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is given up with the granted lease, as its start
+ * was answered: the start was sent twice, and the next incarnation executes the
+ * first copy, with a deadline on the former one's clock, before it is cut off.
+ */
+START_TEST(test_first_copy_in_next_incarnation)
+{
+	for (uint64_t seed = 1; seed <= 12; seed++) {
+		struct flow_world *fw = flow_world_new(seed);
+
+		if (getenv("FLOW_UNANNOUNCED_SEED"))
+			fw->prints_runs = true;
+		fw->run_ms = RUN_MS;
+		flow_world_run_ms(fw, UPTIME_MS);
+		for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
+			fw->vms[restarted_vms[i]].resend_ppm = 1000000;
+		submit(fw, "aa");
+		flow_world_run_ms(fw, 100);
+		for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
+			fw->vms[restarted_vms[i]].resend_ppm = 0;
+		flow_world_run_ms(fw, 200);
+		each_restarted(fw, fw_crash_worker);
+		flow_world_run_ms(fw, WORKER_DOWN_MS);
+		each_restarted(fw, fw_boot_worker);
+		for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
+			fw->vms[restarted_vms[i]].first_heartbeat_us =
+				UINT64_MAX;
+		flow_world_run_ms(fw, 400);
+		each_restarted(fw, cut_worker);
+		flow_world_run_ms(fw, CUT_MS);
+		flow_world_free(fw);
+	}
+}
+END_TEST
+
 /* The case answered_start is known as red; CK_RUN_CASE selects. */
 int main(void)
 {
@@ -426,6 +461,9 @@
 		test_poll_acknowledges_ends_of_next_incarnation,
 		test_lasting_tasks_of_ended_incarnation,
 	};
+	const TTest *const first_copy[] = {
+		test_first_copy_in_next_incarnation
+	};
 	const TTest *const answered_start[] = {
 		test_lasting_task_started_by_next_incarnation
 	};
@@ -434,5 +472,7 @@
 	suite_add_case(suite, "flow_unannounced", tests, G_N_ELEMENTS(tests));
 	suite_add_case(suite, "answered_start", answered_start,
 		       G_N_ELEMENTS(answered_start));
+	suite_add_case(suite, "first_copy", first_copy,
+		       G_N_ELEMENTS(first_copy));
 	return suite_run_all(suite);
 }
--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -1364,6 +1364,103 @@
 }
 END_TEST
 
+/*
+ * Guards against a leader that ignores the reports of a new incarnation with an
+ * earlier start time: the incarnation answers its probe before the report of
+ * the restart is sent, so the leader never hears that the former one has ended.
+ */
+START_TEST(test_probe_before_report_of_restart)
+{
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_new();
+	bool told = false;
+
+	list.born_ms = 5;
+	fixture_heartbeat(fixture, 5, 1, false);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_grant(fixture, 0);
+	fixture_run_ms(fixture, 20);
+	list = answer_of_other;
+	list.born_ms = 2;
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	/* Workers on the same VM answer within a few milliseconds. */
+	fixture_run_ms(fixture, 1);
+	ck_assert(fixture_answer_last_poll(fixture, &list, NULL));
+	for (uint32_t i = 0; i < 20; i++) {
+		fixture_run_ms(fixture, 1);
+		told = told || fixture->report.restart_seen;
+	}
+	ck_assert_uint_eq(fixture->report.worker.born_ms, 2);
+	ck_assert_msg(told, "no report tells that the former one has ended");
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a poll with a deadline and an acknowledgement of ends that a
+ * new incarnation may execute: the former one answered a start before it ended,
+ * and the agent reads that answer after the poll that the end has broken.
+ */
+START_TEST(test_answer_from_before_missed_poll)
+{
+	struct flow_run_end end = { .nr = 7, .task = "bb.0.0.0", .run = 1,
+				    .end = FLOW_END_DONE };
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+	struct fixture_call call = { 0 };
+
+	list.born_ms = 1;
+	list.ends = &end;
+	list.nr_ends = 1;
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	fixture_run_ms(fixture, POLL_UNACKED_ENDS_MS + 5);
+	ck_assert_uint_eq(fixture_open_polls(fixture), 1);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	fixture_grant(fixture, 7);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_no_answer, NULL));
+	fixture_run_ms(fixture, 2);
+	ck_assert(fixture_answer(fixture, EXEC_START, &fixture_done, NULL));
+	fixture_run_ms(fixture, POLL_FIRST_RETRY_MS + 5);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_no_answer, &call));
+	ck_assert_msg(!call.settled_nr && !call.deadline_ms,
+		      "deadline %u, acknowledgement %u",
+		      (unsigned int)call.deadline_ms,
+		      (unsigned int)call.settled_nr);
+	fixture_free(fixture);
+}
+END_TEST
+
+/*
+ * Guards against a run that is given up with the granted lease: its start was
+ * listed before its answer, and then sent again because the worker ended. The
+ * next incarnation may execute the second copy, and is cut off.
+ */
+START_TEST(test_listed_start_is_sent_again)
+{
+	const struct exec_reply lost = { .verdict = EXEC_NO_ANSWER,
+					 .resent = true };
+	struct flow_run run = { .task = TASK, .run = 1 };
+	struct exec_reply list = fixture_done;
+	struct fixture *fixture = fixture_ready(true);
+
+	list.born_ms = 1;
+	list.runs = &run;
+	list.nr_runs = 1;
+	fixture_run_ms(fixture, 20);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+	ck_assert(fixture_answer(fixture, EXEC_START, &lost, NULL));
+	fixture_run_ms(fixture, 1000);
+	ck_assert_uint_gt(fixture->report.late_ms, 0);
+	ck_assert_uint_eq(fixture->report.nr_runs, 1);
+	ck_assert_msg(fixture->first_run.unconfirmed,
+		      "the run counts as the former incarnation's only");
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner_life", test_stale_heartbeats,
 	   test_heartbeat_of_foreign_worker, test_refusal_without_incarnation,
 	   test_unanswered_candidate, test_later_candidate_goes_first,
@@ -1393,4 +1490,7 @@
 	   test_refusal_of_other_id_is_no_restart,
 	   test_earlier_list_refutes_no_restart,
 	   test_refused_poll_after_missed_one,
-	   test_no_acknowledgement_without_ends)
+	   test_no_acknowledgement_without_ends,
+	   test_probe_before_report_of_restart,
+	   test_answer_from_before_missed_poll,
+	   test_listed_start_is_sent_again)
