--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -1461,6 +1461,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a lasting task that waits for the longest lease although its
+ * start was answered: the leader was told that the start has no answer, and
+ * hears of the answer with the next regular report only. If the VM is lost
+ * before that, the run still counts as unconfirmed.
+ */
+START_TEST(test_answer_to_overdue_start_is_reported)
+{
+	struct fixture *fixture = fixture_ready(true);
+
+	/* A call with the leader's token was answered before. */
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL));
+	fixture_run_ms(fixture, 20);
+	ck_assert(fixture_answer(fixture, EXEC_POLL, &fixture_done, NULL));
+	fixture_run_ms(fixture, 100);
+	fixture_order(fixture, FLOW_START, 1, false, 0);
+	fixture_run_ms(fixture,
+		       RUNNER_START_OVERDUE_MS + RUNNER_REPORT_DELAY_MS);
+	ck_assert(fixture->first_run.unconfirmed);
+	ck_assert(!fixture->first_run.starting);
+	ck_assert(fixture_answer(fixture, EXEC_START, &fixture_done, NULL));
+	fixture_run_ms(fixture, 10 * RUNNER_REPORT_DELAY_MS);
+	ck_assert(!fixture->first_run.unconfirmed);
+	fixture_free(fixture);
+}
+END_TEST
+
 SUITE_MAIN("runner_life", test_stale_heartbeats,
 	   test_heartbeat_of_foreign_worker, test_refusal_without_incarnation,
 	   test_unanswered_candidate, test_later_candidate_goes_first,
@@ -1493,4 +1521,5 @@
 	   test_no_acknowledgement_without_ends,
 	   test_probe_before_report_of_restart,
 	   test_answer_from_before_missed_poll,
-	   test_listed_start_is_sent_again)
+	   test_listed_start_is_sent_again,
+	   test_answer_to_overdue_start_is_reported)
