Report the answer to a start that was reported as unanswered

The leader heard of the answer with the next regular report, up to a second later. If the VM was lost before it, the run waited for 12 s and the longest lease though it was confirmed.

--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -234,6 +234,9 @@
 				(runner->node->now_us - run->since_us) / 1000);
 		runner_set_phase(runner, run, RUNNER_RUNNING);
 		run->unattributed = origin != WORKER_CLOCK_SAME;
+		/* The leader was told that the start has no answer. */
+		if (run->overdue)
+			runner_report_soon(runner);
 		runner_log_started(runner, call, run, reply);
 		if (run->stop)
 			runner_stop(runner, run);
