Report a restart at once

The report of a restart was sent 3 ms after the answer that shows it, and a worker on the same VM may answer its probe sooner: then no report said that the former incarnation had ended, and the leader ignored a new one with an earlier start time until the lease had passed.

--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -99,6 +99,11 @@
 	g_array_unref(ends);
 }
 
+void runner_report_now(struct runner *runner)
+{
+	runner_report(runner, runner->node->now_us);
+}
+
 static bool runner_accept_term(struct runner *runner, uint64_t term)
 {
 	if (term < runner->term) {
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -238,6 +238,8 @@
 	struct timer leaving_timer; /* probes of a deregistered worker */
 };
 
+/** Sends a report to the leader at once. */
+void runner_report_now(struct runner *runner);
 /** Sends a report to the leader within RUNNER_REPORT_DELAY_MS. */
 void runner_report_soon(struct runner *runner);
 
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -311,16 +311,19 @@
 
 void runner_note_restart(struct runner *runner, uint64_t born_ms)
 {
-	if (!runner->restart_seen) {
-		runner->restart_seen = true;
-		runner_log_worker(runner, "worker-restart-seen");
-		counter_add(runner->node->counters, "worker_restarts_seen", 1);
-		runner_report_soon(runner);
-	}
+	bool known = runner->restart_seen;
+
+	runner->restart_seen = true;
 	runner->restart_seen_nr = runner->call_nr;
 	runner->in_contact = false;
 	runner->answered_fence = 0;
 	memset(&runner->clock, 0, sizeof(runner->clock));
+	if (!known) {
+		runner_log_worker(runner, "worker-restart-seen");
+		counter_add(runner->node->counters, "worker_restarts_seen", 1);
+		/* The new incarnation may answer its probe very soon. */
+		runner_report_now(runner);
+	}
 	if (born_ms)
 		runner_add_named_candidate(runner, born_ms);
 }
