Don't take an answer from before a missed poll for a present contact

An agent, above all one that continues after a freeze, may read a poll without an answer first, and then the answer to a start that the former incarnation sent before it ended. The next poll then had a deadline and an acknowledgement, which a new incarnation may execute. Only answers to calls that were sent after the missed poll count now.

--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -194,8 +194,10 @@
 	struct worker_clock clock; /* in the incarnation's last reply */
 	bool reachable; /* the worker answered the last poll */
 	/*
-	 * Since the last poll without an answer, one came that is surely of
-	 * this incarnation. A refusal may be of a later one.
+	 * Since the last poll without an answer, a call was sent and answered
+	 * whose answer is surely of this incarnation. A refusal may be of a
+	 * later one, and an earlier call's answer may have been sent before a
+	 * restart.
 	 */
 	bool in_contact;
 	uint32_t missed_polls; /* polls missed in a row */
@@ -222,6 +224,7 @@
 	GArray *late_starts; /* struct runner_late_start, one a task */
 	GHashTable *calls; /* call_nr -> struct runner_call * */
 	uint64_t call_nr; /* number of the last call */
+	uint64_t contact_lost_nr; /* last call before in_contact was cleared */
 	bool calls_deferred; /* starts or stops may wait for a free call */
 	uint32_t yielding_calls; /* calls in flight with runner_call.yields */
 	bool queue_running; /* in runner_queue_due() */
@@ -366,6 +369,8 @@
 /** Handles a list, the reply to @a call, that names the current incarnation. */
 void runner_clear_restart(struct runner *runner,
 			  const struct runner_call *call);
+/** Notes that the worker may have been restarted since its last answer. */
+void runner_lose_contact(struct runner *runner);
 /** Handles the reply to a probe. */
 void runner_probe_done(struct runner *runner, const struct runner_call *call,
 		       const struct exec_reply *reply);
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -309,13 +309,19 @@
 	runner_add_candidate(runner, &incarnation, runner->address, 0);
 }
 
+void runner_lose_contact(struct runner *runner)
+{
+	runner->in_contact = false;
+	runner->contact_lost_nr = runner->call_nr;
+}
+
 void runner_note_restart(struct runner *runner, uint64_t born_ms)
 {
 	bool known = runner->restart_seen;
 
 	runner->restart_seen = true;
 	runner->restart_seen_nr = runner->call_nr;
-	runner->in_contact = false;
+	runner_lose_contact(runner);
 	runner->answered_fence = 0;
 	memset(&runner->clock, 0, sizeof(runner->clock));
 	if (!known) {
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -489,7 +489,7 @@
 	else
 		runner->missed_polls = 0;
 	if (!answered && reply->verdict != EXEC_REFUSED)
-		runner->in_contact = false;
+		runner_lose_contact(runner);
 	/* A worker that refuses the fencing token is reachable, too. */
 	runner->reachable = answered || reply->verdict == EXEC_REFUSED;
 	/*
@@ -649,7 +649,8 @@
 	     (reply->verdict == EXEC_DONE && call->kind == EXEC_POLL &&
 	      !runner->clock.read_ms))) {
 		runner->clock = runner_reply_clock(runner, call, reply);
-		runner->in_contact = true;
+		if (call->call_nr > runner->contact_lost_nr)
+			runner->in_contact = true;
 	}
 	if (reply->verdict == EXEC_NO_ANSWER)
 		counter_add(runner->node->counters, "calls_unanswered", 1);
