--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -1485,7 +1485,7 @@
 	ck_assert(fixture->first_run.unconfirmed);
 	ck_assert(!fixture->first_run.starting);
 	ck_assert(fixture_answer(fixture, EXEC_START, &fixture_done, NULL));
-	fixture_run_ms(fixture, 10 * RUNNER_REPORT_DELAY_MS);
+	fixture_run_ms(fixture, 10ull * RUNNER_REPORT_DELAY_MS);
 	ck_assert(!fixture->first_run.unconfirmed);
 	fixture_free(fixture);
 }
