--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -370,20 +370,20 @@
 	uint32_t action; /* enum flow_action */
 	char task[NAME_BYTES];
 	uint32_t run;
-	/**
-	 * For how long the start may wait at its agent in favour of calls that
-	 * came later.
-	 */
-	uint32_t yield_ms;
 	GBytes *spec; /* this and the rest for FLOW_START */
 	char checkpoint[NAME_BYTES]; /* to resume from, "": none */
 	bool filler;
+	/** An earlier agent process may already have started this run. */
+	bool repeated;
 	char image[NAME_BYTES];
 	uint32_t cpu_millis;
 	uint32_t target_ms;
+	/**
+	 * For how long the start may wait at its agent in favour of calls that
+	 * came later.
+	 */
+	uint32_t yield_ms;
 	char ticket[NAME_BYTES]; /* of the advice service, "": none needed */
-	/** An earlier agent process may already have started this run. */
-	bool repeated;
 	/**
 	 * The VM's fencing token at the time of the order. The leader raises
 	 * the VM's token when it revokes the VM's runs, which makes orders with
