Let the settings choose how workflows are placed under load

Cause: on sites whose callers compete for room, each filler starts at once, and all are slowed, stopped and started again; nothing says that a deployment wants this otherwise. The contended table starts a filler only at nearly its full speed, packs serving tasks, and prefers VMs without them. Result: not measured yet; the standard table has the former costs and limits.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -385,6 +385,12 @@
  * speed or more.
  */
 #define FLOW_FILLER_MIN_GAIN_PERMILLE 500
+/*
+ * With the contended load policy: nearly its full speed, so that a run on the
+ * critical path takes little longer than its work. The rest is the resolution
+ * of learned weights.
+ */
+#define FLOW_FILLER_FULL_GAIN_PERMILLE 950
 /*
  * A filler that has run at this pace (percent of its full speed) or below for
  * this long is moved if it can do more work on another VM; a move takes about
@@ -487,6 +493,12 @@
 #define FLOW_COST_IMAGE_PERMILLE 1200
 /* Cost for each permille of the VM that fillers can't use beside the task. */
 #define FLOW_COST_CLOSED_FACTOR 4
+/* Cost for each permille of the VM that no task has reserved. */
+#define FLOW_COST_UNUSED_FACTOR 2
+/* Cost of each other image on the VM while fillers' weights aren't known. */
+#define FLOW_COST_MIXED_PERMILLE 300
+/* Cost of a filler for each permille that serving tasks have reserved. */
+#define FLOW_COST_BESIDE_FACTOR 1
 /*
  * Cost for each permille by which a filler would run below its full speed. This
  * counts more than an even load of the VMs.
--- a/src/core/control/control.h
+++ b/src/core/control/control.h
@@ -8,6 +8,7 @@
  * a VM run tasks until a time, and permits, which let it start them.
  */
 
+#include "load_policy.h"
 #include "node.h"
 #include "op.h"
 #include "raft.h"
@@ -63,6 +64,8 @@
 	 * control_addresses.
 	 */
 	uint32_t losses;
+	enum load_choice load_choice;
+	struct load_limits load_limits;
 };
 
 struct control *control_new(struct node *node, const struct control_opts *opts);
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -523,6 +523,8 @@
 	struct control_flow *flows = g_new0(struct control_flow, 1);
 
 	flows->control = control;
+	flows->policy = load_policy_choose(control->opts.load_choice,
+					   &control->opts.load_limits);
 	flows->had_bundle = control->state->bundles.in_force != NULL;
 	flows->lease_ms = FLOW_LEASE_MAX_MS;
 	flows->worker_lease_ms = FLOW_LEASE_MAX_MS;
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -19,6 +19,7 @@
 
 #include "control_flow.h"
 #include "control_impl.h"
+#include "load_policy.h"
 #include "pressure.h"
 #include "timer.h"
 
@@ -316,6 +317,7 @@
 	uint32_t lease_ms; /* length of each lease that workers get */
 	/* The longest lease that workers accept in a call. */
 	uint32_t worker_lease_ms;
+	const struct load_policy *policy;
 	GHashTable *vms; /* name -> struct flow_vm * */
 	GHashTable *runs; /* task name -> struct flow_placement * */
 	struct pressure *pressure;
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -160,38 +160,35 @@
 		return false;
 	if (step->filler && !demand->starved &&
 	    control_flow_gain(demand->flows, vm, step) <
-		    FLOW_FILLER_MIN_GAIN_PERMILLE)
+		    demand->flows->policy->min_gain_permille)
 		return false;
 	return !step->max_per_vm ||
 	       load.stage_orphans + flow_vm_stage_runs(vm, demand) <
 		       step->max_per_vm;
 }
 
-/*
- * Returns the cost of placing a serving task on a VM with this load in
- * permille. Serving tasks of one image fill VM after VM, so that for each
- * filler image there are VMs without a serving task that fillers of the image
- * slow down.
- */
+/* Returns the cost of placing a serving task on a VM with this load. */
 static uint64_t flow_cost_serving(const struct flow_demand *demand,
 				  const struct flow_vm *vm, uint64_t load)
 {
+	uint64_t capacity = MAX(vm->worker.cpu_millis, 1);
 	uint32_t image =
 		pressure_image(demand->flows->pressure, demand->step->image);
-	uint32_t others = control_flow_other_images(vm, image);
-
-	if (control_flow_knows_image(demand->flows, image))
-		return control_flow_filler_loss(demand->flows, vm, image) *
-			       1000 / MAX(vm->worker.cpu_millis, 1) *
-			       FLOW_COST_CLOSED_FACTOR +
-		       load / 2;
-	if (others)
-		return (uint64_t)others * FLOW_COST_IMAGE_PERMILLE + load;
-	if (!vm->lasting_cpu_millis)
-		return FLOW_COST_IMAGE_PERMILLE / 2;
-	return (FLOW_COST_IMAGE_PERMILLE -
-		MIN(load, FLOW_COST_IMAGE_PERMILLE)) /
-	       4;
+	struct load_serving_place place = {
+		.load_permille = load,
+		.reserved_permille =
+			((uint64_t)vm->cpu_millis + demand->step->cpu_millis) *
+			1000 / capacity,
+		.image_known = control_flow_knows_image(demand->flows, image),
+		.nr_other_images = control_flow_other_images(vm, image),
+		.serves = vm->lasting_cpu_millis > 0,
+	};
+
+	if (place.image_known)
+		place.filler_loss_permille =
+			control_flow_filler_loss(demand->flows, vm, image) *
+			1000 / capacity;
+	return demand->flows->policy->serving_cost(&place);
 }
 
 /*
@@ -223,7 +220,9 @@
 		cost += (1000ull -
 			 MIN(control_flow_gain(demand->flows, vm, step),
 			     1000)) *
-			FLOW_COST_GAIN_FACTOR;
+				FLOW_COST_GAIN_FACTOR +
+			demand->flows->policy->filler_cost(
+				vm->lasting_cpu_millis * 1000ull / capacity);
 	else if (step->target_ms)
 		cost = flow_cost_serving(demand, vm, cost);
 	if (step->data_rack[0] && strcmp(vm->worker.rack, step->data_rack) != 0)
--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -405,7 +405,7 @@
 	/* An upper bound below the minimum needs no exact computation. */
 	bound_permille = (capacity->unused_permille - capacity->work_permille) *
 			 1000 / gain.share_permille;
-	if (bound_permille < FLOW_FILLER_MIN_GAIN_PERMILLE)
+	if (bound_permille < flows->policy->min_gain_permille)
 		return (uint32_t)bound_permille;
 	for (guint i = 0; i < capacity->gains->len; i++) {
 		const struct flow_gain *known =
--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -427,6 +427,8 @@
 	opts.no_formation = !settings->bootstrap;
 	opts.open = settings->front_end == FRONT_END_PLATFORM;
 	opts.losses = settings->replica_losses;
+	opts.load_choice = settings->load_choice;
+	opts.load_limits = settings->load_limits;
 	host->control = control_new(loop_node(loop), &opts);
 	store_drop_image(host->store);
 	*out = host;
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -50,6 +50,10 @@
 	logline_str(line, "http", http);
 	logline_str(line, "control", control);
 	logline_u64(line, "worker_lease_ms", settings->worker_lease_ms);
+	logline_str(line, "load_policy",
+		    load_policy_choose(settings->load_choice,
+				       &settings->load_limits)
+			    ->name);
 	logline_u64(line, "replica_losses", settings->replica_losses);
 	logline_u64(line, "bootstrap", settings->bootstrap);
 	logline_u64(line, "drain_ms", settings->drain_ms);
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -12,6 +12,7 @@
 #define DRAIN_MAX_MS 3600000
 #define CONNECTIONS_MAX 100000
 #define GRACE_MAX_S 3600
+#define WORKER_TIME_MAX_MS 3600000
 #define REPLICA_LOSSES_MAX ((CONTROL_MAX_MEMBERS - 1) / 2)
 #define NODE_FILE_GROUP "masticreach"
 
@@ -40,6 +41,10 @@
 	SET_ZONES,
 	SET_BOOTSTRAP,
 	SET_WORKER_LEASE_MS,
+	SET_WORKER_STOP_MS,
+	SET_WORKER_SAVE_S,
+	SET_WORKER_RESTORE_MS,
+	SET_LOAD_POLICY,
 	SET_GRACE_S,
 	SET_REPLICA_LOSSES,
 	SET_ADVISER,
@@ -103,6 +108,20 @@
 			    "new group" },
 	[SET_WORKER_LEASE_MS] = { "worker-lease-ms", "MS", "5000", "all", "",
 				  "longest lease that workers take" },
+	[SET_WORKER_STOP_MS] = { "worker-stop-ms", "MS", "0", "all", "",
+				 "longest time that a worker takes to stop a "
+				 "run; 0: not known" },
+	[SET_WORKER_SAVE_S] = { "worker-save-s", "S", "0", "all", "",
+				"work of a run between two checkpoints, with "
+				"up to 3 decimals; 0: not known" },
+	[SET_WORKER_RESTORE_MS] = { "worker-restore-ms", "MS", "0", "all", "",
+				    "time that a run takes to resume from a "
+				    "checkpoint" },
+	[SET_LOAD_POLICY] = { "load-policy", "KIND", "auto", "all", "",
+			      "auto, standard or contended: how workflows are "
+			      "placed when there is less room than work; auto: "
+			      "contended if a stop takes longer than the work "
+			      "between two checkpoints" },
 	[SET_GRACE_S] = { "grace-s", "S", "0", "all", "",
 			  "time until the process is killed after SIGTERM; "
 			  "bounds --drain-ms" },
@@ -373,6 +392,51 @@
 	return res;
 }
 
+/*
+ * Reads a number of seconds with up to 3 decimals, like "0.5", as milliseconds.
+ */
+static enum result values_decimal_s(const struct setting_values *values,
+				    size_t i, uint32_t max_ms, uint32_t *to_ms,
+				    char **error)
+{
+	const char *value = values->value[i];
+	char decimals[] = "000";
+	guint64 whole_s = 0;
+	guint64 part_ms = 0;
+	const char *point;
+	char *whole;
+	bool valid;
+
+	if (!value)
+		value = setting_table[i].default_value;
+	point = strchr(value, '.');
+	whole = point ? g_strndup(value, (gsize)(point - value)) :
+			g_strdup(value);
+	valid = g_ascii_string_to_unsigned(whole, 10, 0, G_MAXUINT32, &whole_s,
+					   NULL);
+	g_free(whole);
+	if (point) {
+		size_t nr = strlen(point + 1);
+
+		valid = valid && nr && nr < sizeof(decimals);
+		if (valid)
+			memcpy(decimals, point + 1, nr);
+		valid = valid && g_ascii_string_to_unsigned(
+					 decimals, 10, 0, 999, &part_ms, NULL);
+	}
+	if (!valid)
+		return settings_fail(error, RESULT_MALFORMED,
+				     "%s: \"%s\" is no number of seconds",
+				     values_source(values, i), value);
+	if (whole_s * 1000 + part_ms > max_ms)
+		return settings_fail(error, RESULT_OUT_OF_RANGE,
+				     "%s: \"%s\" is above %u s",
+				     values_source(values, i), value,
+				     max_ms / 1000);
+	*to_ms = (uint32_t)(whole_s * 1000 + part_ms);
+	return RESULT_OK;
+}
+
 static enum result values_choice(const struct setting_values *values, size_t i,
 				 const char *const *choices, uint32_t *to,
 				 char **error)
@@ -583,9 +647,12 @@
 					      NULL };
 	static const char *const front_ends[] = { "own", "platform", NULL };
 	static const char *const bools[] = { "false", "true", NULL };
+	static const char *const policies[] = { "auto", "standard", "contended",
+						NULL };
 	uint32_t level = 0;
 	uint32_t front_end = 0;
 	uint32_t bootstrap = 0;
+	uint32_t policy = 0;
 	enum result res =
 		values_choice(values, SET_LOG_LEVEL, levels, &level, error);
 
@@ -595,6 +662,10 @@
 	if (res == RESULT_OK)
 		res = values_choice(values, SET_BOOTSTRAP, bools, &bootstrap,
 				    error);
+	if (res == RESULT_OK)
+		res = values_choice(values, SET_LOAD_POLICY, policies, &policy,
+				    error);
+	to->load_choice = (enum load_choice)policy;
 	to->log_level = (enum log_level)level;
 	to->front_end = (enum front_end)front_end;
 	to->bootstrap = bootstrap == 1;
@@ -615,6 +686,10 @@
 		{ SET_ACCELERATORS, UINT32_MAX, &to->accelerators },
 		{ SET_DRAIN_MS, DRAIN_MAX_MS, &to->drain_ms },
 		{ SET_WORKER_LEASE_MS, UINT32_MAX, &to->worker_lease_ms },
+		{ SET_WORKER_STOP_MS, WORKER_TIME_MAX_MS,
+		  &to->load_limits.stop_ms },
+		{ SET_WORKER_RESTORE_MS, WORKER_TIME_MAX_MS,
+		  &to->load_limits.restore_ms },
 		{ SET_REPLICA_LOSSES, REPLICA_LOSSES_MAX, &to->replica_losses },
 		{ SET_MAX_CONNECTIONS, CONNECTIONS_MAX, &to->max_connections },
 	};
@@ -625,6 +700,10 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(numbers) && res == RESULT_OK; i++)
 		res = values_number(values, numbers[i].index, numbers[i].max,
 				    numbers[i].to, error);
+	if (res == RESULT_OK)
+		res = values_decimal_s(values, SET_WORKER_SAVE_S,
+				       WORKER_TIME_MAX_MS,
+				       &to->load_limits.save_ms, error);
 	/* The last fifth of the time is left for the process to exit. */
 	if (grace_s)
 		to->drain_ms = MIN(to->drain_ms, grace_s * 1000 * 4 / 5);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -14,6 +14,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "load_policy.h"
 #include "msg_link.h"
 #include "result.h"
 #include "tunables.h"
@@ -48,6 +49,8 @@
 	char **zones; /* NULL-terminated, owned; may be empty */
 	bool bootstrap; /* a new group may be formed */
 	uint32_t worker_lease_ms; /* longest lease that workers accept */
+	enum load_choice load_choice;
+	struct load_limits load_limits;
 	uint32_t replica_losses; /* tolerated; 0: fewer than half of control */
 	char data[PATH_BYTES]; /* folder of the replicated state */
 	char worker[ADDRESS_BYTES]; /* "": no tasks on this VM */
