Expect loads to rise when a filler starts; tell how long runs will take

Cause: loads of serving tasks rise by up to 200 permille while a filler runs, so that fillers that started at full speed are throttled and stopped. Change: a load policy has the expected rise, which counts against the headroom at the start; the contended one has none yet. control_flow_remaining_ms() estimates the rest of a run from its progress.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -391,6 +391,7 @@
  * of learned weights.
  */
 #define FLOW_FILLER_FULL_GAIN_PERMILLE 950
+#define FLOW_LOAD_RISE_PERMILLE 0
 /*
  * A filler that has run at this pace (percent of its full speed) or below for
  * this long is moved if it can do more work on another VM; a move takes about
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -599,6 +599,21 @@
  */
 uint32_t control_flow_other_images(const struct flow_vm *vm, uint32_t image);
 
+/* control_flow_time.c */
+/**
+ * Returns how long a task of the step is expected to run at full pace, in ms;
+ * UINT64_MAX for a long-running one.
+ */
+uint64_t control_flow_run_ms(const struct control_flow *flows,
+			     const struct state_flow *flow,
+			     const struct flow_step *step);
+/**
+ * Returns in how many ms the run is expected to end at its present speed;
+ * UINT64_MAX for a long-running one.
+ */
+uint64_t control_flow_remaining_ms(const struct control_flow *flows,
+				   const struct flow_placement *placed);
+
 /* control_flow_move.c */
 /** Records since when the run's pace has been low. */
 void control_flow_note_pace(struct control_flow *flows,
--- a/src/core/plan/load_policy.h
+++ b/src/core/plan/load_policy.h
@@ -47,6 +47,11 @@
 	const char *name;
 	/** Least share of its full speed at which a filler starts. */
 	uint32_t min_gain_permille;
+	/**
+	 * By how much the load of a serving task is expected to rise while a
+	 * filler runs.
+	 */
+	uint32_t load_rise_permille;
 	/** Returns the cost of the place; the cheapest one is chosen. */
 	uint64_t (*serving_cost)(const struct load_serving_place *place);
 	/**
