--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -375,6 +375,12 @@
  */
 #define FLOW_STALL_MS 2500
 #define FLOW_STALL_FACTOR 2
+/*
+ * With the contended load policy, a run has also to be without progress for
+ * this many times the time that one percent has taken so far: one percent of a
+ * long run takes longer than FLOW_STALL_MS.
+ */
+#define FLOW_STALL_STEPS 4
 /*
  * Latency measurements of a serving task are ignored for this long after its
  * start: they are a moving average that takes in half of a change every 250 ms.
@@ -420,6 +426,45 @@
  * 240 VMs.
  */
 #define FLOW_MOVE_RETRY_MS 500
+/* ---- whether a stop pays, with the contended load policy ---- */
+/*
+ * From the end of a stopped run until its task runs again: the report, the
+ * commit of the end, the placement and its commit, and the start.
+ */
+#define STOP_RESTART_MS 200
+/* Time of a stop if the settings don't give it, see FLOW_MOVE_AFTER_MS. */
+#define STOP_DEFAULT_MS 500
+/*
+ * A stop has to gain this many times its cost if the remaining time is known
+ * from a client's estimate only, which may be too long by 90 %: the run may
+ * then end in a tenth of the time.
+ */
+#define STOP_UNSURE_FACTOR 10
+/*
+ * A run that has been all but halted, at STOP_HALTED_PERCENT of its speed or
+ * below, for STOP_HALTED_MS is moved whatever work it loses: how long it stays
+ * halted isn't known.
+ */
+#define STOP_HALTED_PERCENT 5
+#define STOP_HALTED_MS 3000
+/*
+ * Time over which the move of a serving task has to gain more processor time
+ * for fillers than the task loses by its stop. Loads that change more slowly
+ * than this give the move its worth.
+ */
+#define STOP_SERVING_HORIZON_MS 10000
+/*
+ * Pairs of a queue and an image whose run times are learned; the least recently
+ * used one is replaced. Sites have up to 18 queues for each of 3 kinds.
+ */
+#define RUN_TIME_PAIRS_MAX 256
+/*
+ * Runs that the learned time of a pair follows from, and how many of them are
+ * needed before it is used. The high quantile is the 90th percentile.
+ */
+#define RUN_TIME_SAMPLES 32
+#define RUN_TIME_MIN_SAMPLES 4
+#define RUN_TIME_HIGH_PERCENT 90
 /*
  * Grouping of serving tasks: those that the same fillers slow down share VMs,
  * so that the other VMs stay open to these fillers.
