Weigh whether a stop pays

Change: stop.[ch] compares the gain of a stop with the time that the stop, the restart, the restore and lost work take; load_policy has functions for fillers, serving tasks and stalled runs. The standard ones decide as the leader does now. Result: test stop passes. The leader doesn't call them yet.

--- a/src/core/plan/load_policy.c
+++ b/src/core/plan/load_policy.c
@@ -31,6 +31,32 @@
 	return 0;
 }
 
+/* A step without checkpoints is moved only early in its run. */
+static struct stop_verdict
+standard_filler_stop(const struct stop_run *run,
+		     const struct load_limits *limits)
+{
+	return (struct stop_verdict){
+		.pays = run->checkpoints ||
+			run->percent <= FLOW_MOVE_LOSS_PERCENT,
+	};
+}
+
+static struct stop_verdict
+standard_serving_stop(const struct stop_serving *serving,
+		      const struct load_limits *limits)
+{
+	return (struct stop_verdict){ .pays = true };
+}
+
+static bool standard_is_stalled(const struct stop_progress *progress)
+{
+	return progress->pace_percent >= 100 &&
+	       progress->idle_us >= FLOW_STALL_MS * 1000ull &&
+	       progress->ran_us >=
+		       progress->estimate_ms * FLOW_STALL_FACTOR * 1000;
+}
+
 /*
  * The fullest VM first, so that whole VMs stay without serving tasks. Fillers
  * run at full speed there, whatever their image.
@@ -57,6 +83,9 @@
 	.min_gain_permille = FLOW_FILLER_MIN_GAIN_PERMILLE,
 	.serving_cost = standard_serving_cost,
 	.filler_cost = standard_filler_cost,
+	.filler_stop = standard_filler_stop,
+	.serving_stop = standard_serving_stop,
+	.is_stalled = standard_is_stalled,
 };
 
 const struct load_policy load_contended = {
@@ -65,6 +94,11 @@
 	.load_rise_permille = FLOW_LOAD_RISE_PERMILLE,
 	.serving_cost = contended_serving_cost,
 	.filler_cost = contended_filler_cost,
+	.learns_run_times = true,
+	.weighs_stops = true,
+	.filler_stop = stop_weigh_filler,
+	.serving_stop = stop_weigh_serving,
+	.is_stalled = stop_is_stalled,
 };
 
 const struct load_policy *load_policy_choose(enum load_choice choice,
--- a/src/core/plan/load_policy.h
+++ b/src/core/plan/load_policy.h
@@ -16,6 +16,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "stop.h"
+
 /** Times that workers need, from the settings; 0: not known. */
 struct load_limits {
 	uint32_t stop_ms; /* longest time that a worker takes to stop a run */
@@ -59,6 +61,18 @@
 	 * serving tasks have reserved this share.
 	 */
 	uint64_t (*filler_cost)(uint64_t serving_permille);
+	/** Run times are learned, and used instead of clients' estimates. */
+	bool learns_run_times;
+	/** The log gives the gain and the cost of a stop. */
+	bool weighs_stops;
+	/** Decides whether a throttled filler is moved to a better VM. */
+	struct stop_verdict (*filler_stop)(const struct stop_run *run,
+					   const struct load_limits *limits);
+	/** Decides whether a serving task is moved to better neighbours. */
+	struct stop_verdict (*serving_stop)(const struct stop_serving *serving,
+					    const struct load_limits *limits);
+	/** Returns true if the run is stopped as it makes no progress. */
+	bool (*is_stalled)(const struct stop_progress *progress);
 };
 
 extern const struct load_policy load_standard;
