Stop runs only where it pays, with the contended policy

Cause: the leader moved every filler that had been throttled for 600 ms, and stopped runs as stalled by wall time, also those that had been halted. Change: the leader counts each run's time at full pace, learns run times from ends, and asks the load policy before it stops a throttled filler, a serving task for better neighbours, or a stalled run; task-stop has gain_ms and cost_ms. Workers of flow_world can obey their pace, report progress and resume.

--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -378,6 +378,8 @@
 			  flow_end_name(end));
 	flow_log_end(flows, placed, end);
 	control_flow_record_end(flows, placed, end);
+	if (end == FLOW_END_DONE)
+		control_flow_time_learn(flows, placed);
 	flow_vm_update_reliability(flows, placed->vm, placed, end);
 	if (end != FLOW_END_LOST && end != FLOW_END_REFUSED)
 		control_flow_note_started(flows, flow);
@@ -548,6 +550,7 @@
 	flows->change_nr = 1; /* 0 means that no change number is known */
 	flows->pressure = pressure_new();
 	flows->advice = flow_advice_new();
+	flows->run_times = run_times_new();
 	flows->work_means =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	flows->ranks = g_array_new(FALSE, FALSE, sizeof(struct flow_rank));
@@ -588,6 +591,7 @@
 	g_hash_table_unref(flows->work_means);
 	pressure_free(flows->pressure);
 	flow_advice_free(flows->advice);
+	run_times_free(flows->run_times);
 	g_array_unref(flows->changes);
 	g_free(flows);
 }
--- a/src/core/control/control_flow_group.c
+++ b/src/core/control/control_flow_group.c
@@ -242,18 +242,21 @@
 }
 
 /*
- * Returns a task whose move gains enough capacity for fillers, NULL if there is
- * none. All VMs are evaluated only for the candidate with the highest possible
- * gain: doing this for all tasks would take longer than a leader may go without
- * sending heartbeats. The candidate is then excluded for a while, so that other
- * candidates are evaluated next.
+ * Returns a task whose move gains enough capacity for fillers, and sets the
+ * verdict on its stop; NULL if there is none. All VMs are evaluated only for
+ * the candidate with the highest possible gain: doing this for all tasks would
+ * take longer than a leader may go without sending heartbeats. The candidate is
+ * then excluded for a while, so that other candidates are evaluated next.
  */
-static struct flow_placement *best_move(struct control_flow *flows)
+static struct flow_placement *best_move(struct control_flow *flows,
+					struct stop_verdict *verdict)
 {
 	struct group_candidate best = { 0 };
+	struct stop_serving serving = { 0 };
 	struct flow_vm *from;
 	struct flow_vm *to;
 	uint64_t min_gain_millis;
+	uint64_t lost_millis;
 	GHashTableIter iter;
 	void *value;
 
@@ -267,17 +270,22 @@
 	min_gain_millis = (uint64_t)from->worker.cpu_millis *
 			  GROUP_GAIN_MIN_PERMILLE / 1000;
 	to = control_flow_other_vm(flows, best.placed);
-	if (!to ||
-	    best.gain_cpu_millis <=
-		    control_flow_filler_loss(flows, to, best.placed->image) +
-			    min_gain_millis)
+	if (!to)
 		return NULL;
-	return best.placed;
+	lost_millis = control_flow_filler_loss(flows, to, best.placed->image);
+	if (best.gain_cpu_millis <= lost_millis + min_gain_millis)
+		return NULL;
+	serving.cpu_millis = best.placed->step->cpu_millis;
+	serving.gain_cpu_millis = best.gain_cpu_millis - lost_millis;
+	*verdict = flows->policy->serving_stop(
+		&serving, &flows->control->opts.load_limits);
+	return verdict->pays ? best.placed : NULL;
 }
 
 void control_flow_group_serving(struct control_flow *flows)
 {
 	uint64_t now_us = flows->control->node->now_us;
+	struct stop_verdict verdict = { 0 };
 	struct flow_placement *placed;
 
 	if (now_us - flows->group_checked_us < GROUP_MOVE_INTERVAL_MS * 1000ull)
@@ -285,9 +293,9 @@
 	flows->group_checked_us = now_us;
 	placed = NULL;
 	for (uint32_t i = 0; i < GROUP_TASKS_PER_ROUND && !placed; i++)
-		placed = best_move(flows);
+		placed = best_move(flows, &verdict);
 	if (!placed)
 		return;
 	counter_add(flows->control->node->counters, "runs_grouped", 1);
-	control_flow_order_stop(flows, placed, "other neighbours");
+	control_flow_preempt(flows, placed, "other neighbours", &verdict);
 }
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -21,6 +21,7 @@
 #include "control_impl.h"
 #include "load_policy.h"
 #include "pressure.h"
+#include "run_time.h"
 #include "timer.h"
 
 /*
@@ -200,7 +201,21 @@
 	 * higher.
 	 */
 	uint64_t throttled_since_us;
+	/* The same for STOP_HALTED_PERCENT. */
+	uint64_t halted_since_us;
 	uint64_t progress_us; /* when percent changed last */
+	/*
+	 * Time since listed_us as time at full pace: throttled time counts in
+	 * proportion to the pace. Up to date as of timed_us.
+	 */
+	uint64_t full_us;
+	uint64_t timed_us;
+	uint64_t progress_full_us; /* full_us when percent changed last */
+	/*
+	 * Its progress at listed_us; above 0 if it began well before, or from a
+	 * checkpoint.
+	 */
+	uint32_t from_percent;
 	/*
 	 * When a better VM was last searched for, for a serving task or for a
 	 * throttled filler, 0: never.
@@ -328,6 +343,7 @@
 	GArray *ranks;
 	/* "HOST PREFIX" of the queue -> struct flow_work_mean * */
 	GHashTable *work_means;
+	struct run_times *run_times; /* learned by this leader */
 	bool placing; /* a pass of placement is running */
 	uint64_t change_nr; /* counts changes that may free capacity on a VM */
 	GArray *changes; /* struct flow_change to be proposed */
@@ -538,6 +554,10 @@
 			      struct flow_placement *placed);
 void control_flow_order_stop(struct control_flow *flows,
 			     struct flow_placement *placed, const char *reason);
+/** As control_flow_order_stop(), for a stop that the leader has weighed. */
+void control_flow_preempt(struct control_flow *flows,
+			  struct flow_placement *placed, const char *reason,
+			  const struct stop_verdict *verdict);
 /** Orders the agent to stop a run that the committed state doesn't have. */
 void control_flow_order_kill(struct control_flow *flows, struct flow_vm *vm,
 			     const struct flow_run *run);
@@ -582,6 +602,13 @@
  */
 GArray *control_flow_agent_weights(struct control_flow *flows,
 				   struct flow_vm *vm);
+/**
+ * Returns how much of the utilization by which a serving task of the VM exceeds
+ * PACE_SETPOINT_PERMILLE is due to the filler, by the last report; the highest
+ * of all serving tasks.
+ */
+uint32_t control_flow_excess_permille(const struct control_flow *flows,
+				      const struct flow_placement *filler);
 /**
  * Returns how much more work fillers would do on the VM with one more filler of
  * this step, in permille of the processors that the step asks for.
@@ -602,6 +629,15 @@
 uint32_t control_flow_other_images(const struct flow_vm *vm, uint32_t image);
 
 /* control_flow_time.c */
+/** Begins to count the run's time; a report first shows it at the worker. */
+void control_flow_time_begin(struct control_flow *flows,
+			     struct flow_placement *placed, uint32_t percent);
+/** Counts the time since the last call, at the pace that was noted there. */
+void control_flow_time_update(struct control_flow *flows,
+			      struct flow_placement *placed);
+/** Learns the run time of a run that has ended as done. */
+void control_flow_time_learn(struct control_flow *flows,
+			     struct flow_placement *placed);
 /**
  * Returns how long a task of the step is expected to run at full pace, in ms;
  * UINT64_MAX for a long-running one.
@@ -609,6 +645,21 @@
 uint64_t control_flow_run_ms(const struct control_flow *flows,
 			     const struct state_flow *flow,
 			     const struct flow_step *step);
+/**
+ * Returns the time within which most tasks of the step end at full pace, in ms;
+ * UINT64_MAX for a long-running one.
+ */
+uint64_t control_flow_high_run_ms(const struct control_flow *flows,
+				  const struct state_flow *flow,
+				  const struct flow_step *step);
+/**
+ * Returns in how many ms the run would end at full pace; UINT64_MAX for a
+ * long-running one. Sets @a unsure if that follows from the client's estimate
+ * only.
+ */
+uint64_t control_flow_remaining_full_ms(const struct control_flow *flows,
+					const struct flow_placement *placed,
+					bool *unsure);
 /**
  * Returns in how many ms the run is expected to end at its present speed;
  * UINT64_MAX for a long-running one.
@@ -620,6 +671,8 @@
 /** Records since when the run's pace has been low. */
 void control_flow_note_pace(struct control_flow *flows,
 			    struct flow_placement *placed);
+/** Stops runs that make no progress although their worker responds. */
+void control_flow_stop_stalled(struct control_flow *flows, struct flow_vm *vm);
 /** Stops fillers of the VM that could run faster on another VM. */
 void control_flow_move_fillers(struct control_flow *flows, struct flow_vm *vm);
 
--- a/src/core/control/control_flow_log.c
+++ b/src/core/control/control_flow_log.c
@@ -410,5 +410,7 @@
 	counter_set(counters, "cpu_millis", cpu_millis);
 	counter_set(counters, "cpu_taken_millis", taken_millis);
 	counter_set(counters, "cpu_filler_millis", filler_millis);
+	counter_set(counters, "run_times_learned",
+		    run_times_nr(flows->run_times));
 	set_work_gauges(flows);
 }
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -123,28 +123,41 @@
 	flow_order_add(flows, placed->vm, &order);
 }
 
-void control_flow_order_stop(struct control_flow *flows,
-			     struct flow_placement *placed, const char *reason)
+/* Logs a stop; @a verdict is NULL if the leader hasn't weighed it. */
+static void flow_log_stop(struct control_flow *flows,
+			  const struct flow_placement *placed,
+			  const char *reason,
+			  const struct stop_verdict *verdict)
+{
+	GString *line = logline_new("task-stop");
+
+	logline_str(line, "task", placed->name);
+	logline_u64(line, "run", placed->run);
+	logline_str(line, "vm", placed->vm->name);
+	logline_u64(line, "percent", placed->percent);
+	logline_str(line, "reason", reason);
+	if (verdict && flows->policy->weighs_stops) {
+		logline_u64(line, "gain_ms", verdict->gain_ms);
+		logline_u64(line, "cost_ms", verdict->cost_ms);
+	}
+	node_log(flows->control->node, line);
+	counter_inc_label(flows->control->node->counters, "task_stops",
+			  "reason", reason);
+}
+
+void control_flow_preempt(struct control_flow *flows,
+			  struct flow_placement *placed, const char *reason,
+			  const struct stop_verdict *verdict)
 {
 	struct flow_order order = { .action = FLOW_STOP };
-	GString *line;
 
 	if (!placed->vm->reported || !placed->committed ||
 	    !control_flow_is_current_incarnation(placed))
 		return;
 	if (!placed->stopping) {
-		line = logline_new("task-stop");
-		logline_str(line, "task", placed->name);
-		logline_u64(line, "run", placed->run);
-		logline_str(line, "vm", placed->vm->name);
-		logline_u64(line, "percent", placed->percent);
-		logline_str(line, "reason", reason);
-		node_log(flows->control->node, line);
-		counter_inc_label(flows->control->node->counters, "task_stops",
-				  "reason", reason);
-	}
-	if (!placed->stopping)
+		flow_log_stop(flows, placed, reason, verdict);
 		control_flow_vm_changed(flows, placed->vm);
+	}
 	placed->stopping = true;
 	placed->ordered_us = flows->control->node->now_us;
 	placed->ordered_node = placed->vm->node_id;
@@ -154,6 +167,12 @@
 	flow_order_add(flows, placed->vm, &order);
 }
 
+void control_flow_order_stop(struct control_flow *flows,
+			     struct flow_placement *placed, const char *reason)
+{
+	control_flow_preempt(flows, placed, reason, NULL);
+}
+
 void control_flow_order_kill(struct control_flow *flows, struct flow_vm *vm,
 			     const struct flow_run *run)
 {
--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -94,6 +94,36 @@
 	return fillers;
 }
 
+uint32_t control_flow_excess_permille(const struct control_flow *flows,
+				      const struct flow_placement *filler)
+{
+	struct pressure_filler used = { .image = filler->image };
+	uint32_t worst = 0;
+	GHashTableIter iter;
+	void *key;
+
+	if (!is_measured(filler))
+		return 0;
+	used.share_permille = vm_share(filler->vm, filler->figure);
+	g_hash_table_iter_init(&iter, filler->vm->runs);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct flow_placement *placed = key;
+		uint32_t utilization;
+
+		if (!control_flow_is_serving(placed) || !is_measured(placed))
+			continue;
+		utilization = pressure_utilization(placed->figure,
+						   placed->step->target_ms);
+		if (utilization <= PACE_SETPOINT_PERMILLE)
+			continue;
+		worst = MAX(worst,
+			    MIN(utilization - PACE_SETPOINT_PERMILLE,
+				pressure_added(flows->pressure, placed->image,
+					       &used, 1)));
+	}
+	return worst;
+}
+
 /*
  * Returns a hash of the fillers' images and processor use. Weights are learned
  * again only if these or the latency of a serving task have changed.
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -163,9 +163,13 @@
 							1000);
 			placed->listed_us = now_us;
 			placed->progress_us = now_us;
+			control_flow_time_begin(flows, placed, run->percent);
 		}
-		if (placed->percent != run->percent)
+		control_flow_time_update(flows, placed);
+		if (placed->percent != run->percent) {
 			placed->progress_us = now_us;
+			placed->progress_full_us = placed->full_us;
+		}
 		placed->percent = run->percent;
 		placed->figure = run->figure;
 		placed->pace = run->pace;
@@ -445,28 +449,6 @@
 	g_list_free(runs);
 }
 
-/* Stops runs that make no progress although their worker responds. */
-static void flow_stop_stalled(struct control_flow *flows, struct flow_vm *vm)
-{
-	uint64_t now_us = flows->control->node->now_us;
-	GList *runs = g_hash_table_get_keys(vm->runs);
-
-	for (GList *item = runs; item; item = item->next) {
-		struct flow_placement *placed = item->data;
-		uint64_t ran_us = now_us - placed->listed_us;
-
-		if (!placed->listed || placed->stopping || placed->ending ||
-		    placed->step->lasting || placed->pace < 100 ||
-		    now_us - placed->progress_us < FLOW_STALL_MS * 1000ull ||
-		    ran_us < (uint64_t)placed->step->estimate_ms *
-				     FLOW_STALL_FACTOR * 1000)
-			continue;
-		counter_add(flows->control->node->counters, "runs_stalled", 1);
-		control_flow_order_stop(flows, placed, "stalled");
-	}
-	g_list_free(runs);
-}
-
 /*
  * Returns true if the report comes from an agent process that was replaced.
  * Such a report was delayed in the network.
@@ -597,7 +579,7 @@
 	g_hash_table_unref(listed);
 	if (vm->worker.draining)
 		flow_drain(flows, vm);
-	flow_stop_stalled(flows, vm);
+	control_flow_stop_stalled(flows, vm);
 	control_flow_learn_weights(flows, vm);
 	control_flow_move_fillers(flows, vm);
 	control_flow_grant(flows, vm);
--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -33,6 +33,7 @@
 	uint64_t deadline_ms;
 	uint64_t settled_nr;
 	uint32_t wait_ms;
+	uint32_t percent; /* of the run's full speed */
 	char ticket[NAME_BYTES];
 	bool answered; /* the reply is there for the agent to handle */
 	struct exec_reply reply;
@@ -86,7 +87,7 @@
 void fw_add_run(struct fw_vm *vm, const char *task, uint32_t nr,
 		uint32_t age_ms)
 {
-	struct fw_run run = { .run = nr };
+	struct fw_run run = { .run = nr, .pace = 100 };
 
 	run.started_us = fw_now_us(vm->world) - age_ms * 1000ull;
 	TEXT_SET(run.task, task);
@@ -137,10 +138,23 @@
 		g_hash_table_add(vm->world->done, g_strdup(run->task));
 		g_hash_table_add(vm->world->ended, g_strdup(run->task));
 	}
+	if (vm->world->obeys_pace)
+		g_hash_table_replace(vm->world->work, g_strdup(run->task),
+				     g_memdup2(&run->work_us,
+					       sizeof(run->work_us)));
 	g_array_append_val(worker->ends, end);
 	g_array_remove_index(worker->runs, i);
 }
 
+static void worker_pace(struct fw_worker *worker, const struct fw_call *call)
+{
+	guint at = 0;
+
+	if (worker_find(worker, call->task, &at))
+		g_array_index(worker->runs, struct fw_run, at).pace =
+			call->percent;
+}
+
 /* Makes the run end after flow_world.stop_ms, unless it ends before. */
 static void worker_stop_later(struct fw_vm *vm, guint i)
 {
@@ -185,7 +199,11 @@
 	struct fw_vm *vm = call->vm;
 	struct fw_worker *worker = &vm->worker;
 	const struct fw_run *known = worker_find(worker, call->task, NULL);
+	const uint64_t *work_us =
+		g_hash_table_lookup(vm->world->work, call->task);
 	struct fw_run run = { .run = call->run,
+			      .pace = 100,
+			      .work_us = work_us ? *work_us : 0,
 			      .started_us = fw_now_us(vm->world),
 			      .called_us = call->called_us,
 			      .called_born_ms = call->called_born_ms };
@@ -237,7 +255,7 @@
 
 		TEXT_SET(reply->runs[i].task, run->task);
 		reply->runs[i].run = run->run;
-		reply->runs[i].percent = 100;
+		reply->runs[i].percent = fw_run_percent(call->vm, run);
 		reply->runs[i].figure = call->vm->tail_ms ?
 						call->vm->tail_ms :
 						call->vm->world->tail_ms;
@@ -287,6 +305,8 @@
 		worker_start(call, reply);
 	else if (call->kind == EXEC_POLL)
 		worker_list(call, reply);
+	else if (call->kind == EXEC_PACE)
+		worker_pace(worker, call);
 	if (call->kind != EXEC_STOP)
 		return;
 	worker_block_runs(worker, call->task, call->run);
@@ -451,6 +471,7 @@
 	call->fence = from->fence;
 	call->deadline_ms = from->deadline_ms;
 	call->settled_nr = from->settled_nr;
+	call->percent = from->percent;
 	call->wait_ms = from->wait_ms;
 	TEXT_SET(call->ticket, from->ticket ? from->ticket : "");
 	call->no_listener = strcmp(from->address, VM_ADDRESS) != 0;
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -94,6 +94,22 @@
 	return run_ms * 1000;
 }
 
+static bool run_is_lasting(const struct flow_world *fw,
+			   const struct fw_run *run)
+{
+	return fw->lasting && g_str_has_prefix(run->task, fw->lasting);
+}
+
+uint32_t fw_run_percent(const struct fw_vm *vm, const struct fw_run *run)
+{
+	const struct flow_world *fw = vm->world;
+
+	if (!fw->obeys_pace || !fw->run_ms || run_is_lasting(fw, run))
+		return 100;
+	return (uint32_t)MIN(run->work_us * 100 / task_run_us(fw, run->task),
+			     100);
+}
+
 /* Ends runs that are complete, and all runs once the lease has expired. */
 static void vm_tick(struct fw_vm *vm)
 {
@@ -105,10 +121,13 @@
 	if (lapsed)
 		fw_discard_ends(vm);
 	for (guint i = worker->runs->len; i-- > 0;) {
-		const struct fw_run *run =
+		struct fw_run *run =
 			&g_array_index(worker->runs, struct fw_run, i);
 		uint64_t ran_us = fw_now_us(fw) - run->started_us;
 
+		run->work_us += TICK_US * run->pace / 100;
+		if (fw->obeys_pace)
+			ran_us = run->work_us;
 		cpu_millis += 1000;
 		flow_rules_check_run(fw->rules, vm, run);
 		if (lapsed)
@@ -118,8 +137,7 @@
 		else if (vm->fail_runs)
 			fw_end_run(vm, i, FLOW_END_FAILED);
 		else if (fw->run_ms && ran_us >= task_run_us(fw, run->task) &&
-			 !(fw->lasting &&
-			   g_str_has_prefix(run->task, fw->lasting)))
+			 !run_is_lasting(fw, run))
 			fw_end_run(vm, i, FLOW_END_DONE);
 	}
 	if (!fw->overcommitted)
@@ -509,6 +527,8 @@
 	fw->base = world_new(seed, 3, 0);
 	fw->rules = flow_rules_new();
 	fw->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fw->work =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fw->ended =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fw->pending = g_ptr_array_new_with_free_func(fw_call_free);
@@ -580,6 +600,7 @@
 	}
 	g_ptr_array_unref(fw->pending);
 	g_hash_table_unref(fw->done);
+	g_hash_table_unref(fw->work);
 	g_hash_table_unref(fw->ended);
 	flow_rules_free(fw->rules);
 	world_free(fw->base);
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -43,6 +43,12 @@
 	uint32_t run;
 	uint64_t started_us;
 	uint64_t stop_us; /* when its stop takes effect, 0: not stopped */
+	/*
+	 * With flow_world.obeys_pace: percent of its full speed, and the time
+	 * at full speed that it has run for, also before it was stopped.
+	 */
+	uint32_t pace;
+	uint64_t work_us;
 	/* When its start was called, 0: not by a call, and to which
 	 * incarnation. */
 	uint64_t called_us;
@@ -136,6 +142,13 @@
 	uint32_t run_ms; /* duration of every run, 0: runs don't end */
 	/* Runs of a task take longer by a fixed part of this time. */
 	uint32_t run_spread_ms;
+	/*
+	 * Runs end after run_ms at full speed, are slowed down by their pace
+	 * and report their progress. A stopped one continues where it was.
+	 * Otherwise they ignore their pace and report 100 %.
+	 */
+	bool obeys_pace;
+	GHashTable *work; /* task -> uint64_t *, fw_run.work_us when stopped */
 	uint32_t stop_ms; /* time from a stop to the run's end */
 	uint32_t tail_ms; /* tail latency that runs report */
 	/* Prefix of the names of tasks that don't end, NULL: there are none. */
