Test that a run that was halted isn't stopped as stalled

Cause: only the pure test of stalled runs covered slow progress. Change: test_halted_everywhere plays it, with no better VM.

--- a/tests/test_preemption.c
+++ b/tests/test_preemption.c
@@ -191,6 +191,35 @@
 }
 END_TEST
 
+/*
+ * The load: all serving tasks over their targets for a while, beside a long run
+ * whose estimate is off by 90 %. Guards against a run that is stopped as
+ * stalled when it goes on: it had no chance to make progress.
+ */
+START_TEST(test_halted_everywhere)
+{
+	struct flow_world *fw = world_with_serving(56, 400000);
+	struct flow_step filler = filler_step(1, 20000);
+	struct fw_vm *vm;
+
+	flow_world_submit(fw, "bb", &filler, 1);
+	run_ms(fw, 45000);
+	vm = vm_of(fw, "bb.0.0.0");
+	ck_assert_ptr_nonnull(vm);
+	for (uint32_t ms = 0; ms < 18000; ms += 100) {
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+			fw->vms[i].tail_ms = OVER_TAIL_MS + ms / 100 % 3;
+		if (ms >= 8000)
+			vm->tail_ms = 0;
+		run_ms(fw, 100);
+		ck_assert_msg(fw_runs(vm, "bb.0.0.0"), "ended after %u ms", ms);
+	}
+	ck_assert_uint_eq(fw_find_run(vm, "bb.0.0.0")->pace, 100);
+	ck_assert_uint_eq(sim_log_count(fw->base->sim, "reason=stalled"), 0);
+	flow_world_free(fw);
+}
+END_TEST
+
 static uint64_t leader_run_ms(struct flow_world *fw, const char *id,
 			      const struct flow_step *step)
 {
@@ -247,4 +276,5 @@
 END_TEST
 
 SUITE_MAIN("preemption", test_near_its_end, test_most_of_it_left, test_halted,
-	   test_new_leader_learns_again, test_new_leader_moves)
+	   test_halted_everywhere, test_new_leader_learns_again,
+	   test_new_leader_moves)
