--- a/src/core/control/control_flow_show.c
+++ b/src/core/control/control_flow_show.c
@@ -44,11 +44,12 @@
 	const struct state_flow_stage *stage = &flow->stages[nr];
 	const struct flow_wait *wait =
 		g_hash_table_lookup(flows->waits, flow->record.id);
-	struct flow_demand demand = { .flows = flows,
-				      .flow = flow,
-				      .stage = nr,
-				      .min_gain_permille =
-					      flows->policy->min_gain_permille };
+	struct flow_demand demand = {
+		.flows = flows,
+		.flow = flow,
+		.stage = nr,
+		.min_gain_permille = flows->policy->min_gain_permille
+	};
 	struct op_flow_step item = { 0 };
 
 	demand.step = state_flow_stage_step(flow, nr);
