Match log lines of simulations by regular expressions

Cause: lines of placements and ends are to list several runs each; a pattern with * can't tell one entry of a list from the next. Change: sim_log_matches() counts the lines that match a regular expression.

--- a/tests/sim.c
+++ b/tests/sim.c
@@ -693,3 +693,17 @@
 			return true;
 	return false;
 }
+
+uint32_t sim_log_matches(const struct sim *sim, const char *regex)
+{
+	GRegex *compiled = g_regex_new(regex, G_REGEX_OPTIMIZE, 0, NULL);
+	uint32_t nr = 0;
+
+	g_assert(compiled);
+	for (guint i = 0; i < sim->log->len; i++)
+		if (g_regex_match(compiled, g_ptr_array_index(sim->log, i), 0,
+				  NULL))
+			nr++;
+	g_regex_unref(compiled);
+	return nr;
+}
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -82,4 +82,7 @@
 /** Returns true if a log line so far matches @a pattern ('*', '?'). */
 bool sim_log_has(const struct sim *sim, const char *pattern);
 
+/** Returns the number of log lines so far that match the regular expression. */
+uint32_t sim_log_matches(const struct sim *sim, const char *regex);
+
 #endif /* SIM_H */
