Log placements and ends by step instead of by task

Cause: the logger writes 500 lines of an event in a second. Change: control_flow_account collects the entries of one step and one iteration of the event loop and writes them as one line, at the end of the iteration, of 64 entries or 3,000 bytes, or of the leader's term.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -347,6 +347,12 @@
 #define FLOW_WAIT_LOG_MS 2000
 /* Recent ends of runs kept for operators: about 2 s of a busy leader. */
 #define FLOW_RECENT_ENDS_MAX 512
+/*
+ * Entries and bytes of them in one line of placements or ends. The logger cuts
+ * lines of more than 4096 bytes; the other values of a line take less than 900.
+ */
+#define FLOW_ACCOUNT_ENTRIES_MAX 64
+#define FLOW_ACCOUNT_BYTES_MAX 3000
 /*
  * A placement round begins this long after a task has become ready, to cover
  * tasks that become ready together.
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -292,28 +292,6 @@
 	node_log(flows->control->node, line);
 }
 
-static void flow_log_end(struct control_flow *flows,
-			 const struct flow_placement *placed, enum flow_end end)
-{
-	GString *line = logline_new("task-ended");
-
-	logline_str(line, "task", placed->name);
-	logline_u64(line, "run", placed->run);
-	logline_str(line, "vm", placed->vm->name);
-	logline_str(line, "end", flow_end_name(end));
-	logline_u64(
-		line, "failures",
-		placed->flow->record.nr_tasks ?
-			placed->flow->record.tasks[placed->task].nr_failures :
-			0);
-	logline_u64(line, "ran_ms",
-		    placed->listed ?
-			    (flows->control->node->now_us - placed->listed_us) /
-				    1000 :
-			    0);
-	node_log(flows->control->node, line);
-}
-
 /* Logs the end of a run that had been revoked. */
 static void flow_log_late_end(struct control_flow *flows,
 			      const struct state_flow *flow, uint32_t task,
@@ -376,7 +354,7 @@
 	}
 	counter_inc_label(flows->control->node->counters, "task_ends", "end",
 			  flow_end_name(end));
-	flow_log_end(flows, placed, end);
+	flow_account_end(flows->account, placed, end);
 	control_flow_record_end(flows, placed, end);
 	flow_vm_update_reliability(flows, placed->vm, placed, end);
 	if (end != FLOW_END_LOST && end != FLOW_END_REFUSED)
@@ -548,6 +526,7 @@
 	flows->change_nr = 1; /* 0 means that no change number is known */
 	flows->pressure = pressure_new();
 	flows->advice = flow_advice_new();
+	flows->account = flow_account_new(control->node);
 	flows->work_means =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	flows->ranks = g_array_new(FALSE, FALSE, sizeof(struct flow_rank));
@@ -578,6 +557,7 @@
 	timer_cancel(timers, &flows->order_timer);
 	timer_cancel(timers, &flows->check_timer);
 	timer_cancel(timers, &flows->worker_timer);
+	flow_account_free(flows->account);
 	g_hash_table_unref(flows->left_vms);
 	g_hash_table_unref(flows->orders);
 	g_hash_table_unref(flows->waits);
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -18,6 +18,7 @@
  */
 
 #include "control_flow.h"
+#include "control_flow_account.h"
 #include "control_impl.h"
 #include "load_policy.h"
 #include "pressure.h"
@@ -324,6 +325,7 @@
 	GHashTable *runs; /* task name -> struct flow_placement * */
 	struct pressure *pressure;
 	struct flow_advice *advice;
+	struct flow_account *account;
 	/* struct flow_rank, sorted by priority, value_density and due_us. */
 	GArray *ranks;
 	/* "HOST PREFIX" of the queue -> struct flow_work_mean * */
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -289,31 +289,25 @@
 
 /* ---- placing ---- */
 
-static void flow_log_place(const struct flow_demand *demand,
-			   const struct flow_placement *placed)
-{
-	const struct flow_vm *vm = placed->vm;
-	GString *line = logline_new("place");
-
-	logline_str(line, "task", placed->name);
-	logline_u64(line, "run", placed->run);
-	logline_str(line, "vm", vm->name);
-	logline_str(line, "worker", vm->worker.id);
-	logline_u64(line, "cpu_millis", demand->step->cpu_millis);
-	logline_u64(line, "vm_cpu_millis", vm->cpu_millis);
-	logline_u64(line, "vm_filler_millis", vm->filler_cpu_millis);
-	logline_u64(line, "vm_memory_mib", vm->memory_mib);
-	/* The new placement is counted already. */
-	if (demand->step->max_per_vm) {
-		logline_u64(line, "vm_step_runs",
-			    flow_vm_stage_runs(vm, demand));
-		logline_u64(line, "max_per_vm", demand->step->max_per_vm);
-	}
-	logline_u64(line, "vm_orphans", vm->orphans->len);
-	logline_u64(line, "reported_ms_ago",
-		    (demand->flows->control->node->now_us - vm->reported_us) /
-			    1000);
-	node_log(demand->flows->control->node, line);
+/*
+ * Returns what the VM is chosen by, before the task's resources are reserved
+ * there.
+ */
+static struct flow_account_choice
+flow_choice_of(const struct flow_demand *demand, struct flow_vm *vm)
+{
+	struct flow_account_choice choice = {
+		.cost_permille = flow_vm_cost(vm, demand),
+		.gain_permille = FLOW_ACCOUNT_NONE,
+		.vm_step_runs = FLOW_ACCOUNT_NONE,
+	};
+
+	if (demand->step->filler)
+		choice.gain_permille =
+			control_flow_gain(demand->flows, vm, demand->step);
+	if (demand->step->max_per_vm)
+		choice.vm_step_runs = flow_vm_stage_runs(vm, demand) + 1;
+	return choice;
 }
 
 static struct flow_placement *flow_place_on(const struct flow_demand *demand,
@@ -321,6 +315,7 @@
 					    struct flow_vm *vm)
 {
 	struct flow_change change = { .kind = FLOW_CHANGE_PLACE };
+	struct flow_account_choice choice = flow_choice_of(demand, vm);
 	struct flow_placement *placed = control_flow_reserve(
 		demand->flows, demand->flow, task, run, vm);
 
@@ -334,7 +329,7 @@
 	TEXT_SET(change.vm, vm->name);
 	TEXT_SET(change.worker, vm->worker.id);
 	change.born_ms = vm->worker.born_ms;
-	flow_log_place(demand, placed);
+	flow_account_place(demand->flows->account, placed, &choice);
 	counter_add(demand->flows->control->node->counters, "tasks_placed", 1);
 	control_flow_propose(demand->flows, &change);
 	return placed;
