Expect rising loads only to rise when a filler starts

Cause: a fixed margin of 100 permille leaves room unused where loads fall. Change: pressure.c keeps the slope of each load, and the contended policy counts rising loads one second ahead.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -404,10 +404,11 @@
  */
 #define FLOW_FILLER_FULL_GAIN_PERMILLE 950
 /*
- * Loads of serving tasks change by up to this within a second, and a filler
- * that is throttled then holds its room for longer than it would have waited.
+ * How far ahead rising loads of serving tasks count when a filler starts: about
+ * half of a filler's run. One that is throttled later holds its room for longer
+ * than it would have waited.
  */
-#define FLOW_LOAD_RISE_PERMILLE 100
+#define FLOW_LOAD_AHEAD_MS 1000
 /*
  * A workflow that has had no task placed for this long no longer waits for full
  * speed. About the time by which a heavy workflow may exceed its work.
--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -346,8 +346,9 @@
 		return placed->step->cpu_millis;
 	load_permille = pressure_load(flows->pressure, placed->flow->record.id);
 	capacity_add_serving(capacity->servings, placed->image,
-			     pace_headroom(load_permille +
-					   flows->policy->load_rise_permille));
+			     pace_headroom(pressure_load_ahead(
+				     flows->pressure, placed->flow->record.id,
+				     flows->policy->load_ahead_ms)));
 	return (uint64_t)placed->step->cpu_millis * load_permille / 1000;
 }
 
--- a/src/core/plan/load_policy.h
+++ b/src/core/plan/load_policy.h
@@ -50,10 +50,9 @@
 	/** Least share of its full speed at which a filler starts. */
 	uint32_t min_gain_permille;
 	/**
-	 * By how much the load of a serving task is expected to rise while a
-	 * filler runs.
+	 * How far ahead the load of a serving task counts where it rises.
 	 */
-	uint32_t load_rise_permille;
+	uint32_t load_ahead_ms;
 	/** Returns the cost of the place; the cheapest one is chosen. */
 	uint64_t (*serving_cost)(const struct load_serving_place *place);
 	/**
--- a/src/core/plan/pressure.c
+++ b/src/core/plan/pressure.c
@@ -40,6 +40,13 @@
  */
 #define LOAD_RISE_PERMILLE 150
 #define LOAD_FALL_PERMILLE 300
+/*
+ * Time between the samples that a load's slope follows from: samples vary by
+ * nearly half of what a load changes in a second.
+ */
+#define SLOPE_MIN_MS 1000
+/* Loads change by this in a second at most. */
+#define LOAD_SLOPE_MAX_PERMILLE 100
 /* Share of a sample's error by which a load is corrected if no filler runs. */
 #define LOAD_GAIN_PERMILLE 500
 #define LOAD_VARIANCE 2500 /* variance of a sample without pressure */
@@ -61,6 +68,13 @@
 struct load {
 	uint32_t permille;
 	uint64_t at_us; /* time of the last sample */
+	/*
+	 * Change in a second, between the last two samples that are at least
+	 * SLOPE_MIN_MS apart; the second one is the next one's base.
+	 */
+	int64_t slope_permille_s;
+	int64_t base_permille;
+	uint64_t base_us;
 };
 
 struct pressure {
@@ -326,10 +340,26 @@
 	load = g_new0(struct load, 1);
 	load->permille = LOAD_FIRST_PERMILLE;
 	load->at_us = sample->now_us;
+	load->base_permille = load->permille;
+	load->base_us = sample->now_us;
 	g_hash_table_insert(pressure->loads, g_strdup(sample->workflow), load);
 	return load;
 }
 
+static void update_slope(struct load *load, uint64_t now_us)
+{
+	int64_t elapsed_ms = (int64_t)(now_us - load->base_us) / 1000;
+
+	if (elapsed_ms < SLOPE_MIN_MS)
+		return;
+	load->slope_permille_s =
+		CLAMP(((int64_t)load->permille - load->base_permille) * 1000 /
+			      elapsed_ms,
+		      -LOAD_SLOPE_MAX_PERMILLE, LOAD_SLOPE_MAX_PERMILLE);
+	load->base_permille = load->permille;
+	load->base_us = now_us;
+}
+
 /*
  * Corrects a load by a sample. The correction is smaller if the pressure is
  * higher or less certain.
@@ -361,6 +391,7 @@
 
 	learn_weights(pressure, sample, variance, error);
 	learn_load(load, sample, error, variance, added);
+	update_slope(load, sample->now_us);
 }
 
 uint32_t pressure_load(const struct pressure *pressure, const char *workflow)
@@ -371,6 +402,19 @@
 	return load ? load->permille : LOAD_FIRST_PERMILLE;
 }
 
+uint32_t pressure_load_ahead(const struct pressure *pressure,
+			     const char *workflow, uint32_t ahead_ms)
+{
+	const struct load *load =
+		g_hash_table_lookup(pressure->loads, workflow);
+	int64_t rise;
+
+	if (!load)
+		return LOAD_FIRST_PERMILLE;
+	rise = load->slope_permille_s * ahead_ms / 1000;
+	return (uint32_t)(load->permille + MAX(rise, 0));
+}
+
 void pressure_forget(struct pressure *pressure, const char *workflow)
 {
 	g_hash_table_remove(pressure->loads, workflow);
--- a/src/core/plan/pressure.h
+++ b/src/core/plan/pressure.h
@@ -94,6 +94,13 @@
  */
 uint32_t pressure_load(const struct pressure *pressure, const char *workflow);
 
+/**
+ * Returns what pressure_load() is expected to be in @a ahead_ms if it is
+ * rising, else pressure_load().
+ */
+uint32_t pressure_load_ahead(const struct pressure *pressure,
+			     const char *workflow, uint32_t ahead_ms);
+
 /** Drops the load of a workflow that has ended. */
 void pressure_forget(struct pressure *pressure, const char *workflow);
 
