--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -786,4 +786,31 @@
 /* A run that isn't repeatable may exceed its deadline by this much at most. */
 #define ADMIT_OVERRUN_MS 30000
 
+/*
+ * Shares of queues, plan/share.h. A use counts half after 40 ticks of 100 ms:
+ * as long as the two steps of a heavy workflow take, and less than half of its
+ * objective, so that a queue which has used idle processors isn't kept behind
+ * others for longer than its work may wait.
+ */
+#define SHARE_TICK_US 100000ull
+#define SHARE_HALF_LIFE_TICKS 40
+#define SHARE_TICK_KEEP_PPM 982820ull /* 0.5 to the power of 1/40 */
+#define SHARE_WEIGHT_STANDARD 1000
+#define SHARE_WEIGHT_MAX 1000000
+/* Excess, relative to its share, at which a queue is over its share. */
+#define SHARE_MARGIN_PERMILLE 100
+/* A smaller use or excess counts as none: less than one run of a filler. */
+#define SHARE_MIN_CORE_MS 1000
+/* A use is stored again when it differs by more than this part, here 1/4. */
+#define SHARE_SAVE_FRACTION 4
+#define SHARE_SAVE_INTERVAL_MS 3000
+#define SHARE_SAVE_MAX 256 /* uses in one log entry */
+#define SHARE_LOG_INTERVAL_MS 1000 /* between two lines about a queue */
+/*
+ * Records of queues in the replicated state. Uses create fewer than weights
+ * may, so that operators can always set some.
+ */
+#define SHARE_MAX_RECORDS 1024
+#define SHARE_MAX_USE_RECORDS 512
+
 #endif /* TUNABLES_H */
