--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -3607,6 +3607,141 @@
   assert(message->base.descriptor == &masticreach__cmd_flow_workers__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   masticreach__cmd_share_weight__init
+                     (Masticreach__CmdShareWeight         *message)
+{
+  static const Masticreach__CmdShareWeight init_value = MASTICREACH__CMD_SHARE_WEIGHT__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_share_weight__get_packed_size
+                     (const Masticreach__CmdShareWeight *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_share_weight__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_share_weight__pack
+                     (const Masticreach__CmdShareWeight *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_share_weight__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_share_weight__pack_to_buffer
+                     (const Masticreach__CmdShareWeight *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_share_weight__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdShareWeight *
+       masticreach__cmd_share_weight__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdShareWeight *)
+     protobuf_c_message_unpack (&masticreach__cmd_share_weight__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_share_weight__free_unpacked
+                     (Masticreach__CmdShareWeight *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_share_weight__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__share_record__init
+                     (Masticreach__ShareRecord         *message)
+{
+  static const Masticreach__ShareRecord init_value = MASTICREACH__SHARE_RECORD__INIT;
+  *message = init_value;
+}
+size_t masticreach__share_record__get_packed_size
+                     (const Masticreach__ShareRecord *message)
+{
+  assert(message->base.descriptor == &masticreach__share_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__share_record__pack
+                     (const Masticreach__ShareRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__share_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__share_record__pack_to_buffer
+                     (const Masticreach__ShareRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__share_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__ShareRecord *
+       masticreach__share_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__ShareRecord *)
+     protobuf_c_message_unpack (&masticreach__share_record__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__share_record__free_unpacked
+                     (Masticreach__ShareRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__share_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticreach__cmd_share_uses__init
+                     (Masticreach__CmdShareUses         *message)
+{
+  static const Masticreach__CmdShareUses init_value = MASTICREACH__CMD_SHARE_USES__INIT;
+  *message = init_value;
+}
+size_t masticreach__cmd_share_uses__get_packed_size
+                     (const Masticreach__CmdShareUses *message)
+{
+  assert(message->base.descriptor == &masticreach__cmd_share_uses__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticreach__cmd_share_uses__pack
+                     (const Masticreach__CmdShareUses *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticreach__cmd_share_uses__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticreach__cmd_share_uses__pack_to_buffer
+                     (const Masticreach__CmdShareUses *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticreach__cmd_share_uses__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticreach__CmdShareUses *
+       masticreach__cmd_share_uses__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticreach__CmdShareUses *)
+     protobuf_c_message_unpack (&masticreach__cmd_share_uses__descriptor,
+                                allocator, len, data);
+}
+void   masticreach__cmd_share_uses__free_unpacked
+                     (Masticreach__CmdShareUses *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticreach__cmd_share_uses__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   masticreach__task_record__init
                      (Masticreach__TaskRecord         *message)
 {
@@ -11482,6 +11617,185 @@
   (ProtobufCMessageInit) masticreach__cmd_flow_workers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor masticreach__cmd_share_weight__field_descriptors[2] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdShareWeight, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__CmdShareWeight, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__cmd_share_weight__field_indices_by_name[] = {
+  0,   /* field[0] = queue */
+  1,   /* field[1] = weight */
+};
+static const ProtobufCIntRange masticreach__cmd_share_weight__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_share_weight__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdShareWeight",
+  "CmdShareWeight",
+  "Masticreach__CmdShareWeight",
+  "masticreach",
+  sizeof(Masticreach__CmdShareWeight),
+  2,
+  masticreach__cmd_share_weight__field_descriptors,
+  masticreach__cmd_share_weight__field_indices_by_name,
+  1,  masticreach__cmd_share_weight__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_share_weight__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__share_record__field_descriptors[5] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ShareRecord, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ShareRecord, prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ShareRecord, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ShareRecord, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "use_core_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__ShareRecord, use_core_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__share_record__field_indices_by_name[] = {
+  0,   /* field[0] = host */
+  2,   /* field[2] = name */
+  1,   /* field[1] = prefix */
+  4,   /* field[4] = use_core_ms */
+  3,   /* field[3] = weight */
+};
+static const ProtobufCIntRange masticreach__share_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor masticreach__share_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.ShareRecord",
+  "ShareRecord",
+  "Masticreach__ShareRecord",
+  "masticreach",
+  sizeof(Masticreach__ShareRecord),
+  5,
+  masticreach__share_record__field_descriptors,
+  masticreach__share_record__field_indices_by_name,
+  1,  masticreach__share_record__number_ranges,
+  (ProtobufCMessageInit) masticreach__share_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticreach__cmd_share_uses__field_descriptors[1] =
+{
+  {
+    "uses",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticreach__CmdShareUses, n_uses),
+    offsetof(Masticreach__CmdShareUses, uses),
+    &masticreach__share_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticreach__cmd_share_uses__field_indices_by_name[] = {
+  0,   /* field[0] = uses */
+};
+static const ProtobufCIntRange masticreach__cmd_share_uses__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor masticreach__cmd_share_uses__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticreach.CmdShareUses",
+  "CmdShareUses",
+  "Masticreach__CmdShareUses",
+  "masticreach",
+  sizeof(Masticreach__CmdShareUses),
+  1,
+  masticreach__cmd_share_uses__field_descriptors,
+  masticreach__cmd_share_uses__field_indices_by_name,
+  1,  masticreach__cmd_share_uses__number_ranges,
+  (ProtobufCMessageInit) masticreach__cmd_share_uses__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor masticreach__task_record__field_descriptors[13] =
 {
   {
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -95,6 +95,9 @@
 typedef struct Masticreach__FlowUnconfirmed Masticreach__FlowUnconfirmed;
 typedef struct Masticreach__FlowWorker Masticreach__FlowWorker;
 typedef struct Masticreach__CmdFlowWorkers Masticreach__CmdFlowWorkers;
+typedef struct Masticreach__CmdShareWeight Masticreach__CmdShareWeight;
+typedef struct Masticreach__ShareRecord Masticreach__ShareRecord;
+typedef struct Masticreach__CmdShareUses Masticreach__CmdShareUses;
 typedef struct Masticreach__TaskRecord Masticreach__TaskRecord;
 typedef struct Masticreach__StateCounters Masticreach__StateCounters;
 
@@ -1298,6 +1301,42 @@
     , 0,NULL }
 
 
+struct  Masticreach__CmdShareWeight
+{
+  ProtobufCMessage base;
+  char *queue;
+  uint32_t weight;
+};
+#define MASTICREACH__CMD_SHARE_WEIGHT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__cmd_share_weight__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Masticreach__ShareRecord
+{
+  ProtobufCMessage base;
+  char *host;
+  char *prefix;
+  char *name;
+  uint32_t weight;
+  uint64_t use_core_ms;
+};
+#define MASTICREACH__SHARE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__share_record__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Masticreach__CmdShareUses
+{
+  ProtobufCMessage base;
+  size_t n_uses;
+  Masticreach__ShareRecord **uses;
+};
+#define MASTICREACH__CMD_SHARE_USES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticreach__cmd_share_uses__descriptor) \
+    , 0,NULL }
+
+
 struct  Masticreach__TaskRecord
 {
   ProtobufCMessage base;
@@ -2852,6 +2891,63 @@
 void   masticreach__cmd_flow_workers__free_unpacked
                      (Masticreach__CmdFlowWorkers *message,
                       ProtobufCAllocator *allocator);
+/* Masticreach__CmdShareWeight methods */
+void   masticreach__cmd_share_weight__init
+                     (Masticreach__CmdShareWeight         *message);
+size_t masticreach__cmd_share_weight__get_packed_size
+                     (const Masticreach__CmdShareWeight   *message);
+size_t masticreach__cmd_share_weight__pack
+                     (const Masticreach__CmdShareWeight   *message,
+                      uint8_t             *out);
+size_t masticreach__cmd_share_weight__pack_to_buffer
+                     (const Masticreach__CmdShareWeight   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__CmdShareWeight *
+       masticreach__cmd_share_weight__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__cmd_share_weight__free_unpacked
+                     (Masticreach__CmdShareWeight *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__ShareRecord methods */
+void   masticreach__share_record__init
+                     (Masticreach__ShareRecord         *message);
+size_t masticreach__share_record__get_packed_size
+                     (const Masticreach__ShareRecord   *message);
+size_t masticreach__share_record__pack
+                     (const Masticreach__ShareRecord   *message,
+                      uint8_t             *out);
+size_t masticreach__share_record__pack_to_buffer
+                     (const Masticreach__ShareRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__ShareRecord *
+       masticreach__share_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__share_record__free_unpacked
+                     (Masticreach__ShareRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Masticreach__CmdShareUses methods */
+void   masticreach__cmd_share_uses__init
+                     (Masticreach__CmdShareUses         *message);
+size_t masticreach__cmd_share_uses__get_packed_size
+                     (const Masticreach__CmdShareUses   *message);
+size_t masticreach__cmd_share_uses__pack
+                     (const Masticreach__CmdShareUses   *message,
+                      uint8_t             *out);
+size_t masticreach__cmd_share_uses__pack_to_buffer
+                     (const Masticreach__CmdShareUses   *message,
+                      ProtobufCBuffer     *buffer);
+Masticreach__CmdShareUses *
+       masticreach__cmd_share_uses__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticreach__cmd_share_uses__free_unpacked
+                     (Masticreach__CmdShareUses *message,
+                      ProtobufCAllocator *allocator);
 /* Masticreach__TaskRecord methods */
 void   masticreach__task_record__init
                      (Masticreach__TaskRecord         *message);
@@ -3132,6 +3228,15 @@
 typedef void (*Masticreach__CmdFlowWorkers_Closure)
                  (const Masticreach__CmdFlowWorkers *message,
                   void *closure_data);
+typedef void (*Masticreach__CmdShareWeight_Closure)
+                 (const Masticreach__CmdShareWeight *message,
+                  void *closure_data);
+typedef void (*Masticreach__ShareRecord_Closure)
+                 (const Masticreach__ShareRecord *message,
+                  void *closure_data);
+typedef void (*Masticreach__CmdShareUses_Closure)
+                 (const Masticreach__CmdShareUses *message,
+                  void *closure_data);
 typedef void (*Masticreach__TaskRecord_Closure)
                  (const Masticreach__TaskRecord *message,
                   void *closure_data);
@@ -3224,6 +3329,9 @@
 extern const ProtobufCMessageDescriptor masticreach__flow_unconfirmed__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__flow_worker__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__cmd_flow_workers__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__cmd_share_weight__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__share_record__descriptor;
+extern const ProtobufCMessageDescriptor masticreach__cmd_share_uses__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__task_record__descriptor;
 extern const ProtobufCMessageDescriptor masticreach__state_counters__descriptor;
 
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -229,6 +229,33 @@
 	struct flow_worker *workers;
 };
 
+/**
+ * A queue's weight and use in the replicated state and its snapshots, see
+ * plan/share.h. There is a record while one of the two isn't 0.
+ */
+struct share_record {
+	char host[NAME_BYTES]; /* of the queue, as prefix */
+	char prefix[NAME_BYTES];
+	char name[NAME_BYTES]; /* of the queue when its weight was set */
+	uint32_t weight; /* 0: none set, the standard weight applies */
+	uint64_t use_core_ms; /* 0: none */
+};
+
+/**
+ * An operator's change of a queue's weight. The queue is given by its name, or
+ * by its host followed by its prefix.
+ */
+struct cmd_share_weight {
+	char queue[PATH_BYTES];
+	uint32_t weight; /* up to SHARE_WEIGHT_MAX, 0: removes the weight */
+};
+
+/** Stores queues' uses for later leaders. */
+struct cmd_share_uses {
+	uint32_t nr_uses;
+	struct share_record *uses; /* name and weight are not set */
+};
+
 /* ---- messages between entries and control ---- */
 
 enum flow_call_kind {
--- a/src/core/base/op.h
+++ b/src/core/base/op.h
@@ -41,6 +41,8 @@
 	 */
 	OP_ZONE_PUT = 217,
 	OP_FLOW_LIST = 218, /* op_query -> op_flows */
+	OP_SHARE_LIST = 219, /* op_query -> op_shares */
+	OP_SHARE_SET = 220, /* struct cmd_share_weight -> op_reply */
 	/* replies, each with the struct of its name if none is given */
 	OP_REPLY = 230,
 	OP_BUNDLE_STATUS_REPLY = 231, /* struct op_bundle_status */
@@ -51,6 +53,7 @@
 	OP_STATUS_REPLY = 236, /* struct op_status */
 	OP_BUNDLE = 237, /* struct bundle */
 	OP_FLOWS = 238,
+	OP_SHARES = 239,
 };
 
 /** Requests one page of a list. */
@@ -183,6 +186,29 @@
 	struct op_flow *flows;
 };
 
+/** A queue's share of its service's processors, see plan/share.h. */
+struct op_share {
+	uint64_t nr; /* number of the row, from 1, for op_query.after_id */
+	char queue[NAME_BYTES]; /* its name */
+	char host[NAME_BYTES];
+	char prefix[NAME_BYTES];
+	char service[NAME_BYTES]; /* "": not in the bundle in force */
+	uint32_t priority;
+	uint32_t weight; /* the standard one if none is set */
+	bool weight_set; /* an operator has set the weight */
+	uint32_t share_permille; /* 0: the queue has no work */
+	uint64_t use_core_ms; /* decayed */
+	uint64_t excess_core_ms; /* use above the share */
+	bool over; /* over its share while another queue waits */
+	uint32_t workflows; /* that have not ended, without long-running ones */
+	uint32_t waiting; /* of these, with tasks that wait for a VM */
+};
+
+struct op_shares {
+	uint32_t nr_shares;
+	struct op_share *shares;
+};
+
 struct op_member {
 	uint64_t node_id;
 	char name[NAME_BYTES];
--- a/src/core/base/schema.h
+++ b/src/core/base/schema.h
@@ -79,6 +79,8 @@
 	CMD_FLOW_EXPIRE = 119,
 	CMD_PRESSURE = 120,
 	CMD_FLOW_WORKERS = 121,
+	CMD_SHARE_WEIGHT = 122,
+	CMD_SHARE_USES = 123,
 	/* records of its snapshots, command.h and flow.h */
 	REC_BUNDLE = 150,
 	REC_ZONE = 151,
@@ -90,6 +92,7 @@
 	REC_FLOW = 157,
 	REC_PRESSURE = 158,
 	REC_FLOW_WORKER = 159,
+	REC_SHARE = 160,
 	/* enum op_type: operators' requests and replies, op.h */
 	OP_FIRST = 200,
 	OP_LAST = 249,
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -233,6 +233,27 @@
 static SCHEMA(flow_orders_schema, "FlowOrders", flow_orders,
 	      flow_orders_fields);
 
+static const struct field share_record_fields[] = {
+	F_STRING(share_record, host),	  F_STRING(share_record, prefix),
+	F_STRING(share_record, name),	  F_U32(share_record, weight),
+	F_U64(share_record, use_core_ms),
+};
+static SCHEMA(share_record_schema, "ShareRecord", share_record,
+	      share_record_fields);
+
+static const struct field cmd_share_weight_fields[] = {
+	F_STRING(cmd_share_weight, queue),
+	F_U32(cmd_share_weight, weight),
+};
+SCHEMA(cmd_share_weight_schema, "CmdShareWeight", cmd_share_weight,
+       cmd_share_weight_fields);
+
+static const struct field cmd_share_uses_fields[] = {
+	F_STRUCTS(cmd_share_uses, uses, share_record_schema),
+};
+static SCHEMA(cmd_share_uses_schema, "CmdShareUses", cmd_share_uses,
+	      cmd_share_uses_fields);
+
 const struct schema_entry schema_flow[] = {
 	{ MSG_FLOW_CALL, &flow_call_schema },
 	{ MSG_FLOW_REPLY, &flow_reply_schema },
@@ -249,5 +270,8 @@
 	{ REC_FLOW, &flow_record_schema },
 	{ REC_PRESSURE, &pressure_pair_schema },
 	{ REC_FLOW_WORKER, &flow_worker_schema },
+	{ CMD_SHARE_WEIGHT, &cmd_share_weight_schema },
+	{ CMD_SHARE_USES, &cmd_share_uses_schema },
+	{ REC_SHARE, &share_record_schema },
 	{ TYPE_NONE, NULL },
 };
--- a/src/core/base/schema_op.c
+++ b/src/core/base/schema_op.c
@@ -121,6 +121,29 @@
 };
 static SCHEMA(op_flows_schema, "OpFlows", op_flows, op_flows_fields);
 
+static const struct field op_share_fields[] = {
+	F_U64(op_share, nr),
+	F_STRING(op_share, queue),
+	F_STRING(op_share, host),
+	F_STRING(op_share, prefix),
+	F_STRING(op_share, service),
+	F_U32(op_share, priority),
+	F_U32(op_share, weight),
+	F_BOOL(op_share, weight_set),
+	F_U32(op_share, share_permille),
+	F_U64(op_share, use_core_ms),
+	F_U64(op_share, excess_core_ms),
+	F_BOOL(op_share, over),
+	F_U32(op_share, workflows),
+	F_U32(op_share, waiting),
+};
+static SCHEMA(op_share_schema, "OpShare", op_share, op_share_fields);
+
+static const struct field op_shares_fields[] = {
+	F_STRUCTS(op_shares, shares, op_share_schema),
+};
+static SCHEMA(op_shares_schema, "OpShares", op_shares, op_shares_fields);
+
 static const struct field op_member_fields[] = {
 	F_U64(op_member, node_id),    F_STRING(op_member, name),
 	F_STRING(op_member, address), F_BOOL(op_member, voter),
@@ -174,5 +197,8 @@
 	{ OP_STATUS_REPLY, &op_status_schema },
 	{ OP_BUNDLE, &bundle_schema },
 	{ OP_FLOWS, &op_flows_schema },
+	{ OP_SHARE_LIST, &op_query_schema },
+	{ OP_SHARE_SET, &cmd_share_weight_schema },
+	{ OP_SHARES, &op_shares_schema },
 	{ TYPE_NONE, NULL },
 };
--- a/src/core/base/schema_tables.h
+++ b/src/core/base/schema_tables.h
@@ -25,6 +25,7 @@
 extern const struct schema claim_record_schema;
 extern const struct schema cmd_bundle_sign_schema;
 extern const struct schema cmd_job_cancel_schema;
+extern const struct schema cmd_share_weight_schema;
 extern const struct schema cmd_vm_quarantine_schema;
 extern const struct schema cmd_zone_set_schema;
 extern const struct schema flow_record_schema;
--- a/src/core/state/state.c
+++ b/src/core/state/state.c
@@ -33,6 +33,8 @@
 	{ CMD_FLOW_EXPIRE, state_flow_expire },
 	{ CMD_PRESSURE, state_pressure_set },
 	{ CMD_FLOW_WORKERS, state_worker_set },
+	{ CMD_SHARE_WEIGHT, state_share_set },
+	{ CMD_SHARE_USES, state_share_use },
 };
 
 static void state_add_record(uint32_t type, const void *body, GArray *out)
@@ -94,6 +96,12 @@
 	return FALSE;
 }
 
+static gboolean state_add_share(gpointer key, gpointer value, gpointer data)
+{
+	state_add_record(REC_SHARE, value, data);
+	return FALSE;
+}
+
 static gint state_compare_keys(gconstpointer a, gconstpointer b)
 {
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
@@ -126,6 +134,7 @@
 	g_clear_pointer(&state->flows, g_tree_unref);
 	g_clear_pointer(&state->pressures, g_tree_unref);
 	g_clear_pointer(&state->workers, g_tree_unref);
+	g_clear_pointer(&state->shares, g_tree_unref);
 	g_clear_pointer(&state->job_keys, g_hash_table_unref);
 	g_clear_pointer(&state->tasks, g_tree_unref);
 	g_clear_pointer(&state->jobs, g_tree_unref);
@@ -148,6 +157,8 @@
 		g_tree_new_full(state_compare_names, NULL, g_free, g_free);
 	state->workers = g_tree_new_full(state_compare_names, NULL, NULL,
 					 state_worker_free);
+	state->shares =
+		g_tree_new_full(state_compare_names, NULL, g_free, g_free);
 	state->job_keys = g_hash_table_new(g_str_hash, g_str_equal);
 	state->claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      claim_free);
@@ -217,6 +228,7 @@
 	g_tree_foreach(state->flows, state_add_flow, out);
 	g_tree_foreach(state->pressures, state_add_pressure, out);
 	g_tree_foreach(state->workers, state_add_worker, out);
+	g_tree_foreach(state->shares, state_add_share, out);
 	state_add_claims(state, out);
 	*nr_records = out->len;
 	return (struct snapshot_record *)(void *)g_array_free(out, FALSE);
@@ -258,6 +270,9 @@
 		case REC_FLOW_WORKER:
 			state_worker_restore(state, body);
 			break;
+		case REC_SHARE:
+			state_share_restore(state, body);
+			break;
 		case REC_CLAIM:
 			claim_restore(state, body);
 			break;
@@ -439,3 +454,9 @@
 	if (state->watch && state->watch->flow_task)
 		state->watch->flow_task(state->watch_ctx, flow, task, end);
 }
+
+void state_share_changed(struct state *state, const struct share_record *record)
+{
+	if (state->watch && state->watch->share)
+		state->watch->share(state->watch_ctx, record);
+}
--- a/src/core/state/state.h
+++ b/src/core/state/state.h
@@ -20,6 +20,7 @@
 #include "state_job.h"
 #include "msg_raft.h"
 #include "result.h"
+#include "state_share.h"
 #include "state_task.h"
 #include "state_vm.h"
 #include "state_worker.h"
@@ -50,6 +51,8 @@
 	/** A task was placed (@a end is FLOW_END_NONE), or its run ended. */
 	void (*flow_task)(void *ctx, struct state_flow *flow, uint32_t task,
 			  enum flow_end end);
+	/** An operator has changed a queue's weight. */
+	void (*share)(void *ctx, const struct share_record *record);
 };
 
 struct state {
@@ -63,6 +66,7 @@
 	GTree *flows; /* id -> struct state_flow * */
 	GTree *pressures; /* "SERVING\nFILLER" -> struct pressure_pair * */
 	GTree *workers; /* VM name -> struct flow_worker * */
+	GTree *shares; /* "HOST\nPREFIX" -> struct share_record * */
 	GHashTable *claims; /* service and key -> struct claim_record * */
 	const struct state_watch_ops *watch;
 	void *watch_ctx;
@@ -113,5 +117,7 @@
 			      const struct state_flow *flow);
 void state_flow_task_changed(struct state *state, struct state_flow *flow,
 			     uint32_t task, enum flow_end end);
+void state_share_changed(struct state *state,
+			 const struct share_record *record);
 
 #endif /* STATE_H */
