Place queues over their share after those that wait

Change: the leader counts the use of each queue where runs are reserved and released, and with the contended policy places workflows of queues over their share after others of their priority, until their objective has ended. It stores uses that have changed much every 3 s. Operators list shares and set weights (GET and PUT /v1/shares, masticreach share list and share set).

--- a/src/core/control/control.c
+++ b/src/core/control/control.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "control_flow_share.h"
 #include "tunables.h"
 
 static void control_proposal_free(void *data)
@@ -250,6 +251,14 @@
 		control_flow_task_changed(control->flows, flow, task, end);
 }
 
+static void control_watch_share(void *ctx, const struct share_record *record)
+{
+	struct control *control = ctx;
+
+	if (control->leader)
+		control_flow_share_changed(control->flows, record);
+}
+
 static const struct state_watch_ops control_watch = {
 	.bundle = control_bundle_changed,
 	.zone = control_zone_changed,
@@ -260,6 +269,7 @@
 	.flow = control_watch_flow,
 	.flow_queue = control_watch_flow_queue,
 	.flow_task = control_watch_flow_task,
+	.share = control_watch_share,
 };
 
 static void control_expire(void *data, uint64_t now_us)
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -86,6 +86,7 @@
 	vm->gains_stale = true;
 	g_hash_table_add(vm->runs, placed);
 	g_hash_table_replace(flows->runs, placed->name, placed);
+	control_flow_share_run(flows, placed, true);
 	return placed;
 }
 
@@ -94,6 +95,7 @@
 {
 	flow_vm_account(placed->vm, placed->step, false);
 	placed->vm->gains_stale = true;
+	control_flow_share_run(flows, placed, false);
 	g_hash_table_remove(placed->vm->runs, placed);
 	g_hash_table_remove(flows->runs, placed->name);
 }
@@ -558,7 +560,9 @@
 	flows->check_timer = (struct timer){ control_flow_check, flows };
 	flows->worker_timer =
 		(struct timer){ control_flow_record_workers, flows };
+	flows->shares = flow_shares_new();
 	control_flow_load_weights(flows);
+	control_flow_share_load(flows);
 	for (GTreeNode *node = g_tree_node_first(control->state->flows); node;
 	     node = g_tree_node_next(node))
 		flow_take_over(flows, g_tree_node_value(node));
@@ -588,6 +592,7 @@
 	g_hash_table_unref(flows->work_means);
 	pressure_free(flows->pressure);
 	flow_advice_free(flows->advice);
+	flow_shares_free(flows->shares);
 	g_array_unref(flows->changes);
 	g_free(flows);
 }
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -18,6 +18,7 @@
  */
 
 #include "control_flow.h"
+#include "control_flow_share.h"
 #include "control_impl.h"
 #include "load_policy.h"
 #include "pressure.h"
@@ -264,6 +265,9 @@
 	bool starved; /* flow_demand.starved */
 	uint32_t nr_placed; /* number of placed tasks */
 	uint32_t nr_done; /* number of done tasks */
+	struct flow_share *share; /* of its queue, NULL: has no share */
+	/* Placed after workflows of queues that are within their shares. */
+	bool deferred;
 };
 
 /** The first stage of a workflow for which there is no VM; for the log. */
@@ -357,6 +361,7 @@
 	uint64_t pressure_saved_us;
 	/* When control_flow_group_serving() last searched for moves. */
 	uint64_t group_checked_us;
+	struct flow_shares *shares; /* of queues */
 };
 
 /* control_flow.c */
--- a/src/core/control/control_flow_rank.c
+++ b/src/core/control/control_flow_rank.c
@@ -3,9 +3,9 @@
 #include <string.h>
 
 /*
- * The order in which workflows are placed: by priority, then by the value of
- * their result divided by the work that remains, then by the end of their
- * service level objective.
+ * The order in which workflows are placed: by priority, then those of queues
+ * within their shares first, then by the value of their result divided by the
+ * work that remains, then by the end of their service level objective.
  */
 
 /*
@@ -132,6 +132,8 @@
 
 	if (priority_x != priority_y)
 		return priority_x < priority_y ? -1 : 1;
+	if (x->deferred != y->deferred)
+		return x->deferred ? 1 : -1;
 	if (x->value_density != y->value_density)
 		return x->value_density > y->value_density ? -1 : 1;
 	if (x->due_us != y->due_us)
@@ -192,6 +194,7 @@
 		return;
 	rank = &g_array_index(flows->ranks, struct flow_rank, i);
 	flow_rank_set_due(flows, rank);
+	control_flow_share_regroup(flows, rank->share, flow);
 	/* Other VMs may take its tasks now. */
 	rank->evaluated_change_nr = 0;
 }
@@ -204,6 +207,7 @@
 	flow_rank_set_due(flows, &rank);
 	rank.work_core_ms = flow_estimated_core_ms(flow, false);
 	rank.mean = flow_work_mean_add(flows, record, rank.work_core_ms);
+	rank.share = control_flow_share_join(flows, flow);
 	g_array_append_val(flows->ranks, rank);
 }
 
@@ -212,8 +216,11 @@
 {
 	guint i = flow_rank_index(flows, flow);
 
-	if (i < flows->ranks->len)
-		g_array_remove_index(flows->ranks, i);
+	if (i == flows->ranks->len)
+		return;
+	control_flow_share_leave(
+		g_array_index(flows->ranks, struct flow_rank, i).share);
+	g_array_remove_index(flows->ranks, i);
 }
 
 void control_flow_sort(struct control_flow *flows)
@@ -224,5 +231,6 @@
 		flow_rank_update(&g_array_index(flows->ranks, struct flow_rank,
 						i),
 				 now_us);
+	control_flow_share_rank(flows);
 	g_array_sort(flows->ranks, flow_rank_compare);
 }
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -735,6 +735,7 @@
 	}
 	control_flow_set_gauges(flows);
 	control_flow_save_weights(flows);
+	control_flow_share_save(flows);
 	control_flow_record_workers(flows, now_us);
 	control_flow_group_serving(flows);
 	control_flow_place_soon(flows);
--- a/src/core/control/control_list.h
+++ b/src/core/control/control_list.h
@@ -23,6 +23,8 @@
 			const void *body);
 void control_list_flows(struct control *control, uint64_t ticket,
 			const void *body);
+void control_list_shares(struct control *control, uint64_t ticket,
+			 const void *body);
 void control_list_bundle(struct control *control, uint64_t ticket,
 			 const void *body);
 /** Any replica answers this request; only the leader answers the others. */
--- a/src/core/control/control_op.c
+++ b/src/core/control/control_op.c
@@ -188,6 +188,18 @@
 	control_op_propose(control, ticket, CMD_VM_QUARANTINE, body);
 }
 
+static void control_op_share_set(struct control *control, uint64_t ticket,
+				 const void *body)
+{
+	const char *message = NULL;
+	enum result result = state_share_check(control->state, body, &message);
+
+	if (result)
+		control_op_reply(control, ticket, result, message);
+	else
+		control_op_propose(control, ticket, CMD_SHARE_WEIGHT, body);
+}
+
 static void control_op_job_submit(struct control *control, uint64_t ticket,
 				  const void *body)
 {
@@ -327,6 +339,8 @@
 	{ OP_BUNDLE_PUT, false, control_op_bundle_put },
 	{ OP_BUNDLE_SHOW, false, control_op_bundle_show },
 	{ OP_ZONE_PUT, false, control_op_zone_put },
+	{ OP_SHARE_LIST, false, control_list_shares },
+	{ OP_SHARE_SET, false, control_op_share_set },
 	{ OP_MEMBER_ADD, false, control_op_member_add },
 	{ OP_MEMBER_REMOVE, false, control_op_member_remove },
 };
--- a/src/core/plan/load_policy.c
+++ b/src/core/plan/load_policy.c
@@ -65,6 +65,7 @@
 	.load_rise_permille = FLOW_LOAD_RISE_PERMILLE,
 	.serving_cost = contended_serving_cost,
 	.filler_cost = contended_filler_cost,
+	.shares = true,
 };
 
 const struct load_policy *load_policy_choose(enum load_choice choice,
--- a/src/core/plan/load_policy.h
+++ b/src/core/plan/load_policy.h
@@ -59,6 +59,8 @@
 	 * serving tasks have reserved this share.
 	 */
 	uint64_t (*filler_cost)(uint64_t serving_permille);
+	/** Queues over their share are placed after others, see share.h. */
+	bool shares;
 };
 
 extern const struct load_policy load_standard;
--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -45,6 +45,8 @@
 	{ "GET", "/v1/tasks", OP_TASK_LIST, NULL },
 	{ "GET", "/v1/workflows", OP_FLOW_LIST, NULL },
 	{ "GET", "/v1/workflows/", OP_FLOW_LIST, "flow_id" },
+	{ "GET", "/v1/shares", OP_SHARE_LIST, NULL },
+	{ "PUT", "/v1/shares", OP_SHARE_SET, NULL },
 	{ "POST", "/v1/members", OP_MEMBER_ADD, NULL },
 	{ "DELETE", "/v1/members/", OP_MEMBER_REMOVE, "node_id" },
 };
--- a/src/tool/commands.c
+++ b/src/tool/commands.c
@@ -87,6 +87,22 @@
 	    { "TASKS", "tasks", NULL },
 	    { "PLACED", "placed", NULL },
 	    { "DONE", "done", NULL } } },
+	{ "share",
+	  "/v1/shares",
+	  "shares",
+	  "after_id",
+	  "nr",
+	  { { "QUEUE", "queue", NULL },
+	    { "HOST", "host", NULL },
+	    { "PREFIX", "prefix", NULL },
+	    { "SERVICE", "service", NULL },
+	    { "PRIORITY", "priority", NULL },
+	    { "WEIGHT", "weight", NULL },
+	    { "SHARE PERMILLE", "share_permille", NULL },
+	    { "USE CORE MS", "use_core_ms", NULL },
+	    { "OVER", "over", NULL },
+	    { "WORKFLOWS", "workflows", NULL },
+	    { "WAITING", "waiting", NULL } } },
 	{ "task",
 	  "/v1/tasks",
 	  "tasks",
@@ -893,6 +909,28 @@
 	return res;
 }
 
+/* Sets the weight of a queue, given by its name or its host and prefix. */
+static enum result run_share_set(const struct command *command,
+				 const struct command_args *args)
+{
+	struct cmd_share_weight set = { 0 };
+	guint64 weight = 0;
+
+	if (strlen(args->rest[0]) >= sizeof(set.queue))
+		return command_fail(RESULT_OUT_OF_RANGE,
+				    "the queue's name is too long");
+	if (!g_ascii_string_to_unsigned(args->rest[1], 10, 0, G_MAXUINT64,
+					&weight, NULL))
+		return command_fail(RESULT_MALFORMED,
+				    "a weight must be a number from 0");
+	if (weight > SHARE_WEIGHT_MAX)
+		return command_fail(RESULT_OUT_OF_RANGE,
+				    "a weight is at most 1000000");
+	TEXT_SET(set.queue, args->rest[0]);
+	set.weight = (uint32_t)weight;
+	return command_change(args, "PUT", "/v1/shares", OP_SHARE_SET, &set);
+}
+
 static const struct command commands[] = {
 	{ "bundle", "check", "FILE", "check a bundle", 1, 1, run_bundle_check },
 	{ "bundle", "submit", "FILE", "submit a bundle (--by)", 1, 1,
@@ -920,6 +958,9 @@
 	{ "job", "cancel", "ID...", "cancel jobs", 1, UINT32_MAX,
 	  run_job_cancel },
 	{ "task", "list", "", "list the tasks (--job)", 0, 0, run_list },
+	{ "share", "list", "", "list the shares of queues", 0, 0, run_list },
+	{ "share", "set", "QUEUE WEIGHT", "set a queue's weight, 0: none", 2, 2,
+	  run_share_set },
 	{ "member", "list", "", "list the control replicas", 0, 0,
 	  run_member_list },
 	{ "member", "add", "ID ADDRESS VM", "add a replica as a learner", 3, 3,
