Test shares when the leader is cut off

Cause: the loss of the leader was tested, the loss of its links wasn't. Change: flow_share: the leader is cut off in a burst; the next one goes on with the uses, and the former one has the weight that was set meanwhile.

--- a/tests/test_flow_share.c
+++ b/tests/test_flow_share.c
@@ -280,6 +280,53 @@
 }
 END_TEST
 
+/*
+ * The failure: the leader is cut off in a burst, so that its commands are lost,
+ * and comes back later. Guards against a new leader without the uses from
+ * before the cut, and against a replica that keeps other weights or uses than
+ * the others.
+ */
+START_TEST(test_cut_off_leader_catches_up)
+{
+	struct flow_world *fw = world_with_queues(57, true, LONG_SLO_MS);
+	struct world_control *former;
+	struct op_share before;
+
+	submit_burst(fw, 0, 2 * BURST_FLOWS);
+	flow_world_run_ms(fw, 6000);
+	before = list_share(fw, "/q/");
+	former = world_leader_host(fw->base);
+	world_cut_control(former, true);
+	for (uint32_t i = 0; i < 100 && (!world_leader(fw->base) ||
+					 world_leader_host(fw->base) == former);
+	     i++)
+		flow_world_run_ms(fw, 100);
+	ck_assert_ptr_ne(world_leader_host(fw->base), former);
+	ck_assert_uint_gt(list_share(fw, "/q/").use_core_ms,
+			  before.use_core_ms / 2);
+	ck_assert_int_eq(set_weight(fw, "r", 4000), RESULT_OK);
+	world_cut_control(former, false);
+	flow_world_run_ms(fw, 3000);
+	for (uint32_t i = 0; i < fw->base->nr_controls; i++) {
+		const struct state *state =
+			fw->base->controls[i].control->state;
+		const struct state *first =
+			fw->base->controls[0].control->state;
+		const struct share_record *record;
+
+		record = state_share_find(state, "shop", "/r/");
+		ck_assert_ptr_nonnull(record);
+		ck_assert_uint_eq(record->weight, 4000);
+		record = state_share_find(state, "shop", "/q/");
+		ck_assert_ptr_nonnull(record);
+		ck_assert_uint_eq(
+			record->use_core_ms,
+			state_share_find(first, "shop", "/q/")->use_core_ms);
+	}
+	flow_world_free(fw);
+}
+END_TEST
+
 /*
  * The failure: all replicas restart. Guards against weights that are lost, and
  * against the record of a use that stays after the use has decayed.
@@ -317,6 +364,7 @@
 		test_old_work_ages,
 		test_operators_set_weights,
 		test_new_leader_has_uses_and_weights,
+		test_cut_off_leader_catches_up,
 		test_restart_keeps_weights,
 	};
 
