--- a/src/core/plan/load_policy.c
+++ b/src/core/plan/load_policy.c
@@ -99,6 +99,7 @@
 	.filler_stop = stop_weigh_filler,
 	.serving_stop = stop_weigh_serving,
 	.is_stalled = stop_is_stalled,
+	.shares = true,
 };
 
 const struct load_policy *load_policy_choose(enum load_choice choice,
--- a/src/core/plan/load_policy.h
+++ b/src/core/plan/load_policy.h
@@ -72,6 +72,8 @@
 					    const struct load_limits *limits);
 	/** Returns true if the run is stopped as it makes no progress. */
 	bool (*is_stalled)(const struct stop_progress *progress);
+	/** Queues over their share are placed after others, see share.h. */
+	bool shares;
 };
 
 extern const struct load_policy load_standard;
