Tell callers when a refused submission may come again

Cause: a refusal of a workflow has one constant Retry-After, however long the queue is. Result code 34, not-in-time, for work that can't complete in time. Nothing sets them yet. Result: protobuf files regenerated with make proto.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -7730,7 +7730,7 @@
   (ProtobufCMessageInit) masticreach__flow_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_reply__field_descriptors[4] =
+static const ProtobufCFieldDescriptor masticreach__flow_reply__field_descriptors[5] =
 {
   {
     "ticket",
@@ -7780,17 +7780,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retry_after_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowReply, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__flow_reply__field_indices_by_name[] = {
   3,   /* field[3] = nr_pending */
   1,   /* field[1] = result */
+  4,   /* field[4] = retry_after_ms */
   2,   /* field[2] = state */
   0,   /* field[0] = ticket */
 };
 static const ProtobufCIntRange masticreach__flow_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_reply__descriptor =
 {
@@ -7800,7 +7813,7 @@
   "Masticreach__FlowReply",
   "masticreach",
   sizeof(Masticreach__FlowReply),
-  4,
+  5,
   masticreach__flow_reply__field_descriptors,
   masticreach__flow_reply__field_indices_by_name,
   1,  masticreach__flow_reply__number_ranges,
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -692,10 +692,11 @@
   uint32_t result;
   uint32_t state;
   uint64_t nr_pending;
+  uint32_t retry_after_ms;
 };
 #define MASTICREACH__FLOW_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_reply__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Masticreach__WorkerLife
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -257,6 +257,11 @@
 	uint32_t result;
 	uint32_t state; /* enum flow_state, 0 for a queue */
 	uint64_t nr_pending; /* of a queue: workflows in FLOW_QUEUED */
+	/**
+	 * RESULT_NOT_IN_TIME: after this time the workflow may be submitted
+	 * again. Otherwise 0.
+	 */
+	uint32_t retry_after_ms;
 };
 
 /* ---- messages between agents and control ---- */
--- a/src/core/base/result.h
+++ b/src/core/base/result.h
@@ -50,7 +50,9 @@
 	  "the job failed on too many workers")                                \
 	X(32, RESULT_UNKNOWN_QUEUE, "unknown-queue", "no such queue")          \
 	X(33, RESULT_OTHER_LIFE, "other-life",                                 \
-	  "another life of the worker answered")
+	  "another life of the worker answered")                               \
+	X(34, RESULT_NOT_IN_TIME, "not-in-time",                               \
+	  "the work can't complete in time")
 
 enum result {
 #define RESULT_ENUM(number, identifier, name, summary) identifier = number,
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -144,6 +144,7 @@
 	F_U32(flow_reply, result),
 	F_U32(flow_reply, state),
 	F_U64(flow_reply, nr_pending),
+	F_U32(flow_reply, retry_after_ms),
 };
 static SCHEMA(flow_reply_schema, "FlowReply", flow_reply, flow_reply_fields);
 
--- a/src/core/entry/gateway.c
+++ b/src/core/entry/gateway.c
@@ -61,6 +61,8 @@
 	logline_str(line, "result", result_name(reply->result));
 	if (reply->state)
 		logline_str(line, "state", flow_state_name(reply->state));
+	if (reply->retry_after_ms)
+		logline_u64(line, "retry_after_ms", reply->retry_after_ms);
 	node_log(call->gateway->node, line);
 }
 
