Round the retry time of a refused submission up in one place

Cause: the front end rounded it by itself, where no test reaches it. Change: flow_retry_after_s() returns whole seconds, 0 for a reply without a time.

--- a/src/core/base/flow.c
+++ b/src/core/base/flow.c
@@ -1,5 +1,11 @@
 #include "flow.h"
 
+uint32_t flow_retry_after_s(const struct flow_reply *reply)
+{
+	return reply->retry_after_ms / 1000 +
+	       (reply->retry_after_ms % 1000 != 0);
+}
+
 const char *flow_end_name(uint32_t end)
 {
 	static const char *const names[] = {
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -467,6 +467,11 @@
 	const char *fault; /* static text: parsing error, or NULL */
 };
 
+/**
+ * Returns after how many whole seconds, rounded up, a refused workflow may be
+ * submitted again; 0 if the reply has no time.
+ */
+uint32_t flow_retry_after_s(const struct flow_reply *reply);
 /** Returns the name of an enum flow_end for logs. */
 const char *flow_end_name(uint32_t end);
 /** Returns the name of an enum flow_state for logs and callers. */
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -140,10 +140,8 @@
 static SCHEMA(flow_call_schema, "FlowCall", flow_call, flow_call_fields);
 
 static const struct field flow_reply_fields[] = {
-	F_U64(flow_reply, ticket),
-	F_U32(flow_reply, result),
-	F_U32(flow_reply, state),
-	F_U64(flow_reply, nr_pending),
+	F_U64(flow_reply, ticket),	   F_U32(flow_reply, result),
+	F_U32(flow_reply, state),	   F_U64(flow_reply, nr_pending),
 	F_U32(flow_reply, retry_after_ms),
 };
 static SCHEMA(flow_reply_schema, "FlowReply", flow_reply, flow_reply_fields);
