--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -467,6 +467,49 @@
  */
 #define FLOW_VALUE_FIXED_PERMILLE 300
 #define FLOW_VALUE_LATE_PERMILLE 150
+/*
+ * Admission control assumes half as much capacity again as it measures: a wrong
+ * refusal costs a caller more than a late answer. Estimates of single tasks are
+ * off by up to 90 %, but those of a queue's tasks balance each other.
+ */
+#define ADMISSION_MARGIN_PERMILLE 500
+/*
+ * Seconds over which capacity is measured; the largest value counts, as runs
+ * and links may be interrupted for a moment. A new leader refuses nothing for
+ * this long: agents report at least every second, and the runs of an earlier
+ * leader end meanwhile.
+ */
+#define ADMISSION_WINDOW_S 5
+#define ADMISSION_MIN_SAMPLED_S 2 /* within the window, before a refusal */
+#define ADMISSION_SAMPLE_MS 500 /* interval between samples without calls */
+/* Runs in the window from which on their yield counts if it is below 1000. */
+#define ADMISSION_MIN_RUNS 20
+/* Bounds of the yield, so that a few odd runs don't decide. */
+#define ADMISSION_YIELD_MIN_PERMILLE 500
+#define ADMISSION_YIELD_MAX_PERMILLE 4000
+/*
+ * Shortest time until a refused submission may come again, and for which its id
+ * is refused. For calls with a longer time limit it is the time for which
+ * entries send copies of a call, plus that for which a copy may be on its way:
+ * a link goes silent after 1 s. So no earlier copy is accepted after a refusal.
+ */
+#define ADMISSION_RETRY_MIN_MS 3000
+#define ADMISSION_FLIGHT_MS 1500
+/* Longest such time: no estimate holds for longer, as loads change. */
+#define ADMISSION_RETRY_MAX_MS 30000
+/* Callers may come back by this much too early: clocks and links vary. */
+#define ADMISSION_EARLY_MS 250
+/* A refused caller that doesn't come back counts as waiting for this long. */
+#define ADMISSION_RETURN_MS 2000
+#define ADMISSION_WAITING_MAX 1024 /* refused callers that are remembered */
+/* Accepted workflows that are checked against their estimates. */
+#define ADMISSION_ACCEPTED_MAX 8192
+/*
+ * A refused submission is like a workflow of the same queue that was accepted
+ * up to this long before and whose work differs by up to this much.
+ */
+#define ADMISSION_LIKE_MS 10000
+#define ADMISSION_LIKE_PERCENT 25
 /*
  * Assumed share of its value for a workflow that has no value any more, so that
  * workflows without value run last, smaller ones first.
--- a/src/core/plan/load_policy.h
+++ b/src/core/plan/load_policy.h
@@ -52,6 +52,11 @@
 	 * filler runs.
 	 */
 	uint32_t load_rise_permille;
+	/**
+	 * A submission is refused if it couldn't complete in time even with
+	 * this much more capacity than measured, 0: none is refused.
+	 */
+	uint32_t admission_margin_permille;
 	/** Returns the cost of the place; the cheapest one is chosen. */
 	uint64_t (*serving_cost)(const struct load_serving_place *place);
 	/**
