Refuse workflows that can't complete in time

Change: with a policy that has an admission margin, the leader asks admission_decide() before it proposes a submission without a record. An id whose submission is proposed and not committed is never refused; a refused id stays refused until its retry time. Counters admission_refused, admission_late and admission_spare, log event admission. Result: tests of the decision and of a leader: bursts, capacity halved, a lost reply, a copy of a proposed submission, a change of the leader. Tests fail without the check of proposals, the time of measuring, the margin, the yield and the time for which an id stays refused (each undone once).

--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -82,6 +82,7 @@
 	placed->image = pressure_image(flows->pressure, placed->step->image);
 	placed->pace = 100;
 	placed->progress_us = flows->control->node->now_us;
+	placed->reserved_us = flows->control->node->now_us;
 	flow_vm_account(vm, placed->step, true);
 	vm->gains_stale = true;
 	g_hash_table_add(vm->runs, placed);
@@ -378,6 +379,7 @@
 			  flow_end_name(end));
 	flow_log_end(flows, placed, end);
 	control_flow_record_end(flows, placed, end);
+	control_flow_admit_ran(flows, placed, end);
 	flow_vm_update_reliability(flows, placed->vm, placed, end);
 	if (end != FLOW_END_LOST && end != FLOW_END_REFUSED)
 		control_flow_note_started(flows, flow);
@@ -448,6 +450,7 @@
 		flow_log_steps(&flow->record, line);
 	}
 	node_log(flows->control->node, line);
+	control_flow_admit_changed(flows, flow);
 	if (state_flow_is_active(flow)) {
 		control_flow_rank_add(flows, (struct state_flow *)flow);
 		control_flow_place_soon(flows);
@@ -546,6 +549,8 @@
 	flows->started =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	flows->change_nr = 1; /* 0 means that no change number is known */
+	if (flows->policy->admission_margin_permille)
+		flows->admission = admission_new(control->node->now_us);
 	flows->pressure = pressure_new();
 	flows->advice = flow_advice_new();
 	flows->work_means =
@@ -587,6 +592,7 @@
 	g_array_unref(flows->ranks);
 	g_hash_table_unref(flows->work_means);
 	pressure_free(flows->pressure);
+	admission_free(flows->admission);
 	flow_advice_free(flows->advice);
 	g_array_unref(flows->changes);
 	g_free(flows);
--- a/src/core/control/control_flow_call.c
+++ b/src/core/control/control_flow_call.c
@@ -23,6 +23,18 @@
 	node_send(control->node, to, MSG_FLOW_REPLY, &reply);
 }
 
+static void flow_call_reply_later(struct control *control, uint64_t to,
+				  uint64_t ticket, uint32_t retry_after_ms)
+{
+	struct flow_reply reply = { .ticket = ticket,
+				    .result = RESULT_NOT_IN_TIME,
+				    .retry_after_ms = retry_after_ms };
+
+	counter_inc_label(control->node->counters, "flow_replies", "result",
+			  result_name(reply.result));
+	node_send(control->node, to, MSG_FLOW_REPLY, &reply);
+}
+
 static const struct bundle_queue *
 flow_queue_of(const struct bundle *bundle, const char *host, const char *path)
 {
@@ -70,6 +82,7 @@
 	struct state_flow *known = state_flow_find(control->state, id);
 	const char *message = NULL;
 	struct flow_record record;
+	uint32_t retry_after_ms;
 	enum result result;
 
 	if (known) {
@@ -101,8 +114,14 @@
 	record.nr_tasks = 0;
 	record.tasks = NULL;
 	result = state_flow_check(&record, &message);
+	retry_after_ms = result ? 0 :
+				  control_flow_admit(control->flows, &record,
+						     queue->timeout_ms);
 	if (result)
 		flow_call_reply(control, from, call->ticket, result, NULL);
+	else if (retry_after_ms)
+		flow_call_reply_later(control, from, call->ticket,
+				      retry_after_ms);
 	else
 		flow_call_propose(control, from, call->ticket, CMD_FLOW_SUBMIT,
 				  &record);
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -17,6 +17,7 @@
  * one image on a serving task of another image if the filler used the whole VM.
  */
 
+#include "admission.h"
 #include "control_flow.h"
 #include "control_impl.h"
 #include "load_policy.h"
@@ -201,6 +202,7 @@
 	 */
 	uint64_t throttled_since_us;
 	uint64_t progress_us; /* when percent changed last */
+	uint64_t reserved_us; /* when this leader reserved its resources */
 	/*
 	 * When a better VM was last searched for, for a serving task or for a
 	 * throttled filler, 0: never.
@@ -323,6 +325,9 @@
 	GHashTable *vms; /* name -> struct flow_vm * */
 	GHashTable *runs; /* task name -> struct flow_placement * */
 	struct pressure *pressure;
+	/* NULL: the policy refuses no submission. */
+	struct admission *admission;
+	uint64_t admission_sampled_us; /* last sample without a submission */
 	struct flow_advice *advice;
 	/* struct flow_rank, sorted by priority, value_density and due_us. */
 	GArray *ranks;
@@ -588,6 +593,13 @@
  */
 uint32_t control_flow_gain(struct control_flow *flows, struct flow_vm *vm,
 			   const struct flow_step *step);
+/**
+ * Returns how many processors of the VM, in millis, fillers like the step's may
+ * still use, 0 if none would start there.
+ */
+uint64_t control_flow_filler_room(struct control_flow *flows,
+				  struct flow_vm *vm,
+				  const struct flow_step *step);
 void control_flow_capacity_free(struct filler_capacity *capacity);
 /**
  * Fills @a images with the images of the VM's serving tasks; returns their
@@ -685,6 +697,31 @@
 			      const struct state_flow *flow);
 /** Updates and sorts control_flow.ranks. */
 void control_flow_sort(struct control_flow *flows);
+/**
+ * Sorts control_flow.ranks; returns how many of them, from the first on, would
+ * be placed before the workflow, which isn't among them.
+ */
+guint control_flow_ranks_before(struct control_flow *flows,
+				struct state_flow *flow);
+
+/* control_flow_admit.c */
+/**
+ * Decides about a submission without a record, whose queue lets calls take
+ * @a timeout_ms. Returns 0 if it is admitted, otherwise the time in ms after
+ * which it may be submitted again.
+ */
+uint32_t control_flow_admit(struct control_flow *flows,
+			    const struct flow_record *record,
+			    uint32_t timeout_ms);
+/** Measures capacity from time to time while no submissions come. */
+void control_flow_admit_sample(struct control_flow *flows);
+/** Counts the run, which has ended, as capacity that was used. */
+void control_flow_admit_ran(struct control_flow *flows,
+			    const struct flow_placement *placed,
+			    enum flow_end end);
+/** Checks estimates when a workflow is accepted or has ended. */
+void control_flow_admit_changed(struct control_flow *flows,
+				const struct state_flow *flow);
 
 /* control_flow_place.c */
 /** Returns true if the start time of the stage's occurrence has come. */
--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -422,6 +422,17 @@
 	return gain.gain_permille;
 }
 
+uint64_t control_flow_filler_room(struct control_flow *flows,
+				  struct flow_vm *vm,
+				  const struct flow_step *step)
+{
+	if (control_flow_gain(flows, vm, step) <
+	    flows->policy->min_gain_permille)
+		return 0;
+	return (vm->capacity->unused_permille - vm->capacity->work_permille) *
+	       vm->worker.cpu_millis / 1000;
+}
+
 uint32_t control_flow_serving_images(const struct flow_vm *vm, uint32_t *images,
 				     uint32_t max)
 {
--- a/src/core/control/control_flow_rank.c
+++ b/src/core/control/control_flow_rank.c
@@ -226,3 +226,29 @@
 				 now_us);
 	g_array_sort(flows->ranks, flow_rank_compare);
 }
+
+guint control_flow_ranks_before(struct control_flow *flows,
+				struct state_flow *flow)
+{
+	const struct flow_record *record = &flow->record;
+	char *queue = g_strconcat(record->host, " ", record->prefix, NULL);
+	struct flow_work_mean own = { .nr = 1 };
+	struct flow_rank rank = { .flow = flow };
+	guint nr = 0;
+
+	flow_rank_set_due(flows, &rank);
+	rank.work_core_ms = flow_estimated_core_ms(flow, false);
+	own.sum_core_ms = rank.work_core_ms;
+	rank.mean = g_hash_table_lookup(flows->work_means, queue);
+	if (!rank.mean)
+		rank.mean = &own;
+	g_free(queue);
+	flow_rank_update(&rank, flows->control->node->now_us);
+	control_flow_sort(flows);
+	while (nr < flows->ranks->len &&
+	       flow_rank_compare(&g_array_index(flows->ranks, struct flow_rank,
+						nr),
+				 &rank) < 0)
+		nr++;
+	return nr;
+}
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -734,6 +734,7 @@
 		g_list_free(lost);
 	}
 	control_flow_set_gauges(flows);
+	control_flow_admit_sample(flows);
 	control_flow_save_weights(flows);
 	control_flow_record_workers(flows, now_us);
 	control_flow_group_serving(flows);
