Don't copy the serving tasks of a VM that has none

Cause: the undefined-behaviour sanitizer reports a NULL source in the tests of admission, as the data of an empty array is NULL. Change: nothing is copied then.

--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -292,8 +292,10 @@
 	uint32_t nr_servings = MIN(capacity->servings->len, MAX_IMAGES_SEEN);
 	uint64_t work = 0;
 
-	memcpy(servings, capacity->servings->data,
-	       nr_servings * sizeof(*servings));
+	/* The data of an empty array is NULL. */
+	if (nr_servings)
+		memcpy(servings, capacity->servings->data,
+		       nr_servings * sizeof(*servings));
 	pace_allocate(flows->pressure, servings, nr_servings, fillers, nr);
 	for (guint i = 0; i < nr; i++)
 		work += (uint64_t)fillers[i].share_permille *
