Test Retry-After of a refused workflow with real processes

Cause: no test reaches the header that the front end writes. Change: a site with the contended policy is overloaded until it refuses a workflow; the callers' connection of the tests reads Retry-After.

--- a/tests/soak_conn.c
+++ b/tests/soak_conn.c
@@ -111,6 +111,7 @@
 	char *head;
 	char *length;
 	char *location;
+	char *retry_after;
 	char *closing;
 	char *text;
 	size_t size;
@@ -128,6 +129,7 @@
 		return false;
 	}
 	location = header_copy(head, "Location");
+	retry_after = header_copy(head, "Retry-After");
 	closing = header_copy(head, "Connection");
 	if (closing && !g_ascii_strcasecmp(closing, "close"))
 		conn->broken = true;
@@ -135,11 +137,13 @@
 	answer.status = (uint32_t)strtoul(head + strlen("HTTP/1.1 "), NULL, 10);
 	answer.text = text;
 	answer.location = location;
+	answer.retry_after = retry_after;
 	g_free(head);
 	g_string_truncate(conn->in, 0);
 	conn_finish(conn, &answer);
 	g_free(text);
 	g_free(location);
+	g_free(retry_after);
 	g_free(closing);
 	return true;
 }
--- a/tests/soak_conn.h
+++ b/tests/soak_conn.h
@@ -26,6 +26,7 @@
 	uint32_t status;
 	const char *text; /* of the body, "" for none */
 	const char *location; /* header of a redirect, NULL: none */
+	const char *retry_after; /* header of a refusal, NULL: none */
 	int64_t sent_ms;
 	int64_t ended_ms; /* time of the outcome */
 };
--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -1235,6 +1235,60 @@
 }
 END_TEST
 
+struct refusal {
+	uint32_t status; /* 0: no answer yet */
+	uint64_t retry_after_s;
+	bool not_in_time;
+};
+
+static void store_refusal(void *ctx, const struct soak_answer *answer)
+{
+	struct refusal *refusal = ctx;
+
+	refusal->status = answer->status;
+	if (answer->status != 503 || !answer->retry_after)
+		return;
+	refusal->retry_after_s =
+		g_ascii_strtoull(answer->retry_after, NULL, 10);
+	refusal->not_in_time = strstr(answer->text, "\"not-in-time\"") != NULL;
+}
+
+/*
+ * The load: more heavy workflows than complete in time. Guards against a
+ * refusal whose time the front end doesn't pass on: its callers would all come
+ * back after 1 s.
+ */
+START_TEST(test_overload_refused)
+{
+	struct refusal refusal = { 0 };
+	struct soak_conn *conn;
+	struct testbed *tb;
+
+	g_setenv("MASTICREACH_LOAD_POLICY", "contended", TRUE);
+	tb = site_start(0);
+	conn = soak_conn_new(tb_proc_http(testbed_entry(tb, 0)));
+	for (uint32_t i = 0; i < 100 && !refusal.not_in_time; i++) {
+		char *path = g_strdup_printf("/q/%016x", i);
+
+		refusal.status = 0;
+		soak_conn_send(conn, "POST", path,
+			       "{\"spec\":\"1000\",\"steps\":[{\"count\":20,"
+			       "\"cpu\":2000,\"memMb\":100,"
+			       "\"estimateMs\":1000}]}",
+			       3000, 3000, store_refusal, &refusal);
+		for (uint32_t ms = 0; ms < 3000 && !refusal.status; ms += 20)
+			testbed_wait_ms(20);
+		testbed_wait_ms(100);
+		g_free(path);
+	}
+	ck_assert(refusal.not_in_time);
+	ck_assert_uint_ge(refusal.retry_after_s, 3);
+	ck_assert_uint_le(refusal.retry_after_s, 30);
+	soak_conn_free(conn);
+	testbed_free(tb);
+}
+END_TEST
+
 /* Usage: test_platform_site [CASE]. Runs all cases by default. */
 int main(int argc, char **argv)
 {
@@ -1268,6 +1322,7 @@
 		test_seeds_are_agents,
 		test_walk_from_an_id,
 		test_odd_reports,
+		test_overload_refused,
 	};
 	size_t nr = sizeof(tests) / sizeof(tests[0]);
 
