Test admission under a steady load, and the count of late workflows

Cause: no test shows that a load which capacity serves is accepted, nor that late workflows are counted. Change: a minute at four fifths of the capacity, and a burst that is played to its end.

--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -479,6 +479,50 @@
 }
 END_TEST
 
+/* Returns a counter of the leader. */
+static uint64_t leader_count(const struct flow_world *fw, const char *name)
+{
+	return counter_get(
+		sim_node(world_leader_host(fw->base)->machine)->counters, name);
+}
+
+/*
+ * The load: heavy workflows that use four fifths of the capacity, for a minute.
+ * Guards against refusals while there is enough capacity.
+ */
+START_TEST(test_steady_load_is_accepted)
+{
+	struct flow_world *fw = heavy_world(57);
+	char id[NAME_BYTES];
+
+	for (uint32_t i = 0; i < 40; i++) {
+		g_snprintf(id, sizeof(id), "a%u", i);
+		ck_assert_int_eq(submit_heavy(fw, id), RESULT_OK);
+		flow_world_run_ms(fw, 1500);
+	}
+	flow_world_run_ms(fw, 5000);
+	ck_assert_uint_eq(leader_count(fw, "admission_late"), 0);
+	ck_assert_uint_eq(leader_count(fw, "admission_spare"), 0);
+	flow_world_free(fw);
+}
+END_TEST
+
+/*
+ * The load: a burst of heavy submissions, of which the last accepted ones are
+ * late. Guards against estimates that nobody can check.
+ */
+START_TEST(test_late_workflows_are_counted)
+{
+	struct flow_world *fw = heavy_world(58);
+	char refused[NAME_BYTES];
+
+	ck_assert_uint_gt(submit_burst(fw, "a", 30, refused), 0);
+	flow_world_run_ms(fw, 30000);
+	ck_assert_uint_gt(leader_count(fw, "admission_late"), 0);
+	flow_world_free(fw);
+}
+END_TEST
+
 /* Guards against refusals by the standard policy. */
 START_TEST(test_standard_policy_refuses_none)
 {
@@ -617,6 +661,11 @@
 	/* The queue is as long as before, but nothing is measured yet. */
 	ck_assert_uint_eq(submit_burst(fw, "b", 10, refused), 0);
 	ck_assert(flow_world_wait(fw, "b9", FLOW_COMPLETED, 60000));
+	/*
+	 * Workflows that wait for 1.2 s get one run each wherever it is, and
+	 * runs aren't slowed down here, so they count as capacity.
+	 */
+	flow_world_run_ms(fw, 30000);
 	ck_assert_uint_gt(submit_burst(fw, "c", 30, refused), 0);
 	ck_assert_int_eq(submit_heavy(fw, "a0"), RESULT_OK);
 	flow_world_free(fw);
@@ -637,6 +686,8 @@
 		test_estimates_are_checked,
 		test_retry_after_is_rounded_up,
 		test_leader_refuses_burst,
+		test_steady_load_is_accepted,
+		test_late_workflows_are_counted,
 		test_standard_policy_refuses_none,
 		test_only_affected_workflows_are_refused,
 		test_lost_reply,
