Restore the environment after the test of an overloaded site

Cause: make asan doesn't fork for each test, so later tests of the program would use the contended policy. Change: the setting is removed at the end. Result: platform-overload_refused passes.

--- a/tests/test_platform_site.c
+++ b/tests/test_platform_site.c
@@ -1284,6 +1284,7 @@
 	ck_assert(refusal.not_in_time);
 	ck_assert_uint_ge(refusal.retry_after_s, 3);
 	ck_assert_uint_le(refusal.retry_after_s, 30);
+	g_unsetenv("MASTICREACH_LOAD_POLICY");
 	soak_conn_free(conn);
 	testbed_free(tb);
 }
