--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -284,6 +284,11 @@
 	uint32_t result;
 	uint32_t state; /* enum flow_state, 0 for a queue */
 	uint64_t nr_pending; /* of a queue: workflows in FLOW_QUEUED */
+	/**
+	 * RESULT_NOT_IN_TIME: after this time the workflow may be submitted
+	 * again. Otherwise 0.
+	 */
+	uint32_t retry_after_ms;
 };
 
 /* ---- messages between agents and control ---- */
@@ -489,6 +494,11 @@
 	const char *fault; /* static text: parsing error, or NULL */
 };
 
+/**
+ * Returns after how many whole seconds, rounded up, a refused workflow may be
+ * submitted again; 0 if the reply has no time.
+ */
+uint32_t flow_retry_after_s(const struct flow_reply *reply);
 /** Returns the name of an enum flow_end for logs. */
 const char *flow_end_name(uint32_t end);
 /** Returns the name of an enum flow_state for logs and callers. */
--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -322,8 +322,10 @@
 	uint32_t nr_servings = MIN(capacity->servings->len, MAX_IMAGES_SEEN);
 	uint64_t work = 0;
 
-	memcpy(servings, capacity->servings->data,
-	       nr_servings * sizeof(*servings));
+	/* The data of an empty array is NULL. */
+	if (nr_servings)
+		memcpy(servings, capacity->servings->data,
+		       nr_servings * sizeof(*servings));
 	pace_allocate(flows->pressure, servings, nr_servings, fillers, nr);
 	for (guint i = 0; i < nr; i++)
 		work += (uint64_t)fillers[i].share_permille *
@@ -453,6 +455,17 @@
 	return gain.gain_permille;
 }
 
+uint64_t control_flow_filler_room(struct control_flow *flows,
+				  struct flow_vm *vm,
+				  const struct flow_step *step)
+{
+	if (control_flow_gain(flows, vm, step) <
+	    flows->policy->min_gain_permille)
+		return 0;
+	return (vm->capacity->unused_permille - vm->capacity->work_permille) *
+	       vm->worker.cpu_millis / 1000;
+}
+
 uint32_t control_flow_serving_images(const struct flow_vm *vm, uint32_t *images,
 				     uint32_t max)
 {
--- a/src/core/plan/load_policy.c
+++ b/src/core/plan/load_policy.c
@@ -92,6 +92,7 @@
 	.name = "contended",
 	.min_gain_permille = FLOW_FILLER_FULL_GAIN_PERMILLE,
 	.load_ahead_ms = FLOW_LOAD_AHEAD_MS,
+	.admission_margin_permille = ADMISSION_MARGIN_PERMILLE,
 	.serving_cost = contended_serving_cost,
 	.filler_cost = contended_filler_cost,
 	.learns_run_times = true,
