Reserve capacity for tasks that find no VM

Small tasks use each gap as soon as it appears, so a large task waits until enough gaps appear on one VM at the same time.

With the contended policy, the first waiting tasks get a reservation on the VM that is expected to have enough free capacity first. Tasks of lower rank use that VM only beside the reserved task or if they end before. Operators see reservations in `job show`.

The standard policy makes none.

--- a/src/core/base/op.h
+++ b/src/core/base/op.h
@@ -136,6 +136,9 @@
 	char state[NAME_BYTES]; /* done, placed, before, not-due, waiting */
 	char reason[NAME_BYTES]; /* waiting: as in the log line, or "" */
 	uint64_t waited_ms; /* waiting: time without a placement, 0: unknown */
+	uint32_t reservations; /* number of VMs reserved for its tasks */
+	char reserved_vm[NAME_BYTES]; /* the first to be free, "": none */
+	uint64_t reserved_in_ms; /* time until it is expected to be free */
 };
 
 /** The run of a placed task. */
--- a/src/core/base/schema_op.c
+++ b/src/core/base/schema_op.c
@@ -75,11 +75,18 @@
 static SCHEMA(op_tasks_schema, "OpTasks", op_tasks, op_tasks_fields);
 
 static const struct field op_flow_step_fields[] = {
-	F_U32(op_flow_step, occurrence), F_U32(op_flow_step, step),
-	F_U32(op_flow_step, tasks),	 F_U32(op_flow_step, placed),
-	F_U32(op_flow_step, done),	 F_U32(op_flow_step, failures),
-	F_STRING(op_flow_step, state),	 F_STRING(op_flow_step, reason),
+	F_U32(op_flow_step, occurrence),
+	F_U32(op_flow_step, step),
+	F_U32(op_flow_step, tasks),
+	F_U32(op_flow_step, placed),
+	F_U32(op_flow_step, done),
+	F_U32(op_flow_step, failures),
+	F_STRING(op_flow_step, state),
+	F_STRING(op_flow_step, reason),
 	F_U64(op_flow_step, waited_ms),
+	F_U32(op_flow_step, reservations),
+	F_STRING(op_flow_step, reserved_vm),
+	F_U64(op_flow_step, reserved_in_ms),
 };
 static SCHEMA(op_flow_step_schema, "OpFlowStep", op_flow_step,
 	      op_flow_step_fields);
--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -456,6 +456,37 @@
  */
 #define FLOW_IDLE_MAX_MS 1200
 #define FLOW_IDLE_MAX_USED_PERCENT 60
+/*
+ * Reservations of capacity for waiting tasks. Each of them keeps a VM from
+ * others, so their number is limited, also by the number of VMs on a small site
+ * and for each stage: many equal tasks of one stage would take all.
+ */
+#define FLOW_RESERVE_MAX 8
+#define FLOW_RESERVE_STAGE_MAX 4
+#define FLOW_RESERVE_TASKS_MAX 16 /* waiting tasks that a plan considers */
+#define FLOW_RESERVE_VMS_PERCENT 25
+/*
+ * Runs mostly take 0.5 to 2.5 s. Further ahead than this, estimates, which are
+ * off by up to 90 %, say nothing of when capacity becomes free.
+ */
+#define FLOW_RESERVE_HORIZON_MS 10000
+/*
+ * Interval of planning. A plan reads the runs of all VMs: 2,000 runs, which
+ * would take most of the leader's processor time at each pass of placement.
+ */
+#define FLOW_RESERVE_PLAN_MS 100
+#define FLOW_RESERVE_LATE_MS 500 /* by which a reserved time may be exceeded */
+/*
+ * A task ends before a reserved time if it would also do so when it starts this
+ * late and runs this much longer than expected.
+ */
+#define FLOW_RESERVE_START_MS 100
+#define FLOW_RESERVE_MARGIN_PERMILLE 500
+/*
+ * A long-running task that has waited this long ignores reservations. It has to
+ * run within 9 s, and a start that isn't answered takes some seconds.
+ */
+#define FLOW_RESERVE_LASTING_MS 3000
 /*
  * The platform assigns a workflow a value, which is lower if the workflow is
  * late, and 0 if the workflow takes longer than this many times its objective.
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -456,6 +456,7 @@
 	if (flow->record.state == FLOW_COMPLETED)
 		flow_observe(flows, flow, "flow_completed_ms");
 	control_flow_rank_remove(flows, flow);
+	control_flow_reserve_ended(flows, flow);
 	g_hash_table_remove(flows->waits, flow->record.id);
 	g_hash_table_remove(flows->started, flow->record.id);
 	pressure_forget(flows->pressure, flow->record.id);
@@ -548,6 +549,8 @@
 	flows->change_nr = 1; /* 0 means that no change number is known */
 	flows->pressure = pressure_new();
 	flows->advice = flow_advice_new();
+	if (flows->policy->max_reservations)
+		flows->reserve = control_flow_reserve_new();
 	flows->work_means =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	flows->ranks = g_array_new(FALSE, FALSE, sizeof(struct flow_rank));
@@ -588,6 +591,7 @@
 	g_hash_table_unref(flows->work_means);
 	pressure_free(flows->pressure);
 	flow_advice_free(flows->advice);
+	control_flow_reserve_free(flows->reserve);
 	g_array_unref(flows->changes);
 	g_free(flows);
 }
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -135,6 +135,7 @@
 	uint32_t filler_cpu_millis;
 	uint32_t memory_mib;
 	uint32_t accelerators;
+	uint32_t nr_reservations; /* see control_flow_reserve.c */
 	/* Hash of the weights that were last sent to its agent. */
 	uint64_t pairs_hash;
 	uint64_t pairs_sent_us; /* when weights were last sent to its agent */
@@ -310,6 +311,7 @@
 	bool starved;
 	/* Least share of its full speed at which a filler may start. */
 	uint32_t min_gain_permille;
+	uint64_t idle_us; /* time since flow_rank.idle_us, 0: none */
 	/* Evaluate only VMs that have changed since this number, 0: all. */
 	uint64_t evaluated_change_nr;
 };
@@ -324,6 +326,8 @@
 	GHashTable *runs; /* task name -> struct flow_placement * */
 	struct pressure *pressure;
 	struct flow_advice *advice;
+	/* Reservations, NULL: the policy makes none. */
+	struct flow_reserve *reserve;
 	/* struct flow_rank, sorted by priority, value_density and due_us. */
 	GArray *ranks;
 	/* "HOST PREFIX" of the queue -> struct flow_work_mean * */
@@ -686,6 +690,43 @@
 /** Updates and sorts control_flow.ranks. */
 void control_flow_sort(struct control_flow *flows);
 
+/* control_flow_reserve.c */
+struct flow_reserve *control_flow_reserve_new(void);
+void control_flow_reserve_free(struct flow_reserve *reserve);
+/** A pass of placement begins. */
+void control_flow_reserve_begin(struct control_flow *flows);
+/**
+ * The pass comes to the workflow: its reservations concern those of lower rank,
+ * which follow.
+ */
+void control_flow_reserve_reach(struct control_flow *flows,
+				const struct state_flow *flow);
+/** Returns true if the VM's reservations leave room for the demanded task. */
+bool control_flow_reserve_admits(const struct flow_vm *vm,
+				 const struct flow_demand *demand);
+/** Notes that a task of the stage is placed on the VM. */
+void control_flow_reserve_placed(const struct flow_demand *demand,
+				 struct flow_vm *vm);
+/** Notes that a task of the stage found no VM in this pass. */
+void control_flow_reserve_note(const struct flow_demand *demand);
+/**
+ * Ends the pass: makes and drops reservations, at most once per
+ * FLOW_RESERVE_PLAN_MS.
+ */
+void control_flow_reserve_update(struct control_flow *flows);
+/** Drops the reservations of a workflow that has ended. */
+void control_flow_reserve_ended(struct control_flow *flows,
+				const struct state_flow *flow);
+uint32_t control_flow_reserve_count(const struct control_flow *flows);
+/**
+ * Returns the number of reservations of the stage; sets the VM and the
+ * remaining time of the earliest one if there is one.
+ */
+uint32_t control_flow_reserve_show(const struct control_flow *flows,
+				   const struct state_flow *flow,
+				   uint32_t stage, const char **vm,
+				   uint64_t *in_ms);
+
 /* control_flow_place.c */
 /** Returns true if the start time of the stage's occurrence has come. */
 bool control_flow_stage_due(const struct control_flow *flows,
@@ -714,9 +755,15 @@
  */
 bool control_flow_vm_is_over(const struct flow_vm *vm,
 			     const struct flow_demand *demand);
+/**
+ * Returns true if the VM may take a task of the stage as soon as it has enough
+ * free capacity.
+ */
+bool control_flow_vm_is_eligible(const struct flow_vm *vm,
+				 const struct flow_demand *demand);
 /**
  * Returns true if the VM has the resources, label and ticket that a task of the
- * stage requires.
+ * stage requires, and doesn't hold them for another task.
  */
 bool control_flow_vm_fits(struct flow_vm *vm, const struct flow_demand *demand);
 /** Returns the best other VM for the run's task, NULL if none can take it. */
--- a/src/core/control/control_flow_log.c
+++ b/src/core/control/control_flow_log.c
@@ -12,6 +12,7 @@
 enum wait_reason {
 	WAIT_GANG, /* a task fits, but others of its gang find no VM */
 	WAIT_NO_ROOM,
+	WAIT_RESERVED,
 	WAIT_NO_GAIN,
 	WAIT_NO_TICKET,
 	WAIT_LABEL,
@@ -26,17 +27,12 @@
 };
 
 static const char *const wait_names[] = {
-	[WAIT_GANG] = "gang",
-	[WAIT_NO_ROOM] = "no_room",
-	[WAIT_NO_GAIN] = "no_gain",
-	[WAIT_NO_TICKET] = "no_ticket",
-	[WAIT_LABEL] = "label",
-	[WAIT_VM_LIMIT] = "vm_limit",
-	[WAIT_ZONE_OUT] = "zone_out",
-	[WAIT_BACKOFF] = "shunned",
-	[WAIT_UNREACHABLE] = "unreachable",
-	[WAIT_SILENT] = "silent",
-	[WAIT_LEAVING] = "leaving",
+	[WAIT_GANG] = "gang",		[WAIT_NO_ROOM] = "no_room",
+	[WAIT_RESERVED] = "reserved",	[WAIT_NO_GAIN] = "no_gain",
+	[WAIT_NO_TICKET] = "no_ticket", [WAIT_LABEL] = "label",
+	[WAIT_VM_LIMIT] = "vm_limit",	[WAIT_ZONE_OUT] = "zone_out",
+	[WAIT_BACKOFF] = "shunned",	[WAIT_UNREACHABLE] = "unreachable",
+	[WAIT_SILENT] = "silent",	[WAIT_LEAVING] = "leaving",
 	[WAIT_LOST] = "lost",
 };
 
@@ -76,6 +72,8 @@
 		return WAIT_NO_TICKET;
 	if (control_flow_vm_is_full(vm, demand))
 		return WAIT_NO_ROOM;
+	if (!control_flow_reserve_admits(vm, demand))
+		return WAIT_RESERVED;
 	return step->filler ? WAIT_NO_GAIN : WAIT_VM_LIMIT;
 }
 
@@ -410,5 +408,7 @@
 	counter_set(counters, "cpu_millis", cpu_millis);
 	counter_set(counters, "cpu_taken_millis", taken_millis);
 	counter_set(counters, "cpu_filler_millis", filler_millis);
+	counter_set(counters, "reservations",
+		    control_flow_reserve_count(flows));
 	set_work_gauges(flows);
 }
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -144,19 +144,44 @@
 			max_per_vm);
 }
 
-bool control_flow_vm_fits(struct flow_vm *vm, const struct flow_demand *demand)
+/* Returns true if the VM has the label and ticket that the stage requires. */
+static bool flow_vm_is_suitable(const struct flow_vm *vm,
+				const struct flow_demand *demand)
 {
 	const struct flow_step *step = demand->step;
-	struct flow_load load;
 
 	if (step->label[0] && !flow_vm_has_label(vm, step->label))
 		return false;
-	if (demand->flow->record.ticket_ms &&
-	    !flow_advice_ticket(demand->flows, demand->flow, demand->stage, vm))
+	return !demand->flow->record.ticket_ms ||
+	       flow_advice_ticket(demand->flows, demand->flow, demand->stage,
+				  vm);
+}
+
+bool control_flow_vm_is_eligible(const struct flow_vm *vm,
+				 const struct flow_demand *demand)
+{
+	uint32_t max_per_vm = demand->step->max_per_vm;
+
+	if (!control_flow_vm_usable(demand->flows, vm,
+				    demand->flow->record.service) ||
+	    !flow_vm_is_suitable(vm, demand))
+		return false;
+	return !max_per_vm || flow_vm_load(vm, demand).stage_orphans +
+					      flow_vm_stage_runs(vm, demand) <
+				      max_per_vm;
+}
+
+bool control_flow_vm_fits(struct flow_vm *vm, const struct flow_demand *demand)
+{
+	const struct flow_step *step = demand->step;
+	struct flow_load load;
+
+	if (!flow_vm_is_suitable(vm, demand))
 		return false;
 	load = flow_vm_load(vm, demand);
 	control_flow_load_add(&load, step);
-	if (flow_load_exceeds(&load, vm, step))
+	if (flow_load_exceeds(&load, vm, step) ||
+	    !control_flow_reserve_admits(vm, demand))
 		return false;
 	if (step->filler && !demand->starved &&
 	    control_flow_gain(demand->flows, vm, step) <
@@ -335,6 +360,7 @@
 	TEXT_SET(change.worker, vm->worker.id);
 	change.born_ms = vm->worker.born_ms;
 	flow_log_place(demand, placed);
+	control_flow_reserve_placed(demand, vm);
 	counter_add(demand->flows->control->node->counters, "tasks_placed", 1);
 	control_flow_propose(demand->flows, &change);
 	return placed;
@@ -563,6 +589,13 @@
 	       (lasting || flow_has_free_cpu(services, record->service));
 }
 
+/* Returns the time since flow_rank.idle_us. */
+static uint64_t flow_idle_us(const struct control_flow *flows,
+			     const struct flow_rank *rank)
+{
+	return rank->idle_us ? flows->control->node->now_us - rank->idle_us : 0;
+}
+
 /*
  * Returns the least share of its full speed at which a filler of the workflow
  * may start. A policy that waits for full speed gives it up for a workflow that
@@ -573,11 +606,8 @@
 			      const struct flow_rank *rank)
 {
 	uint32_t min_permille = flows->policy->min_gain_permille;
-	uint64_t idle_us =
-		rank->idle_us ? flows->control->node->now_us - rank->idle_us :
-				0;
 
-	return idle_us > FLOW_FULL_SPEED_WAIT_MS * 1000ull ?
+	return flow_idle_us(flows, rank) > FLOW_FULL_SPEED_WAIT_MS * 1000ull ?
 		       MIN(min_permille, FLOW_FILLER_MIN_GAIN_PERMILLE) :
 		       min_permille;
 }
@@ -594,6 +624,7 @@
 	uint32_t min_gain_permille = flow_min_gain(flows, rank);
 	bool all = true;
 
+	control_flow_reserve_reach(flows, flow);
 	for (uint32_t i = 0; i < flow->nr_stages; i++) {
 		const struct state_flow_stage *stage = &flow->stages[i];
 		struct flow_demand demand = {
@@ -601,6 +632,7 @@
 			.flow = flow,
 			.starved = starved,
 			.min_gain_permille = min_gain_permille,
+			.idle_us = flow_idle_us(flows, rank),
 			.evaluated_change_nr = evaluated_change_nr
 		};
 
@@ -617,6 +649,7 @@
 		}
 		all = false;
 		control_flow_note_wait(&demand);
+		control_flow_reserve_note(&demand);
 		if (flow->record.ticket_ms)
 			flow_advice_request(flows, flow, i);
 	}
@@ -684,6 +717,7 @@
 	}
 	control_flow_sort(flows);
 	flow_pass_begin(flows);
+	control_flow_reserve_begin(flows);
 	services = flow_sum_services(flows);
 	for (guint i = 0; i < flows->ranks->len; i++) {
 		struct flow_rank *rank =
@@ -695,6 +729,7 @@
 		else
 			rank->idle_us = 0;
 	}
+	control_flow_reserve_update(flows);
 	flows->placing = false;
 	g_hash_table_unref(services);
 }
--- a/src/core/control/control_flow_show.c
+++ b/src/core/control/control_flow_show.c
@@ -44,12 +44,14 @@
 	const struct state_flow_stage *stage = &flow->stages[nr];
 	const struct flow_wait *wait =
 		g_hash_table_lookup(flows->waits, flow->record.id);
-	struct flow_demand demand = { .flows = flows,
-				      .flow = flow,
-				      .stage = nr,
-				      .min_gain_permille =
-					      flows->policy->min_gain_permille };
+	struct flow_demand demand = {
+		.flows = flows,
+		.flow = flow,
+		.stage = nr,
+		.min_gain_permille = flows->policy->min_gain_permille
+	};
 	struct op_flow_step item = { 0 };
+	const char *reserved_vm = "";
 
 	demand.step = state_flow_stage_step(flow, nr);
 	item.occurrence = nr / flow->record.nr_steps;
@@ -64,6 +66,9 @@
 	if (wait && wait->stage == nr)
 		item.waited_ms =
 			(flows->control->node->now_us - wait->since_us) / 1000;
+	item.reservations = control_flow_reserve_show(
+		flows, flow, nr, &reserved_vm, &item.reserved_in_ms);
+	TEXT_SET(item.reserved_vm, reserved_vm);
 	g_array_append_val(steps, item);
 }
 
--- a/src/core/plan/load_policy.c
+++ b/src/core/plan/load_policy.c
@@ -63,6 +63,7 @@
 	.name = "contended",
 	.min_gain_permille = FLOW_FILLER_FULL_GAIN_PERMILLE,
 	.load_rise_permille = FLOW_LOAD_RISE_PERMILLE,
+	.max_reservations = FLOW_RESERVE_MAX,
 	.serving_cost = contended_serving_cost,
 	.filler_cost = contended_filler_cost,
 };
--- a/src/core/plan/load_policy.h
+++ b/src/core/plan/load_policy.h
@@ -52,6 +52,11 @@
 	 * filler runs.
 	 */
 	uint32_t load_rise_permille;
+	/**
+	 * Number of waiting tasks for which capacity is reserved at a time, see
+	 * reserve.h; 0: none.
+	 */
+	uint32_t max_reservations;
 	/** Returns the cost of the place; the cheapest one is chosen. */
 	uint64_t (*serving_cost)(const struct load_serving_place *place);
 	/**
--- a/src/tool/commands.c
+++ b/src/tool/commands.c
@@ -144,6 +144,8 @@
 	{ "STATE", "state", NULL },
 	{ "REASON", "reason", NULL },
 	{ "WAITED MS", "waited_ms", NULL },
+	{ "RESERVED VM", "reserved_vm", NULL },
+	{ "IN MS", "reserved_in_ms", NULL },
 	{ NULL, NULL, NULL },
 };
 
