--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -202,6 +202,12 @@
 	 */
 	uint64_t throttled_since_us;
 	uint64_t progress_us; /* when percent changed last */
+	/*
+	 * Set by control_flow_reserve.c: when the run is expected to end, and
+	 * the value of progress_us from which that was computed.
+	 */
+	uint64_t end_us;
+	uint64_t end_from_us;
 	/*
 	 * When a better VM was last searched for, for a serving task or for a
 	 * throttled filler, 0: never.
@@ -701,7 +707,7 @@
  */
 void control_flow_reserve_reach(struct control_flow *flows,
 				const struct state_flow *flow);
-/** Returns true if the VM's reservations leave room for the demanded task. */
+/** Returns true if the VM's reservations leave enough capacity for the demanded task. */
 bool control_flow_reserve_admits(const struct flow_vm *vm,
 				 const struct flow_demand *demand);
 /** Notes that a task of the stage is placed on the VM. */
--- a/src/core/control/control_flow_reserve.c
+++ b/src/core/control/control_flow_reserve.c
@@ -15,6 +15,7 @@
 	uint32_t stage;
 	struct flow_vm *vm;
 	uint64_t at_us; /* when the task is expected to fit */
+	uint64_t until_us; /* it isn't kept for longer */
 	uint64_t since_us;
 	struct reserve_amount amount; /* of the task */
 	/* What the VM's runs are expected to use at at_us. */
@@ -314,30 +315,53 @@
 }
 
 /*
- * Returns when the run is expected to end. One that has run longer than
- * expected is assumed to take as long again as it has exceeded its time by, so
- * that a VM with such a run isn't expected to be free at any moment.
+ * Updates when the run is expected to end. Its progress is as of the last
+ * report, so the time is computed anew only if the progress has changed. A run
+ * that was resumed, or placed under an earlier leader, had some progress when
+ * this leader first saw it, so its speed isn't known.
  */
-static uint64_t run_end_us(const struct control_flow *flows,
-			   const struct flow_placement *placed)
+static void update_end(const struct control_flow *flows,
+		       struct flow_placement *placed)
 {
 	uint64_t now_us = flows->control->node->now_us;
-	uint64_t stop_ms = flows->control->opts.load_limits.stop_ms;
 	uint64_t remaining_ms = control_flow_remaining_ms(flows, placed);
-	uint64_t ran_ms = (now_us - placed->listed_us) / 1000;
 	uint64_t run_ms;
 
-	if (placed->ending)
-		remaining_ms = 0;
-	else if (placed->stopping && stop_ms)
-		remaining_ms = MIN(remaining_ms, stop_ms);
-	else if (!remaining_ms && placed->listed) {
-		run_ms = control_flow_run_ms(flows, placed->flow, placed->step);
-		remaining_ms = ran_ms - MIN(run_ms, ran_ms);
+	if (placed->listed && placed->end_from_us == placed->progress_us)
+		return;
+	placed->end_from_us = placed->progress_us;
+	run_ms = control_flow_run_ms(flows, placed->flow, placed->step);
+	if (run_ms == UINT64_MAX) {
+		placed->end_us = UINT64_MAX;
+		return;
 	}
-	if (remaining_ms == UINT64_MAX)
-		return UINT64_MAX;
-	return now_us + MAX(remaining_ms, 1) * 1000;
+	if (placed->inherited || placed->run > 1)
+		remaining_ms =
+			MAX(remaining_ms,
+			    run_ms * (100 - MIN(placed->percent, 100)) / 100);
+	placed->end_us = now_us + remaining_ms * 1000;
+}
+
+/*
+ * Returns when the run is expected to end. One that has exceeded its time is
+ * assumed to take as long again as it has exceeded it by, so that its VM isn't
+ * expected to be free at any moment.
+ */
+static uint64_t run_end_us(const struct control_flow *flows,
+			   struct flow_placement *placed)
+{
+	uint64_t now_us = flows->control->node->now_us;
+	uint64_t stop_ms = flows->control->opts.load_limits.stop_ms;
+	uint64_t soon_us = now_us + FLOW_RESERVE_PLAN_MS * 1000ull;
+
+	update_end(flows, placed);
+	if (placed->ending)
+		return soon_us;
+	if (placed->stopping && stop_ms)
+		return MIN(placed->end_us, now_us + stop_ms * 1000);
+	return MAX(placed->end_us > now_us ? placed->end_us :
+					     2 * now_us - placed->end_us,
+		   soon_us);
 }
 
 static void plan_add_vm(struct flow_reserve_plan *plan, struct flow_vm *vm)
@@ -355,7 +379,7 @@
 
 	g_hash_table_iter_init(&iter, vm->runs);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const struct flow_placement *placed = key;
+		struct flow_placement *placed = key;
 		struct reserve_run run = {
 			.end_us = run_end_us(plan->flows, placed),
 			.amount = task_amount(placed->step),
@@ -463,6 +487,7 @@
 			continue;
 		task->kept_vm = plan_vm_index(plan, held->vm);
 		task->kept_at_us = held->at_us;
+		task->kept_until_us = held->until_us;
 		return true;
 	}
 	return false;
@@ -531,6 +556,7 @@
 			.flow = demand->flow,
 			.stage = demand->stage,
 			.at_us = slots[i].at_us,
+			.until_us = slots[i].until_us,
 			.since_us = flows->control->node->now_us,
 			.amount = task->amount,
 			.reached = true,
--- a/src/core/plan/reserve.c
+++ b/src/core/plan/reserve.c
@@ -53,6 +53,24 @@
 	return used;
 }
 
+/*
+ * Returns true if the VM has the amount free as soon as one of its runs ends,
+ * and not by what is free before. No reservation is needed then: the task is
+ * the first in order at that time, however small the gaps are until then.
+ */
+static bool reserve_is_one_run(const struct reserve_vm *vm,
+			       const struct reserve_amount *amount,
+			       uint64_t at_us)
+{
+	static const struct reserve_amount none;
+
+	for (uint32_t i = 0; i < vm->nr_runs && vm->runs[i].end_us <= at_us;
+	     i++)
+		if (reserve_fits(&vm->runs[i].amount, &none, &none, amount))
+			return true;
+	return false;
+}
+
 uint64_t reserve_earliest_us(const struct reserve_vm *vm,
 			     const struct reserve_amount *held,
 			     const struct reserve_amount *amount,
@@ -98,16 +116,24 @@
 	return best;
 }
 
-/* Returns true if the task's earlier reservation still holds. */
+/*
+ * Returns true if the task's earlier reservation stays, with @a other as the
+ * alternative. Moving it gives up a gap that has grown so far.
+ */
 static bool reserve_holds(const struct reserve_input *input,
 			  const struct reserve_amount *held,
-			  const struct reserve_task *task)
+			  const struct reserve_task *task,
+			  const struct reserve_slot *other)
 {
 	uint64_t at_us = reserve_earliest_us(&input->vms[task->kept_vm],
 					     &held[task->kept_vm],
 					     &task->amount, input->now_us);
 
-	return at_us <= task->kept_at_us + input->margin_us;
+	if (input->now_us > task->kept_until_us ||
+	    at_us > input->now_us + input->horizon_us)
+		return false;
+	return at_us <= task->kept_until_us || other->vm == RESERVE_NO_VM ||
+	       at_us <= other->at_us + input->margin_us;
 }
 
 /* Decides on one task, whatever the number of reservations. */
@@ -116,17 +142,34 @@
 					  uint32_t nr)
 {
 	const struct reserve_task *task = &input->tasks[nr];
-	struct reserve_slot slot = { .vm = task->kept_vm,
-				     .at_us = task->kept_at_us };
+	struct reserve_slot slot =
+		reserve_choose(input, held, nr, task->kept_vm);
 
-	if (task->kept_vm != RESERVE_NO_VM && reserve_holds(input, held, task))
+	slot.until_us = slot.at_us + input->margin_us +
+			(slot.at_us - input->now_us) / 2;
+	if (task->kept_vm == RESERVE_NO_VM)
 		return slot;
-	slot = reserve_choose(input, held, nr, task->kept_vm);
-	if (task->kept_vm != RESERVE_NO_VM)
+	if (!reserve_holds(input, held, task, &slot)) {
 		slot.drop = RESERVE_LATE;
+		return slot;
+	}
+	slot.vm = task->kept_vm;
+	slot.at_us = task->kept_at_us;
+	slot.until_us = task->kept_until_us;
 	return slot;
 }
 
+/* Returns true if the task would not be placed at the time by its rank alone.
+ */
+static bool reserve_is_needed(const struct reserve_input *input,
+			      const struct reserve_task *task,
+			      const struct reserve_slot *slot)
+{
+	return slot->vm != RESERVE_NO_VM && slot->at_us > input->now_us &&
+	       !reserve_is_one_run(&input->vms[slot->vm], &task->amount,
+				   slot->at_us);
+}
+
 void reserve_plan(const struct reserve_input *input, struct reserve_slot *slots)
 {
 	struct reserve_amount *held =
@@ -144,9 +187,10 @@
 			slot.drop = RESERVE_OUTRANKED;
 		if (slot.vm != RESERVE_NO_VM)
 			reserve_add(&held[slot.vm], &task->amount);
-		/* A task that fits now is placed without a reservation. */
-		if (slot.at_us <= input->now_us && (!kept || slot.drop))
-			slot.vm = RESERVE_NO_VM;
+		if (!kept || slot.drop)
+			slot.vm = reserve_is_needed(input, task, &slot) ?
+					  slot.vm :
+					  RESERVE_NO_VM;
 		nr_slots += slot.vm != RESERVE_NO_VM;
 		slots[i] = slot;
 	}
--- a/src/core/plan/reserve.h
+++ b/src/core/plan/reserve.h
@@ -44,12 +44,13 @@
 	/** Index of the VM that is reserved for it so far, or RESERVE_NO_VM. */
 	uint32_t kept_vm;
 	uint64_t kept_at_us; /* the time of that reservation */
+	uint64_t kept_until_us; /* its reserve_slot.until_us */
 };
 
 /** Why a task's earlier reservation is given up. */
 enum reserve_drop {
 	RESERVE_KEPT = 0, /* it isn't, or there was none */
-	/* Its VM won't have the capacity within the margin after its time. */
+	/* Its time is exceeded, or will be while another VM is free before. */
 	RESERVE_LATE = 1,
 	/* Tasks of higher rank have all reservations that are allowed. */
 	RESERVE_OUTRANKED = 2,
@@ -60,13 +61,18 @@
 	/** Index, RESERVE_NO_VM: none is needed now or none can be made. */
 	uint32_t vm;
 	uint64_t at_us; /* when the task is expected to fit */
+	uint64_t until_us; /* the reservation isn't kept for longer */
 	enum reserve_drop drop;
 };
 
 struct reserve_input {
 	uint64_t now_us;
 	uint64_t horizon_us; /* no reservation is further ahead than this */
-	uint64_t margin_us; /* by which a reservation may be exceeded */
+	/*
+	 * By which the time of a reservation may be exceeded, besides half of
+	 * the time until then: the further ahead, the less is known of it.
+	 */
+	uint64_t margin_us;
 	const struct reserve_vm *vms;
 	uint32_t nr_vms;
 	const struct reserve_task *tasks; /* highest rank first */
@@ -80,8 +86,9 @@
 /**
  * Decides on a reservation for each of the tasks, in their order: a reservation
  * that still holds stays, otherwise the VM is chosen that has enough capacity
- * first. A task never takes capacity that is reserved for one before it. Writes
- * one slot for each task.
+ * first. A task that fits now or once a single run has ended gets none: as the
+ * first in order it takes that capacity anyway. A task never takes capacity
+ * that is reserved for one before it. Writes one slot for each task.
  */
 void reserve_plan(const struct reserve_input *input,
 		  struct reserve_slot *slots);
--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -237,7 +237,7 @@
 
 		TEXT_SET(reply->runs[i].task, run->task);
 		reply->runs[i].run = run->run;
-		reply->runs[i].percent = 100;
+		reply->runs[i].percent = fw_run_percent(call->vm->world, run);
 		reply->runs[i].figure = call->vm->tail_ms ?
 						call->vm->tail_ms :
 						call->vm->world->tail_ms;
--- a/tests/flow_world.c
+++ b/tests/flow_world.c
@@ -94,6 +94,23 @@
 	return run_ms * 1000;
 }
 
+/* Returns true if the run ends by itself. */
+static bool run_is_limited(const struct flow_world *fw,
+			   const struct fw_run *run)
+{
+	return fw->run_ms &&
+	       !(fw->lasting && g_str_has_prefix(run->task, fw->lasting));
+}
+
+uint32_t fw_run_percent(const struct flow_world *fw, const struct fw_run *run)
+{
+	uint64_t ran_us = fw_now_us(fw) - run->started_us;
+
+	if (!fw->reports_progress || !run_is_limited(fw, run))
+		return 100;
+	return MIN(ran_us * 100 / task_run_us(fw, run->task), 100);
+}
+
 /* Ends runs that are complete, and all runs once the lease has expired. */
 static void vm_tick(struct fw_vm *vm)
 {
@@ -117,9 +134,8 @@
 			fw_end_run(vm, i, FLOW_END_STOPPED);
 		else if (vm->fail_runs)
 			fw_end_run(vm, i, FLOW_END_FAILED);
-		else if (fw->run_ms && ran_us >= task_run_us(fw, run->task) &&
-			 !(fw->lasting &&
-			   g_str_has_prefix(run->task, fw->lasting)))
+		else if (run_is_limited(fw, run) &&
+			 ran_us >= task_run_us(fw, run->task))
 			fw_end_run(vm, i, FLOW_END_DONE);
 	}
 	if (!fw->overcommitted)
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -136,6 +136,9 @@
 	uint32_t run_ms; /* duration of every run, 0: runs don't end */
 	/* Runs of a task take longer by a fixed part of this time. */
 	uint32_t run_spread_ms;
+	/* Workers report the progress of runs; otherwise 100 % from the start.
+	 */
+	bool reports_progress;
 	uint32_t stop_ms; /* time from a stop to the run's end */
 	uint32_t tail_ms; /* tail latency that runs report */
 	/* Prefix of the names of tasks that don't end, NULL: there are none. */
--- a/tests/flow_world_impl.h
+++ b/tests/flow_world_impl.h
@@ -22,6 +22,8 @@
 /** Prints the event of a run if flow_world.prints_runs is set. */
 void fw_print_run(const struct fw_vm *vm, const struct fw_run *run,
 		  const char *event);
+/** Returns the progress that the worker reports of the run. */
+uint32_t fw_run_percent(const struct flow_world *fw, const struct fw_run *run);
 /** Ends the worker's run with the index @a i. */
 void fw_end_run(struct fw_vm *vm, guint i, enum flow_end how);
 /**
