Keep reservations while ranks change, and look past small tasks

In a trial (simulation, 76 VMs, 100 workflows of 60 small tasks, 12 of 4 tasks that need a whole VM) the plan considered 16 waiting tasks, all of them small, so no large one got a reservation. With more of them considered, reservations changed hands whenever two workflows of one priority changed their order.

A plan considers 64 stages, and skips the other tasks of a stage whose first one needs no reservation. Within a priority, reservations that hold stay.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -463,7 +463,7 @@
  */
 #define FLOW_RESERVE_MAX 8
 #define FLOW_RESERVE_STAGE_MAX 4
-#define FLOW_RESERVE_TASKS_MAX 16 /* waiting tasks that a plan considers */
+#define FLOW_RESERVE_WAITS_MAX 64 /* waiting stages that a plan considers */
 #define FLOW_RESERVE_VMS_PERCENT 25
 /*
  * Runs mostly take 0.5 to 2.5 s. Further ahead than this, estimates, which are
--- a/src/core/control/control_flow_reserve.c
+++ b/src/core/control/control_flow_reserve.c
@@ -250,7 +250,7 @@
 					  .stage = demand->stage };
 
 	if (reserve && !demand->step->filler && !demand->step->gang &&
-	    reserve->waits->len < FLOW_RESERVE_TASKS_MAX)
+	    reserve->waits->len < FLOW_RESERVE_WAITS_MAX)
 		g_array_append_val(reserve->waits, wait);
 }
 
@@ -425,6 +425,7 @@
 	return RESERVE_NO_VM;
 }
 
+/* Adds the stage's waiting tasks, as many as may get a reservation. */
 static void plan_add_wait(struct flow_reserve_plan *plan,
 			  const struct flow_reserve_wait *wait)
 {
@@ -434,10 +435,11 @@
 				      .stage = wait->stage };
 
 	demand.step = state_flow_stage_step(wait->flow, wait->stage);
-	for (uint32_t i = 0;
-	     i < nr && plan->tasks->len < FLOW_RESERVE_TASKS_MAX; i++) {
+	for (uint32_t i = 0; i < nr; i++) {
 		struct reserve_task task = {
 			.amount = task_amount(demand.step),
+			.priority = wait->flow->record.priority,
+			.same_step = i > 0,
 			.kept_vm = RESERVE_NO_VM,
 		};
 
@@ -498,9 +500,8 @@
 {
 	struct control_flow *flows = plan->flows;
 	struct flow_reserve *reserve = flows->reserve;
-	/* There are more waiting tasks than the plan considers. */
-	bool full = plan->tasks->len == FLOW_RESERVE_TASKS_MAX ||
-		    reserve->waits->len == FLOW_RESERVE_TASKS_MAX;
+	/* There may be more waiting stages than the plan considers. */
+	bool full = reserve->waits->len == FLOW_RESERVE_WAITS_MAX;
 	guint i = 0;
 
 	while (i < reserve->held->len) {
--- a/src/core/plan/reserve.c
+++ b/src/core/plan/reserve.c
@@ -1,6 +1,7 @@
 #include "reserve.h"
 
 #include <glib.h>
+#include <string.h>
 
 #include "tunables.h"
 
@@ -89,74 +90,88 @@
 	return at_us;
 }
 
+/* A plan while it is made. */
+struct reserve_work {
+	const struct reserve_input *input;
+	struct reserve_amount *held; /* of each VM, for tasks decided so far */
+	uint32_t nr_slots; /* reservations decided so far */
+};
+
 /*
  * Returns the VM that has enough capacity for the task first, RESERVE_NO_VM if
  * none has within the horizon.
  */
-static struct reserve_slot reserve_choose(const struct reserve_input *input,
-					  const struct reserve_amount *held,
-					  uint32_t task, uint32_t except)
+static struct reserve_slot reserve_choose(const struct reserve_work *work,
+					  uint32_t nr)
 {
+	const struct reserve_input *input = work->input;
+	const struct reserve_task *task = &input->tasks[nr];
 	struct reserve_slot best = { .vm = RESERVE_NO_VM, .at_us = UINT64_MAX };
 
 	for (uint32_t i = 0; i < input->nr_vms; i++) {
 		uint64_t at_us;
 
-		if (i == except || !input->eligible(input->ctx, task, i))
+		if (i == task->kept_vm || !input->eligible(input->ctx, nr, i))
 			continue;
-		at_us = reserve_earliest_us(&input->vms[i], &held[i],
-					    &input->tasks[task].amount,
-					    input->now_us);
+		at_us = reserve_earliest_us(&input->vms[i], &work->held[i],
+					    &task->amount, input->now_us);
 		if (at_us >= best.at_us ||
 		    at_us > input->now_us + input->horizon_us)
 			continue;
 		best.vm = i;
 		best.at_us = at_us;
+		best.until_us =
+			at_us + input->margin_us + (at_us - input->now_us) / 2;
 	}
 	return best;
 }
 
 /*
- * Returns true if the task's earlier reservation stays, with @a other as the
- * alternative. Moving it gives up a gap that has grown so far.
+ * Returns why the task's earlier reservation ends. Moving it gives up a gap
+ * that has grown so far.
  */
-static bool reserve_holds(const struct reserve_input *input,
-			  const struct reserve_amount *held,
-			  const struct reserve_task *task,
-			  const struct reserve_slot *other)
+static enum reserve_drop reserve_check(const struct reserve_work *work,
+				       uint32_t nr)
 {
-	uint64_t at_us = reserve_earliest_us(&input->vms[task->kept_vm],
-					     &held[task->kept_vm],
-					     &task->amount, input->now_us);
+	const struct reserve_input *input = work->input;
+	const struct reserve_task *task = &input->tasks[nr];
+	struct reserve_slot other;
+	uint64_t at_us;
 
+	if (work->nr_slots == input->max_slots)
+		return RESERVE_OUTRANKED;
+	at_us = reserve_earliest_us(&input->vms[task->kept_vm],
+				    &work->held[task->kept_vm], &task->amount,
+				    input->now_us);
 	if (input->now_us > task->kept_until_us ||
 	    at_us > input->now_us + input->horizon_us)
-		return false;
-	return at_us <= task->kept_until_us || other->vm == RESERVE_NO_VM ||
-	       at_us <= other->at_us + input->margin_us;
+		return RESERVE_LATE;
+	if (at_us <= task->kept_until_us)
+		return RESERVE_KEPT;
+	other = reserve_choose(work, nr);
+	return other.vm != RESERVE_NO_VM &&
+			       at_us > other.at_us + input->margin_us ?
+		       RESERVE_LATE :
+		       RESERVE_KEPT;
 }
 
-/* Decides on one task, whatever the number of reservations. */
-static struct reserve_slot reserve_decide(const struct reserve_input *input,
-					  const struct reserve_amount *held,
-					  uint32_t nr)
+/* Decides whether the task's earlier reservation stays. */
+static void reserve_keep(struct reserve_work *work, uint32_t nr,
+			 struct reserve_slot *slot)
 {
-	const struct reserve_task *task = &input->tasks[nr];
-	struct reserve_slot slot =
-		reserve_choose(input, held, nr, task->kept_vm);
+	const struct reserve_task *task = &work->input->tasks[nr];
 
-	slot.until_us = slot.at_us + input->margin_us +
-			(slot.at_us - input->now_us) / 2;
+	slot->vm = RESERVE_NO_VM;
 	if (task->kept_vm == RESERVE_NO_VM)
-		return slot;
-	if (!reserve_holds(input, held, task, &slot)) {
-		slot.drop = RESERVE_LATE;
-		return slot;
-	}
-	slot.vm = task->kept_vm;
-	slot.at_us = task->kept_at_us;
-	slot.until_us = task->kept_until_us;
-	return slot;
+		return;
+	slot->drop = reserve_check(work, nr);
+	if (slot->drop)
+		return;
+	slot->vm = task->kept_vm;
+	slot->at_us = task->kept_at_us;
+	slot->until_us = task->kept_until_us;
+	reserve_add(&work->held[slot->vm], &task->amount);
+	work->nr_slots++;
 }
 
 /* Returns true if the task would not be placed at the time by its rank alone.
@@ -165,36 +180,63 @@
 			      const struct reserve_task *task,
 			      const struct reserve_slot *slot)
 {
-	return slot->vm != RESERVE_NO_VM && slot->at_us > input->now_us &&
+	return slot->at_us > input->now_us &&
 	       !reserve_is_one_run(&input->vms[slot->vm], &task->amount,
 				   slot->at_us);
 }
 
+/* Decides on a new reservation for a task that has kept none. */
+static void reserve_make(struct reserve_work *work, uint32_t nr,
+			 struct reserve_slot *slot)
+{
+	const struct reserve_task *task = &work->input->tasks[nr];
+	struct reserve_slot made;
+
+	if (work->nr_slots == work->input->max_slots)
+		return;
+	made = reserve_choose(work, nr);
+	if (made.vm == RESERVE_NO_VM)
+		return;
+	reserve_add(&work->held[made.vm], &task->amount);
+	if (!reserve_is_needed(work->input, task, &made))
+		return;
+	made.drop = slot->drop;
+	*slot = made;
+	work->nr_slots++;
+}
+
+/*
+ * Returns true if the task gets no reservation because the one before it, which
+ * requires the same, got none. With many small tasks this saves most of the
+ * work of a plan.
+ */
+static bool reserve_is_skipped(const struct reserve_input *input,
+			       const struct reserve_slot *slots, uint32_t nr)
+{
+	return nr && input->tasks[nr].same_step &&
+	       slots[nr - 1].vm == RESERVE_NO_VM;
+}
+
 void reserve_plan(const struct reserve_input *input, struct reserve_slot *slots)
 {
-	struct reserve_amount *held =
-		g_new0(struct reserve_amount, MAX(input->nr_vms, 1));
-	uint32_t nr_slots = 0;
-
-	for (uint32_t i = 0; i < input->nr_tasks; i++) {
-		const struct reserve_task *task = &input->tasks[i];
-		bool kept = task->kept_vm != RESERVE_NO_VM;
-		struct reserve_slot slot = { .vm = RESERVE_NO_VM };
-
-		if (nr_slots < input->max_slots)
-			slot = reserve_decide(input, held, i);
-		else if (kept)
-			slot.drop = RESERVE_OUTRANKED;
-		if (slot.vm != RESERVE_NO_VM)
-			reserve_add(&held[slot.vm], &task->amount);
-		if (!kept || slot.drop)
-			slot.vm = reserve_is_needed(input, task, &slot) ?
-					  slot.vm :
-					  RESERVE_NO_VM;
-		nr_slots += slot.vm != RESERVE_NO_VM;
-		slots[i] = slot;
+	struct reserve_work work = { .input = input };
+	uint32_t end;
+
+	work.held = g_new0(struct reserve_amount, MAX(input->nr_vms, 1));
+	memset(slots, 0, input->nr_tasks * sizeof(*slots));
+	for (uint32_t first = 0; first < input->nr_tasks; first = end) {
+		uint32_t priority = input->tasks[first].priority;
+
+		for (end = first; end < input->nr_tasks &&
+				  input->tasks[end].priority == priority;
+		     end++)
+			reserve_keep(&work, end, &slots[end]);
+		for (uint32_t i = first; i < end; i++)
+			if (slots[i].vm == RESERVE_NO_VM &&
+			    !reserve_is_skipped(input, slots, i))
+				reserve_make(&work, i, &slots[i]);
 	}
-	g_free(held);
+	g_free(work.held);
 }
 
 uint64_t reserve_safe_end_us(uint64_t now_us, uint64_t run_ms)
--- a/src/core/plan/reserve.h
+++ b/src/core/plan/reserve.h
@@ -41,6 +41,9 @@
 /** A waiting task. */
 struct reserve_task {
 	struct reserve_amount amount;
+	uint32_t priority;
+	/** It belongs to the same step as the task before it. */
+	bool same_step;
 	/** Index of the VM that is reserved for it so far, or RESERVE_NO_VM. */
 	uint32_t kept_vm;
 	uint64_t kept_at_us; /* the time of that reservation */
@@ -52,7 +55,7 @@
 	RESERVE_KEPT = 0, /* it isn't, or there was none */
 	/* Its time is exceeded, or will be while another VM is free before. */
 	RESERVE_LATE = 1,
-	/* Tasks of higher rank have all reservations that are allowed. */
+	/* Tasks of higher priority have all reservations that are allowed. */
 	RESERVE_OUTRANKED = 2,
 };
 
@@ -75,7 +78,8 @@
 	uint64_t margin_us;
 	const struct reserve_vm *vms;
 	uint32_t nr_vms;
-	const struct reserve_task *tasks; /* highest rank first */
+	/* Highest rank first, so tasks of one priority follow each other. */
+	const struct reserve_task *tasks;
 	uint32_t nr_tasks;
 	uint32_t max_slots; /* number of reservations */
 	/** Returns true if the VM may take the task once it has capacity. */
@@ -84,11 +88,15 @@
 };
 
 /**
- * Decides on a reservation for each of the tasks, in their order: a reservation
- * that still holds stays, otherwise the VM is chosen that has enough capacity
- * first. A task that fits now or once a single run has ended gets none: as the
- * first in order it takes that capacity anyway. A task never takes capacity
- * that is reserved for one before it. Writes one slot for each task.
+ * Decides on a reservation for each of the tasks, in the order of their
+ * priorities. Of one priority, reservations that still hold stay; then the
+ * others follow in the order of their rank, each on the VM that has enough
+ * capacity first. Ranks within a priority change from second to second, and a
+ * reservation that moved with them would give up the gap that has grown. A task
+ * of higher rank may use the VM anyway.
+ *
+ * A task that fits now or once a single run has ended gets none: by its rank it
+ * takes that capacity anyway. Writes one slot for each task.
  */
 void reserve_plan(const struct reserve_input *input,
 		  struct reserve_slot *slots);
--- a/tests/test_reserve.c
+++ b/tests/test_reserve.c
@@ -188,6 +188,28 @@
 }
 END_TEST
 
+/*
+ * The load: many small tasks wait before a large one. Guards against a large
+ * task that isn't considered because of them.
+ */
+START_TEST(test_small_tasks_first)
+{
+	struct plan plan;
+
+	plan_init(&plan, 2);
+	add_pair(&plan, 0, 100);
+	add_pair(&plan, 1, 200);
+	for (uint32_t i = 0; i < 7; i++)
+		add_task(&plan, 500)->same_step = i > 0;
+	add_task(&plan, 8000);
+	plan.input.max_slots = 1;
+	decide(&plan);
+	ck_assert_uint_eq(plan.slots[6].vm, NO_VM);
+	/* The first VM to be free is for the small tasks. */
+	ck_assert_uint_eq(plan.slots[7].vm, 1);
+}
+END_TEST
+
 /*
  * Guards against reservations that move at each plan, against one that is kept
  * after its time, and against one that moves although that gains nothing.
@@ -225,10 +247,10 @@
 END_TEST
 
 /*
- * Guards against a reservation that delays a task of higher rank: it takes the
- * VM, or the last reservation that is allowed.
+ * Guards against a reservation that a task of higher priority has to wait for:
+ * it holds the VM, or is the last one that is allowed.
  */
-START_TEST(test_higher_rank_first)
+START_TEST(test_higher_priority_first)
 {
 	struct plan plan;
 	struct reserve_task *task;
@@ -238,6 +260,7 @@
 	add_pair(&plan, 1, 5000);
 	add_task(&plan, 8000);
 	task = add_task(&plan, 8000);
+	task->priority = 2;
 	task->kept_vm = 0;
 	task->kept_at_us = NOW_US + 100 * MS;
 	task->kept_until_us = NOW_US + 600 * MS;
@@ -252,6 +275,34 @@
 }
 END_TEST
 
+/*
+ * The load: several large tasks of one priority, whose ranks change all the
+ * time. Guards against reservations that change with them, so that no VM gets
+ * free for any of the tasks.
+ */
+START_TEST(test_rank_within_priority)
+{
+	struct plan plan;
+	struct reserve_task *task;
+
+	plan_init(&plan, 2);
+	add_pair(&plan, 0, 100);
+	add_pair(&plan, 1, 5000);
+	add_task(&plan, 8000);
+	task = add_task(&plan, 8000);
+	task->kept_vm = 0;
+	task->kept_at_us = NOW_US + 100 * MS;
+	task->kept_until_us = NOW_US + 600 * MS;
+	decide(&plan);
+	ck_assert_uint_eq(plan.slots[0].vm, 1);
+	ck_assert_uint_eq(plan.slots[1].vm, 0);
+	plan.input.max_slots = 1;
+	decide(&plan);
+	ck_assert_uint_eq(plan.slots[0].vm, NO_VM);
+	ck_assert_int_eq(plan.slots[1].drop, RESERVE_KEPT);
+}
+END_TEST
+
 /*
  * The load: small tasks arrive while a large one waits for a VM with a gap of
  * 3 processors, which 5 more leave at 400 ms. Guards against small tasks that
@@ -516,9 +567,9 @@
 			      "*event=reserve-dropped reason=ended * id=bb *"));
 	flow_world_run_ms(fw, 500);
 	ck_assert_uint_eq(count_of(fw, "reservations"), 0);
-	submit(fw, "cc", 3u * FLOW_WORLD_VMS, 1000, 2000);
+	submit(fw, "cc", UINT64_C(3) * FLOW_WORLD_VMS, 1000, 2000);
 	flow_world_run_ms(fw, 300);
-	ck_assert_uint_eq(fw_running(fw), 4u * FLOW_WORLD_VMS);
+	ck_assert_uint_eq(fw_running(fw), UINT64_C(4) * FLOW_WORLD_VMS);
 	ck_assert(flow_world_wait(fw, "cc", FLOW_COMPLETED, 5000));
 	submit(fw, "dd", FLOW_WORLD_VMS, 5000, 2000);
 	flow_world_run_ms(fw, 300);
@@ -577,7 +628,7 @@
 	ck_assert_ptr_nonnull(reserved_vm(fw, "l0"));
 	submit_lasting(fw, "l1", 3000);
 	flow_world_run_ms(fw, 2000);
-	ck_assert_uint_eq(fw_running(fw), 2u * FLOW_WORLD_VMS - 1);
+	ck_assert_uint_eq(fw_running(fw), UINT64_C(2) * FLOW_WORLD_VMS - 1);
 	ck_assert_uint_eq(show(fw, "l1").placed, 0);
 	flow_world_run_ms(fw, 1500);
 	ck_assert_uint_eq(show(fw, "l1").placed, 1);
@@ -688,8 +739,10 @@
 		test_ineligible_vm,
 		test_no_reservation,
 		test_several_tasks,
+		test_small_tasks_first,
 		test_kept_until_late,
-		test_higher_rank_first,
+		test_higher_priority_first,
+		test_rank_within_priority,
 		test_backfill,
 		test_safe_end,
 		test_large_task_among_small,
