Test fillers on reserved VMs; skip unreserved VMs first

The check for a reserved VM computed what a gang requires for every VM, also where nothing is reserved. It now begins with the VM's number of reservations. A test covers fillers, which only the memory of a reserved task bars.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -475,7 +475,8 @@
  * would take most of the leader's processor time at each pass of placement.
  */
 #define FLOW_RESERVE_PLAN_MS 100
-#define FLOW_RESERVE_LATE_MS 500 /* by which a reserved time may be exceeded */
+/* By which a reserved time may be exceeded. */
+#define FLOW_RESERVE_LATE_MS 500
 /*
  * A task ends before a reserved time if it would also do so when it starts this
  * late and runs this much longer than expected.
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -707,7 +707,10 @@
  */
 void control_flow_reserve_reach(struct control_flow *flows,
 				const struct state_flow *flow);
-/** Returns true if the VM's reservations leave enough capacity for the demanded task. */
+/**
+ * Returns true if the demanded task may use the VM as far as the VM's
+ * reservations are concerned.
+ */
 bool control_flow_reserve_admits(const struct flow_vm *vm,
 				 const struct flow_demand *demand);
 /** Notes that a task of the stage is placed on the VM. */
--- a/src/core/control/control_flow_reserve.c
+++ b/src/core/control/control_flow_reserve.c
@@ -176,20 +176,18 @@
 		demand->idle_us >= FLOW_RESERVE_LASTING_MS * 1000ull);
 }
 
-bool control_flow_reserve_admits(const struct flow_vm *vm,
-				 const struct flow_demand *demand)
+/* As control_flow_reserve_admits(), for a VM that has a reservation. */
+static bool reserved_vm_admits(const struct flow_vm *vm,
+			       const struct flow_demand *demand)
 {
 	const struct control_flow *flows = demand->flows;
 	struct reserve_amount capacity = vm_capacity(vm);
 	struct reserve_amount amount = demand_amount(demand->step);
 	struct reserve_amount sum = { 0 };
-	uint64_t end_us;
+	uint64_t end_us = reserve_safe_end_us(
+		flows->control->node->now_us,
+		control_flow_run_ms(flows, demand->flow, demand->step));
 
-	if (!vm->nr_reservations || demand_is_exempt(demand))
-		return true;
-	end_us = reserve_safe_end_us(flows->control->node->now_us,
-				     control_flow_run_ms(flows, demand->flow,
-							 demand->step));
 	for (guint i = 0; i < flows->reserve->held->len; i++) {
 		const struct flow_reservation *held =
 			held_at(flows->reserve, i);
@@ -209,6 +207,13 @@
 	return true;
 }
 
+bool control_flow_reserve_admits(const struct flow_vm *vm,
+				 const struct flow_demand *demand)
+{
+	return !vm->nr_reservations || demand_is_exempt(demand) ||
+	       reserved_vm_admits(vm, demand);
+}
+
 void control_flow_reserve_placed(const struct flow_demand *demand,
 				 struct flow_vm *vm)
 {
--- a/tests/test_reserve.c
+++ b/tests/test_reserve.c
@@ -319,9 +319,10 @@
 	struct reserve_amount large_filler = { 0, 15500, 0 };
 	struct reserve_amount at;
 	uint64_t at_us = NOW_US + 400 * MS;
-	const struct reserve_amount *capacity = &plan.vms[0].capacity;
+	const struct reserve_amount *capacity;
 
 	plan_init(&plan, 1);
+	capacity = &plan.vms[0].capacity;
 	add_run(&plan, 0, 5000, 400);
 	at = reserve_used_at(&plan.vms[0], at_us);
 	ck_assert_uint_eq(at.cpu_millis, 0);
@@ -533,6 +534,44 @@
 }
 END_TEST
 
+/*
+ * The load: fillers, which use idle processors, while a VM is reserved. Guards
+ * against fillers that stay away from it, and against one that takes the memory
+ * which the reserved task needs.
+ */
+START_TEST(test_fillers_on_reserved_vm)
+{
+	struct flow_world *fw = flow_world_new(62);
+	struct flow_step filler = step_of(FLOW_WORLD_VMS, 1000, 2500);
+	struct flow_step large = step_of(1, FLOW_WORLD_VM_CPU_MILLIS, 500);
+	const struct fw_vm *vm;
+
+	flow_world_contend(fw);
+	fw->reports_progress = true;
+	fw->overcommitted = true;
+	fw->run_ms = 2500;
+	submit(fw, "aa", FLOW_WORLD_VMS, 5000, 2500);
+	flow_world_run_ms(fw, 500);
+	large.memory_mib = FLOW_WORLD_VM_MEMORY_MIB / 2;
+	flow_world_submit(fw, "bb", &large, 1);
+	vm = reserved_vm(fw, "bb");
+	ck_assert_ptr_nonnull(vm);
+	filler.filler = true;
+	filler.memory_mib = FLOW_WORLD_VM_MEMORY_MIB / 2 + 1000;
+	TEXT_SET(filler.image, "f");
+	flow_world_submit(fw, "cc", &filler, 1);
+	flow_world_run_ms(fw, 300);
+	ck_assert_uint_eq(show(fw, "cc").placed, FLOW_WORLD_VMS - 1);
+	ck_assert_uint_eq(vm->worker.runs->len, 1);
+	filler.memory_mib = 100;
+	flow_world_submit(fw, "dd", &filler, 1);
+	flow_world_run_ms(fw, 300);
+	ck_assert_uint_eq(show(fw, "dd").placed, FLOW_WORLD_VMS);
+	ck_assert_uint_gt(vm->worker.runs->len, 1);
+	flow_world_free(fw);
+}
+END_TEST
+
 /*
  * The load: a long-running task arrives while a VM is reserved for a workflow
  * of lower rank. Guards against a reservation that delays it.
@@ -748,6 +787,7 @@
 		test_large_task_among_small,
 		test_tasks_beside_reserved_one,
 		test_reserved_vm_is_backfilled,
+		test_fillers_on_reserved_vm,
 		test_higher_rank_is_not_delayed,
 		test_reservation_ends,
 		test_late_vm_is_given_up,
