--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -141,6 +141,50 @@
 	  RESULT_MALFORMED,
 	  "--log-level" },
 	{ { ENTRY, LONG_NAME }, { NULL }, RESULT_OUT_OF_RANGE, "--name" },
+	{ { CONTROL, "--worker-save-s=soon" },
+	  { NULL },
+	  RESULT_MALFORMED,
+	  "--worker-save-s" },
+	{ { CONTROL, "--worker-save-s=" },
+	  { NULL },
+	  RESULT_MALFORMED,
+	  "--worker-save-s" },
+	{ { CONTROL, "--worker-save-s=0." },
+	  { NULL },
+	  RESULT_MALFORMED,
+	  "--worker-save-s" },
+	{ { CONTROL, "--worker-save-s=.5" },
+	  { NULL },
+	  RESULT_MALFORMED,
+	  "--worker-save-s" },
+	{ { CONTROL, "--worker-save-s=0.5s" },
+	  { NULL },
+	  RESULT_MALFORMED,
+	  "--worker-save-s" },
+	{ { CONTROL, "--worker-save-s=-1" },
+	  { NULL },
+	  RESULT_MALFORMED,
+	  "--worker-save-s" },
+	{ { CONTROL, "--worker-save-s=0.0005" },
+	  { NULL },
+	  RESULT_MALFORMED,
+	  "--worker-save-s" },
+	{ { CONTROL, "--worker-save-s=1.2.3" },
+	  { NULL },
+	  RESULT_MALFORMED,
+	  "--worker-save-s" },
+	{ { CONTROL, "--worker-save-s=3600.001" },
+	  { NULL },
+	  RESULT_OUT_OF_RANGE,
+	  "--worker-save-s" },
+	{ { CONTROL, "--worker-stop-ms=3600001" },
+	  { NULL },
+	  RESULT_OUT_OF_RANGE,
+	  "--worker-stop-ms" },
+	{ { CONTROL, "--load-policy=best" },
+	  { NULL },
+	  RESULT_MALFORMED,
+	  "--load-policy" },
 };
 
 static enum result read_words(const char *const *flags,
@@ -204,4 +248,38 @@
 }
 END_TEST
 
-SUITE_MAIN("settings", test_settings_cases, test_flag_before_variable)
+/*
+ * Guards against decimals that are read as whole seconds, which would choose
+ * another load policy.
+ */
+START_TEST(test_decimal_seconds)
+{
+	static const struct {
+		const char *flag;
+		uint32_t save_ms;
+	} times[] = {
+		{ "--worker-save-s=0.5", 500 },
+		{ "--worker-save-s=2", 2000 },
+		{ "--worker-save-s=1.025", 1025 },
+		{ "--worker-save-s=0", 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
+		const char *const flags[MAX_WORDS] = { CONTROL, times[i].flag };
+		const char *const variables[] = { NULL };
+		struct settings settings;
+		char *error = NULL;
+
+		ck_assert_int_eq(read_words(flags, variables, &settings,
+					    &error),
+				 RESULT_OK);
+		ck_assert_uint_eq(settings.load_limits.save_ms,
+				  times[i].save_ms);
+		ck_assert_int_eq(settings.load_choice, LOAD_AUTO);
+		settings_clear(&settings);
+	}
+}
+END_TEST
+
+SUITE_MAIN("settings", test_settings_cases, test_flag_before_variable,
+	   test_decimal_seconds)
