Don't send a submission again once its caller has left

Cause: an entry sent copies of a call to each leader until 45 % of its time limit, also after the caller had disconnected. A caller that asked again at another entry and was refused there by admission control could have its submission accepted all the same, by a leader that came into office within that time: it refuses nothing for 5 s and doesn't know of the refusal. Change: an abandoned submission isn't sent any more; cancellations and queries are.

--- a/src/core/entry/gateway.c
+++ b/src/core/entry/gateway.c
@@ -100,12 +100,18 @@
 	gateway_call_finish(call, &reply);
 }
 
+/*
+ * A submission isn't sent again once its caller has left: the caller may be
+ * refused at another entry meanwhile, and a later leader, which doesn't know of
+ * that, would accept the copy.
+ */
 static void gateway_call_send(struct gateway_call *call)
 {
+	const struct flow_call *message = call->message.body;
 	struct gateway *gateway = call->gateway;
 	uint64_t leader = site_leader(gateway->site);
 
-	if (!leader)
+	if (!leader || (call->abandoned && message->kind == FLOW_CALL_SUBMIT))
 		return;
 	call->leader = leader;
 	call->nr_sent++;
--- a/src/core/entry/gateway.h
+++ b/src/core/entry/gateway.h
@@ -39,7 +39,10 @@
 void gateway_call(struct gateway *gateway, const struct flow_call *call,
 		  uint32_t timeout_ms);
 
-/** Called when the caller has disconnected; respond() isn't called. */
+/**
+ * Called when the caller has disconnected; respond() isn't called. A submission
+ * isn't sent to a leader again.
+ */
 void gateway_abandon(struct gateway *gateway, uint64_t ticket);
 
 /**
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -231,7 +231,29 @@
 }
 END_TEST
 
-SUITE_MAIN("gateway", test_refused_copy_is_no_refusal,
-	   test_refused_copy_beside_lost_one, test_all_copies_refused,
-	   test_query_needs_one_answer, test_many_control_addresses,
+/*
+ * Guards against a copy of a submission that is sent after its caller has left,
+ * and that a later leader accepts although the caller has been refused at
+ * another entry meanwhile.
+ */
+START_TEST(test_no_copy_after_caller_left)
+{
+	set_up(FLOW_CALL_SUBMIT);
+	gateway_abandon(gateway, TICKET);
+	sim_run_ms(sim, CALL_MS);
+	ck_assert_uint_eq(nr_received, 1);
+	ck_assert_uint_eq(nr_answers, 0);
+	tear_down();
+	/* A cancellation takes effect all the same. */
+	set_up(FLOW_CALL_CANCEL);
+	gateway_abandon(gateway, TICKET);
+	wait_for_copy();
+	tear_down();
+}
+END_TEST
+
+SUITE_MAIN("gateway", test_no_copy_after_caller_left,
+	   test_refused_copy_is_no_refusal, test_refused_copy_beside_lost_one,
+	   test_all_copies_refused, test_query_needs_one_answer,
+	   test_many_control_addresses,
 	   test_control_address_outlasts_its_replica)
