Count only the work that tasks ahead can do within the limit

Cause: admission control counted the whole remaining work of the tasks ahead. A few long tasks of a higher priority, which run on few processors, then took up the capacity of all processors, and a short submission was refused although most processors were free. Change: of each task ahead, and of what its run has done, only what fits in the submission's limit counts.

--- a/src/core/control/control_flow_admit.c
+++ b/src/core/control/control_flow_admit.c
@@ -14,6 +14,8 @@
 	const char *service;
 	enum admission_kind kind;
 	uint64_t copies_ms; /* admission_request.copies_ms */
+	/* admission_request.limit_ms, UINT64_MAX without a submission. */
+	uint64_t limit_ms;
 };
 
 static enum admission_kind flow_step_kind(const struct flow_step *step)
@@ -21,21 +23,27 @@
 	return step->filler ? ADMISSION_FILLERS : ADMISSION_OTHERS;
 }
 
-/* Returns the expected work of one task of the step. */
+/* Returns the expected work of one task of the step within the limit. */
 static uint64_t flow_task_core_ms(const struct control_flow *flows,
 				  const struct state_flow *flow,
-				  const struct flow_step *step)
+				  const struct flow_step *step,
+				  uint64_t limit_ms)
 {
 	uint64_t run_ms = control_flow_run_ms(flows, flow, step);
 
-	return step->lasting ? 0 :
-			       MIN(step->cpu_millis * run_ms / 1000,
-				   FLOW_WORK_MAX_CORE_MS);
+	return step->lasting ?
+		       0 :
+		       MIN(step->cpu_millis * MIN(run_ms, limit_ms) / 1000,
+			   FLOW_WORK_MAX_CORE_MS);
 }
 
-/* Returns the expected work of the workflow's tasks that aren't done. */
+/*
+ * Returns the expected work of the workflow's tasks that aren't done, of each
+ * task what it can do within the limit.
+ */
 static uint64_t flow_remaining_core_ms(const struct flow_admit *admit,
-				       const struct state_flow *flow)
+				       const struct state_flow *flow,
+				       uint64_t limit_ms)
 {
 	uint64_t sum_core_ms = 0;
 
@@ -43,9 +51,9 @@
 		const struct flow_step *step = state_flow_stage_step(flow, i);
 
 		if (flow_step_kind(step) == admit->kind)
-			sum_core_ms +=
-				flow_task_core_ms(admit->flows, flow, step) *
-				(step->count - flow->stages[i].nr_done);
+			sum_core_ms += flow_task_core_ms(admit->flows, flow,
+							 step, limit_ms) *
+				       (step->count - flow->stages[i].nr_done);
 	}
 	return MIN(sum_core_ms, FLOW_WORK_MAX_CORE_MS);
 }
@@ -77,7 +85,11 @@
 	       !strcmp(placed->flow->record.service, admit->service);
 }
 
-/* Sums up the runs: the processors they use, and the work they have done. */
+/*
+ * Sums up the runs: the processors they use, and the work they have done. Of a
+ * run that ends after the limit, only what is missing within it counts, as
+ * flow_remaining_core_ms() has no more of it.
+ */
 static void flow_sum_runs(const struct flow_admit *admit,
 			  uint64_t *running_millis, uint64_t *done_core_ms)
 {
@@ -93,8 +105,9 @@
 
 		if (!flow_admit_counts(admit, placed))
 			continue;
-		run_ms = control_flow_run_ms(admit->flows, placed->flow,
-					     placed->step);
+		run_ms = MIN(control_flow_run_ms(admit->flows, placed->flow,
+						 placed->step),
+			     admit->limit_ms);
 		left_ms = control_flow_remaining_ms(admit->flows, placed);
 		*running_millis += placed->step->cpu_millis;
 		*done_core_ms += placed->step->cpu_millis *
@@ -144,7 +157,8 @@
 				 .flow->record;
 		const struct flow_step *step = &record->steps[0];
 		struct flow_admit admit = { flows, record->service,
-					    flow_step_kind(step), 0 };
+					    flow_step_kind(step), 0,
+					    UINT64_MAX };
 		uint64_t running_millis;
 		uint64_t done_core_ms;
 
@@ -174,7 +188,8 @@
 		      flow_step_kind(step), step->cpu_millis * ran_ms / 1000,
 		      /* One task of a gang stands for the others. */
 		      end == FLOW_END_DONE ?
-			      flow_task_core_ms(flows, placed->flow, step) *
+			      flow_task_core_ms(flows, placed->flow, step,
+						UINT64_MAX) *
 				      (step->gang ? step->count : 1) :
 			      0,
 		      now_us);
@@ -215,7 +230,8 @@
 		if (rank->flow->record.repeats ||
 		    strcmp(rank->flow->record.service, admit->service) != 0)
 			continue;
-		work.work_core_ms = flow_remaining_core_ms(admit, rank->flow);
+		work.work_core_ms = flow_remaining_core_ms(admit, rank->flow,
+							   admit->limit_ms);
 		if (rank->abandoned_us != UINT64_MAX)
 			work.left_ms = (rank->abandoned_us -
 					MIN(now_us, rank->abandoned_us)) /
@@ -272,9 +288,8 @@
 		.queue = queue,
 		.service = admit->service,
 		.kind = admit->kind,
-		.work_core_ms = flow_remaining_core_ms(admit, flow),
-		.limit_ms = control_flow_objective_ms(flow) *
-			    FLOW_ZERO_VALUE_FACTOR,
+		.work_core_ms = flow_remaining_core_ms(admit, flow, UINT64_MAX),
+		.limit_ms = admit->limit_ms,
 		.copies_ms = admit->copies_ms,
 		.ahead = (const struct admission_ahead *)(void *)ahead->data,
 		.nr_ahead = ahead->len,
@@ -284,9 +299,6 @@
 	};
 	struct admission_answer answer;
 
-	/* A queue without an objective has no limit. */
-	if (!request.limit_ms)
-		request.limit_ms = UINT64_MAX;
 	flow_sum_runs(admit, &request.running_millis, &request.done_core_ms);
 	admission_decide(flows->admission, &request,
 			 flows->control->node->now_us, &answer);
@@ -310,6 +322,7 @@
 		ADMISSION_FLIGHT_MS;
 	struct state_flow flow = { .record = *record };
 	uint32_t retry_after_ms = 0;
+	uint64_t limit_ms;
 	guint nr_before;
 
 	if (!flows->admission || !flow_is_subject(record))
@@ -317,10 +330,14 @@
 	/* As the workflow will be once it is accepted. */
 	flow.nr_stages = record->nr_steps;
 	flow.stages = g_new0(struct state_flow_stage, flow.nr_stages);
+	limit_ms = control_flow_objective_ms(&flow) * FLOW_ZERO_VALUE_FACTOR;
+	/* A queue without an objective has no limit. */
+	if (!limit_ms)
+		limit_ms = UINT64_MAX;
 	nr_before = control_flow_ranks_before(flows, &flow);
 	for (uint32_t kind = 0; kind < ADMISSION_KINDS; kind++) {
 		struct flow_admit admit = { flows, record->service, kind,
-					    copies_ms };
+					    copies_ms, limit_ms };
 		uint32_t i = 0;
 
 		while (i < record->nr_steps &&
@@ -359,9 +376,11 @@
 	queue = g_strconcat(record->host, " ", record->prefix, NULL);
 	accepted.queue = queue;
 	for (uint32_t kind = 0; kind < ADMISSION_KINDS; kind++) {
-		struct flow_admit admit = { flows, record->service, kind, 0 };
+		struct flow_admit admit = { flows, record->service, kind, 0,
+					    UINT64_MAX };
 
-		accepted.work_core_ms += flow_remaining_core_ms(&admit, flow);
+		accepted.work_core_ms +=
+			flow_remaining_core_ms(&admit, flow, UINT64_MAX);
 	}
 	accepted.due_us = now_us + control_flow_objective_ms(flow) * 1000;
 	admission_accept(flows->admission, &accepted, now_us);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -672,6 +672,44 @@
 }
 END_TEST
 
+/*
+ * The load: long tasks of a higher priority on a quarter of the processors.
+ * Guards against a refusal while processors are free, because of work that the
+ * tasks ahead do only after the submission's limit.
+ */
+START_TEST(test_long_tasks_ahead)
+{
+	struct flow_world *fw = heavy_world(59);
+	struct flow_step lengthy = { .count = 8,
+				     .cpu_millis = 1000,
+				     .memory_mib = 100,
+				     .estimate_ms = 600000 };
+	struct flow_step quick = { .count = 1,
+				   .cpu_millis = 1000,
+				   .memory_mib = 100,
+				   .estimate_ms = 100 };
+	struct flow_record record = { .nr_steps = 1,
+				      .steps = &quick,
+				      .priority = 1,
+				      .slo_ms = 1000,
+				      .slack_permille = 1000 };
+	struct control_flow *flows;
+
+	fw->obeys_pace = true;
+	fw->run_ms = lengthy.estimate_ms;
+	ck_assert_int_eq(flow_world_submit(fw, "long", &lengthy, 1), RESULT_OK);
+	flow_world_run_ms(fw, 3000);
+	flows = world_leader(fw->base)->flows;
+	TEXT_SET(record.id, "short");
+	TEXT_SET(record.service, FLOW_WORLD_SERVICE);
+	TEXT_SET(record.host, "shop");
+	TEXT_SET(record.prefix, "/q/");
+	record.submitted_ms = control_wall_ms(flows->control);
+	ck_assert_uint_eq(control_flow_admit(flows, &record, 3000), 0);
+	flow_world_free(fw);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -693,6 +731,7 @@
 		test_lost_reply,
 		test_copy_of_proposed_submission,
 		test_leader_change,
+		test_long_tasks_ahead,
 	};
 
 	return suite_run("admission", tests, G_N_ELEMENTS(tests));
