Don't count work ahead that no VM can take

Cause: admission control counted waiting work whose label or size no VM has as work ahead, and refused short submissions of lower priority while all processors were free. Change: a step without a run counts only if a usable VM could take one of its tasks when empty.

--- a/src/core/control/control_flow_admit.c
+++ b/src/core/control/control_flow_admit.c
@@ -37,9 +37,32 @@
 			   FLOW_WORK_MAX_CORE_MS);
 }
 
+/*
+ * Returns true if any VM could take a task of the step if it were empty. Work
+ * that waits for a VM with its label or of its size takes no capacity.
+ */
+static bool flow_step_suits(const struct flow_admit *admit,
+			    const struct flow_step *step)
+{
+	struct control_flow *flows = admit->flows;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct flow_vm *vm = value;
+
+		if (control_flow_vm_suits(vm, step) &&
+		    control_flow_vm_usable(flows, vm, admit->service))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns the expected work of the workflow's tasks that aren't done, of each
- * task what it can do within the limit.
+ * task what it can do within the limit. Steps that no VM could take don't
+ * count.
  */
 static uint64_t flow_remaining_core_ms(const struct flow_admit *admit,
 				       const struct state_flow *flow,
@@ -50,7 +73,8 @@
 	for (uint32_t i = 0; i < flow->nr_stages; i++) {
 		const struct flow_step *step = state_flow_stage_step(flow, i);
 
-		if (flow_step_kind(step) == admit->kind)
+		if (flow_step_kind(step) == admit->kind &&
+		    (flow->stages[i].nr_placed || flow_step_suits(admit, step)))
 			sum_core_ms += flow_task_core_ms(admit->flows, flow,
 							 step, limit_ms) *
 				       (step->count - flow->stages[i].nr_done);
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -799,6 +799,12 @@
  */
 bool control_flow_vm_usable(const struct control_flow *flows,
 			    const struct flow_vm *vm, const char *service);
+/**
+ * Returns true if the VM has the label and, without any load, the resources for
+ * a task of the step.
+ */
+bool control_flow_vm_suits(const struct flow_vm *vm,
+			   const struct flow_step *step);
 /**
  * Returns true if the VM's placed runs and orphans leave too few resources for
  * a task of the stage.
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -123,6 +123,17 @@
 	       (!step->filler && load->cpu_millis > vm->worker.cpu_millis);
 }
 
+bool control_flow_vm_suits(const struct flow_vm *vm,
+			   const struct flow_step *step)
+{
+	struct flow_load load = { 0 };
+
+	if (step->label[0] && !flow_vm_has_label(vm, step->label))
+		return false;
+	control_flow_load_add(&load, step);
+	return !flow_load_exceeds(&load, vm, step);
+}
+
 bool control_flow_vm_is_full(const struct flow_vm *vm,
 			     const struct flow_demand *demand)
 {
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -710,6 +710,43 @@
 }
 END_TEST
 
+/*
+ * The load: work of a higher priority with a label that no VM has. Guards
+ * against a refusal while all processors are free, because of work that waits
+ * for something else than capacity.
+ */
+START_TEST(test_work_that_no_vm_takes)
+{
+	struct flow_world *fw = heavy_world(60);
+	struct flow_step absent = { .count = 200,
+				    .cpu_millis = 1000,
+				    .memory_mib = 100,
+				    .estimate_ms = 3000 };
+	struct flow_step quick = { .count = 1,
+				   .cpu_millis = 1000,
+				   .memory_mib = 100,
+				   .estimate_ms = 100 };
+	struct flow_record record = { .nr_steps = 1,
+				      .steps = &quick,
+				      .priority = 1,
+				      .slo_ms = 1000,
+				      .slack_permille = 1000 };
+	struct control_flow *flows;
+
+	TEXT_SET(absent.label, "absent");
+	ck_assert_int_eq(flow_world_submit(fw, "w", &absent, 1), RESULT_OK);
+	flow_world_run_ms(fw, 3000);
+	flows = world_leader(fw->base)->flows;
+	TEXT_SET(record.id, "short");
+	TEXT_SET(record.service, FLOW_WORLD_SERVICE);
+	TEXT_SET(record.host, "shop");
+	TEXT_SET(record.prefix, "/q/");
+	record.submitted_ms = control_wall_ms(flows->control);
+	ck_assert_uint_eq(control_flow_admit(flows, &record, 3000), 0);
+	flow_world_free(fw);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -732,6 +769,7 @@
 		test_copy_of_proposed_submission,
 		test_leader_change,
 		test_long_tasks_ahead,
+		test_work_that_no_vm_takes,
 	};
 
 	return suite_run("admission", tests, G_N_ELEMENTS(tests));
