Compute the gain of a filler that no longer waits for full speed

Cause: control_flow_gain() returns an upper bound where that is below the load policy's minimum, 950 permille with the contended policy. A workflow that waited for 5 s accepts 500 permille, and one that is starved anything, but both were compared by the bound: a filler was placed where it gained nothing, and held its task on a VM that couldn't start it. Change: the caller passes the minimum from which on it needs the exact value. The standard policy always passes 500 permille, as before. Result: load_policy test_half_speed_is_computed failed before (placed where the bound was 652 and the gain 0) and passes; the others of the suite pass.

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -623,10 +623,11 @@
 				      const struct flow_placement *filler);
 /**
  * Returns how much more work fillers would do on the VM with one more filler of
- * this step, in permille of the processors that the step asks for.
+ * this step, in permille of the processors that the step asks for. A result
+ * below @a min_permille is only an upper bound.
  */
 uint32_t control_flow_gain(struct control_flow *flows, struct flow_vm *vm,
-			   const struct flow_step *step);
+			   const struct flow_step *step, uint32_t min_permille);
 /**
  * Returns how many processors of the VM, in millis, fillers like the step's may
  * still use, 0 if none would start there.
--- a/src/core/control/control_flow_move.c
+++ b/src/core/control/control_flow_move.c
@@ -99,7 +99,10 @@
 	}
 	verdict = flow_weigh_move(
 		flows, placed,
-		MIN(control_flow_gain(flows, to, placed->step) / 10, 100));
+		MIN(control_flow_gain(flows, to, placed->step,
+				      flows->policy->min_gain_permille) /
+			    10,
+		    100));
 	if (!verdict.pays) {
 		placed->no_better_vm_us = now_us;
 		goto out;
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -144,6 +144,18 @@
 			max_per_vm);
 }
 
+/* Returns the gain of the VM for the demand's step, see control_flow_gain(). */
+static uint32_t flow_demand_gain(const struct flow_demand *demand,
+				 struct flow_vm *vm)
+{
+	uint32_t min_permille = demand->min_gain_permille;
+
+	/* A filler that may start anywhere starts where it gains most. */
+	if (demand->starved)
+		min_permille = MIN(min_permille, FLOW_FILLER_MIN_GAIN_PERMILLE);
+	return control_flow_gain(demand->flows, vm, demand->step, min_permille);
+}
+
 bool control_flow_vm_fits(struct flow_vm *vm, const struct flow_demand *demand)
 {
 	const struct flow_step *step = demand->step;
@@ -159,8 +171,7 @@
 	if (flow_load_exceeds(&load, vm, step))
 		return false;
 	if (step->filler && !demand->starved &&
-	    control_flow_gain(demand->flows, vm, step) <
-		    demand->min_gain_permille)
+	    flow_demand_gain(demand, vm) < demand->min_gain_permille)
 		return false;
 	return !step->max_per_vm ||
 	       load.stage_orphans + flow_vm_stage_runs(vm, demand) <
@@ -217,9 +228,7 @@
 			1000 / capacity;
 
 	if (step->filler)
-		cost += (1000ull -
-			 MIN(control_flow_gain(demand->flows, vm, step),
-			     1000)) *
+		cost += (1000ull - MIN(flow_demand_gain(demand, vm), 1000)) *
 				FLOW_COST_GAIN_FACTOR +
 			demand->flows->policy->filler_cost(
 				vm->lasting_cpu_millis * 1000ull / capacity);
@@ -303,8 +312,7 @@
 	};
 
 	if (demand->step->filler)
-		choice.gain_permille =
-			control_flow_gain(demand->flows, vm, demand->step);
+		choice.gain_permille = flow_demand_gain(demand, vm);
 	if (demand->step->max_per_vm)
 		choice.vm_step_runs = flow_vm_stage_runs(vm, demand) + 1;
 	return choice;
--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -419,7 +419,7 @@
 }
 
 uint32_t control_flow_gain(struct control_flow *flows, struct flow_vm *vm,
-			   const struct flow_step *step)
+			   const struct flow_step *step, uint32_t min_permille)
 {
 	uint32_t share_permille = vm_share(vm, step->cpu_millis);
 	struct flow_gain gain = { 0 };
@@ -439,7 +439,7 @@
 	/* An upper bound below the minimum needs no exact computation. */
 	bound_permille = (capacity->unused_permille - capacity->work_permille) *
 			 1000 / gain.share_permille;
-	if (bound_permille < flows->policy->min_gain_permille)
+	if (bound_permille < min_permille)
 		return (uint32_t)bound_permille;
 	for (guint i = 0; i < capacity->gains->len; i++) {
 		const struct flow_gain *known =
@@ -459,8 +459,9 @@
 				  struct flow_vm *vm,
 				  const struct flow_step *step)
 {
-	if (control_flow_gain(flows, vm, step) <
-	    flows->policy->min_gain_permille)
+	uint32_t min_permille = flows->policy->min_gain_permille;
+
+	if (control_flow_gain(flows, vm, step, min_permille) < min_permille)
 		return 0;
 	return (vm->capacity->unused_permille - vm->capacity->work_permille) *
 	       vm->worker.cpu_millis / 1000;
--- a/tests/test_load_policy.c
+++ b/tests/test_load_policy.c
@@ -119,6 +119,7 @@
 /* Of a serving task whose target is 100 ms. */
 
 #define MEDIUM_TAIL_MS 30
+#define HIGH_TAIL_MS 90
 
 static struct flow_step serving_step(void)
 {
@@ -236,6 +237,33 @@
 }
 END_TEST
 
+/*
+ * The load: serving tasks that need most of each VM and are near their targets.
+ * Guards against a filler that is placed after the wait for full speed where it
+ * would be halted at once, because an upper bound of its speed was taken for
+ * its speed.
+ */
+START_TEST(test_half_speed_is_computed)
+{
+	struct flow_world *fw = flow_world_new(44);
+	struct flow_step serving = serving_step();
+	struct flow_step filler = filler_step(1);
+
+	flow_world_contend(fw);
+	fw->run_ms = 500;
+	fw->lasting = "aa";
+	fw->overcommitted = true;
+	/* Above FLOW_IDLE_MAX_USED_PERCENT of a VM. */
+	serving.cpu_millis = 7000;
+	flow_world_submit(fw, "aa", &serving, 1);
+	run_at_tail(fw, HIGH_TAIL_MS, 9000);
+	flow_world_submit(fw, "bb", &filler, 1);
+	run_at_tail(fw, HIGH_TAIL_MS, FLOW_FULL_SPEED_WAIT_MS + 3000);
+	ck_assert_uint_eq(sim_log_count(fw->base->sim, "event=place id=bb"), 0);
+	flow_world_free(fw);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -245,6 +273,7 @@
 		test_fillers_wait_for_full_speed,
 		test_new_leader_goes_on,
 		test_wait_for_full_speed_ends,
+		test_half_speed_is_computed,
 	};
 
 	return suite_run("load_policy", tests, G_N_ELEMENTS(tests));
