Drop the slope of a load that has settled

Cause: a load's slope follows from samples, and the leader passes a sample only if a measurement has changed. The slope of a load that rose and then stayed the same counted without end, so up to 100 permille of headroom was withheld from fillers that waited beside it. Change: a slope without a new sample for 3 s no longer counts.

--- a/src/core/control/control_flow_pressure.c
+++ b/src/core/control/control_flow_pressure.c
@@ -350,7 +350,8 @@
 	capacity_add_serving(capacity->servings, placed->image,
 			     pace_headroom(pressure_load_ahead(
 				     flows->pressure, placed->flow->record.id,
-				     flows->policy->load_ahead_ms)));
+				     flows->policy->load_ahead_ms,
+				     flows->control->node->now_us)));
 	return (uint64_t)placed->step->cpu_millis * load_permille / 1000;
 }
 
--- a/src/core/plan/pressure.c
+++ b/src/core/plan/pressure.c
@@ -45,6 +45,11 @@
  * nearly half of what a load changes in a second.
  */
 #define SLOPE_MIN_MS 1000
+/*
+ * A slope without a new sample for this long no longer counts: measurements
+ * that don't change aren't passed as samples, so the load has settled.
+ */
+#define SLOPE_KEPT_MS 3000
 /* Loads change by this in a second at most. */
 #define LOAD_SLOPE_MAX_PERMILLE 100
 /* Share of a sample's error by which a load is corrected if no filler runs. */
@@ -403,7 +408,8 @@
 }
 
 uint32_t pressure_load_ahead(const struct pressure *pressure,
-			     const char *workflow, uint32_t ahead_ms)
+			     const char *workflow, uint32_t ahead_ms,
+			     uint64_t now_us)
 {
 	const struct load *load =
 		g_hash_table_lookup(pressure->loads, workflow);
@@ -411,6 +417,8 @@
 
 	if (!load)
 		return LOAD_FIRST_PERMILLE;
+	if (now_us - load->base_us > SLOPE_KEPT_MS * 1000ull)
+		return load->permille;
 	rise = load->slope_permille_s * ahead_ms / 1000;
 	return (uint32_t)(load->permille + MAX(rise, 0));
 }
--- a/src/core/plan/pressure.h
+++ b/src/core/plan/pressure.h
@@ -96,10 +96,11 @@
 
 /**
  * Returns what pressure_load() is expected to be in @a ahead_ms if it is
- * rising, else pressure_load().
+ * rising by the latest samples, else pressure_load().
  */
 uint32_t pressure_load_ahead(const struct pressure *pressure,
-			     const char *workflow, uint32_t ahead_ms);
+			     const char *workflow, uint32_t ahead_ms,
+			     uint64_t now_us);
 
 /** Drops the load of a workflow that has ended. */
 void pressure_forget(struct pressure *pressure, const char *workflow);
--- a/tests/test_flow_state.c
+++ b/tests/test_flow_state.c
@@ -332,6 +332,29 @@
 	return pressure_weight(tails->pressure, tails->serving, filler);
 }
 
+/*
+ * The load: a serving task whose load has risen and settled, so that its
+ * measurements don't change. Guards against a rise that is expected without
+ * end, so that fillers wait for it.
+ */
+START_TEST(test_load_settles)
+{
+	struct tails tails = tails_new();
+	uint32_t load;
+
+	for (uint32_t i = 0; i < 8; i++)
+		tails_observe(&tails, tails.light, 500 + 150 * i);
+	load = pressure_load(tails.pressure, "w");
+	ck_assert_uint_gt(pressure_load_ahead(tails.pressure, "w", 1000,
+					      tails.now_us),
+			  load);
+	ck_assert_uint_eq(pressure_load_ahead(tails.pressure, "w", 1000,
+					      tails.now_us + 5000000),
+			  load);
+	pressure_free(tails.pressure);
+}
+END_TEST
+
 /* Guards against losing the learned weights in a change of leaders. */
 START_TEST(test_pressure_is_saved)
 {
@@ -567,6 +590,6 @@
 
 SUITE_MAIN("flow_state", test_place_rules, test_done_after_loss, test_attempts,
 	   test_gang, test_lasting, test_cancel, test_snapshot, test_bundle_put,
-	   test_worker_records, test_pressure, test_pressure_is_saved,
-	   test_pace, test_service_follows_the_queue,
+	   test_worker_records, test_pressure, test_load_settles,
+	   test_pressure_is_saved, test_pace, test_service_follows_the_queue,
 	   test_attempts_follow_the_queue)
