Move a filler that stays halted to half speed elsewhere

Cause: with the contended policy a filler is moved only to a VM where it gains 950 permille of its full speed. Where no VM offered that, a halted filler stayed halted and held its task for as long as the load lasted; the standard policy moves it where it gets half of its speed. Change: once it has been halted for 5 s, half speed is enough, as for a workflow without a placed task. The standard policy decides as before. Result: preemption test_halted_without_full_speed_elsewhere (30 s at pace 0, 596 permille on the other VMs) failed before and passes; with the standard policy it passed before. The other tests of preemption and load_policy pass.

--- a/src/core/control/control_flow_move.c
+++ b/src/core/control/control_flow_move.c
@@ -100,7 +100,7 @@
 	verdict = flow_weigh_move(
 		flows, placed,
 		MIN(control_flow_gain(flows, to, placed->step,
-				      flows->policy->min_gain_permille) /
+				      FLOW_FILLER_MIN_GAIN_PERMILLE) /
 			    10,
 		    100));
 	if (!verdict.pays) {
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -281,6 +281,25 @@
 	return best;
 }
 
+/*
+ * Returns the least share of its full speed that a filler has to get on another
+ * VM to be moved there. One that has been halted for FLOW_FULL_SPEED_WAIT_MS no
+ * longer waits for full speed, as one that isn't placed: no VM may offer it.
+ */
+static uint32_t flow_min_gain_elsewhere(const struct control_flow *flows,
+					const struct flow_placement *placed)
+{
+	uint32_t min_permille = flows->policy->min_gain_permille;
+	uint64_t halted_us =
+		placed->halted_since_us ?
+			flows->control->node->now_us - placed->halted_since_us :
+			0;
+
+	return halted_us > FLOW_FULL_SPEED_WAIT_MS * 1000ull ?
+		       MIN(min_permille, FLOW_FILLER_MIN_GAIN_PERMILLE) :
+		       min_permille;
+}
+
 struct flow_vm *control_flow_other_vm(struct control_flow *flows,
 				      const struct flow_placement *placed)
 {
@@ -289,7 +308,7 @@
 		.flow = placed->flow,
 		.step = placed->step,
 		.except = placed->vm,
-		.min_gain_permille = flows->policy->min_gain_permille
+		.min_gain_permille = flow_min_gain_elsewhere(flows, placed)
 	};
 
 	demand.stage = state_flow_stage_of(placed->flow, placed->task);
--- a/tests/test_preemption.c
+++ b/tests/test_preemption.c
@@ -17,6 +17,8 @@
 #define BUSY_TAIL_MS 60
 /* Fillers are halted on a VM with this tail latency; the target is 100 ms. */
 #define OVER_TAIL_MS 130
+/* Leaves a filler of half a VM 60 % of its speed. */
+#define MEDIUM_TAIL_MS 30
 #define WEIGHT_PERMILLE 1000
 
 static struct flow_step serving_step(void)
@@ -220,6 +222,52 @@
 }
 END_TEST
 
+/*
+ * The load: a serving task over its target beside a long filler, while no VM
+ * offers full speed, but all others more than half of it. Guards against a
+ * filler that stays halted for as long as that lasts, as only VMs with full
+ * speed are considered for a move.
+ */
+START_TEST(test_halted_without_full_speed_elsewhere)
+{
+	struct flow_world *fw = flow_world_new(57);
+	struct flow_step serving = serving_step();
+	struct flow_step filler = filler_step(1, 60000);
+	char id[NAME_BYTES];
+	struct fw_vm *vm;
+
+	flow_world_contend(fw);
+	fw->run_ms = 60000;
+	fw->stop_ms = 900;
+	fw->obeys_pace = true;
+	fw->lasting = "aa";
+	fw->overcommitted = true;
+	commit_weight(fw);
+	/* Each VM has one, and each a load of its own. */
+	serving.count = 1;
+	serving.cpu_millis = 5000;
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++) {
+		g_snprintf(id, sizeof(id), "aa%u", i);
+		flow_world_submit(fw, id, &serving, 1);
+	}
+	run_ms(fw, 9000);
+	flow_world_submit(fw, "bb", &filler, 1);
+	run_ms(fw, 2000);
+	vm = vm_of(fw, "bb.0.0.0");
+	ck_assert_ptr_nonnull(vm);
+	for (uint32_t ms = 0; ms < 30000; ms += 100) {
+		for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+			fw->vms[i].tail_ms = MEDIUM_TAIL_MS + ms / 100 % 3;
+		vm->tail_ms = OVER_TAIL_MS + ms / 100 % 3;
+		run_ms(fw, 100);
+	}
+	ck_assert_uint_eq(count_stops(fw), 1);
+	ck_assert_ptr_nonnull(vm_of(fw, "bb.0.0.0"));
+	ck_assert(!fw_runs(vm, "bb.0.0.0"));
+	flow_world_free(fw);
+}
+END_TEST
+
 static uint64_t leader_run_ms(struct flow_world *fw, const char *id,
 			      const struct flow_step *step)
 {
@@ -276,5 +324,5 @@
 END_TEST
 
 SUITE_MAIN("preemption", test_near_its_end, test_most_of_it_left, test_halted,
-	   test_halted_everywhere, test_new_leader_learns_again,
-	   test_new_leader_moves)
+	   test_halted_everywhere, test_halted_without_full_speed_elsewhere,
+	   test_new_leader_learns_again, test_new_leader_moves)
