Bound reported progress before it divides a run's remaining time

Cause: a run first listed at 100 % or more and reported at 110 % or more later counted as having made 10 %, and its remaining time was divided by 0. Agents limit progress to 100 %, so only a faulty or foreign one reports more; the leader would end on processors that trap. Change: the progress is limited before it is compared.

--- a/src/core/control/control_flow_time.c
+++ b/src/core/control/control_flow_time.c
@@ -184,8 +184,8 @@
 	*unsure = false;
 	if (placed->step->lasting)
 		return UINT64_MAX;
-	if (placed->listed &&
-	    placed->percent >= placed->from_percent + TIME_MIN_PERCENT)
+	if (placed->listed && MIN(placed->percent, 100) >=
+				      placed->from_percent + TIME_MIN_PERCENT)
 		return flow_progress_left_us(flows, placed) / 1000;
 	*unsure = !flow_run_time(flows, placed->flow, placed->step, &time);
 	if (!placed->listed)
--- a/tests/test_preemption.c
+++ b/tests/test_preemption.c
@@ -323,6 +323,33 @@
 }
 END_TEST
 
+/*
+ * The failure: a faulty agent lists a run with more than 100 % of its work
+ * done. Guards against a division by zero, which ends the leader.
+ */
+START_TEST(test_more_than_all_done)
+{
+	struct node node = { .now_us = 2000000 };
+	struct control control = { .node = &node };
+	struct control_flow flows = { .control = &control,
+				      .policy = &load_contended };
+	struct flow_step step = filler_step(1, 500);
+	struct flow_placement placed = {
+		.step = &step, .listed = true, .percent = 120, .pace = 100
+	};
+	bool unsure;
+
+	flows.run_times = run_times_new();
+	control_flow_time_begin(&flows, &placed, placed.percent);
+	placed.flow = g_new0(struct state_flow, 1);
+	ck_assert_uint_le(
+		control_flow_remaining_full_ms(&flows, &placed, &unsure), 500);
+	g_free(placed.flow);
+	run_times_free(flows.run_times);
+}
+END_TEST
+
 SUITE_MAIN("preemption", test_near_its_end, test_most_of_it_left, test_halted,
 	   test_halted_everywhere, test_halted_without_full_speed_elsewhere,
-	   test_new_leader_learns_again, test_new_leader_moves)
+	   test_new_leader_learns_again, test_new_leader_moves,
+	   test_more_than_all_done)
