--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -182,6 +182,18 @@
 				      max_per_vm;
 }
 
+/* Returns the gain of the VM for the demand's step, see control_flow_gain(). */
+static uint32_t flow_demand_gain(const struct flow_demand *demand,
+				 struct flow_vm *vm)
+{
+	uint32_t min_permille = demand->min_gain_permille;
+
+	/* A filler that may start anywhere starts where it gains most. */
+	if (demand->starved)
+		min_permille = MIN(min_permille, FLOW_FILLER_MIN_GAIN_PERMILLE);
+	return control_flow_gain(demand->flows, vm, demand->step, min_permille);
+}
+
 bool control_flow_vm_fits(struct flow_vm *vm, const struct flow_demand *demand)
 {
 	const struct flow_step *step = demand->step;
@@ -195,8 +207,7 @@
 	    !control_flow_reserve_admits(vm, demand))
 		return false;
 	if (step->filler && !demand->starved &&
-	    control_flow_gain(demand->flows, vm, step) <
-		    demand->min_gain_permille)
+	    flow_demand_gain(demand, vm) < demand->min_gain_permille)
 		return false;
 	return !step->max_per_vm ||
 	       load.stage_orphans + flow_vm_stage_runs(vm, demand) <
@@ -253,9 +264,7 @@
 			1000 / capacity;
 
 	if (step->filler)
-		cost += (1000ull -
-			 MIN(control_flow_gain(demand->flows, vm, step),
-			     1000)) *
+		cost += (1000ull - MIN(flow_demand_gain(demand, vm), 1000)) *
 				FLOW_COST_GAIN_FACTOR +
 			demand->flows->policy->filler_cost(
 				vm->lasting_cpu_millis * 1000ull / capacity);
@@ -308,6 +317,25 @@
 	return best;
 }
 
+/*
+ * Returns the least share of its full speed that a filler has to get on another
+ * VM to be moved there. One that has been halted for FLOW_FULL_SPEED_WAIT_MS no
+ * longer waits for full speed, as one that isn't placed: no VM may offer it.
+ */
+static uint32_t flow_min_gain_elsewhere(const struct control_flow *flows,
+					const struct flow_placement *placed)
+{
+	uint32_t min_permille = flows->policy->min_gain_permille;
+	uint64_t halted_us =
+		placed->halted_since_us ?
+			flows->control->node->now_us - placed->halted_since_us :
+			0;
+
+	return halted_us > FLOW_FULL_SPEED_WAIT_MS * 1000ull ?
+		       MIN(min_permille, FLOW_FILLER_MIN_GAIN_PERMILLE) :
+		       min_permille;
+}
+
 struct flow_vm *control_flow_other_vm(struct control_flow *flows,
 				      const struct flow_placement *placed)
 {
@@ -316,7 +344,7 @@
 		.flow = placed->flow,
 		.step = placed->step,
 		.except = placed->vm,
-		.min_gain_permille = flows->policy->min_gain_permille
+		.min_gain_permille = flow_min_gain_elsewhere(flows, placed)
 	};
 
 	demand.stage = state_flow_stage_of(placed->flow, placed->task);
@@ -339,8 +367,7 @@
 	};
 
 	if (demand->step->filler)
-		choice.gain_permille =
-			control_flow_gain(demand->flows, vm, demand->step);
+		choice.gain_permille = flow_demand_gain(demand, vm);
 	if (demand->step->max_per_vm)
 		choice.vm_step_runs = flow_vm_stage_runs(vm, demand) + 1;
 	return choice;
