--- a/src/codec/bundle_doc.c
+++ b/src/codec/bundle_doc.c
@@ -255,8 +255,8 @@
 	return RESULT_OK;
 }
 
-enum result bundle_doc_read(const char *text, gsize size, struct bundle **out,
-			    char **error)
+enum result bundle_doc_parse(const char *text, gsize size, struct bundle **out,
+			     char **error)
 {
 	struct bundle *bundle = NULL;
 	enum result res;
@@ -271,17 +271,28 @@
 	if (res != RESULT_OK)
 		return res;
 	if (bundle->digest[0] || bundle->submitted_by[0] ||
-	    bundle->signed_by[0])
-		res = bundle_fail(error, RESULT_MALFORMED,
-				  "members digest, submitted_by and signed_by "
-				  "are not part of the document");
-	else
-		res = bundle_doc_check(bundle, error);
-	if (res != RESULT_OK) {
+	    bundle->signed_by[0]) {
 		record_unref((struct record){ CMD_BUNDLE_SUBMIT, bundle });
-		return res;
+		return bundle_fail(error, RESULT_MALFORMED,
+				   "members digest, submitted_by and signed_by "
+				   "are not part of the document");
 	}
 	bundle_doc_digest(bundle, bundle->digest);
 	*out = bundle;
 	return RESULT_OK;
 }
+
+enum result bundle_doc_read(const char *text, gsize size, struct bundle **out,
+			    char **error)
+{
+	enum result res = bundle_doc_parse(text, size, out, error);
+
+	if (!*out)
+		return res;
+	res = bundle_doc_check(*out, error);
+	if (res != RESULT_OK) {
+		record_unref((struct record){ CMD_BUNDLE_SUBMIT, *out });
+		*out = NULL;
+	}
+	return res;
+}
--- a/src/codec/bundle_doc.h
+++ b/src/codec/bundle_doc.h
@@ -27,6 +27,10 @@
 enum result bundle_doc_read(const char *text, gsize size,
 			    struct bundle **bundle, char **error);
 
+/** As bundle_doc_read(), but without bundle_doc_check(). */
+enum result bundle_doc_parse(const char *text, gsize size,
+			     struct bundle **bundle, char **error);
+
 /**
  * Checks version, names, values and references. Returns RESULT_OUT_OF_RANGE for
  * an invalid name or value, RESULT_CONFLICT for a name that two objects of a
