Serve the bundle in force under /v1

Cause: operators could see only the version in force, not its content. Change: GET /v1/bundle/in-force answers with the bundle (OP_BUNDLE_SHOW).

--- a/src/daemon/host_control.c
+++ b/src/daemon/host_control.c
@@ -32,6 +32,7 @@
 static const struct route routes[] = {
 	{ "GET", "/v1/status", OP_STATUS, NULL },
 	{ "GET", "/v1/bundle", OP_BUNDLE_STATUS, NULL },
+	{ "GET", "/v1/bundle/in-force", OP_BUNDLE_SHOW, NULL },
 	{ "POST", "/v1/bundle", OP_BUNDLE_SUBMIT, NULL },
 	{ "POST", "/v1/bundle/check", OP_BUNDLE_CHECK, NULL },
 	{ "POST", "/v1/bundle/sign-off", OP_BUNDLE_SIGN, NULL },
