Add the command "config check"

Cause: operators want to see errors, entries that can never match, limits that contradict each other and differences from the version in force before they send a configuration. New result code 35, findings.

--- a/src/core/base/result.h
+++ b/src/core/base/result.h
@@ -52,7 +52,8 @@
 	X(33, RESULT_OTHER_LIFE, "other-life",                                 \
 	  "another life of the worker answered")                               \
 	X(34, RESULT_NOT_IN_TIME, "not-in-time",                               \
-	  "the work can't complete in time")
+	  "the work can't complete in time")                                   \
+	X(35, RESULT_FINDINGS, "findings", "the check found faults")
 
 enum result {
 #define RESULT_ENUM(number, identifier, name, summary) identifier = number,
--- a/src/daemon/http.c
+++ b/src/daemon/http.c
@@ -72,6 +72,7 @@
 	{ RESULT_VERSION, 505 },
 	{ RESULT_NO_BUNDLE, 503 },
 	{ RESULT_NOT_IN_TIME, 503 },
+	{ RESULT_FINDINGS, 422 },
 	{ RESULT_LEASE_EXPIRED, 409 },
 	{ RESULT_TIMEOUT, 504 },
 	{ RESULT_UNKNOWN_QUEUE, 404 },
--- a/src/tool/command_args.h
+++ b/src/tool/command_args.h
@@ -18,6 +18,7 @@
 	const char *key; /* idempotency key of a submitted job, or NULL */
 	const char *digest; /* of the bundle that is signed off, or NULL */
 	uint64_t version; /* of that bundle, 0: not given */
+	const char *against; /* file or version to compare with, or NULL */
 	uint64_t job_id; /* lists tasks of this job only, 0: of all jobs */
 	const char **rest; /* positional arguments after object and verb */
 	uint32_t nr_rest;
@@ -38,4 +39,17 @@
 /** Returns all commands; the last entry has a NULL object. */
 const struct command *commands_table(void);
 
+/**
+ * Prints an error and returns @a res. Line breaks and control sequences in the
+ * message are not replaced.
+ */
+enum result command_fail(enum result res, const char *message);
+
+/**
+ * Creates the client of the control replicas; invalid addresses show when it
+ * connects. Prints an error if there is no address.
+ */
+enum result command_client(const struct command_args *args,
+			   struct client **client);
+
 #endif /* COMMAND_ARGS_H */
--- a/src/tool/commands.c
+++ b/src/tool/commands.c
@@ -6,6 +6,7 @@
 #include "bundle_doc.h"
 #include "client.h"
 #include "command.h"
+#include "config_check_command.h"
 #include "json.h"
 #include "msg_raft.h"
 #include "op.h"
@@ -181,15 +182,14 @@
 	{ NULL, NULL, NULL },
 };
 
-static enum result command_fail(enum result res, const char *message)
+enum result command_fail(enum result res, const char *message)
 {
 	fprintf(stderr, "masticreach: %s: %s\n", result_name(res), message);
 	return res;
 }
 
-/* Creates the client; invalid addresses show when it connects. */
-static enum result command_client(const struct command_args *args,
-				  struct client **client)
+enum result command_client(const struct command_args *args,
+			   struct client **client)
 {
 	struct client_opts opts = { 0 };
 	char **addresses;
@@ -941,6 +941,9 @@
 	  0, 0, run_bundle_sign },
 	{ "bundle", "status", "", "show what is in force where", 0, 0,
 	  run_bundle_status },
+	{ "config", "check", "FILE",
+	  "check a bundle and compare it (--against), send nothing", 1, 1,
+	  config_check_run },
 	{ "zone", "list", "", "list the zones", 0, 0, run_list },
 	{ "zone", "out", "ZONE", "take a zone out (--by)", 1, 1, run_zone_set },
 	{ "zone", "in", "ZONE", "bring a zone back (--by)", 1, 1,
--- a/src/tool/masticreach.c
+++ b/src/tool/masticreach.c
@@ -20,6 +20,7 @@
 	OPT_DIGEST,
 	OPT_BUNDLE_VERSION,
 	OPT_JOB,
+	OPT_AGAINST,
 };
 
 static const struct argp_option options[] = {
@@ -36,6 +37,8 @@
 	{ "bundle-version", OPT_BUNDLE_VERSION, "N", 0, "version of the bundle",
 	  0 },
 	{ "job", OPT_JOB, "ID", 0, "only tasks of this job", 0 },
+	{ "against", OPT_AGAINST, "VERSION|FILE", 0,
+	  "compare with the version in force or with a file", 0 },
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
@@ -79,6 +82,9 @@
 	case OPT_JOB:
 		args->job_id = parse_number(state, arg, G_MAXINT64);
 		return 0;
+	case OPT_AGAINST:
+		args->against = arg;
+		return 0;
 	case ARGP_KEY_ARG:
 		args->rest[args->nr_rest++] = arg;
 		return 0;
