--- a/tests/test_contract.c
+++ b/tests/test_contract.c
@@ -498,6 +498,56 @@
 	"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[" \
 	"]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]"
 
+#define IN_FORCE                                                        \
+	"{\"version\":7,\"zones\":[{\"name\":\"z\"}],\"digest\":\"d\"," \
+	"\"signed_by\":\"asha\",\"document\":\"\"}"
+
+/*
+ * Guards against a check that changes something at control, that takes another
+ * version for the one in force, or that passes if that one can't be read.
+ */
+START_TEST(test_tool_config_check)
+{
+	static const struct {
+		const char *answer;
+		const char *against;
+		int code;
+		const char *shown;
+	} cases[] = {
+		{ IN_FORCE, "7", 0, "changed bundle: version: 7 -> 8" },
+		{ IN_FORCE, "6", 6, "" },
+		{ "{\"result\":28}", "7", 28, "" },
+		{ "{\"version\":\"7\"}", "7", 3, "" },
+		{ "{\"version\":7,\"zones\":" DEEP_VALUE "}", "7", 3, "" },
+	};
+	char *path = NULL;
+	int fd = g_file_open_tmp("contract-XXXXXX", &path, NULL);
+
+	ck_assert_int_ge(fd, 0);
+	g_close(fd, NULL);
+	ck_assert(g_file_set_contents(
+		path, "{\"version\":8,\"zones\":[{\"name\":\"z\"}]}", -1,
+		NULL));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake_control fake = { .first = cases[i].answer };
+		char *command = g_strdup_printf("config check %s --against %s",
+						path, cases[i].against);
+		char *out;
+
+		fake_control_open(&fake);
+		ck_assert_int_eq(tool_run(&fake, command, &out), cases[i].code);
+		ck_assert_msg(strstr(out, cases[i].shown) != NULL, "%s", out);
+		ck_assert_uint_eq(fake.nr_changes, 0);
+		ck_assert_uint_eq(fake.nr_calls, 1);
+		g_free(out);
+		g_free(command);
+		fake_control_close(&fake);
+	}
+	g_unlink(path);
+	g_free(path);
+}
+END_TEST
+
 /*
  * Guards against unreadable rows that make the tool request the same page
  * forever, drop the other rows or report success.
@@ -708,6 +758,7 @@
 		test_tool_exit_codes,
 		test_nested_documents,
 		test_tool_invalid_answers,
+		test_tool_config_check,
 		test_tool_refused_copy,
 		test_tool_zone_changed_twice,
 		test_processes_wait_and_end,
