Don't count throttling twice in admission

Cause: the work that runs ahead have done followed from the time they still need at their present pace, but the measured yield already has the throttling. A run that was halted counted as not begun, so admission could refuse workflows that complete in time. Change: control_flow_admit.c takes the remaining time at full pace. Result: preemption test_throttled_work_counts_as_done failed before (the refusal didn't give 24,000 to 39,999 core-ms as done), and passes.

--- a/src/core/control/control_flow_admit.c
+++ b/src/core/control/control_flow_admit.c
@@ -90,12 +90,15 @@
 		const struct flow_placement *placed = value;
 		uint64_t run_ms;
 		uint64_t left_ms;
+		bool unsure;
 
 		if (!flow_admit_counts(admit, placed))
 			continue;
 		run_ms = control_flow_run_ms(admit->flows, placed->flow,
 					     placed->step);
-		left_ms = control_flow_remaining_ms(admit->flows, placed);
+		/* The measured yield has the throttling already. */
+		left_ms = control_flow_remaining_full_ms(admit->flows, placed,
+							 &unsure);
 		*running_millis += placed->step->cpu_millis;
 		*done_core_ms += placed->step->cpu_millis *
 				 (run_ms - MIN(left_ms, run_ms)) / 1000;
--- a/tests/test_preemption.c
+++ b/tests/test_preemption.c
@@ -275,6 +275,38 @@
 }
 END_TEST
 
+/*
+ * The load: a throttled filler that has done part of its work. Guards against
+ * admission that counts the throttling twice, in the work that is left and in
+ * the measured capacity, and refuses what could complete.
+ */
+START_TEST(test_throttled_work_counts_as_done)
+{
+	struct flow_world *fw = world_with_serving(57, 20000);
+	struct flow_step filler = filler_step(1, 20000);
+	struct flow_step burst = filler_step(500, 20000);
+	struct fw_vm *vm;
+
+	flow_world_submit(fw, "bb", &filler, 1);
+	run_ms(fw, 8000);
+	vm = vm_of(fw, "bb.0.0.0");
+	ck_assert_ptr_nonnull(vm);
+	vm->tail_ms = OVER_TAIL_MS;
+	run_ms(fw, 2000);
+	ck_assert_uint_lt(fw_find_run(vm, "bb.0.0.0")->pace, 50);
+	ck_assert_int_eq(flow_world_submit(fw, "cc", &burst, 1),
+			 RESULT_NOT_IN_TIME);
+	ck_assert(sim_log_has(fw->base->sim, "*event=admission id=cc *"));
+	/* 8 s on 4 processors, less what no report has shown yet. */
+	ck_assert_uint_eq(
+		sim_log_matches(fw->base->sim,
+				"event=admission id=cc .*done_core_ms="
+				"(2[4-9]|3[0-9])[0-9]{3} "),
+		1);
+	flow_world_free(fw);
+}
+END_TEST
+
 SUITE_MAIN("preemption", test_near_its_end, test_most_of_it_left, test_halted,
 	   test_halted_everywhere, test_new_leader_learns_again,
-	   test_new_leader_moves)
+	   test_new_leader_moves, test_throttled_work_counts_as_done)
