Expect inherited and resumed runs to end by their progress

Cause: control_flow_reserve.c expected a run that was inherited or resumed to take at least the estimate's share that its progress leaves. Since control_flow_time.c counts the progress since the run was first listed, that only brings errors of the estimate back. Remaining times were also computed for all runs at each plan, though used only when the progress had changed. Change: the remaining time is that of control_flow_time.c, and is computed only when it is used.

--- a/src/core/control/control_flow_reserve.c
+++ b/src/core/control/control_flow_reserve.c
@@ -321,30 +321,21 @@
 
 /*
  * Updates when the run is expected to end. Its progress is as of the last
- * report, so the time is computed anew only if the progress has changed. A run
- * that was resumed, or placed under an earlier leader, had some progress when
- * this leader first saw it, so its speed isn't known.
+ * report, so the time is computed anew only if the progress has changed.
  */
 static void update_end(const struct control_flow *flows,
 		       struct flow_placement *placed)
 {
 	uint64_t now_us = flows->control->node->now_us;
-	uint64_t remaining_ms = control_flow_remaining_ms(flows, placed);
-	uint64_t run_ms;
+	uint64_t remaining_ms;
 
 	if (placed->listed && placed->end_from_us == placed->progress_us)
 		return;
 	placed->end_from_us = placed->progress_us;
-	run_ms = control_flow_run_ms(flows, placed->flow, placed->step);
-	if (run_ms == UINT64_MAX) {
-		placed->end_us = UINT64_MAX;
-		return;
-	}
-	if (placed->inherited || placed->run > 1)
-		remaining_ms =
-			MAX(remaining_ms,
-			    run_ms * (100 - MIN(placed->percent, 100)) / 100);
-	placed->end_us = now_us + remaining_ms * 1000;
+	remaining_ms = control_flow_remaining_ms(flows, placed);
+	placed->end_us = remaining_ms == UINT64_MAX ?
+				 UINT64_MAX :
+				 now_us + remaining_ms * 1000;
 }
 
 /*
--- a/tests/test_reserve.c
+++ b/tests/test_reserve.c
@@ -675,6 +675,29 @@
 }
 END_TEST
 
+/*
+ * The load: runs that a new leader has inherited, whose estimate is far too
+ * high. Guards against a reserved time by the estimate although the progress
+ * that the new leader has seen shows the true run time.
+ */
+START_TEST(test_inherited_runs_are_timed_by_progress)
+{
+	struct flow_world *fw = flow_world_new(63);
+
+	flow_world_contend(fw);
+	fw->obeys_pace = true;
+	fw->run_ms = 8000;
+	submit(fw, "aa", FLOW_WORLD_VMS, 5000, 20000);
+	flow_world_run_ms(fw, 500);
+	world_kill_control(world_leader_host(fw->base));
+	flow_world_run_ms(fw, 5000);
+	submit(fw, "bb", 1, FLOW_WORLD_VM_CPU_MILLIS, 500);
+	ck_assert_ptr_nonnull(reserved_vm(fw, "bb"));
+	ck_assert_uint_lt(show(fw, "bb").reserved_in_ms, 5000);
+	flow_world_free(fw);
+}
+END_TEST
+
 /*
  * The load: a workflow none of whose tasks runs while most processors are free.
  * Guards against a reservation that keeps it waiting for 3 s.
@@ -792,6 +815,7 @@
 		test_reservation_ends,
 		test_late_vm_is_given_up,
 		test_lasting_task_is_not_kept_waiting,
+		test_inherited_runs_are_timed_by_progress,
 		test_idle_workflow_is_not_kept_waiting,
 		test_new_leader_reserves,
 		test_lost_vm_is_replaced,
