Don't keep a lost long-running task waiting for a reservation

Cause: the 3 s for which a reservation may delay a long-running task began when the lease of its lost VM had ended. Change: a long-running task that has had a run ignores reservations. Result: reserve test_lost_lasting_task_is_not_kept_waiting failed before (not placed 1 s after the lease's end), and passes.

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -340,6 +340,7 @@
 	/* Least share of its full speed at which a filler may start. */
 	uint32_t min_gain_permille;
 	uint64_t idle_us; /* time since flow_rank.idle_us, 0: none */
+	bool resumes; /* the task has had a run before */
 	/* Evaluate only VMs that have changed since this number, 0: all. */
 	uint64_t evaluated_change_nr;
 };
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -489,6 +489,7 @@
 		if (!flow_task_waits(demand, i))
 			continue;
 		demand->avoid = flow_task_avoided_vm(demand, i);
+		demand->resumes = task->run > 0;
 		vm = flow_choose_vm(demand, NULL);
 		if (!vm)
 			return false;
--- a/src/core/control/control_flow_reserve.c
+++ b/src/core/control/control_flow_reserve.c
@@ -167,10 +167,13 @@
 
 /*
  * Returns true if the demanded task must not wait any longer: see
- * flow_is_starved(). A long-running task has some seconds more.
+ * flow_is_starved(). A long-running task has some seconds more, unless it has
+ * already been without a run until the lease of its last VM ended.
  */
 static bool demand_is_exempt(const struct flow_demand *demand)
 {
+	if (demand->step->lasting && demand->resumes)
+		return true;
 	return demand->starved &&
 	       (!demand->step->lasting ||
 		demand->idle_us >= FLOW_RESERVE_LASTING_MS * 1000ull);
--- a/tests/test_reserve.c
+++ b/tests/test_reserve.c
@@ -675,6 +675,42 @@
 }
 END_TEST
 
+/*
+ * The failure: the VM of a long-running task is lost while another VM is held
+ * for a task of higher rank. Guards against a wait for that task which begins
+ * only when the lost VM's lease has ended: both together take 9 s.
+ */
+START_TEST(test_lost_lasting_task_is_not_kept_waiting)
+{
+	struct flow_world *fw = flow_world_new(62);
+	struct fw_vm *lost = NULL;
+
+	flow_world_contend(fw);
+	fw->obeys_pace = true;
+	fw->run_ms = 14000;
+	fw->lasting = "l";
+	submit(fw, "aa", FLOW_WORLD_VMS, 5000, 14000);
+	flow_world_run_ms(fw, 500);
+	submit(fw, "bb", FLOW_WORLD_VMS - 2, 3000, 20000);
+	flow_world_run_ms(fw, 500);
+	submit_lasting(fw, "l0", FLOW_WORLD_VM_CPU_MILLIS);
+	flow_world_run_ms(fw, 200);
+	submit_lasting(fw, "l1", 3000);
+	flow_world_run_ms(fw, 4000);
+	ck_assert_ptr_nonnull(reserved_vm(fw, "l0"));
+	for (uint32_t i = 0; i < FLOW_WORLD_VMS; i++)
+		if (fw_runs(&fw->vms[i], "l1.0.0.0"))
+			lost = &fw->vms[i];
+	ck_assert_ptr_nonnull(lost);
+	fw_crash_worker(lost);
+	fw_kill_agent(lost);
+	flow_world_run_ms(fw, FLOW_LEASE_MAX_MS + FLOW_LEASE_MARGIN_MS + 1000);
+	ck_assert_ptr_nonnull(reserved_vm(fw, "l0"));
+	ck_assert_uint_eq(show(fw, "l1").placed, 1);
+	flow_world_free(fw);
+}
+END_TEST
+
 /*
  * The load: runs that a new leader has inherited, whose estimate is far too
  * high. Guards against a reserved time by the estimate although the progress
@@ -815,6 +851,7 @@
 		test_reservation_ends,
 		test_late_vm_is_given_up,
 		test_lasting_task_is_not_kept_waiting,
+		test_lost_lasting_task_is_not_kept_waiting,
 		test_inherited_runs_are_timed_by_progress,
 		test_idle_workflow_is_not_kept_waiting,
 		test_new_leader_reserves,
