--- a/src/core/control/control_flow_move.c
+++ b/src/core/control/control_flow_move.c
@@ -29,13 +29,9 @@
 	       control_flow_step_is_settled(flows, placed);
 }
 
-/*
- * Decides whether the run is stopped if another VM lets it run at a speed of
- * @a next_pace_percent.
- */
-static struct stop_verdict flow_weigh_move(const struct control_flow *flows,
-					   const struct flow_placement *placed,
-					   uint32_t next_pace_percent)
+/* Describes the run as if another VM would let it run at full speed. */
+static struct stop_run flow_stop_run(const struct control_flow *flows,
+				     const struct flow_placement *placed)
 {
 	uint64_t now_us = flows->control->node->now_us;
 	struct stop_run run = {
@@ -44,7 +40,7 @@
 		.checkpoints = placed->step->checkpoints,
 		.percent = placed->percent,
 		.pace_percent = placed->pace,
-		.next_pace_percent = next_pace_percent,
+		.next_pace_percent = 100,
 	};
 
 	run.left_ms =
@@ -52,8 +48,7 @@
 	run.excess_permille = control_flow_excess_permille(flows, placed);
 	if (placed->halted_since_us)
 		run.halted_ms = (now_us - placed->halted_since_us) / 1000;
-	return flows->policy->filler_stop(&run,
-					  &flows->control->opts.load_limits);
+	return run;
 }
 
 static uint64_t flow_low_since_us(uint64_t since_us, uint32_t pace,
@@ -81,7 +76,9 @@
 			     struct flow_placement *placed)
 {
 	uint64_t now_us = flows->control->node->now_us;
-	struct stop_verdict verdict = flow_weigh_move(flows, placed, 100);
+	const struct load_limits *limits = &flows->control->opts.load_limits;
+	struct stop_run run = flow_stop_run(flows, placed);
+	struct stop_verdict verdict = flows->policy->filler_stop(&run, limits);
 	struct flow_vm *to;
 
 	/* All VMs are evaluated only for a run that gains at full speed. */
@@ -97,12 +94,12 @@
 		placed->no_better_vm_us = now_us;
 		return;
 	}
-	verdict = flow_weigh_move(
-		flows, placed,
+	run.next_pace_percent =
 		MIN(control_flow_gain(flows, to, placed->step,
 				      FLOW_FILLER_MIN_GAIN_PERMILLE) /
 			    10,
-		    100));
+		    100);
+	verdict = flows->policy->filler_stop(&run, limits);
 	if (!verdict.pays) {
 		placed->no_better_vm_us = now_us;
 		goto out;
@@ -157,12 +154,15 @@
 
 	for (GList *item = runs; item; item = item->next) {
 		struct flow_placement *placed = item->data;
+		struct stop_run run;
 		struct stop_verdict verdict;
 
 		if (!flow_is_stalled(flows, placed))
 			continue;
 		/* It gains at least the time during which nothing was done. */
-		verdict = flow_weigh_move(flows, placed, 100);
+		run = flow_stop_run(flows, placed);
+		verdict = flows->policy->filler_stop(
+			&run, &flows->control->opts.load_limits);
 		verdict.gain_ms =
 			(flows->control->node->now_us - placed->progress_us) /
 			1000;
--- a/src/core/control/control_flow_reserve.c
+++ b/src/core/control/control_flow_reserve.c
@@ -167,10 +167,13 @@
 
 /*
  * Returns true if the demanded task must not wait any longer: see
- * flow_is_starved(). A long-running task has some seconds more.
+ * flow_is_starved(). A long-running task has some seconds more, unless it has
+ * already been without a run until the lease of its last VM ended.
  */
 static bool demand_is_exempt(const struct flow_demand *demand)
 {
+	if (demand->step->lasting && demand->resumes)
+		return true;
 	return demand->starved &&
 	       (!demand->step->lasting ||
 		demand->idle_us >= FLOW_RESERVE_LASTING_MS * 1000ull);
@@ -321,30 +324,21 @@
 
 /*
  * Updates when the run is expected to end. Its progress is as of the last
- * report, so the time is computed anew only if the progress has changed. A run
- * that was resumed, or placed under an earlier leader, had some progress when
- * this leader first saw it, so its speed isn't known.
+ * report, so the time is computed anew only if the progress has changed.
  */
 static void update_end(const struct control_flow *flows,
 		       struct flow_placement *placed)
 {
 	uint64_t now_us = flows->control->node->now_us;
-	uint64_t remaining_ms = control_flow_remaining_ms(flows, placed);
-	uint64_t run_ms;
+	uint64_t remaining_ms;
 
 	if (placed->listed && placed->end_from_us == placed->progress_us)
 		return;
 	placed->end_from_us = placed->progress_us;
-	run_ms = control_flow_run_ms(flows, placed->flow, placed->step);
-	if (run_ms == UINT64_MAX) {
-		placed->end_us = UINT64_MAX;
-		return;
-	}
-	if (placed->inherited || placed->run > 1)
-		remaining_ms =
-			MAX(remaining_ms,
-			    run_ms * (100 - MIN(placed->percent, 100)) / 100);
-	placed->end_us = now_us + remaining_ms * 1000;
+	remaining_ms = control_flow_remaining_ms(flows, placed);
+	placed->end_us = remaining_ms == UINT64_MAX ?
+				 UINT64_MAX :
+				 now_us + remaining_ms * 1000;
 }
 
 /*
