--- a/tests/test_load_policy.c
+++ b/tests/test_load_policy.c
@@ -121,6 +121,9 @@
 #define MEDIUM_TAIL_MS 30
 #define HIGH_TAIL_MS 90
 
+/* A serving task and two fillers of half a VM on each VM. */
+#define MOST_RUNS (3ul * FLOW_WORLD_VMS)
+
 static struct flow_step serving_step(void)
 {
 	struct flow_step step = { .count = FLOW_WORLD_VMS,
@@ -186,7 +189,7 @@
 	flow_world_run_ms(fw, 300);
 	/* Two fillers of half a VM each are all that a VM can run. */
 	ck_assert_uint_gt(fw_running(fw), FLOW_WORLD_VMS);
-	ck_assert_uint_le(fw_running(fw), 3 * FLOW_WORLD_VMS);
+	ck_assert_uint_le(fw_running(fw), MOST_RUNS);
 	ck_assert(flow_world_wait(fw, "bb", FLOW_COMPLETED, 20000));
 	flow_world_free(fw);
 }
@@ -210,7 +213,7 @@
 			break;
 		}
 	run_at_tail(fw, 20, 3000);
-	ck_assert_uint_le(fw_running(fw), 3 * FLOW_WORLD_VMS);
+	ck_assert_uint_le(fw_running(fw), MOST_RUNS);
 	run_at_tail(fw, 20, 3000);
 	ck_assert(flow_world_wait(fw, "bb", FLOW_COMPLETED, 30000));
 	flow_world_free(fw);
