--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -150,6 +150,9 @@
         self.tasks = []
         self.draining = False
         self.up = False
+        self.polled_at = 0
+        self.cut = False  # nothing passes between it and its agent
+        self.intercept = None  # sees each call before it is carried out
 
     @property
     def address(self):
@@ -197,9 +200,24 @@
             self.break_gang(item)
         self.running.clear()
 
+    def reborn(self):
+        """Crashes behind a cut and starts again under its id."""
+        self.site.record.add("worker-reborn", worker=self.id, nr=self.nr)
+        for item in list(self.running.values()):
+            self.site.record.add("run-gone", worker=self.id,
+                                 task=item["task"], run=item["run"])
+            self.site.note_end(self, item, "gone")
+        self.born = int(time.time() * 1000)
+        self.clock_zero = now()
+        self.seq = 0
+        self.running, self.ends, self.end_nr = {}, [], 0
+        self.highest, self.fence = {}, 0
+        self.deadline_ms = self.acked = 0
+
     async def heartbeats(self):
         while True:
-            await self.heartbeat()
+            if not self.cut:
+                await self.heartbeat()
             await asyncio.sleep(HEARTBEAT_MS / 1000)
 
     async def heartbeat(self):
@@ -318,6 +336,11 @@
                     break
                 first, headers, body = message
                 path = first.split()[1]
+                if self.cut:
+                    await asyncio.sleep(3600)
+                if self.intercept and self.intercept(path, headers, body):
+                    writer.transport.abort()
+                    break
                 status, answer = await self.call(path, headers, body)
                 answer["serverTimeMs"] = self.clock_ms()
                 answer["born"] = self.born
@@ -428,6 +451,7 @@
 
     async def on_hold(self, call):
         self.extend(call)
+        self.polled_at = now()
         cursor = call.get("ackCursor", 0)
         if cursor > self.acked:
             for end in self.ends:
