--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A large submission with a long spec."""
+"""A long-running submission whose tasks fail again and again, beside others."""
 
 import asyncio
 import json
@@ -7,43 +7,75 @@
 sys.path.insert(0, "../lib-2")
 from deployment import main, now  # noqa: E402
 
-COUNT, SPEC_BYTES = 13000, 4000
-WAIT_S = 40
+# The rule: for 3 s, from 6 s after the last run (here also: the acceptance).
+LIMIT_S = 6 + 3
+CPU, WORKERS = 8000, 6
 
 
-def large(trouble):
-    spec = {"ms": 100, "text": ""}
-    if trouble:
-        spec["text"] = "x" * (SPEC_BYTES - len(json.dumps(spec)))
-    return {"spec": json.dumps(spec),
-            "steps": [{"count": COUNT, "cpu": 1, "estimateMs": 100}]}
+def fragile(trouble):
+    return {"spec": json.dumps({"ms": 700, "fails": trouble}),
+            "steps": [{"count": 12, "cpu": 500, "memMb": 500,
+                       "estimateMs": 1000, "longRunning": True}]}
 
 
-SMALL = {"spec": json.dumps({"ms": 300}),
-         "steps": [{"count": 4, "cpu": 500, "memMb": 100, "estimateMs": 300}]}
+SOUND = {"spec": json.dumps({"ms": 1000}),
+         "steps": [{"count": 6, "cpu": 1000, "memMb": 500, "estimateMs": 1000,
+                    "longRunning": True}]}
+
+
+def tasks_of(ident, doc):
+    return [f"{ident}.0.0.{i}" for i in range(doc["steps"][0]["count"])]
+
+
+def in_use(site):
+    return sum(r["cpu"] for w in site.workers for r in w.running.values())
+
+
+def last_start(site):
+    return max((r["began"] for rs in site.runs.values() for r in rs),
+               default=0)
+
+
+async def watch(site, ident, doc, waits):
+    """Notes for how long tasks didn't run though there was capacity."""
+    since = dict.fromkeys(tasks_of(ident, doc), now())
+    while True:
+        running = {t for w in site.workers for t in w.running}
+        # Under half in use, and room for the task twice over.
+        capacity = in_use(site) * 2 < CPU * WORKERS
+        for task in since:
+            if task in running or not capacity:
+                since[task] = now()
+            else:
+                waits[task] = max(waits.get(task, 0), now() - since[task])
+        await asyncio.sleep(0.05)
 
 
 async def case(site, trouble):
-    small = await site.submit(SMALL)
-    await site.wait_state(small, ("completed",), 10)
-    ident = await site.submit(large(trouble))
-    if not ident:
-        site.record.add("not-accepted")
-        return
-    accepted = now()
-    started = 0
-    while now() - accepted < WAIT_S:
-        await asyncio.sleep(0.5)
-        started = sum(task.startswith(ident) for task in site.runs)
-        if started == COUNT:
-            break
-    state = await site.state(ident)
-    site.record.add("large", id=ident, state=state, started=started,
-                    after_s=round(now() - accepted, 1))
-    if not started:
-        site.broken("LOST", f"{COUNT} tasks of an accepted submission: none "
-                    f"started within {WAIT_S} s, with all capacity free; "
-                    f"its state is {state}")
-
-
-main(case, workers=3, cpu=32000, memory=128000)
+    waits = {}
+    doc = fragile(trouble)
+    first = await site.submit(doc)
+    watches = [asyncio.create_task(watch(site, first, doc, waits))]
+    began = now()
+    # Hands in the other submissions in the middle of pauses between starts.
+    while now() - began < 22:
+        await asyncio.sleep(0.2)
+    for _ in range(3):
+        until = now() + 20
+        while trouble and now() < until and now() - last_start(site) < 1.5:
+            await asyncio.sleep(0.05)
+        ident = await site.submit(SOUND)
+        watches.append(asyncio.create_task(watch(site, ident, SOUND, waits)))
+        await asyncio.sleep(16)
+    for task in watches:
+        task.cancel()
+    for task, wait in sorted(waits.items(), key=lambda item: -item[1]):
+        whose = "the failing" if task.startswith(first) else "another"
+        site.record.add("longest-wait", task=task, seconds=round(wait, 2),
+                        submission=whose)
+        if wait > LIMIT_S:
+            site.broken("LOST", f"task {task} of {whose} submission had no "
+                        f"run for {wait:.1f} s, with capacity free")
+
+
+main(case, workers=WORKERS, cpu=CPU)
