control: show late starts and confirmed runs in vm-lost

The line didn't tell whether the agent had reported that a start could still be executed, or the leader had not counted it.

vm-lost now has runs_confirmed, the given-up runs that a list has shown, and late_start_left_ms, the time for which a start may still be executed by the last reports.

--- a/src/core/control/control_flow_log.c
+++ b/src/core/control/control_flow_log.c
@@ -296,12 +296,16 @@
 {
 	GString *line = logline_new("vm-lost");
 	GString *tasks = g_string_new(NULL);
+	uint64_t now_us = flows->control->node->now_us;
 	uint32_t shown = 0;
+	uint32_t nr_confirmed = 0;
 
-	for (GList *item = runs; item && shown < LOST_TASKS_SHOWN;
-	     item = item->next) {
+	for (GList *item = runs; item; item = item->next) {
 		const struct flow_placement *placed = item->data;
 
+		nr_confirmed += control_flow_is_at_worker(placed);
+		if (shown == LOST_TASKS_SHOWN)
+			continue;
 		g_string_append_printf(tasks, "%s%s/%u", shown ? "," : "",
 				       placed->name, placed->run);
 		shown++;
@@ -311,8 +315,13 @@
 	logline_u64(line, "runs", g_list_length(runs));
 	logline_u64(line, "runs_kept",
 		    g_hash_table_size(vm->runs) - g_list_length(runs));
+	logline_u64(line, "runs_confirmed", nr_confirmed);
 	logline_str(line, "tasks", tasks->str);
 	log_bound(flows, vm, runs, line);
+	logline_u64(line, "late_start_left_ms",
+		    vm->late_start_us > now_us ?
+			    (vm->late_start_us - now_us) / 1000 :
+			    0);
 	logline_str(line, "restarted", vm->restarted ? "yes" : "no");
 	logline_u64(line, "reachable_ms_ago",
 		    ms_since(flows, vm->reachable_us));
