agent, control: count copies of confirmed starts until they have expired

Its start was sent again, as the connection had failed, and the second copy was answered. The worker was cut off and restarted under its id, and executed the first copy with a deadline on its former clock, which gives the longest lease. The leader gave the run up with the granted lease and placed it elsewhere.

Cause: the agent reported for how long a start that it had sent twice could be executed, but the leader counted that only for runs that no list had confirmed. Ruled out: that the agent doesn't report the time, and that the grant is counted wrongly.

Change: reports name for each run how long another copy of its start may be executed (flow_run.late_ms), also for orphans. The leader waits for that time and the longest lease, and never shortens it: an agent process that has just started doesn't know what the one before has sent twice. Later leaders find it in the worker's record (flow_unconfirmed.has_copy). The agent reports it when the start is sent again (runner_call_resent()), not with the answer, as a list may confirm the run before. If two agent processes may have called a start, its time counts from the first report of the second one. Other runs wait as long as before, and progress of these runs is still read.

--- a/src/codec/masticreach.pb-c.c
+++ b/src/codec/masticreach.pb-c.c
@@ -8149,7 +8149,7 @@
   (ProtobufCMessageInit) masticreach__worker_life__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_run__field_descriptors[9] =
+static const ProtobufCFieldDescriptor masticreach__flow_run__field_descriptors[10] =
 {
   {
     "task",
@@ -8259,10 +8259,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "late_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowRun, late_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__flow_run__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
   6,   /* field[6] = figure */
+  9,   /* field[9] = late_ms */
   7,   /* field[7] = pace */
   5,   /* field[5] = percent */
   1,   /* field[1] = run */
@@ -8274,7 +8287,7 @@
 static const ProtobufCIntRange masticreach__flow_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_run__descriptor =
 {
@@ -8284,7 +8297,7 @@
   "Masticreach__FlowRun",
   "masticreach",
   sizeof(Masticreach__FlowRun),
-  9,
+  10,
   masticreach__flow_run__field_descriptors,
   masticreach__flow_run__field_indices_by_name,
   1,  masticreach__flow_run__number_ranges,
@@ -11451,7 +11464,7 @@
   (ProtobufCMessageInit) masticreach__cmd_pressure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticreach__flow_unconfirmed__field_descriptors[2] =
+static const ProtobufCFieldDescriptor masticreach__flow_unconfirmed__field_descriptors[3] =
 {
   {
     "task",
@@ -11477,15 +11490,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_copy",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticreach__FlowUnconfirmed, has_copy),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticreach__flow_unconfirmed__field_indices_by_name[] = {
+  2,   /* field[2] = has_copy */
   1,   /* field[1] = run */
   0,   /* field[0] = task */
 };
 static const ProtobufCIntRange masticreach__flow_unconfirmed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor masticreach__flow_unconfirmed__descriptor =
 {
@@ -11495,7 +11521,7 @@
   "Masticreach__FlowUnconfirmed",
   "masticreach",
   sizeof(Masticreach__FlowUnconfirmed),
-  2,
+  3,
   masticreach__flow_unconfirmed__field_descriptors,
   masticreach__flow_unconfirmed__field_indices_by_name,
   1,  masticreach__flow_unconfirmed__number_ranges,
--- a/src/codec/masticreach.pb-c.h
+++ b/src/codec/masticreach.pb-c.h
@@ -736,10 +736,11 @@
   uint32_t figure;
   uint32_t pace;
   protobuf_c_boolean starting;
+  uint32_t late_ms;
 };
 #define MASTICREACH__FLOW_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_run__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Masticreach__FlowRunEnd
@@ -1270,10 +1271,11 @@
   ProtobufCMessage base;
   char *task;
   uint32_t run;
+  protobuf_c_boolean has_copy;
 };
 #define MASTICREACH__FLOW_UNCONFIRMED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticreach__flow_unconfirmed__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Masticreach__FlowWorker
--- a/src/core/agent/runner.c
+++ b/src/core/agent/runner.c
@@ -16,7 +16,8 @@
 
 /* ---- the leader ---- */
 
-static void runner_add_run(GArray *runs, const struct runner_run *run)
+static void runner_add_run(const struct runner *runner, GArray *runs,
+			   const struct runner_run *run)
 {
 	struct flow_run item = run->seen;
 
@@ -28,9 +29,23 @@
 			run->unattributed;
 	item.unordered = !run->ordered && !run->stop;
 	item.pace = run->pace;
+	if (!item.unconfirmed)
+		item.late_ms = runner_copy_late_ms(runner, run->task);
 	g_array_append_val(runs, item);
 }
 
+/* Appends the listed runs that a later run of their task has superseded. */
+static void runner_add_superseded(const struct runner *runner, GArray *runs)
+{
+	for (guint i = 0; i < runner->superseded->len; i++) {
+		struct flow_run item =
+			g_array_index(runner->superseded, struct flow_run, i);
+
+		item.late_ms = runner_copy_late_ms(runner, item.task);
+		g_array_append_val(runs, item);
+	}
+}
+
 /*
  * Appends the listed ends that the leader hasn't acknowledged yet. Ends with a
  * higher number than an unreadable end are reported with the number 0: the
@@ -81,10 +96,9 @@
 	report.restart_seen = runner->restart_seen;
 	g_hash_table_iter_init(&iter, runner->runs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		runner_add_run(runs, value);
-	g_array_append_vals(runs, runner->superseded->data,
-			    runner->superseded->len);
-	if (runner->restarted)
+		runner_add_run(runner, runs, value);
+	runner_add_superseded(runner, runs);
+	if (runner->worker.ended)
 		runner_add_late_starts(runner, runs);
 	runner_add_ends(runner, ends);
 	g_array_append_vals(ends, runner->unlisted_ends->data,
--- a/src/core/agent/runner.h
+++ b/src/core/agent/runner.h
@@ -57,6 +57,12 @@
  */
 void runner_deregister(struct runner *runner, const char *id, uint64_t born_ms);
 
+/**
+ * Handles a call that the host is about to send again, as the connection has
+ * failed after the first copy was sent. The worker may execute both copies.
+ */
+void runner_call_resent(struct runner *runner, uint64_t call_nr);
+
 /** Handles the reply to a call; @a reply is borrowed. */
 void runner_call_done(struct runner *runner, uint64_t call_nr,
 		      const struct exec_reply *reply);
--- a/src/core/agent/runner_impl.h
+++ b/src/core/agent/runner_impl.h
@@ -125,6 +125,11 @@
 	char task[NAME_BYTES];
 	uint32_t run;
 	uint64_t until_us; /* the call may be carried out until then */
+	/*
+	 * The call was sent twice, so it may be carried out although a list has
+	 * shown the run.
+	 */
+	bool has_copy;
 };
 
 /** The highest run of a task that was reported as never started. */
@@ -320,6 +325,11 @@
  * there is no such start.
  */
 uint32_t runner_late_ms(const struct runner *runner);
+/**
+ * Returns for how many more milliseconds a later incarnation of the worker may
+ * execute a start of the task, although this one has the run, 0: it can't.
+ */
+uint32_t runner_copy_late_ms(const struct runner *runner, const char *task);
 /** Returns true if the worker may have more ends than this list shows. */
 bool runner_list_is_full(const struct exec_reply *reply);
 /**
@@ -381,11 +391,14 @@
 /**
  * Records a start call without an answer, or that was sent twice. A later
  * incarnation with the same id may still carry out the call, even if the
- * current one has stopped the run.
+ * current one has stopped the run. @a has_copy: the call was sent twice.
  */
 void runner_keep_late_start(struct runner *runner, const char *task,
-			    uint32_t run);
-/** Adds the late starts that may still be carried out to a report's runs. */
+			    uint32_t run, bool has_copy);
+/**
+ * Adds the starts that a successor of the ended incarnation may still carry out
+ * to a report's runs.
+ */
 void runner_add_late_starts(const struct runner *runner, GArray *runs);
 
 /* runner_log.c */
--- a/src/core/agent/runner_incarnation.c
+++ b/src/core/agent/runner_incarnation.c
@@ -25,9 +25,9 @@
 }
 
 void runner_keep_late_start(struct runner *runner, const char *task,
-			    uint32_t run)
+			    uint32_t run, bool has_copy)
 {
-	struct runner_late_start start = { .run = run };
+	struct runner_late_start start = { .run = run, .has_copy = has_copy };
 
 	/*
 	 * Drops expired records, and the task's earlier one: a stop of its
@@ -37,10 +37,13 @@
 		const struct runner_late_start *known = &g_array_index(
 			runner->late_starts, struct runner_late_start, i);
 		bool same = !strcmp(known->task, task);
+		bool expired = known->until_us <= runner->node->now_us;
 
 		if (same)
 			start.run = MAX(start.run, known->run);
-		if (same || known->until_us <= runner->node->now_us)
+		if (same && !expired)
+			start.has_copy = start.has_copy || known->has_copy;
+		if (same || expired)
 			g_array_remove_index(runner->late_starts, i);
 	}
 	TEXT_SET(start.task, task);
@@ -61,7 +64,8 @@
 
 		if (run->phase == RUNNER_STARTING ||
 		    run->phase == RUNNER_UNCONFIRMED || run->unattributed)
-			runner_keep_late_start(runner, run->task, run->run);
+			runner_keep_late_start(runner, run->task, run->run,
+					       run->repeated);
 	}
 }
 
@@ -73,9 +77,12 @@
 		struct flow_run run = { .run = start->run,
 					.unconfirmed = true };
 
+		/* A worker that has ended may be restarted under its id. */
+		if (start->until_us <= runner->node->now_us ||
+		    !(runner->restarted || start->has_copy))
+			continue;
 		TEXT_SET(run.task, start->task);
-		if (start->until_us > runner->node->now_us)
-			g_array_append_val(runs, run);
+		g_array_append_val(runs, run);
 	}
 }
 
--- a/src/core/agent/runner_worker.c
+++ b/src/core/agent/runner_worker.c
@@ -51,6 +51,22 @@
 	return (uint32_t)((until_us - now_us) / 1000);
 }
 
+uint32_t runner_copy_late_ms(const struct runner *runner, const char *task)
+{
+	uint64_t now_us = runner->node->now_us;
+
+	for (guint i = 0; i < runner->late_starts->len; i++) {
+		const struct runner_late_start *start = &g_array_index(
+			runner->late_starts, struct runner_late_start, i);
+
+		if (start->has_copy && start->until_us > now_us &&
+		    !strcmp(start->task, task))
+			return (uint32_t)((start->until_us - now_us + 999) /
+					  1000);
+	}
+	return 0;
+}
+
 bool runner_may_call(const struct runner *runner)
 {
 	return g_hash_table_size(runner->calls) - runner->poll_in_flight -
@@ -223,11 +239,14 @@
 	struct runner_run *run = runner_find(runner, call->task, call->run);
 
 	if (reply->resent || reply->verdict == EXEC_NO_ANSWER)
-		runner_keep_late_start(runner, call->task, call->run);
-	/* A list may have shown the run or its end before this reply. */
-	if (!run || run->phase != RUNNER_STARTING)
-		return;
+		runner_keep_late_start(runner, call->task, call->run,
+				       reply->resent);
+	if (!run)
+		return; /* a list has shown its end */
 	run->repeated = run->repeated || reply->resent;
+	/* A list may have shown the run before this reply. */
+	if (run->phase != RUNNER_STARTING)
+		return;
 	switch (reply->verdict) {
 	case EXEC_DONE:
 		counter_observe(runner->node->counters, "start_call_ms",
@@ -673,6 +692,21 @@
 	runner_call_deferred(runner);
 }
 
+void runner_call_resent(struct runner *runner, uint64_t call_nr)
+{
+	const struct runner_call *call =
+		g_hash_table_lookup(runner->calls, &call_nr);
+
+	if (!call || call->kind != EXEC_START)
+		return;
+	runner_keep_late_start(runner, call->task, call->run, true);
+	/*
+	 * The leader has to know of the copy before the worker is lost, also if
+	 * this agent process ends. A list may have shown the run already.
+	 */
+	runner_report_soon(runner);
+}
+
 /*
  * Ends calls that the host hasn't answered within RUNNER_CALL_MAX_MS: a lost
  * poll would otherwise prevent all later polls.
--- a/src/core/base/flow.h
+++ b/src/core/base/flow.h
@@ -203,6 +203,11 @@
 struct flow_unconfirmed {
 	char task[NAME_BYTES];
 	uint32_t run;
+	/*
+	 * Another copy of the start may be executed though a list has shown the
+	 * run.
+	 */
+	bool has_copy;
 };
 
 /**
@@ -218,7 +223,7 @@
 	 * given it a longer lease than any leader has granted.
 	 */
 	bool restarted;
-	/* Starts without an answer, by its agent's reports. */
+	/* Starts without an answer or sent twice, by its agent's reports. */
 	uint32_t nr_unconfirmed;
 	struct flow_unconfirmed *unconfirmed;
 };
@@ -324,6 +329,12 @@
 	/* Unconfirmed: its start isn't called yet or waits shortly for its
 	 * answer. */
 	bool starting;
+	/**
+	 * Time for which a later incarnation of the worker may execute another
+	 * copy of its start, or a start of an earlier run of the task, although
+	 * the present one has the run, 0: there is none.
+	 */
+	uint32_t late_ms;
 };
 
 /** The end of a run. */
--- a/src/core/base/schema_flow.c
+++ b/src/core/base/schema_flow.c
@@ -111,6 +111,7 @@
 static const struct field flow_unconfirmed_fields[] = {
 	F_STRING(flow_unconfirmed, task),
 	F_U32(flow_unconfirmed, run),
+	F_BOOL(flow_unconfirmed, has_copy),
 };
 static SCHEMA(flow_unconfirmed_schema, "FlowUnconfirmed", flow_unconfirmed,
 	      flow_unconfirmed_fields);
@@ -169,7 +170,7 @@
 	F_BOOL(flow_run, unconfirmed),	F_BOOL(flow_run, unordered),
 	F_STRING(flow_run, checkpoint), F_U32(flow_run, percent),
 	F_U32(flow_run, figure),	F_U32(flow_run, pace),
-	F_BOOL(flow_run, starting),
+	F_BOOL(flow_run, starting),	F_U32(flow_run, late_ms),
 };
 static SCHEMA(flow_run_schema, "FlowRun", flow_run, flow_run_fields);
 
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -100,6 +100,8 @@
 	/* When a report last said that the worker has stopped responding. */
 	uint64_t unreachable_us;
 	uint64_t report_seq;
+	/* When the first report of the present agent process arrived. */
+	uint64_t agent_since_us;
 	/* Agent's clock when it sent the last report. */
 	uint64_t report_sent_us;
 	/**
@@ -164,6 +166,7 @@
 	uint32_t run;
 	uint64_t born_ms; /* start time of the worker's incarnation */
 	bool unconfirmed; /* it isn't certain that the worker has the run */
+	uint64_t copy_late_us; /* as in struct flow_placement */
 	uint64_t since_us; /* when a report first showed it */
 };
 
@@ -190,6 +193,13 @@
 	 * executed. Until this time it may be, 0: not recorded.
 	 */
 	uint64_t inherited_late_us;
+	/*
+	 * Until this time a later incarnation of the worker may execute another
+	 * copy of its start, although a list has shown the run, 0: there is no
+	 * such copy. Never decreases: an agent that has just started doesn't
+	 * know which calls the one before has sent twice.
+	 */
+	uint64_t copy_late_us;
 	/* A worker lists the end of an earlier run of the task as done. */
 	bool done_earlier;
 	uint64_t ordered_us; /* time of the last order, 0: none */
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -104,6 +104,13 @@
 	order.repeated = placed->inherited ||
 			 (placed->ordered_us &&
 			  placed->ordered_node != placed->vm->node_id);
+	/* The start may already have been called by an earlier agent process.
+	 */
+	if (order.repeated && !control_flow_is_at_worker(placed))
+		placed->copy_late_us =
+			MAX(placed->copy_late_us,
+			    placed->vm->agent_since_us +
+				    WORKER_CALL_MAX_DELAY_MS * 1000ull);
 	placed->inherited = order.repeated;
 	placed->ordered_us = flows->control->node->now_us;
 	placed->ordered_node = placed->vm->node_id;
--- a/src/core/control/control_flow_orphan.c
+++ b/src/core/control/control_flow_orphan.c
@@ -201,6 +201,11 @@
 	TEXT_SET(orphan.task, run->task);
 	orphan.born_ms = vm->worker.born_ms;
 	orphan.unconfirmed = run->unconfirmed;
+	orphan.copy_late_us = known ? known->copy_late_us : 0;
+	if (run->late_ms)
+		orphan.copy_late_us = MAX(orphan.copy_late_us,
+					  flows->control->node->now_us +
+						  run->late_ms * 1000ull);
 	orphan.since_us = known ? known->since_us :
 				  flows->control->node->now_us;
 	g_array_append_val(vm->orphans, orphan);
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -115,6 +115,24 @@
 		vm->fence_nr++;
 }
 
+/*
+ * Notes that another copy of the run's start may be executed for @a late_ms
+ * from now.
+ */
+static void flow_note_copy(struct control_flow *flows,
+			   struct flow_placement *placed, uint32_t late_ms)
+{
+	uint64_t now_us = flows->control->node->now_us;
+
+	if (!late_ms)
+		return;
+	/* Later leaders have to know of the copy. */
+	if (placed->copy_late_us <= now_us)
+		node_timer_ms(flows->control->node, &flows->worker_timer, 0);
+	placed->copy_late_us =
+		MAX(placed->copy_late_us, now_us + late_ms * 1000ull);
+}
+
 /*
  * Handles the runs in a report; returns the set of the struct flow_placement *
  * of runs that are committed to the VM.
@@ -143,6 +161,7 @@
 				      &flows->worker_timer, 0);
 		placed->unconfirmed = run->unconfirmed;
 		placed->starting = run->starting;
+		flow_note_copy(flows, placed, run->late_ms);
 		if (run->unconfirmed)
 			continue;
 		if (!placed->listed) {
@@ -554,6 +573,8 @@
 		vm->earlier_node_ids[vm->nr_earlier++ % FLOW_EARLIER_IDS] =
 			vm->node_id;
 	}
+	if (vm->node_id != from)
+		vm->agent_since_us = control->node->now_us;
 	vm->node_id = from;
 	vm->report_seq = report->seq;
 	vm->report_sent_us = report->sent_us;
@@ -587,10 +608,21 @@
 
 uint64_t control_flow_late_start_us(const struct flow_placement *placed)
 {
-	return control_flow_is_at_worker(placed) ?
-		       0 :
-		       MAX(placed->vm->late_start_us,
-			   placed->inherited_late_us);
+	uint64_t late_us = control_flow_is_at_worker(placed) ?
+				   0 :
+				   MAX(placed->vm->late_start_us,
+				       placed->inherited_late_us);
+
+	return MAX(late_us, placed->copy_late_us);
+}
+
+/* The same for an orphan of the VM. */
+static uint64_t flow_orphan_late_us(const struct flow_vm *vm,
+				    const struct flow_orphan *orphan)
+{
+	return orphan->unconfirmed ?
+		       MAX(vm->late_start_us, orphan->copy_late_us) :
+		       orphan->copy_late_us;
 }
 
 /*
@@ -624,11 +656,9 @@
 		const struct flow_orphan *orphan =
 			control_flow_vm_orphan(vm, name);
 
-		if (orphan &&
-		    now_us <= flow_run_lapsed_us(flows, vm,
-						 orphan->unconfirmed ?
-							 vm->late_start_us :
-							 0))
+		if (orphan && now_us <= flow_run_lapsed_us(flows, vm,
+							   flow_orphan_late_us(
+								   vm, orphan)))
 			return true;
 	}
 	return false;
--- a/src/core/control/control_flow_worker.c
+++ b/src/core/control/control_flow_worker.c
@@ -107,14 +107,16 @@
 
 /* ---- starts that the worker may still execute ---- */
 
-static bool has_unconfirmed(const struct flow_worker *record, const char *task,
-			    uint32_t run)
+/* Returns the record's entry of the run, NULL if there is none. */
+static const struct flow_unconfirmed *
+find_unconfirmed(const struct flow_worker *record, const char *task,
+		 uint32_t run)
 {
 	for (uint32_t i = 0; i < record->nr_unconfirmed; i++)
 		if (record->unconfirmed[i].run == run &&
 		    !strcmp(record->unconfirmed[i].task, task))
-			return true;
-	return false;
+			return &record->unconfirmed[i];
+	return NULL;
 }
 
 /*
@@ -132,9 +134,21 @@
 {
 	const struct flow_worker *record =
 		state_worker_find(flows->control->state, placed->vm->name);
+	const struct flow_unconfirmed *start =
+		record ? find_unconfirmed(record, placed->name, placed->run) :
+			 NULL;
 
-	if (record && has_unconfirmed(record, placed->name, placed->run))
-		placed->inherited_late_us = inherited_late_us(flows);
+	if (!start)
+		return;
+	placed->inherited_late_us = inherited_late_us(flows);
+	if (start->has_copy)
+		placed->copy_late_us = placed->inherited_late_us;
+}
+
+static bool has_copy(const struct control_flow *flows,
+		     const struct flow_placement *placed)
+{
+	return placed->copy_late_us > flows->control->node->now_us;
 }
 
 /*
@@ -142,17 +156,21 @@
  * execute the run's start. Most starts that are waiting for their answers get
  * them soon.
  */
-static bool is_unconfirmed(const struct flow_placement *placed)
+static bool is_unconfirmed(const struct control_flow *flows,
+			   const struct flow_placement *placed)
 {
-	if (!placed->committed || placed->ending ||
-	    control_flow_is_at_worker(placed))
+	if (!placed->committed || placed->ending)
 		return false;
-	return (placed->unconfirmed && !placed->starting) ||
-	       placed->inherited_late_us;
+	if (has_copy(flows, placed))
+		return true;
+	return !control_flow_is_at_worker(placed) &&
+	       ((placed->unconfirmed && !placed->starting) ||
+		placed->inherited_late_us);
 }
 
 /* Returns the VM's runs that the worker may still start. */
-static GArray *vm_unconfirmed(const struct flow_vm *vm)
+static GArray *vm_unconfirmed(const struct control_flow *flows,
+			      const struct flow_vm *vm)
 {
 	GArray *starts =
 		g_array_new(FALSE, FALSE, sizeof(struct flow_unconfirmed));
@@ -164,9 +182,10 @@
 		const struct flow_placement *placed = key;
 		struct flow_unconfirmed start = { .run = placed->run };
 
-		if (!is_unconfirmed(placed))
+		if (!is_unconfirmed(flows, placed))
 			continue;
 		TEXT_SET(start.task, placed->name);
+		start.has_copy = has_copy(flows, placed);
 		g_array_append_val(starts, start);
 	}
 	return starts;
@@ -185,8 +204,10 @@
 	for (guint i = 0; i < starts->len; i++) {
 		const struct flow_unconfirmed *start =
 			&g_array_index(starts, struct flow_unconfirmed, i);
+		const struct flow_unconfirmed *recorded =
+			find_unconfirmed(record, start->task, start->run);
 
-		if (!has_unconfirmed(record, start->task, start->run))
+		if (!recorded || (start->has_copy && !recorded->has_copy))
 			return true;
 	}
 	return !starts->len && record->nr_unconfirmed;
@@ -210,7 +231,7 @@
 		vm->restarted ||
 		flows->control->node->now_us <=
 			vm->restart_lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
-	starts = vm_unconfirmed(vm);
+	starts = vm_unconfirmed(flows, vm);
 	if (!record || !is_incarnation(record, &vm->worker) ||
 	    record->restarted != change.restarted ||
 	    starts_differ(record, starts)) {
--- a/src/daemon/http_call.c
+++ b/src/daemon/http_call.c
@@ -29,6 +29,7 @@
 struct http_call {
 	uint64_t call_nr;
 	uint64_t max_bytes;
+	http_call_resent *resent; /* may be NULL */
 	http_call_done *done;
 	void *ctx;
 	SoupSession *session;
@@ -244,6 +245,8 @@
 	    (call->closed_early || !call->new_connection)) {
 		call->retried = true;
 		call->result.resent = call->result.connected;
+		if (call->result.resent && call->resent)
+			call->resent(call->ctx, call);
 		call_send(call);
 		return;
 	}
@@ -416,6 +419,7 @@
 
 	call->call_nr = opts->call_nr;
 	call->max_bytes = opts->max_bytes;
+	call->resent = opts->resent;
 	call->done = opts->done;
 	call->ctx = opts->ctx;
 	/*
--- a/src/daemon/http_call.h
+++ b/src/daemon/http_call.h
@@ -14,6 +14,12 @@
 
 struct http_call;
 
+/**
+ * Called from the main loop when the request is about to be sent a second time
+ * and the server may have received it the first time.
+ */
+typedef void http_call_resent(void *ctx, struct http_call *call);
+
 /** Called once, from the main loop; the call is freed afterwards. */
 typedef void http_call_done(void *ctx, struct http_call *call,
 			    const struct upstream_result *result);
@@ -41,6 +47,7 @@
 	 */
 	bool once;
 	uint64_t call_nr; /* chosen by the owner */
+	http_call_resent *resent; /* may be NULL */
 	http_call_done *done;
 	void *ctx;
 };
--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -20,6 +20,7 @@
 	bool carried_out;
 	bool lost; /* gets no answer and is carried out late */
 	bool resent; /* the second copy of a call */
+	bool resend_reported; /* the agent knows that it is the second copy */
 	bool no_listener; /* nothing listens at its address */
 	bool other_incarnation; /* names an incarnation that isn't running */
 	uint64_t called_us;
@@ -366,10 +367,33 @@
 			 call->answered ? &call->reply : &none);
 }
 
+/* Calls that were under way before the cut may still be delivered. */
+static bool passes_cut(const struct fw_call *call)
+{
+	const struct fw_vm *vm = call->vm;
+
+	return !vm->worker_cut || (call->lost && vm->world->late_pass_cuts);
+}
+
+/* Tells the agent that the first copy's connection has failed. */
+static void report_resend(struct fw_call *call)
+{
+	struct fw_vm *vm = call->vm;
+
+	if (!call->resent || call->resend_reported || vm->frozen ||
+	    vm->runner != call->runner)
+		return;
+	call->resend_reported = true;
+	node_set_time(sim_node(vm->machine), fw_now_us(vm->world));
+	runner_call_resent(vm->runner, call->call_nr);
+}
+
 bool fw_call_step(struct fw_call *call)
 {
 	struct fw_vm *vm = call->vm;
 
+	report_resend(call);
+
 	if (!call->carried_out &&
 	    (call->no_listener || call->other_incarnation) &&
 	    call_is_due(call)) {
@@ -380,7 +404,7 @@
 		call->carried_out = true;
 		call->answered = true;
 	}
-	if (!call->carried_out && vm->worker.up && !vm->worker_cut &&
+	if (!call->carried_out && vm->worker.up && passes_cut(call) &&
 	    !vm->suspended && call_is_due(call)) {
 		worker_carry_out(call, &call->reply);
 		call->answered = !call->lost && !vm->mute && call->give_up_us;
@@ -390,7 +414,8 @@
 						  ANSWER_DELAY_MAX_US;
 	}
 	/*
-	 * A late call that arrives while the worker is down or cut off is lost.
+	 * A late call that arrives while the worker is down is lost, and so is
+	 * one that doesn't pass the cut.
 	 */
 	if (!call->carried_out && call->lost && !vm->suspended &&
 	    call_is_due(call))
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -155,6 +155,8 @@
 	const char *lasting;
 	/* flow_rules_check_lasting() is called at all times. */
 	bool judge_lasting;
+	/* Late calls reach workers that are cut off from their agents. */
+	bool late_pass_cuts;
 	/* Fillers may use more processors than the VM has. */
 	bool overcommitted;
 	/*
--- a/tests/test_flow_unannounced.c
+++ b/tests/test_flow_unannounced.c
@@ -14,6 +14,7 @@
 #include "suite.h"
 
 #define SEEDS 6
+#define COPY_SEEDS 12
 #define TASKS 4 /* the other workers have room for all */
 /* Longer than the longest lease. */
 #define RUN_MS 14000
@@ -411,42 +412,171 @@
 }
 END_TEST
 
+/* Times are from the first start; 0: it doesn't happen. */
+struct copy_case {
+	bool checkpoints;
+	bool lasting;
+	bool loses_starts; /* the start isn't sent twice, but has no answer */
+	uint32_t agent_killed_ms; /* the agent is restarted at once */
+	uint32_t leader_killed_ms;
+	uint32_t crash_ms; /* of the worker, which is restarted */
+	uint32_t second_crash_ms; /* the same, behind the cut */
+	uint32_t cut_ms; /* the worker is cut off from its agent */
+};
+
+static void set_start_faults(struct flow_world *fw,
+			     const struct copy_case *test, uint32_t ppm)
+{
+	for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++) {
+		struct fw_vm *vm = &fw->vms[restarted_vms[i]];
+
+		if (test->loses_starts)
+			vm->lose_ppm = ppm;
+		else
+			vm->resend_ppm = ppm;
+	}
+}
+
+static void stay_unannounced(struct fw_vm *vm)
+{
+	fw_boot_worker(vm);
+	vm->first_heartbeat_us = UINT64_MAX;
+}
+
+static void play_copy(const struct copy_case *test, uint64_t seed)
+{
+	struct flow_step step = { .count = TASKS,
+				  .cpu_millis = 1000,
+				  .memory_mib = 500,
+				  .estimate_ms = RUN_MS,
+				  .checkpoints = test->checkpoints,
+				  .lasting = test->lasting };
+	struct flow_world *fw = flow_world_new(seed);
+	struct world_control *killed = NULL;
+
+	if (getenv("FLOW_UNANNOUNCED_SEED")) {
+		sim_set_verbose(fw->base->sim, true);
+		fw->prints_runs = true;
+	}
+	fw->run_ms = RUN_MS;
+	fw->lasting = test->lasting ? "aa" : NULL;
+	fw->late_pass_cuts = true;
+	flow_world_run_ms(fw, UPTIME_MS);
+	set_start_faults(fw, test, 1000000);
+	ck_assert_int_eq(flow_world_submit(fw, "aa", &step, 1), RESULT_OK);
+	for (uint32_t ms = 0; ms < test->cut_ms + CUT_MS; ms += 20) {
+		if (ms == (test->loses_starts ? 40 : 100))
+			set_start_faults(fw, test, 0);
+		if (ms && ms == test->agent_killed_ms)
+			each_restarted(fw, restart_agent);
+		if (ms && ms == test->leader_killed_ms) {
+			killed = world_leader_host(fw->base);
+			ck_assert_ptr_nonnull(killed);
+			world_kill_control(killed);
+		}
+		if (killed && ms == test->leader_killed_ms + LEADER_DOWN_MS)
+			world_boot_control(killed);
+		if (ms == test->cut_ms)
+			each_restarted(fw, cut_worker);
+		if (ms && (ms == test->crash_ms || ms == test->second_crash_ms))
+			each_restarted(fw, fw_crash_worker);
+		if (ms > WORKER_DOWN_MS &&
+		    (ms == test->crash_ms + WORKER_DOWN_MS ||
+		     ms == test->second_crash_ms + WORKER_DOWN_MS))
+			each_restarted(fw, stay_unannounced);
+		flow_world_run_ms(fw, 20);
+	}
+	each_restarted(fw, rejoin_worker);
+	flow_world_run_ms(fw, RUN_MS);
+	flow_world_free(fw);
+}
+
+/* Plays each case with some seeds, or with FLOW_UNANNOUNCED_SEED. */
+static void play_copies(const struct copy_case *tests, size_t nr)
+{
+	const char *one = getenv("FLOW_UNANNOUNCED_SEED");
+
+	for (size_t i = 0; i < nr; i++) {
+		if (one)
+			play_copy(&tests[i], strtoul(one, NULL, 10));
+		for (uint64_t seed = 1; !one && seed <= COPY_SEEDS; seed++)
+			play_copy(&tests[i], seed);
+	}
+}
+
 /*
  * Guards against a run that is given up with the granted lease, as its start
  * was answered: the start was sent twice, and the next incarnation executes the
- * first copy, with a deadline on the former one's clock, before it is cut off.
+ * first copy, with a deadline on the former one's clock, before it is cut off
+ * or behind the cut.
  */
 START_TEST(test_first_copy_in_next_incarnation)
 {
-	for (uint64_t seed = 1; seed <= 12; seed++) {
-		struct flow_world *fw = flow_world_new(seed);
+	static const struct copy_case tests[] = {
+		{ .crash_ms = 300, .cut_ms = 1000 },
+		{ .cut_ms = 1000, .crash_ms = 1200 },
+		{ .cut_ms = 3000, .crash_ms = 3200 },
+		{ .checkpoints = true, .cut_ms = 1000, .crash_ms = 1200 },
+		{ .lasting = true, .cut_ms = 1000, .crash_ms = 1200 },
+		{ .cut_ms = 1000, .crash_ms = 1200, .second_crash_ms = 2000 },
+	};
 
-		if (getenv("FLOW_UNANNOUNCED_SEED"))
-			fw->prints_runs = true;
-		fw->run_ms = RUN_MS;
-		flow_world_run_ms(fw, UPTIME_MS);
-		for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
-			fw->vms[restarted_vms[i]].resend_ppm = 1000000;
-		submit(fw, "aa");
-		flow_world_run_ms(fw, 100);
-		for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
-			fw->vms[restarted_vms[i]].resend_ppm = 0;
-		flow_world_run_ms(fw, 200);
-		each_restarted(fw, fw_crash_worker);
-		flow_world_run_ms(fw, WORKER_DOWN_MS);
-		each_restarted(fw, fw_boot_worker);
-		for (uint32_t i = 0; i < G_N_ELEMENTS(restarted_vms); i++)
-			fw->vms[restarted_vms[i]].first_heartbeat_us =
-				UINT64_MAX;
-		flow_world_run_ms(fw, 400);
-		each_restarted(fw, cut_worker);
-		flow_world_run_ms(fw, CUT_MS);
-		flow_world_free(fw);
-	}
+	play_copies(tests, G_N_ELEMENTS(tests));
+}
+END_TEST
+
+/*
+ * Guards against the same if the agent is replaced by one that doesn't know
+ * which calls were sent twice, before or behind the cut, also together with the
+ * leader that the former agent had told.
+ */
+START_TEST(test_first_copy_after_restart_of_agent)
+{
+	static const struct copy_case tests[] = {
+		{ .agent_killed_ms = 500, .cut_ms = 1000, .crash_ms = 1200 },
+		{ .agent_killed_ms = 500,
+		  .lasting = true,
+		  .cut_ms = 2000,
+		  .crash_ms = 2200 },
+		{ .cut_ms = 1000, .crash_ms = 1200, .agent_killed_ms = 1600 },
+		{ .agent_killed_ms = 300,
+		  .leader_killed_ms = 600,
+		  .cut_ms = 3000,
+		  .crash_ms = 3200 },
+		{ .leader_killed_ms = 300, .cut_ms = 2000, .crash_ms = 2200 },
+	};
+
+	play_copies(tests, G_N_ELEMENTS(tests));
+}
+END_TEST
+
+/*
+ * Guards against the same if two agent processes have called the start: the
+ * call of the first one had no answer, and the second one's was answered.
+ */
+START_TEST(test_first_copy_of_former_agent)
+{
+	static const struct copy_case tests[] = {
+		{ .loses_starts = true,
+		  .agent_killed_ms = 40,
+		  .cut_ms = 1500,
+		  .crash_ms = 1600 },
+		{ .loses_starts = true,
+		  .agent_killed_ms = 20,
+		  .cut_ms = 1500,
+		  .crash_ms = 1600 },
+		{ .loses_starts = true,
+		  .agent_killed_ms = 40,
+		  .leader_killed_ms = 600,
+		  .cut_ms = 3000,
+		  .crash_ms = 3200 },
+	};
+
+	play_copies(tests, G_N_ELEMENTS(tests));
 }
 END_TEST
 
-/* All cases but the first are known as red; CK_RUN_CASE selects. */
+/* The case answered_start is known as red; CK_RUN_CASE selects. */
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -462,7 +592,9 @@
 		test_lasting_tasks_of_ended_incarnation,
 	};
 	const TTest *const first_copy[] = {
-		test_first_copy_in_next_incarnation
+		test_first_copy_in_next_incarnation,
+		test_first_copy_after_restart_of_agent,
+		test_first_copy_of_former_agent,
 	};
 	const TTest *const answered_start[] = {
 		test_lasting_task_started_by_next_incarnation
--- a/tests/test_runner_life.c
+++ b/tests/test_runner_life.c
@@ -1457,12 +1457,55 @@
 	fixture_run_ms(fixture, 1000);
 	ck_assert_uint_gt(fixture->report.late_ms, 0);
 	ck_assert_uint_eq(fixture->report.nr_runs, 1);
-	ck_assert_msg(fixture->first_run.unconfirmed,
+	ck_assert_msg(fixture->first_run.late_ms > 0,
 		      "the run counts as the former incarnation's only");
 	fixture_free(fixture);
 }
 END_TEST
 
+/*
+ * Guards against a run that is given up with the granted lease: its start has
+ * been sent again and listed, but not answered, when its agent ends. Also
+ * guards against a run that waits for the longest lease although its start was
+ * sent once, or so long ago that no copy can be executed.
+ */
+START_TEST(test_copy_of_listed_start_is_reported)
+{
+	for (uint32_t resent = 0; resent < 2; resent++) {
+		struct flow_run run = { .task = TASK, .run = 1 };
+		struct exec_reply list = fixture_done;
+		struct exec_reply answer = fixture_done;
+		struct fixture *fixture = fixture_ready(true);
+		struct fixture_call start;
+
+		list.born_ms = 1;
+		list.runs = &run;
+		list.nr_runs = 1;
+		fixture_run_ms(fixture, 20);
+		fixture_order(fixture, FLOW_START, 1, false, 0);
+		start = g_array_index(fixture->calls, struct fixture_call,
+				      fixture->calls->len - 1);
+		ck_assert_int_eq(start.kind, EXEC_START);
+		ck_assert(fixture_answer(fixture, EXEC_POLL, &list, NULL));
+		if (resent)
+			runner_call_resent(fixture->runner, start.nr);
+		fixture_run_ms(fixture, 2ull * RUNNER_REPORT_DELAY_MS);
+		ck_assert(!fixture->first_run.unconfirmed);
+		ck_assert_int_eq(fixture->first_run.late_ms > 0, resent);
+		answer.resent = resent;
+		ck_assert(fixture_answer(fixture, EXEC_START, &answer, NULL));
+		for (uint32_t i = 0; i <= WORKER_CALL_MAX_DELAY_MS / 1000;
+		     i++) {
+			fixture_answer(fixture, EXEC_POLL, &list, NULL);
+			fixture_run_ms(fixture, 1000);
+		}
+		ck_assert_uint_eq(fixture->report.nr_runs, 1);
+		ck_assert_uint_eq(fixture->first_run.late_ms, 0);
+		fixture_free(fixture);
+	}
+}
+END_TEST
+
 /*
  * Guards against a lasting task that waits for the longest lease although its
  * start was answered: the leader was told that the start has no answer, and
@@ -1491,7 +1534,6 @@
 }
 END_TEST
 
-/* The case listed_start is known as red; CK_RUN_CASE selects. */
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -1544,6 +1586,7 @@
 	};
 	const TTest *const listed_start[] = {
 		test_listed_start_is_sent_again,
+		test_copy_of_listed_start_is_reported,
 	};
 	Suite *suite = suite_create("runner_life");
 
