control: show in worker-shunned how many workers are shunned

The logs didn't tell whether placements wait for room, for a pause after refused starts, or because failures shut out all workers of the service at once.

--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -255,6 +255,25 @@
 	       g_hash_table_contains(flows->started, flow->record.id);
 }
 
+/* Returns how many VMs of the service get no tasks because of failures. */
+static uint32_t flow_count_shunned(const struct control_flow *flows,
+				   const char *service)
+{
+	uint64_t now_us = flows->control->node->now_us;
+	uint32_t nr = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct flow_vm *vm = value;
+
+		nr += vm->vm_backoff_ms && vm->backoff_until_us > now_us &&
+		      !strcmp(vm->worker.service, service);
+	}
+	return nr;
+}
+
 /*
  * Updates the share of the VM's runs that failed. If it is high, nothing is
  * placed on the VM for a while.
@@ -291,6 +310,8 @@
 	logline_str(line, "worker", vm->worker.id);
 	logline_str(line, "task", placed->name);
 	logline_u64(line, "for_ms", vm->vm_backoff_ms);
+	logline_u64(line, "service_shunned",
+		    flow_count_shunned(flows, vm->worker.service));
 	counter_add(flows->control->node->counters, "workers_shunned", 1);
 	node_log(flows->control->node, line);
 }
