control: don't bar VMs because of submissions that fail everywhere

Cause: failures were counted by VM, whichever submission they came from, and three in a row barred the VM for all. Tasks that fail everywhere bar all VMs within 1 ms (worker-shunned service_shunned=6 of 6, all by one submission). Only an end 'done' reset the time, which long-running tasks never have, and nothing limited how many VMs are barred. Ruled out by the log: lack of room, and the pause after refused starts (no start was refused).

Change: plan/reliability.h decides whose failure it is. A step that fails on two VMs, and has not succeeded since, is at fault, and its failures count against no VM. A VM is barred only if its failures come from several steps or from one that succeeds elsewhere, if its rate is twice the mean of the others, and as long as under a quarter of the service's VMs is barred. The bar doesn't hold for a step that only barred VMs suit. A long-running task counts as a success once it has been at work for 10 s, or has far outlived those that failed. The code has moved from control_flow.c to control_flow_failure.c.

test_logs expected worker-shunned while all four workers fail the tasks of one submission, which is the fault itself. It now expects step-faulty there, and worker-shunned with its keys in a new scenario with one failing worker.

--- a/src/core/base/tunables.h
+++ b/src/core/base/tunables.h
@@ -367,13 +367,43 @@
  * The failure rate of a worker is a moving average in which the last run that
  * ended counts 1/FLOW_FAIL_WEIGHT. From FLOW_BACKOFF_PERMILLE on, the worker
  * gets no tasks for FLOW_BACKOFF_MIN_MS; this time doubles with each backoff up
- * to FLOW_BACKOFF_MAX_MS.
+ * to FLOW_BACKOFF_MAX_MS. plan/reliability.h says which failures count.
  */
 #define FLOW_FAIL_WEIGHT 4
 #define FLOW_BACKOFF_PERMILLE 550
 #define FLOW_REFUSED_MS 150 /* pause of placements after a refused start */
 #define FLOW_BACKOFF_MIN_MS 2000
 #define FLOW_BACKOFF_MAX_MS 16000
+/*
+ * A worker is only barred if its failure rate is this many times the mean of
+ * the others of its service: failures on many workers point to what they ran.
+ */
+#define RELIABILITY_OUTLIER_FACTOR 2
+/* At most 1/RELIABILITY_BARRED_PART of a service's workers are barred. */
+#define RELIABILITY_BARRED_PART 4
+/* Last ends that are kept when a worker is barred. */
+#define RELIABILITY_KEPT_ENDS 2
+/*
+ * A run counts as a success if it has lasted this many times as long as the
+ * longest failed run of its step, and at least RELIABILITY_OUTLIVES_MIN_MS:
+ * reports show the age of a run up to a second late.
+ */
+#define RELIABILITY_OUTLIVES_FACTOR 2
+#define RELIABILITY_OUTLIVES_MIN_MS 1500
+/*
+ * A long-running task that has been at work for this long shows that its worker
+ * is sound: one that fails everything fails it within seconds. A later failure
+ * of the task doesn't count against the worker.
+ */
+#define RELIABILITY_SOUND_MS 10000
+/*
+ * After this many failures of a step in a row its long-running tasks are
+ * restarted after a pause, which doubles up to the maximum. Clients expect a
+ * long-running task to be restarted within 3 s.
+ */
+#define RELIABILITY_PAUSE_FAILURES 3
+#define RELIABILITY_PAUSE_MIN_MS 250u
+#define RELIABILITY_PAUSE_MAX_MS 2000u
 /*
  * A run is stopped and its task is placed elsewhere if the run has made no
  * progress for FLOW_STALL_MS and has lasted longer than FLOW_STALL_FACTOR times
--- a/src/core/control/control_flow.c
+++ b/src/core/control/control_flow.c
@@ -13,6 +13,7 @@
 	g_hash_table_unref(vm->runs);
 	g_array_unref(vm->orphans);
 	g_array_unref(vm->ends);
+	reliability_reset(&vm->reliability);
 	control_flow_capacity_free(vm->capacity);
 	g_free(vm);
 }
@@ -255,67 +256,6 @@
 	       g_hash_table_contains(flows->started, flow->record.id);
 }
 
-/* Returns how many VMs of the service get no tasks because of failures. */
-static uint32_t flow_count_shunned(const struct control_flow *flows,
-				   const char *service)
-{
-	uint64_t now_us = flows->control->node->now_us;
-	uint32_t nr = 0;
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, flows->vms);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct flow_vm *vm = value;
-
-		nr += vm->vm_backoff_ms && vm->backoff_until_us > now_us &&
-		      !strcmp(vm->worker.service, service);
-	}
-	return nr;
-}
-
-/*
- * Updates the share of the VM's runs that failed. If it is high, nothing is
- * placed on the VM for a while.
- */
-static void flow_vm_update_reliability(struct control_flow *flows,
-				       struct flow_vm *vm,
-				       const struct flow_placement *placed,
-				       enum flow_end end)
-{
-	uint64_t now_us = flows->control->node->now_us;
-	GString *line;
-
-	if (end == FLOW_END_REFUSED)
-		vm->backoff_until_us = MAX(vm->backoff_until_us,
-					   now_us + FLOW_REFUSED_MS * 1000ull);
-	if (end != FLOW_END_DONE && end != FLOW_END_FAILED)
-		return;
-	vm->fail_permille -= vm->fail_permille / FLOW_FAIL_WEIGHT;
-	if (end == FLOW_END_DONE) {
-		vm->vm_backoff_ms = 0;
-		return;
-	}
-	vm->fail_permille += 1000 / FLOW_FAIL_WEIGHT;
-	if (vm->fail_permille < FLOW_BACKOFF_PERMILLE ||
-	    vm->backoff_until_us > now_us)
-		return;
-	vm->vm_backoff_ms = CLAMP(vm->vm_backoff_ms * 2, FLOW_BACKOFF_MIN_MS,
-				  FLOW_BACKOFF_MAX_MS);
-	vm->backoff_until_us = now_us + vm->vm_backoff_ms * 1000ull;
-	/* One more failure after the backoff starts another backoff. */
-	vm->fail_permille = FLOW_BACKOFF_PERMILLE - 1000 / FLOW_FAIL_WEIGHT;
-	line = logline_new("worker-shunned");
-	logline_str(line, "vm", vm->name);
-	logline_str(line, "worker", vm->worker.id);
-	logline_str(line, "task", placed->name);
-	logline_u64(line, "for_ms", vm->vm_backoff_ms);
-	logline_u64(line, "service_shunned",
-		    flow_count_shunned(flows, vm->worker.service));
-	counter_add(flows->control->node->counters, "workers_shunned", 1);
-	node_log(flows->control->node, line);
-}
-
 /* Logs the end of a run that had been revoked. */
 static void flow_log_late_end(struct control_flow *flows,
 			      const struct state_flow *flow, uint32_t task,
@@ -383,7 +323,7 @@
 	if (end == FLOW_END_DONE)
 		control_flow_time_learn(flows, placed);
 	control_flow_admit_ran(flows, placed, end);
-	flow_vm_update_reliability(flows, placed->vm, placed, end);
+	control_flow_note_end(flows, placed, end);
 	if (end != FLOW_END_LOST && end != FLOW_END_REFUSED)
 		control_flow_note_started(flows, flow);
 	if (end == FLOW_END_REFUSED)
@@ -465,6 +405,7 @@
 	control_flow_reserve_ended(flows, flow);
 	g_hash_table_remove(flows->waits, flow->record.id);
 	g_hash_table_remove(flows->started, flow->record.id);
+	control_flow_forget_steps(flows, flow);
 	pressure_forget(flows->pressure, flow->record.id);
 	flow_stop_all(flows, flow, flow_state_name(flow->record.state));
 }
@@ -548,6 +489,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	flows->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      flow_orders_free);
+	flows->failed_steps = control_flow_failed_steps_new();
 	flows->waits =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	flows->started =
@@ -596,6 +538,7 @@
 	flow_account_free(flows->account);
 	g_hash_table_unref(flows->left_vms);
 	g_hash_table_unref(flows->orders);
+	g_hash_table_unref(flows->failed_steps);
 	g_hash_table_unref(flows->waits);
 	g_hash_table_unref(flows->started);
 	g_hash_table_unref(flows->runs);
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -24,6 +24,7 @@
 #include "control_impl.h"
 #include "load_policy.h"
 #include "pressure.h"
+#include "reliability.h"
 #include "run_time.h"
 #include "timer.h"
 
@@ -83,7 +84,10 @@
 	bool grant_due; /* a grant is sent at the next commit or check */
 	/* The lease was withheld, as the worker's record isn't committed. */
 	bool lease_due;
-	bool takes_tasks; /* during a pass of placement: its result */
+	/* During a pass of placement: whether it takes tasks, and whether it
+	 * would if it weren't barred because of failures. */
+	bool takes_tasks;
+	bool would_take_tasks;
 	/* Runs or weights have changed since capacity was computed. */
 	bool gains_stale;
 	/*
@@ -152,12 +156,18 @@
 	struct filler_capacity *capacity;
 	/* When a filler was last moved here from another VM. */
 	uint64_t filler_moved_us;
-	/* share of ends that were failures, moving average */
+	struct reliability_vm reliability;
+	/* reliability_fail_permille() when the last pass of placement began. */
 	uint32_t fail_permille;
-	/* No task is placed on the VM before this time. */
+	/* After a refused start, no task is placed on the VM before this. */
 	uint64_t backoff_until_us;
-	/* Length of the last backoff, 0: none since a run last succeeded. */
-	uint32_t vm_backoff_ms;
+	/*
+	 * Because of failures, no task is placed on the VM before this time, if
+	 * other VMs suit it.
+	 */
+	uint64_t barred_until_us;
+	/* Length of the last such time, 0: none since a run last succeeded. */
+	uint32_t barred_ms;
 };
 
 /** A run at a worker, by its agent's report, that isn't placed there. */
@@ -202,6 +212,7 @@
 	uint64_t copy_late_us;
 	/* A worker lists the end of an earlier run of the task as done. */
 	bool done_earlier;
+	bool sound; /* counted as a success by its age */
 	uint64_t ordered_us; /* time of the last order, 0: none */
 	/* Incarnation of the agent that got the last order. */
 	uint64_t ordered_node;
@@ -351,6 +362,7 @@
 	uint32_t min_gain_permille;
 	uint64_t idle_us; /* time since flow_rank.idle_us, 0: none */
 	bool resumes; /* the task has had a run before */
+	bool ignores_bar; /* all VMs that suit the step are barred */
 	/* Evaluate only VMs that have changed since this number, 0: all. */
 	uint64_t evaluated_change_nr;
 };
@@ -377,6 +389,7 @@
 	GHashTable *work_means;
 	struct run_times *run_times; /* learned by this leader */
 	bool placing; /* a pass of placement is running */
+	bool any_barred; /* during the pass: a VM is barred */
 	uint64_t change_nr; /* counts changes that may free capacity on a VM */
 	GArray *changes; /* struct flow_change to be proposed */
 	/* Task name -> struct flow_vm * that it was moved from. */
@@ -386,6 +399,11 @@
 	GHashTable *orders;
 	/* when the oldest order in orders was queued */
 	uint64_t orders_since_us;
+	/*
+	 * Steps of active workflows of which a run has failed: const struct
+	 * flow_step * -> struct reliability_step *
+	 */
+	GHashTable *failed_steps;
 	GHashTable *waits; /* workflow id -> struct flow_wait * */
 	/* Set of ids of workflows of which a worker has, or had, a run. */
 	GHashTable *started;
@@ -432,6 +450,30 @@
  * before.
  */
 void control_flow_vm_changed(struct control_flow *flows, struct flow_vm *vm);
+
+/* control_flow_failure.c */
+GHashTable *control_flow_failed_steps_new(void);
+/** Forgets the failures of the steps of a workflow that has ended. */
+void control_flow_forget_steps(struct control_flow *flows,
+			       const struct state_flow *flow);
+/** Counts the end of a run for its VM and its step. */
+void control_flow_note_end(struct control_flow *flows,
+			   struct flow_placement *placed, enum flow_end end);
+/** Counts a run that is at its worker as a success once it is old enough. */
+void control_flow_note_running(struct control_flow *flows,
+			       struct flow_placement *placed);
+/** Returns true if the VM gets no tasks for a while because of failures. */
+bool control_flow_vm_is_barred(const struct control_flow *flows,
+			       const struct flow_vm *vm);
+/**
+ * Updates flow_vm.fail_permille, and lifts the VM's bar if the failures that
+ * led to it turned out not to be the VM's.
+ */
+void control_flow_update_bar(struct control_flow *flows, struct flow_vm *vm);
+/** Returns true if no run of the step may start yet. */
+bool control_flow_step_is_paused(const struct control_flow *flows,
+				 const struct flow_step *step);
+
 /** Notes that a worker has, or had, a run of the workflow. */
 void control_flow_note_started(struct control_flow *flows,
 			       const struct state_flow *flow);
--- a/src/core/control/control_flow_log.c
+++ b/src/core/control/control_flow_log.c
@@ -54,7 +54,8 @@
 		return WAIT_LOST;
 	if (!vm->reachable || !vm->looked)
 		return WAIT_UNREACHABLE;
-	if (flows->control->node->now_us < vm->backoff_until_us)
+	if (flows->control->node->now_us < vm->backoff_until_us ||
+	    control_flow_vm_is_barred(flows, vm))
 		return WAIT_BACKOFF;
 	return WAIT_SILENT;
 }
--- a/src/core/control/control_flow_place.c
+++ b/src/core/control/control_flow_place.c
@@ -38,9 +38,12 @@
 	       !flow_vm_is_cut_off(flows, vm);
 }
 
-/* Returns true if the VM may take tasks of its worker's service now. */
-static bool flow_vm_takes_tasks(const struct control_flow *flows,
-				const struct flow_vm *vm)
+/*
+ * Returns true if the VM may take tasks of its worker's service now, or could
+ * if it weren't barred because of failures.
+ */
+static bool flow_vm_would_take_tasks(const struct control_flow *flows,
+				     const struct flow_vm *vm)
 {
 	return control_flow_vm_keeps_runs(flows, vm) &&
 	       control_flow_worker_takes_tasks(flows, vm) &&
@@ -48,6 +51,13 @@
 	       state_zone_is_in(flows->control->state, vm->zone);
 }
 
+static bool flow_vm_takes_tasks(const struct control_flow *flows,
+				const struct flow_vm *vm)
+{
+	return !control_flow_vm_is_barred(flows, vm) &&
+	       flow_vm_would_take_tasks(flows, vm);
+}
+
 bool control_flow_vm_usable(const struct control_flow *flows,
 			    const struct flow_vm *vm, const char *service)
 {
@@ -65,11 +75,17 @@
 	GHashTableIter iter;
 	void *value;
 
+	flows->any_barred = false;
 	g_hash_table_iter_init(&iter, flows->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct flow_vm *vm = value;
 
-		vm->takes_tasks = flow_vm_takes_tasks(flows, vm);
+		control_flow_update_bar(flows, vm);
+		flows->any_barred = flows->any_barred ||
+				    control_flow_vm_is_barred(flows, vm);
+		vm->would_take_tasks = flow_vm_would_take_tasks(flows, vm);
+		vm->takes_tasks = vm->would_take_tasks &&
+				  !control_flow_vm_is_barred(flows, vm);
 	}
 	flows->placing = true;
 }
@@ -281,11 +297,50 @@
 	return cost + vm->fail_permille;
 }
 
+/*
+ * Returns true if all VMs that could take a task of the step are barred because
+ * of failures. Better one of them than none.
+ */
+static bool flow_suits_only_barred(const struct control_flow *flows,
+				   const struct flow_demand *demand)
+{
+	const char *service = demand->flow->record.service;
+	bool found = false;
+	GHashTableIter iter;
+	void *value;
+
+	if (!flows->any_barred)
+		return false;
+	g_hash_table_iter_init(&iter, flows->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct flow_vm *vm = value;
+
+		if (!vm->would_take_tasks ||
+		    strcmp(vm->worker.service, service) != 0 ||
+		    !control_flow_vm_suits(vm, demand->step))
+			continue;
+		if (vm->takes_tasks)
+			return false;
+		found = true;
+	}
+	return found;
+}
+
+/* Like control_flow_vm_usable(), for the demand. */
+static bool flow_vm_is_open(const struct flow_vm *vm,
+			    const struct flow_demand *demand)
+{
+	const char *service = demand->flow->record.service;
+
+	return control_flow_vm_usable(demand->flows, vm, service) ||
+	       (demand->ignores_bar && vm->would_take_tasks &&
+		!strcmp(vm->worker.service, service));
+}
+
 static struct flow_vm *flow_choose_vm(const struct flow_demand *demand,
 				      const char *rack)
 {
 	struct control_flow *flows = demand->flows;
-	const char *service = demand->flow->record.service;
 	struct flow_vm *best = NULL;
 	uint64_t best_cost = 0;
 	uint32_t nr_evaluated = 0;
@@ -301,8 +356,7 @@
 		    demand->evaluated_change_nr)
 			continue;
 		nr_evaluated++;
-		if (vm == demand->except ||
-		    !control_flow_vm_usable(flows, vm, service) ||
+		if (vm == demand->except || !flow_vm_is_open(vm, demand) ||
 		    !control_flow_vm_fits(vm, demand) ||
 		    (rack && strcmp(rack, vm->worker.rack) != 0))
 			continue;
@@ -677,6 +731,9 @@
 			continue;
 		if (!control_flow_stage_due(flows, flow, i))
 			break; /* later occurrences aren't due either */
+		if (control_flow_step_is_paused(flows, demand.step))
+			continue;
+		demand.ignores_bar = flow_suits_only_barred(flows, &demand);
 		if (flow_place_stage(&demand)) {
 			control_flow_note_placed(&demand);
 			continue;
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -185,6 +185,7 @@
 			control_flow_time_begin(flows, placed, run->percent);
 		}
 		control_flow_time_update(flows, placed);
+		control_flow_note_running(flows, placed);
 		if (placed->percent != run->percent) {
 			placed->progress_us = now_us;
 			placed->progress_full_us = placed->full_us;
@@ -434,9 +435,10 @@
 		node_timer_ms(flows->control->node, &flows->worker_timer, 0);
 		vm->settled_nr = 0;
 		vm->checked_end_nr = 0;
-		vm->fail_permille = 0;
+		reliability_reset(&vm->reliability);
 		vm->backoff_until_us = 0;
-		vm->vm_backoff_ms = 0;
+		vm->barred_until_us = 0;
+		vm->barred_ms = 0;
 		g_hash_table_remove(flows->orders, vm->name);
 	}
 	if (!same || draining || ended)
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -153,6 +153,12 @@
 	uint32_t tail_ms; /* tail latency that runs report */
 	/* Prefix of the names of tasks that don't end, NULL: there are none. */
 	const char *lasting;
+	/*
+	 * Prefix of the names of tasks that fail everywhere, NULL: there are
+	 * none, and the time after which their runs fail.
+	 */
+	const char *failing;
+	uint32_t failing_ms;
 	/* flow_rules_check_lasting() is called at all times. */
 	bool judge_lasting;
 	/* Late calls reach workers that are cut off from their agents. */
