control: pause a step, not its VM, after refusals that are the step's

Workers refuse the starts of a submission (status 400, or a ticket that isn't valid), and each refusal keeps its VM from all submissions for 150 ms.

Cause: the pause after a refused start was the VM's, whatever the reason.

Change: a start that is refused as malformed pauses its step; one without a valid ticket, with an old run number or cancelled pauses nothing, as the next start differs. All other refusals pause the VM as before.

Measured: flow_failures, test_refused_submission: a sound submission beside 24 refused tasks misses its 100 ms before ('round 2, s2 isn't completed') and keeps them after; refused starts are repeated at most every 150 ms.

--- a/src/core/control/control_flow_failure.c
+++ b/src/core/control/control_flow_failure.c
@@ -163,11 +163,25 @@
 	placed->vm->barred_ms = 0;
 }
 
+/* Returns the step's record; creates it if there is none. */
+static struct reliability_step *
+get_failed_step(struct control_flow *flows, const struct flow_placement *placed)
+{
+	struct reliability_step *step = failed_step(flows, placed->step);
+
+	if (step)
+		return step;
+	step = reliability_step_new();
+	step->proven = placed->flow->nr_done > 0;
+	g_hash_table_insert(flows->failed_steps, (gpointer)placed->step, step);
+	return step;
+}
+
 static void note_failure(struct control_flow *flows,
 			 struct flow_placement *placed)
 {
 	uint64_t now_us = flows->control->node->now_us;
-	struct reliability_step *step = failed_step(flows, placed->step);
+	struct reliability_step *step;
 
 	/* Failures of workflows that have ended are forgotten. */
 	if (!state_flow_is_active(placed->flow))
@@ -176,12 +190,7 @@
 	if (placed->step->lasting &&
 	    ran_ms(flows, placed) >= RELIABILITY_SOUND_MS)
 		return;
-	if (!step) {
-		step = reliability_step_new();
-		step->proven = placed->flow->nr_done > 0;
-		g_hash_table_insert(flows->failed_steps, (gpointer)placed->step,
-				    step);
-	}
+	step = get_failed_step(flows, placed);
 	if (reliability_failed(&placed->vm->reliability, step,
 			       ran_ms(flows, placed)))
 		log_faulty(flows, placed, step);
@@ -190,15 +199,38 @@
 	bar_if_unreliable(flows, placed->vm, placed->name);
 }
 
+/*
+ * After a refused start there is a pause: for the VM if its worker would refuse
+ * other starts, too, or for the step if other workers would refuse it.
+ */
+static void note_refusal(struct control_flow *flows,
+			 struct flow_placement *placed)
+{
+	uint64_t until_us =
+		flows->control->node->now_us + FLOW_REFUSED_MS * 1000ull;
+
+	switch (placed->refusal) {
+	case RESULT_NO_PERMIT: /* the ticket is forgotten */
+	case RESULT_CONFLICT: /* the next run has a higher number */
+	case RESULT_CANCELLED:
+		break;
+	case RESULT_MALFORMED:
+		if (state_flow_is_active(placed->flow))
+			reliability_pause(get_failed_step(flows, placed),
+					  until_us);
+		break;
+	default:
+		placed->vm->backoff_until_us =
+			MAX(placed->vm->backoff_until_us, until_us);
+		break;
+	}
+}
+
 void control_flow_note_end(struct control_flow *flows,
 			   struct flow_placement *placed, enum flow_end end)
 {
-	struct flow_vm *vm = placed->vm;
-
 	if (end == FLOW_END_REFUSED)
-		vm->backoff_until_us = MAX(vm->backoff_until_us,
-					   flows->control->node->now_us +
-						   FLOW_REFUSED_MS * 1000ull);
+		note_refusal(flows, placed);
 	else if (end == FLOW_END_DONE)
 		note_success(flows, placed);
 	else if (end == FLOW_END_FAILED)
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -213,6 +213,8 @@
 	/* A worker lists the end of an earlier run of the task as done. */
 	bool done_earlier;
 	bool sound; /* counted as a success by its age */
+	/* Why its start was refused, RESULT_OK: it wasn't, or not known. */
+	enum result refusal;
 	uint64_t ordered_us; /* time of the last order, 0: none */
 	/* Incarnation of the agent that got the last order. */
 	uint64_t ordered_node;
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -257,6 +257,7 @@
 		if (end->nr)
 			g_array_append_vals(vm->ends, end, 1);
 		if (placed && placed->run == end->run && placed->vm == vm) {
+			placed->refusal = end->result;
 			control_flow_propose_end(flows, placed, end->end,
 						 end->checkpoint);
 		} else if (placed &&
--- a/src/core/plan/reliability.c
+++ b/src/core/plan/reliability.c
@@ -151,6 +151,11 @@
 	step->paused_until_us = now_us + pause_ms * 1000;
 }
 
+void reliability_pause(struct reliability_step *step, uint64_t until_us)
+{
+	step->paused_until_us = MAX(step->paused_until_us, until_us);
+}
+
 bool reliability_is_paused(const struct reliability_step *step, uint64_t now_us)
 {
 	return now_us < step->paused_until_us;
--- a/src/core/plan/reliability.h
+++ b/src/core/plan/reliability.h
@@ -101,6 +101,9 @@
  */
 void reliability_delay_restart(struct reliability_step *step, uint64_t now_us);
 
+/** Lets no run of the step start before @a until_us. */
+void reliability_pause(struct reliability_step *step, uint64_t until_us);
+
 /** Returns true if the step's tasks wait for the end of a pause. */
 bool reliability_is_paused(const struct reliability_step *step,
 			   uint64_t now_us);
--- a/tests/flow_worker.c
+++ b/tests/flow_worker.c
@@ -224,6 +224,10 @@
 	    (strcmp(vm->name, vm->world->allowed_worker) != 0 ||
 	     strcmp(call->ticket, vm->world->valid_ticket) != 0))
 		return;
+	reply->result = RESULT_MALFORMED;
+	if (vm->world->malformed &&
+	    g_str_has_prefix(call->task, vm->world->malformed))
+		return;
 	reply->verdict = EXEC_DONE;
 	TEXT_SET(run.task, call->task);
 	fw_print_run(vm, &run, "starts");
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -159,6 +159,11 @@
 	 */
 	const char *failing;
 	uint32_t failing_ms;
+	/*
+	 * Prefix of the names of tasks whose starts all workers refuse as
+	 * malformed, NULL: there are none.
+	 */
+	const char *malformed;
 	/* flow_rules_check_lasting() is called at all times. */
 	bool judge_lasting;
 	/* Late calls reach workers that are cut off from their agents. */
--- a/tests/test_flow_failures.c
+++ b/tests/test_flow_failures.c
@@ -14,6 +14,9 @@
 #define SOUND_WAIT_MS 1000
 #define RESTART_WAIT_MS 3000
 #define FAILING_MS 700
+/* To be placed and started, and for the end to be reported and committed. */
+#define REFUSED_WAIT_MS 100
+#define REFUSED_PAUSE_MS 150
 /* Of 90 sound tasks: a tenth, though a worker is tried again from time to time.
  */
 #define FAILING_WORKER_STARTS 9
@@ -185,6 +188,47 @@
 }
 END_TEST
 
+/*
+ * Guards against sound submissions that wait because workers refuse the starts
+ * of another one: each refusal kept its VM from everybody for 150 ms. The
+ * refused starts themselves must not be repeated without a pause.
+ */
+START_TEST(test_refused_submission)
+{
+	struct flow_step refused = { .count = 24,
+				     .cpu_millis = 200,
+				     .memory_mib = 100,
+				     .lasting = true };
+	struct flow_step sound = { .count = 4,
+				   .cpu_millis = 500,
+				   .memory_mib = 500,
+				   .estimate_ms = 300 };
+	struct flow_world *fw = flow_world_new(80);
+	char id[NAME_BYTES];
+	uint32_t nr_refused;
+
+	fw->run_ms = 300;
+	fw->malformed = "x";
+	submit(fw, "x", 0, &refused);
+	for (uint32_t i = 0; i < ROUNDS; i++) {
+		flow_world_run_ms(fw, 200 + 37ull * i);
+		submit(fw, "s", i, &sound);
+		flow_world_run_ms(fw, fw->run_ms + REFUSED_WAIT_MS);
+		g_snprintf(id, sizeof(id), "s%u", i);
+		ck_assert_msg(flow_world_wait(fw, id, FLOW_COMPLETED, 10),
+			      "round %u, %s isn't completed", i, id);
+	}
+	nr_refused = sim_log_matches(fw->base->sim,
+				     "event=worker-refused kind=start");
+	flow_world_run_ms(fw, 10 * REFUSED_PAUSE_MS);
+	nr_refused = sim_log_matches(fw->base->sim,
+				     "event=worker-refused kind=start") -
+		     nr_refused;
+	ck_assert_uint_le(nr_refused, refused.count * 11);
+	flow_world_free(fw);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("flow_failures");
@@ -194,6 +238,7 @@
 	tcase_add_loop_test(tcase, test_failing_submissions, 0,
 			    G_N_ELEMENTS(failing_cases));
 	tcase_add_loop_test(tcase, test_failing_worker, 0, 2);
+	tcase_add_test(tcase, test_refused_submission);
 	suite_add_tcase(suite, tcase);
 	return suite_run_all(suite);
 }
