plan: withdraw a job's failure from a VM once it has failed elsewhere

Jobs of one client that fail wherever they run put a VM into quarantine for 60 s or more, if three of them fail there first and elsewhere only then.

Cause: a job's failure counts against the VM unless the job has failed elsewhere before; a failure elsewhere afterwards didn't take it back.

Change: quarantine_withdraw() takes the job off the VMs where it has failed before. A VM that is in quarantine already stays there until its probation.

Measured: test_plan, failing_jobs_quarantine_no_vm: PLAN_QUARANTINE before, PLAN_PLACE after; quarantine_and_probation passes before and after.

--- a/src/core/plan/plan.c
+++ b/src/core/plan/plan.c
@@ -423,6 +423,8 @@
 	at_limit = learn_failure(job->kind, task->memory_used_mib, &task->size);
 	if (!elsewhere && !at_limit)
 		quarantine_failed(plan, vm, job);
+	for (uint32_t i = 0; elsewhere && i < job->failed.nr; i++)
+		quarantine_withdraw(job->failed.vms[i], job);
 	failed_vms_add(&task->failed, vm);
 	if (failed_vms_add(&job->failed, vm) >= JOB_MAX_FAILED_VMS ||
 	    task->failed.nr >= JOB_MAX_FAILED_VMS ||
--- a/src/core/plan/quarantine.c
+++ b/src/core/plan/quarantine.c
@@ -48,6 +48,16 @@
 	g_queue_push_tail(&plan->suspect_vms, vm);
 }
 
+void quarantine_withdraw(struct plan_vm *vm, const struct plan_job *job)
+{
+	uint32_t nr = 0;
+
+	for (uint32_t i = 0; i < vm->nr_failed_jobs; i++)
+		if (vm->failed_jobs[i] != job->record.job_id)
+			vm->failed_jobs[nr++] = vm->failed_jobs[i];
+	vm->nr_failed_jobs = nr;
+}
+
 void quarantine_succeeded(struct plan_vm *vm)
 {
 	vm->nr_failed_jobs = 0;
--- a/src/core/plan/quarantine.h
+++ b/src/core/plan/quarantine.h
@@ -26,6 +26,8 @@
 /** Counts a failed job against the VM, which may lead to a quarantine. */
 void quarantine_failed(struct plan *plan, struct plan_vm *vm,
 		       const struct plan_job *job);
+/** No longer counts a job against the VM, as it has failed elsewhere, too. */
+void quarantine_withdraw(struct plan_vm *vm, const struct plan_job *job);
 /** Clears the VM's failures after a task succeeded there. */
 void quarantine_succeeded(struct plan_vm *vm);
 
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -412,6 +412,25 @@
 }
 END_TEST
 
+/*
+ * Guards against a quarantine because of jobs that fail wherever they run, such
+ * as those of one client: each fails on the VM first and then elsewhere.
+ */
+START_TEST(test_failing_jobs_quarantine_no_vm)
+{
+	add_vm("a", "z1", "r1", 8000, 8192);
+	add_vm("b", "z1", "r1", 8000, 8192);
+	for (uint64_t id = 1; id <= 4; id++) {
+		add_job(make_job(id, JOB_BATCH, 1000, 100), 1);
+		fail_on(1000 * id, id, "a");
+		if (id < 4)
+			fail_on(1000 * id, id, "b");
+	}
+	ck_assert(next());
+	ck_assert_int_eq(decision.action, PLAN_PLACE);
+}
+END_TEST
+
 /* Guards against a planner that lifts a quarantine that operators have set. */
 START_TEST(test_operators_quarantine_holds)
 {
@@ -503,6 +522,7 @@
 	tcase_add_test(tcase, test_eviction_is_not_repeated);
 	tcase_add_loop_test(tcase, test_failing_job, 0, 3);
 	tcase_add_test(tcase, test_quarantine_and_probation);
+	tcase_add_test(tcase, test_failing_jobs_quarantine_no_vm);
 	tcase_add_test(tcase, test_operators_quarantine_holds);
 	tcase_add_test(tcase, test_cancel_in_bulk);
 	tcase_add_test(tcase, test_undo);
