control: count the longest lease from the last late call with a deadline

The next incarnation of a worker executes a start late, and after that a poll of the former one that had no answer. The poll's deadline is on the former clock, so it extends the lease of that run to the longest one, counted from the poll. The leader counted it from the start, gave the run up and placed it elsewhere.

Cause: flow_run_lapsed_us() allowed for the call that starts the run, not for those that extend its lease.

Change: if a later incarnation may have executed a start, the longest lease counts from the last late call with a deadline: polls have them until the agent reports that the worker doesn't respond, or, if it is silent, until the granted lease ends. This holds for starts without an answer, too.

--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -628,18 +628,42 @@
 		       orphan->copy_late_us;
 }
 
+/*
+ * Returns until when a later incarnation of the worker may execute a poll of
+ * its agent, which extends the lease. Polls have deadlines until the agent
+ * reports that the worker doesn't respond. An agent that is silent may send
+ * them until the granted lease has ended.
+ */
+static uint64_t flow_late_poll_us(const struct control_flow *flows,
+				  const struct flow_vm *vm)
+{
+	uint64_t now_us = flows->control->node->now_us;
+	bool silent = !vm->reported || vm->reachable ||
+		      now_us - vm->reported_us >=
+			      FLOW_REPORT_STALE_MS * 1000ull;
+
+	return (silent ? vm->lapse_us : vm->unreachable_us) +
+	       WORKER_CALL_MAX_DELAY_MS * 1000ull;
+}
+
 /*
  * Returns the time at which the worker has certainly no longer a run. A later
  * incarnation that executes its start, or that of an earlier run of the
- * task, until @a late_us may keep it for the longest lease that workers accept.
+ * task, until @a late_us may keep it for the longest lease that workers accept,
+ * counted from the last late call with a deadline.
  */
 static uint64_t flow_run_lapsed_us(const struct control_flow *flows,
 				   const struct flow_vm *vm, uint64_t late_us)
 {
-	return late_us ? MAX(flow_lapsed_us(vm),
-			     late_us + control_flow_longest_lease_us(flows) +
-				     FLOW_LEASE_MARGIN_MS * 1000ull) :
-			 flow_lapsed_us(vm);
+	uint64_t lapsed_us = flow_lapsed_us(vm);
+
+	if (!late_us)
+		return lapsed_us;
+	/* A later incarnation can have started since the last response only. */
+	if (late_us + RUNNER_CALL_MAX_MS * 1000ull > vm->reachable_us)
+		late_us = MAX(late_us, flow_late_poll_us(flows, vm));
+	return MAX(lapsed_us, late_us + control_flow_longest_lease_us(flows) +
+				      FLOW_LEASE_MARGIN_MS * 1000ull);
 }
 
 bool control_flow_has_orphan(const struct control_flow *flows,
--- a/tests/test_flow_unannounced.c
+++ b/tests/test_flow_unannounced.c
@@ -422,6 +422,9 @@
 	uint32_t crash_ms; /* of the worker, which is restarted */
 	uint32_t second_crash_ms; /* the same, behind the cut */
 	uint32_t cut_ms; /* the worker is cut off from its agent */
+	/* From then on to the cut, calls have no answer and are executed late.
+	 */
+	uint32_t lose_calls_ms;
 };
 
 static void set_start_faults(struct flow_world *fw,
@@ -437,6 +440,11 @@
 	}
 }
 
+static void lose_calls(struct fw_vm *vm)
+{
+	vm->lose_ppm = 1000000;
+}
+
 static void stay_unannounced(struct fw_vm *vm)
 {
 	fw_boot_worker(vm);
@@ -476,6 +484,8 @@
 		}
 		if (killed && ms == test->leader_killed_ms + LEADER_DOWN_MS)
 			world_boot_control(killed);
+		if (ms && ms == test->lose_calls_ms)
+			each_restarted(fw, lose_calls);
 		if (ms == test->cut_ms)
 			each_restarted(fw, cut_worker);
 		if (ms && (ms == test->crash_ms || ms == test->second_crash_ms))
@@ -550,6 +560,26 @@
 }
 END_TEST
 
+/*
+ * Guards against the same if a poll with a deadline, sent after the start, has
+ * no answer and reaches the next incarnation late: it extends the lease of the
+ * run that the first copy has started.
+ */
+START_TEST(test_first_copy_and_late_poll)
+{
+	static const struct copy_case tests[] = {
+		{ .lose_calls_ms = 4000, .cut_ms = 5000, .crash_ms = 5200 },
+		{ .lose_calls_ms = 8000, .cut_ms = 9000, .crash_ms = 9200 },
+		{ .lose_calls_ms = 8000,
+		  .cut_ms = 9000,
+		  .crash_ms = 9200,
+		  .agent_killed_ms = 9600 },
+	};
+
+	play_copies(tests, G_N_ELEMENTS(tests));
+}
+END_TEST
+
 /*
  * Guards against the same if two agent processes have called the start: the
  * call of the first one had no answer, and the second one's was answered.
@@ -594,6 +624,7 @@
 	const TTest *const first_copy[] = {
 		test_first_copy_in_next_incarnation,
 		test_first_copy_after_restart_of_agent,
+		test_first_copy_and_late_poll,
 		test_first_copy_of_former_agent,
 	};
 	const TTest *const answered_start[] = {
