--- a/src/core/control/control_flow_failure.c
+++ b/src/core/control/control_flow_failure.c
@@ -87,7 +87,7 @@
 	logline_u64(line, "fail_permille",
 		    reliability_fail_permille(&vm->reliability));
 	logline_u64(line, "others_fail_permille",
-		    others->sum_fail_permille / others->nr_vms);
+		    others->sum_fail_permille / MAX(others->nr_vms, 1));
 	node_log(flows->control->node, line);
 }
 
--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -496,20 +496,20 @@
 			      struct flow_placement *placed, enum flow_end end,
 			      const char *checkpoint);
 
-/* control_flow_vm.c */
-/** Returns the fencing token for leases and orders that the VM gets now. */
-uint64_t control_flow_fence(const struct control_flow *flows,
-			    const struct flow_vm *vm);
-void control_flow_grant(struct control_flow *flows, struct flow_vm *vm);
+/* control_flow_lapse.c */
 /**
  * Returns the time until which a later incarnation of the worker may execute
  * the run's start, 0 if the worker certainly has the run.
  */
 uint64_t control_flow_late_start_us(const struct flow_placement *placed);
-/** Returns true if reports still show how the worker's runs end. */
-bool control_flow_vm_is_reporting(const struct control_flow *flows,
-				  const struct flow_vm *vm);
-void control_flow_check(void *data, uint64_t now_us);
+/** Returns the time at which the worker's lease has certainly expired. */
+uint64_t control_flow_lapsed_us(const struct flow_vm *vm);
+/**
+ * Returns the committed runs of the VM that its worker can't have, or get, any
+ * more. The caller frees the list.
+ */
+GList *control_flow_lost_runs(const struct control_flow *flows,
+			      const struct flow_vm *vm);
 /**
  * Returns true if a worker whose lease may hold runs, or may still start, an
  * earlier run of the task, by the last report about it.
@@ -517,6 +517,16 @@
 bool control_flow_has_orphan(const struct control_flow *flows,
 			     const struct state_flow *flow, uint32_t task);
 
+/* control_flow_vm.c */
+/** Returns the fencing token for leases and orders that the VM gets now. */
+uint64_t control_flow_fence(const struct control_flow *flows,
+			    const struct flow_vm *vm);
+void control_flow_grant(struct control_flow *flows, struct flow_vm *vm);
+/** Returns true if reports still show how the worker's runs end. */
+bool control_flow_vm_is_reporting(const struct control_flow *flows,
+				  const struct flow_vm *vm);
+void control_flow_check(void *data, uint64_t now_us);
+
 /* control_flow_worker.c */
 /**
  * Returns the time at which the lease that the VM's worker got from earlier
--- a/src/core/control/control_flow_vm.c
+++ b/src/core/control/control_flow_vm.c
@@ -52,12 +52,6 @@
 	vm->bound = bound;
 }
 
-/* Returns the time at which the worker's lease has certainly expired. */
-static uint64_t flow_lapsed_us(const struct flow_vm *vm)
-{
-	return vm->lapse_us + FLOW_LEASE_MARGIN_MS * 1000ull;
-}
-
 uint64_t control_flow_fence(const struct control_flow *flows,
 			    const struct flow_vm *vm)
 {
@@ -500,7 +494,7 @@
 		return false;
 	return worker->id[0] && vm->worker.id[0] &&
 	       worker->born_ms < vm->worker.born_ms &&
-	       now_us <= flow_lapsed_us(vm);
+	       now_us <= control_flow_lapsed_us(vm);
 }
 
 /*
@@ -609,113 +603,6 @@
 	control_flow_grant(flows, vm);
 }
 
-uint64_t control_flow_late_start_us(const struct flow_placement *placed)
-{
-	uint64_t late_us = control_flow_is_at_worker(placed) ?
-				   0 :
-				   MAX(placed->vm->late_start_us,
-				       placed->inherited_late_us);
-
-	return MAX(late_us, placed->copy_late_us);
-}
-
-/* The same for an orphan of the VM. */
-static uint64_t flow_orphan_late_us(const struct flow_vm *vm,
-				    const struct flow_orphan *orphan)
-{
-	return orphan->unconfirmed ?
-		       MAX(vm->late_start_us, orphan->copy_late_us) :
-		       orphan->copy_late_us;
-}
-
-/*
- * Returns until when a later incarnation of the worker may execute a poll of
- * its agent, which extends the lease. Polls have deadlines until the agent
- * reports that the worker doesn't respond. An agent that is silent may send
- * them until the granted lease has ended.
- */
-static uint64_t flow_late_poll_us(const struct control_flow *flows,
-				  const struct flow_vm *vm)
-{
-	uint64_t now_us = flows->control->node->now_us;
-	bool silent = !vm->reported || vm->reachable ||
-		      now_us - vm->reported_us >=
-			      FLOW_REPORT_STALE_MS * 1000ull;
-
-	return (silent ? vm->lapse_us : vm->unreachable_us) +
-	       WORKER_CALL_MAX_DELAY_MS * 1000ull;
-}
-
-/*
- * Returns the time at which the worker has certainly no longer a run. A later
- * incarnation that executes its start, or that of an earlier run of the
- * task, until @a late_us may keep it for the longest lease that workers accept,
- * counted from the last late call with a deadline.
- */
-static uint64_t flow_run_lapsed_us(const struct control_flow *flows,
-				   const struct flow_vm *vm, uint64_t late_us)
-{
-	uint64_t lapsed_us = flow_lapsed_us(vm);
-
-	if (!late_us)
-		return lapsed_us;
-	/* A later incarnation can have started since the last response only. */
-	if (late_us + RUNNER_CALL_MAX_MS * 1000ull > vm->reachable_us)
-		late_us = MAX(late_us, flow_late_poll_us(flows, vm));
-	return MAX(lapsed_us, late_us + control_flow_longest_lease_us(flows) +
-				      FLOW_LEASE_MARGIN_MS * 1000ull);
-}
-
-bool control_flow_has_orphan(const struct control_flow *flows,
-			     const struct state_flow *flow, uint32_t task)
-{
-	uint64_t now_us = flows->control->node->now_us;
-	char name[NAME_BYTES];
-	GHashTableIter iter;
-	void *value;
-
-	if (!flows->nr_orphans)
-		return false;
-	state_flow_task_name(flow, task, name);
-	g_hash_table_iter_init(&iter, flows->vms);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct flow_vm *vm = value;
-		const struct flow_orphan *orphan =
-			control_flow_vm_orphan(vm, name);
-
-		if (orphan && now_us <= flow_run_lapsed_us(flows, vm,
-							   flow_orphan_late_us(
-								   vm, orphan)))
-			return true;
-	}
-	return false;
-}
-
-/*
- * Returns the committed runs of the VM that its worker can't have, or get, any
- * more.
- */
-static GList *flow_lost_runs(const struct control_flow *flows,
-			     const struct flow_vm *vm)
-{
-	uint64_t now_us = flows->control->node->now_us;
-	GList *lost = NULL;
-	GHashTableIter iter;
-	void *key;
-
-	g_hash_table_iter_init(&iter, vm->runs);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const struct flow_placement *placed = key;
-
-		if (placed->committed && !placed->ending &&
-		    now_us > flow_run_lapsed_us(
-				     flows, vm,
-				     control_flow_late_start_us(placed)))
-			lost = g_list_prepend(lost, key);
-	}
-	return lost;
-}
-
 /* Proposes the runs as lost, as the worker's lease has certainly expired. */
 static void flow_vm_lost(struct control_flow *flows, struct flow_vm *vm,
 			 GList *runs)
@@ -767,7 +654,7 @@
 		 */
 		if (control_flow_vm_is_reporting(flows, vm))
 			continue;
-		lost = flow_lost_runs(flows, vm);
+		lost = control_flow_lost_runs(flows, vm);
 		if (lost)
 			flow_vm_lost(flows, vm, lost);
 		g_list_free(lost);
--- a/tests/test_flow_failures.c
+++ b/tests/test_flow_failures.c
@@ -220,11 +220,11 @@
 	}
 	nr_refused = sim_log_matches(fw->base->sim,
 				     "event=worker-refused kind=start");
-	flow_world_run_ms(fw, 10 * REFUSED_PAUSE_MS);
+	flow_world_run_ms(fw, 10ull * REFUSED_PAUSE_MS);
 	nr_refused = sim_log_matches(fw->base->sim,
 				     "event=worker-refused kind=start") -
 		     nr_refused;
-	ck_assert_uint_le(nr_refused, refused.count * 11);
+	ck_assert_uint_le(nr_refused, refused.count * 11ull);
 	flow_world_free(fw);
 }
 END_TEST
--- a/tests/test_flow_unannounced.c
+++ b/tests/test_flow_unannounced.c
@@ -574,6 +574,11 @@
 		  .cut_ms = 9000,
 		  .crash_ms = 9200,
 		  .agent_killed_ms = 9600 },
+		/* The agent's first report to its leader is that of the cut. */
+		{ .lose_calls_ms = 6000,
+		  .leader_killed_ms = 6200,
+		  .cut_ms = 7000,
+		  .crash_ms = 7200 },
 	};
 
 	play_copies(tests, G_N_ELEMENTS(tests));
--- a/tests/test_reliability.c
+++ b/tests/test_reliability.c
@@ -203,7 +203,7 @@
 	reliability_failed(&fleet.vms[1], step, FAILS_AFTER_MS);
 	ck_assert(reliability_is_faulty(step));
 	ck_assert(!reliability_outlives(step, FAILS_AFTER_MS + 100));
-	ck_assert(reliability_outlives(step, 3 * FAILS_AFTER_MS));
+	ck_assert(reliability_outlives(step, 3ull * FAILS_AFTER_MS));
 	reliability_succeeded(&fleet.vms[2], step);
 	ck_assert(!reliability_is_faulty(step));
 	for (uint32_t i = 0; i < 3; i++)
