control: vm-lost names the bound that the runs' loss has waited for

bound and bound_ms_ago of vm-lost left out late polls, which the time includes since. Both now come from control_flow_run_lapsed_us().

--- a/src/core/control/control_flow_impl.h
+++ b/src/core/control/control_flow_impl.h
@@ -504,6 +504,15 @@
 uint64_t control_flow_late_start_us(const struct flow_placement *placed);
 /** Returns the time at which the worker's lease has certainly expired. */
 uint64_t control_flow_lapsed_us(const struct flow_vm *vm);
+/**
+ * Returns the time at which the worker has certainly no longer a run. A later
+ * incarnation that executes its start, or that of an earlier run of the task,
+ * until @a late_us may keep it for the longest lease that workers accept,
+ * counted from the last late call with a deadline. @a late_us is 0 if no later
+ * incarnation can execute such a start.
+ */
+uint64_t control_flow_run_lapsed_us(const struct control_flow *flows,
+				    const struct flow_vm *vm, uint64_t late_us);
 /**
  * Returns the committed runs of the VM that its worker can't have, or get, any
  * more. The caller frees the list.
--- a/src/core/control/control_flow_lapse.c
+++ b/src/core/control/control_flow_lapse.c
@@ -51,14 +51,8 @@
 	return last_us + WORKER_CALL_MAX_DELAY_MS * 1000ull;
 }
 
-/*
- * Returns the time at which the worker has certainly no longer a run. A later
- * incarnation that executes its start, or that of an earlier run of the
- * task, until @a late_us may keep it for the longest lease that workers accept,
- * counted from the last late call with a deadline.
- */
-static uint64_t flow_run_lapsed_us(const struct control_flow *flows,
-				   const struct flow_vm *vm, uint64_t late_us)
+uint64_t control_flow_run_lapsed_us(const struct control_flow *flows,
+				    const struct flow_vm *vm, uint64_t late_us)
 {
 	uint64_t lapsed_us = control_flow_lapsed_us(vm);
 
@@ -88,9 +82,10 @@
 		const struct flow_orphan *orphan =
 			control_flow_vm_orphan(vm, name);
 
-		if (orphan && now_us <= flow_run_lapsed_us(flows, vm,
-							   flow_orphan_late_us(
-								   vm, orphan)))
+		if (orphan &&
+		    now_us <=
+			    control_flow_run_lapsed_us(
+				    flows, vm, flow_orphan_late_us(vm, orphan)))
 			return true;
 	}
 	return false;
@@ -109,7 +104,7 @@
 		const struct flow_placement *placed = key;
 
 		if (placed->committed && !placed->ending &&
-		    now_us > flow_run_lapsed_us(
+		    now_us > control_flow_run_lapsed_us(
 				     flows, vm,
 				     control_flow_late_start_us(placed)))
 			lost = g_list_prepend(lost, key);
--- a/src/core/control/control_flow_log.c
+++ b/src/core/control/control_flow_log.c
@@ -279,14 +279,14 @@
 
 	for (GList *item = runs; item; item = item->next) {
 		uint64_t late_us = control_flow_late_start_us(item->data);
+		uint64_t lapsed_us =
+			control_flow_run_lapsed_us(flows, vm, late_us) -
+			FLOW_LEASE_MARGIN_MS * 1000ull;
 
-		if (!late_us)
-			continue;
-		late_us += control_flow_longest_lease_us(flows);
-		if (late_us <= until_us)
+		if (lapsed_us <= until_us)
 			continue;
 		bound = "late-start";
-		until_us = late_us;
+		until_us = lapsed_us;
 	}
 	logline_str(line, "bound", bound);
 	logline_u64(line, "bound_ms_ago", ms_since(flows, until_us));
--- a/src/core/control/control_flow_order.c
+++ b/src/core/control/control_flow_order.c
@@ -104,8 +104,7 @@
 	order.repeated = placed->inherited ||
 			 (placed->ordered_us &&
 			  placed->ordered_node != placed->vm->node_id);
-	/* The start may already have been called by an earlier agent process.
-	 */
+	/* An earlier agent process may have called the start already. */
 	if (order.repeated && !control_flow_is_at_worker(placed))
 		placed->copy_late_us =
 			MAX(placed->copy_late_us,
