--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,44 +1,47 @@
-"""A control process is killed during the first start of the system, and starts
-again with the settings of a process that isn't part of a first start."""
+"""An executor fails all that it starts; it gets two members of a gang. The gang
+has failed once then, and may fail as often as `attempts` says."""
 import os
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-3"))
-from deployment import Site, asyncio, main  # noqa: E402
+from deployment import Site, asyncio, events, main  # noqa: E402
 
-KILL_AFTER_S = 1.0
-BACK_AFTER_S = 0.5
-LIMIT_S = 60
+EXECUTORS = 7  # one of them fails what it starts: a share of 0.143
+MEMBERS = 14
+ATTEMPTS = 2
+GREY_S = 6.0
+IDENT = "5c0e7a21d94b36f8"
 
 
 async def case(trouble, record_path):
-    site = Site(record_path)
+    site = Site(record_path, sides=EXECUTORS)
     record = site.record
     try:
-        await asyncio.gather(*[d.start(True) for d in site.daemons.values()])
-        for executor in site.executors:
-            await executor.start()
+        await site.begin([site.route(attempts=ATTEMPTS)])
+        site.work[IDENT] = {"gang": MEMBERS, "ms": 1500}
+        step = {"count": MEMBERS, "cpu": 4000, "memMb": 4000,
+                "estimateMs": 1500, "gang": True}
         if trouble:
-            await asyncio.sleep(KILL_AFTER_S)
-            record.say("core-0 is killed")
-            await site.daemons["core-0"].kill()
-            await asyncio.sleep(BACK_AFTER_S)
-            record.say("core-0 starts again")
-            await site.daemons["core-0"].start(False)
-        status, _ = await site.order("POST", "/Config.Replace",
-                                     site.manifest(), LIMIT_S)
-        running = [d.name for d in site.daemons.values() if d.running()]
-        record.say("the first manifest:", status, "; running:", running)
-        served = False
-        if status == 200:
-            served = await site.submit("5c0e7a21d94b36f8", {
-                "spec": "x", "steps": [{"count": 1, "cpu": 100,
-                                        "memMb": 64, "estimateMs": 800}]})
-            record.say("a submission was accepted:", served)
-        if len(running) != len(site.daemons):
-            raise RuntimeError("a process isn't running")
-        return not served
+            record.say("executor 0 fails all that it starts")
+            site.executors[0].grey = True
+        grey_until = record.now() + GREY_S
+        if not await site.submit(IDENT, {"spec": "gang", "steps": [step]}):
+            raise RuntimeError("the submission was not accepted")
+        state = ""
+        end = record.now() + 30
+        while record.now() < end and state not in ("completed", "failed"):
+            await asyncio.sleep(0.1)
+            state = (await site.client("GET", IDENT))[1].get("state", "")
+            if record.now() > grey_until:
+                site.executors[0].grey = False
+        runs = sorted({run for _, _, event, _, run, _ in
+                       events(site, ("end",)) if event == "end failed"})
+        record.say("state:", state, "; the gang's runs that failed:", runs,
+                   "; attempts:", ATTEMPTS)
+        if not trouble and state != "completed":
+            raise RuntimeError("the gang isn't done without trouble")
+        return state == "failed" and len(runs) < ATTEMPTS
     finally:
         await site.end()
 
--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -284,6 +284,19 @@
                         {"born": self.born}, timeout=1.0, source=self.ip)
         await self.crash()
 
+    def go_dark(self):
+        """Is lost for good: runs nothing, says nothing, answers nothing; its
+        channels stay open and silent."""
+        self.mute = True
+        self.beats.cancel()
+        for run in list(self.runs.values()):
+            self.note("gone", run.task, run.nr)
+            self.drop_timer(run)
+            if run.gang:
+                run.gang.leave(run)
+        self.runs = {}
+        self.note("dark")
+
     async def beat(self):
         while True:
             self.seq += 1
@@ -480,12 +493,15 @@
                     await asyncio.sleep(30)
                     break
                 if self.mute:
-                    await asyncio.sleep(30)
+                    await asyncio.sleep(60)
                     break
                 if headers.get("x-masticreach-target-instance") != self.id:
                     status, out = self.answer(421)
                 else:
                     status, out = await self.handle(path, body)
+                if self.mute:
+                    await asyncio.sleep(60)
+                    break
                 text = json.dumps(out).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json"
                              b"\r\nContent-Length: %d\r\n\r\n" %
